--- /dev/null
+++ b/balancer/breaker_test.go
@@ -0,0 +1,152 @@
+package balancer
+
+import (
+	"math"
+	"testing"
+)
+
+func near(a, b float64) bool { return math.Abs(a-b) < 1e-9 }
+
+func TestErrorChance(t *testing.T) {
+	for _, c := range []struct {
+		name              string
+		accepts, failures int
+		refusals          int
+		spread            int // buckets that failures are spread over
+		want              float64
+	}{
+		{"empty", 0, 0, 0, 1, 0},
+		{"within protection", 0, 5, 0, 1, 0},
+		{"one beyond protection", 0, 6, 0, 1, 1.0 / 7},
+		// 30 requests, 10 accepts in the newest bucket: K stays 1.5.
+		{"two thirds fail", 10, 20, 0, 1, (30.0 - 5 - 15) / 31},
+		{"refusals count as requests", 10, 0, 20, 1, (30.0 - 5 - 15) / 31},
+		{"all accepted", 40, 0, 0, 1, 0},
+		// 20 failing buckets after the accepts: K = 1.5 - 0.4*20/40 = 1.3.
+		{"K eases", 10, 20, 0, 20, (30.0 - 5 - 13) / 31},
+	} {
+		var k breaker
+		now := 100 * second
+		for range c.accepts {
+			k.count(now, 1, 0)
+		}
+		for i := range c.failures {
+			if c.spread > 1 && i%(c.failures/c.spread) == 0 {
+				now += window / buckets
+			}
+			k.count(now, 0, 1)
+		}
+		for range c.refusals {
+			k.count(now, 0, 0)
+		}
+		if got := k.errorChance(now); !near(got, c.want) {
+			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+func TestWindowForgets(t *testing.T) {
+	var k breaker
+	for range 100 {
+		k.count(100*second, 0, 1)
+	}
+	if k.errorChance(109*second) == 0 {
+		t.Error("failures of nine seconds ago are forgotten")
+	}
+	if got := k.errorChance(110*second + 1); got != 0 || k.requests != 0 {
+		t.Errorf("after the window: chance %v, %d requests", got, k.requests)
+	}
+	for range 100 {
+		k.count(200*second, 0, 1)
+	}
+	k.errorChance(500 * second)
+	if k.requests != 0 {
+		t.Errorf("after a long pause: %d requests", k.requests)
+	}
+}
+
+func TestLatencyAverages(t *testing.T) {
+	var k breaker
+	k.latency(100)
+	if k.base != 100 || k.current != 100 {
+		t.Fatalf("first: base %v current %v", k.base, k.current)
+	}
+	k.latency(60) // falls by a quarter of the way; current (60+3*100)/4
+	if !near(k.base, 90) || !near(k.current, 90) {
+		t.Fatalf("fall: base %v current %v", k.base, k.current)
+	}
+	k.latency(190) // rises by a hundredth: (190+99*90)/100; current (190+270)/4
+	if !near(k.base, 91) || !near(k.current, 115) {
+		t.Fatalf("rise: base %v current %v", k.base, k.current)
+	}
+}
+
+func TestLatencyChance(t *testing.T) {
+	for _, c := range []struct {
+		name                   string
+		base, current, timeout float64
+		want                   float64
+	}{
+		{"no sample", 0, 0, 1000, 0},
+		{"under three times the baseline", 100, 299, 1000, 0},
+		{"half way to the ceiling", 100, 625, 1000, 0.15}, // (625-300)/(950-300)*0.3
+		{"at the ceiling", 100, 950, 1000, 0.3},
+		{"capped", 100, 5000, 1000, 0.3},
+		{"ceiling under the threshold", 400, 5000, 1000, 0},
+	} {
+		k := breaker{base: c.base, current: c.current}
+		if got := k.latencyChance(c.timeout); !near(got, c.want) {
+			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+func TestForcedPass(t *testing.T) {
+	b, _ := start(t, testSettings(), ready(1))
+	e := b.list[0]
+	now := 20 * second
+	for range 1000 {
+		e.br.count(now, 0, 1)
+	}
+	r := &request{}
+	if !b.allows(now, r, e) {
+		t.Fatal("the first is passed by force")
+	}
+	passed := 0
+	for range 200 {
+		if b.allows(now+1000, r, e) {
+			passed++
+		}
+	}
+	if passed > 20 {
+		t.Errorf("%d of 200 passed an endpoint that fails all", passed)
+	}
+	if !b.allows(now+forcedPass+1001, r, e) {
+		t.Error("none passed after the forced-pass interval")
+	}
+}
+
+// When all endpoints fail at once, ejection must not leave the few last ones with everything.
+func TestAllFailingAtOnceStaySpread(t *testing.T) {
+	b, r := start(t, testSettings(), ready(8))
+	sends := map[uint32]int{}
+	for id := range uint64(400) {
+		now := 1000 + 100*Micros(id)
+		b.Request(now, Request{ID: id, Class: 4, Deadline: now + second})
+		if n := len(r.sends); n > 0 && r.sends[n-1].id == id {
+			sends[r.sends[n-1].endpoint]++
+			b.Outcome(now, Outcome{ID: id, Endpoint: r.sends[n-1].endpoint, Status: Error, Latency: 50})
+		}
+	}
+	if !b.list[0].ejected(41_000) {
+		t.Fatal("an endpoint that fails all is not ejected")
+	}
+	for e, n := range sends {
+		if n > 3*len(r.sends)/8 {
+			t.Errorf("endpoint %d got %d of %d sends", e, n, len(r.sends))
+		}
+	}
+	if b.list[0].ejected(60 * second) {
+		t.Error("an ejection never ends")
+	}
+}
--- /dev/null
+++ b/balancer/helpers_test.go
@@ -0,0 +1,103 @@
+package balancer
+
+import (
+	"errors"
+	"testing"
+)
+
+// testSettings are plain settings that tests change as they need.
+func testSettings() Settings {
+	return Settings{
+		Balancers: 2, Zones: 1, Kinds: 1, Tick: 5000,
+		Classes: []Class{
+			{Name: "read", Repeat: Safe, Aim: 400_000, GiveUp: second, Worth: 1},
+			{Name: "keyed-all", Repeat: Keyed, Group: GroupAll, Window: 500_000, Aim: 400_000, GiveUp: second, Worth: 1},
+			{Name: "keyed-zone", Repeat: Keyed, Group: GroupZone, Window: 500_000, Aim: 400_000, GiveUp: second, Worth: 1},
+			{Name: "keyed-cell", Repeat: Keyed, Group: GroupCell, Window: 500_000, Aim: 400_000, GiveUp: second, Worth: 1},
+			{Name: "write", Repeat: Unsafe, Aim: 400_000, GiveUp: second, Worth: 1},
+		},
+		Fields: []Field{FieldInflight},
+		Limits: Limits{Cancel: true, Probes: true, SecondCopies: true, RetryAfter: true,
+			MaxAttempts: 3, MaxOpen: 1000, MaxRetryAfter: second, DialTimeout: 100_000},
+		Contract: Contract{DrainGrace: 500_000, ColdFrom: 0.2, RampTime: 10 * second,
+			FallMultiple: 2.5, OverloadFor: second, AskWithin: 10 * second},
+		Goal: Goal{Whole: 1},
+	}
+}
+
+type sent struct {
+	id       uint64
+	endpoint uint32
+}
+
+// recorder keeps what a balancer asks of its host.
+type recorder struct {
+	sends   []sent
+	refused []uint64
+	failed  []uint64
+	cancels []uint64
+	probes  []uint32
+	timers  []uint32
+	delays  []Micros
+	watches int
+	logs    []string
+}
+
+func (r *recorder) Send(id uint64, e uint32, _ Micros) { r.sends = append(r.sends, sent{id, e}) }
+func (r *recorder) Refuse(id uint64, _ Micros)         { r.refused = append(r.refused, id) }
+func (r *recorder) Fail(id uint64)                     { r.failed = append(r.failed, id) }
+func (r *recorder) Cancel(id uint64, _ int)            { r.cancels = append(r.cancels, id) }
+func (r *recorder) Timer(delay Micros, token uint32) {
+	r.timers, r.delays = append(r.timers, token), append(r.delays, delay)
+}
+func (r *recorder) Probe(e uint32)  { r.probes = append(r.probes, e) }
+func (r *recorder) Watch(bool)      { r.watches++ }
+func (r *recorder) Log(line string) { r.logs = append(r.logs, line) }
+
+// ready returns n ready endpoints with ids from 1; pairs share a cell and a zone.
+func ready(n int) []Endpoint {
+	list := make([]Endpoint, n)
+	for i := range list {
+		list[i] = Endpoint{ID: uint32(i + 1), Zone: uint8(i / 2), Cell: uint16(i / 2), Share: 1}
+	}
+	return list
+}
+
+func start(t *testing.T, s Settings, list []Endpoint) (*Balancer, *recorder) {
+	t.Helper()
+	r := &recorder{}
+	b, err := New(s, 7, r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Start(0)
+	b.Members(0, ListCached, list)
+	return b, r
+}
+
+func request0(id uint64, class uint8, now Micros) Request {
+	return Request{ID: id, Class: class, Deadline: now + second}
+}
+
+func TestNewNamesBadSetting(t *testing.T) {
+	for _, c := range []struct {
+		key   string
+		spoil func(*Settings)
+	}{
+		{"Balancers", func(s *Settings) { s.Balancers = 0 }},
+		{"Classes", func(s *Settings) { s.Classes = nil }},
+		{"Classes[0].Aim", func(s *Settings) { s.Classes[0].Aim = 0 }},
+		{"Classes[1].Window", func(s *Settings) { s.Classes[1].Window = -1 }},
+		{"Contract.ColdFrom", func(s *Settings) { s.Contract.ColdFrom = 0 }},
+		{"Limits.MaxAttempts", func(s *Settings) { s.Limits.MaxAttempts = 0 }},
+		{"Prices.Probe", func(s *Settings) { s.Prices.Probe = -1 }},
+	} {
+		s := testSettings()
+		c.spoil(&s)
+		_, err := New(s, 1, &recorder{})
+		var bad *SettingError
+		if !errors.As(err, &bad) || bad.Key != c.key {
+			t.Errorf("want an error for %s, got %v", c.key, err)
+		}
+	}
+}
--- /dev/null
+++ b/balancer/pick_test.go
@@ -0,0 +1,524 @@
+package balancer
+
+import (
+	"math"
+	"testing"
+)
+
+func TestPickTakesLeastLoadPlusOwnSends(t *testing.T) {
+	s := testSettings()
+	s.Balancers = 1
+	b, r := start(t, s, ready(3))
+	for i, load := range []float32{4, 0, 9} {
+		b.Probed(1000, uint32(i+1), OK, 500, []float32{load})
+	}
+	for id := range uint64(4) {
+		b.Request(2000, request0(id, 0, 2000))
+	}
+	// Endpoint 2 stays least until it holds as many as endpoint 1 reported.
+	for i, s := range r.sends {
+		if s.endpoint != 2 {
+			t.Errorf("send %d went to %d", i, s.endpoint)
+		}
+	}
+	if len(r.sends) != 4 {
+		t.Fatalf("%d sends", len(r.sends))
+	}
+	if got := b.load(b.byID[2]); got != 4 {
+		t.Errorf("load with own sends: %v", got)
+	}
+}
+
+// In a large fleet all balancers learn of the same idle endpoint: none may fill it alone.
+func TestOneLowAnswerDrawsNoHerd(t *testing.T) {
+	for _, c := range []struct{ balancers, most int }{{1, 5}, {3, 3}, {15, 2}} {
+		s := testSettings()
+		s.Balancers = c.balancers
+		b, r := start(t, s, ready(4))
+		for id := range uint32(4) {
+			b.Probed(1000, id+1, OK, 500, []float32{3 * float32(min(1, id))})
+		}
+		for id := range uint64(8) {
+			b.Request(2000, Request{ID: id, Deadline: second, Hint: 10_000, HasHint: true})
+		}
+		n := 0
+		for _, at := range r.sends {
+			if at.endpoint == 1 {
+				n++
+			}
+		}
+		if len(r.sends) != 8 || n == 0 || n > c.most {
+			t.Errorf("%d balancers: %d of %d sends to the idle endpoint, want 1 to %d",
+				c.balancers, n, len(r.sends), c.most)
+		}
+	}
+}
+
+func TestPoolAges(t *testing.T) {
+	s := testSettings()
+	b, r := start(t, s, ready(2))
+	b.Probed(1000, 1, OK, 500, []float32{0})
+	now := 1000 + b.freshFor(1000, second) + 30*second
+	seen := map[uint32]bool{}
+	for id := range uint64(20) {
+		b.Request(now, request0(id, 0, now))
+		b.Outcome(now, Outcome{ID: id, Endpoint: r.sends[len(r.sends)-1].endpoint, Status: OK, Latency: 1000, Settled: true})
+		seen[r.sends[len(r.sends)-1].endpoint] = true
+	}
+	if len(seen) != 2 {
+		t.Error("an answer beyond its age still decides: two random draws expected")
+	}
+}
+
+func TestOddReports(t *testing.T) {
+	b, _ := start(t, testSettings(), ready(1))
+	nan := float32(math.NaN())
+	for _, load := range [][]float32{nil, {}, {nan}, {-3}, {float32(math.Inf(1))}} {
+		b.Probed(1000, 1, OK, 500, load)
+		if b.list[0].hasLoad {
+			t.Errorf("report %v taken for a load", load)
+		}
+	}
+	b.Probed(1000, 99, OK, 500, []float32{1}) // unknown endpoint
+	b.Probed(1000, 1, OK, 500, []float32{2, 7, 9})
+	if b.load(b.list[0]) != 2 {
+		t.Errorf("load %v", b.load(b.list[0]))
+	}
+}
+
+// Reports that count fewer than this balancer has there itself are late; they
+// must not steer picks.
+func TestLateReportsAreFoundOut(t *testing.T) {
+	b, r := start(t, testSettings(), ready(2))
+	for id := range uint64(3) {
+		b.Request(1000, request0(id, 0, 1000))
+	}
+	busy := b.byID[r.sends[0].endpoint]
+	for i := range Micros(40) {
+		busy.probing = false
+		b.probe(12_000+i, busy)
+		b.Probed(13_000+i, busy.ID, OK, 500, []float32{0})
+	}
+	if !b.reportsLate {
+		t.Fatal("not found out")
+	}
+	if got := b.load(busy); got < float64(busy.inflight) {
+		t.Errorf("load %v is under own in-flight %d", got, busy.inflight)
+	}
+	for i := range Micros(400) {
+		busy.probing = false
+		b.probe(14_000+i, busy)
+		b.Probed(15_000+i, busy.ID, OK, 500, []float32{5})
+	}
+	if b.reportsLate {
+		t.Error("not left again")
+	}
+}
+
+// A wrong guess of a class's work must not refuse that class for ever; but a pass a second at each of a
+// thousand quiet balancers would keep a jammed fleet jammed.
+func TestLatenessRefusalLetsFewPass(t *testing.T) {
+	for _, c := range []struct {
+		gap      Micros
+		from, to int
+	}{{second / 100, 3, 6}, {second, 28, 33}} {
+		b, r := start(t, testSettings(), ready(1))
+		b.classes[0].work.v = float64(100 * second)
+		for i := range uint64(300) {
+			now := 10*second + Micros(i)*c.gap
+			b.Request(now, request0(i, 0, now))
+		}
+		if n := len(r.sends); n < c.from || n > c.to {
+			t.Errorf("a request every %d us: %d of 300 sent, want %d to %d", c.gap, n, c.from, c.to)
+		}
+		if len(r.refused) != 300-len(r.sends) {
+			t.Errorf("%d refused, %d sent", len(r.refused), len(r.sends))
+		}
+	}
+}
+
+func TestFailingEndpointIsAvoidedAndTriedAgain(t *testing.T) {
+	b, r := start(t, testSettings(), ready(3))
+	now := second
+	sends := map[uint32]int{}
+	id := uint64(0)
+	step := func() {
+		now += 20_000
+		for e := range uint32(3) {
+			b.Probed(now, e+1, OK, 500, []float32{0})
+		}
+		id++
+		from := len(r.sends)
+		b.Request(now, request0(id, 0, now))
+		for n := 0; from < len(r.sends); n++ {
+			to := r.sends[from].endpoint
+			from++
+			sends[to]++
+			status := OK
+			if to == 1 {
+				status = Error
+			}
+			b.Outcome(now, Outcome{ID: id, Attempt: n, Endpoint: to, Status: status,
+				Latency: 30_000 + Micros(id*7919%60_000), Settled: status == OK})
+		}
+	}
+	for range 3000 {
+		step()
+	}
+	if sends[1] > 300 {
+		t.Errorf("a fast failing endpoint got %d of 3000", sends[1])
+	}
+	if sends[1] < 2 {
+		t.Errorf("a failing endpoint is never tried again: %d sends", sends[1])
+	}
+}
+
+func TestTenantBeyondItsShareWeighsLess(t *testing.T) {
+	s := testSettings()
+	s.OverShareWorth = 0.05
+	s.Tenants = []Tenant{{Name: "a", Allowance: 50}, {Name: "b", Allowance: 50}}
+	b, _ := start(t, s, ready(2))
+	for i := range Micros(100) {
+		b.tenants[0].add(i*1000, 1)
+		if i%4 == 0 {
+			b.tenants[1].add(i*1000, 1)
+		}
+	}
+	over, within := &request{Request: Request{Tenant: 0}}, &request{Request: Request{Tenant: 1}}
+	b.refused.v = 0.5
+	if o, w := b.shareWorth(100_000, over), b.shareWorth(100_000, within); w != 1 || o > 0.6 {
+		t.Errorf("weights %v over, %v within the share", o, w)
+	}
+	if got := b.shareWorth(100_000, &request{Request: Request{Tenant: 9}}); got != 1 {
+		t.Errorf("unknown tenant: %v", got)
+	}
+}
+
+// At a start only few endpoints have answered; they must not get everything.
+func TestFewAnswersDoNotTakeAll(t *testing.T) {
+	b, r := start(t, testSettings(), ready(8))
+	b.Probed(1000, 3, OK, 500, []float32{0})
+	for id := range uint64(24) {
+		b.Request(2000, request0(id, 0, 2000))
+	}
+	seen := map[uint32]int{}
+	for _, s := range r.sends {
+		seen[s.endpoint]++
+	}
+	if len(r.sends) != 24 || len(seen) < 4 || seen[3] > 12 {
+		t.Errorf("%d sends, by endpoint %v", len(r.sends), seen)
+	}
+}
+
+// While reports are late, averages decide; they must not refuse what an
+// endpoint that they cannot show would serve.
+func TestLateReportsAllowTheWholeAim(t *testing.T) {
+	b, _ := start(t, testSettings(), ready(1))
+	r := &request{Request: request0(1, 0, 0), work: 50_000}
+	b.classes[0].asked.add(0, 1)
+	before := b.room(0, r, b.list[0])
+	b.reportsLate = true
+	if after := b.room(0, r, b.list[0]); after <= before || after != float64(b.s.Classes[0].Aim) {
+		t.Errorf("limit %v before, %v while late", before, after)
+	}
+}
+
+// What a cold endpoint can do grows with its warmth, and so must what is
+// expected of it, also once its pace has been learned.
+func TestColdEndpointIsExpectedToBeSlow(t *testing.T) {
+	b, _ := start(t, testSettings(), ready(2))
+	b.Members(1000, ListDelta, []Endpoint{{ID: 9, State: Ready, StartTime: 1000}})
+	e := b.byID[9]
+	if got := e.paceNow(1000, b); !near(got, 5) { // warmth 0.2
+		t.Errorf("pace %v just started", got)
+	}
+	e.pace, e.paceAt = ewma{v: 2, seen: true}, 6*second
+	if got := e.paceNow(6*second, b); got < 2.9 || got > 3 { // warmth 0.68
+		t.Errorf("pace %v half way", got)
+	}
+	if got := e.paceNow(12*second, b); got > 2 {
+		t.Errorf("pace %v once warm", got)
+	}
+}
+
+// When the whole fleet turns slow, an endpoint known as fast must be expected to be slow, too, and
+// must be trusted again soon after the recovery.
+func TestFleetWideSlowdownIsLearnedAtOnce(t *testing.T) {
+	b, r := start(t, testSettings(), ready(4))
+	serve := func(from Micros, n int, times float64) {
+		for i := range n {
+			now := from + 1000*Micros(i)
+			id := uint64(now)
+			b.Probed(now, 1, OK, 500, []float32{9}) // the others serve
+			b.Request(now, Request{ID: id, Deadline: now + second, Hint: 10_000, HasHint: true})
+			if len(r.sends) == 0 || r.sends[len(r.sends)-1].id != id {
+				continue // refused
+			}
+			latency := Micros(times * b.requests[id].attempts[0].expected)
+			b.Outcome(now, Outcome{ID: id, Endpoint: r.sends[len(r.sends)-1].endpoint, Status: OK,
+				Latency: latency, Settled: true})
+		}
+	}
+	one := func(now Micros) float64 {
+		b.Probed(now, 1, OK, 500, []float32{0})
+		b.byID[1].pace, b.byID[1].paceAt = ewma{v: 1, seen: true}, now
+		return b.predict(now, b.byID[1], 10_000)
+	}
+	serve(0, 50, 1)
+	before := one(60_000)
+	serve(100_000, 15, 4)
+	if slow := one(120_000); slow < 2*before {
+		t.Errorf("expected %v before, %v after 15 outcomes of four times the prediction", before, slow)
+	}
+	serve(200_000, 48, 0.5)
+	if after := one(250_000); after > 1.2*before {
+		t.Errorf("expected %v before, %v after the recovery", before, after)
+	}
+}
+
+// A hint must count for as much as it tells, or idle endpoints refuse what is only said to be large.
+func TestTrustInHintsIsLearned(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		latency  func(hint Micros) Micros
+		from, to float64
+	}{
+		{"hints tell nothing", func(Micros) Micros { return 20_000 }, 0, 0.15},
+		{"hints tell all", func(hint Micros) Micros { return hint }, 0.85, 1},
+	} {
+		b, r := start(t, testSettings(), ready(4))
+		hints := source(3)
+		for i := range 4000 {
+			now := 10_000 * Micros(i)
+			hint := 5_000 + hints.below(60_000)
+			b.Request(now, Request{ID: uint64(i), Deadline: now + second, Hint: hint, HasHint: true})
+			if n := len(r.sends); n > 0 && r.sends[n-1].id == uint64(i) {
+				b.Outcome(now, Outcome{ID: uint64(i), Endpoint: r.sends[n-1].endpoint, Status: OK,
+					Latency: c.latency(hint), Settled: true})
+			}
+		}
+		if b.trust < c.from || b.trust > c.to {
+			t.Errorf("%s: trust %.2f, want %.2f to %.2f", c.name, b.trust, c.from, c.to)
+		}
+	}
+}
+
+// A balancer that refuses everything must still learn when it may stop.
+func TestProbesGoOnWhileAllIsRefused(t *testing.T) {
+	s := testSettings()
+	s.Prices.Probe = probeSpend // one probe a request
+	b, _ := start(t, s, ready(4))
+	for i := range 1000 {
+		b.demand.add(5000*Micros(i), 1)
+	}
+	now := 5 * second
+	b.refused.v = 0
+	all := b.probeRate(now)
+	for _, c := range []struct{ refused, want float64 }{{0.5, 0.5}, {0.9, firstTries}, {1, firstTries}} {
+		b.refused.v = c.refused
+		if got := b.probeRate(now) / all; math.Abs(got-c.want) > 0.001 {
+			t.Errorf("refused %v: %v of the pace, want %v", c.refused, got, c.want)
+		}
+	}
+}
+
+// A quiet balancer in a large fleet cannot keep a fresh pool: it must ask when a request comes, and send to
+// the best answer, without losing what it holds.
+func TestQuietBalancerAsksBeforeItSends(t *testing.T) {
+	quiet := func() (*Balancer, *recorder) {
+		s := testSettings()
+		s.Balancers = 1000
+		b, r := start(t, s, ready(40))
+		if len(r.probes) != 0 {
+			t.Errorf("%d probes at the start", len(r.probes))
+		}
+		b.Timer(second, tokenProbe)
+		r.probes, r.timers = nil, nil
+		b.Request(2*second, request0(1, 0, 2*second))
+		if len(r.sends) != 0 || len(r.probes) < 2 {
+			t.Fatalf("%d sends and %d probes before any answer", len(r.sends), len(r.probes))
+		}
+		return b, r
+	}
+	answer := func(b *Balancer, r *recorder, i int, load float32) {
+		b.Probed(2*second+1000, r.probes[i], OK, 500, []float32{load})
+	}
+
+	b, r := quiet()
+	for i := range r.probes {
+		answer(b, r, i, float32(4-i))
+	}
+	if last := r.probes[len(r.probes)-1]; len(r.sends) != 1 || r.sends[0].endpoint != last {
+		t.Errorf("sends %v, want one to %d, the least loaded of %v", r.sends, last, r.probes)
+	}
+
+	b, r = quiet()
+	answer(b, r, 0, 0)
+	if len(r.sends) != 1 || r.sends[0].endpoint != r.probes[0] {
+		t.Errorf("sends %v, want one to the idle endpoint %d at once", r.sends, r.probes[0])
+	}
+
+	b, r = quiet() // no answer at all
+	b.Timer(2*second+50_000, r.timers[len(r.timers)-1])
+	if len(r.sends) != 1 {
+		t.Errorf("%d sends after the wait for probes", len(r.sends))
+	}
+
+	b, r = quiet()
+	b.ClientGone(2*second+500, 1)
+	for i := range r.probes {
+		answer(b, r, i, 0)
+	}
+	b.Timer(2*second+50_000, r.timers[len(r.timers)-1])
+	if len(r.sends)+len(r.refused)+len(r.failed) != 0 || len(b.held) != 0 {
+		t.Error("a request that its client left is still acted on")
+	}
+}
+
+// Where reports are old or hold no count, a probe that waited in line still shows that there is one.
+func TestProbeThatWaitsShowsALoad(t *testing.T) {
+	s := testSettings()
+	s.Fields = []Field{FieldServed, FieldUtil}
+	b, _ := start(t, s, ready(2))
+	e := b.byID[1]
+	b.Probed(1000, 1, OK, 500, []float32{90, 0.5})
+	if got := b.load(e); got != 0.5*cores {
+		t.Errorf("load %v of a half busy endpoint", got)
+	}
+	b.Probed(2000, 1, OK, 160_500, []float32{90, 0.5})
+	if got := b.load(e); got < 2*cores {
+		t.Errorf("load %v, though the probe waited for two requests' work", got)
+	}
+	b.Probed(3000, 1, Full, 500, nil)
+	if e.answerAt != 0 {
+		t.Error("an endpoint that turns probes away keeps its place in the pool")
+	}
+}
+
+// Only idle endpoints answer a probe in time. In a jam the silent ones must count, or the fleet looks idle.
+func TestSilentProbesCountAsLoad(t *testing.T) {
+	s := testSettings()
+	s.Balancers = 1000
+	b, r := start(t, s, ready(40))
+	b.Timer(second, tokenProbe)
+	for id := range uint64(40) {
+		now := 2*second + 100_000*Micros(id)
+		r.timers = nil
+		b.Request(now, Request{ID: id, Deadline: now + second})
+		b.Timer(now+40_000, r.timers[len(r.timers)-1])
+	}
+	if b.usual.v < cores {
+		t.Errorf("usual load %v though no probe is answered", b.usual.v)
+	}
+	if len(r.refused) == 0 {
+		t.Error("nothing refused though no probe is answered")
+	}
+}
+
+// A few long answers must not make an endpoint refuse where nobody waits.
+func TestIdleEndpointIsNotRefused(t *testing.T) {
+	b, r := start(t, testSettings(), ready(1))
+	b.list[0].pace, b.list[0].paceAt = ewma{v: 9, seen: true}, 1000
+	b.Probed(1000, 1, OK, 500, []float32{0})
+	b.Request(2000, request0(1, 0, 2000))
+	if len(r.sends) != 1 {
+		t.Errorf("%d sends to an idle endpoint thought slow", len(r.sends))
+	}
+}
+
+// Requests passed into a jam keep it jammed: each that earns nothing makes the next rarer.
+func TestPassesThatFailGetRarer(t *testing.T) {
+	b, r := start(t, testSettings(), ready(1))
+	b.classes[0].work.v = float64(100 * second)
+	b.trend = trendMost
+	passed := [2]int{}
+	for i := range uint64(400) {
+		now := 10*second + Micros(i)*second
+		b.Request(now, request0(i, 0, now))
+		if n := len(r.sends); n > 0 && r.sends[n-1].id == i {
+			passed[i/200]++
+			b.Outcome(now+second, Outcome{ID: i, Endpoint: 1, Status: Timeout, Latency: second})
+		}
+	}
+	if passed[0] < 3 || passed[0] > 8 || passed[1] > 2 {
+		t.Errorf("%d of the first 200 passed and %d of the next", passed[0], passed[1])
+	}
+	b.passOf = passMost
+	r.sends = nil
+	b.trend, b.classes[0].work.v = 1, 1000
+	b.Request(500*second, request0(1000, 0, 500*second))
+	b.Outcome(501*second, Outcome{ID: 1000, Endpoint: 1, Status: OK, Latency: 1000, Settled: true})
+	b.Request(502*second, request0(1001, 0, 502*second))
+	b.Outcome(502*second+1000, Outcome{ID: 1001, Endpoint: 1, Status: OK, Latency: 1000, Settled: true})
+	if b.passOf != passLeast {
+		t.Errorf("one of %d passes after an answer in time", b.passOf)
+	}
+}
+
+// Random tries must not use up a short list, nor a list without shares.
+func TestDrawFindsWhatIsThere(t *testing.T) {
+	for n := range 12 {
+		list := ready(n)
+		for i := range list {
+			list[i].Share = float32(i % 2)
+		}
+		b, _ := start(t, testSettings(), list)
+		for range 50 {
+			if e := b.draw(1000, &request{Request: request0(1, 0, 1000)}, nil, 0); (e == nil) != (n == 0) {
+				t.Fatalf("%d endpoints: drew %v", n, e)
+			}
+		}
+	}
+}
+
+// Answers from afar come too late for a short wait: probes stay at home then.
+func TestProbesStayNear(t *testing.T) {
+	s := testSettings()
+	s.Balancers = 1000
+	list := ready(40)
+	for i := range list {
+		list[i].Zone = uint8(i % 2)
+	}
+	b, r := start(t, s, list)
+	b.ways[0], b.ways[1] = ewma{v: 500, seen: true}, ewma{v: 30_000, seen: true}
+	b.Timer(second, tokenProbe)
+	for id := range uint64(20) {
+		b.Request(2*second, request0(id, 0, 2*second))
+	}
+	for _, e := range r.probes {
+		if b.byID[e].Zone != 0 {
+			t.Fatalf("probe of endpoint %d, 30 ms away, for a wait of 40 ms", e)
+		}
+	}
+	if len(r.probes) < 10 {
+		t.Errorf("%d probes", len(r.probes))
+	}
+}
+
+// A quiet balancer earns one send to a cold endpoint in minutes: all must not start from nothing.
+func TestSliversTogetherServeColdEndpoints(t *testing.T) {
+	allowed, all := 0, 200
+	for seed := range all {
+		b, err := New(testSettings(), uint64(seed), &recorder{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Start(0)
+		b.Members(0, ListCached, ready(10))
+		for i := range Micros(10) {
+			b.sentWork.add(i*second, 80_000) // one request a second
+		}
+		b.Members(10*second, ListDelta, []Endpoint{{ID: 11, Share: 1, StartTime: 10 * second}})
+		for i := range Micros(6) {
+			b.sentWork.add((10+i)*second, 80_000)
+			b.coldRoom((10+i)*second, b.byID[11], 80_000)
+		}
+		if b.coldRoom(15*second, b.byID[11], 80_000) {
+			allowed++
+		}
+	}
+	// In 5 s a warm endpoint gets half a request of each; this one 0.2 to 0.6 of seven tenths of that.
+	if allowed < 5 || allowed > 60 {
+		t.Errorf("%d of %d quiet balancers may send to a cold endpoint within 5 s", allowed, all)
+	}
+}
--- /dev/null
+++ b/balancer/rules_test.go
@@ -0,0 +1,623 @@
+package balancer
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// checker hosts a balancer and asserts the rules on every action.
+type checker struct {
+	s        Settings
+	now      Micros
+	states   map[uint32]Endpoint
+	cold     map[uint32]Micros   // endpoint: told start
+	coldWork map[uint32]float64  // requests sent while cold
+	reqs     map[uint64]*checked // open and ended
+	bad      []string
+	timers   []pending
+	probes   []uint32
+}
+
+type checked struct {
+	in       Request
+	answered int
+	told     bool // it was told that the request is over
+	attempts []checkedAttempt
+}
+
+type checkedAttempt struct {
+	ep     Endpoint
+	at     Micros
+	out    bool
+	mayRun bool
+}
+
+type pending struct {
+	at    Micros
+	token uint32
+}
+
+func (c *checker) fault(format string, args ...any) {
+	c.bad = append(c.bad, fmt.Sprintf("at %d: ", c.now)+fmt.Sprintf(format, args...))
+}
+
+func (r *checked) bound() *checkedAttempt {
+	for i := range r.attempts {
+		if r.attempts[i].mayRun {
+			return &r.attempts[i]
+		}
+	}
+	return nil
+}
+
+func (c *checker) Send(id uint64, endpoint uint32, _ Micros) {
+	r := c.reqs[id]
+	if r == nil {
+		c.fault("send for unknown request %d", id)
+		return
+	}
+	e, known := c.states[endpoint]
+	class := c.s.Classes[r.in.Class]
+	if r.answered > 0 || r.told {
+		c.fault("send after the end of %d", id)
+	}
+	if !known || e.State != Ready {
+		c.fault("send to endpoint %d in state %d", endpoint, e.State)
+	}
+	if len(r.attempts) >= c.s.Limits.MaxAttempts {
+		c.fault("attempt %d of %d", len(r.attempts), id)
+	}
+	for _, a := range r.attempts {
+		if a.out && !c.s.Limits.SecondCopies {
+			c.fault("second copy of %d", id)
+		}
+	}
+	if b := r.bound(); b != nil && class.Repeat != Safe {
+		same := class.Group == GroupAll || class.Group == GroupZone && b.ep.Zone == e.Zone ||
+			class.Group == GroupCell && b.ep.Cell == e.Cell
+		if class.Repeat == Unsafe || !same || c.now > b.at+class.Window {
+			c.fault("repeat of %d (%s) may have a second effect", id, class.Name)
+		}
+	}
+	if _, cold := c.cold[endpoint]; cold {
+		c.coldWork[endpoint]++
+	}
+	r.attempts = append(r.attempts, checkedAttempt{ep: e, at: c.now, out: true, mayRun: true})
+}
+
+func (c *checker) final(id uint64) *checked {
+	r := c.reqs[id]
+	if r == nil || r.answered > 0 || r.told {
+		c.fault("final answer for %d, which is not open", id)
+		return nil
+	}
+	r.answered++
+	return r
+}
+
+func (c *checker) Refuse(id uint64, _ Micros) {
+	if r := c.final(id); r != nil && r.bound() != nil {
+		class := c.s.Classes[r.in.Class]
+		if class.Repeat == Unsafe || class.Repeat == Keyed && class.Group != GroupAll {
+			c.fault("refusal of %d (%s), which may have run", id, class.Name)
+		}
+	}
+}
+
+func (c *checker) Fail(id uint64) { c.final(id) }
+
+func (c *checker) Cancel(id uint64, attempt int) {
+	if r := c.reqs[id]; r == nil || attempt >= len(r.attempts) {
+		c.fault("cancel of attempt %d of %d, never made", attempt, id)
+	}
+}
+
+func (c *checker) Timer(delay Micros, token uint32) {
+	if delay <= 0 {
+		c.fault("timer delay %d", delay)
+	}
+	c.timers = append(c.timers, pending{c.now + delay, token})
+}
+
+func (c *checker) Probe(e uint32) {
+	if _, known := c.states[e]; !known {
+		c.fault("probe of unknown endpoint %d", e)
+	}
+	c.probes = append(c.probes, e)
+}
+
+func (c *checker) Watch(bool) {
+	if !c.s.Subscribe {
+		c.fault("subscription where changes come unasked")
+	}
+}
+
+func (c *checker) Log(string) {}
+
+// play runs legal random events from a seed and returns the faults found.
+func play(t *testing.T, s Settings, seed int64) []string {
+	t.Helper()
+	rnd := rand.New(rand.NewSource(seed))
+	c := &checker{s: s, now: 1_000_000, states: map[uint32]Endpoint{}, cold: map[uint32]Micros{},
+		coldWork: map[uint32]float64{}, reqs: map[uint64]*checked{}}
+	b, err := New(s, uint64(seed), c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	members := func(kind ListKind, entries []Endpoint) {
+		if kind != ListDelta && kind != ListFailed {
+			clear(c.states)
+		}
+		for _, e := range entries {
+			c.states[e.ID] = e
+		}
+		b.Members(c.now, kind, entries)
+	}
+	b.Start(c.now)
+	pause := 20_000 // at most, between events
+	list := ready(1 + rnd.Intn(6))
+	if s.Balancers > 2 { // a sliver of a large fleet
+		pause, list = 400_000, ready(20+rnd.Intn(60))
+	}
+	starts := rnd.Intn(3) // of all at once, cold
+	held := 0
+	members(ListCached, slices.Clone(list))
+	var open []uint64
+	next := uint64(1)
+	statuses := []Status{OK, OK, OK, Error, Full, Timeout, ConnectFailed, Reset, Cancelled, Moot}
+	for range 3000 {
+		c.now += Micros(rnd.Intn(pause))
+		held = max(held, len(b.held))
+		for i := 0; i < len(c.timers); {
+			if p := c.timers[i]; p.at <= c.now {
+				c.timers = slices.Delete(c.timers, i, i+1)
+				b.Timer(c.now, p.token)
+				continue
+			}
+			i++
+		}
+		switch n := rnd.Intn(20); {
+		case n < 8:
+			in := Request{ID: next, Class: uint8(rnd.Intn(len(s.Classes))),
+				Deadline: c.now + Micros(rnd.Intn(1_000_000)) - 50_000}
+			next++
+			c.reqs[in.ID] = &checked{in: in}
+			open = append(open, in.ID)
+			b.Request(c.now, in)
+		case n < 15 && len(open) > 0:
+			at := rnd.Intn(len(open))
+			r := c.reqs[open[at]]
+			for i := range r.attempts {
+				a := &r.attempts[i]
+				if !a.out {
+					continue
+				}
+				a.out = false
+				status := statuses[rnd.Intn(len(statuses))]
+				if status == Full || status == ConnectFailed || status == Moot {
+					a.mayRun = false
+				}
+				if status == OK && r.answered == 0 && !r.told {
+					r.told = true
+				}
+				settled := r.answered > 0 || r.told
+				b.Outcome(c.now, Outcome{ID: r.in.ID, Attempt: i, Endpoint: a.ep.ID, Status: status,
+					Latency: c.now - a.at, Settled: settled})
+				break
+			}
+		case n < 16 && len(open) > 0:
+			r := c.reqs[open[rnd.Intn(len(open))]]
+			if r.answered == 0 {
+				r.told = true
+			}
+			b.ClientGone(c.now, r.in.ID)
+		case n < 18:
+			for _, e := range c.probes {
+				load := []float32{float32(rnd.Intn(8)), rnd.Float32() * 2}[:rnd.Intn(3)]
+				b.Probed(c.now, e, statuses[rnd.Intn(len(statuses))], 500+Micros(rnd.Intn(200_000)), load)
+			}
+			c.probes = c.probes[:0]
+		default:
+			e := &list[rnd.Intn(len(list))]
+			e.State = State(rnd.Intn(3))
+			if rnd.Intn(4) == 0 {
+				e.State, e.StartTime = Ready, c.now-Micros(rnd.Intn(1_000_000))
+			}
+			if e.State == Ready && rnd.Intn(4) == 0 {
+				e.Zone = uint8(rnd.Intn(3))
+			}
+			if starts > 0 && rnd.Intn(50) == 0 {
+				starts--
+				for i := range list {
+					list[i].State, list[i].StartTime = Ready, c.now-Micros(rnd.Intn(1000))
+				}
+				members(ListFull, slices.Clone(list))
+				continue
+			}
+			switch rnd.Intn(6) {
+			case 0:
+				members(ListFull, slices.Clone(list[:rnd.Intn(len(list)+1)]))
+			case 1:
+				members(ListFailed, nil)
+			default:
+				members(ListDelta, []Endpoint{*e, *e})
+			}
+		}
+	}
+	// All that is still open must be answered by its deadline.
+	for range 400 {
+		c.now += 5000
+		for i := 0; i < len(c.timers); {
+			if p := c.timers[i]; p.at <= c.now && p.token >= firstSlot {
+				c.timers = slices.Delete(c.timers, i, i+1)
+				b.Timer(c.now, p.token)
+				continue
+			}
+			i++
+		}
+	}
+	for id, r := range c.reqs {
+		if r.answered == 0 && !r.told {
+			c.fault("request %d never got a final answer", id)
+		}
+	}
+	if s.Balancers > 2 && s.Limits.Probes && s.Prices.Probe < askSpend && held == 0 {
+		c.fault("no request ever waited for probes: the run says nothing of those that do")
+	}
+	return c.bad
+}
+
+func TestRulesUnderRandomEvents(t *testing.T) {
+	for seed := range int64(100) {
+		s := testSettings()
+		s.Subscribe = seed%2 == 0
+		s.Limits.SecondCopies = seed%3 != 0
+		s.Limits.Probes = seed%5 != 0
+		s.Limits.MaxAttempts = 1 + int(seed%4)
+		if seed >= 40 {
+			s.Balancers = []int{300, 1500}[seed%2]
+			s.Fields = [][]Field{{FieldInflight}, {FieldQueue, FieldServed}, {FieldServed, FieldUtil}, {FieldOther}}[seed%4]
+			s.Prices = Prices{Probe: []float64{0, 0.002, 0.01, 0.5}[seed/3%4], CrossZone: 0.03}
+			s.Tenants = []Tenant{{Name: "one", Allowance: 50}, {Name: "two"}}[:seed%3]
+			s.Limits.Cancel, s.Limits.RetryAfter = seed%3 != 0, seed%4 != 0
+		}
+		for i, bad := range play(t, s, seed) {
+			if i < 5 {
+				t.Errorf("seed %d: %s", seed, bad)
+			}
+		}
+	}
+}
+
+// The checker itself must see each rule broken.
+func TestCheckerSeesBrokenRules(t *testing.T) {
+	fresh := func() *checker {
+		c := &checker{s: testSettings(), states: map[uint32]Endpoint{}, reqs: map[uint64]*checked{}}
+		for _, e := range ready(4) {
+			c.states[e.ID] = e
+		}
+		for class := range uint8(5) {
+			c.reqs[uint64(class)] = &checked{in: request0(uint64(class), class, 0)}
+		}
+		return c
+	}
+	for name, do := range map[string]func(*checker){
+		"two final answers":      func(c *checker) { c.Refuse(0, 0); c.Fail(0) },
+		"send after the end":     func(c *checker) { c.Fail(0); c.Send(0, 1, 0) },
+		"send to the drained":    func(c *checker) { c.states[1] = Endpoint{ID: 1, State: Draining}; c.Send(0, 1, 0) },
+		"unsafe sent twice":      func(c *checker) { c.Send(4, 1, 0); c.Send(4, 2, 0) },
+		"unsafe refused":         func(c *checker) { c.Send(4, 1, 0); c.Refuse(4, 0) },
+		"keyed outside its zone": func(c *checker) { c.Send(2, 1, 0); c.Send(2, 3, 0) },
+		"keyed outside its cell": func(c *checker) { c.Send(3, 1, 0); c.Send(3, 3, 0) },
+		"keyed after its window": func(c *checker) { c.Send(1, 1, 0); c.now = second; c.Send(1, 2, 0) },
+		"too many attempts":      func(c *checker) { c.Send(0, 1, 0); c.Send(0, 2, 0); c.Send(0, 3, 0); c.Send(0, 4, 0) },
+	} {
+		c := fresh()
+		if do(c); len(c.bad) == 0 {
+			t.Errorf("%s: not seen", name)
+		}
+	}
+}
+
+// Each kind of effect against each outcome of its first attempt.
+func TestLedger(t *testing.T) {
+	never := map[Status]bool{Full: true, ConnectFailed: true, Moot: true}
+	for class := range uint8(5) {
+		for status := Error; status <= Moot; status++ {
+			s := testSettings()
+			b, r := start(t, s, ready(4)) // endpoints 1, 2 share a zone and a cell; so do 3, 4
+			b.Request(1000, request0(1, class, 1000))
+			a := b.requests[1].attempts[0]
+			b.Outcome(2000, Outcome{ID: 1, Endpoint: a.ep.ID, Status: status, Latency: 1000})
+			sends := len(r.sends)
+			switch kind := s.Classes[class]; {
+			case kind.Repeat == Unsafe && !never[status]:
+				if sends != 1 || len(r.failed) != 1 {
+					t.Errorf("unsafe, status %d: %d sends, %d failed", status, sends, len(r.failed))
+				}
+			case sends != 2:
+				t.Errorf("class %d status %d: %d sends, 2 wanted", class, status, sends)
+			case kind.Repeat == Keyed && kind.Group != GroupAll && !never[status]:
+				if (r.sends[0].endpoint-1)/2 != (r.sends[1].endpoint-1)/2 {
+					t.Errorf("class %d status %d left its group", class, status)
+				}
+			}
+		}
+	}
+}
+
+func TestWindowCountsFromFirstThatMayHaveRun(t *testing.T) {
+	s := testSettings()
+	s.Limits.SecondCopies = false
+	b, r := start(t, s, ready(2))
+	b.Request(1000, request0(1, 3, 1000))
+	first := r.sends[0].endpoint
+	b.Outcome(1000+s.Classes[3].Window, Outcome{ID: 1, Endpoint: first, Status: Reset})
+	if len(r.sends) != 1 || len(r.failed) != 1 || len(r.refused) != 0 {
+		t.Errorf("after the window: sends %v, failed %v, refused %v", r.sends, r.failed, r.refused)
+	}
+}
+
+func TestNoEndpointMeansRefusal(t *testing.T) {
+	b, r := start(t, testSettings(), nil)
+	b.Request(1000, request0(1, 4, 1000))
+	b.Request(1000, Request{ID: 2, Deadline: 500})
+	if len(r.refused) != 2 || b.open != 0 || len(b.requests) != 0 {
+		t.Errorf("refused %v, open %d", r.refused, b.open)
+	}
+}
+
+func TestUnansweredAttemptEndsAtTheDeadline(t *testing.T) {
+	b, r := start(t, testSettings(), ready(1))
+	b.Request(1000, request0(1, 4, 1000))
+	token := b.requests[1].token
+	b.Timer(1000+second, token)
+	if len(r.failed) != 1 || len(r.cancels) != 1 {
+		t.Fatalf("failed %v, cancelled %v", r.failed, r.cancels)
+	}
+	b.Outcome(2*second, Outcome{ID: 1, Endpoint: 1, Status: OK, Latency: second, Settled: true})
+	if b.list[0].br.accepts != 1 || b.list[0].inflight != 0 || len(b.requests) != 0 {
+		t.Error("a late outcome must still feed the statistics")
+	}
+	b.Request(3*second, request0(2, 0, 3*second))
+	b.Timer(3*second, token) // of the ended request, whose slot is in use again
+	if len(r.failed) != 1 || len(r.refused) != 0 {
+		t.Error("an old timer ended another request")
+	}
+}
+
+func TestDrainingGetsNothing(t *testing.T) {
+	b, r := start(t, testSettings(), ready(2))
+	b.Members(1000, ListDelta, []Endpoint{{ID: 1, State: Draining}})
+	b.Members(1000, ListFull, []Endpoint{{ID: 1, State: Draining}, {ID: 3, State: Ready}})
+	for id := range uint64(20) {
+		b.Request(2000, request0(id, 0, 2000))
+	}
+	for _, s := range r.sends {
+		if s.endpoint == 1 || s.endpoint == 2 {
+			t.Fatalf("sent to %d", s.endpoint)
+		}
+	}
+}
+
+// coldSends counts sends to a cold endpoint over the overload window just
+// after its start, beside nine warm ones under a steady load.
+func coldSends(t *testing.T, rate int, colds int) (cold []int, warm float64) {
+	t.Helper()
+	s := testSettings()
+	list := ready(10)
+	b, r := start(t, s, list)
+	id, seen := uint64(0), 0
+	counts := map[uint32]int{}
+	run := func(from, to Micros) {
+		for now := from; now < to; now += second / Micros(rate) {
+			for e := range uint32(12) {
+				b.Probed(now, e+1, OK, 500, []float32{0})
+			}
+			id++
+			b.Request(now, request0(id, 0, now))
+			for ; seen < len(r.sends); seen++ {
+				counts[r.sends[seen].endpoint]++
+				b.Outcome(now, Outcome{ID: r.sends[seen].id, Endpoint: r.sends[seen].endpoint, Status: OK,
+					Latency: 30_000, Settled: true})
+			}
+		}
+	}
+	run(0, 5*second)
+	clear(counts)
+	for i := range colds {
+		b.Members(5*second, ListDelta, []Endpoint{{ID: uint32(11 + i), State: Ready, StartTime: 5 * second}})
+	}
+	run(5*second, 6*second)
+	for e, n := range counts {
+		if e >= 11 {
+			cold = append(cold, n)
+		} else {
+			warm += float64(n) / 10
+		}
+	}
+	return cold, warm
+}
+
+func TestColdEndpointGetsItsRampShare(t *testing.T) {
+	for _, c := range []struct{ rate, colds int }{{100, 1}, {500, 1}, {500, 2}, {2000, 2}} {
+		cold, warm := coldSends(t, c.rate, c.colds)
+		for _, n := range cold {
+			// Warmth goes from 0.2 to 0.28 in this second; one request may round up.
+			if float64(n) > 0.28*warm+1 {
+				t.Errorf("rate %d: a cold endpoint got %d, a warm one %.1f", c.rate, n, warm)
+			}
+		}
+	}
+}
+
+func TestOneServerFleetRestarts(t *testing.T) {
+	b, r := start(t, testSettings(), ready(1)[:1])
+	b.Members(second, ListDelta, []Endpoint{{ID: 1, State: Ready, StartTime: second}})
+	for i := range uint64(400) {
+		now := second + Micros(i)*10_000
+		b.Request(now, request0(i, 0, now))
+		if n := len(r.sends); n > 0 && b.requests[i] != nil {
+			b.Outcome(now, Outcome{ID: i, Endpoint: 1, Status: OK, Latency: 10_000, Settled: true})
+		}
+	}
+	if n := len(r.sends); n < 20 || n > 250 {
+		t.Errorf("%d of 400 sent to the only, cold, endpoint", n)
+	}
+}
+
+func TestSubscriptionIsAskedForAgain(t *testing.T) {
+	s := testSettings()
+	s.Subscribe = true
+	b, r := start(t, s, ready(2))
+	now := Micros(0)
+	fire := func() {
+		for i, token := range r.timers {
+			if token == tokenDiscovery {
+				now += r.delays[i]
+				r.timers, r.delays = nil, nil
+				b.Timer(now, tokenDiscovery)
+				return
+			}
+		}
+		t.Fatal("no timer for discovery")
+	}
+	fire()
+	for n := 1; n < 8; n++ {
+		if r.watches != n {
+			t.Fatalf("%d calls, %d wanted", r.watches, n)
+		}
+		before := now
+		if n%2 == 0 {
+			b.Members(now, ListFailed, nil)
+		} // else the answer is lost
+		fire()
+		if now-before > s.Contract.AskWithin {
+			t.Fatalf("asked only after %d", now-before)
+		}
+	}
+	if len(b.list) != 2 {
+		t.Error("a failed call changed the list")
+	}
+	b.Members(now, ListDelta, nil)
+	n := r.watches
+	b.Timer(now+100*second, tokenDiscovery)
+	if r.watches != n {
+		t.Error("asked again while subscribed")
+	}
+}
+
+func TestStreamIsLeftAlone(t *testing.T) {
+	b, r := start(t, testSettings(), ready(2))
+	b.Request(1000, request0(1, 0, 1000))
+	b.Headers(2000, 1, 0, 1000)
+	b.Timer(2*second, b.requests[1].token)
+	if len(r.sends) != 1 || len(r.refused)+len(r.failed) != 0 {
+		t.Error("a stream that began was given an end or a copy")
+	}
+	b.Outcome(3*second, Outcome{ID: 1, Endpoint: r.sends[0].endpoint, Status: OK, Latency: 3 * second, Settled: true})
+	if len(b.requests) != 0 {
+		t.Error("record kept")
+	}
+}
+
+func TestSameEventsSameActions(t *testing.T) {
+	run := func() *recorder {
+		b, r := start(t, testSettings(), ready(5))
+		for i := range uint64(200) {
+			now := Micros(i) * 7000
+			b.Request(now, request0(i, uint8(i%5), now))
+			if i%3 == 0 {
+				b.Timer(now, tokenProbe)
+				b.Probed(now, uint32(i%5+1), OK, 500, []float32{float32(i % 4)})
+			}
+			last := r.sends[len(r.sends)-1]
+			b.Outcome(now, Outcome{ID: last.id, Endpoint: last.endpoint, Status: Status(i % 7), Latency: 3000})
+		}
+		return r
+	}
+	if a, b := fmt.Sprint(run()), fmt.Sprint(run()); a != b {
+		t.Error("two runs differ")
+	}
+}
+
+func TestSteadyStateDoesNotAllocate(t *testing.T) {
+	b, r := start(t, testSettings(), ready(5))
+	id := uint64(0)
+	once := func() {
+		id++
+		r.sends, r.timers, r.delays = r.sends[:0], r.timers[:0], r.delays[:0]
+		b.Request(1000, request0(id, 0, 1000))
+		b.Outcome(2000, Outcome{ID: id, Endpoint: r.sends[0].endpoint, Status: OK, Latency: 1000, Settled: true})
+	}
+	for range 100 {
+		once()
+	}
+	if n := testing.AllocsPerRun(200, once); n > 0.1 {
+		t.Errorf("%v allocations a request", n)
+	}
+}
+
+// A second copy doubles the work of an endpoint that is slow because it has too much.
+func TestNoSecondCopies(t *testing.T) {
+	b, r := start(t, testSettings(), ready(3))
+	b.Request(1000, request0(1, 0, 1000))
+	for i, token := range r.timers {
+		b.Timer(1000+r.delays[i]-1, token)
+	}
+	b.Timer(900_000, r.timers[len(r.timers)-1])
+	if len(r.sends) != 1 {
+		t.Errorf("%d sends while the first is out", len(r.sends))
+	}
+}
+
+// Staff must learn why requests are refused, in one line a second and not in thousands.
+func TestRefusalsAreToldOnceASecond(t *testing.T) {
+	b, r := start(t, testSettings(), ready(1))
+	b.Probed(1000, 1, OK, 500, []float32{50})
+	for id := range uint64(200) {
+		now := second + 5000*Micros(id)
+		b.Probed(now, 1, OK, 500, []float32{50})
+		b.Request(now, request0(id, 0, now))
+	}
+	if len(r.refused) < 150 {
+		t.Fatalf("only %d refused", len(r.refused))
+	}
+	if len(r.logs) != 1 || !strings.Contains(r.logs[0], "endpoint 1, would take") {
+		t.Errorf("log: %q", r.logs)
+	}
+}
+
+// Whatever is odd about a request, it is taken once and answered once.
+func TestOddRequestsAreAnsweredOnce(t *testing.T) {
+	for name, c := range map[string]struct {
+		list  []Endpoint
+		in    Request
+		twice bool
+	}{
+		"class out of range":  {list: ready(2), in: Request{ID: 1, Class: 99, Deadline: second}},
+		"tenant out of range": {list: ready(2), in: Request{ID: 1, Tenant: 999, Deadline: second}},
+		"deadline past":       {list: ready(2), in: Request{ID: 1, Deadline: 10}},
+		"empty list":          {in: Request{ID: 1, Deadline: second}},
+		"all draining":        {list: []Endpoint{{ID: 1, State: Draining}}, in: Request{ID: 1, Deadline: second}},
+		"repeated id":         {list: ready(2), in: Request{ID: 1, Deadline: second}, twice: true},
+		"hint without sense":  {list: ready(2), in: Request{ID: 1, Deadline: second, Hint: -5, HasHint: true}},
+	} {
+		b, r := start(t, testSettings(), c.list)
+		b.Request(1000, c.in)
+		if c.twice {
+			b.Request(1000, c.in)
+		}
+		for i, token := range r.timers {
+			if token >= firstSlot {
+				b.Timer(max(1000+r.delays[i], c.in.Deadline), token)
+			}
+		}
+		if n := len(r.refused) + len(r.failed); n != 1 || len(r.sends) > 1 {
+			t.Errorf("%s: %d final answers, %d sends", name, n, len(r.sends))
+		}
+	}
+}
