Watch discovery from version 0 on; time-outs before the module's timers

Seen: 38 to 41 calls for the whole list in 24 s at each sidecar. Printed calls showed version 0 in every one: list() took 0 for 'no list yet' and asked for the whole list, which never waits. Ruled out: failing watches (no ListFailed). Now the version is absent, not 0, before the first list. A pause of 20 ms keeps calls from becoming a flood; in push mode the watch restarts by itself.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -17,6 +17,12 @@
 	watchWait    = 20 * time.Second // a watch call is held so long without news
 	listPatience = 4 * time.Second  // beyond that: discovery works through calls in turn
 	listMost     = 8 << 20          // bytes of a list
+
+	// A watch ends when its next call comes later than 200 ms after the last
+	// answer; calls without any pause could become a flood.
+	watchPause = 20 * time.Millisecond
+	// Where lists are pushed the balancer never asks: the watch begins again by itself.
+	pushedPause = time.Second
 )
 
 // registry is a list of endpoints, or of changes, in discovery's form.
@@ -80,14 +86,14 @@
 		client: http.Client{Transport: &http.Transport{MaxIdleConns: 1, MaxConnsPerHost: 2}}}
 }
 
-// list asks once for what is newer than a version, waiting for news as long as
-// wait. Version 0 asks for the whole list.
-func (d *discovery) list(ctx context.Context, after uint64, wait time.Duration) (registry, error) {
+// list makes one call. With after it asks for what is newer than that version,
+// which may be 0, and waits for news as long as wait; without, for the whole list.
+func (d *discovery) list(ctx context.Context, after *uint64, wait time.Duration) (registry, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+listPatience)
 	defer cancel()
 	url := d.url
-	if after > 0 {
-		url = fmt.Sprintf("%s?after=%d&wait_ms=%d", d.url, after, wait.Milliseconds())
+	if after != nil {
+		url = fmt.Sprintf("%s?after=%d&wait_ms=%d", d.url, *after, wait.Milliseconds())
 	}
 	var list registry
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
@@ -115,22 +121,23 @@
 	return list, nil
 }
 
-// watch reports what discovery tells until a call fails, which it reports too;
-// when to watch anew is the balancer's decision. The first call does not wait
-// for news: its answer is the balancer's sign that the watch has begun. Each
-// call follows the last answer at once, since a gap of 200 ms ends a watch.
-func (d *discovery) watch(ctx context.Context, after uint64, tell func(balancer.ListKind, registry)) error {
+// watch reports what discovery tells until a call fails, which it reports too.
+// The first call does not wait for news: its answer is the balancer's sign that
+// the watch has begun. After is the version to go on from, nil if there was no
+// list yet; so is what it returns.
+func (d *discovery) watch(ctx context.Context, after *uint64, tell func(balancer.ListKind, registry)) (*uint64, error) {
 	for wait := time.Duration(0); ; wait = watchWait {
 		list, err := d.list(ctx, after, wait)
 		if err != nil {
 			tell(balancer.ListFailed, registry{})
-			return err
+			return after, err
 		}
-		after = list.Seq
+		after = &list.Seq
 		kind := balancer.ListDelta
 		if list.Whole {
 			kind = balancer.ListFull
 		}
 		tell(kind, list)
+		time.Sleep(watchPause)
 	}
 }
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"peatpost/balancer"
@@ -12,6 +13,11 @@
 const (
 	eventsMost = 1024 // waiting for the loop
 	pruneEvery = time.Second
+
+	// Timers fire this much late, so that the time-out of an attempt at the
+	// client's deadline comes before the balancer's own timer for that instant,
+	// as in the simulator: an attempt that is cancelled first teaches nothing.
+	timerSlack = 2 * time.Millisecond
 )
 
 // clock gives the balancer's time: microseconds that never run backwards, from
@@ -27,6 +33,17 @@
 	return c.base.Add(time.Duration(at-c.base.UnixMicro()) * time.Microsecond)
 }
 
+// decider is what the loop needs of a *balancer.Balancer.
+type decider interface {
+	Start(now balancer.Micros)
+	Members(now balancer.Micros, kind balancer.ListKind, entries []balancer.Endpoint)
+	Request(now balancer.Micros, in balancer.Request)
+	Outcome(now balancer.Micros, o balancer.Outcome)
+	ClientGone(now balancer.Micros, id uint64)
+	Timer(now balancer.Micros, token uint32)
+	Probed(now balancer.Micros, endpoint uint32, status balancer.Status, latency balancer.Micros, load []float32)
+}
+
 // loop owns the balancer: one goroutine passes it every event and carries out
 // its Actions. It never waits for the network; what it starts reports back
 // through events.
@@ -38,14 +55,15 @@
 	disc   *discovery
 	events chan func(now balancer.Micros)
 	ctx    context.Context // ends with the loop
+	listed atomic.Bool     // endpoints are known
 
 	// Below: the loop's goroutine alone.
-	balancer  *balancer.Balancer
+	balancer  decider
 	requests  map[uint64]*request
 	lastID    uint64
 	ids       map[string]uint32 // by host name; numbers count from 1
 	targets   map[uint32]*target
-	seq       uint64 // version of the last list
+	seq       *uint64 // version of the last list, if there was any
 	stopWatch context.CancelFunc
 }
 
@@ -86,7 +104,12 @@
 func (l *loop) run() {
 	now := l.clock.now()
 	l.balancer.Start(now)
-	l.members(now, balancer.ListCached, l.cfg.known)
+	if len(l.cfg.known.Hosts) > 0 {
+		l.members(now, balancer.ListCached, l.cfg.known)
+	}
+	if !l.cfg.Settings.Subscribe {
+		l.Watch(true)
+	}
 	prune := time.NewTicker(pruneEvery)
 	defer prune.Stop()
 	for {
@@ -159,7 +182,7 @@
 		l.balancer.Members(now, kind, nil)
 		return
 	}
-	l.seq = list.Seq
+	l.seq = &list.Seq
 	entries := make([]balancer.Endpoint, 0, len(list.Hosts))
 	named := map[uint32]bool{}
 	for _, h := range list.Hosts {
@@ -184,6 +207,7 @@
 			}
 		}
 	}
+	l.listed.Store(len(l.targets) > 0)
 	l.balancer.Members(now, kind, entries)
 }
 
@@ -246,7 +270,7 @@
 
 // Timer gives a token back after a while.
 func (l *loop) Timer(delay balancer.Micros, token uint32) {
-	time.AfterFunc(time.Duration(delay)*time.Microsecond, func() {
+	time.AfterFunc(time.Duration(delay)*time.Microsecond+timerSlack, func() {
 		l.post(func(now balancer.Micros) { l.balancer.Timer(now, token) })
 	})
 }
@@ -274,16 +298,24 @@
 	ctx, stop := context.WithCancel(l.ctx)
 	l.stopWatch = stop
 	seq := l.seq
-	go func() {
-		err := l.disc.watch(ctx, seq, func(kind balancer.ListKind, list registry) {
-			l.post(func(now balancer.Micros) {
-				if ctx.Err() == nil { // else the watch was ended meanwhile
-					l.members(now, kind, list)
-				}
-			})
+	tell := func(kind balancer.ListKind, list registry) {
+		l.post(func(now balancer.Micros) {
+			if ctx.Err() == nil { // else the watch was ended meanwhile
+				l.members(now, kind, list)
+			}
 		})
-		if ctx.Err() == nil {
-			l.log.Warn("discovery", "error", err)
+	}
+	go func() {
+		for ctx.Err() == nil {
+			var err error
+			seq, err = l.disc.watch(ctx, seq, tell)
+			if ctx.Err() == nil {
+				l.log.Warn("discovery", "error", err)
+			}
+			if l.cfg.Settings.Subscribe {
+				return // when to ask again is the balancer's decision
+			}
+			time.Sleep(pushedPause)
 		}
 	}()
 }
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -19,10 +19,10 @@
 const (
 	answerMargin = 10 * time.Millisecond  // of a client's time, kept for writing the final answer
 	acceptAfter  = 600 * time.Millisecond // after SIGTERM: clients go on connecting for 0.4 s
-	drainSlack   = 500 * time.Millisecond // for answers at the longest deadline
-	socketSpare  = 64                     // descriptors for discovery, logs and the runtime
-	timeLeftMost = time.Hour              // that a request may state
-	ioTimeout    = time.Minute            // for a client to write a request, or read its answer
+	socketSpare  = 32                     // descriptors for discovery, logs and the runtime
+	busyRetry    = time.Second            // wait told to clients that find all connections in use
+	timeLeftMost = time.Minute            // that a request gets
+	ioTimeout    = 2 * time.Minute        // for a request from its first byte to its answer's last
 )
 
 // server takes the application's requests.
@@ -49,7 +49,7 @@
 	// The loop outlives ctx: requests in hand still need it.
 	loopCtx, stop := context.WithCancel(context.Background())
 	defer stop()
-	each := (cfg.Limits.Sockets - socketSpare/2) / 2 // every client's request has one attempt at a time
+	each := (cfg.Limits.Sockets - socketSpare) / 2 // every client's request has one attempt at a time
 	l, err := newLoop(loopCtx, cfg, log, each)
 	if err != nil {
 		listener.Close()
@@ -83,7 +83,7 @@
 			s.request(w, in)
 		}
 	}
-	s.http = http.Server{Handler: http.HandlerFunc(handler), ReadTimeout: ioTimeout, WriteTimeout: ioTimeout, IdleTimeout: 2 * ioTimeout,
+	s.http = http.Server{Handler: http.HandlerFunc(handler), ReadTimeout: ioTimeout, WriteTimeout: ioTimeout, IdleTimeout: ioTimeout,
 		MaxHeaderBytes: headMost, ErrorLog: slog.NewLogLogger(l.log.Handler(), slog.LevelWarn),
 		ConnState: func(_ net.Conn, state http.ConnState) {
 			switch state {
@@ -107,7 +107,7 @@
 	for _, c := range s.loop.cfg.Settings.Classes {
 		longest = max(longest, c.GiveUp)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(longest)*time.Microsecond+drainSlack)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(longest)*time.Microsecond)
 	defer cancel()
 	if err := s.http.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
 		return fmt.Errorf("shutdown: %w", err)
@@ -116,7 +116,7 @@
 }
 
 func (s *server) ready(w http.ResponseWriter) {
-	if s.ending.Load() {
+	if s.ending.Load() || !s.loop.listed.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
@@ -140,7 +140,7 @@
 		// Beyond this the process runs out of descriptors, and then it can
 		// neither accept nor send.
 		w.Header().Set("Connection", "close")
-		writeAnswer(w, answer{code: http.StatusServiceUnavailable})
+		writeAnswer(w, answer{code: http.StatusServiceUnavailable, retryAfter: busyRetry.Microseconds()})
 		return
 	}
 	req, err := s.parse(in, arrived)
@@ -211,9 +211,10 @@
 		return req, &badRequest{http.StatusMethodNotAllowed, fmt.Sprintf("requests of this class are %s", method)}
 	}
 	left, err := strconv.ParseInt(h.Get("X-Time-Left-Ms"), 10, 64)
-	if err != nil || left < 0 || left > timeLeftMost.Milliseconds() {
+	if err != nil || left < 0 {
 		return req, bad("X-Time-Left-Ms: %q is not a whole number of milliseconds", h.Get("X-Time-Left-Ms"))
 	}
+	left = min(left, timeLeftMost.Milliseconds())
 	req.Deadline = arrived + left*1000 - answerMargin.Microseconds()
 	if len(s.tenants) > 0 {
 		if req.Tenant, ok = s.tenants[h.Get("X-Account")]; !ok {
