--- /dev/null
+++ b/internal/sidecar/config_test.go
@@ -0,0 +1,75 @@
+package sidecar
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"peatpost/balancer"
+)
+
+// A configuration that makes no sense stops the program with the key at fault.
+func TestBadConfigurationNamesTheKey(t *testing.T) {
+	good := `{"name":"n3","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f30d27a5be964",` +
+		`"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},` +
+		`"known":{"seq":4,"whole":true,"hosts":[{"host":"s-1","dial":"127.0.0.1:3","health":"Ready"}]},` +
+		`"settings":` + settingsText + `}`
+	if cfg, err := parseConfig([]byte(good)); err != nil {
+		t.Fatal(err)
+	} else if cfg.Settings.Limits.MaxRetryAfter != 1_500_000 || len(cfg.Settings.Classes) != 4 ||
+		cfg.Settings.Classes[1].Repeat != balancer.Keyed || len(cfg.Settings.Fields) != 2 || !cfg.Settings.Subscribe {
+		t.Errorf("settings %+v", cfg.Settings)
+	}
+	for _, c := range []struct{ old, new, key string }{
+		{`"listen":"127.0.0.1:1"`, `"listen":"here"`, "listen"},
+		{`"listen":"127.0.0.1:1",`, ``, "listen"},
+		{`"listen":"127.0.0.1:1"`, `"listen":7`, "listen"},
+		{`"discovery":"127.0.0.1:2"`, `"discovery":""`, "discovery"},
+		{`8c1f30d27a5be964`, `xyz`, "seed"},
+		{`"memory_mb":192`, `"memory_mb":0`, "limits.memory_mb"},
+		{`"memory_mb":192`, `"memory_mb":"much"`, "memory_mb"},
+		{`"sockets":1024`, `"sockets":3`, "limits.sockets"},
+		{`"host":"s-1"`, `"host":""`, "known: hosts[0].host"},
+		{`"health":"Ready"`, `"health":"Fine"`, "known: hosts[0].health"},
+		{`"dial":"127.0.0.1:3"`, `"dial":"nowhere"`, "known: hosts[0].dial"},
+		{`"settings":`, `"other":`, "settings"},
+		{`"keepalive":5000000`, `"keepalive":0`, "limits.keepalive"},
+		{`"dial-timeout":2000000`, `"dial-timeout":-1`, "DialTimeout"},
+		{`"most-tries":3`, `"most-tries":"3.5"`, "limits.most-tries"},
+		{`"name":"read","repeat":"pure"`, `"name":"read","repeat":"twice"`, "classes.0.repeat"},
+		{`"name":"read","repeat":"pure"`, `"name":"read"`, "classes.0.repeat"},
+		{`"discovery":"subscribe"`, `"discovery":"gossip"`, "discovery"},
+	} {
+		bad := strings.Replace(good, c.old, c.new, 1)
+		if bad == good {
+			t.Fatalf("%q is not in the configuration", c.old)
+		}
+		_, err := parseConfig([]byte(bad))
+		if err == nil || !strings.Contains(err.Error(), c.key) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: error %v, want one line with %q", c.new, err, c.key)
+		}
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	if _, err := LoadConfig(path); err == nil {
+		t.Error("a missing file is no error")
+	}
+	os.WriteFile(path, []byte(good[:100]), 0o600)
+	if _, err := LoadConfig(path); err == nil {
+		t.Error("half a file is no error")
+	}
+}
+
+// The settings text is the simulator's, value by value.
+func TestFlatten(t *testing.T) {
+	var out strings.Builder
+	flatten(&out, "", map[string]any{"a": map[string]any{"b": []any{
+		map[string]any{"name": "x, y\nz=1"}, map[string]any{"on": true}}}})
+	flatten(&out, "areas", []any{"p q", "r"})
+	flatten(&out, "none", []any{})
+	flatten(&out, "absent", nil)
+	want := "a.b.count=2\na.b.0.name=x__y_z=1\na.b.1.on=true\nareas=p_q,r\nnone=\n"
+	if out.String() != want {
+		t.Errorf("got\n%swant\n%s", out.String(), want)
+	}
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -87,10 +87,10 @@
 	body       []byte
 }
 
-func newLoop(ctx context.Context, cfg *Config, log *slog.Logger, connections int) (*loop, error) {
+func newLoop(ctx context.Context, cfg *Config, log *slog.Logger) (*loop, error) {
 	l := &loop{
 		cfg: cfg, log: log, clock: clock{time.Now()}, ctx: ctx,
-		up: newUpstream(cfg, connections), disc: newDiscovery(cfg.Discovery),
+		up: newUpstream(cfg, connections(cfg)), disc: newDiscovery(cfg.Discovery),
 		events:   make(chan func(balancer.Micros), eventsMost),
 		requests: map[uint64]*request{}, ids: map[string]uint32{}, targets: map[uint32]*target{},
 		stopWatch: func() {},
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -42,21 +42,23 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	return serve(ctx, cfg, log, listener)
-}
-
-func serve(ctx context.Context, cfg *Config, log *slog.Logger, listener net.Listener) error {
 	// The loop outlives ctx: requests in hand still need it.
 	loopCtx, stop := context.WithCancel(context.Background())
 	defer stop()
-	each := (cfg.Limits.Sockets - socketSpare) / 2 // every client's request has one attempt at a time
-	l, err := newLoop(loopCtx, cfg, log, each)
+	l, err := newLoop(loopCtx, cfg, log)
 	if err != nil {
 		listener.Close()
 		return err
 	}
-	s := newServer(l, each)
-	go l.run()
+	return newServer(l).serve(ctx, listener)
+}
+
+// connections is the most that clients may hold, and the most to endpoints:
+// every client's request has one attempt at a time.
+func connections(cfg *Config) int { return (cfg.Limits.Sockets - socketSpare) / 2 }
+
+func (s *server) serve(ctx context.Context, listener net.Listener) error {
+	go s.loop.run()
 	served := make(chan error, 1)
 	go func() { served <- s.http.Serve(listener) }()
 	select {
@@ -67,8 +69,8 @@
 	return s.drain()
 }
 
-func newServer(l *loop, connections int) *server {
-	s := &server{loop: l, classes: map[string]uint8{}, tenants: map[string]uint16{}, most: int64(connections)}
+func newServer(l *loop) *server {
+	s := &server{loop: l, classes: map[string]uint8{}, tenants: map[string]uint16{}, most: int64(connections(l.cfg))}
 	for i, c := range l.cfg.Settings.Classes {
 		s.classes[c.Name] = uint8(i)
 	}
--- /dev/null
+++ b/internal/sidecar/sidecar_test.go
@@ -0,0 +1,414 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"peatpost/balancer"
+)
+
+func TestServesAndReusesConnections(t *testing.T) {
+	e := newEndpoint(t, always(served))
+	w := start(t, nil, ready("s-1", e.address))
+	for _, class := range []string{"read", "pay", "close", "order"} {
+		body := "body of " + class
+		if class == "read" {
+			body = ""
+		}
+		if got := w.send(w.request(class, body, 3*time.Second)); got.code != http.StatusOK || got.body != "done" {
+			t.Errorf("%s: got %+v", class, got)
+		}
+	}
+	if requests, conns := e.seen(); requests != 4 || conns != 1 {
+		t.Errorf("%d requests on %d connections, want 4 on 1", requests, conns)
+	}
+}
+
+// How far a request is sent again follows from its class and from what is known
+// of the attempt before. All are seen by the client as one final answer.
+func TestResendLimits(t *testing.T) {
+	reset := func(e *endpoint, conn net.Conn, in *bufio.Reader) {
+		for e.next(in) != nil {
+			if n, _ := e.seen(); n == 1 {
+				return
+			}
+			io.WriteString(conn, served)
+		}
+	}
+	other := func(h host) host {
+		h.Block = 2
+		return h
+	}
+	for _, c := range []struct {
+		name, class string
+		first       func(*endpoint, net.Conn, *bufio.Reader)
+		move        func(host) host // of the second endpoint
+		code        int
+		attempts    int
+	}{
+		{"safe after a reset", "read", reset, nil, 200, 2},
+		{"safe after an error", "read", then(failing, served), nil, 200, 2},
+		{"keyed after a reset", "pay", reset, nil, 200, 2},
+		{"keyed in its cell", "close", reset, nil, 200, 2},
+		{"keyed out of its cell", "close", reset, other, 502, 1},
+		{"keyed out of its cell, never ran", "close", then(full, served), other, 200, 2},
+		{"unsafe after a reset", "order", reset, nil, 502, 1},
+		{"unsafe after an error", "order", then(failing, served), nil, 502, 1},
+		{"unsafe, never ran", "order", then(full, served), nil, 200, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			// Both names lead to one endpoint: whichever is chosen first, the first attempt ends as scripted.
+			e := newEndpoint(t, c.first)
+			second := ready("s-2", e.address)
+			if c.move != nil {
+				second = c.move(second)
+			}
+			w := start(t, nil, ready("s-1", e.address), second)
+			got := w.send(w.request(c.class, "x", 3*time.Second))
+			if n, _ := e.seen(); got.code != c.code || n != c.attempts || got.err != nil {
+				t.Errorf("answer %d (%v) after %d attempts, want %d after %d", got.code, got.err, n, c.code, c.attempts)
+			}
+			if got.code == http.StatusOK && got.body != "done" {
+				t.Errorf("body %q", got.body)
+			}
+		})
+	}
+}
+
+// Each attempt has one outcome, told in order, and the last says that the
+// request is settled.
+func TestOutcomesAreToldOnceAndInOrder(t *testing.T) {
+	e := newEndpoint(t, then(full, served))
+	w := start(t, nil, ready("s-1", e.address), ready("s-2", e.address))
+	w.send(w.request("order", "x", 3*time.Second))
+	w.until("two outcomes", func() bool { return len(w.spy.statuses()) >= 2 })
+	w.spy.mu.Lock()
+	defer w.spy.mu.Unlock()
+	if len(w.spy.outcomes) != 2 {
+		t.Fatalf("%d outcomes, want 2", len(w.spy.outcomes))
+	}
+	first, second := w.spy.outcomes[0], w.spy.outcomes[1]
+	if first.Attempt != 0 || first.Status != balancer.Full || first.Settled ||
+		second.Attempt != 1 || second.Status != balancer.OK || !second.Settled ||
+		first.ID != second.ID || first.Endpoint == second.Endpoint {
+		t.Errorf("outcomes %+v", w.spy.outcomes)
+	}
+}
+
+// The final answer to a request whose endpoint keeps silent comes before the
+// client's time is up, and the attempt's time-out is told before the balancer's
+// own timer calls it off.
+func TestDeadlineAnswer(t *testing.T) {
+	for class, code := range map[string]int{"read": 503, "pay": 503, "close": 502, "order": 502} {
+		t.Run(class, func(t *testing.T) {
+			e := newEndpoint(t, silent)
+			w := start(t, nil, ready("s-1", e.address))
+			const left = 400 * time.Millisecond
+			sent := w.loop.clock.now()
+			got := w.send(w.request(class, "x", left))
+			if got.code != code {
+				t.Errorf("answer %d (%v), want %d", got.code, got.err, code)
+			}
+			w.until("the outcome", func() bool { return len(w.spy.statuses()) > 0 })
+			if all := w.spy.statuses(); !slices.Equal(all, []balancer.Status{balancer.Timeout}) {
+				t.Errorf("outcomes %v, want one time-out", all)
+			}
+			w.until("the timer", func() bool {
+				w.spy.mu.Lock()
+				defer w.spy.mu.Unlock()
+				return slices.Contains(w.spy.events, "timer")
+			})
+			w.do(func() {
+				if len(w.loop.requests) != 0 {
+					t.Error("the ledger still holds the request")
+				}
+			})
+			var given int64
+			given, _ = strconv.ParseInt(e.request(0).Header.Get("X-Time-Left-Ms"), 10, 64)
+			if most := left - answerMargin; given <= 0 || given > most.Milliseconds() {
+				t.Errorf("the endpoint was given %d ms of %v, want at most %v", given, left, most)
+			}
+			if took := time.Duration(w.loop.clock.now()-sent) * time.Microsecond; took < left/2 {
+				t.Errorf("the request was given up after %v of %v", took, left)
+			}
+		})
+	}
+}
+
+// What the balancer gives up is answered at once, and the client is told when to
+// come back.
+func TestRefusedAtOnceWithRetryAfter(t *testing.T) {
+	e := newEndpoint(t, always(full))
+	w := start(t, nil, ready("s-1", e.address))
+	began := time.Now()
+	got := w.send(w.request("read", "", time.Minute))
+	after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+	if got.code != http.StatusServiceUnavailable || err != nil || after <= 0 || after > 1.5 {
+		t.Errorf("answer %d, Retry-After %q", got.code, got.header.Get("Retry-After"))
+	}
+	if took := time.Since(began); took > 30*time.Second {
+		t.Errorf("the answer took %v of a minute", took)
+	}
+}
+
+// A client that goes away ends its request: the attempt is given up by closing
+// its connection, and its outcome is still told, settled.
+func TestClientGone(t *testing.T) {
+	closed := make(chan struct{})
+	e := newEndpoint(t, func(e *endpoint, conn net.Conn, in *bufio.Reader) {
+		e.next(in)
+		in.ReadByte() // until the sidecar closes the connection
+		close(closed)
+	})
+	w := start(t, nil, ready("s-1", e.address))
+	ctx, cancel := context.WithCancel(context.Background())
+	go w.send(w.request("pay", "x", time.Minute).WithContext(ctx))
+	w.until("the attempt", func() bool { n, _ := e.seen(); return n == 1 })
+	cancel()
+	select {
+	case <-closed:
+	case <-time.After(patience):
+		t.Fatal("the attempt's connection stays open")
+	}
+	w.until("the outcome", func() bool { return len(w.spy.statuses()) == 1 })
+	w.spy.mu.Lock()
+	defer w.spy.mu.Unlock()
+	if o := w.spy.outcomes[0]; o.Status != balancer.Cancelled || !o.Settled {
+		t.Errorf("outcome %+v, want cancelled and settled", o)
+	}
+	if w.spy.events[0] != "gone" {
+		t.Errorf("events %v, want the client's going first", w.spy.events)
+	}
+}
+
+// A client that has only stopped sending has gone away, too, and must not read
+// a whole answer that no endpoint made.
+func TestHalfClosedClientGetsNoAnswer(t *testing.T) {
+	e := newEndpoint(t, silent)
+	w := start(t, nil, ready("s-1", e.address))
+	conn, err := net.Dial("tcp", strings.TrimPrefix(w.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	w.request("pay", "x", time.Minute).Write(conn)
+	w.until("the attempt", func() bool { n, _ := e.seen(); return n == 1 })
+	conn.(*net.TCPConn).CloseWrite()
+	conn.SetReadDeadline(time.Now().Add(patience))
+	if got, err := io.ReadAll(conn); len(got) > 0 {
+		t.Errorf("the client read %q (%v)", got, err)
+	}
+}
+
+// A late answer to a request that has ended is told to the balancer as settled
+// and reaches nobody.
+func TestLateOutcome(t *testing.T) {
+	answer := make(chan struct{})
+	e := newEndpoint(t, func(e *endpoint, conn net.Conn, in *bufio.Reader) {
+		e.next(in)
+		<-answer
+		io.WriteString(conn, served)
+	})
+	// Without leave to cancel, the attempt goes on after its request's end.
+	w := start(t, func(s map[string]any) { s["limits"].(map[string]any)["cancel"] = false }, ready("s-1", e.address))
+	ctx, cancel := context.WithCancel(context.Background())
+	go w.send(w.request("pay", "x", time.Minute).WithContext(ctx))
+	w.until("the attempt", func() bool { n, _ := e.seen(); return n == 1 })
+	cancel()
+	w.until("the client's going", func() bool {
+		w.spy.mu.Lock()
+		defer w.spy.mu.Unlock()
+		return slices.Contains(w.spy.events, "gone")
+	})
+	close(answer)
+	w.until("the outcome", func() bool { return len(w.spy.statuses()) == 1 })
+	w.spy.mu.Lock()
+	defer w.spy.mu.Unlock()
+	if o := w.spy.outcomes[0]; o.Status != balancer.OK || !o.Settled {
+		t.Errorf("outcome %+v, want served and settled", o)
+	}
+}
+
+// Malformed requests are answered with what is wrong, and reach no endpoint.
+func TestMalformedRequests(t *testing.T) {
+	e := newEndpoint(t, always(served))
+	w := start(t, func(s map[string]any) {
+		s["tenants"] = []any{map[string]any{"name": "acme", "share": 1, "allowance-per-s": 10}}
+	}, ready("s-1", e.address))
+	for _, c := range []struct {
+		name  string
+		alter func(*http.Request)
+		code  int
+		says  string
+	}{
+		{"no id", func(r *http.Request) { r.Header.Del("X-Correlation-Id") }, 400, "X-Correlation-Id"},
+		{"no class", func(r *http.Request) { r.Header.Del("X-Service-Class") }, 400, "X-Service-Class"},
+		{"unknown class", func(r *http.Request) { r.Header.Set("X-Service-Class", "gift") }, 400, "gift"},
+		{"no time left", func(r *http.Request) { r.Header.Del("X-Time-Left-Ms") }, 400, "X-Time-Left-Ms"},
+		{"bad time left", func(r *http.Request) { r.Header.Set("X-Time-Left-Ms", "1e3") }, 400, "1e3"},
+		{"negative time left", func(r *http.Request) { r.Header.Set("X-Time-Left-Ms", "-5") }, 400, "-5"},
+		{"time left beyond all numbers", func(r *http.Request) { r.Header.Set("X-Time-Left-Ms", "99999999999999999999") }, 400, "X-Time-Left-Ms"},
+		{"no key", func(r *http.Request) { r.Header.Del("Idempotency-Key") }, 400, "Idempotency-Key"},
+		{"wrong method", func(r *http.Request) { r.Method = http.MethodPut }, 405, "POST"},
+		{"bad hint", func(r *http.Request) { r.Header.Set("X-Weight-Hint", "heavy") }, 400, "heavy"},
+		{"unknown tenant", func(r *http.Request) { r.Header.Set("X-Account", "nobody") }, 400, "nobody"},
+		{"body too large", func(r *http.Request) {
+			r.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", bodyMost+1)))
+			r.ContentLength = bodyMost + 1
+		}, 413, "65536"},
+		{"body too large, of unknown length", func(r *http.Request) {
+			r.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", bodyMost+1)))
+			r.ContentLength = -1
+		}, 413, "65536"},
+	} {
+		r := w.request("pay", "x", 3*time.Second)
+		r.Header.Set("X-Account", "acme")
+		c.alter(r)
+		if got := w.send(r); got.code != c.code || !strings.Contains(got.body, c.says) {
+			t.Errorf("%s: got %+v, want %d with %q", c.name, got, c.code, c.says)
+		}
+	}
+	if n, _ := e.seen(); n != 0 {
+		t.Errorf("%d malformed requests reached the endpoint", n)
+	}
+	r := w.request("pay", strings.Repeat("x", bodyMost), 3*time.Second)
+	r.Header.Set("X-Account", "acme")
+	r.Header.Set("X-Weight-Hint", "90000")
+	r.Header.Set("X-Session-Key", "7f3a9c21e0b4d655")
+	if got := w.send(r); got.code != http.StatusOK {
+		t.Errorf("a well-formed request with the largest body: %+v", got)
+	}
+}
+
+// Beyond its share of descriptors the sidecar refuses and closes the connection.
+func TestConnectionsOfClientsAreBounded(t *testing.T) {
+	e := newEndpoint(t, always(served))
+	w := start(t, nil, ready("s-1", e.address))
+	var held []net.Conn
+	for range w.server.most {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(w.url, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		held = append(held, conn)
+	}
+	w.until("all connections to be taken", func() bool { return w.server.open.Load() >= w.server.most })
+	got := w.send(w.request("read", "", 3*time.Second))
+	if got.code != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+		t.Errorf("beyond the limit: %+v", got)
+	}
+	for _, conn := range held {
+		conn.Close()
+	}
+	w.until("the connections to end", func() bool { return w.server.open.Load() < w.server.most })
+	if got := w.send(w.request("read", "", 3*time.Second)); got.code != http.StatusOK {
+		t.Errorf("with room again: %+v", got)
+	}
+}
+
+// An endpoint told draining while a send to it waits for its connection gets
+// nothing, and the request goes elsewhere.
+func TestDrainDuringDialGoesElsewhere(t *testing.T) {
+	first, second := newEndpoint(t, always(served)), newEndpoint(t, always(served))
+	w := start(t, nil, ready("s-1", first.address))
+	dialling, go_ := make(chan struct{}), make(chan struct{})
+	w.loop.up.dialer.Control = func(_, address string, _ syscall.RawConn) error {
+		if address == first.address {
+			close(dialling)
+			<-go_
+		}
+		return nil
+	}
+	answer := make(chan reply)
+	go func() { answer <- w.send(w.request("order", "x", time.Minute)) }()
+	<-dialling
+	draining := ready("s-1", first.address)
+	draining.Health = "Terminating"
+	w.dir.change(func() {
+		w.dir.list = registry{Seq: 1, Whole: true, Hosts: []host{draining, ready("s-2", second.address)}}
+	})
+	w.until("the news", func() bool {
+		moved := false
+		w.do(func() { moved = w.loop.targets[1] == nil && w.loop.targets[2] != nil })
+		return moved
+	})
+	close(go_)
+	if got := <-answer; got.code != http.StatusOK {
+		t.Errorf("answer %+v", got)
+	}
+	if n, _ := first.seen(); n != 0 {
+		t.Errorf("the draining endpoint got %d requests", n)
+	}
+	if all := w.spy.statuses(); !slices.Equal(all, []balancer.Status{balancer.Moot, balancer.OK}) {
+		t.Errorf("outcomes %v, want moot and served", all)
+	}
+}
+
+// After SIGTERM, what was taken is served, idle connections are closed, new
+// ones still come for a while, and the sidecar ends without error.
+func TestTermination(t *testing.T) {
+	answer := make(chan struct{})
+	e := newEndpoint(t, func(e *endpoint, conn net.Conn, in *bufio.Reader) {
+		for r := e.next(in); r != nil; r = e.next(in) {
+			if strings.HasPrefix(r.RequestURI, "/pay") {
+				<-answer
+			}
+			io.WriteString(conn, served)
+		}
+	})
+	w := start(t, nil, ready("s-1", e.address))
+	idle, err := net.Dial("tcp", strings.TrimPrefix(w.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer idle.Close()
+	w.request("read", "", time.Minute).Write(idle)
+	in := bufio.NewReader(idle)
+	response, err := http.ReadResponse(in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.Copy(io.Discard, response.Body)
+
+	held := make(chan reply)
+	go func() { held <- w.send(w.request("pay", "x", time.Minute)) }()
+	w.until("the request in hand", func() bool { n, _ := e.seen(); return n == 2 })
+	w.stop()
+	idle.SetReadDeadline(time.Now().Add(patience))
+	if _, err := in.ReadByte(); err != io.EOF {
+		t.Errorf("the idle connection: %v, want its end", err)
+	}
+	// New connections are still served, one request each.
+	conn, err := net.Dial("tcp", strings.TrimPrefix(w.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	w.request("read", "", time.Minute).Write(conn)
+	conn.SetReadDeadline(time.Now().Add(patience))
+	if late, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil || late.StatusCode != 200 || !late.Close {
+		t.Errorf("a request after SIGTERM: %v, %v; want 200 and Connection: close", late, err)
+	}
+	close(answer)
+	if got := <-held; got.code != http.StatusOK || got.body != "done" {
+		t.Errorf("the request in hand: %+v", got)
+	}
+	select {
+	case err := <-w.ended:
+		if err != nil {
+			t.Errorf("the sidecar ended with %v", err)
+		}
+	case <-time.After(patience):
+		t.Error("the sidecar does not end")
+	}
+}
--- /dev/null
+++ b/internal/sidecar/upstream_test.go
@@ -0,0 +1,333 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"peatpost/balancer"
+)
+
+func newTestUpstream(t *testing.T, most int) *upstream {
+	return newUpstream(configure(t, "127.0.0.1:1", nil), most)
+}
+
+func get(path string) *message {
+	return &message{method: http.MethodGet, url: &url.URL{Path: path}, host: "api", header: http.Header{
+		"X-Correlation-Id": {"1"}, "Idempotency-Key": {"k"}}}
+}
+
+// closedAddress is one that refuses connections.
+func closedAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// Each row of the table of outcomes, on a new connection.
+func TestOutcomes(t *testing.T) {
+	hangUp := func(answer string) func(*endpoint, net.Conn, *bufio.Reader) {
+		return func(e *endpoint, conn net.Conn, in *bufio.Reader) {
+			e.next(in)
+			io.WriteString(conn, answer)
+		}
+	}
+	for _, c := range []struct {
+		name  string
+		serve func(*endpoint, net.Conn, *bufio.Reader)
+		want  balancer.Status
+	}{
+		{"served", always(served), balancer.OK},
+		{"served after an interim answer", always("HTTP/1.1 103 Early Hints\r\n\r\n" + served), balancer.OK},
+		{"served until the connection ends", hangUp("HTTP/1.0 200 OK\r\n\r\ndone"), balancer.OK},
+		{"error", always(failing), balancer.Error},
+		{"an answer nobody expects", always("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"), balancer.Error},
+		{"full", always(full), balancer.Full},
+		{"over already", always("HTTP/1.1 504 Gateway Timeout\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"), balancer.Full},
+		{"503 without proof", always("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"), balancer.Error},
+		{"500 with a proof that it must not claim", always("HTTP/1.1 500 x\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"), balancer.Error},
+		{"closed after the request", hangUp(""), balancer.Reset},
+		{"cut in its body", hangUp("HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\ndone"), balancer.Reset},
+		{"cut in a chunk", hangUp("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n"), balancer.Reset},
+		{"cut in its head", hangUp("HTTP/1.1 200 OK\r\nContent-"), balancer.Reset},
+		{"503 cut before it is whole", hangUp("HTTP/1.1 503 x\r\nX-Unprocessed: 1\r\nContent-Length: 9\r\n\r\n"), balancer.Reset},
+		{"malformed", always("nonsense\r\n\r\n"), balancer.Reset},
+		{"malformed length", always("HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\ndone"), balancer.Reset},
+		{"body too large", always("HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + strings.Repeat("x", 65537)), balancer.Reset},
+		{"head without end", always("HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 200<<10)), balancer.Reset},
+		{"silent", silent, balancer.Timeout},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			e, wait := newEndpoint(t, c.serve), patience
+			if c.want == balancer.Timeout {
+				wait = 50 * time.Millisecond
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), wait)
+			defer cancel()
+			u := newTestUpstream(t, 4)
+			r := u.attempt(ctx, &target{address: e.address}, get("/"))
+			if r.status != c.want {
+				t.Errorf("status %v, want %v", r.status, c.want)
+			}
+			if r.status == balancer.OK && string(r.body) != "done" {
+				t.Errorf("body %q", r.body)
+			}
+		})
+	}
+}
+
+func TestConnectionRefusedNeverRan(t *testing.T) {
+	u := newTestUpstream(t, 1)
+	for range 2 { // a failed connection gives its place back
+		r := u.attempt(context.Background(), &target{address: closedAddress(t)}, get("/"))
+		if r.status != balancer.ConnectFailed {
+			t.Errorf("status %v, want ConnectFailed", r.status)
+		}
+	}
+}
+
+// A machine that vanished says nothing: the connection never comes up.
+func TestConnectionThatNeverComesUp(t *testing.T) {
+	u := newTestUpstream(t, 1)
+	u.dialer.Timeout = 20 * time.Millisecond
+	u.dialer.ControlContext = func(ctx context.Context, _, _ string, _ syscall.RawConn) error {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	r := u.attempt(context.Background(), &target{address: closedAddress(t)}, get("/"))
+	if r.status != balancer.ConnectFailed {
+		t.Errorf("status %v, want ConnectFailed", r.status)
+	}
+}
+
+// A connection that breaks before the last byte is written proves that the
+// request never ran. Small buffers on both sides leave part of it unwritten.
+func TestBreakBeforeTheLastByteNeverRan(t *testing.T) {
+	small := func(option int) func(string, string, syscall.RawConn) error {
+		return func(_, _ string, raw syscall.RawConn) error {
+			return raw.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, option, 2048) })
+		}
+	}
+	config := net.ListenConfig{Control: small(syscall.SO_RCVBUF)}
+	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		io.ReadFull(conn, make([]byte, 64))
+		conn.(*net.TCPConn).SetLinger(0)
+		conn.Close()
+	}()
+	u := newTestUpstream(t, 1)
+	u.dialer.Control = small(syscall.SO_SNDBUF)
+	m := get("/")
+	m.method, m.body = http.MethodPost, make([]byte, bodyMost)
+	if r := u.attempt(context.Background(), &target{address: listener.Addr().String()}, m); r.status != balancer.ConnectFailed {
+		t.Errorf("status %v, want ConnectFailed", r.status)
+	}
+}
+
+// What goes to an endpoint is the client's request, with the time that is left.
+func TestRequestGoesOnUnchanged(t *testing.T) {
+	e := newEndpoint(t, always(served))
+	at, _ := url.Parse("/pay/x%2Fy?q=1&r=%20")
+	m := &message{method: http.MethodPost, url: at, host: "api.internal", body: []byte("body"),
+		header: http.Header{"X-Correlation-Id": {"9b"}, "Idempotency-Key": {"5c"}, "X-Time-Left-Ms": {"99999"},
+			"Connection": {"close"}, "Expect": {"100-continue"}, "Content-Length": {"7"}}}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	if r := newTestUpstream(t, 1).attempt(ctx, &target{address: e.address}, m); r.status != balancer.OK {
+		t.Fatalf("status %v", r.status)
+	}
+	got := e.request(0)
+	body, _ := io.ReadAll(got.Body)
+	if got.Method != "POST" || got.RequestURI != "/pay/x%2Fy?q=1&r=%20" || got.Host != "api.internal" ||
+		string(body) != "body" || got.Header.Get("X-Correlation-Id") != "9b" || got.Header.Get("Idempotency-Key") != "5c" {
+		t.Errorf("the endpoint got %s %s, host %s, %v, body %q", got.Method, got.RequestURI, got.Host, got.Header, body)
+	}
+	if got.Close || got.Header.Get("Expect") != "" {
+		t.Errorf("headers of the client's connection went on: %v", got.Header)
+	}
+	var left int64
+	fmt.Sscan(got.Header.Get("X-Time-Left-Ms"), &left)
+	if left <= 0 || left > patience.Milliseconds() {
+		t.Errorf("X-Time-Left-Ms %q", got.Header.Get("X-Time-Left-Ms"))
+	}
+}
+
+// A connection is used again, and one that broke while a request was out is no
+// reason to send that request again: http.Transport would, for a GET or with an
+// Idempotency-Key, on a connection that had been idle.
+func TestNoHiddenResend(t *testing.T) {
+	e := newEndpoint(t, func(e *endpoint, conn net.Conn, in *bufio.Reader) {
+		if e.next(in) != nil {
+			io.WriteString(conn, served)
+			e.next(in) // and end without an answer
+		}
+	})
+	u, at := newTestUpstream(t, 4), &target{address: e.address}
+	if r := u.attempt(context.Background(), at, get("/1")); r.status != balancer.OK {
+		t.Fatalf("first: status %v", r.status)
+	}
+	if r := u.attempt(context.Background(), at, get("/2")); r.status != balancer.Reset {
+		t.Errorf("second: status %v, want Reset", r.status)
+	}
+	if requests, conns := e.seen(); requests != 2 || conns != 1 {
+		t.Errorf("%d requests on %d connections, want 2 on 1", requests, conns)
+	}
+}
+
+// An idle connection that its endpoint has closed must not be written to: the
+// request would end as a reset that may have run.
+func TestStaleIdleConnection(t *testing.T) {
+	closed := make(chan struct{}, 2)
+	e := newEndpoint(t, func(e *endpoint, conn net.Conn, in *bufio.Reader) {
+		e.next(in)
+		io.WriteString(conn, served)
+		conn.Close()
+		closed <- struct{}{}
+	})
+	u, at := newTestUpstream(t, 1), &target{address: e.address}
+	for i := range 2 {
+		if r := u.attempt(context.Background(), at, get("/")); r.status != balancer.OK {
+			t.Errorf("attempt %d: status %v, want OK", i, r.status)
+		}
+		<-closed
+		await(t, "the end of the connection to arrive", func() bool {
+			u.mu.Lock()
+			defer u.mu.Unlock()
+			return len(u.idle[at]) == 0 || !u.idle[at][0].alive()
+		})
+	}
+}
+
+// Idle connections are retired before the endpoint's own limit, both when one is
+// asked for and by the regular sweep.
+func TestIdleConnectionsAreRetiredEarly(t *testing.T) {
+	e := newEndpoint(t, always(served))
+	u, at := newTestUpstream(t, 4), &target{address: e.address}
+	if limit := 5 * time.Second; u.idleMost > limit*4/5 {
+		t.Errorf("idle connections are used for %v of %v", u.idleMost, limit)
+	}
+	attempt := func() {
+		t.Helper()
+		if r := u.attempt(context.Background(), at, get("/")); r.status != balancer.OK {
+			t.Fatalf("status %v", r.status)
+		}
+	}
+	attempt()
+	u.idle[at][0].idleAt = time.Now().Add(-u.idleMost)
+	attempt()
+	if _, conns := e.seen(); conns != 2 {
+		t.Errorf("%d connections, want a second one after the idle time", conns)
+	}
+	u.prune()
+	if u.open != 1 {
+		t.Errorf("the sweep left %d connections open, want the one in use lately", u.open)
+	}
+	u.idle[at][0].idleAt = time.Now().Add(-u.idleMost)
+	u.prune()
+	if u.open != 0 || len(u.idle[at]) != 0 {
+		t.Errorf("the sweep left %d open connections", u.open)
+	}
+}
+
+// The descriptors are bounded: an idle connection makes room, a busy one does not.
+func TestConnectionsAreBounded(t *testing.T) {
+	quick, slow := newEndpoint(t, always(served)), newEndpoint(t, silent)
+	u := newTestUpstream(t, 1)
+	if r := u.attempt(context.Background(), &target{address: quick.address}, get("/")); r.status != balancer.OK {
+		t.Fatalf("status %v", r.status)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	busy := make(chan result)
+	go func() { busy <- u.attempt(ctx, &target{address: slow.address}, get("/")) }()
+	await(t, "the slow endpoint's request", func() bool { n, _ := slow.seen(); return n == 1 })
+	if r := u.attempt(context.Background(), &target{address: quick.address}, get("/")); r.status != balancer.Moot {
+		t.Errorf("beyond the limit: status %v, want Moot", r.status)
+	}
+	cancel()
+	if r := <-busy; r.status != balancer.Cancelled {
+		t.Errorf("called off: status %v, want Cancelled", r.status)
+	}
+	if r := u.attempt(context.Background(), &target{address: quick.address}, get("/")); r.status != balancer.OK {
+		t.Errorf("with room again: status %v, want OK", r.status)
+	}
+}
+
+// A send that waited for its connection must not start once its endpoint drains.
+func TestDrainDuringDial(t *testing.T) {
+	e := newEndpoint(t, always(served))
+	u, at := newTestUpstream(t, 1), &target{address: e.address}
+	dialling, go_ := make(chan struct{}), make(chan struct{})
+	u.dialer.Control = func(_, _ string, _ syscall.RawConn) error {
+		close(dialling)
+		<-go_
+		return nil
+	}
+	done := make(chan result)
+	go func() { done <- u.attempt(context.Background(), at, get("/")) }()
+	<-dialling
+	u.retire(at)
+	close(go_)
+	if r := <-done; r.status != balancer.Moot {
+		t.Errorf("status %v, want Moot", r.status)
+	}
+	if n, _ := e.seen(); n != 0 {
+		t.Errorf("the draining endpoint got %d requests", n)
+	}
+	if r := u.attempt(context.Background(), at, get("/")); r.status != balancer.Moot || u.open != 0 {
+		t.Errorf("later: status %v, want Moot; %d connections open", r.status, u.open)
+	}
+}
+
+func TestProbe(t *testing.T) {
+	report := func(text string) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+	}
+	for _, c := range []struct {
+		name, answer string
+		status       balancer.Status
+		load         []float32 // -1: not a number
+	}{
+		{"both figures, in any order", report("pending=7,failed_ps=0.5\n"), balancer.OK, []float32{0.5, 7}},
+		{"one figure and others", report("util=0.3,pending=2"), balancer.OK, []float32{-1, 2}},
+		{"a malformed figure", report("pending=many,failed_ps=1,,=,x"), balancer.OK, []float32{1, -1}},
+		{"no report yet", report(""), balancer.OK, nil},
+		{"turned away", "HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n", balancer.Error, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			e := newEndpoint(t, always(c.answer))
+			r := newTestUpstream(t, 1).probe(context.Background(), &target{address: e.address})
+			for i, v := range r.load {
+				if v != v {
+					r.load[i] = -1
+				}
+			}
+			if r.status != c.status || !slices.Equal(r.load, c.load) {
+				t.Errorf("status %v, load %v; want %v, %v", r.status, r.load, c.status, c.load)
+			}
+			if path := e.request(0).RequestURI; path != "/stats" {
+				t.Errorf("asked %s", path)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/sidecar/world_test.go
@@ -0,0 +1,408 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"peatpost/balancer"
+)
+
+// patience is how long a test waits for what must come.
+const patience = 20 * time.Second
+
+const settingsText = `{"areas":["a","b"],"skus":["m1"],"stages":["s"],"tenants":[],"discovery":"subscribe",
+ "classes":[
+ {"name":"read","repeat":"pure","target":600000,"give-up":3000000,"credit":1},
+ {"name":"pay","repeat":"token","group":"all","window":5000000,"target":600000,"give-up":3000000,"credit":1},
+ {"name":"close","repeat":"token","group":"cell","window":5000000,"target":600000,"give-up":3000000,"credit":1},
+ {"name":"order","repeat":"side_effect","target":600000,"give-up":3000000,"credit":1}],
+ "contract":{"answer-slack":20000,"ask-within":1000000,"cold-from":0.3,"drain-grace":1000000,"fall-multiple":2.5,"overload-for":1000000,"ramp-time":1000},
+ "limits":{"cancel":true,"dial-timeout":2000000,"keepalive":5000000,"max-retry-after":1500000,"most-held":1000,"most-tries":3,"multiplex":1,"probes":false,"retry-after":true,"second-copies":true},
+ "reporting":{"how":"probe","fields":["failed_ps","pending"]},"peers-total":1,"position":0,"zone":0}`
+
+// endpoint is a TCP server whose answers a test writes byte by byte.
+type endpoint struct {
+	address string
+
+	mu       sync.Mutex
+	conns    int
+	requests []*http.Request // read by next
+}
+
+func newEndpoint(t *testing.T, serve func(e *endpoint, conn net.Conn, in *bufio.Reader)) *endpoint {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	e := &endpoint{address: listener.Addr().String()}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			e.mu.Lock()
+			e.conns++
+			e.mu.Unlock()
+			go func() {
+				defer conn.Close()
+				serve(e, conn, bufio.NewReader(conn))
+			}()
+		}
+	}()
+	return e
+}
+
+// next reads a whole request, or returns nil when the connection has ended.
+func (e *endpoint) next(in *bufio.Reader) *http.Request {
+	r, err := http.ReadRequest(in)
+	if err != nil {
+		return nil
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil
+	}
+	r.Body = io.NopCloser(strings.NewReader(string(body)))
+	e.mu.Lock()
+	e.requests = append(e.requests, r)
+	e.mu.Unlock()
+	return r
+}
+
+// seen counts the requests read and the connections accepted.
+func (e *endpoint) seen() (requests, conns int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.requests), e.conns
+}
+
+// request returns one of the requests read.
+func (e *endpoint) request(i int) *http.Request {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.requests[i]
+}
+
+// always answers every request with the same bytes.
+func always(answer string) func(*endpoint, net.Conn, *bufio.Reader) {
+	return func(e *endpoint, conn net.Conn, in *bufio.Reader) {
+		for e.next(in) != nil {
+			io.WriteString(conn, answer)
+		}
+	}
+}
+
+const (
+	served  = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+	failing = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"
+	full    = "HTTP/1.1 503 Service Unavailable\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"
+)
+
+// silent takes requests and never answers.
+func silent(e *endpoint, conn net.Conn, in *bufio.Reader) {
+	for e.next(in) != nil {
+	}
+}
+
+// then answers the first request in one way and all others in another, over
+// all connections.
+func then(first, rest string) func(*endpoint, net.Conn, *bufio.Reader) {
+	return func(e *endpoint, conn net.Conn, in *bufio.Reader) {
+		for e.next(in) != nil {
+			if n, _ := e.seen(); n == 1 {
+				io.WriteString(conn, first)
+			} else {
+				io.WriteString(conn, rest)
+			}
+		}
+	}
+}
+
+// directory is a discovery service with one list.
+type directory struct {
+	address string
+
+	mu     sync.Mutex
+	list   registry
+	down   bool
+	broken string // an answer to give in place of the list
+	calls  []string
+	news   chan struct{} // closed and replaced with every change
+}
+
+func newDirectory(t *testing.T, hosts ...host) *directory {
+	t.Helper()
+	d := &directory{list: registry{Whole: true, Hosts: hosts}, news: make(chan struct{})}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.address = listener.Addr().String()
+	server := &http.Server{Handler: d}
+	go server.Serve(listener)
+	t.Cleanup(func() { server.Close() })
+	return d
+}
+
+func (d *directory) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	d.mu.Lock()
+	d.calls = append(d.calls, r.URL.RawQuery)
+	after, wait, news := r.FormValue("after"), r.FormValue("wait_ms"), d.news
+	waits := after == fmt.Sprint(d.list.Seq) && wait != "0" && !d.down && d.broken == ""
+	d.mu.Unlock()
+	if waits {
+		select {
+		case <-news:
+		case <-r.Context().Done():
+			return
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case d.down:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case d.broken != "":
+		io.WriteString(w, d.broken)
+	case after == fmt.Sprint(d.list.Seq):
+		json.NewEncoder(w).Encode(registry{Seq: d.list.Seq, Hosts: []host{}})
+	default:
+		json.NewEncoder(w).Encode(d.list)
+	}
+}
+
+// change alters the service and wakes the calls that wait.
+func (d *directory) change(alter func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	alter()
+	close(d.news)
+	d.news = make(chan struct{})
+}
+
+func (d *directory) count() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.calls)
+}
+
+// ready is discovery's entry for an endpoint.
+func ready(name, address string) host {
+	return host{Name: name, Dial: address, Site: "a", Class: "m1", Health: "Ready", Share: 1}
+}
+
+// spy passes everything on to the balancer and keeps what it was told.
+type spy struct {
+	decider
+	mu       sync.Mutex
+	outcomes []balancer.Outcome
+	events   []string
+	lists    []balancer.ListKind
+	probes   []balancer.Status
+	loads    [][]float32
+}
+
+func (s *spy) Outcome(now balancer.Micros, o balancer.Outcome) {
+	s.note(func() {
+		s.outcomes = append(s.outcomes, o)
+		s.events = append(s.events, "outcome")
+	})
+	s.decider.Outcome(now, o)
+}
+
+func (s *spy) Timer(now balancer.Micros, token uint32) {
+	if token >= 1<<20 { // names a request
+		s.note(func() { s.events = append(s.events, "timer") })
+	}
+	s.decider.Timer(now, token)
+}
+
+func (s *spy) ClientGone(now balancer.Micros, id uint64) {
+	s.note(func() { s.events = append(s.events, "gone") })
+	s.decider.ClientGone(now, id)
+}
+
+func (s *spy) Members(now balancer.Micros, kind balancer.ListKind, entries []balancer.Endpoint) {
+	s.decider.Members(now, kind, entries)
+	s.note(func() { s.lists = append(s.lists, kind) })
+}
+
+func (s *spy) Probed(now balancer.Micros, id uint32, status balancer.Status, latency balancer.Micros, load []float32) {
+	s.note(func() { s.probes, s.loads = append(s.probes, status), append(s.loads, load) })
+	s.decider.Probed(now, id, status, latency, load)
+}
+
+func (s *spy) note(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
+// statuses returns how the attempts ended so far.
+func (s *spy) statuses() (all []balancer.Status) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, o := range s.outcomes {
+		all = append(all, o.Status)
+	}
+	return all
+}
+
+// world is a running sidecar with its surroundings.
+type world struct {
+	t      *testing.T
+	url    string
+	loop   *loop
+	server *server
+	spy    *spy
+	dir    *directory
+	stop   context.CancelFunc // as SIGTERM does
+	ended  chan error
+}
+
+// configure returns a configuration that knows the given list.
+func configure(t *testing.T, discovery string, alter func(settings map[string]any), hosts ...host) *Config {
+	t.Helper()
+	var settings map[string]any
+	if err := json.Unmarshal([]byte(settingsText), &settings); err != nil {
+		t.Fatal(err)
+	}
+	if alter != nil {
+		alter(settings)
+	}
+	text, err := json.Marshal(map[string]any{
+		"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f30d27a5be964",
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 256},
+		"known":  registry{Whole: true, Hosts: hosts}, "settings": settings})
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := parseConfig(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cfg
+}
+
+// start runs a sidecar that knows these endpoints, and waits until it is ready.
+func start(t *testing.T, alter func(settings map[string]any), hosts ...host) *world {
+	t.Helper()
+	w := &world{t: t, dir: newDirectory(t, hosts...)}
+	w.launch(configure(t, w.dir.address, alter, hosts...))
+	w.until("ready", func() bool {
+		response, err := http.Get(w.url + "/health/ready")
+		if err != nil {
+			return false
+		}
+		response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+	return w
+}
+
+// launch runs a sidecar until the test ends.
+func (w *world) launch(cfg *Config) {
+	w.t.Helper()
+	listener, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.ended = make(chan error, 1)
+	w.url = "http://" + listener.Addr().String()
+	loopCtx, stopLoop := context.WithCancel(context.Background())
+	w.loop, err = newLoop(loopCtx, cfg, slog.New(slog.DiscardHandler))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.spy = &spy{decider: w.loop.balancer}
+	w.loop.balancer = w.spy
+	w.server = newServer(w.loop)
+	ctx, stop := context.WithCancel(context.Background())
+	w.stop = stop
+	go func() {
+		w.ended <- w.server.serve(ctx, listener)
+		stopLoop()
+	}()
+	w.t.Cleanup(func() {
+		stop()
+		w.server.http.Close()
+	})
+}
+
+// until waits for something to become true.
+func (w *world) until(what string, is func() bool) {
+	w.t.Helper()
+	await(w.t, what, is)
+}
+
+func await(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !is(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("waited in vain for: %s", what)
+		}
+	}
+}
+
+// do runs f in the loop and waits for it.
+func (w *world) do(f func()) {
+	w.t.Helper()
+	done := make(chan struct{})
+	w.loop.post(func(balancer.Micros) {
+		f()
+		close(done)
+	})
+	<-done
+}
+
+// request makes a client's request of a class.
+func (w *world) request(class, body string, timeLeft time.Duration) *http.Request {
+	w.t.Helper()
+	method := http.MethodPost
+	if class == "read" {
+		method = http.MethodGet
+	}
+	r, err := http.NewRequest(method, w.url+"/"+class+"/x%2Fy?q=1", strings.NewReader(body))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	r.Header.Set("X-Correlation-Id", "9b1f03aa5c7e2d41")
+	r.Header.Set("X-Service-Class", class)
+	r.Header.Set("X-Time-Left-Ms", fmt.Sprint(timeLeft.Milliseconds()))
+	if class == "pay" || class == "close" {
+		r.Header.Set("Idempotency-Key", "5c0f6e1a2b3d4c59")
+	}
+	return r
+}
+
+// reply is a final answer as a client sees it.
+type reply struct {
+	code   int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (w *world) send(r *http.Request) reply {
+	transport := &http.Transport{DisableKeepAlives: true}
+	response, err := (&http.Client{Transport: transport, Timeout: patience}).Do(r)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return reply{response.StatusCode, response.Header, string(body), err}
+}
