--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -208,7 +208,7 @@
 	u, at := newTestUpstream(t, 1), &target{address: e.address}
 	for i := range 2 {
 		if r := u.attempt(context.Background(), at, get("/")); r.status != balancer.OK {
-			t.Errorf("attempt %d: status %v, want OK", i, r.status)
+			t.Fatalf("attempt %d: status %v, want OK", i, r.status)
 		}
 		<-closed
 		await(t, "the end of the connection to arrive", func() bool {
