--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -400,6 +400,13 @@
 	if late, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil || late.StatusCode != 200 || !late.Close {
 		t.Errorf("a request after SIGTERM: %v, %v; want 200 and Connection: close", late, err)
 	}
+	w.until("the end of accepting", func() bool {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(w.url, "http://"))
+		if err == nil {
+			conn.Close()
+		}
+		return err != nil
+	})
 	close(answer)
 	if got := <-held; got.code != http.StatusOK || got.body != "done" {
 		t.Errorf("the request in hand: %+v", got)
