--- /dev/null
+++ b/internal/sidecar/clients.go
@@ -0,0 +1,180 @@
+package sidecar
+
+import (
+	"bytes"
+	"container/list"
+	"net"
+	"sync"
+)
+
+// clients is the listener of the application's side. It bounds the connections
+// as they are accepted: a limit that acts when a request comes would let silent
+// connections use up the descriptors that attempts and discovery need.
+type clients struct {
+	net.Listener
+	most int
+
+	mu      sync.Mutex
+	open    int
+	waiting list.List // of *clientConn, with no request open; the longest without one first
+}
+
+// Accept returns the next connection. Beyond the limit the connection that has
+// waited longest for a request makes room; where all have one open, the new one
+// is closed.
+func (l *clients) Accept() (net.Conn, error) {
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &clientConn{Conn: raw, owner: l}
+		if old, ok := l.admit(c); ok {
+			if old != nil {
+				old.Conn.Close()
+			}
+			return c, nil
+		}
+		raw.Close()
+	}
+}
+
+// admit counts a new connection in and names the one that must go for it, if any.
+func (l *clients) admit(c *clientConn) (old *clientConn, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.open >= l.most {
+		longest := l.waiting.Front()
+		if longest == nil {
+			return nil, false
+		}
+		old = longest.Value.(*clientConn)
+		old.leave()
+	}
+	l.open++
+	c.place = l.waiting.PushBack(c)
+	return old, true
+}
+
+// count returns the number of open connections.
+func (l *clients) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open
+}
+
+// clientConn is one connection of a client. It carries one request at a time.
+type clientConn struct {
+	net.Conn
+	owner *clients
+	place *list.Element // in owner.waiting; nil while a request is open
+	left  bool          // no longer counted
+
+	mu   sync.Mutex // net/http reads on while a handler runs
+	head headScan
+}
+
+// leave ends the counting of a connection. It holds owner.mu.
+func (c *clientConn) leave() {
+	if c.left {
+		return
+	}
+	c.left = true
+	c.owner.open--
+	if c.place != nil {
+		c.owner.waiting.Remove(c.place)
+		c.place = nil
+	}
+}
+
+func (c *clientConn) Close() error {
+	c.owner.mu.Lock()
+	c.leave()
+	c.owner.mu.Unlock()
+	return c.Conn.Close()
+}
+
+func (c *clientConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	c.head.scan(p[:n])
+	c.mu.Unlock()
+	return n, err
+}
+
+// begin marks that a request is open; false says that its connection has just
+// had to make room. From here on what is read belongs to the next request. alone
+// says that nothing came behind this one, whose body has this length (-1:
+// unknown).
+func (c *clientConn) begin(length int64) (alone, ok bool) {
+	c.mu.Lock()
+	alone = length >= 0 && c.head.size == c.head.end+length
+	c.head = headScan{}
+	c.mu.Unlock()
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	if c.left {
+		return alone, false
+	}
+	c.owner.waiting.Remove(c.place)
+	c.place = nil
+	return alone, true
+}
+
+// done marks that the request has its answer.
+func (c *clientConn) done() {
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	if !c.left && c.place == nil {
+		c.place = c.owner.waiting.PushBack(c)
+	}
+}
+
+// ambiguous says whether the request's head states its body's length in two ways.
+func (c *clientConn) ambiguous() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.length && c.head.coding
+}
+
+// headScan looks at the bytes of a request for what net/http hides: where a head
+// has both Content-Length and Transfer-Encoding, the former is dropped without a
+// word, and what one reader takes for the body another takes for a request.
+type headScan struct {
+	line    []byte // start of the current line
+	started bool   // a line with something on it has come
+	length  bool   // Content-Length was there
+	coding  bool   // Transfer-Encoding was there
+	size    int64  // of all that came
+	end     int64  // size at the end of the head; 0 before
+}
+
+var (
+	lengthName = []byte("content-length:")
+	codingName = []byte("transfer-encoding:")
+)
+
+func (h *headScan) scan(p []byte) {
+	start := h.size
+	h.size += int64(len(p))
+	for rest := p; h.end == 0 && len(rest) > 0; {
+		line, after, ended := bytes.Cut(rest, []byte("\n"))
+		// A name's length is enough of a line.
+		if room := len(codingName) - len(h.line); room > 0 {
+			h.line = append(h.line, line[:min(room, len(line))]...)
+		}
+		if rest = after; !ended {
+			return
+		}
+		lower := bytes.ToLower(bytes.TrimSuffix(h.line, []byte("\r")))
+		h.length = h.length || bytes.HasPrefix(lower, lengthName)
+		h.coding = h.coding || bytes.HasPrefix(lower, codingName)
+		// net/http skips empty lines ahead of a request.
+		if len(lower) > 0 {
+			h.started = true
+		} else if h.started {
+			h.end = start + int64(len(p)-len(rest))
+		}
+		h.line = h.line[:0]
+	}
+}
