Take up a new configuration on SIGHUP; forget endpoints that are gone

Mended: the file is read again, the watch moves to the new address and asks for the whole list, the old client's connections are closed; requests in hand and the balancer's knowledge stay. A bad file is one log line. Read, not measured: loop.ids never forgot a name, and numbers came from its length, so forgetting would have given one twice. Numbers come from a counter now, and an endpoint is forgotten when it is gone and nothing is out there; in the module with the last outcome, not only with the next list.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -191,15 +191,20 @@
 		if whole && !e.seen {
 			e.State = Gone
 		}
-		forget := e.State == Gone && e.inflight == 0
-		if forget {
-			delete(b.byID, e.ID)
-		}
-		return forget
+		return b.forgotten(e)
 	})
 	b.listed = b.listed || kind != ListCached || !b.s.Subscribe
 }
 
+// forgotten drops an endpoint that is gone with nothing out there, and says so.
+func (b *Balancer) forgotten(e *endpoint) bool {
+	forget := e.State == Gone && e.inflight == 0
+	if forget && b.byID[e.ID] == e {
+		delete(b.byID, e.ID)
+	}
+	return forget
+}
+
 func (b *Balancer) entry(now Micros, in *Endpoint, probe bool) {
 	e := b.byID[in.ID]
 	fresh := e == nil
@@ -832,6 +837,9 @@
 	a.out = false
 	r.out--
 	a.ep.inflight--
+	if b.forgotten(a.ep) { // the next list may be long in coming
+		b.list = slices.DeleteFunc(b.list, func(e *endpoint) bool { return e == a.ep })
+	}
 	if o.Status == Full || o.Status == ConnectFailed || o.Status == Moot {
 		a.mayRun = false
 	}
--- a/cmd/pinedale/main.go
+++ b/cmd/pinedale/main.go
@@ -23,6 +23,9 @@
 }
 
 func run() error {
+	// Unhandled, SIGHUP would end the process.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
 	path := os.Getenv("BALANCER_CONFIG")
 	if path == "" {
 		return fmt.Errorf("environment: BALANCER_CONFIG is not set")
@@ -37,5 +40,16 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("sidecar", cfg.Name)
-	return sidecar.Run(ctx, cfg, log)
+	reloads := make(chan *sidecar.Config)
+	go func() {
+		for range hangup {
+			next, err := sidecar.LoadConfig(path)
+			if err != nil {
+				log.Error("configuration not reloaded, the old one holds", "error", err)
+				continue
+			}
+			reloads <- next
+		}
+	}()
+	return sidecar.Run(ctx, cfg, reloads, log)
 }
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -56,12 +56,22 @@
 	balancer  decider
 	requests  map[uint64]*request
 	lastID    uint64
-	ids       map[string]uint32 // by host name; numbers count from 1
-	targets   map[uint32]*target
+	ids       map[string]uint32 // of endpoints, by host name
+	lastEP    uint32            // the latest id given; none is given twice
+	fleet     map[uint32]*member
 	seq       *uint64 // version of the last list, if there was any
 	stopWatch context.CancelFunc
 }
 
+// member is what the loop holds of an endpoint until it is gone and nothing is
+// out there any more. Endpoints come and go all day under ever new names.
+type member struct {
+	name   string
+	target *target // nil unless ready
+	out    int     // attempts and probes without outcome
+	gone   bool
+}
+
 // request is the ledger's entry for a request that the balancer may still
 // speak of: no final answer is out, or attempts are.
 type request struct {
@@ -87,7 +97,7 @@
 		cfg: cfg, log: log, clock: clock{time.Now()}, ctx: ctx,
 		up: newUpstream(cfg, connections(cfg)), disc: newDiscovery(cfg.Discovery),
 		events:   make(chan func(balancer.Micros), eventsMost),
-		requests: map[uint64]*request{}, ids: map[string]uint32{}, targets: map[uint32]*target{},
+		requests: map[uint64]*request{}, ids: map[string]uint32{}, fleet: map[uint32]*member{},
 		stopWatch: func() {},
 	}
 	var err error
@@ -183,8 +193,12 @@
 	for _, h := range list.Hosts {
 		id := l.ids[h.Name]
 		if id == 0 {
-			id = uint32(len(l.ids) + 1)
-			l.ids[h.Name] = id
+			if states[h.Health] == balancer.Gone {
+				continue
+			}
+			l.lastEP++
+			id = l.lastEP
+			l.ids[h.Name], l.fleet[id] = id, &member{name: h.Name}
 		}
 		named[id] = true
 		e := balancer.Endpoint{ID: id, Zone: number(l.cfg.zones, h.Site), Kind: number(l.cfg.kinds, h.Class),
@@ -195,36 +209,62 @@
 		entries = append(entries, e)
 		l.aim(id, h, e.State)
 	}
-	if kind != balancer.ListDelta {
-		for id := range l.targets {
-			if !named[id] {
-				l.aim(id, host{}, balancer.Gone)
-			}
+	ready := false
+	for id, e := range l.fleet {
+		if kind != balancer.ListDelta && !named[id] {
+			l.aim(id, host{}, balancer.Gone)
 		}
+		ready = ready || e.target != nil
 	}
-	l.listed.Store(len(l.targets) > 0)
+	l.listed.Store(ready)
 	l.balancer.Members(now, kind, entries)
 }
 
 // aim points an endpoint's id at where it is reached now. A target that drains,
 // is gone or has restarted is closed, so that a send on its way does not start.
 func (l *loop) aim(id uint32, h host, state balancer.State) {
-	t := l.targets[id]
-	if t != nil && state == balancer.Ready && t.address == h.Dial && t.born == h.BornMS {
-		return
-	}
-	if t != nil {
+	e := l.fleet[id]
+	e.gone = state == balancer.Gone
+	if t := e.target; t != nil && (state != balancer.Ready || t.address != h.Dial || t.born != h.BornMS) {
 		l.up.retire(t)
-		delete(l.targets, id)
+		e.target = nil
+	}
+	if e.target == nil && state == balancer.Ready {
+		e.target = &target{address: h.Dial, born: h.BornMS}
 	}
-	if state == balancer.Ready {
-		l.targets[id] = &target{address: h.Dial, born: h.BornMS}
+	l.forgetMember(id)
+}
+
+func (l *loop) forgetMember(id uint32) {
+	if e := l.fleet[id]; e.gone && e.out == 0 {
+		delete(l.ids, e.name)
+		delete(l.fleet, id)
+	}
+}
+
+// depart counts something out to an endpoint and returns where that is reached,
+// nil if nothing may go there. The balancer may know an endpoint for a moment
+// longer than the loop does.
+func (l *loop) depart(id uint32) *target {
+	e := l.fleet[id]
+	if e == nil {
+		return nil
+	}
+	e.out++
+	return e.target
+}
+
+// back is depart's end.
+func (l *loop) back(id uint32) {
+	if e := l.fleet[id]; e != nil {
+		e.out--
+		l.forgetMember(id)
 	}
 }
 
 // Send starts an attempt.
 func (l *loop) Send(id uint64, endpoint uint32, timeout balancer.Micros) {
-	r, t := l.requests[id], l.targets[endpoint]
+	r, t := l.requests[id], l.depart(endpoint)
 	now, until := l.clock.now(), r.deadline
 	if timeout > 0 {
 		until = min(until, now+timeout)
@@ -242,6 +282,7 @@
 		l.post(func(at balancer.Micros) {
 			o.Status, o.Load, o.Latency = res.status, res.load, at-now
 			l.outcome(at, r, o, res)
+			l.back(endpoint)
 		})
 	}()
 }
@@ -272,7 +313,7 @@
 
 // Probe asks an endpoint for its load.
 func (l *loop) Probe(endpoint uint32) {
-	t := l.targets[endpoint]
+	t := l.depart(endpoint)
 	go func() {
 		res := result{status: balancer.Moot}
 		if t != nil {
@@ -280,6 +321,7 @@
 		}
 		l.post(func(now balancer.Micros) {
 			l.balancer.Probed(now, endpoint, res.status, res.took.Microseconds(), res.load)
+			l.back(endpoint)
 		})
 	}()
 }
@@ -292,7 +334,7 @@
 	}
 	ctx, stop := context.WithCancel(l.ctx)
 	l.stopWatch = stop
-	seq := l.seq
+	seq, disc := l.seq, l.disc
 	tell := func(kind balancer.ListKind, list registry) {
 		l.post(func(now balancer.Micros) {
 			if ctx.Err() == nil { // else the watch was ended meanwhile
@@ -303,7 +345,7 @@
 	go func() {
 		for ctx.Err() == nil {
 			var err error
-			seq, err = l.disc.watch(ctx, seq, tell)
+			seq, err = disc.watch(ctx, seq, tell)
 			if ctx.Err() == nil {
 				l.log.Warn("discovery", "error", err)
 			}
@@ -315,5 +357,16 @@
 	}()
 }
 
+// reload takes up what a new configuration may change: where discovery is. Its
+// list is asked for whole, since versions are the old one's. Requests in hand and
+// what the balancer knows stay.
+func (l *loop) reload(next *Config) {
+	old := l.disc
+	l.disc, l.seq = newDiscovery(next.Discovery), nil
+	l.Watch(true)
+	old.client.CloseIdleConnections()
+	l.log.Info("configuration reloaded", "discovery", next.Discovery)
+}
+
 // Log records a line of the balancer's.
 func (l *loop) Log(line string) { l.log.Info(line) }
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -50,8 +50,9 @@
 	acceptFor time.Duration // after SIGTERM
 }
 
-// Run serves until ctx ends, then answers what it has taken and returns.
-func Run(ctx context.Context, cfg *Config, log *slog.Logger) error {
+// Run serves until ctx ends, then answers what it has taken and returns. New
+// configurations may come at any time.
+func Run(ctx context.Context, cfg *Config, reloads <-chan *Config, log *slog.Logger) error {
 	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -64,6 +65,11 @@
 		listener.Close()
 		return err
 	}
+	go func() {
+		for next := range reloads {
+			l.post(func(balancer.Micros) { l.reload(next) })
+		}
+	}()
 	return newServer(l).serve(ctx, listener)
 }
 
