Lost attempts: a second copy where a later one was answered first, and no lesson for pace and trend

At fault in balancer.go: learnPace took the time-out of a lost request for slowness, of that endpoint and by follow() of the fleet; one failure of any kind ejected an endpoint; an attempt held its request until the client's time was up. Mended: an attempt that a later one at the same endpoint overtook is lost and teaches nothing; it gets a second copy as far as its class permits, out of a budget; so does one since which nothing was heard, probes included. Failures of the way weigh a quarter, not a half.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -43,7 +43,7 @@
 func (b *Balancer) Start(now Micros) {
 	b.lag.seen, b.refused.seen = true, true
 	b.trend, b.trust = 1, 0.5
-	b.credit, b.passOf = budgetBurst, passLeast
+	b.credit, b.copies, b.passOf = budgetBurst, budgetBurst, passLeast
 	b.asks = min(probeMost, askSpend/b.s.Prices.Probe) // a price of 0 asks for the most
 	if b.s.Subscribe {                                 // all may start at once: spread their first calls
 		b.askIn(now, 1+b.rng.below(b.s.Contract.AskWithin/10))
@@ -84,8 +84,10 @@
 		r.ended = true
 		b.release(r)
 		b.open--
-		if n := len(r.attempts); r.out > 0 && b.s.Limits.Cancel {
-			b.out.Cancel(r.ID, n-1)
+		for i := range r.attempts {
+			if r.attempts[i].out && b.s.Limits.Cancel {
+				b.out.Cancel(r.ID, i)
+			}
 		}
 	}
 	if r.out == 0 && b.requests[r.ID] == r {
@@ -96,7 +98,7 @@
 
 // maySend says whether the rules allow an attempt at e now.
 func (b *Balancer) maySend(now Micros, r *request, e *endpoint) bool {
-	if r.ended || r.stream || r.out > 0 || now >= r.Deadline ||
+	if r.ended || r.stream || r.waits(b.s.Limits.SecondCopies) || now >= r.Deadline ||
 		len(r.attempts) >= b.s.Limits.MaxAttempts || e.State != Ready {
 		return false
 	}
@@ -122,8 +124,10 @@
 	if e.cold(now, b) {
 		e.room -= r.work * coldCharge
 	}
-	r.attempts = append(r.attempts, attempt{ep: e, zone: e.Zone, cell: e.Cell, at: now,
-		expected: b.predict(now, e, r.work), factor: r.work * b.crowding(e), out: true, mayRun: true})
+	a := attempt{ep: e, zone: e.Zone, cell: e.Cell, at: now,
+		expected: b.predict(now, e, r.work), factor: r.work * b.crowding(e), out: true, mayRun: true}
+	a.lateAt = now + Micros(max(lateFactor*a.expected, lateLeast*float64(b.class(r).Aim)))
+	r.attempts = append(r.attempts, a)
 	r.out++
 	e.inflight++
 	e.sentAt = now
@@ -132,6 +136,9 @@
 	if len(r.attempts) == 1 {
 		b.out.Timer(max(1, r.Deadline-now), r.token)
 	}
+	if a.lateAt+Micros(a.expected) < r.Deadline {
+		b.out.Timer(a.lateAt-now, r.token)
+	}
 	return true
 }
 
@@ -426,6 +433,9 @@
 		return
 	}
 	e.probing = false
+	if status == OK || status == Error || status == Full {
+		e.heardAt = now
+	}
 	if status != OK {
 		e.answerAt = 0 // one that turns probes away or leaves them waiting is no place for a request
 		if status == Timeout {
@@ -661,12 +671,17 @@
 const (
 	budgetBurst = 10.0
 	retryShare  = 0.2 // retries earned by each request
+	copyShare   = 0.2 // second copies earned by each request
 	trustWeight = 0.005
 	trendWeight = 0.1
 	trendStep   = 4.0 // one outcome counts as no more than this many times the prediction
 	trendNoise  = 1.5
 	trendMost   = 8.0
 	failWeight  = 0.5  // of the latest outcome in an endpoint's share of failures: healthy ones hardly ever fail
+	wayWeight   = 0.25 // the same for a failure of the way there: connections break at healthy endpoints, too
+	lateWeight  = 0.0  // and for an answer that is late
+	lateFactor  = 2.5  // times the latency expected, and
+	lateLeast   = 0.25 // of the aim at least, after which an answer is late
 	passLeast   = 10   // requests that seem too late: one of so many is sent all the same,
 	passMost    = 640  // and one of so many after passes that earned nothing
 	ejectFrom   = 0.4  // share of failures from which an endpoint is ejected
@@ -688,6 +703,7 @@
 	r := b.newRequest(now, in)
 	b.demand.add(now, 1)
 	b.credit = min(budgetBurst, b.credit+retryShare)
+	b.copies = min(budgetBurst, b.copies+copyShare)
 	c := &b.classes[in.Class]
 	c.asked.add(now, 1)
 	if int(in.Tenant) < len(b.tenants) {
@@ -804,9 +820,10 @@
 // wake looks at a request whose probes are slow, or whose time is up.
 func (b *Balancer) wake(now Micros, r *request) {
 	if now >= r.Deadline {
-		if n := len(r.attempts); n > 0 && r.attempts[n-1].out {
-			a := &r.attempts[n-1]
-			b.learnPace(now, r, a, float64(now-a.at), true)
+		for i := range r.attempts {
+			if a := &r.attempts[i]; a.out {
+				b.learnPace(now, r, a, float64(now-a.at), true)
+			}
 		}
 		b.refuse(now, r)
 	} else if r.held {
@@ -815,6 +832,33 @@
 			b.usual.add(cores+b.line(float64(now-e.probedAt)), usualWeight)
 		}
 		b.decide(now, r)
+	} else if n := len(r.attempts); n > 0 {
+		if a := &r.attempts[n-1]; a.out && !a.late && now >= a.lateAt {
+			b.late(now, r, a)
+		}
+	}
+}
+
+// late handles an attempt that takes far longer than was expected. Where all wait in line it must be waited
+// for: a second copy doubles the work of those that have too much. But where a later one was answered before
+// it, or nothing was heard at all since, not even a probe, it is lost: endpoints and the ways to them may
+// swallow some requests and answer the rest in time. Then a copy goes elsewhere, as far as the class permits.
+func (b *Balancer) late(now Micros, r *request, a *attempt) {
+	e := a.ep
+	overtaken, silent := e.answered > a.at, a.doubted && e.heardAt < a.at
+	if !overtaken && !silent {
+		a.doubted = true
+		b.probe(now, e)
+		a.lateAt = now + (now-a.at)/2
+		if a.lateAt < r.Deadline {
+			b.out.Timer(a.lateAt-now, r.token)
+		}
+		return
+	}
+	a.late = true
+	b.blame(now, e, lateWeight)
+	if b.s.Limits.SecondCopies && b.copies >= 1 && b.attempt(now, r, false) {
+		b.copies--
 	}
 }
 
@@ -843,6 +887,9 @@
 	if o.Status == Full || o.Status == ConnectFailed || o.Status == Moot {
 		a.mayRun = false
 	}
+	if o.Status == OK || o.Status == Error || o.Status == Full {
+		a.ep.heardAt, a.ep.answered = now, max(a.ep.answered, a.at)
+	}
 	b.record(now, r, a, o.Status, o.Latency)
 	if o.Status == OK && !r.ended && now-r.arrived <= b.class(r).Aim {
 		r.good = 1
@@ -859,7 +906,9 @@
 		b.credit -= price
 		return
 	}
-	b.refuse(now, r)
+	if r.out == 0 { // else another copy may still be answered
+		b.refuse(now, r)
+	}
 }
 
 // record feeds an outcome to the averages.
@@ -874,10 +923,11 @@
 	case Cancelled, Moot:
 	default:
 		e.br.count(now, 0, 1)
-		before := e.ejected(now)
-		e.errs, e.errAt = (1-failWeight)*e.failing(now)+failWeight, now
-		if !before && e.ejected(now) {
-			b.log(now, "eject", "endpoint %d ejected, %.0f%% of its answers of late are failures", e.ID, 100*e.errs)
+		if weight := failWeight; !a.late {
+			if status == Reset || status == ConnectFailed || status == Timeout {
+				weight = wayWeight
+			}
+			b.blame(now, e, weight)
 		}
 		if status == Timeout {
 			b.learnPace(now, r, a, float64(latency), true)
@@ -885,11 +935,21 @@
 	}
 }
 
+// blame counts a failure of this weight against e.
+func (b *Balancer) blame(now Micros, e *endpoint, weight float64) {
+	before := e.ejected(now)
+	e.errs, e.errAt = (1-weight)*e.failing(now)+weight, now
+	if !before && e.ejected(now) {
+		b.log(now, "eject", "endpoint %d ejected, %.0f%% of its answers of late are failures", e.ID, 100*e.errs)
+	}
+}
+
 // learnPace learns from a latency; atLeast says that it is only a lower bound.
 func (b *Balancer) learnPace(now Micros, r *request, a *attempt, latency float64, atLeast bool) {
 	e := a.ep
 	x := max(0, latency-b.ways[e.Zone].v) / a.factor
-	if atLeast && x <= e.paceNow(now, b) {
+	// One that was overtaken is lost, and says nothing of how fast e is, let alone the fleet.
+	if atLeast && (x <= e.paceNow(now, b) || e.answered > a.at) {
 		return
 	}
 	b.follow(latency / a.expected)
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -39,6 +39,7 @@
 	refused  ewma      // share of requests refused at arrival
 	passOf   int       // requests that seem too late for one that is sent
 	credit   float64   // retry budget, in attempts
+	copies   float64   // budget of second copies
 
 	waits       ewma // share of probes that waited in line
 	lag         ewma // share of load reports that must be late
@@ -85,6 +86,9 @@
 	at       Micros
 	expected float64 // latency predicted when sent
 	factor   float64 // work times the crowding seen when sent
+	lateAt   Micros  // when it should have had its outcome long ago
+	doubted  bool    // that has passed once
+	late     bool    // it is given up for lost, though its outcome may still come
 	out      bool    // no outcome yet
 	mayRun   bool    // it may have had its effect, or may yet
 }
@@ -100,6 +104,8 @@
 
 	inflight int    // own attempts without outcome
 	sentAt   Micros // latest own send
+	answered Micros // latest send of those that were answered
+	heardAt  Micros // latest answer of any kind, also to a probe
 	probing  bool
 	probedAt Micros
 	hasLoad  bool
@@ -227,6 +233,12 @@
 	return nil
 }
 
+// waits says whether r has an attempt out that is to be waited for: any, or where second copies may be sent,
+// one that is not late.
+func (r *request) waits(copies bool) bool {
+	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.out && !(copies && a.late) })
+}
+
 func (r *request) tried(e *endpoint) bool {
 	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.ep == e })
 }
