Second copies only while losses are proven

Not the budget, not the calling off of late attempts, not their blame: each was played alone. Now a late attempt gets a copy only while 2% or more of attempts are lost: they were overtaken, or met silence, and never answered.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -41,7 +41,7 @@
 
 // Start begins the balancer's life.
 func (b *Balancer) Start(now Micros) {
-	b.lag.seen, b.refused.seen = true, true
+	b.lag.seen, b.refused.seen, b.lost.seen = true, true, true
 	b.trend, b.trust = 1, 0.5
 	b.credit, b.copies, b.passOf = budgetBurst, budgetBurst, passLeast
 	b.asks = min(probeMost, askSpend/b.s.Prices.Probe) // a price of 0 asks for the most
@@ -670,8 +670,10 @@
 
 const (
 	budgetBurst = 10.0
-	retryShare  = 0.2 // retries earned by each request
-	copyShare   = 0.2 // second copies earned by each request
+	retryShare  = 0.2  // retries earned by each request
+	lostWeight  = 0.02 // of the latest outcome in the share of attempts that are lost
+	lostLeast   = 0.02 // share from which late attempts get a second copy
+	copyShare   = 0.2  // second copies earned by each request
 	trustWeight = 0.005
 	trendWeight = 0.1
 	trendStep   = 4.0 // one outcome counts as no more than this many times the prediction
@@ -843,8 +845,12 @@
 // for: a second copy doubles the work of those that have too much. But where a later one was answered before
 // it, or nothing was heard at all since, not even a probe, it is lost: endpoints and the ways to them may
 // swallow some requests and answer the rest in time. Then a copy goes elsewhere, as far as the class permits.
+// That is done only while such losses are proven to happen: most late answers are slow, and come.
 func (b *Balancer) late(now Micros, r *request, a *attempt) {
 	e := a.ep
+	if b.lost.v < lostLeast {
+		return
+	}
 	overtaken, silent := e.answered > a.at, a.doubted && e.heardAt < a.at
 	if !overtaken && !silent {
 		a.doubted = true
@@ -890,6 +896,9 @@
 	if o.Status == OK || o.Status == Error || o.Status == Full {
 		a.ep.heardAt, a.ep.answered = now, max(a.ep.answered, a.at)
 	}
+	lost := a.late && o.Status == Cancelled ||
+		o.Status == Timeout && (a.ep.answered > a.at || a.ep.heardAt < a.at)
+	b.lost.add(share(lost), lostWeight)
 	b.record(now, r, a, o.Status, o.Latency)
 	if o.Status == OK && !r.ended && now-r.arrived <= b.class(r).Aim {
 		r.good = 1
@@ -948,7 +957,7 @@
 func (b *Balancer) learnPace(now Micros, r *request, a *attempt, latency float64, atLeast bool) {
 	e := a.ep
 	x := max(0, latency-b.ways[e.Zone].v) / a.factor
-	// One that was overtaken is lost, and says nothing of how fast e is, let alone the fleet.
+	// One that was overtaken may be lost, and then says nothing of how fast e is, let alone the fleet.
 	if atLeast && (x <= e.paceNow(now, b) || e.answered > a.at) {
 		return
 	}
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -40,6 +40,7 @@
 	passOf   int       // requests that seem too late for one that is sent
 	credit   float64   // retry budget, in attempts
 	copies   float64   // budget of second copies
+	lost     ewma      // share of attempts that were swallowed
 
 	waits       ewma // share of probes that waited in line
 	lag         ewma // share of load reports that must be late
