Answers must prove their framing; 2 ms of a client's time kept, not 10; hasty time-outs blame nobody

Read, not seen: a 200 whole only by the connection's end, or in two ways, was served; load figures were taken negative, infinite or twice; what came after a connection was given back was looked for before the request was encoded, not last thing before the write. Now refused, ignored, and looked for there.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -681,7 +681,6 @@
 	trendMost   = 8.0
 	failWeight  = 0.5  // of the latest outcome in an endpoint's share of failures: healthy ones hardly ever fail
 	wayWeight   = 0.25 // the same for a failure of the way there: connections break at healthy endpoints, too
-	lateWeight  = 0.0  // and for an answer that is late
 	lateFactor  = 2.5  // times the latency expected, and
 	lateLeast   = 0.25 // of the aim at least, after which an answer is late
 	passLeast   = 10   // requests that seem too late: one of so many is sent all the same,
@@ -862,7 +861,6 @@
 		return
 	}
 	a.late = true
-	b.blame(now, e, lateWeight)
 	if b.s.Limits.SecondCopies && b.copies >= 1 && b.attempt(now, r, false) {
 		b.copies--
 	}
@@ -932,7 +930,8 @@
 	case Cancelled, Moot:
 	default:
 		e.br.count(now, 0, 1)
-		if weight := failWeight; !a.late {
+		hasty := status == Timeout && float64(latency) < lateFactor*a.expected // the client had little time
+		if weight := failWeight; !a.late && !hasty {
 			if status == Reset || status == ConnectFailed || status == Timeout {
 				weight = wayWeight
 			}
@@ -957,7 +956,7 @@
 func (b *Balancer) learnPace(now Micros, r *request, a *attempt, latency float64, atLeast bool) {
 	e := a.ep
 	x := max(0, latency-b.ways[e.Zone].v) / a.factor
-	// One that was overtaken may be lost, and then says nothing of how fast e is, let alone the fleet.
+	// One that was overtaken may be lost, and then says nothing of how fast e is, or the fleet.
 	if atLeast && (x <= e.paceNow(now, b) || e.answered > a.at) {
 		return
 	}
--- a/balancer/rules_test.go
+++ b/balancer/rules_test.go
@@ -574,6 +574,64 @@
 	}
 }
 
+// Where endpoints swallow requests and answer the rest in time, one that a later
+// one overtook is lost. It gets a copy elsewhere as far as its class permits;
+// whichever is answered first ends the request and calls the other off.
+func TestLostAttemptsGetACopyElsewhere(t *testing.T) {
+	for class, copies := range []int{1, 1, 1, 1, 0} {
+		b, r := start(t, testSettings(), ready(4))
+		b.lost.v = lostLeast
+		b.Request(1000, request0(1, uint8(class), 1000))
+		first := r.sends[0]
+		b.byID[first.endpoint].answered = 2000
+		b.Timer(500_000, r.timers[len(r.timers)-1])
+		if n := len(r.sends) - 1; n != copies {
+			t.Errorf("class %d: %d copies, want %d", class, n, copies)
+			continue
+		}
+		if copies == 0 {
+			continue
+		}
+		second := r.sends[1]
+		if second.endpoint == first.endpoint || class == 3 && b.byID[second.endpoint].Cell != b.byID[first.endpoint].Cell {
+			t.Errorf("class %d: the copy went to %d after %d", class, second.endpoint, first.endpoint)
+		}
+		// The copy fails: the first may still be answered, so no final answer yet.
+		b.Outcome(510_000, Outcome{ID: 1, Attempt: 1, Endpoint: second.endpoint, Status: Error, Latency: 1000})
+		if len(r.refused)+len(r.failed) != 0 {
+			t.Errorf("class %d: given up while an attempt is out", class)
+		}
+		calls := len(r.cancels)
+		b.Outcome(520_000, Outcome{ID: 1, Attempt: 0, Endpoint: first.endpoint, Status: OK, Latency: 519_000, Settled: true})
+		for i := 2; i < len(r.sends); i++ {
+			calls++ // a third attempt, too, is called off
+		}
+		if len(r.cancels) != calls || b.open != 0 {
+			t.Errorf("class %d: %d attempts called off, want %d; %d requests open", class, len(r.cancels), calls, b.open)
+		}
+	}
+}
+
+// The time-out of a request that a later one overtook teaches no pace: the
+// endpoint was well, and the whole fleet would be thought slow.
+func TestOvertakenAttemptsTeachNoPace(t *testing.T) {
+	for name, overtaken := range map[string]bool{"overtaken": true, "not overtaken": false} {
+		b, r := start(t, testSettings(), ready(1))
+		for id := range uint64(5) {
+			b.Request(1000, request0(id, 0, 1000))
+		}
+		if overtaken {
+			b.byID[1].answered = 2000
+		}
+		for _, s := range r.sends {
+			b.Outcome(990_000, Outcome{ID: s.id, Endpoint: 1, Status: Timeout, Latency: 989_000})
+		}
+		if taught := b.trend > 1; taught == overtaken {
+			t.Errorf("%s: trend %v", name, b.trend)
+		}
+	}
+}
+
 // Staff must learn why requests are refused, in one line a second and not in thousands.
 func TestRefusalsAreToldOnceASecond(t *testing.T) {
 	b, r := start(t, testSettings(), ready(1))
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -134,16 +134,16 @@
 func (c *clientConn) ambiguous() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.head.length && c.head.coding
+	return c.head.lengths > 1 || c.head.lengths > 0 && c.head.coding
 }
 
-// headScan looks at the bytes of a request for what net/http hides: where a head
+// headScan looks at the bytes of a message for what net/http hides: where a head
 // has both Content-Length and Transfer-Encoding, the former is dropped without a
 // word, and what one reader takes for the body another takes for a request.
 type headScan struct {
 	line    []byte // start of the current line
 	started bool   // a line with something on it has come
-	length  bool   // Content-Length was there
+	lengths int    // Content-Length was there so often
 	coding  bool   // Transfer-Encoding was there
 	size    int64  // of all that came
 	end     int64  // size at the end of the head; 0 before
@@ -167,7 +167,9 @@
 			return
 		}
 		lower := bytes.ToLower(bytes.TrimSuffix(h.line, []byte("\r")))
-		h.length = h.length || bytes.HasPrefix(lower, lengthName)
+		if bytes.HasPrefix(lower, lengthName) {
+			h.lengths++
+		}
 		h.coding = h.coding || bytes.HasPrefix(lower, codingName)
 		// net/http skips empty lines ahead of a request.
 		if len(lower) > 0 {
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	answerMargin = 10 * time.Millisecond  // of a client's time, kept for writing the final answer
+	answerMargin = 2 * time.Millisecond   // of a client's time, kept for writing the final answer: some have 40 ms in all
 	acceptAfter  = 600 * time.Millisecond // after SIGTERM: clients go on connecting for 0.4 s
 	socketSpare  = 32                     // descriptors for discovery, logs and the runtime
 	busyRetry    = time.Second            // wait told to clients that find all room for bodies in use
@@ -167,7 +167,7 @@
 	c := in.Context().Value(connKey{}).(*clientConn)
 	if c.ambiguous() {
 		// What follows the head may hide another request: the connection ends here.
-		reject(w, bad("both Content-Length and Transfer-Encoding"))
+		reject(w, bad("Content-Length beside another, or beside Transfer-Encoding"))
 		return
 	}
 	ready := in.URL.Path == "/health/ready"
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -23,8 +23,10 @@
 
 const (
 	bodyMost     = 64 << 10 // bytes of a request's or an answer's body
-	headMost     = 32 << 10 // bytes of an answer's head
-	loadMost     = 4 << 10  // bytes of a load report
+	headMost     = 32 << 10 // bytes of a request's head
+	answerMost   = 8 << 10  // bytes of an answer's head: each connection has a buffer of this size
+	interimMost  = 10       // interim answers ahead of one that counts
+	figureMost   = 1e6      // a larger figure in a load report is an error
 	probeTimeout = 400 * time.Millisecond
 )
 
@@ -57,6 +59,7 @@
 	reader *bufio.Reader
 	limit  io.LimitedReader // of an answer
 	idleAt time.Time
+	used   bool // it has carried a request before
 }
 
 // message is a request as it goes to endpoints, any number of times.
@@ -81,6 +84,7 @@
 var (
 	errClosed = errors.New("the endpoint is draining or gone")
 	errFull   = errors.New("no connection is left")
+	errStale  = errors.New("the idle connection is of no more use")
 )
 
 // unsentError says that the last byte of a request was never written.
@@ -100,12 +104,18 @@
 // that the request never ran only where the last byte was not written, or the
 // endpoint says so; in doubt it may have run.
 func (u *upstream) attempt(ctx context.Context, t *target, m *message) result {
-	c, err := u.connect(ctx, t)
-	if err != nil {
-		return result{status: unsent(ctx, err)}
+	var response *http.Response
+	var body []byte
+	var start time.Time
+	err := error(errStale)
+	for err == errStale { // nothing has been sent on that connection
+		c, unable := u.connect(ctx, t)
+		if unable != nil {
+			return result{status: unsent(ctx, unable)}
+		}
+		start = time.Now()
+		response, body, err = u.exchange(ctx, c, m)
 	}
-	start := time.Now()
-	response, body, err := u.exchange(ctx, c, m)
 	r := result{status: balancer.Error, took: time.Since(start)}
 	var never *unsentError
 	switch {
@@ -164,21 +174,27 @@
 }
 
 // loadReport reads name=value pairs into the order of the settings. A figure
-// that is missing or malformed is not a number, which the balancer skips.
+// that is missing, repeated, malformed or beyond all sense is not a number,
+// which the balancer skips: it keeps what it knew.
 func (u *upstream) loadReport(text string) []float32 {
 	if text == "" || len(u.fields) == 0 {
 		return nil
 	}
-	load := make([]float32, len(u.fields))
+	load, seen := make([]float32, len(u.fields)), make([]bool, len(u.fields))
 	for i := range load {
 		load[i] = float32(math.NaN())
 	}
 	for pair := range strings.SplitSeq(strings.TrimSpace(text), ",") {
 		name, value, _ := strings.Cut(pair, "=")
+		i := slices.Index(u.fields, name)
+		if i < 0 {
+			continue
+		}
 		v, err := strconv.ParseFloat(value, 32)
-		if i := slices.Index(u.fields, name); i >= 0 && err == nil {
-			load[i] = float32(v)
+		if seen[i] || err != nil || !(v >= 0 && v <= figureMost) {
+			v = math.NaN()
 		}
+		load[i], seen[i] = float32(v), true
 	}
 	return load
 }
@@ -198,7 +214,7 @@
 	}
 	c = &conn{Conn: raw, target: t}
 	c.limit.R = raw
-	c.reader = bufio.NewReader(&c.limit)
+	c.reader = bufio.NewReaderSize(&c.limit, answerMost)
 	return c, nil
 }
 
@@ -247,7 +263,7 @@
 		u.drop(c)
 		return
 	}
-	c.idleAt = time.Now()
+	c.idleAt, c.used = time.Now(), true
 	u.idle[c.target] = append(u.idle[c.target], c)
 }
 
@@ -314,26 +330,75 @@
 	if closed {
 		return nil, nil, &unsentError{errClosed}
 	}
+	// Looked at last thing before the write: what has come by now was not asked
+	// for, and must not be taken for the answer.
+	if c.used && !c.alive() {
+		return nil, nil, errStale
+	}
 	if n, err := c.Write(data); n < len(data) {
 		return nil, nil, &unsentError{err}
 	}
-	c.limit.N = headMost + bodyMost
-	for { // interim answers come before the one that counts
-		if response, err = http.ReadResponse(c.reader, &http.Request{Method: m.method}); err != nil {
+	if response, body, err = c.receive(m.method); err != nil {
+		return nil, nil, err
+	}
+	// Anything beyond the answer makes the connection useless: endpoints may send
+	// a second copy, or noise.
+	keep = !response.Close && response.StatusCode != http.StatusSwitchingProtocols && c.reader.Buffered() == 0
+	return response, body, nil
+}
+
+// receive reads one answer. A 200 must prove that it is whole: by one stated
+// length or complete chunks, not by the connection's end, nor by both, of which
+// http.ReadResponse hides one.
+func (c *conn) receive(method string) (*http.Response, []byte, error) {
+	c.limit.N = answerMost + bodyMost
+	for range interimMost {
+		head, err := c.head()
+		if err != nil {
 			return nil, nil, err
 		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
-			break
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, nil, err
 		}
+		if response.StatusCode < http.StatusOK && response.StatusCode != http.StatusSwitchingProtocols {
+			continue
+		}
+		if response.StatusCode == http.StatusOK && (head.lengths > 1 || (head.lengths == 1) == head.coding) {
+			return nil, nil, errors.New("the answer's length is not stated in one way")
+		}
+		if response.ContentLength > bodyMost {
+			return nil, nil, errLarge
+		}
+		body, err := io.ReadAll(io.LimitReader(response.Body, bodyMost+1))
+		if err != nil {
+			return nil, nil, err
+		}
+		if len(body) > bodyMost {
+			return nil, nil, errLarge
+		}
+		return response, body, nil
 	}
-	if body, err = io.ReadAll(io.LimitReader(response.Body, bodyMost+1)); err != nil {
-		return nil, nil, err
-	}
-	if len(body) > bodyMost {
-		return nil, nil, fmt.Errorf("the answer's body is over %d bytes", bodyMost)
+	return nil, nil, errors.New("interim answers without end")
+}
+
+var errLarge = fmt.Errorf("the answer's body is over %d bytes", bodyMost)
+
+// head waits for the whole head of the next answer and looks at its bytes, which
+// are left to be read.
+func (c *conn) head() (headScan, error) {
+	var h headScan
+	for h.end == 0 {
+		if _, err := c.reader.Peek(int(h.size) + 1); err != nil {
+			return h, err
+		}
+		all, err := c.reader.Peek(c.reader.Buffered())
+		if err != nil {
+			return h, err
+		}
+		h.scan(all[h.size:])
 	}
-	keep = !response.Close && c.reader.Buffered() == 0
-	return response, body, nil
+	return h, nil
 }
 
 // encode writes the request with the time that this attempt has left.
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -51,7 +51,19 @@
 	}{
 		{"served", always(served), balancer.OK},
 		{"served after an interim answer", always("HTTP/1.1 103 Early Hints\r\n\r\n" + served), balancer.OK},
-		{"served until the connection ends", hangUp("HTTP/1.0 200 OK\r\n\r\ndone"), balancer.OK},
+		{"served in chunks", always("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n"), balancer.OK},
+		{"served with a copy behind", always(served + served), balancer.OK},
+		{"whole only by the connection's end", hangUp("HTTP/1.1 200 OK\r\n\r\ndone"), balancer.Reset},
+		{"whole in two ways", always("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n"), balancer.Reset},
+		{"the same length twice", always("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 4\r\n\r\ndone"), balancer.Reset},
+		{"two lengths", always("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 9\r\n\r\ndone"), balancer.Reset},
+		{"in two ways after interim answers", always("HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" +
+			"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n"), balancer.Reset},
+		{"interim answers without end", always(strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 1000)), balancer.Reset},
+		{"a length without end", always("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\ndone"), balancer.Reset},
+		{"a broken chunk", always("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\nzz\r\n"), balancer.Reset},
+		{"a broken status line", always("HTTP/1.1 2x0 OK\r\nContent-Length: 4\r\n\r\ndone"), balancer.Reset},
+		{"another protocol", always("ICY 200 OK\r\nContent-Length: 4\r\n\r\ndone"), balancer.Reset},
 		{"error", always(failing), balancer.Error},
 		{"an answer nobody expects", always("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"), balancer.Error},
 		{"full", always(full), balancer.Full},
@@ -315,6 +327,9 @@
 		{"both figures, in any order", report("pending=7,failed_ps=0.5\n"), balancer.OK, []float32{0.5, 7}},
 		{"one figure and others", report("util=0.3,pending=2"), balancer.OK, []float32{-1, 2}},
 		{"a malformed figure", report("pending=many,failed_ps=1,,=,x"), balancer.OK, []float32{1, -1}},
+		{"a repeated figure", report("pending=1,failed_ps=2,pending=3"), balancer.OK, []float32{2, -1}},
+		{"figures beyond sense", report("pending=1e30,failed_ps=-1"), balancer.OK, []float32{-1, -1}},
+		{"figures that are none", report("pending=NaN,failed_ps=+Inf"), balancer.OK, []float32{-1, -1}},
 		{"no report yet", report(""), balancer.OK, nil},
 		{"turned away", "HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n", balancer.Error, nil},
 	} {
@@ -335,3 +350,41 @@
 		})
 	}
 }
+
+// A connection on which more came than the answer is not used again, whether the
+// rest comes with the answer or after the connection was given back: the next
+// request would be answered with what was made for another.
+func TestNothingBeyondAnAnswerIsTakenForTheNext(t *testing.T) {
+	for name, late := range map[string]bool{"at once": false, "later": true} {
+		t.Run(name, func(t *testing.T) {
+			rest := make(chan struct{})
+			e := newEndpoint(t, func(e *endpoint, conn net.Conn, in *bufio.Reader) {
+				for r := e.next(in); r != nil; r = e.next(in) {
+					own := strings.Replace(served, "done", r.URL.Path[1:5], 1)
+					if !late {
+						own += own
+					}
+					io.WriteString(conn, own)
+					if late {
+						<-rest
+						io.WriteString(conn, own)
+					}
+				}
+			})
+			u, at := newTestUpstream(t, 4), &target{address: e.address}
+			if r := u.attempt(context.Background(), at, get("/one.")); r.status != balancer.OK || string(r.body) != "one." {
+				t.Fatalf("first: status %v, body %q", r.status, r.body)
+			}
+			close(rest)
+			if late {
+				await(t, "the rest to arrive", func() bool { return !u.idle[at][0].alive() })
+			}
+			if r := u.attempt(context.Background(), at, get("/two.")); r.status != balancer.OK || string(r.body) != "two." {
+				t.Errorf("second: status %v, body %q", r.status, r.body)
+			}
+			if _, conns := e.seen(); conns != 2 {
+				t.Errorf("%d connections, want 2", conns)
+			}
+		})
+	}
+}
