Answers end their connection when clients crowd

Clients may hold a third of the descriptors, 128; the sidecar closed an idle one after 1.2 s, for want of room: 106 requests a second is all that could come, and 27 to 52% never did. Ruled out: the endpoints (idle, pending=0, no error), CPU, predictions (10% of what came was refused). At fault: server.go let every answered connection stay. Mended: once more connections than a sixth of the descriptors have been asked on, an answer ends its own.

--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -12,10 +12,12 @@
 // connections use up the descriptors that attempts and discovery need.
 type clients struct {
 	net.Listener
-	most int
+	most      int
+	mostAsked int
 
 	mu      sync.Mutex
 	open    int
+	asked   int       // of those, the ones that a request has come on
 	waiting list.List // of *clientConn, with no request open; the longest without one first
 }
 
@@ -56,6 +58,15 @@
 	return old, true
 }
 
+// crowded says that so many connections have been asked on that answers should
+// end theirs. Some clients ask once and keep the connection for good, and clients
+// may hold only so many: kept here, these would leave none for the next request.
+func (l *clients) crowded() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.asked > l.mostAsked
+}
+
 // count returns the number of open connections.
 func (l *clients) count() int {
 	l.mu.Lock()
@@ -68,6 +79,7 @@
 	net.Conn
 	owner *clients
 	place *list.Element // in owner.waiting; nil while a request is open
+	asked bool          // a request has come on it
 	left  bool          // no longer counted
 
 	mu   sync.Mutex // net/http reads on while a handler runs
@@ -81,6 +93,9 @@
 	}
 	c.left = true
 	c.owner.open--
+	if c.asked {
+		c.owner.asked--
+	}
 	if c.place != nil {
 		c.owner.waiting.Remove(c.place)
 		c.place = nil
@@ -118,6 +133,10 @@
 	}
 	c.owner.waiting.Remove(c.place)
 	c.place = nil
+	if !c.asked {
+		c.asked = true
+		c.owner.asked++
+	}
 	return alone, true
 }
 
--- a/internal/sidecar/clients_test.go
+++ b/internal/sidecar/clients_test.go
@@ -236,6 +236,31 @@
 	}
 }
 
+// Clients that ask once and keep the connection must not hold all that clients
+// may have: beyond a part of it, an answer ends its connection.
+func TestAnswersEndConnectionsWhenCrowded(t *testing.T) {
+	e := newEndpoint(t, always(served))
+	w := start(t, nil, ready("s-1", e.address))
+	w.until("other connections to end", func() bool { return w.server.clients.count() == 0 })
+	w.server.clients.mu.Lock()
+	w.server.clients.mostAsked = 3 // few enough for all requests to come before a connection has been idle for long
+	w.server.clients.mu.Unlock()
+	for i := range w.server.clients.mostAsked + 3 {
+		conn := w.dial()
+		w.request("read", "", time.Minute).Write(conn)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil || response.StatusCode != http.StatusOK {
+			t.Fatalf("request %d: %v, %v", i, response, err)
+		}
+		if want := i >= w.server.clients.mostAsked; response.Close != want {
+			t.Fatalf("request %d: Connection: close %v, want %v", i, response.Close, want)
+		}
+		if response.Close {
+			w.until("the end of the connection", func() bool { return w.server.clients.count() == w.server.clients.mostAsked })
+		}
+	}
+}
+
 // Where every connection has a request open, one more is closed.
 func TestNoRoomForAConnection(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -25,6 +25,7 @@
 	busyRetry    = time.Second            // wait told to clients that find all room for bodies in use
 	timeLeftMost = time.Minute            // that a request gets
 	idMost       = 256                    // characters of an id: an id of the protocol has 16
+	crowdPart    = 6                      // of the descriptors: clients hold twice as many for requests at most
 	bodiesPart   = 8                      // of the memory, this part may hold bodies of requests
 
 	// A request comes in one piece from the application next door. A client that
@@ -95,7 +96,7 @@
 
 func newServer(l *loop) *server {
 	s := &server{loop: l, classes: map[string]uint8{}, tenants: map[string]uint16{}, ids: map[string]bool{},
-		clients: &clients{most: connections(l.cfg)}, acceptFor: acceptAfter}
+		clients: &clients{most: connections(l.cfg), mostAsked: l.cfg.Limits.Sockets / crowdPart}, acceptFor: acceptAfter}
 	for i, c := range l.cfg.Settings.Classes {
 		s.classes[c.Name] = uint8(i)
 	}
@@ -260,6 +261,9 @@
 	s.loop.post(func(now balancer.Micros) { s.loop.take(now, r, req) })
 	select {
 	case a := <-r.answer:
+		if s.clients.crowded() {
+			w.Header().Set("Connection", "close")
+		}
 		c.SetWriteDeadline(time.Now().Add(writeTimeout))
 		writeAnswer(w, a)
 	case <-in.Context().Done():
