--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -761,8 +761,10 @@
 func (b *Balancer) room(now Micros, r *request, e *endpoint) float64 {
 	alone := b.ways[e.Zone].v + r.work*b.slowdown()*e.paceNow(now, b)
 	share := max(roomLeast, roomMost*r.value)
-	if b.reportsLate {
-		share = 1 // the least loaded endpoint is not known: averages must not refuse what it would serve
+	if n := len(r.attempts); b.reportsLate || n > 0 && r.attempts[n-1].late {
+		// Either the least loaded endpoint is not known, and averages must not refuse what it would serve,
+		// or the request was swallowed: it has waited longer than its class should already.
+		share = 1
 	}
 	spare := float64(b.class(r).Aim) - float64(now-r.arrived) - alone
 	return min(alone+share*spare, float64(r.Deadline-now))
