An answer that has begun and stalls is given up after 100 ms

Seen (incident re4f1ca, packet capture): of 133 price-check requests that came late, 36 had the first piece of a 200 after 30 to 70 ms and nothing more; the attempt then held them until the client's time was up. No answer that came in pieces ever ended. At fault: upstream.go waited for the rest without a limit. Mended: from its first byte an answer has 100 ms; then it is a reset, which may have run. An interim answer does not count as its beginning.

--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -22,11 +22,12 @@
 )
 
 const (
-	bodyMost     = 64 << 10 // bytes of a request's or an answer's body
-	headMost     = 32 << 10 // bytes of a request's head
-	answerMost   = 8 << 10  // bytes of an answer's head: each connection has a buffer of this size
-	interimMost  = 10       // interim answers ahead of one that counts
-	figureMost   = 1e6      // a larger figure in a load report is an error
+	bodyMost     = 64 << 10               // bytes of a request's or an answer's body
+	headMost     = 32 << 10               // bytes of a request's head
+	answerMost   = 8 << 10                // bytes of an answer's head: each connection has a buffer of this size
+	answerRest   = 100 * time.Millisecond // from an answer's first byte to its last: four round trips between sites
+	interimMost  = 10                     // interim answers ahead of one that counts
+	figureMost   = 1e6                    // a larger figure in a load report is an error
 	probeTimeout = 400 * time.Millisecond
 )
 
@@ -352,7 +353,14 @@
 // http.ReadResponse hides one.
 func (c *conn) receive(method string) (*http.Response, []byte, error) {
 	c.limit.N = answerMost + bodyMost
+	defer c.SetReadDeadline(time.Time{})
 	for range interimMost {
+		if _, err := c.reader.Peek(1); err != nil {
+			return nil, nil, err
+		}
+		// An answer that has begun and stalls would hold its request until the
+		// client's time is up.
+		c.SetReadDeadline(time.Now().Add(answerRest))
 		head, err := c.head()
 		if err != nil {
 			return nil, nil, err
@@ -362,6 +370,7 @@
 			return nil, nil, err
 		}
 		if response.StatusCode < http.StatusOK && response.StatusCode != http.StatusSwitchingProtocols {
+			c.SetReadDeadline(time.Time{})
 			continue
 		}
 		if response.StatusCode == http.StatusOK && (head.lengths > 1 || (head.lengths == 1) == head.coding) {
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -61,6 +61,8 @@
 			"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n"), balancer.Reset},
 		{"interim answers without end", always(strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 1000)), balancer.Reset},
 		{"a length without end", always("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\ndone"), balancer.Reset},
+		{"stalled in its body", always("HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\ndone"), balancer.Reset},
+		{"stalled in its head", always("HTTP/1.1 200 OK\r\nContent-"), balancer.Reset},
 		{"a broken chunk", always("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\nzz\r\n"), balancer.Reset},
 		{"a broken status line", always("HTTP/1.1 2x0 OK\r\nContent-Length: 4\r\n\r\ndone"), balancer.Reset},
 		{"another protocol", always("ICY 200 OK\r\nContent-Length: 4\r\n\r\ndone"), balancer.Reset},
@@ -388,3 +390,26 @@
 		})
 	}
 }
+
+// Only an answer that has begun must come to its end soon: one may take its time
+// to begin, also after an interim answer.
+func TestSlowAnswersAreAwaited(t *testing.T) {
+	for name, first := range map[string]string{"plain": "", "after an interim answer": "HTTP/1.1 102 Processing\r\n\r\n"} {
+		e := newEndpoint(t, func(e *endpoint, conn net.Conn, in *bufio.Reader) {
+			for e.next(in) != nil {
+				io.WriteString(conn, first)
+				time.Sleep(2 * answerRest)
+				io.WriteString(conn, served)
+			}
+		})
+		u, at := newTestUpstream(t, 1), &target{address: e.address}
+		for range 2 { // on a new connection and on a used one
+			if r := u.attempt(context.Background(), at, get("/")); r.status != balancer.OK {
+				t.Errorf("%s: status %v, want OK", name, r.status)
+			}
+		}
+		if _, conns := e.seen(); conns != 1 {
+			t.Errorf("%s: %d connections, want 1", name, conns)
+		}
+	}
+}
