--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -672,7 +672,7 @@
 	budgetBurst = 10.0
 	retryShare  = 0.2  // retries earned by each request
 	lostWeight  = 0.02 // of the latest outcome in the share of attempts that are lost
-	lostLeast   = 0.02 // share from which late attempts get a second copy
+	lostLeast   = 0.01 // share from which late attempts get a second copy
 	copyShare   = 0.2  // second copies earned by each request
 	trustWeight = 0.005
 	trendWeight = 0.1
