--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -136,7 +136,7 @@
 	if len(r.attempts) == 1 {
 		b.out.Timer(max(1, r.Deadline-now), r.token)
 	}
-	if a.lateAt+Micros(a.expected) < r.Deadline {
+	if b.lost.v >= lostLeast && a.lateAt+Micros(a.expected) < r.Deadline {
 		b.out.Timer(a.lateAt-now, r.token)
 	}
 	return true
