--- a/balancer/example_test.go
+++ b/balancer/example_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"peatpost/balancer"
+	"pinedale/balancer"
 )
 
 // host prints what a balancer asks for. A sidecar does these things.
--- a/cmd/pinedale/main.go
+++ b/cmd/pinedale/main.go
@@ -12,7 +12,7 @@
 	"runtime/debug"
 	"syscall"
 
-	"peatpost/internal/sidecar"
+	"pinedale/internal/sidecar"
 )
 
 func main() {
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -9,8 +9,8 @@
 	"os"
 	"runtime/debug"
 
-	"peatpost/balancer"
-	"peatpost/internal/wire"
+	"pinedale/balancer"
+	"pinedale/internal/wire"
 )
 
 func main() {
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,238 @@
+// Package engine owns a balancer.Balancer: one goroutine passes it every event
+// and carries out its Actions. Around it stand fronts, which bring requests and
+// give final answers, carriers, which carry out attempts, and sources, which tell
+// what endpoints there are. The engine knows them by the interfaces below alone.
+package engine
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"pinedale/balancer"
+)
+
+const (
+	eventsMost = 1024 // waiting for the engine's goroutine
+	pruneEvery = time.Second
+)
+
+// A Carrier carries out the attempts of one request. Both methods are called on
+// the engine's goroutine and must not block, nor call back into the engine.
+type Carrier interface {
+	// Attempt starts an attempt. Done or End must be called for it exactly once.
+	Attempt(*Attempt)
+	// Cancel gives an attempt up. Its end is still told.
+	Cancel(*Attempt)
+}
+
+// An Upstream sends requests to endpoints itself, and keeps connections there.
+type Upstream interface {
+	// Carry returns a carrier for one request.
+	Carry(*Message) Carrier
+	// Probe asks an endpoint for its load. It may block.
+	Probe(context.Context, *Target) Result
+	// Retire follows Target.Close: what is kept for the target is let go.
+	Retire(*Target)
+	// Prune lets go of what has been idle for too long. It is called every second.
+	Prune()
+}
+
+// A Source tells which endpoints there are.
+type Source interface {
+	// Watch tells what is newer than a version, nil for the whole list, until ctx
+	// ends or something fails. It tells a failure as balancer.ListFailed before it
+	// returns it, with the version to go on from.
+	Watch(ctx context.Context, after *uint64, tell func(balancer.ListKind, List)) (*uint64, error)
+	// Close lets go of what the source holds. The watch has been told to end.
+	Close()
+}
+
+// Message is a request as it goes to endpoints, any number of times.
+type Message struct {
+	Method string
+	URL    *url.URL
+	Host   string
+	Header http.Header // X-Time-Left-Ms is written for each attempt
+	Body   []byte
+}
+
+// Result is what came of an attempt or a probe.
+type Result struct {
+	Status   balancer.Status
+	Endpoint uint32        // that served the attempt, 0 if it is the one it was sent to
+	Settled  bool          // the client has its answer by another way than the engine's
+	Header   http.Header   // of a whole answer 200, as is Body
+	Body     []byte        // at most httpmsg.BodyMost bytes
+	Load     []float32     // in the order of the settings' fields; NaN where unknown
+	Took     time.Duration // of a probe: from the write to the end, without the time to connect
+}
+
+// Answer is the final answer to a request.
+type Answer struct {
+	Code       int             // 200 served; 503 refused: a retry is harmless; 502 failed
+	RetryAfter balancer.Micros // 0: no advice
+	Header     http.Header
+	Body       []byte
+}
+
+// Decider is what the engine needs of a *balancer.Balancer.
+type Decider interface {
+	Start(now balancer.Micros)
+	Members(now balancer.Micros, kind balancer.ListKind, entries []balancer.Endpoint)
+	Request(now balancer.Micros, in balancer.Request)
+	Outcome(now balancer.Micros, o balancer.Outcome)
+	ClientGone(now balancer.Micros, id uint64)
+	Timer(now balancer.Micros, token uint32)
+	Probed(now balancer.Micros, endpoint uint32, status balancer.Status, latency balancer.Micros, load []float32)
+}
+
+// Options are an engine's surroundings.
+type Options struct {
+	Settings balancer.Settings
+	Seed     uint64
+	Zones    []string // names of sites, by the numbers that the balancer uses
+	Kinds    []string // names of kinds of machine, likewise
+	Known    List     // the last list held, perhaps old
+	Upstream Upstream
+	Source   Source
+	Log      *slog.Logger
+
+	// Wrap, where set, stands between the engine and its balancer.
+	Wrap func(Decider) Decider
+}
+
+// Engine runs one balancer. Make one with New and start Run in a goroutine.
+type Engine struct {
+	opts   Options
+	log    *slog.Logger
+	clock  clock
+	events chan func(now balancer.Micros)
+	ctx    context.Context // ends with the engine
+	listed atomic.Bool     // endpoints are known
+
+	// Below: the engine's goroutine alone.
+	balancer  Decider
+	soon      []func(now balancer.Micros) // to run once the balancer is not at work
+	requests  map[uint64]*Request
+	lastID    uint64
+	ids       map[string]uint32 // of endpoints, by host name
+	lastEP    uint32            // the latest id given; none is given twice
+	fleet     map[uint32]*member
+	source    Source
+	seq       *uint64 // version of the last list, if there was any
+	stopWatch context.CancelFunc
+	onMembers func(now balancer.Micros)
+}
+
+// New returns an engine that lives until ctx ends, or a *balancer.SettingError.
+func New(ctx context.Context, o Options) (*Engine, error) {
+	e := &Engine{
+		opts: o, log: o.Log, clock: clock{time.Now()}, ctx: ctx, source: o.Source,
+		events:   make(chan func(balancer.Micros), eventsMost),
+		requests: map[uint64]*Request{}, ids: map[string]uint32{}, fleet: map[uint32]*member{},
+		stopWatch: func() {},
+	}
+	b, err := balancer.New(o.Settings, o.Seed, (*actions)(e))
+	if err != nil {
+		return nil, err
+	}
+	if e.balancer = b; o.Wrap != nil {
+		e.balancer = o.Wrap(b)
+	}
+	return e, nil
+}
+
+// Run handles events until the engine's context ends.
+func (e *Engine) Run() {
+	now := e.clock.now()
+	e.balancer.Start(now)
+	if len(e.opts.Known.Hosts) > 0 {
+		e.members(now, balancer.ListCached, e.opts.Known)
+	}
+	if !e.opts.Settings.Subscribe {
+		e.watch(true)
+	}
+	e.settle()
+	prune := time.NewTicker(pruneEvery)
+	defer prune.Stop()
+	for {
+		select {
+		case event := <-e.events:
+			event(e.clock.now())
+			e.settle()
+		case <-prune.C:
+			e.opts.Upstream.Prune()
+		case <-e.ctx.Done():
+			return
+		}
+	}
+}
+
+// settle runs what the last event has put off.
+func (e *Engine) settle() {
+	for len(e.soon) > 0 {
+		todo := e.soon
+		e.soon = nil
+		for _, event := range todo {
+			event(e.clock.now())
+		}
+	}
+}
+
+// Now is the balancer's time.
+func (e *Engine) Now() balancer.Micros { return e.clock.now() }
+
+// Time is the system's time at an instant of the balancer's.
+func (e *Engine) Time(at balancer.Micros) time.Time { return e.clock.time(at) }
+
+// Settings are the balancer's.
+func (e *Engine) Settings() *balancer.Settings { return &e.opts.Settings }
+
+// Listed says whether an endpoint is known that requests may go to.
+func (e *Engine) Listed() bool { return e.listed.Load() }
+
+// Post hands an event to the engine's goroutine, and waits for room. It must not
+// be called from there.
+func (e *Engine) Post(event func(now balancer.Micros)) {
+	select {
+	case e.events <- event:
+	case <-e.ctx.Done():
+	}
+}
+
+// TryPost is Post where there is room at once, and else does nothing.
+func (e *Engine) TryPost(event func(now balancer.Micros)) bool {
+	select {
+	case e.events <- event:
+		return true
+	default:
+		return false
+	}
+}
+
+// Soon runs an event on the engine's goroutine after the present one, which is
+// where it must be called. Carriers use it to tell an end from within their calls.
+func (e *Engine) Soon(event func(now balancer.Micros)) { e.soon = append(e.soon, event) }
+
+// After posts an event after a while. It may be called from anywhere.
+func (e *Engine) After(delay time.Duration, event func(now balancer.Micros)) {
+	time.AfterFunc(delay, func() { e.Post(event) })
+}
+
+// Move watches another source from now on. Its list is asked for whole, since
+// versions are the old one's. Requests in hand and what the balancer knows stay.
+// It must be called on the engine's goroutine.
+func (e *Engine) Move(next Source) {
+	old := e.source
+	e.source, e.seq = next, nil
+	e.watch(true)
+	old.Close()
+}
+
+// Held counts what the engine holds: requests in its ledger, and endpoints that
+// are listed or have something out. It must be called on the engine's goroutine.
+func (e *Engine) Held() (requests, endpoints int) { return len(e.requests), len(e.fleet) }
--- /dev/null
+++ b/internal/engine/ledger.go
@@ -0,0 +1,189 @@
+package engine
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"pinedale/balancer"
+)
+
+// Request is the ledger's entry for a request that the balancer may still speak
+// of: no final answer is out, or attempts are. A front sets the exported fields.
+type Request struct {
+	Carrier Carrier
+	// Answer takes the one final answer, on the engine's goroutine. It must not
+	// block, nor call back into the engine.
+	Answer func(Answer)
+
+	id       uint64
+	deadline balancer.Micros
+	over     bool // the final answer is out, or the client is gone
+	attempts []*Attempt
+	out      int // attempts without outcome
+}
+
+// Attempt is one attempt at a request.
+type Attempt struct {
+	Number   int // they count from 0
+	Endpoint uint32
+	Target   *Target         // where it goes
+	Until    balancer.Micros // when it is to be given up
+
+	// Stop is the carrier's own: what ends the attempt.
+	Stop func()
+
+	engine  *Engine
+	request *Request
+	sent    balancer.Micros
+	ended   atomic.Bool
+}
+
+// Name is the endpoint's name in the list, "" once it is forgotten. It must be
+// called on the engine's goroutine.
+func (a *Attempt) Name() string {
+	if m := a.engine.fleet[a.Endpoint]; m != nil {
+		return m.name
+	}
+	return ""
+}
+
+// UntilTime is Until by the system's clock.
+func (a *Attempt) UntilTime() time.Time { return a.engine.clock.time(a.Until) }
+
+// Done tells how an attempt ended, from any goroutine but the engine's.
+func (a *Attempt) Done(res Result) {
+	a.engine.Post(func(now balancer.Micros) { a.End(now, res) })
+}
+
+// End tells how an attempt ended, on the engine's goroutine but not from within
+// a Carrier's methods. Only the first end counts.
+func (a *Attempt) End(now balancer.Micros, res Result) {
+	if a.ended.Swap(true) {
+		return
+	}
+	e, r := a.engine, a.request
+	r.out--
+	if res.Status == balancer.OK {
+		e.finish(r, Answer{Code: http.StatusOK, Header: res.Header, Body: res.Body})
+	}
+	served := a.Endpoint
+	if res.Endpoint != 0 {
+		served = res.Endpoint
+	}
+	e.balancer.Outcome(now, balancer.Outcome{ID: r.id, Attempt: a.Number, Endpoint: served, Status: res.Status,
+		Latency: now - a.sent, Settled: r.over || res.Settled, Load: res.Load})
+	if res.Settled {
+		r.over = true
+	}
+	e.forget(r)
+	e.back(a.Endpoint)
+}
+
+// Take passes a new request to the balancer. It must be called on the engine's
+// goroutine.
+func (e *Engine) Take(now balancer.Micros, r *Request, in balancer.Request) {
+	e.lastID++
+	r.id, in.ID, r.deadline = e.lastID, e.lastID, in.Deadline
+	e.requests[r.id] = r
+	e.balancer.Request(now, in)
+	e.forget(r)
+}
+
+// Gone tells that the client went away, or has its answer from elsewhere. It must
+// be called on the engine's goroutine.
+func (e *Engine) Gone(now balancer.Micros, r *Request) {
+	if !r.over {
+		r.over = true
+		e.balancer.ClientGone(now, r.id)
+		e.forget(r)
+	}
+}
+
+// finish gives the final answer, unless one is out already.
+func (e *Engine) finish(r *Request, a Answer) {
+	if r != nil && !r.over {
+		r.over = true
+		r.Answer(a)
+	}
+}
+
+func (e *Engine) forget(r *Request) {
+	if r.over && r.out == 0 {
+		delete(e.requests, r.id)
+	}
+}
+
+// actions carries out what the balancer decides. Its methods are called from
+// within the balancer's.
+type actions Engine
+
+// Send starts an attempt.
+func (x *actions) Send(id uint64, endpoint uint32, timeout balancer.Micros) {
+	e := (*Engine)(x)
+	r, now := e.requests[id], e.clock.now()
+	until := r.deadline
+	if timeout > 0 {
+		until = min(until, now+timeout)
+	}
+	a := &Attempt{Number: len(r.attempts), Endpoint: endpoint, Target: e.depart(endpoint), Until: until,
+		engine: e, request: r, sent: now}
+	r.attempts = append(r.attempts, a)
+	r.out++
+	if a.Target == nil {
+		e.Soon(func(now balancer.Micros) { a.End(now, Result{Status: balancer.Moot}) })
+		return
+	}
+	r.Carrier.Attempt(a)
+}
+
+// Refuse answers that a retry is harmless, and when it is welcome.
+func (x *actions) Refuse(id uint64, retryAfter balancer.Micros) {
+	(*Engine)(x).finish(x.requests[id], Answer{Code: http.StatusServiceUnavailable, RetryAfter: retryAfter})
+}
+
+// Fail answers that the request failed.
+func (x *actions) Fail(id uint64) {
+	(*Engine)(x).finish(x.requests[id], Answer{Code: http.StatusBadGateway})
+}
+
+// Cancel gives an attempt up; its outcome still comes.
+func (x *actions) Cancel(id uint64, attempt int) {
+	if r := x.requests[id]; r != nil && attempt >= 0 && attempt < len(r.attempts) {
+		if a := r.attempts[attempt]; a.Target != nil {
+			r.Carrier.Cancel(a)
+		}
+	}
+}
+
+// Timer gives a token back after a while.
+func (x *actions) Timer(delay balancer.Micros, token uint32) {
+	e := (*Engine)(x)
+	e.After(time.Duration(delay)*time.Microsecond, func(now balancer.Micros) { e.balancer.Timer(now, token) })
+}
+
+// Probe asks an endpoint for its load.
+func (x *actions) Probe(endpoint uint32) {
+	e := (*Engine)(x)
+	t := e.depart(endpoint)
+	go func() {
+		res := Result{Status: balancer.Moot}
+		if t != nil {
+			res = e.opts.Upstream.Probe(e.ctx, t)
+		}
+		e.Post(func(now balancer.Micros) {
+			e.balancer.Probed(now, endpoint, res.Status, res.Took.Microseconds(), res.Load)
+			e.back(endpoint)
+		})
+	}()
+}
+
+// Watch begins to watch the source's list, from the last version on, or ends it.
+func (x *actions) Watch(on bool) { (*Engine)(x).watch(on) }
+
+// Log records a line of the balancer's.
+func (x *actions) Log(line string) { x.log.Info(line) }
+
+// Context ends with the engine.
+func (a *Attempt) Context() context.Context { return a.engine.ctx }
--- /dev/null
+++ b/internal/engine/members.go
@@ -0,0 +1,218 @@
+package engine
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"pinedale/balancer"
+)
+
+// Where lists are pushed the balancer never asks: a watch that failed begins
+// again by itself after this pause.
+const pushedPause = time.Second
+
+// List is a list of endpoints, or of changes.
+type List struct {
+	Seq   uint64
+	Whole bool
+	Hosts []Host
+}
+
+// Host is one endpoint of a list.
+type Host struct {
+	Name   string // the same for as long as the endpoint exists, restarts included
+	Dial   string // host:port
+	Site   string
+	Kind   string // of machine
+	Cell   uint16
+	State  balancer.State
+	Share  float32
+	BornMS int64 // when it last started, Unix time in milliseconds; 0 for long ago
+}
+
+// Validate keeps entries that nothing could be sent to from the balancer. Its
+// errors name the entry and key at fault.
+func (l *List) Validate() error {
+	for i, h := range l.Hosts {
+		if h.Name == "" {
+			return fmt.Errorf("hosts[%d].host is missing", i)
+		}
+		if h.State == balancer.Ready {
+			if _, _, err := net.SplitHostPort(h.Dial); err != nil {
+				return fmt.Errorf("hosts[%d].dial: %q is not host:port", i, h.Dial)
+			}
+		}
+	}
+	return nil
+}
+
+// Target is one life of an endpoint at one address. It is closed for good once
+// the endpoint is told draining or gone, or has restarted.
+type Target struct {
+	Address string
+	Born    int64 // as Host.BornMS
+	closed  atomic.Bool
+}
+
+// Closed says that nothing new may go to the target.
+func (t *Target) Closed() bool { return t.closed.Load() }
+
+// Close ends the target for good.
+func (t *Target) Close() { t.closed.Store(true) }
+
+// member is what the engine holds of an endpoint until it is gone and nothing is
+// out there any more. Endpoints come and go all day under ever new names.
+type member struct {
+	name   string
+	target *Target // nil unless ready
+	out    int     // attempts and probes without outcome
+	gone   bool
+}
+
+// unknownName numbers a zone or kind that the settings do not list.
+const unknownName = 255
+
+func number(names []string, name string) uint8 {
+	if i := slices.Index(names, name); i >= 0 && i < unknownName {
+		return uint8(i)
+	}
+	return unknownName
+}
+
+// members passes on a list and brings the targets in line with it.
+func (e *Engine) members(now balancer.Micros, kind balancer.ListKind, list List) {
+	if kind == balancer.ListFailed {
+		e.balancer.Members(now, kind, nil)
+		return
+	}
+	e.seq = &list.Seq
+	entries := make([]balancer.Endpoint, 0, len(list.Hosts))
+	named := map[uint32]bool{}
+	for _, h := range list.Hosts {
+		id := e.ids[h.Name]
+		if id == 0 {
+			if h.State == balancer.Gone {
+				continue
+			}
+			e.lastEP++
+			id = e.lastEP
+			e.ids[h.Name], e.fleet[id] = id, &member{name: h.Name}
+		}
+		named[id] = true
+		entry := balancer.Endpoint{ID: id, Zone: number(e.opts.Zones, h.Site), Kind: number(e.opts.Kinds, h.Kind),
+			Cell: h.Cell, State: h.State, Share: h.Share}
+		if h.BornMS > 0 {
+			entry.StartTime = h.BornMS * 1000
+		}
+		entries = append(entries, entry)
+		e.aim(id, h)
+	}
+	ready := false
+	for id, m := range e.fleet {
+		if kind != balancer.ListDelta && !named[id] {
+			e.aim(id, Host{State: balancer.Gone})
+		}
+		ready = ready || m.target != nil
+	}
+	e.listed.Store(ready)
+	e.balancer.Members(now, kind, entries)
+	if e.onMembers != nil {
+		e.onMembers(now)
+	}
+}
+
+// OnMembers has f called on the engine's goroutine after each new list. It must
+// be called before Run.
+func (e *Engine) OnMembers(f func(now balancer.Micros)) { e.onMembers = f }
+
+// aim points an endpoint's id at where it is reached now. A target that drains,
+// is gone or has restarted is closed, so that a send on its way does not start.
+func (e *Engine) aim(id uint32, h Host) {
+	m := e.fleet[id]
+	m.gone = h.State == balancer.Gone
+	if t := m.target; t != nil && (h.State != balancer.Ready || t.Address != h.Dial || t.Born != h.BornMS) {
+		t.Close()
+		e.opts.Upstream.Retire(t)
+		m.target = nil
+	}
+	if m.target == nil && h.State == balancer.Ready {
+		m.target = &Target{Address: h.Dial, Born: h.BornMS}
+	}
+	e.forgetMember(id)
+}
+
+func (e *Engine) forgetMember(id uint32) {
+	if m := e.fleet[id]; m.gone && m.out == 0 {
+		delete(e.ids, m.name)
+		delete(e.fleet, id)
+	}
+}
+
+// Find returns the number of the endpoint that is reached at an address, 0 if
+// none is. It must be called on the engine's goroutine.
+func (e *Engine) Find(address string) uint32 {
+	for id, m := range e.fleet {
+		if m.target != nil && m.target.Address == address {
+			return id
+		}
+	}
+	return 0
+}
+
+// depart counts something out to an endpoint and returns where that is reached,
+// nil if nothing may go there. The balancer may know an endpoint for a moment
+// longer than the engine does.
+func (e *Engine) depart(id uint32) *Target {
+	m := e.fleet[id]
+	if m == nil {
+		return nil
+	}
+	m.out++
+	return m.target
+}
+
+// back is depart's end.
+func (e *Engine) back(id uint32) {
+	if m := e.fleet[id]; m != nil {
+		m.out--
+		e.forgetMember(id)
+	}
+}
+
+// watch begins to watch the source, from the last version on, or ends it.
+func (e *Engine) watch(on bool) {
+	e.stopWatch()
+	if !on {
+		return
+	}
+	ctx, stop := context.WithCancel(e.ctx)
+	e.stopWatch = stop
+	seq, source := e.seq, e.source
+	tell := func(kind balancer.ListKind, list List) {
+		e.Post(func(now balancer.Micros) {
+			if ctx.Err() == nil { // else the watch was ended meanwhile
+				e.members(now, kind, list)
+			}
+		})
+	}
+	go func() {
+		for ctx.Err() == nil {
+			var err error
+			seq, err = source.Watch(ctx, seq, tell)
+			if ctx.Err() == nil {
+				e.log.Warn("membership", "error", err)
+			}
+			if e.opts.Settings.Subscribe {
+				return // when to ask again is the balancer's decision
+			}
+			select {
+			case <-time.After(pushedPause):
+			case <-ctx.Done():
+			}
+		}
+	}()
+}
--- /dev/null
+++ b/internal/engine/members_test.go
@@ -0,0 +1,174 @@
+package engine
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"slices"
+	"testing"
+	"time"
+
+	"pinedale/balancer"
+)
+
+// plainUpstream holds the attempts that it is given until the test ends them.
+type plainUpstream struct {
+	attempts  []*Attempt
+	cancelled []*Attempt
+	retired   []*Target
+}
+
+func (u *plainUpstream) Carry(*Message) Carrier                    { return u }
+func (u *plainUpstream) Probe(context.Context, *Target) (r Result) { return r }
+func (u *plainUpstream) Retire(t *Target)                          { u.retired = append(u.retired, t) }
+func (u *plainUpstream) Prune()                                    {}
+func (u *plainUpstream) Attempt(a *Attempt)                        { u.attempts = append(u.attempts, a) }
+func (u *plainUpstream) Cancel(a *Attempt)                         { u.cancelled = append(u.cancelled, a) }
+func (u *plainUpstream) Close()                                    {}
+func (u *plainUpstream) Watch(ctx context.Context, after *uint64, _ func(balancer.ListKind, List)) (*uint64, error) {
+	<-ctx.Done()
+	return after, ctx.Err()
+}
+
+// entriesSpy keeps what the balancer is told of its list.
+type entriesSpy struct {
+	Decider
+	entries []balancer.Endpoint
+}
+
+func (s *entriesSpy) Members(now balancer.Micros, kind balancer.ListKind, entries []balancer.Endpoint) {
+	s.entries = slices.Clone(entries)
+	s.Decider.Members(now, kind, entries)
+}
+
+// newTestEngine returns an engine that the test's goroutine owns: Run is not called.
+func newTestEngine(t *testing.T) (*Engine, *plainUpstream, *entriesSpy) {
+	t.Helper()
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	up, spy := &plainUpstream{}, &entriesSpy{}
+	e, err := New(ctx, Options{Zones: []string{"a", "b"}, Kinds: []string{"m1"}, Upstream: up, Source: up,
+		Log: slog.New(slog.DiscardHandler), Wrap: func(d Decider) Decider { spy.Decider = d; return spy },
+		Settings: balancer.Settings{Balancers: 1, Zones: 2, Kinds: 1,
+			Classes: []balancer.Class{{Name: "pay", Repeat: balancer.Keyed, Window: 5_000_000, Aim: 600_000,
+				GiveUp: 3_000_000, Worth: 1}},
+			Limits:   balancer.Limits{Cancel: true, MaxAttempts: 3, MaxOpen: 1000},
+			Contract: balancer.Contract{ColdFrom: 0.3, FallMultiple: 2.5}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.balancer.Start(e.Now())
+	return e, up, spy
+}
+
+func readyHost(name, address string) Host {
+	return Host{Name: name, Dial: address, Site: "a", Kind: "m1", Share: 1}
+}
+
+// take passes a request on and returns its final answer once there is one.
+func take(e *Engine, c Carrier) *Answer {
+	var got Answer
+	now := e.Now()
+	e.Take(now, &Request{Carrier: c, Answer: func(a Answer) { got = a }}, balancer.Request{Deadline: now + 3_000_000})
+	e.settle()
+	return &got
+}
+
+// What a source says of an endpoint reaches the balancer, and an endpoint keeps
+// its id across lists; one that has restarted is a new target.
+func TestMembers(t *testing.T) {
+	e, up, spy := newTestEngine(t)
+	e.members(e.Now(), balancer.ListFull, List{Whole: true, Hosts: []Host{readyHost("s-1", "127.0.0.1:1")}})
+	before := e.fleet[1].target
+	born := time.Now().UnixMilli() - 500
+	restarted := readyHost("s-1", "127.0.0.1:1")
+	restarted.BornMS = born
+	strange := Host{Name: "s-9", Dial: "127.0.0.1:1", Site: "nowhere", Kind: "odd", Cell: 4, State: balancer.Draining}
+	e.members(e.Now(), balancer.ListDelta, List{Seq: 2, Hosts: []Host{restarted, strange}})
+	want := []balancer.Endpoint{
+		{ID: 1, Zone: 0, Kind: 0, State: balancer.Ready, Share: 1, StartTime: born * 1000},
+		{ID: 2, Zone: unknownName, Kind: unknownName, Cell: 4, State: balancer.Draining}}
+	if !slices.Equal(spy.entries, want) {
+		t.Errorf("entries %+v, want %+v", spy.entries, want)
+	}
+	after := e.fleet[1].target
+	if before == after || !before.Closed() || after.Closed() || !slices.Equal(up.retired, []*Target{before}) {
+		t.Error("the endpoint that restarted kept its old target")
+	}
+	if now := e.Now(); spy.entries[0].StartTime > now || now-spy.entries[0].StartTime > time.Minute.Microseconds() {
+		t.Errorf("started at %d by a clock that shows %d", spy.entries[0].StartTime, now)
+	}
+	if e.Find("127.0.0.1:1") != 1 || e.Find("127.0.0.1:2") != 0 || !e.Listed() {
+		t.Error("the ready endpoint is not found, or another is")
+	}
+}
+
+// Endpoints come and go all day under new names. One that is gone is forgotten
+// once nothing is out there; its number is never given again, so that what comes
+// late is not taken for another's.
+func TestGoneEndpointsAreForgotten(t *testing.T) {
+	e, up, _ := newTestEngine(t)
+	list := func(whole bool, hosts ...Host) {
+		kind := balancer.ListDelta
+		if whole {
+			kind = balancer.ListFull
+		}
+		e.members(e.Now(), kind, List{Whole: whole, Hosts: hosts})
+	}
+	list(true, readyHost("s-1", "127.0.0.1:1"))
+	answer := take(e, up)
+	for i := range 50 {
+		list(true, readyHost(fmt.Sprintf("t-%d", i), "127.0.0.1:2"))
+	}
+	gone := readyHost("t-49", "")
+	gone.State = balancer.Gone
+	list(false, gone)
+	list(false, gone)
+	if requests, endpoints := e.Held(); requests != 1 || endpoints != 1 || len(e.ids) != 1 || e.fleet[1] == nil {
+		t.Errorf("%d requests, %d endpoints and %d names are kept, want the one with an attempt out", requests, endpoints, len(e.ids))
+	}
+	up.attempts[0].End(e.Now(), Result{Status: balancer.OK})
+	if answer.Code != 200 {
+		t.Errorf("the request in hand: %+v", answer)
+	}
+	if requests, endpoints := e.Held(); requests != 0 || endpoints != 0 || len(e.ids) != 0 {
+		t.Errorf("%d requests, %d endpoints and %d names are kept, want none", requests, endpoints, len(e.ids))
+	}
+	list(true, readyHost("s-1", "127.0.0.1:1"))
+	if id := e.ids["s-1"]; id != 52 {
+		t.Errorf("the endpoint that is back has number %d, want a new one, 52", id)
+	}
+}
+
+// An attempt has one end; what is told again, or by two, counts once.
+func TestOnlyTheFirstEndCounts(t *testing.T) {
+	e, up, _ := newTestEngine(t)
+	e.members(e.Now(), balancer.ListFull, List{Whole: true, Hosts: []Host{readyHost("s-1", "127.0.0.1:1")}})
+	answer := take(e, up)
+	a := up.attempts[0]
+	a.End(e.Now(), Result{Status: balancer.Reset})
+	a.End(e.Now(), Result{Status: balancer.OK})
+	e.settle()
+	if answer.Code == 200 {
+		t.Error("the second end gave an answer")
+	}
+	if m := e.fleet[1]; m.out < 0 {
+		t.Errorf("%d attempts are counted out", m.out)
+	}
+}
+
+// A client that has its answer from elsewhere ends the request with its attempt's
+// outcome: nothing is sent or answered for it any more.
+func TestSettledElsewhere(t *testing.T) {
+	e, up, _ := newTestEngine(t)
+	e.members(e.Now(), balancer.ListFull, List{Whole: true, Hosts: []Host{readyHost("s-1", "127.0.0.1:1"), readyHost("s-2", "127.0.0.1:2")}})
+	answer := take(e, up)
+	up.attempts[0].End(e.Now(), Result{Status: balancer.Error, Settled: true})
+	e.settle()
+	if len(up.attempts) != 1 || answer.Code != 0 {
+		t.Errorf("%d attempts, answer %+v; want one and none", len(up.attempts), answer)
+	}
+	if n, _ := e.Held(); n != 0 {
+		t.Error("the ledger still holds the request")
+	}
+}
--- a/internal/sidecar/clients.go
+++ b/internal/front/httpfront/clients.go
@@ -1,10 +1,11 @@
-package sidecar
+package httpfront
 
 import (
-	"bytes"
 	"container/list"
 	"net"
 	"sync"
+
+	"pinedale/internal/httpmsg"
 )
 
 // clients is the listener of the application's side. It bounds the connections
@@ -83,7 +84,7 @@
 	left  bool          // no longer counted
 
 	mu   sync.Mutex // net/http reads on while a handler runs
-	head headScan
+	head httpmsg.HeadScan
 }
 
 // leave ends the counting of a connection. It holds owner.mu.
@@ -112,7 +113,7 @@
 func (c *clientConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
-	c.head.scan(p[:n])
+	c.head.Scan(p[:n])
 	c.mu.Unlock()
 	return n, err
 }
@@ -123,8 +124,8 @@
 // unknown).
 func (c *clientConn) begin(length int64) (alone, ok bool) {
 	c.mu.Lock()
-	alone = length >= 0 && c.head.size == c.head.end+length
-	c.head = headScan{}
+	alone = length >= 0 && c.head.Size == c.head.End+length
+	c.head = httpmsg.HeadScan{}
 	c.mu.Unlock()
 	c.owner.mu.Lock()
 	defer c.owner.mu.Unlock()
@@ -153,49 +154,5 @@
 func (c *clientConn) ambiguous() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.head.lengths > 1 || c.head.lengths > 0 && c.head.coding
-}
-
-// headScan looks at the bytes of a message for what net/http hides: where a head
-// has both Content-Length and Transfer-Encoding, the former is dropped without a
-// word, and what one reader takes for the body another takes for a request.
-type headScan struct {
-	line    []byte // start of the current line
-	started bool   // a line with something on it has come
-	lengths int    // Content-Length was there so often
-	coding  bool   // Transfer-Encoding was there
-	size    int64  // of all that came
-	end     int64  // size at the end of the head; 0 before
-}
-
-var (
-	lengthName = []byte("content-length:")
-	codingName = []byte("transfer-encoding:")
-)
-
-func (h *headScan) scan(p []byte) {
-	start := h.size
-	h.size += int64(len(p))
-	for rest := p; h.end == 0 && len(rest) > 0; {
-		line, after, ended := bytes.Cut(rest, []byte("\n"))
-		// A name's length is enough of a line.
-		if room := len(codingName) - len(h.line); room > 0 {
-			h.line = append(h.line, line[:min(room, len(line))]...)
-		}
-		if rest = after; !ended {
-			return
-		}
-		lower := bytes.ToLower(bytes.TrimSuffix(h.line, []byte("\r")))
-		if bytes.HasPrefix(lower, lengthName) {
-			h.lengths++
-		}
-		h.coding = h.coding || bytes.HasPrefix(lower, codingName)
-		// net/http skips empty lines ahead of a request.
-		if len(lower) > 0 {
-			h.started = true
-		} else if h.started {
-			h.end = start + int64(len(p)-len(rest))
-		}
-		h.line = h.line[:0]
-	}
+	return c.head.Lengths > 1 || c.head.Lengths > 0 && c.head.Coding
 }
--- /dev/null
+++ b/internal/front/httpfront/server.go
@@ -0,0 +1,255 @@
+// Package httpfront takes the application's requests over HTTP/1.1 and gives
+// their final answers.
+package httpfront
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"pinedale/balancer"
+	"pinedale/internal/engine"
+	"pinedale/internal/httpmsg"
+	"pinedale/internal/intake"
+)
+
+const (
+	busyRetry    = time.Second            // wait told to clients that find all room for bodies in use
+	timeLeftMost = time.Minute            // that a request gets, as the intake reads it
+	acceptAfter  = 600 * time.Millisecond // after SIGTERM: clients go on connecting for 0.4 s
+
+	// ReadTimeout and IdleTimeout bound silent clients.
+	// A request comes in one piece from the application next door. A client that
+	// takes longer is silent, slow on purpose or dead, and 3 s are the most it may stay.
+	ReadTimeout  = 2 * time.Second
+	IdleTimeout  = 2100 * time.Millisecond // a connection may be closed after 2 s with no request open
+	writeTimeout = 2 * time.Second         // for an answer: it fits into the socket's buffer unless a client reads nothing
+)
+
+// Options bound what clients may hold.
+type Options struct {
+	Connections int           // open at most
+	Crowded     int           // asked-on connections from which an answer ends its own
+	BodyBytes   int64         // of requests in hand, at most
+	AcceptFor   time.Duration // new connections are still accepted after the end; 0 for what the platform asks
+	Log         *slog.Logger
+}
+
+// Server takes the application's requests.
+type Server struct {
+	engine  *engine.Engine
+	up      engine.Upstream
+	http    http.Server
+	clients *clients
+	parser  *intake.Parser
+	bodies  atomic.Int64 // bytes of bodies of requests in hand
+	ending  atomic.Bool
+	opts    Options
+
+	mu  sync.Mutex
+	ids map[string]bool // X-Correlation-Id of the requests in hand
+}
+
+// Serve serves until ctx ends, then answers what it has taken and returns.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	s.clients.Listener = listener
+	served := make(chan error, 1)
+	go func() { served <- s.http.Serve(s.clients) }()
+	select {
+	case err := <-served:
+		return fmt.Errorf("serve: %w", err)
+	case <-ctx.Done():
+	}
+	return s.drain()
+}
+
+// Close ends the service at once, and loses what is in hand.
+func (s *Server) Close() error { return s.http.Close() }
+
+// Connections counts the clients' open connections.
+func (s *Server) Connections() int { return s.clients.count() }
+
+// connKey finds the connection of a request in its context.
+type connKey struct{}
+
+// New returns a server that passes requests to the engine and has them carried
+// by the upstream.
+func New(e *engine.Engine, up engine.Upstream, o Options) *Server {
+	if o.AcceptFor == 0 {
+		o.AcceptFor = acceptAfter
+	}
+	s := &Server{engine: e, up: up, parser: intake.NewParser(e.Settings()), ids: map[string]bool{}, opts: o,
+		clients: &clients{most: o.Connections, mostAsked: o.Crowded}}
+	// Not a ServeMux: it would redirect paths that endpoints are to see as they are.
+	s.http = http.Server{Handler: http.HandlerFunc(s.handle),
+		ReadTimeout: ReadTimeout, WriteTimeout: timeLeftMost + writeTimeout, IdleTimeout: IdleTimeout,
+		MaxHeaderBytes: httpmsg.HeadMost, ErrorLog: slog.NewLogLogger(o.Log.Handler(), slog.LevelWarn),
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		}}
+	return s
+}
+
+// drain ends the service without losing a request. Idle connections are closed
+// at once, while a client whose request crosses that can still connect anew;
+// every answer from here on closes its connection.
+func (s *Server) drain() error {
+	s.ending.Store(true)
+	s.http.SetKeepAlivesEnabled(false)
+	time.Sleep(s.opts.AcceptFor)
+	var longest balancer.Micros
+	for _, c := range s.engine.Settings().Classes {
+		longest = max(longest, c.GiveUp)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(longest)*time.Microsecond)
+	defer cancel()
+	if err := s.http.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		return fmt.Errorf("shutdown: %w", err)
+	}
+	return nil
+}
+
+func (s *Server) ready(w http.ResponseWriter) {
+	if s.ending.Load() || !s.engine.Listed() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// reject turns a request away, with its connection: what else a client sends
+// that gets this much wrong is not worth reading.
+func reject(w http.ResponseWriter, err error) {
+	w.Header().Set("Connection", "close")
+	http.Error(w, err.Error(), intake.Code(err))
+}
+
+// handle reads a request whole and answers it.
+func (s *Server) handle(w http.ResponseWriter, in *http.Request) {
+	arrived := s.engine.Now()
+	c := in.Context().Value(connKey{}).(*clientConn)
+	if c.ambiguous() {
+		// What follows the head may hide another request: the connection ends here.
+		reject(w, intake.Bad("Content-Length beside another, or beside Transfer-Encoding"))
+		return
+	}
+	ready := in.URL.Path == "/health/ready"
+	var req intake.Parsed
+	if !ready {
+		var err error
+		if req, err = s.parser.Parse(intake.Request{Method: in.Method, Path: in.URL.Path, Header: in.Header,
+			Body: in.ContentLength != 0, At: arrived}); err != nil {
+			reject(w, err)
+			return
+		}
+	}
+	held := int64(httpmsg.BodyMost)
+	if in.ContentLength >= 0 {
+		held = in.ContentLength
+	}
+	if held > httpmsg.BodyMost {
+		reject(w, &intake.Error{Code: http.StatusRequestEntityTooLarge, Reason: tooLarge})
+		return
+	}
+	defer s.bodies.Add(-held)
+	if s.bodies.Add(held) > s.opts.BodyBytes {
+		w.Header().Set("Connection", "close")
+		writeAnswer(w, engine.Answer{Code: http.StatusServiceUnavailable, RetryAfter: busyRetry.Microseconds()})
+		return
+	}
+	body, err := readBody(w, in)
+	if err != nil {
+		reject(w, err)
+		return
+	}
+	alone, ok := c.begin(in.ContentLength)
+	if !ok {
+		panic(http.ErrAbortHandler)
+	}
+	defer c.done()
+	// The deadline for reading the request would otherwise end its context
+	// while the answer is still awaited.
+	c.SetReadDeadline(time.Time{})
+	if !alone {
+		// Clients send one request at a time. What came behind this one is left
+		// unread: only a client's own word says that it is a request.
+		w.Header().Set("Connection", "close")
+	}
+	if ready {
+		s.ready(w)
+		return
+	}
+	s.request(w, in, c, req, body)
+}
+
+var tooLarge = fmt.Sprintf("the body is over %d bytes", httpmsg.BodyMost)
+
+// readBody reads a request's body, within its limit.
+func readBody(w http.ResponseWriter, in *http.Request) ([]byte, error) {
+	if in.ContentLength >= 0 {
+		body := make([]byte, in.ContentLength)
+		if _, err := io.ReadFull(in.Body, body); err != nil {
+			return nil, intake.Bad("the body could not be read")
+		}
+		return body, nil
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, in.Body, httpmsg.BodyMost))
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return nil, &intake.Error{Code: http.StatusRequestEntityTooLarge, Reason: tooLarge}
+	} else if err != nil {
+		return nil, intake.Bad("the body could not be read")
+	}
+	return body, nil
+}
+
+// request takes one request and gives its one final answer.
+func (s *Server) request(w http.ResponseWriter, in *http.Request, c *clientConn, req intake.Parsed, body []byte) {
+	id := req.CorrelationID
+	s.mu.Lock()
+	open := s.ids[id]
+	s.ids[id] = true
+	s.mu.Unlock()
+	if open {
+		reject(w, &intake.Error{Code: http.StatusConflict, Reason: "a request with this X-Correlation-Id is open"})
+		return
+	}
+	defer func() {
+		s.mu.Lock()
+		delete(s.ids, id)
+		s.mu.Unlock()
+	}()
+	answer := make(chan engine.Answer, 1)
+	r := &engine.Request{Answer: func(a engine.Answer) { answer <- a }, // it has room for the one
+		Carrier: s.up.Carry(&engine.Message{Method: in.Method, URL: in.URL, Host: in.Host, Header: in.Header, Body: body})}
+	s.engine.Post(func(now balancer.Micros) { s.engine.Take(now, r, req.Request) })
+	select {
+	case a := <-answer:
+		if s.clients.crowded() {
+			w.Header().Set("Connection", "close")
+		}
+		c.SetWriteDeadline(time.Now().Add(writeTimeout))
+		writeAnswer(w, a)
+	case <-in.Context().Done():
+		s.engine.Post(func(now balancer.Micros) { s.engine.Gone(now, r) })
+		// A client that has only stopped sending must not read a whole answer
+		// that no endpoint gave.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func writeAnswer(w http.ResponseWriter, a engine.Answer) {
+	httpmsg.EndToEnd(w.Header(), a.Header)
+	if a.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(float64(a.RetryAfter)/1e6, 'f', 3, 64))
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
+	w.WriteHeader(a.Code)
+	w.Write(a.Body) // a client that is gone by now needs no answer
+}
--- a/internal/sidecar/discovery.go
+++ b/internal/membership/registry/registry.go
@@ -1,16 +1,17 @@
-package sidecar
+// Package registry reads membership from a discovery service over HTTP: whole
+// lists, and a watch on changes.
+package registry
 
 import (
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"slices"
 	"time"
 
-	"peatpost/balancer"
+	"pinedale/balancer"
+	"pinedale/internal/engine"
 )
 
 const (
@@ -21,12 +22,10 @@
 	// A watch ends when its next call comes later than 200 ms after the last
 	// answer; calls without any pause could become a flood.
 	watchPause = 20 * time.Millisecond
-	// Where lists are pushed the balancer never asks: the watch begins again by itself.
-	pushedPause = time.Second
 )
 
-// registry is a list of endpoints, or of changes, in discovery's form.
-type registry struct {
+// document is a list of endpoints, or of changes, in discovery's form.
+type document struct {
 	Seq   uint64 `json:"seq"`
 	Whole bool   `json:"whole"`
 	Hosts []host `json:"hosts"`
@@ -47,55 +46,47 @@
 	"Ready": balancer.Ready, "Terminating": balancer.Draining, "Gone": balancer.Gone,
 }
 
-// validate keeps entries that nothing could be sent to from the balancer.
-func (r *registry) validate() error {
-	for i, h := range r.Hosts {
+// Parse reads a list in discovery's form. Its errors name the entry and key at
+// fault.
+func Parse(data []byte) (engine.List, error) {
+	var d document
+	if err := json.Unmarshal(data, &d); err != nil {
+		return engine.List{}, err
+	}
+	list := engine.List{Seq: d.Seq, Whole: d.Whole, Hosts: make([]engine.Host, len(d.Hosts))}
+	for i, h := range d.Hosts {
 		state, ok := states[h.Health]
-		switch {
-		case h.Name == "":
-			return fmt.Errorf("hosts[%d].host is missing", i)
-		case !ok:
-			return fmt.Errorf("hosts[%d].health: %q is not a known state", i, h.Health)
-		case state == balancer.Ready:
-			if _, _, err := net.SplitHostPort(h.Dial); err != nil {
-				return fmt.Errorf("hosts[%d].dial: %q is not host:port", i, h.Dial)
-			}
+		if !ok {
+			return engine.List{}, fmt.Errorf("hosts[%d].health: %q is not a known state", i, h.Health)
 		}
+		list.Hosts[i] = engine.Host{Name: h.Name, Dial: h.Dial, Site: h.Site, Kind: h.Class, Cell: h.Block,
+			State: state, Share: h.Share, BornMS: h.BornMS}
 	}
-	return nil
-}
-
-// unknownName numbers a zone or kind that the settings do not list.
-const unknownName = 255
-
-func number(names []string, name string) uint8 {
-	if i := slices.Index(names, name); i >= 0 && i < unknownName {
-		return uint8(i)
-	}
-	return unknownName
+	return list, list.Validate()
 }
 
-// discovery calls the service that lists endpoints.
-type discovery struct {
+// Client calls the service that lists endpoints. It is an engine.Source.
+type Client struct {
 	url    string
 	client http.Client
 }
 
-func newDiscovery(address string) *discovery {
-	return &discovery{url: "http://" + address + "/registry/instances",
+// New returns a client of the service at host:port.
+func New(address string) *Client {
+	return &Client{url: "http://" + address + "/registry/instances",
 		client: http.Client{Transport: &http.Transport{MaxIdleConns: 1, MaxConnsPerHost: 2}}}
 }
 
 // list makes one call. With after it asks for what is newer than that version,
 // which may be 0, and waits for news as long as wait; without, for the whole list.
-func (d *discovery) list(ctx context.Context, after *uint64, wait time.Duration) (registry, error) {
+func (d *Client) list(ctx context.Context, after *uint64, wait time.Duration) (engine.List, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+listPatience)
 	defer cancel()
 	url := d.url
 	if after != nil {
 		url = fmt.Sprintf("%s?after=%d&wait_ms=%d", d.url, *after, wait.Milliseconds())
 	}
-	var list registry
+	var list engine.List
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return list, err
@@ -112,24 +103,21 @@
 	if response.StatusCode != http.StatusOK {
 		return list, fmt.Errorf("discovery answered %s", response.Status)
 	}
-	if err := json.Unmarshal(body, &list); err != nil {
-		return list, fmt.Errorf("discovery's answer: %w", err)
-	}
-	if err := list.validate(); err != nil {
+	if list, err = Parse(body); err != nil {
 		return list, fmt.Errorf("discovery's answer: %w", err)
 	}
 	return list, nil
 }
 
-// watch reports what discovery tells until a call fails, which it reports too.
+// Watch reports what discovery tells until a call fails, which it reports too.
 // The first call does not wait for news: its answer is the balancer's sign that
 // the watch has begun. After is the version to go on from, nil if there was no
 // list yet; so is what it returns.
-func (d *discovery) watch(ctx context.Context, after *uint64, tell func(balancer.ListKind, registry)) (*uint64, error) {
+func (d *Client) Watch(ctx context.Context, after *uint64, tell func(balancer.ListKind, engine.List)) (*uint64, error) {
 	for wait := time.Duration(0); ; wait = watchWait {
 		list, err := d.list(ctx, after, wait)
 		if err != nil {
-			tell(balancer.ListFailed, registry{})
+			tell(balancer.ListFailed, engine.List{})
 			return after, err
 		}
 		after = &list.Seq
@@ -141,3 +129,6 @@
 		time.Sleep(watchPause)
 	}
 }
+
+// Close lets go of idle connections.
+func (d *Client) Close() { d.client.CloseIdleConnections() }
--- a/internal/sidecar/clients_test.go
+++ b/internal/sidecar/clients_test.go
@@ -10,6 +10,9 @@
 	"strings"
 	"testing"
 	"time"
+
+	"pinedale/internal/front/httpfront"
+	"pinedale/internal/standin/peer"
 )
 
 func (w *world) dial() net.Conn {
@@ -42,8 +45,8 @@
 // head that decides is turned away, and nothing behind it is ever read as a
 // request. net/http shows its handlers no trace of the second length.
 func TestNoRequestHidesInABody(t *testing.T) {
-	e := newEndpoint(t, always(served))
-	w := start(t, nil, ready("s-1", e.address))
+	e := peer.New(t, peer.Always(peer.Served))
+	w := start(t, nil, ready("s-1", e.Address))
 	hidden := readHead + "X-Correlation-Id: 2\r\n\r\n"
 	body := "0\r\n\r\n" + hidden
 	for name, head := range map[string]string{
@@ -70,7 +73,7 @@
 	if strings.Count(string(rest), "HTTP/1.1") != 1 || !strings.HasPrefix(string(rest), "HTTP/1.1 400") {
 		t.Errorf("after an empty line: got %q", rest)
 	}
-	if n, _ := e.seen(); n != 1 {
+	if n, _ := e.Seen(); n != 1 {
 		t.Errorf("%d requests reached the endpoint, want the good one", n)
 	}
 }
@@ -78,8 +81,8 @@
 // A body in chunks alone is good HTTP/1.1 and is served. Its connection ends
 // with it, as it does where more came than the one request.
 func TestChunkedAndCrowdedRequests(t *testing.T) {
-	e := newEndpoint(t, always(served))
-	w := start(t, nil, ready("s-1", e.address))
+	e := peer.New(t, peer.Always(peer.Served))
+	w := start(t, nil, ready("s-1", e.Address))
 	for name, text := range map[string]string{
 		"chunked": payHead + "X-Correlation-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
 		"more behind": payHead + "X-Correlation-Id: 2\r\nContent-Length: 4\r\n\r\nbody" +
@@ -90,11 +93,11 @@
 			t.Errorf("%s: got %q", name, got)
 		}
 	}
-	if n, _ := e.seen(); n != 2 {
+	if n, _ := e.Seen(); n != 2 {
 		t.Errorf("%d requests reached the endpoint, want 2", n)
 	}
 	for i := range 2 {
-		if body, _ := io.ReadAll(e.request(i).Body); string(body) != "body" {
+		if body, _ := io.ReadAll(e.Request(i).Body); string(body) != "body" {
 			t.Errorf("the endpoint got the body %q", body)
 		}
 	}
@@ -102,8 +105,8 @@
 
 // What can't be a request is turned away before its body is read, or closed on.
 func TestRubbish(t *testing.T) {
-	e := newEndpoint(t, always(served))
-	w := start(t, nil, ready("s-1", e.address))
+	e := peer.New(t, peer.Always(peer.Served))
+	w := start(t, nil, ready("s-1", e.Address))
 	for name, c := range map[string]struct{ text, want string }{
 		"a length beyond the limit": {payHead + "X-Correlation-Id: 1\r\nContent-Length: 3000000000\r\n\r\n", "HTTP/1.1 413"},
 		"a negative length":         {payHead + "X-Correlation-Id: 1\r\nContent-Length: -3\r\n\r\nabc", "HTTP/1.1 400"},
@@ -121,7 +124,7 @@
 		})
 	}
 	t.Cleanup(func() {
-		if n, _ := e.seen(); n != 0 {
+		if n, _ := e.Seen(); n != 0 {
 			t.Errorf("%d of them reached the endpoint", n)
 		}
 	})
@@ -130,13 +133,13 @@
 // Clients that say nothing, too little, or nothing more are closed on in time.
 // 3 s are the most that they may stay, so 2.9 s is what the limits are held to.
 func TestSilentClientsAreClosed(t *testing.T) {
-	for _, limit := range []time.Duration{readTimeout, idleTimeout} {
+	for _, limit := range []time.Duration{httpfront.ReadTimeout, httpfront.IdleTimeout} {
 		if limit < 2*time.Second || limit > 2900*time.Millisecond {
 			t.Errorf("limit of %v", limit)
 		}
 	}
-	e := newEndpoint(t, always(served))
-	w := start(t, nil, ready("s-1", e.address))
+	e := peer.New(t, peer.Always(peer.Served))
+	w := start(t, nil, ready("s-1", e.Address))
 	for name, c := range map[string]struct{ text, want string }{
 		"nothing":          {"", ""},
 		"half a head":      {payHead, ""},
@@ -156,13 +159,13 @@
 // takes its passing for the client's going and ends the request's context.
 func TestAnswerLaterThanTheReadTimeout(t *testing.T) {
 	t.Parallel()
-	e := newEndpoint(t, func(e *endpoint, conn net.Conn, in *bufio.Reader) {
-		for e.next(in) != nil {
-			time.Sleep(readTimeout + 300*time.Millisecond)
-			io.WriteString(conn, served)
+	e := peer.New(t, func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
+		for e.Next(in) != nil {
+			time.Sleep(httpfront.ReadTimeout + 300*time.Millisecond)
+			io.WriteString(conn, peer.Served)
 		}
 	})
-	w := start(t, nil, ready("s-1", e.address))
+	w := start(t, nil, ready("s-1", e.Address))
 	for class, body := range map[string]string{"read": "", "pay": "x"} {
 		if got := w.send(w.request(class, body, time.Minute)); got.code != http.StatusOK {
 			t.Errorf("%s: got %+v", class, got)
@@ -173,16 +176,16 @@
 // An id that is open here belongs to that request alone.
 func TestSecondRequestWithAnOpenID(t *testing.T) {
 	answer := make(chan struct{})
-	e := newEndpoint(t, func(e *endpoint, conn net.Conn, in *bufio.Reader) {
-		for e.next(in) != nil {
+	e := peer.New(t, func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
+		for e.Next(in) != nil {
 			<-answer
-			io.WriteString(conn, served)
+			io.WriteString(conn, peer.Served)
 		}
 	})
-	w := start(t, nil, ready("s-1", e.address))
+	w := start(t, nil, ready("s-1", e.Address))
 	first, same := make(chan reply), w.request("pay", "", time.Minute)
 	go func() { first <- w.send(same.Clone(context.Background())) }()
-	w.until("the first to be taken", func() bool { n, _ := e.seen(); return n == 1 })
+	w.until("the first to be taken", func() bool { n, _ := e.Seen(); return n == 1 })
 	if got := w.send(same.Clone(context.Background())); got.code != http.StatusConflict {
 		t.Errorf("the second: %+v", got)
 	}
@@ -200,25 +203,25 @@
 // request open is not.
 func TestConnectionsOfClientsAreBounded(t *testing.T) {
 	answer := make(chan struct{})
-	e := newEndpoint(t, func(e *endpoint, conn net.Conn, in *bufio.Reader) {
-		for r := e.next(in); r != nil; r = e.next(in) {
+	e := peer.New(t, func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
+		for r := e.Next(in); r != nil; r = e.Next(in) {
 			if strings.HasPrefix(r.RequestURI, "/pay") {
 				<-answer
 			}
-			io.WriteString(conn, served)
+			io.WriteString(conn, peer.Served)
 		}
 	})
-	w := start(t, nil, ready("s-1", e.address))
+	w := start(t, nil, ready("s-1", e.Address))
 	first := make(chan reply)
 	go func() { first <- w.send(w.request("pay", "x", time.Minute)) }()
-	w.until("the first to be taken", func() bool { n, _ := e.seen(); return n == 1 })
-	w.until("other connections to end", func() bool { return w.server.clients.count() == 1 })
+	w.until("the first to be taken", func() bool { n, _ := e.Seen(); return n == 1 })
+	w.until("other connections to end", func() bool { return w.server.Connections() == 1 })
 	oldest := w.dial()
-	w.until("the oldest", func() bool { return w.server.clients.count() == 2 })
-	for range w.server.clients.most - 2 {
+	w.until("the oldest", func() bool { return w.server.Connections() == 2 })
+	for range w.most - 2 {
 		w.dial()
 	}
-	w.until("all room to be taken", func() bool { return w.server.clients.count() == w.server.clients.most })
+	w.until("all room to be taken", func() bool { return w.server.Connections() == w.most })
 	if got := w.send(w.request("read", "", 3*time.Second)); got.code != http.StatusOK {
 		t.Errorf("beyond the limit: %+v", got)
 	}
@@ -227,8 +230,8 @@
 	} else if e, ok := err.(net.Error); ok && e.Timeout() {
 		t.Error("the longest silent connection stays open")
 	}
-	if n := w.server.clients.count(); n > w.server.clients.most {
-		t.Errorf("%d connections, limit %d", n, w.server.clients.most)
+	if n := w.server.Connections(); n > w.most {
+		t.Errorf("%d connections, limit %d", n, w.most)
 	}
 	close(answer)
 	if got := <-first; got.code != http.StatusOK {
@@ -239,87 +242,36 @@
 // Clients that ask once and keep the connection must not hold all that clients
 // may have: beyond a part of it, an answer ends its connection.
 func TestAnswersEndConnectionsWhenCrowded(t *testing.T) {
-	e := newEndpoint(t, always(served))
-	w := start(t, nil, ready("s-1", e.address))
-	w.until("other connections to end", func() bool { return w.server.clients.count() == 0 })
-	w.server.clients.mu.Lock()
-	w.server.clients.mostAsked = 3 // few enough for all requests to come before a connection has been idle for long
-	w.server.clients.mu.Unlock()
-	for i := range w.server.clients.mostAsked + 3 {
+	e := peer.New(t, peer.Always(peer.Served))
+	const crowded = 3 // few enough for all requests to come before a connection has been idle for long
+	w := startWith(t, nil, func(o *httpfront.Options) { o.Crowded = crowded }, ready("s-1", e.Address))
+	w.until("other connections to end", func() bool { return w.server.Connections() == 0 })
+	for i := range crowded + 3 {
 		conn := w.dial()
 		w.request("read", "", time.Minute).Write(conn)
 		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 		if err != nil || response.StatusCode != http.StatusOK {
 			t.Fatalf("request %d: %v, %v", i, response, err)
 		}
-		if want := i >= w.server.clients.mostAsked; response.Close != want {
+		if want := i >= crowded; response.Close != want {
 			t.Fatalf("request %d: Connection: close %v, want %v", i, response.Close, want)
 		}
 		if response.Close {
-			w.until("the end of the connection", func() bool { return w.server.clients.count() == w.server.clients.mostAsked })
-		}
-	}
-}
-
-// Where every connection has a request open, one more is closed.
-func TestNoRoomForAConnection(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	l := &clients{Listener: listener, most: 1}
-	defer l.Close()
-	accepted := make(chan *clientConn, 2)
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			accepted <- c.(*clientConn)
-		}
-	}()
-	dial := func() net.Conn {
-		conn, err := net.Dial("tcp", listener.Addr().String())
-		if err != nil {
-			t.Fatal(err)
+			w.until("the end of the connection", func() bool { return w.server.Connections() == crowded })
 		}
-		conn.SetDeadline(time.Now().Add(patience))
-		return conn
-	}
-	defer dial().Close()
-	c := <-accepted
-	if _, ok := c.begin(0); !ok {
-		t.Fatal("the first connection is gone")
-	}
-	second := dial()
-	defer second.Close()
-	if _, err := second.Read(make([]byte, 1)); err != io.EOF {
-		t.Errorf("the second connection: %v, want its end", err)
-	}
-	c.done()
-	defer dial().Close()
-	<-accepted
-	if _, ok := c.begin(0); ok {
-		t.Error("the first connection takes requests after making room")
-	}
-	c.Close()
-	if n := l.count(); n != 1 {
-		t.Errorf("%d connections are counted, want 1", n)
 	}
 }
 
 // Bodies are bounded together: what is too much is refused before it is read.
 func TestBodiesAreBounded(t *testing.T) {
-	e := newEndpoint(t, always(served))
-	w := start(t, nil, ready("s-1", e.address))
-	w.server.bodies.Add(int64(w.loop.cfg.Limits.MemoryMB) << 20 / bodiesPart)
-	if got := w.send(w.request("pay", "x", 3*time.Second)); got.code != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+	e := peer.New(t, peer.Always(peer.Served))
+	w := startWith(t, nil, func(o *httpfront.Options) { o.BodyBytes = 20 }, ready("s-1", e.Address))
+	if got := w.send(w.request("pay", strings.Repeat("x", 21), 3*time.Second)); got.code != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
 		t.Errorf("beyond the limit: %+v", got)
 	}
-	w.server.bodies.Store(0)
-	if got := w.send(w.request("pay", "x", 3*time.Second)); got.code != http.StatusOK {
-		t.Errorf("with room again: %+v", got)
+	for range 2 { // what one took is given back
+		if got := w.send(w.request("pay", strings.Repeat("x", 20), 3*time.Second)); got.code != http.StatusOK {
+			t.Errorf("within it: %+v", got)
+		}
 	}
-	w.until("the bodies to be given back", func() bool { return w.server.bodies.Load() == 0 })
 }
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -1,7 +1,6 @@
-// Package sidecar runs a balancer.Balancer on real sockets: one HTTP server
-// for the application, connections to endpoints, and a watch of discovery.
-// Every decision is the balancer's; this package carries it out and reports
-// what came of it.
+// Package sidecar is the platform's program: it reads the configuration that the
+// platform writes and puts an engine, the HTTP/1.1 front and upstream and the
+// discovery client together.
 package sidecar
 
 import (
@@ -14,8 +13,10 @@
 	"strings"
 	"time"
 
-	"peatpost/balancer"
-	"peatpost/internal/wire"
+	"pinedale/balancer"
+	"pinedale/internal/engine"
+	"pinedale/internal/membership/registry"
+	"pinedale/internal/wire"
 )
 
 // Config is what a sidecar is told at its start. Make one with LoadConfig.
@@ -27,7 +28,7 @@
 	Limits    Limits
 	Settings  balancer.Settings
 
-	known  registry
+	known  engine.List
 	zones  []string // names, by the numbers that the balancer uses
 	kinds  []string
 	fields []string      // of a load report, in the order of Settings.Fields
@@ -63,7 +64,7 @@
 		Discovery string          `json:"discovery"`
 		Seed      string          `json:"seed"`
 		Limits    Limits          `json:"limits"`
-		Known     registry        `json:"known"`
+		Known     json.RawMessage `json:"known"`
 		Settings  json.RawMessage `json:"settings"`
 	}
 	if err := json.Unmarshal(data, &file); err != nil {
@@ -84,11 +85,14 @@
 	if file.Limits.Sockets < leastSockets {
 		return nil, fmt.Errorf("limits.sockets: %d is under %d", file.Limits.Sockets, leastSockets)
 	}
-	if err := file.Known.validate(); err != nil {
-		return nil, fmt.Errorf("known: %w", err)
+	var known engine.List
+	if len(file.Known) > 0 {
+		if known, err = registry.Parse(file.Known); err != nil {
+			return nil, fmt.Errorf("known: %w", err)
+		}
 	}
 	cfg := &Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery,
-		Seed: seed, Limits: file.Limits, known: file.Known}
+		Seed: seed, Limits: file.Limits, known: known}
 	if err := cfg.readSettings(file.Settings); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
--- a/internal/sidecar/config_test.go
+++ b/internal/sidecar/config_test.go
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	"peatpost/balancer"
+	"pinedale/balancer"
 )
 
 // A configuration that makes no sense stops the program with the key at fault.
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -13,12 +13,16 @@
 	"testing"
 	"time"
 
-	"peatpost/balancer"
+	"pinedale/balancer"
+	"pinedale/internal/front/httpfront"
+	"pinedale/internal/httpmsg"
+	"pinedale/internal/intake"
+	"pinedale/internal/standin/peer"
 )
 
 func TestServesAndReusesConnections(t *testing.T) {
-	e := newEndpoint(t, always(served))
-	w := start(t, nil, ready("s-1", e.address))
+	e := peer.New(t, peer.Always(peer.Served))
+	w := start(t, nil, ready("s-1", e.Address))
 	for _, class := range []string{"read", "pay", "close", "order"} {
 		body := "body of " + class
 		if class == "read" {
@@ -28,7 +32,7 @@
 			t.Errorf("%s: got %+v", class, got)
 		}
 	}
-	if requests, conns := e.seen(); requests != 4 || conns != 1 {
+	if requests, conns := e.Seen(); requests != 4 || conns != 1 {
 		t.Errorf("%d requests on %d connections, want 4 on 1", requests, conns)
 	}
 }
@@ -36,12 +40,12 @@
 // How far a request is sent again follows from its class and from what is known
 // of the attempt before. All are seen by the client as one final answer.
 func TestResendLimits(t *testing.T) {
-	reset := func(e *endpoint, conn net.Conn, in *bufio.Reader) {
-		for e.next(in) != nil {
-			if n, _ := e.seen(); n == 1 {
+	reset := func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
+		for e.Next(in) != nil {
+			if n, _ := e.Seen(); n == 1 {
 				return
 			}
-			io.WriteString(conn, served)
+			io.WriteString(conn, peer.Served)
 		}
 	}
 	other := func(h host) host {
@@ -50,32 +54,32 @@
 	}
 	for _, c := range []struct {
 		name, class string
-		first       func(*endpoint, net.Conn, *bufio.Reader)
+		first       func(*peer.Endpoint, net.Conn, *bufio.Reader)
 		move        func(host) host // of the second endpoint
 		code        int
 		attempts    int
 	}{
 		{"safe after a reset", "read", reset, nil, 200, 2},
-		{"safe after an error", "read", then(failing, served), nil, 200, 2},
+		{"safe after an error", "read", peer.Then(peer.Failing, peer.Served), nil, 200, 2},
 		{"keyed after a reset", "pay", reset, nil, 200, 2},
 		{"keyed in its cell", "close", reset, nil, 200, 2},
 		{"keyed out of its cell", "close", reset, other, 502, 1},
-		{"keyed out of its cell, never ran", "close", then(full, served), other, 200, 2},
+		{"keyed out of its cell, never ran", "close", peer.Then(peer.Full, peer.Served), other, 200, 2},
 		{"unsafe after a reset", "order", reset, nil, 502, 1},
-		{"unsafe after an error", "order", then(failing, served), nil, 502, 1},
-		{"unsafe, never ran", "order", then(full, served), nil, 200, 2},
+		{"unsafe after an error", "order", peer.Then(peer.Failing, peer.Served), nil, 502, 1},
+		{"unsafe, never ran", "order", peer.Then(peer.Full, peer.Served), nil, 200, 2},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			// Both names lead to one endpoint: whichever is chosen first, the first attempt ends as scripted.
-			e := newEndpoint(t, c.first)
-			second := ready("s-2", e.address)
+			e := peer.New(t, c.first)
+			second := ready("s-2", e.Address)
 			if c.move != nil {
 				second = c.move(second)
 			}
-			w := start(t, nil, ready("s-1", e.address), second)
+			w := start(t, nil, ready("s-1", e.Address), second)
 			got := w.send(w.request(c.class, "x", 3*time.Second))
-			if n, _ := e.seen(); got.code != c.code || n != c.attempts || got.err != nil {
+			if n, _ := e.Seen(); got.code != c.code || n != c.attempts || got.err != nil {
 				t.Errorf("answer %d (%v) after %d attempts, want %d after %d", got.code, got.err, n, c.code, c.attempts)
 			}
 			if got.code == http.StatusOK && got.body != "done" {
@@ -88,8 +92,8 @@
 // Each attempt has one outcome, told in order, and the last says that the
 // request is settled.
 func TestOutcomesAreToldOnceAndInOrder(t *testing.T) {
-	e := newEndpoint(t, then(full, served))
-	w := start(t, nil, ready("s-1", e.address), ready("s-2", e.address))
+	e := peer.New(t, peer.Then(peer.Full, peer.Served))
+	w := start(t, nil, ready("s-1", e.Address), ready("s-2", e.Address))
 	w.send(w.request("order", "x", 3*time.Second))
 	w.until("two outcomes", func() bool { return len(w.spy.statuses()) >= 2 })
 	w.spy.mu.Lock()
@@ -111,10 +115,10 @@
 func TestDeadlineAnswer(t *testing.T) {
 	for class, code := range map[string]int{"read": 503, "pay": 503, "close": 502, "order": 502} {
 		t.Run(class, func(t *testing.T) {
-			e := newEndpoint(t, silent)
-			w := start(t, nil, ready("s-1", e.address))
+			e := peer.New(t, peer.Silent)
+			w := start(t, nil, ready("s-1", e.Address))
 			const left = 400 * time.Millisecond
-			sent := w.loop.clock.now()
+			sent := w.engine.Now()
 			got := w.send(w.request(class, "x", left))
 			if got.code != code {
 				t.Errorf("answer %d (%v), want %d", got.code, got.err, code)
@@ -129,16 +133,16 @@
 				return slices.Contains(w.spy.events, "timer")
 			})
 			w.do(func() {
-				if len(w.loop.requests) != 0 {
+				if n, _ := w.engine.Held(); n != 0 {
 					t.Error("the ledger still holds the request")
 				}
 			})
 			var given int64
-			given, _ = strconv.ParseInt(e.request(0).Header.Get("X-Time-Left-Ms"), 10, 64)
-			if most := left - answerMargin; given <= 0 || given > most.Milliseconds() {
+			given, _ = strconv.ParseInt(e.Request(0).Header.Get("X-Time-Left-Ms"), 10, 64)
+			if most := left - intake.AnswerMargin; given <= 0 || given > most.Milliseconds() {
 				t.Errorf("the endpoint was given %d ms of %v, want at most %v", given, left, most)
 			}
-			if took := time.Duration(w.loop.clock.now()-sent) * time.Microsecond; took < left/2 {
+			if took := time.Duration(w.engine.Now()-sent) * time.Microsecond; took < left/2 {
 				t.Errorf("the request was given up after %v of %v", took, left)
 			}
 		})
@@ -148,8 +152,8 @@
 // What the balancer gives up is answered at once, and the client is told when to
 // come back.
 func TestRefusedAtOnceWithRetryAfter(t *testing.T) {
-	e := newEndpoint(t, always(full))
-	w := start(t, nil, ready("s-1", e.address))
+	e := peer.New(t, peer.Always(peer.Full))
+	w := start(t, nil, ready("s-1", e.Address))
 	began := time.Now()
 	got := w.send(w.request("read", "", time.Minute))
 	after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
@@ -165,15 +169,15 @@
 // its connection, and its outcome is still told, settled.
 func TestClientGone(t *testing.T) {
 	closed := make(chan struct{})
-	e := newEndpoint(t, func(e *endpoint, conn net.Conn, in *bufio.Reader) {
-		e.next(in)
+	e := peer.New(t, func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
+		e.Next(in)
 		in.ReadByte() // until the sidecar closes the connection
 		close(closed)
 	})
-	w := start(t, nil, ready("s-1", e.address))
+	w := start(t, nil, ready("s-1", e.Address))
 	ctx, cancel := context.WithCancel(context.Background())
 	go w.send(w.request("pay", "x", time.Minute).WithContext(ctx))
-	w.until("the attempt", func() bool { n, _ := e.seen(); return n == 1 })
+	w.until("the attempt", func() bool { n, _ := e.Seen(); return n == 1 })
 	cancel()
 	select {
 	case <-closed:
@@ -194,15 +198,15 @@
 // A client that has only stopped sending has gone away, too, and must not read
 // a whole answer that no endpoint made.
 func TestHalfClosedClientGetsNoAnswer(t *testing.T) {
-	e := newEndpoint(t, silent)
-	w := start(t, nil, ready("s-1", e.address))
+	e := peer.New(t, peer.Silent)
+	w := start(t, nil, ready("s-1", e.Address))
 	conn, err := net.Dial("tcp", strings.TrimPrefix(w.url, "http://"))
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer conn.Close()
 	w.request("pay", "x", time.Minute).Write(conn)
-	w.until("the attempt", func() bool { n, _ := e.seen(); return n == 1 })
+	w.until("the attempt", func() bool { n, _ := e.Seen(); return n == 1 })
 	conn.(*net.TCPConn).CloseWrite()
 	conn.SetReadDeadline(time.Now().Add(patience))
 	if got, err := io.ReadAll(conn); len(got) > 0 {
@@ -214,16 +218,16 @@
 // and reaches nobody.
 func TestLateOutcome(t *testing.T) {
 	answer := make(chan struct{})
-	e := newEndpoint(t, func(e *endpoint, conn net.Conn, in *bufio.Reader) {
-		e.next(in)
+	e := peer.New(t, func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
+		e.Next(in)
 		<-answer
-		io.WriteString(conn, served)
+		io.WriteString(conn, peer.Served)
 	})
 	// Without leave to cancel, the attempt goes on after its request's end.
-	w := start(t, func(s map[string]any) { s["limits"].(map[string]any)["cancel"] = false }, ready("s-1", e.address))
+	w := start(t, func(s map[string]any) { s["limits"].(map[string]any)["cancel"] = false }, ready("s-1", e.Address))
 	ctx, cancel := context.WithCancel(context.Background())
 	go w.send(w.request("pay", "x", time.Minute).WithContext(ctx))
-	w.until("the attempt", func() bool { n, _ := e.seen(); return n == 1 })
+	w.until("the attempt", func() bool { n, _ := e.Seen(); return n == 1 })
 	cancel()
 	w.until("the client's going", func() bool {
 		w.spy.mu.Lock()
@@ -235,16 +239,16 @@
 	w.spy.mu.Lock()
 	defer w.spy.mu.Unlock()
 	if o := w.spy.outcomes[0]; o.Status != balancer.OK || !o.Settled {
-		t.Errorf("outcome %+v, want served and settled", o)
+		t.Errorf("outcome %+v, want peer.Served and settled", o)
 	}
 }
 
 // Malformed requests are answered with what is wrong, and reach no endpoint.
 func TestMalformedRequests(t *testing.T) {
-	e := newEndpoint(t, always(served))
+	e := peer.New(t, peer.Always(peer.Served))
 	w := start(t, func(s map[string]any) {
 		s["tenants"] = []any{map[string]any{"name": "acme", "share": 1, "allowance-per-s": 10}}
-	}, ready("s-1", e.address))
+	}, ready("s-1", e.Address))
 	for _, c := range []struct {
 		name  string
 		alter func(*http.Request)
@@ -264,7 +268,7 @@
 		{"two classes", func(r *http.Request) { r.Header.Add("X-Service-Class", "read") }, 400, "X-Service-Class"},
 		{"two ids", func(r *http.Request) { r.Header.Add("X-Correlation-Id", "9b1f03aa5c7e2d41") }, 400, "X-Correlation-Id"},
 		{"two keys", func(r *http.Request) { r.Header.Add("Idempotency-Key", "k") }, 400, "Idempotency-Key"},
-		{"an endless id", func(r *http.Request) { r.Header.Set("X-Correlation-Id", strings.Repeat("x", idMost+1)) }, 400, "X-Correlation-Id"},
+		{"an endless id", func(r *http.Request) { r.Header.Set("X-Correlation-Id", strings.Repeat("x", 257)) }, 400, "X-Correlation-Id"},
 		{"path of another class", func(r *http.Request) { r.URL.Path, r.URL.RawPath = "/read/x", "" }, 400, "path"},
 		{"path of no class", func(r *http.Request) { r.URL.Path, r.URL.RawPath = "/", "" }, 400, "path"},
 		{"time left with a sign", func(r *http.Request) { r.Header.Set("X-Time-Left-Ms", "+5") }, 400, "+5"},
@@ -273,11 +277,11 @@
 		{"bad hint", func(r *http.Request) { r.Header.Set("X-Weight-Hint", "heavy") }, 400, "heavy"},
 		{"unknown tenant", func(r *http.Request) { r.Header.Set("X-Account", "nobody") }, 400, "nobody"},
 		{"body too large", func(r *http.Request) {
-			r.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", bodyMost+1)))
-			r.ContentLength = bodyMost + 1
+			r.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", httpmsg.BodyMost+1)))
+			r.ContentLength = httpmsg.BodyMost + 1
 		}, 413, "65536"},
 		{"body too large, of unknown length", func(r *http.Request) {
-			r.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", bodyMost+1)))
+			r.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", httpmsg.BodyMost+1)))
 			r.ContentLength = -1
 		}, 413, "65536"},
 	} {
@@ -288,10 +292,10 @@
 			t.Errorf("%s: got %+v, want %d with %q", c.name, got, c.code, c.says)
 		}
 	}
-	if n, _ := e.seen(); n != 0 {
+	if n, _ := e.Seen(); n != 0 {
 		t.Errorf("%d malformed requests reached the endpoint", n)
 	}
-	r := w.request("pay", strings.Repeat("x", bodyMost), 3*time.Second)
+	r := w.request("pay", strings.Repeat("x", httpmsg.BodyMost), 3*time.Second)
 	r.Header.Set("X-Account", "acme")
 	r.Header.Set("X-Weight-Hint", "90000")
 	r.Header.Set("X-Session-Key", "7f3a9c21e0b4d655")
@@ -303,34 +307,31 @@
 // An endpoint told draining while a send to it waits for its connection gets
 // nothing, and the request goes elsewhere.
 func TestDrainDuringDialGoesElsewhere(t *testing.T) {
-	first, second := newEndpoint(t, always(served)), newEndpoint(t, always(served))
-	w := start(t, nil, ready("s-1", first.address))
+	first, second := peer.New(t, peer.Always(peer.Served)), peer.New(t, peer.Always(peer.Served))
 	dialling, go_ := make(chan struct{}), make(chan struct{})
-	w.loop.up.dialer.Control = func(_, address string, _ syscall.RawConn) error {
-		if address == first.address {
+	w := &world{t: t, dir: newDirectory(t, ready("s-1", first.Address))}
+	w.control = func(_, address string, _ syscall.RawConn) error {
+		if address == first.Address {
 			close(dialling)
 			<-go_
 		}
 		return nil
 	}
+	w.begin(nil, ready("s-1", first.Address))
 	answer := make(chan reply)
 	go func() { answer <- w.send(w.request("order", "x", time.Minute)) }()
 	<-dialling
-	draining := ready("s-1", first.address)
+	draining := ready("s-1", first.Address)
 	draining.Health = "Terminating"
 	w.dir.change(func() {
-		w.dir.list = registry{Seq: 1, Whole: true, Hosts: []host{draining, ready("s-2", second.address)}}
-	})
-	w.until("the news", func() bool {
-		moved := false
-		w.do(func() { moved = w.loop.fleet[1].target == nil && w.loop.fleet[2] != nil })
-		return moved
+		w.dir.list = document{Seq: 1, Whole: true, Hosts: []host{draining, ready("s-2", second.Address)}}
 	})
+	w.until("the news", func() bool { return w.spy.count(balancer.ListFull) == 1 })
 	close(go_)
 	if got := <-answer; got.code != http.StatusOK {
 		t.Errorf("answer %+v", got)
 	}
-	if n, _ := first.seen(); n != 0 {
+	if n, _ := first.Seen(); n != 0 {
 		t.Errorf("the draining endpoint got %d requests", n)
 	}
 	if all := w.spy.statuses(); !slices.Equal(all, []balancer.Status{balancer.Moot, balancer.OK}) {
@@ -338,20 +339,21 @@
 	}
 }
 
-// After SIGTERM, what was taken is served, idle connections are closed, new
+// After SIGTERM, what was taken is peer.Served, idle connections are closed, new
 // ones still come for a while, and the sidecar ends without error.
 func TestTermination(t *testing.T) {
 	answer := make(chan struct{})
-	e := newEndpoint(t, func(e *endpoint, conn net.Conn, in *bufio.Reader) {
-		for r := e.next(in); r != nil; r = e.next(in) {
+	e := peer.New(t, func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
+		for r := e.Next(in); r != nil; r = e.Next(in) {
 			if strings.HasPrefix(r.RequestURI, "/pay") {
 				<-answer
 			}
-			io.WriteString(conn, served)
+			io.WriteString(conn, peer.Served)
 		}
 	})
-	w := start(t, nil, ready("s-1", e.address))
-	w.server.acceptFor = 3 * time.Second // a busy machine may be slow to connect
+	w := startWith(t, nil, func(o *httpfront.Options) {
+		o.AcceptFor = 3 * time.Second // a busy machine may be slow to connect
+	}, ready("s-1", e.Address))
 	idle, err := net.Dial("tcp", strings.TrimPrefix(w.url, "http://"))
 	if err != nil {
 		t.Fatal(err)
@@ -367,13 +369,13 @@
 
 	held := make(chan reply)
 	go func() { held <- w.send(w.request("pay", "x", time.Minute)) }()
-	w.until("the request in hand", func() bool { n, _ := e.seen(); return n == 2 })
+	w.until("the request in hand", func() bool { n, _ := e.Seen(); return n == 2 })
 	w.stop()
 	idle.SetReadDeadline(time.Now().Add(patience))
 	if _, err := in.ReadByte(); err != io.EOF {
 		t.Errorf("the idle connection: %v, want its end", err)
 	}
-	// New connections are still served, one request each.
+	// New connections are still peer.Served, one request each.
 	conn, err := net.Dial("tcp", strings.TrimPrefix(w.url, "http://"))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/sidecar/world_test.go
+++ b/internal/sidecar/world_test.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -12,10 +11,14 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
-	"peatpost/balancer"
+	"pinedale/balancer"
+	"pinedale/internal/engine"
+	"pinedale/internal/front/httpfront"
+	"pinedale/internal/upstream/httpupstream"
 )
 
 // patience is how long a test waits for what must come.
@@ -31,113 +34,30 @@
  "limits":{"cancel":true,"dial-timeout":2000000,"keepalive":5000000,"max-retry-after":1500000,"most-held":1000,"most-tries":3,"multiplex":1,"probes":false,"retry-after":true,"second-copies":true},
  "reporting":{"how":"probe","fields":["failed_ps","pending"]},"peers-total":1,"position":0,"zone":0}`
 
-// endpoint is a TCP server whose answers a test writes byte by byte.
-type endpoint struct {
-	address string
-
-	mu       sync.Mutex
-	conns    int
-	requests []*http.Request // read by next
-}
-
-func newEndpoint(t *testing.T, serve func(e *endpoint, conn net.Conn, in *bufio.Reader)) *endpoint {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	e := &endpoint{address: listener.Addr().String()}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			e.mu.Lock()
-			e.conns++
-			e.mu.Unlock()
-			go func() {
-				defer conn.Close()
-				serve(e, conn, bufio.NewReader(conn))
-			}()
-		}
-	}()
-	return e
-}
-
-// next reads a whole request, or returns nil when the connection has ended.
-func (e *endpoint) next(in *bufio.Reader) *http.Request {
-	r, err := http.ReadRequest(in)
-	if err != nil {
-		return nil
-	}
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return nil
-	}
-	r.Body = io.NopCloser(strings.NewReader(string(body)))
-	e.mu.Lock()
-	e.requests = append(e.requests, r)
-	e.mu.Unlock()
-	return r
-}
-
-// seen counts the requests read and the connections accepted.
-func (e *endpoint) seen() (requests, conns int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return len(e.requests), e.conns
+// document and host are a list in discovery's form.
+type document struct {
+	Seq   uint64 `json:"seq"`
+	Whole bool   `json:"whole"`
+	Hosts []host `json:"hosts"`
 }
 
-// request returns one of the requests read.
-func (e *endpoint) request(i int) *http.Request {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.requests[i]
-}
-
-// always answers every request with the same bytes.
-func always(answer string) func(*endpoint, net.Conn, *bufio.Reader) {
-	return func(e *endpoint, conn net.Conn, in *bufio.Reader) {
-		for e.next(in) != nil {
-			io.WriteString(conn, answer)
-		}
-	}
-}
-
-const (
-	served  = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
-	failing = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"
-	full    = "HTTP/1.1 503 Service Unavailable\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"
-)
-
-// silent takes requests and never answers.
-func silent(e *endpoint, conn net.Conn, in *bufio.Reader) {
-	for e.next(in) != nil {
-	}
-}
-
-// then answers the first request in one way and all others in another, over
-// all connections.
-func then(first, rest string) func(*endpoint, net.Conn, *bufio.Reader) {
-	return func(e *endpoint, conn net.Conn, in *bufio.Reader) {
-		for e.next(in) != nil {
-			if n, _ := e.seen(); n == 1 {
-				io.WriteString(conn, first)
-			} else {
-				io.WriteString(conn, rest)
-			}
-		}
-	}
+type host struct {
+	Name   string  `json:"host"`
+	Dial   string  `json:"dial"`
+	Site   string  `json:"site"`
+	Class  string  `json:"class"`
+	Block  uint16  `json:"block"`
+	Health string  `json:"health"`
+	Share  float32 `json:"share"`
+	BornMS int64   `json:"born_ms"`
 }
 
 // directory is a discovery service with one list.
 type directory struct {
-	address string
+	Address string
 
 	mu     sync.Mutex
-	list   registry
+	list   document
 	down   bool
 	broken string // an answer to give in place of the list
 	calls  []string
@@ -147,12 +67,12 @@
 
 func newDirectory(t *testing.T, hosts ...host) *directory {
 	t.Helper()
-	d := &directory{list: registry{Whole: true, Hosts: hosts}, news: make(chan struct{})}
+	d := &directory{list: document{Whole: true, Hosts: hosts}, news: make(chan struct{})}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	d.address = listener.Addr().String()
+	d.Address = listener.Addr().String()
 	server := &http.Server{Handler: d, ConnState: func(_ net.Conn, state http.ConnState) {
 		switch state {
 		case http.StateNew:
@@ -188,7 +108,7 @@
 	case d.broken != "":
 		io.WriteString(w, d.broken)
 	case after == fmt.Sprint(d.list.Seq):
-		json.NewEncoder(w).Encode(registry{Seq: d.list.Seq, Hosts: []host{}})
+		json.NewEncoder(w).Encode(document{Seq: d.list.Seq, Hosts: []host{}})
 	default:
 		json.NewEncoder(w).Encode(d.list)
 	}
@@ -216,7 +136,7 @@
 
 // spy passes everything on to the balancer and keeps what it was told.
 type spy struct {
-	decider
+	engine.Decider
 	mu       sync.Mutex
 	outcomes []balancer.Outcome
 	events   []string
@@ -230,29 +150,29 @@
 		s.outcomes = append(s.outcomes, o)
 		s.events = append(s.events, "outcome")
 	})
-	s.decider.Outcome(now, o)
+	s.Decider.Outcome(now, o)
 }
 
 func (s *spy) Timer(now balancer.Micros, token uint32) {
 	if token >= 1<<20 { // names a request
 		s.note(func() { s.events = append(s.events, "timer") })
 	}
-	s.decider.Timer(now, token)
+	s.Decider.Timer(now, token)
 }
 
 func (s *spy) ClientGone(now balancer.Micros, id uint64) {
 	s.note(func() { s.events = append(s.events, "gone") })
-	s.decider.ClientGone(now, id)
+	s.Decider.ClientGone(now, id)
 }
 
 func (s *spy) Members(now balancer.Micros, kind balancer.ListKind, entries []balancer.Endpoint) {
-	s.decider.Members(now, kind, entries)
+	s.Decider.Members(now, kind, entries)
 	s.note(func() { s.lists = append(s.lists, kind) })
 }
 
 func (s *spy) Probed(now balancer.Micros, id uint32, status balancer.Status, latency balancer.Micros, load []float32) {
 	s.note(func() { s.probes, s.loads = append(s.probes, status), append(s.loads, load) })
-	s.decider.Probed(now, id, status, latency, load)
+	s.Decider.Probed(now, id, status, latency, load)
 }
 
 func (s *spy) note(f func()) {
@@ -273,14 +193,18 @@
 
 // world is a running sidecar with its surroundings.
 type world struct {
-	t      *testing.T
-	url    string
-	loop   *loop
-	server *server
-	spy    *spy
-	dir    *directory
-	stop   context.CancelFunc // as SIGTERM does
-	ended  chan error
+	t       *testing.T
+	url     string
+	cfg     *Config
+	engine  *engine.Engine
+	server  *httpfront.Server
+	most    int                                                    // connections of clients
+	control func(network, address string, c syscall.RawConn) error // of dials to endpoints
+	options func(*httpfront.Options)
+	spy     *spy
+	dir     *directory
+	stop    context.CancelFunc // as SIGTERM does
+	ended   chan error
 }
 
 // configure returns a configuration that knows the given list.
@@ -296,7 +220,7 @@
 	text, err := json.Marshal(map[string]any{
 		"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f30d27a5be964",
 		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 256},
-		"known":  registry{Whole: true, Hosts: hosts}, "settings": settings})
+		"known":  document{Whole: true, Hosts: hosts}, "settings": settings})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -310,8 +234,19 @@
 // start runs a sidecar that knows these endpoints, and waits until it is ready.
 func start(t *testing.T, alter func(settings map[string]any), hosts ...host) *world {
 	t.Helper()
-	w := &world{t: t, dir: newDirectory(t, hosts...)}
-	w.launch(configure(t, w.dir.address, alter, hosts...))
+	return startWith(t, alter, nil, hosts...)
+}
+
+// startWith is start with other options for the front.
+func startWith(t *testing.T, alter func(settings map[string]any), options func(*httpfront.Options), hosts ...host) *world {
+	t.Helper()
+	return (&world{t: t, options: options, dir: newDirectory(t, hosts...)}).begin(alter, hosts...)
+}
+
+func (w *world) begin(alter func(settings map[string]any), hosts ...host) *world {
+	t := w.t
+	t.Helper()
+	w.launch(configure(t, w.dir.Address, alter, hosts...))
 	w.until("ready", func() bool {
 		response, err := http.Get(w.url + "/health/ready")
 		if err != nil {
@@ -332,23 +267,37 @@
 	}
 	w.ended = make(chan error, 1)
 	w.url = "http://" + listener.Addr().String()
-	loopCtx, stopLoop := context.WithCancel(context.Background())
-	w.loop, err = newLoop(loopCtx, cfg, slog.New(slog.DiscardHandler))
+	engineCtx, stopEngine := context.WithCancel(context.Background())
+	log := slog.New(slog.DiscardHandler)
+	upOptions := upstreamOptions(cfg)
+	upOptions.Dialer.Control = w.control
+	up := httpupstream.New(upOptions)
+	options := engineOptions(cfg, up, log)
+	options.Wrap = func(d engine.Decider) engine.Decider {
+		w.spy = &spy{Decider: d}
+		return w.spy
+	}
+	w.cfg = cfg
+	w.engine, err = engine.New(engineCtx, options)
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	w.spy = &spy{decider: w.loop.balancer}
-	w.loop.balancer = w.spy
-	w.server = newServer(w.loop)
+	front := frontOptions(cfg, log)
+	if w.options != nil {
+		w.options(&front)
+	}
+	w.most = front.Connections
+	w.server = httpfront.New(w.engine, up, front)
+	go w.engine.Run()
 	ctx, stop := context.WithCancel(context.Background())
 	w.stop = stop
 	go func() {
-		w.ended <- w.server.serve(ctx, listener)
-		stopLoop()
+		w.ended <- w.server.Serve(ctx, listener)
+		stopEngine()
 	}()
 	w.t.Cleanup(func() {
 		stop()
-		w.server.http.Close()
+		w.server.Close()
 	})
 }
 
@@ -371,7 +320,7 @@
 func (w *world) do(f func()) {
 	w.t.Helper()
 	done := make(chan struct{})
-	w.loop.post(func(balancer.Micros) {
+	w.engine.Post(func(balancer.Micros) {
 		f()
 		close(done)
 	})
--- a/internal/sidecar/upstream.go
+++ b/internal/upstream/httpupstream/upstream.go
@@ -1,4 +1,5 @@
-package sidecar
+// Package httpupstream sends requests to endpoints over HTTP/1.1.
+package httpupstream
 
 import (
 	"bufio"
@@ -7,34 +8,31 @@
 	"errors"
 	"fmt"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"net/url"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
 
-	"peatpost/balancer"
+	"pinedale/balancer"
+	"pinedale/internal/engine"
+	"pinedale/internal/httpmsg"
 )
 
 const (
-	bodyMost     = 64 << 10               // bytes of a request's or an answer's body
-	headMost     = 32 << 10               // bytes of a request's head
 	answerMost   = 8 << 10                // bytes of an answer's head: each connection has a buffer of this size
 	answerRest   = 100 * time.Millisecond // from an answer's first byte to its last: four round trips between sites
 	interimMost  = 10                     // interim answers ahead of one that counts
-	figureMost   = 1e6                    // a larger figure in a load report is an error
 	probeTimeout = 400 * time.Millisecond
 )
 
-// upstream sends requests to endpoints. It does not use http.Transport, which
+// Upstream sends requests to endpoints. It does not use http.Transport, which
 // by itself repeats what it finds safe to repeat on a dead idle connection:
 // each such repetition would be an attempt that the balancer never decided.
-type upstream struct {
+type Upstream struct {
 	dialer   net.Dialer
 	idleMost time.Duration // idle connections are not used for longer
 	fields   []string      // of load reports
@@ -42,45 +40,19 @@
 	mu   sync.Mutex
 	open int // connections, those being dialled included
 	most int
-	idle map[*target][]*conn // by endpoint, the latest used last
-}
-
-// target is one life of an endpoint at one address. It is closed for good once
-// the endpoint is told draining or gone, or has restarted.
-type target struct {
-	address string
-	born    int64
-	closed  bool // under upstream.mu
+	idle map[*engine.Target][]*conn // by endpoint, the latest used last
 }
 
 // conn is a connection that carries one request at a time.
 type conn struct {
 	net.Conn
-	target *target
+	target *engine.Target
 	reader *bufio.Reader
 	limit  io.LimitedReader // of an answer
 	idleAt time.Time
 	used   bool // it has carried a request before
 }
 
-// message is a request as it goes to endpoints, any number of times.
-type message struct {
-	method string
-	url    *url.URL
-	host   string
-	header http.Header // X-Time-Left-Ms is written for each attempt
-	body   []byte
-}
-
-// result is what came of an attempt or a probe.
-type result struct {
-	status balancer.Status
-	header http.Header // of a whole answer 200, as is body
-	body   []byte
-	load   []float32
-	took   time.Duration // from the write to the end, without the time to connect
-}
-
 // Reasons for which the sidecar itself sends nothing.
 var (
 	errClosed = errors.New("the endpoint is draining or gone")
@@ -91,20 +63,54 @@
 // unsentError says that the last byte of a request was never written.
 type unsentError struct{ error }
 
-func newUpstream(cfg *Config, connections int) *upstream {
-	return &upstream{
-		dialer: net.Dialer{Timeout: time.Duration(cfg.Settings.Limits.DialTimeout) * time.Microsecond},
+// Options say how many connections may be held, and for how long.
+type Options struct {
+	DialTimeout time.Duration
+	Idle        time.Duration // after which an endpoint may close a connection
+	Connections int           // at most, those being dialled included
+	Fields      []string      // of load reports, in the order of the settings
+	Dialer      net.Dialer    // its Timeout is DialTimeout
+}
+
+// New returns an upstream with no connection open.
+func New(o Options) *Upstream {
+	o.Dialer.Timeout = o.DialTimeout
+	return &Upstream{
+		dialer: o.Dialer,
 		// An endpoint closes an idle connection when its time is over at the
 		// latest, and what is written to it from then on is lost.
-		idleMost: cfg.idle * 3 / 4,
-		fields:   cfg.fields, most: connections, idle: map[*target][]*conn{},
+		idleMost: o.Idle * 3 / 4,
+		fields:   o.Fields, most: o.Connections, idle: map[*engine.Target][]*conn{},
 	}
 }
 
+// carriage carries out the attempts of one request.
+type carriage struct {
+	up      *Upstream
+	message *engine.Message
+}
+
+// Carry returns a carrier for one request.
+func (u *Upstream) Carry(m *engine.Message) engine.Carrier { return &carriage{u, m} }
+
+// Attempt sends the request in a goroutine of its own.
+func (c *carriage) Attempt(a *engine.Attempt) {
+	ctx, cancel := context.WithDeadline(a.Context(), a.UntilTime())
+	a.Stop = cancel
+	go func() {
+		res := c.up.attempt(ctx, a.Target, c.message)
+		cancel()
+		a.Done(res)
+	}()
+}
+
+// Cancel closes the attempt's connection.
+func (c *carriage) Cancel(a *engine.Attempt) { a.Stop() }
+
 // attempt sends a request once and tells what came of it. Its outcome claims
 // that the request never ran only where the last byte was not written, or the
 // endpoint says so; in doubt it may have run.
-func (u *upstream) attempt(ctx context.Context, t *target, m *message) result {
+func (u *Upstream) attempt(ctx context.Context, t *engine.Target, m *engine.Message) engine.Result {
 	var response *http.Response
 	var body []byte
 	var start time.Time
@@ -112,30 +118,30 @@
 	for err == errStale { // nothing has been sent on that connection
 		c, unable := u.connect(ctx, t)
 		if unable != nil {
-			return result{status: unsent(ctx, unable)}
+			return engine.Result{Status: unsent(ctx, unable)}
 		}
 		start = time.Now()
 		response, body, err = u.exchange(ctx, c, m)
 	}
-	r := result{status: balancer.Error, took: time.Since(start)}
+	r := engine.Result{Status: balancer.Error, Took: time.Since(start)}
 	var never *unsentError
 	switch {
 	case errors.As(err, &never):
-		r.status = unsent(ctx, never.error)
+		r.Status = unsent(ctx, never.error)
 	case err != nil && over(ctx):
-		r.status = balancer.Timeout
+		r.Status = balancer.Timeout
 	case err != nil && ctx.Err() != nil:
-		r.status = balancer.Cancelled
+		r.Status = balancer.Cancelled
 	case err != nil:
-		r.status = balancer.Reset // a broken, cut or malformed answer: the connection is of no more use
+		r.Status = balancer.Reset // a broken, cut or malformed answer: the connection is of no more use
 	default:
-		r.load = u.loadReport(response.Header.Get("X-Backend-Load"))
+		r.Load = httpmsg.LoadReport(u.fields, response.Header.Get("X-Backend-Load"))
 		switch code := response.StatusCode; {
 		case code == http.StatusOK:
-			r.status, r.header, r.body = balancer.OK, response.Header, body
+			r.Status, r.Header, r.Body = balancer.OK, response.Header, body
 		case (code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout) &&
 			response.Header.Get("X-Unprocessed") == "1":
-			r.status = balancer.Full
+			r.Status = balancer.Full
 		}
 	}
 	return r
@@ -158,55 +164,29 @@
 	return balancer.ConnectFailed
 }
 
-// probe asks an endpoint for its load report, or for its health where the
+// Probe asks an endpoint for its load report, or for its health where the
 // deployment has no reports.
-func (u *upstream) probe(ctx context.Context, t *target) result {
+func (u *Upstream) Probe(ctx context.Context, t *engine.Target) engine.Result {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	m := &message{method: http.MethodGet, url: &url.URL{Path: "/health/live"}, host: t.address}
+	m := &engine.Message{Method: http.MethodGet, URL: &url.URL{Path: "/health/live"}, Host: t.Address}
 	if len(u.fields) > 0 {
-		m.url.Path = "/stats"
+		m.URL.Path = "/stats"
 	}
 	r := u.attempt(ctx, t, m)
-	if r.status == balancer.OK {
-		r.load = u.loadReport(string(r.body))
+	if r.Status == balancer.OK {
+		r.Load = httpmsg.LoadReport(u.fields, string(r.Body))
 	}
 	return r
 }
 
-// loadReport reads name=value pairs into the order of the settings. A figure
-// that is missing, repeated, malformed or beyond all sense is not a number,
-// which the balancer skips: it keeps what it knew.
-func (u *upstream) loadReport(text string) []float32 {
-	if text == "" || len(u.fields) == 0 {
-		return nil
-	}
-	load, seen := make([]float32, len(u.fields)), make([]bool, len(u.fields))
-	for i := range load {
-		load[i] = float32(math.NaN())
-	}
-	for pair := range strings.SplitSeq(strings.TrimSpace(text), ",") {
-		name, value, _ := strings.Cut(pair, "=")
-		i := slices.Index(u.fields, name)
-		if i < 0 {
-			continue
-		}
-		v, err := strconv.ParseFloat(value, 32)
-		if seen[i] || err != nil || !(v >= 0 && v <= figureMost) {
-			v = math.NaN()
-		}
-		load[i], seen[i] = float32(v), true
-	}
-	return load
-}
-
 // connect returns the connection to t that was used last, or opens one.
-func (u *upstream) connect(ctx context.Context, t *target) (*conn, error) {
+func (u *Upstream) connect(ctx context.Context, t *engine.Target) (*conn, error) {
 	c, err := u.reserve(t)
 	if c != nil || err != nil {
 		return c, err
 	}
-	raw, err := u.dialer.DialContext(ctx, "tcp", t.address)
+	raw, err := u.dialer.DialContext(ctx, "tcp", t.Address)
 	if err != nil {
 		u.mu.Lock()
 		u.open--
@@ -220,10 +200,10 @@
 }
 
 // reserve returns an idle connection, or none with the right to open one.
-func (u *upstream) reserve(t *target) (*conn, error) {
+func (u *Upstream) reserve(t *engine.Target) (*conn, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if t.closed {
+	if t.Closed() {
 		return nil, errClosed
 	}
 	for list := u.idle[t]; len(list) > 0; list = u.idle[t] {
@@ -251,16 +231,16 @@
 }
 
 // drop closes a connection. It holds u.mu.
-func (u *upstream) drop(c *conn) {
+func (u *Upstream) drop(c *conn) {
 	c.Close()
 	u.open--
 }
 
 // release keeps a connection for the next request, or closes it.
-func (u *upstream) release(c *conn, keep bool) {
+func (u *Upstream) release(c *conn, keep bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if !keep || c.target.closed {
+	if !keep || c.target.Closed() {
 		u.drop(c)
 		return
 	}
@@ -268,20 +248,18 @@
 	u.idle[c.target] = append(u.idle[c.target], c)
 }
 
-// retire closes a target for good, and its idle connections. What is out there
-// goes on.
-func (u *upstream) retire(t *target) {
+// Retire closes a target's idle connections. What is out there goes on.
+func (u *Upstream) Retire(t *engine.Target) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	t.closed = true
 	for _, c := range u.idle[t] {
 		u.drop(c)
 	}
 	delete(u.idle, t)
 }
 
-// prune closes connections that have been idle for too long.
-func (u *upstream) prune() {
+// Prune closes connections that have been idle for too long.
+func (u *Upstream) Prune() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for t, list := range u.idle {
@@ -314,21 +292,18 @@
 
 // exchange writes one request on a connection and reads the whole answer. It
 // gives the connection back.
-func (u *upstream) exchange(ctx context.Context, c *conn, m *message) (response *http.Response, body []byte, err error) {
+func (u *Upstream) exchange(ctx context.Context, c *conn, m *engine.Message) (response *http.Response, body []byte, err error) {
 	keep := false
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) }) // wakes a read or write
 	defer func() { u.release(c, stop() && keep) }()
 
-	data, err := m.encode(ctx)
+	data, err := encode(ctx, m)
 	if err != nil {
 		return nil, nil, &unsentError{err}
 	}
 	// The endpoint may have been told draining while the connection was
 	// dialled: nothing new may go there.
-	u.mu.Lock()
-	closed := c.target.closed
-	u.mu.Unlock()
-	if closed {
+	if c.target.Closed() {
 		return nil, nil, &unsentError{errClosed}
 	}
 	// Looked at last thing before the write: what has come by now was not asked
@@ -339,7 +314,7 @@
 	if n, err := c.Write(data); n < len(data) {
 		return nil, nil, &unsentError{err}
 	}
-	if response, body, err = c.receive(m.method); err != nil {
+	if response, body, err = c.receive(m.Method); err != nil {
 		return nil, nil, err
 	}
 	// Anything beyond the answer makes the connection useless: endpoints may send
@@ -352,7 +327,7 @@
 // length or complete chunks, not by the connection's end, nor by both, of which
 // http.ReadResponse hides one.
 func (c *conn) receive(method string) (*http.Response, []byte, error) {
-	c.limit.N = answerMost + bodyMost
+	c.limit.N = answerMost + httpmsg.BodyMost
 	defer c.SetReadDeadline(time.Time{})
 	for range interimMost {
 		if _, err := c.reader.Peek(1); err != nil {
@@ -373,17 +348,17 @@
 			c.SetReadDeadline(time.Time{})
 			continue
 		}
-		if response.StatusCode == http.StatusOK && (head.lengths > 1 || (head.lengths == 1) == head.coding) {
+		if response.StatusCode == http.StatusOK && (head.Lengths > 1 || (head.Lengths == 1) == head.Coding) {
 			return nil, nil, errors.New("the answer's length is not stated in one way")
 		}
-		if response.ContentLength > bodyMost {
+		if response.ContentLength > httpmsg.BodyMost {
 			return nil, nil, errLarge
 		}
-		body, err := io.ReadAll(io.LimitReader(response.Body, bodyMost+1))
+		body, err := io.ReadAll(io.LimitReader(response.Body, httpmsg.BodyMost+1))
 		if err != nil {
 			return nil, nil, err
 		}
-		if len(body) > bodyMost {
+		if len(body) > httpmsg.BodyMost {
 			return nil, nil, errLarge
 		}
 		return response, body, nil
@@ -391,36 +366,36 @@
 	return nil, nil, errors.New("interim answers without end")
 }
 
-var errLarge = fmt.Errorf("the answer's body is over %d bytes", bodyMost)
+var errLarge = fmt.Errorf("the answer's body is over %d bytes", httpmsg.BodyMost)
 
 // head waits for the whole head of the next answer and looks at its bytes, which
 // are left to be read.
-func (c *conn) head() (headScan, error) {
-	var h headScan
-	for h.end == 0 {
-		if _, err := c.reader.Peek(int(h.size) + 1); err != nil {
+func (c *conn) head() (httpmsg.HeadScan, error) {
+	var h httpmsg.HeadScan
+	for h.End == 0 {
+		if _, err := c.reader.Peek(int(h.Size) + 1); err != nil {
 			return h, err
 		}
 		all, err := c.reader.Peek(c.reader.Buffered())
 		if err != nil {
 			return h, err
 		}
-		h.scan(all[h.size:])
+		h.Scan(all[h.Size:])
 	}
 	return h, nil
 }
 
 // encode writes the request with the time that this attempt has left.
-func (m *message) encode(ctx context.Context) ([]byte, error) {
-	request := http.Request{Method: m.method, URL: m.url, Host: m.host, Header: http.Header{},
-		ContentLength: int64(len(m.body))}
-	endToEnd(request.Header, m.header)
+func encode(ctx context.Context, m *engine.Message) ([]byte, error) {
+	request := http.Request{Method: m.Method, URL: m.URL, Host: m.Host, Header: http.Header{},
+		ContentLength: int64(len(m.Body))}
+	httpmsg.EndToEnd(request.Header, m.Header)
 	if until, ok := ctx.Deadline(); ok {
 		left := max(0, time.Until(until).Milliseconds())
 		request.Header.Set("X-Time-Left-Ms", strconv.FormatInt(left, 10))
 	}
-	if len(m.body) > 0 {
-		request.Body = io.NopCloser(bytes.NewReader(m.body))
+	if len(m.Body) > 0 {
+		request.Body = io.NopCloser(bytes.NewReader(m.Body))
 	}
 	var data bytes.Buffer
 	if err := request.Write(&data); err != nil {
@@ -428,16 +403,3 @@
 	}
 	return data.Bytes(), nil
 }
-
-// hopByHop headers concern one connection only.
-var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Content-Length", "Expect"}
-
-// endToEnd copies the headers that are to be passed on.
-func endToEnd(to, from http.Header) {
-	for name, values := range from {
-		if !slices.Contains(hopByHop, name) {
-			to[name] = values
-		}
-	}
-}
--- a/internal/sidecar/upstream_test.go
+++ b/internal/upstream/httpupstream/upstream_test.go
@@ -1,4 +1,4 @@
-package sidecar
+package httpupstream
 
 import (
 	"bufio"
@@ -14,15 +14,22 @@
 	"testing"
 	"time"
 
-	"peatpost/balancer"
+	"pinedale/balancer"
+	"pinedale/internal/engine"
+	"pinedale/internal/httpmsg"
+	"pinedale/internal/standin/peer"
 )
 
-func newTestUpstream(t *testing.T, most int) *upstream {
-	return newUpstream(configure(t, "127.0.0.1:1", nil), most)
+// patience is how long a test waits for what must come.
+const patience = 20 * time.Second
+
+func newTestUpstream(t *testing.T, most int) *Upstream {
+	return New(Options{DialTimeout: 2 * time.Second, Idle: 5 * time.Second, Connections: most,
+		Fields: []string{"failed_ps", "pending"}})
 }
 
-func get(path string) *message {
-	return &message{method: http.MethodGet, url: &url.URL{Path: path}, host: "api", header: http.Header{
+func get(path string) *engine.Message {
+	return &engine.Message{Method: http.MethodGet, URL: &url.URL{Path: path}, Host: "api", Header: http.Header{
 		"X-Correlation-Id": {"1"}, "Idempotency-Key": {"k"}}}
 }
 
@@ -38,66 +45,66 @@
 
 // Each row of the table of outcomes, on a new connection.
 func TestOutcomes(t *testing.T) {
-	hangUp := func(answer string) func(*endpoint, net.Conn, *bufio.Reader) {
-		return func(e *endpoint, conn net.Conn, in *bufio.Reader) {
-			e.next(in)
+	hangUp := func(answer string) func(*peer.Endpoint, net.Conn, *bufio.Reader) {
+		return func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
+			e.Next(in)
 			io.WriteString(conn, answer)
 		}
 	}
 	for _, c := range []struct {
 		name  string
-		serve func(*endpoint, net.Conn, *bufio.Reader)
+		serve func(*peer.Endpoint, net.Conn, *bufio.Reader)
 		want  balancer.Status
 	}{
-		{"served", always(served), balancer.OK},
-		{"served after an interim answer", always("HTTP/1.1 103 Early Hints\r\n\r\n" + served), balancer.OK},
-		{"served in chunks", always("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n"), balancer.OK},
-		{"served with a copy behind", always(served + served), balancer.OK},
+		{"served", peer.Always(peer.Served), balancer.OK},
+		{"served after an interim answer", peer.Always("HTTP/1.1 103 Early Hints\r\n\r\n" + peer.Served), balancer.OK},
+		{"served in chunks", peer.Always("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n"), balancer.OK},
+		{"served with a copy behind", peer.Always(peer.Served + peer.Served), balancer.OK},
 		{"whole only by the connection's end", hangUp("HTTP/1.1 200 OK\r\n\r\ndone"), balancer.Reset},
-		{"whole in two ways", always("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n"), balancer.Reset},
-		{"the same length twice", always("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 4\r\n\r\ndone"), balancer.Reset},
-		{"two lengths", always("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 9\r\n\r\ndone"), balancer.Reset},
-		{"in two ways after interim answers", always("HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" +
+		{"whole in two ways", peer.Always("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n"), balancer.Reset},
+		{"the same length twice", peer.Always("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 4\r\n\r\ndone"), balancer.Reset},
+		{"two lengths", peer.Always("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 9\r\n\r\ndone"), balancer.Reset},
+		{"in two ways after interim answers", peer.Always("HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" +
 			"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n"), balancer.Reset},
-		{"interim answers without end", always(strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 1000)), balancer.Reset},
-		{"a length without end", always("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\ndone"), balancer.Reset},
-		{"stalled in its body", always("HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\ndone"), balancer.Reset},
-		{"stalled in its head", always("HTTP/1.1 200 OK\r\nContent-"), balancer.Reset},
-		{"a broken chunk", always("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\nzz\r\n"), balancer.Reset},
-		{"a broken status line", always("HTTP/1.1 2x0 OK\r\nContent-Length: 4\r\n\r\ndone"), balancer.Reset},
-		{"another protocol", always("ICY 200 OK\r\nContent-Length: 4\r\n\r\ndone"), balancer.Reset},
-		{"error", always(failing), balancer.Error},
-		{"an answer nobody expects", always("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"), balancer.Error},
-		{"full", always(full), balancer.Full},
-		{"over already", always("HTTP/1.1 504 Gateway Timeout\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"), balancer.Full},
-		{"503 without proof", always("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"), balancer.Error},
-		{"500 with a proof that it must not claim", always("HTTP/1.1 500 x\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"), balancer.Error},
+		{"interim answers without end", peer.Always(strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 1000)), balancer.Reset},
+		{"a length without end", peer.Always("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\ndone"), balancer.Reset},
+		{"stalled in its body", peer.Always("HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\ndone"), balancer.Reset},
+		{"stalled in its head", peer.Always("HTTP/1.1 200 OK\r\nContent-"), balancer.Reset},
+		{"a broken chunk", peer.Always("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\nzz\r\n"), balancer.Reset},
+		{"a broken status line", peer.Always("HTTP/1.1 2x0 OK\r\nContent-Length: 4\r\n\r\ndone"), balancer.Reset},
+		{"another protocol", peer.Always("ICY 200 OK\r\nContent-Length: 4\r\n\r\ndone"), balancer.Reset},
+		{"error", peer.Always(peer.Failing), balancer.Error},
+		{"an answer nobody expects", peer.Always("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"), balancer.Error},
+		{"full", peer.Always(peer.Full), balancer.Full},
+		{"over already", peer.Always("HTTP/1.1 504 Gateway Timeout\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"), balancer.Full},
+		{"503 without proof", peer.Always("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"), balancer.Error},
+		{"500 with a proof that it must not claim", peer.Always("HTTP/1.1 500 x\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"), balancer.Error},
 		{"closed after the request", hangUp(""), balancer.Reset},
 		{"cut in its body", hangUp("HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\ndone"), balancer.Reset},
 		{"cut in a chunk", hangUp("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n"), balancer.Reset},
 		{"cut in its head", hangUp("HTTP/1.1 200 OK\r\nContent-"), balancer.Reset},
 		{"503 cut before it is whole", hangUp("HTTP/1.1 503 x\r\nX-Unprocessed: 1\r\nContent-Length: 9\r\n\r\n"), balancer.Reset},
-		{"malformed", always("nonsense\r\n\r\n"), balancer.Reset},
-		{"malformed length", always("HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\ndone"), balancer.Reset},
-		{"body too large", always("HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + strings.Repeat("x", 65537)), balancer.Reset},
-		{"head without end", always("HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 200<<10)), balancer.Reset},
-		{"silent", silent, balancer.Timeout},
+		{"malformed", peer.Always("nonsense\r\n\r\n"), balancer.Reset},
+		{"malformed length", peer.Always("HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\ndone"), balancer.Reset},
+		{"body too large", peer.Always("HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + strings.Repeat("x", 65537)), balancer.Reset},
+		{"head without end", peer.Always("HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 200<<10)), balancer.Reset},
+		{"silent", peer.Silent, balancer.Timeout},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			e, wait := newEndpoint(t, c.serve), patience
+			e, wait := peer.New(t, c.serve), patience
 			if c.want == balancer.Timeout {
 				wait = 50 * time.Millisecond
 			}
 			ctx, cancel := context.WithTimeout(context.Background(), wait)
 			defer cancel()
 			u := newTestUpstream(t, 4)
-			r := u.attempt(ctx, &target{address: e.address}, get("/"))
-			if r.status != c.want {
-				t.Errorf("status %v, want %v", r.status, c.want)
+			r := u.attempt(ctx, &engine.Target{Address: e.Address}, get("/"))
+			if r.Status != c.want {
+				t.Errorf("status %v, want %v", r.Status, c.want)
 			}
-			if r.status == balancer.OK && string(r.body) != "done" {
-				t.Errorf("body %q", r.body)
+			if r.Status == balancer.OK && string(r.Body) != "done" {
+				t.Errorf("body %q", r.Body)
 			}
 		})
 	}
@@ -106,9 +113,9 @@
 func TestConnectionRefusedNeverRan(t *testing.T) {
 	u := newTestUpstream(t, 1)
 	for range 2 { // a failed connection gives its place back
-		r := u.attempt(context.Background(), &target{address: closedAddress(t)}, get("/"))
-		if r.status != balancer.ConnectFailed {
-			t.Errorf("status %v, want ConnectFailed", r.status)
+		r := u.attempt(context.Background(), &engine.Target{Address: closedAddress(t)}, get("/"))
+		if r.Status != balancer.ConnectFailed {
+			t.Errorf("status %v, want ConnectFailed", r.Status)
 		}
 	}
 }
@@ -121,9 +128,9 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	r := u.attempt(context.Background(), &target{address: closedAddress(t)}, get("/"))
-	if r.status != balancer.ConnectFailed {
-		t.Errorf("status %v, want ConnectFailed", r.status)
+	r := u.attempt(context.Background(), &engine.Target{Address: closedAddress(t)}, get("/"))
+	if r.Status != balancer.ConnectFailed {
+		t.Errorf("status %v, want ConnectFailed", r.Status)
 	}
 }
 
@@ -153,25 +160,25 @@
 	u := newTestUpstream(t, 1)
 	u.dialer.Control = small(syscall.SO_SNDBUF)
 	m := get("/")
-	m.method, m.body = http.MethodPost, make([]byte, bodyMost)
-	if r := u.attempt(context.Background(), &target{address: listener.Addr().String()}, m); r.status != balancer.ConnectFailed {
-		t.Errorf("status %v, want ConnectFailed", r.status)
+	m.Method, m.Body = http.MethodPost, make([]byte, httpmsg.BodyMost)
+	if r := u.attempt(context.Background(), &engine.Target{Address: listener.Addr().String()}, m); r.Status != balancer.ConnectFailed {
+		t.Errorf("status %v, want ConnectFailed", r.Status)
 	}
 }
 
 // What goes to an endpoint is the client's request, with the time that is left.
 func TestRequestGoesOnUnchanged(t *testing.T) {
-	e := newEndpoint(t, always(served))
+	e := peer.New(t, peer.Always(peer.Served))
 	at, _ := url.Parse("/pay/x%2Fy?q=1&r=%20")
-	m := &message{method: http.MethodPost, url: at, host: "api.internal", body: []byte("body"),
-		header: http.Header{"X-Correlation-Id": {"9b"}, "Idempotency-Key": {"5c"}, "X-Time-Left-Ms": {"99999"},
+	m := &engine.Message{Method: http.MethodPost, URL: at, Host: "api.internal", Body: []byte("body"),
+		Header: http.Header{"X-Correlation-Id": {"9b"}, "Idempotency-Key": {"5c"}, "X-Time-Left-Ms": {"99999"},
 			"Connection": {"close"}, "Expect": {"100-continue"}, "Content-Length": {"7"}}}
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	if r := newTestUpstream(t, 1).attempt(ctx, &target{address: e.address}, m); r.status != balancer.OK {
-		t.Fatalf("status %v", r.status)
+	if r := newTestUpstream(t, 1).attempt(ctx, &engine.Target{Address: e.Address}, m); r.Status != balancer.OK {
+		t.Fatalf("status %v", r.Status)
 	}
-	got := e.request(0)
+	got := e.Request(0)
 	body, _ := io.ReadAll(got.Body)
 	if got.Method != "POST" || got.RequestURI != "/pay/x%2Fy?q=1&r=%20" || got.Host != "api.internal" ||
 		string(body) != "body" || got.Header.Get("X-Correlation-Id") != "9b" || got.Header.Get("Idempotency-Key") != "5c" {
@@ -191,20 +198,20 @@
 // reason to send that request again: http.Transport would, for a GET or with an
 // Idempotency-Key, on a connection that had been idle.
 func TestNoHiddenResend(t *testing.T) {
-	e := newEndpoint(t, func(e *endpoint, conn net.Conn, in *bufio.Reader) {
-		if e.next(in) != nil {
-			io.WriteString(conn, served)
-			e.next(in) // and end without an answer
+	e := peer.New(t, func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
+		if e.Next(in) != nil {
+			io.WriteString(conn, peer.Served)
+			e.Next(in) // and end without an answer
 		}
 	})
-	u, at := newTestUpstream(t, 4), &target{address: e.address}
-	if r := u.attempt(context.Background(), at, get("/1")); r.status != balancer.OK {
-		t.Fatalf("first: status %v", r.status)
+	u, at := newTestUpstream(t, 4), &engine.Target{Address: e.Address}
+	if r := u.attempt(context.Background(), at, get("/1")); r.Status != balancer.OK {
+		t.Fatalf("first: status %v", r.Status)
 	}
-	if r := u.attempt(context.Background(), at, get("/2")); r.status != balancer.Reset {
-		t.Errorf("second: status %v, want Reset", r.status)
+	if r := u.attempt(context.Background(), at, get("/2")); r.Status != balancer.Reset {
+		t.Errorf("second: status %v, want Reset", r.Status)
 	}
-	if requests, conns := e.seen(); requests != 2 || conns != 1 {
+	if requests, conns := e.Seen(); requests != 2 || conns != 1 {
 		t.Errorf("%d requests on %d connections, want 2 on 1", requests, conns)
 	}
 }
@@ -213,16 +220,16 @@
 // request would end as a reset that may have run.
 func TestStaleIdleConnection(t *testing.T) {
 	closed := make(chan struct{}, 2)
-	e := newEndpoint(t, func(e *endpoint, conn net.Conn, in *bufio.Reader) {
-		e.next(in)
-		io.WriteString(conn, served)
+	e := peer.New(t, func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
+		e.Next(in)
+		io.WriteString(conn, peer.Served)
 		conn.Close()
 		closed <- struct{}{}
 	})
-	u, at := newTestUpstream(t, 1), &target{address: e.address}
+	u, at := newTestUpstream(t, 1), &engine.Target{Address: e.Address}
 	for i := range 2 {
-		if r := u.attempt(context.Background(), at, get("/")); r.status != balancer.OK {
-			t.Fatalf("attempt %d: status %v, want OK", i, r.status)
+		if r := u.attempt(context.Background(), at, get("/")); r.Status != balancer.OK {
+			t.Fatalf("attempt %d: status %v, want OK", i, r.Status)
 		}
 		<-closed
 		await(t, "the end of the connection to arrive", func() bool {
@@ -236,84 +243,85 @@
 // Idle connections are retired before the endpoint's own limit, both when one is
 // asked for and by the regular sweep.
 func TestIdleConnectionsAreRetiredEarly(t *testing.T) {
-	e := newEndpoint(t, always(served))
-	u, at := newTestUpstream(t, 4), &target{address: e.address}
+	e := peer.New(t, peer.Always(peer.Served))
+	u, at := newTestUpstream(t, 4), &engine.Target{Address: e.Address}
 	if limit := 5 * time.Second; u.idleMost > limit*4/5 {
 		t.Errorf("idle connections are used for %v of %v", u.idleMost, limit)
 	}
 	attempt := func() {
 		t.Helper()
-		if r := u.attempt(context.Background(), at, get("/")); r.status != balancer.OK {
-			t.Fatalf("status %v", r.status)
+		if r := u.attempt(context.Background(), at, get("/")); r.Status != balancer.OK {
+			t.Fatalf("status %v", r.Status)
 		}
 	}
 	attempt()
 	u.idle[at][0].idleAt = time.Now().Add(-u.idleMost)
 	attempt()
-	if _, conns := e.seen(); conns != 2 {
+	if _, conns := e.Seen(); conns != 2 {
 		t.Errorf("%d connections, want a second one after the idle time", conns)
 	}
-	u.prune()
+	u.Prune()
 	if u.open != 1 {
 		t.Errorf("the sweep left %d connections open, want the one in use lately", u.open)
 	}
 	u.idle[at][0].idleAt = time.Now().Add(-u.idleMost)
-	u.prune()
+	u.Prune()
 	if u.open != 0 || len(u.idle[at]) != 0 {
 		t.Errorf("the sweep left %d open connections", u.open)
 	}
 	attempt()
-	if u.retire(at); u.open != 0 {
+	if u.Retire(at); u.open != 0 {
 		t.Errorf("an endpoint that is gone keeps %d connections", u.open)
 	}
 }
 
 // The descriptors are bounded: an idle connection makes room, a busy one does not.
 func TestConnectionsAreBounded(t *testing.T) {
-	quick, slow := newEndpoint(t, always(served)), newEndpoint(t, silent)
+	quick, slow := peer.New(t, peer.Always(peer.Served)), peer.New(t, peer.Silent)
 	u := newTestUpstream(t, 1)
-	if r := u.attempt(context.Background(), &target{address: quick.address}, get("/")); r.status != balancer.OK {
-		t.Fatalf("status %v", r.status)
+	if r := u.attempt(context.Background(), &engine.Target{Address: quick.Address}, get("/")); r.Status != balancer.OK {
+		t.Fatalf("status %v", r.Status)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	busy := make(chan result)
-	go func() { busy <- u.attempt(ctx, &target{address: slow.address}, get("/")) }()
-	await(t, "the slow endpoint's request", func() bool { n, _ := slow.seen(); return n == 1 })
-	if r := u.attempt(context.Background(), &target{address: quick.address}, get("/")); r.status != balancer.Moot {
-		t.Errorf("beyond the limit: status %v, want Moot", r.status)
+	busy := make(chan engine.Result)
+	go func() { busy <- u.attempt(ctx, &engine.Target{Address: slow.Address}, get("/")) }()
+	await(t, "the slow endpoint's request", func() bool { n, _ := slow.Seen(); return n == 1 })
+	if r := u.attempt(context.Background(), &engine.Target{Address: quick.Address}, get("/")); r.Status != balancer.Moot {
+		t.Errorf("beyond the limit: status %v, want Moot", r.Status)
 	}
 	cancel()
-	if r := <-busy; r.status != balancer.Cancelled {
-		t.Errorf("called off: status %v, want Cancelled", r.status)
+	if r := <-busy; r.Status != balancer.Cancelled {
+		t.Errorf("called off: status %v, want Cancelled", r.Status)
 	}
-	if r := u.attempt(context.Background(), &target{address: quick.address}, get("/")); r.status != balancer.OK {
-		t.Errorf("with room again: status %v, want OK", r.status)
+	if r := u.attempt(context.Background(), &engine.Target{Address: quick.Address}, get("/")); r.Status != balancer.OK {
+		t.Errorf("with room again: status %v, want OK", r.Status)
 	}
 }
 
 // A send that waited for its connection must not start once its endpoint drains.
 func TestDrainDuringDial(t *testing.T) {
-	e := newEndpoint(t, always(served))
-	u, at := newTestUpstream(t, 1), &target{address: e.address}
+	e := peer.New(t, peer.Always(peer.Served))
+	u, at := newTestUpstream(t, 1), &engine.Target{Address: e.Address}
 	dialling, go_ := make(chan struct{}), make(chan struct{})
 	u.dialer.Control = func(_, _ string, _ syscall.RawConn) error {
 		close(dialling)
 		<-go_
 		return nil
 	}
-	done := make(chan result)
+	done := make(chan engine.Result)
 	go func() { done <- u.attempt(context.Background(), at, get("/")) }()
 	<-dialling
-	u.retire(at)
+	at.Close()
+	u.Retire(at)
 	close(go_)
-	if r := <-done; r.status != balancer.Moot {
-		t.Errorf("status %v, want Moot", r.status)
+	if r := <-done; r.Status != balancer.Moot {
+		t.Errorf("status %v, want Moot", r.Status)
 	}
-	if n, _ := e.seen(); n != 0 {
+	if n, _ := e.Seen(); n != 0 {
 		t.Errorf("the draining endpoint got %d requests", n)
 	}
-	if r := u.attempt(context.Background(), at, get("/")); r.status != balancer.Moot || u.open != 0 {
-		t.Errorf("later: status %v, want Moot; %d connections open", r.status, u.open)
+	if r := u.attempt(context.Background(), at, get("/")); r.Status != balancer.Moot || u.open != 0 {
+		t.Errorf("later: status %v, want Moot; %d connections open", r.Status, u.open)
 	}
 }
 
@@ -336,17 +344,17 @@
 		{"turned away", "HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n", balancer.Error, nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			e := newEndpoint(t, always(c.answer))
-			r := newTestUpstream(t, 1).probe(context.Background(), &target{address: e.address})
-			for i, v := range r.load {
+			e := peer.New(t, peer.Always(c.answer))
+			r := newTestUpstream(t, 1).Probe(context.Background(), &engine.Target{Address: e.Address})
+			for i, v := range r.Load {
 				if v != v {
-					r.load[i] = -1
+					r.Load[i] = -1
 				}
 			}
-			if r.status != c.status || !slices.Equal(r.load, c.load) {
-				t.Errorf("status %v, load %v; want %v, %v", r.status, r.load, c.status, c.load)
+			if r.Status != c.status || !slices.Equal(r.Load, c.load) {
+				t.Errorf("status %v, load %v; want %v, %v", r.Status, r.Load, c.status, c.load)
 			}
-			if path := e.request(0).RequestURI; path != "/stats" {
+			if path := e.Request(0).RequestURI; path != "/stats" {
 				t.Errorf("asked %s", path)
 			}
 		})
@@ -360,9 +368,9 @@
 	for name, late := range map[string]bool{"at once": false, "later": true} {
 		t.Run(name, func(t *testing.T) {
 			rest := make(chan struct{})
-			e := newEndpoint(t, func(e *endpoint, conn net.Conn, in *bufio.Reader) {
-				for r := e.next(in); r != nil; r = e.next(in) {
-					own := strings.Replace(served, "done", r.URL.Path[1:5], 1)
+			e := peer.New(t, func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
+				for r := e.Next(in); r != nil; r = e.Next(in) {
+					own := strings.Replace(peer.Served, "done", r.URL.Path[1:5], 1)
 					if !late {
 						own += own
 					}
@@ -373,18 +381,18 @@
 					}
 				}
 			})
-			u, at := newTestUpstream(t, 4), &target{address: e.address}
-			if r := u.attempt(context.Background(), at, get("/one.")); r.status != balancer.OK || string(r.body) != "one." {
-				t.Fatalf("first: status %v, body %q", r.status, r.body)
+			u, at := newTestUpstream(t, 4), &engine.Target{Address: e.Address}
+			if r := u.attempt(context.Background(), at, get("/one.")); r.Status != balancer.OK || string(r.Body) != "one." {
+				t.Fatalf("first: status %v, body %q", r.Status, r.Body)
 			}
 			close(rest)
 			if late {
 				await(t, "the rest to arrive", func() bool { return !u.idle[at][0].alive() })
 			}
-			if r := u.attempt(context.Background(), at, get("/two.")); r.status != balancer.OK || string(r.body) != "two." {
-				t.Errorf("second: status %v, body %q", r.status, r.body)
+			if r := u.attempt(context.Background(), at, get("/two.")); r.Status != balancer.OK || string(r.Body) != "two." {
+				t.Errorf("second: status %v, body %q", r.Status, r.Body)
 			}
-			if _, conns := e.seen(); conns != 2 {
+			if _, conns := e.Seen(); conns != 2 {
 				t.Errorf("%d connections, want 2", conns)
 			}
 		})
@@ -395,21 +403,30 @@
 // to begin, also after an interim answer.
 func TestSlowAnswersAreAwaited(t *testing.T) {
 	for name, first := range map[string]string{"plain": "", "after an interim answer": "HTTP/1.1 102 Processing\r\n\r\n"} {
-		e := newEndpoint(t, func(e *endpoint, conn net.Conn, in *bufio.Reader) {
-			for e.next(in) != nil {
+		e := peer.New(t, func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
+			for e.Next(in) != nil {
 				io.WriteString(conn, first)
 				time.Sleep(2 * answerRest)
-				io.WriteString(conn, served)
+				io.WriteString(conn, peer.Served)
 			}
 		})
-		u, at := newTestUpstream(t, 1), &target{address: e.address}
+		u, at := newTestUpstream(t, 1), &engine.Target{Address: e.Address}
 		for range 2 { // on a new connection and on a used one
-			if r := u.attempt(context.Background(), at, get("/")); r.status != balancer.OK {
-				t.Errorf("%s: status %v, want OK", name, r.status)
+			if r := u.attempt(context.Background(), at, get("/")); r.Status != balancer.OK {
+				t.Errorf("%s: status %v, want OK", name, r.Status)
 			}
 		}
-		if _, conns := e.seen(); conns != 1 {
+		if _, conns := e.Seen(); conns != 1 {
 			t.Errorf("%s: %d connections, want 1", name, conns)
 		}
 	}
 }
+
+func await(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !is(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("waited in vain for: %s", what)
+		}
+	}
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"strings"
 
-	"peatpost/balancer"
+	"pinedale/balancer"
 )
 
 // settingsText holds the pairs of a config text and the first error met.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 	"io"
 	"math"
 
-	"peatpost/balancer"
+	"pinedale/balancer"
 )
 
 // Code numbers an event or an action; the two have separate code spaces.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -10,7 +10,7 @@
 	"strings"
 	"testing"
 
-	"peatpost/balancer"
+	"pinedale/balancer"
 )
 
 func unhex(t testing.TB, parts ...string) []byte {
