pinedale-site with a TOML operator's file, and the ledger of verdicts for an external processor

Other proxies are to ask pinedale on each request. What is new: cmd/pinedale-site (serve, check), internal/site (file with line, key and reason for every fault), internal/verdict (which asks mean one effect, what may be told again; no I/O), internal/front/extproc (the gRPC service, not yet covered by tests of its own). The decision module takes bounds with a request (attempts, no second copies, an earlier attempt that may have run) and believes an outcome of another endpoint.

--- a/balancer/api.go
+++ b/balancer/api.go
@@ -222,6 +222,20 @@
 	Write    bool
 	Tenant   uint16
 	Class    uint8
+	Attempts int  // at most so many, where that is fewer than the limits permit; 0 for as many
+	NoCopies bool // no second copy beside an attempt that is out, whatever the limits permit
+
+	// MayHaveRun says that an attempt at the same effect was made before this
+	// request was taken, which may have run: it counts as the first attempt does.
+	MayHaveRun bool
+	Earlier    Earlier
+}
+
+// Earlier is an attempt made before a request was taken.
+type Earlier struct {
+	At   Micros
+	Zone uint8
+	Cell uint16
 }
 
 // Status says how an attempt or a probe ended.
@@ -243,8 +257,8 @@
 // Outcome tells how an attempt ended. Load is valid during the call only.
 type Outcome struct {
 	ID       uint64
-	Attempt  int // the attempts of a request count from 0 as sent
-	Endpoint uint32
+	Attempt  int    // the attempts of a request count from 0 as sent
+	Endpoint uint32 // that had it: what carries attempts out may have gone elsewhere than it was told
 	Status   Status
 	Latency  Micros
 	Settled  bool // the request has its final answer
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -99,7 +99,8 @@
 // maySend says whether the rules allow an attempt at e now.
 func (b *Balancer) maySend(now Micros, r *request, e *endpoint) bool {
 	if r.ended || r.stream || r.waits(b.s.Limits.SecondCopies) || now >= r.Deadline ||
-		len(r.attempts) >= b.s.Limits.MaxAttempts || e.State != Ready {
+		len(r.attempts) >= b.s.Limits.MaxAttempts || r.Attempts > 0 && len(r.attempts) >= r.Attempts ||
+		e.State != Ready {
 		return false
 	}
 	if e.cold(now, b) && !b.coldRoom(now, e, r.work) {
@@ -212,6 +213,13 @@
 	return forget
 }
 
+// cleanUp drops an endpoint if it is to be forgotten: the next list may be long in coming.
+func (b *Balancer) cleanUp(e *endpoint) {
+	if b.forgotten(e) {
+		b.list = slices.DeleteFunc(b.list, func(o *endpoint) bool { return o == e })
+	}
+}
+
 func (b *Balancer) entry(now Micros, in *Endpoint, probe bool) {
 	e := b.byID[in.ID]
 	fresh := e == nil
@@ -863,7 +871,7 @@
 		return
 	}
 	a.late = true
-	if b.s.Limits.SecondCopies && b.copies >= 1 && b.attempt(now, r, false) {
+	if b.s.Limits.SecondCopies && !r.NoCopies && b.copies >= 1 && b.attempt(now, r, false) {
 		b.copies--
 	}
 }
@@ -884,12 +892,17 @@
 		return
 	}
 	a := &r.attempts[o.Attempt]
+	if e := b.byID[o.Endpoint]; e != nil && e != a.ep {
+		// It went elsewhere: what it tells, and where repeats of it are dropped, goes by that endpoint.
+		a.ep.inflight--
+		b.cleanUp(a.ep)
+		e.inflight++
+		a.ep, a.zone, a.cell = e, e.Zone, e.Cell
+	}
 	a.out = false
 	r.out--
 	a.ep.inflight--
-	if b.forgotten(a.ep) { // the next list may be long in coming
-		b.list = slices.DeleteFunc(b.list, func(e *endpoint) bool { return e == a.ep })
-	}
+	b.cleanUp(a.ep)
 	if o.Status == Full || o.Status == ConnectFailed || o.Status == Moot {
 		a.mayRun = false
 	}
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -69,6 +69,7 @@
 	work     float64
 	value    float64 // of its class and tenant, 0 to 1, when last decided
 	hint     float64 // logarithm of its hint over the mean of its class
+	earlier  attempt // made before this request was taken; of use if MayHaveRun
 	attempts []attempt
 	out      int     // attempts without outcome
 	ended    bool    // the final answer is out
@@ -220,6 +221,7 @@
 	// The high bits count uses of the slot, so that an old timer finds nothing.
 	r.token += 1 << slotBits
 	r.Request, r.arrived, r.attempts, r.out, r.ended, r.stream = in, now, r.attempts[:0], 0, false, false
+	r.earlier = attempt{at: in.Earlier.At, zone: in.Earlier.Zone, cell: in.Earlier.Cell}
 	r.good, r.pass, r.held, r.awaits = 0, false, false, r.awaits[:0]
 	b.requests[in.ID] = r
 	b.open++
@@ -228,6 +230,9 @@
 
 // bound returns the first attempt that may have run, or nil.
 func (r *request) bound() *attempt {
+	if r.MayHaveRun {
+		return &r.earlier
+	}
 	if i := slices.IndexFunc(r.attempts, func(a attempt) bool { return a.mayRun }); i >= 0 {
 		return &r.attempts[i]
 	}
@@ -237,7 +242,7 @@
 // waits says whether r has an attempt out that is to be waited for: any, or where second copies may be sent,
 // one that is not late.
 func (r *request) waits(copies bool) bool {
-	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.out && !(copies && a.late) })
+	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.out && !(copies && a.late && !r.NoCopies) })
 }
 
 func (r *request) tried(e *endpoint) bool {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -122,6 +122,7 @@
 	ids       map[string]uint32 // of endpoints, by host name
 	lastEP    uint32            // the latest id given; none is given twice
 	fleet     map[uint32]*member
+	addresses map[string]uint32 // of ready endpoints
 	source    Source
 	seq       *uint64 // version of the last list, if there was any
 	stopWatch context.CancelFunc
@@ -134,6 +135,7 @@
 		opts: o, log: o.Log, clock: clock{time.Now()}, ctx: ctx, source: o.Source,
 		events:   make(chan func(balancer.Micros), eventsMost),
 		requests: map[uint64]*Request{}, ids: map[string]uint32{}, fleet: map[uint32]*member{},
+		addresses: map[string]uint32{},
 		stopWatch: func() {},
 	}
 	b, err := balancer.New(o.Settings, o.Seed, (*actions)(e))
--- a/internal/engine/ledger.go
+++ b/internal/engine/ledger.go
@@ -30,6 +30,8 @@
 	Endpoint uint32
 	Target   *Target         // where it goes
 	Until    balancer.Micros // when it is to be given up
+	Zone     uint8           // of the endpoint, as is Cell, when the attempt was decided
+	Cell     uint16
 
 	// Stop is the carrier's own: what ends the attempt.
 	Stop func()
@@ -40,15 +42,6 @@
 	ended   atomic.Bool
 }
 
-// Name is the endpoint's name in the list, "" once it is forgotten. It must be
-// called on the engine's goroutine.
-func (a *Attempt) Name() string {
-	if m := a.engine.fleet[a.Endpoint]; m != nil {
-		return m.name
-	}
-	return ""
-}
-
 // UntilTime is Until by the system's clock.
 func (a *Attempt) UntilTime() time.Time { return a.engine.clock.time(a.Until) }
 
@@ -129,6 +122,7 @@
 	}
 	a := &Attempt{Number: len(r.attempts), Endpoint: endpoint, Target: e.depart(endpoint), Until: until,
 		engine: e, request: r, sent: now}
+	a.Zone, a.Cell = e.Place(endpoint)
 	r.attempts = append(r.attempts, a)
 	r.out++
 	if a.Target == nil {
--- a/internal/engine/members.go
+++ b/internal/engine/members.go
@@ -69,7 +69,9 @@
 type member struct {
 	name   string
 	target *Target // nil unless ready
-	out    int     // attempts and probes without outcome
+	zone   uint8
+	cell   uint16
+	out    int // attempts and probes without outcome
 	gone   bool
 }
 
@@ -134,13 +136,20 @@
 func (e *Engine) aim(id uint32, h Host) {
 	m := e.fleet[id]
 	m.gone = h.State == balancer.Gone
+	if !m.gone {
+		m.zone, m.cell = number(e.opts.Zones, h.Site), h.Cell
+	}
 	if t := m.target; t != nil && (h.State != balancer.Ready || t.Address != h.Dial || t.Born != h.BornMS) {
 		t.Close()
 		e.opts.Upstream.Retire(t)
 		m.target = nil
+		if e.addresses[t.Address] == id {
+			delete(e.addresses, t.Address)
+		}
 	}
 	if m.target == nil && h.State == balancer.Ready {
 		m.target = &Target{Address: h.Dial, Born: h.BornMS}
+		e.addresses[h.Dial] = id
 	}
 	e.forgetMember(id)
 }
@@ -152,15 +161,17 @@
 	}
 }
 
-// Find returns the number of the endpoint that is reached at an address, 0 if
-// none is. It must be called on the engine's goroutine.
-func (e *Engine) Find(address string) uint32 {
-	for id, m := range e.fleet {
-		if m.target != nil && m.target.Address == address {
-			return id
-		}
+// Find returns the number of the ready endpoint that is reached at an address, 0
+// if none is. It must be called on the engine's goroutine.
+func (e *Engine) Find(address string) uint32 { return e.addresses[address] }
+
+// Place returns the zone and cell that an endpoint was last listed with. It must
+// be called on the engine's goroutine.
+func (e *Engine) Place(id uint32) (zone uint8, cell uint16) {
+	if m := e.fleet[id]; m != nil {
+		return m.zone, m.cell
 	}
-	return 0
+	return unknownName, 0
 }
 
 // depart counts something out to an endpoint and returns where that is reached,
--- /dev/null
+++ b/internal/front/extproc/host.go
@@ -0,0 +1,160 @@
+package extproc
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"pinedale/balancer"
+	"pinedale/internal/engine"
+	"pinedale/internal/intake"
+	"pinedale/internal/verdict"
+)
+
+// host joins the ledger of verdicts to the engine, on the engine's goroutine: it
+// carries rounds out as requests whose attempts the callers make.
+type host struct {
+	engine  *engine.Engine
+	ledger  *verdict.Ledger
+	rounds  map[uint64]*round
+	asks    map[verdict.Ask]*asker
+	ticking bool
+}
+
+// round is a request of the ledger's. It is its own carrier.
+type round struct {
+	host     *host
+	number   uint64
+	request  engine.Request
+	attempts []*engine.Attempt
+	out      int  // attempts without end
+	over     bool // the module has given its final answer
+}
+
+// asker is one stream that waits to be told.
+type asker struct {
+	name verdict.Ask
+	told chan verdict.Told // has room for one: a verdict, or the reply to a report
+	sent *engine.Attempt   // the attempt that it was told
+}
+
+func newHost(e *engine.Engine, l verdict.Limits) *host {
+	h := &host{engine: e, rounds: map[uint64]*round{}, asks: map[verdict.Ask]*asker{}}
+	h.ledger = verdict.New(l, h)
+	return h
+}
+
+// ask takes a stream's question.
+func (h *host) ask(now verdict.Micros, a *asker, q verdict.Query) {
+	h.asks[a.name] = a
+	h.ledger.Ask(now, q)
+	if !h.ticking {
+		h.ticking = true
+		h.tick()
+	}
+}
+
+// tick has the ledger look at the time for as long as it holds anything.
+func (h *host) tick() {
+	h.engine.After(time.Duration(verdict.OfferFor/2)*time.Microsecond, func(now verdict.Micros) {
+		h.ledger.Tick(now)
+		if asks, rounds, entries := h.ledger.Held(); asks+rounds+entries > 0 {
+			h.tick()
+		} else {
+			h.ticking = false
+		}
+	})
+}
+
+// left takes that a stream is over.
+func (h *host) left(now verdict.Micros, a *asker, unsent bool) {
+	delete(h.asks, a.name)
+	h.ledger.Left(now, a.name, unsent)
+}
+
+// report takes a stream's report and tells the stream what is to become of the
+// answer.
+func (h *host) report(now verdict.Micros, a *asker, r report) {
+	if r.served != "" && r.served != a.sent.Target.Address {
+		if id := h.engine.Find(r.served); id != 0 {
+			zone, cell := h.engine.Place(id)
+			r.outcome.Endpoint, r.outcome.Place = id, verdict.Place{Zone: zone, Cell: cell}
+		} else {
+			r.outcome.Strange = true
+		}
+	}
+	a.told <- h.ledger.Report(now, a.name, r.outcome)
+}
+
+// Begin passes a round to the module.
+func (h *host) Begin(number uint64, in balancer.Request) {
+	r := &round{host: h, number: number}
+	r.request.Carrier, r.request.Answer = r, r.answer
+	h.rounds[number] = r
+	h.engine.Take(h.engine.Now(), &r.request, in)
+	r.forget()
+}
+
+// Leave tells the module that a round's client is gone.
+func (h *host) Leave(number uint64) {
+	if r := h.rounds[number]; r != nil {
+		r.over = true
+		h.engine.Gone(h.engine.Now(), &r.request)
+		r.forget()
+	}
+}
+
+// End tells the module how an attempt ended.
+func (h *host) End(number uint64, n int, o verdict.Outcome, settled bool) {
+	r := h.rounds[number]
+	r.out--
+	r.over = r.over || settled
+	r.attempts[n].End(h.engine.Now(), engine.Result{Status: o.Status, Endpoint: o.Endpoint, Load: o.Load, Settled: settled})
+	r.forget()
+}
+
+// Usable says whether an attempt may still go where it was decided.
+func (h *host) Usable(ref any) bool { return !ref.(*engine.Attempt).Target.Closed() }
+
+// Tell gives an ask its verdict.
+func (h *host) Tell(name verdict.Ask, t verdict.Told) { h.asks[name].told <- t }
+
+// Attempt takes the module's decision to send.
+func (r *round) Attempt(a *engine.Attempt) {
+	r.attempts = append(r.attempts, a)
+	r.out++
+	r.host.ledger.Decided(r.host.engine.Now(), r.number, verdict.Place{Zone: a.Zone, Cell: a.Cell}, a)
+}
+
+// Cancel takes that the module waits no longer. The module is at work here, so the
+// end is told later.
+func (r *round) Cancel(a *engine.Attempt) {
+	n := slices.Index(r.attempts, a)
+	r.host.engine.Soon(func(now verdict.Micros) { r.host.ledger.Cancelled(now, r.number, n) })
+}
+
+// answer takes the module's final answer. That of an attempt served came by way of
+// the ledger.
+func (r *round) answer(a engine.Answer) {
+	r.over = true
+	now := r.host.engine.Now()
+	switch a.Code {
+	case http.StatusServiceUnavailable:
+		r.host.ledger.Refused(now, r.number, a.RetryAfter)
+	case http.StatusBadGateway:
+		r.host.ledger.Failed(now, r.number)
+	}
+}
+
+// forget lets go of a round that nothing can be asked of any more.
+func (r *round) forget() {
+	if r.over && r.out == 0 {
+		delete(r.host.rounds, r.number)
+	}
+}
+
+// query is a request as the ledger is asked about it.
+func query(a *asker, p *intake.Parsed, h *head) verdict.Query {
+	return verdict.Query{Ask: a.name, ID: p.CorrelationID, Key: p.IdempotencyKey, Print: h.print(), Body: p.Request,
+		Tenant: h.header.Get(intake.HeaderTenant)}
+}
--- /dev/null
+++ b/internal/site/check.go
@@ -0,0 +1,257 @@
+package site
+
+import (
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+	"time"
+
+	"pinedale/balancer"
+	"pinedale/internal/engine"
+	"pinedale/internal/intake"
+)
+
+// The most that the rules let a file ask for.
+const (
+	attemptsMost = 3           // at a request, the protocol's limit
+	deadlineMost = time.Minute // the intake cuts a longer time left
+	namesMost    = 255         // sites or kinds: the balancer numbers them in one byte
+	podsMost     = 1 << 16     // and pods in two
+	classesMost  = 256
+	serversMost  = 10_000
+)
+
+var repeats = map[string]balancer.Repeat{"safe": balancer.Safe, "keyed": balancer.Keyed, "unsafe": balancer.Unsafe}
+var groups = map[string]balancer.Group{"all": balancer.GroupAll, "site": balancer.GroupZone, "pod": balancer.GroupCell}
+var reports = map[string]balancer.Field{"inflight": balancer.FieldInflight, "queue": balancer.FieldQueue,
+	"util": balancer.FieldUtil, "latency_ms": balancer.FieldLatency, "qps": balancer.FieldServed, "eps": balancer.FieldErrors}
+
+// check finds every fault of a file.
+type check struct {
+	file *File
+	errs []*FileError
+}
+
+// require notes a fault unless ok.
+func (c *check) require(ok bool, key, format string, args ...any) {
+	if !ok {
+		line := c.file.lines[key]
+		for at := key; line == 0 && strings.Contains(at, "."); { // its table's, where the key is missing
+			at = at[:strings.LastIndex(at, ".")]
+			line = c.file.lines[at]
+		}
+		c.errs = append(c.errs, &FileError{Line: line, Key: key, Reason: fmt.Sprintf(format, args...)})
+	}
+}
+
+func (c *check) address(key, value string) {
+	_, port, err := net.SplitHostPort(value)
+	if err == nil {
+		_, err = net.LookupPort("tcp", port)
+	}
+	c.require(err == nil, key, "%q is not host:port", value)
+}
+
+func (c *check) positive(key string, d Duration) {
+	c.require(d > 0, key, "%v is not positive", time.Duration(d))
+}
+
+func words[T any](known map[string]T) string {
+	var all []string
+	for w := range known {
+		all = append(all, w)
+	}
+	slices.Sort(all)
+	return strings.Join(all, ", ")
+}
+
+func (c *check) all() {
+	f := c.file
+	c.require(f.Version == 1, "version", "%d is not a known version of this file; this program reads 1", f.Version)
+	c.require(f.HTTP.Listen != "" || f.ExtProc.Listen != "", "http.listen", "no front is switched on: set this or ext_proc.listen")
+	if f.HTTP.Listen != "" {
+		c.address("http.listen", f.HTTP.Listen)
+	}
+	if f.ExtProc.Listen != "" {
+		c.address("ext_proc.listen", f.ExtProc.Listen)
+		_, port, _ := net.SplitHostPort(f.HTTP.Listen)
+		c.require(f.ExtProc.Listen != f.HTTP.Listen || port == "0", "ext_proc.listen", "%q is http.listen, too", f.ExtProc.Listen)
+	}
+	c.require(f.ExtProc.Retries == "none" || f.ExtProc.Retries == "ask-again", "ext_proc.retries",
+		"%q is neither none nor ask-again", f.ExtProc.Retries)
+	c.require(f.ExtProc.Streams >= 1, "ext_proc.streams", "%d is not positive", f.ExtProc.Streams)
+	c.require(f.ExtProc.Backlog >= 1 && f.ExtProc.Backlog <= 1024, "ext_proc.backlog", "%d is not in 1 to 1024", f.ExtProc.Backlog)
+	c.limits()
+	c.fleet()
+	c.classes()
+	c.members()
+	if len(c.errs) == 0 {
+		// The module's own checks are the last net.
+		s := f.settings()
+		if err := s.Validate(); err != nil {
+			c.require(false, "file", "%v", err)
+		}
+	}
+}
+
+func (c *check) limits() {
+	l := &c.file.Limits
+	for _, n := range [...]struct {
+		key   string
+		value int
+	}{{"memory_mb", l.MemoryMB}, {"client_connections", l.ClientConnections},
+		{"upstream_connections", l.UpstreamConnections}, {"open_requests", l.OpenRequests}} {
+		c.require(n.value >= 1, "limits."+n.key, "%d is not positive", n.value)
+	}
+	c.require(l.Attempts >= 1 && l.Attempts <= attemptsMost, "limits.attempts",
+		"%d is not in 1 to %d: no request may be sent more often", l.Attempts, attemptsMost)
+	c.require(l.RetryAfterMost >= 0, "limits.retry_after_most", "%v is negative", time.Duration(l.RetryAfterMost))
+	c.positive("limits.dial_timeout", l.DialTimeout)
+	c.positive("limits.idle_timeout", l.IdleTimeout)
+}
+
+func (c *check) fleet() {
+	l := &c.file.Fleet
+	c.require(l.Instances >= 1, "fleet.instances", "%d is not positive", l.Instances)
+	for key, list := range map[string][]string{"fleet.sites": l.Sites, "fleet.kinds": l.Kinds} {
+		c.require(len(list) <= namesMost, key, "%d names, at most %d", len(list), namesMost)
+		for i, name := range list {
+			c.require(name != "", key, "name %d is empty", i+1)
+			c.require(!slices.Contains(list[:i], name), key, "%q is there twice", name)
+		}
+	}
+	c.require(len(l.Sites) > 0, "fleet.sites", "no site is named")
+	c.require(slices.Contains(l.Sites, c.file.Site), "site", "%q is not in fleet.sites", c.file.Site)
+	for _, r := range l.Reports {
+		_, ok := reports[r]
+		c.require(ok, "fleet.reports", "%q is not one of %s", r, words(reports))
+	}
+	c.require(l.DrainGrace >= 0, "fleet.drain_grace", "%v is negative", time.Duration(l.DrainGrace))
+	c.require(l.ColdFrom > 0 && l.ColdFrom <= 1, "fleet.cold_from", "%v is not over 0 and up to 1", l.ColdFrom)
+	c.require(l.WarmWithin >= 0, "fleet.warm_within", "%v is negative", time.Duration(l.WarmWithin))
+	c.require(l.FallFactor > 0, "fleet.fall_factor", "%v is not positive", l.FallFactor)
+	c.require(l.FallAfter >= 0, "fleet.fall_after", "%v is negative", time.Duration(l.FallAfter))
+}
+
+func (c *check) classes() {
+	c.require(len(c.file.Classes) > 0, "class", "no class is there")
+	c.require(len(c.file.Classes) <= classesMost, "class", "%d classes, at most %d", len(c.file.Classes), classesMost)
+	seen := map[string]bool{}
+	for i, k := range c.file.Classes {
+		at := func(key string) string { return fmt.Sprintf("class[%d].%s", i, key) }
+		// The class is the first part of the path and a header's value.
+		c.require(k.Name != "" && !strings.ContainsAny(k.Name, "/?# \t\r\n"), at("name"), "%q can't be the first part of a path", k.Name)
+		c.require(!seen[k.Name], at("name"), "%q is there twice", k.Name)
+		seen[k.Name] = true
+		repeat, ok := repeats[k.Repeat]
+		c.require(ok, at("repeat"), "%q is not one of %s", k.Repeat, words(repeats))
+		c.positive(at("aim"), k.Aim)
+		c.positive(at("deadline"), k.Deadline)
+		c.require(k.Deadline >= k.Aim, at("deadline"), "%v is under the aim of %v", time.Duration(k.Deadline), time.Duration(k.Aim))
+		c.require(time.Duration(k.Deadline) <= deadlineMost, at("deadline"), "%v is over %v", time.Duration(k.Deadline), deadlineMost)
+		c.require(k.Worth == nil || *k.Worth >= 0, at("worth"), "is negative")
+		c.require(k.LateWorth >= 0 && k.LateWorth <= 1, at("late_worth"), "%v is not in 0 to 1", k.LateWorth)
+		if !ok {
+			continue
+		}
+		if repeat == balancer.Keyed {
+			_, known := groups[k.Group]
+			c.require(known, at("group"), "%q is not one of %s: a keyed class needs to say who drops its repeats", k.Group, words(groups))
+			c.require(k.Window > 0, at("window"), "%v: a keyed class needs the time for which its repeats are dropped", time.Duration(k.Window))
+		} else {
+			c.require(k.Group == "", at("group"), "%q: only a keyed class has one", k.Group)
+			c.require(k.Window == 0, at("window"), "%v: only a keyed class has one", time.Duration(k.Window))
+		}
+	}
+}
+
+func (c *check) members() {
+	f := c.file
+	c.require(len(f.Servers) == 0 || f.Discovery.Address == "", "discovery.address", "servers are named in the file, too: one of the two decides")
+	c.require(len(f.Servers) > 0 || f.Discovery.Address != "", "server", "no server is named, and no discovery.address")
+	c.require(len(f.Servers) <= serversMost, "server", "%d servers, at most %d", len(f.Servers), serversMost)
+	if f.Discovery.Address != "" {
+		c.address("discovery.address", f.Discovery.Address)
+		c.positive("discovery.ask_within", f.Discovery.AskWithin)
+	}
+	names, addresses := map[string]bool{}, map[string]bool{}
+	for i, s := range f.Servers {
+		at := func(key string) string { return fmt.Sprintf("server[%d].%s", i, key) }
+		c.require(s.Name != "", at("name"), "is missing")
+		c.require(!names[s.Name], at("name"), "%q is there twice", s.Name)
+		c.address(at("address"), s.Address)
+		c.require(!addresses[s.Address], at("address"), "%q is there twice", s.Address)
+		names[s.Name], addresses[s.Address] = true, true
+		c.require(slices.Contains(f.Fleet.Sites, s.Site), at("site"), "%q is not in fleet.sites", s.Site)
+		c.require(s.Kind == "" || slices.Contains(f.Fleet.Kinds, s.Kind), at("kind"), "%q is not in fleet.kinds", s.Kind)
+		c.require(s.Pod >= 0 && s.Pod < podsMost, at("pod"), "%d is not in 0 to %d", s.Pod, podsMost-1)
+		c.require(s.Share == nil || *s.Share > 0 && *s.Share <= 1e6, at("share"), "is not over 0 and up to 1e6")
+	}
+}
+
+func or(v *float64, fallback float64) float64 {
+	if v == nil {
+		return fallback
+	}
+	return *v
+}
+
+// settings is what the file says, as the balancer is told it.
+func (f *File) settings() balancer.Settings {
+	s := balancer.Settings{
+		Balancers: f.Fleet.Instances, Zone: slices.Index(f.Fleet.Sites, f.Site),
+		Zones: len(f.Fleet.Sites), Kinds: len(f.Fleet.Kinds), Subscribe: f.Discovery.Address != "",
+		Limits: balancer.Limits{Cancel: true, Probes: f.Limits.Probes, SecondCopies: f.Limits.SecondCopies,
+			RetryAfter: f.Limits.RetryAfterMost > 0, MaxAttempts: f.Limits.Attempts, MaxOpen: f.Limits.OpenRequests,
+			MaxRetryAfter: f.Limits.RetryAfterMost.micros(), DialTimeout: f.Limits.DialTimeout.micros()},
+		Contract: balancer.Contract{DrainGrace: f.Fleet.DrainGrace.micros(), ColdFrom: f.Fleet.ColdFrom,
+			RampTime: f.Fleet.WarmWithin.micros(), FallMultiple: f.Fleet.FallFactor,
+			OverloadFor: f.Fleet.FallAfter.micros(), AskWithin: f.Discovery.AskWithin.micros(),
+			AnswerSlack: intake.AnswerMargin.Microseconds()},
+		// What the co-operative's users judge, and what probes and crossings cost them.
+		Goal:   balancer.Goal{Whole: 0.45, WorstWindow: 0.35, WorstClass: 0.2},
+		Prices: balancer.Prices{CrossZone: 0.03, Probe: 0.05, Waste: 0.05, LateFail: 0.05},
+	}
+	for _, r := range f.Fleet.Reports {
+		s.Fields = append(s.Fields, reports[r])
+	}
+	for _, k := range f.Classes {
+		s.Classes = append(s.Classes, balancer.Class{Name: k.Name, Repeat: repeats[k.Repeat], Group: groups[k.Group],
+			Window: k.Window.micros(), Aim: k.Aim.micros(), GiveUp: k.Deadline.micros(),
+			Worth: or(k.Worth, 1), LateWorth: k.LateWorth})
+	}
+	return s
+}
+
+// hosts are the file's servers.
+func (f *File) hosts() []engine.Host {
+	hosts := make([]engine.Host, len(f.Servers))
+	for i, s := range f.Servers {
+		hosts[i] = engine.Host{Name: s.Name, Dial: s.Address, Site: s.Site, Kind: s.Kind, Cell: uint16(s.Pod),
+			State: balancer.Ready, Share: float32(or(s.Share, 1))}
+	}
+	return hosts
+}
+
+// Summary is one line on what a file asks for.
+func (f *File) Summary() string {
+	var parts []string
+	if f.HTTP.Listen != "" {
+		parts = append(parts, "http on "+f.HTTP.Listen)
+	}
+	if f.ExtProc.Listen != "" {
+		parts = append(parts, "ext_proc on "+f.ExtProc.Listen)
+	}
+	var classes []string
+	for _, k := range f.Classes {
+		classes = append(classes, k.Name)
+	}
+	parts = append(parts, fmt.Sprintf("%d classes (%s)", len(classes), strings.Join(classes, ", ")))
+	if f.Discovery.Address != "" {
+		parts = append(parts, "servers from "+f.Discovery.Address)
+	} else {
+		parts = append(parts, fmt.Sprintf("%d servers", len(f.Servers)))
+	}
+	return strings.Join(parts, ", ")
+}
--- /dev/null
+++ b/internal/site/run.go
@@ -0,0 +1,151 @@
+package site
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"time"
+
+	"pinedale/balancer"
+	"pinedale/internal/engine"
+	"pinedale/internal/front/extproc"
+	"pinedale/internal/front/httpfront"
+	"pinedale/internal/membership/registry"
+	"pinedale/internal/membership/static"
+	"pinedale/internal/upstream/httpupstream"
+)
+
+const (
+	crowdPart  = 3       // of the clients' connections: from there on answers end theirs
+	bodiesPart = 8       // of the memory, this part may hold bodies of requests
+	entryPart  = 8       // and this part what the external processor remembers,
+	entryBytes = 1 << 10 // at about so much an entry: two names, a round, two attempts
+)
+
+// Instance is a running pinedale-site. Make one with Start.
+type Instance struct {
+	HTTP    net.Addr // nil unless the front is on
+	ExtProc net.Addr // likewise
+
+	file   *File
+	log    *slog.Logger
+	engine *engine.Engine
+	ext    *extproc.Server
+	end    context.CancelFunc // begins the orderly end
+	stop   context.CancelFunc // ends the engine
+	served chan error         // one for each front
+	fronts int
+}
+
+func (f *File) source() engine.Source {
+	if f.Discovery.Address != "" {
+		return registry.New(f.Discovery.Address)
+	}
+	return static.New(f.hosts())
+}
+
+// Start listens and serves as the file says.
+func Start(f *File, log *slog.Logger) (*Instance, error) {
+	i := &Instance{file: f, log: log, served: make(chan error, 2)}
+	var listeners [2]net.Listener
+	for n, address := range [...]string{f.HTTP.Listen, f.ExtProc.Listen} {
+		if address == "" {
+			continue
+		}
+		var err error
+		if listeners[n], err = net.Listen("tcp", address); err != nil {
+			if n > 0 && listeners[0] != nil {
+				listeners[0].Close()
+			}
+			return nil, fmt.Errorf("listen: %w", err)
+		}
+	}
+	var seed [8]byte
+	rand.Read(seed[:])
+	// The engine outlives the fronts: requests in hand still need it.
+	engineCtx, stop := context.WithCancel(context.Background())
+	ctx, end := context.WithCancel(context.Background())
+	i.stop, i.end = stop, end
+	settings := f.settings()
+	up := httpupstream.New(httpupstream.Options{DialTimeout: time.Duration(f.Limits.DialTimeout),
+		Idle: time.Duration(f.Limits.IdleTimeout), Connections: f.Limits.UpstreamConnections, Fields: f.Fleet.Reports})
+	e, err := engine.New(engineCtx, engine.Options{Settings: settings, Seed: binary.LittleEndian.Uint64(seed[:]),
+		Zones: f.Fleet.Sites, Kinds: f.Fleet.Kinds, Known: engine.List{Whole: true, Hosts: f.hosts()},
+		Upstream: up, Source: f.source(), Log: log})
+	if err != nil {
+		stop()
+		end()
+		for _, l := range listeners {
+			if l != nil {
+				l.Close()
+			}
+		}
+		return nil, err
+	}
+	i.engine = e
+	var longest time.Duration
+	for _, c := range f.Classes {
+		longest = max(longest, time.Duration(c.Deadline))
+	}
+	serve := func(l net.Listener, front func(context.Context, net.Listener) error) net.Addr {
+		i.fronts++
+		go func() { i.served <- front(ctx, l) }()
+		return l.Addr()
+	}
+	if l := listeners[0]; l != nil {
+		front := httpfront.New(e, up, httpfront.Options{Connections: f.Limits.ClientConnections,
+			Crowded: f.Limits.ClientConnections / crowdPart, BodyBytes: int64(f.Limits.MemoryMB) << 20 / bodiesPart, Log: log})
+		i.HTTP = serve(l, front.Serve)
+	}
+	if l := listeners[1]; l != nil {
+		i.ext = extproc.New(e, extproc.Options{Streams: f.ExtProc.Streams, Backlog: f.ExtProc.Backlog,
+			Retries: f.ExtProc.Retries == "ask-again", Entries: f.Limits.MemoryMB << 20 / entryPart / entryBytes,
+			Fields: f.Fleet.Reports, Drain: longest, Log: log})
+		i.ExtProc = serve(l, i.ext.Serve)
+	}
+	go e.Run()
+	return i, nil
+}
+
+// Reload moves to the source of membership that another file names. All else stays
+// as it was at the start.
+func (i *Instance) Reload(f *File) {
+	i.engine.Post(func(balancer.Micros) { i.engine.Move(f.source()) })
+	i.log.Info("configuration reloaded: servers and discovery are the new file's, all else is as at the start")
+}
+
+// Ready says whether an endpoint is known that requests may go to.
+func (i *Instance) Ready() bool { return i.engine.Listed() }
+
+// Engine is the instance's, for measurements and tests.
+func (i *Instance) Engine() *engine.Engine { return i.engine }
+
+// Held counts what the external processor holds: asks, rounds and entries. It must
+// not be called from the engine's goroutine.
+func (i *Instance) Held() (asks, rounds, entries int) {
+	if i.ext == nil {
+		return 0, 0, 0
+	}
+	return i.ext.Held()
+}
+
+// Shutdown ends the service: nothing new is taken, what was taken is answered.
+func (i *Instance) Shutdown() { i.end() }
+
+// Wait returns once all fronts have ended: after Shutdown, or because one failed.
+func (i *Instance) Wait() error {
+	var errs []error
+	for range i.fronts {
+		err := <-i.served
+		if err != nil {
+			i.end() // half a service is none
+		}
+		errs = append(errs, err)
+	}
+	i.stop()
+	return errors.Join(errs...)
+}
