--- /dev/null
+++ b/cmd/pinedale-measure/main.go
@@ -0,0 +1,79 @@
+// Command pinedale-measure runs the measurements that are too long for the tests.
+// All of them stay on loopback and end by themselves.
+package main
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"pinedale/internal/measure/verdicts"
+)
+
+const usage = `usage: pinedale-measure MEASUREMENT [FLAGS]
+
+  verdicts   seeded callers with faults against a whole external processor
+  noop       what a verdict costs beside a processor that decides nothing
+`
+
+func main() {
+	if did, err := verdicts.Processor(); did {
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "pinedale-measure:", err)
+			os.Exit(1)
+		}
+		return
+	}
+	if err := run(os.Args[1:], os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "pinedale-measure:", err)
+		os.Exit(1)
+	}
+}
+
+func run(args []string, out io.Writer) error {
+	if len(args) == 0 {
+		return errors.New("which measurement?\n" + usage)
+	}
+	flags := flag.NewFlagSet(args[0], flag.ContinueOnError)
+	switch args[0] {
+	case "verdicts":
+		o := verdicts.Options{}
+		flags.IntVar(&o.Calls, "calls", 100_000, "clients' requests")
+		flags.IntVar(&o.Callers, "callers", 64, "at work at once")
+		flags.IntVar(&o.Servers, "servers", 12, "of the fleet")
+		flags.Uint64Var(&o.Seed, "seed", 1, "of the faults")
+		flags.IntVar(&o.Change, "change", 500, "calls between two changes of the fleet")
+		flags.DurationVar(&o.Work, "work", time.Millisecond, "of a request at a server")
+		if err := flags.Parse(args[1:]); err != nil {
+			return err
+		}
+		r, err := verdicts.Run(o)
+		if err != nil {
+			return err
+		}
+		r.Print(out)
+		if why := r.Broken(); why != "" {
+			return errors.New("broken: " + why)
+		}
+		return nil
+	case "noop":
+		o := verdicts.CostOptions{}
+		flags.IntVar(&o.Servers, "servers", 12, "of the fleet")
+		flags.IntVar(&o.Connections, "connections", 4, "of the caller")
+		flags.DurationVar(&o.Span, "span", 3*time.Second, "of each step")
+		flags.StringVar(&o.Profile, "profile", "", "file for a CPU profile of the verdicts")
+		if err := flags.Parse(args[1:]); err != nil {
+			return err
+		}
+		r, err := verdicts.Cost(o)
+		if err != nil {
+			return err
+		}
+		r.Print(out)
+		return nil
+	}
+	return errors.New(args[0] + " is not a measurement\n" + usage)
+}
--- /dev/null
+++ b/internal/measure/verdicts/cost.go
@@ -0,0 +1,465 @@
+package verdicts
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"os/exec"
+	"runtime"
+	"runtime/pprof"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
+	extprocv3 "github.com/envoyproxy/go-control-plane/envoy/service/ext_proc/v3"
+	"google.golang.org/grpc"
+
+	"pinedale/internal/site"
+	"pinedale/internal/standin/directory"
+	"pinedale/internal/standin/proxy"
+	"pinedale/internal/standin/soko"
+)
+
+// CostOptions are the size of a comparison.
+type CostOptions struct {
+	Servers     int
+	Connections int
+	Span        time.Duration
+	Profile     string
+}
+
+// CostReport compares verdicts with a processor that decides nothing.
+type CostReport struct {
+	Noop, Ours struct {
+		Peak        float64       // streams a second with as many callers as it takes
+		CPU         time.Duration // of the processor's process, per stream, at the common rate
+		P50, P99    time.Duration // of the verdict alone, at the common rate
+		Rate        float64       // that was reached
+		StreamBytes int64         // of resident memory, per open stream that has its verdict
+	}
+	Common float64 // the rate asked for: 70% of the no-op's peak
+}
+
+// Print writes the report for a reader.
+func (r *CostReport) Print(out io.Writer) {
+	fmt.Fprintf(out, "%-28s %12s %12s %8s\n", "", "no-op", "pinedale", "ratio")
+	row := func(name, unit string, a, b float64) {
+		fmt.Fprintf(out, "%-28s %9.1f %-2s %9.1f %-2s %8.2f\n", name, a, unit, b, unit, b/a)
+	}
+	row("peak, streams a second", "", r.Noop.Peak, r.Ours.Peak)
+	fmt.Fprintf(out, "at %.0f streams a second, 70%% of the no-op's peak (reached: %.0f and %.0f)\n", r.Common, r.Noop.Rate, r.Ours.Rate)
+	row("CPU a stream", "us", micros(r.Noop.CPU), micros(r.Ours.CPU))
+	row("verdict, median", "us", micros(r.Noop.P50), micros(r.Ours.P50))
+	row("verdict, 99th percentile", "us", micros(r.Noop.P99), micros(r.Ours.P99))
+	row("memory an open stream", "KB", float64(r.Noop.StreamBytes)/1024, float64(r.Ours.StreamBytes)/1024)
+}
+
+func micros(d time.Duration) float64 { return float64(d.Nanoseconds()) / 1000 }
+
+// processEnv has the measuring program serve one processor instead, as a process
+// of its own whose CPU time and memory are its alone.
+const processEnv = "PINEDALE_MEASURE_PROCESSOR"
+
+// noop answers every phase with nothing to change.
+type noop struct{}
+
+func (noop) Process(s extprocv3.ExternalProcessor_ProcessServer) error {
+	for {
+		in, err := s.Recv()
+		if err == io.EOF {
+			return nil
+		} else if err != nil {
+			return err
+		}
+		out := &extprocv3.ProcessingResponse{}
+		common := &extprocv3.HeadersResponse{Response: &extprocv3.CommonResponse{}}
+		switch in.Request.(type) {
+		case *extprocv3.ProcessingRequest_RequestHeaders:
+			// It names an endpoint, always the same: the least that a picker says.
+			common.Response.HeaderMutation = &extprocv3.HeaderMutation{SetHeaders: []*corev3.HeaderValueOption{{
+				Header: &corev3.HeaderValue{Key: "x-gateway-destination-endpoint", RawValue: []byte("127.0.0.1:1")}}}}
+			out.Response = &extprocv3.ProcessingResponse_RequestHeaders{RequestHeaders: common}
+		default:
+			out.Response = &extprocv3.ProcessingResponse_ResponseHeaders{ResponseHeaders: common}
+		}
+		if err := s.Send(out); err != nil {
+			return err
+		}
+	}
+}
+
+// Processor serves the processor that the environment names, if it names one: it
+// prints its address and ends with its standard input.
+func Processor() (did bool, err error) {
+	what := os.Getenv(processEnv)
+	if what == "" {
+		return false, nil
+	}
+	if path := os.Getenv(processEnv + "_PROFILE"); path != "" {
+		f, err := os.Create(path)
+		if err != nil {
+			return true, err
+		}
+		defer f.Close()
+		pprof.StartCPUProfile(f)
+		defer pprof.StopCPUProfile()
+	}
+	var address string
+	if what == "noop" {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return true, err
+		}
+		server := grpc.NewServer()
+		extprocv3.RegisterExternalProcessorServer(server, noop{})
+		go server.Serve(listener)
+		defer server.Stop()
+		address = listener.Addr().String()
+	} else {
+		f, err := site.Parse([]byte(File(what, false)))
+		if err != nil {
+			return true, err
+		}
+		f.ExtProc.Streams = 50_000
+		i, err := site.Start(f, slog.New(slog.DiscardHandler))
+		if err != nil {
+			return true, err
+		}
+		for !i.Ready() {
+			time.Sleep(time.Millisecond)
+		}
+		address = i.ExtProc.String()
+	}
+	fmt.Println(address)
+	in := bufio.NewScanner(os.Stdin)
+	for in.Scan() { // each line asks for the process's figures
+		runtime.GC()
+		var u syscall.Rusage
+		syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+		fmt.Println(u.Utime.Nano()+u.Stime.Nano(), resident())
+	}
+	return true, nil
+}
+
+// resident is the process's resident memory in bytes.
+func resident() int64 {
+	text, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(text))
+	pages, _ := strconv.ParseInt(fields[1], 10, 64)
+	return pages * int64(os.Getpagesize())
+}
+
+// process is a processor in a process of its own.
+type process struct {
+	cmd     *exec.Cmd
+	in      io.WriteCloser
+	out     *bufio.Scanner
+	address string
+}
+
+func start(what, profile string) (*process, error) {
+	self, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	p := &process{cmd: exec.Command(self)}
+	p.cmd.Env = append(os.Environ(), processEnv+"="+what, processEnv+"_PROFILE="+profile)
+	p.cmd.Stderr = os.Stderr
+	if p.in, err = p.cmd.StdinPipe(); err != nil {
+		return nil, err
+	}
+	out, err := p.cmd.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := p.cmd.Start(); err != nil {
+		return nil, err
+	}
+	p.out = bufio.NewScanner(out)
+	if !p.out.Scan() {
+		p.stop()
+		return nil, fmt.Errorf("the processor %q did not start", what)
+	}
+	p.address = p.out.Text()
+	return p, nil
+}
+
+func (p *process) figures() (cpu time.Duration, memory int64) {
+	fmt.Fprintln(p.in)
+	p.out.Scan()
+	fmt.Sscan(p.out.Text(), &cpu, &memory)
+	return
+}
+
+func (p *process) stop() {
+	p.in.Close()
+	p.cmd.Wait()
+}
+
+// caller drives streams over a few connections.
+type caller struct {
+	p  *proxy.Proxy
+	id atomic.Int64
+}
+
+// stream asks, takes the verdict, reports 200 and ends. It returns how long the
+// verdict took.
+func (c *caller) stream(ctx context.Context) (time.Duration, error) {
+	n := c.id.Add(1)
+	id := strconv.FormatInt(n, 16)
+	q := proxy.Request{Method: "POST", Path: "/stall-pay/x", Body: "body", Header: map[string]string{
+		"x-correlation-id": id, "x-service-class": "stall-pay", "x-time-left-ms": "2000", "idempotency-key": "key-" + id}}
+	if n%2 == 0 {
+		q.Method, q.Path, q.Body = "GET", "/price-check/x", ""
+		q.Header["x-service-class"] = "price-check"
+	}
+	began := time.Now()
+	s, err := c.p.Stream(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if err := s.Send(proxy.Headers(q, 0)); err != nil {
+		return 0, err
+	}
+	m, err := s.Recv()
+	if err != nil {
+		return 0, err
+	}
+	took := time.Since(began)
+	v, err := proxy.Read(m)
+	if err != nil {
+		return 0, err
+	}
+	if v.Endpoint == "" {
+		return 0, fmt.Errorf("refused with %d %s", v.Code, v.Body)
+	}
+	if err := s.Send(proxy.Report(200, nil, "via_upstream", v.Endpoint)); err != nil {
+		return 0, err
+	}
+	if _, err := s.Recv(); err != nil {
+		return 0, err
+	}
+	s.CloseSend()
+	if _, err := s.Recv(); err != io.EOF {
+		return 0, err
+	}
+	return took, nil
+}
+
+// peak is the rate that so many callers reach without a pause.
+func (c *caller) peak(callers int, span time.Duration) (float64, error) {
+	var done atomic.Int64
+	var failed atomic.Value
+	var all sync.WaitGroup
+	end := time.Now().Add(span)
+	for range callers {
+		all.Go(func() {
+			for time.Now().Before(end) {
+				if _, err := c.stream(context.Background()); err != nil {
+					failed.Store(err)
+					return
+				}
+				done.Add(1)
+			}
+		})
+	}
+	all.Wait()
+	if err, ok := failed.Load().(error); ok {
+		return 0, err
+	}
+	return float64(done.Load()) / span.Seconds(), nil
+}
+
+// paced sends at a rate, whether answers come or not, and returns the verdicts'
+// latencies, counted from when each was due.
+func (c *caller) paced(rate float64, span time.Duration) ([]time.Duration, error) {
+	const workers = 256
+	due := make(chan time.Time, int(rate*span.Seconds())+1)
+	began := time.Now()
+	for n := 0; n < int(rate*span.Seconds()); n++ {
+		due <- began.Add(time.Duration(float64(n) / rate * float64(time.Second)))
+	}
+	close(due)
+	var mu sync.Mutex
+	var took []time.Duration
+	var first error
+	var all sync.WaitGroup
+	for range workers {
+		all.Go(func() {
+			var mine []time.Duration
+			var err error
+			for at := range due {
+				time.Sleep(time.Until(at))
+				late := time.Since(at) // the wait for a worker counts where all are busy
+				var d time.Duration
+				if d, err = c.stream(context.Background()); err != nil {
+					break
+				}
+				if late > time.Millisecond {
+					d += late
+				}
+				mine = append(mine, d)
+			}
+			mu.Lock()
+			took = append(took, mine...)
+			if first == nil {
+				first = err
+			}
+			mu.Unlock()
+		})
+	}
+	all.Wait()
+	return took, first
+}
+
+// Cost compares verdicts with a no-op processor on the same library. Both serve in
+// processes of their own, one after the other, in turns.
+func Cost(o CostOptions) (*CostReport, error) {
+	dir, err := directory.Start()
+	if err != nil {
+		return nil, err
+	}
+	defer dir.Close()
+	fleet := &soko.Fleet{Seed: 1}
+	dir.Change(func() {
+		for n := range o.Servers {
+			s, startErr := fleet.Start(fmt.Sprintf("soko-%d", n), n/2)
+			if startErr != nil {
+				err = startErr
+				return
+			}
+			h := directory.Ready(s.Name, s.Address)
+			h.Site, h.Class = "arusha", "box"
+			dir.List.Hosts = append(dir.List.Hosts, h)
+		}
+		dir.List.Seq = 1
+	})
+	if err != nil {
+		return nil, err
+	}
+	r := &CostReport{}
+	sides := []struct {
+		what, profile string
+		out           *struct {
+			Peak        float64
+			CPU         time.Duration
+			P50, P99    time.Duration
+			Rate        float64
+			StreamBytes int64
+		}
+	}{{"noop", "", &r.Noop}, {dir.Address, o.Profile, &r.Ours}}
+	for i := range sides {
+		side := &sides[i]
+		err := func() error {
+			p, err := start(side.what, "")
+			if err != nil {
+				return err
+			}
+			defer p.stop()
+			c := &caller{}
+			if c.p, err = proxy.Dial(p.address, o.Connections); err != nil {
+				return err
+			}
+			defer c.p.Close()
+			if _, err := c.peak(64, o.Span/3); err != nil { // warm up
+				return err
+			}
+			side.out.Peak, err = c.peak(64, o.Span)
+			return err
+		}()
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", side.what, err)
+		}
+	}
+	r.Common = 0.7 * r.Noop.Peak
+	// Three turns each; of each figure the middle one counts.
+	const turns = 3
+	cpu, p50, p99 := [2][]time.Duration{}, [2][]time.Duration{}, [2][]time.Duration{}
+	for turn := range turns {
+		for i := range sides {
+			side := &sides[i]
+			err := func() error {
+				profile := ""
+				if turn == turns-1 {
+					profile = side.profile
+				}
+				p, err := start(side.what, profile)
+				if err != nil {
+					return err
+				}
+				defer p.stop()
+				c := &caller{}
+				if c.p, err = proxy.Dial(p.address, o.Connections); err != nil {
+					return err
+				}
+				defer c.p.Close()
+				if _, err := c.paced(r.Common, o.Span/3); err != nil {
+					return err
+				}
+				before, _ := p.figures()
+				began := time.Now()
+				took, err := c.paced(r.Common, o.Span)
+				if err != nil {
+					return err
+				}
+				after, idle := p.figures()
+				side.out.Rate = float64(len(took)) / time.Since(began).Seconds()
+				slices.Sort(took)
+				cpu[i] = append(cpu[i], (after-before)/time.Duration(len(took)))
+				p50[i] = append(p50[i], took[len(took)/2])
+				p99[i] = append(p99[i], took[len(took)*99/100])
+				if turn > 0 {
+					return nil
+				}
+				side.out.StreamBytes, err = c.openStreams(p, idle)
+				return err
+			}()
+			if err != nil {
+				return nil, fmt.Errorf("%s: %w", side.what, err)
+			}
+		}
+	}
+	for i := range sides {
+		slices.Sort(cpu[i])
+		slices.Sort(p50[i])
+		slices.Sort(p99[i])
+		sides[i].out.CPU, sides[i].out.P50, sides[i].out.P99 = cpu[i][turns/2], p50[i][turns/2], p99[i][turns/2]
+	}
+	return r, nil
+}
+
+// openStreams opens streams that have their verdict and stay, and returns what each
+// takes of the process's memory.
+func (c *caller) openStreams(p *process, idle int64) (int64, error) {
+	const streams = 5000
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for n := range streams {
+		s, err := c.p.Stream(ctx)
+		if err != nil {
+			return 0, err
+		}
+		id := "open-" + strconv.Itoa(n)
+		if err := s.Send(proxy.Headers(proxy.Request{Method: "GET", Path: "/price-check/x", Header: map[string]string{
+			"x-correlation-id": id, "x-service-class": "price-check", "x-time-left-ms": "60000"}}, 0)); err != nil {
+			return 0, err
+		}
+		if _, err := s.Recv(); err != nil {
+			return 0, err
+		}
+	}
+	_, open := p.figures()
+	return (open - idle) / streams, nil
+}
--- /dev/null
+++ b/internal/measure/verdicts/run.go
@@ -0,0 +1,425 @@
+// Package verdicts plays seeded callers with faults against a whole pinedale-site
+// and its external processor, over loopback sockets, and counts what must hold:
+// one verdict for an ask, no effect twice, nothing to removed servers, nothing held
+// at the end.
+package verdicts
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"pinedale/internal/site"
+	"pinedale/internal/standin/directory"
+	"pinedale/internal/standin/proxy"
+	"pinedale/internal/standin/soko"
+)
+
+// Options are the size of a run.
+type Options struct {
+	Calls   int
+	Callers int // at work at once
+	Servers int
+	Seed    uint64
+	Change  int           // calls between two changes of the fleet, 0 for none
+	Short   bool          // windows and deadlines of seconds, so that the memory empties soon
+	Work    time.Duration // of a request at a server
+}
+
+// Report is what came of a run.
+type Report struct {
+	Calls, Asks       int
+	Verdicts          int            // answers to asks
+	Kinds             map[string]int // calls by what the caller did
+	Codes             map[int]int    // final answers to clients
+	Unanswered        int            // asks that stayed and got no verdict
+	Doubled           int            // asks that got more than one
+	Split             int            // pairs about one keyed request that were told different servers
+	Twice             []string       // effects done twice
+	Removed           int            // servers removed
+	Latest            time.Duration  // latest request at a removed server after its removal was written
+	Late              int            // servers that had one later than 2 s after
+	Errors            int            // streams that failed without being broken off
+	FirstError        error
+	Took              time.Duration
+	HeldAsks, Rounds  int // at the end, as are Entries and Ledger
+	Entries, Ledger   int
+	Goroutines, Extra int // at the start, and more at the end
+	Fleet             soko.Counts
+}
+
+// Broken says what of the report must not be, "" if nothing is.
+func (r *Report) Broken() string {
+	switch {
+	case r.Unanswered+r.Doubled > 0:
+		return fmt.Sprintf("%d asks without a verdict, %d with two", r.Unanswered, r.Doubled)
+	case r.Split > 0:
+		return fmt.Sprintf("%d keyed requests were told two servers", r.Split)
+	case len(r.Twice) > 0:
+		return fmt.Sprintf("%d effects done twice, such as %s", len(r.Twice), r.Twice[0])
+	case r.Late > 0:
+		return fmt.Sprintf("%d removed servers had requests over 2 s later", r.Late)
+	case r.HeldAsks+r.Rounds+r.Entries+r.Ledger > 0:
+		return fmt.Sprintf("held at the end: %d asks, %d rounds, %d entries, %d requests", r.HeldAsks, r.Rounds, r.Entries, r.Ledger)
+	case r.Extra > 0:
+		return fmt.Sprintf("%d goroutines are left", r.Extra)
+	case r.Errors > 0:
+		return fmt.Sprintf("%d streams failed: %v", r.Errors, r.FirstError)
+	}
+	return ""
+}
+
+// File is the operator's file of a run.
+func File(discovery string, short bool) string {
+	pay, closing, deadline := "1.5s", "12s", "2.5s"
+	if short {
+		closing, deadline = "2s", "1s"
+	}
+	return fmt.Sprintf(`version = 1
+name = "measured"
+site = "arusha"
+[http]
+listen = "127.0.0.1:0"
+[ext_proc]
+listen = "127.0.0.1:0"
+retries = "ask-again"
+[fleet]
+sites = ["arusha", "dar"]
+kinds = ["box"]
+reports = ["eps", "queue"]
+warm_within = "0s"
+[discovery]
+address = %q
+[[class]]
+name = "price-check"
+repeat = "safe"
+aim = "600ms"
+deadline = %q
+worth = 2
+[[class]]
+name = "stall-pay"
+repeat = "keyed"
+group = "all"
+window = %q
+aim = "600ms"
+deadline = %q
+worth = 10
+[[class]]
+name = "day-close"
+repeat = "keyed"
+group = "pod"
+window = %q
+aim = "1s"
+deadline = %q
+worth = 3
+[[class]]
+name = "order"
+repeat = "unsafe"
+aim = "600ms"
+deadline = %q
+`, discovery, deadline, pay, deadline, closing, deadline, deadline)
+}
+
+// run is the state of one run.
+type run struct {
+	o       Options
+	file    *site.File
+	site    *site.Instance
+	dir     *directory.Directory
+	fleet   *soko.Fleet
+	proxies []*proxy.Proxy
+	ext     string
+
+	mu      sync.Mutex
+	report  Report
+	alive   []*soko.Server
+	removed map[*soko.Server]time.Time
+	all     []*soko.Server
+	names   int
+}
+
+// Run plays a run. Its error is one of the rig; what the run shows is in the report.
+func Run(o Options) (*Report, error) {
+	r := &run{o: o, removed: map[*soko.Server]time.Time{}}
+	r.report = Report{Calls: o.Calls, Kinds: map[string]int{}, Codes: map[int]int{}, Goroutines: runtime.NumGoroutine()}
+	var err error
+	if r.dir, err = directory.Start(); err != nil {
+		return nil, err
+	}
+	defer r.dir.Close()
+	if r.file, err = site.Parse([]byte(File(r.dir.Address, o.Short))); err != nil {
+		return nil, err
+	}
+	r.fleet = &soko.Fleet{Classes: r.file.Settings().Classes, Seed: o.Seed, Work: o.Work,
+		Faults: soko.Faults{TurnAway: 0.02, Error: 0.02, Reset: 0.01, Silent: 0.0005}}
+	defer func() {
+		for _, s := range r.all {
+			s.Close()
+		}
+	}()
+	for range o.Servers {
+		if err := r.add(); err != nil {
+			return nil, err
+		}
+	}
+	r.publish()
+	if r.site, err = site.Start(r.file, slog.New(slog.DiscardHandler)); err != nil {
+		return nil, err
+	}
+	r.ext = r.site.ExtProc.String()
+	for end := time.Now().Add(10 * time.Second); !r.site.Ready(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			return nil, fmt.Errorf("no server is known after 10 s")
+		}
+	}
+	for range 4 {
+		p, err := proxy.Dial(r.ext, 2)
+		if err != nil {
+			return nil, err
+		}
+		r.proxies = append(r.proxies, p)
+	}
+	r.play()
+	r.finish()
+	return &r.report, nil
+}
+
+// add starts a server. Pairs share a pod; pods take turns between the sites.
+func (r *run) add() error {
+	r.names++
+	s, err := r.fleet.Start(fmt.Sprintf("soko-%d", r.names), r.names/2)
+	if err != nil {
+		return err
+	}
+	r.alive, r.all = append(r.alive, s), append(r.all, s)
+	return nil
+}
+
+// publish writes the list of servers that are there.
+func (r *run) publish() {
+	r.dir.Change(func() {
+		hosts := []directory.Host{}
+		for _, s := range r.alive {
+			h := directory.Ready(s.Name, s.Address)
+			h.Site, h.Class, h.Block = [...]string{"arusha", "dar"}[s.Cell%2], "box", uint16(s.Cell)
+			hosts = append(hosts, h)
+		}
+		r.dir.List = directory.Document{Seq: r.dir.List.Seq + 1, Whole: true, Hosts: hosts}
+	})
+}
+
+// change takes the oldest server off the list, though it goes on serving, and adds
+// a new one.
+func (r *run) change() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	gone := r.alive[0]
+	r.alive = r.alive[1:]
+	if r.add() != nil {
+		return
+	}
+	r.publish()
+	r.removed[gone] = time.Now()
+	r.report.Removed++
+}
+
+func (r *run) play() {
+	began := time.Now()
+	var next atomic.Int64
+	var callers sync.WaitGroup
+	for range r.o.Callers {
+		callers.Go(func() {
+			for {
+				n := int(next.Add(1))
+				if n > r.o.Calls {
+					return
+				}
+				if r.o.Change > 0 && n%r.o.Change == 0 {
+					r.change()
+				}
+				r.call(n)
+			}
+		})
+	}
+	callers.Wait()
+	r.report.Took = time.Since(began)
+}
+
+// request is the nth client's request, of a class drawn by its share.
+func (r *run) request(n int, rng *rand.Rand) (q proxy.Request, class string) {
+	id := fmt.Sprintf("%016x", uint64(n)<<20|r.o.Seed&0xfffff)
+	q = proxy.Request{Method: "POST", Body: "body", Header: map[string]string{"x-correlation-id": id,
+		"x-time-left-ms": "900", "x-weight-hint": "2000"}}
+	switch x := rng.Float64(); {
+	case x < 0.45:
+		class, q.Method, q.Body = "price-check", "GET", ""
+	case x < 0.79:
+		class = "stall-pay"
+	case x < 0.95:
+		class = "day-close"
+	default:
+		class = "order"
+	}
+	if class == "stall-pay" || class == "day-close" {
+		q.Header["idempotency-key"] = "key-" + id
+	}
+	q.Header["x-service-class"], q.Path = class, "/"+class+"/x?n="+id
+	return q, class
+}
+
+// call plays one call, with what its draw says goes wrong.
+func (r *run) call(n int) {
+	rng := rand.New(rand.NewPCG(r.o.Seed, uint64(n)))
+	q, _ := r.request(n, rng)
+	p := r.proxies[n%len(r.proxies)]
+	other := r.proxies[(n+1)%len(r.proxies)]
+	ctx := context.Background()
+	_, keyed := q.Header["idempotency-key"]
+	kind, x := "plain", rng.Float64()
+	switch {
+	case x < 0.03:
+		kind = "left before the verdict"
+		r.ask(p.Do(ctx, q, proxy.Behaviour{LeaveBeforeVerdict: true}), true)
+	case x < 0.06:
+		kind = "left with the verdict"
+		r.ask(p.Do(ctx, q, proxy.Behaviour{LeaveAtVerdict: true}), false)
+	case x < 0.09:
+		kind = "no report"
+		r.ask(p.Do(ctx, q, proxy.Behaviour{NoReport: true}), false)
+	case x < 0.10:
+		kind = "broken off"
+		r.breakOff(q)
+	case x < 0.15 && keyed:
+		kind = "asked twice at once"
+		var second proxy.Answer
+		var both sync.WaitGroup
+		both.Go(func() { second = other.Do(ctx, q, proxy.Behaviour{}) })
+		first := p.Do(ctx, q, proxy.Behaviour{})
+		both.Wait()
+		r.ask(first, false)
+		r.ask(second, false)
+		r.pair(first, second)
+		r.code(first.Code)
+	case x < 0.20 && keyed:
+		kind = "asked again after the outcome"
+		first := p.Do(ctx, q, proxy.Behaviour{})
+		again := q
+		again.Header = map[string]string{}
+		for k, v := range q.Header {
+			again.Header[k] = v
+		}
+		again.Header["x-correlation-id"] += "r" // a client's retry
+		second := other.Do(ctx, again, proxy.Behaviour{})
+		r.ask(first, false)
+		r.ask(second, false)
+		if first.Code == 200 {
+			r.pair(first, second)
+		}
+		r.code(first.Code)
+	default:
+		last := p.Retry(ctx, q, func(a proxy.Answer) { r.ask(a, false) })
+		r.code(last.Code)
+	}
+	r.mu.Lock()
+	r.report.Kinds[kind]++
+	r.mu.Unlock()
+}
+
+// breakOff asks over a connection of its own, and breaks it once there is a verdict.
+func (r *run) breakOff(q proxy.Request) {
+	p, err := proxy.Dial(r.ext, 1)
+	if err != nil {
+		return
+	}
+	r.ask(p.Do(context.Background(), q, proxy.Behaviour{LeaveAtVerdict: true}), false)
+	p.Close()
+}
+
+// ask counts an ask. left says that it was broken off before its verdict.
+func (r *run) ask(a proxy.Answer, left bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.report.Asks++
+	r.report.Verdicts += a.Verdicts
+	if a.Verdicts > 1 {
+		r.report.Doubled++
+	}
+	if !left && a.Verdicts == 0 {
+		r.report.Unanswered++
+	}
+	if a.Err != nil {
+		r.report.Errors++
+		if r.report.FirstError == nil {
+			r.report.FirstError = a.Err
+		}
+	}
+}
+
+// pair checks two asks about one keyed request: where both had the first attempt
+// handed out, it was one verdict.
+func (r *run) pair(a, b proxy.Answer) {
+	x, y := a.Verdict, b.Verdict
+	if x.Endpoint == "" || y.Endpoint == "" || x.Headers["x-pinedale-attempt"] != "1" ||
+		y.Headers["x-pinedale-attempt"] != "1" || a.Code != 200 || b.Code != 200 {
+		return
+	}
+	if x.Endpoint != y.Endpoint {
+		r.mu.Lock()
+		r.report.Split++
+		r.mu.Unlock()
+	}
+}
+
+func (r *run) code(code int) {
+	r.mu.Lock()
+	r.report.Codes[code]++
+	r.mu.Unlock()
+}
+
+// memoryMost is the longest that the front may remember a request: the deadline and
+// window of day-close, twice, since what is asked for again is kept anew.
+const memoryMost = 40 * time.Second
+
+// finish waits until all is forgotten, ends everything and counts what is left.
+func (r *run) finish() {
+	rep := &r.report
+	for end := time.Now().Add(memoryMost); ; time.Sleep(20 * time.Millisecond) {
+		rep.HeldAsks, rep.Rounds, rep.Entries = r.site.Held()
+		rep.Ledger = r.site.Requests()
+		if rep.HeldAsks+rep.Rounds+rep.Entries+rep.Ledger == 0 || time.Now().After(end) {
+			break
+		}
+	}
+	for _, p := range r.proxies {
+		p.Close()
+	}
+	r.site.Shutdown()
+	if err := r.site.Wait(); err != nil {
+		rep.Errors++
+		rep.FirstError = err
+	}
+	r.dir.Close()
+	for s, at := range r.removed {
+		if last := s.LastRequest(); last.After(at) {
+			rep.Latest = max(rep.Latest, last.Sub(at))
+			if last.Sub(at) > 2*time.Second {
+				rep.Late++
+			}
+		}
+	}
+	for _, s := range r.all {
+		s.Close()
+	}
+	rep.Twice, rep.Fleet = r.fleet.Twice(), r.fleet.Counts()
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		rep.Extra = runtime.NumGoroutine() - rep.Goroutines
+		if rep.Extra <= 0 || time.Now().After(end) {
+			return
+		}
+	}
+}
--- a/internal/sidecar/clients_test.go
+++ b/internal/sidecar/clients_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"pinedale/internal/front/httpfront"
+	"pinedale/internal/standin/directory"
 	"pinedale/internal/standin/peer"
 )
 
@@ -46,7 +47,7 @@
 // request. net/http shows its handlers no trace of the second length.
 func TestNoRequestHidesInABody(t *testing.T) {
 	e := peer.New(t, peer.Always(peer.Served))
-	w := start(t, nil, ready("s-1", e.Address))
+	w := start(t, nil, directory.Ready("s-1", e.Address))
 	hidden := readHead + "X-Correlation-Id: 2\r\n\r\n"
 	body := "0\r\n\r\n" + hidden
 	for name, head := range map[string]string{
@@ -82,7 +83,7 @@
 // with it, as it does where more came than the one request.
 func TestChunkedAndCrowdedRequests(t *testing.T) {
 	e := peer.New(t, peer.Always(peer.Served))
-	w := start(t, nil, ready("s-1", e.Address))
+	w := start(t, nil, directory.Ready("s-1", e.Address))
 	for name, text := range map[string]string{
 		"chunked": payHead + "X-Correlation-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
 		"more behind": payHead + "X-Correlation-Id: 2\r\nContent-Length: 4\r\n\r\nbody" +
@@ -106,7 +107,7 @@
 // What can't be a request is turned away before its body is read, or closed on.
 func TestRubbish(t *testing.T) {
 	e := peer.New(t, peer.Always(peer.Served))
-	w := start(t, nil, ready("s-1", e.Address))
+	w := start(t, nil, directory.Ready("s-1", e.Address))
 	for name, c := range map[string]struct{ text, want string }{
 		"a length beyond the limit": {payHead + "X-Correlation-Id: 1\r\nContent-Length: 3000000000\r\n\r\n", "HTTP/1.1 413"},
 		"a negative length":         {payHead + "X-Correlation-Id: 1\r\nContent-Length: -3\r\n\r\nabc", "HTTP/1.1 400"},
@@ -139,7 +140,7 @@
 		}
 	}
 	e := peer.New(t, peer.Always(peer.Served))
-	w := start(t, nil, ready("s-1", e.Address))
+	w := start(t, nil, directory.Ready("s-1", e.Address))
 	for name, c := range map[string]struct{ text, want string }{
 		"nothing":          {"", ""},
 		"half a head":      {payHead, ""},
@@ -165,7 +166,7 @@
 			io.WriteString(conn, peer.Served)
 		}
 	})
-	w := start(t, nil, ready("s-1", e.Address))
+	w := start(t, nil, directory.Ready("s-1", e.Address))
 	for class, body := range map[string]string{"read": "", "pay": "x"} {
 		if got := w.send(w.request(class, body, time.Minute)); got.code != http.StatusOK {
 			t.Errorf("%s: got %+v", class, got)
@@ -182,7 +183,7 @@
 			io.WriteString(conn, peer.Served)
 		}
 	})
-	w := start(t, nil, ready("s-1", e.Address))
+	w := start(t, nil, directory.Ready("s-1", e.Address))
 	first, same := make(chan reply), w.request("pay", "", time.Minute)
 	go func() { first <- w.send(same.Clone(context.Background())) }()
 	w.until("the first to be taken", func() bool { n, _ := e.Seen(); return n == 1 })
@@ -211,7 +212,7 @@
 			io.WriteString(conn, peer.Served)
 		}
 	})
-	w := start(t, nil, ready("s-1", e.Address))
+	w := start(t, nil, directory.Ready("s-1", e.Address))
 	first := make(chan reply)
 	go func() { first <- w.send(w.request("pay", "x", time.Minute)) }()
 	w.until("the first to be taken", func() bool { n, _ := e.Seen(); return n == 1 })
@@ -244,7 +245,7 @@
 func TestAnswersEndConnectionsWhenCrowded(t *testing.T) {
 	e := peer.New(t, peer.Always(peer.Served))
 	const crowded = 3 // few enough for all requests to come before a connection has been idle for long
-	w := startWith(t, nil, func(o *httpfront.Options) { o.Crowded = crowded }, ready("s-1", e.Address))
+	w := startWith(t, nil, func(o *httpfront.Options) { o.Crowded = crowded }, directory.Ready("s-1", e.Address))
 	w.until("other connections to end", func() bool { return w.server.Connections() == 0 })
 	for i := range crowded + 3 {
 		conn := w.dial()
@@ -265,7 +266,7 @@
 // Bodies are bounded together: what is too much is refused before it is read.
 func TestBodiesAreBounded(t *testing.T) {
 	e := peer.New(t, peer.Always(peer.Served))
-	w := startWith(t, nil, func(o *httpfront.Options) { o.BodyBytes = 20 }, ready("s-1", e.Address))
+	w := startWith(t, nil, func(o *httpfront.Options) { o.BodyBytes = 20 }, directory.Ready("s-1", e.Address))
 	if got := w.send(w.request("pay", strings.Repeat("x", 21), 3*time.Second)); got.code != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
 		t.Errorf("beyond the limit: %+v", got)
 	}
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -12,6 +12,7 @@
 
 	"pinedale/balancer"
 	"pinedale/internal/membership/registry"
+	"pinedale/internal/standin/directory"
 	"pinedale/internal/standin/peer"
 )
 
@@ -31,20 +32,20 @@
 // discovery would answer with the whole list each time and never wait.
 func TestWatchGoesOnFromTheVersionKnown(t *testing.T) {
 	e := peer.New(t, peer.Always(peer.Served))
-	w := start(t, nil, ready("s-1", e.Address))
-	w.until("the waiting call", func() bool { return w.dir.count() == 2 })
-	w.dir.mu.Lock()
-	calls := slices.Clone(w.dir.calls)
-	w.dir.mu.Unlock()
+	w := start(t, nil, directory.Ready("s-1", e.Address))
+	w.until("the waiting call", func() bool { return w.dir.Count() == 2 })
+	w.dir.Lock()
+	calls := slices.Clone(w.dir.Calls)
+	w.dir.Unlock()
 	if calls[0] != "after=0&wait_ms=0" || !strings.HasPrefix(calls[1], "after=0&wait_ms=20000") {
 		t.Errorf("calls %q", calls)
 	}
 	// A change reaches the balancer; the next call asks for what is newer.
 	second := peer.New(t, peer.Always(peer.Served))
-	w.dir.change(func() {
-		w.dir.list = document{Seq: 7, Whole: true, Hosts: []host{ready("s-2", second.Address)}}
+	w.dir.Change(func() {
+		w.dir.List = directory.Document{Seq: 7, Whole: true, Hosts: []directory.Host{directory.Ready("s-2", second.Address)}}
 	})
-	w.until("the call after the change", func() bool { return w.dir.count() == 3 })
+	w.until("the call after the change", func() bool { return w.dir.Count() == 3 })
 	w.until("the change", func() bool { return w.spy.count(balancer.ListFull) == 1 })
 	if got := w.send(w.request("pay", "x", 3*time.Second)); got.code != http.StatusOK {
 		t.Errorf("answer %+v", got)
@@ -52,9 +53,9 @@
 	if n, _ := second.Seen(); n != 1 {
 		t.Errorf("the endpoint of the new list got %d requests, want 1", n)
 	}
-	w.dir.mu.Lock()
-	defer w.dir.mu.Unlock()
-	if last := w.dir.calls[2]; !strings.HasPrefix(last, "after=7&wait_ms=20000") {
+	w.dir.Lock()
+	defer w.dir.Unlock()
+	if last := w.dir.Calls[2]; !strings.HasPrefix(last, "after=7&wait_ms=20000") {
 		t.Errorf("the call after the change: %q", last)
 	}
 }
@@ -69,17 +70,17 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			e, second := peer.New(t, peer.Always(peer.Served)), peer.New(t, peer.Always(peer.Served))
-			w := start(t, nil, ready("s-1", e.Address))
-			w.until("the watch", func() bool { return w.dir.count() >= 2 })
-			w.dir.change(func() { w.dir.down, w.dir.broken = broken == "", broken })
+			w := start(t, nil, directory.Ready("s-1", e.Address))
+			w.until("the watch", func() bool { return w.dir.Count() >= 2 })
+			w.dir.Change(func() { w.dir.Down, w.dir.Broken = broken == "", broken })
 			// The change itself is answered with the news that there is none; calls after it fail.
 			w.until("the failure and one more", func() bool { return w.spy.count(balancer.ListFailed) >= 2 })
 			if got := w.send(w.request("pay", "x", 3*time.Second)); got.code != http.StatusOK {
 				t.Errorf("without discovery: %+v", got)
 			}
-			w.dir.change(func() {
-				w.dir.down, w.dir.broken = false, ""
-				w.dir.list = document{Seq: 1, Whole: true, Hosts: []host{ready("s-2", second.Address)}}
+			w.dir.Change(func() {
+				w.dir.Down, w.dir.Broken = false, ""
+				w.dir.List = directory.Document{Seq: 1, Whole: true, Hosts: []directory.Host{directory.Ready("s-2", second.Address)}}
 			})
 			w.until("the new list", func() bool { return w.spy.count(balancer.ListFull) >= 1 })
 			if got := w.send(w.request("pay", "x", 3*time.Second)); got.code != http.StatusOK {
@@ -96,13 +97,13 @@
 // by itself, and begins again after a failure.
 func TestPushedLists(t *testing.T) {
 	e, second := peer.New(t, peer.Always(peer.Served)), peer.New(t, peer.Always(peer.Served))
-	w := start(t, func(s map[string]any) { s["discovery"] = "automatic" }, ready("s-1", e.Address))
-	w.until("the watch", func() bool { return w.dir.count() >= 2 })
-	w.dir.change(func() { w.dir.down = true })
+	w := start(t, func(s map[string]any) { s["discovery"] = "automatic" }, directory.Ready("s-1", e.Address))
+	w.until("the watch", func() bool { return w.dir.Count() >= 2 })
+	w.dir.Change(func() { w.dir.Down = true })
 	w.until("the failure", func() bool { return w.spy.count(balancer.ListFailed) >= 1 })
-	w.dir.change(func() {
-		w.dir.down = false
-		w.dir.list = document{Seq: 3, Whole: true, Hosts: []host{ready("s-2", second.Address)}}
+	w.dir.Change(func() {
+		w.dir.Down = false
+		w.dir.List = directory.Document{Seq: 3, Whole: true, Hosts: []directory.Host{directory.Ready("s-2", second.Address)}}
 	})
 	w.until("the new list", func() bool { return w.spy.count(balancer.ListFull) >= 1 })
 }
@@ -110,8 +111,8 @@
 // A sidecar that knows no endpoint is not ready until discovery has named one.
 func TestReadyWithTheFirstList(t *testing.T) {
 	e := peer.New(t, peer.Always(peer.Served))
-	w := &world{t: t, dir: newDirectory(t)}
-	w.dir.down = true
+	w := &world{t: t, dir: directory.New(t)}
+	w.dir.Down = true
 	w.launch(configure(t, w.dir.Address, nil))
 	status := func() int {
 		response, err := http.Get(w.url + "/health/ready")
@@ -125,12 +126,12 @@
 	if code := status(); code != http.StatusServiceUnavailable {
 		t.Errorf("without any list: %d, want 503", code)
 	}
-	w.dir.change(func() {
-		w.dir.down = false
-		w.dir.list = document{Seq: 1, Whole: true, Hosts: []host{ready("s-1", e.Address)}}
+	w.dir.Change(func() {
+		w.dir.Down = false
+		w.dir.List = directory.Document{Seq: 1, Whole: true, Hosts: []directory.Host{directory.Ready("s-1", e.Address)}}
 	})
 	w.until("ready", func() bool { return status() == http.StatusOK })
-	if last := w.dir.calls[0]; last != "" {
+	if last := w.dir.Calls[0]; last != "" {
 		t.Errorf("without any list the first call was %q, want one for the whole list", last)
 	}
 }
@@ -146,25 +147,25 @@
 		}
 	})
 	second := peer.New(t, peer.Always(peer.Served))
-	w := start(t, nil, ready("s-1", e.Address))
-	w.until("the watch", func() bool { return w.dir.count() == 2 })
+	w := start(t, nil, directory.Ready("s-1", e.Address))
+	w.until("the watch", func() bool { return w.dir.Count() == 2 })
 	held := make(chan reply)
 	go func() { held <- w.send(w.request("pay", "x", time.Minute)) }()
 	w.until("the request in hand", func() bool { n, _ := e.Seen(); return n == 1 })
 
-	moved := newDirectory(t, ready("s-2", second.Address))
+	moved := directory.New(t, directory.Ready("s-2", second.Address))
 	for range 2 { // it may come again
 		lists := w.spy.count(balancer.ListFull)
 		w.do(func() { w.engine.Move(registry.New(moved.Address)) })
 		w.until("the new list", func() bool { return w.spy.count(balancer.ListFull) > lists })
 	}
-	moved.mu.Lock()
-	if first := moved.calls[0]; first != "" {
+	moved.Lock()
+	if first := moved.Calls[0]; first != "" {
 		t.Errorf("the first call asked for %q, want the whole list", first)
 	}
-	moved.mu.Unlock()
-	w.until("the new watch", func() bool { return moved.count() >= 3 })
-	w.until("the end of the old client's connections", func() bool { return w.dir.conns.Load() == 0 })
+	moved.Unlock()
+	w.until("the new watch", func() bool { return moved.Count() >= 3 })
+	w.until("the end of the old client's connections", func() bool { return w.dir.Conns.Load() == 0 })
 	if got := w.send(w.request("read", "", time.Minute)); got.code != http.StatusOK {
 		t.Errorf("through the new list: %+v", got)
 	}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -17,12 +17,13 @@
 	"pinedale/internal/front/httpfront"
 	"pinedale/internal/httpmsg"
 	"pinedale/internal/intake"
+	"pinedale/internal/standin/directory"
 	"pinedale/internal/standin/peer"
 )
 
 func TestServesAndReusesConnections(t *testing.T) {
 	e := peer.New(t, peer.Always(peer.Served))
-	w := start(t, nil, ready("s-1", e.Address))
+	w := start(t, nil, directory.Ready("s-1", e.Address))
 	for _, class := range []string{"read", "pay", "close", "order"} {
 		body := "body of " + class
 		if class == "read" {
@@ -48,14 +49,14 @@
 			io.WriteString(conn, peer.Served)
 		}
 	}
-	other := func(h host) host {
+	other := func(h directory.Host) directory.Host {
 		h.Block = 2
 		return h
 	}
 	for _, c := range []struct {
 		name, class string
 		first       func(*peer.Endpoint, net.Conn, *bufio.Reader)
-		move        func(host) host // of the second endpoint
+		move        func(directory.Host) directory.Host // of the second endpoint
 		code        int
 		attempts    int
 	}{
@@ -73,11 +74,11 @@
 			t.Parallel()
 			// Both names lead to one endpoint: whichever is chosen first, the first attempt ends as scripted.
 			e := peer.New(t, c.first)
-			second := ready("s-2", e.Address)
+			second := directory.Ready("s-2", e.Address)
 			if c.move != nil {
 				second = c.move(second)
 			}
-			w := start(t, nil, ready("s-1", e.Address), second)
+			w := start(t, nil, directory.Ready("s-1", e.Address), second)
 			got := w.send(w.request(c.class, "x", 3*time.Second))
 			if n, _ := e.Seen(); got.code != c.code || n != c.attempts || got.err != nil {
 				t.Errorf("answer %d (%v) after %d attempts, want %d after %d", got.code, got.err, n, c.code, c.attempts)
@@ -93,7 +94,7 @@
 // request is settled.
 func TestOutcomesAreToldOnceAndInOrder(t *testing.T) {
 	e := peer.New(t, peer.Then(peer.Full, peer.Served))
-	w := start(t, nil, ready("s-1", e.Address), ready("s-2", e.Address))
+	w := start(t, nil, directory.Ready("s-1", e.Address), directory.Ready("s-2", e.Address))
 	w.send(w.request("order", "x", 3*time.Second))
 	w.until("two outcomes", func() bool { return len(w.spy.statuses()) >= 2 })
 	w.spy.mu.Lock()
@@ -116,7 +117,7 @@
 	for class, code := range map[string]int{"read": 503, "pay": 503, "close": 502, "order": 502} {
 		t.Run(class, func(t *testing.T) {
 			e := peer.New(t, peer.Silent)
-			w := start(t, nil, ready("s-1", e.Address))
+			w := start(t, nil, directory.Ready("s-1", e.Address))
 			const left = 400 * time.Millisecond
 			sent := w.engine.Now()
 			got := w.send(w.request(class, "x", left))
@@ -153,7 +154,7 @@
 // come back.
 func TestRefusedAtOnceWithRetryAfter(t *testing.T) {
 	e := peer.New(t, peer.Always(peer.Full))
-	w := start(t, nil, ready("s-1", e.Address))
+	w := start(t, nil, directory.Ready("s-1", e.Address))
 	began := time.Now()
 	got := w.send(w.request("read", "", time.Minute))
 	after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
@@ -174,7 +175,7 @@
 		in.ReadByte() // until the sidecar closes the connection
 		close(closed)
 	})
-	w := start(t, nil, ready("s-1", e.Address))
+	w := start(t, nil, directory.Ready("s-1", e.Address))
 	ctx, cancel := context.WithCancel(context.Background())
 	go w.send(w.request("pay", "x", time.Minute).WithContext(ctx))
 	w.until("the attempt", func() bool { n, _ := e.Seen(); return n == 1 })
@@ -199,7 +200,7 @@
 // a whole answer that no endpoint made.
 func TestHalfClosedClientGetsNoAnswer(t *testing.T) {
 	e := peer.New(t, peer.Silent)
-	w := start(t, nil, ready("s-1", e.Address))
+	w := start(t, nil, directory.Ready("s-1", e.Address))
 	conn, err := net.Dial("tcp", strings.TrimPrefix(w.url, "http://"))
 	if err != nil {
 		t.Fatal(err)
@@ -224,7 +225,7 @@
 		io.WriteString(conn, peer.Served)
 	})
 	// Without leave to cancel, the attempt goes on after its request's end.
-	w := start(t, func(s map[string]any) { s["limits"].(map[string]any)["cancel"] = false }, ready("s-1", e.Address))
+	w := start(t, func(s map[string]any) { s["limits"].(map[string]any)["cancel"] = false }, directory.Ready("s-1", e.Address))
 	ctx, cancel := context.WithCancel(context.Background())
 	go w.send(w.request("pay", "x", time.Minute).WithContext(ctx))
 	w.until("the attempt", func() bool { n, _ := e.Seen(); return n == 1 })
@@ -248,7 +249,7 @@
 	e := peer.New(t, peer.Always(peer.Served))
 	w := start(t, func(s map[string]any) {
 		s["tenants"] = []any{map[string]any{"name": "acme", "share": 1, "allowance-per-s": 10}}
-	}, ready("s-1", e.Address))
+	}, directory.Ready("s-1", e.Address))
 	for _, c := range []struct {
 		name  string
 		alter func(*http.Request)
@@ -309,7 +310,7 @@
 func TestDrainDuringDialGoesElsewhere(t *testing.T) {
 	first, second := peer.New(t, peer.Always(peer.Served)), peer.New(t, peer.Always(peer.Served))
 	dialling, go_ := make(chan struct{}), make(chan struct{})
-	w := &world{t: t, dir: newDirectory(t, ready("s-1", first.Address))}
+	w := &world{t: t, dir: directory.New(t, directory.Ready("s-1", first.Address))}
 	w.control = func(_, address string, _ syscall.RawConn) error {
 		if address == first.Address {
 			close(dialling)
@@ -317,14 +318,14 @@
 		}
 		return nil
 	}
-	w.begin(nil, ready("s-1", first.Address))
+	w.begin(nil, directory.Ready("s-1", first.Address))
 	answer := make(chan reply)
 	go func() { answer <- w.send(w.request("order", "x", time.Minute)) }()
 	<-dialling
-	draining := ready("s-1", first.Address)
+	draining := directory.Ready("s-1", first.Address)
 	draining.Health = "Terminating"
-	w.dir.change(func() {
-		w.dir.list = document{Seq: 1, Whole: true, Hosts: []host{draining, ready("s-2", second.Address)}}
+	w.dir.Change(func() {
+		w.dir.List = directory.Document{Seq: 1, Whole: true, Hosts: []directory.Host{draining, directory.Ready("s-2", second.Address)}}
 	})
 	w.until("the news", func() bool { return w.spy.count(balancer.ListFull) == 1 })
 	close(go_)
@@ -353,7 +354,7 @@
 	})
 	w := startWith(t, nil, func(o *httpfront.Options) {
 		o.AcceptFor = 3 * time.Second // a busy machine may be slow to connect
-	}, ready("s-1", e.Address))
+	}, directory.Ready("s-1", e.Address))
 	idle, err := net.Dial("tcp", strings.TrimPrefix(w.url, "http://"))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/sidecar/world_test.go
+++ b/internal/sidecar/world_test.go
@@ -18,6 +18,7 @@
 	"pinedale/balancer"
 	"pinedale/internal/engine"
 	"pinedale/internal/front/httpfront"
+	"pinedale/internal/standin/directory"
 	"pinedale/internal/upstream/httpupstream"
 )
 
@@ -34,106 +35,6 @@
  "limits":{"cancel":true,"dial-timeout":2000000,"keepalive":5000000,"max-retry-after":1500000,"most-held":1000,"most-tries":3,"multiplex":1,"probes":false,"retry-after":true,"second-copies":true},
  "reporting":{"how":"probe","fields":["failed_ps","pending"]},"peers-total":1,"position":0,"zone":0}`
 
-// document and host are a list in discovery's form.
-type document struct {
-	Seq   uint64 `json:"seq"`
-	Whole bool   `json:"whole"`
-	Hosts []host `json:"hosts"`
-}
-
-type host struct {
-	Name   string  `json:"host"`
-	Dial   string  `json:"dial"`
-	Site   string  `json:"site"`
-	Class  string  `json:"class"`
-	Block  uint16  `json:"block"`
-	Health string  `json:"health"`
-	Share  float32 `json:"share"`
-	BornMS int64   `json:"born_ms"`
-}
-
-// directory is a discovery service with one list.
-type directory struct {
-	Address string
-
-	mu     sync.Mutex
-	list   document
-	down   bool
-	broken string // an answer to give in place of the list
-	calls  []string
-	news   chan struct{} // closed and replaced with every change
-	conns  atomic.Int32  // open connections
-}
-
-func newDirectory(t *testing.T, hosts ...host) *directory {
-	t.Helper()
-	d := &directory{list: document{Whole: true, Hosts: hosts}, news: make(chan struct{})}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	d.Address = listener.Addr().String()
-	server := &http.Server{Handler: d, ConnState: func(_ net.Conn, state http.ConnState) {
-		switch state {
-		case http.StateNew:
-			d.conns.Add(1)
-		case http.StateClosed:
-			d.conns.Add(-1)
-		}
-	}}
-	go server.Serve(listener)
-	t.Cleanup(func() { server.Close() })
-	return d
-}
-
-func (d *directory) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	d.mu.Lock()
-	d.calls = append(d.calls, r.URL.RawQuery)
-	after, wait, news := r.FormValue("after"), r.FormValue("wait_ms"), d.news
-	waits := after == fmt.Sprint(d.list.Seq) && wait != "0" && !d.down && d.broken == ""
-	d.mu.Unlock()
-	if waits {
-		select {
-		case <-news:
-		case <-r.Context().Done():
-			return
-		}
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	switch {
-	case d.down:
-		w.WriteHeader(http.StatusServiceUnavailable)
-		json.NewEncoder(w).Encode(d.list) // which must not be believed
-	case d.broken != "":
-		io.WriteString(w, d.broken)
-	case after == fmt.Sprint(d.list.Seq):
-		json.NewEncoder(w).Encode(document{Seq: d.list.Seq, Hosts: []host{}})
-	default:
-		json.NewEncoder(w).Encode(d.list)
-	}
-}
-
-// change alters the service and wakes the calls that wait.
-func (d *directory) change(alter func()) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	alter()
-	close(d.news)
-	d.news = make(chan struct{})
-}
-
-func (d *directory) count() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return len(d.calls)
-}
-
-// ready is discovery's entry for an endpoint.
-func ready(name, address string) host {
-	return host{Name: name, Dial: address, Site: "a", Class: "m1", Health: "Ready", Share: 1}
-}
-
 // spy passes everything on to the balancer and keeps what it was told.
 type spy struct {
 	engine.Decider
@@ -202,13 +103,13 @@
 	control func(network, address string, c syscall.RawConn) error // of dials to endpoints
 	options func(*httpfront.Options)
 	spy     *spy
-	dir     *directory
+	dir     *directory.Directory
 	stop    context.CancelFunc // as SIGTERM does
 	ended   chan error
 }
 
 // configure returns a configuration that knows the given list.
-func configure(t *testing.T, discovery string, alter func(settings map[string]any), hosts ...host) *Config {
+func configure(t *testing.T, discovery string, alter func(settings map[string]any), hosts ...directory.Host) *Config {
 	t.Helper()
 	var settings map[string]any
 	if err := json.Unmarshal([]byte(settingsText), &settings); err != nil {
@@ -220,7 +121,7 @@
 	text, err := json.Marshal(map[string]any{
 		"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f30d27a5be964",
 		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 256},
-		"known":  document{Whole: true, Hosts: hosts}, "settings": settings})
+		"known":  directory.Document{Whole: true, Hosts: hosts}, "settings": settings})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -232,18 +133,18 @@
 }
 
 // start runs a sidecar that knows these endpoints, and waits until it is ready.
-func start(t *testing.T, alter func(settings map[string]any), hosts ...host) *world {
+func start(t *testing.T, alter func(settings map[string]any), hosts ...directory.Host) *world {
 	t.Helper()
 	return startWith(t, alter, nil, hosts...)
 }
 
 // startWith is start with other options for the front.
-func startWith(t *testing.T, alter func(settings map[string]any), options func(*httpfront.Options), hosts ...host) *world {
+func startWith(t *testing.T, alter func(settings map[string]any), options func(*httpfront.Options), hosts ...directory.Host) *world {
 	t.Helper()
-	return (&world{t: t, options: options, dir: newDirectory(t, hosts...)}).begin(alter, hosts...)
+	return (&world{t: t, options: options, dir: directory.New(t, hosts...)}).begin(alter, hosts...)
 }
 
-func (w *world) begin(alter func(settings map[string]any), hosts ...host) *world {
+func (w *world) begin(alter func(settings map[string]any), hosts ...directory.Host) *world {
 	t := w.t
 	t.Helper()
 	w.launch(configure(t, w.dir.Address, alter, hosts...))
--- a/internal/site/check.go
+++ b/internal/site/check.go
@@ -88,7 +88,7 @@
 	c.members()
 	if len(c.errs) == 0 {
 		// The module's own checks are the last net.
-		s := f.settings()
+		s := f.Settings()
 		if err := s.Validate(); err != nil {
 			c.require(false, "file", "%v", err)
 		}
@@ -197,8 +197,8 @@
 	return *v
 }
 
-// settings is what the file says, as the balancer is told it.
-func (f *File) settings() balancer.Settings {
+// Settings is what the file says, as the balancer is told it.
+func (f *File) Settings() balancer.Settings {
 	s := balancer.Settings{
 		Balancers: f.Fleet.Instances, Zone: slices.Index(f.Fleet.Sites, f.Site),
 		Zones: len(f.Fleet.Sites), Kinds: len(f.Fleet.Kinds), Subscribe: f.Discovery.Address != "",
--- a/internal/site/run.go
+++ b/internal/site/run.go
@@ -70,7 +70,7 @@
 	engineCtx, stop := context.WithCancel(context.Background())
 	ctx, end := context.WithCancel(context.Background())
 	i.stop, i.end = stop, end
-	settings := f.settings()
+	settings := f.Settings()
 	up := httpupstream.New(httpupstream.Options{DialTimeout: time.Duration(f.Limits.DialTimeout),
 		Idle: time.Duration(f.Limits.IdleTimeout), Connections: f.Limits.UpstreamConnections, Fields: f.Fleet.Reports})
 	e, err := engine.New(engineCtx, engine.Options{Settings: settings, Seed: binary.LittleEndian.Uint64(seed[:]),
@@ -121,8 +121,16 @@
 // Ready says whether an endpoint is known that requests may go to.
 func (i *Instance) Ready() bool { return i.engine.Listed() }
 
-// Engine is the instance's, for measurements and tests.
-func (i *Instance) Engine() *engine.Engine { return i.engine }
+// Requests counts what the engine's ledger holds.
+func (i *Instance) Requests() (n int) {
+	done := make(chan struct{})
+	i.engine.Post(func(balancer.Micros) {
+		n, _ = i.engine.Held()
+		close(done)
+	})
+	<-done
+	return n
+}
 
 // Held counts what the external processor holds: asks, rounds and entries. It must
 // not be called from the engine's goroutine.
--- /dev/null
+++ b/internal/standin/directory/directory.go
@@ -0,0 +1,130 @@
+// Package directory is a stand-in for the platform's discovery service: one list,
+// whole or watched, that a test changes, takes down or spoils.
+package directory
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+)
+
+// Document is a list in discovery's form.
+type Document struct {
+	Seq   uint64 `json:"seq"`
+	Whole bool   `json:"whole"`
+	Hosts []Host `json:"hosts"`
+}
+
+// Host is one of its entries.
+type Host struct {
+	Name   string  `json:"host"`
+	Dial   string  `json:"dial"`
+	Site   string  `json:"site"`
+	Class  string  `json:"class"`
+	Block  uint16  `json:"block"`
+	Health string  `json:"health"`
+	Share  float32 `json:"share"`
+	BornMS int64   `json:"born_ms"`
+}
+
+// Directory is a discovery service with one list.
+type Directory struct {
+	Address string
+
+	sync.Mutex          // guards all but Conns
+	List       Document // these are to be altered within Change
+	Down       bool
+	Broken     string   // an answer to give in place of the list
+	Calls      []string // queries, so far
+	server     *http.Server
+	news       chan struct{} // closed and replaced with every change
+	Conns      atomic.Int32  // open connections
+}
+
+// New starts a service with a list of these entries, until the test ends.
+func New(t *testing.T, hosts ...Host) *Directory {
+	t.Helper()
+	d, err := Start(hosts...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	return d
+}
+
+// Start starts a service with a list of these entries.
+func Start(hosts ...Host) (*Directory, error) {
+	d := &Directory{List: Document{Whole: true, Hosts: hosts}, news: make(chan struct{})}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	d.Address = listener.Addr().String()
+	d.server = &http.Server{Handler: d, ConnState: func(_ net.Conn, state http.ConnState) {
+		switch state {
+		case http.StateNew:
+			d.Conns.Add(1)
+		case http.StateClosed:
+			d.Conns.Add(-1)
+		}
+	}}
+	go d.server.Serve(listener)
+	return d, nil
+}
+
+// Close ends the service.
+func (d *Directory) Close() { d.server.Close() }
+
+func (d *Directory) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	d.Lock()
+	d.Calls = append(d.Calls, r.URL.RawQuery)
+	after, wait, news := r.FormValue("after"), r.FormValue("wait_ms"), d.news
+	waits := after == fmt.Sprint(d.List.Seq) && wait != "0" && !d.Down && d.Broken == ""
+	d.Unlock()
+	if waits {
+		select {
+		case <-news:
+		case <-r.Context().Done():
+			return
+		}
+	}
+	d.Lock()
+	defer d.Unlock()
+	switch {
+	case d.Down:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		json.NewEncoder(w).Encode(d.List) // which must not be believed
+	case d.Broken != "":
+		io.WriteString(w, d.Broken)
+	case after == fmt.Sprint(d.List.Seq):
+		json.NewEncoder(w).Encode(Document{Seq: d.List.Seq, Hosts: []Host{}})
+	default:
+		json.NewEncoder(w).Encode(d.List)
+	}
+}
+
+// Change alters the service and wakes the calls that wait.
+func (d *Directory) Change(alter func()) {
+	d.Lock()
+	defer d.Unlock()
+	alter()
+	close(d.news)
+	d.news = make(chan struct{})
+}
+
+// Count is how many calls came.
+func (d *Directory) Count() int {
+	d.Lock()
+	defer d.Unlock()
+	return len(d.Calls)
+}
+
+// Ready is discovery's entry for an endpoint.
+func Ready(name, address string) Host {
+	return Host{Name: name, Dial: address, Site: "a", Class: "m1", Health: "Ready", Share: 1}
+}
--- /dev/null
+++ b/internal/standin/proxy/proxy.go
@@ -0,0 +1,323 @@
+// Package proxy is a stand-in for a proxy of Envoy's family with an external
+// processor: for each request it opens a stream, asks for a verdict, forwards the
+// request over HTTP/1.1 to the endpoint named, reports the answer's headers, and
+// gives the client what the processor makes of it. It can be told to give up, to
+// ask twice, to keep silent about an outcome or to break off.
+package proxy
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
+	extprocv3 "github.com/envoyproxy/go-control-plane/envoy/service/ext_proc/v3"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/protobuf/types/known/structpb"
+)
+
+// Request is a client's request.
+type Request struct {
+	Method, Path string
+	Header       map[string]string // lower case
+	Body         string
+}
+
+// Behaviour is what a proxy does out of the ordinary with one ask.
+type Behaviour struct {
+	LeaveBeforeVerdict bool // the stream is broken as soon as it has asked
+	LeaveAtVerdict     bool // broken when the verdict comes, which is not used
+	NoReport           bool // forwarded, and the stream is ended without a report
+	Attempt            int  // x-envoy-attempt-count, 0 for none
+}
+
+// Verdict is what the processor answered to an ask.
+type Verdict struct {
+	Endpoint string // "" for an immediate answer
+	Code     int    // of an immediate answer
+	After    string // its Retry-After
+	Body     string
+	Headers  map[string]string
+	Metadata string // x-gateway-destination-endpoint under envoy.lb
+}
+
+// Answer is what the client gets.
+type Answer struct {
+	Verdicts int // messages that answered the ask: one, if it was not left before
+	Verdict  Verdict
+	Code     int
+	After    string
+	Again    bool // the processor lets the proxy ask once more
+	SentAt   time.Time
+	SentTo   string
+	Err      error // of the stream
+}
+
+// Proxy is one proxy with its connections. Make one with Dial.
+type Proxy struct {
+	conns  []*grpc.ClientConn
+	next   int
+	mu     sync.Mutex
+	idle   map[string][]*connection
+	closed bool
+}
+
+type connection struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+// Dial returns a proxy with so many connections to its processor.
+func Dial(address string, connections int) (*Proxy, error) {
+	p := &Proxy{idle: map[string][]*connection{}}
+	for range connections {
+		c, err := grpc.NewClient(address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+		if err != nil {
+			p.Close()
+			return nil, err
+		}
+		p.conns = append(p.conns, c)
+	}
+	return p, nil
+}
+
+// Close breaks all connections, with what is on them.
+func (p *Proxy) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, c := range p.conns {
+		c.Close()
+	}
+	for _, list := range p.idle {
+		for _, c := range list {
+			c.Close()
+		}
+	}
+	p.idle = map[string][]*connection{}
+}
+
+// Stream opens a stream on the next connection in turn.
+func (p *Proxy) Stream(ctx context.Context) (extprocv3.ExternalProcessor_ProcessClient, error) {
+	p.mu.Lock()
+	c := p.conns[p.next%len(p.conns)]
+	p.next++
+	p.mu.Unlock()
+	return extprocv3.NewExternalProcessorClient(c).Process(ctx)
+}
+
+// Headers is a message of request headers.
+func Headers(r Request, attempt int) *extprocv3.ProcessingRequest {
+	h := []*corev3.HeaderValue{{Key: ":method", RawValue: []byte(r.Method)}, {Key: ":path", RawValue: []byte(r.Path)}}
+	for name, value := range r.Header {
+		h = append(h, &corev3.HeaderValue{Key: name, RawValue: []byte(value)})
+	}
+	if r.Body != "" {
+		h = append(h, &corev3.HeaderValue{Key: "content-length", RawValue: []byte(strconv.Itoa(len(r.Body)))})
+	}
+	if attempt > 0 {
+		h = append(h, &corev3.HeaderValue{Key: "x-envoy-attempt-count", RawValue: []byte(strconv.Itoa(attempt))})
+	}
+	return &extprocv3.ProcessingRequest{Request: &extprocv3.ProcessingRequest_RequestHeaders{
+		RequestHeaders: &extprocv3.HttpHeaders{Headers: &corev3.HeaderMap{Headers: h}, EndOfStream: r.Body == ""}}}
+}
+
+// Report is a message of response headers, with the details that Envoy gives of an
+// answer of its own, and the endpoint that served.
+func Report(code int, header http.Header, details, served string) *extprocv3.ProcessingRequest {
+	h := []*corev3.HeaderValue{{Key: ":status", RawValue: []byte(strconv.Itoa(code))}}
+	for _, name := range [...]string{"X-Unprocessed", "X-Backend-Load"} {
+		if v := header.Get(name); v != "" {
+			h = append(h, &corev3.HeaderValue{Key: lower(name), RawValue: []byte(v)})
+		}
+	}
+	out := &extprocv3.ProcessingRequest{Request: &extprocv3.ProcessingRequest_ResponseHeaders{
+		ResponseHeaders: &extprocv3.HttpHeaders{Headers: &corev3.HeaderMap{Headers: h}}}}
+	if details != "" {
+		out.Attributes = map[string]*structpb.Struct{"envoy.filters.http.ext_proc": {Fields: map[string]*structpb.Value{
+			"response.code_details": structpb.NewStringValue(details)}}}
+	}
+	if served != "" {
+		out.MetadataContext = &corev3.Metadata{FilterMetadata: map[string]*structpb.Struct{"envoy.lb": {
+			Fields: map[string]*structpb.Value{"x-gateway-destination-endpoint-served": structpb.NewStringValue(served)}}}}
+	}
+	return out
+}
+
+func lower(name string) string { return string(bytes.ToLower([]byte(name))) }
+
+// Read takes a message as the answer to request headers.
+func Read(m *extprocv3.ProcessingResponse) (Verdict, error) {
+	v := Verdict{Headers: map[string]string{}}
+	take := func(in *extprocv3.HeaderMutation) {
+		for _, h := range in.GetSetHeaders() {
+			v.Headers[h.GetHeader().GetKey()] = string(h.GetHeader().GetRawValue())
+		}
+	}
+	switch x := m.Response.(type) {
+	case *extprocv3.ProcessingResponse_RequestHeaders:
+		take(x.RequestHeaders.GetResponse().GetHeaderMutation())
+		v.Endpoint = v.Headers["x-gateway-destination-endpoint"]
+		v.Metadata = m.DynamicMetadata.GetFields()["envoy.lb"].GetStructValue().GetFields()["x-gateway-destination-endpoint"].GetStringValue()
+		if v.Endpoint == "" {
+			return v, errors.New("a verdict without an endpoint")
+		}
+	case *extprocv3.ProcessingResponse_ImmediateResponse:
+		take(x.ImmediateResponse.GetHeaders())
+		v.Code, v.After = int(x.ImmediateResponse.GetStatus().GetCode()), v.Headers["retry-after"]
+		v.Body = string(x.ImmediateResponse.GetBody())
+	default:
+		return v, fmt.Errorf("%T in answer to request headers", x)
+	}
+	return v, nil
+}
+
+// Do asks about a request once and carries the verdict out. It does not ask again.
+func (p *Proxy) Do(ctx context.Context, r Request, b Behaviour) (out Answer) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := p.Stream(ctx)
+	if err != nil {
+		out.Err = err
+		return out
+	}
+	if out.Err = stream.Send(Headers(r, b.Attempt)); out.Err != nil {
+		return out
+	}
+	if b.LeaveBeforeVerdict {
+		return out
+	}
+	m, err := stream.Recv()
+	if err != nil {
+		out.Err = err
+		return out
+	}
+	out.Verdicts++
+	if out.Verdict, out.Err = Read(m); out.Err != nil || b.LeaveAtVerdict {
+		return out
+	}
+	if out.Verdict.Endpoint == "" {
+		out.Code, out.After = out.Verdict.Code, out.Verdict.After
+		stream.CloseSend()
+		stream.Recv() // the stream's end
+		return out
+	}
+	left, _ := strconv.Atoi(out.Verdict.Headers["x-envoy-upstream-rq-timeout-ms"])
+	out.SentAt, out.SentTo = time.Now(), out.Verdict.Endpoint
+	code, header, details := p.forward(out.Verdict, r, time.Duration(left)*time.Millisecond)
+	if b.NoReport {
+		stream.CloseSend()
+		stream.Recv()
+		out.Code = code
+		return out
+	}
+	if out.Err = stream.Send(Report(code, header, details, out.Verdict.Endpoint)); out.Err != nil {
+		return out
+	}
+	if m, out.Err = stream.Recv(); out.Err != nil {
+		return out
+	}
+	stream.CloseSend()
+	stream.Recv()
+	out.Code = code
+	switch x := m.Response.(type) {
+	case *extprocv3.ProcessingResponse_ResponseHeaders:
+		for _, h := range x.ResponseHeaders.GetResponse().GetHeaderMutation().GetSetHeaders() {
+			switch h.GetHeader().GetKey() {
+			case ":status":
+				out.Code, _ = strconv.Atoi(string(h.GetHeader().GetRawValue()))
+			case "x-pinedale-retry":
+				out.Again = true
+			}
+		}
+	case *extprocv3.ProcessingResponse_ImmediateResponse:
+		var v Verdict
+		v, out.Err = Read(m)
+		out.Code, out.After = v.Code, v.After
+	default:
+		out.Err = fmt.Errorf("%T in answer to response headers", x)
+	}
+	return out
+}
+
+// Retry asks as Do does, and again for as long as the processor lets it.
+func (p *Proxy) Retry(ctx context.Context, r Request, each func(Answer)) Answer {
+	for attempt := 1; ; attempt++ {
+		out := p.Do(ctx, r, Behaviour{Attempt: attempt})
+		if each != nil {
+			each(out)
+		}
+		if !out.Again || out.Err != nil {
+			return out
+		}
+	}
+}
+
+// forward sends a request to an endpoint once, and answers for it as Envoy does
+// where there is no answer.
+func (p *Proxy) forward(v Verdict, r Request, timeout time.Duration) (code int, header http.Header, details string) {
+	c, err := p.connect(v.Endpoint)
+	if err != nil {
+		return 503, nil, "upstream_reset_before_response_started{remote_connection_failure|delayed_connect_error:_Connection_refused}"
+	}
+	c.SetDeadline(time.Now().Add(timeout))
+	var out bytes.Buffer
+	fmt.Fprintf(&out, "%s %s HTTP/1.1\r\nHost: api.internal\r\nContent-Length: %d\r\n", r.Method, r.Path, len(r.Body))
+	for name, value := range r.Header {
+		if name != "x-time-left-ms" {
+			fmt.Fprintf(&out, "%s: %s\r\n", name, value)
+		}
+	}
+	fmt.Fprintf(&out, "x-time-left-ms: %s\r\n\r\n%s", v.Headers["x-time-left-ms"], r.Body)
+	_, err = c.Write(out.Bytes())
+	if err == nil {
+		var response *http.Response
+		if response, err = http.ReadResponse(c.reader, &http.Request{Method: r.Method}); err == nil {
+			if _, err = io.Copy(io.Discard, response.Body); err == nil {
+				p.keep(v.Endpoint, c, !response.Close)
+				return response.StatusCode, response.Header, "via_upstream"
+			}
+		}
+	}
+	c.Close()
+	var timedOut net.Error
+	if errors.As(err, &timedOut) && timedOut.Timeout() {
+		return 504, nil, "response_timeout"
+	}
+	return 503, nil, "upstream_reset_before_response_started{connection_termination}"
+}
+
+func (p *Proxy) connect(address string) (*connection, error) {
+	p.mu.Lock()
+	if list := p.idle[address]; len(list) > 0 {
+		c := list[len(list)-1]
+		p.idle[address] = list[:len(list)-1]
+		p.mu.Unlock()
+		return c, nil
+	}
+	p.mu.Unlock()
+	raw, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return nil, err
+	}
+	return &connection{raw, bufio.NewReader(raw)}, nil
+}
+
+func (p *Proxy) keep(address string, c *connection, keep bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !keep || p.closed {
+		c.Close()
+		return
+	}
+	p.idle[address] = append(p.idle[address], c)
+}
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -106,6 +106,11 @@
 // wait between tries: Envoy up to 25 ms before the first retry and 250 ms at most.
 const OfferFor Micros = 250_000
 
+// carry is kept of a window for the way of a verdict to its use: what is handed out
+// at the window's last instant would come to the server after it. A caller next
+// door needs under a millisecond; a crowded one some tens.
+const carry Micros = 100_000
+
 // busyAfter is the wait advised when nothing more can be remembered: entries are
 // kept for seconds.
 const busyAfter Micros = 1_000_000
@@ -336,6 +341,7 @@
 	}
 	in := q.Body
 	in.MayHaveRun, in.Earlier = e.ran, e.earlier
+	in.Earlier.At -= carry
 	in.NoCopies, in.Attempts = true, 1
 	if l.limits.Retries {
 		in.Attempts = l.limits.Attempts - *e.copies(q.ID)
@@ -367,7 +373,7 @@
 	// servers may have forgotten the key meanwhile, the module decides anew.
 	c, late := &l.limits.Classes[r.entry.class], false
 	if first, ran := r.entry.bound(); ran && c.Repeat == balancer.Keyed {
-		late = now >= first.At+c.Window
+		late = now >= first.At+c.Window-carry
 	}
 	if !late && l.out.Usable(r.attempts[n].ref) {
 		l.hand(now, r, n)
@@ -388,7 +394,7 @@
 		reason = reasonStrange
 	case !t.ended && !l.limits.Copies:
 		reason = reasonOpen
-	case c.Repeat == balancer.Keyed && now >= first.At+c.Window:
+	case c.Repeat == balancer.Keyed && now >= first.At+c.Window-carry:
 		reason = reasonWindow
 	case l.exhausted(e, a.id):
 		reason = reasonLimit
