--- a/cmd/pinedale-site/main.go
+++ b/cmd/pinedale-site/main.go
@@ -73,6 +73,7 @@
 	if err != nil {
 		return err
 	}
+	f.UseMemory()
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("instance", f.Name)
 	i, err := site.Start(f, log)
 	if err != nil {
--- a/internal/front/extproc/host.go
+++ b/internal/front/extproc/host.go
@@ -72,9 +72,8 @@
 	h.ledger.Left(now, a.name, unsent)
 }
 
-// report takes a stream's report and tells the stream what is to become of the
-// answer.
-func (h *host) report(now verdict.Micros, a *asker, r report) {
+// report takes a stream's report and returns what is to become of the answer.
+func (h *host) report(now verdict.Micros, a *asker, r report) verdict.Told {
 	if r.served != "" && r.served != a.sent.Target.Address {
 		if id := h.engine.Find(r.served); id != 0 {
 			zone, cell := h.engine.Place(id)
@@ -83,7 +82,7 @@
 			r.outcome.Strange = true
 		}
 	}
-	a.told <- h.ledger.Report(now, a.name, r.outcome)
+	return h.ledger.Report(now, a.name, r.outcome)
 }
 
 // Begin passes a round to the module.
--- a/internal/front/extproc/stream.go
+++ b/internal/front/extproc/stream.go
@@ -210,7 +210,12 @@
 		return passOn(false, 0), nil // our own answer, on its way to the client
 	}
 	s, r := c.s, readReport(in, c.s.opts.Fields)
-	s.engine.Post(func(now balancer.Micros) { s.host.report(now, &c.asker, r) })
+	if r.outcome.Status == balancer.OK {
+		// The client's answer is here: it need not wait for us to learn of it.
+		s.engine.Post(func(now balancer.Micros) { s.host.report(now, &c.asker, r) })
+		return passOn(false, 0), nil
+	}
+	s.engine.Post(func(now balancer.Micros) { c.asker.told <- s.host.report(now, &c.asker, r) })
 	select {
 	case t := <-c.asker.told:
 		switch t.Kind {
--- a/internal/site/run.go
+++ b/internal/site/run.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"runtime/debug"
 	"time"
 
 	"pinedale/balancer"
@@ -48,6 +49,19 @@
 	return static.New(f.hosts())
 }
 
+// collectAt is the heap's growth, in percent of what is live, at which it is
+// collected while there is memory: what the external processor remembers is live
+// for seconds, and walking it often costs more than it frees.
+const collectAt = 300
+
+// UseMemory has the process use the memory that the file grants it, and not more:
+// collections are rare until the heap comes near the limit. It leaves a fifth for
+// what the runtime does not count.
+func (f *File) UseMemory() {
+	debug.SetGCPercent(collectAt)
+	debug.SetMemoryLimit(int64(f.Limits.MemoryMB) << 20 / 10 * 8)
+}
+
 // Start listens and serves as the file says.
 func Start(f *File, log *slog.Logger) (*Instance, error) {
 	i := &Instance{file: f, log: log, served: make(chan error, 2)}
