--- a/cmd/pinedale-measure/main.go
+++ b/cmd/pinedale-measure/main.go
@@ -8,14 +8,20 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
+	"strings"
+	"syscall"
 	"time"
 
 	"pinedale/internal/measure/verdicts"
+	"pinedale/internal/standin/soko"
 )
 
 const usage = `usage: pinedale-measure MEASUREMENT [FLAGS]
 
   verdicts   seeded callers with faults against a whole external processor
+  fronts     one load through the HTTP front and through the processor
+  servers    stand-in servers to try pinedale-site with, until interrupted
   noop       what a verdict costs beside a processor that decides nothing
 `
 
@@ -59,6 +65,43 @@
 			return errors.New("broken: " + why)
 		}
 		return nil
+	case "fronts":
+		o := verdicts.Options{}
+		flags.IntVar(&o.Calls, "calls", 5000, "clients' requests")
+		flags.IntVar(&o.Servers, "servers", 12, "of the fleet")
+		flags.Uint64Var(&o.Seed, "seed", 1, "of the faults")
+		everywhere := flags.Bool("everywhere", false, "a request fares the same at every server")
+		flags.BoolVar(&o.Once, "once", false, "no request is sent twice")
+		if err := flags.Parse(args[1:]); err != nil {
+			return err
+		}
+		a, b, err := verdicts.Fronts(o, *everywhere)
+		if err != nil {
+			return err
+		}
+		verdicts.PrintFronts(out, a, b)
+		return nil
+	case "servers":
+		addresses := flags.String("listen", "127.0.0.1:9101,127.0.0.1:9102", "host:port of each")
+		work := flags.Duration("work", 20*time.Millisecond, "of a request")
+		most := flags.Duration("for", time.Hour, "end by itself after this long")
+		if err := flags.Parse(args[1:]); err != nil {
+			return err
+		}
+		fleet := &soko.Fleet{Work: *work}
+		for n, address := range strings.Split(*addresses, ",") {
+			if _, err := fleet.StartAt(address, fmt.Sprintf("soko-%d", n+1), n); err != nil {
+				return err
+			}
+			fmt.Fprintln(out, "a stand-in server listens on", address)
+		}
+		end := make(chan os.Signal, 1)
+		signal.Notify(end, os.Interrupt, syscall.SIGTERM)
+		select {
+		case <-end:
+		case <-time.After(*most):
+		}
+		return nil
 	case "noop":
 		o := verdicts.CostOptions{}
 		flags.IntVar(&o.Servers, "servers", 12, "of the fleet")
--- /dev/null
+++ b/cmd/pinedale-site/main_test.go
@@ -0,0 +1,174 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"pinedale/internal/standin/soko"
+)
+
+// TestMain lets the test binary stand in for the program.
+func TestMain(m *testing.M) {
+	if os.Getenv("PINEDALE_SITE_TEST_RUN") != "" {
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+func command(args ...string) *exec.Cmd {
+	c := exec.Command(os.Args[0], args...)
+	c.Env = append(os.Environ(), "PINEDALE_SITE_TEST_RUN=1")
+	return c
+}
+
+func file(address string) string {
+	return fmt.Sprintf(`version = 1
+name = "t"
+site = "a"
+[http]
+listen = "127.0.0.1:0"
+[ext_proc]
+listen = "127.0.0.1:0"
+[fleet]
+sites = ["a"]
+[[class]]
+name = "read"
+repeat = "safe"
+aim = "600ms"
+deadline = "1s"
+[[server]]
+name = "s-1"
+address = %q
+site = "a"
+`, address)
+}
+
+func TestUsageAndCheck(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "site.toml")
+	os.WriteFile(path, []byte(strings.Replace(file("here"), "safe", "never", 1)), 0o600)
+	for _, c := range []struct {
+		args []string
+		says []string
+	}{
+		{nil, []string{"usage"}},
+		{[]string{"run"}, []string{"usage"}},
+		{[]string{"check"}, []string{"-config"}},
+		{[]string{"check", "-config", path, "more"}, []string{"-config"}},
+		{[]string{"check", "-config", path + "x"}, []string{"no such file"}},
+		{[]string{"check", "-config", path}, []string{path, "line 12: class[0].repeat", "line 17: server[0].address"}},
+		{[]string{"serve", "-config", path}, []string{"line 12: class[0].repeat"}},
+	} {
+		out, err := command(c.args...).CombinedOutput()
+		if err == nil || err.(*exec.ExitError).ExitCode() != 1 {
+			t.Errorf("%v: %v, want exit code 1", c.args, err)
+		}
+		for _, says := range c.says {
+			if !bytes.Contains(out, []byte(says)) {
+				t.Errorf("%v: said %q, want %q", c.args, out, says)
+			}
+		}
+	}
+	os.WriteFile(path, []byte(file("127.0.0.1:1")), 0o600)
+	if out, err := command("check", "-config", path).CombinedOutput(); err != nil || !bytes.Contains(out, []byte("good")) {
+		t.Errorf("a good file: %v, %q", err, out)
+	}
+}
+
+// lines collects what the program writes.
+type lines struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *lines) find(pattern string) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return regexp.MustCompile(pattern).FindStringSubmatch(l.text.String())
+}
+
+func await(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !is(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("waited in vain for: %s", what)
+		}
+	}
+}
+
+// The program serves a request, moves to the servers of a new file on SIGHUP, keeps
+// the old ones where that file is bad, and ends in order on SIGTERM.
+func TestServe(t *testing.T) {
+	fleet := &soko.Fleet{}
+	first, err := fleet.Start("s-1", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer first.Close()
+	second, err := fleet.Start("s-2", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer second.Close()
+	path := filepath.Join(t.TempDir(), "site.toml")
+	os.WriteFile(path, []byte(file(first.Address)), 0o600)
+	cmd := command("serve", "-config", path)
+	var log lines
+	cmd.Stderr = &log
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Process.Kill()
+	await(t, "the line on what is served", func() bool { return log.find(`http=(\S+) ext_proc=(\S+)`) != nil })
+	url := "http://" + log.find(`http=(\S+)`)[1]
+	n := 0
+	get := func() int {
+		n++
+		r, err := http.NewRequest("GET", url+"/read/x", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for name, value := range map[string]string{"X-Correlation-Id": fmt.Sprint(n), "X-Service-Class": "read", "X-Time-Left-Ms": "1000"} {
+			r.Header.Set(name, value)
+		}
+		out, err := http.DefaultClient.Do(r)
+		if err != nil {
+			return 0
+		}
+		out.Body.Close()
+		return out.StatusCode
+	}
+	if code := get(); code != 200 {
+		t.Errorf("answer %d", code)
+	}
+	os.WriteFile(path, []byte("version = 7"), 0o600)
+	cmd.Process.Signal(syscall.SIGHUP)
+	await(t, "the bad file's line", func() bool { return log.find("old one holds") != nil })
+	if code := get(); code != 200 || !second.LastRequest().IsZero() {
+		t.Errorf("after a bad file: %d", code)
+	}
+	os.WriteFile(path, []byte(strings.Replace(file(second.Address), "s-1", "s-2", 1)), 0o600)
+	cmd.Process.Signal(syscall.SIGHUP)
+	await(t, "the new file", func() bool { return log.find("configuration reloaded") != nil })
+	await(t, "a request at the new server", func() bool { return get() == 200 && !second.LastRequest().IsZero() })
+	cmd.Process.Signal(syscall.SIGTERM)
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("the program ended with %v", err)
+	}
+}
--- a/internal/measure/verdicts/cost.go
+++ b/internal/measure/verdicts/cost.go
@@ -126,7 +126,7 @@
 		defer server.Stop()
 		address = listener.Addr().String()
 	} else {
-		f, err := site.Parse([]byte(File(what, false)))
+		f, err := site.Parse([]byte(File(what, false, 3)))
 		if err != nil {
 			return true, err
 		}
--- a/internal/measure/verdicts/run.go
+++ b/internal/measure/verdicts/run.go
@@ -29,6 +29,14 @@
 	Change  int           // calls between two changes of the fleet, 0 for none
 	Short   bool          // windows and deadlines of seconds, so that the memory empties soon
 	Work    time.Duration // of a request at a server
+	Once    bool          // no request is sent twice
+}
+
+func (o *Options) attempts() int {
+	if o.Once {
+		return 1
+	}
+	return 3
 }
 
 // Report is what came of a run.
@@ -75,7 +83,7 @@
 }
 
 // File is the operator's file of a run.
-func File(discovery string, short bool) string {
+func File(discovery string, short bool, attempts int) string {
 	pay, closing, deadline := "1.5s", "12s", "2.5s"
 	if short {
 		closing, deadline = "2s", "1s"
@@ -88,6 +96,8 @@
 [ext_proc]
 listen = "127.0.0.1:0"
 retries = "ask-again"
+[limits]
+attempts = %d
 [fleet]
 sites = ["arusha", "dar"]
 kinds = ["box"]
@@ -122,7 +132,7 @@
 repeat = "unsafe"
 aim = "600ms"
 deadline = %q
-`, discovery, deadline, pay, deadline, closing, deadline, deadline)
+`, attempts, discovery, deadline, pay, deadline, closing, deadline, deadline)
 }
 
 // run is the state of one run.
@@ -147,46 +157,62 @@
 func Run(o Options) (*Report, error) {
 	r := &run{o: o, removed: map[*soko.Server]time.Time{}}
 	r.report = Report{Calls: o.Calls, Kinds: map[string]int{}, Codes: map[int]int{}, Goroutines: runtime.NumGoroutine()}
-	var err error
-	if r.dir, err = directory.Start(); err != nil {
+	if err := r.begin(soko.Faults{TurnAway: 0.02, Error: 0.02, Reset: 0.01, Silent: 0.0005}); err != nil {
 		return nil, err
 	}
-	defer r.dir.Close()
-	if r.file, err = site.Parse([]byte(File(r.dir.Address, o.Short))); err != nil {
-		return nil, err
+	defer r.end()
+	for range 4 {
+		p, err := proxy.Dial(r.ext, 2)
+		if err != nil {
+			return nil, err
+		}
+		r.proxies = append(r.proxies, p)
 	}
-	r.fleet = &soko.Fleet{Classes: r.file.Settings().Classes, Seed: o.Seed, Work: o.Work,
-		Faults: soko.Faults{TurnAway: 0.02, Error: 0.02, Reset: 0.01, Silent: 0.0005}}
+	r.play()
+	r.finish()
+	return &r.report, nil
+}
+
+// begin starts the servers, discovery and the processor.
+func (r *run) begin(faults soko.Faults) (err error) {
 	defer func() {
-		for _, s := range r.all {
-			s.Close()
+		if err != nil {
+			r.end()
 		}
 	}()
-	for range o.Servers {
-		if err := r.add(); err != nil {
-			return nil, err
+	if r.dir, err = directory.Start(); err != nil {
+		return err
+	}
+	if r.file, err = site.Parse([]byte(File(r.dir.Address, r.o.Short, r.o.attempts()))); err != nil {
+		return err
+	}
+	r.fleet = &soko.Fleet{Classes: r.file.Settings().Classes, Seed: r.o.Seed, Work: r.o.Work, Faults: faults}
+	for range r.o.Servers {
+		if err = r.add(); err != nil {
+			return err
 		}
 	}
 	r.publish()
 	if r.site, err = site.Start(r.file, slog.New(slog.DiscardHandler)); err != nil {
-		return nil, err
+		return err
 	}
 	r.ext = r.site.ExtProc.String()
 	for end := time.Now().Add(10 * time.Second); !r.site.Ready(); time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
-			return nil, fmt.Errorf("no server is known after 10 s")
+			return fmt.Errorf("no server is known after 10 s")
 		}
 	}
-	for range 4 {
-		p, err := proxy.Dial(r.ext, 2)
-		if err != nil {
-			return nil, err
-		}
-		r.proxies = append(r.proxies, p)
+	return nil
+}
+
+// end closes the servers and discovery, once more if need be.
+func (r *run) end() {
+	if r.dir != nil {
+		r.dir.Close()
+	}
+	for _, s := range r.all {
+		s.Close()
 	}
-	r.play()
-	r.finish()
-	return &r.report, nil
 }
 
 // add starts a server. Pairs share a pod; pods take turns between the sites.
@@ -403,7 +429,6 @@
 		rep.Errors++
 		rep.FirstError = err
 	}
-	r.dir.Close()
 	for s, at := range r.removed {
 		if last := s.LastRequest(); last.After(at) {
 			rep.Latest = max(rep.Latest, last.Sub(at))
@@ -412,9 +437,7 @@
 			}
 		}
 	}
-	for _, s := range r.all {
-		s.Close()
-	}
+	r.end()
 	rep.Twice, rep.Fleet = r.fleet.Twice(), r.fleet.Counts()
 	for end := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
 		rep.Extra = runtime.NumGoroutine() - rep.Goroutines
--- a/internal/measure/verdicts/run_test.go
+++ b/internal/measure/verdicts/run_test.go
@@ -22,3 +22,24 @@
 	}
 	t.Logf("%+v", r)
 }
+
+// The same load through both fronts, where nothing random separates them, is
+// served, refused and failed alike.
+func TestBothFrontsAlike(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	a, b, err := Fronts(Options{Calls: 1500, Servers: 8, Seed: 3, Short: true, Once: true}, true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var sum Tally
+	for class, x := range a {
+		y := b[class]
+		if y == nil || *x != *y {
+			t.Errorf("%s: over HTTP %+v, over the processor %+v", class, x, y)
+		}
+		sum.Served, sum.Refused, sum.Failed = sum.Served+x.Served, sum.Refused+x.Refused, sum.Failed+x.Failed
+	}
+	if len(a) != 4 || sum.Refused < 20 || sum.Failed < 10 || sum.Served < 1000 {
+		t.Errorf("the load did not cause what it is for: %+v", sum)
+	}
+}
--- /dev/null
+++ b/internal/site/file_test.go
@@ -0,0 +1,212 @@
+package site
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"pinedale/balancer"
+)
+
+const good = `version = 1
+name = "arusha-1"
+site = "arusha"
+[http]
+listen = "127.0.0.1:0"
+[ext_proc]
+listen = "127.0.0.1:0"
+retries = "ask-again"
+[limits]
+attempts = 2
+[fleet]
+sites = ["arusha", "dar"]
+kinds = ["big-box"]
+reports = ["eps", "queue"]
+[[class]]
+name = "price-check"
+repeat = "safe"
+aim = "600ms"
+deadline = "3s"
+[[class]]
+name = "stall-pay"
+repeat = "keyed"
+group = "all"
+window = "1.5s"
+aim = "600ms"
+deadline = "2.5s"
+worth = 10
+[[server]]
+name = "soko-1"
+address = "127.0.0.1:9101"
+site = "dar"
+kind = "big-box"
+pod = 3
+`
+
+func TestGoodFile(t *testing.T) {
+	f, err := Parse([]byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := f.Settings()
+	if s.Zone != 0 || s.Limits.MaxAttempts != 2 || s.Subscribe || len(s.Fields) != 2 || s.Fields[0] != balancer.FieldErrors {
+		t.Errorf("settings %+v", s)
+	}
+	c := s.Classes[1]
+	if c.Repeat != balancer.Keyed || c.Group != balancer.GroupAll || c.Window != 1_500_000 || c.GiveUp != 2_500_000 || c.Worth != 10 || s.Classes[0].Worth != 1 {
+		t.Errorf("classes %+v", s.Classes)
+	}
+	if h := f.hosts(); len(h) != 1 || h[0].Cell != 3 || h[0].Site != "dar" || h[0].Share != 1 {
+		t.Errorf("hosts %+v", h)
+	}
+	if got := f.Summary(); !strings.Contains(got, "stall-pay") || !strings.Contains(got, "1 servers") {
+		t.Errorf("summary %q", got)
+	}
+}
+
+// Every fault is named with its line, key and reason, and no file with one is used.
+func TestBadFiles(t *testing.T) {
+	for _, c := range []struct {
+		old, new string
+		line     int
+		key      string
+	}{
+		{"version = 1", "version = 2", 1, "version"},
+		{"version = 1\n", "", 0, "version"},
+		{`name = "arusha-1"`, `nome = "arusha-1"`, 2, "nome"},
+		{`site = "arusha"`, `site = "moshi"`, 3, "site"},
+		{`listen = "127.0.0.1:0"`, `listen = "here"`, 5, "http.listen"},
+		{`listen = "127.0.0.1:0"`, `listen = 8080`, 5, "listen"},
+		{`retries = "ask-again"`, `retries = "often"`, 8, "ext_proc.retries"},
+		{`retries = "ask-again"`, `streams = 0`, 8, "ext_proc.streams"},
+		{`retries = "ask-again"`, `backlog = 5000`, 8, "ext_proc.backlog"},
+		{"attempts = 2", "attempts = 4", 10, "limits.attempts"},
+		{"attempts = 2", "memory_mb = 0", 10, "limits.memory_mb"},
+		{"attempts = 2", `dial_timeout = "soon"`, 10, "dial_timeout"},
+		{"attempts = 2", `dial_timeout = "-1s"`, 10, "limits.dial_timeout"},
+		{"attempts = 2", "attempts = 2\nattempts = 3", 11, "attempts"},
+		{`sites = ["arusha", "dar"]`, `sites = ["arusha", "arusha", "dar"]`, 12, "fleet.sites"},
+		{`sites = ["arusha", "dar"]`, `sites = []`, 12, "fleet.sites"},
+		{`"queue"]`, `"mood"]`, 14, "fleet.reports"},
+		{`name = "price-check"`, `name = "price/check"`, 16, "class[0].name"},
+		{`name = "price-check"`, `name = "stall-pay"`, 21, "class[1].name"},
+		{`repeat = "safe"`, `repeat = "sometimes"`, 17, "class[0].repeat"},
+		{`repeat = "safe"`, "repeat = \"safe\"\nwindow = \"1s\"", 18, "class[0].window"},
+		{`repeat = "safe"`, "repeat = \"unsafe\"\ngroup = \"all\"", 18, "class[0].group"},
+		{"group = \"all\"\n", "", 20, "class[1].group"},
+		{`group = "all"`, `group = "street"`, 23, "class[1].group"},
+		{"window = \"1.5s\"\n", "", 20, "class[1].window"},
+		{`deadline = "3s"`, `deadline = "500ms"`, 19, "class[0].deadline"},
+		{`deadline = "3s"`, `deadline = "90s"`, 19, "class[0].deadline"},
+		{`deadline = "3s"`, `late_worth = 1.5`, 19, "class[0].late_worth"},
+		{"worth = 10", "worth = -1", 27, "class[1].worth"},
+		{"worth = 10", "worth = nan", 27, "class[1].worth"},
+		{`address = "127.0.0.1:9101"`, `address = "127.0.0.1"`, 30, "server[0].address"},
+		{`address = "127.0.0.1:9101"`, `address = "127.0.0.1:port"`, 30, "server[0].address"},
+		{`site = "dar"`, `site = "moshi"`, 31, "server[0].site"},
+		{`kind = "big-box"`, `kind = "tiny"`, 32, "server[0].kind"},
+		{"pod = 3", "pod = 70000", 33, "server[0].pod"},
+		{"pod = 3", "share = 0", 33, "server[0].share"},
+		{"pod = 3", "pod = 3\n[discovery]\naddress = \"127.0.0.1:1\"", 35, "discovery.address"},
+		{"[[server]]", "[[sever]]", 28, "sever"},
+		{`name = "soko-1"`, "name = \"soko-1", 29, ""},
+		{"name = \"soko-1\"", "name = \"soko\xff\"", 29, "file"},
+	} {
+		bad := strings.Replace(good, c.old, c.new, 1)
+		if bad == good {
+			t.Fatalf("%q is not in the file", c.old)
+		}
+		f, err := Parse([]byte(bad))
+		if err == nil {
+			t.Errorf("%q is taken", c.new)
+			continue
+		}
+		var fault *FileError
+		if f != nil || !errors.As(err, &fault) {
+			t.Errorf("%q: %v, %v", c.new, f, err)
+			continue
+		}
+		found := false
+		for _, line := range strings.Split(err.Error(), "\n") {
+			at := fmt.Sprintf("line %d: ", c.line)
+			if c.line == 0 {
+				at = ""
+			}
+			found = found || strings.HasPrefix(line, at) && strings.Contains(line, c.key)
+		}
+		if !found {
+			t.Errorf("%q: said %q, want line %d and %q", c.new, err, c.line, c.key)
+		}
+	}
+}
+
+// All faults of a file are told at once, in the order of its lines.
+func TestAllFaultsAtOnce(t *testing.T) {
+	bad := strings.NewReplacer("attempts = 2", "attempts = 9", `group = "all"`, `group = "x"`, "pod = 3", "pod = -1").Replace(good)
+	_, err := Parse([]byte(bad))
+	want := []string{"line 10: limits.attempts", "line 23: class[1].group", "line 33: server[0].pod"}
+	lines := strings.Split(fmt.Sprint(err), "\n")
+	if len(lines) != len(want) {
+		t.Fatalf("said %q", err)
+	}
+	for i := range want {
+		if !strings.HasPrefix(lines[i], want[i]) {
+			t.Errorf("line %d: %q, want %q", i, lines[i], want[i])
+		}
+	}
+}
+
+func TestHugeAndMissingFiles(t *testing.T) {
+	if _, err := Parse([]byte(strings.Repeat("#", fileMost+1))); err == nil {
+		t.Error("a file over the limit is taken")
+	}
+	path := filepath.Join(t.TempDir(), "site.toml")
+	if _, err := Load(path); err == nil {
+		t.Error("a missing file is no error")
+	}
+	os.WriteFile(path, make([]byte, 1<<20), 0o600)
+	if _, err := Load(path); err == nil {
+		t.Error("a file of nulls is taken")
+	}
+	// Ten thousand servers are read in a time that nobody notices.
+	var big strings.Builder
+	big.WriteString(strings.Split(good, "[[server]]")[0])
+	for i := range 10_000 {
+		fmt.Fprintf(&big, "[[server]]\nname = \"s-%d\"\naddress = \"127.0.0.1:%d\"\nsite = \"dar\"\n", i, 10_000+i)
+	}
+	began := time.Now()
+	if f, err := Parse([]byte(big.String())); err != nil || len(f.Servers) != 10_000 {
+		t.Errorf("10,000 servers: %v", err)
+	}
+	if took := time.Since(began); took > 10*time.Second {
+		t.Errorf("10,000 servers took %v", took)
+	}
+}
+
+// The example that stands in the repository is good.
+func TestExampleFile(t *testing.T) {
+	if _, err := Load("../../deploy/site.example.toml"); err != nil {
+		t.Error(err)
+	}
+}
+
+// Whatever a file holds, it is taken whole or refused with a reason.
+func FuzzFile(f *testing.F) {
+	f.Add([]byte(good))
+	f.Add([]byte(good[:200]))
+	f.Add([]byte("[[class]]\n[class]\n"))
+	f.Add([]byte("server = [{name=\"a\"}]\nclass = 3"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		file, err := Parse(data)
+		if (file == nil) == (err == nil) {
+			t.Errorf("file %v with error %v", file, err)
+		}
+		if err != nil && err.Error() == "" {
+			t.Error("an error without a reason")
+		}
+	})
+}
--- a/internal/standin/soko/soko.go
+++ b/internal/standin/soko/soko.go
@@ -25,6 +25,10 @@
 	Error    float64 // 500 after it has run
 	Reset    float64 // the connection is closed after it has run
 	Silent   float64 // no answer, though it has run
+
+	// Everywhere has a request fare the same at every server: nothing depends on
+	// which is chosen.
+	Everywhere bool
 }
 
 // Fleet is a set of servers with one memory of what has run.
@@ -66,7 +70,12 @@
 
 // Start listens on loopback.
 func (f *Fleet) Start(name string, cell int) (*Server, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	return f.StartAt("127.0.0.1:0", name, cell)
+}
+
+// StartAt listens at host:port.
+func (f *Fleet) StartAt(address, name string, cell int) (*Server, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -122,7 +131,11 @@
 	class := r.Header.Get("X-Service-Class")
 	w.Header().Set("X-Backend-Load", s.load())
 	// A fault is drawn once for an id at a server: a repeat there fares the same.
-	if f.draw(id, s.Name+" away") < f.Faults.TurnAway {
+	where := s.Name
+	if f.Faults.Everywhere {
+		where = ""
+	}
+	if f.draw(id, where+" away") < f.Faults.TurnAway {
 		f.mu.Lock()
 		f.count.Requests++
 		f.count.TurnedAway++
@@ -137,7 +150,7 @@
 	}
 	f.run(name, class, s.Cell)
 	time.Sleep(f.Work)
-	switch at := f.draw(id, s.Name+" after"); {
+	switch at := f.draw(id, where+" after"); {
 	case at < f.Faults.Error:
 		s.errors.Add(1)
 		w.WriteHeader(http.StatusInternalServerError)
