--- a/internal/front/extproc/extproc_test.go
+++ b/internal/front/extproc/extproc_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -688,15 +689,25 @@
 // Streams beyond the limit end with a clear status; those that say nothing hold
 // little, and end when any caller that lives would have ended them.
 func TestIdleStreams(t *testing.T) {
-	const most = 1000
-	w := start(t, 1, func(o *Options, _ *balancer.Settings) { o.Streams, o.Drain = most, -streamGrace+3*time.Second })
+	const most, each = 10_000, 32 << 10 // bytes that one may hold, both its ends counted
+	w := start(t, 1, func(o *Options, _ *balancer.Settings) { o.Streams, o.Drain = most, -streamGrace + 6*time.Second })
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	held := func() uint64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc + m.StackInuse
+	}
+	before := held()
 	var idle []stream
 	for range most {
 		idle = append(idle, w.open(ctx))
 	}
 	await(t, "all streams", func() bool { return w.server.streams.Load() == most })
+	if n := (held() - before) / most; n > each {
+		t.Errorf("an idle stream holds %d bytes, want at most %d", n, each)
+	}
 	s, err := w.proxy.Stream(context.Background())
 	if err == nil {
 		_, err = s.Recv()
