Membership from ephemeral nodes: client, node data, a stand-in coordination service

internal/membership/ephemeral reads a directory over ZooKeeper's protocol with the public client library: watches set with the readings, deletions told without a round trip, new sessions read anew, bad data passed over with one line.

--- a/internal/front/extproc/extproc_test.go
+++ b/internal/front/extproc/extproc_test.go
@@ -690,7 +690,7 @@
 // little, and end when any caller that lives would have ended them.
 func TestIdleStreams(t *testing.T) {
 	const most, each = 10_000, 32 << 10 // bytes that one may hold, both its ends counted
-	w := start(t, 1, func(o *Options, _ *balancer.Settings) { o.Streams, o.Drain = most, -streamGrace + 6*time.Second })
+	w := start(t, 1, func(o *Options, _ *balancer.Settings) { o.Streams, o.Drain = most, -streamGrace+6*time.Second })
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	held := func() uint64 {
--- /dev/null
+++ b/internal/membership/ephemeral/client.go
@@ -0,0 +1,427 @@
+// Package ephemeral reads membership from the ephemeral nodes of a coordination
+// service that speaks ZooKeeper's protocol: one directory, one node an endpoint.
+package ephemeral
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"path"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-zookeeper/zk"
+
+	"pinedale/balancer"
+	"pinedale/internal/engine"
+	"pinedale/internal/membership/merge"
+)
+
+const (
+	// readers read nodes side by side: a directory of 2,000 takes a hundred round
+	// trips, not 2,000.
+	readers = 20
+
+	// childGap is the least time between two readings of the directory, whose answer
+	// has all names: a node that flaps must not have them sent with each change.
+	childGap = 50 * time.Millisecond
+
+	// retryGap is the pause after a reading that failed while the session stands.
+	retryGap = 200 * time.Millisecond
+
+	// answerMost is ZooKeeper's own limit of an answer (jute.maxbuffer).
+	answerMost = 1 << 20
+)
+
+// Options say where the nodes are.
+type Options struct {
+	Servers []string // host:port
+	Path    string   // of the directory
+	Session time.Duration
+	Digest  string // user:password, "" for none
+	Rules   Rules
+	Log     *slog.Logger
+}
+
+// Sink takes what a client reads. Its methods may block.
+type Sink interface {
+	Whole(version uint64, entries []merge.Entry)
+	Change(version uint64, entries []merge.Entry)
+	Silent(reason string)
+}
+
+// Client reads one directory. Make one with New.
+type Client struct {
+	opts Options
+
+	mu      sync.Mutex
+	nodes   map[string]zk.EventType // of which a watch has told, by name
+	dir     bool                    // the directory's watch has told
+	session []zk.State
+	wake    chan struct{}
+
+	// Below: Feed's goroutine alone.
+	conn    *zk.Conn
+	id      int64           // of the session whose watches stand
+	watched map[string]bool // nodes with a watch of that session
+	dirs    bool            // the directory has one
+	authed  bool
+	known   map[string]merge.Entry // listed, by name
+	bad     map[string]string      // nodes whose data is bad, and why
+	version uint64                 // of the directory: the zxid of its last change
+	live    bool
+	lost    time.Time // when it was last live, or the connection began
+	readAt  time.Time
+}
+
+// New returns a client that is not connected.
+func New(o Options) *Client { return &Client{opts: o, wake: make(chan struct{}, 1)} }
+
+// quiet keeps the library's lines out of the log but for its faults.
+type quiet struct{ log *slog.Logger }
+
+func (q quiet) Printf(format string, args ...any) { q.log.Debug(fmt.Sprintf(format, args...)) }
+
+// Feed reads until ctx ends.
+func (c *Client) Feed(ctx context.Context, sink Sink) {
+	c.known, c.bad = map[string]merge.Entry{}, map[string]string{}
+	for ctx.Err() == nil {
+		if err := c.connection(ctx, sink); err != nil {
+			sink.Silent(err.Error())
+			select {
+			case <-time.After(c.opts.Session):
+			case <-ctx.Done():
+			}
+		}
+	}
+}
+
+// connection reads through one of the library's connections, which reconnects by
+// itself, until ctx ends or nothing could be read for half as long again as a session
+// lasts. Then the session has ended, and with it all that a connection keeps but one
+// thing: the last zxid seen. A service that was restored to an older one turns such a
+// client away for good.
+func (c *Client) connection(ctx context.Context, sink Sink) error {
+	c.mu.Lock()
+	c.nodes, c.dir, c.session = map[string]zk.EventType{}, false, nil
+	c.mu.Unlock()
+	c.watched, c.dirs, c.id, c.authed = map[string]bool{}, false, 0, false
+	conn, events, err := zk.Connect(c.opts.Servers, c.opts.Session, zk.WithLogger(quiet{c.opts.Log}), zk.WithLogInfo(false),
+		zk.WithMaxBufferSize(answerMost), zk.WithEventCallback(c.event))
+	if err != nil {
+		return err
+	}
+	c.conn = conn
+	drained := make(chan struct{})
+	go func() { // the callback has them all
+		for range events {
+		}
+		close(drained)
+	}()
+	defer func() {
+		conn.Close()
+		<-drained
+	}()
+	c.lost = time.Now()
+	patience := c.opts.Session * 3 / 2
+	var again <-chan time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-c.wake:
+		case <-again:
+		}
+		again = nil
+		if wait := c.work(sink); wait > 0 {
+			again = time.After(wait)
+		} else if !c.live {
+			again = time.After(patience / 4)
+		}
+		if !c.live && time.Since(c.lost) > patience {
+			return nil
+		}
+	}
+}
+
+// event notes what the library tells, in its own goroutine, and wakes Feed.
+func (c *Client) event(e zk.Event) {
+	c.mu.Lock()
+	switch {
+	case e.Type == zk.EventSession:
+		if e.State == zk.StateHasSession || e.State == zk.StateDisconnected || e.State == zk.StateExpired || e.State == zk.StateAuthFailed {
+			c.session = append(c.session, e.State)
+		}
+	case e.Type == zk.EventNotWatching: // with its session, which is told as such
+	case e.Path == c.opts.Path:
+		c.dir = true
+	default:
+		c.nodes[path.Base(e.Path)] = e.Type
+	}
+	c.mu.Unlock()
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// work looks at all that was told since, and returns when it wants to be called
+// again though nothing is (0: not).
+func (c *Client) work(sink Sink) time.Duration {
+	c.mu.Lock()
+	session, nodes, dir := c.session, c.nodes, c.dir
+	c.session, c.nodes, c.dir = nil, map[string]zk.EventType{}, false
+	c.mu.Unlock()
+	for name := range nodes { // a watch tells once
+		delete(c.watched, name)
+	}
+	c.dirs = c.dirs && !dir
+	connected := false
+	for _, state := range session {
+		switch state {
+		case zk.StateHasSession:
+			connected = true
+		case zk.StateExpired:
+			c.id = 0
+			c.opts.Log.Warn("ephemeral nodes: our session has expired; reading all anew", "path", c.opts.Path)
+		case zk.StateAuthFailed:
+			c.opts.Log.Error("ephemeral nodes: the service does not take our digest", "path", c.opts.Path)
+		default:
+			connected = false
+			if c.live {
+				c.live, c.lost = false, time.Now()
+				sink.Silent("no connection")
+			}
+		}
+	}
+	if connected || !c.live && c.conn.State() == zk.StateHasSession {
+		return c.all(sink)
+	}
+	if !c.live {
+		return 0 // what was told is read with all else, once there is a connection
+	}
+	var gone []merge.Entry
+	var changed []string
+	for name, what := range nodes {
+		if _, is := c.known[name]; what == zk.EventNodeDeleted {
+			delete(c.bad, name)
+			if is {
+				gone = append(gone, goneEntry(name))
+				delete(c.known, name)
+			}
+		} else {
+			changed = append(changed, name)
+		}
+	}
+	if len(gone) > 0 { // before anything that takes a round trip
+		sink.Change(c.version, gone)
+	}
+	if len(changed) > 0 {
+		if err := c.readNodes(sink, changed, false); err != nil {
+			return c.failed(err, nodes, dir)
+		}
+	}
+	if dir {
+		if wait := time.Until(c.readAt.Add(childGap)); wait > 0 {
+			c.mu.Lock()
+			c.dir = true
+			c.mu.Unlock()
+			return wait
+		}
+		if err := c.children(sink); err != nil {
+			return c.failed(err, nil, true)
+		}
+	}
+	return 0
+}
+
+// failed has what could not be read read again. Lost connections are told by events
+// of their own, and then all is read.
+func (c *Client) failed(err error, nodes map[string]zk.EventType, dir bool) time.Duration {
+	if !errors.Is(err, zk.ErrConnectionClosed) && !errors.Is(err, zk.ErrSessionExpired) {
+		c.opts.Log.Warn("ephemeral nodes: reading failed", "path", c.opts.Path, "error", err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name, what := range nodes {
+		if _, newer := c.nodes[name]; !newer {
+			c.nodes[name] = what
+		}
+	}
+	c.dir = c.dir || dir
+	return retryGap
+}
+
+func goneEntry(name string) merge.Entry {
+	return merge.Entry{Host: engine.Host{Name: name, State: balancer.Gone}}
+}
+
+// all reads the whole directory. Watches are set with the readings, so that no
+// change falls between. Those that stand are kept: in a session that was resumed the
+// library sets them again from the last zxid on, and what changed since is told.
+func (c *Client) all(sink Sink) time.Duration {
+	if c.opts.Digest != "" && !c.authed {
+		if err := c.conn.AddAuth("digest", []byte(c.opts.Digest)); err != nil {
+			return c.failed(err, nil, false)
+		}
+		c.authed = true // the library gives it again with each connection
+	}
+	if id := c.conn.SessionID(); id != c.id { // the old one's watches ended with it
+		c.id, c.dirs = id, false
+		clear(c.watched)
+	}
+	names, stat, err := c.list()
+	if err != nil {
+		return c.failed(err, nil, false)
+	}
+	before := c.known
+	c.known = map[string]merge.Entry{}
+	collect := &collected{}
+	if err := c.readNodes(collect, names, true); err != nil {
+		c.known = before
+		return c.failed(err, nil, false)
+	}
+	c.live, c.version = true, uint64(stat.Pzxid)
+	sink.Whole(c.version, collect.entries)
+	return 0
+}
+
+// collected takes entries that are to be part of a whole list.
+type collected struct{ entries []merge.Entry }
+
+func (x *collected) Whole(uint64, []merge.Entry) {}
+func (x *collected) Silent(string)               {}
+func (x *collected) Change(_ uint64, entries []merge.Entry) {
+	x.entries = append(x.entries, entries...)
+}
+
+// list reads the names, and sets the directory's watch. A directory that is not
+// there is watched for, and has none.
+func (c *Client) list() ([]string, *zk.Stat, error) {
+	c.readAt = time.Now()
+	for {
+		var names []string
+		var stat *zk.Stat
+		var err error
+		if c.dirs {
+			names, stat, err = c.conn.Children(c.opts.Path)
+		} else if names, stat, _, err = c.conn.ChildrenW(c.opts.Path); err == nil {
+			c.dirs = true
+		}
+		if !errors.Is(err, zk.ErrNoNode) {
+			return names, stat, err
+		}
+		there, _, _, err := c.conn.ExistsW(c.opts.Path)
+		if err != nil {
+			return nil, nil, err
+		}
+		if !there {
+			return nil, &zk.Stat{Pzxid: int64(c.version)}, nil
+		}
+	}
+}
+
+// children reads the names again and what is new. What is there no more is gone,
+// should its own watch not have told.
+func (c *Client) children(sink Sink) error {
+	names, stat, err := c.list()
+	if err != nil {
+		return err
+	}
+	c.version = uint64(stat.Pzxid)
+	there := make(map[string]bool, len(names))
+	var fresh []string
+	for _, name := range names {
+		there[name] = true
+		if _, is := c.known[name]; !is && c.bad[name] == "" {
+			fresh = append(fresh, name)
+		}
+	}
+	var gone []merge.Entry
+	for name := range c.known {
+		if !there[name] {
+			gone = append(gone, goneEntry(name))
+			delete(c.known, name)
+		}
+	}
+	for name := range c.bad {
+		if !there[name] {
+			delete(c.bad, name)
+		}
+	}
+	if len(gone) > 0 {
+		sink.Change(c.version, gone)
+	}
+	return c.readNodes(sink, fresh, false)
+}
+
+// readNodes reads nodes' data, sets their watches, and tells what is good of it. Bad
+// data is one line, once for each fault, and leaves the others alone; what was known
+// of its node ends with it. With whole, nothing is told unless all could be read.
+func (c *Client) readNodes(sink Sink, names []string, whole bool) error {
+	type reading struct {
+		name  string
+		watch bool
+		data  []byte
+		err   error
+	}
+	work, done := make(chan reading, len(names)), make(chan reading, len(names))
+	for _, name := range names {
+		work <- reading{name: name, watch: !c.watched[name]}
+	}
+	close(work)
+	for range min(readers, len(names)) {
+		go func() {
+			for r := range work {
+				if p := path.Join(c.opts.Path, r.name); r.watch {
+					r.data, _, _, r.err = c.conn.GetW(p)
+				} else {
+					r.data, _, r.err = c.conn.Get(p)
+				}
+				done <- r
+			}
+		}()
+	}
+	var entries []merge.Entry
+	var failed error
+	for range names {
+		r := <-done
+		_, was := c.known[r.name]
+		if r.watch && r.err == nil {
+			c.watched[r.name] = true
+		}
+		switch {
+		case errors.Is(r.err, zk.ErrNoNode):
+			delete(c.bad, r.name)
+			if was {
+				entries = append(entries, goneEntry(r.name))
+				delete(c.known, r.name)
+			}
+			continue
+		case r.err != nil:
+			failed = r.err
+			continue
+		}
+		e, err := Parse(r.name, r.data, c.opts.Rules)
+		if err != nil {
+			if why := err.Error(); c.bad[r.name] != why {
+				c.bad[r.name] = why
+				c.opts.Log.Warn("ephemeral nodes: bad data, the node is passed over", "node", path.Join(c.opts.Path, r.name), "error", strings.TrimSpace(why))
+			}
+			if was {
+				entries = append(entries, goneEntry(r.name))
+				delete(c.known, r.name)
+			}
+			continue
+		}
+		delete(c.bad, r.name)
+		c.known[r.name] = e
+		entries = append(entries, e)
+	}
+	if len(entries) > 0 && (failed == nil || !whole) {
+		sink.Change(c.version, entries)
+	}
+	return failed
+}
--- a/internal/standin/coord/coord.go
+++ b/internal/standin/coord/coord.go
@@ -439,7 +439,7 @@
 		io.Copy(io.Discard, c) // until the client has had enough
 		return false
 	}
-	if in.zxid > s.zxid && in.session != 0 {
+	if in.zxid > s.zxid {
 		// A member that is behind the client closes, so that it tries another.
 		s.mu.Unlock()
 		return false
@@ -564,12 +564,10 @@
 	case OpPing, OpClose:
 		return codeOK
 	case OpSetAuth:
-		user, _, ok := strings.Cut(string(q.data), ":")
-		if q.scheme != "digest" || !ok {
+		if q.scheme != "digest" || !bytes.Contains(q.data, []byte(":")) {
 			return codeAuthFailed
 		}
-		sum := sha1.Sum(q.data)
-		c.auth = append(c.auth, user+":"+base64.StdEncoding.EncodeToString(sum[:]))
+		c.auth = append(c.auth, digest(q.data))
 		return codeOK
 	case OpSetWatches:
 		c.setWatches(q)
@@ -795,3 +793,17 @@
 		}
 	}
 }
+
+// Protect lets only a digest identity (user:password) do anything with a node.
+func (s *Service) Protect(p, userPassword string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nodes[p].acl = []ACL{{31, "digest", digest([]byte(userPassword))}}
+}
+
+// digest is ZooKeeper's name for a user with a password.
+func digest(userPassword []byte) string {
+	user, _, _ := strings.Cut(string(userPassword), ":")
+	sum := sha1.Sum(userPassword)
+	return user + ":" + base64.StdEncoding.EncodeToString(sum[:])
+}
