--- a/cmd/pinedale-measure/main.go
+++ b/cmd/pinedale-measure/main.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"pinedale/internal/measure/removal"
 	"pinedale/internal/measure/verdicts"
 	"pinedale/internal/standin/soko"
 )
@@ -22,6 +23,7 @@
   verdicts   seeded callers with faults against a whole external processor
   fronts     one load through the HTTP front and through the processor
   servers    stand-in servers to try pinedale-site with, until interrupted
+  removal    scripts of a coordination service's troubles, and how soon removals count
   noop       what a verdict costs beside a processor that decides nothing
 `
 
@@ -102,6 +104,26 @@
 		case <-time.After(*most):
 		}
 		return nil
+	case "removal":
+		o := removal.Options{}
+		flags.IntVar(&o.Scripts, "scripts", 200, "to play")
+		flags.IntVar(&o.Parallel, "parallel", 16, "at once")
+		flags.IntVar(&o.Servers, "servers", 6, "of each script's fleet at the start")
+		flags.IntVar(&o.Steps, "steps", 6, "of a script")
+		flags.Uint64Var(&o.Seed, "seed", 1, "of the scripts")
+		flags.BoolVar(&o.Discovery, "discovery", false, "removals alone, told by a discovery that is 0.6 to 5 s late")
+		if err := flags.Parse(args[1:]); err != nil {
+			return err
+		}
+		r, err := removal.Run(o)
+		if err != nil {
+			return err
+		}
+		r.Print(out)
+		if why := r.Broken(); why != "" {
+			return errors.New("broken: " + why)
+		}
+		return nil
 	case "noop":
 		o := verdicts.CostOptions{}
 		flags.IntVar(&o.Servers, "servers", 12, "of the fleet")
--- a/internal/membership/merge/merge.go
+++ b/internal/membership/merge/merge.go
@@ -95,7 +95,8 @@
 	host    engine.Host
 	at      time.Duration // when it came, drained or vanished
 	drained bool          // of vanished: it said before that it drains
-	until   time.Duration // of held: when it goes; of up: when it is believed, after flaps
+	goes    time.Duration // of held: when
+	until   time.Duration // of up: when it is believed, after flaps
 	heard   time.Duration // of held: when its source was last heard of before
 	flaps   int           // times that it came back lately
 	flapped time.Duration // the last time
@@ -176,7 +177,7 @@
 	for _, name := range missing {
 		if guard {
 			if c := s.claims[name]; c.state == up {
-				c.state, c.until, c.heard = held, now+m.cfg.Hold, s.heard // at stays: to be missing is no arrival
+				c.state, c.goes, c.heard = held, now+m.cfg.Hold, s.heard // at stays: to be missing is no arrival
 				s.held[name] = true
 			}
 			continue // and what drained goes on draining
@@ -306,8 +307,8 @@
 		return 0
 	}
 	for name := range s.held {
-		if c := s.claims[name]; at == 0 || c.until < at {
-			at = c.until
+		if c := s.claims[name]; at == 0 || c.goes < at {
+			at = c.goes
 		}
 	}
 	if s.evicted != 0 {
@@ -323,7 +324,7 @@
 	}
 	var over []string
 	for name := range s.held {
-		if s.claims[name].until <= now {
+		if s.claims[name].goes <= now {
 			over = append(over, name)
 		}
 	}
--- a/internal/membership/merge/merge_test.go
+++ b/internal/membership/merge/merge_test.go
@@ -223,8 +223,9 @@
 		w.m.Whole(w.now, 0, uint64(7+i), entries(all[:i+1]...))
 		w.pass(sec)
 	}
-	w.pass(10 * Defaults.Hold)
 	w.is("all have registered anew", "a b c d e f")
+	w.pass(10 * Defaults.Hold)
+	w.is("and stay", "a b c d e f")
 }
 
 // A node that flaps ten times a second ends up out, is let in again once it stays,
@@ -429,6 +430,19 @@
 				pass(time.Duration(rapid.IntRange(1, 40_000).Draw(t, "ms")) * time.Millisecond)
 			}
 			pass(gap)
+			// Who is there by every word, and has not flapped, is sent to.
+			for _, name := range names {
+				there, ended := false, false
+				for _, s := range m.sources {
+					if c := s.claims[name]; c != nil {
+						there = there || c.state == up
+						ended = ended || c.state == vanished || c.state == draining || c.flaps >= flapMost
+					}
+				}
+				if h, ok := hosts[name]; there && !ended && (!ok || h.State != balancer.Ready) {
+					t.Fatalf("%s is there by every word, and listed as %v (%v)", name, h, ok)
+				}
+			}
 			for _, name := range names {
 				want, ok, _ := plain.decide(now, name)
 				got, is := hosts[name]
--- a/internal/site/check.go
+++ b/internal/site/check.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net"
+	"os"
+	"path"
 	"slices"
 	"strings"
 	"time"
@@ -168,8 +170,12 @@
 
 func (c *check) members() {
 	f := c.file
-	c.require(len(f.Servers) == 0 || f.Discovery.Address == "", "discovery.address", "servers are named in the file, too: one of the two decides")
-	c.require(len(f.Servers) > 0 || f.Discovery.Address != "", "server", "no server is named, and no discovery.address")
+	merged := len(f.Ephemeral.Servers) > 0
+	c.require(merged || len(f.Servers) == 0 || f.Discovery.Address == "", "discovery.address",
+		"servers are named in the file, too: one of the two decides, unless ephemeral.servers is set")
+	c.require(merged || len(f.Servers) > 0 || f.Discovery.Address != "", "server",
+		"no server is named, and neither discovery.address nor ephemeral.servers")
+	c.ephemeral()
 	c.require(len(f.Servers) <= serversMost, "server", "%d servers, at most %d", len(f.Servers), serversMost)
 	if f.Discovery.Address != "" {
 		c.address("discovery.address", f.Discovery.Address)
@@ -190,6 +196,29 @@
 	}
 }
 
+func (c *check) ephemeral() {
+	e, m := &c.file.Ephemeral, &c.file.Membership
+	for _, s := range e.Servers {
+		c.address("ephemeral.servers", s)
+	}
+	if len(e.Servers) > 0 {
+		c.require(strings.HasPrefix(e.Path, "/") && e.Path != "/" && path.Clean(e.Path) == e.Path, "ephemeral.path",
+			"%q is not the path of a directory, such as /soko", e.Path)
+		// Under a second a pause of the collector or the machine would end the session.
+		c.require(time.Duration(e.Session) >= time.Second && time.Duration(e.Session) <= 10*time.Minute, "ephemeral.session",
+			"%v is not in 1s to 10m", time.Duration(e.Session))
+	}
+	if e.DigestFile != "" {
+		text, err := os.ReadFile(e.DigestFile)
+		c.file.digest = strings.TrimSpace(string(text))
+		c.require(err == nil, "ephemeral.digest_file", "%v", err)
+		c.require(err != nil || strings.Contains(c.file.digest, ":"), "ephemeral.digest_file", "the file does not hold user:password")
+	}
+	c.require(m.ShrinkMost > 0 && m.ShrinkMost <= 1, "membership.shrink_most", "%v is not over 0 and up to 1", m.ShrinkMost)
+	c.positive("membership.hold", m.Hold)
+	c.positive("membership.lag", m.Lag)
+}
+
 func or(v *float64, fallback float64) float64 {
 	if v == nil {
 		return fallback
@@ -201,7 +230,7 @@
 func (f *File) Settings() balancer.Settings {
 	s := balancer.Settings{
 		Balancers: f.Fleet.Instances, Zone: slices.Index(f.Fleet.Sites, f.Site),
-		Zones: len(f.Fleet.Sites), Kinds: len(f.Fleet.Kinds), Subscribe: f.Discovery.Address != "",
+		Zones: len(f.Fleet.Sites), Kinds: len(f.Fleet.Kinds), Subscribe: f.Discovery.Address != "" && len(f.Ephemeral.Servers) == 0,
 		Limits: balancer.Limits{Cancel: true, Probes: f.Limits.Probes, SecondCopies: f.Limits.SecondCopies,
 			RetryAfter: f.Limits.RetryAfterMost > 0, MaxAttempts: f.Limits.Attempts, MaxOpen: f.Limits.OpenRequests,
 			MaxRetryAfter: f.Limits.RetryAfterMost.micros(), DialTimeout: f.Limits.DialTimeout.micros()},
@@ -248,9 +277,13 @@
 		classes = append(classes, k.Name)
 	}
 	parts = append(parts, fmt.Sprintf("%d classes (%s)", len(classes), strings.Join(classes, ", ")))
+	if len(f.Ephemeral.Servers) > 0 {
+		parts = append(parts, "servers from ephemeral nodes under "+f.Ephemeral.Path)
+	}
 	if f.Discovery.Address != "" {
 		parts = append(parts, "servers from "+f.Discovery.Address)
-	} else {
+	}
+	if len(f.Servers) > 0 {
 		parts = append(parts, fmt.Sprintf("%d servers", len(f.Servers)))
 	}
 	return strings.Join(parts, ", ")
--- a/internal/site/file.go
+++ b/internal/site/file.go
@@ -15,6 +15,8 @@
 
 	"github.com/pelletier/go-toml/v2"
 	"github.com/pelletier/go-toml/v2/unstable"
+
+	"pinedale/internal/membership/merge"
 )
 
 // fileMost bounds the operator's file, in bytes: 10,000 servers take about 1 MiB.
@@ -63,8 +65,21 @@
 		Address   string   `toml:"address"`
 		AskWithin Duration `toml:"ask_within"`
 	} `toml:"discovery"`
+	Ephemeral struct {
+		Servers    []string `toml:"servers"`
+		Path       string   `toml:"path"`
+		Session    Duration `toml:"session"`
+		DigestFile string   `toml:"digest_file"`
+	} `toml:"ephemeral"`
+	Membership struct {
+		ShrinkMost float64  `toml:"shrink_most"`
+		Hold       Duration `toml:"hold"`
+		Lag        Duration `toml:"lag"`
+	} `toml:"membership"`
 	Servers []Server `toml:"server"`
 
+	digest string // what digest_file holds
+
 	lines map[string]int // of keys and tables, by path
 }
 
@@ -194,6 +209,10 @@
 	f.Fleet.FallFactor = 2.5
 	f.Fleet.FallAfter = Duration(time.Second)
 	f.Discovery.AskWithin = Duration(10 * time.Second)
+	f.Ephemeral.Session = Duration(15 * time.Second)
+	f.Membership.ShrinkMost = merge.Defaults.ShrinkMost
+	f.Membership.Hold = Duration(merge.Defaults.Hold)
+	f.Membership.Lag = Duration(merge.Defaults.Lag)
 	return f
 }
 
--- a/internal/site/run.go
+++ b/internal/site/run.go
@@ -15,6 +15,9 @@
 	"pinedale/internal/engine"
 	"pinedale/internal/front/extproc"
 	"pinedale/internal/front/httpfront"
+	"pinedale/internal/membership/combined"
+	"pinedale/internal/membership/ephemeral"
+	"pinedale/internal/membership/merge"
 	"pinedale/internal/membership/registry"
 	"pinedale/internal/membership/static"
 	"pinedale/internal/upstream/httpupstream"
@@ -42,11 +45,31 @@
 	fronts int
 }
 
-func (f *File) source() engine.Source {
+// source is where membership comes from, as the file says. Beside ephemeral nodes all
+// others are merged with them.
+func (f *File) source(log *slog.Logger) engine.Source {
+	var parts []combined.Part
+	if e := &f.Ephemeral; len(e.Servers) > 0 {
+		parts = append(parts, combined.Part{Kind: merge.Ephemeral, Name: e.Path, Feeder: ephemeral.New(ephemeral.Options{
+			Servers: e.Servers, Path: e.Path, Session: time.Duration(e.Session), Digest: f.digest,
+			Rules: ephemeral.Rules{Sites: f.Fleet.Sites, Kinds: f.Fleet.Kinds}, Log: log})})
+	}
 	if f.Discovery.Address != "" {
-		return registry.New(f.Discovery.Address)
+		client := registry.New(f.Discovery.Address)
+		if len(parts) == 0 {
+			return client
+		}
+		parts = append(parts, combined.Part{Kind: merge.Discovery, Name: f.Discovery.Address, Feeder: combined.Of{Source: client}})
+	}
+	if len(f.Servers) > 0 || len(parts) == 0 {
+		list := static.New(f.hosts())
+		if len(parts) == 0 {
+			return list
+		}
+		parts = append(parts, combined.Part{Kind: merge.Static, Name: "of the file", Feeder: combined.Of{Source: list}})
 	}
-	return static.New(f.hosts())
+	return combined.New(merge.Config{ShrinkMost: f.Membership.ShrinkMost, Hold: time.Duration(f.Membership.Hold),
+		Lag: time.Duration(f.Membership.Lag)}, log, parts...)
 }
 
 // collectAt is the heap's growth, in percent of what is live, at which it is
@@ -89,7 +112,7 @@
 		Idle: time.Duration(f.Limits.IdleTimeout), Connections: f.Limits.UpstreamConnections, Fields: f.Fleet.Reports})
 	e, err := engine.New(engineCtx, engine.Options{Settings: settings, Seed: binary.LittleEndian.Uint64(seed[:]),
 		Zones: f.Fleet.Sites, Kinds: f.Fleet.Kinds, Known: engine.List{Whole: true, Hosts: f.hosts()},
-		Upstream: up, Source: f.source(), Log: log})
+		Upstream: up, Source: f.source(log), Log: log})
 	if err != nil {
 		stop()
 		end()
@@ -128,7 +151,7 @@
 // Reload moves to the source of membership that another file names. All else stays
 // as it was at the start.
 func (i *Instance) Reload(f *File) {
-	i.engine.Post(func(balancer.Micros) { i.engine.Move(f.source()) })
+	i.engine.Post(func(balancer.Micros) { i.engine.Move(f.source(i.log)) })
 	i.log.Info("configuration reloaded: servers and discovery are the new file's, all else is as at the start")
 }
 
