Ephemeral nodes: a session for each connection; emulated servers on virtual time

The race detector found the client library reading its last zxid, for the watches it sets again, while answers to our readings change it. A reader owns nothing that a session keeps: each connection is a session of its own now, all is read anew, and a service restored to an older zxid is no special case any more. Registration keeps its session and looks at its node instead of watching it.

First of the emulator: internal/emulator/model (a server on virtual time: slots, cold start that collapses, pauses, failures, reports, memory of keys) and internal/emulator/play (clients, the real decision module, the way between).

--- /dev/null
+++ b/internal/emulator/model/memory.go
@@ -0,0 +1,83 @@
+package model
+
+import "time"
+
+// Repeat says what a second run of a request of a class does.
+type Repeat uint8
+
+// The kinds of class.
+const (
+	Safe Repeat = iota
+	Keyed
+	Unsafe
+)
+
+// Scope is whose repeats of a key are dropped together.
+type Scope uint8
+
+// The scopes of a keyed class.
+const (
+	All Scope = iota
+	Group
+)
+
+// Class is what a fleet knows of a class of requests.
+type Class struct {
+	Repeat Repeat
+	Scope  Scope
+	Window time.Duration // for which a key is remembered
+}
+
+// Memory is what a fleet remembers of keys, and counts of effects: one effect is all
+// that runs under one key.
+type Memory struct {
+	classes []Class
+	keys    map[memoryKey]Time // when it last ran in a scope
+	effects map[string]*effect
+}
+
+type memoryKey struct{ scope, key string }
+
+type effect struct {
+	class int
+	done  int
+}
+
+// NewMemory returns a memory for these classes.
+func NewMemory(classes []Class) *Memory {
+	return &Memory{classes: classes, keys: map[memoryKey]Time{}, effects: map[string]*effect{}}
+}
+
+// Run has an effect done, unless its scope remembers the key: then it is false.
+func (m *Memory) Run(now Time, class int, key, group string) bool {
+	c := m.classes[class]
+	e := m.effects[key]
+	if e == nil {
+		e = &effect{class: class}
+		m.effects[key] = e
+	}
+	if c.Repeat == Keyed {
+		scope := ""
+		if c.Scope == Group {
+			scope = group
+		}
+		at, ran := m.keys[memoryKey{scope, key}]
+		if ran && now < at+c.Window {
+			return false
+		}
+		m.keys[memoryKey{scope, key}] = now
+	}
+	e.done++
+	return true
+}
+
+// Twice counts effects of classes that must not be repeated and were done more than
+// once.
+func (m *Memory) Twice() (n int) {
+	for _, e := range m.effects {
+		if m.classes[e.class].Repeat != Safe && e.done > 1 {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/emulator/model/server.go
@@ -0,0 +1,451 @@
+// Package model emulates a server and a fleet of them on virtual time: cores, slots,
+// a waiting room, a cold start that collapses under too much load, pauses, failures,
+// load reports, and the memory that drops repeats of a key. It does no I/O and has no
+// clock: the host passes each request with its instant and asks what ended.
+//
+// Everything random follows from the seed and a request's number, so that the same
+// events give the same answers, whatever else happens in between.
+package model
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Time is virtual: since the start of a play.
+type Time = time.Duration
+
+// Never is an instant that does not come.
+const Never = Time(math.MaxInt64)
+
+// Config is one server's machine.
+type Config struct {
+	Cores        int
+	Speed        float64 // of a core: work done in a unit of time
+	SlotsPerCore int     // requests in work
+	QueuePerCore int     // requests that wait; more are turned away
+	Thrash       float64 // share of its efficiency lost for each request a core holds beyond ThrashAt
+	ThrashAt     float64
+
+	ColdFrom   float64       // share of its capacity at a start
+	ColdFor    time.Duration // until it is warm
+	WarmByWork bool          // it warms with the work done, at the latest by ColdFor
+	FallFactor float64       // work sent beyond this multiple of what it can do just now,
+	FallAfter  time.Duration // counted over any window of this length, makes a cold server fall over
+
+	PauseEvery time.Duration // mean time between two pauses, 0 for none
+	PauseFor   time.Duration // mean length
+
+	ReportEvery time.Duration // a load report is taken so often,
+	ReportDelay time.Duration // and is so old when it is given
+	ReportNoise float64       // share by which its figures are off, at most
+
+	Connections int           // open at once, 0 for any number
+	Handshake   time.Duration // work of a core for a new connection
+	ProbeWork   time.Duration // and for a probe
+}
+
+// Request is one request as a server gets it.
+type Request struct {
+	Number uint64        // of the attempt: unique in a play
+	Work   time.Duration // on a core of speed 1
+	Class  int
+	Key    string // of the effect, "" where the class has none
+}
+
+// Outcome is how a request ended.
+type Outcome uint8
+
+// The ways a request may end at a server.
+const (
+	Served   Outcome = iota
+	Failed           // an error after it has run
+	Away             // turned away unseen
+	Refused          // no connection: the server is down or holds too many
+	Lost             // swallowed: there is no answer, though it has run
+	Repeated         // served from memory: the effect was there already
+)
+
+// Ended is a request that ended.
+type Ended struct {
+	Number  uint64
+	Outcome Outcome
+	At      Time
+}
+
+// Fault is a scripted trouble of a server, while it lasts.
+type Fault struct {
+	From, Until Time
+	FailFast    float64 // share of requests that fail at once, with a healthy face
+	Swallow     float64 // share that is never answered
+	Silent      bool    // nothing is answered, nothing refused: the machine has vanished
+}
+
+// failFast is how long a failure takes that costs no work.
+const failFast = time.Millisecond
+
+// job is a request in work or waiting.
+type job struct {
+	Request
+	left   float64 // work, in seconds of a core of speed 1
+	at     Time    // when it came
+	silent bool    // its answer is swallowed
+}
+
+// Server is one server. Make one with New.
+type Server struct {
+	cfg    Config
+	seed   uint64
+	memory *Memory
+	group  string // whose repeats it drops, beside all
+	faults []Fault
+
+	now     Time
+	born    Time
+	cold    bool
+	down    bool
+	fallen  Time // when it fell over, Never before
+	done    float64
+	running []*job
+	waiting []*job
+	instant []Ended // that end without work, in order
+	window  []sent  // work that came while cold
+	pause   Time    // start of the next pause
+	resume  Time    // end of the present one
+	draws   uint64  // of pauses and noise
+	conns   int
+	errors  []Time // failures of the last second
+	reports []report
+	nextRep Time
+}
+
+type sent struct {
+	at   Time
+	work float64
+}
+
+type report struct {
+	at          Time
+	queue, held int
+	eps         float64
+}
+
+// New returns a server that starts at an instant, cold if told so. memory is the
+// fleet's, group the part of it that shares what it drops.
+func New(cfg Config, seed uint64, at Time, cold bool, memory *Memory, group string, faults []Fault) *Server {
+	s := &Server{cfg: cfg, seed: seed, memory: memory, group: group, faults: faults, now: at, born: at, cold: cold, fallen: Never, nextRep: at}
+	s.pause = Never
+	if cfg.PauseEvery > 0 {
+		s.pause = at + s.spread(cfg.PauseEvery)
+	}
+	return s
+}
+
+// draw is a number in [0,1) that follows from the seed, a number and a purpose.
+func (s *Server) draw(n, purpose uint64) float64 {
+	x := s.seed ^ n*0x9e3779b97f4a7c15 ^ purpose*0xd1342543de82ef95
+	x ^= x >> 32
+	x *= 0xd6e8feb86659fd93
+	x ^= x >> 32
+	x *= 0xd6e8feb86659fd93
+	x ^= x >> 32
+	return float64(x>>11) / (1 << 53)
+}
+
+// Purposes of draws.
+const (
+	drawFail = iota + 1
+	drawSwallow
+	drawPause
+	drawNoise
+)
+
+// spread is an exponential time of this mean.
+func (s *Server) spread(mean time.Duration) time.Duration {
+	s.draws++
+	return time.Duration(-math.Log(1-s.draw(s.draws, drawPause)) * float64(mean))
+}
+
+// Down says that the server refuses connections.
+func (s *Server) Down() bool { return s.down }
+
+// Fallen is when the server fell over, Never if it did not.
+func (s *Server) Fallen() Time { return s.fallen }
+
+// Held counts requests in work and waiting.
+func (s *Server) Held() (working, waiting int) { return len(s.running), len(s.waiting) }
+
+// Stop has the process end: what it holds is lost, and connections are refused.
+func (s *Server) Stop(now Time) []Ended {
+	out := s.Advance(now)
+	s.down = true
+	return append(out, s.drop(now)...)
+}
+
+func (s *Server) drop(now Time) (out []Ended) {
+	for _, j := range append(s.running, s.waiting...) {
+		out = append(out, Ended{j.Number, Refused, now})
+	}
+	s.running, s.waiting = nil, nil
+	return out
+}
+
+// Warmth is the share of its capacity that the server has.
+func (s *Server) Warmth(now Time) float64 {
+	if !s.cold || s.cfg.ColdFor <= 0 {
+		return 1
+	}
+	part := float64(now-s.born) / float64(s.cfg.ColdFor)
+	if s.cfg.WarmByWork {
+		// As warm as if it had worked at half its load for ColdFor.
+		part = max(part, s.done/(0.5*s.capacity()*s.cfg.ColdFor.Seconds()))
+	}
+	return min(1, s.cfg.ColdFrom+(1-s.cfg.ColdFrom)*part)
+}
+
+// capacity is the work a second of a warm server.
+func (s *Server) capacity() float64 { return float64(s.cfg.Cores) * s.cfg.Speed }
+
+// rate is the work a second that each running request gets.
+func (s *Server) rate() float64 {
+	n := len(s.running)
+	if n == 0 || s.now < s.resume {
+		return 0
+	}
+	each := s.cfg.Speed * min(1, float64(s.cfg.Cores)/float64(n))
+	if crowd := float64(n+len(s.waiting))/float64(s.cfg.Cores) - s.cfg.ThrashAt; crowd > 0 && s.cfg.Thrash > 0 {
+		each /= 1 + s.cfg.Thrash*crowd
+	}
+	return each * s.Warmth(s.now)
+}
+
+// step is the longest that a rate is taken to hold while the server warms.
+const step = 50 * time.Millisecond
+
+// Next is when something next happens by itself.
+func (s *Server) Next() Time {
+	next := Never
+	if len(s.instant) > 0 {
+		next = s.instant[0].At
+	}
+	if s.down {
+		return next
+	}
+	if r := s.rate(); r > 0 {
+		least := math.Inf(1)
+		for _, j := range s.running {
+			least = min(least, j.left)
+		}
+		// Rounded up, so that the work is done by then.
+		next = min(next, s.now+time.Duration(math.Ceil(least/r*1e9)))
+		if s.cold && s.Warmth(s.now) < 1 {
+			next = min(next, s.now+step)
+		}
+		next = min(next, s.pause)
+	} else if len(s.running) > 0 {
+		next = min(next, s.resume)
+	}
+	return next
+}
+
+// Advance lets time go on and returns what ended, in order.
+func (s *Server) Advance(now Time) (out []Ended) {
+	for {
+		at := s.Next()
+		if at > now {
+			break
+		}
+		s.run(at)
+		for len(s.instant) > 0 && s.instant[0].At <= at {
+			out = append(out, s.instant[0])
+			s.instant = s.instant[1:]
+		}
+		if s.pause <= s.now { // until it resumes nothing is done
+			s.resume = s.now + s.spread(s.cfg.PauseFor)
+			s.pause = s.resume + s.spread(s.cfg.PauseEvery)
+		}
+		for i := 0; i < len(s.running); {
+			j := s.running[i]
+			if j.left > 1e-12 {
+				i++
+				continue
+			}
+			s.running = slices.Delete(s.running, i, i+1)
+			out = append(out, s.finish(j)...)
+		}
+		s.fill()
+	}
+	if now > s.now {
+		s.run(now)
+	}
+	return out
+}
+
+// advance lets time go on, and keeps what ended for the next call of Advance.
+func (s *Server) advance(now Time) {
+	for _, e := range s.Advance(now) {
+		s.end(e)
+	}
+}
+
+// run does the work until an instant up to which the rate holds.
+func (s *Server) run(at Time) {
+	if r := s.rate(); r > 0 {
+		did := r * (at - s.now).Seconds()
+		for _, j := range s.running {
+			j.left = max(0, j.left-did)
+			s.done += did
+		}
+	}
+	s.now = max(s.now, at)
+	for s.cfg.ReportEvery > 0 && s.nextRep <= s.now {
+		s.errors = slices.DeleteFunc(s.errors, func(at Time) bool { return at < s.nextRep-time.Second })
+		s.reports = append(s.reports, report{at: s.nextRep, queue: len(s.waiting), held: len(s.running) + len(s.waiting), eps: float64(len(s.errors))})
+		if len(s.reports) > 64 {
+			s.reports = slices.Delete(s.reports, 0, 32)
+		}
+		s.nextRep += s.cfg.ReportEvery
+	}
+	if s.cold && s.Warmth(s.now) >= 1 {
+		s.cold, s.window = false, nil
+	}
+}
+
+// finish ends a request whose work is done.
+func (s *Server) finish(j *job) []Ended {
+	outcome := Served
+	if j.Key != "" && !s.memory.Run(s.now, j.Class, j.Key, s.group) {
+		outcome = Repeated
+	}
+	if j.silent {
+		outcome = Lost
+	}
+	return []Ended{{j.Number, outcome, s.now}}
+}
+
+// fill moves those that wait into free slots.
+func (s *Server) fill() {
+	for len(s.running) < s.cfg.Cores*s.cfg.SlotsPerCore && len(s.waiting) > 0 {
+		s.running = append(s.running, s.waiting[0])
+		s.waiting = slices.Delete(s.waiting, 0, 1)
+	}
+}
+
+// Arrive takes a request. What ends with it, at once or soon, comes from Advance, but
+// for what is refused, turned away, or falls with the server, which is returned.
+func (s *Server) Arrive(now Time, r Request) []Ended {
+	out := s.Advance(now)
+	if s.down {
+		return append(out, Ended{r.Number, Refused, now})
+	}
+	work := r.Work.Seconds()
+	if s.load(now, work) {
+		out = append(out, s.Advance(now)...)
+		return append(out, Ended{r.Number, Refused, now})
+	}
+	j := &job{Request: r, left: work, at: now}
+	for _, f := range s.faults {
+		if now < f.From || now >= f.Until {
+			continue
+		}
+		if f.Silent {
+			return out // nobody is there to say so
+		}
+		if s.draw(r.Number, drawFail) < f.FailFast {
+			s.errors = append(s.errors, now)
+			s.end(Ended{r.Number, Failed, now + failFast})
+			return out
+		}
+		j.silent = j.silent || s.draw(r.Number, drawSwallow) < f.Swallow
+	}
+	if len(s.running) >= s.cfg.Cores*s.cfg.SlotsPerCore {
+		if len(s.waiting) >= s.cfg.Cores*s.cfg.QueuePerCore {
+			return append(out, Ended{r.Number, Away, now})
+		}
+		s.waiting = append(s.waiting, j)
+		return out
+	}
+	s.running = append(s.running, j)
+	return out
+}
+
+// end has something end without work.
+func (s *Server) end(e Ended) {
+	at, _ := slices.BinarySearchFunc(s.instant, e, func(a, b Ended) int { return int(min(1, max(-1, a.At-b.At))) })
+	s.instant = slices.Insert(s.instant, at, e)
+}
+
+// load counts work that comes to a cold server, and says whether it falls over: all
+// work within any window of FallAfter, against what it can do just now.
+func (s *Server) load(now Time, work float64) bool {
+	if !s.cold || s.cfg.FallFactor <= 0 {
+		return false
+	}
+	s.window = append(s.window, sent{now, work})
+	old := 0
+	for old < len(s.window) && s.window[old].at <= now-s.cfg.FallAfter {
+		old++
+	}
+	s.window = slices.Delete(s.window, 0, old)
+	var sum float64
+	for _, w := range s.window {
+		sum += w.work
+	}
+	if sum <= s.cfg.FallFactor*s.capacity()*s.Warmth(now)*s.cfg.FallAfter.Seconds() {
+		return false
+	}
+	s.down, s.fallen = true, now
+	for _, e := range s.drop(now) {
+		s.end(e)
+	}
+	return true
+}
+
+// Connect opens a connection: it costs a core work and a place. False where the
+// server is down or holds as many as it can.
+func (s *Server) Connect(now Time) bool {
+	s.advance(now)
+	if s.down || s.cfg.Connections > 0 && s.conns >= s.cfg.Connections {
+		return false
+	}
+	s.conns++
+	s.burden(now, s.cfg.Handshake)
+	return !s.down
+}
+
+// Disconnect gives a connection's place back.
+func (s *Server) Disconnect() { s.conns = max(0, s.conns-1) }
+
+// burden is work that delays what is there: it is shared by all requests in work.
+func (s *Server) burden(now Time, work time.Duration) {
+	if s.load(now, work.Seconds()) {
+		return
+	}
+	for _, j := range s.running {
+		j.left += work.Seconds() / float64(max(1, len(s.running)))
+	}
+}
+
+// Load is what a probe tells: failures a second and requests that wait, some time old
+// and not exact. False where the server does not answer.
+func (s *Server) Load(now Time) (eps, queue float64, ok bool) {
+	s.advance(now)
+	if s.down {
+		return 0, 0, false
+	}
+	for _, f := range s.faults {
+		if f.Silent && now >= f.From && now < f.Until {
+			return 0, 0, false
+		}
+	}
+	s.burden(now, s.cfg.ProbeWork)
+	for i := len(s.reports) - 1; i >= 0; i-- {
+		if r := s.reports[i]; r.at <= now-s.cfg.ReportDelay {
+			s.draws++
+			off := 1 + s.cfg.ReportNoise*(2*s.draw(s.draws, drawNoise)-1)
+			return r.eps * off, float64(r.queue) * off, !s.down
+		}
+	}
+	return 0, 0, !s.down
+}
--- /dev/null
+++ b/internal/emulator/model/server_test.go
@@ -0,0 +1,295 @@
+package model
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const ms = time.Millisecond
+
+// box is a plain machine: two cores of speed 1, one slot each.
+var box = Config{Cores: 2, Speed: 1, SlotsPerCore: 1, QueuePerCore: 2, ColdFrom: 0.31, ColdFor: 8600 * ms, FallFactor: 2.5, FallAfter: time.Second,
+	ReportEvery: 100 * ms, ReportDelay: 50 * ms}
+
+var classes = []Class{{Repeat: Safe}, {Repeat: Keyed, Window: 1500 * ms}, {Repeat: Keyed, Scope: Group, Window: 12 * time.Second}, {Repeat: Unsafe}}
+
+func server(cfg Config, cold bool, faults ...Fault) *Server {
+	return New(cfg, 7, 0, cold, NewMemory(classes), "g", faults)
+}
+
+// outcomes folds what ended.
+func outcomes(all []Ended) map[Outcome]int {
+	n := map[Outcome]int{}
+	for _, e := range all {
+		n[e.Outcome]++
+	}
+	return n
+}
+
+func TestWorkTakesItsTime(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		cfg    func(*Config)
+		n      int
+		last   time.Duration
+		served int
+		away   int
+	}{
+		{"alone", nil, 1, 100 * ms, 1, 0},
+		{"side by side", nil, 2, 100 * ms, 2, 0},
+		{"one waits", nil, 3, 200 * ms, 3, 0},
+		{"the room is full", nil, 8, 300 * ms, 6, 2},
+		{"a fast core", func(c *Config) { c.Speed = 2 }, 1, 50 * ms, 1, 0},
+		{"two on a core", func(c *Config) { c.Cores, c.SlotsPerCore = 1, 2 }, 2, 200 * ms, 2, 0},
+		{"crowded", func(c *Config) { c.Cores, c.SlotsPerCore, c.Thrash, c.ThrashAt = 1, 2, 0.5, 1 }, 2, 300 * ms, 2, 0},
+	} {
+		cfg := box
+		if c.cfg != nil {
+			c.cfg(&cfg)
+		}
+		s := server(cfg, false)
+		var all []Ended
+		for n := range c.n {
+			all = append(all, s.Arrive(0, Request{Number: uint64(n), Work: 100 * ms})...)
+		}
+		all = append(all, s.Advance(10*time.Second)...)
+		got := outcomes(all)
+		last := all[len(all)-1].At
+		if got[Served] != c.served || got[Away] != c.away || last < c.last || last > c.last+ms {
+			t.Errorf("%s: %v, the last after %v; want %d served, %d away, %v", c.name, got, last, c.served, c.away, c.last)
+		}
+	}
+}
+
+// A cold server falls over at the load that is stated of the real ones, and not
+// below: 2.5 times what it can do just now, for 1 s, from 31% of its capacity on.
+func TestColdServerFallsAtItsLoad(t *testing.T) {
+	capacity := 2.0 // of the box, warm
+	for _, c := range []struct {
+		at    time.Duration // since its start
+		load  float64       // of what it can do then
+		falls bool
+	}{
+		{0, 2.3, false}, {0, 2.7, true}, {4300 * ms, 2.3, false}, {4300 * ms, 2.7, true}, {9 * time.Second, 20, false},
+	} {
+		cfg := box
+		cfg.QueuePerCore = 1000
+		s := server(cfg, true)
+		// Many small requests, evenly over the second that counts.
+		const n = 1000
+		work := time.Duration(c.load * capacity * s.Warmth(c.at+time.Second) * float64(time.Second) / n)
+		for i := range n {
+			s.Arrive(c.at+time.Duration(i)*time.Second/n, Request{Number: uint64(i), Work: work})
+		}
+		if s.Down() != c.falls {
+			t.Errorf("at %v with %.1f times its capacity: down %v, want %v", c.at, c.load, s.Down(), c.falls)
+		}
+		if c.falls {
+			if got := outcomes(s.Arrive(time.Hour, Request{Number: 9999, Work: ms})); got[Refused] != 1 {
+				t.Errorf("an hour later: %v, want it to be down still", got)
+			}
+			if late := s.Fallen(); late < c.at+900*ms || late > c.at+time.Second {
+				t.Errorf("it fell %v after the load began", late-c.at)
+			}
+		}
+	}
+	// A short heavy burst spends the same budget.
+	s := server(box, true)
+	s.Arrive(0, Request{Number: 1, Work: 2 * time.Second})
+	if !s.Down() {
+		t.Error("a burst of 2 s of work on 0.62 s a second is borne")
+	}
+	// What it is asked beside requests counts, too.
+	cfg := box
+	cfg.Handshake, cfg.ProbeWork = 100*ms, 100*ms
+	s = server(cfg, true)
+	for i := range 20 {
+		if i%2 == 0 {
+			s.Connect(0)
+		} else {
+			s.Load(0)
+		}
+	}
+	if !s.Down() {
+		t.Error("connections and probes alone do not bring it down")
+	}
+}
+
+func TestWarmUp(t *testing.T) {
+	s := server(box, true)
+	for at, want := range map[Time]float64{0: 0.31, 4300 * ms: 0.655, 8600 * ms: 1, time.Hour: 1} {
+		if got := s.Warmth(at); math.Abs(got-want) > 0.001 {
+			t.Errorf("after %v: %v, want %v", at, got, want)
+		}
+	}
+	// With work it warms sooner.
+	cfg := box
+	cfg.WarmByWork, cfg.FallFactor, cfg.QueuePerCore = true, 0, 10_000
+	s = server(cfg, true)
+	for n := range uint64(1000) {
+		s.Arrive(0, Request{Number: n, Work: 10 * ms})
+	}
+	s.Advance(5 * time.Second)
+	if got := s.Warmth(5 * time.Second); got <= server(box, true).Warmth(5*time.Second) {
+		t.Errorf("warmth %v after 5 s of work", got)
+	}
+	// A cold server's answers take as much longer.
+	cold, warm := server(box, true), server(box, false)
+	took := func(s *Server) Time {
+		s.Arrive(0, Request{Number: 1, Work: 100 * ms})
+		return s.Advance(time.Minute)[0].At
+	}
+	a, b := took(cold), took(warm)
+	if ratio := float64(a) / float64(b); ratio < 2.9 || ratio > 1/0.31+0.05 {
+		t.Errorf("%v cold and %v warm", a, b)
+	}
+}
+
+// 18% of a fleet failing fast look healthy: their queues are empty, their answers
+// soon. Only the failures tell.
+func TestFailingFastLooksHealthy(t *testing.T) {
+	s := server(box, false, Fault{From: time.Second, Until: 10 * time.Second, FailFast: 0.6})
+	var all []Ended
+	for n := range uint64(1000) {
+		all = append(all, s.Arrive(time.Second+Time(n)*5*ms, Request{Number: n, Work: 2 * ms})...)
+	}
+	all = append(all, s.Advance(20*time.Second)...)
+	got := outcomes(all)
+	if got[Failed] < 550 || got[Failed] > 650 || got[Served]+got[Failed] != 1000 {
+		t.Errorf("%v, want about 600 failures", got)
+	}
+	s = server(box, false, Fault{Until: time.Minute, FailFast: 0.6})
+	for n := range uint64(200) {
+		s.Arrive(Time(n)*5*ms, Request{Number: n, Work: 2 * ms})
+	}
+	if eps, queue, ok := s.Load(time.Second); !ok || queue != 0 || eps < 50 {
+		t.Errorf("it reports %v failures a second and %v waiting, %v", eps, queue, ok)
+	}
+	// Before and after the trouble it is well.
+	s = server(box, false, Fault{From: time.Second, Until: 2 * time.Second, FailFast: 1, Swallow: 1})
+	for _, at := range []Time{0, 3 * time.Second} {
+		if got := outcomes(append(s.Arrive(at, Request{Number: 1, Work: ms}), s.Advance(at+time.Second)...)); got[Served] != 1 {
+			t.Errorf("at %v: %v", at, got)
+		}
+	}
+}
+
+func TestSwallowedAndSilent(t *testing.T) {
+	s := server(box, false, Fault{Until: time.Minute, Swallow: 1})
+	if got := outcomes(append(s.Arrive(0, Request{Number: 1, Work: ms, Class: 3, Key: "k"}), s.Advance(time.Second)...)); got[Lost] != 1 {
+		t.Errorf("swallowed: %v", got)
+	}
+	if s.memory.effects["k"].done != 1 {
+		t.Error("a swallowed request did not run")
+	}
+	s = server(box, false, Fault{Until: time.Minute, Silent: true})
+	if got := append(s.Arrive(0, Request{Number: 1, Work: ms}), s.Advance(time.Second)...); len(got) != 0 {
+		t.Errorf("a vanished machine says %v", got)
+	}
+	if _, _, ok := s.Load(0); ok {
+		t.Error("a vanished machine answers probes")
+	}
+}
+
+func TestMemory(t *testing.T) {
+	m := NewMemory(classes)
+	for _, c := range []struct {
+		at    Time
+		class int
+		key   string
+		group string
+		runs  bool
+	}{
+		{0, 1, "a", "x", true}, {time.Second, 1, "a", "y", false}, {1500 * ms, 1, "a", "x", true},
+		{0, 2, "b", "x", true}, {11 * time.Second, 2, "b", "x", false}, {11 * time.Second, 2, "b", "y", true},
+		{0, 3, "c", "x", true}, {0, 3, "c", "x", true}, {0, 0, "d", "x", true}, {0, 0, "d", "x", true},
+	} {
+		if got := m.Run(c.at, c.class, c.key, c.group); got != c.runs {
+			t.Errorf("%+v: ran %v", c, got)
+		}
+	}
+	if n := m.Twice(); n != 3 {
+		t.Errorf("%d effects done twice, want a, b and c", n)
+	}
+}
+
+func TestPausesAndStop(t *testing.T) {
+	cfg := box
+	cfg.PauseEvery, cfg.PauseFor = 100*ms, 50*ms
+	s := server(cfg, false)
+	s.Arrive(0, Request{Number: 1, Work: 10 * time.Second})
+	end := s.Advance(time.Hour)[0].At
+	if end < 13*time.Second || end > 18*time.Second { // a third of the time it stands
+		t.Errorf("10 s of work took %v", end)
+	}
+	s.Arrive(time.Hour, Request{Number: 2, Work: time.Second})
+	if got := outcomes(s.Stop(time.Hour + ms)); got[Refused] != 1 || !s.Down() {
+		t.Errorf("at its stop: %v", got)
+	}
+}
+
+// Every request ends exactly once, whatever comes, and the same events give the same
+// answers.
+func TestRandomPlays(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := Config{Cores: rapid.IntRange(1, 3).Draw(t, "cores"), Speed: 1.5, SlotsPerCore: rapid.IntRange(1, 2).Draw(t, "slots"),
+			QueuePerCore: rapid.IntRange(0, 3).Draw(t, "queue"), Thrash: 0.1, ThrashAt: 2, ColdFrom: 0.3, ColdFor: time.Second,
+			WarmByWork: rapid.Bool().Draw(t, "by work"), FallFactor: 2.5, FallAfter: time.Second, PauseEvery: 300 * ms, PauseFor: 30 * ms,
+			ReportEvery: 50 * ms, ReportDelay: 20 * ms, ReportNoise: 0.1, Handshake: ms, ProbeWork: ms}
+		faults := []Fault{{From: 500 * ms, Until: time.Second, FailFast: 0.5, Swallow: 0.3}}
+		cold := rapid.Bool().Draw(t, "cold")
+		type step struct {
+			at   Time
+			what int
+			work time.Duration
+		}
+		var steps []step
+		now := Time(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += Time(rapid.IntRange(0, 100).Draw(t, "ms")) * ms
+			steps = append(steps, step{now, rapid.IntRange(0, 9).Draw(t, "what"), time.Duration(rapid.IntRange(1, 200).Draw(t, "work")) * ms})
+		}
+		play := func() (trace []string, ended map[uint64]int, asked int) {
+			s := New(cfg, 7, 0, cold, NewMemory(classes), "g", faults)
+			ended = map[uint64]int{}
+			take := func(all []Ended) {
+				for _, e := range all {
+					ended[e.Number]++
+					trace = append(trace, fmt.Sprint(e))
+				}
+			}
+			for i, x := range steps {
+				switch {
+				case x.what < 7:
+					asked++
+					take(s.Arrive(x.at, Request{Number: uint64(i), Work: x.work, Class: i % 4, Key: fmt.Sprint(i % 5)}))
+				case x.what == 7:
+					trace = append(trace, fmt.Sprint(s.Load(x.at)))
+				case x.what == 8:
+					trace = append(trace, fmt.Sprint(s.Connect(x.at)))
+				default:
+					take(s.Advance(x.at))
+				}
+			}
+			take(s.Advance(now + time.Hour))
+			return
+		}
+		first, ended, asked := play()
+		if len(ended) != asked {
+			t.Fatalf("%d requests, %d ended", asked, len(ended))
+		}
+		for n, times := range ended {
+			if times != 1 {
+				t.Fatalf("request %d ended %d times", n, times)
+			}
+		}
+		if second, _, _ := play(); !slices.Equal(first, second) {
+			t.Fatal("the same events gave other answers")
+		}
+	})
+}
--- /dev/null
+++ b/internal/emulator/play/play_test.go
@@ -0,0 +1,170 @@
+package play
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"pinedale/balancer"
+	"pinedale/internal/emulator/model"
+)
+
+const (
+	ms     = time.Millisecond
+	second = balancer.Micros(1_000_000)
+)
+
+// machine is one of the fleet's kinds.
+func machine(cores int, speed float64) model.Config {
+	return model.Config{Cores: cores, Speed: speed, SlotsPerCore: 1, QueuePerCore: 300, Thrash: 0.08, ThrashAt: 5,
+		ColdFrom: 0.4, ColdFor: 6 * time.Second, FallFactor: 2.5, FallAfter: time.Second, PauseEvery: 5 * time.Second, PauseFor: 20 * ms,
+		ReportEvery: 150 * ms, ReportDelay: 40 * ms, ReportNoise: 0.1, ProbeWork: 120 * time.Microsecond}
+}
+
+// market is an ordinary market day's minute: 10 servers of three kinds on two sites,
+// 4 instances, load at about half of what they can do.
+func market(seed uint64) *Scenario {
+	s := &Scenario{Seed: seed, Length: 20 * time.Second, Sites: 2, OneWay: [2]time.Duration{250 * time.Microsecond, 7 * ms},
+		Instances: []int{0, 0, 1, 1}, Rate: 120, Notice: 2 * time.Second, DrainFor: 4 * time.Second, Retries: 2, TryShare: 0.53,
+		Classes: []Class{
+			{balancer.Class{Name: "price-check", Repeat: balancer.Safe, Aim: 600_000, GiveUp: 3 * second, Worth: 2, LateWorth: 0.3}, 0.47, 120 * ms, 0.4},
+			{balancer.Class{Name: "stall-pay", Repeat: balancer.Keyed, Group: balancer.GroupAll, Window: 1_500_000, Aim: 600_000, GiveUp: 2_500_000, Worth: 10, LateWorth: 0.3}, 0.34, 100 * ms, 0.4},
+			{balancer.Class{Name: "day-close", Repeat: balancer.Keyed, Group: balancer.GroupCell, Window: 12 * second, Aim: 1_200_000, GiveUp: 2_500_000, Worth: 3, LateWorth: 0.3}, 0.19, 190 * ms, 0.4}},
+		Settings: balancer.Settings{Fields: []balancer.Field{balancer.FieldErrors, balancer.FieldQueue},
+			Limits:   balancer.Limits{Cancel: true, Probes: true, SecondCopies: true, RetryAfter: true, MaxAttempts: 3, MaxOpen: 1000, MaxRetryAfter: 1_500_000},
+			Contract: balancer.Contract{DrainGrace: 2 * second, ColdFrom: 0.31, RampTime: 8_600_000, FallMultiple: 2.5, OverloadFor: second, AskWithin: 10 * second},
+			Prices:   balancer.Prices{CrossZone: 0.03, Probe: 0.05}, Goal: balancer.Goal{Whole: 0.45, WorstWindow: 0.35, WorstClass: 0.2}, WorthByWork: true}}
+	for i := range 10 {
+		cfg := machine(3, 2)
+		switch i % 3 {
+		case 1:
+			cfg = machine(2, 1.2)
+		case 2:
+			cfg = machine(3, 0.8)
+		}
+		s.Servers = append(s.Servers, Server{Name: fmt.Sprint("s-", i), Site: i % 2, Pod: i / 4, Config: cfg})
+	}
+	return s
+}
+
+func run(t *testing.T, s *Scenario) *Result {
+	t.Helper()
+	r, err := Run(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func TestCalmMarket(t *testing.T) {
+	began := time.Now()
+	r := run(t, market(1))
+	if why := r.Broken(); why != "" {
+		t.Error(why)
+	}
+	if in := r.InTime(); in < 0.98 {
+		t.Errorf("%.3f served in time on a calm day: %+v", in, r.Classes)
+	}
+	for i, n := range r.Sends {
+		if n == 0 {
+			t.Errorf("server %d got nothing", i)
+		}
+	}
+	t.Logf("20 s of %d first tries in %v: %+v", r.Classes[0].Asked+r.Classes[1].Asked+r.Classes[2].Asked, time.Since(began), r.Classes)
+}
+
+// The same seed gives the same answers, to the last one; another seed others.
+func TestSameSeedSameAnswers(t *testing.T) {
+	a, b, c := run(t, market(3)), run(t, market(3)), run(t, market(4))
+	if !reflect.DeepEqual(a, b) {
+		t.Errorf("the same seed: %+v and %+v", a, b)
+	}
+	if reflect.DeepEqual(a.Seconds, c.Seconds) {
+		t.Error("another seed gives the same seconds")
+	}
+}
+
+// 18% of the servers fail most of their requests at once while looking healthy.
+func TestServersFailingFast(t *testing.T) {
+	s := market(5)
+	for _, i := range []int{0, 6} {
+		s.Servers[i].Faults = []model.Fault{{From: 5 * time.Second, Until: 15 * time.Second, FailFast: 0.9}}
+	}
+	r := run(t, s)
+	if why := r.Broken(); why != "" {
+		t.Error(why)
+	}
+	if in := r.InTime(); in < 0.93 {
+		t.Errorf("%.3f served in time: %+v", in, r.Classes)
+	}
+}
+
+// A fresh server that comes to a crowded fleet is not overrun; where the instances are
+// told that servers start warm, it is: the play shows what the protection is worth.
+func TestFreshServerUnderFullLoad(t *testing.T) {
+	fresh := func(seed uint64) *Scenario {
+		s := market(seed)
+		s.Servers, s.Rate = s.Servers[:4], 150 // more than the first three can do
+		s.Instances = make([]int, 40)
+		for i := range s.Servers {
+			s.Servers[i].Config = machine(3, 1.5)
+		}
+		s.Servers[3].Starts = 10 * time.Second
+		cold := &s.Servers[3].Config
+		cold.ColdFrom, cold.ColdFor, cold.FallFactor = 0.31, 8600*ms, 1 // weaker than the market's: what it can do, for 1 s
+		s.Settings.Contract.FallMultiple = 1
+		return s
+	}
+	fell := 0
+	for seed := range uint64(4) {
+		if r := run(t, fresh(seed)); r.Broken() != "" {
+			t.Errorf("seed %d: %s", seed, r.Broken())
+		}
+		s := fresh(seed)
+		s.Settings.Contract.RampTime = 0
+		fell += len(run(t, s).Fell)
+	}
+	if fell == 0 {
+		t.Error("nothing falls over without the protection: the play shows nothing")
+	}
+}
+
+// A fleet that shrinks: drains are honoured, and a broken rule would show.
+func TestShrinkingFleet(t *testing.T) {
+	s := market(7)
+	for i := range 5 {
+		s.Servers[i*2].Drains = Time(5+2*i) * time.Second
+	}
+	s.Surges = []Surge{{From: 5 * time.Second, Until: 20 * time.Second, Factor: 0.5}}
+	r := run(t, s)
+	if why := r.Broken(); why != "" {
+		t.Error(why)
+	}
+	if in := r.InTime(); in < 0.9 {
+		t.Errorf("%.3f served in time: %+v", in, r.Classes)
+	}
+}
+
+// One class turns costly: the others keep most of their service.
+func TestOneClassTurnsCostly(t *testing.T) {
+	s := market(9)
+	s.Costly = []Costly{{From: 5 * time.Second, Until: 15 * time.Second, Class: 0, Share: 0.02, Factor: 15}}
+	r := run(t, s)
+	if why := r.Broken(); why != "" {
+		t.Error(why)
+	}
+	if c := r.Classes[1]; float64(c.InTime) < 0.85*float64(c.Asked) {
+		t.Errorf("stall-pay %+v", c)
+	}
+}
+
+func BenchmarkMinuteOfAMarket(b *testing.B) {
+	for b.Loop() {
+		s := market(1)
+		s.Length = time.Minute
+		if _, err := Run(s); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/membership/ephemeral/client.go
+++ b/internal/membership/ephemeral/client.go
@@ -7,6 +7,8 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
+	"net"
 	"path"
 	"strings"
 	"sync"
@@ -31,6 +33,10 @@
 	// retryGap is the pause after a reading that failed while the session stands.
 	retryGap = 200 * time.Millisecond
 
+	// againLeast and againMost bound the pause before a new connection.
+	againLeast = 50 * time.Millisecond
+	againMost  = 2 * time.Second
+
 	// answerMost is ZooKeeper's own limit of an answer (jute.maxbuffer).
 	answerMost = 1 << 20
 )
@@ -59,20 +65,17 @@
 	mu      sync.Mutex
 	nodes   map[string]zk.EventType // of which a watch has told, by name
 	dir     bool                    // the directory's watch has told
-	session []zk.State
+	session bool                    // there is one
+	lost    bool                    // the connection has ended
 	wake    chan struct{}
 
 	// Below: Feed's goroutine alone.
 	conn    *zk.Conn
-	id      int64           // of the session whose watches stand
-	watched map[string]bool // nodes with a watch of that session
-	dirs    bool            // the directory has one
 	authed  bool
 	known   map[string]merge.Entry // listed, by name
 	bad     map[string]string      // nodes whose data is bad, and why
 	version uint64                 // of the directory: the zxid of its last change
-	live    bool
-	lost    time.Time // when it was last live, or the connection began
+	live    bool                   // all was read through this connection
 	readAt  time.Time
 }
 
@@ -87,31 +90,54 @@
 // Feed reads until ctx ends.
 func (c *Client) Feed(ctx context.Context, sink Sink) {
 	c.known, c.bad = map[string]merge.Entry{}, map[string]string{}
+	pause := againLeast
 	for ctx.Err() == nil {
-		if err := c.connection(ctx, sink); err != nil {
+		was, err := c.connection(ctx, sink)
+		if err != nil {
 			sink.Silent(err.Error())
-			select {
-			case <-time.After(c.opts.Session):
-			case <-ctx.Done():
-			}
 		}
+		if was {
+			pause = againLeast
+		}
+		// Later each time, and never in step with others.
+		select {
+		case <-time.After(pause/2 + rand.N(pause)):
+		case <-ctx.Done():
+		}
+		pause = min(2*pause, againMost)
 	}
 }
 
-// connection reads through one of the library's connections, which reconnects by
-// itself, until ctx ends or nothing could be read for half as long again as a session
-// lasts. Then the session has ended, and with it all that a connection keeps but one
-// thing: the last zxid seen. A service that was restored to an older one turns such a
-// client away for good.
-func (c *Client) connection(ctx context.Context, sink Sink) error {
+// once is a dialer that connects one time. The library would connect again by itself,
+// keep its session and set its watches again; but a reader owns nothing that a session
+// keeps, and all is read anew in any case. A new session sees what a resumed one may
+// not: a service that was restored to an older zxid turns away whoever has seen a
+// newer one.
+func once() zk.Dialer {
+	used := false // the library dials from one goroutine
+	return func(network, address string, timeout time.Duration) (net.Conn, error) {
+		if used {
+			return nil, errUsed
+		}
+		conn, err := net.DialTimeout(network, address, timeout)
+		used = err == nil
+		return conn, err
+	}
+}
+
+var errUsed = errors.New("the connection has ended")
+
+// connection reads through one connection until that or ctx ends, and says whether a
+// list could be read.
+func (c *Client) connection(ctx context.Context, sink Sink) (was bool, err error) {
 	c.mu.Lock()
-	c.nodes, c.dir, c.session = map[string]zk.EventType{}, false, nil
+	c.nodes, c.dir, c.session, c.lost = map[string]zk.EventType{}, false, false, false
 	c.mu.Unlock()
-	c.watched, c.dirs, c.id, c.authed = map[string]bool{}, false, 0, false
+	c.authed = false
 	conn, events, err := zk.Connect(c.opts.Servers, c.opts.Session, zk.WithLogger(quiet{c.opts.Log}), zk.WithLogInfo(false),
-		zk.WithMaxBufferSize(answerMost), zk.WithEventCallback(c.event))
+		zk.WithMaxBufferSize(answerMost), zk.WithEventCallback(c.event), zk.WithDialer(once()))
 	if err != nil {
-		return err
+		return false, err
 	}
 	c.conn = conn
 	drained := make(chan struct{})
@@ -121,27 +147,30 @@
 		close(drained)
 	}()
 	defer func() {
+		if was = c.live; c.live {
+			c.live = false
+			if ctx.Err() == nil {
+				sink.Silent("no connection")
+			}
+		}
 		conn.Close()
 		<-drained
 	}()
-	c.lost = time.Now()
-	patience := c.opts.Session * 3 / 2
 	var again <-chan time.Time
 	for {
 		select {
 		case <-ctx.Done():
-			return nil
+			return
 		case <-c.wake:
 		case <-again:
 		}
 		again = nil
-		if wait := c.work(sink); wait > 0 {
-			again = time.After(wait)
-		} else if !c.live {
-			again = time.After(patience / 4)
+		wait, lost := c.work(sink)
+		if lost {
+			return
 		}
-		if !c.live && time.Since(c.lost) > patience {
-			return nil
+		if wait > 0 {
+			again = time.After(wait)
 		}
 	}
 }
@@ -151,8 +180,14 @@
 	c.mu.Lock()
 	switch {
 	case e.Type == zk.EventSession:
-		if e.State == zk.StateHasSession || e.State == zk.StateDisconnected || e.State == zk.StateExpired || e.State == zk.StateAuthFailed {
-			c.session = append(c.session, e.State)
+		switch e.State {
+		case zk.StateHasSession:
+			c.session = true
+		case zk.StateDisconnected, zk.StateExpired:
+			c.lost = true
+		case zk.StateAuthFailed:
+			c.opts.Log.Error("ephemeral nodes: the service does not take our digest", "path", c.opts.Path)
+			c.lost = true
 		}
 	case e.Type == zk.EventNotWatching: // with its session, which is told as such
 	case e.Path == c.opts.Path:
@@ -168,40 +203,24 @@
 }
 
 // work looks at all that was told since, and returns when it wants to be called
-// again though nothing is (0: not).
-func (c *Client) work(sink Sink) time.Duration {
+// again though nothing is (0: not), and whether the connection has ended.
+func (c *Client) work(sink Sink) (wait time.Duration, lost bool) {
 	c.mu.Lock()
-	session, nodes, dir := c.session, c.nodes, c.dir
-	c.session, c.nodes, c.dir = nil, map[string]zk.EventType{}, false
+	nodes, dir := c.nodes, c.dir
+	c.nodes, c.dir = map[string]zk.EventType{}, false
+	session, lost := c.session, c.lost
 	c.mu.Unlock()
-	for name := range nodes { // a watch tells once
-		delete(c.watched, name)
-	}
-	c.dirs = c.dirs && !dir
-	connected := false
-	for _, state := range session {
-		switch state {
-		case zk.StateHasSession:
-			connected = true
-		case zk.StateExpired:
-			c.id = 0
-			c.opts.Log.Warn("ephemeral nodes: our session has expired; reading all anew", "path", c.opts.Path)
-		case zk.StateAuthFailed:
-			c.opts.Log.Error("ephemeral nodes: the service does not take our digest", "path", c.opts.Path)
-		default:
-			connected = false
-			if c.live {
-				c.live, c.lost = false, time.Now()
-				sink.Silent("no connection")
-			}
-		}
-	}
-	if connected || !c.live && c.conn.State() == zk.StateHasSession {
-		return c.all(sink)
+	if lost || !session {
+		return 0, lost
 	}
 	if !c.live {
-		return 0 // what was told is read with all else, once there is a connection
+		return c.all(sink), false
 	}
+	return c.changes(sink, nodes, dir), false
+}
+
+// changes reads what watches have told of.
+func (c *Client) changes(sink Sink, nodes map[string]zk.EventType, dir bool) time.Duration {
 	var gone []merge.Entry
 	var changed []string
 	for name, what := range nodes {
@@ -237,8 +256,8 @@
 	return 0
 }
 
-// failed has what could not be read read again. Lost connections are told by events
-// of their own, and then all is read.
+// failed has what could not be read read again. A lost connection is told by an event
+// of its own.
 func (c *Client) failed(err error, nodes map[string]zk.EventType, dir bool) time.Duration {
 	if !errors.Is(err, zk.ErrConnectionClosed) && !errors.Is(err, zk.ErrSessionExpired) {
 		c.opts.Log.Warn("ephemeral nodes: reading failed", "path", c.opts.Path, "error", err)
@@ -258,19 +277,14 @@
 	return merge.Entry{Host: engine.Host{Name: name, State: balancer.Gone}}
 }
 
-// all reads the whole directory. Watches are set with the readings, so that no
-// change falls between. Those that stand are kept: in a session that was resumed the
-// library sets them again from the last zxid on, and what changed since is told.
+// all reads the whole directory. Watches are set with the readings, so that no change
+// falls between.
 func (c *Client) all(sink Sink) time.Duration {
 	if c.opts.Digest != "" && !c.authed {
 		if err := c.conn.AddAuth("digest", []byte(c.opts.Digest)); err != nil {
 			return c.failed(err, nil, false)
 		}
-		c.authed = true // the library gives it again with each connection
-	}
-	if id := c.conn.SessionID(); id != c.id { // the old one's watches ended with it
-		c.id, c.dirs = id, false
-		clear(c.watched)
+		c.authed = true
 	}
 	names, stat, err := c.list()
 	if err != nil {
@@ -302,14 +316,7 @@
 func (c *Client) list() ([]string, *zk.Stat, error) {
 	c.readAt = time.Now()
 	for {
-		var names []string
-		var stat *zk.Stat
-		var err error
-		if c.dirs {
-			names, stat, err = c.conn.Children(c.opts.Path)
-		} else if names, stat, _, err = c.conn.ChildrenW(c.opts.Path); err == nil {
-			c.dirs = true
-		}
+		names, stat, _, err := c.conn.ChildrenW(c.opts.Path)
 		if !errors.Is(err, zk.ErrNoNode) {
 			return names, stat, err
 		}
@@ -362,24 +369,19 @@
 // of its node ends with it. With whole, nothing is told unless all could be read.
 func (c *Client) readNodes(sink Sink, names []string, whole bool) error {
 	type reading struct {
-		name  string
-		watch bool
-		data  []byte
-		err   error
+		name string
+		data []byte
+		err  error
 	}
 	work, done := make(chan reading, len(names)), make(chan reading, len(names))
 	for _, name := range names {
-		work <- reading{name: name, watch: !c.watched[name]}
+		work <- reading{name: name}
 	}
 	close(work)
 	for range min(readers, len(names)) {
 		go func() {
 			for r := range work {
-				if p := path.Join(c.opts.Path, r.name); r.watch {
-					r.data, _, _, r.err = c.conn.GetW(p)
-				} else {
-					r.data, _, r.err = c.conn.Get(p)
-				}
+				r.data, _, _, r.err = c.conn.GetW(path.Join(c.opts.Path, r.name))
 				done <- r
 			}
 		}()
@@ -389,9 +391,6 @@
 	for range names {
 		r := <-done
 		_, was := c.known[r.name]
-		if r.watch && r.err == nil {
-			c.watched[r.name] = true
-		}
 		switch {
 		case errors.Is(r.err, zk.ErrNoNode):
 			delete(c.bad, r.name)
--- a/internal/membership/register/register.go
+++ b/internal/membership/register/register.go
@@ -18,8 +18,15 @@
 	"pinedale/internal/membership/ephemeral"
 )
 
-// retryGap is the pause after an attempt that failed while the session stands.
-const retryGap = 200 * time.Millisecond
+const (
+	// retryGap is the pause after an attempt that failed while the session stands.
+	retryGap = 200 * time.Millisecond
+
+	// lookMost is how often the node is looked at, for hands that take it away: a
+	// third of a session's time, and every 2 s. A watch would tell sooner, but the
+	// library sets watches again in a resumed session unsafely beside its readings.
+	lookMost = 2 * time.Second
+)
 
 // Options say what to register, and where.
 type Options struct {
@@ -115,11 +122,13 @@
 				r.opts.Log.Warn("registration", "node", r.path(), "error", err)
 			}
 			again = time.After(retryGap)
+			continue
 		}
+		again = time.After(min(lookMost, r.opts.Session/3))
 	}
 }
 
-// event wakes Run: a session, or our node's end.
+// event wakes Run: a session has begun, or is resumed.
 func (r *Registrar) event(zk.Event) {
 	select {
 	case r.wake <- struct{}{}:
@@ -149,7 +158,7 @@
 		return err
 	}
 	for {
-		there, stat, _, err := r.conn.ExistsW(r.path()) // tells of its end
+		there, stat, err := r.conn.Exists(r.path())
 		switch {
 		case err != nil:
 			return err
