Scenario files, a library of eight, and pinedale-rehearse on virtual time

A rehearsal of a site cut off showed an effect done twice: the model dropped repeats when a request ended, not when it came, so one that waited out the window ran again.

--- a/internal/emulator/model/memory.go
+++ b/internal/emulator/model/memory.go
@@ -71,6 +71,18 @@
 	return true
 }
 
+// Undo takes back that an effect was done: its server ended with the request.
+func (m *Memory) Undo(class int, key, group string) {
+	if e := m.effects[key]; e != nil {
+		e.done--
+	}
+	scope := ""
+	if m.classes[class].Scope == Group {
+		scope = group
+	}
+	delete(m.keys, memoryKey{scope, key})
+}
+
 // Twice counts effects of classes that must not be repeated and were done more than
 // once.
 func (m *Memory) Twice() (n int) {
--- /dev/null
+++ b/internal/emulator/scenario/scenario.go
@@ -0,0 +1,373 @@
+// Package scenario reads scenario files: a fleet, the load on it, what its clients do,
+// and a timeline of troubles.
+package scenario
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"pinedale/balancer"
+	"pinedale/internal/emulator/model"
+	"pinedale/internal/emulator/play"
+	"pinedale/internal/tomlfile"
+)
+
+// Duration is written with its unit.
+type Duration = tomlfile.Duration
+
+const (
+	fileMost      = 1 << 20
+	lengthMost    = time.Hour
+	serversMost   = 10_000
+	instancesMost = 10_000
+)
+
+// File is a scenario as written.
+type File struct {
+	Version int      `toml:"version"`
+	Name    string   `toml:"name"`
+	Seed    uint64   `toml:"seed"`
+	Length  Duration `toml:"length"`
+	Sites   []string `toml:"sites"`
+	Way     struct {
+		Same  Duration `toml:"same"`  // one way within a site
+		Other Duration `toml:"other"` // and between two
+	} `toml:"way"`
+	Clients struct {
+		Rate     float64 `toml:"rate"` // first tries a second
+		Retries  int     `toml:"retries"`
+		TryShare float64 `toml:"try_share"` // of the class's patience, for one try
+	} `toml:"clients"`
+	List struct {
+		Notice   Duration `toml:"notice"`    // by which instances hear late
+		DrainFor Duration `toml:"drain_for"` // from a drain's telling to the end
+	} `toml:"list"`
+	Instances []struct {
+		Site  string `toml:"site"`
+		Count int    `toml:"count"`
+	} `toml:"instances"`
+	Classes  []Class   `toml:"class"`
+	Machines []Machine `toml:"machine"`
+	Servers  []struct {
+		Machine string `toml:"machine"`
+		Site    string `toml:"site"`
+		Count   int    `toml:"count"`
+	} `toml:"servers"`
+	PodSize  int       `toml:"pod_size"`
+	Troubles []Trouble `toml:"trouble"`
+}
+
+// Class is one class of requests.
+type Class struct {
+	Name     string   `toml:"name"`
+	Repeat   string   `toml:"repeat"`
+	Group    string   `toml:"group"`
+	Window   Duration `toml:"window"`
+	Aim      Duration `toml:"aim"`
+	Deadline Duration `toml:"deadline"`
+	Worth    float64  `toml:"worth"`
+	Share    float64  `toml:"share"`
+	Work     Duration `toml:"work"` // mean, on a core of speed 1
+	CV       float64  `toml:"cv"`
+}
+
+// Machine is one kind of machine.
+type Machine struct {
+	Name         string   `toml:"name"`
+	Cores        int      `toml:"cores"`
+	Speed        float64  `toml:"speed"`
+	SlotsPerCore int      `toml:"slots_per_core"`
+	QueuePerCore int      `toml:"queue_per_core"`
+	Thrash       float64  `toml:"thrash"`
+	ThrashAt     float64  `toml:"thrash_at"`
+	ColdFrom     float64  `toml:"cold_from"`
+	ColdFor      Duration `toml:"cold_for"`
+	WarmByWork   bool     `toml:"warm_by_work"`
+	PauseEvery   Duration `toml:"pause_every"`
+	PauseFor     Duration `toml:"pause_for"`
+	ReportEvery  Duration `toml:"report_every"`
+	ReportDelay  Duration `toml:"report_delay"`
+	ReportNoise  float64  `toml:"report_noise"`
+}
+
+// Trouble is one trouble of the timeline.
+type Trouble struct {
+	Kind   string   `toml:"kind"`
+	From   Duration `toml:"from"`
+	Until  Duration `toml:"until"`
+	Part   float64  `toml:"part"`   // of the servers that have it, drawn by the seed
+	Share  float64  `toml:"share"`  // of requests
+	Factor float64  `toml:"factor"` // of rate or work
+	Class  string   `toml:"class"`
+	Site   string   `toml:"site"`
+}
+
+// kinds are the troubles, and which keys each needs.
+var kinds = map[string][]string{
+	"fail_fast": {"part", "share", "until"}, // servers fail a share of requests at once, and look healthy
+	"swallow":   {"part", "share", "until"}, // a share is never answered
+	"silent":    {"part", "until"},          // servers answer nothing
+	"cut_off":   {"site", "until"},          // all servers of a site answer nothing
+	"surge":     {"factor", "until"},        // the rate is multiplied
+	"costly":    {"class", "share", "factor", "until"},
+	"start":     {"part"}, // servers come then, cold
+	"drain":     {"part"}, // servers drain, one after the other until Until
+}
+
+// Load reads and checks a scenario file.
+func Load(path string) (*File, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(data)
+}
+
+// Parse is Load on a file's text. Its error joins one *tomlfile.Error for each fault.
+func Parse(data []byte) (*File, error) {
+	f := &File{Seed: 1, PodSize: 4}
+	f.Clients.TryShare = 1
+	in, err := tomlfile.Decode(data, fileMost, f)
+	if err != nil {
+		return nil, err
+	}
+	c := checker{in, f}
+	c.all()
+	if err := c.Err(); err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+type checker struct {
+	*tomlfile.File
+	f *File
+}
+
+func (c *checker) all() {
+	f := c.f
+	c.Require(f.Version == 1, "version", "%d is not a known version of this file; this program reads 1", f.Version)
+	c.Require(f.Length > 0 && time.Duration(f.Length) <= lengthMost, "length", "%v is not over 0 and up to %v", time.Duration(f.Length), lengthMost)
+	c.Require(len(f.Sites) > 0 && len(f.Sites) < 255, "sites", "%d sites, must be 1 to 254", len(f.Sites))
+	c.Require(f.Way.Same >= 0, "way.same", "is negative")
+	c.Require(f.Way.Other >= 0, "way.other", "is negative")
+	c.Require(f.Clients.Rate > 0 && f.Clients.Rate <= 1e6, "clients.rate", "%v is not over 0 and up to 1e6", f.Clients.Rate)
+	c.Require(f.Clients.Retries >= 0 && f.Clients.Retries <= 10, "clients.retries", "%d is not in 0 to 10", f.Clients.Retries)
+	c.Require(f.Clients.TryShare > 0 && f.Clients.TryShare <= 1, "clients.try_share", "%v is not over 0 and up to 1", f.Clients.TryShare)
+	c.Require(f.List.Notice >= 0, "list.notice", "is negative")
+	c.Require(f.List.DrainFor >= 0, "list.drain_for", "is negative")
+	c.Require(f.PodSize >= 1, "pod_size", "%d is not positive", f.PodSize)
+	site := func(key, name string) {
+		c.Require(slices.Contains(f.Sites, name), key, "%q is not in sites", name)
+	}
+	n := 0
+	for i, x := range f.Instances {
+		at := fmt.Sprintf("instances[%d]", i)
+		site(at+".site", x.Site)
+		c.Require(x.Count >= 1, at+".count", "%d is not positive", x.Count)
+		n += x.Count
+	}
+	c.Require(n >= 1 && n <= instancesMost, "instances", "%d in all, must be 1 to %d", n, instancesMost)
+	c.classes()
+	c.servers(site)
+	c.troubles(site)
+}
+
+func (c *checker) classes() {
+	var sum float64
+	for i, k := range c.f.Classes {
+		at := fmt.Sprintf("class[%d].", i)
+		c.Require(k.Name != "", at+"name", "is missing")
+		c.Require(slices.Contains([]string{"safe", "keyed", "unsafe"}, k.Repeat), at+"repeat", "%q is not one of safe, keyed, unsafe", k.Repeat)
+		c.Require(k.Repeat != "keyed" || k.Group == "all" || k.Group == "pod", at+"group", "%q is neither all nor pod", k.Group)
+		c.Require(k.Repeat != "keyed" || k.Window > 0, at+"window", "a keyed class needs one")
+		c.Positive(at+"aim", k.Aim)
+		c.Require(k.Deadline >= k.Aim, at+"deadline", "%v is under the aim", time.Duration(k.Deadline))
+		c.Positive(at+"work", k.Work)
+		c.Require(k.CV >= 0 && k.CV <= 10, at+"cv", "%v is not in 0 to 10", k.CV)
+		c.Require(k.Worth >= 0, at+"worth", "is negative")
+		c.Require(k.Share >= 0, at+"share", "is negative")
+		sum += k.Share
+	}
+	c.Require(len(c.f.Classes) > 0, "class", "no class is there")
+	c.Require(len(c.f.Classes) == 0 || sum > 0.999 && sum < 1.001, "class", "the shares sum to %v, must be 1", sum)
+}
+
+func (c *checker) servers(site func(key, name string)) {
+	machines := map[string]bool{}
+	for i, m := range c.f.Machines {
+		at := fmt.Sprintf("machine[%d].", i)
+		c.Require(m.Name != "" && !machines[m.Name], at+"name", "%q is missing or there twice", m.Name)
+		machines[m.Name] = true
+		c.Require(m.Cores >= 1 && m.Cores <= 1024, at+"cores", "%d is not in 1 to 1024", m.Cores)
+		c.Require(m.Speed > 0 && m.Speed <= 1000, at+"speed", "%v is not over 0 and up to 1000", m.Speed)
+		c.Require(m.SlotsPerCore >= 0 && m.QueuePerCore >= 0, at+"slots_per_core", "slots and queue must not be negative")
+		c.Require(m.Thrash >= 0 && m.ThrashAt >= 0, at+"thrash", "is negative")
+		c.Require(m.ColdFor == 0 || m.ColdFrom > 0 && m.ColdFrom <= 1, at+"cold_from", "%v is not over 0 and up to 1", m.ColdFrom)
+		for key, d := range map[string]Duration{"cold_for": m.ColdFor, "pause_every": m.PauseEvery, "pause_for": m.PauseFor,
+			"report_every": m.ReportEvery, "report_delay": m.ReportDelay} {
+			c.Require(d >= 0, at+key, "is negative")
+		}
+		c.Require(m.ReportNoise >= 0 && m.ReportNoise < 1, at+"report_noise", "%v is not in 0 to 1", m.ReportNoise)
+	}
+	n := 0
+	for i, x := range c.f.Servers {
+		at := fmt.Sprintf("servers[%d].", i)
+		c.Require(machines[x.Machine], at+"machine", "%q is not a machine of this file", x.Machine)
+		site(at+"site", x.Site)
+		c.Require(x.Count >= 1, at+"count", "%d is not positive", x.Count)
+		n += x.Count
+	}
+	c.Require(n >= 1 && n <= serversMost, "servers", "%d in all, must be 1 to %d", n, serversMost)
+}
+
+func (c *checker) troubles(site func(key, name string)) {
+	for i, x := range c.f.Troubles {
+		at := fmt.Sprintf("trouble[%d].", i)
+		needs, ok := kinds[x.Kind]
+		var known []string
+		for k := range kinds {
+			known = append(known, k)
+		}
+		sort.Strings(known)
+		c.Require(ok, at+"kind", "%q is not one of %s", x.Kind, strings.Join(known, ", "))
+		c.Require(x.From >= 0 && x.From < c.f.Length, at+"from", "%v is not within the play", time.Duration(x.From))
+		needed := func(key string) bool { return slices.Contains(needs, key) }
+		c.Require(x.Until > x.From || !needed("until") && x.Until == 0, at+"until", "%v is not after from", time.Duration(x.Until))
+		if needed("part") {
+			c.Require(x.Part > 0 && x.Part <= 1, at+"part", "%v is not over 0 and up to 1", x.Part)
+		}
+		if needed("share") {
+			c.Require(x.Share > 0 && x.Share <= 1, at+"share", "%v is not over 0 and up to 1", x.Share)
+		}
+		if needed("factor") {
+			c.Require(x.Factor > 0 && x.Factor <= 1000, at+"factor", "%v is not over 0 and up to 1000", x.Factor)
+		}
+		if needed("class") {
+			c.Require(slices.ContainsFunc(c.f.Classes, func(k Class) bool { return k.Name == x.Class }), at+"class", "%q is not a class of this file", x.Class)
+		}
+		if needed("site") {
+			site(at+"site", x.Site)
+		}
+	}
+}
+
+// machine is a kind as the model has it. The rule's figures on cold servers are those
+// that the instances are told.
+func (m *Machine) config() model.Config {
+	c := model.Config{Cores: m.Cores, Speed: m.Speed, SlotsPerCore: max(1, m.SlotsPerCore), QueuePerCore: m.QueuePerCore,
+		Thrash: m.Thrash, ThrashAt: m.ThrashAt, ColdFrom: m.ColdFrom, ColdFor: time.Duration(m.ColdFor), WarmByWork: m.WarmByWork,
+		FallFactor: fallFactor, FallAfter: time.Second, PauseEvery: time.Duration(m.PauseEvery), PauseFor: time.Duration(m.PauseFor),
+		ReportEvery: time.Duration(m.ReportEvery), ReportDelay: time.Duration(m.ReportDelay), ReportNoise: m.ReportNoise,
+		ProbeWork: 120 * time.Microsecond, Handshake: time.Millisecond}
+	if c.ReportEvery == 0 {
+		c.ReportEvery = 150 * time.Millisecond
+	}
+	return c
+}
+
+// fallFactor is the multiple of what a cold server can do at which it falls over.
+const fallFactor = 2.5
+
+// Play is the scenario as it is played, with another seed if that is not 0.
+func (f *File) Play(seed uint64) *play.Scenario {
+	if seed == 0 {
+		seed = f.Seed
+	}
+	rng := rand.New(rand.NewPCG(seed, 99))
+	s := &play.Scenario{Seed: seed, Length: time.Duration(f.Length), Sites: len(f.Sites),
+		OneWay: [2]time.Duration{time.Duration(f.Way.Same), time.Duration(f.Way.Other)}, Rate: f.Clients.Rate,
+		Notice: time.Duration(f.List.Notice), DrainFor: time.Duration(f.List.DrainFor), Retries: f.Clients.Retries, TryShare: f.Clients.TryShare,
+		Settings: balancer.Settings{Fields: []balancer.Field{balancer.FieldErrors, balancer.FieldQueue},
+			Limits:   balancer.Limits{Cancel: true, Probes: true, SecondCopies: true, RetryAfter: true, MaxAttempts: 3, MaxOpen: 20_000, MaxRetryAfter: 1_500_000},
+			Contract: balancer.Contract{DrainGrace: 2_000_000, ColdFrom: 1, FallMultiple: fallFactor, OverloadFor: 1_000_000, AskWithin: 10_000_000},
+			Prices:   balancer.Prices{CrossZone: 0.03, Probe: 0.05}, Goal: balancer.Goal{Whole: 0.45, WorstWindow: 0.35, WorstClass: 0.2}, WorthByWork: true}}
+	for _, x := range f.Instances {
+		for range x.Count {
+			s.Instances = append(s.Instances, slices.Index(f.Sites, x.Site))
+		}
+	}
+	for _, k := range f.Classes {
+		c := play.Class{Class: balancer.Class{Name: k.Name, Window: k.Window.Micros(), Aim: k.Aim.Micros(), GiveUp: k.Deadline.Micros(), Worth: k.Worth, LateWorth: 0.3},
+			Share: k.Share, Work: time.Duration(k.Work), CV: k.CV}
+		switch k.Repeat {
+		case "keyed":
+			c.Repeat = balancer.Keyed
+			if k.Group == "pod" {
+				c.Group = balancer.GroupCell
+			}
+		case "unsafe":
+			c.Repeat = balancer.Unsafe
+		}
+		s.Classes = append(s.Classes, c)
+	}
+	contract := &s.Settings.Contract
+	for _, x := range f.Servers {
+		m := f.Machines[slices.IndexFunc(f.Machines, func(m Machine) bool { return m.Name == x.Machine })]
+		if m.ColdFor > 0 { // the instances are told the worst of the fleet
+			contract.ColdFrom = min(contract.ColdFrom, m.ColdFrom)
+			contract.RampTime = max(contract.RampTime, m.ColdFor.Micros())
+		}
+		for range x.Count {
+			n := len(s.Servers)
+			s.Servers = append(s.Servers, play.Server{Name: fmt.Sprintf("%s-%d", x.Machine, n+1), Site: slices.Index(f.Sites, x.Site),
+				Pod: n / f.PodSize, Config: m.config()})
+		}
+	}
+	for _, x := range f.Troubles {
+		f.trouble(s, rng, x)
+	}
+	return s
+}
+
+// trouble puts one trouble into a play.
+func (f *File) trouble(s *play.Scenario, rng *rand.Rand, x Trouble) {
+	from, until := time.Duration(x.From), time.Duration(x.Until)
+	some := func() []int {
+		n := max(1, int(x.Part*float64(len(s.Servers))+0.5))
+		return rng.Perm(len(s.Servers))[:n]
+	}
+	fault := func(n int, set model.Fault) {
+		set.From, set.Until = from, until
+		s.Servers[n].Faults = append(s.Servers[n].Faults, set)
+	}
+	switch x.Kind {
+	case "fail_fast":
+		for _, n := range some() {
+			fault(n, model.Fault{FailFast: x.Share})
+		}
+	case "swallow":
+		for _, n := range some() {
+			fault(n, model.Fault{Swallow: x.Share})
+		}
+	case "silent":
+		for _, n := range some() {
+			fault(n, model.Fault{Silent: true})
+		}
+	case "cut_off":
+		for n := range s.Servers {
+			if s.Servers[n].Site == slices.Index(f.Sites, x.Site) {
+				fault(n, model.Fault{Silent: true})
+			}
+		}
+	case "surge":
+		s.Surges = append(s.Surges, play.Surge{From: from, Until: until, Factor: x.Factor})
+	case "costly":
+		class := slices.IndexFunc(f.Classes, func(k Class) bool { return k.Name == x.Class })
+		s.Costly = append(s.Costly, play.Costly{From: from, Until: until, Class: class, Share: x.Share, Factor: x.Factor})
+	case "start":
+		for _, n := range some() {
+			s.Servers[n].Starts = max(from, time.Millisecond)
+		}
+	case "drain":
+		all := some()
+		for i, n := range all {
+			s.Servers[n].Drains = max(from+(until-from)*time.Duration(i)/time.Duration(len(all)), time.Millisecond)
+		}
+	}
+}
--- /dev/null
+++ b/internal/emulator/scenario/scenario_test.go
@@ -0,0 +1,121 @@
+package scenario
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+
+	"pinedale/internal/emulator/play"
+	"pinedale/internal/tomlfile"
+)
+
+func library(t *testing.T) map[string]*File {
+	t.Helper()
+	paths, err := filepath.Glob("../../../scenarios/*.toml")
+	if err != nil || len(paths) < 8 {
+		t.Fatalf("the library: %v, %v", paths, err)
+	}
+	all := map[string]*File{}
+	for _, p := range paths {
+		f, err := Load(p)
+		if err != nil {
+			t.Fatalf("%s: %v", p, err)
+		}
+		all[f.Name] = f
+	}
+	return all
+}
+
+// Every scenario of the library plays without a broken rule, serves what it can be
+// held to, and plays the same way twice.
+func TestLibrary(t *testing.T) {
+	least := map[string]float64{"calm": 0.98, "failing-fast": 0.9, "traffic-jump": 0.6, "costly-class": 0.75,
+		"shrinking-fleet": 0.85, "fresh-under-load": 0.45, "site-cut-off": 0.6, "stale-list": 0.8}
+	for name, f := range library(t) {
+		t.Run(name, func(t *testing.T) {
+			a, err := play.Run(f.Play(0))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if why := a.Broken(); why != "" {
+				t.Error(why)
+			}
+			if want, ok := least[name]; !ok || a.InTime() < want {
+				t.Errorf("%.3f served in time, want %.2f (%v): %+v", a.InTime(), want, ok, a.Classes)
+			}
+			if b, _ := play.Run(f.Play(0)); !reflect.DeepEqual(a, b) {
+				t.Error("it plays otherwise the second time")
+			}
+			var text, page bytes.Buffer
+			f.Print(&text, a)
+			if err := f.HTML(&page, a); err != nil {
+				t.Fatal(err)
+			}
+			if !strings.Contains(text.String(), "no rule broken") || !strings.Contains(page.String(), "polyline") || strings.Contains(page.String(), "http") {
+				t.Errorf("the reports: %s%s", text.String(), page.String())
+			}
+			if window := WorstWindow(a); window > a.InTime()+0.05 || window < 0 {
+				t.Errorf("the worst 10 s %.3f, all %.3f", window, a.InTime())
+			}
+		})
+	}
+}
+
+func TestBadFiles(t *testing.T) {
+	good, err := os.ReadFile("../../../scenarios/failing-fast.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ old, new, key string }{
+		{"version = 1", "version = 3", "version"},
+		{`length = "30s"`, `length = "2h"`, "length"},
+		{`length = "30s"`, `longth = "30s"`, "longth"},
+		{`sites = ["arusha", "dar"]`, `sites = []`, "sites"},
+		{"rate = 150", "rate = 0", "clients.rate"},
+		{"retries = 2", "retries = -1", "clients.retries"},
+		{"try_share = 0.53", "try_share = 2", "clients.try_share"},
+		{`same = "250us"`, `same = "-1s"`, "way.same"},
+		{"count = 2", "count = 0", "instances[0].count"},
+		{`repeat = "safe"`, `repeat = "maybe"`, "class[0].repeat"},
+		{`group = "all"`, `group = "street"`, "class[1].group"},
+		{`window = "1.5s"`, `window = "0s"`, "class[1].window"},
+		{`work = "120ms"`, `work = "0s"`, "class[0].work"},
+		{"share = 0.47", "share = 0.9", "class"},
+		{"cores = 3", "cores = 0", "machine[0].cores"},
+		{"speed = 2.0", "speed = inf", "machine[0].speed"},
+		{`machine = "big-box"`, `machine = "huge"`, "servers[0].machine"},
+		{`kind = "fail_fast"`, `kind = "mood"`, "trouble[0].kind"},
+		{`from = "8s"`, `from = "80s"`, "trouble[0].from"},
+		{`until = "22s"`, `until = "2s"`, "trouble[0].until"},
+		{"part = 0.18", "part = 0", "trouble[0].part"},
+		{`kind = "fail_fast"`, `kind = "costly"`, "trouble[0].class"},
+		{`kind = "fail_fast"`, `kind = "cut_off"`, "trouble[0].site"},
+	} {
+		bad := strings.Replace(string(good), c.old, c.new, 1)
+		if bad == string(good) {
+			t.Fatalf("%q is not in the file", c.old)
+		}
+		_, err := Parse([]byte(bad))
+		var fault *tomlfile.Error
+		if !errors.As(err, &fault) || !strings.Contains(err.Error(), c.key+":") {
+			t.Errorf("%q: %v, want a fault of %s", c.new, err, c.key)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	good, _ := os.ReadFile("../../../scenarios/stale-list.toml")
+	f.Add(good)
+	f.Add(good[:len(good)/2])
+	f.Add([]byte("[[trouble]]\nkind = 3"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		file, err := Parse(data)
+		if (file == nil) == (err == nil) {
+			t.Errorf("%v with %v", file, err)
+		}
+	})
+}
--- a/internal/membership/ephemeral/client.go
+++ b/internal/membership/ephemeral/client.go
@@ -82,10 +82,11 @@
 // New returns a client that is not connected.
 func New(o Options) *Client { return &Client{opts: o, wake: make(chan struct{}, 1)} }
 
-// quiet keeps the library's lines out of the log but for its faults.
-type quiet struct{ log *slog.Logger }
+// Quiet is the library's logger: its lines are of use only to who looks for its faults.
+type Quiet struct{ Log *slog.Logger }
 
-func (q quiet) Printf(format string, args ...any) { q.log.Debug(fmt.Sprintf(format, args...)) }
+// Printf logs a line for debugging.
+func (q Quiet) Printf(format string, args ...any) { q.Log.Debug(fmt.Sprintf(format, args...)) }
 
 // Feed reads until ctx ends.
 func (c *Client) Feed(ctx context.Context, sink Sink) {
@@ -134,7 +135,7 @@
 	c.nodes, c.dir, c.session, c.lost = map[string]zk.EventType{}, false, false, false
 	c.mu.Unlock()
 	c.authed = false
-	conn, events, err := zk.Connect(c.opts.Servers, c.opts.Session, zk.WithLogger(quiet{c.opts.Log}), zk.WithLogInfo(false),
+	conn, events, err := zk.Connect(c.opts.Servers, c.opts.Session, zk.WithLogger(Quiet{c.opts.Log}), zk.WithLogInfo(false),
 		zk.WithMaxBufferSize(answerMost), zk.WithEventCallback(c.event), zk.WithDialer(once()))
 	if err != nil {
 		return false, err
--- a/internal/membership/register/register.go
+++ b/internal/membership/register/register.go
@@ -72,14 +72,10 @@
 	return &Registrar{opts: o, wake: make(chan struct{}, 1)}, nil
 }
 
-type quiet struct{ log *slog.Logger }
-
-func (q quiet) Printf(format string, args ...any) { q.log.Debug(fmt.Sprintf(format, args...)) }
-
 // Run keeps the node until ctx ends; then the session is closed, and the node goes
 // with it.
 func (r *Registrar) Run(ctx context.Context) error {
-	conn, events, err := zk.Connect(r.opts.Servers, r.opts.Session, zk.WithLogger(quiet{r.opts.Log}), zk.WithLogInfo(false),
+	conn, events, err := zk.Connect(r.opts.Servers, r.opts.Session, zk.WithLogger(ephemeral.Quiet{Log: r.opts.Log}), zk.WithLogInfo(false),
 		zk.WithEventCallback(r.event))
 	if err != nil {
 		return err
--- a/internal/site/check.go
+++ b/internal/site/check.go
@@ -12,6 +12,7 @@
 	"pinedale/balancer"
 	"pinedale/internal/engine"
 	"pinedale/internal/intake"
+	"pinedale/internal/tomlfile"
 )
 
 // The most that the rules let a file ask for.
@@ -31,20 +32,8 @@
 
 // check finds every fault of a file.
 type check struct {
+	*tomlfile.File
 	file *File
-	errs []*FileError
-}
-
-// require notes a fault unless ok.
-func (c *check) require(ok bool, key, format string, args ...any) {
-	if !ok {
-		line := c.file.lines[key]
-		for at := key; line == 0 && strings.Contains(at, "."); { // its table's, where the key is missing
-			at = at[:strings.LastIndex(at, ".")]
-			line = c.file.lines[at]
-		}
-		c.errs = append(c.errs, &FileError{Line: line, Key: key, Reason: fmt.Sprintf(format, args...)})
-	}
 }
 
 func (c *check) address(key, value string) {
@@ -52,11 +41,7 @@
 	if err == nil {
 		_, err = net.LookupPort("tcp", port)
 	}
-	c.require(err == nil, key, "%q is not host:port", value)
-}
-
-func (c *check) positive(key string, d Duration) {
-	c.require(d > 0, key, "%v is not positive", time.Duration(d))
+	c.Require(err == nil, key, "%q is not host:port", value)
 }
 
 func words[T any](known map[string]T) string {
@@ -70,29 +55,29 @@
 
 func (c *check) all() {
 	f := c.file
-	c.require(f.Version == 1, "version", "%d is not a known version of this file; this program reads 1", f.Version)
-	c.require(f.HTTP.Listen != "" || f.ExtProc.Listen != "", "http.listen", "no front is switched on: set this or ext_proc.listen")
+	c.Require(f.Version == 1, "version", "%d is not a known version of this file; this program reads 1", f.Version)
+	c.Require(f.HTTP.Listen != "" || f.ExtProc.Listen != "", "http.listen", "no front is switched on: set this or ext_proc.listen")
 	if f.HTTP.Listen != "" {
 		c.address("http.listen", f.HTTP.Listen)
 	}
 	if f.ExtProc.Listen != "" {
 		c.address("ext_proc.listen", f.ExtProc.Listen)
 		_, port, _ := net.SplitHostPort(f.HTTP.Listen)
-		c.require(f.ExtProc.Listen != f.HTTP.Listen || port == "0", "ext_proc.listen", "%q is http.listen, too", f.ExtProc.Listen)
+		c.Require(f.ExtProc.Listen != f.HTTP.Listen || port == "0", "ext_proc.listen", "%q is http.listen, too", f.ExtProc.Listen)
 	}
-	c.require(f.ExtProc.Retries == "none" || f.ExtProc.Retries == "ask-again", "ext_proc.retries",
+	c.Require(f.ExtProc.Retries == "none" || f.ExtProc.Retries == "ask-again", "ext_proc.retries",
 		"%q is neither none nor ask-again", f.ExtProc.Retries)
-	c.require(f.ExtProc.Streams >= 1, "ext_proc.streams", "%d is not positive", f.ExtProc.Streams)
-	c.require(f.ExtProc.Backlog >= 1 && f.ExtProc.Backlog <= 1024, "ext_proc.backlog", "%d is not in 1 to 1024", f.ExtProc.Backlog)
+	c.Require(f.ExtProc.Streams >= 1, "ext_proc.streams", "%d is not positive", f.ExtProc.Streams)
+	c.Require(f.ExtProc.Backlog >= 1 && f.ExtProc.Backlog <= 1024, "ext_proc.backlog", "%d is not in 1 to 1024", f.ExtProc.Backlog)
 	c.limits()
 	c.fleet()
 	c.classes()
 	c.members()
-	if len(c.errs) == 0 {
+	if c.Good() {
 		// The module's own checks are the last net.
 		s := f.Settings()
 		if err := s.Validate(); err != nil {
-			c.require(false, "file", "%v", err)
+			c.Require(false, "file", "%v", err)
 		}
 	}
 }
@@ -104,66 +89,66 @@
 		value int
 	}{{"memory_mb", l.MemoryMB}, {"client_connections", l.ClientConnections},
 		{"upstream_connections", l.UpstreamConnections}, {"open_requests", l.OpenRequests}} {
-		c.require(n.value >= 1, "limits."+n.key, "%d is not positive", n.value)
+		c.Require(n.value >= 1, "limits."+n.key, "%d is not positive", n.value)
 	}
-	c.require(l.Attempts >= 1 && l.Attempts <= attemptsMost, "limits.attempts",
+	c.Require(l.Attempts >= 1 && l.Attempts <= attemptsMost, "limits.attempts",
 		"%d is not in 1 to %d: no request may be sent more often", l.Attempts, attemptsMost)
-	c.require(l.RetryAfterMost >= 0, "limits.retry_after_most", "%v is negative", time.Duration(l.RetryAfterMost))
-	c.positive("limits.dial_timeout", l.DialTimeout)
-	c.positive("limits.idle_timeout", l.IdleTimeout)
+	c.Require(l.RetryAfterMost >= 0, "limits.retry_after_most", "%v is negative", time.Duration(l.RetryAfterMost))
+	c.Positive("limits.dial_timeout", l.DialTimeout)
+	c.Positive("limits.idle_timeout", l.IdleTimeout)
 }
 
 func (c *check) fleet() {
 	l := &c.file.Fleet
-	c.require(l.Instances >= 1, "fleet.instances", "%d is not positive", l.Instances)
+	c.Require(l.Instances >= 1, "fleet.instances", "%d is not positive", l.Instances)
 	for key, list := range map[string][]string{"fleet.sites": l.Sites, "fleet.kinds": l.Kinds} {
-		c.require(len(list) <= namesMost, key, "%d names, at most %d", len(list), namesMost)
+		c.Require(len(list) <= namesMost, key, "%d names, at most %d", len(list), namesMost)
 		for i, name := range list {
-			c.require(name != "", key, "name %d is empty", i+1)
-			c.require(!slices.Contains(list[:i], name), key, "%q is there twice", name)
+			c.Require(name != "", key, "name %d is empty", i+1)
+			c.Require(!slices.Contains(list[:i], name), key, "%q is there twice", name)
 		}
 	}
-	c.require(len(l.Sites) > 0, "fleet.sites", "no site is named")
-	c.require(slices.Contains(l.Sites, c.file.Site), "site", "%q is not in fleet.sites", c.file.Site)
+	c.Require(len(l.Sites) > 0, "fleet.sites", "no site is named")
+	c.Require(slices.Contains(l.Sites, c.file.Site), "site", "%q is not in fleet.sites", c.file.Site)
 	for _, r := range l.Reports {
 		_, ok := reports[r]
-		c.require(ok, "fleet.reports", "%q is not one of %s", r, words(reports))
+		c.Require(ok, "fleet.reports", "%q is not one of %s", r, words(reports))
 	}
-	c.require(l.DrainGrace >= 0, "fleet.drain_grace", "%v is negative", time.Duration(l.DrainGrace))
-	c.require(l.ColdFrom > 0 && l.ColdFrom <= 1, "fleet.cold_from", "%v is not over 0 and up to 1", l.ColdFrom)
-	c.require(l.WarmWithin >= 0, "fleet.warm_within", "%v is negative", time.Duration(l.WarmWithin))
-	c.require(l.FallFactor > 0, "fleet.fall_factor", "%v is not positive", l.FallFactor)
-	c.require(l.FallAfter >= 0, "fleet.fall_after", "%v is negative", time.Duration(l.FallAfter))
+	c.Require(l.DrainGrace >= 0, "fleet.drain_grace", "%v is negative", time.Duration(l.DrainGrace))
+	c.Require(l.ColdFrom > 0 && l.ColdFrom <= 1, "fleet.cold_from", "%v is not over 0 and up to 1", l.ColdFrom)
+	c.Require(l.WarmWithin >= 0, "fleet.warm_within", "%v is negative", time.Duration(l.WarmWithin))
+	c.Require(l.FallFactor > 0, "fleet.fall_factor", "%v is not positive", l.FallFactor)
+	c.Require(l.FallAfter >= 0, "fleet.fall_after", "%v is negative", time.Duration(l.FallAfter))
 }
 
 func (c *check) classes() {
-	c.require(len(c.file.Classes) > 0, "class", "no class is there")
-	c.require(len(c.file.Classes) <= classesMost, "class", "%d classes, at most %d", len(c.file.Classes), classesMost)
+	c.Require(len(c.file.Classes) > 0, "class", "no class is there")
+	c.Require(len(c.file.Classes) <= classesMost, "class", "%d classes, at most %d", len(c.file.Classes), classesMost)
 	seen := map[string]bool{}
 	for i, k := range c.file.Classes {
 		at := func(key string) string { return fmt.Sprintf("class[%d].%s", i, key) }
 		// The class is the first part of the path and a header's value.
-		c.require(k.Name != "" && !strings.ContainsAny(k.Name, "/?# \t\r\n"), at("name"), "%q can't be the first part of a path", k.Name)
-		c.require(!seen[k.Name], at("name"), "%q is there twice", k.Name)
+		c.Require(k.Name != "" && !strings.ContainsAny(k.Name, "/?# \t\r\n"), at("name"), "%q can't be the first part of a path", k.Name)
+		c.Require(!seen[k.Name], at("name"), "%q is there twice", k.Name)
 		seen[k.Name] = true
 		repeat, ok := repeats[k.Repeat]
-		c.require(ok, at("repeat"), "%q is not one of %s", k.Repeat, words(repeats))
-		c.positive(at("aim"), k.Aim)
-		c.positive(at("deadline"), k.Deadline)
-		c.require(k.Deadline >= k.Aim, at("deadline"), "%v is under the aim of %v", time.Duration(k.Deadline), time.Duration(k.Aim))
-		c.require(time.Duration(k.Deadline) <= deadlineMost, at("deadline"), "%v is over %v", time.Duration(k.Deadline), deadlineMost)
-		c.require(k.Worth == nil || *k.Worth >= 0, at("worth"), "is negative")
-		c.require(k.LateWorth >= 0 && k.LateWorth <= 1, at("late_worth"), "%v is not in 0 to 1", k.LateWorth)
+		c.Require(ok, at("repeat"), "%q is not one of %s", k.Repeat, words(repeats))
+		c.Positive(at("aim"), k.Aim)
+		c.Positive(at("deadline"), k.Deadline)
+		c.Require(k.Deadline >= k.Aim, at("deadline"), "%v is under the aim of %v", time.Duration(k.Deadline), time.Duration(k.Aim))
+		c.Require(time.Duration(k.Deadline) <= deadlineMost, at("deadline"), "%v is over %v", time.Duration(k.Deadline), deadlineMost)
+		c.Require(k.Worth == nil || *k.Worth >= 0, at("worth"), "is negative")
+		c.Require(k.LateWorth >= 0 && k.LateWorth <= 1, at("late_worth"), "%v is not in 0 to 1", k.LateWorth)
 		if !ok {
 			continue
 		}
 		if repeat == balancer.Keyed {
 			_, known := groups[k.Group]
-			c.require(known, at("group"), "%q is not one of %s: a keyed class needs to say who drops its repeats", k.Group, words(groups))
-			c.require(k.Window > 0, at("window"), "%v: a keyed class needs the time for which its repeats are dropped", time.Duration(k.Window))
+			c.Require(known, at("group"), "%q is not one of %s: a keyed class needs to say who drops its repeats", k.Group, words(groups))
+			c.Require(k.Window > 0, at("window"), "%v: a keyed class needs the time for which its repeats are dropped", time.Duration(k.Window))
 		} else {
-			c.require(k.Group == "", at("group"), "%q: only a keyed class has one", k.Group)
-			c.require(k.Window == 0, at("window"), "%v: only a keyed class has one", time.Duration(k.Window))
+			c.Require(k.Group == "", at("group"), "%q: only a keyed class has one", k.Group)
+			c.Require(k.Window == 0, at("window"), "%v: only a keyed class has one", time.Duration(k.Window))
 		}
 	}
 }
@@ -171,28 +156,28 @@
 func (c *check) members() {
 	f := c.file
 	merged := len(f.Ephemeral.Servers) > 0
-	c.require(merged || len(f.Servers) == 0 || f.Discovery.Address == "", "discovery.address",
+	c.Require(merged || len(f.Servers) == 0 || f.Discovery.Address == "", "discovery.address",
 		"servers are named in the file, too: one of the two decides, unless ephemeral.servers is set")
-	c.require(merged || len(f.Servers) > 0 || f.Discovery.Address != "", "server",
+	c.Require(merged || len(f.Servers) > 0 || f.Discovery.Address != "", "server",
 		"no server is named, and neither discovery.address nor ephemeral.servers")
 	c.ephemeral()
-	c.require(len(f.Servers) <= serversMost, "server", "%d servers, at most %d", len(f.Servers), serversMost)
+	c.Require(len(f.Servers) <= serversMost, "server", "%d servers, at most %d", len(f.Servers), serversMost)
 	if f.Discovery.Address != "" {
 		c.address("discovery.address", f.Discovery.Address)
-		c.positive("discovery.ask_within", f.Discovery.AskWithin)
+		c.Positive("discovery.ask_within", f.Discovery.AskWithin)
 	}
 	names, addresses := map[string]bool{}, map[string]bool{}
 	for i, s := range f.Servers {
 		at := func(key string) string { return fmt.Sprintf("server[%d].%s", i, key) }
-		c.require(s.Name != "", at("name"), "is missing")
-		c.require(!names[s.Name], at("name"), "%q is there twice", s.Name)
+		c.Require(s.Name != "", at("name"), "is missing")
+		c.Require(!names[s.Name], at("name"), "%q is there twice", s.Name)
 		c.address(at("address"), s.Address)
-		c.require(!addresses[s.Address], at("address"), "%q is there twice", s.Address)
+		c.Require(!addresses[s.Address], at("address"), "%q is there twice", s.Address)
 		names[s.Name], addresses[s.Address] = true, true
-		c.require(slices.Contains(f.Fleet.Sites, s.Site), at("site"), "%q is not in fleet.sites", s.Site)
-		c.require(s.Kind == "" || slices.Contains(f.Fleet.Kinds, s.Kind), at("kind"), "%q is not in fleet.kinds", s.Kind)
-		c.require(s.Pod >= 0 && s.Pod < podsMost, at("pod"), "%d is not in 0 to %d", s.Pod, podsMost-1)
-		c.require(s.Share == nil || *s.Share > 0 && *s.Share <= 1e6, at("share"), "is not over 0 and up to 1e6")
+		c.Require(slices.Contains(f.Fleet.Sites, s.Site), at("site"), "%q is not in fleet.sites", s.Site)
+		c.Require(s.Kind == "" || slices.Contains(f.Fleet.Kinds, s.Kind), at("kind"), "%q is not in fleet.kinds", s.Kind)
+		c.Require(s.Pod >= 0 && s.Pod < podsMost, at("pod"), "%d is not in 0 to %d", s.Pod, podsMost-1)
+		c.Require(s.Share == nil || *s.Share > 0 && *s.Share <= 1e6, at("share"), "is not over 0 and up to 1e6")
 	}
 }
 
@@ -202,21 +187,21 @@
 		c.address("ephemeral.servers", s)
 	}
 	if len(e.Servers) > 0 {
-		c.require(strings.HasPrefix(e.Path, "/") && e.Path != "/" && path.Clean(e.Path) == e.Path, "ephemeral.path",
+		c.Require(strings.HasPrefix(e.Path, "/") && e.Path != "/" && path.Clean(e.Path) == e.Path, "ephemeral.path",
 			"%q is not the path of a directory, such as /soko", e.Path)
 		// Under a second a pause of the collector or the machine would end the session.
-		c.require(time.Duration(e.Session) >= time.Second && time.Duration(e.Session) <= 10*time.Minute, "ephemeral.session",
+		c.Require(time.Duration(e.Session) >= time.Second && time.Duration(e.Session) <= 10*time.Minute, "ephemeral.session",
 			"%v is not in 1s to 10m", time.Duration(e.Session))
 	}
 	if e.DigestFile != "" {
 		text, err := os.ReadFile(e.DigestFile)
 		c.file.digest = strings.TrimSpace(string(text))
-		c.require(err == nil, "ephemeral.digest_file", "%v", err)
-		c.require(err != nil || strings.Contains(c.file.digest, ":"), "ephemeral.digest_file", "the file does not hold user:password")
+		c.Require(err == nil, "ephemeral.digest_file", "%v", err)
+		c.Require(err != nil || strings.Contains(c.file.digest, ":"), "ephemeral.digest_file", "the file does not hold user:password")
 	}
-	c.require(m.ShrinkMost > 0 && m.ShrinkMost <= 1, "membership.shrink_most", "%v is not over 0 and up to 1", m.ShrinkMost)
-	c.positive("membership.hold", m.Hold)
-	c.positive("membership.lag", m.Lag)
+	c.Require(m.ShrinkMost > 0 && m.ShrinkMost <= 1, "membership.shrink_most", "%v is not over 0 and up to 1", m.ShrinkMost)
+	c.Positive("membership.hold", m.Hold)
+	c.Positive("membership.lag", m.Lag)
 }
 
 func or(v *float64, fallback float64) float64 {
@@ -233,10 +218,10 @@
 		Zones: len(f.Fleet.Sites), Kinds: len(f.Fleet.Kinds), Subscribe: f.Discovery.Address != "" && len(f.Ephemeral.Servers) == 0,
 		Limits: balancer.Limits{Cancel: true, Probes: f.Limits.Probes, SecondCopies: f.Limits.SecondCopies,
 			RetryAfter: f.Limits.RetryAfterMost > 0, MaxAttempts: f.Limits.Attempts, MaxOpen: f.Limits.OpenRequests,
-			MaxRetryAfter: f.Limits.RetryAfterMost.micros(), DialTimeout: f.Limits.DialTimeout.micros()},
-		Contract: balancer.Contract{DrainGrace: f.Fleet.DrainGrace.micros(), ColdFrom: f.Fleet.ColdFrom,
-			RampTime: f.Fleet.WarmWithin.micros(), FallMultiple: f.Fleet.FallFactor,
-			OverloadFor: f.Fleet.FallAfter.micros(), AskWithin: f.Discovery.AskWithin.micros(),
+			MaxRetryAfter: f.Limits.RetryAfterMost.Micros(), DialTimeout: f.Limits.DialTimeout.Micros()},
+		Contract: balancer.Contract{DrainGrace: f.Fleet.DrainGrace.Micros(), ColdFrom: f.Fleet.ColdFrom,
+			RampTime: f.Fleet.WarmWithin.Micros(), FallMultiple: f.Fleet.FallFactor,
+			OverloadFor: f.Fleet.FallAfter.Micros(), AskWithin: f.Discovery.AskWithin.Micros(),
 			AnswerSlack: intake.AnswerMargin.Microseconds()},
 		// What the co-operative's users judge, and what probes and crossings cost them.
 		Goal:   balancer.Goal{Whole: 0.45, WorstWindow: 0.35, WorstClass: 0.2},
@@ -247,7 +232,7 @@
 	}
 	for _, k := range f.Classes {
 		s.Classes = append(s.Classes, balancer.Class{Name: k.Name, Repeat: repeats[k.Repeat], Group: groups[k.Group],
-			Window: k.Window.micros(), Aim: k.Aim.micros(), GiveUp: k.Deadline.micros(),
+			Window: k.Window.Micros(), Aim: k.Aim.Micros(), GiveUp: k.Deadline.Micros(),
 			Worth: or(k.Worth, 1), LateWorth: k.LateWorth})
 	}
 	return s
