--- /dev/null
+++ b/cmd/pinedale-rehearse/demo.go
@@ -0,0 +1,228 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"pinedale/internal/emulator/model"
+	"pinedale/internal/emulator/sockets"
+	"pinedale/internal/site"
+	"pinedale/internal/standin/directory"
+)
+
+// demoFile is the operator's file of the demo.
+const demoFile = `version = 1
+name = "demo"
+site = "arusha"
+[http]
+listen = "127.0.0.1:0"
+[fleet]
+sites = ["arusha", "dar"]
+kinds = ["box"]
+reports = ["eps", "queue"]
+[discovery]
+address = %q
+[[class]]
+name = "price-check"
+repeat = "safe"
+aim = "600ms"
+deadline = "3s"
+worth = 2
+[[class]]
+name = "stall-pay"
+repeat = "keyed"
+group = "all"
+window = "1.5s"
+aim = "600ms"
+deadline = "2.5s"
+worth = 10
+`
+
+// demoRate is the load: about 60% of what the demo's servers can do.
+const demoRate = 60 // first tries a second
+
+// demo brings up a small fleet, discovery, pinedale-site and clients on loopback, and
+// prints what happens each second. A server fails fast for a while, one comes cold.
+func demo(out io.Writer, length time.Duration) error {
+	dir, err := directory.Start()
+	if err != nil {
+		return err
+	}
+	defer dir.Close()
+	fleet := sockets.New([]sockets.Class{
+		{Name: "price-check", Work: 120 * time.Millisecond, CV: 0.4},
+		{Name: "stall-pay", Class: model.Class{Repeat: model.Keyed, Window: 1500 * time.Millisecond}, Work: 100 * time.Millisecond, CV: 0.4}}, 1)
+	defer fleet.Close()
+	var servers []*sockets.Server
+	var hosts []directory.Host
+	add := func(cold bool, faults ...model.Fault) error {
+		n := len(servers)
+		cfg := model.Config{Cores: 3, Speed: [...]float64{2, 1.2, 0.8}[n%3], SlotsPerCore: 1, QueuePerCore: 100, Thrash: 0.08, ThrashAt: 5,
+			ColdFrom: 0.35, ColdFor: 6 * time.Second, FallFactor: 2.5, FallAfter: time.Second,
+			ReportEvery: 100 * time.Millisecond, ProbeWork: 100 * time.Microsecond, Handshake: time.Millisecond}
+		s, err := fleet.Start(fmt.Sprintf("soko-%d", n+1), fmt.Sprint(n/2), cfg, cold, faults...)
+		if err != nil {
+			return err
+		}
+		servers = append(servers, s)
+		h := directory.Ready(s.Name, s.Address)
+		h.Site, h.Class, h.Block = [...]string{"arusha", "dar"}[n%2], "box", uint16(n/2)
+		if cold {
+			h.BornMS = time.Now().UnixMilli()
+		}
+		hosts = append(hosts, h)
+		dir.Change(func() { dir.List = directory.Document{Seq: dir.List.Seq + 1, Whole: true, Hosts: slices.Clone(hosts)} })
+		return nil
+	}
+	failing := model.Fault{From: length * 3 / 10, Until: length * 6 / 10, FailFast: 0.9}
+	for n := range 5 {
+		var faults []model.Fault
+		if n == 0 {
+			faults = append(faults, failing)
+		}
+		if err := add(false, faults...); err != nil {
+			return err
+		}
+	}
+	f, err := site.Parse(fmt.Appendf(nil, demoFile, dir.Address))
+	if err != nil {
+		return err
+	}
+	i, err := site.Start(f, slog.New(slog.DiscardHandler))
+	if err != nil {
+		return err
+	}
+	defer func() {
+		i.Shutdown()
+		i.Wait()
+	}()
+	for end := time.Now().Add(10 * time.Second); !i.Ready(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			return fmt.Errorf("pinedale-site knows no server after 10 s")
+		}
+	}
+	fmt.Fprintf(out, "five servers, discovery and pinedale-site on %s; %d requests a second\n", i.HTTP, demoRate)
+	fmt.Fprintf(out, "%4s %6s %8s %6s %8s %7s %9s %9s  %s\n", "s", "asked", "in time", "late", "refused", "failed", "median", "99th", "held by server")
+	d := &demoClients{url: "http://" + i.HTTP.String(), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}, Timeout: 5 * time.Second}}
+	defer d.client.CloseIdleConnections()
+	var all sync.WaitGroup
+	rng := rand.New(rand.NewPCG(1, 1))
+	began, next, told, fresh := time.Now(), time.Duration(0), time.Duration(0), false
+	for n := 0; time.Since(began) < length; n++ {
+		next += time.Duration(rng.ExpFloat64() / demoRate * float64(time.Second))
+		time.Sleep(time.Until(began.Add(next)))
+		stall := rng.Float64() < 0.4
+		all.Go(func() { d.ask(n, stall) })
+		if !fresh && next >= length/2 {
+			fresh = true
+			if err := add(true); err != nil {
+				return err
+			}
+			fmt.Fprintln(out, "     a sixth server has started, cold")
+		}
+		if next >= told+time.Second {
+			told += time.Second
+			d.line(out, int(told/time.Second), servers)
+			if s := told; s >= failing.From && s < failing.From+time.Second {
+				fmt.Fprintln(out, "     soko-1 fails 90% of its requests at once from here on, for a while")
+			}
+		}
+	}
+	all.Wait()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	fmt.Fprintf(out, "in all: asked %d, in time %d, late %d, refused %d, failed %d; effects done twice %d\n",
+		d.sum.asked, d.sum.inTime, d.sum.late, d.sum.refused, d.sum.failed, fleet.Twice())
+	return nil
+}
+
+// counts are of a second, or of all.
+type counts struct {
+	asked, inTime, late, refused, failed int
+	took                                 []time.Duration
+}
+
+// demoClients send requests and count what comes of them.
+type demoClients struct {
+	url    string
+	client *http.Client
+
+	mu       sync.Mutex
+	now, sum counts
+}
+
+func (d *demoClients) ask(n int, stall bool) {
+	method, class := "GET", "price-check"
+	if stall {
+		method, class = "POST", "stall-pay"
+	}
+	r, err := http.NewRequest(method, d.url+"/"+class+"/x", nil)
+	if err != nil {
+		return
+	}
+	r.Header.Set("X-Correlation-Id", fmt.Sprintf("demo-%d", n))
+	r.Header.Set("X-Service-Class", class)
+	r.Header.Set("X-Time-Left-Ms", "1500")
+	if stall {
+		r.Header.Set("Idempotency-Key", fmt.Sprintf("demo-key-%d", n))
+	}
+	began := time.Now()
+	code := 0
+	if out, err := d.client.Do(r); err == nil {
+		io.Copy(io.Discard, out.Body)
+		out.Body.Close()
+		code = out.StatusCode
+	}
+	took := time.Since(began)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, c := range []*counts{&d.now, &d.sum} {
+		c.asked++
+		switch {
+		case code == 200 && took <= 600*time.Millisecond:
+			c.inTime++
+		case code == 200:
+			c.late++
+		case code == 503:
+			c.refused++
+		default:
+			c.failed++
+		}
+	}
+	d.now.took = append(d.now.took, took)
+}
+
+// line prints the last second.
+func (d *demoClients) line(out io.Writer, second int, servers []*sockets.Server) {
+	d.mu.Lock()
+	c := d.now
+	d.now = counts{}
+	d.mu.Unlock()
+	slices.Sort(c.took)
+	quantile := func(q float64) time.Duration {
+		if len(c.took) == 0 {
+			return 0
+		}
+		return c.took[min(len(c.took)-1, int(q*float64(len(c.took))))].Round(time.Millisecond)
+	}
+	var held []string
+	for _, s := range servers {
+		n, _, warmth, down := s.Figures()
+		text := fmt.Sprint(n)
+		if down {
+			text = "down"
+		} else if warmth < 1 {
+			text += fmt.Sprintf(" (%.0f%% warm)", 100*warmth)
+		}
+		held = append(held, text)
+	}
+	fmt.Fprintf(out, "%4d %6d %8d %6d %8d %7d %9v %9v  %s\n", second, c.asked, c.inTime, c.late, c.refused, c.failed,
+		quantile(0.5), quantile(0.99), strings.Join(held, ", "))
+}
--- a/cmd/pinedale-rehearse/main.go
+++ b/cmd/pinedale-rehearse/main.go
@@ -17,8 +17,10 @@
 
 const usage = `usage: pinedale-rehearse run [-seed N] [-html FILE] SCENARIO
        pinedale-rehearse compare [-seeds N] SCENARIO SCENARIO
+       pinedale-rehearse demo [-length 12s]
 
   run      play a scenario and say what came of it
+  demo     a small fleet, discovery, pinedale-site and clients on loopback sockets
   compare  play two on the same seeds, and say how they differ and how much is noise
 `
 
@@ -37,6 +39,7 @@
 	flags.SetOutput(io.Discard)
 	seed := flags.Uint64("seed", 0, "in place of the scenario's")
 	html := flags.String("html", "", "file for a report")
+	length := flags.Duration("length", 12*time.Second, "of the demo")
 	seeds := flags.Int("seeds", 10, "to compare on")
 	if err := flags.Parse(args[1:]); err != nil {
 		return fmt.Errorf("%w\n%s", err, usage)
@@ -44,6 +47,8 @@
 	switch {
 	case args[0] == "run" && flags.NArg() == 1:
 		return one(out, flags.Arg(0), *seed, *html)
+	case args[0] == "demo" && flags.NArg() == 0 && *length >= time.Second && *length <= time.Hour:
+		return demo(out, *length)
 	case args[0] == "compare" && flags.NArg() == 2 && *seeds >= 2 && *seeds <= 10_000:
 		return compare(out, flags.Arg(0), flags.Arg(1), *seeds)
 	}
--- /dev/null
+++ b/internal/emulator/sockets/sockets_test.go
@@ -0,0 +1,152 @@
+package sockets
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"pinedale/internal/emulator/model"
+)
+
+const ms = time.Millisecond
+
+var classes = []Class{{Name: "read", Work: 10 * ms}, {Name: "pay", Class: model.Class{Repeat: model.Keyed, Window: 1500 * ms}, Work: 10 * ms},
+	{Name: "order", Class: model.Class{Repeat: model.Unsafe}, Work: 10 * ms}}
+
+var box = model.Config{Cores: 1, Speed: 1, SlotsPerCore: 1, QueuePerCore: 3, ColdFrom: 0.31, ColdFor: 8600 * ms, FallFactor: 2.5, FallAfter: time.Second,
+	ReportEvery: 50 * ms}
+
+func fleet(t *testing.T) *Fleet {
+	t.Helper()
+	f := New(classes, 1)
+	t.Cleanup(func() {
+		f.Close()
+		http.DefaultClient.CloseIdleConnections()
+		goleak.VerifyNone(t)
+	})
+	return f
+}
+
+func start(t *testing.T, f *Fleet, cfg model.Config, cold bool, faults ...model.Fault) *Server {
+	t.Helper()
+	s, err := f.Start("s", "g", cfg, cold, faults...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// ask sends one request and returns its status, 0 where there is none.
+func ask(s *Server, class, id, key string, patience time.Duration) (int, http.Header) {
+	r, _ := http.NewRequest("POST", "http://"+s.Address+"/"+class+"/x", strings.NewReader("body"))
+	r.Header.Set("X-Service-Class", class)
+	r.Header.Set("X-Correlation-Id", id)
+	if key != "" {
+		r.Header.Set("Idempotency-Key", key)
+	}
+	client := &http.Client{Timeout: patience}
+	out, err := client.Do(r)
+	if err != nil {
+		return 0, nil
+	}
+	io.Copy(io.Discard, out.Body)
+	out.Body.Close()
+	return out.StatusCode, out.Header
+}
+
+// What comes back over HTTP is what the model says.
+func TestAnswers(t *testing.T) {
+	f := fleet(t)
+	well := start(t, f, box, false)
+	if code, _ := ask(well, "read", "1", "", time.Minute); code != 200 {
+		t.Errorf("served: %d", code)
+	}
+	if code, _ := ask(well, "gift", "1", "", time.Minute); code != 400 {
+		t.Errorf("of no class: %d", code)
+	}
+	for range 2 { // the second is dropped, and answered
+		if code, _ := ask(well, "pay", "2", "k", time.Minute); code != 200 {
+			t.Errorf("keyed: %d", code)
+		}
+	}
+	if f.Twice() != 0 {
+		t.Error("a repeat had a second effect")
+	}
+	ask(well, "order", "3", "", time.Minute)
+	ask(well, "order", "3", "", time.Minute)
+	if f.Twice() != 1 {
+		t.Error("an unsafe request that was sent twice was done once")
+	}
+	always := model.Fault{Until: time.Hour}
+	fast := always
+	fast.FailFast = 1
+	if code, _ := ask(start(t, f, box, false, fast), "read", "4", "", time.Minute); code != 500 {
+		t.Errorf("failing fast: %d", code)
+	}
+	lost := always
+	lost.Swallow = 1
+	if code, _ := ask(start(t, f, box, false, lost), "read", "5", "", 300*ms); code != 0 {
+		t.Errorf("swallowed: %d", code)
+	}
+	response, err := http.Get("http://" + well.Address + "/stats")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, _ := io.ReadAll(response.Body)
+	response.Body.Close()
+	if !strings.HasPrefix(string(text), "eps=0") || !strings.Contains(string(text), "queue=") {
+		t.Errorf("its report: %q", text)
+	}
+	well.Close()
+	if code, _ := ask(well, "read", "6", "", time.Minute); code != 0 {
+		t.Errorf("after its end: %d", code)
+	}
+}
+
+// A full room turns away, and says that nothing ran.
+func TestFullRoom(t *testing.T) {
+	f := fleet(t)
+	cfg := box
+	cfg.Speed = 0.02 // half a second for each
+	s := start(t, f, cfg, false)
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	codes := map[int]int{}
+	for i := range 10 {
+		all.Go(func() {
+			code, header := ask(s, "read", string(rune('a'+i)), "", time.Minute)
+			mu.Lock()
+			defer mu.Unlock()
+			codes[code]++
+			if code == 503 && header.Get("X-Unprocessed") != "1" {
+				t.Error("turned away without proof")
+			}
+		})
+	}
+	all.Wait()
+	if codes[200] != 4 || codes[503] != 6 {
+		t.Errorf("%v, want one in work, three waiting, six turned away", codes)
+	}
+}
+
+// A cold server that is overrun falls over, and stays down.
+func TestColdServerFalls(t *testing.T) {
+	f := fleet(t)
+	s := start(t, f, box, true)
+	var all sync.WaitGroup
+	for i := range 200 { // 2 s of work at once, where 0.78 s are borne
+		all.Go(func() { ask(s, "read", string(rune(0x4e00+i)), "", 10*time.Second) })
+	}
+	all.Wait()
+	if _, _, _, down := s.Figures(); !down {
+		t.Error("it stands")
+	}
+	if code, _ := ask(s, "read", "later", "", time.Second); code != 0 {
+		t.Errorf("a request after it fell: %d", code)
+	}
+}
