--- a/internal/front/extproc/host.go
+++ b/internal/front/extproc/host.go
@@ -35,7 +35,14 @@
 type asker struct {
 	name verdict.Ask
 	told chan verdict.Told // has room for one: a verdict, or the reply to a report
-	sent *engine.Attempt   // the attempt that it was told
+	sent *handout          // that it was told
+}
+
+// handout is what the ledger keeps of an attempt, for as long as it may be handed out
+// again: no more than that, since thousands are remembered for seconds.
+type handout struct {
+	target *engine.Target
+	until  verdict.Micros
 }
 
 func newHost(e *engine.Engine, l verdict.Limits) *host {
@@ -74,7 +81,7 @@
 
 // report takes a stream's report and returns what is to become of the answer.
 func (h *host) report(now verdict.Micros, a *asker, r report) verdict.Told {
-	if r.served != "" && r.served != a.sent.Target.Address {
+	if r.served != "" && r.served != a.sent.target.Address {
 		if id := h.engine.Find(r.served); id != 0 {
 			zone, cell := h.engine.Place(id)
 			r.outcome.Endpoint, r.outcome.Place = id, verdict.Place{Zone: zone, Cell: cell}
@@ -113,7 +120,7 @@
 }
 
 // Usable says whether an attempt may still go where it was decided.
-func (h *host) Usable(ref any) bool { return !ref.(*engine.Attempt).Target.Closed() }
+func (h *host) Usable(ref any) bool { return !ref.(*handout).target.Closed() }
 
 // Tell gives an ask its verdict.
 func (h *host) Tell(name verdict.Ask, t verdict.Told) { h.asks[name].told <- t }
@@ -122,7 +129,8 @@
 func (r *round) Attempt(a *engine.Attempt) {
 	r.attempts = append(r.attempts, a)
 	r.out++
-	r.host.ledger.Decided(r.host.engine.Now(), r.number, verdict.Place{Zone: a.Zone, Cell: a.Cell}, a)
+	r.host.ledger.Decided(r.host.engine.Now(), r.number, verdict.Place{Zone: a.Zone, Cell: a.Cell},
+		&handout{a.Target, a.Until})
 }
 
 // Cancel takes that the module waits no longer. The module is at work here, so the
--- a/internal/front/extproc/stream.go
+++ b/internal/front/extproc/stream.go
@@ -13,7 +13,6 @@
 	modev3 "github.com/envoyproxy/go-control-plane/envoy/extensions/filters/http/ext_proc/v3"
 
 	"pinedale/balancer"
-	"pinedale/internal/engine"
 	"pinedale/internal/intake"
 	"pinedale/internal/verdict"
 )
@@ -183,19 +182,19 @@
 				c.answer = true
 				return final(t), nil
 			}
-			a := t.Ref.(*engine.Attempt)
+			a := t.Ref.(*handout)
 			c.asker.sent = a
 			if ctx.Err() != nil {
 				c.unsent = true
 				return nil, status.FromContextError(ctx.Err()).Err()
 			}
-			if a.Target.Closed() {
+			if a.target.Closed() {
 				// Told draining or gone since the verdict was made: it must not go out.
 				s.engine.Post(func(now balancer.Micros) { s.host.ledger.Stale(now, c.asker.name) })
 				continue
 			}
-			left := time.Duration(a.Until-s.engine.Now()) * time.Microsecond
-			return goTo(a.Target.Address, t.Attempt, left, true), nil
+			left := time.Duration(a.until-s.engine.Now()) * time.Microsecond
+			return goTo(a.target.Address, t.Attempt, left, true), nil
 		case <-ctx.Done():
 			// Whatever verdict is made from here on is not passed on.
 			c.unsent = true
