Remove what nothing uses; one limit for the time that a request gets

Read once more: a hook for membership news, a flag that was always set, counters of the stand-in server and its orderly end had no user; three places named the minute that a request gets at most, now the intake does. No behaviour changes.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -126,7 +126,6 @@
 	source    Source
 	seq       *uint64 // version of the last list, if there was any
 	stopWatch context.CancelFunc
-	onMembers func(now balancer.Micros)
 }
 
 // New returns an engine that lives until ctx ends, or a *balancer.SettingError.
--- a/internal/engine/members.go
+++ b/internal/engine/members.go
@@ -122,15 +122,8 @@
 	}
 	e.listed.Store(ready)
 	e.balancer.Members(now, kind, entries)
-	if e.onMembers != nil {
-		e.onMembers(now)
-	}
 }
 
-// OnMembers has f called on the engine's goroutine after each new list. It must
-// be called before Run.
-func (e *Engine) OnMembers(f func(now balancer.Micros)) { e.onMembers = f }
-
 // aim points an endpoint's id at where it is reached now. A target that drains,
 // is gone or has restarted is closed, so that a send on its way does not start.
 func (e *Engine) aim(id uint32, h Host) {
--- a/internal/front/extproc/messages.go
+++ b/internal/front/extproc/messages.go
@@ -219,9 +219,9 @@
 }
 
 // goTo is the verdict that names an endpoint.
-func goTo(address string, attempt int, left time.Duration, override bool) *extprocv3.ProcessingResponse {
+func goTo(address string, attempt int, left time.Duration) *extprocv3.ProcessingResponse {
 	ms := strconv.FormatInt(max(1, left.Milliseconds()), 10)
-	out := &extprocv3.ProcessingResponse{
+	return &extprocv3.ProcessingResponse{
 		Response: &extprocv3.ProcessingResponse_RequestHeaders{RequestHeaders: &extprocv3.HeadersResponse{
 			Response: &extprocv3.CommonResponse{HeaderMutation: &extprocv3.HeaderMutation{
 				SetHeaders: []*corev3.HeaderValueOption{set(headerDestination, address), set(headerTimeout, ms),
@@ -229,11 +229,8 @@
 		DynamicMetadata: &structpb.Struct{Fields: map[string]*structpb.Value{
 			metadataSpace: structpb.NewStructValue(&structpb.Struct{Fields: map[string]*structpb.Value{
 				headerDestination: structpb.NewStringValue(address)}})}},
+		ModeOverride: skipBodies,
 	}
-	if override {
-		out.ModeOverride = skipBodies
-	}
-	return out
 }
 
 // immediate is an answer that the proxy is to give at once.
--- a/internal/front/extproc/stream.go
+++ b/internal/front/extproc/stream.go
@@ -194,7 +194,7 @@
 				continue
 			}
 			left := time.Duration(a.until-s.engine.Now()) * time.Microsecond
-			return goTo(a.target.Address, t.Attempt, left, true), nil
+			return goTo(a.target.Address, t.Attempt, left), nil
 		case <-ctx.Done():
 			// Whatever verdict is made from here on is not passed on.
 			c.unsent = true
--- a/internal/front/httpfront/server.go
+++ b/internal/front/httpfront/server.go
@@ -22,9 +22,8 @@
 )
 
 const (
-	busyRetry    = time.Second            // wait told to clients that find all room for bodies in use
-	timeLeftMost = time.Minute            // that a request gets, as the intake reads it
-	acceptAfter  = 600 * time.Millisecond // after SIGTERM: clients go on connecting for 0.4 s
+	busyRetry   = time.Second            // wait told to clients that find all room for bodies in use
+	acceptAfter = 600 * time.Millisecond // after SIGTERM: clients go on connecting for 0.4 s
 
 	// ReadTimeout and IdleTimeout bound silent clients.
 	// A request comes in one piece from the application next door. A client that
@@ -90,7 +89,7 @@
 		clients: &clients{most: o.Connections, mostAsked: o.Crowded}}
 	// Not a ServeMux: it would redirect paths that endpoints are to see as they are.
 	s.http = http.Server{Handler: http.HandlerFunc(s.handle),
-		ReadTimeout: ReadTimeout, WriteTimeout: timeLeftMost + writeTimeout, IdleTimeout: IdleTimeout,
+		ReadTimeout: ReadTimeout, WriteTimeout: intake.TimeLeftMost + writeTimeout, IdleTimeout: IdleTimeout,
 		MaxHeaderBytes: httpmsg.HeadMost, ErrorLog: slog.NewLogLogger(o.Log.Handler(), slog.LevelWarn),
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, c)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -16,8 +16,10 @@
 )
 
 const (
-	timeLeftMost = time.Minute // that a request gets
-	idMost       = 256         // characters of an id or a key: those of the protocol have 16 and 32
+	idMost = 256 // characters of an id or a key: those of the protocol have 16 and 32
+
+	// TimeLeftMost is the most time that a request gets, whatever it asks for.
+	TimeLeftMost = time.Minute
 
 	// AnswerMargin of a client's time is kept for writing the final answer: some
 	// have 40 ms in all.
@@ -145,7 +147,7 @@
 	if err != nil {
 		return out, Bad("%s: %q is not a whole number of milliseconds", HeaderTimeLeft, h.Get(HeaderTimeLeft))
 	}
-	left = min(left, uint64(timeLeftMost.Milliseconds()))
+	left = min(left, uint64(TimeLeftMost.Milliseconds()))
 	out.Deadline = in.At + int64(left)*1000 - AnswerMargin.Microseconds()
 	if len(p.tenants) > 0 {
 		if out.Tenant, ok = p.tenants[h.Get(HeaderTenant)]; !ok {
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -35,7 +35,7 @@
 	// Only a keyed class has a key that counts.
 	got, err = p.Parse(Request{Method: "POST", Path: "/order", Header: head(HeaderID, "c2", HeaderClass, "order",
 		HeaderTenant, "acme", HeaderKey, "k1", HeaderTimeLeft, "99999999")})
-	if err != nil || got.IdempotencyKey != "" || got.Deadline != timeLeftMost.Microseconds()-2000 {
+	if err != nil || got.IdempotencyKey != "" || got.Deadline != TimeLeftMost.Microseconds()-2000 {
 		t.Errorf("parsed %+v, %v", got, err)
 	}
 	if _, err = p.Parse(Request{Method: "PATCH", Path: "/order", Header: head(HeaderID, "c2", HeaderClass, "order")}); Code(err) != 405 {
@@ -59,7 +59,7 @@
 			}
 			return
 		}
-		if int(got.Class) >= len(settings.Classes) || got.Deadline > 1_000_000+timeLeftMost.Microseconds() || got.Hint < 0 ||
+		if int(got.Class) >= len(settings.Classes) || got.Deadline > 1_000_000+TimeLeftMost.Microseconds() || got.Hint < 0 ||
 			got.CorrelationID == "" || settings.Classes[got.Class].Name != class || strings.Contains(class, "/") {
 			t.Errorf("parsed %+v of class %q", got, class)
 		}
--- a/internal/site/check.go
+++ b/internal/site/check.go
@@ -17,10 +17,9 @@
 
 // The most that the rules let a file ask for.
 const (
-	attemptsMost = 3           // at a request, the protocol's limit
-	deadlineMost = time.Minute // the intake cuts a longer time left
-	namesMost    = 255         // sites or kinds: the balancer numbers them in one byte
-	podsMost     = 1 << 16     // and pods in two
+	attemptsMost = 3       // at a request, the protocol's limit
+	namesMost    = 255     // sites or kinds: the balancer numbers them in one byte
+	podsMost     = 1 << 16 // and pods in two
 	classesMost  = 256
 	serversMost  = 10_000
 )
@@ -136,7 +135,7 @@
 		c.Positive(at("aim"), k.Aim)
 		c.Positive(at("deadline"), k.Deadline)
 		c.Require(k.Deadline >= k.Aim, at("deadline"), "%v is under the aim of %v", time.Duration(k.Deadline), time.Duration(k.Aim))
-		c.Require(time.Duration(k.Deadline) <= deadlineMost, at("deadline"), "%v is over %v", time.Duration(k.Deadline), deadlineMost)
+		c.Require(time.Duration(k.Deadline) <= intake.TimeLeftMost, at("deadline"), "%v is over %v", time.Duration(k.Deadline), intake.TimeLeftMost)
 		c.Require(k.Worth == nil || *k.Worth >= 0, at("worth"), "is negative")
 		c.Require(k.LateWorth >= 0 && k.LateWorth <= 1, at("late_worth"), "%v is not in 0 to 1", k.LateWorth)
 		if !ok {
--- a/internal/standin/soko/soko.go
+++ b/internal/standin/soko/soko.go
@@ -5,7 +5,6 @@
 package soko
 
 import (
-	"context"
 	"fmt"
 	"hash/fnv"
 	"io"
@@ -46,9 +45,8 @@
 // Effect is what has run under one key, or one id where the class has no keys.
 type Effect struct {
 	Class   string
-	Done    int // times that it was done
-	Dropped int // repeats dropped
-	first   time.Time
+	Done    int                  // times that it was done
+	Dropped int                  // repeats dropped
 	memory  map[string]time.Time // by group, when it last ran there
 }
 
@@ -64,7 +62,6 @@
 	fleet    *Fleet
 	http     http.Server
 	inflight atomic.Int64
-	errors   atomic.Int64
 	last     atomic.Int64 // start of the last request that came, Unix nanoseconds
 }
 
@@ -88,9 +85,6 @@
 // Close ends the server and its connections.
 func (s *Server) Close() { s.http.Close() }
 
-// Shutdown ends the server once its requests are answered.
-func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
-
 // LastRequest is when the last request came; the zero time before the first.
 func (s *Server) LastRequest() time.Time {
 	if at := s.last.Load(); at != 0 {
@@ -152,7 +146,6 @@
 	time.Sleep(f.Work)
 	switch at := f.draw(id, where+" after"); {
 	case at < f.Faults.Error:
-		s.errors.Add(1)
 		w.WriteHeader(http.StatusInternalServerError)
 	case at < f.Faults.Error+f.Faults.Reset:
 		panic(http.ErrAbortHandler)
@@ -174,7 +167,7 @@
 	}
 	e := f.effects[name]
 	if e == nil {
-		e = &Effect{Class: class, first: now, memory: map[string]time.Time{}}
+		e = &Effect{Class: class, memory: map[string]time.Time{}}
 		f.effects[name] = e
 	}
 	for _, c := range f.Classes {
