One wait for readiness, one way to ask the engine; no map made for each header

Read once more as a whole. Four places waited for an instance to be ready, one of them without end: Instance.WaitReady. Two posted an event and waited for it by hand: Engine.Do. The external processor made a map for each of four headers of every request, on its hot path: a switch. A play made one for each answer: a variable.

--- a/cmd/pinedale-rehearse/demo.go
+++ b/cmd/pinedale-rehearse/demo.go
@@ -103,10 +103,8 @@
 		i.Shutdown()
 		i.Wait()
 	}()
-	for end := time.Now().Add(10 * time.Second); !i.Ready(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			return fmt.Errorf("pinedale-site knows no server after 10 s")
-		}
+	if err := i.WaitReady(); err != nil {
+		return err
 	}
 	fmt.Fprintf(out, "five servers, discovery and pinedale-site on %s; %d requests a second\n", i.HTTP, demoRate)
 	fmt.Fprintf(out, "%4s %6s %8s %6s %8s %7s %9s %9s  %s\n", "s", "asked", "in time", "late", "refused", "failed", "median", "99th", "held by server")
--- a/internal/emulator/play/play.go
+++ b/internal/emulator/play/play.go
@@ -548,10 +548,13 @@
 	}
 }
 
+// statuses are what an instance makes of how a request ended.
+var statuses = map[model.Outcome]balancer.Status{model.Served: balancer.OK, model.Repeated: balancer.OK, model.Failed: balancer.Error,
+	model.Away: balancer.Full, model.Refused: balancer.ConnectFailed}
+
 // answer has an attempt's end be at its instance one way later.
 func (h *host) answer(a *attempt, o model.Outcome) {
-	status := map[model.Outcome]balancer.Status{model.Served: balancer.OK, model.Repeated: balancer.OK, model.Failed: balancer.Error,
-		model.Away: balancer.Full, model.Refused: balancer.ConnectFailed}[o]
+	status := statuses[o]
 	if o == model.Refused && h.machine != nil && a.at < h.p.now-h.p.way(a.r.node.site, h.spec.Site) {
 		status = balancer.Reset // it was there, and its connection broke
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -205,6 +205,20 @@
 	}
 }
 
+// Do has an event run on the engine's goroutine, and waits for its end, or the
+// engine's. It must not be called from there.
+func (e *Engine) Do(event func(now balancer.Micros)) {
+	done := make(chan struct{})
+	e.Post(func(now balancer.Micros) {
+		event(now)
+		close(done)
+	})
+	select {
+	case <-done:
+	case <-e.ctx.Done():
+	}
+}
+
 // TryPost is Post where there is room at once, and else does nothing.
 func (e *Engine) TryPost(event func(now balancer.Micros)) bool {
 	select {
--- a/internal/front/extproc/messages.go
+++ b/internal/front/extproc/messages.go
@@ -78,26 +78,31 @@
 		if h == nil {
 			continue
 		}
+		var field *string // that must be there once
 		switch h.Key {
-		case ":method", ":path", headerLength, headerAttempts:
-			field := map[string]*string{":method": &out.method, ":path": &out.path, headerLength: &out.length}[h.Key]
-			if h.Key == headerAttempts {
-				n, err := strconv.Atoi(value(h))
-				if err != nil || n < 1 || out.attempt != 0 {
-					return out, intake.Bad("%s: %q is not one whole number from 1", headerAttempts, value(h))
-				}
-				out.attempt = n
-				continue
+		case ":method":
+			field = &out.method
+		case ":path":
+			field = &out.path
+		case headerLength:
+			field = &out.length
+		case headerAttempts:
+			n, err := strconv.Atoi(value(h))
+			if err != nil || n < 1 || out.attempt != 0 {
+				return out, intake.Bad("%s: %q is not one whole number from 1", headerAttempts, value(h))
 			}
-			if *field != "" {
-				return out, intake.Bad("%s is there twice", h.Key)
-			}
-			*field = value(h)
+			out.attempt = n
+			continue
 		default:
 			if name, ok := asked[h.Key]; ok {
 				out.header[name] = append(out.header[name], value(h))
 			}
+			continue
+		}
+		if *field != "" {
+			return out, intake.Bad("%s is there twice", h.Key)
 		}
+		*field = value(h)
 	}
 	if out.method == "" || out.path == "" {
 		return out, intake.Bad(":method or :path is missing")
--- a/internal/front/extproc/server.go
+++ b/internal/front/extproc/server.go
@@ -131,11 +131,6 @@
 // Held counts what the front holds of asks, rounds and entries. It must not be
 // called on the engine's goroutine.
 func (s *Server) Held() (asks, rounds, entries int) {
-	done := make(chan struct{})
-	s.engine.Post(func(balancer.Micros) {
-		asks, rounds, entries = s.host.ledger.Held()
-		close(done)
-	})
-	<-done
+	s.engine.Do(func(balancer.Micros) { asks, rounds, entries = s.host.ledger.Held() })
 	return
 }
--- a/internal/measure/removal/run.go
+++ b/internal/measure/removal/run.go
@@ -192,10 +192,8 @@
 		s.site.Shutdown()
 		s.site.Wait()
 	}()
-	for end := time.Now().Add(10 * time.Second); !s.site.Ready(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			return fmt.Errorf("no server is known after 10 s")
-		}
+	if err := s.site.WaitReady(); err != nil {
+		return err
 	}
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
--- a/internal/measure/verdicts/cost.go
+++ b/internal/measure/verdicts/cost.go
@@ -116,8 +116,8 @@
 	if err != nil {
 		return "", nil, err
 	}
-	for !i.Ready() {
-		time.Sleep(time.Millisecond)
+	if err := i.WaitReady(); err != nil {
+		return "", nil, err
 	}
 	return i.ExtProc.String(), func() {}, nil
 }
--- a/internal/measure/verdicts/run.go
+++ b/internal/measure/verdicts/run.go
@@ -197,12 +197,7 @@
 		return err
 	}
 	r.ext = r.site.ExtProc.String()
-	for end := time.Now().Add(10 * time.Second); !r.site.Ready(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			return fmt.Errorf("no server is known after 10 s")
-		}
-	}
-	return nil
+	return r.site.WaitReady()
 }
 
 // end closes the servers and discovery, once more if need be.
--- a/internal/site/run.go
+++ b/internal/site/run.go
@@ -158,14 +158,23 @@
 // Ready says whether an endpoint is known that requests may go to.
 func (i *Instance) Ready() bool { return i.engine.Listed() }
 
+// readyMost is how long WaitReady waits: discovery and a first session take well under
+// a second.
+const readyMost = 10 * time.Second
+
+// WaitReady returns once the instance is ready, or an error if it does not become so.
+func (i *Instance) WaitReady() error {
+	for end := time.Now().Add(readyMost); !i.Ready(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			return fmt.Errorf("no server is known after %v", readyMost)
+		}
+	}
+	return nil
+}
+
 // Requests counts what the engine's ledger holds.
 func (i *Instance) Requests() (n int) {
-	done := make(chan struct{})
-	i.engine.Post(func(balancer.Micros) {
-		n, _ = i.engine.Held()
-		close(done)
-	})
-	<-done
+	i.engine.Do(func(balancer.Micros) { n, _ = i.engine.Held() })
 	return n
 }
 
