Front: an answer that turns a request away is read before its connection ends

Cause: a client that asks for the connection's end and sends a body that is too large was sometimes reset before it had read its 413: the connection was closed with the body unread. It made one test fail on a busy machine. Change: the answer is sent off, and what still comes of the body is read, up to two bodies and the read time-out; room for bodies is given back before.

--- a/internal/front/httpfront/server.go
+++ b/internal/front/httpfront/server.go
@@ -124,9 +124,24 @@
 
 // reject turns a request away, with its connection: what else a client sends
 // that gets this much wrong is not worth reading.
-func reject(w http.ResponseWriter, err error) {
+func reject(w http.ResponseWriter, in *http.Request, err error) {
 	w.Header().Set("Connection", "close")
-	http.Error(w, err.Error(), intake.Code(err))
+	text := err.Error() + "\n"
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	w.WriteHeader(intake.Code(err))
+	io.WriteString(w, text)
+	readOff(w, in)
+}
+
+// readOff sends the answer off and then reads what a client still sends, within
+// limits: a connection closed before that is reset, and the client may never read its
+// answer (RFC 9112, section 9.6).
+func readOff(w http.ResponseWriter, in *http.Request) {
+	if in.ContentLength == 0 || http.NewResponseController(w).Flush() != nil {
+		return
+	}
+	io.CopyN(io.Discard, in.Body, 2*httpmsg.BodyMost) // at the longest until ReadTimeout
 }
 
 // handle reads a request whole and answers it.
@@ -135,7 +150,7 @@
 	c := in.Context().Value(connKey{}).(*clientConn)
 	if c.ambiguous() {
 		// What follows the head may hide another request: the connection ends here.
-		reject(w, intake.Bad("Content-Length beside another, or beside Transfer-Encoding"))
+		reject(w, in, intake.Bad("Content-Length beside another, or beside Transfer-Encoding"))
 		return
 	}
 	ready := in.URL.Path == "/health/ready"
@@ -144,7 +159,7 @@
 		var err error
 		if req, err = s.parser.Parse(intake.Request{Method: in.Method, Path: in.URL.Path, Header: in.Header,
 			Body: in.ContentLength != 0, At: arrived}); err != nil {
-			reject(w, err)
+			reject(w, in, err)
 			return
 		}
 	}
@@ -153,18 +168,20 @@
 		held = in.ContentLength
 	}
 	if held > httpmsg.BodyMost {
-		reject(w, &intake.Error{Code: http.StatusRequestEntityTooLarge, Reason: tooLarge})
+		reject(w, in, &intake.Error{Code: http.StatusRequestEntityTooLarge, Reason: tooLarge})
 		return
 	}
-	defer s.bodies.Add(-held)
 	if s.bodies.Add(held) > s.opts.BodyBytes {
+		s.bodies.Add(-held)
 		w.Header().Set("Connection", "close")
 		writeAnswer(w, engine.Answer{Code: http.StatusServiceUnavailable, RetryAfter: busyRetry.Microseconds()})
+		readOff(w, in)
 		return
 	}
+	defer s.bodies.Add(-held)
 	body, err := readBody(w, in)
 	if err != nil {
-		reject(w, err)
+		reject(w, in, err)
 		return
 	}
 	alone, ok := c.begin(in.ContentLength)
@@ -216,7 +233,7 @@
 	s.ids[id] = true
 	s.mu.Unlock()
 	if open {
-		reject(w, &intake.Error{Code: http.StatusConflict, Reason: "a request with this X-Correlation-Id is open"})
+		reject(w, in, &intake.Error{Code: http.StatusConflict, Reason: "a request with this X-Correlation-Id is open"})
 		return
 	}
 	defer func() {
