Engine: a clock of the host's own, so that the ledger runs on virtual time

Need: rehearsals drove the decision module alone; the ledger of requests, targets and ends around it was played by other code. Change: Options.Clock takes the place of the system's time and of Run; Start and Tell for such hosts; probes are asked without blocking; Options.Decide puts another policy in the module's place, to compare with.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -33,8 +33,9 @@
 type Upstream interface {
 	// Carry returns a carrier for one request.
 	Carry(*Message) Carrier
-	// Probe asks an endpoint for its load. It may block.
-	Probe(context.Context, *Target) Result
+	// Probe asks an endpoint for its load, and must not block. told is called exactly
+	// once, and not from within Probe.
+	Probe(ctx context.Context, t *Target, told func(Result))
 	// Retire follows Target.Close: what is kept for the target is let go.
 	Retire(*Target)
 	// Prune lets go of what has been idle for too long. It is called every second.
@@ -101,6 +102,12 @@
 	Source   Source
 	Log      *slog.Logger
 
+	// Clock, where set, takes the place of the system's time and of Run: its goroutine
+	// calls Start and all else, Post handles an event at once, and Tell stands in for
+	// Source, which may be nil.
+	Clock Clock
+	// Decide, where set, makes what decides in place of balancer.New.
+	Decide func(balancer.Settings, uint64, balancer.Actions) (Decider, error)
 	// Wrap, where set, stands between the engine and its balancer.
 	Wrap func(Decider) Decider
 }
@@ -131,24 +138,33 @@
 // New returns an engine that lives until ctx ends, or a *balancer.SettingError.
 func New(ctx context.Context, o Options) (*Engine, error) {
 	e := &Engine{
-		opts: o, log: o.Log, clock: clock{time.Now()}, ctx: ctx, source: o.Source,
-		events:   make(chan func(balancer.Micros), eventsMost),
+		opts: o, log: o.Log, ctx: ctx, source: o.Source,
 		requests: map[uint64]*Request{}, ids: map[string]uint32{}, fleet: map[uint32]*member{},
 		addresses: map[string]uint32{},
 		stopWatch: func() {},
 	}
-	b, err := balancer.New(o.Settings, o.Seed, (*actions)(e))
-	if err != nil {
+	if e.clock.Clock = o.Clock; o.Clock == nil {
+		e.clock.Clock, e.events = system{}, make(chan func(balancer.Micros), eventsMost)
+	}
+	e.clock.base = e.clock.Now()
+	decide := o.Decide
+	if decide == nil {
+		decide = func(s balancer.Settings, seed uint64, a balancer.Actions) (Decider, error) {
+			return balancer.New(s, seed, a)
+		}
+	}
+	var err error
+	if e.balancer, err = decide(o.Settings, o.Seed, (*actions)(e)); err != nil {
 		return nil, err
 	}
-	if e.balancer = b; o.Wrap != nil {
-		e.balancer = o.Wrap(b)
+	if o.Wrap != nil {
+		e.balancer = o.Wrap(e.balancer)
 	}
 	return e, nil
 }
 
-// Run handles events until the engine's context ends.
-func (e *Engine) Run() {
+// Start starts the balancer. Run does it by itself.
+func (e *Engine) Start() {
 	now := e.clock.now()
 	e.balancer.Start(now)
 	if len(e.opts.Known.Hosts) > 0 {
@@ -158,13 +174,17 @@
 		e.watch(true)
 	}
 	e.settle()
+}
+
+// Run handles events until the engine's context ends.
+func (e *Engine) Run() {
+	e.Start()
 	prune := time.NewTicker(pruneEvery)
 	defer prune.Stop()
 	for {
 		select {
 		case event := <-e.events:
-			event(e.clock.now())
-			e.settle()
+			e.handle(event)
 		case <-prune.C:
 			e.opts.Upstream.Prune()
 		case <-e.ctx.Done():
@@ -173,6 +193,12 @@
 	}
 }
 
+// handle passes an event on, and then what it has put off.
+func (e *Engine) handle(event func(now balancer.Micros)) {
+	event(e.clock.now())
+	e.settle()
+}
+
 // settle runs what the last event has put off.
 func (e *Engine) settle() {
 	for len(e.soon) > 0 {
@@ -199,6 +225,10 @@
 // Post hands an event to the engine's goroutine, and waits for room. It must not
 // be called from there.
 func (e *Engine) Post(event func(now balancer.Micros)) {
+	if e.opts.Clock != nil {
+		e.handle(event)
+		return
+	}
 	select {
 	case e.events <- event:
 	case <-e.ctx.Done():
@@ -221,6 +251,10 @@
 
 // TryPost is Post where there is room at once, and else does nothing.
 func (e *Engine) TryPost(event func(now balancer.Micros)) bool {
+	if e.opts.Clock != nil {
+		e.handle(event)
+		return true
+	}
 	select {
 	case e.events <- event:
 		return true
@@ -235,7 +269,7 @@
 
 // After posts an event after a while. It may be called from anywhere.
 func (e *Engine) After(delay time.Duration, event func(now balancer.Micros)) {
-	time.AfterFunc(delay, func() { e.Post(event) })
+	e.clock.AfterFunc(delay, func() { e.Post(event) })
 }
 
 // Move watches another source from now on. Its list is asked for whole, since
--- a/internal/engine/ledger.go
+++ b/internal/engine/ledger.go
@@ -160,17 +160,17 @@
 // Probe asks an endpoint for its load.
 func (x *actions) Probe(endpoint uint32) {
 	e := (*Engine)(x)
-	t := e.depart(endpoint)
-	go func() {
-		res := Result{Status: balancer.Moot}
-		if t != nil {
-			res = e.opts.Upstream.Probe(e.ctx, t)
-		}
-		e.Post(func(now balancer.Micros) {
-			e.balancer.Probed(now, endpoint, res.Status, res.Took.Microseconds(), res.Load)
-			e.back(endpoint)
+	told := func(now balancer.Micros, res Result) {
+		e.balancer.Probed(now, endpoint, res.Status, res.Took.Microseconds(), res.Load)
+		e.back(endpoint)
+	}
+	if t := e.depart(endpoint); t != nil {
+		e.opts.Upstream.Probe(e.ctx, t, func(res Result) {
+			e.Post(func(now balancer.Micros) { told(now, res) })
 		})
-	}()
+		return
+	}
+	e.Soon(func(now balancer.Micros) { told(now, Result{Status: balancer.Moot}) })
 }
 
 // Watch begins to watch the source's list, from the last version on, or ends it.
--- a/internal/engine/members.go
+++ b/internal/engine/members.go
@@ -124,6 +124,12 @@
 	e.balancer.Members(now, kind, entries)
 }
 
+// Tell passes on a list or changes where no source is watched. It must be called on
+// the engine's goroutine.
+func (e *Engine) Tell(now balancer.Micros, kind balancer.ListKind, list List) {
+	e.members(now, kind, list)
+}
+
 // aim points an endpoint's id at where it is reached now. A target that drains,
 // is gone or has restarted is closed, so that a send on its way does not start.
 func (e *Engine) aim(id uint32, h Host) {
@@ -190,7 +196,7 @@
 // watch begins to watch the source, from the last version on, or ends it.
 func (e *Engine) watch(on bool) {
 	e.stopWatch()
-	if !on {
+	if !on || e.source == nil {
 		return
 	}
 	ctx, stop := context.WithCancel(e.ctx)
--- a/internal/engine/members_test.go
+++ b/internal/engine/members_test.go
@@ -18,13 +18,13 @@
 	retired   []*Target
 }
 
-func (u *plainUpstream) Carry(*Message) Carrier                    { return u }
-func (u *plainUpstream) Probe(context.Context, *Target) (r Result) { return r }
-func (u *plainUpstream) Retire(t *Target)                          { u.retired = append(u.retired, t) }
-func (u *plainUpstream) Prune()                                    {}
-func (u *plainUpstream) Attempt(a *Attempt)                        { u.attempts = append(u.attempts, a) }
-func (u *plainUpstream) Cancel(a *Attempt)                         { u.cancelled = append(u.cancelled, a) }
-func (u *plainUpstream) Close()                                    {}
+func (u *plainUpstream) Carry(*Message) Carrier                       { return u }
+func (u *plainUpstream) Probe(context.Context, *Target, func(Result)) {}
+func (u *plainUpstream) Retire(t *Target)                             { u.retired = append(u.retired, t) }
+func (u *plainUpstream) Prune()                                       {}
+func (u *plainUpstream) Attempt(a *Attempt)                           { u.attempts = append(u.attempts, a) }
+func (u *plainUpstream) Cancel(a *Attempt)                            { u.cancelled = append(u.cancelled, a) }
+func (u *plainUpstream) Close()                                       {}
 func (u *plainUpstream) Watch(ctx context.Context, after *uint64, _ func(balancer.ListKind, List)) (*uint64, error) {
 	<-ctx.Done()
 	return after, ctx.Err()
--- a/internal/upstream/httpupstream/upstream.go
+++ b/internal/upstream/httpupstream/upstream.go
@@ -164,9 +164,14 @@
 	return balancer.ConnectFailed
 }
 
-// Probe asks an endpoint for its load report, or for its health where the
+// Probe asks an endpoint in a goroutine of its own.
+func (u *Upstream) Probe(ctx context.Context, t *engine.Target, told func(engine.Result)) {
+	go func() { told(u.probe(ctx, t)) }()
+}
+
+// probe asks an endpoint for its load report, or for its health where the
 // deployment has no reports.
-func (u *Upstream) Probe(ctx context.Context, t *engine.Target) engine.Result {
+func (u *Upstream) probe(ctx context.Context, t *engine.Target) engine.Result {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	m := &engine.Message{Method: http.MethodGet, URL: &url.URL{Path: "/health/live"}, Host: t.Address}
--- a/internal/upstream/httpupstream/upstream_test.go
+++ b/internal/upstream/httpupstream/upstream_test.go
@@ -346,7 +346,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			e := peer.New(t, peer.Always(c.answer))
-			r := newTestUpstream(t, 1).Probe(context.Background(), &engine.Target{Address: e.Address})
+			r := newTestUpstream(t, 1).probe(context.Background(), &engine.Target{Address: e.Address})
 			for i, v := range r.Load {
 				if v != v {
 					r.Load[i] = -1
