--- /dev/null
+++ b/internal/emulator/plan/clients.go
@@ -0,0 +1,141 @@
+package plan
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"pinedale/balancer"
+)
+
+// Try is what a client wants: its first try and the ones after it.
+type Try struct {
+	Number   uint64 // they count from 1
+	At       Time   // of the first try
+	Class    int
+	Tenant   int
+	Instance int
+	Key      string // of the effect, "" where the class has none
+	Work     time.Duration
+	Hint     balancer.Micros // as the client knows the work: off by up to two
+	Tries    int             // made so far
+}
+
+// Script draws what clients want, in order. Nothing that happens in a play changes
+// it: two plays of one seed, on any host, are asked the same.
+type Script struct {
+	s   *Scenario
+	rng *rand.Rand
+	now Time
+	n   uint64
+}
+
+// Script returns the scenario's script, from its start.
+func (s *Scenario) Script() *Script { return &Script{s: s, rng: rand.New(rand.NewPCG(s.Seed, 1))} }
+
+// factor is by what the load of a tenant is multiplied just now.
+func (s *Scenario) factor(now Time, tenant int) float64 {
+	f := 1.0
+	for _, x := range s.Surges {
+		if now >= x.From && now < x.Until && (x.Tenant < 0 || x.Tenant == tenant) {
+			f *= x.Factor
+		}
+	}
+	return f
+}
+
+// load is the rate of a tenant, -1 where there are none.
+func (s *Scenario) load(now Time, tenant int) float64 {
+	if tenant < 0 {
+		return s.Clients.Rate * s.factor(now, tenant)
+	}
+	return s.Clients.Rate * s.Tenants[tenant].Load * s.factor(now, tenant)
+}
+
+// Next returns the next first try, false at the end. The rate is that of the instant
+// before it: a surge is felt one arrival late.
+func (c *Script) Next() (*Try, bool) {
+	s := c.s
+	var rates []float64
+	all := 0.0
+	for t := range s.Tenants {
+		rates = append(rates, s.load(c.now, t))
+		all += rates[t]
+	}
+	if len(s.Tenants) == 0 {
+		all = s.load(c.now, -1)
+	}
+	c.now += time.Duration(c.rng.ExpFloat64() / all * float64(time.Second))
+	if c.now >= s.Length {
+		return nil, false
+	}
+	c.n++
+	t := &Try{Number: c.n, At: c.now}
+	t.Tenant = pick(c.rng, all, len(s.Tenants), func(i int) float64 { return rates[i] })
+	t.Class = pick(c.rng, 1, len(s.Classes), func(i int) float64 { return s.Classes[i].Share })
+	class := &s.Classes[t.Class]
+	work := Lognormal(c.rng, float64(class.Work), class.CV)
+	for _, x := range s.Costly {
+		if x.Class == t.Class && c.now >= x.From && c.now < x.Until && c.rng.Float64() < x.Share {
+			work *= x.Factor
+		}
+	}
+	t.Work = time.Duration(work)
+	t.Instance = c.rng.IntN(len(s.Instances))
+	t.Hint = time.Duration(work * math.Exp2(2*c.rng.Float64()-1)).Microseconds()
+	if class.Repeat != balancer.Safe {
+		t.Key = fmt.Sprint("k", t.Number)
+	}
+	return t, true
+}
+
+// pick draws one of n by its weight.
+func pick(rng *rand.Rand, sum float64, n int, weight func(int) float64) int {
+	if n == 0 {
+		return 0
+	}
+	x, i := rng.Float64()*sum, 0
+	for i < n-1 && x >= weight(i) {
+		x -= weight(i)
+		i++
+	}
+	return i
+}
+
+// Lognormal draws with this mean and coefficient of variation.
+func Lognormal(rng *rand.Rand, mean, cv float64) float64 {
+	if cv <= 0 {
+		return mean
+	}
+	v := math.Log(1 + cv*cv)
+	return mean * math.Exp(rng.NormFloat64()*math.Sqrt(v)-v/2)
+}
+
+// Patience is what a client tells for its next try.
+func (s *Scenario) Patience(t *Try) time.Duration {
+	return time.Duration(float64(s.Classes[t.Class].GiveUp)*s.Clients.TryShare) * time.Microsecond
+}
+
+// Codes of a try's end beside those of HTTP.
+const (
+	CodeGone = 0 // the client went away before its answer
+)
+
+// Again says after which wait a client whose try ended in this way tries again; false
+// if it does not: it has its answer, is out of tries or patience, or must not: what
+// may have run is only repeated where a repeat is harmless.
+func (s *Scenario) Again(t *Try, code int, retryAfter time.Duration, now Time) (wait time.Duration, again bool) {
+	if code == 200 || t.Tries > s.Clients.Retries {
+		return 0, false
+	}
+	c := &s.Classes[t.Class]
+	wait = max(s.Clients.Pause, retryAfter)
+	took := now + wait - t.At
+	if took >= time.Duration(c.GiveUp)*time.Microsecond {
+		return 0, false
+	}
+	harmless := code == 503 || c.Repeat == balancer.Safe ||
+		c.Repeat == balancer.Keyed && c.Group == balancer.GroupAll && took < time.Duration(c.Window)*time.Microsecond
+	return wait, harmless
+}
--- /dev/null
+++ b/internal/emulator/plan/plan.go
@@ -0,0 +1,160 @@
+// Package plan is a rehearsal as it is played: a fleet, what its clients do, a
+// timeline of troubles, and the count of what came of it. It does no I/O and has no
+// clock: the hosts (package play on virtual time, package live on sockets) play the
+// same plan and count in the same way.
+package plan
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"pinedale/balancer"
+	"pinedale/internal/emulator/model"
+	"pinedale/internal/engine"
+)
+
+// Time is since the start of a play.
+type Time = model.Time
+
+// Never is an instant that does not come.
+const Never = model.Never
+
+// Life is one life of a server.
+type Life struct {
+	From  Time // it comes cold; 0: it was there before, warm
+	Drain Time // told draining, Never if it is not
+	End   Time // its process ends
+}
+
+// Always is the life of a server that was there before and stays.
+var Always = []Life{{Drain: Never, End: Never}}
+
+// Server is one server of a scenario.
+type Server struct {
+	Name      string
+	Site, Pod int
+	Kind      int // of machine
+	Config    model.Config
+	Faults    []model.Fault
+	Lives     []Life // one after the other
+}
+
+// Class is one class of a scenario's requests.
+type Class struct {
+	balancer.Class
+	Share float64
+	Work  time.Duration // mean, on a core of speed 1
+	CV    float64       // of the work, lognormal
+}
+
+// Tenant is one tenant, with its part of the load.
+type Tenant struct {
+	balancer.Tenant
+	Load float64 // its share of the first tries
+}
+
+// Surge multiplies the rate while it lasts: of all, or of one tenant.
+type Surge struct {
+	From, Until Time
+	Factor      float64
+	Tenant      int // -1 for all
+}
+
+// Costly has a share of one class's requests cost a multiple while it lasts.
+type Costly struct {
+	From, Until Time
+	Class       int
+	Share       float64
+	Factor      float64
+}
+
+// Clients is what clients do.
+type Clients struct {
+	Rate     float64       // first tries a second, over all instances
+	Retries  int           // of what is refused, failed or given up
+	TryShare float64       // of a class's patience, told for one try
+	GiveUp   time.Duration // after which a client goes away, whatever it told; 0 for never
+	Pause    time.Duration // before a retry, where no longer one was asked for
+}
+
+// Scenario is what is played.
+type Scenario struct {
+	Seed      uint64
+	Length    Time
+	Sites     []string
+	Kinds     []string         // of machine
+	Weights   []float64        // of each kind: the work a second of a warm machine
+	OneWay    [2]time.Duration // within a site, and between two
+	Servers   []Server
+	Instances []int // site of each
+	Classes   []Class
+	Tenants   []Tenant
+	Clients   Clients
+	Surges    []Surge
+	Costly    []Costly
+	Notice    time.Duration // by which instances hear of the list's changes late, at most
+	DrainFor  time.Duration // from a drain's telling to the process's end
+	Settings  balancer.Settings
+}
+
+// Way is how long what is sent from one site takes to another.
+func (s *Scenario) Way(from, to int) time.Duration {
+	if from == to {
+		return s.OneWay[0]
+	}
+	return s.OneWay[1]
+}
+
+// For is the settings of one instance.
+func (s *Scenario) For(instance int) balancer.Settings {
+	out := s.Settings
+	out.Balancers, out.Position, out.Zone = len(s.Instances), instance, s.Instances[instance]
+	out.Zones, out.Kinds, out.Subscribe = len(s.Sites), len(s.Kinds), false
+	out.Classes, out.Tenants = nil, nil
+	for _, c := range s.Classes {
+		out.Classes = append(out.Classes, c.Class)
+	}
+	for _, t := range s.Tenants {
+		out.Tenants = append(out.Tenants, t.Tenant)
+	}
+	return out
+}
+
+// Memory is what the fleet remembers of keys.
+func (s *Scenario) Memory() *model.Memory {
+	classes := make([]model.Class, len(s.Classes))
+	for i, c := range s.Classes {
+		classes[i] = c.Remembered()
+	}
+	return model.NewMemory(classes)
+}
+
+// Remembered is what a fleet knows of a class.
+func (c *Class) Remembered() model.Class {
+	out := model.Class{Repeat: model.Repeat(c.Repeat), Window: time.Duration(c.Window) * time.Microsecond}
+	if c.Group != balancer.GroupAll {
+		out.Scope = model.Group
+	}
+	return out
+}
+
+// SeedOf is one server's, from the scenario's.
+func (s *Scenario) SeedOf(server int) uint64 { return s.Seed ^ uint64(server+1)*0x9e3779b97f4a7c15 }
+
+// Entry is a server as a list of membership has it, in one of its lives. began is the
+// time of the system, or of a host, at the play's start.
+func (s *Scenario) Entry(server int, life Life, state balancer.State, address string, began time.Time) engine.Host {
+	x := &s.Servers[server]
+	h := engine.Host{Name: x.Name, Dial: address, Site: s.Sites[x.Site], Kind: s.Kinds[x.Kind], Cell: uint16(x.Pod), State: state, Share: 1}
+	if life.From > 0 {
+		h.BornMS = began.Add(life.From).UnixMilli()
+	}
+	return h
+}
+
+// Late is by how much an instance hears late of what happens to a server: the same for
+// all that happens to it, so that news never overtakes older news.
+func (s *Scenario) Late(server, instance int) time.Duration {
+	rng := rand.New(rand.NewPCG(s.Seed, uint64(server+1)<<32|uint64(instance+1)))
+	return time.Duration(rng.Float64() * float64(s.Notice))
+}
--- /dev/null
+++ b/internal/emulator/plan/result.go
@@ -0,0 +1,171 @@
+package plan
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Tally counts first tries by how they ended at last.
+type Tally struct {
+	Asked, InTime, Late, Refused, Failed int
+}
+
+func (t *Tally) add(o Tally) {
+	t.Asked, t.InTime, t.Late = t.Asked+o.Asked, t.InTime+o.InTime, t.Late+o.Late
+	t.Refused, t.Failed = t.Refused+o.Refused, t.Failed+o.Failed
+}
+
+// Second is one second of a play, by the start of the first try.
+type Second struct {
+	Classes []Tally
+	Took    []float32 // of those served, milliseconds, unordered
+	Sends   []int32   // attempts at each server
+}
+
+// All sums the classes.
+func (s *Second) All() (t Tally) {
+	for _, c := range s.Classes {
+		t.add(c)
+	}
+	return t
+}
+
+// Quantile is a quantile of the times to an answer; 0 if nothing was served.
+func (s *Second) Quantile(q float64) time.Duration {
+	if len(s.Took) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(s.Took))
+	at := min(len(sorted)-1, int(q*float64(len(sorted))))
+	return time.Duration(float64(sorted[at]) * float64(time.Millisecond))
+}
+
+// Result is what came of a play.
+type Result struct {
+	Classes     []Tally
+	Tenants     []Tally
+	Seconds     []Second
+	Sends       []int // attempts at each server
+	Tries       int   // first ones and retries
+	Probes      int
+	Connections int // open at once, at most
+
+	// What must not be.
+	Unanswered int   // tries without a final answer in time, or with two
+	Twice      int   // effects done twice
+	AfterDrain int   // sends later than the grace after a drain was told
+	Fell       []int // servers that fell over
+}
+
+// NewResult returns a result of nothing yet.
+func (s *Scenario) NewResult() *Result {
+	r := &Result{Classes: make([]Tally, len(s.Classes)), Tenants: make([]Tally, len(s.Tenants)), Sends: make([]int, len(s.Servers)),
+		Seconds: make([]Second, int((s.Length+time.Second-1)/time.Second))}
+	for i := range r.Seconds {
+		r.Seconds[i].Classes, r.Seconds[i].Sends = make([]Tally, len(s.Classes)), make([]int32, len(s.Servers))
+	}
+	return r
+}
+
+// Sent counts an attempt.
+func (r *Result) Sent(server int, at Time) {
+	r.Sends[server]++
+	if i := int(at / time.Second); i < len(r.Seconds) {
+		r.Seconds[i].Sends[server]++
+	}
+}
+
+// Final counts how a client's wish ended.
+func (r *Result) Final(s *Scenario, t *Try, code int, now Time) {
+	c, took := &s.Classes[t.Class], now-t.At
+	one := Tally{Asked: 1}
+	second := &r.Seconds[int(t.At/time.Second)]
+	switch {
+	case code == 200:
+		if took <= time.Duration(c.Aim)*time.Microsecond {
+			one.InTime = 1
+		} else {
+			one.Late = 1
+		}
+		second.Took = append(second.Took, float32(took.Seconds()*1e3))
+	case code == 503:
+		one.Refused = 1
+	default:
+		one.Failed = 1
+	}
+	r.Classes[t.Class].add(one)
+	second.Classes[t.Class].add(one)
+	if t.Tenant < len(r.Tenants) {
+		r.Tenants[t.Tenant].add(one)
+	}
+}
+
+// InTime is the share of first tries that were served within their aim.
+func (r *Result) InTime() float64 {
+	var all Tally
+	for _, t := range r.Classes {
+		all.add(t)
+	}
+	return float64(all.InTime) / float64(max(1, all.Asked))
+}
+
+// earned is the worth of what was served, and what there was to earn.
+func (s *Scenario) earned(classes []Tally) (got, most float64) {
+	for i, t := range classes {
+		c := &s.Classes[i]
+		got += c.Worth * (float64(t.InTime) + c.LateWorth*float64(t.Late))
+		most += c.Worth * float64(t.Asked)
+	}
+	return got, most
+}
+
+// window is the time whose worst stretch is told, in seconds.
+const window = 10
+
+// WorstWindow is the least share of the worth earned over any 10 s, of a play that is
+// as long.
+func (s *Scenario) WorstWindow(r *Result) float64 {
+	worst := 1.0
+	for i := 0; i+window <= len(r.Seconds); i++ {
+		var got, most float64
+		for j := range window {
+			g, m := s.earned(r.Seconds[i+j].Classes)
+			got, most = got+g, most+m
+		}
+		if most > 0 {
+			worst = min(worst, got/most)
+		}
+	}
+	return worst
+}
+
+// WorstClass is the least share of a class's worth that was earned.
+func (s *Scenario) WorstClass(r *Result) float64 {
+	worst := 1.0
+	for i, t := range r.Classes {
+		if t.Asked > 0 {
+			worst = min(worst, (float64(t.InTime)+s.Classes[i].LateWorth*float64(t.Late))/float64(t.Asked))
+		}
+	}
+	return worst
+}
+
+// G is the one figure of a play, 0 to 1: shares of the worth earned, over the whole,
+// in the worst 10 s and by the worst class, weighted by the settings' goal.
+func (s *Scenario) G(r *Result) float64 {
+	got, most := s.earned(r.Classes)
+	if most == 0 {
+		return 0
+	}
+	g := s.Settings.Goal
+	return (g.Whole*got/most + g.WorstWindow*s.WorstWindow(r) + g.WorstClass*s.WorstClass(r)) / (g.Whole + g.WorstWindow + g.WorstClass)
+}
+
+// Broken says which rule was broken, "" if none was.
+func (r *Result) Broken() string {
+	if r.Unanswered+r.Twice+r.AfterDrain+len(r.Fell) == 0 {
+		return ""
+	}
+	return fmt.Sprintf("unanswered %d, done twice %d, sent after a drain %d, fallen over %v", r.Unanswered, r.Twice, r.AfterDrain, r.Fell)
+}
