Module: a refusal is not promised to be harmless beyond the keys' window

Cause: a keyed request that may have run was refused with Retry-After however little of its window was left. Change: Retry-After ends before the window does, less 50 ms for the client's way; where nothing is left the request fails, which promises nothing.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -112,9 +112,17 @@
 			c.Group == GroupCell && e.Cell == first.cell)
 }
 
-func (b *Balancer) mayRefuse(r *request) bool {
-	c := b.class(r)
-	return c.Repeat == Safe || r.bound() == nil || c.Repeat == Keyed && c.Group == GroupAll
+// harmlessFor is for how long a client that is refused may come again without a second
+// effect; 0 if it must not be told that it may.
+func (b *Balancer) harmlessFor(now Micros, r *request) Micros {
+	c, first := b.class(r), r.bound()
+	switch {
+	case c.Repeat == Safe || first == nil:
+		return math.MaxInt64
+	case c.Repeat == Keyed && c.Group == GroupAll:
+		return max(0, first.at+c.Window-now-returnWay)
+	}
+	return 0
 }
 
 // send starts an attempt if the rules allow it.
@@ -143,9 +151,13 @@
 	return true
 }
 
+// returnWay is kept of a window for a refused client's way back to an endpoint.
+const returnWay = 50_000
+
 // refuse gives the final answer "refused" where that is true, else "failed".
 func (b *Balancer) refuse(now Micros, r *request) {
-	if r.ended || !b.mayRefuse(r) {
+	harmless := b.harmlessFor(now, r)
+	if r.ended || harmless == 0 {
 		b.fail(r)
 		return
 	}
@@ -153,7 +165,7 @@
 	if b.s.Limits.RetryAfter {
 		// Spread the returns, and let them come while an answer is still wanted.
 		after = Micros((0.1 + 0.2*b.rng.float()) * float64(b.class(r).Aim))
-		after = min(after, b.s.Limits.MaxRetryAfter)
+		after = min(after, b.s.Limits.MaxRetryAfter, harmless)
 	}
 	b.out.Refuse(r.ID, after)
 	b.end(r)
--- a/balancer/carried_test.go
+++ b/balancer/carried_test.go
@@ -65,7 +65,7 @@
 	}{
 		{"safe", 0, 600_000, true, true},
 		{"keyed, in the window", 1, 100_000, true, true},
-		{"keyed, after the window", 1, 600_000, false, true},
+		{"keyed, after the window", 1, 600_000, false, false},
 		{"keyed in a zone", 2, 100_000, true, false},
 		{"keyed in a cell", 3, 100_000, true, false},
 		{"keyed in a cell, after the window", 3, 500_000, false, false},
--- a/balancer/rules_test.go
+++ b/balancer/rules_test.go
@@ -98,12 +98,15 @@
 	return r
 }
 
-func (c *checker) Refuse(id uint64, _ Micros) {
+func (c *checker) Refuse(id uint64, after Micros) {
 	if r := c.final(id); r != nil && r.bound() != nil {
 		class := c.s.Classes[r.in.Class]
 		if class.Repeat == Unsafe || class.Repeat == Keyed && class.Group != GroupAll {
 			c.fault("refusal of %d (%s), which may have run", id, class.Name)
 		}
+		if class.Repeat == Keyed && c.now+after >= r.bound().at+class.Window {
+			c.fault("refusal of %d (%s) for %d: forgotten by the time that it comes again", id, class.Name, after)
+		}
 	}
 }
 
