Rehearsals on sockets: the same plan on real connections, front, engine and upstream

Change: sockets.Fleet takes transports (HTTP/1.1 is one) and one address for each way; package live plays a scenario's plan with real instances and clients; pinedale-rehearse run and record -sockets, agree for both hosts, rank for the policies side by side.

--- a/cmd/pinedale-rehearse/demo.go
+++ b/cmd/pinedale-rehearse/demo.go
@@ -56,9 +56,9 @@
 		return err
 	}
 	defer dir.Close()
-	fleet := sockets.New([]sockets.Class{
+	fleet := sockets.New(sockets.Options{Seed: 1, Classes: []sockets.Class{
 		{Name: "price-check", Work: 120 * time.Millisecond, CV: 0.4},
-		{Name: "stall-pay", Class: model.Class{Repeat: model.Keyed, Window: 1500 * time.Millisecond}, Work: 100 * time.Millisecond, CV: 0.4}}, 1)
+		{Name: "stall-pay", Class: model.Class{Repeat: model.Keyed, Window: 1500 * time.Millisecond}, Work: 100 * time.Millisecond, CV: 0.4}}})
 	defer fleet.Close()
 	var servers []*sockets.Server
 	var hosts []directory.Host
@@ -67,12 +67,12 @@
 		cfg := model.Config{Cores: 3, Speed: [...]float64{2, 1.2, 0.8}[n%3], SlotsPerCore: 1, QueuePerCore: 100, Thrash: 0.08, ThrashAt: 5,
 			ColdFrom: 0.35, ColdFor: 6 * time.Second, FallFactor: 2.5, FallAfter: time.Second,
 			ReportEvery: 100 * time.Millisecond, ProbeWork: 100 * time.Microsecond, Handshake: time.Millisecond}
-		s, err := fleet.Start(fmt.Sprintf("soko-%d", n+1), fmt.Sprint(n/2), cfg, cold, faults...)
+		s, err := fleet.Start(sockets.Spec{Name: fmt.Sprintf("soko-%d", n+1), Group: fmt.Sprint(n / 2), Config: cfg, Seed: uint64(n + 1), Cold: cold, Faults: faults})
 		if err != nil {
 			return err
 		}
 		servers = append(servers, s)
-		h := directory.Ready(s.Name, s.Address)
+		h := directory.Ready(s.Name, s.Addresses[0])
 		h.Site, h.Class, h.Block = [...]string{"arusha", "dar"}[n%2], "box", uint16(n/2)
 		if cold {
 			h.BornMS = time.Now().UnixMilli()
--- a/cmd/pinedale-rehearse/main.go
+++ b/cmd/pinedale-rehearse/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"flag"
 	"fmt"
@@ -10,8 +11,10 @@
 	"math"
 	"os"
 	"strings"
+	"sync"
 	"time"
 
+	"pinedale/internal/emulator/live"
 	"pinedale/internal/emulator/plan"
 	"pinedale/internal/emulator/play"
 	"pinedale/internal/emulator/rivals"
@@ -20,17 +23,22 @@
 )
 
 const usage = `usage: pinedale-rehearse demo [-length 12s]
-       pinedale-rehearse run [-seed N] [-policy NAME] [-html FILE] SCENARIO
+       pinedale-rehearse run [-seed N] [-policy NAME] [-sockets] [-html FILE] SCENARIO
        pinedale-rehearse compare [-seeds N] [-policy NAME] [-against NAME] SCENARIO [SCENARIO]
-       pinedale-rehearse record [-seed N] [-policy NAME] -out FILE SCENARIO
+       pinedale-rehearse record [-seed N] [-policy NAME] [-sockets] -out FILE SCENARIO
        pinedale-rehearse replay FILE
+       pinedale-rehearse agree [-seed N] SCENARIO...
+       pinedale-rehearse rank [-seeds N] SCENARIO...
 
   demo     a small fleet, discovery, pinedale-site and clients on loopback sockets
-  run      play a scenario, on virtual time, and say what came of it
+  run      play a scenario, on virtual time or sockets, and say what came of it
   compare  play two scenarios, or one with two policies, on the same seeds, and say how
            they differ and how much is noise
   record   write what is asked, decided and answered as a trace
-  replay   play a trace again, and name the first event that differs
+  replay   play a trace again on virtual time, and name the first event that differs; of
+           one from sockets, how the counts differ
+  agree    play scenarios on both hosts, and say by how much they differ
+  rank     play scenarios with each policy, and set their G side by side
 
 policies: `
 
@@ -40,6 +48,7 @@
 	seeds           int
 	policy, against string
 	html, out       string
+	sockets         bool
 	length          time.Duration
 }
 
@@ -82,14 +91,20 @@
 		flags.StringVar(&o.policy, "policy", rivals.Module, "that decides")
 	}
 	switch args[0] {
-	case "run", "record":
+	case "run", "record", "agree":
 		flags.Uint64Var(&o.seed, "seed", 0, "in place of the scenario's")
-	case "compare":
+	case "compare", "rank":
 		flags.IntVar(&o.seeds, "seeds", 10, "to compare on")
+	}
+	switch args[0] {
+	case "compare":
 		flags.StringVar(&o.against, "against", "", "the second's policy, the first's where it is not given")
 	case "demo":
 		flags.DurationVar(&o.length, "length", 12*time.Second, "of the demo")
 	}
+	if args[0] == "run" || args[0] == "record" {
+		flags.BoolVar(&o.sockets, "sockets", false, "on loopback sockets, as long as it takes")
+	}
 	switch args[0] {
 	case "run":
 		flags.StringVar(&o.html, "html", "", "file for a report")
@@ -109,6 +124,10 @@
 		return compare(out, flags.Args(), o, p)
 	case args[0] == "record" && n == 1 && o.out != "":
 		return record(out, flags.Arg(0), o, p)
+	case args[0] == "rank" && n >= 1 && o.seeds >= 1 && o.seeds <= 10_000:
+		return rank(out, flags.Args(), o, p)
+	case args[0] == "agree" && n >= 1:
+		return agree(out, flags.Args(), o)
 	case args[0] == "replay" && n == 1:
 		return replay(out, flags.Arg(0), p)
 	}
@@ -128,13 +147,24 @@
 	return f, string(text), nil
 }
 
-// virtual plays on virtual time.
-func virtual(s *plan.Scenario, policy string, watch func(trace.Event), p progress) (*plan.Result, error) {
+// playOn plays on one of the hosts.
+func playOn(host string, s *plan.Scenario, policy string, watch func(trace.Event), p progress) (*plan.Result, error) {
 	decide, err := rivals.Named(policy, s.Weights)
 	if err != nil {
 		return nil, err
 	}
-	return play.Run(s, play.Options{Decide: decide, Watch: watch, Progress: func(at time.Duration) { p(at, s.Length) }})
+	told := func(at time.Duration) { p(at, s.Length) }
+	if host == trace.Sockets {
+		return live.Run(context.Background(), s, live.Options{Decide: decide, Watch: watch, Progress: told})
+	}
+	return play.Run(s, play.Options{Decide: decide, Watch: watch, Progress: told})
+}
+
+func (o *options) host() string {
+	if o.sockets {
+		return trace.Sockets
+	}
+	return trace.Virtual
 }
 
 func broken(r *plan.Result) error {
@@ -151,11 +181,11 @@
 	}
 	s := f.Plan(o.seed)
 	began := time.Now()
-	r, err := virtual(s, o.policy, nil, p)
+	r, err := playOn(o.host(), s, o.policy, nil, p)
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(out, "%s, seed %d, %s: %v played in %v\n", f.Name, s.Seed, o.policy, s.Length, time.Since(began).Round(time.Millisecond))
+	fmt.Fprintf(out, "%s, seed %d, %s, %s: %v played in %v\n", f.Name, s.Seed, o.policy, o.host(), s.Length, time.Since(began).Round(time.Millisecond))
 	f.Print(out, s, r)
 	if o.html != "" {
 		if err := write(o.html, func(w io.Writer) error { return f.HTML(w, s, r) }); err != nil {
@@ -184,8 +214,8 @@
 	var r *plan.Result
 	events := 0
 	err = write(o.out, func(file io.Writer) (err error) {
-		w := trace.NewWriter(file, trace.Head{Host: trace.Virtual, Policy: o.policy, Seed: s.Seed, Scenario: text})
-		if r, err = virtual(s, o.policy, func(e trace.Event) { events++; w.Write(e) }, p); err != nil {
+		w := trace.NewWriter(file, trace.Head{Host: o.host(), Policy: o.policy, Seed: s.Seed, Scenario: text})
+		if r, err = playOn(o.host(), s, o.policy, func(e trace.Event) { events++; w.Write(e) }, p); err != nil {
 			return err
 		}
 		return w.Close()
@@ -213,9 +243,12 @@
 		return fmt.Errorf("%s: line 1: scenario: %w", path, err)
 	}
 	s := f.Plan(old.Head.Seed)
+	if old.Head.Host == trace.Sockets {
+		return recount(out, path, f, s, old, p)
+	}
 	same, events := true, 0
 	var fault error
-	r, err := virtual(s, old.Head.Policy, func(e trace.Event) {
+	r, err := playOn(trace.Virtual, s, old.Head.Policy, func(e trace.Event) {
 		if !same || fault != nil {
 			return
 		}
@@ -254,6 +287,129 @@
 	return nil
 }
 
+// recount plays the scenario of a trace from sockets on virtual time. Real time is in
+// such a trace: only the counts can be compared.
+func recount(out io.Writer, path string, f *scenario.File, s *plan.Scenario, old *trace.Reader, p progress) error {
+	names := []string{"tries", "answered 200", "answered 503", "other answers", "clients gone", "attempts", "servers fallen"}
+	count := func(n []int, e trace.Event) {
+		switch {
+		case e.Kind == trace.Ask:
+			n[0]++
+		case e.Kind == trace.Answer && e.Code == 200:
+			n[1]++
+		case e.Kind == trace.Answer && e.Code == 503:
+			n[2]++
+		case e.Kind == trace.Answer && e.Code == plan.CodeGone:
+			n[4]++
+		case e.Kind == trace.Answer:
+			n[3]++
+		case e.Kind == trace.Send:
+			n[5]++
+		case e.Kind == trace.Fall:
+			n[6]++
+		}
+	}
+	then, now := make([]int, len(names)), make([]int, len(names))
+	for {
+		e, err := old.Read()
+		if err == io.EOF {
+			break
+		} else if err != nil {
+			return fmt.Errorf("%s: %w", path, err)
+		}
+		count(then, e)
+	}
+	if _, err := playOn(trace.Virtual, s, old.Head.Policy, func(e trace.Event) { count(now, e) }, p); err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "%s, seed %d, %s\n%-16s %9s %9s\n", f.Name, s.Seed, old.Head.Policy, "", "sockets", "virtual")
+	for i, name := range names {
+		fmt.Fprintf(out, "%-16s %9d %9d\n", name, then[i], now[i])
+	}
+	return nil
+}
+
+// agreeMost is by how much G may differ between the hosts.
+const agreeMost = 0.03
+
+// agree plays each scenario on both hosts, those on sockets side by side.
+func agree(out io.Writer, paths []string, o options) error {
+	none := func(_, _ time.Duration) {}
+	type both struct {
+		name          string
+		s             *plan.Scenario
+		virtual, live *plan.Result
+		err           error
+	}
+	all := make([]both, len(paths))
+	var tasks sync.WaitGroup
+	for i, path := range paths {
+		f, _, err := load(path)
+		if err != nil {
+			return err
+		}
+		x := &all[i]
+		x.name, x.s = f.Name, f.Plan(o.seed)
+		if x.virtual, err = playOn(trace.Virtual, x.s, rivals.Module, nil, none); err != nil {
+			return err
+		}
+		tasks.Go(func() { x.live, x.err = playOn(trace.Sockets, x.s, rivals.Module, nil, none) })
+	}
+	tasks.Wait()
+	fmt.Fprintf(out, "%-18s %9s %9s %9s %12s %12s  %s\n", "", "virtual", "sockets", "apart", "tries", "connections", "broken on sockets")
+	apart := 0
+	for _, x := range all {
+		if x.err != nil {
+			return fmt.Errorf("%s: %w", x.name, x.err)
+		}
+		a, b := x.s.G(x.virtual), x.s.G(x.live)
+		if math.Abs(a-b) > agreeMost {
+			apart++
+		}
+		fmt.Fprintf(out, "%-18s %9.3f %9.3f %+9.3f %5d, %5d %5d, %5d  %s\n", x.name, a, b, b-a, x.virtual.Tries, x.live.Tries,
+			x.virtual.Connections, x.live.Connections, x.live.Broken())
+	}
+	if apart > 0 {
+		return fmt.Errorf("%d of %d scenarios are more than %v apart", apart, len(all), agreeMost)
+	}
+	return nil
+}
+
+// rank sets the policies side by side on each scenario: the mean of G over the seeds,
+// and in how many plays a rule was broken.
+func rank(out io.Writer, paths []string, o options, p progress) error {
+	fmt.Fprintf(out, "%-18s", fmt.Sprintf("G over %d seeds", o.seeds))
+	for _, name := range rivals.Names() {
+		fmt.Fprintf(out, " %20s", name)
+	}
+	fmt.Fprintln(out)
+	for i, path := range paths {
+		f, _, err := load(path)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "%-18s", f.Name)
+		for _, name := range rivals.Names() {
+			sum, rules := 0.0, 0
+			for seed := range o.seeds {
+				s := f.Plan(uint64(seed + 1))
+				r, err := playOn(trace.Virtual, s, name, nil, func(_, _ time.Duration) {})
+				if err != nil {
+					return err
+				}
+				sum += s.G(r)
+				if r.Broken() != "" {
+					rules++
+				}
+			}
+			fmt.Fprintf(out, " %8.3f, %3d broken", sum/float64(o.seeds), rules)
+		}
+		fmt.Fprintln(out)
+		p(time.Duration(i+1)*time.Second, time.Duration(len(paths))*time.Second)
+	}
+	return nil
+}
+
 // compare plays both on the same seeds. What differs by less than twice its standard
 // error may be chance.
 func compare(out io.Writer, paths []string, o options, p progress) error {
@@ -281,7 +437,7 @@
 		var pair [2]played
 		for i, f := range files {
 			s := f.Plan(uint64(seed + 1))
-			r, err := virtual(s, policies[i], nil, func(_, _ time.Duration) {})
+			r, err := playOn(trace.Virtual, s, policies[i], nil, func(_, _ time.Duration) {})
 			if err != nil {
 				return err
 			}
--- /dev/null
+++ b/internal/emulator/live/live.go
@@ -0,0 +1,408 @@
+// Package live plays a scenario on loopback sockets and the system's clock: emulated
+// servers, real instances (front, engine, upstream) and clients, all in one process.
+// It plays the plan that package play plays on virtual time, and counts in the same
+// way. Troubles, membership's lateness and the way between sites are emulated; the
+// requests, connections and time-outs are real.
+package live
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"pinedale/balancer"
+	"pinedale/internal/emulator/model"
+	"pinedale/internal/emulator/plan"
+	"pinedale/internal/emulator/rivals"
+	"pinedale/internal/emulator/sockets"
+	"pinedale/internal/emulator/trace"
+	"pinedale/internal/engine"
+	"pinedale/internal/front/httpfront"
+	"pinedale/internal/upstream/httpupstream"
+)
+
+// Options are of one play.
+type Options struct {
+	Decide   rivals.Decide     // in place of the decision module
+	Watch    func(trace.Event) // is told what is asked, sent and answered; one call at a time
+	Progress func(plan.Time)
+}
+
+const (
+	// An answer may be so late before it counts as missing: instances answer by the
+	// deadline, and the machine that plays has its own delays.
+	answerSlack = 250 * time.Millisecond
+	keepIdle    = 5 * time.Second // servers keep idle connections for longer; the sidecar's setting on the platform
+	dialTimeout = 2 * time.Second
+	// Clients let go of idle connections before the front does, which is after 2.1 s:
+	// else a request may cross the end of its connection.
+	clientIdle = time.Second
+	// The play begins once all is there: so long after the start, and so long for each
+	// listener.
+	setUp     = 50 * time.Millisecond
+	setUpEach = 500 * time.Microsecond
+	many      = 1 << 14 // connections that each side may hold: no limit of a play's
+	bodies    = 1 << 26
+)
+
+// play is one run.
+type play struct {
+	s      *plan.Scenario
+	o      Options
+	began  time.Time
+	fleet  *sockets.Fleet
+	nodes  []*node
+	client *http.Client
+	tasks  sync.WaitGroup // clients' tries, lives of servers
+
+	mu      sync.Mutex
+	result  *plan.Result
+	tries   map[string]*plan.Try // by id of the request
+	numbers map[*sockets.Server]int
+	servers []*sockets.Server    // by number, in their present life
+	told    map[[2]int]plan.Time // drains: by server and instance, when heard
+	fell    map[int]bool
+	closed  bool
+}
+
+// node is one instance.
+type node struct {
+	engine *engine.Engine
+	url    string
+}
+
+// Run plays a scenario; it takes as long as the scenario says, and until all is
+// answered. ctx ends it before.
+func Run(ctx context.Context, s *plan.Scenario, o Options) (*plan.Result, error) {
+	p := &play{s: s, o: o, result: s.NewResult(), tries: map[string]*plan.Try{}, numbers: map[*sockets.Server]int{},
+		servers: make([]*sockets.Server, len(s.Servers)), told: map[[2]int]plan.Time{}, fell: map[int]bool{}}
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	p.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: many, IdleConnTimeout: clientIdle}}
+	defer p.client.CloseIdleConnections()
+	p.began = time.Now().Add(setUp + setUpEach*time.Duration(len(s.Servers)*len(s.Sites)+len(s.Instances)))
+	var classes []sockets.Class
+	for i := range s.Classes {
+		classes = append(classes, sockets.Class{Name: s.Classes[i].Name, Class: s.Classes[i].Remembered()})
+	}
+	p.fleet = sockets.New(sockets.Options{Classes: classes, Now: p.now, Arrived: p.arrived, Work: func(_ int, id string) time.Duration {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if t := p.tries[id]; t != nil {
+			return t.Work
+		}
+		return 0
+	}})
+	defer p.fleet.Close()
+	for n := range s.Servers {
+		if s.Servers[n].Lives[0].From == 0 {
+			if err := p.start(n, s.Servers[n].Lives[0]); err != nil {
+				return nil, err
+			}
+		}
+	}
+	engines, endEngines := context.WithCancel(context.Background())
+	defer endEngines()
+	fronts, endFronts := context.WithCancel(context.Background())
+	served := make(chan error, len(s.Instances))
+	started := 0
+	defer func() {
+		endFronts()
+		for range started {
+			<-served
+		}
+	}()
+	for i := range s.Instances {
+		if err := p.instance(engines, fronts, served, i); err != nil {
+			return nil, err
+		}
+		started++
+	}
+	for _, n := range p.nodes { // until all have their list
+		n.engine.Do(func(balancer.Micros) {})
+	}
+	sleep(ctx, -p.now())
+	p.lives(ctx)
+	p.clients(ctx)
+	p.tasks.Wait()
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	p.finish()
+	return p.result, nil
+}
+
+// start starts a server in one of its lives.
+func (p *play) start(n int, life plan.Life) error {
+	x := &p.s.Servers[n]
+	var ways []time.Duration
+	for site := range p.s.Sites {
+		ways = append(ways, p.s.Way(site, x.Site))
+	}
+	server, err := p.fleet.Start(sockets.Spec{Name: x.Name, Group: fmt.Sprint(x.Pod), Config: x.Config, Seed: p.s.SeedOf(n),
+		Cold: life.From > 0, Faults: x.Faults, Ways: ways})
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.servers[n], p.numbers[server] = server, n
+	return nil
+}
+
+// instance starts an instance with the list of servers that are there.
+func (p *play) instance(engines, fronts context.Context, served chan<- error, i int) error {
+	s, log := p.s, slog.New(slog.DiscardHandler)
+	up := httpupstream.New(httpupstream.Options{DialTimeout: dialTimeout, Idle: keepIdle, Connections: many, Fields: []string{"eps", "queue"}})
+	e, err := engine.New(engines, engine.Options{Settings: s.For(i), Seed: s.Seed<<16 | uint64(i), Zones: s.Sites, Kinds: s.Kinds,
+		Upstream: up, Decide: p.o.Decide, Log: log})
+	if err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	go e.Run()
+	front := httpfront.New(e, up, httpfront.Options{Connections: many, Crowded: many, BodyBytes: bodies, AcceptFor: time.Millisecond, Log: log})
+	go func() { served <- front.Serve(fronts, listener) }()
+	p.nodes = append(p.nodes, &node{e, "http://" + listener.Addr().String()})
+	list := engine.List{Whole: true}
+	for n := range s.Servers {
+		if life := s.Servers[n].Lives[0]; life.From == 0 {
+			list.Hosts = append(list.Hosts, s.Entry(n, life, balancer.Ready, p.servers[n].Addresses[s.Instances[i]], p.began))
+		}
+	}
+	e.Post(func(now balancer.Micros) { e.Tell(now, balancer.ListFull, list) })
+	return nil
+}
+
+// now is the play's time.
+func (p *play) now() plan.Time { return time.Since(p.began) }
+
+// on has something done at an instant of the play, unless it ends before.
+func (p *play) on(ctx context.Context, at plan.Time, do func()) {
+	p.tasks.Go(func() {
+		if sleep(ctx, at-p.now()) {
+			do()
+		}
+	})
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// lives has servers start, drain and end when the scenario says.
+func (p *play) lives(ctx context.Context) {
+	for n := range p.s.Servers {
+		for _, life := range p.s.Servers[n].Lives {
+			if life.From > 0 && life.From < p.s.Length {
+				p.on(ctx, life.From, func() {
+					if err := p.start(n, life); err == nil {
+						p.tell(ctx, n, life, balancer.Ready)
+					}
+				})
+			}
+			if life.Drain < p.s.Length {
+				p.on(ctx, life.Drain, func() { p.tell(ctx, n, life, balancer.Draining) })
+			}
+			if life.End < p.s.Length {
+				p.on(ctx, life.End, func() {
+					p.fallen(n)
+					p.mu.Lock()
+					server := p.servers[n]
+					p.mu.Unlock()
+					server.Close()
+					p.tell(ctx, n, life, balancer.Gone)
+				})
+			}
+		}
+	}
+}
+
+// tell has each instance hear of a server, each as late as it is.
+func (p *play) tell(ctx context.Context, n int, life plan.Life, state balancer.State) {
+	at := p.now()
+	p.mu.Lock()
+	server := p.servers[n]
+	p.mu.Unlock()
+	for i, node := range p.nodes {
+		p.on(ctx, at+p.s.Late(n, i), func() {
+			list := engine.List{Hosts: []engine.Host{p.s.Entry(n, life, state, server.Addresses[p.s.Instances[i]], p.began)}}
+			node.engine.Do(func(now balancer.Micros) { node.engine.Tell(now, balancer.ListDelta, list) })
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			if state == balancer.Ready {
+				delete(p.told, [2]int{n, i})
+			} else if _, was := p.told[[2]int{n, i}]; !was {
+				p.told[[2]int{n, i}] = p.now()
+			}
+			p.watch(trace.Event{Kind: trace.Member, Instance: i + 1, Server: n + 1, Code: int(state)})
+		})
+	}
+}
+
+// fallen notes a server that fell over.
+func (p *play) fallen(n int) {
+	p.mu.Lock()
+	server := p.servers[n]
+	p.mu.Unlock()
+	if server == nil || !server.Fell() { // without mu: the fleet's lock comes first
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.fell[n] {
+		p.fell[n] = true
+		p.watch(trace.Event{Kind: trace.Fall, Server: n + 1})
+	}
+}
+
+// watch is called with mu held.
+func (p *play) watch(e trace.Event) {
+	if p.o.Watch != nil && !p.closed {
+		e.At = p.now().Microseconds()
+		p.o.Watch(e)
+	}
+}
+
+// arrived counts an attempt at its server.
+func (p *play) arrived(server *sockets.Server, id string, _ model.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.tries[id]
+	n, ok := p.numbers[server]
+	if t == nil || !ok {
+		return
+	}
+	at := p.now()
+	p.result.Sent(n, at)
+	grace := time.Duration(p.s.Settings.Contract.DrainGrace)*time.Microsecond + p.s.Way(p.s.Instances[t.Instance], p.s.Servers[n].Site)
+	if told, ok := p.told[[2]int{n, t.Instance}]; ok && at > told+grace {
+		p.result.AfterDrain++
+	}
+	p.watch(trace.Event{Kind: trace.Send, Number: t.Number, Try: t.Tries, Instance: t.Instance + 1, Server: n + 1})
+}
+
+// clients asks as the script says.
+func (p *play) clients(ctx context.Context) {
+	script, second := p.s.Script(), time.Duration(0)
+	for t, ok := script.Next(); ok && sleep(ctx, t.At-p.now()); t, ok = script.Next() {
+		p.tasks.Go(func() { p.want(ctx, t) })
+		if p.o.Progress != nil && t.At >= second {
+			p.o.Progress(t.At)
+			second += time.Second
+		}
+	}
+	if p.o.Progress != nil {
+		p.o.Progress(p.s.Length)
+	}
+}
+
+// want is one client's wish: its tries, one after the other.
+func (p *play) want(ctx context.Context, t *plan.Try) {
+	for {
+		p.mu.Lock()
+		t.Tries++
+		p.result.Tries++
+		id := fmt.Sprintf("t%d-%d", t.Number, t.Tries)
+		p.tries[id] = t
+		p.watch(trace.Event{Kind: trace.Ask, Number: t.Number, Try: t.Tries, Instance: t.Instance + 1, Class: t.Class + 1})
+		p.mu.Unlock()
+		code, retryAfter, missing := p.ask(ctx, t, id)
+		p.mu.Lock()
+		if missing {
+			p.result.Unanswered++
+		}
+		p.watch(trace.Event{Kind: trace.Answer, Number: t.Number, Try: t.Tries, Instance: t.Instance + 1, Code: code})
+		now := p.now()
+		wait, again := p.s.Again(t, code, retryAfter, now)
+		if !again {
+			p.result.Final(p.s, t, code, now)
+		}
+		p.mu.Unlock()
+		if !again || !sleep(ctx, wait) {
+			return
+		}
+	}
+}
+
+// ask sends one try. missing says that there was no answer though the client waited
+// its time out.
+func (p *play) ask(ctx context.Context, t *plan.Try, id string) (code int, retryAfter time.Duration, missing bool) {
+	c, patience := &p.s.Classes[t.Class], p.s.Patience(t)
+	wait := patience + answerSlack
+	if g := p.s.Clients.GiveUp; g > 0 {
+		wait = min(wait, g)
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	method := http.MethodPost
+	if c.Repeat == balancer.Safe {
+		method = http.MethodGet
+	}
+	r, err := http.NewRequestWithContext(ctx, method, p.nodes[t.Instance].url+"/"+c.Name+"/x", nil)
+	if err != nil {
+		return plan.CodeGone, 0, true
+	}
+	r.Header.Set("X-Correlation-Id", id)
+	r.Header.Set("X-Service-Class", c.Name)
+	r.Header.Set("X-Time-Left-Ms", strconv.FormatInt(patience.Milliseconds(), 10))
+	r.Header.Set("X-Weight-Hint", strconv.FormatInt(t.Hint, 10))
+	if t.Key != "" {
+		r.Header.Set("Idempotency-Key", t.Key)
+	}
+	if t.Tries > 1 {
+		r.Header.Set("X-Repeat", "1")
+	}
+	if len(p.s.Tenants) > 0 {
+		r.Header.Set("X-Account", p.s.Tenants[t.Tenant].Name)
+	}
+	out, err := p.client.Do(r)
+	if err != nil {
+		gaveUp := p.s.Clients.GiveUp > 0 && wait == p.s.Clients.GiveUp && errors.Is(err, context.DeadlineExceeded)
+		return plan.CodeGone, 0, !gaveUp
+	}
+	defer out.Body.Close()
+	if _, err := io.Copy(io.Discard, out.Body); err != nil {
+		return plan.CodeGone, 0, true
+	}
+	if seconds, err := strconv.ParseFloat(strings.TrimSpace(out.Header.Get("Retry-After")), 64); err == nil {
+		retryAfter = time.Duration(seconds * float64(time.Second))
+	}
+	return out.StatusCode, retryAfter, false
+}
+
+// finish counts what must not be.
+func (p *play) finish() {
+	for n := range p.s.Servers {
+		p.fallen(n)
+	}
+	twice := p.fleet.Twice()
+	_, most := p.fleet.Connections()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	p.result.Twice, p.result.Connections = twice, most
+	for n := range p.s.Servers {
+		if p.fell[n] {
+			p.result.Fell = append(p.result.Fell, n)
+		}
+	}
+}
--- /dev/null
+++ b/internal/emulator/sockets/http1.go
@@ -0,0 +1,126 @@
+package sockets
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"pinedale/internal/emulator/model"
+)
+
+// HTTP1 is the transport of HTTP/1.1, without TLS.
+type HTTP1 struct{}
+
+// bodyMost is what is read of a body.
+const bodyMost = 64 << 10
+
+// handler passes what comes on one listener to a server.
+type handler struct {
+	server *Server
+	way    time.Duration
+
+	mu      sync.Mutex
+	counted map[net.Conn]bool // connections that the server has taken
+}
+
+// freshKey finds in a request's context whether its connection has carried one.
+type freshKey struct{}
+
+// Listen listens on loopback.
+func (HTTP1) Listen(s *Server, way time.Duration) (string, func(), error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", nil, err
+	}
+	h := &handler{server: s, way: way, counted: map[net.Conn]bool{}}
+	server := &http.Server{Handler: h, ConnState: h.connection, ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+		return context.WithValue(ctx, freshKey{}, new(atomic.Bool))
+	}}
+	go server.Serve(listener)
+	return listener.Addr().String(), func() { server.Close() }, nil
+}
+
+// connection counts connections; one that the server does not take is closed.
+func (h *handler) connection(c net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		if !h.server.Open() {
+			c.Close()
+			return
+		}
+		h.mu.Lock()
+		h.counted[c] = true
+		h.mu.Unlock()
+	case http.StateClosed, http.StateHijacked:
+		h.mu.Lock()
+		was := h.counted[c]
+		delete(h.counted, c)
+		h.mu.Unlock()
+		if was {
+			h.server.Shut()
+		}
+	}
+}
+
+// travel is the way of something between client and server; false if the client has
+// gone meanwhile.
+func travel(ctx context.Context, way time.Duration) bool {
+	if way <= 0 {
+		return true
+	}
+	timer := time.NewTimer(way)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// ServeHTTP answers probes and requests.
+func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	ctx, way := r.Context(), h.way
+	if used := ctx.Value(freshKey{}).(*atomic.Bool); !used.Swap(true) {
+		way += 2 * h.way // the connection's opening: loopback's own takes no time
+	}
+	if r.URL.Path == "/stats" || r.URL.Path == "/health/live" {
+		travel(ctx, way)
+		report, ok := h.server.Probe()
+		if !ok {
+			<-ctx.Done() // nobody is there to say so
+			return
+		}
+		travel(ctx, h.way)
+		if r.URL.Path == "/stats" {
+			io.WriteString(w, report)
+		}
+		return
+	}
+	io.Copy(io.Discard, io.LimitReader(r.Body, bodyMost))
+	travel(ctx, way) // what a client has sent comes, though it may have gone
+	o, report, err := h.server.Ask(ctx, Request{Class: r.Header.Get("X-Service-Class"), ID: r.Header.Get("X-Correlation-Id"), Key: r.Header.Get("Idempotency-Key")})
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	travel(ctx, h.way)
+	w.Header().Set("X-Backend-Load", report)
+	switch o {
+	case model.Served, model.Repeated:
+		io.WriteString(w, "done")
+	case model.Failed:
+		w.WriteHeader(http.StatusInternalServerError)
+	case model.Away:
+		w.Header().Set("X-Unprocessed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case model.Lost:
+		<-ctx.Done()
+	default: // it is down
+		panic(http.ErrAbortHandler)
+	}
+}
--- a/internal/emulator/sockets/sockets.go
+++ b/internal/emulator/sockets/sockets.go
@@ -1,19 +1,18 @@
 // Package sockets puts emulated servers on loopback sockets: the model of package
-// model on the system's clock, behind HTTP/1.1.
+// model on the system's clock. How requests come in is a Transport; HTTP1 is one.
 package sockets
 
 import (
+	"context"
 	"fmt"
 	"hash/fnv"
 	"io"
-	"math"
 	"math/rand/v2"
-	"net"
-	"net/http"
 	"sync"
 	"time"
 
 	"pinedale/internal/emulator/model"
+	"pinedale/internal/emulator/plan"
 )
 
 // Class is one class of requests as the servers know it.
@@ -24,38 +23,77 @@
 	CV   float64       // of the work, lognormal
 }
 
+// A Transport puts a server on sockets of its own kind.
+type Transport interface {
+	// Listen opens a listener on loopback for clients that are this far away, one way,
+	// and passes what comes there to the server. stop ends the listener and all its
+	// connections, and returns without waiting for requests in hand.
+	Listen(s *Server, way time.Duration) (address string, stop func(), err error)
+}
+
+// Options are a fleet's.
+type Options struct {
+	Classes   []Class
+	Seed      uint64
+	Now       func() model.Time // nil for the time since New
+	Transport Transport         // nil for HTTP1
+	// Work, where set, says how much work a request is, in place of a draw by its id.
+	Work func(class int, id string) time.Duration
+	// Arrived, where set, is told of each request that comes to a server, and must not
+	// block.
+	Arrived func(s *Server, id string, at model.Time)
+}
+
 // Fleet is a set of servers with one memory and one clock. Make one with New.
 type Fleet struct {
-	classes []Class
-	index   map[string]int
-	seed    uint64
-	began   time.Time
+	o     Options
+	index map[string]int
 
 	mu      sync.Mutex // held around every call of a model: they share the memory
 	memory  *model.Memory
 	number  uint64
 	servers []*Server
+	open    int // connections
+	most    int
 }
 
-// Server is one server on a socket.
+// Spec is one server.
+type Spec struct {
+	Name   string
+	Group  string // whose repeats it drops, beside all
+	Config model.Config
+	Seed   uint64
+	Cold   bool
+	Faults []model.Fault
+	Ways   []time.Duration // one way to each group of clients; none: one group, next door
+}
+
+// Server is one server on sockets.
 type Server struct {
-	Name    string
-	Address string // host:port
+	Name      string
+	Addresses []string // host:port, one for each of its ways
 
 	fleet   *Fleet
 	machine *model.Server
 	waiting map[uint64]chan model.Outcome
 	timer   *time.Timer
-	http    http.Server
+	stops   []func()
 	served  int
 	closed  bool
 }
 
 // New returns a fleet without servers.
-func New(classes []Class, seed uint64) *Fleet {
-	f := &Fleet{classes: classes, index: map[string]int{}, seed: seed, began: time.Now()}
-	kinds := make([]model.Class, len(classes))
-	for i, c := range classes {
+func New(o Options) *Fleet {
+	f := &Fleet{o: o, index: map[string]int{}}
+	if f.o.Now == nil {
+		began := time.Now()
+		f.o.Now = func() model.Time { return time.Since(began) }
+	}
+	if f.o.Transport == nil {
+		f.o.Transport = HTTP1{}
+	}
+	kinds := make([]model.Class, len(o.Classes))
+	for i, c := range o.Classes {
 		kinds[i] = c.Class
 		f.index[c.Name] = i
 	}
@@ -63,21 +101,27 @@
 	return f
 }
 
-func (f *Fleet) now() model.Time { return time.Since(f.began) }
+// Now is the fleet's time.
+func (f *Fleet) Now() model.Time { return f.o.Now() }
 
-// Start starts a server on loopback, cold if told so.
-func (f *Fleet) Start(name, group string, cfg model.Config, cold bool, faults ...model.Fault) (*Server, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
+// Start starts a server.
+func (f *Fleet) Start(spec Spec) (*Server, error) {
+	s := &Server{Name: spec.Name, fleet: f, waiting: map[uint64]chan model.Outcome{}}
+	s.machine = model.New(spec.Config, spec.Seed, f.Now(), spec.Cold, f.memory, spec.Group, spec.Faults)
+	if len(spec.Ways) == 0 {
+		spec.Ways = []time.Duration{0}
+	}
+	for _, way := range spec.Ways {
+		address, stop, err := f.o.Transport.Listen(s, way)
+		if err != nil {
+			s.Close()
+			return nil, err
+		}
+		s.Addresses, s.stops = append(s.Addresses, address), append(s.stops, stop)
 	}
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	s := &Server{Name: name, Address: listener.Addr().String(), fleet: f, waiting: map[uint64]chan model.Outcome{}}
-	s.machine = model.New(cfg, f.seed^uint64(len(f.servers)+1)*0x9e3779b97f4a7c15, f.now(), cold, f.memory, group, faults)
-	s.http = http.Server{Handler: s, ConnState: s.connection}
 	f.servers = append(f.servers, s)
-	go s.http.Serve(listener)
+	f.mu.Unlock()
 	return s, nil
 }
 
@@ -98,16 +142,31 @@
 	return f.memory.Twice()
 }
 
+// Connections counts the open ones, now and at most so far.
+func (f *Fleet) Connections() (open, most int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.open, f.most
+}
+
 // Close ends a server: what it holds is lost, and connections are refused.
 func (s *Server) Close() {
 	s.fleet.mu.Lock()
-	s.give(s.machine.Stop(s.fleet.now()))
+	s.give(s.machine.Stop(s.fleet.Now()))
+	s.shut()
+	s.fleet.mu.Unlock()
+	for _, stop := range s.stops {
+		stop()
+	}
+}
+
+// shut has nothing more happen at a server whose process is over. It holds the fleet's
+// lock.
+func (s *Server) shut() {
 	s.closed = true
 	if s.timer != nil {
 		s.timer.Stop()
 	}
-	s.fleet.mu.Unlock()
-	s.http.Close()
 }
 
 // Figures are what a server holds, has served, how warm it is, and whether it is down.
@@ -115,21 +174,37 @@
 	s.fleet.mu.Lock()
 	defer s.fleet.mu.Unlock()
 	working, waiting := s.machine.Held()
-	return working + waiting, s.served, s.machine.Warmth(s.fleet.now()), s.machine.Down()
+	return working + waiting, s.served, s.machine.Warmth(s.fleet.Now()), s.machine.Down()
 }
 
-// connection counts connections: a new one costs the server work.
-func (s *Server) connection(c net.Conn, state http.ConnState) {
+// Fell says that the server fell over.
+func (s *Server) Fell() bool {
 	s.fleet.mu.Lock()
 	defer s.fleet.mu.Unlock()
-	switch state {
-	case http.StateNew:
-		if !s.machine.Connect(s.fleet.now()) {
-			c.Close()
-		}
-	case http.StateClosed, http.StateHijacked:
-		s.machine.Disconnect()
+	return s.machine.Fallen() != model.Never
+}
+
+// Open counts a new connection in, which costs the server work; false where it takes
+// none. What was counted in is counted out with Shut.
+func (s *Server) Open() bool {
+	f := s.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	defer s.arm()
+	if !s.machine.Connect(f.Now()) {
+		return false
 	}
+	f.open++
+	f.most = max(f.most, f.open)
+	return true
+}
+
+// Shut counts a connection out.
+func (s *Server) Shut() {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	s.machine.Disconnect()
+	s.fleet.open--
 	s.arm()
 }
 
@@ -146,21 +221,28 @@
 	}
 }
 
-// arm has the model looked at when it next has something to say. It holds the
-// fleet's lock.
+// arm has the model looked at when it next has something to say. A server that has
+// fallen over takes its sockets with it. It holds the fleet's lock.
 func (s *Server) arm() {
 	if s.timer != nil {
 		s.timer.Stop()
 	}
+	if s.machine.Down() && !s.closed {
+		s.give(s.machine.Advance(s.fleet.Now()))
+		s.shut()
+		for _, stop := range s.stops {
+			go stop()
+		}
+	}
 	at := s.machine.Next()
 	if at == model.Never || s.closed {
 		return
 	}
-	s.timer = time.AfterFunc(at-s.fleet.now(), func() {
+	s.timer = time.AfterFunc(at-s.fleet.Now(), func() {
 		s.fleet.mu.Lock()
 		defer s.fleet.mu.Unlock()
 		if !s.closed {
-			s.give(s.machine.Advance(s.fleet.now()))
+			s.give(s.machine.Advance(s.fleet.Now()))
 			s.arm()
 		}
 	})
@@ -168,77 +250,62 @@
 
 // work is a request's, drawn by its id: the same wherever it goes.
 func (f *Fleet) work(class int, id string) time.Duration {
-	c := f.classes[class]
+	if f.o.Work != nil {
+		return f.o.Work(class, id)
+	}
 	h := fnv.New64a()
 	io.WriteString(h, id)
-	rng := rand.New(rand.NewPCG(f.seed, h.Sum64()))
-	w := float64(c.Work)
-	if c.CV > 0 {
-		v := math.Log(1 + c.CV*c.CV)
-		w *= math.Exp(rng.NormFloat64()*math.Sqrt(v) - v/2)
-	}
-	return time.Duration(w)
+	c := f.o.Classes[class]
+	return time.Duration(plan.Lognormal(rand.New(rand.NewPCG(f.o.Seed, h.Sum64())), float64(c.Work), c.CV))
 }
 
-// bodyMost is what is read of a body.
-const bodyMost = 64 << 10
+// Request is one request as a transport reads it.
+type Request struct {
+	Class string
+	ID    string
+	Key   string // "" if it has none
+}
 
-// ServeHTTP answers probes and requests.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+// Ask has a request worked at, and waits for its end; model.Lost if ctx ends before.
+// The work goes on then. report is what the answer tells of the load.
+func (s *Server) Ask(ctx context.Context, r Request) (o model.Outcome, report string, err error) {
 	f := s.fleet
-	switch r.URL.Path {
-	case "/stats", "/health/live":
-		f.mu.Lock()
-		eps, queue, ok := s.machine.Load(f.now())
-		s.arm()
-		f.mu.Unlock()
-		if !ok {
-			<-r.Context().Done() // nobody is there to say so
-			return
-		}
-		if r.URL.Path == "/stats" {
-			fmt.Fprintf(w, "eps=%.2f,queue=%.2f", eps, queue)
-		}
-		return
-	}
-	io.Copy(io.Discard, io.LimitReader(r.Body, bodyMost))
-	class, ok := f.index[r.Header.Get("X-Service-Class")]
+	class, ok := f.index[r.Class]
 	if !ok {
-		http.Error(w, "not a known class", http.StatusBadRequest)
-		return
+		return 0, "", fmt.Errorf("%q is not a known class", r.Class)
 	}
-	id := r.Header.Get("X-Correlation-Id")
-	q := model.Request{Class: class, Work: f.work(class, id), Key: r.Header.Get("Idempotency-Key")}
-	if q.Key == "" && f.classes[class].Repeat == model.Unsafe {
-		q.Key = "id " + id
+	q := model.Request{Class: class, Work: f.work(class, r.ID), Key: r.Key}
+	if q.Key == "" && f.o.Classes[class].Repeat == model.Unsafe {
+		q.Key = "id " + r.ID
 	}
 	ended := make(chan model.Outcome, 1)
 	f.mu.Lock()
+	if f.o.Arrived != nil {
+		f.o.Arrived(s, r.ID, f.Now())
+	}
 	f.number++
 	q.Number = f.number
 	s.waiting[q.Number] = ended
-	s.give(s.machine.Arrive(f.now(), q))
+	s.give(s.machine.Arrive(f.Now(), q))
 	s.arm()
 	f.mu.Unlock()
 	select {
-	case o := <-ended:
-		s.answer(w, r, o)
-	case <-r.Context().Done(): // the work goes on
-	}
-}
-
-func (s *Server) answer(w http.ResponseWriter, r *http.Request, o model.Outcome) {
-	switch o {
-	case model.Served, model.Repeated:
-		io.WriteString(w, "done")
-	case model.Failed:
-		w.WriteHeader(http.StatusInternalServerError)
-	case model.Away:
-		w.Header().Set("X-Unprocessed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
-	case model.Lost:
-		<-r.Context().Done()
-	default: // it is down
-		panic(http.ErrAbortHandler)
+	case o = <-ended:
+	case <-ctx.Done():
+		return model.Lost, "", nil
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return o, figures(s.machine.Report(f.Now())), nil
+}
+
+func figures(eps, queue float64) string { return fmt.Sprintf("eps=%.2f,queue=%.2f", eps, queue) }
+
+// Probe is what the server tells of its load, false if it does not answer.
+func (s *Server) Probe() (report string, ok bool) {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	defer s.arm()
+	eps, queue, ok := s.machine.Load(s.fleet.Now())
+	return figures(eps, queue), ok
 }
--- a/internal/emulator/sockets/sockets_test.go
+++ b/internal/emulator/sockets/sockets_test.go
@@ -23,7 +23,7 @@
 
 func fleet(t *testing.T) *Fleet {
 	t.Helper()
-	f := New(classes, 1)
+	f := New(Options{Classes: classes, Seed: 1})
 	t.Cleanup(func() {
 		f.Close()
 		http.DefaultClient.CloseIdleConnections()
@@ -34,7 +34,7 @@
 
 func start(t *testing.T, f *Fleet, cfg model.Config, cold bool, faults ...model.Fault) *Server {
 	t.Helper()
-	s, err := f.Start("s", "g", cfg, cold, faults...)
+	s, err := f.Start(Spec{Name: "s", Group: "g", Config: cfg, Seed: 1, Cold: cold, Faults: faults})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -43,7 +43,7 @@
 
 // ask sends one request and returns its status, 0 where there is none.
 func ask(s *Server, class, id, key string, patience time.Duration) (int, http.Header) {
-	r, _ := http.NewRequest("POST", "http://"+s.Address+"/"+class+"/x", strings.NewReader("body"))
+	r, _ := http.NewRequest("POST", "http://"+s.Addresses[0]+"/"+class+"/x", strings.NewReader("body"))
 	r.Header.Set("X-Service-Class", class)
 	r.Header.Set("X-Correlation-Id", id)
 	if key != "" {
@@ -93,7 +93,7 @@
 	if code, _ := ask(start(t, f, box, false, lost), "read", "5", "", 300*ms); code != 0 {
 		t.Errorf("swallowed: %d", code)
 	}
-	response, err := http.Get("http://" + well.Address + "/stats")
+	response, err := http.Get("http://" + well.Addresses[0] + "/stats")
 	if err != nil {
 		t.Fatal(err)
 	}
