--- a/cmd/pinedale-rehearse/demo.go
+++ b/cmd/pinedale-rehearse/demo.go
@@ -137,7 +137,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	fmt.Fprintf(out, "in all: asked %d, in time %d, late %d, refused %d, failed %d; effects done twice %d\n",
-		d.sum.asked, d.sum.inTime, d.sum.late, d.sum.refused, d.sum.failed, fleet.Twice())
+		d.sum.asked, d.sum.inTime, d.sum.late, d.sum.refused, d.sum.failed, len(fleet.Twice()))
 	return nil
 }
 
--- a/internal/emulator/live/live.go
+++ b/internal/emulator/live/live.go
@@ -394,7 +394,7 @@
 	for n := range p.s.Servers {
 		p.fallen(n)
 	}
-	twice := p.fleet.Twice()
+	twice := len(p.fleet.Twice())
 	_, most := p.fleet.Connections()
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/emulator/model/memory.go
+++ b/internal/emulator/model/memory.go
@@ -1,6 +1,9 @@
 package model
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Repeat says what a second run of a request of a class does.
 type Repeat uint8
@@ -34,6 +37,8 @@
 	classes []Class
 	keys    map[memoryKey]Time // when it last ran in a scope
 	effects map[string]*effect
+	ran     int
+	dropped int
 }
 
 type memoryKey struct{ scope, key string }
@@ -63,11 +68,13 @@
 		}
 		at, ran := m.keys[memoryKey{scope, key}]
 		if ran && now < at+c.Window {
+			m.dropped++
 			return false
 		}
 		m.keys[memoryKey{scope, key}] = now
 	}
 	e.done++
+	m.ran++
 	return true
 }
 
@@ -83,13 +90,17 @@
 	delete(m.keys, memoryKey{scope, key})
 }
 
-// Twice counts effects of classes that must not be repeated and were done more than
-// once.
-func (m *Memory) Twice() (n int) {
-	for _, e := range m.effects {
+// Counts returns how many requests with a key ran, and how many repeats were dropped.
+func (m *Memory) Counts() (ran, dropped int) { return m.ran, m.dropped }
+
+// Twice names the keys of effects of classes that must not be repeated and were done
+// more than once.
+func (m *Memory) Twice() (keys []string) {
+	for key, e := range m.effects {
 		if m.classes[e.class].Repeat != Safe && e.done > 1 {
-			n++
+			keys = append(keys, key)
 		}
 	}
-	return n
+	slices.Sort(keys)
+	return keys
 }
--- a/internal/emulator/model/server.go
+++ b/internal/emulator/model/server.go
@@ -49,6 +49,7 @@
 // Request is one request as a server gets it.
 type Request struct {
 	Number uint64        // of the attempt: unique in a play
+	Draw   uint64        // that faults are drawn by; 0 for Number
 	Work   time.Duration // on a core of speed 1
 	Class  int
 	Key    string // of the effect, "" where the class has none
@@ -62,7 +63,7 @@
 	Served   Outcome = iota
 	Failed           // an error at once
 	Away             // turned away unseen
-	Refused          // no connection: the server is down or holds too many
+	Refused          // no connection, or it breaks: the server is down, or falls with it
 	Lost             // swallowed: there is no answer, though it has run
 	Repeated         // served from memory: the effect was there already
 )
@@ -79,6 +80,9 @@
 	From, Until Time
 	FailFast    float64 // share of requests that fail at once, with a healthy face
 	Swallow     float64 // share that is never answered
+	TurnAway    float64 // share that is turned away unseen
+	FailLate    float64 // share that fails once its work is done
+	Break       float64 // share whose connection breaks once its work is done
 	Silent      bool    // nothing is answered, nothing refused: the machine has vanished
 }
 
@@ -88,9 +92,8 @@
 // job is a request in work or waiting.
 type job struct {
 	Request
-	left   float64 // work, in seconds of a core of speed 1
-	at     Time    // when it came
-	silent bool    // its answer is swallowed
+	left float64 // work, in seconds of a core of speed 1
+	end  Outcome // once its work is done
 }
 
 // Server is one server. Make one with New.
@@ -157,9 +160,10 @@
 // Purposes of draws.
 const (
 	drawFail = iota + 1
-	drawSwallow
+	drawLate
 	drawPause
 	drawNoise
+	drawAway
 )
 
 // spread is an exponential time of this mean.
@@ -279,7 +283,7 @@
 				continue
 			}
 			s.running = slices.Delete(s.running, i, i+1)
-			out = append(out, s.finish(j)...)
+			out = append(out, Ended{j.Number, j.end, s.now})
 		}
 		s.fill()
 	}
@@ -319,14 +323,6 @@
 	}
 }
 
-// finish ends a request whose work is done.
-func (s *Server) finish(j *job) []Ended {
-	if j.silent {
-		return []Ended{{j.Number, Lost, s.now}}
-	}
-	return []Ended{{j.Number, Served, s.now}}
-}
-
 // fill moves those that wait into free slots.
 func (s *Server) fill() {
 	for len(s.running) < s.cfg.Cores*s.cfg.SlotsPerCore && len(s.waiting) > 0 {
@@ -347,7 +343,10 @@
 		out = append(out, s.Advance(now)...)
 		return append(out, Ended{r.Number, Refused, now})
 	}
-	j := &job{Request: r, left: work, at: now}
+	j, by := &job{Request: r, left: work}, r.Draw
+	if by == 0 {
+		by = r.Number
+	}
 	for _, f := range s.faults {
 		if now < f.From || now >= f.Until {
 			continue
@@ -355,12 +354,22 @@
 		if f.Silent {
 			return out // nobody is there to say so
 		}
-		if s.draw(r.Number, drawFail) < f.FailFast {
+		if s.draw(by, drawAway) < f.TurnAway {
+			return append(out, Ended{r.Number, Away, now})
+		}
+		if s.draw(by, drawFail) < f.FailFast {
 			s.errors = append(s.errors, now)
 			s.end(Ended{r.Number, Failed, now + quick})
 			return out
 		}
-		j.silent = j.silent || s.draw(r.Number, drawSwallow) < f.Swallow
+		switch late := s.draw(by, drawLate); {
+		case late < f.FailLate:
+			j.end = Failed
+		case late < f.FailLate+f.Break:
+			j.end = Refused
+		case late < f.FailLate+f.Break+f.Swallow:
+			j.end = Lost
+		}
 	}
 	full := len(s.running) >= s.cfg.Cores*s.cfg.SlotsPerCore
 	if full && len(s.waiting) >= s.cfg.Cores*s.cfg.QueuePerCore {
@@ -368,11 +377,10 @@
 	}
 	// A repeat is dropped as it comes: its effect is there, or on its way.
 	if r.Key != "" && !s.memory.Run(now, r.Class, r.Key, s.group) {
-		e := Ended{r.Number, Repeated, now + quick}
-		if j.silent {
-			e.Outcome = Lost
+		if j.end == Served {
+			j.end = Repeated
 		}
-		s.end(e)
+		s.end(Ended{r.Number, j.end, now + quick})
 		return out
 	}
 	if full {
--- a/internal/emulator/model/server_test.go
+++ b/internal/emulator/model/server_test.go
@@ -151,6 +151,51 @@
 	}
 }
 
+// Faults that strike when the work is done leave the effect, and are the same for a
+// repeat that is drawn alike.
+func TestLateFaults(t *testing.T) {
+	for name, c := range map[string]struct {
+		fault Fault
+		want  Outcome
+		runs  bool
+	}{
+		"turned away":       {Fault{TurnAway: 1, FailLate: 1}, Away, false},
+		"failing late":      {Fault{FailLate: 1}, Failed, true},
+		"its link breaks":   {Fault{Break: 1}, Refused, true},
+		"swallowed":         {Fault{Swallow: 1}, Lost, true},
+		"none of the three": {Fault{FailLate: 0, Break: 0, Swallow: 0}, Served, true},
+	} {
+		c.fault.Until = time.Hour
+		s := server(box, false, c.fault)
+		for n := range uint64(2) {
+			all := append(s.Arrive(Time(n)*time.Second, Request{Number: n, Draw: 77, Work: ms, Class: 1, Key: "k"}), s.Advance(Time(n+1)*time.Second)...)
+			want := c.want
+			if n == 1 && want == Served {
+				want = Repeated
+			}
+			if got := outcomes(all); got[want] != 1 || len(all) != 1 {
+				t.Errorf("%s, request %d: %v", name, n, got)
+			}
+		}
+		if ran, dropped := s.memory.Counts(); (ran == 1) != c.runs || (dropped == 1) != c.runs {
+			t.Errorf("%s: ran %d, dropped %d", name, ran, dropped)
+		}
+	}
+	// Each has its share.
+	s := server(box, false, Fault{Until: time.Hour, FailLate: 0.1, Break: 0.2, Swallow: 0.3})
+	got := map[Outcome]int{}
+	for n := range uint64(10_000) {
+		for o, k := range outcomes(append(s.Arrive(Time(n)*10*ms, Request{Number: n, Work: ms}), s.Advance(Time(n)*10*ms+5*ms)...)) {
+			got[o] += k
+		}
+	}
+	for o, want := range map[Outcome]int{Failed: 1000, Refused: 2000, Lost: 3000, Served: 4000} {
+		if math.Abs(float64(got[o]-want)) > 200 {
+			t.Errorf("%v, want about %d of outcome %d", got, want, o)
+		}
+	}
+}
+
 // 18% of a fleet failing fast look healthy: their queues are empty, their answers
 // soon. Only the failures tell.
 func TestFailingFastLooksHealthy(t *testing.T) {
@@ -214,8 +259,8 @@
 			t.Errorf("%+v: ran %v", c, got)
 		}
 	}
-	if n := m.Twice(); n != 3 {
-		t.Errorf("%d effects done twice, want a, b and c", n)
+	if keys := m.Twice(); !slices.Equal(keys, []string{"a", "b", "c"}) {
+		t.Errorf("%v done twice, want a, b and c", keys)
 	}
 }
 
--- a/internal/emulator/play/play.go
+++ b/internal/emulator/play/play.go
@@ -143,7 +143,7 @@
 	for end := s.Length + settleFor; len(p.queue) > 0 && p.queue[0].at <= end; {
 		p.next()
 	}
-	p.result.Twice = p.memory.Twice()
+	p.result.Twice = len(p.memory.Twice())
 	for _, h := range p.hosts {
 		if h.fell {
 			p.result.Fell = append(p.result.Fell, h.number)
--- a/internal/emulator/play/play_test.go
+++ b/internal/emulator/play/play_test.go
@@ -9,6 +9,7 @@
 	"pinedale/balancer"
 	"pinedale/internal/emulator/model"
 	"pinedale/internal/emulator/plan"
+	"pinedale/internal/emulator/rivals"
 )
 
 const (
@@ -161,12 +162,35 @@
 	}
 }
 
-func BenchmarkMinuteOfAMarket(b *testing.B) {
-	for b.Loop() {
-		s := market(1)
-		s.Length = time.Minute
-		if _, err := Run(s, Options{}); err != nil {
-			b.Fatal(err)
+// Simulated requests a second of one core, by servers and policy, at half the fleet's
+// load: what a play costs, and what of it is the policy.
+func BenchmarkPlay(b *testing.B) {
+	for _, servers := range []int{10, 100, 1000} {
+		for _, policy := range rivals.Names() {
+			b.Run(fmt.Sprintf("%d/%s", servers, policy), func(b *testing.B) {
+				tries := 0
+				for b.Loop() {
+					s := market(1)
+					for i := len(s.Servers); i < servers; i++ {
+						x := s.Servers[i%10]
+						x.Name, x.Pod = fmt.Sprint("s-", i), i/4
+						s.Servers = append(s.Servers, x)
+					}
+					s.Clients.Rate = 12 * float64(servers)
+					s.Length = max(2*time.Second, time.Duration(100/servers)*time.Second)
+					decide, err := rivals.Named(policy, s.Weights)
+					if err != nil {
+						b.Fatal(err)
+					}
+					r, err := Run(s, Options{Decide: decide})
+					if err != nil {
+						b.Fatal(err)
+					}
+					tries += r.Tries
+				}
+				b.ReportMetric(float64(tries)/b.Elapsed().Seconds(), "requests/s")
+				b.ReportMetric(b.Elapsed().Seconds()*1e6/float64(tries), "us/request")
+			})
 		}
 	}
 }
--- a/internal/emulator/sockets/http1.go
+++ b/internal/emulator/sockets/http1.go
@@ -30,9 +30,9 @@
 // freshKey finds in a request's context whether its connection has carried one.
 type freshKey struct{}
 
-// Listen listens on loopback.
-func (HTTP1) Listen(s *Server, way time.Duration) (string, func(), error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// Listen listens at host:port.
+func (HTTP1) Listen(s *Server, at string, way time.Duration) (string, func(), error) {
+	listener, err := net.Listen("tcp", at)
 	if err != nil {
 		return "", nil, err
 	}
--- a/internal/emulator/sockets/sockets.go
+++ b/internal/emulator/sockets/sockets.go
@@ -17,7 +17,7 @@
 
 // Class is one class of requests as the servers know it.
 type Class struct {
-	Name string
+	Name string // "" stands for all that are not named
 	model.Class
 	Work time.Duration // mean, on a core of speed 1
 	CV   float64       // of the work, lognormal
@@ -25,10 +25,10 @@
 
 // A Transport puts a server on sockets of its own kind.
 type Transport interface {
-	// Listen opens a listener on loopback for clients that are this far away, one way,
+	// Listen opens a listener at host:port for clients that are this far away, one way,
 	// and passes what comes there to the server. stop ends the listener and all its
 	// connections, and returns without waiting for requests in hand.
-	Listen(s *Server, way time.Duration) (address string, stop func(), err error)
+	Listen(s *Server, at string, way time.Duration) (address string, stop func(), err error)
 }
 
 // Options are a fleet's.
@@ -66,6 +66,7 @@
 	Cold   bool
 	Faults []model.Fault
 	Ways   []time.Duration // one way to each group of clients; none: one group, next door
+	Listen string          // host:port of its one address; "" for ports of the system's choice on loopback
 }
 
 // Server is one server on sockets.
@@ -111,8 +112,11 @@
 	if len(spec.Ways) == 0 {
 		spec.Ways = []time.Duration{0}
 	}
+	if spec.Listen == "" {
+		spec.Listen = "127.0.0.1:0"
+	}
 	for _, way := range spec.Ways {
-		address, stop, err := f.o.Transport.Listen(s, way)
+		address, stop, err := f.o.Transport.Listen(s, spec.Listen, way)
 		if err != nil {
 			s.Close()
 			return nil, err
@@ -135,8 +139,15 @@
 	}
 }
 
-// Twice counts effects done twice.
-func (f *Fleet) Twice() int {
+// Counts returns how many requests ran, and how many repeats were dropped.
+func (f *Fleet) Counts() (ran, dropped int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.memory.Counts()
+}
+
+// Twice names the keys of effects that were done twice and must not be.
+func (f *Fleet) Twice() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.memory.Twice()
@@ -253,10 +264,18 @@
 	if f.o.Work != nil {
 		return f.o.Work(class, id)
 	}
+	c := f.o.Classes[class]
+	if c.CV <= 0 {
+		return c.Work
+	}
+	return time.Duration(plan.Lognormal(rand.New(rand.NewPCG(f.o.Seed, hash(id))), float64(c.Work), c.CV))
+}
+
+// hash is a number that follows from a request's id.
+func hash(id string) uint64 {
 	h := fnv.New64a()
 	io.WriteString(h, id)
-	c := f.o.Classes[class]
-	return time.Duration(plan.Lognormal(rand.New(rand.NewPCG(f.o.Seed, h.Sum64())), float64(c.Work), c.CV))
+	return h.Sum64()
 }
 
 // Request is one request as a transport reads it.
@@ -272,10 +291,12 @@
 	f := s.fleet
 	class, ok := f.index[r.Class]
 	if !ok {
-		return 0, "", fmt.Errorf("%q is not a known class", r.Class)
+		if class, ok = f.index[""]; !ok {
+			return 0, "", fmt.Errorf("%q is not a known class", r.Class)
+		}
 	}
-	q := model.Request{Class: class, Work: f.work(class, r.ID), Key: r.Key}
-	if q.Key == "" && f.o.Classes[class].Repeat == model.Unsafe {
+	q := model.Request{Class: class, Work: f.work(class, r.ID), Key: r.Key, Draw: hash(r.ID)}
+	if q.Key == "" {
 		q.Key = "id " + r.ID
 	}
 	ended := make(chan model.Outcome, 1)
@@ -287,6 +308,7 @@
 	q.Number = f.number
 	s.waiting[q.Number] = ended
 	s.give(s.machine.Arrive(f.Now(), q))
+	s.give(s.machine.Advance(f.Now())) // what is no work ends here
 	s.arm()
 	f.mu.Unlock()
 	select {
--- a/internal/emulator/sockets/sockets_test.go
+++ b/internal/emulator/sockets/sockets_test.go
@@ -80,12 +80,12 @@
 			t.Errorf("keyed: %d", code)
 		}
 	}
-	if f.Twice() != 0 {
+	if len(f.Twice()) != 0 {
 		t.Error("a repeat had a second effect")
 	}
 	ask(well, "order", "3", "", time.Minute)
 	ask(well, "order", "3", "", time.Minute)
-	if f.Twice() != 1 {
+	if len(f.Twice()) != 1 {
 		t.Error("an unsafe request that was sent twice was done once")
 	}
 	always := model.Fault{Until: time.Hour}
@@ -175,7 +175,7 @@
 		t.Errorf("answered after %v: it did not wait for what was called off", took)
 	}
 	ask(s, "order", "1", "", time.Minute)
-	if f.Twice() != 1 {
+	if len(f.Twice()) != 1 {
 		t.Error("the effect of what was called off is not there")
 	}
 }
