--- a/cmd/pinedale-rehearse/main_test.go
+++ b/cmd/pinedale-rehearse/main_test.go
@@ -81,6 +81,30 @@
 	}
 }
 
+// On sockets the same commands play for as long as the scenario says; a trace from there
+// is compared by its counts.
+func TestOnSockets(t *testing.T) {
+	text, err := os.ReadFile("../../scenarios/calm.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	short, kept := filepath.Join(dir, "short.toml"), filepath.Join(dir, "trace")
+	if err := os.WriteFile(short, bytes.Replace(text, []byte(`length = "30s"`), []byte(`length = "1500ms"`), 1), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	says(t, "record", "-sockets", "-out", kept, short)
+	if text := says(t, "replay", kept); !strings.Contains(text, "answered 200") {
+		t.Errorf("said %s", text)
+	}
+	if text := says(t, "run", "-sockets", short); !strings.Contains(text, "sockets: 1.5s played") {
+		t.Errorf("said %s", text)
+	}
+	if text := says(t, "rank", "-seeds", "2", short); strings.Count(text, "broken") != 4 {
+		t.Errorf("said %s", text)
+	}
+}
+
 // The demo ends by itself with a summary, and breaks no rule.
 func TestDemo(t *testing.T) {
 	var out bytes.Buffer
