Module: bounds a request brings: time for an attempt, copies, budget, pool; new classes

Need: operators state patience, retries and pools by route and class; the module stays the only one that sends, resends and refuses. Change: Request.TryFor, CopyAfter, Budget and Pool, Class.CopyAt (a quantile of its latencies), Endpoint.Pools, and Configure, which adds classes and budgets while requests in hand keep theirs.

--- a/balancer/api.go
+++ b/balancer/api.go
@@ -51,6 +51,8 @@
 	GiveUp    Micros  // the client's patience over all its tries
 	Worth     float64 // of one request
 	LateWorth float64 // share of the worth earned after the aim
+	CopyAt    float64 // quantile of its latencies after which a second copy is sent; 0 for no such
+	Retired   bool    // no request of it comes any more
 	Stream    bool    // answers are streamed: Headers announces them
 }
 
@@ -61,6 +63,10 @@
 	Share     float64
 }
 
+// Budget bounds how often requests are sent again after they may have run: each request
+// that has the budget earns a share of a retry, up to the burst.
+type Budget struct{ Share, Burst float64 }
+
 // Limits holds what the deployment permits. Tell and DialTimeout are checked
 // but no decision reads them.
 type Limits struct {
@@ -108,7 +114,8 @@
 
 	Classes []Class
 	Tenants []Tenant
-	Fields  []Field // of a load report, in order
+	Budgets []Budget // that requests may have in place of the one for all
+	Fields  []Field  // of a load report, in order
 
 	Limits         Limits
 	Contract       Contract
@@ -149,8 +156,12 @@
 		check(c.Aim > 0, at("Aim"), c.Aim, "must be positive")
 		check(c.GiveUp > 0, at("GiveUp"), c.GiveUp, "must be positive")
 		check(c.Worth >= 0, at("Worth"), c.Worth, "must not be negative")
+		check(c.CopyAt >= 0 && c.CopyAt < 1, at("CopyAt"), c.CopyAt, "must be in 0..1, not 1")
 		check(c.LateWorth >= 0 && c.LateWorth <= 1, at("LateWorth"), c.LateWorth, "must be in 0..1")
 	}
+	for i, u := range s.Budgets {
+		check(u.Share >= 0 && u.Burst >= 0, fmt.Sprintf("Budgets[%d]", i), u, "must not be negative")
+	}
 	for i, t := range s.Tenants {
 		key := fmt.Sprintf("Tenants[%d].Allowance", i)
 		check(t.Allowance >= 0, key, t.Allowance, "must not be negative")
@@ -196,6 +207,7 @@
 	Cell      uint16
 	State     State
 	Share     float32
+	Pools     uint64 // one bit for each pool that it is in
 	StartTime Micros // of its latest start; 0 for long ago
 }
 
@@ -225,6 +237,11 @@
 	Attempts int  // at most so many, where that is fewer than the limits permit; 0 for as many
 	NoCopies bool // no second copy beside an attempt that is out, whatever the limits permit
 
+	TryFor    Micros // the most time for one attempt; 0 for all that is left
+	CopyAfter Micros // a second copy is sent once the first attempt is out for so long; 0 for no such
+	Budget    uint16 // of Settings.Budgets, from 1; 0 for the one for all
+	Pool      uint8  // only endpoints of this pool may have it, from 1 to 64; 0 for all
+
 	// MayHaveRun says that an attempt at the same effect was made before this
 	// request was taken, which may have run: it counts as the first attempt does.
 	MayHaveRun bool
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -31,14 +31,56 @@
 	b := &Balancer{
 		s: s, out: out, rng: source(seed),
 		requests: map[uint64]*request{}, byID: map[uint32]*endpoint{}, logged: map[string]Micros{},
-		classes: make([]classStats, len(s.Classes)), tenants: make([]meter, len(s.Tenants)),
-	}
-	for i := range b.classes {
-		b.classes[i].work = ewma{v: float64(s.Classes[i].Aim) / 5, seen: true}
+		tenants: make([]meter, len(s.Tenants)),
 	}
+	b.configure(s.Classes, s.Budgets)
 	return b, nil
 }
 
+// Configure gives the balancer other classes and budgets. Requests in hand are still of their class: one that
+// is there stays at its number, as it is but for Retired. A budget keeps what is left of it. An error says
+// which setting makes no sense, and changes nothing.
+func (b *Balancer) Configure(classes []Class, budgets []Budget) error {
+	next := b.s
+	next.Classes, next.Budgets = classes, budgets
+	if err := next.Validate(); err != nil {
+		return err
+	}
+	for i, was := range b.s.Classes {
+		if i < len(classes) {
+			was.Retired = classes[i].Retired
+		}
+		if i >= len(classes) || was != classes[i] {
+			return &SettingError{"Classes", was.Name,
+				"requests in hand may be of it: it must stay as it is"}
+		}
+	}
+	b.s = next
+	b.configure(classes, budgets)
+	return nil
+}
+
+func (b *Balancer) configure(classes []Class, budgets []Budget) {
+	for i := len(b.classes); i < len(classes); i++ {
+		aim, copies := float64(classes[i].Aim), share(classes[i].CopyAt > 0)
+		b.classes = append(b.classes, classStats{work: ewma{v: aim / 5, seen: true}, tail: ewma{v: aim * copies}})
+	}
+	for i, u := range budgets {
+		if i == len(b.budgets) {
+			b.budgets = append(b.budgets, u.Burst)
+		}
+		b.budgets[i] = min(b.budgets[i], u.Burst)
+	}
+}
+
+// budget is what is left of a request's budget, with what it earns and how much it holds.
+func (b *Balancer) budget(r *request) (left *float64, u Budget) {
+	if n := int(r.Budget); n > 0 && n <= len(b.s.Budgets) {
+		return &b.budgets[n-1], b.s.Budgets[n-1]
+	}
+	return &b.credit, Budget{retryShare, budgetBurst}
+}
+
 // Start begins the balancer's life.
 func (b *Balancer) Start(now Micros) {
 	b.lag.seen, b.refused.seen, b.lost.seen = true, true, true
@@ -100,7 +142,7 @@
 func (b *Balancer) maySend(now Micros, r *request, e *endpoint) bool {
 	if r.ended || r.stream || r.waits(b.s.Limits.SecondCopies) || now >= r.Deadline ||
 		len(r.attempts) >= b.s.Limits.MaxAttempts || r.Attempts > 0 && len(r.attempts) >= r.Attempts ||
-		e.State != Ready {
+		e.State != Ready || r.Pool > 0 && e.Pools>>(r.Pool-1)&1 == 0 {
 		return false
 	}
 	if e.cold(now, b) && !b.coldRoom(now, e, r.work) {
@@ -112,6 +154,15 @@
 			c.Group == GroupCell && e.Cell == first.cell)
 }
 
+// copyAfter is how long the first attempt is out before a second copy is sent without proof that it is
+// lost; 0 if that is not done. The class's quantile stands for a delay that is not given.
+func (b *Balancer) copyAfter(r *request) Micros {
+	if r.CopyAfter > 0 {
+		return r.CopyAfter
+	}
+	return Micros(b.classes[r.Class].tail.v)
+}
+
 // harmlessFor is for how long a client that is refused may come again without a second
 // effect; 0 if it must not be told that it may.
 func (b *Balancer) harmlessFor(now Micros, r *request) Micros {
@@ -141,9 +192,12 @@
 	e.inflight++
 	e.sentAt = now
 	b.sentWork.add(now, r.work)
-	b.out.Send(r.ID, e.ID, 0)
+	b.out.Send(r.ID, e.ID, r.TryFor)
 	if len(r.attempts) == 1 {
 		b.out.Timer(max(1, r.Deadline-now), r.token)
+		if after := b.copyAfter(r); after > 0 && now+after < r.Deadline {
+			b.out.Timer(after, r.token)
+		}
 	}
 	if b.lost.v >= lostLeast && a.lateAt+Micros(a.expected) < r.Deadline {
 		b.out.Timer(a.lateAt-now, r.token)
@@ -701,6 +755,7 @@
 	trendMost   = 8.0
 	failWeight  = 0.5  // of the latest outcome in an endpoint's share of failures: healthy ones hardly ever fail
 	wayWeight   = 0.25 // the same for a failure of the way there: connections break at healthy endpoints, too
+	tailStep    = 0.02 // of the aim, by which a quantile moves at most with one answer
 	lateFactor  = 2.5  // times the latency expected, and
 	lateLeast   = 0.25 // of the aim at least, after which an answer is late
 	passLeast   = 10   // requests that seem too late: one of so many is sent all the same,
@@ -723,7 +778,8 @@
 	}
 	r := b.newRequest(now, in)
 	b.demand.add(now, 1)
-	b.credit = min(budgetBurst, b.credit+retryShare)
+	left, u := b.budget(r)
+	*left = min(u.Burst, *left+u.Share)
 	b.copies = min(budgetBurst, b.copies+copyShare)
 	c := &b.classes[in.Class]
 	c.asked.add(now, 1)
@@ -796,6 +852,9 @@
 	worst := 1.0
 	for i := range b.classes {
 		c := &b.classes[i]
+		if b.s.Classes[i].Retired {
+			continue
+		}
 		rate := c.asked.rate(now)
 		work += rate * c.work.v
 		worth += rate * b.worth(i)
@@ -804,6 +863,9 @@
 	var top, own float64
 	for i := range b.classes {
 		c := &b.classes[i]
+		if b.s.Classes[i].Retired && i != int(r.Class) {
+			continue
+		}
 		part := c.asked.rate(now) * c.work.v / work
 		v := (b.s.Goal.Whole + windowGain*b.s.Goal.WorstWindow) * b.worth(i) / c.work.v * work / worth
 		v += b.s.Goal.WorstClass / max(0.05, part) * math.Exp((worst-c.good.or(1))/0.1)
@@ -856,12 +918,23 @@
 		}
 		b.decide(now, r)
 	} else if n := len(r.attempts); n > 0 {
-		if a := &r.attempts[n-1]; a.out && !a.late && now >= a.lateAt {
+		a := &r.attempts[n-1]
+		if after := b.copyAfter(r); n == 1 && a.out && !a.late && after > 0 && now >= a.at+after {
+			a.late, a.planned = true, true
+			b.copy(now, r)
+		} else if a.out && !a.late && now >= a.lateAt {
 			b.late(now, r, a)
 		}
 	}
 }
 
+// copy sends a second copy, if the limits, the class and the copies' budget permit.
+func (b *Balancer) copy(now Micros, r *request) {
+	if b.s.Limits.SecondCopies && !r.NoCopies && b.copies >= 1 && b.attempt(now, r, false) {
+		b.copies--
+	}
+}
+
 // late handles an attempt that takes far longer than was expected. Where all wait in line it must be waited
 // for: a second copy doubles the work of those that have too much. But where a later one was answered before
 // it, or nothing was heard at all since, not even a probe, it is lost: endpoints and the ways to them may
@@ -883,9 +956,7 @@
 		return
 	}
 	a.late = true
-	if b.s.Limits.SecondCopies && !r.NoCopies && b.copies >= 1 && b.attempt(now, r, false) {
-		b.copies--
-	}
+	b.copy(now, r)
 }
 
 // Headers handles the start of a streamed answer: no deadline and no attempt concern it from here on.
@@ -921,7 +992,7 @@
 	if o.Status == OK || o.Status == Error || o.Status == Full {
 		a.ep.heardAt, a.ep.answered = now, max(a.ep.answered, a.at)
 	}
-	lost := a.late && o.Status == Cancelled ||
+	lost := a.late && !a.planned && o.Status == Cancelled ||
 		o.Status == Timeout && (a.ep.answered > a.at || a.ep.heardAt < a.at)
 	b.lost.add(share(lost), lostWeight)
 	b.record(now, r, a, o.Status, o.Latency)
@@ -936,8 +1007,8 @@
 		return
 	}
 	price := share(a.mayRun) // what never ran may be sent again for nothing
-	if b.credit >= price && b.attempt(now, r, false) {
-		b.credit -= price
+	if left, _ := b.budget(r); *left >= price && b.attempt(now, r, false) {
+		*left -= price
 		return
 	}
 	if r.out == 0 { // else another copy may still be answered
@@ -954,6 +1025,10 @@
 		e.br.latency(float64(latency))
 		e.errs, e.errAt = (1-failWeight)*e.failing(now), now
 		b.learnPace(now, r, a, float64(latency), false)
+		if c, tail := b.class(r), &b.classes[r.Class].tail; c.CopyAt > 0 {
+			// Robbins and Monro's: up by a part where it was slower, down by the rest where it was not.
+			tail.v += tailStep * float64(c.Aim) * (c.CopyAt - share(float64(latency) <= tail.v))
+		}
 	case Cancelled, Moot:
 	default:
 		e.br.count(now, 0, 1)
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -31,6 +31,7 @@
 	askWait    Micros
 
 	classes  []classStats
+	budgets  []float64 // what is left of each
 	tenants  []meter   // requests taken, by tenant
 	ways     [256]ewma // least time of a probe to each zone and back
 	fleet    ewma      // pace of the whole fleet
@@ -57,6 +58,7 @@
 	work   ewma   // mean work of a request
 	asked  meter  // requests taken
 	good   ewma   // share answered in time
+	tail   ewma   // latency at its class's CopyAt
 	passed Micros // last request sent although it seemed too late
 	since  int    // requests that seemed too late since then
 }
@@ -91,6 +93,7 @@
 	lateAt   Micros  // when it should have had its outcome long ago
 	doubted  bool    // that has passed once
 	late     bool    // it is given up for lost, though its outcome may still come
+	planned  bool    // and not for lost: its class wants a second copy by then
 	out      bool    // no outcome yet
 	mayRun   bool    // it may have had its effect, or may yet
 }
