--- a/internal/emulator/rivals/rivals.go
+++ b/internal/emulator/rivals/rivals.go
@@ -72,6 +72,12 @@
 func (b *rival) Timer(balancer.Micros, uint32)                                               {}
 func (b *rival) Probed(balancer.Micros, uint32, balancer.Status, balancer.Micros, []float32) {}
 
+// Configure takes other classes.
+func (b *rival) Configure(classes []balancer.Class, _ []balancer.Budget) error {
+	b.settings.Classes = classes
+	return nil
+}
+
 // Members keeps the ready endpoints.
 func (b *rival) Members(_ balancer.Micros, kind balancer.ListKind, entries []balancer.Endpoint) {
 	switch kind {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net/http"
 	"net/url"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -89,6 +90,23 @@
 	ClientGone(now balancer.Micros, id uint64)
 	Timer(now balancer.Micros, token uint32)
 	Probed(now balancer.Micros, endpoint uint32, status balancer.Status, latency balancer.Micros, load []float32)
+	Configure(classes []balancer.Class, budgets []balancer.Budget) error
+}
+
+// Admission decides, ahead of the balancer, whether a request is let in at all. It is
+// called on the engine's goroutine.
+type Admission interface {
+	// Admit lets a request in, or says after which time another try is welcome.
+	Admit(now balancer.Micros, in *balancer.Request) (retryAfter balancer.Micros, ok bool)
+	// Over follows once the request has its final answer, or its client is gone.
+	Over(in *balancer.Request)
+}
+
+// Table is what may change of an engine's settings while it runs.
+type Table struct {
+	Classes []balancer.Class // numbers of before mean the same classes
+	Budgets []balancer.Budget
+	Pools   func(site, kind string) uint64 // that a server is in, one bit for each; nil for none
 }
 
 // Options are an engine's surroundings.
@@ -102,6 +120,9 @@
 	Source   Source
 	Log      *slog.Logger
 
+	Admission Admission // nil lets all in
+	Pools     func(site, kind string) uint64
+
 	// Clock, where set, takes the place of the system's time and of Run: its goroutine
 	// calls Start and all else, Post handles an event at once, and Tell stands in for
 	// Source, which may be nil.
@@ -121,6 +142,8 @@
 	ctx    context.Context // ends with the engine
 	listed atomic.Bool     // endpoints are known
 
+	settings atomic.Pointer[balancer.Settings]
+
 	// Below: the engine's goroutine alone.
 	balancer  Decider
 	soon      []func(now balancer.Micros) // to run once the balancer is not at work
@@ -143,6 +166,7 @@
 		addresses: map[string]uint32{},
 		stopWatch: func() {},
 	}
+	e.settings.Store(&o.Settings)
 	if e.clock.Clock = o.Clock; o.Clock == nil {
 		e.clock.Clock, e.events = system{}, make(chan func(balancer.Micros), eventsMost)
 	}
@@ -216,8 +240,29 @@
 // Time is the system's time at an instant of the balancer's.
 func (e *Engine) Time(at balancer.Micros) time.Time { return e.clock.time(at) }
 
-// Settings are the balancer's.
-func (e *Engine) Settings() *balancer.Settings { return &e.opts.Settings }
+// Settings are the balancer's, as they are now. They must not be changed.
+func (e *Engine) Settings() *balancer.Settings { return e.settings.Load() }
+
+// Configure changes classes, budgets and pools, and nothing if it returns an error.
+// Requests in hand keep their classes. It must be called on the engine's goroutine.
+func (e *Engine) Configure(now balancer.Micros, t Table) error {
+	if err := e.balancer.Configure(t.Classes, t.Budgets); err != nil {
+		return err
+	}
+	next := *e.Settings()
+	next.Classes, next.Budgets = t.Classes, t.Budgets
+	e.settings.Store(&next)
+	e.opts.Pools = t.Pools
+	var entries []balancer.Endpoint
+	for id, m := range e.fleet {
+		if !m.gone {
+			entries = append(entries, e.entry(id, m.host))
+		}
+	}
+	slices.SortFunc(entries, func(a, b balancer.Endpoint) int { return int(a.ID) - int(b.ID) })
+	e.balancer.Members(now, balancer.ListDelta, entries)
+	return nil
+}
 
 // Listed says whether an endpoint is known that requests may go to.
 func (e *Engine) Listed() bool { return e.listed.Load() }
--- a/internal/engine/ledger.go
+++ b/internal/engine/ledger.go
@@ -19,6 +19,8 @@
 
 	id       uint64
 	deadline balancer.Micros
+	in       balancer.Request
+	admitted bool
 	over     bool // the final answer is out, or the client is gone
 	attempts []*Attempt
 	out      int // attempts without outcome
@@ -68,7 +70,7 @@
 	e.balancer.Outcome(now, balancer.Outcome{ID: r.id, Attempt: a.Number, Endpoint: served, Status: res.Status,
 		Latency: now - a.sent, Settled: r.over || res.Settled, Load: res.Load})
 	if res.Settled {
-		r.over = true
+		e.close(r)
 	}
 	e.forget(r)
 	e.back(a.Endpoint)
@@ -79,6 +81,14 @@
 func (e *Engine) Take(now balancer.Micros, r *Request, in balancer.Request) {
 	e.lastID++
 	r.id, in.ID, r.deadline = e.lastID, e.lastID, in.Deadline
+	if a := e.opts.Admission; a != nil {
+		retryAfter, ok := a.Admit(now, &in)
+		if !ok {
+			e.finish(r, Answer{Code: http.StatusServiceUnavailable, RetryAfter: retryAfter})
+			return
+		}
+		r.in, r.admitted = in, true
+	}
 	e.requests[r.id] = r
 	e.balancer.Request(now, in)
 	e.forget(r)
@@ -88,7 +98,7 @@
 // be called on the engine's goroutine.
 func (e *Engine) Gone(now balancer.Micros, r *Request) {
 	if !r.over {
-		r.over = true
+		e.close(r)
 		e.balancer.ClientGone(now, r.id)
 		e.forget(r)
 	}
@@ -97,11 +107,19 @@
 // finish gives the final answer, unless one is out already.
 func (e *Engine) finish(r *Request, a Answer) {
 	if r != nil && !r.over {
-		r.over = true
+		e.close(r)
 		r.Answer(a)
 	}
 }
 
+// close marks that nothing more is owed for a request.
+func (e *Engine) close(r *Request) {
+	if r.over = true; r.admitted {
+		r.admitted = false
+		e.opts.Admission.Over(&r.in)
+	}
+}
+
 func (e *Engine) forget(r *Request) {
 	if r.over && r.out == 0 {
 		delete(e.requests, r.id)
--- a/internal/engine/members.go
+++ b/internal/engine/members.go
@@ -68,6 +68,7 @@
 // out there any more. Endpoints come and go all day under ever new names.
 type member struct {
 	name   string
+	host   Host    // as last listed
 	target *Target // nil unless ready
 	zone   uint8
 	cell   uint16
@@ -105,12 +106,7 @@
 			e.ids[h.Name], e.fleet[id] = id, &member{name: h.Name}
 		}
 		named[id] = true
-		entry := balancer.Endpoint{ID: id, Zone: number(e.opts.Zones, h.Site), Kind: number(e.opts.Kinds, h.Kind),
-			Cell: h.Cell, State: h.State, Share: h.Share}
-		if h.BornMS > 0 {
-			entry.StartTime = h.BornMS * 1000
-		}
-		entries = append(entries, entry)
+		entries = append(entries, e.entry(id, h))
 		e.aim(id, h)
 	}
 	ready := false
@@ -124,6 +120,19 @@
 	e.balancer.Members(now, kind, entries)
 }
 
+// entry is an endpoint as the balancer is told of it.
+func (e *Engine) entry(id uint32, h Host) balancer.Endpoint {
+	out := balancer.Endpoint{ID: id, Zone: number(e.opts.Zones, h.Site), Kind: number(e.opts.Kinds, h.Kind),
+		Cell: h.Cell, State: h.State, Share: h.Share}
+	if h.BornMS > 0 {
+		out.StartTime = h.BornMS * 1000
+	}
+	if e.opts.Pools != nil {
+		out.Pools = e.opts.Pools(h.Site, h.Kind)
+	}
+	return out
+}
+
 // Tell passes on a list or changes where no source is watched. It must be called on
 // the engine's goroutine.
 func (e *Engine) Tell(now balancer.Micros, kind balancer.ListKind, list List) {
@@ -136,6 +145,7 @@
 	m := e.fleet[id]
 	m.gone = h.State == balancer.Gone
 	if !m.gone {
+		m.host = h
 		m.zone, m.cell = number(e.opts.Zones, h.Site), h.Cell
 	}
 	if t := m.target; t != nil && (h.State != balancer.Ready || t.Address != h.Dial || t.Born != h.BornMS) {
--- a/internal/front/extproc/extproc_test.go
+++ b/internal/front/extproc/extproc_test.go
@@ -896,7 +896,7 @@
 		if err != nil {
 			return
 		}
-		h, err := readHead(in.GetRequestHeaders())
+		h, err := readHead(in.GetRequestHeaders(), true)
 		if err == nil && (h.method == "" || h.path == "") {
 			t.Error("a head without method or path")
 		}
--- a/internal/front/extproc/messages.go
+++ b/internal/front/extproc/messages.go
@@ -59,6 +59,7 @@
 // head is what is read of a request's headers.
 type head struct {
 	method, path string
+	host         string
 	header       http.Header
 	length       string // of the body, as stated
 	attempt      int    // the caller's count, from 1; 0 where it does not count
@@ -71,8 +72,9 @@
 	return h.Value
 }
 
-// readHead reads a request's headers. Its errors are *intake.Error.
-func readHead(in *extprocv3.HttpHeaders) (head, error) {
+// readHead reads a request's headers: those that every request is asked for, or all
+// where routes may go by others. Its errors are *intake.Error.
+func readHead(in *extprocv3.HttpHeaders, all bool) (head, error) {
 	out := head{header: make(http.Header, len(asked))}
 	for _, h := range in.GetHeaders().GetHeaders() {
 		if h == nil {
@@ -84,6 +86,8 @@
 			field = &out.method
 		case ":path":
 			field = &out.path
+		case ":authority":
+			field = &out.host
 		case headerLength:
 			field = &out.length
 		case headerAttempts:
@@ -94,7 +98,11 @@
 			out.attempt = n
 			continue
 		default:
-			if name, ok := asked[h.Key]; ok {
+			name, ok := asked[h.Key]
+			if !ok && all {
+				name = http.CanonicalHeaderKey(h.Key)
+			}
+			if name != "" {
 				out.header[name] = append(out.header[name], value(h))
 			}
 			continue
--- a/internal/front/extproc/server.go
+++ b/internal/front/extproc/server.go
@@ -52,7 +52,8 @@
 	Retries bool // callers ask again after a reported failure
 	Entries int  // requests remembered
 	Fields  []string
-	Drain   time.Duration // longest deadline of a class: open verdicts finish within it
+	Parser  *intake.Parser // nil for that of the engine's settings
+	Drain   time.Duration  // longest deadline of a class: open verdicts finish within it
 	Log     *slog.Logger
 }
 
@@ -73,7 +74,10 @@
 // New returns a front of the engine.
 func New(e *engine.Engine, o Options) *Server {
 	set := e.Settings()
-	s := &Server{engine: e, parser: intake.NewParser(set), opts: o, health: health.NewServer(), ended: make(chan struct{}),
+	if o.Parser == nil {
+		o.Parser = intake.NewParser(set)
+	}
+	s := &Server{engine: e, parser: o.Parser, opts: o, health: health.NewServer(), ended: make(chan struct{}),
 		host: newHost(e, verdict.Limits{Classes: set.Classes, Attempts: set.Limits.MaxAttempts,
 			Copies: set.Limits.SecondCopies, Retries: o.Retries, Entries: o.Entries})}
 	s.grpc = grpc.NewServer(grpc.MaxRecvMsgSize(messageMost), grpc.InTapHandle(s.admit),
@@ -87,6 +91,10 @@
 	return s
 }
 
+// Classes tells of classes that have come; those of before keep their numbers. It must
+// be called on the engine's goroutine.
+func (s *Server) Classes(all []balancer.Class) { s.host.ledger.Classes(all) }
+
 func (s *Server) setHealth(is healthv1.HealthCheckResponse_ServingStatus) {
 	s.health.SetServingStatus("", is)
 	s.health.SetServingStatus(extprocv3.ExternalProcessor_ServiceDesc.ServiceName, is)
--- a/internal/front/extproc/stream.go
+++ b/internal/front/extproc/stream.go
@@ -145,12 +145,12 @@
 		c.answer = true
 		return immediate(intake.Code(err), 0, err.Error()), nil
 	}
-	h, err := readHead(in)
+	h, err := readHead(in, s.parser.Routed())
 	if err != nil {
 		return refuse(err)
 	}
 	path, _, _ := strings.Cut(h.path, "?")
-	p, err := s.parser.Parse(intake.Request{Method: h.method, Path: path, Header: h.header,
+	p, err := s.parser.Parse(intake.Request{Method: h.method, Host: h.host, Path: path, Header: h.header,
 		Body: !in.GetEndOfStream() && h.length != "0", At: arrived})
 	if err != nil {
 		return refuse(err)
--- a/internal/front/httpfront/server.go
+++ b/internal/front/httpfront/server.go
@@ -35,10 +35,11 @@
 
 // Options bound what clients may hold.
 type Options struct {
-	Connections int           // open at most
-	Crowded     int           // asked-on connections from which an answer ends its own
-	BodyBytes   int64         // of requests in hand, at most
-	AcceptFor   time.Duration // new connections are still accepted after the end; 0 for what the platform asks
+	Connections int            // open at most
+	Crowded     int            // asked-on connections from which an answer ends its own
+	BodyBytes   int64          // of requests in hand, at most
+	Parser      *intake.Parser // nil for that of the engine's settings
+	AcceptFor   time.Duration  // new connections are still accepted after the end; 0 for what the platform asks
 	Log         *slog.Logger
 }
 
@@ -85,7 +86,10 @@
 	if o.AcceptFor == 0 {
 		o.AcceptFor = acceptAfter
 	}
-	s := &Server{engine: e, up: up, parser: intake.NewParser(e.Settings()), ids: map[string]bool{}, opts: o,
+	if o.Parser == nil {
+		o.Parser = intake.NewParser(e.Settings())
+	}
+	s := &Server{engine: e, up: up, parser: o.Parser, ids: map[string]bool{}, opts: o,
 		clients: &clients{most: o.Connections, mostAsked: o.Crowded}}
 	// Not a ServeMux: it would redirect paths that endpoints are to see as they are.
 	s.http = http.Server{Handler: http.HandlerFunc(s.handle),
@@ -157,7 +161,7 @@
 	var req intake.Parsed
 	if !ready {
 		var err error
-		if req, err = s.parser.Parse(intake.Request{Method: in.Method, Path: in.URL.Path, Header: in.Header,
+		if req, err = s.parser.Parse(intake.Request{Method: in.Method, Host: in.Host, Path: in.URL.Path, Header: in.Header,
 			Body: in.ContentLength != 0, At: arrived}); err != nil {
 			reject(w, in, err)
 			return
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"pinedale/balancer"
@@ -66,29 +67,79 @@
 	return http.StatusBadRequest
 }
 
-// Parser knows the classes and tenants of an installation. It does not change and
-// may be shared.
-type Parser struct {
-	settings *balancer.Settings
-	classes  map[string]uint8
-	tenants  map[string]uint16
+// Bounds is what holds for the requests of a class or route. Zero figures bound nothing.
+type Bounds struct {
+	Class     uint8
+	ClassName string
+	Repeat    balancer.Repeat
+	Methods   bool            // the route has said which methods it takes
+	Deadline  balancer.Micros // the most time that a request gets
+	TryFor    balancer.Micros // as the fields of balancer.Request, as are those below
+	CopyAfter balancer.Micros
+	Attempts  int
+	NoCopies  bool
+	Budget    uint16
+	Pool      uint8
 }
 
+// Router says which class a request is of. A router does not change, and may be shared.
+type Router interface {
+	// Routed says that Route decides; without, requests name their class.
+	Routed() bool
+	// Route returns the bounds of a request by its route.
+	Route(in *Request) (*Bounds, bool)
+	// OfClass returns those of a class by its name.
+	OfClass(name string) (*Bounds, bool)
+	// Tenant returns a tenant's number. Where there are none, none is asked for.
+	Tenant(name string) (uint16, bool)
+	Tenants() int
+}
+
+// Parser knows the classes and tenants of an installation. It may be shared.
+type Parser struct{ router atomic.Pointer[Router] }
+
 // NewParser returns a parser for the classes and tenants of the settings.
 func NewParser(s *balancer.Settings) *Parser {
-	p := &Parser{settings: s, classes: map[string]uint8{}, tenants: map[string]uint16{}}
+	known := &plain{map[string]*Bounds{}, map[string]uint16{}}
 	for i, c := range s.Classes {
-		p.classes[c.Name] = uint8(i)
+		known.classes[c.Name] = &Bounds{Class: uint8(i), ClassName: c.Name, Repeat: c.Repeat}
 	}
 	for i, t := range s.Tenants {
-		p.tenants[t.Name] = uint16(i)
+		known.tenants[t.Name] = uint16(i)
 	}
+	p := &Parser{}
+	p.Use(known)
 	return p
 }
 
+// Use has the parser go by another router from now on.
+func (p *Parser) Use(r Router) { p.router.Store(&r) }
+
+// Routed says that requests are told apart by routes, and so perhaps by any header.
+func (p *Parser) Routed() bool { return (*p.router.Load()).Routed() }
+
+// plain is the router of settings: requests name their class.
+type plain struct {
+	classes map[string]*Bounds
+	tenants map[string]uint16
+}
+
+func (p *plain) Routed() bool                   { return false }
+func (p *plain) Route(*Request) (*Bounds, bool) { return nil, false }
+func (p *plain) Tenants() int                   { return len(p.tenants) }
+func (p *plain) OfClass(name string) (*Bounds, bool) {
+	b, ok := p.classes[name]
+	return b, ok
+}
+func (p *plain) Tenant(name string) (uint16, bool) {
+	n, ok := p.tenants[name]
+	return n, ok
+}
+
 // Request is what a front has of a request before its body.
 type Request struct {
 	Method string
+	Host   string // as the request names it, with or without port
 	Path   string // without the query
 	Header http.Header
 	Body   bool            // it has one, or may
@@ -102,6 +153,29 @@
 	IdempotencyKey string // "" unless the class is keyed
 }
 
+// bounds finds what holds for a request: by its route, or by the class that it names.
+func bounds(router Router, in *Request) (*Bounds, error) {
+	name := in.Header.Get(HeaderClass)
+	if router.Routed() {
+		b, ok := router.Route(in)
+		if !ok {
+			return nil, &Error{http.StatusNotFound, "no route is of this request"}
+		}
+		if name != "" && name != b.ClassName {
+			return nil, Bad("%s: %q, but the route's class is %q", HeaderClass, name, b.ClassName)
+		}
+		return b, nil
+	}
+	b, ok := router.OfClass(name)
+	if !ok {
+		return nil, Bad("%s: %q is not a known class", HeaderClass, name)
+	}
+	if first, _, _ := strings.Cut(strings.TrimPrefix(in.Path, "/"), "/"); first != name {
+		return nil, Bad("the path is not of %s %q", HeaderClass, name)
+	}
+	return b, nil
+}
+
 // Parse reads a request's head. Its errors are *Error.
 func (p *Parser) Parse(in Request) (Parsed, error) {
 	var out Parsed
@@ -115,17 +189,14 @@
 	if n := len(out.CorrelationID); n == 0 || n > idMost {
 		return out, Bad("%s: %d characters, must be 1 to %d", HeaderID, n, idMost)
 	}
-	name := h.Get(HeaderClass)
-	class, ok := p.classes[name]
-	if !ok {
-		return out, Bad("%s: %q is not a known class", HeaderClass, name)
-	}
-	if first, _, _ := strings.Cut(strings.TrimPrefix(in.Path, "/"), "/"); first != name {
-		return out, Bad("the path is not of %s %q", HeaderClass, name)
+	router := *p.router.Load()
+	b, err := bounds(router, &in)
+	if err != nil {
+		return out, err
 	}
-	out.Class = class
+	out.Class = b.Class
 	method, key := http.MethodPost, h.Get(HeaderKey)
-	switch p.settings.Classes[class].Repeat {
+	switch b.Repeat {
 	case balancer.Safe:
 		method = http.MethodGet
 	case balancer.Keyed:
@@ -137,20 +208,28 @@
 		}
 		out.IdempotencyKey = key
 	}
-	if in.Method != method {
+	if in.Method != method && !b.Methods {
 		return out, &Error{http.StatusMethodNotAllowed, fmt.Sprintf("requests of this class are %s", method)}
 	}
-	if method == http.MethodGet && in.Body {
+	if in.Method == http.MethodGet && in.Body {
 		return out, Bad("a GET has no body")
 	}
-	left, err := strconv.ParseUint(h.Get(HeaderTimeLeft), 10, 63)
-	if err != nil {
-		return out, Bad("%s: %q is not a whole number of milliseconds", HeaderTimeLeft, h.Get(HeaderTimeLeft))
+	most := TimeLeftMost.Microseconds()
+	if b.Deadline > 0 {
+		most = min(most, b.Deadline)
+	}
+	if told := h.Get(HeaderTimeLeft); told != "" || !router.Routed() {
+		left, err := strconv.ParseUint(told, 10, 63)
+		if err != nil {
+			return out, Bad("%s: %q is not a whole number of milliseconds", HeaderTimeLeft, told)
+		}
+		most = min(most, int64(min(left, uint64(TimeLeftMost.Milliseconds())))*1000)
 	}
-	left = min(left, uint64(TimeLeftMost.Milliseconds()))
-	out.Deadline = in.At + int64(left)*1000 - AnswerMargin.Microseconds()
-	if len(p.tenants) > 0 {
-		if out.Tenant, ok = p.tenants[h.Get(HeaderTenant)]; !ok {
+	out.Deadline = in.At + most - AnswerMargin.Microseconds()
+	out.TryFor, out.CopyAfter, out.Attempts, out.NoCopies, out.Budget, out.Pool = b.TryFor, b.CopyAfter, b.Attempts, b.NoCopies, b.Budget, b.Pool
+	if router.Tenants() > 0 {
+		var ok bool
+		if out.Tenant, ok = router.Tenant(h.Get(HeaderTenant)); !ok {
 			return out, Bad("%s: %q is not a known tenant", HeaderTenant, h.Get(HeaderTenant))
 		}
 	}
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -227,19 +227,19 @@
 	for i := range c.Classes {
 		c.class(i, classes)
 	}
-	pools := map[string]uint8{}
+	pools := map[string]bool{}
 	c.require(len(c.Pools) <= poolsMost, "pool", "%d pools, at most %d", len(c.Pools), poolsMost)
 	for i, p := range c.Pools {
 		at := fmt.Sprintf("pool[%d].", i)
-		c.require(p.Name != "" && pools[p.Name] == 0, at+"name", "%q is missing or there twice", p.Name)
-		pools[p.Name] = uint8(min(i+1, poolsMost))
+		c.require(p.Name != "" && !pools[p.Name], at+"name", "%q is missing or there twice", p.Name)
+		pools[p.Name] = true
 	}
 	c.tenants()
 	c.require(len(c.Routes) <= routesMost, "route", "%d routes, at most %d", len(c.Routes), routesMost)
 	for i := range c.Routes {
 		c.route(i, classes, pools)
 	}
-	t := newTable(c, before, pools)
+	t := newTable(c, before)
 	c.overlaps(t)
 	if slices.ContainsFunc(c.faults, func(f Fault) bool { return !f.Warning }) {
 		return nil, c.faults
@@ -294,7 +294,7 @@
 }
 
 func (c *compiler) patience(at string, p *Patience) {
-	for key, d := range map[string]time.Duration{"try_for": p.TryFor, "copy_after": p.CopyAfter, "deadline": p.Deadline} {
+	for key, d := range map[string]time.Duration{"try_for": p.TryFor, "copy_after": p.CopyAfter} {
 		c.require(d >= 0, at+key, "%v is negative", d)
 	}
 	c.require(p.Attempts >= 0 && p.Attempts <= c.Limits.Attempts, at+"attempts", "rule attempts: %d is not in 1 to the %d of limits.attempts", p.Attempts, c.Limits.Attempts)
@@ -311,6 +311,9 @@
 func (c *compiler) effective(at string, e Effective) {
 	key := func(name string) string { return at + name }
 	l, k := &c.Limits, e.Class
+	if e.Deadline <= 0 {
+		return // that is told by itself
+	}
 	c.require(e.Deadline <= l.DeadlineMost, key("deadline"), "%v is over %v, the most that a request gets", e.Deadline, l.DeadlineMost)
 	c.require(e.TryFor <= e.Deadline, key("try_for"), "%v is over the deadline of %v", e.TryFor, e.Deadline)
 	c.require(e.CopyAfter == 0 || k.Repeat != balancer.Unsafe, key("copy_after"), "rule unsafe: a request of this class is never sent twice")
@@ -351,7 +354,7 @@
 	}
 }
 
-func (c *compiler) route(i int, classes map[string]*Class, pools map[string]uint8) {
+func (c *compiler) route(i int, classes map[string]*Class, pools map[string]bool) {
 	r := &c.Routes[i]
 	at := fmt.Sprintf("route[%d].", i)
 	c.require(r.Path == "" || r.Prefix == "", at+"prefix", "path is set, too: a route has one of the two")
@@ -365,8 +368,9 @@
 		c.require(name != "" && word(name), at+"headers", "%q is not a header's name", name)
 		c.require(!strings.ContainsAny(value, "\r\n\x00"), at+"headers", "the value of %q has characters that no header has", name)
 	}
-	c.require(r.Pool == "" || pools[r.Pool] > 0, at+"pool", "%q is not a pool of this file", r.Pool)
+	c.require(r.Pool == "" || pools[r.Pool], at+"pool", "%q is not a pool of this file", r.Pool)
 	c.patience(at, &r.Patience)
+	c.require(r.Deadline >= 0, at+"deadline", "%v is negative", r.Deadline)
 	class := classes[r.Class]
 	if !c.require(class != nil, at+"class", "%q is not a class of this file", r.Class) {
 		return
--- a/internal/policy/table.go
+++ b/internal/policy/table.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pinedale/balancer"
+	"pinedale/internal/admission"
 )
 
 // Bounds is what a request of a route brings to the decision module.
@@ -20,6 +21,7 @@
 	Budget    uint16
 	Pool      uint8
 	ClassName string
+	Repeat    balancer.Repeat
 	Methods   bool // the route says which methods it takes
 }
 
@@ -51,8 +53,9 @@
 	byName  map[string]*Bounds
 	places  map[place][]*entry // the most specific first
 	hosts   bool               // a route names one
-	tenants map[string]uint16
-	pools   map[string]uint8
+	tenants []string           // by number, with those of tables before
+	pools   []string           // likewise, by bit
+	tenant  map[string]uint16
 }
 
 // Classes are the module's, retired ones included.
@@ -67,6 +70,18 @@
 // Routed says that the file has routes: without, a request names its class itself.
 func (t *Table) Routed() bool { return len(t.config.Routes) > 0 }
 
+// Each calls f for the bounds of each class and route.
+func (t *Table) Each(f func(*Bounds)) {
+	for _, b := range t.byName {
+		f(b)
+	}
+	for _, list := range t.places {
+		for _, e := range list {
+			f(&e.Bounds)
+		}
+	}
+}
+
 // OfClass returns the bounds of a class by its name.
 func (t *Table) OfClass(name string) (*Bounds, bool) {
 	b, ok := t.byName[name]
@@ -75,28 +90,45 @@
 
 // Tenant returns a tenant's number.
 func (t *Table) Tenant(name string) (uint16, bool) {
-	n, ok := t.tenants[name]
+	n, ok := t.tenant[name]
 	return n, ok
 }
 
 // Tenants counts them.
 func (t *Table) Tenants() int { return len(t.config.Tenants) }
 
+// Admission is what the file says of letting requests in, by the numbers of tenants and
+// classes.
+func (t *Table) Admission(rate float64) admission.Config {
+	out := admission.Config{Rate: rate, Classes: make([]admission.Class, len(t.classes))}
+	if len(t.config.Tenants) > 0 {
+		out.Tenants = make([]admission.Tenant, len(t.tenants))
+	}
+	for _, x := range t.config.Tenants {
+		out.Tenants[t.tenant[x.Name]] = admission.Tenant{Weight: x.Weight, Open: x.Open}
+	}
+	for _, k := range t.config.Classes {
+		out.Classes[t.byName[k.Name].Class] = admission.Class{Open: k.Open, BrownOut: k.BrownOut}
+	}
+	return out
+}
+
 // Pools is one bit for each pool that a server of this site and kind is in.
 func (t *Table) Pools(site, kind string) (bits uint64) {
-	for i, p := range t.config.Pools {
+	for _, p := range t.config.Pools {
 		if (len(p.Sites) == 0 || slices.Contains(p.Sites, site)) && (len(p.Kinds) == 0 || slices.Contains(p.Kinds, kind)) {
-			bits |= 1 << i
+			bits |= 1 << slices.Index(t.pools, p.Name)
 		}
 	}
 	return bits
 }
 
 // newTable builds the table of a file. Faults that concern numbers are noted.
-func newTable(c *compiler, before *Table, pools map[string]uint8) *Table {
-	t := &Table{Version: c.Version, config: c.Config, byName: map[string]*Bounds{}, places: map[place][]*entry{}, tenants: map[string]uint16{}, pools: pools}
+func newTable(c *compiler, before *Table) *Table {
+	t := &Table{Version: c.Version, config: c.Config, byName: map[string]*Bounds{}, places: map[place][]*entry{}, tenant: map[string]uint16{}}
 	if before != nil {
 		t.classes, t.budgets, t.owners = slices.Clone(before.classes), slices.Clone(before.budgets), slices.Clone(before.owners)
+		t.tenants, t.pools = slices.Clone(before.tenants), slices.Clone(before.pools)
 	}
 	for i := range t.classes {
 		t.classes[i].Retired = true
@@ -107,9 +139,22 @@
 		b.Class = t.number(c, c.moduleClass(k))
 		t.byName[k.Name] = b
 	}
-	for i, x := range c.Tenants {
-		t.tenants[x.Name] = uint16(i)
+	// Requests in hand are of tenants and pools by their numbers.
+	keep := func(names *[]string, name string) int {
+		if i := slices.Index(*names, name); i >= 0 {
+			return i
+		}
+		*names = append(*names, name)
+		return len(*names) - 1
+	}
+	for _, x := range c.Tenants {
+		t.tenant[x.Name] = uint16(keep(&t.tenants, x.Name))
+	}
+	for _, p := range c.Pools {
+		keep(&t.pools, p.Name)
 	}
+	c.require(len(t.pools) <= poolsMost, "pool", "%d pools since the start, at most %d: start anew", len(t.pools), poolsMost)
+	c.require(len(t.tenants) <= 10*tenantsMost, "tenant", "%d tenants since the start, at most %d: start anew", len(t.tenants), 10*tenantsMost)
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		class := t.byName[r.Class]
@@ -118,7 +163,7 @@
 		}
 		k := &c.Classes[slices.IndexFunc(c.Classes, func(k Class) bool { return k.Name == r.Class })]
 		e := &entry{Bounds: *c.bounds(t, k, r, i), route: i, method: r.Method}
-		e.Class, e.Pool, e.Methods = class.Class, pools[r.Pool], r.Method != ""
+		e.Class, e.Pool, e.Methods = class.Class, uint8(slices.Index(t.pools, r.Pool)+1), r.Method != ""
 		for name, value := range r.Headers {
 			e.headers = append(e.headers, header{Canonical(name), value})
 		}
@@ -183,7 +228,7 @@
 func (c *compiler) bounds(t *Table, k *Class, r *Route, n int) *Bounds {
 	e := c.Effective(k, r)
 	b := &Bounds{Deadline: e.Deadline.Microseconds(), TryFor: e.TryFor.Microseconds(), CopyAfter: e.CopyAfter.Microseconds(),
-		Attempts: e.Attempts, NoCopies: !e.Copies, ClassName: k.Name}
+		Attempts: e.Attempts, NoCopies: !e.Copies, ClassName: k.Name, Repeat: k.Repeat}
 	owner, p := "class "+k.Name, k.Patience
 	if r != nil {
 		if r.RetryShare == nil && r.RetryBurst == nil {
--- a/internal/site/check.go
+++ b/internal/site/check.go
@@ -1,6 +1,9 @@
 package site
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"net"
 	"os"
@@ -12,6 +15,7 @@
 	"pinedale/balancer"
 	"pinedale/internal/engine"
 	"pinedale/internal/intake"
+	"pinedale/internal/policy"
 	"pinedale/internal/tomlfile"
 )
 
@@ -20,7 +24,7 @@
 	attemptsMost = 3       // at a request, the protocol's limit
 	namesMost    = 255     // sites or kinds: the balancer numbers them in one byte
 	podsMost     = 1 << 16 // and pods in two
-	classesMost  = 256
+	classesMost  = 256     // as the balancer numbers them
 	serversMost  = 10_000
 )
 
@@ -32,7 +36,8 @@
 // check finds every fault of a file.
 type check struct {
 	*tomlfile.File
-	file *File
+	file   *File
+	before *policy.Table
 }
 
 func (c *check) address(key, value string) {
@@ -72,6 +77,7 @@
 	c.fleet()
 	c.classes()
 	c.members()
+	c.policy()
 	if c.Good() {
 		// The module's own checks are the last net.
 		s := f.Settings()
@@ -152,6 +158,68 @@
 	}
 }
 
+// config is what the file says of classes, routes, pools and tenants.
+func (f *File) config() *policy.Config {
+	patience := func(p *Patience) policy.Patience {
+		return policy.Patience{Deadline: time.Duration(p.Deadline), TryFor: time.Duration(p.TryFor), Attempts: p.Attempts,
+			CopyAfter: time.Duration(p.CopyAfter), Copies: p.SecondCopies, RetryShare: p.RetryShare, RetryBurst: p.RetryBurst}
+	}
+	out := &policy.Config{Version: f.version(), Limits: policy.Limits{Attempts: f.Limits.Attempts, SecondCopies: f.Limits.SecondCopies,
+		DeadlineMost: intake.TimeLeftMost, Dial: time.Duration(f.Limits.DialTimeout), TimerSlack: time.Duration(f.Limits.TimerSlack),
+		ClockError: f.Limits.ClockError, DrainGrace: time.Duration(f.Fleet.DrainGrace), DrainFor: time.Duration(f.Fleet.DrainFor)}}
+	for i := range f.Classes {
+		k := &f.Classes[i]
+		out.Classes = append(out.Classes, policy.Class{Patience: patience(&k.Patience), Name: k.Name, Repeat: repeats[k.Repeat], Group: groups[k.Group],
+			Window: time.Duration(k.Window), Aim: time.Duration(k.Aim), Worth: or(k.Worth, 1), LateWorth: k.LateWorth, CopyAt: k.CopyAt,
+			Usual: time.Duration(k.Usual), Clients: k.Clients, Open: k.Open, BrownOut: k.BrownOut})
+	}
+	for i := range f.Routes {
+		r := &f.Routes[i]
+		out.Routes = append(out.Routes, policy.Route{Patience: patience(&r.Patience), Name: r.Name, Host: r.Host, Path: r.Path, Prefix: r.Prefix,
+			Method: r.Method, Headers: r.Headers, Class: r.Class, Pool: r.Pool})
+	}
+	for _, p := range f.Pools {
+		out.Pools = append(out.Pools, policy.Pool(p))
+	}
+	for _, t := range f.Tenants {
+		out.Tenants = append(out.Tenants, policy.Tenant(t))
+	}
+	return out
+}
+
+// version is a short name of what a file says of classes and routes: the same for the
+// same.
+func (f *File) version() string {
+	text, err := json.Marshal([]any{f.Classes, f.Routes, f.Pools, f.Tenants, f.Limits, f.Fleet.DrainGrace, f.Fleet.DrainFor})
+	if err != nil { // a figure that is no number: it is refused by itself
+		return ""
+	}
+	sum := sha256.Sum256(text)
+	return hex.EncodeToString(sum[:4])
+}
+
+// policy compiles classes and routes, and notes what is wrong with them.
+func (c *check) policy() {
+	f := c.file
+	c.Require(f.Limits.AdmitRate >= 0 && f.Limits.AdmitRate <= 1e7, "limits.admit_rate", "%v is not in 0 to 1e7", f.Limits.AdmitRate)
+	for i, p := range f.Pools {
+		for key, list := range map[string][2][]string{"sites": {p.Sites, f.Fleet.Sites}, "kinds": {p.Kinds, f.Fleet.Kinds}} {
+			for _, name := range list[0] {
+				c.Require(slices.Contains(list[1], name), fmt.Sprintf("pool[%d].%s", i, key), "%q is not in fleet.%s", name, key)
+			}
+		}
+	}
+	table, faults := policy.Compile(f.config(), c.before)
+	for _, x := range faults {
+		if x.Warning {
+			c.Warn(x.Key, x.Reason)
+		} else {
+			c.Require(false, x.Key, "%s", x.Reason)
+		}
+	}
+	f.table = table
+}
+
 func (c *check) members() {
 	f := c.file
 	merged := len(f.Ephemeral.Servers) > 0
@@ -229,10 +297,8 @@
 	for _, r := range f.Fleet.Reports {
 		s.Fields = append(s.Fields, reports[r])
 	}
-	for _, k := range f.Classes {
-		s.Classes = append(s.Classes, balancer.Class{Name: k.Name, Repeat: repeats[k.Repeat], Group: groups[k.Group],
-			Window: k.Window.Micros(), Aim: k.Aim.Micros(), GiveUp: k.Deadline.Micros(),
-			Worth: or(k.Worth, 1), LateWorth: k.LateWorth})
+	if f.table != nil {
+		s.Classes, s.Budgets = f.table.Classes(), f.table.Budgets()
 	}
 	return s
 }
@@ -261,6 +327,9 @@
 		classes = append(classes, k.Name)
 	}
 	parts = append(parts, fmt.Sprintf("%d classes (%s)", len(classes), strings.Join(classes, ", ")))
+	if len(f.Routes) > 0 {
+		parts = append(parts, fmt.Sprintf("%d routes", len(f.Routes)))
+	}
 	if len(f.Ephemeral.Servers) > 0 {
 		parts = append(parts, "servers from ephemeral nodes under "+f.Ephemeral.Path)
 	}
--- a/internal/site/file.go
+++ b/internal/site/file.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"pinedale/internal/membership/merge"
+	"pinedale/internal/policy"
 	"pinedale/internal/tomlfile"
 )
 
@@ -40,6 +41,9 @@
 		RetryAfterMost      Duration `toml:"retry_after_most"`
 		DialTimeout         Duration `toml:"dial_timeout"`
 		IdleTimeout         Duration `toml:"idle_timeout"`
+		TimerSlack          Duration `toml:"timer_slack"`
+		ClockError          float64  `toml:"clock_error"`
+		AdmitRate           float64  `toml:"admit_rate"`
 	} `toml:"limits"`
 	Fleet struct {
 		Sites      []string `toml:"sites"`
@@ -47,12 +51,16 @@
 		Instances  int      `toml:"instances"`
 		Reports    []string `toml:"reports"`
 		DrainGrace Duration `toml:"drain_grace"`
+		DrainFor   Duration `toml:"drain_for"`
 		ColdFrom   float64  `toml:"cold_from"`
 		WarmWithin Duration `toml:"warm_within"`
 		FallFactor float64  `toml:"fall_factor"`
 		FallAfter  Duration `toml:"fall_after"`
 	} `toml:"fleet"`
-	Classes   []Class `toml:"class"`
+	Classes   []Class  `toml:"class"`
+	Routes    []Route  `toml:"route"`
+	Pools     []Pool   `toml:"pool"`
+	Tenants   []Tenant `toml:"tenant"`
 	Discovery struct {
 		Address   string   `toml:"address"`
 		AskWithin Duration `toml:"ask_within"`
@@ -70,7 +78,47 @@
 	} `toml:"membership"`
 	Servers []Server `toml:"server"`
 
-	digest string // what digest_file holds
+	digest   string // what digest_file holds
+	table    *policy.Table
+	warnings []*FileError
+}
+
+// Patience is what may be said of a class, and again of a route.
+type Patience struct {
+	Deadline     Duration `toml:"deadline"`
+	TryFor       Duration `toml:"try_for"`
+	Attempts     int      `toml:"attempts"`
+	CopyAfter    Duration `toml:"copy_after"`
+	SecondCopies *bool    `toml:"second_copies"`
+	RetryShare   *float64 `toml:"retry_share"`
+	RetryBurst   *float64 `toml:"retry_burst"`
+}
+
+// Route is one route.
+type Route struct {
+	Patience
+	Name    string            `toml:"name"`
+	Host    string            `toml:"host"`
+	Path    string            `toml:"path"`
+	Prefix  string            `toml:"prefix"`
+	Method  string            `toml:"method"`
+	Headers map[string]string `toml:"headers"`
+	Class   string            `toml:"class"`
+	Pool    string            `toml:"pool"`
+}
+
+// Pool is a part of the fleet.
+type Pool struct {
+	Name  string   `toml:"name"`
+	Sites []string `toml:"sites"`
+	Kinds []string `toml:"kinds"`
+}
+
+// Tenant is one tenant.
+type Tenant struct {
+	Name   string  `toml:"name"`
+	Weight float64 `toml:"weight"`
+	Open   int     `toml:"open"`
 }
 
 // Class is one class of requests.
@@ -80,9 +128,14 @@
 	Group     string   `toml:"group"`
 	Window    Duration `toml:"window"`
 	Aim       Duration `toml:"aim"`
-	Deadline  Duration `toml:"deadline"`
 	Worth     *float64 `toml:"worth"` // 1 where it is not given
 	LateWorth float64  `toml:"late_worth"`
+	CopyAt    float64  `toml:"copy_at"`
+	Usual     Duration `toml:"usual"`
+	Clients   string   `toml:"clients"`
+	Open      int      `toml:"open"`
+	BrownOut  int      `toml:"brown_out"`
+	Patience
 }
 
 // Server is one server of a fleet that does not change.
@@ -103,7 +156,13 @@
 
 // Load reads and checks the operator's file. Its error joins one *FileError for
 // every fault found; without one the file is good in whole.
-func Load(path string) (*File, error) {
+func Load(path string) (*File, error) { return load(path, nil) }
+
+// Next is Load for a file that is to follow this instance's: what requests in hand may
+// be of keeps its place. Reload takes it.
+func (i *Instance) Next(path string) (*File, error) { return load(path, i.Table()) }
+
+func load(path string, before *policy.Table) (*File, error) {
 	in, err := os.Open(path)
 	if err != nil {
 		return nil, err
@@ -113,21 +172,31 @@
 	if err != nil {
 		return nil, err
 	}
-	return Parse(data)
+	return parse(data, before)
 }
 
 // Parse is Load on a file's text.
-func Parse(data []byte) (*File, error) {
+func Parse(data []byte) (*File, error) { return parse(data, nil) }
+
+// Warnings are what is legal in a file, and unwise.
+func (f *File) Warnings() []*FileError { return f.warnings }
+
+// Table is what the file's classes and routes were compiled to.
+func (f *File) Table() *policy.Table { return f.table }
+
+// parse reads a file that is to follow a table in use, if that is not nil.
+func parse(data []byte, before *policy.Table) (*File, error) {
 	f := defaults()
 	in, err := tomlfile.Decode(data, fileMost, f)
 	if err != nil {
 		return nil, err
 	}
-	c := check{in, f}
+	c := check{in, f, before}
 	c.all()
 	if err := c.Err(); err != nil {
 		return nil, err
 	}
+	f.warnings = in.Warnings()
 	return f, nil
 }
 
@@ -147,6 +216,8 @@
 	f.Limits.RetryAfterMost = Duration(1500 * time.Millisecond)
 	f.Limits.DialTimeout = Duration(250 * time.Millisecond)
 	f.Limits.IdleTimeout = Duration(5 * time.Second)
+	f.Limits.TimerSlack = Duration(10 * time.Millisecond)
+	f.Limits.ClockError = 0.0005 // 500 ppm: ordinary quartz is within 100
 	f.Fleet.Instances = 1
 	f.Fleet.DrainGrace = Duration(2 * time.Second)
 	f.Fleet.ColdFrom = 0.31
--- a/internal/site/run.go
+++ b/internal/site/run.go
@@ -9,17 +9,21 @@
 	"log/slog"
 	"net"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"pinedale/balancer"
+	"pinedale/internal/admission"
 	"pinedale/internal/engine"
 	"pinedale/internal/front/extproc"
 	"pinedale/internal/front/httpfront"
+	"pinedale/internal/intake"
 	"pinedale/internal/membership/combined"
 	"pinedale/internal/membership/ephemeral"
 	"pinedale/internal/membership/merge"
 	"pinedale/internal/membership/registry"
 	"pinedale/internal/membership/static"
+	"pinedale/internal/policy"
 	"pinedale/internal/upstream/httpupstream"
 )
 
@@ -36,6 +40,9 @@
 	ExtProc net.Addr // likewise
 
 	file   *File
+	table  atomic.Pointer[policy.Table]
+	parser *intake.Parser
+	admit  *admission.Admission // of the engine's goroutine
 	log    *slog.Logger
 	engine *engine.Engine
 	ext    *extproc.Server
@@ -108,11 +115,15 @@
 	ctx, end := context.WithCancel(context.Background())
 	i.stop, i.end = stop, end
 	settings := f.Settings()
+	i.table.Store(f.table)
+	i.admit = admission.New(f.table.Admission(f.Limits.AdmitRate))
+	i.parser = intake.NewParser(&settings)
+	i.parser.Use(newRouter(f.table))
 	up := httpupstream.New(httpupstream.Options{DialTimeout: time.Duration(f.Limits.DialTimeout),
 		Idle: time.Duration(f.Limits.IdleTimeout), Connections: f.Limits.UpstreamConnections, Fields: f.Fleet.Reports})
 	e, err := engine.New(engineCtx, engine.Options{Settings: settings, Seed: binary.LittleEndian.Uint64(seed[:]),
 		Zones: f.Fleet.Sites, Kinds: f.Fleet.Kinds, Known: engine.List{Whole: true, Hosts: f.hosts()},
-		Upstream: up, Source: f.source(log), Log: log})
+		Upstream: up, Source: f.source(log), Log: log, Admission: i.admit, Pools: f.table.Pools})
 	if err != nil {
 		stop()
 		end()
@@ -135,24 +146,46 @@
 	}
 	if l := listeners[0]; l != nil {
 		front := httpfront.New(e, up, httpfront.Options{Connections: f.Limits.ClientConnections,
-			Crowded: f.Limits.ClientConnections / crowdPart, BodyBytes: int64(f.Limits.MemoryMB) << 20 / bodiesPart, Log: log})
+			Crowded: f.Limits.ClientConnections / crowdPart, BodyBytes: int64(f.Limits.MemoryMB) << 20 / bodiesPart, Parser: i.parser, Log: log})
 		i.HTTP = serve(l, front.Serve)
 	}
 	if l := listeners[1]; l != nil {
 		i.ext = extproc.New(e, extproc.Options{Streams: f.ExtProc.Streams, Backlog: f.ExtProc.Backlog,
 			Retries: f.ExtProc.Retries == "ask-again", Entries: f.Limits.MemoryMB << 20 / entryPart / entryBytes,
-			Fields: f.Fleet.Reports, Drain: longest, Log: log})
+			Fields: f.Fleet.Reports, Parser: i.parser, Drain: longest, Log: log})
 		i.ExtProc = serve(l, i.ext.Serve)
 	}
 	go e.Run()
 	return i, nil
 }
 
-// Reload moves to the source of membership that another file names. All else stays
-// as it was at the start.
-func (i *Instance) Reload(f *File) {
-	i.engine.Post(func(balancer.Micros) { i.engine.Move(f.source(i.log)) })
-	i.log.Info("configuration reloaded: servers and discovery are the new file's, all else is as at the start")
+// Table is the one in use.
+func (i *Instance) Table() *policy.Table { return i.table.Load() }
+
+// Reload goes over to another file, which Next has read: its classes, routes, pools,
+// tenants and admission, and its source of membership. Requests in hand keep what they
+// began with. All else stays as it was at the start. If it returns an error, nothing has
+// changed.
+func (i *Instance) Reload(f *File) error {
+	err := errors.New("the instance has ended")
+	i.engine.Do(func(now balancer.Micros) {
+		t := f.table
+		if err = i.engine.Configure(now, engine.Table{Classes: t.Classes(), Budgets: t.Budgets(), Pools: t.Pools}); err != nil {
+			return
+		}
+		i.admit.Configure(t.Admission(f.Limits.AdmitRate))
+		if i.ext != nil {
+			i.ext.Classes(t.Classes())
+		}
+		i.table.Store(t)
+		i.parser.Use(newRouter(t))
+		i.engine.Move(f.source(i.log))
+	})
+	if err != nil {
+		return err
+	}
+	i.log.Info("configuration reloaded: classes, routes, limits of tenants and servers are the new file's, all else is as at the start", "table", f.table.Version)
+	return nil
 }
 
 // Ready says whether an endpoint is known that requests may go to.
--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -45,8 +45,9 @@
 
 // File is a file that has been decoded, and the faults found in it since.
 type File struct {
-	lines map[string]int // of keys and tables, by path
-	errs  []*Error
+	lines    map[string]int // of keys and tables, by path
+	errs     []*Error
+	warnings []*Error
 }
 
 // Decode reads a file of so many bytes at most into a struct with toml tags. Its
@@ -82,12 +83,28 @@
 	if ok {
 		return
 	}
+	f.errs = append(f.errs, &Error{Line: f.line(key), Key: key, Reason: fmt.Sprintf(format, args...)})
+}
+
+// line is where a key stands, or its table if the key is missing.
+func (f *File) line(key string) int {
 	line := f.lines[key]
-	for at := key; line == 0 && strings.Contains(at, "."); { // its table's, where the key is missing
+	for at := key; line == 0 && strings.Contains(at, "."); {
 		at = at[:strings.LastIndex(at, ".")]
 		line = f.lines[at]
 	}
-	f.errs = append(f.errs, &Error{Line: line, Key: key, Reason: fmt.Sprintf(format, args...)})
+	return line
+}
+
+// Warn notes what is legal and unwise. It is no fault.
+func (f *File) Warn(key, reason string) {
+	f.warnings = append(f.warnings, &Error{Line: f.line(key), Key: key, Reason: reason})
+}
+
+// Warnings returns what was warned of, in the order of the lines.
+func (f *File) Warnings() []*Error {
+	slices.SortStableFunc(f.warnings, func(a, b *Error) int { return a.Line - b.Line })
+	return f.warnings
 }
 
 // Positive notes a fault unless a duration is positive.
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -213,6 +213,14 @@
 		entries: map[string]*entry{}, ids: map[string]*holder{}, keep: make([][]keepDue, len(l.Classes))}
 }
 
+// Classes tells of classes that have come; those of before keep their numbers.
+func (l *Ledger) Classes(all []balancer.Class) {
+	l.limits.Classes = all
+	for len(l.keep) < len(all) {
+		l.keep = append(l.keep, nil)
+	}
+}
+
 // Held counts asks, rounds and entries.
 func (l *Ledger) Held() (asks, rounds, entries int) {
 	return len(l.asks), len(l.rounds), len(l.entries)
