--- a/internal/site/check.go
+++ b/internal/site/check.go
@@ -45,7 +45,7 @@
 	if err == nil {
 		_, err = net.LookupPort("tcp", port)
 	}
-	c.Require(err == nil, key, "%q is not host:port", value)
+	c.Require(err == nil && port != "", key, "%q is not host:port", value)
 }
 
 func words[T any](known map[string]T) string {
--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -6,6 +6,8 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"reflect"
+	"regexp"
 	"slices"
 	"strings"
 	"time"
@@ -70,12 +72,49 @@
 		}
 		return nil, &Error{Line: line, Key: "file", Reason: "is not UTF-8"}
 	}
+	lines, numbers := keyLines(data)
+	f := &File{lines: lines}
+	durations := map[string]bool{}
+	durationKeys(reflect.TypeOf(into).Elem(), "", durations)
+	for key, value := range numbers {
+		f.Require(!durations[arrayIndex.ReplaceAllString(key, "")], key, "%s has no unit: write \"%ss\" for seconds", value, value)
+	}
+	if err := f.Err(); err != nil {
+		return nil, err
+	}
 	decoder := toml.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(into); err != nil {
 		return nil, decodeErrors(err)
 	}
-	return &File{lines: keyLines(data)}, nil
+	return f, nil
+}
+
+var arrayIndex = regexp.MustCompile(`\[\d+\]`)
+
+// durationKeys collects the keys that hold a Duration. The library would take a bare
+// number for one, in nanoseconds.
+func durationKeys(t reflect.Type, at string, out map[string]bool) {
+	for t.Kind() == reflect.Pointer || t.Kind() == reflect.Slice {
+		t = t.Elem()
+	}
+	if t == reflect.TypeFor[Duration]() {
+		out[at] = true
+		return
+	}
+	if t.Kind() != reflect.Struct {
+		return
+	}
+	for i := range t.NumField() {
+		f := t.Field(i)
+		name, _, _ := strings.Cut(f.Tag.Get("toml"), ",")
+		switch {
+		case f.Anonymous && name == "":
+			durationKeys(f.Type, at, out)
+		case f.IsExported() && name != "":
+			durationKeys(f.Type, strings.TrimPrefix(at+"."+name, "."), out)
+		}
+	}
 }
 
 // Require notes a fault of a key unless ok.
@@ -151,9 +190,11 @@
 	return &Error{Key: "file", Reason: strings.TrimPrefix(err.Error(), "toml: ")}
 }
 
-// keyLines tells on which line each key and table of a well-formed file stands.
-func keyLines(data []byte) map[string]int {
-	lines, counts := map[string]int{}, map[string]int{}
+// keyLines tells on which line each key and table of a well-formed file stands, and
+// which keys hold a number.
+func keyLines(data []byte) (lines map[string]int, numbers map[string]string) {
+	lines, numbers = map[string]int{}, map[string]string{}
+	counts := map[string]int{}
 	var p unstable.Parser
 	p.Reset(data)
 	table, line, counted := "", 1, 0 // lines up to this offset: expressions come in order
@@ -176,11 +217,14 @@
 			counts[path]++
 		case unstable.KeyValue:
 			lines[table+path] = line
+			if v := e.Value(); v.Kind == unstable.Integer || v.Kind == unstable.Float {
+				numbers[table+path] = string(v.Data)
+			}
 			continue
 		default:
 			continue
 		}
 		lines[strings.TrimSuffix(table, ".")] = line
 	}
-	return lines
+	return lines, numbers
 }
