Module: a client's repetition of a keyed request is sent at once or not at all

Cause: after a refusal that was harmless when it was given, the client's next request had a window of its own for resends, and could reach servers that had forgotten the first: found by playing files' policies (random outcomes and timings, 1 in some 3,000 files). Change: a keyed request marked as a repetition counts as one that may have run long ago; what a refusal promises leaves 100 ms of the window, 50 ms for the client's way.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -171,7 +171,7 @@
 	case c.Repeat == Safe || first == nil:
 		return math.MaxInt64
 	case c.Repeat == Keyed && c.Group == GroupAll:
-		return max(0, first.at+c.Window-now-returnWay)
+		return max(0, first.at+c.Window-now-2*returnWay)
 	}
 	return 0
 }
@@ -205,7 +205,7 @@
 	return true
 }
 
-// returnWay is kept of a window for a refused client's way back to an endpoint.
+// returnWay is kept of a window for a refused client's way back, and as long again for what it asks for.
 const returnWay = 50_000
 
 // refuse gives the final answer "refused" where that is true, else "failed".
@@ -776,6 +776,11 @@
 		b.out.Refuse(in.ID, 0) // nothing is known of it, but an answer is owed
 		return
 	}
+	// A client that comes again may be of an effect that is nearly forgotten, and what it then asks for may have
+	// run: it is sent at once, or not at all.
+	if c := &b.s.Classes[in.Class]; in.Retry && !in.MayHaveRun && c.Repeat == Keyed && c.Group == GroupAll {
+		in.MayHaveRun, in.Earlier = true, Earlier{At: now - c.Window + returnWay}
+	}
 	r := b.newRequest(now, in)
 	b.demand.add(now, 1)
 	left, u := b.budget(r)
--- a/balancer/bounds_test.go
+++ b/balancer/bounds_test.go
@@ -202,3 +202,26 @@
 		}
 	}
 }
+
+// A keyed request that its client marks as a repetition may be of an effect whose key
+// is nearly forgotten: what may have run is neither resent later nor called harmless.
+func TestClientsRepetition(t *testing.T) {
+	for _, c := range []struct {
+		class   uint8
+		status  Status
+		at      Micros
+		resent  bool
+		refused bool
+	}{
+		{1, Timeout, 10_000, true, false}, {1, Timeout, 100_000, false, false}, {1, Full, 40_000, true, false}, {1, Full, 100_000, false, false}, {0, Timeout, 100_000, true, false},
+	} {
+		b, out := startTimed(t, testSettings(), ready(8))
+		in := request0(1, c.class, 0)
+		in.Retry = true
+		b.Request(0, in)
+		b.Outcome(c.at, Outcome{ID: 1, Endpoint: out.sends[0].endpoint, Status: c.status, Latency: c.at})
+		if got := len(out.sends) > 1; got != c.resent || len(out.refused) > 0 != c.refused {
+			t.Errorf("%+v: %d sends, %d refused", c, len(out.sends), len(out.refused))
+		}
+	}
+}
