--- a/cmd/pinedale-measure/main.go
+++ b/cmd/pinedale-measure/main.go
@@ -17,6 +17,7 @@
 	"pinedale/internal/measure/nodes"
 	"pinedale/internal/measure/process"
 	"pinedale/internal/measure/removal"
+	"pinedale/internal/measure/tenants"
 	"pinedale/internal/measure/verdicts"
 	"pinedale/internal/standin/soko"
 )
@@ -28,12 +29,13 @@
   servers    stand-in servers to try pinedale-site with, until interrupted
   removal    scripts of a coordination service's troubles, and how soon removals count
   nodes      what reading ephemeral nodes costs, at rest and with changes
+  tenants    what a tenant at ten times its share costs the others
   noop       what a verdict costs beside a processor that decides nothing
 `
 
 // measurements set their flags and return what to run once these are parsed.
 var measurements = map[string]func(*flag.FlagSet) func(io.Writer) error{
-	"verdicts": verdictRun, "fronts": fronts, "servers": servers, "removal": removalRun, "nodes": nodesRun, "noop": noop,
+	"verdicts": verdictRun, "fronts": fronts, "servers": servers, "removal": removalRun, "nodes": nodesRun, "noop": noop, "tenants": tenantsRun,
 }
 
 func main() {
@@ -128,6 +130,20 @@
 	}
 }
 
+func tenantsRun(flags *flag.FlagSet) func(io.Writer) error {
+	o := tenants.Options{}
+	flags.DurationVar(&o.For, "for", 10*time.Second, "each of its four runs")
+	flags.Float64Var(&o.Rate, "rate", 300, "requests a second that are let in")
+	flags.Uint64Var(&o.Seed, "seed", 1, "of the arrivals")
+	return func(out io.Writer) error {
+		rows, err := tenants.Run(o)
+		if err == nil {
+			tenants.Print(out, rows)
+		}
+		return err
+	}
+}
+
 func removalRun(flags *flag.FlagSet) func(io.Writer) error {
 	o := removal.Options{}
 	flags.IntVar(&o.Scripts, "scripts", 200, "to play")
--- a/cmd/pinedale-site/main_test.go
+++ b/cmd/pinedale-site/main_test.go
@@ -85,6 +85,51 @@
 	}
 }
 
+// check prints what classes and routes come to, explain why a request gets its route.
+func TestCheckAndExplain(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "site.toml")
+	routed := file("127.0.0.1:1") + `[[route]]
+name = "prices"
+prefix = "/shop"
+class = "read"
+try_for = "100ms"
+[[route]]
+prefix = "/shop"
+method = "POST"
+headers = { X-Tier = "gold" }
+class = "read"
+`
+	if err := os.WriteFile(path, []byte(routed), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		args []string
+		says []string
+	}{
+		{[]string{"check", "-config", path}, []string{"good", "warning: line ", "table ", "/shop/*", "POST /shop/* X-Tier=gold", "100ms"}},
+		{[]string{"check", "-json", "-config", path}, []string{`"version":`, `"try_for": "100ms"`, `"warnings": [`}},
+		{[]string{"explain", "-config", path, "GET", "/shop/x?q=1"}, []string{"class read", "> route[0] (prices): it matches", "route[1] (of class read): the method is GET, not POST"}},
+		{[]string{"explain", "-config", path, "POST", "/shop", "x-tier: gold"}, []string{"> route[1]", "route[0] (prices): it matches, and route[1] is more specific"}},
+		{[]string{"explain", "-config", path, "POST", "/shop", "X-Tier: tin"}, []string{"> route[0]", `"tin", not "gold"`}},
+		{[]string{"explain", "-config", path, "GET", "/bakery"}, []string{"no route: 404", `does not begin with "/shop"`}},
+	} {
+		out, err := command(c.args...).CombinedOutput()
+		if err != nil {
+			t.Errorf("%v: %v: %s", c.args, err, out)
+		}
+		for _, says := range c.says {
+			if !bytes.Contains(out, []byte(says)) {
+				t.Errorf("%v: said\n%s\nwant %q", c.args, out, says)
+			}
+		}
+	}
+	for _, args := range [][]string{{"explain", "-config", path, "GET"}, {"explain", "-config", path, "GET", "/a//b"}, {"explain", "-config", path, "GET", "/a", "no header"}, {"explain", "-json", "-config", path, "GET", "/a"}} {
+		if out, err := command(args...).CombinedOutput(); err == nil {
+			t.Errorf("%v is taken: %s", args, out)
+		}
+	}
+}
+
 // lines collects what the program writes.
 type lines struct {
 	mu   sync.Mutex
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -7,7 +7,9 @@
 // The rate is counted in windows. A tenant's quota in a window is the larger of its own
 // share, which nobody can take, and of what max-min gives it by what all asked for in
 // the window before: so a tenant that comes back has its share at once, and what is let
-// in beyond the rate is for one window at most.
+// in beyond the rate is for one window at most. What it leaves of its quota it keeps, up
+// to five windows' share: arrivals come in bursts, and one that asks for nine tenths of
+// its share would else lose a twentieth of it.
 package admission
 
 import (
@@ -102,6 +104,9 @@
 	a.fill()
 }
 
+// saved is how many windows of its own share a tenant may save up.
+const saved = 5
+
 // never is an order that no class has.
 const never = 1 << 30
 
@@ -143,9 +148,9 @@
 			continue
 		}
 		// What nobody asked for goes to whoever does first.
-		t.quota = max(t.quota+rest*t.Weight/weights, room*t.Weight/weights)
-		// A part of a request that a quota leaves is kept for the next window.
-		t.left = min(t.left, 1) + t.quota
+		share := room * t.Weight / weights
+		t.quota = max(t.quota+rest*t.Weight/weights, share)
+		t.left = min(t.left, max(1, saved*share)) + t.quota
 		t.asked = 0
 	}
 }
--- a/internal/site/file_test.go
+++ b/internal/site/file_test.go
@@ -179,6 +179,22 @@
 	if _, err := Load(path); err == nil {
 		t.Error("a file of nulls is taken")
 	}
+	if err := os.Truncate(path, 100<<20); err != nil { // 100 MB, which take no room
+		t.Fatal(err)
+	}
+	if _, err := Load(path); err == nil || !strings.Contains(err.Error(), "is over") {
+		t.Errorf("a file of 100 MB: %v", err)
+	}
+	// Cut anywhere, a file is bad or a shorter good one; nothing panics.
+	text, err := os.ReadFile("../../deploy/site.example.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for at := range text {
+		if f, err := Parse(text[:at]); (f == nil) == (err == nil) {
+			t.Fatalf("cut at %d: %v, %v", at, f, err)
+		}
+	}
 	// Ten thousand servers are read in a time that nobody notices.
 	var big strings.Builder
 	big.WriteString(strings.Split(good, "[[server]]")[0])
--- /dev/null
+++ b/internal/site/reload_test.go
@@ -0,0 +1,316 @@
+package site
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"pinedale/internal/standin/soko"
+	"pinedale/internal/standin/wait"
+)
+
+// running is an instance with two stand-in servers behind it.
+type running struct {
+	*Instance
+	t       *testing.T
+	servers []*soko.Server
+	ids     atomic.Int64
+}
+
+const runningHead = `version = 1
+name = "a"
+site = "a"
+[http]
+listen = "127.0.0.1:0"
+[ext_proc]
+listen = "127.0.0.1:0"
+[fleet]
+sites = ["a"]
+kinds = ["k0", "k1"]
+`
+
+const priceClass = `[[class]]
+name = "price-check"
+repeat = "safe"
+aim = "600ms"
+deadline = "3s"
+`
+
+const payClass = `[[class]]
+name = "stall-pay"
+repeat = "keyed"
+group = "all"
+window = "1.5s"
+aim = "600ms"
+deadline = "2.5s"
+`
+
+// text is an operator's file with these parts and the servers.
+func (r *running) text(parts ...string) string {
+	text := runningHead + strings.Join(parts, "")
+	for n, s := range r.servers {
+		text += fmt.Sprintf("[[server]]\nname = %q\naddress = %q\nsite = \"a\"\nkind = \"k%d\"\npod = %d\n", s.Name, s.Address, n, n)
+	}
+	return text
+}
+
+func startRunning(t *testing.T, work time.Duration, parts ...string) *running {
+	t.Helper()
+	r := &running{t: t}
+	fleet := &soko.Fleet{Work: work}
+	for n := range 2 {
+		s, err := fleet.Start(fmt.Sprint("s-", n), n)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(s.Close)
+		r.servers = append(r.servers, s)
+	}
+	f, err := Parse([]byte(r.text(parts...)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Instance, err = Start(f, slog.New(slog.DiscardHandler)); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		r.Shutdown()
+		if err := r.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+	if err := r.WaitReady(); err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// reload goes over to a file with these parts.
+func (r *running) reload(parts ...string) {
+	r.t.Helper()
+	path := filepath.Join(r.t.TempDir(), "site.toml")
+	if err := os.WriteFile(path, []byte(r.text(parts...)), 0o600); err != nil {
+		r.t.Fatal(err)
+	}
+	f, err := r.Next(path)
+	if err == nil {
+		err = r.Reload(f)
+	}
+	if err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// ask sends a request; each header is "Name: value".
+func (r *running) ask(method, path string, headers ...string) (int, http.Header) {
+	in, err := http.NewRequest(method, "http://"+r.HTTP.String()+path, nil)
+	if err != nil {
+		r.t.Error(err)
+		return 0, nil
+	}
+	in.Header.Set("X-Correlation-Id", fmt.Sprint("r-", r.ids.Add(1)))
+	for _, h := range headers {
+		name, value, _ := strings.Cut(h, ": ")
+		if name == "Host" {
+			in.Host = value
+			continue
+		}
+		in.Header.Set(name, value)
+	}
+	out, err := http.DefaultClient.Do(in)
+	if err != nil {
+		return 0, nil
+	}
+	defer out.Body.Close()
+	io.Copy(io.Discard, out.Body)
+	return out.StatusCode, out.Header
+}
+
+func (r *running) price() int {
+	code, _ := r.ask("GET", "/price-check/x", "X-Service-Class: price-check", "X-Time-Left-Ms: 3000")
+	return code
+}
+
+func (r *running) pay() int {
+	code, _ := r.ask("POST", "/stall-pay/x", "X-Service-Class: stall-pay", "X-Time-Left-Ms: 2500", fmt.Sprint("Idempotency-Key: k", r.ids.Add(1)))
+	return code
+}
+
+// A running instance is not touched by any bad file: its table is the same, and no
+// request is lost or refused for it.
+func TestBadFilesUnderLoad(t *testing.T) {
+	r := startRunning(t, time.Millisecond, priceClass, payClass)
+	before := r.Table()
+	var clients sync.WaitGroup
+	var end atomic.Bool
+	var asked atomic.Int64
+	for n := range 4 {
+		clients.Go(func() {
+			for !end.Load() {
+				code := r.price
+				if n%2 == 0 {
+					code = r.pay
+				}
+				if got := code(); got != 200 {
+					t.Errorf("answer %d", got)
+					return
+				}
+				asked.Add(1)
+			}
+		})
+	}
+	for _, path := range badFiles(t) {
+		if f, err := r.Next(path); err == nil || f != nil {
+			t.Errorf("%s is taken", path)
+		}
+	}
+	wait.Until(t, "some load", func() bool { return asked.Load() > 200 || t.Failed() })
+	end.Store(true)
+	clients.Wait()
+	if r.Table() != before {
+		t.Error("the table has changed")
+	}
+}
+
+// A reload that removes the class of a request in flight: it is answered by the rules
+// that it began with, and the next one is turned away.
+func TestClassRemovedInFlight(t *testing.T) {
+	r := startRunning(t, 300*time.Millisecond, priceClass, payClass)
+	answer := make(chan int)
+	go func() { answer <- r.pay() }()
+	wait.Until(t, "the request in hand", func() bool { return r.Requests() == 1 })
+	number := func() uint8 { b, _ := r.Table().OfClass("stall-pay"); return b.Class }
+	was := number()
+	r.reload(priceClass)
+	if code := r.pay(); code != 400 {
+		t.Errorf("a request of the class that is gone: %d", code)
+	}
+	if code := r.price(); code != 200 {
+		t.Errorf("a request of the other: %d", code)
+	}
+	if code := <-answer; code != 200 {
+		t.Errorf("the request in hand: %d", code)
+	}
+	r.reload(priceClass, payClass)
+	if code := r.pay(); code != 200 || number() != was {
+		t.Errorf("the class is back: %d, as number %d, was %d", code, number(), was)
+	}
+	// Changed, it is another class.
+	r.reload(priceClass, strings.Replace(payClass, "1.5s", "1.6s", 1))
+	if code := r.pay(); code != 200 || number() == was {
+		t.Errorf("the class has changed: %d, as number %d", code, number())
+	}
+}
+
+// Requests are told apart by routes, and brought to their pool; headers need not name a
+// class or a time.
+func TestRoutes(t *testing.T) {
+	r := startRunning(t, 0, priceClass, payClass, `[[pool]]
+name = "second"
+kinds = ["k1"]
+[[route]]
+prefix = "/prices"
+class = "price-check"
+pool = "second"
+[[route]]
+prefix = "/prices"
+headers = { X-Tier = "gold" }
+class = "stall-pay"
+method = "PUT"
+[[route]]
+host = "till.example"
+class = "stall-pay"
+`)
+	for _, c := range []struct {
+		method, path string
+		headers      []string
+		want         int
+	}{
+		{"GET", "/prices/maize", nil, 200},
+		{"GET", "/prices", []string{"X-Time-Left-Ms: 500"}, 200},
+		{"GET", "/prices/maize", []string{"X-Time-Left-Ms: soon"}, 400},
+		{"POST", "/prices/maize", nil, 405},
+		{"GET", "/pricesmore", nil, 404},
+		{"GET", "/prices//maize", nil, 404},
+		{"GET", "/prices/maize", []string{"X-Service-Class: stall-pay"}, 400},
+		{"GET", "/prices/maize", []string{"X-Service-Class: price-check"}, 200},
+		{"PUT", "/prices/maize", []string{"X-Tier: gold", "Idempotency-Key: k1"}, 200},
+		{"PUT", "/prices/maize", []string{"X-Tier: gold"}, 400},
+		{"PUT", "/prices/maize", []string{"X-Tier: silver", "Idempotency-Key: k2"}, 405},
+		{"POST", "/any", []string{"Host: TILL.example:80", "Idempotency-Key: k3"}, 200},
+		{"POST", "/any", []string{"Idempotency-Key: k4"}, 404},
+	} {
+		if code, _ := r.ask(c.method, c.path, c.headers...); code != c.want {
+			t.Errorf("%s %s %v: %d, want %d", c.method, c.path, c.headers, code, c.want)
+		}
+	}
+	second := r.servers[1].LastRequest()
+	for range 20 {
+		r.ask("GET", "/prices/maize")
+	}
+	if !r.servers[0].LastRequest().Before(r.servers[1].LastRequest()) || !r.servers[1].LastRequest().After(second) {
+		t.Error("requests of the pool did not go to its server alone")
+	}
+	// Another file, another pool: the servers that are known are told anew.
+	r.reload(priceClass, `[[pool]]
+name = "other"
+kinds = ["k0"]
+[[route]]
+prefix = "/prices"
+class = "price-check"
+pool = "other"
+`)
+	at := time.Now()
+	for range 20 {
+		if code, _ := r.ask("GET", "/prices/maize"); code != 200 {
+			t.Fatalf("after the reload: %d", code)
+		}
+	}
+	if r.servers[1].LastRequest().After(at) || r.servers[0].LastRequest().Before(at) {
+		t.Error("after the reload requests went to the old pool")
+	}
+}
+
+// A tenant's limit is its own, and what is over it is refused at once with Retry-After.
+func TestTenants(t *testing.T) {
+	tenants := `[[tenant]]
+name = "duka"
+weight = 1
+open = 1
+[[tenant]]
+name = "soko"
+weight = 1
+`
+	r := startRunning(t, 300*time.Millisecond, priceClass, payClass, tenants)
+	ask := func(tenant string) (int, http.Header) {
+		return r.ask("GET", "/price-check/x", "X-Service-Class: price-check", "X-Time-Left-Ms: 3000", "X-Account: "+tenant)
+	}
+	first := make(chan int)
+	go func() { code, _ := ask("duka"); first <- code }()
+	wait.Until(t, "the first in hand", func() bool { return r.Requests() == 1 })
+	began := time.Now()
+	code, header := ask("duka")
+	if took := time.Since(began); code != 503 || header.Get("Retry-After") == "" || took > 200*time.Millisecond {
+		t.Errorf("the second of a tenant that may have one: %d after %v, %v", code, took, header)
+	}
+	if code, _ := ask("soko"); code != 200 {
+		t.Errorf("another tenant: %d", code)
+	}
+	if code, _ := ask("nobody"); code != 400 {
+		t.Errorf("of no tenant: %d", code)
+	}
+	if code := <-first; code != 200 {
+		t.Errorf("the first: %d", code)
+	}
+	if code, _ := ask("duka"); code != 200 {
+		t.Errorf("once it is over: %d", code)
+	}
+}
