--- a/internal/front/extproc/extproc_test.go
+++ b/internal/front/extproc/extproc_test.go
@@ -28,6 +28,7 @@
 
 	"pinedale/balancer"
 	"pinedale/internal/engine"
+	"pinedale/internal/intake"
 	"pinedale/internal/standin/proxy"
 	"pinedale/internal/standin/soko"
 	"pinedale/internal/standin/wait"
@@ -277,6 +278,64 @@
 	wait.Until(t, "nothing to be held", func() bool { return w.held() == 0 })
 }
 
+// byTier routes by one header, with bounds of the route's own.
+type byTier struct{ intake.Router }
+
+func (byTier) Routed() bool { return true }
+func (byTier) Route(in *intake.Request) (*intake.Bounds, bool) {
+	if in.Host != "till.example" || in.Header.Get("X-Tier") != "gold" {
+		return nil, false
+	}
+	return &intake.Bounds{Class: 1, ClassName: classes[1].Name, Repeat: classes[1].Repeat, Methods: true, TryFor: 200_000, Attempts: 1}, true
+}
+func (byTier) Tenants() int { return 0 }
+
+// Routes may go by any header that the proxy passes on; a route's bounds hold for its
+// verdicts: the time for an attempt, and how many there are.
+func TestRoutedVerdicts(t *testing.T) {
+	var parser *intake.Parser
+	w := start(t, 2, func(o *Options, s *balancer.Settings) {
+		parser = intake.NewParser(s)
+		parser.Use(byTier{})
+		o.Parser = parser
+	})
+	ask := func(alter func(map[string]string)) (*extprocv3.ProcessingResponse, stream) {
+		q := w.request(classes[1].Name)
+		q.Header["x-tier"], q.Header[":authority"] = "gold", "till.example"
+		alter(q.Header)
+		s := w.open(context.Background())
+		if err := s.Send(proxy.Headers(q, 1)); err != nil {
+			t.Fatal(err)
+		}
+		m, err := s.Recv()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return m, s
+	}
+	m, s := ask(func(map[string]string) {})
+	v, err := proxy.Read(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if left, _ := strconv.Atoi(v.Headers[headerTimeout]); left <= 0 || left > 200 {
+		t.Errorf("headers %v, want 200 ms at most", v.Headers)
+	}
+	if m := s.report(500, "via_upstream", v.Endpoint); again(m) {
+		t.Error("a route of one attempt is asked for again")
+	}
+	s.end()
+	for _, alter := range []func(map[string]string){
+		func(h map[string]string) { h["x-tier"] = "tin" }, func(h map[string]string) { delete(h, "x-tier") }, func(h map[string]string) { h[":authority"] = "x" }} {
+		m, s := ask(alter)
+		if r := m.GetImmediateResponse(); r == nil || r.Status.Code != 404 {
+			t.Errorf("of no route: %v", m)
+		}
+		s.end()
+	}
+	wait.Until(t, "nothing to be held", func() bool { return w.held() == 0 })
+}
+
 // What can't be a request gets the client's error at once, as through the HTTP
 // front; no server hears of it.
 func TestMalformedHeads(t *testing.T) {
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -325,10 +325,19 @@
 	return &e.tries[len(e.tries)-1].copies
 }
 
-// exhausted says that no copy may be handed out for a request any more.
-func (l *Ledger) exhausted(e *entry, id string) bool {
+// attempts is how many copies may be handed out for a request: fewer than the limit if it
+// brings such a bound.
+func (l *Ledger) attempts(q *Query) int {
+	if q.Body.Attempts > 0 {
+		return min(q.Body.Attempts, l.limits.Attempts)
+	}
+	return l.limits.Attempts
+}
+
+// exhausted says that no copy may be handed out for a request any more, of so many.
+func (l *Ledger) exhausted(e *entry, id string, most int) bool {
 	n := e.copies(id)
-	return n == nil || *n >= l.limits.Attempts
+	return n == nil || *n >= most
 }
 
 // begin passes a request to the module. What may have run before binds it.
@@ -336,7 +345,7 @@
 	e.earlier, e.ran = e.bound()
 	reason := ""
 	switch repeat := l.repeats(e); {
-	case l.exhausted(e, q.ID):
+	case l.exhausted(e, q.ID, l.attempts(&q)):
 		reason = reasonLimit
 	case e.ran && repeat == balancer.Unsafe:
 		reason = reasonUnsafe
@@ -352,7 +361,7 @@
 	in.Earlier.At -= carry
 	in.NoCopies, in.Attempts = true, 1
 	if l.limits.Retries {
-		in.Attempts = l.limits.Attempts - *e.copies(q.ID)
+		in.Attempts = l.attempts(&q) - *e.copies(q.ID)
 	}
 	l.last++
 	r := &round{number: l.last, id: q.ID, entry: e, deadline: in.Deadline, most: in.Attempts, served: -1}
@@ -369,7 +378,7 @@
 		l.replay(now, r, n, a)
 		return
 	}
-	if l.exhausted(r.entry, a.id) { // late copies of the attempt before took them all
+	if l.exhausted(r.entry, a.id, l.limits.Attempts) { // late copies of the attempt before took them all
 		l.out.Tell(a.name, Told{Kind: Conflict, Reason: reasonLimit})
 		return
 	}
@@ -404,7 +413,7 @@
 		reason = reasonOpen
 	case c.Repeat == balancer.Keyed && now >= first.At+c.Window-carry:
 		reason = reasonWindow
-	case l.exhausted(e, a.id):
+	case l.exhausted(e, a.id, l.limits.Attempts):
 		reason = reasonLimit
 	case !l.out.Usable(r.attempts[n].ref):
 		reason = reasonRetired
@@ -565,7 +574,7 @@
 	}
 	if !t.ended {
 		// Copies that were handed out twice leave the module attempts that must not be used.
-		spent := l.exhausted(r.entry, r.id) && len(r.attempts) < r.most
+		spent := l.exhausted(r.entry, r.id, l.limits.Attempts) && len(r.attempts) < r.most
 		r.answered = r.answered || r.served >= 0 || o.Strange || spent
 		l.end(r, n, o, r.answered && o.Status != balancer.OK)
 	}
