--- a/internal/front/httpfront/server.go
+++ b/internal/front/httpfront/server.go
@@ -10,19 +10,17 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"pinedale/balancer"
 	"pinedale/internal/engine"
+	"pinedale/internal/front/desk"
 	"pinedale/internal/httpmsg"
 	"pinedale/internal/intake"
 )
 
 const (
-	busyRetry   = time.Second            // wait told to clients that find all room for bodies in use
 	acceptAfter = 600 * time.Millisecond // after SIGTERM: clients go on connecting for 0.4 s
 
 	// ReadTimeout and IdleTimeout bound silent clients.
@@ -39,6 +37,7 @@
 	Crowded     int            // asked-on connections from which an answer ends its own
 	BodyBytes   int64          // of requests in hand, at most
 	Parser      *intake.Parser // nil for that of the engine's settings
+	AltSvc      string         // told with each answer, "" for none (RFC 7838)
 	AcceptFor   time.Duration  // new connections are still accepted after the end; 0 for what the platform asks
 	Log         *slog.Logger
 }
@@ -46,16 +45,12 @@
 // Server takes the application's requests.
 type Server struct {
 	engine  *engine.Engine
-	up      engine.Upstream
 	http    http.Server
 	clients *clients
 	parser  *intake.Parser
-	bodies  atomic.Int64 // bytes of bodies of requests in hand
+	desk    *desk.Desk
 	ending  atomic.Bool
 	opts    Options
-
-	mu  sync.Mutex
-	ids map[string]bool // X-Correlation-Id of the requests in hand
 }
 
 // Serve serves until ctx ends, then answers what it has taken and returns.
@@ -89,7 +84,7 @@
 	if o.Parser == nil {
 		o.Parser = intake.NewParser(e.Settings())
 	}
-	s := &Server{engine: e, up: up, parser: o.Parser, ids: map[string]bool{}, opts: o,
+	s := &Server{engine: e, parser: o.Parser, desk: desk.New(e, up, o.BodyBytes), opts: o,
 		clients: &clients{most: o.Connections, mostAsked: o.Crowded}}
 	// Not a ServeMux: it would redirect paths that endpoints are to see as they are.
 	s.http = http.Server{Handler: http.HandlerFunc(s.handle),
@@ -130,11 +125,7 @@
 // that gets this much wrong is not worth reading.
 func reject(w http.ResponseWriter, in *http.Request, err error) {
 	w.Header().Set("Connection", "close")
-	text := err.Error() + "\n"
-	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
-	w.WriteHeader(intake.Code(err))
-	io.WriteString(w, text)
+	desk.WriteError(w, err)
 	readOff(w, in)
 }
 
@@ -151,6 +142,9 @@
 // handle reads a request whole and answers it.
 func (s *Server) handle(w http.ResponseWriter, in *http.Request) {
 	arrived := s.engine.Now()
+	if s.opts.AltSvc != "" {
+		w.Header().Set("Alt-Svc", s.opts.AltSvc)
+	}
 	c := in.Context().Value(connKey{}).(*clientConn)
 	if c.ambiguous() {
 		// What follows the head may hide another request: the connection ends here.
@@ -167,27 +161,17 @@
 			return
 		}
 	}
-	held := int64(httpmsg.BodyMost)
-	if in.ContentLength >= 0 {
-		held = in.ContentLength
-	}
-	if held > httpmsg.BodyMost {
-		reject(w, in, &intake.Error{Code: http.StatusRequestEntityTooLarge, Reason: tooLarge})
-		return
-	}
-	if s.bodies.Add(held) > s.opts.BodyBytes {
-		s.bodies.Add(-held)
+	body, release, err := s.desk.Body(w, in)
+	if err == desk.ErrBusy {
 		w.Header().Set("Connection", "close")
-		writeAnswer(w, engine.Answer{Code: http.StatusServiceUnavailable, RetryAfter: busyRetry.Microseconds()})
+		desk.WriteBusy(w)
 		readOff(w, in)
 		return
-	}
-	defer s.bodies.Add(-held)
-	body, err := readBody(w, in)
-	if err != nil {
+	} else if err != nil {
 		reject(w, in, err)
 		return
 	}
+	defer release()
 	alone, ok := c.begin(in.ContentLength)
 	if !ok {
 		panic(http.ErrAbortHandler)
@@ -208,68 +192,20 @@
 	s.request(w, in, c, req, body)
 }
 
-var tooLarge = fmt.Sprintf("the body is over %d bytes", httpmsg.BodyMost)
-
-// readBody reads a request's body, within its limit.
-func readBody(w http.ResponseWriter, in *http.Request) ([]byte, error) {
-	if in.ContentLength >= 0 {
-		body := make([]byte, in.ContentLength)
-		if _, err := io.ReadFull(in.Body, body); err != nil {
-			return nil, intake.Bad("the body could not be read")
-		}
-		return body, nil
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, in.Body, httpmsg.BodyMost))
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return nil, &intake.Error{Code: http.StatusRequestEntityTooLarge, Reason: tooLarge}
-	} else if err != nil {
-		return nil, intake.Bad("the body could not be read")
-	}
-	return body, nil
-}
-
 // request takes one request and gives its one final answer.
 func (s *Server) request(w http.ResponseWriter, in *http.Request, c *clientConn, req intake.Parsed, body []byte) {
-	id := req.CorrelationID
-	s.mu.Lock()
-	open := s.ids[id]
-	s.ids[id] = true
-	s.mu.Unlock()
-	if open {
-		reject(w, in, &intake.Error{Code: http.StatusConflict, Reason: "a request with this X-Correlation-Id is open"})
-		return
-	}
-	defer func() {
-		s.mu.Lock()
-		delete(s.ids, id)
-		s.mu.Unlock()
-	}()
-	answer := make(chan engine.Answer, 1)
-	r := &engine.Request{Answer: func(a engine.Answer) { answer <- a }, // it has room for the one
-		Carrier: s.up.Carry(&engine.Message{Method: in.Method, URL: in.URL, Host: in.Host, Header: in.Header, Body: body})}
-	s.engine.Post(func(now balancer.Micros) { s.engine.Take(now, r, req.Request) })
-	select {
-	case a := <-answer:
-		if s.clients.crowded() {
-			w.Header().Set("Connection", "close")
-		}
-		c.SetWriteDeadline(time.Now().Add(writeTimeout))
-		writeAnswer(w, a)
-	case <-in.Context().Done():
-		s.engine.Post(func(now balancer.Micros) { s.engine.Gone(now, r) })
+	a, err := s.desk.Ask(in, req, body)
+	if err == desk.ErrGone {
 		// A client that has only stopped sending must not read a whole answer
 		// that no endpoint gave.
 		panic(http.ErrAbortHandler)
+	} else if err != nil {
+		reject(w, in, err)
+		return
 	}
-}
-
-func writeAnswer(w http.ResponseWriter, a engine.Answer) {
-	httpmsg.EndToEnd(w.Header(), a.Header)
-	if a.RetryAfter > 0 {
-		w.Header().Set("Retry-After", strconv.FormatFloat(float64(a.RetryAfter)/1e6, 'f', 3, 64))
+	if s.clients.crowded() {
+		w.Header().Set("Connection", "close")
 	}
-	w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
-	w.WriteHeader(a.Code)
-	w.Write(a.Body) // a client that is gone by now needs no answer
+	c.SetWriteDeadline(time.Now().Add(writeTimeout))
+	desk.Write(w, a)
 }
--- /dev/null
+++ b/internal/standin/udprelay/udprelay.go
@@ -0,0 +1,202 @@
+// Package udprelay is a stand-in for the path between QUIC peers: it passes datagrams on
+// loopback, and drops, doubles, delays and holds them back as it is scripted to. It can
+// change the client's address as a rebinding NAT does, and go deaf in one direction.
+package udprelay
+
+import (
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+)
+
+// Script says what happens to datagrams. The shares are drawn from the seed.
+type Script struct {
+	Loss   float64       // share that is dropped, each way
+	Double float64       // share that is passed twice
+	Swap   float64       // share that is held until the next one has passed
+	Delay  time.Duration // each way
+	Seed   uint64
+}
+
+// Relay passes datagrams between one client at a time and a server.
+type Relay struct {
+	Address string // that clients send to
+
+	server *net.UDPAddr
+	front  *net.UDPConn
+	done   sync.WaitGroup
+
+	mu     sync.Mutex
+	script Script
+	rng    *rand.Rand
+	client *net.UDPAddr // that sent last
+	back   *net.UDPConn // towards the server; its address is the client's, as the server sees it
+	ports  int          // addresses that the server has seen
+	deaf   [2]bool      // towards the server, and towards the client
+	held   [2][]byte
+	passed [2]int
+	closed bool
+}
+
+// Directions of datagrams.
+const (
+	ToServer = iota
+	ToClient
+)
+
+// datagramMost is more than any datagram of QUIC's on loopback.
+const datagramMost = 1 << 16
+
+// Start returns a relay to a server at host:port.
+func Start(server string, script Script) (*Relay, error) {
+	to, err := net.ResolveUDPAddr("udp", server)
+	if err != nil {
+		return nil, err
+	}
+	front, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		return nil, err
+	}
+	r := &Relay{Address: front.LocalAddr().String(), server: to, front: front, script: script, rng: rand.New(rand.NewPCG(script.Seed, 1))}
+	if err := r.Rebind(); err != nil {
+		front.Close()
+		return nil, err
+	}
+	r.done.Go(r.forth)
+	return r, nil
+}
+
+// Rebind gives the client another address, as the server sees it. What is on its way to
+// the old one is lost.
+func (r *Relay) Rebind() error {
+	back, err := net.DialUDP("udp", nil, r.server)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	old := r.back
+	r.back = back
+	r.ports++
+	r.mu.Unlock()
+	if old != nil {
+		old.Close()
+	}
+	r.done.Go(func() { r.backward(back) })
+	return nil
+}
+
+// Addresses counts those that the server has seen the client at.
+func (r *Relay) Addresses() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ports
+}
+
+// Set changes the script.
+func (r *Relay) Set(script Script) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.script = script
+}
+
+// Deafen drops all datagrams of a direction, or passes them again.
+func (r *Relay) Deafen(direction int, deaf bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.deaf[direction] = deaf
+}
+
+// Passed counts the datagrams that came in each direction.
+func (r *Relay) Passed() (toServer, toClient int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.passed[ToServer], r.passed[ToClient]
+}
+
+// Close ends the relay.
+func (r *Relay) Close() {
+	r.mu.Lock()
+	r.closed = true
+	back := r.back
+	r.mu.Unlock()
+	r.front.Close()
+	back.Close()
+	r.done.Wait()
+}
+
+// forth passes what clients send.
+func (r *Relay) forth() {
+	buffer := make([]byte, datagramMost)
+	for {
+		n, from, err := r.front.ReadFromUDP(buffer)
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		r.client = from
+		r.mu.Unlock()
+		r.pass(ToServer, buffer[:n])
+	}
+}
+
+// backward passes what the server sends to one of the client's addresses.
+func (r *Relay) backward(back *net.UDPConn) {
+	buffer := make([]byte, datagramMost)
+	for {
+		n, err := back.Read(buffer)
+		if err != nil {
+			// A server that is gone answers with "port unreachable", which ends nothing.
+			r.mu.Lock()
+			over := r.closed || r.back != back
+			r.mu.Unlock()
+			if over {
+				return
+			}
+			continue
+		}
+		r.pass(ToClient, buffer[:n])
+	}
+}
+
+// pass has a datagram fare as the script says.
+func (r *Relay) pass(direction int, data []byte) {
+	r.mu.Lock()
+	r.passed[direction]++
+	s := r.script
+	var out [][]byte
+	switch {
+	case r.deaf[direction] || r.rng.Float64() < s.Loss:
+	case r.held[direction] == nil && r.rng.Float64() < s.Swap:
+		r.held[direction] = append([]byte{}, data...)
+	default:
+		out = append(out, append([]byte{}, data...))
+		if r.rng.Float64() < s.Double {
+			out = append(out, out[0])
+		}
+		if late := r.held[direction]; late != nil {
+			out, r.held[direction] = append(out, late), nil
+		}
+	}
+	r.mu.Unlock()
+	for _, d := range out {
+		if s.Delay > 0 {
+			time.AfterFunc(s.Delay, func() { r.write(direction, d) })
+		} else {
+			r.write(direction, d)
+		}
+	}
+}
+
+func (r *Relay) write(direction int, data []byte) {
+	r.mu.Lock()
+	client, back, closed := r.client, r.back, r.closed
+	r.mu.Unlock()
+	switch {
+	case closed:
+	case direction == ToServer:
+		back.Write(data)
+	case client != nil:
+		r.front.WriteToUDP(data, client)
+	}
+}
