--- a/cmd/pinedale-site/main.go
+++ b/cmd/pinedale-site/main.go
@@ -189,7 +189,7 @@
 	if err != nil {
 		return err
 	}
-	log.Info("serving", "http", fmt.Sprint(i.HTTP), "ext_proc", fmt.Sprint(i.ExtProc))
+	log.Info("serving", "http", fmt.Sprint(i.HTTP), "http3", fmt.Sprint(i.HTTP3), "ext_proc", fmt.Sprint(i.ExtProc))
 	go func() {
 		for s := range signals {
 			if s != syscall.SIGHUP {
--- a/cmd/pinedale-site/main_test.go
+++ b/cmd/pinedale-site/main_test.go
@@ -171,7 +171,7 @@
 		t.Fatal(err)
 	}
 	defer cmd.Process.Kill()
-	wait.Until(t, "the line on what is served", func() bool { return log.find(`http=(\S+) ext_proc=(\S+)`) != nil })
+	wait.Until(t, "the line on what is served", func() bool { return log.find(`http=(\S+) http3=(\S+) ext_proc=(\S+)`) != nil })
 	url := "http://" + log.find(`http=(\S+)`)[1]
 	n := 0
 	get := func() int {
--- a/internal/site/check.go
+++ b/internal/site/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"crypto/tls"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
@@ -60,7 +61,8 @@
 func (c *check) all() {
 	f := c.file
 	c.Require(f.Version == 1, "version", "%d is not a known version of this file; this program reads 1", f.Version)
-	c.Require(f.HTTP.Listen != "" || f.ExtProc.Listen != "", "http.listen", "no front is switched on: set this or ext_proc.listen")
+	c.Require(f.HTTP.Listen != "" || f.HTTP3.Listen != "" || f.ExtProc.Listen != "", "http.listen", "no front is switched on: set this, http3.listen or ext_proc.listen")
+	c.http3()
 	if f.HTTP.Listen != "" {
 		c.address("http.listen", f.HTTP.Listen)
 	}
@@ -87,6 +89,24 @@
 	}
 }
 
+func (c *check) http3() {
+	h := &c.file.HTTP3
+	if h.Listen == "" {
+		c.Require(h.CertFile == "" && h.KeyFile == "", "http3.listen", "is missing, though a certificate is named")
+		return
+	}
+	c.address("http3.listen", h.Listen)
+	c.Require(h.Connections >= 1, "http3.connections", "%d is not positive", h.Connections)
+	c.Require(h.Streams >= 1 && h.Streams <= 1<<16, "http3.streams", "%d is not in 1 to %d", h.Streams, 1<<16)
+	c.Require(h.CertFile != "", "http3.cert_file", "is missing: HTTP/3 needs a certificate")
+	c.Require(h.KeyFile != "", "http3.key_file", "is missing: HTTP/3 needs a certificate's key")
+	if h.CertFile != "" && h.KeyFile != "" {
+		pair, err := tls.LoadX509KeyPair(h.CertFile, h.KeyFile)
+		c.Require(err == nil, "http3.cert_file", "%v", err)
+		c.file.cert = &pair
+	}
+}
+
 func (c *check) limits() {
 	l := &c.file.Limits
 	for _, n := range [...]struct {
@@ -319,6 +339,9 @@
 	if f.HTTP.Listen != "" {
 		parts = append(parts, "http on "+f.HTTP.Listen)
 	}
+	if f.HTTP3.Listen != "" {
+		parts = append(parts, "http3 on "+f.HTTP3.Listen)
+	}
 	if f.ExtProc.Listen != "" {
 		parts = append(parts, "ext_proc on "+f.ExtProc.Listen)
 	}
--- a/internal/site/file.go
+++ b/internal/site/file.go
@@ -3,6 +3,7 @@
 package site
 
 import (
+	"crypto/tls"
 	"io"
 	"os"
 	"time"
@@ -24,6 +25,14 @@
 	HTTP struct {
 		Listen string `toml:"listen"`
 	} `toml:"http"`
+	HTTP3 struct {
+		Listen      string `toml:"listen"`
+		CertFile    string `toml:"cert_file"`
+		KeyFile     string `toml:"key_file"`
+		Connections int    `toml:"connections"`
+		Streams     int    `toml:"streams"`
+		Early       bool   `toml:"early"`
+	} `toml:"http3"`
 	ExtProc struct {
 		Listen  string `toml:"listen"`
 		Retries string `toml:"retries"`
@@ -78,7 +87,8 @@
 	} `toml:"membership"`
 	Servers []Server `toml:"server"`
 
-	digest   string // what digest_file holds
+	digest   string           // what digest_file holds
+	cert     *tls.Certificate // of http3
 	table    *policy.Table
 	warnings []*FileError
 }
@@ -203,6 +213,8 @@
 // defaults are what a file that says nothing gets.
 func defaults() *File {
 	f := &File{}
+	f.HTTP3.Connections = 1024
+	f.HTTP3.Streams = 100
 	f.ExtProc.Retries = "none"
 	f.ExtProc.Streams = 10_000
 	f.ExtProc.Backlog = 512
--- a/internal/site/reload_test.go
+++ b/internal/site/reload_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -13,6 +14,9 @@
 	"testing"
 	"time"
 
+	"github.com/quic-go/quic-go/http3"
+
+	"pinedale/internal/standin/cert"
 	"pinedale/internal/standin/soko"
 	"pinedale/internal/standin/wait"
 )
@@ -314,3 +318,47 @@
 		t.Errorf("once it is over: %d", code)
 	}
 }
+
+// HTTP/3 is served beside HTTP/1.1, on the same engine, and told to its clients.
+func TestHTTP3(t *testing.T) {
+	pair := cert.New(t)
+	dir := t.TempDir()
+	files := map[string][]byte{"cert": pair.Cert, "key": pair.Key}
+	for name, data := range files {
+		if err := os.WriteFile(filepath.Join(dir, name), data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	table := fmt.Sprintf("[http3]\nlisten = \"127.0.0.1:0\"\ncert_file = %q\nkey_file = %q\n", filepath.Join(dir, "cert"), filepath.Join(dir, "key"))
+	r := startRunning(t, 0, priceClass, payClass, table)
+	_, header := r.ask("GET", "/price-check/x", "X-Service-Class: price-check", "X-Time-Left-Ms: 3000")
+	if want := fmt.Sprintf(`h3=":%d"; ma=3600`, r.HTTP3.(*net.UDPAddr).Port); header.Get("Alt-Svc") != want {
+		t.Errorf("Alt-Svc: %q, want %q", header.Get("Alt-Svc"), want)
+	}
+	client := &http3.Transport{TLSClientConfig: pair.Client}
+	defer client.Close()
+	in, err := http.NewRequest("GET", "https://"+r.HTTP3.String()+"/price-check/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, value := range map[string]string{"X-Correlation-Id": "h3", "X-Service-Class": "price-check", "X-Time-Left-Ms": "3000"} {
+		in.Header.Set(name, value)
+	}
+	out, err := client.RoundTrip(in)
+	if err != nil || out.StatusCode != 200 {
+		t.Fatalf("%v, %v", out, err)
+	}
+	out.Body.Close()
+	for bad, key := range map[string]string{
+		"[http3]\nlisten = \"127.0.0.1:0\"\n":                            "http3.cert_file",
+		"[http3]\ncert_file = \"x\"\n":                                   "http3.listen",
+		strings.Replace(table, "/cert\"", "/none\"", 1):                  "http3.cert_file",
+		strings.Replace(table, "[http3]", "[http3]\nstreams = 0", 1):     "http3.streams",
+		strings.Replace(table, "[http3]", "[http3]\nconnections = 0", 1): "http3.connections",
+		strings.Replace(table, "127.0.0.1:0", "here", 1):                 "http3.listen",
+	} {
+		if _, err := Parse([]byte(r.text(priceClass, payClass, bad))); err == nil || !strings.Contains(err.Error(), key+": ") {
+			t.Errorf("%q: %v, want a fault of %s", bad, err, key)
+		}
+	}
+}
--- a/internal/site/run.go
+++ b/internal/site/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -16,6 +17,7 @@
 	"pinedale/internal/admission"
 	"pinedale/internal/engine"
 	"pinedale/internal/front/extproc"
+	"pinedale/internal/front/http3front"
 	"pinedale/internal/front/httpfront"
 	"pinedale/internal/intake"
 	"pinedale/internal/membership/combined"
@@ -37,7 +39,8 @@
 // Instance is a running pinedale-site. Make one with Start.
 type Instance struct {
 	HTTP    net.Addr // nil unless the front is on
-	ExtProc net.Addr // likewise
+	HTTP3   net.Addr // likewise
+	ExtProc net.Addr
 
 	file   *File
 	table  atomic.Pointer[policy.Table]
@@ -92,9 +95,20 @@
 	debug.SetMemoryLimit(int64(f.Limits.MemoryMB) << 20 / 10 * 8)
 }
 
+// altSvcFor is for how long clients may remember that HTTP/3 is served, too.
+const altSvcFor = time.Hour
+
+func closeAll(listeners []net.Listener) {
+	for _, l := range listeners {
+		if l != nil {
+			l.Close()
+		}
+	}
+}
+
 // Start listens and serves as the file says.
 func Start(f *File, log *slog.Logger) (*Instance, error) {
-	i := &Instance{file: f, log: log, served: make(chan error, 2)}
+	i := &Instance{file: f, log: log, served: make(chan error, 3)}
 	var listeners [2]net.Listener
 	for n, address := range [...]string{f.HTTP.Listen, f.ExtProc.Listen} {
 		if address == "" {
@@ -102,9 +116,15 @@
 		}
 		var err error
 		if listeners[n], err = net.Listen("tcp", address); err != nil {
-			if n > 0 && listeners[0] != nil {
-				listeners[0].Close()
-			}
+			closeAll(listeners[:])
+			return nil, fmt.Errorf("listen: %w", err)
+		}
+	}
+	var datagrams net.PacketConn
+	if f.HTTP3.Listen != "" {
+		var err error
+		if datagrams, err = net.ListenPacket("udp", f.HTTP3.Listen); err != nil {
+			closeAll(listeners[:])
 			return nil, fmt.Errorf("listen: %w", err)
 		}
 	}
@@ -127,10 +147,9 @@
 	if err != nil {
 		stop()
 		end()
-		for _, l := range listeners {
-			if l != nil {
-				l.Close()
-			}
+		closeAll(listeners[:])
+		if datagrams != nil {
+			datagrams.Close()
 		}
 		return nil, err
 	}
@@ -144,9 +163,18 @@
 		go func() { i.served <- front(ctx, l) }()
 		return l.Addr()
 	}
+	altSvc := ""
+	if datagrams != nil {
+		front := http3front.New(e, up, http3front.Options{TLS: &tls.Config{Certificates: []tls.Certificate{*f.cert}}, Connections: f.HTTP3.Connections,
+			Streams: f.HTTP3.Streams, Early: f.HTTP3.Early, BodyBytes: int64(f.Limits.MemoryMB) << 20 / bodiesPart, Parser: i.parser, Log: log})
+		i.HTTP3 = datagrams.LocalAddr()
+		altSvc = fmt.Sprintf(`h3=":%d"; ma=%d`, i.HTTP3.(*net.UDPAddr).Port, altSvcFor/time.Second)
+		i.fronts++
+		go func() { i.served <- front.Serve(ctx, datagrams) }()
+	}
 	if l := listeners[0]; l != nil {
 		front := httpfront.New(e, up, httpfront.Options{Connections: f.Limits.ClientConnections,
-			Crowded: f.Limits.ClientConnections / crowdPart, BodyBytes: int64(f.Limits.MemoryMB) << 20 / bodiesPart, Parser: i.parser, Log: log})
+			Crowded: f.Limits.ClientConnections / crowdPart, BodyBytes: int64(f.Limits.MemoryMB) << 20 / bodiesPart, Parser: i.parser, AltSvc: altSvc, Log: log})
 		i.HTTP = serve(l, front.Serve)
 	}
 	if l := listeners[1]; l != nil {
