--- a/internal/site/check.go
+++ b/internal/site/check.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"crypto/tls"
+	"crypto/x509"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
@@ -63,6 +64,7 @@
 	c.Require(f.Version == 1, "version", "%d is not a known version of this file; this program reads 1", f.Version)
 	c.Require(f.HTTP.Listen != "" || f.HTTP3.Listen != "" || f.ExtProc.Listen != "", "http.listen", "no front is switched on: set this, http3.listen or ext_proc.listen")
 	c.http3()
+	c.upstream()
 	if f.HTTP.Listen != "" {
 		c.address("http.listen", f.HTTP.Listen)
 	}
@@ -89,6 +91,17 @@
 	}
 }
 
+func (c *check) upstream() {
+	x := &c.file.Upstream
+	c.Require(x.HTTP3 || x.CAFile == "" && x.ServerName == "", "upstream.http3", "is off, though whom to trust is named")
+	if x.CAFile != "" {
+		text, err := os.ReadFile(x.CAFile)
+		c.Require(err == nil, "upstream.ca_file", "%v", err)
+		c.file.trust = x509.NewCertPool()
+		c.Require(err != nil || c.file.trust.AppendCertsFromPEM(text), "upstream.ca_file", "%q holds no certificate", x.CAFile)
+	}
+}
+
 func (c *check) http3() {
 	h := &c.file.HTTP3
 	if h.Listen == "" {
--- a/internal/site/file.go
+++ b/internal/site/file.go
@@ -4,6 +4,7 @@
 
 import (
 	"crypto/tls"
+	"crypto/x509"
 	"io"
 	"os"
 	"time"
@@ -33,6 +34,11 @@
 		Streams     int    `toml:"streams"`
 		Early       bool   `toml:"early"`
 	} `toml:"http3"`
+	Upstream struct {
+		HTTP3      bool   `toml:"http3"`
+		CAFile     string `toml:"ca_file"`
+		ServerName string `toml:"server_name"`
+	} `toml:"upstream"`
 	ExtProc struct {
 		Listen  string `toml:"listen"`
 		Retries string `toml:"retries"`
@@ -89,6 +95,7 @@
 
 	digest   string           // what digest_file holds
 	cert     *tls.Certificate // of http3
+	trust    *x509.CertPool   // of upstream; nil for the system's
 	table    *policy.Table
 	warnings []*FileError
 }
--- a/internal/site/reload_test.go
+++ b/internal/site/reload_test.go
@@ -330,7 +330,8 @@
 		}
 	}
 	table := fmt.Sprintf("[http3]\nlisten = \"127.0.0.1:0\"\ncert_file = %q\nkey_file = %q\n", filepath.Join(dir, "cert"), filepath.Join(dir, "key"))
-	r := startRunning(t, 0, priceClass, payClass, table)
+	// Its servers speak HTTP/1.1 alone: they are asked over that, whatever else is tried.
+	r := startRunning(t, 0, priceClass, payClass, table, fmt.Sprintf("[upstream]\nhttp3 = true\nca_file = %q\n", filepath.Join(dir, "cert")))
 	_, header := r.ask("GET", "/price-check/x", "X-Service-Class: price-check", "X-Time-Left-Ms: 3000")
 	if want := fmt.Sprintf(`h3=":%d"; ma=3600`, r.HTTP3.(*net.UDPAddr).Port); header.Get("Alt-Svc") != want {
 		t.Errorf("Alt-Svc: %q, want %q", header.Get("Alt-Svc"), want)
--- a/internal/site/run.go
+++ b/internal/site/run.go
@@ -26,6 +26,8 @@
 	"pinedale/internal/membership/registry"
 	"pinedale/internal/membership/static"
 	"pinedale/internal/policy"
+	"pinedale/internal/upstream/either"
+	"pinedale/internal/upstream/http3upstream"
 	"pinedale/internal/upstream/httpupstream"
 )
 
@@ -42,17 +44,18 @@
 	HTTP3   net.Addr // likewise
 	ExtProc net.Addr
 
-	file   *File
-	table  atomic.Pointer[policy.Table]
-	parser *intake.Parser
-	admit  *admission.Admission // of the engine's goroutine
-	log    *slog.Logger
-	engine *engine.Engine
-	ext    *extproc.Server
-	end    context.CancelFunc // begins the orderly end
-	stop   context.CancelFunc // ends the engine
-	served chan error         // one for each front
-	fronts int
+	file    *File
+	table   atomic.Pointer[policy.Table]
+	parser  *intake.Parser
+	admit   *admission.Admission // of the engine's goroutine
+	log     *slog.Logger
+	engine  *engine.Engine
+	ext     *extproc.Server
+	end     context.CancelFunc // begins the orderly end
+	stop    context.CancelFunc // ends the engine
+	closeUp func() error       // and then what the upstream holds
+	served  chan error         // one for each front
+	fronts  int
 }
 
 // source is where membership comes from, as the file says. Beside ephemeral nodes all
@@ -95,6 +98,21 @@
 	debug.SetMemoryLimit(int64(f.Limits.MemoryMB) << 20 / 10 * 8)
 }
 
+// upstream is what the file sends requests by, and how that ends.
+func (f *File) upstream() (engine.Upstream, func() error, error) {
+	one := httpupstream.Options{DialTimeout: time.Duration(f.Limits.DialTimeout), Idle: time.Duration(f.Limits.IdleTimeout),
+		Connections: f.Limits.UpstreamConnections, Fields: f.Fleet.Reports}
+	if !f.Upstream.HTTP3 {
+		return httpupstream.New(one), func() error { return nil }, nil
+	}
+	up, err := either.New(one, http3upstream.Options{TLS: &tls.Config{RootCAs: f.trust, ServerName: f.Upstream.ServerName}, DialTimeout: one.DialTimeout,
+		Idle: one.Idle, Connections: one.Connections, Fields: one.Fields})
+	if err != nil {
+		return nil, nil, err
+	}
+	return up, up.Close, nil
+}
+
 // altSvcFor is for how long clients may remember that HTTP/3 is served, too.
 const altSvcFor = time.Hour
 
@@ -139,14 +157,24 @@
 	i.admit = admission.New(f.table.Admission(f.Limits.AdmitRate))
 	i.parser = intake.NewParser(&settings)
 	i.parser.Use(newRouter(f.table))
-	up := httpupstream.New(httpupstream.Options{DialTimeout: time.Duration(f.Limits.DialTimeout),
-		Idle: time.Duration(f.Limits.IdleTimeout), Connections: f.Limits.UpstreamConnections, Fields: f.Fleet.Reports})
+	up, closeUp, err := f.upstream()
+	if err != nil {
+		stop()
+		end()
+		closeAll(listeners[:])
+		if datagrams != nil {
+			datagrams.Close()
+		}
+		return nil, fmt.Errorf("upstream: %w", err)
+	}
+	i.closeUp = closeUp
 	e, err := engine.New(engineCtx, engine.Options{Settings: settings, Seed: binary.LittleEndian.Uint64(seed[:]),
 		Zones: f.Fleet.Sites, Kinds: f.Fleet.Kinds, Known: engine.List{Whole: true, Hosts: f.hosts()},
 		Upstream: up, Source: f.source(log), Log: log, Admission: i.admit, Pools: f.table.Pools})
 	if err != nil {
 		stop()
 		end()
+		closeUp()
 		closeAll(listeners[:])
 		if datagrams != nil {
 			datagrams.Close()
@@ -262,5 +290,5 @@
 		errs = append(errs, err)
 	}
 	i.stop()
-	return errors.Join(errs...)
+	return errors.Join(append(errs, i.closeUp())...)
 }
--- /dev/null
+++ b/internal/upstream/http3upstream/upstream.go
@@ -0,0 +1,379 @@
+// Package http3upstream sends requests to endpoints over HTTP/3 (RFC 9114): one QUIC
+// connection for each life of an endpoint, many streams on one. It keeps connections
+// itself: quic-go's Transport may send a request again on another one.
+package http3upstream
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+
+	"pinedale/balancer"
+	"pinedale/internal/engine"
+	"pinedale/internal/httpmsg"
+)
+
+const (
+	answerRest   = 100 * time.Millisecond // from an answer's head to its last byte, as over HTTP/1.1
+	probeTimeout = 400 * time.Millisecond
+	// An endpoint that answers on UDP may take no new streams. A request waits so long for
+	// one, and then goes elsewhere: it was not sent.
+	streamWait = 100 * time.Millisecond
+	// A path that carries nothing any more is given up after this; pings show sooner that
+	// it lives.
+	silentMost = 5 * time.Second
+)
+
+// Reasons for which nothing is sent.
+var (
+	errClosed = errors.New("the endpoint is draining or gone")
+	errFull   = errors.New("no connection is left")
+)
+
+// Options say how many connections may be held, and for how long.
+type Options struct {
+	TLS         *tls.Config // whom to trust; the protocol's name is set here
+	DialTimeout time.Duration
+	Idle        time.Duration // after which a connection without requests is closed
+	Connections int           // at most
+	Fields      []string      // of load reports, in the order of the settings
+
+	// Told, where set, is told whether a connection and a stream were to be had at a
+	// target, each time that one was wanted. It must not call back.
+	Told func(t *engine.Target, ok bool)
+}
+
+// Upstream sends requests to endpoints. Make one with New.
+type Upstream struct {
+	opts      Options
+	transport *quic.Transport
+
+	mu    sync.Mutex
+	conns map[*engine.Target]*conn
+	open  int
+}
+
+// conn is one connection, perhaps not there yet. The fields below ready are set before
+// it is closed.
+type conn struct {
+	target *engine.Target
+	ready  chan struct{}
+	quic   *quic.Conn
+	client *http3.ClientConn
+	err    error
+
+	// Under Upstream.mu.
+	out    int // requests on it, those that wait for it included
+	last   time.Time
+	over   bool // nothing new goes on it
+	closed bool
+}
+
+// New returns an upstream with a socket of its own and no connection.
+func New(o Options) (*Upstream, error) {
+	socket, err := net.ListenUDP("udp", nil)
+	if err != nil {
+		return nil, err
+	}
+	o.TLS = http3.ConfigureTLSConfig(o.TLS)
+	return &Upstream{opts: o, transport: &quic.Transport{Conn: socket}, conns: map[*engine.Target]*conn{}}, nil
+}
+
+// Close ends all connections and the socket.
+func (u *Upstream) Close() error {
+	return errors.Join(u.transport.Close(), u.transport.Conn.Close())
+}
+
+// carriage carries out the attempts of one request.
+type carriage struct {
+	up      *Upstream
+	message *engine.Message
+}
+
+// Carry returns a carrier for one request.
+func (u *Upstream) Carry(m *engine.Message) engine.Carrier { return &carriage{u, m} }
+
+// Attempt sends the request in a goroutine of its own.
+func (c *carriage) Attempt(a *engine.Attempt) {
+	ctx, cancel := context.WithDeadline(a.Context(), a.UntilTime())
+	a.Stop = cancel
+	go func() {
+		res := c.up.attempt(ctx, a.Target, c.message)
+		cancel()
+		a.Done(res)
+	}()
+}
+
+// Cancel resets the attempt's stream.
+func (c *carriage) Cancel(a *engine.Attempt) { a.Stop() }
+
+// Probe asks an endpoint in a goroutine of its own.
+func (u *Upstream) Probe(ctx context.Context, t *engine.Target, told func(engine.Result)) {
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+		m := &engine.Message{Method: http.MethodGet, URL: &url.URL{Path: "/health/live"}, Host: t.Address}
+		if len(u.opts.Fields) > 0 {
+			m.URL.Path = "/stats"
+		}
+		r := u.attempt(ctx, t, m)
+		if r.Status == balancer.OK {
+			r.Load = httpmsg.LoadReport(u.opts.Fields, string(r.Body))
+		}
+		told(r)
+	}()
+}
+
+// Warm opens the connection to a target, and does not wait for it.
+func (u *Upstream) Warm(t *engine.Target) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), u.opts.DialTimeout)
+		defer cancel()
+		c, err := u.take(ctx, t)
+		switch {
+		case err == nil:
+			u.release(c)
+			if u.opts.Told != nil {
+				u.opts.Told(t, true)
+			}
+		case u.opts.Told != nil && (errors.Is(err, errClosed) || errors.Is(err, errFull)):
+			u.opts.Told(t, false) // no dial was begun that would tell
+		}
+	}()
+}
+
+// Retire has a target's connection end once its requests have.
+func (u *Upstream) Retire(t *engine.Target) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if c := u.conns[t]; c != nil {
+		u.end(c)
+	}
+}
+
+// Prune ends connections that have been without requests for too long, or are broken.
+func (u *Upstream) Prune() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, c := range u.conns {
+		if c.out == 0 && (time.Since(c.last) >= u.opts.Idle || c.broken()) {
+			u.end(c)
+		}
+	}
+}
+
+// broken says that a connection is there no more. It must be ready, or is not.
+func (c *conn) broken() bool {
+	select {
+	case <-c.ready:
+		return c.err != nil || c.quic.Context().Err() != nil
+	default:
+		return false
+	}
+}
+
+// end lets nothing new go on a connection, and closes it once nothing is on it. It holds
+// u.mu.
+func (u *Upstream) end(c *conn) {
+	if !c.over {
+		c.over = true
+		if u.conns[c.target] == c {
+			delete(u.conns, c.target)
+		}
+	}
+	if c.out == 0 && !c.closed {
+		c.closed = true
+		u.open--
+		if c.quic != nil {
+			go c.quic.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), "")
+		}
+	}
+}
+
+// take returns the connection to a target, counted as used: release must follow.
+func (u *Upstream) take(ctx context.Context, t *engine.Target) (*conn, error) {
+	u.mu.Lock()
+	if t.Closed() {
+		u.mu.Unlock()
+		return nil, errClosed
+	}
+	c := u.conns[t]
+	if c != nil && c.broken() {
+		u.end(c)
+		c = nil
+	}
+	if c == nil {
+		if u.open >= u.opts.Connections {
+			u.mu.Unlock()
+			return nil, errFull
+		}
+		c = &conn{target: t, ready: make(chan struct{})}
+		u.conns[t] = c
+		u.open++
+		go u.dial(c)
+	}
+	c.out++
+	u.mu.Unlock()
+	select {
+	case <-c.ready:
+	case <-ctx.Done():
+		u.release(c)
+		return nil, ctx.Err()
+	}
+	if c.err != nil {
+		u.release(c)
+		return nil, c.err
+	}
+	return c, nil
+}
+
+// dial opens a connection: for all requests that wait for it, so by none's context.
+func (u *Upstream) dial(c *conn) {
+	ctx, cancel := context.WithTimeout(context.Background(), u.opts.DialTimeout)
+	defer cancel()
+	defer close(c.ready)
+	to, err := net.ResolveUDPAddr("udp", c.target.Address)
+	if err == nil {
+		c.quic, err = u.transport.Dial(ctx, to, u.opts.TLS, &quic.Config{HandshakeIdleTimeout: u.opts.DialTimeout,
+			MaxIdleTimeout: silentMost, KeepAlivePeriod: silentMost / 3, MaxIncomingStreams: -1})
+	}
+	if u.opts.Told != nil {
+		defer func() { u.opts.Told(c.target, c.err == nil) }()
+	}
+	if err != nil {
+		c.err = err
+		return
+	}
+	c.client = (&http3.Transport{DisableCompression: true}).NewClientConn(c.quic)
+}
+
+func (u *Upstream) release(c *conn) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	c.out--
+	c.last = time.Now()
+	if c.over || c.broken() {
+		u.end(c)
+	}
+}
+
+// attempt sends a request once and tells what came of it. It claims that the request
+// never ran only where no stream was there for it, or the endpoint rejected it unseen
+// (RFC 9114, section 8.1: H3_REQUEST_REJECTED); in doubt it may have run: an endpoint may
+// begin with a request whose end has not come.
+func (u *Upstream) attempt(ctx context.Context, t *engine.Target, m *engine.Message) engine.Result {
+	c, err := u.take(ctx, t)
+	if err != nil {
+		return engine.Result{Status: unsent(ctx, err)}
+	}
+	defer u.release(c)
+	if t.Closed() { // told draining meanwhile: nothing new may go there
+		return engine.Result{Status: balancer.Moot}
+	}
+	start := time.Now()
+	response, body, left, err := exchange(ctx, c.client, t, m)
+	if err != nil && !left {
+		if ctx.Err() == nil { // no stream, or the endpoint is going: the next request dials anew
+			u.mu.Lock()
+			u.end(c)
+			u.mu.Unlock()
+			if u.opts.Told != nil {
+				u.opts.Told(t, false)
+			}
+		}
+		return engine.Result{Status: unsent(ctx, err)}
+	}
+	r := engine.Result{Status: balancer.Error, Took: time.Since(start)}
+	var refused *http3.Error
+	switch {
+	case err != nil && errors.As(err, &refused) && refused.Remote && refused.ErrorCode == http3.ErrCodeRequestRejected:
+		r.Status = balancer.Full
+	case err != nil && over(ctx):
+		r.Status = balancer.Timeout
+	case err != nil && ctx.Err() != nil:
+		r.Status = balancer.Cancelled
+	case err != nil:
+		r.Status = balancer.Reset
+	default:
+		r.Load = httpmsg.LoadReport(u.opts.Fields, response.Header.Get("X-Backend-Load"))
+		switch code := response.StatusCode; {
+		case code == http.StatusOK:
+			r.Status, r.Header, r.Body = balancer.OK, response.Header, body
+		case (code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout) && response.Header.Get("X-Unprocessed") == "1":
+			r.Status = balancer.Full
+		}
+	}
+	return r
+}
+
+// over says that an attempt's time is up, by the clock.
+func over(ctx context.Context) bool {
+	until, ok := ctx.Deadline()
+	return ok && !time.Now().Before(until)
+}
+
+// unsent is the outcome of a request that did not leave: the endpoint's fault, unless the
+// sidecar no longer wanted to send it.
+func unsent(ctx context.Context, err error) balancer.Status {
+	if ctx.Err() != nil || errors.Is(err, errClosed) || errors.Is(err, errFull) {
+		return balancer.Moot
+	}
+	return balancer.ConnectFailed
+}
+
+var errLarge = errors.New("the answer's body is too large")
+
+// exchange sends one request on a stream of its own and reads the whole answer. left says
+// that a stream was there for it, and so that it may have left. ClientConn's RoundTrip
+// uses this connection alone, once.
+func exchange(ctx context.Context, client *http3.ClientConn, t *engine.Target, m *engine.Message) (r *http.Response, body []byte, left bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var opened atomic.Bool
+	wait := time.AfterFunc(streamWait, func() {
+		if !opened.Load() {
+			cancel()
+		}
+	})
+	defer wait.Stop()
+	open := func() { opened.Store(true) }
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaderField: func(string, []string) { open() }, WroteHeaders: open,
+		WroteRequest: func(httptrace.WroteRequestInfo) { open() }})
+	request := (&http.Request{Method: m.Method, Host: m.Host, Header: http.Header{}, ContentLength: int64(len(m.Body)),
+		URL: &url.URL{Scheme: "https", Host: t.Address, Path: m.URL.Path, RawPath: m.URL.RawPath, RawQuery: m.URL.RawQuery}}).WithContext(ctx)
+	httpmsg.EndToEnd(request.Header, m.Header)
+	if until, ok := ctx.Deadline(); ok {
+		request.Header.Set("X-Time-Left-Ms", strconv.FormatInt(max(0, time.Until(until).Milliseconds()), 10))
+	}
+	if len(m.Body) > 0 {
+		request.Body = io.NopCloser(bytes.NewReader(m.Body))
+	}
+	if r, err = client.RoundTrip(request); err != nil {
+		return nil, nil, opened.Load(), err
+	}
+	defer r.Body.Close()
+	// An answer that has begun and stalls would hold its request until the client's time
+	// is up.
+	rest := time.AfterFunc(answerRest, cancel)
+	defer rest.Stop()
+	if body, err = io.ReadAll(io.LimitReader(r.Body, httpmsg.BodyMost+1)); err != nil {
+		return nil, nil, true, err
+	}
+	if len(body) > httpmsg.BodyMost {
+		return nil, nil, true, errLarge
+	}
+	return r, body, true, nil
+}
--- /dev/null
+++ b/internal/upstream/http3upstream/upstream_test.go
@@ -0,0 +1,315 @@
+package http3upstream
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+	"go.uber.org/goleak"
+
+	"pinedale/balancer"
+	"pinedale/internal/engine"
+	"pinedale/internal/standin/cert"
+	"pinedale/internal/standin/wait"
+)
+
+// endpoint is an HTTP/3 server, with what a test wants to know of it.
+type endpoint struct {
+	target *engine.Target
+	http   *http3.Server
+	conns  atomic.Int64
+	seen   atomic.Int64
+}
+
+// world is an upstream, and certificates for endpoints.
+type world struct {
+	t    *testing.T
+	pair *cert.Pair
+	up   *Upstream
+}
+
+func start(t *testing.T) *world {
+	t.Helper()
+	w := &world{t: t, pair: cert.New(t)}
+	var err error
+	if w.up, err = New(Options{TLS: w.pair.Client, DialTimeout: 500 * time.Millisecond, Idle: time.Minute, Connections: 3, Fields: []string{"eps", "queue"}}); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		w.up.Close()
+		goleak.VerifyNone(t)
+	})
+	return w
+}
+
+func (w *world) endpoint(streams int64, handle http.HandlerFunc) *endpoint {
+	w.t.Helper()
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	e := &endpoint{target: &engine.Target{Address: conn.LocalAddr().String()}}
+	e.http = &http3.Server{TLSConfig: w.pair.Server, QUICConfig: &quic.Config{MaxIncomingStreams: streams},
+		ConnContext: func(ctx context.Context, _ *quic.Conn) context.Context { e.conns.Add(1); return ctx },
+		Handler: http.HandlerFunc(func(out http.ResponseWriter, in *http.Request) {
+			e.seen.Add(1)
+			handle(out, in)
+		})}
+	done := make(chan struct{})
+	go func() { e.http.Serve(conn); close(done) }()
+	w.t.Cleanup(func() { e.http.Close(); conn.Close(); <-done })
+	return e
+}
+
+// raw is an endpoint that does what a test says with each request stream.
+func (w *world) raw(do func(c *quic.Conn, s *quic.Stream)) *engine.Target {
+	w.t.Helper()
+	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	transport := &quic.Transport{Conn: socket}
+	listener, err := transport.Listen(http3.ConfigureTLSConfig(w.pair.Server), nil)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	var all sync.WaitGroup
+	all.Go(func() {
+		for {
+			c, err := listener.Accept(context.Background())
+			if err != nil {
+				return
+			}
+			all.Go(func() {
+				if control, err := c.OpenUniStream(); err == nil {
+					control.Write([]byte{0, 4, 0}) // a control stream with no settings
+				}
+				for {
+					s, err := c.AcceptStream(context.Background())
+					if err != nil {
+						return
+					}
+					all.Go(func() { io.Copy(io.Discard, s); do(c, s) })
+				}
+			})
+		}
+	})
+	w.t.Cleanup(func() { transport.Close(); socket.Close(); all.Wait() })
+	return &engine.Target{Address: listener.Addr().String()}
+}
+
+func (w *world) send(t *engine.Target, patience time.Duration) engine.Result {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	return w.up.attempt(ctx, t, message("body"))
+}
+
+func message(body string) *engine.Message {
+	return &engine.Message{Method: "POST", URL: &url.URL{Path: "/pay/x y", RawQuery: "q=1"}, Host: "till.example", Body: []byte(body),
+		Header: http.Header{"X-Correlation-Id": {"1"}, "Connection": {"close"}}}
+}
+
+// One connection carries many requests, each with its whole head and body.
+func TestServed(t *testing.T) {
+	w := start(t)
+	e := w.endpoint(100, func(out http.ResponseWriter, in *http.Request) {
+		body, _ := io.ReadAll(in.Body)
+		out.Header().Set("X-Backend-Load", "eps=1,queue=2")
+		fmt.Fprint(out, in.Method, in.Host, in.URL.RequestURI(), in.Header.Get("X-Correlation-Id"), in.Header.Get("Connection"), string(body), in.Header.Get("X-Time-Left-Ms") != "")
+	})
+	var all sync.WaitGroup
+	for range 30 {
+		all.Go(func() {
+			r := w.send(e.target, 10*time.Second)
+			if r.Status != balancer.OK || string(r.Body) != "POSTtill.example/pay/x%20y?q=11bodytrue" || len(r.Load) != 2 || r.Load[1] != 2 {
+				t.Errorf("%v %q %v", r.Status, r.Body, r.Load)
+			}
+		})
+	}
+	all.Wait()
+	if n := e.conns.Load(); n != 1 {
+		t.Errorf("%d connections for 30 requests", n)
+	}
+}
+
+// What an outcome proves.
+func TestOutcomes(t *testing.T) {
+	w := start(t)
+	answers := w.endpoint(100, func(out http.ResponseWriter, in *http.Request) {
+		switch in.Header.Get("X-Correlation-Id") {
+		case "away":
+			out.Header().Set("X-Unprocessed", "1")
+			out.WriteHeader(503)
+		case "busy":
+			out.WriteHeader(503)
+		case "error":
+			out.WriteHeader(500)
+		case "abort":
+			panic(http.ErrAbortHandler)
+		case "large":
+			out.Write(make([]byte, 1<<20))
+		case "stall":
+			out.WriteHeader(200)
+			out.(http.Flusher).Flush()
+			<-in.Context().Done()
+		case "silent":
+			<-in.Context().Done()
+		}
+	})
+	for id, want := range map[string]balancer.Status{"away": balancer.Full, "busy": balancer.Error, "error": balancer.Error, "abort": balancer.Reset,
+		"large": balancer.Reset, "stall": balancer.Reset, "silent": balancer.Timeout} {
+		m := message("body")
+		m.Header.Set("X-Correlation-Id", id)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		if r := w.up.attempt(ctx, answers.target, m); r.Status != want {
+			t.Errorf("%s: %v, want %v", id, r.Status, want)
+		}
+		cancel()
+	}
+	reset := func(code http3.ErrCode) *engine.Target {
+		return w.raw(func(_ *quic.Conn, s *quic.Stream) { s.CancelWrite(quic.StreamErrorCode(code)) })
+	}
+	if r := w.send(reset(http3.ErrCodeRequestRejected), time.Second); r.Status != balancer.Full {
+		t.Errorf("rejected unseen: %v", r.Status)
+	}
+	if r := w.send(reset(http3.ErrCodeInternalError), time.Second); r.Status != balancer.Reset {
+		t.Errorf("reset after the last byte: %v", r.Status)
+	}
+}
+
+// Where nobody is, an attempt ends with the time to connect and was never sent; the next
+// one dials anew.
+func TestNobodyThere(t *testing.T) {
+	w := start(t)
+	socket, err := net.ListenPacket("udp", "127.0.0.1:0") // hears, and says nothing
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.Close()
+	began := time.Now()
+	for range 2 {
+		if r := w.send(&engine.Target{Address: socket.LocalAddr().String()}, 10*time.Second); r.Status != balancer.ConnectFailed {
+			t.Errorf("%v", r.Status)
+		}
+	}
+	if took := time.Since(began); took > 5*time.Second {
+		t.Errorf("two attempts took %v", took)
+	}
+	closed := &engine.Target{Address: socket.LocalAddr().String()}
+	closed.Close()
+	if r := w.send(closed, time.Second); r.Status != balancer.Moot {
+		t.Errorf("to a closed target: %v", r.Status)
+	}
+}
+
+// An endpoint that answers on UDP and takes no new streams: a request is let go within
+// the time that is stated, as one that was not sent, long before its deadline.
+func TestNoStreamLeft(t *testing.T) {
+	w := start(t)
+	end := make(chan struct{})
+	e := w.endpoint(1, func(_ http.ResponseWriter, in *http.Request) { <-end })
+	first := make(chan engine.Result)
+	go func() { first <- w.send(e.target, time.Minute) }()
+	wait.Until(t, "the first to be there", func() bool { return e.seen.Load() == 1 })
+	began := time.Now()
+	if r := w.send(e.target, time.Minute); r.Status != balancer.ConnectFailed || e.seen.Load() != 1 {
+		t.Errorf("%v, %d seen", r.Status, e.seen.Load())
+	}
+	if took := time.Since(began); took > 5*time.Second {
+		t.Errorf("let go after %v", took)
+	}
+	close(end)
+	if r := <-first; r.Status != balancer.OK {
+		t.Errorf("the first: %v", r.Status)
+	}
+}
+
+// GOAWAY: what is in hand is answered, nothing new is sent on the connection.
+func TestGoAway(t *testing.T) {
+	w := start(t)
+	answer := make(chan struct{})
+	e := w.endpoint(100, func(http.ResponseWriter, *http.Request) { <-answer })
+	first := make(chan engine.Result)
+	go func() { first <- w.send(e.target, time.Minute) }()
+	wait.Until(t, "the first to be there", func() bool { return e.seen.Load() == 1 })
+	down := make(chan struct{})
+	go func() { e.http.Shutdown(context.Background()); close(down) }()
+	wait.Until(t, "the end to be heard", func() bool { return w.send(e.target, time.Second).Status != balancer.Timeout })
+	if r := w.send(e.target, time.Second); r.Status != balancer.ConnectFailed && r.Status != balancer.Full {
+		t.Errorf("after GOAWAY: %v", r.Status)
+	}
+	if e.seen.Load() != 1 {
+		t.Errorf("%d requests are seen", e.seen.Load())
+	}
+	close(answer)
+	if r := <-first; r.Status != balancer.OK {
+		t.Errorf("the one in hand: %v", r.Status)
+	}
+	w.up.Close() // the server waits for its clients to go
+	<-down
+}
+
+// An attempt that is called off resets its stream: the endpoint learns of it.
+func TestCancel(t *testing.T) {
+	w := start(t)
+	gone := make(chan struct{})
+	e := w.endpoint(100, func(_ http.ResponseWriter, in *http.Request) { <-in.Context().Done(); close(gone) })
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	result := make(chan engine.Result)
+	go func() { result <- w.up.attempt(ctx, e.target, message("body")) }()
+	wait.Until(t, "it to be there", func() bool { return e.seen.Load() == 1 })
+	cancel()
+	if r := <-result; r.Status != balancer.Cancelled {
+		t.Errorf("%v", r.Status)
+	}
+	<-gone
+}
+
+// A retired target's connection goes with its last request; connections are bounded, and
+// pruned once idle.
+func TestRetireAndPrune(t *testing.T) {
+	w := start(t)
+	answer := make(chan struct{})
+	e := w.endpoint(100, func(http.ResponseWriter, *http.Request) { <-answer })
+	result := make(chan engine.Result)
+	go func() { result <- w.send(e.target, time.Minute) }()
+	wait.Until(t, "it to be there", func() bool { return e.seen.Load() == 1 })
+	e.target.Close()
+	w.up.Retire(e.target)
+	close(answer)
+	if r := <-result; r.Status != balancer.OK {
+		t.Errorf("in hand when retired: %v", r.Status)
+	}
+	held := func() int {
+		w.up.mu.Lock()
+		defer w.up.mu.Unlock()
+		return w.up.open
+	}
+	if n := held(); n != 0 {
+		t.Errorf("%d connections are held", n)
+	}
+	for n := range 5 {
+		quick := w.endpoint(100, func(http.ResponseWriter, *http.Request) {})
+		want := balancer.OK
+		if n >= 3 {
+			want = balancer.Moot
+		}
+		if r := w.send(quick.target, time.Minute); r.Status != want {
+			t.Errorf("connection %d: %v", n, r.Status)
+		}
+	}
+	w.up.opts.Idle = 0
+	w.up.Prune()
+	if n := held(); n != 0 {
+		t.Errorf("%d connections are held after the pruning", n)
+	}
+}
