Upstreams share how attempts start and end, and what an outcome proves

The two upstreams had it twice: carriage, probes, what a failure before and after the last byte proves, what an answer says. internal/upstream/attempt serves both; no rule has changed.

--- /dev/null
+++ b/internal/upstream/attempt/attempt.go
@@ -0,0 +1,104 @@
+// Package attempt is what upstreams share, whatever protocol they speak: how an attempt
+// is started and called off, what a failure before and after sending proves, what an
+// answer says, and how a server is asked for its load.
+package attempt
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/url"
+	"time"
+
+	"pinedale/balancer"
+	"pinedale/internal/engine"
+	"pinedale/internal/httpmsg"
+)
+
+// Reasons for which the sidecar itself sends nothing.
+var (
+	ErrClosed = errors.New("the endpoint is draining or gone")
+	ErrFull   = errors.New("no connection is left")
+)
+
+// Sender sends a request to a target once, and tells what came of it.
+type Sender func(context.Context, *engine.Target, *engine.Message) engine.Result
+
+// carriage carries out the attempts of one request.
+type carriage struct {
+	send    Sender
+	message *engine.Message
+}
+
+// Carry returns a carrier for one request.
+func Carry(send Sender, m *engine.Message) engine.Carrier { return &carriage{send, m} }
+
+// Attempt sends the request in a goroutine of its own.
+func (c *carriage) Attempt(a *engine.Attempt) {
+	ctx, cancel := context.WithDeadline(a.Context(), a.UntilTime())
+	a.Stop = cancel
+	go func() {
+		res := c.send(ctx, a.Target, c.message)
+		cancel()
+		a.Done(res)
+	}()
+}
+
+// Cancel ends the attempt's context.
+func (c *carriage) Cancel(a *engine.Attempt) { a.Stop() }
+
+// probeTimeout is how long a probe's answer is waited for.
+const probeTimeout = 400 * time.Millisecond
+
+// Probe asks a target for its load report, or for its health where the deployment has no
+// reports: fields are the reports'.
+func Probe(ctx context.Context, send Sender, t *engine.Target, fields []string) engine.Result {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	m := &engine.Message{Method: http.MethodGet, URL: &url.URL{Path: "/health/live"}, Host: t.Address}
+	if len(fields) > 0 {
+		m.URL.Path = "/stats"
+	}
+	r := send(ctx, t, m)
+	if r.Status == balancer.OK {
+		r.Load = httpmsg.LoadReport(fields, string(r.Body))
+	}
+	return r
+}
+
+// Unsent is the outcome of a request that was not written: the endpoint's fault, unless
+// the sidecar no longer wanted to send it.
+func Unsent(ctx context.Context, err error) balancer.Status {
+	if ctx.Err() != nil || errors.Is(err, ErrClosed) || errors.Is(err, ErrFull) {
+		return balancer.Moot
+	}
+	return balancer.ConnectFailed
+}
+
+// Broken is the outcome of a request that was written, perhaps in part, and has no whole
+// answer.
+func Broken(ctx context.Context) balancer.Status {
+	switch until, ok := ctx.Deadline(); {
+	// By the clock: the balancer's own timer for that instant may have called the attempt
+	// off already, but to be told of a cancellation in place of a time-out would hide the
+	// endpoint's silence from it.
+	case ok && !time.Now().Before(until):
+		return balancer.Timeout
+	case ctx.Err() != nil:
+		return balancer.Cancelled
+	}
+	return balancer.Reset // a broken, cut or malformed answer
+}
+
+// Answered is the result of a request that has a whole answer.
+func Answered(fields []string, response *http.Response, body []byte, took time.Duration) engine.Result {
+	r := engine.Result{Status: balancer.Error, Took: took, Load: httpmsg.LoadReport(fields, response.Header.Get("X-Backend-Load"))}
+	switch code := response.StatusCode; {
+	case code == http.StatusOK:
+		r.Status, r.Header, r.Body = balancer.OK, response.Header, body
+	case (code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout) &&
+		response.Header.Get("X-Unprocessed") == "1":
+		r.Status = balancer.Full
+	}
+	return r
+}
--- a/internal/upstream/http3upstream/upstream.go
+++ b/internal/upstream/http3upstream/upstream.go
@@ -24,11 +24,11 @@
 	"pinedale/balancer"
 	"pinedale/internal/engine"
 	"pinedale/internal/httpmsg"
+	"pinedale/internal/upstream/attempt"
 )
 
 const (
-	answerRest   = 100 * time.Millisecond // from an answer's head to its last byte, as over HTTP/1.1
-	probeTimeout = 400 * time.Millisecond
+	answerRest = 100 * time.Millisecond // from an answer's head to its last byte, as over HTTP/1.1
 	// An endpoint that answers on UDP may take no new streams. A request waits so long for
 	// one, and then goes elsewhere: it was not sent.
 	streamWait = 100 * time.Millisecond
@@ -37,12 +37,6 @@
 	silentMost = 5 * time.Second
 )
 
-// Reasons for which nothing is sent.
-var (
-	errClosed = errors.New("the endpoint is draining or gone")
-	errFull   = errors.New("no connection is left")
-)
-
 // Options say how many connections may be held, and for how long.
 type Options struct {
 	TLS         *tls.Config // whom to trust; the protocol's name is set here
@@ -97,44 +91,12 @@
 	return errors.Join(u.transport.Close(), u.transport.Conn.Close())
 }
 
-// carriage carries out the attempts of one request.
-type carriage struct {
-	up      *Upstream
-	message *engine.Message
-}
-
 // Carry returns a carrier for one request.
-func (u *Upstream) Carry(m *engine.Message) engine.Carrier { return &carriage{u, m} }
-
-// Attempt sends the request in a goroutine of its own.
-func (c *carriage) Attempt(a *engine.Attempt) {
-	ctx, cancel := context.WithDeadline(a.Context(), a.UntilTime())
-	a.Stop = cancel
-	go func() {
-		res := c.up.attempt(ctx, a.Target, c.message)
-		cancel()
-		a.Done(res)
-	}()
-}
-
-// Cancel resets the attempt's stream.
-func (c *carriage) Cancel(a *engine.Attempt) { a.Stop() }
+func (u *Upstream) Carry(m *engine.Message) engine.Carrier { return attempt.Carry(u.attempt, m) }
 
 // Probe asks an endpoint in a goroutine of its own.
 func (u *Upstream) Probe(ctx context.Context, t *engine.Target, told func(engine.Result)) {
-	go func() {
-		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-		defer cancel()
-		m := &engine.Message{Method: http.MethodGet, URL: &url.URL{Path: "/health/live"}, Host: t.Address}
-		if len(u.opts.Fields) > 0 {
-			m.URL.Path = "/stats"
-		}
-		r := u.attempt(ctx, t, m)
-		if r.Status == balancer.OK {
-			r.Load = httpmsg.LoadReport(u.opts.Fields, string(r.Body))
-		}
-		told(r)
-	}()
+	go func() { told(attempt.Probe(ctx, u.attempt, t, u.opts.Fields)) }()
 }
 
 // Warm opens the connection to a target, and does not wait for it.
@@ -149,7 +111,7 @@
 			if u.opts.Told != nil {
 				u.opts.Told(t, true)
 			}
-		case u.opts.Told != nil && (errors.Is(err, errClosed) || errors.Is(err, errFull)):
+		case u.opts.Told != nil && (errors.Is(err, attempt.ErrClosed) || errors.Is(err, attempt.ErrFull)):
 			u.opts.Told(t, false) // no dial was begun that would tell
 		}
 	}()
@@ -208,7 +170,7 @@
 	u.mu.Lock()
 	if t.Closed() {
 		u.mu.Unlock()
-		return nil, errClosed
+		return nil, attempt.ErrClosed
 	}
 	c := u.conns[t]
 	if c != nil && c.broken() {
@@ -218,7 +180,7 @@
 	if c == nil {
 		if u.open >= u.opts.Connections {
 			u.mu.Unlock()
-			return nil, errFull
+			return nil, attempt.ErrFull
 		}
 		c = &conn{target: t, ready: make(chan struct{})}
 		u.conns[t] = c
@@ -277,7 +239,7 @@
 func (u *Upstream) attempt(ctx context.Context, t *engine.Target, m *engine.Message) engine.Result {
 	c, err := u.take(ctx, t)
 	if err != nil {
-		return engine.Result{Status: unsent(ctx, err)}
+		return engine.Result{Status: attempt.Unsent(ctx, err)}
 	}
 	defer u.release(c)
 	if t.Closed() { // told draining meanwhile: nothing new may go there
@@ -294,44 +256,16 @@
 				u.opts.Told(t, false)
 			}
 		}
-		return engine.Result{Status: unsent(ctx, err)}
+		return engine.Result{Status: attempt.Unsent(ctx, err)}
 	}
-	r := engine.Result{Status: balancer.Error, Took: time.Since(start)}
+	took := time.Since(start)
 	var refused *http3.Error
-	switch {
-	case err != nil && errors.As(err, &refused) && refused.Remote && refused.ErrorCode == http3.ErrCodeRequestRejected:
-		r.Status = balancer.Full
-	case err != nil && over(ctx):
-		r.Status = balancer.Timeout
-	case err != nil && ctx.Err() != nil:
-		r.Status = balancer.Cancelled
-	case err != nil:
-		r.Status = balancer.Reset
-	default:
-		r.Load = httpmsg.LoadReport(u.opts.Fields, response.Header.Get("X-Backend-Load"))
-		switch code := response.StatusCode; {
-		case code == http.StatusOK:
-			r.Status, r.Header, r.Body = balancer.OK, response.Header, body
-		case (code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout) && response.Header.Get("X-Unprocessed") == "1":
-			r.Status = balancer.Full
-		}
-	}
-	return r
-}
-
-// over says that an attempt's time is up, by the clock.
-func over(ctx context.Context) bool {
-	until, ok := ctx.Deadline()
-	return ok && !time.Now().Before(until)
-}
-
-// unsent is the outcome of a request that did not leave: the endpoint's fault, unless the
-// sidecar no longer wanted to send it.
-func unsent(ctx context.Context, err error) balancer.Status {
-	if ctx.Err() != nil || errors.Is(err, errClosed) || errors.Is(err, errFull) {
-		return balancer.Moot
+	if errors.As(err, &refused) && refused.Remote && refused.ErrorCode == http3.ErrCodeRequestRejected {
+		return engine.Result{Status: balancer.Full, Took: took}
+	} else if err != nil {
+		return engine.Result{Status: attempt.Broken(ctx), Took: took}
 	}
-	return balancer.ConnectFailed
+	return attempt.Answered(u.opts.Fields, response, body, took)
 }
 
 var errLarge = errors.New("the answer's body is too large")
--- a/internal/upstream/httpupstream/upstream.go
+++ b/internal/upstream/httpupstream/upstream.go
@@ -10,23 +10,21 @@
 	"io"
 	"net"
 	"net/http"
-	"net/url"
 	"slices"
 	"strconv"
 	"sync"
 	"syscall"
 	"time"
 
-	"pinedale/balancer"
 	"pinedale/internal/engine"
 	"pinedale/internal/httpmsg"
+	"pinedale/internal/upstream/attempt"
 )
 
 const (
-	answerMost   = 8 << 10                // bytes of an answer's head: each connection has a buffer of this size
-	answerRest   = 100 * time.Millisecond // from an answer's first byte to its last: four round trips between sites
-	interimMost  = 10                     // interim answers ahead of one that counts
-	probeTimeout = 400 * time.Millisecond
+	answerMost  = 8 << 10                // bytes of an answer's head: each connection has a buffer of this size
+	answerRest  = 100 * time.Millisecond // from an answer's first byte to its last: four round trips between sites
+	interimMost = 10                     // interim answers ahead of one that counts
 )
 
 // Upstream sends requests to endpoints. It does not use http.Transport, which
@@ -53,12 +51,7 @@
 	used   bool // it has carried a request before
 }
 
-// Reasons for which the sidecar itself sends nothing.
-var (
-	errClosed = errors.New("the endpoint is draining or gone")
-	errFull   = errors.New("no connection is left")
-	errStale  = errors.New("the idle connection is of no more use")
-)
+var errStale = errors.New("the idle connection is of no more use")
 
 // unsentError says that the last byte of a request was never written.
 type unsentError struct{ error }
@@ -84,28 +77,8 @@
 	}
 }
 
-// carriage carries out the attempts of one request.
-type carriage struct {
-	up      *Upstream
-	message *engine.Message
-}
-
 // Carry returns a carrier for one request.
-func (u *Upstream) Carry(m *engine.Message) engine.Carrier { return &carriage{u, m} }
-
-// Attempt sends the request in a goroutine of its own.
-func (c *carriage) Attempt(a *engine.Attempt) {
-	ctx, cancel := context.WithDeadline(a.Context(), a.UntilTime())
-	a.Stop = cancel
-	go func() {
-		res := c.up.attempt(ctx, a.Target, c.message)
-		cancel()
-		a.Done(res)
-	}()
-}
-
-// Cancel closes the attempt's connection.
-func (c *carriage) Cancel(a *engine.Attempt) { a.Stop() }
+func (u *Upstream) Carry(m *engine.Message) engine.Carrier { return attempt.Carry(u.attempt, m) }
 
 // attempt sends a request once and tells what came of it. Its outcome claims
 // that the request never ran only where the last byte was not written, or the
@@ -118,71 +91,24 @@
 	for err == errStale { // nothing has been sent on that connection
 		c, unable := u.connect(ctx, t)
 		if unable != nil {
-			return engine.Result{Status: unsent(ctx, unable)}
+			return engine.Result{Status: attempt.Unsent(ctx, unable)}
 		}
 		start = time.Now()
 		response, body, err = u.exchange(ctx, c, m)
 	}
-	r := engine.Result{Status: balancer.Error, Took: time.Since(start)}
+	took := time.Since(start)
 	var never *unsentError
-	switch {
-	case errors.As(err, &never):
-		r.Status = unsent(ctx, never.error)
-	case err != nil && over(ctx):
-		r.Status = balancer.Timeout
-	case err != nil && ctx.Err() != nil:
-		r.Status = balancer.Cancelled
-	case err != nil:
-		r.Status = balancer.Reset // a broken, cut or malformed answer: the connection is of no more use
-	default:
-		r.Load = httpmsg.LoadReport(u.fields, response.Header.Get("X-Backend-Load"))
-		switch code := response.StatusCode; {
-		case code == http.StatusOK:
-			r.Status, r.Header, r.Body = balancer.OK, response.Header, body
-		case (code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout) &&
-			response.Header.Get("X-Unprocessed") == "1":
-			r.Status = balancer.Full
-		}
-	}
-	return r
-}
-
-// over says that an attempt's time is up, by the clock: the balancer's own timer
-// for that instant may have called the attempt off already, but to be told of a
-// cancellation in place of a time-out would hide the endpoint's silence from it.
-func over(ctx context.Context) bool {
-	until, ok := ctx.Deadline()
-	return ok && !time.Now().Before(until)
-}
-
-// unsent is the outcome of a request that was not written: the endpoint's
-// fault, unless the sidecar no longer wanted to send it.
-func unsent(ctx context.Context, err error) balancer.Status {
-	if ctx.Err() != nil || errors.Is(err, errClosed) || errors.Is(err, errFull) {
-		return balancer.Moot
+	if errors.As(err, &never) {
+		return engine.Result{Status: attempt.Unsent(ctx, never.error), Took: took}
+	} else if err != nil {
+		return engine.Result{Status: attempt.Broken(ctx), Took: took}
 	}
-	return balancer.ConnectFailed
+	return attempt.Answered(u.fields, response, body, took)
 }
 
 // Probe asks an endpoint in a goroutine of its own.
 func (u *Upstream) Probe(ctx context.Context, t *engine.Target, told func(engine.Result)) {
-	go func() { told(u.probe(ctx, t)) }()
-}
-
-// probe asks an endpoint for its load report, or for its health where the
-// deployment has no reports.
-func (u *Upstream) probe(ctx context.Context, t *engine.Target) engine.Result {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	m := &engine.Message{Method: http.MethodGet, URL: &url.URL{Path: "/health/live"}, Host: t.Address}
-	if len(u.fields) > 0 {
-		m.URL.Path = "/stats"
-	}
-	r := u.attempt(ctx, t, m)
-	if r.Status == balancer.OK {
-		r.Load = httpmsg.LoadReport(u.fields, string(r.Body))
-	}
-	return r
+	go func() { told(attempt.Probe(ctx, u.attempt, t, u.fields)) }()
 }
 
 // connect returns the connection to t that was used last, or opens one.
@@ -209,7 +135,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if t.Closed() {
-		return nil, errClosed
+		return nil, attempt.ErrClosed
 	}
 	for list := u.idle[t]; len(list) > 0; list = u.idle[t] {
 		c := list[len(list)-1]
@@ -229,7 +155,7 @@
 		}
 	}
 	if u.open >= u.most {
-		return nil, errFull
+		return nil, attempt.ErrFull
 	}
 	u.open++
 	return nil, nil
@@ -309,7 +235,7 @@
 	// The endpoint may have been told draining while the connection was
 	// dialled: nothing new may go there.
 	if c.target.Closed() {
-		return nil, nil, &unsentError{errClosed}
+		return nil, nil, &unsentError{attempt.ErrClosed}
 	}
 	// Looked at last thing before the write: what has come by now was not asked
 	// for, and must not be taken for the answer.
--- a/internal/upstream/httpupstream/upstream_test.go
+++ b/internal/upstream/httpupstream/upstream_test.go
@@ -19,6 +19,7 @@
 	"pinedale/internal/httpmsg"
 	"pinedale/internal/standin/peer"
 	"pinedale/internal/standin/wait"
+	"pinedale/internal/upstream/attempt"
 )
 
 // patience is how long a test waits for what must come.
@@ -346,7 +347,8 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			e := peer.New(t, peer.Always(c.answer))
-			r := newTestUpstream(t, 1).probe(context.Background(), &engine.Target{Address: e.Address})
+			u := newTestUpstream(t, 1)
+			r := attempt.Probe(context.Background(), u.attempt, &engine.Target{Address: e.Address}, u.fields)
 			for i, v := range r.Load {
 				if v != v {
 					r.Load[i] = -1
