Remove what nothing uses: a constant, a flag, a figure of reports, a writer's method

Read over the whole change: admission told its longest wait to its test alone, a play of schedules kept a flag that never changed, a report counted what nobody read, and the coordination stand-in could write a kind that it never writes. Nothing behaves otherwise; none of it is linked by the platform's program.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -14,7 +14,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"pinedale/balancer"
 )
@@ -257,6 +256,3 @@
 	}
 	return n
 }
-
-// RetryMost is the longest time that Admit tells.
-const RetryMost = 2 * time.Duration(Window) * time.Microsecond
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -124,7 +124,7 @@
 	a := New(Config{Tenants: []Tenant{{Weight: 1, Open: 2}, {Weight: 1}}, Classes: []Class{{Open: 3}, {}}})
 	admit := func(tenant uint16, class uint8) bool {
 		after, ok := a.Admit(1, &balancer.Request{Tenant: tenant, Class: class})
-		if !ok && (after <= 0 || after > RetryMost.Microseconds()) {
+		if !ok && (after <= 0 || after > 2*Window) {
 			t.Errorf("told to come back after %d", after)
 		}
 		return ok
--- a/internal/emulator/model/server.go
+++ b/internal/emulator/model/server.go
@@ -130,9 +130,9 @@
 }
 
 type report struct {
-	at          Time
-	queue, held int
-	eps         float64
+	at    Time
+	queue int
+	eps   float64
 }
 
 // New returns a server that starts at an instant, cold if told so. memory is the
@@ -312,7 +312,7 @@
 	s.now = max(s.now, at)
 	for s.cfg.ReportEvery > 0 && s.nextRep <= s.now {
 		s.errors = slices.DeleteFunc(s.errors, func(at Time) bool { return at < s.nextRep-time.Second })
-		s.reports = append(s.reports, report{at: s.nextRep, queue: len(s.waiting), held: len(s.running) + len(s.waiting), eps: float64(len(s.errors))})
+		s.reports = append(s.reports, report{at: s.nextRep, queue: len(s.waiting), eps: float64(len(s.errors))})
 		if len(s.reports) > 64 {
 			s.reports = slices.Delete(s.reports, 0, 32)
 		}
--- a/internal/policy/model_test.go
+++ b/internal/policy/model_test.go
@@ -234,7 +234,7 @@
 func schedule(l *Limits, e Effective) (worst time.Duration, copies int) {
 	const step = 10 * time.Millisecond // all figures of draw are multiples, or zero
 	sends := 1
-	tryEnds, copied := e.TryFor+l.TimerSlack, false
+	tryEnds := e.TryFor + l.TimerSlack
 	for now := step; now < e.Deadline && sends < e.Attempts; now += step {
 		send := false
 		if e.TryFor > 0 && now == tryEnds { // the last one is given up
@@ -246,7 +246,7 @@
 		}
 	}
 	// A copy is decided as its time comes, however late the timer, while the first is out.
-	if e.CopyAfter > 0 && e.Copies && e.Attempts > 1 && e.CopyAfter < e.Deadline && (e.TryFor == 0 || e.CopyAfter < e.TryFor) && !copied {
+	if e.CopyAfter > 0 && e.Copies && e.Attempts > 1 && e.CopyAfter < e.Deadline && (e.TryFor == 0 || e.CopyAfter < e.TryFor) {
 		worst, copies = max(worst, e.CopyAfter+l.TimerSlack+l.Dial), 1
 	}
 	if e.Class.Clients == ClientsFailed {
--- a/internal/standin/coord/jute.go
+++ b/internal/standin/coord/jute.go
@@ -116,13 +116,6 @@
 
 func (w *writer) int32(v int32) { *w = binary.BigEndian.AppendUint32(*w, uint32(v)) }
 func (w *writer) int64(v int64) { *w = binary.BigEndian.AppendUint64(*w, uint64(v)) }
-func (w *writer) bool(v bool) {
-	b := byte(0)
-	if v {
-		b = 1
-	}
-	*w = append(*w, b)
-}
 func (w *writer) buffer(v []byte) {
 	if v == nil {
 		w.int32(-1)
