Balancer: no queue is assumed at cold endpoints that have not been heard of

But what all send to a cold endpoint is held under what it can do (coldRoom), so nobody waits there. Ruled out: that the buckets are empty (18% of them have room for a request at any time).

balancer/pick.go, load(): an endpoint that is cold and unheard of holds at most cores-1.

--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -7,10 +7,11 @@
 
 // load is the last answer plus own sends since, less own answers since. Where a pool of the whole fleet is
 // kept, half of the other balancers are held to send as we do: they hold that answer, too, and would all
-// pile up where it is low. Answers asked for one request are our own: nobody else acts on them.
+// pile up where it is low. Answers asked for one request are our own: nobody else acts on them. What is
+// usual is so of warm endpoints: what all send to a cold one is held under what it can do, and nobody waits.
 func (b *Balancer) load(e *endpoint) float64 {
 	if b.reportsLate || !e.hasLoad {
-		return b.usual.v + float64(e.inflight)
+		return min(b.usual.v, b.usual.v+(cores-1-b.usual.v)*share(e.isCold)) + float64(e.inflight)
 	}
 	herd := float64(b.s.Balancers-1) / 2 * float64(max(0, e.inflight-e.ownAt)) * share(!b.sparse)
 	return e.others + float64(e.inflight) + herd
--- a/balancer/pick_test.go
+++ b/balancer/pick_test.go
@@ -787,3 +787,28 @@
 		}
 	}
 }
+
+// Where the fleet is crowded, an endpoint that has just started is not: all hold what they send it under what it
+// can do. It is taken where it is expected sooner, and once it is warm it counts like any other.
+func TestColdEndpointIsNotTakenForCrowded(t *testing.T) {
+	s := testSettings()
+	b, _ := start(t, s, ready(2))
+	now := second
+	b.usual = ewma{v: 7, seen: true}
+	b.Members(now, ListDelta, []Endpoint{{ID: 3, Share: 1, StartTime: now}})
+	warm, cold := b.byID[1], b.byID[3]
+	if got := b.load(warm); got != 7 {
+		t.Errorf("%g are taken to be held at a warm endpoint that said nothing, want what is usual, 7", got)
+	}
+	if got := b.load(cold); got != cores-1 {
+		t.Errorf("%g are taken to be held at a cold endpoint, want %g", got, cores-1)
+	}
+	late := now + s.Contract.RampTime
+	if b.coldRoom(late, cold, 1); b.load(cold) != 7 {
+		t.Errorf("%g at one that is warm by now, want 7", b.load(cold))
+	}
+	b.usual.v = 0
+	if cold.isCold = true; b.load(cold) != 0 {
+		t.Errorf("%g at a cold endpoint where nobody waits anywhere, want 0", b.load(cold))
+	}
+}
