Registry: a silent watch is given up after 6 s, not after 24

What a silent watch misses counts as told 6 s after, or 2 s after the call's wait: a wait of 4 s makes both the same, and 2 s beyond it find it out by then.

--- a/internal/membership/registry/registry.go
+++ b/internal/membership/registry/registry.go
@@ -15,9 +15,13 @@
 )
 
 const (
-	watchWait    = 20 * time.Second // a watch call is held so long without news
-	listPatience = 4 * time.Second  // beyond that: discovery works through calls in turn
-	listMost     = 8 << 20          // bytes of a list
+	// A watch call is held so long without news. One that has fallen silent is found out
+	// when its time and watchPatience are over: what it has missed counts as told 6 s after
+	// it fell silent, or 2 s after that time, whichever is later. 4 s make both the same.
+	watchWait     = 4 * time.Second
+	watchPatience = 2 * time.Second // beyond that
+	listPatience  = 4 * time.Second // for a call that does not wait: discovery works through them in turn
+	listMost      = 8 << 20         // bytes of a list
 
 	// A watch ends when its next call comes later than 200 ms after the last
 	// answer; calls without any pause could become a flood.
@@ -80,7 +84,11 @@
 // list makes one call. With after it asks for what is newer than that version,
 // which may be 0, and waits for news as long as wait; without, for the whole list.
 func (d *Client) list(ctx context.Context, after *uint64, wait time.Duration) (engine.List, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+listPatience)
+	patience := listPatience
+	if wait > 0 {
+		patience = watchPatience
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+patience)
 	defer cancel()
 	url := d.url
 	if after != nil {
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -37,7 +37,7 @@
 	w.dir.Lock()
 	calls := slices.Clone(w.dir.Calls)
 	w.dir.Unlock()
-	if calls[0] != "after=0&wait_ms=0" || !strings.HasPrefix(calls[1], "after=0&wait_ms=20000") {
+	if calls[0] != "after=0&wait_ms=0" || !strings.HasPrefix(calls[1], "after=0&wait_ms=4000") {
 		t.Errorf("calls %q", calls)
 	}
 	// A change reaches the balancer; the next call asks for what is newer.
@@ -55,7 +55,7 @@
 	}
 	w.dir.Lock()
 	defer w.dir.Unlock()
-	if last := w.dir.Calls[2]; !strings.HasPrefix(last, "after=7&wait_ms=20000") {
+	if last := w.dir.Calls[2]; !strings.HasPrefix(last, "after=7&wait_ms=4000") {
 		t.Errorf("the call after the change: %q", last)
 	}
 }
