--- /dev/null
+++ b/internal/claims/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package claims
+
+func init() { raced = true }
--- /dev/null
+++ b/internal/replica/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package replica
+
+func init() { raced = true }
