--- a/cmd/pinedale-site/main.go
+++ b/cmd/pinedale-site/main.go
@@ -4,6 +4,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -22,6 +23,7 @@
 
 	"pinedale/internal/intake"
 	"pinedale/internal/keyroom"
+	"pinedale/internal/peers"
 	"pinedale/internal/policy"
 	"pinedale/internal/site"
 )
@@ -87,10 +89,62 @@
 	verify.Flags().StringVar(&instead.Roots, "roots", "", "in place of roots_file")
 	verify.Flags().StringVar(&instead.Revoked, "revoked", "", "in place of revoked_file")
 	keys.AddCommand(verify)
-	root.AddCommand(keys)
+	root.AddCommand(keys, peersCommand(out, with))
 	return root
 }
 
+// peersCommand is on what instances tell each other. Addresses are those of peers.status.
+func peersCommand(out io.Writer, with func(func(*site.File, []string) error) func(*cobra.Command, []string) error) *cobra.Command {
+	fetch := func(address string) (s peers.Status, err error) {
+		ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
+		defer stop()
+		if s, err = peers.Fetch(ctx, address); err != nil {
+			return s, fmt.Errorf("peers: %w", err)
+		}
+		return s, nil
+	}
+	show := func(address string) error {
+		s, err := fetch(address)
+		if err != nil {
+			return err
+		}
+		return s.Print(out)
+	}
+	all := &cobra.Command{Use: "peers", Short: "other instances, and what they tell"}
+	all.AddCommand(&cobra.Command{Use: "show [HOST:PORT]", Short: "print what an instance holds: the file's, or that whose status is served there", Args: cobra.MaximumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			if len(args) == 1 {
+				return show(args[0])
+			}
+			return with(func(f *site.File, _ []string) error {
+				if f.Peers.Status == "" {
+					return errors.New("peers.status is not set in the file")
+				}
+				return show(f.Peers.Status)
+			})(c, args)
+		}}, &cobra.Command{Use: "diff HOST:PORT HOST:PORT", Short: "name what two instances hold otherwise", Args: cobra.ExactArgs(2),
+		RunE: func(_ *cobra.Command, args []string) error {
+			a, err := fetch(args[0])
+			if err != nil {
+				return err
+			}
+			b, err := fetch(args[1])
+			if err != nil {
+				return err
+			}
+			lines := peers.Diff(&a, &b)
+			for _, l := range lines {
+				fmt.Fprintln(out, l)
+			}
+			if len(lines) > 0 {
+				return fmt.Errorf("%d differences", len(lines))
+			}
+			fmt.Fprintln(out, "both hold the same")
+			return nil
+		}})
+	return all
+}
+
 // printCheck prints what a good file comes to.
 func printCheck(out io.Writer, path string, f *site.File, asJSON bool) error {
 	t := f.Table()
--- a/internal/engine/clock.go
+++ b/internal/engine/clock.go
@@ -36,3 +36,7 @@
 func (c clock) time(at balancer.Micros) time.Time {
 	return c.base.Add(time.Duration(at-c.base.UnixMicro()) * time.Microsecond)
 }
+
+func (c clock) micros(at time.Time) balancer.Micros {
+	return c.base.UnixMicro() + at.Sub(c.base).Microseconds()
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -137,7 +137,11 @@
 
 	Admission Admission // nil lets all in
 	Subset    Subset    // of the fleet that the balancer is told of; nil for all of it
-	Pools     func(site, kind string) uint64
+	Guard     Guard     // of keyed requests; nil where each instance decides alone
+	// Observe is told how each attempt and probe of a server has ended, on the engine's
+	// goroutine; nil where nobody listens.
+	Observe func(t *Target, s balancer.Status)
+	Pools   func(site, kind string) uint64
 
 	// Clock, where set, takes the place of the system's time and of Run: its goroutine
 	// calls Start and all else, Post handles an event at once, and Tell stands in for
--- /dev/null
+++ b/internal/engine/guard.go
@@ -0,0 +1,191 @@
+package engine
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"pinedale/balancer"
+)
+
+// Guard agrees with other instances where a keyed request may go, before it is sent. Its
+// methods are called on the engine's goroutine, must not block and not call back from within.
+type Guard interface {
+	// Claims says whether requests of a class are agreed on.
+	Claims(class uint8) bool
+	// Claim asks for a request's key in a group of servers. told is called once, by a call of
+	// Engine.Post of its own.
+	Claim(c Claim, told func(now balancer.Micros, v Verdict))
+	// Release tells that nothing sent for this claim can have run, and nothing will be sent.
+	Release(c Claim)
+}
+
+// Claim names a request's key, and the group that it is to go to.
+type Claim struct {
+	Class   uint8
+	Key     string // idempotency key
+	Request uint64 // number of the request, which no other has at this instance
+	Round   uint64 // of the request's claims, from 1; a later one takes back those before it
+	Group   string
+	Until   time.Time // when an answer is of no more use
+}
+
+// Verdict is what came of a claim.
+type Verdict struct {
+	Kind  VerdictKind
+	Group string    // of Shared: where the request may go
+	Since time.Time // of Shared: no attempt of another's is older
+	Why   string    // of Refused
+}
+
+// VerdictKind says what a verdict is.
+type VerdictKind uint8
+
+// The kinds of verdict.
+const (
+	Clear   VerdictKind = iota // nobody else has sent the request: it may go
+	Shared                     // another may have: it may go to Group, as one that may have run
+	Refused                    // it can't be told, and must not be sent
+)
+
+// claimed is what an engine knows of a request's claim.
+type claimed struct {
+	Claim
+	settled bool // it may be sent to the claim's group
+	parked  *Attempt
+}
+
+// groupOf names the group of servers that drops repeats of a class, for a server.
+func (e *Engine) groupOf(c *balancer.Class, zone uint8, cell uint16) string {
+	switch c.Group {
+	case balancer.GroupZone:
+		if int(zone) < len(e.opts.Zones) {
+			return "site " + e.opts.Zones[zone]
+		}
+		return "site"
+	case balancer.GroupCell:
+		return "pod " + strconv.Itoa(int(cell))
+	}
+	return ""
+}
+
+// placeOf is the reverse: where an earlier attempt went. A site that is not known here is a
+// place that no server has.
+func (e *Engine) placeOf(group string) (zone uint8, cell uint16) {
+	kind, name, _ := strings.Cut(group, " ")
+	switch kind {
+	case "site":
+		return number(e.opts.Zones, name), 0
+	case "pod":
+		n, err := strconv.ParseUint(name, 10, 16)
+		if err != nil {
+			return unknownName, 0
+		}
+		return 0, uint16(n)
+	}
+	return 0, 0
+}
+
+// guarded parks an attempt whose key is not claimed yet for the group of its server. It
+// returns false where nothing has to be agreed on.
+func (e *Engine) guarded(r *Request, a *Attempt) bool {
+	g := e.opts.Guard
+	if g == nil || r.Key == "" || !g.Claims(r.in.Class) {
+		return false
+	}
+	group := e.groupOf(&e.Settings().Classes[r.in.Class], a.Zone, a.Cell)
+	if r.claim != nil && r.claim.settled && r.claim.Group == group {
+		return false
+	}
+	if r.claim != nil && r.claim.parked != nil {
+		// A second copy while the first waits to be sent at all: there is nothing to copy yet.
+		a.parked = true
+		e.Soon(func(now balancer.Micros) { a.End(now, Result{Status: balancer.Moot}) })
+		return true
+	}
+	// The module sends to another group only where nothing sent to this one can have run: the
+	// next round takes the claim back.
+	round := uint64(1)
+	if r.claim != nil {
+		round = r.claim.Round + 1
+	} else {
+		r.first = r.id
+	}
+	r.claim = &claimed{Claim: Claim{Class: r.in.Class, Key: r.Key, Request: r.first, Round: round, Group: group, Until: a.UntilTime()}, parked: a}
+	a.parked = true
+	claim := r.claim
+	g.Claim(claim.Claim, func(now balancer.Micros, v Verdict) { e.agreed(now, r, claim, v) })
+	return true
+}
+
+// agreed goes on with an attempt that was parked.
+func (e *Engine) agreed(now balancer.Micros, r *Request, c *claimed, v Verdict) {
+	a := c.parked
+	c.parked = nil
+	if r.claim != c {
+		return // the request is over, and its claim is released
+	}
+	a.parked = false
+	switch {
+	case v.Kind == Clear:
+		c.settled = true
+		e.unpark(now, r, a)
+	case v.Kind == Shared && r.in.MayHaveRun && v.Group == c.Group:
+		// The module has taken it for one that may have run already, perhaps from longer ago.
+		c.settled = true
+		e.unpark(now, r, a)
+	case v.Kind == Shared:
+		c.settled, c.Group = true, v.Group
+		e.restate(now, r, a, v)
+	default:
+		e.log.Debug("a keyed request is not sent", "reason", v.Why)
+		e.finish(r, Answer{Code: http.StatusBadGateway})
+		e.discard(now, r, a)
+	}
+}
+
+// unpark sends what was parked, unless its time is over or its server must have nothing new.
+func (e *Engine) unpark(now balancer.Micros, r *Request, a *Attempt) {
+	if now >= a.Until || a.Target == nil || a.Target.Closed() {
+		a.End(now, Result{Status: balancer.Moot})
+		return
+	}
+	r.Carrier.Attempt(a)
+}
+
+// discard ends a request for the module together with its one attempt, that was never sent.
+func (e *Engine) discard(now balancer.Micros, r *Request, a *Attempt) {
+	a.ended.Store(true)
+	r.out--
+	e.balancer.Outcome(now, balancer.Outcome{ID: r.id, Attempt: a.Number, Endpoint: a.Endpoint, Status: balancer.Moot,
+		Latency: now - a.sent, Settled: true})
+	e.forget(r)
+	e.back(a.Endpoint)
+}
+
+// restate has the module decide anew on a request of which it has turned out that another
+// instance may have sent it: as one of which an attempt may have run before it was taken.
+func (e *Engine) restate(now balancer.Micros, r *Request, a *Attempt, v Verdict) {
+	e.discard(now, r, a)
+	delete(e.requests, r.id)
+	e.lastID++
+	r.id, r.attempts = e.lastID, nil
+	in := r.in
+	in.ID, in.MayHaveRun = r.id, true
+	in.Earlier.At = e.clock.micros(v.Since)
+	in.Earlier.Zone, in.Earlier.Cell = e.placeOf(v.Group)
+	r.in = in
+	e.requests[r.id] = r
+	e.balancer.Request(now, in)
+	e.forget(r)
+}
+
+// release takes a request's claim back once all is known of it and nothing can have run.
+func (e *Engine) release(r *Request) {
+	if c := r.claim; c != nil {
+		if r.claim = nil; !r.ran {
+			e.opts.Guard.Release(c.Claim)
+		}
+	}
+}
--- a/internal/engine/ledger.go
+++ b/internal/engine/ledger.go
@@ -16,6 +16,8 @@
 	// Answer takes the one final answer, on the engine's goroutine. It must not
 	// block, nor call back into the engine.
 	Answer func(Answer)
+	// Key is the idempotency key of a keyed request, where a Guard may want it.
+	Key string
 
 	id       uint64
 	deadline balancer.Micros
@@ -23,7 +25,10 @@
 	admitted bool
 	over     bool // the final answer is out, or the client is gone
 	attempts []*Attempt
-	out      int // attempts without outcome
+	out      int      // attempts without outcome
+	claim    *claimed // of its key
+	first    uint64   // the id by which it claims
+	ran      bool     // an attempt may have run, or may yet
 }
 
 // Attempt is one attempt at a request.
@@ -42,6 +47,7 @@
 	request *Request
 	sent    balancer.Micros
 	ended   atomic.Bool
+	parked  bool // it waits for a Guard
 }
 
 // UntilTime is Until by the system's clock.
@@ -63,6 +69,7 @@
 	if res.Status == balancer.OK {
 		e.finish(r, Answer{Code: http.StatusOK, Header: res.Header, Body: res.Body})
 	}
+	r.ran = r.ran || res.Status != balancer.Full && res.Status != balancer.ConnectFailed && res.Status != balancer.Moot
 	served := a.Endpoint
 	if res.Endpoint != 0 {
 		served = res.Endpoint
@@ -88,8 +95,9 @@
 			e.finish(r, Answer{Code: http.StatusServiceUnavailable, RetryAfter: retryAfter})
 			return
 		}
-		r.in, r.admitted = in, true
+		r.admitted = true
 	}
+	r.in = in
 	e.requests[r.id] = r
 	e.balancer.Request(now, in)
 	e.forget(r)
@@ -124,6 +132,7 @@
 func (e *Engine) forget(r *Request) {
 	if r.over && r.out == 0 {
 		delete(e.requests, r.id)
+		e.release(r)
 	}
 }
 
@@ -148,7 +157,9 @@
 		e.Soon(func(now balancer.Micros) { a.End(now, Result{Status: balancer.Moot}) })
 		return
 	}
-	r.Carrier.Attempt(a)
+	if !e.guarded(r, a) {
+		r.Carrier.Attempt(a)
+	}
 }
 
 // Refuse answers that a retry is harmless, and when it is welcome.
@@ -164,7 +175,10 @@
 // Cancel gives an attempt up; its outcome still comes.
 func (x *actions) Cancel(id uint64, attempt int) {
 	if r := x.requests[id]; r != nil && attempt >= 0 && attempt < len(r.attempts) {
-		if a := r.attempts[attempt]; a.Target != nil {
+		if a := r.attempts[attempt]; a.parked {
+			e := (*Engine)(x)
+			e.Soon(func(now balancer.Micros) { a.End(now, Result{Status: balancer.Moot}) })
+		} else if a.Target != nil {
 			r.Carrier.Cancel(a)
 		}
 	}
--- a/internal/engine/subset.go
+++ b/internal/engine/subset.go
@@ -87,6 +87,9 @@
 // sent, or nobody waited.
 func (e *Engine) answered(now balancer.Micros, endpoint uint32, s balancer.Status) {
 	m := e.fleet[endpoint]
+	if m != nil && m.target != nil && e.opts.Observe != nil {
+		e.opts.Observe(m.target, s)
+	}
 	if e.opts.Subset == nil || m == nil || s == balancer.Moot || s == balancer.Cancelled {
 		return
 	}
--- a/internal/front/desk/desk.go
+++ b/internal/front/desk/desk.go
@@ -104,7 +104,7 @@
 		d.mu.Unlock()
 	}()
 	answer := make(chan engine.Answer, 1)
-	r := &engine.Request{Answer: func(a engine.Answer) { answer <- a }, // it has room for the one
+	r := &engine.Request{Key: req.IdempotencyKey, Answer: func(a engine.Answer) { answer <- a }, // it has room for the one
 		Carrier: d.up.Carry(&engine.Message{Method: in.Method, URL: in.URL, Host: in.Host, Header: in.Header, Body: body})}
 	d.engine.Post(func(now balancer.Micros) { d.engine.Take(now, r, req.Request) })
 	select {
--- /dev/null
+++ b/internal/peers/codec.go
@@ -0,0 +1,199 @@
+package peers
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"pinedale/internal/claims"
+	"pinedale/internal/peers/peerspb"
+	"pinedale/internal/replica"
+)
+
+// messageMost is the most that one message may have: what a datagram of memberlist holds.
+const messageMost = 1400
+
+// message is one thing that a peer says, as the modules take it: one of the types below.
+type message struct {
+	from replica.Origin
+	what any
+}
+
+// release takes a claim back.
+type release struct {
+	key   claims.Key
+	owner claims.Owner
+	round uint64
+}
+
+// rumours are passed on.
+type rumours []replica.Rumour
+
+func micros(d time.Duration) uint64 { return uint64(max(0, d).Microseconds()) }
+
+// duration reads an age or a hold. What is longer than a year is as good as one.
+func duration(us uint64) time.Duration {
+	const most = 365 * 24 * time.Hour
+	return time.Duration(min(us, uint64(most.Microseconds()))) * time.Microsecond
+}
+
+func life(o replica.Origin) *peerspb.Life { return &peerspb.Life{Name: o.Name, Epoch: o.Epoch} }
+
+func origin(l *peerspb.Life) replica.Origin {
+	return replica.Origin{Name: l.GetName(), Epoch: l.GetEpoch()}
+}
+
+func owner(o claims.Owner) *peerspb.Owner {
+	return &peerspb.Owner{Life: &peerspb.Life{Name: o.Name, Epoch: o.Epoch}, Request: o.Request}
+}
+
+func ownerOf(o *peerspb.Owner) claims.Owner {
+	return claims.Owner{Name: o.GetLife().GetName(), Epoch: o.GetLife().GetEpoch(), Request: o.GetRequest()}
+}
+
+func entries(in []replica.Entry) (out []*peerspb.Entry) {
+	for _, e := range in {
+		out = append(out, entry(e))
+	}
+	return out
+}
+
+func entry(e replica.Entry) *peerspb.Entry {
+	return &peerspb.Entry{Topic: uint32(e.Topic), Subject: e.Subject, Seq: e.Seq, AgeUs: micros(e.Age), Gone: e.Gone, Value: e.Value}
+}
+
+func entryOf(e *peerspb.Entry) (replica.Entry, error) {
+	if e.GetTopic() > 255 {
+		return replica.Entry{}, fmt.Errorf("entry.topic: %d is none", e.GetTopic())
+	}
+	return replica.Entry{Topic: replica.Topic(e.GetTopic()), Subject: e.GetSubject(), Seq: e.GetSeq(), Age: duration(e.GetAgeUs()),
+		Gone: e.GetGone(), Value: e.GetValue()}, nil
+}
+
+// encode makes a message of what a module has to say.
+func encode(m message) ([]byte, error) {
+	e := &peerspb.Envelope{From: life(m.from)}
+	switch w := m.what.(type) {
+	case claims.Ask:
+		e.What = &peerspb.Envelope_Ask{Ask: &peerspb.Ask{Key: w.Key[:], Owner: owner(w.Owner), Round: w.Round, Group: w.Group, HoldUs: micros(w.Hold), Roll: w.Roll}}
+	case claims.Answer:
+		e.What = &peerspb.Envelope_Answer{Answer: &peerspb.Answer{Key: w.Key[:], Owner: owner(w.Owner), Round: w.Round, Kind: uint32(w.Kind),
+			Group: w.Group, AgeUs: micros(w.Age), Others: w.Others}}
+	case release:
+		e.What = &peerspb.Envelope_Release{Release: &peerspb.Release{Key: w.key[:], Owner: owner(w.owner), Round: w.round}}
+	case rumours:
+		r := &peerspb.Rumours{}
+		for _, x := range w {
+			r.Rumours = append(r.Rumours, &peerspb.Rumour{Origin: life(x.Origin), Entry: entry(x.Entry)})
+		}
+		e.What = &peerspb.Envelope_Rumours{Rumours: r}
+	case replica.Digest:
+		e.What = &peerspb.Envelope_Digest{Digest: &peerspb.Digest{Buckets: w[:]}}
+	case *replica.Vectors:
+		v := &peerspb.Vectors{Answer: w.Answer}
+		for _, b := range w.Buckets {
+			v.Buckets = append(v.Buckets, uint32(b))
+		}
+		for _, x := range w.Vectors {
+			v.Vectors = append(v.Vectors, &peerspb.Vector{Origin: life(x.Origin), Have: x.Have, More: x.More})
+		}
+		e.What = &peerspb.Envelope_Vectors{Vectors: v}
+	case replica.Delta:
+		e.What = &peerspb.Envelope_Delta{Delta: &peerspb.Delta{Origin: life(w.Origin), From: w.From, To: w.To, Part: uint32(w.Part), Of: uint32(w.Of),
+			Sum: w.Sum, Loose: w.Loose, Entries: entries(w.Entries)}}
+	default:
+		return nil, fmt.Errorf("peers: %T is no message", w)
+	}
+	return proto.Marshal(e)
+}
+
+// decode reads what a peer says. Whatever it is sent, it returns a message or an error that
+// names what is wrong.
+func decode(data []byte) (message, error) {
+	var m message
+	e := &peerspb.Envelope{}
+	if len(data) > 4*messageMost { // vectors of one bucket may be longer than a datagram
+		return m, fmt.Errorf("%d bytes", len(data))
+	}
+	if err := proto.Unmarshal(data, e); err != nil {
+		return m, err
+	}
+	if m.from = origin(e.GetFrom()); m.from.Name == "" {
+		return m, errors.New("from: no name")
+	}
+	key := func(b []byte) (k claims.Key, err error) {
+		if len(b) != len(k) {
+			return k, fmt.Errorf("key: %d bytes, want %d", len(b), len(k))
+		}
+		return claims.Key(b), nil
+	}
+	var err error
+	switch w := e.What.(type) {
+	case *peerspb.Envelope_Ask:
+		a := claims.Ask{Owner: ownerOf(w.Ask.GetOwner()), Round: w.Ask.GetRound(), Group: w.Ask.GetGroup(), Hold: duration(w.Ask.GetHoldUs()), Roll: w.Ask.GetRoll()}
+		a.Key, err = key(w.Ask.GetKey())
+		if err == nil && len(a.Group) > groupMost {
+			err = fmt.Errorf("ask.group: %d bytes, at most %d", len(a.Group), groupMost)
+		}
+		if err == nil && (a.Owner.Name != m.from.Name || a.Owner.Epoch != m.from.Epoch) {
+			err = errors.New("ask.owner: not who sends it")
+		}
+		m.what = a
+	case *peerspb.Envelope_Answer:
+		a := claims.Answer{Owner: ownerOf(w.Answer.GetOwner()), Round: w.Answer.GetRound(), Kind: claims.Kind(min(w.Answer.GetKind(), uint32(claims.Crowded))),
+			Group: w.Answer.GetGroup(), Age: duration(w.Answer.GetAgeUs()), Others: w.Answer.GetOthers()}
+		a.Key, err = key(w.Answer.GetKey())
+		m.what = a
+	case *peerspb.Envelope_Release:
+		r := release{owner: ownerOf(w.Release.GetOwner()), round: w.Release.GetRound()}
+		r.key, err = key(w.Release.GetKey())
+		if err == nil && (r.owner.Name != m.from.Name || r.owner.Epoch != m.from.Epoch) {
+			err = errors.New("release.owner: not who sends it")
+		}
+		m.what = r
+	case *peerspb.Envelope_Rumours:
+		var all rumours
+		for _, x := range w.Rumours.GetRumours() {
+			var one replica.Entry
+			if one, err = entryOf(x.GetEntry()); err != nil {
+				break
+			}
+			all = append(all, replica.Rumour{Origin: origin(x.GetOrigin()), Entry: one})
+		}
+		m.what = all
+	case *peerspb.Envelope_Digest:
+		b := w.Digest.GetBuckets()
+		if len(b) != replica.Buckets {
+			return m, fmt.Errorf("digest.buckets: %d, want %d", len(b), replica.Buckets)
+		}
+		m.what = replica.Digest(b)
+	case *peerspb.Envelope_Vectors:
+		v := &replica.Vectors{Answer: w.Vectors.GetAnswer()}
+		for _, b := range w.Vectors.GetBuckets() {
+			if b >= replica.Buckets {
+				return m, fmt.Errorf("vectors.buckets: %d, at most %d", b, replica.Buckets-1)
+			}
+			v.Buckets = append(v.Buckets, int(b))
+		}
+		for _, x := range w.Vectors.GetVectors() {
+			v.Vectors = append(v.Vectors, replica.Vector{Origin: origin(x.GetOrigin()), Have: x.GetHave(), More: x.GetMore()})
+		}
+		m.what = v
+	case *peerspb.Envelope_Delta:
+		d := replica.Delta{Origin: origin(w.Delta.GetOrigin()), From: w.Delta.GetFrom(), To: w.Delta.GetTo(), Part: int(w.Delta.GetPart()),
+			Of: int(w.Delta.GetOf()), Sum: w.Delta.GetSum(), Loose: w.Delta.GetLoose()}
+		for _, x := range w.Delta.GetEntries() {
+			var one replica.Entry
+			if one, err = entryOf(x); err != nil {
+				break
+			}
+			d.Entries = append(d.Entries, one)
+		}
+		m.what = d
+	default:
+		return m, errors.New("it says nothing that is known here")
+	}
+	return m, err
+}
--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,643 @@
+// Package peers lets instances of pinedale-site talk to each other: memberlist (SWIM) says who
+// is there and carries the messages, sealed with its keyring; package claims decides which of
+// them may send a keyed request where, and package replica what each holds of what all tell.
+//
+// One goroutine owns both modules. The engine hands it claims without waiting and hears of
+// them by a posted event; what peers send goes through a bounded queue and is dropped beyond
+// it. Nothing here proves that a request has not run, and with nobody to talk to an instance
+// decides as if it were alone, but for classes that must be sure.
+package peers
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+	"google.golang.org/protobuf/proto"
+
+	"pinedale/balancer"
+	"pinedale/internal/claims"
+	"pinedale/internal/engine"
+	"pinedale/internal/peers/peerspb"
+	"pinedale/internal/replica"
+)
+
+const (
+	groupMost   = 80   // bytes of a group's name
+	inboxMost   = 4096 // messages that wait; a datagram that finds no room is lost, as any may be
+	claimsMost  = 4096 // claims that wait to be begun
+	tickEvery   = 5 * time.Millisecond
+	askAgain    = 20 * time.Millisecond // twice the round trip of a slow local network
+	gossipEvery = 200 * time.Millisecond
+	sweepEvery  = time.Second
+	joinEvery   = 2 * time.Second
+	leaveFor    = 500 * time.Millisecond
+	// bytesMost a second go out, beside claims, whatever the fleet's size: deltas and vectors
+	// for those that ask. Rumours and digests come to a few kB.
+	bytesMost = 64 << 10
+	// tellings are the entries that all instances together tell a second: each hears each of
+	// them about four times, at some 100 bytes. With more instances each tells more seldom.
+	tellings = 50
+)
+
+// Sure says how much a class wants to be agreed on.
+type Sure uint8
+
+// How a class is agreed on.
+const (
+	Never  Sure = iota // each instance decides alone
+	Soon               // what is known within Wait counts, and then the request goes
+	Always             // without a majority's word it is not sent
+)
+
+// Class is one class of requests.
+type Class struct {
+	Name string // instances may number their classes differently
+	Sure Sure
+}
+
+// Config is what an operator says.
+type Config struct {
+	Name      string            // of this instance
+	Listen    string            // host:port, for UDP and TCP
+	Advertise string            // host:port that others reach it by, Listen where it is ""
+	Join      []string          // name/host:port of others
+	Via       map[string]string // host:port by which an instance is reached from here, by name, where it is not what it advertises
+	Keys      [][]byte          // 16, 24 or 32 bytes; the first seals, all open. None: plain text
+	Witnesses []string          // names, the same at all instances
+	Classes   []Class           // by number
+	Wait      time.Duration     // for a majority's word
+	Hold      time.Duration     // for which a key is remembered: twice the longest deadline of classes that are agreed on
+	Site      string
+	Build     string
+	Warm      time.Duration // after its start a server counts as cold for so long
+	Log       *slog.Logger
+}
+
+// witnessesOf is how many witnesses a key has: two of three may be lost or parted for a time,
+// never both of the majority that told.
+const witnessesOf = 3
+
+// Host runs the modules of one instance.
+type Host struct {
+	cfg   Config
+	log   *slog.Logger
+	list  *memberlist.Memberlist
+	post  func(func(now balancer.Micros)) // to the engine
+	began time.Time
+	life  replica.Origin
+	roll  uint64
+	inbox chan []byte
+	asks  chan func()
+	done  chan struct{}
+	wait  sync.WaitGroup
+	close sync.Once
+
+	dropped atomic.Uint64 // messages that found no room
+
+	mu      sync.Mutex
+	nodes   map[string]*memberlist.Node // that are alive, by name
+	tallies tallies
+	taken   int64 // ends of attempts and probes
+
+	// Below: the host's goroutine alone.
+	witness *claims.Witness
+	store   *replica.Store
+	open    map[uint64]*pending // claims without a verdict, by request
+	rng     *rand.Rand
+	budget  float64
+	counts  Counts
+	pace    time.Duration // next telling
+	start   int
+	longest time.Duration // that the goroutine was at work without looking up
+}
+
+// Counts are figures since the start.
+type Counts struct {
+	Claims, Clear, Shared, Refused, Unsure uint64 // Unsure: sent without a majority's word, or not sent for want of it
+	Heard, Bad                             uint64 // messages: taken in, not understood
+	Sent, Bytes                            uint64
+}
+
+// pending is a claim that waits for its verdict.
+type pending struct {
+	claim *claims.Claim
+	what  engine.Claim
+	begun time.Duration
+	asked time.Duration
+	until time.Duration
+	told  func(balancer.Micros, engine.Verdict)
+}
+
+// Start listens and begins to talk. post hands events to the engine's goroutine; it may be
+// called from any goroutine but that one.
+func Start(cfg Config, post func(func(now balancer.Micros))) (*Host, error) {
+	host, port, err := net.SplitHostPort(cfg.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("peers: listen: %w", err)
+	}
+	number, err := strconv.Atoi(port)
+	if err != nil {
+		return nil, fmt.Errorf("peers: listen: %w", err)
+	}
+	h := &Host{cfg: cfg, log: cfg.Log, post: post, began: time.Now(), nodes: map[string]*memberlist.Node{},
+		life: replica.Origin{Name: cfg.Name, Epoch: uint64(time.Now().UnixMicro())}, roll: claims.Roll(cfg.Witnesses),
+		inbox: make(chan []byte, inboxMost), asks: make(chan func(), claimsMost), done: make(chan struct{}),
+		open: map[uint64]*pending{}, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), budget: bytesMost,
+		tallies: tallies{warmWithin: cfg.Warm, of: map[string]*tally{}}}
+	h.witness = claims.NewWitness(0, claims.Limits{Keys: 1 << 17, Holders: 16, Hold: max(cfg.Hold, time.Millisecond)}, h.roll)
+	limits := replica.Defaults
+	limits.Fanout, limits.Repeats = 2, 2
+	h.store = replica.New(h.life, topics, limits)
+
+	transport, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{host}, BindPort: number,
+		Logger: log.New(quiet{cfg.Log}, "", 0)})
+	if err != nil {
+		return nil, fmt.Errorf("peers: listen: %w", err)
+	}
+	c := memberlist.DefaultLANConfig()
+	c.Name, c.Transport = cfg.Name, &via{transport, cfg.Via}
+	c.BindAddr, c.BindPort = host, transport.GetAutoBindPort()
+	c.AdvertiseAddr, c.AdvertisePort = host, c.BindPort
+	if cfg.Advertise != "" {
+		if c.AdvertiseAddr, port, err = net.SplitHostPort(cfg.Advertise); err == nil {
+			c.AdvertisePort, err = strconv.Atoi(port)
+		}
+		if err != nil {
+			transport.Shutdown()
+			return nil, fmt.Errorf("peers: advertise: %w", err)
+		}
+	}
+	c.Logger = log.New(quiet{cfg.Log}, "", 0)
+	c.Delegate, c.Events, c.Conflict = (*delegate)(h), (*delegate)(h), (*delegate)(h)
+	// One that is found dead may come back under its name at another address at once: names
+	// are the operator's, and addresses may change with each start.
+	c.DeadNodeReclaimTime = time.Millisecond
+	if len(cfg.Keys) > 0 {
+		if c.Keyring, err = memberlist.NewKeyring(cfg.Keys, cfg.Keys[0]); err != nil {
+			transport.Shutdown()
+			return nil, fmt.Errorf("peers: keys: %w", err)
+		}
+	}
+	if h.list, err = memberlist.Create(c); err != nil {
+		transport.Shutdown()
+		return nil, fmt.Errorf("peers: %w", err)
+	}
+	h.wait.Go(h.run)
+	h.wait.Go(h.join)
+	return h, nil
+}
+
+// Addr is where the host listens.
+func (h *Host) Addr() string {
+	n := h.list.LocalNode()
+	return net.JoinHostPort(n.Addr.String(), strconv.Itoa(int(n.Port)))
+}
+
+// Close tells the others that this instance leaves, and ends.
+func (h *Host) Close() {
+	h.close.Do(func() {
+		close(h.done)
+		h.wait.Wait()
+		h.list.Leave(leaveFor)
+		h.list.Shutdown()
+	})
+}
+
+// now is the modules' time.
+func (h *Host) now() time.Duration { return time.Since(h.began) }
+
+// Claims says whether requests of a class are agreed on. It is an engine.Guard's.
+func (h *Host) Claims(class uint8) bool {
+	return int(class) < len(h.cfg.Classes) && h.cfg.Classes[class].Sure != Never
+}
+
+// Claim begins to ask for a key.
+func (h *Host) Claim(c engine.Claim, told func(now balancer.Micros, v engine.Verdict)) {
+	begin := func() { h.begin(c, told) }
+	select {
+	case h.asks <- begin:
+	default:
+		// The host is behind. The engine's goroutine must not wait for it, nor be called from here.
+		go h.post(func(now balancer.Micros) { told(now, h.unsure(c.Class, "too many claims wait")) })
+	}
+}
+
+// Release takes a claim back.
+func (h *Host) Release(c engine.Claim) {
+	select {
+	case h.asks <- func() { h.release(c) }:
+	default: // the key stays held for a time, which only keeps it in its group
+	}
+}
+
+// unsure is the verdict where no majority has spoken.
+func (h *Host) unsure(class uint8, why string) engine.Verdict {
+	if h.cfg.Classes[class].Sure == Always {
+		return engine.Verdict{Kind: engine.Refused, Why: why}
+	}
+	return engine.Verdict{Kind: engine.Clear}
+}
+
+// Observe counts how an attempt or a probe ended. It is called on the engine's goroutine.
+func (h *Host) Observe(t *engine.Target, s balancer.Status) {
+	now := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.taken++
+	h.tallies.add(now, serverLife(t.Name, t.Born), t.Started(), s)
+}
+
+func (h *Host) run() {
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	var gossip, sweep time.Duration
+	var woke time.Time
+	for {
+		if !woke.IsZero() {
+			h.longest = max(h.longest, time.Since(woke))
+		}
+		select {
+		case do := <-h.asks:
+			woke = time.Now()
+			do()
+		case data := <-h.inbox:
+			woke = time.Now()
+			h.hear(data)
+		case <-tick.C:
+			woke = time.Now()
+			now := h.now()
+			h.again(now)
+			if now >= gossip {
+				h.gossip(now, now >= sweep)
+				gossip = now + gossipEvery
+			}
+			if now >= sweep {
+				h.store.Sweep(now)
+				sweep = now + sweepEvery
+			}
+		case <-h.done:
+			return
+		}
+	}
+}
+
+// begin asks a key's witnesses for it.
+func (h *Host) begin(c engine.Claim, told func(balancer.Micros, engine.Verdict)) {
+	h.counts.Claims++
+	now := h.now()
+	key := claims.KeyOf(h.cfg.Classes[c.Class].Name, c.Key)
+	names := claims.Of(h.cfg.Witnesses, key, witnessesOf)
+	p := &pending{what: c, told: told, begun: now, asked: now, until: min(now+h.cfg.Wait, now+time.Until(c.Until)),
+		claim: claims.NewClaim(claims.Ask{Key: key, Owner: h.owner(c.Request), Round: c.Round, Group: c.Group, Hold: h.cfg.Hold, Roll: h.roll}, names)}
+	h.open[c.Request] = p
+	h.ask(now, p)
+}
+
+func (h *Host) owner(request uint64) claims.Owner {
+	return claims.Owner{Name: h.life.Name, Epoch: h.life.Epoch, Request: request}
+}
+
+// ask asks all witnesses that have not answered.
+func (h *Host) ask(now time.Duration, p *pending) {
+	p.asked = now
+	for _, name := range p.claim.Missing() {
+		if name == h.cfg.Name {
+			if a, ok := h.witness.Ask(now, p.claim.Ask); ok {
+				h.answered(now, name, a)
+			}
+		} else {
+			h.send(name, p.claim.Ask)
+		}
+	}
+}
+
+// answered takes a witness's answer in.
+func (h *Host) answered(now time.Duration, from string, a claims.Answer) {
+	p := h.open[a.Owner.Request]
+	if p == nil || a.Owner != h.owner(a.Owner.Request) || !p.claim.Answer(p.begun, from, a) {
+		return
+	}
+	h.judge(now, p, false)
+}
+
+// judge ends a claim if it can be, and in any case if its time is over.
+func (h *Host) judge(now time.Duration, p *pending, over bool) {
+	outcome, group, first := p.claim.State()
+	v := engine.Verdict{Group: group, Since: h.began.Add(first)}
+	switch {
+	case outcome == claims.Alone:
+		h.counts.Clear++
+	case outcome == claims.Bound:
+		h.counts.Shared++
+		v.Kind = engine.Shared
+	case outcome == claims.Split:
+		// Several asked at once, and none can have a majority: none of them sends.
+		h.counts.Refused++
+		v = engine.Verdict{Kind: engine.Refused, Why: "several ask for the key at once"}
+	case !over:
+		return
+	case p.claim.Seen():
+		h.counts.Refused++
+		v = engine.Verdict{Kind: engine.Refused, Why: "others hold the key, and no majority of its witnesses says where"}
+	default:
+		h.counts.Unsure++
+		v = h.unsure(p.what.Class, "no majority of the key's witnesses answered; one "+p.claim.Why().String())
+	}
+	delete(h.open, p.what.Request)
+	h.post(func(now balancer.Micros) { p.told(now, v) })
+}
+
+// release takes back a claim, answered or not.
+func (h *Host) release(c engine.Claim) {
+	key := claims.KeyOf(h.cfg.Classes[c.Class].Name, c.Key)
+	delete(h.open, c.Request)
+	r := release{key, h.owner(c.Request), c.Round}
+	for _, name := range claims.Of(h.cfg.Witnesses, key, witnessesOf) {
+		if name == h.cfg.Name {
+			h.witness.Release(h.now(), r.key, r.owner, r.round)
+		} else {
+			h.send(name, r)
+		}
+	}
+}
+
+// again asks again what was lost, and ends claims whose time is over.
+func (h *Host) again(now time.Duration) {
+	for _, p := range h.open {
+		switch {
+		case now >= p.until:
+			h.judge(now, p, true)
+		case now-p.asked >= askAgain:
+			p.claim.Again()
+			h.ask(now, p)
+		}
+	}
+}
+
+// gossip passes rumours on, tells what has changed here, and compares with one other now and
+// then.
+func (h *Host) gossip(now time.Duration, compare bool) {
+	h.budget = min(bytesMost, h.budget+bytesMost*gossipEvery.Seconds())
+	h.tell(now)
+	others := h.others()
+	if len(others) == 0 {
+		return
+	}
+	h.rng.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	if r := h.store.Rumours(now); len(r) > 0 {
+		for _, name := range others[:min(2, len(others))] {
+			h.send(name, rumours(r))
+		}
+	}
+	if compare {
+		h.send(others[0], h.store.Digest())
+	}
+}
+
+// tell writes what has changed here, as often as the fleet's size allows.
+func (h *Host) tell(now time.Duration) {
+	if now < h.pace {
+		return
+	}
+	// Every few turns, and when there is nothing else, the instance tells of itself.
+	own := h.rng.IntN(8) == 0
+	topic, subject, v := topicServer, "", proto.Message(nil)
+	h.mu.Lock()
+	if !own {
+		var server *peerspb.Server
+		var news bool
+		subject, server, news = h.tallies.next()
+		v, own = server, !news
+	}
+	rate := float64(h.taken) / max(1, now.Seconds())
+	n := len(h.nodes)
+	h.mu.Unlock()
+	h.pace = now + time.Duration(float64(max(1, n))/tellings*float64(time.Second))
+	if own {
+		topic, subject = topicInstance, "self"
+		v = &peerspb.Instance{Site: h.cfg.Site, Build: h.cfg.Build, Requests: rate, UptimeUs: micros(now)}
+		h.pace = max(h.pace, now+time.Second)
+	}
+	value, err := proto.Marshal(v)
+	if err == nil {
+		err = h.store.Put(now, topic, subject, value)
+	}
+	if err != nil {
+		h.log.Debug("peers: not told", "subject", subject, "error", err)
+	}
+}
+
+// others are the names of those that are there.
+func (h *Host) others() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := make([]string, 0, len(h.nodes))
+	for name := range h.nodes {
+		if name != h.cfg.Name {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// send sends one message, if its receiver is there. It may be lost.
+func (h *Host) send(name string, what any) {
+	h.mu.Lock()
+	node := h.nodes[name]
+	h.mu.Unlock()
+	if node == nil {
+		return
+	}
+	data, err := encode(message{h.life, what})
+	if err != nil {
+		h.log.Error("peers: a message could not be made", "error", err)
+		return
+	}
+	h.counts.Sent++
+	h.counts.Bytes += uint64(len(data))
+	if err := h.list.SendBestEffort(node, data); err != nil {
+		h.log.Debug("peers: not sent", "to", name, "error", err)
+	}
+}
+
+// spend takes the bytes of an answer from the budget.
+func (h *Host) spend(n int) bool {
+	if h.budget < float64(n) {
+		return false
+	}
+	h.budget -= float64(n)
+	return true
+}
+
+// hear takes in what a peer has sent.
+func (h *Host) hear(data []byte) {
+	m, err := decode(data)
+	if err != nil {
+		if h.counts.Bad++; h.counts.Bad&(h.counts.Bad-1) == 0 { // the 1st, 2nd, 4th, 8th, ...
+			h.log.Warn("peers: a message makes no sense", "error", err, "so_far", h.counts.Bad)
+		}
+		return
+	}
+	h.counts.Heard++
+	now := h.now()
+	switch w := m.what.(type) {
+	case claims.Ask:
+		if a, ok := h.witness.Ask(now, w); ok {
+			h.send(m.from.Name, a)
+		}
+	case claims.Answer:
+		h.answered(now, m.from.Name, w)
+	case release:
+		h.witness.Release(now, w.key, w.owner, w.round)
+	case rumours:
+		for _, r := range w {
+			h.store.Hear(now, r)
+		}
+	case replica.Digest:
+		if v := h.store.Compare(w, h.start); v != nil && h.spend(messageMost) {
+			h.start = (h.start + 1) % replica.Buckets
+			h.send(m.from.Name, v)
+		}
+	case *replica.Vectors:
+		deltas, own := h.store.Answer(now, w)
+		if own != nil && h.spend(messageMost) {
+			h.send(m.from.Name, own)
+		}
+		for _, d := range deltas {
+			if !h.spend(messageMost) {
+				break
+			}
+			h.send(m.from.Name, d)
+		}
+	case replica.Delta:
+		h.store.Merge(now, w)
+	}
+}
+
+// join looks for others while some of those that the operator named are not there.
+func (h *Host) join() {
+	if len(h.cfg.Join) == 0 {
+		return
+	}
+	for wait := time.Duration(0); ; wait = joinEvery/2 + rand.N(joinEvery) {
+		select {
+		case <-h.done:
+			return
+		case <-time.After(wait):
+		}
+		var missing []string
+		h.mu.Lock()
+		for _, at := range h.cfg.Join {
+			name, _, _ := strings.Cut(at, "/")
+			if h.nodes[name] == nil {
+				missing = append(missing, at)
+			}
+		}
+		h.mu.Unlock()
+		if len(missing) > 0 {
+			h.list.Join([]string{missing[rand.IntN(len(missing))]})
+		}
+	}
+}
+
+// delegate is what memberlist calls. None of it may block.
+type delegate Host
+
+func (d *delegate) NodeMeta(int) []byte             { return nil }
+func (d *delegate) GetBroadcasts(int, int) [][]byte { return nil }
+func (d *delegate) LocalState(bool) []byte          { return nil }
+func (d *delegate) MergeRemoteState([]byte, bool)   {}
+
+func (d *delegate) NotifyMsg(data []byte) {
+	select {
+	case d.inbox <- slices.Clone(data):
+	default:
+		d.dropped.Add(1)
+	}
+}
+
+func (d *delegate) NotifyJoin(n *memberlist.Node) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.nodes[n.Name] = n
+}
+
+func (d *delegate) NotifyLeave(n *memberlist.Node) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.nodes, n.Name)
+}
+
+func (d *delegate) NotifyUpdate(n *memberlist.Node) { d.NotifyJoin(n) }
+
+// NotifyConflict takes that two instances have one name: a folder was copied, or an old one
+// goes on beside its successor. The later one is not let in for as long as the other is there.
+func (d *delegate) NotifyConflict(here, other *memberlist.Node) {
+	d.log.Error("peers: two instances have one name", "name", here.Name, "at", here.Address(), "and", other.Address())
+}
+
+// via is memberlist's transport, with other addresses for some names.
+type via struct {
+	*memberlist.NetTransport
+	names map[string]string
+}
+
+func (v *via) at(a memberlist.Address) memberlist.Address {
+	if other, ok := v.names[a.Name]; ok {
+		a.Addr = other
+	}
+	return a
+}
+
+func (v *via) WriteToAddress(b []byte, a memberlist.Address) (time.Time, error) {
+	return v.NetTransport.WriteToAddress(b, v.at(a))
+}
+
+func (v *via) DialAddressTimeout(a memberlist.Address, timeout time.Duration) (net.Conn, error) {
+	return v.NetTransport.DialAddressTimeout(v.at(a), timeout)
+}
+
+// quiet passes memberlist's errors and warnings on as debug lines: what matters is told by the
+// host itself, and a lost peer would fill the log.
+type quiet struct{ log *slog.Logger }
+
+func (q quiet) Write(line []byte) (int, error) {
+	q.log.Debug("peers: " + strings.TrimSpace(string(line)))
+	return len(line), nil
+}
+
+// errEnded is what is told of a host that has ended.
+var errEnded = errors.New("peers: the host has ended")
+
+// do runs f on the host's goroutine and waits for its end.
+func (h *Host) do(ctx context.Context, f func()) error {
+	ran := make(chan struct{})
+	select {
+	case h.asks <- func() { f(); close(ran) }:
+	case <-h.done:
+		return errEnded
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case <-ran:
+		return nil
+	case <-h.done:
+		return errEnded
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/peers/peers_test.go
@@ -0,0 +1,345 @@
+package peers
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"log/slog"
+	"math"
+	"net"
+	"net/http/httptest"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"pinedale/balancer"
+	"pinedale/internal/claims"
+	"pinedale/internal/engine"
+	"pinedale/internal/peers/peerspb"
+	"pinedale/internal/replica"
+	_ "pinedale/internal/standin/seeds"
+	"pinedale/internal/standin/wait"
+)
+
+// start runs hosts that know each other by name, with keys or without.
+func start(t *testing.T, n int, change func(i int, c *Config)) []*Host {
+	t.Helper()
+	var names []string
+	for i := range n {
+		names = append(names, fmt.Sprint("i-", i))
+	}
+	var hosts []*Host
+	for i := range n {
+		c := Config{Name: names[i], Listen: "127.0.0.1:0", Witnesses: names, Classes: []Class{{"pay", Always}, {"close", Soon}, {"read", Never}},
+			Wait: 10 * time.Second, Hold: 200 * time.Millisecond, Log: slog.New(slog.DiscardHandler), Warm: time.Second}
+		if i > 0 {
+			c.Join = []string{names[0] + "/" + hosts[0].Addr()}
+		}
+		if change != nil {
+			change(i, &c)
+		}
+		h, err := Start(c, func(f func(balancer.Micros)) { f(0) })
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(h.Close)
+		hosts = append(hosts, h)
+	}
+	return hosts
+}
+
+func status(t *testing.T, h *Host) Status {
+	t.Helper()
+	s, err := h.Status(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// meet waits until all know all and answer as witnesses.
+func meet(t *testing.T, hosts []*Host) {
+	t.Helper()
+	wait.Until(t, "all know all", func() bool {
+		for _, h := range hosts {
+			if s := status(t, h); len(s.Alive) != len(hosts) || s.Quiet != "0s" {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func claim(h *Host, c engine.Claim) <-chan engine.Verdict {
+	out := make(chan engine.Verdict, 1)
+	if c.Until.IsZero() {
+		c.Until = time.Now().Add(time.Minute)
+	}
+	h.Claim(c, func(_ balancer.Micros, v engine.Verdict) { out <- v })
+	return out
+}
+
+// A key that one instance has claimed is told to the others with its group; one that was
+// released is free; of several that ask at once at most one is alone.
+func TestClaims(t *testing.T) {
+	hosts := start(t, 5, func(_ int, c *Config) { c.Keys = [][]byte{bytes.Repeat([]byte{7}, 32)}; c.Hold = 2 * time.Second })
+	meet(t, hosts)
+	first := claim(hosts[0], engine.Claim{Key: "k", Request: 1, Round: 1, Group: "pod 1"})
+	if v := <-first; v.Kind != engine.Clear {
+		t.Fatalf("the first: %+v", v)
+	}
+	began := time.Now()
+	if v := <-claim(hosts[1], engine.Claim{Key: "k", Request: 1, Round: 1, Group: "pod 2"}); v.Kind != engine.Shared || v.Group != "pod 1" || v.Since.After(began) {
+		t.Fatalf("another: %+v", v)
+	}
+	if v := <-claim(hosts[1], engine.Claim{Class: 1, Key: "k", Request: 2, Round: 1, Group: "pod 2"}); v.Kind != engine.Clear {
+		t.Fatalf("the same key of another class: %+v", v)
+	}
+	c := engine.Claim{Key: "r", Request: 3, Round: 1, Group: "pod 1"}
+	if v := <-claim(hosts[2], c); v.Kind != engine.Clear {
+		t.Fatalf("a key to be released: %+v", v)
+	}
+	hosts[2].Release(c)
+	wait.Until(t, "the released key is free", func() bool {
+		c := engine.Claim{Key: "r", Request: uint64(time.Now().UnixNano()), Round: 1, Group: "pod 2"}
+		v := <-claim(hosts[3], c)
+		hosts[3].Release(c)
+		return v.Kind == engine.Clear
+	})
+	for n := range 20 {
+		var verdicts []<-chan engine.Verdict
+		key := fmt.Sprint("at-once-", n)
+		for i, h := range hosts {
+			verdicts = append(verdicts, claim(h, engine.Claim{Key: key, Request: 100 + uint64(n), Round: 1, Group: fmt.Sprint("pod ", i)}))
+		}
+		alone, groups := 0, map[string]bool{}
+		for i, got := range verdicts {
+			switch v := <-got; v.Kind {
+			case engine.Clear:
+				alone++
+				groups[fmt.Sprint("pod ", i)] = true
+			case engine.Shared:
+				groups[v.Group] = true
+			}
+		}
+		if alone > 1 || len(groups) > 1 {
+			t.Fatalf("%d are alone with %s, which may go to %v", alone, key, groups)
+		}
+	}
+}
+
+// Without a majority of its witnesses a request of a class that must be sure is not sent, and
+// one that waits only for what is known soon is sent as if nobody had it.
+func TestNobodyAnswers(t *testing.T) {
+	hosts := start(t, 1, func(_ int, c *Config) { c.Witnesses = []string{"i-0", "x", "y"}; c.Wait = 30 * time.Millisecond })
+	if v := <-claim(hosts[0], engine.Claim{Key: "k", Request: 1, Round: 1}); v.Kind != engine.Refused {
+		t.Errorf("always: %+v", v)
+	}
+	if v := <-claim(hosts[0], engine.Claim{Class: 1, Key: "k", Request: 2, Round: 1}); v.Kind != engine.Clear {
+		t.Errorf("soon: %+v", v)
+	}
+	if hosts[0].Claims(2) || !hosts[0].Claims(0) || hosts[0].Claims(9) {
+		t.Error("classes are taken for others")
+	}
+}
+
+// A witness that has just started, or whose file names others, says so and does not count.
+func TestWitnessesThatDoNotCount(t *testing.T) {
+	hosts := start(t, 3, func(i int, c *Config) {
+		c.Wait, c.Hold = 300*time.Millisecond, 100*time.Millisecond
+		if i > 0 {
+			c.Witnesses = []string{"i-0", "i-1", "i-2", "i-3"}
+		}
+	})
+	meet(t, hosts)
+	if v := <-claim(hosts[0], engine.Claim{Key: "k", Request: 1, Round: 1}); v.Kind != engine.Refused || !strings.Contains(v.Why, "other witnesses") {
+		t.Errorf("other witnesses: %+v", v)
+	}
+	young := start(t, 3, func(i int, c *Config) { c.Wait, c.Hold = 300*time.Millisecond, time.Hour })
+	wait.Until(t, "all know all", func() bool { return len(status(t, young[0]).Alive) == 3 })
+	if v := <-claim(young[0], engine.Claim{Key: "k", Request: 1, Round: 1}); v.Kind != engine.Refused || !strings.Contains(v.Why, "too lately") {
+		t.Errorf("started too lately: %+v", v)
+	}
+}
+
+// What each instance counts comes to all, and is added up once however often it travels.
+func TestServersAreTold(t *testing.T) {
+	hosts := start(t, 4, func(_ int, c *Config) { c.Warm = time.Hour })
+	born := time.Now().UnixMilli()
+	for n, h := range hosts {
+		for i := range 10 * (n + 1) {
+			s := balancer.OK
+			if i%5 == 0 {
+				s = balancer.Error
+			}
+			h.Observe(&engine.Target{Name: "s-1", Born: born}, s)
+		}
+		h.Observe(&engine.Target{Name: "s-1"}, balancer.Moot)
+	}
+	wait.Until(t, "all hold all", func() bool {
+		var first *Status
+		for _, h := range hosts {
+			s := status(t, h)
+			total := ServerSum{}
+			for _, x := range s.Servers {
+				total.Attempts, total.Failures, total.Cold = total.Attempts+x.Attempts, total.Failures+x.Failures, total.Cold+x.Cold
+			}
+			if total.Attempts > 100 || total.Failures > 20 || total.Cold > total.Attempts {
+				t.Fatalf("%s adds up to %+v", s.Name, total)
+			}
+			if total.Attempts != 100 || total.Failures != 20 || total.Cold != 100 {
+				return false
+			}
+			if first == nil {
+				first = &s
+			} else if d := Diff(first, &s); slices.ContainsFunc(d, func(l string) bool { return strings.Contains(l, "s-1") }) {
+				return false
+			}
+		}
+		return true
+	}, func() string {
+		var b strings.Builder
+		for _, h := range hosts {
+			s := status(t, h)
+			s.Print(&b)
+		}
+		return b.String()
+	})
+	server := httptest.NewServer(hosts[0])
+	defer server.Close()
+	got, err := Fetch(t.Context(), strings.TrimPrefix(server.URL, "http://"))
+	if err != nil || got.Name != "i-0" || len(got.Servers) == 0 {
+		t.Errorf("fetched %+v, %v", got, err)
+	}
+	var out bytes.Buffer
+	if err := got.Print(&out); err != nil || !strings.Contains(out.String(), "s-1@") {
+		t.Errorf("printed %q, %v", out.String(), err)
+	}
+}
+
+// Without the key nobody is heard; what can't be read changes nothing.
+func TestStrangersAreNotHeard(t *testing.T) {
+	hosts := start(t, 2, func(i int, c *Config) { c.Keys = [][]byte{bytes.Repeat([]byte{byte(i)}, 16)} })
+	conn, err := net.Dial("udp", hosts[0].Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	for range 50 {
+		conn.Write([]byte("\x08rubbish"))
+	}
+	hosts[0].inbox <- []byte("rubbish")
+	wait.Until(t, "it is counted", func() bool { return status(t, hosts[0]).Counts.Bad == 1 })
+	if s := status(t, hosts[0]); !slices.Equal(s.Alive, []string{"i-0"}) || s.Counts.Heard != 0 {
+		t.Errorf("it has heard %+v", s)
+	}
+}
+
+func TestHostsEnd(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	hosts := start(t, 2, nil)
+	meet(t, hosts)
+	for _, h := range hosts {
+		h.Close()
+	}
+	if _, err := hosts[0].Status(context.Background()); err == nil {
+		t.Error("one that has ended tells its status")
+	}
+}
+
+// Whatever is said arrives as it was said, and fits into one datagram where it must.
+func TestMessagesArriveAsTheyWereSaid(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := rapid.StringMatching(`[a-z0-9 @-]{1,60}`)
+		number := rapid.Uint64()
+		o := func() replica.Origin {
+			return replica.Origin{Name: text.Draw(t, "name"), Epoch: number.Draw(t, "epoch")}
+		}
+		age := func() time.Duration { return time.Duration(rapid.IntRange(0, 1e9).Draw(t, "us")) * time.Microsecond }
+		from := o()
+		key := claims.KeyOf(text.Draw(t, "class"), text.Draw(t, "key"))
+		own := claims.Owner{Name: from.Name, Epoch: from.Epoch, Request: number.Draw(t, "request")}
+		entry := func() replica.Entry {
+			return replica.Entry{Topic: replica.Topic(rapid.IntRange(1, 255).Draw(t, "topic")), Subject: text.Draw(t, "subject"), Seq: number.Draw(t, "seq"),
+				Age: age(), Gone: rapid.Bool().Draw(t, "gone"), Value: rapid.SliceOfN(rapid.Byte(), 1, 60).Draw(t, "value")}
+		}
+		var m any
+		switch rapid.IntRange(0, 6).Draw(t, "what") {
+		case 0:
+			m = claims.Ask{Key: key, Owner: own, Round: 2, Group: text.Draw(t, "group"), Hold: age(), Roll: number.Draw(t, "roll")}
+		case 1:
+			m = claims.Answer{Key: key, Owner: own, Round: 2, Kind: claims.Kind(rapid.IntRange(0, 3).Draw(t, "kind")), Group: text.Draw(t, "group"), Age: age(), Others: true}
+		case 2:
+			m = release{key, own, number.Draw(t, "round")}
+		case 3:
+			m = rumours{{Origin: o(), Entry: entry()}, {Origin: o(), Entry: entry()}}
+		case 4:
+			var d replica.Digest
+			d[3] = number.Draw(t, "hash")
+			m = d
+		case 5:
+			m = &replica.Vectors{Buckets: []int{1, 63}, Vectors: []replica.Vector{{Origin: o(), Have: 3, More: number.Draw(t, "more")}}, Answer: true}
+		case 6:
+			m = replica.Delta{Origin: o(), From: 1, To: number.Draw(t, "to"), Part: 1, Of: 2, Sum: number.Draw(t, "sum"), Loose: true, Entries: []replica.Entry{entry()}}
+		}
+		data, err := encode(message{from, m})
+		if err != nil || len(data) > messageMost {
+			t.Fatalf("%d bytes, %v", len(data), err)
+		}
+		got, err := decode(data)
+		if err != nil || got.from != from || !reflect.DeepEqual(got.what, m) {
+			t.Fatalf("%+v arrived as %+v, %v", m, got.what, err)
+		}
+	})
+}
+
+// Values that make no sense are refused by name.
+func TestRecordsThatMakeNoSense(t *testing.T) {
+	for _, v := range []proto.Message{&peerspb.Instance{Requests: math.NaN()}, &peerspb.Instance{Requests: math.Inf(1)}, &peerspb.Instance{Requests: -1}} {
+		b, _ := proto.Marshal(v)
+		if topics[topicInstance].Check(b) == nil {
+			t.Errorf("%v is taken", v)
+		}
+	}
+	b, _ := proto.Marshal(&peerspb.Server{Attempts: 1, Failures: 2})
+	if topics[topicServer].Check(b) == nil || topics[topicServer].Check([]byte{0xff}) == nil {
+		t.Error("a server with more failures than attempts is taken")
+	}
+}
+
+// Whatever a peer sends: a message or an error, and no harm to what is held.
+func FuzzHear(f *testing.F) {
+	from := replica.Origin{Name: "x", Epoch: 1}
+	key := claims.KeyOf("a", "b")
+	for _, m := range []any{claims.Ask{Key: key, Owner: claims.Owner{Name: "x", Epoch: 1}}, claims.Answer{Key: key}, release{key: key, owner: claims.Owner{Name: "x", Epoch: 1}},
+		rumours{{Origin: from, Entry: replica.Entry{Topic: 1, Subject: "s", Seq: 1}}}, replica.Digest{}, &replica.Vectors{Buckets: []int{1}, Vectors: []replica.Vector{{Origin: from, Have: 3}}},
+		replica.Delta{Origin: from, To: 2, Of: 1, Entries: []replica.Entry{{Topic: 2, Subject: "s", Seq: 1}}}} {
+		data, err := encode(message{from, m})
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		h := &Host{cfg: Config{Name: "i"}, log: slog.New(slog.DiscardHandler), began: time.Now(), open: map[uint64]*pending{}, budget: bytesMost,
+			witness: claims.NewWitness(-time.Second, claims.Limits{Keys: 8, Holders: 2, Hold: time.Second}, 0),
+			store:   replica.New(replica.Origin{Name: "i", Epoch: 1}, topics, replica.Defaults)}
+		for range 3 {
+			h.hear(data)
+		}
+		if h.store.Origins() > 1+len(data) || h.witness.Keys() > 8 {
+			t.Fatalf("%d origins, %d keys", h.store.Origins(), h.witness.Keys())
+		}
+		for _, x := range h.store.View(h.now(), topicInstance) {
+			if topics[topicInstance].Check(x.Value) != nil {
+				t.Fatalf("%v is held", x)
+			}
+		}
+	})
+}
--- a/internal/site/check.go
+++ b/internal/site/check.go
@@ -81,6 +81,7 @@
 	c.fleet()
 	c.classes()
 	c.members()
+	c.peers()
 	c.policy()
 	if c.Good() {
 		// The module's own checks are the last net.
--- a/internal/site/file.go
+++ b/internal/site/file.go
@@ -99,8 +99,19 @@
 		Lag        Duration `toml:"lag"`
 	} `toml:"membership"`
 	Servers []Server `toml:"server"`
+	Peers   struct {
+		Listen    string            `toml:"listen"`
+		Advertise string            `toml:"advertise"`
+		Join      []string          `toml:"join"`
+		Via       map[string]string `toml:"via"`
+		KeysFile  string            `toml:"keys_file"`
+		Witnesses []string          `toml:"witnesses"`
+		Wait      Duration          `toml:"wait"`
+		Status    string            `toml:"status"`
+	} `toml:"peers"`
 
-	digest   string // what digest_file holds
+	peerKeys [][]byte // what peers.keys_file holds
+	digest   string   // what digest_file holds
 	table    *policy.Table
 	warnings []*FileError
 }
@@ -157,6 +168,7 @@
 	Clients   string   `toml:"clients"`
 	Open      int      `toml:"open"`
 	BrownOut  int      `toml:"brown_out"`
+	Agree     string   `toml:"agree"` // "never" where it is not given
 	Patience
 }
 
@@ -257,6 +269,7 @@
 	f.Fleet.Spread = 2
 	f.Discovery.AskWithin = Duration(10 * time.Second)
 	f.Ephemeral.Session = Duration(15 * time.Second)
+	f.Peers.Wait = Duration(40 * time.Millisecond)
 	f.Membership.ShrinkMost = merge.Defaults.ShrinkMost
 	f.Membership.Hold = Duration(merge.Defaults.Hold)
 	f.Membership.Lag = Duration(merge.Defaults.Lag)
--- a/internal/site/run.go
+++ b/internal/site/run.go
@@ -25,6 +25,7 @@
 	"pinedale/internal/membership/merge"
 	"pinedale/internal/membership/registry"
 	"pinedale/internal/membership/static"
+	"pinedale/internal/peers"
 	"pinedale/internal/policy"
 	"pinedale/internal/upstream/either"
 	"pinedale/internal/upstream/http3upstream"
@@ -44,21 +45,24 @@
 	HTTP    net.Addr // nil unless the front is on
 	HTTP3   net.Addr // likewise
 	ExtProc net.Addr
+	Status  net.Addr    // where it tells of other instances, nil unless it does
+	Peers   *peers.Host // likewise
 
-	file    *File
-	table   atomic.Pointer[policy.Table]
-	parser  *intake.Parser
-	admit   *admission.Admission // of the engine's goroutine
-	log     *slog.Logger
-	engine  *engine.Engine
-	rooms   rooms
-	secure  *secure.Client // nil for plain text towards servers
-	ext     *extproc.Server
-	end     context.CancelFunc // begins the orderly end
-	stop    context.CancelFunc // ends the engine
-	closeUp func() error       // and then what the upstream holds
-	served  chan error         // one for each front
-	fronts  int
+	closePeers func()
+	file       *File
+	table      atomic.Pointer[policy.Table]
+	parser     *intake.Parser
+	admit      *admission.Admission // of the engine's goroutine
+	log        *slog.Logger
+	engine     *engine.Engine
+	rooms      rooms
+	secure     *secure.Client // nil for plain text towards servers
+	ext        *extproc.Server
+	end        context.CancelFunc // begins the orderly end
+	stop       context.CancelFunc // ends the engine
+	closeUp    func() error       // and then what the upstream holds
+	served     chan error         // one for each front
+	fronts     int
 }
 
 // source is where membership comes from, as the file says. Beside ephemeral nodes all
@@ -174,28 +178,36 @@
 	i.admit = admission.New(f.table.Admission(f.Limits.AdmitRate))
 	i.parser = intake.NewParser(&settings)
 	i.parser.Use(newRouter(f.table))
-	up, closeUp, err := f.upstream(i.secure)
-	if err != nil {
+	undo := func(more ...func()) {
 		stop()
 		end()
+		for _, f := range more {
+			f()
+		}
 		closeAll(listeners[:])
 		if datagrams != nil {
 			datagrams.Close()
 		}
+	}
+	up, closeUp, err := f.upstream(i.secure)
+	if err != nil {
+		undo()
 		return nil, fmt.Errorf("upstream: %w", err)
 	}
 	i.closeUp = closeUp
-	e, err := engine.New(engineCtx, engine.Options{Settings: settings, Seed: binary.LittleEndian.Uint64(seed[:]),
+	if err := i.startPeers(f); err != nil {
+		undo(func() { closeUp() })
+		return nil, err
+	}
+	options := engine.Options{Settings: settings, Seed: binary.LittleEndian.Uint64(seed[:]),
 		Zones: f.Fleet.Sites, Kinds: f.Fleet.Kinds, Known: engine.List{Whole: true, Hosts: f.hosts()},
-		Upstream: up, Source: f.source(log), Log: log, Admission: i.admit, Subset: part, Pools: f.table.Pools})
+		Upstream: up, Source: f.source(log), Log: log, Admission: i.admit, Subset: part, Pools: f.table.Pools}
+	if i.Peers != nil {
+		options.Guard, options.Observe = i.Peers, i.Peers.Observe
+	}
+	e, err := engine.New(engineCtx, options)
 	if err != nil {
-		stop()
-		end()
-		closeUp()
-		closeAll(listeners[:])
-		if datagrams != nil {
-			datagrams.Close()
-		}
+		undo(i.closePeers, func() { closeUp() })
 		return nil, err
 	}
 	i.engine = e
@@ -353,6 +365,7 @@
 		errs = append(errs, err)
 	}
 	i.tellKeys()
+	i.closePeers() // the last requests in hand were agreed on by now
 	i.stop()
 	return errors.Join(append(errs, i.closeUp())...)
 }
