--- a/internal/emulator/model/memory.go
+++ b/internal/emulator/model/memory.go
@@ -104,3 +104,12 @@
 	slices.Sort(keys)
 	return keys
 }
+
+// Done says how often each effect was done.
+func (m *Memory) Done() map[string]int {
+	out := make(map[string]int, len(m.effects))
+	for key, e := range m.effects {
+		out[key] = e.done
+	}
+	return out
+}
--- a/internal/emulator/sockets/sockets.go
+++ b/internal/emulator/sockets/sockets.go
@@ -153,6 +153,13 @@
 	return f.memory.Twice()
 }
 
+// Done says how often each effect was done, by its key.
+func (f *Fleet) Done() map[string]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.memory.Done()
+}
+
 // Connections counts the open ones, now and at most so far.
 func (f *Fleet) Connections() (open, most int) {
 	f.mu.Lock()
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,130 @@
+package fleet
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"pinedale/internal/fleet/history"
+	"pinedale/internal/fleet/schedule"
+)
+
+// program is pinedale-site, built once.
+var program string
+
+func TestMain(m *testing.M) {
+	if did, err := Main(); did {
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	dir, err := os.MkdirTemp("", "pinedale-fleet-test-")
+	if err == nil {
+		program = filepath.Join(dir, "pinedale-site")
+		var said []byte
+		if said, err = exec.Command("go", "build", "-o", program, "pinedale/cmd/pinedale-site").CombinedOutput(); err != nil {
+			err = fmt.Errorf("%w: %s", err, said)
+		}
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+func parse(t *testing.T, text string) *schedule.Schedule {
+	t.Helper()
+	s, err := schedule.Parse([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// schedules are a few that CI plays: two that were drawn, and hard cases. Many more are played
+// by pinedale-fleet run.
+func schedules(t *testing.T) []*schedule.Schedule {
+	head := "version = 1\ninstances = 4\nlength = \"5s\"\nseed = %d\nname = %q\n"
+	all := []*schedule.Schedule{schedule.Draw(3, 5, 6, 6*time.Second), schedule.Draw(10, 4, 6, 6*time.Second)}
+	for n, x := range []struct{ name, faults string }{
+		// Two at once, so that some keys lose the majority of their witnesses, in the middle of sends.
+		{"killed while sending", "[[fault]]\nkind = \"kill\"\nof = \"i-1\"\nat = \"1s\"\nfor = \"500ms\"\n[[fault]]\nkind = \"kill\"\nof = \"i-2\"\nat = \"1100ms\"\nfor = \"1s\"\n"},
+		// Each side holds two of four.
+		{"halves", "[[fault]]\nkind = \"cut\"\nboth = true\nof = \"i-1\"\nto = \"i-3\"\nat = \"1s\"\nfor = \"2s\"\n[[fault]]\nkind = \"cut\"\nboth = true\nof = \"i-1\"\nto = \"i-4\"\nat = \"1s\"\nfor = \"2s\"\n" +
+			"[[fault]]\nkind = \"cut\"\nboth = true\nof = \"i-2\"\nto = \"i-3\"\nat = \"1s\"\nfor = \"2s\"\n[[fault]]\nkind = \"cut\"\nboth = true\nof = \"i-2\"\nto = \"i-4\"\nat = \"1s\"\nfor = \"2s\"\n"},
+		// One hears and is not heard; one is stopped with requests in hand and goes on later.
+		{"one way and stopped", "[[fault]]\nkind = \"cut\"\nof = \"i-1\"\nto = \"i-2\"\nat = \"500ms\"\nfor = \"3s\"\n[[fault]]\nkind = \"stop\"\nof = \"i-3\"\nat = \"1s\"\nfor = \"2s\"\n" +
+			"[[fault]]\nkind = \"swap\"\nshare = 0.5\nboth = true\nof = \"i-1\"\nto = \"i-4\"\nat = \"0s\"\nfor = \"4s\"\n[[fault]]\nkind = \"double\"\nshare = 0.8\nboth = true\nof = \"i-2\"\nto = \"i-4\"\nat = \"0s\"\nfor = \"4s\"\n"},
+	} {
+		all = append(all, parse(t, fmt.Sprintf(head, 100+n, x.name)+x.faults))
+	}
+	return all
+}
+
+// Over all processes together: each request has one final answer, no effect is done twice,
+// what was served was done, nobody crashes, and once the faults are over all copies are the
+// same.
+func TestFleetUnderFaults(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	t.Run("all", func(t *testing.T) {
+		for _, s := range schedules(t) {
+			t.Run(s.Name, func(t *testing.T) {
+				t.Parallel()
+				dir := t.TempDir()
+				h, err := Run(t.Context(), Options{Schedule: s, Program: program, Dir: dir, Log: slog.New(slog.DiscardHandler)})
+				if err != nil {
+					t.Fatal(err)
+				}
+				for _, f := range h.Check() {
+					t.Error(f)
+				}
+				if sum := h.Sum(); sum.Effects < 100 || sum.Served == 0 {
+					t.Errorf("%+v: the load did not run", sum)
+				}
+				path := filepath.Join(dir, "run.json")
+				if err := Save(path, h); err != nil {
+					t.Fatal(err)
+				}
+				back, err := Read(path)
+				if err != nil || len(back.Tries) != len(h.Tries) || len(back.Schedule.Faults) != len(s.Faults) {
+					t.Errorf("what was kept comes back as %+v, %v", back, err)
+				}
+				page := filepath.Join(dir, "page.html")
+				if err := Report(page, h); err != nil {
+					t.Fatal(err)
+				}
+				if text, err := os.ReadFile(page); err != nil || strings.Count(string(text), "<svg") != 2 {
+					t.Errorf("the page has no two plots: %v", err)
+				}
+			})
+		}
+	})
+}
+
+// What is no run is not read as one.
+func TestReadWhatIsNoRun(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "run.json")
+	for _, text := range []string{"", "{}", `{"schedule":{"version":9}}`} {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if h, err := Read(path); err == nil {
+			t.Errorf("%q is read as %+v", text, h)
+		}
+	}
+	if err := Save(filepath.Join(path, "below"), &history.History{}); err == nil {
+		t.Error("a run is kept below a file")
+	}
+}
--- /dev/null
+++ b/internal/fleet/history/history.go
@@ -0,0 +1,146 @@
+// Package history is what a rig has seen, on one clock, and says whether it is as it must be.
+// It does no I/O.
+package history
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"pinedale/internal/fleet/schedule"
+)
+
+// Kind is what became of a try.
+type Kind string
+
+// The kinds of end.
+const (
+	Answered Kind = "answered"
+	Left     Kind = "left"   // its client gave it up, as clients do
+	Silent   Kind = "silent" // no answer long after its time
+	Broken   Kind = "broken" // the connection never came up, or broke
+)
+
+// Try is one request of a client. The tries of one effect share its key.
+type Try struct {
+	Effect   string        `json:"effect"`
+	Class    string        `json:"class"`
+	Keyed    bool          `json:"keyed"`
+	Number   int           `json:"number"` // of the effect's tries, from 0
+	Instance string        `json:"instance"`
+	Asked    time.Duration `json:"asked"`
+	Deadline time.Duration `json:"deadline"` // by which it wanted its answer
+	Ended    time.Duration `json:"ended"`
+	Kind     Kind          `json:"kind"`
+	Code     int           `json:"code,omitempty"` // of an answer
+}
+
+// View is what an instance takes to be there at an instant.
+type View struct {
+	At       time.Duration `json:"at"`
+	Instance string        `json:"instance"`
+	Alive    int           `json:"alive"`
+}
+
+// History is all that a run has seen.
+type History struct {
+	Schedule *schedule.Schedule `json:"schedule"`
+	Tries    []Try              `json:"tries"`
+	Views    []View             `json:"views"`
+	Done     map[string]int     `json:"done"`  // effects, as the servers count them
+	Twice    []string           `json:"twice"` // those that must not be done twice and were
+	Settled  time.Duration      `json:"settled"`
+	Differ   []string           `json:"differ"` // copies that still differed when the run gave up waiting
+	Ends     []string           `json:"ends"`   // instances that ended by themselves
+	Claims   []string           `json:"claims"` // what became of each instance's claims, in its last life
+}
+
+// Finding is something that must not be.
+type Finding struct {
+	Rule string `json:"rule"`
+	Text string `json:"text"`
+}
+
+func (f Finding) String() string { return f.Rule + ": " + f.Text }
+
+// slack is by how much an answer may be late before it counts as lost: machines under test
+// are busy, and an answer that never comes is as late.
+const slack = 5 * time.Second
+
+// SilentAfter is how long after its deadline a try is waited for.
+const SilentAfter = slack
+
+// disturbed says whether a fault may have kept a try from its answer.
+func disturbed(s *schedule.Schedule, t *Try) bool {
+	return slices.ContainsFunc(s.Faults, func(f schedule.Fault) bool {
+		if time.Duration(f.At) > t.Ended || f.End()+slack < t.Asked {
+			return false
+		}
+		process := f.To == "" && f.Of == t.Instance
+		way := (f.Of == schedule.Clients && f.To == t.Instance)
+		return process || way
+	})
+}
+
+// Check returns what must not be: the rules over all processes together.
+func (h *History) Check() (out []Finding) {
+	for _, key := range h.Twice {
+		f := Finding{"no effect twice", key}
+		for _, t := range h.Tries {
+			if t.Effect == key {
+				f.Text += fmt.Sprintf("; try %d at %s, %v to %v, %s %d", t.Number, t.Instance, t.Asked.Round(time.Millisecond), t.Ended.Round(time.Millisecond), t.Kind, t.Code)
+			}
+		}
+		out = append(out, f)
+	}
+	for i := range h.Tries {
+		t := &h.Tries[i]
+		switch {
+		case t.Keyed && t.Kind == Answered && t.Code == 200 && h.Done[t.Effect] == 0:
+			out = append(out, Finding{"served is done", fmt.Sprintf("%s was answered 200 by %s at %v, and no server has done it", t.Effect, t.Instance, t.Ended)})
+		case (t.Kind == Silent || t.Kind == Broken) && !disturbed(h.Schedule, t):
+			out = append(out, Finding{"one final answer each", fmt.Sprintf("%s, try %d at %s from %v to %v: %s, and nothing befell that instance", t.Effect, t.Number, t.Instance, t.Asked, t.Ended, t.Kind)})
+		}
+	}
+	for _, d := range h.Differ {
+		out = append(out, Finding{"copies converge", d})
+	}
+	for _, e := range h.Ends {
+		out = append(out, Finding{"no crash", e})
+	}
+	return out
+}
+
+// Sum is a run in figures.
+type Sum struct {
+	Effects, Tries, Served int // effects asked for, tries at them, effects that a client has its answer for
+	ByCode                 map[int]int
+	Left, Silent, Broken   int
+}
+
+// Sum counts.
+func (h *History) Sum() Sum {
+	s := Sum{ByCode: map[int]int{}}
+	served := map[string]bool{}
+	for _, t := range h.Tries {
+		s.Tries++
+		if t.Number == 0 {
+			s.Effects++
+		}
+		switch t.Kind {
+		case Answered:
+			s.ByCode[t.Code]++
+			if t.Code == 200 {
+				served[t.Effect] = true
+			}
+		case Left:
+			s.Left++
+		case Silent:
+			s.Silent++
+		case Broken:
+			s.Broken++
+		}
+	}
+	s.Served = len(served)
+	return s
+}
--- /dev/null
+++ b/internal/fleet/history/history_test.go
@@ -0,0 +1,47 @@
+package history
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"pinedale/internal/fleet/schedule"
+	"pinedale/internal/tomlfile"
+)
+
+// Each rule is found broken by a history that breaks it, and by that alone; what a fault
+// explains is not held against an instance, and only while it may.
+func TestCheck(t *testing.T) {
+	second := func(n int) tomlfile.Duration { return tomlfile.Duration(time.Duration(n) * time.Second) }
+	s := &schedule.Schedule{Faults: []schedule.Fault{
+		{Kind: schedule.Kill, Of: "i-1", At: second(10), For: second(1)},
+		{Kind: schedule.Cut, Of: schedule.Clients, To: "i-2", At: second(30), For: second(1)},
+		{Kind: schedule.Cut, Of: "i-3", To: "i-4", At: second(0), For: second(60)}}}
+	try := func(instance string, at int, k Kind, code int) Try {
+		return Try{Effect: "e", Keyed: true, Instance: instance, Asked: time.Duration(at) * time.Second, Ended: time.Duration(at+1) * time.Second, Kind: k, Code: code}
+	}
+	for name, c := range map[string]struct {
+		h    History
+		want string
+	}{
+		"good":                    {History{Tries: []Try{try("i-1", 1, Answered, 200)}, Done: map[string]int{"e": 1}}, ""},
+		"served and not done":     {History{Tries: []Try{try("i-1", 1, Answered, 200)}}, "served is done"},
+		"failed and not done":     {History{Tries: []Try{try("i-1", 1, Answered, 502)}}, ""},
+		"lost":                    {History{Tries: []Try{try("i-1", 1, Silent, 0)}}, "one final answer each"},
+		"killed":                  {History{Tries: []Try{try("i-1", 9, Broken, 0)}}, ""},
+		"another was killed":      {History{Tries: []Try{try("i-2", 9, Broken, 0)}}, "one final answer each"},
+		"long after the kill":     {History{Tries: []Try{try("i-1", 20, Broken, 0)}}, "one final answer each"},
+		"clients cut off":         {History{Tries: []Try{try("i-2", 30, Silent, 0)}}, ""},
+		"a cut between instances": {History{Tries: []Try{try("i-3", 30, Silent, 0)}}, "one final answer each"},
+		"left":                    {History{Tries: []Try{try("i-3", 30, Left, 0)}}, ""},
+		"twice":                   {History{Tries: []Try{try("i-3", 30, Left, 0)}, Twice: []string{"e"}}, "no effect twice"},
+		"copies differ":           {History{Differ: []string{"s-1"}}, "copies converge"},
+		"a crash":                 {History{Ends: []string{"i-1"}}, "no crash"},
+	} {
+		c.h.Schedule = s
+		got := c.h.Check()
+		if c.want == "" && len(got) > 0 || c.want != "" && (len(got) != 1 || !strings.HasPrefix(got[0].String(), c.want)) {
+			t.Errorf("%s: %v, want %q", name, got, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/schedule/schedule.go
@@ -0,0 +1,265 @@
+// Package schedule says what befalls a rig's processes and the ways between them, and when:
+// drawn from a seed, or written in a TOML file. It does no I/O.
+package schedule
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"pinedale/internal/tomlfile"
+)
+
+// Kind is what befalls them.
+type Kind string
+
+// The kinds. Those of a process name it as Of; those of ways name both ends, and hold from
+// Of to To alone unless Both is set.
+const (
+	Kill   Kind = "kill"   // SIGKILL, and started again when the fault ends
+	Term   Kind = "term"   // SIGTERM, and started again
+	Stop   Kind = "stop"   // SIGSTOP, and SIGCONT when the fault ends
+	Build  Kind = "build"  // SIGTERM, and started again as another build, which it stays
+	Cut    Kind = "cut"    // nothing passes
+	Loss   Kind = "loss"   // Share of the datagrams is lost
+	Double Kind = "double" // comes twice
+	Swap   Kind = "swap"   // changes places with the next
+	Spoil  Kind = "spoil"  // has a byte changed
+	Slow   Kind = "slow"   // all of it takes Delay longer
+	Break  Kind = "break"  // connections that stand are reset, at once
+	Server Kind = "server" // a server ends with all that it holds, and is started again
+)
+
+var ofProcess = []Kind{Kill, Term, Stop, Build, Server}
+var ofWays = []Kind{Cut, Loss, Double, Swap, Spoil, Slow, Break}
+var withShare = []Kind{Loss, Double, Swap, Spoil}
+
+// Clients is the end of a way that all clients are.
+const Clients = "clients"
+
+// Fault is one thing that befalls the rig. Every fault ends.
+type Fault struct {
+	Kind  Kind              `toml:"kind" json:"kind"`
+	At    tomlfile.Duration `toml:"at" json:"at"` // after the start of the load
+	For   tomlfile.Duration `toml:"for" json:"for"`
+	Of    string            `toml:"of" json:"of"`
+	To    string            `toml:"to" json:"to,omitempty"`
+	Both  bool              `toml:"both" json:"both,omitempty"`
+	Share float64           `toml:"share" json:"share,omitempty"`
+	Delay tomlfile.Duration `toml:"delay" json:"delay,omitempty"`
+}
+
+// End is when it is over.
+func (f *Fault) End() time.Duration { return time.Duration(f.At) + time.Duration(f.For) }
+
+// String says what it is in one line.
+func (f Fault) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%v to %v %s of %s", time.Duration(f.At), f.End(), f.Kind, f.Of)
+	if f.To != "" {
+		arrow := "to"
+		if f.Both {
+			arrow = "and"
+		}
+		fmt.Fprintf(&b, " %s %s", arrow, f.To)
+	}
+	if f.Share > 0 {
+		fmt.Fprintf(&b, ", %.0f%%", 100*f.Share)
+	}
+	if f.Delay > 0 {
+		fmt.Fprintf(&b, ", %v", time.Duration(f.Delay))
+	}
+	return b.String()
+}
+
+// Schedule is what a run is made of. The same seed asks the same of the same instances at the
+// same instants.
+type Schedule struct {
+	Version   int               `toml:"version" json:"version"`
+	Name      string            `toml:"name" json:"name"`
+	Seed      uint64            `toml:"seed" json:"seed"`
+	Length    tomlfile.Duration `toml:"length" json:"length"` // of the load
+	Instances int               `toml:"instances" json:"instances"`
+	Servers   int               `toml:"servers" json:"servers"`
+	Rate      float64           `toml:"rate" json:"rate"`   // effects asked for a second
+	Agree     string            `toml:"agree" json:"agree"` // of the keyed classes, as in the operator's file
+	Faults    []Fault           `toml:"fault" json:"faults"`
+}
+
+// Names of the rig's processes.
+func InstanceName(n int) string { return fmt.Sprint("i-", n+1) }
+func ServerName(n int) string   { return fmt.Sprint("s-", n+1) }
+
+// The bounds of a rig: what one machine bears.
+const (
+	instancesLeast, instancesMost = 3, 24
+	serversMost                   = 48
+	lengthMost                    = 10 * time.Minute
+	rateMost                      = 2000
+	fileMost                      = 1 << 20 // bytes of a file
+)
+
+// LastFault is when the last fault is over: from then on the fleet should become well.
+func (s *Schedule) LastFault() (end time.Duration) {
+	for i := range s.Faults {
+		end = max(end, s.Faults[i].End())
+	}
+	return end
+}
+
+// Parse reads a file. Its error has a line for each fault found.
+func Parse(data []byte) (*Schedule, error) {
+	s := &Schedule{Servers: 6, Rate: 60, Agree: "always", Length: tomlfile.Duration(8 * time.Second)}
+	in, err := tomlfile.Decode(data, fileMost, s)
+	if err != nil {
+		return nil, err
+	}
+	s.check(in.Require)
+	if err := in.Err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// Check says what makes no sense in a schedule that was not read by Parse.
+func (s *Schedule) Check() (err error) {
+	s.check(func(ok bool, key, format string, args ...any) {
+		if !ok && err == nil {
+			err = fmt.Errorf("%s: %s", key, fmt.Sprintf(format, args...))
+		}
+	})
+	return err
+}
+
+func (s *Schedule) check(require func(ok bool, key, format string, args ...any)) {
+	require(s.Version == 1, "version", "%d is not a known version of this file; this program reads 1", s.Version)
+	require(s.Instances >= instancesLeast && s.Instances <= instancesMost, "instances", "%d is not in %d to %d", s.Instances, instancesLeast, instancesMost)
+	require(s.Servers >= 2 && s.Servers <= serversMost, "servers", "%d is not in 2 to %d", s.Servers, serversMost)
+	require(s.Length > 0 && time.Duration(s.Length) <= lengthMost, "length", "%v is not over 0 and up to %v", time.Duration(s.Length), lengthMost)
+	require(s.Rate > 0 && s.Rate <= rateMost, "rate", "%v is not over 0 and up to %d", s.Rate, rateMost)
+	require(slices.Contains([]string{"never", "soon", "always"}, s.Agree), "agree", "%q is not one of never, soon, always", s.Agree)
+	instances, servers := map[string]bool{}, map[string]bool{}
+	for n := range min(max(0, s.Instances), instancesMost) {
+		instances[InstanceName(n)] = true
+	}
+	for n := range min(max(0, s.Servers), serversMost) {
+		servers[ServerName(n)] = true
+	}
+	for i, f := range s.Faults {
+		at := func(key string) string { return fmt.Sprintf("fault[%d].%s", i, key) }
+		process, way := slices.Contains(ofProcess, f.Kind), slices.Contains(ofWays, f.Kind)
+		require(process || way, at("kind"), "%q is not one of %v", f.Kind, append(slices.Clone(ofProcess), ofWays...))
+		require(f.At >= 0 && f.For >= 0 && f.End() <= time.Duration(s.Length), at("for"), "it is over %v after the start, and the load lasts %v", f.End(), time.Duration(s.Length))
+		require(f.For > 0 || f.Kind == Break, at("for"), "is missing: every fault ends")
+		require(f.Share >= 0 && f.Share <= 1 && (f.Share > 0) == slices.Contains(withShare, f.Kind), at("share"), "%v is not what a %q takes", f.Share, f.Kind)
+		require(f.Delay >= 0 && (f.Delay > 0) == (f.Kind == Slow), at("delay"), "%v is not what a %q takes", time.Duration(f.Delay), f.Kind)
+		switch {
+		case f.Kind == Server:
+			require(servers[f.Of], at("of"), "%q is no server", f.Of)
+		case process:
+			require(instances[f.Of], at("of"), "%q is no instance", f.Of)
+		case way:
+			require(instances[f.Of] || f.Of == Clients, at("of"), "%q is neither an instance nor %s", f.Of, Clients)
+			require(instances[f.To] && f.To != f.Of || servers[f.To] && f.Of != Clients, at("to"), "there is no way from %q to %q", f.Of, f.To)
+		}
+		require(way || f.To == "" && !f.Both, at("to"), "a %q is of one process", f.Kind)
+	}
+}
+
+// Draw returns a schedule for a seed: three to eight faults, overlapping as they fall. The
+// same seed draws the same.
+func Draw(seed uint64, instances, servers int, length time.Duration) *Schedule {
+	rng := rand.New(rand.NewPCG(seed, 7))
+	s := &Schedule{Version: 1, Name: fmt.Sprint("seed ", seed), Seed: seed, Length: tomlfile.Duration(length), Instances: instances,
+		Servers: servers, Rate: 60, Agree: "always"}
+	instance := func() string { return InstanceName(rng.IntN(instances)) }
+	// A process is in one state at a time: none is killed while it is stopped.
+	busy := map[string][]Fault{}
+	for range 3 + rng.IntN(6) {
+		part := func(least, most float64) tomlfile.Duration {
+			return tomlfile.Duration(time.Duration(float64(length) * (least + (most-least)*rng.Float64())).Round(time.Millisecond))
+		}
+		f := Fault{At: part(0.05, 0.65), For: part(0.03, 0.3), Of: instance()}
+		switch n := rng.IntN(16); {
+		case n < 4:
+			f.Kind = Kill
+		case n < 5:
+			f.Kind = Term
+		case n < 7:
+			f.Kind = Stop
+		case n < 8:
+			f.Kind, f.Of = Server, ServerName(rng.IntN(servers))
+		case n < 12: // between instances
+			f.Kind, f.Both = Cut, rng.IntN(2) == 0
+		case n < 13: // towards clients
+			f.Kind, f.Of, f.To, f.Both = Cut, Clients, f.Of, rng.IntN(2) == 0
+		case n < 14: // towards servers
+			f.Kind, f.To, f.Both = []Kind{Cut, Slow, Break}[rng.IntN(3)], ServerName(rng.IntN(servers)), rng.IntN(2) == 0
+		default:
+			f.Kind, f.Both = []Kind{Loss, Double, Swap, Spoil, Slow}[rng.IntN(5)], true
+		}
+		if slices.Contains(ofProcess, f.Kind) {
+			if slices.ContainsFunc(busy[f.Of], func(o Fault) bool {
+				return time.Duration(f.At) < o.End()+length/20 && time.Duration(o.At) < f.End()+length/20
+			}) {
+				continue
+			}
+			busy[f.Of] = append(busy[f.Of], f)
+		} else if f.To == "" {
+			for f.To = instance(); f.To == f.Of; {
+				f.To = instance()
+			}
+		}
+		if slices.Contains(withShare, f.Kind) {
+			f.Share = float64(1+rng.IntN(9)) / 10
+		}
+		if f.Kind == Slow {
+			f.Delay = tomlfile.Duration(time.Duration(5+rng.IntN(100)) * time.Millisecond)
+		}
+		if f.Kind == Break {
+			f.For = 0
+		}
+		s.Faults = append(s.Faults, f)
+	}
+	slices.SortStableFunc(s.Faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return s
+}
+
+// Without returns the schedule with some faults left out: those for which keep is false.
+func (s *Schedule) Without(keep func(n int) bool) *Schedule {
+	out := *s
+	out.Faults = nil
+	for n, f := range s.Faults {
+		if keep(n) {
+			out.Faults = append(out.Faults, f)
+		}
+	}
+	return &out
+}
+
+// Shrink returns a schedule that still fails and from which no fault can be left out: first
+// the shortest prefix that fails, then each of its faults by itself. fails plays a schedule
+// some times.
+func (s *Schedule) Shrink(fails func(*Schedule) bool) *Schedule {
+	least, most := 0, len(s.Faults) // the prefix of most fails
+	for least < most {
+		half := (least + most) / 2
+		if fails(s.Without(func(n int) bool { return n < half })) {
+			most = half
+		} else {
+			least = half + 1
+		}
+	}
+	out := s.Without(func(n int) bool { return n < most })
+	for i := 0; i < len(out.Faults); {
+		if less := out.Without(func(n int) bool { return n != i }); fails(less) {
+			out = less
+		} else {
+			i++
+		}
+	}
+	return out
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -34,15 +34,17 @@
 )
 
 const (
-	groupMost   = 80   // bytes of a group's name
-	inboxMost   = 4096 // messages that wait; a datagram that finds no room is lost, as any may be
-	claimsMost  = 4096 // claims that wait to be begun
-	tickEvery   = 5 * time.Millisecond
-	askAgain    = 20 * time.Millisecond // twice the round trip of a slow local network
-	gossipEvery = 200 * time.Millisecond
-	sweepEvery  = time.Second
-	joinEvery   = 2 * time.Second
-	leaveFor    = 500 * time.Millisecond
+	groupMost    = 80   // bytes of a group's name
+	inboxMost    = 4096 // messages that wait; a datagram that finds no room is lost, as any may be
+	claimsMost   = 4096 // claims that wait to be begun
+	tickEvery    = 5 * time.Millisecond
+	askAgain     = 20 * time.Millisecond // twice the round trip of a slow local network
+	gossipEvery  = 200 * time.Millisecond
+	compareEvery = 500 * time.Millisecond // with one other: all have compared with somebody within a second
+	fanout       = 2                      // others that a rumour is told at a time
+	sweepEvery   = time.Second
+	joinEvery    = 2 * time.Second
+	leaveFor     = 500 * time.Millisecond
 	// bytesMost a second go out, beside claims, whatever the fleet's size: deltas and vectors
 	// for those that ask. Rumours and digests come to a few kB.
 	bytesMost = 64 << 10
@@ -158,7 +160,7 @@
 		tallies: tallies{warmWithin: cfg.Warm, of: map[string]*tally{}}}
 	h.witness = claims.NewWitness(0, claims.Limits{Keys: 1 << 17, Holders: 16, Hold: max(cfg.Hold, time.Millisecond)}, h.roll)
 	limits := replica.Defaults
-	limits.Fanout, limits.Repeats = 2, 2
+	limits.Repeats = 2
 	h.store = replica.New(h.life, topics, limits)
 
 	transport, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{host}, BindPort: number,
@@ -262,7 +264,7 @@
 func (h *Host) run() {
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
-	var gossip, sweep time.Duration
+	var gossip, compare, sweep time.Duration
 	var woke time.Time
 	for {
 		if !woke.IsZero() {
@@ -280,9 +282,13 @@
 			now := h.now()
 			h.again(now)
 			if now >= gossip {
-				h.gossip(now, now >= sweep)
+				h.gossip(now)
 				gossip = now + gossipEvery
 			}
+			if now >= compare {
+				h.compare()
+				compare = now + compareEvery
+			}
 			if now >= sweep {
 				h.store.Sweep(now)
 				sweep = now + sweepEvery
@@ -386,23 +392,25 @@
 	}
 }
 
-// gossip passes rumours on, tells what has changed here, and compares with one other now and
-// then.
-func (h *Host) gossip(now time.Duration, compare bool) {
+// gossip tells what has changed here and passes rumours on.
+func (h *Host) gossip(now time.Duration) {
 	h.budget = min(bytesMost, h.budget+bytesMost*gossipEvery.Seconds())
 	h.tell(now)
 	others := h.others()
-	if len(others) == 0 {
-		return
-	}
-	h.rng.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	if r := h.store.Rumours(now); len(r) > 0 {
-		for _, name := range others[:min(2, len(others))] {
-			h.send(name, rumours(r))
+	r := h.store.Rumours(now)
+	for range min(fanout, len(others)) {
+		i := h.rng.IntN(len(others))
+		if len(r) > 0 {
+			h.send(others[i], rumours(r))
 		}
+		others = slices.Delete(others, i, i+1)
 	}
-	if compare {
-		h.send(others[0], h.store.Digest())
+}
+
+// compare finds out, with one other, what rumours have missed.
+func (h *Host) compare() {
+	if others := h.others(); len(others) > 0 {
+		h.send(others[h.rng.IntN(len(others))], h.store.Digest())
 	}
 }
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -93,15 +93,14 @@
 	Value    int           // bytes
 	Message  int           // bytes of entries in one message, about
 	Forget   time.Duration // an origin of which nothing is heard
-	Repeats  int           // times that an entry is passed on as a rumour, each time to Fanout others
-	Fanout   int
-	Rumours  int // entries waiting to be passed on
-	Messages int // that one vectors message may have as its answer
+	Repeats  int           // times that an entry is passed on as a rumour
+	Rumours  int           // entries waiting to be passed on
+	Messages int           // that one vectors message may have as its answer
 }
 
 // Defaults keep a store under 64 MB with 4,096 origins of 256 entries of 64 bytes.
 var Defaults = Limits{Origins: 4096, Entries: 256, Subject: 128, Value: 256, Message: 1100,
-	Forget: time.Hour, Repeats: 3, Fanout: 3, Rumours: 4096, Messages: 16}
+	Forget: time.Hour, Repeats: 3, Rumours: 4096, Messages: 16}
 
 type subject struct {
 	topic Topic
@@ -571,7 +570,7 @@
 }
 
 // Rumours are those to pass on now, in one message, those told least often first. The caller
-// sends it to Fanout others.
+// sends it to a few others.
 func (s *Store) Rumours(now time.Duration) []Rumour {
 	var out []Rumour
 	var again []rumour
--- a/internal/standin/soko/soko.go
+++ b/internal/standin/soko/soko.go
@@ -120,6 +120,9 @@
 // once.
 func (f *Fleet) Twice() []string { return f.emulated.Twice() }
 
+// Done says how often each effect was done, by its key.
+func (f *Fleet) Done() map[string]int { return f.emulated.Done() }
+
 // Counts returns what came so far.
 func (f *Fleet) Counts() Counts {
 	c := Counts{Requests: int(f.requests.Load())}
--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -27,6 +27,9 @@
 	return err
 }
 
+// MarshalText writes it as it is read.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
 // Micros is the duration in microseconds.
 func (d Duration) Micros() int64 { return time.Duration(d).Microseconds() }
 
