Peers: where no witness answers, what went through the instance itself still counts

It now keeps the keys that were claimed through it (a witness of its own for that) and goes by them where nobody answers. always is as it was.

Failures told of servers are errors, resets and failed connections: a full server says nothing of how well it does.

--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -110,6 +110,7 @@
 
 	// Below: the host's goroutine alone.
 	witness *claims.Witness
+	mine    *claims.Witness // of all keys claimed here: what is known without anybody's word
 	store   *replica.Store
 	open    map[uint64]*pending // claims without a verdict, by request
 	rng     *rand.Rand
@@ -135,6 +136,7 @@
 	asked time.Duration
 	until time.Duration
 	told  func(balancer.Micros, engine.Verdict)
+	here  claims.Answer // what this instance knows by itself
 }
 
 // Start listens and begins to talk. post hands events to the engine's goroutine; it may be
@@ -153,7 +155,8 @@
 		inbox: make(chan []byte, inboxMost), asks: make(chan func(), claimsMost), done: make(chan struct{}),
 		open: map[uint64]*pending{}, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), budget: bytesMost,
 		tallies: tallies{warmWithin: cfg.Warm, of: map[string]*tally{}}}
-	h.witness = claims.NewWitness(0, claims.Limits{Keys: 1 << 17, Holders: 16, Hold: max(cfg.Hold, time.Millisecond)}, h.roll)
+	keys := claims.Limits{Keys: 1 << 17, Holders: 16, Hold: max(cfg.Hold, time.Millisecond)}
+	h.witness, h.mine = claims.NewWitness(0, keys, h.roll), claims.NewWitness(-keys.Hold, keys, h.roll)
 	limits := replica.Defaults
 	limits.Repeats = 2
 	h.store = replica.New(h.life, topics, limits)
@@ -302,6 +305,7 @@
 	names := claims.Of(h.cfg.Witnesses, key, witnessesOf)
 	p := &pending{what: c, told: told, begun: now, asked: now, until: min(now+h.cfg.Wait, now+time.Until(c.Until)),
 		claim: claims.NewClaim(claims.Ask{Key: key, Owner: h.owner(c.Request), Round: c.Round, Group: c.Group, Hold: h.cfg.Hold, Roll: h.roll}, names)}
+	p.here, _ = h.mine.Ask(now, p.claim.Ask)
 	h.open[c.Request] = p
 	h.ask(now, p)
 }
@@ -352,6 +356,10 @@
 	case p.claim.Seen():
 		h.counts.Refused++
 		v = engine.Verdict{Kind: engine.Refused, Why: "others hold the key, and no majority of its witnesses says where"}
+	case h.cfg.Classes[p.what.Class].Sure == Soon && p.here.Others:
+		// Nobody else answers, but another request with the key went through this instance.
+		h.counts.Shared++
+		v = engine.Verdict{Kind: engine.Shared, Group: p.here.Group, Since: h.began.Add(p.begun - p.here.Age)}
 	default:
 		h.counts.Unsure++
 		v = h.unsure(p.what.Class, "no majority of the key's witnesses answered; one "+p.claim.Why().String())
@@ -365,6 +373,7 @@
 	key := claims.KeyOf(h.cfg.Classes[c.Class].Name, c.Key)
 	delete(h.open, c.Request)
 	r := message.Release{Key: key, Owner: h.owner(c.Request), Round: c.Round}
+	h.mine.Release(h.now(), r.Key, r.Owner, r.Round)
 	for _, name := range claims.Of(h.cfg.Witnesses, key, witnessesOf) {
 		if name == h.cfg.Name {
 			h.witness.Release(h.now(), r.Key, r.Owner, r.Round)
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -142,6 +142,10 @@
 	if v := <-claim(hosts[0], engine.Claim{Class: 1, Key: "k", Request: 2, Round: 1}); v.Kind != engine.Clear {
 		t.Errorf("soon: %+v", v)
 	}
+	// But what went through the instance itself is known.
+	if v := <-claim(hosts[0], engine.Claim{Class: 1, Key: "k", Request: 3, Round: 1, Group: "pod 3"}); v.Kind != engine.Shared || v.Group != "" {
+		t.Errorf("soon, for the second time: %+v", v)
+	}
 	if hosts[0].Claims(2) || !hosts[0].Claims(0) || hosts[0].Claims(9) {
 		t.Error("classes are taken for others")
 	}
@@ -281,6 +285,7 @@
 	f.Fuzz(func(t *testing.T, data []byte) {
 		h := &Host{cfg: Config{Name: "i"}, log: slog.New(slog.DiscardHandler), began: time.Now(), open: map[uint64]*pending{}, budget: bytesMost,
 			witness: claims.NewWitness(-time.Second, claims.Limits{Keys: 8, Holders: 2, Hold: time.Second}, 0),
+			mine:    claims.NewWitness(-time.Second, claims.Limits{Keys: 8, Holders: 2, Hold: time.Second}, 0),
 			store:   replica.New(replica.Origin{Name: "i", Epoch: 1}, topics, replica.Defaults)}
 		for range 3 {
 			h.hear(data)
--- a/internal/peers/records.go
+++ b/internal/peers/records.go
@@ -82,7 +82,8 @@
 		t.of[life], t.order = x, append(t.order, life)
 	}
 	x.attempts++
-	if s != balancer.OK {
+	// A full server and a client that had too little time say nothing of how well it does.
+	if s == balancer.Error || s == balancer.Reset || s == balancer.ConnectFailed {
 		x.failures++
 	}
 	if !born.IsZero() && now.Sub(born) < t.warmWithin {
