--- a/internal/fleet/history/history.go
+++ b/internal/fleet/history/history.go
@@ -116,13 +116,27 @@
 	Effects, Tries, Served int // effects asked for, tries at them, effects that a client has its answer for
 	ByCode                 map[int]int
 	Left, Silent, Broken   int
+	Elsewhere              int           // tries of keyed effects at another instance than the try before
+	Median, P99            time.Duration // until an answer 200, from the try's asking
 }
 
 // Sum counts.
 func (h *History) Sum() Sum {
 	s := Sum{ByCode: map[int]int{}}
 	served := map[string]bool{}
+	var took []time.Duration
+	type try struct {
+		effect string
+		number int
+	}
+	at := map[try]string{}
+	for _, t := range h.Tries {
+		at[try{t.Effect, t.Number}] = t.Instance
+	}
 	for _, t := range h.Tries {
+		if before, ok := at[try{t.Effect, t.Number - 1}]; ok && t.Keyed && before != t.Instance {
+			s.Elsewhere++
+		}
 		s.Tries++
 		if t.Number == 0 {
 			s.Effects++
@@ -132,6 +146,7 @@
 			s.ByCode[t.Code]++
 			if t.Code == 200 {
 				served[t.Effect] = true
+				took = append(took, t.Ended-t.Asked)
 			}
 		case Left:
 			s.Left++
@@ -142,5 +157,9 @@
 		}
 	}
 	s.Served = len(served)
+	slices.Sort(took)
+	if n := len(took); n > 0 {
+		s.Median, s.P99 = took[n/2], took[n*99/100]
+	}
 	return s
 }
--- a/internal/fleet/history/history_test.go
+++ b/internal/fleet/history/history_test.go
@@ -45,3 +45,15 @@
 		}
 	}
 }
+
+func TestSum(t *testing.T) {
+	h := History{}
+	for n := range 100 {
+		h.Tries = append(h.Tries, Try{Effect: "e", Keyed: true, Number: n, Instance: []string{"i-1", "i-1", "i-2"}[n%3], Kind: Answered, Code: 200, Ended: time.Duration(n) * time.Millisecond})
+	}
+	h.Tries = append(h.Tries, Try{Effect: "f", Kind: Left}, Try{Effect: "f", Number: 1, Kind: Answered, Code: 502, Ended: time.Hour})
+	s := h.Sum()
+	if s.Effects != 2 || s.Tries != 102 || s.Served != 1 || s.Left != 1 || s.ByCode[502] != 1 || s.Elsewhere != 66 || s.Median != 50*time.Millisecond || s.P99 != 99*time.Millisecond {
+		t.Errorf("%+v", s)
+	}
+}
