Peers: who stood still, or hears of another of its name, does not answer as a witness

Found while reading: a witness that was stopped for longer than the hold, and went on after a successor by its name had started, would answer from what it knew before, while the successor had told others since: an instance that still knew the old one by that name could get a majority for another pod. peers.go, run: the loop looked at no clock.

A host that finds that it stood still for half of the hold (a successor is quiet for all of it) answers nothing until it has exchanged who is there with another, and then for the hold; one that hears of another of its name answers nothing for the hold and a minute.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -16,8 +16,8 @@
 	"pinedale/internal/fleet/schedule"
 )
 
-// program is pinedale-site, built once.
-var program string
+// program is pinedale-site, and next another build of it, built once.
+var program, next string
 
 func TestMain(m *testing.M) {
 	if did, err := Main(); did {
@@ -29,10 +29,12 @@
 	}
 	dir, err := os.MkdirTemp("", "pinedale-fleet-test-")
 	if err == nil {
-		program = filepath.Join(dir, "pinedale-site")
-		var said []byte
-		if said, err = exec.Command("go", "build", "-o", program, "pinedale/cmd/pinedale-site").CombinedOutput(); err != nil {
-			err = fmt.Errorf("%w: %s", err, said)
+		program, next = filepath.Join(dir, "pinedale-site"), filepath.Join(dir, "next")
+		for path, name := range map[string]string{program: "this", next: "next"} {
+			said, failed := exec.Command("go", "build", "-ldflags", "-X pinedale/internal/site.Build="+name, "-o", path, "pinedale/cmd/pinedale-site").CombinedOutput()
+			if failed != nil {
+				err = fmt.Errorf("%w: %s", failed, said)
+			}
 		}
 	}
 	if err != nil {
@@ -67,6 +69,8 @@
 		// One hears and is not heard; one is stopped with requests in hand and goes on later.
 		{"one way and stopped", "[[fault]]\nkind = \"cut\"\nof = \"i-1\"\nto = \"i-2\"\nat = \"500ms\"\nfor = \"3s\"\n[[fault]]\nkind = \"stop\"\nof = \"i-3\"\nat = \"1s\"\nfor = \"2s\"\n" +
 			"[[fault]]\nkind = \"swap\"\nshare = 0.5\nboth = true\nof = \"i-1\"\nto = \"i-4\"\nat = \"0s\"\nfor = \"4s\"\n[[fault]]\nkind = \"double\"\nshare = 0.8\nboth = true\nof = \"i-2\"\nto = \"i-4\"\nat = \"0s\"\nfor = \"4s\"\n"},
+		// Half of the fleet goes over to another build, one after the other.
+		{"two builds", "[[fault]]\nkind = \"build\"\nof = \"i-1\"\nat = \"500ms\"\nfor = \"500ms\"\n[[fault]]\nkind = \"build\"\nof = \"i-3\"\nat = \"3s\"\nfor = \"500ms\"\n"},
 	} {
 		all = append(all, parse(t, fmt.Sprintf(head, 100+n, x.name)+x.faults))
 	}
@@ -83,7 +87,7 @@
 			t.Run(s.Name, func(t *testing.T) {
 				t.Parallel()
 				dir := t.TempDir()
-				h, err := Run(t.Context(), Options{Schedule: s, Program: program, Dir: dir, Log: slog.New(slog.DiscardHandler)})
+				h, err := Run(t.Context(), Options{Schedule: s, Program: program, Next: next, Dir: dir, Log: slog.New(slog.DiscardHandler)})
 				if err != nil {
 					t.Fatal(err)
 				}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -43,6 +43,10 @@
 	sweepEvery = time.Second
 	joinEvery  = 2 * time.Second
 	leaveFor   = 500 * time.Millisecond
+	// rivalFor is how long, beside the hold, an instance does not answer as a witness after it
+	// has heard of another of its name: two of memberlist's whole exchanges, in which it would
+	// hear of it again.
+	rivalFor = time.Minute
 	// bytesMost a second go out, beside claims, whatever the fleet's size: deltas and vectors
 	// for those that ask. Rumours and digests come to a few kB.
 	bytesMost = 64 << 10
@@ -93,6 +97,7 @@
 	list  *memberlist.Memberlist
 	post  func(func(now balancer.Micros)) // to the engine
 	began time.Time
+	at    string // host:port that it says it is reached by
 	life  replica.Origin
 	roll  uint64
 	inbox chan []byte
@@ -110,6 +115,7 @@
 
 	// Below: the host's goroutine alone.
 	witness *claims.Witness
+	seen    time.Duration   // when the goroutine last looked at the clock
 	mine    *claims.Witness // of all keys claimed here: what is known without anybody's word
 	store   *replica.Store
 	open    map[uint64]*pending // claims without a verdict, by request
@@ -155,8 +161,8 @@
 		inbox: make(chan []byte, inboxMost), asks: make(chan func(), claimsMost), done: make(chan struct{}),
 		open: map[uint64]*pending{}, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), budget: bytesMost,
 		tallies: tallies{warmWithin: cfg.Warm, of: map[string]*tally{}}}
-	keys := claims.Limits{Keys: 1 << 17, Holders: 16, Hold: max(cfg.Hold, time.Millisecond)}
-	h.witness, h.mine = claims.NewWitness(0, keys, h.roll), claims.NewWitness(-keys.Hold, keys, h.roll)
+	h.forget(0)
+	h.mine = claims.NewWitness(-h.keys().Hold, h.keys(), h.roll)
 	limits := replica.Defaults
 	limits.Repeats = 2
 	h.store = replica.New(h.life, topics, limits)
@@ -179,8 +185,9 @@
 			return nil, fmt.Errorf("peers: advertise: %w", err)
 		}
 	}
+	h.at = net.JoinHostPort(c.AdvertiseAddr, strconv.Itoa(c.AdvertisePort))
 	c.Logger = log.New(quiet{cfg.Log}, "", 0)
-	c.Delegate, c.Events, c.Conflict = (*delegate)(h), (*delegate)(h), (*delegate)(h)
+	c.Delegate, c.Events, c.Alive = (*delegate)(h), (*delegate)(h), (*delegate)(h)
 	// One that is found dead may come back under its name at another address at once: names
 	// are the operator's, and addresses may change with each start.
 	c.DeadNodeReclaimTime = time.Millisecond
@@ -199,6 +206,58 @@
 	return h, nil
 }
 
+// keys are the limits of what the host keeps of keys.
+func (h *Host) keys() claims.Limits {
+	return claims.Limits{Keys: 1 << 17, Holders: 16, Hold: max(h.cfg.Hold, time.Millisecond)}
+}
+
+// forget has the host be a witness that has just started at an instant: it answers nothing
+// until the hold is over.
+func (h *Host) forget(at time.Duration) { h.witness = claims.NewWitness(at, h.keys(), h.roll) }
+
+// never is later than any host lives.
+const never = 100 * 365 * 24 * time.Hour
+
+// look takes the time. A process that was stopped for long may have a successor by its name,
+// which has answered meanwhile what this one never heard of. A successor answers nothing for
+// the hold after its start: whoever stood still for less than half of it has missed nothing.
+// Who stood still for longer answers nothing until it has asked others who is there, which
+// tells it of a successor, and then for the hold.
+func (h *Host) look() time.Duration {
+	now := h.now()
+	if now-h.seen > h.keys().Hold/2 {
+		h.log.Warn("peers: this process stood still; it answers nothing as a witness for a time", "for", now-h.seen)
+		h.forget(now + never)
+		h.wait.Go(h.meet)
+	}
+	h.seen = now
+	return now
+}
+
+// meet exchanges all that is known of instances with one other, whoever it is.
+func (h *Host) meet() {
+	for wait := time.Duration(0); ; wait = joinEvery {
+		select {
+		case <-h.done:
+			return
+		case <-time.After(wait):
+		}
+		for _, n := range h.list.Members() {
+			if n.Name == h.cfg.Name {
+				continue
+			}
+			if met, _ := h.list.Join([]string{n.Name + "/" + n.Address()}); met > 0 {
+				h.do(context.Background(), func() {
+					if h.witness.QuietFor(h.now()) > never/2 {
+						h.forget(h.now())
+					}
+				})
+				return
+			}
+		}
+	}
+}
+
 // Addr is where the host listens.
 func (h *Host) Addr() string {
 	n := h.list.LocalNode()
@@ -271,13 +330,15 @@
 		select {
 		case do := <-h.asks:
 			woke = time.Now()
+			h.look()
 			do()
 		case data := <-h.inbox:
 			woke = time.Now()
+			h.look()
 			h.hear(data)
 		case <-tick.C:
 			woke = time.Now()
-			now := h.now()
+			now := h.look()
 			h.again(now)
 			if now >= gossip {
 				h.gossip(now)
@@ -595,10 +656,21 @@
 
 func (d *delegate) NotifyUpdate(n *memberlist.Node) { d.NotifyJoin(n) }
 
-// NotifyConflict takes that two instances have one name: a folder was copied, or an old one
-// goes on beside its successor. The later one is not let in for as long as the other is there.
-func (d *delegate) NotifyConflict(here, other *memberlist.Node) {
-	d.log.Error("peers: two instances have one name", "name", here.Name, "at", here.Address(), "and", other.Address())
+// NotifyAlive hears of each instance that says it is there. One of this one's name elsewhere
+// is the original of a copied folder, or the successor of a process that goes on: while two
+// answer as one witness neither knows what the other has told. Whoever hears of the other
+// does not. (A newcomer hears of the one that is there when it joins; that one need not hear
+// of the newcomer, whom the others do not let in.)
+func (d *delegate) NotifyAlive(n *memberlist.Node) error {
+	if n.Name != d.cfg.Name || n.Address() == d.at {
+		return nil
+	}
+	d.log.Error("peers: another instance has this one's name; this one does not answer as a witness", "name", n.Name, "at", n.Address())
+	select {
+	case d.asks <- func() { (*Host)(d).forget((*Host)(d).now() + rivalFor) }:
+	default: // it is told again
+	}
+	return nil
 }
 
 // via is memberlist's transport, with other addresses for some names.
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -243,6 +243,50 @@
 	}
 }
 
+// A copied folder runs beside its original: the copy does not answer as a witness, and the
+// others agree as before.
+func TestTwoOfOneName(t *testing.T) {
+	hosts := start(t, 3, nil)
+	meet(t, hosts)
+	copied := start(t, 1, func(_ int, c *Config) {
+		c.Join, c.Witnesses = []string{"i-1/" + hosts[1].Addr()}, []string{"i-0", "i-1", "i-2"}
+	})[0]
+	wait.Until(t, "the copy knows that there is another", func() bool {
+		d, err := time.ParseDuration(status(t, copied).Quiet)
+		return err == nil && d > 10*time.Second
+	})
+	if v := <-claim(hosts[1], engine.Claim{Key: "k", Request: 1, Round: 1, Group: "pod 1"}); v.Kind != engine.Clear {
+		t.Errorf("beside the copy: %+v", v)
+	}
+}
+
+// A process that stood still for half of the hold or longer has forgotten what it witnessed:
+// a successor may have answered in its name.
+func TestStoodStill(t *testing.T) {
+	h := start(t, 1, func(_ int, c *Config) { c.Hold = time.Hour })[0]
+	still := func(d time.Duration) string {
+		if err := h.do(t.Context(), func() {
+			h.witness = claims.NewWitness(h.now()-time.Hour, h.keys(), h.roll)
+			h.seen = h.now() - d
+		}); err != nil {
+			t.Fatal(err)
+		}
+		return status(t, h).Quiet
+	}
+	if q := still(20 * time.Minute); q != "0s" {
+		t.Errorf("after a third of the hold it is quiet for %s", q)
+	}
+	if q, err := time.ParseDuration(still(40 * time.Minute)); err != nil || q < never/2 {
+		t.Errorf("after two thirds of the hold it is quiet for %v, %v: it has met nobody since", q, err)
+	}
+	// Once it has met another it is as one that has just started.
+	other := start(t, 1, func(_ int, c *Config) { c.Name, c.Join = "i-9", []string{"i-0/" + h.Addr()} })[0]
+	wait.Until(t, "it has met another", func() bool {
+		q, err := time.ParseDuration(status(t, h).Quiet)
+		return err == nil && q <= time.Hour && len(status(t, other).Alive) == 2
+	})
+}
+
 func TestHostsEnd(t *testing.T) {
 	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
 	hosts := start(t, 2, nil)
