--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -225,7 +225,7 @@
 // tells it of a successor, and then for the hold.
 func (h *Host) look() time.Duration {
 	now := h.now()
-	if now-h.seen > h.keys().Hold/2 {
+	if h.cfg.Hold > 0 && now-h.seen > h.cfg.Hold/2 { // without a hold no class agrees, and nobody asks
 		h.log.Warn("peers: this process stood still; it answers nothing as a witness for a time", "for", now-h.seen)
 		h.forget(now + never)
 		h.wait.Go(h.meet)
