--- a/internal/measure/gossip/gossip.go
+++ b/internal/measure/gossip/gossip.go
@@ -84,7 +84,6 @@
 	anything := func([]byte) error { return nil }
 	rules := map[replica.Topic]replica.Rule{1: {Life: 5 * time.Minute, Check: anything}}
 	limits := replica.Defaults
-	limits.Repeats = 2
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -163,9 +163,7 @@
 		tallies: tallies{warmWithin: cfg.Warm, of: map[string]*tally{}}}
 	h.forget(0)
 	h.mine = claims.NewWitness(-h.keys().Hold, h.keys(), h.roll)
-	limits := replica.Defaults
-	limits.Repeats = 2
-	h.store = replica.New(h.life, topics, limits)
+	h.store = replica.New(h.life, topics, replica.Defaults)
 
 	transport, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{host}, BindPort: number,
 		Logger: log.New(quiet{cfg.Log}, "", 0)})
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -100,7 +100,7 @@
 
 // Defaults keep a store under 64 MB with 4,096 origins of 256 entries of 64 bytes.
 var Defaults = Limits{Origins: 4096, Entries: 256, Subject: 128, Value: 256, Message: 1100,
-	Forget: time.Hour, Repeats: 3, Rumours: 4096, Messages: 16}
+	Forget: time.Hour, Repeats: 2, Rumours: 4096, Messages: 16}
 
 type subject struct {
 	topic Topic
