Read again: one mixing step, and what nobody used is gone

claims.Of and replica's digest each had SplitMix64's mixing step: internal/splitmix serves both, with the same results. Gone: claims.Limits.Check, which nobody called; the rig's Faults option, which nobody set; the explorer's testing.TB. Behaviour is as before; the tests keep their assertions.

--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -36,10 +36,11 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
-	"errors"
 	"hash/fnv"
 	"slices"
 	"time"
+
+	"pinedale/internal/splitmix"
 )
 
 // Key stands for an idempotency key of a class.
@@ -119,11 +120,7 @@
 		h := fnv.New64a()
 		h.Write([]byte(n))
 		h.Write(key[:])
-		// FNV leaves the last bytes' difference in the low bits; mixed as SplitMix64 does.
-		z := h.Sum64()
-		z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
-		z = (z ^ z>>27) * 0x94d049bb133111eb
-		all[i] = scored{n, z ^ z>>31}
+		all[i] = scored{n, splitmix.Mix(h.Sum64())} // FNV leaves the last bytes' difference in the low bits
 	}
 	slices.SortFunc(all, func(a, b scored) int {
 		if a.score != b.score {
@@ -151,14 +148,6 @@
 	Hold    time.Duration // the longest that is given
 }
 
-// Check says what makes no sense.
-func (l Limits) Check() error {
-	if l.Keys < 1 || l.Holders < 1 || l.Hold <= 0 {
-		return errors.New("claims: limits must be positive")
-	}
-	return nil
-}
-
 // holder is one that asked for a key. A released one stays until the hold is over, so that
 // what comes late of it finds that it is over.
 type holder struct {
--- a/internal/claims/explore_test.go
+++ b/internal/claims/explore_test.go
@@ -16,7 +16,6 @@
 // ran, release the key, and claim the next group. A witness may start anew, and then answers
 // nothing for as long as the key is held.
 type world struct {
-	t         testing.TB
 	roll      uint64
 	asks      [][]Ask // by claimant and round
 	names     []string
@@ -236,8 +235,8 @@
 	}
 }
 
-func explored(t testing.TB, claimants int, rounds uint64, plant func(*world)) *world {
-	w := &world{t: t, names: []string{"a", "b", "c"}, rounds: rounds, most: 3_000_000, seen: map[uint64]bool{}}
+func explored(claimants int, rounds uint64, plant func(*world)) *world {
+	w := &world{names: []string{"a", "b", "c"}, rounds: rounds, most: 3_000_000, seen: map[uint64]bool{}}
 	w.roll = Roll(w.names)
 	if plant != nil {
 		plant(w)
@@ -259,7 +258,7 @@
 		if raced && x.claimants*int(x.rounds) > 2 {
 			t.Skip("explored without the race detector")
 		}
-		w := explored(t, x.claimants, x.rounds, nil)
+		w := explored(x.claimants, x.rounds, nil)
 		if w.broken != "" {
 			t.Fatal(w.broken)
 		}
@@ -276,7 +275,7 @@
 		"a witness that starts anew answers at once": func(w *world) { w.forgetful = true },
 		"a release of any round counts":              func(w *world) { w.careless = true },
 	} {
-		if w := explored(t, 2, 2, plant); w.broken == "" {
+		if w := explored(2, 2, plant); w.broken == "" {
 			t.Errorf("%s: nothing was found in %d states", name, len(w.seen))
 		}
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -35,11 +35,10 @@
 	Program  string // path of pinedale-site
 	Next     string // path of another build of it, for faults that ask for one
 	Dir      string // for files of the run
-	Faults   soko.Faults
 	Log      *slog.Logger
 }
 
-// The servers' own faults, where none are given: enough that requests are repeated without
+// The servers' own faults: enough that requests are repeated without
 // any other trouble.
 var ordinary = soko.Faults{TurnAway: 0.03, Error: 0.03, Reset: 0.03, Silent: 0.02}
 
@@ -79,9 +78,6 @@
 	if err := o.Schedule.Check(); err != nil {
 		return nil, err
 	}
-	if o.Faults == (soko.Faults{}) {
-		o.Faults = ordinary
-	}
 	r := &rig{o: o, byName: map[string]*instance{}, ways: map[way]*relay.Way{}, relays: map[way]*relay.Relay{}, front: map[string]string{}, active: map[int]schedule.Fault{}}
 	r.hist.Schedule = o.Schedule
 	defer r.stop()
@@ -146,7 +142,7 @@
 
 func (r *rig) start() error {
 	s := r.o.Schedule
-	r.spec = serverSpec{Seed: s.Seed, Work: serverWork, Faults: r.o.Faults}
+	r.spec = serverSpec{Seed: s.Seed, Work: serverWork, Faults: ordinary}
 	for n := range s.Servers {
 		r.spec.Names, r.spec.Pods = append(r.spec.Names, schedule.ServerName(n)), append(r.spec.Pods, n/podSize)
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -45,6 +45,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"pinedale/internal/splitmix"
 )
 
 // Origin is one life of an instance.
@@ -278,19 +280,12 @@
 	return h.Sum64()
 }
 
-// mixed is SplitMix64's.
-func mixed(z uint64) uint64 {
-	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
-	z = (z ^ z>>27) * 0x94d049bb133111eb
-	return z ^ z>>31
-}
-
 // vector is that of one origin.
 func (o *origin) vector() Vector {
 	v := Vector{Origin: o.id, Have: o.have}
 	for _, e := range o.entries {
 		if e.seq > o.have {
-			v.More += mixed(e.seq)
+			v.More += splitmix.Mix(e.seq)
 		}
 	}
 	return v
@@ -302,7 +297,7 @@
 		// A sum, so that the order makes no difference; mixed, so that one number more here and
 		// one fewer there do not make up for each other.
 		v := o.vector()
-		d[bucketOf(id)] += mixed(hashOf(id) + v.Have*0x9e3779b97f4a7c15 + v.More)
+		d[bucketOf(id)] += splitmix.Mix(hashOf(id) + v.Have*0x9e3779b97f4a7c15 + v.More)
 	}
 	return d
 }
@@ -428,7 +423,7 @@
 		slices.SortFunc(of, func(a, b Entry) int { return cmp.Compare(a.Seq, b.Seq) })
 		first, size := len(out), 0
 		for _, e := range of {
-			d.Sum += mixed(e.Seq)
+			d.Sum += splitmix.Mix(e.Seq)
 		}
 		for ; len(of) > 0; of = of[1:] {
 			e := of[0]
