--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -140,9 +140,15 @@
 
 // Counts are figures since the start.
 type Counts struct {
-	Claims, Clear, Shared, Refused, Unsure uint64 // Unsure: sent without a majority's word, or not sent for want of it
-	Heard, Bad                             uint64 // messages: taken in, not understood
-	Sent, Bytes                            uint64
+	Claims  uint64 `json:"Claims"`
+	Clear   uint64 `json:"Clear"`
+	Shared  uint64 `json:"Shared"`
+	Refused uint64 `json:"Refused"`
+	Unsure  uint64 `json:"Unsure"` // sent without a majority's answer, or not sent for want of it
+	Heard   uint64 `json:"Heard"`  // messages taken in
+	Bad     uint64 `json:"Bad"`    // messages not understood
+	Sent    uint64 `json:"Sent"`
+	Bytes   uint64 `json:"Bytes"`
 }
 
 // pending is a claim that waits for its verdict.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -51,8 +51,8 @@
 
 // Origin is one life of an instance.
 type Origin struct {
-	Name  string
-	Epoch uint64 // Unix microseconds of its start by its own clock; a later life has a higher one
+	Name  string `json:"Name"`
+	Epoch uint64 `json:"Epoch"` // Unix microseconds of its start by its own clock; a later life has a higher one
 }
 
 func (o Origin) compare(p Origin) int {
@@ -268,9 +268,9 @@
 
 // Vector says up to which number everything of an origin is had, and by a hash what else.
 type Vector struct {
-	Origin Origin
-	Have   uint64
-	More   uint64
+	Origin Origin `json:"Origin"`
+	Have   uint64 `json:"Have"`
+	More   uint64 `json:"More"`
 }
 
 // Vectors are those of all origins of some buckets. Answer says that they were asked for:
