--- a/internal/claims/claims.go
+++ b/internal/keylease/claims.go
@@ -31,7 +31,7 @@
 // | release | the asker holds it, this round or an earlier one | the asker no longer holds it |
 // | release | the asker holds it, a later round | nothing changes |
 // | any | the hold is over | as if it had nothing |
-package claims
+package keylease
 
 import (
 	"crypto/sha256"
--- a/internal/claims/linear_test.go
+++ b/internal/keylease/linear_test.go
@@ -1,4 +1,4 @@
-package claims
+package keylease
 
 import (
 	"cmp"
--- a/internal/peers/message/message.go
+++ b/internal/peers/message/message.go
@@ -9,7 +9,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"pinedale/internal/claims"
+	"pinedale/internal/keylease"
 	"pinedale/internal/peers/peerspb"
 	"pinedale/internal/replica"
 )
@@ -29,8 +29,8 @@
 
 // Release takes a claim back.
 type Release struct {
-	Key   claims.Key
-	Owner claims.Owner
+	Key   keylease.Key
+	Owner keylease.Owner
 	Round uint64
 }
 
@@ -51,12 +51,12 @@
 	return replica.Origin{Name: l.GetName(), Epoch: l.GetEpoch()}
 }
 
-func owner(o claims.Owner) *peerspb.Owner {
+func owner(o keylease.Owner) *peerspb.Owner {
 	return &peerspb.Owner{Life: &peerspb.Life{Name: o.Name, Epoch: o.Epoch}, Request: o.Request}
 }
 
-func ownerOf(o *peerspb.Owner) claims.Owner {
-	return claims.Owner{Name: o.GetLife().GetName(), Epoch: o.GetLife().GetEpoch(), Request: o.GetRequest()}
+func ownerOf(o *peerspb.Owner) keylease.Owner {
+	return keylease.Owner{Name: o.GetLife().GetName(), Epoch: o.GetLife().GetEpoch(), Request: o.GetRequest()}
 }
 
 func entries(in []replica.Entry) (out []*peerspb.Entry) {
@@ -82,9 +82,9 @@
 func Encode(m Message) ([]byte, error) {
 	e := &peerspb.Envelope{From: life(m.From)}
 	switch w := m.What.(type) {
-	case claims.Ask:
+	case keylease.Ask:
 		e.What = &peerspb.Envelope_Ask{Ask: &peerspb.Ask{Key: w.Key[:], Owner: owner(w.Owner), Round: w.Round, Group: w.Group, HoldUs: micros(w.Hold), Roll: w.Roll}}
-	case claims.Answer:
+	case keylease.Answer:
 		e.What = &peerspb.Envelope_Answer{Answer: &peerspb.Answer{Key: w.Key[:], Owner: owner(w.Owner), Round: w.Round, Kind: uint32(w.Kind),
 			Group: w.Group, AgeUs: micros(w.Age), Others: w.Others}}
 	case Release:
@@ -129,16 +129,16 @@
 	if m.From = origin(e.GetFrom()); m.From.Name == "" {
 		return m, errors.New("from: no name")
 	}
-	key := func(b []byte) (k claims.Key, err error) {
+	key := func(b []byte) (k keylease.Key, err error) {
 		if len(b) != len(k) {
 			return k, fmt.Errorf("key: %d bytes, want %d", len(b), len(k))
 		}
-		return claims.Key(b), nil
+		return keylease.Key(b), nil
 	}
 	var err error
 	switch w := e.What.(type) {
 	case *peerspb.Envelope_Ask:
-		a := claims.Ask{Owner: ownerOf(w.Ask.GetOwner()), Round: w.Ask.GetRound(), Group: w.Ask.GetGroup(), Hold: duration(w.Ask.GetHoldUs()), Roll: w.Ask.GetRoll()}
+		a := keylease.Ask{Owner: ownerOf(w.Ask.GetOwner()), Round: w.Ask.GetRound(), Group: w.Ask.GetGroup(), Hold: duration(w.Ask.GetHoldUs()), Roll: w.Ask.GetRoll()}
 		a.Key, err = key(w.Ask.GetKey())
 		if err == nil && len(a.Group) > groupMost {
 			err = fmt.Errorf("ask.group: %d bytes, at most %d", len(a.Group), groupMost)
@@ -148,7 +148,7 @@
 		}
 		m.What = a
 	case *peerspb.Envelope_Answer:
-		a := claims.Answer{Owner: ownerOf(w.Answer.GetOwner()), Round: w.Answer.GetRound(), Kind: claims.Kind(min(w.Answer.GetKind(), uint32(claims.Crowded))),
+		a := keylease.Answer{Owner: ownerOf(w.Answer.GetOwner()), Round: w.Answer.GetRound(), Kind: keylease.Kind(min(w.Answer.GetKind(), uint32(keylease.Crowded))),
 			Group: w.Answer.GetGroup(), Age: duration(w.Answer.GetAgeUs()), Others: w.Answer.GetOthers()}
 		a.Key, err = key(w.Answer.GetKey())
 		m.What = a
--- a/internal/peers/message/message_test.go
+++ b/internal/peers/message/message_test.go
@@ -7,7 +7,7 @@
 
 	"pgregory.net/rapid"
 
-	"pinedale/internal/claims"
+	"pinedale/internal/keylease"
 	"pinedale/internal/replica"
 	_ "pinedale/internal/standin/seeds"
 )
@@ -22,8 +22,8 @@
 		}
 		age := func() time.Duration { return time.Duration(rapid.IntRange(0, 1e9).Draw(t, "us")) * time.Microsecond }
 		from := o()
-		key := claims.KeyOf(text.Draw(t, "class"), text.Draw(t, "key"))
-		own := claims.Owner{Name: from.Name, Epoch: from.Epoch, Request: number.Draw(t, "request")}
+		key := keylease.KeyOf(text.Draw(t, "class"), text.Draw(t, "key"))
+		own := keylease.Owner{Name: from.Name, Epoch: from.Epoch, Request: number.Draw(t, "request")}
 		entry := func() replica.Entry {
 			return replica.Entry{Topic: replica.Topic(rapid.IntRange(1, 255).Draw(t, "topic")), Subject: text.Draw(t, "subject"), Seq: number.Draw(t, "seq"),
 				Age: age(), Gone: rapid.Bool().Draw(t, "gone"), Value: rapid.SliceOfN(rapid.Byte(), 1, 60).Draw(t, "value")}
@@ -31,9 +31,9 @@
 		var m any
 		switch rapid.IntRange(0, 6).Draw(t, "what") {
 		case 0:
-			m = claims.Ask{Key: key, Owner: own, Round: 2, Group: text.Draw(t, "group"), Hold: age(), Roll: number.Draw(t, "roll")}
+			m = keylease.Ask{Key: key, Owner: own, Round: 2, Group: text.Draw(t, "group"), Hold: age(), Roll: number.Draw(t, "roll")}
 		case 1:
-			m = claims.Answer{Key: key, Owner: own, Round: 2, Kind: claims.Kind(rapid.IntRange(0, 3).Draw(t, "kind")), Group: text.Draw(t, "group"), Age: age(), Others: true}
+			m = keylease.Answer{Key: key, Owner: own, Round: 2, Kind: keylease.Kind(rapid.IntRange(0, 3).Draw(t, "kind")), Group: text.Draw(t, "group"), Age: age(), Others: true}
 		case 2:
 			m = Release{key, own, number.Draw(t, "round")}
 		case 3:
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -28,8 +28,8 @@
 
 	"pinedale/balancer"
 	"pinedale/internal/advice"
-	"pinedale/internal/claims"
 	"pinedale/internal/engine"
+	"pinedale/internal/keylease"
 	"pinedale/internal/peers/message"
 	"pinedale/internal/peers/peerspb"
 	"pinedale/internal/replica"
@@ -121,9 +121,9 @@
 	news    bool                   // it has told something since advise looked
 
 	// Below: the host's goroutine alone.
-	witness *claims.Witness
-	seen    time.Duration   // when the goroutine last looked at the clock
-	mine    *claims.Witness // of all keys claimed here: what is known without anybody's word
+	witness *keylease.Witness
+	seen    time.Duration     // when the goroutine last looked at the clock
+	mine    *keylease.Witness // of all keys claimed here: what is known without anybody's word
 	store   *replica.Store
 	open    map[uint64]*pending // claims without a verdict, by request
 	rng     *rand.Rand
@@ -153,13 +153,13 @@
 
 // pending is a claim that waits for its verdict.
 type pending struct {
-	claim *claims.Claim
+	claim *keylease.Claim
 	what  engine.Claim
 	begun time.Duration
 	asked time.Duration
 	until time.Duration
 	told  func(balancer.Micros, engine.Verdict)
-	here  claims.Answer // what this instance knows by itself
+	here  keylease.Answer // what this instance knows by itself
 }
 
 // Start listens and begins to talk. post hands events to the engine's goroutine; it may be
@@ -174,14 +174,14 @@
 		return nil, fmt.Errorf("peers: listen: %w", err)
 	}
 	h := &Host{cfg: cfg, log: cfg.Log, post: post, began: time.Now(), nodes: map[string]*memberlist.Node{}, listed: map[string]engine.Host{}, drains: map[string]time.Duration{},
-		life: replica.Origin{Name: cfg.Name, Epoch: uint64(time.Now().UnixMicro())}, roll: claims.Roll(cfg.Witnesses),
+		life: replica.Origin{Name: cfg.Name, Epoch: uint64(time.Now().UnixMicro())}, roll: keylease.Roll(cfg.Witnesses),
 		inbox: make(chan []byte, inboxMost), asks: make(chan func(), claimsMost), done: make(chan struct{}),
 		open: map[uint64]*pending{}, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), budget: bytesMost,
 		tallies: tallies{warmWithin: cfg.Warm, of: map[string]*tally{}}}
 	h.advised.Store(&advised{})
 	h.heeded.Store(&advised{})
 	h.forget(0)
-	h.mine = claims.NewWitness(-h.keys().Hold, h.keys(), h.roll)
+	h.mine = keylease.NewWitness(-h.keys().Hold, h.keys(), h.roll)
 	h.store = replica.New(h.life, topics, replica.Defaults)
 
 	transport, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{host}, BindPort: number,
@@ -224,13 +224,13 @@
 }
 
 // keys are the limits of what the host keeps of keys.
-func (h *Host) keys() claims.Limits {
-	return claims.Limits{Keys: 1 << 17, Holders: 16, Hold: max(h.cfg.Hold, time.Millisecond)}
+func (h *Host) keys() keylease.Limits {
+	return keylease.Limits{Keys: 1 << 17, Holders: 16, Hold: max(h.cfg.Hold, time.Millisecond)}
 }
 
 // forget has the host be a witness that has just started at an instant: it answers nothing
 // until the hold is over.
-func (h *Host) forget(at time.Duration) { h.witness = claims.NewWitness(at, h.keys(), h.roll) }
+func (h *Host) forget(at time.Duration) { h.witness = keylease.NewWitness(at, h.keys(), h.roll) }
 
 // never is later than any host lives.
 const never = 100 * 365 * 24 * time.Hour
@@ -379,17 +379,17 @@
 func (h *Host) begin(c engine.Claim, told func(balancer.Micros, engine.Verdict)) {
 	h.counts.Claims++
 	now := h.now()
-	key := claims.KeyOf(h.cfg.Classes[c.Class].Name, c.Key)
-	names := claims.Of(h.cfg.Witnesses, key, witnessesOf)
+	key := keylease.KeyOf(h.cfg.Classes[c.Class].Name, c.Key)
+	names := keylease.Of(h.cfg.Witnesses, key, witnessesOf)
 	p := &pending{what: c, told: told, begun: now, asked: now, until: min(now+h.cfg.Wait, now+time.Until(c.Until)),
-		claim: claims.NewClaim(claims.Ask{Key: key, Owner: h.owner(c.Request), Round: c.Round, Group: c.Group, Hold: h.cfg.Hold, Roll: h.roll}, names)}
+		claim: keylease.NewClaim(keylease.Ask{Key: key, Owner: h.owner(c.Request), Round: c.Round, Group: c.Group, Hold: h.cfg.Hold, Roll: h.roll}, names)}
 	p.here, _ = h.mine.Ask(now, p.claim.Ask)
 	h.open[c.Request] = p
 	h.ask(now, p)
 }
 
-func (h *Host) owner(request uint64) claims.Owner {
-	return claims.Owner{Name: h.life.Name, Epoch: h.life.Epoch, Request: request}
+func (h *Host) owner(request uint64) keylease.Owner {
+	return keylease.Owner{Name: h.life.Name, Epoch: h.life.Epoch, Request: request}
 }
 
 // ask asks all witnesses that have not answered.
@@ -407,7 +407,7 @@
 }
 
 // answered takes a witness's answer in.
-func (h *Host) answered(now time.Duration, from string, a claims.Answer) {
+func (h *Host) answered(now time.Duration, from string, a keylease.Answer) {
 	p := h.open[a.Owner.Request]
 	if p == nil || a.Owner != h.owner(a.Owner.Request) || !p.claim.Answer(p.begun, from, a) {
 		return
@@ -420,12 +420,12 @@
 	outcome, group, first := p.claim.State()
 	v := engine.Verdict{Group: group, Since: h.began.Add(first)}
 	switch {
-	case outcome == claims.Alone:
+	case outcome == keylease.Alone:
 		h.counts.Clear++
-	case outcome == claims.Bound:
+	case outcome == keylease.Bound:
 		h.counts.Shared++
 		v.Kind = engine.Shared
-	case outcome == claims.Split:
+	case outcome == keylease.Split:
 		// Several asked at once, and none can have a majority: none of them sends.
 		h.counts.Refused++
 		v = engine.Verdict{Kind: engine.Refused, Why: "several ask for the key at once"}
@@ -448,11 +448,11 @@
 
 // release takes back a claim, answered or not.
 func (h *Host) release(c engine.Claim) {
-	key := claims.KeyOf(h.cfg.Classes[c.Class].Name, c.Key)
+	key := keylease.KeyOf(h.cfg.Classes[c.Class].Name, c.Key)
 	delete(h.open, c.Request)
 	r := message.Release{Key: key, Owner: h.owner(c.Request), Round: c.Round}
 	h.mine.Release(h.now(), r.Key, r.Owner, r.Round)
-	for _, name := range claims.Of(h.cfg.Witnesses, key, witnessesOf) {
+	for _, name := range keylease.Of(h.cfg.Witnesses, key, witnessesOf) {
 		if name == h.cfg.Name {
 			h.witness.Release(h.now(), r.Key, r.Owner, r.Round)
 		} else {
@@ -693,11 +693,11 @@
 	h.counts.Heard++
 	now := h.now()
 	switch w := m.What.(type) {
-	case claims.Ask:
+	case keylease.Ask:
 		if a, ok := h.witness.Ask(now, w); ok {
 			h.send(m.From.Name, a)
 		}
-	case claims.Answer:
+	case keylease.Answer:
 		h.answered(now, m.From.Name, w)
 	case message.Release:
 		h.witness.Release(now, w.Key, w.Owner, w.Round)
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -17,8 +17,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"pinedale/balancer"
-	"pinedale/internal/claims"
 	"pinedale/internal/engine"
+	"pinedale/internal/keylease"
 	"pinedale/internal/peers/message"
 	"pinedale/internal/peers/peerspb"
 	"pinedale/internal/replica"
@@ -275,7 +275,7 @@
 	h := start(t, 1, func(_ int, c *Config) { c.Hold = time.Hour })[0]
 	still := func(d time.Duration) string {
 		if err := h.do(t.Context(), func() {
-			h.witness = claims.NewWitness(h.now()-time.Hour, h.keys(), h.roll)
+			h.witness = keylease.NewWitness(h.now()-time.Hour, h.keys(), h.roll)
 			h.seen = h.now() - d
 		}); err != nil {
 			t.Fatal(err)
@@ -325,8 +325,8 @@
 // Whatever a peer sends: a message or an error, and no harm to what is held.
 func FuzzHear(f *testing.F) {
 	from := replica.Origin{Name: "x", Epoch: 1}
-	key := claims.KeyOf("a", "b")
-	for _, m := range []any{claims.Ask{Key: key, Owner: claims.Owner{Name: "x", Epoch: 1}}, claims.Answer{Key: key}, message.Release{Key: key, Owner: claims.Owner{Name: "x", Epoch: 1}},
+	key := keylease.KeyOf("a", "b")
+	for _, m := range []any{keylease.Ask{Key: key, Owner: keylease.Owner{Name: "x", Epoch: 1}}, keylease.Answer{Key: key}, message.Release{Key: key, Owner: keylease.Owner{Name: "x", Epoch: 1}},
 		message.Rumours{{Origin: from, Entry: replica.Entry{Topic: 1, Subject: "s", Seq: 1}}}, replica.Digest{}, &replica.Vectors{Buckets: []int{1}, Vectors: []replica.Vector{{Origin: from, Have: 3}}},
 		replica.Delta{Origin: from, To: 2, Of: 1, Entries: []replica.Entry{{Topic: 2, Subject: "s", Seq: 1}}}} {
 		data, err := message.Encode(message.Message{From: from, What: m})
@@ -337,8 +337,8 @@
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		h := &Host{cfg: Config{Name: "i"}, log: slog.New(slog.DiscardHandler), began: time.Now(), open: map[uint64]*pending{}, budget: bytesMost,
-			witness: claims.NewWitness(-time.Second, claims.Limits{Keys: 8, Holders: 2, Hold: time.Second}, 0),
-			mine:    claims.NewWitness(-time.Second, claims.Limits{Keys: 8, Holders: 2, Hold: time.Second}, 0),
+			witness: keylease.NewWitness(-time.Second, keylease.Limits{Keys: 8, Holders: 2, Hold: time.Second}, 0),
+			mine:    keylease.NewWitness(-time.Second, keylease.Limits{Keys: 8, Holders: 2, Hold: time.Second}, 0),
 			store:   replica.New(replica.Origin{Name: "i", Epoch: 1}, topics, replica.Defaults)}
 		for range 3 {
 			h.hear(data)
