--- a/internal/measure/gossip/gossip.go
+++ b/internal/measure/gossip/gossip.go
@@ -16,7 +16,7 @@
 
 	"pinedale/internal/peers/message"
 	"pinedale/internal/peers/peerspb"
-	"pinedale/internal/replica"
+	"pinedale/internal/replication"
 )
 
 // Options say what is simulated.
@@ -70,7 +70,7 @@
 const tick = 10 * time.Millisecond
 
 type node struct {
-	store                 *replica.Store
+	store                 *replication.Store
 	tell, rumour, compare time.Duration
 	start                 int
 	sent                  int
@@ -82,16 +82,16 @@
 	row := Row{Instances: n}
 	rng := rand.New(rand.NewPCG(o.Seed, uint64(n)))
 	anything := func([]byte) error { return nil }
-	rules := map[replica.Topic]replica.Rule{1: {Life: 5 * time.Minute, Check: anything}}
-	limits := replica.Defaults
+	rules := map[replication.Topic]replication.Rule{1: {Life: 5 * time.Minute, Check: anything}}
+	limits := replication.Defaults
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
 	nodes := make([]*node, n)
 	for i := range nodes {
 		spread := func(every time.Duration) time.Duration { return time.Duration(rng.Float64() * float64(every)) }
-		nodes[i] = &node{store: replica.New(replica.Origin{Name: fmt.Sprintf("instance-%04d", i), Epoch: epoch}, rules, limits),
-			tell: spread(replica.TellEvery(n)), rumour: spread(replica.RumourEvery), compare: spread(replica.CompareEvery)}
+		nodes[i] = &node{store: replication.New(replication.Origin{Name: fmt.Sprintf("instance-%04d", i), Epoch: epoch}, rules, limits),
+			tell: spread(replication.TellEvery(n)), rumour: spread(replication.RumourEvery), compare: spread(replication.CompareEvery)}
 	}
 	type entry struct {
 		origin string
@@ -130,7 +130,7 @@
 			for _, m := range x.inbox {
 				from := 0
 				fmt.Sscanf(m.From.Name, "instance-%d", &from)
-				knew := func(e replica.Entry, of replica.Origin) func() {
+				knew := func(e replication.Entry, of replication.Origin) func() {
 					k := entry{of.Name, e.Seq}
 					t := told[k]
 					if t == nil {
@@ -153,12 +153,12 @@
 						x.store.Hear(now, r)
 						done()
 					}
-				case replica.Digest:
+				case replication.Digest:
 					if v := x.store.Compare(w, x.start); v != nil {
-						x.start = (x.start + 1) % replica.Buckets
+						x.start = (x.start + 1) % replication.Buckets
 						err = send(from, v)
 					}
-				case *replica.Vectors:
+				case *replication.Vectors:
 					deltas, own := x.store.Answer(now, w)
 					if own != nil {
 						err = send(from, own)
@@ -168,7 +168,7 @@
 							err = send(from, d)
 						}
 					}
-				case replica.Delta:
+				case replication.Delta:
 					var done []func()
 					for _, e := range w.Entries {
 						done = append(done, knew(e, w.Origin))
@@ -184,7 +184,7 @@
 			}
 			x.inbox = x.inbox[:0]
 			if now >= x.tell {
-				x.tell += replica.TellEvery(n)
+				x.tell += replication.TellEvery(n)
 				value, err := proto.Marshal(&peerspb.Server{Attempts: uint64(rng.IntN(1e6)) + 1e6, Failures: uint64(rng.IntN(1e6))})
 				if err != nil {
 					return row, err
@@ -196,9 +196,9 @@
 				told[entry{x.store.Self().Name, uint64(x.number)}] = &telling{at: now, left: n - 1}
 			}
 			if now >= x.rumour {
-				x.rumour += replica.RumourEvery
+				x.rumour += replication.RumourEvery
 				if r := x.store.Rumours(now); len(r) > 0 {
-					for range min(replica.Fanout, n-1) {
+					for range min(replication.Fanout, n-1) {
 						if err := send(other(), message.Rumours(r)); err != nil {
 							return row, err
 						}
@@ -206,7 +206,7 @@
 				}
 			}
 			if now >= x.compare {
-				x.compare += replica.CompareEvery
+				x.compare += replication.CompareEvery
 				if err := send(other(), x.store.Digest()); err != nil {
 					return row, err
 				}
@@ -236,7 +236,7 @@
 		if t.left == 0 {
 			known = append(known, t.known)
 		} else if t.at < o.Span*3/4 && slices.ContainsFunc(nodes, func(x *node) bool {
-			return !x.store.Holds(replica.Origin{Name: k.origin, Epoch: epoch}, k.seq)
+			return !x.store.Holds(replication.Origin{Name: k.origin, Epoch: epoch}, k.seq)
 		}) {
 			row.Unknown++
 		}
--- a/internal/peers/message/message.go
+++ b/internal/peers/message/message.go
@@ -11,7 +11,7 @@
 
 	"pinedale/internal/keylease"
 	"pinedale/internal/peers/peerspb"
-	"pinedale/internal/replica"
+	"pinedale/internal/replication"
 )
 
 // Most is the most that one message may have, in bytes: what a datagram of memberlist holds.
@@ -23,7 +23,7 @@
 // Message is one thing that a peer says: a claims.Ask, claims.Answer, replica.Digest,
 // *replica.Vectors, replica.Delta, or one of the types below.
 type Message struct {
-	From replica.Origin
+	From replication.Origin
 	What any
 }
 
@@ -35,7 +35,7 @@
 }
 
 // Rumours are passed on.
-type Rumours []replica.Rumour
+type Rumours []replication.Rumour
 
 func micros(d time.Duration) uint64 { return uint64(max(0, d).Microseconds()) }
 
@@ -45,10 +45,10 @@
 	return time.Duration(min(us, uint64(most.Microseconds()))) * time.Microsecond
 }
 
-func life(o replica.Origin) *peerspb.Life { return &peerspb.Life{Name: o.Name, Epoch: o.Epoch} }
+func life(o replication.Origin) *peerspb.Life { return &peerspb.Life{Name: o.Name, Epoch: o.Epoch} }
 
-func origin(l *peerspb.Life) replica.Origin {
-	return replica.Origin{Name: l.GetName(), Epoch: l.GetEpoch()}
+func origin(l *peerspb.Life) replication.Origin {
+	return replication.Origin{Name: l.GetName(), Epoch: l.GetEpoch()}
 }
 
 func owner(o keylease.Owner) *peerspb.Owner {
@@ -59,22 +59,22 @@
 	return keylease.Owner{Name: o.GetLife().GetName(), Epoch: o.GetLife().GetEpoch(), Request: o.GetRequest()}
 }
 
-func entries(in []replica.Entry) (out []*peerspb.Entry) {
+func entries(in []replication.Entry) (out []*peerspb.Entry) {
 	for _, e := range in {
 		out = append(out, entry(e))
 	}
 	return out
 }
 
-func entry(e replica.Entry) *peerspb.Entry {
+func entry(e replication.Entry) *peerspb.Entry {
 	return &peerspb.Entry{Topic: uint32(e.Topic), Subject: e.Subject, Seq: e.Seq, AgeUs: micros(e.Age), Gone: e.Gone, Value: e.Value}
 }
 
-func entryOf(e *peerspb.Entry) (replica.Entry, error) {
+func entryOf(e *peerspb.Entry) (replication.Entry, error) {
 	if e.GetTopic() > 255 {
-		return replica.Entry{}, fmt.Errorf("entry.topic: %d is none", e.GetTopic())
+		return replication.Entry{}, fmt.Errorf("entry.topic: %d is none", e.GetTopic())
 	}
-	return replica.Entry{Topic: replica.Topic(e.GetTopic()), Subject: e.GetSubject(), Seq: e.GetSeq(), Age: duration(e.GetAgeUs()),
+	return replication.Entry{Topic: replication.Topic(e.GetTopic()), Subject: e.GetSubject(), Seq: e.GetSeq(), Age: duration(e.GetAgeUs()),
 		Gone: e.GetGone(), Value: e.GetValue()}, nil
 }
 
@@ -95,9 +95,9 @@
 			r.Rumours = append(r.Rumours, &peerspb.Rumour{Origin: life(x.Origin), Entry: entry(x.Entry)})
 		}
 		e.What = &peerspb.Envelope_Rumours{Rumours: r}
-	case replica.Digest:
+	case replication.Digest:
 		e.What = &peerspb.Envelope_Digest{Digest: &peerspb.Digest{Buckets: w[:]}}
-	case *replica.Vectors:
+	case *replication.Vectors:
 		v := &peerspb.Vectors{Answer: w.Answer}
 		for _, b := range w.Buckets {
 			v.Buckets = append(v.Buckets, uint32(b))
@@ -106,7 +106,7 @@
 			v.Vectors = append(v.Vectors, &peerspb.Vector{Origin: life(x.Origin), Have: x.Have, More: x.More})
 		}
 		e.What = &peerspb.Envelope_Vectors{Vectors: v}
-	case replica.Delta:
+	case replication.Delta:
 		e.What = &peerspb.Envelope_Delta{Delta: &peerspb.Delta{Origin: life(w.Origin), From: w.From, To: w.To, Part: uint32(w.Part), Of: uint32(w.Of),
 			Sum: w.Sum, Loose: w.Loose, Entries: entries(w.Entries)}}
 	default:
@@ -162,36 +162,36 @@
 	case *peerspb.Envelope_Rumours:
 		var all Rumours
 		for _, x := range w.Rumours.GetRumours() {
-			var one replica.Entry
+			var one replication.Entry
 			if one, err = entryOf(x.GetEntry()); err != nil {
 				break
 			}
-			all = append(all, replica.Rumour{Origin: origin(x.GetOrigin()), Entry: one})
+			all = append(all, replication.Rumour{Origin: origin(x.GetOrigin()), Entry: one})
 		}
 		m.What = all
 	case *peerspb.Envelope_Digest:
 		b := w.Digest.GetBuckets()
-		if len(b) != replica.Buckets {
-			return m, fmt.Errorf("digest.buckets: %d, want %d", len(b), replica.Buckets)
+		if len(b) != replication.Buckets {
+			return m, fmt.Errorf("digest.buckets: %d, want %d", len(b), replication.Buckets)
 		}
-		m.What = replica.Digest(b)
+		m.What = replication.Digest(b)
 	case *peerspb.Envelope_Vectors:
-		v := &replica.Vectors{Answer: w.Vectors.GetAnswer()}
+		v := &replication.Vectors{Answer: w.Vectors.GetAnswer()}
 		for _, b := range w.Vectors.GetBuckets() {
-			if b >= replica.Buckets {
-				return m, fmt.Errorf("vectors.buckets: %d, at most %d", b, replica.Buckets-1)
+			if b >= replication.Buckets {
+				return m, fmt.Errorf("vectors.buckets: %d, at most %d", b, replication.Buckets-1)
 			}
 			v.Buckets = append(v.Buckets, int(b))
 		}
 		for _, x := range w.Vectors.GetVectors() {
-			v.Vectors = append(v.Vectors, replica.Vector{Origin: origin(x.GetOrigin()), Have: x.GetHave(), More: x.GetMore()})
+			v.Vectors = append(v.Vectors, replication.Vector{Origin: origin(x.GetOrigin()), Have: x.GetHave(), More: x.GetMore()})
 		}
 		m.What = v
 	case *peerspb.Envelope_Delta:
-		d := replica.Delta{Origin: origin(w.Delta.GetOrigin()), From: w.Delta.GetFrom(), To: w.Delta.GetTo(), Part: int(w.Delta.GetPart()),
+		d := replication.Delta{Origin: origin(w.Delta.GetOrigin()), From: w.Delta.GetFrom(), To: w.Delta.GetTo(), Part: int(w.Delta.GetPart()),
 			Of: int(w.Delta.GetOf()), Sum: w.Delta.GetSum(), Loose: w.Delta.GetLoose()}
 		for _, x := range w.Delta.GetEntries() {
-			var one replica.Entry
+			var one replication.Entry
 			if one, err = entryOf(x); err != nil {
 				break
 			}
--- a/internal/peers/message/message_test.go
+++ b/internal/peers/message/message_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 
 	"pinedale/internal/keylease"
-	"pinedale/internal/replica"
+	"pinedale/internal/replication"
 	_ "pinedale/internal/standin/seeds"
 )
 
@@ -17,15 +17,15 @@
 	rapid.Check(t, func(t *rapid.T) {
 		text := rapid.StringMatching(`[a-z0-9 @-]{1,60}`)
 		number := rapid.Uint64()
-		o := func() replica.Origin {
-			return replica.Origin{Name: text.Draw(t, "name"), Epoch: number.Draw(t, "epoch")}
+		o := func() replication.Origin {
+			return replication.Origin{Name: text.Draw(t, "name"), Epoch: number.Draw(t, "epoch")}
 		}
 		age := func() time.Duration { return time.Duration(rapid.IntRange(0, 1e9).Draw(t, "us")) * time.Microsecond }
 		from := o()
 		key := keylease.KeyOf(text.Draw(t, "class"), text.Draw(t, "key"))
 		own := keylease.Owner{Name: from.Name, Epoch: from.Epoch, Request: number.Draw(t, "request")}
-		entry := func() replica.Entry {
-			return replica.Entry{Topic: replica.Topic(rapid.IntRange(1, 255).Draw(t, "topic")), Subject: text.Draw(t, "subject"), Seq: number.Draw(t, "seq"),
+		entry := func() replication.Entry {
+			return replication.Entry{Topic: replication.Topic(rapid.IntRange(1, 255).Draw(t, "topic")), Subject: text.Draw(t, "subject"), Seq: number.Draw(t, "seq"),
 				Age: age(), Gone: rapid.Bool().Draw(t, "gone"), Value: rapid.SliceOfN(rapid.Byte(), 1, 60).Draw(t, "value")}
 		}
 		var m any
@@ -39,13 +39,13 @@
 		case 3:
 			m = Rumours{{Origin: o(), Entry: entry()}, {Origin: o(), Entry: entry()}}
 		case 4:
-			var d replica.Digest
+			var d replication.Digest
 			d[3] = number.Draw(t, "hash")
 			m = d
 		case 5:
-			m = &replica.Vectors{Buckets: []int{1, 63}, Vectors: []replica.Vector{{Origin: o(), Have: 3, More: number.Draw(t, "more")}}, Answer: true}
+			m = &replication.Vectors{Buckets: []int{1, 63}, Vectors: []replication.Vector{{Origin: o(), Have: 3, More: number.Draw(t, "more")}}, Answer: true}
 		case 6:
-			m = replica.Delta{Origin: o(), From: 1, To: number.Draw(t, "to"), Part: 1, Of: 2, Sum: number.Draw(t, "sum"), Loose: true, Entries: []replica.Entry{entry()}}
+			m = replication.Delta{Origin: o(), From: 1, To: number.Draw(t, "to"), Part: 1, Of: 2, Sum: number.Draw(t, "sum"), Loose: true, Entries: []replication.Entry{entry()}}
 		}
 		data, err := Encode(Message{from, m})
 		if err != nil || len(data) > Most {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -32,7 +32,7 @@
 	"pinedale/internal/keylease"
 	"pinedale/internal/peers/message"
 	"pinedale/internal/peers/peerspb"
-	"pinedale/internal/replica"
+	"pinedale/internal/replication"
 )
 
 const (
@@ -102,7 +102,7 @@
 	post  func(func(now balancer.Micros)) // to the engine
 	began time.Time
 	at    string // host:port that it says it is reached by
-	life  replica.Origin
+	life  replication.Origin
 	roll  uint64
 	inbox chan []byte
 	asks  chan func()
@@ -124,7 +124,7 @@
 	witness *keylease.Witness
 	seen    time.Duration     // when the goroutine last looked at the clock
 	mine    *keylease.Witness // of all keys claimed here: what is known without anybody's word
-	store   *replica.Store
+	store   *replication.Store
 	open    map[uint64]*pending // claims without a verdict, by request
 	rng     *rand.Rand
 	budget  float64
@@ -174,7 +174,7 @@
 		return nil, fmt.Errorf("peers: listen: %w", err)
 	}
 	h := &Host{cfg: cfg, log: cfg.Log, post: post, began: time.Now(), nodes: map[string]*memberlist.Node{}, listed: map[string]engine.Host{}, drains: map[string]time.Duration{},
-		life: replica.Origin{Name: cfg.Name, Epoch: uint64(time.Now().UnixMicro())}, roll: keylease.Roll(cfg.Witnesses),
+		life: replication.Origin{Name: cfg.Name, Epoch: uint64(time.Now().UnixMicro())}, roll: keylease.Roll(cfg.Witnesses),
 		inbox: make(chan []byte, inboxMost), asks: make(chan func(), claimsMost), done: make(chan struct{}),
 		open: map[uint64]*pending{}, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), budget: bytesMost,
 		tallies: tallies{warmWithin: cfg.Warm, of: map[string]*tally{}}}
@@ -182,7 +182,7 @@
 	h.heeded.Store(&advised{})
 	h.forget(0)
 	h.mine = keylease.NewWitness(-h.keys().Hold, h.keys(), h.roll)
-	h.store = replica.New(h.life, topics, replica.Defaults)
+	h.store = replication.New(h.life, topics, replication.Defaults)
 
 	transport, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{host}, BindPort: number,
 		Logger: log.New(quiet{cfg.Log}, "", 0)})
@@ -359,11 +359,11 @@
 			h.again(now)
 			if now >= gossip {
 				h.gossip(now)
-				gossip = now + replica.RumourEvery
+				gossip = now + replication.RumourEvery
 			}
 			if now >= compare {
 				h.compare()
-				compare = now + replica.CompareEvery
+				compare = now + replication.CompareEvery
 			}
 			if now >= sweep {
 				h.store.Sweep(now)
@@ -476,12 +476,12 @@
 
 // gossip tells what has changed here and passes rumours on.
 func (h *Host) gossip(now time.Duration) {
-	h.budget = min(bytesMost, h.budget+bytesMost*replica.RumourEvery.Seconds())
+	h.budget = min(bytesMost, h.budget+bytesMost*replication.RumourEvery.Seconds())
 	h.tell(now)
 	h.advise(now)
 	others := h.others()
 	r := h.store.Rumours(now)
-	for range min(replica.Fanout, len(others)) {
+	for range min(replication.Fanout, len(others)) {
 		i := h.rng.IntN(len(others))
 		if len(r) > 0 {
 			h.send(others[i], message.Rumours(r))
@@ -515,7 +515,7 @@
 	rate := float64(h.taken) / max(1, now.Seconds())
 	n := len(h.nodes)
 	h.mu.Unlock()
-	h.pace = now + replica.TellEvery(n)
+	h.pace = now + replication.TellEvery(n)
 	if own {
 		topic, subject = topicInstance, "self"
 		v = &peerspb.Instance{Site: h.cfg.Site, Build: h.cfg.Build, Requests: rate, UptimeUs: uint64(now.Microseconds())}
@@ -705,12 +705,12 @@
 		for _, r := range w {
 			h.store.Hear(now, r)
 		}
-	case replica.Digest:
+	case replication.Digest:
 		if v := h.store.Compare(w, h.start); v != nil && h.spend(message.Most) {
-			h.start = (h.start + 1) % replica.Buckets
+			h.start = (h.start + 1) % replication.Buckets
 			h.send(m.From.Name, v)
 		}
-	case *replica.Vectors:
+	case *replication.Vectors:
 		deltas, own := h.store.Answer(now, w)
 		if own != nil && h.spend(message.Most) {
 			h.send(m.From.Name, own)
@@ -721,7 +721,7 @@
 			}
 			h.send(m.From.Name, d)
 		}
-	case replica.Delta:
+	case replication.Delta:
 		h.store.Merge(now, w)
 	}
 }
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -21,7 +21,7 @@
 	"pinedale/internal/keylease"
 	"pinedale/internal/peers/message"
 	"pinedale/internal/peers/peerspb"
-	"pinedale/internal/replica"
+	"pinedale/internal/replication"
 	"pinedale/internal/standin/wait"
 )
 
@@ -324,11 +324,11 @@
 
 // Whatever a peer sends: a message or an error, and no harm to what is held.
 func FuzzHear(f *testing.F) {
-	from := replica.Origin{Name: "x", Epoch: 1}
+	from := replication.Origin{Name: "x", Epoch: 1}
 	key := keylease.KeyOf("a", "b")
 	for _, m := range []any{keylease.Ask{Key: key, Owner: keylease.Owner{Name: "x", Epoch: 1}}, keylease.Answer{Key: key}, message.Release{Key: key, Owner: keylease.Owner{Name: "x", Epoch: 1}},
-		message.Rumours{{Origin: from, Entry: replica.Entry{Topic: 1, Subject: "s", Seq: 1}}}, replica.Digest{}, &replica.Vectors{Buckets: []int{1}, Vectors: []replica.Vector{{Origin: from, Have: 3}}},
-		replica.Delta{Origin: from, To: 2, Of: 1, Entries: []replica.Entry{{Topic: 2, Subject: "s", Seq: 1}}}} {
+		message.Rumours{{Origin: from, Entry: replication.Entry{Topic: 1, Subject: "s", Seq: 1}}}, replication.Digest{}, &replication.Vectors{Buckets: []int{1}, Vectors: []replication.Vector{{Origin: from, Have: 3}}},
+		replication.Delta{Origin: from, To: 2, Of: 1, Entries: []replication.Entry{{Topic: 2, Subject: "s", Seq: 1}}}} {
 		data, err := message.Encode(message.Message{From: from, What: m})
 		if err != nil {
 			f.Fatal(err)
@@ -339,7 +339,7 @@
 		h := &Host{cfg: Config{Name: "i"}, log: slog.New(slog.DiscardHandler), began: time.Now(), open: map[uint64]*pending{}, budget: bytesMost,
 			witness: keylease.NewWitness(-time.Second, keylease.Limits{Keys: 8, Holders: 2, Hold: time.Second}, 0),
 			mine:    keylease.NewWitness(-time.Second, keylease.Limits{Keys: 8, Holders: 2, Hold: time.Second}, 0),
-			store:   replica.New(replica.Origin{Name: "i", Epoch: 1}, topics, replica.Defaults)}
+			store:   replication.New(replication.Origin{Name: "i", Epoch: 1}, topics, replication.Defaults)}
 		for range 3 {
 			h.hear(data)
 		}
--- a/internal/peers/records.go
+++ b/internal/peers/records.go
@@ -11,20 +11,20 @@
 
 	"pinedale/balancer"
 	"pinedale/internal/peers/peerspb"
-	"pinedale/internal/replica"
+	"pinedale/internal/replication"
 )
 
 // The topics that instances tell of.
 const (
-	topicInstance replica.Topic = iota + 1 // one entry: who and where it is
-	topicServer                            // one for each life of a server: how it has fared
-	topicDrain                             // one for each life of a server that the origin's own source lists as draining; no value
+	topicInstance replication.Topic = iota + 1 // one entry: who and where it is
+	topicServer                                // one for each life of a server: how it has fared
+	topicDrain                                 // one for each life of a server that the origin's own source lists as draining; no value
 )
 
 // recordLife is for how long an entry counts. Each is told anew well within it.
 const recordLife = 5 * time.Minute
 
-var topics = map[replica.Topic]replica.Rule{
+var topics = map[replication.Topic]replication.Rule{
 	topicInstance: {Life: recordLife, Check: func(b []byte) error {
 		v := &peerspb.Instance{}
 		if err := proto.Unmarshal(b, v); err != nil {
--- a/internal/peers/status.go
+++ b/internal/peers/status.go
@@ -14,37 +14,37 @@
 	"google.golang.org/protobuf/proto"
 
 	"pinedale/internal/peers/peerspb"
-	"pinedale/internal/replica"
+	"pinedale/internal/replication"
 )
 
 // Status is what an instance holds, as it tells whoever asks.
 type Status struct {
-	Name      string           `json:"name"`
-	Epoch     uint64           `json:"epoch"`
-	At        string           `json:"at"`
-	Alive     []string         `json:"alive"`       // that it takes to be there, itself included
-	Quiet     string           `json:"quiet"`       // for which it will not yet answer as a witness
-	Keys      int              `json:"keys"`        // that it holds as a witness
-	Open      int              `json:"open"`        // own claims without a verdict
-	Refused   uint64           `json:"refused"`     // entries and deltas left out
-	Dropped   uint64           `json:"dropped"`     // messages that found no room
-	Counts    Counts           `json:"counts"`      // since its start
-	Have      []replica.Vector `json:"have"`        // up to which number it has all that each tells
-	Held      []string         `json:"held"`        // servers held back, since others know that they drain
-	Told      []Telling        `json:"told"`        // entries, by who tells them and about what
-	Servers   []ServerSum      `json:"servers"`     // what all tell of servers, added up
-	Witnesses []string         `json:"witnesses"`   // as its file names them
-	Round     float64          `json:"longest_ms"`  // the longest that its goroutine was at work at once
-	Uptime    float64          `json:"uptime_secs"` // of this life
+	Name      string               `json:"name"`
+	Epoch     uint64               `json:"epoch"`
+	At        string               `json:"at"`
+	Alive     []string             `json:"alive"`       // that it takes to be there, itself included
+	Quiet     string               `json:"quiet"`       // for which it will not yet answer as a witness
+	Keys      int                  `json:"keys"`        // that it holds as a witness
+	Open      int                  `json:"open"`        // own claims without a verdict
+	Refused   uint64               `json:"refused"`     // entries and deltas left out
+	Dropped   uint64               `json:"dropped"`     // messages that found no room
+	Counts    Counts               `json:"counts"`      // since its start
+	Have      []replication.Vector `json:"have"`        // up to which number it has all that each tells
+	Held      []string             `json:"held"`        // servers held back, since others know that they drain
+	Told      []Telling            `json:"told"`        // entries, by who tells them and about what
+	Servers   []ServerSum          `json:"servers"`     // what all tell of servers, added up
+	Witnesses []string             `json:"witnesses"`   // as its file names them
+	Round     float64              `json:"longest_ms"`  // the longest that its goroutine was at work at once
+	Uptime    float64              `json:"uptime_secs"` // of this life
 }
 
 // Telling is one entry.
 type Telling struct {
-	Origin  replica.Origin `json:"origin"`
-	Topic   replica.Topic  `json:"topic"`
-	Subject string         `json:"subject"`
-	Seq     uint64         `json:"seq"`
-	Value   []byte         `json:"value"`
+	Origin  replication.Origin `json:"origin"`
+	Topic   replication.Topic  `json:"topic"`
+	Subject string             `json:"subject"`
+	Seq     uint64             `json:"seq"`
+	Value   []byte             `json:"value"`
 }
 
 // ServerSum is what all instances together tell of one life of a server. Each counts its own
@@ -65,7 +65,7 @@
 			Keys: h.witness.Keys(), Open: len(h.open), Refused: h.store.Refused(), Dropped: h.dropped.Load(), Counts: h.counts,
 			Have: h.store.Have(), Witnesses: h.cfg.Witnesses, Round: float64(h.longest.Microseconds()) / 1000, Uptime: now.Seconds()}
 		sums := map[string]*ServerSum{}
-		for _, topic := range []replica.Topic{topicInstance, topicServer, topicDrain} {
+		for _, topic := range []replication.Topic{topicInstance, topicServer, topicDrain} {
 			for _, t := range h.store.View(now, topic) {
 				s.Told = append(s.Told, Telling{t.Origin, topic, t.Subject, t.Seq, t.Value})
 				if topic != topicServer {
@@ -157,8 +157,8 @@
 // told within the last second or so may be under way.
 func Diff(a, b *Status) (lines []string) {
 	type subject struct {
-		origin replica.Origin
-		topic  replica.Topic
+		origin replication.Origin
+		topic  replication.Topic
 		name   string
 	}
 	index := func(s *Status) map[subject]Telling {
--- a/internal/peers/status_test.go
+++ b/internal/peers/status_test.go
@@ -4,17 +4,17 @@
 	"encoding/json"
 	"testing"
 
-	"pinedale/internal/replica"
+	"pinedale/internal/replication"
 )
 
 // TestStatusJSONKeysAreStable compares the status that an instance serves over HTTP with the
 // document that earlier builds serve: `peers show` and `peers diff` read both.
 func TestStatusJSONKeysAreStable(t *testing.T) {
-	origin := replica.Origin{Name: "i-0", Epoch: 7}
+	origin := replication.Origin{Name: "i-0", Epoch: 7}
 	status := Status{
 		Name: "i-0", Epoch: 7, At: "127.0.0.1:7946", Alive: []string{"i-0", "i-1"}, Quiet: "0s", Keys: 1, Open: 2, Refused: 3, Dropped: 4,
 		Counts: Counts{Claims: 1, Clear: 2, Shared: 3, Refused: 4, Unsure: 5, Heard: 6, Bad: 7, Sent: 8, Bytes: 9},
-		Have:   []replica.Vector{{Origin: origin, Have: 10, More: 11}}, Held: []string{"s-1"},
+		Have:   []replication.Vector{{Origin: origin, Have: 10, More: 11}}, Held: []string{"s-1"},
 		Told:    []Telling{{Origin: origin, Topic: 1, Subject: "s-1", Seq: 12, Value: []byte("v")}},
 		Servers: []ServerSum{{Server: "s-1", Origins: 1, Attempts: 2, Failures: 3, Cold: 4}}, Witnesses: []string{"i-0"}, Round: 1.5, Uptime: 2.5,
 	}
--- a/internal/replica/replica.go
+++ b/internal/replication/replica.go
@@ -34,7 +34,7 @@
 // name: 8 bytes a name, with room for Origins names, the one longest unheard going first.
 // Only a message that was under way for longer than Forget, from a name whose floor has gone,
 // could come in as new, and would then live for its topic's Life.
-package replica
+package replication
 
 import (
 	"cmp"
--- a/internal/replica/replica_test.go
+++ b/internal/replication/replica_test.go
@@ -1,4 +1,4 @@
-package replica
+package replication
 
 import (
 	"bytes"
