--- a/internal/advice/advice.go
+++ b/internal/drainadvisory/advice.go
@@ -14,7 +14,7 @@
 //     all others wrong together, the rest goes on serving.
 //
 // It never brings a server back, and loosens no rule.
-package advice
+package drainadvisory
 
 import (
 	"cmp"
--- a/internal/advice/advice_test.go
+++ b/internal/drainadvisory/advice_test.go
@@ -1,4 +1,4 @@
-package advice
+package drainadvisory
 
 import (
 	"fmt"
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -27,7 +27,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"pinedale/balancer"
-	"pinedale/internal/advice"
+	"pinedale/internal/drainadvisory"
 	"pinedale/internal/engine"
 	"pinedale/internal/keylease"
 	"pinedale/internal/peers/message"
@@ -556,12 +556,12 @@
 	// nobody needs others for.
 	drainsMost = 48
 	// drainAgain is how long after it was told a drain that goes on is told again.
-	drainAgain = advice.AgeMost / 2
+	drainAgain = drainadvisory.AgeMost / 2
 	// Of a large fleet some tell of a drain and the others leave it at that: enough that two are
 	// heard though some are lost, and as much to send whatever the fleet's size. Each time that
 	// the host looks, so many do in the mean as long as too few have been heard.
 	drainTellers = 8
-	drainVoices  = 2 * advice.Voices
+	drainVoices  = 2 * drainadvisory.Voices
 )
 
 // sort has what the own source lists in order, if it has told something since.
@@ -588,17 +588,17 @@
 // are ready by it.
 func (h *Host) advise(now time.Duration) {
 	h.sort()
-	var told []advice.Telling
+	var told []drainadvisory.Telling
 	voices := map[string]int{}
 	for _, x := range h.store.View(now, topicDrain) {
-		told = append(told, advice.Telling{Origin: x.Origin.Name, Life: x.Subject, Age: x.Age})
+		told = append(told, drainadvisory.Telling{Origin: x.Origin.Name, Life: x.Subject, Age: x.Age})
 		if x.Origin != h.life && x.Age < drainAgain {
 			voices[x.Subject]++
 		}
 	}
 	for life, at := range h.drains {
 		// One that is not listed any more has ended: that others should send there is over for good.
-		if _, back := h.lives[life]; !slices.Contains(h.leaving, life) && (back || now-at > advice.AgeMost) {
+		if _, back := h.lives[life]; !slices.Contains(h.leaving, life) && (back || now-at > drainadvisory.AgeMost) {
 			h.store.Withdraw(now, topicDrain, life)
 			delete(h.drains, life)
 		}
@@ -617,7 +617,7 @@
 	if h.cfg.Advise == nil {
 		return
 	}
-	held := advice.Held(h.cfg.Name, h.ready, told)
+	held := drainadvisory.Held(h.cfg.Name, h.ready, told)
 	if slices.Equal(held, h.advised.Load().lives) {
 		return
 	}
