--- a/internal/measure/gossip/gossip.go
+++ b/internal/measure/gossip/gossip.go
@@ -14,7 +14,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"pinedale/internal/peers/message"
+	"pinedale/internal/cluster/message"
 	"pinedale/internal/peers/peerspb"
 	"pinedale/internal/replication"
 )
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -27,10 +27,10 @@
 	"google.golang.org/protobuf/proto"
 
 	"pinedale/balancer"
+	"pinedale/internal/cluster/message"
 	"pinedale/internal/drainadvisory"
 	"pinedale/internal/engine"
 	"pinedale/internal/keylease"
-	"pinedale/internal/peers/message"
 	"pinedale/internal/peers/peerspb"
 	"pinedale/internal/replication"
 )
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -17,9 +17,9 @@
 	"google.golang.org/protobuf/proto"
 
 	"pinedale/balancer"
+	"pinedale/internal/cluster/message"
 	"pinedale/internal/engine"
 	"pinedale/internal/keylease"
-	"pinedale/internal/peers/message"
 	"pinedale/internal/peers/peerspb"
 	"pinedale/internal/replication"
 	"pinedale/internal/standin/wait"
