--- a/internal/cluster/message/message.go
+++ b/internal/cluster/message/message.go
@@ -9,8 +9,8 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"pinedale/internal/cluster/peerspb"
 	"pinedale/internal/keylease"
-	"pinedale/internal/peers/peerspb"
 	"pinedale/internal/replication"
 )
 
--- a/internal/measure/gossip/gossip.go
+++ b/internal/measure/gossip/gossip.go
@@ -15,7 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"pinedale/internal/cluster/message"
-	"pinedale/internal/peers/peerspb"
+	"pinedale/internal/cluster/peerspb"
 	"pinedale/internal/replication"
 )
 
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -28,10 +28,10 @@
 
 	"pinedale/balancer"
 	"pinedale/internal/cluster/message"
+	"pinedale/internal/cluster/peerspb"
 	"pinedale/internal/drainadvisory"
 	"pinedale/internal/engine"
 	"pinedale/internal/keylease"
-	"pinedale/internal/peers/peerspb"
 	"pinedale/internal/replication"
 )
 
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -18,9 +18,9 @@
 
 	"pinedale/balancer"
 	"pinedale/internal/cluster/message"
+	"pinedale/internal/cluster/peerspb"
 	"pinedale/internal/engine"
 	"pinedale/internal/keylease"
-	"pinedale/internal/peers/peerspb"
 	"pinedale/internal/replication"
 	"pinedale/internal/standin/wait"
 )
--- a/internal/peers/records.go
+++ b/internal/peers/records.go
@@ -10,7 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"pinedale/balancer"
-	"pinedale/internal/peers/peerspb"
+	"pinedale/internal/cluster/peerspb"
 	"pinedale/internal/replication"
 )
 
--- a/internal/peers/status.go
+++ b/internal/peers/status.go
@@ -13,7 +13,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"pinedale/internal/peers/peerspb"
+	"pinedale/internal/cluster/peerspb"
 	"pinedale/internal/replication"
 )
 
