--- a/cmd/pinedale-site/main.go
+++ b/cmd/pinedale-site/main.go
@@ -21,9 +21,9 @@
 
 	"github.com/spf13/cobra"
 
+	"pinedale/internal/cluster"
 	"pinedale/internal/intake"
 	"pinedale/internal/keyroom"
-	"pinedale/internal/peers"
 	"pinedale/internal/policy"
 	"pinedale/internal/site"
 )
@@ -95,10 +95,10 @@
 
 // peersCommand is on what instances tell each other. Addresses are those of peers.status.
 func peersCommand(out io.Writer, with func(func(*site.File, []string) error) func(*cobra.Command, []string) error) *cobra.Command {
-	fetch := func(address string) (s peers.Status, err error) {
+	fetch := func(address string) (s cluster.Status, err error) {
 		ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
 		defer stop()
-		if s, err = peers.Fetch(ctx, address); err != nil {
+		if s, err = cluster.Fetch(ctx, address); err != nil {
 			return s, fmt.Errorf("peers: %w", err)
 		}
 		return s, nil
@@ -132,7 +132,7 @@
 			if err != nil {
 				return err
 			}
-			lines := peers.Diff(&a, &b)
+			lines := cluster.Diff(&a, &b)
 			for _, l := range lines {
 				fmt.Fprintln(out, l)
 			}
--- a/internal/peers/peers.go
+++ b/internal/cluster/peers.go
@@ -6,7 +6,7 @@
 // them by a posted event; what peers send goes through a bounded queue and is dropped beyond
 // it. Nothing here proves that a request has not run, and with nobody to talk to an instance
 // decides as if it were alone, but for classes that must be sure.
-package peers
+package cluster
 
 import (
 	"context"
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -23,10 +23,10 @@
 	"time"
 
 	"pinedale/balancer"
+	"pinedale/internal/cluster"
 	"pinedale/internal/fleet/history"
 	"pinedale/internal/fleet/relay"
 	"pinedale/internal/fleet/schedule"
-	"pinedale/internal/peers"
 	"pinedale/internal/standin/directory"
 	"pinedale/internal/standin/soko"
 )
@@ -240,13 +240,13 @@
 }
 
 // status asks an instance, past the relays.
-func (r *rig) status(ctx context.Context, i *instance, within time.Duration) (peers.Status, error) {
+func (r *rig) status(ctx context.Context, i *instance, within time.Duration) (cluster.Status, error) {
 	ctx, stop := context.WithTimeout(ctx, within)
 	defer stop()
 	i.mu.Lock()
 	at := i.status
 	i.mu.Unlock()
-	return peers.Fetch(ctx, at)
+	return cluster.Fetch(ctx, at)
 }
 
 // ready waits until all instances know each other, and answer as witnesses.
@@ -577,7 +577,7 @@
 	var differ []string
 	for end := time.Now().Add(settleMost); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(100 * time.Millisecond) {
 		differ = nil
-		var first *peers.Status
+		var first *cluster.Status
 		for _, i := range r.instances {
 			s, err := r.status(ctx, i, 2*time.Second)
 			if err != nil {
@@ -585,14 +585,14 @@
 				continue
 			}
 			// What each tells of itself goes on changing.
-			s.Told = slices.DeleteFunc(s.Told, func(t peers.Telling) bool { return t.Subject == "self" })
+			s.Told = slices.DeleteFunc(s.Told, func(t cluster.Telling) bool { return t.Subject == "self" })
 			if len(s.Alive) != len(r.instances) {
 				differ = append(differ, fmt.Sprintf("%s knows %v", i.name, s.Alive))
 			}
 			if first == nil {
 				first = &s
 			} else {
-				differ = append(differ, peers.Diff(first, &s)...)
+				differ = append(differ, cluster.Diff(first, &s)...)
 			}
 		}
 		if len(differ) == 0 {
--- a/internal/site/peers.go
+++ b/internal/site/peers.go
@@ -15,12 +15,12 @@
 	"time"
 
 	"pinedale/balancer"
+	"pinedale/internal/cluster"
 	"pinedale/internal/engine"
-	"pinedale/internal/peers"
 )
 
 // agree is how a class may want to be agreed on.
-var agree = map[string]peers.Sure{"": peers.Never, "never": peers.Never, "soon": peers.Soon, "always": peers.Always}
+var agree = map[string]cluster.Sure{"": cluster.Never, "never": cluster.Never, "soon": cluster.Soon, "always": cluster.Always}
 
 // witnessesLeast is how many a majority needs to outlast one that is lost.
 const witnessesLeast = 3
@@ -33,7 +33,7 @@
 		key := fmt.Sprintf("class[%d].agree", i)
 		_, ok := agree[k.Agree]
 		c.Require(ok, key, "%q is not one of never, soon, always", k.Agree)
-		if agree[k.Agree] != peers.Never {
+		if agree[k.Agree] != cluster.Never {
 			agreed = true
 			c.Require(k.Repeat == "keyed", key, "%q: only a keyed class has keys to agree on", k.Agree)
 			c.Require(p.Listen != "", key, "%q: there is nobody to agree with without peers.listen", k.Agree)
@@ -108,13 +108,13 @@
 var Build = "unnamed"
 
 // peerConfig is what the file says of other instances.
-func (f *File) peerConfig(log *slog.Logger) peers.Config {
-	c := peers.Config{Name: f.Name, Listen: f.Peers.Listen, Advertise: f.Peers.Advertise, Join: f.Peers.Join, Via: f.Peers.Via,
+func (f *File) peerConfig(log *slog.Logger) cluster.Config {
+	c := cluster.Config{Name: f.Name, Listen: f.Peers.Listen, Advertise: f.Peers.Advertise, Join: f.Peers.Join, Via: f.Peers.Via,
 		Keys: f.peerKeys, Witnesses: f.Peers.Witnesses, Wait: time.Duration(f.Peers.Wait), Site: f.Site, Build: Build,
 		Warm: time.Duration(f.Fleet.WarmWithin), Log: log}
 	for _, k := range f.Classes {
-		c.Classes = append(c.Classes, peers.Class{Name: k.Name, Sure: agree[k.Agree]})
-		if agree[k.Agree] != peers.Never {
+		c.Classes = append(c.Classes, cluster.Class{Name: k.Name, Sure: agree[k.Agree]})
+		if agree[k.Agree] != cluster.Never {
 			// Clients come again within the deadline of the first try, and what they then ask for
 			// is sent within another.
 			c.Hold = max(c.Hold, 2*time.Duration(k.Deadline))
@@ -126,7 +126,7 @@
 // overheard is a source whose lists the peers hear, too.
 type overheard struct {
 	engine.Source
-	peers *peers.Host
+	peers *cluster.Host
 }
 
 // Watch passes all on.
@@ -145,7 +145,7 @@
 	}
 	cfg := f.peerConfig(i.log)
 	cfg.Advise = func(now balancer.Micros, draining map[string]int64) { i.engine.Advise(now, draining) }
-	host, err := peers.Start(cfg, func(event func(now balancer.Micros)) { i.engine.Post(event) })
+	host, err := cluster.Start(cfg, func(event func(now balancer.Micros)) { i.engine.Post(event) })
 	if err != nil {
 		return err
 	}
--- a/internal/site/run.go
+++ b/internal/site/run.go
@@ -14,6 +14,7 @@
 
 	"pinedale/balancer"
 	"pinedale/internal/admission"
+	"pinedale/internal/cluster"
 	"pinedale/internal/engine"
 	"pinedale/internal/front/extproc"
 	"pinedale/internal/front/http3front"
@@ -25,7 +26,6 @@
 	"pinedale/internal/membership/merge"
 	"pinedale/internal/membership/registry"
 	"pinedale/internal/membership/static"
-	"pinedale/internal/peers"
 	"pinedale/internal/policy"
 	"pinedale/internal/upstream/either"
 	"pinedale/internal/upstream/http3upstream"
@@ -45,8 +45,8 @@
 	HTTP    net.Addr // nil unless the front is on
 	HTTP3   net.Addr // likewise
 	ExtProc net.Addr
-	Status  net.Addr    // where it tells of other instances, nil unless it does
-	Peers   *peers.Host // likewise
+	Status  net.Addr      // where it tells of other instances, nil unless it does
+	Peers   *cluster.Host // likewise
 
 	closePeers func()
 	file       *File
