--- a/internal/front/extproc/host.go
+++ b/internal/front/extproc/host.go
@@ -8,16 +8,16 @@
 	"pinedale/balancer"
 	"pinedale/internal/engine"
 	"pinedale/internal/intake"
-	"pinedale/internal/verdict"
+	"pinedale/internal/routing"
 )
 
 // host joins the ledger of verdicts to the engine, on the engine's goroutine: it
 // carries rounds out as requests whose attempts the callers make.
 type host struct {
 	engine  *engine.Engine
-	ledger  *verdict.Ledger
+	ledger  *routing.Ledger
 	rounds  map[uint64]*round
-	asks    map[verdict.Ask]*asker
+	asks    map[routing.Ask]*asker
 	ticking bool
 }
 
@@ -33,8 +33,8 @@
 
 // asker is one stream that waits to be told.
 type asker struct {
-	name verdict.Ask
-	told chan verdict.Told // has room for one: a verdict, or the reply to a report
+	name routing.Ask
+	told chan routing.Told // has room for one: a verdict, or the reply to a report
 	sent *handout          // that it was told
 }
 
@@ -42,17 +42,17 @@
 // again: no more than that, since thousands are remembered for seconds.
 type handout struct {
 	target *engine.Target
-	until  verdict.Micros
+	until  routing.Micros
 }
 
-func newHost(e *engine.Engine, l verdict.Limits) *host {
-	h := &host{engine: e, rounds: map[uint64]*round{}, asks: map[verdict.Ask]*asker{}}
-	h.ledger = verdict.New(l, h)
+func newHost(e *engine.Engine, l routing.Limits) *host {
+	h := &host{engine: e, rounds: map[uint64]*round{}, asks: map[routing.Ask]*asker{}}
+	h.ledger = routing.New(l, h)
 	return h
 }
 
 // ask takes a stream's question.
-func (h *host) ask(now verdict.Micros, a *asker, q verdict.Query) {
+func (h *host) ask(now routing.Micros, a *asker, q routing.Query) {
 	h.asks[a.name] = a
 	h.ledger.Ask(now, q)
 	if !h.ticking {
@@ -63,7 +63,7 @@
 
 // tick has the ledger look at the time for as long as it holds anything.
 func (h *host) tick() {
-	h.engine.After(time.Duration(verdict.OfferFor/2)*time.Microsecond, func(now verdict.Micros) {
+	h.engine.After(time.Duration(routing.OfferFor/2)*time.Microsecond, func(now routing.Micros) {
 		h.ledger.Tick(now)
 		if asks, rounds, entries := h.ledger.Held(); asks+rounds+entries > 0 {
 			h.tick()
@@ -74,17 +74,17 @@
 }
 
 // left takes that a stream is over.
-func (h *host) left(now verdict.Micros, a *asker, unsent bool) {
+func (h *host) left(now routing.Micros, a *asker, unsent bool) {
 	delete(h.asks, a.name)
 	h.ledger.Left(now, a.name, unsent)
 }
 
 // report takes a stream's report and returns what is to become of the answer.
-func (h *host) report(now verdict.Micros, a *asker, r report) verdict.Told {
+func (h *host) report(now routing.Micros, a *asker, r report) routing.Told {
 	if r.served != "" && r.served != a.sent.target.Address {
 		if id := h.engine.Find(r.served); id != 0 {
 			zone, cell := h.engine.Place(id)
-			r.outcome.Endpoint, r.outcome.Place = id, verdict.Place{Zone: zone, Cell: cell}
+			r.outcome.Endpoint, r.outcome.Place = id, routing.Place{Zone: zone, Cell: cell}
 		} else {
 			r.outcome.Strange = true
 		}
@@ -111,7 +111,7 @@
 }
 
 // End tells the module how an attempt ended.
-func (h *host) End(number uint64, n int, o verdict.Outcome, settled bool) {
+func (h *host) End(number uint64, n int, o routing.Outcome, settled bool) {
 	r := h.rounds[number]
 	r.out--
 	r.over = r.over || settled
@@ -123,13 +123,13 @@
 func (h *host) Usable(ref any) bool { return !ref.(*handout).target.Closed() }
 
 // Tell gives an ask its verdict.
-func (h *host) Tell(name verdict.Ask, t verdict.Told) { h.asks[name].told <- t }
+func (h *host) Tell(name routing.Ask, t routing.Told) { h.asks[name].told <- t }
 
 // Attempt takes the module's decision to send.
 func (r *round) Attempt(a *engine.Attempt) {
 	r.attempts = append(r.attempts, a)
 	r.out++
-	r.host.ledger.Decided(r.host.engine.Now(), r.number, verdict.Place{Zone: a.Zone, Cell: a.Cell},
+	r.host.ledger.Decided(r.host.engine.Now(), r.number, routing.Place{Zone: a.Zone, Cell: a.Cell},
 		&handout{a.Target, a.Until})
 }
 
@@ -137,7 +137,7 @@
 // end is told later.
 func (r *round) Cancel(a *engine.Attempt) {
 	n := slices.Index(r.attempts, a)
-	r.host.engine.Soon(func(now verdict.Micros) { r.host.ledger.Cancelled(now, r.number, n) })
+	r.host.engine.Soon(func(now routing.Micros) { r.host.ledger.Cancelled(now, r.number, n) })
 }
 
 // answer takes the module's final answer. That of an attempt served came by way of
@@ -161,7 +161,7 @@
 }
 
 // query is a request as the ledger is asked about it.
-func query(a *asker, p *intake.Parsed, h *head) verdict.Query {
-	return verdict.Query{Ask: a.name, ID: p.CorrelationID, Key: p.IdempotencyKey, Print: h.print(), Body: p.Request,
+func query(a *asker, p *intake.Parsed, h *head) routing.Query {
+	return routing.Query{Ask: a.name, ID: p.CorrelationID, Key: p.IdempotencyKey, Print: h.print(), Body: p.Request,
 		Tenant: h.header.Get(intake.HeaderTenant)}
 }
--- a/internal/front/extproc/messages.go
+++ b/internal/front/extproc/messages.go
@@ -16,7 +16,7 @@
 	"pinedale/balancer"
 	"pinedale/internal/httpmsg"
 	"pinedale/internal/intake"
-	"pinedale/internal/verdict"
+	"pinedale/internal/routing"
 )
 
 // Headers that a verdict sets on a request, and that callers report. The first two
@@ -141,7 +141,7 @@
 
 // report is what a caller tells of an answer.
 type report struct {
-	outcome verdict.Outcome
+	outcome routing.Outcome
 	code    int
 	served  string // address of the endpoint that served it, where it is told
 	local   bool   // the proxy itself made the answer
@@ -151,7 +151,7 @@
 // request never ran only where it is: the endpoint's own word, or a connection
 // that never came up.
 func readReport(in *extprocv3.ProcessingRequest, fields []string) report {
-	out := report{outcome: verdict.Outcome{Status: balancer.Error}}
+	out := report{outcome: routing.Outcome{Status: balancer.Error}}
 	unprocessed := false
 	for _, h := range in.GetResponseHeaders().GetHeaders().GetHeaders() {
 		if h == nil {
@@ -247,7 +247,7 @@
 }
 
 // immediate is an answer that the proxy is to give at once.
-func immediate(code int, after verdict.Micros, reason string) *extprocv3.ProcessingResponse {
+func immediate(code int, after routing.Micros, reason string) *extprocv3.ProcessingResponse {
 	out := &extprocv3.ImmediateResponse{Status: &typev3.HttpStatus{Code: typev3.StatusCode(code)},
 		Body: []byte(reason), Details: "pinedale_" + strconv.Itoa(code)}
 	if after > 0 {
@@ -258,13 +258,13 @@
 }
 
 // final is the immediate answer for a verdict other than Go, Pass and Again.
-func final(t verdict.Told) *extprocv3.ProcessingResponse {
+func final(t routing.Told) *extprocv3.ProcessingResponse {
 	switch t.Kind {
-	case verdict.Refuse, verdict.Busy:
+	case routing.Refuse, routing.Busy:
 		return immediate(http.StatusServiceUnavailable, t.RetryAfter, "")
-	case verdict.Conflict:
+	case routing.Conflict:
 		return immediate(http.StatusConflict, 0, t.Reason)
-	case verdict.Misuse:
+	case routing.Misuse:
 		return immediate(http.StatusUnprocessableEntity, 0, t.Reason)
 	}
 	return immediate(http.StatusBadGateway, 0, "")
--- a/internal/front/extproc/server.go
+++ b/internal/front/extproc/server.go
@@ -27,11 +27,11 @@
 	"pinedale/internal/engine"
 	"pinedale/internal/httpmsg"
 	"pinedale/internal/intake"
-	"pinedale/internal/verdict"
+	"pinedale/internal/routing"
 )
 
 const (
-	busyRetry verdict.Micros = 1_000_000 // wait told to clients while too many asks wait
+	busyRetry routing.Micros = 1_000_000 // wait told to clients while too many asks wait
 
 	// A message holds a head, its attributes and metadata.
 	messageMost = 4 * httpmsg.HeadMost
@@ -82,7 +82,7 @@
 		o.Parser = intake.NewParser(set)
 	}
 	s := &Server{engine: e, parser: o.Parser, opts: o, health: health.NewServer(), ended: make(chan struct{}),
-		host: newHost(e, verdict.Limits{Classes: set.Classes, Attempts: set.Limits.MaxAttempts,
+		host: newHost(e, routing.Limits{Classes: set.Classes, Attempts: set.Limits.MaxAttempts,
 			Copies: set.Limits.SecondCopies, Retries: o.Retries, Entries: o.Entries})}
 	alive := keepalive.ServerParameters{Time: pingAfter, Timeout: pingTimeout}
 	var secured []grpc.ServerOption
--- a/internal/front/extproc/stream.go
+++ b/internal/front/extproc/stream.go
@@ -14,7 +14,7 @@
 
 	"pinedale/balancer"
 	"pinedale/internal/intake"
-	"pinedale/internal/verdict"
+	"pinedale/internal/routing"
 )
 
 // conversation is one stream: one request of a caller's.
@@ -160,8 +160,8 @@
 		c.answer = true
 		return immediate(503, busyRetry, ""), nil
 	}
-	c.asker.name = verdict.Ask(s.lastAsk.Add(1))
-	c.asker.told = make(chan verdict.Told, 1)
+	c.asker.name = routing.Ask(s.lastAsk.Add(1))
+	c.asker.told = make(chan routing.Told, 1)
 	ctx := c.stream.Context()
 	taken := s.engine.TryPost(func(now balancer.Micros) {
 		s.backlog.Add(-1)
@@ -178,7 +178,7 @@
 	for {
 		select {
 		case t := <-c.asker.told:
-			if t.Kind != verdict.Go {
+			if t.Kind != routing.Go {
 				c.answer = true
 				return final(t), nil
 			}
@@ -218,9 +218,9 @@
 	select {
 	case t := <-c.asker.told:
 		switch t.Kind {
-		case verdict.Pass:
+		case routing.Pass:
 			return passOn(false, 0), nil
-		case verdict.Again:
+		case routing.Again:
 			return passOn(true, c.promise(r)), nil
 		}
 		return final(t), nil
--- a/internal/verdict/model_test.go
+++ b/internal/routing/model_test.go
@@ -1,4 +1,4 @@
-package verdict
+package routing
 
 import (
 	"fmt"
--- a/internal/verdict/verdict.go
+++ b/internal/routing/verdict.go
@@ -12,7 +12,7 @@
 // request as the decision module knows it. An entry is what asks share that mean
 // the same effect: those with one idempotency key, or with one id where the class
 // has no keys. An entry has one round at a time, and outlives it.
-package verdict
+package routing
 
 import (
 	"slices"
