--- a/internal/measure/nodes/nodes.go
+++ b/internal/measure/nodes/nodes.go
@@ -14,7 +14,7 @@
 	"pinedale/internal/measure/process"
 	"pinedale/internal/membership/combined"
 	"pinedale/internal/membership/ephemeral"
-	"pinedale/internal/membership/merge"
+	"pinedale/internal/membership/reconcile"
 	"pinedale/internal/standin/coord"
 )
 
@@ -27,7 +27,7 @@
 // throws the lists away.
 func serveReader(args []string) (string, func(), error) {
 	log := slog.New(slog.DiscardHandler)
-	s := combined.New(merge.Defaults, log, combined.Part{Kind: merge.Ephemeral, Name: path, Feeder: ephemeral.New(ephemeral.Options{
+	s := combined.New(reconcile.Defaults, log, combined.Part{Kind: reconcile.Ephemeral, Name: path, Feeder: ephemeral.New(ephemeral.Options{
 		Servers: args, Path: path, Session: 15 * time.Second, Log: log})})
 	ctx, stop := context.WithCancel(context.Background())
 	listed := make(chan int, 1)
--- a/internal/membership/combined/combined.go
+++ b/internal/membership/combined/combined.go
@@ -12,7 +12,7 @@
 	"pinedale/balancer"
 	"pinedale/internal/engine"
 	"pinedale/internal/membership/ephemeral"
-	"pinedale/internal/membership/merge"
+	"pinedale/internal/membership/reconcile"
 )
 
 // Feeder is one of the sources.
@@ -23,20 +23,20 @@
 
 // Part is a feeder with its place among the others.
 type Part struct {
-	Kind   merge.Kind
+	Kind   reconcile.Kind
 	Name   string // for the log
 	Feeder Feeder
 }
 
 // Source merges its parts. It is an engine.Source.
 type Source struct {
-	cfg   merge.Config
+	cfg   reconcile.Config
 	parts []Part
 	log   *slog.Logger
 }
 
 // New returns a source of these parts.
-func New(cfg merge.Config, log *slog.Logger, parts ...Part) *Source {
+func New(cfg reconcile.Config, log *slog.Logger, parts ...Part) *Source {
 	return &Source{cfg: cfg, parts: parts, log: log}
 }
 
@@ -47,33 +47,33 @@
 type sink struct {
 	ctx    context.Context
 	n      int
-	events chan<- func(*merge.Merge, time.Duration)
+	events chan<- func(*reconcile.Merge, time.Duration)
 }
 
-func (k sink) post(f func(*merge.Merge, time.Duration)) {
+func (k sink) post(f func(*reconcile.Merge, time.Duration)) {
 	select {
 	case k.events <- f:
 	case <-k.ctx.Done():
 	}
 }
 
-func (k sink) Whole(version uint64, entries []merge.Entry) {
-	k.post(func(m *merge.Merge, now time.Duration) { m.Whole(now, k.n, version, entries) })
+func (k sink) Whole(version uint64, entries []reconcile.Entry) {
+	k.post(func(m *reconcile.Merge, now time.Duration) { m.Whole(now, k.n, version, entries) })
 }
 
-func (k sink) Change(version uint64, entries []merge.Entry) {
-	k.post(func(m *merge.Merge, now time.Duration) { m.Change(now, k.n, version, entries) })
+func (k sink) Change(version uint64, entries []reconcile.Entry) {
+	k.post(func(m *reconcile.Merge, now time.Duration) { m.Change(now, k.n, version, entries) })
 }
 
 func (k sink) Silent(reason string) {
-	k.post(func(m *merge.Merge, now time.Duration) { m.Silent(now, k.n, reason) })
+	k.post(func(m *reconcile.Merge, now time.Duration) { m.Silent(now, k.n, reason) })
 }
 
 // Watch runs the parts until ctx ends, and tells a whole list first and changes from
 // then on. It never fails: a part that does is silent.
 func (s *Source) Watch(ctx context.Context, after *uint64, tell func(balancer.ListKind, engine.List)) (*uint64, error) {
-	m := merge.New(s.cfg, func(line string) { s.log.Warn("membership: " + line) })
-	events := make(chan func(*merge.Merge, time.Duration), 64)
+	m := reconcile.New(s.cfg, func(line string) { s.log.Warn("membership: " + line) })
+	events := make(chan func(*reconcile.Merge, time.Duration), 64)
 	var feeders sync.WaitGroup
 	defer feeders.Wait()
 	for _, p := range s.parts {
@@ -128,7 +128,7 @@
 	for ctx.Err() == nil {
 		// Only a whole list can tell what was missed: nil is the version to go on from.
 		_, err := o.Source.Watch(ctx, nil, func(kind balancer.ListKind, list engine.List) {
-			entries := make([]merge.Entry, len(list.Hosts))
+			entries := make([]reconcile.Entry, len(list.Hosts))
 			for i, h := range list.Hosts {
 				entries[i].Host = h
 			}
--- a/internal/membership/ephemeral/client.go
+++ b/internal/membership/ephemeral/client.go
@@ -18,7 +18,7 @@
 
 	"pinedale/balancer"
 	"pinedale/internal/engine"
-	"pinedale/internal/membership/merge"
+	"pinedale/internal/membership/reconcile"
 )
 
 const (
@@ -53,8 +53,8 @@
 
 // Sink takes what a client reads. Its methods may block.
 type Sink interface {
-	Whole(version uint64, entries []merge.Entry)
-	Change(version uint64, entries []merge.Entry)
+	Whole(version uint64, entries []reconcile.Entry)
+	Change(version uint64, entries []reconcile.Entry)
 	Silent(reason string)
 }
 
@@ -72,10 +72,10 @@
 	// Below: Feed's goroutine alone.
 	conn    *zk.Conn
 	authed  bool
-	known   map[string]merge.Entry // listed, by name
-	bad     map[string]string      // nodes whose data is bad, and why
-	version uint64                 // of the directory: the zxid of its last change
-	live    bool                   // all was read through this connection
+	known   map[string]reconcile.Entry // listed, by name
+	bad     map[string]string          // nodes whose data is bad, and why
+	version uint64                     // of the directory: the zxid of its last change
+	live    bool                       // all was read through this connection
 	readAt  time.Time
 }
 
@@ -90,7 +90,7 @@
 
 // Feed reads until ctx ends.
 func (c *Client) Feed(ctx context.Context, sink Sink) {
-	c.known, c.bad = map[string]merge.Entry{}, map[string]string{}
+	c.known, c.bad = map[string]reconcile.Entry{}, map[string]string{}
 	pause := againLeast
 	for ctx.Err() == nil {
 		was, err := c.connection(ctx, sink)
@@ -222,7 +222,7 @@
 
 // changes reads what watches have told of.
 func (c *Client) changes(sink Sink, nodes map[string]zk.EventType, dir bool) time.Duration {
-	var gone []merge.Entry
+	var gone []reconcile.Entry
 	var changed []string
 	for name, what := range nodes {
 		if _, is := c.known[name]; what == zk.EventNodeDeleted {
@@ -274,8 +274,8 @@
 	return retryGap
 }
 
-func goneEntry(name string) merge.Entry {
-	return merge.Entry{Host: engine.Host{Name: name, State: balancer.Gone}}
+func goneEntry(name string) reconcile.Entry {
+	return reconcile.Entry{Host: engine.Host{Name: name, State: balancer.Gone}}
 }
 
 // all reads the whole directory. Watches are set with the readings, so that no change
@@ -292,7 +292,7 @@
 		return c.failed(err, nil, false)
 	}
 	before := c.known
-	c.known = map[string]merge.Entry{}
+	c.known = map[string]reconcile.Entry{}
 	collect := &collected{}
 	if err := c.readNodes(collect, names, true); err != nil {
 		c.known = before
@@ -304,11 +304,11 @@
 }
 
 // collected takes entries that are to be part of a whole list.
-type collected struct{ entries []merge.Entry }
+type collected struct{ entries []reconcile.Entry }
 
-func (x *collected) Whole(uint64, []merge.Entry) {}
-func (x *collected) Silent(string)               {}
-func (x *collected) Change(_ uint64, entries []merge.Entry) {
+func (x *collected) Whole(uint64, []reconcile.Entry) {}
+func (x *collected) Silent(string)                   {}
+func (x *collected) Change(_ uint64, entries []reconcile.Entry) {
 	x.entries = append(x.entries, entries...)
 }
 
@@ -347,7 +347,7 @@
 			fresh = append(fresh, name)
 		}
 	}
-	var gone []merge.Entry
+	var gone []reconcile.Entry
 	for name := range c.known {
 		if !there[name] {
 			gone = append(gone, goneEntry(name))
@@ -387,7 +387,7 @@
 			}
 		}()
 	}
-	var entries []merge.Entry
+	var entries []reconcile.Entry
 	var failed error
 	for range names {
 		r := <-done
--- a/internal/membership/ephemeral/client_test.go
+++ b/internal/membership/ephemeral/client_test.go
@@ -14,7 +14,7 @@
 	"go.uber.org/goleak"
 
 	"pinedale/balancer"
-	"pinedale/internal/membership/merge"
+	"pinedale/internal/membership/reconcile"
 	"pinedale/internal/standin/coord"
 	"pinedale/internal/standin/logged"
 	"pinedale/internal/standin/wait"
@@ -29,7 +29,7 @@
 // recorder keeps what a client tells, folded into one list.
 type recorder struct {
 	mu      sync.Mutex
-	nodes   map[string]merge.Entry
+	nodes   map[string]reconcile.Entry
 	wholes  int
 	changes int
 	silent  int
@@ -37,10 +37,10 @@
 	sizes   []int // of whole lists
 }
 
-func (r *recorder) Whole(_ uint64, entries []merge.Entry) {
+func (r *recorder) Whole(_ uint64, entries []reconcile.Entry) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.nodes, r.live = map[string]merge.Entry{}, true
+	r.nodes, r.live = map[string]reconcile.Entry{}, true
 	r.wholes++
 	r.sizes = append(r.sizes, len(entries))
 	for _, e := range entries {
@@ -48,7 +48,7 @@
 	}
 }
 
-func (r *recorder) Change(_ uint64, entries []merge.Entry) {
+func (r *recorder) Change(_ uint64, entries []reconcile.Entry) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.changes++
@@ -103,7 +103,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := &world{t: t, service: service, r: &recorder{nodes: map[string]merge.Entry{}}}
+	w := &world{t: t, service: service, r: &recorder{nodes: map[string]reconcile.Entry{}}}
 	for i, n := range nodes {
 		service.Put("/soko/"+n, data(1000+i, ""))
 	}
@@ -310,7 +310,7 @@
 	service.Put("/soko/a", data(1, ""))
 	service.Protect("/soko/a", "reader:secret")
 	for digest, want := range map[string]string{"reader:secret": "a", "reader:wrong": ""} {
-		w := &world{t: t, service: service, r: &recorder{nodes: map[string]merge.Entry{}}}
+		w := &world{t: t, service: service, r: &recorder{nodes: map[string]reconcile.Entry{}}}
 		ctx, stop := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go func() {
--- a/internal/membership/ephemeral/data.go
+++ b/internal/membership/ephemeral/data.go
@@ -12,7 +12,7 @@
 
 	"pinedale/balancer"
 	"pinedale/internal/engine"
-	"pinedale/internal/membership/merge"
+	"pinedale/internal/membership/reconcile"
 )
 
 const (
@@ -52,8 +52,8 @@
 
 // Parse reads a node's data: pinedale's own form, or Curator's. Its errors name the
 // key and reason.
-func Parse(node string, data []byte, rules Rules) (merge.Entry, error) {
-	var e merge.Entry
+func Parse(node string, data []byte, rules Rules) (reconcile.Entry, error) {
+	var e reconcile.Entry
 	if len(node) == 0 || len(node) > nameMost {
 		return e, fmt.Errorf("the node's name has %d characters, must be 1 to %d", len(node), nameMost)
 	}
--- a/internal/membership/merge/merge.go
+++ b/internal/membership/reconcile/merge.go
@@ -6,7 +6,7 @@
 // A Merge does no I/O and has no clock. It is for one caller at a time: the host
 // passes what sources tell with its instant, and asks for the list after that and
 // when Due says so.
-package merge
+package reconcile
 
 import (
 	"cmp"
--- a/internal/membership/merge/merge_test.go
+++ b/internal/membership/reconcile/merge_test.go
@@ -1,4 +1,4 @@
-package merge
+package reconcile
 
 import (
 	"fmt"
--- a/internal/site/file.go
+++ b/internal/site/file.go
@@ -7,7 +7,7 @@
 	"os"
 	"time"
 
-	"pinedale/internal/membership/merge"
+	"pinedale/internal/membership/reconcile"
 	"pinedale/internal/policy"
 	"pinedale/internal/tomlfile"
 )
@@ -270,8 +270,8 @@
 	f.Discovery.AskWithin = Duration(10 * time.Second)
 	f.Ephemeral.Session = Duration(15 * time.Second)
 	f.Peers.Wait = Duration(40 * time.Millisecond)
-	f.Membership.ShrinkMost = merge.Defaults.ShrinkMost
-	f.Membership.Hold = Duration(merge.Defaults.Hold)
-	f.Membership.Lag = Duration(merge.Defaults.Lag)
+	f.Membership.ShrinkMost = reconcile.Defaults.ShrinkMost
+	f.Membership.Hold = Duration(reconcile.Defaults.Hold)
+	f.Membership.Lag = Duration(reconcile.Defaults.Lag)
 	return f
 }
--- a/internal/site/run.go
+++ b/internal/site/run.go
@@ -23,7 +23,7 @@
 	"pinedale/internal/keyroom"
 	"pinedale/internal/membership/combined"
 	"pinedale/internal/membership/ephemeral"
-	"pinedale/internal/membership/merge"
+	"pinedale/internal/membership/reconcile"
 	"pinedale/internal/membership/registry"
 	"pinedale/internal/membership/static"
 	"pinedale/internal/policy"
@@ -70,7 +70,7 @@
 func (f *File) source(log *slog.Logger) engine.Source {
 	var parts []combined.Part
 	if e := &f.Ephemeral; len(e.Servers) > 0 {
-		parts = append(parts, combined.Part{Kind: merge.Ephemeral, Name: e.Path, Feeder: ephemeral.New(ephemeral.Options{
+		parts = append(parts, combined.Part{Kind: reconcile.Ephemeral, Name: e.Path, Feeder: ephemeral.New(ephemeral.Options{
 			Servers: e.Servers, Path: e.Path, Session: time.Duration(e.Session), Digest: f.digest,
 			Rules: ephemeral.Rules{Sites: f.Fleet.Sites, Kinds: f.Fleet.Kinds}, Log: log})})
 	}
@@ -79,16 +79,16 @@
 		if len(parts) == 0 {
 			return client
 		}
-		parts = append(parts, combined.Part{Kind: merge.Discovery, Name: f.Discovery.Address, Feeder: combined.Of{Source: client}})
+		parts = append(parts, combined.Part{Kind: reconcile.Discovery, Name: f.Discovery.Address, Feeder: combined.Of{Source: client}})
 	}
 	if len(f.Servers) > 0 || len(parts) == 0 {
 		list := static.New(f.hosts())
 		if len(parts) == 0 {
 			return list
 		}
-		parts = append(parts, combined.Part{Kind: merge.Static, Name: "of the file", Feeder: combined.Of{Source: list}})
+		parts = append(parts, combined.Part{Kind: reconcile.Static, Name: "of the file", Feeder: combined.Of{Source: list}})
 	}
-	return combined.New(merge.Config{ShrinkMost: f.Membership.ShrinkMost, Hold: time.Duration(f.Membership.Hold),
+	return combined.New(reconcile.Config{ShrinkMost: f.Membership.ShrinkMost, Hold: time.Duration(f.Membership.Hold),
 		Lag: time.Duration(f.Membership.Lag)}, log, parts...)
 }
 
