--- a/internal/membership/combined/combined.go
+++ b/internal/membership/multisource/combined.go
@@ -1,6 +1,6 @@
 // Package combined is a source of membership made of several: it runs them, has
 // package merge decide what they come to, and tells the engine.
-package combined
+package multisource
 
 import (
 	"context"
--- a/internal/membership/combined/combined_test.go
+++ b/internal/membership/multisource/combined_test.go
@@ -1,4 +1,4 @@
-package combined
+package multisource
 
 import (
 	"context"
--- a/internal/site/run.go
+++ b/internal/site/run.go
@@ -21,8 +21,8 @@
 	"pinedale/internal/front/httpfront"
 	"pinedale/internal/intake"
 	"pinedale/internal/keyroom"
-	"pinedale/internal/membership/combined"
 	"pinedale/internal/membership/ephemeral"
+	"pinedale/internal/membership/multisource"
 	"pinedale/internal/membership/reconcile"
 	"pinedale/internal/membership/registry"
 	"pinedale/internal/membership/static"
@@ -68,9 +68,9 @@
 // source is where membership comes from, as the file says. Beside ephemeral nodes all
 // others are merged with them.
 func (f *File) source(log *slog.Logger) engine.Source {
-	var parts []combined.Part
+	var parts []multisource.Part
 	if e := &f.Ephemeral; len(e.Servers) > 0 {
-		parts = append(parts, combined.Part{Kind: reconcile.Ephemeral, Name: e.Path, Feeder: ephemeral.New(ephemeral.Options{
+		parts = append(parts, multisource.Part{Kind: reconcile.Ephemeral, Name: e.Path, Feeder: ephemeral.New(ephemeral.Options{
 			Servers: e.Servers, Path: e.Path, Session: time.Duration(e.Session), Digest: f.digest,
 			Rules: ephemeral.Rules{Sites: f.Fleet.Sites, Kinds: f.Fleet.Kinds}, Log: log})})
 	}
@@ -79,16 +79,16 @@
 		if len(parts) == 0 {
 			return client
 		}
-		parts = append(parts, combined.Part{Kind: reconcile.Discovery, Name: f.Discovery.Address, Feeder: combined.Of{Source: client}})
+		parts = append(parts, multisource.Part{Kind: reconcile.Discovery, Name: f.Discovery.Address, Feeder: multisource.Of{Source: client}})
 	}
 	if len(f.Servers) > 0 || len(parts) == 0 {
 		list := static.New(f.hosts())
 		if len(parts) == 0 {
 			return list
 		}
-		parts = append(parts, combined.Part{Kind: reconcile.Static, Name: "of the file", Feeder: combined.Of{Source: list}})
+		parts = append(parts, multisource.Part{Kind: reconcile.Static, Name: "of the file", Feeder: multisource.Of{Source: list}})
 	}
-	return combined.New(reconcile.Config{ShrinkMost: f.Membership.ShrinkMost, Hold: time.Duration(f.Membership.Hold),
+	return multisource.New(reconcile.Config{ShrinkMost: f.Membership.ShrinkMost, Hold: time.Duration(f.Membership.Hold),
 		Lag: time.Duration(f.Membership.Lag)}, log, parts...)
 }
 
