--- a/internal/routing/verdict_test.go
+++ b/internal/routing/verdict_test.go
@@ -18,10 +18,10 @@
 )
 
 var classes = []balancer.Class{
-	{Name: "read", Repeat: balancer.Safe, Aim: 600_000, GiveUp: 3 * second, Worth: 1},
-	{Name: "pay", Repeat: balancer.Keyed, Group: balancer.GroupAll, Window: 1_500_000, Aim: 600_000, GiveUp: 2_500_000, Worth: 1},
-	{Name: "close", Repeat: balancer.Keyed, Group: balancer.GroupCell, Window: 12 * second, Aim: 1_200_000, GiveUp: 2_500_000, Worth: 1},
-	{Name: "order", Repeat: balancer.Unsafe, Aim: 600_000, GiveUp: 3 * second, Worth: 1},
+	{Name: "read", Idempotency: balancer.Idempotent, LatencyObjective: 600_000, ClientTimeout: 3 * second, PriorityWeight: 1},
+	{Name: "pay", Idempotency: balancer.IdempotentWithKey, Group: balancer.GroupAll, DedupWindow: 1_500_000, LatencyObjective: 600_000, ClientTimeout: 2_500_000, PriorityWeight: 1},
+	{Name: "close", Idempotency: balancer.IdempotentWithKey, Group: balancer.GroupCell, DedupWindow: 12 * second, LatencyObjective: 1_200_000, ClientTimeout: 2_500_000, PriorityWeight: 1},
+	{Name: "order", Idempotency: balancer.NotIdempotent, LatencyObjective: 600_000, ClientTimeout: 3 * second, PriorityWeight: 1},
 }
 
 // ref is what the world gives with a decision.
@@ -72,14 +72,14 @@
 	w.ledger = New(l, w)
 	var err error
 	w.module, err = balancer.New(balancer.Settings{Balancers: 1, Zones: 2, Kinds: 1, Classes: classes,
-		Limits:   balancer.Limits{Cancel: true, RetryAfter: true, SecondCopies: true, MaxAttempts: l.Attempts, MaxOpen: 1000, MaxRetryAfter: second},
-		Contract: balancer.Contract{ColdFrom: 1, FallMultiple: 2.5}}, 7, (*module)(w))
+		Limits:   balancer.Limits{Cancel: true, RetryAfter: true, Hedging: true, MaxAttempts: l.Attempts, MaxOpen: 1000, MaxRetryAfter: second},
+		Contract: balancer.Contract{SlowStartRatio: 1, OverloadMultiple: 2.5}}, 7, (*module)(w))
 	if err != nil {
 		t.Fatal(err)
 	}
 	w.call(func() {
 		w.module.Start(w.now)
-		w.module.Members(w.now, balancer.ListFull, endpoints(6))
+		w.module.UpdateEndpoints(w.now, balancer.ListFull, endpoints(6))
 	})
 	return w
 }
@@ -88,7 +88,7 @@
 func endpoints(n int) []balancer.Endpoint {
 	list := make([]balancer.Endpoint, n)
 	for i := range list {
-		list[i] = balancer.Endpoint{ID: uint32(i + 1), Zone: uint8(i / 4), Cell: cell(uint32(i + 1)), Share: 1}
+		list[i] = balancer.Endpoint{ID: uint32(i + 1), Zone: uint8(i / 4), Cell: cell(uint32(i + 1)), Weight: 1}
 	}
 	return list
 }
@@ -123,7 +123,7 @@
 			if t.at > w.now {
 				w.timers = append(w.timers, t)
 			} else {
-				w.call(func() { w.module.Timer(w.now, t.token) })
+				w.call(func() { w.module.TimerFired(w.now, t.token) })
 			}
 		}
 		w.ledger.Tick(w.now)
@@ -141,7 +141,7 @@
 	w.open[fmt.Sprint(id, " ", n)] = ref{endpoint, id}
 	w.ledger.Decided(w.now, id, Place{Zone: uint8(endpoint-1) / 4, Cell: cell(endpoint)}, ref{endpoint, id})
 }
-func (m *module) Refuse(id uint64, after Micros) { m.ledger.Refused(m.now, id, after) }
+func (m *module) Reject(id uint64, after Micros) { m.ledger.Refused(m.now, id, after) }
 func (m *module) Fail(id uint64)                 { m.ledger.Failed(m.now, id) }
 func (m *module) Cancel(id uint64, n int) {
 	w := (*world)(m)
@@ -155,9 +155,9 @@
 func (w *world) Begin(round uint64, _ string, in balancer.Request) {
 	w.begun = append(w.begun, in)
 	in.ID = round
-	w.call(func() { w.module.Request(w.now, in) })
+	w.call(func() { w.module.HandleRequest(w.now, in) })
 }
-func (w *world) Leave(round uint64) { w.call(func() { w.module.ClientGone(w.now, round) }) }
+func (w *world) Leave(round uint64) { w.call(func() { w.module.ClientDisconnected(w.now, round) }) }
 func (w *world) End(round uint64, n int, o Outcome, settled bool) {
 	if w.depth > 0 {
 		w.t.Errorf("an end is told while the module is at work")
@@ -173,7 +173,7 @@
 		served = o.Endpoint
 	}
 	w.call(func() {
-		w.module.Outcome(w.now, balancer.Outcome{ID: round, Attempt: n, Endpoint: served, Status: o.Status, Settled: settled})
+		w.module.AttemptCompleted(w.now, balancer.Outcome{ID: round, Attempt: n, Endpoint: served, Status: o.Status, Settled: settled})
 	})
 }
 func (w *world) Usable(r any) bool { return !w.retired[r.(ref).endpoint] }
--- a/internal/sidecar/config_test.go
+++ b/internal/sidecar/config_test.go
@@ -18,7 +18,7 @@
 	if cfg, err := parseConfig([]byte(good)); err != nil {
 		t.Fatal(err)
 	} else if cfg.Settings.Limits.MaxRetryAfter != 1_500_000 || len(cfg.Settings.Classes) != 4 ||
-		cfg.Settings.Classes[1].Repeat != balancer.Keyed || len(cfg.Settings.Fields) != 2 || !cfg.Settings.Subscribe {
+		cfg.Settings.Classes[1].Idempotency != balancer.IdempotentWithKey || len(cfg.Settings.Fields) != 2 || !cfg.Settings.PollDiscovery {
 		t.Errorf("settings %+v", cfg.Settings)
 	}
 	for _, c := range []struct{ old, new, key string }{
@@ -74,7 +74,7 @@
 		check    func(*Config) bool
 	}{
 		"no more than a class": {`{"classes":[{"name":"only","repeat":"side_effect","target":1,"give-up":2}]}`, func(c *Config) bool {
-			return c.Settings.Limits.KeepAlive == keepAlive && c.Settings.Limits.DialTimeout == dialTimeout && !c.Settings.Subscribe && len(c.fields) == 0 && len(c.zones) == 0
+			return c.Settings.Limits.KeepAlive == keepAlive && c.Settings.Limits.DialTimeout == dialTimeout && !c.Settings.PollDiscovery && len(c.fields) == 0 && len(c.zones) == 0
 		}},
 		"nulls and unknown keys": {`{"areas":null,"tenants":null,"limits":{"keepalive":null,"colour":"red"},"weather":{"sun":[{"x":1}]},` +
 			`"classes":[{"name":"only","repeat":"pure","target":1,"give-up":2,"share":0}]}`, func(c *Config) bool {
--- a/internal/sidecar/departures_test.go
+++ b/internal/sidecar/departures_test.go
@@ -79,7 +79,7 @@
 			w.until("the departure", func() bool { return w.spy.told("gone") })
 			close(comesUp)
 			w.until("the outcome", func() bool { return len(w.spy.statuses()) == 1 })
-			if s := w.spy.statuses()[0]; s != balancer.Moot {
+			if s := w.spy.statuses()[0]; s != balancer.NotSent {
 				t.Errorf("status %v, want Moot", s)
 			}
 			if n, _ := e.Seen(); n != 0 {
@@ -158,7 +158,7 @@
 	if n, _ := e.Seen(); n != 1 || got.code != http.StatusBadGateway {
 		t.Errorf("%d attempts were written, answer %d; want 1 and 502", n, got.code)
 	}
-	if all := w.spy.statuses(); !slices.Equal(all, []balancer.Status{balancer.Error, balancer.Moot}) {
+	if all := w.spy.statuses(); !slices.Equal(all, []balancer.Status{balancer.Error, balancer.NotSent}) {
 		t.Errorf("outcomes %v, want an error and one never sent", all)
 	}
 }
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -40,7 +40,7 @@
 
 // pace is that of the calls for lists.
 func (c *Config) pace() registry.Pace {
-	if c.Settings.Subscribe {
+	if c.Settings.PollDiscovery {
 		return registry.Asked
 	}
 	return registry.Pushed(time.Duration(c.Settings.Contract.DrainGrace) * time.Microsecond)
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -341,7 +341,7 @@
 	if n, _ := first.Seen(); n != 0 {
 		t.Errorf("the draining endpoint got %d requests", n)
 	}
-	if all := w.spy.statuses(); !slices.Equal(all, []balancer.Status{balancer.Moot, balancer.OK}) {
+	if all := w.spy.statuses(); !slices.Equal(all, []balancer.Status{balancer.NotSent, balancer.OK}) {
 		t.Errorf("outcomes %v, want moot and served", all)
 	}
 }
--- a/internal/sidecar/world_test.go
+++ b/internal/sidecar/world_test.go
@@ -48,39 +48,39 @@
 	requests int
 }
 
-func (s *spy) Request(now balancer.Micros, in balancer.Request) {
+func (s *spy) HandleRequest(now balancer.Micros, in balancer.Request) {
 	s.note(func() { s.requests++ })
-	s.Decider.Request(now, in)
+	s.Decider.HandleRequest(now, in)
 }
 
-func (s *spy) Outcome(now balancer.Micros, o balancer.Outcome) {
+func (s *spy) AttemptCompleted(now balancer.Micros, o balancer.Outcome) {
 	s.note(func() {
 		s.outcomes = append(s.outcomes, o)
 		s.events = append(s.events, "outcome")
 	})
-	s.Decider.Outcome(now, o)
+	s.Decider.AttemptCompleted(now, o)
 }
 
-func (s *spy) Timer(now balancer.Micros, token uint32) {
+func (s *spy) TimerFired(now balancer.Micros, token uint32) {
 	if token >= 1<<20 { // names a request
 		s.note(func() { s.events = append(s.events, "timer") })
 	}
-	s.Decider.Timer(now, token)
+	s.Decider.TimerFired(now, token)
 }
 
-func (s *spy) ClientGone(now balancer.Micros, id uint64) {
+func (s *spy) ClientDisconnected(now balancer.Micros, id uint64) {
 	s.note(func() { s.events = append(s.events, "gone") })
-	s.Decider.ClientGone(now, id)
+	s.Decider.ClientDisconnected(now, id)
 }
 
-func (s *spy) Members(now balancer.Micros, kind balancer.ListKind, entries []balancer.Endpoint) {
-	s.Decider.Members(now, kind, entries)
+func (s *spy) UpdateEndpoints(now balancer.Micros, kind balancer.ListKind, entries []balancer.Endpoint) {
+	s.Decider.UpdateEndpoints(now, kind, entries)
 	s.note(func() { s.lists = append(s.lists, kind) })
 }
 
-func (s *spy) Probed(now balancer.Micros, id uint32, status balancer.Status, latency balancer.Micros, load []float32) {
+func (s *spy) ProbeCompleted(now balancer.Micros, id uint32, status balancer.Status, latency balancer.Micros, load []float32) {
 	s.note(func() { s.probes, s.loads = append(s.probes, status), append(s.loads, load) })
-	s.Decider.Probed(now, id, status, latency, load)
+	s.Decider.ProbeCompleted(now, id, status, latency, load)
 }
 
 func (s *spy) note(f func()) {
--- a/internal/site/check.go
+++ b/internal/site/check.go
@@ -29,7 +29,7 @@
 	serversMost  = 10_000
 )
 
-var repeats = map[string]balancer.Repeat{"safe": balancer.Safe, "keyed": balancer.Keyed, "unsafe": balancer.Unsafe}
+var repeats = map[string]balancer.Idempotency{"safe": balancer.Idempotent, "keyed": balancer.IdempotentWithKey, "unsafe": balancer.NotIdempotent}
 var groups = map[string]balancer.Group{"all": balancer.GroupAll, "site": balancer.GroupZone, "pod": balancer.GroupCell}
 var reports = map[string]balancer.Field{"inflight": balancer.FieldInflight, "queue": balancer.FieldQueue,
 	"util": balancer.FieldUtil, "latency_ms": balancer.FieldLatency, "qps": balancer.FieldServed, "eps": balancer.FieldErrors}
@@ -167,7 +167,7 @@
 		if !ok {
 			continue
 		}
-		if repeat == balancer.Keyed {
+		if repeat == balancer.IdempotentWithKey {
 			_, known := groups[k.Group]
 			c.Require(known, at("group"), "%q is not one of %s: a keyed class needs to say who drops its repeats", k.Group, words(groups))
 			c.Require(k.Window > 0, at("window"), "%v: a keyed class needs the time for which its repeats are dropped", time.Duration(k.Window))
@@ -302,16 +302,16 @@
 func (f *File) Settings() balancer.Settings {
 	s := balancer.Settings{
 		Balancers: f.Fleet.Instances, Zone: slices.Index(f.Fleet.Sites, f.Site),
-		Zones: len(f.Fleet.Sites), Kinds: len(f.Fleet.Kinds), Subscribe: f.Discovery.Address != "" && len(f.Ephemeral.Servers) == 0,
-		Limits: balancer.Limits{Cancel: true, Probes: f.Limits.Probes, SecondCopies: f.Limits.SecondCopies,
+		Zones: len(f.Fleet.Sites), Kinds: len(f.Fleet.Kinds), PollDiscovery: f.Discovery.Address != "" && len(f.Ephemeral.Servers) == 0,
+		Limits: balancer.Limits{Cancel: true, Probes: f.Limits.Probes, Hedging: f.Limits.SecondCopies,
 			RetryAfter: f.Limits.RetryAfterMost > 0, MaxAttempts: f.Limits.Attempts, MaxOpen: f.Limits.OpenRequests,
 			MaxRetryAfter: f.Limits.RetryAfterMost.Micros(), DialTimeout: f.Limits.DialTimeout.Micros()},
-		Contract: balancer.Contract{DrainGrace: f.Fleet.DrainGrace.Micros(), ColdFrom: f.Fleet.ColdFrom,
-			RampTime: f.Fleet.WarmWithin.Micros(), FallMultiple: f.Fleet.FallFactor,
-			OverloadFor: f.Fleet.FallAfter.Micros(), AskWithin: f.Discovery.AskWithin.Micros(),
+		Contract: balancer.Contract{DrainGrace: f.Fleet.DrainGrace.Micros(), SlowStartRatio: f.Fleet.ColdFrom,
+			SlowStartTime: f.Fleet.WarmWithin.Micros(), OverloadMultiple: f.Fleet.FallFactor,
+			OverloadTime: f.Fleet.FallAfter.Micros(), PollInterval: f.Discovery.AskWithin.Micros(),
 			AnswerSlack: intake.AnswerMargin.Microseconds()},
 		// What the co-operative's users judge, and what probes and crossings cost them.
-		Goal:   balancer.Goal{Whole: 0.45, WorstWindow: 0.35, WorstClass: 0.2},
+		Goal:   balancer.Goal{Overall: 0.45, WorstWindow: 0.35, WorstClass: 0.2},
 		Prices: balancer.Prices{CrossZone: 0.03, Probe: 0.05, Waste: 0.05, LateFail: 0.05},
 	}
 	for _, r := range f.Fleet.Reports {
--- a/internal/site/file_test.go
+++ b/internal/site/file_test.go
@@ -53,12 +53,12 @@
 		t.Fatal(err)
 	}
 	s := f.Settings()
-	if s.Zone != 0 || s.Limits.MaxAttempts != 2 || s.Subscribe || len(s.Fields) != 2 || s.Fields[0] != balancer.FieldErrors {
+	if s.Zone != 0 || s.Limits.MaxAttempts != 2 || s.PollDiscovery || len(s.Fields) != 2 || s.Fields[0] != balancer.FieldErrors {
 		t.Errorf("settings %+v", s)
 	}
 	// Of the window of 1.5 s a connection, late timers and clocks that run apart are taken.
 	c := s.Classes[1]
-	if c.Repeat != balancer.Keyed || c.Group != balancer.GroupAll || c.Window != 1_239_250 || c.GiveUp != 2_500_000 || c.Worth != 10 || s.Classes[0].Worth != 1 {
+	if c.Idempotency != balancer.IdempotentWithKey || c.Group != balancer.GroupAll || c.DedupWindow != 1_239_250 || c.ClientTimeout != 2_500_000 || c.PriorityWeight != 10 || s.Classes[0].PriorityWeight != 1 {
 		t.Errorf("classes %+v", s.Classes)
 	}
 	if h := f.hosts(); len(h) != 1 || h[0].Cell != 3 || h[0].Site != "dar" || h[0].Share != 1 {
--- a/internal/site/peers_test.go
+++ b/internal/site/peers_test.go
@@ -35,7 +35,7 @@
 // every request after they have run it.
 func together(t *testing.T, agree string) (*soko.Fleet, []*Instance) {
 	t.Helper()
-	fleet := &soko.Fleet{Faults: soko.Faults{Error: 1}, Classes: []balancer.Class{{Name: "day-close", Repeat: balancer.Keyed, Group: balancer.GroupCell, Window: 20_000_000}}}
+	fleet := &soko.Fleet{Faults: soko.Faults{Error: 1}, Classes: []balancer.Class{{Name: "day-close", Idempotency: balancer.IdempotentWithKey, Group: balancer.GroupCell, DedupWindow: 20_000_000}}}
 	servers := ""
 	for n := range 8 {
 		s, err := fleet.Start(fmt.Sprint("s-", n), n/2)
@@ -167,7 +167,7 @@
 // One instance's list goes quiet, and the two others hear that a server drains: the one that
 // has not heard sends there no more on their word, and goes by its own list once that tells.
 func TestDrainsThatOthersKnow(t *testing.T) {
-	fleet := &soko.Fleet{Classes: []balancer.Class{{Name: "day-close", Repeat: balancer.Keyed, Group: balancer.GroupCell, Window: 20_000_000}}}
+	fleet := &soko.Fleet{Classes: []balancer.Class{{Name: "day-close", Idempotency: balancer.IdempotentWithKey, Group: balancer.GroupCell, DedupWindow: 20_000_000}}}
 	var hosts []directory.Host
 	var servers []*soko.Server
 	for n := range 6 {
--- a/internal/upstream/attempt/attempt.go
+++ b/internal/upstream/attempt/attempt.go
@@ -126,7 +126,7 @@
 // the sidecar no longer wanted to send it.
 func Unsent(ctx context.Context, err error) balancer.Status {
 	if Unwritten(ctx).Err() != nil || errors.Is(err, ErrClosed) || errors.Is(err, ErrFull) || errors.Is(err, ErrLate) {
-		return balancer.Moot
+		return balancer.NotSent
 	}
 	return balancer.ConnectFailed
 }
--- a/internal/upstream/either/either_test.go
+++ b/internal/upstream/either/either_test.go
@@ -53,8 +53,8 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	e, err := engine.New(ctx, engine.Options{Seed: 1, Zones: []string{"a"}, Upstream: up, Log: slog.New(slog.DiscardHandler),
-		Settings: balancer.Settings{Balancers: 1, Zones: 1, Contract: balancer.Contract{ColdFrom: 1, FallMultiple: 2.5},
-			Classes: []balancer.Class{{Name: "pay", Repeat: balancer.Unsafe, Aim: 600_000, GiveUp: 5_000_000, Worth: 1}},
+		Settings: balancer.Settings{Balancers: 1, Zones: 1, Contract: balancer.Contract{SlowStartRatio: 1, OverloadMultiple: 2.5},
+			Classes: []balancer.Class{{Name: "pay", Idempotency: balancer.NotIdempotent, LatencyObjective: 600_000, ClientTimeout: 5_000_000, PriorityWeight: 1}},
 			Limits:  balancer.Limits{MaxAttempts: 3, MaxOpen: 100}}})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/upstream/http3upstream/upstream.go
+++ b/internal/upstream/http3upstream/upstream.go
@@ -298,7 +298,7 @@
 	}
 	defer u.release(c)
 	if t.Closed() || attempt.MayWrite(ctx) != nil { // told draining meanwhile, or nobody waits: nothing new may go there
-		return engine.Result{Status: balancer.Moot}
+		return engine.Result{Status: balancer.NotSent}
 	}
 	start := time.Now()
 	response, body, left, err := exchange(ctx, c.client, t, m)
--- a/internal/upstream/http3upstream/upstream_test.go
+++ b/internal/upstream/http3upstream/upstream_test.go
@@ -207,7 +207,7 @@
 	}
 	closed := &engine.Target{Address: socket.LocalAddr().String()}
 	closed.Close()
-	if r := w.send(closed, time.Second); r.Status != balancer.Moot {
+	if r := w.send(closed, time.Second); r.Status != balancer.NotSent {
 		t.Errorf("to a closed target: %v", r.Status)
 	}
 }
@@ -302,7 +302,7 @@
 		quick := w.endpoint(100, func(http.ResponseWriter, *http.Request) {})
 		want := balancer.OK
 		if n >= 3 {
-			want = balancer.Moot
+			want = balancer.NotSent
 		}
 		if r := w.send(quick.target, time.Minute); r.Status != want {
 			t.Errorf("connection %d: %v", n, r.Status)
--- a/internal/upstream/httpupstream/upstream_test.go
+++ b/internal/upstream/httpupstream/upstream_test.go
@@ -289,7 +289,7 @@
 	busy := make(chan engine.Result)
 	go func() { busy <- u.attempt(ctx, &engine.Target{Address: slow.Address}, get("/")) }()
 	wait.Until(t, "the slow endpoint's request", func() bool { n, _ := slow.Seen(); return n == 1 })
-	if r := u.attempt(context.Background(), &engine.Target{Address: quick.Address}, get("/")); r.Status != balancer.Moot {
+	if r := u.attempt(context.Background(), &engine.Target{Address: quick.Address}, get("/")); r.Status != balancer.NotSent {
 		t.Errorf("beyond the limit: status %v, want Moot", r.Status)
 	}
 	cancel()
@@ -317,13 +317,13 @@
 	at.Close()
 	u.Retire(at)
 	close(go_)
-	if r := <-done; r.Status != balancer.Moot {
+	if r := <-done; r.Status != balancer.NotSent {
 		t.Errorf("status %v, want Moot", r.Status)
 	}
 	if n, _ := e.Seen(); n != 0 {
 		t.Errorf("the draining endpoint got %d requests", n)
 	}
-	if r := u.attempt(context.Background(), at, get("/")); r.Status != balancer.Moot || u.open != 0 {
+	if r := u.attempt(context.Background(), at, get("/")); r.Status != balancer.NotSent || u.open != 0 {
 		t.Errorf("later: status %v, want Moot; %d connections open", r.Status, u.open)
 	}
 }
@@ -514,7 +514,7 @@
 		t.Errorf("status %v", s)
 	}
 	cancel()
-	if s := <-done; s != balancer.Moot {
+	if s := <-done; s != balancer.NotSent {
 		t.Errorf("status %v while its connection has not settled, want Moot", s)
 	}
 	if n, conns := e.Seen(); n != 2 || conns != 2 {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -119,19 +119,19 @@
 		t.pairs[key] = value
 	}
 	s := balancer.Settings{
-		Balancers: int(t.whole("peers-total", 1)),
-		Position:  int(t.whole("position", 0)),
-		Zone:      int(t.whole("zone", 0)),
-		Zones:     items(t.pairs["areas"]),
-		Kinds:     items(t.pairs["skus"]),
-		Subscribe: word(t, "discovery", false, map[string]bool{"automatic": false, "subscribe": true}),
-		Tick:      t.whole("tick", 0),
+		Balancers:     int(t.whole("peers-total", 1)),
+		Position:      int(t.whole("position", 0)),
+		Zone:          int(t.whole("zone", 0)),
+		Zones:         items(t.pairs["areas"]),
+		Kinds:         items(t.pairs["skus"]),
+		PollDiscovery: word(t, "discovery", false, map[string]bool{"automatic": false, "subscribe": true}),
+		Tick:          t.whole("tick", 0),
 		Limits: balancer.Limits{
 			Cancel:        t.flag("limits.cancel", false),
 			Probes:        t.flag("limits.probes", false),
-			SecondCopies:  t.flag("limits.second-copies", false),
+			Hedging:       t.flag("limits.second-copies", false),
 			RetryAfter:    t.flag("limits.retry-after", false),
-			Tell:          t.flag("limits.may-tell", false),
+			PeerMessages:  t.flag("limits.may-tell", false),
 			MaxAttempts:   int(t.whole("limits.most-tries", 1)),
 			MaxOpen:       int(t.whole("limits.most-held", math.MaxInt32)),
 			MaxRetryAfter: t.whole("limits.max-retry-after", 0),
@@ -139,13 +139,13 @@
 			KeepAlive:     t.whole("limits.keepalive", 0),
 		},
 		Contract: balancer.Contract{
-			DrainGrace:   t.whole("contract.drain-grace", 0),
-			ColdFrom:     t.number("contract.cold-from", 1),
-			RampTime:     t.whole("contract.ramp-time", 0),
-			FallMultiple: t.number("contract.fall-multiple", 1),
-			OverloadFor:  t.whole("contract.overload-for", 0),
-			AskWithin:    t.whole("contract.ask-within", 10_000_000),
-			AnswerSlack:  t.whole("contract.answer-slack", 0),
+			DrainGrace:       t.whole("contract.drain-grace", 0),
+			SlowStartRatio:   t.number("contract.cold-from", 1),
+			SlowStartTime:    t.whole("contract.ramp-time", 0),
+			OverloadMultiple: t.number("contract.fall-multiple", 1),
+			OverloadTime:     t.whole("contract.overload-for", 0),
+			PollInterval:     t.whole("contract.ask-within", 10_000_000),
+			AnswerSlack:      t.whole("contract.answer-slack", 0),
 		},
 		Prices: balancer.Prices{
 			CrossZone: t.number("prices.cross-zone", 0),
@@ -154,14 +154,14 @@
 			LateFail:  t.number("prices.late-fail", 0),
 		},
 		Goal: balancer.Goal{
-			Whole:       t.number("goal.whole", 1),
+			Overall:     t.number("goal.whole", 1),
 			WorstWindow: t.number("goal.worst-window", 0),
 			WorstClass:  t.number("goal.worst-class", 0),
 			WorstTenant: t.number("goal.worst-tenant", 0),
 		},
-		WarmKeys:       t.flag("family-info.warm-keys", false),
-		OverShareWorth: t.number("over-share-worth", 1),
-		WorthByWork: word(t, "value-by", false,
+		KeyAffinity:          t.flag("family-info.warm-keys", false),
+		OverQuotaWeightRatio: t.number("over-share-worth", 1),
+		WeightByWork: word(t, "value-by", false,
 			map[string]bool{"request": false, "work": true}),
 	}
 	how := word(t, "reporting.how", "none", map[string]string{"answers": "answers", "probe": "probe", "none": "none"})
@@ -179,24 +179,24 @@
 		}
 		s.Classes = append(s.Classes, balancer.Class{
 			Name: t.pairs[at+"name"],
-			Repeat: word(t, at+"repeat", balancer.Unsafe, map[string]balancer.Repeat{
-				"pure": balancer.Safe, "token": balancer.Keyed, "side_effect": balancer.Unsafe}),
+			Idempotency: word(t, at+"repeat", balancer.NotIdempotent, map[string]balancer.Idempotency{
+				"pure": balancer.Idempotent, "token": balancer.IdempotentWithKey, "side_effect": balancer.NotIdempotent}),
 			Group: word(t, at+"group", balancer.GroupCell, map[string]balancer.Group{
 				"all": balancer.GroupAll, "zone": balancer.GroupZone, "cell": balancer.GroupCell}),
-			Window:    t.whole(at+"window", 0),
-			Aim:       t.whole(at+"target", 0),
-			GiveUp:    t.whole(at+"give-up", 0),
-			Worth:     t.number(at+"credit", 1),
-			LateWorth: t.number(at+"late-value", 0),
-			Stream:    t.flag(at+"stream", false),
+			DedupWindow:      t.whole(at+"window", 0),
+			LatencyObjective: t.whole(at+"target", 0),
+			ClientTimeout:    t.whole(at+"give-up", 0),
+			PriorityWeight:   t.number(at+"credit", 1),
+			LateWeightRatio:  t.number(at+"late-value", 0),
+			Streaming:        t.flag(at+"stream", false),
 		})
 	}
 	for i := range t.count("tenants", false) {
 		at := fmt.Sprintf("tenants.%d.", i)
 		s.Tenants = append(s.Tenants, balancer.Tenant{
-			Name:      t.pairs[at+"name"],
-			Allowance: t.number(at+"allowance-per-s", 0),
-			Share:     t.number(at+"share", 0),
+			Name:  t.pairs[at+"name"],
+			Quota: t.number(at+"allowance-per-s", 0),
+			Share: t.number(at+"share", 0),
 		})
 	}
 	return s, t.err
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -234,7 +234,7 @@
 	case 499:
 		return balancer.Cancelled
 	case 410:
-		return balancer.Moot
+		return balancer.NotSent
 	}
 	if d.err == nil {
 		d.off -= 2
@@ -286,9 +286,9 @@
 		d.membership(e)
 	case Request:
 		r := &e.Request
-		r.ID, r.Key, r.Deadline, r.Hint = d.u64(), d.u64(), balancer.Micros(d.u64()), balancer.Micros(d.u32())
+		r.ID, r.Key, r.Deadline, r.WorkHint = d.u64(), d.u64(), balancer.Micros(d.u64()), balancer.Micros(d.u32())
 		opts := d.u8()
-		r.HasHint, r.Retry, r.Write = opts&1 != 0, opts&2 != 0, opts&4 != 0
+		r.HasWorkHint, r.ClientRetry, r.Write = opts&1 != 0, opts&2 != 0, opts&4 != 0
 		r.Tenant, r.Class = d.u16(), d.u8()
 	case Headers:
 		o := &e.Outcome
@@ -351,12 +351,12 @@
 		case 1:
 			e.State = balancer.Draining
 		case 3:
-			e.State = balancer.Gone
+			e.State = balancer.Removed
 		default:
 			d.off--
 			d.fail(fmt.Sprintf("unknown endpoint status %d", state))
 		}
-		e.Share = math.Float32frombits(d.u32())
+		e.Weight = math.Float32frombits(d.u32())
 		e.StartTime = balancer.Micros(d.u64())
 		list = append(list, e)
 	}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -74,7 +74,7 @@
 		t.Fatalf("frame changed: %v", err)
 	}
 	e := decode(t, new(Decoder), f)
-	want := balancer.Request{ID: 0x5bf975d3a91c4, Key: 0x91f03b7c55d20a64, Deadline: 0x8405da, Hint: 12000, HasHint: true}
+	want := balancer.Request{ID: 0x5bf975d3a91c4, Key: 0x91f03b7c55d20a64, Deadline: 0x8405da, WorkHint: 12000, HasWorkHint: true}
 	if len(e) != 5 || e[0].Instance != 3 || e[1].Request != want || e[2].Token != 77 || e[3].Instance != 5 ||
 		e[4].Outcome.ID != 0xbf5a10e6f2b19 {
 		t.Errorf("decoded %+v", e)
@@ -92,7 +92,7 @@
 	if w := e[3]; w.From != 2 || string(w.Data) != "hi 7" {
 		t.Errorf("whisper %+v", w)
 	}
-	if m := e[5]; m.Kind != balancer.ListCached || len(m.Entries) != 2 || m.Entries[1].Share != 1.5 ||
+	if m := e[5]; m.Kind != balancer.ListCached || len(m.Entries) != 2 || m.Entries[1].Weight != 1.5 ||
 		m.Entries[1].Zone != 1 || m.Entries[1].StartTime != 0x5d1420 {
 		t.Errorf("membership %+v", m)
 	}
@@ -270,9 +270,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if len(s.Classes) != 2 || s.Classes[1].Repeat != balancer.Keyed || s.Classes[1].Group != balancer.GroupZone ||
-		s.Classes[1].Window != 400000 || !s.Subscribe || !s.WorthByWork || s.Zones != 2 || s.Limits.MaxAttempts != 3 ||
-		s.Goal.Whole != 0.6 || s.Tenants[0].Allowance != 137 || s.Prices.Probe != 0.002 {
+	if len(s.Classes) != 2 || s.Classes[1].Idempotency != balancer.IdempotentWithKey || s.Classes[1].Group != balancer.GroupZone ||
+		s.Classes[1].DedupWindow != 400000 || !s.PollDiscovery || !s.WeightByWork || s.Zones != 2 || s.Limits.MaxAttempts != 3 ||
+		s.Goal.Overall != 0.6 || s.Tenants[0].Quota != 137 || s.Prices.Probe != 0.002 {
 		t.Errorf("%+v", s)
 	}
 	if len(s.Fields) != 3 || s.Fields[0] != balancer.FieldInflight || s.Fields[2] != balancer.FieldOther {
