--- a/balancer/attempts.go
+++ b/balancer/attempts.go
@@ -38,7 +38,8 @@
 	}
 	// A client that comes again may be of an effect that is nearly forgotten, and what it then asks for may have
 	// run: it is sent at once, or not at all.
-	if c := &b.s.Classes[in.Class]; in.ClientRetry && !in.MayHaveRun && c.Idempotency == IdempotentWithKey && c.Group == GroupAll {
+	if c := &b.s.Classes[in.Class]; in.ClientRetry && !in.MayHaveRun &&
+		c.Idempotency == IdempotentWithKey && c.Group == GroupAll {
 		in.MayHaveRun, in.PreviousAttempt = true, PreviousAttempt{At: now - c.DedupWindow + returnWay}
 	}
 	r := b.newRequest(now, in)
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -9,8 +9,6 @@
 
 import "math"
 
-const second Micros = 1_000_000
-
 // Timer tokens below firstSlot belong to the balancer; others name a request.
 const (
 	tokenProbe = iota
@@ -74,8 +72,6 @@
 
 // All leaves through send, refuse and fail below. They alone keep the rules: no policy gets round them.
 
-func (b *Balancer) class(r *request) *Class { return &b.s.Classes[r.Class] }
-
 // end marks that the final answer is out; the record stays for late outcomes.
 func (b *Balancer) end(r *request) {
 	if !r.ended {
@@ -106,9 +102,10 @@
 		return false
 	}
 	c, first := b.class(r), r.bound()
-	return first == nil || c.Idempotency == Idempotent || c.Idempotency == IdempotentWithKey && now < first.at+c.DedupWindow &&
-		(c.Group == GroupAll || c.Group == GroupZone && e.Zone == first.zone ||
-			c.Group == GroupCell && e.Cell == first.cell)
+	return first == nil || c.Idempotency == Idempotent ||
+		c.Idempotency == IdempotentWithKey && now < first.at+c.DedupWindow &&
+			(c.Group == GroupAll || c.Group == GroupZone && e.Zone == first.zone ||
+				c.Group == GroupCell && e.Cell == first.cell)
 }
 
 // copyAfter is how long the first attempt is out before a second copy is sent without proof that it is
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -6,6 +6,8 @@
 	"slices"
 )
 
+const second Micros = 1_000_000
+
 // Balancer decides for one sidecar. Make one with New.
 type Balancer struct {
 	s   Settings
@@ -395,3 +397,6 @@
 	}
 	return e.isCold
 }
+
+// class returns the settings of a request's class.
+func (b *Balancer) class(r *request) *Class { return &b.s.Classes[r.Class] }
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -241,8 +241,8 @@
 	return &a.tenants[n], &a.classes[in.Class]
 }
 
-// Over says that a request which was let in has its final answer.
-func (a *Admission) Over(in *balancer.Request) {
+// Release says that a request which was let in has its final answer.
+func (a *Admission) Release(in *balancer.Request) {
 	if t, c := a.of(in); t != nil {
 		t.open--
 		c.open--
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -40,7 +40,7 @@
 		}
 		_, ok := a.Admit(now, &r)
 		if ok {
-			a.Over(&r)
+			a.Release(&r)
 		}
 		if now >= balancer.Micros(from+1)*second {
 			asked[first]++
@@ -142,7 +142,7 @@
 	if a.Open() != 4 {
 		t.Errorf("%d in hand", a.Open())
 	}
-	a.Over(&balancer.Request{Tenant: 0, Class: 0})
+	a.Release(&balancer.Request{Tenant: 0, Class: 0})
 	if !admit(0, 1) || !admit(1, 0) {
 		t.Error("what is over still counts")
 	}
@@ -184,7 +184,7 @@
 				ends = now - now%Window + Window
 			}
 			if len(held) > 0 && rapid.Bool().Draw(t, "over") {
-				a.Over(&held[0])
+				a.Release(&held[0])
 				held = held[1:]
 				continue
 			}
@@ -213,7 +213,7 @@
 		now += 700
 		r.Tenant = uint16(now % 100)
 		if _, ok := a.Admit(now, &r); ok {
-			a.Over(&r)
+			a.Release(&r)
 		}
 	}); n != 0 {
 		t.Errorf("%v allocations for a request", n)
@@ -226,7 +226,7 @@
 	for b.Loop() {
 		now += 100
 		if _, ok := a.Admit(now, &r); ok {
-			a.Over(&r)
+			a.Release(&r)
 		}
 	}
 }
--- a/internal/cluster/peers.go
+++ b/internal/cluster/peers.go
@@ -154,11 +154,11 @@
 // pending is a claim that waits for its verdict.
 type pending struct {
 	claim *keylease.Claim
-	what  engine.Claim
+	what  engine.LeaseRequest
 	begun time.Duration
 	asked time.Duration
 	until time.Duration
-	told  func(balancer.Micros, engine.Verdict)
+	told  func(balancer.Micros, engine.LeaseDecision)
 	here  keylease.Answer // what this instance knows by itself
 }
 
@@ -294,13 +294,13 @@
 // now is the modules' time.
 func (h *Host) now() time.Duration { return time.Since(h.began) }
 
-// Claims says whether requests of a class are agreed on. It is an engine.Guard's.
-func (h *Host) Claims(class uint8) bool {
+// Covers says whether requests of a class are agreed on. It is an engine.Guard's.
+func (h *Host) Covers(class uint8) bool {
 	return int(class) < len(h.cfg.Classes) && h.cfg.Classes[class].Sure != Never
 }
 
-// Claim begins to ask for a key.
-func (h *Host) Claim(c engine.Claim, told func(now balancer.Micros, v engine.Verdict)) {
+// Acquire begins to ask for a key.
+func (h *Host) Acquire(c engine.LeaseRequest, told func(now balancer.Micros, v engine.LeaseDecision)) {
 	begin := func() { h.begin(c, told) }
 	select {
 	case h.asks <- begin:
@@ -311,7 +311,7 @@
 }
 
 // Release takes a claim back.
-func (h *Host) Release(c engine.Claim) {
+func (h *Host) Release(c engine.LeaseRequest) {
 	select {
 	case h.asks <- func() { h.release(c) }:
 	default: // the key stays held for a time, which only keeps it in its group
@@ -319,11 +319,11 @@
 }
 
 // unsure is the verdict where no majority has spoken.
-func (h *Host) unsure(class uint8, why string) engine.Verdict {
+func (h *Host) unsure(class uint8, why string) engine.LeaseDecision {
 	if h.cfg.Classes[class].Sure == Always {
-		return engine.Verdict{Kind: engine.Refused, Why: why}
+		return engine.LeaseDecision{Kind: engine.LeaseDenied, Reason: why}
 	}
-	return engine.Verdict{Kind: engine.Clear}
+	return engine.LeaseDecision{Kind: engine.LeaseExclusive}
 }
 
 // Observe counts how an attempt or a probe ended. It is called on the engine's goroutine.
@@ -332,7 +332,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.taken++
-	h.tallies.add(now, serverLife(t.Name, t.Born), t.Started(), s)
+	h.tallies.add(now, serverLife(t.Name, t.StartedMS), t.Started(), s)
 }
 
 func (h *Host) run() {
@@ -376,13 +376,13 @@
 }
 
 // begin asks a key's witnesses for it.
-func (h *Host) begin(c engine.Claim, told func(balancer.Micros, engine.Verdict)) {
+func (h *Host) begin(c engine.LeaseRequest, told func(balancer.Micros, engine.LeaseDecision)) {
 	h.counts.Claims++
 	now := h.now()
 	key := keylease.KeyOf(h.cfg.Classes[c.Class].Name, c.Key)
 	names := keylease.Of(h.cfg.Witnesses, key, witnessesOf)
-	p := &pending{what: c, told: told, begun: now, asked: now, until: min(now+h.cfg.Wait, now+time.Until(c.Until)),
-		claim: keylease.NewClaim(keylease.Ask{Key: key, Owner: h.owner(c.Request), Round: c.Round, Group: c.Group, Hold: h.cfg.Hold, Roll: h.roll}, names)}
+	p := &pending{what: c, told: told, begun: now, asked: now, until: min(now+h.cfg.Wait, now+time.Until(c.Deadline)),
+		claim: keylease.NewClaim(keylease.Ask{Key: key, Owner: h.owner(c.Request), Round: c.Term, Group: c.Group, Hold: h.cfg.Hold, Roll: h.roll}, names)}
 	p.here, _ = h.mine.Ask(now, p.claim.Ask)
 	h.open[c.Request] = p
 	h.ask(now, p)
@@ -418,26 +418,26 @@
 // judge ends a claim if it can be, and in any case if its time is over.
 func (h *Host) judge(now time.Duration, p *pending, over bool) {
 	outcome, group, first := p.claim.State()
-	v := engine.Verdict{Group: group, Since: h.began.Add(first)}
+	v := engine.LeaseDecision{Group: group, Since: h.began.Add(first)}
 	switch {
 	case outcome == keylease.Alone:
 		h.counts.Clear++
 	case outcome == keylease.Bound:
 		h.counts.Shared++
-		v.Kind = engine.Shared
+		v.Kind = engine.LeaseShared
 	case outcome == keylease.Split:
 		// Several asked at once, and none can have a majority: none of them sends.
 		h.counts.Refused++
-		v = engine.Verdict{Kind: engine.Refused, Why: "several ask for the key at once"}
+		v = engine.LeaseDecision{Kind: engine.LeaseDenied, Reason: "several ask for the key at once"}
 	case !over:
 		return
 	case p.claim.Seen():
 		h.counts.Refused++
-		v = engine.Verdict{Kind: engine.Refused, Why: "others hold the key, and no majority of its witnesses says where"}
+		v = engine.LeaseDecision{Kind: engine.LeaseDenied, Reason: "others hold the key, and no majority of its witnesses says where"}
 	case h.cfg.Classes[p.what.Class].Sure == Soon && p.here.Others:
 		// Nobody else answers, but another request with the key went through this instance.
 		h.counts.Shared++
-		v = engine.Verdict{Kind: engine.Shared, Group: p.here.Group, Since: h.began.Add(p.begun - p.here.Age)}
+		v = engine.LeaseDecision{Kind: engine.LeaseShared, Group: p.here.Group, Since: h.began.Add(p.begun - p.here.Age)}
 	default:
 		h.counts.Unsure++
 		v = h.unsure(p.what.Class, "no majority of the key's witnesses answered; one "+p.claim.Why().String())
@@ -447,10 +447,10 @@
 }
 
 // release takes back a claim, answered or not.
-func (h *Host) release(c engine.Claim) {
+func (h *Host) release(c engine.LeaseRequest) {
 	key := keylease.KeyOf(h.cfg.Classes[c.Class].Name, c.Key)
 	delete(h.open, c.Request)
-	r := message.Release{Key: key, Owner: h.owner(c.Request), Round: c.Round}
+	r := message.Release{Key: key, Owner: h.owner(c.Request), Round: c.Term}
 	h.mine.Release(h.now(), r.Key, r.Owner, r.Round)
 	for _, name := range keylease.Of(h.cfg.Witnesses, key, witnessesOf) {
 		if name == h.cfg.Name {
@@ -573,7 +573,7 @@
 	}
 	h.news, h.lives, h.ready, h.leaving = false, map[string]engine.Host{}, nil, nil
 	for _, x := range h.listed {
-		life := serverLife(x.Name, x.BornMS)
+		life := serverLife(x.Name, x.StartedMS)
 		if h.lives[life] = x; x.State == balancer.Ready {
 			h.ready = append(h.ready, life)
 		} else {
@@ -624,7 +624,7 @@
 	h.log.Info("peers: servers are held back that others know to drain", "servers", held)
 	next := &advised{lives: held, starts: map[string]int64{}}
 	for _, life := range held {
-		next.starts[h.lives[life].Name] = h.lives[life].BornMS
+		next.starts[h.lives[life].Name] = h.lives[life].StartedMS
 	}
 	h.advised.Store(next)
 	// The engine may be busy, and this goroutine is waited for by others. What it is told last is
--- a/internal/cluster/peers_test.go
+++ b/internal/cluster/peers_test.go
@@ -74,12 +74,12 @@
 	})
 }
 
-func claim(h *Host, c engine.Claim) <-chan engine.Verdict {
-	out := make(chan engine.Verdict, 1)
-	if c.Until.IsZero() {
-		c.Until = time.Now().Add(time.Minute)
+func claim(h *Host, c engine.LeaseRequest) <-chan engine.LeaseDecision {
+	out := make(chan engine.LeaseDecision, 1)
+	if c.Deadline.IsZero() {
+		c.Deadline = time.Now().Add(time.Minute)
 	}
-	h.Claim(c, func(_ balancer.Micros, v engine.Verdict) { out <- v })
+	h.Acquire(c, func(_ balancer.Micros, v engine.LeaseDecision) { out <- v })
 	return out
 }
 
@@ -88,41 +88,41 @@
 func TestClaims(t *testing.T) {
 	hosts := start(t, 5, func(_ int, c *Config) { c.Keys = [][]byte{bytes.Repeat([]byte{7}, 32)}; c.Hold = 2 * time.Second })
 	meet(t, hosts)
-	first := claim(hosts[0], engine.Claim{Key: "k", Request: 1, Round: 1, Group: "pod 1"})
-	if v := <-first; v.Kind != engine.Clear {
+	first := claim(hosts[0], engine.LeaseRequest{Key: "k", Request: 1, Term: 1, Group: "pod 1"})
+	if v := <-first; v.Kind != engine.LeaseExclusive {
 		t.Fatalf("the first: %+v", v)
 	}
 	began := time.Now()
-	if v := <-claim(hosts[1], engine.Claim{Key: "k", Request: 1, Round: 1, Group: "pod 2"}); v.Kind != engine.Shared || v.Group != "pod 1" || v.Since.After(began) {
+	if v := <-claim(hosts[1], engine.LeaseRequest{Key: "k", Request: 1, Term: 1, Group: "pod 2"}); v.Kind != engine.LeaseShared || v.Group != "pod 1" || v.Since.After(began) {
 		t.Fatalf("another: %+v", v)
 	}
-	if v := <-claim(hosts[1], engine.Claim{Class: 1, Key: "k", Request: 2, Round: 1, Group: "pod 2"}); v.Kind != engine.Clear {
+	if v := <-claim(hosts[1], engine.LeaseRequest{Class: 1, Key: "k", Request: 2, Term: 1, Group: "pod 2"}); v.Kind != engine.LeaseExclusive {
 		t.Fatalf("the same key of another class: %+v", v)
 	}
-	c := engine.Claim{Key: "r", Request: 3, Round: 1, Group: "pod 1"}
-	if v := <-claim(hosts[2], c); v.Kind != engine.Clear {
+	c := engine.LeaseRequest{Key: "r", Request: 3, Term: 1, Group: "pod 1"}
+	if v := <-claim(hosts[2], c); v.Kind != engine.LeaseExclusive {
 		t.Fatalf("a key to be released: %+v", v)
 	}
 	hosts[2].Release(c)
 	wait.Until(t, "the released key is free", func() bool {
-		c := engine.Claim{Key: "r", Request: uint64(time.Now().UnixNano()), Round: 1, Group: "pod 2"}
+		c := engine.LeaseRequest{Key: "r", Request: uint64(time.Now().UnixNano()), Term: 1, Group: "pod 2"}
 		v := <-claim(hosts[3], c)
 		hosts[3].Release(c)
-		return v.Kind == engine.Clear
+		return v.Kind == engine.LeaseExclusive
 	})
 	for n := range 20 {
-		var verdicts []<-chan engine.Verdict
+		var verdicts []<-chan engine.LeaseDecision
 		key := fmt.Sprint("at-once-", n)
 		for i, h := range hosts {
-			verdicts = append(verdicts, claim(h, engine.Claim{Key: key, Request: 100 + uint64(n), Round: 1, Group: fmt.Sprint("pod ", i)}))
+			verdicts = append(verdicts, claim(h, engine.LeaseRequest{Key: key, Request: 100 + uint64(n), Term: 1, Group: fmt.Sprint("pod ", i)}))
 		}
 		alone, groups := 0, map[string]bool{}
 		for i, got := range verdicts {
 			switch v := <-got; v.Kind {
-			case engine.Clear:
+			case engine.LeaseExclusive:
 				alone++
 				groups[fmt.Sprint("pod ", i)] = true
-			case engine.Shared:
+			case engine.LeaseShared:
 				groups[v.Group] = true
 			}
 		}
@@ -136,17 +136,17 @@
 // one that waits only for what is known soon is sent as if nobody had it.
 func TestNobodyAnswers(t *testing.T) {
 	hosts := start(t, 1, func(_ int, c *Config) { c.Witnesses = []string{"i-0", "x", "y"}; c.Wait = 30 * time.Millisecond })
-	if v := <-claim(hosts[0], engine.Claim{Key: "k", Request: 1, Round: 1}); v.Kind != engine.Refused {
+	if v := <-claim(hosts[0], engine.LeaseRequest{Key: "k", Request: 1, Term: 1}); v.Kind != engine.LeaseDenied {
 		t.Errorf("always: %+v", v)
 	}
-	if v := <-claim(hosts[0], engine.Claim{Class: 1, Key: "k", Request: 2, Round: 1}); v.Kind != engine.Clear {
+	if v := <-claim(hosts[0], engine.LeaseRequest{Class: 1, Key: "k", Request: 2, Term: 1}); v.Kind != engine.LeaseExclusive {
 		t.Errorf("soon: %+v", v)
 	}
 	// But what went through the instance itself is known.
-	if v := <-claim(hosts[0], engine.Claim{Class: 1, Key: "k", Request: 3, Round: 1, Group: "pod 3"}); v.Kind != engine.Shared || v.Group != "" {
+	if v := <-claim(hosts[0], engine.LeaseRequest{Class: 1, Key: "k", Request: 3, Term: 1, Group: "pod 3"}); v.Kind != engine.LeaseShared || v.Group != "" {
 		t.Errorf("soon, for the second time: %+v", v)
 	}
-	if hosts[0].Claims(2) || !hosts[0].Claims(0) || hosts[0].Claims(9) {
+	if hosts[0].Covers(2) || !hosts[0].Covers(0) || hosts[0].Covers(9) {
 		t.Error("classes are taken for others")
 	}
 }
@@ -166,11 +166,11 @@
 		n := uint64(0)
 		wait.Until(t, "a refusal for "+why, func() bool {
 			n++
-			v := <-claim(h, engine.Claim{Key: fmt.Sprint("k-", n), Request: n, Round: 1})
-			if v.Kind != engine.Refused {
+			v := <-claim(h, engine.LeaseRequest{Key: fmt.Sprint("k-", n), Request: n, Term: 1})
+			if v.Kind != engine.LeaseDenied {
 				t.Fatalf("%s: %+v", why, v)
 			}
-			return strings.Contains(v.Why, why)
+			return strings.Contains(v.Reason, why)
 		})
 	}
 	refused(hosts[0], "other witnesses")
@@ -189,7 +189,7 @@
 			if i%5 == 0 {
 				s = balancer.Error
 			}
-			h.Observe(&engine.Target{Name: "s-1", Born: born}, s)
+			h.Observe(&engine.Target{Name: "s-1", StartedMS: born}, s)
 		}
 		h.Observe(&engine.Target{Name: "s-1"}, balancer.NotSent)
 	}
@@ -264,7 +264,7 @@
 		d, err := time.ParseDuration(status(t, copied).Quiet)
 		return err == nil && d > 10*time.Second
 	})
-	if v := <-claim(hosts[1], engine.Claim{Key: "k", Request: 1, Round: 1, Group: "pod 1"}); v.Kind != engine.Clear {
+	if v := <-claim(hosts[1], engine.LeaseRequest{Key: "k", Request: 1, Term: 1, Group: "pod 1"}); v.Kind != engine.LeaseExclusive {
 		t.Errorf("beside the copy: %+v", v)
 	}
 }
--- a/internal/emulator/live/live.go
+++ b/internal/emulator/live/live.go
@@ -130,7 +130,7 @@
 		started++
 	}
 	for _, n := range p.nodes { // until all have their list
-		n.engine.Do(func(balancer.Micros) {})
+		n.engine.Call(func(balancer.Micros) {})
 	}
 	sleep(ctx, -p.now())
 	p.lives(ctx)
@@ -166,7 +166,7 @@
 	s, log := p.s, slog.New(slog.DiscardHandler)
 	up := httpupstream.New(httpupstream.Options{DialTimeout: dialTimeout, Idle: keepIdle, Connections: many, Fields: []string{"eps", "queue"}})
 	e, err := engine.New(engines, engine.Options{Settings: s.For(i), Seed: s.Seed<<16 | uint64(i), Zones: s.Sites, Kinds: s.Kinds,
-		Upstream: up, Decide: p.o.Decide, Log: log})
+		Upstream: up, NewDecider: p.o.Decide, Log: log})
 	if err != nil {
 		return err
 	}
@@ -178,13 +178,13 @@
 	front := httpfront.New(e, up, httpfront.Options{Connections: many, Crowded: many, BodyBytes: bodies, AcceptFor: time.Millisecond, Log: log})
 	go func() { served <- front.Serve(fronts, listener) }()
 	p.nodes = append(p.nodes, &node{e, "http://" + listener.Addr().String()})
-	list := engine.List{Whole: true}
+	list := engine.List{Complete: true}
 	for n := range s.Servers {
 		if life := s.Servers[n].Lives[0]; life.From == 0 {
 			list.Hosts = append(list.Hosts, s.Entry(n, life, balancer.Ready, p.servers[n].Addresses[s.Instances[i]], p.began))
 		}
 	}
-	e.Post(func(now balancer.Micros) { e.Tell(now, balancer.ListFull, list) })
+	e.Post(func(now balancer.Micros) { e.UpdateEndpoints(now, balancer.ListFull, list) })
 	return nil
 }
 
@@ -248,7 +248,7 @@
 	for i, node := range p.nodes {
 		p.on(ctx, at+p.s.Late(n, i), func() {
 			list := engine.List{Hosts: []engine.Host{p.s.Entry(n, life, state, server.Addresses[p.s.Instances[i]], p.began)}}
-			node.engine.Do(func(now balancer.Micros) { node.engine.Tell(now, balancer.ListDelta, list) })
+			node.engine.Call(func(now balancer.Micros) { node.engine.UpdateEndpoints(now, balancer.ListDelta, list) })
 			p.mu.Lock()
 			defer p.mu.Unlock()
 			if state == balancer.Ready {
--- a/internal/emulator/plan/plan.go
+++ b/internal/emulator/plan/plan.go
@@ -184,9 +184,9 @@
 // time of the system, or of a host, at the play's start.
 func (s *Scenario) Entry(server int, life Life, state balancer.State, address string, began time.Time) engine.Host {
 	x := &s.Servers[server]
-	h := engine.Host{Name: x.Name, Dial: address, Site: s.Sites[x.Site], Kind: s.Kinds[x.Kind], Cell: uint16(x.Pod), State: state, Share: 1}
+	h := engine.Host{Name: x.Name, Address: address, Site: s.Sites[x.Site], Kind: s.Kinds[x.Kind], Cell: uint16(x.Pod), State: state, Weight: 1}
 	if life.From > 0 {
-		h.BornMS = began.Add(life.From).UnixMilli()
+		h.StartedMS = began.Add(life.From).UnixMilli()
 	}
 	return h
 }
--- a/internal/emulator/play/play.go
+++ b/internal/emulator/play/play.go
@@ -179,7 +179,7 @@
 		return nil, err
 	}
 	n.engine, err = engine.New(ctx, engine.Options{Settings: p.s.For(i), Seed: p.s.Seed<<16 | uint64(life)<<40 | uint64(i), Zones: p.s.Sites, Kinds: p.s.Kinds,
-		Upstream: n, Clock: p, Subset: part, Decide: p.o.Decide, Log: slog.New(slog.DiscardHandler)})
+		Upstream: n, Clock: p, Subset: part, NewDecider: p.o.Decide, Log: slog.New(slog.DiscardHandler)})
 	return n, err
 }
 
@@ -187,7 +187,7 @@
 func (n *node) start() {
 	p := n.p
 	n.engine.Start()
-	list := engine.List{Whole: true}
+	list := engine.List{Complete: true}
 	for _, h := range p.hosts {
 		life, state, ok := h.known(n)
 		if !ok {
@@ -198,7 +198,7 @@
 		}
 		list.Hosts = append(list.Hosts, p.s.Entry(h.number, life, state, h.address, began))
 	}
-	n.post(func(now balancer.Micros) { n.engine.Tell(now, balancer.ListFull, list) })
+	n.post(func(now balancer.Micros) { n.engine.UpdateEndpoints(now, balancer.ListFull, list) })
 }
 
 // kill ends an instance: its connections break, and clients with a request there come again where that is safe.
@@ -271,20 +271,20 @@
 	p.result.Tries++
 	r := &request{p: p, try: t, n: t.Tries, node: p.nodes[t.Instance]}
 	r.node.open[r] = true
-	r.out = engine.Request{Carrier: r, Answer: func(a engine.Answer) {
+	r.out = engine.Request{Carrier: r, Respond: func(a engine.Response) {
 		r.end(a.Code, time.Duration(a.RetryAfter)*time.Microsecond)
 	}}
 	p.watch(trace.Event{Kind: trace.Ask, Number: t.Number, Try: r.n, Instance: t.Instance + 1, Class: t.Class + 1})
 	patience := p.s.Patience(t)
 	r.node.post(func(now balancer.Micros) {
-		r.node.engine.Take(now, &r.out, balancer.Request{Class: uint8(t.Class), Key: t.Subject, Tenant: uint16(t.Tenant), ClientRetry: r.n > 1,
+		r.node.engine.Submit(now, &r.out, balancer.Request{Class: uint8(t.Class), Key: t.Subject, Tenant: uint16(t.Tenant), ClientRetry: r.n > 1,
 			Deadline: now + patience.Microseconds(), WorkHint: t.Hint, HasWorkHint: true})
 	})
 	if p.s.Clients.GiveUp > 0 && !r.over {
 		p.in(p.s.Clients.GiveUp, func() {
 			if !r.over {
 				r.end(plan.CodeGone, 0)
-				r.node.post(func(now balancer.Micros) { r.node.engine.Gone(now, &r.out) })
+				r.node.post(func(now balancer.Micros) { r.node.engine.ClientDisconnected(now, &r.out) })
 			}
 		})
 	}
@@ -367,8 +367,8 @@
 // probeTimeout is how long an instance waits for a probe's answer.
 const probeTimeout = 400 * time.Millisecond
 
-// Carry is not used: requests are their own carriers.
-func (n *node) Carry(*engine.Message) engine.Carrier { return nil }
+// NewCarrier is not used: requests are their own carriers.
+func (n *node) NewCarrier(*engine.Message) engine.Carrier { return nil }
 
 // Retire closes a target's idle connections.
 func (n *node) Retire(t *engine.Target) {
@@ -533,8 +533,8 @@
 	c.end(res)
 }
 
-// Attempt starts an attempt: the request is its own carrier.
-func (r *request) Attempt(a *engine.Attempt) {
+// Send starts an attempt: the request is its own carrier.
+func (r *request) Send(a *engine.Attempt) {
 	p, n := r.p, r.node
 	if n.dead { // what its timers ask for
 		a.Stop = func() {}
@@ -549,12 +549,12 @@
 	e.Kind = trace.Send
 	p.watch(e)
 	p.number++
-	c := &call{n: n, host: h, target: a.Target, number: p.number, until: a.UntilTime().Sub(began)}
+	c := &call{n: n, host: h, target: a.Target, number: p.number, until: a.DeadlineTime().Sub(began)}
 	c.arrive = func() { h.arrive(c, r.try) }
 	c.end = func(res engine.Result) {
 		e.Kind, e.Code = trace.End, int(res.Status)
 		p.watch(e)
-		a.Done(res)
+		a.PostResult(res)
 	}
 	a.Stop = func() { p.in(0, func() { c.stop(balancer.Cancelled) }) }
 	p.in(0, c.start)
@@ -579,7 +579,7 @@
 		}
 	}
 	c.end = func(res engine.Result) {
-		res.Took = p.now - c.at
+		res.Duration = p.now - c.at
 		told(res)
 	}
 	p.in(0, c.start)
@@ -636,7 +636,7 @@
 			}
 			p.watch(trace.Event{Kind: trace.Member, Instance: n.number + 1, Server: h.number + 1, Code: int(s)})
 			list := engine.List{Hosts: []engine.Host{p.s.Entry(h.number, life, s, h.address, began)}}
-			n.post(func(now balancer.Micros) { n.engine.Tell(now, balancer.ListDelta, list) })
+			n.post(func(now balancer.Micros) { n.engine.UpdateEndpoints(now, balancer.ListDelta, list) })
 		})
 	}
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -26,16 +26,16 @@
 // A Carrier carries out the attempts of one request. Both methods are called on
 // the engine's goroutine and must not block, nor call back into the engine.
 type Carrier interface {
-	// Attempt starts an attempt. Done or End must be called for it exactly once.
-	Attempt(*Attempt)
+	// Send starts an attempt. Done or End must be called for it exactly once.
+	Send(*Attempt)
 	// Cancel gives an attempt up. Its end is still told.
 	Cancel(*Attempt)
 }
 
 // An Upstream sends requests to endpoints itself, and keeps connections there.
 type Upstream interface {
-	// Carry returns a carrier for one request.
-	Carry(*Message) Carrier
+	// NewCarrier returns a carrier for one request.
+	NewCarrier(*Message) Carrier
 	// Probe asks an endpoint for its load, and must not block. told is called exactly
 	// once, and not from within Probe.
 	Probe(ctx context.Context, t *Target, told func(Result))
@@ -63,9 +63,9 @@
 	Header http.Header // X-Time-Left-Ms is written for each attempt
 	Body   []byte
 
-	// Wanted ends once nobody waits for an answer any more: what has not been written by
+	// Context ends once nobody waits for an answer any more: what has not been written by
 	// then is not, whatever the settings say of calling attempts off. nil is always wanted.
-	Wanted context.Context
+	Context context.Context
 }
 
 // Result is what came of an attempt or a probe.
@@ -76,11 +76,11 @@
 	Header   http.Header   // of a whole answer 200, as is Body
 	Body     []byte        // at most httpmsg.BodyMost bytes
 	Load     []float32     // in the order of the settings' fields; NaN where unknown
-	Took     time.Duration // of a probe: from the write to the end, without the time to connect
+	Duration time.Duration // of a probe: from the write to the end, without the time to connect
 }
 
-// Answer is the final answer to a request.
-type Answer struct {
+// Response is the final answer to a request.
+type Response struct {
 	Code       int             // 200 served; 503 refused: a retry is harmless; 502 failed
 	RetryAfter balancer.Micros // 0: no advice
 	Header     http.Header
@@ -105,8 +105,8 @@
 type Admission interface {
 	// Admit lets a request in, or says after which time another try is welcome.
 	Admit(now balancer.Micros, in *balancer.Request) (retryAfter balancer.Micros, ok bool)
-	// Over follows once the request has its final answer, or its client is gone.
-	Over(in *balancer.Request)
+	// Release follows once the request has its final answer, or its client is gone.
+	Release(in *balancer.Request)
 }
 
 // Subset decides which servers of a fleet are held. All of it is called on the engine's
@@ -114,17 +114,17 @@
 type Subset interface {
 	Add(subset.Server)
 	Remove(name string)
-	// Load and Outcome tell of requests in flight and of answers; each says whether Choose
+	// ObserveLoad and Outcome tell of requests in flight and of answers; each says whether Choose
 	// would choose otherwise now.
-	Load(now time.Time, inflight float64) bool
-	Outcome(name string, answered bool) bool
-	// Choose returns servers that are held from now on, and those that are no longer.
-	Choose() (added, removed []string)
-	Has(name string) bool
+	ObserveLoad(now time.Time, inflight float64) bool
+	ObserveOutcome(name string, answered bool) bool
+	// Select returns servers that are held from now on, and those that are no longer.
+	Select() (added, removed []string)
+	Contains(name string) bool
 }
 
-// Table is what may change of an engine's settings while it runs.
-type Table struct {
+// RuntimeSettings is what may change of an engine's settings while it runs.
+type RuntimeSettings struct {
 	Classes []balancer.Class // numbers of before mean the same classes
 	Budgets []balancer.RetryBudget
 	Pools   func(site, kind string) uint64 // that a server is in, one bit for each; nil for none
@@ -132,18 +132,18 @@
 
 // Options are an engine's surroundings.
 type Options struct {
-	Settings balancer.Settings
-	Seed     uint64
-	Zones    []string // names of sites, by the numbers that the balancer uses
-	Kinds    []string // names of kinds of machine, likewise
-	Known    List     // the last list held, perhaps old
-	Upstream Upstream
-	Source   Source
-	Log      *slog.Logger
+	Settings   balancer.Settings
+	Seed       uint64
+	Zones      []string // names of sites, by the numbers that the balancer uses
+	Kinds      []string // names of kinds of machine, likewise
+	CachedList List     // the last list held, perhaps old
+	Upstream   Upstream
+	Source     Source
+	Log        *slog.Logger
 
 	Admission Admission // nil lets all in
 	Subset    Subset    // of the fleet that the balancer is told of; nil for all of it
-	Guard     Guard     // of keyed requests; nil where each instance decides alone
+	KeyLeases KeyLeases // of keyed requests; nil where each instance decides alone
 	// Observe is told how each attempt and probe of a server has ended, on the engine's
 	// goroutine; nil where nobody listens.
 	Observe func(t *Target, s balancer.Status)
@@ -153,10 +153,10 @@
 	// calls Start and all else, Post handles an event at once, and Tell stands in for
 	// Source, which may be nil.
 	Clock Clock
-	// Decide, where set, makes what decides in place of balancer.New.
-	Decide func(balancer.Settings, uint64, balancer.Actions) (Decider, error)
-	// Wrap, where set, stands between the engine and its balancer.
-	Wrap func(Decider) Decider
+	// NewDecider, where set, makes what decides in place of balancer.New.
+	NewDecider func(balancer.Settings, uint64, balancer.Actions) (Decider, error)
+	// WrapDecider, where set, stands between the engine and its balancer.
+	WrapDecider func(Decider) Decider
 }
 
 // Engine runs one balancer. Make one with New and start Run in a goroutine.
@@ -201,7 +201,7 @@
 		e.clock.Clock, e.events = system{}, make(chan func(balancer.Micros), eventsMost)
 	}
 	e.clock.base = e.clock.Now()
-	decide := o.Decide
+	decide := o.NewDecider
 	if decide == nil {
 		decide = func(s balancer.Settings, seed uint64, a balancer.Actions) (Decider, error) {
 			return balancer.New(s, seed, a)
@@ -211,8 +211,8 @@
 	if e.balancer, err = decide(o.Settings, o.Seed, (*actions)(e)); err != nil {
 		return nil, err
 	}
-	if o.Wrap != nil {
-		e.balancer = o.Wrap(e.balancer)
+	if o.WrapDecider != nil {
+		e.balancer = o.WrapDecider(e.balancer)
 	}
 	return e, nil
 }
@@ -221,8 +221,8 @@
 func (e *Engine) Start() {
 	now := e.clock.now()
 	e.balancer.Start(now)
-	if len(e.opts.Known.Hosts) > 0 {
-		e.members(now, balancer.ListCached, e.opts.Known)
+	if len(e.opts.CachedList.Hosts) > 0 {
+		e.members(now, balancer.ListCached, e.opts.CachedList)
 	}
 	if !e.opts.Settings.PollDiscovery {
 		e.watch(true)
@@ -257,7 +257,7 @@
 		return
 	}
 	e.inflight += inflightWeight * (float64(len(e.requests)) - e.inflight)
-	if e.opts.Subset.Load(e.clock.Now(), e.inflight) {
+	if e.opts.Subset.ObserveLoad(e.clock.Now(), e.inflight) {
 		e.choose(e.clock.now())
 		e.settle()
 	}
@@ -283,15 +283,15 @@
 // Now is the balancer's time.
 func (e *Engine) Now() balancer.Micros { return e.clock.now() }
 
-// Time is the system's time at an instant of the balancer's.
-func (e *Engine) Time(at balancer.Micros) time.Time { return e.clock.time(at) }
+// WallTime is the system's time at an instant of the balancer's.
+func (e *Engine) WallTime(at balancer.Micros) time.Time { return e.clock.time(at) }
 
 // Settings are the balancer's, as they are now. They must not be changed.
 func (e *Engine) Settings() *balancer.Settings { return e.settings.Load() }
 
 // Configure changes classes, budgets and pools, and nothing if it returns an error.
 // Requests in hand keep their classes. It must be called on the engine's goroutine.
-func (e *Engine) Configure(now balancer.Micros, t Table) error {
+func (e *Engine) Configure(now balancer.Micros, t RuntimeSettings) error {
 	if err := e.balancer.Configure(t.Classes, t.Budgets); err != nil {
 		return err
 	}
@@ -310,15 +310,15 @@
 	return nil
 }
 
-// Listed says whether an endpoint is known that requests may go to.
-func (e *Engine) Listed() bool { return e.listed.Load() }
+// HasEndpoints says whether an endpoint is known that requests may go to.
+func (e *Engine) HasEndpoints() bool { return e.listed.Load() }
 
 // Post hands an event to the engine's goroutine, and waits for room. It must not
 // be called from there.
-func (e *Engine) Post(event func(now balancer.Micros)) { e.PostUnless(nil, event) }
+func (e *Engine) Post(event func(now balancer.Micros)) { e.PostUntil(nil, event) }
 
-// PostUnless is Post, given up once done is closed. It says whether the event was posted.
-func (e *Engine) PostUnless(done <-chan struct{}, event func(now balancer.Micros)) bool {
+// PostUntil is Post, given up once done is closed. It says whether the event was posted.
+func (e *Engine) PostUntil(done <-chan struct{}, event func(now balancer.Micros)) bool {
 	if e.opts.Clock != nil {
 		e.handle(event)
 		return true
@@ -332,9 +332,9 @@
 	return false
 }
 
-// Do has an event run on the engine's goroutine, and waits for its end, or the
+// Call has an event run on the engine's goroutine, and waits for its end, or the
 // engine's. It must not be called from there.
-func (e *Engine) Do(event func(now balancer.Micros)) {
+func (e *Engine) Call(event func(now balancer.Micros)) {
 	done := make(chan struct{})
 	e.Post(func(now balancer.Micros) {
 		event(now)
@@ -360,19 +360,19 @@
 	}
 }
 
-// Soon runs an event on the engine's goroutine after the present one, which is
+// Defer runs an event on the engine's goroutine after the present one, which is
 // where it must be called. Carriers use it to tell an end from within their calls.
-func (e *Engine) Soon(event func(now balancer.Micros)) { e.soon = append(e.soon, event) }
+func (e *Engine) Defer(event func(now balancer.Micros)) { e.soon = append(e.soon, event) }
 
 // After posts an event after a while. It may be called from anywhere.
 func (e *Engine) After(delay time.Duration, event func(now balancer.Micros)) {
 	e.clock.AfterFunc(delay, func() { e.Post(event) })
 }
 
-// Move watches another source from now on. Its list is asked for whole, since
+// SwitchSource watches another source from now on. Its list is asked for whole, since
 // versions are the old one's. Requests in hand and what the balancer knows stay.
 // It must be called on the engine's goroutine.
-func (e *Engine) Move(next Source) {
+func (e *Engine) SwitchSource(next Source) {
 	old := e.source
 	e.source, e.seq = next, nil
 	e.watch(true)
@@ -390,6 +390,6 @@
 	}
 }
 
-// Held counts what the engine holds: requests in its ledger, and endpoints that
+// Counts counts what the engine holds: requests in its ledger, and endpoints that
 // are listed or have something out. It must be called on the engine's goroutine.
-func (e *Engine) Held() (requests, endpoints int) { return len(e.requests), len(e.fleet) }
+func (e *Engine) Counts() (requests, endpoints int) { return len(e.requests), len(e.fleet) }
--- a/internal/engine/guard.go
+++ b/internal/engine/guard.go
@@ -9,49 +9,49 @@
 	"pinedale/balancer"
 )
 
-// Guard agrees with other instances where a keyed request may go, before it is sent. Its
+// KeyLeases agrees with other instances where a keyed request may go, before it is sent. Its
 // methods are called on the engine's goroutine, must not block and not call back from within.
-type Guard interface {
-	// Claims says whether requests of a class are agreed on.
-	Claims(class uint8) bool
-	// Claim asks for a request's key in a group of servers. told is called once, by a call of
+type KeyLeases interface {
+	// Covers says whether requests of a class are agreed on.
+	Covers(class uint8) bool
+	// Acquire asks for a request's key in a group of servers. told is called once, by a call of
 	// Engine.Post of its own.
-	Claim(c Claim, told func(now balancer.Micros, v Verdict))
+	Acquire(c LeaseRequest, told func(now balancer.Micros, v LeaseDecision))
 	// Release tells that nothing sent for this claim can have run, and nothing will be sent.
-	Release(c Claim)
+	Release(c LeaseRequest)
 }
 
-// Claim names a request's key, and the group that it is to go to.
-type Claim struct {
-	Class   uint8
-	Key     string // idempotency key
-	Request uint64 // number of the request, which no other has at this instance
-	Round   uint64 // of the request's claims, from 1; a later one takes back those before it
-	Group   string
-	Until   time.Time // when an answer is of no more use
+// LeaseRequest names a request's key, and the group that it is to go to.
+type LeaseRequest struct {
+	Class    uint8
+	Key      string // idempotency key
+	Request  uint64 // number of the request, which no other has at this instance
+	Term     uint64 // of the request's claims, from 1; a later one takes back those before it
+	Group    string
+	Deadline time.Time // when an answer is of no more use
 }
 
-// Verdict is what came of a claim.
-type Verdict struct {
-	Kind  VerdictKind
-	Group string    // of Shared: where the request may go
-	Since time.Time // of Shared: no attempt of another's is older
-	Why   string    // of Refused
+// LeaseDecision is what came of a claim.
+type LeaseDecision struct {
+	Kind   LeaseOutcome
+	Group  string    // of Shared: where the request may go
+	Since  time.Time // of Shared: no attempt of another's is older
+	Reason string    // of Refused
 }
 
-// VerdictKind says what a verdict is.
-type VerdictKind uint8
+// LeaseOutcome says what a verdict is.
+type LeaseOutcome uint8
 
 // The kinds of verdict.
 const (
-	Clear   VerdictKind = iota // nobody else has sent the request: it may go
-	Shared                     // another may have: it may go to Group, as one that may have run
-	Refused                    // it can't be told, and must not be sent
+	LeaseExclusive LeaseOutcome = iota // nobody else has sent the request: it may go
+	LeaseShared                        // another may have: it may go to Group, as one that may have run
+	LeaseDenied                        // it can't be told, and must not be sent
 )
 
 // claimed is what an engine knows of a request's claim.
 type claimed struct {
-	Claim
+	LeaseRequest
 	settled bool // it may be sent to the claim's group
 	parked  *Attempt
 }
@@ -90,8 +90,8 @@
 // guarded parks an attempt whose key is not claimed yet for the group of its server. It
 // returns false where nothing has to be agreed on.
 func (e *Engine) guarded(r *Request, a *Attempt) bool {
-	g := e.opts.Guard
-	if g == nil || r.Key == "" || !g.Claims(r.in.Class) {
+	g := e.opts.KeyLeases
+	if g == nil || r.Key == "" || !g.Covers(r.in.Class) {
 		return false
 	}
 	group := e.groupOf(&e.Settings().Classes[r.in.Class], a.Zone, a.Cell)
@@ -101,26 +101,26 @@
 	if r.claim != nil && r.claim.parked != nil {
 		// A second copy while the first waits to be sent at all: there is nothing to copy yet.
 		a.parked = true
-		e.Soon(func(now balancer.Micros) { a.End(now, Result{Status: balancer.NotSent}) })
+		e.Defer(func(now balancer.Micros) { a.Complete(now, Result{Status: balancer.NotSent}) })
 		return true
 	}
 	// The module sends to another group only where nothing sent to this one can have run: the
 	// next round takes the claim back.
 	round := uint64(1)
 	if r.claim != nil {
-		round = r.claim.Round + 1
+		round = r.claim.Term + 1
 	} else {
 		r.first = r.id
 	}
-	r.claim = &claimed{Claim: Claim{Class: r.in.Class, Key: r.Key, Request: r.first, Round: round, Group: group, Until: a.UntilTime()}, parked: a}
+	r.claim = &claimed{LeaseRequest: LeaseRequest{Class: r.in.Class, Key: r.Key, Request: r.first, Term: round, Group: group, Deadline: a.DeadlineTime()}, parked: a}
 	a.parked = true
 	claim := r.claim
-	g.Claim(claim.Claim, func(now balancer.Micros, v Verdict) { e.agreed(now, r, claim, v) })
+	g.Acquire(claim.LeaseRequest, func(now balancer.Micros, v LeaseDecision) { e.agreed(now, r, claim, v) })
 	return true
 }
 
 // agreed goes on with an attempt that was parked.
-func (e *Engine) agreed(now balancer.Micros, r *Request, c *claimed, v Verdict) {
+func (e *Engine) agreed(now balancer.Micros, r *Request, c *claimed, v LeaseDecision) {
 	a := c.parked
 	c.parked = nil
 	if r.claim != c {
@@ -128,19 +128,19 @@
 	}
 	a.parked = false
 	switch {
-	case v.Kind == Clear:
+	case v.Kind == LeaseExclusive:
 		c.settled = true
 		e.unpark(now, r, a)
-	case v.Kind == Shared && r.in.MayHaveRun && v.Group == c.Group:
+	case v.Kind == LeaseShared && r.in.MayHaveRun && v.Group == c.Group:
 		// The module has taken it for one that may have run already, perhaps from longer ago.
 		c.settled = true
 		e.unpark(now, r, a)
-	case v.Kind == Shared:
+	case v.Kind == LeaseShared:
 		c.settled, c.Group = true, v.Group
 		e.restate(now, r, a, v)
 	default:
-		e.log.Debug("a keyed request is not sent", "reason", v.Why)
-		e.finish(r, Answer{Code: http.StatusBadGateway})
+		e.log.Debug("a keyed request is not sent", "reason", v.Reason)
+		e.finish(r, Response{Code: http.StatusBadGateway})
 		e.discard(now, r, a)
 	}
 }
@@ -148,8 +148,8 @@
 // unpark sends what was parked, unless its time is over, nobody waits for an answer any more
 // or its server must have nothing new.
 func (e *Engine) unpark(now balancer.Micros, r *Request, a *Attempt) {
-	if r.over || now >= a.By || a.Target == nil || a.Target.Closed() {
-		a.End(now, Result{Status: balancer.NotSent})
+	if r.over || now >= a.SendBy || a.Target == nil || a.Target.Closed() {
+		a.Complete(now, Result{Status: balancer.NotSent})
 		return
 	}
 	r.hand(a)
@@ -158,7 +158,7 @@
 // hand gives an attempt to the request's carrier.
 func (r *Request) hand(a *Attempt) {
 	r.handed++
-	r.Carrier.Attempt(a)
+	r.Carrier.Send(a)
 }
 
 // discard ends a request for the module together with its one attempt, that was never sent.
@@ -173,14 +173,14 @@
 
 // restate has the module decide anew on a request of which it has turned out that another
 // instance may have sent it: as one of which an attempt may have run before it was taken.
-func (e *Engine) restate(now balancer.Micros, r *Request, a *Attempt, v Verdict) {
+func (e *Engine) restate(now balancer.Micros, r *Request, a *Attempt, v LeaseDecision) {
 	// Attempts that never ran count, too, against those that the request may have.
 	most := e.Settings().Limits.MaxAttempts
 	if r.in.MaxAttempts > 0 {
 		most = min(most, r.in.MaxAttempts)
 	}
 	if r.handed >= most {
-		e.finish(r, Answer{Code: http.StatusBadGateway})
+		e.finish(r, Response{Code: http.StatusBadGateway})
 		e.discard(now, r, a)
 		return
 	}
@@ -202,7 +202,7 @@
 func (e *Engine) release(r *Request) {
 	if c := r.claim; c != nil {
 		if r.claim = nil; !r.ran {
-			e.opts.Guard.Release(c.Claim)
+			e.opts.KeyLeases.Release(c.LeaseRequest)
 		}
 	}
 }
--- a/internal/engine/guard_test.go
+++ b/internal/engine/guard_test.go
@@ -15,19 +15,19 @@
 
 // scriptedGuard keeps what it is asked, and tells when a test says so.
 type scriptedGuard struct {
-	claims   []Claim
-	told     []func(balancer.Micros, Verdict)
-	released []Claim
+	claims   []LeaseRequest
+	told     []func(balancer.Micros, LeaseDecision)
+	released []LeaseRequest
 }
 
-func (g *scriptedGuard) Claims(class uint8) bool { return class == 0 }
-func (g *scriptedGuard) Claim(c Claim, told func(balancer.Micros, Verdict)) {
+func (g *scriptedGuard) Covers(class uint8) bool { return class == 0 }
+func (g *scriptedGuard) Acquire(c LeaseRequest, told func(balancer.Micros, LeaseDecision)) {
 	g.claims, g.told = append(g.claims, c), append(g.told, told)
 }
-func (g *scriptedGuard) Release(c Claim) { g.released = append(g.released, c) }
+func (g *scriptedGuard) Release(c LeaseRequest) { g.released = append(g.released, c) }
 
 // tell gives a verdict as an event of its own.
-func (g *scriptedGuard) tell(e *Engine, n int, v Verdict) {
+func (g *scriptedGuard) tell(e *Engine, n int, v LeaseDecision) {
 	e.Post(func(now balancer.Micros) { g.told[n](now, v) })
 }
 
@@ -35,7 +35,7 @@
 // repeats of.
 func guardedEngine(t testing.TB) (*Engine, *plainUpstream, *scriptedGuard, *steps) {
 	up, g, clock := &plainUpstream{}, &scriptedGuard{}, &steps{at: time.Unix(1_000_000_000, 0)}
-	e, err := New(context.Background(), Options{Zones: []string{"a", "b"}, Upstream: up, Clock: clock, Guard: g, Log: slog.New(slog.DiscardHandler),
+	e, err := New(context.Background(), Options{Zones: []string{"a", "b"}, Upstream: up, Clock: clock, KeyLeases: g, Log: slog.New(slog.DiscardHandler),
 		Settings: balancer.Settings{Balancers: 1, Zones: 2, Limits: balancer.Limits{Cancel: true, MaxAttempts: 3, MaxOpen: 100},
 			Classes:  []balancer.Class{{Name: "pay", Idempotency: balancer.IdempotentWithKey, Group: balancer.GroupCell, DedupWindow: 12_000_000, LatencyObjective: 600_000, ClientTimeout: 3_000_000, PriorityWeight: 1}},
 			Contract: balancer.Contract{SlowStartRatio: 0.3, OverloadMultiple: 2.5}}})
@@ -46,18 +46,18 @@
 	e.Post(func(now balancer.Micros) {
 		var list List
 		for n := range 4 {
-			list.Hosts = append(list.Hosts, Host{Name: fmt.Sprint("s-", n), Dial: fmt.Sprintf("127.0.0.1:%d", n+1), Site: "a", Cell: uint16(n % 2), Share: 1})
+			list.Hosts = append(list.Hosts, Host{Name: fmt.Sprint("s-", n), Address: fmt.Sprintf("127.0.0.1:%d", n+1), Site: "a", Cell: uint16(n % 2), Weight: 1})
 		}
-		list.Whole = true
-		e.Tell(now, balancer.ListFull, list)
+		list.Complete = true
+		e.UpdateEndpoints(now, balancer.ListFull, list)
 	})
 	return e, up, g, clock
 }
 
-func ask(e *Engine, up *plainUpstream, key string) (*Request, *[]Answer) {
-	var got []Answer
-	r := &Request{Key: key, Carrier: up, Answer: func(a Answer) { got = append(got, a) }}
-	e.Post(func(now balancer.Micros) { e.Take(now, r, balancer.Request{Deadline: now + 3_000_000}) })
+func ask(e *Engine, up *plainUpstream, key string) (*Request, *[]Response) {
+	var got []Response
+	r := &Request{Key: key, Carrier: up, Respond: func(a Response) { got = append(got, a) }}
+	e.Post(func(now balancer.Micros) { e.Submit(now, r, balancer.Request{Deadline: now + 3_000_000}) })
 	return r, &got
 }
 
@@ -65,14 +65,14 @@
 func TestNothingIsSentBeforeTheVerdict(t *testing.T) {
 	e, up, g, _ := guardedEngine(t)
 	_, got := ask(e, up, "k")
-	if len(up.attempts) != 0 || len(g.claims) != 1 || g.claims[0].Key != "k" || g.claims[0].Round != 1 {
+	if len(up.attempts) != 0 || len(g.claims) != 1 || g.claims[0].Key != "k" || g.claims[0].Term != 1 {
 		t.Fatalf("%d attempts, claims %+v", len(up.attempts), g.claims)
 	}
-	g.tell(e, 0, Verdict{Kind: Clear})
+	g.tell(e, 0, LeaseDecision{Kind: LeaseExclusive})
 	if len(up.attempts) != 1 || fmt.Sprint("pod ", up.attempts[0].Cell) != g.claims[0].Group {
 		t.Fatalf("%d attempts", len(up.attempts))
 	}
-	up.attempts[0].Done(Result{Status: balancer.OK})
+	up.attempts[0].PostResult(Result{Status: balancer.OK})
 	if len(*got) != 1 || (*got)[0].Code != http.StatusOK || len(g.released) != 0 {
 		t.Errorf("answers %+v, released %v: what has run stays claimed", *got, g.released)
 	}
@@ -85,13 +85,13 @@
 		if g.claims[asked].Group == other {
 			other = "pod 1"
 		}
-		g.tell(e, asked, Verdict{Kind: Shared, Group: other, Since: e.clock.Now()})
+		g.tell(e, asked, LeaseDecision{Kind: LeaseShared, Group: other, Since: e.clock.Now()})
 		for n := from; n < len(up.attempts) && n < from+3; n++ {
 			a := up.attempts[n]
 			if fmt.Sprint("pod ", a.Cell) != other {
 				t.Fatalf("attempt %d went to pod %d", n, a.Cell)
 			}
-			a.Done(Result{Status: balancer.Error})
+			a.PostResult(Result{Status: balancer.Error})
 		}
 		if len(up.attempts) == from || len(g.claims) != asked+1 || len(*got) != 1 || (*got)[0].Code != http.StatusBadGateway {
 			t.Errorf("%d attempts, %d claims, answers %+v", len(up.attempts)-from, len(g.claims)-asked, *got)
@@ -100,7 +100,7 @@
 	// Nobody can tell.
 	n := len(up.attempts)
 	_, got = ask(e, up, "m")
-	g.tell(e, len(g.claims)-1, Verdict{Kind: Refused})
+	g.tell(e, len(g.claims)-1, LeaseDecision{Kind: LeaseDenied})
 	if len(up.attempts) != n || len(*got) != 1 || (*got)[0].Code != http.StatusBadGateway || len(g.released) != 1 {
 		t.Errorf("%d attempts more, answers %+v, released %v", len(up.attempts)-n, *got, g.released)
 	}
@@ -115,9 +115,9 @@
 		for n := range 4 {
 			list.Hosts = append(list.Hosts, Host{Name: fmt.Sprint("s-", n), Cell: uint16(n % 2), Site: "a", State: balancer.Draining})
 		}
-		e.Tell(now, balancer.ListDelta, list)
+		e.UpdateEndpoints(now, balancer.ListDelta, list)
 	})
-	g.tell(e, 0, Verdict{Kind: Clear})
+	g.tell(e, 0, LeaseDecision{Kind: LeaseExclusive})
 	if len(up.attempts) != 0 {
 		t.Error("it was sent to a server that drains")
 	}
@@ -131,7 +131,7 @@
 		e, up, g, clock := guardedEngine(nil)
 		type asked struct {
 			r    *Request
-			got  *[]Answer
+			got  *[]Response
 			key  string
 			gone bool
 		}
@@ -169,13 +169,13 @@
 					if !told[n] && rapid.Bool().Draw(t, "this") {
 						told[n] = true
 						c := g.claims[n]
-						v := Verdict{Kind: rapid.SampledFrom([]VerdictKind{Clear, Clear, Shared, Refused}).Draw(t, "verdict"), Since: clock.at}
+						v := LeaseDecision{Kind: rapid.SampledFrom([]LeaseOutcome{LeaseExclusive, LeaseExclusive, LeaseShared, LeaseDenied}).Draw(t, "verdict"), Since: clock.at}
 						group := c.Group
-						if v.Kind == Shared {
+						if v.Kind == LeaseShared {
 							v.Group = rapid.SampledFrom([]string{"pod 0", "pod 1", "pod 7", "what?"}).Draw(t, "pod")
 							group = v.Group
 						}
-						if v.Kind != Refused {
+						if v.Kind != LeaseDenied {
 							granted[c.Key] = map[string]bool{group: true} // a later round takes the earlier back
 						}
 						g.tell(e, n, v)
@@ -190,7 +190,7 @@
 						if s != balancer.Full && s != balancer.ConnectFailed {
 							ran[a.request.Key] = true
 						}
-						a.Done(Result{Status: s})
+						a.PostResult(Result{Status: s})
 						break
 					}
 				}
@@ -198,7 +198,7 @@
 				if len(requests) > 0 {
 					q := &requests[rapid.IntRange(0, len(requests)-1).Draw(t, "which")]
 					q.gone = q.gone || len(*q.got) == 0
-					e.Post(func(now balancer.Micros) { e.Gone(now, q.r) })
+					e.Post(func(now balancer.Micros) { e.ClientDisconnected(now, q.r) })
 				}
 			case "time":
 				clock.at = clock.at.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond)
@@ -209,9 +209,9 @@
 				}
 			case "list":
 				n := rapid.IntRange(0, 3).Draw(t, "server")
-				h := Host{Name: fmt.Sprint("s-", n), Dial: fmt.Sprintf("127.0.0.1:%d", n+1), Site: "a", Cell: uint16(n % 2), Share: 1,
+				h := Host{Name: fmt.Sprint("s-", n), Address: fmt.Sprintf("127.0.0.1:%d", n+1), Site: "a", Cell: uint16(n % 2), Weight: 1,
 					State: rapid.SampledFrom([]balancer.State{balancer.Ready, balancer.Draining}).Draw(t, "state")}
-				e.Post(func(now balancer.Micros) { e.Tell(now, balancer.ListDelta, List{Hosts: []Host{h}}) })
+				e.Post(func(now balancer.Micros) { e.UpdateEndpoints(now, balancer.ListDelta, List{Hosts: []Host{h}}) })
 			}
 			check()
 		}
@@ -227,12 +227,12 @@
 		for n := range up.attempts {
 			if !ended[n] {
 				ran[up.attempts[n].request.Key] = true
-				up.attempts[n].Done(Result{Status: balancer.Cancelled})
+				up.attempts[n].PostResult(Result{Status: balancer.Cancelled})
 			}
 		}
 		for n := range g.claims {
 			if !told[n] {
-				g.tell(e, n, Verdict{Kind: Clear}) // far too late
+				g.tell(e, n, LeaseDecision{Kind: LeaseExclusive}) // far too late
 			}
 		}
 		check()
@@ -252,7 +252,7 @@
 				t.Fatalf("%s cannot have run, and is still claimed", q.key)
 			}
 		}
-		if n, _ := e.Held(); n != 0 {
+		if n, _ := e.Counts(); n != 0 {
 			t.Fatalf("%d requests are left over", n)
 		}
 	})
@@ -263,12 +263,12 @@
 func TestClientLeavesWhileParked(t *testing.T) {
 	e, up, g, _ := guardedEngine(t)
 	r, got := ask(e, up, "k")
-	e.Post(func(now balancer.Micros) { e.Gone(now, r) })
-	g.tell(e, 0, Verdict{Kind: Clear})
+	e.Post(func(now balancer.Micros) { e.ClientDisconnected(now, r) })
+	g.tell(e, 0, LeaseDecision{Kind: LeaseExclusive})
 	if len(up.attempts) != 0 || len(*got) != 0 || len(g.released) != 1 {
 		t.Errorf("%d attempts, answers %v, released %v", len(up.attempts), *got, g.released)
 	}
-	if n, _ := e.Held(); n != 0 {
+	if n, _ := e.Counts(); n != 0 {
 		t.Errorf("%d requests are held", n)
 	}
 }
--- a/internal/engine/ledger.go
+++ b/internal/engine/ledger.go
@@ -13,9 +13,9 @@
 // of: no final answer is out, or attempts are. A front sets the exported fields.
 type Request struct {
 	Carrier Carrier
-	// Answer takes the one final answer, on the engine's goroutine. It must not
+	// Respond takes the one final answer, on the engine's goroutine. It must not
 	// block, nor call back into the engine.
-	Answer func(Answer)
+	Respond func(Response)
 	// Key is the idempotency key of a keyed request, where a Guard may want it.
 	Key string
 
@@ -37,8 +37,8 @@
 	Number   int // they count from 0
 	Endpoint uint32
 	Target   *Target         // where it goes
-	Until    balancer.Micros // when it is to be given up
-	By       balancer.Micros // when it must have been written, or is not at all
+	Deadline balancer.Micros // when it is to be given up
+	SendBy   balancer.Micros // when it must have been written, or is not at all
 	Zone     uint8           // of the endpoint, as is Cell, when the attempt was decided
 	Cell     uint16
 
@@ -52,27 +52,27 @@
 	parked  bool // it waits for a Guard
 }
 
-// UntilTime is Until by the system's clock.
-func (a *Attempt) UntilTime() time.Time { return a.engine.clock.time(a.Until) }
+// DeadlineTime is Until by the system's clock.
+func (a *Attempt) DeadlineTime() time.Time { return a.engine.clock.time(a.Deadline) }
 
-// ByTime is By by the system's clock.
-func (a *Attempt) ByTime() time.Time { return a.engine.clock.time(a.By) }
+// SendByTime is By by the system's clock.
+func (a *Attempt) SendByTime() time.Time { return a.engine.clock.time(a.SendBy) }
 
-// Done tells how an attempt ended, from any goroutine but the engine's.
-func (a *Attempt) Done(res Result) {
-	a.engine.Post(func(now balancer.Micros) { a.End(now, res) })
+// PostResult tells how an attempt ended, from any goroutine but the engine's.
+func (a *Attempt) PostResult(res Result) {
+	a.engine.Post(func(now balancer.Micros) { a.Complete(now, res) })
 }
 
-// End tells how an attempt ended, on the engine's goroutine but not from within
+// Complete tells how an attempt ended, on the engine's goroutine but not from within
 // a Carrier's methods. Only the first end counts.
-func (a *Attempt) End(now balancer.Micros, res Result) {
+func (a *Attempt) Complete(now balancer.Micros, res Result) {
 	if a.ended.Swap(true) {
 		return
 	}
 	e, r := a.engine, a.request
 	r.out--
 	if res.Status == balancer.OK {
-		e.finish(r, Answer{Code: http.StatusOK, Header: res.Header, Body: res.Body})
+		e.finish(r, Response{Code: http.StatusOK, Header: res.Header, Body: res.Body})
 	}
 	r.ran = r.ran || res.Status != balancer.Full && res.Status != balancer.ConnectFailed && res.Status != balancer.NotSent
 	served := a.Endpoint
@@ -89,15 +89,15 @@
 	e.answered(now, served, res.Status)
 }
 
-// Take passes a new request to the balancer. It must be called on the engine's
+// Submit passes a new request to the balancer. It must be called on the engine's
 // goroutine.
-func (e *Engine) Take(now balancer.Micros, r *Request, in balancer.Request) {
+func (e *Engine) Submit(now balancer.Micros, r *Request, in balancer.Request) {
 	e.lastID++
 	r.id, in.ID, r.deadline = e.lastID, e.lastID, in.Deadline
 	if a := e.opts.Admission; a != nil {
 		retryAfter, ok := a.Admit(now, &in)
 		if !ok {
-			e.finish(r, Answer{Code: http.StatusServiceUnavailable, RetryAfter: retryAfter})
+			e.finish(r, Response{Code: http.StatusServiceUnavailable, RetryAfter: retryAfter})
 			return
 		}
 		r.admitted = true
@@ -108,9 +108,9 @@
 	e.forget(r)
 }
 
-// Gone tells that the client went away, or has its answer from elsewhere. It must
+// ClientDisconnected tells that the client went away, or has its answer from elsewhere. It must
 // be called on the engine's goroutine.
-func (e *Engine) Gone(now balancer.Micros, r *Request) {
+func (e *Engine) ClientDisconnected(now balancer.Micros, r *Request) {
 	if !r.over {
 		e.close(r)
 		e.balancer.ClientDisconnected(now, r.id)
@@ -119,10 +119,10 @@
 }
 
 // finish gives the final answer, unless one is out already.
-func (e *Engine) finish(r *Request, a Answer) {
+func (e *Engine) finish(r *Request, a Response) {
 	if r != nil && !r.over {
 		e.close(r)
-		r.Answer(a)
+		r.Respond(a)
 	}
 }
 
@@ -130,7 +130,7 @@
 func (e *Engine) close(r *Request) {
 	if r.over = true; r.admitted {
 		r.admitted = false
-		e.opts.Admission.Over(&r.in)
+		e.opts.Admission.Release(&r.in)
 	}
 }
 
@@ -153,13 +153,13 @@
 	if timeout > 0 {
 		until = min(until, now+timeout)
 	}
-	a := &Attempt{Number: len(r.attempts), Endpoint: endpoint, Target: e.depart(endpoint), Until: until, By: min(by, until),
+	a := &Attempt{Number: len(r.attempts), Endpoint: endpoint, Target: e.depart(endpoint), Deadline: until, SendBy: min(by, until),
 		engine: e, request: r, sent: now}
-	a.Zone, a.Cell = e.Place(endpoint)
+	a.Zone, a.Cell = e.Location(endpoint)
 	r.attempts = append(r.attempts, a)
 	r.out++
 	if a.Target == nil {
-		e.Soon(func(now balancer.Micros) { a.End(now, Result{Status: balancer.NotSent}) })
+		e.Defer(func(now balancer.Micros) { a.Complete(now, Result{Status: balancer.NotSent}) })
 		return
 	}
 	if !e.guarded(r, a) {
@@ -169,12 +169,12 @@
 
 // Reject answers that a retry is harmless, and when it is welcome.
 func (x *actions) Reject(id uint64, retryAfter balancer.Micros) {
-	(*Engine)(x).finish(x.requests[id], Answer{Code: http.StatusServiceUnavailable, RetryAfter: retryAfter})
+	(*Engine)(x).finish(x.requests[id], Response{Code: http.StatusServiceUnavailable, RetryAfter: retryAfter})
 }
 
 // Fail answers that the request failed.
 func (x *actions) Fail(id uint64) {
-	(*Engine)(x).finish(x.requests[id], Answer{Code: http.StatusBadGateway})
+	(*Engine)(x).finish(x.requests[id], Response{Code: http.StatusBadGateway})
 }
 
 // Cancel gives an attempt up; its outcome still comes.
@@ -182,7 +182,7 @@
 	if r := x.requests[id]; r != nil && attempt >= 0 && attempt < len(r.attempts) {
 		if a := r.attempts[attempt]; a.parked {
 			e := (*Engine)(x)
-			e.Soon(func(now balancer.Micros) { a.End(now, Result{Status: balancer.NotSent}) })
+			e.Defer(func(now balancer.Micros) { a.Complete(now, Result{Status: balancer.NotSent}) })
 		} else if a.Target != nil {
 			r.Carrier.Cancel(a)
 		}
@@ -199,7 +199,7 @@
 func (x *actions) Probe(endpoint uint32) {
 	e := (*Engine)(x)
 	told := func(now balancer.Micros, res Result) {
-		e.balancer.ProbeCompleted(now, endpoint, res.Status, res.Took.Microseconds(), res.Load)
+		e.balancer.ProbeCompleted(now, endpoint, res.Status, res.Duration.Microseconds(), res.Load)
 		e.back(endpoint)
 		e.answered(now, endpoint, res.Status)
 	}
@@ -209,7 +209,7 @@
 		})
 		return
 	}
-	e.Soon(func(now balancer.Micros) { told(now, Result{Status: balancer.NotSent}) })
+	e.Defer(func(now balancer.Micros) { told(now, Result{Status: balancer.NotSent}) })
 }
 
 // Watch begins to watch the source's list, from the last version on, or ends it.
--- a/internal/engine/members.go
+++ b/internal/engine/members.go
@@ -19,21 +19,21 @@
 
 // List is a list of endpoints, or of changes.
 type List struct {
-	Seq   uint64
-	Whole bool
-	Hosts []Host
+	Version  uint64
+	Complete bool
+	Hosts    []Host
 }
 
 // Host is one endpoint of a list.
 type Host struct {
-	Name   string // the same for as long as the endpoint exists, restarts included
-	Dial   string // host:port
-	Site   string
-	Kind   string // of machine
-	Cell   uint16
-	State  balancer.State
-	Share  float32
-	BornMS int64 // when it last started, Unix time in milliseconds; 0 for long ago
+	Name      string // the same for as long as the endpoint exists, restarts included
+	Address   string // host:port
+	Site      string
+	Kind      string // of machine
+	Cell      uint16
+	State     balancer.State
+	Weight    float32
+	StartedMS int64 // when it last started, Unix time in milliseconds; 0 for long ago
 }
 
 // Validate keeps entries that nothing could be sent to from the balancer. Its
@@ -44,8 +44,8 @@
 			return fmt.Errorf("hosts[%d].host is missing", i)
 		}
 		if h.State == balancer.Ready {
-			if _, _, err := net.SplitHostPort(h.Dial); err != nil {
-				return fmt.Errorf("hosts[%d].dial: %q is not host:port", i, h.Dial)
+			if _, _, err := net.SplitHostPort(h.Address); err != nil {
+				return fmt.Errorf("hosts[%d].dial: %q is not host:port", i, h.Address)
 			}
 		}
 	}
@@ -55,18 +55,18 @@
 // Target is one life of an endpoint at one address. It is closed for good once
 // the endpoint is told draining or gone, or has restarted.
 type Target struct {
-	Name    string // as Host.Name
-	Address string
-	Born    int64 // as Host.BornMS
-	closed  atomic.Bool
+	Name      string // as Host.Name
+	Address   string
+	StartedMS int64 // as Host.BornMS
+	closed    atomic.Bool
 }
 
 // Started is when this life began, the zero time for long ago.
 func (t *Target) Started() time.Time {
-	if t.Born <= 0 {
+	if t.StartedMS <= 0 {
 		return time.Time{}
 	}
-	return time.UnixMilli(t.Born)
+	return time.UnixMilli(t.StartedMS)
 }
 
 // Closed says that nothing new may go to the target.
@@ -103,7 +103,7 @@
 		e.balancer.UpdateEndpoints(now, kind, nil)
 		return
 	}
-	e.seq = &list.Seq
+	e.seq = &list.Version
 	if e.opts.Subset != nil {
 		list = e.narrow(kind, list)
 	}
@@ -144,9 +144,9 @@
 	same := fnv.New64a()
 	same.Write([]byte(h.Name))
 	out := balancer.Endpoint{ID: id, StableID: same.Sum64(), Zone: number(e.opts.Zones, h.Site), Kind: number(e.opts.Kinds, h.Kind),
-		Cell: h.Cell, State: e.stateOf(h), Weight: h.Share}
-	if h.BornMS > 0 {
-		out.StartTime = h.BornMS * 1000
+		Cell: h.Cell, State: e.stateOf(h), Weight: h.Weight}
+	if h.StartedMS > 0 {
+		out.StartTime = h.StartedMS * 1000
 	}
 	if e.opts.Pools != nil {
 		out.Pools = e.opts.Pools(h.Site, h.Kind)
@@ -154,9 +154,9 @@
 	return out
 }
 
-// Tell passes on a list or changes where no source is watched. It must be called on
+// UpdateEndpoints passes on a list or changes where no source is watched. It must be called on
 // the engine's goroutine.
-func (e *Engine) Tell(now balancer.Micros, kind balancer.ListKind, list List) {
+func (e *Engine) UpdateEndpoints(now balancer.Micros, kind balancer.ListKind, list List) {
 	e.members(now, kind, list)
 }
 
@@ -170,7 +170,7 @@
 		m.zone, m.cell = number(e.opts.Zones, h.Site), h.Cell
 	}
 	ready := e.stateOf(h) == balancer.Ready
-	if t := m.target; t != nil && (!ready || t.Address != h.Dial || t.Born != h.BornMS) {
+	if t := m.target; t != nil && (!ready || t.Address != h.Address || t.StartedMS != h.StartedMS) {
 		t.Close()
 		e.opts.Upstream.Retire(t)
 		m.target = nil
@@ -179,8 +179,8 @@
 		}
 	}
 	if m.target == nil && ready {
-		m.target = &Target{Name: h.Name, Address: h.Dial, Born: h.BornMS}
-		e.addresses[h.Dial] = id
+		m.target = &Target{Name: h.Name, Address: h.Address, StartedMS: h.StartedMS}
+		e.addresses[h.Address] = id
 	}
 	e.forgetMember(id)
 }
@@ -192,10 +192,10 @@
 	}
 }
 
-// Advise has endpoints be taken for draining that others know to drain and the own source
+// SetAdvisedDraining has endpoints be taken for draining that others know to drain and the own source
 // lists as ready: by name, with the start that is meant. It replaces the advice of before, and
 // must be called on the engine's goroutine.
-func (e *Engine) Advise(now balancer.Micros, draining map[string]int64) {
+func (e *Engine) SetAdvisedDraining(now balancer.Micros, draining map[string]int64) {
 	before := e.advised
 	e.advised = draining
 	names := slices.Collect(maps.Keys(before))
@@ -222,19 +222,19 @@
 
 // stateOf is what a listed endpoint is taken for.
 func (e *Engine) stateOf(h Host) balancer.State {
-	if born, ok := e.advised[h.Name]; ok && born == h.BornMS && h.State == balancer.Ready {
+	if born, ok := e.advised[h.Name]; ok && born == h.StartedMS && h.State == balancer.Ready {
 		return balancer.Draining
 	}
 	return h.State
 }
 
-// Find returns the number of the ready endpoint that is reached at an address, 0
+// EndpointAt returns the number of the ready endpoint that is reached at an address, 0
 // if none is. It must be called on the engine's goroutine.
-func (e *Engine) Find(address string) uint32 { return e.addresses[address] }
+func (e *Engine) EndpointAt(address string) uint32 { return e.addresses[address] }
 
-// Place returns the zone and cell that an endpoint was last listed with. It must
+// Location returns the zone and cell that an endpoint was last listed with. It must
 // be called on the engine's goroutine.
-func (e *Engine) Place(id uint32) (zone uint8, cell uint16) {
+func (e *Engine) Location(id uint32) (zone uint8, cell uint16) {
 	if m := e.fleet[id]; m != nil {
 		return m.zone, m.cell
 	}
--- a/internal/engine/members_test.go
+++ b/internal/engine/members_test.go
@@ -19,11 +19,11 @@
 	retired   []*Target
 }
 
-func (u *plainUpstream) Carry(*Message) Carrier                       { return u }
+func (u *plainUpstream) NewCarrier(*Message) Carrier                  { return u }
 func (u *plainUpstream) Probe(context.Context, *Target, func(Result)) {}
 func (u *plainUpstream) Retire(t *Target)                             { u.retired = append(u.retired, t) }
 func (u *plainUpstream) Prune()                                       {}
-func (u *plainUpstream) Attempt(a *Attempt)                           { u.attempts = append(u.attempts, a) }
+func (u *plainUpstream) Send(a *Attempt)                              { u.attempts = append(u.attempts, a) }
 func (u *plainUpstream) Cancel(a *Attempt)                            { u.cancelled = append(u.cancelled, a) }
 func (u *plainUpstream) Close()                                       {}
 func (u *plainUpstream) Watch(ctx context.Context, after *uint64, _ func(balancer.ListKind, List)) (*uint64, error) {
@@ -49,7 +49,7 @@
 	t.Cleanup(stop)
 	up, spy := &plainUpstream{}, &entriesSpy{}
 	e, err := New(ctx, Options{Zones: []string{"a", "b"}, Kinds: []string{"m1"}, Upstream: up, Source: up,
-		Log: slog.New(slog.DiscardHandler), Wrap: func(d Decider) Decider { spy.Decider = d; return spy },
+		Log: slog.New(slog.DiscardHandler), WrapDecider: func(d Decider) Decider { spy.Decider = d; return spy },
 		Settings: balancer.Settings{Balancers: 1, Zones: 2, Kinds: 1,
 			Classes: []balancer.Class{{Name: "pay", Idempotency: balancer.IdempotentWithKey, DedupWindow: 5_000_000, LatencyObjective: 600_000,
 				ClientTimeout: 3_000_000, PriorityWeight: 1}},
@@ -63,14 +63,14 @@
 }
 
 func readyHost(name, address string) Host {
-	return Host{Name: name, Dial: address, Site: "a", Kind: "m1", Share: 1}
+	return Host{Name: name, Address: address, Site: "a", Kind: "m1", Weight: 1}
 }
 
 // take passes a request on and returns its final answer once there is one.
-func take(e *Engine, c Carrier) *Answer {
-	var got Answer
+func take(e *Engine, c Carrier) *Response {
+	var got Response
 	now := e.Now()
-	e.Take(now, &Request{Carrier: c, Answer: func(a Answer) { got = a }}, balancer.Request{Deadline: now + 3_000_000})
+	e.Submit(now, &Request{Carrier: c, Respond: func(a Response) { got = a }}, balancer.Request{Deadline: now + 3_000_000})
 	e.settle()
 	return &got
 }
@@ -79,13 +79,13 @@
 // its id across lists; one that has restarted is a new target.
 func TestMembers(t *testing.T) {
 	e, up, spy := newTestEngine(t)
-	e.members(e.Now(), balancer.ListFull, List{Whole: true, Hosts: []Host{readyHost("s-1", "127.0.0.1:1")}})
+	e.members(e.Now(), balancer.ListFull, List{Complete: true, Hosts: []Host{readyHost("s-1", "127.0.0.1:1")}})
 	before := e.fleet[1].target
 	born := time.Now().UnixMilli() - 500
 	restarted := readyHost("s-1", "127.0.0.1:1")
-	restarted.BornMS = born
-	strange := Host{Name: "s-9", Dial: "127.0.0.1:1", Site: "nowhere", Kind: "odd", Cell: 4, State: balancer.Draining}
-	e.members(e.Now(), balancer.ListDelta, List{Seq: 2, Hosts: []Host{restarted, strange}})
+	restarted.StartedMS = born
+	strange := Host{Name: "s-9", Address: "127.0.0.1:1", Site: "nowhere", Kind: "odd", Cell: 4, State: balancer.Draining}
+	e.members(e.Now(), balancer.ListDelta, List{Version: 2, Hosts: []Host{restarted, strange}})
 	want := []balancer.Endpoint{
 		{ID: 1, Zone: 0, Kind: 0, State: balancer.Ready, Weight: 1, StartTime: born * 1000},
 		{ID: 2, Zone: unknownName, Kind: unknownName, Cell: 4, State: balancer.Draining}}
@@ -104,7 +104,7 @@
 	if now := e.Now(); spy.entries[0].StartTime > now || now-spy.entries[0].StartTime > time.Minute.Microseconds() {
 		t.Errorf("started at %d by a clock that shows %d", spy.entries[0].StartTime, now)
 	}
-	if e.Find("127.0.0.1:1") != 1 || e.Find("127.0.0.1:2") != 0 || !e.Listed() {
+	if e.EndpointAt("127.0.0.1:1") != 1 || e.EndpointAt("127.0.0.1:2") != 0 || !e.HasEndpoints() {
 		t.Error("the ready endpoint is not found, or another is")
 	}
 }
@@ -119,7 +119,7 @@
 		if whole {
 			kind = balancer.ListFull
 		}
-		e.members(e.Now(), kind, List{Whole: whole, Hosts: hosts})
+		e.members(e.Now(), kind, List{Complete: whole, Hosts: hosts})
 	}
 	list(true, readyHost("s-1", "127.0.0.1:1"))
 	answer := take(e, up)
@@ -130,14 +130,14 @@
 	gone.State = balancer.Removed
 	list(false, gone)
 	list(false, gone)
-	if requests, endpoints := e.Held(); requests != 1 || endpoints != 1 || len(e.ids) != 1 || e.fleet[1] == nil {
+	if requests, endpoints := e.Counts(); requests != 1 || endpoints != 1 || len(e.ids) != 1 || e.fleet[1] == nil {
 		t.Errorf("%d requests, %d endpoints and %d names are kept, want the one with an attempt out", requests, endpoints, len(e.ids))
 	}
-	up.attempts[0].End(e.Now(), Result{Status: balancer.OK})
+	up.attempts[0].Complete(e.Now(), Result{Status: balancer.OK})
 	if answer.Code != 200 {
 		t.Errorf("the request in hand: %+v", answer)
 	}
-	if requests, endpoints := e.Held(); requests != 0 || endpoints != 0 || len(e.ids) != 0 {
+	if requests, endpoints := e.Counts(); requests != 0 || endpoints != 0 || len(e.ids) != 0 {
 		t.Errorf("%d requests, %d endpoints and %d names are kept, want none", requests, endpoints, len(e.ids))
 	}
 	list(true, readyHost("s-1", "127.0.0.1:1"))
@@ -149,11 +149,11 @@
 // An attempt has one end; what is told again, or by two, counts once.
 func TestOnlyTheFirstEndCounts(t *testing.T) {
 	e, up, _ := newTestEngine(t)
-	e.members(e.Now(), balancer.ListFull, List{Whole: true, Hosts: []Host{readyHost("s-1", "127.0.0.1:1")}})
+	e.members(e.Now(), balancer.ListFull, List{Complete: true, Hosts: []Host{readyHost("s-1", "127.0.0.1:1")}})
 	answer := take(e, up)
 	a := up.attempts[0]
-	a.End(e.Now(), Result{Status: balancer.Reset})
-	a.End(e.Now(), Result{Status: balancer.OK})
+	a.Complete(e.Now(), Result{Status: balancer.Reset})
+	a.Complete(e.Now(), Result{Status: balancer.OK})
 	e.settle()
 	if answer.Code == 200 {
 		t.Error("the second end gave an answer")
@@ -167,14 +167,14 @@
 // outcome: nothing is sent or answered for it any more.
 func TestSettledElsewhere(t *testing.T) {
 	e, up, _ := newTestEngine(t)
-	e.members(e.Now(), balancer.ListFull, List{Whole: true, Hosts: []Host{readyHost("s-1", "127.0.0.1:1"), readyHost("s-2", "127.0.0.1:2")}})
+	e.members(e.Now(), balancer.ListFull, List{Complete: true, Hosts: []Host{readyHost("s-1", "127.0.0.1:1"), readyHost("s-2", "127.0.0.1:2")}})
 	answer := take(e, up)
-	up.attempts[0].End(e.Now(), Result{Status: balancer.Error, Settled: true})
+	up.attempts[0].Complete(e.Now(), Result{Status: balancer.Error, Settled: true})
 	e.settle()
 	if len(up.attempts) != 1 || answer.Code != 0 {
 		t.Errorf("%d attempts, answer %+v; want one and none", len(up.attempts), answer)
 	}
-	if n, _ := e.Held(); n != 0 {
+	if n, _ := e.Counts(); n != 0 {
 		t.Error("the ledger still holds the request")
 	}
 }
@@ -202,20 +202,20 @@
 	}
 	e.Start()
 	e.Post(func(now balancer.Micros) {
-		e.Tell(now, balancer.ListFull, List{Whole: true, Hosts: []Host{readyHost("s-1", "127.0.0.1:1")}})
+		e.UpdateEndpoints(now, balancer.ListFull, List{Complete: true, Hosts: []Host{readyHost("s-1", "127.0.0.1:1")}})
 	})
-	if !e.Listed() {
+	if !e.HasEndpoints() {
 		t.Error("the list was not told at once")
 	}
 	answer := take(e, up)
-	if len(up.attempts) != 1 || !up.attempts[0].UntilTime().Equal(clock.at.Add(3*time.Second)) {
+	if len(up.attempts) != 1 || !up.attempts[0].DeadlineTime().Equal(clock.at.Add(3*time.Second)) {
 		t.Fatalf("%d attempts", len(up.attempts))
 	}
 	clock.at = clock.at.Add(time.Second)
 	if now := e.Now(); now != clock.at.UnixMicro() {
 		t.Errorf("its time is %d, the clock's %d", now, clock.at.UnixMicro())
 	}
-	up.attempts[0].Done(Result{Status: balancer.OK})
+	up.attempts[0].PostResult(Result{Status: balancer.OK})
 	if answer.Code != 200 {
 		t.Errorf("answer %+v", answer)
 	}
@@ -234,9 +234,9 @@
 // coming again is harmless, else a failure. Outcomes that come later are told, and count no more.
 func TestExpire(t *testing.T) {
 	e, up, _ := newTestEngine(t)
-	list := List{Whole: true, Hosts: []Host{readyHost("s-1", "127.0.0.1:1")}}
+	list := List{Complete: true, Hosts: []Host{readyHost("s-1", "127.0.0.1:1")}}
 	e.members(e.Now(), balancer.ListFull, list)
-	answers := []*Answer{take(e, up), take(e, up)}
+	answers := []*Response{take(e, up), take(e, up)}
 	e.Expire(e.Now())
 	e.settle()
 	for i, a := range answers {
@@ -248,10 +248,10 @@
 		t.Errorf("%d attempts called off, want 2", len(up.cancelled))
 	}
 	for _, a := range up.attempts {
-		a.End(e.Now(), Result{Status: balancer.OK})
+		a.Complete(e.Now(), Result{Status: balancer.OK})
 	}
 	e.Expire(e.Now()) // nothing is left to be ended
-	if n, _ := e.Held(); n != 0 || answers[0].Code != 503 {
+	if n, _ := e.Counts(); n != 0 || answers[0].Code != 503 {
 		t.Errorf("%d requests held, answer %+v", n, *answers[0])
 	}
 }
@@ -260,10 +260,10 @@
 // ready: nothing new goes there, what is out goes on, and the list's own word takes it back.
 func TestAdvise(t *testing.T) {
 	e, up, spy := newTestEngine(t)
-	list := List{Whole: true, Hosts: []Host{readyHost("s-1", "127.0.0.1:1"), readyHost("s-2", "127.0.0.1:2")}}
+	list := List{Complete: true, Hosts: []Host{readyHost("s-1", "127.0.0.1:1"), readyHost("s-2", "127.0.0.1:2")}}
 	e.members(e.Now(), balancer.ListFull, list)
 	first := e.fleet[1].target
-	e.Advise(e.Now(), map[string]int64{"s-1": 0, "s-2": 7, "s-9": 0})
+	e.SetAdvisedDraining(e.Now(), map[string]int64{"s-1": 0, "s-2": 7, "s-9": 0})
 	if !first.Closed() || e.fleet[1].target != nil || !slices.Contains(up.retired, first) {
 		t.Error("what is advised to drain is still sent to")
 	}
@@ -274,7 +274,7 @@
 		t.Errorf("the balancer is told %+v, want %+v", spy.entries, want)
 	}
 	spy.entries = nil
-	e.Advise(e.Now(), map[string]int64{"s-1": 0})
+	e.SetAdvisedDraining(e.Now(), map[string]int64{"s-1": 0})
 	if spy.entries != nil {
 		t.Errorf("the same advice has the balancer told %+v", spy.entries)
 	}
@@ -282,14 +282,14 @@
 	if e.fleet[1].target != nil {
 		t.Error("a list that has not heard takes advice back")
 	}
-	list.Hosts[0].BornMS = 5
+	list.Hosts[0].StartedMS = 5
 	e.members(e.Now(), balancer.ListFull, list)
 	if e.fleet[1].target == nil {
 		t.Error("advice on the life before keeps an endpoint back that has started anew")
 	}
-	list.Hosts[0].BornMS = 0
+	list.Hosts[0].StartedMS = 0
 	e.members(e.Now(), balancer.ListFull, list)
-	e.Advise(e.Now(), nil)
+	e.SetAdvisedDraining(e.Now(), nil)
 	if e.fleet[1].target == nil || spy.entries[0].State != balancer.Ready {
 		t.Error("advice that is over keeps an endpoint back")
 	}
@@ -306,7 +306,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	list, advised := List{Whole: true}, map[string]int64{}
+	list, advised := List{Complete: true}, map[string]int64{}
 	for n := range 10_000 {
 		list.Hosts = append(list.Hosts, readyHost(fmt.Sprint("s-", n), fmt.Sprint("127.0.0.1:", n+1)))
 		if n < 48 {
@@ -315,6 +315,6 @@
 	}
 	e.members(e.Now(), balancer.ListFull, list)
 	for n := 0; b.Loop(); n++ {
-		e.Advise(e.Now(), []map[string]int64{advised, nil}[n%2])
+		e.SetAdvisedDraining(e.Now(), []map[string]int64{advised, nil}[n%2])
 	}
 }
--- a/internal/engine/quiet_test.go
+++ b/internal/engine/quiet_test.go
@@ -71,7 +71,7 @@
 	for name, change := range map[string]func(e *Engine, now balancer.Micros){
 		"none": func(*Engine, balancer.Micros) {},
 		"settings": func(e *Engine, now balancer.Micros) {
-			if err := e.Configure(now, Table{Classes: e.Settings().Classes}); err != nil {
+			if err := e.Configure(now, RuntimeSettings{Classes: e.Settings().Classes}); err != nil {
 				t.Fatal(err)
 			}
 		},
@@ -97,14 +97,14 @@
 			e.Start()
 			clock.pass(time.Second) // all start spread over a tenth of the time for asking
 			<-source.watches
-			list := List{Whole: true}
+			list := List{Complete: true}
 			for n := range 9 {
 				list.Hosts = append(list.Hosts, readyHost(fmt.Sprint("s-", n), fmt.Sprint("127.0.0.1:", n+1)))
 			}
-			e.Tell(e.Now(), balancer.ListFull, list)
-			e.Tell(e.Now(), balancer.ListFailed, List{})
+			e.UpdateEndpoints(e.Now(), balancer.ListFull, list)
+			e.UpdateEndpoints(e.Now(), balancer.ListFailed, List{})
 			if name == "subset" { // it has more of the fleet to hold
-				held.Load(clock.now, 5)
+				held.ObserveLoad(clock.now, 5)
 			}
 			before := len(e.fleet)
 			change(e, e.Now())
--- a/internal/engine/subset.go
+++ b/internal/engine/subset.go
@@ -14,7 +14,7 @@
 	if e.whole == nil {
 		e.whole = map[string]Host{}
 	}
-	out := List{Seq: list.Seq, Whole: list.Whole}
+	out := List{Version: list.Version, Complete: list.Complete}
 	named := map[string]bool{}
 	for _, h := range list.Hosts {
 		named[h.Name] = true
@@ -40,7 +40,7 @@
 			}
 		}
 	}
-	added, removed := e.opts.Subset.Choose()
+	added, removed := e.opts.Subset.Select()
 	if kind == balancer.ListDelta {
 		out.Hosts = append(out.Hosts, e.left(removed)...)
 	}
@@ -52,7 +52,7 @@
 		named[name] = true
 	}
 	for name := range named {
-		if e.opts.Subset.Has(name) {
+		if e.opts.Subset.Contains(name) {
 			out.Hosts = append(out.Hosts, e.whole[name])
 		}
 	}
@@ -73,7 +73,7 @@
 
 // choose has the subset choose anew, and tells the balancer what follows.
 func (e *Engine) choose(now balancer.Micros) {
-	added, removed := e.opts.Subset.Choose()
+	added, removed := e.opts.Subset.Select()
 	list := List{Hosts: e.left(removed)}
 	for _, name := range added {
 		list.Hosts = append(list.Hosts, e.whole[name])
@@ -94,7 +94,7 @@
 		return
 	}
 	ok := s == balancer.OK || s == balancer.Error || s == balancer.Full
-	if e.opts.Subset.Outcome(m.name, ok) {
+	if e.opts.Subset.ObserveOutcome(m.name, ok) {
 		e.choose(now)
 	}
 }
--- a/internal/engine/subset_test.go
+++ b/internal/engine/subset_test.go
@@ -45,7 +45,7 @@
 		}
 		up, v := &plainUpstream{}, &view{ready: map[uint32]bool{}}
 		e, err := New(ctx, Options{Zones: []string{"a", "b"}, Upstream: up, Source: up, Subset: held, Log: slog.New(slog.DiscardHandler),
-			Wrap: func(d Decider) Decider { v.Decider = d; return v },
+			WrapDecider: func(d Decider) Decider { v.Decider = d; return v },
 			Settings: balancer.Settings{Balancers: 1, Zones: 2, Classes: []balancer.Class{{Name: "read", LatencyObjective: 600_000, ClientTimeout: 3_000_000, PriorityWeight: 1}},
 				Limits: balancer.Limits{Cancel: true, MaxAttempts: 3, MaxOpen: 1000}, Contract: balancer.Contract{SlowStartRatio: 0.3, OverloadMultiple: 2.5}}})
 		if err != nil {
@@ -55,8 +55,8 @@
 		listed := map[string]Host{}
 		host := func(state balancer.State) Host {
 			n := rapid.IntRange(0, 14).Draw(t, "server")
-			return Host{Name: fmt.Sprint("s-", n), Dial: fmt.Sprintf("127.0.0.1:%d", 100+n+100*rapid.IntRange(0, 1).Draw(t, "moved")),
-				Site: string(rune('a' + n%2)), State: state, Share: 1}
+			return Host{Name: fmt.Sprint("s-", n), Address: fmt.Sprintf("127.0.0.1:%d", 100+n+100*rapid.IntRange(0, 1).Draw(t, "moved")),
+				Site: string(rune('a' + n%2)), State: state, Weight: 1}
 		}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			switch rapid.SampledFrom([]string{"delta", "delta", "full", "failed", "outcome", "load"}).Draw(t, "step") {
@@ -91,10 +91,10 @@
 			ready := 0
 			for name, h := range listed {
 				id := e.ids[name]
-				if h.State == balancer.Ready && held.Has(name) {
+				if h.State == balancer.Ready && held.Contains(name) {
 					ready++
-					if m := e.fleet[id]; m == nil || m.target == nil || m.target.Address != h.Dial || !v.ready[id] {
-						t.Fatalf("%s is held, and the balancer does not know it at %s", name, h.Dial)
+					if m := e.fleet[id]; m == nil || m.target == nil || m.target.Address != h.Address || !v.ready[id] {
+						t.Fatalf("%s is held, and the balancer does not know it at %s", name, h.Address)
 					}
 				} else if v.ready[id] {
 					t.Fatalf("%s is not held, and the balancer knows it", name)
@@ -136,9 +136,9 @@
 					b.Fatal(err)
 				}
 				e.balancer.Start(e.Now())
-				list := List{Whole: true}
+				list := List{Complete: true}
 				for i := range n {
-					list.Hosts = append(list.Hosts, Host{Name: fmt.Sprint("s-", i), Dial: fmt.Sprint("127.0.0.1:", 1000+i), Site: string(rune('a' + i%2)), Share: 1})
+					list.Hosts = append(list.Hosts, Host{Name: fmt.Sprint("s-", i), Address: fmt.Sprint("127.0.0.1:", 1000+i), Site: string(rune('a' + i%2)), Weight: 1})
 				}
 				e.members(e.Now(), balancer.ListFull, list)
 				for id := range e.fleet { // all freshly probed
@@ -149,7 +149,7 @@
 					up.attempts = up.attempts[:0]
 					take(e, up)
 					for _, a := range up.attempts {
-						a.End(e.Now(), Result{Status: balancer.OK})
+						a.Complete(e.Now(), Result{Status: balancer.OK})
 					}
 				}
 			})
--- a/internal/front/desk/desk.go
+++ b/internal/front/desk/desk.go
@@ -94,14 +94,14 @@
 
 // Ask passes a request to the engine and returns its one final answer. Its errors are
 // ErrGone and *intake.Error.
-func (d *Desk) Ask(in *http.Request, req intake.Parsed, body []byte) (engine.Answer, error) {
+func (d *Desk) Ask(in *http.Request, req intake.Parsed, body []byte) (engine.Response, error) {
 	id := req.CorrelationID
 	d.mu.Lock()
 	open := d.ids[id]
 	d.ids[id] = true
 	d.mu.Unlock()
 	if open {
-		return engine.Answer{}, &intake.Error{Code: http.StatusConflict, Reason: "a request with this X-Correlation-Id is open"}
+		return engine.Response{}, &intake.Error{Code: http.StatusConflict, Reason: "a request with this X-Correlation-Id is open"}
 	}
 	defer func() {
 		d.mu.Lock()
@@ -109,39 +109,39 @@
 		d.mu.Unlock()
 	}()
 	// It ends with this call, and so before the engine hears that the client has left.
-	wanted, over := context.WithDeadline(in.Context(), d.engine.Time(req.Deadline).Add(overdue))
+	wanted, over := context.WithDeadline(in.Context(), d.engine.WallTime(req.Deadline).Add(overdue))
 	defer over()
-	answer := make(chan engine.Answer, 1)
-	r := &engine.Request{Key: req.IdempotencyKey, Answer: func(a engine.Answer) { answer <- a }, // it has room for the one
-		Carrier: d.up.Carry(&engine.Message{Method: in.Method, URL: in.URL, Host: in.Host, Header: in.Header, Body: body, Wanted: wanted})}
-	if !d.engine.PostUnless(wanted.Done(), func(now balancer.Micros) { d.engine.Take(now, r, req.Request) }) {
+	answer := make(chan engine.Response, 1)
+	r := &engine.Request{Key: req.IdempotencyKey, Respond: func(a engine.Response) { answer <- a }, // it has room for the one
+		Carrier: d.up.NewCarrier(&engine.Message{Method: in.Method, URL: in.URL, Host: in.Host, Header: in.Header, Body: body, Context: wanted})}
+	if !d.engine.PostUntil(wanted.Done(), func(now balancer.Micros) { d.engine.Submit(now, r, req.Request) }) {
 		if in.Context().Err() != nil {
-			return engine.Answer{}, ErrGone
+			return engine.Response{}, ErrGone
 		}
-		return engine.Answer{Code: http.StatusServiceUnavailable}, nil // it was never sent
+		return engine.Response{Code: http.StatusServiceUnavailable}, nil // it was never sent
 	}
 	select {
 	case a := <-answer:
 		return a, nil
 	case <-wanted.Done():
 	}
-	gone := func(now balancer.Micros) { d.engine.Gone(now, r) }
+	gone := func(now balancer.Micros) { d.engine.ClientDisconnected(now, r) }
 	if !d.engine.TryPost(gone) {
 		go d.engine.Post(gone) // an answer does not wait for room
 	}
 	if in.Context().Err() != nil {
-		return engine.Answer{}, ErrGone
+		return engine.Response{}, ErrGone
 	}
 	select {
 	case a := <-answer: // in this very moment
 		return a, nil
 	default:
-		return engine.Answer{Code: http.StatusBadGateway}, nil // an attempt may have run, or may yet
+		return engine.Response{Code: http.StatusBadGateway}, nil // an attempt may have run, or may yet
 	}
 }
 
 // Write writes a final answer.
-func Write(w http.ResponseWriter, a engine.Answer) {
+func Write(w http.ResponseWriter, a engine.Response) {
 	httpmsg.EndToEnd(w.Header(), a.Header)
 	if a.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(float64(a.RetryAfter)/1e6, 'f', 3, 64))
@@ -162,5 +162,5 @@
 
 // WriteBusy refuses a request that found no room.
 func WriteBusy(w http.ResponseWriter) {
-	Write(w, engine.Answer{Code: http.StatusServiceUnavailable, RetryAfter: BusyRetry.Microseconds()})
+	Write(w, engine.Response{Code: http.StatusServiceUnavailable, RetryAfter: BusyRetry.Microseconds()})
 }
--- a/internal/front/desk/desk_test.go
+++ b/internal/front/desk/desk_test.go
@@ -17,8 +17,8 @@
 // mute is an upstream and a source that never say anything.
 type mute struct{}
 
-func (mute) Carry(*engine.Message) engine.Carrier                       { return mute{} }
-func (mute) Attempt(*engine.Attempt)                                    {}
+func (mute) NewCarrier(*engine.Message) engine.Carrier                  { return mute{} }
+func (mute) Send(*engine.Attempt)                                       {}
 func (mute) Cancel(*engine.Attempt)                                     {}
 func (mute) Probe(context.Context, *engine.Target, func(engine.Result)) {}
 func (mute) Retire(*engine.Target)                                      {}
@@ -49,7 +49,7 @@
 	return New(e, mute{}, 1<<20), e, func() { close(free) }
 }
 
-func ask(d *Desk, e *engine.Engine, ctx context.Context, left time.Duration) (engine.Answer, error) {
+func ask(d *Desk, e *engine.Engine, ctx context.Context, left time.Duration) (engine.Response, error) {
 	in := httptest.NewRequest(http.MethodPost, "/order", nil).WithContext(ctx)
 	return d.Ask(in, intake.Parsed{CorrelationID: "1", Request: balancer.Request{Deadline: e.Now() + left.Microseconds()}}, nil)
 }
@@ -70,7 +70,7 @@
 			release() // only now
 			wait.Until(t, "an empty ledger", func() bool {
 				n := 0
-				e.Do(func(balancer.Micros) { n, _ = e.Held() })
+				e.Call(func(balancer.Micros) { n, _ = e.Counts() })
 				return n == 0
 			})
 		})
@@ -89,8 +89,8 @@
 		t.Errorf("error %v, want ErrGone", err)
 	}
 	release()
-	e.Do(func(balancer.Micros) {
-		if n, _ := e.Held(); n != 0 {
+	e.Call(func(balancer.Micros) {
+		if n, _ := e.Counts(); n != 0 {
 			t.Errorf("%d requests are held", n)
 		}
 	})
--- a/internal/front/extproc/extproc_test.go
+++ b/internal/front/extproc/extproc_test.go
@@ -103,7 +103,7 @@
 	up := httpupstream.New(httpupstream.Options{DialTimeout: time.Second, Idle: time.Second, Connections: 100})
 	var err error
 	w.engine, err = engine.New(engineCtx, engine.Options{Settings: settings, Seed: 7, Zones: []string{"a"},
-		Known: w.list(w.servers...), Upstream: up, Source: w.source, Log: slog.New(slog.DiscardHandler)})
+		CachedList: w.list(w.servers...), Upstream: up, Source: w.source, Log: slog.New(slog.DiscardHandler)})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -132,14 +132,14 @@
 		}
 		goleak.VerifyNone(t)
 	})
-	wait.Until(t, "the servers to be known", w.engine.Listed)
+	wait.Until(t, "the servers to be known", w.engine.HasEndpoints)
 	return w
 }
 
 func (w *world) list(servers ...*soko.Server) engine.List {
-	l := engine.List{Seq: 1, Whole: true}
+	l := engine.List{Version: 1, Complete: true}
 	for _, s := range servers {
-		l.Hosts = append(l.Hosts, engine.Host{Name: s.Name, Dial: s.Address, Site: "a", Cell: uint16(s.Cell), Share: 1})
+		l.Hosts = append(l.Hosts, engine.Host{Name: s.Name, Address: s.Address, Site: "a", Cell: uint16(s.Cell), Weight: 1})
 	}
 	return l
 }
@@ -527,7 +527,7 @@
 	s.ask(q, 0)
 	requests := func() (n int) {
 		done := make(chan struct{})
-		w.engine.Post(func(balancer.Micros) { n, _ = w.engine.Held(); close(done) })
+		w.engine.Post(func(balancer.Micros) { n, _ = w.engine.Counts(); close(done) })
 		<-done
 		return
 	}
@@ -682,7 +682,7 @@
 	wait.Until(t, "the list", func() bool {
 		found := uint32(1)
 		done := make(chan struct{})
-		w.engine.Post(func(balancer.Micros) { found = w.engine.Find(first.Endpoint); close(done) })
+		w.engine.Post(func(balancer.Micros) { found = w.engine.EndpointAt(first.Endpoint); close(done) })
 		<-done
 		return found == 0
 	})
@@ -700,7 +700,7 @@
 	wait.Until(t, "the list", func() bool {
 		found := uint32(1)
 		done := make(chan struct{})
-		w.engine.Post(func(balancer.Micros) { found = w.engine.Find(rest[1].Address); close(done) })
+		w.engine.Post(func(balancer.Micros) { found = w.engine.EndpointAt(rest[1].Address); close(done) })
 		<-done
 		return found == 0
 	})
--- a/internal/front/extproc/host.go
+++ b/internal/front/extproc/host.go
@@ -82,8 +82,8 @@
 // report takes a stream's report and returns what is to become of the answer.
 func (h *host) report(now routing.Micros, a *asker, r report) routing.Told {
 	if r.served != "" && r.served != a.sent.target.Address {
-		if id := h.engine.Find(r.served); id != 0 {
-			zone, cell := h.engine.Place(id)
+		if id := h.engine.EndpointAt(r.served); id != 0 {
+			zone, cell := h.engine.Location(id)
 			r.outcome.Endpoint, r.outcome.Place = id, routing.Place{Zone: zone, Cell: cell}
 		} else {
 			r.outcome.Strange = true
@@ -95,9 +95,9 @@
 // Begin passes a round to the module.
 func (h *host) Begin(number uint64, key string, in balancer.Request) {
 	r := &round{host: h, number: number}
-	r.request.Carrier, r.request.Answer, r.request.Key = r, r.answer, key
+	r.request.Carrier, r.request.Respond, r.request.Key = r, r.answer, key
 	h.rounds[number] = r
-	h.engine.Take(h.engine.Now(), &r.request, in)
+	h.engine.Submit(h.engine.Now(), &r.request, in)
 	r.forget()
 }
 
@@ -105,7 +105,7 @@
 func (h *host) Leave(number uint64) {
 	if r := h.rounds[number]; r != nil {
 		r.over = true
-		h.engine.Gone(h.engine.Now(), &r.request)
+		h.engine.ClientDisconnected(h.engine.Now(), &r.request)
 		r.forget()
 	}
 }
@@ -115,7 +115,7 @@
 	r := h.rounds[number]
 	r.out--
 	r.over = r.over || settled
-	r.attempts[n].End(h.engine.Now(), engine.Result{Status: o.Status, Endpoint: o.Endpoint, Load: o.Load, Settled: settled})
+	r.attempts[n].Complete(h.engine.Now(), engine.Result{Status: o.Status, Endpoint: o.Endpoint, Load: o.Load, Settled: settled})
 	r.forget()
 }
 
@@ -125,24 +125,24 @@
 // Tell gives an ask its verdict.
 func (h *host) Tell(name routing.Ask, t routing.Told) { h.asks[name].told <- t }
 
-// Attempt takes the module's decision to send.
-func (r *round) Attempt(a *engine.Attempt) {
+// Send takes the module's decision to send.
+func (r *round) Send(a *engine.Attempt) {
 	r.attempts = append(r.attempts, a)
 	r.out++
 	r.host.ledger.Decided(r.host.engine.Now(), r.number, routing.Place{Zone: a.Zone, Cell: a.Cell},
-		&handout{a.Target, a.Until})
+		&handout{a.Target, a.Deadline})
 }
 
 // Cancel takes that the module waits no longer. The module is at work here, so the
 // end is told later.
 func (r *round) Cancel(a *engine.Attempt) {
 	n := slices.Index(r.attempts, a)
-	r.host.engine.Soon(func(now routing.Micros) { r.host.ledger.Cancelled(now, r.number, n) })
+	r.host.engine.Defer(func(now routing.Micros) { r.host.ledger.Cancelled(now, r.number, n) })
 }
 
 // answer takes the module's final answer. That of an attempt served came by way of
 // the ledger.
-func (r *round) answer(a engine.Answer) {
+func (r *round) answer(a engine.Response) {
 	r.over = true
 	now := r.host.engine.Now()
 	switch a.Code {
--- a/internal/front/extproc/server.go
+++ b/internal/front/extproc/server.go
@@ -149,6 +149,6 @@
 // Held counts what the front holds of asks, rounds and entries. It must not be
 // called on the engine's goroutine.
 func (s *Server) Held() (asks, rounds, entries int) {
-	s.engine.Do(func(balancer.Micros) { asks, rounds, entries = s.host.ledger.Held() })
+	s.engine.Call(func(balancer.Micros) { asks, rounds, entries = s.host.ledger.Held() })
 	return
 }
--- a/internal/front/http3front/server.go
+++ b/internal/front/http3front/server.go
@@ -204,7 +204,7 @@
 func (s *Server) handle(w http.ResponseWriter, in *http.Request) {
 	arrived := s.engine.Now()
 	if in.URL.Path == "/health/ready" {
-		if s.ending.Load() || !s.engine.Listed() {
+		if s.ending.Load() || !s.engine.HasEndpoints() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 		return
--- a/internal/front/http3front/server_test.go
+++ b/internal/front/http3front/server_test.go
@@ -53,7 +53,7 @@
 func start(t *testing.T, work time.Duration, alter func(*Options)) *world {
 	t.Helper()
 	w := &world{t: t, fleet: &soko.Fleet{Classes: classes, Work: work}, pair: cert.New(t), served: make(chan error, 1)}
-	list := engine.List{Whole: true}
+	list := engine.List{Complete: true}
 	var servers []*soko.Server
 	for n := range 2 {
 		s, err := w.fleet.Start(fmt.Sprint("s-", n), n)
@@ -61,7 +61,7 @@
 			t.Fatal(err)
 		}
 		servers = append(servers, s)
-		list.Hosts = append(list.Hosts, engine.Host{Name: s.Name, Dial: s.Address, Site: "a", Share: 1})
+		list.Hosts = append(list.Hosts, engine.Host{Name: s.Name, Address: s.Address, Site: "a", Weight: 1})
 	}
 	engineCtx, stop := context.WithCancel(context.Background())
 	up := httpupstream.New(httpupstream.Options{DialTimeout: time.Second, Idle: time.Second, Connections: 500})
@@ -86,7 +86,7 @@
 	ctx, end := context.WithCancel(context.Background())
 	w.end = end
 	go w.engine.Run()
-	w.engine.Do(func(now balancer.Micros) { w.engine.Tell(now, balancer.ListFull, list) })
+	w.engine.Call(func(now balancer.Micros) { w.engine.UpdateEndpoints(now, balancer.ListFull, list) })
 	go func() { w.served <- w.server.Serve(ctx, conn) }()
 	if w.relay, err = udprelay.Start(conn.LocalAddr().String(), udprelay.Script{}); err != nil {
 		t.Fatal(err)
@@ -409,7 +409,7 @@
 	}
 	wait.Until(t, "nothing to be held", func() bool {
 		n := 0
-		w.engine.Do(func(balancer.Micros) { n, _ = w.engine.Held() })
+		w.engine.Call(func(balancer.Micros) { n, _ = w.engine.Counts() })
 		return n == 0
 	})
 	conn.CloseWithError(0, "")
--- a/internal/front/httpfront/server.go
+++ b/internal/front/httpfront/server.go
@@ -166,7 +166,7 @@
 }
 
 func (s *Server) ready(w http.ResponseWriter) {
-	if s.ending() || !s.engine.Listed() {
+	if s.ending() || !s.engine.HasEndpoints() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/internal/measure/departures/departures.go
+++ b/internal/measure/departures/departures.go
@@ -129,12 +129,12 @@
 		return nil, err
 	}
 	go e.Run()
-	e.Do(func(now balancer.Micros) {
-		list := engine.List{Whole: true}
+	e.Call(func(now balancer.Micros) {
+		list := engine.List{Complete: true}
 		for n := range names {
-			list.Hosts = append(list.Hosts, engine.Host{Name: fmt.Sprint("s-", n), Dial: listener.Addr().String(), Share: 1})
+			list.Hosts = append(list.Hosts, engine.Host{Name: fmt.Sprint("s-", n), Address: listener.Addr().String(), Weight: 1})
 		}
-		e.Tell(now, balancer.ListFull, list)
+		e.UpdateEndpoints(now, balancer.ListFull, list)
 	})
 	clients, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/measure/nodes/nodes.go
+++ b/internal/measure/nodes/nodes.go
@@ -32,7 +32,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	listed := make(chan int, 1)
 	go s.Watch(ctx, nil, func(_ balancer.ListKind, list engine.List) {
-		if list.Whole {
+		if list.Complete {
 			listed <- len(list.Hosts)
 		}
 	})
--- a/internal/measure/reconnect/reconnect.go
+++ b/internal/measure/reconnect/reconnect.go
@@ -88,7 +88,7 @@
 			return nil, err
 		}
 		defer l.Close()
-		targets = append(targets, &engine.Target{Name: "soko", Address: l.Addr().String(), Born: born})
+		targets = append(targets, &engine.Target{Name: "soko", Address: l.Addr().String(), StartedMS: born})
 		serving.Go(func() {
 			for {
 				raw, err := l.Accept()
--- a/internal/membership/ephemeral/client_test.go
+++ b/internal/membership/ephemeral/client_test.go
@@ -145,9 +145,9 @@
 	w.shows("b c")
 	w.service.Put("/soko/b", data(2, `,"draining":true,"started_ms":5000`))
 	w.until("the new data", func() bool {
-		return w.r.get(func() int { return int(w.r.nodes["b"].Host.BornMS) }) == 5000
+		return w.r.get(func() int { return int(w.r.nodes["b"].Host.StartedMS) }) == 5000
 	})
-	if e := w.r.nodes["b"]; e.Host.State != balancer.Draining || e.Host.Dial != "127.0.0.1:2" || e.Host.Site != "arusha" || e.Host.Share != 1 {
+	if e := w.r.nodes["b"]; e.Host.State != balancer.Draining || e.Host.Address != "127.0.0.1:2" || e.Host.Site != "arusha" || e.Host.Weight != 1 {
 		t.Errorf("b is %+v", e)
 	}
 	// Watches are set anew each time.
@@ -363,14 +363,14 @@
 
 func TestParse(t *testing.T) {
 	full := `{"address":"10.0.0.7:9101","site":"dar","kind":"box","block":7,"share":2.5,"started_ms":1700000000000}`
-	if e, err := Parse("s-1", []byte(full), rules); err != nil || e.Host.Cell != 7 || e.Host.Share != 2.5 || e.Host.BornMS != 1700000000000 ||
+	if e, err := Parse("s-1", []byte(full), rules); err != nil || e.Host.Cell != 7 || e.Host.Weight != 2.5 || e.Host.StartedMS != 1700000000000 ||
 		e.Host.Site != "dar" || e.Host.Kind != "box" || e.Host.Name != "s-1" {
 		t.Errorf("%+v, %v", e, err)
 	}
 	curator := `{"name":"soko","id":"7","address":"10.0.0.8","port":9102,"sslPort":null,"payload":{"site":"arusha","block":3},
 		"registrationTimeUTC":1700000000000,"serviceType":"DYNAMIC","uriSpec":null,"enabled":false}`
-	if e, err := Parse("7", []byte(curator), rules); err != nil || e.Host.Dial != "10.0.0.8:9102" || e.Host.Cell != 3 || e.Host.BornMS != 0 ||
-		e.Host.State != balancer.Draining || e.Host.Share != 1 {
+	if e, err := Parse("7", []byte(curator), rules); err != nil || e.Host.Address != "10.0.0.8:9102" || e.Host.Cell != 3 || e.Host.StartedMS != 0 ||
+		e.Host.State != balancer.Draining || e.Host.Weight != 1 {
 		t.Errorf("%+v, %v", e, err)
 	}
 	for _, c := range []struct{ data, says string }{
@@ -402,7 +402,7 @@
 			}
 			return
 		}
-		if e.Host.Name == "" || e.Host.Dial == "" || !(e.Host.Share > 0) || e.Host.BornMS < 0 || !json.Valid(in) {
+		if e.Host.Name == "" || e.Host.Address == "" || !(e.Host.Weight > 0) || e.Host.StartedMS < 0 || !json.Valid(in) {
 			t.Errorf("%q gives %+v", in, e)
 		}
 	})
--- a/internal/membership/ephemeral/data.go
+++ b/internal/membership/ephemeral/data.go
@@ -92,8 +92,8 @@
 	case d.StartedMS < 0 || d.StartedMS > time.Now().Add(time.Hour).UnixMilli():
 		return e, fmt.Errorf("started_ms: %d is not a time that has been", d.StartedMS)
 	}
-	e.Host = engine.Host{Name: node, Dial: d.Address, Site: d.Site, Kind: d.Kind, Cell: uint16(d.Block), Share: float32(d.Share),
-		BornMS: d.StartedMS}
+	e.Host = engine.Host{Name: node, Address: d.Address, Site: d.Site, Kind: d.Kind, Cell: uint16(d.Block), Weight: float32(d.Share),
+		StartedMS: d.StartedMS}
 	if d.Draining {
 		e.Host.State = balancer.Draining
 	}
--- a/internal/membership/multisource/combined.go
+++ b/internal/membership/multisource/combined.go
@@ -101,7 +101,7 @@
 		}
 		if list, ok := m.List(time.Since(began)); ok {
 			kind := balancer.ListDelta
-			if list.Whole {
+			if list.Complete {
 				kind = balancer.ListFull
 			}
 			tell(kind, list)
@@ -136,9 +136,9 @@
 			case balancer.ListFailed:
 				return // told below, with its reason
 			case balancer.ListFull:
-				k.Whole(list.Seq, entries)
+				k.Whole(list.Version, entries)
 			default:
-				k.Change(list.Seq, entries)
+				k.Change(list.Version, entries)
 			}
 			pause = againLeast
 		})
--- a/internal/membership/multisource/combined_test.go
+++ b/internal/membership/multisource/combined_test.go
@@ -52,7 +52,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.lists++
-	if list.Whole {
+	if list.Complete {
 		w.hosts = map[string]engine.Host{}
 	}
 	for _, h := range list.Hosts {
@@ -206,7 +206,7 @@
 	w.shows("a s")
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if h := w.hosts["s"]; h.BornMS != 5000 {
+	if h := w.hosts["s"]; h.StartedMS != 5000 {
 		t.Errorf("back as %+v, want the same life", h)
 	}
 }
@@ -246,13 +246,13 @@
 func TestBesideAStaticList(t *testing.T) {
 	w := start(t, reconcile.Defaults, func(*world) []Part {
 		return []Part{{reconcile.Static, "of the file", Of{static.New([]engine.Host{
-			{Name: "a", Dial: "127.0.0.1:9", Site: "a", Share: 1}, {Name: "z", Dial: "127.0.0.1:9", Site: "a", Share: 1}})}}}
+			{Name: "a", Address: "127.0.0.1:9", Site: "a", Weight: 1}, {Name: "z", Address: "127.0.0.1:9", Site: "a", Weight: 1}})}}}
 	}, "a")
 	w.shows("a z")
 	w.until("what its node says of a", func() bool {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		return w.hosts["a"].Dial == "127.0.0.1:1"
+		return w.hosts["a"].Address == "127.0.0.1:1"
 	})
 	w.service.Drop("/soko/a")
 	w.shows("z")
--- a/internal/membership/reconcile/merge.go
+++ b/internal/membership/reconcile/merge.go
@@ -251,7 +251,7 @@
 		}
 		c.flaps++
 		c.flapped = now
-		if c.flaps >= flapMost && e.Host.BornMS <= c.host.BornMS {
+		if c.flaps >= flapMost && e.Host.StartedMS <= c.host.StartedMS {
 			wait := min(flapWait<<min(c.flaps-flapMost, 10), flapWaitMost)
 			c.until = now + wait
 			if c.flaps == flapMost {
@@ -271,7 +271,7 @@
 			c.at = now
 		}
 		c.state = next
-	} else if e.Host.BornMS > c.host.BornMS {
+	} else if e.Host.StartedMS > c.host.StartedMS {
 		c.at = now // another life
 	}
 	delete(s.held, e.Host.Name)
@@ -358,8 +358,8 @@
 // later says whether a claim speaks of a later life than another: a newer start, or
 // an arrival after the other's end.
 func later(c, than *claim) bool {
-	if c.host.BornMS != 0 && than.host.BornMS != 0 && c.host.BornMS != than.host.BornMS {
-		return c.host.BornMS > than.host.BornMS
+	if c.host.StartedMS != 0 && than.host.StartedMS != 0 && c.host.StartedMS != than.host.StartedMS {
+		return c.host.StartedMS > than.host.StartedMS
 	}
 	return c.at > than.at
 }
@@ -382,7 +382,7 @@
 		case c == nil:
 		case c.state == up && c.until <= now, c.state == held:
 			ups = append(ups, c)
-			if best == nil || c.host.BornMS > best.host.BornMS || c.host.BornMS == best.host.BornMS && s.kind < bestOf.kind {
+			if best == nil || c.host.StartedMS > best.host.StartedMS || c.host.StartedMS == best.host.StartedMS && s.kind < bestOf.kind {
 				best, bestOf = c, s
 			}
 		default:
@@ -468,7 +468,7 @@
 	}
 	slices.SortFunc(list.Hosts, func(a, b engine.Host) int { return cmp.Compare(a.Name, b.Name) })
 	m.seq++
-	list.Seq, list.Whole = m.seq, !m.given
+	list.Version, list.Complete = m.seq, !m.given
 	m.listed, m.given = now, true
 	return list, true
 }
--- a/internal/membership/reconcile/merge_test.go
+++ b/internal/membership/reconcile/merge_test.go
@@ -17,7 +17,7 @@
 const sec = time.Second
 
 func host(name string, born int64) engine.Host {
-	return engine.Host{Name: name, Dial: "127.0.0.1:1", Site: "a", Share: 1, BornMS: born}
+	return engine.Host{Name: name, Address: "127.0.0.1:1", Site: "a", Weight: 1, StartedMS: born}
 }
 
 func entries(names ...string) (all []Entry) {
@@ -53,7 +53,7 @@
 }
 
 func fold(hosts map[string]engine.Host, list engine.List) {
-	if list.Whole {
+	if list.Complete {
 		clear(hosts)
 	}
 	for _, h := range list.Hosts {
@@ -265,7 +265,7 @@
 	w.is("flapping", "b")
 	w.pass(flapWaitMost + sec)
 	w.is("it stays", "a b")
-	if h := w.hosts["a"]; h.BornMS != 0 {
+	if h := w.hosts["a"]; h.StartedMS != 0 {
 		t.Errorf("it has a new start time: %v", h)
 	}
 	if !w.said("comes and goes") || len(w.logs) != 1 {
@@ -281,7 +281,7 @@
 	w.m.Whole(w.now, 1, 1, []Entry{{Host: host("a", 1000)}})
 	w.m.Change(w.now, 0, 2, []Entry{{Host: host("a", 2000)}})
 	w.pass(sec)
-	if h := w.hosts["a"]; h.BornMS != 2000 || h.State != balancer.Ready {
+	if h := w.hosts["a"]; h.StartedMS != 2000 || h.State != balancer.Ready {
 		t.Errorf("listed %v, want the new life", h)
 	}
 	gone := host("a", 1000)
@@ -295,15 +295,15 @@
 	w := newWorld(t, Static, Discovery, Ephemeral)
 	at := func(dial string) []Entry {
 		h := host("a", 0)
-		h.Dial = dial
+		h.Address = dial
 		return []Entry{{Host: h}}
 	}
 	w.m.Whole(w.now, 0, 1, at("127.0.0.1:10"))
 	w.m.Whole(w.now, 1, 1, at("127.0.0.1:11"))
 	w.m.Whole(w.now, 2, 1, at("127.0.0.1:12"))
 	w.is("three words", "a")
-	if h := w.hosts["a"]; h.Dial != "127.0.0.1:12" {
-		t.Errorf("at %s, want its own node's word", h.Dial)
+	if h := w.hosts["a"]; h.Address != "127.0.0.1:12" {
+		t.Errorf("at %s, want its own node's word", h.Address)
 	}
 	w.pass(sec)
 	w.m.Change(w.now, 1, 2, change("a", balancer.Draining))
--- a/internal/membership/registry/registry.go
+++ b/internal/membership/registry/registry.go
@@ -76,14 +76,14 @@
 	if err := json.Unmarshal(data, &d); err != nil {
 		return engine.List{}, err
 	}
-	list := engine.List{Seq: d.Seq, Whole: d.Whole, Hosts: make([]engine.Host, len(d.Hosts))}
+	list := engine.List{Version: d.Seq, Complete: d.Whole, Hosts: make([]engine.Host, len(d.Hosts))}
 	for i, h := range d.Hosts {
 		state, ok := states[h.Health]
 		if !ok {
 			return engine.List{}, fmt.Errorf("hosts[%d].health: %q is not a known state", i, h.Health)
 		}
-		list.Hosts[i] = engine.Host{Name: h.Name, Dial: h.Dial, Site: h.Site, Kind: h.Class, Cell: h.Block,
-			State: state, Share: h.Share, BornMS: h.BornMS}
+		list.Hosts[i] = engine.Host{Name: h.Name, Address: h.Dial, Site: h.Site, Kind: h.Class, Cell: h.Block,
+			State: state, Weight: h.Share, StartedMS: h.BornMS}
 	}
 	return list, list.Validate()
 }
@@ -147,16 +147,16 @@
 func (d *Client) Watch(ctx context.Context, after *uint64, tell func(balancer.ListKind, engine.List)) (*uint64, error) {
 	for wait := time.Duration(0); ; {
 		list, err := d.list(ctx, after, wait)
-		if err == nil && !list.Whole && after != nil && list.Seq < *after {
+		if err == nil && !list.Complete && after != nil && list.Version < *after {
 			// Changes to a list that is not the one held: only a whole one helps.
 			after, wait = nil, 0
 			pause(ctx, watchPause)
 			continue
 		}
 		if err == nil {
-			after, wait = &list.Seq, d.pace.Wait
+			after, wait = &list.Version, d.pace.Wait
 			kind := balancer.ListDelta
-			if list.Whole {
+			if list.Complete {
 				kind = balancer.ListFull
 			}
 			tell(kind, list)
--- a/internal/membership/registry/registry_test.go
+++ b/internal/membership/registry/registry_test.go
@@ -151,14 +151,14 @@
 		documents := []string{`{"seq":41,"whole":true,"hosts":[]}`, `{"seq":7,"whole":false,"hosts":[]}`, `{"seq":8,"whole":true,"hosts":[]}`, `{"seq":3,"whole":true,"hosts":[]}`}
 		s := &scripted{at: func(n int) string { return documents[n] }}
 		_, kinds, lists := watch(t, Asked, s, 3)
-		if fmt.Sprint(kinds) != fmt.Sprint([]balancer.ListKind{balancer.ListFull, balancer.ListFull, balancer.ListFull}) || lists[1].Seq != 8 || lists[2].Seq != 3 {
+		if fmt.Sprint(kinds) != fmt.Sprint([]balancer.ListKind{balancer.ListFull, balancer.ListFull, balancer.ListFull}) || lists[1].Version != 8 || lists[2].Version != 3 {
 			t.Errorf("told %v, %+v", kinds, lists)
 		}
 		if s.calls[2].url != "/registry/instances" {
 			t.Errorf("after the version that went back: %s", s.calls[2].url)
 		}
 		s = &scripted{fates: []string{"indented"}}
-		if _, kinds, lists = watch(t, Asked, s, 1); kinds[0] != balancer.ListFull || lists[0].Seq != 41 {
+		if _, kinds, lists = watch(t, Asked, s, 1); kinds[0] != balancer.ListFull || lists[0].Version != 41 {
 			t.Errorf("indented: told %v, %+v", kinds, lists)
 		}
 	})
--- a/internal/membership/static/static.go
+++ b/internal/membership/static/static.go
@@ -14,7 +14,7 @@
 
 // New returns a source of this list, which must be valid.
 func New(hosts []engine.Host) *Source {
-	return &Source{engine.List{Seq: 1, Whole: true, Hosts: hosts}}
+	return &Source{engine.List{Version: 1, Complete: true, Hosts: hosts}}
 }
 
 // Watch tells the list once and waits for ctx to end.
--- a/internal/sidecar/departures_test.go
+++ b/internal/sidecar/departures_test.go
@@ -87,7 +87,7 @@
 			}
 			w.until("an empty ledger", func() bool {
 				n := 0
-				w.do(func() { n, _ = w.engine.Held() })
+				w.do(func() { n, _ = w.engine.Counts() })
 				return n == 0
 			})
 		})
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -156,7 +156,7 @@
 	moved := directory.New(t, directory.Ready("s-2", second.Address))
 	for range 2 { // it may come again
 		lists := w.spy.count(balancer.ListFull)
-		w.do(func() { w.engine.Move(registry.New(moved.Address, w.cfg.pace())) })
+		w.do(func() { w.engine.SwitchSource(registry.New(moved.Address, w.cfg.pace())) })
 		w.until("the new list", func() bool { return w.spy.count(balancer.ListFull) > lists })
 	}
 	moved.Lock()
--- a/internal/sidecar/orders_test.go
+++ b/internal/sidecar/orders_test.go
@@ -286,7 +286,7 @@
 					o.dir.Change(func() { o.dir.List = directory.Document{Seq: uint64(n + 1), Whole: true, Hosts: hosts} })
 					o.until("the list", func() bool { return o.spy.count(balancer.ListFull) > lists })
 				case "move":
-					o.do(func() { o.engine.Move(registry.New(o.dir.Address, o.cfg.pace())) })
+					o.do(func() { o.engine.SwitchSource(registry.New(o.dir.Address, o.cfg.pace())) })
 				case "end":
 					o.stop()
 					ended = true
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -49,7 +49,7 @@
 // engineOptions are an engine's surroundings as the configuration names them.
 func engineOptions(cfg *Config, up engine.Upstream, log *slog.Logger) engine.Options {
 	return engine.Options{Settings: cfg.Settings, Seed: cfg.Seed, Zones: cfg.zones, Kinds: cfg.kinds,
-		Known: cfg.known, Upstream: up, Source: registry.New(cfg.Discovery, cfg.pace()), Log: log}
+		CachedList: cfg.known, Upstream: up, Source: registry.New(cfg.Discovery, cfg.pace()), Log: log}
 }
 
 // Run serves until ctx ends, then answers what it has taken and returns. New
@@ -72,7 +72,7 @@
 	go func() {
 		for next := range reloads {
 			// Only the address is the new file's: all else stays as it was at the start.
-			e.Post(func(balancer.Micros) { e.Move(registry.New(next.Discovery, cfg.pace())) })
+			e.Post(func(balancer.Micros) { e.SwitchSource(registry.New(next.Discovery, cfg.pace())) })
 			log.Info("configuration reloaded", "discovery", next.Discovery)
 		}
 	}()
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -136,7 +136,7 @@
 				return slices.Contains(w.spy.events, "timer")
 			})
 			w.do(func() {
-				if n, _ := w.engine.Held(); n != 0 {
+				if n, _ := w.engine.Counts(); n != 0 {
 					t.Error("the ledger still holds the request")
 				}
 			})
--- a/internal/sidecar/world_test.go
+++ b/internal/sidecar/world_test.go
@@ -182,7 +182,7 @@
 	upOptions.Settle = 1 // of a nanosecond: how many connections there are must not depend on how busy the machine is
 	up := httpupstream.New(upOptions)
 	options := engineOptions(cfg, up, log)
-	options.Wrap = func(d engine.Decider) engine.Decider {
+	options.WrapDecider = func(d engine.Decider) engine.Decider {
 		w.spy = &spy{Decider: d}
 		return w.spy
 	}
--- a/internal/site/check.go
+++ b/internal/site/check.go
@@ -339,8 +339,8 @@
 func (f *File) hosts() []engine.Host {
 	hosts := make([]engine.Host, len(f.Servers))
 	for i, s := range f.Servers {
-		hosts[i] = engine.Host{Name: s.Name, Dial: s.Address, Site: s.Site, Kind: s.Kind, Cell: uint16(s.Pod),
-			State: balancer.Ready, Share: float32(or(s.Share, 1))}
+		hosts[i] = engine.Host{Name: s.Name, Address: s.Address, Site: s.Site, Kind: s.Kind, Cell: uint16(s.Pod),
+			State: balancer.Ready, Weight: float32(or(s.Share, 1))}
 	}
 	return hosts
 }
--- a/internal/site/file_test.go
+++ b/internal/site/file_test.go
@@ -61,7 +61,7 @@
 	if c.Idempotency != balancer.IdempotentWithKey || c.Group != balancer.GroupAll || c.DedupWindow != 1_239_250 || c.ClientTimeout != 2_500_000 || c.PriorityWeight != 10 || s.Classes[0].PriorityWeight != 1 {
 		t.Errorf("classes %+v", s.Classes)
 	}
-	if h := f.hosts(); len(h) != 1 || h[0].Cell != 3 || h[0].Site != "dar" || h[0].Share != 1 {
+	if h := f.hosts(); len(h) != 1 || h[0].Cell != 3 || h[0].Site != "dar" || h[0].Weight != 1 {
 		t.Errorf("hosts %+v", h)
 	}
 	if got := f.Summary(); !strings.Contains(got, "stall-pay") || !strings.Contains(got, "1 servers") {
--- a/internal/site/peers.go
+++ b/internal/site/peers.go
@@ -144,7 +144,7 @@
 		return nil
 	}
 	cfg := f.peerConfig(i.log)
-	cfg.Advise = func(now balancer.Micros, draining map[string]int64) { i.engine.Advise(now, draining) }
+	cfg.Advise = func(now balancer.Micros, draining map[string]int64) { i.engine.SetAdvisedDraining(now, draining) }
 	host, err := cluster.Start(cfg, func(event func(now balancer.Micros)) { i.engine.Post(event) })
 	if err != nil {
 		return err
--- a/internal/site/run.go
+++ b/internal/site/run.go
@@ -200,10 +200,10 @@
 		return nil, err
 	}
 	options := engine.Options{Settings: settings, Seed: binary.LittleEndian.Uint64(seed[:]),
-		Zones: f.Fleet.Sites, Kinds: f.Fleet.Kinds, Known: engine.List{Whole: true, Hosts: f.hosts()},
+		Zones: f.Fleet.Sites, Kinds: f.Fleet.Kinds, CachedList: engine.List{Complete: true, Hosts: f.hosts()},
 		Upstream: up, Source: f.source(log), Log: log, Admission: i.admit, Subset: part, Pools: f.table.Pools}
 	if i.Peers != nil {
-		options.Guard, options.Observe, options.Source = i.Peers, i.Peers.Observe, overheard{options.Source, i.Peers}
+		options.KeyLeases, options.Observe, options.Source = i.Peers, i.Peers.Observe, overheard{options.Source, i.Peers}
 	}
 	e, err := engine.New(engineCtx, options)
 	if err != nil {
@@ -262,9 +262,9 @@
 // changed.
 func (i *Instance) Reload(f *File) error {
 	err := errors.New("the instance has ended")
-	i.engine.Do(func(now balancer.Micros) {
+	i.engine.Call(func(now balancer.Micros) {
 		t := f.table
-		if err = i.engine.Configure(now, engine.Table{Classes: t.Classes(), Budgets: t.Budgets(), Pools: t.Pools}); err != nil {
+		if err = i.engine.Configure(now, engine.RuntimeSettings{Classes: t.Classes(), Budgets: t.Budgets(), Pools: t.Pools}); err != nil {
 			return
 		}
 		i.admit.Configure(t.Admission(f.Limits.AdmitRate))
@@ -276,7 +276,7 @@
 		if i.secure != nil {
 			i.secure.Rename(f.verifyNames())
 		}
-		i.engine.Move(f.source(i.log))
+		i.engine.SwitchSource(f.source(i.log))
 	})
 	if err != nil {
 		return err
@@ -321,7 +321,7 @@
 }
 
 // Ready says whether an endpoint is known that requests may go to.
-func (i *Instance) Ready() bool { return i.engine.Listed() }
+func (i *Instance) Ready() bool { return i.engine.HasEndpoints() }
 
 // readyMost is how long WaitReady waits: discovery and a first session take well under
 // a second.
@@ -339,7 +339,7 @@
 
 // Requests counts what the engine's ledger holds.
 func (i *Instance) Requests() (n int) {
-	i.engine.Do(func(balancer.Micros) { n, _ = i.engine.Held() })
+	i.engine.Call(func(balancer.Micros) { n, _ = i.engine.Counts() })
 	return n
 }
 
--- a/internal/subset/subset.go
+++ b/internal/subset/subset.go
@@ -195,8 +195,8 @@
 	}
 }
 
-// Load tells how many requests are in flight. It says whether the size has changed.
-func (s *Subset) Load(now time.Time, inflight float64) (changed bool) {
+// ObserveLoad tells how many requests are in flight. It says whether the size has changed.
+func (s *Subset) ObserveLoad(now time.Time, inflight float64) (changed bool) {
 	want := s.c.Floor + int(math.Ceil(s.c.Spread*max(0, inflight)))
 	switch {
 	case want > s.size:
@@ -215,9 +215,9 @@
 	return false
 }
 
-// Outcome tells whether a server has answered. It says whether others are to be held for it
+// ObserveOutcome tells whether a server has answered. It says whether others are to be held for it
 // now, or no longer.
-func (s *Subset) Outcome(name string, answered bool) (changed bool) {
+func (s *Subset) ObserveOutcome(name string, answered bool) (changed bool) {
 	m := s.members[name]
 	if m == nil {
 		return false
@@ -229,15 +229,15 @@
 	return m.held && was != (m.failures >= failuresLeast)
 }
 
-// Has says whether a server is held.
-func (s *Subset) Has(name string) bool {
+// Contains says whether a server is held.
+func (s *Subset) Contains(name string) bool {
 	m := s.members[name]
 	return m != nil && m.held
 }
 
-// Choose decides anew, and returns the servers that are held from now on and those that are
+// Select decides anew, and returns the servers that are held from now on and those that are
 // no longer, both by name. It costs in proportion to what is held, not to the fleet.
-func (s *Subset) Choose() (added, removed []string) {
+func (s *Subset) Select() (added, removed []string) {
 	next := map[*member]bool{}
 	want := s.quotas()
 	short := 0
--- a/internal/subset/subset_test.go
+++ b/internal/subset/subset_test.go
@@ -48,7 +48,7 @@
 	for _, x := range all {
 		s.Add(x)
 	}
-	s.Choose()
+	s.Select()
 	return s
 }
 
@@ -74,28 +74,28 @@
 	if s := filled(t, c, fleet(300, 3)[:4]); len(held(s)) != 4 {
 		t.Error("sites that lack servers take them from the others")
 	}
-	if !s.Load(start, 10) || s.size != 32 {
+	if !s.ObserveLoad(start, 10) || s.size != 32 {
 		t.Errorf("with ten in flight %d are wanted", s.size)
 	}
-	if s.Choose(); sites(s) != [3]int{16, 8, 8} {
+	if s.Select(); sites(s) != [3]int{16, 8, 8} {
 		t.Errorf("grown to %v", sites(s))
 	}
 
 	// A held server that fails stays, and another is held; it answers, and that is let go.
 	before := held(s)
 	for n := range failuresLeast {
-		if changed := s.Outcome(before[0], false); changed != (n == failuresLeast-1) {
+		if changed := s.ObserveOutcome(before[0], false); changed != (n == failuresLeast-1) {
 			t.Errorf("failure %d: changed %t", n+1, changed)
 		}
 	}
-	added, removed := s.Choose()
-	if len(added) != 1 || len(removed) != 0 || !s.Has(before[0]) {
+	added, removed := s.Select()
+	if len(added) != 1 || len(removed) != 0 || !s.Contains(before[0]) {
 		t.Errorf("a server fails: %v, %v", added, removed)
 	}
-	if !s.Outcome(before[0], true) {
+	if !s.ObserveOutcome(before[0], true) {
 		t.Error("it has answered, and nothing follows")
 	}
-	if _, gone := s.Choose(); !slices.Equal(gone, added) {
+	if _, gone := s.Select(); !slices.Equal(gone, added) {
 		t.Errorf("it has answered: %v is let go, want %v", gone, added)
 	}
 
@@ -103,11 +103,11 @@
 	for _, x := range fleet(300, 3) {
 		for range failuresLeast {
 			if x.Site == "a" {
-				s.Outcome(x.Name, false)
+				s.ObserveOutcome(x.Name, false)
 			}
 		}
 	}
-	if s.Choose(); sites(s)[0] > tries*16+ofPod || sites(s)[1]+sites(s)[2] < 32 {
+	if s.Select(); sites(s)[0] > tries*16+ofPod || sites(s)[1]+sites(s)[2] < 32 {
 		t.Errorf("with the own site lost %v are held", sites(s))
 	}
 
@@ -127,7 +127,7 @@
 func TestSize(t *testing.T) {
 	s := fresh(t, Config{Instance: "one", Floor: 10, Spread: 1})
 	at := func(seconds int, inflight float64) int {
-		s.Load(start.Add(time.Duration(seconds)*time.Second), inflight)
+		s.ObserveLoad(start.Add(time.Duration(seconds)*time.Second), inflight)
 		return s.size
 	}
 	for _, c := range []struct {
@@ -159,7 +159,7 @@
 		told := map[string]bool{}
 		var answering int // of those that changed
 		choose := func() int {
-			added, removed := s.Choose()
+			added, removed := s.Select()
 			for _, name := range added {
 				if told[name] {
 					t.Fatalf("%s is held twice", name)
@@ -203,11 +203,11 @@
 			case "fail":
 				failing = true
 				for range failuresLeast {
-					s.Outcome(x.Name, false)
+					s.ObserveOutcome(x.Name, false)
 				}
 			case "answer":
 				failing = true
-				s.Outcome(x.Name, true)
+				s.ObserveOutcome(x.Name, true)
 			}
 			// A unit's places and its successor's; and where a site runs short, the same of each other.
 			unit := 1
@@ -230,7 +230,7 @@
 		for name, m := range s.members {
 			if m.failures < failuresLeast {
 				possible++
-				if s.Has(name) {
+				if s.Contains(name) {
 					good++
 				}
 			}
@@ -246,7 +246,7 @@
 		for name, m := range s.members {
 			again.members[name].failures = m.failures
 		}
-		again.Choose()
+		again.Select()
 		if !slices.Equal(held(s), held(again)) {
 			t.Fatalf("held %v, from what is there alone %v", held(s), held(again))
 		}
@@ -263,12 +263,12 @@
 	}
 	for _, n := range []int{0, 1, 11, 16} {
 		for range failuresLeast {
-			s.Outcome(all[n].Name, false)
+			s.ObserveOutcome(all[n].Name, false)
 		}
 	}
-	s.Choose()
+	s.Select()
 	s.Add(all[9])
-	added, removed := s.Choose()
+	added, removed := s.Select()
 	answering := 0
 	for _, name := range slices.Concat(added, removed) {
 		answering += share(s.members[name].failures < failuresLeast)
@@ -322,9 +322,9 @@
 			s := filled(b, Config{Instance: "one", Site: "a", Floor: 20}, all)
 			for b.Loop() {
 				s.Remove(all[0].Name)
-				s.Choose()
+				s.Select()
 				s.Add(all[0])
-				s.Choose()
+				s.Select()
 			}
 		})
 	}
--- a/internal/upstream/attempt/attempt.go
+++ b/internal/upstream/attempt/attempt.go
@@ -34,23 +34,23 @@
 // Carry returns a carrier for one request.
 func Carry(send Sender, m *engine.Message) engine.Carrier { return &carriage{send, m} }
 
-// Attempt sends the request in a goroutine of its own.
-func (c *carriage) Attempt(a *engine.Attempt) {
-	ctx, cancel := context.WithDeadline(a.Context(), a.UntilTime())
+// Send sends the request in a goroutine of its own.
+func (c *carriage) Send(a *engine.Attempt) {
+	ctx, cancel := context.WithDeadline(a.Context(), a.DeadlineTime())
 	a.Stop = cancel
 	go func() {
 		res := c.start(ctx, a)
 		cancel()
-		a.Done(res)
+		a.PostResult(res)
 	}()
 }
 
 // start sends the request under a second, shorter context beside the attempt's own: one
 // that ends when the request must not be written any more.
 func (c *carriage) start(ctx context.Context, a *engine.Attempt) engine.Result {
-	unsent, cancel := context.WithDeadline(ctx, a.ByTime())
+	unsent, cancel := context.WithDeadline(ctx, a.SendByTime())
 	defer cancel()
-	wanted := c.message.Wanted
+	wanted := c.message.Context
 	if wanted == nil {
 		wanted = ctx
 	}
@@ -148,7 +148,7 @@
 
 // Answered is the result of a request that has a whole answer.
 func Answered(fields []string, response *http.Response, body []byte, took time.Duration) engine.Result {
-	r := engine.Result{Status: balancer.Error, Took: took, Load: httpmsg.LoadReport(fields, response.Header.Get("X-Backend-Load"))}
+	r := engine.Result{Status: balancer.Error, Duration: took, Load: httpmsg.LoadReport(fields, response.Header.Get("X-Backend-Load"))}
 	switch code := response.StatusCode; {
 	case code == http.StatusOK:
 		r.Status, r.Header, r.Body = balancer.OK, response.Header, body
--- a/internal/upstream/either/either.go
+++ b/internal/upstream/either/either.go
@@ -58,17 +58,17 @@
 	one, three engine.Carrier
 }
 
-// Carry returns a carrier for one request.
-func (u *Upstream) Carry(m *engine.Message) engine.Carrier {
-	return &carriage{u, u.one.Carry(m), u.three.Carry(m)}
+// NewCarrier returns a carrier for one request.
+func (u *Upstream) NewCarrier(m *engine.Message) engine.Carrier {
+	return &carriage{u, u.one.NewCarrier(m), u.three.NewCarrier(m)}
 }
 
-// Attempt starts an attempt.
-func (c *carriage) Attempt(a *engine.Attempt) {
+// Send starts an attempt.
+func (c *carriage) Send(a *engine.Attempt) {
 	if c.up.use(a.Target) {
-		c.three.Attempt(a)
+		c.three.Send(a)
 	} else {
-		c.one.Attempt(a)
+		c.one.Send(a)
 	}
 }
 
--- a/internal/upstream/either/either_test.go
+++ b/internal/upstream/either/either_test.go
@@ -60,16 +60,16 @@
 		t.Fatal(err)
 	}
 	go e.Run()
-	e.Do(func(now balancer.Micros) {
-		e.Tell(now, balancer.ListFull, engine.List{Whole: true, Hosts: []engine.Host{{Name: "s", Dial: plain.Addr().String(), Site: "a", Share: 1}}})
+	e.Call(func(now balancer.Micros) {
+		e.UpdateEndpoints(now, balancer.ListFull, engine.List{Complete: true, Hosts: []engine.Host{{Name: "s", Address: plain.Addr().String(), Site: "a", Weight: 1}}})
 	})
 	asked := int64(0)
 	ask := func() int {
 		asked++
-		answer := make(chan engine.Answer, 1)
-		r := &engine.Request{Answer: func(a engine.Answer) { answer <- a },
-			Carrier: up.Carry(&engine.Message{Method: "POST", URL: &url.URL{Path: "/pay/x"}, Host: "x", Header: http.Header{}, Body: []byte("b")})}
-		e.Post(func(now balancer.Micros) { e.Take(now, r, balancer.Request{Deadline: now + 5_000_000}) })
+		answer := make(chan engine.Response, 1)
+		r := &engine.Request{Respond: func(a engine.Response) { answer <- a },
+			Carrier: up.NewCarrier(&engine.Message{Method: "POST", URL: &url.URL{Path: "/pay/x"}, Host: "x", Header: http.Header{}, Body: []byte("b")})}
+		e.Post(func(now balancer.Micros) { e.Submit(now, r, balancer.Request{Deadline: now + 5_000_000}) })
 		return (<-answer).Code
 	}
 	if code := ask(); code != 200 || one.Load() != 1 {
@@ -93,7 +93,7 @@
 		t.Errorf("after HTTP/3 has gone: %d", code)
 	}
 	stop()
-	e.Do(func(balancer.Micros) {})
+	e.Call(func(balancer.Micros) {})
 }
 
 // UDP that is blocked in one direction, either one: nothing waits for it, HTTP/1.1 serves every request.
--- a/internal/upstream/http3upstream/upstream.go
+++ b/internal/upstream/http3upstream/upstream.go
@@ -105,8 +105,8 @@
 	return errors.Join(u.transport.Close(), u.transport.Conn.Close())
 }
 
-// Carry returns a carrier for one request.
-func (u *Upstream) Carry(m *engine.Message) engine.Carrier { return attempt.Carry(u.attempt, m) }
+// NewCarrier returns a carrier for one request.
+func (u *Upstream) NewCarrier(m *engine.Message) engine.Carrier { return attempt.Carry(u.attempt, m) }
 
 // Probe asks an endpoint in a goroutine of its own.
 func (u *Upstream) Probe(ctx context.Context, t *engine.Target, told func(engine.Result)) {
@@ -314,9 +314,9 @@
 	took := time.Since(start)
 	var refused *http3.Error
 	if errors.As(err, &refused) && refused.Remote && refused.ErrorCode == http3.ErrCodeRequestRejected {
-		return engine.Result{Status: balancer.Full, Took: took}
+		return engine.Result{Status: balancer.Full, Duration: took}
 	} else if err != nil {
-		return engine.Result{Status: attempt.Broken(ctx), Took: took}
+		return engine.Result{Status: attempt.Broken(ctx), Duration: took}
 	}
 	return attempt.Answered(u.opts.Fields, response, body, took)
 }
--- a/internal/upstream/httpupstream/upstream.go
+++ b/internal/upstream/httpupstream/upstream.go
@@ -117,8 +117,8 @@
 	}
 }
 
-// Carry returns a carrier for one request.
-func (u *Upstream) Carry(m *engine.Message) engine.Carrier { return attempt.Carry(u.attempt, m) }
+// NewCarrier returns a carrier for one request.
+func (u *Upstream) NewCarrier(m *engine.Message) engine.Carrier { return attempt.Carry(u.attempt, m) }
 
 // attempt sends a request once and tells what came of it. Its outcome claims
 // that the request never ran only where the last byte was not written, or the
@@ -139,9 +139,9 @@
 	took := time.Since(start)
 	var never *unsentError
 	if errors.As(err, &never) {
-		return engine.Result{Status: attempt.Unsent(ctx, never.error), Took: took}
+		return engine.Result{Status: attempt.Unsent(ctx, never.error), Duration: took}
 	} else if err != nil {
-		return engine.Result{Status: attempt.Broken(ctx), Took: took}
+		return engine.Result{Status: attempt.Broken(ctx), Duration: took}
 	}
 	return attempt.Answered(u.fields, response, body, took)
 }
