--- a/internal/site/router.go
+++ b/internal/site/router.go
@@ -14,8 +14,8 @@
 func newRouter(t *policy.Table) *router {
 	r := &router{t, map[*policy.Bounds]*intake.Bounds{}}
 	t.Each(func(b *policy.Bounds) {
-		r.bounds[b] = &intake.Bounds{Class: b.Class, ClassName: b.ClassName, Repeat: b.Repeat, Methods: b.Methods, Deadline: b.Deadline,
-			TryFor: b.TryFor, CopyAfter: b.CopyAfter, Attempts: b.Attempts, NoCopies: b.NoCopies, Budget: b.Budget, Pool: b.Pool}
+		r.bounds[b] = &intake.Bounds{Class: b.Class, ClassName: b.ClassName, Repeat: b.Idempotency, Methods: b.Methods, Deadline: b.Deadline,
+			TryFor: b.AttemptTimeout, CopyAfter: b.HedgeDelay, Attempts: b.MaxAttempts, NoCopies: b.NoHedging, Budget: b.Budget, Pool: b.Pool}
 	})
 	return r
 }
--- a/internal/site/run.go
+++ b/internal/site/run.go
@@ -46,7 +46,7 @@
 	HTTP3   net.Addr // likewise
 	ExtProc net.Addr
 	Status  net.Addr      // where it tells of other instances, nil unless it does
-	Peers   *cluster.Host // likewise
+	Peers   *cluster.Node // likewise
 
 	closePeers func()
 	file       *File
@@ -68,28 +68,28 @@
 // source is where membership comes from, as the file says. Beside ephemeral nodes all
 // others are merged with them.
 func (f *File) source(log *slog.Logger) engine.Source {
-	var parts []multisource.Part
+	var parts []multisource.Input
 	if e := &f.Ephemeral; len(e.Servers) > 0 {
-		parts = append(parts, multisource.Part{Kind: reconcile.Ephemeral, Name: e.Path, Feeder: ephemeral.New(ephemeral.Options{
+		parts = append(parts, multisource.Input{Kind: reconcile.Ephemeral, Name: e.Path, Feeder: ephemeral.New(ephemeral.Options{
 			Servers: e.Servers, Path: e.Path, Session: time.Duration(e.Session), Digest: f.digest,
 			Rules: ephemeral.Rules{Sites: f.Fleet.Sites, Kinds: f.Fleet.Kinds}, Log: log})})
 	}
 	if f.Discovery.Address != "" {
-		client := registry.New(f.Discovery.Address, registry.Asked)
+		client := registry.New(f.Discovery.Address, registry.PollTiming)
 		if len(parts) == 0 {
 			return client
 		}
-		parts = append(parts, multisource.Part{Kind: reconcile.Discovery, Name: f.Discovery.Address, Feeder: multisource.Of{Source: client}})
+		parts = append(parts, multisource.Input{Kind: reconcile.Discovery, Name: f.Discovery.Address, Feeder: multisource.SourceFeeder{Source: client}})
 	}
 	if len(f.Servers) > 0 || len(parts) == 0 {
 		list := static.New(f.hosts())
 		if len(parts) == 0 {
 			return list
 		}
-		parts = append(parts, multisource.Part{Kind: reconcile.Static, Name: "of the file", Feeder: multisource.Of{Source: list}})
+		parts = append(parts, multisource.Input{Kind: reconcile.Static, Name: "of the file", Feeder: multisource.SourceFeeder{Source: list}})
 	}
-	return multisource.New(reconcile.Config{ShrinkMost: f.Membership.ShrinkMost, Hold: time.Duration(f.Membership.Hold),
-		Lag: time.Duration(f.Membership.Lag)}, log, parts...)
+	return multisource.New(reconcile.Config{MaxShrinkRatio: f.Membership.ShrinkMost, HoldTime: time.Duration(f.Membership.Hold),
+		MaxDiscoveryLag: time.Duration(f.Membership.Lag)}, log, parts...)
 }
 
 // collectAt is the heap's growth, in percent of what is live, at which it is
@@ -203,7 +203,7 @@
 		Zones: f.Fleet.Sites, Kinds: f.Fleet.Kinds, CachedList: engine.List{Complete: true, Hosts: f.hosts()},
 		Upstream: up, Source: f.source(log), Log: log, Admission: i.admit, Subset: part, Pools: f.table.Pools}
 	if i.Peers != nil {
-		options.KeyLeases, options.Observe, options.Source = i.Peers, i.Peers.Observe, overheard{options.Source, i.Peers}
+		options.KeyLeases, options.Observe, options.Source = i.Peers, i.Peers.ObserveAttempt, overheard{options.Source, i.Peers}
 	}
 	e, err := engine.New(engineCtx, options)
 	if err != nil {
