HTTP/1.1 front: a request's time counts from its last byte, not from its head

Cause: the protocol says that a request's time counts from its last byte; Server.handle took the instant before it read the body, so that a client that wrote its body slowly was rejected for time that had not begun (503 after 0 attempts where the last bytes came 500 ms late and 400 ms were left). Change: the time that the body took is added to the deadline. Result: TestDeadlineCountsFromTheLastByte fails without the change and passes with it, three of three; the tests of httpfront, sidecar and cmd/pinedale pass.

--- a/internal/front/httpfront/server.go
+++ b/internal/front/httpfront/server.go
@@ -254,6 +254,8 @@
 		s.ready(w)
 		return
 	}
+	// The request's time counts from its last byte, which has only come now.
+	req.Deadline += s.engine.Now() - arrived
 	s.request(w, in, c, req, body)
 }
 
--- /dev/null
+++ b/internal/sidecar/deadline_test.go
@@ -0,0 +1,43 @@
+package sidecar
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"pinedale/internal/standin/directory"
+	"pinedale/internal/standin/peer"
+)
+
+// TestDeadlineCountsFromTheLastByte sends the end of a body later than the request's time left: the client
+// counts from the last byte, so all of that time is still there.
+func TestDeadlineCountsFromTheLastByte(t *testing.T) {
+	const timeLeft, slowWrite, tail = 400 * time.Millisecond, 500 * time.Millisecond, 5
+	endpoint := peer.New(t, peer.Always(peer.Served))
+	w := start(t, nil, directory.Ready("s-1", endpoint.Address))
+	conn := w.dial()
+	text := w.text("order", "0123456789", timeLeft)
+	if _, err := io.WriteString(conn, text[:len(text)-tail]); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(slowWrite)
+	if _, err := io.WriteString(conn, text[len(text)-tail:]); err != nil {
+		t.Fatal(err)
+	}
+	if err := conn.SetReadDeadline(time.Now().Add(patience)); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := response.Body.Close(); err != nil {
+		t.Fatal(err)
+	}
+	attempts, _ := endpoint.Seen()
+	if response.StatusCode != http.StatusOK || attempts != 1 {
+		t.Errorf("answer %d after %d attempts, want 200 after 1", response.StatusCode, attempts)
+	}
+}
