Balancer: one file for each decision; records and the ledger leave the files that decide

Cause: attempts.go, balancer.go and pick.go held a dozen decisions each, mixed with bookkeeping. Change: rejection, hedging, prediction, learning, slow start, polling and ejection have files of their own, all of them listed as policy. Timer slots, budgets and key records stand with the other records in state.go: the check of the deploy file lets only api.go and state.go go unlisted. The check of imports now covers every file of the package, and a new one holds the deploy file's list against the test's. Declarations are moved, not edited.

--- a/balancer/api.go
+++ b/balancer/api.go
@@ -6,6 +6,123 @@
 // arbitrary origin chosen by the host; the host's clock never runs backwards.
 type Micros = int64
 
+// State is what discovery says of an endpoint.
+type State uint8
+
+// The states of an endpoint.
+const (
+	Ready State = iota
+	Draining
+	Removed
+)
+
+// Endpoint is one entry of discovery's list.
+type Endpoint struct {
+	ID        uint32
+	StableID  uint64 // a number that is the same at every balancer; 0 where ID is
+	Zone      uint8
+	Kind      uint8
+	Cell      uint16
+	State     State
+	Weight    float32
+	Pools     uint64 // one bit for each pool that it is in
+	StartTime Micros // of its latest start; 0 for long ago
+}
+
+// ListKind says how the entries of a membership event are to be read.
+type ListKind uint8
+
+// The kinds of membership event.
+const (
+	ListDelta  ListKind = iota // changed entries only
+	ListFull                   // the complete list
+	ListCached                 // the complete list as last held; perhaps old
+	ListFailed                 // a call of discovery failed; no entries
+	ListHost                   // entries that the host itself changes: discovery has said nothing
+)
+
+// Request is a client's request. One final answer is owed for it: an outcome
+// that settles it, a refusal or a failure.
+type Request struct {
+	ID          uint64
+	Key         uint64
+	Deadline    Micros // the instant at which the client gives this try up
+	WorkHint    Micros // expected work; used if HasHint
+	HasWorkHint bool
+	ClientRetry bool // the client marked it as a repetition
+	Write       bool
+	Tenant      uint16
+	Class       uint8
+	MaxAttempts int  // at most so many, where that is fewer than the limits permit; 0 for as many
+	NoHedging   bool // no second copy beside an attempt that is out, whatever the limits permit
+
+	AttemptTimeout Micros // the most time for one attempt; 0 for all that is left
+	HedgeDelay     Micros // a second copy is sent once the first attempt is out for so long; 0 for no such
+	Budget         uint16 // of Settings.Budgets, from 1; 0 for the one for all
+	Pool           uint8  // only endpoints of this pool may have it, from 1 to 64; 0 for all
+
+	// MayHaveRun says that an attempt at the same effect was made before this
+	// request was taken, which may have run: it counts as the first attempt does.
+	MayHaveRun      bool
+	PreviousAttempt PreviousAttempt
+}
+
+// PreviousAttempt is an attempt made before a request was taken.
+type PreviousAttempt struct {
+	At   Micros
+	Zone uint8
+	Cell uint16
+}
+
+// Status says how an attempt or a probe ended.
+type Status uint8
+
+// The ways an attempt may end. Full, ConnectFailed and Moot prove that it
+// never ran; all others but OK leave that open.
+const (
+	OK            Status = iota
+	Error                // an error returned by the endpoint
+	Full                 // turned away unseen
+	Timeout              // no answer in time
+	ConnectFailed        // no connection in time
+	Reset                // the connection broke
+	Cancelled            // withdrawn by the balancer
+	NotSent              // never sent
+)
+
+// Outcome tells how an attempt ended. Load is valid during the call only.
+type Outcome struct {
+	ID       uint64
+	Attempt  int    // the attempts of a request count from 0 as sent
+	Endpoint uint32 // that had it: what carries attempts out may have gone elsewhere than it was told
+	Status   Status
+	Latency  Micros
+	Settled  bool // the request has its final answer
+	Load     []float32
+}
+
+// Actions is what a balancer asks of its host. Calls come from within event
+// methods, in the order in which they are to take effect.
+type Actions interface {
+	// Send starts an attempt; timeout 0 means until the client's deadline. It must have been written by the
+	// instant by, or not at all: later it could be a second effect, or nobody would wait for its answer.
+	Send(id uint64, endpoint uint32, timeout, by Micros)
+	// Reject is a final answer that promises that a retry is harmless.
+	Reject(id uint64, retryAfter Micros)
+	// Fail is a final answer that promises nothing.
+	Fail(id uint64)
+	// Cancel stops waiting for an attempt; its outcome still comes.
+	Cancel(id uint64, attempt int)
+	// Timer asks for a Timer event with this token after delay.
+	Timer(delay Micros, token uint32)
+	// Probe asks an endpoint for its load.
+	Probe(endpoint uint32)
+	// Watch subscribes to discovery's changes, or ends that.
+	Watch(on bool)
+	// Log records an event for on-call staff: a fixed message, then keys and values as log/slog takes them.
+	Log(event string, attributes ...any)
+}
+
 // Idempotency says what a second run of a request of a class would do.
 type Idempotency uint8
 
@@ -192,119 +309,91 @@
 	return err
 }
 
-// State is what discovery says of an endpoint.
-type State uint8
-
-// The states of an endpoint.
-const (
-	Ready State = iota
-	Draining
-	Removed
-)
-
-// Endpoint is one entry of discovery's list.
-type Endpoint struct {
-	ID        uint32
-	StableID  uint64 // a number that is the same at every balancer; 0 where ID is
-	Zone      uint8
-	Kind      uint8
-	Cell      uint16
-	State     State
-	Weight    float32
-	Pools     uint64 // one bit for each pool that it is in
-	StartTime Micros // of its latest start; 0 for long ago
-}
-
-// ListKind says how the entries of a membership event are to be read.
-type ListKind uint8
-
-// The kinds of membership event.
-const (
-	ListDelta  ListKind = iota // changed entries only
-	ListFull                   // the complete list
-	ListCached                 // the complete list as last held; perhaps old
-	ListFailed                 // a call of discovery failed; no entries
-	ListHost                   // entries that the host itself changes: discovery has said nothing
-)
-
-// Request is a client's request. One final answer is owed for it: an outcome
-// that settles it, a refusal or a failure.
-type Request struct {
-	ID          uint64
-	Key         uint64
-	Deadline    Micros // the instant at which the client gives this try up
-	WorkHint    Micros // expected work; used if HasHint
-	HasWorkHint bool
-	ClientRetry bool // the client marked it as a repetition
-	Write       bool
-	Tenant      uint16
-	Class       uint8
-	MaxAttempts int  // at most so many, where that is fewer than the limits permit; 0 for as many
-	NoHedging   bool // no second copy beside an attempt that is out, whatever the limits permit
-
-	AttemptTimeout Micros // the most time for one attempt; 0 for all that is left
-	HedgeDelay     Micros // a second copy is sent once the first attempt is out for so long; 0 for no such
-	Budget         uint16 // of Settings.Budgets, from 1; 0 for the one for all
-	Pool           uint8  // only endpoints of this pool may have it, from 1 to 64; 0 for all
-
-	// MayHaveRun says that an attempt at the same effect was made before this
-	// request was taken, which may have run: it counts as the first attempt does.
-	MayHaveRun      bool
-	PreviousAttempt PreviousAttempt
+// Balancer decides for one sidecar. Make one with New.
+type Balancer struct {
+	s   Settings
+	out Actions
+	rng source
+
+	requests map[uint64]*request // every request with an attempt out or no final answer
+	slots    []*request          // by timer slot
+	free     []*request          // records to use again
+	open     int                 // requests without final answer
+	held     []*request          // requests that wait for probes
+
+	byID    map[uint32]*endpoint
+	list    []*endpoint        // known endpoints in the order first heard of
+	lists   int                // membership events so far
+	listed  bool               // discovery has answered since the start
+	pool    []*endpoint        // endpoints with a fresh answer
+	met     [metMost]*endpoint // the latest that requests were sent to, in a ring
+	metAt   int
+	largest float64 // share of any listed endpoint
+	asks    float64 // probes that go with a request, while sparse
+	sparse  bool    // probes are asked for single requests
+
+	subscribed bool
+	askAt      Micros // next call of discovery, unless subscribed by then
+	askWait    Micros
+
+	classes  []classStats
+	budgets  []float64 // what is left of each
+	tenants  []meter   // requests sent, by tenant
+	ways     [256]ewma // least time of a probe to each zone and back
+	kinds    [256]mean // pace of each kind of machine
+	fleet    mean      // and of the whole fleet
+	demand   meter     // requests taken
+	sentWork meter     // work sent
+	refused  ewma      // share of requests refused at arrival
+	passOf   int       // requests that seem too late for one that is sent
+	credit   float64   // retry budget, in attempts
+	copies   float64   // budget of second copies
+	lost     ewma      // share of attempts that were swallowed
+	keys     keys
+
+	waits       ewma // share of probes that waited in line
+	lag         ewma // share of load reports that must be late
+	usual       ewma // load of others at an endpoint, over all answers
+	reportsLate bool
+	trust       float64 // power of a hint that work grows with
+	trend       float64 // latencies over those predicted, for all endpoints together
+
+	logged map[string]Micros // when each event was logged last
 }
 
-// PreviousAttempt is an attempt made before a request was taken.
-type PreviousAttempt struct {
-	At   Micros
-	Zone uint8
-	Cell uint16
-}
-
-// Status says how an attempt or a probe ended.
-type Status uint8
-
-// The ways an attempt may end. Full, ConnectFailed and Moot prove that it
-// never ran; all others but OK leave that open.
-const (
-	OK            Status = iota
-	Error                // an error returned by the endpoint
-	Full                 // turned away unseen
-	Timeout              // no answer in time
-	ConnectFailed        // no connection in time
-	Reset                // the connection broke
-	Cancelled            // withdrawn by the balancer
-	NotSent              // never sent
-)
-
-// Outcome tells how an attempt ended. Load is valid during the call only.
-type Outcome struct {
-	ID       uint64
-	Attempt  int    // the attempts of a request count from 0 as sent
-	Endpoint uint32 // that had it: what carries attempts out may have gone elsewhere than it was told
-	Status   Status
-	Latency  Micros
-	Settled  bool // the request has its final answer
-	Load     []float32
+// New returns a balancer, or a *SettingError. Call Start before any other event.
+func New(s Settings, seed uint64, out Actions) (*Balancer, error) {
+	if err := s.Validate(); err != nil {
+		return nil, err
+	}
+	b := &Balancer{
+		s: s, out: out, rng: source(seed),
+		requests: map[uint64]*request{}, byID: map[uint32]*endpoint{}, logged: map[string]Micros{},
+		tenants: make([]meter, len(s.Tenants)),
+	}
+	b.configure(s.Classes, s.Budgets)
+	return b, nil
 }
 
-// Actions is what a balancer asks of its host. Calls come from within event
-// methods, in the order in which they are to take effect.
-type Actions interface {
-	// Send starts an attempt; timeout 0 means until the client's deadline. It must have been written by the
-	// instant by, or not at all: later it could be a second effect, or nobody would wait for its answer.
-	Send(id uint64, endpoint uint32, timeout, by Micros)
-	// Reject is a final answer that promises that a retry is harmless.
-	Reject(id uint64, retryAfter Micros)
-	// Fail is a final answer that promises nothing.
-	Fail(id uint64)
-	// Cancel stops waiting for an attempt; its outcome still comes.
-	Cancel(id uint64, attempt int)
-	// Timer asks for a Timer event with this token after delay.
-	Timer(delay Micros, token uint32)
-	// Probe asks an endpoint for its load.
-	Probe(endpoint uint32)
-	// Watch subscribes to discovery's changes, or ends that.
-	Watch(on bool)
-	// Log records an event for on-call staff: a fixed message, then keys and values as log/slog takes them.
-	Log(event string, attributes ...any)
+// Configure gives the balancer other classes and budgets. Requests in hand are still of their class: one that
+// is there stays at its number, as it is but for Retired. A budget keeps what is left of it. An error says
+// which setting makes no sense, and changes nothing.
+func (b *Balancer) Configure(classes []Class, budgets []RetryBudget) error {
+	next := b.s
+	next.Classes, next.Budgets = classes, budgets
+	if err := next.Validate(); err != nil {
+		return err
+	}
+	for i, was := range b.s.Classes {
+		if i < len(classes) {
+			was.Retired = classes[i].Retired
+		}
+		if i >= len(classes) || was != classes[i] {
+			return &SettingError{"Classes", was.Name,
+				"requests in hand may be of it: it must stay as it is"}
+		}
+	}
+	b.s = next
+	b.configure(classes, budgets)
+	return nil
 }
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -7,37 +7,6 @@
 // time: the host passes each event with its instant, and the balancer calls Actions.
 package balancer
 
-import "math"
-
-// Timer tokens below firstSlot belong to the balancer; others name a request.
-const (
-	tokenProbe = iota
-	tokenDiscovery
-	firstSlot = 16
-	slotBits  = 20
-)
-
-func (b *Balancer) configure(classes []Class, budgets []RetryBudget) {
-	for i := len(b.classes); i < len(classes); i++ {
-		aim, copies := float64(classes[i].LatencyObjective), share(classes[i].HedgeQuantile > 0)
-		b.classes = append(b.classes, classStats{work: ewma{v: aim / 5, seen: true}, tail: ewma{v: aim * copies}})
-	}
-	for i, u := range budgets {
-		if i == len(b.budgets) {
-			b.budgets = append(b.budgets, u.Burst)
-		}
-		b.budgets[i] = min(b.budgets[i], u.Burst)
-	}
-}
-
-// budget is what is left of a request's budget, with what it earns and how much it holds.
-func (b *Balancer) budget(r *request) (left *float64, u RetryBudget) {
-	if n := int(r.Budget); n > 0 && n <= len(b.s.Budgets) {
-		return &b.budgets[n-1], b.s.Budgets[n-1]
-	}
-	return &b.credit, RetryBudget{retryShare, budgetBurst}
-}
-
 // Start begins the balancer's life.
 func (b *Balancer) Start(now Micros) {
 	b.lag.seen, b.refused.seen, b.lost.seen = true, true, true
@@ -53,23 +22,6 @@
 	}
 }
 
-// TimerFired handles a token given to Actions.Timer.
-func (b *Balancer) TimerFired(now Micros, token uint32) {
-	switch {
-	case token == tokenProbe:
-		b.probeRound(now)
-	case token == tokenDiscovery:
-		b.ask(now)
-	case token >= firstSlot:
-		slot := int(token&(1<<slotBits-1)) - firstSlot
-		if slot >= 0 && slot < len(b.slots) {
-			if r := b.slots[slot]; r.token == token && !r.ended && !r.stream {
-				b.wake(now, r)
-			}
-		}
-	}
-}
-
 // All leaves through send, refuse and fail below. They alone keep the rules: no policy gets round them.
 
 // end marks that the final answer is out; the record stays for late outcomes.
@@ -108,28 +60,6 @@
 				c.Group == GroupCell && e.Cell == first.cell)
 }
 
-// copyAfter is how long the first attempt is out before a second copy is sent without proof that it is
-// lost; 0 if that is not done. The class's quantile stands for a delay that is not given.
-func (b *Balancer) copyAfter(r *request) Micros {
-	if r.HedgeDelay > 0 {
-		return r.HedgeDelay
-	}
-	return Micros(b.classes[r.Class].tail.v)
-}
-
-// harmlessFor is for how long a client that is refused may come again without a second
-// effect; 0 if it must not be told that it may.
-func (b *Balancer) harmlessFor(now Micros, r *request) Micros {
-	c, first := b.class(r), r.bound()
-	switch {
-	case c.Idempotency == Idempotent || first == nil:
-		return math.MaxInt64
-	case c.Idempotency == IdempotentWithKey && c.Group == GroupAll:
-		return max(0, first.at+c.DedupWindow-now-2*returnWay)
-	}
-	return 0
-}
-
 // send starts an attempt if the rules allow it.
 func (b *Balancer) send(now Micros, r *request, e *endpoint) bool {
 	if !b.maySend(now, r, e) {
@@ -171,40 +101,6 @@
 	return true
 }
 
-// returnWay is kept of a window for a refused client's way back, and as long again for what it asks for.
-const returnWay = 50_000
-
-// refuse gives the final answer "refused" where that is true, else "failed".
-func (b *Balancer) refuse(now Micros, r *request) {
-	harmless := b.harmlessFor(now, r)
-	if r.ended || harmless == 0 {
-		b.fail(r)
-		return
-	}
-	var after Micros
-	if b.s.Limits.RetryAfter {
-		// Spread the returns, and let them come while an answer is still wanted.
-		after = Micros((0.1 + 0.2*b.rng.float()) * float64(b.class(r).LatencyObjective))
-		after = min(after, b.s.Limits.MaxRetryAfter, harmless)
-	}
-	b.out.Reject(r.ID, after)
-	b.end(r)
-}
-
-func (b *Balancer) fail(r *request) {
-	if !r.ended {
-		b.out.Fail(r.ID)
-		b.end(r)
-	}
-}
-
-// Expire handles a request that its host must answer now, before its time is over.
-func (b *Balancer) Expire(now Micros, id uint64) {
-	if r := b.requests[id]; r != nil {
-		b.refuse(now, r)
-	}
-}
-
 // ClientDisconnected handles a client that left before its final answer.
 func (b *Balancer) ClientDisconnected(now Micros, id uint64) {
 	if r := b.requests[id]; r != nil {
--- a/balancer/keys.go
+++ b/balancer/keys.go
@@ -49,16 +49,6 @@
 	part     [keyBins]float64
 }
 
-// keyPlace is where a key was sent of late.
-type keyPlace struct {
-	homes [2]*endpoint // in this balancer's zone and in the fleet, nil if none is ready
-	list  int          // the version of the list that they were chosen from
-	sends [keyPlaces]struct {
-		ep *endpoint
-		at Micros
-	}
-}
-
 // start takes all priors for true.
 func (k *keys) start() {
 	k.part[0] = 1
@@ -68,28 +58,6 @@
 	}
 }
 
-// keyPlace returns the record of r's key, nil if it has none or keys do not matter.
-func (b *Balancer) keyPlace(now Micros, r *request) *keyPlace {
-	if !b.s.KeyAffinity || r.Key == 0 {
-		return nil
-	}
-	k := &b.keys
-	if k.now == nil || now-k.turned > keyAgeLeast<<keyAges || len(k.now) >= keysMost {
-		k.old, k.now, k.turned = k.now, make(map[uint64]*keyPlace, len(k.now)), now
-	}
-	p := k.now[r.Key]
-	if p == nil {
-		if p = k.old[r.Key]; p == nil {
-			p = &keyPlace{list: -1}
-		}
-		k.now[r.Key] = p
-	}
-	if p.list != b.lists {
-		p.homes, p.list = b.homesOf(r.Key), b.lists
-	}
-	return p
-}
-
 // homesOf returns a key's homes.
 func (b *Balancer) homesOf(key uint64) (homes [2]*endpoint) {
 	var most [2]float64
@@ -106,16 +74,6 @@
 	return homes
 }
 
-// identity is the same for e at every balancer.
-func (e *endpoint) identity() uint64 {
-	s := source(e.StableID)
-	if e.StableID == 0 {
-		s = source(e.ID)
-	}
-	s.float()
-	return uint64(s)
-}
-
 // bin is what e is to r's key.
 func (b *Balancer) bin(now Micros, r *request, e *endpoint) keyBin {
 	p := r.place
@@ -145,20 +103,6 @@
 	return r.work * b.keys.part[b.bin(now, r, e)]
 }
 
-// sentTo notes that the key goes to e now, in place of the send longest ago.
-func (p *keyPlace) sentTo(now Micros, e *endpoint) {
-	at := 0
-	for i := range p.sends {
-		if s := &p.sends[i]; s.ep == e {
-			at = i
-			break
-		} else if s.at < p.sends[at].at {
-			at = i
-		}
-	}
-	p.sends[at].ep, p.sends[at].at = e, now
-}
-
 // learn takes in how much work an attempt came to, over what it is at an endpoint that has not met the key.
 // Those are the measure, and not learned.
 func (k *keys) learn(bin keyBin, part float64) {
--- a/balancer/source_test.go
+++ b/balancer/source_test.go
@@ -4,12 +4,17 @@
 	"go/parser"
 	"go/token"
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 )
 
 // policyFiles decide, as deploy/balancer.toml lists them.
-var policyFiles = []string{"balancer.go", "members.go", "probes.go", "pick.go", "keys.go", "breaker.go", "attempts.go"}
+var policyFiles = []string{
+	"balancer.go", "attempts.go", "rejection.go", "hedging.go", "pick.go",
+	"prediction.go", "learning.go", "keys.go", "members.go", "slowstart.go",
+	"polling.go", "probes.go", "breaker.go", "ejection.go",
+}
 
 // The operators' limits on the decision module.
 func TestModuleSize(t *testing.T) {
@@ -33,9 +38,31 @@
 	}
 }
 
+// The deploy file must name the same files, no more and no fewer.
+func TestPolicyFilesMatchDeployFile(t *testing.T) {
+	text, err := os.ReadFile("../deploy/balancer.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := make([]string, len(policyFiles))
+	for i, name := range policyFiles {
+		want[i] = `"balancer/` + name + `"`
+	}
+	if line := "policy = [" + strings.Join(want, ", ") + "]"; !strings.Contains(string(text), line) {
+		t.Errorf("deploy/balancer.toml has no line %s", line)
+	}
+}
+
 func TestModuleImports(t *testing.T) {
 	allowed := map[string]bool{`"fmt"`: true, `"math"`: true, `"slices"`: true, `"strconv"`: true}
-	for _, name := range append([]string{"state.go", "api.go"}, policyFiles...) {
+	names, err := filepath.Glob("*.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range names {
+		if strings.HasSuffix(name, "_test.go") {
+			continue
+		}
 		f, err := parser.ParseFile(token.NewFileSet(), name, nil, parser.ImportsOnly)
 		if err != nil {
 			t.Fatal(err)
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -7,95 +7,6 @@
 
 const second Micros = 1_000_000
 
-// Balancer decides for one sidecar. Make one with New.
-type Balancer struct {
-	s   Settings
-	out Actions
-	rng source
-
-	requests map[uint64]*request // every request with an attempt out or no final answer
-	slots    []*request          // by timer slot
-	free     []*request          // records to use again
-	open     int                 // requests without final answer
-	held     []*request          // requests that wait for probes
-
-	byID    map[uint32]*endpoint
-	list    []*endpoint        // known endpoints in the order first heard of
-	lists   int                // membership events so far
-	listed  bool               // discovery has answered since the start
-	pool    []*endpoint        // endpoints with a fresh answer
-	met     [metMost]*endpoint // the latest that requests were sent to, in a ring
-	metAt   int
-	largest float64 // share of any listed endpoint
-	asks    float64 // probes that go with a request, while sparse
-	sparse  bool    // probes are asked for single requests
-
-	subscribed bool
-	askAt      Micros // next call of discovery, unless subscribed by then
-	askWait    Micros
-
-	classes  []classStats
-	budgets  []float64 // what is left of each
-	tenants  []meter   // requests sent, by tenant
-	ways     [256]ewma // least time of a probe to each zone and back
-	kinds    [256]mean // pace of each kind of machine
-	fleet    mean      // and of the whole fleet
-	demand   meter     // requests taken
-	sentWork meter     // work sent
-	refused  ewma      // share of requests refused at arrival
-	passOf   int       // requests that seem too late for one that is sent
-	credit   float64   // retry budget, in attempts
-	copies   float64   // budget of second copies
-	lost     ewma      // share of attempts that were swallowed
-	keys     keys
-
-	waits       ewma // share of probes that waited in line
-	lag         ewma // share of load reports that must be late
-	usual       ewma // load of others at an endpoint, over all answers
-	reportsLate bool
-	trust       float64 // power of a hint that work grows with
-	trend       float64 // latencies over those predicted, for all endpoints together
-
-	logged map[string]Micros // when each event was logged last
-}
-
-// New returns a balancer, or a *SettingError. Call Start before any other event.
-func New(s Settings, seed uint64, out Actions) (*Balancer, error) {
-	if err := s.Validate(); err != nil {
-		return nil, err
-	}
-	b := &Balancer{
-		s: s, out: out, rng: source(seed),
-		requests: map[uint64]*request{}, byID: map[uint32]*endpoint{}, logged: map[string]Micros{},
-		tenants: make([]meter, len(s.Tenants)),
-	}
-	b.configure(s.Classes, s.Budgets)
-	return b, nil
-}
-
-// Configure gives the balancer other classes and budgets. Requests in hand are still of their class: one that
-// is there stays at its number, as it is but for Retired. A budget keeps what is left of it. An error says
-// which setting makes no sense, and changes nothing.
-func (b *Balancer) Configure(classes []Class, budgets []RetryBudget) error {
-	next := b.s
-	next.Classes, next.Budgets = classes, budgets
-	if err := next.Validate(); err != nil {
-		return err
-	}
-	for i, was := range b.s.Classes {
-		if i < len(classes) {
-			was.Retired = classes[i].Retired
-		}
-		if i >= len(classes) || was != classes[i] {
-			return &SettingError{"Classes", was.Name,
-				"requests in hand may be of it: it must stay as it is"}
-		}
-	}
-	b.s = next
-	b.configure(classes, budgets)
-	return nil
-}
-
 // classStats is what a balancer knows of a class.
 type classStats struct {
 	work   ewma   // mean work of a request
@@ -106,86 +17,14 @@
 	since  int    // requests that seemed too late since then
 }
 
-// request is the ledger's record of a request and its attempts.
-type request struct {
-	Request
-	token    uint32 // of its timers
-	arrived  Micros
-	work     float64
-	value    float64 // of its class and tenant, 0 to 1, when last decided
-	hint     float64 // logarithm of its hint over the mean of its class
-	place    *keyPlace
-	earlier  attempt // made before this request was taken; of use if MayHaveRun
-	attempts []attempt
-	out      int     // attempts without outcome
-	ended    bool    // the final answer is out
-	stream   bool    // an answer has begun: the attempt is the client's
-	pass     bool    // it was sent although it seemed too late
-	good     float64 // 1 once answered within its aim
-	held     bool    // it waits for probes
-	awaits   []*endpoint
-}
-
-// attempt is one send of a request.
-type attempt struct {
-	ep       *endpoint
-	zone     uint8 // of ep when sent: an endpoint may move
-	cell     uint16
-	at       Micros
-	expected float64 // latency predicted when sent
-	crowding float64 // seen when sent
-	own      int     // own requests there then
-	factor   float64 // work times that crowding
-	bin      keyBin  // what its key was there
-	lateAt   Micros  // when it should have had its outcome long ago
-	doubted  bool    // that has passed once
-	late     bool    // it is given up for lost, though its outcome may still come
-	planned  bool    // and not for lost: its class wants a second copy by then
-	out      bool    // no outcome yet
-	broke    bool    // it failed on the way: that says little of the endpoint
-	mayRun   bool    // it may have had its effect, or may yet
-}
-
-// endpoint is what a balancer knows of an endpoint.
-type endpoint struct {
-	Endpoint
-	seen     bool // named by the list being read
-	isCold   bool
-	coldFrom Micros  // start of its warm-up
-	room     float64 // work that it may still get while cold
-	roomAt   Micros
-
-	inflight int    // own attempts without outcome
-	sentAt   Micros // latest own send
-	answered Micros // latest send of those that were answered
-	heardAt  Micros // latest answer of any kind, also to a probe
-	probing  bool
-	probedAt Micros
-	hasLoad  bool
-	pooled   bool
-	answerAt Micros  // latest probe answer with a load figure
-	others   float64 // load of others when it answered
-	ownAt    int     // own in flight then
-
-	pace   ewma // time taken per work and crowding
-	paceAt Micros
-	errs   float64 // share of failures, recent
-	errAt  Micros
-	br     breaker
-}
-
-// breaker holds an endpoint's window of outcomes and its two latency averages.
-type breaker struct {
-	ring          [buckets]bucket
-	head          int64 // number of the newest bucket
-	requests      int   // over the window
-	accepts       int
-	base, current float64
-	passed        Micros // last forced pass
+// release ends r's wait for probes.
+func (b *Balancer) release(r *request) {
+	if r.held {
+		r.held, r.awaits = false, r.awaits[:0]
+		b.held = slices.DeleteFunc(b.held, func(h *request) bool { return h == r })
+	}
 }
 
-type bucket struct{ requests, accepts, failures int }
-
 // ewma is a moving average whose first sample is taken whole.
 type ewma struct {
 	v    float64
@@ -272,58 +111,73 @@
 	return -1
 }
 
-func (b *Balancer) newRequest(now Micros, in Request) *request {
-	var r *request
-	if n := len(b.free); n > 0 {
-		r, b.free = b.free[n-1], b.free[:n-1]
-	} else {
-		r = &request{token: uint32(len(b.slots) + firstSlot)}
-		b.slots = append(b.slots, r)
+// log records an event for on-call staff, each kind of event at most once a second: rejections come in thousands.
+func (b *Balancer) log(now Micros, event string, attributes ...any) {
+	if at, ok := b.logged[event]; ok && now-at < second {
+		return
 	}
-	// The high bits count uses of the slot, so that an old timer finds nothing.
-	r.token += 1 << slotBits
-	r.Request, r.arrived, r.attempts, r.out, r.ended, r.stream = in, now, r.attempts[:0], 0, false, false
-	r.earlier = attempt{at: in.PreviousAttempt.At, zone: in.PreviousAttempt.Zone, cell: in.PreviousAttempt.Cell}
-	r.good, r.pass, r.held, r.awaits, r.place = 0, false, false, r.awaits[:0], b.keyPlace(now, r)
-	b.requests[in.ID] = r
-	b.open++
-	return r
+	b.logged[event] = now
+	b.out.Log(event, attributes...)
 }
 
-// bound returns the first attempt that may have run, or nil.
-func (r *request) bound() *attempt {
-	if r.MayHaveRun {
-		return &r.earlier
-	}
-	if i := slices.IndexFunc(r.attempts, func(a attempt) bool { return a.mayRun }); i >= 0 {
-		return &r.attempts[i]
-	}
-	return nil
+// ratio rounds a figure for the log.
+func ratio(x float64) float64 { return math.Round(100*x) / 100 }
+
+// endpoint is what a balancer knows of an endpoint.
+type endpoint struct {
+	Endpoint
+	seen     bool // named by the list being read
+	isCold   bool
+	coldFrom Micros  // start of its warm-up
+	room     float64 // work that it may still get while cold
+	roomAt   Micros
+
+	inflight int    // own attempts without outcome
+	sentAt   Micros // latest own send
+	answered Micros // latest send of those that were answered
+	heardAt  Micros // latest answer of any kind, also to a probe
+	probing  bool
+	probedAt Micros
+	hasLoad  bool
+	pooled   bool
+	answerAt Micros  // latest probe answer with a load figure
+	others   float64 // load of others when it answered
+	ownAt    int     // own in flight then
+
+	pace   ewma // time taken per work and crowding
+	paceAt Micros
+	errs   float64 // share of failures, recent
+	errAt  Micros
+	br     breaker
 }
 
-// sendBy is when an attempt at r must have been written: a connection may be slow to come up, and those who drop
-// repeats count from the first attempt that may have run.
-func (r *request) sendBy(c *Class) Micros {
-	if first := r.bound(); first != nil && c.Idempotency == IdempotentWithKey {
-		return min(r.Deadline, first.at+c.DedupWindow)
+// warmth is the least share of its capacity that e has by now.
+func (e *endpoint) warmth(now Micros, b *Balancer) float64 {
+	if !e.cold(now, b) {
+		return 1
 	}
-	return r.Deadline
+	from := b.s.Contract.SlowStartRatio
+	return from + (1-from)*float64(now-e.coldFrom)/float64(b.s.Contract.SlowStartTime)
 }
 
-// waits says whether r has an attempt out that is to be waited for: any, or where second copies may be sent,
-// one that is not late.
-func (r *request) waits(copies bool) bool {
-	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.out && !(copies && a.late && !r.NoHedging) })
+func (e *endpoint) cold(now Micros, b *Balancer) bool {
+	if e.isCold && now-e.coldFrom >= b.s.Contract.SlowStartTime {
+		e.isCold = false
+	}
+	return e.isCold
 }
 
-func (r *request) tried(e *endpoint) bool {
-	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.ep == e })
+// breaker holds an endpoint's window of outcomes and its two latency averages.
+type breaker struct {
+	ring          [buckets]bucket
+	head          int64 // number of the newest bucket
+	requests      int   // over the window
+	accepts       int
+	base, current float64
+	passed        Micros // last forced pass
 }
 
-// failedAt says whether e itself has failed r, or may yet.
-func (r *request) failedAt(e *endpoint) bool {
-	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.ep == e && !a.broke })
-}
+type bucket struct{ requests, accepts, failures int }
 
 func (k *breaker) slide(now Micros) *bucket {
 	n := now / (window / buckets)
@@ -364,41 +218,200 @@
 	k.accepts += accepts
 }
 
-// release ends r's wait for probes.
-func (b *Balancer) release(r *request) {
-	if r.held {
-		r.held, r.awaits = false, r.awaits[:0]
-		b.held = slices.DeleteFunc(b.held, func(h *request) bool { return h == r })
+func (b *Balancer) configure(classes []Class, budgets []RetryBudget) {
+	for i := len(b.classes); i < len(classes); i++ {
+		aim, copies := float64(classes[i].LatencyObjective), share(classes[i].HedgeQuantile > 0)
+		b.classes = append(b.classes, classStats{work: ewma{v: aim / 5, seen: true}, tail: ewma{v: aim * copies}})
+	}
+	for i, u := range budgets {
+		if i == len(b.budgets) {
+			b.budgets = append(b.budgets, u.Burst)
+		}
+		b.budgets[i] = min(b.budgets[i], u.Burst)
 	}
 }
 
-// log records an event for on-call staff, each kind of event at most once a second: rejections come in thousands.
-func (b *Balancer) log(now Micros, event string, attributes ...any) {
-	if at, ok := b.logged[event]; ok && now-at < second {
-		return
+// budget is what is left of a request's budget, with what it earns and how much it holds.
+func (b *Balancer) budget(r *request) (left *float64, u RetryBudget) {
+	if n := int(r.Budget); n > 0 && n <= len(b.s.Budgets) {
+		return &b.budgets[n-1], b.s.Budgets[n-1]
 	}
-	b.logged[event] = now
-	b.out.Log(event, attributes...)
+	return &b.credit, RetryBudget{retryShare, budgetBurst}
 }
 
-// ratio rounds a figure for the log.
-func ratio(x float64) float64 { return math.Round(100*x) / 100 }
+// keyPlace is where a key was sent of late.
+type keyPlace struct {
+	homes [2]*endpoint // in this balancer's zone and in the fleet, nil if none is ready
+	list  int          // the version of the list that they were chosen from
+	sends [keyPlaces]struct {
+		ep *endpoint
+		at Micros
+	}
+}
 
-// warmth is the least share of its capacity that e has by now.
-func (e *endpoint) warmth(now Micros, b *Balancer) float64 {
-	if !e.cold(now, b) {
-		return 1
+// keyPlace returns the record of r's key, nil if it has none or keys do not matter.
+func (b *Balancer) keyPlace(now Micros, r *request) *keyPlace {
+	if !b.s.KeyAffinity || r.Key == 0 {
+		return nil
 	}
-	from := b.s.Contract.SlowStartRatio
-	return from + (1-from)*float64(now-e.coldFrom)/float64(b.s.Contract.SlowStartTime)
+	k := &b.keys
+	if k.now == nil || now-k.turned > keyAgeLeast<<keyAges || len(k.now) >= keysMost {
+		k.old, k.now, k.turned = k.now, make(map[uint64]*keyPlace, len(k.now)), now
+	}
+	p := k.now[r.Key]
+	if p == nil {
+		if p = k.old[r.Key]; p == nil {
+			p = &keyPlace{list: -1}
+		}
+		k.now[r.Key] = p
+	}
+	if p.list != b.lists {
+		p.homes, p.list = b.homesOf(r.Key), b.lists
+	}
+	return p
 }
 
-func (e *endpoint) cold(now Micros, b *Balancer) bool {
-	if e.isCold && now-e.coldFrom >= b.s.Contract.SlowStartTime {
-		e.isCold = false
+// identity is the same for e at every balancer.
+func (e *endpoint) identity() uint64 {
+	s := source(e.StableID)
+	if e.StableID == 0 {
+		s = source(e.ID)
 	}
-	return e.isCold
+	s.float()
+	return uint64(s)
+}
+
+// sentTo notes that the key goes to e now, in place of the send longest ago.
+func (p *keyPlace) sentTo(now Micros, e *endpoint) {
+	at := 0
+	for i := range p.sends {
+		if s := &p.sends[i]; s.ep == e {
+			at = i
+			break
+		} else if s.at < p.sends[at].at {
+			at = i
+		}
+	}
+	p.sends[at].ep, p.sends[at].at = e, now
+}
+
+// Timer tokens below firstSlot belong to the balancer; others name a request.
+const (
+	tokenProbe = iota
+	tokenDiscovery
+	firstSlot = 16
+	slotBits  = 20
+)
+
+// request is the ledger's record of a request and its attempts.
+type request struct {
+	Request
+	token    uint32 // of its timers
+	arrived  Micros
+	work     float64
+	value    float64 // of its class and tenant, 0 to 1, when last decided
+	hint     float64 // logarithm of its hint over the mean of its class
+	place    *keyPlace
+	earlier  attempt // made before this request was taken; of use if MayHaveRun
+	attempts []attempt
+	out      int     // attempts without outcome
+	ended    bool    // the final answer is out
+	stream   bool    // an answer has begun: the attempt is the client's
+	pass     bool    // it was sent although it seemed too late
+	good     float64 // 1 once answered within its aim
+	held     bool    // it waits for probes
+	awaits   []*endpoint
+}
+
+// attempt is one send of a request.
+type attempt struct {
+	ep       *endpoint
+	zone     uint8 // of ep when sent: an endpoint may move
+	cell     uint16
+	at       Micros
+	expected float64 // latency predicted when sent
+	crowding float64 // seen when sent
+	own      int     // own requests there then
+	factor   float64 // work times that crowding
+	bin      keyBin  // what its key was there
+	lateAt   Micros  // when it should have had its outcome long ago
+	doubted  bool    // that has passed once
+	late     bool    // it is given up for lost, though its outcome may still come
+	planned  bool    // and not for lost: its class wants a second copy by then
+	out      bool    // no outcome yet
+	broke    bool    // it failed on the way: that says little of the endpoint
+	mayRun   bool    // it may have had its effect, or may yet
+}
+
+func (b *Balancer) newRequest(now Micros, in Request) *request {
+	var r *request
+	if n := len(b.free); n > 0 {
+		r, b.free = b.free[n-1], b.free[:n-1]
+	} else {
+		r = &request{token: uint32(len(b.slots) + firstSlot)}
+		b.slots = append(b.slots, r)
+	}
+	// The high bits count uses of the slot, so that an old timer finds nothing.
+	r.token += 1 << slotBits
+	r.Request, r.arrived, r.attempts, r.out, r.ended, r.stream = in, now, r.attempts[:0], 0, false, false
+	r.earlier = attempt{at: in.PreviousAttempt.At, zone: in.PreviousAttempt.Zone, cell: in.PreviousAttempt.Cell}
+	r.good, r.pass, r.held, r.awaits, r.place = 0, false, false, r.awaits[:0], b.keyPlace(now, r)
+	b.requests[in.ID] = r
+	b.open++
+	return r
+}
+
+// bound returns the first attempt that may have run, or nil.
+func (r *request) bound() *attempt {
+	if r.MayHaveRun {
+		return &r.earlier
+	}
+	if i := slices.IndexFunc(r.attempts, func(a attempt) bool { return a.mayRun }); i >= 0 {
+		return &r.attempts[i]
+	}
+	return nil
+}
+
+// sendBy is when an attempt at r must have been written: a connection may be slow to come up, and those who drop
+// repeats count from the first attempt that may have run.
+func (r *request) sendBy(c *Class) Micros {
+	if first := r.bound(); first != nil && c.Idempotency == IdempotentWithKey {
+		return min(r.Deadline, first.at+c.DedupWindow)
+	}
+	return r.Deadline
+}
+
+// waits says whether r has an attempt out that is to be waited for: any, or where second copies may be sent,
+// one that is not late.
+func (r *request) waits(copies bool) bool {
+	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.out && !(copies && a.late && !r.NoHedging) })
+}
+
+func (r *request) tried(e *endpoint) bool {
+	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.ep == e })
+}
+
+// failedAt says whether e itself has failed r, or may yet.
+func (r *request) failedAt(e *endpoint) bool {
+	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.ep == e && !a.broke })
 }
 
 // class returns the settings of a request's class.
 func (b *Balancer) class(r *request) *Class { return &b.s.Classes[r.Class] }
+
+// TimerFired handles a token given to Actions.Timer.
+func (b *Balancer) TimerFired(now Micros, token uint32) {
+	switch {
+	case token == tokenProbe:
+		b.probeRound(now)
+	case token == tokenDiscovery:
+		b.ask(now)
+	case token >= firstSlot:
+		slot := int(token&(1<<slotBits-1)) - firstSlot
+		if slot >= 0 && slot < len(b.slots) {
+			if r := b.slots[slot]; r.token == token && !r.ended && !r.stream {
+				b.wake(now, r)
+			}
+		}
+	}
+}
