--- a/balancer/api.go
+++ b/balancer/api.go
@@ -309,56 +309,27 @@
 	return err
 }
 
-// Balancer decides for one sidecar. Make one with New.
+// Balancer decides for one sidecar. Make one with New. It is not safe for concurrent use.
 type Balancer struct {
-	s   Settings
-	out Actions
-	rng source
-
-	requests map[uint64]*request // every request with an attempt out or no final answer
-	slots    []*request          // by timer slot
-	free     []*request          // records to use again
-	open     int                 // requests without final answer
-	held     []*request          // requests that wait for probes
-
-	byID    map[uint32]*endpoint
-	list    []*endpoint        // known endpoints in the order first heard of
-	lists   int                // membership events so far
-	listed  bool               // discovery has answered since the start
-	pool    []*endpoint        // endpoints with a fresh answer
-	met     [metMost]*endpoint // the latest that requests were sent to, in a ring
-	metAt   int
-	largest float64 // share of any listed endpoint
-	asks    float64 // probes that go with a request, while sparse
-	sparse  bool    // probes are asked for single requests
-
-	subscribed bool
-	askAt      Micros // next call of discovery, unless subscribed by then
-	askWait    Micros
-
-	classes  []classStats
-	budgets  []float64 // what is left of each
-	tenants  []meter   // requests sent, by tenant
-	ways     [256]ewma // least time of a probe to each zone and back
-	kinds    [256]mean // pace of each kind of machine
-	fleet    mean      // and of the whole fleet
-	demand   meter     // requests taken
-	sentWork meter     // work sent
-	refused  ewma      // share of requests refused at arrival
-	passOf   int       // requests that seem too late for one that is sent
-	credit   float64   // retry budget, in attempts
-	copies   float64   // budget of second copies
-	lost     ewma      // share of attempts that were swallowed
-	keys     keys
-
-	waits       ewma // share of probes that waited in line
-	lag         ewma // share of load reports that must be late
-	usual       ewma // load of others at an endpoint, over all answers
-	reportsLate bool
-	trust       float64 // power of a hint that work grows with
-	trend       float64 // latencies over those predicted, for all endpoints together
-
-	logged map[string]Micros // when each event was logged last
+	settings Settings
+	actions  Actions
+	random   source
+
+	ledger    ledger
+	endpoints endpointSet
+	recent    recentlyUsed
+	probes    probePool
+	discovery discoveryPolling
+	budgets   budgets
+	classes   []classStats // by Class of a request
+	tenants   []meter      // requests sent, by Tenant of a request
+	traffic   traffic
+	reports   reportQuality
+	estimates estimates
+	trend     latencyTrend
+	keys      keys
+
+	lastLogged map[string]Micros // by event
 }
 
 // New returns a balancer, or a *SettingError. Call Start before any other event.
@@ -367,9 +338,13 @@
 		return nil, err
 	}
 	b := &Balancer{
-		s: s, out: out, rng: source(seed),
-		requests: map[uint64]*request{}, byID: map[uint32]*endpoint{}, logged: map[string]Micros{},
-		tenants: make([]meter, len(s.Tenants)),
+		settings:   s,
+		actions:    out,
+		random:     source(seed),
+		ledger:     ledger{requests: map[uint64]*request{}},
+		endpoints:  endpointSet{byID: map[uint32]*endpoint{}},
+		tenants:    make([]meter, len(s.Tenants)),
+		lastLogged: map[string]Micros{},
 	}
 	b.configure(s.Classes, s.Budgets)
 	return b, nil
@@ -379,12 +354,12 @@
 // is there stays at its number, as it is but for Retired. A budget keeps what is left of it. An error says
 // which setting makes no sense, and changes nothing.
 func (b *Balancer) Configure(classes []Class, budgets []RetryBudget) error {
-	next := b.s
+	next := b.settings
 	next.Classes, next.Budgets = classes, budgets
 	if err := next.Validate(); err != nil {
 		return err
 	}
-	for i, was := range b.s.Classes {
+	for i, was := range b.settings.Classes {
 		if i < len(classes) {
 			was.Retired = classes[i].Retired
 		}
@@ -393,7 +368,7 @@
 				"requests in hand may be of it: it must stay as it is"}
 		}
 	}
-	b.s = next
+	b.settings = next
 	b.configure(classes, budgets)
 	return nil
 }
--- a/balancer/attempts.go
+++ b/balancer/attempts.go
@@ -29,33 +29,33 @@
 
 // HandleRequest handles a client's request.
 func (b *Balancer) HandleRequest(now Micros, in Request) {
-	if b.requests[in.ID] != nil {
+	if b.ledger.requests[in.ID] != nil {
 		return
 	}
 	if int(in.Class) >= len(b.classes) {
-		b.out.Reject(in.ID, 0) // nothing is known of it, but an answer is owed
+		b.actions.Reject(in.ID, 0) // nothing is known of it, but an answer is owed
 		return
 	}
 	// A client that comes again may be of an effect that is nearly forgotten, and what it then asks for may have
 	// run: it is sent at once, or not at all.
-	if c := &b.s.Classes[in.Class]; in.ClientRetry && !in.MayHaveRun &&
+	if c := &b.settings.Classes[in.Class]; in.ClientRetry && !in.MayHaveRun &&
 		c.Idempotency == IdempotentWithKey && c.Group == GroupAll {
 		in.MayHaveRun, in.PreviousAttempt = true, PreviousAttempt{At: now - c.DedupWindow + returnWay}
 	}
 	r := b.newRequest(now, in)
-	b.demand.add(now, 1)
+	b.traffic.demand.add(now, 1)
 	left, u := b.budget(r)
 	*left = min(u.Burst, *left+u.EarnRatio)
-	b.copies = min(budgetBurst, b.copies+copyShare)
+	b.budgets.hedge = min(budgetBurst, b.budgets.hedge+copyShare)
 	c := &b.classes[in.Class]
 	c.asked.add(now, 1)
 	r.work = c.work.v
 	if r.hint = 0; in.HasWorkHint && in.WorkHint > 0 {
 		c.work.add(float64(in.WorkHint), workWeight)
 		r.hint = math.Log(float64(in.WorkHint) / c.work.v)
-		r.work = c.work.v * math.Exp(b.trust*r.hint)
+		r.work = c.work.v * math.Exp(b.estimates.hintExponent*r.hint)
 	}
-	if now >= in.Deadline || b.open > b.s.Limits.MaxOpen {
+	if now >= in.Deadline || b.ledger.open > b.settings.Limits.MaxOpen {
 		b.refuse(now, r)
 		return
 	}
@@ -72,16 +72,16 @@
 		return false
 	}
 	x, most := b.predict(now, e, b.workAt(now, r, e)), b.room(now, r, e)
-	if x > most && (b.crowding(e) > 1 || b.slowdown() > 1) {
+	if x > most && (b.crowding(e) > 1 || b.trend.slowdown() > 1) {
 		// It would come too late to be worth its work: not where nobody waits while the fleet is well, since
 		// few samples of a long-tailed latency make a healthy endpoint look hopeless. As with the breaker, one
 		// passes now and then, so that a wrong guess does not feed itself: of so many, since a pass a second
 		// at each of a thousand balancers is more than a jammed fleet can bear.
 		c := &b.classes[r.Class]
 		c.since++
-		if !first || c.since < b.passOf || now-c.passed < forcedPass {
+		if !first || c.since < b.traffic.trialInterval || now-c.passed < forcedPass {
 			b.log(now, "request rejected: predicted latency too high", "endpoint", e.ID,
-				"predicted_ms", int(x/1000), "limit_ms", int(most/1000), "rejected_ratio", ratio(b.refused.v))
+				"predicted_ms", int(x/1000), "limit_ms", int(most/1000), "rejected_ratio", ratio(b.traffic.rejected.v))
 			return false
 		}
 		c.passed, c.since = now, 0
@@ -107,7 +107,7 @@
 	} else if r.held {
 		// Only the idle answer in time: to count them alone would show an idle fleet when all of it is jammed.
 		for _, e := range r.awaits {
-			b.usual.add(cores+b.line(float64(now-e.probedAt)), usualWeight)
+			b.estimates.baselineLoad.add(cores+b.line(float64(now-e.probedAt)), usualWeight)
 		}
 		b.decide(now, r)
 	} else if n := len(r.attempts); n > 0 {
@@ -123,7 +123,7 @@
 
 // ResponseStarted handles the start of a streamed answer: no deadline and no attempt concern it from here on.
 func (b *Balancer) ResponseStarted(now Micros, id uint64, attempt int, latency Micros) {
-	r := b.requests[id]
+	r := b.ledger.requests[id]
 	if r == nil || r.ended || attempt < 0 || attempt >= len(r.attempts) {
 		return
 	}
@@ -132,12 +132,12 @@
 
 // AttemptCompleted handles the end of an attempt.
 func (b *Balancer) AttemptCompleted(now Micros, o Outcome) {
-	r := b.requests[o.ID]
+	r := b.ledger.requests[o.ID]
 	if r == nil || o.Attempt < 0 || o.Attempt >= len(r.attempts) || !r.attempts[o.Attempt].out {
 		return
 	}
 	a := &r.attempts[o.Attempt]
-	if e := b.byID[o.Endpoint]; e != nil && e != a.ep {
+	if e := b.endpoints.byID[o.Endpoint]; e != nil && e != a.ep {
 		// It went elsewhere: what it tells, and where repeats of it are dropped, goes by that endpoint.
 		a.ep.inflight--
 		b.cleanUp(a.ep)
@@ -156,13 +156,14 @@
 	}
 	lost := a.late && !a.planned && o.Status == Cancelled ||
 		o.Status == Timeout && (a.ep.answered > a.at || a.ep.heardAt < a.at)
-	b.lost.add(share(lost), lostWeight)
+	b.traffic.swallowed.add(share(lost), lostWeight)
 	b.record(now, r, a, o.Status, o.Latency)
 	if o.Status == OK && !r.ended && now-r.arrived <= b.class(r).LatencyObjective {
 		r.good = 1
-		b.passOf = passLeast
+		b.traffic.trialInterval = passLeast
 	} else if r.pass {
-		b.passOf = min(2*b.passOf, passMost) // a jam needs rest: what is passed into it only keeps it
+		// A jam needs rest: what is passed into it only keeps it.
+		b.traffic.trialInterval = min(2*b.traffic.trialInterval, passMost)
 	}
 	if o.Settled || o.Status == OK || r.ended {
 		b.end(r)
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -9,16 +9,17 @@
 
 // Start begins the balancer's life.
 func (b *Balancer) Start(now Micros) {
-	b.lag.seen, b.refused.seen, b.lost.seen = true, true, true
-	b.trend, b.trust = 1, 0.5
+	b.reports.lateRatio.seen, b.traffic.rejected.seen, b.traffic.swallowed.seen = true, true, true
+	b.trend.ratio, b.estimates.hintExponent = 1, 0.5
 	b.keys.start()
-	b.credit, b.copies, b.passOf = budgetBurst, budgetBurst, passLeast
-	b.asks = min(probeMost, askSpend/b.s.Prices.Probe) // a price of 0 asks for the most
-	if b.s.PollDiscovery {                             // all may start at once: spread their first calls
-		b.askIn(now, 1+b.rng.below(b.s.Contract.PollInterval/10))
+	b.budgets.retry, b.budgets.hedge, b.traffic.trialInterval = budgetBurst, budgetBurst, passLeast
+	b.probes.perRequest = min(probeMost, askSpend/b.settings.Prices.Probe) // a price of 0 asks for the most
+	if b.settings.PollDiscovery {
+		// All balancers may start at once: spread their first polls.
+		b.askIn(now, 1+b.random.below(b.settings.Contract.PollInterval/10))
 	}
-	if b.s.Limits.Probes {
-		b.out.Timer(1+b.rng.below(probeGap), tokenProbe)
+	if b.settings.Limits.Probes {
+		b.actions.Timer(1+b.random.below(probeGap), tokenProbe)
 	}
 }
 
@@ -30,23 +31,23 @@
 		b.classes[r.Class].good.add(r.good, 0.02)
 		r.ended = true
 		b.release(r)
-		b.open--
+		b.ledger.open--
 		for i := range r.attempts {
-			if r.attempts[i].out && b.s.Limits.Cancel {
-				b.out.Cancel(r.ID, i)
+			if r.attempts[i].out && b.settings.Limits.Cancel {
+				b.actions.Cancel(r.ID, i)
 			}
 		}
 	}
-	if r.out == 0 && b.requests[r.ID] == r {
-		delete(b.requests, r.ID)
-		b.free = append(b.free, r)
+	if r.out == 0 && b.ledger.requests[r.ID] == r {
+		delete(b.ledger.requests, r.ID)
+		b.ledger.free = append(b.ledger.free, r)
 	}
 }
 
 // maySend says whether the rules allow an attempt at e now.
 func (b *Balancer) maySend(now Micros, r *request, e *endpoint) bool {
-	if r.ended || r.stream || r.waits(b.s.Limits.Hedging) || now >= r.Deadline ||
-		len(r.attempts) >= b.s.Limits.MaxAttempts || r.MaxAttempts > 0 && len(r.attempts) >= r.MaxAttempts ||
+	if r.ended || r.stream || r.waits(b.settings.Limits.Hedging) || now >= r.Deadline ||
+		len(r.attempts) >= b.settings.Limits.MaxAttempts || r.MaxAttempts > 0 && len(r.attempts) >= r.MaxAttempts ||
 		e.State != Ready || r.Pool > 0 && e.Pools>>(r.Pool-1)&1 == 0 {
 		return false
 	}
@@ -66,7 +67,7 @@
 		return false
 	}
 	if e.cold(now, b) {
-		e.room -= r.work * coldCharge
+		e.slowStart.tokens -= r.work * coldCharge
 	}
 	bin, by := b.bin(now, r, e), r.sendBy(b.class(r))
 	work, crowding := r.work*b.keys.part[bin], b.crowding(e)
@@ -80,30 +81,29 @@
 	r.out++
 	e.inflight++
 	e.sentAt = now
-	if b.s.Limits.KeepAlive > 0 {
-		b.met[b.metAt%metMost] = e
-		b.metAt++
+	if b.settings.Limits.KeepAlive > 0 {
+		b.recent.add(e)
 	}
-	b.sentWork.add(now, r.work)
+	b.traffic.sentWork.add(now, r.work)
 	if first := len(r.attempts) == 1; first && int(r.Tenant) < len(b.tenants) {
 		b.tenants[r.Tenant].add(now, 1)
 	}
-	b.out.Send(r.ID, e.ID, r.AttemptTimeout, by)
+	b.actions.Send(r.ID, e.ID, r.AttemptTimeout, by)
 	if len(r.attempts) == 1 {
-		b.out.Timer(max(1, r.Deadline-now), r.token)
+		b.actions.Timer(max(1, r.Deadline-now), r.token)
 		if after := b.copyAfter(r); after > 0 && now+after < r.Deadline {
-			b.out.Timer(after, r.token)
+			b.actions.Timer(after, r.token)
 		}
 	}
-	if b.lost.v >= lostLeast && a.lateAt+Micros(a.expected) < r.Deadline {
-		b.out.Timer(a.lateAt-now, r.token)
+	if b.traffic.swallowed.v >= lostLeast && a.lateAt+Micros(a.expected) < r.Deadline {
+		b.actions.Timer(a.lateAt-now, r.token)
 	}
 	return true
 }
 
 // ClientDisconnected handles a client that left before its final answer.
 func (b *Balancer) ClientDisconnected(now Micros, id uint64) {
-	if r := b.requests[id]; r != nil {
+	if r := b.ledger.requests[id]; r != nil {
 		b.end(r)
 	}
 }
--- a/balancer/bounds_test.go
+++ b/balancer/bounds_test.go
@@ -73,7 +73,7 @@
 		in := request0(1, c.class, 0)
 		in.HedgeDelay, in.NoHedging = c.after, c.alone
 		b.HandleRequest(0, in)
-		token := b.requests[1].token
+		token := b.ledger.requests[1].token
 		if asked := slices.Contains(out.delays, c.after); c.after > 0 && !asked {
 			t.Errorf("%s: no timer for the copy: %v", c.name, out.delays)
 		}
@@ -128,7 +128,7 @@
 		in := request0(id, 0, Micros(id)*second)
 		in.Budget = budget
 		b.HandleRequest(Micros(id)*second, in)
-		for i := 0; n+i < len(out.sends) && b.requests[id] != nil; i++ {
+		for i := 0; n+i < len(out.sends) && b.ledger.requests[id] != nil; i++ {
 			b.AttemptCompleted(Micros(id)*second+1, Outcome{ID: id, Attempt: i, Endpoint: out.sends[n+i].endpoint, Status: Error, Latency: 1})
 		}
 		return len(out.sends) - n - 1
@@ -175,14 +175,14 @@
 	in := request0(2, 0, 0)
 	in.Budget = 1
 	b.HandleRequest(0, in)
-	b.budgets[0] = 3
+	b.budgets.named[0] = 3
 	next := append(slices.Clone(s.Classes), Class{Name: "write", Idempotency: Idempotent, LatencyObjective: 1, ClientTimeout: 1})
 	next[4].Retired = true
 	if err := b.Configure(next, []RetryBudget{{EarnRatio: 0, Burst: 2}, {EarnRatio: 0, Burst: 7}}); err != nil {
 		t.Fatal(err)
 	}
-	if !slices.Equal(b.budgets, []float64{2, 7}) {
-		t.Errorf("budgets %v: want what was left, within the new burst, and a new one", b.budgets)
+	if !slices.Equal(b.budgets.named, []float64{2, 7}) {
+		t.Errorf("budgets %v: want what was left, within the new burst, and a new one", b.budgets.named)
 	}
 	b.AttemptCompleted(1, Outcome{ID: 1, Endpoint: out.sends[0].endpoint, Status: Timeout, Latency: 1})
 	if len(out.sends) != 2 || !slices.Equal(out.failed, []uint64{1}) {
@@ -197,8 +197,8 @@
 	changed[1].DedupWindow = 1
 	bad := append(slices.Clone(next), Class{Name: "x"})
 	for name, classes := range map[string][]Class{"changed": changed, "fewer": next[:4], "bad": bad} {
-		if err := b.Configure(classes, nil); err == nil || len(b.s.Classes) != 6 || len(b.s.Budgets) != 2 {
-			t.Errorf("%s: %v, %d classes and %d budgets", name, err, len(b.s.Classes), len(b.s.Budgets))
+		if err := b.Configure(classes, nil); err == nil || len(b.settings.Classes) != 6 || len(b.settings.Budgets) != 2 {
+			t.Errorf("%s: %v, %d classes and %d budgets", name, err, len(b.settings.Classes), len(b.settings.Budgets))
 		}
 	}
 }
--- a/balancer/breaker.go
+++ b/balancer/breaker.go
@@ -47,7 +47,7 @@
 		e.br.passed = now
 		return true
 	}
-	if b.rng.float() < chance {
+	if b.random.float() < chance {
 		e.br.count(now, 0, 0)
 		return false
 	}
--- a/balancer/breaker_test.go
+++ b/balancer/breaker_test.go
@@ -103,7 +103,7 @@
 
 func TestForcedPass(t *testing.T) {
 	b, _ := start(t, testSettings(), ready(1))
-	e := b.list[0]
+	e := b.endpoints.list[0]
 	now := 20 * second
 	for range 1000 {
 		e.br.count(now, 0, 1)
@@ -138,7 +138,7 @@
 			b.AttemptCompleted(now, Outcome{ID: id, Endpoint: r.sends[n-1].endpoint, Status: Error, Latency: 50})
 		}
 	}
-	if !b.list[0].ejected(41_000) {
+	if !b.endpoints.list[0].ejected(41_000) {
 		t.Fatal("an endpoint that fails all is not ejected")
 	}
 	for e, n := range sends {
@@ -146,7 +146,7 @@
 			t.Errorf("endpoint %d got %d of %d sends", e, n, len(r.sends))
 		}
 	}
-	if b.list[0].ejected(60 * second) {
+	if b.endpoints.list[0].ejected(60 * second) {
 		t.Error("an ejection never ends")
 	}
 }
--- a/balancer/carried_test.go
+++ b/balancer/carried_test.go
@@ -10,19 +10,19 @@
 	to := r.sends[0].endpoint
 	other := (to+1)%4 + 1 // of the other cell
 	b.AttemptCompleted(1000, Outcome{ID: 1, Endpoint: other, Status: Error})
-	if len(r.sends) != 2 || b.byID[r.sends[1].endpoint].Cell != b.byID[other].Cell {
+	if len(r.sends) != 2 || b.endpoints.byID[r.sends[1].endpoint].Cell != b.endpoints.byID[other].Cell {
 		t.Errorf("sends %v after endpoint %d had the request: want the next in its cell", r.sends, other)
 	}
-	if b.byID[other].errs == 0 || b.byID[to].errs != 0 {
-		t.Errorf("failures: %v at the endpoint told, %v at the one that had it", b.byID[to].errs, b.byID[other].errs)
+	if b.endpoints.byID[other].failures.ratio == 0 || b.endpoints.byID[to].failures.ratio != 0 {
+		t.Errorf("failures: %v at the endpoint told, %v at the one that had it", b.endpoints.byID[to].failures.ratio, b.endpoints.byID[other].failures.ratio)
 	}
-	if n := b.byID[to].inflight; n != 0 && r.sends[1].endpoint != to {
+	if n := b.endpoints.byID[to].inflight; n != 0 && r.sends[1].endpoint != to {
 		t.Errorf("%d are counted in flight at an endpoint that has none", n)
 	}
 	for _, s := range r.sends[1:] {
 		b.AttemptCompleted(2000, Outcome{ID: 1, Attempt: 1, Endpoint: s.endpoint, Status: OK, Settled: true})
 	}
-	for id, e := range b.byID {
+	for id, e := range b.endpoints.byID {
 		if e.inflight != 0 {
 			t.Errorf("endpoint %d: %d in flight at the end", id, e.inflight)
 		}
@@ -31,7 +31,7 @@
 	b.HandleRequest(3000, request0(2, 0, 3000))
 	last := r.sends[len(r.sends)-1]
 	b.AttemptCompleted(4000, Outcome{ID: 2, Endpoint: 77, Status: OK, Settled: true})
-	if b.byID[last.endpoint].inflight != 0 || b.byID[77] != nil {
+	if b.endpoints.byID[last.endpoint].inflight != 0 || b.endpoints.byID[77] != nil {
 		t.Error("an unknown endpoint's outcome leaves the attempt in flight")
 	}
 }
@@ -79,7 +79,7 @@
 		if len(r.sends) > 0 != c.sent {
 			t.Errorf("%s: %d sends, want one: %v", c.name, len(r.sends), c.sent)
 		}
-		if c.sent && c.class >= 2 && b.byID[r.sends[0].endpoint].Cell != 1 {
+		if c.sent && c.class >= 2 && b.endpoints.byID[r.sends[0].endpoint].Cell != 1 {
 			t.Errorf("%s: sent to endpoint %d, which does not know of the first", c.name, r.sends[0].endpoint)
 		}
 		for i := 0; i < len(r.sends); i++ {
@@ -95,13 +95,13 @@
 func TestNoCopiesForARequest(t *testing.T) {
 	for _, alone := range []bool{false, true} {
 		b, r := start(t, testSettings(), ready(4))
-		b.lost.v = 1
+		b.traffic.swallowed.v = 1
 		in := request0(1, 0, 0)
 		in.NoHedging = alone
 		b.HandleRequest(0, in)
-		a := &b.requests[1].attempts[0]
+		a := &b.ledger.requests[1].attempts[0]
 		a.ep.answered = 1 // overtaken by a later one
-		b.TimerFired(a.lateAt, b.requests[1].token)
+		b.TimerFired(a.lateAt, b.ledger.requests[1].token)
 		if copied := len(r.sends) > 1; copied == alone {
 			t.Errorf("no copies wanted %v: %d sends", alone, len(r.sends))
 		}
--- a/balancer/ejection.go
+++ b/balancer/ejection.go
@@ -4,7 +4,7 @@
 
 // failing is the recent share of failures at e; it fades, so that e is tried again.
 func (e *endpoint) failing(now Micros) float64 {
-	f := e.errs * math.Exp2(-float64(now-e.errAt)/float64(3*second))
+	f := e.failures.ratio * math.Exp2(-float64(now-e.failures.updatedAt)/float64(3*second))
 	return f * share(f > 0.01) // all but forgotten is forgotten
 }
 
--- a/balancer/hedging.go
+++ b/balancer/hedging.go
@@ -2,8 +2,8 @@
 
 // copy sends a second copy, if the limits, the class and the copies' budget permit.
 func (b *Balancer) copy(now Micros, r *request) {
-	if b.s.Limits.Hedging && !r.NoHedging && b.copies >= 1 && b.attempt(now, r, false) {
-		b.copies--
+	if b.settings.Limits.Hedging && !r.NoHedging && b.budgets.hedge >= 1 && b.attempt(now, r, false) {
+		b.budgets.hedge--
 	}
 }
 
@@ -14,7 +14,7 @@
 // That is done only while such losses are proven to happen: most late answers are slow, and come.
 func (b *Balancer) late(now Micros, r *request, a *attempt) {
 	e := a.ep
-	if b.lost.v < lostLeast {
+	if b.traffic.swallowed.v < lostLeast {
 		return
 	}
 	overtaken, silent := e.answered > a.at, a.doubted && e.heardAt < a.at
@@ -23,7 +23,7 @@
 		b.probe(now, e)
 		a.lateAt = now + (now-a.at)/2
 		if a.lateAt < r.Deadline {
-			b.out.Timer(a.lateAt-now, r.token)
+			b.actions.Timer(a.lateAt-now, r.token)
 		}
 		return
 	}
--- a/balancer/keys.go
+++ b/balancer/keys.go
@@ -61,11 +61,11 @@
 // homesOf returns a key's homes.
 func (b *Balancer) homesOf(key uint64) (homes [2]*endpoint) {
 	var most [2]float64
-	for _, e := range b.list {
+	for _, e := range b.endpoints.list {
 		// Weighted rendezvous: an endpoint of twice the share is the home of twice the keys.
 		s := source(key ^ e.identity())
 		score := -float64(e.Weight) / math.Log(s.float())
-		for i, eligible := range [2]bool{int(e.Zone) == b.s.Zone, true} {
+		for i, eligible := range [2]bool{int(e.Zone) == b.settings.Zone, true} {
 			if eligible && e.State == Ready && (homes[i] == nil || score > most[i]) {
 				homes[i], most[i] = e, score
 			}
--- a/balancer/keys_test.go
+++ b/balancer/keys_test.go
@@ -77,7 +77,7 @@
 		again := &request{Request: Request{Key: 1}}
 		again.place = b.keyPlace(2*second, again)
 		again.place.homes = [2]*endpoint{} // by what was sent alone
-		return b.bin(2*second, again, b.list[0])
+		return b.bin(2*second, again, b.endpoints.list[0])
 	}
 	if got := bin(); got == keyCold {
 		t.Fatalf("before the restart: %+v", got)
@@ -163,7 +163,7 @@
 		}
 		b.AttemptCompleted(second, Outcome{ID: key, Endpoint: zone.ID, Status: OK, Latency: 80_000, Settled: true})
 	}
-	for _, e := range b.list {
+	for _, e := range b.endpoints.list {
 		e.inflight = 12 * int(1-e.Zone)
 	}
 	crossed := 0
@@ -171,7 +171,7 @@
 		in := request0(key, 0, second)
 		in.Key = key
 		b.HandleRequest(second, in)
-		if b.byID[r.sends[len(r.sends)-1].endpoint].Zone == 1 {
+		if b.endpoints.byID[r.sends[len(r.sends)-1].endpoint].Zone == 1 {
 			crossed++
 		}
 	}
--- a/balancer/learning.go
+++ b/balancer/learning.go
@@ -9,7 +9,7 @@
 	case OK:
 		e.br.count(now, 1, 0)
 		e.br.latency(float64(latency))
-		e.errs, e.errAt = (1-failWeight)*e.failing(now), now
+		e.failures.ratio, e.failures.updatedAt = (1-failWeight)*e.failing(now), now
 		b.learnPace(now, r, a, float64(latency), false)
 		if c, tail := b.class(r), &b.classes[r.Class].tail; c.HedgeQuantile > 0 {
 			// Robbins and Monro's: up by a part where it was slower, down by the rest where it was not.
@@ -34,27 +34,28 @@
 // blame counts a failure of this weight against e.
 func (b *Balancer) blame(now Micros, e *endpoint, weight float64) {
 	before := e.ejected(now)
-	e.errs, e.errAt = (1-weight)*e.failing(now)+weight, now
+	e.failures.ratio, e.failures.updatedAt = (1-weight)*e.failing(now)+weight, now
 	if !before && e.ejected(now) {
-		b.log(now, "endpoint ejected", "endpoint", e.ID, "failure_ratio", ratio(e.errs))
+		b.log(now, "endpoint ejected", "endpoint", e.ID, "failure_ratio", ratio(e.failures.ratio))
 	}
 }
 
 // learnPace learns from a latency; atLeast says that it is only a lower bound.
 func (b *Balancer) learnPace(now Micros, r *request, a *attempt, latency float64, atLeast bool) {
 	e := a.ep
-	x := max(0, latency-b.ways[e.Zone].v) / a.factor
+	x := max(0, latency-b.estimates.roundTrip[e.Zone].v) / a.factor
 	// One that was overtaken may be lost, and then says nothing of how fast e is, or the fleet.
 	if atLeast && (x <= e.paceNow(now, b) || e.answered > a.at) {
 		return
 	}
-	b.follow(latency / a.expected)
+	b.trend.update(latency / a.expected)
 	if !atLeast && e.pace.seen {
 		b.keys.learn(a.bin, x*b.keys.part[a.bin]/e.paceNow(now, b))
 	}
 	if !atLeast && r.hint != 0 && x > 0 {
 		// Rough hints overstate the large and understate the small: learn how far they tell.
-		b.trust = min(1, max(0, b.trust+trustWeight*r.hint*math.Log(x/e.paceNow(now, b))))
+		exponent := b.estimates.hintExponent + trustWeight*r.hint*math.Log(x/e.paceNow(now, b))
+		b.estimates.hintExponent = min(1, max(0, exponent))
 	}
 	warmth := e.warmth(now, b) // what is kept is the pace once warm
 	e.pace = ewma{v: e.paceNow(now, b) * warmth, seen: true}
@@ -66,25 +67,25 @@
 	// How much longer than its kind it took tells what others hold, sooner than the few probes do. These say
 	// what is usual to begin with: by answers alone a busy fleet and slow machines look alike. What is less
 	// than usual must weigh as much as what is more, so nothing is cut off below.
-	if alone := b.kinds[e.Kind].v / warmth; alone > 0 && b.usual.seen {
-		b.usual.add(min(answerMost, x*a.crowding/alone*cores-1-float64(a.own)), answerWeight)
-		b.usual.v = max(0, b.usual.v)
+	if alone := b.estimates.kindSlowness[e.Kind].v / warmth; alone > 0 && b.estimates.baselineLoad.seen {
+		b.estimates.baselineLoad.add(min(answerMost, x*a.crowding/alone*cores-1-float64(a.own)), answerWeight)
+		b.estimates.baselineLoad.v = max(0, b.estimates.baselineLoad.v)
 	}
 	if !r.HasWorkHint {
 		// Without hints a class's work is its mean latency on an endpoint without a queue.
 		b.classes[r.Class].work.add(x*r.work, workWeight)
 	}
-	if !e.isCold {
-		b.kinds[e.Kind].add(x, fleetWeight)
-		b.fleet.add(x, fleetWeight)
+	if !e.slowStart.active {
+		b.estimates.kindSlowness[e.Kind].add(x, fleetWeight)
+		b.estimates.fleetSlowness.add(x, fleetWeight)
 	}
 }
 
-// follow shifts what is expected of every endpoint by one outcome: when the whole fleet turns slow, or
+// update shifts what is expected of every endpoint by one outcome: when the whole fleet turns slow, or
 // recovers, the paces of endpoints that see little of our traffic are learned far too late.
-func (b *Balancer) follow(ratio float64) {
-	b.trend = min(trendMost, max(1/trendMost, b.trend*(1+trendWeight*(min(ratio, trendStep)-1))))
+func (t *latencyTrend) update(ratio float64) {
+	t.ratio = min(trendMost, max(1/trendMost, t.ratio*(1+trendWeight*(min(ratio, trendStep)-1))))
 }
 
 // slowdown is the trend beyond what chance makes of it.
-func (b *Balancer) slowdown() float64 { return max(1, b.trend/trendNoise) }
+func (t *latencyTrend) slowdown() float64 { return max(1, t.ratio/trendNoise) }
--- a/balancer/pick_test.go
+++ b/balancer/pick_test.go
@@ -24,7 +24,7 @@
 	if len(r.sends) != 4 {
 		t.Fatalf("%d sends", len(r.sends))
 	}
-	if got := b.load(b.byID[2]); got != 4 {
+	if got := b.load(b.endpoints.byID[2]); got != 4 {
 		t.Errorf("load with own sends: %v", got)
 	}
 }
@@ -75,14 +75,14 @@
 	nan := float32(math.NaN())
 	for _, load := range [][]float32{nil, {}, {nan}, {-3}, {float32(math.Inf(1))}} {
 		b.ProbeCompleted(1000, 1, OK, 500, load)
-		if b.list[0].hasLoad {
+		if b.endpoints.list[0].hasLoad {
 			t.Errorf("report %v taken for a load", load)
 		}
 	}
 	b.ProbeCompleted(1000, 99, OK, 500, []float32{1}) // unknown endpoint
 	b.ProbeCompleted(1000, 1, OK, 500, []float32{2, 7, 9})
-	if b.load(b.list[0]) != 2 {
-		t.Errorf("load %v", b.load(b.list[0]))
+	if b.load(b.endpoints.list[0]) != 2 {
+		t.Errorf("load %v", b.load(b.endpoints.list[0]))
 	}
 }
 
@@ -93,13 +93,13 @@
 	for id := range uint64(3) {
 		b.HandleRequest(1000, request0(id, 0, 1000))
 	}
-	busy := b.byID[r.sends[0].endpoint]
+	busy := b.endpoints.byID[r.sends[0].endpoint]
 	for i := range Micros(40) {
 		busy.probing = false
 		b.probe(12_000+i, busy)
 		b.ProbeCompleted(13_000+i, busy.ID, OK, 500, []float32{0})
 	}
-	if !b.reportsLate {
+	if !b.reports.late {
 		t.Fatal("not found out")
 	}
 	if got := b.load(busy); got < float64(busy.inflight) {
@@ -110,7 +110,7 @@
 		b.probe(14_000+i, busy)
 		b.ProbeCompleted(15_000+i, busy.ID, OK, 500, []float32{5})
 	}
-	if b.reportsLate {
+	if b.reports.late {
 		t.Error("not left again")
 	}
 }
@@ -119,15 +119,15 @@
 // taken for one that reports late, and be sent to blindly.
 func TestNoiseInReportsIsNotLateness(t *testing.T) {
 	b, _ := start(t, testSettings(), ready(2))
-	busy := b.list[0]
+	busy := b.endpoints.list[0]
 	busy.inflight = 30
 	for i := range Micros(400) {
 		busy.probing = false
 		b.probe(14_000+i, busy)
 		b.ProbeCompleted(15_000+i, busy.ID, OK, 500, []float32{[]float32{28, 26, 30, 31}[i%4]}) // 30 and up to 13% off
 	}
-	if b.reportsLate {
-		t.Errorf("%.0f%% of the reports are taken to be late", 100*b.lag.v)
+	if b.reports.late {
+		t.Errorf("%.0f%% of the reports are taken to be late", 100*b.reports.lateRatio.v)
 	}
 }
 
@@ -250,9 +250,9 @@
 	b, _ := start(t, testSettings(), ready(1))
 	r := &request{Request: request0(1, 0, 0), work: 50_000}
 	b.classes[0].asked.add(0, 1)
-	before := b.room(0, r, b.list[0])
-	b.reportsLate = true
-	if after := b.room(0, r, b.list[0]); after <= before || after != float64(b.s.Classes[0].LatencyObjective) {
+	before := b.room(0, r, b.endpoints.list[0])
+	b.reports.late = true
+	if after := b.room(0, r, b.endpoints.list[0]); after <= before || after != float64(b.settings.Classes[0].LatencyObjective) {
 		t.Errorf("limit %v before, %v while late", before, after)
 	}
 }
@@ -262,7 +262,7 @@
 func TestColdEndpointIsExpectedToBeSlow(t *testing.T) {
 	b, _ := start(t, testSettings(), ready(2))
 	b.UpdateEndpoints(1000, ListDelta, []Endpoint{{ID: 9, State: Ready, StartTime: 1000}})
-	e := b.byID[9]
+	e := b.endpoints.byID[9]
 	if got := e.paceNow(1000, b); !near(got, 5) { // warmth 0.2
 		t.Errorf("pace %v just started", got)
 	}
@@ -288,15 +288,15 @@
 			if len(r.sends) == 0 || r.sends[len(r.sends)-1].id != id {
 				continue // refused
 			}
-			latency := Micros(times * b.requests[id].attempts[0].expected)
+			latency := Micros(times * b.ledger.requests[id].attempts[0].expected)
 			b.AttemptCompleted(now, Outcome{ID: id, Endpoint: r.sends[len(r.sends)-1].endpoint, Status: OK,
 				Latency: latency, Settled: true})
 		}
 	}
 	one := func(now Micros) float64 {
 		b.ProbeCompleted(now, 1, OK, 500, []float32{0})
-		b.byID[1].pace, b.byID[1].paceAt = ewma{v: 1, seen: true}, now
-		return b.predict(now, b.byID[1], 10_000)
+		b.endpoints.byID[1].pace, b.endpoints.byID[1].paceAt = ewma{v: 1, seen: true}, now
+		return b.predict(now, b.endpoints.byID[1], 10_000)
 	}
 	serve(0, 50, 1)
 	before := one(60_000)
@@ -331,8 +331,8 @@
 					Latency: c.latency(hint), Settled: true})
 			}
 		}
-		if b.trust < c.from || b.trust > c.to {
-			t.Errorf("%s: trust %.2f, want %.2f to %.2f", c.name, b.trust, c.from, c.to)
+		if b.estimates.hintExponent < c.from || b.estimates.hintExponent > c.to {
+			t.Errorf("%s: trust %.2f, want %.2f to %.2f", c.name, b.estimates.hintExponent, c.from, c.to)
 		}
 	}
 }
@@ -343,13 +343,13 @@
 	s.Prices.Probe = probeSpend // one probe a request
 	b, _ := start(t, s, ready(4))
 	for i := range 1000 {
-		b.demand.add(5000*Micros(i), 1)
+		b.traffic.demand.add(5000*Micros(i), 1)
 	}
 	now := 5 * second
-	b.refused.v = 0
+	b.traffic.rejected.v = 0
 	all := b.probeRate(now)
 	for _, c := range []struct{ refused, want float64 }{{0.5, 0.5}, {0.9, firstTries}, {1, firstTries}} {
-		b.refused.v = c.refused
+		b.traffic.rejected.v = c.refused
 		if got := b.probeRate(now) / all; math.Abs(got-c.want) > 0.001 {
 			t.Errorf("refused %v: %v of the pace, want %v", c.refused, got, c.want)
 		}
@@ -404,7 +404,7 @@
 		answer(b, r, i, 0)
 	}
 	b.TimerFired(2*second+50_000, r.timers[len(r.timers)-1])
-	if len(r.sends)+len(r.refused)+len(r.failed) != 0 || len(b.held) != 0 {
+	if len(r.sends)+len(r.refused)+len(r.failed) != 0 || len(b.ledger.waitingForProbes) != 0 {
 		t.Error("a request that its client left is still acted on")
 	}
 }
@@ -414,7 +414,7 @@
 	s := testSettings()
 	s.Fields = []Field{FieldServed, FieldUtil}
 	b, _ := start(t, s, ready(2))
-	e := b.byID[1]
+	e := b.endpoints.byID[1]
 	b.ProbeCompleted(1000, 1, OK, 500, []float32{90, 0.5})
 	if got := b.load(e); got != 0.5*cores {
 		t.Errorf("load %v of a half busy endpoint", got)
@@ -441,8 +441,8 @@
 		b.HandleRequest(now, Request{ID: id, Deadline: now + second})
 		b.TimerFired(now+40_000, r.timers[len(r.timers)-1])
 	}
-	if b.usual.v < cores {
-		t.Errorf("usual load %v though no probe is answered", b.usual.v)
+	if b.estimates.baselineLoad.v < cores {
+		t.Errorf("usual load %v though no probe is answered", b.estimates.baselineLoad.v)
 	}
 	if len(r.refused) == 0 {
 		t.Error("nothing refused though no probe is answered")
@@ -452,7 +452,7 @@
 // A few long answers must not make an endpoint refuse where nobody waits.
 func TestIdleEndpointIsNotRefused(t *testing.T) {
 	b, r := start(t, testSettings(), ready(1))
-	b.list[0].pace, b.list[0].paceAt = ewma{v: 9, seen: true}, 1000
+	b.endpoints.list[0].pace, b.endpoints.list[0].paceAt = ewma{v: 9, seen: true}, 1000
 	b.ProbeCompleted(1000, 1, OK, 500, []float32{0})
 	b.HandleRequest(2000, request0(1, 0, 2000))
 	if len(r.sends) != 1 {
@@ -464,7 +464,7 @@
 func TestPassesThatFailGetRarer(t *testing.T) {
 	b, r := start(t, testSettings(), ready(1))
 	b.classes[0].work.v = float64(100 * second)
-	b.trend = trendMost
+	b.trend.ratio = trendMost
 	passed := [2]int{}
 	for i := range uint64(400) {
 		now := 10*second + Micros(i)*second
@@ -477,15 +477,15 @@
 	if passed[0] < 3 || passed[0] > 8 || passed[1] > 2 {
 		t.Errorf("%d of the first 200 passed and %d of the next", passed[0], passed[1])
 	}
-	b.passOf = passMost
+	b.traffic.trialInterval = passMost
 	r.sends = nil
-	b.trend, b.classes[0].work.v = 1, 1000
+	b.trend.ratio, b.classes[0].work.v = 1, 1000
 	b.HandleRequest(500*second, request0(1000, 0, 500*second))
 	b.AttemptCompleted(501*second, Outcome{ID: 1000, Endpoint: 1, Status: OK, Latency: 1000, Settled: true})
 	b.HandleRequest(502*second, request0(1001, 0, 502*second))
 	b.AttemptCompleted(502*second+1000, Outcome{ID: 1001, Endpoint: 1, Status: OK, Latency: 1000, Settled: true})
-	if b.passOf != passLeast {
-		t.Errorf("one of %d passes after an answer in time", b.passOf)
+	if b.traffic.trialInterval != passLeast {
+		t.Errorf("one of %d passes after an answer in time", b.traffic.trialInterval)
 	}
 }
 
@@ -514,13 +514,13 @@
 		list[i].Zone = uint8(i % 2)
 	}
 	b, r := start(t, s, list)
-	b.ways[0], b.ways[1] = ewma{v: 500, seen: true}, ewma{v: 30_000, seen: true}
+	b.estimates.roundTrip[0], b.estimates.roundTrip[1] = ewma{v: 500, seen: true}, ewma{v: 30_000, seen: true}
 	b.TimerFired(second, tokenProbe)
 	for id := range uint64(20) {
 		b.HandleRequest(2*second, request0(id, 0, 2*second))
 	}
 	for _, e := range r.probes {
-		if b.byID[e].Zone != 0 {
+		if b.endpoints.byID[e].Zone != 0 {
 			t.Fatalf("probe of endpoint %d, 30 ms away, for a wait of 40 ms", e)
 		}
 	}
@@ -540,14 +540,14 @@
 		b.Start(0)
 		b.UpdateEndpoints(0, ListCached, ready(10))
 		for i := range Micros(10) {
-			b.sentWork.add(i*second, 80_000) // one request a second
+			b.traffic.sentWork.add(i*second, 80_000) // one request a second
 		}
 		b.UpdateEndpoints(10*second, ListDelta, []Endpoint{{ID: 11, Weight: 1, StartTime: 10 * second}})
 		for i := range Micros(6) {
-			b.sentWork.add((10+i)*second, 80_000)
-			b.coldRoom((10+i)*second, b.byID[11], 80_000)
+			b.traffic.sentWork.add((10+i)*second, 80_000)
+			b.coldRoom((10+i)*second, b.endpoints.byID[11], 80_000)
 		}
-		if b.coldRoom(15*second, b.byID[11], 80_000) {
+		if b.coldRoom(15*second, b.endpoints.byID[11], 80_000) {
 			allowed++
 		}
 	}
@@ -580,7 +580,7 @@
 		met[x.endpoint] = true
 	}
 	var pace [3]float64
-	for _, e := range b.list {
+	for _, e := range b.endpoints.list {
 		if !met[e.ID] {
 			pace[e.Kind] = e.paceNow(now, b)
 		}
@@ -617,9 +617,9 @@
 		for range 50 {
 			answer(50_000)
 		}
-		before := b.list[0].paceNow(now, b)
+		before := b.endpoints.list[0].paceNow(now, b)
 		answer(250_000)
-		return b.list[0].paceNow(now-gap, b) / before
+		return b.endpoints.list[0].paceNow(now-gap, b) / before
 	}
 	often, seldom := learned(0), learned(2*paceLife)
 	if often > 1.2 || seldom < 1.5 {
@@ -630,7 +630,7 @@
 // A cold endpoint of a kind that is twice as fast gets more than one of a slow kind, within bounds.
 func TestColdEndpointsAreFilledByKind(t *testing.T) {
 	b, r := start(t, testSettings(), ready(6))
-	for i, e := range b.list {
+	for i, e := range b.endpoints.list {
 		e.Kind, e.Zone = uint8(i%2), 0
 	}
 	now := second
@@ -644,10 +644,10 @@
 	}
 	var got [2]float64
 	for kind := range got {
-		e := &endpoint{Endpoint: Endpoint{Kind: uint8(kind), State: Ready, Weight: 1}, isCold: true, coldFrom: now, roomAt: now}
-		b.list = append(b.list, e)
+		e := &endpoint{Endpoint: Endpoint{Kind: uint8(kind), State: Ready, Weight: 1}, slowStart: slowStart{active: true, since: now, refilledAt: now}}
+		b.endpoints.list = append(b.endpoints.list, e)
 		b.coldRoom(now+second, e, 50_000)
-		got[kind] = e.room
+		got[kind] = e.slowStart.tokens
 	}
 	if ratio := got[0] / got[1]; ratio < 1.5 || ratio > kindMost*kindMost {
 		t.Errorf("a fast and a slow kind get %v, %.2f times as much", got, ratio)
@@ -659,7 +659,7 @@
 func TestAnswersTellTheUsualLoad(t *testing.T) {
 	play := func(probed bool, answers int, slower, noise float64) (usual float64) {
 		b, r := start(t, testSettings(), ready(40))
-		for _, e := range b.list {
+		for _, e := range b.endpoints.list {
 			e.Zone = 0
 		}
 		if probed {
@@ -679,7 +679,7 @@
 			}
 			now += 200_000
 		}
-		return b.usual.v
+		return b.estimates.baselineLoad.v
 	}
 	calm, busy := play(true, 15, 1, 0), play(true, 15, 3, 0)
 	if busy < calm+0.75 {
@@ -712,7 +712,7 @@
 		s := testSettings()
 		s.Limits.Probes, s.Limits.KeepAlive = false, c.keep
 		b, r := start(t, s, ready(40))
-		for _, e := range b.list {
+		for _, e := range b.endpoints.list {
 			e.Zone = 0
 		}
 		now, used := second, map[uint32]bool{}
@@ -736,18 +736,20 @@
 	s := testSettings()
 	s.Limits.KeepAlive = 5 * second
 	b, _ := start(t, s, ready(2))
-	b.ways[0] = ewma{v: 1000, seen: true}
+	b.estimates.roundTrip[0] = ewma{v: 1000, seen: true}
 	r := &request{Request: Request{Deadline: 10 * second}, work: 50_000}
 	now := second
-	b.list[0].heardAt = now
-	extra := func(now Micros) float64 { return b.cost(now, r, b.list[1]) - b.cost(now, r, b.list[0]) }
+	b.endpoints.list[0].heardAt = now
+	extra := func(now Micros) float64 {
+		return b.cost(now, r, b.endpoints.list[1]) - b.cost(now, r, b.endpoints.list[0])
+	}
 	if got, want := extra(now), openTrips*1000+openWeight*float64(s.Classes[0].LatencyObjective); math.Abs(got-want) > 1 {
 		t.Errorf("opening costs %.0f us, want %.0f", got, want)
 	}
 	if got := extra(now + 4*second); got != 0 {
 		t.Errorf("after 4 s, when it may be closed, %.0f", got)
 	}
-	b.list[0].inflight = 1
+	b.endpoints.list[0].inflight = 1
 	if got := extra(now); got >= openWeight*float64(s.Classes[0].LatencyObjective) {
 		t.Errorf("while it is busy %.0f", got)
 	}
@@ -782,7 +784,7 @@
 	list[0].State = Draining
 	b.UpdateEndpoints(now, ListFull, list)
 	for id := range uint64(40) {
-		if at := ask(100+id, OK); at == list[0].ID || at != 0 && b.byID[at] == nil {
+		if at := ask(100+id, OK); at == list[0].ID || at != 0 && b.endpoints.byID[at] == nil {
 			t.Fatalf("sent to %d, which drains or is gone", at)
 		}
 	}
@@ -794,9 +796,9 @@
 	s := testSettings()
 	b, _ := start(t, s, ready(2))
 	now := second
-	b.usual = ewma{v: 7, seen: true}
+	b.estimates.baselineLoad = ewma{v: 7, seen: true}
 	b.UpdateEndpoints(now, ListDelta, []Endpoint{{ID: 3, Weight: 1, StartTime: now}})
-	warm, cold := b.byID[1], b.byID[3]
+	warm, cold := b.endpoints.byID[1], b.endpoints.byID[3]
 	if got := b.load(warm); got != 7 {
 		t.Errorf("%g are taken to be held at a warm endpoint that said nothing, want what is usual, 7", got)
 	}
@@ -807,8 +809,8 @@
 	if b.coldRoom(late, cold, 1); b.load(cold) != 7 {
 		t.Errorf("%g at one that is warm by now, want 7", b.load(cold))
 	}
-	b.usual.v = 0
-	if cold.isCold = true; b.load(cold) != 0 {
+	b.estimates.baselineLoad.v = 0
+	if cold.slowStart.active = true; b.load(cold) != 0 {
 		t.Errorf("%g at a cold endpoint where nobody waits anywhere, want 0", b.load(cold))
 	}
 }
--- a/balancer/probes.go
+++ b/balancer/probes.go
@@ -42,26 +42,26 @@
 
 // probeRate is the pace of probes a second that the settings' price allows.
 func (b *Balancer) probeRate(now Micros) float64 {
-	per := min(probeMost, probeSpend/b.s.Prices.Probe)
+	per := min(probeMost, probeSpend/b.settings.Prices.Probe)
 	// The price counts first tries. While all is refused, answers must still show when that may end.
-	return max(1, per*b.demand.rate(now)*max(firstTries, 1-b.refused.v))
+	return max(1, per*b.traffic.demand.rate(now)*max(firstTries, 1-b.traffic.rejected.v))
 }
 
 // hold probes a few random endpoints for r and keeps it until they answer.
 func (b *Balancer) hold(now Micros, r *request) bool {
 	// While most is refused, most go without: clients retry, and their probes alone would fill the fleet.
-	asking := b.sparse && b.s.Limits.Probes && len(b.s.Fields) > 0
-	if !asking || b.rng.float() > max(firstTries, 2-2*b.refused.v) {
+	asking := b.probes.onDemand && b.settings.Limits.Probes && len(b.settings.Fields) > 0
+	if !asking || b.random.float() > max(firstTries, 2-2*b.traffic.rejected.v) {
 		return false
 	}
 	wait := min(holdPart*float64(b.class(r).LatencyObjective), float64(r.Deadline-now)/4)
-	for i := range int(b.asks) {
+	for i := range int(b.probes.perRequest) {
 		// One of its own zone, and others whose answer can come in time: from afar it would come too late,
 		// and an endpoint heard of so late would serve late. While much is refused, a way out is looked for.
 		far := wait / 2
 		if i == 0 {
 			far = 0
-		} else if b.rng.float() < b.refused.v {
+		} else if b.random.float() < b.traffic.rejected.v {
 			far = wait
 		}
 		e := b.draw(now, r, nil, far)
@@ -74,15 +74,15 @@
 		}
 	}
 	r.held = true
-	b.held = append(b.held, r)
-	b.out.Timer(max(1, Micros(wait)), r.token)
+	b.ledger.waitingForProbes = append(b.ledger.waitingForProbes, r)
+	b.actions.Timer(max(1, Micros(wait)), r.token)
 	return true
 }
 
 // heard sends the requests that waited for e's answer alone.
 func (b *Balancer) heard(now Micros, e *endpoint) {
-	for i := len(b.held) - 1; i >= 0; i = min(i, len(b.held)) - 1 {
-		r := b.held[i]
+	for i := len(b.ledger.waitingForProbes) - 1; i >= 0; i = min(i, len(b.ledger.waitingForProbes)) - 1 {
+		r := b.ledger.waitingForProbes[i]
 		waited := len(r.awaits)
 		r.awaits = slices.DeleteFunc(r.awaits, func(a *endpoint) bool { return a == e })
 		// Nothing beats an endpoint that has room at once.
@@ -99,7 +99,7 @@
 	first := len(r.attempts) == 0
 	sent := b.attempt(now, r, first)
 	if first {
-		b.refused.add(share(!sent), shareWeight)
+		b.traffic.rejected.add(share(!sent), shareWeight)
 	}
 	if !sent {
 		b.refuse(now, r)
@@ -108,17 +108,17 @@
 
 // freshFor is how long a pooled answer may be used for a request of this aim.
 func (b *Balancer) freshFor(now, aim Micros) Micros {
-	if b.sparse {
+	if b.probes.onDemand {
 		return Micros(askedAge * float64(aim))
 	}
-	return max(poolAge, Micros(poolRounds*float64(len(b.list))/b.probeRate(now)*float64(second)))
+	return max(poolAge, Micros(poolRounds*float64(len(b.endpoints.list))/b.probeRate(now)*float64(second)))
 }
 
 func (b *Balancer) probe(now Micros, e *endpoint) {
-	if lost := now-e.probedAt > 5*second; b.s.Limits.Probes && e.State == Ready && (lost || !e.probing) {
+	if lost := now-e.probedAt > 5*second; b.settings.Limits.Probes && e.State == Ready && (lost || !e.probing) {
 		e.probing, e.probedAt = true, now
-		e.room -= probeShare * b.classes[0].work.v * share(e.cold(now, b))
-		b.out.Probe(e.ID)
+		e.slowStart.tokens -= probeShare * b.classes[0].work.v * share(e.cold(now, b))
+		b.actions.Probe(e.ID)
 	}
 }
 
@@ -127,27 +127,28 @@
 	rate := b.probeRate(now)
 	// Where a turn of the fleet takes too long for a fresh pool, and own in-flight tells little, probes go with
 	// requests instead: a pool of old answers sends everyone to endpoints that were quiet long ago.
-	size, own := float64(len(b.list)), b.demand.rate(now)*b.classes[0].work.v/float64(second)
-	b.sparse = b.asks >= 1 && size*float64(second) > rate*float64(poolAge) && own < ownTells*size
-	if b.sparse {
-		b.out.Timer(poolAge/2+b.rng.below(poolAge), tokenProbe)
+	size, own := float64(len(b.endpoints.list)), b.traffic.demand.rate(now)*b.classes[0].work.v/float64(second)
+	b.probes.onDemand = b.probes.perRequest >= 1 && size*float64(second) > rate*float64(poolAge) &&
+		own < ownTells*size
+	if b.probes.onDemand {
+		b.actions.Timer(poolAge/2+b.random.below(poolAge), tokenProbe)
 		return
 	}
 	n := max(1, min(probeBatch, int(rate*float64(probeGap)/float64(second))))
 	gap := float64(n) / rate * float64(second)
-	for try := 0; n > 0 && try < 4*probeBatch && len(b.list) > 0; try++ {
-		e := b.list[int(b.rng.float()*float64(len(b.list)))]
+	for try := 0; n > 0 && try < 4*probeBatch && len(b.endpoints.list) > 0; try++ {
+		e := b.endpoints.list[int(b.random.float()*float64(len(b.endpoints.list)))]
 		if e.State == Ready && !e.probing {
 			b.probe(now, e)
 			n--
 		}
 	}
-	b.out.Timer(1+Micros(gap*(0.5+b.rng.float())), tokenProbe)
+	b.actions.Timer(1+Micros(gap*(0.5+b.random.float())), tokenProbe)
 }
 
 // ProbeCompleted handles a probe's answer.
 func (b *Balancer) ProbeCompleted(now Micros, id uint32, status Status, latency Micros, load []float32) {
-	e := b.byID[id]
+	e := b.endpoints.byID[id]
 	if e == nil {
 		return
 	}
@@ -158,18 +159,18 @@
 	if status != OK {
 		e.answerAt = 0 // one that turns probes away or leaves them waiting is no place for a request
 		if status == Timeout {
-			b.usual.add(cores+b.line(float64(latency)), usualWeight)
+			b.estimates.baselineLoad.add(cores+b.line(float64(latency)), usualWeight)
 		}
 		b.heard(now, e)
 		return
 	}
 	// The quickest answer of its zone is the way there and back alone; what one took beyond, it waited in line.
-	way := &b.ways[e.Zone]
+	way := &b.estimates.roundTrip[e.Zone]
 	way.add(float64(latency), wayRise)
 	way.v = min(way.v, float64(latency))
 	waited := float64(latency) - way.v
-	held, queue := figure(b.s.Fields, load, FieldInflight), figure(b.s.Fields, load, FieldQueue)
-	hasHeld, util := held >= 0, figure(b.s.Fields, load, FieldUtil)
+	held, queue := figure(b.settings.Fields, load, FieldInflight), figure(b.settings.Fields, load, FieldQueue)
+	hasHeld, util := held >= 0, figure(b.settings.Fields, load, FieldUtil)
 	// Each figure proves that at least so much is held there.
 	if !hasHeld && queue >= 0 {
 		held = queue + cores*share(queue >= 1)
@@ -177,19 +178,19 @@
 		held = min(util, 1) * cores
 	}
 	line := b.line(waited)
-	b.waits.add(share(line >= lineLeast), shareWeight)
+	b.reports.queued.add(share(line >= lineLeast), shareWeight)
 	if held >= 0 && line >= lineLeast {
 		held = max(held, cores+line)
 	}
 	if held >= 0 {
 		if !e.pooled {
 			e.pooled = true
-			b.pool = append(b.pool, e)
+			b.probes.pool = append(b.probes.pool, e)
 		}
 		e.hasLoad, e.answerAt = true, now
 		e.others, e.ownAt = max(0, held-float64(e.inflight)), e.inflight
-		b.usual.add(e.others, usualWeight)
-		if b.waits.v > waitsTell && line < lineLeast && b.usual.v < cores {
+		b.estimates.baselineLoad.add(e.others, usualWeight)
+		if b.reports.queued.v > waitsTell && line < lineLeast && b.estimates.baselineLoad.v < cores {
 			// Probes wait in line here, and this one found none, whatever an old report says. In a fleet that
 			// is busy all over it is chance: the report tells more.
 			e.others = min(e.others, cores-1)
@@ -198,11 +199,13 @@
 	b.heard(now, e)
 	// An answer that counts fewer than we alone have there is late, unless some are
 	// still on their way. If that happens often, the pool misleads: averages serve then.
-	if own := e.inflight; hasHeld && own > 0 && float64(now-e.sentAt) > settleTrips*b.ways[e.Zone].v {
-		b.lag.add(share(held+0.5 < reportFloor*float64(own)), shareWeight)
-		if b.lag.v > lagMost && !b.reportsLate || b.lag.v < lagMost/3 && b.reportsLate {
-			b.reportsLate = !b.reportsLate
-			b.log(now, "load report trust changed", "reports_late", b.reportsLate, "late_ratio", ratio(b.lag.v))
+	own, settled := e.inflight, settleTrips*b.estimates.roundTrip[e.Zone].v
+	if hasHeld && own > 0 && float64(now-e.sentAt) > settled {
+		q := &b.reports
+		q.lateRatio.add(share(held+0.5 < reportFloor*float64(own)), shareWeight)
+		if q.lateRatio.v > lagMost && !q.late || q.lateRatio.v < lagMost/3 && q.late {
+			q.late = !q.late
+			b.log(now, "load report trust changed", "reports_late", q.late, "late_ratio", ratio(q.lateRatio.v))
 		}
 	}
 }
--- a/balancer/rejection.go
+++ b/balancer/rejection.go
@@ -5,12 +5,12 @@
 // room is the longest predicted latency at which r is still sent to e: its time there without a queue, and
 // a part of what the aim leaves for waiting. Classes of little value for their work give way first.
 func (b *Balancer) room(now Micros, r *request, e *endpoint) float64 {
-	alone := b.ways[e.Zone].v + b.workAt(now, r, e)*b.slowdown()*e.paceNow(now, b)
+	alone := b.estimates.roundTrip[e.Zone].v + b.workAt(now, r, e)*b.trend.slowdown()*e.paceNow(now, b)
 	share := max(roomLeast, roomMost*r.value)
 	if b.harmlessFor(now, r) == 0 {
 		share = roomMost // it cannot be refused any more, and would fail
 	}
-	if n := len(r.attempts); b.reportsLate || n > 0 && r.attempts[n-1].late {
+	if n := len(r.attempts); b.reports.late || n > 0 && r.attempts[n-1].late {
 		// Either the least loaded endpoint is not known, and averages must not refuse what it would serve,
 		// or the request was swallowed: it has waited longer than its class should already.
 		share = 1
@@ -25,7 +25,7 @@
 	worst := 1.0
 	for i := range b.classes {
 		c := &b.classes[i]
-		if b.s.Classes[i].Retired {
+		if b.settings.Classes[i].Retired {
 			continue
 		}
 		rate := c.asked.rate(now)
@@ -36,12 +36,13 @@
 	var top, own float64
 	for i := range b.classes {
 		c := &b.classes[i]
-		if b.s.Classes[i].Retired && i != int(r.Class) {
+		if b.settings.Classes[i].Retired && i != int(r.Class) {
 			continue
 		}
 		part := c.asked.rate(now) * c.work.v / work
-		v := (b.s.Goal.Overall + windowGain*b.s.Goal.WorstWindow) * b.worth(i) / c.work.v * work / worth
-		v += b.s.Goal.WorstClass / max(0.05, part) * math.Exp((worst-c.good.or(1))/0.1)
+		gain := b.settings.Goal.Overall + windowGain*b.settings.Goal.WorstWindow
+		v := gain * b.worth(i) / c.work.v * work / worth
+		v += b.settings.Goal.WorstClass / max(0.05, part) * math.Exp((worst-c.good.or(1))/0.1)
 		top = max(top, v)
 		own += v * share(i == int(r.Class))
 	}
@@ -62,18 +63,19 @@
 	var sent, allowed float64
 	for i := range b.tenants {
 		sent += b.tenants[i].rate(now)
-		allowed += b.s.Tenants[i].Quota
+		allowed += b.settings.Tenants[i].Quota
 	}
-	mine := b.s.Tenants[r.Tenant].Quota
+	mine := b.settings.Tenants[r.Tenant].Quota
 	if mine <= 0 || sent <= 0 {
 		return 1
 	}
 	over := b.tenants[r.Tenant].rate(now)/mine*allowed/sent - 1
-	return max(b.s.OverQuotaWeightRatio, 1-max(0, over)/tenantSlack)
+	return max(b.settings.OverQuotaWeightRatio, 1-max(0, over)/tenantSlack)
 }
 
 func (b *Balancer) worth(class int) float64 {
-	return b.s.Classes[class].PriorityWeight * (1 + (b.classes[class].work.v-1)*share(b.s.WeightByWork))
+	perRequest := 1 + (b.classes[class].work.v-1)*share(b.settings.WeightByWork)
+	return b.settings.Classes[class].PriorityWeight * perRequest
 }
 
 // returnWay is kept of a window for a refused client's way back, and as long again for what it asks for.
@@ -100,25 +102,25 @@
 		return
 	}
 	var after Micros
-	if b.s.Limits.RetryAfter {
+	if b.settings.Limits.RetryAfter {
 		// Spread the returns, and let them come while an answer is still wanted.
-		after = Micros((0.1 + 0.2*b.rng.float()) * float64(b.class(r).LatencyObjective))
-		after = min(after, b.s.Limits.MaxRetryAfter, harmless)
+		after = Micros((0.1 + 0.2*b.random.float()) * float64(b.class(r).LatencyObjective))
+		after = min(after, b.settings.Limits.MaxRetryAfter, harmless)
 	}
-	b.out.Reject(r.ID, after)
+	b.actions.Reject(r.ID, after)
 	b.end(r)
 }
 
 func (b *Balancer) fail(r *request) {
 	if !r.ended {
-		b.out.Fail(r.ID)
+		b.actions.Fail(r.ID)
 		b.end(r)
 	}
 }
 
 // Expire handles a request that its host must answer now, before its time is over.
 func (b *Balancer) Expire(now Micros, id uint64) {
-	if r := b.requests[id]; r != nil {
+	if r := b.ledger.requests[id]; r != nil {
 		b.refuse(now, r)
 	}
 }
--- a/balancer/rules_test.go
+++ b/balancer/rules_test.go
@@ -179,7 +179,7 @@
 	statuses := []Status{OK, OK, OK, Error, Full, Timeout, ConnectFailed, Reset, Cancelled, NotSent}
 	for range 3000 {
 		c.now += Micros(rnd.Intn(pause))
-		held = max(held, len(b.held))
+		held = max(held, len(b.ledger.waitingForProbes))
 		for i := 0; i < len(c.timers); {
 			if p := c.timers[i]; p.at <= c.now {
 				c.timers = slices.Delete(c.timers, i, i+1)
@@ -341,7 +341,7 @@
 			s := testSettings()
 			b, r := start(t, s, ready(4)) // endpoints 1, 2 share a zone and a cell; so do 3, 4
 			b.HandleRequest(1000, request0(1, class, 1000))
-			a := b.requests[1].attempts[0]
+			a := b.ledger.requests[1].attempts[0]
 			b.AttemptCompleted(2000, Outcome{ID: 1, Endpoint: a.ep.ID, Status: status, Latency: 1000})
 			sends := len(r.sends)
 			switch kind := s.Classes[class]; {
@@ -376,21 +376,21 @@
 	b, r := start(t, testSettings(), nil)
 	b.HandleRequest(1000, request0(1, 4, 1000))
 	b.HandleRequest(1000, Request{ID: 2, Deadline: 500})
-	if len(r.refused) != 2 || b.open != 0 || len(b.requests) != 0 {
-		t.Errorf("refused %v, open %d", r.refused, b.open)
+	if len(r.refused) != 2 || b.ledger.open != 0 || len(b.ledger.requests) != 0 {
+		t.Errorf("refused %v, open %d", r.refused, b.ledger.open)
 	}
 }
 
 func TestUnansweredAttemptEndsAtTheDeadline(t *testing.T) {
 	b, r := start(t, testSettings(), ready(1))
 	b.HandleRequest(1000, request0(1, 4, 1000))
-	token := b.requests[1].token
+	token := b.ledger.requests[1].token
 	b.TimerFired(1000+second, token)
 	if len(r.failed) != 1 || len(r.cancels) != 1 {
 		t.Fatalf("failed %v, cancelled %v", r.failed, r.cancels)
 	}
 	b.AttemptCompleted(2*second, Outcome{ID: 1, Endpoint: 1, Status: OK, Latency: second, Settled: true})
-	if b.list[0].br.accepts != 1 || b.list[0].inflight != 0 || len(b.requests) != 0 {
+	if b.endpoints.list[0].br.accepts != 1 || b.endpoints.list[0].inflight != 0 || len(b.ledger.requests) != 0 {
 		t.Error("a late outcome must still feed the statistics")
 	}
 	b.HandleRequest(3*second, request0(2, 0, 3*second))
@@ -471,7 +471,7 @@
 	for i := range uint64(400) {
 		now := second + Micros(i)*10_000
 		b.HandleRequest(now, request0(i, 0, now))
-		if n := len(r.sends); n > 0 && b.requests[i] != nil {
+		if n := len(r.sends); n > 0 && b.ledger.requests[i] != nil {
 			b.AttemptCompleted(now, Outcome{ID: i, Endpoint: 1, Status: OK, Latency: 10_000, Settled: true})
 		}
 	}
@@ -510,7 +510,7 @@
 			t.Fatalf("asked only after %d", now-before)
 		}
 	}
-	if len(b.list) != 2 {
+	if len(b.endpoints.list) != 2 {
 		t.Error("a failed call changed the list")
 	}
 	b.UpdateEndpoints(now, ListDelta, nil)
@@ -525,12 +525,12 @@
 	b, r := start(t, testSettings(), ready(2))
 	b.HandleRequest(1000, request0(1, 0, 1000))
 	b.ResponseStarted(2000, 1, 0, 1000)
-	b.TimerFired(2*second, b.requests[1].token)
+	b.TimerFired(2*second, b.ledger.requests[1].token)
 	if len(r.sends) != 1 || len(r.refused)+len(r.failed) != 0 {
 		t.Error("a stream that began was given an end or a copy")
 	}
 	b.AttemptCompleted(3*second, Outcome{ID: 1, Endpoint: r.sends[0].endpoint, Status: OK, Latency: 3 * second, Settled: true})
-	if len(b.requests) != 0 {
+	if len(b.ledger.requests) != 0 {
 		t.Error("record kept")
 	}
 }
@@ -591,10 +591,10 @@
 func TestLostAttemptsGetACopyElsewhere(t *testing.T) {
 	for class, copies := range []int{1, 1, 1, 1, 0} {
 		b, r := start(t, testSettings(), ready(4))
-		b.lost.v = lostLeast
+		b.traffic.swallowed.v = lostLeast
 		b.HandleRequest(1000, request0(1, uint8(class), 1000))
 		first := r.sends[0]
-		b.byID[first.endpoint].answered = 2000
+		b.endpoints.byID[first.endpoint].answered = 2000
 		b.TimerFired(500_000, r.timers[len(r.timers)-1])
 		if n := len(r.sends) - 1; n != copies {
 			t.Errorf("class %d: %d copies, want %d", class, n, copies)
@@ -604,7 +604,7 @@
 			continue
 		}
 		second := r.sends[1]
-		if second.endpoint == first.endpoint || class == 3 && b.byID[second.endpoint].Cell != b.byID[first.endpoint].Cell {
+		if second.endpoint == first.endpoint || class == 3 && b.endpoints.byID[second.endpoint].Cell != b.endpoints.byID[first.endpoint].Cell {
 			t.Errorf("class %d: the copy went to %d after %d", class, second.endpoint, first.endpoint)
 		}
 		// The copy fails: the first may still be answered, so no final answer yet.
@@ -617,8 +617,8 @@
 		for i := 2; i < len(r.sends); i++ {
 			calls++ // a third attempt, too, is called off
 		}
-		if len(r.cancels) != calls || b.open != 0 {
-			t.Errorf("class %d: %d attempts called off, want %d; %d requests open", class, len(r.cancels), calls, b.open)
+		if len(r.cancels) != calls || b.ledger.open != 0 {
+			t.Errorf("class %d: %d attempts called off, want %d; %d requests open", class, len(r.cancels), calls, b.ledger.open)
 		}
 	}
 }
@@ -632,13 +632,13 @@
 			b.HandleRequest(1000, request0(id, 0, 1000))
 		}
 		if overtaken {
-			b.byID[1].answered = 2000
+			b.endpoints.byID[1].answered = 2000
 		}
 		for _, s := range r.sends {
 			b.AttemptCompleted(990_000, Outcome{ID: s.id, Endpoint: 1, Status: Timeout, Latency: 989_000})
 		}
-		if taught := b.trend > 1; taught == overtaken {
-			t.Errorf("%s: trend %v", name, b.trend)
+		if taught := b.trend.ratio > 1; taught == overtaken {
+			t.Errorf("%s: trend %v", name, b.trend.ratio)
 		}
 	}
 }
--- a/balancer/second_test.go
+++ b/balancer/second_test.go
@@ -75,7 +75,7 @@
 		b, r := start(t, archive(), list)
 		b.HandleRequest(second, request0(1, 2, second))
 		first := r.sends[0].endpoint
-		zone := b.byID[first].Zone
+		zone := b.endpoints.byID[first].Zone
 		var gone []Endpoint
 		for _, e := range list {
 			if e.Zone == zone {
@@ -88,7 +88,7 @@
 		if len(r.sends) != sends || len(r.refused) != 0 || len(r.failed) != 2-sends {
 			t.Errorf("status %d: %d sends, %d refused, %d failed; want %d sends", status, len(r.sends), len(r.refused), len(r.failed), sends)
 		}
-		if sends == 2 && b.byID[r.sends[1].endpoint].Zone == zone {
+		if sends == 2 && b.endpoints.byID[r.sends[1].endpoint].Zone == zone {
 			t.Errorf("status %d: sent to the building that is lost", status)
 		}
 	}
--- a/balancer/slowstart.go
+++ b/balancer/slowstart.go
@@ -13,19 +13,20 @@
 // coldRoom refills the token bucket of a cold endpoint and says whether a request of this work fits.
 func (b *Balancer) coldRoom(now Micros, e *endpoint, work float64) bool {
 	var warm, ready float64
-	for _, o := range b.list {
+	for _, o := range b.endpoints.list {
 		ready += share(o.State == Ready)
 		warm += share(o.State == Ready && !o.cold(now, b))
 	}
-	rate := b.sentWork.rate(now)
+	rate := b.traffic.sentWork.rate(now)
 	if warm == 0 { // nothing to compare with: an even share of what is asked
-		warm, rate = ready, b.demand.rate(now)*work
+		warm, rate = ready, b.traffic.demand.rate(now)*work
 	}
-	fill := min(1, coldShare*b.s.Contract.OverloadMultiple) * e.warmth(now, b) * rate / max(1, warm)
+	fill := min(1, coldShare*b.settings.Contract.OverloadMultiple) * e.warmth(now, b) * rate / max(1, warm)
 	// What the others do is the mean of all kinds; this one can do more, or less.
-	fill *= min(kindMost, max(1/kindMost, b.fleet.or(1)/b.kinds[e.Kind].or(b.fleet.or(1))))
-	most := max(fill*float64(b.s.Contract.OverloadTime)/float64(second)/2, work*coldCharge)
-	e.room = min(most, e.room+fill*float64(now-e.roomAt)/float64(second))
-	e.roomAt = now
-	return e.room >= work*coldCharge
+	mean := b.estimates.fleetSlowness.or(1)
+	fill *= min(kindMost, max(1/kindMost, mean/b.estimates.kindSlowness[e.Kind].or(mean)))
+	most := max(fill*float64(b.settings.Contract.OverloadTime)/float64(second)/2, work*coldCharge)
+	e.slowStart.tokens = min(most, e.slowStart.tokens+fill*float64(now-e.slowStart.refilledAt)/float64(second))
+	e.slowStart.refilledAt = now
+	return e.slowStart.tokens >= work*coldCharge
 }
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -7,6 +7,101 @@
 
 const second Micros = 1_000_000
 
+// ledger holds the requests that are not done with, and the timer slots that name them.
+type ledger struct {
+	requests         map[uint64]*request // every request with an attempt out or no final answer
+	slots            []*request          // by timer slot
+	free             []*request          // records to use again
+	open             int                 // requests without final answer
+	waitingForProbes []*request
+}
+
+// endpointSet holds the endpoints that discovery has listed.
+type endpointSet struct {
+	byID       map[uint32]*endpoint
+	list       []*endpoint // in the order first listed
+	version    int         // membership events so far
+	discovered bool        // discovery has answered since the start
+	maxWeight  float64     // of any endpoint
+}
+
+// recentlyUsed is a ring of the endpoints that requests were sent to last.
+type recentlyUsed struct {
+	ring  [metMost]*endpoint
+	count int // sends so far
+}
+
+func (u *recentlyUsed) add(e *endpoint) {
+	u.ring[u.count%metMost] = e
+	u.count++
+}
+
+// len returns how many endpoints the ring holds.
+func (u *recentlyUsed) len() int { return min(metMost, u.count) }
+
+// probePool holds the endpoints with a fresh load report, and how probes are sent.
+type probePool struct {
+	pool       []*endpoint
+	perRequest float64 // probes for a single request, in onDemand mode
+	onDemand   bool    // probes are sent for single requests, not in rounds
+}
+
+// discoveryPolling is when discovery is asked next.
+type discoveryPolling struct {
+	subscribed bool
+	pollAt     Micros // next poll, unless subscribed by then
+	backoff    Micros
+}
+
+// budgets are token balances, in attempts.
+type budgets struct {
+	retry float64   // of requests without a budget of their own
+	hedge float64   // of hedged requests
+	named []float64 // by index of Settings.Budgets
+}
+
+// traffic measures what was asked of this balancer and what became of it.
+type traffic struct {
+	demand        meter // requests taken
+	sentWork      meter // work sent
+	rejected      ewma  // ratio of requests rejected at arrival
+	swallowed     ewma  // ratio of attempts that were never answered though later ones were
+	trialInterval int   // requests over the latency limit for one that is sent all the same
+}
+
+// reportQuality measures how far load reports and probes can be trusted.
+type reportQuality struct {
+	queued    ewma // ratio of probes that waited in the endpoint's queue
+	lateRatio ewma // ratio of load reports that must be late
+	late      bool // reports are too late to decide by
+}
+
+// estimates hold what is expected of endpoints of which little is known.
+type estimates struct {
+	roundTrip     [256]ewma // shortest probe latency, by zone
+	kindSlowness  [256]mean // slowness of each kind of machine
+	fleetSlowness mean
+	baselineLoad  ewma    // load of other balancers at an endpoint
+	hintExponent  float64 // power of a work hint that work grows with
+}
+
+// latencyTrend is the ratio of latencies to those predicted, for all endpoints together.
+type latencyTrend struct{ ratio float64 }
+
+// slowStart is the token bucket of an endpoint that is warming up.
+type slowStart struct {
+	active     bool
+	since      Micros
+	tokens     float64 // work that the endpoint may still be sent
+	refilledAt Micros
+}
+
+// failureAverage is a recent ratio of failures; see failing.
+type failureAverage struct {
+	ratio     float64
+	updatedAt Micros
+}
+
 // classStats is what a balancer knows of a class.
 type classStats struct {
 	work   ewma   // mean work of a request
@@ -21,7 +116,7 @@
 func (b *Balancer) release(r *request) {
 	if r.held {
 		r.held, r.awaits = false, r.awaits[:0]
-		b.held = slices.DeleteFunc(b.held, func(h *request) bool { return h == r })
+		b.ledger.waitingForProbes = slices.DeleteFunc(b.ledger.waitingForProbes, func(h *request) bool { return h == r })
 	}
 }
 
@@ -113,11 +208,11 @@
 
 // log records an event for on-call staff, each kind of event at most once a second: rejections come in thousands.
 func (b *Balancer) log(now Micros, event string, attributes ...any) {
-	if at, ok := b.logged[event]; ok && now-at < second {
+	if at, ok := b.lastLogged[event]; ok && now-at < second {
 		return
 	}
-	b.logged[event] = now
-	b.out.Log(event, attributes...)
+	b.lastLogged[event] = now
+	b.actions.Log(event, attributes...)
 }
 
 // ratio rounds a figure for the log.
@@ -126,11 +221,8 @@
 // endpoint is what a balancer knows of an endpoint.
 type endpoint struct {
 	Endpoint
-	seen     bool // named by the list being read
-	isCold   bool
-	coldFrom Micros  // start of its warm-up
-	room     float64 // work that it may still get while cold
-	roomAt   Micros
+	seen      bool // named by the list being read
+	slowStart slowStart
 
 	inflight int    // own attempts without outcome
 	sentAt   Micros // latest own send
@@ -144,11 +236,10 @@
 	others   float64 // load of others when it answered
 	ownAt    int     // own in flight then
 
-	pace   ewma // time taken per work and crowding
-	paceAt Micros
-	errs   float64 // share of failures, recent
-	errAt  Micros
-	br     breaker
+	pace     ewma // time taken per work and crowding
+	paceAt   Micros
+	failures failureAverage
+	br       breaker
 }
 
 // warmth is the least share of its capacity that e has by now.
@@ -156,15 +247,15 @@
 	if !e.cold(now, b) {
 		return 1
 	}
-	from := b.s.Contract.SlowStartRatio
-	return from + (1-from)*float64(now-e.coldFrom)/float64(b.s.Contract.SlowStartTime)
+	from := b.settings.Contract.SlowStartRatio
+	return from + (1-from)*float64(now-e.slowStart.since)/float64(b.settings.Contract.SlowStartTime)
 }
 
 func (e *endpoint) cold(now Micros, b *Balancer) bool {
-	if e.isCold && now-e.coldFrom >= b.s.Contract.SlowStartTime {
-		e.isCold = false
+	if e.slowStart.active && now-e.slowStart.since >= b.settings.Contract.SlowStartTime {
+		e.slowStart.active = false
 	}
-	return e.isCold
+	return e.slowStart.active
 }
 
 // breaker holds an endpoint's window of outcomes and its two latency averages.
@@ -224,19 +315,19 @@
 		b.classes = append(b.classes, classStats{work: ewma{v: aim / 5, seen: true}, tail: ewma{v: aim * copies}})
 	}
 	for i, u := range budgets {
-		if i == len(b.budgets) {
-			b.budgets = append(b.budgets, u.Burst)
+		if i == len(b.budgets.named) {
+			b.budgets.named = append(b.budgets.named, u.Burst)
 		}
-		b.budgets[i] = min(b.budgets[i], u.Burst)
+		b.budgets.named[i] = min(b.budgets.named[i], u.Burst)
 	}
 }
 
 // budget is what is left of a request's budget, with what it earns and how much it holds.
 func (b *Balancer) budget(r *request) (left *float64, u RetryBudget) {
-	if n := int(r.Budget); n > 0 && n <= len(b.s.Budgets) {
-		return &b.budgets[n-1], b.s.Budgets[n-1]
+	if n := int(r.Budget); n > 0 && n <= len(b.settings.Budgets) {
+		return &b.budgets.named[n-1], b.settings.Budgets[n-1]
 	}
-	return &b.credit, RetryBudget{retryShare, budgetBurst}
+	return &b.budgets.retry, RetryBudget{retryShare, budgetBurst}
 }
 
 // keyPlace is where a key was sent of late.
@@ -251,7 +342,7 @@
 
 // keyPlace returns the record of r's key, nil if it has none or keys do not matter.
 func (b *Balancer) keyPlace(now Micros, r *request) *keyPlace {
-	if !b.s.KeyAffinity || r.Key == 0 {
+	if !b.settings.KeyAffinity || r.Key == 0 {
 		return nil
 	}
 	k := &b.keys
@@ -265,8 +356,8 @@
 		}
 		k.now[r.Key] = p
 	}
-	if p.list != b.lists {
-		p.homes, p.list = b.homesOf(r.Key), b.lists
+	if p.list != b.endpoints.version {
+		p.homes, p.list = b.homesOf(r.Key), b.endpoints.version
 	}
 	return p
 }
@@ -345,19 +436,19 @@
 
 func (b *Balancer) newRequest(now Micros, in Request) *request {
 	var r *request
-	if n := len(b.free); n > 0 {
-		r, b.free = b.free[n-1], b.free[:n-1]
+	if n := len(b.ledger.free); n > 0 {
+		r, b.ledger.free = b.ledger.free[n-1], b.ledger.free[:n-1]
 	} else {
-		r = &request{token: uint32(len(b.slots) + firstSlot)}
-		b.slots = append(b.slots, r)
+		r = &request{token: uint32(len(b.ledger.slots) + firstSlot)}
+		b.ledger.slots = append(b.ledger.slots, r)
 	}
 	// The high bits count uses of the slot, so that an old timer finds nothing.
 	r.token += 1 << slotBits
 	r.Request, r.arrived, r.attempts, r.out, r.ended, r.stream = in, now, r.attempts[:0], 0, false, false
 	r.earlier = attempt{at: in.PreviousAttempt.At, zone: in.PreviousAttempt.Zone, cell: in.PreviousAttempt.Cell}
 	r.good, r.pass, r.held, r.awaits, r.place = 0, false, false, r.awaits[:0], b.keyPlace(now, r)
-	b.requests[in.ID] = r
-	b.open++
+	b.ledger.requests[in.ID] = r
+	b.ledger.open++
 	return r
 }
 
@@ -397,7 +488,7 @@
 }
 
 // class returns the settings of a request's class.
-func (b *Balancer) class(r *request) *Class { return &b.s.Classes[r.Class] }
+func (b *Balancer) class(r *request) *Class { return &b.settings.Classes[r.Class] }
 
 // TimerFired handles a token given to Actions.Timer.
 func (b *Balancer) TimerFired(now Micros, token uint32) {
@@ -408,8 +499,8 @@
 		b.ask(now)
 	case token >= firstSlot:
 		slot := int(token&(1<<slotBits-1)) - firstSlot
-		if slot >= 0 && slot < len(b.slots) {
-			if r := b.slots[slot]; r.token == token && !r.ended && !r.stream {
+		if slot >= 0 && slot < len(b.ledger.slots) {
+			if r := b.ledger.slots[slot]; r.token == token && !r.ended && !r.stream {
 				b.wake(now, r)
 			}
 		}
