--- a/internal/subset/subset.go
+++ b/internal/subset/subset.go
@@ -32,6 +32,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"pinedale/internal/splitmix"
 )
 
 const (
@@ -121,11 +123,8 @@
 func (s *Subset) rank(kind, name string) uint64 {
 	h := fnv.New64a()
 	fmt.Fprintf(h, "%d %s%s%s", len(s.c.Instance), s.c.Instance, kind, name)
-	// FNV's high bits hardly differ where only the last letters do: mixed as in SplitMix64.
-	x := h.Sum64()
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
+	// The high bits of FNV barely differ between strings that differ in their last characters only.
+	return splitmix.Mix(h.Sum64())
 }
 
 func byRank(a, b *unit) int {
--- a/internal/subset/subset_test.go
+++ b/internal/subset/subset_test.go
@@ -52,6 +52,29 @@
 	return s
 }
 
+// Ranks decide which servers each instance holds: values of an earlier build, which must not change.
+func TestRankOfKnownInputsIsUnchanged(t *testing.T) {
+	for _, c := range []struct {
+		instance, kind, name string
+		want                 uint64
+	}{
+		{"one", "server", "soko-1", 0x789dac0142721944},
+		{"one", "server", "soko-2", 0x24fa53560f7dfec3},
+		{"one", "pod", "a 7", 0xa1c12c1056bb1cd6},
+		{"two", "server", "soko-1", 0xe82de29de0c8e461},
+		{"two", "server", "soko-2", 0x0f97b9d98861b35a},
+		{"two", "pod", "a 7", 0x7a58bb903c8eccdc},
+		{"", "server", "soko-1", 0xfc259c318ea2aed4},
+		{"", "server", "soko-2", 0x87f213ca937b2bae},
+		{"", "pod", "a 7", 0x6f0d6d68979db9c4},
+	} {
+		s := &Subset{c: Config{Instance: c.instance}}
+		if got := s.rank(c.kind, c.name); got != c.want {
+			t.Errorf("instance %q, %s %q: rank %#x, want %#x", c.instance, c.kind, c.name, got, c.want)
+		}
+	}
+}
+
 // Each row of the table.
 func TestWhatIsHeld(t *testing.T) {
 	c := Config{Instance: "one", Site: "a", Floor: 12, Spread: 2}
