keylease, replication: the files of the race build carry their packages' names

Cause: race_test.go still said `package claims` and `package replica` after the folders were renamed, so that with -race neither package built ("found packages keylease and claims"). Change: the package clauses.

--- a/internal/keylease/race_test.go
+++ b/internal/keylease/race_test.go
@@ -1,5 +1,5 @@
 //go:build race
 
-package claims
+package keylease
 
 func init() { raced = true }
--- a/internal/replication/race_test.go
+++ b/internal/replication/race_test.go
@@ -1,5 +1,5 @@
 //go:build race
 
-package replica
+package replication
 
 func init() { raced = true }
