--- a/internal/keylease/explore_test.go
+++ b/internal/keylease/explore_test.go
@@ -1,6 +1,7 @@
 package keylease
 
 import (
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"slices"
@@ -9,274 +10,359 @@
 	"time"
 )
 
-// The world that is explored: three witnesses, some claimants that each wish for a group
-// of their own, and a network that may deliver anything that was ever sent, at any time and
-// any number of times, or never: it loses, doubles and reorders. A claimant that is told a
-// group sends there, or, where it was told that it is alone, may find that what it sent never
-// ran, release the key, and claim the next group. A witness may start anew, and then answers
-// nothing for as long as the key is held.
-type world struct {
-	roll      uint64
-	asks      [][]Request // by claimant and round
-	names     []string
-	rounds    uint64
-	forgetful bool            // the planted fault: a witness that started anew answers at once
-	careless  bool            // the planted fault: a release counts whatever its round
-	seen      map[uint64]bool // by hash: of a million states two meet with a chance of 1 in 10 million
-	most      int
-	broken    string
+// The properties that every explored state is checked for.
+var (
+	errTwoGroups    = errors.New("requests were sent to two groups")
+	errTwoExclusive = errors.New("two requesters were granted an exclusive lease")
+)
+
+const (
+	// leaseDuration is longer than any explored run: no lease expires.
+	leaseDuration = time.Hour
+	// maxExploredStates bounds the memory of an exploration.
+	maxExploredStates = 3_000_000
+	// numberOfGroups is how many groups the requesters choose from.
+	numberOfGroups = 3
+)
+
+var (
+	exploredKey    = Key{1}
+	exploredLimits = Limits{Keys: 4, Holders: 8, MaxDuration: leaseDuration}
+)
+
+// explorer visits every state that three acceptors and some requesters can reach. Each
+// requester wants a group of its own. The network may deliver any message that was ever sent,
+// at any time and any number of times, or never: it loses, duplicates and reorders. A
+// requester that is granted a group sends there. If its lease is exclusive it may also find
+// that what it sent was never executed, release the key, and request the next group or give
+// up. One acceptor may restart, and then grants nothing for as long as a lease lasts.
+type explorer struct {
+	voterSet      uint64
+	acceptorNames []string
+	requests      [][]Request // by requester and term
+	maxTerm       uint64
+	visited       map[uint64]bool // by state hash: of a million states two collide with probability 1e-7
+	violation     error           // the first state that breaks a property, with the path to it
+
+	// Injected faults.
+	skipRecovery     bool // a restarted acceptor grants at once
+	ignoreLaterTerms bool // a release counts whatever its term
 }
 
-type state struct {
-	witnesses []*Acceptor
-	restarted []bool
-	claimants []*claimant
+// exploredState is one state of all acceptors and requesters.
+type exploredState struct {
+	acceptors  []*Acceptor
+	restarted  []bool // by acceptor
+	requesters []*requester
 }
 
-type claimant struct {
-	claim *Lease
-	round uint64
-	sent  string // the group that it sent to, "" for none
-	first bool   // it was told that nobody else had
-	over  bool   // what it sent never ran, and it wants no more
-	gone  []uint64
+// requester is one instance that wants the key.
+type requester struct {
+	lease         *Lease
+	term          uint64
+	sentTo        string   // group that the request was sent to, "" for none
+	exclusive     bool     // the lease was exclusive when the request was sent
+	finished      bool     // the request was never executed, and the requester has given up
+	releasedTerms []uint64 // releases that the network may deliver
 }
 
-const holdOf = time.Hour // the explored worlds end before any hold does
+// waiting reports whether the requester still waits for votes.
+func (r *requester) waiting() bool { return r.sentTo == "" && !r.finished }
 
-func (w *world) claim(n int, round uint64) *Lease {
-	return NewLease(Request{Key: Key{1}, Owner: Owner{Name: fmt.Sprint(n), Request: 1}, Term: round,
-		Group: fmt.Sprint((uint64(n) + round) % 3), Duration: holdOf, VoterSet: w.roll}, w.names)
+func (e *explorer) newLease(number int, term uint64) *Lease {
+	request := Request{
+		Key:      exploredKey,
+		Owner:    Owner{Name: fmt.Sprint(number), Request: 1},
+		Term:     term,
+		Group:    fmt.Sprint((uint64(number) + term) % numberOfGroups),
+		Duration: leaseDuration,
+		VoterSet: e.voterSet,
+	}
+	return NewLease(request, e.acceptorNames)
 }
 
-func (w *world) start(claimants int) *state {
-	s := &state{}
-	for range w.names {
-		s.witnesses = append(s.witnesses, NewAcceptor(-holdOf, Limits{Keys: 4, Holders: 8, MaxDuration: holdOf}, w.roll))
+// initialState returns the state before any message.
+func (e *explorer) initialState(requesters int) *exploredState {
+	s := &exploredState{}
+	for range e.acceptorNames {
+		s.acceptors = append(s.acceptors, NewAcceptor(-leaseDuration, exploredLimits, e.voterSet))
 		s.restarted = append(s.restarted, false)
 	}
-	for n := range claimants {
-		w.asks = append(w.asks, nil)
-		for round := range w.rounds + 1 {
-			w.asks[n] = append(w.asks[n], w.claim(n, round).Request)
+	for number := range requesters {
+		e.requests = append(e.requests, nil)
+		for term := range e.maxTerm + 1 {
+			e.requests[number] = append(e.requests[number], e.newLease(number, term).Request)
 		}
-		s.claimants = append(s.claimants, &claimant{claim: w.claim(n, 1), round: 1})
+		s.requesters = append(s.requesters, &requester{lease: e.newLease(number, 1), term: 1})
 	}
 	return s
 }
 
-// clone shares witnesses and claimants, which witness and claimant copy before they change.
-func (s *state) clone() *state {
-	return &state{witnesses: slices.Clone(s.witnesses), restarted: s.restarted, claimants: slices.Clone(s.claimants)}
+// clone returns a state that shares its acceptors and requesters with s. A step that changes
+// one of them takes a copy by mutableAcceptor or mutableRequester first.
+func (s *exploredState) clone() *exploredState {
+	return &exploredState{
+		acceptors:  slices.Clone(s.acceptors),
+		restarted:  s.restarted,
+		requesters: slices.Clone(s.requesters),
+	}
 }
 
-func (s *state) witness(i int) *Acceptor {
-	n := *s.witnesses[i]
-	n.keys, n.turn = map[Key]*held{}, nil
-	for k, h := range s.witnesses[i].keys {
-		hh := *h
-		hh.holders = slices.Clone(h.holders)
-		n.keys[k], n.turn = &hh, []*held{&hh}
+func (s *exploredState) mutableAcceptor(i int) *Acceptor {
+	acceptor := *s.acceptors[i]
+	acceptor.keys, acceptor.expirationScan = map[Key]*keyState{}, nil
+	for key, original := range s.acceptors[i].keys {
+		state := *original
+		state.holders = slices.Clone(original.holders)
+		acceptor.keys[key], acceptor.expirationScan = &state, []*keyState{&state}
 	}
-	s.witnesses[i] = &n
-	return &n
+	s.acceptors[i] = &acceptor
+	return &acceptor
 }
 
-func (s *state) claimant(n int) *claimant {
-	x := *s.claimants[n]
-	cl := *x.claim
-	cl.answers = slices.Clone(x.claim.answers)
-	x.claim, x.gone = &cl, slices.Clone(x.gone)
-	s.claimants[n] = &x
-	return &x
+func (s *exploredState) mutableRequester(number int) *requester {
+	r := *s.requesters[number]
+	lease := *r.lease
+	lease.votes = slices.Clone(r.lease.votes)
+	r.lease, r.releasedTerms = &lease, slices.Clone(r.releasedTerms)
+	s.requesters[number] = &r
+	return &r
 }
 
-// print is the same for states from which the same can follow.
-func (s *state) print() uint64 {
-	var b []byte
-	flag := func(yes bool) {
-		if b = append(b, 'n'); yes {
-			b[len(b)-1] = 'y'
+// hash is the same for states that the same states can follow.
+func (s *exploredState) hash() uint64 {
+	var encoded []byte
+	appendFlag := func(set bool) {
+		if set {
+			encoded = append(encoded, 'y')
+		} else {
+			encoded = append(encoded, 'n')
 		}
 	}
-	for i, w := range s.witnesses {
-		flag(s.restarted[i])
-		if h := w.keys[Key{1}]; h != nil {
-			holders := slices.Clone(h.holders)
-			slices.SortFunc(holders, func(a, b holder) int { return strings.Compare(a.owner.Name, b.owner.Name) })
-			b = append(append(b, 'g'), h.group...)
-			for _, o := range holders {
-				b = append(append(b, o.owner.Name...), byte(o.round))
-				flag(o.released)
-			}
+	for i, acceptor := range s.acceptors {
+		appendFlag(s.restarted[i])
+		state := acceptor.keys[exploredKey]
+		if state == nil {
+			continue
+		}
+		holders := slices.Clone(state.holders)
+		slices.SortFunc(holders, func(a, b holder) int { return strings.Compare(a.owner.Name, b.owner.Name) })
+		encoded = append(append(encoded, 'g'), state.group...)
+		for _, h := range holders {
+			encoded = append(append(encoded, h.owner.Name...), byte(h.term))
+			appendFlag(h.released)
 		}
 	}
-	for _, c := range s.claimants {
-		b = append(append(b, '|', byte(c.round), byte(len(c.gone))), c.sent...)
-		flag(c.first)
-		flag(c.over)
-		if c.sent != "" || c.over {
-			continue // what it was told no longer matters
+	for _, r := range s.requesters {
+		encoded = append(append(encoded, '|', byte(r.term), byte(len(r.releasedTerms))), r.sentTo...)
+		appendFlag(r.exclusive)
+		appendFlag(r.finished)
+		if !r.waiting() {
+			continue // its votes no longer matter
 		}
-		for _, a := range c.claim.answers {
-			flag(a.came)
-			flag(a.others)
-			b = append(b, a.group...)
+		for _, v := range r.lease.votes {
+			appendFlag(v.status == voteGranted)
+			appendFlag(v.shared)
+			encoded = append(encoded, v.group...)
 		}
 	}
 	h := fnv.New64a()
-	h.Write(b)
+	h.Write(encoded)
 	return h.Sum64()
 }
 
-// judge is what must hold in every state.
-func (s *state) judge() string {
-	group, firsts := "", 0
-	for _, c := range s.claimants {
-		if c.sent == "" {
+// validate returns the property that the state breaks, nil if it keeps them all.
+func (s *exploredState) validate() error {
+	group, exclusive := "", 0
+	for _, r := range s.requesters {
+		if r.sentTo == "" {
 			continue
 		}
-		if group != "" && c.sent != group {
-			return "sent to two groups"
+		if group != "" && r.sentTo != group {
+			return errTwoGroups
 		}
-		if group = c.sent; c.first {
-			firsts++
+		group = r.sentTo
+		if r.exclusive {
+			exclusive++
 		}
 	}
-	if firsts > 1 {
-		return "two were told that they are alone"
+	if exclusive > 1 {
+		return errTwoExclusive
 	}
-	return ""
+	return nil
 }
 
-// label says what a step was, in words only if they are asked for.
-type label struct {
-	what string
-	of   []any
+// step describes a step of a path. It is formatted only if the path is reported.
+type step struct {
+	format string
+	args   []any
 }
 
-// explore goes through all that can follow. It returns once something is broken.
-func (w *world) explore(s *state, path []label) {
-	if w.broken != "" || len(w.seen) >= w.most {
-		return
+// describe returns the steps of a path, one a line.
+func describe(path []step) string {
+	var text strings.Builder
+	for _, s := range path {
+		fmt.Fprintf(&text, "\n  "+s.format, s.args...)
 	}
-	if why := s.judge(); why != "" {
-		w.broken = why
-		for _, l := range path {
-			w.broken += "\n  " + fmt.Sprintf(l.what, l.of...)
-		}
+	return text.String()
+}
+
+// explore visits a state, reached by path, and all states that can follow. It stops at the
+// first violation.
+func (e *explorer) explore(s *exploredState, path []step) {
+	if e.violation != nil || len(e.visited) >= maxExploredStates {
 		return
 	}
-	id := s.print()
-	if w.seen[id] {
+	if err := s.validate(); err != nil {
+		e.violation = fmt.Errorf("%w after%s", err, describe(path))
 		return
 	}
-	w.seen[id] = true
-	step := func(do func(*state), what string, of ...any) {
-		next := s.clone()
-		do(next)
-		w.explore(next, append(path[:len(path):len(path)], label{what, of}))
+	id := s.hash()
+	if e.visited[id] {
+		return
 	}
-	for n, c := range s.claimants {
-		for i, name := range w.names {
-			if s.restarted[i] && !w.forgetful {
-				continue // it says that it can't tell, which changes nothing
-			}
-			// An ask may come late: of a round that is over, or once its claimant waits no more.
-			for round := uint64(1); round <= c.round; round++ {
-				ask, waits := w.asks[n][round], round == c.round && c.sent == "" && !c.over
-				if waits && c.claim.answers[i].came {
-					continue // asked again it says the same, or has started anew and says nothing
-				}
-				step(func(s *state) {
-					if a, ok := s.witness(i).HandleRequest(0, ask); ok && waits {
-						s.claimant(n).claim.HandleResponse(0, name, a)
-					}
-				}, "ask of %d round %d comes to %s", n, round, name)
-			}
-			for _, round := range c.gone {
-				if w.careless {
-					round += 100
-				}
-				step(func(s *state) { s.witness(i).HandleRelease(0, Key{1}, c.claim.Request.Owner, round) }, "release of %d round %d comes to %s", n, round, name)
+	e.visited[id] = true
+	for number, r := range s.requesters {
+		for i := range e.acceptorNames {
+			if s.restarted[i] && !e.skipRecovery {
+				continue // it responds that it is recovering, which changes nothing
 			}
+			e.exploreRequests(s, path, number, i)
+			e.exploreReleases(s, path, number, i)
 		}
-		if o, group, _ := c.claim.State(); c.sent == "" && !c.over && (o == Exclusive || o == Shared) {
-			step(func(s *state) {
-				x := s.claimant(n)
-				x.sent, x.first = group, o == Exclusive
-			}, "%d sends to %s", n, group)
-			if o == Exclusive && c.round < w.rounds {
-				step(func(s *state) {
-					x := s.claimant(n)
-					x.gone, x.round = append(x.gone, x.round), x.round+1
-					x.claim = w.claim(n, x.round)
-				}, "what %d sent to %s never ran; the next round", n, group)
-			}
-			if o == Exclusive {
-				step(func(s *state) {
-					x := s.claimant(n)
-					x.gone, x.over = append(x.gone, x.round), true
-				}, "what %d sent to %s never ran, and it gives up", n, group)
-			}
+		outcome, group, _ := r.lease.State()
+		if r.waiting() && (outcome == Exclusive || outcome == Shared) {
+			e.exploreSend(s, path, number, outcome, group)
 		}
 	}
-	for i, name := range w.names {
-		if !s.restarted[i] && !slices.Contains(s.restarted, true) {
-			step(func(s *state) {
-				s.restarted = slices.Clone(s.restarted)
-				s.restarted[i] = true
-				s.witnesses[i] = NewAcceptor(0, Limits{Keys: 4, Holders: 8, MaxDuration: holdOf}, w.roll)
-				if w.forgetful {
-					s.witnesses[i].quiet = 0
-				}
-			}, "%s starts anew", name)
+	e.exploreRestarts(s, path)
+}
+
+// next explores the state that a change of s leads to.
+func (e *explorer) next(s *exploredState, path []step, change func(*exploredState), format string, args ...any) {
+	next := s.clone()
+	change(next)
+	e.explore(next, append(path[:len(path):len(path)], step{format, args}))
+}
+
+// exploreRequests delivers each lease request that a requester has sent to an acceptor. It may
+// be delayed: of an earlier term, or after its requester has stopped waiting.
+func (e *explorer) exploreRequests(s *exploredState, path []step, number, acceptor int) {
+	r := s.requesters[number]
+	name := e.acceptorNames[acceptor]
+	for term := uint64(1); term <= r.term; term++ {
+		request := e.requests[number][term]
+		waiting := term == r.term && r.waiting()
+		if waiting && r.lease.votes[acceptor].status == voteGranted {
+			continue // the acceptor would repeat its response, or has restarted and grants nothing
+		}
+		e.next(s, path, func(s *exploredState) {
+			response, ok := s.mutableAcceptor(acceptor).HandleRequest(0, request)
+			if ok && waiting {
+				s.mutableRequester(number).lease.HandleResponse(0, name, response)
+			}
+		}, "request of %d term %d delivered to %s", number, term, name)
+	}
+}
+
+// exploreReleases delivers each release that a requester has sent to an acceptor.
+func (e *explorer) exploreReleases(s *exploredState, path []step, number, acceptor int) {
+	r := s.requesters[number]
+	name := e.acceptorNames[acceptor]
+	for _, term := range r.releasedTerms {
+		if e.ignoreLaterTerms {
+			term += 100
 		}
+		e.next(s, path, func(s *exploredState) {
+			s.mutableAcceptor(acceptor).HandleRelease(0, exploredKey, r.lease.Request.Owner, term)
+		}, "release of %d term %d delivered to %s", number, term, name)
+	}
+}
+
+// exploreSend has a requester with a granted lease send its request, which was executed or,
+// with an exclusive lease, may not have been.
+func (e *explorer) exploreSend(s *exploredState, path []step, number int, outcome Outcome, group string) {
+	e.next(s, path, func(s *exploredState) {
+		r := s.mutableRequester(number)
+		r.sentTo, r.exclusive = group, outcome == Exclusive
+	}, "%d sends to %s", number, group)
+	if outcome != Exclusive {
+		return
+	}
+	if s.requesters[number].term < e.maxTerm {
+		e.next(s, path, func(s *exploredState) {
+			r := s.mutableRequester(number)
+			r.releasedTerms = append(r.releasedTerms, r.term)
+			r.term++
+			r.lease = e.newLease(number, r.term)
+		}, "what %d sent to %s was not executed; it starts the next term", number, group)
+	}
+	e.next(s, path, func(s *exploredState) {
+		r := s.mutableRequester(number)
+		r.releasedTerms = append(r.releasedTerms, r.term)
+		r.finished = true
+	}, "what %d sent to %s was not executed; it gives up", number, group)
+}
+
+// exploreRestarts restarts each acceptor, unless one has restarted already.
+func (e *explorer) exploreRestarts(s *exploredState, path []step) {
+	if slices.Contains(s.restarted, true) {
+		return
+	}
+	for i, name := range e.acceptorNames {
+		e.next(s, path, func(s *exploredState) {
+			s.restarted = slices.Clone(s.restarted)
+			s.restarted[i] = true
+			s.acceptors[i] = NewAcceptor(0, exploredLimits, e.voterSet)
+			if e.skipRecovery {
+				s.acceptors[i].recoveredAt = 0
+			}
+		}, "%s restarts", name)
 	}
 }
 
-func explored(claimants int, rounds uint64, plant func(*world)) *world {
-	w := &world{names: []string{"a", "b", "c"}, rounds: rounds, most: 3_000_000, seen: map[uint64]bool{}}
-	w.roll = VoterSetHash(w.names)
-	if plant != nil {
-		plant(w)
+// exploreAll explores all states of some requesters. injectFault may be nil.
+func exploreAll(requesters int, maxTerm uint64, injectFault func(*explorer)) *explorer {
+	e := &explorer{acceptorNames: []string{"a", "b", "c"}, maxTerm: maxTerm, visited: map[uint64]bool{}}
+	e.voterSet = VoterSetHash(e.acceptorNames)
+	if injectFault != nil {
+		injectFault(e)
 	}
-	w.explore(w.start(claimants), nil)
-	return w
+	e.explore(e.initialState(requesters), nil)
+	return e
 }
 
-// raced says that the race detector is on, with which the larger worlds take minutes.
-var raced bool
+// raceEnabled is set if the race detector is on: the larger explorations then take minutes.
+var raceEnabled bool
 
-// In every order of messages, with losses, copies and a witness that starts anew: what is
-// sent goes to one group, and one alone is told that it is the first.
-func TestEveryOrder(t *testing.T) {
+// In every order of messages, with losses, duplicates and a restarted acceptor, requests are
+// sent to one group and at most one lease is exclusive.
+func TestEveryOrderSendsToOneGroup(t *testing.T) {
 	for _, x := range []struct {
-		claimants int
-		rounds    uint64
+		requesters int
+		maxTerm    uint64
 	}{{2, 1}, {2, 2}, {3, 1}} {
-		if raced && x.claimants*int(x.rounds) > 2 {
+		if raceEnabled && x.requesters*int(x.maxTerm) > 2 {
 			t.Skip("explored without the race detector")
 		}
-		w := explored(x.claimants, x.rounds, nil)
-		if w.broken != "" {
-			t.Fatal(w.broken)
+		e := exploreAll(x.requesters, x.maxTerm, nil)
+		if e.violation != nil {
+			t.Fatal(e.violation)
 		}
-		t.Logf("%d claimants, %d rounds: %d states", x.claimants, x.rounds, len(w.seen))
-		if len(w.seen) < 100 {
-			t.Errorf("only %d states: the world does not move", len(w.seen))
+		t.Logf("%d requesters, %d terms: %d states", x.requesters, x.maxTerm, len(e.visited))
+		if len(e.visited) < 100 {
+			t.Errorf("%d states, want at least 100", len(e.visited))
 		}
 	}
 }
 
-// The explorer finds faults that are planted on purpose.
-func TestPlantedFaultsAreFound(t *testing.T) {
-	for name, plant := range map[string]func(*world){
-		"a witness that starts anew answers at once": func(w *world) { w.forgetful = true },
-		"a release of any round counts":              func(w *world) { w.careless = true },
+func TestExplorerFindsInjectedFaults(t *testing.T) {
+	for name, injectFault := range map[string]func(*explorer){
+		"a restarted acceptor grants at once": func(e *explorer) { e.skipRecovery = true },
+		"a release of any term counts":        func(e *explorer) { e.ignoreLaterTerms = true },
 	} {
-		if w := explored(2, 2, plant); w.broken == "" {
-			t.Errorf("%s: nothing was found in %d states", name, len(w.seen))
+		if e := exploreAll(2, 2, injectFault); e.violation == nil {
+			t.Errorf("%s: no violation found in %d states", name, len(e.visited))
 		}
 	}
 }
--- a/internal/keylease/race_test.go
+++ b/internal/keylease/race_test.go
@@ -2,4 +2,4 @@
 
 package keylease
 
-func init() { raced = true }
+func init() { raceEnabled = true }
