--- a/internal/cluster/message/golden_test.go
+++ b/internal/cluster/message/golden_test.go
@@ -21,29 +21,42 @@
 	origin := replication.Origin{Name: "instance-b", Epoch: 1796000000000002}
 	owner := keylease.Owner{Name: sender.Name, Epoch: sender.Epoch, Request: 77}
 	key := keylease.Key{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 255}
-	live := replication.Entry{Topic: 2, Subject: "server-1@1796000000000", Seq: 9, Age: 1500 * time.Microsecond, Value: []byte{8, 3, 16, 1}}
-	withdrawn := replication.Entry{Topic: 3, Subject: "server-2@1796000000000", Seq: 10, Age: 2 * time.Second, Withdrawn: true}
+	live := replication.Entry{
+		Topic: 2, Subject: "server-1@1796000000000", Seq: 9, Age: 1500 * time.Microsecond, Value: []byte{8, 3, 16, 1},
+	}
+	withdrawn := replication.Entry{
+		Topic: 3, Subject: "server-2@1796000000000", Seq: 10, Age: 2 * time.Second, Withdrawn: true,
+	}
 	response := func(kind keylease.ResponseKind) Message {
-		return Message{sender, keylease.Response{Key: key, Owner: keylease.Owner{Name: origin.Name, Epoch: origin.Epoch, Request: 78}, Term: 5, Kind: kind,
-			Group: "pod 1", Age: 250 * time.Millisecond, Shared: true}}
+		holder := keylease.Owner{Name: origin.Name, Epoch: origin.Epoch, Request: 78}
+		return Message{sender, keylease.Response{
+			Key: key, Owner: holder, Term: 5, Kind: kind, Group: "pod 1", Age: 250 * time.Millisecond, Shared: true,
+		}}
 	}
 	var digest replication.Digest
 	for i := range digest {
 		digest[i] = uint64(i+1) << 40
 	}
 	return map[string]Message{
-		"ask":                   {sender, keylease.Request{Key: key, Owner: owner, Term: 4, Group: "pod 1", Duration: 30 * time.Second, VoterSet: 1 << 63}},
+		"ask": {sender, keylease.Request{
+			Key: key, Owner: owner, Term: 4, Group: "pod 1", Duration: 30 * time.Second, VoterSet: 1 << 63,
+		}},
 		"answer-granted":        response(keylease.Granted),
 		"answer-recovering":     response(keylease.Recovering),
 		"answer-unknown-voters": response(keylease.UnknownVoters),
 		"answer-at-capacity":    response(keylease.AtCapacity),
-		"release":               {sender, Release{Key: key, Owner: owner, Round: 6}},
+		"release":               {sender, Release{Key: key, Owner: owner, Term: 6}},
 		"rumours":               {sender, Rumours{{Origin: sender, Entry: live}, {Origin: origin, Entry: withdrawn}}},
 		"digest":                {sender, digest},
-		"vectors": {sender, &replication.Vectors{Buckets: []int{1, 63},
-			Vectors: []replication.Vector{{Origin: sender, Have: 11, More: 12}, {Origin: origin, Have: 13, More: 1 << 63}}, Response: true}},
-		"delta": {sender, replication.Delta{Origin: origin, From: 14, To: 15, Part: 1, Parts: 2, Checksum: 1 << 62, Incomplete: true,
-			Entries: []replication.Entry{live, withdrawn}}},
+		"vectors": {sender, &replication.Vectors{
+			Buckets:  []int{1, 63},
+			Vectors:  []replication.Vector{{Origin: sender, Have: 11, More: 12}, {Origin: origin, Have: 13, More: 1 << 63}},
+			Response: true,
+		}},
+		"delta": {sender, replication.Delta{
+			Origin: origin, From: 14, To: 15, Part: 1, Parts: 2, Checksum: 1 << 62, Incomplete: true,
+			Entries: []replication.Entry{live, withdrawn},
+		}},
 	}
 }
 
--- a/internal/cluster/message/message_test.go
+++ b/internal/cluster/message/message_test.go
@@ -12,43 +12,70 @@
 	_ "pinedale/internal/standin/seeds"
 )
 
-// Whatever is said arrives as it was said, and fits into one datagram where it must.
-func TestMessagesArriveAsTheyWereSaid(t *testing.T) {
+func TestMessageDecodesToWhatWasEncodedAndFitsDatagram(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		text := rapid.StringMatching(`[a-z0-9 @-]{1,60}`)
 		number := rapid.Uint64()
-		o := func() replication.Origin {
+		origin := func() replication.Origin {
 			return replication.Origin{Name: text.Draw(t, "name"), Epoch: number.Draw(t, "epoch")}
 		}
 		age := func() time.Duration { return time.Duration(rapid.IntRange(0, 1e9).Draw(t, "us")) * time.Microsecond }
-		from := o()
+		from := origin()
 		key := keylease.KeyOf(text.Draw(t, "class"), text.Draw(t, "key"))
-		own := keylease.Owner{Name: from.Name, Epoch: from.Epoch, Request: number.Draw(t, "request")}
+		owner := keylease.Owner{Name: from.Name, Epoch: from.Epoch, Request: number.Draw(t, "request")}
 		entry := func() replication.Entry {
-			return replication.Entry{Topic: replication.Topic(rapid.IntRange(1, 255).Draw(t, "topic")), Subject: text.Draw(t, "subject"), Seq: number.Draw(t, "seq"),
-				Age: age(), Withdrawn: rapid.Bool().Draw(t, "gone"), Value: rapid.SliceOfN(rapid.Byte(), 1, 60).Draw(t, "value")}
+			return replication.Entry{
+				Topic:     replication.Topic(rapid.IntRange(1, 255).Draw(t, "topic")),
+				Subject:   text.Draw(t, "subject"),
+				Seq:       number.Draw(t, "seq"),
+				Age:       age(),
+				Withdrawn: rapid.Bool().Draw(t, "withdrawn"),
+				Value:     rapid.SliceOfN(rapid.Byte(), 1, 60).Draw(t, "value"),
+			}
 		}
 		var m any
 		switch rapid.IntRange(0, 6).Draw(t, "what") {
 		case 0:
-			m = keylease.Request{Key: key, Owner: own, Term: 2, Group: text.Draw(t, "group"), Duration: age(), VoterSet: number.Draw(t, "roll")}
+			m = keylease.Request{
+				Key: key, Owner: owner, Term: 2,
+				Group:    text.Draw(t, "group"),
+				Duration: age(),
+				VoterSet: number.Draw(t, "voter set"),
+			}
 		case 1:
-			m = keylease.Response{Key: key, Owner: own, Term: 2, Kind: keylease.ResponseKind(rapid.IntRange(0, 3).Draw(t, "kind")), Group: text.Draw(t, "group"), Age: age(), Shared: true}
+			m = keylease.Response{
+				Key: key, Owner: owner, Term: 2,
+				Kind:   keylease.ResponseKind(rapid.IntRange(0, 3).Draw(t, "kind")),
+				Group:  text.Draw(t, "group"),
+				Age:    age(),
+				Shared: true,
+			}
 		case 2:
-			m = Release{key, own, number.Draw(t, "round")}
+			m = Release{key, owner, number.Draw(t, "term")}
 		case 3:
-			m = Rumours{{Origin: o(), Entry: entry()}, {Origin: o(), Entry: entry()}}
+			m = Rumours{{Origin: origin(), Entry: entry()}, {Origin: origin(), Entry: entry()}}
 		case 4:
 			var d replication.Digest
 			d[3] = number.Draw(t, "hash")
 			m = d
 		case 5:
-			m = &replication.Vectors{Buckets: []int{1, 63}, Vectors: []replication.Vector{{Origin: o(), Have: 3, More: number.Draw(t, "more")}}, Response: true}
+			m = &replication.Vectors{
+				Buckets:  []int{1, 63},
+				Vectors:  []replication.Vector{{Origin: origin(), Have: 3, More: number.Draw(t, "more")}},
+				Response: true,
+			}
 		case 6:
-			m = replication.Delta{Origin: o(), From: 1, To: number.Draw(t, "to"), Part: 1, Parts: 2, Checksum: number.Draw(t, "sum"), Incomplete: true, Entries: []replication.Entry{entry()}}
+			m = replication.Delta{
+				Origin: origin(), From: 1,
+				To:   number.Draw(t, "to"),
+				Part: 1, Parts: 2,
+				Checksum:   number.Draw(t, "checksum"),
+				Incomplete: true,
+				Entries:    []replication.Entry{entry()},
+			}
 		}
 		data, err := Encode(Message{from, m})
-		if err != nil || len(data) > Most {
+		if err != nil || len(data) > MaxBytes {
 			t.Fatalf("%d bytes, %v", len(data), err)
 		}
 		got, err := Decode(data)
--- a/internal/cluster/peers.go
+++ b/internal/cluster/peers.go
@@ -450,11 +450,11 @@
 func (h *Node) release(c engine.LeaseRequest) {
 	key := keylease.KeyOf(h.cfg.Classes[c.Class].Name, c.Key)
 	delete(h.open, c.Request)
-	r := message.Release{Key: key, Owner: h.owner(c.Request), Round: c.Term}
-	h.mine.HandleRelease(h.now(), r.Key, r.Owner, r.Round)
+	r := message.Release{Key: key, Owner: h.owner(c.Request), Term: c.Term}
+	h.mine.HandleRelease(h.now(), r.Key, r.Owner, r.Term)
 	for _, name := range keylease.Voters(h.cfg.Voters, key, witnessesOf) {
 		if name == h.cfg.Name {
-			h.witness.HandleRelease(h.now(), r.Key, r.Owner, r.Round)
+			h.witness.HandleRelease(h.now(), r.Key, r.Owner, r.Term)
 		} else {
 			h.send(name, r)
 		}
@@ -700,23 +700,23 @@
 	case keylease.Response:
 		h.answered(now, m.From.Name, w)
 	case message.Release:
-		h.witness.HandleRelease(now, w.Key, w.Owner, w.Round)
+		h.witness.HandleRelease(now, w.Key, w.Owner, w.Term)
 	case message.Rumours:
 		for _, r := range w {
 			h.store.HandleRumour(now, r)
 		}
 	case replication.Digest:
-		if v := h.store.HandleDigest(w, h.start); v != nil && h.spend(message.Most) {
+		if v := h.store.HandleDigest(w, h.start); v != nil && h.spend(message.MaxBytes) {
 			h.start = (h.start + 1) % replication.Buckets
 			h.send(m.From.Name, v)
 		}
 	case *replication.Vectors:
 		deltas, own := h.store.HandleVectors(now, w)
-		if own != nil && h.spend(message.Most) {
+		if own != nil && h.spend(message.MaxBytes) {
 			h.send(m.From.Name, own)
 		}
 		for _, d := range deltas {
-			if !h.spend(message.Most) {
+			if !h.spend(message.MaxBytes) {
 				break
 			}
 			h.send(m.From.Name, d)
