Cluster: the node is split by concern, terms and log events are the field's own

Change: config, node (the one goroutine and what it dispatches), membership, transport with the byte budget, gossip, leases, drains, records, status, statustext and doc, each with a small type. The goroutine owns the same state and ends as before; membership, tallies and the endpoint list have a lock each in place of one for the three. Log events have fixed messages and attributes. The exported fields of Status and Counts that no other folder names have new names; their JSON keys, and the texts of the status and of denials, are as they were. Tests are renamed and sorted into files with the code; marshal errors and a failed write, which they ignored, now fail them.

--- /dev/null
+++ b/internal/cluster/membership_test.go
@@ -0,0 +1,50 @@
+package cluster
+
+import (
+	"bytes"
+	"net"
+	"slices"
+	"testing"
+	"time"
+
+	"pinedale/internal/engine"
+	"pinedale/internal/standin/wait"
+)
+
+// Messages without the keyring's key and messages that can't be decoded change nothing.
+func TestMessagesOfStrangersAreIgnored(t *testing.T) {
+	nodes := startNodes(t, 2, func(i int, c *Config) { c.Keys = [][]byte{bytes.Repeat([]byte{byte(i)}, 16)} })
+	conn, err := net.Dial("udp", nodes[0].Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	for range 50 {
+		if _, err := conn.Write([]byte("\x08rubbish")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	nodes[0].inbox <- []byte("rubbish")
+	wait.Until(t, "the malformed message is counted", func() bool { return status(t, nodes[0]).Counts.Malformed == 1 })
+	if s := status(t, nodes[0]); !slices.Equal(s.Alive, []string{"i-0"}) || s.Counts.Received != 0 {
+		t.Errorf("messages of strangers were handled: %+v", s)
+	}
+}
+
+// An instance that runs from a copy of another's folder grants no leases, and the others agree as
+// before.
+func TestDuplicateInstanceGrantsNoLeases(t *testing.T) {
+	nodes := startNodes(t, 3, nil)
+	waitReady(t, nodes)
+	duplicate := startNodes(t, 1, func(_ int, c *Config) {
+		c.Join, c.Voters = []string{"i-1/" + nodes[1].Addr()}, []string{"i-0", "i-1", "i-2"}
+	})[0]
+	wait.Until(t, "the duplicate knows of the original", func() bool {
+		recovering, err := time.ParseDuration(status(t, duplicate).Quiet)
+		return err == nil && recovering > 10*time.Second
+	})
+	decision := <-acquire(nodes[1], engine.LeaseRequest{Key: "k", Request: 1, Term: 1, Group: "pod 1"})
+	if decision.Kind != engine.LeaseExclusive {
+		t.Errorf("beside the duplicate: %+v", decision)
+	}
+}
--- a/internal/cluster/message/golden_test.go
+++ b/internal/cluster/message/golden_test.go
@@ -69,7 +69,7 @@
 	return data
 }
 
-func TestDecodeReadsMessagesOfEarlierBuilds(t *testing.T) {
+func TestDecodeReadsGoldenFiles(t *testing.T) {
 	for name, want := range goldenMessages() {
 		t.Run(name, func(t *testing.T) {
 			got, err := Decode(goldenBytes(t, name))
@@ -83,7 +83,7 @@
 	}
 }
 
-func TestEncodeWritesBytesOfEarlierBuilds(t *testing.T) {
+func TestEncodeWritesGoldenFiles(t *testing.T) {
 	for name, m := range goldenMessages() {
 		t.Run(name, func(t *testing.T) {
 			got, err := Encode(m)
--- a/internal/cluster/peerspb/peers_test.go
+++ b/internal/cluster/peerspb/peers_test.go
@@ -20,7 +20,8 @@
 		fields := message.Fields()
 		for j := range fields.Len() {
 			field := fields.Get(j)
-			fmt.Fprintf(&b, "  %d %s json=%s %s %s", field.Number(), field.Name(), field.JSONName(), field.Cardinality(), field.Kind())
+			fmt.Fprintf(&b, "  %d %s json=%s %s %s",
+				field.Number(), field.Name(), field.JSONName(), field.Cardinality(), field.Kind())
 			if field.Kind() == protoreflect.MessageKind {
 				fmt.Fprintf(&b, " %s", field.Message().FullName())
 			}
@@ -36,10 +37,10 @@
 	return b.String()
 }
 
-// TestFieldsAreThoseOfEarlierBuilds compares the descriptors with a list that an earlier build
+// TestFieldsAreWireCompatible compares the descriptors with a list that an earlier build
 // wrote: instances of two builds talk to each other during a rollout. A new field adds a line
 // to the list; a line that is there never changes.
-func TestFieldsAreThoseOfEarlierBuilds(t *testing.T) {
+func TestFieldsAreWireCompatible(t *testing.T) {
 	want, err := os.ReadFile("testdata/fields.golden")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/cluster/records.go
+++ b/internal/cluster/records.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"sync"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -14,111 +15,154 @@
 	"pinedale/internal/replication"
 )
 
-// The topics that instances tell of.
+// The topics of replicated entries. Their numbers go over the wire.
 const (
-	topicInstance replication.Topic = iota + 1 // one entry: who and where it is
-	topicServer                                // one for each life of a server: how it has fared
-	topicDrain                                 // one for each life of a server that the origin's own source lists as draining; no value
+	// topicInstance has one entry: the origin itself.
+	topicInstance replication.Topic = iota + 1
+	// topicServer has one entry per server incarnation: how the origin's attempts fared.
+	topicServer
+	// topicDrain has one entry, without a value, per server incarnation that the origin's source
+	// lists as draining.
+	topicDrain
 )
 
-// recordLife is for how long an entry counts. Each is told anew well within it.
-const recordLife = 5 * time.Minute
+// entryTTL is how long an entry counts. Each is written anew well within it.
+const entryTTL = 5 * time.Minute
 
 var topics = map[replication.Topic]replication.Rule{
-	topicInstance: {TTL: recordLife, Check: func(b []byte) error {
-		v := &peerspb.Instance{}
-		if err := proto.Unmarshal(b, v); err != nil {
-			return err
-		}
-		if r := v.GetRequests(); math.IsNaN(r) || math.IsInf(r, 0) || r < 0 {
-			return fmt.Errorf("requests: %v a second", r)
-		}
-		return nil
-	}},
-	topicDrain: {TTL: recordLife, Indexed: true, Check: func(b []byte) error {
-		if len(b) > 0 {
-			return fmt.Errorf("%d bytes where there is no value", len(b))
-		}
-		return nil
-	}},
-	topicServer: {TTL: recordLife, Check: func(b []byte) error {
-		v := &peerspb.Server{}
-		if err := proto.Unmarshal(b, v); err != nil {
-			return err
-		}
-		if v.GetFailures() > v.GetAttempts() || v.GetCold() > v.GetAttempts() {
-			return errors.New("more failures than attempts")
-		}
-		return nil
-	}},
+	topicInstance: {TTL: entryTTL, Check: checkInstance},
+	topicServer:   {TTL: entryTTL, Check: checkServer},
+	topicDrain:    {TTL: entryTTL, Check: checkDrain, Indexed: true},
+}
+
+func checkInstance(value []byte) error {
+	instance := &peerspb.Instance{}
+	if err := proto.Unmarshal(value, instance); err != nil {
+		return err
+	}
+	if rate := instance.GetRequests(); math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
+		return fmt.Errorf("requests: %v a second", rate)
+	}
+	return nil
 }
 
-// tally counts what came of the attempts at one life of a server. It only grows.
+func checkServer(value []byte) error {
+	server := &peerspb.Server{}
+	if err := proto.Unmarshal(value, server); err != nil {
+		return err
+	}
+	if server.GetFailures() > server.GetAttempts() || server.GetCold() > server.GetAttempts() {
+		return errors.New("more failures than attempts")
+	}
+	return nil
+}
+
+func checkDrain(value []byte) error {
+	if len(value) > 0 {
+		return fmt.Errorf("%d bytes where there is no value", len(value))
+	}
+	return nil
+}
+
+// incarnationOf names one incarnation of a server: a name started at an instant.
+func incarnationOf(name string, startedMS int64) string { return fmt.Sprintf("%s@%d", name, startedMS) }
+
+// maxTallies bounds the servers that an instance counts attempts for. In a large fleet those
+// that fare badly are advertised first, since an entry is written when something changes.
+const maxTallies = 200
+
+// tally counts the ends of attempts at one incarnation of a server.
 type tally struct {
-	attempts, failures, cold uint64
-	changed                  bool // since it was told last
-	at                       time.Time
+	attempts  uint64
+	failures  uint64
+	slowStart uint64 // attempts while the server was warming up
+	changed   bool   // since it was last advertised
+	updated   time.Time
 }
 
-// tallies are those of one instance. The engine's goroutine adds to them, and the host's
-// tells them: the lock is held for a few instructions.
+// tallies are those of all servers. The engine's goroutine adds to them and the node's reads
+// them: the lock is held for a few instructions.
 type tallies struct {
-	warmWithin time.Duration
-	of         map[string]*tally
-	order      []string // in which they are told, in turns
-}
+	slowStartTime time.Duration
 
-// talliesMost bounds the servers that are told of: those of a large fleet that fare badly
-// show up first, since they are told of when something changes.
-const talliesMost = 200
+	mu            sync.Mutex
+	byIncarnation map[string]*tally
+	order         []string // in which they are advertised, round robin
+	observed      int64    // ends of attempts and probes of any status
+}
 
-// serverLife names one life of a server.
-func serverLife(name string, born int64) string { return fmt.Sprintf("%s@%d", name, born) }
+func newTallies(slowStartTime time.Duration) *tallies {
+	return &tallies{slowStartTime: slowStartTime, byIncarnation: map[string]*tally{}}
+}
 
-// add counts one end. What was never sent counts nothing.
-func (t *tallies) add(now time.Time, life string, born time.Time, s balancer.Status) {
-	if s == balancer.NotSent || s == balancer.Cancelled {
+// observe counts the end of one attempt. One that was not sent or was cancelled counts for the
+// rate alone.
+func (t *tallies) observe(now time.Time, incarnation string, started time.Time, status balancer.Status) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.observed++
+	if status == balancer.NotSent || status == balancer.Cancelled {
 		return
 	}
-	x := t.of[life]
-	if x == nil {
-		if len(t.of) >= talliesMost {
-			t.dropOldest()
-		}
-		x = &tally{}
-		t.of[life], t.order = x, append(t.order, life)
+	entry := t.entry(incarnation)
+	entry.attempts++
+	// A rejection for load or a deadline that was too short says nothing of the server's health.
+	if status == balancer.Error || status == balancer.Reset || status == balancer.ConnectFailed {
+		entry.failures++
+	}
+	if !started.IsZero() && now.Sub(started) < t.slowStartTime {
+		entry.slowStart++
 	}
-	x.attempts++
-	// A full server and a client that had too little time say nothing of how well it does.
-	if s == balancer.Error || s == balancer.Reset || s == balancer.ConnectFailed {
-		x.failures++
+	entry.changed = true
+	entry.updated = now
+}
+
+// entry returns an incarnation's tally, a new one in place of the one longest unchanged if there
+// is none.
+func (t *tallies) entry(incarnation string) *tally {
+	if entry := t.byIncarnation[incarnation]; entry != nil {
+		return entry
 	}
-	if !born.IsZero() && now.Sub(born) < t.warmWithin {
-		x.cold++
+	if len(t.byIncarnation) >= maxTallies {
+		t.dropOldest()
 	}
-	x.changed, x.at = true, now
+	entry := &tally{}
+	t.byIncarnation[incarnation] = entry
+	t.order = append(t.order, incarnation)
+	return entry
 }
 
 func (t *tallies) dropOldest() {
 	oldest := ""
-	for life, x := range t.of {
-		if oldest == "" || x.at.Before(t.of[oldest].at) {
-			oldest = life
+	for incarnation, entry := range t.byIncarnation {
+		if oldest == "" || entry.updated.Before(t.byIncarnation[oldest].updated) {
+			oldest = incarnation
 		}
 	}
-	delete(t.of, oldest)
-	t.order = slices.DeleteFunc(t.order, func(l string) bool { return l == oldest })
+	delete(t.byIncarnation, oldest)
+	t.order = slices.DeleteFunc(t.order, func(incarnation string) bool { return incarnation == oldest })
 }
 
-// next returns the next server of which there is news, in turns.
-func (t *tallies) next() (life string, v *peerspb.Server, ok bool) {
+// next returns the next tally that has changed as a record to advertise, nil if none has.
+func (t *tallies) next() (incarnation string, record *peerspb.Server) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	for range len(t.order) {
-		life = t.order[0]
-		t.order = append(t.order[1:], life)
-		if x := t.of[life]; x.changed {
-			x.changed = false
-			return life, &peerspb.Server{Attempts: x.attempts, Failures: x.failures, Cold: x.cold}, true
+		incarnation = t.order[0]
+		t.order = append(t.order[1:], incarnation)
+		entry := t.byIncarnation[incarnation]
+		if !entry.changed {
+			continue
 		}
+		entry.changed = false
+		return incarnation, &peerspb.Server{Attempts: entry.attempts, Failures: entry.failures, Cold: entry.slowStart}
 	}
-	return "", nil, false
+	return "", nil
+}
+
+// rate returns the ends of attempts and probes a second since the start.
+func (t *tallies) rate(uptime time.Duration) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return float64(t.observed) / max(1, uptime.Seconds())
 }
--- a/internal/cluster/records_test.go
+++ b/internal/cluster/records_test.go
@@ -1,10 +1,38 @@
 package cluster
 
-import "testing"
+import (
+	"math"
+	"testing"
 
-// TestTopicNumbersAreThoseOfEarlierBuilds holds the numbers that entries carry on the wire.
-func TestTopicNumbersAreThoseOfEarlierBuilds(t *testing.T) {
+	"google.golang.org/protobuf/proto"
+
+	"pinedale/internal/cluster/peerspb"
+)
+
+// TestTopicNumbersAreStable holds the numbers that entries carry on the wire.
+func TestTopicNumbersAreStable(t *testing.T) {
 	if topicInstance != 1 || topicServer != 2 || topicDrain != 3 || len(topics) != 3 {
-		t.Errorf("instance %d, server %d, drain %d, %d topics; want 1, 2, 3, and 3 topics", topicInstance, topicServer, topicDrain, len(topics))
+		t.Errorf("instance %d, server %d, drain %d, %d topics; want 1, 2, 3, and 3 topics",
+			topicInstance, topicServer, topicDrain, len(topics))
+	}
+}
+
+func TestRecordChecksRejectInvalidValues(t *testing.T) {
+	marshal := func(record proto.Message) []byte {
+		t.Helper()
+		value, err := proto.Marshal(record)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return value
+	}
+	for _, rate := range []float64{math.NaN(), math.Inf(1), -1} {
+		if topics[topicInstance].Check(marshal(&peerspb.Instance{Requests: rate})) == nil {
+			t.Errorf("%v requests a second are accepted", rate)
+		}
+	}
+	failures := marshal(&peerspb.Server{Attempts: 1, Failures: 2})
+	if topics[topicServer].Check(failures) == nil || topics[topicServer].Check([]byte{0xff}) == nil {
+		t.Error("a server with more failures than attempts is accepted")
 	}
 }
--- /dev/null
+++ b/internal/cluster/statustext.go
@@ -0,0 +1,86 @@
+package cluster
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+
+	"pinedale/internal/replication"
+)
+
+// Print writes a status for people.
+func (s *Status) Print(out io.Writer) error {
+	fmt.Fprintf(out, "%s (epoch %d) at %s, up for %.0f s\n", s.Name, s.Epoch, s.Address, s.Uptime)
+	fmt.Fprintf(out, "alive: %v\n", s.Alive)
+	fmt.Fprintf(out, "witness: %d keys held", s.AcceptorKeys)
+	if s.Quiet != "0s" {
+		fmt.Fprintf(out, "; answers nothing for another %s, since it has started", s.Quiet)
+	}
+	counts := s.Counts
+	fmt.Fprintf(out, "\nclaims: %d, of them %d clear, %d shared, %d refused, %d without a majority's word\n",
+		counts.Requests, counts.Exclusive, counts.Shared, counts.Denied, counts.NoMajority)
+	fmt.Fprintf(out, "messages: %d heard, %d sent (%d bytes), %d made no sense, %d found no room; %d entries left out\n",
+		counts.Received, counts.Sent, counts.Bytes, counts.Malformed, s.DroppedMessages, s.RejectedEntries)
+	if len(s.Held) > 0 {
+		fmt.Fprintf(out, "held back, since others know that they drain: %v\n", s.Held)
+	}
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "origin\tepoch\tall up to")
+	for _, vector := range s.Vectors {
+		fmt.Fprintf(table, "%s\t%d\t%d\n", vector.Origin.Name, vector.Origin.Epoch, vector.Have)
+	}
+	fmt.Fprintln(table, "server\ttold by\tattempts\tfailed\twhile cold")
+	for _, total := range s.Servers {
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\n",
+			total.Server, total.Origins, total.Attempts, total.Failures, total.SlowStart)
+	}
+	return table.Flush()
+}
+
+// recordID identifies a record across copies.
+type recordID struct {
+	origin  replication.Origin
+	topic   replication.Topic
+	subject string
+}
+
+func (id recordID) String() string {
+	return fmt.Sprintf("%s/%d %s", id.origin.Name, id.origin.Epoch, id.subject)
+}
+
+// Diff lists in which records the copies of two instances differ. Records of the last second or
+// so may still be on their way.
+func Diff(a, b *Status) []string {
+	var lines []string
+	first, second := recordsByID(a), recordsByID(b)
+	for id, record := range first {
+		other, ok := second[id]
+		switch {
+		case !ok:
+			lines = append(lines, fmt.Sprintf("%v: %s has number %d, %s nothing", id, a.Name, record.Seq, b.Name))
+		case record.Seq != other.Seq:
+			lines = append(lines,
+				fmt.Sprintf("%v: %s has number %d, %s number %d", id, a.Name, record.Seq, b.Name, other.Seq))
+		}
+	}
+	for id, record := range second {
+		if _, ok := first[id]; !ok {
+			lines = append(lines, fmt.Sprintf("%v: %s has nothing, %s number %d", id, a.Name, b.Name, record.Seq))
+		}
+	}
+	if !slices.Equal(a.Voters, b.Voters) {
+		lines = append(lines,
+			fmt.Sprintf("the files name other witnesses: %v at %s, %v at %s", a.Voters, a.Name, b.Voters, b.Name))
+	}
+	slices.Sort(lines)
+	return lines
+}
+
+func recordsByID(status *Status) map[recordID]Record {
+	records := map[recordID]Record{}
+	for _, record := range status.Told {
+		records[recordID{record.Origin, record.Topic, record.Subject}] = record
+	}
+	return records
+}
