Reconcile, multisource: one function per rule, the rule table, structured log lines

Files are now named by their job: config, source (claims), suspect (lists that may have lost endpoints), decide, reconciler. The package comment has the rule table with the function of each rule. multisource is split into the watch, the sink and the feeder, and uses package backoff.

Log lines are fixed messages with attributes instead of sentences; the tests of these packages look for the new ones. Two assertions of the harnesses became stricter: the outcome of Watch and Run is checked. The combined condition of the empty-list check of the random test is written without its redundant terms.

--- a/internal/membership/ephemeral/client.go
+++ b/internal/membership/ephemeral/client.go
@@ -55,7 +55,7 @@
 type Sink interface {
 	Snapshot(version uint64, entries []reconcile.Entry)
 	Delta(version uint64, entries []reconcile.Entry)
-	SourceSilent(reason string)
+	SourceUnavailable(reason string)
 }
 
 // Client reads one directory. Make one with New.
@@ -95,7 +95,7 @@
 	for ctx.Err() == nil {
 		was, err := c.connection(ctx, sink)
 		if err != nil {
-			sink.SourceSilent(err.Error())
+			sink.SourceUnavailable(err.Error())
 		}
 		if was {
 			pause = againLeast
@@ -151,7 +151,7 @@
 		if was = c.live; c.live {
 			c.live = false
 			if ctx.Err() == nil {
-				sink.SourceSilent("no connection")
+				sink.SourceUnavailable("no connection")
 			}
 		}
 		conn.Close()
@@ -307,7 +307,7 @@
 type collected struct{ entries []reconcile.Entry }
 
 func (x *collected) Snapshot(uint64, []reconcile.Entry) {}
-func (x *collected) SourceSilent(string)                {}
+func (x *collected) SourceUnavailable(string)           {}
 func (x *collected) Delta(_ uint64, entries []reconcile.Entry) {
 	x.entries = append(x.entries, entries...)
 }
--- a/internal/membership/ephemeral/client_test.go
+++ b/internal/membership/ephemeral/client_test.go
@@ -61,7 +61,7 @@
 	}
 }
 
-func (r *recorder) SourceSilent(string) {
+func (r *recorder) SourceUnavailable(string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.silent++
--- /dev/null
+++ b/internal/membership/multisource/feeder.go
@@ -0,0 +1,60 @@
+package multisource
+
+import (
+	"context"
+	"time"
+
+	"pinedale/balancer"
+	"pinedale/internal/engine"
+	"pinedale/internal/membership/backoff"
+	"pinedale/internal/membership/ephemeral"
+	"pinedale/internal/membership/reconcile"
+)
+
+// The delay before a watch that failed is opened again.
+const (
+	initialRetryDelay = 200 * time.Millisecond
+	maxRetryDelay     = 5 * time.Second
+)
+
+// SourceFeeder feeds the lists of an engine.Source, and opens its watch again when it
+// fails.
+type SourceFeeder struct{ Source engine.Source }
+
+// Feed implements Feeder.
+func (f SourceFeeder) Feed(ctx context.Context, sink ephemeral.Sink) {
+	defer f.Source.Close()
+	retry := backoff.New(initialRetryDelay, maxRetryDelay)
+	for ctx.Err() == nil {
+		// A nil version asks for a complete list: only that shows what was missed.
+		_, err := f.Source.Watch(ctx, nil, func(kind balancer.ListKind, list engine.List) {
+			if kind == balancer.ListFailed {
+				return // reported below, with its reason
+			}
+			forward(sink, kind, list)
+			retry.Reset()
+		})
+		if ctx.Err() != nil {
+			return
+		}
+		reason := "watch ended"
+		if err != nil {
+			reason = err.Error()
+		}
+		sink.SourceUnavailable(reason)
+		retry.Wait(ctx)
+	}
+}
+
+// forward passes a list or a change to a sink.
+func forward(sink ephemeral.Sink, kind balancer.ListKind, list engine.List) {
+	entries := make([]reconcile.Entry, len(list.Hosts))
+	for i, host := range list.Hosts {
+		entries[i].Host = host
+	}
+	if kind == balancer.ListFull {
+		sink.Snapshot(list.Version, entries)
+	} else {
+		sink.Delta(list.Version, entries)
+	}
+}
--- a/internal/membership/multisource/source_test.go
+++ b/internal/membership/multisource/source_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"log/slog"
 	"slices"
@@ -22,52 +23,46 @@
 	"pinedale/internal/membership/static"
 	"pinedale/internal/standin/coord"
 	"pinedale/internal/standin/directory"
+	"pinedale/internal/standin/logged"
 	"pinedale/internal/standin/wait"
 )
 
-const (
-	session = 600 * time.Millisecond
-)
-
-// world is a combined source and what it told, folded as the engine does.
-type world struct {
-	t       *testing.T
-	service *coord.Service
-	dir     *directory.Directory
+// sessionTimeout is short, so that silence is noticed soon.
+const sessionTimeout = 600 * time.Millisecond
 
-	mu    sync.Mutex
-	hosts map[string]engine.Host
-	lists int
-	low   int // fewest ready ones since it was set
-	log   strings.Builder
-}
+// harness runs a source and applies its lists as the engine does.
+type harness struct {
+	t         *testing.T
+	service   *coord.Service
+	discovery *directory.Directory
+	log       logged.Record
 
-func (w *world) Write(p []byte) (int, error) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.log.Write(p)
+	mu       sync.Mutex
+	hosts    map[string]engine.Host
+	lists    int
+	minReady int // fewest ready endpoints since recordMinReady
 }
 
-func (w *world) tell(_ balancer.ListKind, list engine.List) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.lists++
+func (h *harness) applyList(_ balancer.ListKind, list engine.List) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lists++
 	if list.Complete {
-		w.hosts = map[string]engine.Host{}
+		h.hosts = map[string]engine.Host{}
 	}
-	for _, h := range list.Hosts {
-		if h.State == balancer.Removed {
-			delete(w.hosts, h.Name)
+	for _, host := range list.Hosts {
+		if host.State == balancer.Removed {
+			delete(h.hosts, host.Name)
 		} else {
-			w.hosts[h.Name] = h
+			h.hosts[host.Name] = host
 		}
 	}
-	w.low = min(w.low, len(w.readyLocked()))
+	h.minReady = min(h.minReady, len(h.readyLocked()))
 }
 
-func (w *world) readyLocked() (names []string) {
-	for name, h := range w.hosts {
-		if h.State == balancer.Ready {
+func (h *harness) readyLocked() (names []string) {
+	for name, host := range h.hosts {
+		if host.State == balancer.Ready {
 			names = append(names, name)
 		}
 	}
@@ -75,208 +70,242 @@
 	return names
 }
 
-func (w *world) ready() string {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return strings.Join(w.readyLocked(), " ")
+// ready returns the names of the ready endpoints, in order and with spaces between.
+func (h *harness) ready() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return strings.Join(h.readyLocked(), " ")
 }
 
-func (w *world) said(what string) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return strings.Contains(w.log.String(), what)
-}
+func (h *harness) logged(pattern string) bool { return h.log.Find(pattern) != nil }
 
-func start(t *testing.T, cfg reconcile.Config, parts func(w *world) []Input, nodes ...string) *world {
+// start runs a source of ephemeral nodes and others until the test ends.
+func start(t *testing.T, others func(h *harness) []Input, nodes ...string) *harness {
 	t.Helper()
-	w := &world{t: t, hosts: map[string]engine.Host{}}
+	h := &harness{t: t, hosts: map[string]engine.Host{}}
 	var err error
-	if w.service, err = coord.Start(2); err != nil {
+	if h.service, err = coord.Start(2); err != nil {
 		t.Fatal(err)
 	}
-	if w.dir, err = directory.Start(); err != nil {
+	if h.discovery, err = directory.Start(); err != nil {
 		t.Fatal(err)
 	}
-	for _, n := range nodes {
-		w.put(n)
+	for _, node := range nodes {
+		h.put(node)
 	}
-	log := slog.New(slog.NewTextHandler(w, nil))
-	all := []Input{{reconcile.Ephemeral, "/soko", ephemeral.New(ephemeral.Options{Servers: w.service.Addresses(), Path: "/soko",
-		Session: session, Log: log, Rules: ephemeral.Rules{Sites: []string{"a"}, Kinds: []string{"m1"}}})}}
-	if parts != nil {
-		all = append(all, parts(w)...)
+	client := ephemeral.New(ephemeral.Options{
+		Servers: h.service.Addresses(),
+		Path:    "/soko",
+		Session: sessionTimeout,
+		Log:     h.log.Logger(),
+		Rules:   ephemeral.Rules{Sites: []string{"a"}, Kinds: []string{"m1"}},
+	})
+	inputs := []Input{{reconcile.Ephemeral, "/soko", client}}
+	if others != nil {
+		inputs = append(inputs, others(h)...)
 	}
-	s := New(cfg, log, all...)
-	ctx, stop := context.WithCancel(context.Background())
-	done := make(chan struct{})
+	source := New(reconcile.DefaultConfig, h.log.Logger(), inputs...)
+	ctx, cancel := context.WithCancel(context.Background())
+	watchEnded := make(chan error, 1)
 	go func() {
-		s.Watch(ctx, nil, w.tell)
-		close(done)
+		_, err := source.Watch(ctx, nil, h.applyList)
+		watchEnded <- err
 	}()
 	t.Cleanup(func() {
-		stop()
-		<-done
-		w.service.Close()
-		w.dir.Close()
+		cancel()
+		if err := <-watchEnded; !errors.Is(err, context.Canceled) {
+			t.Errorf("the watch ended with %v", err)
+		}
+		h.service.Close()
+		h.discovery.Close()
 		goleak.VerifyNone(t)
 	})
-	return w
+	return h
 }
 
-func (w *world) put(name string) {
-	data, _ := json.Marshal(ephemeral.Data{Address: "127.0.0.1:1", Site: "a", StartedMS: 1000})
-	w.service.Put("/soko/"+name, data)
+// put writes a server's node.
+func (h *harness) put(name string) {
+	h.t.Helper()
+	data, err := json.Marshal(ephemeral.Data{Address: "127.0.0.1:1", Site: "a", StartedMS: 1000})
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	h.service.Put("/soko/"+name, data)
+}
+
+// dropNodes removes all nodes of the service.
+func (h *harness) dropNodes() {
+	for _, node := range h.service.Nodes("/soko") {
+		h.service.Drop("/soko/" + node)
+	}
 }
 
-func (w *world) until(what string, is func() bool) {
-	w.t.Helper()
-	wait.Until(w.t, what, is, w.ready, w.log.String)
+func (h *harness) waitUntil(what string, condition func() bool) {
+	h.t.Helper()
+	wait.Until(h.t, what, condition, h.ready, h.log.String)
 }
 
-func (w *world) shows(names string) {
-	w.t.Helper()
-	w.until("the list "+names, func() bool { return w.ready() == names })
+func (h *harness) waitReady(names string) {
+	h.t.Helper()
+	h.waitUntil("the list "+names, func() bool { return h.ready() == names })
 }
 
-// watchLow begins to note the fewest ready ones.
-func (w *world) watchLow() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.low = len(w.hosts)
+// recordMinReady begins to record the fewest ready endpoints.
+func (h *harness) recordMinReady() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.minReady = len(h.hosts)
 }
 
-// A service that loses all its nodes in a silence, or a restart, takes nobody out;
-// the reason is told, and who registers anew is as if nothing had been.
-func TestServiceLosesAll(t *testing.T) {
-	for name, lose := range map[string]func(w *world){
-		"in silence": func(w *world) {
-			w.service.Silence(true)
-			w.until("the silence", func() bool { return w.said("silent: no connection") })
-			for _, n := range w.service.Nodes("/soko") {
-				w.service.Drop("/soko/" + n)
-			}
-			w.service.Silence(false)
+// A service that loses all its nodes in an outage or a restart takes nobody out; the
+// reason is logged, and servers that register anew are as if nothing had happened.
+func TestServiceThatLosesAllNodesTakesNobodyOut(t *testing.T) {
+	for name, loseNodes := range map[string]func(h *harness){
+		"in an outage": func(h *harness) {
+			h.service.Silence(true)
+			h.waitUntil("the outage", func() bool { return h.logged(`membership source unavailable.* reason="no connection"`) })
+			h.dropNodes()
+			h.service.Silence(false)
 		},
-		"with a broken connection": func(w *world) {
-			w.service.Refuse(true)
-			for _, n := range w.service.Nodes("/soko") {
-				w.service.Drop("/soko/" + n)
-			}
-			w.service.Refuse(false)
+		"with a broken connection": func(h *harness) {
+			h.service.Refuse(true)
+			h.dropNodes()
+			h.service.Refuse(false)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			w := start(t, reconcile.DefaultConfig, nil, "a", "b", "c")
-			w.shows("a b c")
-			w.watchLow()
-			lose(w)
-			w.until("the reason", func() bool { return w.said("missing from its empty list") })
-			w.put("b")
-			w.put("a")
-			w.put("c")
-			w.put("d")
-			w.shows("a b c d")
-			if w.low < 3 {
-				t.Errorf("only %d were ready for a while", w.low)
+			h := start(t, nil, "a", "b", "c")
+			h.waitReady("a b c")
+			h.recordMinReady()
+			loseNodes(h)
+			h.waitUntil("the reason", func() bool { return h.logged("missing endpoints retained.* snapshot=empty") })
+			h.put("b")
+			h.put("a")
+			h.put("c")
+			h.put("d")
+			h.waitReady("a b c d")
+			if h.minReady < 3 {
+				t.Errorf("only %d were ready at one time", h.minReady)
 			}
 		})
 	}
 }
 
-// A server whose session expires registers anew by itself, and is let in again in the
-// same life, as soon as its node is back.
-func TestSessionOfAHealthyServerExpires(t *testing.T) {
-	w := start(t, reconcile.DefaultConfig, nil, "a")
-	r, err := register.New(register.Options{Servers: w.service.Addresses(), Path: "/soko", Name: "s", Session: session,
-		Data: ephemeral.Data{Address: "127.0.0.1:7", Site: "a", StartedMS: 5000}, Log: slog.New(slog.DiscardHandler)})
+// A server whose session expires registers anew by itself, and is ready again in the same
+// incarnation as soon as its node is back.
+func TestServerReturnsAfterSessionExpiry(t *testing.T) {
+	h := start(t, nil, "a")
+	registrar, err := register.New(register.Options{
+		Servers: h.service.Addresses(),
+		Path:    "/soko",
+		Name:    "s",
+		Session: sessionTimeout,
+		Data:    ephemeral.Data{Address: "127.0.0.1:7", Site: "a", StartedMS: 5000},
+		Log:     slog.New(slog.DiscardHandler),
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	ctx, stop := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		r.Run(ctx)
-		close(done)
+	ctx, cancel := context.WithCancel(context.Background())
+	runEnded := make(chan error, 1)
+	go func() { runEnded <- registrar.Run(ctx) }()
+	defer func() {
+		cancel()
+		if err := <-runEnded; err != nil {
+			t.Error(err)
+		}
 	}()
-	defer func() { stop(); <-done }()
-	w.shows("a s")
-	w.watchLow()
-	w.service.ExpireSession(w.service.Owner("/soko/s"))
-	w.until("its node's end", func() bool { w.mu.Lock(); defer w.mu.Unlock(); return w.low == 1 })
-	w.shows("a s")
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if h := w.hosts["s"]; h.StartedMS != 5000 {
-		t.Errorf("back as %+v, want the same life", h)
+	h.waitReady("a s")
+	h.recordMinReady()
+	h.service.ExpireSession(h.service.Owner("/soko/s"))
+	h.waitUntil("the end of its node", func() bool {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return h.minReady == 1
+	})
+	h.waitReady("a s")
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if host := h.hosts["s"]; host.StartedMS != 5000 {
+		t.Errorf("back as %+v, want the same incarnation", host)
 	}
 }
 
-// Beside discovery: what is new there counts at once, what it has gone goes though
-// the coordination service is silent, and its failures empty nothing.
-func TestBesideDiscovery(t *testing.T) {
-	w := start(t, reconcile.DefaultConfig, func(w *world) []Input {
-		w.dir.List = directory.Document{Seq: 1, Whole: true, Hosts: []directory.Host{directory.Ready("a", "127.0.0.1:1"), directory.Ready("b", "127.0.0.1:1")}}
-		return []Input{{reconcile.Discovery, w.dir.Address, SourceFeeder{registry.New(w.dir.Address, registry.PollTiming)}}}
+// document returns a complete list of ready servers in discovery's form.
+func document(version uint64, names ...string) directory.Document {
+	list := directory.Document{Seq: version, Whole: true}
+	for _, name := range names {
+		list.Hosts = append(list.Hosts, directory.Ready(name, "127.0.0.1:1"))
+	}
+	return list
+}
+
+// With discovery as another source: what it adds counts at once, what it removes goes
+// although the coordination service is unavailable, and its failures take nobody out.
+func TestDiscoveryBesideEphemeralNodes(t *testing.T) {
+	h := start(t, func(h *harness) []Input {
+		h.discovery.List = document(1, "a", "b")
+		client := registry.New(h.discovery.Address, registry.PollTiming)
+		return []Input{{reconcile.Discovery, h.discovery.Address, SourceFeeder{client}}}
 	}, "a", "b", "c")
-	w.shows("a b c")
-	w.service.Silence(true)
-	w.until("the silence", func() bool { return w.said("silent: no connection") })
-	set := func(seq uint64, names ...string) {
-		w.dir.Change(func() {
-			w.dir.List = directory.Document{Seq: seq, Whole: true, Hosts: nil}
-			for _, n := range names {
-				w.dir.List.Hosts = append(w.dir.List.Hosts, directory.Ready(n, "127.0.0.1:1"))
-			}
-		})
+	h.waitReady("a b c")
+	h.service.Silence(true)
+	h.waitUntil("the outage", func() bool { return h.logged(`membership source unavailable.* reason="no connection"`) })
+	set := func(version uint64, names ...string) {
+		h.discovery.Change(func() { h.discovery.List = document(version, names...) })
 	}
 	set(2, "b", "d")
-	w.shows("b c d")
-	w.dir.Change(func() { w.dir.Down = true })
-	w.until("discovery's failure", func() bool { return w.said("discovery " + w.dir.Address + ": silent") })
-	w.shows("b c d")
-	w.dir.Change(func() { w.dir.Down = false })
+	h.waitReady("b c d")
+	h.discovery.Change(func() { h.discovery.Down = true })
+	discoveryUnavailable := "membership source unavailable.* kind=discovery source=" + h.discovery.Address
+	h.waitUntil("discovery's failure", func() bool { return h.logged(discoveryUnavailable) })
+	h.waitReady("b c d")
+	h.discovery.Change(func() { h.discovery.Down = false })
 	set(3, "b", "d", "e")
-	w.shows("b c d e")
-	w.service.Silence(false)
-	w.until("it is back", func() bool { return w.said("ephemeral nodes /soko: back") })
+	h.waitReady("b c d e")
+	h.service.Silence(false)
+	h.waitUntil("it is back", func() bool { return h.logged("membership source recovered.* kind=ephemeral source=/soko") })
 }
 
-// Beside a static list its servers stand though no node does, and a node's end is
-// stronger than the list.
-func TestBesideAStaticList(t *testing.T) {
-	w := start(t, reconcile.DefaultConfig, func(*world) []Input {
-		return []Input{{reconcile.Static, "of the file", SourceFeeder{static.New([]engine.Host{
-			{Name: "a", Address: "127.0.0.1:9", Site: "a", Weight: 1}, {Name: "z", Address: "127.0.0.1:9", Site: "a", Weight: 1}})}}}
+// With a static list as another source: its servers are ready without a node, and a
+// node's end overrules the list.
+func TestStaticListBesideEphemeralNodes(t *testing.T) {
+	h := start(t, func(*harness) []Input {
+		list := static.New([]engine.Host{
+			{Name: "a", Address: "127.0.0.1:9", Site: "a", Weight: 1},
+			{Name: "z", Address: "127.0.0.1:9", Site: "a", Weight: 1},
+		})
+		return []Input{{reconcile.Static, "of the file", SourceFeeder{list}}}
 	}, "a")
-	w.shows("a z")
-	w.until("what its node says of a", func() bool {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		return w.hosts["a"].Address == "127.0.0.1:1"
+	h.waitReady("a z")
+	h.waitUntil("the address of its node", func() bool {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return h.hosts["a"].Address == "127.0.0.1:1"
 	})
-	w.service.Drop("/soko/a")
-	w.shows("z")
-	w.put("a")
-	w.shows("a z")
+	h.service.Drop("/soko/a")
+	h.waitReady("z")
+	h.put("a")
+	h.waitReady("a z")
 }
 
-// A storm of changes is few lists.
-func TestStorm(t *testing.T) {
-	w := start(t, reconcile.DefaultConfig, nil, "a", "b")
-	w.shows("a b")
-	w.mu.Lock()
-	before := w.lists
-	w.mu.Unlock()
+// A burst of changes yields few lists.
+func TestBurstOfChangesYieldsFewLists(t *testing.T) {
+	h := start(t, nil, "a", "b")
+	h.waitReady("a b")
+	h.mu.Lock()
+	before := h.lists
+	h.mu.Unlock()
 	began := time.Now()
 	for i := range 300 {
-		w.put(fmt.Sprint("n", i%30))
-		w.service.Drop(fmt.Sprint("/soko/n", i%30))
+		h.put(fmt.Sprint("n", i%30))
+		h.service.Drop(fmt.Sprint("/soko/n", i%30))
 	}
-	w.put("last")
-	w.until("the last", func() bool { return strings.Contains(w.ready(), "last") })
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if most := int(time.Since(began)/(20*time.Millisecond)) + 2; w.lists-before > most {
-		t.Errorf("%d lists in %v, want at most %d", w.lists-before, time.Since(began), most)
+	h.put("last")
+	h.waitUntil("the last", func() bool { return strings.Contains(h.ready(), "last") })
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if limit := int(time.Since(began)/(20*time.Millisecond)) + 2; h.lists-before > limit {
+		t.Errorf("%d lists in %v, want at most %d", h.lists-before, time.Since(began), limit)
 	}
 }
--- /dev/null
+++ b/internal/membership/reconcile/harness_test.go
@@ -0,0 +1,146 @@
+package reconcile
+
+import (
+	"fmt"
+	"log/slog"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pinedale/balancer"
+	"pinedale/internal/engine"
+	"pinedale/internal/standin/logged"
+	_ "pinedale/internal/standin/seeds"
+)
+
+func newHost(name string, startedMS int64) engine.Host {
+	return engine.Host{Name: name, Address: "127.0.0.1:1", Site: "a", Weight: 1, StartedMS: startedMS}
+}
+
+// entries returns ready endpoints without a start time.
+func entries(names ...string) (all []Entry) {
+	for _, name := range names {
+		all = append(all, Entry{Host: newHost(name, 0)})
+	}
+	return all
+}
+
+// change returns a report on one endpoint.
+func change(name string, state balancer.State) []Entry {
+	host := newHost(name, 0)
+	host.State = state
+	return []Entry{{Host: host}}
+}
+
+// applyList applies a list to an endpoint table as the engine does.
+func applyList(hosts map[string]engine.Host, list engine.List) {
+	if list.Complete {
+		clear(hosts)
+	}
+	for _, host := range list.Hosts {
+		if host.State == balancer.Removed {
+			delete(hosts, host.Name)
+		} else {
+			hosts[host.Name] = host
+		}
+	}
+}
+
+// readyNames returns the names of ready endpoints, in order and with spaces between.
+func readyNames(hosts map[string]engine.Host) string {
+	var ready []string
+	for name, host := range hosts {
+		if host.State == balancer.Ready {
+			ready = append(ready, name)
+		}
+	}
+	slices.Sort(ready)
+	return strings.Join(ready, " ")
+}
+
+// harness drives a reconciler in virtual time and applies its lists.
+type harness struct {
+	t          *testing.T
+	reconciler *Reconciler
+	now        time.Duration
+	hosts      map[string]engine.Host
+	log        logged.Record
+	lists      int // how many were returned
+}
+
+func newHarness(t *testing.T, kinds ...Kind) *harness {
+	t.Helper()
+	h := &harness{t: t, hosts: map[string]engine.Host{}, now: 100 * time.Second}
+	h.reconciler = New(DefaultConfig, h.log.Logger())
+	for i, kind := range kinds {
+		h.reconciler.AddSource(kind, fmt.Sprint(i))
+	}
+	return h
+}
+
+func (h *harness) snapshot(source int, version uint64, entries []Entry) {
+	h.reconciler.Snapshot(h.now, source, version, entries)
+}
+
+func (h *harness) delta(source int, version uint64, entries []Entry) {
+	h.reconciler.Delta(h.now, source, version, entries)
+}
+
+func (h *harness) sourceUnavailable(source int, reason string) {
+	h.reconciler.SourceUnavailable(h.now, source, reason)
+}
+
+func (h *harness) readList() {
+	if list, ok := h.reconciler.List(h.now); ok {
+		h.lists++
+		applyList(h.hosts, list)
+	}
+}
+
+// advance lets time pass and reads the list at each deadline.
+func (h *harness) advance(d time.Duration) {
+	h.now = advanceTo(h.reconciler, h.now, h.now+d, func(now time.Duration) {
+		h.now = now
+		h.readList()
+	})
+}
+
+// advanceTo calls read at each of a reconciler's deadlines up to an end, and at the end,
+// which it returns.
+func advanceTo(reconciler *Reconciler, now, end time.Duration, read func(now time.Duration)) time.Duration {
+	for {
+		deadline := reconciler.NextDeadline()
+		if deadline == 0 || deadline > end {
+			break
+		}
+		now = max(deadline, now+time.Millisecond)
+		read(now)
+	}
+	now = max(now, end)
+	read(now)
+	return now
+}
+
+// wantReady checks the names of the ready endpoints.
+func (h *harness) wantReady(step string, names string) {
+	h.t.Helper()
+	h.advance(minListInterval)
+	if got := readyNames(h.hosts); got != names {
+		h.t.Errorf("%s: ready are %q, want %q", step, got, names)
+	}
+}
+
+// wantSingleLogLine checks that one line was logged, and that it has a text.
+func (h *harness) wantSingleLogLine(text string) {
+	h.t.Helper()
+	if h.log.Count("\n") != 1 {
+		h.t.Errorf("logged %q, want one line", h.log.String())
+	}
+	if h.log.Count(text) != 1 {
+		h.t.Errorf("logged %q, want a line with %q", h.log.String(), text)
+	}
+}
+
+// discardLog returns a logger whose lines go nowhere.
+func discardLog() *slog.Logger { return slog.New(slog.DiscardHandler) }
