--- a/internal/membership/static/static.go
+++ b/internal/membership/static/static.go
@@ -1,5 +1,5 @@
-// Package static is a source of membership for fleets that do not change: the
-// operator's file names the servers.
+// Package static is a membership source for fleets that do not change: its endpoints are
+// those of the operator's file. It starts no goroutine and has no state beyond the list.
 package static
 
 import (
@@ -9,20 +9,25 @@
 	"pinedale/internal/engine"
 )
 
-// Source tells one list. It is an engine.Source.
+// listVersion is the version of the only list.
+const listVersion = 1
+
+// Source reports one list. It is an engine.Source.
 type Source struct{ list engine.List }
 
-// New returns a source of this list, which must be valid.
+// New returns a source of these endpoints, which must be valid.
 func New(hosts []engine.Host) *Source {
-	return &Source{engine.List{Version: 1, Complete: true, Hosts: hosts}}
+	return &Source{engine.List{Version: listVersion, Complete: true, Hosts: hosts}}
 }
 
-// Watch tells the list once and waits for ctx to end.
-func (s *Source) Watch(ctx context.Context, after *uint64, tell func(balancer.ListKind, engine.List)) (*uint64, error) {
-	tell(balancer.ListFull, s.list)
+// Watch passes the list to notify once and waits for ctx to end.
+func (s *Source) Watch(
+	ctx context.Context, after *uint64, notify func(balancer.ListKind, engine.List),
+) (*uint64, error) {
+	notify(balancer.ListFull, s.list)
 	<-ctx.Done()
 	return after, ctx.Err()
 }
 
-// Close does nothing: the source holds nothing.
+// Close does nothing: the source uses no resources.
 func (s *Source) Close() {}
