Routing ledger: split by job, with the field's names for its interface and state

Cause: one file of 713 lines held the API, rounds, replay rules, reports and expiry, under names of an earlier style (Ask, Told, Strange, Left), and its reader had to learn them first.

Change: ledger, round, decision, report, replay and expiry are files of their own; types.go has the API. Response.Copies went, which nothing read, and parameters of time that were not used. Tests are renamed and the harness stands apart; assertions are unchanged.

--- a/internal/front/extproc/host.go
+++ b/internal/front/extproc/host.go
@@ -17,7 +17,7 @@
 	engine  *engine.Engine
 	ledger  *routing.Ledger
 	rounds  map[uint64]*round
-	asks    map[routing.Ask]*asker
+	asks    map[routing.StreamID]*asker
 	ticking bool
 }
 
@@ -33,9 +33,9 @@
 
 // asker is one stream that waits to be told.
 type asker struct {
-	name routing.Ask
-	told chan routing.Told // has room for one: a verdict, or the reply to a report
-	sent *handout          // that it was told
+	name routing.StreamID
+	told chan routing.Response // has room for one: a verdict, or the reply to a report
+	sent *handout              // that it was told
 }
 
 // handout is what the ledger keeps of an attempt, for as long as it may be handed out
@@ -46,15 +46,15 @@
 }
 
 func newHost(e *engine.Engine, l routing.Limits) *host {
-	h := &host{engine: e, rounds: map[uint64]*round{}, asks: map[routing.Ask]*asker{}}
+	h := &host{engine: e, rounds: map[uint64]*round{}, asks: map[routing.StreamID]*asker{}}
 	h.ledger = routing.New(l, h)
 	return h
 }
 
 // ask takes a stream's question.
-func (h *host) ask(now routing.Micros, a *asker, q routing.Query) {
+func (h *host) ask(now routing.Micros, a *asker, q routing.Request) {
 	h.asks[a.name] = a
-	h.ledger.Ask(now, q)
+	h.ledger.HandleRequest(now, q)
 	if !h.ticking {
 		h.ticking = true
 		h.tick()
@@ -63,9 +63,9 @@
 
 // tick has the ledger look at the time for as long as it holds anything.
 func (h *host) tick() {
-	h.engine.After(time.Duration(routing.OfferFor/2)*time.Microsecond, func(now routing.Micros) {
+	h.engine.After(time.Duration(routing.OfferTimeout/2)*time.Microsecond, func(now routing.Micros) {
 		h.ledger.Tick(now)
-		if asks, rounds, entries := h.ledger.Held(); asks+rounds+entries > 0 {
+		if asks, rounds, entries := h.ledger.Counts(); asks+rounds+entries > 0 {
 			h.tick()
 		} else {
 			h.ticking = false
@@ -76,24 +76,24 @@
 // left takes that a stream is over.
 func (h *host) left(now routing.Micros, a *asker, unsent bool) {
 	delete(h.asks, a.name)
-	h.ledger.Left(now, a.name, unsent)
+	h.ledger.StreamClosed(now, a.name, unsent)
 }
 
 // report takes a stream's report and returns what is to become of the answer.
-func (h *host) report(now routing.Micros, a *asker, r report) routing.Told {
+func (h *host) report(now routing.Micros, a *asker, r report) routing.Response {
 	if r.served != "" && r.served != a.sent.target.Address {
 		if id := h.engine.EndpointAt(r.served); id != 0 {
 			zone, cell := h.engine.Location(id)
-			r.outcome.Endpoint, r.outcome.Place = id, routing.Place{Zone: zone, Cell: cell}
+			r.outcome.Endpoint, r.outcome.Location = id, routing.Location{Zone: zone, Cell: cell}
 		} else {
-			r.outcome.Strange = true
+			r.outcome.UnknownEndpoint = true
 		}
 	}
-	return h.ledger.Report(now, a.name, r.outcome)
+	return h.ledger.HandleReport(a.name, r.outcome)
 }
 
-// Begin passes a round to the module.
-func (h *host) Begin(number uint64, key string, in balancer.Request) {
+// StartRound passes a round to the module.
+func (h *host) StartRound(number uint64, key string, in balancer.Request) {
 	r := &round{host: h, number: number}
 	r.request.Carrier, r.request.Respond, r.request.Key = r, r.answer, key
 	h.rounds[number] = r
@@ -101,8 +101,8 @@
 	r.forget()
 }
 
-// Leave tells the module that a round's client is gone.
-func (h *host) Leave(number uint64) {
+// CancelRound tells the module that a round's client is gone.
+func (h *host) CancelRound(number uint64) {
 	if r := h.rounds[number]; r != nil {
 		r.over = true
 		h.engine.ClientDisconnected(h.engine.Now(), &r.request)
@@ -110,8 +110,8 @@
 	}
 }
 
-// End tells the module how an attempt ended.
-func (h *host) End(number uint64, n int, o routing.Outcome, settled bool) {
+// CompleteAttempt tells the module how an attempt ended.
+func (h *host) CompleteAttempt(number uint64, n int, o routing.Outcome, settled bool) {
 	r := h.rounds[number]
 	r.out--
 	r.over = r.over || settled
@@ -122,14 +122,14 @@
 // Usable says whether an attempt may still go where it was decided.
 func (h *host) Usable(ref any) bool { return !ref.(*handout).target.Closed() }
 
-// Tell gives an ask its verdict.
-func (h *host) Tell(name routing.Ask, t routing.Told) { h.asks[name].told <- t }
+// Respond gives an ask its verdict.
+func (h *host) Respond(name routing.StreamID, t routing.Response) { h.asks[name].told <- t }
 
 // Send takes the module's decision to send.
 func (r *round) Send(a *engine.Attempt) {
 	r.attempts = append(r.attempts, a)
 	r.out++
-	r.host.ledger.Decided(r.host.engine.Now(), r.number, routing.Place{Zone: a.Zone, Cell: a.Cell},
+	r.host.ledger.AttemptScheduled(r.host.engine.Now(), r.number, routing.Location{Zone: a.Zone, Cell: a.Cell},
 		&handout{a.Target, a.Deadline})
 }
 
@@ -137,7 +137,7 @@
 // end is told later.
 func (r *round) Cancel(a *engine.Attempt) {
 	n := slices.Index(r.attempts, a)
-	r.host.engine.Defer(func(now routing.Micros) { r.host.ledger.Cancelled(now, r.number, n) })
+	r.host.engine.Defer(func(now routing.Micros) { r.host.ledger.AttemptCancelled(now, r.number, n) })
 }
 
 // answer takes the module's final answer. That of an attempt served came by way of
@@ -147,9 +147,9 @@
 	now := r.host.engine.Now()
 	switch a.Code {
 	case http.StatusServiceUnavailable:
-		r.host.ledger.Refused(now, r.number, a.RetryAfter)
+		r.host.ledger.RoundRejected(now, r.number, a.RetryAfter)
 	case http.StatusBadGateway:
-		r.host.ledger.Failed(now, r.number)
+		r.host.ledger.RoundFailed(now, r.number)
 	}
 }
 
@@ -161,7 +161,7 @@
 }
 
 // query is a request as the ledger is asked about it.
-func query(a *asker, p *intake.Parsed, h *head) routing.Query {
-	return routing.Query{Ask: a.name, ID: p.CorrelationID, Key: p.IdempotencyKey, Print: h.print(), Body: p.Request,
+func query(a *asker, p *intake.Parsed, h *head) routing.Request {
+	return routing.Request{Stream: a.name, ID: p.CorrelationID, Key: p.IdempotencyKey, Fingerprint: h.print(), ModuleRequest: p.Request,
 		Tenant: h.header.Get(intake.HeaderTenant)}
 }
--- a/internal/front/extproc/messages.go
+++ b/internal/front/extproc/messages.go
@@ -258,13 +258,13 @@
 }
 
 // final is the immediate answer for a verdict other than Go, Pass and Again.
-func final(t routing.Told) *extprocv3.ProcessingResponse {
+func final(t routing.Response) *extprocv3.ProcessingResponse {
 	switch t.Kind {
-	case routing.Refuse, routing.Busy:
+	case routing.Reject, routing.AtCapacity:
 		return immediate(http.StatusServiceUnavailable, t.RetryAfter, "")
 	case routing.Conflict:
 		return immediate(http.StatusConflict, 0, t.Reason)
-	case routing.Misuse:
+	case routing.KeyReused:
 		return immediate(http.StatusUnprocessableEntity, 0, t.Reason)
 	}
 	return immediate(http.StatusBadGateway, 0, "")
--- a/internal/front/extproc/server.go
+++ b/internal/front/extproc/server.go
@@ -82,8 +82,8 @@
 		o.Parser = intake.NewParser(set)
 	}
 	s := &Server{engine: e, parser: o.Parser, opts: o, health: health.NewServer(), ended: make(chan struct{}),
-		host: newHost(e, routing.Limits{Classes: set.Classes, Attempts: set.Limits.MaxAttempts,
-			Copies: set.Limits.Hedging, Retries: o.Retries, Entries: o.Entries})}
+		host: newHost(e, routing.Limits{Classes: set.Classes, MaxAttempts: set.Limits.MaxAttempts,
+			Hedging: set.Limits.Hedging, CallersRetry: o.Retries, MaxEntries: o.Entries})}
 	alive := keepalive.ServerParameters{Time: pingAfter, Timeout: pingTimeout}
 	var secured []grpc.ServerOption
 	if o.TLS != nil {
@@ -103,7 +103,7 @@
 
 // Classes tells of classes that have come; those of before keep their numbers. It must
 // be called on the engine's goroutine.
-func (s *Server) Classes(all []balancer.Class) { s.host.ledger.Classes(all) }
+func (s *Server) Classes(all []balancer.Class) { s.host.ledger.SetClasses(all) }
 
 func (s *Server) setHealth(is healthv1.HealthCheckResponse_ServingStatus) {
 	s.health.SetServingStatus("", is)
@@ -149,6 +149,6 @@
 // Held counts what the front holds of asks, rounds and entries. It must not be
 // called on the engine's goroutine.
 func (s *Server) Held() (asks, rounds, entries int) {
-	s.engine.Call(func(balancer.Micros) { asks, rounds, entries = s.host.ledger.Held() })
+	s.engine.Call(func(balancer.Micros) { asks, rounds, entries = s.host.ledger.Counts() })
 	return
 }
--- a/internal/front/extproc/stream.go
+++ b/internal/front/extproc/stream.go
@@ -160,8 +160,8 @@
 		c.answer = true
 		return immediate(503, busyRetry, ""), nil
 	}
-	c.asker.name = routing.Ask(s.lastAsk.Add(1))
-	c.asker.told = make(chan routing.Told, 1)
+	c.asker.name = routing.StreamID(s.lastAsk.Add(1))
+	c.asker.told = make(chan routing.Response, 1)
 	ctx := c.stream.Context()
 	taken := s.engine.TryPost(func(now balancer.Micros) {
 		s.backlog.Add(-1)
@@ -178,7 +178,7 @@
 	for {
 		select {
 		case t := <-c.asker.told:
-			if t.Kind != routing.Go {
+			if t.Kind != routing.Forward {
 				c.answer = true
 				return final(t), nil
 			}
@@ -190,7 +190,7 @@
 			}
 			if a.target.Closed() {
 				// Told draining or gone since the verdict was made: it must not go out.
-				s.engine.Post(func(now balancer.Micros) { s.host.ledger.Stale(now, c.asker.name) })
+				s.engine.Post(func(balancer.Micros) { s.host.ledger.ForwardDiscarded(c.asker.name) })
 				continue
 			}
 			left := time.Duration(a.until-s.engine.Now()) * time.Microsecond
@@ -218,9 +218,9 @@
 	select {
 	case t := <-c.asker.told:
 		switch t.Kind {
-		case routing.Pass:
+		case routing.PassThrough:
 			return passOn(false, 0), nil
-		case routing.Again:
+		case routing.RetryAllowed:
 			return passOn(true, c.promise(r)), nil
 		}
 		return final(t), nil
--- /dev/null
+++ b/internal/routing/harness_test.go
@@ -0,0 +1,289 @@
+package routing
+
+import (
+	"fmt"
+
+	"pinedale/balancer"
+)
+
+const second Micros = 1_000_000
+
+// The classes of the tests.
+const (
+	classRead  = iota // idempotent
+	classPay          // with a key, all endpoints drop a repeat for 1.5 s
+	classClose        // with a key, one cell drops a repeat for 12 s
+	classOrder        // not idempotent
+)
+
+var classes = []balancer.Class{
+	{
+		Name:             "read",
+		Idempotency:      balancer.Idempotent,
+		LatencyObjective: 600_000,
+		ClientTimeout:    3 * second,
+		PriorityWeight:   1,
+	},
+	{
+		Name:             "pay",
+		Idempotency:      balancer.IdempotentWithKey,
+		Group:            balancer.GroupAll,
+		DedupWindow:      1_500_000,
+		LatencyObjective: 600_000,
+		ClientTimeout:    2_500_000,
+		PriorityWeight:   1,
+	},
+	{
+		Name:             "close",
+		Idempotency:      balancer.IdempotentWithKey,
+		Group:            balancer.GroupCell,
+		DedupWindow:      12 * second,
+		LatencyObjective: 1_200_000,
+		ClientTimeout:    2_500_000,
+		PriorityWeight:   1,
+	},
+	{
+		Name:             "order",
+		Idempotency:      balancer.NotIdempotent,
+		LatencyObjective: 600_000,
+		ClientTimeout:    3 * second,
+		PriorityWeight:   1,
+	},
+}
+
+// testRef is what the harness passes to AttemptScheduled.
+type testRef struct {
+	endpoint uint32
+	round    uint64
+}
+
+// harness joins a ledger to a real decision module, without sockets or a clock.
+type harness struct {
+	t        reporter
+	now      Micros
+	module   *balancer.Balancer
+	ledger   *Ledger
+	retired  map[uint32]bool
+	timers   []timer
+	depth    int // of nested calls into the module
+	deferred []func()
+
+	attempts    map[uint64]int          // by round: scheduled so far
+	completions map[string]int          // by round and attempt
+	responses   map[StreamID][]Response // by stream
+	open        map[string]testRef      // attempts that are not completed, by round and attempt
+	onForward   func(StreamID, testRef) // called with each forward
+	started     []balancer.Request      // requests of the rounds started
+}
+
+type timer struct {
+	at    Micros
+	token uint32
+}
+
+// reporter is the part of testing.T and rapid.T that the harness needs.
+type reporter interface {
+	Helper()
+	Errorf(format string, args ...any)
+	Fatalf(format string, args ...any)
+	Fatal(args ...any)
+}
+
+func newHarness(t reporter, limits func(*Limits)) *harness {
+	h := &harness{
+		t:           t,
+		now:         10 * second,
+		retired:     map[uint32]bool{},
+		attempts:    map[uint64]int{},
+		completions: map[string]int{},
+		responses:   map[StreamID][]Response{},
+		open:        map[string]testRef{},
+	}
+	l := Limits{Classes: classes, MaxAttempts: 3, Hedging: true, CallersRetry: true, MaxEntries: 1000}
+	if limits != nil {
+		limits(&l)
+	}
+	h.ledger = New(l, h)
+	var err error
+	settings := balancer.Settings{
+		Balancers: 1,
+		Zones:     2,
+		Kinds:     1,
+		Classes:   classes,
+		Limits: balancer.Limits{
+			Cancel:        true,
+			RetryAfter:    true,
+			Hedging:       true,
+			MaxAttempts:   l.MaxAttempts,
+			MaxOpen:       1000,
+			MaxRetryAfter: second,
+		},
+		Contract: balancer.Contract{SlowStartRatio: 1, OverloadMultiple: 2.5},
+	}
+	h.module, err = balancer.New(settings, 7, (*moduleActions)(h))
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.call(func() {
+		h.module.Start(h.now)
+		h.module.UpdateEndpoints(h.now, balancer.ListFull, endpoints(6))
+	})
+	return h
+}
+
+// endpoints returns n ready endpoints, numbered from 1; pairs share a cell.
+func endpoints(n int) []balancer.Endpoint {
+	list := make([]balancer.Endpoint, n)
+	for i := range list {
+		list[i] = balancer.Endpoint{ID: uint32(i + 1), Zone: uint8(i / 4), Cell: cell(uint32(i + 1)), Weight: 1}
+	}
+	return list
+}
+
+func cell(endpoint uint32) uint16 { return uint16(endpoint-1) / 2 }
+
+// call runs a call into the module, and then the calls that were deferred meanwhile.
+func (h *harness) call(f func()) {
+	h.depth++
+	f()
+	h.depth--
+	h.settle()
+}
+
+// settle runs deferred calls, unless a call into the module is at work.
+func (h *harness) settle() {
+	for h.depth == 0 && len(h.deferred) > 0 {
+		calls := h.deferred
+		h.deferred = nil
+		for _, f := range calls {
+			f()
+		}
+	}
+}
+
+// advance moves the time forward and fires the timers.
+func (h *harness) advance(d Micros) {
+	for end := h.now + d; h.now < end; {
+		h.now = min(end, h.now+10_000)
+		due := h.timers
+		h.timers = nil
+		for _, t := range due {
+			if t.at > h.now {
+				h.timers = append(h.timers, t)
+			} else {
+				h.call(func() { h.module.TimerFired(h.now, t.token) })
+			}
+		}
+		h.ledger.Tick(h.now)
+		h.settle()
+	}
+}
+
+// moduleActions is the harness as the host of the decision module.
+type moduleActions harness
+
+func (m *moduleActions) Send(id uint64, endpoint uint32, _, _ Micros) {
+	h := (*harness)(m)
+	n := h.attempts[id]
+	h.attempts[id]++
+	h.open[fmt.Sprint(id, " ", n)] = testRef{endpoint, id}
+	location := Location{Zone: uint8(endpoint-1) / 4, Cell: cell(endpoint)}
+	h.ledger.AttemptScheduled(h.now, id, location, testRef{endpoint, id})
+}
+func (m *moduleActions) Reject(id uint64, after Micros) { m.ledger.RoundRejected(m.now, id, after) }
+func (m *moduleActions) Fail(id uint64)                 { m.ledger.RoundFailed(m.now, id) }
+func (m *moduleActions) Cancel(id uint64, n int) {
+	h := (*harness)(m)
+	h.deferred = append(h.deferred, func() { h.ledger.AttemptCancelled(h.now, id, n) })
+}
+func (m *moduleActions) Timer(d Micros, token uint32) {
+	m.timers = append(m.timers, timer{m.now + d, token})
+}
+func (m *moduleActions) Probe(uint32)       {}
+func (m *moduleActions) Watch(bool)         {}
+func (m *moduleActions) Log(string, ...any) {}
+
+func (h *harness) StartRound(round uint64, _ string, in balancer.Request) {
+	h.started = append(h.started, in)
+	in.ID = round
+	h.call(func() { h.module.HandleRequest(h.now, in) })
+}
+func (h *harness) CancelRound(round uint64) {
+	h.call(func() { h.module.ClientDisconnected(h.now, round) })
+}
+func (h *harness) CompleteAttempt(round uint64, n int, o Outcome, settled bool) {
+	if h.depth > 0 {
+		h.t.Errorf("an attempt is completed from within a call of the module")
+	}
+	key := fmt.Sprint(round, " ", n)
+	if h.completions[key]++; h.completions[key] > 1 {
+		h.t.Errorf("attempt %s is completed twice, with %v", key, o.Status)
+	}
+	at := h.open[key]
+	delete(h.open, key)
+	served := at.endpoint
+	if o.Endpoint != 0 {
+		served = o.Endpoint
+	}
+	h.call(func() {
+		h.module.AttemptCompleted(h.now, balancer.Outcome{
+			ID:       round,
+			Attempt:  n,
+			Endpoint: served,
+			Status:   o.Status,
+			Settled:  settled,
+		})
+	})
+}
+func (h *harness) Usable(r any) bool { return !h.retired[r.(testRef).endpoint] }
+func (h *harness) Respond(a StreamID, t Response) {
+	h.responses[a] = append(h.responses[a], t)
+	if t.Kind == Forward && h.onForward != nil {
+		h.onForward(a, t.Ref.(testRef))
+	}
+}
+
+// newRequest returns a request of a class with 2 s until its deadline.
+func (h *harness) newRequest(a StreamID, class uint8, id, key string) Request {
+	return Request{
+		Stream:        a,
+		ID:            id,
+		Key:           key,
+		Fingerprint:   1,
+		ModuleRequest: balancer.Request{Class: class, Deadline: h.now + 2*second},
+	}
+}
+
+// request requests a decision and returns the response, which must come at once.
+func (h *harness) request(q Request) Response {
+	h.t.Helper()
+	h.ledger.HandleRequest(h.now, q)
+	h.settle()
+	if n := len(h.responses[q.Stream]); n != 1 {
+		h.t.Fatalf("stream %d got %d responses", q.Stream, n)
+	}
+	return h.responses[q.Stream][0]
+}
+
+func (h *harness) report(a StreamID, s balancer.Status) Response {
+	t := h.ledger.HandleReport(a, Outcome{Status: s})
+	h.settle()
+	return t
+}
+
+func (h *harness) closeStream(a StreamID, undelivered bool) {
+	h.ledger.StreamClosed(h.now, a, undelivered)
+	h.settle()
+}
+
+// checkEmpty fails the test if the ledger or the module still holds anything.
+func (h *harness) checkEmpty() {
+	h.t.Helper()
+	streams, rounds, entries := h.ledger.Counts()
+	if streams+rounds+entries > 0 || len(h.open) > 0 || len(h.ledger.requestIDs) > 0 {
+		h.t.Errorf("held at the end: %d streams, %d rounds, %d entries, %d ids, %d attempts", streams, rounds, entries,
+			len(h.ledger.requestIDs), len(h.open))
+	}
+}
+
+func endpointOf(t Response) uint32 { return t.Ref.(testRef).endpoint }
--- /dev/null
+++ b/internal/routing/ledger_test.go
@@ -0,0 +1,320 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+
+	"pinedale/balancer"
+)
+
+// A second request for the same effect gets the same endpoint while that deduplicates repeats, or a conflict.
+func TestSecondRequestForTheSameEffect(t *testing.T) {
+	closeStream := func(h *harness) { h.closeStream(1, false) }
+	closeUndelivered := func(h *harness) { h.closeStream(1, true) }
+	reject := func(h *harness) { h.report(1, balancer.Full) }
+	succeed := func(h *harness) {
+		h.report(1, balancer.OK)
+		h.closeStream(1, false)
+	}
+	succeedAndAdvance := func(h *harness) {
+		succeed(h)
+		h.advance(1_500_000)
+	}
+	for _, c := range []struct {
+		name  string
+		class uint8
+		id    string // of the second request
+		after func(h *harness)
+		want  ResponseKind
+		same  bool
+	}{
+		{"at once", classPay, "1", nil, Forward, true},
+		{"at once, by a retry of the client", classPay, "2", nil, Forward, true},
+		{"at once, for one cell", classClose, "2", nil, Forward, true},
+		{"after the outcome", classPay, "2", succeed, Forward, true},
+		{"after the outcome, by the same id", classPay, "1", succeed, Forward, true},
+		{"after the window", classPay, "2", succeedAndAdvance, Conflict, false},
+		{"the cell remembers for longer", classClose, "2", succeedAndAdvance, Forward, true},
+		{"after the window, still open", classPay, "2", func(h *harness) { h.advance(1_600_000) }, Conflict, false},
+		{"the stream was closed without a report", classClose, "2", closeStream, Forward, false},
+		{"idempotent, at once", classRead, "1", nil, Forward, true},
+		{"not idempotent, at once", classOrder, "1", nil, Conflict, false},
+		{"not idempotent, after the outcome", classOrder, "1", succeed, Conflict, false},
+		{"not idempotent, the stream was closed without a report", classOrder, "1", closeStream, Conflict, false},
+		{"not idempotent, the forward was not delivered", classOrder, "1", closeUndelivered, Forward, false},
+		{"not idempotent, rejected by the endpoint", classOrder, "1", reject, Forward, false},
+		{"its endpoint is retired", classPay, "2", func(h *harness) {
+			for i := range uint32(7) {
+				h.retired[i] = true
+			}
+		}, Conflict, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t, nil)
+			key := ""
+			if c.class == classPay || c.class == classClose {
+				key = "k"
+			}
+			first := h.request(h.newRequest(1, c.class, "1", key))
+			if first.Kind != Forward {
+				t.Fatalf("the first response: %+v", first)
+			}
+			if c.after != nil {
+				c.after(h)
+			}
+			got := h.request(h.newRequest(2, c.class, c.id, key))
+			if got.Kind != c.want {
+				t.Fatalf("the second response: %+v, want kind %v", got, c.want)
+			}
+			if c.same && endpointOf(got) != endpointOf(first) {
+				t.Errorf("endpoint %d, then %d", endpointOf(first), endpointOf(got))
+			}
+			if got.Kind == Forward && c.class == classClose && cell(endpointOf(got)) != cell(endpointOf(first)) {
+				t.Errorf("endpoint %d, then %d: of another cell", endpointOf(first), endpointOf(got))
+			}
+			h.closeStream(1, false)
+			h.closeStream(2, false)
+			h.advance(30 * second)
+			h.checkEmpty()
+		})
+	}
+}
+
+// Another request under a key or an ID in use is rejected, and nothing is forwarded.
+func TestKeyReusedForAnotherRequest(t *testing.T) {
+	h := newHarness(t, nil)
+	h.request(h.newRequest(1, classPay, "1", "k"))
+	other := h.newRequest(2, classPay, "2", "k")
+	other.Fingerprint = 2
+	if got := h.request(other); got.Kind != KeyReused || got.Reason != reasonKeyReused {
+		t.Errorf("another request under the key: %+v", got)
+	}
+	if got := h.request(h.newRequest(3, classPay, "1", "k2")); got.Kind != KeyReused || got.Reason != reasonIDInUse {
+		t.Errorf("another key under the id: %+v", got)
+	}
+	tenant := h.newRequest(4, classPay, "4", "k")
+	tenant.Tenant = "acme"
+	tenant.Fingerprint = 3
+	if got := h.request(tenant); got.Kind != Forward {
+		t.Errorf("the same key of another tenant: %+v", got)
+	}
+	if got := h.ledger.HandleReport(2, Outcome{Status: balancer.OK}); got.Kind != PassThrough || len(h.completions) != 0 {
+		t.Error("a report counted on a stream that was given no endpoint")
+	}
+	for a := StreamID(1); a <= 4; a++ {
+		h.closeStream(a, false)
+	}
+	h.advance(30 * second)
+	h.checkEmpty()
+}
+
+// A stream that is closed before its forward was delivered leaves nothing behind. One that is closed later, without a
+// report, leaves only the entry of a request that may have run.
+func TestStreamClosedWithoutReport(t *testing.T) {
+	h := newHarness(t, nil)
+	h.request(h.newRequest(1, classPay, "1", "k"))
+	h.closeStream(1, true) // the forward was not delivered
+	h.checkEmpty()
+	h.request(h.newRequest(2, classOrder, "2", ""))
+	h.closeStream(2, false)
+	if len(h.open) != 0 {
+		t.Error("the attempt is still counted in flight")
+	}
+	if _, _, entries := h.ledger.Counts(); entries != 1 {
+		t.Errorf("%d entries, want the one that may have run", entries)
+	}
+	// A stream that stays open and never reports: the deadline releases all but the entry.
+	h.request(h.newRequest(3, classPay, "3", "k3"))
+	h.advance(2 * second)
+	if _, rounds, _ := h.ledger.Counts(); rounds != 0 || len(h.open) != 0 {
+		t.Errorf("after the deadline: %d rounds, %d attempts", rounds, len(h.open))
+	}
+	if got := h.report(3, balancer.Error); got.Kind != Reject && got.Kind != Fail {
+		t.Errorf("a report after the deadline: %+v, want the final answer", got)
+	}
+	h.closeStream(3, false)
+	h.advance(30 * second)
+	h.checkEmpty()
+}
+
+// After a reported failure the caller may request a decision again, and gets what the module decides within the
+// rules of the class and the limit of attempts.
+func TestRetryAfterReportedFailure(t *testing.T) {
+	h := newHarness(t, nil)
+	used := map[uint32]bool{}
+	for n := range 3 {
+		got := h.request(h.newRequest(StreamID(n), classPay, "1", "k"))
+		if got.Kind != Forward || got.Attempt != n {
+			t.Fatalf("request %d: %+v", n, got)
+		}
+		used[endpointOf(got)] = true
+		want := RetryAllowed
+		if n == 2 {
+			want = Reject // no attempt is left, and all endpoints drop a repeat
+		}
+		if got := h.report(StreamID(n), balancer.Error); got.Kind != want {
+			t.Fatalf("report %d: %+v, want %v", n, got, want)
+		}
+		h.closeStream(StreamID(n), false)
+	}
+	if len(used) != 3 {
+		t.Errorf("endpoints %v, want three", used)
+	}
+	if got := h.request(h.newRequest(9, classPay, "1", "k")); got.Kind != Reject {
+		t.Errorf("once more: %+v, want the final answer again", got)
+	}
+	h.closeStream(9, false)
+	for _, c := range []struct {
+		class uint8
+		s     balancer.Status
+		want  ResponseKind
+	}{
+		{classOrder, balancer.Error, Fail},
+		{classOrder, balancer.Full, RetryAllowed},
+		{classOrder, balancer.ConnectFailed, RetryAllowed},
+		{classOrder, balancer.Reset, Fail},
+		{classClose, balancer.Reset, RetryAllowed},
+		{classRead, balancer.Timeout, RetryAllowed},
+	} {
+		h.request(h.newRequest(20, c.class, "20", map[bool]string{true: "k20"}[c.class == classClose]))
+		if got := h.report(20, c.s); got.Kind != c.want {
+			t.Errorf("class %d after %v: %+v, want %v", c.class, c.s, got, c.want)
+		}
+		h.closeStream(20, false)
+		delete(h.responses, 20)
+		h.advance(30 * second)
+	}
+	h.checkEmpty()
+}
+
+// A retry that is on offer and not claimed in time expires, and is no longer counted in flight.
+func TestUnclaimedRetryExpires(t *testing.T) {
+	h := newHarness(t, nil)
+	h.request(h.newRequest(1, classRead, "1", ""))
+	if got := h.report(1, balancer.Error); got.Kind != RetryAllowed || len(h.open) != 1 {
+		t.Fatalf("report: %+v, %d attempts", got, len(h.open))
+	}
+	h.closeStream(1, false)
+	h.advance(OfferTimeout + 20_000)
+	h.checkEmpty()
+}
+
+// Where callers do not retry, the module knows it and gives its final answer at once.
+func TestFinalAnswerWhereCallersDoNotRetry(t *testing.T) {
+	h := newHarness(t, func(l *Limits) { l.CallersRetry = false })
+	wants := map[uint8]ResponseKind{classRead: Reject, classOrder: Fail, classPay: Reject, classClose: Fail}
+	for class, want := range wants {
+		a := StreamID(class)
+		key := ""
+		if class == classPay || class == classClose {
+			key = fmt.Sprint("k", class)
+		}
+		h.request(h.newRequest(a, class, fmt.Sprint(class), key))
+		if got := h.report(a, balancer.Error); got.Kind != want {
+			t.Errorf("class %d: %+v, want %v", class, got, want)
+		}
+		h.closeStream(a, false)
+	}
+	h.advance(30 * second)
+	h.checkEmpty()
+}
+
+// If an endpoint is retired before a forward is delivered, or before an offer is claimed, the module decides anew.
+func TestEndpointRetiredBeforeForwardIsUsed(t *testing.T) {
+	h := newHarness(t, nil)
+	first := h.request(h.newRequest(1, classOrder, "1", ""))
+	h.retired[endpointOf(first)] = true
+	h.responses[1] = nil
+	h.ledger.ForwardDiscarded(1)
+	h.settle()
+	got := h.responses[1]
+	if len(got) != 1 || got[0].Kind != Forward || endpointOf(got[0]) == endpointOf(first) {
+		t.Fatalf("responses %+v after endpoint %d was retired", got, endpointOf(first))
+	}
+	if got := h.report(1, balancer.Full); got.Kind != RetryAllowed {
+		t.Fatalf("report: %+v", got)
+	}
+	h.closeStream(1, false)
+	for _, at := range h.open {
+		h.retired[at.endpoint] = true
+	}
+	if got := h.request(h.newRequest(2, classOrder, "1", "")); got.Kind == Forward {
+		t.Errorf("a fourth attempt: %+v", got)
+	}
+	h.closeStream(2, false)
+	h.advance(30 * second)
+	h.checkEmpty()
+}
+
+// Proof that one forward never ran proves nothing of another forward of the same attempt.
+func TestReportOfOneForwardProvesNothingOfTheOther(t *testing.T) {
+	h := newHarness(t, nil)
+	h.request(h.newRequest(1, classClose, "1", "k"))
+	h.request(h.newRequest(2, classClose, "2", "k"))
+	h.report(1, balancer.ConnectFailed)
+	h.closeStream(1, false)
+	h.closeStream(2, false)
+	h.advance(OfferTimeout + 20_000)
+	h.request(h.newRequest(3, classClose, "3", "k"))
+	if in := h.started[len(h.started)-1]; !in.MayHaveRun {
+		t.Error("the next round may go anywhere, though an attempt may have run")
+	}
+	h.closeStream(3, false)
+	h.advance(30 * second)
+	h.checkEmpty()
+}
+
+// The outcome counts for the endpoint that served the attempt. An endpoint that is not in the list settles the
+// request, and it is not forwarded again.
+func TestServedByAnotherEndpoint(t *testing.T) {
+	h := newHarness(t, nil)
+	first := h.request(h.newRequest(1, classClose, "1", "k"))
+	other := endpointOf(first)%6 + 3
+	if other > 6 {
+		other -= 6
+	}
+	outcome := Outcome{Status: balancer.Error, Endpoint: other, Location: Location{Cell: cell(other)}}
+	got := h.ledger.HandleReport(1, outcome)
+	h.settle()
+	h.closeStream(1, false)
+	if got.Kind == RetryAllowed {
+		if next := h.request(h.newRequest(2, classClose, "1", "k")); cell(endpointOf(next)) != cell(other) {
+			t.Errorf("the next endpoint %d is not of the cell of %d, which served", endpointOf(next), other)
+		}
+		h.closeStream(2, false)
+	} else {
+		t.Errorf("report: %+v", got)
+	}
+	h.request(h.newRequest(3, classPay, "3", "k3"))
+	if got := h.ledger.HandleReport(3, Outcome{Status: balancer.OK, UnknownEndpoint: true}); got.Kind != PassThrough {
+		t.Errorf("served by an unknown endpoint: %+v", got)
+	}
+	h.closeStream(3, false)
+	got = h.request(h.newRequest(4, classPay, "4", "k3"))
+	if got.Kind != Conflict || got.Reason != reasonUnknownEndpoint {
+		t.Errorf("requested again: %+v", got)
+	}
+	h.closeStream(4, false)
+	h.advance(30 * second)
+	h.checkEmpty()
+}
+
+// Once all entries are in use, further requests are rejected and no entry is dropped.
+func TestAtCapacityWhenEntriesAreUsedUp(t *testing.T) {
+	h := newHarness(t, func(l *Limits) { l.MaxEntries = 2 })
+	for a := StreamID(1); a <= 3; a++ {
+		got := h.request(h.newRequest(a, classPay, fmt.Sprint(a), fmt.Sprint("k", a)))
+		want := Forward
+		if a > 2 {
+			want = AtCapacity
+		}
+		if got.Kind != want || got.Kind == AtCapacity && got.RetryAfter <= 0 {
+			t.Errorf("request %d: %+v", a, got)
+		}
+	}
+	for a := StreamID(1); a <= 3; a++ {
+		h.closeStream(a, false)
+	}
+	h.advance(30 * second)
+	h.checkEmpty()
+}
--- a/internal/routing/model_test.go
+++ b/internal/routing/model_test.go
@@ -10,157 +10,161 @@
 	_ "pinedale/internal/standin/seeds"
 )
 
-// effect is what the model knows of one key, or of one id where there are none:
-// every copy that was handed out, and whether it may have run.
+// effect is what the model knows of one idempotency key, or of one request ID where there is no key: every forward,
+// and whether it may have run.
 type effect struct {
-	class  uint8
-	copies []*copy_
-	byID   map[string]int // copies handed out for a request
-	active Micros         // when the last ask left
+	class      uint8
+	forwards   []*forwarded
+	byID       map[string]int // forwards by request ID
+	lastClosed Micros         // when its last stream was closed
 }
 
-type copy_ struct {
+// forwarded is one attempt that was forwarded to a caller.
+type forwarded struct {
 	at       Micros
 	endpoint uint32
-	never    bool // proven not to have run
+	neverRan bool // proven not to have run
 }
 
-func (e *effect) first() *copy_ {
-	for _, c := range e.copies {
-		if !c.never {
+func (e *effect) firstThatMayHaveRun() *forwarded {
+	for _, c := range e.forwards {
+		if !c.neverRan {
 			return c
 		}
 	}
 	return nil
 }
 
-// TestRulesUnderRandomHistories plays random callers against the ledger and a real
-// decision module, and holds every copy handed out against a plain reference.
-func TestRulesUnderRandomHistories(t *testing.T) {
+// TestForwardRulesUnderRandomHistories plays random callers against the ledger and a real decision module, and checks
+// every forward against a plain reference model.
+func TestForwardRulesUnderRandomHistories(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		retries := rapid.Bool().Draw(t, "callers ask again")
-		w := newWorld(t, func(l *Limits) { l.Retries = retries })
+		retries := rapid.Bool().Draw(t, "callers retry")
+		h := newHarness(t, func(l *Limits) { l.CallersRetry = retries })
 		effects := map[string]*effect{}
-		type asking struct {
-			q        Query
+		type openStream struct {
+			request  Request
 			name     string
-			copy     *copy_
+			attempt  *forwarded
 			reported bool
 		}
-		asks, order_ := map[Ask]*asking{}, []Ask{}
-		w.sends = func(a Ask, at ref) {
-			in := asks[a]
-			e := effects[in.name]
-			c := &copy_{at: w.now, endpoint: at.endpoint}
-			if w.retired[at.endpoint] {
-				t.Fatalf("ask %d was sent to %d, which is retired", a, at.endpoint)
+		streams, openStreams := map[StreamID]*openStream{}, []StreamID{}
+		h.onForward = func(a StreamID, at testRef) {
+			open := streams[a]
+			e := effects[open.name]
+			c := &forwarded{at: h.now, endpoint: at.endpoint}
+			if h.retired[at.endpoint] {
+				t.Fatalf("stream %d was forwarded to %d, which is retired", a, at.endpoint)
 			}
-			if first := e.first(); first != nil {
+			if first := e.firstThatMayHaveRun(); first != nil {
 				k := classes[e.class]
+				sameCell := cell(at.endpoint) == cell(first.endpoint)
 				switch {
 				case k.Idempotency == balancer.NotIdempotent:
-					t.Fatalf("ask %d: an unsafe request was handed out again", a)
-				case k.Idempotency == balancer.IdempotentWithKey && w.now >= first.at+k.DedupWindow:
-					t.Fatalf("ask %d: %s was handed out %d after the first copy", a, k.Name, w.now-first.at)
-				case k.Idempotency == balancer.IdempotentWithKey && k.Group == balancer.GroupCell && cell(at.endpoint) != cell(first.endpoint):
-					t.Fatalf("ask %d: %s left its cell", a, k.Name)
+					t.Fatalf("stream %d: a request that is not idempotent was forwarded again", a)
+				case k.Idempotency == balancer.IdempotentWithKey && h.now >= first.at+k.DedupWindow:
+					t.Fatalf("stream %d: %s was forwarded %d after the first attempt", a, k.Name, h.now-first.at)
+				case k.Idempotency == balancer.IdempotentWithKey && k.Group == balancer.GroupCell && !sameCell:
+					t.Fatalf("stream %d: %s left its cell", a, k.Name)
 				}
 			}
-			e.copies = append(e.copies, c)
-			if e.byID[in.q.ID]++; e.byID[in.q.ID] > 3 {
-				t.Fatalf("request %s was handed out %d times", in.q.ID, e.byID[in.q.ID])
+			e.forwards = append(e.forwards, c)
+			if e.byID[open.request.ID]++; e.byID[open.request.ID] > 3 {
+				t.Fatalf("request %s was forwarded %d times", open.request.ID, e.byID[open.request.ID])
 			}
-			in.copy = c
+			open.attempt = c
 		}
-		next := Ask(0)
-		pick := func() (Ask, *asking) {
-			a := order_[rapid.IntRange(0, len(order_)-1).Draw(t, "ask")]
-			return a, asks[a]
+		lastStream := StreamID(0)
+		pick := func() (StreamID, *openStream) {
+			a := openStreams[rapid.IntRange(0, len(openStreams)-1).Draw(t, "stream")]
+			return a, streams[a]
 		}
-		drop := func(a Ask) {
-			delete(asks, a)
-			for i, o := range order_ {
+		remove := func(a StreamID) {
+			delete(streams, a)
+			for i, o := range openStreams {
 				if o == a {
-					order_ = append(order_[:i], order_[i+1:]...)
+					openStreams = append(openStreams[:i], openStreams[i+1:]...)
 					break
 				}
 			}
 		}
-		// What the ledger has forgotten must be old, or harmless to forget.
-		forget := func() {
+		// An entry that the ledger has removed must be old, or harmless to remove.
+		checkForgotten := func() {
 			for name, e := range effects {
-				if w.ledger.entries[name] != nil {
+				if h.ledger.entries[name] != nil {
 					continue
 				}
-				if c := classes[e.class]; e.first() != nil && c.Idempotency != balancer.Idempotent && w.now < e.active+c.ClientTimeout+c.DedupWindow {
-					t.Fatalf("%q was forgotten %d after its last ask, and may have run", name, w.now-e.active)
+				c := classes[e.class]
+				retained := e.firstThatMayHaveRun() != nil && c.Idempotency != balancer.Idempotent
+				if retained && h.now < e.lastClosed+c.ClientTimeout+c.DedupWindow {
+					t.Fatalf("%q was removed %d after its last stream was closed, and may have run", name, h.now-e.lastClosed)
 				}
 				delete(effects, name)
 			}
 		}
 		for range rapid.IntRange(5, 60).Draw(t, "events") {
-			switch what := rapid.IntRange(0, 9).Draw(t, "event"); {
-			case what < 4 || len(order_) == 0:
-				next++
+			switch event := rapid.IntRange(0, 9).Draw(t, "event"); {
+			case event < 4 || len(openStreams) == 0:
+				lastStream++
 				class := uint8(rapid.IntRange(0, 3).Draw(t, "class"))
 				n := rapid.IntRange(0, 2).Draw(t, "request")
-				try := rapid.IntRange(0, 1).Draw(t, "try")
+				retry := rapid.IntRange(0, 1).Draw(t, "retry")
 				id, key := fmt.Sprint(class, "-", n), ""
-				if class == pay || class == close_ {
+				if class == classPay || class == classClose {
 					key = fmt.Sprint("key", class, "-", n)
-					id = fmt.Sprint(id, "-", try)
+					id = fmt.Sprint(id, "-", retry)
 				}
-				in := &asking{q: w.query(next, class, id, key)}
-				in.name = name(&in.q)
-				if effects[in.name] == nil {
-					effects[in.name] = &effect{class: class, byID: map[string]int{}}
+				open := &openStream{request: h.newRequest(lastStream, class, id, key)}
+				open.name = entryKey(&open.request)
+				if effects[open.name] == nil {
+					effects[open.name] = &effect{class: class, byID: map[string]int{}}
 				}
-				asks[next] = in
-				order_ = append(order_, next)
-				w.ledger.Ask(w.now, in.q)
-				w.settle()
-				if n := len(w.told[next]); n != 1 {
-					t.Fatalf("ask %d was told %d times", next, n)
+				streams[lastStream] = open
+				openStreams = append(openStreams, lastStream)
+				h.ledger.HandleRequest(h.now, open.request)
+				h.settle()
+				if n := len(h.responses[lastStream]); n != 1 {
+					t.Fatalf("stream %d got %d responses", lastStream, n)
 				}
-			case what < 7:
-				a, in := pick()
-				if in.copy == nil || in.reported {
+			case event < 7:
+				a, open := pick()
+				if open.attempt == nil || open.reported {
 					continue
 				}
-				in.reported = true
+				open.reported = true
 				s := rapid.SampledFrom([]balancer.Status{balancer.OK, balancer.Error, balancer.Full, balancer.ConnectFailed,
 					balancer.Reset, balancer.Timeout}).Draw(t, "status")
-				in.copy.never = s == balancer.Full || s == balancer.ConnectFailed
-				w.report(a, s)
-			case what < 8:
-				a, in := pick()
-				unsent := in.copy != nil && !in.reported && rapid.Bool().Draw(t, "unsent")
-				if unsent {
-					in.copy.never = true
-					effects[in.name].byID[in.q.ID]--
+				open.attempt.neverRan = s == balancer.Full || s == balancer.ConnectFailed
+				h.report(a, s)
+			case event < 8:
+				a, open := pick()
+				undelivered := open.attempt != nil && !open.reported && rapid.Bool().Draw(t, "undelivered")
+				if undelivered {
+					open.attempt.neverRan = true
+					effects[open.name].byID[open.request.ID]--
 				}
-				if e := effects[in.name]; e != nil {
-					e.active = w.now
+				if e := effects[open.name]; e != nil {
+					e.lastClosed = h.now
 				}
-				drop(a)
-				w.left(a, unsent)
-			case what < 9:
+				remove(a)
+				h.closeStream(a, undelivered)
+			case event < 9:
 				e := rapid.IntRange(1, 6).Draw(t, "endpoint")
-				w.retired[uint32(e)] = true
+				h.retired[uint32(e)] = true
 				draining := endpoints(6)[e-1]
 				draining.State = balancer.Draining
-				w.call(func() { w.module.UpdateEndpoints(w.now, balancer.ListDelta, []balancer.Endpoint{draining}) })
+				h.call(func() { h.module.UpdateEndpoints(h.now, balancer.ListDelta, []balancer.Endpoint{draining}) })
 			default:
-				w.pass(Micros(rapid.IntRange(1, 300).Draw(t, "ms")) * 10_000)
+				h.advance(Micros(rapid.IntRange(1, 300).Draw(t, "ms")) * 10_000)
 			}
-			forget()
+			checkForgotten()
 		}
-		for len(order_) > 0 {
-			a := order_[0]
-			drop(a)
-			w.left(a, false)
+		for len(openStreams) > 0 {
+			a := openStreams[0]
+			remove(a)
+			h.closeStream(a, false)
 		}
-		w.pass(40 * second)
-		w.empty()
+		h.advance(40 * second)
+		h.checkEmpty()
 	})
 }
--- /dev/null
+++ b/internal/routing/replay.go
@@ -0,0 +1,72 @@
+package routing
+
+import "pinedale/balancer"
+
+// deliveryMargin is taken off a deduplication window for the time from a response to its use: a request forwarded in
+// the last instant of the window would reach the endpoint after it. A caller on the same machine needs under a
+// millisecond, an overloaded one some tens.
+const deliveryMargin Micros = 100_000
+
+// Reasons of Conflict and KeyReused.
+const (
+	reasonIDInUse         = "another request with this id is open"
+	reasonKeyReused       = "the key or id was used for another request"
+	reasonNotIdempotent   = "the request may have run and must not be repeated"
+	reasonInFlight        = "the request is open, and two copies may not be out at once"
+	reasonWindowExpired   = "the servers may have forgotten the key: the request must not be repeated"
+	reasonMaxAttempts     = "the request has had all its attempts"
+	reasonEndpointRetired = "the server of the first copy takes nothing new"
+	reasonUnknownEndpoint = "a server had the request that is not in the list: it must not be repeated"
+)
+
+// replay forwards an attempt once more that was forwarded before, if a repeat is harmless.
+func (l *Ledger) replay(now Micros, r *round, index int, s *stream) {
+	if reason := l.replayConflict(now, r, index, s.requestID); reason != "" {
+		l.actions.Respond(s.id, Response{Kind: Conflict, Reason: reason})
+		return
+	}
+	l.forward(now, r, index, s)
+}
+
+// replayConflict returns the reason why an attempt must not be forwarded again, "" if it may.
+func (l *Ledger) replayConflict(now Micros, r *round, index int, requestID string) string {
+	e, a := r.entry, &r.attempts[index]
+	idempotency := l.class(e).Idempotency
+	first, _ := e.firstThatMayHaveRun()
+	switch {
+	case idempotency == balancer.NotIdempotent:
+		return reasonNotIdempotent
+	case e.unknownEndpoint && idempotency == balancer.IdempotentWithKey:
+		return reasonUnknownEndpoint
+	case !a.completed && !l.limits.Hedging:
+		return reasonInFlight
+	case l.windowExpired(now, e, first):
+		return reasonWindowExpired
+	case e.exhausted(requestID, l.limits.MaxAttempts):
+		return reasonMaxAttempts
+	case !l.actions.Usable(a.ref):
+		return reasonEndpointRetired
+	}
+	return ""
+}
+
+// windowExpired reports whether the endpoints may have forgotten the key of an entry by the time a request that is
+// forwarded now reaches them. first is the first attempt that may have run.
+func (l *Ledger) windowExpired(now Micros, e *entry, first balancer.PreviousAttempt) bool {
+	class := l.class(e)
+	return class.Idempotency == balancer.IdempotentWithKey && now >= first.At+class.DedupWindow-deliveryMargin
+}
+
+// maxForwards returns how often a request may be forwarded: the limit, or less if the request brings a bound.
+func (l *Ledger) maxForwards(req *Request) int {
+	if req.ModuleRequest.MaxAttempts > 0 {
+		return min(req.ModuleRequest.MaxAttempts, l.limits.MaxAttempts)
+	}
+	return l.limits.MaxAttempts
+}
+
+// exhausted reports whether a request has been forwarded as often as it may be.
+func (e *entry) exhausted(requestID string, maxForwards int) bool {
+	counter := e.forwardsOf(requestID)
+	return counter == nil || counter.forwards >= maxForwards
+}
--- /dev/null
+++ b/internal/routing/report.go
@@ -0,0 +1,96 @@
+package routing
+
+import "pinedale/balancer"
+
+// HandleReport takes the outcome of the attempt that was forwarded to a stream, and returns what is to be done with
+// the endpoint's answer. It counts only from a stream that was answered with Forward, and once.
+func (l *Ledger) HandleReport(id StreamID, outcome Outcome) Response {
+	s := l.streams[id]
+	if s == nil || s.round == nil || s.reported {
+		return Response{Kind: PassThrough}
+	}
+	s.reported = true
+	r := s.round
+	a := &r.attempts[s.attempt]
+	a.waiting--
+	if a.forwards > 1 {
+		outcome.Status = withoutProof(outcome.Status)
+	}
+	if outcome.Endpoint != 0 {
+		a.location = outcome.Location
+	}
+	succeeded := outcome.Status == balancer.OK
+	if succeeded && r.succeeded == noAttempt {
+		r.succeeded = s.attempt
+	}
+	if outcome.UnknownEndpoint {
+		// Nothing can be learned of an endpoint that is not in the list.
+		r.entry.unknownEndpoint = true
+		outcome.Status = balancer.Cancelled
+	}
+	if !a.completed {
+		l.completeReported(r, s.attempt, outcome)
+	}
+	if succeeded {
+		return Response{Kind: PassThrough}
+	}
+	return r.responseToFailure()
+}
+
+// withoutProof weakens a status that proves that the request never ran. If an attempt was forwarded more than once,
+// the report on one forward proves nothing of the others.
+func withoutProof(status balancer.Status) balancer.Status {
+	switch status {
+	case balancer.Full:
+		return balancer.Error
+	case balancer.ConnectFailed, balancer.NotSent:
+		return balancer.Reset
+	}
+	return status
+}
+
+// completeReported tells the module the reported outcome of an attempt, and ends the round if it can't go on.
+func (l *Ledger) completeReported(r *round, index int, outcome Outcome) {
+	// Replays use up forwards that the module still counts as attempts of its own.
+	exhausted := r.entry.exhausted(r.requestID, l.limits.MaxAttempts) && len(r.attempts) < r.maxAttempts
+	r.answered = r.answered || r.succeeded != noAttempt || outcome.UnknownEndpoint || exhausted
+	l.completeAttempt(r, index, outcome, r.answered && outcome.Status != balancer.OK)
+}
+
+// responseToFailure returns the reply to the report of a failed attempt.
+func (r *round) responseToFailure() Response {
+	last := &r.attempts[len(r.attempts)-1]
+	switch {
+	case r.hasFinal():
+		return r.final
+	case !r.answered && !last.completed && last.offered:
+		return Response{Kind: RetryAllowed}
+	}
+	return Response{Kind: Fail}
+}
+
+// ForwardDiscarded takes that the host did not pass a Forward on, since its endpoint no longer accepts requests. The
+// stream gets another response.
+func (l *Ledger) ForwardDiscarded(id StreamID) {
+	s := l.streams[id]
+	if s == nil || s.round == nil || s.reported {
+		return
+	}
+	r := s.round
+	a := &r.attempts[s.attempt]
+	a.waiting--
+	a.takeBack()
+	r.entry.forwardsOf(s.requestID).forwards--
+	s.round = nil
+	switch {
+	case a.mayHaveRun:
+		l.actions.Respond(id, Response{Kind: Conflict, Reason: reasonEndpointRetired})
+	case r.answered && r.hasFinal():
+		l.actions.Respond(id, r.final)
+	case r.answered || a.completed:
+		l.actions.Respond(id, Response{Kind: Fail})
+	default:
+		r.entry.waiting = append(r.entry.waiting, s)
+		l.completeAttempt(r, s.attempt, Outcome{Status: balancer.NotSent}, false)
+	}
+}
