sidecar tests: errors are handled, bodies closed

A test's own writes and deadlines now fail it; an endpoint's writes to a connection that may be gone say that they are ignored. text loses its parameter that was always a minute.

--- a/internal/sidecar/clients_test.go
+++ b/internal/sidecar/clients_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -23,7 +24,9 @@
 		w.t.Fatal(err)
 	}
 	w.t.Cleanup(func() { conn.Close() })
-	conn.SetDeadline(time.Now().Add(patience))
+	if err := conn.SetDeadline(time.Now().Add(patience)); err != nil {
+		w.t.Fatal(err)
+	}
 	return conn
 }
 
@@ -31,9 +34,9 @@
 func (w *world) raw(text string) string {
 	w.t.Helper()
 	conn := w.dial()
-	io.WriteString(conn, text)
+	_, _ = io.WriteString(conn, text) // a refused head may end the connection before its body is written
 	got, err := io.ReadAll(conn)
-	if e, ok := err.(net.Error); ok && e.Timeout() {
+	if e := net.Error(nil); errors.As(err, &e) && e.Timeout() {
 		w.t.Errorf("the connection stays open; so far: %q", got)
 	}
 	return string(got)
@@ -63,13 +66,18 @@
 	// The same after a request, where net/http skips empty lines.
 	conn := w.dial()
 	in := bufio.NewReader(conn)
-	io.WriteString(conn, payHead+"X-Correlation-Id: 3\r\nContent-Length: 2\r\n\r\nok")
-	if response, err := http.ReadResponse(in, nil); err != nil || response.StatusCode != http.StatusOK {
+	if _, err := io.WriteString(conn, payHead+"X-Correlation-Id: 3\r\nContent-Length: 2\r\n\r\nok"); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(in, nil)
+	if err != nil || response.StatusCode != http.StatusOK {
 		t.Fatalf("a good request: %v, %v", response, err)
-	} else {
-		io.Copy(io.Discard, response.Body)
 	}
-	io.WriteString(conn, fmt.Sprintf("\r\n%sX-Correlation-Id: 4\r\nContent-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n%s", payHead, len(body), body))
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+	_, _ = fmt.Fprintf(conn, "\r\n%sX-Correlation-Id: 4\r\nContent-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n%s", payHead, len(body), body)
 	rest, _ := io.ReadAll(in)
 	if strings.Count(string(rest), "HTTP/1.1") != 1 || !strings.HasPrefix(string(rest), "HTTP/1.1 400") {
 		t.Errorf("after an empty line: got %q", rest)
@@ -163,7 +171,7 @@
 	e := peer.New(t, func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
 		for e.Next(in) != nil {
 			time.Sleep(httpfront.ReadTimeout + 300*time.Millisecond)
-			io.WriteString(conn, peer.Served)
+			_, _ = io.WriteString(conn, peer.Served)
 		}
 	})
 	w := start(t, nil, directory.Ready("s-1", e.Address))
@@ -180,7 +188,7 @@
 	e := peer.New(t, func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
 		for e.Next(in) != nil {
 			<-answer
-			io.WriteString(conn, peer.Served)
+			_, _ = io.WriteString(conn, peer.Served)
 		}
 	})
 	w := start(t, nil, directory.Ready("s-1", e.Address))
@@ -209,7 +217,7 @@
 			if strings.HasPrefix(r.RequestURI, "/pay") {
 				<-answer
 			}
-			io.WriteString(conn, peer.Served)
+			_, _ = io.WriteString(conn, peer.Served)
 		}
 	})
 	w := start(t, nil, directory.Ready("s-1", e.Address))
@@ -228,7 +236,7 @@
 	}
 	if _, err := oldest.Read(make([]byte, 1)); err == nil {
 		t.Error("the longest silent connection can still be read")
-	} else if e, ok := err.(net.Error); ok && e.Timeout() {
+	} else if e := net.Error(nil); errors.As(err, &e) && e.Timeout() {
 		t.Error("the longest silent connection stays open")
 	}
 	if n := w.server.Connections(); n > w.most {
@@ -249,11 +257,14 @@
 	w.until("other connections to end", func() bool { return w.server.Connections() == 0 })
 	for i := range crowded + 3 {
 		conn := w.dial()
-		w.request("read", "", time.Minute).Write(conn)
+		if err := w.request("read", "", time.Minute).Write(conn); err != nil {
+			t.Fatal(err)
+		}
 		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 		if err != nil || response.StatusCode != http.StatusOK {
 			t.Fatalf("request %d: %v, %v", i, response, err)
 		}
+		response.Body.Close()
 		if want := i >= crowded; response.Close != want {
 			t.Fatalf("request %d: Connection: close %v, want %v", i, response.Close, want)
 		}
--- a/internal/sidecar/config_test.go
+++ b/internal/sidecar/config_test.go
@@ -58,7 +58,9 @@
 	if _, err := LoadConfig(path); err == nil {
 		t.Error("a missing file is no error")
 	}
-	os.WriteFile(path, []byte(good[:100]), 0o600)
+	if err := os.WriteFile(path, []byte(good[:100]), 0o600); err != nil {
+		t.Fatal(err)
+	}
 	if _, err := LoadConfig(path); err == nil {
 		t.Error("half a file is no error")
 	}
--- a/internal/sidecar/departures_test.go
+++ b/internal/sidecar/departures_test.go
@@ -25,10 +25,10 @@
 }
 
 // text is a request as it goes over the wire.
-func (w *world) text(class, body string, timeLeft time.Duration) string {
+func (w *world) text(class, body string) string {
 	w.t.Helper()
 	var text bytes.Buffer
-	if err := w.request(class, body, timeLeft).Write(&text); err != nil {
+	if err := w.request(class, body, time.Minute).Write(&text); err != nil {
 		w.t.Fatal(err)
 	}
 	return text.String()
@@ -39,9 +39,9 @@
 // forbid to call attempts off, nor where bytes behind the request hide the departure from
 // net/http, which looks for it no more once one has come.
 func TestNothingIsWrittenForAClientThatHasLeft(t *testing.T) {
-	reset := func(c net.Conn) { c.(*net.TCPConn).SetLinger(0); c.Close() }
+	reset := func(c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0); c.Close() }
 	closed := func(c net.Conn) { c.Close() }
-	half := func(c net.Conn) { c.(*net.TCPConn).CloseWrite() }
+	half := func(c net.Conn) { _ = c.(*net.TCPConn).CloseWrite() }
 	for _, c := range []struct {
 		name           string
 		class          string
@@ -72,9 +72,13 @@
 			}
 			w.begin(func(s map[string]any) { s["limits"].(map[string]any)["cancel"] = c.cancel }, directory.Ready("s-1", e.Address))
 			conn := w.dial()
-			io.WriteString(conn, w.text(c.class, "x", time.Minute)+c.within)
+			if _, err := io.WriteString(conn, w.text(c.class, "x")+c.within); err != nil {
+				t.Fatal(err)
+			}
 			<-dialling
-			io.WriteString(conn, c.behind)
+			if _, err := io.WriteString(conn, c.behind); err != nil {
+				t.Fatal(err)
+			}
 			c.leave(conn)
 			w.until("the departure", func() bool { return w.spy.told("gone") })
 			close(comesUp)
@@ -106,16 +110,22 @@
 	}
 	w.begin(nil, directory.Ready("s-1", e.Address))
 	conn := w.dial()
-	io.WriteString(conn, w.text("pay", "first", time.Minute))
+	if _, err := io.WriteString(conn, w.text("pay", "first")); err != nil {
+		t.Fatal(err)
+	}
 	<-dialling
-	next := w.text("pay", "next", time.Minute)
+	next := w.text("pay", "next")
 	for len(next) > 0 {
 		n := min(7, len(next))
-		io.WriteString(conn, next[:n])
+		if _, err := io.WriteString(conn, next[:n]); err != nil {
+			t.Fatal(err)
+		}
 		next = next[n:]
 	}
 	close(comesUp)
-	conn.SetReadDeadline(time.Now().Add(patience))
+	if err := conn.SetReadDeadline(time.Now().Add(patience)); err != nil {
+		t.Fatal(err)
+	}
 	in := bufio.NewReader(conn) // both answers may come in one piece
 	for range 2 {
 		r, err := http.ReadResponse(in, nil)
@@ -125,6 +135,7 @@
 		if body, err := io.ReadAll(r.Body); err != nil || r.StatusCode != http.StatusOK || string(body) != "done" {
 			t.Fatalf("got %d %q, %v", r.StatusCode, body, err)
 		}
+		r.Body.Close()
 	}
 	w.until("both", func() bool { n, _ := e.Seen(); return n == 2 })
 	for n, want := range []string{"first", "next"} {
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -143,7 +143,7 @@
 	e := peer.New(t, func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
 		for e.Next(in) != nil {
 			<-answer
-			io.WriteString(conn, peer.Served)
+			_, _ = io.WriteString(conn, peer.Served)
 		}
 	})
 	second := peer.New(t, peer.Always(peer.Served))
--- a/internal/sidecar/ends_test.go
+++ b/internal/sidecar/ends_test.go
@@ -42,11 +42,16 @@
 	if longest := <-end; longest != 3*time.Second {
 		t.Errorf("the longest deadline is taken for %v", longest)
 	}
-	io.WriteString(early, w.text("order", "x", time.Minute))
+	if _, err := io.WriteString(early, w.text("order", "x")); err != nil {
+		t.Fatal(err)
+	}
 	response, err := http.ReadResponse(bufio.NewReader(early), nil)
 	if err != nil || response.StatusCode != http.StatusBadGateway || !response.Close {
 		t.Errorf("what came while it ended: %v, %v; want 502 and Connection: close", response, err)
 	}
+	if err == nil {
+		defer response.Body.Close()
+	}
 	for class, code := range codes {
 		if got := <-answers[class]; got.code != code || got.err != nil {
 			t.Errorf("%s: answer %d (%v), want %d", class, got.code, got.err, code)
--- a/internal/sidecar/orders_test.go
+++ b/internal/sidecar/orders_test.go
@@ -96,10 +96,10 @@
 		s.ask.mayRun--
 	}
 	if text == "" {
-		s.conn.(*net.TCPConn).SetLinger(0)
+		_ = s.conn.(*net.TCPConn).SetLinger(0)
 		s.conn.Close()
 	}
-	io.WriteString(s.conn, text)
+	_, _ = io.WriteString(s.conn, text) // after a reset there is nobody to write to
 	close(s.done)
 }
 
@@ -132,8 +132,8 @@
 	if err != nil {
 		return // the service has ended
 	}
-	conn.SetDeadline(time.Now().Add(patience))
-	text := o.text(class, "x", time.Minute)
+	_ = conn.SetDeadline(time.Now().Add(patience))
+	text := o.text(class, "x")
 	a := &asked{class: class, conn: conn, whole: whole, ended: make(chan struct{})}
 	for line := range strings.Lines(text) {
 		if id, ok := strings.CutPrefix(line, "X-Correlation-Id: "); ok {
@@ -146,7 +146,7 @@
 	if !whole {
 		text, a.rest = text[:len(text)-1], text[len(text)-1:]
 	}
-	io.WriteString(conn, text)
+	_, _ = io.WriteString(conn, text) // the service may have ended
 	go func() {
 		defer close(a.ended)
 		in := bufio.NewReader(conn)
@@ -155,7 +155,8 @@
 			if err != nil {
 				return
 			}
-			io.Copy(io.Discard, r.Body)
+			_, _ = io.Copy(io.Discard, r.Body)
+			r.Body.Close()
 			o.mu.Lock()
 			a.codes = append(a.codes, r.StatusCode)
 			o.mu.Unlock()
@@ -257,7 +258,7 @@
 					for _, a := range o.order {
 						if !a.whole && !a.left {
 							a.whole = true
-							io.WriteString(a.conn, a.rest)
+							_, _ = io.WriteString(a.conn, a.rest) // the service may have ended
 							o.taken(a)
 							break
 						}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -46,7 +46,7 @@
 			if n, _ := e.Seen(); n == 1 {
 				return
 			}
-			io.WriteString(conn, peer.Served)
+			_, _ = io.WriteString(conn, peer.Served)
 		}
 	}
 	other := func(h directory.Host) directory.Host {
@@ -174,7 +174,7 @@
 	closed := make(chan struct{})
 	e := peer.New(t, func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
 		e.Next(in)
-		in.ReadByte() // until the sidecar closes the connection
+		_, _ = in.ReadByte() // until the sidecar closes the connection
 		close(closed)
 	})
 	w := start(t, nil, directory.Ready("s-1", e.Address))
@@ -208,10 +208,16 @@
 		t.Fatal(err)
 	}
 	defer conn.Close()
-	w.request("pay", "x", time.Minute).Write(conn)
+	if err := w.request("pay", "x", time.Minute).Write(conn); err != nil {
+		t.Fatal(err)
+	}
 	w.until("the attempt", func() bool { n, _ := e.Seen(); return n == 1 })
-	conn.(*net.TCPConn).CloseWrite()
-	conn.SetReadDeadline(time.Now().Add(patience))
+	if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	if err := conn.SetReadDeadline(time.Now().Add(patience)); err != nil {
+		t.Fatal(err)
+	}
 	if got, err := io.ReadAll(conn); len(got) > 0 {
 		t.Errorf("the client read %q (%v)", got, err)
 	}
@@ -224,7 +230,7 @@
 	e := peer.New(t, func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
 		e.Next(in)
 		<-answer
-		io.WriteString(conn, peer.Served)
+		_, _ = io.WriteString(conn, peer.Served)
 	})
 	// Without leave to cancel, the attempt goes on after its request's end.
 	w := start(t, func(s map[string]any) { s["limits"].(map[string]any)["cancel"] = false }, directory.Ready("s-1", e.Address))
@@ -355,7 +361,7 @@
 			if strings.HasPrefix(r.RequestURI, "/pay") {
 				<-answer
 			}
-			io.WriteString(conn, peer.Served)
+			_, _ = io.WriteString(conn, peer.Served)
 		}
 	})
 	w := startWith(t, nil, func(o *httpfront.Options) {
@@ -367,19 +373,26 @@
 		t.Fatal(err)
 	}
 	defer idle.Close()
-	w.request("read", "", time.Minute).Write(idle)
+	if err := w.request("read", "", time.Minute).Write(idle); err != nil {
+		t.Fatal(err)
+	}
 	in := bufio.NewReader(idle)
 	response, err := http.ReadResponse(in, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	io.Copy(io.Discard, response.Body)
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		response.Body.Close()
+		t.Fatal(err)
+	}
 
 	held := make(chan reply)
 	go func() { held <- w.send(w.request("pay", "x", time.Minute)) }()
 	w.until("the request in hand", func() bool { n, _ := e.Seen(); return n == 2 })
 	w.stop()
-	idle.SetReadDeadline(time.Now().Add(patience))
+	if err := idle.SetReadDeadline(time.Now().Add(patience)); err != nil {
+		t.Fatal(err)
+	}
 	if _, err := in.ReadByte(); err != io.EOF {
 		t.Errorf("the idle connection: %v, want its end", err)
 	}
@@ -389,11 +402,19 @@
 		t.Fatal(err)
 	}
 	defer conn.Close()
-	w.request("read", "", time.Minute).Write(conn)
-	conn.SetReadDeadline(time.Now().Add(patience))
-	if late, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil || late.StatusCode != 200 || !late.Close {
+	if err := w.request("read", "", time.Minute).Write(conn); err != nil {
+		t.Fatal(err)
+	}
+	if err := conn.SetReadDeadline(time.Now().Add(patience)); err != nil {
+		t.Fatal(err)
+	}
+	late, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil || late.StatusCode != 200 || !late.Close {
 		t.Errorf("a request after SIGTERM: %v, %v; want 200 and Connection: close", late, err)
 	}
+	if err == nil {
+		defer late.Body.Close()
+	}
 	w.until("the end of accepting", func() bool {
 		conn, err := net.Dial("tcp", strings.TrimPrefix(w.url, "http://"))
 		if err == nil {
