HTTP fronts: errors are handled or ignored in the open, the end of Serve is a closed channel

errors.Is in place of comparisons; deadlines on connections that may have ended are ignored with the reason. Serve's goroutine closes a channel and leaves its error beside it, as the channel is received from more than once.

--- a/internal/front/desk/desk.go
+++ b/internal/front/desk/desk.go
@@ -148,7 +148,7 @@
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
 	w.WriteHeader(a.Code)
-	w.Write(a.Body) // a client that is gone by now needs no answer
+	_, _ = w.Write(a.Body) // a client that is gone by now needs no answer
 }
 
 // WriteError writes what a client did wrong.
@@ -157,7 +157,7 @@
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	w.WriteHeader(intake.Code(err))
-	io.WriteString(w, text)
+	_, _ = io.WriteString(w, text) // likewise
 }
 
 // WriteBusy refuses a request that found no room.
--- a/internal/front/desk/desk_test.go
+++ b/internal/front/desk/desk_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
@@ -85,7 +86,7 @@
 	}
 	ctx, leave := context.WithCancel(context.Background())
 	leave()
-	if _, err := ask(d, e, ctx, time.Hour); err != ErrGone {
+	if _, err := ask(d, e, ctx, time.Hour); !errors.Is(err, ErrGone) {
 		t.Errorf("error %v, want ErrGone", err)
 	}
 	release()
--- a/internal/front/http3front/server.go
+++ b/internal/front/http3front/server.go
@@ -144,11 +144,15 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	served := make(chan error, 1)
-	go func() { served <- s.http.ServeListener(listener) }()
+	var serveErr error // once served is closed
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		serveErr = s.http.ServeListener(listener)
+	}()
 	select {
-	case err := <-served:
-		return fmt.Errorf("serve: %w", err)
+	case <-served:
+		return fmt.Errorf("serve: %w", serveErr)
 	case <-ctx.Done():
 	}
 	s.ending.Store(true)
@@ -214,7 +218,7 @@
 		desk.WriteError(w, &intake.Error{Code: http.StatusForbidden, Reason: why})
 		return
 	}
-	http.NewResponseController(w).SetReadDeadline(time.Now().Add(readTimeout))
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(readTimeout)) // fails where the stream is over: reading tells that, too
 	if in.ContentLength < 0 && in.Method == http.MethodGet {
 		// A head does not say whether a body follows: its stream's end does.
 		if n, err := in.Body.Read(make([]byte, 1)); n == 0 && errors.Is(err, io.EOF) {
@@ -232,7 +236,7 @@
 		return
 	}
 	body, release, err := s.desk.Body(w, in)
-	if err == desk.ErrBusy {
+	if errors.Is(err, desk.ErrBusy) {
 		desk.WriteBusy(w)
 		return
 	} else if err != nil {
@@ -242,7 +246,7 @@
 	defer release()
 	a, err := s.desk.Ask(in, req, body)
 	switch {
-	case err == desk.ErrGone:
+	case errors.Is(err, desk.ErrGone):
 		panic(http.ErrAbortHandler)
 	case err != nil:
 		desk.WriteError(w, err)
--- a/internal/front/http3front/server_test.go
+++ b/internal/front/http3front/server_test.go
@@ -303,7 +303,7 @@
 		w.t.Fatal(err)
 	}
 	return stream, func() {
-		conn.CloseWithError(0, "")
+		_ = conn.CloseWithError(0, "")
 		transport.Close()
 		socket.Close()
 	}
@@ -336,6 +336,9 @@
 		if err != nil || out.StatusCode != x.want {
 			t.Errorf("%s: %v, %v, want %d", x.class, out, err, x.want)
 		}
+		if err == nil {
+			out.Body.Close()
+		}
 		end()
 	}
 	if n := w.fleet.Counts().Run; n != ran+1 {
@@ -412,7 +415,9 @@
 		w.engine.Call(func(balancer.Micros) { n, _ = w.engine.Counts() })
 		return n == 0
 	})
-	conn.CloseWithError(0, "")
+	if err := conn.CloseWithError(0, ""); err != nil {
+		t.Fatal(err)
+	}
 	if err := conn.Context().Err(); !errors.Is(err, context.Canceled) {
 		t.Error(err)
 	}
@@ -470,7 +475,8 @@
 	ask := func() {
 		r := w.request("GET", "read", "")
 		asked.Go(func() {
-			if _, err := client.RoundTrip(r); err == nil {
+			if out, err := client.RoundTrip(r); err == nil {
+				out.Body.Close()
 				t.Error("a connection that nobody knows has carried a request")
 			}
 		})
--- a/internal/front/httpfront/clients.go
+++ b/internal/front/httpfront/clients.go
@@ -55,7 +55,7 @@
 		raw, err := l.Listener.Accept()
 		closing := l.closing.Load()
 		if err != nil && closing {
-			l.Listener.Close()
+			l.Close()
 			return nil, net.ErrClosed
 		} else if err != nil {
 			return nil, err
@@ -74,10 +74,10 @@
 // end has the listener closed as soon as its queue is empty: those in it have connected, and
 // may have sent their requests.
 func (l *clients) end() {
-	time.AfterFunc(lastMost, func() { l.Listener.Close() })
+	time.AfterFunc(lastMost, func() { l.Close() })
 	l.closing.Store(true)
 	if !l.extend() {
-		l.Listener.Close()
+		l.Close()
 	}
 }
 
@@ -193,7 +193,9 @@
 // closing it here: a request that has been read in this very moment is served all the same,
 // and one that has not is still unread when net/http closes, which tells its client to send
 // it again. It holds owner.mu.
-func (c *clientConn) dismiss() { c.Conn.SetReadDeadline(past) }
+func (c *clientConn) dismiss() {
+	_ = c.Conn.SetReadDeadline(past) // fails where the connection has ended already
+}
 
 // SetReadDeadline bounds reading, but a connection that waits for a request while the
 // service ends is not to wait any longer.
--- a/internal/front/httpfront/clients_test.go
+++ b/internal/front/httpfront/clients_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"log/slog"
 	"net"
@@ -36,7 +37,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		conn.SetDeadline(time.Now().Add(20 * time.Second))
+		if err := conn.SetDeadline(time.Now().Add(20 * time.Second)); err != nil {
+			t.Fatal(err)
+		}
 		return conn
 	}
 	defer dial().Close()
@@ -46,7 +49,7 @@
 	}
 	second := dial()
 	defer second.Close()
-	if _, err := second.Read(make([]byte, 1)); err != io.EOF {
+	if _, err := second.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
 		t.Errorf("the second connection: %v, want its end", err)
 	}
 	c.done()
@@ -121,24 +124,31 @@
 					}
 					defer c.done()
 					requests++
-					io.WriteString(w, "served")
+					_, _ = io.WriteString(w, "served")
 				})}
 			defer s.Close()
-			go s.Serve(l)
+			go func() { _ = s.Serve(l) }() // until Close
 			conn, err := net.Dial("tcp", listener.Addr().String())
 			if err != nil {
 				t.Fatal(err)
 			}
 			defer conn.Close()
-			conn.SetDeadline(time.Now().Add(20 * time.Second))
+			if err := conn.SetDeadline(time.Now().Add(20 * time.Second)); err != nil {
+				t.Fatal(err)
+			}
 			in := bufio.NewReader(conn)
 			for n := range 2 {
-				io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+				if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+					t.Fatal(err)
+				}
 				response, err := http.ReadResponse(in, nil)
 				if err != nil {
 					t.Fatalf("request %d: %v", n+1, err)
 				}
-				io.Copy(io.Discard, response.Body)
+				if _, err := io.Copy(io.Discard, response.Body); err != nil {
+					response.Body.Close()
+					t.Fatal(err)
+				}
 			}
 			if name == "the service ends" {
 				if _, err := in.ReadByte(); err != io.EOF {
@@ -162,7 +172,7 @@
 	if !l.admit(slow) {
 		t.Fatal("no room for the first")
 	}
-	go io.WriteString(far, "GET")
+	go func() { _, _ = io.WriteString(far, "GET") }()
 	if _, err := slow.Read(make([]byte, 9)); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/front/httpfront/server.go
+++ b/internal/front/httpfront/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -34,9 +35,10 @@
 	// ReadTimeout and IdleTimeout bound silent clients.
 	// A request comes in one piece from the application next door. A client that
 	// takes longer is silent, slow on purpose or dead, and 3 s are the most it may stay.
-	ReadTimeout  = 2 * time.Second
-	IdleTimeout  = 2100 * time.Millisecond // a connection may be closed after 2 s with no request open
-	writeTimeout = 2 * time.Second         // for an answer: it fits into the socket's buffer unless a client reads nothing
+	ReadTimeout = 2 * time.Second
+	// IdleTimeout outlasts the 2 s for which a client may keep a connection with no request open.
+	IdleTimeout  = 2100 * time.Millisecond
+	writeTimeout = 2 * time.Second // for an answer: it fits into the socket's buffer unless a client reads nothing
 )
 
 // Options bound what clients may hold.
@@ -67,11 +69,15 @@
 // Serve serves until ctx ends, then answers what it has taken and returns.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	s.clients.Listener = listener
-	served := make(chan error, 1)
-	go func() { served <- s.http.Serve(s.clients) }()
+	var serveErr error // once served is closed
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		serveErr = s.http.Serve(s.clients)
+	}()
 	select {
-	case err := <-served:
-		return fmt.Errorf("serve: %w", err)
+	case <-served:
+		return fmt.Errorf("serve: %w", serveErr)
 	case <-ctx.Done():
 	}
 	return s.drain(served)
@@ -122,7 +128,7 @@
 // closed at once, while a client whose request crosses that can still connect anew; every
 // answer from here on closes its connection. net/http's own Shutdown is not used: it closes
 // as idle also a connection whose request has been read and not yet parsed.
-func (s *Server) drain(served <-chan error) error {
+func (s *Server) drain(served <-chan struct{}) error {
 	var longest balancer.Micros
 	for _, c := range s.engine.Settings().Classes {
 		longest = max(longest, c.ClientTimeout)
@@ -186,7 +192,7 @@
 	if in.ContentLength == 0 || http.NewResponseController(w).Flush() != nil {
 		return
 	}
-	io.CopyN(io.Discard, in.Body, 2*httpmsg.BodyMost) // at the longest until ReadTimeout
+	_, _ = io.CopyN(io.Discard, in.Body, 2*httpmsg.BodyMost) // at the longest until ReadTimeout
 }
 
 // handle reads a request whole and answers it.
@@ -223,7 +229,7 @@
 		}
 	}
 	body, release, err := s.desk.Body(w, in)
-	if err == desk.ErrBusy {
+	if errors.Is(err, desk.ErrBusy) {
 		w.Header().Set("Connection", "close")
 		desk.WriteBusy(w)
 		readOff(w, in)
@@ -240,7 +246,7 @@
 	defer c.done()
 	// The deadline for reading the request would otherwise end its context
 	// while the answer is still awaited.
-	c.SetReadDeadline(time.Time{})
+	_ = c.SetReadDeadline(time.Time{}) // fails where the client has left: net/http notices by itself
 	if !alone {
 		// Clients send one request at a time. What came behind this one is left
 		// unread: only a client's own word says that it is a request.
@@ -265,7 +271,7 @@
 		req.Deadline = min(req.Deadline, end)
 	}
 	a, err := s.desk.Ask(in, req, body)
-	if err == desk.ErrGone {
+	if errors.Is(err, desk.ErrGone) {
 		// A client that has only stopped sending must not read a whole answer
 		// that no endpoint gave.
 		panic(http.ErrAbortHandler)
@@ -277,6 +283,6 @@
 	if s.clients.crowded() {
 		w.Header().Set("Connection", "close")
 	}
-	c.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout)) // likewise: the write fails
 	desk.Write(w, a)
 }
