Upstreams: a complete response is a type of its own, errors are handled

exchange returned the *http.Response with its body read apart, and nobody closed it. It returns an attempt.Response with status, header and body; the body is closed once read to its end, where that reads nothing more. errors.Is in place of comparisons; results that no test reads go.

--- a/internal/upstream/attempt/attempt.go
+++ b/internal/upstream/attempt/attempt.go
@@ -146,12 +146,19 @@
 	return balancer.Reset // a broken, cut or malformed answer
 }
 
-// Answered is the result of a request that has a whole answer.
-func Answered(fields []string, response *http.Response, body []byte, took time.Duration) engine.Result {
+// Response is an endpoint's complete response, its body read.
+type Response struct {
+	StatusCode int
+	Header     http.Header
+	Body       []byte
+}
+
+// Answered is the result of a request that has a complete response.
+func Answered(fields []string, response *Response, took time.Duration) engine.Result {
 	r := engine.Result{Status: balancer.Error, Duration: took, Load: httpmsg.LoadReport(fields, response.Header.Get("X-Backend-Load"))}
 	switch code := response.StatusCode; {
 	case code == http.StatusOK:
-		r.Status, r.Header, r.Body = balancer.OK, response.Header, body
+		r.Status, r.Header, r.Body = balancer.OK, response.Header, response.Body
 	case (code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout) &&
 		response.Header.Get("X-Unprocessed") == "1":
 		r.Status = balancer.Full
--- a/internal/upstream/attempt/attempt_test.go
+++ b/internal/upstream/attempt/attempt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 )
@@ -23,7 +24,7 @@
 		"left":                        {bounds{left, left}, ErrLate},
 		"too late":                    {bounds{late, alive}, ErrLate},
 	} {
-		if err := MayWrite(context.WithValue(alive, unsentKey{}, c.b)); err != c.want {
+		if err := MayWrite(context.WithValue(alive, unsentKey{}, c.b)); !errors.Is(err, c.want) {
 			t.Errorf("%s: %v, want %v", name, err, c.want)
 		}
 	}
--- a/internal/upstream/either/either_test.go
+++ b/internal/upstream/either/either_test.go
@@ -39,9 +39,9 @@
 	}
 	h1 := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { one.Add(1) })}
 	h3 := &http3.Server{TLSConfig: pair.Server, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { three.Add(1) })}
-	go h1.Serve(plain)
+	go func() { _ = h1.Serve(plain) }() // until Close
 	served := make(chan struct{})
-	go func() { h3.Serve(datagrams); close(served) }()
+	go func() { _ = h3.Serve(datagrams); close(served) }()
 	defer h1.Close()
 
 	up, err := New(httpupstream.Options{DialTimeout: time.Second, Idle: time.Second, Connections: 10},
@@ -109,7 +109,7 @@
 			}
 			h3 := &http3.Server{TLSConfig: pair.Server, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { three.Add(1) })}
 			served := make(chan struct{})
-			go func() { h3.Serve(datagrams); close(served) }()
+			go func() { _ = h3.Serve(datagrams); close(served) }()
 			defer func() { h3.Close(); datagrams.Close(); <-served }()
 			relay, err := udprelay.Start(datagrams.LocalAddr().String(), udprelay.Script{})
 			if err != nil {
@@ -122,7 +122,7 @@
 				t.Skipf("the port is taken on TCP: %v", err)
 			}
 			h1 := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { one.Add(1) })}
-			go h1.Serve(plain)
+			go func() { _ = h1.Serve(plain) }()
 			defer h1.Close()
 			up, err := New(httpupstream.Options{DialTimeout: time.Second, Idle: time.Second, Connections: 10},
 				http3upstream.Options{Secure: pair, DialTimeout: 100 * time.Millisecond, Idle: time.Minute, Connections: 10})
--- a/internal/upstream/http3upstream/upstream.go
+++ b/internal/upstream/http3upstream/upstream.go
@@ -192,7 +192,9 @@
 		c.closed = true
 		u.open--
 		if c.quic != nil {
-			go c.quic.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), "")
+			go func(connection *quic.Conn) {
+				_ = connection.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), "")
+			}(c.quic)
 		}
 	}
 }
@@ -301,7 +303,7 @@
 		return engine.Result{Status: balancer.NotSent}
 	}
 	start := time.Now()
-	response, body, left, err := exchange(ctx, c.client, t, m)
+	response, left, err := exchange(ctx, c.client, t, m)
 	if err != nil && !left {
 		if ctx.Err() == nil { // no stream, or the endpoint is going: the next request dials anew
 			u.mu.Lock()
@@ -318,7 +320,7 @@
 	} else if err != nil {
 		return engine.Result{Status: attempt.Broken(ctx), Duration: took}
 	}
-	return attempt.Answered(u.opts.Fields, response, body, took)
+	return attempt.Answered(u.opts.Fields, response, took)
 }
 
 var errLarge = errors.New("the answer's body is too large")
@@ -326,7 +328,7 @@
 // exchange sends one request on a stream of its own and reads the whole answer. left says
 // that a stream was there for it, and so that it may have left. ClientConn's RoundTrip
 // uses this connection alone, once.
-func exchange(ctx context.Context, client *http3.ClientConn, t *engine.Target, m *engine.Message) (r *http.Response, body []byte, left bool, err error) {
+func exchange(ctx context.Context, client *http3.ClientConn, t *engine.Target, m *engine.Message) (answer *attempt.Response, left bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var opened atomic.Bool
@@ -348,19 +350,21 @@
 	if len(m.Body) > 0 {
 		request.Body = io.NopCloser(bytes.NewReader(m.Body))
 	}
-	if r, err = client.RoundTrip(request); err != nil {
-		return nil, nil, opened.Load(), err
+	response, err := client.RoundTrip(request)
+	if err != nil {
+		return nil, opened.Load(), err
 	}
-	defer r.Body.Close()
+	defer response.Body.Close()
 	// An answer that has begun and stalls would hold its request until the client's time
 	// is up.
 	rest := time.AfterFunc(answerRest, cancel)
 	defer rest.Stop()
-	if body, err = io.ReadAll(io.LimitReader(r.Body, httpmsg.BodyMost+1)); err != nil {
-		return nil, nil, true, err
+	body, err := io.ReadAll(io.LimitReader(response.Body, httpmsg.BodyMost+1))
+	if err != nil {
+		return nil, true, err
 	}
 	if len(body) > httpmsg.BodyMost {
-		return nil, nil, true, errLarge
+		return nil, true, errLarge
 	}
-	return r, body, true, nil
+	return &attempt.Response{StatusCode: response.StatusCode, Header: response.Header, Body: body}, true, nil
 }
--- a/internal/upstream/http3upstream/upstream_test.go
+++ b/internal/upstream/http3upstream/upstream_test.go
@@ -66,7 +66,7 @@
 			handle(out, in)
 		})}
 	done := make(chan struct{})
-	go func() { e.http.Serve(conn); close(done) }()
+	go func() { _ = e.http.Serve(conn); close(done) }()
 	w.t.Cleanup(func() { e.http.Close(); conn.Close(); <-done })
 	return e
 }
@@ -92,14 +92,14 @@
 			}
 			all.Go(func() {
 				if control, err := c.OpenUniStream(); err == nil {
-					control.Write([]byte{0, 4, 0}) // a control stream with no settings
+					_, _ = control.Write([]byte{0, 4, 0}) // a control stream with no settings
 				}
 				for {
 					s, err := c.AcceptStream(context.Background())
 					if err != nil {
 						return
 					}
-					all.Go(func() { io.Copy(io.Discard, s); do(c, s) })
+					all.Go(func() { _, _ = io.Copy(io.Discard, s); do(c, s) })
 				}
 			})
 		}
@@ -111,11 +111,11 @@
 func (w *world) send(t *engine.Target, patience time.Duration) engine.Result {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	return w.up.attempt(ctx, t, message("body"))
+	return w.up.attempt(ctx, t, message())
 }
 
-func message(body string) *engine.Message {
-	return &engine.Message{Method: "POST", URL: &url.URL{Path: "/pay/x y", RawQuery: "q=1"}, Host: "till.example", Body: []byte(body),
+func message() *engine.Message {
+	return &engine.Message{Method: "POST", URL: &url.URL{Path: "/pay/x y", RawQuery: "q=1"}, Host: "till.example", Body: []byte("body"),
 		Header: http.Header{"X-Correlation-Id": {"1"}, "Connection": {"close"}}}
 }
 
@@ -157,7 +157,7 @@
 		case "abort":
 			panic(http.ErrAbortHandler)
 		case "large":
-			out.Write(make([]byte, 1<<20))
+			_, _ = out.Write(make([]byte, 1<<20))
 		case "stall":
 			out.WriteHeader(200)
 			out.(http.Flusher).Flush()
@@ -168,7 +168,7 @@
 	})
 	for id, want := range map[string]balancer.Status{"away": balancer.Full, "busy": balancer.Error, "error": balancer.Error, "abort": balancer.Reset,
 		"large": balancer.Reset, "stall": balancer.Reset, "silent": balancer.Timeout} {
-		m := message("body")
+		m := message()
 		m.Header.Set("X-Correlation-Id", id)
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		if r := w.up.attempt(ctx, answers.target, m); r.Status != want {
@@ -243,7 +243,7 @@
 	go func() { first <- w.send(e.target, time.Minute) }()
 	wait.Until(t, "the first to be there", func() bool { return e.seen.Load() == 1 })
 	down := make(chan struct{})
-	go func() { e.http.Shutdown(context.Background()); close(down) }()
+	go func() { _ = e.http.Shutdown(context.Background()); close(down) }()
 	wait.Until(t, "the end to be heard", func() bool { return w.send(e.target, time.Second).Status != balancer.Timeout })
 	if r := w.send(e.target, time.Second); r.Status != balancer.ConnectFailed && r.Status != balancer.Full {
 		t.Errorf("after GOAWAY: %v", r.Status)
@@ -266,7 +266,7 @@
 	e := w.endpoint(100, func(_ http.ResponseWriter, in *http.Request) { <-in.Context().Done(); close(gone) })
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	result := make(chan engine.Result)
-	go func() { result <- w.up.attempt(ctx, e.target, message("body")) }()
+	go func() { result <- w.up.attempt(ctx, e.target, message()) }()
 	wait.Until(t, "it to be there", func() bool { return e.seen.Load() == 1 })
 	cancel()
 	if r := <-result; r.Status != balancer.Cancelled {
@@ -334,7 +334,7 @@
 		}
 		server := &http3.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { seen.Add(1) })}
 		done := make(chan struct{})
-		go func() { server.ServeListener(listener); close(done) }()
+		go func() { _ = server.ServeListener(listener); close(done) }()
 		return func() { server.Close(); listener.Close(); transport.Close(); socket.Close(); <-done }
 	}
 	stop := serve(socket)
@@ -390,7 +390,7 @@
 			at := &engine.Target{Address: relay.Address}
 			served := 0
 			for n := range 60 {
-				m := message("body")
+				m := message()
 				m.Header.Set("X-Correlation-Id", fmt.Sprint(n))
 				ctx, cancel := context.WithTimeout(context.Background(), wait.Patience)
 				switch r := w.up.attempt(ctx, at, m); r.Status {
--- a/internal/upstream/httpupstream/upstream.go
+++ b/internal/upstream/httpupstream/upstream.go
@@ -73,7 +73,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stopped = true
-	c.SetDeadline(past)
+	_ = c.SetDeadline(past) // fails where the connection has ended already
 }
 
 // readBy sets the deadline for reading, unless the exchange was given up: a deadline set
@@ -82,7 +82,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.stopped {
-		c.SetReadDeadline(at)
+		_ = c.SetReadDeadline(at) // likewise: reading fails, too
 	}
 }
 
@@ -124,17 +124,20 @@
 // that the request never ran only where the last byte was not written, or the
 // endpoint says so; in doubt it may have run.
 func (u *Upstream) attempt(ctx context.Context, t *engine.Target, m *engine.Message) engine.Result {
-	var response *http.Response
-	var body []byte
+	var response *attempt.Response
 	var start time.Time
-	err := error(errStale)
-	for err == errStale { // nothing has been sent on that connection
+	var err error
+	for {
 		c, unable := u.connect(ctx, t)
 		if unable != nil {
 			return engine.Result{Status: attempt.Unsent(ctx, unable)}
 		}
 		start = time.Now()
-		response, body, err = u.exchange(ctx, c, m)
+		response, err = u.exchange(ctx, c, m)
+		if !errors.Is(err, errStale) {
+			break
+		}
+		// Nothing has been sent on that connection: another one is taken.
 	}
 	took := time.Since(start)
 	var never *unsentError
@@ -143,7 +146,7 @@
 	} else if err != nil {
 		return engine.Result{Status: attempt.Broken(ctx), Duration: took}
 	}
-	return attempt.Answered(u.fields, response, body, took)
+	return attempt.Answered(u.fields, response, took)
 }
 
 // Probe asks an endpoint in a goroutine of its own.
@@ -304,7 +307,7 @@
 // after all that was written.
 func (c *conn) reset() {
 	if tcp, ok := c.socket.(interface{ SetLinger(int) error }); ok {
-		tcp.SetLinger(0)
+		_ = tcp.SetLinger(0) // fails where the connection has ended already
 	}
 }
 
@@ -328,7 +331,7 @@
 
 // exchange writes one request on a connection and reads the whole answer. It
 // gives the connection back.
-func (u *Upstream) exchange(ctx context.Context, c *conn, m *engine.Message) (response *http.Response, body []byte, err error) {
+func (u *Upstream) exchange(ctx context.Context, c *conn, m *engine.Message) (response *attempt.Response, err error) {
 	keep, written := false, false // written in part at least
 	stop := context.AfterFunc(ctx, c.stop)
 	defer func() {
@@ -342,42 +345,42 @@
 
 	data, err := encode(ctx, m)
 	if err != nil {
-		return nil, nil, &unsentError{err}
+		return nil, &unsentError{err}
 	}
 	// The endpoint may have been told draining while the connection was
 	// dialled: nothing new may go there.
 	if c.target.Closed() {
-		return nil, nil, &unsentError{attempt.ErrClosed}
+		return nil, &unsentError{attempt.ErrClosed}
 	}
 	// Ahead of the look at the connection, which would seem dead to an attempt that is over, as
 	// would all others that stand idle.
 	if err := attempt.MayWrite(ctx); err != nil {
 		keep = true // for the next: nothing is wrong with it
-		return nil, nil, &unsentError{err}
+		return nil, &unsentError{err}
 	}
 	// Looked at last thing before the write: what has come by now was not asked
 	// for, and must not be taken for the answer.
 	if c.used && !c.alive() {
-		return nil, nil, errStale
+		return nil, errStale
 	}
 	written = true
 	wrote := time.Now()
-	whole := context.AfterFunc(attempt.Unwritten(ctx), func() { c.SetWriteDeadline(past) })
+	whole := context.AfterFunc(attempt.Unwritten(ctx), func() { _ = c.SetWriteDeadline(past) })
 	n, err := c.Write(data)
 	lasting := whole() // else no more can be written on this connection
 	if n < len(data) {
 		u.saw(ctx, c, wrote, err)
-		return nil, nil, &unsentError{err}
+		return nil, &unsentError{err}
 	}
-	response, body, err = c.receive(m.Method)
+	response, reusable, err := c.receive(m.Method)
 	u.saw(ctx, c, wrote, err)
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	// Anything beyond the answer makes the connection useless: endpoints may send
 	// a second copy, or noise.
-	keep = lasting && !response.Close && response.StatusCode != http.StatusSwitchingProtocols && c.reader.Buffered() == 0
-	return response, body, nil
+	keep = lasting && reusable && c.reader.Buffered() == 0
+	return response, nil
 }
 
 // saw notes how a connection that had been idle until wrote has fared. One that is given up
@@ -393,45 +396,47 @@
 
 // receive reads one answer. A 200 must prove that it is whole: by one stated
 // length or complete chunks, not by the connection's end, nor by both, of which
-// http.ReadResponse hides one.
-func (c *conn) receive(method string) (*http.Response, []byte, error) {
+// http.ReadResponse hides one. reusable says that the answer leaves the connection to others.
+func (c *conn) receive(method string) (answer *attempt.Response, reusable bool, err error) {
 	c.limit.N = answerMost + httpmsg.BodyMost
 	defer c.readBy(time.Time{})
 	for range interimMost {
 		if _, err := c.reader.Peek(1); err != nil {
-			return nil, nil, err
+			return nil, false, err
 		}
 		// An answer that has begun and stalls would hold its request until the
 		// client's time is up.
 		c.readBy(time.Now().Add(answerRest))
 		head, err := c.head()
 		if err != nil {
-			return nil, nil, err
+			return nil, false, err
 		}
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
-			return nil, nil, err
+			return nil, false, err
 		}
 		if response.StatusCode < http.StatusOK && response.StatusCode != http.StatusSwitchingProtocols {
 			c.readBy(time.Time{})
 			continue
 		}
 		if response.StatusCode == http.StatusOK && (head.Lengths > 1 || (head.Lengths == 1) == head.Coding) {
-			return nil, nil, errors.New("the answer's length is not stated in one way")
+			return nil, false, errors.New("the answer's length is not stated in one way")
 		}
 		if response.ContentLength > httpmsg.BodyMost {
-			return nil, nil, errLarge
+			return nil, false, errLarge
 		}
 		body, err := io.ReadAll(io.LimitReader(response.Body, httpmsg.BodyMost+1))
 		if err != nil {
-			return nil, nil, err
+			return nil, false, err
 		}
 		if len(body) > httpmsg.BodyMost {
-			return nil, nil, errLarge
+			return nil, false, errLarge
 		}
-		return response, body, nil
+		response.Body.Close() // read to its end
+		reusable = !response.Close && response.StatusCode != http.StatusSwitchingProtocols
+		return &attempt.Response{StatusCode: response.StatusCode, Header: response.Header, Body: body}, reusable, nil
 	}
-	return nil, nil, errors.New("interim answers without end")
+	return nil, false, errors.New("interim answers without end")
 }
 
 var errLarge = fmt.Errorf("the answer's body is over %d bytes", httpmsg.BodyMost)
--- a/internal/upstream/httpupstream/upstream_test.go
+++ b/internal/upstream/httpupstream/upstream_test.go
@@ -26,7 +26,7 @@
 // patience is how long a test waits for what must come.
 const patience = 20 * time.Second
 
-func newTestUpstream(t *testing.T, most int) *Upstream {
+func newTestUpstream(most int) *Upstream {
 	return New(Options{DialTimeout: 2 * time.Second, Settle: 1, Idle: 5 * time.Second, Connections: most,
 		Fields: []string{"failed_ps", "pending"}})
 }
@@ -51,7 +51,7 @@
 	hangUp := func(answer string) func(*peer.Endpoint, net.Conn, *bufio.Reader) {
 		return func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
 			e.Next(in)
-			io.WriteString(conn, answer)
+			_, _ = io.WriteString(conn, answer)
 		}
 	}
 	for _, c := range []struct {
@@ -101,7 +101,7 @@
 			}
 			ctx, cancel := context.WithTimeout(context.Background(), wait)
 			defer cancel()
-			u := newTestUpstream(t, 4)
+			u := newTestUpstream(4)
 			r := u.attempt(ctx, &engine.Target{Address: e.Address}, get("/"))
 			if r.Status != c.want {
 				t.Errorf("status %v, want %v", r.Status, c.want)
@@ -114,7 +114,7 @@
 }
 
 func TestConnectionRefusedNeverRan(t *testing.T) {
-	u := newTestUpstream(t, 1)
+	u := newTestUpstream(1)
 	for range 2 { // a failed connection gives its place back
 		r := u.attempt(context.Background(), &engine.Target{Address: closedAddress(t)}, get("/"))
 		if r.Status != balancer.ConnectFailed {
@@ -125,7 +125,7 @@
 
 // A machine that vanished says nothing: the connection never comes up.
 func TestConnectionThatNeverComesUp(t *testing.T) {
-	u := newTestUpstream(t, 1)
+	u := newTestUpstream(1)
 	u.dialer.Timeout = 20 * time.Millisecond
 	u.dialer.ControlContext = func(ctx context.Context, _, _ string, _ syscall.RawConn) error {
 		<-ctx.Done()
@@ -142,7 +142,9 @@
 func TestBreakBeforeTheLastByteNeverRan(t *testing.T) {
 	small := func(option int) func(string, string, syscall.RawConn) error {
 		return func(_, _ string, raw syscall.RawConn) error {
-			return raw.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, option, 2048) })
+			var set error
+			err := raw.Control(func(fd uintptr) { set = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, option, 2048) })
+			return errors.Join(err, set)
 		}
 	}
 	config := net.ListenConfig{Control: small(syscall.SO_RCVBUF)}
@@ -156,11 +158,11 @@
 		if err != nil {
 			return
 		}
-		io.ReadFull(conn, make([]byte, 64))
-		conn.(*net.TCPConn).SetLinger(0)
+		_, _ = io.ReadFull(conn, make([]byte, 64))
+		_ = conn.(*net.TCPConn).SetLinger(0)
 		conn.Close()
 	}()
-	u := newTestUpstream(t, 1)
+	u := newTestUpstream(1)
 	u.dialer.Control = small(syscall.SO_SNDBUF)
 	m := get("/")
 	m.Method, m.Body = http.MethodPost, make([]byte, httpmsg.BodyMost)
@@ -178,7 +180,7 @@
 			"Connection": {"close"}, "Expect": {"100-continue"}, "Content-Length": {"7"}}}
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	if r := newTestUpstream(t, 1).attempt(ctx, &engine.Target{Address: e.Address}, m); r.Status != balancer.OK {
+	if r := newTestUpstream(1).attempt(ctx, &engine.Target{Address: e.Address}, m); r.Status != balancer.OK {
 		t.Fatalf("status %v", r.Status)
 	}
 	got := e.Request(0)
@@ -191,7 +193,9 @@
 		t.Errorf("headers of the client's connection went on: %v", got.Header)
 	}
 	var left int64
-	fmt.Sscan(got.Header.Get("X-Time-Left-Ms"), &left)
+	if _, err := fmt.Sscan(got.Header.Get("X-Time-Left-Ms"), &left); err != nil {
+		t.Error(err)
+	}
 	if left <= 0 || left > patience.Milliseconds() {
 		t.Errorf("X-Time-Left-Ms %q", got.Header.Get("X-Time-Left-Ms"))
 	}
@@ -203,11 +207,11 @@
 func TestNoHiddenResend(t *testing.T) {
 	e := peer.New(t, func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
 		if e.Next(in) != nil {
-			io.WriteString(conn, peer.Served)
+			_, _ = io.WriteString(conn, peer.Served)
 			e.Next(in) // and end without an answer
 		}
 	})
-	u, at := newTestUpstream(t, 4), &engine.Target{Address: e.Address}
+	u, at := newTestUpstream(4), &engine.Target{Address: e.Address}
 	if r := u.attempt(context.Background(), at, get("/1")); r.Status != balancer.OK {
 		t.Fatalf("first: status %v", r.Status)
 	}
@@ -225,11 +229,11 @@
 	closed := make(chan struct{}, 2)
 	e := peer.New(t, func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
 		e.Next(in)
-		io.WriteString(conn, peer.Served)
+		_, _ = io.WriteString(conn, peer.Served)
 		conn.Close()
 		closed <- struct{}{}
 	})
-	u, at := newTestUpstream(t, 1), &engine.Target{Address: e.Address}
+	u, at := newTestUpstream(1), &engine.Target{Address: e.Address}
 	for i := range 2 {
 		if r := u.attempt(context.Background(), at, get("/")); r.Status != balancer.OK {
 			t.Fatalf("attempt %d: status %v, want OK", i, r.Status)
@@ -247,7 +251,7 @@
 // asked for and by the regular sweep.
 func TestIdleConnectionsAreRetiredEarly(t *testing.T) {
 	e := peer.New(t, peer.Always(peer.Served))
-	u, at := newTestUpstream(t, 4), &engine.Target{Address: e.Address}
+	u, at := newTestUpstream(4), &engine.Target{Address: e.Address}
 	if limit := 5 * time.Second; u.idleMost > limit*4/5 {
 		t.Errorf("idle connections are used for %v of %v", u.idleMost, limit)
 	}
@@ -281,7 +285,7 @@
 // The descriptors are bounded: an idle connection makes room, a busy one does not.
 func TestConnectionsAreBounded(t *testing.T) {
 	quick, slow := peer.New(t, peer.Always(peer.Served)), peer.New(t, peer.Silent)
-	u := newTestUpstream(t, 1)
+	u := newTestUpstream(1)
 	if r := u.attempt(context.Background(), &engine.Target{Address: quick.Address}, get("/")); r.Status != balancer.OK {
 		t.Fatalf("status %v", r.Status)
 	}
@@ -304,7 +308,7 @@
 // A send that waited for its connection must not start once its endpoint drains.
 func TestDrainDuringDial(t *testing.T) {
 	e := peer.New(t, peer.Always(peer.Served))
-	u, at := newTestUpstream(t, 1), &engine.Target{Address: e.Address}
+	u, at := newTestUpstream(1), &engine.Target{Address: e.Address}
 	dialling, go_ := make(chan struct{}), make(chan struct{})
 	u.dialer.Control = func(_, _ string, _ syscall.RawConn) error {
 		close(dialling)
@@ -348,7 +352,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			e := peer.New(t, peer.Always(c.answer))
-			u := newTestUpstream(t, 1)
+			u := newTestUpstream(1)
 			r := attempt.Probe(context.Background(), u.attempt, &engine.Target{Address: e.Address}, u.fields)
 			for i, v := range r.Load {
 				if v != v {
@@ -378,14 +382,14 @@
 					if !late {
 						own += own
 					}
-					io.WriteString(conn, own)
+					_, _ = io.WriteString(conn, own)
 					if late {
 						<-rest
-						io.WriteString(conn, own)
+						_, _ = io.WriteString(conn, own)
 					}
 				}
 			})
-			u, at := newTestUpstream(t, 4), &engine.Target{Address: e.Address}
+			u, at := newTestUpstream(4), &engine.Target{Address: e.Address}
 			if r := u.attempt(context.Background(), at, get("/one.")); r.Status != balancer.OK || string(r.Body) != "one." {
 				t.Fatalf("first: status %v, body %q", r.Status, r.Body)
 			}
@@ -409,12 +413,12 @@
 	for name, first := range map[string]string{"plain": "", "after an interim answer": "HTTP/1.1 102 Processing\r\n\r\n"} {
 		e := peer.New(t, func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
 			for e.Next(in) != nil {
-				io.WriteString(conn, first)
+				_, _ = io.WriteString(conn, first)
 				time.Sleep(2 * answerRest)
-				io.WriteString(conn, peer.Served)
+				_, _ = io.WriteString(conn, peer.Served)
 			}
 		})
-		u, at := newTestUpstream(t, 1), &engine.Target{Address: e.Address}
+		u, at := newTestUpstream(1), &engine.Target{Address: e.Address}
 		for range 2 { // on a new connection and on a used one
 			if r := u.attempt(context.Background(), at, get("/")); r.Status != balancer.OK {
 				t.Errorf("%s: status %v, want OK", name, r.Status)
@@ -431,8 +435,8 @@
 func TestGivenUpInTheMiddleOfAnAnswer(t *testing.T) {
 	const interim = "HTTP/1.1 102 Processing\r\n\r\n"
 	e := peer.New(t, func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
-		io.WriteString(conn, interim)
-		in.ReadByte() // until the other side closes
+		_, _ = io.WriteString(conn, interim)
+		_, _ = in.ReadByte() // until the other side closes
 	})
 	for name, read := range map[string]func(*conn) error{
 		"between interim answers": func(c *conn) error {
@@ -441,11 +445,11 @@
 		},
 		"at a first byte": func(c *conn) error {
 			c.readBy(time.Now().Add(time.Hour))
-			_, err := c.Conn.Read(make([]byte, 1))
+			_, err := c.Read(make([]byte, 1))
 			return err
 		},
 	} {
-		c, err := newTestUpstream(t, 1).dial(context.Background(), &engine.Target{Address: e.Address})
+		c, err := newTestUpstream(1).dial(context.Background(), &engine.Target{Address: e.Address})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -477,7 +481,7 @@
 		_, err := in.ReadByte()
 		ended <- err
 	})
-	u := newTestUpstream(t, 1)
+	u := newTestUpstream(1)
 	ctx, giveUp := context.WithCancel(context.Background())
 	defer giveUp()
 	done := make(chan engine.Result)
@@ -496,7 +500,7 @@
 // the answer to the next request, which waits. What has settled goes first.
 func TestConnectionsSettle(t *testing.T) {
 	e := peer.New(t, peer.Always(peer.Served))
-	u, at := newTestUpstream(t, 2), &engine.Target{Address: e.Address}
+	u, at := newTestUpstream(2), &engine.Target{Address: e.Address}
 	u.settle = time.Hour
 	ask := func(ctx context.Context) balancer.Status { return u.attempt(ctx, at, get("/")).Status }
 	if s := ask(context.Background()); s != balancer.OK {
--- a/internal/upstream/idle/idle_test.go
+++ b/internal/upstream/idle/idle_test.go
@@ -14,9 +14,9 @@
 // world says how many of a hundred connections break by idle time.
 type world func(age time.Duration) int
 
-// use plays n uses of idle ages that double in turn, 5 ms apart, as far as the limit permits, and returns how many
-// broke beyond what fresh ones do.
-func use(t *Trust, at *time.Time, n int, breaks world) (older, broke int) {
+// use plays n uses of idle ages that double in turn, 5 ms apart, as far as the limit permits, and returns how many of the
+// older ones, beyond the first bin, broke.
+func use(t *Trust, at *time.Time, n int, breaks world) (broke int) {
 	for i := range n {
 		*at = at.Add(5 * time.Millisecond)
 		age := 10 * time.Millisecond << (i % 8)
@@ -24,15 +24,12 @@
 			continue
 		}
 		bad := i/8*37%100 < breaks(age) // spread evenly
-		if age > ageLeast {
-			older++
-			if bad {
-				broke++
-			}
+		if age > ageLeast && bad {
+			broke++
 		}
 		t.Saw(*at, age, bad)
 	}
-	return older, broke
+	return broke
 }
 
 func TestLimits(t *testing.T) {
@@ -68,7 +65,7 @@
 	if got := trust.Limit(at, time.Minute); got != time.Minute {
 		t.Errorf("after %v: limit %v", 20*halfLife, got)
 	}
-	_, broke := use(&trust, &at, 4000, func(a time.Duration) int { return map[bool]int{true: 100}[a >= 100*time.Millisecond] })
+	broke := use(&trust, &at, 4000, func(a time.Duration) int { return map[bool]int{true: 100}[a >= 100*time.Millisecond] })
 	if broke > 40 {
 		t.Errorf("%d broke until it was known again", broke)
 	}
--- a/internal/upstream/secure/secure.go
+++ b/internal/upstream/secure/secure.go
@@ -217,7 +217,7 @@
 	}
 	return h.config, func(state tls.ConnectionState, err error) func(time.Time) bool {
 		if err != nil {
-			h.failed(err)
+			_ = h.failed(err) // the caller has it
 			return nil
 		}
 		l := h.stood(state, c.o.Room.Life(state, x509.ExtKeyUsageServerAuth, h.material))
--- a/internal/upstream/secure/secure_test.go
+++ b/internal/upstream/secure/secure_test.go
@@ -107,7 +107,7 @@
 	if err != nil {
 		return nil, err
 	}
-	io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n") // where this fails, reading has the cause
 	answer := make([]byte, 4096)
 	for n := 0; !strings.HasSuffix(string(answer[:n]), "done"); {
 		more, err := c.Read(answer[n:])
@@ -132,7 +132,7 @@
 		end(tls.ConnectionState{}, err)
 		return false, err
 	}
-	w.t.Cleanup(func() { c.CloseWithError(0, "") }) // the ticket comes behind the handshake
+	w.t.Cleanup(func() { _ = c.CloseWithError(0, "") }) // the ticket comes behind the handshake
 	state := c.ConnectionState().TLS
 	if usable := end(state, nil); !usable(w.now()) {
 		w.t.Error("a fresh connection is of no use")
@@ -253,10 +253,14 @@
 	w := start(t)
 	s := guarded.Start(t, issue(ca.New(t, "other"), ca.Spec{}))
 	for range 5 {
-		w.tcp(target(s))
+		if _, err := w.tcp(target(s)); err == nil {
+			t.Error("a server of an unknown authority is trusted")
+		}
 	}
 	w.ahead.Store(int64(tellEvery))
-	w.tcp(target(s))
+	if _, err := w.tcp(target(s)); err == nil {
+		t.Error("a server of an unknown authority is trusted")
+	}
 	if n := w.log.Count("nothing was sent there"); n != 2 || w.client.Counters().Failed["chain"] != 6 {
 		t.Errorf("%d lines, counted %v", n, w.client.Counters().Failed)
 	}
@@ -321,7 +325,9 @@
 		w := start(t)
 		s := guarded.Start(t, issue(w.root, ca.Spec{}))
 		before := target(s)
-		w.tcp(before)
+		if _, err := w.tcp(before); err != nil {
+			t.Fatal(err)
+		}
 		before.Close()
 		w.client.Retire(before)
 		if resumed, err := w.tcp(target(s)); resumed || err != nil {
@@ -336,7 +342,9 @@
 			all = append(all, target(guarded.Start(t, shown)))
 		}
 		for _, x := range all {
-			w.tcp(x)
+			if _, err := w.tcp(x); err != nil {
+				t.Fatal(err)
+			}
 		}
 		if n := w.client.Counters().Sessions; n != 2 {
 			t.Errorf("%d sessions are held", n)
@@ -417,7 +425,9 @@
 	}
 	defer c.Close()
 	// Two answers are asked for and the first is read alone: the second lies in the encryption.
-	io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
 	if _, err := io.ReadFull(c, make([]byte, 10)); err != nil {
 		t.Fatal(err)
 	}
