site: Start in named steps, the check of keys in two

It now opens the sockets, creates the engine with its surroundings and starts each front, in the same order as before; each failure releases what was made before it. keys checks entries and references in functions of their own. Ignored errors say so.

--- a/internal/site/file.go
+++ b/internal/site/file.go
@@ -183,9 +183,11 @@
 	Verify  string   `toml:"verify"`
 }
 
-// Duration and FileError are those of all files of this form.
+// What all files of this form share.
 type (
-	Duration  = tomlfile.Duration
+	// Duration is that of all files of this form.
+	Duration = tomlfile.Duration
+	// FileError is a fault of such a file, with its line and key.
 	FileError = tomlfile.Error
 )
 
--- a/internal/site/file_test.go
+++ b/internal/site/file_test.go
@@ -175,7 +175,9 @@
 	if _, err := Load(path); err == nil {
 		t.Error("a missing file is no error")
 	}
-	os.WriteFile(path, make([]byte, 1<<20), 0o600)
+	if err := os.WriteFile(path, make([]byte, 1<<20), 0o600); err != nil {
+		t.Fatal(err)
+	}
 	if _, err := Load(path); err == nil {
 		t.Error("a file of nulls is taken")
 	}
--- a/internal/site/keys.go
+++ b/internal/site/keys.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"log/slog"
 	"slices"
@@ -76,43 +77,60 @@
 // serves says whether keys are used by fronts, which are servers.
 func (f *File) serves(name string) bool { return f.Upstream.Keys != name }
 
-// keys checks each entry, and that what is named is there.
+// keys checks each [[keys]] entry, and that each name in use refers to one.
 func (c *check) keys() {
-	f := c.file
-	seen, used := map[string]bool{}, map[string]bool{}
-	for i := range f.Keys {
-		k := &f.Keys[i]
-		at := func(key string) string { return fmt.Sprintf("keys[%d].%s", i, key) }
-		c.Require(k.Name != "", at("name"), "is missing")
-		c.Require(!seen[k.Name], at("name"), "%q is there twice", k.Name)
-		seen[k.Name] = true
-		c.Require((k.CertFile == "") == (k.KeyFile == ""), at("key_file"), "a certificate and its key are named together, or neither is")
-		c.Require(k.CertFile != "" || k.RootsFile != "", at("cert_file"), "neither a certificate nor roots are named")
-		c.Require(k.RevokedFile == "" || k.RootsFile != "", at("revoked_file"), "is signed by a root, and no roots_file is named")
-		c.Require(k.CertFile != "" || len(k.Names) == 0, at("names"), "are of a certificate, and no cert_file is named")
-		c.Require(k.LeastRSA == 0 || k.LeastRSA >= leastRSA && k.LeastRSA <= 16384, at("least_rsa"), "%d is not in %d to 16384", k.LeastRSA, leastRSA)
-		_, ok := versions[k.LeastTLS]
-		c.Require(ok, at("least_tls"), "%q is neither 1.3 nor 1.2", k.LeastTLS)
-		c.Require(k.PeersOver >= 0 && time.Duration(k.PeersOver) <= peersOverMost, at("peers_over"), "%v is not in 0s to %v", time.Duration(k.PeersOver), peersOverMost)
-		c.Require(k.ReplaceWithin >= 0, at("replace_within"), "%v is negative", time.Duration(k.ReplaceWithin))
-		for _, name := range k.Names {
-			err := secure.CheckName(name)
-			c.Require(err == nil, at("names"), "%v", err)
-		}
-		if k.PermitOver || k.PeersOver > 0 {
-			c.Warn(at("name"), "takes certificates whose time is over: meant for an emergency")
-		}
-		if !c.Good() {
-			continue
+	seen := map[string]bool{}
+	for i := range c.file.Keys {
+		c.keysEntry(i, seen)
+	}
+	used := c.keysUsers()
+	for i := range c.file.Keys {
+		if name := c.file.Keys[i].Name; name != "" && !used[name] {
+			c.Warn(fmt.Sprintf("keys[%d].name", i), "nothing uses them")
 		}
-		if _, err := keyroom.Open(k.options(f.serves(k.Name), slog.New(slog.DiscardHandler))); err != nil {
-			key := "cert_file"
-			if fault, ok := err.(*judge.Fault); ok {
-				key = fault.File + "_file"
-			}
-			c.Require(false, at(key), "%v", err)
+	}
+}
+
+// keysEntry checks one [[keys]] entry and, if no fault has been found so far, the files that it names.
+// seen holds the names of the entries before it.
+func (c *check) keysEntry(i int, seen map[string]bool) {
+	k := &c.file.Keys[i]
+	at := func(key string) string { return fmt.Sprintf("keys[%d].%s", i, key) }
+	c.Require(k.Name != "", at("name"), "is missing")
+	c.Require(!seen[k.Name], at("name"), "%q is there twice", k.Name)
+	seen[k.Name] = true
+	c.Require((k.CertFile == "") == (k.KeyFile == ""), at("key_file"), "a certificate and its key are named together, or neither is")
+	c.Require(k.CertFile != "" || k.RootsFile != "", at("cert_file"), "neither a certificate nor roots are named")
+	c.Require(k.RevokedFile == "" || k.RootsFile != "", at("revoked_file"), "is signed by a root, and no roots_file is named")
+	c.Require(k.CertFile != "" || len(k.Names) == 0, at("names"), "are of a certificate, and no cert_file is named")
+	c.Require(k.LeastRSA == 0 || k.LeastRSA >= leastRSA && k.LeastRSA <= 16384, at("least_rsa"), "%d is not in %d to 16384", k.LeastRSA, leastRSA)
+	_, ok := versions[k.LeastTLS]
+	c.Require(ok, at("least_tls"), "%q is neither 1.3 nor 1.2", k.LeastTLS)
+	c.Require(k.PeersOver >= 0 && time.Duration(k.PeersOver) <= peersOverMost, at("peers_over"), "%v is not in 0s to %v", time.Duration(k.PeersOver), peersOverMost)
+	c.Require(k.ReplaceWithin >= 0, at("replace_within"), "%v is negative", time.Duration(k.ReplaceWithin))
+	for _, name := range k.Names {
+		err := secure.CheckName(name)
+		c.Require(err == nil, at("names"), "%v", err)
+	}
+	if k.PermitOver || k.PeersOver > 0 {
+		c.Warn(at("name"), "takes certificates whose time is over: meant for an emergency")
+	}
+	if !c.Good() {
+		return
+	}
+	if _, err := keyroom.Open(k.options(c.file.serves(k.Name), slog.New(slog.DiscardHandler))); err != nil {
+		key := "cert_file"
+		if fault := (*judge.Fault)(nil); errors.As(err, &fault) {
+			key = fault.File + "_file"
 		}
+		c.Require(false, at(key), "%v", err)
 	}
+}
+
+// keysUsers checks the references to [[keys]] entries and returns the names in use.
+func (c *check) keysUsers() map[string]bool {
+	f := c.file
+	used := map[string]bool{}
 	for _, u := range f.users() {
 		if u.name == "" {
 			continue
@@ -128,11 +146,7 @@
 		c.Require(!u.server || u.name != f.Upstream.Keys, u.key, "%q are upstream.keys, too: a server's certificate and a client's are judged apart, give each a [[keys]] of its own", u.name)
 		c.Require(u.server || f.Keys[at].RootsFile != "", u.key, "%q has no roots_file, and servers cannot be verified without", u.name)
 	}
-	for i := range f.Keys {
-		if name := f.Keys[i].Name; name != "" && !used[name] {
-			c.Warn(fmt.Sprintf("keys[%d].name", i), "nothing uses them")
-		}
-	}
+	return used
 }
 
 // upstream checks how servers are verified.
--- a/internal/site/keys_test.go
+++ b/internal/site/keys_test.go
@@ -59,7 +59,9 @@
 			return err
 		}
 		defer out.Body.Close()
-		io.Copy(io.Discard, out.Body)
+		if _, err := io.Copy(io.Discard, out.Body); err != nil {
+			return err
+		}
 		if out.StatusCode != 200 {
 			return fmt.Errorf("answered %d", out.StatusCode)
 		}
--- a/internal/site/peers.go
+++ b/internal/site/peers.go
@@ -160,11 +160,11 @@
 	}
 	i.Status = l.Addr()
 	server := &http.Server{Handler: host, ReadTimeout: 2 * time.Second, WriteTimeout: 5 * time.Second}
-	go server.Serve(l)
+	go func() { _ = server.Serve(l) }() // until Shutdown
 	i.closePeers = func() {
 		ctx, stop := context.WithTimeout(context.Background(), time.Second)
 		defer stop()
-		server.Shutdown(ctx)
+		_ = server.Shutdown(ctx) // after its second the process ends all the same
 		host.Close()
 	}
 	return nil
--- a/internal/site/peers_test.go
+++ b/internal/site/peers_test.go
@@ -105,7 +105,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	io.Copy(io.Discard, res.Body)
+	if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		t.Fatal(err)
+	}
 	res.Body.Close()
 	return res.StatusCode
 }
--- a/internal/site/reload_test.go
+++ b/internal/site/reload_test.go
@@ -134,7 +134,9 @@
 		return 0, nil
 	}
 	defer out.Body.Close()
-	io.Copy(io.Discard, out.Body)
+	if _, err := io.Copy(io.Discard, out.Body); err != nil {
+		return 0, nil
+	}
 	return out.StatusCode, out.Header
 }
 
--- a/internal/site/run.go
+++ b/internal/site/run.go
@@ -40,6 +40,9 @@
 	entryBytes = 1 << 10 // at about so much an entry: two names, a round, two attempts
 )
 
+// maxFronts is how many fronts a file may switch on.
+const maxFronts = 3
+
 // Instance is a running pinedale-site. Make one with Start.
 type Instance struct {
 	HTTP    net.Addr // nil unless the front is on
@@ -126,17 +129,61 @@
 // altSvcFor is for how long clients may remember that HTTP/3 is served, too.
 const altSvcFor = time.Hour
 
-func closeAll(listeners []net.Listener) {
-	for _, l := range listeners {
-		if l != nil {
-			l.Close()
+// sockets are those that the fronts serve on, nil for a front that is not switched on.
+type sockets struct {
+	http    net.Listener
+	extProc net.Listener
+	http3   net.PacketConn
+}
+
+// listen opens the sockets of all fronts, or none if one of them fails.
+func (f *File) listen() (*sockets, error) {
+	s := &sockets{}
+	err := s.open(f)
+	if err != nil {
+		s.close()
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	return s, nil
+}
+
+// open opens one socket after the other, up to the first that fails.
+func (s *sockets) open(f *File) (err error) {
+	if f.HTTP.Listen != "" {
+		if s.http, err = net.Listen("tcp", f.HTTP.Listen); err != nil {
+			return err
+		}
+	}
+	if f.ExtProc.Listen != "" {
+		if s.extProc, err = net.Listen("tcp", f.ExtProc.Listen); err != nil {
+			return err
 		}
 	}
+	if f.HTTP3.Listen != "" {
+		if s.http3, err = net.ListenPacket("udp", f.HTTP3.Listen); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// close closes the sockets that are open.
+func (s *sockets) close() {
+	if s.http != nil {
+		s.http.Close()
+	}
+	if s.extProc != nil {
+		s.extProc.Close()
+	}
+	if s.http3 != nil {
+		s.http3.Close()
+	}
 }
 
-// Start listens and serves as the file says.
+// Start opens the file's sockets, starts the engine, the connection to other instances and the fronts,
+// and returns without waiting for them. After an error nothing is left running.
 func Start(f *File, log *slog.Logger) (*Instance, error) {
-	i := &Instance{file: f, log: log, served: make(chan error, 3)}
+	i := &Instance{file: f, log: log, served: make(chan error, maxFronts)}
 	var err error
 	if i.rooms, err = f.openRooms(log); err != nil {
 		return nil, err
@@ -144,113 +191,175 @@
 	if i.secure, err = f.secure(i.rooms, log); err != nil {
 		return nil, err
 	}
-	part, err := f.subset()
+	subset, err := f.subset()
 	if err != nil {
 		return nil, err
 	}
-	var listeners [2]net.Listener
-	for n, address := range [...]string{f.HTTP.Listen, f.ExtProc.Listen} {
-		if address == "" {
-			continue
-		}
-		var err error
-		if listeners[n], err = net.Listen("tcp", address); err != nil {
-			closeAll(listeners[:])
-			return nil, fmt.Errorf("listen: %w", err)
-		}
-	}
-	var datagrams net.PacketConn
-	if f.HTTP3.Listen != "" {
-		var err error
-		if datagrams, err = net.ListenPacket("udp", f.HTTP3.Listen); err != nil {
-			closeAll(listeners[:])
-			return nil, fmt.Errorf("listen: %w", err)
-		}
+	open, err := f.listen()
+	if err != nil {
+		return nil, err
 	}
-	var seed [8]byte
-	rand.Read(seed[:])
-	// The engine outlives the fronts: requests in hand still need it.
+	// The engine outlives the fronts: requests in flight still need it.
 	engineCtx, stop := context.WithCancel(context.Background())
-	ctx, end := context.WithCancel(context.Background())
+	frontCtx, end := context.WithCancel(context.Background())
 	i.stop, i.end = stop, end
+	upstream, err := i.createEngine(engineCtx, subset)
+	if err != nil {
+		open.close()
+		return nil, err
+	}
+	altSvc := i.serveHTTP3(frontCtx, open.http3, upstream)
+	i.rooms.run(engineCtx) // requests in flight outlive the fronts, and so do their connections
+	i.serveHTTP(frontCtx, open.http, upstream, altSvc)
+	i.serveExtProc(frontCtx, open.extProc)
+	go i.engine.Run()
+	return i, nil
+}
+
+// createEngine creates the engine with its surroundings: the routing table, the parser, admission, the
+// upstream and the connection to other instances. After an error it has released them all.
+func (i *Instance) createEngine(ctx context.Context, subset engine.Subset) (engine.Upstream, error) {
+	f := i.file
 	settings := f.Settings()
 	i.table.Store(f.table)
 	i.admit = admission.New(f.table.Admission(f.Limits.AdmitRate))
 	i.parser = intake.NewParser(&settings)
 	i.parser.Use(newRouter(f.table))
-	undo := func(more ...func()) {
-		stop()
-		end()
-		for _, f := range more {
-			f()
-		}
-		closeAll(listeners[:])
-		if datagrams != nil {
-			datagrams.Close()
-		}
-	}
-	up, closeUp, err := f.upstream(i.secure)
+	upstream, closeUpstream, err := f.upstream(i.secure)
 	if err != nil {
-		undo()
+		i.cancel()
 		return nil, fmt.Errorf("upstream: %w", err)
 	}
-	i.closeUp = closeUp
+	i.closeUp = closeUpstream
 	if err := i.startPeers(f); err != nil {
-		undo(func() { closeUp() })
+		i.cancel()
+		_ = closeUpstream() // the error that is returned says why
+		return nil, err
+	}
+	if i.engine, err = engine.New(ctx, i.engineOptions(settings, upstream, subset)); err != nil {
+		i.cancel()
+		i.closePeers()
+		_ = closeUpstream() // likewise
 		return nil, err
 	}
-	options := engine.Options{Settings: settings, Seed: binary.LittleEndian.Uint64(seed[:]),
-		Zones: f.Fleet.Sites, Kinds: f.Fleet.Kinds, CachedList: engine.List{Complete: true, Hosts: f.hosts()},
-		Upstream: up, Source: f.source(log), Log: log, Admission: i.admit, Subset: part, Pools: f.table.Pools}
+	return upstream, nil
+}
+
+// cancel ends the contexts of the engine and the fronts.
+func (i *Instance) cancel() {
+	i.stop()
+	i.end()
+}
+
+// engineOptions returns what the engine is created with, with other instances where the file names them.
+func (i *Instance) engineOptions(settings balancer.Settings, upstream engine.Upstream, subset engine.Subset) engine.Options {
+	f := i.file
+	var seed [8]byte
+	_, _ = rand.Read(seed[:]) // never fails: it ends the process instead
+	options := engine.Options{
+		Settings:   settings,
+		Seed:       binary.LittleEndian.Uint64(seed[:]),
+		Zones:      f.Fleet.Sites,
+		Kinds:      f.Fleet.Kinds,
+		CachedList: engine.List{Complete: true, Hosts: f.hosts()},
+		Upstream:   upstream,
+		Source:     f.source(i.log),
+		Log:        i.log,
+		Admission:  i.admit,
+		Subset:     subset,
+		Pools:      f.table.Pools,
+	}
 	if i.Peers != nil {
-		options.KeyLeases, options.Observe, options.Source = i.Peers, i.Peers.ObserveAttempt, overheard{options.Source, i.Peers}
+		options.KeyLeases = i.Peers
+		options.Observe = i.Peers.ObserveAttempt
+		options.Source = overheard{options.Source, i.Peers}
 	}
-	e, err := engine.New(engineCtx, options)
-	if err != nil {
-		undo(i.closePeers, func() { closeUp() })
-		return nil, err
+	return options
+}
+
+// serve runs a front in a goroutine of its own; Wait receives its error.
+func (i *Instance) serve(front func() error) {
+	i.fronts++
+	go func() { i.served <- front() }()
+}
+
+// maxBodyBytes bounds the bodies of requests that each HTTP front holds.
+func (f *File) maxBodyBytes() int64 { return int64(f.Limits.MemoryMB) << 20 / bodiesPart }
+
+// serveHTTP3 starts the HTTP/3 front and returns the Alt-Svc value by which the HTTP/1.1 front
+// advertises it, "" if it is not switched on.
+func (i *Instance) serveHTTP3(ctx context.Context, socket net.PacketConn, upstream engine.Upstream) (altSvc string) {
+	if socket == nil {
+		return ""
 	}
-	i.engine = e
-	var longest time.Duration
+	f := i.file
+	front := http3front.New(i.engine, upstream, http3front.Options{
+		Room:        i.rooms[f.HTTP3.Keys],
+		Name:        f.Name,
+		Connections: f.HTTP3.Connections,
+		Streams:     f.HTTP3.Streams,
+		Early:       f.HTTP3.Early,
+		BodyBytes:   f.maxBodyBytes(),
+		Parser:      i.parser,
+		Log:         i.log,
+	})
+	i.HTTP3 = socket.LocalAddr()
+	i.serve(func() error { return front.Serve(ctx, socket) })
+	return fmt.Sprintf(`h3=":%d"; ma=%d`, i.HTTP3.(*net.UDPAddr).Port, altSvcFor/time.Second)
+}
+
+// serveHTTP starts the HTTP/1.1 front if it is switched on.
+func (i *Instance) serveHTTP(ctx context.Context, listener net.Listener, upstream engine.Upstream, altSvc string) {
+	if listener == nil {
+		return
+	}
+	f := i.file
+	if room := i.rooms[f.HTTP.Keys]; room != nil {
+		listener = room.Listen(listener, "http/1.1")
+	}
+	front := httpfront.New(i.engine, upstream, httpfront.Options{
+		Connections: f.Limits.ClientConnections,
+		Crowded:     f.Limits.ClientConnections / crowdPart,
+		BodyBytes:   f.maxBodyBytes(),
+		Parser:      i.parser,
+		AltSvc:      altSvc,
+		EndBy:       func(longest time.Duration) time.Duration { return longest + time.Second }, // nothing kills the process
+		Log:         i.log,
+	})
+	i.HTTP = listener.Addr()
+	i.serve(func() error { return front.Serve(ctx, listener) })
+}
+
+// serveExtProc starts the external processor if it is switched on.
+func (i *Instance) serveExtProc(ctx context.Context, listener net.Listener) {
+	if listener == nil {
+		return
+	}
+	f := i.file
+	options := extproc.Options{
+		Streams: f.ExtProc.Streams,
+		Backlog: f.ExtProc.Backlog,
+		Retries: f.ExtProc.Retries == "ask-again",
+		Entries: f.Limits.MemoryMB << 20 / entryPart / entryBytes,
+		Fields:  f.Fleet.Reports,
+		Parser:  i.parser,
+		Drain:   f.longestDeadline(),
+		Log:     i.log,
+	}
+	if room := i.rooms[f.ExtProc.Keys]; room != nil {
+		options.TLS, options.Renew = room.Server("h2"), room.Spread()
+	}
+	i.ext = extproc.New(i.engine, options)
+	i.ExtProc = listener.Addr()
+	i.serve(func() error { return i.ext.Serve(ctx, listener) })
+}
+
+// longestDeadline is that of the class that may take longest.
+func (f *File) longestDeadline() (longest time.Duration) {
 	for _, c := range f.Classes {
 		longest = max(longest, time.Duration(c.Deadline))
 	}
-	serve := func(l net.Listener, front func(context.Context, net.Listener) error) net.Addr {
-		i.fronts++
-		go func() { i.served <- front(ctx, l) }()
-		return l.Addr()
-	}
-	altSvc := ""
-	if datagrams != nil {
-		front := http3front.New(e, up, http3front.Options{Room: i.rooms[f.HTTP3.Keys], Name: f.Name, Connections: f.HTTP3.Connections,
-			Streams: f.HTTP3.Streams, Early: f.HTTP3.Early, BodyBytes: int64(f.Limits.MemoryMB) << 20 / bodiesPart, Parser: i.parser, Log: log})
-		i.HTTP3 = datagrams.LocalAddr()
-		altSvc = fmt.Sprintf(`h3=":%d"; ma=%d`, i.HTTP3.(*net.UDPAddr).Port, altSvcFor/time.Second)
-		i.fronts++
-		go func() { i.served <- front.Serve(ctx, datagrams) }()
-	}
-	i.rooms.run(engineCtx) // requests in hand outlive the fronts, and so do their connections
-	if l := listeners[0]; l != nil {
-		if room := i.rooms[f.HTTP.Keys]; room != nil {
-			l = room.Listen(l, "http/1.1")
-		}
-		front := httpfront.New(e, up, httpfront.Options{Connections: f.Limits.ClientConnections,
-			Crowded: f.Limits.ClientConnections / crowdPart, BodyBytes: int64(f.Limits.MemoryMB) << 20 / bodiesPart, Parser: i.parser, AltSvc: altSvc,
-			EndBy: func(longest time.Duration) time.Duration { return longest + time.Second }, Log: log}) // nobody kills it
-		i.HTTP = serve(l, front.Serve)
-	}
-	if l := listeners[1]; l != nil {
-		o := extproc.Options{Streams: f.ExtProc.Streams, Backlog: f.ExtProc.Backlog,
-			Retries: f.ExtProc.Retries == "ask-again", Entries: f.Limits.MemoryMB << 20 / entryPart / entryBytes,
-			Fields: f.Fleet.Reports, Parser: i.parser, Drain: longest, Log: log}
-		if room := i.rooms[f.ExtProc.Keys]; room != nil {
-			o.TLS, o.Renew = room.Server("h2"), room.Spread()
-		}
-		i.ext = extproc.New(e, o)
-		i.ExtProc = serve(l, i.ext.Serve)
-	}
-	go e.Run()
-	return i, nil
+	return longest
 }
 
 // Table is the one in use.
--- a/internal/site/secure_test.go
+++ b/internal/site/secure_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -96,7 +97,9 @@
 		return 0, err
 	}
 	defer out.Body.Close()
-	io.Copy(io.Discard, out.Body)
+	if _, err := io.Copy(io.Discard, out.Body); err != nil {
+		return 0, err
+	}
 	return out.StatusCode, nil
 }
 
@@ -205,8 +208,10 @@
 		if err != nil {
 			return err
 		}
-		s.CloseSend()
-		if _, err = s.Recv(); err == io.EOF {
+		if err := s.CloseSend(); err != nil {
+			return err
+		}
+		if _, err = s.Recv(); errors.Is(err, io.EOF) {
 			err = nil
 		}
 		return err
