--- a/cmd/pinedale-site/main_test.go
+++ b/cmd/pinedale-site/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -55,7 +56,9 @@
 
 func TestUsageAndCheck(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "site.toml")
-	os.WriteFile(path, []byte(strings.Replace(file("here"), "safe", "never", 1)), 0o600)
+	if err := os.WriteFile(path, []byte(strings.Replace(file("here"), "safe", "never", 1)), 0o600); err != nil {
+		t.Fatal(err)
+	}
 	for _, c := range []struct {
 		args []string
 		says []string
@@ -69,7 +72,7 @@
 		{[]string{"serve", "--config", path}, []string{"line 12: class[0].repeat"}},
 	} {
 		out, err := command(c.args...).CombinedOutput()
-		if err == nil || err.(*exec.ExitError).ExitCode() != 1 {
+		if exit := (*exec.ExitError)(nil); !errors.As(err, &exit) || exit.ExitCode() != 1 {
 			t.Errorf("%v: %v, want exit code 1", c.args, err)
 		}
 		for _, says := range c.says {
@@ -78,7 +81,9 @@
 			}
 		}
 	}
-	os.WriteFile(path, []byte(file("127.0.0.1:1")), 0o600)
+	if err := os.WriteFile(path, []byte(file("127.0.0.1:1")), 0o600); err != nil {
+		t.Fatal(err)
+	}
 	if out, err := command("check", "--config", path).CombinedOutput(); err != nil || !bytes.Contains(out, []byte("good")) {
 		t.Errorf("a good file: %v, %q", err, out)
 	}
@@ -144,14 +149,16 @@
 	}
 	defer second.Close()
 	path := filepath.Join(t.TempDir(), "site.toml")
-	os.WriteFile(path, []byte(file(first.Address)), 0o600)
+	if err := os.WriteFile(path, []byte(file(first.Address)), 0o600); err != nil {
+		t.Fatal(err)
+	}
 	cmd := command("serve", "--config", path)
 	var log logged.Record
 	cmd.Stderr = &log
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	defer cmd.Process.Kill()
+	defer func() { _ = cmd.Process.Kill() }() // it has ended unless the test fails
 	wait.Until(t, "the line on what is served", func() bool { return log.Find(`http=(\S+) http3=(\S+) ext_proc=(\S+)`) != nil })
 	url := "http://" + log.Find(`http=(\S+)`)[1]
 	n := 0
@@ -174,17 +181,27 @@
 	if code := get(); code != 200 {
 		t.Errorf("answer %d", code)
 	}
-	os.WriteFile(path, []byte("version = 7"), 0o600)
-	cmd.Process.Signal(syscall.SIGHUP)
+	if err := os.WriteFile(path, []byte("version = 7"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
 	wait.Until(t, "the bad file's line", func() bool { return log.Find("old one holds") != nil })
 	if code := get(); code != 200 || !second.LastRequest().IsZero() {
 		t.Errorf("after a bad file: %d", code)
 	}
-	os.WriteFile(path, []byte(strings.Replace(file(second.Address), "s-1", "s-2", 1)), 0o600)
-	cmd.Process.Signal(syscall.SIGHUP)
+	if err := os.WriteFile(path, []byte(strings.Replace(file(second.Address), "s-1", "s-2", 1)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
 	wait.Until(t, "the new file", func() bool { return log.Find("configuration reloaded") != nil })
 	wait.Until(t, "a request at the new server", func() bool { return get() == 200 && !second.LastRequest().IsZero() })
-	cmd.Process.Signal(syscall.SIGTERM)
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
 	if err := cmd.Wait(); err != nil {
 		t.Errorf("the program ended with %v", err)
 	}
--- a/cmd/pinedale/crossings_test.go
+++ b/cmd/pinedale/crossings_test.go
@@ -104,7 +104,7 @@
 	s.ended = ended
 	go func() { ended <- cmd.Wait() }()
 	s.t.Cleanup(func() {
-		cmd.Process.Kill()
+		_ = cmd.Process.Kill() // it may have ended by itself
 		if s.t.Failed() {
 			s.t.Log(s.log.String())
 		}
@@ -126,11 +126,11 @@
 			s.arrivals <- a
 			text = <-a.answer
 		}
-		io.WriteString(conn, text)
+		_, _ = io.WriteString(conn, text)
 		switch text {
 		case peer.Served, peer.Failing, peer.Full:
 		case reset:
-			conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.(*net.TCPConn).SetLinger(0)
 			return
 		default:
 			return
@@ -243,7 +243,9 @@
 		s.t.Fatal(err)
 	}
 	s.t.Cleanup(func() { conn.Close() })
-	conn.SetDeadline(time.Now().Add(2 * wait.Patience))
+	if err := conn.SetDeadline(time.Now().Add(2 * wait.Patience)); err != nil {
+		s.t.Fatal(err)
+	}
 	c := &client{Conn: conn, first: make(chan struct{}), over: make(chan struct{})}
 	go c.read()
 	return c
@@ -261,6 +263,7 @@
 		r, err := http.ReadResponse(in, nil)
 		if err == nil {
 			_, err = io.ReadAll(r.Body)
+			r.Body.Close()
 		}
 		if err != nil {
 			c.err = err
@@ -282,7 +285,9 @@
 	}
 	_, port, _ := net.SplitHostPort(s.config.Listen)
 	var own int
-	fmt.Sscan(port, &own)
+	if _, err := fmt.Sscan(port, &own); err != nil {
+		s.t.Fatal(err)
+	}
 	// "0: 0100007F:1F90 0100007F:C350 08 ...": local and remote address, state; 6 is TIME_WAIT.
 	for line := range strings.Lines(string(table)) {
 		f := strings.Fields(line)
@@ -323,7 +328,9 @@
 					other := directory.New(t, s.config.Known...)
 					c := s.dial()
 					text, id := s.request(class)
-					io.WriteString(c, text)
+					if _, err := io.WriteString(c, text); err != nil {
+						t.Fatal(err)
+					}
 					a := s.arrives()
 					s.auto.Store(true)
 					signalled := time.Now()
@@ -403,15 +410,21 @@
 	for _, class := range []string{"read", "pay", "close", "order"} {
 		c := s.dial()
 		text, id := s.request(class)
-		io.WriteString(c, text)
+		if _, err := io.WriteString(c, text); err != nil {
+			t.Fatal(err)
+		}
 		before, ids[id] = append(before, c), class
 	}
 	var out []arrival
 	for range before {
 		out = append(out, s.arrives())
 	}
-	s.cmd.Process.Kill()
-	<-s.ended
+	if err := s.cmd.Process.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-s.ended; err == nil {
+		t.Error("a process that was killed has ended without an error")
+	}
 	for _, c := range before {
 		<-c.over
 		if len(c.codes) > 0 {
@@ -426,7 +439,9 @@
 	c := s.dial()
 	for _, class := range []string{"pay", "order"} {
 		text, _ := s.request(class)
-		io.WriteString(c, text)
+		if _, err := io.WriteString(c, text); err != nil {
+			t.Fatal(err)
+		}
 	}
 	<-c.first
 	s.signal(syscall.SIGTERM)
@@ -476,7 +491,9 @@
 	c := s.dial()
 	for range 20 {
 		text, _ := s.request("read")
-		io.WriteString(c, text)
+		if _, err := io.WriteString(c, text); err != nil {
+			t.Fatal(err)
+		}
 		a := s.arrives()
 		if at := a.conn.LocalAddr().String(); drained[at] {
 			t.Errorf("a request went to %s, which drains", at)
@@ -507,7 +524,9 @@
 	wait.Until(t, "the half file's line", func() bool { return s.log.Count("old one holds") == 1 })
 	c := s.dial()
 	text, _ := s.request("read")
-	io.WriteString(c, text)
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
 	s.signal(syscall.SIGTERM)
 	<-c.over
 	s.exits()
--- a/cmd/pinedale/main_test.go
+++ b/cmd/pinedale/main_test.go
@@ -80,7 +80,7 @@
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	defer cmd.Process.Kill()
+	defer func() { _ = cmd.Process.Kill() }() // it has ended unless the test fails
 	ready := func() bool {
 		response, err := http.Get("http://" + listen + "/health/ready")
 		if err != nil {
@@ -102,7 +102,7 @@
 	registry := make(chan string, 100)
 	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		registry <- r.URL.String()
-		io.WriteString(w, `{"seq":1,"whole":true,"hosts":[{"host":"s-1","dial":"127.0.0.1:1","site":"a","health":"Ready","share":1}]}`)
+		_, _ = io.WriteString(w, `{"seq":1,"whole":true,"hosts":[{"host":"s-1","dial":"127.0.0.1:1","site":"a","health":"Ready","share":1}]}`)
 	}))
 	defer discovery.Close()
 	platform.Write(t, path, strings.Replace(config(listen), "127.0.0.1:1", discovery.Listener.Addr().String(), 1))
