Stand-ins: no open lint finding; requests and exchanges in named steps

golangci-lint found 49 places: errors dropped without a word, sentinel errors compared with ==, a response body without a Close, a request handler of cognitive complexity 33.

Dropped errors are marked, with the reason where it is not evident; tests fail on theirs. The coordination service's handler is split by request (delete, set data, read), permissions are named constants; the proxy's exchange with an endpoint is a function that closes the body.

--- a/internal/standin/cert/cert.go
+++ b/internal/standin/cert/cert.go
@@ -47,8 +47,8 @@
 	return room
 }
 
-// Turn, QUIC and Retire make a pair an http3upstream.Securer that verifies by the client's
-// configuration, and has no bound on handshakes.
+// Turn sets no bound on handshakes. With QUIC and Retire it makes a pair an http3upstream.Securer
+// that verifies by the client's configuration.
 func (p *Pair) Turn(context.Context, *engine.Target) error { return nil }
 
 // QUIC returns the client's configuration.
--- a/internal/standin/coord/coord.go
+++ b/internal/standin/coord/coord.go
@@ -364,8 +364,8 @@
 	}
 }
 
-// read reads one frame.
-func (c *conn) read() ([]byte, error) {
+// readFrame reads one frame.
+func (c *conn) readFrame() ([]byte, error) {
 	var head [4]byte
 	if _, err := io.ReadFull(c, head[:]); err != nil {
 		return nil, err
@@ -379,17 +379,18 @@
 	return data, err
 }
 
+// send writes one frame. The connection's reader finds out where that fails.
 func (c *conn) send(w *writer) {
 	c.write.Lock()
 	defer c.write.Unlock()
-	c.SetWriteDeadline(time.Now().Add(time.Second))
-	c.Write(w.seal())
+	_ = c.SetWriteDeadline(time.Now().Add(time.Second))
+	_, _ = c.Write(w.seal())
 }
 
 // serve reads a connection's frames until it ends. One that can't be read ends it,
 // as ZooKeeper's does.
 func (c *conn) serve() {
-	data, err := c.read()
+	data, err := c.readFrame()
 	if err != nil {
 		return
 	}
@@ -398,7 +399,7 @@
 		return
 	}
 	for {
-		data, err := c.read()
+		data, err := c.readFrame()
 		if err != nil {
 			return
 		}
@@ -436,7 +437,7 @@
 	s.mu.Lock()
 	if c.member.silent {
 		s.mu.Unlock()
-		io.Copy(io.Discard, c) // until the client has had enough
+		_, _ = io.Copy(io.Discard, c) // until the client has had enough
 		return false
 	}
 	if in.zxid > s.zxid {
@@ -557,9 +558,8 @@
 
 func validPath(p string) bool { return strings.HasPrefix(p, "/") && path.Clean(p) == p }
 
+// carryOut carries out a request, writes the body of its answer and returns the answer's code.
 func (c *conn) carryOut(q request, out *writer) int32 {
-	s := c.member.service
-	n := c.tree()[q.path]
 	switch q.op {
 	case OpPing, OpClose:
 		return codeOK
@@ -579,61 +579,73 @@
 	default:
 		return codeUnimplemented
 	}
-	if q.op == OpCreate {
+	switch q.op {
+	case OpCreate:
 		return c.create(q, out)
-	}
-	if q.op == OpSync {
+	case OpSync:
 		out.string(q.path)
 		return codeOK
 	}
+	n := c.tree()[q.path]
 	if n == nil {
-		if q.op == OpExists && q.watch {
-			c.watches["exist "+q.path] = true
+		if q.op == OpExists {
+			c.watch(q, "exist")
 		}
 		return codeNoNode
 	}
 	switch q.op {
 	case OpDelete:
-		dir := s.nodes[path.Dir(q.path)]
-		switch {
-		case !c.allowed(dir, 8):
-			return codeNoAuth
-		case q.version != -1 && q.version != n.version:
-			return codeBadVersion
-		case len(n.children) > 0:
-			return codeNotEmpty
-		}
-		s.remove(q.path)
+		return c.delete(q, n)
 	case OpSetData:
-		switch {
-		case !c.allowed(n, 2):
-			return codeNoAuth
-		case q.version != -1 && q.version != n.version:
-			return codeBadVersion
-		}
-		s.set(q.path, n, q.data)
-		out.stat(n)
+		return c.setData(q, n, out)
+	default:
+		return c.read(q, n, out)
+	}
+}
+
+// delete deletes a node that has no children.
+func (c *conn) delete(q request, n *node) int32 {
+	s := c.member.service
+	switch {
+	case !c.allowed(s.nodes[path.Dir(q.path)], permDelete):
+		return codeNoAuth
+	case q.version != anyVersion && q.version != n.version:
+		return codeBadVersion
+	case len(n.children) > 0:
+		return codeNotEmpty
+	}
+	s.remove(q.path)
+	return codeOK
+}
+
+// setData replaces a node's data.
+func (c *conn) setData(q request, n *node, out *writer) int32 {
+	switch {
+	case !c.allowed(n, permWrite):
+		return codeNoAuth
+	case q.version != anyVersion && q.version != n.version:
+		return codeBadVersion
+	}
+	c.member.service.set(q.path, n, q.data)
+	out.stat(n)
+	return codeOK
+}
+
+// read answers a request that changes nothing, and sets its watch.
+func (c *conn) read(q request, n *node, out *writer) int32 {
+	if q.op != OpExists && !c.allowed(n, permRead) {
+		return codeNoAuth
+	}
+	switch q.op {
 	case OpExists:
-		if q.watch {
-			c.watches["data "+q.path] = true
-		}
+		c.watch(q, "data")
 		out.stat(n)
 	case OpGetData:
-		if !c.allowed(n, 1) {
-			return codeNoAuth
-		}
-		if q.watch {
-			c.watches["data "+q.path] = true
-		}
+		c.watch(q, "data")
 		out.buffer(n.data)
 		out.stat(n)
 	case OpGetChildren, OpGetChildren2:
-		if !c.allowed(n, 1) {
-			return codeNoAuth
-		}
-		if q.watch {
-			c.watches["child "+q.path] = true
-		}
+		c.watch(q, "child")
 		all := names(n)
 		out.int32(int32(len(all)))
 		for _, name := range all {
@@ -646,6 +658,25 @@
 	return codeOK
 }
 
+// watch sets the watch that a request asks for.
+func (c *conn) watch(q request, kind string) {
+	if q.watch {
+		c.watches[kind+" "+q.path] = true
+	}
+}
+
+// Permissions of an access list (ZooDefs.Perms).
+const (
+	permRead   int32 = 1
+	permWrite  int32 = 2
+	permCreate int32 = 4
+	permDelete int32 = 8
+	permAll    int32 = 31
+)
+
+// anyVersion is the version of a request that holds for any version of the node.
+const anyVersion int32 = -1
+
 // Flags of a create request.
 const (
 	flagEphemeral = 1
@@ -664,7 +695,7 @@
 		return codeNoNode
 	case dir.owner != 0:
 		return codeNoChildren
-	case !c.allowed(dir, 4):
+	case !c.allowed(dir, permCreate):
 		return codeNoAuth
 	}
 	p := q.path
@@ -798,7 +829,7 @@
 func (s *Service) Protect(p, userPassword string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.nodes[p].acl = []ACL{{31, "digest", digest([]byte(userPassword))}}
+	s.nodes[p].acl = []ACL{{permAll, "digest", digest([]byte(userPassword))}}
 }
 
 // digest is ZooKeeper's name for a user with a password.
--- a/internal/standin/coord/coord_test.go
+++ b/internal/standin/coord/coord_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/binary"
 	"encoding/hex"
+	"errors"
 	"io"
 	"net"
 	"slices"
@@ -71,10 +72,10 @@
 	if p, err := c.Create("/d", []byte("x"), 0, acl); err != nil || p != "/d" {
 		t.Fatalf("create: %q, %v", p, err)
 	}
-	if _, err := c.Create("/d", nil, 0, acl); err != zk.ErrNodeExists {
+	if _, err := c.Create("/d", nil, 0, acl); !errors.Is(err, zk.ErrNodeExists) {
 		t.Errorf("create again: %v", err)
 	}
-	if _, err := c.Create("/no/parent", nil, 0, acl); err != zk.ErrNoNode {
+	if _, err := c.Create("/no/parent", nil, 0, acl); !errors.Is(err, zk.ErrNoNode) {
 		t.Errorf("create without a parent: %v", err)
 	}
 	names, stat, children, err := c.ChildrenW("/d")
@@ -85,7 +86,7 @@
 		t.Fatalf("create ephemeral: %q, %v", p, err)
 	}
 	event(t, children, zk.EventNodeChildrenChanged, "/d")
-	if _, err := c.Create("/d/e/f", nil, 0, acl); err != zk.ErrNoChildrenForEphemerals {
+	if _, err := c.Create("/d/e/f", nil, 0, acl); !errors.Is(err, zk.ErrNoChildrenForEphemerals) {
 		t.Errorf("create under an ephemeral node: %v", err)
 	}
 	if s.Owner("/d/e") != c.SessionID() {
@@ -104,7 +105,7 @@
 		t.Errorf("set: %+v, %v", stat, err)
 	}
 	event(t, changed, zk.EventNodeDataChanged, "/d/e")
-	if _, err := c.Set("/d/e", nil, 0); err != zk.ErrBadVersion {
+	if _, err := c.Set("/d/e", nil, 0); !errors.Is(err, zk.ErrBadVersion) {
 		t.Errorf("set of an old version: %v", err)
 	}
 	if data, _, err := c.Get("/d/e"); err != nil || string(data) != "22" {
@@ -117,16 +118,18 @@
 	if err != nil || ok {
 		t.Errorf("exists: %v, %v", ok, err)
 	}
-	c.Create("/d/later", nil, 0, acl)
+	if _, err := c.Create("/d/later", nil, 0, acl); err != nil {
+		t.Fatal(err)
+	}
 	event(t, created, zk.EventNodeCreated, "/d/later")
 	_, _, deleted, err := c.GetW("/d/later")
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := c.Delete("/d", -1); err != zk.ErrNotEmpty {
+	if err := c.Delete("/d", -1); !errors.Is(err, zk.ErrNotEmpty) {
 		t.Errorf("delete of a directory: %v", err)
 	}
-	if err := c.Delete("/d/later", 7); err != zk.ErrBadVersion {
+	if err := c.Delete("/d/later", 7); !errors.Is(err, zk.ErrBadVersion) {
 		t.Errorf("delete of an old version: %v", err)
 	}
 	if err := c.Delete("/d/later", 0); err != nil {
@@ -146,7 +149,7 @@
 		t.Errorf("create with our own list: %v", err)
 	}
 	stranger := client(t, s, 10*time.Second)
-	if _, _, err := stranger.Get("/own"); err != zk.ErrNoAuth {
+	if _, _, err := stranger.Get("/own"); !errors.Is(err, zk.ErrNoAuth) {
 		t.Errorf("a stranger's get: %v", err)
 	}
 	if _, err := c.Multi(&zk.DeleteRequest{Path: "/own", Version: -1}); err == nil {
@@ -202,8 +205,10 @@
 		t.Fatal(err)
 	}
 	defer raw.Close()
-	raw.Write(hexBytes(t, "0000002c 00000000 0000000000000000 00000032 0000000000000000 00000010 00000000000000000000000000000000"))
-	io.ReadFull(raw, make([]byte, 40))
+	write(t, raw, "0000002c 00000000 0000000000000000 00000032 0000000000000000 00000010 00000000000000000000000000000000")
+	if _, err := io.ReadFull(raw, make([]byte, 40)); err != nil {
+		t.Fatal(err)
+	}
 	n := len(s.Sessions())
 	for end := time.Now().Add(10 * time.Second); len(s.Sessions()) == n; time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(end) {
@@ -221,6 +226,22 @@
 	return b
 }
 
+// write sends bytes that are given in hexadecimal.
+func write(t *testing.T, conn net.Conn, text string) {
+	t.Helper()
+	if _, err := conn.Write(hexBytes(t, text)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// setDeadline bounds all that follows on a connection.
+func setDeadline(t *testing.T, conn net.Conn) {
+	t.Helper()
+	if err := conn.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // Frames byte by byte, as the protocol's definition (zookeeper.jute) has them: a
 // length, then big-endian fields in order; strings and buffers behind their length.
 func TestFramesByteByByte(t *testing.T) {
@@ -230,7 +251,7 @@
 		t.Fatal(err)
 	}
 	defer raw.Close()
-	raw.SetDeadline(time.Now().Add(10 * time.Second))
+	setDeadline(t, raw)
 	read := func() []byte {
 		var head [4]byte
 		if _, err := io.ReadFull(raw, head[:]); err != nil {
@@ -251,7 +272,10 @@
 		}
 		return got[len(w):]
 	}
-	send := func(text string) { raw.Write(hexBytes(t, text)) }
+	send := func(text string) {
+		t.Helper()
+		write(t, raw, text)
+	}
 	// ConnectRequest: protocolVersion, lastZxidSeen, timeOut 10,000 ms, sessionId 0, passwd of 16 zeros, readOnly.
 	send("0000002d 00000000 0000000000000000 00002710 0000000000000000 00000010 00000000000000000000000000000000 00")
 	// ConnectResponse: protocolVersion, timeOut, sessionId (the first is 0x101), passwd of 16.
@@ -298,7 +322,7 @@
 	// closeSession (-11).
 	send("00000008 00000008 fffffff5")
 	expect("close", "00000008 0000000000000003 00000000")
-	if n, err := raw.Read(make([]byte, 1)); n != 0 || err != io.EOF {
+	if n, err := raw.Read(make([]byte, 1)); n != 0 || !errors.Is(err, io.EOF) {
 		t.Errorf("after the close: %d bytes, %v", n, err)
 	}
 	if len(s.Sessions()) != 0 {
@@ -315,8 +339,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		raw.Write(hexBytes(t, text))
-		raw.SetDeadline(time.Now().Add(10 * time.Second))
+		write(t, raw, text)
+		setDeadline(t, raw)
 		if b, err := io.ReadAll(raw); len(b) > 0 {
 			t.Errorf("%s: answered %x, %v", text, b, err)
 		}
--- a/internal/standin/directory/directory.go
+++ b/internal/standin/directory/directory.go
@@ -95,13 +95,14 @@
 			d.Conns.Add(-1)
 		}
 	}}
-	go d.server.Serve(listener)
+	go func() { _ = d.server.Serve(listener) }()
 	return d, nil
 }
 
 // Close ends the service.
 func (d *Directory) Close() { d.server.Close() }
 
+// ServeHTTP answers a call for the list. A caller that has gone by then gets nothing.
 func (d *Directory) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	d.Lock()
 	d.Calls = append(d.Calls, r.URL.RawQuery)
@@ -135,13 +136,13 @@
 	switch {
 	case d.Down:
 		w.WriteHeader(http.StatusServiceUnavailable)
-		json.NewEncoder(w).Encode(d.List) // which must not be believed
+		_ = json.NewEncoder(w).Encode(d.List) // which must not be believed
 	case d.Broken != "":
-		io.WriteString(w, d.Broken)
+		_, _ = io.WriteString(w, d.Broken)
 	case after == fmt.Sprint(d.List.Seq):
-		json.NewEncoder(w).Encode(Document{Seq: d.List.Seq, Hosts: []Host{}})
+		_ = json.NewEncoder(w).Encode(Document{Seq: d.List.Seq, Hosts: []Host{}})
 	default:
-		json.NewEncoder(w).Encode(d.List)
+		_ = json.NewEncoder(w).Encode(d.List)
 	}
 }
 
--- a/internal/standin/guarded/guarded.go
+++ b/internal/standin/guarded/guarded.go
@@ -120,8 +120,8 @@
 	s := &Server{Keys: NewKeys(t, p)}
 	handle := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.requests.Add(1)
-		io.Copy(io.Discard, r.Body)
-		io.WriteString(w, "done")
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(w, "done")
 	})
 	address, stop, err := dual.Listen("127.0.0.1:0", dual.Options{Handler: handle, Config: s.Follow})
 	if err != nil {
@@ -140,12 +140,15 @@
 
 // What may be done.
 var (
-	Silent  Bad = func(c net.Conn) { io.Copy(io.Discard, c) }
-	Cut     Bad = func(c net.Conn) { c.Read(make([]byte, 16)) }
-	Garbage Bad = func(c net.Conn) { c.Write(make([]byte, 4096)); io.Copy(io.Discard, c) }
-	Plain   Bad = func(c net.Conn) {
-		io.WriteString(c, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
-		io.Copy(io.Discard, c)
+	Silent  Bad = func(c net.Conn) { _, _ = io.Copy(io.Discard, c) }
+	Cut     Bad = func(c net.Conn) { _, _ = c.Read(make([]byte, 16)) }
+	Garbage Bad = func(c net.Conn) {
+		_, _ = c.Write(make([]byte, 4096))
+		_, _ = io.Copy(io.Discard, c)
+	}
+	Plain Bad = func(c net.Conn) {
+		_, _ = io.WriteString(c, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
+		_, _ = io.Copy(io.Discard, c)
 	}
 )
 
--- a/internal/standin/peer/peer.go
+++ b/internal/standin/peer/peer.go
@@ -84,7 +84,7 @@
 func Always(answer string) func(*Endpoint, net.Conn, *bufio.Reader) {
 	return func(e *Endpoint, conn net.Conn, in *bufio.Reader) {
 		for e.Next(in) != nil {
-			io.WriteString(conn, answer)
+			_, _ = io.WriteString(conn, answer)
 		}
 	}
 }
@@ -108,9 +108,9 @@
 	return func(e *Endpoint, conn net.Conn, in *bufio.Reader) {
 		for e.Next(in) != nil {
 			if n, _ := e.Seen(); n == 1 {
-				io.WriteString(conn, first)
+				_, _ = io.WriteString(conn, first)
 			} else {
-				io.WriteString(conn, rest)
+				_, _ = io.WriteString(conn, rest)
 			}
 		}
 	}
--- a/internal/standin/proxy/proxy.go
+++ b/internal/standin/proxy/proxy.go
@@ -207,16 +207,14 @@
 	}
 	if out.Verdict.Endpoint == "" {
 		out.Code, out.After = out.Verdict.Code, out.Verdict.After
-		stream.CloseSend()
-		stream.Recv() // the stream's end
+		endStream(stream)
 		return out
 	}
 	left, _ := strconv.Atoi(out.Verdict.Headers["x-envoy-upstream-rq-timeout-ms"])
 	out.SentAt, out.SentTo = time.Now(), out.Verdict.Endpoint
 	code, header, details := p.forward(out.Verdict, r, time.Duration(left)*time.Millisecond)
 	if b.NoReport {
-		stream.CloseSend()
-		stream.Recv()
+		endStream(stream)
 		out.Code = code
 		return out
 	}
@@ -226,8 +224,7 @@
 	if m, out.Err = stream.Recv(); out.Err != nil {
 		return out
 	}
-	stream.CloseSend()
-	stream.Recv()
+	endStream(stream)
 	out.Code = code
 	switch x := m.Response.(type) {
 	case *extprocv3.ProcessingResponse_ResponseHeaders:
@@ -262,6 +259,12 @@
 	}
 }
 
+// endStream ends a stream from the client's side and waits for its end. Its outcome is known by then.
+func endStream(stream extprocv3.ExternalProcessor_ProcessClient) {
+	_ = stream.CloseSend()
+	_, _ = stream.Recv()
+}
+
 // forward sends a request to an endpoint once, and answers for it as Envoy does
 // where there is no answer.
 func (p *Proxy) forward(v Verdict, r Request, timeout time.Duration) (code int, header http.Header, details string) {
@@ -269,7 +272,29 @@
 	if err != nil {
 		return 503, nil, "upstream_reset_before_response_started{remote_connection_failure|delayed_connect_error:_Connection_refused}"
 	}
-	c.SetDeadline(time.Now().Add(timeout))
+	_ = c.SetDeadline(time.Now().Add(timeout)) // a connection that is closed fails in the write
+	answer, err := c.exchange(v, r)
+	if err == nil {
+		p.keep(v.Endpoint, c, !answer.close)
+		return answer.code, answer.header, "via_upstream"
+	}
+	c.Close()
+	var timedOut net.Error
+	if errors.As(err, &timedOut) && timedOut.Timeout() {
+		return 504, nil, "response_timeout"
+	}
+	return 503, nil, "upstream_reset_before_response_started{connection_termination}"
+}
+
+// answer is an endpoint's response without its body.
+type answer struct {
+	code   int
+	header http.Header
+	close  bool // the endpoint closes the connection
+}
+
+// exchange writes a request and reads its whole response.
+func (c *connection) exchange(v Verdict, r Request) (*answer, error) {
 	var out bytes.Buffer
 	fmt.Fprintf(&out, "%s %s HTTP/1.1\r\nHost: api.internal\r\nContent-Length: %d\r\n", r.Method, r.Path, len(r.Body))
 	for name, value := range r.Header {
@@ -278,22 +303,18 @@
 		}
 	}
 	fmt.Fprintf(&out, "x-time-left-ms: %s\r\n\r\n%s", v.Headers["x-time-left-ms"], r.Body)
-	_, err = c.Write(out.Bytes())
-	if err == nil {
-		var response *http.Response
-		if response, err = http.ReadResponse(c.reader, &http.Request{Method: r.Method}); err == nil {
-			if _, err = io.Copy(io.Discard, response.Body); err == nil {
-				p.keep(v.Endpoint, c, !response.Close)
-				return response.StatusCode, response.Header, "via_upstream"
-			}
-		}
+	if _, err := c.Write(out.Bytes()); err != nil {
+		return nil, err
 	}
-	c.Close()
-	var timedOut net.Error
-	if errors.As(err, &timedOut) && timedOut.Timeout() {
-		return 504, nil, "response_timeout"
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+	if err != nil {
+		return nil, err
 	}
-	return 503, nil, "upstream_reset_before_response_started{connection_termination}"
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return nil, err
+	}
+	return &answer{response.StatusCode, response.Header, response.Close}, nil
 }
 
 func (p *Proxy) connect(address string) (*connection, error) {
--- a/internal/standin/udprelay/udprelay.go
+++ b/internal/standin/udprelay/udprelay.go
@@ -193,6 +193,7 @@
 	}
 }
 
+// write passes a datagram on. One that cannot be sent is lost, as on any network.
 func (r *Relay) write(direction int, data []byte) {
 	r.mu.Lock()
 	client, back, closed := r.client, r.back, r.closed
@@ -200,8 +201,8 @@
 	switch {
 	case closed:
 	case direction == ToServer:
-		back.Write(data)
+		_, _ = back.Write(data)
 	case client != nil:
-		r.front.WriteToUDP(data, client)
+		_, _ = r.front.WriteToUDP(data, client)
 	}
 }
