--- a/internal/sidecar/deadline_test.go
+++ b/internal/sidecar/deadline_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net/http"
 	"testing"
@@ -18,7 +19,11 @@
 	endpoint := peer.New(t, peer.Always(peer.Served))
 	w := start(t, nil, directory.Ready("s-1", endpoint.Address))
 	conn := w.dial()
-	text := w.text("order", "0123456789", timeLeft)
+	var wire bytes.Buffer
+	if err := w.request("order", "0123456789", timeLeft).Write(&wire); err != nil {
+		t.Fatal(err)
+	}
+	text := wire.String()
 	if _, err := io.WriteString(conn, text[:len(text)-tail]); err != nil {
 		t.Fatal(err)
 	}
