--- a/balancer/api.go
+++ b/balancer/api.go
@@ -313,7 +313,7 @@
 type Balancer struct {
 	settings Settings
 	actions  Actions
-	random   source
+	random   randomSource
 
 	ledger    ledger
 	endpoints endpointSet
@@ -327,7 +327,7 @@
 	reports   reportQuality
 	estimates estimates
 	trend     latencyTrend
-	keys      keys
+	keys      keyAffinity
 
 	lastLogged map[string]Micros // by event
 }
@@ -340,13 +340,13 @@
 	b := &Balancer{
 		settings:   s,
 		actions:    out,
-		random:     source(seed),
+		random:     randomSource(seed),
 		ledger:     ledger{requests: map[uint64]*request{}},
 		endpoints:  endpointSet{byID: map[uint32]*endpoint{}},
 		tenants:    make([]meter, len(s.Tenants)),
 		lastLogged: map[string]Micros{},
 	}
-	b.configure(s.Classes, s.Budgets)
+	b.applyConfiguration(s.Classes, s.Budgets)
 	return b, nil
 }
 
@@ -369,6 +369,24 @@
 		}
 	}
 	b.settings = next
-	b.configure(classes, budgets)
+	b.applyConfiguration(classes, budgets)
 	return nil
 }
+
+// applyConfiguration adds the records of new classes and budgets.
+func (b *Balancer) applyConfiguration(classes []Class, budgets []RetryBudget) {
+	for i := len(b.classes); i < len(classes); i++ {
+		objective := float64(classes[i].LatencyObjective)
+		hedging := indicator(classes[i].HedgeQuantile > 0)
+		b.classes = append(b.classes, classStats{
+			work:         ewma{value: objective / 5, seen: true},
+			hedgeLatency: ewma{value: objective * hedging},
+		})
+	}
+	for i, budget := range budgets {
+		if i == len(b.budgets.named) {
+			b.budgets.named = append(b.budgets.named, budget.Burst)
+		}
+		b.budgets.named[i] = min(b.budgets.named[i], budget.Burst)
+	}
+}
--- a/balancer/bounds_test.go
+++ b/balancer/bounds_test.go
@@ -6,20 +6,20 @@
 	"testing"
 )
 
-// timed keeps the time-outs of attempts.
-type timed struct {
+// timeoutRecorder keeps the time-outs of attempts.
+type timeoutRecorder struct {
 	*recorder
 	timeouts []Micros
 }
 
-func (t *timed) Send(id uint64, e uint32, timeout, by Micros) {
+func (t *timeoutRecorder) Send(id uint64, e uint32, timeout, by Micros) {
 	t.timeouts = append(t.timeouts, timeout)
 	t.recorder.Send(id, e, timeout, by)
 }
 
-func startTimed(t *testing.T, s Settings, list []Endpoint) (*Balancer, *timed) {
+func startWithTimeouts(t *testing.T, s Settings, list []Endpoint) (*Balancer, *timeoutRecorder) {
 	t.Helper()
-	out := &timed{recorder: &recorder{}}
+	out := &timeoutRecorder{recorder: &recorder{}}
 	b, err := New(s, 7, out)
 	if err != nil {
 		t.Fatal(err)
@@ -31,10 +31,10 @@
 
 // Each attempt gets the time that the request allows for one, and the next one begins
 // with its end, while the rules permit one.
-func TestTimeForAnAttempt(t *testing.T) {
+func TestAttemptTimeoutIsPassedOn(t *testing.T) {
 	for class, want := range []int{3, 3, 2, 2, 1} { // two endpoints are in a zone and cell
-		b, out := startTimed(t, testSettings(), ready(8))
-		in := request0(1, uint8(class), 0)
+		b, out := startWithTimeouts(t, testSettings(), ready(8))
+		in := testRequest(1, uint8(class), 0)
 		in.AttemptTimeout = 100_000
 		b.HandleRequest(0, in)
 		for i := 0; i < len(out.sends); i++ {
@@ -48,7 +48,7 @@
 
 // A second copy goes out after the time that the request states, to another endpoint,
 // where its class drops repeats and while it does, and no answer came.
-func TestCopyAfter(t *testing.T) {
+func TestHedgeAfterRequestedDelay(t *testing.T) {
 	for _, c := range []struct {
 		name     string
 		class    uint8
@@ -69,11 +69,11 @@
 	} {
 		s := testSettings()
 		s.Limits.Hedging = c.limit
-		b, out := startTimed(t, s, ready(8))
-		in := request0(1, c.class, 0)
+		b, out := startWithTimeouts(t, s, ready(8))
+		in := testRequest(1, c.class, 0)
 		in.HedgeDelay, in.NoHedging = c.after, c.alone
 		b.HandleRequest(0, in)
-		token := b.ledger.requests[1].token
+		token := b.ledger.requests[1].timerToken
 		if asked := slices.Contains(out.delays, c.after); c.after > 0 && !asked {
 			t.Errorf("%s: no timer for the copy: %v", c.name, out.delays)
 		}
@@ -91,41 +91,41 @@
 }
 
 // The quantile of a class's latencies stands for a time that is not given.
-func TestCopyAtAQuantile(t *testing.T) {
+func TestHedgeAtLatencyQuantile(t *testing.T) {
 	s := testSettings()
 	s.Classes[0].HedgeQuantile = 0.9
-	b, out := startTimed(t, s, ready(2))
-	if got := b.copyAfter(&request{Request: Request{Class: 0}}); got != s.Classes[0].LatencyObjective {
+	b, out := startWithTimeouts(t, s, ready(2))
+	if got := b.hedgeDelay(&request{Request: Request{Class: 0}}); got != s.Classes[0].LatencyObjective {
 		t.Errorf("after %d before anything is known, want the aim", got)
 	}
-	rng := source(3)
+	rng := randomSource(3)
 	now := Micros(0)
 	for id := uint64(1); id <= 4000; id++ {
 		now += 10_000
 		n := len(out.sends)
-		b.HandleRequest(now, request0(id, 0, now))
+		b.HandleRequest(now, testRequest(id, 0, now))
 		if len(out.sends) == n {
 			continue
 		}
 		latency := Micros(rng.float() * 100_000) // its 90th percentile is 90 ms
 		b.AttemptCompleted(now+latency, Outcome{ID: id, Endpoint: out.sends[n].endpoint, Status: OK, Latency: latency, Settled: true})
 	}
-	if got := b.copyAfter(&request{Request: Request{Class: 0}}); math.Abs(float64(got-90_000)) > 12_000 {
+	if got := b.hedgeDelay(&request{Request: Request{Class: 0}}); math.Abs(float64(got-90_000)) > 12_000 {
 		t.Errorf("after %d, want about 90000", got)
 	}
-	if got := b.copyAfter(&request{Request: Request{Class: 1}}); got != 0 {
+	if got := b.hedgeDelay(&request{Request: Request{Class: 1}}); got != 0 {
 		t.Errorf("a class without a quantile: after %d", got)
 	}
 }
 
 // A request may bring a budget of its own: its retries spend that, and nobody else's.
-func TestBudgets(t *testing.T) {
+func TestRetriesSpendTheirOwnBudget(t *testing.T) {
 	s := testSettings()
 	s.Budgets = []RetryBudget{{EarnRatio: 0, Burst: 2}, {EarnRatio: 0.5, Burst: 1}}
-	b, out := startTimed(t, s, ready(8))
+	b, out := startWithTimeouts(t, s, ready(8))
 	retries := func(budget uint16, id uint64) int {
 		n := len(out.sends)
-		in := request0(id, 0, Micros(id)*second)
+		in := testRequest(id, 0, Micros(id)*second)
 		in.Budget = budget
 		b.HandleRequest(Micros(id)*second, in)
 		for i := 0; n+i < len(out.sends) && b.ledger.requests[id] != nil; i++ {
@@ -142,14 +142,14 @@
 }
 
 // Only endpoints of its pool may have a request that names one.
-func TestPools(t *testing.T) {
+func TestRequestStaysInItsPool(t *testing.T) {
 	list := ready(6)
 	for i := range list {
 		list[i].Pools = 1 << (i % 3)
 	}
-	b, out := startTimed(t, testSettings(), list)
+	b, out := startWithTimeouts(t, testSettings(), list)
 	for id := uint64(1); id <= 60; id++ {
-		in := request0(id, 0, Micros(id)*1000)
+		in := testRequest(id, 0, Micros(id)*1000)
 		in.Pool = uint8(id % 4) // 0: all
 		n := len(out.sends)
 		b.HandleRequest(in.Deadline-second, in)
@@ -159,20 +159,20 @@
 			}
 		}
 	}
-	in := request0(100, 0, second)
+	in := testRequest(100, 0, second)
 	in.Pool = 64
-	if b.HandleRequest(second, in); !slices.Contains(out.refused, 100) {
+	if b.HandleRequest(second, in); !slices.Contains(out.rejected, 100) {
 		t.Error("a request of an empty pool is not refused")
 	}
 }
 
 // Classes and budgets change while requests are in hand: those keep their class.
-func TestConfigure(t *testing.T) {
+func TestConfigureKeepsRequestsInFlight(t *testing.T) {
 	s := testSettings()
 	s.Budgets = []RetryBudget{{EarnRatio: 0, Burst: 5}}
-	b, out := startTimed(t, s, ready(8))
-	b.HandleRequest(0, request0(1, 4, 0)) // unsafe
-	in := request0(2, 0, 0)
+	b, out := startWithTimeouts(t, s, ready(8))
+	b.HandleRequest(0, testRequest(1, 4, 0)) // unsafe
+	in := testRequest(2, 0, 0)
 	in.Budget = 1
 	b.HandleRequest(0, in)
 	b.budgets.named[0] = 3
@@ -188,7 +188,7 @@
 	if len(out.sends) != 2 || !slices.Equal(out.failed, []uint64{1}) {
 		t.Errorf("the unsafe request in hand: %v sent, failed %v", out.sends, out.failed)
 	}
-	b.HandleRequest(2, request0(3, 5, 2))
+	b.HandleRequest(2, testRequest(3, 5, 2))
 	if len(out.sends) != 3 {
 		t.Error("a request of the new class is not sent")
 	}
@@ -205,7 +205,7 @@
 
 // A keyed request that its client marks as a repetition may be of an effect whose key
 // is nearly forgotten: what may have run is neither resent later nor called harmless.
-func TestClientsRepetition(t *testing.T) {
+func TestClientRetryIsNotResentAfterWindow(t *testing.T) {
 	for _, c := range []struct {
 		class   uint8
 		status  Status
@@ -215,13 +215,13 @@
 	}{
 		{1, Timeout, 10_000, true, false}, {1, Timeout, 100_000, false, false}, {1, Full, 40_000, true, false}, {1, Full, 100_000, false, false}, {0, Timeout, 100_000, true, false},
 	} {
-		b, out := startTimed(t, testSettings(), ready(8))
-		in := request0(1, c.class, 0)
+		b, out := startWithTimeouts(t, testSettings(), ready(8))
+		in := testRequest(1, c.class, 0)
 		in.ClientRetry = true
 		b.HandleRequest(0, in)
 		b.AttemptCompleted(c.at, Outcome{ID: 1, Endpoint: out.sends[0].endpoint, Status: c.status, Latency: c.at})
-		if got := len(out.sends) > 1; got != c.resent || len(out.refused) > 0 != c.refused {
-			t.Errorf("%+v: %d sends, %d refused", c, len(out.sends), len(out.refused))
+		if got := len(out.sends) > 1; got != c.resent || len(out.rejected) > 0 != c.refused {
+			t.Errorf("%+v: %d sends, %d refused", c, len(out.sends), len(out.rejected))
 		}
 	}
 }
--- a/balancer/breaker_test.go
+++ b/balancer/breaker_test.go
@@ -5,9 +5,9 @@
 	"testing"
 )
 
-func near(a, b float64) bool { return math.Abs(a-b) < 1e-9 }
+func almostEqual(a, b float64) bool { return math.Abs(a-b) < 1e-9 }
 
-func TestErrorChance(t *testing.T) {
+func TestErrorChanceFollowsFailureRatio(t *testing.T) {
 	for _, c := range []struct {
 		name              string
 		accepts, failures int
@@ -28,27 +28,27 @@
 		var k breaker
 		now := 100 * second
 		for range c.accepts {
-			k.count(now, 1, 0)
+			k.record(now, 1, 0)
 		}
 		for i := range c.failures {
 			if c.spread > 1 && i%(c.failures/c.spread) == 0 {
-				now += window / buckets
+				now += breakerWindow / breakerBuckets
 			}
-			k.count(now, 0, 1)
+			k.record(now, 0, 1)
 		}
 		for range c.refusals {
-			k.count(now, 0, 0)
+			k.record(now, 0, 0)
 		}
-		if got := k.errorChance(now); !near(got, c.want) {
+		if got := k.errorChance(now); !almostEqual(got, c.want) {
 			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
 		}
 	}
 }
 
-func TestWindowForgets(t *testing.T) {
+func TestBreakerWindowExpires(t *testing.T) {
 	var k breaker
 	for range 100 {
-		k.count(100*second, 0, 1)
+		k.record(100*second, 0, 1)
 	}
 	if k.errorChance(109*second) == 0 {
 		t.Error("failures of nine seconds ago are forgotten")
@@ -57,7 +57,7 @@
 		t.Errorf("after the window: chance %v, %d requests", got, k.requests)
 	}
 	for range 100 {
-		k.count(200*second, 0, 1)
+		k.record(200*second, 0, 1)
 	}
 	k.errorChance(500 * second)
 	if k.requests != 0 {
@@ -65,23 +65,23 @@
 	}
 }
 
-func TestLatencyAverages(t *testing.T) {
+func TestBreakerLatencyAverages(t *testing.T) {
 	var k breaker
-	k.latency(100)
-	if k.base != 100 || k.current != 100 {
-		t.Fatalf("first: base %v current %v", k.base, k.current)
+	k.recordLatency(100)
+	if k.baseline != 100 || k.current != 100 {
+		t.Fatalf("first: base %v current %v", k.baseline, k.current)
 	}
-	k.latency(60) // falls by a quarter of the way; current (60+3*100)/4
-	if !near(k.base, 90) || !near(k.current, 90) {
-		t.Fatalf("fall: base %v current %v", k.base, k.current)
+	k.recordLatency(60) // falls by a quarter of the way; current (60+3*100)/4
+	if !almostEqual(k.baseline, 90) || !almostEqual(k.current, 90) {
+		t.Fatalf("fall: base %v current %v", k.baseline, k.current)
 	}
-	k.latency(190) // rises by a hundredth: (190+99*90)/100; current (190+270)/4
-	if !near(k.base, 91) || !near(k.current, 115) {
-		t.Fatalf("rise: base %v current %v", k.base, k.current)
+	k.recordLatency(190) // rises by a hundredth: (190+99*90)/100; current (190+270)/4
+	if !almostEqual(k.baseline, 91) || !almostEqual(k.current, 115) {
+		t.Fatalf("rise: base %v current %v", k.baseline, k.current)
 	}
 }
 
-func TestLatencyChance(t *testing.T) {
+func TestLatencyChanceFollowsLatency(t *testing.T) {
 	for _, c := range []struct {
 		name                   string
 		base, current, timeout float64
@@ -94,40 +94,40 @@
 		{"capped", 100, 5000, 1000, 0.3},
 		{"ceiling under the threshold", 400, 5000, 1000, 0},
 	} {
-		k := breaker{base: c.base, current: c.current}
-		if got := k.latencyChance(c.timeout); !near(got, c.want) {
+		k := breaker{baseline: c.base, current: c.current}
+		if got := k.latencyChance(c.timeout); !almostEqual(got, c.want) {
 			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
 		}
 	}
 }
 
-func TestForcedPass(t *testing.T) {
+func TestBreakerAllowsTrials(t *testing.T) {
 	b, _ := start(t, testSettings(), ready(1))
 	e := b.endpoints.list[0]
 	now := 20 * second
 	for range 1000 {
-		e.br.count(now, 0, 1)
+		e.breaker.record(now, 0, 1)
 	}
 	r := &request{}
-	if !b.allows(now, r, e) {
+	if !b.breakerAllows(now, r, e) {
 		t.Fatal("the first is passed by force")
 	}
 	passed := 0
 	for range 200 {
-		if b.allows(now+1000, r, e) {
+		if b.breakerAllows(now+1000, r, e) {
 			passed++
 		}
 	}
 	if passed > 20 {
 		t.Errorf("%d of 200 passed an endpoint that fails all", passed)
 	}
-	if !b.allows(now+forcedPass+1001, r, e) {
+	if !b.breakerAllows(now+trialPause+1001, r, e) {
 		t.Error("none passed after the forced-pass interval")
 	}
 }
 
 // When all endpoints fail at once, ejection must not leave the few last ones with everything.
-func TestAllFailingAtOnceStaySpread(t *testing.T) {
+func TestAllEndpointsFailingKeepsTrafficSpread(t *testing.T) {
 	b, r := start(t, testSettings(), ready(8))
 	sends := map[uint32]int{}
 	for id := range uint64(400) {
--- a/balancer/ejection.go
+++ b/balancer/ejection.go
@@ -2,11 +2,40 @@
 
 import "math"
 
-// failing is the recent share of failures at e; it fades, so that e is tried again.
-func (e *endpoint) failing(now Micros) float64 {
-	f := e.failures.ratio * math.Exp2(-float64(now-e.failures.updatedAt)/float64(3*second))
-	return f * share(f > 0.01) // all but forgotten is forgotten
+const (
+	failureWeight          = 0.5  // of the latest outcome in the ratio: healthy endpoints hardly ever fail
+	transportFailureWeight = 0.25 // of a failure on the network path: healthy endpoints lose connections, too
+	ejectionThreshold      = 0.4  // failure ratio from which an endpoint is ejected
+	failureHalfLife        = 3 * second
+	minFailureRatio        = 0.01 // below which failures are forgotten
+)
+
+// recordFailure counts a failed attempt against its endpoint, unless it was given up, or the client had left
+// it little time.
+func (b *Balancer) recordFailure(now Micros, a *attempt, status Status, latency Micros) {
+	hasty := status == Timeout && float64(latency) < overdueMultiple*a.expectedLatency
+	if a.overdue || hasty {
+		return
+	}
+	weight := failureWeight
+	if status == Reset || status == ConnectFailed || status == Timeout {
+		weight = transportFailureWeight
+	}
+	e := a.endpoint
+	before := e.ejected(now)
+	e.failures.ratio = (1-weight)*e.failureRatio(now) + weight
+	e.failures.updatedAt = now
+	if !before && e.ejected(now) {
+		b.log(now, "endpoint ejected", "endpoint", e.ID, "failure_ratio", roundForLog(e.failures.ratio))
+	}
+}
+
+// failureRatio is the recent ratio of failures at e. It decays, so that an ejected endpoint is tried again.
+func (e *endpoint) failureRatio(now Micros) float64 {
+	age := float64(now-e.failures.updatedAt) / float64(failureHalfLife)
+	ratio := e.failures.ratio * math.Exp2(-age)
+	return ratio * indicator(ratio > minFailureRatio)
 }
 
-// ejected says whether e fails so often of late that it serves only when nothing else is left.
-func (e *endpoint) ejected(now Micros) bool { return e.failing(now) >= ejectFrom }
+// ejected reports whether e fails so often that it serves only when nothing else is left.
+func (e *endpoint) ejected(now Micros) bool { return e.failureRatio(now) >= ejectionThreshold }
--- a/balancer/hedging.go
+++ b/balancer/hedging.go
@@ -1,41 +1,98 @@
 package balancer
 
-// copy sends a second copy, if the limits, the class and the copies' budget permit.
-func (b *Balancer) copy(now Micros, r *request) {
-	if b.settings.Limits.Hedging && !r.NoHedging && b.budgets.hedge >= 1 && b.attempt(now, r, false) {
+const (
+	hedgeEarnRatio    = 0.2  // hedges that each request earns
+	hedgeQuantileStep = 0.02 // of the latency objective: the longest step of the quantile estimate
+	swallowedWeight   = 0.02 // of the latest outcome in the ratio of swallowed attempts
+	minSwallowedRatio = 0.01 // from which overdue attempts are hedged
+	overdueMultiple   = 2.5  // an attempt is overdue after this multiple of its expected latency,
+	minOverdueRatio   = 0.25 // but not before this ratio of the latency objective
+)
+
+// hedgeDelay is how long the first attempt is pending before it is hedged without proof that it was
+// swallowed; 0 for never. The quantile of the class stands in for a delay that the request does not give.
+func (b *Balancer) hedgeDelay(r *request) Micros {
+	if r.HedgeDelay > 0 {
+		return r.HedgeDelay
+	}
+	return Micros(b.classes[r.Class].hedgeLatency.value)
+}
+
+// hedgesSwallowed reports whether attempts are swallowed often enough to hedge the overdue ones.
+func (b *Balancer) hedgesSwallowed() bool { return b.traffic.swallowed.value >= minSwallowedRatio }
+
+// hedge sends a hedged request, if the limits, the class and the hedge budget permit.
+func (b *Balancer) hedge(now Micros, r *request) {
+	permitted := b.settings.Limits.Hedging && !r.NoHedging
+	if permitted && b.budgets.hedge >= 1 && b.trySend(now, r, false) {
 		b.budgets.hedge--
 	}
 }
 
-// late handles an attempt that takes far longer than was expected. Where all wait in line it must be waited
-// for: a second copy doubles the work of those that have too much. But where a later one was answered before
-// it, or nothing was heard at all since, not even a probe, it is lost: endpoints and the ways to them may
-// swallow some requests and answer the rest in time. Then a copy goes elsewhere, as far as the class permits.
-// That is done only while such losses are proven to happen: most late answers are slow, and come.
-func (b *Balancer) late(now Micros, r *request, a *attempt) {
-	e := a.ep
-	if b.traffic.swallowed.v < lostLeast {
-		return
+// handleRequestTimer handles a timer of a request: its deadline, the end of its wait for probes, the delay of
+// a planned hedge, or an attempt that is overdue.
+func (b *Balancer) handleRequestTimer(now Micros, r *request) {
+	switch {
+	case now >= r.Deadline:
+		b.handleDeadline(now, r)
+	case r.waitingForProbes:
+		// Only idle endpoints answer in time: to count them alone would show an idle fleet in a jam.
+		for _, e := range r.awaitedProbes {
+			b.addBaselineLoad(assumedCores + b.queuedAhead(float64(now-e.probedAt)))
+		}
+		b.sendOrReject(now, r)
+	case len(r.attempts) > 0:
+		b.handlePendingAttempt(now, r)
 	}
-	overtaken, silent := e.answered > a.at, a.doubted && e.heardAt < a.at
-	if !overtaken && !silent {
-		a.doubted = true
-		b.probe(now, e)
-		a.lateAt = now + (now-a.at)/2
-		if a.lateAt < r.Deadline {
-			b.actions.Timer(a.lateAt-now, r.token)
+}
+
+// handleDeadline ends a request whose time is over. Its pending attempts took at least until now.
+func (b *Balancer) handleDeadline(now Micros, r *request) {
+	for i := range r.attempts {
+		if a := &r.attempts[i]; a.pending {
+			b.learnLatency(now, r, a, float64(now-a.sentAt), true)
 		}
+	}
+	b.reject(now, r)
+}
+
+// handlePendingAttempt hedges the latest attempt once the hedge delay has passed, or it is overdue.
+func (b *Balancer) handlePendingAttempt(now Micros, r *request) {
+	a := &r.attempts[len(r.attempts)-1]
+	if !a.pending || a.overdue {
 		return
 	}
-	a.late = true
-	b.copy(now, r)
+	delay := b.hedgeDelay(r)
+	switch {
+	case len(r.attempts) == 1 && delay > 0 && now >= a.sentAt+delay:
+		a.overdue = true
+		a.plannedHedge = true
+		b.hedge(now, r)
+	case now >= a.overdueAt:
+		b.handleOverdue(now, r, a)
+	}
 }
 
-// copyAfter is how long the first attempt is out before a second copy is sent without proof that it is
-// lost; 0 if that is not done. The class's quantile stands for a delay that is not given.
-func (b *Balancer) copyAfter(r *request) Micros {
-	if r.HedgeDelay > 0 {
-		return r.HedgeDelay
+// handleOverdue handles an attempt that takes far longer than expected. Where all requests queue it must be
+// waited for: hedges double the work of endpoints that have too much. But if a later attempt was answered
+// before it, or the endpoint has sent nothing since, not even a probe response, it was swallowed: endpoints
+// and network paths may swallow some requests and answer the rest in time. Then a hedge goes elsewhere.
+func (b *Balancer) handleOverdue(now Micros, r *request, a *attempt) {
+	if !b.hedgesSwallowed() {
+		return
+	}
+	e := a.endpoint
+	overtaken := e.lastAnsweredSentAt > a.sentAt
+	silent := a.probedOverdue && e.lastResponseAt < a.sentAt
+	if overtaken || silent {
+		a.overdue = true
+		b.hedge(now, r)
+		return
+	}
+	a.probedOverdue = true
+	b.sendProbe(now, e)
+	a.overdueAt = now + (now-a.sentAt)/2
+	if a.overdueAt < r.Deadline {
+		b.actions.Timer(a.overdueAt-now, r.timerToken)
 	}
-	return Micros(b.classes[r.Class].tail.v)
 }
--- a/balancer/helpers_test.go
+++ b/balancer/helpers_test.go
@@ -34,19 +34,19 @@
 
 // recorder keeps what a balancer asks of its host.
 type recorder struct {
-	sends   []sent
-	refused []uint64
-	failed  []uint64
-	cancels []uint64
-	probes  []uint32
-	timers  []uint32
-	delays  []Micros
-	watches int
-	logs    []string
+	sends    []sent
+	rejected []uint64
+	failed   []uint64
+	cancels  []uint64
+	probes   []uint32
+	timers   []uint32
+	delays   []Micros
+	watches  int
+	logs     []string
 }
 
 func (r *recorder) Send(id uint64, e uint32, _, _ Micros) { r.sends = append(r.sends, sent{id, e}) }
-func (r *recorder) Reject(id uint64, _ Micros)            { r.refused = append(r.refused, id) }
+func (r *recorder) Reject(id uint64, _ Micros)            { r.rejected = append(r.rejected, id) }
 func (r *recorder) Fail(id uint64)                        { r.failed = append(r.failed, id) }
 func (r *recorder) Cancel(id uint64, _ int)               { r.cancels = append(r.cancels, id) }
 func (r *recorder) Timer(delay Micros, token uint32) {
@@ -79,11 +79,11 @@
 	return b, r
 }
 
-func request0(id uint64, class uint8, now Micros) Request {
+func testRequest(id uint64, class uint8, now Micros) Request {
 	return Request{ID: id, Class: class, Deadline: now + second}
 }
 
-func TestNewNamesBadSetting(t *testing.T) {
+func TestNewReportsInvalidSetting(t *testing.T) {
 	for _, c := range []struct {
 		key   string
 		spoil func(*Settings)
--- a/balancer/keys_test.go
+++ b/balancer/keys_test.go
@@ -20,9 +20,9 @@
 	return list
 }
 
-// serveKeys sends one request after the other, with keys in turn, and answers each at once: after alone where the
+// serveKeyedRequests sends one request after the other, with keys in turn, and answers each at once: after alone where the
 // endpoint has not met the key within memory, after warm where it has.
-func serveKeys(b *Balancer, r *recorder, n, keys int, alone, warm, memory Micros) (hits int) {
+func serveKeyedRequests(b *Balancer, r *recorder, n, keys int, alone, warm, memory Micros) (hits int) {
 	type met struct {
 		endpoint uint32
 		key      uint64
@@ -31,7 +31,7 @@
 	now := second
 	for i := range n {
 		id, key := uint64(i+1), uint64(1+i%keys)
-		in := request0(id, 0, now)
+		in := testRequest(id, 0, now)
 		in.Key = key
 		b.HandleRequest(now, in)
 		to := r.sends[len(r.sends)-1]
@@ -49,49 +49,49 @@
 }
 
 // Requests go where their key is warm; that nothing is saved would be learned.
-func TestKeysGoWhereTheyAreWarm(t *testing.T) {
+func TestKeysAreSentWhereCached(t *testing.T) {
 	b, r := start(t, keySettings(), inOneZone(8, 1))
-	if hits := serveKeys(b, r, 2000, 12, 80_000, 32_000, 20*second); hits < 1800 {
+	if hits := serveKeyedRequests(b, r, 2000, 12, 80_000, 32_000, 20*second); hits < 1800 {
 		t.Errorf("%d of 2000 requests went where their key was warm, want 1800", hits)
 	}
 	for range 3000 {
-		b.keys.learn(keyHome, 1)
-		b.keys.learn(zoneHome, 0.01)
+		b.keys.learn(fleetOwner, 1)
+		b.keys.learn(zoneOwner, 0.01)
 	}
-	if nothing, all := b.keys.part[keyHome], b.keys.part[zoneHome]; nothing < 0.9 || all != keyLeast {
+	if nothing, all := b.keys.workRatio[fleetOwner], b.keys.workRatio[zoneOwner]; nothing < 0.9 || all != minWorkRatio {
 		t.Errorf("%.2f of the work where nothing is saved, %.2f where all is", nothing, all)
 	}
-	b.keys.learn(keyCold, 0.1)
+	b.keys.learn(notCached, 0.1)
 	b.keys.learn(0, 0.1)
-	if b.keys.part[keyCold] != 1 || b.keys.part[0] != 1 {
-		t.Errorf("the measure has moved: %v", b.keys.part)
+	if b.keys.workRatio[notCached] != 1 || b.keys.workRatio[0] != 1 {
+		t.Errorf("the measure has moved: %v", b.keys.workRatio)
 	}
 }
 
 // A process that has started since has met no key.
-func TestRestartForgetsKeys(t *testing.T) {
+func TestRestartClearsKeyAffinity(t *testing.T) {
 	list := inOneZone(1, 1)
 	b, r := start(t, keySettings(), list)
-	serveKeys(b, r, 10, 1, 1000, 1000, second)
-	bin := func() keyBin {
+	serveKeyedRequests(b, r, 10, 1, 1000, 1000, second)
+	bin := func() affinity {
 		again := &request{Request: Request{Key: 1}}
-		again.place = b.keyPlace(2*second, again)
-		again.place.homes = [2]*endpoint{} // by what was sent alone
-		return b.bin(2*second, again, b.endpoints.list[0])
+		again.key = b.keyRecord(2*second, again)
+		again.key.owners = [2]*endpoint{} // by what was sent alone
+		return b.affinityOf(2*second, again, b.endpoints.list[0])
 	}
-	if got := bin(); got == keyCold {
+	if got := bin(); got == notCached {
 		t.Fatalf("before the restart: %+v", got)
 	}
 	list[0].StartTime = 2 * second
 	b.UpdateEndpoints(2*second, ListDelta, list)
-	if got := bin(); got != keyCold {
+	if got := bin(); got != notCached {
 		t.Errorf("after the restart: %+v", got)
 	}
 }
 
 // All balancers take the same endpoint for a key's home, whatever they call it, and the loss of one endpoint
 // moves the keys of that one alone.
-func TestHomesAreAgreed(t *testing.T) {
+func TestKeyOwnersAgreeAcrossBalancers(t *testing.T) {
 	one, _ := start(t, keySettings(), inOneZone(10, 1))
 	two, _ := start(t, keySettings(), inOneZone(10, 501))
 	without := inOneZone(10, 1)
@@ -99,7 +99,7 @@
 	keys := map[uint64]int{}
 	homes := map[uint64]uint64{}
 	for key := uint64(1); key <= 5000; key++ {
-		a, b := one.homesOf(key)[1], two.homesOf(key)[1]
+		a, b := one.keyOwners(key)[1], two.keyOwners(key)[1]
 		if a.StableID != b.StableID {
 			t.Fatalf("key %d: %d and %d", key, a.StableID, b.StableID)
 		}
@@ -113,7 +113,7 @@
 	}
 	one.UpdateEndpoints(second, ListDelta, without[3:4])
 	for key, was := range homes {
-		if is := one.homesOf(key)[1].StableID; is != was && was != without[3].StableID {
+		if is := one.keyOwners(key)[1].StableID; is != was && was != without[3].StableID {
 			t.Errorf("key %d moved from %d to %d", key, was, is)
 		} else if is == without[3].StableID {
 			t.Errorf("key %d stays at the endpoint that is gone", key)
@@ -122,11 +122,11 @@
 }
 
 // A home that is full is not waited for: an idle endpoint that has not met the key serves it sooner.
-func TestPopularKeyOverflows(t *testing.T) {
+func TestPopularKeySpreadsOverEndpoints(t *testing.T) {
 	b, r := start(t, keySettings(), inOneZone(4, 1))
 	used := map[uint32]int{}
 	for i := range 24 {
-		in := request0(uint64(i+1), 0, second)
+		in := testRequest(uint64(i+1), 0, second)
 		in.Key = 77
 		b.HandleRequest(second, in)
 		used[r.sends[len(r.sends)-1].endpoint]++
@@ -138,7 +138,7 @@
 
 // A key has a home in each zone; while the way to the one of the fleet costs more than it saves, requests stay
 // in their zone, and they cross once that one is crowded.
-func TestHomesOfZones(t *testing.T) {
+func TestKeyHasOwnerInEachZone(t *testing.T) {
 	s := keySettings()
 	s.Prices.CrossZone = 0.1
 	list := inOneZone(6, 1)
@@ -147,7 +147,7 @@
 	}
 	b, r := start(t, s, list)
 	for key := uint64(1); key < 200; key++ {
-		homes := b.homesOf(key)
+		homes := b.keyOwners(key)
 		home, zone := homes[1], homes[0]
 		if zone.Zone != 0 || home.Zone == 0 && home != zone {
 			t.Fatalf("key %d: homes %d and %d", key, home.ID, zone.ID)
@@ -155,7 +155,7 @@
 		if home.Zone == 0 {
 			continue
 		}
-		in := request0(key, 0, second)
+		in := testRequest(key, 0, second)
 		in.Key = key
 		b.HandleRequest(second, in)
 		if to := r.sends[len(r.sends)-1].endpoint; to != zone.ID {
@@ -164,11 +164,11 @@
 		b.AttemptCompleted(second, Outcome{ID: key, Endpoint: zone.ID, Status: OK, Latency: 80_000, Settled: true})
 	}
 	for _, e := range b.endpoints.list {
-		e.inflight = 12 * int(1-e.Zone)
+		e.inFlight = 12 * int(1-e.Zone)
 	}
 	crossed := 0
 	for key := uint64(200); key < 260; key++ {
-		in := request0(key, 0, second)
+		in := testRequest(key, 0, second)
 		in.Key = key
 		b.HandleRequest(second, in)
 		if b.endpoints.byID[r.sends[len(r.sends)-1].endpoint].Zone == 1 {
@@ -181,22 +181,22 @@
 }
 
 // What is kept of keys is bounded, however many come.
-func TestKeysAreBounded(t *testing.T) {
+func TestKeyRecordsAreBounded(t *testing.T) {
 	b, r := start(t, keySettings(), inOneZone(4, 1))
-	serveKeys(b, r, 3*keysMost, 3*keysMost, 1000, 1000, second)
-	if n := len(b.keys.now) + len(b.keys.old); n > 2*keysMost {
-		t.Errorf("%d keys are kept, at most %d", n, 2*keysMost)
+	serveKeyedRequests(b, r, 3*maxKeys, 3*maxKeys, 1000, 1000, second)
+	if n := len(b.keys.current) + len(b.keys.previous); n > 2*maxKeys {
+		t.Errorf("%d keys are kept, at most %d", n, 2*maxKeys)
 	}
 }
 
 // Requests without a key, and deployments that say nothing of keys, are decided as ever.
-func TestNoKeyNoRecord(t *testing.T) {
+func TestNoRecordWithoutKey(t *testing.T) {
 	s := testSettings()
 	b, r := start(t, s, inOneZone(4, 1))
-	serveKeys(b, r, 50, 5, 1000, 1000, second)
+	serveKeyedRequests(b, r, 50, 5, 1000, 1000, second)
 	with, r := start(t, keySettings(), inOneZone(4, 1))
-	with.HandleRequest(second, request0(1, 0, second))
-	if len(b.keys.now) != 0 || len(with.keys.now) != 0 || len(r.sends) != 1 {
-		t.Errorf("kept %d and %d keys, sent %d", len(b.keys.now), len(with.keys.now), len(r.sends))
+	with.HandleRequest(second, testRequest(1, 0, second))
+	if len(b.keys.current) != 0 || len(with.keys.current) != 0 || len(r.sends) != 1 {
+		t.Errorf("kept %d and %d keys, sent %d", len(b.keys.current), len(with.keys.current), len(r.sends))
 	}
 }
--- a/balancer/members.go
+++ b/balancer/members.go
@@ -2,78 +2,66 @@
 
 import "slices"
 
-// UpdateEndpoints handles discovery's news.
+// UpdateEndpoints handles a membership event of discovery.
 func (b *Balancer) UpdateEndpoints(now Micros, kind ListKind, entries []Endpoint) {
 	if kind == ListFailed {
 		b.discovery.subscribed = false
 		b.log(now, "discovery failed")
-		b.retryAsk(now)
+		b.pollAfterBackoff(now)
 		return
 	}
-	told, whole := kind == ListDelta || kind == ListFull, kind == ListFull || kind == ListCached
-	if told && b.settings.PollDiscovery {
-		b.discovery.subscribed, b.discovery.backoff = true, 0
+	live := kind == ListDelta || kind == ListFull
+	snapshot := kind == ListFull || kind == ListCached
+	if live && b.settings.PollDiscovery {
+		b.discovery.subscribed = true
+		b.discovery.backoff = 0
 	}
 	b.endpoints.version++
 	for _, e := range b.endpoints.list {
-		e.seen = false
+		e.inSnapshot = false
 	}
-	// A thousand balancers that each probed all that is new would fill it with probes alone.
-	few := b.settings.Balancers <= max(len(b.endpoints.list), len(entries))
+	// If a thousand balancers each probed every new endpoint, probes alone would saturate it.
+	probeNew := b.settings.Balancers <= max(len(b.endpoints.list), len(entries))
 	for i := range entries {
-		b.entry(now, &entries[i], few)
+		b.updateEndpoint(now, &entries[i], probeNew)
 	}
 	b.endpoints.list = slices.DeleteFunc(b.endpoints.list, func(e *endpoint) bool {
-		if whole && !e.seen {
+		if snapshot && !e.inSnapshot {
 			e.State = Removed
 		}
-		return b.forgotten(e)
+		return b.dropIfRemoved(e)
 	})
-	b.endpoints.discovered = b.endpoints.discovered || told || !b.settings.PollDiscovery
+	b.endpoints.discovered = b.endpoints.discovered || live || !b.settings.PollDiscovery
 }
 
-// forgotten drops an endpoint that is gone with nothing out there, and says so.
-func (b *Balancer) forgotten(e *endpoint) bool {
-	forget := e.State == Removed && e.inflight == 0
-	if forget && b.endpoints.byID[e.ID] == e {
-		delete(b.endpoints.byID, e.ID)
-	}
-	return forget
-}
-
-// cleanUp drops an endpoint if it is to be forgotten: the next list may be long in coming.
-func (b *Balancer) cleanUp(e *endpoint) {
-	if b.forgotten(e) {
-		b.endpoints.list = slices.DeleteFunc(b.endpoints.list, func(o *endpoint) bool { return o == e })
-	}
-}
-
-func (b *Balancer) entry(now Micros, in *Endpoint, probe bool) {
+// updateEndpoint takes over one entry, of an endpoint that may be new or restarted.
+func (b *Balancer) updateEndpoint(now Micros, in *Endpoint, probeNew bool) {
 	e := b.endpoints.byID[in.ID]
-	fresh := e == nil
-	if fresh {
+	added := e == nil
+	if added {
 		e = &endpoint{}
 		b.endpoints.byID[in.ID] = e
 		b.endpoints.list = append(b.endpoints.list, e)
 	}
-	restarted := !fresh && in.StartTime != 0 && in.StartTime != e.StartTime
+	restarted := !added && in.StartTime != 0 && in.StartTime != e.StartTime
 	if restarted {
-		// A new process owes nothing to the old one's record.
-		*e = endpoint{inflight: e.inflight}
+		// The old process's statistics do not apply to a new one.
+		*e = endpoint{inFlight: e.inFlight}
 	}
 	started := in.StartTime
-	if started == 0 && fresh && b.endpoints.discovered {
-		started = now // it appeared while we watched
+	if started == 0 && added && b.endpoints.discovered {
+		started = now // it appeared since discovery first answered
 	}
-	e.Endpoint, e.seen = *in, true
+	e.Endpoint = *in
+	e.inSnapshot = true
 	b.endpoints.maxWeight = max(b.endpoints.maxWeight, float64(e.Weight))
-	if started != 0 && now-started < b.settings.Contract.SlowStartTime && (fresh || restarted) {
-		// A quiet balancer takes minutes to earn one send: all start somewhere on that way, or none would send
-		// anything while the endpoint is cold.
-		e.slowStart.active, e.slowStart.since, e.slowStart.refilledAt = true, min(started, now), now
-		e.slowStart.tokens = b.random.float() * coldCharge * b.classes[0].work.v
+	if !added && !restarted {
+		return
+	}
+	if started != 0 && now-started < b.settings.Contract.SlowStartTime {
+		b.startSlowStart(now, e, started)
 	}
-	if probe && (fresh || restarted) {
-		b.probe(now, e)
+	if probeNew {
+		b.sendProbe(now, e)
 	}
 }
--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -1,97 +1,154 @@
 package balancer
 
-import "slices"
+const (
+	randomDraws         = 8    // random draws before the list is searched in order
+	recentDraws         = 4    // of recently used endpoints, that a pick considers
+	maxRecent           = 32   // recently used endpoints remembered
+	queueDelayWeight    = 0.05 // of the delay that a send causes to those in flight
+	crossZoneWeight     = 2.0  // latency objectives that the price of leaving the zone counts as
+	idleConnectionRatio = 0.7  // of the keep-alive time, for which an idle connection is relied on
+	connectRoundTrips   = 2.0  // to open a connection
+	connectCostRatio    = 0.2  // of the latency objective, for the work and price of opening a connection
+)
 
-// cost ranks endpoints: predicted latency, and as time a zone crossing's price and a likely failure.
+// cost ranks endpoints for r: the predicted latency in µs, and as time a zone crossing and likely failures.
 func (b *Balancer) cost(now Micros, r *request, e *endpoint) float64 {
-	aim := float64(b.class(r).LatencyObjective)
-	expected := b.predict(now, e, b.workAt(now, r, e))
-	// One that answers in time goes first, if far or failing.
-	c := expected + (e.failing(now)+share(e.ejected(now))+share(expected > b.room(now, r, e)))*aim
-	c += othersWeight * b.classes[r.Class].work.v * e.paceNow(now, b) * b.load(e)
-	if !b.connected(now, e) {
-		c += openTrips*b.estimates.roundTrip[e.Zone].v + openWeight*aim
+	objective := float64(b.classOf(r).LatencyObjective)
+	expected := b.predictLatency(now, e, b.expectedWork(now, r, e))
+	// One that answers in time goes first, even if remote or failing.
+	late := indicator(expected > b.latencyLimit(now, r, e))
+	cost := expected + (e.failureRatio(now)+indicator(e.ejected(now))+late)*objective
+	cost += queueDelayWeight * b.classes[r.Class].work.value * e.currentSlowness(now, b) * b.load(e)
+	if !b.likelyConnected(now, e) {
+		cost += connectRoundTrips*b.estimates.roundTrip[e.Zone].value + connectCostRatio*objective
 	}
-	return c + zoneWeight*b.settings.Prices.CrossZone*aim*share(int(e.Zone) != b.settings.Zone)
+	crossing := indicator(int(e.Zone) != b.settings.Zone)
+	return cost + crossZoneWeight*b.settings.Prices.CrossZone*objective*crossing
 }
 
-// connected says whether a connection to e is likely to stand idle; true where it does not matter.
-func (b *Balancer) connected(now Micros, e *endpoint) bool {
-	kept := Micros(idlePart * float64(b.settings.Limits.KeepAlive))
-	return kept == 0 || e.inflight == 0 && e.heardAt > 0 && now-e.heardAt < kept
+// likelyConnected reports whether an idle connection to e is likely; true where that does not matter.
+func (b *Balancer) likelyConnected(now Micros, e *endpoint) bool {
+	lifetime := Micros(idleConnectionRatio * float64(b.settings.Limits.KeepAlive))
+	if lifetime == 0 {
+		return true
+	}
+	return e.inFlight == 0 && e.lastResponseAt > 0 && now-e.lastResponseAt < lifetime
 }
 
-// draw returns a random endpoint that r may and should go to, at home or no farther than far, or nil.
-func (b *Balancer) draw(now Micros, r *request, not *endpoint, far float64) *endpoint {
-	n := len(b.endpoints.list)
-	var last *endpoint
+// drawRandom returns a random endpoint that r may be sent to, in this zone or within maxRoundTrip, or nil.
+func (b *Balancer) drawRandom(now Micros, r *request, exclude *endpoint, maxRoundTrip float64) *endpoint {
+	list := b.endpoints.list
+	n := len(list)
+	var fallback *endpoint
 	at := int(b.random.float() * float64(n))
-	for i := 0; n > 0 && i < drawTries+n; i++ {
-		if i < drawTries {
+	for i := 0; n > 0 && i < randomDraws+n; i++ {
+		random := i < randomDraws
+		if random {
 			at = int(b.random.float() * float64(n))
 		}
-		e := b.endpoints.list[(at+i)%n]
-		// Larger endpoints are drawn more often.
-		away := int(e.Zone) != b.settings.Zone && (far == 0 || b.estimates.roundTrip[e.Zone].v > far)
-		if i < drawTries && (away || b.random.float()*b.endpoints.maxWeight > float64(e.Weight)) {
+		e := list[(at+i)%n]
+		if random && !b.acceptDraw(e, maxRoundTrip) {
 			continue
 		}
-		if e == not || r.tried(e) || !b.maySend(now, r, e) {
+		if e == exclude || r.triedEndpoint(e) || !b.maySend(now, r, e) {
 			continue
 		}
 		if !e.ejected(now) {
 			return e
 		}
-		last = e // ejected endpoints serve only when nothing else is left
+		fallback = e // ejected endpoints serve only when nothing else is left
 	}
-	return last
+	return fallback
 }
 
-// pick returns the pooled endpoint of the least cost for r, leaving out those it must not or should not go
-// to; without fresh answers, the better of two random draws.
-func (b *Balancer) pick(now Micros, r *request, not *endpoint) *endpoint {
-	fresh := b.freshFor(now, b.class(r).LatencyObjective)
-	var best *endpoint
-	var least float64
-	consider := func(e *endpoint) {
-		if c := b.cost(now, r, e); best == nil || c < least {
-			best, least = e, c
-		}
+// acceptDraw leaves out remote zones, and accepts endpoints in proportion to their weight.
+func (b *Balancer) acceptDraw(e *endpoint, maxRoundTrip float64) bool {
+	remote := int(e.Zone) != b.settings.Zone
+	if remote && (maxRoundTrip == 0 || b.estimates.roundTrip[e.Zone].value > maxRoundTrip) {
+		return false
 	}
-	offer := func(e *endpoint) {
-		if e != nil && e != not && !e.ejected(now) && !r.tried(e) && b.maySend(now, r, e) {
-			consider(e)
-		}
+	tooLight := b.random.float()*b.endpoints.maxWeight > float64(e.Weight)
+	return !tooLight
+}
+
+// selection finds the endpoint of the least cost for a request.
+type selection struct {
+	b       *Balancer
+	now     Micros
+	r       *request
+	exclude *endpoint
+	best    *endpoint
+	minCost float64
+}
+
+// consider takes e if it costs less than the best so far.
+func (s *selection) consider(e *endpoint) {
+	if cost := s.b.cost(s.now, s.r, e); s.best == nil || cost < s.minCost {
+		s.best = e
+		s.minCost = cost
 	}
-	b.probes.pool = slices.DeleteFunc(b.probes.pool, func(e *endpoint) bool {
-		e.pooled = e.State == Ready && now-e.answerAt <= fresh
-		return !e.pooled
-	})
-	for i, at := 0, int(b.random.float()*float64(len(b.probes.pool))); i < len(b.probes.pool); i++ {
-		if e := b.probes.pool[(at+i)%len(b.probes.pool)]; e != not && !r.tried(e) && b.maySend(now, r, e) {
-			consider(e)
-		}
+}
+
+// permitted reports whether r may be sent to e, which it was not sent to yet.
+func (s *selection) permitted(e *endpoint) bool {
+	return e != s.exclude && !s.r.triedEndpoint(e) && s.b.maySend(s.now, s.r, e)
+}
+
+// offer considers e if it is permitted and not ejected.
+func (s *selection) offer(e *endpoint) {
+	if e != nil && !e.ejected(s.now) && s.permitted(e) {
+		s.consider(e)
 	}
-	// A pool of few would take all: with most endpoints unanswered, the draws compete.
-	if best == nil || !b.probes.onDemand && 2*len(b.probes.pool) < len(b.endpoints.list) {
-		for range 2 {
-			if e := b.draw(now, r, not, float64(r.Deadline)); e != nil {
-				consider(e)
-			}
+}
+
+// pick returns the endpoint with a fresh report that costs least for r, among those that the rules permit;
+// without enough fresh reports, random draws, recently used endpoints and the key's owners compete.
+func (b *Balancer) pick(now Micros, r *request, exclude *endpoint) *endpoint {
+	s := selection{b: b, now: now, r: r, exclude: exclude}
+	b.probes.dropStale(now, b.maxReportAge(now, b.classOf(r).LatencyObjective))
+	pool := b.probes.pool
+	first := int(b.random.float() * float64(len(pool)))
+	for i := range pool {
+		if e := pool[(first+i)%len(pool)]; s.permitted(e) {
+			s.consider(e)
 		}
-		// And some of those that were sent to of late: a connection to them may stand.
-		for range metDraws * min(1, b.recent.count) {
-			offer(b.recent.ring[int(b.random.float()*float64(b.recent.len()))])
+	}
+	// A small pool would attract everything: while most endpoints have no report, others compete.
+	if s.best == nil || !b.probes.onDemand && 2*len(pool) < len(b.endpoints.list) {
+		s.considerOthers()
+	}
+	// A group may have no other endpoint left, and what the network path lost may arrive the next time.
+	if s.best == nil && len(r.attempts) > 0 {
+		s.considerAgain()
+	}
+	return s.best
+}
+
+// considerOthers considers endpoints without a fresh report.
+func (s *selection) considerOthers() {
+	b := s.b
+	for range 2 { // power of two choices
+		if e := b.drawRandom(s.now, s.r, s.exclude, float64(s.r.Deadline)); e != nil {
+			s.consider(e)
 		}
-		for i := 0; r.place != nil && i < len(r.place.homes); i++ {
-			offer(r.place.homes[i])
+	}
+	// A connection to a recently used endpoint may be open.
+	for range recentDraws * min(1, b.recent.count) {
+		s.offer(b.recent.ring[int(b.random.float()*float64(b.recent.len()))])
+	}
+	if s.r.key != nil {
+		for _, owner := range s.r.key.owners {
+			s.offer(owner)
 		}
 	}
-	// A group may have no other left, and what broke on the way may come through the next time.
-	for i := 0; best == nil && len(r.attempts) > 0 && i < len(b.endpoints.list); i++ {
-		if e := b.endpoints.list[i]; e != not && !e.ejected(now) && !r.failedAt(e) && b.maySend(now, r, e) {
-			consider(e)
+}
+
+// considerAgain takes the first endpoint that has not itself failed r.
+func (s *selection) considerAgain() {
+	for _, e := range s.b.endpoints.list {
+		if e != s.exclude && !e.ejected(s.now) && !s.r.failedByEndpoint(e) && s.b.maySend(s.now, s.r, e) {
+			s.consider(e)
+			return
 		}
 	}
-	return best
 }
--- a/balancer/pick_test.go
+++ b/balancer/pick_test.go
@@ -5,7 +5,7 @@
 	"testing"
 )
 
-func TestPickTakesLeastLoadPlusOwnSends(t *testing.T) {
+func TestPickPrefersMinimumLoadPlusLocalSends(t *testing.T) {
 	s := testSettings()
 	s.Balancers = 1
 	b, r := start(t, s, ready(3))
@@ -13,7 +13,7 @@
 		b.ProbeCompleted(1000, uint32(i+1), OK, 500, []float32{load})
 	}
 	for id := range uint64(4) {
-		b.HandleRequest(2000, request0(id, 0, 2000))
+		b.HandleRequest(2000, testRequest(id, 0, 2000))
 	}
 	// Endpoint 2 stays least until it holds as many as endpoint 1 reported.
 	for i, s := range r.sends {
@@ -30,7 +30,7 @@
 }
 
 // In a large fleet all balancers learn of the same idle endpoint: none may fill it alone.
-func TestOneLowAnswerDrawsNoHerd(t *testing.T) {
+func TestOneLowReportAttractsNoHerd(t *testing.T) {
 	for _, c := range []struct{ balancers, most int }{{1, 5}, {3, 3}, {15, 2}} {
 		s := testSettings()
 		s.Balancers = c.balancers
@@ -54,14 +54,14 @@
 	}
 }
 
-func TestPoolAges(t *testing.T) {
+func TestStaleReportsDoNotDecide(t *testing.T) {
 	s := testSettings()
 	b, r := start(t, s, ready(2))
 	b.ProbeCompleted(1000, 1, OK, 500, []float32{0})
-	now := 1000 + b.freshFor(1000, second) + 30*second
+	now := 1000 + b.maxReportAge(1000, second) + 30*second
 	seen := map[uint32]bool{}
 	for id := range uint64(20) {
-		b.HandleRequest(now, request0(id, 0, now))
+		b.HandleRequest(now, testRequest(id, 0, now))
 		b.AttemptCompleted(now, Outcome{ID: id, Endpoint: r.sends[len(r.sends)-1].endpoint, Status: OK, Latency: 1000, Settled: true})
 		seen[r.sends[len(r.sends)-1].endpoint] = true
 	}
@@ -70,7 +70,7 @@
 	}
 }
 
-func TestOddReports(t *testing.T) {
+func TestMalformedReportsAreIgnored(t *testing.T) {
 	b, _ := start(t, testSettings(), ready(1))
 	nan := float32(math.NaN())
 	for _, load := range [][]float32{nil, {}, {nan}, {-3}, {float32(math.Inf(1))}} {
@@ -88,26 +88,26 @@
 
 // Reports that count fewer than this balancer has there itself are late; they
 // must not steer picks.
-func TestLateReportsAreFoundOut(t *testing.T) {
+func TestLateReportsAreDetected(t *testing.T) {
 	b, r := start(t, testSettings(), ready(2))
 	for id := range uint64(3) {
-		b.HandleRequest(1000, request0(id, 0, 1000))
+		b.HandleRequest(1000, testRequest(id, 0, 1000))
 	}
 	busy := b.endpoints.byID[r.sends[0].endpoint]
 	for i := range Micros(40) {
-		busy.probing = false
-		b.probe(12_000+i, busy)
+		busy.probePending = false
+		b.sendProbe(12_000+i, busy)
 		b.ProbeCompleted(13_000+i, busy.ID, OK, 500, []float32{0})
 	}
 	if !b.reports.late {
 		t.Fatal("not found out")
 	}
-	if got := b.load(busy); got < float64(busy.inflight) {
-		t.Errorf("load %v is under own in-flight %d", got, busy.inflight)
+	if got := b.load(busy); got < float64(busy.inFlight) {
+		t.Errorf("load %v is under own in-flight %d", got, busy.inFlight)
 	}
 	for i := range Micros(400) {
-		busy.probing = false
-		b.probe(14_000+i, busy)
+		busy.probePending = false
+		b.sendProbe(14_000+i, busy)
 		b.ProbeCompleted(15_000+i, busy.ID, OK, 500, []float32{5})
 	}
 	if b.reports.late {
@@ -117,43 +117,43 @@
 
 // A report of many requests is a few per cent off: that does not make it late, or a busy fleet would be
 // taken for one that reports late, and be sent to blindly.
-func TestNoiseInReportsIsNotLateness(t *testing.T) {
+func TestNoisyReportsAreNotLate(t *testing.T) {
 	b, _ := start(t, testSettings(), ready(2))
 	busy := b.endpoints.list[0]
-	busy.inflight = 30
+	busy.inFlight = 30
 	for i := range Micros(400) {
-		busy.probing = false
-		b.probe(14_000+i, busy)
+		busy.probePending = false
+		b.sendProbe(14_000+i, busy)
 		b.ProbeCompleted(15_000+i, busy.ID, OK, 500, []float32{[]float32{28, 26, 30, 31}[i%4]}) // 30 and up to 13% off
 	}
 	if b.reports.late {
-		t.Errorf("%.0f%% of the reports are taken to be late", 100*b.reports.lateRatio.v)
+		t.Errorf("%.0f%% of the reports are taken to be late", 100*b.reports.lateRatio.value)
 	}
 }
 
 // A wrong guess of a class's work must not refuse that class for ever; but a pass a second at each of a
 // thousand quiet balancers would keep a jammed fleet jammed.
-func TestLatenessRefusalLetsFewPass(t *testing.T) {
+func TestLatencyRejectionAdmitsFewTrials(t *testing.T) {
 	for _, c := range []struct {
 		gap      Micros
 		from, to int
 	}{{second / 100, 3, 6}, {second, 28, 33}} {
 		b, r := start(t, testSettings(), ready(1))
-		b.classes[0].work.v = float64(100 * second)
+		b.classes[0].work.value = float64(100 * second)
 		for i := range uint64(300) {
 			now := 10*second + Micros(i)*c.gap
-			b.HandleRequest(now, request0(i, 0, now))
+			b.HandleRequest(now, testRequest(i, 0, now))
 		}
 		if n := len(r.sends); n < c.from || n > c.to {
 			t.Errorf("a request every %d us: %d of 300 sent, want %d to %d", c.gap, n, c.from, c.to)
 		}
-		if len(r.refused) != 300-len(r.sends) {
-			t.Errorf("%d refused, %d sent", len(r.refused), len(r.sends))
+		if len(r.rejected) != 300-len(r.sends) {
+			t.Errorf("%d refused, %d sent", len(r.rejected), len(r.sends))
 		}
 	}
 }
 
-func TestFailingEndpointIsAvoidedAndTriedAgain(t *testing.T) {
+func TestFailingEndpointIsAvoidedAndProbedByTrials(t *testing.T) {
 	b, r := start(t, testSettings(), ready(3))
 	now := second
 	sends := map[uint32]int{}
@@ -165,7 +165,7 @@
 		}
 		id++
 		from := len(r.sends)
-		b.HandleRequest(now, request0(id, 0, now))
+		b.HandleRequest(now, testRequest(id, 0, now))
 		for n := 0; from < len(r.sends); n++ {
 			to := r.sends[from].endpoint
 			from++
@@ -191,7 +191,7 @@
 
 // Tenants are held against one another by what was sent of each over its share: one that is ahead gives way
 // until the others have caught up, and whoever asks for less than its share never does.
-func TestTenantBeyondItsShareWeighsLess(t *testing.T) {
+func TestTenantOverQuotaHasLowerWeight(t *testing.T) {
 	for name, c := range map[string]struct {
 		sends  [3]int // in turn
 		allow  [3]float64
@@ -218,22 +218,22 @@
 			}
 		}
 		for i, want := range c.weighs {
-			if got := b.shareWorth(second, &request{Request: Request{Tenant: uint16(i)}}); math.Abs(got-want) > 0.01 {
+			if got := b.tenantWeight(second, &request{Request: Request{Tenant: uint16(i)}}); math.Abs(got-want) > 0.01 {
 				t.Errorf("%s: tenant %d weighs %.2f, want %.2f", name, i, got, want)
 			}
 		}
-		if got := b.shareWorth(second, &request{Request: Request{Tenant: 9}}); got != 1 {
+		if got := b.tenantWeight(second, &request{Request: Request{Tenant: 9}}); got != 1 {
 			t.Errorf("%s: unknown tenant: %v", name, got)
 		}
 	}
 }
 
 // At a start only few endpoints have answered; they must not get everything.
-func TestFewAnswersDoNotTakeAll(t *testing.T) {
+func TestFewReportsDoNotAttractAllTraffic(t *testing.T) {
 	b, r := start(t, testSettings(), ready(8))
 	b.ProbeCompleted(1000, 3, OK, 500, []float32{0})
 	for id := range uint64(24) {
-		b.HandleRequest(2000, request0(id, 0, 2000))
+		b.HandleRequest(2000, testRequest(id, 0, 2000))
 	}
 	seen := map[uint32]int{}
 	for _, s := range r.sends {
@@ -246,38 +246,38 @@
 
 // While reports are late, averages decide; they must not refuse what an
 // endpoint that they cannot show would serve.
-func TestLateReportsAllowTheWholeAim(t *testing.T) {
+func TestLateReportsAllowFullLatencyObjective(t *testing.T) {
 	b, _ := start(t, testSettings(), ready(1))
-	r := &request{Request: request0(1, 0, 0), work: 50_000}
-	b.classes[0].asked.add(0, 1)
-	before := b.room(0, r, b.endpoints.list[0])
+	r := &request{Request: testRequest(1, 0, 0), work: 50_000}
+	b.classes[0].arrivals.add(0, 1)
+	before := b.latencyLimit(0, r, b.endpoints.list[0])
 	b.reports.late = true
-	if after := b.room(0, r, b.endpoints.list[0]); after <= before || after != float64(b.settings.Classes[0].LatencyObjective) {
+	if after := b.latencyLimit(0, r, b.endpoints.list[0]); after <= before || after != float64(b.settings.Classes[0].LatencyObjective) {
 		t.Errorf("limit %v before, %v while late", before, after)
 	}
 }
 
 // What a cold endpoint can do grows with its warmth, and so must what is
 // expected of it, also once its pace has been learned.
-func TestColdEndpointIsExpectedToBeSlow(t *testing.T) {
+func TestEndpointInSlowStartIsExpectedToBeSlow(t *testing.T) {
 	b, _ := start(t, testSettings(), ready(2))
 	b.UpdateEndpoints(1000, ListDelta, []Endpoint{{ID: 9, State: Ready, StartTime: 1000}})
 	e := b.endpoints.byID[9]
-	if got := e.paceNow(1000, b); !near(got, 5) { // warmth 0.2
+	if got := e.currentSlowness(1000, b); !almostEqual(got, 5) { // warmth 0.2
 		t.Errorf("pace %v just started", got)
 	}
-	e.pace, e.paceAt = ewma{v: 2, seen: true}, 6*second
-	if got := e.paceNow(6*second, b); got < 2.9 || got > 3 { // warmth 0.68
+	e.slowness, e.slownessAt = ewma{value: 2, seen: true}, 6*second
+	if got := e.currentSlowness(6*second, b); got < 2.9 || got > 3 { // warmth 0.68
 		t.Errorf("pace %v half way", got)
 	}
-	if got := e.paceNow(12*second, b); got > 2 {
+	if got := e.currentSlowness(12*second, b); got > 2 {
 		t.Errorf("pace %v once warm", got)
 	}
 }
 
 // When the whole fleet turns slow, an endpoint known as fast must be expected to be slow, too, and
 // must be trusted again soon after the recovery.
-func TestFleetWideSlowdownIsLearnedAtOnce(t *testing.T) {
+func TestFleetWideSlowdownIsLearnedQuickly(t *testing.T) {
 	b, r := start(t, testSettings(), ready(4))
 	serve := func(from Micros, n int, times float64) {
 		for i := range n {
@@ -288,15 +288,15 @@
 			if len(r.sends) == 0 || r.sends[len(r.sends)-1].id != id {
 				continue // refused
 			}
-			latency := Micros(times * b.ledger.requests[id].attempts[0].expected)
+			latency := Micros(times * b.ledger.requests[id].attempts[0].expectedLatency)
 			b.AttemptCompleted(now, Outcome{ID: id, Endpoint: r.sends[len(r.sends)-1].endpoint, Status: OK,
 				Latency: latency, Settled: true})
 		}
 	}
 	one := func(now Micros) float64 {
 		b.ProbeCompleted(now, 1, OK, 500, []float32{0})
-		b.endpoints.byID[1].pace, b.endpoints.byID[1].paceAt = ewma{v: 1, seen: true}, now
-		return b.predict(now, b.endpoints.byID[1], 10_000)
+		b.endpoints.byID[1].slowness, b.endpoints.byID[1].slownessAt = ewma{value: 1, seen: true}, now
+		return b.predictLatency(now, b.endpoints.byID[1], 10_000)
 	}
 	serve(0, 50, 1)
 	before := one(60_000)
@@ -311,7 +311,7 @@
 }
 
 // A hint must count for as much as it tells, or idle endpoints refuse what is only said to be large.
-func TestTrustInHintsIsLearned(t *testing.T) {
+func TestHintExponentIsLearned(t *testing.T) {
 	for _, c := range []struct {
 		name     string
 		latency  func(hint Micros) Micros
@@ -321,7 +321,7 @@
 		{"hints tell all", func(hint Micros) Micros { return hint }, 0.85, 1},
 	} {
 		b, r := start(t, testSettings(), ready(4))
-		hints := source(3)
+		hints := randomSource(3)
 		for i := range 4000 {
 			now := 10_000 * Micros(i)
 			hint := 5_000 + hints.below(60_000)
@@ -338,18 +338,18 @@
 }
 
 // A balancer that refuses everything must still learn when it may stop.
-func TestProbesGoOnWhileAllIsRefused(t *testing.T) {
+func TestProbesContinueWhileAllRequestsAreRejected(t *testing.T) {
 	s := testSettings()
-	s.Prices.Probe = probeSpend // one probe a request
+	s.Prices.Probe = probeCostRatio // one probe a request
 	b, _ := start(t, s, ready(4))
 	for i := range 1000 {
 		b.traffic.demand.add(5000*Micros(i), 1)
 	}
 	now := 5 * second
-	b.traffic.rejected.v = 0
+	b.traffic.rejected.value = 0
 	all := b.probeRate(now)
-	for _, c := range []struct{ refused, want float64 }{{0.5, 0.5}, {0.9, firstTries}, {1, firstTries}} {
-		b.traffic.rejected.v = c.refused
+	for _, c := range []struct{ refused, want float64 }{{0.5, 0.5}, {0.9, minAdmittedRatio}, {1, minAdmittedRatio}} {
+		b.traffic.rejected.value = c.refused
 		if got := b.probeRate(now) / all; math.Abs(got-c.want) > 0.001 {
 			t.Errorf("refused %v: %v of the pace, want %v", c.refused, got, c.want)
 		}
@@ -358,7 +358,7 @@
 
 // A quiet balancer in a large fleet cannot keep a fresh pool: it must ask when a request comes, and send to
 // the best answer, without losing what it holds.
-func TestQuietBalancerAsksBeforeItSends(t *testing.T) {
+func TestLowTrafficBalancerProbesBeforeSending(t *testing.T) {
 	quiet := func() (*Balancer, *recorder) {
 		s := testSettings()
 		s.Balancers = 1000
@@ -366,9 +366,9 @@
 		if len(r.probes) != 0 {
 			t.Errorf("%d probes at the start", len(r.probes))
 		}
-		b.TimerFired(second, tokenProbe)
+		b.TimerFired(second, probeTimer)
 		r.probes, r.timers = nil, nil
-		b.HandleRequest(2*second, request0(1, 0, 2*second))
+		b.HandleRequest(2*second, testRequest(1, 0, 2*second))
 		if len(r.sends) != 0 || len(r.probes) < 2 {
 			t.Fatalf("%d sends and %d probes before any answer", len(r.sends), len(r.probes))
 		}
@@ -404,71 +404,71 @@
 		answer(b, r, i, 0)
 	}
 	b.TimerFired(2*second+50_000, r.timers[len(r.timers)-1])
-	if len(r.sends)+len(r.refused)+len(r.failed) != 0 || len(b.ledger.waitingForProbes) != 0 {
+	if len(r.sends)+len(r.rejected)+len(r.failed) != 0 || len(b.ledger.waitingForProbes) != 0 {
 		t.Error("a request that its client left is still acted on")
 	}
 }
 
 // Where reports are old or hold no count, a probe that waited in line still shows that there is one.
-func TestProbeThatWaitsShowsALoad(t *testing.T) {
+func TestQueuedProbeIndicatesLoad(t *testing.T) {
 	s := testSettings()
 	s.Fields = []Field{FieldServed, FieldUtil}
 	b, _ := start(t, s, ready(2))
 	e := b.endpoints.byID[1]
 	b.ProbeCompleted(1000, 1, OK, 500, []float32{90, 0.5})
-	if got := b.load(e); got != 0.5*cores {
+	if got := b.load(e); got != 0.5*assumedCores {
 		t.Errorf("load %v of a half busy endpoint", got)
 	}
 	b.ProbeCompleted(2000, 1, OK, 160_500, []float32{90, 0.5})
-	if got := b.load(e); got < 2*cores {
+	if got := b.load(e); got < 2*assumedCores {
 		t.Errorf("load %v, though the probe waited for two requests' work", got)
 	}
 	b.ProbeCompleted(3000, 1, Full, 500, nil)
-	if e.answerAt != 0 {
+	if e.reportedAt != 0 {
 		t.Error("an endpoint that turns probes away keeps its place in the pool")
 	}
 }
 
 // Only idle endpoints answer a probe in time. In a jam the silent ones must count, or the fleet looks idle.
-func TestSilentProbesCountAsLoad(t *testing.T) {
+func TestUnansweredProbesCountAsLoad(t *testing.T) {
 	s := testSettings()
 	s.Balancers = 1000
 	b, r := start(t, s, ready(40))
-	b.TimerFired(second, tokenProbe)
+	b.TimerFired(second, probeTimer)
 	for id := range uint64(40) {
 		now := 2*second + 100_000*Micros(id)
 		r.timers = nil
 		b.HandleRequest(now, Request{ID: id, Deadline: now + second})
 		b.TimerFired(now+40_000, r.timers[len(r.timers)-1])
 	}
-	if b.estimates.baselineLoad.v < cores {
-		t.Errorf("usual load %v though no probe is answered", b.estimates.baselineLoad.v)
+	if b.estimates.baselineLoad.value < assumedCores {
+		t.Errorf("usual load %v though no probe is answered", b.estimates.baselineLoad.value)
 	}
-	if len(r.refused) == 0 {
+	if len(r.rejected) == 0 {
 		t.Error("nothing refused though no probe is answered")
 	}
 }
 
 // A few long answers must not make an endpoint refuse where nobody waits.
-func TestIdleEndpointIsNotRefused(t *testing.T) {
+func TestIdleEndpointIsNotRejected(t *testing.T) {
 	b, r := start(t, testSettings(), ready(1))
-	b.endpoints.list[0].pace, b.endpoints.list[0].paceAt = ewma{v: 9, seen: true}, 1000
+	b.endpoints.list[0].slowness, b.endpoints.list[0].slownessAt = ewma{value: 9, seen: true}, 1000
 	b.ProbeCompleted(1000, 1, OK, 500, []float32{0})
-	b.HandleRequest(2000, request0(1, 0, 2000))
+	b.HandleRequest(2000, testRequest(1, 0, 2000))
 	if len(r.sends) != 1 {
 		t.Errorf("%d sends to an idle endpoint thought slow", len(r.sends))
 	}
 }
 
 // Requests passed into a jam keep it jammed: each that earns nothing makes the next rarer.
-func TestPassesThatFailGetRarer(t *testing.T) {
+func TestFailedTrialsBecomeRarer(t *testing.T) {
 	b, r := start(t, testSettings(), ready(1))
-	b.classes[0].work.v = float64(100 * second)
-	b.trend.ratio = trendMost
+	b.classes[0].work.value = float64(100 * second)
+	b.trend.ratio = maxTrend
 	passed := [2]int{}
 	for i := range uint64(400) {
 		now := 10*second + Micros(i)*second
-		b.HandleRequest(now, request0(i, 0, now))
+		b.HandleRequest(now, testRequest(i, 0, now))
 		if n := len(r.sends); n > 0 && r.sends[n-1].id == i {
 			passed[i/200]++
 			b.AttemptCompleted(now+second, Outcome{ID: i, Endpoint: 1, Status: Timeout, Latency: second})
@@ -477,20 +477,20 @@
 	if passed[0] < 3 || passed[0] > 8 || passed[1] > 2 {
 		t.Errorf("%d of the first 200 passed and %d of the next", passed[0], passed[1])
 	}
-	b.traffic.trialInterval = passMost
+	b.traffic.trialInterval = maxTrialInterval
 	r.sends = nil
-	b.trend.ratio, b.classes[0].work.v = 1, 1000
-	b.HandleRequest(500*second, request0(1000, 0, 500*second))
+	b.trend.ratio, b.classes[0].work.value = 1, 1000
+	b.HandleRequest(500*second, testRequest(1000, 0, 500*second))
 	b.AttemptCompleted(501*second, Outcome{ID: 1000, Endpoint: 1, Status: OK, Latency: 1000, Settled: true})
-	b.HandleRequest(502*second, request0(1001, 0, 502*second))
+	b.HandleRequest(502*second, testRequest(1001, 0, 502*second))
 	b.AttemptCompleted(502*second+1000, Outcome{ID: 1001, Endpoint: 1, Status: OK, Latency: 1000, Settled: true})
-	if b.traffic.trialInterval != passLeast {
+	if b.traffic.trialInterval != minTrialInterval {
 		t.Errorf("one of %d passes after an answer in time", b.traffic.trialInterval)
 	}
 }
 
 // Random tries must not use up a short list, nor a list without shares.
-func TestDrawFindsWhatIsThere(t *testing.T) {
+func TestRandomDrawFindsAnyEndpoint(t *testing.T) {
 	for n := range 12 {
 		list := ready(n)
 		for i := range list {
@@ -498,7 +498,7 @@
 		}
 		b, _ := start(t, testSettings(), list)
 		for range 50 {
-			if e := b.draw(1000, &request{Request: request0(1, 0, 1000)}, nil, 0); (e == nil) != (n == 0) {
+			if e := b.drawRandom(1000, &request{Request: testRequest(1, 0, 1000)}, nil, 0); (e == nil) != (n == 0) {
 				t.Fatalf("%d endpoints: drew %v", n, e)
 			}
 		}
@@ -506,7 +506,7 @@
 }
 
 // Answers from afar come too late for a short wait: probes stay at home then.
-func TestProbesStayNear(t *testing.T) {
+func TestProbesAvoidRemoteZones(t *testing.T) {
 	s := testSettings()
 	s.Balancers = 1000
 	list := ready(40)
@@ -514,10 +514,10 @@
 		list[i].Zone = uint8(i % 2)
 	}
 	b, r := start(t, s, list)
-	b.estimates.roundTrip[0], b.estimates.roundTrip[1] = ewma{v: 500, seen: true}, ewma{v: 30_000, seen: true}
-	b.TimerFired(second, tokenProbe)
+	b.estimates.roundTrip[0], b.estimates.roundTrip[1] = ewma{value: 500, seen: true}, ewma{value: 30_000, seen: true}
+	b.TimerFired(second, probeTimer)
 	for id := range uint64(20) {
-		b.HandleRequest(2*second, request0(id, 0, 2*second))
+		b.HandleRequest(2*second, testRequest(id, 0, 2*second))
 	}
 	for _, e := range r.probes {
 		if b.endpoints.byID[e].Zone != 0 {
@@ -530,7 +530,7 @@
 }
 
 // A quiet balancer earns one send to a cold endpoint in minutes: all must not start from nothing.
-func TestSliversTogetherServeColdEndpoints(t *testing.T) {
+func TestLowTrafficBalancersTogetherServeSlowStart(t *testing.T) {
 	allowed, all := 0, 200
 	for seed := range all {
 		b, err := New(testSettings(), uint64(seed), &recorder{})
@@ -545,9 +545,9 @@
 		b.UpdateEndpoints(10*second, ListDelta, []Endpoint{{ID: 11, Weight: 1, StartTime: 10 * second}})
 		for i := range Micros(6) {
 			b.traffic.sentWork.add((10+i)*second, 80_000)
-			b.coldRoom((10+i)*second, b.endpoints.byID[11], 80_000)
+			b.slowStartAllows((10+i)*second, b.endpoints.byID[11], 80_000)
 		}
-		if b.coldRoom(15*second, b.endpoints.byID[11], 80_000) {
+		if b.slowStartAllows(15*second, b.endpoints.byID[11], 80_000) {
 			allowed++
 		}
 	}
@@ -559,7 +559,7 @@
 
 // A sidecar of a large fleet meets an endpoint once in many seconds: what it has learned of some machines tells
 // how fast the others of their kind are, within a second of its start.
-func TestKindTellsThePaceOfEndpointsNeverMet(t *testing.T) {
+func TestSlownessOfUnusedEndpointsFollowsKind(t *testing.T) {
 	s := testSettings()
 	s.Balancers, s.Kinds, s.Limits.Probes = 300, 3, false
 	list := ready(150)
@@ -582,7 +582,7 @@
 	var pace [3]float64
 	for _, e := range b.endpoints.list {
 		if !met[e.ID] {
-			pace[e.Kind] = e.paceNow(now, b)
+			pace[e.Kind] = e.currentSlowness(now, b)
 		}
 	}
 	if pace[2] < 1.5*pace[0] || pace[1] < pace[0] {
@@ -594,7 +594,7 @@
 	}
 	var slow int
 	for _, x := range r.sends[was:] {
-		slow += int(share(x.endpoint%3 == 0))
+		slow += int(indicator(x.endpoint%3 == 0))
 	}
 	if n := len(r.sends) - was; n < 250 || slow > n/4 {
 		t.Errorf("%d of %d sends went to the slow kind", slow, n)
@@ -602,7 +602,7 @@
 }
 
 // What is met once in many seconds is learned by what it then shows, and what is met all the time by its mean.
-func TestEndpointSeldomMetIsLearnedFaster(t *testing.T) {
+func TestRarelyUsedEndpointIsLearnedFaster(t *testing.T) {
 	learned := func(gap Micros) float64 {
 		s := testSettings()
 		s.Limits.Probes = false
@@ -617,18 +617,18 @@
 		for range 50 {
 			answer(50_000)
 		}
-		before := b.endpoints.list[0].paceNow(now, b)
+		before := b.endpoints.list[0].currentSlowness(now, b)
 		answer(250_000)
-		return b.endpoints.list[0].paceNow(now-gap, b) / before
+		return b.endpoints.list[0].currentSlowness(now-gap, b) / before
 	}
-	often, seldom := learned(0), learned(2*paceLife)
+	often, seldom := learned(0), learned(2*slownessLifetime)
 	if often > 1.2 || seldom < 1.5 {
 		t.Errorf("after one answer that took five times as long the pace is %.2f times what it was, and %.2f of one seldom met", often, seldom)
 	}
 }
 
 // A cold endpoint of a kind that is twice as fast gets more than one of a slow kind, within bounds.
-func TestColdEndpointsAreFilledByKind(t *testing.T) {
+func TestSlowStartRateFollowsKind(t *testing.T) {
 	b, r := start(t, testSettings(), ready(6))
 	for i, e := range b.endpoints.list {
 		e.Kind, e.Zone = uint8(i%2), 0
@@ -646,17 +646,17 @@
 	for kind := range got {
 		e := &endpoint{Endpoint: Endpoint{Kind: uint8(kind), State: Ready, Weight: 1}, slowStart: slowStart{active: true, since: now, refilledAt: now}}
 		b.endpoints.list = append(b.endpoints.list, e)
-		b.coldRoom(now+second, e, 50_000)
+		b.slowStartAllows(now+second, e, 50_000)
 		got[kind] = e.slowStart.tokens
 	}
-	if ratio := got[0] / got[1]; ratio < 1.5 || ratio > kindMost*kindMost {
+	if ratio := got[0] / got[1]; ratio < 1.5 || ratio > maxKindRatio*maxKindRatio {
 		t.Errorf("a fast and a slow kind get %v, %.2f times as much", got, ratio)
 	}
 }
 
 // Answers tell that the fleet has become busy before the few probes do, so that an endpoint known to be idle is
 // preferred; noise alone does not make it look busy, however long it goes on, and without probes nothing is told.
-func TestAnswersTellTheUsualLoad(t *testing.T) {
+func TestResponsesUpdateBaselineLoad(t *testing.T) {
 	play := func(probed bool, answers int, slower, noise float64) (usual float64) {
 		b, r := start(t, testSettings(), ready(40))
 		for _, e := range b.endpoints.list {
@@ -665,7 +665,7 @@
 		if probed {
 			b.ProbeCompleted(0, 1, OK, 500, []float32{1})
 		}
-		rng, now := source(5), second
+		rng, now := randomSource(5), second
 		for id := range uint64(answers + 100) {
 			n := len(r.sends)
 			b.HandleRequest(now, Request{ID: id, Deadline: now + 10*second, WorkHint: 50_000, HasWorkHint: true})
@@ -679,13 +679,13 @@
 			}
 			now += 200_000
 		}
-		return b.estimates.baselineLoad.v
+		return b.estimates.baselineLoad.value
 	}
 	calm, busy := play(true, 15, 1, 0), play(true, 15, 3, 0)
 	if busy < calm+0.75 {
 		t.Errorf("others usually hold %.2f, and %.2f once answers take three times as long", calm, busy)
 	}
-	if long := play(true, 5000, 1, 0.9); long > answerMost/2 {
+	if long := play(true, 5000, 1, 0.9); long > maxBaselineSample/2 {
 		t.Errorf("by noise alone others come to hold %.2f", long)
 	}
 	if none := play(false, 15, 3, 0); none != 0 {
@@ -695,7 +695,7 @@
 
 // Where opening a connection costs, what was sent to of late goes first while that is idle and its connection
 // stands; one that is busy, or was left alone for too long, has no such favour, and none of it outweighs a queue.
-func TestStandingConnectionsArePreferred(t *testing.T) {
+func TestIdleConnectionsArePreferred(t *testing.T) {
 	for _, c := range []struct {
 		name   string
 		keep   Micros // of idle connections
@@ -732,31 +732,31 @@
 }
 
 // The favour is a part of the aim and the round trips of a connection's start, for as long as one may stand idle.
-func TestWhatOpeningAConnectionCosts(t *testing.T) {
+func TestCostOfOpeningConnection(t *testing.T) {
 	s := testSettings()
 	s.Limits.KeepAlive = 5 * second
 	b, _ := start(t, s, ready(2))
-	b.estimates.roundTrip[0] = ewma{v: 1000, seen: true}
+	b.estimates.roundTrip[0] = ewma{value: 1000, seen: true}
 	r := &request{Request: Request{Deadline: 10 * second}, work: 50_000}
 	now := second
-	b.endpoints.list[0].heardAt = now
+	b.endpoints.list[0].lastResponseAt = now
 	extra := func(now Micros) float64 {
 		return b.cost(now, r, b.endpoints.list[1]) - b.cost(now, r, b.endpoints.list[0])
 	}
-	if got, want := extra(now), openTrips*1000+openWeight*float64(s.Classes[0].LatencyObjective); math.Abs(got-want) > 1 {
+	if got, want := extra(now), connectRoundTrips*1000+connectCostRatio*float64(s.Classes[0].LatencyObjective); math.Abs(got-want) > 1 {
 		t.Errorf("opening costs %.0f us, want %.0f", got, want)
 	}
 	if got := extra(now + 4*second); got != 0 {
 		t.Errorf("after 4 s, when it may be closed, %.0f", got)
 	}
-	b.endpoints.list[0].inflight = 1
-	if got := extra(now); got >= openWeight*float64(s.Classes[0].LatencyObjective) {
+	b.endpoints.list[0].inFlight = 1
+	if got := extra(now); got >= connectCostRatio*float64(s.Classes[0].LatencyObjective) {
 		t.Errorf("while it is busy %.0f", got)
 	}
 }
 
 // What was sent to of late and is gone, draining or failing is not sent to for its connection's sake.
-func TestMetEndpointsThatLeft(t *testing.T) {
+func TestRecentlyUsedEndpointsThatWereRemoved(t *testing.T) {
 	s := testSettings()
 	s.Limits.Probes, s.Limits.KeepAlive = false, 5*second
 	b, r := start(t, s, ready(6))
@@ -792,24 +792,24 @@
 
 // Where the fleet is crowded, an endpoint that has just started is not: all hold what they send it under what it
 // can do. It is taken where it is expected sooner, and once it is warm it counts like any other.
-func TestColdEndpointIsNotTakenForCrowded(t *testing.T) {
+func TestEndpointInSlowStartHasNoBaselineQueue(t *testing.T) {
 	s := testSettings()
 	b, _ := start(t, s, ready(2))
 	now := second
-	b.estimates.baselineLoad = ewma{v: 7, seen: true}
+	b.estimates.baselineLoad = ewma{value: 7, seen: true}
 	b.UpdateEndpoints(now, ListDelta, []Endpoint{{ID: 3, Weight: 1, StartTime: now}})
 	warm, cold := b.endpoints.byID[1], b.endpoints.byID[3]
 	if got := b.load(warm); got != 7 {
 		t.Errorf("%g are taken to be held at a warm endpoint that said nothing, want what is usual, 7", got)
 	}
-	if got := b.load(cold); got != cores-1 {
-		t.Errorf("%g are taken to be held at a cold endpoint, want %g", got, cores-1)
+	if got := b.load(cold); got != assumedCores-1 {
+		t.Errorf("%g are taken to be held at a cold endpoint, want %g", got, assumedCores-1)
 	}
 	late := now + s.Contract.SlowStartTime
-	if b.coldRoom(late, cold, 1); b.load(cold) != 7 {
+	if b.slowStartAllows(late, cold, 1); b.load(cold) != 7 {
 		t.Errorf("%g at one that is warm by now, want 7", b.load(cold))
 	}
-	b.estimates.baselineLoad.v = 0
+	b.estimates.baselineLoad.value = 0
 	if cold.slowStart.active = true; b.load(cold) != 0 {
 		t.Errorf("%g at a cold endpoint where nobody waits anywhere, want 0", b.load(cold))
 	}
--- a/balancer/polling.go
+++ b/balancer/polling.go
@@ -1,23 +1,23 @@
 package balancer
 
-func (b *Balancer) askIn(now, delay Micros) {
-	b.discovery.pollAt = now + delay
-	b.actions.Timer(delay, tokenDiscovery)
-}
-
-func (b *Balancer) ask(now Micros) {
-	if b.settings.PollDiscovery && !b.discovery.subscribed && now >= b.discovery.pollAt {
-		b.actions.Watch(true)
-		// The answer may be lost, and without one we would never hear again.
-		b.askIn(now, 1+b.settings.Contract.PollInterval/2+b.random.below(b.settings.Contract.PollInterval/4))
+// pollDiscovery subscribes to discovery, unless a subscription stands or the timer is out of date.
+func (b *Balancer) pollDiscovery(now Micros) {
+	if !b.settings.PollDiscovery || b.discovery.subscribed || now < b.discovery.pollAt {
+		return
 	}
+	b.actions.Watch(true)
+	// The response may be lost, and without one no update would ever come.
+	interval := b.settings.Contract.PollInterval
+	b.schedulePoll(now, 1+interval/2+b.random.below(interval/4))
 }
 
-// retryAsk asks discovery again, later each time and never in step with others.
-func (b *Balancer) retryAsk(now Micros) {
-	if b.settings.PollDiscovery {
-		interval := b.settings.Contract.PollInterval
-		b.discovery.backoff = min(max(2*b.discovery.backoff, interval/20), interval/4)
-		b.askIn(now, 1+b.discovery.backoff/2+b.random.below(b.discovery.backoff))
+// pollAfterBackoff polls again with exponential backoff and jitter.
+func (b *Balancer) pollAfterBackoff(now Micros) {
+	if !b.settings.PollDiscovery {
+		return
 	}
+	interval := b.settings.Contract.PollInterval
+	backoff := min(max(2*b.discovery.backoff, interval/20), interval/4)
+	b.discovery.backoff = backoff
+	b.schedulePoll(now, 1+backoff/2+b.random.below(backoff))
 }
--- a/balancer/prediction.go
+++ b/balancer/prediction.go
@@ -1,32 +1,41 @@
 package balancer
 
-// load is the last answer plus own sends since, less own answers since. Where a pool of the whole fleet is
-// kept, half of the other balancers are held to send as we do: they hold that answer, too, and would all
-// pile up where it is low. Answers asked for one request are our own: nobody else acts on them. What is
-// usual is so of warm endpoints: what all send to a cold one is held under what it can do, and nobody waits.
+// assumedCores is how many requests an endpoint is assumed to work at side by side.
+const assumedCores = 2.0
+
+// load is the number of requests in flight at e: those of others by the last report, and our own now. While
+// the pool covers the fleet, half of the other balancers are assumed to send as we do: they know the report,
+// too, and would all choose an endpoint where it is low. Reports probed for one request are known to us
+// alone. Without a report the baseline counts. It is that of warm endpoints: what all send in slow start
+// stays under what the endpoint can do, so that nothing queues there.
 func (b *Balancer) load(e *endpoint) float64 {
+	local := float64(e.inFlight)
 	if b.reports.late || !e.hasLoad {
-		usual := b.estimates.baselineLoad.v
-		return min(usual, usual+(cores-1-usual)*share(e.slowStart.active)) + float64(e.inflight)
+		baseline := b.estimates.baselineLoad.value
+		others := min(baseline, baseline+(assumedCores-1-baseline)*indicator(e.slowStart.active))
+		return others + local
 	}
-	herd := float64(b.settings.Balancers-1) / 2 * float64(max(0, e.inflight-e.ownAt)) * share(!b.probes.onDemand)
-	return e.others + float64(e.inflight) + herd
+	sentSince := float64(max(0, e.inFlight-e.inFlightAtReport))
+	herd := float64(b.settings.Balancers-1) / 2 * sentSince * indicator(!b.probes.onDemand)
+	return e.otherInFlight + local + herd
 }
 
-// crowding is how much longer than alone a request takes at e's load.
-func (b *Balancer) crowding(e *endpoint) float64 {
-	return max(1, (b.load(e)+1)/cores)
+// loadFactor is how many times as long as alone a request takes at e's load.
+func (b *Balancer) loadFactor(e *endpoint) float64 {
+	return max(1, (b.load(e)+1)/assumedCores)
 }
 
-// paceNow is e's time per unit of work, longer while it is cold. Unseen for long, it
-// is the fleet's, so that an endpoint once thought slow is tried again.
-func (e *endpoint) paceNow(now Micros, b *Balancer) float64 {
-	usual := b.estimates.kindSlowness[e.Kind].or(b.estimates.fleetSlowness.or(1))
-	trust := max(0, 1-float64(now-e.paceAt)/float64(paceLife)) * share(e.pace.seen)
-	return (usual + (e.pace.v-usual)*trust) / e.warmth(now, b)
+// currentSlowness is e's time in µs per µs of work, longer in slow start. As it ages it returns to that of
+// its kind, so that an endpoint once found slow is tried again.
+func (e *endpoint) currentSlowness(now Micros, b *Balancer) float64 {
+	baseline := b.estimates.kindSlowness[e.Kind].or(b.estimates.fleetSlowness.or(1))
+	age := float64(now-e.slownessAt) / float64(slownessLifetime)
+	trust := max(0, 1-age) * indicator(e.slowness.seen)
+	return (baseline + (e.slowness.value-baseline)*trust) / e.capacityRatio(now, b)
 }
 
-// predict is the latency expected of a request of this work sent to e now.
-func (b *Balancer) predict(now Micros, e *endpoint, work float64) float64 {
-	return b.estimates.roundTrip[e.Zone].v + work*b.trend.slowdown()*e.paceNow(now, b)*b.crowding(e)
+// predictLatency is the latency in µs expected of a request of this work sent to e now.
+func (b *Balancer) predictLatency(now Micros, e *endpoint, work float64) float64 {
+	service := work * b.trend.slowdown() * e.currentSlowness(now, b) * b.loadFactor(e)
+	return b.estimates.roundTrip[e.Zone].value + service
 }
--- a/balancer/rules_test.go
+++ b/balancer/rules_test.go
@@ -10,43 +10,43 @@
 
 // checker hosts a balancer and asserts the rules on every action.
 type checker struct {
-	s        Settings
-	now      Micros
-	states   map[uint32]Endpoint
-	cold     map[uint32]Micros   // endpoint: told start
-	coldWork map[uint32]float64  // requests sent while cold
-	reqs     map[uint64]*checked // open and ended
-	bad      []string
-	timers   []pending
-	probes   []uint32
-}
-
-type checked struct {
+	settings       Settings
+	now            Micros
+	states         map[uint32]Endpoint
+	slowStartSince map[uint32]Micros          // endpoint: told start
+	slowStartSends map[uint32]float64         // requests sent while cold
+	requests       map[uint64]*checkedRequest // open and ended
+	violations     []string
+	timers         []pendingTimer
+	probes         []uint32
+}
+
+type checkedRequest struct {
 	in       Request
 	answered int
-	told     bool // it was told that the request is over
+	closed   bool // it was told that the request is over
 	attempts []checkedAttempt
 }
 
 type checkedAttempt struct {
-	ep     Endpoint
-	at     Micros
-	out    bool
-	mayRun bool
+	endpoint   Endpoint
+	sentAt     Micros
+	pending    bool
+	mayHaveRun bool
 }
 
-type pending struct {
-	at    Micros
-	token uint32
+type pendingTimer struct {
+	firesAt Micros
+	token   uint32
 }
 
-func (c *checker) fault(format string, args ...any) {
-	c.bad = append(c.bad, fmt.Sprintf("at %d: ", c.now)+fmt.Sprintf(format, args...))
+func (c *checker) violation(format string, args ...any) {
+	c.violations = append(c.violations, fmt.Sprintf("at %d: ", c.now)+fmt.Sprintf(format, args...))
 }
 
-func (r *checked) bound() *checkedAttempt {
+func (r *checkedRequest) firstMayHaveRun() *checkedAttempt {
 	for i := range r.attempts {
-		if r.attempts[i].mayRun {
+		if r.attempts[i].mayHaveRun {
 			return &r.attempts[i]
 		}
 	}
@@ -54,50 +54,50 @@
 }
 
 func (c *checker) Send(id uint64, endpoint uint32, _, by Micros) {
-	r := c.reqs[id]
+	r := c.requests[id]
 	if r == nil {
-		c.fault("send for unknown request %d", id)
+		c.violation("send for unknown request %d", id)
 		return
 	}
 	e, known := c.states[endpoint]
-	class := c.s.Classes[r.in.Class]
-	if r.answered > 0 || r.told {
-		c.fault("send after the end of %d", id)
+	class := c.settings.Classes[r.in.Class]
+	if r.answered > 0 || r.closed {
+		c.violation("send after the end of %d", id)
 	}
 	if !known || e.State != Ready {
-		c.fault("send to endpoint %d in state %d", endpoint, e.State)
+		c.violation("send to endpoint %d in state %d", endpoint, e.State)
 	}
-	if len(r.attempts) >= c.s.Limits.MaxAttempts {
-		c.fault("attempt %d of %d", len(r.attempts), id)
+	if len(r.attempts) >= c.settings.Limits.MaxAttempts {
+		c.violation("attempt %d of %d", len(r.attempts), id)
 	}
 	for _, a := range r.attempts {
-		if a.out && !c.s.Limits.Hedging {
-			c.fault("second copy of %d", id)
+		if a.pending && !c.settings.Limits.Hedging {
+			c.violation("second copy of %d", id)
 		}
 	}
-	if b := r.bound(); b != nil && class.Idempotency != Idempotent {
-		same := class.Group == GroupAll || class.Group == GroupZone && b.ep.Zone == e.Zone ||
-			class.Group == GroupCell && b.ep.Cell == e.Cell
-		if class.Idempotency == NotIdempotent || !same || c.now > b.at+class.DedupWindow {
-			c.fault("repeat of %d (%s) may have a second effect", id, class.Name)
+	if b := r.firstMayHaveRun(); b != nil && class.Idempotency != Idempotent {
+		same := class.Group == GroupAll || class.Group == GroupZone && b.endpoint.Zone == e.Zone ||
+			class.Group == GroupCell && b.endpoint.Cell == e.Cell
+		if class.Idempotency == NotIdempotent || !same || c.now > b.sentAt+class.DedupWindow {
+			c.violation("repeat of %d (%s) may have a second effect", id, class.Name)
 		}
-		if class.Idempotency == IdempotentWithKey && by > b.at+class.DedupWindow {
-			c.fault("repeat of %d (%s) may be written after its window", id, class.Name)
+		if class.Idempotency == IdempotentWithKey && by > b.sentAt+class.DedupWindow {
+			c.violation("repeat of %d (%s) may be written after its window", id, class.Name)
 		}
 	}
 	if by > r.in.Deadline {
-		c.fault("attempt at %d may be written after its time", id)
+		c.violation("attempt at %d may be written after its time", id)
 	}
-	if _, cold := c.cold[endpoint]; cold {
-		c.coldWork[endpoint]++
+	if _, cold := c.slowStartSince[endpoint]; cold {
+		c.slowStartSends[endpoint]++
 	}
-	r.attempts = append(r.attempts, checkedAttempt{ep: e, at: c.now, out: true, mayRun: true})
+	r.attempts = append(r.attempts, checkedAttempt{endpoint: e, sentAt: c.now, pending: true, mayHaveRun: true})
 }
 
-func (c *checker) final(id uint64) *checked {
-	r := c.reqs[id]
-	if r == nil || r.answered > 0 || r.told {
-		c.fault("final answer for %d, which is not open", id)
+func (c *checker) recordFinal(id uint64) *checkedRequest {
+	r := c.requests[id]
+	if r == nil || r.answered > 0 || r.closed {
+		c.violation("final answer for %d, which is not open", id)
 		return nil
 	}
 	r.answered++
@@ -105,53 +105,53 @@
 }
 
 func (c *checker) Reject(id uint64, after Micros) {
-	if r := c.final(id); r != nil && r.bound() != nil {
-		class := c.s.Classes[r.in.Class]
+	if r := c.recordFinal(id); r != nil && r.firstMayHaveRun() != nil {
+		class := c.settings.Classes[r.in.Class]
 		if class.Idempotency == NotIdempotent || class.Idempotency == IdempotentWithKey && class.Group != GroupAll {
-			c.fault("refusal of %d (%s), which may have run", id, class.Name)
+			c.violation("refusal of %d (%s), which may have run", id, class.Name)
 		}
-		if class.Idempotency == IdempotentWithKey && c.now+after >= r.bound().at+class.DedupWindow {
-			c.fault("refusal of %d (%s) for %d: forgotten by the time that it comes again", id, class.Name, after)
+		if class.Idempotency == IdempotentWithKey && c.now+after >= r.firstMayHaveRun().sentAt+class.DedupWindow {
+			c.violation("refusal of %d (%s) for %d: forgotten by the time that it comes again", id, class.Name, after)
 		}
 	}
 }
 
-func (c *checker) Fail(id uint64) { c.final(id) }
+func (c *checker) Fail(id uint64) { c.recordFinal(id) }
 
 func (c *checker) Cancel(id uint64, attempt int) {
-	if r := c.reqs[id]; r == nil || attempt >= len(r.attempts) {
-		c.fault("cancel of attempt %d of %d, never made", attempt, id)
+	if r := c.requests[id]; r == nil || attempt >= len(r.attempts) {
+		c.violation("cancel of attempt %d of %d, never made", attempt, id)
 	}
 }
 
 func (c *checker) Timer(delay Micros, token uint32) {
 	if delay <= 0 {
-		c.fault("timer delay %d", delay)
+		c.violation("timer delay %d", delay)
 	}
-	c.timers = append(c.timers, pending{c.now + delay, token})
+	c.timers = append(c.timers, pendingTimer{c.now + delay, token})
 }
 
 func (c *checker) Probe(e uint32) {
 	if _, known := c.states[e]; !known {
-		c.fault("probe of unknown endpoint %d", e)
+		c.violation("probe of unknown endpoint %d", e)
 	}
 	c.probes = append(c.probes, e)
 }
 
 func (c *checker) Watch(bool) {
-	if !c.s.PollDiscovery {
-		c.fault("subscription where changes come unasked")
+	if !c.settings.PollDiscovery {
+		c.violation("subscription where changes come unasked")
 	}
 }
 
 func (c *checker) Log(string, ...any) {}
 
-// play runs legal random events from a seed and returns the faults found.
-func play(t *testing.T, s Settings, seed int64) []string {
+// playRandomEvents runs legal random events from a seed and returns the faults found.
+func playRandomEvents(t *testing.T, s Settings, seed int64) []string {
 	t.Helper()
 	rnd := rand.New(rand.NewSource(seed))
-	c := &checker{s: s, now: 1_000_000, states: map[uint32]Endpoint{}, cold: map[uint32]Micros{},
-		coldWork: map[uint32]float64{}, reqs: map[uint64]*checked{}}
+	c := &checker{settings: s, now: 1_000_000, states: map[uint32]Endpoint{}, slowStartSince: map[uint32]Micros{},
+		slowStartSends: map[uint32]float64{}, requests: map[uint64]*checkedRequest{}}
 	b, err := New(s, uint64(seed), c)
 	if err != nil {
 		t.Fatal(err)
@@ -181,7 +181,7 @@
 		c.now += Micros(rnd.Intn(pause))
 		held = max(held, len(b.ledger.waitingForProbes))
 		for i := 0; i < len(c.timers); {
-			if p := c.timers[i]; p.at <= c.now {
+			if p := c.timers[i]; p.firesAt <= c.now {
 				c.timers = slices.Delete(c.timers, i, i+1)
 				b.TimerFired(c.now, p.token)
 				continue
@@ -193,34 +193,34 @@
 			in := Request{ID: next, Class: uint8(rnd.Intn(len(s.Classes))),
 				Deadline: c.now + Micros(rnd.Intn(1_000_000)) - 50_000}
 			next++
-			c.reqs[in.ID] = &checked{in: in}
+			c.requests[in.ID] = &checkedRequest{in: in}
 			open = append(open, in.ID)
 			b.HandleRequest(c.now, in)
 		case n < 15 && len(open) > 0:
 			at := rnd.Intn(len(open))
-			r := c.reqs[open[at]]
+			r := c.requests[open[at]]
 			for i := range r.attempts {
 				a := &r.attempts[i]
-				if !a.out {
+				if !a.pending {
 					continue
 				}
-				a.out = false
+				a.pending = false
 				status := statuses[rnd.Intn(len(statuses))]
 				if status == Full || status == ConnectFailed || status == NotSent {
-					a.mayRun = false
+					a.mayHaveRun = false
 				}
-				if status == OK && r.answered == 0 && !r.told {
-					r.told = true
+				if status == OK && r.answered == 0 && !r.closed {
+					r.closed = true
 				}
-				settled := r.answered > 0 || r.told
-				b.AttemptCompleted(c.now, Outcome{ID: r.in.ID, Attempt: i, Endpoint: a.ep.ID, Status: status,
-					Latency: c.now - a.at, Settled: settled})
+				settled := r.answered > 0 || r.closed
+				b.AttemptCompleted(c.now, Outcome{ID: r.in.ID, Attempt: i, Endpoint: a.endpoint.ID, Status: status,
+					Latency: c.now - a.sentAt, Settled: settled})
 				break
 			}
 		case n < 16 && len(open) > 0:
-			r := c.reqs[open[rnd.Intn(len(open))]]
+			r := c.requests[open[rnd.Intn(len(open))]]
 			if r.answered == 0 {
-				r.told = true
+				r.closed = true
 			}
 			b.ClientDisconnected(c.now, r.in.ID)
 		case n < 18:
@@ -260,7 +260,7 @@
 	for range 400 {
 		c.now += 5000
 		for i := 0; i < len(c.timers); {
-			if p := c.timers[i]; p.at <= c.now && p.token >= firstSlot {
+			if p := c.timers[i]; p.firesAt <= c.now && p.token >= firstRequestTimer {
 				c.timers = slices.Delete(c.timers, i, i+1)
 				b.TimerFired(c.now, p.token)
 				continue
@@ -268,18 +268,18 @@
 			i++
 		}
 	}
-	for id, r := range c.reqs {
-		if r.answered == 0 && !r.told {
-			c.fault("request %d never got a final answer", id)
+	for id, r := range c.requests {
+		if r.answered == 0 && !r.closed {
+			c.violation("request %d never got a final answer", id)
 		}
 	}
-	if s.Balancers > 2 && s.Limits.Probes && s.Prices.Probe < askSpend && held == 0 {
-		c.fault("no request ever waited for probes: the run says nothing of those that do")
+	if s.Balancers > 2 && s.Limits.Probes && s.Prices.Probe < onDemandCostRatio && held == 0 {
+		c.violation("no request ever waited for probes: the run says nothing of those that do")
 	}
-	return c.bad
+	return c.violations
 }
 
-func TestRulesUnderRandomEvents(t *testing.T) {
+func TestRulesHoldUnderRandomEvents(t *testing.T) {
 	for seed := range int64(100) {
 		s := testSettings()
 		s.PollDiscovery = seed%2 == 0
@@ -293,7 +293,7 @@
 			s.Tenants = []Tenant{{Name: "one", Quota: 50}, {Name: "two"}}[:seed%3]
 			s.Limits.Cancel, s.Limits.RetryAfter = seed%3 != 0, seed%4 != 0
 		}
-		for i, bad := range play(t, s, seed) {
+		for i, bad := range playRandomEvents(t, s, seed) {
 			if i < 5 {
 				t.Errorf("seed %d: %s", seed, bad)
 			}
@@ -302,14 +302,14 @@
 }
 
 // The checker itself must see each rule broken.
-func TestCheckerSeesBrokenRules(t *testing.T) {
+func TestCheckerDetectsBrokenRules(t *testing.T) {
 	fresh := func() *checker {
-		c := &checker{s: testSettings(), states: map[uint32]Endpoint{}, reqs: map[uint64]*checked{}}
+		c := &checker{settings: testSettings(), states: map[uint32]Endpoint{}, requests: map[uint64]*checkedRequest{}}
 		for _, e := range ready(4) {
 			c.states[e.ID] = e
 		}
 		for class := range uint8(5) {
-			c.reqs[uint64(class)] = &checked{in: request0(uint64(class), class, 0)}
+			c.requests[uint64(class)] = &checkedRequest{in: testRequest(uint64(class), class, 0)}
 		}
 		return c
 	}
@@ -327,22 +327,22 @@
 		"too many attempts":      func(c *checker) { c.Send(0, 1, 0, 0); c.Send(0, 2, 0, 0); c.Send(0, 3, 0, 0); c.Send(0, 4, 0, 0) },
 	} {
 		c := fresh()
-		if do(c); len(c.bad) == 0 {
+		if do(c); len(c.violations) == 0 {
 			t.Errorf("%s: not seen", name)
 		}
 	}
 }
 
 // Each kind of effect against each outcome of its first attempt.
-func TestLedger(t *testing.T) {
+func TestRetryFollowsIdempotencyAndOutcome(t *testing.T) {
 	never := map[Status]bool{Full: true, ConnectFailed: true, NotSent: true}
 	for class := range uint8(5) {
 		for status := Error; status <= NotSent; status++ {
 			s := testSettings()
 			b, r := start(t, s, ready(4)) // endpoints 1, 2 share a zone and a cell; so do 3, 4
-			b.HandleRequest(1000, request0(1, class, 1000))
+			b.HandleRequest(1000, testRequest(1, class, 1000))
 			a := b.ledger.requests[1].attempts[0]
-			b.AttemptCompleted(2000, Outcome{ID: 1, Endpoint: a.ep.ID, Status: status, Latency: 1000})
+			b.AttemptCompleted(2000, Outcome{ID: 1, Endpoint: a.endpoint.ID, Status: status, Latency: 1000})
 			sends := len(r.sends)
 			switch kind := s.Classes[class]; {
 			case kind.Idempotency == NotIdempotent && !never[status]:
@@ -360,52 +360,52 @@
 	}
 }
 
-func TestWindowCountsFromFirstThatMayHaveRun(t *testing.T) {
+func TestDedupWindowStartsAtFirstAttemptThatMayHaveRun(t *testing.T) {
 	s := testSettings()
 	s.Limits.Hedging = false
 	b, r := start(t, s, ready(2))
-	b.HandleRequest(1000, request0(1, 3, 1000))
+	b.HandleRequest(1000, testRequest(1, 3, 1000))
 	first := r.sends[0].endpoint
 	b.AttemptCompleted(1000+s.Classes[3].DedupWindow, Outcome{ID: 1, Endpoint: first, Status: Reset})
-	if len(r.sends) != 1 || len(r.failed) != 1 || len(r.refused) != 0 {
-		t.Errorf("after the window: sends %v, failed %v, refused %v", r.sends, r.failed, r.refused)
+	if len(r.sends) != 1 || len(r.failed) != 1 || len(r.rejected) != 0 {
+		t.Errorf("after the window: sends %v, failed %v, refused %v", r.sends, r.failed, r.rejected)
 	}
 }
 
-func TestNoEndpointMeansRefusal(t *testing.T) {
+func TestRejectWithoutEndpoint(t *testing.T) {
 	b, r := start(t, testSettings(), nil)
-	b.HandleRequest(1000, request0(1, 4, 1000))
+	b.HandleRequest(1000, testRequest(1, 4, 1000))
 	b.HandleRequest(1000, Request{ID: 2, Deadline: 500})
-	if len(r.refused) != 2 || b.ledger.open != 0 || len(b.ledger.requests) != 0 {
-		t.Errorf("refused %v, open %d", r.refused, b.ledger.open)
+	if len(r.rejected) != 2 || b.ledger.open != 0 || len(b.ledger.requests) != 0 {
+		t.Errorf("refused %v, open %d", r.rejected, b.ledger.open)
 	}
 }
 
-func TestUnansweredAttemptEndsAtTheDeadline(t *testing.T) {
+func TestUnansweredAttemptEndsAtDeadline(t *testing.T) {
 	b, r := start(t, testSettings(), ready(1))
-	b.HandleRequest(1000, request0(1, 4, 1000))
-	token := b.ledger.requests[1].token
+	b.HandleRequest(1000, testRequest(1, 4, 1000))
+	token := b.ledger.requests[1].timerToken
 	b.TimerFired(1000+second, token)
 	if len(r.failed) != 1 || len(r.cancels) != 1 {
 		t.Fatalf("failed %v, cancelled %v", r.failed, r.cancels)
 	}
 	b.AttemptCompleted(2*second, Outcome{ID: 1, Endpoint: 1, Status: OK, Latency: second, Settled: true})
-	if b.endpoints.list[0].br.accepts != 1 || b.endpoints.list[0].inflight != 0 || len(b.ledger.requests) != 0 {
+	if b.endpoints.list[0].breaker.accepts != 1 || b.endpoints.list[0].inFlight != 0 || len(b.ledger.requests) != 0 {
 		t.Error("a late outcome must still feed the statistics")
 	}
-	b.HandleRequest(3*second, request0(2, 0, 3*second))
+	b.HandleRequest(3*second, testRequest(2, 0, 3*second))
 	b.TimerFired(3*second, token) // of the ended request, whose slot is in use again
-	if len(r.failed) != 1 || len(r.refused) != 0 {
+	if len(r.failed) != 1 || len(r.rejected) != 0 {
 		t.Error("an old timer ended another request")
 	}
 }
 
-func TestDrainingGetsNothing(t *testing.T) {
+func TestDrainingEndpointReceivesNothing(t *testing.T) {
 	b, r := start(t, testSettings(), ready(2))
 	b.UpdateEndpoints(1000, ListDelta, []Endpoint{{ID: 1, State: Draining}})
 	b.UpdateEndpoints(1000, ListFull, []Endpoint{{ID: 1, State: Draining}, {ID: 3, State: Ready}})
 	for id := range uint64(20) {
-		b.HandleRequest(2000, request0(id, 0, 2000))
+		b.HandleRequest(2000, testRequest(id, 0, 2000))
 	}
 	for _, s := range r.sends {
 		if s.endpoint == 1 || s.endpoint == 2 {
@@ -414,9 +414,9 @@
 	}
 }
 
-// coldSends counts sends to a cold endpoint over the overload window just
+// slowStartSends counts sends to a cold endpoint over the overload window just
 // after its start, beside nine warm ones under a steady load.
-func coldSends(t *testing.T, rate int, colds int) (cold []int, warm float64) {
+func slowStartSends(t *testing.T, rate int, colds int) (cold []int, warm float64) {
 	t.Helper()
 	s := testSettings()
 	list := ready(10)
@@ -429,7 +429,7 @@
 				b.ProbeCompleted(now, e+1, OK, 500, []float32{0})
 			}
 			id++
-			b.HandleRequest(now, request0(id, 0, now))
+			b.HandleRequest(now, testRequest(id, 0, now))
 			for ; seen < len(r.sends); seen++ {
 				counts[r.sends[seen].endpoint]++
 				b.AttemptCompleted(now, Outcome{ID: r.sends[seen].id, Endpoint: r.sends[seen].endpoint, Status: OK,
@@ -453,9 +453,9 @@
 	return cold, warm
 }
 
-func TestColdEndpointGetsItsRampShare(t *testing.T) {
+func TestSlowStartLimitsEndpointToItsRatio(t *testing.T) {
 	for _, c := range []struct{ rate, colds int }{{100, 1}, {500, 1}, {500, 2}, {2000, 2}} {
-		cold, warm := coldSends(t, c.rate, c.colds)
+		cold, warm := slowStartSends(t, c.rate, c.colds)
 		for _, n := range cold {
 			// Warmth goes from 0.2 to 0.28 in this second; one request may round up.
 			if float64(n) > 0.28*warm+1 {
@@ -470,7 +470,7 @@
 	b.UpdateEndpoints(second, ListDelta, []Endpoint{{ID: 1, State: Ready, StartTime: second}})
 	for i := range uint64(400) {
 		now := second + Micros(i)*10_000
-		b.HandleRequest(now, request0(i, 0, now))
+		b.HandleRequest(now, testRequest(i, 0, now))
 		if n := len(r.sends); n > 0 && b.ledger.requests[i] != nil {
 			b.AttemptCompleted(now, Outcome{ID: i, Endpoint: 1, Status: OK, Latency: 10_000, Settled: true})
 		}
@@ -480,17 +480,17 @@
 	}
 }
 
-func TestSubscriptionIsAskedForAgain(t *testing.T) {
+func TestSubscriptionIsPolledAgain(t *testing.T) {
 	s := testSettings()
 	s.PollDiscovery = true
 	b, r := start(t, s, ready(2))
 	now := Micros(0)
 	fire := func() {
 		for i, token := range r.timers {
-			if token == tokenDiscovery {
+			if token == discoveryTimer {
 				now += r.delays[i]
 				r.timers, r.delays = nil, nil
-				b.TimerFired(now, tokenDiscovery)
+				b.TimerFired(now, discoveryTimer)
 				return
 			}
 		}
@@ -515,18 +515,18 @@
 	}
 	b.UpdateEndpoints(now, ListDelta, nil)
 	n := r.watches
-	b.TimerFired(now+100*second, tokenDiscovery)
+	b.TimerFired(now+100*second, discoveryTimer)
 	if r.watches != n {
 		t.Error("asked again while subscribed")
 	}
 }
 
-func TestStreamIsLeftAlone(t *testing.T) {
+func TestStreamIsNeitherTimedOutNorRetried(t *testing.T) {
 	b, r := start(t, testSettings(), ready(2))
-	b.HandleRequest(1000, request0(1, 0, 1000))
+	b.HandleRequest(1000, testRequest(1, 0, 1000))
 	b.ResponseStarted(2000, 1, 0, 1000)
-	b.TimerFired(2*second, b.ledger.requests[1].token)
-	if len(r.sends) != 1 || len(r.refused)+len(r.failed) != 0 {
+	b.TimerFired(2*second, b.ledger.requests[1].timerToken)
+	if len(r.sends) != 1 || len(r.rejected)+len(r.failed) != 0 {
 		t.Error("a stream that began was given an end or a copy")
 	}
 	b.AttemptCompleted(3*second, Outcome{ID: 1, Endpoint: r.sends[0].endpoint, Status: OK, Latency: 3 * second, Settled: true})
@@ -540,9 +540,9 @@
 		b, r := start(t, testSettings(), ready(5))
 		for i := range uint64(200) {
 			now := Micros(i) * 7000
-			b.HandleRequest(now, request0(i, uint8(i%5), now))
+			b.HandleRequest(now, testRequest(i, uint8(i%5), now))
 			if i%3 == 0 {
-				b.TimerFired(now, tokenProbe)
+				b.TimerFired(now, probeTimer)
 				b.ProbeCompleted(now, uint32(i%5+1), OK, 500, []float32{float32(i % 4)})
 			}
 			last := r.sends[len(r.sends)-1]
@@ -561,7 +561,7 @@
 	once := func() {
 		id++
 		r.sends, r.timers, r.delays = r.sends[:0], r.timers[:0], r.delays[:0]
-		b.HandleRequest(1000, request0(id, 0, 1000))
+		b.HandleRequest(1000, testRequest(id, 0, 1000))
 		b.AttemptCompleted(2000, Outcome{ID: id, Endpoint: r.sends[0].endpoint, Status: OK, Latency: 1000, Settled: true})
 	}
 	for range 100 {
@@ -573,9 +573,9 @@
 }
 
 // A second copy doubles the work of an endpoint that is slow because it has too much.
-func TestNoSecondCopies(t *testing.T) {
+func TestNoHedgeWhereNotPermitted(t *testing.T) {
 	b, r := start(t, testSettings(), ready(3))
-	b.HandleRequest(1000, request0(1, 0, 1000))
+	b.HandleRequest(1000, testRequest(1, 0, 1000))
 	for i, token := range r.timers {
 		b.TimerFired(1000+r.delays[i]-1, token)
 	}
@@ -588,13 +588,13 @@
 // Where endpoints swallow requests and answer the rest in time, one that a later
 // one overtook is lost. It gets a copy elsewhere as far as its class permits;
 // whichever is answered first ends the request and calls the other off.
-func TestLostAttemptsGetACopyElsewhere(t *testing.T) {
+func TestSwallowedAttemptIsHedgedElsewhere(t *testing.T) {
 	for class, copies := range []int{1, 1, 1, 1, 0} {
 		b, r := start(t, testSettings(), ready(4))
-		b.traffic.swallowed.v = lostLeast
-		b.HandleRequest(1000, request0(1, uint8(class), 1000))
+		b.traffic.swallowed.value = minSwallowedRatio
+		b.HandleRequest(1000, testRequest(1, uint8(class), 1000))
 		first := r.sends[0]
-		b.endpoints.byID[first.endpoint].answered = 2000
+		b.endpoints.byID[first.endpoint].lastAnsweredSentAt = 2000
 		b.TimerFired(500_000, r.timers[len(r.timers)-1])
 		if n := len(r.sends) - 1; n != copies {
 			t.Errorf("class %d: %d copies, want %d", class, n, copies)
@@ -609,7 +609,7 @@
 		}
 		// The copy fails: the first may still be answered, so no final answer yet.
 		b.AttemptCompleted(510_000, Outcome{ID: 1, Attempt: 1, Endpoint: second.endpoint, Status: Error, Latency: 1000})
-		if len(r.refused)+len(r.failed) != 0 {
+		if len(r.rejected)+len(r.failed) != 0 {
 			t.Errorf("class %d: given up while an attempt is out", class)
 		}
 		calls := len(r.cancels)
@@ -625,14 +625,14 @@
 
 // The time-out of a request that a later one overtook teaches no pace: the
 // endpoint was well, and the whole fleet would be thought slow.
-func TestOvertakenAttemptsTeachNoPace(t *testing.T) {
+func TestOvertakenTimeoutDoesNotChangeTrend(t *testing.T) {
 	for name, overtaken := range map[string]bool{"overtaken": true, "not overtaken": false} {
 		b, r := start(t, testSettings(), ready(1))
 		for id := range uint64(5) {
-			b.HandleRequest(1000, request0(id, 0, 1000))
+			b.HandleRequest(1000, testRequest(id, 0, 1000))
 		}
 		if overtaken {
-			b.endpoints.byID[1].answered = 2000
+			b.endpoints.byID[1].lastAnsweredSentAt = 2000
 		}
 		for _, s := range r.sends {
 			b.AttemptCompleted(990_000, Outcome{ID: s.id, Endpoint: 1, Status: Timeout, Latency: 989_000})
@@ -644,16 +644,16 @@
 }
 
 // Staff must learn why requests are refused, in one line a second and not in thousands.
-func TestRefusalsAreToldOnceASecond(t *testing.T) {
+func TestRejectionsAreLoggedOncePerSecond(t *testing.T) {
 	b, r := start(t, testSettings(), ready(1))
 	b.ProbeCompleted(1000, 1, OK, 500, []float32{50})
 	for id := range uint64(200) {
 		now := second + 5000*Micros(id)
 		b.ProbeCompleted(now, 1, OK, 500, []float32{50})
-		b.HandleRequest(now, request0(id, 0, now))
+		b.HandleRequest(now, testRequest(id, 0, now))
 	}
-	if len(r.refused) < 150 {
-		t.Fatalf("only %d refused", len(r.refused))
+	if len(r.rejected) < 150 {
+		t.Fatalf("only %d refused", len(r.rejected))
 	}
 	if len(r.logs) != 1 || !strings.Contains(r.logs[0], "predicted latency too high endpoint 1 ") {
 		t.Errorf("log: %q", r.logs)
@@ -661,7 +661,7 @@
 }
 
 // Whatever is odd about a request, it is taken once and answered once.
-func TestOddRequestsAreAnsweredOnce(t *testing.T) {
+func TestUnusualRequestsAreAnsweredOnce(t *testing.T) {
 	for name, c := range map[string]struct {
 		list  []Endpoint
 		in    Request
@@ -681,29 +681,29 @@
 			b.HandleRequest(1000, c.in)
 		}
 		for i, token := range r.timers {
-			if token >= firstSlot {
+			if token >= firstRequestTimer {
 				b.TimerFired(max(1000+r.delays[i], c.in.Deadline), token)
 			}
 		}
-		if n := len(r.refused) + len(r.failed); n != 1 || len(r.sends) > 1 {
+		if n := len(r.rejected) + len(r.failed); n != 1 || len(r.sends) > 1 {
 			t.Errorf("%s: %d final answers, %d sends", name, n, len(r.sends))
 		}
 	}
 }
 
 // A host that is about to end has each request answered, as at its deadline.
-func TestExpire(t *testing.T) {
+func TestExpireAnswersEachRequestOnce(t *testing.T) {
 	s := testSettings()
 	b, r := start(t, s, ready(4))
 	for class := range s.Classes {
-		b.HandleRequest(1000, request0(uint64(class+1), uint8(class), 500_000))
+		b.HandleRequest(1000, testRequest(uint64(class+1), uint8(class), 500_000))
 	}
 	for class := range s.Classes {
 		b.Expire(2000, uint64(class+1))
 		b.Expire(2001, uint64(class+1)) // has its answer
 	}
 	b.Expire(2002, 99) // was never heard of
-	if !slices.Equal(r.refused, []uint64{1, 2}) || !slices.Equal(r.failed, []uint64{3, 4, 5}) {
-		t.Errorf("refused %v, failed %v; want what may come again without a second effect refused, the rest failed", r.refused, r.failed)
+	if !slices.Equal(r.rejected, []uint64{1, 2}) || !slices.Equal(r.failed, []uint64{3, 4, 5}) {
+		t.Errorf("refused %v, failed %v; want what may come again without a second effect refused, the rest failed", r.rejected, r.failed)
 	}
 }
--- a/balancer/second_test.go
+++ b/balancer/second_test.go
@@ -6,8 +6,8 @@
 
 // Hard cases of a deployment whose servers are lost by the building: each is caused here, event by event.
 
-// archive has three zones, no second copies and five attempts.
-func archive() Settings {
+// threeZoneSettings has three zones, no second copies and five attempts.
+func threeZoneSettings() Settings {
 	s := testSettings()
 	s.Zones, s.Limits.Hedging, s.Limits.MaxAttempts = 3, false, 5
 	s.Classes[2].DedupWindow = 6 * second
@@ -15,8 +15,8 @@
 	return s
 }
 
-// spread returns n ready endpoints, in three zones in turn.
-func spread(n int) []Endpoint {
+// readyInThreeZones returns n ready endpoints, in three zones in turn.
+func readyInThreeZones(n int) []Endpoint {
 	list := ready(n)
 	for i := range list {
 		list[i].Zone = uint8(i % 3)
@@ -26,15 +26,15 @@
 
 // A balancer that comes back with nothing but an old list, half of whose endpoints are gone: every request is
 // answered by one that is there, and the dead are soon left alone, though nobody has said that they are gone.
-func TestOldListHalfGone(t *testing.T) {
-	b, r := start(t, archive(), spread(12))
+func TestStaleListHalfRemoved(t *testing.T) {
+	b, r := start(t, threeZoneSettings(), readyInThreeZones(12))
 	dead := func(id uint32) bool { return id%2 == 0 }
 	served, late := 0, 0
 	now := second
 	for id := uint64(1); id <= 300; id++ {
 		now += 10_000
 		done := len(r.sends)
-		b.HandleRequest(now, request0(id, 0, now))
+		b.HandleRequest(now, testRequest(id, 0, now))
 		for ; done < len(r.sends); done++ { // each send is answered before the next
 			to := r.sends[done].endpoint
 			o := Outcome{ID: id, Attempt: attemptOf(r, done), Endpoint: to, Status: OK, Latency: 5_000, Settled: true}
@@ -49,8 +49,8 @@
 			b.AttemptCompleted(now+o.Latency, o)
 		}
 	}
-	if served != 300 || len(r.refused)+len(r.failed) > 0 {
-		t.Errorf("%d of 300 served, %d refused, %d failed", served, len(r.refused), len(r.failed))
+	if served != 300 || len(r.rejected)+len(r.failed) > 0 {
+		t.Errorf("%d of 300 served, %d refused, %d failed", served, len(r.rejected), len(r.failed))
 	}
 	if late > 30 {
 		t.Errorf("of the last 150 requests %d tried a dead endpoint", late)
@@ -69,11 +69,11 @@
 
 // A keyed request whose building is lost after its first attempt may have run: nowhere else is its repeat
 // dropped, so that it is failed at once, without a promise. What never ran goes elsewhere.
-func TestBuildingLostUnderAKeyedRequest(t *testing.T) {
+func TestZoneFailureDuringKeyedRequest(t *testing.T) {
 	for status, sends := range map[Status]int{Reset: 1, Timeout: 1, Error: 1, ConnectFailed: 2, Full: 2} {
-		list := spread(9)
-		b, r := start(t, archive(), list)
-		b.HandleRequest(second, request0(1, 2, second))
+		list := readyInThreeZones(9)
+		b, r := start(t, threeZoneSettings(), list)
+		b.HandleRequest(second, testRequest(1, 2, second))
 		first := r.sends[0].endpoint
 		zone := b.endpoints.byID[first].Zone
 		var gone []Endpoint
@@ -85,8 +85,8 @@
 		}
 		b.UpdateEndpoints(second+1000, ListDelta, gone)
 		b.AttemptCompleted(second+2000, Outcome{ID: 1, Endpoint: first, Status: status, Latency: 2000})
-		if len(r.sends) != sends || len(r.refused) != 0 || len(r.failed) != 2-sends {
-			t.Errorf("status %d: %d sends, %d refused, %d failed; want %d sends", status, len(r.sends), len(r.refused), len(r.failed), sends)
+		if len(r.sends) != sends || len(r.rejected) != 0 || len(r.failed) != 2-sends {
+			t.Errorf("status %d: %d sends, %d refused, %d failed; want %d sends", status, len(r.sends), len(r.rejected), len(r.failed), sends)
 		}
 		if sends == 2 && b.endpoints.byID[r.sends[1].endpoint].Zone == zone {
 			t.Errorf("status %d: sent to the building that is lost", status)
@@ -96,23 +96,23 @@
 
 // A reset says little of the endpoint: where a group has no other, a request goes there again, and a refusal
 // that would not be true is never given for it. What the endpoint itself has failed does not.
-func TestTheOneOfItsGroupAgain(t *testing.T) {
+func TestResetRetriesOnlyEndpointOfGroup(t *testing.T) {
 	for status, sends := range map[Status]int{Reset: 2, Error: 1, Timeout: 1} {
-		b, r := start(t, archive(), spread(3))
-		b.HandleRequest(second, request0(1, 2, second))
+		b, r := start(t, threeZoneSettings(), readyInThreeZones(3))
+		b.HandleRequest(second, testRequest(1, 2, second))
 		first := r.sends[0].endpoint
 		b.AttemptCompleted(second+2000, Outcome{ID: 1, Endpoint: first, Status: status, Latency: 2000})
-		if len(r.sends) != sends || sends == 2 && r.sends[1].endpoint != first || len(r.refused) > 0 {
-			t.Errorf("status %d: sends %v, %d refused", status, r.sends, len(r.refused))
+		if len(r.sends) != sends || sends == 2 && r.sends[1].endpoint != first || len(r.rejected) > 0 {
+			t.Errorf("status %d: sends %v, %d refused", status, r.sends, len(r.rejected))
 		}
 	}
 }
 
 // A quarter of the endpoints turn five times as slow while their probes are answered as promptly as ever: what
 // is sent there falls to a small part, and comes back once they have recovered.
-func TestSlowWithAHealthyFace(t *testing.T) {
-	s := archive()
-	list := spread(8)
+func TestSlowEndpointsWithHealthyProbesAreAvoided(t *testing.T) {
+	s := threeZoneSettings()
+	list := readyInThreeZones(8)
 	for i := range list {
 		list[i].Zone = 0
 	}
@@ -133,21 +133,21 @@
 				if d := out[i]; d.at <= now {
 					out = append(out[:i], out[i+1:]...)
 					held[d.to]--
-					b.AttemptCompleted(now, Outcome{ID: d.id, Endpoint: d.to, Status: OK, Latency: 40_000 + 160_000*Micros(share(slow && d.to <= 2)), Settled: true})
+					b.AttemptCompleted(now, Outcome{ID: d.id, Endpoint: d.to, Status: OK, Latency: 40_000 + 160_000*Micros(indicator(slow && d.to <= 2)), Settled: true})
 					continue
 				}
 				i++
 			}
 			id := uint64(now)
 			done := len(r.sends)
-			b.HandleRequest(now, request0(id, 0, now))
+			b.HandleRequest(now, testRequest(id, 0, now))
 			for ; done < len(r.sends); done++ {
 				e := r.sends[done].endpoint
 				held[e]++
 				took := Micros(40_000)
 				if e <= 2 {
 					sends++
-					took += 160_000 * Micros(share(slow))
+					took += 160_000 * Micros(indicator(slow))
 				}
 				out = append(out, due{id, e, now + took})
 			}
@@ -164,82 +164,82 @@
 	}
 }
 
-// hours plays a balancer by its own timers. Requests and probes are answered as serve and probe say.
-type hours struct {
-	b     *Balancer
-	r     *recorder
-	now   Micros
-	armed []armed
-	seen  int // timers, sends and probes that were taken up
-	sends int
-	asked int
-	last  uint64
+// timerHost plays a balancer by its own timers. Requests and probes are answered as serve and probe say.
+type timerHost struct {
+	balancer   *Balancer
+	recorder   *recorder
+	now        Micros
+	armed      []armedTimer
+	timersSeen int // timers, sends and probes that were taken up
+	sendsSeen  int
+	probesSeen int
+	lastID     uint64
 
 	serve func(now Micros, endpoint uint32) Status
 	probe func(now Micros, endpoint uint32) Status
 }
 
-type armed struct {
-	at    Micros
-	token uint32
+type armedTimer struct {
+	firesAt Micros
+	token   uint32
 }
 
-// take sees to what the balancer has asked for, until it asks for nothing more.
-func (h *hours) take() {
-	for h.seen < len(h.r.timers) || h.sends < len(h.r.sends) || h.asked < len(h.r.probes) {
-		for ; h.seen < len(h.r.timers); h.seen++ {
-			h.armed = append(h.armed, armed{h.now + h.r.delays[h.seen], h.r.timers[h.seen]})
+// runActions sees to what the balancer has asked for, until it asks for nothing more.
+func (h *timerHost) runActions() {
+	for h.timersSeen < len(h.recorder.timers) || h.sendsSeen < len(h.recorder.sends) || h.probesSeen < len(h.recorder.probes) {
+		for ; h.timersSeen < len(h.recorder.timers); h.timersSeen++ {
+			h.armed = append(h.armed, armedTimer{h.now + h.recorder.delays[h.timersSeen], h.recorder.timers[h.timersSeen]})
 		}
-		for ; h.asked < len(h.r.probes); h.asked++ {
-			e := h.r.probes[h.asked]
-			h.b.ProbeCompleted(h.now+500, e, h.probe(h.now, e), 500, []float32{0})
+		for ; h.probesSeen < len(h.recorder.probes); h.probesSeen++ {
+			e := h.recorder.probes[h.probesSeen]
+			h.balancer.ProbeCompleted(h.now+500, e, h.probe(h.now, e), 500, []float32{0})
 		}
-		for ; h.sends < len(h.r.sends); h.sends++ {
-			s := h.r.sends[h.sends]
+		for ; h.sendsSeen < len(h.recorder.sends); h.sendsSeen++ {
+			s := h.recorder.sends[h.sendsSeen]
 			status := h.serve(h.now, s.endpoint)
-			h.b.AttemptCompleted(h.now+2000, Outcome{ID: s.id, Attempt: attemptOf(h.r, h.sends), Endpoint: s.endpoint, Status: status, Latency: 2000, Settled: status == OK})
+			h.balancer.AttemptCompleted(h.now+2000, Outcome{ID: s.id, Attempt: attemptOf(h.recorder, h.sendsSeen), Endpoint: s.endpoint, Status: status, Latency: 2000, Settled: status == OK})
 		}
 	}
 }
 
-// until plays on, with a request of the safe class every so often.
-func (h *hours) until(end, every Micros) {
+// runUntil plays on, with a request of the safe class every so often.
+func (h *timerHost) runUntil(end, every Micros) {
 	for next := h.now + every; h.now < end; {
 		first := -1
 		for i, a := range h.armed {
-			if first < 0 || a.at < h.armed[first].at {
+			if first < 0 || a.firesAt < h.armed[first].firesAt {
 				first = i
 			}
 		}
-		if first >= 0 && h.armed[first].at <= next {
+		if first >= 0 && h.armed[first].firesAt <= next {
 			a := h.armed[first]
 			h.armed = append(h.armed[:first], h.armed[first+1:]...)
-			h.now = max(h.now, a.at)
-			h.b.TimerFired(h.now, a.token)
+			h.now = max(h.now, a.firesAt)
+			h.balancer.TimerFired(h.now, a.token)
 		} else {
 			h.now, next = next, next+every
-			h.last++
-			h.b.HandleRequest(h.now, request0(h.last, 0, h.now))
+			h.lastID++
+			h.balancer.HandleRequest(h.now, testRequest(h.lastID, 0, h.now))
 		}
-		h.take()
+		h.runActions()
 	}
 }
 
-func fine(Micros, uint32) Status { return OK }
+func alwaysOK(Micros, uint32) Status { return OK }
 
 // A probe that is dearer than what it tells: its pace follows the price, down to one a second, and requests
 // are served by what their own outcomes tell.
-func TestProbeDearerThanWhatItTells(t *testing.T) {
+func TestExpensiveProbesAreRare(t *testing.T) {
 	probes := func(price float64) int {
-		s := archive()
+		s := threeZoneSettings()
 		s.Prices.Probe = price
-		b, r := start(t, s, spread(12))
-		h := &hours{b: b, r: r, serve: fine, probe: fine}
-		h.until(10*second, 10_000)
+		b, r := start(t, s, readyInThreeZones(12))
+		h := &timerHost{balancer: b, recorder: r, serve: alwaysOK, probe: alwaysOK}
+		h.runUntil(10*second, 10_000)
 		before := len(r.probes)
-		h.until(30*second, 10_000)
-		if len(r.refused)+len(r.failed) > 0 {
-			t.Errorf("price %v: %d refused, %d failed of %d", price, len(r.refused), len(r.failed), h.last)
+		h.runUntil(30*second, 10_000)
+		if len(r.rejected)+len(r.failed) > 0 {
+			t.Errorf("price %v: %d refused, %d failed of %d", price, len(r.rejected), len(r.failed), h.lastID)
 		}
 		return len(r.probes) - before
 	}
@@ -257,12 +257,12 @@
 
 // An agent that pushes lists and falls silent: nothing is asked of it, the dead are left alone by what their
 // connections tell, and used again when they are back, though no list says either.
-func TestPushedListFallsSilent(t *testing.T) {
-	s := archive()
+func TestPushedListStopsUpdating(t *testing.T) {
+	s := threeZoneSettings()
 	s.PollDiscovery = false
-	b, r := start(t, s, spread(12))
+	b, r := start(t, s, readyInThreeZones(12))
 	died, back := 10*second, 40*second
-	h := &hours{b: b, r: r}
+	h := &timerHost{balancer: b, recorder: r}
 	h.serve = func(now Micros, e uint32) Status {
 		if e%2 == 0 && now >= died && now < back {
 			return ConnectFailed
@@ -270,9 +270,9 @@
 		return OK
 	}
 	h.probe = h.serve
-	h.until(died, 10_000)
+	h.runUntil(died, 10_000)
 	watches, before := r.watches, len(r.sends)
-	h.until(back, 10_000)
+	h.runUntil(back, 10_000)
 	wasted := 0
 	for _, x := range r.sends[before:] {
 		if x.endpoint%2 == 0 {
@@ -283,7 +283,7 @@
 		t.Errorf("%.2f of all attempts went to dead endpoints", part)
 	}
 	before = len(r.sends)
-	h.until(back+30*second, 10_000)
+	h.runUntil(back+30*second, 10_000)
 	again := 0
 	for _, x := range r.sends[before:] {
 		if x.endpoint%2 == 0 {
@@ -293,7 +293,7 @@
 	if again < (len(r.sends)-before)/10 {
 		t.Errorf("%d of %d attempts went to the endpoints that are back", again, len(r.sends)-before)
 	}
-	if len(r.refused)+len(r.failed) > 0 || r.watches != watches {
-		t.Errorf("%d refused, %d failed; the list was asked for %d times", len(r.refused), len(r.failed), r.watches-watches)
+	if len(r.rejected)+len(r.failed) > 0 || r.watches != watches {
+		t.Errorf("%d refused, %d failed; the list was asked for %d times", len(r.rejected), len(r.failed), r.watches-watches)
 	}
 }
--- a/balancer/slowstart.go
+++ b/balancer/slowstart.go
@@ -1,32 +1,49 @@
 package balancer
 
-// A cold endpoint gets at most a share of its warmth's part of our own mean work per warm endpoint. All
-// balancers doing so, their sum stays under what it can do; none needs to know of the others. Each send
-// is charged a little more than its work, for the handshake that it may cost.
+// An endpoint in slow start gets at most a part of our mean work per warm endpoint, in proportion to its
+// capacity. If every balancer does so, their sum stays under what the endpoint can do, and none needs to know
+// of the others. Each send is charged a little more than its work, for the handshake that it may cost.
 const (
-	coldShare  = 0.28 // of the multiple at which it falls over
-	coldCharge = 1.15
-	kindMost   = 1.6  // times the mean, at most, for a faster kind: how many cores it has is not told
-	probeShare = 0.01 // of a request's work, taken from a cold endpoint's room by a probe
+	slowStartShare  = 0.28 // of the multiple of its capacity at which the endpoint fails
+	slowStartCharge = 1.15 // times its work is what a send takes from the bucket
+	maxKindRatio    = 1.6  // by which a kind of machine counts as faster or slower than the mean
+	probeWorkRatio  = 0.01 // of a request's work is what a probe takes from the bucket
 )
 
-// coldRoom refills the token bucket of a cold endpoint and says whether a request of this work fits.
-func (b *Balancer) coldRoom(now Micros, e *endpoint, work float64) bool {
+// startSlowStart begins the slow start of a process that started at the given instant.
+func (b *Balancer) startSlowStart(now Micros, e *endpoint, started Micros) {
+	e.slowStart.active = true
+	e.slowStart.since = min(started, now)
+	e.slowStart.refilledAt = now
+	// A balancer with little traffic earns one send in minutes. All begin with a random part of one, or none
+	// would send anything during slow start.
+	e.slowStart.tokens = b.random.float() * slowStartCharge * b.classes[0].work.value
+}
+
+// slowStartAllows refills e's token bucket and reports whether a request of this work fits.
+func (b *Balancer) slowStartAllows(now Micros, e *endpoint, work float64) bool {
+	rate := b.slowStartRate(now, e, work)
+	burst := max(rate*float64(b.settings.Contract.OverloadTime)/float64(second)/2, work*slowStartCharge)
+	e.slowStart.refill(now, rate, burst)
+	return e.slowStart.tokens >= work*slowStartCharge
+}
+
+// slowStartRate is the work per second that e may be sent.
+func (b *Balancer) slowStartRate(now Micros, e *endpoint, work float64) float64 {
 	var warm, ready float64
-	for _, o := range b.endpoints.list {
-		ready += share(o.State == Ready)
-		warm += share(o.State == Ready && !o.cold(now, b))
+	for _, other := range b.endpoints.list {
+		ready += indicator(other.State == Ready)
+		warm += indicator(other.State == Ready && !other.inSlowStart(now, b))
 	}
-	rate := b.traffic.sentWork.rate(now)
-	if warm == 0 { // nothing to compare with: an even share of what is asked
-		warm, rate = ready, b.traffic.demand.rate(now)*work
+	sent := b.traffic.sentWork.rate(now)
+	if warm == 0 { // nothing to compare with: an even part of the demand
+		warm = ready
+		sent = b.traffic.demand.rate(now) * work
 	}
-	fill := min(1, coldShare*b.settings.Contract.OverloadMultiple) * e.warmth(now, b) * rate / max(1, warm)
-	// What the others do is the mean of all kinds; this one can do more, or less.
+	rate := min(1, slowStartShare*b.settings.Contract.OverloadMultiple) * e.capacityRatio(now, b)
+	rate = rate * sent / max(1, warm)
+	// The others are the mean of all kinds; this endpoint's kind can do more, or less.
 	mean := b.estimates.fleetSlowness.or(1)
-	fill *= min(kindMost, max(1/kindMost, mean/b.estimates.kindSlowness[e.Kind].or(mean)))
-	most := max(fill*float64(b.settings.Contract.OverloadTime)/float64(second)/2, work*coldCharge)
-	e.slowStart.tokens = min(most, e.slowStart.tokens+fill*float64(now-e.slowStart.refilledAt)/float64(second))
-	e.slowStart.refilledAt = now
-	return e.slowStart.tokens >= work*coldCharge
+	speed := mean / b.estimates.kindSlowness[e.Kind].or(mean)
+	return rate * min(maxKindRatio, max(1/maxKindRatio, speed))
 }
