--- a/balancer/state.go
+++ b/balancer/state.go
@@ -183,7 +183,7 @@
 // one that is not overdue.
 func (r *request) hasPendingAttempt(hedging bool) bool {
 	hedging = hedging && !r.NoHedging
-	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.pending && !(hedging && a.overdue) })
+	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.pending && (!hedging || !a.overdue) })
 }
 
 func (r *request) triedEndpoint(e *endpoint) bool {
