Engine: interfaces, options and the endpoint list in files of their own; simpler draining advice

Cause: engine.go held five interfaces, their messages, the options and the event loop; members.go the list's types beside the registry. SetAdvisedDraining collected names by a condition that sorting and Compact make needless. Change: interfaces.go, options.go and endpoint.go, with doc comments that state who calls what from which goroutine; newClock. SetAdvisedDraining takes the names of old and new advice, sorts and compacts them.

--- a/internal/engine/clock.go
+++ b/internal/engine/clock.go
@@ -6,37 +6,40 @@
 	"pinedale/balancer"
 )
 
-// Clock is the time that an engine lives by where the system's is not wanted: that of
-// a rehearsal. One goroutine owns it, and all engines on it.
+// Clock replaces the system's time, for simulations on virtual time. One goroutine owns it and
+// all engines that use it.
 type Clock interface {
 	Now() time.Time
-	// AfterFunc has f called on the clock's goroutine after a while, never from
-	// within the call.
+	// AfterFunc calls f on the clock's goroutine after a delay, never from within the call.
 	AfterFunc(after time.Duration, f func())
 }
 
-// system is the system's time.
-type system struct{}
+// systemClock is the system's time.
+type systemClock struct{}
 
-func (system) Now() time.Time                          { return time.Now() }
-func (system) AfterFunc(after time.Duration, f func()) { time.AfterFunc(after, f) }
+func (systemClock) Now() time.Time                          { return time.Now() }
+func (systemClock) AfterFunc(after time.Duration, f func()) { time.AfterFunc(after, f) }
 
-// clock gives the balancer's time: microseconds that never run backwards, from
-// the Unix time at the start on, so that start times of endpoints map onto it as
-// they are.
+// clock converts a Clock's time to the balancer's: microseconds that never run backwards. They
+// count from the Unix time at base, so that start times of endpoints need no conversion.
 type clock struct {
 	Clock
 	base time.Time
 }
 
-func (c clock) now() balancer.Micros {
-	return c.base.UnixMicro() + c.Now().Sub(c.base).Microseconds()
+func newClock(source Clock) clock {
+	return clock{Clock: source, base: source.Now()}
 }
 
+// now returns the balancer's time.
+func (c clock) now() balancer.Micros { return c.micros(c.Now()) }
+
+// time returns the time at an instant of the balancer's.
 func (c clock) time(at balancer.Micros) time.Time {
 	return c.base.Add(time.Duration(at-c.base.UnixMicro()) * time.Microsecond)
 }
 
+// micros returns the balancer's instant at a time.
 func (c clock) micros(at time.Time) balancer.Micros {
 	return c.base.UnixMicro() + at.Sub(c.base).Microseconds()
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -8,14 +8,11 @@
 	"context"
 	"log/slog"
 	"maps"
-	"net/http"
-	"net/url"
 	"slices"
 	"sync/atomic"
 	"time"
 
 	"pinedale/balancer"
-	"pinedale/internal/subset"
 )
 
 const (
@@ -23,142 +20,6 @@
 	pruneEvery = time.Second
 )
 
-// A Carrier carries out the attempts of one request. Both methods are called on
-// the engine's goroutine and must not block, nor call back into the engine.
-type Carrier interface {
-	// Send starts an attempt. Done or End must be called for it exactly once.
-	Send(*Attempt)
-	// Cancel gives an attempt up. Its end is still told.
-	Cancel(*Attempt)
-}
-
-// An Upstream sends requests to endpoints itself, and keeps connections there.
-type Upstream interface {
-	// NewCarrier returns a carrier for one request.
-	NewCarrier(*Message) Carrier
-	// Probe asks an endpoint for its load, and must not block. told is called exactly
-	// once, and not from within Probe.
-	Probe(ctx context.Context, t *Target, told func(Result))
-	// Retire follows Target.Close: what is kept for the target is let go.
-	Retire(*Target)
-	// Prune lets go of what has been idle for too long. It is called every second.
-	Prune()
-}
-
-// A Source tells which endpoints there are.
-type Source interface {
-	// Watch tells what is newer than a version, nil for the whole list, until ctx
-	// ends or something fails. It tells a failure as balancer.ListFailed before it
-	// returns it, with the version to go on from.
-	Watch(ctx context.Context, after *uint64, tell func(balancer.ListKind, List)) (*uint64, error)
-	// Close lets go of what the source holds. The watch has been told to end.
-	Close()
-}
-
-// Message is a request as it goes to endpoints, any number of times.
-type Message struct {
-	Method string
-	URL    *url.URL
-	Host   string
-	Header http.Header // X-Time-Left-Ms is written for each attempt
-	Body   []byte
-
-	// Context ends once nobody waits for an answer any more: what has not been written by
-	// then is not, whatever the settings say of calling attempts off. nil is always wanted.
-	Context context.Context
-}
-
-// Result is what came of an attempt or a probe.
-type Result struct {
-	Status   balancer.Status
-	Endpoint uint32        // that served the attempt, 0 if it is the one it was sent to
-	Settled  bool          // the client has its answer by another way than the engine's
-	Header   http.Header   // of a whole answer 200, as is Body
-	Body     []byte        // at most httpmsg.BodyMost bytes
-	Load     []float32     // in the order of the settings' fields; NaN where unknown
-	Duration time.Duration // of a probe: from the write to the end, without the time to connect
-}
-
-// Response is the final answer to a request.
-type Response struct {
-	Code       int             // 200 served; 503 refused: a retry is harmless; 502 failed
-	RetryAfter balancer.Micros // 0: no advice
-	Header     http.Header
-	Body       []byte
-}
-
-// Decider is what the engine needs of a *balancer.Balancer.
-type Decider interface {
-	Start(now balancer.Micros)
-	UpdateEndpoints(now balancer.Micros, kind balancer.ListKind, entries []balancer.Endpoint)
-	HandleRequest(now balancer.Micros, in balancer.Request)
-	AttemptCompleted(now balancer.Micros, o balancer.Outcome)
-	ClientDisconnected(now balancer.Micros, id uint64)
-	Expire(now balancer.Micros, id uint64)
-	TimerFired(now balancer.Micros, token uint32)
-	ProbeCompleted(now balancer.Micros, endpoint uint32, status balancer.Status, latency balancer.Micros, load []float32)
-	Configure(classes []balancer.Class, budgets []balancer.RetryBudget) error
-}
-
-// Admission decides, ahead of the balancer, whether a request is let in at all. It is
-// called on the engine's goroutine.
-type Admission interface {
-	// Admit lets a request in, or says after which time another try is welcome.
-	Admit(now balancer.Micros, in *balancer.Request) (retryAfter balancer.Micros, ok bool)
-	// Release follows once the request has its final answer, or its client is gone.
-	Release(in *balancer.Request)
-}
-
-// Subset decides which servers of a fleet are held. All of it is called on the engine's
-// goroutine.
-type Subset interface {
-	Add(subset.Server)
-	Remove(name string)
-	// ObserveLoad and Outcome tell of requests in flight and of answers; each says whether Choose
-	// would choose otherwise now.
-	ObserveLoad(now time.Time, inflight float64) bool
-	ObserveOutcome(name string, answered bool) bool
-	// Select returns servers that are held from now on, and those that are no longer.
-	Select() (added, removed []string)
-	Contains(name string) bool
-}
-
-// RuntimeSettings is what may change of an engine's settings while it runs.
-type RuntimeSettings struct {
-	Classes []balancer.Class // numbers of before mean the same classes
-	Budgets []balancer.RetryBudget
-	Pools   func(site, kind string) uint64 // that a server is in, one bit for each; nil for none
-}
-
-// Options are an engine's surroundings.
-type Options struct {
-	Settings   balancer.Settings
-	Seed       uint64
-	Zones      []string // names of sites, by the numbers that the balancer uses
-	Kinds      []string // names of kinds of machine, likewise
-	CachedList List     // the last list held, perhaps old
-	Upstream   Upstream
-	Source     Source
-	Log        *slog.Logger
-
-	Admission Admission // nil lets all in
-	Subset    Subset    // of the fleet that the balancer is told of; nil for all of it
-	KeyLeases KeyLeases // of keyed requests; nil where each instance decides alone
-	// Observe is told how each attempt and probe of a server has ended, on the engine's
-	// goroutine; nil where nobody listens.
-	Observe func(t *Target, s balancer.Status)
-	Pools   func(site, kind string) uint64
-
-	// Clock, where set, takes the place of the system's time and of Run: its goroutine
-	// calls Start and all else, Post handles an event at once, and Tell stands in for
-	// Source, which may be nil.
-	Clock Clock
-	// NewDecider, where set, makes what decides in place of balancer.New.
-	NewDecider func(balancer.Settings, uint64, balancer.Actions) (Decider, error)
-	// WrapDecider, where set, stands between the engine and its balancer.
-	WrapDecider func(Decider) Decider
-}
-
 // Engine runs one balancer. Make one with New and start Run in a goroutine.
 type Engine struct {
 	opts   Options
@@ -197,10 +58,12 @@
 		stopWatch: func() {},
 	}
 	e.settings.Store(&o.Settings)
-	if e.clock.Clock = o.Clock; o.Clock == nil {
-		e.clock.Clock, e.events = system{}, make(chan func(balancer.Micros), eventsMost)
+	if o.Clock != nil {
+		e.clock = newClock(o.Clock)
+	} else {
+		e.clock = newClock(systemClock{})
+		e.events = make(chan func(balancer.Micros), eventsMost)
 	}
-	e.clock.base = e.clock.Now()
 	decide := o.NewDecider
 	if decide == nil {
 		decide = func(s balancer.Settings, seed uint64, a balancer.Actions) (Decider, error) {
--- a/internal/engine/guard.go
+++ b/internal/engine/guard.go
@@ -4,51 +4,10 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"pinedale/balancer"
 )
 
-// KeyLeases agrees with other instances where a keyed request may go, before it is sent. Its
-// methods are called on the engine's goroutine, must not block and not call back from within.
-type KeyLeases interface {
-	// Covers says whether requests of a class are agreed on.
-	Covers(class uint8) bool
-	// Acquire asks for a request's key in a group of servers. told is called once, by a call of
-	// Engine.Post of its own.
-	Acquire(c LeaseRequest, told func(now balancer.Micros, v LeaseDecision))
-	// Release tells that nothing sent for this claim can have run, and nothing will be sent.
-	Release(c LeaseRequest)
-}
-
-// LeaseRequest names a request's key, and the group that it is to go to.
-type LeaseRequest struct {
-	Class    uint8
-	Key      string // idempotency key
-	Request  uint64 // number of the request, which no other has at this instance
-	Term     uint64 // of the request's claims, from 1; a later one takes back those before it
-	Group    string
-	Deadline time.Time // when an answer is of no more use
-}
-
-// LeaseDecision is what came of a claim.
-type LeaseDecision struct {
-	Kind   LeaseOutcome
-	Group  string    // of Shared: where the request may go
-	Since  time.Time // of Shared: no attempt of another's is older
-	Reason string    // of Refused
-}
-
-// LeaseOutcome says what a verdict is.
-type LeaseOutcome uint8
-
-// The kinds of verdict.
-const (
-	LeaseExclusive LeaseOutcome = iota // nobody else has sent the request: it may go
-	LeaseShared                        // another may have: it may go to Group, as one that may have run
-	LeaseDenied                        // it can't be told, and must not be sent
-)
-
 // claimed is what an engine knows of a request's claim.
 type claimed struct {
 	LeaseRequest
--- a/internal/engine/members.go
+++ b/internal/engine/members.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"fmt"
 	"hash/fnv"
 	"maps"
-	"net"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"pinedale/balancer"
@@ -17,64 +14,6 @@
 // again by itself after this pause.
 const pushedPause = time.Second
 
-// List is a list of endpoints, or of changes.
-type List struct {
-	Version  uint64
-	Complete bool
-	Hosts    []Host
-}
-
-// Host is one endpoint of a list.
-type Host struct {
-	Name      string // the same for as long as the endpoint exists, restarts included
-	Address   string // host:port
-	Site      string
-	Kind      string // of machine
-	Cell      uint16
-	State     balancer.State
-	Weight    float32
-	StartedMS int64 // when it last started, Unix time in milliseconds; 0 for long ago
-}
-
-// Validate keeps entries that nothing could be sent to from the balancer. Its
-// errors name the entry and key at fault.
-func (l *List) Validate() error {
-	for i, h := range l.Hosts {
-		if h.Name == "" {
-			return fmt.Errorf("hosts[%d].host is missing", i)
-		}
-		if h.State == balancer.Ready {
-			if _, _, err := net.SplitHostPort(h.Address); err != nil {
-				return fmt.Errorf("hosts[%d].dial: %q is not host:port", i, h.Address)
-			}
-		}
-	}
-	return nil
-}
-
-// Target is one life of an endpoint at one address. It is closed for good once
-// the endpoint is told draining or gone, or has restarted.
-type Target struct {
-	Name      string // as Host.Name
-	Address   string
-	StartedMS int64 // as Host.BornMS
-	closed    atomic.Bool
-}
-
-// Started is when this life began, the zero time for long ago.
-func (t *Target) Started() time.Time {
-	if t.StartedMS <= 0 {
-		return time.Time{}
-	}
-	return time.UnixMilli(t.StartedMS)
-}
-
-// Closed says that nothing new may go to the target.
-func (t *Target) Closed() bool { return t.closed.Load() }
-
-// Close ends the target for good.
-func (t *Target) Close() { t.closed.Store(true) }
-
 // member is what the engine holds of an endpoint until it is gone and nothing is
 // out there any more. Endpoints come and go all day under ever new names.
 type member struct {
@@ -198,12 +137,7 @@
 func (e *Engine) SetAdvisedDraining(now balancer.Micros, draining map[string]int64) {
 	before := e.advised
 	e.advised = draining
-	names := slices.Collect(maps.Keys(before))
-	for name, born := range draining {
-		if was, ok := before[name]; !ok || was != born {
-			names = append(names, name)
-		}
-	}
+	names := slices.AppendSeq(slices.Collect(maps.Keys(before)), maps.Keys(draining))
 	slices.Sort(names)
 	var entries []balancer.Endpoint
 	for _, name := range slices.Compact(names) {
