Engine: the event loop is a type and file of its own

Cause: queue, deferred events and clock stood among the fields of requests and endpoints. Change: eventLoop (loop.go) holds them, and Engine embeds it, so that Post, PostUntil, TryPost, Call, After, Defer, Now and WallTime stay the engine's; each says which goroutine may call it. soon, settle and eventsMost become deferred, runDeferred and eventQueueSize.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -15,19 +15,15 @@
 	"pinedale/balancer"
 )
 
-const (
-	eventsMost = 1024 // waiting for the engine's goroutine
-	pruneEvery = time.Second
-)
+// tickInterval is the interval of Engine.Tick.
+const tickInterval = time.Second
 
 // Engine runs one balancer. Make one with New and start Run in a goroutine.
 type Engine struct {
+	eventLoop
 	opts   Options
 	log    *slog.Logger
-	clock  clock
-	events chan func(now balancer.Micros)
-	ctx    context.Context // ends with the engine
-	listed atomic.Bool     // endpoints are known
+	listed atomic.Bool // endpoints are known
 
 	settings atomic.Pointer[balancer.Settings]
 
@@ -36,7 +32,6 @@
 
 	// Below: the engine's goroutine alone.
 	balancer  Decider
-	soon      []func(now balancer.Micros) // to run once the balancer is not at work
 	requests  map[uint64]*Request
 	lastID    uint64
 	ids       map[string]uint32 // of endpoints, by host name
@@ -52,18 +47,12 @@
 // New returns an engine that lives until ctx ends, or a *balancer.SettingError.
 func New(ctx context.Context, o Options) (*Engine, error) {
 	e := &Engine{
-		opts: o, log: o.Log, ctx: ctx, source: o.Source,
+		eventLoop: newEventLoop(ctx, o.Clock), opts: o, log: o.Log, source: o.Source,
 		requests: map[uint64]*Request{}, ids: map[string]uint32{}, fleet: map[uint32]*member{},
 		addresses: map[string]uint32{},
 		stopWatch: func() {},
 	}
 	e.settings.Store(&o.Settings)
-	if o.Clock != nil {
-		e.clock = newClock(o.Clock)
-	} else {
-		e.clock = newClock(systemClock{})
-		e.events = make(chan func(balancer.Micros), eventsMost)
-	}
 	decide := o.NewDecider
 	if decide == nil {
 		decide = func(s balancer.Settings, seed uint64, a balancer.Actions) (Decider, error) {
@@ -90,19 +79,19 @@
 	if !e.opts.Settings.PollDiscovery {
 		e.watch(true)
 	}
-	e.settle()
+	e.runDeferred()
 }
 
 // Run handles events until the engine's context ends.
 func (e *Engine) Run() {
 	e.Start()
-	prune := time.NewTicker(pruneEvery)
-	defer prune.Stop()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
 	for {
 		select {
-		case event := <-e.events:
+		case event := <-e.queue:
 			e.handle(event)
-		case <-prune.C:
+		case <-ticker.C:
 			e.Tick()
 		case <-e.ctx.Done():
 			return
@@ -122,33 +111,10 @@
 	e.inflight += inflightWeight * (float64(len(e.requests)) - e.inflight)
 	if e.opts.Subset.ObserveLoad(e.clock.Now(), e.inflight) {
 		e.choose(e.clock.now())
-		e.settle()
+		e.runDeferred()
 	}
 }
 
-// handle passes an event on, and then what it has put off.
-func (e *Engine) handle(event func(now balancer.Micros)) {
-	event(e.clock.now())
-	e.settle()
-}
-
-// settle runs what the last event has put off.
-func (e *Engine) settle() {
-	for len(e.soon) > 0 {
-		todo := e.soon
-		e.soon = nil
-		for _, event := range todo {
-			event(e.clock.now())
-		}
-	}
-}
-
-// Now is the balancer's time.
-func (e *Engine) Now() balancer.Micros { return e.clock.now() }
-
-// WallTime is the system's time at an instant of the balancer's.
-func (e *Engine) WallTime(at balancer.Micros) time.Time { return e.clock.time(at) }
-
 // Settings are the balancer's, as they are now. They must not be changed.
 func (e *Engine) Settings() *balancer.Settings { return e.settings.Load() }
 
@@ -176,62 +142,6 @@
 // HasEndpoints says whether an endpoint is known that requests may go to.
 func (e *Engine) HasEndpoints() bool { return e.listed.Load() }
 
-// Post hands an event to the engine's goroutine, and waits for room. It must not
-// be called from there.
-func (e *Engine) Post(event func(now balancer.Micros)) { e.PostUntil(nil, event) }
-
-// PostUntil is Post, given up once done is closed. It says whether the event was posted.
-func (e *Engine) PostUntil(done <-chan struct{}, event func(now balancer.Micros)) bool {
-	if e.opts.Clock != nil {
-		e.handle(event)
-		return true
-	}
-	select {
-	case e.events <- event:
-		return true
-	case <-done:
-	case <-e.ctx.Done():
-	}
-	return false
-}
-
-// Call has an event run on the engine's goroutine, and waits for its end, or the
-// engine's. It must not be called from there.
-func (e *Engine) Call(event func(now balancer.Micros)) {
-	done := make(chan struct{})
-	e.Post(func(now balancer.Micros) {
-		event(now)
-		close(done)
-	})
-	select {
-	case <-done:
-	case <-e.ctx.Done():
-	}
-}
-
-// TryPost is Post where there is room at once, and else does nothing.
-func (e *Engine) TryPost(event func(now balancer.Micros)) bool {
-	if e.opts.Clock != nil {
-		e.handle(event)
-		return true
-	}
-	select {
-	case e.events <- event:
-		return true
-	default:
-		return false
-	}
-}
-
-// Defer runs an event on the engine's goroutine after the present one, which is
-// where it must be called. Carriers use it to tell an end from within their calls.
-func (e *Engine) Defer(event func(now balancer.Micros)) { e.soon = append(e.soon, event) }
-
-// After posts an event after a while. It may be called from anywhere.
-func (e *Engine) After(delay time.Duration, event func(now balancer.Micros)) {
-	e.clock.AfterFunc(delay, func() { e.Post(event) })
-}
-
 // SwitchSource watches another source from now on. Its list is asked for whole, since
 // versions are the old one's. Requests in hand and what the balancer knows stay.
 // It must be called on the engine's goroutine.
--- a/internal/engine/members_test.go
+++ b/internal/engine/members_test.go
@@ -71,7 +71,7 @@
 	var got Response
 	now := e.Now()
 	e.Submit(now, &Request{Carrier: c, Respond: func(a Response) { got = a }}, balancer.Request{Deadline: now + 3_000_000})
-	e.settle()
+	e.runDeferred()
 	return &got
 }
 
@@ -154,7 +154,7 @@
 	a := up.attempts[0]
 	a.Complete(e.Now(), Result{Status: balancer.Reset})
 	a.Complete(e.Now(), Result{Status: balancer.OK})
-	e.settle()
+	e.runDeferred()
 	if answer.Code == 200 {
 		t.Error("the second end gave an answer")
 	}
@@ -170,7 +170,7 @@
 	e.members(e.Now(), balancer.ListFull, List{Complete: true, Hosts: []Host{readyHost("s-1", "127.0.0.1:1"), readyHost("s-2", "127.0.0.1:2")}})
 	answer := take(e, up)
 	up.attempts[0].Complete(e.Now(), Result{Status: balancer.Error, Settled: true})
-	e.settle()
+	e.runDeferred()
 	if len(up.attempts) != 1 || answer.Code != 0 {
 		t.Errorf("%d attempts, answer %+v; want one and none", len(up.attempts), answer)
 	}
@@ -238,7 +238,7 @@
 	e.members(e.Now(), balancer.ListFull, list)
 	answers := []*Response{take(e, up), take(e, up)}
 	e.Expire(e.Now())
-	e.settle()
+	e.runDeferred()
 	for i, a := range answers {
 		if a.Code != 503 { // the class's group is all, and its window is open: a repeat has no second effect
 			t.Errorf("request %d: answer %+v", i, *a)
