Engine: endpoint registry, watch of the source and subset are types of their own

Change: endpointRegistry (registry.go) owns ids, targets and advice; discovery (discovery.go) the watch; fleetSubset (subset.go) the selection. UpdateEndpoints takes the place of a private method that it only called. Whether an endpoint is ready is now found by a walk that ends at the first ready one.

--- a/internal/engine/guard.go
+++ b/internal/engine/guard.go
@@ -19,8 +19,8 @@
 func (e *Engine) groupOf(c *balancer.Class, zone uint8, cell uint16) string {
 	switch c.Group {
 	case balancer.GroupZone:
-		if int(zone) < len(e.opts.Zones) {
-			return "site " + e.opts.Zones[zone]
+		if int(zone) < len(e.options.Zones) {
+			return "site " + e.options.Zones[zone]
 		}
 		return "site"
 	case balancer.GroupCell:
@@ -35,7 +35,7 @@
 	kind, name, _ := strings.Cut(group, " ")
 	switch kind {
 	case "site":
-		return number(e.opts.Zones, name), 0
+		return indexOf(e.options.Zones, name), 0
 	case "pod":
 		n, err := strconv.ParseUint(name, 10, 16)
 		if err != nil {
@@ -49,7 +49,7 @@
 // guarded parks an attempt whose key is not claimed yet for the group of its server. It
 // returns false where nothing has to be agreed on.
 func (e *Engine) guarded(r *Request, a *Attempt) bool {
-	g := e.opts.KeyLeases
+	g := e.options.KeyLeases
 	if g == nil || r.Key == "" || !g.Covers(r.in.Class) {
 		return false
 	}
@@ -124,10 +124,10 @@
 func (e *Engine) discard(now balancer.Micros, r *Request, a *Attempt) {
 	a.ended.Store(true)
 	r.out--
-	e.balancer.AttemptCompleted(now, balancer.Outcome{ID: r.id, Attempt: a.Number, Endpoint: a.Endpoint, Status: balancer.NotSent,
+	e.decider.AttemptCompleted(now, balancer.Outcome{ID: r.id, Attempt: a.Number, Endpoint: a.Endpoint, Status: balancer.NotSent,
 		Latency: now - a.sent, Settled: true})
 	e.forget(r)
-	e.back(a.Endpoint)
+	e.endpoints.release(a.Endpoint)
 }
 
 // restate has the module decide anew on a request of which it has turned out that another
@@ -153,7 +153,7 @@
 	in.PreviousAttempt.Zone, in.PreviousAttempt.Cell = e.placeOf(v.Group)
 	r.in = in
 	e.requests[r.id] = r
-	e.balancer.HandleRequest(now, in)
+	e.decider.HandleRequest(now, in)
 	e.forget(r)
 }
 
@@ -161,7 +161,7 @@
 func (e *Engine) release(r *Request) {
 	if c := r.claim; c != nil {
 		if r.claim = nil; !r.ran {
-			e.opts.KeyLeases.Release(c.LeaseRequest)
+			e.options.KeyLeases.Release(c.LeaseRequest)
 		}
 	}
 }
--- a/internal/engine/ledger.go
+++ b/internal/engine/ledger.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -79,14 +81,14 @@
 	if res.Endpoint != 0 {
 		served = res.Endpoint
 	}
-	e.balancer.AttemptCompleted(now, balancer.Outcome{ID: r.id, Attempt: a.Number, Endpoint: served, Status: res.Status,
+	e.decider.AttemptCompleted(now, balancer.Outcome{ID: r.id, Attempt: a.Number, Endpoint: served, Status: res.Status,
 		Latency: now - a.sent, Settled: r.over || res.Settled, Load: res.Load})
 	if res.Settled {
 		e.close(r)
 	}
 	e.forget(r)
-	e.back(a.Endpoint)
-	e.answered(now, served, res.Status)
+	e.endpoints.release(a.Endpoint)
+	e.observeOutcome(now, served, res.Status)
 }
 
 // Submit passes a new request to the balancer. It must be called on the engine's
@@ -94,7 +96,7 @@
 func (e *Engine) Submit(now balancer.Micros, r *Request, in balancer.Request) {
 	e.lastID++
 	r.id, in.ID, r.deadline = e.lastID, e.lastID, in.Deadline
-	if a := e.opts.Admission; a != nil {
+	if a := e.options.Admission; a != nil {
 		retryAfter, ok := a.Admit(now, &in)
 		if !ok {
 			e.finish(r, Response{Code: http.StatusServiceUnavailable, RetryAfter: retryAfter})
@@ -104,7 +106,7 @@
 	}
 	r.in = in
 	e.requests[r.id] = r
-	e.balancer.HandleRequest(now, in)
+	e.decider.HandleRequest(now, in)
 	e.forget(r)
 }
 
@@ -113,11 +115,22 @@
 func (e *Engine) ClientDisconnected(now balancer.Micros, r *Request) {
 	if !r.over {
 		e.close(r)
-		e.balancer.ClientDisconnected(now, r.id)
+		e.decider.ClientDisconnected(now, r.id)
 		e.forget(r)
 	}
 }
 
+// Expire gives every request its final answer now, since the host is about to end. It must be
+// called on the engine's goroutine.
+func (e *Engine) Expire(now balancer.Micros) {
+	for _, id := range slices.Sorted(maps.Keys(e.requests)) {
+		if r := e.requests[id]; r != nil && !r.over {
+			e.decider.Expire(now, id)
+			e.forget(r)
+		}
+	}
+}
+
 // finish gives the final answer, unless one is out already.
 func (e *Engine) finish(r *Request, a Response) {
 	if r != nil && !r.over {
@@ -130,7 +143,7 @@
 func (e *Engine) close(r *Request) {
 	if r.over = true; r.admitted {
 		r.admitted = false
-		e.opts.Admission.Release(&r.in)
+		e.options.Admission.Release(&r.in)
 	}
 }
 
@@ -153,7 +166,7 @@
 	if timeout > 0 {
 		until = min(until, now+timeout)
 	}
-	a := &Attempt{Number: len(r.attempts), Endpoint: endpoint, Target: e.depart(endpoint), Deadline: until, SendBy: min(by, until),
+	a := &Attempt{Number: len(r.attempts), Endpoint: endpoint, Target: e.endpoints.acquire(endpoint), Deadline: until, SendBy: min(by, until),
 		engine: e, request: r, sent: now}
 	a.Zone, a.Cell = e.Location(endpoint)
 	r.attempts = append(r.attempts, a)
@@ -192,19 +205,19 @@
 // Timer gives a token back after a while.
 func (x *actions) Timer(delay balancer.Micros, token uint32) {
 	e := (*Engine)(x)
-	e.After(time.Duration(delay)*time.Microsecond, func(now balancer.Micros) { e.balancer.TimerFired(now, token) })
+	e.After(time.Duration(delay)*time.Microsecond, func(now balancer.Micros) { e.decider.TimerFired(now, token) })
 }
 
 // Probe asks an endpoint for its load.
 func (x *actions) Probe(endpoint uint32) {
 	e := (*Engine)(x)
 	told := func(now balancer.Micros, res Result) {
-		e.balancer.ProbeCompleted(now, endpoint, res.Status, res.Duration.Microseconds(), res.Load)
-		e.back(endpoint)
-		e.answered(now, endpoint, res.Status)
+		e.decider.ProbeCompleted(now, endpoint, res.Status, res.Duration.Microseconds(), res.Load)
+		e.endpoints.release(endpoint)
+		e.observeOutcome(now, endpoint, res.Status)
 	}
-	if t := e.depart(endpoint); t != nil {
-		e.opts.Upstream.Probe(e.ctx, t, func(res Result) {
+	if t := e.endpoints.acquire(endpoint); t != nil {
+		e.options.Upstream.Probe(e.ctx, t, func(res Result) {
 			e.Post(func(now balancer.Micros) { told(now, res) })
 		})
 		return
@@ -212,8 +225,14 @@
 	e.Defer(func(now balancer.Micros) { told(now, Result{Status: balancer.NotSent}) })
 }
 
-// Watch begins to watch the source's list, from the last version on, or ends it.
-func (x *actions) Watch(on bool) { (*Engine)(x).watch(on) }
+// Watch starts the watch of the source anew, from the last version on, or stops it.
+func (x *actions) Watch(on bool) {
+	if e := (*Engine)(x); on {
+		e.startWatch()
+	} else {
+		e.discovery.stop()
+	}
+}
 
 // Log records an event of the balancer's.
 func (x *actions) Log(event string, attributes ...any) { x.log.Info(event, attributes...) }
--- a/internal/engine/members_test.go
+++ b/internal/engine/members_test.go
@@ -58,7 +58,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	e.balancer.Start(e.Now())
+	e.decider.Start(e.Now())
 	return e, up, spy
 }
 
@@ -79,13 +79,13 @@
 // its id across lists; one that has restarted is a new target.
 func TestMembers(t *testing.T) {
 	e, up, spy := newTestEngine(t)
-	e.members(e.Now(), balancer.ListFull, List{Complete: true, Hosts: []Host{readyHost("s-1", "127.0.0.1:1")}})
-	before := e.fleet[1].target
+	e.UpdateEndpoints(e.Now(), balancer.ListFull, List{Complete: true, Hosts: []Host{readyHost("s-1", "127.0.0.1:1")}})
+	before := e.endpoints.byID[1].target
 	born := time.Now().UnixMilli() - 500
 	restarted := readyHost("s-1", "127.0.0.1:1")
 	restarted.StartedMS = born
 	strange := Host{Name: "s-9", Address: "127.0.0.1:1", Site: "nowhere", Kind: "odd", Cell: 4, State: balancer.Draining}
-	e.members(e.Now(), balancer.ListDelta, List{Version: 2, Hosts: []Host{restarted, strange}})
+	e.UpdateEndpoints(e.Now(), balancer.ListDelta, List{Version: 2, Hosts: []Host{restarted, strange}})
 	want := []balancer.Endpoint{
 		{ID: 1, Zone: 0, Kind: 0, State: balancer.Ready, Weight: 1, StartTime: born * 1000},
 		{ID: 2, Zone: unknownName, Kind: unknownName, Cell: 4, State: balancer.Draining}}
@@ -97,7 +97,7 @@
 	if !slices.Equal(spy.entries, want) {
 		t.Errorf("entries %+v, want %+v", spy.entries, want)
 	}
-	after := e.fleet[1].target
+	after := e.endpoints.byID[1].target
 	if before == after || !before.Closed() || after.Closed() || !slices.Equal(up.retired, []*Target{before}) {
 		t.Error("the endpoint that restarted kept its old target")
 	}
@@ -119,7 +119,7 @@
 		if whole {
 			kind = balancer.ListFull
 		}
-		e.members(e.Now(), kind, List{Complete: whole, Hosts: hosts})
+		e.UpdateEndpoints(e.Now(), kind, List{Complete: whole, Hosts: hosts})
 	}
 	list(true, readyHost("s-1", "127.0.0.1:1"))
 	answer := take(e, up)
@@ -130,18 +130,18 @@
 	gone.State = balancer.Removed
 	list(false, gone)
 	list(false, gone)
-	if requests, endpoints := e.Counts(); requests != 1 || endpoints != 1 || len(e.ids) != 1 || e.fleet[1] == nil {
-		t.Errorf("%d requests, %d endpoints and %d names are kept, want the one with an attempt out", requests, endpoints, len(e.ids))
+	if requests, endpoints := e.Counts(); requests != 1 || endpoints != 1 || len(e.endpoints.idByName) != 1 || e.endpoints.byID[1] == nil {
+		t.Errorf("%d requests, %d endpoints and %d names are kept, want the one with an attempt out", requests, endpoints, len(e.endpoints.idByName))
 	}
 	up.attempts[0].Complete(e.Now(), Result{Status: balancer.OK})
 	if answer.Code != 200 {
 		t.Errorf("the request in hand: %+v", answer)
 	}
-	if requests, endpoints := e.Counts(); requests != 0 || endpoints != 0 || len(e.ids) != 0 {
-		t.Errorf("%d requests, %d endpoints and %d names are kept, want none", requests, endpoints, len(e.ids))
+	if requests, endpoints := e.Counts(); requests != 0 || endpoints != 0 || len(e.endpoints.idByName) != 0 {
+		t.Errorf("%d requests, %d endpoints and %d names are kept, want none", requests, endpoints, len(e.endpoints.idByName))
 	}
 	list(true, readyHost("s-1", "127.0.0.1:1"))
-	if id := e.ids["s-1"]; id != 52 {
+	if id := e.endpoints.idByName["s-1"]; id != 52 {
 		t.Errorf("the endpoint that is back has number %d, want a new one, 52", id)
 	}
 }
@@ -149,7 +149,7 @@
 // An attempt has one end; what is told again, or by two, counts once.
 func TestOnlyTheFirstEndCounts(t *testing.T) {
 	e, up, _ := newTestEngine(t)
-	e.members(e.Now(), balancer.ListFull, List{Complete: true, Hosts: []Host{readyHost("s-1", "127.0.0.1:1")}})
+	e.UpdateEndpoints(e.Now(), balancer.ListFull, List{Complete: true, Hosts: []Host{readyHost("s-1", "127.0.0.1:1")}})
 	answer := take(e, up)
 	a := up.attempts[0]
 	a.Complete(e.Now(), Result{Status: balancer.Reset})
@@ -158,8 +158,8 @@
 	if answer.Code == 200 {
 		t.Error("the second end gave an answer")
 	}
-	if m := e.fleet[1]; m.out < 0 {
-		t.Errorf("%d attempts are counted out", m.out)
+	if m := e.endpoints.byID[1]; m.pending < 0 {
+		t.Errorf("%d attempts are counted out", m.pending)
 	}
 }
 
@@ -167,7 +167,7 @@
 // outcome: nothing is sent or answered for it any more.
 func TestSettledElsewhere(t *testing.T) {
 	e, up, _ := newTestEngine(t)
-	e.members(e.Now(), balancer.ListFull, List{Complete: true, Hosts: []Host{readyHost("s-1", "127.0.0.1:1"), readyHost("s-2", "127.0.0.1:2")}})
+	e.UpdateEndpoints(e.Now(), balancer.ListFull, List{Complete: true, Hosts: []Host{readyHost("s-1", "127.0.0.1:1"), readyHost("s-2", "127.0.0.1:2")}})
 	answer := take(e, up)
 	up.attempts[0].Complete(e.Now(), Result{Status: balancer.Error, Settled: true})
 	e.runDeferred()
@@ -235,7 +235,7 @@
 func TestExpire(t *testing.T) {
 	e, up, _ := newTestEngine(t)
 	list := List{Complete: true, Hosts: []Host{readyHost("s-1", "127.0.0.1:1")}}
-	e.members(e.Now(), balancer.ListFull, list)
+	e.UpdateEndpoints(e.Now(), balancer.ListFull, list)
 	answers := []*Response{take(e, up), take(e, up)}
 	e.Expire(e.Now())
 	e.runDeferred()
@@ -261,13 +261,13 @@
 func TestAdvise(t *testing.T) {
 	e, up, spy := newTestEngine(t)
 	list := List{Complete: true, Hosts: []Host{readyHost("s-1", "127.0.0.1:1"), readyHost("s-2", "127.0.0.1:2")}}
-	e.members(e.Now(), balancer.ListFull, list)
-	first := e.fleet[1].target
+	e.UpdateEndpoints(e.Now(), balancer.ListFull, list)
+	first := e.endpoints.byID[1].target
 	e.SetAdvisedDraining(e.Now(), map[string]int64{"s-1": 0, "s-2": 7, "s-9": 0})
-	if !first.Closed() || e.fleet[1].target != nil || !slices.Contains(up.retired, first) {
+	if !first.Closed() || e.endpoints.byID[1].target != nil || !slices.Contains(up.retired, first) {
 		t.Error("what is advised to drain is still sent to")
 	}
-	if e.fleet[2].target == nil {
+	if e.endpoints.byID[2].target == nil {
 		t.Error("advice on another life of an endpoint counts")
 	}
 	if want := []balancer.Endpoint{{ID: 1, StableID: spy.entries[0].StableID, State: balancer.Draining, Weight: 1}}; !slices.Equal(spy.entries, want) {
@@ -278,19 +278,19 @@
 	if spy.entries != nil {
 		t.Errorf("the same advice has the balancer told %+v", spy.entries)
 	}
-	e.members(e.Now(), balancer.ListFull, list) // it still has not heard
-	if e.fleet[1].target != nil {
+	e.UpdateEndpoints(e.Now(), balancer.ListFull, list) // it still has not heard
+	if e.endpoints.byID[1].target != nil {
 		t.Error("a list that has not heard takes advice back")
 	}
 	list.Hosts[0].StartedMS = 5
-	e.members(e.Now(), balancer.ListFull, list)
-	if e.fleet[1].target == nil {
+	e.UpdateEndpoints(e.Now(), balancer.ListFull, list)
+	if e.endpoints.byID[1].target == nil {
 		t.Error("advice on the life before keeps an endpoint back that has started anew")
 	}
 	list.Hosts[0].StartedMS = 0
-	e.members(e.Now(), balancer.ListFull, list)
+	e.UpdateEndpoints(e.Now(), balancer.ListFull, list)
 	e.SetAdvisedDraining(e.Now(), nil)
-	if e.fleet[1].target == nil || spy.entries[0].State != balancer.Ready {
+	if e.endpoints.byID[1].target == nil || spy.entries[0].State != balancer.Ready {
 		t.Error("advice that is over keeps an endpoint back")
 	}
 }
@@ -313,7 +313,7 @@
 			advised[fmt.Sprint("s-", n)] = 0
 		}
 	}
-	e.members(e.Now(), balancer.ListFull, list)
+	e.UpdateEndpoints(e.Now(), balancer.ListFull, list)
 	for n := 0; b.Loop(); n++ {
 		e.SetAdvisedDraining(e.Now(), []map[string]int64{advised, nil}[n%2])
 	}
--- a/internal/engine/quiet_test.go
+++ b/internal/engine/quiet_test.go
@@ -75,7 +75,7 @@
 				t.Fatal(err)
 			}
 		},
-		"subset": func(e *Engine, now balancer.Micros) { e.choose(now) },
+		"subset": func(e *Engine, now balancer.Micros) { e.reselect(now) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			ctx, stop := context.WithCancel(context.Background())
@@ -106,10 +106,10 @@
 			if name == "subset" { // it has more of the fleet to hold
 				held.ObserveLoad(clock.now, 5)
 			}
-			before := len(e.fleet)
+			before := len(e.endpoints.byID)
 			change(e, e.Now())
-			if name == "subset" && len(e.fleet) <= before {
-				t.Fatalf("%d servers are held, %d before: nothing was changed", len(e.fleet), before)
+			if name == "subset" && len(e.endpoints.byID) <= before {
+				t.Fatalf("%d servers are held, %d before: nothing was changed", len(e.endpoints.byID), before)
 			}
 			clock.pass(10 * time.Second)
 			select {
--- /dev/null
+++ b/internal/engine/registry.go
@@ -0,0 +1,253 @@
+package engine
+
+import (
+	"cmp"
+	"hash/fnv"
+	"maps"
+	"slices"
+
+	"pinedale/balancer"
+)
+
+// unknownName is the number of a zone or kind that the settings do not list.
+const unknownName = 255
+
+// indexOf returns the number of a zone or kind.
+func indexOf(names []string, name string) uint8 {
+	if i := slices.Index(names, name); i >= 0 && i < unknownName {
+		return uint8(i)
+	}
+	return unknownName
+}
+
+// endpoint is what the engine keeps of an endpoint until it is removed and nothing is pending
+// there. Endpoints come and go all day under new names.
+type endpoint struct {
+	name    string
+	host    Host    // as last listed
+	target  *Target // nil unless ready
+	zone    uint8
+	cell    uint16
+	pending int // attempts and health checks without outcome
+	removed bool
+}
+
+// endpointRegistry holds the endpoints that the decision module knows. It is owned by the
+// engine's goroutine.
+type endpointRegistry struct {
+	zones, kinds []string
+	pools        func(site, kind string) uint64 // nil for no pools
+	upstream     Upstream
+
+	byID           map[uint32]*endpoint
+	idByName       map[string]uint32
+	readyByAddress map[string]uint32 // ids of ready endpoints
+	lastID         uint32            // ids are not reused: a late outcome must not count for another endpoint
+
+	// advisedDraining are endpoints that other instances know to drain, by name, with the start
+	// time in milliseconds of the incarnation that drains.
+	advisedDraining map[string]int64
+}
+
+func newEndpointRegistry(o Options) *endpointRegistry {
+	return &endpointRegistry{
+		zones:          o.Zones,
+		kinds:          o.Kinds,
+		pools:          o.Pools,
+		upstream:       o.Upstream,
+		byID:           map[uint32]*endpoint{},
+		idByName:       map[string]uint32{},
+		readyByAddress: map[string]uint32{},
+	}
+}
+
+// apply takes in a list or changes, and returns the entries for the decision module.
+func (r *endpointRegistry) apply(kind balancer.ListKind, hosts []Host) []balancer.Endpoint {
+	entries := make([]balancer.Endpoint, 0, len(hosts))
+	listed := map[uint32]bool{}
+	for _, h := range hosts {
+		id := r.idByName[h.Name]
+		if id == 0 {
+			if h.State == balancer.Removed {
+				continue
+			}
+			id = r.add(h.Name)
+		}
+		listed[id] = true
+		entries = append(entries, r.entry(id, h))
+		r.update(id, h)
+	}
+	if kind != balancer.ListFull && kind != balancer.ListCached {
+		return entries
+	}
+	for id := range r.byID {
+		if !listed[id] {
+			r.update(id, Host{State: balancer.Removed})
+		}
+	}
+	return entries
+}
+
+func (r *endpointRegistry) add(name string) uint32 {
+	r.lastID++
+	r.idByName[name] = r.lastID
+	r.byID[r.lastID] = &endpoint{name: name}
+	return r.lastID
+}
+
+// update sets where an endpoint is reached now. A target that drains, is removed, has moved or
+// has restarted is closed, so that a send that is under way does not start.
+func (r *endpointRegistry) update(id uint32, h Host) {
+	ep := r.byID[id]
+	ep.removed = h.State == balancer.Removed
+	if !ep.removed {
+		ep.host = h
+		ep.zone = indexOf(r.zones, h.Site)
+		ep.cell = h.Cell
+	}
+	ready := r.effectiveState(h) == balancer.Ready
+	if t := ep.target; t != nil && (!ready || t.Address != h.Address || t.StartedMS != h.StartedMS) {
+		r.closeTarget(id, ep)
+	}
+	if ep.target == nil && ready {
+		ep.target = &Target{Name: h.Name, Address: h.Address, StartedMS: h.StartedMS}
+		r.readyByAddress[h.Address] = id
+	}
+	r.forgetIfUnused(id, ep)
+}
+
+func (r *endpointRegistry) closeTarget(id uint32, ep *endpoint) {
+	target := ep.target
+	target.Close()
+	r.upstream.Retire(target)
+	ep.target = nil
+	if r.readyByAddress[target.Address] == id {
+		delete(r.readyByAddress, target.Address)
+	}
+}
+
+// forgetIfUnused drops an endpoint that is removed once nothing is pending there.
+func (r *endpointRegistry) forgetIfUnused(id uint32, ep *endpoint) {
+	if ep.removed && ep.pending == 0 {
+		delete(r.idByName, ep.name)
+		delete(r.byID, id)
+	}
+}
+
+// entry returns an endpoint as the decision module knows it.
+func (r *endpointRegistry) entry(id uint32, h Host) balancer.Endpoint {
+	nameHash := fnv.New64a()
+	nameHash.Write([]byte(h.Name))
+	entry := balancer.Endpoint{
+		ID:       id,
+		StableID: nameHash.Sum64(),
+		Zone:     indexOf(r.zones, h.Site),
+		Kind:     indexOf(r.kinds, h.Kind),
+		Cell:     h.Cell,
+		State:    r.effectiveState(h),
+		Weight:   h.Weight,
+	}
+	if h.StartedMS > 0 {
+		entry.StartTime = h.StartedMS * 1000
+	}
+	if r.pools != nil {
+		entry.Pools = r.pools(h.Site, h.Kind)
+	}
+	return entry
+}
+
+// entries returns the entries of all listed endpoints by id.
+func (r *endpointRegistry) entries() []balancer.Endpoint {
+	var entries []balancer.Endpoint
+	for id, ep := range r.byID {
+		if !ep.removed {
+			entries = append(entries, r.entry(id, ep.host))
+		}
+	}
+	slices.SortFunc(entries, func(a, b balancer.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	return entries
+}
+
+// hasReady reports whether an endpoint is ready.
+func (r *endpointRegistry) hasReady() bool {
+	for _, ep := range r.byID {
+		if ep.target != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// contains reports whether an endpoint of this name is known.
+func (r *endpointRegistry) contains(name string) bool { return r.idByName[name] != 0 }
+
+// setAdvisedDraining replaces the advice, and returns the entries of the endpoints that it
+// changes the state of, by name.
+func (r *endpointRegistry) setAdvisedDraining(advised map[string]int64) []balancer.Endpoint {
+	names := slices.AppendSeq(slices.Collect(maps.Keys(r.advisedDraining)), maps.Keys(advised))
+	slices.Sort(names)
+	r.advisedDraining = advised
+	var changed []balancer.Endpoint
+	for _, name := range slices.Compact(names) {
+		id := r.idByName[name]
+		ep := r.byID[id]
+		if ep == nil || ep.removed || (ep.target != nil) == (r.effectiveState(ep.host) == balancer.Ready) {
+			continue
+		}
+		changed = append(changed, r.entry(id, ep.host))
+		r.update(id, ep.host)
+	}
+	return changed
+}
+
+// effectiveState returns a listed endpoint's state with regard to the advice.
+func (r *endpointRegistry) effectiveState(h Host) balancer.State {
+	startedMS, ok := r.advisedDraining[h.Name]
+	if ok && startedMS == h.StartedMS && h.State == balancer.Ready {
+		return balancer.Draining
+	}
+	return h.State
+}
+
+// acquire counts an attempt or health check as pending at an endpoint, and returns where it is
+// reached, nil if nothing may be sent there. The decision module may know an endpoint for a
+// moment longer than the registry does.
+func (r *endpointRegistry) acquire(id uint32) *Target {
+	ep := r.byID[id]
+	if ep == nil {
+		return nil
+	}
+	ep.pending++
+	return ep.target
+}
+
+// release is called with the outcome of what was acquired.
+func (r *endpointRegistry) release(id uint32) {
+	if ep := r.byID[id]; ep != nil {
+		ep.pending--
+		r.forgetIfUnused(id, ep)
+	}
+}
+
+// SetAdvisedDraining replaces the endpoints that other instances know to drain: while the source
+// still lists one of them as ready, it counts as draining. They are given by name, with the
+// start time in milliseconds of the incarnation that drains. It must be called on the engine's
+// goroutine.
+func (e *Engine) SetAdvisedDraining(now balancer.Micros, draining map[string]int64) {
+	if entries := e.endpoints.setAdvisedDraining(draining); len(entries) > 0 {
+		e.decider.UpdateEndpoints(now, balancer.ListHost, entries)
+	}
+}
+
+// EndpointAt returns the number of the ready endpoint that is reached at an address, 0 if none
+// is. It must be called on the engine's goroutine.
+func (e *Engine) EndpointAt(address string) uint32 { return e.endpoints.readyByAddress[address] }
+
+// Location returns the zone and cell that an endpoint was last listed with. It must be called on
+// the engine's goroutine.
+func (e *Engine) Location(id uint32) (zone uint8, cell uint16) {
+	if ep := e.endpoints.byID[id]; ep != nil {
+		return ep.zone, ep.cell
+	}
+	return unknownName, 0
+}
--- a/internal/engine/subset_test.go
+++ b/internal/engine/subset_test.go
@@ -51,7 +51,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		e.balancer.Start(e.Now())
+		e.decider.Start(e.Now())
 		listed := map[string]Host{}
 		host := func(state balancer.State) Host {
 			n := rapid.IntRange(0, 14).Draw(t, "server")
@@ -63,7 +63,7 @@
 			case "delta":
 				h := host(rapid.SampledFrom([]balancer.State{balancer.Ready, balancer.Ready, balancer.Ready, balancer.Draining, balancer.Removed}).Draw(t, "state"))
 				listed[h.Name] = h
-				e.members(e.Now(), balancer.ListDelta, List{Hosts: []Host{h}})
+				e.UpdateEndpoints(e.Now(), balancer.ListDelta, List{Hosts: []Host{h}})
 			case "full":
 				clear(listed)
 				for range rapid.IntRange(0, 14).Draw(t, "hosts") {
@@ -77,23 +77,23 @@
 				slices.SortFunc(list.Hosts, func(a, b Host) int {
 					return len(a.Name)*1000 + int(a.Name[len(a.Name)-1]) - len(b.Name)*1000 - int(b.Name[len(b.Name)-1])
 				})
-				e.members(e.Now(), balancer.ListFull, list)
+				e.UpdateEndpoints(e.Now(), balancer.ListFull, list)
 			case "failed":
-				e.members(e.Now(), balancer.ListFailed, List{})
+				e.UpdateEndpoints(e.Now(), balancer.ListFailed, List{})
 			case "outcome":
-				if len(e.fleet) > 0 {
-					e.answered(e.Now(), uint32(rapid.IntRange(1, int(e.lastEP)).Draw(t, "endpoint")), rapid.SampledFrom([]balancer.Status{balancer.OK, balancer.Timeout, balancer.Timeout}).Draw(t, "status"))
+				if len(e.endpoints.byID) > 0 {
+					e.observeOutcome(e.Now(), uint32(rapid.IntRange(1, int(e.endpoints.lastID)).Draw(t, "endpoint")), rapid.SampledFrom([]balancer.Status{balancer.OK, balancer.Timeout, balancer.Timeout}).Draw(t, "status"))
 				}
 			case "load":
-				e.inflight = rapid.Float64Range(0, 20).Draw(t, "inflight")
+				e.subset.meanInFlight = rapid.Float64Range(0, 20).Draw(t, "inflight")
 				e.Tick()
 			}
 			ready := 0
 			for name, h := range listed {
-				id := e.ids[name]
+				id := e.endpoints.idByName[name]
 				if h.State == balancer.Ready && held.Contains(name) {
 					ready++
-					if m := e.fleet[id]; m == nil || m.target == nil || m.target.Address != h.Address || !v.ready[id] {
+					if m := e.endpoints.byID[id]; m == nil || m.target == nil || m.target.Address != h.Address || !v.ready[id] {
 						t.Fatalf("%s is held, and the balancer does not know it at %s", name, h.Address)
 					}
 				} else if v.ready[id] {
@@ -135,14 +135,14 @@
 				if err != nil {
 					b.Fatal(err)
 				}
-				e.balancer.Start(e.Now())
+				e.decider.Start(e.Now())
 				list := List{Complete: true}
 				for i := range n {
 					list.Hosts = append(list.Hosts, Host{Name: fmt.Sprint("s-", i), Address: fmt.Sprint("127.0.0.1:", 1000+i), Site: string(rune('a' + i%2)), Weight: 1})
 				}
-				e.members(e.Now(), balancer.ListFull, list)
-				for id := range e.fleet { // all freshly probed
-					e.balancer.ProbeCompleted(e.Now(), id, balancer.OK, 500, []float32{0})
+				e.UpdateEndpoints(e.Now(), balancer.ListFull, list)
+				for id := range e.endpoints.byID { // all freshly probed
+					e.decider.ProbeCompleted(e.Now(), id, balancer.OK, 500, []float32{0})
 				}
 				b.ResetTimer()
 				for range b.N {
