--- /dev/null
+++ b/internal/engine/actions.go
@@ -0,0 +1,104 @@
+package engine
+
+import (
+	"net/http"
+	"time"
+
+	"pinedale/balancer"
+)
+
+// actions carries out what the decision module decides on. Its methods are called from within
+// the decider's, on the engine's goroutine.
+type actions struct{ engine *Engine }
+
+// Send starts an attempt. A timeout of 0 lasts until the client's deadline.
+func (x actions) Send(id uint64, endpoint uint32, timeout, sendBy balancer.Micros) {
+	e := x.engine
+	r := e.requests.get(id)
+	now := e.Now()
+	deadline := r.deadline
+	if timeout > 0 {
+		deadline = min(deadline, now+timeout)
+	}
+	zone, cell := e.Location(endpoint)
+	a := &Attempt{
+		Number:    len(r.attempts),
+		Endpoint:  endpoint,
+		Target:    e.endpoints.acquire(endpoint),
+		Deadline:  deadline,
+		SendBy:    min(sendBy, deadline),
+		Zone:      zone,
+		Cell:      cell,
+		engine:    e,
+		request:   r,
+		startedAt: now,
+	}
+	r.attempts = append(r.attempts, a)
+	r.pending++
+	switch {
+	case a.Target == nil:
+		a.deferNotSent()
+	case !e.parkForLease(r, a):
+		a.send()
+	}
+}
+
+// Reject answers that a retry is harmless, and when it is welcome.
+func (x actions) Reject(id uint64, retryAfter balancer.Micros) {
+	x.engine.respond(x.engine.requests.get(id), Response{Code: http.StatusServiceUnavailable, RetryAfter: retryAfter})
+}
+
+// Fail answers that the request failed.
+func (x actions) Fail(id uint64) {
+	x.engine.respond(x.engine.requests.get(id), Response{Code: http.StatusBadGateway})
+}
+
+// Cancel aborts an attempt; its outcome still follows.
+func (x actions) Cancel(id uint64, attempt int) {
+	r := x.engine.requests.get(id)
+	if r == nil || attempt < 0 || attempt >= len(r.attempts) {
+		return
+	}
+	switch a := r.attempts[attempt]; {
+	case a.parked:
+		a.deferNotSent()
+	case a.Target != nil:
+		r.Carrier.Cancel(a)
+	}
+}
+
+// Timer returns a token to the decision module after a delay.
+func (x actions) Timer(delay balancer.Micros, token uint32) {
+	e := x.engine
+	e.After(time.Duration(delay)*time.Microsecond, func(now balancer.Micros) { e.decider.TimerFired(now, token) })
+}
+
+// Probe requests the load of an endpoint.
+func (x actions) Probe(endpoint uint32) {
+	e := x.engine
+	completed := func(now balancer.Micros, res Result) {
+		e.decider.ProbeCompleted(now, endpoint, res.Status, res.Duration.Microseconds(), res.Load)
+		e.endpoints.release(endpoint)
+		e.observeOutcome(now, endpoint, res.Status)
+	}
+	target := e.endpoints.acquire(endpoint)
+	if target == nil {
+		e.Defer(func(now balancer.Micros) { completed(now, Result{Status: balancer.NotSent}) })
+		return
+	}
+	e.options.Upstream.Probe(e.ctx, target, func(res Result) {
+		e.Post(func(now balancer.Micros) { completed(now, res) })
+	})
+}
+
+// Watch starts the watch of the source anew, from the last version on, or stops it.
+func (x actions) Watch(on bool) {
+	if on {
+		x.engine.startWatch()
+	} else {
+		x.engine.discovery.stop()
+	}
+}
+
+// Log logs an event of the decision module.
+func (x actions) Log(event string, attributes ...any) { x.engine.log.Info(event, attributes...) }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -24,8 +24,7 @@
 
 	// Owned by the engine's goroutine.
 	decider   Decider
-	requests  map[uint64]*Request
-	lastID    uint64 // of requests
+	requests  requestLedger
 	endpoints *endpointRegistry
 	discovery discovery
 	subset    *fleetSubset // nil for the complete fleet
@@ -37,7 +36,7 @@
 		eventLoop: newEventLoop(ctx, o.Clock),
 		options:   o,
 		log:       o.Log,
-		requests:  map[uint64]*Request{},
+		requests:  newRequestLedger(),
 		endpoints: newEndpointRegistry(o),
 		discovery: discovery{source: o.Source, stop: func() {}},
 		subset:    newFleetSubset(o.Subset),
@@ -47,7 +46,7 @@
 	if newDecider == nil {
 		newDecider = newBalancer
 	}
-	decider, err := newDecider(o.Settings, o.Seed, (*actions)(e))
+	decider, err := newDecider(o.Settings, o.Seed, actions{e})
 	if err != nil {
 		return nil, err
 	}
@@ -97,7 +96,7 @@
 // does.
 func (e *Engine) Tick() {
 	e.options.Upstream.Prune()
-	if e.subset != nil && e.subset.observeLoad(e.clock.Now(), len(e.requests)) {
+	if e.subset != nil && e.subset.observeLoad(e.clock.Now(), e.requests.len()) {
 		e.reselect(e.Now())
 		e.runDeferred()
 	}
@@ -129,5 +128,5 @@
 // Counts returns the number of requests in the ledger, and of endpoints that are listed or have
 // attempts or health checks pending. It must be called on the engine's goroutine.
 func (e *Engine) Counts() (requests, endpoints int) {
-	return len(e.requests), len(e.endpoints.byID)
+	return e.requests.len(), len(e.endpoints.byID)
 }
