Engine: tests by the file that they test, names say condition and result

One comparison of the subset's property, ready < min(4, ready), could not fail. The comparison that could not fail is now against the servers listed as ready. The check of New's error, which stood in each test, is one in mustNew.

--- /dev/null
+++ b/internal/engine/keylease_test.go
@@ -0,0 +1,390 @@
+package engine
+
+import (
+	"fmt"
+	"log/slog"
+	"net/http"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pinedale/balancer"
+)
+
+// scriptedLeases records lease requests, and decides when the test says so. It covers class 0.
+type scriptedLeases struct {
+	requests  []LeaseRequest
+	callbacks []func(balancer.Micros, LeaseDecision) // by request
+	released  []LeaseRequest
+}
+
+func (l *scriptedLeases) Covers(class uint8) bool { return class == 0 }
+func (l *scriptedLeases) Acquire(c LeaseRequest, decided func(balancer.Micros, LeaseDecision)) {
+	l.requests = append(l.requests, c)
+	l.callbacks = append(l.callbacks, decided)
+}
+func (l *scriptedLeases) Release(c LeaseRequest) { l.released = append(l.released, c) }
+
+// decide gives the decision on the nth request, as an event of its own.
+func (l *scriptedLeases) decide(e *Engine, n int, v LeaseDecision) {
+	e.Post(func(now balancer.Micros) { l.callbacks[n](now, v) })
+}
+
+// leaseTest is an engine with key leases on a clock of the test's. It has four servers, two in each of pods 0 and
+// 1, and one class, whose requests a pod deduplicates.
+type leaseTest struct {
+	engine *Engine
+	up     *fakeUpstream
+	leases *scriptedLeases
+	clock  *steppedClock
+}
+
+func newLeaseTest(t testingT) *leaseTest {
+	t.Helper()
+	class := balancer.Class{
+		Name:             "pay",
+		Idempotency:      balancer.IdempotentWithKey,
+		Group:            balancer.GroupCell,
+		DedupWindow:      12_000_000,
+		LatencyObjective: 600_000,
+		ClientTimeout:    3_000_000,
+		PriorityWeight:   1,
+	}
+	l := &leaseTest{up: &fakeUpstream{}, leases: &scriptedLeases{}, clock: newSteppedClock()}
+	l.engine = mustNew(t, Options{
+		Zones:     []string{"a", "b"},
+		Upstream:  l.up,
+		Clock:     l.clock,
+		KeyLeases: l.leases,
+		Log:       slog.New(slog.DiscardHandler),
+		Settings:  testSettings(2, class, balancer.Limits{Cancel: true, MaxAttempts: 3, MaxOpen: 100}),
+	})
+	l.engine.Start()
+	var list List
+	for n := range 4 {
+		list.Hosts = append(list.Hosts, podHost(n, balancer.Ready))
+	}
+	list.Complete = true
+	l.updateEndpoints(balancer.ListFull, list)
+	return l
+}
+
+// podHost returns the nth server.
+func podHost(n int, state balancer.State) Host {
+	return Host{
+		Name:    fmt.Sprint("s-", n),
+		Address: fmt.Sprintf("127.0.0.1:%d", n+1),
+		Site:    "a",
+		Cell:    uint16(n % 2),
+		State:   state,
+		Weight:  1,
+	}
+}
+
+func podGroupName(cell uint16) string { return fmt.Sprint("pod ", cell) }
+
+func (l *leaseTest) updateEndpoints(kind balancer.ListKind, list List) {
+	l.engine.Post(func(now balancer.Micros) { l.engine.UpdateEndpoints(now, kind, list) })
+}
+
+// submit submits a request with a key, and returns it with its answers.
+func (l *leaseTest) submit(key string) (*Request, *[]Response) {
+	var responses []Response
+	r := &Request{Key: key, Carrier: l.up, Respond: func(r Response) { responses = append(responses, r) }}
+	l.engine.Post(func(now balancer.Micros) {
+		l.engine.Submit(now, r, balancer.Request{Deadline: now + 3_000_000})
+	})
+	return r, &responses
+}
+
+func (l *leaseTest) disconnect(r *Request) {
+	l.engine.Post(func(now balancer.Micros) { l.engine.ClientDisconnected(now, r) })
+}
+
+// Nothing is sent before the decision on the lease, and then only what it permits.
+func TestAttemptIsSentOnlyAsLeaseDecisionPermits(t *testing.T) {
+	l := newLeaseTest(t)
+	leases := l.leases
+	_, responses := l.submit("k")
+	if len(l.up.attempts) != 0 || len(leases.requests) != 1 ||
+		leases.requests[0].Key != "k" || leases.requests[0].Term != 1 {
+		t.Fatalf("%d attempts, lease requests %+v", len(l.up.attempts), leases.requests)
+	}
+	leases.decide(l.engine, 0, LeaseDecision{Kind: LeaseExclusive})
+	if len(l.up.attempts) != 1 || podGroupName(l.up.attempts[0].Cell) != leases.requests[0].Group {
+		t.Fatalf("%d attempts", len(l.up.attempts))
+	}
+	l.up.attempts[0].PostResult(Result{Status: balancer.OK})
+	if len(*responses) != 1 || (*responses)[0].Code != http.StatusOK || len(leases.released) != 0 {
+		t.Errorf("answers %+v, released %v: the lease of what has run must stay", *responses, leases.released)
+	}
+	// Shared: another instance may have sent it. It goes to that one's pod alone, needs no further lease, and is
+	// not rejected as harmless to retry.
+	for key := range 10 {
+		attempts, requests := len(l.up.attempts), len(leases.requests)
+		_, responses = l.submit(fmt.Sprint("l", key))
+		other := "pod 0"
+		if leases.requests[requests].Group == other {
+			other = "pod 1"
+		}
+		shared := LeaseDecision{Kind: LeaseShared, Group: other, Since: l.clock.Now()}
+		leases.decide(l.engine, requests, shared)
+		for n := attempts; n < len(l.up.attempts) && n < attempts+3; n++ {
+			a := l.up.attempts[n]
+			if podGroupName(a.Cell) != other {
+				t.Fatalf("attempt %d went to pod %d", n, a.Cell)
+			}
+			a.PostResult(Result{Status: balancer.Error})
+		}
+		if len(l.up.attempts) == attempts || len(leases.requests) != requests+1 ||
+			len(*responses) != 1 || (*responses)[0].Code != http.StatusBadGateway {
+			t.Errorf("%d attempts, %d lease requests, answers %+v",
+				len(l.up.attempts)-attempts, len(leases.requests)-requests, *responses)
+		}
+	}
+	// Denied.
+	attempts := len(l.up.attempts)
+	_, responses = l.submit("m")
+	leases.decide(l.engine, len(leases.requests)-1, LeaseDecision{Kind: LeaseDenied})
+	if len(l.up.attempts) != attempts || len(*responses) != 1 ||
+		(*responses)[0].Code != http.StatusBadGateway || len(leases.released) != 1 {
+		t.Errorf("%d further attempts, answers %+v, released %v",
+			len(l.up.attempts)-attempts, *responses, leases.released)
+	}
+}
+
+func TestParkedAttemptIsNotSentToServerThatDrains(t *testing.T) {
+	l := newLeaseTest(t)
+	l.submit("k")
+	var list List
+	for n := range 4 {
+		h := Host{Name: fmt.Sprint("s-", n), Cell: uint16(n % 2), Site: "a", State: balancer.Draining}
+		list.Hosts = append(list.Hosts, h)
+	}
+	l.updateEndpoints(balancer.ListDelta, list)
+	l.leases.decide(l.engine, 0, LeaseDecision{Kind: LeaseExclusive})
+	if len(l.up.attempts) != 0 {
+		t.Error("it was sent to a server that drains")
+	}
+}
+
+func TestParkedAttemptIsNotSentAfterClientDisconnected(t *testing.T) {
+	l := newLeaseTest(t)
+	r, responses := l.submit("k")
+	l.disconnect(r)
+	l.leases.decide(l.engine, 0, LeaseDecision{Kind: LeaseExclusive})
+	if len(l.up.attempts) != 0 || len(*responses) != 0 || len(l.leases.released) != 1 {
+		t.Errorf("%d attempts, answers %v, released %v", len(l.up.attempts), *responses, l.leases.released)
+	}
+	if n, _ := l.engine.Counts(); n != 0 {
+		t.Errorf("%d requests in the ledger", n)
+	}
+}
+
+// leaseModel plays random events against an engine with key leases, and checks after each what was sent and
+// released.
+type leaseModel struct {
+	*leaseTest
+	submitted  []submittedRequest
+	granted    map[string]map[string]bool // groups granted, by key
+	mayHaveRun map[string]bool            // by key
+	sent       map[string]int             // attempts, by key
+	decided    map[int]bool               // by index of the lease request
+	completed  map[int]bool               // by index of the attempt
+	checked    int                        // attempts checked so far
+}
+
+type submittedRequest struct {
+	request      *Request
+	responses    *[]Response
+	key          string
+	disconnected bool // before there was an answer
+}
+
+func newLeaseModel(t *rapid.T) *leaseModel {
+	return &leaseModel{
+		leaseTest:  newLeaseTest(t),
+		granted:    map[string]map[string]bool{},
+		mayHaveRun: map[string]bool{},
+		sent:       map[string]int{},
+		decided:    map[int]bool{},
+		completed:  map[int]bool{},
+	}
+}
+
+// step plays one random event.
+func (m *leaseModel) step(t *rapid.T) {
+	switch rapid.SampledFrom([]string{
+		"submit", "submit", "decide", "decide", "decide", "complete", "complete", "disconnect", "time", "list",
+	}).Draw(t, "step") {
+	case "submit":
+		key := fmt.Sprint("k", len(m.submitted))
+		r, responses := m.submit(key)
+		m.submitted = append(m.submitted, submittedRequest{r, responses, key, false})
+	case "decide":
+		m.decideOne(t)
+	case "complete":
+		m.completeOne(t)
+	case "disconnect":
+		if len(m.submitted) > 0 {
+			s := &m.submitted[rapid.IntRange(0, len(m.submitted)-1).Draw(t, "which")]
+			s.disconnected = s.disconnected || len(*s.responses) == 0
+			m.disconnect(s.request)
+		}
+	case "time":
+		// Timers that are called too early are allowed: the decision module looks at the time.
+		m.clock.advance(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond)
+	case "list":
+		n := rapid.IntRange(0, 3).Draw(t, "server")
+		state := rapid.SampledFrom([]balancer.State{balancer.Ready, balancer.Draining}).Draw(t, "state")
+		m.updateEndpoints(balancer.ListDelta, List{Hosts: []Host{podHost(n, state)}})
+	}
+}
+
+// decideOne decides on one of the pending lease requests.
+func (m *leaseModel) decideOne(t *rapid.T) {
+	for n, c := range m.leases.requests {
+		if m.decided[n] || !rapid.Bool().Draw(t, "this") {
+			continue
+		}
+		m.decided[n] = true
+		kinds := []LeaseOutcome{LeaseExclusive, LeaseExclusive, LeaseShared, LeaseDenied}
+		v := LeaseDecision{Kind: rapid.SampledFrom(kinds).Draw(t, "verdict"), Since: m.clock.now}
+		group := c.Group
+		if v.Kind == LeaseShared {
+			v.Group = rapid.SampledFrom([]string{"pod 0", "pod 1", "pod 7", "what?"}).Draw(t, "pod")
+			group = v.Group
+		}
+		if v.Kind != LeaseDenied {
+			m.granted[c.Key] = map[string]bool{group: true} // a later term revokes the earlier
+		}
+		m.leases.decide(m.engine, n, v)
+		return
+	}
+}
+
+// completeOne completes one of the pending attempts.
+func (m *leaseModel) completeOne(t *rapid.T) {
+	for n, a := range m.up.attempts {
+		if m.completed[n] || !rapid.Bool().Draw(t, "this") {
+			continue
+		}
+		m.completed[n] = true
+		status := rapid.SampledFrom([]balancer.Status{
+			balancer.OK, balancer.Error, balancer.Full, balancer.ConnectFailed, balancer.Reset,
+		}).Draw(t, "status")
+		if status != balancer.Full && status != balancer.ConnectFailed {
+			m.mayHaveRun[a.request.Key] = true
+		}
+		a.PostResult(Result{Status: status})
+		return
+	}
+}
+
+// check checks the attempts sent since the last check, and the released leases.
+func (m *leaseModel) check(t *rapid.T) {
+	for ; m.checked < len(m.up.attempts); m.checked++ {
+		a := m.up.attempts[m.checked]
+		key, group := a.request.Key, podGroupName(a.Cell)
+		m.sent[key]++
+		if m.sent[key] > 3 {
+			t.Fatalf("%s was sent %d times, of three that the limits permit", key, m.sent[key])
+		}
+		if !m.granted[key][group] {
+			t.Fatalf("%s was sent to %s, granted: %v", key, group, m.granted[key])
+		}
+	}
+	for _, c := range m.leases.released {
+		if m.mayHaveRun[c.Key] {
+			t.Fatalf("%s may have run, and was released", c.Key)
+		}
+	}
+}
+
+// finish lets all time pass, and then completes what is pending.
+func (m *leaseModel) finish() {
+	for range 200 {
+		m.clock.advance(time.Second)
+	}
+	for n := range m.up.attempts {
+		if !m.completed[n] {
+			m.mayHaveRun[m.up.attempts[n].request.Key] = true
+			m.up.attempts[n].PostResult(Result{Status: balancer.Cancelled})
+		}
+	}
+	for n := range m.leases.requests {
+		if !m.decided[n] {
+			m.leases.decide(m.engine, n, LeaseDecision{Kind: LeaseExclusive}) // far too late
+		}
+	}
+}
+
+// checkEnd checks the answers and leases after finish.
+func (m *leaseModel) checkEnd(t *rapid.T) {
+	requested, released := map[string]bool{}, map[string]bool{}
+	for _, c := range m.leases.requests {
+		requested[c.Key] = true
+	}
+	for _, c := range m.leases.released {
+		released[c.Key] = true
+	}
+	for _, s := range m.submitted {
+		if n := len(*s.responses); n > 1 || n == 0 != s.disconnected {
+			t.Fatalf("%s has %d answers, its client has disconnected: %v", s.key, n, s.disconnected)
+		}
+		if requested[s.key] && !m.mayHaveRun[s.key] && !released[s.key] {
+			t.Fatalf("%s cannot have run, and its lease is not released", s.key)
+		}
+	}
+	if n, _ := m.engine.Counts(); n != 0 {
+		t.Fatalf("%d requests are left in the ledger", n)
+	}
+}
+
+// Whatever decisions, results, disconnects and losses of servers come, in any order: each request has one final
+// answer, at its deadline at the latest; nothing is sent without a granted lease for its pod; the lease of what
+// cannot have run is released, that of what may have run is not; and the ledger is empty at the end.
+func TestLeasedRequestsKeepInvariantsUnderRandomEvents(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newLeaseModel(t)
+		for range rapid.IntRange(1, 50).Draw(t, "steps") {
+			m.step(t)
+			m.check(t)
+		}
+		m.finish()
+		m.check(t)
+		m.checkEnd(t)
+	})
+}
+
+// The group that one instance names is where another sends the request.
+func TestLeaseGroupLocationInvertsLeaseGroup(t *testing.T) {
+	e := newLeaseTest(t).engine
+	for _, c := range []struct {
+		group    balancer.Group
+		zone     uint8
+		cell     uint16
+		name     string
+		wantZone uint8
+		wantCell uint16
+	}{
+		{balancer.GroupZone, 1, 7, "site b", 1, 0},
+		{balancer.GroupZone, unknownName, 7, "site", unknownName, 0},
+		{balancer.GroupCell, 1, 7, "pod 7", 0, 7},
+		{balancer.GroupAll, 1, 7, "", 0, 0},
+	} {
+		name := e.leaseGroup(&balancer.Class{Group: c.group}, c.zone, c.cell)
+		if name != c.name {
+			t.Errorf("group %v of zone %d, cell %d: %q, want %q", c.group, c.zone, c.cell, name, c.name)
+		}
+		if zone, cell := e.leaseGroupLocation(name); zone != c.wantZone || cell != c.wantCell {
+			t.Errorf("%q: zone %d, cell %d, want %d, %d", name, zone, cell, c.wantZone, c.wantCell)
+		}
+	}
+	for _, name := range []string{"site nowhere", "pod x", "pod 65536"} {
+		if zone, _ := e.leaseGroupLocation(name); zone != unknownName {
+			t.Errorf("%q: zone %d, want %d", name, zone, unknownName)
+		}
+	}
+}
--- /dev/null
+++ b/internal/engine/registry_test.go
@@ -0,0 +1,185 @@
+package engine
+
+import (
+	"fmt"
+	"hash/fnv"
+	"log/slog"
+	"slices"
+	"testing"
+	"time"
+
+	"pinedale/balancer"
+)
+
+// newTestEngine returns an engine that the test's goroutine owns: Run is not called.
+func newTestEngine(t *testing.T) (*Engine, *fakeUpstream, *recordingDecider) {
+	t.Helper()
+	class := balancer.Class{
+		Name:             "pay",
+		Idempotency:      balancer.IdempotentWithKey,
+		DedupWindow:      5_000_000,
+		LatencyObjective: 600_000,
+		ClientTimeout:    3_000_000,
+		PriorityWeight:   1,
+	}
+	settings := testSettings(2, class, balancer.Limits{Cancel: true, MaxAttempts: 3, MaxOpen: 1000})
+	settings.Kinds = 1
+	up, decider := &fakeUpstream{}, &recordingDecider{}
+	e := mustNew(t, Options{
+		Zones:       []string{"a", "b"},
+		Kinds:       []string{"m1"},
+		Upstream:    up,
+		Source:      up,
+		Log:         slog.New(slog.DiscardHandler),
+		Settings:    settings,
+		WrapDecider: func(d Decider) Decider { decider.Decider = d; return decider },
+	})
+	e.decider.Start(e.Now())
+	return e, up, decider
+}
+
+func stableID(name string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	return h.Sum64()
+}
+
+// What a source lists reaches the decider, an endpoint keeps its id across lists, and one that has restarted has
+// a new target.
+func TestEndpointKeepsIDAndRestartReplacesTarget(t *testing.T) {
+	e, up, decider := newTestEngine(t)
+	e.UpdateEndpoints(e.Now(), balancer.ListFull, snapshot(readyHost("s-1", "127.0.0.1:1")))
+	before := e.endpoints.byID[1].target
+	startedMS := time.Now().UnixMilli() - 500
+	restarted := readyHost("s-1", "127.0.0.1:1")
+	restarted.StartedMS = startedMS
+	unlistedSite := Host{
+		Name:    "s-9",
+		Address: "127.0.0.1:1",
+		Site:    "nowhere",
+		Kind:    "odd",
+		Cell:    4,
+		State:   balancer.Draining,
+	}
+	e.UpdateEndpoints(e.Now(), balancer.ListDelta, List{Version: 2, Hosts: []Host{restarted, unlistedSite}})
+	want := []balancer.Endpoint{
+		{ID: 1, Zone: 0, Kind: 0, State: balancer.Ready, Weight: 1, StartTime: startedMS * 1000},
+		{ID: 2, Zone: unknownName, Kind: unknownName, Cell: 4, State: balancer.Draining},
+	}
+	// The same at every instance, whatever id it gives the endpoint.
+	want[0].StableID, want[1].StableID = stableID("s-1"), stableID("s-9")
+	if !slices.Equal(decider.entries, want) {
+		t.Errorf("entries %+v, want %+v", decider.entries, want)
+	}
+	after := e.endpoints.byID[1].target
+	if before == after || !before.Closed() || after.Closed() || !slices.Equal(up.retired, []*Target{before}) {
+		t.Error("the endpoint that restarted kept its old target")
+	}
+	startTime, now := decider.entries[0].StartTime, e.Now()
+	if startTime > now || now-startTime > time.Minute.Microseconds() {
+		t.Errorf("started at %d by a clock that shows %d", startTime, now)
+	}
+	if e.EndpointAt("127.0.0.1:1") != 1 || e.EndpointAt("127.0.0.1:2") != 0 || !e.HasEndpoints() {
+		t.Error("the ready endpoint is not found, or another is")
+	}
+}
+
+// Endpoints come and go all day under new names. One that is removed is forgotten once nothing is pending there;
+// its id is not reused, so that a late outcome does not count for another endpoint.
+func TestRemovedEndpointIsForgottenOnceNothingIsPending(t *testing.T) {
+	e, up, _ := newTestEngine(t)
+	list := func(complete bool, hosts ...Host) {
+		kind := balancer.ListDelta
+		if complete {
+			kind = balancer.ListFull
+		}
+		e.UpdateEndpoints(e.Now(), kind, List{Complete: complete, Hosts: hosts})
+	}
+	list(true, readyHost("s-1", "127.0.0.1:1"))
+	response := submit(e, up)
+	for i := range 50 {
+		list(true, readyHost(fmt.Sprintf("t-%d", i), "127.0.0.1:2"))
+	}
+	removed := readyHost("t-49", "")
+	removed.State = balancer.Removed
+	list(false, removed)
+	list(false, removed)
+	requests, endpoints := e.Counts()
+	if requests != 1 || endpoints != 1 || len(e.endpoints.idByName) != 1 || e.endpoints.byID[1] == nil {
+		t.Errorf("%d requests, %d endpoints and %d names, want the one with an attempt pending",
+			requests, endpoints, len(e.endpoints.idByName))
+	}
+	up.attempts[0].Complete(e.Now(), Result{Status: balancer.OK})
+	if response.Code != 200 {
+		t.Errorf("the request in flight: %+v", response)
+	}
+	if requests, endpoints := e.Counts(); requests != 0 || endpoints != 0 || len(e.endpoints.idByName) != 0 {
+		t.Errorf("%d requests, %d endpoints and %d names, want none", requests, endpoints, len(e.endpoints.idByName))
+	}
+	list(true, readyHost("s-1", "127.0.0.1:1"))
+	if id := e.endpoints.idByName["s-1"]; id != 52 {
+		t.Errorf("the endpoint that is back has id %d, want a new one, 52", id)
+	}
+}
+
+// An endpoint that others know to drain counts as draining while the source lists that very incarnation as ready:
+// nothing new goes there, pending attempts continue, and a new incarnation or the end of the advice reverts it.
+func TestAdvisedDrainingHoldsForListedIncarnationOnly(t *testing.T) {
+	e, up, decider := newTestEngine(t)
+	list := snapshot(readyHost("s-1", "127.0.0.1:1"), readyHost("s-2", "127.0.0.1:2"))
+	e.UpdateEndpoints(e.Now(), balancer.ListFull, list)
+	first := e.endpoints.byID[1].target
+	e.SetAdvisedDraining(e.Now(), map[string]int64{"s-1": 0, "s-2": 7, "s-9": 0})
+	if !first.Closed() || e.endpoints.byID[1].target != nil || !slices.Contains(up.retired, first) {
+		t.Error("an endpoint that is advised to drain is still sent to")
+	}
+	if e.endpoints.byID[2].target == nil {
+		t.Error("advice on another incarnation counts")
+	}
+	want := []balancer.Endpoint{
+		{ID: 1, StableID: decider.entries[0].StableID, State: balancer.Draining, Weight: 1},
+	}
+	if !slices.Equal(decider.entries, want) {
+		t.Errorf("entries %+v, want %+v", decider.entries, want)
+	}
+	decider.entries = nil
+	e.SetAdvisedDraining(e.Now(), map[string]int64{"s-1": 0})
+	if decider.entries != nil {
+		t.Errorf("unchanged advice gives entries %+v", decider.entries)
+	}
+	e.UpdateEndpoints(e.Now(), balancer.ListFull, list) // the source does not know yet
+	if e.endpoints.byID[1].target != nil {
+		t.Error("an outdated list overrides the advice")
+	}
+	list.Hosts[0].StartedMS = 5
+	e.UpdateEndpoints(e.Now(), balancer.ListFull, list)
+	if e.endpoints.byID[1].target == nil {
+		t.Error("advice on the incarnation before counts for one that has started anew")
+	}
+	list.Hosts[0].StartedMS = 0
+	e.UpdateEndpoints(e.Now(), balancer.ListFull, list)
+	e.SetAdvisedDraining(e.Now(), nil)
+	if e.endpoints.byID[1].target == nil || decider.entries[0].State != balancer.Ready {
+		t.Error("advice that has ended still counts")
+	}
+}
+
+// The time that advice takes on the engine's goroutine, with a large fleet.
+func BenchmarkAdvise(b *testing.B) {
+	up := &fakeUpstream{}
+	e := mustNew(b, Options{
+		Zones:    []string{"a"},
+		Upstream: up,
+		Source:   up,
+		Log:      slog.New(slog.DiscardHandler),
+		Settings: testSettings(1, readClass, balancer.Limits{MaxAttempts: 3, MaxOpen: 1000}),
+	})
+	advised := map[string]int64{}
+	for n := range 48 {
+		advised[fmt.Sprint("s-", n)] = 0
+	}
+	e.UpdateEndpoints(e.Now(), balancer.ListFull, snapshot(numberedHosts(10_000)...))
+	for n := 0; b.Loop(); n++ {
+		e.SetAdvisedDraining(e.Now(), []map[string]int64{advised, nil}[n%2])
+	}
+}
--- a/internal/engine/subset_test.go
+++ b/internal/engine/subset_test.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"context"
 	"fmt"
 	"log/slog"
 	"slices"
@@ -14,140 +13,163 @@
 	"pinedale/internal/subset"
 )
 
-// view is what the balancer has been told of endpoints.
-type view struct {
+// readyDecider keeps the endpoints that the decider knows as ready.
+type readyDecider struct {
 	Decider
 	ready map[uint32]bool
-	e     *Engine
 }
 
-func (v *view) UpdateEndpoints(now balancer.Micros, kind balancer.ListKind, entries []balancer.Endpoint) {
+func (d *readyDecider) UpdateEndpoints(now balancer.Micros, kind balancer.ListKind, entries []balancer.Endpoint) {
 	if kind == balancer.ListFull || kind == balancer.ListCached {
-		clear(v.ready)
+		clear(d.ready)
 	}
-	for _, x := range entries {
-		if v.ready[x.ID] = x.State == balancer.Ready; !v.ready[x.ID] {
-			delete(v.ready, x.ID)
+	for _, entry := range entries {
+		if entry.State == balancer.Ready {
+			d.ready[entry.ID] = true
+		} else {
+			delete(d.ready, entry.ID)
 		}
 	}
-	v.Decider.UpdateEndpoints(now, kind, entries)
+	d.Decider.UpdateEndpoints(now, kind, entries)
 }
 
-// Whatever lists tell and however servers fare: the balancer knows as ready the servers that are held and no
-// others, each at the address where it was last listed, and what is let go is closed.
-func TestSubsetOfAFleet(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		ctx, stop := context.WithCancel(context.Background())
-		defer stop()
-		held, err := subset.New(subset.Config{Instance: "one", Site: "a", Floor: 4, Spread: 1})
-		if err != nil {
-			t.Fatal(err)
+// subsetModel plays random lists, outcomes and loads against an engine that uses a subset of its fleet.
+type subsetModel struct {
+	engine   *Engine
+	up       *fakeUpstream
+	selector *subset.Subset
+	decider  *readyDecider
+	listed   map[string]Host
+}
+
+func newSubsetModel(t *rapid.T) *subsetModel {
+	selector, err := subset.New(subset.Config{Instance: "one", Site: "a", Floor: 4, Spread: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := &subsetModel{
+		up:       &fakeUpstream{},
+		selector: selector,
+		decider:  &readyDecider{ready: map[uint32]bool{}},
+		listed:   map[string]Host{},
+	}
+	m.engine = mustNew(t, Options{
+		Zones:       []string{"a", "b"},
+		Upstream:    m.up,
+		Source:      m.up,
+		Subset:      selector,
+		Log:         slog.New(slog.DiscardHandler),
+		WrapDecider: func(d Decider) Decider { m.decider.Decider = d; return m.decider },
+		Settings:    testSettings(2, readClass, balancer.Limits{Cancel: true, MaxAttempts: 3, MaxOpen: 1000}),
+	})
+	m.engine.decider.Start(m.engine.Now())
+	return m
+}
+
+// drawHost returns one of 15 servers, at one of its two addresses, in one of some states.
+func drawHost(t *rapid.T, states ...balancer.State) Host {
+	state := rapid.SampledFrom(states).Draw(t, "state")
+	n := rapid.IntRange(0, 14).Draw(t, "server")
+	port := 100 + n + 100*rapid.IntRange(0, 1).Draw(t, "moved")
+	return Host{
+		Name:    fmt.Sprint("s-", n),
+		Address: fmt.Sprintf("127.0.0.1:%d", port),
+		Site:    string(rune('a' + n%2)),
+		State:   state,
+		Weight:  1,
+	}
+}
+
+// step plays one random event.
+func (m *subsetModel) step(t *rapid.T) {
+	e := m.engine
+	switch rapid.SampledFrom([]string{"delta", "delta", "full", "failed", "outcome", "load"}).Draw(t, "step") {
+	case "delta":
+		h := drawHost(t, balancer.Ready, balancer.Ready, balancer.Ready, balancer.Draining, balancer.Removed)
+		m.listed[h.Name] = h
+		e.UpdateEndpoints(e.Now(), balancer.ListDelta, List{Hosts: []Host{h}})
+	case "full":
+		clear(m.listed)
+		for range rapid.IntRange(0, 14).Draw(t, "hosts") {
+			h := drawHost(t, balancer.Ready, balancer.Ready, balancer.Draining)
+			m.listed[h.Name] = h
 		}
-		up, v := &plainUpstream{}, &view{ready: map[uint32]bool{}}
-		e, err := New(ctx, Options{Zones: []string{"a", "b"}, Upstream: up, Source: up, Subset: held, Log: slog.New(slog.DiscardHandler),
-			WrapDecider: func(d Decider) Decider { v.Decider = d; return v },
-			Settings: balancer.Settings{Balancers: 1, Zones: 2, Classes: []balancer.Class{{Name: "read", LatencyObjective: 600_000, ClientTimeout: 3_000_000, PriorityWeight: 1}},
-				Limits: balancer.Limits{Cancel: true, MaxAttempts: 3, MaxOpen: 1000}, Contract: balancer.Contract{SlowStartRatio: 0.3, OverloadMultiple: 2.5}}})
-		if err != nil {
-			t.Fatal(err)
+		e.UpdateEndpoints(e.Now(), balancer.ListFull, List{Hosts: m.sortedHosts()})
+	case "failed":
+		e.UpdateEndpoints(e.Now(), balancer.ListFailed, List{})
+	case "outcome":
+		if len(e.endpoints.byID) > 0 {
+			id := uint32(rapid.IntRange(1, int(e.endpoints.lastID)).Draw(t, "endpoint"))
+			statuses := []balancer.Status{balancer.OK, balancer.Timeout, balancer.Timeout}
+			e.observeOutcome(e.Now(), id, rapid.SampledFrom(statuses).Draw(t, "status"))
 		}
-		e.decider.Start(e.Now())
-		listed := map[string]Host{}
-		host := func(state balancer.State) Host {
-			n := rapid.IntRange(0, 14).Draw(t, "server")
-			return Host{Name: fmt.Sprint("s-", n), Address: fmt.Sprintf("127.0.0.1:%d", 100+n+100*rapid.IntRange(0, 1).Draw(t, "moved")),
-				Site: string(rune('a' + n%2)), State: state, Weight: 1}
+	case "load":
+		e.subset.meanInFlight = rapid.Float64Range(0, 20).Draw(t, "inflight")
+		e.Tick()
+	}
+}
+
+// sortedHosts returns the listed hosts in an order that does not depend on that of the map.
+func (m *subsetModel) sortedHosts() []Host {
+	var hosts []Host
+	for _, h := range m.listed {
+		hosts = append(hosts, h)
+	}
+	key := func(h Host) int { return len(h.Name)*1000 + int(h.Name[len(h.Name)-1]) }
+	slices.SortFunc(hosts, func(a, b Host) int { return key(a) - key(b) })
+	return hosts
+}
+
+// check checks that the decider knows the selected servers as ready, and no others.
+func (m *subsetModel) check(t *rapid.T) {
+	ready, listedReady := 0, 0
+	for name, h := range m.listed {
+		id := m.engine.endpoints.idByName[name]
+		if h.State == balancer.Ready {
+			listedReady++
 		}
-		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			switch rapid.SampledFrom([]string{"delta", "delta", "full", "failed", "outcome", "load"}).Draw(t, "step") {
-			case "delta":
-				h := host(rapid.SampledFrom([]balancer.State{balancer.Ready, balancer.Ready, balancer.Ready, balancer.Draining, balancer.Removed}).Draw(t, "state"))
-				listed[h.Name] = h
-				e.UpdateEndpoints(e.Now(), balancer.ListDelta, List{Hosts: []Host{h}})
-			case "full":
-				clear(listed)
-				for range rapid.IntRange(0, 14).Draw(t, "hosts") {
-					h := host(rapid.SampledFrom([]balancer.State{balancer.Ready, balancer.Ready, balancer.Draining}).Draw(t, "state"))
-					listed[h.Name] = h
-				}
-				var list List
-				for _, h := range listed {
-					list.Hosts = append(list.Hosts, h)
-				}
-				slices.SortFunc(list.Hosts, func(a, b Host) int {
-					return len(a.Name)*1000 + int(a.Name[len(a.Name)-1]) - len(b.Name)*1000 - int(b.Name[len(b.Name)-1])
-				})
-				e.UpdateEndpoints(e.Now(), balancer.ListFull, list)
-			case "failed":
-				e.UpdateEndpoints(e.Now(), balancer.ListFailed, List{})
-			case "outcome":
-				if len(e.endpoints.byID) > 0 {
-					e.observeOutcome(e.Now(), uint32(rapid.IntRange(1, int(e.endpoints.lastID)).Draw(t, "endpoint")), rapid.SampledFrom([]balancer.Status{balancer.OK, balancer.Timeout, balancer.Timeout}).Draw(t, "status"))
-				}
-			case "load":
-				e.subset.meanInFlight = rapid.Float64Range(0, 20).Draw(t, "inflight")
-				e.Tick()
-			}
-			ready := 0
-			for name, h := range listed {
-				id := e.endpoints.idByName[name]
-				if h.State == balancer.Ready && held.Contains(name) {
-					ready++
-					if m := e.endpoints.byID[id]; m == nil || m.target == nil || m.target.Address != h.Address || !v.ready[id] {
-						t.Fatalf("%s is held, and the balancer does not know it at %s", name, h.Address)
-					}
-				} else if v.ready[id] {
-					t.Fatalf("%s is not held, and the balancer knows it", name)
-				}
-			}
-			if ready != len(v.ready) || ready < min(4, ready) {
-				t.Fatalf("%d are held, the balancer knows %d", ready, len(v.ready))
-			}
-			for _, target := range up.retired {
-				if !target.Closed() {
-					t.Fatal("a server that is let go is open")
-				}
+		if h.State == balancer.Ready && m.selector.Contains(name) {
+			ready++
+			ep := m.engine.endpoints.byID[id]
+			if ep == nil || ep.target == nil || ep.target.Address != h.Address || !m.decider.ready[id] {
+				t.Fatalf("%s is selected, and the decider does not know it at %s", name, h.Address)
 			}
+		} else if m.decider.ready[id] {
+			t.Fatalf("%s is not selected, and the decider knows it", name)
+		}
+	}
+	if ready != len(m.decider.ready) || ready < min(4, listedReady) {
+		t.Fatalf("%d of %d are selected, the decider knows %d", ready, listedReady, len(m.decider.ready))
+	}
+	for _, target := range m.up.retired {
+		if !target.Closed() {
+			t.Fatal("a target that is retired is open")
+		}
+	}
+}
+
+// Whatever is listed and however servers fare: the decider knows the selected servers as ready and no others, each
+// at the address where it was last listed, and targets that are not used any more are closed.
+func TestDeciderKnowsExactlyTheSelectedServers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newSubsetModel(t)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			m.step(t)
+			m.check(t)
 		}
 	})
 }
 
-// What a whole engine does with a request where it holds 20 servers of fleets of any size, and where it holds them all.
+// What an engine does with a request where it uses 20 servers of fleets of any size, and where it uses all.
 func BenchmarkRequest(b *testing.B) {
-	for _, narrow := range []bool{true, false} {
+	for _, useSubset := range []bool{true, false} {
 		for _, n := range []int{10, 100, 1000, 10_000} {
-			b.Run(fmt.Sprintf("subset=%t/servers=%d", narrow, n), func(b *testing.B) {
-				ctx, stop := context.WithCancel(context.Background())
-				defer stop()
-				up := &plainUpstream{}
-				o := Options{Zones: []string{"a", "b"}, Upstream: up, Source: up, Log: slog.New(slog.DiscardHandler),
-					Settings: balancer.Settings{Balancers: 1, Zones: 2, Classes: []balancer.Class{{Name: "read", LatencyObjective: 600_000, ClientTimeout: 3_000_000, PriorityWeight: 1}},
-						Limits: balancer.Limits{Cancel: true, Probes: true, MaxAttempts: 3, MaxOpen: 1000}, Contract: balancer.Contract{SlowStartRatio: 0.3, OverloadMultiple: 2.5},
-						Fields: []balancer.Field{balancer.FieldQueue}}}
-				if narrow {
-					s, err := subset.New(subset.Config{Instance: "one", Site: "a", Floor: 20, Spread: 2})
-					if err != nil {
-						b.Fatal(err)
-					}
-					o.Subset = s
-				}
-				e, err := New(ctx, o)
-				if err != nil {
-					b.Fatal(err)
-				}
-				e.decider.Start(e.Now())
-				list := List{Complete: true}
-				for i := range n {
-					list.Hosts = append(list.Hosts, Host{Name: fmt.Sprint("s-", i), Address: fmt.Sprint("127.0.0.1:", 1000+i), Site: string(rune('a' + i%2)), Weight: 1})
-				}
-				e.UpdateEndpoints(e.Now(), balancer.ListFull, list)
-				for id := range e.endpoints.byID { // all freshly probed
-					e.decider.ProbeCompleted(e.Now(), id, balancer.OK, 500, []float32{0})
-				}
+			b.Run(fmt.Sprintf("subset=%t/servers=%d", useSubset, n), func(b *testing.B) {
+				e, up := newBenchmarkEngine(b, useSubset, n)
 				b.ResetTimer()
 				for range b.N {
 					up.attempts = up.attempts[:0]
-					take(e, up)
+					submit(e, up)
 					for _, a := range up.attempts {
 						a.Complete(e.Now(), Result{Status: balancer.OK})
 					}
@@ -156,3 +178,41 @@
 		}
 	}
 }
+
+// newBenchmarkEngine returns an engine that knows n servers and the load of each.
+func newBenchmarkEngine(b *testing.B, useSubset bool, n int) (*Engine, *fakeUpstream) {
+	up := &fakeUpstream{}
+	limits := balancer.Limits{Cancel: true, Probes: true, MaxAttempts: 3, MaxOpen: 1000}
+	settings := testSettings(2, readClass, limits)
+	settings.Fields = []balancer.Field{balancer.FieldQueue}
+	o := Options{
+		Zones:    []string{"a", "b"},
+		Upstream: up,
+		Source:   up,
+		Log:      slog.New(slog.DiscardHandler),
+		Settings: settings,
+	}
+	if useSubset {
+		selector, err := subset.New(subset.Config{Instance: "one", Site: "a", Floor: 20, Spread: 2})
+		if err != nil {
+			b.Fatal(err)
+		}
+		o.Subset = selector
+	}
+	e := mustNew(b, o)
+	e.decider.Start(e.Now())
+	list := List{Complete: true}
+	for i := range n {
+		list.Hosts = append(list.Hosts, Host{
+			Name:    fmt.Sprint("s-", i),
+			Address: fmt.Sprint("127.0.0.1:", 1000+i),
+			Site:    string(rune('a' + i%2)),
+			Weight:  1,
+		})
+	}
+	e.UpdateEndpoints(e.Now(), balancer.ListFull, list)
+	for id := range e.endpoints.byID { // all freshly probed
+		e.decider.ProbeCompleted(e.Now(), id, balancer.OK, 500, []float32{0})
+	}
+	return e, up
+}
