--- a/internal/membership/ephemeral/reader.go
+++ b/internal/membership/ephemeral/reader.go
@@ -123,8 +123,8 @@
 	return 0
 }
 
-// readFailed has what could not be read read again, after the delay that it returns. It
-// logs the failure, unless the connection has ended, which is an event of its own.
+// readFailed requeues what could not be read, and returns the delay until the next attempt.
+// It logs the failure, unless the connection has ended, which is an event of its own.
 func (r *reader) readFailed(err error, nodes map[string]zk.EventType, directory bool) time.Duration {
 	if !zkconn.IsDisconnect(err) {
 		r.opts.Log.Warn("ephemeral directory read failed", "path", r.opts.Path, "err", err, "retry_delay", readRetryDelay)
--- a/internal/membership/multisource/feeder.go
+++ b/internal/membership/multisource/feeder.go
@@ -26,7 +26,7 @@
 	defer f.Source.Close()
 	retry := backoff.New(initialRetryDelay, maxRetryDelay)
 	for ctx.Err() == nil {
-		// A nil version asks for a complete list: only that shows what was missed.
+		// A nil version requests a complete list: only that shows what was missed.
 		_, err := f.Source.Watch(ctx, nil, func(kind balancer.ListKind, list engine.List) {
 			if kind == balancer.ListFailed {
 				return // reported below, with its reason
--- a/internal/membership/multisource/source_test.go
+++ b/internal/membership/multisource/source_test.go
@@ -27,7 +27,7 @@
 	"pinedale/internal/standin/wait"
 )
 
-// sessionTimeout is short, so that silence is noticed soon.
+// sessionTimeout is short, so that an outage is noticed soon.
 const sessionTimeout = 600 * time.Millisecond
 
 // harness runs a source and applies its lists as the engine does.
--- a/internal/membership/reconcile/decide.go
+++ b/internal/membership/reconcile/decide.go
@@ -28,7 +28,7 @@
 	endKind Kind
 }
 
-// recheck has the decision made again at a time that is to come.
+// recheck schedules the decision to be made again at a time in the future.
 func (v *endpointView) recheck(at time.Duration) {
 	if at > v.now {
 		v.recheckAt = earliest(v.recheckAt, at)
--- a/internal/membership/reconcile/doc.go
+++ b/internal/membership/reconcile/doc.go
@@ -44,5 +44,6 @@
 //	                                                      discovery's, then the list's
 //	a burst of changes                                  one list each minListInterval       List
 //
-// docs/design/ephemeral-nodes.md gives the reasons.
+// MaxShrinkRatio, HoldTime and MaxDiscoveryLag are the operator's settings shrink_most,
+// hold and lag. docs/design/ephemeral-nodes.md gives the reasons for the rules.
 package reconcile
--- a/internal/membership/reconcile/reconciler.go
+++ b/internal/membership/reconcile/reconciler.go
@@ -149,7 +149,7 @@
 	r.dirty[name] = true
 }
 
-// recheckPending has all endpoints decided anew that wait for a source's next report.
+// recheckPending marks all endpoints dirty that wait for a source's next report.
 func (r *Reconciler) recheckPending() {
 	for name := range r.pending {
 		r.dirty[name] = true
@@ -191,7 +191,7 @@
 	return list, true
 }
 
-// refresh decides an endpoint anew, and returns its entry for the next list if that has
+// refresh decides on an endpoint again, and returns its entry for the next list if that has
 // changed.
 func (r *Reconciler) refresh(now time.Duration, name string) (host engine.Host, changed bool) {
 	d := r.decide(now, name)
--- a/internal/membership/register/register_test.go
+++ b/internal/membership/register/register_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-zookeeper/zk"
 	"go.uber.org/goleak"
 
 	"pinedale/internal/membership/ephemeral"
@@ -89,6 +90,32 @@
 	wait.Until(t, "the node after an outage", exists)
 }
 
+// The node holds the data as package ephemeral encodes it, byte for byte.
+func TestNodeHoldsEncodedData(t *testing.T) {
+	service := startService(t)
+	o := options(service)
+	o.Data.Kind, o.Data.Block, o.Data.Share = "box", 7, 2.5
+	registrar := startRegistrar(t, o)
+	wait.Until(t, "the node", registrar.Registered)
+	conn, events, err := zk.Connect(service.Addresses(), time.Second, zk.WithLogInfo(false))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() {
+		conn.Close()
+		for range events { // until the library's goroutines have ended
+		}
+	}()
+	content, _, err := conn.Get(nodePath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := `{"address":"127.0.0.1:9101","site":"a","kind":"box","block":7,"share":2.5,"started_ms":1000}`
+	if string(content) != want {
+		t.Errorf("the node holds %s, want %s", content, want)
+	}
+}
+
 // A restarted server replaces the node of its own earlier session; the name of another
 // server is left alone, and taken once it is free.
 func TestTakenNameIsReplacedOnlyIfOurs(t *testing.T) {
--- a/internal/membership/registry/client.go
+++ b/internal/membership/registry/client.go
@@ -96,7 +96,7 @@
 	return balancer.ListDelta
 }
 
-// fetch makes one call. With after, which may be 0, it asks for what is newer than that
+// fetch makes one call. With after, which may be 0, it requests what is newer than that
 // version, and waits for changes up to wait; with nil for the complete list.
 func (c *Client) fetch(ctx context.Context, after *uint64, wait time.Duration) (engine.List, error) {
 	timeout := c.timing.ListTimeout
