--- a/internal/front/extproc/host.go
+++ b/internal/front/extproc/host.go
@@ -7,161 +7,161 @@
 
 	"pinedale/balancer"
 	"pinedale/internal/engine"
-	"pinedale/internal/intake"
 	"pinedale/internal/routing"
 )
 
-// host joins the ledger of verdicts to the engine, on the engine's goroutine: it
-// carries rounds out as requests whose attempts the callers make.
+// host joins the routing ledger to the engine: it runs the ledger's rounds as requests of the engine whose attempts
+// the callers carry out. All its methods run on the engine's goroutine.
 type host struct {
 	engine  *engine.Engine
 	ledger  *routing.Ledger
 	rounds  map[uint64]*round
-	asks    map[routing.StreamID]*asker
-	ticking bool
+	streams map[routing.StreamID]*pendingStream
+	ticking bool // the next tick is scheduled
 }
 
-// round is a request of the ledger's. It is its own carrier.
+// round is a round of the ledger as a request of the engine. It is that request's carrier.
 type round struct {
-	host     *host
-	number   uint64
-	request  engine.Request
-	attempts []*engine.Attempt
-	out      int  // attempts without end
-	over     bool // the module has given its final answer
+	host         *host
+	id           uint64
+	request      engine.Request
+	attempts     []*engine.Attempt
+	openAttempts int  // not completed
+	finished     bool // the module has given its final answer, or needs to give none
 }
 
-// asker is one stream that waits to be told.
-type asker struct {
-	name routing.StreamID
-	told chan routing.Response // has room for one: a verdict, or the reply to a report
-	sent *handout              // that it was told
+// pendingStream is the part of a stream that the host knows.
+type pendingStream struct {
+	id        routing.StreamID
+	responses chan routing.Response // holds one: a decision, or the reply to a report
+	forwarded *forwardTarget        // of the decision; belongs to the stream's goroutine until it reports
 }
 
-// handout is what the ledger keeps of an attempt, for as long as it may be handed out
-// again: no more than that, since thousands are remembered for seconds.
-type handout struct {
-	target *engine.Target
-	until  routing.Micros
+// forwardTarget is what the ledger keeps of an attempt for as long as it may be forwarded again. It is small, since
+// thousands are kept for seconds.
+type forwardTarget struct {
+	endpoint *engine.Target
+	deadline routing.Micros
 }
 
-func newHost(e *engine.Engine, l routing.Limits) *host {
-	h := &host{engine: e, rounds: map[uint64]*round{}, asks: map[routing.StreamID]*asker{}}
-	h.ledger = routing.New(l, h)
+func newHost(e *engine.Engine, limits routing.Limits) *host {
+	h := &host{engine: e, rounds: map[uint64]*round{}, streams: map[routing.StreamID]*pendingStream{}}
+	h.ledger = routing.New(limits, h)
 	return h
 }
 
-// ask takes a stream's question.
-func (h *host) ask(now routing.Micros, a *asker, q routing.Request) {
-	h.asks[a.name] = a
-	h.ledger.HandleRequest(now, q)
+// handleRequest passes a stream's request for a decision to the ledger.
+func (h *host) handleRequest(now routing.Micros, s *pendingStream, req routing.Request) {
+	h.streams[s.id] = s
+	h.ledger.HandleRequest(now, req)
 	if !h.ticking {
 		h.ticking = true
-		h.tick()
+		h.scheduleTick()
 	}
 }
 
-// tick has the ledger look at the time for as long as it holds anything.
-func (h *host) tick() {
+// scheduleTick has the ledger check its timeouts, again and again for as long as it holds anything.
+func (h *host) scheduleTick() {
 	h.engine.After(time.Duration(routing.OfferTimeout/2)*time.Microsecond, func(now routing.Micros) {
 		h.ledger.Tick(now)
-		if asks, rounds, entries := h.ledger.Counts(); asks+rounds+entries > 0 {
-			h.tick()
+		if streams, rounds, entries := h.ledger.Counts(); streams+rounds+entries > 0 {
+			h.scheduleTick()
 		} else {
 			h.ticking = false
 		}
 	})
 }
 
-// left takes that a stream is over.
-func (h *host) left(now routing.Micros, a *asker, unsent bool) {
-	delete(h.asks, a.name)
-	h.ledger.StreamClosed(now, a.name, unsent)
+// streamClosed takes that a stream has ended. undelivered says that its decision never reached the caller.
+func (h *host) streamClosed(now routing.Micros, s *pendingStream, undelivered bool) {
+	delete(h.streams, s.id)
+	h.ledger.StreamClosed(now, s.id, undelivered)
 }
 
-// report takes a stream's report and returns what is to become of the answer.
-func (h *host) report(now routing.Micros, a *asker, r report) routing.Response {
-	if r.served != "" && r.served != a.sent.target.Address {
-		if id := h.engine.EndpointAt(r.served); id != 0 {
+// handleReport passes a stream's report to the ledger and returns the reply.
+func (h *host) handleReport(s *pendingStream, r report) routing.Response {
+	if r.servedBy != "" && r.servedBy != s.forwarded.endpoint.Address {
+		if id := h.engine.EndpointAt(r.servedBy); id != 0 {
 			zone, cell := h.engine.Location(id)
-			r.outcome.Endpoint, r.outcome.Location = id, routing.Location{Zone: zone, Cell: cell}
+			r.outcome.Endpoint = id
+			r.outcome.Location = routing.Location{Zone: zone, Cell: cell}
 		} else {
 			r.outcome.UnknownEndpoint = true
 		}
 	}
-	return h.ledger.HandleReport(a.name, r.outcome)
+	return h.ledger.HandleReport(s.id, r.outcome)
 }
 
-// StartRound passes a round to the module.
-func (h *host) StartRound(number uint64, key string, in balancer.Request) {
-	r := &round{host: h, number: number}
-	r.request.Carrier, r.request.Respond, r.request.Key = r, r.answer, key
-	h.rounds[number] = r
-	h.engine.Submit(h.engine.Now(), &r.request, in)
-	r.forget()
+// StartRound submits a round to the engine. It implements routing.Actions, as the four methods after it.
+func (h *host) StartRound(id uint64, key string, req balancer.Request) {
+	r := &round{host: h, id: id}
+	r.request.Carrier, r.request.Respond, r.request.Key = r, r.respond, key
+	h.rounds[id] = r
+	h.engine.Submit(h.engine.Now(), &r.request, req)
+	r.removeIfDone()
 }
 
-// CancelRound tells the module that a round's client is gone.
-func (h *host) CancelRound(number uint64) {
-	if r := h.rounds[number]; r != nil {
-		r.over = true
+// CancelRound tells the engine that the client of a round has disconnected.
+func (h *host) CancelRound(id uint64) {
+	if r := h.rounds[id]; r != nil {
+		r.finished = true
 		h.engine.ClientDisconnected(h.engine.Now(), &r.request)
-		r.forget()
+		r.removeIfDone()
 	}
 }
 
-// CompleteAttempt tells the module how an attempt ended.
-func (h *host) CompleteAttempt(number uint64, n int, o routing.Outcome, settled bool) {
-	r := h.rounds[number]
-	r.out--
-	r.over = r.over || settled
-	r.attempts[n].Complete(h.engine.Now(), engine.Result{Status: o.Status, Endpoint: o.Endpoint, Load: o.Load, Settled: settled})
-	r.forget()
+// CompleteAttempt tells the engine how an attempt ended.
+func (h *host) CompleteAttempt(id uint64, index int, outcome routing.Outcome, settled bool) {
+	r := h.rounds[id]
+	r.openAttempts--
+	r.finished = r.finished || settled
+	r.attempts[index].Complete(h.engine.Now(), engine.Result{
+		Status:   outcome.Status,
+		Endpoint: outcome.Endpoint,
+		Load:     outcome.Load,
+		Settled:  settled,
+	})
+	r.removeIfDone()
 }
 
-// Usable says whether an attempt may still go where it was decided.
-func (h *host) Usable(ref any) bool { return !ref.(*handout).target.Closed() }
+// Usable reports whether the endpoint of an attempt still accepts requests.
+func (h *host) Usable(ref any) bool { return !ref.(*forwardTarget).endpoint.Closed() }
 
-// Respond gives an ask its verdict.
-func (h *host) Respond(name routing.StreamID, t routing.Response) { h.asks[name].told <- t }
+// Respond passes a decision to its stream.
+func (h *host) Respond(id routing.StreamID, response routing.Response) {
+	h.streams[id].responses <- response
+}
 
-// Send takes the module's decision to send.
+// Send takes the module's decision to send an attempt. It implements engine.Carrier, as Cancel.
 func (r *round) Send(a *engine.Attempt) {
 	r.attempts = append(r.attempts, a)
-	r.out++
-	r.host.ledger.AttemptScheduled(r.host.engine.Now(), r.number, routing.Location{Zone: a.Zone, Cell: a.Cell},
-		&handout{a.Target, a.Deadline})
+	r.openAttempts++
+	location := routing.Location{Zone: a.Zone, Cell: a.Cell}
+	r.host.ledger.AttemptScheduled(r.host.engine.Now(), r.id, location, &forwardTarget{a.Target, a.Deadline})
 }
 
-// Cancel takes that the module waits no longer. The module is at work here, so the
-// end is told later.
+// Cancel takes that the module no longer waits for an attempt. It is called from within the module, which must not be
+// called back, so the ledger learns of it later.
 func (r *round) Cancel(a *engine.Attempt) {
-	n := slices.Index(r.attempts, a)
-	r.host.engine.Defer(func(now routing.Micros) { r.host.ledger.AttemptCancelled(now, r.number, n) })
+	index := slices.Index(r.attempts, a)
+	r.host.engine.Defer(func(now routing.Micros) { r.host.ledger.AttemptCancelled(now, r.id, index) })
 }
 
-// answer takes the module's final answer. That of an attempt served came by way of
-// the ledger.
-func (r *round) answer(a engine.Response) {
-	r.over = true
+// respond takes the module's final answer. The ledger knows already of an attempt that succeeded.
+func (r *round) respond(response engine.Response) {
+	r.finished = true
 	now := r.host.engine.Now()
-	switch a.Code {
+	switch response.Code {
 	case http.StatusServiceUnavailable:
-		r.host.ledger.RoundRejected(now, r.number, a.RetryAfter)
+		r.host.ledger.RoundRejected(now, r.id, response.RetryAfter)
 	case http.StatusBadGateway:
-		r.host.ledger.RoundFailed(now, r.number)
+		r.host.ledger.RoundFailed(now, r.id)
 	}
 }
 
-// forget lets go of a round that nothing can be asked of any more.
-func (r *round) forget() {
-	if r.over && r.out == 0 {
-		delete(r.host.rounds, r.number)
+// removeIfDone removes a round that is finished and has no open attempt.
+func (r *round) removeIfDone() {
+	if r.finished && r.openAttempts == 0 {
+		delete(r.host.rounds, r.id)
 	}
 }
-
-// query is a request as the ledger is asked about it.
-func query(a *asker, p *intake.Parsed, h *head) routing.Request {
-	return routing.Request{Stream: a.name, ID: p.CorrelationID, Key: p.IdempotencyKey, Fingerprint: h.print(), ModuleRequest: p.Request,
-		Tenant: h.header.Get(intake.HeaderTenant)}
-}
--- a/internal/front/extproc/mem_test.go
+++ b/internal/front/extproc/mem_test.go
@@ -8,15 +8,14 @@
 	"pinedale/balancer"
 )
 
-// What is remembered of a keyed request takes no more than the limit of entries is
-// reckoned with.
-func TestMemoryOfAnEntry(t *testing.T) {
-	w := start(t, 2, func(o *Options, s *balancer.Settings) {
+// An entry of a request with a key takes no more memory than the limit of entries assumes.
+func TestEntryStaysWithinMemoryBudget(t *testing.T) {
+	h := start(t, 2, func(o *Options, s *balancer.Settings) {
 		o.Entries = 20_000
 		s.Classes = append([]balancer.Class{}, classes...)
 		s.Classes[2].DedupWindow = 600_000_000
 	})
-	held := func() uint64 {
+	memory := func() uint64 {
 		var m runtime.MemStats
 		runtime.GC()
 		runtime.GC()
@@ -24,25 +23,25 @@
 		return m.HeapAlloc
 	}
 	const n = 4000
-	once := func(count int) {
+	run := func(count int) {
 		for range count {
-			s := w.open(context.Background())
-			v := s.ask(w.request("close"), 0)
+			s := h.open(context.Background())
+			v := s.request(h.request("close"), 0)
 			if v.Endpoint != "" {
 				s.report(200, "via_upstream", v.Endpoint)
 			}
 			s.end()
 		}
 	}
-	once(500) // what is made once is there
-	before := held()
-	once(n)
-	if _, _, entries := w.server.Held(); entries < n {
-		t.Fatalf("%d entries are remembered, want over %d", entries, n)
+	run(500) // allocates all that is allocated once
+	before := memory()
+	run(n)
+	if _, _, entries := h.server.Held(); entries < n {
+		t.Fatalf("%d entries, want at least %d", entries, n)
 	}
-	each := (held() - before) / n
+	each := (memory() - before) / n
 	t.Logf("%d bytes an entry", each)
 	if each > 1<<10 {
-		t.Errorf("an entry takes %d bytes, reckoned are %d", each, 1<<10)
+		t.Errorf("an entry takes %d bytes, the limit assumes %d", each, 1<<10)
 	}
 }
--- /dev/null
+++ b/internal/front/extproc/protocol_test.go
@@ -0,0 +1,360 @@
+package extproc
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
+	modev3 "github.com/envoyproxy/go-control-plane/envoy/extensions/filters/http/ext_proc/v3"
+	extprocv3 "github.com/envoyproxy/go-control-plane/envoy/service/ext_proc/v3"
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/protobuf/proto"
+
+	"pinedale/balancer"
+	"pinedale/internal/standin/proxy"
+	"pinedale/internal/standin/wait"
+)
+
+// A malformed head gets the client's error at once, as through the HTTP front, and reaches no server.
+func TestMalformedHeadIsRejected(t *testing.T) {
+	h := start(t, 1, nil)
+	for _, c := range []struct {
+		name  string
+		alter func(*proxy.Request)
+		code  int
+		says  string
+	}{
+		{"no id", func(q *proxy.Request) { delete(q.Header, "x-correlation-id") }, 400, "X-Correlation-Id"},
+		{"no class", func(q *proxy.Request) { delete(q.Header, "x-service-class") }, 400, "X-Service-Class"},
+		{"no key", func(q *proxy.Request) { delete(q.Header, "idempotency-key") }, 400, "Idempotency-Key"},
+		{"an endless key", func(q *proxy.Request) { q.Header["idempotency-key"] = strings.Repeat("k", 300) },
+			400, "Idempotency-Key"},
+		{"no time left", func(q *proxy.Request) { delete(q.Header, "x-time-left-ms") }, 400, "X-Time-Left-Ms"},
+		{"wrong method", func(q *proxy.Request) { q.Method = "PUT" }, 405, "POST"},
+		{"no method", func(q *proxy.Request) { q.Method = "" }, 400, ":method"},
+		{"another path", func(q *proxy.Request) { q.Path = "/read/x" }, 400, "path"},
+		{"a query only", func(q *proxy.Request) { q.Path = "?pay" }, 400, "path"},
+		{"a length that is none", func(q *proxy.Request) { q.Body, q.Header["content-length"] = "", "x" },
+			413, "content-length"},
+		{"a body too large", func(q *proxy.Request) { q.Body = strings.Repeat("x", 65537) }, 413, "65536"},
+		{"an attempt that is none", func(q *proxy.Request) { q.Header["x-envoy-attempt-count"] = "0" },
+			400, "x-envoy-attempt-count"},
+	} {
+		q := h.request("pay")
+		c.alter(&q)
+		s := h.open(context.Background())
+		if v := s.request(q, 0); v.Code != c.code || !strings.Contains(v.Body, c.says) {
+			t.Errorf("%s: %+v, want %d with %q", c.name, v, c.code, c.says)
+		}
+		s.end()
+	}
+	doubled := proxy.Headers(h.request("pay"), 0)
+	headers := doubled.GetRequestHeaders().Headers
+	headers.Headers = append(headers.Headers, &corev3.HeaderValue{Key: "idempotency-key", Value: "other"})
+	s := h.open(context.Background())
+	s.send(doubled)
+	if v := s.decision(); v.Code != 400 || !strings.Contains(v.Body, "2 times") {
+		t.Errorf("a doubled header: %+v", v)
+	}
+	s.end()
+	headers.Headers[len(headers.Headers)-1] = &corev3.HeaderValue{Key: ":path", Value: "/pay/y"}
+	headers.Headers = append(headers.Headers, nil)
+	s = h.open(context.Background())
+	s.send(doubled)
+	if v := s.decision(); v.Code != 400 || !strings.Contains(v.Body, ":path") {
+		t.Errorf("a doubled path: %+v", v)
+	}
+	s.end()
+	if n := h.openCount(); n != 0 {
+		t.Errorf("%d streams and rounds are open", n)
+	}
+}
+
+// A stream whose messages are out of order ends with a clear status, and no other stream is affected.
+func TestMessageOutOfOrderEndsItsStream(t *testing.T) {
+	h := start(t, 2, nil)
+	other := h.open(context.Background())
+	decision := other.request(h.request("pay"), 0)
+	body := &extprocv3.ProcessingRequest{Request: &extprocv3.ProcessingRequest_RequestBody{
+		RequestBody: &extprocv3.HttpBody{Body: []byte("x"), EndOfStream: true},
+	}}
+	answerBody := &extprocv3.ProcessingRequest{Request: &extprocv3.ProcessingRequest_ResponseBody{
+		ResponseBody: &extprocv3.HttpBody{},
+	}}
+	trailers := &extprocv3.ProcessingRequest{Request: &extprocv3.ProcessingRequest_RequestTrailers{
+		RequestTrailers: &extprocv3.HttpTrailers{},
+	}}
+	answerTrailers := &extprocv3.ProcessingRequest{Request: &extprocv3.ProcessingRequest_ResponseTrailers{
+		ResponseTrailers: &extprocv3.HttpTrailers{},
+	}}
+	report := proxy.Report(200, nil, "", "")
+	request := func() *extprocv3.ProcessingRequest { return proxy.Headers(h.request("pay"), 0) }
+	observed := request()
+	observed.ObservabilityMode = true
+	for name, messages := range map[string][]*extprocv3.ProcessingRequest{
+		"a report first":            {report},
+		"a body first":              {body},
+		"trailers first":            {trailers},
+		"nothing":                   {{}},
+		"nothing after the request": {request(), {}},
+		"two requests":              {request(), request()},
+		"two reports":               {request(), report, report},
+		"a body after its end":      {request(), body, body},
+		"trailers after the end":    {request(), body, trailers},
+		"an answer's body too soon": {request(), answerBody},
+		"its trailers too soon":     {request(), answerTrailers},
+		"observability mode":        {observed},
+	} {
+		s := h.open(context.Background())
+		for _, m := range messages {
+			if err := s.Send(m); err != nil && !errors.Is(err, io.EOF) {
+				t.Fatal(err)
+			}
+		}
+		s.closeSend()
+		if got := s.status(); got != codes.InvalidArgument {
+			t.Errorf("%s: %v, want InvalidArgument", name, got)
+		}
+	}
+	if m := other.report(200, "via_upstream", decision.Endpoint); m.GetResponseHeaders() == nil {
+		t.Errorf("the other stream: %v", m)
+	}
+	other.end()
+	wait.Until(t, "the release of all streams", func() bool { return h.openCount() == 0 })
+}
+
+// streamedBody returns the piece of a body that a response passes on in full duplex mode.
+func streamedBody(out *extprocv3.BodyResponse) string {
+	return string(out.GetResponse().GetBodyMutation().GetStreamedResponse().GetBody())
+}
+
+// A proxy that sends bodies and trailers gets a response to each phase. In full duplex mode each piece comes back
+// unchanged.
+func TestBodiesPassThrough(t *testing.T) {
+	for _, duplex := range []bool{false, true} {
+		t.Run(fmt.Sprint("duplex ", duplex), func(t *testing.T) {
+			h := start(t, 1, nil)
+			s := h.open(context.Background())
+			m := proxy.Headers(h.request("pay"), 0)
+			if duplex {
+				m.ProtocolConfig = &extprocv3.ProtocolConfiguration{RequestBodyMode: modev3.ProcessingMode_FULL_DUPLEX_STREAMED,
+					ResponseBodyMode: modev3.ProcessingMode_FULL_DUPLEX_STREAMED}
+			}
+			s.send(m)
+			s.decision()
+			phase := func(m *extprocv3.ProcessingRequest) *extprocv3.ProcessingResponse {
+				s.send(m)
+				out, err := s.Recv()
+				if err != nil {
+					t.Fatal(err)
+				}
+				return out
+			}
+			piece := &extprocv3.HttpBody{Body: []byte("piece")}
+			out := phase(&extprocv3.ProcessingRequest{Request: &extprocv3.ProcessingRequest_RequestBody{RequestBody: piece}})
+			if out.GetRequestBody() == nil || (streamedBody(out.GetRequestBody()) == "piece") != duplex {
+				t.Errorf("duplex %v: to a piece of the body: %v", duplex, out)
+			}
+			out = phase(&extprocv3.ProcessingRequest{Request: &extprocv3.ProcessingRequest_RequestTrailers{}})
+			if out.GetRequestTrailers() == nil {
+				t.Errorf("to the trailers: %v", out)
+			}
+			s.report(200, "via_upstream", "")
+			out = phase(&extprocv3.ProcessingRequest{Request: &extprocv3.ProcessingRequest_ResponseBody{ResponseBody: piece}})
+			if out.GetResponseBody() == nil || (streamedBody(out.GetResponseBody()) == "piece") != duplex {
+				t.Errorf("duplex %v: to a piece of the answer: %v", duplex, out)
+			}
+			out = phase(&extprocv3.ProcessingRequest{Request: &extprocv3.ProcessingRequest_ResponseTrailers{}})
+			if out.GetResponseTrailers() == nil {
+				t.Errorf("to the answer's trailers: %v", out)
+			}
+			s.end()
+		})
+	}
+}
+
+// rawConnection sends HTTP/2 frames that no proper library would send.
+type rawConnection struct {
+	net.Conn
+	framer  *http2.Framer
+	heads   strings.Builder
+	encoder *hpack.Encoder
+}
+
+func (h *harness) raw() *rawConnection {
+	h.t.Helper()
+	conn, err := net.Dial("tcp", h.address)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	h.t.Cleanup(func() { conn.Close() })
+	c := &rawConnection{Conn: conn, framer: http2.NewFramer(conn, conn)}
+	c.encoder = hpack.NewEncoder(&c.heads)
+	if _, err := io.WriteString(conn, http2.ClientPreface); err != nil {
+		h.t.Fatal(err)
+	}
+	if err := c.framer.WriteSettings(); err != nil {
+		h.t.Fatal(err)
+	}
+	return c
+}
+
+// head opens a stream to the processor.
+func (c *rawConnection) head(stream uint32) error {
+	c.heads.Reset()
+	for _, f := range [][2]string{
+		{":method", "POST"},
+		{":scheme", "http"},
+		{":path", extprocv3.ExternalProcessor_Process_FullMethodName},
+		{":authority", "x"},
+		{"content-type", "application/grpc"},
+		{"te", "trailers"},
+	} {
+		if err := c.encoder.WriteField(hpack.HeaderField{Name: f[0], Value: f[1]}); err != nil {
+			return err
+		}
+	}
+	return c.framer.WriteHeaders(http2.HeadersFrameParam{
+		StreamID:      stream,
+		BlockFragment: []byte(c.heads.String()),
+		EndHeaders:    true,
+	})
+}
+
+// A truncated message ends its own stream only, whether the caller ends the stream there or just stops. So does
+// garbage in place of a message.
+func TestTruncatedMessageEndsItsStreamOnly(t *testing.T) {
+	h := start(t, 1, func(o *Options, _ *balancer.Settings) { o.Drain = -streamGrace + time.Second })
+	c := h.raw()
+	head := func(size uint32) []byte { return binary.BigEndian.AppendUint32([]byte{0}, size) }
+	for i, send := range []struct {
+		data []byte
+		end  bool
+	}{
+		{append(head(1000), 1, 2, 3), true},
+		{append(head(1000), 1, 2, 3), false},
+		{append(head(3), 0xff, 0xff, 0xff), false},
+		{head(1 << 30), false},
+	} {
+		stream := uint32(2*i + 1)
+		if err := c.head(stream); err != nil {
+			t.Fatal(err)
+		}
+		if err := c.framer.WriteData(stream, send.end, send.data); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := c.SetReadDeadline(time.Now().Add(patience)); err != nil {
+		t.Fatal(err)
+	}
+	ended := map[uint32]bool{}
+	for len(ended) < 4 {
+		f, err := c.framer.ReadFrame()
+		if err != nil {
+			t.Fatalf("after the end of %v: %v", ended, err)
+		}
+		switch f := f.(type) {
+		case *http2.SettingsFrame:
+			if !f.IsAck() {
+				if err := c.framer.WriteSettingsAck(); err != nil {
+					t.Fatal(err)
+				}
+			}
+		case *http2.HeadersFrame:
+			if f.StreamEnded() {
+				ended[f.StreamID] = true
+			}
+		case *http2.RSTStreamFrame:
+			ended[f.StreamID] = true
+		}
+	}
+	s := h.open(context.Background())
+	if v := s.request(h.request("pay"), 0); v.Endpoint == "" {
+		t.Errorf("another stream: %+v", v)
+	}
+	s.end()
+}
+
+// A caller that never reads gets no more than its flow-control window. Others are served.
+func TestCallerThatNeverReadsDoesNotBlockOthers(t *testing.T) {
+	h := start(t, 2, nil)
+	c := h.raw()
+	for n := range uint32(400) {
+		if err := c.head(2*n + 1); err != nil {
+			t.Fatal(err)
+		}
+		q := h.request("read")
+		if n > 3 { // the module must not count all of them as load
+			delete(q.Header, "x-time-left-ms")
+		}
+		m, err := marshal(proxy.Headers(q, 0))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := c.framer.WriteData(2*n+1, false, m); err != nil {
+			t.Fatal(err)
+		}
+	}
+	wait.Until(t, "the streams", func() bool { return h.server.streams.Load() == 400 })
+	for range 100 {
+		s := h.open(context.Background())
+		v := s.request(h.request("pay"), 0)
+		if v.Endpoint == "" {
+			t.Fatalf("beside it: %+v", v)
+		}
+		s.report(200, "via_upstream", v.Endpoint)
+		s.end()
+	}
+	c.Close()
+	wait.Until(t, "its streams' end", func() bool { return h.server.streams.Load() == 0 && h.openCount() == 0 })
+}
+
+// Any head gives an error or a request, and never a panic.
+func FuzzHead(f *testing.F) {
+	for _, class := range []string{"read", "pay"} {
+		m, _ := marshal(proxy.Headers(proxy.Request{Method: "GET", Path: "/" + class + "/x", Header: map[string]string{
+			"x-correlation-id": "1", "x-service-class": class, "x-time-left-ms": "900", "content-length": "4"}}, 1))
+		f.Add(m[5:])
+	}
+	const details = "upstream_reset_before_response_started{remote_connection_failure|x}"
+	m, _ := marshal(proxy.Report(200, nil, details, "127.0.0.1:1"))
+	f.Add(m[5:])
+	f.Fuzz(func(t *testing.T, data []byte) {
+		in, err := unmarshal(data)
+		if err != nil {
+			return
+		}
+		head, err := readHead(in.GetRequestHeaders(), true)
+		if err == nil && (head.method == "" || head.path == "") {
+			t.Error("a head without method or path")
+		}
+		head.fingerprint()
+		r := readReport(in, []string{"queue"})
+		if r.outcome.Status == balancer.OK && r.code != 200 {
+			t.Errorf("served with %d", r.code)
+		}
+		if r.outcome.Status == balancer.Full && r.code != 503 && r.code != 504 {
+			t.Errorf("rejected with %d", r.code)
+		}
+	})
+}
+
+// marshal writes a message as gRPC frames it.
+func marshal(m *extprocv3.ProcessingRequest) ([]byte, error) {
+	data, err := proto.Marshal(m)
+	return append(binary.BigEndian.AppendUint32([]byte{0}, uint32(len(data))), data...), err
+}
+
+func unmarshal(data []byte) (*extprocv3.ProcessingRequest, error) {
+	m := &extprocv3.ProcessingRequest{}
+	return m, proto.Unmarshal(data, m)
+}
--- a/internal/front/extproc/server.go
+++ b/internal/front/extproc/server.go
@@ -1,8 +1,3 @@
-// Package extproc is the front for other proxies: the gRPC service
-// envoy.service.ext_proc.v3.ExternalProcessor. A proxy asks on each request and is
-// told the endpoint, or the refusal or failure to answer with; it carries the
-// attempt out and reports the answer. The decision module decides as for the other
-// fronts; package verdict remembers who asked what.
 package extproc
 
 import (
@@ -31,105 +26,138 @@
 )
 
 const (
-	busyRetry routing.Micros = 1_000_000 // wait told to clients while too many asks wait
+	// backlogRetryAfter is the Retry-After of a request that is rejected since too many wait for the engine.
+	backlogRetryAfter routing.Micros = 1_000_000
 
-	// A message holds a head, its attributes and metadata.
-	messageMost = 4 * httpmsg.HeadMost
+	// maxMessageBytes leaves space for a request's head, its attributes and metadata.
+	maxMessageBytes = 4 * httpmsg.HeadMost
 
-	// A connection that answers no ping is dead, and so are its streams: their
-	// requests must not be held for callers that cannot hear.
-	pingAfter   = 10 * time.Second
-	pingTimeout = 5 * time.Second
+	// A connection that answers no ping is dead, and so are its streams: their requests must not stay reserved for
+	// callers that no longer exist.
+	pingInterval = 10 * time.Second
+	pingTimeout  = 5 * time.Second
 
-	// streamGrace is how long a stream may stand beyond the longest deadline of a
-	// class: a proxy that has its answer ends the stream, and one that never asked
-	// has forgotten it.
+	// minCallerPingInterval is the least interval at which callers may send pings. Envoy's usual interval is 30 s; a
+	// caller that pings each second is no attack.
+	minCallerPingInterval = time.Second
+
+	// streamGrace is how long a stream may stay open beyond the longest deadline of a class. A proxy ends a stream
+	// once it has its answer; one that is open for longer belongs to a proxy that has lost track of it.
 	streamGrace = 5 * time.Second
 )
 
-// Options bound what callers may hold.
+// Options configure a Server and bound what callers may hold.
 type Options struct {
-	Streams int  // open at once, over all connections
-	Backlog int  // asks that wait for the engine; more are refused at once
-	Retries bool // callers ask again after a reported failure
-	Entries int  // requests remembered
-	Fields  []string
-	Parser  *intake.Parser // nil for that of the engine's settings
+	Streams int            // max open streams over all connections
+	Backlog int            // max requests that wait for the engine; more are rejected at once
+	Retries bool           // callers request another decision after a reported failure
+	Entries int            // max entries of the routing ledger
+	Fields  []string       // names of the load report's fields
+	Parser  *intake.Parser // nil for the one of the engine's settings
 	TLS     *tls.Config    // nil for plain text
-	Renew   time.Duration  // age at which a secure connection is told to come anew, so that none outlives its keys by more
-	Drain   time.Duration  // longest deadline of a class: open verdicts finish within it
+	Renew   time.Duration  // max age of a TLS connection, so that none outlives its certificate by more
+	Drain   time.Duration  // longest deadline of a class: open requests finish within it at shutdown
 	Log     *slog.Logger
 }
 
 // Server is the front. Make one with New.
 type Server struct {
-	engine  *engine.Engine
-	host    *host // on the engine's goroutine
-	parser  *intake.Parser
-	opts    Options
-	grpc    *grpc.Server
-	health  *health.Server
-	streams atomic.Int64
-	backlog atomic.Int64
-	lastAsk atomic.Uint64
-	ended   chan struct{}
+	engine     *engine.Engine
+	host       *host // on the engine's goroutine
+	parser     *intake.Parser
+	opts       Options
+	grpc       *grpc.Server
+	health     *health.Server
+	streams    atomic.Int64  // open
+	backlog    atomic.Int64  // requests that wait for the engine
+	lastStream atomic.Uint64 // routing.StreamID given last
+	ended      chan struct{} // closed when Serve returns
 }
 
 // New returns a front of the engine.
 func New(e *engine.Engine, o Options) *Server {
-	set := e.Settings()
+	settings := e.Settings()
 	if o.Parser == nil {
-		o.Parser = intake.NewParser(set)
+		o.Parser = intake.NewParser(settings)
+	}
+	limits := routing.Limits{
+		Classes:      settings.Classes,
+		MaxAttempts:  settings.Limits.MaxAttempts,
+		Hedging:      settings.Limits.Hedging,
+		CallersRetry: o.Retries,
+		MaxEntries:   o.Entries,
 	}
-	s := &Server{engine: e, parser: o.Parser, opts: o, health: health.NewServer(), ended: make(chan struct{}),
-		host: newHost(e, routing.Limits{Classes: set.Classes, MaxAttempts: set.Limits.MaxAttempts,
-			Hedging: set.Limits.Hedging, CallersRetry: o.Retries, MaxEntries: o.Entries})}
-	alive := keepalive.ServerParameters{Time: pingAfter, Timeout: pingTimeout}
-	var secured []grpc.ServerOption
-	if o.TLS != nil {
-		alive.MaxConnectionAge = o.Renew // gRPC spreads it by a tenth; streams that are open go on
-		secured = append(secured, grpc.Creds(credentials.NewTLS(o.TLS)))
+	s := &Server{
+		engine: e,
+		host:   newHost(e, limits),
+		parser: o.Parser,
+		opts:   o,
+		health: health.NewServer(),
+		ended:  make(chan struct{}),
 	}
-	s.grpc = grpc.NewServer(append(secured, grpc.MaxRecvMsgSize(messageMost), grpc.InTapHandle(s.admit),
-		grpc.MaxConcurrentStreams(uint32(o.Streams)),
-		grpc.KeepaliveParams(alive),
-		// Proxies ping, too: Envoy's usual interval is 30 s, and 1 s is no attack.
-		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: time.Second, PermitWithoutStream: true}))...)
+	s.grpc = grpc.NewServer(s.grpcOptions()...)
 	extprocv3.RegisterExternalProcessorServer(s.grpc, s)
 	healthv1.RegisterHealthServer(s.grpc, s.health)
 	s.setHealth(healthv1.HealthCheckResponse_SERVING)
 	return s
 }
 
-// Classes tells of classes that have come; those of before keep their numbers. It must
-// be called on the engine's goroutine.
+func (s *Server) grpcOptions() []grpc.ServerOption {
+	pings := keepalive.ServerParameters{Time: pingInterval, Timeout: pingTimeout}
+	var options []grpc.ServerOption
+	if s.opts.TLS != nil {
+		pings.MaxConnectionAge = s.opts.Renew // gRPC spreads it by a tenth; open streams continue
+		options = append(options, grpc.Creds(credentials.NewTLS(s.opts.TLS)))
+	}
+	enforcement := keepalive.EnforcementPolicy{MinTime: minCallerPingInterval, PermitWithoutStream: true}
+	return append(options,
+		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.InTapHandle(s.admit),
+		grpc.MaxConcurrentStreams(uint32(s.opts.Streams)),
+		grpc.KeepaliveParams(pings),
+		grpc.KeepaliveEnforcementPolicy(enforcement))
+}
+
+// Classes replaces the classes. The numbers of the classes before stay valid. It must be called on the engine's
+// goroutine.
 func (s *Server) Classes(all []balancer.Class) { s.host.ledger.SetClasses(all) }
 
-func (s *Server) setHealth(is healthv1.HealthCheckResponse_ServingStatus) {
-	s.health.SetServingStatus("", is)
-	s.health.SetServingStatus(extprocv3.ExternalProcessor_ServiceDesc.ServiceName, is)
+func (s *Server) setHealth(servingStatus healthv1.HealthCheckResponse_ServingStatus) {
+	s.health.SetServingStatus("", servingStatus)
+	s.health.SetServingStatus(extprocv3.ExternalProcessor_ServiceDesc.ServiceName, servingStatus)
 }
 
-// admit turns a stream away before anything is spent on it, and sets its end: the
-// time by which any caller that lives has ended it.
+// admit rejects a stream over the limit before anything is spent on it, and sets the deadline of the others.
 func (s *Server) admit(ctx context.Context, info *tap.Info) (context.Context, error) {
 	if info.FullMethodName != extprocv3.ExternalProcessor_Process_FullMethodName {
 		return ctx, nil
 	}
 	if s.streams.Load() >= int64(s.opts.Streams) {
-		return nil, s.tooMany()
+		return nil, s.tooManyStreams()
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.opts.Drain+streamGrace)
-	_ = cancel // the stream's own end stops the timer
+	_ = cancel // the end of the stream cancels the parent, which stops the timer
 	return ctx, nil
 }
 
-func (s *Server) tooMany() error {
+func (s *Server) tooManyStreams() error {
 	return status.Errorf(codes.ResourceExhausted, "%d streams are open, and no more may be", s.opts.Streams)
 }
 
-// Serve serves until ctx ends. Then callers are told to go elsewhere (GOAWAY),
-// open verdicts finish, and nothing new is taken.
+// Process handles one stream: one request of a caller. It implements extprocv3.ExternalProcessorServer.
+func (s *Server) Process(connection extprocv3.ExternalProcessor_ProcessServer) error {
+	defer s.streams.Add(-1)
+	if s.streams.Add(1) > int64(s.opts.Streams) {
+		return s.tooManyStreams()
+	}
+	handler := &stream{server: s, connection: connection}
+	err := handler.run()
+	handler.close()
+	return err
+}
+
+// Serve serves until ctx ends. Then it shuts down gracefully: callers get GOAWAY, open requests finish within the
+// drain time, and new ones are rejected.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	defer close(s.ended)
 	served := make(chan error, 1)
@@ -140,15 +168,15 @@
 	case <-ctx.Done():
 	}
 	s.setHealth(healthv1.HealthCheckResponse_NOT_SERVING)
-	hard := time.AfterFunc(s.opts.Drain+streamGrace, s.grpc.Stop)
-	defer hard.Stop()
+	forcedStop := time.AfterFunc(s.opts.Drain+streamGrace, s.grpc.Stop)
+	defer forcedStop.Stop()
 	s.grpc.GracefulStop()
 	return <-served
 }
 
-// Held counts what the front holds of asks, rounds and entries. It must not be
-// called on the engine's goroutine.
-func (s *Server) Held() (asks, rounds, entries int) {
-	s.engine.Call(func(balancer.Micros) { asks, rounds, entries = s.host.ledger.Counts() })
+// Held returns the number of streams, rounds and entries of the routing ledger. It must not be called on the engine's
+// goroutine.
+func (s *Server) Held() (streams, rounds, entries int) {
+	s.engine.Call(func(balancer.Micros) { streams, rounds, entries = s.host.ledger.Counts() })
 	return
 }
--- a/internal/front/extproc/stream.go
+++ b/internal/front/extproc/stream.go
@@ -1,243 +1,259 @@
 package extproc
 
 import (
+	"context"
 	"errors"
 	"io"
+	"net/http"
 	"strings"
 	"time"
 
+	modev3 "github.com/envoyproxy/go-control-plane/envoy/extensions/filters/http/ext_proc/v3"
 	extprocv3 "github.com/envoyproxy/go-control-plane/envoy/service/ext_proc/v3"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
-	modev3 "github.com/envoyproxy/go-control-plane/envoy/extensions/filters/http/ext_proc/v3"
-
 	"pinedale/balancer"
 	"pinedale/internal/intake"
 	"pinedale/internal/routing"
 )
 
-// conversation is one stream: one request of a caller's.
-type conversation struct {
-	s      *Server
-	stream extprocv3.ExternalProcessor_ProcessServer
-	asker  asker
-	asked  bool // the ledger knows of it
-	unsent bool // a verdict was made that certainly never left
-	answer bool // the proxy has an immediate answer, and need not report
-	report bool // it has reported
-
-	duplexRequest, duplexResponse bool // bodies are the processor's to pass on
-	requestEnd, responseEnd       bool // no more of that side may come
-}
+// stream is one stream of a caller: one request and the headers of its answer, and whatever else of them the proxy
+// sends. It belongs to the goroutine that runs it.
+type stream struct {
+	server     *Server
+	connection extprocv3.ExternalProcessor_ProcessServer
+	pending    pendingStream
 
-// Process answers for one request of a caller's.
-func (s *Server) Process(stream extprocv3.ExternalProcessor_ProcessServer) error {
-	defer s.streams.Add(-1)
-	if s.streams.Add(1) > int64(s.opts.Streams) {
-		return s.tooMany()
-	}
-	c := &conversation{s: s, stream: stream}
-	err := c.run()
-	if c.asked {
-		s.engine.Post(func(now balancer.Micros) { s.host.left(now, &c.asker, c.unsent) })
-	}
-	return err
-}
+	started             bool // the request's headers have come
+	submitted           bool // the host knows of the stream
+	undelivered         bool // a decision was or will be made that never reaches the caller
+	answeredImmediately bool // the proxy answers the client itself, and need not report
+	reported            bool // the response's headers have come
 
-func misplaced(what, why string) error {
-	return status.Errorf(codes.InvalidArgument, "%s: %s", what, why)
+	// Phases after the headers. In full duplex mode the proxy passes on only the bodies that come back to it.
+	duplexRequest, duplexResponse bool
+	requestEnded, responseEnded   bool // no more of that message may come
 }
 
-func (c *conversation) run() error {
+// run answers the stream's messages until it ends.
+func (s *stream) run() error {
 	for first := true; ; first = false {
-		in, err := c.stream.Recv()
+		in, err := s.connection.Recv()
 		if errors.Is(err, io.EOF) {
 			return nil
 		} else if err != nil {
 			return err
 		}
 		if in.ObservabilityMode {
-			return misplaced("observability_mode", "a verdict can't be given where no response is read")
+			return invalidMessage("observability_mode", "a verdict can't be given where no response is read")
 		}
 		if first {
-			c.duplexRequest = in.ProtocolConfig.GetRequestBodyMode() == modev3.ProcessingMode_FULL_DUPLEX_STREAMED
-			c.duplexResponse = in.ProtocolConfig.GetResponseBodyMode() == modev3.ProcessingMode_FULL_DUPLEX_STREAMED
+			config := in.GetProtocolConfig()
+			s.duplexRequest = config.GetRequestBodyMode() == modev3.ProcessingMode_FULL_DUPLEX_STREAMED
+			s.duplexResponse = config.GetResponseBodyMode() == modev3.ProcessingMode_FULL_DUPLEX_STREAMED
 		}
-		out, err := c.answerTo(in, first)
+		out, err := s.handleMessage(in)
 		if err != nil {
 			return err
 		}
-		if out == nil {
-			continue
-		}
-		if err := c.stream.Send(out); err != nil {
+		if err := s.connection.Send(out); err != nil {
 			return err
 		}
 	}
 }
 
-// answerTo makes the response to one message.
-func (c *conversation) answerTo(in *extprocv3.ProcessingRequest, first bool) (*extprocv3.ProcessingResponse, error) {
+// close tells the host that the stream has ended.
+func (s *stream) close() {
+	if s.submitted {
+		s.server.engine.Post(func(now balancer.Micros) {
+			s.server.host.streamClosed(now, &s.pending, s.undelivered)
+		})
+	}
+}
+
+// invalidMessage is the status of a stream whose caller violates the protocol.
+func invalidMessage(field, reason string) error {
+	return status.Errorf(codes.InvalidArgument, "%s: %s", field, reason)
+}
+
+// handleMessage returns the response to one message. Its errors end the stream.
+func (s *stream) handleMessage(in *extprocv3.ProcessingRequest) (*extprocv3.ProcessingResponse, error) {
 	switch m := in.Request.(type) {
 	case *extprocv3.ProcessingRequest_RequestHeaders:
-		if !first {
-			return nil, misplaced("request_headers", "come twice on one stream")
+		if s.started {
+			return nil, invalidMessage("request_headers", "come twice on one stream")
 		}
-		c.requestEnd = m.RequestHeaders.GetEndOfStream()
-		return c.request(m.RequestHeaders)
+		s.started, s.requestEnded = true, m.RequestHeaders.GetEndOfStream()
+		return s.handleRequestHeaders(m.RequestHeaders)
 	case *extprocv3.ProcessingRequest_ResponseHeaders:
-		if first {
-			return nil, misplaced("response_headers", "come before request_headers")
+		if !s.started {
+			return nil, invalidMessage("response_headers", "come before request_headers")
 		}
-		if c.report {
-			return nil, misplaced("response_headers", "come twice on one stream")
+		if s.reported {
+			return nil, invalidMessage("response_headers", "come twice on one stream")
 		}
-		c.report, c.responseEnd = true, m.ResponseHeaders.GetEndOfStream()
-		return c.response(in)
+		s.reported, s.responseEnded = true, m.ResponseHeaders.GetEndOfStream()
+		return s.handleResponseHeaders(in)
 	case *extprocv3.ProcessingRequest_RequestBody:
-		if first || c.requestEnd {
-			return nil, misplaced("request_body", "comes before request_headers or after the request's end")
+		if !s.started || s.requestEnded {
+			return nil, invalidMessage("request_body", "comes before request_headers or after the request's end")
 		}
-		c.requestEnd = m.RequestBody.GetEndOfStream()
-		return &extprocv3.ProcessingResponse{Response: &extprocv3.ProcessingResponse_RequestBody{
-			RequestBody: passBody(m.RequestBody, c.duplexRequest)}}, nil
+		s.requestEnded = m.RequestBody.GetEndOfStream()
+		return requestBodyResponse(m.RequestBody, s.duplexRequest), nil
 	case *extprocv3.ProcessingRequest_ResponseBody:
-		if !c.report || c.responseEnd {
-			return nil, misplaced("response_body", "comes before response_headers or after the answer's end")
+		if !s.reported || s.responseEnded {
+			return nil, invalidMessage("response_body", "comes before response_headers or after the answer's end")
 		}
-		c.responseEnd = m.ResponseBody.GetEndOfStream()
-		return &extprocv3.ProcessingResponse{Response: &extprocv3.ProcessingResponse_ResponseBody{
-			ResponseBody: passBody(m.ResponseBody, c.duplexResponse)}}, nil
+		s.responseEnded = m.ResponseBody.GetEndOfStream()
+		return responseBodyResponse(m.ResponseBody, s.duplexResponse), nil
 	case *extprocv3.ProcessingRequest_RequestTrailers:
-		if first || c.requestEnd {
-			return nil, misplaced("request_trailers", "come before request_headers or after the request's end")
+		if !s.started || s.requestEnded {
+			return nil, invalidMessage("request_trailers", "come before request_headers or after the request's end")
 		}
-		c.requestEnd = true
-		return &extprocv3.ProcessingResponse{Response: &extprocv3.ProcessingResponse_RequestTrailers{
-			RequestTrailers: &extprocv3.TrailersResponse{}}}, nil
+		s.requestEnded = true
+		return requestTrailersResponse(), nil
 	case *extprocv3.ProcessingRequest_ResponseTrailers:
-		if !c.report || c.responseEnd {
-			return nil, misplaced("response_trailers", "come before response_headers or after the answer's end")
+		if !s.reported || s.responseEnded {
+			return nil, invalidMessage("response_trailers", "come before response_headers or after the answer's end")
 		}
-		c.responseEnd = true
-		return &extprocv3.ProcessingResponse{Response: &extprocv3.ProcessingResponse_ResponseTrailers{
-			ResponseTrailers: &extprocv3.TrailersResponse{}}}, nil
+		s.responseEnded = true
+		return responseTrailersResponse(), nil
 	}
-	return nil, misplaced("request", "is none of the phases of a request")
+	return nil, invalidMessage("request", "is none of the phases of a request")
 }
 
-// passBody lets a piece of a body through: a proxy that could not be told to keep
-// bodies waits for that. In full duplex mode it passes on only what comes back.
-func passBody(in *extprocv3.HttpBody, duplex bool) *extprocv3.BodyResponse {
-	out := &extprocv3.BodyResponse{Response: &extprocv3.CommonResponse{}}
-	if duplex {
-		out.Response.BodyMutation = &extprocv3.BodyMutation{Mutation: &extprocv3.BodyMutation_StreamedResponse{
-			StreamedResponse: &extprocv3.StreamedBodyResponse{Body: in.GetBody(), EndOfStream: in.GetEndOfStream()}}}
+// handleRequestHeaders requests a decision and waits for it.
+func (s *stream) handleRequestHeaders(in *extprocv3.HttpHeaders) (*extprocv3.ProcessingResponse, error) {
+	req, err := s.parseRequest(in)
+	if err != nil {
+		return s.answerImmediately(immediateResponse(intake.Code(err), 0, err.Error())), nil
 	}
-	return out
+	if !s.submit(req) {
+		return s.answerImmediately(immediateResponse(http.StatusServiceUnavailable, backlogRetryAfter, "")), nil
+	}
+	return s.awaitDecision()
 }
 
-// request asks for a verdict and waits for it.
-func (c *conversation) request(in *extprocv3.HttpHeaders) (*extprocv3.ProcessingResponse, error) {
-	s, arrived := c.s, c.s.engine.Now()
-	refuse := func(err error) (*extprocv3.ProcessingResponse, error) {
-		c.answer = true
-		return immediate(intake.Code(err), 0, err.Error()), nil
-	}
-	h, err := readHead(in, s.parser.Routed())
+// parseRequest reads a request's headers. Its errors are *intake.Error.
+func (s *stream) parseRequest(in *extprocv3.HttpHeaders) (routing.Request, error) {
+	arrived := s.server.engine.Now()
+	h, err := readHead(in, s.server.parser.Routed())
 	if err != nil {
-		return refuse(err)
+		return routing.Request{}, err
 	}
 	path, _, _ := strings.Cut(h.path, "?")
-	p, err := s.parser.Parse(intake.Request{Method: h.method, Host: h.host, Path: path, Header: h.header,
-		Body: !in.GetEndOfStream() && h.length != "0", At: arrived})
+	parsed, err := s.server.parser.Parse(intake.Request{
+		Method: h.method,
+		Host:   h.host,
+		Path:   path,
+		Header: h.header,
+		Body:   !in.GetEndOfStream() && h.contentLength != "0",
+		At:     arrived,
+	})
 	if err != nil {
-		return refuse(err)
+		return routing.Request{}, err
 	}
-	if s.backlog.Add(1) > int64(s.opts.Backlog) {
-		s.backlog.Add(-1)
-		c.answer = true
-		return immediate(503, busyRetry, ""), nil
+	return routing.Request{
+		ID:            parsed.CorrelationID,
+		Key:           parsed.IdempotencyKey,
+		Fingerprint:   h.fingerprint(),
+		ModuleRequest: parsed.Request,
+		Tenant:        h.header.Get(intake.HeaderTenant),
+	}, nil
+}
+
+// submit passes a request to the host. It returns false if too many wait for the engine.
+func (s *stream) submit(req routing.Request) bool {
+	server := s.server
+	if server.backlog.Add(1) > int64(server.opts.Backlog) {
+		server.backlog.Add(-1)
+		return false
 	}
-	c.asker.name = routing.StreamID(s.lastAsk.Add(1))
-	c.asker.told = make(chan routing.Response, 1)
-	ctx := c.stream.Context()
-	taken := s.engine.TryPost(func(now balancer.Micros) {
-		s.backlog.Add(-1)
-		if ctx.Err() == nil { // else the caller has given up: nothing is decided for it
-			s.host.ask(now, &c.asker, query(&c.asker, &p, &h))
+	s.pending.id = routing.StreamID(server.lastStream.Add(1))
+	s.pending.responses = make(chan routing.Response, 1)
+	req.Stream = s.pending.id
+	ctx := s.connection.Context()
+	s.submitted = server.engine.TryPost(func(now balancer.Micros) {
+		server.backlog.Add(-1)
+		if ctx.Err() == nil { // else the caller has disconnected: no decision is made for it
+			server.host.handleRequest(now, &s.pending, req)
 		}
 	})
-	if !taken {
-		s.backlog.Add(-1)
-		c.answer = true
-		return immediate(503, busyRetry, ""), nil
+	if !s.submitted {
+		server.backlog.Add(-1)
 	}
-	c.asked = true
+	return s.submitted
+}
+
+// awaitDecision waits for the routing decision and returns the response for it.
+func (s *stream) awaitDecision() (*extprocv3.ProcessingResponse, error) {
+	ctx := s.connection.Context()
 	for {
 		select {
-		case t := <-c.asker.told:
-			if t.Kind != routing.Forward {
-				c.answer = true
-				return final(t), nil
+		case decision := <-s.pending.responses:
+			if decision.Kind != routing.Forward {
+				return s.answerImmediately(finalResponse(decision)), nil
 			}
-			a := t.Ref.(*handout)
-			c.asker.sent = a
+			target := decision.Ref.(*forwardTarget)
+			s.pending.forwarded = target
 			if ctx.Err() != nil {
-				c.unsent = true
-				return nil, status.FromContextError(ctx.Err()).Err()
+				s.undelivered = true
+				return nil, contextError(ctx)
 			}
-			if a.target.Closed() {
-				// Told draining or gone since the verdict was made: it must not go out.
-				s.engine.Post(func(balancer.Micros) { s.host.ledger.ForwardDiscarded(c.asker.name) })
-				continue
+			if !target.endpoint.Closed() {
+				return s.forward(target, decision.Attempt), nil
 			}
-			left := time.Duration(a.until-s.engine.Now()) * time.Microsecond
-			return goTo(a.target.Address, t.Attempt, left), nil
+			// The endpoint is draining or gone since the decision was made: another one follows.
+			s.server.engine.Post(func(balancer.Micros) { s.server.host.ledger.ForwardDiscarded(s.pending.id) })
 		case <-ctx.Done():
-			// Whatever verdict is made from here on is not passed on.
-			c.unsent = true
-			return nil, status.FromContextError(ctx.Err()).Err()
+			s.undelivered = true
+			return nil, contextError(ctx)
 		}
 	}
 }
 
-// response passes a report on and says what is to become of the answer.
-func (c *conversation) response(in *extprocv3.ProcessingRequest) (*extprocv3.ProcessingResponse, error) {
-	if c.answer {
-		return passOn(false, 0), nil // our own answer, on its way to the client
+// forward returns the response that has the proxy send the request to an endpoint.
+func (s *stream) forward(target *forwardTarget, attempt int) *extprocv3.ProcessingResponse {
+	remaining := time.Duration(target.deadline-s.server.engine.Now()) * time.Microsecond
+	return forwardResponse(target.endpoint.Address, attempt, remaining)
+}
+
+// answerImmediately notes that the proxy answers the client itself.
+func (s *stream) answerImmediately(out *extprocv3.ProcessingResponse) *extprocv3.ProcessingResponse {
+	s.answeredImmediately = true
+	return out
+}
+
+// handleResponseHeaders passes the report on and returns what is to be done with the endpoint's answer.
+func (s *stream) handleResponseHeaders(in *extprocv3.ProcessingRequest) (*extprocv3.ProcessingResponse, error) {
+	if s.answeredImmediately {
+		return passThroughResponse(false, 0), nil // our own answer, on its way to the client
 	}
-	s, r := c.s, readReport(in, c.s.opts.Fields)
+	server := s.server
+	r := readReport(in, server.opts.Fields)
 	if r.outcome.Status == balancer.OK {
-		// The client's answer is here: it need not wait for us to learn of it.
-		s.engine.Post(func(now balancer.Micros) { s.host.report(now, &c.asker, r) })
-		return passOn(false, 0), nil
+		// The client need not wait until the engine has learned of its answer.
+		server.engine.Post(func(balancer.Micros) { server.host.handleReport(&s.pending, r) })
+		return passThroughResponse(false, 0), nil
 	}
-	s.engine.Post(func(now balancer.Micros) { c.asker.told <- s.host.report(now, &c.asker, r) })
+	server.engine.Post(func(balancer.Micros) { s.pending.responses <- server.host.handleReport(&s.pending, r) })
+	ctx := s.connection.Context()
 	select {
-	case t := <-c.asker.told:
-		switch t.Kind {
+	case reply := <-s.pending.responses:
+		switch reply.Kind {
 		case routing.PassThrough:
-			return passOn(false, 0), nil
+			return passThroughResponse(false, 0), nil
 		case routing.RetryAllowed:
-			return passOn(true, c.promise(r)), nil
+			return passThroughResponse(true, r.replacementStatus()), nil
 		}
-		return final(t), nil
-	case <-c.stream.Context().Done():
-		return nil, status.FromContextError(c.stream.Context().Err()).Err()
-	case <-s.ended:
+		return finalResponse(reply), nil
+	case <-ctx.Done():
+		return nil, contextError(ctx)
+	case <-server.ended:
 		return nil, status.Error(codes.Unavailable, "the processor has ended")
 	}
 }
 
-// promise returns the status that an answer needs in place of its own, 0 for none:
-// 503 and 429 tell a client that a retry is harmless, which holds only where the
-// request never ran.
-func (c *conversation) promise(r report) int {
-	never := r.outcome.Status == balancer.Full || r.outcome.Status == balancer.ConnectFailed || r.outcome.Status == balancer.NotSent
-	if (r.code == 503 || r.code == 429) && !never {
-		return 502
-	}
-	return 0
-}
+// contextError returns the gRPC status of a context that has ended.
+func contextError(ctx context.Context) error { return status.FromContextError(ctx.Err()).Err() }
--- /dev/null
+++ b/internal/front/extproc/stream_test.go
@@ -0,0 +1,201 @@
+package extproc
+
+import (
+	"context"
+	"net"
+	"runtime"
+	"testing"
+	"time"
+
+	extprocv3 "github.com/envoyproxy/go-control-plane/envoy/service/ext_proc/v3"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	healthv1 "google.golang.org/grpc/health/grpc_health_v1"
+	"google.golang.org/grpc/status"
+
+	"pinedale/balancer"
+	"pinedale/internal/standin/proxy"
+	"pinedale/internal/standin/wait"
+)
+
+// If the caller disconnects before the decision, nothing counts as sent. The module does not delay decisions here, so
+// the engine is blocked until the caller is gone.
+func TestDisconnectBeforeDecisionLeavesNothing(t *testing.T) {
+	h := start(t, 1, nil)
+	for range 20 {
+		busy, free := make(chan struct{}), make(chan struct{})
+		h.engine.Post(func(balancer.Micros) { close(busy); <-free })
+		<-busy
+		ctx, cancel := context.WithCancel(context.Background())
+		s := h.open(ctx)
+		s.send(proxy.Headers(h.request("order"), 0))
+		wait.Until(t, "the request", func() bool { return h.server.backlog.Load() == 1 })
+		cancel()
+		s.status()
+		wait.Until(t, "the stream's end", func() bool { return h.server.streams.Load() == 0 })
+		close(free)
+		wait.Until(t, "the release of all streams", func() bool { return h.openCount() == 0 })
+	}
+	if _, _, entries := h.server.Held(); entries != 0 {
+		t.Errorf("%d entries of requests that were never sent", entries)
+	}
+}
+
+// If the caller disconnects with the decision, the request may have run: one that is not idempotent is not forwarded
+// again, and nothing stays in flight.
+func TestDisconnectAtDecisionCountsAsMayHaveRun(t *testing.T) {
+	h := start(t, 2, nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	s, q := h.open(ctx), h.request("order")
+	if v := s.request(q, 0); v.Endpoint == "" {
+		t.Fatalf("decision %+v", v)
+	}
+	cancel()
+	wait.Until(t, "the release of all streams", func() bool { return h.openCount() == 0 })
+	next := h.open(context.Background())
+	if v := next.request(q, 2); v.Code != 409 {
+		t.Errorf("requested again: %+v, want a conflict", v)
+	}
+	next.end()
+}
+
+// The request of a caller that keeps its stream and never reports is released at the deadline. A late report gets the
+// final answer.
+func TestMissingReportIsReleasedAtDeadline(t *testing.T) {
+	h := start(t, 1, nil)
+	s, q := h.open(context.Background()), h.request("close")
+	q.Header["x-time-left-ms"] = "100"
+	s.request(q, 0)
+	requests := func() (n int) {
+		done := make(chan struct{})
+		h.engine.Post(func(balancer.Micros) { n, _ = h.engine.Counts(); close(done) })
+		<-done
+		return
+	}
+	wait.Until(t, "the request's release", func() bool { return requests() == 0 })
+	if m := s.report(504, "response_timeout", ""); m.GetImmediateResponse().GetStatus().GetCode() != 502 {
+		t.Errorf("to the late report: %v, want a failure", m)
+	}
+	s.end()
+}
+
+// Requests beyond the backlog are rejected at once.
+func TestFullBacklogRejectsAtOnce(t *testing.T) {
+	h := start(t, 1, func(o *Options, _ *balancer.Settings) { o.Backlog = 3 })
+	busy, free := make(chan struct{}), make(chan struct{})
+	h.engine.Post(func(balancer.Micros) { close(busy); <-free })
+	<-busy
+	var waiting []testStream
+	for range 3 {
+		s := h.open(context.Background())
+		s.send(proxy.Headers(h.request("pay"), 0))
+		waiting = append(waiting, s)
+	}
+	wait.Until(t, "the backlog", func() bool { return h.server.backlog.Load() == 3 })
+	s := h.open(context.Background())
+	if v := s.request(h.request("pay"), 0); v.Code != 503 || v.After == "" {
+		t.Errorf("beyond the backlog: %+v, want 503 with Retry-After", v)
+	}
+	s.end()
+	close(free)
+	for _, s := range waiting {
+		if v := s.decision(); v.Endpoint == "" {
+			t.Errorf("within the backlog: %+v", v)
+		}
+		s.end()
+	}
+}
+
+// Streams beyond the limit end with a clear status. Idle ones take little memory, and end at their deadline.
+func TestIdleStreamsAreBoundedAndExpire(t *testing.T) {
+	const (
+		maxStreams     = 10_000
+		maxStreamBytes = 32 << 10 // of both ends
+	)
+	h := start(t, 1, func(o *Options, _ *balancer.Settings) { o.Streams, o.Drain = maxStreams, 6*time.Second-streamGrace })
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	memory := func() uint64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc + m.StackInuse
+	}
+	before := memory()
+	var idle []testStream
+	for range maxStreams {
+		idle = append(idle, h.open(ctx))
+	}
+	wait.Until(t, "all streams", func() bool { return h.server.streams.Load() == maxStreams })
+	if n := (memory() - before) / maxStreams; n > maxStreamBytes {
+		t.Errorf("an idle stream takes %d bytes, want at most %d", n, maxStreamBytes)
+	}
+	s, err := h.proxy.Stream(context.Background())
+	if err == nil {
+		_, err = s.Recv()
+	}
+	if status.Code(err) != codes.ResourceExhausted {
+		t.Errorf("one stream too many: %v, want ResourceExhausted", err)
+	}
+	for _, s := range idle {
+		if got := s.status(); got != codes.DeadlineExceeded {
+			t.Fatalf("an idle stream ends with %v, want DeadlineExceeded", got)
+		}
+	}
+	wait.Until(t, "the streams' end", func() bool { return h.server.streams.Load() == 0 })
+	after := h.open(context.Background())
+	if v := after.request(h.request("pay"), 0); v.Endpoint == "" {
+		t.Errorf("after the idle ones: %+v", v)
+	}
+	after.end()
+}
+
+// At shutdown the health check fails, open requests finish, callers get GOAWAY, and new requests are rejected.
+func TestGracefulShutdown(t *testing.T) {
+	h := start(t, 2, nil)
+	conn, err := grpc.NewClient(h.address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	health, err := healthv1.NewHealthClient(conn).Watch(context.Background(), &healthv1.HealthCheckRequest{
+		Service: extprocv3.ExternalProcessor_ServiceDesc.ServiceName})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if m, err := health.Recv(); err != nil || m.Status != healthv1.HealthCheckResponse_SERVING {
+		t.Fatalf("health %v, %v", m, err)
+	}
+	s := h.open(context.Background())
+	v := s.request(h.request("pay"), 0)
+	h.stop()
+	if m, err := health.Recv(); err != nil || m.Status != healthv1.HealthCheckResponse_NOT_SERVING {
+		t.Errorf("health at the end: %v, %v", m, err)
+	}
+	conn.Close()
+	wait.Until(t, "the end of accepting", func() bool {
+		c, err := net.Dial("tcp", h.address)
+		if err == nil {
+			c.Close()
+		}
+		return err != nil
+	})
+	fresh, err := proxy.Dial(h.address, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer fresh.Close()
+	if a := fresh.Do(context.Background(), h.request("pay"), proxy.Behaviour{}); a.Err == nil {
+		t.Errorf("a new request: %+v", a)
+	}
+	if m := s.report(200, "via_upstream", v.Endpoint); m.GetResponseHeaders() == nil {
+		t.Errorf("the open one: %v", m)
+	}
+	s.end()
+	err = <-h.served
+	h.served <- err
+	if err != nil {
+		t.Errorf("the processor ended with %v", err)
+	}
+}
