--- a/internal/policy/model_test.go
+++ b/internal/policy/model_test.go
@@ -14,39 +14,38 @@
 	_ "pinedale/internal/standin/seeds"
 )
 
-// world plays the module within a table's bounds on virtual time: connections, timers
+// simulation plays the module within a table's bounds on virtual time: connections, timers
 // and clocks are as bad as the file says they may be, outcomes and timings are drawn.
 // Its servers remember keys by true time, and count what runs twice.
-type world struct {
-	t       *rapid.T
-	c       *Config
-	table   *Table
-	b       *balancer.Balancer
-	now     time.Duration // true
-	seq     int
-	queue   events
-	tries   map[uint64]*try
-	lastID  uint64
-	ran     map[string]time.Duration // when a key last ran, by who drops its repeats
-	done    map[string]int           // effects, by key
-	answers int
+type simulation struct {
+	t         *rapid.T
+	config    *Config
+	table     *Table
+	balancer  *balancer.Balancer
+	now       time.Duration // true
+	lastEvent int
+	queue     events
+	requests  map[uint64]*clientRequest
+	lastID    uint64
+	lastRun   map[string]time.Duration // when a key last ran, by who drops its repeats
+	effects   map[string]int           // effects, by key
+	answers   int
 }
 
-type try struct {
-	bounds   *Bounds
-	class    *Class
-	key      string
-	first    time.Duration // of the client's first try
-	attempts int
-	over     bool
-	told     bool // answered at all: once
-	retry    bool
+type clientRequest struct {
+	bounds    *Bounds
+	class     *Class
+	key       string
+	firstSent time.Duration // of the client's first try
+	attempts  int
+	answered  bool
+	isRetry   bool
 }
 
 type event struct {
 	at  time.Duration
 	seq int
-	do  func()
+	run func()
 }
 
 type events []event
@@ -64,140 +63,142 @@
 	return e
 }
 
-func (w *world) in(d time.Duration, do func()) {
-	w.seq++
-	heap.Push(&w.queue, event{w.now + max(0, d), w.seq, do})
+func (s *simulation) schedule(d time.Duration, run func()) {
+	s.lastEvent++
+	heap.Push(&s.queue, event{s.now + max(0, d), s.lastEvent, run})
 }
 
 // The instance's clock is slow: it shows less than has passed.
 const epoch = balancer.Micros(1_000_000_000)
 
-func (w *world) clock() balancer.Micros {
-	return epoch + balancer.Micros(float64(w.now.Microseconds())/(1+w.c.Limits.ClockError))
+func (s *simulation) clock() balancer.Micros {
+	return epoch + balancer.Micros(float64(s.now.Microseconds())/(1+s.config.Limits.ClockError))
 }
 
-// span is how long a time of the instance's clock takes: never less, as timers.
-func (w *world) span(m balancer.Micros) time.Duration {
-	return time.Duration(float64(m)*(1+w.c.Limits.ClockError)+2) * time.Microsecond
+// realTime is how long a time of the instance's clock takes: never less, as timers.
+func (s *simulation) realTime(m balancer.Micros) time.Duration {
+	return time.Duration(float64(m)*(1+s.config.Limits.ClockError)+2) * time.Microsecond
 }
 
-func (w *world) late() time.Duration {
-	return time.Duration(rapid.IntRange(0, 2).Draw(w.t, "late")) * w.c.Limits.TimerSlack / 2
+func (s *simulation) timerDelay() time.Duration {
+	return time.Duration(rapid.IntRange(0, 2).Draw(s.t, "late")) * s.config.Limits.TimerSlack / 2
 }
 
 // Send has an attempt connect, arrive, work and end, each as drawn.
-func (w *world) Send(id uint64, endpoint uint32, timeout, _ balancer.Micros) {
-	r := w.tries[id]
+func (s *simulation) Send(id uint64, endpoint uint32, timeout, _ balancer.Micros) {
+	r := s.requests[id]
 	n := r.attempts
 	r.attempts++
 	if r.class.Idempotency == balancer.NotIdempotent && n >= 3 || r.attempts > r.bounds.MaxAttempts {
-		w.t.Fatalf("attempt %d of a request that may have %d", r.attempts, r.bounds.MaxAttempts)
+		s.t.Fatalf("attempt %d of a request that may have %d", r.attempts, r.bounds.MaxAttempts)
 	}
-	over := false
-	end := func(s balancer.Status) {
-		if over {
+	completed := false
+	end := func(status balancer.Status) {
+		if completed {
 			return
 		}
-		over = true
-		if s == balancer.OK && !r.over {
-			w.final(id, 200, 0)
+		completed = true
+		if status == balancer.OK && !r.answered {
+			s.answer(id, 200, 0)
 		}
-		w.b.AttemptCompleted(w.clock(), balancer.Outcome{ID: id, Attempt: n, Endpoint: endpoint, Status: s, Latency: 1000, Settled: r.over})
+		s.balancer.AttemptCompleted(s.clock(), balancer.Outcome{ID: id, Attempt: n, Endpoint: endpoint, Status: status, Latency: 1000, Settled: r.answered})
 	}
-	dial := time.Duration(rapid.IntRange(0, 4).Draw(w.t, "dial")) * w.c.Limits.Dial / 4
-	until := w.span(timeout)
+	dial := time.Duration(rapid.IntRange(0, 4).Draw(s.t, "dial")) * s.config.Limits.Dial / 4
+	until := s.realTime(timeout)
 	if timeout == 0 {
 		until = time.Hour
 	}
 	sent := false
-	w.in(until+w.late(), func() {
+	s.schedule(until+s.timerDelay(), func() {
 		if sent {
 			end(balancer.Timeout)
 		} else {
 			end(balancer.NotSent)
 		}
 	})
-	w.in(dial, func() {
-		if over {
+	s.schedule(dial, func() {
+		if completed {
 			return // given up before it was written
 		}
-		status := rapid.SampledFrom([]balancer.Status{balancer.OK, balancer.Error, balancer.Full, balancer.Timeout, balancer.ConnectFailed, balancer.Reset}).Draw(w.t, "status")
+		status := rapid.SampledFrom([]balancer.Status{balancer.OK, balancer.Error, balancer.Full, balancer.Timeout, balancer.ConnectFailed, balancer.Reset}).Draw(s.t, "status")
 		if status == balancer.ConnectFailed {
 			end(status)
 			return
 		}
 		sent = true
 		if status != balancer.Full {
-			w.run(r, endpoint)
+			s.execute(r, endpoint)
 		}
 		if status != balancer.Timeout { // else nothing is heard
-			w.in(time.Duration(rapid.IntRange(0, 30).Draw(w.t, "work"))*100*time.Millisecond, func() { end(status) })
+			s.schedule(time.Duration(rapid.IntRange(0, 30).Draw(s.t, "work"))*100*time.Millisecond, func() { end(status) })
 		}
 	})
 }
 
-// run has a request come to a server.
-func (w *world) run(r *try, endpoint uint32) {
+// execute has a request come to a server.
+func (s *simulation) execute(r *clientRequest, endpoint uint32) {
 	k := r.class
 	scope := r.key
 	if k.Group == balancer.GroupCell {
 		scope += fmt.Sprint(" pod ", (endpoint-1)/2)
 	}
 	if k.Idempotency == balancer.IdempotentWithKey {
-		if at, ok := w.ran[scope]; ok && w.now < at+k.DedupWindow {
+		if at, ok := s.lastRun[scope]; ok && s.now < at+k.DedupWindow {
 			return // a repeat, dropped
 		}
-		w.ran[scope] = w.now
+		s.lastRun[scope] = s.now
 	}
-	if w.done[r.key]++; w.done[r.key] > 1 && k.Idempotency != balancer.Idempotent {
-		w.t.Fatalf("%s of class %s was done twice, the second time %v after the client's first try", r.key, k.Name, w.now-r.first)
+	if s.effects[r.key]++; s.effects[r.key] > 1 && k.Idempotency != balancer.Idempotent {
+		s.t.Fatalf("%s of class %s was done twice, the second time %v after the client's first try", r.key, k.Name, s.now-r.firstSent)
 	}
 }
 
-// final is an answer; the client may come again.
-func (w *world) final(id uint64, code int, after time.Duration) {
-	r := w.tries[id]
-	if r.over {
-		w.t.Fatalf("request %d has two answers", id)
+// answer is an answer; the client may come again.
+func (s *simulation) answer(id uint64, code int, after time.Duration) {
+	r := s.requests[id]
+	if r.answered {
+		s.t.Fatalf("request %d has two answers", id)
 	}
-	r.over = true
-	w.answers++
+	r.answered = true
+	s.answers++
 	if code == 200 {
 		return
 	}
-	again := code == 503 || r.class.Clients == ClientsFailed
+	retries := code == 503 || r.class.Clients == ClientsRetryFailed
 	// A client that is told nothing of a time comes at once, or a little later.
-	wait := after + time.Duration(rapid.IntRange(0, 2).Draw(w.t, "way"))*10*time.Millisecond
-	if deadline := time.Duration(r.bounds.Deadline) * time.Microsecond; again && w.now+wait < r.first+deadline {
-		w.in(wait, func() { w.ask(&try{bounds: r.bounds, class: r.class, key: r.key, first: r.first, retry: true}) })
+	wait := after + time.Duration(rapid.IntRange(0, 2).Draw(s.t, "way"))*10*time.Millisecond
+	if deadline := time.Duration(r.bounds.Deadline) * time.Microsecond; retries && s.now+wait < r.firstSent+deadline {
+		s.schedule(wait, func() {
+			s.submit(&clientRequest{bounds: r.bounds, class: r.class, key: r.key, firstSent: r.firstSent, isRetry: true})
+		})
 	}
 }
 
-// ask is a client's try.
-func (w *world) ask(r *try) {
-	w.lastID++
-	id := w.lastID
-	w.tries[id] = r
-	b, now := r.bounds, w.clock()
-	left := r.first + time.Duration(b.Deadline)*time.Microsecond - w.now
-	w.b.HandleRequest(now, balancer.Request{ID: id, Class: b.Class, Deadline: now + left.Microseconds(), ClientRetry: r.retry, MaxAttempts: b.MaxAttempts,
+// submit is a client's try.
+func (s *simulation) submit(r *clientRequest) {
+	s.lastID++
+	id := s.lastID
+	s.requests[id] = r
+	b, now := r.bounds, s.clock()
+	remaining := r.firstSent + time.Duration(b.Deadline)*time.Microsecond - s.now
+	s.balancer.HandleRequest(now, balancer.Request{ID: id, Class: b.Class, Deadline: now + remaining.Microseconds(), ClientRetry: r.isRetry, MaxAttempts: b.MaxAttempts,
 		NoHedging: b.NoHedging, AttemptTimeout: b.AttemptTimeout, HedgeDelay: b.HedgeDelay, Budget: b.Budget, Pool: b.Pool})
 }
 
-func (w *world) Reject(id uint64, after balancer.Micros) { w.final(id, 503, w.span(after)) }
-func (w *world) Fail(id uint64)                          { w.final(id, 502, 0) }
-func (w *world) Cancel(uint64, int)                      {}
-func (w *world) Timer(delay balancer.Micros, token uint32) {
-	w.in(w.span(delay)+w.late(), func() { w.b.TimerFired(w.clock(), token) })
+func (s *simulation) Reject(id uint64, after balancer.Micros) { s.answer(id, 503, s.realTime(after)) }
+func (s *simulation) Fail(id uint64)                          { s.answer(id, 502, 0) }
+func (s *simulation) Cancel(uint64, int)                      {}
+func (s *simulation) Timer(delay balancer.Micros, token uint32) {
+	s.schedule(s.realTime(delay)+s.timerDelay(), func() { s.balancer.TimerFired(s.clock(), token) })
 }
-func (w *world) Probe(uint32)       {}
-func (w *world) Watch(bool)         {}
-func (w *world) Log(string, ...any) {}
+func (s *simulation) Probe(uint32)       {}
+func (s *simulation) Watch(bool)         {}
+func (s *simulation) Log(string, ...any) {}
 
-// draw returns a file whose figures stand on both sides of what the rules allow.
-func draw(t *rapid.T) *Config {
-	span := func(name string, most int) time.Duration {
-		return time.Duration(rapid.IntRange(0, most).Draw(t, name)) * 50 * time.Millisecond
+// drawConfig returns a file whose figures stand on both sides of what the rules allow.
+func drawConfig(t *rapid.T) *Config {
+	span := func(name string, maxSteps int) time.Duration {
+		return time.Duration(rapid.IntRange(0, maxSteps).Draw(t, name)) * 50 * time.Millisecond
 	}
 	c := &Config{Limits: Limits{MaxAttempts: rapid.IntRange(1, 3).Draw(t, "attempts"), Hedging: rapid.Bool().Draw(t, "copies"), MaxDeadline: time.Minute,
 		Dial: span("dial", 8), TimerSlack: span("slack", 2), ClockError: rapid.SampledFrom([]float64{0, 0.0005, 0.05}).Draw(t, "clocks"), DrainGrace: 2 * time.Second}}
@@ -221,7 +222,7 @@
 			k.Group = rapid.SampledFrom([]balancer.Group{balancer.GroupAll, balancer.GroupCell}).Draw(t, "group")
 		}
 		if rapid.IntRange(0, 2).Draw(t, "clients") == 0 {
-			k.Clients = ClientsFailed
+			k.Clients = ClientsRetryFailed
 		}
 		c.Classes = append(c.Classes, k)
 	}
@@ -229,17 +230,17 @@
 	return c
 }
 
-// schedule is what a file fixes, played out step by step by a plain clock: the instants
+// playSchedule is what a file fixes, played out step by step by a plain clock: the instants
 // at which a repeat of a request may come to a server, all delays at their worst. It
 // is told apart from Limits.Schedule, which computes them.
-func schedule(l *Limits, e Effective) (worst time.Duration, copies int) {
+func playSchedule(l *Limits, e Effective) (worst time.Duration, hedges int) {
 	const step = 10 * time.Millisecond // all figures of draw are multiples, or zero
 	sends := 1
-	tryEnds := e.AttemptTimeout + l.TimerSlack
+	attemptEnds := e.AttemptTimeout + l.TimerSlack
 	for now := step; now < e.Deadline && sends < e.MaxAttempts; now += step {
 		send := false
-		if e.AttemptTimeout > 0 && now == tryEnds { // the last one is given up
-			send, tryEnds = true, now+e.AttemptTimeout+l.TimerSlack
+		if e.AttemptTimeout > 0 && now == attemptEnds { // the last one is given up
+			send, attemptEnds = true, now+e.AttemptTimeout+l.TimerSlack
 		}
 		if send {
 			sends++
@@ -248,36 +249,36 @@
 	}
 	// A copy is decided as its time comes, however late the timer, while the first is out.
 	if e.HedgeDelay > 0 && e.Hedging && e.MaxAttempts > 1 && e.HedgeDelay < e.Deadline && (e.AttemptTimeout == 0 || e.HedgeDelay < e.AttemptTimeout) {
-		worst, copies = max(worst, e.HedgeDelay+l.TimerSlack+l.Dial), 1
+		worst, hedges = max(worst, e.HedgeDelay+l.TimerSlack+l.Dial), 1
 	}
-	if e.Class.Clients == ClientsFailed {
+	if e.Class.Clients == ClientsRetryFailed {
 		worst = max(worst, e.Deadline+l.TimerSlack+l.Dial)
 	}
-	return time.Duration(float64(worst) * (1 + l.ClockError)), copies
+	return time.Duration(float64(worst) * (1 + l.ClockError)), hedges
 }
 
-// breaks says whether a file's schedule breaks a rule of a class, by playing it.
-func breaks(c *Config) string {
+// violatedRule says whether a file's schedule breaks a rule of a class, by playing it.
+func violatedRule(c *Config) string {
 	for i := range c.Classes {
 		k := &c.Classes[i]
 		if k.Idempotency == balancer.IdempotentWithKey && float64(k.DedupWindow)/(1+c.Limits.ClockError)-float64(c.Limits.Dial+c.Limits.TimerSlack) < float64(time.Millisecond) {
 			return "nothing of the window is left"
 		}
-		if k.Clients == ClientsFailed && (k.Idempotency == balancer.NotIdempotent || k.Idempotency == balancer.IdempotentWithKey && k.Group != balancer.GroupAll) {
+		if k.Clients == ClientsRetryFailed && (k.Idempotency == balancer.NotIdempotent || k.Idempotency == balancer.IdempotentWithKey && k.Group != balancer.GroupAll) {
 			return "clients repeat what nobody drops"
 		}
-		of := []Effective{c.Effective(k, nil)}
+		variants := []Effective{c.Effective(k, nil)}
 		for j := range c.Routes {
 			if c.Routes[j].Class == k.Name {
-				of = append(of, c.Effective(k, &c.Routes[j]))
+				variants = append(variants, c.Effective(k, &c.Routes[j]))
 			}
 		}
-		for _, e := range of {
-			worst, copies := schedule(&c.Limits, e)
+		for _, e := range variants {
+			worst, hedges := playSchedule(&c.Limits, e)
 			if k.Idempotency == balancer.IdempotentWithKey && worst >= k.DedupWindow {
 				return fmt.Sprintf("a repeat of %s after %v", k.Name, worst)
 			}
-			if k.Idempotency == balancer.NotIdempotent && (copies > 0 || e.HedgeDelay > 0) {
+			if k.Idempotency == balancer.NotIdempotent && (hedges > 0 || e.HedgeDelay > 0) {
 				return "a copy of what is unsafe"
 			}
 			if e.AttemptTimeout > e.Deadline || e.MaxAttempts > c.Limits.MaxAttempts {
@@ -296,16 +297,16 @@
 }
 
 // A file is refused exactly if its schedule, played out, breaks a rule.
-func TestRefusedIffItBreaksARule(t *testing.T) {
+func TestConfigRejectedIffItsScheduleBreaksARule(t *testing.T) {
 	good, bad := 0, 0
 	rapid.Check(t, func(t *rapid.T) {
-		c := draw(t)
+		c := drawConfig(t)
 		table, all := Compile(c, nil)
-		why := breaks(c)
-		if (table == nil) != (why != "") {
-			t.Fatalf("played: %q; compiled: %v\n%+v", why, all, c)
+		violation := violatedRule(c)
+		if (table == nil) != (violation != "") {
+			t.Fatalf("played: %q; compiled: %v\n%+v", violation, all, c)
 		}
-		if why == "" {
+		if violation == "" {
 			good++
 		} else {
 			bad++
@@ -318,29 +319,29 @@
 
 // No file that is taken lets servers see a repeat outside its class's rule, whatever
 // the outcomes and timings; and every request has one answer.
-func TestTakenFilesKeepTheRules(t *testing.T) {
+func TestAcceptedConfigKeepsTheRules(t *testing.T) {
 	played := 0
 	rapid.Check(t, func(t *rapid.T) {
-		c := draw(t)
+		c := drawConfig(t)
 		table, _ := Compile(c, nil)
 		if table == nil {
 			return
 		}
 		played++
-		w := &world{t: t, c: c, table: table, tries: map[uint64]*try{}, ran: map[string]time.Duration{}, done: map[string]int{}}
+		s := &simulation{t: t, config: c, table: table, requests: map[uint64]*clientRequest{}, lastRun: map[string]time.Duration{}, effects: map[string]int{}}
 		settings := balancer.Settings{Balancers: 1, Zones: 1, Kinds: 1, Classes: table.Classes(), Budgets: table.Budgets(),
 			Limits:   balancer.Limits{Cancel: true, Hedging: c.Limits.Hedging, RetryAfter: true, MaxRetryAfter: 1_500_000, MaxAttempts: c.Limits.MaxAttempts, MaxOpen: 1000},
 			Contract: balancer.Contract{SlowStartRatio: 1, OverloadMultiple: 2.5}, Goal: balancer.Goal{Overall: 1}}
 		var err error
-		if w.b, err = balancer.New(settings, 1, w); err != nil {
+		if s.balancer, err = balancer.New(settings, 1, s); err != nil {
 			t.Fatal(err)
 		}
-		w.b.Start(w.clock())
+		s.balancer.Start(s.clock())
 		var list []balancer.Endpoint
 		for i := range 6 {
 			list = append(list, balancer.Endpoint{ID: uint32(i + 1), Cell: uint16(i / 2), Weight: 1})
 		}
-		w.b.UpdateEndpoints(w.clock(), balancer.ListFull, list)
+		s.balancer.UpdateEndpoints(s.clock(), balancer.ListFull, list)
 		for i := range rapid.IntRange(1, 12).Draw(t, "requests") {
 			bounds, ok := table.Lookup(&Query{Method: "POST", Path: []string{"/a", "/b"}[i%2]})
 			if !ok {
@@ -348,15 +349,17 @@
 			}
 			class := &c.Classes[slices.IndexFunc(c.Classes, func(k Class) bool { return k.Name == bounds.ClassName })]
 			at := time.Duration(rapid.IntRange(0, 20).Draw(t, "at")) * 100 * time.Millisecond
-			w.in(at, func() { w.ask(&try{bounds: bounds, class: class, key: fmt.Sprint("k", i), first: w.now}) })
+			s.schedule(at, func() {
+				s.submit(&clientRequest{bounds: bounds, class: class, key: fmt.Sprint("k", i), firstSent: s.now})
+			})
 		}
-		for len(w.queue) > 0 && w.queue[0].at < 5*time.Minute {
-			e := heap.Pop(&w.queue).(event)
-			w.now = e.at
-			e.do()
+		for len(s.queue) > 0 && s.queue[0].at < 5*time.Minute {
+			e := heap.Pop(&s.queue).(event)
+			s.now = e.at
+			e.run()
 		}
-		for id, r := range w.tries {
-			if !r.over {
+		for id, r := range s.requests {
+			if !r.answered {
 				t.Fatalf("request %d of %s has no answer", id, r.class.Name)
 			}
 		}
@@ -368,7 +371,7 @@
 
 // Were the module told the file's window as it stands, a slow connection would carry a
 // repeat past it: the play can fail.
-func TestThePlayCanFail(t *testing.T) {
+func TestPlayedScheduleFindsLateRepeat(t *testing.T) {
 	c := &Config{Limits: Limits{MaxAttempts: 2, MaxDeadline: time.Minute, Dial: 400 * time.Millisecond},
 		Classes: []Class{{Name: "pay", Idempotency: balancer.IdempotentWithKey, DedupWindow: time.Second, Timing: Timing{Deadline: 5 * time.Second}, LatencyObjective: time.Second}}}
 	table, all := Compile(c, nil)
@@ -378,7 +381,7 @@
 	if got := table.Classes()[0].DedupWindow; got != 600_000 {
 		t.Errorf("the module's window is %d, want what a connection of 400 ms leaves of 1 s", got)
 	}
-	if !strings.Contains(fmt.Sprint(breaks(&Config{Limits: c.Limits, Classes: []Class{{Name: "pay", Idempotency: balancer.IdempotentWithKey, DedupWindow: time.Second,
+	if !strings.Contains(fmt.Sprint(violatedRule(&Config{Limits: c.Limits, Classes: []Class{{Name: "pay", Idempotency: balancer.IdempotentWithKey, DedupWindow: time.Second,
 		Timing: Timing{Deadline: 5 * time.Second, AttemptTimeout: 700 * time.Millisecond}}}})), "a repeat of pay after 1.1s") {
 		t.Error("the schedule of attempts is not played")
 	}
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -15,8 +15,8 @@
 
 const ms = time.Millisecond
 
-// market is the co-operative's file.
-func market() *Config {
+// marketConfig is the co-operative's file.
+func marketConfig() *Config {
 	return &Config{Version: "v", Limits: Limits{MaxAttempts: 3, Hedging: true, MaxDeadline: time.Minute, Dial: 250 * ms, TimerSlack: 10 * ms,
 		ClockError: 0.0005, DrainGrace: 2 * time.Second},
 		Classes: []Class{
@@ -27,10 +27,10 @@
 }
 
 const (
-	prices = iota
-	pay
-	dayClose
-	order
+	classPrices = iota
+	classPay
+	classDayClose
+	classOrder
 )
 
 func ptr[T any](v T) *T { return &v }
@@ -50,51 +50,53 @@
 
 // What contradicts a rule of a class is refused, with the key and the figure; what
 // stands a step before that is not.
-func TestRules(t *testing.T) {
+func TestContradictionIsRejectedWithKeyAndFigure(t *testing.T) {
 	for name, c := range map[string]struct {
 		good, bad func(*Config)
 		key       string
 		says      []string
 	}{
 		"attempts within the window": {
-			func(c *Config) { c.Classes[pay].AttemptTimeout, c.Classes[pay].MaxAttempts = 600*ms, 3 },
-			func(c *Config) { c.Classes[pay].AttemptTimeout, c.Classes[pay].MaxAttempts = 650*ms, 3 }, "class[1].try_for", []string{"rule window", "attempt 3", "1.5s", "1.570785s"}},
+			func(c *Config) { c.Classes[classPay].AttemptTimeout, c.Classes[classPay].MaxAttempts = 600*ms, 3 },
+			func(c *Config) { c.Classes[classPay].AttemptTimeout, c.Classes[classPay].MaxAttempts = 650*ms, 3 }, "class[1].try_for", []string{"rule window", "attempt 3", "1.5s", "1.570785s"}},
 		"attempts of one pod": {
 			func(c *Config) {
-				c.Classes[dayClose].Deadline, c.Classes[dayClose].AttemptTimeout = 30*time.Second, 5800*ms
+				c.Classes[classDayClose].Deadline, c.Classes[classDayClose].AttemptTimeout = 30*time.Second, 5800*ms
 			},
 			func(c *Config) {
-				c.Classes[dayClose].Deadline, c.Classes[dayClose].AttemptTimeout = 30*time.Second, 5900*ms
+				c.Classes[classDayClose].Deadline, c.Classes[classDayClose].AttemptTimeout = 30*time.Second, 5900*ms
 			}, "class[2].try_for", []string{"rule window", "12s"}},
 		"with a slow clock": {
 			func(c *Config) {
-				c.Classes[dayClose].Deadline, c.Classes[dayClose].AttemptTimeout = 30*time.Second, 5800*ms
+				c.Classes[classDayClose].Deadline, c.Classes[classDayClose].AttemptTimeout = 30*time.Second, 5800*ms
 			},
 			func(c *Config) {
-				c.Classes[dayClose].Deadline, c.Classes[dayClose].AttemptTimeout = 30*time.Second, 5800*ms
+				c.Classes[classDayClose].Deadline, c.Classes[classDayClose].AttemptTimeout = 30*time.Second, 5800*ms
 				c.Limits.ClockError = 0.02
 			}, "class[2].try_for", []string{"clocks 0.02 apart"}},
 		"with a slow connection": {
-			func(c *Config) { c.Classes[pay].AttemptTimeout = 600 * ms },
-			func(c *Config) { c.Classes[pay].AttemptTimeout, c.Limits.Dial = 600*ms, 300*ms }, "class[1].try_for", []string{"connection 300ms"}},
+			func(c *Config) { c.Classes[classPay].AttemptTimeout = 600 * ms },
+			func(c *Config) { c.Classes[classPay].AttemptTimeout, c.Limits.Dial = 600*ms, 300*ms }, "class[1].try_for", []string{"connection 300ms"}},
 		"clients that come again": {
-			func(c *Config) { c.Classes[pay].Clients, c.Classes[pay].Deadline = ClientsFailed, 1200*ms },
-			func(c *Config) { c.Classes[pay].Clients = ClientsFailed }, "class[1].deadline", []string{"a client that comes again within its 2.5s"}},
+			func(c *Config) {
+				c.Classes[classPay].Clients, c.Classes[classPay].Deadline = ClientsRetryFailed, 1200*ms
+			},
+			func(c *Config) { c.Classes[classPay].Clients = ClientsRetryFailed }, "class[1].deadline", []string{"a client that comes again within its 2.5s"}},
 		"clients that go to any pod": {
-			func(c *Config) { c.Classes[dayClose].Clients = ClientsRefused },
-			func(c *Config) { c.Classes[dayClose].Clients = ClientsFailed }, "class[2].clients", []string{"rule group"}},
+			func(c *Config) { c.Classes[classDayClose].Clients = ClientsRetryRejected },
+			func(c *Config) { c.Classes[classDayClose].Clients = ClientsRetryFailed }, "class[2].clients", []string{"rule group"}},
 		"clients of what is unsafe": {
-			func(c *Config) { c.Classes[order].Clients = ClientsRefused },
-			func(c *Config) { c.Classes[order].Clients = ClientsFailed }, "class[3].clients", []string{"rule unsafe"}},
+			func(c *Config) { c.Classes[classOrder].Clients = ClientsRetryRejected },
+			func(c *Config) { c.Classes[classOrder].Clients = ClientsRetryFailed }, "class[3].clients", []string{"rule unsafe"}},
 		"a second copy within the window": {
-			func(c *Config) { c.Classes[pay].HedgeDelay = 1200 * ms },
-			func(c *Config) { c.Classes[pay].HedgeDelay = 1600 * ms }, "class[1].copy_after", []string{"rule window", "a second copy", "1.5s"}},
+			func(c *Config) { c.Classes[classPay].HedgeDelay = 1200 * ms },
+			func(c *Config) { c.Classes[classPay].HedgeDelay = 1600 * ms }, "class[1].copy_after", []string{"rule window", "a second copy", "1.5s"}},
 		"a second copy of what is unsafe": {
-			func(c *Config) {}, func(c *Config) { c.Classes[order].HedgeDelay = ms }, "class[3].copy_after", []string{"rule unsafe"}},
+			func(c *Config) {}, func(c *Config) { c.Classes[classOrder].HedgeDelay = ms }, "class[3].copy_after", []string{"rule unsafe"}},
 		"a quantile of what is unsafe": {
-			func(c *Config) { c.Classes[pay].HedgeQuantile = 0.9 }, func(c *Config) { c.Classes[order].HedgeQuantile = 0.9 }, "class[3].copy_at", []string{"rule unsafe"}},
+			func(c *Config) { c.Classes[classPay].HedgeQuantile = 0.9 }, func(c *Config) { c.Classes[classOrder].HedgeQuantile = 0.9 }, "class[3].copy_at", []string{"rule unsafe"}},
 		"a window that is all connection": {
-			func(c *Config) { c.Classes[pay].DedupWindow = 300 * ms }, func(c *Config) { c.Classes[pay].DedupWindow = 260 * ms }, "class[1].window", []string{"rule window", "nothing is left"}},
+			func(c *Config) { c.Classes[classPay].DedupWindow = 300 * ms }, func(c *Config) { c.Classes[classPay].DedupWindow = 260 * ms }, "class[1].window", []string{"rule window", "nothing is left"}},
 		"too many attempts": {
 			func(c *Config) { c.Classes[0].MaxAttempts = 3 }, func(c *Config) { c.Classes[0].MaxAttempts = 4 }, "class[0].attempts", []string{"rule attempts", "4"}},
 		"a drain that cuts off": {
@@ -115,11 +117,11 @@
 			}, "route[0].copy_after", []string{"rule window"}},
 		"a route beside its class's attempts": {
 			func(c *Config) {
-				c.Classes[pay].AttemptTimeout, c.Classes[pay].MaxAttempts = 1200*ms, 2
+				c.Classes[classPay].AttemptTimeout, c.Classes[classPay].MaxAttempts = 1200*ms, 2
 				c.Routes = []Route{{Class: "stall-pay", Prefix: "/a"}}
 			},
 			func(c *Config) {
-				c.Classes[pay].AttemptTimeout, c.Classes[pay].MaxAttempts = 1200*ms, 2
+				c.Classes[classPay].AttemptTimeout, c.Classes[classPay].MaxAttempts = 1200*ms, 2
 				c.Routes = []Route{{Class: "stall-pay", Prefix: "/a", Timing: Timing{MaxAttempts: 3}}}
 			}, "route[0].try_for", []string{"attempt 3"}},
 		"routes that overlap": {
@@ -131,7 +133,7 @@
 			}, "route[1].class", []string{"rule overlap", "route[0]", "order"}},
 	} {
 		c.key += ": "
-		good, bad := market(), market()
+		good, bad := marketConfig(), marketConfig()
 		c.good(good)
 		c.bad(bad)
 		if errs, _ := faults(good); len(errs) > 0 {
@@ -152,7 +154,7 @@
 }
 
 // What is legal and unwise is told, and taken.
-func TestWarnings(t *testing.T) {
+func TestUnwiseFigureGivesWarning(t *testing.T) {
 	for name, c := range map[string]struct {
 		set func(*Config)
 		key string
@@ -166,20 +168,20 @@
 		"a route never reached":    {func(c *Config) { c.Routes = []Route{{Path: "/a", Class: "order"}, {Path: "/a", Class: "order"}} }, "route[1].class"},
 		"a POST that is safe":      {func(c *Config) { c.Routes = []Route{{Path: "/a", Method: "POST", Class: "price-check"}} }, "route[0].method"},
 	} {
-		m := market()
+		m := marketConfig()
 		c.set(m)
 		errs, warned := faults(m)
 		if len(errs) > 0 || !slices.ContainsFunc(warned, func(s string) bool { return strings.HasPrefix(s, c.key+": ") }) {
 			t.Errorf("%s: faults %v, warnings %v", name, errs, warned)
 		}
 	}
-	if errs, warned := faults(market()); len(errs)+len(warned) > 0 {
+	if errs, warned := faults(marketConfig()); len(errs)+len(warned) > 0 {
 		t.Errorf("an ordinary file: %v, %v", errs, warned)
 	}
 }
 
 // Each key's bounds.
-func TestBadFigures(t *testing.T) {
+func TestFigureOutOfBoundsIsRejected(t *testing.T) {
 	for key, set := range map[string]func(*Config){
 		"limits.timer_slack":     func(c *Config) { c.Limits.TimerSlack = -1 },
 		"limits.clock_error":     func(c *Config) { c.Limits.ClockError = 1 },
@@ -215,7 +217,7 @@
 		"route[0].pool":          func(c *Config) { c.Routes = []Route{{Class: "order", Pool: "none"}} },
 		"route[0].deadline":      func(c *Config) { c.Routes = []Route{{Class: "order", Timing: Timing{Deadline: -1}}} },
 	} {
-		c := market()
+		c := marketConfig()
 		set(c)
 		if errs, _ := faults(c); !slices.ContainsFunc(errs, func(s string) bool { return strings.HasPrefix(s, key+": ") }) {
 			t.Errorf("%s: %v", key, errs)
@@ -223,8 +225,8 @@
 	}
 }
 
-// reference finds a request's route by looking at all of them, ranked as the docs say.
-func reference(c *Config, q *Query) int {
+// linearSearch finds a request's route by looking at all of them, ranked as the docs say.
+func linearSearch(c *Config, q *Query) int {
 	best := -1
 	rank := func(r *Route) [5]int {
 		out := [5]int{0, 0, len(strings.TrimSuffix(r.Prefix, "/")), 0, len(r.Headers)}
@@ -295,9 +297,9 @@
 
 // A request gets the route that a plain walk over all of them finds, and the
 // explanation says the same of each.
-func TestLookupAgainstAWalk(t *testing.T) {
+func TestLookupMatchesLinearSearch(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := market()
+		c := marketConfig()
 		drawRoutes(t, c)
 		table, all := Compile(c, nil)
 		if table == nil { // routes that overlap: the walk cannot tell them apart either
@@ -308,7 +310,7 @@
 		}
 		for range 20 {
 			q := drawQuery(t)
-			want := reference(c, q)
+			want := linearSearch(c, q)
 			got, ok := table.Lookup(q)
 			if ok != (want >= 0) || ok && got.ClassName != c.Routes[want].Class {
 				t.Fatalf("%+v: %+v, want route %d of %+v", q, got, want, c.Routes)
@@ -325,15 +327,15 @@
 }
 
 // Numbers of classes, budgets, tenants and pools stay what they are over reloads.
-func TestNumbersStay(t *testing.T) {
-	a := market()
-	a.Classes[pay].RetryRatio = ptr(0.5)
+func TestNumbersStayAcrossReloads(t *testing.T) {
+	a := marketConfig()
+	a.Classes[classPay].RetryRatio = ptr(0.5)
 	a.Tenants = []Tenant{{Name: "x", Weight: 1}, {Name: "y", Weight: 1}}
 	a.Pools = []Pool{{Name: "p", Kinds: []string{"big"}}, {Name: "q", Sites: []string{"dar"}}}
 	first, _ := Compile(a, nil)
-	b := market()
-	b.Classes = slices.Delete(b.Classes, prices, prices+1) // one goes
-	b.Classes[0].DedupWindow = 2 * time.Second             // one changes
+	b := marketConfig()
+	b.Classes = slices.Delete(b.Classes, classPrices, classPrices+1) // one goes
+	b.Classes[0].DedupWindow = 2 * time.Second                       // one changes
 	b.Classes = append(b.Classes, Class{Name: "new", Timing: Timing{Deadline: time.Second, RetryBurst: ptr(3.0)}, LatencyObjective: 500 * ms})
 	b.Classes[0].RetryRatio = ptr(0.1)
 	b.Tenants = []Tenant{{Name: "z", Weight: 1}, {Name: "y", Weight: 2}}
@@ -367,7 +369,7 @@
 	// No more kinds than the module can number.
 	last := first
 	for i := range 300 {
-		c := market()
+		c := marketConfig()
 		c.Classes[0].LatencyObjective = time.Duration(i+1) * ms
 		next, all := Compile(c, last)
 		if next == nil {
@@ -381,10 +383,10 @@
 	t.Error("300 kinds of class are taken")
 }
 
-// thousands has so many routes, as an operator's would be.
-func thousands(n int) (*Table, []*Query) {
-	c := market()
-	var asked []*Query
+// manyRoutes has so many routes, as an operator's would be.
+func manyRoutes(n int) (*Table, []*Query) {
+	c := marketConfig()
+	var queries []*Query
 	for i := range n {
 		r := Route{Class: c.Classes[i%4].Name, Prefix: fmt.Sprintf("/shop/%d/items", i)}
 		if i%3 == 0 {
@@ -394,25 +396,25 @@
 			r.Headers = map[string]string{"X-Tier": "gold"}
 		}
 		c.Routes = append(c.Routes, r)
-		asked = append(asked, &Query{Method: "GET", Host: fmt.Sprintf("h%d.example:80", i%50), Path: fmt.Sprintf("/shop/%d/items/%d/x", i, i), Header: map[string][]string{"X-Tier": {"gold"}}})
+		queries = append(queries, &Query{Method: "GET", Host: fmt.Sprintf("h%d.example:80", i%50), Path: fmt.Sprintf("/shop/%d/items/%d/x", i, i), Header: map[string][]string{"X-Tier": {"gold"}}})
 	}
 	t, all := Compile(c, nil)
 	if t == nil {
 		panic(fmt.Sprint(all))
 	}
-	return t, asked
+	return t, queries
 }
 
 // 10,000 routes are compiled, and looking up allocates nothing.
-func TestThousandsOfRoutes(t *testing.T) {
-	table, asked := thousands(10_000)
-	for i, q := range asked {
-		if b, ok := table.Lookup(q); !ok || b.ClassName != market().Classes[i%4].Name {
+func TestLookupOfManyRoutesAllocatesNothing(t *testing.T) {
+	table, queries := manyRoutes(10_000)
+	for i, q := range queries {
+		if b, ok := table.Lookup(q); !ok || b.ClassName != marketConfig().Classes[i%4].Name {
 			t.Fatalf("request %d: %+v", i, b)
 		}
 	}
 	i := 0
-	if n := testing.AllocsPerRun(10_000, func() { table.Lookup(asked[i%len(asked)]); i++ }); n != 0 {
+	if n := testing.AllocsPerRun(10_000, func() { table.Lookup(queries[i%len(queries)]); i++ }); n != 0 {
 		t.Errorf("%v allocations", n)
 	}
 	if n := len(table.Rows()); n != 10_004 {
@@ -423,11 +425,11 @@
 func BenchmarkLookup(b *testing.B) {
 	for _, n := range []int{10, 1000, 10_000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			table, asked := thousands(n)
+			table, queries := manyRoutes(n)
 			b.ReportAllocs()
 			i := 0
 			for b.Loop() {
-				table.Lookup(asked[i%n])
+				table.Lookup(queries[i%n])
 				i++
 			}
 		})
@@ -435,7 +437,7 @@
 }
 
 func FuzzLookup(f *testing.F) {
-	table, _ := thousands(100)
+	table, _ := manyRoutes(100)
 	f.Add("GET", "h3.example:80", "/shop/3/items/7", "gold")
 	f.Add("", "[::1]:80", "", "")
 	f.Add("POST", ":", "//..//", "\x00")
@@ -454,7 +456,7 @@
 	})
 }
 
-func TestCanonical(t *testing.T) {
+func TestCanonicalHeaderName(t *testing.T) {
 	for in, want := range map[string]string{"x-tier": "X-Tier", "X-TIER": "X-Tier", "": "", "a": "A", "x--y": "X--Y"} {
 		if got := Canonical(in); got != want {
 			t.Errorf("%q: %q, want %q", in, got, want)
