--- a/internal/policy/model_test.go
+++ b/internal/policy/model_test.go
@@ -14,29 +14,29 @@
 	_ "pinedale/internal/standin/seeds"
 )
 
-// simulation plays the module within a table's bounds on virtual time: connections, timers
-// and clocks are as bad as the file says they may be, outcomes and timings are drawn.
-// Its servers remember keys by true time, and count what runs twice.
+// simulation runs the decision module within the bounds of a table, on virtual time. Connections, timers and clocks are
+// as bad as the configuration allows; outcomes and timings are drawn. Its servers deduplicate by true time, and count
+// effects that run twice.
 type simulation struct {
 	t         *rapid.T
 	config    *Config
-	table     *Table
 	balancer  *balancer.Balancer
 	now       time.Duration // true
 	lastEvent int
 	queue     events
 	requests  map[uint64]*clientRequest
 	lastID    uint64
-	lastRun   map[string]time.Duration // when a key last ran, by who drops its repeats
-	effects   map[string]int           // effects, by key
+	lastRun   map[string]time.Duration // by key and group of servers that deduplicate
+	effects   map[string]int           // by key: how often it ran
 	answers   int
 }
 
+// clientRequest is one request of a client, or a retry of one.
 type clientRequest struct {
 	bounds    *Bounds
 	class     *Class
 	key       string
-	firstSent time.Duration // of the client's first try
+	firstSent time.Duration // the client's first request
 	attempts  int
 	answered  bool
 	isRetry   bool
@@ -68,14 +68,14 @@
 	heap.Push(&s.queue, event{s.now + max(0, d), s.lastEvent, run})
 }
 
-// The instance's clock is slow: it shows less than has passed.
+// epoch is the start of the module's clock, which is slow: it shows less than has passed.
 const epoch = balancer.Micros(1_000_000_000)
 
 func (s *simulation) clock() balancer.Micros {
 	return epoch + balancer.Micros(float64(s.now.Microseconds())/(1+s.config.Limits.ClockError))
 }
 
-// realTime is how long a time of the instance's clock takes: never less, as timers.
+// realTime returns how long a duration of the module's clock takes. It is never shorter, as with timers.
 func (s *simulation) realTime(m balancer.Micros) time.Duration {
 	return time.Duration(float64(m)*(1+s.config.Limits.ClockError)+2) * time.Microsecond
 }
@@ -84,7 +84,7 @@
 	return time.Duration(rapid.IntRange(0, 2).Draw(s.t, "late")) * s.config.Limits.TimerSlack / 2
 }
 
-// Send has an attempt connect, arrive, work and end, each as drawn.
+// Send simulates an attempt: its connection, its run and its end, each as drawn.
 func (s *simulation) Send(id uint64, endpoint uint32, timeout, _ balancer.Micros) {
 	r := s.requests[id]
 	n := r.attempts
@@ -101,7 +101,14 @@
 		if status == balancer.OK && !r.answered {
 			s.answer(id, 200, 0)
 		}
-		s.balancer.AttemptCompleted(s.clock(), balancer.Outcome{ID: id, Attempt: n, Endpoint: endpoint, Status: status, Latency: 1000, Settled: r.answered})
+		s.balancer.AttemptCompleted(s.clock(), balancer.Outcome{
+			ID:       id,
+			Attempt:  n,
+			Endpoint: endpoint,
+			Status:   status,
+			Latency:  1000,
+			Settled:  r.answered,
+		})
 	}
 	dial := time.Duration(rapid.IntRange(0, 4).Draw(s.t, "dial")) * s.config.Limits.Dial / 4
 	until := s.realTime(timeout)
@@ -118,9 +125,11 @@
 	})
 	s.schedule(dial, func() {
 		if completed {
-			return // given up before it was written
+			return // cancelled before it was written
 		}
-		status := rapid.SampledFrom([]balancer.Status{balancer.OK, balancer.Error, balancer.Full, balancer.Timeout, balancer.ConnectFailed, balancer.Reset}).Draw(s.t, "status")
+		status := rapid.SampledFrom([]balancer.Status{
+			balancer.OK, balancer.Error, balancer.Full, balancer.Timeout, balancer.ConnectFailed, balancer.Reset,
+		}).Draw(s.t, "status")
 		if status == balancer.ConnectFailed {
 			end(status)
 			return
@@ -129,13 +138,13 @@
 		if status != balancer.Full {
 			s.execute(r, endpoint)
 		}
-		if status != balancer.Timeout { // else nothing is heard
+		if status != balancer.Timeout { // else no answer comes
 			s.schedule(time.Duration(rapid.IntRange(0, 30).Draw(s.t, "work"))*100*time.Millisecond, func() { end(status) })
 		}
 	})
 }
 
-// execute has a request come to a server.
+// execute runs a request on a server.
 func (s *simulation) execute(r *clientRequest, endpoint uint32) {
 	k := r.class
 	scope := r.key
@@ -149,11 +158,12 @@
 		s.lastRun[scope] = s.now
 	}
 	if s.effects[r.key]++; s.effects[r.key] > 1 && k.Idempotency != balancer.Idempotent {
-		s.t.Fatalf("%s of class %s was done twice, the second time %v after the client's first try", r.key, k.Name, s.now-r.firstSent)
+		s.t.Fatalf("%s of class %s ran twice, the second time %v after the client's first request",
+			r.key, k.Name, s.now-r.firstSent)
 	}
 }
 
-// answer is an answer; the client may come again.
+// answer gives the client its answer. The client may retry.
 func (s *simulation) answer(id uint64, code int, after time.Duration) {
 	r := s.requests[id]
 	if r.answered {
@@ -165,7 +175,7 @@
 		return
 	}
 	retries := code == 503 || r.class.Clients == ClientsRetryFailed
-	// A client that is told nothing of a time comes at once, or a little later.
+	// A client without Retry-After retries at once, or a little later.
 	wait := after + time.Duration(rapid.IntRange(0, 2).Draw(s.t, "way"))*10*time.Millisecond
 	if deadline := time.Duration(r.bounds.Deadline) * time.Microsecond; retries && s.now+wait < r.firstSent+deadline {
 		s.schedule(wait, func() {
@@ -174,15 +184,25 @@
 	}
 }
 
-// submit is a client's try.
+// submit passes a client's request to the module.
 func (s *simulation) submit(r *clientRequest) {
 	s.lastID++
 	id := s.lastID
 	s.requests[id] = r
 	b, now := r.bounds, s.clock()
 	remaining := r.firstSent + time.Duration(b.Deadline)*time.Microsecond - s.now
-	s.balancer.HandleRequest(now, balancer.Request{ID: id, Class: b.Class, Deadline: now + remaining.Microseconds(), ClientRetry: r.isRetry, MaxAttempts: b.MaxAttempts,
-		NoHedging: b.NoHedging, AttemptTimeout: b.AttemptTimeout, HedgeDelay: b.HedgeDelay, Budget: b.Budget, Pool: b.Pool})
+	s.balancer.HandleRequest(now, balancer.Request{
+		ID:             id,
+		Class:          b.Class,
+		Deadline:       now + remaining.Microseconds(),
+		ClientRetry:    r.isRetry,
+		MaxAttempts:    b.MaxAttempts,
+		NoHedging:      b.NoHedging,
+		AttemptTimeout: b.AttemptTimeout,
+		HedgeDelay:     b.HedgeDelay,
+		Budget:         b.Budget,
+		Pool:           b.Pool,
+	})
 }
 
 func (s *simulation) Reject(id uint64, after balancer.Micros) { s.answer(id, 503, s.realTime(after)) }
@@ -195,27 +215,40 @@
 func (s *simulation) Watch(bool)         {}
 func (s *simulation) Log(string, ...any) {}
 
-// drawConfig returns a file whose figures stand on both sides of what the rules allow.
+// drawConfig returns a configuration with figures on both sides of what the rules allow.
 func drawConfig(t *rapid.T) *Config {
 	span := func(name string, maxSteps int) time.Duration {
 		return time.Duration(rapid.IntRange(0, maxSteps).Draw(t, name)) * 50 * time.Millisecond
 	}
-	c := &Config{Limits: Limits{MaxAttempts: rapid.IntRange(1, 3).Draw(t, "attempts"), Hedging: rapid.Bool().Draw(t, "copies"), MaxDeadline: time.Minute,
-		Dial: span("dial", 8), TimerSlack: span("slack", 2), ClockError: rapid.SampledFrom([]float64{0, 0.0005, 0.05}).Draw(t, "clocks"), DrainGrace: 2 * time.Second}}
+	c := &Config{Limits: Limits{
+		MaxAttempts: rapid.IntRange(1, 3).Draw(t, "attempts"),
+		Hedging:     rapid.Bool().Draw(t, "hedging"),
+		MaxDeadline: time.Minute,
+		Dial:        span("dial", 8),
+		TimerSlack:  span("slack", 2),
+		ClockError:  rapid.SampledFrom([]float64{0, 0.0005, 0.05}).Draw(t, "clocks"),
+		DrainGrace:  2 * time.Second,
+	}}
 	if rapid.IntRange(0, 3).Draw(t, "drains") == 0 {
 		c.Limits.DrainFor = span("drain", 100)
 	}
-	patience := func() (p Timing) {
-		if rapid.Bool().Draw(t, "tries") {
-			p.AttemptTimeout, p.MaxAttempts = span("try", 20), rapid.IntRange(0, 3).Draw(t, "class attempts")
+	timing := func() (p Timing) {
+		if rapid.Bool().Draw(t, "attempt settings") {
+			p.AttemptTimeout, p.MaxAttempts = span("attempt timeout", 20), rapid.IntRange(0, 3).Draw(t, "class attempts")
 		}
-		if rapid.Bool().Draw(t, "copy") {
+		if rapid.Bool().Draw(t, "hedge") {
 			p.HedgeDelay = span("after", 40)
 		}
 		return p
 	}
 	for i := range 2 {
-		k := Class{Name: fmt.Sprint("c", i), Idempotency: balancer.Idempotency(rapid.IntRange(0, 2).Draw(t, "repeat")), Timing: patience(), LatencyObjective: 500 * time.Millisecond, PriorityWeight: 1}
+		k := Class{
+			Name:             fmt.Sprint("c", i),
+			Idempotency:      balancer.Idempotency(rapid.IntRange(0, 2).Draw(t, "idempotency")),
+			Timing:           timing(),
+			LatencyObjective: 500 * time.Millisecond,
+			PriorityWeight:   1,
+		}
 		k.Deadline = 500*time.Millisecond + span("deadline", 80)
 		if k.Idempotency == balancer.IdempotentWithKey {
 			k.DedupWindow = 50*time.Millisecond + span("window", 60)
@@ -226,20 +259,20 @@
 		}
 		c.Classes = append(c.Classes, k)
 	}
-	c.Routes = []Route{{Prefix: "/a", Class: "c0", Timing: patience()}, {Prefix: "/b", Class: "c1"}}
+	c.Routes = []Route{{Prefix: "/a", Class: "c0", Timing: timing()}, {Prefix: "/b", Class: "c1"}}
 	return c
 }
 
-// playSchedule is what a file fixes, played out step by step by a plain clock: the instants
-// at which a repeat of a request may come to a server, all delays at their worst. It
-// is told apart from Limits.Schedule, which computes them.
+// playSchedule plays the schedule of a configuration step by step, all delays at their worst, and returns the latest
+// time at which a repeat may reach a server and the number of hedges. It shares no code with Limits.Schedule, which
+// computes the times.
 func playSchedule(l *Limits, e Effective) (worst time.Duration, hedges int) {
 	const step = 10 * time.Millisecond // all figures of draw are multiples, or zero
 	sends := 1
 	attemptEnds := e.AttemptTimeout + l.TimerSlack
 	for now := step; now < e.Deadline && sends < e.MaxAttempts; now += step {
 		send := false
-		if e.AttemptTimeout > 0 && now == attemptEnds { // the last one is given up
+		if e.AttemptTimeout > 0 && now == attemptEnds { // the attempt before is cancelled
 			send, attemptEnds = true, now+e.AttemptTimeout+l.TimerSlack
 		}
 		if send {
@@ -247,8 +280,12 @@
 			worst = max(worst, now+l.Dial)
 		}
 	}
-	// A copy is decided as its time comes, however late the timer, while the first is out.
-	if e.HedgeDelay > 0 && e.Hedging && e.MaxAttempts > 1 && e.HedgeDelay < e.Deadline && (e.AttemptTimeout == 0 || e.HedgeDelay < e.AttemptTimeout) {
+	// A hedge is sent when its time comes, however late the timer, while the first attempt is in flight.
+	firstEnd := e.Deadline
+	if e.AttemptTimeout > 0 {
+		firstEnd = min(firstEnd, e.AttemptTimeout)
+	}
+	if e.HedgeDelay > 0 && e.Hedging && e.MaxAttempts > 1 && e.HedgeDelay < firstEnd {
 		worst, hedges = max(worst, e.HedgeDelay+l.TimerSlack+l.Dial), 1
 	}
 	if e.Class.Clients == ClientsRetryFailed {
@@ -257,15 +294,18 @@
 	return time.Duration(float64(worst) * (1 + l.ClockError)), hedges
 }
 
-// violatedRule says whether a file's schedule breaks a rule of a class, by playing it.
+// violatedRule returns the rule of a class that a configuration's schedule violates, by playing it, "" for none.
 func violatedRule(c *Config) string {
 	for i := range c.Classes {
 		k := &c.Classes[i]
-		if k.Idempotency == balancer.IdempotentWithKey && float64(k.DedupWindow)/(1+c.Limits.ClockError)-float64(c.Limits.Dial+c.Limits.TimerSlack) < float64(time.Millisecond) {
+		withKey := k.Idempotency == balancer.IdempotentWithKey
+		window := float64(k.DedupWindow)/(1+c.Limits.ClockError) - float64(c.Limits.Dial+c.Limits.TimerSlack)
+		if withKey && window < float64(time.Millisecond) {
 			return "nothing of the window is left"
 		}
-		if k.Clients == ClientsRetryFailed && (k.Idempotency == balancer.NotIdempotent || k.Idempotency == balancer.IdempotentWithKey && k.Group != balancer.GroupAll) {
-			return "clients repeat what nobody drops"
+		unguarded := k.Idempotency == balancer.NotIdempotent || withKey && k.Group != balancer.GroupAll
+		if k.Clients == ClientsRetryFailed && unguarded {
+			return "clients retry without deduplication"
 		}
 		variants := []Effective{c.Effective(k, nil)}
 		for j := range c.Routes {
@@ -275,14 +315,14 @@
 		}
 		for _, e := range variants {
 			worst, hedges := playSchedule(&c.Limits, e)
-			if k.Idempotency == balancer.IdempotentWithKey && worst >= k.DedupWindow {
+			if withKey && worst >= k.DedupWindow {
 				return fmt.Sprintf("a repeat of %s after %v", k.Name, worst)
 			}
 			if k.Idempotency == balancer.NotIdempotent && (hedges > 0 || e.HedgeDelay > 0) {
-				return "a copy of what is unsafe"
+				return "a hedge of a class that is not idempotent"
 			}
 			if e.AttemptTimeout > e.Deadline || e.MaxAttempts > c.Limits.MaxAttempts {
-				return "more than there is"
+				return "more than the limits"
 			}
 			longest := e.Deadline
 			if e.AttemptTimeout > 0 {
@@ -296,7 +336,7 @@
 	return ""
 }
 
-// A file is refused exactly if its schedule, played out, breaks a rule.
+// A configuration is rejected exactly if its schedule, played step by step, violates a rule.
 func TestConfigRejectedIffItsScheduleBreaksARule(t *testing.T) {
 	good, bad := 0, 0
 	rapid.Check(t, func(t *rapid.T) {
@@ -313,12 +353,12 @@
 		}
 	})
 	if good == 0 || bad == 0 {
-		t.Errorf("%d good files and %d bad ones: the draw shows nothing", good, bad)
+		t.Errorf("%d accepted configurations and %d rejected ones: the draw shows nothing", good, bad)
 	}
 }
 
-// No file that is taken lets servers see a repeat outside its class's rule, whatever
-// the outcomes and timings; and every request has one answer.
+// Under no accepted configuration does a server get a repeat outside the rule of its class, whatever the outcomes and
+// timings. Every request gets one answer.
 func TestAcceptedConfigKeepsTheRules(t *testing.T) {
 	played := 0
 	rapid.Check(t, func(t *rapid.T) {
@@ -328,9 +368,22 @@
 			return
 		}
 		played++
-		s := &simulation{t: t, config: c, table: table, requests: map[uint64]*clientRequest{}, lastRun: map[string]time.Duration{}, effects: map[string]int{}}
+		s := &simulation{
+			t:        t,
+			config:   c,
+			requests: map[uint64]*clientRequest{},
+			lastRun:  map[string]time.Duration{},
+			effects:  map[string]int{},
+		}
 		settings := balancer.Settings{Balancers: 1, Zones: 1, Kinds: 1, Classes: table.Classes(), Budgets: table.Budgets(),
-			Limits:   balancer.Limits{Cancel: true, Hedging: c.Limits.Hedging, RetryAfter: true, MaxRetryAfter: 1_500_000, MaxAttempts: c.Limits.MaxAttempts, MaxOpen: 1000},
+			Limits: balancer.Limits{
+				Cancel:        true,
+				Hedging:       c.Limits.Hedging,
+				RetryAfter:    true,
+				MaxRetryAfter: 1_500_000,
+				MaxAttempts:   c.Limits.MaxAttempts,
+				MaxOpen:       1000,
+			},
 			Contract: balancer.Contract{SlowStartRatio: 1, OverloadMultiple: 2.5}, Goal: balancer.Goal{Overall: 1}}
 		var err error
 		if s.balancer, err = balancer.New(settings, 1, s); err != nil {
@@ -365,15 +418,21 @@
 		}
 	})
 	if played == 0 {
-		t.Error("no file was played")
+		t.Error("no configuration was played")
 	}
 }
 
-// Were the module told the file's window as it stands, a slow connection would carry a
-// repeat past it: the play can fail.
+// The module gets a shorter window than the configured one, since a slow connection would carry a repeat past it; and
+// playing the schedule finds a late repeat.
 func TestPlayedScheduleFindsLateRepeat(t *testing.T) {
 	c := &Config{Limits: Limits{MaxAttempts: 2, MaxDeadline: time.Minute, Dial: 400 * time.Millisecond},
-		Classes: []Class{{Name: "pay", Idempotency: balancer.IdempotentWithKey, DedupWindow: time.Second, Timing: Timing{Deadline: 5 * time.Second}, LatencyObjective: time.Second}}}
+		Classes: []Class{{
+			Name:             "pay",
+			Idempotency:      balancer.IdempotentWithKey,
+			DedupWindow:      time.Second,
+			Timing:           Timing{Deadline: 5 * time.Second},
+			LatencyObjective: time.Second,
+		}}}
 	table, all := Compile(c, nil)
 	if table == nil {
 		t.Fatal(all)
@@ -381,8 +440,13 @@
 	if got := table.Classes()[0].DedupWindow; got != 600_000 {
 		t.Errorf("the module's window is %d, want what a connection of 400 ms leaves of 1 s", got)
 	}
-	if !strings.Contains(fmt.Sprint(violatedRule(&Config{Limits: c.Limits, Classes: []Class{{Name: "pay", Idempotency: balancer.IdempotentWithKey, DedupWindow: time.Second,
-		Timing: Timing{Deadline: 5 * time.Second, AttemptTimeout: 700 * time.Millisecond}}}})), "a repeat of pay after 1.1s") {
+	tooLate := &Config{Limits: c.Limits, Classes: []Class{{
+		Name:        "pay",
+		Idempotency: balancer.IdempotentWithKey,
+		DedupWindow: time.Second,
+		Timing:      Timing{Deadline: 5 * time.Second, AttemptTimeout: 700 * time.Millisecond},
+	}}}
+	if !strings.Contains(violatedRule(tooLate), "a repeat of pay after 1.1s") {
 		t.Error("the schedule of attempts is not played")
 	}
 }
