--- a/cmd/pinedale/crossings_test.go
+++ b/cmd/pinedale/crossings_test.go
@@ -521,7 +521,7 @@
 	}
 	platform.Write(t, s.path, s.config.Text()[:200])
 	s.signal(syscall.SIGHUP)
-	wait.Until(t, "the half file's line", func() bool { return s.log.Count("old one holds") == 1 })
+	wait.Until(t, "the half file's line", func() bool { return s.log.Count("configuration reload failed") == 1 })
 	c := s.dial()
 	text, _ := s.request("read")
 	if _, err := io.WriteString(c, text); err != nil {
--- a/cmd/pinedale/main.go
+++ b/cmd/pinedale/main.go
@@ -1,6 +1,6 @@
-// Command pinedale is one sidecar: it takes the requests of the application
-// beside it and passes them on to endpoints that discovery names. The file at
-// $BALANCER_CONFIG tells it all it has to know.
+// Command pinedale is one sidecar: it accepts the requests of the application beside it and forwards them
+// to endpoints from discovery. Its configuration is the file at $BALANCER_CONFIG, read again on SIGHUP.
+// On SIGTERM it answers the requests that it has accepted and exits.
 package main
 
 import (
@@ -16,6 +16,13 @@
 	"pinedale/internal/sidecar"
 )
 
+const (
+	bytesPerMB = 1 << 20
+	// heapTenths is the heap's part of the memory at which the platform kills the process. The rest is
+	// for what the runtime does not count.
+	heapTenths = 8
+)
+
 func main() {
 	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, "pinedale:", err)
@@ -24,7 +31,7 @@
 }
 
 func run() error {
-	// Unhandled, SIGHUP would end the process.
+	// Registered first: without a handler, SIGHUP would end the process.
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
 	path := os.Getenv("BALANCER_CONFIG")
@@ -35,11 +42,9 @@
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
-	// The heap stays under the limit at which the platform kills the process,
-	// with room for what the runtime does not count.
-	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 / 10 * 8)
+	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) * bytesPerMB / 10 * heapTenths)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("sidecar", cfg.Name)
-	return sidecar.Run(ctx, cfg, sidecar.Reloads(path, hangup, time.After, log), log)
+	return sidecar.Run(ctx, cfg, sidecar.ReloadOnSignal(path, hangup, time.After, log), log)
 }
--- a/cmd/pinedale/main_test.go
+++ b/cmd/pinedale/main_test.go
@@ -98,7 +98,7 @@
 	}
 	platform.Write(t, path, "{")
 	signal(syscall.SIGHUP)
-	wait.Until(t, "the bad file's line", func() bool { return log.Count("old one holds") == 1 })
+	wait.Until(t, "the bad file's line", func() bool { return log.Count("configuration reload failed") == 1 })
 	registry := make(chan string, 100)
 	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		registry <- r.URL.String()
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -1,11 +1,9 @@
-// Package sidecar is the platform's program: it reads the configuration that the
-// platform writes and puts an engine, the HTTP/1.1 front and upstream and the
-// discovery client together.
 package sidecar
 
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -19,41 +17,64 @@
 	"pinedale/internal/wire"
 )
 
-// Config is what a sidecar is told at its start. Make one with LoadConfig.
+// Config is a sidecar's configuration. Make one with LoadConfig.
 type Config struct {
-	Name      string
-	Listen    string
-	Discovery string
-	Seed      uint64
+	Name      string // of the sidecar, for log lines
+	Listen    string // host:port on which the application connects
+	Discovery string // host:port of the discovery service
+	Seed      uint64 // of the balancer's random numbers
 	Limits    Limits
 	Settings  balancer.Settings
 
-	known  engine.List
-	zones  []string // names, by the numbers that the balancer uses
-	kinds  []string
-	fields []string      // of a load report, in the order of Settings.Fields
-	idle   time.Duration // after which an endpoint may close a connection
+	cachedList   engine.List   // endpoints known before the first response of discovery
+	zones        []string      // names, by the numbers that the balancer uses
+	kinds        []string      // likewise
+	reportFields []string      // of a load report, in the order of Settings.Fields
+	idleTimeout  time.Duration // after which an endpoint may close a connection
 }
 
-// Limits is what the platform grants a sidecar.
+// Limits are the resources that the platform grants a sidecar.
 type Limits struct {
 	MemoryMB int `json:"memory_mb"`
 	Sockets  int `json:"sockets"`
 }
 
-// What holds where the settings leave it out, in microseconds.
+// minSockets is the fewest sockets with which a sidecar can serve anything at all.
+const minSockets = 64
+
+// Limits that hold where the settings leave them out.
 const (
-	keepAlive   = 15_000_000
-	dialTimeout = 250_000
+	defaultKeepAlive   balancer.Micros = 15_000_000
+	defaultDialTimeout balancer.Micros = 250_000
 )
 
-// named is an entry of a list of which the name is wanted as it is written.
-type named struct {
-	Name string `json:"name"`
+// configFile is the platform's file.
+type configFile struct {
+	Name      string          `json:"name"`
+	Listen    string          `json:"listen"`
+	Discovery string          `json:"discovery"`
+	Seed      string          `json:"seed"` // hexadecimal
+	Limits    Limits          `json:"limits"`
+	Known     json.RawMessage `json:"known"`    // a list as discovery sends it
+	Settings  json.RawMessage `json:"settings"` // the balancer's
+}
+
+// settingsNames are the names in the settings as they are written: the simulator's text, through
+// which all else is read, has them without spaces and commas.
+type settingsNames struct {
+	Classes   []namedEntry `json:"classes"`
+	Tenants   []namedEntry `json:"tenants"`
+	Areas     []string     `json:"areas"`
+	SKUs      []string     `json:"skus"`
+	Reporting struct {
+		Fields []string `json:"fields"`
+	} `json:"reporting"`
 }
 
-// leastSockets is what a sidecar needs to serve anything at all.
-const leastSockets = 64
+// namedEntry is an entry of a list, of which only the name is read.
+type namedEntry struct {
+	Name string `json:"name"`
+}
 
 // LoadConfig reads a configuration file. Its errors name the key at fault.
 func LoadConfig(path string) (*Config, error) {
@@ -68,53 +89,67 @@
 	return cfg, nil
 }
 
+// parseConfig parses and checks the text of a configuration file.
 func parseConfig(data []byte) (*Config, error) {
-	var file struct {
-		Name      string          `json:"name"`
-		Listen    string          `json:"listen"`
-		Discovery string          `json:"discovery"`
-		Seed      string          `json:"seed"`
-		Limits    Limits          `json:"limits"`
-		Known     json.RawMessage `json:"known"`
-		Settings  json.RawMessage `json:"settings"`
-	}
+	var file configFile
 	if err := json.Unmarshal(data, &file); err != nil {
 		return nil, err
 	}
-	for _, a := range [...]struct{ key, value string }{{"listen", file.Listen}, {"discovery", file.Discovery}} {
-		if _, _, err := net.SplitHostPort(a.value); err != nil {
-			return nil, fmt.Errorf("%s: %q is not host:port", a.key, a.value)
-		}
+	if err := checkAddress("listen", file.Listen); err != nil {
+		return nil, err
+	}
+	if err := checkAddress("discovery", file.Discovery); err != nil {
+		return nil, err
 	}
 	seed, err := strconv.ParseUint(file.Seed, 16, 64)
 	if err != nil {
 		return nil, fmt.Errorf("seed: %q is not a hexadecimal number of 64 bits", file.Seed)
 	}
-	if file.Limits.MemoryMB <= 0 {
-		return nil, fmt.Errorf("limits.memory_mb: %d is not positive", file.Limits.MemoryMB)
+	if err := file.Limits.check(); err != nil {
+		return nil, err
 	}
-	if file.Limits.Sockets < leastSockets {
-		return nil, fmt.Errorf("limits.sockets: %d is under %d", file.Limits.Sockets, leastSockets)
+	cfg := &Config{
+		Name:      file.Name,
+		Listen:    file.Listen,
+		Discovery: file.Discovery,
+		Seed:      seed,
+		Limits:    file.Limits,
 	}
-	var known engine.List
 	if len(file.Known) > 0 {
-		if known, err = registry.Parse(file.Known); err != nil {
+		if cfg.cachedList, err = registry.Parse(file.Known); err != nil {
 			return nil, fmt.Errorf("known: %w", err)
 		}
 	}
-	cfg := &Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery,
-		Seed: seed, Limits: file.Limits, known: known}
 	if err := cfg.readSettings(file.Settings); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	return cfg, nil
 }
 
-// readSettings reads the balancer's settings through the parser that the
-// simulator's adapter uses, and what only real sockets need beside them.
+// checkAddress returns an error that names key unless value is host:port.
+func checkAddress(key, value string) error {
+	if _, _, err := net.SplitHostPort(value); err != nil {
+		return fmt.Errorf("%s: %q is not host:port", key, value)
+	}
+	return nil
+}
+
+// check returns an error that names the first limit with which a sidecar cannot run.
+func (l Limits) check() error {
+	if l.MemoryMB <= 0 {
+		return fmt.Errorf("limits.memory_mb: %d is not positive", l.MemoryMB)
+	}
+	if l.Sockets < minSockets {
+		return fmt.Errorf("limits.sockets: %d is under %d", l.Sockets, minSockets)
+	}
+	return nil
+}
+
+// readSettings reads the balancer's settings through the parser that the simulator's adapter uses,
+// and adds what only real sockets need: names as they are written and default limits.
 func (c *Config) readSettings(raw json.RawMessage) error {
 	if len(raw) == 0 {
-		return fmt.Errorf("is missing")
+		return errors.New("the key is missing")
 	}
 	decoder := json.NewDecoder(bytes.NewReader(raw))
 	decoder.UseNumber() // keeps the text: 5000000 must not become 5e+06
@@ -131,86 +166,112 @@
 	if err := c.Settings.Validate(); err != nil {
 		return err
 	}
-	var own struct {
-		Classes   []named  `json:"classes"`
-		Tenants   []named  `json:"tenants"`
-		Areas     []string `json:"areas"`
-		Skus      []string `json:"skus"`
-		Reporting struct {
-			Fields []string `json:"fields"`
-		} `json:"reporting"`
+	var names settingsNames
+	if err := json.Unmarshal(raw, &names); err != nil {
+		return err
 	}
-	if err := json.Unmarshal(raw, &own); err != nil {
+	if err := c.applyDefaultLimits(tree); err != nil {
 		return err
 	}
-	limits, _ := tree["limits"].(map[string]any)
-	for _, l := range [...]struct {
-		key   string
-		value *balancer.Micros
-		usual balancer.Micros
-	}{{"keepalive", &c.Settings.Limits.KeepAlive, keepAlive}, {"dial-timeout", &c.Settings.Limits.DialTimeout, dialTimeout}} {
-		if limits[l.key] == nil {
-			*l.value = l.usual
-		} else if *l.value <= 0 {
-			return fmt.Errorf("limits.%s: %d is not positive", l.key, *l.value)
+	if err := c.applyNames(&names); err != nil {
+		return err
+	}
+	c.idleTimeout = micros(c.Settings.Limits.KeepAlive)
+	return nil
+}
+
+// applyDefaultLimits sets the limits that the settings leave out. Those that the settings have must be
+// positive.
+func (c *Config) applyDefaultLimits(settings map[string]any) error {
+	given, _ := settings["limits"].(map[string]any)
+	for _, limit := range [...]struct {
+		key          string
+		value        *balancer.Micros
+		defaultValue balancer.Micros
+	}{
+		{"keepalive", &c.Settings.Limits.KeepAlive, defaultKeepAlive},
+		{"dial-timeout", &c.Settings.Limits.DialTimeout, defaultDialTimeout},
+	} {
+		if given[limit.key] == nil {
+			*limit.value = limit.defaultValue
+		} else if *limit.value <= 0 {
+			return fmt.Errorf("limits.%s: %d is not positive", limit.key, *limit.value)
 		}
 	}
-	// The simulator's text has no spaces and commas; requests have the names as they are.
-	if len(own.Classes) != len(c.Settings.Classes) || len(own.Tenants) != len(c.Settings.Tenants) {
-		return fmt.Errorf("classes or tenants: are there twice")
+	return nil
+}
+
+// applyNames sets the names of classes, tenants, zones, kinds and report fields as they are written in
+// the settings, which is how requests and lists have them.
+func (c *Config) applyNames(names *settingsNames) error {
+	if len(names.Classes) != len(c.Settings.Classes) || len(names.Tenants) != len(c.Settings.Tenants) {
+		return errors.New("classes or tenants: the key occurs twice")
 	}
-	names := map[string]bool{}
+	seen := map[string]bool{}
 	for i := range c.Settings.Classes {
-		name := own.Classes[i].Name
-		if name == "" || names[name] {
-			return fmt.Errorf("classes.%d.name: %q is empty or another's", i, name)
+		name := names.Classes[i].Name
+		if name == "" || seen[name] {
+			return fmt.Errorf("classes.%d.name: %q is empty or another class has it", i, name)
 		}
-		c.Settings.Classes[i].Name, names[name] = name, true
+		seen[name] = true
+		c.Settings.Classes[i].Name = name
 	}
 	for i := range c.Settings.Tenants {
-		c.Settings.Tenants[i].Name = own.Tenants[i].Name
+		c.Settings.Tenants[i].Name = names.Tenants[i].Name
 	}
-	c.zones, c.kinds, c.fields = own.Areas, own.Skus, own.Reporting.Fields
-	c.idle = time.Duration(c.Settings.Limits.KeepAlive) * time.Microsecond
+	c.zones = names.Areas
+	c.kinds = names.SKUs
+	c.reportFields = names.Reporting.Fields
 	return nil
 }
 
-// flatten writes a JSON value as the path=value lines of the simulator's first
-// message: lists of objects by their length and index, other lists by commas.
+// micros converts the balancer's microseconds.
+func micros(m balancer.Micros) time.Duration { return time.Duration(m) * time.Microsecond }
+
+// flatten writes a JSON value as the path=value lines of the simulator's first message: lists of
+// objects by their length and index, other lists with commas.
 func flatten(out *strings.Builder, path string, value any) {
-	below := func(key string) string {
-		if path == "" {
-			return key
-		}
-		return path + "." + key
-	}
 	switch v := value.(type) {
 	case nil: // as if absent
 	case map[string]any:
 		for key, item := range v {
-			flatten(out, below(key), item)
+			flatten(out, joinPath(path, key), item)
 		}
 	case []any:
-		if len(v) > 0 {
-			if _, objects := v[0].(map[string]any); objects {
-				fmt.Fprintf(out, "%s=%d\n", below("count"), len(v))
-				for i, item := range v {
-					flatten(out, below(strconv.Itoa(i)), item)
-				}
-				return
-			}
-		}
-		words := make([]string, len(v))
-		for i, item := range v {
-			words[i] = scalar(item)
-		}
-		fmt.Fprintf(out, "%s=%s\n", path, strings.Join(words, ","))
+		flattenList(out, path, v)
 	default:
 		fmt.Fprintf(out, "%s=%s\n", path, scalar(v))
 	}
 }
 
-// separators may not stand in a value of the settings text.
+// flattenList writes a list. The kind of its first item decides the form.
+func flattenList(out *strings.Builder, path string, list []any) {
+	if len(list) > 0 {
+		if _, objects := list[0].(map[string]any); objects {
+			fmt.Fprintf(out, "%s=%d\n", joinPath(path, "count"), len(list))
+			for i, item := range list {
+				flatten(out, joinPath(path, strconv.Itoa(i)), item)
+			}
+			return
+		}
+	}
+	items := make([]string, len(list))
+	for i, item := range list {
+		items[i] = scalar(item)
+	}
+	fmt.Fprintf(out, "%s=%s\n", path, strings.Join(items, ","))
+}
+
+// joinPath returns the path of a key within an object at path.
+func joinPath(path, key string) string {
+	if path == "" {
+		return key
+	}
+	return path + "." + key
+}
+
+// separators are the characters that may not occur in a value of the settings text.
 var separators = strings.NewReplacer(" ", "_", ",", "_", "\n", "_", "\r", "_")
 
-func scalar(v any) string { return separators.Replace(fmt.Sprint(v)) }
+// scalar is the text of a value that is neither a list nor an object.
+func scalar(value any) string { return separators.Replace(fmt.Sprint(value)) }
--- a/internal/sidecar/config_test.go
+++ b/internal/sidecar/config_test.go
@@ -9,8 +9,8 @@
 	"pinedale/balancer"
 )
 
-// A configuration that makes no sense stops the program with the key at fault.
-func TestBadConfigurationNamesTheKey(t *testing.T) {
+// An invalid configuration is an error of one line that names the key at fault.
+func TestInvalidConfigNamesTheKey(t *testing.T) {
 	good := `{"name":"n3","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f30d27a5be964",` +
 		`"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},` +
 		`"known":{"seq":4,"whole":true,"hosts":[{"host":"s-1","dial":"127.0.0.1:3","health":"Ready"}]},` +
@@ -18,7 +18,8 @@
 	if cfg, err := parseConfig([]byte(good)); err != nil {
 		t.Fatal(err)
 	} else if cfg.Settings.Limits.MaxRetryAfter != 1_500_000 || len(cfg.Settings.Classes) != 4 ||
-		cfg.Settings.Classes[1].Idempotency != balancer.IdempotentWithKey || len(cfg.Settings.Fields) != 2 || !cfg.Settings.PollDiscovery {
+		cfg.Settings.Classes[1].Idempotency != balancer.IdempotentWithKey ||
+		len(cfg.Settings.Fields) != 2 || !cfg.Settings.PollDiscovery {
 		t.Errorf("settings %+v", cfg.Settings)
 	}
 	for _, c := range []struct{ old, new, key string }{
@@ -66,25 +67,29 @@
 	}
 }
 
-// Keys may be missing, unknown or empty, and names may hold what the simulator's text cannot:
-// each customer's settings are taken as they are.
-func TestOtherCustomersSettings(t *testing.T) {
+// Keys may be missing, unknown or empty, and names may have characters that the simulator's text
+// cannot hold.
+func TestOptionalSettingsMayBeMissing(t *testing.T) {
 	head := `{"name":"n3","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"1f","extra":{"a":[1]},` +
 		`"limits":{"memory_mb":32,"sockets":64,"disk":0},"settings":`
 	for name, c := range map[string]struct {
 		settings string
 		check    func(*Config) bool
 	}{
-		"no more than a class": {`{"classes":[{"name":"only","repeat":"side_effect","target":1,"give-up":2}]}`, func(c *Config) bool {
-			return c.Settings.Limits.KeepAlive == keepAlive && c.Settings.Limits.DialTimeout == dialTimeout && !c.Settings.PollDiscovery && len(c.fields) == 0 && len(c.zones) == 0
+		"a class and nothing else": {`{"classes":[{"name":"only","repeat":"side_effect","target":1,"give-up":2}]}`, func(c *Config) bool {
+			return c.Settings.Limits.KeepAlive == defaultKeepAlive && c.Settings.Limits.DialTimeout == defaultDialTimeout &&
+				!c.Settings.PollDiscovery && len(c.reportFields) == 0 && len(c.zones) == 0
 		}},
-		"nulls and unknown keys": {`{"areas":null,"tenants":null,"limits":{"keepalive":null,"colour":"red"},"weather":{"sun":[{"x":1}]},` +
+		"nulls and unknown keys": {`{"areas":null,"tenants":null,"limits":{"keepalive":null,"colour":"red"},` +
+			`"weather":{"sun":[{"x":1}]},` +
 			`"classes":[{"name":"only","repeat":"pure","target":1,"give-up":2,"share":0}]}`, func(c *Config) bool {
 			return len(c.Settings.Tenants) == 0
 		}},
-		"names with spaces and commas": {`{"areas":["Dar es Salaam","Kilwa, old"],"tenants":[{"name":"Mission Hospital","allowance-per-s":3}],` +
+		"names with spaces and commas": {`{"areas":["Dar es Salaam","Kilwa, old"],` +
+			`"tenants":[{"name":"Mission Hospital","allowance-per-s":3}],` +
 			`"classes":[{"name":"bed, state","repeat":"token","group":"cell","window":5,"target":1,"give-up":2}]}`, func(c *Config) bool {
-			return c.Settings.Classes[0].Name == "bed, state" && c.Settings.Tenants[0].Name == "Mission Hospital" && c.zones[1] == "Kilwa, old"
+			return c.Settings.Classes[0].Name == "bed, state" && c.Settings.Tenants[0].Name == "Mission Hospital" &&
+				c.zones[1] == "Kilwa, old"
 		}},
 	} {
 		cfg, err := parseConfig([]byte(head + c.settings + "}"))
@@ -96,8 +101,8 @@
 	}
 }
 
-// The settings text is the simulator's, value by value.
-func TestFlatten(t *testing.T) {
+// flatten writes the path=value lines that the simulator writes.
+func TestFlattenWritesSettingsText(t *testing.T) {
 	var out strings.Builder
 	flatten(&out, "", map[string]any{"a": map[string]any{"b": []any{
 		map[string]any{"name": "x, y\nz=1"}, map[string]any{"on": true}}}})
--- /dev/null
+++ b/internal/sidecar/connections_test.go
@@ -0,0 +1,299 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"pinedale/internal/front/httpfront"
+	"pinedale/internal/standin/directory"
+	"pinedale/internal/standin/peer"
+)
+
+// dial opens a client connection that the test closes.
+func (h *harness) dial() net.Conn {
+	h.t.Helper()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(h.url, "http://"))
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	h.t.Cleanup(func() { conn.Close() })
+	if err := conn.SetDeadline(time.Now().Add(testTimeout)); err != nil {
+		h.t.Fatal(err)
+	}
+	return conn
+}
+
+// exchangeRaw sends bytes on a new connection and returns what is received until the connection ends.
+func (h *harness) exchangeRaw(text string) string {
+	h.t.Helper()
+	conn := h.dial()
+	_, _ = io.WriteString(conn, text) // a rejected header may end the connection before the body is written
+	got, err := io.ReadAll(conn)
+	if e := net.Error(nil); errors.As(err, &e) && e.Timeout() {
+		h.t.Errorf("the connection stays open; so far: %q", got)
+	}
+	return string(got)
+}
+
+// Headers of requests, without an id and without the end.
+const (
+	payHeaders = "POST /pay HTTP/1.1\r\nHost: api\r\nX-Service-Class: pay\r\nX-Time-Left-Ms: 3000\r\n" +
+		"Idempotency-Key: k\r\n"
+	readHeaders = "GET /read HTTP/1.1\r\nHost: api\r\nX-Service-Class: read\r\nX-Time-Left-Ms: 3000\r\n"
+)
+
+// Request smuggling: a request may hide in the body of one whose length is stated in two ways. Such a
+// request is rejected, and nothing behind it is read as a request. net/http does not show its handlers
+// the second length.
+func TestRequestWithTwoLengthsIsRejected(t *testing.T) {
+	e := peer.New(t, peer.Always(peer.Served))
+	h := start(t, nil, directory.Ready("s-1", e.Address))
+	hidden := readHeaders + "X-Correlation-Id: 2\r\n\r\n"
+	body := "0\r\n\r\n" + hidden
+	for name, head := range map[string]string{
+		"length first": fmt.Sprintf("Content-Length: %d\r\nTransfer-Encoding: chunked\r\n", len(body)),
+		"coding first": fmt.Sprintf("Transfer-Encoding: chunked\r\nContent-Length: %d\r\n", len(body)),
+		"lower case":   fmt.Sprintf("transfer-encoding:chunked\ncontent-length:%d\n", len(body)),
+	} {
+		got := h.exchangeRaw(payHeaders + "X-Correlation-Id: 1\r\n" + head + "\r\n" + body)
+		if strings.Count(got, "HTTP/1.1") != 1 || !strings.HasPrefix(got, "HTTP/1.1 400") ||
+			!strings.Contains(got, "Transfer-Encoding") {
+			t.Errorf("%s: got %q", name, got)
+		}
+	}
+	// The same after a valid request, where net/http skips empty lines.
+	conn := h.dial()
+	in := bufio.NewReader(conn)
+	if _, err := io.WriteString(conn, payHeaders+"X-Correlation-Id: 3\r\nContent-Length: 2\r\n\r\nok"); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(in, nil)
+	if err != nil || response.StatusCode != http.StatusOK {
+		t.Fatalf("a valid request: %v, %v", response, err)
+	}
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+	_, _ = fmt.Fprintf(conn, "\r\n%sX-Correlation-Id: 4\r\nContent-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n%s",
+		payHeaders, len(body), body)
+	rest, _ := io.ReadAll(in)
+	if strings.Count(string(rest), "HTTP/1.1") != 1 || !strings.HasPrefix(string(rest), "HTTP/1.1 400") {
+		t.Errorf("after an empty line: got %q", rest)
+	}
+	if n, _ := e.Seen(); n != 1 {
+		t.Errorf("%d requests reached the endpoint, want the valid one", n)
+	}
+}
+
+// A chunked body is valid HTTP/1.1 and is served. The connection is closed after it, as it is after a
+// request with more bytes behind it.
+func TestChunkedAndPipelinedRequestsCloseTheConnection(t *testing.T) {
+	e := peer.New(t, peer.Always(peer.Served))
+	h := start(t, nil, directory.Ready("s-1", e.Address))
+	for name, text := range map[string]string{
+		"chunked": payHeaders + "X-Correlation-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"pipelined": payHeaders + "X-Correlation-Id: 2\r\nContent-Length: 4\r\n\r\nbody" +
+			readHeaders + "X-Correlation-Id: 3\r\n\r\n",
+	} {
+		got := h.exchangeRaw(text)
+		if strings.Count(got, "HTTP/1.1") != 1 || !strings.HasPrefix(got, "HTTP/1.1 200") {
+			t.Errorf("%s: got %q", name, got)
+		}
+	}
+	if n, _ := e.Seen(); n != 2 {
+		t.Errorf("%d requests reached the endpoint, want 2", n)
+	}
+	for i := range 2 {
+		if body, _ := io.ReadAll(e.Request(i).Body); string(body) != "body" {
+			t.Errorf("the endpoint got the body %q", body)
+		}
+	}
+}
+
+// Bytes that are no valid request are rejected before a body is read, or the connection is closed.
+func TestInvalidHTTPIsRejected(t *testing.T) {
+	e := peer.New(t, peer.Always(peer.Served))
+	h := start(t, nil, directory.Ready("s-1", e.Address))
+	for name, c := range map[string]struct{ text, want string }{
+		"a length beyond the limit": {
+			payHeaders + "X-Correlation-Id: 1\r\nContent-Length: 3000000000\r\n\r\n", "HTTP/1.1 413"},
+		"a negative length": {payHeaders + "X-Correlation-Id: 1\r\nContent-Length: -3\r\n\r\nabc", "HTTP/1.1 400"},
+		"two lengths": {
+			payHeaders + "X-Correlation-Id: 1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc", "HTTP/1.1 400"},
+		"a broken chunk": {
+			payHeaders + "X-Correlation-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc", "HTTP/1.1 400"},
+		"a GET with a body": {readHeaders + "X-Correlation-Id: 1\r\nContent-Length: 3\r\n\r\nabc", "HTTP/1.1 400"},
+		"noise":             {"\x16\x03\x01\x02\r\n\r\n", "HTTP/1.1 400"},
+		"an endless header": {payHeaders + "X-Pad: " + strings.Repeat("p", 100<<10), "HTTP/1.1 431"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			if got := h.exchangeRaw(c.text); !strings.HasPrefix(got, c.want) && got != "" { // a reset may discard the response
+				t.Errorf("got %q, want %s", got, c.want)
+			}
+		})
+	}
+	t.Cleanup(func() {
+		if n, _ := e.Seen(); n != 0 {
+			t.Errorf("%d of them reached the endpoint", n)
+		}
+	})
+}
+
+// Connections on which nothing, an incomplete request or nothing more is received are closed in time.
+// The platform allows 3 s; the limits stay under 2.9 s.
+func TestIdleClientConnectionsAreClosed(t *testing.T) {
+	for _, limit := range []time.Duration{httpfront.ReadTimeout, httpfront.IdleTimeout} {
+		if limit < 2*time.Second || limit > 2900*time.Millisecond {
+			t.Errorf("limit of %v", limit)
+		}
+	}
+	e := peer.New(t, peer.Always(peer.Served))
+	h := start(t, nil, directory.Ready("s-1", e.Address))
+	for name, c := range map[string]struct{ text, want string }{
+		"nothing":          {"", ""},
+		"half a header":    {payHeaders, ""},
+		"half a body":      {payHeaders + "X-Correlation-Id: 1\r\nContent-Length: 9\r\n\r\nabc", "HTTP/1.1 400"},
+		"one request only": {readHeaders + "X-Correlation-Id: 2\r\n\r\n", "HTTP/1.1 200"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			if got := h.exchangeRaw(c.text); !strings.HasPrefix(got, c.want) {
+				t.Errorf("got %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
+// The read deadline must be cleared once a request is read: net/http takes its expiry for a
+// disconnected client and cancels the request's context.
+func TestResponseAfterReadTimeoutIsDelivered(t *testing.T) {
+	t.Parallel()
+	e := peer.New(t, func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
+		for e.Next(in) != nil {
+			time.Sleep(httpfront.ReadTimeout + 300*time.Millisecond)
+			_, _ = io.WriteString(conn, peer.Served)
+		}
+	})
+	h := start(t, nil, directory.Ready("s-1", e.Address))
+	for class, body := range map[string]string{"read": "", "pay": "x"} {
+		if got := h.send(h.newRequest(class, body, time.Minute)); got.code != http.StatusOK {
+			t.Errorf("%s: got %+v", class, got)
+		}
+	}
+}
+
+// A second request with the id of one in flight is a conflict; the id is free again afterwards.
+func TestDuplicateIDIsRejectedWhileInFlight(t *testing.T) {
+	answer := make(chan struct{})
+	e := peer.New(t, func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
+		for e.Next(in) != nil {
+			<-answer
+			_, _ = io.WriteString(conn, peer.Served)
+		}
+	})
+	h := start(t, nil, directory.Ready("s-1", e.Address))
+	first, same := make(chan reply), h.newRequest("pay", "", time.Minute)
+	go func() { first <- h.send(same.Clone(context.Background())) }()
+	h.waitFor("the first request to arrive", func() bool { n, _ := e.Seen(); return n == 1 })
+	if got := h.send(same.Clone(context.Background())); got.code != http.StatusConflict {
+		t.Errorf("the second request: %+v", got)
+	}
+	close(answer)
+	if got := <-first; got.code != http.StatusOK {
+		t.Errorf("the first request: %+v", got)
+	}
+	if got := h.send(same); got.code != http.StatusOK {
+		t.Errorf("once the id is free again: %+v", got)
+	}
+}
+
+// Idle connections must neither keep others out nor use up the sockets that attempts need: beyond the
+// limit the one that has been idle longest is closed. One with a request in flight is not.
+func TestLongestIdleConnectionIsClosedAtLimit(t *testing.T) {
+	answer := make(chan struct{})
+	e := peer.New(t, func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
+		for r := e.Next(in); r != nil; r = e.Next(in) {
+			if strings.HasPrefix(r.RequestURI, "/pay") {
+				<-answer
+			}
+			_, _ = io.WriteString(conn, peer.Served)
+		}
+	})
+	h := start(t, nil, directory.Ready("s-1", e.Address))
+	first := make(chan reply)
+	go func() { first <- h.send(h.newRequest("pay", "x", time.Minute)) }()
+	h.waitFor("the first request to arrive", func() bool { n, _ := e.Seen(); return n == 1 })
+	h.waitFor("other connections to end", func() bool { return h.server.Connections() == 1 })
+	oldest := h.dial()
+	h.waitFor("the oldest", func() bool { return h.server.Connections() == 2 })
+	for range h.maxConnections - 2 {
+		h.dial()
+	}
+	h.waitFor("the limit to be reached", func() bool { return h.server.Connections() == h.maxConnections })
+	if got := h.send(h.newRequest("read", "", 3*time.Second)); got.code != http.StatusOK {
+		t.Errorf("beyond the limit: %+v", got)
+	}
+	if _, err := oldest.Read(make([]byte, 1)); err == nil {
+		t.Error("the longest idle connection can still be read")
+	} else if e := net.Error(nil); errors.As(err, &e) && e.Timeout() {
+		t.Error("the longest idle connection stays open")
+	}
+	if n := h.server.Connections(); n > h.maxConnections {
+		t.Errorf("%d connections, limit %d", n, h.maxConnections)
+	}
+	close(answer)
+	if got := <-first; got.code != http.StatusOK {
+		t.Errorf("the request in flight: %+v", got)
+	}
+}
+
+// Clients that send one request and keep the connection must not use up all connections: beyond a
+// threshold a response closes its connection.
+func TestResponsesCloseConnectionsAboveThreshold(t *testing.T) {
+	e := peer.New(t, peer.Always(peer.Served))
+	const threshold = 3 // few enough for all requests to arrive before a connection is closed as idle
+	h := startWith(t, nil, func(o *httpfront.Options) { o.Crowded = threshold }, directory.Ready("s-1", e.Address))
+	h.waitFor("other connections to end", func() bool { return h.server.Connections() == 0 })
+	for i := range threshold + 3 {
+		conn := h.dial()
+		if err := h.newRequest("read", "", time.Minute).Write(conn); err != nil {
+			t.Fatal(err)
+		}
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil || response.StatusCode != http.StatusOK {
+			t.Fatalf("request %d: %v, %v", i, response, err)
+		}
+		response.Body.Close()
+		if want := i >= threshold; response.Close != want {
+			t.Fatalf("request %d: Connection: close %v, want %v", i, response.Close, want)
+		}
+		if response.Close {
+			h.waitFor("the end of the connection", func() bool { return h.server.Connections() == threshold })
+		}
+	}
+}
+
+// The bodies in memory are bounded together: a request beyond the limit is rejected before its body is read.
+func TestRequestIsRejectedBeyondBodyLimit(t *testing.T) {
+	e := peer.New(t, peer.Always(peer.Served))
+	h := startWith(t, nil, func(o *httpfront.Options) { o.BodyBytes = 20 }, directory.Ready("s-1", e.Address))
+	got := h.send(h.newRequest("pay", strings.Repeat("x", 21), 3*time.Second))
+	if got.code != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+		t.Errorf("beyond the limit: %+v", got)
+	}
+	for range 2 { // the first releases what it reserved
+		if got := h.send(h.newRequest("pay", strings.Repeat("x", 20), 3*time.Second)); got.code != http.StatusOK {
+			t.Errorf("within it: %+v", got)
+		}
+	}
+}
