--- a/internal/front/desk/desk.go
+++ b/internal/front/desk/desk.go
@@ -1,6 +1,9 @@
-// Package desk is what all HTTP fronts do with a request, whatever carries it: bodies
-// are bounded, an id is open once, the engine gets the request, and its answer is
-// written.
+// Package desk is what all HTTP fronts share about a request, whatever version of HTTP carries it: it
+// bounds the memory of bodies, rejects an id that is in flight already, submits the request to the engine
+// and waits for its response, and writes responses.
+//
+// A Dispatcher has no goroutine: its calls run in those of net/http, under a lock. Nothing outlives the
+// process.
 package desk
 
 import (
@@ -9,7 +12,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,57 +22,61 @@
 	"pinedale/internal/intake"
 )
 
-// BusyRetry is the wait told to clients that find all room for bodies in use.
-const BusyRetry = time.Second
-
-// What ends a request without an answer of the engine's, beside what is an
-// *intake.Error.
+// Errors that end a request without a response of the engine, besides *intake.Error.
 var (
-	ErrBusy = errors.New("all room for bodies is in use")
-	ErrGone = errors.New("the client has gone")
+	// ErrBusy: the bodies in memory have reached their limit.
+	ErrBusy = errors.New("the memory for request bodies is in use")
+	// ErrDisconnected: the client has disconnected, nobody reads a response.
+	ErrDisconnected = errors.New("the client has disconnected")
 )
 
-var tooLarge = fmt.Sprintf("the body is over %d bytes", httpmsg.BodyMost)
+// responseSlack is how long after its deadline a request is answered here if the engine has not: the
+// engine's own timer for that instant comes first, unless the engine is late or its queue is full.
+const responseSlack = 10 * time.Millisecond
+
+// bodyTooLarge is the reason for a 413.
+var bodyTooLarge = fmt.Sprintf("the body is over %d bytes", httpmsg.BodyMost)
 
-// Desk takes requests for one front.
-type Desk struct {
-	engine *engine.Engine
-	up     engine.Upstream
-	bytes  int64        // of bodies in hand, at most
-	bodies atomic.Int64 // and as they are
+// Dispatcher passes the requests of one front to the engine.
+type Dispatcher struct {
+	engine       *engine.Engine
+	upstream     engine.Upstream
+	maxBodyBytes int64
+	bodyBytes    atomic.Int64 // of the requests in flight
 
-	mu  sync.Mutex
-	ids map[string]bool // X-Correlation-Id of the requests in hand
+	mu       sync.Mutex
+	inFlight map[string]bool // by X-Correlation-Id
 }
 
-// New returns a desk whose requests may hold so many bytes of bodies together.
-func New(e *engine.Engine, up engine.Upstream, bytes int64) *Desk {
-	return &Desk{engine: e, up: up, bytes: bytes, ids: map[string]bool{}}
+// New returns a dispatcher whose requests may have maxBodyBytes of bodies in memory together.
+func New(e *engine.Engine, upstream engine.Upstream, maxBodyBytes int64) *Dispatcher {
+	return &Dispatcher{engine: e, upstream: upstream, maxBodyBytes: maxBodyBytes, inFlight: map[string]bool{}}
 }
 
-// Body reads a request's body, within its limit and that of all together. release gives
-// its room back. Its errors are ErrBusy and *intake.Error.
-func (d *Desk) Body(w http.ResponseWriter, in *http.Request) (body []byte, release func(), err error) {
-	held := int64(httpmsg.BodyMost)
+// ReadBody reads a request's body, within its own limit and the limit of all bodies together. The caller
+// calls release once the body is not needed any more. Its errors are ErrBusy and *intake.Error.
+func (d *Dispatcher) ReadBody(w http.ResponseWriter, in *http.Request) (body []byte, release func(), err error) {
+	reserved := int64(httpmsg.BodyMost)
 	if in.ContentLength >= 0 {
-		held = in.ContentLength
+		reserved = in.ContentLength
 	}
-	if held > httpmsg.BodyMost {
-		return nil, nil, &intake.Error{Code: http.StatusRequestEntityTooLarge, Reason: tooLarge}
+	if reserved > httpmsg.BodyMost {
+		return nil, nil, &intake.Error{Code: http.StatusRequestEntityTooLarge, Reason: bodyTooLarge}
 	}
-	release = func() { d.bodies.Add(-held) }
-	if d.bodies.Add(held) > d.bytes {
+	release = func() { d.bodyBytes.Add(-reserved) }
+	if d.bodyBytes.Add(reserved) > d.maxBodyBytes {
 		release()
 		return nil, nil, ErrBusy
 	}
-	if body, err = read(w, in); err != nil {
+	if body, err = readBody(w, in); err != nil {
 		release()
 		return nil, nil, err
 	}
 	return body, release, nil
 }
 
-func read(w http.ResponseWriter, in *http.Request) ([]byte, error) {
+// readBody reads a body of known or unknown length. Its errors are *intake.Error.
+func readBody(w http.ResponseWriter, in *http.Request) ([]byte, error) {
 	if in.ContentLength >= 0 {
 		body := make([]byte, in.ContentLength)
 		if _, err := io.ReadFull(in.Body, body); err != nil {
@@ -81,86 +87,80 @@
 	body, err := io.ReadAll(http.MaxBytesReader(w, in.Body, httpmsg.BodyMost))
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
-		return nil, &intake.Error{Code: http.StatusRequestEntityTooLarge, Reason: tooLarge}
+		return nil, &intake.Error{Code: http.StatusRequestEntityTooLarge, Reason: bodyTooLarge}
 	} else if err != nil {
 		return nil, intake.Bad("the body could not be read")
 	}
 	return body, nil
 }
 
-// overdue is how long after its time a request is answered here if the engine has not: its
-// own timer for that instant comes first, unless its turn is late or its queue full.
-const overdue = 10 * time.Millisecond
-
-// Ask passes a request to the engine and returns its one final answer. Its errors are
-// ErrGone and *intake.Error.
-func (d *Desk) Ask(in *http.Request, req intake.Parsed, body []byte) (engine.Response, error) {
-	id := req.CorrelationID
-	d.mu.Lock()
-	open := d.ids[id]
-	d.ids[id] = true
-	d.mu.Unlock()
-	if open {
-		return engine.Response{}, &intake.Error{Code: http.StatusConflict, Reason: "a request with this X-Correlation-Id is open"}
+// Dispatch submits a request to the engine and returns its one response, at the latest responseSlack after
+// the request's deadline. Its errors are ErrDisconnected and *intake.Error.
+func (d *Dispatcher) Dispatch(in *http.Request, req intake.Parsed, body []byte) (engine.Response, error) {
+	if !d.register(req.CorrelationID) {
+		return engine.Response{}, &intake.Error{
+			Code:   http.StatusConflict,
+			Reason: "a request with this X-Correlation-Id is open",
+		}
 	}
-	defer func() {
-		d.mu.Lock()
-		delete(d.ids, id)
-		d.mu.Unlock()
-	}()
-	// It ends with this call, and so before the engine hears that the client has left.
-	wanted, over := context.WithDeadline(in.Context(), d.engine.WallTime(req.Deadline).Add(overdue))
-	defer over()
-	answer := make(chan engine.Response, 1)
-	r := &engine.Request{Key: req.IdempotencyKey, Respond: func(a engine.Response) { answer <- a }, // it has room for the one
-		Carrier: d.up.NewCarrier(&engine.Message{Method: in.Method, URL: in.URL, Host: in.Host, Header: in.Header, Body: body, Context: wanted})}
-	if !d.engine.PostUntil(wanted.Done(), func(now balancer.Micros) { d.engine.Submit(now, r, req.Request) }) {
+	defer d.unregister(req.CorrelationID)
+	// wanted ends with this call, and so before the engine is notified of a disconnect.
+	wanted, cancel := context.WithDeadline(in.Context(), d.engine.WallTime(req.Deadline).Add(responseSlack))
+	defer cancel()
+	responses := make(chan engine.Response, 1) // with capacity for the one: Respond does not block
+	request := &engine.Request{
+		Key:     req.IdempotencyKey,
+		Respond: func(r engine.Response) { responses <- r },
+		Carrier: d.upstream.NewCarrier(&engine.Message{
+			Method: in.Method, URL: in.URL, Host: in.Host, Header: in.Header, Body: body, Context: wanted}),
+	}
+	submit := func(now balancer.Micros) { d.engine.Submit(now, request, req.Request) }
+	if !d.engine.PostUntil(wanted.Done(), submit) {
 		if in.Context().Err() != nil {
-			return engine.Response{}, ErrGone
+			return engine.Response{}, ErrDisconnected
 		}
 		return engine.Response{Code: http.StatusServiceUnavailable}, nil // it was never sent
 	}
 	select {
-	case a := <-answer:
-		return a, nil
+	case r := <-responses:
+		return r, nil
 	case <-wanted.Done():
 	}
-	gone := func(now balancer.Micros) { d.engine.ClientDisconnected(now, r) }
-	if !d.engine.TryPost(gone) {
-		go d.engine.Post(gone) // an answer does not wait for room
-	}
+	d.notifyDisconnected(request)
 	if in.Context().Err() != nil {
-		return engine.Response{}, ErrGone
+		return engine.Response{}, ErrDisconnected
 	}
 	select {
-	case a := <-answer: // in this very moment
-		return a, nil
+	case r := <-responses: // at this very moment
+		return r, nil
 	default:
 		return engine.Response{Code: http.StatusBadGateway}, nil // an attempt may have run, or may yet
 	}
 }
 
-// Write writes a final answer.
-func Write(w http.ResponseWriter, a engine.Response) {
-	httpmsg.EndToEnd(w.Header(), a.Header)
-	if a.RetryAfter > 0 {
-		w.Header().Set("Retry-After", strconv.FormatFloat(float64(a.RetryAfter)/1e6, 'f', 3, 64))
+// notifyDisconnected notifies the engine that nobody waits for a request. It does not wait for space in the
+// engine's queue.
+func (d *Dispatcher) notifyDisconnected(request *engine.Request) {
+	event := func(now balancer.Micros) { d.engine.ClientDisconnected(now, request) }
+	if !d.engine.TryPost(event) {
+		go d.engine.Post(event)
 	}
-	w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
-	w.WriteHeader(a.Code)
-	_, _ = w.Write(a.Body) // a client that is gone by now needs no answer
 }
 
-// WriteError writes what a client did wrong.
-func WriteError(w http.ResponseWriter, err error) {
-	text := err.Error() + "\n"
-	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
-	w.WriteHeader(intake.Code(err))
-	_, _ = io.WriteString(w, text) // likewise
+// register records that an id is in flight, and returns false if it was already.
+func (d *Dispatcher) register(id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.inFlight[id] {
+		return false
+	}
+	d.inFlight[id] = true
+	return true
 }
 
-// WriteBusy refuses a request that found no room.
-func WriteBusy(w http.ResponseWriter) {
-	Write(w, engine.Response{Code: http.StatusServiceUnavailable, RetryAfter: BusyRetry.Microseconds()})
+// unregister records that an id is not in flight any more.
+func (d *Dispatcher) unregister(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.inFlight, id)
 }
--- /dev/null
+++ b/internal/front/desk/response.go
@@ -0,0 +1,43 @@
+package desk
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"pinedale/internal/engine"
+	"pinedale/internal/httpmsg"
+	"pinedale/internal/intake"
+)
+
+// busyRetryAfter is the Retry-After of a request that is rejected since the memory for bodies is in use.
+const busyRetryAfter = time.Second
+
+// microsPerSecond converts engine.Response.RetryAfter.
+const microsPerSecond = 1e6
+
+// WriteResponse writes the engine's response.
+func WriteResponse(w http.ResponseWriter, r engine.Response) {
+	httpmsg.EndToEnd(w.Header(), r.Header)
+	if r.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(float64(r.RetryAfter)/microsPerSecond, 'f', 3, 64))
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(r.Body)))
+	w.WriteHeader(r.Code)
+	_, _ = w.Write(r.Body) // a client that has disconnected needs no response
+}
+
+// WriteError rejects an invalid request, with the reason as the body.
+func WriteError(w http.ResponseWriter, err error) {
+	text := err.Error() + "\n"
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	w.WriteHeader(intake.Code(err))
+	_, _ = io.WriteString(w, text) // likewise
+}
+
+// WriteBusy rejects a request after ErrBusy.
+func WriteBusy(w http.ResponseWriter) {
+	WriteResponse(w, engine.Response{Code: http.StatusServiceUnavailable, RetryAfter: busyRetryAfter.Microseconds()})
+}
--- a/internal/front/http3front/server.go
+++ b/internal/front/http3front/server.go
@@ -57,11 +57,11 @@
 
 // Server takes the application's requests.
 type Server struct {
-	engine *engine.Engine
-	desk   *desk.Desk
-	opts   Options
-	http   http3.Server
-	ending atomic.Bool
+	engine     *engine.Engine
+	dispatcher *desk.Dispatcher
+	opts       Options
+	http       http3.Server
+	ending     atomic.Bool
 
 	open   atomic.Int64 // connections
 	second atomic.Int64 // that new connections are counted in
@@ -83,15 +83,15 @@
 
 // stands says how the connection's keys stand. Nothing is known before its handshake is done,
 // and then nothing can have changed much.
-func (c *client) stands() (trusted bool, why string) {
+func (c *client) stands() (trusted bool, reason string) {
 	if c.early() {
 		return true, ""
 	}
 	c.once.Do(func() {
 		c.life = c.room.Life(c.ConnectionState().TLS, x509.ExtKeyUsageClientAuth, c.material)
 	})
-	_, trusted, why = c.life.At(time.Now())
-	return trusted, why
+	_, trusted, reason = c.life.At(time.Now())
+	return trusted, reason
 }
 
 // New returns a server that passes requests to the engine and has them carried by the
@@ -100,7 +100,7 @@
 	if o.Parser == nil {
 		o.Parser = intake.NewParser(e.Settings())
 	}
-	s := &Server{engine: e, desk: desk.New(e, up, o.BodyBytes), opts: o}
+	s := &Server{engine: e, dispatcher: desk.New(e, up, o.BodyBytes), opts: o}
 	s.http = http3.Server{Handler: http.HandlerFunc(s.handle), MaxHeaderBytes: httpmsg.HeadMost, Logger: o.Log,
 		ConnContext: func(ctx context.Context, c *quic.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, &client{Conn: c, room: o.Room, material: o.Room.Number()})
@@ -214,8 +214,8 @@
 		return
 	}
 	c := in.Context().Value(connKey{}).(*client)
-	if trusted, why := c.stands(); !trusted {
-		desk.WriteError(w, &intake.Error{Code: http.StatusForbidden, Reason: why})
+	if trusted, reason := c.stands(); !trusted {
+		desk.WriteError(w, &intake.Error{Code: http.StatusForbidden, Reason: reason})
 		return
 	}
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(readTimeout)) // fails where the stream is over: reading tells that, too
@@ -235,7 +235,7 @@
 		w.WriteHeader(http.StatusTooEarly)
 		return
 	}
-	body, release, err := s.desk.Body(w, in)
+	body, release, err := s.dispatcher.ReadBody(w, in)
 	if errors.Is(err, desk.ErrBusy) {
 		desk.WriteBusy(w)
 		return
@@ -244,13 +244,13 @@
 		return
 	}
 	defer release()
-	a, err := s.desk.Ask(in, req, body)
+	a, err := s.dispatcher.Dispatch(in, req, body)
 	switch {
-	case errors.Is(err, desk.ErrGone):
+	case errors.Is(err, desk.ErrDisconnected):
 		panic(http.ErrAbortHandler)
 	case err != nil:
 		desk.WriteError(w, err)
 	default:
-		desk.Write(w, a)
+		desk.WriteResponse(w, a)
 	}
 }
--- a/internal/front/httpfront/clients_test.go
+++ b/internal/front/httpfront/clients_test.go
@@ -15,12 +15,12 @@
 )
 
 // Where every connection has a request open, one more is closed.
-func TestNoRoomForAConnection(t *testing.T) {
+func TestConnectionIsClosedAtLimitWithoutIdleOnes(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := &clients{Listener: listener, most: 1}
+	l := &clientListener{Listener: listener, maxConnections: 1}
 	defer l.Close()
 	accepted := make(chan *clientConn, 2)
 	go func() {
@@ -44,7 +44,7 @@
 	}
 	defer dial().Close()
 	c := <-accepted
-	if _, ok := c.begin(0); !ok {
+	if _, ok := c.requestStarted(0); !ok {
 		t.Fatal("the first connection is gone")
 	}
 	second := dial()
@@ -52,10 +52,10 @@
 	if _, err := second.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
 		t.Errorf("the second connection: %v, want its end", err)
 	}
-	c.done()
+	c.requestDone()
 	defer dial().Close()
 	<-accepted
-	if _, ok := c.begin(0); ok {
+	if _, ok := c.requestStarted(0); ok {
 		t.Error("the first connection takes requests after making room")
 	}
 	c.Close()
@@ -64,13 +64,13 @@
 	}
 }
 
-// hooked calls a function after each read that brings something, before it is told.
-type hooked struct {
+// hookedConn calls a function after each read that brings something, before it is told.
+type hookedConn struct {
 	net.Conn
 	read func()
 }
 
-func (h *hooked) Read(p []byte) (int, error) {
+func (h *hookedConn) Read(p []byte) (int, error) {
 	n, err := h.Conn.Read(p)
 	if n > 0 {
 		h.read()
@@ -78,29 +78,29 @@
 	return n, err
 }
 
-// hooking wraps accepted connections.
-type hooking struct {
+// hookedListener wraps accepted connections.
+type hookedListener struct {
 	net.Listener
 	read func()
 }
 
-func (h *hooking) Accept() (net.Conn, error) {
+func (h *hookedListener) Accept() (net.Conn, error) {
 	c, err := h.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &hooked{c, h.read}, nil
+	return &hookedConn{c, h.read}, nil
 }
 
 // A request that has been read in the very moment in which its connection is to end, since the
 // service ends or another client needs the room, is served: nobody would know that it was read.
-func TestRequestReadAsItsConnectionIsToEnd(t *testing.T) {
-	for name, ends := range map[string]func(l *clients){
-		"the service ends": (*clients).retire,
-		"room is made": func(l *clients) {
+func TestRequestReadDuringEvictionIsServed(t *testing.T) {
+	for name, ends := range map[string]func(l *clientListener){
+		"the service ends": (*clientListener).closeIdleConnections,
+		"room is made": func(l *clientListener) {
 			l.mu.Lock()
 			defer l.mu.Unlock()
-			l.makeRoom()
+			l.evict()
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -109,8 +109,8 @@
 				t.Fatal(err)
 			}
 			requests := 0
-			l := &clients{most: 1}
-			l.Listener = &hooking{listener, func() {
+			l := &clientListener{maxConnections: 1}
+			l.Listener = &hookedListener{listener, func() {
 				if requests == 1 { // the second one has been read
 					ends(l)
 				}
@@ -119,10 +119,10 @@
 				ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 				Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 					c := r.Context().Value(connKey{}).(*clientConn)
-					if _, ok := c.begin(r.ContentLength); !ok {
+					if _, ok := c.requestStarted(r.ContentLength); !ok {
 						panic(http.ErrAbortHandler)
 					}
-					defer c.done()
+					defer c.requestDone()
 					requests++
 					_, _ = io.WriteString(w, "served")
 				})}
@@ -164,40 +164,40 @@
 
 // A connection whose request does not come to its end may have to make room, those that wait
 // first; one whose request has only begun is spared.
-func TestSlowRequestsMakeRoom(t *testing.T) {
-	near, far := net.Pipe()
-	defer far.Close()
-	l := &clients{most: 1}
-	slow := &clientConn{Conn: near, owner: l}
+func TestSlowRequestIsEvicted(t *testing.T) {
+	local, peer := net.Pipe()
+	defer peer.Close()
+	l := &clientListener{maxConnections: 1}
+	slow := &clientConn{Conn: local, owner: l}
 	if !l.admit(slow) {
 		t.Fatal("no room for the first")
 	}
-	go func() { _, _ = io.WriteString(far, "GET") }()
+	go func() { _, _ = io.WriteString(peer, "GET") }()
 	if _, err := slow.Read(make([]byte, 9)); err != nil {
 		t.Fatal(err)
 	}
-	if l.admit(&clientConn{Conn: near, owner: l}) {
+	if l.admit(&clientConn{Conn: local, owner: l}) {
 		t.Error("a request that has just begun to come made room")
 	}
-	slow.begunAt = time.Now().Add(-2 * slowAfter)
-	if !l.admit(&clientConn{Conn: near, owner: l}) || l.count() != 1 {
+	slow.receivingSince = time.Now().Add(-2 * slowRequestAfter)
+	if !l.admit(&clientConn{Conn: local, owner: l}) || l.count() != 1 {
 		t.Errorf("a slow request made no room; %d connections", l.count())
 	}
-	if _, ok := slow.begin(0); ok {
+	if _, ok := slow.requestStarted(0); ok {
 		t.Error("the slow one takes requests after making room")
 	}
 }
 
 // All that was taken has its answer before the platform kills: no sooner than the longest
 // deadline, 3 s of it at most, and 0.7 s more after SIGTERM.
-func TestEndsBeforeTheKill(t *testing.T) {
+func TestShutdownEndsBeforeKill(t *testing.T) {
 	s := New(nil, nil, Options{Parser: &intake.Parser{}, Log: slog.New(slog.DiscardHandler)})
 	for _, longest := range []time.Duration{50 * time.Millisecond, time.Second, 3 * time.Second, 6 * time.Second, time.Minute} {
 		kill := min(longest, 3*time.Second) + 700*time.Millisecond
-		if by := s.opts.EndBy(longest) + leaveAfter; by >= kill {
+		if by := s.opts.EndBy(longest) + exitDelay; by >= kill {
 			t.Errorf("longest deadline %v: the process ends %v after SIGTERM and may be killed after %v", longest, by, kill)
 		}
-		if s.opts.EndBy(longest) < acceptAfter-150*time.Millisecond {
+		if s.opts.EndBy(longest) < defaultAcceptTime-150*time.Millisecond {
 			t.Errorf("longest deadline %v: all ends while clients still connect", longest)
 		}
 	}
--- a/internal/front/httpfront/server.go
+++ b/internal/front/httpfront/server.go
@@ -21,16 +21,16 @@
 )
 
 const (
-	acceptAfter = 600 * time.Millisecond // after SIGTERM: clients go on connecting for 0.4 s
+	defaultAcceptTime = 600 * time.Millisecond // after SIGTERM: clients go on connecting for 0.4 s
 
 	// The platform kills no sooner than the longest deadline, longestMost of it at most, and
 	// killAfter more after SIGTERM. What is in hand has its answer killMargin before that: for
 	// its way to the client.
-	longestMost = 3 * time.Second
-	killAfter   = 700 * time.Millisecond
-	killMargin  = 250 * time.Millisecond
-	leaveAfter  = 100 * time.Millisecond // and the process ends that much later, whoever still holds a connection
-	drainTick   = 5 * time.Millisecond
+	maxKillDelay  = 3 * time.Second
+	killDelay     = 700 * time.Millisecond
+	killMargin    = 250 * time.Millisecond
+	exitDelay     = 100 * time.Millisecond // and the process ends that much later, whoever still holds a connection
+	drainInterval = 5 * time.Millisecond
 
 	// ReadTimeout and IdleTimeout bound silent clients.
 	// A request comes in one piece from the application next door. A client that
@@ -57,13 +57,13 @@
 
 // Server takes the application's requests.
 type Server struct {
-	engine  *engine.Engine
-	http    http.Server
-	clients *clients
-	parser  *intake.Parser
-	desk    *desk.Desk
-	endAt   atomic.Int64 // by the engine's clock: no request is held longer; 0 before the end
-	opts    Options
+	engine     *engine.Engine
+	http       http.Server
+	clients    *clientListener
+	parser     *intake.Parser
+	dispatcher *desk.Dispatcher
+	endAt      atomic.Int64 // by the engine's clock: no request is held longer; 0 before the end
+	opts       Options
 }
 
 // Serve serves until ctx ends, then answers what it has taken and returns.
@@ -89,10 +89,10 @@
 // Connections counts the clients' open connections.
 func (s *Server) Connections() int { return s.clients.count() }
 
-// guarded is a connection whose keys may come to their end while it stands: keep is false
+// credentialed is a connection whose keys may come to their end while it stands: keep is false
 // where its next answer should be its last, trusted where its client would not be let in now.
-type guarded interface {
-	Stands(now time.Time) (keep, trusted bool, why string)
+type credentialed interface {
+	Stands(now time.Time) (keep, trusted bool, reason string)
 }
 
 // connKey finds the connection of a request in its context.
@@ -102,21 +102,21 @@
 // by the upstream.
 func New(e *engine.Engine, up engine.Upstream, o Options) *Server {
 	if o.AcceptFor == 0 {
-		o.AcceptFor = acceptAfter
+		o.AcceptFor = defaultAcceptTime
 	}
 	if o.EndBy == nil {
 		o.EndBy = func(longest time.Duration) time.Duration {
-			return max(o.AcceptFor, min(longest, longestMost)+killAfter-killMargin)
+			return max(o.AcceptFor, min(longest, maxKillDelay)+killDelay-killMargin)
 		}
 	}
 	if o.Parser == nil {
 		o.Parser = intake.NewParser(e.Settings())
 	}
-	s := &Server{engine: e, parser: o.Parser, desk: desk.New(e, up, o.BodyBytes), opts: o,
-		clients: &clients{most: o.Connections, mostAsked: o.Crowded}}
+	s := &Server{engine: e, parser: o.Parser, dispatcher: desk.New(e, up, o.BodyBytes), opts: o,
+		clients: &clientListener{maxConnections: o.Connections, keepAliveThreshold: o.Crowded}}
 	// Not a ServeMux: it would redirect paths that endpoints are to see as they are.
 	s.http = http.Server{Handler: http.HandlerFunc(s.handle),
-		ReadTimeout: ReadTimeout, WriteTimeout: intake.TimeLeftMost + writeTimeout, IdleTimeout: IdleTimeout,
+		ReadTimeout: ReadTimeout, WriteTimeout: intake.MaxRequestTime + writeTimeout, IdleTimeout: IdleTimeout,
 		MaxHeaderBytes: httpmsg.HeadMost, ErrorLog: slog.NewLogLogger(o.Log.Handler(), slog.LevelWarn),
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, c)
@@ -136,12 +136,12 @@
 	began := time.Now()
 	end := began.Add(s.opts.EndBy(time.Duration(longest) * time.Microsecond))
 	s.endAt.Store(s.engine.Now() + time.Until(end).Microseconds())
-	s.clients.retire()
+	s.clients.closeIdleConnections()
 	closing, accepting, expired := false, true, false
-	for tick := time.NewTicker(drainTick); ; <-tick.C {
+	for tick := time.NewTicker(drainInterval); ; <-tick.C {
 		now := time.Now()
 		if !closing && now.Sub(began) >= s.opts.AcceptFor {
-			s.clients.end()
+			s.clients.stopAccepting()
 			closing = true
 		}
 		select {
@@ -153,7 +153,7 @@
 			go s.engine.Post(s.engine.Expire)
 			expired = true
 		}
-		if !accepting && s.clients.count() == 0 || now.Sub(end) >= leaveAfter {
+		if !accepting && s.clients.count() == 0 || now.Sub(end) >= exitDelay {
 			tick.Stop()
 			s.http.Close() // the listener is closed already, and says so
 			return nil
@@ -161,18 +161,18 @@
 	}
 }
 
-// ending says that the service ends.
-func (s *Server) ending() bool { return s.endAt.Load() != 0 }
+// draining says that the service ends.
+func (s *Server) draining() bool { return s.endAt.Load() != 0 }
 
-// closing has an answer end its connection while the service ends.
-func (s *Server) closing(w http.ResponseWriter) {
-	if s.ending() {
+// closeWhileDraining has an answer end its connection while the service ends.
+func (s *Server) closeWhileDraining(w http.ResponseWriter) {
+	if s.draining() {
 		w.Header().Set("Connection", "close")
 	}
 }
 
-func (s *Server) ready(w http.ResponseWriter) {
-	if s.ending() || !s.engine.HasEndpoints() {
+func (s *Server) writeReadiness(w http.ResponseWriter) {
+	if s.draining() || !s.engine.HasEndpoints() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
@@ -182,13 +182,13 @@
 func reject(w http.ResponseWriter, in *http.Request, err error) {
 	w.Header().Set("Connection", "close")
 	desk.WriteError(w, err)
-	readOff(w, in)
+	discardBody(w, in)
 }
 
-// readOff sends the answer off and then reads what a client still sends, within
+// discardBody sends the answer off and then reads what a client still sends, within
 // limits: a connection closed before that is reset, and the client may never read its
 // answer (RFC 9112, section 9.6).
-func readOff(w http.ResponseWriter, in *http.Request) {
+func discardBody(w http.ResponseWriter, in *http.Request) {
 	if in.ContentLength == 0 || http.NewResponseController(w).Flush() != nil {
 		return
 	}
@@ -201,17 +201,17 @@
 	if s.opts.AltSvc != "" {
 		w.Header().Set("Alt-Svc", s.opts.AltSvc)
 	}
-	s.closing(w)
+	s.closeWhileDraining(w)
 	c := in.Context().Value(connKey{}).(*clientConn)
-	if c.ambiguous() {
+	if c.hasAmbiguousLength() {
 		// What follows the head may hide another request: the connection ends here.
 		reject(w, in, intake.Bad("Content-Length beside another, or beside Transfer-Encoding"))
 		return
 	}
-	if g, ok := c.Conn.(guarded); ok {
-		keep, trusted, why := g.Stands(time.Now())
+	if g, ok := c.Conn.(credentialed); ok {
+		keep, trusted, reason := g.Stands(time.Now())
 		if !trusted {
-			reject(w, in, &intake.Error{Code: http.StatusForbidden, Reason: why})
+			reject(w, in, &intake.Error{Code: http.StatusForbidden, Reason: reason})
 			return
 		}
 		if !keep {
@@ -228,22 +228,22 @@
 			return
 		}
 	}
-	body, release, err := s.desk.Body(w, in)
+	body, release, err := s.dispatcher.ReadBody(w, in)
 	if errors.Is(err, desk.ErrBusy) {
 		w.Header().Set("Connection", "close")
 		desk.WriteBusy(w)
-		readOff(w, in)
+		discardBody(w, in)
 		return
 	} else if err != nil {
 		reject(w, in, err)
 		return
 	}
 	defer release()
-	alone, ok := c.begin(in.ContentLength)
+	alone, ok := c.requestStarted(in.ContentLength)
 	if !ok {
 		panic(http.ErrAbortHandler)
 	}
-	defer c.done()
+	defer c.requestDone()
 	// The deadline for reading the request would otherwise end its context
 	// while the answer is still awaited.
 	_ = c.SetReadDeadline(time.Time{}) // fails where the client has left: net/http notices by itself
@@ -251,27 +251,27 @@
 		// Clients send one request at a time. What came behind this one is left
 		// unread: only a client's own word says that it is a request.
 		w.Header().Set("Connection", "close")
-		ctx, gone := context.WithCancel(in.Context())
-		defer gone()
+		ctx, cancel := context.WithCancel(in.Context())
+		defer cancel()
 		in = in.WithContext(ctx)
-		c.watch(gone)
+		c.watchDisconnect(cancel)
 	}
 	if ready {
-		s.ready(w)
+		s.writeReadiness(w)
 		return
 	}
 	// The request's time counts from its last byte, which has only come now.
 	req.Deadline += s.engine.Now() - arrived
-	s.request(w, in, c, req, body)
+	s.dispatch(w, in, c, req, body)
 }
 
-// request takes one request and gives its one final answer.
-func (s *Server) request(w http.ResponseWriter, in *http.Request, c *clientConn, req intake.Parsed, body []byte) {
+// dispatch takes one request and gives its one final answer.
+func (s *Server) dispatch(w http.ResponseWriter, in *http.Request, c *clientConn, req intake.Parsed, body []byte) {
 	if end := s.endAt.Load(); end != 0 {
 		req.Deadline = min(req.Deadline, end)
 	}
-	a, err := s.desk.Ask(in, req, body)
-	if errors.Is(err, desk.ErrGone) {
+	a, err := s.dispatcher.Dispatch(in, req, body)
+	if errors.Is(err, desk.ErrDisconnected) {
 		// A client that has only stopped sending must not read a whole answer
 		// that no endpoint gave.
 		panic(http.ErrAbortHandler)
@@ -279,10 +279,10 @@
 		reject(w, in, err)
 		return
 	}
-	s.closing(w)
-	if s.clients.crowded() {
+	s.closeWhileDraining(w)
+	if s.clients.aboveKeepAliveThreshold() {
 		w.Header().Set("Connection", "close")
 	}
 	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout)) // likewise: the write fails
-	desk.Write(w, a)
+	desk.WriteResponse(w, a)
 }
--- a/internal/httpmsg/httpmsg.go
+++ b/internal/httpmsg/httpmsg.go
@@ -1,6 +1,6 @@
-// Package httpmsg holds what fronts and upstreams share about HTTP/1.1 messages:
-// the protocol's limits, which headers concern one connection only, and a look at
-// a head's bytes for what net/http hides.
+// Package httpmsg is what fronts and upstreams share about HTTP messages: their size limits, which headers
+// are end-to-end, the format of load reports, and a scanner for the details of an HTTP/1.1 header that
+// net/http hides. It has no state.
 package httpmsg
 
 import (
@@ -12,17 +12,17 @@
 	"strings"
 )
 
-// The most that a message may hold, in bytes.
+// Limits of messages, in bytes.
 const (
-	BodyMost = 64 << 10 // of a request's or an answer's body
-	HeadMost = 32 << 10 // of a request's head
+	BodyMost = 64 << 10 // of the body of a request or a response
+	HeadMost = 32 << 10 // of the header of a request
 )
 
-// hopByHop headers concern one connection only.
+// hopByHop headers concern one connection only (RFC 9110, section 7.6.1).
 var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer",
 	"Transfer-Encoding", "Upgrade", "Content-Length", "Expect"}
 
-// EndToEnd copies the headers that are to be passed on.
+// EndToEnd copies the headers that are forwarded: all but those that concern one connection only.
 func EndToEnd(to, from http.Header) {
 	for name, values := range from {
 		if !slices.Contains(hopByHop, name) {
@@ -31,17 +31,18 @@
 	}
 }
 
-// figureMost is the largest figure of a load report that is believed.
-const figureMost = 1e6
+// maxLoadValue is the largest valid figure of a load report.
+const maxLoadValue = 1e6
 
-// LoadReport reads name=value pairs into the order of fields. A figure
-// that is missing, repeated, malformed or beyond all sense is not a number,
-// which the balancer skips: it keeps what it knew. Without text or fields it returns nil.
+// LoadReport parses comma-separated name=value pairs into the order of fields. A figure that is missing,
+// repeated, malformed or out of range is NaN, which the balancer skips: its last figure stays in use.
+// Without text or fields it returns nil.
 func LoadReport(fields []string, text string) []float32 {
 	if text == "" || len(fields) == 0 {
 		return nil
 	}
-	load, seen := make([]float32, len(fields)), make([]bool, len(fields))
+	load := make([]float32, len(fields))
+	seen := make([]bool, len(fields))
 	for i := range load {
 		load[i] = float32(math.NaN())
 	}
@@ -51,26 +52,28 @@
 		if i < 0 {
 			continue
 		}
-		v, err := strconv.ParseFloat(value, 32)
-		if seen[i] || err != nil || !(v >= 0 && v <= figureMost) {
-			v = math.NaN()
+		figure, err := strconv.ParseFloat(value, 32)
+		valid := err == nil && figure >= 0 && figure <= maxLoadValue
+		if seen[i] || !valid {
+			figure = math.NaN()
 		}
-		load[i], seen[i] = float32(v), true
+		load[i] = float32(figure)
+		seen[i] = true
 	}
 	return load
 }
 
-// HeadScan looks at the bytes of a message for what net/http hides: where a head
-// has both Content-Length and Transfer-Encoding, the former is dropped without a
-// word, and what one reader takes for the body another takes for a request.
+// HeadScan scans the bytes of a message for what net/http hides: where a header has both Content-Length and
+// Transfer-Encoding, net/http silently drops the former, and what one reader takes for the body another
+// takes for a request (request smuggling).
 type HeadScan struct {
-	Lengths int   // Content-Length was there so often
-	Coding  bool  // Transfer-Encoding was there
-	Size    int64 // of all that came
-	End     int64 // size at the end of the head; 0 before
+	Lengths int   // number of Content-Length lines
+	Coding  bool  // there is a Transfer-Encoding line
+	Size    int64 // bytes scanned
+	End     int64 // bytes up to the end of the header; 0 while it is incomplete
 
-	line    []byte // start of the current line
-	started bool   // a line with something on it has come
+	line    []byte // the current line, up to the length of the longest name
+	started bool   // a line that is not empty has been scanned
 }
 
 var (
@@ -78,15 +81,14 @@
 	codingName = []byte("transfer-encoding:")
 )
 
-// Scan takes the next bytes of the message.
+// Scan scans the next bytes of the message.
 func (h *HeadScan) Scan(p []byte) {
 	start := h.Size
 	h.Size += int64(len(p))
 	for rest := p; h.End == 0 && len(rest) > 0; {
 		line, after, ended := bytes.Cut(rest, []byte("\n"))
-		// A name's length is enough of a line.
-		if room := len(codingName) - len(h.line); room > 0 {
-			h.line = append(h.line, line[:min(room, len(line))]...)
+		if missing := len(codingName) - len(h.line); missing > 0 {
+			h.line = append(h.line, line[:min(missing, len(line))]...)
 		}
 		if rest = after; !ended {
 			return
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -1,6 +1,8 @@
-// Package intake reads what an application says of its request: class, time left,
-// id, key, tenant. All fronts read it here, whatever carries it, so that all ask
-// the same of a request and refuse the same.
+// Package intake parses the headers by which a client describes its request: class, remaining time, id,
+// idempotency key, tenant. All fronts parse requests here, whatever protocol carries them, so that all
+// accept and reject the same ones.
+//
+// A Parser may be shared: its router is replaced as one value on a reload. Nothing outlives the process.
 package intake
 
 import (
@@ -16,49 +18,49 @@
 	"pinedale/balancer"
 )
 
-const (
-	idMost = 256 // characters of an id or a key: those of the protocol have 16 and 32
+// MaxRequestTime is the longest time that a request gets, whatever its client asks for.
+const MaxRequestTime = time.Minute
 
-	// TimeLeftMost is the most time that a request gets, whatever it asks for.
-	TimeLeftMost = time.Minute
+// ResponseMargin of a client's time is reserved for writing the response: some clients have 40 ms in all.
+const ResponseMargin = 2 * time.Millisecond
 
-	// AnswerMargin of a client's time is kept for writing the final answer: some
-	// have 40 ms in all.
-	AnswerMargin = 2 * time.Millisecond
+const (
+	maxIDBytes     = 256 // of an id or a key: those of the protocol have 16 and 32
+	microsPerMilli = 1000
 )
 
 // The headers of a request.
 const (
-	HeaderID       = "X-Correlation-Id"
+	HeaderID       = "X-Correlation-Id" // one for each request; free again after its response
 	HeaderClass    = "X-Service-Class"
 	HeaderTenant   = "X-Account"
 	HeaderSubject  = "X-Session-Key"
 	HeaderTimeLeft = "X-Time-Left-Ms"
-	HeaderRepeat   = "X-Repeat"
-	HeaderHint     = "X-Weight-Hint"
+	HeaderRepeat   = "X-Repeat"      // 1: the client itself retries
+	HeaderHint     = "X-Weight-Hint" // expected work in microseconds
 	HeaderKey      = "Idempotency-Key"
 )
 
-// single headers have one value. A second one could be the one that somebody
-// else on the way goes by.
-var single = []string{HeaderID, HeaderClass, HeaderTenant, HeaderSubject, HeaderTimeLeft, HeaderRepeat,
+// singleValueHeaders may occur once only. Another hop could go by the second value where this one goes by
+// the first.
+var singleValueHeaders = []string{HeaderID, HeaderClass, HeaderTenant, HeaderSubject, HeaderTimeLeft, HeaderRepeat,
 	HeaderHint, HeaderKey}
 
-// Error is what a client did wrong.
+// Error is the reason for which a request is rejected.
 type Error struct {
-	Code   int // of HTTP
-	Reason string
+	Code   int    // HTTP status
+	Reason string // body of the response
 }
 
-// Error says what is wrong.
+// Error returns the reason.
 func (e *Error) Error() string { return e.Reason }
 
-// Bad is an Error of code 400.
+// Bad returns an *Error of status 400.
 func Bad(format string, args ...any) error {
 	return &Error{http.StatusBadRequest, fmt.Sprintf(format, args...)}
 }
 
-// Code is the status code for an error: that of an Error, else 400.
+// Code returns the HTTP status for an error: that of an *Error, else 400.
 func Code(err error) int {
 	var e *Error
 	if errors.As(err, &e) {
@@ -67,94 +69,172 @@
 	return http.StatusBadRequest
 }
 
-// Bounds is what holds for the requests of a class or route. Zero figures bound nothing.
+// Bounds are the properties and limits of the requests of a class or route. A zero limit is none.
 type Bounds struct {
-	Class     uint8
+	Class     uint8 // number, as the balancer has it
 	ClassName string
 	Repeat    balancer.Idempotency
-	Methods   bool            // the route has said which methods it takes
-	Deadline  balancer.Micros // the most time that a request gets
-	TryFor    balancer.Micros // as the fields of balancer.Request, as are those below
-	CopyAfter balancer.Micros
-	Attempts  int
-	NoCopies  bool
-	Budget    uint16
-	Pool      uint8
+	Methods   bool            // the route lists its methods, the class's does not matter
+	Deadline  balancer.Micros // longest time for a request
+	TryFor    balancer.Micros // balancer.Request.AttemptTimeout
+
+	// As the fields of balancer.Request.
+	HedgeDelay balancer.Micros
+	Attempts   int // MaxAttempts
+	NoHedging  bool
+	Budget     uint16
+	Pool       uint8
 }
 
-// Router says which class a request is of. A router does not change, and may be shared.
+// Router finds the class or route of a request. A router is immutable and may be shared.
 type Router interface {
-	// Routed says that Route decides; without, requests name their class.
+	// Routed reports whether requests are matched by Route. Otherwise they name their class.
 	Routed() bool
-	// Route returns the bounds of a request by its route.
+	// Route returns the bounds of the route that matches a request.
 	Route(in *Request) (*Bounds, bool)
-	// OfClass returns those of a class by its name.
+	// OfClass returns the bounds of a class by its name.
 	OfClass(name string) (*Bounds, bool)
-	// Tenant returns a tenant's number. Where there are none, none is asked for.
+	// Tenant returns a tenant's number by its name.
 	Tenant(name string) (uint16, bool)
+	// Tenants returns the number of tenants. If it is 0, requests need not name one.
 	Tenants() int
 }
 
-// Parser knows the classes and tenants of an installation. It may be shared.
+// Parser parses requests for the classes and tenants of one installation. It may be shared.
 type Parser struct{ router atomic.Pointer[Router] }
 
 // NewParser returns a parser for the classes and tenants of the settings.
 func NewParser(s *balancer.Settings) *Parser {
-	known := &plain{map[string]*Bounds{}, map[string]uint16{}}
+	router := &settingsRouter{map[string]*Bounds{}, map[string]uint16{}}
 	for i, c := range s.Classes {
-		known.classes[c.Name] = &Bounds{Class: uint8(i), ClassName: c.Name, Repeat: c.Idempotency}
+		router.classes[c.Name] = &Bounds{Class: uint8(i), ClassName: c.Name, Repeat: c.Idempotency}
 	}
 	for i, t := range s.Tenants {
-		known.tenants[t.Name] = uint16(i)
+		router.tenants[t.Name] = uint16(i)
 	}
 	p := &Parser{}
-	p.Use(known)
+	p.Use(router)
 	return p
 }
 
-// Use has the parser go by another router from now on.
+// Use replaces the router for later requests.
 func (p *Parser) Use(r Router) { p.router.Store(&r) }
 
-// Routed says that requests are told apart by routes, and so perhaps by any header.
+// Routed reports whether requests are matched by routes, which may depend on any header.
 func (p *Parser) Routed() bool { return (*p.router.Load()).Routed() }
 
-// plain is the router of settings: requests name their class.
-type plain struct {
+// settingsRouter is the router of the balancer's settings: requests name their class.
+type settingsRouter struct {
 	classes map[string]*Bounds
 	tenants map[string]uint16
 }
 
-func (p *plain) Routed() bool                   { return false }
-func (p *plain) Route(*Request) (*Bounds, bool) { return nil, false }
-func (p *plain) Tenants() int                   { return len(p.tenants) }
-func (p *plain) OfClass(name string) (*Bounds, bool) {
+func (p *settingsRouter) Routed() bool                   { return false }
+func (p *settingsRouter) Route(*Request) (*Bounds, bool) { return nil, false }
+func (p *settingsRouter) Tenants() int                   { return len(p.tenants) }
+
+func (p *settingsRouter) OfClass(name string) (*Bounds, bool) {
 	b, ok := p.classes[name]
 	return b, ok
 }
-func (p *plain) Tenant(name string) (uint16, bool) {
+
+func (p *settingsRouter) Tenant(name string) (uint16, bool) {
 	n, ok := p.tenants[name]
 	return n, ok
 }
 
-// Request is what a front has of a request before its body.
+// Request is a request as a front receives it, before its body.
 type Request struct {
 	Method string
 	Host   string // as the request names it, with or without port
 	Path   string // without the query
 	Header http.Header
-	Body   bool            // it has one, or may
-	At     balancer.Micros // when it came
+	Body   bool            // it has a body, or may have one
+	At     balancer.Micros // arrival, by the engine's clock
 }
 
-// Parsed is a request as the balancer takes it, and what names it.
+// Parsed is a request as the balancer receives it, with its id and key.
 type Parsed struct {
 	balancer.Request
 	CorrelationID  string
-	IdempotencyKey string // "" unless the class is keyed
+	IdempotencyKey string // "" unless the class has idempotency keys
+}
+
+// Parse parses the header of a request. Its errors are *Error.
+func (p *Parser) Parse(in Request) (Parsed, error) {
+	var out Parsed
+	for _, name := range singleValueHeaders {
+		if n := len(in.Header[name]); n > 1 {
+			return out, Bad("%s is there %d times", name, n)
+		}
+	}
+	out.CorrelationID = in.Header.Get(HeaderID)
+	if n := len(out.CorrelationID); n == 0 || n > maxIDBytes {
+		return out, Bad("%s: %d characters, must be 1 to %d", HeaderID, n, maxIDBytes)
+	}
+	router := *p.router.Load()
+	bounds, err := findBounds(router, &in)
+	if err != nil {
+		return out, err
+	}
+	out.apply(bounds)
+	if out.IdempotencyKey, err = parseKey(bounds, in.Header.Get(HeaderKey)); err != nil {
+		return out, err
+	}
+	if err := checkMethod(bounds, &in); err != nil {
+		return out, err
+	}
+	if out.Deadline, err = parseDeadline(router, bounds, &in); err != nil {
+		return out, err
+	}
+	if router.Tenants() > 0 {
+		var ok bool
+		if out.Tenant, ok = router.Tenant(in.Header.Get(HeaderTenant)); !ok {
+			return out, Bad("%s: %q is not a known tenant", HeaderTenant, in.Header.Get(HeaderTenant))
+		}
+	}
+	if subject := in.Header.Get(HeaderSubject); subject != "" {
+		hash := fnv.New64a()
+		hash.Write([]byte(subject))
+		out.Key = hash.Sum64()
+	}
+	err = out.parseOptional(in.Header)
+	return out, err
+}
+
+// apply sets what a class or route says of its requests.
+func (p *Parsed) apply(b *Bounds) {
+	p.Class = b.Class
+	p.AttemptTimeout = b.TryFor
+	p.HedgeDelay = b.HedgeDelay
+	p.MaxAttempts = b.Attempts
+	p.NoHedging = b.NoHedging
+	p.Budget = b.Budget
+	p.Pool = b.Pool
+}
+
+// parseOptional parses the headers that a request may do without.
+func (p *Parsed) parseOptional(header http.Header) error {
+	if hint := header.Get(HeaderHint); hint != "" {
+		micros, err := strconv.ParseUint(hint, 10, 63)
+		if err != nil {
+			return Bad("%s: %q is not a whole number of microseconds", HeaderHint, hint)
+		}
+		p.WorkHint = int64(micros)
+		p.HasWorkHint = true
+	}
+	switch retry := header.Get(HeaderRepeat); retry {
+	case "1":
+		p.ClientRetry = true
+	case "", "0":
+	default:
+		return Bad("%s: %q is neither 0 nor 1", HeaderRepeat, retry)
+	}
+	return nil
 }
 
-// bounds finds what holds for a request: by its route, or by the class that it names.
-func bounds(router Router, in *Request) (*Bounds, error) {
+// findBounds returns the bounds of a request: by its route, or by the class that it names.
+func findBounds(router Router, in *Request) (*Bounds, error) {
 	name := in.Header.Get(HeaderClass)
 	if router.Routed() {
 		b, ok := router.Route(in)
@@ -176,81 +256,49 @@
 	return b, nil
 }
 
-// Parse reads a request's head. Its errors are *Error.
-func (p *Parser) Parse(in Request) (Parsed, error) {
-	var out Parsed
-	h := in.Header
-	for _, name := range single {
-		if len(h[name]) > 1 {
-			return out, Bad("%s is there %d times", name, len(h[name]))
-		}
+// parseKey returns the idempotency key of a request whose class needs one, "" for other classes.
+func parseKey(b *Bounds, key string) (string, error) {
+	if b.Repeat != balancer.IdempotentWithKey {
+		return "", nil
 	}
-	out.CorrelationID = h.Get(HeaderID)
-	if n := len(out.CorrelationID); n == 0 || n > idMost {
-		return out, Bad("%s: %d characters, must be 1 to %d", HeaderID, n, idMost)
+	if key == "" {
+		return "", Bad("%s is missing", HeaderKey)
 	}
-	router := *p.router.Load()
-	b, err := bounds(router, &in)
-	if err != nil {
-		return out, err
+	if len(key) > maxIDBytes {
+		return "", Bad("%s: %d characters, at most %d", HeaderKey, len(key), maxIDBytes)
 	}
-	out.Class = b.Class
-	method, key := http.MethodPost, h.Get(HeaderKey)
-	switch b.Repeat {
-	case balancer.Idempotent:
+	return key, nil
+}
+
+// checkMethod checks a request's method: that of its class, unless its route names the methods.
+func checkMethod(b *Bounds, in *Request) error {
+	method := http.MethodPost
+	if b.Repeat == balancer.Idempotent {
 		method = http.MethodGet
-	case balancer.IdempotentWithKey:
-		if key == "" {
-			return out, Bad("%s is missing", HeaderKey)
-		}
-		if len(key) > idMost {
-			return out, Bad("%s: %d characters, at most %d", HeaderKey, len(key), idMost)
-		}
-		out.IdempotencyKey = key
 	}
 	if in.Method != method && !b.Methods {
-		return out, &Error{http.StatusMethodNotAllowed, fmt.Sprintf("requests of this class are %s", method)}
+		return &Error{http.StatusMethodNotAllowed, fmt.Sprintf("requests of this class are %s", method)}
 	}
 	if in.Method == http.MethodGet && in.Body {
-		return out, Bad("a GET has no body")
+		return Bad("a GET has no body")
 	}
-	most := TimeLeftMost.Microseconds()
+	return nil
+}
+
+// parseDeadline returns the instant by which the engine must respond: the least of the client's remaining
+// time, the bounds' and MaxRequestTime after the arrival, less ResponseMargin.
+func parseDeadline(router Router, b *Bounds, in *Request) (balancer.Micros, error) {
+	allowed := MaxRequestTime.Microseconds()
 	if b.Deadline > 0 {
-		most = min(most, b.Deadline)
+		allowed = min(allowed, b.Deadline)
 	}
-	if told := h.Get(HeaderTimeLeft); told != "" || !router.Routed() {
-		left, err := strconv.ParseUint(told, 10, 63)
+	if header := in.Header.Get(HeaderTimeLeft); header != "" || !router.Routed() {
+		millis, err := strconv.ParseUint(header, 10, 63)
 		if err != nil {
-			return out, Bad("%s: %q is not a whole number of milliseconds", HeaderTimeLeft, told)
-		}
-		most = min(most, int64(min(left, uint64(TimeLeftMost.Milliseconds())))*1000)
-	}
-	out.Deadline = in.At + most - AnswerMargin.Microseconds()
-	out.AttemptTimeout, out.HedgeDelay, out.MaxAttempts, out.NoHedging, out.Budget, out.Pool = b.TryFor, b.CopyAfter, b.Attempts, b.NoCopies, b.Budget, b.Pool
-	if router.Tenants() > 0 {
-		var ok bool
-		if out.Tenant, ok = router.Tenant(h.Get(HeaderTenant)); !ok {
-			return out, Bad("%s: %q is not a known tenant", HeaderTenant, h.Get(HeaderTenant))
+			return 0, Bad("%s: %q is not a whole number of milliseconds", HeaderTimeLeft, header)
 		}
+		millis = min(millis, uint64(MaxRequestTime.Milliseconds())) // before it is converted: it may be huge
+		allowed = min(allowed, int64(millis)*microsPerMilli)
 	}
-	if subject := h.Get(HeaderSubject); subject != "" {
-		hash := fnv.New64a()
-		hash.Write([]byte(subject))
-		out.Key = hash.Sum64()
-	}
-	if hint := h.Get(HeaderHint); hint != "" {
-		micros, err := strconv.ParseUint(hint, 10, 63)
-		if err != nil {
-			return out, Bad("%s: %q is not a whole number of microseconds", HeaderHint, hint)
-		}
-		out.WorkHint, out.HasWorkHint = int64(micros), true
-	}
-	switch h.Get(HeaderRepeat) {
-	case "1":
-		out.ClientRetry = true
-	case "", "0":
-	default:
-		return out, Bad("%s: %q is neither 0 nor 1", HeaderRepeat, h.Get(HeaderRepeat))
-	}
-	return out, nil
+	return in.At + allowed - ResponseMargin.Microseconds(), nil
 }
--- a/internal/site/check.go
+++ b/internal/site/check.go
@@ -161,7 +161,7 @@
 		c.Positive(at("aim"), k.Aim)
 		c.Positive(at("deadline"), k.Deadline)
 		c.Require(k.Deadline >= k.Aim, at("deadline"), "%v is under the aim of %v", time.Duration(k.Deadline), time.Duration(k.Aim))
-		c.Require(time.Duration(k.Deadline) <= intake.TimeLeftMost, at("deadline"), "%v is over %v", time.Duration(k.Deadline), intake.TimeLeftMost)
+		c.Require(time.Duration(k.Deadline) <= intake.MaxRequestTime, at("deadline"), "%v is over %v", time.Duration(k.Deadline), intake.MaxRequestTime)
 		c.Require(k.Worth == nil || *k.Worth >= 0, at("worth"), "is negative")
 		c.Require(k.LateWorth >= 0 && k.LateWorth <= 1, at("late_worth"), "%v is not in 0 to 1", k.LateWorth)
 		if !ok {
@@ -185,7 +185,7 @@
 			HedgeDelay: time.Duration(p.CopyAfter), Hedging: p.SecondCopies, RetryRatio: p.RetryShare, RetryBurst: p.RetryBurst}
 	}
 	out := &policy.Config{Version: f.version(), Limits: policy.Limits{MaxAttempts: f.Limits.Attempts, Hedging: f.Limits.SecondCopies,
-		MaxDeadline: intake.TimeLeftMost, Dial: time.Duration(f.Limits.DialTimeout), TimerSlack: time.Duration(f.Limits.TimerSlack),
+		MaxDeadline: intake.MaxRequestTime, Dial: time.Duration(f.Limits.DialTimeout), TimerSlack: time.Duration(f.Limits.TimerSlack),
 		ClockError: f.Limits.ClockError, DrainGrace: time.Duration(f.Fleet.DrainGrace), DrainFor: time.Duration(f.Fleet.DrainFor)}}
 	for i := range f.Classes {
 		k := &f.Classes[i]
@@ -309,7 +309,7 @@
 		Contract: balancer.Contract{DrainGrace: f.Fleet.DrainGrace.Micros(), SlowStartRatio: f.Fleet.ColdFrom,
 			SlowStartTime: f.Fleet.WarmWithin.Micros(), OverloadMultiple: f.Fleet.FallFactor,
 			OverloadTime: f.Fleet.FallAfter.Micros(), PollInterval: f.Discovery.AskWithin.Micros(),
-			AnswerSlack: intake.AnswerMargin.Microseconds()},
+			AnswerSlack: intake.ResponseMargin.Microseconds()},
 		// What the co-operative's users judge, and what probes and crossings cost them.
 		Goal:   balancer.Goal{Overall: 0.45, WorstWindow: 0.35, WorstClass: 0.2},
 		Prices: balancer.Prices{CrossZone: 0.03, Probe: 0.05, Waste: 0.05, LateFail: 0.05},
--- a/internal/site/router.go
+++ b/internal/site/router.go
@@ -15,7 +15,7 @@
 	r := &router{t, map[*policy.Bounds]*intake.Bounds{}}
 	t.Each(func(b *policy.Bounds) {
 		r.bounds[b] = &intake.Bounds{Class: b.Class, ClassName: b.ClassName, Repeat: b.Idempotency, Methods: b.Methods, Deadline: b.Deadline,
-			TryFor: b.AttemptTimeout, CopyAfter: b.HedgeDelay, Attempts: b.MaxAttempts, NoCopies: b.NoHedging, Budget: b.Budget, Pool: b.Pool}
+			TryFor: b.AttemptTimeout, HedgeDelay: b.HedgeDelay, Attempts: b.MaxAttempts, NoHedging: b.NoHedging, Budget: b.Budget, Pool: b.Pool}
 	})
 	return r
 }
