Emulator: no open lint finding; troubles of a scenario in named steps

File.trouble has a method for each job (server faults, crash, drain); the draws keep their order. The play on sockets waits for its fronts by a WaitGroup instead of a channel of errors that nobody read.

--- a/internal/emulator/live/live.go
+++ b/internal/emulator/live/live.go
@@ -115,19 +115,15 @@
 	engines, endEngines := context.WithCancel(context.Background())
 	defer endEngines()
 	fronts, endFronts := context.WithCancel(context.Background())
-	served := make(chan error, len(s.Instances))
-	started := 0
+	var served sync.WaitGroup
 	defer func() {
 		endFronts()
-		for range started {
-			<-served
-		}
+		served.Wait()
 	}()
 	for i := range s.Instances {
-		if err := p.instance(engines, fronts, served, i); err != nil {
+		if err := p.instance(engines, fronts, &served, i); err != nil {
 			return nil, err
 		}
-		started++
 	}
 	for _, n := range p.nodes { // until all have their list
 		n.engine.Call(func(balancer.Micros) {})
@@ -162,7 +158,7 @@
 }
 
 // instance starts an instance with the list of servers that are there.
-func (p *rehearsal) instance(engines, fronts context.Context, served chan<- error, i int) error {
+func (p *rehearsal) instance(engines, fronts context.Context, served *sync.WaitGroup, i int) error {
 	s, log := p.s, slog.New(slog.DiscardHandler)
 	up := httpupstream.New(httpupstream.Options{DialTimeout: dialTimeout, Idle: keepIdle, Connections: many, Fields: []string{"eps", "queue"}})
 	e, err := engine.New(engines, engine.Options{Settings: s.For(i), Seed: s.Seed<<16 | uint64(i), Zones: s.Sites, Kinds: s.Kinds,
@@ -176,7 +172,7 @@
 	}
 	go e.Run()
 	front := httpfront.New(e, up, httpfront.Options{Connections: many, Crowded: many, BodyBytes: bodies, AcceptFor: time.Millisecond, Log: log})
-	go func() { served <- front.Serve(fronts, listener) }()
+	served.Go(func() { _ = front.Serve(fronts, listener) }) // it ends with fronts
 	p.nodes = append(p.nodes, &node{e, "http://" + listener.Addr().String()})
 	list := engine.List{Complete: true}
 	for n := range s.Servers {
--- a/internal/emulator/live/live_test.go
+++ b/internal/emulator/live/live_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"os"
 	"strings"
@@ -97,7 +98,7 @@
 				cancel()
 			}
 		}
-	}}); err != context.Canceled {
+	}}); !errors.Is(err, context.Canceled) {
 		t.Errorf("%v after %d tries", err, asked)
 	}
 	if asked > 100 {
--- a/internal/emulator/plan/result.go
+++ b/internal/emulator/plan/result.go
@@ -98,15 +98,15 @@
 	c, took := &s.Classes[t.Class], now-t.At
 	one := Tally{Asked: 1}
 	second := &r.Seconds[int(t.At/time.Second)]
-	switch {
-	case code == 200:
+	switch code {
+	case 200:
 		if took <= time.Duration(c.LatencyObjective)*time.Microsecond {
 			one.InTime = 1
 		} else {
 			one.Late = 1
 		}
 		second.Took = append(second.Took, float32(took.Seconds()*1e3))
-	case code == 503:
+	case 503:
 		one.Refused = 1
 	default:
 		one.Failed = 1
--- a/internal/emulator/scenario/scenario.go
+++ b/internal/emulator/scenario/scenario.go
@@ -443,49 +443,15 @@
 // trouble puts one trouble into a play.
 func (f *File) trouble(s *plan.Scenario, rng *rand.Rand, x Trouble) {
 	from, until := time.Duration(x.From), time.Duration(x.Until)
-	some := func() []int {
-		n := max(1, int(x.Part*float64(len(s.Servers))+0.5))
-		return rng.Perm(len(s.Servers))[:n]
-	}
-	fault := func(n int, set model.Fault) {
-		set.From, set.Until = from, until
-		s.Servers[n].Faults = append(s.Servers[n].Faults, set)
-	}
 	switch x.Kind {
-	case "fail_fast":
-		for _, n := range some() {
-			fault(n, model.Fault{FailFast: x.Share})
-		}
-	case "swallow":
-		for _, n := range some() {
-			fault(n, model.Fault{Swallow: x.Share})
-		}
-	case "silent":
-		for _, n := range some() {
-			fault(n, model.Fault{Silent: true})
-		}
-	case "slow":
-		for _, n := range some() {
-			fault(n, model.Fault{Slow: x.Factor})
-		}
-	case "break":
-		for _, n := range some() {
-			fault(n, model.Fault{Break: x.Share})
-		}
-	case "crash":
-		for _, n := range some() {
-			lives := slices.Clone(s.Servers[n].Lives)
-			if last := &lives[len(lives)-1]; from > last.From && last.End == plan.Never {
-				last.End = from
-				s.Servers[n].Lives = append(lives, plan.Life{From: from + time.Duration(x.Gap), Drain: plan.Never, End: plan.Never})
-			}
-		}
 	case "cut_off":
 		for n := range s.Servers {
 			if s.Servers[n].Site == slices.Index(f.Sites, x.Site) {
-				fault(n, model.Fault{Silent: true})
+				x.addFault(s, n, model.Fault{Silent: true})
 			}
 		}
+	case "crash":
+		x.crash(s, x.drawServers(s, rng))
 	case "kill":
 		n := max(1, int(x.Part*float64(len(s.Instances))+0.5))
 		s.Kills = append(s.Kills, plan.Kill{At: from, Instances: rng.Perm(len(s.Instances))[:n]})
@@ -498,23 +464,78 @@
 		class := slices.IndexFunc(f.Classes, func(k Class) bool { return k.Name == x.Class })
 		s.Costly = append(s.Costly, plan.Costly{From: from, Until: until, Class: class, Share: x.Share, Factor: x.Factor})
 	case "start":
-		for _, n := range some() {
+		for _, n := range x.drawServers(s, rng) {
 			s.Servers[n].Lives = []plan.Life{{From: max(from, time.Millisecond), Drain: plan.Never, End: plan.Never}}
 		}
 	case "drain", "restart":
-		all := some()
-		for i, n := range all {
-			at := max(from+(until-from)*time.Duration(i)/time.Duration(len(all)), time.Millisecond)
-			lives := slices.Clone(s.Servers[n].Lives)
-			last := &lives[len(lives)-1]
-			if at <= last.From || last.End != plan.Never {
-				continue // it is not there then
-			}
-			last.Drain, last.End = at, at+s.DrainFor
-			if x.Kind == "restart" {
-				lives = append(lives, plan.Life{From: last.End + time.Duration(x.Gap), Drain: plan.Never, End: plan.Never})
+		x.drain(s, x.drawServers(s, rng))
+	default:
+		if fault, ok := x.serverFault(); ok {
+			for _, n := range x.drawServers(s, rng) {
+				x.addFault(s, n, fault)
 			}
-			s.Servers[n].Lives = lives
 		}
 	}
 }
+
+// serverFault returns the fault of a server that a trouble of its kind is, if it is one.
+func (x *Trouble) serverFault() (fault model.Fault, ok bool) {
+	switch x.Kind {
+	case "fail_fast":
+		return model.Fault{FailFast: x.Share}, true
+	case "swallow":
+		return model.Fault{Swallow: x.Share}, true
+	case "silent":
+		return model.Fault{Silent: true}, true
+	case "slow":
+		return model.Fault{Slow: x.Factor}, true
+	case "break":
+		return model.Fault{Break: x.Share}, true
+	}
+	return model.Fault{}, false
+}
+
+// drawServers draws the part of the servers that the trouble is with, at least one.
+func (x *Trouble) drawServers(s *plan.Scenario, rng *rand.Rand) []int {
+	n := max(1, int(x.Part*float64(len(s.Servers))+0.5))
+	return rng.Perm(len(s.Servers))[:n]
+}
+
+// addFault gives a server a fault for as long as the trouble lasts.
+func (x *Trouble) addFault(s *plan.Scenario, server int, fault model.Fault) {
+	fault.From, fault.Until = time.Duration(x.From), time.Duration(x.Until)
+	s.Servers[server].Faults = append(s.Servers[server].Faults, fault)
+}
+
+// crash ends the lives of servers when the trouble begins and starts them again after its gap.
+func (x *Trouble) crash(s *plan.Scenario, servers []int) {
+	from := time.Duration(x.From)
+	for _, n := range servers {
+		lives := slices.Clone(s.Servers[n].Lives)
+		last := &lives[len(lives)-1]
+		if from <= last.From || last.End != plan.Never {
+			continue // it is not there then
+		}
+		last.End = from
+		lives = append(lives, plan.Life{From: from + time.Duration(x.Gap), Drain: plan.Never, End: plan.Never})
+		s.Servers[n].Lives = lives
+	}
+}
+
+// drain drains servers one after the other over the trouble's time, and starts them again if it is a restart.
+func (x *Trouble) drain(s *plan.Scenario, servers []int) {
+	from, until := time.Duration(x.From), time.Duration(x.Until)
+	for i, n := range servers {
+		at := max(from+(until-from)*time.Duration(i)/time.Duration(len(servers)), time.Millisecond)
+		lives := slices.Clone(s.Servers[n].Lives)
+		last := &lives[len(lives)-1]
+		if at <= last.From || last.End != plan.Never {
+			continue // it is not there then
+		}
+		last.Drain, last.End = at, at+s.DrainFor
+		if x.Kind == "restart" {
+			lives = append(lives, plan.Life{From: last.End + time.Duration(x.Gap), Drain: plan.Never, End: plan.Never})
+		}
+		s.Servers[n].Lives = lives
+	}
+}
--- a/internal/emulator/sockets/dual/dual.go
+++ b/internal/emulator/sockets/dual/dual.go
@@ -42,8 +42,8 @@
 	three := &http3.Server{Handler: o.Handler, TLSConfig: o.Config("h3"),
 		ConnContext: func(ctx context.Context, _ *quic.Conn) context.Context { return o.Context(ctx) }}
 	var served sync.WaitGroup
-	served.Go(func() { one.Serve(tls.NewListener(plain, o.Config("http/1.1"))) })
-	served.Go(func() { three.Serve(datagrams) })
+	served.Go(func() { _ = one.Serve(tls.NewListener(plain, o.Config("http/1.1"))) })
+	served.Go(func() { _ = three.Serve(datagrams) })
 	return plain.Addr().String(), func() {
 		one.Close()
 		three.Close()
--- a/internal/emulator/sockets/http1.go
+++ b/internal/emulator/sockets/http1.go
@@ -40,7 +40,7 @@
 	}
 	h := &handler{server: s, way: way, counted: map[net.Conn]bool{}}
 	server := &http.Server{Handler: h, ConnState: h.connection, ConnContext: func(ctx context.Context, _ net.Conn) context.Context { return fresh(ctx) }}
-	go server.Serve(listener)
+	go func() { _ = server.Serve(listener) }()
 	return listener.Addr().String(), func() { server.Close() }, nil
 }
 
@@ -83,23 +83,21 @@
 	}
 }
 
-// travel is the way of something between client and server; false if the client has
-// gone meanwhile.
-func travel(ctx context.Context, way time.Duration) bool {
+// travel waits for as long as something takes between client and server, unless the client goes
+// away meanwhile.
+func travel(ctx context.Context, way time.Duration) {
 	if way <= 0 {
-		return true
+		return
 	}
 	timer := time.NewTimer(way)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		return true
 	case <-ctx.Done():
-		return false
 	}
 }
 
-// ServeHTTP answers probes and requests.
+// ServeHTTP answers probes and requests. A client that has gone by then gets nothing.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	ctx, way := r.Context(), h.way
 	if used := ctx.Value(freshKey{}).(*atomic.Bool); !used.Swap(true) {
@@ -114,11 +112,11 @@
 		}
 		travel(ctx, h.way)
 		if r.URL.Path == "/stats" {
-			io.WriteString(w, report)
+			_, _ = io.WriteString(w, report)
 		}
 		return
 	}
-	io.Copy(io.Discard, io.LimitReader(r.Body, bodyMost))
+	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, bodyMost))
 	travel(ctx, way) // what a client has sent comes, though it may have gone
 	o, report, err := h.server.Ask(ctx, Request{Class: r.Header.Get("X-Service-Class"), ID: r.Header.Get("X-Correlation-Id"), Key: r.Header.Get("Idempotency-Key"), About: r.Header.Get("X-Session-Key")})
 	if err != nil {
@@ -129,7 +127,7 @@
 	w.Header().Set("X-Backend-Load", report)
 	switch o {
 	case model.Served, model.Repeated:
-		io.WriteString(w, "done")
+		_, _ = io.WriteString(w, "done")
 	case model.Failed:
 		w.WriteHeader(http.StatusInternalServerError)
 	case model.Away:
--- a/internal/emulator/sockets/sockets.go
+++ b/internal/emulator/sockets/sockets.go
@@ -281,7 +281,7 @@
 // hash is a number that follows from a request's id.
 func hash(id string) uint64 {
 	h := fnv.New64a()
-	io.WriteString(h, id)
+	_, _ = io.WriteString(h, id)
 	return h.Sum64()
 }
 
--- a/internal/emulator/sockets/sockets_test.go
+++ b/internal/emulator/sockets/sockets_test.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return 0, nil
 	}
-	io.Copy(io.Discard, out.Body)
+	_, _ = io.Copy(io.Discard, out.Body) // the status has come
 	out.Body.Close()
 	return out.StatusCode, out.Header
 }
@@ -253,8 +253,10 @@
 	}
 	closed := 0
 	for _, c := range open {
-		c.SetReadDeadline(time.Now().Add(300 * ms))
-		if _, err := c.Read(make([]byte, 1)); err == io.EOF || errors.Is(err, syscall.ECONNRESET) {
+		if err := c.SetReadDeadline(time.Now().Add(300 * ms)); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.Read(make([]byte, 1)); errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
 			closed++
 		}
 	}
--- a/internal/emulator/trace/trace.go
+++ b/internal/emulator/trace/trace.go
@@ -106,7 +106,7 @@
 func NewReader(in io.Reader) (*Reader, error) {
 	r := &Reader{scan: bufio.NewScanner(in)}
 	r.scan.Buffer(make([]byte, 1<<16), lineMost)
-	if err := r.next(&r.Head); err == io.EOF {
+	if err := r.next(&r.Head); errors.Is(err, io.EOF) {
 		return nil, errors.New("line 1: the trace is empty")
 	} else if err != nil {
 		return nil, err
@@ -146,7 +146,7 @@
 		Event
 		last
 	}
-	if err := r.next(&e); err == io.EOF {
+	if err := r.next(&e); errors.Is(err, io.EOF) {
 		return Event{}, fmt.Errorf("line %d: the trace ends without its end: it was cut off", r.line+1)
 	} else if err != nil {
 		return Event{}, err
--- a/internal/emulator/trace/trace_test.go
+++ b/internal/emulator/trace/trace_test.go
@@ -35,7 +35,7 @@
 	}
 	for {
 		e, err := r.Read()
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			return r.Head, all, nil
 		} else if err != nil {
 			return r.Head, all, err
