Fleet, measure, register and rehearse programs: no open lint finding

pinedale-register reads its arguments, starts the server and waits in functions of their own; what runs in a goroutine is a task whose end is waited for. The demo of pinedale-rehearse has a fleet and a load. Output, flags and exit codes are the same.

golangci-lint run on the four programs and deploy: 0 issues. go test ./cmd/pinedale-register ./cmd/pinedale-rehearse ./deploy: ok; the other two programs have no tests.

--- a/cmd/pinedale-fleet/main.go
+++ b/cmd/pinedale-fleet/main.go
@@ -26,18 +26,22 @@
 )
 
 func main() {
-	did, err := fleet.Main()
-	if !did {
-		ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-		defer stop()
-		err = program(os.Stdout).ExecuteContext(ctx)
-	}
-	if err != nil {
+	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, "pinedale-fleet:", err)
 		os.Exit(1)
 	}
 }
 
+// run runs the program, or the rig's servers in a process that the program has started for them.
+func run() error {
+	if did, err := fleet.Main(); did {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return program(os.Stdout).ExecuteContext(ctx)
+}
+
 // options are what several commands take.
 type options struct {
 	program, next, dir string
--- a/cmd/pinedale-measure/main.go
+++ b/cmd/pinedale-measure/main.go
@@ -71,9 +71,14 @@
 	}
 }
 
+// usageError says that no measurement is named that there is.
+type usageError struct{}
+
+func (usageError) Error() string { return "which measurement?\n" + usage }
+
 func run(args []string, out io.Writer) error {
 	if len(args) == 0 || measurements[args[0]] == nil {
-		return errors.New("which measurement?\n" + usage)
+		return usageError{}
 	}
 	flags := flag.NewFlagSet(args[0], flag.ContinueOnError)
 	measure := measurements[args[0]](flags)
--- a/cmd/pinedale-register/main.go
+++ b/cmd/pinedale-register/main.go
@@ -33,97 +33,139 @@
 	os.Exit(code)
 }
 
-// run returns the server's exit code.
-func run(args []string) (int, error) {
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
-	o := register.Options{Log: log}
+// errUsage says that the arguments are wrong; the flag package has told how.
+var errUsage = errors.New("see above")
+
+// options are the program's arguments.
+type options struct {
+	registration register.Options
+	wait         time.Duration // for the server to listen
+	grace        time.Duration // between the node's end and the server's
+	command      []string      // starts the server; empty if somebody else does
+}
+
+// parse reads the arguments.
+func parse(args []string, log *slog.Logger) (*options, error) {
+	o := &options{registration: register.Options{Log: log}}
+	r := &o.registration
 	flags := flag.NewFlagSet("pinedale-register", flag.ContinueOnError)
 	servers := flags.String("servers", "", "of the coordination service, with commas between")
-	flags.StringVar(&o.Path, "path", "/soko", "directory of the nodes")
-	flags.StringVar(&o.Name, "name", "", "of this server: the same after a restart")
-	flags.StringVar(&o.Data.Address, "address", "", "host:port where it takes requests")
-	flags.StringVar(&o.Data.Site, "site", "", "where it stands")
-	flags.StringVar(&o.Data.Kind, "kind", "", "of machine")
-	flags.IntVar(&o.Data.Block, "pod", 0, "that it belongs to")
-	flags.Float64Var(&o.Data.Share, "share", 1, "of the requests, against the others")
-	flags.DurationVar(&o.Session, "session", 15*time.Second, "the node goes if nothing is heard of us for so long")
+	flags.StringVar(&r.Path, "path", "/soko", "directory of the nodes")
+	flags.StringVar(&r.Name, "name", "", "of this server: the same after a restart")
+	flags.StringVar(&r.Data.Address, "address", "", "host:port where it takes requests")
+	flags.StringVar(&r.Data.Site, "site", "", "where it stands")
+	flags.StringVar(&r.Data.Kind, "kind", "", "of machine")
+	flags.IntVar(&r.Data.Block, "pod", 0, "that it belongs to")
+	flags.Float64Var(&r.Data.Share, "share", 1, "of the requests, against the others")
+	flags.DurationVar(&r.Session, "session", 15*time.Second, "the node goes if nothing is heard of us for so long")
 	digestFile := flags.String("digest-file", "", "file with user:password")
-	wait := flags.Duration("wait", time.Minute, "for the server to listen")
-	grace := flags.Duration("grace", 2*time.Second, "between the node's end and the server's: the rule on drains")
+	flags.DurationVar(&o.wait, "wait", time.Minute, "for the server to listen")
+	flags.DurationVar(&o.grace, "grace", 2*time.Second, "between the node's end and the server's: the rule on drains")
 	flags.Usage = func() {
 		fmt.Fprint(os.Stderr, usage)
 		flags.PrintDefaults()
 	}
 	if err := flags.Parse(args); err != nil {
-		return 2, errors.New("see above")
+		return nil, errUsage
 	}
 	if *servers != "" {
-		o.Servers = strings.Split(*servers, ",")
+		r.Servers = strings.Split(*servers, ",")
 	}
 	if *digestFile != "" {
 		text, err := os.ReadFile(*digestFile)
 		if err != nil {
-			return 1, err
+			return nil, err
 		}
-		o.Digest = strings.TrimSpace(string(text))
+		r.Digest = strings.TrimSpace(string(text))
 	}
-	o.Data.StartedMS = time.Now().UnixMilli()
-	r, err := register.New(o)
+	r.Data.StartedMS = time.Now().UnixMilli()
+	o.command = flags.Args()
+	return o, nil
+}
+
+// task is work in a goroutine of its own.
+type task struct {
+	ended chan struct{} // closed once it has returned
+	err   error         // that it returned with
+}
+
+// start starts a task.
+func start(work func() error) *task {
+	t := &task{ended: make(chan struct{})}
+	go func() {
+		defer close(t.ended)
+		t.err = work()
+	}()
+	return t
+}
+
+// run returns the server's exit code.
+func run(args []string) (int, error) {
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	o, err := parse(args, log)
+	if errors.Is(err, errUsage) {
+		return 2, err
+	} else if err != nil {
+		return 1, err
+	}
+	r, err := register.New(o.registration)
 	if err != nil {
 		return 1, err
 	}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	var server *exec.Cmd
-	ended := make(chan error, 1)
-	if command := flags.Args(); len(command) > 0 {
-		server = exec.Command(command[0], command[1:]...)
-		server.Stdin, server.Stdout, server.Stderr = os.Stdin, os.Stdout, os.Stderr
-		if err := server.Start(); err != nil {
+	var command *exec.Cmd
+	server := &task{} // never ends where it is none of ours
+	if len(o.command) > 0 {
+		command = exec.Command(o.command[0], o.command[1:]...)
+		command.Stdin, command.Stdout, command.Stderr = os.Stdin, os.Stdout, os.Stderr
+		if err := command.Start(); err != nil {
 			return 1, err
 		}
-		go func() { ended <- server.Wait() }()
+		server = start(command.Wait)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	registered := make(chan error, 1)
-	go func() {
-		if err := listens(ctx, o.Data.Address, *wait); err != nil {
-			registered <- err
-			return
+	defer stop()
+	registration := start(func() error {
+		if err := listens(ctx, o.registration.Data.Address, o.wait); err != nil {
+			return err
 		}
-		registered <- r.Run(ctx)
-	}()
+		return r.Run(ctx)
+	})
 	finish := func() { // the session is closed, and the node goes at once
 		stop()
-		<-registered
+		<-registration.ended
 	}
 	select {
-	case err := <-ended:
+	case <-server.ended:
 		finish()
-		return exitCode(err)
-	case err := <-registered:
-		stop()
-		if server != nil {
-			server.Process.Signal(syscall.SIGTERM)
-			<-ended
+		return exitCode(server.err)
+	case <-registration.ended:
+		if command != nil {
+			terminate(command)
+			<-server.ended
 		}
-		return 1, err
+		return 1, registration.err
 	case <-signals:
 	}
 	if err := r.Drain(); err != nil {
 		log.Warn("registration", "error", err)
 	}
-	time.Sleep(*grace)
-	if server == nil {
+	time.Sleep(o.grace)
+	if command == nil {
 		finish()
 		return 0, nil
 	}
-	server.Process.Signal(syscall.SIGTERM)
-	err = <-ended
+	terminate(command)
+	<-server.ended
 	finish()
-	return exitCode(err)
+	return exitCode(server.err)
 }
 
+// terminate asks the server to end. One that has ended by itself cannot be asked.
+func terminate(command *exec.Cmd) { _ = command.Process.Signal(syscall.SIGTERM) }
+
+// exitCode returns the code that a command ended with, or its error if it has none.
 func exitCode(err error) (int, error) {
 	var exit *exec.ExitError
 	if errors.As(err, &exit) {
--- a/cmd/pinedale-register/main_test.go
+++ b/cmd/pinedale-register/main_test.go
@@ -26,7 +26,7 @@
 		if err != nil {
 			os.Exit(9)
 		}
-		go http.Serve(l, http.NotFoundHandler())
+		go func() { _ = http.Serve(l, http.NotFoundHandler()) }()
 		<-term
 		os.Exit(7)
 	}
@@ -59,9 +59,11 @@
 	if err := c.Start(); err != nil {
 		t.Fatal(err)
 	}
-	defer c.Process.Kill()
+	defer func() { _ = c.Process.Kill() }() // it may have ended
 	wait.Until(t, "the node", func() bool { return s.Owner("/soko/s-1") != 0 })
-	c.Process.Signal(syscall.SIGTERM)
+	if err := c.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
 	wait.Until(t, "the node's end", func() bool { return s.Owner("/soko/s-1") == 0 })
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
@@ -91,10 +93,10 @@
 	if err := c.Start(); err != nil {
 		t.Fatal(err)
 	}
-	defer c.Process.Kill()
+	defer func() { _ = c.Process.Kill() }() // it may have ended
 	wait.Until(t, "the node", func() bool { return s.Owner("/soko/s-1") != 0 })
-	if c.Wait(); c.ProcessState.ExitCode() != 3 {
-		t.Errorf("exit code %d, want 3", c.ProcessState.ExitCode())
+	if err := c.Wait(); c.ProcessState.ExitCode() != 3 {
+		t.Errorf("ended with %v, want the exit code 3", err)
 	}
 	wait.Until(t, "the node's end", func() bool { return len(s.Nodes("/soko")) == 0 })
 }
--- a/cmd/pinedale-rehearse/demo.go
+++ b/cmd/pinedale-rehearse/demo.go
@@ -48,96 +48,136 @@
 // demoRate is the load: about 60% of what the demo's servers can do.
 const demoRate = 60 // first tries a second
 
+// demoServers is how many servers the demo begins with.
+const demoServers = 5
+
 // demo brings up a small fleet, discovery, pinedale-site and clients on loopback, and
 // prints what happens each second. A server fails fast for a while, one comes cold.
 func demo(out io.Writer, length time.Duration) error {
-	dir, err := directory.Start()
+	f, err := startDemoFleet()
 	if err != nil {
 		return err
 	}
-	defer dir.Close()
-	fleet := sockets.New(sockets.Options{Seed: 1, Classes: []sockets.Class{
-		{Name: "price-check", Work: 120 * time.Millisecond, CV: 0.4},
-		{Name: "stall-pay", Class: model.Class{Repeat: model.Keyed, Window: 1500 * time.Millisecond}, Work: 100 * time.Millisecond, CV: 0.4}}})
-	defer fleet.Close()
-	var servers []*sockets.Server
-	var hosts []directory.Host
-	add := func(cold bool, faults ...model.Fault) error {
-		n := len(servers)
-		cfg := model.Config{Cores: 3, Speed: [...]float64{2, 1.2, 0.8}[n%3], SlotsPerCore: 1, QueuePerCore: 100, Thrash: 0.08, ThrashAt: 5,
-			ColdFrom: 0.35, ColdFor: 6 * time.Second, FallFactor: 2.5, FallAfter: time.Second,
-			ReportEvery: 100 * time.Millisecond, ProbeWork: 100 * time.Microsecond, Handshake: time.Millisecond}
-		s, err := fleet.Start(sockets.Spec{Name: fmt.Sprintf("soko-%d", n+1), Group: fmt.Sprint(n / 2), Config: cfg, Seed: uint64(n + 1), Cold: cold, Faults: faults})
-		if err != nil {
-			return err
-		}
-		servers = append(servers, s)
-		h := directory.Ready(s.Name, s.Addresses[0])
-		h.Site, h.Class, h.Block = [...]string{"arusha", "dar"}[n%2], "box", uint16(n/2)
-		if cold {
-			h.BornMS = time.Now().UnixMilli()
-		}
-		hosts = append(hosts, h)
-		dir.Change(func() { dir.List = directory.Document{Seq: dir.List.Seq + 1, Whole: true, Hosts: slices.Clone(hosts)} })
-		return nil
-	}
+	defer f.close()
 	failing := model.Fault{From: length * 3 / 10, Until: length * 6 / 10, FailFast: 0.9}
-	for n := range 5 {
+	for n := range demoServers {
 		var faults []model.Fault
 		if n == 0 {
 			faults = append(faults, failing)
 		}
-		if err := add(false, faults...); err != nil {
+		if err := f.add(false, faults...); err != nil {
 			return err
 		}
 	}
-	f, err := site.Parse(fmt.Appendf(nil, demoFile, dir.Address))
+	file, err := site.Parse(fmt.Appendf(nil, demoFile, f.directory.Address))
 	if err != nil {
 		return err
 	}
-	i, err := site.Start(f, slog.New(slog.DiscardHandler))
+	i, err := site.Start(file, slog.New(slog.DiscardHandler))
 	if err != nil {
 		return err
 	}
 	defer func() {
 		i.Shutdown()
-		i.Wait()
+		_ = i.Wait() // its clients have told what came of their requests
 	}()
 	if err := i.WaitReady(); err != nil {
 		return err
 	}
 	fmt.Fprintf(out, "five servers, discovery and pinedale-site on %s; %d requests a second\n", i.HTTP, demoRate)
 	fmt.Fprintf(out, "%4s %6s %8s %6s %8s %7s %9s %9s  %s\n", "s", "asked", "in time", "late", "refused", "failed", "median", "99th", "held by server")
-	d := &demoClients{url: "http://" + i.HTTP.String(), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}, Timeout: 5 * time.Second}}
-	defer d.client.CloseIdleConnections()
+	clients := &demoClients{
+		url:    "http://" + i.HTTP.String(),
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}, Timeout: 5 * time.Second},
+	}
+	defer clients.client.CloseIdleConnections()
+	if err := clients.load(out, f, length, failing); err != nil {
+		return err
+	}
+	clients.mu.Lock()
+	defer clients.mu.Unlock()
+	sum := &clients.sum
+	fmt.Fprintf(out, "in all: asked %d, in time %d, late %d, refused %d, failed %d; effects done twice %d\n",
+		sum.asked, sum.inTime, sum.late, sum.refused, sum.failed, len(f.fleet.Twice()))
+	return nil
+}
+
+// demoFleet is the demo's servers and the discovery that lists them.
+type demoFleet struct {
+	directory *directory.Directory
+	fleet     *sockets.Fleet
+	servers   []*sockets.Server
+	hosts     []directory.Host
+}
+
+// startDemoFleet starts a fleet without servers.
+func startDemoFleet() (*demoFleet, error) {
+	list, err := directory.Start()
+	if err != nil {
+		return nil, err
+	}
+	fleet := sockets.New(sockets.Options{Seed: 1, Classes: []sockets.Class{
+		{Name: "price-check", Work: 120 * time.Millisecond, CV: 0.4},
+		{Name: "stall-pay", Class: model.Class{Repeat: model.Keyed, Window: 1500 * time.Millisecond}, Work: 100 * time.Millisecond, CV: 0.4}}})
+	return &demoFleet{directory: list, fleet: fleet}, nil
+}
+
+// close ends the servers and their discovery.
+func (f *demoFleet) close() {
+	f.fleet.Close()
+	f.directory.Close()
+}
+
+// add starts a server and lists it.
+func (f *demoFleet) add(cold bool, faults ...model.Fault) error {
+	n := len(f.servers)
+	cfg := model.Config{Cores: 3, Speed: [...]float64{2, 1.2, 0.8}[n%3], SlotsPerCore: 1, QueuePerCore: 100, Thrash: 0.08, ThrashAt: 5,
+		ColdFrom: 0.35, ColdFor: 6 * time.Second, FallFactor: 2.5, FallAfter: time.Second,
+		ReportEvery: 100 * time.Millisecond, ProbeWork: 100 * time.Microsecond, Handshake: time.Millisecond}
+	s, err := f.fleet.Start(sockets.Spec{Name: fmt.Sprintf("soko-%d", n+1), Group: fmt.Sprint(n / 2), Config: cfg, Seed: uint64(n + 1), Cold: cold, Faults: faults})
+	if err != nil {
+		return err
+	}
+	f.servers = append(f.servers, s)
+	h := directory.Ready(s.Name, s.Addresses[0])
+	h.Site, h.Class, h.Block = [...]string{"arusha", "dar"}[n%2], "box", uint16(n/2)
+	if cold {
+		h.BornMS = time.Now().UnixMilli()
+	}
+	f.hosts = append(f.hosts, h)
+	f.directory.Change(func() {
+		f.directory.List = directory.Document{Seq: f.directory.List.Seq + 1, Whole: true, Hosts: slices.Clone(f.hosts)}
+	})
+	return nil
+}
+
+// load sends requests for a time, waits for their answers and prints each second. Halfway a cold
+// server is added.
+func (d *demoClients) load(out io.Writer, f *demoFleet, length time.Duration, failing model.Fault) error {
 	var all sync.WaitGroup
 	rng := rand.New(rand.NewPCG(1, 1))
-	began, next, told, fresh := time.Now(), time.Duration(0), time.Duration(0), false
+	began, next, told, added := time.Now(), time.Duration(0), time.Duration(0), false
 	for n := 0; time.Since(began) < length; n++ {
 		next += time.Duration(rng.ExpFloat64() / demoRate * float64(time.Second))
 		time.Sleep(time.Until(began.Add(next)))
 		stall := rng.Float64() < 0.4
 		all.Go(func() { d.ask(n, stall) })
-		if !fresh && next >= length/2 {
-			fresh = true
-			if err := add(true); err != nil {
+		if !added && next >= length/2 {
+			added = true
+			if err := f.add(true); err != nil {
 				return err
 			}
 			fmt.Fprintln(out, "     a sixth server has started, cold")
 		}
 		if next >= told+time.Second {
 			told += time.Second
-			d.line(out, int(told/time.Second), servers)
-			if s := told; s >= failing.From && s < failing.From+time.Second {
+			d.line(out, int(told/time.Second), f.servers)
+			if told >= failing.From && told < failing.From+time.Second {
 				fmt.Fprintln(out, "     soko-1 fails 90% of its requests at once from here on, for a while")
 			}
 		}
 	}
 	all.Wait()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	fmt.Fprintf(out, "in all: asked %d, in time %d, late %d, refused %d, failed %d; effects done twice %d\n",
-		d.sum.asked, d.sum.inTime, d.sum.late, d.sum.refused, d.sum.failed, len(fleet.Twice()))
 	return nil
 }
 
@@ -174,7 +214,7 @@
 	began := time.Now()
 	code := 0
 	if out, err := d.client.Do(r); err == nil {
-		io.Copy(io.Discard, out.Body)
+		_, _ = io.Copy(io.Discard, out.Body) // the status has come
 		out.Body.Close()
 		code = out.StatusCode
 	}
--- a/cmd/pinedale-rehearse/main.go
+++ b/cmd/pinedale-rehearse/main.go
@@ -254,7 +254,7 @@
 		}
 		was, err := old.Read()
 		switch {
-		case err == io.EOF:
+		case errors.Is(err, io.EOF):
 			same = false
 			fmt.Fprintf(out, "the trace ends after %d events; now there is one more: %+v\n", events, e)
 		case err != nil:
@@ -273,7 +273,7 @@
 		if was, end := old.Read(); end == nil {
 			same = false
 			fmt.Fprintf(out, "the trace goes on after %d events, with %+v\n", events, was)
-		} else if end != io.EOF {
+		} else if !errors.Is(end, io.EOF) {
 			err = end
 		}
 	}
@@ -312,7 +312,7 @@
 	then, now := make([]int, len(names)), make([]int, len(names))
 	for {
 		e, err := old.Read()
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			break
 		} else if err != nil {
 			return fmt.Errorf("%s: %w", path, err)
--- a/deploy/deploy_test.go
+++ b/deploy/deploy_test.go
@@ -76,7 +76,7 @@
 	if err := c.Start(); err != nil {
 		t.Fatal(err)
 	}
-	defer c.Process.Kill()
+	defer func() { _ = c.Process.Kill() }() // it may have ended
 	wait.Until(t, "the sidecar to listen", func() bool {
 		answer, err := http.Get("http://" + listen + "/health/ready")
 		if err == nil {
