Fleet: no open lint finding; the rig's start and a schedule's draws in named steps

rig.start is split into servers, key, instances and relays in the same order. If the servers do not start the error is the one that was met; it was lost in a shadowed variable.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -151,72 +151,98 @@
 	return x.Address, nil
 }
 
+// start starts the servers, the relays and the instances.
 func (r *rig) start() error {
+	addresses, err := r.startServers()
+	if err != nil {
+		return err
+	}
+	if err := r.writeKey(); err != nil {
+		return err
+	}
+	for n := range r.o.Schedule.Instances {
+		if err := r.addInstance(schedule.InstanceName(n)); err != nil {
+			return err
+		}
+	}
+	for _, i := range r.instances {
+		if err := r.connect(i, addresses); err != nil {
+			return err
+		}
+	}
+	for _, i := range r.instances {
+		if err := i.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startServers starts the servers' process and returns their addresses.
+func (r *rig) startServers() (addresses []string, err error) {
 	s := r.o.Schedule
 	r.spec = serverSpec{Seed: s.Seed, Work: serverWork, Faults: ordinary}
 	for n := range s.Servers {
 		r.spec.Names, r.spec.Pods = append(r.spec.Names, schedule.ServerName(n)), append(r.spec.Pods, n/podSize)
 	}
-	var at []string
-	var err error
-	if r.servers, at, err = startServers(r.spec); err != nil {
-		return err
-	}
+	r.servers, addresses, err = startServers(r.spec)
+	return addresses, err
+}
+
+// writeKey writes the key that the instances share, which follows from the seed.
+func (r *rig) writeKey() error {
 	key := make([]byte, 32)
-	rng := rand.New(rand.NewPCG(s.Seed, 3))
+	rng := rand.New(rand.NewPCG(r.o.Schedule.Seed, 3))
 	for i := range key {
 		key[i] = byte(rng.Uint32())
 	}
 	r.keys = filepath.Join(r.o.Dir, "peers.key")
-	if err := os.WriteFile(r.keys, []byte(base64.StdEncoding.EncodeToString(key)+"\n"), 0o600); err != nil {
+	return os.WriteFile(r.keys, []byte(base64.StdEncoding.EncodeToString(key)+"\n"), 0o600)
+}
+
+// addInstance adds an instance that is not started yet.
+func (r *rig) addInstance(name string) (err error) {
+	i := &instance{name: name, program: r.o.Program}
+	if err := i.addresses(); err != nil {
 		return err
 	}
-	for n := range s.Instances {
-		i := &instance{name: schedule.InstanceName(n), program: r.o.Program}
-		if err := i.addresses(); err != nil {
-			return err
-		}
-		if i.log, err = os.Create(filepath.Join(r.o.Dir, i.name+".log")); err != nil {
-			return err
-		}
-		r.instances, r.byName[i.name] = append(r.instances, i), i
+	if i.log, err = os.Create(filepath.Join(r.o.Dir, i.name+".log")); err != nil {
+		return err
 	}
-	for _, i := range r.instances {
-		if r.front[i.name], err = r.path(schedule.Clients, i.name, i.http); err != nil {
-			return err
-		}
-		i.via = map[string]string{}
-		for _, other := range r.instances {
-			if other != i {
-				if i.via[other.name], err = r.path(i.name, other.name, other.peers); err != nil {
-					return err
-				}
-			}
-		}
-		var hosts []directory.Host
-		for n, name := range r.spec.Names {
-			address, err := r.path(i.name, name, at[n])
-			if err != nil {
-				return err
-			}
-			hosts = append(hosts, directory.Host{Name: name, Dial: address, Site: "a", Class: "box", Block: uint16(r.spec.Pods[n]), Health: "Ready", Share: 1})
-		}
-		if r.lists[i.name], err = directory.Start(hosts...); err != nil {
-			return err
-		}
-		if i.discovery, err = r.path(i.name, discoveryOf(i.name), r.lists[i.name].Address); err != nil {
-			return err
+	r.instances, r.byName[i.name] = append(r.instances, i), i
+	return nil
+}
+
+// connect makes an instance's relays: from clients, to the other instances, to the servers and to
+// its discovery, which lists the servers at their relays. It writes the instance's configuration.
+func (r *rig) connect(i *instance, addresses []string) (err error) {
+	if r.front[i.name], err = r.path(schedule.Clients, i.name, i.http); err != nil {
+		return err
+	}
+	i.via = map[string]string{}
+	for _, other := range r.instances {
+		if other == i {
+			continue
 		}
-		if err := r.writeConfig(i); err != nil {
+		if i.via[other.name], err = r.path(i.name, other.name, other.peers); err != nil {
 			return err
 		}
 	}
-	for _, i := range r.instances {
-		if err := i.start(); err != nil {
+	var hosts []directory.Host
+	for n, name := range r.spec.Names {
+		address, err := r.path(i.name, name, addresses[n])
+		if err != nil {
 			return err
 		}
+		hosts = append(hosts, directory.Host{Name: name, Dial: address, Site: "a", Class: "box", Block: uint16(r.spec.Pods[n]), Health: "Ready", Share: 1})
 	}
-	return nil
+	if r.lists[i.name], err = directory.Start(hosts...); err != nil {
+		return err
+	}
+	if i.discovery, err = r.path(i.name, discoveryOf(i.name), r.lists[i.name].Address); err != nil {
+		return err
+	}
+	return r.writeConfig(i)
 }
 
 // stop ends all that the run has started.
@@ -469,7 +495,9 @@
 	for k, w := range r.ways {
 		var s relay.Script
 		for _, x := range r.active {
-			if to := end(&x); !(x.Of == k.from && to == k.to || x.Both && x.Of == k.to && to == k.from) {
+			to := end(&x)
+			forth, back := x.Of == k.from && to == k.to, x.Of == k.to && to == k.from
+			if !forth && (!x.Both || !back) {
 				continue
 			}
 			switch x.Kind {
@@ -546,7 +574,7 @@
 		}
 	}
 	r.mu.Unlock()
-	r.tellServers("stop " + server)
+	_ = r.tellServers("stop " + server) // it fails with the process alone, and then the start does, too
 	if err := r.tellServers("start " + server); err != nil {
 		return err
 	}
@@ -606,13 +634,12 @@
 
 // effect is what a client wants done.
 type effect struct {
-	key    string
-	class  *class
-	at     time.Duration
-	first  int
-	rng    *rand.Rand
-	hasty  bool // gives its first try up early, as clients do whose user taps again
-	repeat int
+	key   string
+	class *class
+	at    time.Duration
+	first int
+	rng   *rand.Rand
+	hasty bool // gives its first try up early, as clients do whose user taps again
 }
 
 // load asks for effects from the seed until the length is over, and waits for the last.
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -76,7 +76,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	p.meant = p.meant || s == syscall.SIGKILL || s == syscall.SIGTERM
-	p.Process.Signal(s)
+	_ = p.Process.Signal(s) // it may have ended
 }
 
 // end waits for the process's end after SIGTERM, and kills it where that takes too long.
--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -194,7 +195,7 @@
 	defer r.mu.Unlock()
 	for c := range r.conns {
 		if t, ok := c.(*net.TCPConn); ok {
-			t.SetLinger(0)
+			_ = t.SetLinger(0) // a connection that has ended needs no reset
 		}
 		c.Close()
 	}
@@ -240,7 +241,7 @@
 	to, err := (&net.Dialer{}).DialContext(r.ctx, "tcp", target)
 	if err != nil {
 		if t, ok := from.(*net.TCPConn); ok {
-			t.SetLinger(0) // refused there, so reset here
+			_ = t.SetLinger(0) // refused there, so reset here
 		}
 		return
 	}
@@ -255,8 +256,9 @@
 	}{{from, to, r.forth}, {to, from, r.back}} {
 		r.done.Go(func() {
 			// An end is passed on as an end, and anything else breaks the connection.
-			if t, ok := x.to.(*net.TCPConn); copyOn(x.to, x.from, x.way) == io.EOF && ok {
-				t.CloseWrite()
+			err := copyOn(x.to, x.from, x.way)
+			if t, ok := x.to.(*net.TCPConn); ok && errors.Is(err, io.EOF) {
+				_ = t.CloseWrite() // both ends are closed below
 			}
 			ended <- struct{}{}
 		})
@@ -322,7 +324,7 @@
 		send := func() {
 			_, to := r.leads()
 			for _, d := range batch {
-				out.WriteTo(d, to) // to nobody, perhaps: then it is lost
+				_, _ = out.WriteTo(d, to) // to nobody, perhaps: then it is lost
 			}
 		}
 		if s.Delay == 0 {
--- a/internal/fleet/relay/relay_test.go
+++ b/internal/fleet/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -50,7 +51,7 @@
 	}
 	says := func(from, at net.Conn, what string) {
 		t.Helper()
-		io.WriteString(from, what)
+		send(t, from, what)
 		got := make([]byte, len(what))
 		if _, err := io.ReadFull(at, got); err != nil || string(got) != what {
 			t.Fatalf("came %q, %v, want %q", got, err, what)
@@ -64,8 +65,10 @@
 		}
 		defer from.Close()
 		got := make([]byte, 64)
-		io.WriteString(from, what)
-		at.SetReadDeadline(time.Now().Add(20 * time.Second))
+		send(t, from, what)
+		if err := at.SetReadDeadline(time.Now().Add(20 * time.Second)); err != nil {
+			t.Fatal(err)
+		}
 		if n, _, err := at.ReadFrom(got); err != nil || string(got[:n]) != what {
 			t.Fatalf("came %q, %v, want %q", got[:n], err, what)
 		}
@@ -89,6 +92,14 @@
 	}
 }
 
+// send writes a text.
+func send(t *testing.T, to io.Writer, text string) {
+	t.Helper()
+	if _, err := io.WriteString(to, text); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // Streams stand still in the direction that is cut, and go on once it is healed: nothing of
 // them is lost or changed.
 func TestStreams(t *testing.T) {
@@ -108,15 +119,17 @@
 	}
 	defer s.Close()
 	read := func(from net.Conn, n int, within time.Duration) ([]byte, error) {
-		from.SetReadDeadline(time.Now().Add(within))
+		if err := from.SetReadDeadline(time.Now().Add(within)); err != nil {
+			t.Fatal(err)
+		}
 		b := make([]byte, n)
 		n, err := io.ReadFull(from, b)
 		return b[:n], err
 	}
 	const patience, silence = 20 * time.Second, 50 * time.Millisecond
 	forth.Set(Script{Cut: true, Loss: 1, Corrupt: 1})
-	c.Write([]byte("question"))
-	s.Write([]byte("other way"))
+	send(t, c, "question")
+	send(t, s, "other way")
 	if got, err := read(c, 9, patience); err != nil || string(got) != "other way" {
 		t.Fatalf("against the cut: %q, %v", got, err)
 	}
@@ -129,7 +142,7 @@
 	}
 	back.Set(Script{Cut: true})
 	r.Break()
-	if _, err := read(c, 1, patience); err == nil || err == io.EOF {
+	if _, err := read(c, 1, patience); err == nil || errors.Is(err, io.EOF) {
 		t.Errorf("a connection that was broken ends with %v, want a reset", err)
 	}
 }
@@ -147,7 +160,9 @@
 	defer c.Close()
 	next := func() string {
 		b := make([]byte, 100)
-		packets.SetReadDeadline(time.Now().Add(20 * time.Second))
+		if err := packets.SetReadDeadline(time.Now().Add(20 * time.Second)); err != nil {
+			t.Fatal(err)
+		}
 		n, _, err := packets.ReadFrom(b)
 		if err != nil {
 			t.Fatal(err)
@@ -157,7 +172,7 @@
 	// sent waits until the relay has taken a datagram, so that the next script is not its.
 	sent := func(what string) {
 		before, _ := forth.Counts()
-		c.Write([]byte(what))
+		send(t, c, what)
 		for n := before; n == before; n, _ = forth.Counts() {
 			time.Sleep(time.Millisecond)
 		}
@@ -205,7 +220,8 @@
 		}
 		return b.String()
 	}
-	if draw(1) != draw(1) || draw(1) == draw(2) {
+	first, again, other := draw(1), draw(1), draw(2)
+	if first != again || first == other {
 		t.Error("fates do not follow the seed")
 	}
 }
--- a/internal/fleet/report.go
+++ b/internal/fleet/report.go
@@ -64,7 +64,7 @@
 		if err != nil {
 			return "", err
 		}
-		area.Color, area.LineStyle.Width = faultColor, 0
+		area.Color, area.Width = faultColor, 0
 		p.Add(area)
 	}
 	p.X.Label.Text, p.X.Min, p.Y.Min, p.Y.Max = "seconds", 0, 0, top
--- a/internal/fleet/schedule/schedule.go
+++ b/internal/fleet/schedule/schedule.go
@@ -94,9 +94,11 @@
 	Faults    []Fault           `toml:"fault" json:"faults"`
 }
 
-// Names of the rig's processes.
+// InstanceName is the name of the nth instance, from 0.
 func InstanceName(n int) string { return fmt.Sprint("i-", n+1) }
-func ServerName(n int) string   { return fmt.Sprint("s-", n+1) }
+
+// ServerName is the name of the nth server, from 0.
+func ServerName(n int) string { return fmt.Sprint("s-", n+1) }
 
 // The bounds of a rig: what one machine bears.
 const (
@@ -183,91 +185,143 @@
 // Draw returns a schedule for a seed: three to eight faults, overlapping as they fall. The
 // same seed draws the same.
 func Draw(seed uint64, instances, servers int, length time.Duration) *Schedule {
-	rng := rand.New(rand.NewPCG(seed, 7))
 	s := &Schedule{Version: 1, Name: fmt.Sprint("seed ", seed), Seed: seed, Length: tomlfile.Duration(length), Instances: instances,
 		Servers: servers, Rate: 60, Agree: "always"}
-	instance := func() string { return InstanceName(rng.IntN(instances)) }
-	// A process is in one state at a time: none is killed while it is stopped.
-	busy := map[string][]Fault{}
-	free := func(f Fault) bool {
-		if slices.ContainsFunc(busy[f.Of], func(o Fault) bool {
-			return time.Duration(f.At) < o.End()+length/20 && time.Duration(o.At) < f.End()+length/20
-		}) {
-			return false
-		}
-		busy[f.Of] = append(busy[f.Of], f)
-		return true
-	}
-	for range 3 + rng.IntN(6) {
-		part := func(least, most float64) tomlfile.Duration {
-			return tomlfile.Duration(time.Duration(float64(length) * (least + (most-least)*rng.Float64())).Round(time.Millisecond))
-		}
-		f := Fault{At: part(0.05, 0.65), For: part(0.03, 0.3), Of: instance()}
-		switch n := rng.IntN(16); {
-		case n < 4:
-			f.Kind = Kill
-		case n < 5:
-			f.Kind = Term
-		case n < 7:
-			f.Kind = Stop
-		case n < 8:
-			f.Kind, f.Of = Server, ServerName(rng.IntN(servers))
-		case n < 12: // between instances
-			f.Kind, f.Both = Cut, rng.IntN(2) == 0
-		case n < 13: // towards clients
-			f.Kind, f.Of, f.To, f.Both = Cut, Clients, f.Of, rng.IntN(2) == 0
-		case n < 14: // towards servers
-			f.Kind, f.To, f.Both = []Kind{Cut, Slow, Break}[rng.IntN(3)], ServerName(rng.IntN(servers)), rng.IntN(2) == 0
-			f.For = min(f.For, heldMost)
-		default:
-			f.Kind, f.Both = []Kind{Loss, Double, Swap, Spoil, Slow}[rng.IntN(5)], true
-		}
-		if slices.Contains(ofProcess, f.Kind) {
-			if !free(f) {
-				continue
-			}
-		} else if f.To == "" {
-			for f.To = instance(); f.To == f.Of; {
-				f.To = instance()
-			}
-		}
-		if slices.Contains(withShare, f.Kind) {
-			f.Share = float64(1+rng.IntN(9)) / 10
-		}
-		if f.Kind == Slow {
-			f.Delay = tomlfile.Duration(time.Duration(5+rng.IntN(100)) * time.Millisecond)
-		}
-		if f.Kind == Break {
-			f.For = 0
-		}
-		s.Faults = append(s.Faults, f)
+	d := &drawing{schedule: s, rng: rand.New(rand.NewPCG(seed, 7)), busy: map[string][]Fault{}}
+	for range 3 + d.rng.IntN(6) {
+		d.ordinaryFault()
 	}
 	// Two processes of one name, drains, and discovery out of an instance's sight about then, from a sequence of their own: what
 	// the seed draws above stays as it is.
-	rng = rand.New(rand.NewPCG(seed, 13))
-	third := tomlfile.Duration((length / 3).Round(time.Millisecond))
-	at := func() tomlfile.Duration {
-		return tomlfile.Duration(time.Duration(float64(length) * (0.1 + 0.4*rng.Float64())).Round(time.Millisecond))
+	d.rng = rand.New(rand.NewPCG(seed, 13))
+	d.twin()
+	for range d.rng.IntN(3) {
+		d.drain()
 	}
-	if twin := (Fault{Kind: Twin, At: at(), For: third, Of: InstanceName(rng.IntN(instances))}); rng.IntN(4) == 0 && free(twin) {
-		s.Faults = append(s.Faults, twin)
+	slices.SortStableFunc(s.Faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return s
+}
+
+// drawing is a schedule that is being drawn. The order of its draws is part of what a seed means:
+// none may be added, left out or moved.
+type drawing struct {
+	schedule *Schedule
+	rng      *rand.Rand
+	busy     map[string][]Fault // faults of a process, by its name
+}
+
+// add adds a fault.
+func (d *drawing) add(f Fault) { d.schedule.Faults = append(d.schedule.Faults, f) }
+
+// instance draws an instance.
+func (d *drawing) instance() string { return InstanceName(d.rng.IntN(d.schedule.Instances)) }
+
+// server draws a server.
+func (d *drawing) server() string { return ServerName(d.rng.IntN(d.schedule.Servers)) }
+
+// coin draws one of two equal chances.
+func (d *drawing) coin() bool { return d.rng.IntN(2) == 0 }
+
+// part draws a part of the schedule's length that is between two shares of it.
+func (d *drawing) part(least, most float64) tomlfile.Duration {
+	length := float64(d.schedule.Length)
+	return tomlfile.Duration(time.Duration(length * (least + (most-least)*d.rng.Float64())).Round(time.Millisecond))
+}
+
+// reserve notes a fault of a process, unless another is too near: a process is in one state at a
+// time, and none is killed while it is stopped.
+func (d *drawing) reserve(f Fault) bool {
+	gap := time.Duration(d.schedule.Length) / 20
+	if slices.ContainsFunc(d.busy[f.Of], func(o Fault) bool {
+		return time.Duration(f.At) < o.End()+gap && time.Duration(o.At) < f.End()+gap
+	}) {
+		return false
 	}
-	for range rng.IntN(3) {
-		drain := Fault{Kind: Drain, At: at(), For: third, Of: ServerName(rng.IntN(servers))}
-		if !free(drain) {
-			continue
+	d.busy[f.Of] = append(d.busy[f.Of], f)
+	return true
+}
+
+// ordinaryFault draws a fault of a process or of a way, and adds it unless its process is busy.
+func (d *drawing) ordinaryFault() {
+	f := Fault{At: d.part(0.05, 0.65), For: d.part(0.03, 0.3), Of: d.instance()}
+	d.kind(&f)
+	if slices.Contains(ofProcess, f.Kind) {
+		if !d.reserve(f) {
+			return
 		}
-		s.Faults = append(s.Faults, drain)
-		if rng.IntN(2) == 0 {
-			quiet := Fault{Kind: Cut, At: drain.At, For: third / 3, Of: InstanceName(rng.IntN(instances)), To: Discovery, Both: true}
-			if rng.IntN(2) == 0 {
-				quiet.Kind, quiet.For = Break, 0
-			}
-			s.Faults = append(s.Faults, quiet)
+	} else if f.To == "" {
+		for f.To = d.instance(); f.To == f.Of; {
+			f.To = d.instance()
 		}
 	}
-	slices.SortStableFunc(s.Faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
-	return s
+	if slices.Contains(withShare, f.Kind) {
+		f.Share = float64(1+d.rng.IntN(9)) / 10
+	}
+	if f.Kind == Slow {
+		f.Delay = tomlfile.Duration(time.Duration(5+d.rng.IntN(100)) * time.Millisecond)
+	}
+	if f.Kind == Break {
+		f.For = 0
+	}
+	d.add(f)
+}
+
+// kind draws a fault's kind, and which way it is of where that is not between two instances.
+func (d *drawing) kind(f *Fault) {
+	switch n := d.rng.IntN(16); {
+	case n < 4:
+		f.Kind = Kill
+	case n < 5:
+		f.Kind = Term
+	case n < 7:
+		f.Kind = Stop
+	case n < 8:
+		f.Kind, f.Of = Server, d.server()
+	case n < 12: // between instances
+		f.Kind, f.Both = Cut, d.coin()
+	case n < 13: // towards clients
+		f.Kind, f.Of, f.To, f.Both = Cut, Clients, f.Of, d.coin()
+	case n < 14: // towards servers
+		f.Kind = []Kind{Cut, Slow, Break}[d.rng.IntN(3)]
+		f.To = d.server()
+		f.Both = d.coin()
+		f.For = min(f.For, heldMost)
+	default:
+		f.Kind, f.Both = []Kind{Loss, Double, Swap, Spoil, Slow}[d.rng.IntN(5)], true
+	}
+}
+
+// third is how long a twin or a drain lasts.
+func (d *drawing) third() tomlfile.Duration {
+	return tomlfile.Duration((time.Duration(d.schedule.Length) / 3).Round(time.Millisecond))
+}
+
+// early draws an instant in the first half.
+func (d *drawing) early() tomlfile.Duration { return d.part(0.1, 0.5) }
+
+// twin draws an instance that has two processes for a while, and adds it at one chance in four.
+func (d *drawing) twin() {
+	twin := Fault{Kind: Twin, At: d.early(), For: d.third(), Of: d.instance()}
+	if d.rng.IntN(4) == 0 && d.reserve(twin) {
+		d.add(twin)
+	}
+}
+
+// drain draws a server's drain and, at one chance in two, an instance that is not told of it at once.
+func (d *drawing) drain() {
+	drain := Fault{Kind: Drain, At: d.early(), For: d.third(), Of: d.server()}
+	if !d.reserve(drain) {
+		return
+	}
+	d.add(drain)
+	if !d.coin() {
+		return
+	}
+	cut := Fault{Kind: Cut, At: drain.At, For: drain.For / 3, Of: d.instance(), To: Discovery, Both: true}
+	if d.coin() {
+		cut.Kind, cut.For = Break, 0
+	}
+	d.add(cut)
 }
 
 // Without returns the schedule with some faults left out: those for which keep is false.
--- a/internal/fleet/servers.go
+++ b/internal/fleet/servers.go
@@ -155,12 +155,16 @@
 		return nil, nil, err
 	}
 	var addresses []string
-	if err := json.NewEncoder(s.in).Encode(spec); err == nil {
+	err = json.NewEncoder(s.in).Encode(spec)
+	if err == nil {
 		err = s.out.Decode(&addresses)
 	}
-	if err != nil || len(addresses) != len(spec.Names) {
+	if err == nil && len(addresses) != len(spec.Names) {
+		err = fmt.Errorf("%d addresses of %d", len(addresses), len(spec.Names))
+	}
+	if err != nil {
 		s.stop()
-		return nil, nil, fmt.Errorf("the servers did not start: %v", err)
+		return nil, nil, fmt.Errorf("the servers did not start: %w", err)
 	}
 	return s, addresses, nil
 }
@@ -173,7 +177,8 @@
 	return s.out.Decode(into)
 }
 
+// stop ends the process, which ends with its input, and waits for it.
 func (s *servers) stop() {
 	s.in.Close()
-	s.cmd.Wait()
+	_ = s.cmd.Wait() // nothing more is asked of it
 }
