--- a/internal/sidecar/deadline_test.go
+++ b/internal/sidecar/deadline_test.go
@@ -17,10 +17,10 @@
 func TestDeadlineCountsFromTheLastByte(t *testing.T) {
 	const timeLeft, slowWrite, tail = 400 * time.Millisecond, 500 * time.Millisecond, 5
 	endpoint := peer.New(t, peer.Always(peer.Served))
-	w := start(t, nil, directory.Ready("s-1", endpoint.Address))
-	conn := w.dial()
+	h := start(t, nil, directory.Ready("s-1", endpoint.Address))
+	conn := h.dial()
 	var wire bytes.Buffer
-	if err := w.request("order", "0123456789", timeLeft).Write(&wire); err != nil {
+	if err := h.newRequest("order", "0123456789", timeLeft).Write(&wire); err != nil {
 		t.Fatal(err)
 	}
 	text := wire.String()
@@ -31,7 +31,7 @@
 	if _, err := io.WriteString(conn, text[len(text)-tail:]); err != nil {
 		t.Fatal(err)
 	}
-	if err := conn.SetReadDeadline(time.Now().Add(patience)); err != nil {
+	if err := conn.SetReadDeadline(time.Now().Add(testTimeout)); err != nil {
 		t.Fatal(err)
 	}
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
