--- /dev/null
+++ b/balancer/attempts_test.go
@@ -0,0 +1,376 @@
+package balancer
+
+import (
+	"slices"
+	"testing"
+)
+
+// timeoutRecorder records the timeouts of attempts.
+type timeoutRecorder struct {
+	*recorder
+	timeouts []Micros
+}
+
+func (t *timeoutRecorder) Send(id uint64, e uint32, timeout, by Micros) {
+	t.timeouts = append(t.timeouts, timeout)
+	t.recorder.Send(id, e, timeout, by)
+}
+
+func startWithTimeouts(t *testing.T, s Settings, list []Endpoint) (*Balancer, *timeoutRecorder) {
+	t.Helper()
+	out := &timeoutRecorder{recorder: &recorder{}}
+	b, err := New(s, 7, out)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Start(0)
+	b.UpdateEndpoints(0, ListCached, list)
+	return b, out
+}
+
+// Each attempt gets the timeout that the request sets, and a retry follows its end while the rules permit one.
+func TestAttemptTimeoutIsPassedOn(t *testing.T) {
+	for class, want := range []int{3, 3, 2, 2, 1} { // two endpoints are in a zone and cell
+		b, out := startWithTimeouts(t, testSettings(), ready(8))
+		in := testRequest(1, uint8(class), 0)
+		in.AttemptTimeout = 100_000
+		b.HandleRequest(0, in)
+		for i := 0; i < len(out.sends); i++ {
+			b.AttemptCompleted(Micros(i+1)*100_000, Outcome{
+				ID: 1, Attempt: i, Endpoint: out.sends[i].endpoint, Status: Timeout, Latency: 100_000,
+			})
+		}
+		if len(out.sends) != want || slices.ContainsFunc(out.timeouts, func(x Micros) bool { return x != 100_000 }) {
+			t.Errorf("class %d: time-outs %v, want %d attempts", class, out.timeouts, want)
+		}
+	}
+}
+
+// A request may name a budget: its retries spend that one alone.
+func TestRetriesSpendNamedBudget(t *testing.T) {
+	s := testSettings()
+	s.Budgets = []RetryBudget{{EarnRatio: 0, Burst: 2}, {EarnRatio: 0.5, Burst: 1}}
+	b, out := startWithTimeouts(t, s, ready(8))
+	retries := func(budget uint16, id uint64) int {
+		n := len(out.sends)
+		in := testRequest(id, 0, Micros(id)*second)
+		in.Budget = budget
+		b.HandleRequest(Micros(id)*second, in)
+		for i := 0; n+i < len(out.sends) && b.ledger.requests[id] != nil; i++ {
+			b.AttemptCompleted(Micros(id)*second+1, Outcome{
+				ID: id, Attempt: i, Endpoint: out.sends[n+i].endpoint, Status: Error, Latency: 1,
+			})
+		}
+		return len(out.sends) - n - 1
+	}
+	if got := []int{retries(1, 1), retries(1, 2), retries(0, 3)}; !slices.Equal(got, []int{2, 0, 2}) {
+		t.Errorf("retries %v: want the two of its budget, none, and those of the common one", got)
+	}
+	if got := []int{retries(2, 4), retries(2, 5), retries(2, 6)}; !slices.Equal(got, []int{1, 0, 1}) {
+		t.Errorf("retries %v: want one for every second request", got)
+	}
+}
+
+// A request that names a pool is sent to endpoints of that pool only.
+func TestRequestStaysInItsPool(t *testing.T) {
+	list := ready(6)
+	for i := range list {
+		list[i].Pools = 1 << (i % 3)
+	}
+	b, out := startWithTimeouts(t, testSettings(), list)
+	for id := uint64(1); id <= 60; id++ {
+		in := testRequest(id, 0, Micros(id)*1000)
+		in.Pool = uint8(id % 4) // 0: all
+		n := len(out.sends)
+		b.HandleRequest(in.Deadline-second, in)
+		for _, x := range out.sends[n:] {
+			if in.Pool > 0 && list[x.endpoint-1].Pools != 1<<(in.Pool-1) {
+				t.Fatalf("a request of pool %d went to endpoint %d", in.Pool, x.endpoint)
+			}
+		}
+	}
+	in := testRequest(100, 0, second)
+	in.Pool = 64
+	if b.HandleRequest(second, in); !slices.Contains(out.rejected, 100) {
+		t.Error("a request of an empty pool is not rejected")
+	}
+}
+
+// Classes and budgets may change while requests are in flight: those keep their class.
+func TestConfigureKeepsRequestsInFlight(t *testing.T) {
+	s := testSettings()
+	s.Budgets = []RetryBudget{{EarnRatio: 0, Burst: 5}}
+	b, out := startWithTimeouts(t, s, ready(8))
+	b.HandleRequest(0, testRequest(1, 4, 0)) // not idempotent
+	in := testRequest(2, 0, 0)
+	in.Budget = 1
+	b.HandleRequest(0, in)
+	b.budgets.named[0] = 3
+	next := append(slices.Clone(s.Classes), Class{
+		Name: "write", Idempotency: Idempotent, LatencyObjective: 1, ClientTimeout: 1,
+	})
+	next[4].Retired = true
+	if err := b.Configure(next, []RetryBudget{{EarnRatio: 0, Burst: 2}, {EarnRatio: 0, Burst: 7}}); err != nil {
+		t.Fatal(err)
+	}
+	if !slices.Equal(b.budgets.named, []float64{2, 7}) {
+		t.Errorf("budgets %v: want the balance, within the new burst, and a new one", b.budgets.named)
+	}
+	b.AttemptCompleted(1, Outcome{ID: 1, Endpoint: out.sends[0].endpoint, Status: Timeout, Latency: 1})
+	if len(out.sends) != 2 || !slices.Equal(out.failed, []uint64{1}) {
+		t.Errorf("the request in flight: %v sent, failed %v", out.sends, out.failed)
+	}
+	b.HandleRequest(2, testRequest(3, 5, 2))
+	if len(out.sends) != 3 {
+		t.Error("a request of the new class is not sent")
+	}
+	// Classes of requests in flight must stay; invalid settings change nothing.
+	changed := slices.Clone(next)
+	changed[1].DedupWindow = 1
+	bad := append(slices.Clone(next), Class{Name: "x"})
+	for name, classes := range map[string][]Class{"changed": changed, "fewer": next[:4], "bad": bad} {
+		if err := b.Configure(classes, nil); err == nil || len(b.settings.Classes) != 6 || len(b.settings.Budgets) != 2 {
+			t.Errorf("%s: %v, %d classes and %d budgets", name, err, len(b.settings.Classes), len(b.settings.Budgets))
+		}
+	}
+}
+
+// A client's retry with an idempotency key may be of an effect whose key is about to expire: what may have run is
+// neither resent later nor rejected with a promise.
+func TestClientRetryIsNotResentAfterWindow(t *testing.T) {
+	for _, c := range []struct {
+		class    uint8
+		status   Status
+		at       Micros
+		resent   bool
+		rejected bool
+	}{
+		{1, Timeout, 10_000, true, false},
+		{1, Timeout, 100_000, false, false},
+		{1, Full, 40_000, true, false},
+		{1, Full, 100_000, false, false},
+		{0, Timeout, 100_000, true, false},
+	} {
+		b, out := startWithTimeouts(t, testSettings(), ready(8))
+		in := testRequest(1, c.class, 0)
+		in.ClientRetry = true
+		b.HandleRequest(0, in)
+		b.AttemptCompleted(c.at, Outcome{ID: 1, Endpoint: out.sends[0].endpoint, Status: c.status, Latency: c.at})
+		if got := len(out.sends) > 1; got != c.resent || len(out.rejected) > 0 != c.rejected {
+			t.Errorf("%+v: %d sends, %d rejected", c, len(out.sends), len(out.rejected))
+		}
+	}
+}
+
+// An attempt may be carried out by another endpoint than it was sent to. Failures, and the group in which a repeat
+// is dropped, are those of the endpoint that had the request.
+func TestOutcomeIsAttributedToActualEndpoint(t *testing.T) {
+	b, r := start(t, testSettings(), ready(4)) // 1 and 2 share a cell, as do 3 and 4
+	b.HandleRequest(0, testRequest(1, 3, 0))
+	to := r.sends[0].endpoint
+	other := (to+1)%4 + 1 // of the other cell
+	b.AttemptCompleted(1000, Outcome{ID: 1, Endpoint: other, Status: Error})
+	if len(r.sends) != 2 || b.endpoints.byID[r.sends[1].endpoint].Cell != b.endpoints.byID[other].Cell {
+		t.Errorf("sends %v after endpoint %d had the request: want the next in its cell", r.sends, other)
+	}
+	if b.endpoints.byID[other].failures.ratio == 0 || b.endpoints.byID[to].failures.ratio != 0 {
+		t.Errorf("failure ratios: %v where it was sent, %v where it was carried out",
+			b.endpoints.byID[to].failures.ratio, b.endpoints.byID[other].failures.ratio)
+	}
+	if n := b.endpoints.byID[to].inFlight; n != 0 && r.sends[1].endpoint != to {
+		t.Errorf("%d are counted in flight at an endpoint that has none", n)
+	}
+	for _, s := range r.sends[1:] {
+		b.AttemptCompleted(2000, Outcome{ID: 1, Attempt: 1, Endpoint: s.endpoint, Status: OK, Settled: true})
+	}
+	for id, e := range b.endpoints.byID {
+		if e.inFlight != 0 {
+			t.Errorf("endpoint %d: %d in flight at the end", id, e.inFlight)
+		}
+	}
+	// An unknown endpoint is ignored: the attempt stays where it was.
+	b.HandleRequest(3000, testRequest(2, 0, 3000))
+	last := r.sends[len(r.sends)-1]
+	b.AttemptCompleted(4000, Outcome{ID: 2, Endpoint: 77, Status: OK, Settled: true})
+	if b.endpoints.byID[last.endpoint].inFlight != 0 || b.endpoints.byID[77] != nil {
+		t.Error("an unknown endpoint's outcome leaves the attempt in flight")
+	}
+}
+
+// A request may lower the limit of attempts, and cannot raise it.
+func TestRequestMaxAttemptsLowersLimit(t *testing.T) {
+	for _, c := range []struct{ maxAttempts, sends int }{{0, 3}, {1, 1}, {2, 2}, {9, 3}} {
+		b, r := start(t, testSettings(), ready(4))
+		in := testRequest(1, 0, 0)
+		in.MaxAttempts = c.maxAttempts
+		b.HandleRequest(0, in)
+		for i := 0; i < len(r.sends); i++ {
+			b.AttemptCompleted(Micros(i+1)*1000, Outcome{
+				ID: 1, Attempt: i, Endpoint: r.sends[i].endpoint, Status: Error,
+			})
+		}
+		if len(r.sends) != c.sends || len(r.rejected) != 1 {
+			t.Errorf("limit %d: %d sends and %d rejections, want %d and 1", c.maxAttempts, len(r.sends), len(r.rejected), c.sends)
+		}
+	}
+}
+
+// An attempt made before the request was taken binds it as its own first one does: to the group, to the window, and
+// in what may be promised.
+func TestPreviousAttemptBindsRequest(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		class    uint8
+		age      Micros // of the earlier attempt
+		sent     bool
+		rejected bool
+	}{
+		{"idempotent", 0, 600_000, true, true},
+		{"with key, in the window", 1, 100_000, true, true},
+		{"with key, after the window", 1, 600_000, false, false},
+		{"with key in a zone", 2, 100_000, true, false},
+		{"with key in a cell", 3, 100_000, true, false},
+		{"with key in a cell, after the window", 3, 500_000, false, false},
+		{"not idempotent", 4, 1, false, false},
+	} {
+		b, r := start(t, testSettings(), ready(6))
+		now := Micros(700_000)
+		in := testRequest(1, c.class, now)
+		in.MayHaveRun, in.PreviousAttempt = true, PreviousAttempt{At: now - c.age, Zone: 1, Cell: 1}
+		b.HandleRequest(now, in)
+		if len(r.sends) > 0 != c.sent {
+			t.Errorf("%s: %d sends, want one: %v", c.name, len(r.sends), c.sent)
+		}
+		if c.sent && c.class >= 2 && b.endpoints.byID[r.sends[0].endpoint].Cell != 1 {
+			t.Errorf("%s: sent to endpoint %d, outside the group of the first", c.name, r.sends[0].endpoint)
+		}
+		for i := 0; i < len(r.sends); i++ {
+			b.AttemptCompleted(now, Outcome{ID: 1, Attempt: i, Endpoint: r.sends[i].endpoint, Status: Full})
+		}
+		if len(r.rejected) > 0 != c.rejected || len(r.failed) > 0 == c.rejected {
+			t.Errorf("%s: %d rejections and %d failures, want a rejection: %v", c.name, len(r.rejected), len(r.failed), c.rejected)
+		}
+	}
+}
+
+// Each kind of idempotency against each outcome of the first attempt.
+func TestRetryFollowsIdempotencyAndOutcome(t *testing.T) {
+	never := map[Status]bool{Full: true, ConnectFailed: true, NotSent: true}
+	for class := range uint8(5) {
+		for status := Error; status <= NotSent; status++ {
+			s := testSettings()
+			b, r := start(t, s, ready(4)) // endpoints 1, 2 share a zone and a cell; so do 3, 4
+			b.HandleRequest(1000, testRequest(1, class, 1000))
+			a := b.ledger.requests[1].attempts[0]
+			b.AttemptCompleted(2000, Outcome{ID: 1, Endpoint: a.endpoint.ID, Status: status, Latency: 1000})
+			sends := len(r.sends)
+			switch kind := s.Classes[class]; {
+			case kind.Idempotency == NotIdempotent && !never[status]:
+				if sends != 1 || len(r.failed) != 1 {
+					t.Errorf("not idempotent, status %d: %d sends, %d failed", status, sends, len(r.failed))
+				}
+			case sends != 2:
+				t.Errorf("class %d status %d: %d sends, 2 wanted", class, status, sends)
+			case kind.Idempotency == IdempotentWithKey && kind.Group != GroupAll && !never[status]:
+				if (r.sends[0].endpoint-1)/2 != (r.sends[1].endpoint-1)/2 {
+					t.Errorf("class %d status %d left its group", class, status)
+				}
+			}
+		}
+	}
+}
+
+func TestDedupWindowStartsAtFirstAttemptThatMayHaveRun(t *testing.T) {
+	s := testSettings()
+	s.Limits.Hedging = false
+	b, r := start(t, s, ready(2))
+	b.HandleRequest(1000, testRequest(1, 3, 1000))
+	first := r.sends[0].endpoint
+	b.AttemptCompleted(1000+s.Classes[3].DedupWindow, Outcome{ID: 1, Endpoint: first, Status: Reset})
+	if len(r.sends) != 1 || len(r.failed) != 1 || len(r.rejected) != 0 {
+		t.Errorf("after the window: sends %v, failed %v, rejected %v", r.sends, r.failed, r.rejected)
+	}
+}
+
+func TestUnansweredAttemptEndsAtDeadline(t *testing.T) {
+	b, r := start(t, testSettings(), ready(1))
+	b.HandleRequest(1000, testRequest(1, 4, 1000))
+	token := b.ledger.requests[1].timerToken
+	b.TimerFired(1000+second, token)
+	if len(r.failed) != 1 || len(r.cancels) != 1 {
+		t.Fatalf("failed %v, cancelled %v", r.failed, r.cancels)
+	}
+	b.AttemptCompleted(2*second, Outcome{ID: 1, Endpoint: 1, Status: OK, Latency: second, Settled: true})
+	if b.endpoints.list[0].breaker.accepts != 1 || b.endpoints.list[0].inFlight != 0 || len(b.ledger.requests) != 0 {
+		t.Error("a late outcome must still update the statistics")
+	}
+	b.HandleRequest(3*second, testRequest(2, 0, 3*second))
+	b.TimerFired(3*second, token) // of the finished request, whose slot is reused
+	if len(r.failed) != 1 || len(r.rejected) != 0 {
+		t.Error("an old timer ended another request")
+	}
+}
+
+func TestStreamIsNeitherTimedOutNorRetried(t *testing.T) {
+	b, r := start(t, testSettings(), ready(2))
+	b.HandleRequest(1000, testRequest(1, 0, 1000))
+	b.ResponseStarted(2000, 1, 0, 1000)
+	b.TimerFired(2*second, b.ledger.requests[1].timerToken)
+	if len(r.sends) != 1 || len(r.rejected)+len(r.failed) != 0 {
+		t.Error("a stream that began was ended or hedged")
+	}
+	b.AttemptCompleted(3*second, Outcome{
+		ID: 1, Endpoint: r.sends[0].endpoint, Status: OK, Latency: 3 * second, Settled: true,
+	})
+	if len(b.ledger.requests) != 0 {
+		t.Error("the record was not released")
+	}
+}
+
+// Whatever is unusual about a request, it is taken once and answered once.
+func TestUnusualRequestsAreAnsweredOnce(t *testing.T) {
+	for name, c := range map[string]struct {
+		list  []Endpoint
+		in    Request
+		twice bool
+	}{
+		"class out of range":  {list: ready(2), in: Request{ID: 1, Class: 99, Deadline: second}},
+		"tenant out of range": {list: ready(2), in: Request{ID: 1, Tenant: 999, Deadline: second}},
+		"deadline past":       {list: ready(2), in: Request{ID: 1, Deadline: 10}},
+		"empty list":          {in: Request{ID: 1, Deadline: second}},
+		"all draining":        {list: []Endpoint{{ID: 1, State: Draining}}, in: Request{ID: 1, Deadline: second}},
+		"repeated id":         {list: ready(2), in: Request{ID: 1, Deadline: second}, twice: true},
+		"negative hint":       {list: ready(2), in: Request{ID: 1, Deadline: second, WorkHint: -5, HasWorkHint: true}},
+	} {
+		b, r := start(t, testSettings(), c.list)
+		b.HandleRequest(1000, c.in)
+		if c.twice {
+			b.HandleRequest(1000, c.in)
+		}
+		for i, token := range r.timers {
+			if token >= firstRequestTimer {
+				b.TimerFired(max(1000+r.delays[i], c.in.Deadline), token)
+			}
+		}
+		if n := len(r.rejected) + len(r.failed); n != 1 || len(r.sends) > 1 {
+			t.Errorf("%s: %d final answers, %d sends", name, n, len(r.sends))
+		}
+	}
+}
+
+// A host that is about to end has each request answered, as at its deadline.
+func TestExpireAnswersEachRequestOnce(t *testing.T) {
+	s := testSettings()
+	b, r := start(t, s, ready(4))
+	for class := range s.Classes {
+		b.HandleRequest(1000, testRequest(uint64(class+1), uint8(class), 500_000))
+	}
+	for class := range s.Classes {
+		b.Expire(2000, uint64(class+1))
+		b.Expire(2001, uint64(class+1)) // already answered
+	}
+	b.Expire(2002, 99) // unknown
+	if !slices.Equal(r.rejected, []uint64{1, 2}) || !slices.Equal(r.failed, []uint64{3, 4, 5}) {
+		t.Errorf("rejected %v, failed %v; want rejections where a retry is safe, else failures", r.rejected, r.failed)
+	}
+}
--- a/balancer/breaker_test.go
+++ b/balancer/breaker_test.go
@@ -20,7 +20,7 @@
 		{"one beyond protection", 0, 6, 0, 1, 1.0 / 7},
 		// 30 requests, 10 accepts in the newest bucket: K stays 1.5.
 		{"two thirds fail", 10, 20, 0, 1, (30.0 - 5 - 15) / 31},
-		{"refusals count as requests", 10, 0, 20, 1, (30.0 - 5 - 15) / 31},
+		{"rejections count as requests", 10, 0, 20, 1, (30.0 - 5 - 15) / 31},
 		{"all accepted", 40, 0, 0, 1, 0},
 		// 20 failing buckets after the accepts: K = 1.5 - 0.4*20/40 = 1.3.
 		{"K eases", 10, 20, 0, 20, (30.0 - 5 - 13) / 31},
@@ -110,7 +110,7 @@
 	}
 	r := &request{}
 	if !b.breakerAllows(now, r, e) {
-		t.Fatal("the first is passed by force")
+		t.Fatal("the first trial is rejected")
 	}
 	passed := 0
 	for range 200 {
@@ -119,14 +119,14 @@
 		}
 	}
 	if passed > 20 {
-		t.Errorf("%d of 200 passed an endpoint that fails all", passed)
+		t.Errorf("%d of 200 admitted to an endpoint that fails all", passed)
 	}
 	if !b.breakerAllows(now+trialPause+1001, r, e) {
-		t.Error("none passed after the forced-pass interval")
+		t.Error("no trial after the pause")
 	}
 }
 
-// When all endpoints fail at once, ejection must not leave the few last ones with everything.
+// When all endpoints fail at once, ejection must not leave the last few with all traffic.
 func TestAllEndpointsFailingKeepsTrafficSpread(t *testing.T) {
 	b, r := start(t, testSettings(), ready(8))
 	sends := map[uint32]int{}
--- a/balancer/example_test.go
+++ b/balancer/example_test.go
@@ -6,7 +6,7 @@
 	"pinedale/balancer"
 )
 
-// host prints what a balancer asks for. A sidecar does these things.
+// host prints what a balancer asks for. A sidecar carries it out.
 type host struct{ sent []uint32 }
 
 func (h *host) Send(id uint64, endpoint uint32, timeout, by balancer.Micros) {
@@ -26,11 +26,14 @@
 func Example() {
 	settings := balancer.Settings{
 		Balancers: 1,
-		Classes:   []balancer.Class{{Name: "read", Idempotency: balancer.Idempotent, LatencyObjective: 200_000, ClientTimeout: 800_000, PriorityWeight: 1}},
-		Fields:    []balancer.Field{balancer.FieldInflight},
-		Limits:    balancer.Limits{Probes: true, MaxAttempts: 2, MaxOpen: 1000},
-		Contract:  balancer.Contract{SlowStartRatio: 0.2, SlowStartTime: 10_000_000, OverloadMultiple: 2.5},
-		Goal:      balancer.Goal{Overall: 1},
+		Classes: []balancer.Class{{
+			Name: "read", Idempotency: balancer.Idempotent, LatencyObjective: 200_000, ClientTimeout: 800_000,
+			PriorityWeight: 1,
+		}},
+		Fields:   []balancer.Field{balancer.FieldInflight},
+		Limits:   balancer.Limits{Probes: true, MaxAttempts: 2, MaxOpen: 1000},
+		Contract: balancer.Contract{SlowStartRatio: 0.2, SlowStartTime: 10_000_000, OverloadMultiple: 2.5},
+		Goal:     balancer.Goal{Overall: 1},
 	}
 	h := &host{}
 	b, err := balancer.New(settings, 1, h)
@@ -45,9 +48,14 @@
 
 	b.HandleRequest(2_000, balancer.Request{ID: 1, Deadline: 802_000})
 	b.AttemptCompleted(3_000, balancer.Outcome{ID: 1, Endpoint: 8, Status: balancer.Error, Latency: 1_000})
-	b.AttemptCompleted(40_000, balancer.Outcome{ID: 1, Attempt: 1, Endpoint: 7, Status: balancer.OK, Latency: 37_000, Settled: true})
+	b.AttemptCompleted(40_000, balancer.Outcome{
+		ID: 1, Attempt: 1, Endpoint: 7, Status: balancer.OK, Latency: 37_000, Settled: true,
+	})
 
-	b.UpdateEndpoints(50_000, balancer.ListDelta, []balancer.Endpoint{{ID: 7, State: balancer.Removed}, {ID: 8, State: balancer.Draining}})
+	b.UpdateEndpoints(50_000, balancer.ListDelta, []balancer.Endpoint{
+		{ID: 7, State: balancer.Removed},
+		{ID: 8, State: balancer.Draining},
+	})
 	b.HandleRequest(60_000, balancer.Request{ID: 2, Deadline: 860_000})
 	// Output:
 	// send request 1 to endpoint 8
--- a/balancer/hedging.go
+++ b/balancer/hedging.go
@@ -83,8 +83,8 @@
 	}
 	e := a.endpoint
 	overtaken := e.lastAnsweredSentAt > a.sentAt
-	silent := a.probedOverdue && e.lastResponseAt < a.sentAt
-	if overtaken || silent {
+	noResponse := a.probedOverdue && e.lastResponseAt < a.sentAt
+	if overtaken || noResponse {
 		a.overdue = true
 		b.hedge(now, r)
 		return
--- a/balancer/helpers_test.go
+++ b/balancer/helpers_test.go
@@ -9,14 +9,14 @@
 
 // testSettings are plain settings that tests change as they need.
 func testSettings() Settings {
-	return Settings{
+	s := Settings{
 		Balancers: 2, Zones: 1, Kinds: 1, Tick: 5000,
 		Classes: []Class{
-			{Name: "read", Idempotency: Idempotent, LatencyObjective: 400_000, ClientTimeout: second, PriorityWeight: 1},
-			{Name: "keyed-all", Idempotency: IdempotentWithKey, Group: GroupAll, DedupWindow: 500_000, LatencyObjective: 400_000, ClientTimeout: second, PriorityWeight: 1},
-			{Name: "keyed-zone", Idempotency: IdempotentWithKey, Group: GroupZone, DedupWindow: 500_000, LatencyObjective: 400_000, ClientTimeout: second, PriorityWeight: 1},
-			{Name: "keyed-cell", Idempotency: IdempotentWithKey, Group: GroupCell, DedupWindow: 500_000, LatencyObjective: 400_000, ClientTimeout: second, PriorityWeight: 1},
-			{Name: "write", Idempotency: NotIdempotent, LatencyObjective: 400_000, ClientTimeout: second, PriorityWeight: 1},
+			{Name: "read", Idempotency: Idempotent},
+			{Name: "keyed-all", Idempotency: IdempotentWithKey, Group: GroupAll, DedupWindow: 500_000},
+			{Name: "keyed-zone", Idempotency: IdempotentWithKey, Group: GroupZone, DedupWindow: 500_000},
+			{Name: "keyed-cell", Idempotency: IdempotentWithKey, Group: GroupCell, DedupWindow: 500_000},
+			{Name: "write", Idempotency: NotIdempotent},
 		},
 		Fields: []Field{FieldInflight},
 		Limits: Limits{Cancel: true, Probes: true, Hedging: true, RetryAfter: true,
@@ -25,6 +25,12 @@
 			OverloadMultiple: 2.5, OverloadTime: second, PollInterval: 10 * second},
 		Goal: Goal{Overall: 1},
 	}
+	for i := range s.Classes {
+		s.Classes[i].LatencyObjective = 400_000
+		s.Classes[i].ClientTimeout = second
+		s.Classes[i].PriorityWeight = 1
+	}
+	return s
 }
 
 type sent struct {
@@ -32,7 +38,7 @@
 	endpoint uint32
 }
 
-// recorder keeps what a balancer asks of its host.
+// recorder records what a balancer asks of its host.
 type recorder struct {
 	sends    []sent
 	rejected []uint64
--- a/balancer/keys_test.go
+++ b/balancer/keys_test.go
@@ -1,17 +1,15 @@
 package balancer
 
-import (
-	"testing"
-)
+import "testing"
 
-// keySettings has one zone, no probes and servers that do less work for a key they met.
+// keySettings has one zone, no probes, and endpoints that cache by key.
 func keySettings() Settings {
 	s := testSettings()
 	s.KeyAffinity, s.Limits.Probes = true, false
 	return s
 }
 
-// inOneZone returns n ready endpoints of zone 0, with numbers that do not depend on the balancer.
+// inOneZone returns n ready endpoints of zone 0, with StableIDs that do not depend on the balancer.
 func inOneZone(n int, firstID uint32) []Endpoint {
 	list := make([]Endpoint, n)
 	for i := range list {
@@ -20,14 +18,14 @@
 	return list
 }
 
-// serveKeyedRequests sends one request after the other, with keys in turn, and answers each at once: after alone where the
-// endpoint has not met the key within memory, after warm where it has.
-func serveKeyedRequests(b *Balancer, r *recorder, n, keys int, alone, warm, memory Micros) (hits int) {
-	type met struct {
+// serveByKey sends n requests with keys in turn and answers each at once: after cachedLatency where the endpoint
+// had the key within memory, else after uncachedLatency. It returns how many were cached.
+func serveByKey(b *Balancer, r *recorder, n, keys int, uncachedLatency, cachedLatency, memory Micros) (hits int) {
+	type cacheEntry struct {
 		endpoint uint32
 		key      uint64
 	}
-	last := map[met]Micros{}
+	last := map[cacheEntry]Micros{}
 	now := second
 	for i := range n {
 		id, key := uint64(i+1), uint64(1+i%keys)
@@ -35,49 +33,49 @@
 		in.Key = key
 		b.HandleRequest(now, in)
 		to := r.sends[len(r.sends)-1]
-		took := alone
-		at := met{to.endpoint, key}
-		if was, ok := last[at]; ok && now-was < memory {
-			took = warm
+		latency := uncachedLatency
+		at := cacheEntry{to.endpoint, key}
+		if previous, ok := last[at]; ok && now-previous < memory {
+			latency = cachedLatency
 			hits++
 		}
-		now += took
+		now += latency
 		last[at] = now
-		b.AttemptCompleted(now, Outcome{ID: id, Endpoint: to.endpoint, Status: OK, Latency: took, Settled: true})
+		b.AttemptCompleted(now, Outcome{ID: id, Endpoint: to.endpoint, Status: OK, Latency: latency, Settled: true})
 	}
 	return hits
 }
 
-// Requests go where their key is warm; that nothing is saved would be learned.
+// Requests go where their key is cached. Where nothing is saved, that is learned.
 func TestKeysAreSentWhereCached(t *testing.T) {
 	b, r := start(t, keySettings(), inOneZone(8, 1))
-	if hits := serveKeyedRequests(b, r, 2000, 12, 80_000, 32_000, 20*second); hits < 1800 {
-		t.Errorf("%d of 2000 requests went where their key was warm, want 1800", hits)
+	if hits := serveByKey(b, r, 2000, 12, 80_000, 32_000, 20*second); hits < 1800 {
+		t.Errorf("%d of 2000 requests went where their key was cached, want 1800", hits)
 	}
 	for range 3000 {
 		b.keys.learn(fleetOwner, 1)
 		b.keys.learn(zoneOwner, 0.01)
 	}
 	if nothing, all := b.keys.workRatio[fleetOwner], b.keys.workRatio[zoneOwner]; nothing < 0.9 || all != minWorkRatio {
-		t.Errorf("%.2f of the work where nothing is saved, %.2f where all is", nothing, all)
+		t.Errorf("work ratio %.2f where nothing is saved, %.2f where all is", nothing, all)
 	}
 	b.keys.learn(notCached, 0.1)
 	b.keys.learn(0, 0.1)
 	if b.keys.workRatio[notCached] != 1 || b.keys.workRatio[0] != 1 {
-		t.Errorf("the measure has moved: %v", b.keys.workRatio)
+		t.Errorf("the reference has changed: %v", b.keys.workRatio)
 	}
 }
 
-// A process that has started since has met no key.
+// A restarted process has no key cached.
 func TestRestartClearsKeyAffinity(t *testing.T) {
 	list := inOneZone(1, 1)
 	b, r := start(t, keySettings(), list)
-	serveKeyedRequests(b, r, 10, 1, 1000, 1000, second)
+	serveByKey(b, r, 10, 1, 1000, 1000, second)
 	bin := func() affinity {
-		again := &request{Request: Request{Key: 1}}
-		again.key = b.keyRecord(2*second, again)
-		again.key.owners = [2]*endpoint{} // by what was sent alone
-		return b.affinityOf(2*second, again, b.endpoints.list[0])
+		next := &request{Request: Request{Key: 1}}
+		next.key = b.keyRecord(2*second, next)
+		next.key.owners = [2]*endpoint{} // by what was sent alone
+		return b.affinityOf(2*second, next, b.endpoints.list[0])
 	}
 	if got := bin(); got == notCached {
 		t.Fatalf("before the restart: %+v", got)
@@ -89,40 +87,40 @@
 	}
 }
 
-// All balancers take the same endpoint for a key's home, whatever they call it, and the loss of one endpoint
-// moves the keys of that one alone.
+// All balancers choose the same endpoint as a key's owner, whatever its ID, and the removal of one endpoint moves
+// its keys alone.
 func TestKeyOwnersAgreeAcrossBalancers(t *testing.T) {
 	one, _ := start(t, keySettings(), inOneZone(10, 1))
 	two, _ := start(t, keySettings(), inOneZone(10, 501))
 	without := inOneZone(10, 1)
 	without[3].State = Removed
 	keys := map[uint64]int{}
-	homes := map[uint64]uint64{}
+	owners := map[uint64]uint64{}
 	for key := uint64(1); key <= 5000; key++ {
 		a, b := one.keyOwners(key)[1], two.keyOwners(key)[1]
 		if a.StableID != b.StableID {
 			t.Fatalf("key %d: %d and %d", key, a.StableID, b.StableID)
 		}
-		homes[key] = a.StableID
+		owners[key] = a.StableID
 		keys[a.StableID]++
 	}
 	for same, n := range keys {
 		if n < 400 || n > 600 { // 500 is even; the hash has no seed, so that this is no chance
-			t.Errorf("endpoint %d is home to %d of 5000 keys", same, n)
+			t.Errorf("endpoint %d owns %d of 5000 keys", same, n)
 		}
 	}
 	one.UpdateEndpoints(second, ListDelta, without[3:4])
-	for key, was := range homes {
-		if is := one.keyOwners(key)[1].StableID; is != was && was != without[3].StableID {
-			t.Errorf("key %d moved from %d to %d", key, was, is)
-		} else if is == without[3].StableID {
-			t.Errorf("key %d stays at the endpoint that is gone", key)
+	for key, previous := range owners {
+		if current := one.keyOwners(key)[1].StableID; current != previous && previous != without[3].StableID {
+			t.Errorf("key %d moved from %d to %d", key, previous, current)
+		} else if current == without[3].StableID {
+			t.Errorf("key %d stays at the removed endpoint", key)
 		}
 	}
 }
 
-// A home that is full is not waited for: an idle endpoint that has not met the key serves it sooner.
-func TestPopularKeySpreadsOverEndpoints(t *testing.T) {
+// An owner at capacity is not waited for: an idle endpoint without the key serves it sooner.
+func TestPopularKeyUsesAllEndpoints(t *testing.T) {
 	b, r := start(t, keySettings(), inOneZone(4, 1))
 	used := map[uint32]int{}
 	for i := range 24 {
@@ -136,8 +134,8 @@
 	}
 }
 
-// A key has a home in each zone; while the way to the one of the fleet costs more than it saves, requests stay
-// in their zone, and they cross once that one is crowded.
+// A key has an owner in each zone. While the owner of the fleet costs more than it saves, requests stay in their
+// zone, and leave it once that is overloaded.
 func TestKeyHasOwnerInEachZone(t *testing.T) {
 	s := keySettings()
 	s.Prices.CrossZone = 0.1
@@ -147,19 +145,19 @@
 	}
 	b, r := start(t, s, list)
 	for key := uint64(1); key < 200; key++ {
-		homes := b.keyOwners(key)
-		home, zone := homes[1], homes[0]
-		if zone.Zone != 0 || home.Zone == 0 && home != zone {
-			t.Fatalf("key %d: homes %d and %d", key, home.ID, zone.ID)
+		owners := b.keyOwners(key)
+		owner, zone := owners[1], owners[0]
+		if zone.Zone != 0 || owner.Zone == 0 && owner != zone {
+			t.Fatalf("key %d: owners %d and %d", key, owner.ID, zone.ID)
 		}
-		if home.Zone == 0 {
+		if owner.Zone == 0 {
 			continue
 		}
 		in := testRequest(key, 0, second)
 		in.Key = key
 		b.HandleRequest(second, in)
 		if to := r.sends[len(r.sends)-1].endpoint; to != zone.ID {
-			t.Fatalf("key %d went to %d, its home in the zone is %d", key, to, zone.ID)
+			t.Fatalf("key %d went to %d, its owner in the zone is %d", key, to, zone.ID)
 		}
 		b.AttemptCompleted(second, Outcome{ID: key, Endpoint: zone.ID, Status: OK, Latency: 80_000, Settled: true})
 	}
@@ -176,27 +174,27 @@
 		}
 	}
 	if crossed < 15 {
-		t.Errorf("%d of 60 crossed from a crowded zone to an idle one, want 15 at least", crossed)
+		t.Errorf("%d of 60 crossed from an overloaded zone to an idle one, want 15 at least", crossed)
 	}
 }
 
-// What is kept of keys is bounded, however many come.
+// The number of key records is bounded.
 func TestKeyRecordsAreBounded(t *testing.T) {
 	b, r := start(t, keySettings(), inOneZone(4, 1))
-	serveKeyedRequests(b, r, 3*maxKeys, 3*maxKeys, 1000, 1000, second)
+	serveByKey(b, r, 3*maxKeys, 3*maxKeys, 1000, 1000, second)
 	if n := len(b.keys.current) + len(b.keys.previous); n > 2*maxKeys {
-		t.Errorf("%d keys are kept, at most %d", n, 2*maxKeys)
+		t.Errorf("%d key records, at most %d", n, 2*maxKeys)
 	}
 }
 
-// Requests without a key, and deployments that say nothing of keys, are decided as ever.
+// Requests without key, and deployments without key affinity, need no records.
 func TestNoRecordWithoutKey(t *testing.T) {
 	s := testSettings()
 	b, r := start(t, s, inOneZone(4, 1))
-	serveKeyedRequests(b, r, 50, 5, 1000, 1000, second)
+	serveByKey(b, r, 50, 5, 1000, 1000, second)
 	with, r := start(t, keySettings(), inOneZone(4, 1))
 	with.HandleRequest(second, testRequest(1, 0, second))
 	if len(b.keys.current) != 0 || len(with.keys.current) != 0 || len(r.sends) != 1 {
-		t.Errorf("kept %d and %d keys, sent %d", len(b.keys.current), len(with.keys.current), len(r.sends))
+		t.Errorf("%d and %d key records, %d sends", len(b.keys.current), len(with.keys.current), len(r.sends))
 	}
 }
--- /dev/null
+++ b/balancer/members_test.go
@@ -0,0 +1,58 @@
+package balancer
+
+import "testing"
+
+func TestDrainingEndpointReceivesNothing(t *testing.T) {
+	b, r := start(t, testSettings(), ready(2))
+	b.UpdateEndpoints(1000, ListDelta, []Endpoint{{ID: 1, State: Draining}})
+	b.UpdateEndpoints(1000, ListFull, []Endpoint{{ID: 1, State: Draining}, {ID: 3, State: Ready}})
+	for id := range uint64(20) {
+		b.HandleRequest(2000, testRequest(id, 0, 2000))
+	}
+	for _, s := range r.sends {
+		if s.endpoint == 1 || s.endpoint == 2 {
+			t.Fatalf("sent to %d", s.endpoint)
+		}
+	}
+}
+
+func TestSubscriptionIsRetriedUntilAnswered(t *testing.T) {
+	s := testSettings()
+	s.PollDiscovery = true
+	b, r := start(t, s, ready(2))
+	now := Micros(0)
+	fire := func() {
+		for i, token := range r.timers {
+			if token == discoveryTimer {
+				now += r.delays[i]
+				r.timers, r.delays = nil, nil
+				b.TimerFired(now, discoveryTimer)
+				return
+			}
+		}
+		t.Fatal("no timer for discovery")
+	}
+	fire()
+	for n := 1; n < 8; n++ {
+		if r.watches != n {
+			t.Fatalf("%d calls, %d wanted", r.watches, n)
+		}
+		before := now
+		if n%2 == 0 {
+			b.UpdateEndpoints(now, ListFailed, nil)
+		} // else the response is lost
+		fire()
+		if now-before > s.Contract.PollInterval {
+			t.Fatalf("polled only after %d", now-before)
+		}
+	}
+	if len(b.endpoints.list) != 2 {
+		t.Error("a failed poll changed the list")
+	}
+	b.UpdateEndpoints(now, ListDelta, nil)
+	n := r.watches
+	b.TimerFired(now+100*second, discoveryTimer)
+	if r.watches != n {
+		t.Error("polled again while subscribed")
+	}
+}
--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -119,7 +119,7 @@
 	}
 	// A group may have no other endpoint left, and what the network path lost may arrive the next time.
 	if s.best == nil && len(r.attempts) > 0 {
-		s.considerAgain()
+		s.considerRetried()
 	}
 	return s.best
 }
@@ -143,8 +143,8 @@
 	}
 }
 
-// considerAgain takes the first endpoint that has not itself failed r.
-func (s *selection) considerAgain() {
+// considerRetried takes the first endpoint that has not itself failed r.
+func (s *selection) considerRetried() {
 	for _, e := range s.b.endpoints.list {
 		if e != s.exclude && !e.ejected(s.now) && !s.r.failedByEndpoint(e) && s.b.maySend(s.now, s.r, e) {
 			s.consider(e)
--- a/balancer/probes.go
+++ b/balancer/probes.go
@@ -90,8 +90,8 @@
 
 // sendProbe probes e, unless a probe is pending.
 func (b *Balancer) sendProbe(now Micros, e *endpoint) {
-	lost := now-e.probedAt > probeTimeout
-	if !b.settings.Limits.Probes || e.State != Ready || e.probePending && !lost {
+	timedOut := now-e.probedAt > probeTimeout
+	if !b.settings.Limits.Probes || e.State != Ready || e.probePending && !timedOut {
 		return
 	}
 	e.probePending = true
--- a/balancer/rejection.go
+++ b/balancer/rejection.go
@@ -73,19 +73,19 @@
 		weight += rate * b.classWeight(i)
 		worst = min(worst, class.onTime.or(1))
 	}
-	var highest, own float64
+	var highest, requestGain float64
 	for i := range b.classes {
 		if b.settings.Classes[i].Retired && i != int(r.Class) {
 			continue
 		}
 		gain := b.classGain(now, i, work, weight, worst)
 		highest = max(highest, gain)
-		own += gain * indicator(i == int(r.Class))
+		requestGain += gain * indicator(i == int(r.Class))
 	}
 	if !(highest > 0) { // also true of NaN
 		return 1 // no weight was set
 	}
-	return own / highest * b.tenantWeight(now, r)
+	return requestGain / highest * b.tenantWeight(now, r)
 }
 
 // classGain is what the goal gains from a unit of a class's work: its weight per work over that of all, and
--- /dev/null
+++ b/balancer/rejection_test.go
@@ -0,0 +1,147 @@
+package balancer
+
+import (
+	"math"
+	"strings"
+	"testing"
+)
+
+// A wrong estimate of a class's work must not reject that class for ever. But a trial a second at each of a
+// thousand balancers with little traffic would keep a jammed fleet jammed.
+func TestLatencyRejectionAdmitsFewTrials(t *testing.T) {
+	for _, c := range []struct {
+		gap      Micros
+		from, to int
+	}{{second / 100, 3, 6}, {second, 28, 33}} {
+		b, r := start(t, testSettings(), ready(1))
+		b.classes[0].work.value = float64(100 * second)
+		for i := range uint64(300) {
+			now := 10*second + Micros(i)*c.gap
+			b.HandleRequest(now, testRequest(i, 0, now))
+		}
+		if n := len(r.sends); n < c.from || n > c.to {
+			t.Errorf("a request every %d µs: %d of 300 sent, want %d to %d", c.gap, n, c.from, c.to)
+		}
+		if len(r.rejected) != 300-len(r.sends) {
+			t.Errorf("%d rejected, %d sent", len(r.rejected), len(r.sends))
+		}
+	}
+}
+
+// Tenants are compared by what was sent of each over its quota: one that is ahead has a lower weight until the
+// others have caught up, and one that asks for less than its quota never has.
+func TestTenantAboveQuotaHasLowerWeight(t *testing.T) {
+	for name, c := range map[string]struct {
+		sends  [3]int // in turn
+		allow  [3]float64
+		weighs [3]float64
+	}{
+		"as quotas say":    {[3]int{2, 2, 2}, [3]float64{50, 50, 50}, [3]float64{1, 1, 1}},
+		"one far ahead":    {[3]int{6, 1, 1}, [3]float64{50, 50, 50}, [3]float64{0.05, 1, 1}},
+		"large quota":      {[3]int{6, 1, 1}, [3]float64{300, 50, 50}, [3]float64{1, 1, 1}},
+		"one below quota":  {[3]int{3, 3, 1}, [3]float64{50, 50, 50}, [3]float64{0.05, 0.05, 1}},
+		"no quota":         {[3]int{6, 1, 1}, [3]float64{0, 0, 0}, [3]float64{1, 1, 1}},
+		"nothing sent yet": {[3]int{}, [3]float64{50, 50, 50}, [3]float64{1, 1, 1}},
+	} {
+		s := testSettings()
+		s.OverQuotaWeightRatio = 0.05
+		for _, quotas := range c.allow {
+			s.Tenants = append(s.Tenants, Tenant{Quota: quotas})
+		}
+		b, _ := start(t, s, ready(2))
+		for range 50 {
+			for i, n := range c.sends {
+				for range n {
+					b.tenants[i].add(second, 1)
+				}
+			}
+		}
+		for i, want := range c.weighs {
+			if got := b.tenantWeight(second, &request{Request: Request{Tenant: uint16(i)}}); math.Abs(got-want) > 0.01 {
+				t.Errorf("%s: weight of tenant %d is %.2f, want %.2f", name, i, got, want)
+			}
+		}
+		if got := b.tenantWeight(second, &request{Request: Request{Tenant: 9}}); got != 1 {
+			t.Errorf("%s: unknown tenant: %v", name, got)
+		}
+	}
+}
+
+// While reports are late, averages decide: they must not reject what an endpoint that they cannot show would serve.
+func TestLateReportsAllowFullLatencyObjective(t *testing.T) {
+	b, _ := start(t, testSettings(), ready(1))
+	r := &request{Request: testRequest(1, 0, 0), work: 50_000}
+	b.classes[0].arrivals.add(0, 1)
+	before := b.latencyLimit(0, r, b.endpoints.list[0])
+	b.reports.late = true
+	objective := float64(b.settings.Classes[0].LatencyObjective)
+	if after := b.latencyLimit(0, r, b.endpoints.list[0]); after <= before || after != objective {
+		t.Errorf("limit %v before, %v while late", before, after)
+	}
+}
+
+// A few slow answers must not lead to rejections where nothing is queued.
+func TestIdleEndpointIsNotRejected(t *testing.T) {
+	b, r := start(t, testSettings(), ready(1))
+	b.endpoints.list[0].slowness, b.endpoints.list[0].slownessAt = ewma{value: 9, seen: true}, 1000
+	b.ProbeCompleted(1000, 1, OK, 500, []float32{0})
+	b.HandleRequest(2000, testRequest(1, 0, 2000))
+	if len(r.sends) != 1 {
+		t.Errorf("%d sends to an idle endpoint thought slow", len(r.sends))
+	}
+}
+
+// Trials sent into a jam prolong it: each that fails makes the next rarer.
+func TestFailedTrialsBecomeRarer(t *testing.T) {
+	b, r := start(t, testSettings(), ready(1))
+	b.classes[0].work.value = float64(100 * second)
+	b.trend.ratio = maxTrend
+	passed := [2]int{}
+	for i := range uint64(400) {
+		now := 10*second + Micros(i)*second
+		b.HandleRequest(now, testRequest(i, 0, now))
+		if n := len(r.sends); n > 0 && r.sends[n-1].id == i {
+			passed[i/200]++
+			b.AttemptCompleted(now+second, Outcome{ID: i, Endpoint: 1, Status: Timeout, Latency: second})
+		}
+	}
+	if passed[0] < 3 || passed[0] > 8 || passed[1] > 2 {
+		t.Errorf("%d trials in the first 200 and %d in the next", passed[0], passed[1])
+	}
+	b.traffic.trialInterval = maxTrialInterval
+	r.sends = nil
+	b.trend.ratio, b.classes[0].work.value = 1, 1000
+	b.HandleRequest(500*second, testRequest(1000, 0, 500*second))
+	b.AttemptCompleted(501*second, Outcome{ID: 1000, Endpoint: 1, Status: OK, Latency: 1000, Settled: true})
+	b.HandleRequest(502*second, testRequest(1001, 0, 502*second))
+	b.AttemptCompleted(502*second+1000, Outcome{ID: 1001, Endpoint: 1, Status: OK, Latency: 1000, Settled: true})
+	if b.traffic.trialInterval != minTrialInterval {
+		t.Errorf("one trial in %d after an answer in time", b.traffic.trialInterval)
+	}
+}
+
+func TestRejectWithoutEndpoint(t *testing.T) {
+	b, r := start(t, testSettings(), nil)
+	b.HandleRequest(1000, testRequest(1, 4, 1000))
+	b.HandleRequest(1000, Request{ID: 2, Deadline: 500})
+	if len(r.rejected) != 2 || b.ledger.open != 0 || len(b.ledger.requests) != 0 {
+		t.Errorf("rejected %v, open %d", r.rejected, b.ledger.open)
+	}
+}
+
+// On-call staff must learn why requests are rejected, in one line a second and not in thousands.
+func TestRejectionsAreLoggedOncePerSecond(t *testing.T) {
+	b, r := start(t, testSettings(), ready(1))
+	b.ProbeCompleted(1000, 1, OK, 500, []float32{50})
+	for id := range uint64(200) {
+		now := second + 5000*Micros(id)
+		b.ProbeCompleted(now, 1, OK, 500, []float32{50})
+		b.HandleRequest(now, testRequest(id, 0, now))
+	}
+	if len(r.rejected) < 150 {
+		t.Fatalf("only %d rejected", len(r.rejected))
+	}
+	if len(r.logs) != 1 || !strings.Contains(r.logs[0], "predicted latency too high endpoint 1 ") {
+		t.Errorf("log: %q", r.logs)
+	}
+}
--- a/balancer/second_test.go
+++ b/balancer/scenarios_test.go
@@ -1,12 +1,9 @@
 package balancer
 
-import (
-	"testing"
-)
+import "testing"
 
-// Hard cases of a deployment whose servers are lost by the building: each is caused here, event by event.
-
-// threeZoneSettings has three zones, no second copies and five attempts.
+// threeZoneSettings has three zones, no hedging and five attempts. The tests below cause failures of whole zones,
+// lists and probes, event by event.
 func threeZoneSettings() Settings {
 	s := testSettings()
 	s.Zones, s.Limits.Hedging, s.Limits.MaxAttempts = 3, false, 5
@@ -24,8 +21,8 @@
 	return list
 }
 
-// A balancer that comes back with nothing but an old list, half of whose endpoints are gone: every request is
-// answered by one that is there, and the dead are soon left alone, though nobody has said that they are gone.
+// A balancer starts with an old list, half of whose endpoints are removed: every request is answered by another,
+// and the removed ones are soon avoided, though no list says that they are.
 func TestStaleListHalfRemoved(t *testing.T) {
 	b, r := start(t, threeZoneSettings(), readyInThreeZones(12))
 	dead := func(id uint32) bool { return id%2 == 0 }
@@ -50,14 +47,14 @@
 		}
 	}
 	if served != 300 || len(r.rejected)+len(r.failed) > 0 {
-		t.Errorf("%d of 300 served, %d refused, %d failed", served, len(r.rejected), len(r.failed))
+		t.Errorf("%d of 300 served, %d rejected, %d failed", served, len(r.rejected), len(r.failed))
 	}
 	if late > 30 {
-		t.Errorf("of the last 150 requests %d tried a dead endpoint", late)
+		t.Errorf("%d of the last 150 requests went to a removed endpoint", late)
 	}
 }
 
-// attemptOf is the number of a send among those of its request.
+// attemptOf is the index of a send among those of its request.
 func attemptOf(r *recorder, at int) (n int) {
 	for _, s := range r.sends[:at] {
 		if s.id == r.sends[at].id {
@@ -67,35 +64,36 @@
 	return n
 }
 
-// A keyed request whose building is lost after its first attempt may have run: nowhere else is its repeat
-// dropped, so that it is failed at once, without a promise. What never ran goes elsewhere.
-func TestZoneFailureDuringKeyedRequest(t *testing.T) {
+// The zone of a request with an idempotency key fails after its first attempt may have run: nowhere else is its
+// repeat dropped, so it fails at once, without a promise. What never ran goes elsewhere.
+func TestZoneFailureDuringRequestWithIdempotencyKey(t *testing.T) {
 	for status, sends := range map[Status]int{Reset: 1, Timeout: 1, Error: 1, ConnectFailed: 2, Full: 2} {
 		list := readyInThreeZones(9)
 		b, r := start(t, threeZoneSettings(), list)
 		b.HandleRequest(second, testRequest(1, 2, second))
 		first := r.sends[0].endpoint
 		zone := b.endpoints.byID[first].Zone
-		var gone []Endpoint
+		var removed []Endpoint
 		for _, e := range list {
 			if e.Zone == zone {
 				e.State = Removed
-				gone = append(gone, e)
+				removed = append(removed, e)
 			}
 		}
-		b.UpdateEndpoints(second+1000, ListDelta, gone)
+		b.UpdateEndpoints(second+1000, ListDelta, removed)
 		b.AttemptCompleted(second+2000, Outcome{ID: 1, Endpoint: first, Status: status, Latency: 2000})
 		if len(r.sends) != sends || len(r.rejected) != 0 || len(r.failed) != 2-sends {
-			t.Errorf("status %d: %d sends, %d refused, %d failed; want %d sends", status, len(r.sends), len(r.rejected), len(r.failed), sends)
+			t.Errorf("status %d: %d sends, %d rejected, %d failed; want %d sends",
+				status, len(r.sends), len(r.rejected), len(r.failed), sends)
 		}
 		if sends == 2 && b.endpoints.byID[r.sends[1].endpoint].Zone == zone {
-			t.Errorf("status %d: sent to the building that is lost", status)
+			t.Errorf("status %d: sent to the failed zone", status)
 		}
 	}
 }
 
-// A reset says little of the endpoint: where a group has no other, a request goes there again, and a refusal
-// that would not be true is never given for it. What the endpoint itself has failed does not.
+// A reset says little of the endpoint: where a group has no other, a request goes there again, and is never
+// rejected with a promise that is not true. What the endpoint itself has failed does not go there again.
 func TestResetRetriesOnlyEndpointOfGroup(t *testing.T) {
 	for status, sends := range map[Status]int{Reset: 2, Error: 1, Timeout: 1} {
 		b, r := start(t, threeZoneSettings(), readyInThreeZones(3))
@@ -103,13 +101,13 @@
 		first := r.sends[0].endpoint
 		b.AttemptCompleted(second+2000, Outcome{ID: 1, Endpoint: first, Status: status, Latency: 2000})
 		if len(r.sends) != sends || sends == 2 && r.sends[1].endpoint != first || len(r.rejected) > 0 {
-			t.Errorf("status %d: sends %v, %d refused", status, r.sends, len(r.rejected))
+			t.Errorf("status %d: sends %v, %d rejected", status, r.sends, len(r.rejected))
 		}
 	}
 }
 
-// A quarter of the endpoints turn five times as slow while their probes are answered as promptly as ever: what
-// is sent there falls to a small part, and comes back once they have recovered.
+// A quarter of the endpoints become five times as slow while their probes are answered as fast as before: what is
+// sent there falls to a small part, and comes back once they have recovered.
 func TestSlowEndpointsWithHealthyProbesAreAvoided(t *testing.T) {
 	s := threeZoneSettings()
 	list := readyInThreeZones(8)
@@ -123,17 +121,20 @@
 		at Micros
 	}
 	var out []due
-	held := map[uint32]int{}
+	inFlight := map[uint32]int{}
 	slowSends := func(from, to Micros, slow bool) (sends int) {
 		for now := from; now < to; now += 5_000 {
 			for _, e := range list { // all probes are answered, with what is held there
-				b.ProbeCompleted(now, e.ID, OK, 300, []float32{float32(held[e.ID])})
+				b.ProbeCompleted(now, e.ID, OK, 300, []float32{float32(inFlight[e.ID])})
 			}
 			for i := 0; i < len(out); {
 				if d := out[i]; d.at <= now {
 					out = append(out[:i], out[i+1:]...)
-					held[d.to]--
-					b.AttemptCompleted(now, Outcome{ID: d.id, Endpoint: d.to, Status: OK, Latency: 40_000 + 160_000*Micros(indicator(slow && d.to <= 2)), Settled: true})
+					inFlight[d.to]--
+					b.AttemptCompleted(now, Outcome{
+						ID: d.id, Endpoint: d.to, Status: OK, Settled: true,
+						Latency: 40_000 + 160_000*Micros(indicator(slow && d.to <= 2)),
+					})
 					continue
 				}
 				i++
@@ -143,13 +144,13 @@
 			b.HandleRequest(now, testRequest(id, 0, now))
 			for ; done < len(r.sends); done++ {
 				e := r.sends[done].endpoint
-				held[e]++
-				took := Micros(40_000)
+				inFlight[e]++
+				latency := Micros(40_000)
 				if e <= 2 {
 					sends++
-					took += 160_000 * Micros(indicator(slow))
+					latency += 160_000 * Micros(indicator(slow))
 				}
-				out = append(out, due{id, e, now + took})
+				out = append(out, due{id, e, now + latency})
 			}
 		}
 		return sends
@@ -164,7 +165,10 @@
 	}
 }
 
-// timerHost plays a balancer by its own timers. Requests and probes are answered as serve and probe say.
+// requestInterval is the time between two requests of a timerHost, in µs.
+const requestInterval = 10_000
+
+// timerHost runs a balancer by its own timers. Requests and probes are answered as serve and probe say.
 type timerHost struct {
 	balancer   *Balancer
 	recorder   *recorder
@@ -184,9 +188,10 @@
 	token   uint32
 }
 
-// runActions sees to what the balancer has asked for, until it asks for nothing more.
+// runActions carries out the balancer's actions, until there are no more.
 func (h *timerHost) runActions() {
-	for h.timersSeen < len(h.recorder.timers) || h.sendsSeen < len(h.recorder.sends) || h.probesSeen < len(h.recorder.probes) {
+	for h.timersSeen < len(h.recorder.timers) || h.sendsSeen < len(h.recorder.sends) ||
+		h.probesSeen < len(h.recorder.probes) {
 		for ; h.timersSeen < len(h.recorder.timers); h.timersSeen++ {
 			h.armed = append(h.armed, armedTimer{h.now + h.recorder.delays[h.timersSeen], h.recorder.timers[h.timersSeen]})
 		}
@@ -197,14 +202,17 @@
 		for ; h.sendsSeen < len(h.recorder.sends); h.sendsSeen++ {
 			s := h.recorder.sends[h.sendsSeen]
 			status := h.serve(h.now, s.endpoint)
-			h.balancer.AttemptCompleted(h.now+2000, Outcome{ID: s.id, Attempt: attemptOf(h.recorder, h.sendsSeen), Endpoint: s.endpoint, Status: status, Latency: 2000, Settled: status == OK})
+			h.balancer.AttemptCompleted(h.now+2000, Outcome{
+				ID: s.id, Attempt: attemptOf(h.recorder, h.sendsSeen), Endpoint: s.endpoint, Status: status,
+				Latency: 2000, Settled: status == OK,
+			})
 		}
 	}
 }
 
-// runUntil plays on, with a request of the safe class every so often.
-func (h *timerHost) runUntil(end, every Micros) {
-	for next := h.now + every; h.now < end; {
+// runUntil runs until an instant, with an idempotent request at each requestInterval.
+func (h *timerHost) runUntil(end Micros) {
+	for next := h.now + requestInterval; h.now < end; {
 		first := -1
 		for i, a := range h.armed {
 			if first < 0 || a.firesAt < h.armed[first].firesAt {
@@ -217,7 +225,7 @@
 			h.now = max(h.now, a.firesAt)
 			h.balancer.TimerFired(h.now, a.token)
 		} else {
-			h.now, next = next, next+every
+			h.now, next = next, next+requestInterval
 			h.lastID++
 			h.balancer.HandleRequest(h.now, testRequest(h.lastID, 0, h.now))
 		}
@@ -227,36 +235,36 @@
 
 func alwaysOK(Micros, uint32) Status { return OK }
 
-// A probe that is dearer than what it tells: its pace follows the price, down to one a second, and requests
-// are served by what their own outcomes tell.
+// The rate of probes follows their price, down to one a second; requests are served by what their own outcomes
+// show.
 func TestExpensiveProbesAreRare(t *testing.T) {
 	probes := func(price float64) int {
 		s := threeZoneSettings()
 		s.Prices.Probe = price
 		b, r := start(t, s, readyInThreeZones(12))
 		h := &timerHost{balancer: b, recorder: r, serve: alwaysOK, probe: alwaysOK}
-		h.runUntil(10*second, 10_000)
+		h.runUntil(10 * second)
 		before := len(r.probes)
-		h.runUntil(30*second, 10_000)
+		h.runUntil(30 * second)
 		if len(r.rejected)+len(r.failed) > 0 {
-			t.Errorf("price %v: %d refused, %d failed of %d", price, len(r.rejected), len(r.failed), h.lastID)
+			t.Errorf("price %v: %d rejected, %d failed of %d", price, len(r.rejected), len(r.failed), h.lastID)
 		}
 		return len(r.probes) - before
 	}
-	// 2,000 requests in 20 s: the share of the result that probes may cost, and one a second at the least. The
-	// factor is that of the jitter of a round.
-	for price, most := range map[float64]int{0.5: 40, 5: 40, 0.05: 2 * 200} {
-		if n := probes(price); n > most {
-			t.Errorf("price %v: %d probes for 2,000 requests, at most %d pay", price, n, most)
+	// 2,000 requests in 20 s: the ratio of the result that probes may cost, and at least one a second. The factor
+	// is that of the jitter of a round.
+	for price, maxProbes := range map[float64]int{0.5: 40, 5: 40, 0.05: 2 * 200} {
+		if n := probes(price); n > maxProbes {
+			t.Errorf("price %v: %d probes for 2,000 requests, want at most %d", price, n, maxProbes)
 		}
 	}
-	if cheap, dear := probes(0.001), probes(0.5); cheap < 10*dear {
-		t.Errorf("%d probes where they cost next to nothing, %d where they are dear", cheap, dear)
+	if cheap, expensive := probes(0.001), probes(0.5); cheap < 10*expensive {
+		t.Errorf("%d cheap probes, %d expensive ones", cheap, expensive)
 	}
 }
 
-// An agent that pushes lists and falls silent: nothing is asked of it, the dead are left alone by what their
-// connections tell, and used again when they are back, though no list says either.
+// An agent that pushes lists stops sending: it is not polled; failed endpoints are avoided by what their
+// connections show, and used again when they are back, though no list says either.
 func TestPushedListStopsUpdating(t *testing.T) {
 	s := threeZoneSettings()
 	s.PollDiscovery = false
@@ -270,9 +278,9 @@
 		return OK
 	}
 	h.probe = h.serve
-	h.runUntil(died, 10_000)
+	h.runUntil(died)
 	watches, before := r.watches, len(r.sends)
-	h.runUntil(back, 10_000)
+	h.runUntil(back)
 	wasted := 0
 	for _, x := range r.sends[before:] {
 		if x.endpoint%2 == 0 {
@@ -280,20 +288,20 @@
 		}
 	}
 	if part := float64(wasted) / float64(len(r.sends)-before); part > 0.1 {
-		t.Errorf("%.2f of all attempts went to dead endpoints", part)
+		t.Errorf("%.2f of all attempts went to failed endpoints", part)
 	}
 	before = len(r.sends)
-	h.runUntil(back+30*second, 10_000)
-	again := 0
+	h.runUntil(back + 30*second)
+	resumed := 0
 	for _, x := range r.sends[before:] {
 		if x.endpoint%2 == 0 {
-			again++
+			resumed++
 		}
 	}
-	if again < (len(r.sends)-before)/10 {
-		t.Errorf("%d of %d attempts went to the endpoints that are back", again, len(r.sends)-before)
+	if resumed < (len(r.sends)-before)/10 {
+		t.Errorf("%d of %d attempts went to the recovered endpoints", resumed, len(r.sends)-before)
 	}
 	if len(r.rejected)+len(r.failed) > 0 || r.watches != watches {
-		t.Errorf("%d refused, %d failed; the list was asked for %d times", len(r.rejected), len(r.failed), r.watches-watches)
+		t.Errorf("%d rejected, %d failed, %d polls", len(r.rejected), len(r.failed), r.watches-watches)
 	}
 }
--- a/balancer/source_test.go
+++ b/balancer/source_test.go
@@ -9,14 +9,14 @@
 	"testing"
 )
 
-// policyFiles decide, as deploy/balancer.toml lists them.
+// policyFiles are the files that decide, in the order of deploy/balancer.toml.
 var policyFiles = []string{
 	"balancer.go", "attempts.go", "rejection.go", "hedging.go", "pick.go",
 	"prediction.go", "learning.go", "keys.go", "members.go", "slowstart.go",
 	"polling.go", "probes.go", "breaker.go", "ejection.go",
 }
 
-// The operators' limits on the decision module.
+// The operators limit the size of the decision module.
 func TestModuleSize(t *testing.T) {
 	lines := 0
 	for _, name := range policyFiles {
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -24,11 +24,11 @@
 
 // host runs the instances of one process. They share nothing but its buffers.
 type host struct {
-	decoder wire.Decoder
-	reply   wire.Reply
-	balance map[uint32]*instance
-	strange [256]bool // unknown codes already reported
-	stderr  io.Writer
+	decoder         wire.Decoder
+	reply           wire.Reply
+	instances       map[uint32]*instance
+	unknownReported [256]bool // unknown codes already reported
+	stderr          io.Writer
 }
 
 // instance is one balancer with its number, and the Actions given to it.
@@ -39,7 +39,7 @@
 }
 
 func run(in io.Reader, out, stderr io.Writer) error {
-	h := &host{balance: map[uint32]*instance{}, stderr: stderr}
+	h := &host{instances: map[uint32]*instance{}, stderr: stderr}
 	var frame []byte
 	for {
 		next, err := wire.ReadFrame(in, frame)
@@ -85,8 +85,8 @@
 			continue
 		}
 		if e.Code < wire.Begin || e.Code > wire.Instance {
-			if !h.strange[e.Code] {
-				h.strange[e.Code] = true
+			if !h.unknownReported[e.Code] {
+				h.unknownReported[e.Code] = true
 				fmt.Fprintf(h.stderr, "simhost: %v at byte %d: unknown code, skipped\n", e.Code, e.Offset)
 			}
 			continue
@@ -94,14 +94,14 @@
 		if !named {
 			return &wire.FrameError{Record: e.Code.String(), Offset: e.Offset, Reason: "comes before any instance"}
 		}
-		i := h.balance[current]
+		i := h.instances[current]
 		if i == nil {
 			if e.Code != wire.Begin {
 				return &wire.FrameError{Record: e.Code.String(), Offset: e.Offset,
 					Reason: fmt.Sprintf("instance %d has not begun", current)}
 			}
 			i = &instance{host: h, number: current}
-			h.balance[current] = i
+			h.instances[current] = i
 		}
 		i.handle(now, &e)
 	}
--- a/cmd/simhost/main_test.go
+++ b/cmd/simhost/main_test.go
@@ -140,8 +140,8 @@
 		return all
 	}
 	together, _, _ := drive(t, script(1, 2)...)
-	again, _, _ := drive(t, script(1, 2)...)
-	if together != again {
+	next, _, _ := drive(t, script(1, 2)...)
+	if together != next {
 		t.Fatal("two runs differ")
 	}
 	alone := ""
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -41,7 +41,7 @@
 	})
 }
 
-func (t *settingsText) whole(key string, def int64) int64 {
+func (t *settingsText) integer(key string, def int64) int64 {
 	return get(t, key, def, "a whole number", func(s string) (int64, error) {
 		return strconv.ParseInt(s, 10, 64)
 	})
@@ -51,8 +51,8 @@
 	return get(t, key, def, "true or false", strconv.ParseBool)
 }
 
-// word returns the meaning of a word; what an unlisted word means is an error.
-func word[T any](t *settingsText, key string, def T, words map[string]T) T {
+// keyword returns the meaning of a word; what an unlisted word means is an error.
+func keyword[T any](t *settingsText, key string, def T, words map[string]T) T {
 	return get(t, key, def, "a known word", func(s string) (T, error) {
 		if v, ok := words[s]; ok {
 			return v, nil
@@ -66,7 +66,7 @@
 	if _, ok := t.pairs[key+".count"]; !ok && required && t.err == nil {
 		t.err = &balancer.SettingError{Key: key + ".count", Value: "", Reason: "is missing"}
 	}
-	n := t.whole(key+".count", 0)
+	n := t.integer(key+".count", 0)
 	if n < 0 || n > 256 {
 		if t.err == nil {
 			t.err = &balancer.SettingError{Key: key + ".count", Value: strconv.FormatInt(n, 10), Reason: "out of range"}
@@ -119,33 +119,33 @@
 		t.pairs[key] = value
 	}
 	s := balancer.Settings{
-		Balancers:     int(t.whole("peers-total", 1)),
-		Position:      int(t.whole("position", 0)),
-		Zone:          int(t.whole("zone", 0)),
+		Balancers:     int(t.integer("peers-total", 1)),
+		Position:      int(t.integer("position", 0)),
+		Zone:          int(t.integer("zone", 0)),
 		Zones:         items(t.pairs["areas"]),
 		Kinds:         items(t.pairs["skus"]),
-		PollDiscovery: word(t, "discovery", false, map[string]bool{"automatic": false, "subscribe": true}),
-		Tick:          t.whole("tick", 0),
+		PollDiscovery: keyword(t, "discovery", false, map[string]bool{"automatic": false, "subscribe": true}),
+		Tick:          t.integer("tick", 0),
 		Limits: balancer.Limits{
 			Cancel:        t.flag("limits.cancel", false),
 			Probes:        t.flag("limits.probes", false),
 			Hedging:       t.flag("limits.second-copies", false),
 			RetryAfter:    t.flag("limits.retry-after", false),
 			PeerMessages:  t.flag("limits.may-tell", false),
-			MaxAttempts:   int(t.whole("limits.most-tries", 1)),
-			MaxOpen:       int(t.whole("limits.most-held", math.MaxInt32)),
-			MaxRetryAfter: t.whole("limits.max-retry-after", 0),
-			DialTimeout:   t.whole("limits.dial-timeout", 0),
-			KeepAlive:     t.whole("limits.keepalive", 0),
+			MaxAttempts:   int(t.integer("limits.most-tries", 1)),
+			MaxOpen:       int(t.integer("limits.most-held", math.MaxInt32)),
+			MaxRetryAfter: t.integer("limits.max-retry-after", 0),
+			DialTimeout:   t.integer("limits.dial-timeout", 0),
+			KeepAlive:     t.integer("limits.keepalive", 0),
 		},
 		Contract: balancer.Contract{
-			DrainGrace:       t.whole("contract.drain-grace", 0),
+			DrainGrace:       t.integer("contract.drain-grace", 0),
 			SlowStartRatio:   t.number("contract.cold-from", 1),
-			SlowStartTime:    t.whole("contract.ramp-time", 0),
+			SlowStartTime:    t.integer("contract.ramp-time", 0),
 			OverloadMultiple: t.number("contract.fall-multiple", 1),
-			OverloadTime:     t.whole("contract.overload-for", 0),
-			PollInterval:     t.whole("contract.ask-within", 10_000_000),
-			AnswerSlack:      t.whole("contract.answer-slack", 0),
+			OverloadTime:     t.integer("contract.overload-for", 0),
+			PollInterval:     t.integer("contract.ask-within", 10_000_000),
+			AnswerSlack:      t.integer("contract.answer-slack", 0),
 		},
 		Prices: balancer.Prices{
 			CrossZone: t.number("prices.cross-zone", 0),
@@ -161,10 +161,10 @@
 		},
 		KeyAffinity:          t.flag("family-info.warm-keys", false),
 		OverQuotaWeightRatio: t.number("over-share-worth", 1),
-		WeightByWork: word(t, "value-by", false,
+		WeightByWork: keyword(t, "value-by", false,
 			map[string]bool{"request": false, "work": true}),
 	}
-	how := word(t, "reporting.how", "none", map[string]string{"answers": "answers", "probe": "probe", "none": "none"})
+	how := keyword(t, "reporting.how", "none", map[string]string{"answers": "answers", "probe": "probe", "none": "none"})
 	if fields := t.pairs["reporting.fields"]; how != "none" && fields != "" {
 		for _, f := range strings.Split(fields, ",") {
 			s.Fields = append(s.Fields, fieldNames[f])
@@ -179,13 +179,13 @@
 		}
 		s.Classes = append(s.Classes, balancer.Class{
 			Name: t.pairs[at+"name"],
-			Idempotency: word(t, at+"repeat", balancer.NotIdempotent, map[string]balancer.Idempotency{
+			Idempotency: keyword(t, at+"repeat", balancer.NotIdempotent, map[string]balancer.Idempotency{
 				"pure": balancer.Idempotent, "token": balancer.IdempotentWithKey, "side_effect": balancer.NotIdempotent}),
-			Group: word(t, at+"group", balancer.GroupCell, map[string]balancer.Group{
+			Group: keyword(t, at+"group", balancer.GroupCell, map[string]balancer.Group{
 				"all": balancer.GroupAll, "zone": balancer.GroupZone, "cell": balancer.GroupCell}),
-			DedupWindow:      t.whole(at+"window", 0),
-			LatencyObjective: t.whole(at+"target", 0),
-			ClientTimeout:    t.whole(at+"give-up", 0),
+			DedupWindow:      t.integer(at+"window", 0),
+			LatencyObjective: t.integer(at+"target", 0),
+			ClientTimeout:    t.integer(at+"give-up", 0),
 			PriorityWeight:   t.number(at+"credit", 1),
 			LateWeightRatio:  t.number(at+"late-value", 0),
 			Streaming:        t.flag(at+"stream", false),
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -256,21 +256,21 @@
 // Next decodes one record into e. It returns io.EOF after the last one. A
 // record of an unknown code is returned with its code alone.
 func (d *Decoder) Next(e *Event) error {
-	left := len(d.frame) - d.at
-	if left == 0 {
+	remaining := len(d.frame) - d.at
+	if remaining == 0 {
 		return io.EOF
 	}
 	d.recAt, d.recName, d.off, d.err = d.at, "record", 0, nil
-	if left < recHeader {
-		d.fail(fmt.Sprintf("a record header needs %d bytes, has %d", recHeader, left))
+	if remaining < recHeader {
+		d.fail(fmt.Sprintf("a record header needs %d bytes, has %d", recHeader, remaining))
 		return d.err
 	}
 	code := Code(d.frame[d.at])
 	d.recName = code.String()
 	size := int(binary.BigEndian.Uint32(d.frame[d.at+1:]))
-	if size > left-recHeader {
+	if size > remaining-recHeader {
 		d.off = 1
-		d.fail(fmt.Sprintf("fields of %d bytes overrun the frame, which has %d left", size, left-recHeader))
+		d.fail(fmt.Sprintf("fields of %d bytes overrun the frame, which has %d left", size, remaining-recHeader))
 		return d.err
 	}
 	d.rec, d.off = d.frame[d.at:d.at+recHeader+size], recHeader
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -33,15 +33,15 @@
 
 // The examples of the page.
 const (
-	exInstance = "1b 00000004 00000003"
-	exRequest  = "12 00000020 0005bf975d3a91c4 91f03b7c55d20a64 00000000008405da 00002ee0 01 0000 00"
-	exTimer    = "16 00000004 0000004d"
-	exGone     = "15 00000008 000bf5a10e6f2b19"
-	exHeaders  = "13 00000012 0005bf975d3a91c4 0000 03124a07 00002422"
-	exAnswer   = "14 00000016 0005bf975d3a91c4 0000 03124a07 00c8 00004844 01 00"
-	exHealth   = "17 00000017 2c9011f2 00c8 00000578 03 40e00000430c00003f1eb852"
-	exWhisper  = "18 00000008 0002 0004 68692037"
-	exManifest = "1a 0000002f 00 00000002 03124a07 00 00 0000 00 3f800000 0000000000000000" +
+	exInstance          = "1b 00000004 00000003"
+	exRequest           = "12 00000020 0005bf975d3a91c4 91f03b7c55d20a64 00000000008405da 00002ee0 01 0000 00"
+	exTimer             = "16 00000004 0000004d"
+	exCancelledByClient = "15 00000008 000bf5a10e6f2b19"
+	exHeaders           = "13 00000012 0005bf975d3a91c4 0000 03124a07 00002422"
+	exAnswer            = "14 00000016 0005bf975d3a91c4 0000 03124a07 00c8 00004844 01 00"
+	exHealth            = "17 00000017 2c9011f2 00c8 00000578 03 40e00000430c00003f1eb852"
+	exWhisper           = "18 00000008 0002 0004 68692037"
+	exManifest          = "1a 0000002f 00 00000002 03124a07 00 00 0000 00 3f800000 0000000000000000" +
 		"2c9011f2 01 00 0000 00 3fc00000 00000000005d1420"
 	exMembers = "11 00000006 00000029 00 03"
 )
@@ -68,7 +68,7 @@
 }
 
 func TestPageExamples(t *testing.T) {
-	f := unhex(t, "0000000c 0000005d 0000000000805c5a", exInstance, exRequest, exTimer, "1b 00000004 00000005", exGone)
+	f := unhex(t, "0000000c 0000005d 0000000000805c5a", exInstance, exRequest, exTimer, "1b 00000004 00000005", exCancelledByClient)
 	got, err := ReadFrame(bytes.NewReader(f), nil)
 	if err != nil || !bytes.Equal(got, f) {
 		t.Fatalf("frame changed: %v", err)
@@ -212,7 +212,7 @@
 }
 
 func FuzzDecoder(f *testing.F) {
-	for _, s := range []string{exInstance, exRequest, exTimer, exGone, exHeaders, exAnswer, exHealth, exWhisper,
+	for _, s := range []string{exInstance, exRequest, exTimer, exCancelledByClient, exHeaders, exAnswer, exHealth, exWhisper,
 		exManifest + exMembers, "ff 00000002 0102", "1a 00000005 00 ffffffff"} {
 		f.Add(unhex(f, s))
 	}
