--- a/internal/admission/window.go
+++ b/internal/admission/window.go
@@ -110,7 +110,7 @@
 			continue
 		}
 		share := capacity * t.limits.Weight / totalWeight
-		// What no tenant demanded goes to whoever requests it first.
+		// What no tenant demanded goes to the tenants that request it first.
 		t.quota = max(t.quota+unassigned*t.limits.Weight/totalWeight, share)
 		t.remaining = min(t.remaining, max(1, maxSavedWindows*share)) + t.quota
 		t.requested = 0
--- a/internal/engine/endpoint.go
+++ b/internal/engine/endpoint.go
@@ -9,11 +9,11 @@
 	"pinedale/balancer"
 )
 
-// List is a list of endpoints, or of changes to one.
+// List is a snapshot of the endpoint list, or changes to it.
 type List struct {
-	Version  uint64
-	Complete bool
-	Hosts    []Host
+	Version  uint64 // of the list with these changes; the source defines the numbers
+	Complete bool   // a snapshot
+	Hosts    []Host // in changes also removed ones, with their State
 }
 
 // Host is one endpoint of a list.
--- a/internal/engine/ledger.go
+++ b/internal/engine/ledger.go
@@ -17,7 +17,7 @@
 	// Respond takes the one final answer, on the engine's goroutine. It must not block, nor call
 	// back into the engine.
 	Respond func(Response)
-	// Key is the idempotency key, if any, by which KeyLeases may be asked for a lease.
+	// Key is the idempotency key, if any, which KeyLeases may have to lease.
 	Key string
 
 	id        uint64
