--- /dev/null
+++ b/internal/replication/doc.go
@@ -0,0 +1,59 @@
+// Package replication keeps a replica of what every instance of the load balancer
+// advertises: which instances exist and how endpoints behave as seen by each of them. It
+// does no I/O, starts no goroutine and reads no clock: the caller delivers messages and
+// passes the current time.
+//
+// # Data model
+//
+// Every entry has one writer. An [Entry] is written by one incarnation of one instance (an
+// [Origin]) under a topic and a subject, with that origin's next sequence number. A later
+// sequence number replaces an earlier one of the same subject. Two replicas are merged by
+// taking the highest sequence number for each origin and subject. This is the join of a
+// lattice (a map of single-writer registers; Almeida, Shoker and Baquero, "Delta state
+// replicated data types", 2018): the order and the number of deliveries make no difference.
+// What an origin counts is in its own entries only, so that a sum over origins counts nothing
+// twice.
+//
+// # Protocol
+//
+// For each origin a replica knows the sequence number up to which it is complete.
+//
+//   - Rumour mongering: [Store.Rumours] returns single entries shortly after they are
+//     written. Each replica passes a new entry on a limited number of times.
+//   - Anti-entropy finds what rumours have missed. Two replicas compare a [Digest], which has
+//     a hash for each of 64 buckets of origins. For buckets that differ they compare
+//     [Vectors], the sequence numbers by origin. Then each sends [Delta] messages with the
+//     entries above the sequence number that the other one has.
+//
+// Every message fits into one datagram.
+//
+// # Merge rules
+//
+//	two replicas of an entry            result
+//	----------------------------------  -------------------------------------------------------
+//	sequence numbers differ             the higher number, in whatever order they arrived
+//	same sequence number                they are the same entry; the greater age is kept
+//	one is withdrawn                    as above: a withdrawal has a sequence number, too
+//	epochs of the origin differ         both are kept, as of two instances, until they expire by
+//	(the name restarted, its folder     age
+//	was copied, a paused process
+//	continues)
+//	ages differ since clocks differ     no message has an absolute time: each replica adds its own
+//	                                    elapsed time to the age that it received
+//	the origin was forgotten            it stays forgotten: epochs of its name up to the forgotten
+//	                                    one are rejected
+//	the entry is of the receiver        unchanged: nobody else writes for this incarnation
+//	the topic's check fails (malformed  the entry is ignored, and counted as rejected
+//	or too long)
+//
+// # Expiry and tombstones
+//
+// An expired entry does not reappear. An entry lives for its topic's TTL, and each replica
+// removes it then on its own. A withdrawn entry is kept for the same time as a tombstone. A
+// replica that has removed an entry still knows the origin's complete sequence number and
+// accepts nothing up to it. An origin that was not heard from for Limits.ForgetAfter is
+// removed with all its entries, and its epoch is kept as the lowest epoch that its name must
+// exceed. At most Limits.Origins names are kept so; the one forgotten first is discarded
+// first. Only a message that was delayed for longer than ForgetAfter, of a name that was
+// discarded, could be accepted as new; it would then live for its topic's TTL.
+package replication
--- /dev/null
+++ b/internal/replication/limits.go
@@ -0,0 +1,90 @@
+package replication
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Errors of Store.Put, beside those of Rule.Check.
+var (
+	ErrUnknownTopic   = errors.New("replication: unknown topic")
+	ErrInvalidSubject = errors.New("replication: subject is empty or too long")
+	ErrValueTooLong   = errors.New("replication: value is too long")
+	ErrSubjectLimit   = errors.New("replication: limit of subjects reached")
+)
+
+// Rule describes the entries of a topic.
+type Rule struct {
+	TTL     time.Duration            // how long an entry is valid after it was written
+	Indexed bool                     // entries are few and viewed often: View does not scan other topics
+	Check   func(value []byte) error // validates a value
+}
+
+// Limits bound the memory of a store, whatever messages it receives, and the size of messages.
+type Limits struct {
+	Origins     int           // known origins, and as many names of forgotten ones
+	Entries     int           // entries of one origin
+	Subject     int           // length of a subject and of an instance's name, in bytes
+	Value       int           // length of a value, in bytes
+	Message     int           // approximate size of the entries in one message, in bytes
+	ForgetAfter time.Duration // how long an origin is kept that is not heard from
+	Repeats     int           // number of times that each replica passes a new entry on
+	Rumours     int           // entries waiting to be passed on
+	Messages    int           // deltas sent in response to one Vectors message
+}
+
+// Defaults keep a store under 64 MB with 4,096 origins of 256 entries of 64 bytes.
+var Defaults = Limits{
+	Origins:     4096,
+	Entries:     256,
+	Subject:     128,
+	Value:       256,
+	Message:     1100,
+	ForgetAfter: time.Hour,
+	Repeats:     2,
+	Rumours:     4096,
+	Messages:    16,
+}
+
+// Approximate size of messages on the wire, in bytes, beside names, subjects and values.
+const (
+	entryOverheadBytes  = 24
+	vectorOverheadBytes = 24
+	rumourOverheadBytes = 48
+)
+
+// maxSeqGap is how far a received sequence number may exceed the known one. No instance writes
+// as many entries in its lifetime, so that a larger gap is a fault of the sender. Below it,
+// renumber can still exceed whatever number was received.
+const maxSeqGap = 1 << 32
+
+// validator checks entries against the rules of their topics and the limits.
+type validator struct {
+	rules  map[Topic]Rule
+	limits Limits
+}
+
+// validate returns why an entry with a value is not accepted.
+func (v validator) validate(key registerKey, value []byte) error {
+	rule, ok := v.rules[key.topic]
+	switch {
+	case !ok:
+		return fmt.Errorf("%w: %d", ErrUnknownTopic, key.topic)
+	case key.subject == "" || len(key.subject) > v.limits.Subject:
+		return fmt.Errorf("%w: %d bytes", ErrInvalidSubject, len(key.subject))
+	case len(value) > v.limits.Value:
+		return fmt.Errorf("%w: %d bytes", ErrValueTooLong, len(value))
+	}
+	return rule.Check(value)
+}
+
+// acceptable reports whether a received entry is valid, a value or a tombstone.
+func (v validator) acceptable(e Entry) bool {
+	key := registerKey{e.Topic, e.Subject}
+	_, known := v.rules[e.Topic]
+	if !known || e.Age < 0 || e.Subject == "" || len(e.Subject) > v.limits.Subject {
+		return false
+	}
+	return e.Withdrawn || v.validate(key, e.Value) == nil
+}
--- a/internal/replication/race_test.go
+++ b/internal/replication/race_test.go
@@ -2,4 +2,4 @@
 
 package replication
 
-func init() { raced = true }
+func init() { raceEnabled = true }
--- /dev/null
+++ b/internal/replication/view.go
@@ -0,0 +1,47 @@
+package replication
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// View returns the valid entries of a topic, by origin and subject. Tombstones and expired
+// entries are not among them.
+func (s *Store) View(now time.Duration, topic Topic) []Record {
+	rule := s.rules[topic]
+	var records []Record
+	for id, o := range s.origins {
+		registers := o.registers
+		if rule.Indexed {
+			registers = o.indexed
+		}
+		for key, r := range registers {
+			if key.topic == topic && !r.withdrawn && now-r.writtenAt < rule.TTL {
+				records = append(records, Record{Origin: id, Entry: r.entry(now, key)})
+			}
+		}
+	}
+	slices.SortFunc(records, func(a, b Record) int {
+		return cmp.Or(a.Origin.compare(b.Origin), strings.Compare(a.Subject, b.Subject))
+	})
+	return records
+}
+
+// Contains reports whether an origin's entry of a sequence number is stored, or was and has
+// been replaced or has expired.
+func (s *Store) Contains(id Origin, seq uint64) bool {
+	o := s.origins[id]
+	return o != nil && o.contains(seq)
+}
+
+// Self returns this instance's incarnation.
+func (s *Store) Self() Origin { return s.self }
+
+// Origins returns the number of known incarnations, including this one.
+func (s *Store) Origins() int { return len(s.origins) }
+
+// RejectedCount returns the number of entries and messages that were rejected as invalid or
+// for lack of capacity.
+func (s *Store) RejectedCount() uint64 { return s.rejected }
