keylease, replication: the state tables name every case

Cause: the tables left out a request of a term that its holder has gone beyond without a release, acceptors that cannot vote, and entries of unknown topics. Change: rows and sentences for them; hasOtherHolder and expirationQueue in place of sharedWithout and expirationScan.

--- a/internal/keylease/acceptor.go
+++ b/internal/keylease/acceptor.go
@@ -40,8 +40,8 @@
 	return slices.IndexFunc(s.holders, func(h holder) bool { return h.owner == owner })
 }
 
-// sharedWithout reports whether any holder other than the one at index has not released.
-func (s *keyState) sharedWithout(index int) bool {
+// hasOtherHolder reports whether any holder other than the one at index has not released.
+func (s *keyState) hasOtherHolder(index int) bool {
 	for i, h := range s.holders {
 		if i != index && !h.released {
 			return true
@@ -53,11 +53,11 @@
 // Acceptor grants leases of keys. It is not safe for concurrent use: one goroutine owns it.
 // Times are by the owner's monotonic clock.
 type Acceptor struct {
-	limits         Limits
-	voterSet       uint64        // see VoterSetHash
-	recoveredAt    time.Duration // until then leases of the previous incarnation may be valid
-	keys           map[Key]*keyState
-	expirationScan []*keyState // queue that expireSome works through
+	limits          Limits
+	voterSet        uint64        // see VoterSetHash
+	recoveredAt     time.Duration // until then leases of the previous incarnation may be valid
+	keys            map[Key]*keyState
+	expirationQueue []*keyState // queue that expireSome works through
 }
 
 // NewAcceptor returns an acceptor that grants nothing until the longest lease of a previous
@@ -105,7 +105,7 @@
 		response.Kind = AtCapacity
 		return response, true
 	}
-	response.Shared = state.sharedWithout(index)
+	response.Shared = state.hasOtherHolder(index)
 	a.grant(now, state, index, request, response.Shared)
 	response.Group = state.group
 	response.Age = now - state.grantedAt
@@ -124,7 +124,7 @@
 	}
 	state = &keyState{key: key}
 	a.keys[key] = state
-	a.expirationScan = append(a.expirationScan, state)
+	a.expirationQueue = append(a.expirationQueue, state)
 	return state
 }
 
@@ -168,14 +168,14 @@
 // proportion to the number of keys.
 func (a *Acceptor) expireSome(now time.Duration) {
 	for range expirationsPerRequest {
-		if len(a.expirationScan) == 0 {
+		if len(a.expirationQueue) == 0 {
 			return
 		}
-		state := a.expirationScan[0]
-		a.expirationScan = a.expirationScan[1:]
+		state := a.expirationQueue[0]
+		a.expirationQueue = a.expirationQueue[1:]
 		switch {
 		case now < state.expiresAt:
-			a.expirationScan = append(a.expirationScan, state)
+			a.expirationQueue = append(a.expirationQueue, state)
 		case a.keys[state.key] == state: // else a newer state has replaced it
 			delete(a.keys, state.key)
 		}
--- a/internal/keylease/doc.go
+++ b/internal/keylease/doc.go
@@ -56,9 +56,13 @@
 //	request  requester is a holder, same term           unchanged; the response is sent again
 //	request  requester is the only holder, later term   requester stays holder, for its new group
 //	request  others are holders                         requester joins them, for their group
-//	request  requester released this or a later term    unchanged; no response
-//	release  requester is a holder, this or earlier     requester is no longer a holder
-//	         term
-//	release  requester is a holder, later term          unchanged
+//	request  requester has released this term, or is    unchanged; no response
+//	         in a later one
+//	release  requester is a holder, in this term or     requester is no longer a holder
+//	         an earlier one
+//	release  requester is a holder, in a later term     unchanged
 //	any      the lease has expired                      as without an entry
+//
+// An acceptor that cannot vote (it is recovering, has another voter set configured, or is at
+// capacity) changes nothing and says so in its response. The requester may retry.
 package keylease
--- a/internal/keylease/explore_test.go
+++ b/internal/keylease/explore_test.go
@@ -110,11 +110,11 @@
 
 func (s *exploredState) mutableAcceptor(i int) *Acceptor {
 	acceptor := *s.acceptors[i]
-	acceptor.keys, acceptor.expirationScan = map[Key]*keyState{}, nil
+	acceptor.keys, acceptor.expirationQueue = map[Key]*keyState{}, nil
 	for key, original := range s.acceptors[i].keys {
 		state := *original
 		state.holders = slices.Clone(original.holders)
-		acceptor.keys[key], acceptor.expirationScan = &state, []*keyState{&state}
+		acceptor.keys[key], acceptor.expirationQueue = &state, []*keyState{&state}
 	}
 	s.acceptors[i] = &acceptor
 	return &acceptor
--- a/internal/replication/doc.go
+++ b/internal/replication/doc.go
@@ -35,25 +35,26 @@
 //	same sequence number                they are the same entry; the greater age is kept
 //	one is withdrawn                    as above: a withdrawal has a sequence number, too
 //	epochs of the origin differ         both are kept, as of two instances, until they expire by
-//	(the name restarted, its folder     age
-//	was copied, a paused process
-//	continues)
+//	(restart, copied data directory,    age
+//	paused process that continues)
 //	ages differ since clocks differ     no message has an absolute time: each replica adds its own
 //	                                    elapsed time to the age that it received
 //	the origin was forgotten            it stays forgotten: epochs of its name up to the forgotten
 //	                                    one are rejected
 //	the entry is of the receiver        unchanged: nobody else writes for this incarnation
-//	the topic's check fails (malformed  the entry is ignored, and counted as rejected
-//	or too long)
+//	the entry is invalid (unknown       the entry is ignored, and counted as rejected
+//	topic, too long, check fails)
 //
 // # Expiry and tombstones
 //
 // An expired entry does not reappear. An entry lives for its topic's TTL, and each replica
 // removes it then on its own. A withdrawn entry is kept for the same time as a tombstone. A
-// replica that has removed an entry still knows the origin's complete sequence number and
-// accepts nothing up to it. An origin that was not heard from for Limits.ForgetAfter is
-// removed with all its entries, and its epoch is kept as the lowest epoch that its name must
-// exceed. At most Limits.Origins names are kept so; the one forgotten first is discarded
-// first. Only a message that was delayed for longer than ForgetAfter, of a name that was
-// discarded, could be accepted as new; it would then live for its topic's TTL.
+// replica that has removed an entry still knows the sequence number up to which it is complete
+// and accepts nothing up to it.
+//
+// An origin that was not heard from for Limits.ForgetAfter is removed with all its entries.
+// Its epoch is kept as a floor: later incarnations of its name must have a higher epoch. The
+// floors of at most Limits.Origins names are kept, and the oldest are discarded first. Only a
+// message that was delayed for longer than ForgetAfter, of a name whose floor was discarded,
+// can be accepted as new; its entry then lives for its topic's TTL.
 package replication
