--- a/internal/front/extproc/decision_test.go
+++ b/internal/front/extproc/decision_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"strconv"
 	"testing"
 
@@ -12,7 +13,6 @@
 	"pinedale/internal/intake"
 	"pinedale/internal/standin/proxy"
 	"pinedale/internal/standin/soko"
-	"pinedale/internal/standin/wait"
 )
 
 // A forward names its endpoint as header and as metadata, with the timeout and the attempt, and has the proxy send no
@@ -23,33 +23,35 @@
 	if err := s.Send(proxy.Headers(h.request("pay"), 1)); err != nil {
 		t.Fatal(err)
 	}
-	m, err := s.Recv()
+	response, err := s.Recv()
 	if err != nil {
 		t.Fatal(err)
 	}
-	v, err := proxy.Read(m)
+	decision, err := proxy.Read(response)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if v.Endpoint != h.servers[0].Address && v.Endpoint != h.servers[1].Address || v.Metadata != v.Endpoint {
-		t.Errorf("endpoint %q, metadata %q", v.Endpoint, v.Metadata)
+	endpoint := decision.Endpoint
+	if endpoint != h.servers[0].Address && endpoint != h.servers[1].Address || decision.Metadata != endpoint {
+		t.Errorf("endpoint %q, metadata %q", endpoint, decision.Metadata)
 	}
-	timeout, _ := strconv.Atoi(v.Headers[headerTimeout])
-	if timeout <= 0 || timeout > 900 || v.Headers[headerTimeRemaining] != v.Headers[headerTimeout] ||
-		v.Headers[headerMaxRetries] != "0" || v.Headers[headerAttempt] != "1" {
-		t.Errorf("headers %v", v.Headers)
+	timeout, _ := strconv.Atoi(decision.Headers[headerTimeout])
+	if timeout <= 0 || timeout > 900 || decision.Headers[headerTimeRemaining] != decision.Headers[headerTimeout] ||
+		decision.Headers[headerMaxRetries] != "0" || decision.Headers[headerAttempt] != "1" {
+		t.Errorf("headers %v", decision.Headers)
 	}
-	mode := m.ModeOverride
+	mode := response.ModeOverride
 	if mode.GetRequestBodyMode() != modev3.ProcessingMode_NONE ||
 		mode.GetResponseBodyMode() != modev3.ProcessingMode_NONE ||
 		mode.GetResponseHeaderMode() != modev3.ProcessingMode_SEND {
 		t.Errorf("mode %v", mode)
 	}
-	if m := s.report(200, "via_upstream", v.Endpoint); m.GetResponseHeaders() == nil || retryAllowed(m) {
-		t.Errorf("to the report: %v", m)
+	response = s.report(200, "via_upstream", endpoint)
+	if response.GetResponseHeaders() == nil || retryAllowed(response) {
+		t.Errorf("to the report: %v", response)
 	}
 	s.end()
-	wait.Until(t, "the release of all streams", func() bool { return h.openCount() == 0 })
+	h.awaitRelease()
 }
 
 // byTier routes by one header, to a route with its own bounds.
@@ -75,34 +77,34 @@
 // and the number of attempts.
 func TestRouteBoundsApplyToDecisions(t *testing.T) {
 	var parser *intake.Parser
-	h := start(t, 2, func(o *Options, s *balancer.Settings) {
+	h := start(t, 2, func(server *Options, s *balancer.Settings) {
 		parser = intake.NewParser(s)
 		parser.Use(byTier{})
-		o.Parser = parser
+		server.Parser = parser
 	})
 	request := func(alter func(map[string]string)) (*extprocv3.ProcessingResponse, testStream) {
-		q := h.request(classes[1].Name)
-		q.Header["x-tier"], q.Header[":authority"] = "gold", "till.example"
-		alter(q.Header)
+		req := h.request(classes[1].Name)
+		req.Header["x-tier"], req.Header[":authority"] = "gold", "till.example"
+		alter(req.Header)
 		s := h.open(context.Background())
-		if err := s.Send(proxy.Headers(q, 1)); err != nil {
+		if err := s.Send(proxy.Headers(req, 1)); err != nil {
 			t.Fatal(err)
 		}
-		m, err := s.Recv()
+		response, err := s.Recv()
 		if err != nil {
 			t.Fatal(err)
 		}
-		return m, s
+		return response, s
 	}
-	m, s := request(func(map[string]string) {})
-	v, err := proxy.Read(m)
+	response, s := request(func(map[string]string) {})
+	decision, err := proxy.Read(response)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if timeout, _ := strconv.Atoi(v.Headers[headerTimeout]); timeout <= 0 || timeout > 200 {
-		t.Errorf("headers %v, want 200 ms at most", v.Headers)
+	if timeout, _ := strconv.Atoi(decision.Headers[headerTimeout]); timeout <= 0 || timeout > 200 {
+		t.Errorf("headers %v, want 200 ms at most", decision.Headers)
 	}
-	if m := s.report(500, "via_upstream", v.Endpoint); retryAllowed(m) {
+	if response := s.report(500, "via_upstream", decision.Endpoint); retryAllowed(response) {
 		t.Error("a route of one attempt allows a retry")
 	}
 	s.end()
@@ -111,13 +113,13 @@
 		func(headers map[string]string) { delete(headers, "x-tier") },
 		func(headers map[string]string) { headers[":authority"] = "x" },
 	} {
-		m, s := request(alter)
-		if r := m.GetImmediateResponse(); r == nil || r.Status.Code != 404 {
-			t.Errorf("of no route: %v", m)
+		response, s := request(alter)
+		if r := response.GetImmediateResponse(); r == nil || r.Status.Code != 404 {
+			t.Errorf("of no route: %v", response)
 		}
 		s.end()
 	}
-	wait.Until(t, "the release of all streams", func() bool { return h.openCount() == 0 })
+	h.awaitRelease()
 }
 
 // Two requests with one key, over two connections, get the same endpoint. Another request under the same key is
@@ -125,33 +127,31 @@
 func TestSameKeyGetsSameEndpointOnBothConnections(t *testing.T) {
 	h := start(t, 4, nil)
 	for range 50 {
-		q := h.request("pay")
-		other := proxy.Request{Method: q.Method, Path: q.Path, Body: q.Body, Header: map[string]string{}}
-		for k, v := range q.Header {
-			other.Header[k] = v
-		}
+		req := h.request("pay")
+		other := proxy.Request{Method: req.Method, Path: req.Path, Body: req.Body, Header: map[string]string{}}
+		maps.Copy(other.Header, req.Header)
 		other.Header["x-correlation-id"] += "b" // a client's retry
-		a, b := h.open(context.Background()), h.open(context.Background())
-		a.send(proxy.Headers(q, 0))
-		b.send(proxy.Headers(other, 0))
-		x, y := a.decision(), b.decision()
-		if x.Endpoint == "" || x.Endpoint != y.Endpoint {
-			t.Fatalf("forwarded to %q and %q", x.Endpoint, y.Endpoint)
+		first, second := h.open(context.Background()), h.open(context.Background())
+		first.send(proxy.Headers(req, 0))
+		second.send(proxy.Headers(other, 0))
+		firstDecision, secondDecision := first.decision(), second.decision()
+		if firstDecision.Endpoint == "" || firstDecision.Endpoint != secondDecision.Endpoint {
+			t.Fatalf("forwarded to %q and %q", firstDecision.Endpoint, secondDecision.Endpoint)
 		}
-		a.report(200, "via_upstream", x.Endpoint)
-		a.end()
-		c := h.open(context.Background())
-		if z := c.request(q, 0); z.Endpoint != x.Endpoint {
-			t.Fatalf("after the outcome: %+v, want %q", z, x.Endpoint)
+		first.report(200, "via_upstream", firstDecision.Endpoint)
+		first.end()
+		after := h.open(context.Background())
+		if decision := after.request(req, 0); decision.Endpoint != firstDecision.Endpoint {
+			t.Fatalf("after the outcome: %+v, want %q", decision, firstDecision.Endpoint)
 		}
-		c.end()
-		b.end()
-		q.Path += "y"
-		d := h.open(context.Background())
-		if z := d.request(q, 0); z.Code != 422 {
-			t.Fatalf("another request under the key: %+v, want 422", z)
+		after.end()
+		second.end()
+		req.Path += "y"
+		reused := h.open(context.Background())
+		if decision := reused.request(req, 0); decision.Code != 422 {
+			t.Fatalf("another request under the key: %+v, want 422", decision)
 		}
-		d.end()
+		reused.end()
 	}
 }
 
@@ -161,7 +161,7 @@
 	h := start(t, 4, nil)
 	const rejected, reset = "upstream_reset_before_response_started{remote_connection_failure|delayed_connect_error}",
 		"upstream_reset_before_response_started{connection_termination}"
-	for _, c := range []struct {
+	for _, test := range []struct {
 		class, details string
 		code           int
 		retryAllowed   bool
@@ -176,38 +176,38 @@
 		{"pay", "via_upstream", 500, true, 0},
 		{"read", reset, 503, true, 502},
 	} {
-		q := h.request(c.class)
+		req := h.request(test.class)
 		s := h.open(context.Background())
-		first := s.request(q, 1)
-		m := s.report(c.code, c.details, first.Endpoint)
-		if retryAllowed(m) != c.retryAllowed {
-			t.Fatalf("%s after %q: %v, want another attempt: %v", c.class, c.details, m, c.retryAllowed)
+		first := s.request(req, 1)
+		response := s.report(test.code, test.details, first.Endpoint)
+		if retryAllowed(response) != test.retryAllowed {
+			t.Fatalf("%s after %q: %v, want another attempt: %v", test.class, test.details, response, test.retryAllowed)
 		}
 		got := 0
-		for _, header := range m.GetResponseHeaders().GetResponse().GetHeaderMutation().GetSetHeaders() {
+		for _, header := range response.GetResponseHeaders().GetResponse().GetHeaderMutation().GetSetHeaders() {
 			if header.Header.Key == ":status" {
 				got, _ = strconv.Atoi(string(header.Header.RawValue))
 			}
 		}
-		if m.GetImmediateResponse() != nil {
-			got = int(m.GetImmediateResponse().Status.Code)
+		if response.GetImmediateResponse() != nil {
+			got = int(response.GetImmediateResponse().Status.Code)
 		}
-		if got != c.status {
-			t.Errorf("%s after %q: status %d, want %d", c.class, c.details, got, c.status)
+		if got != test.status {
+			t.Errorf("%s after %q: status %d, want %d", test.class, test.details, got, test.status)
 		}
 		s.end()
-		if !c.retryAllowed {
+		if !test.retryAllowed {
 			continue
 		}
 		next := h.open(context.Background())
-		v := next.request(q, 2)
-		if v.Endpoint == "" || v.Endpoint == first.Endpoint || v.Headers[headerAttempt] != "2" {
-			t.Errorf("%s: the second decision %+v after %s", c.class, v, first.Endpoint)
+		decision := next.request(req, 2)
+		if decision.Endpoint == "" || decision.Endpoint == first.Endpoint || decision.Headers[headerAttempt] != "2" {
+			t.Errorf("%s: the second decision %+v after %s", test.class, decision, first.Endpoint)
 		}
-		next.report(200, "via_upstream", v.Endpoint)
+		next.report(200, "via_upstream", decision.Endpoint)
 		next.end()
 	}
-	wait.Until(t, "the release of all streams", func() bool { return h.openCount() == 0 })
+	h.awaitRelease()
 }
 
 // If a caller reports that another endpoint served the request, the failure counts against that one, and a repeat
@@ -223,22 +223,22 @@
 		return -1
 	}
 	for range 10 {
-		q := h.request("close")
+		req := h.request("close")
 		s := h.open(context.Background())
-		first := s.request(q, 1)
+		first := s.request(req, 1)
 		var served string
-		for _, o := range h.servers {
-			if o.Cell != cell(first.Endpoint) {
-				served = o.Address
+		for _, server := range h.servers {
+			if server.Cell != cell(first.Endpoint) {
+				served = server.Address
 			}
 		}
-		if m := s.report(500, "via_upstream", served); !retryAllowed(m) {
-			t.Fatalf("to the report: %v", m)
+		if response := s.report(500, "via_upstream", served); !retryAllowed(response) {
+			t.Fatalf("to the report: %v", response)
 		}
 		s.end()
 		next := h.open(context.Background())
-		if v := next.request(q, 2); cell(v.Endpoint) != cell(served) {
-			t.Fatalf("the second decision is of cell %d, the first was served in %d", cell(v.Endpoint), cell(served))
+		if decision := next.request(req, 2); cell(decision.Endpoint) != cell(served) {
+			t.Fatalf("the second decision is of cell %d, the first was served in %d", cell(decision.Endpoint), cell(served))
 		}
 		next.end()
 	}
@@ -247,45 +247,33 @@
 // A server that leaves the list after a decision is not forwarded to any more: neither in a replay nor in a retry.
 func TestRetiredEndpointIsNotReused(t *testing.T) {
 	h := start(t, 3, nil)
-	q := h.request("pay")
+	req := h.request("pay")
 	s := h.open(context.Background())
-	first := s.request(q, 1)
-	var rest []*soko.Server
-	for _, o := range h.servers {
-		if o.Address != first.Endpoint {
-			rest = append(rest, o)
+	first := s.request(req, 1)
+	var remaining []*soko.Server
+	for _, server := range h.servers {
+		if server.Address != first.Endpoint {
+			remaining = append(remaining, server)
 		}
 	}
-	h.source.lists <- h.list(rest...)
+	h.source.lists <- h.list(remaining...)
 	// The engine takes lists and requests in order.
 	second := h.open(context.Background())
-	wait.Until(t, "the list", func() bool {
-		found := uint32(1)
-		done := make(chan struct{})
-		h.engine.Post(func(balancer.Micros) { found = h.engine.EndpointAt(first.Endpoint); close(done) })
-		<-done
-		return found == 0
-	})
-	if v := second.request(q, 1); v.Endpoint == first.Endpoint || v.Code != 409 {
-		t.Errorf("a replay to a server that is gone: %+v", v)
+	h.awaitRemoval(first.Endpoint)
+	if decision := second.request(req, 1); decision.Endpoint == first.Endpoint || decision.Code != 409 {
+		t.Errorf("a replay to a server that is gone: %+v", decision)
 	}
 	second.end()
 	// The first attempt failed: the retry goes elsewhere.
-	if m := s.report(500, "via_upstream", first.Endpoint); !retryAllowed(m) {
-		t.Fatalf("to the report: %v", m)
+	if response := s.report(500, "via_upstream", first.Endpoint); !retryAllowed(response) {
+		t.Fatalf("to the report: %v", response)
 	}
 	s.end()
-	h.source.lists <- h.list(rest[0])
+	h.source.lists <- h.list(remaining[0])
 	next := h.open(context.Background())
-	wait.Until(t, "the list", func() bool {
-		found := uint32(1)
-		done := make(chan struct{})
-		h.engine.Post(func(balancer.Micros) { found = h.engine.EndpointAt(rest[1].Address); close(done) })
-		<-done
-		return found == 0
-	})
-	if v := next.request(q, 2); v.Endpoint != rest[0].Address && v.Endpoint != "" {
-		t.Errorf("the retry goes to %q, want the remaining server: %q", v.Endpoint, rest[0].Address)
+	h.awaitRemoval(remaining[1].Address)
+	if decision := next.request(req, 2); decision.Endpoint != remaining[0].Address && decision.Endpoint != "" {
+		t.Errorf("the retry goes to %q, want the remaining server: %q", decision.Endpoint, remaining[0].Address)
 	}
 	next.end()
 }
--- a/internal/front/extproc/harness_test.go
+++ b/internal/front/extproc/harness_test.go
@@ -73,8 +73,8 @@
 ) (*uint64, error) {
 	for {
 		select {
-		case l := <-s.lists:
-			update(balancer.ListFull, l)
+		case list := <-s.lists:
+			update(balancer.ListFull, list)
 		case <-ctx.Done():
 			return after, ctx.Err()
 		}
@@ -114,20 +114,44 @@
 		}
 		h.servers = append(h.servers, s)
 	}
-	settings := balancer.Settings{Balancers: 1, Zones: 1, Classes: classes,
-		Limits: balancer.Limits{Cancel: true, RetryAfter: true, Hedging: true, MaxAttempts: 3, MaxOpen: 10_000,
-			MaxRetryAfter: 1_000_000, DialTimeout: 250_000},
-		Contract: balancer.Contract{SlowStartRatio: 1, OverloadMultiple: 2.5}}
-	options := Options{Streams: 20_000, Backlog: 500, Retries: true, Entries: 10_000, Fields: nil,
-		Drain: time.Second, Log: slog.New(slog.DiscardHandler)}
+	settings := balancer.Settings{
+		Balancers: 1,
+		Zones:     1,
+		Classes:   classes,
+		Limits: balancer.Limits{
+			Cancel:        true,
+			RetryAfter:    true,
+			Hedging:       true,
+			MaxAttempts:   3,
+			MaxOpen:       10_000,
+			MaxRetryAfter: 1_000_000,
+			DialTimeout:   250_000,
+		},
+		Contract: balancer.Contract{SlowStartRatio: 1, OverloadMultiple: 2.5},
+	}
+	options := Options{
+		Streams: 20_000,
+		Backlog: 500,
+		Retries: true,
+		Entries: 10_000,
+		Drain:   time.Second,
+		Log:     slog.New(slog.DiscardHandler),
+	}
 	if alter != nil {
 		alter(&options, &settings)
 	}
 	engineCtx, stopEngine := context.WithCancel(context.Background())
 	up := httpupstream.New(httpupstream.Options{DialTimeout: time.Second, Idle: time.Second, Connections: 100})
 	var err error
-	h.engine, err = engine.New(engineCtx, engine.Options{Settings: settings, Seed: 7, Zones: []string{"a"},
-		CachedList: h.list(h.servers...), Upstream: up, Source: h.source, Log: slog.New(slog.DiscardHandler)})
+	h.engine, err = engine.New(engineCtx, engine.Options{
+		Settings:   settings,
+		Seed:       7,
+		Zones:      []string{"a"},
+		CachedList: h.list(h.servers...),
+		Upstream:   up,
+		Source:     h.source,
+		Log:        slog.New(slog.DiscardHandler),
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -161,11 +185,17 @@
 }
 
 func (h *harness) list(servers ...*soko.Server) engine.List {
-	l := engine.List{Version: 1, Complete: true}
+	list := engine.List{Version: 1, Complete: true}
 	for _, s := range servers {
-		l.Hosts = append(l.Hosts, engine.Host{Name: s.Name, Address: s.Address, Site: "a", Cell: uint16(s.Cell), Weight: 1})
+		list.Hosts = append(list.Hosts, engine.Host{
+			Name:    s.Name,
+			Address: s.Address,
+			Site:    "a",
+			Cell:    uint16(s.Cell),
+			Weight:  1,
+		})
 	}
-	return l
+	return list
 }
 
 // request returns a client's request of a class, with an ID and a key of its own.
@@ -174,15 +204,15 @@
 	h.ids++
 	id := strconv.Itoa(h.ids)
 	h.mu.Unlock()
-	q := proxy.Request{Method: "POST", Path: "/" + class + "/x", Body: "body", Header: map[string]string{
+	req := proxy.Request{Method: "POST", Path: "/" + class + "/x", Body: "body", Header: map[string]string{
 		"x-correlation-id": id, "x-service-class": class, "x-time-left-ms": "900"}}
 	switch class {
 	case "read":
-		q.Method, q.Body = "GET", ""
+		req.Method, req.Body = "GET", ""
 	case "pay", "close":
-		q.Header["idempotency-key"] = "key-" + id
+		req.Header["idempotency-key"] = "key-" + id
 	}
-	return q
+	return req
 }
 
 // testStream is a stream on which a test sends messages itself.
@@ -217,9 +247,9 @@
 }
 
 // request requests a decision and returns it.
-func (s testStream) request(q proxy.Request, attempt int) proxy.Verdict {
+func (s testStream) request(req proxy.Request, attempt int) proxy.Verdict {
 	s.t.Helper()
-	s.send(proxy.Headers(q, attempt))
+	s.send(proxy.Headers(req, attempt))
 	return s.decision()
 }
 
@@ -229,11 +259,11 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	v, err := proxy.Read(m)
+	decision, err := proxy.Read(m)
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	return v
+	return decision
 }
 
 // report reports an answer and returns the response to it.
@@ -269,6 +299,33 @@
 	}
 }
 
+// awaitRemoval waits until the engine no longer knows a server.
+func (h *harness) awaitRemoval(address string) {
+	h.t.Helper()
+	wait.Until(h.t, "the removal of "+address, func() bool {
+		found := uint32(1)
+		h.engine.Call(func(balancer.Micros) { found = h.engine.EndpointAt(address) })
+		return found == 0
+	})
+}
+
+// awaitRelease waits until the ledger holds no stream and no round.
+func (h *harness) awaitRelease() {
+	h.t.Helper()
+	wait.Until(h.t, "the release of all streams", func() bool { return h.openCount() == 0 })
+}
+
+// blockEngine blocks the engine's goroutine until release is called.
+func (h *harness) blockEngine() (release func()) {
+	blocked, released := make(chan struct{}), make(chan struct{})
+	h.engine.Post(func(balancer.Micros) {
+		close(blocked)
+		<-released
+	})
+	<-blocked
+	return func() { close(released) }
+}
+
 // openCount returns the number of open streams and rounds. Entries may remain.
 func (h *harness) openCount() int {
 	streams, rounds, _ := h.server.Held()
--- a/internal/front/extproc/host.go
+++ b/internal/front/extproc/host.go
@@ -72,7 +72,7 @@
 	})
 }
 
-// streamClosed takes that a stream has ended. undelivered says that its decision never reached the caller.
+// streamClosed handles the end of a stream. undelivered says that its decision never reached the caller.
 func (h *host) streamClosed(now routing.Micros, s *pendingStream, undelivered bool) {
 	delete(h.streams, s.id)
 	h.ledger.StreamClosed(now, s.id, undelivered)
@@ -132,7 +132,7 @@
 	h.streams[id].responses <- response
 }
 
-// Send takes the module's decision to send an attempt. It implements engine.Carrier, as Cancel.
+// Send handles the module's decision to send an attempt. It implements engine.Carrier, as Cancel.
 func (r *round) Send(a *engine.Attempt) {
 	r.attempts = append(r.attempts, a)
 	r.openAttempts++
@@ -140,14 +140,14 @@
 	r.host.ledger.AttemptScheduled(r.host.engine.Now(), r.id, location, &forwardTarget{a.Target, a.Deadline})
 }
 
-// Cancel takes that the module no longer waits for an attempt. It is called from within the module, which must not be
+// Cancel handles that the module no longer waits for an attempt. It is called from within the module, which must not be
 // called back, so the ledger learns of it later.
 func (r *round) Cancel(a *engine.Attempt) {
 	index := slices.Index(r.attempts, a)
 	r.host.engine.Defer(func(now routing.Micros) { r.host.ledger.AttemptCancelled(now, r.id, index) })
 }
 
-// respond takes the module's final answer. The ledger knows already of an attempt that succeeded.
+// respond handles the module's final answer. The ledger knows already of an attempt that succeeded.
 func (r *round) respond(response engine.Response) {
 	r.finished = true
 	now := r.host.engine.Now()
--- a/internal/front/extproc/mem_test.go
+++ b/internal/front/extproc/mem_test.go
@@ -26,9 +26,9 @@
 	run := func(count int) {
 		for range count {
 			s := h.open(context.Background())
-			v := s.request(h.request("close"), 0)
-			if v.Endpoint != "" {
-				s.report(200, "via_upstream", v.Endpoint)
+			decision := s.request(h.request("close"), 0)
+			if decision.Endpoint != "" {
+				s.report(200, "via_upstream", decision.Endpoint)
 			}
 			s.end()
 		}
--- a/internal/front/extproc/protocol_test.go
+++ b/internal/front/extproc/protocol_test.go
@@ -33,27 +33,27 @@
 		code  int
 		says  string
 	}{
-		{"no id", func(q *proxy.Request) { delete(q.Header, "x-correlation-id") }, 400, "X-Correlation-Id"},
-		{"no class", func(q *proxy.Request) { delete(q.Header, "x-service-class") }, 400, "X-Service-Class"},
-		{"no key", func(q *proxy.Request) { delete(q.Header, "idempotency-key") }, 400, "Idempotency-Key"},
-		{"an endless key", func(q *proxy.Request) { q.Header["idempotency-key"] = strings.Repeat("k", 300) },
+		{"no id", func(req *proxy.Request) { delete(req.Header, "x-correlation-id") }, 400, "X-Correlation-Id"},
+		{"no class", func(req *proxy.Request) { delete(req.Header, "x-service-class") }, 400, "X-Service-Class"},
+		{"no key", func(req *proxy.Request) { delete(req.Header, "idempotency-key") }, 400, "Idempotency-Key"},
+		{"an endless key", func(req *proxy.Request) { req.Header["idempotency-key"] = strings.Repeat("k", 300) },
 			400, "Idempotency-Key"},
-		{"no time left", func(q *proxy.Request) { delete(q.Header, "x-time-left-ms") }, 400, "X-Time-Left-Ms"},
-		{"wrong method", func(q *proxy.Request) { q.Method = "PUT" }, 405, "POST"},
-		{"no method", func(q *proxy.Request) { q.Method = "" }, 400, ":method"},
-		{"another path", func(q *proxy.Request) { q.Path = "/read/x" }, 400, "path"},
-		{"a query only", func(q *proxy.Request) { q.Path = "?pay" }, 400, "path"},
-		{"a length that is none", func(q *proxy.Request) { q.Body, q.Header["content-length"] = "", "x" },
+		{"no time left", func(req *proxy.Request) { delete(req.Header, "x-time-left-ms") }, 400, "X-Time-Left-Ms"},
+		{"wrong method", func(req *proxy.Request) { req.Method = "PUT" }, 405, "POST"},
+		{"no method", func(req *proxy.Request) { req.Method = "" }, 400, ":method"},
+		{"another path", func(req *proxy.Request) { req.Path = "/read/x" }, 400, "path"},
+		{"a query only", func(req *proxy.Request) { req.Path = "?pay" }, 400, "path"},
+		{"a length that is none", func(req *proxy.Request) { req.Body, req.Header["content-length"] = "", "x" },
 			413, "content-length"},
-		{"a body too large", func(q *proxy.Request) { q.Body = strings.Repeat("x", 65537) }, 413, "65536"},
-		{"an attempt that is none", func(q *proxy.Request) { q.Header["x-envoy-attempt-count"] = "0" },
+		{"a body too large", func(req *proxy.Request) { req.Body = strings.Repeat("x", 65537) }, 413, "65536"},
+		{"an attempt that is none", func(req *proxy.Request) { req.Header["x-envoy-attempt-count"] = "0" },
 			400, "x-envoy-attempt-count"},
 	} {
-		q := h.request("pay")
-		c.alter(&q)
+		req := h.request("pay")
+		c.alter(&req)
 		s := h.open(context.Background())
-		if v := s.request(q, 0); v.Code != c.code || !strings.Contains(v.Body, c.says) {
-			t.Errorf("%s: %+v, want %d with %q", c.name, v, c.code, c.says)
+		if decision := s.request(req, 0); decision.Code != c.code || !strings.Contains(decision.Body, c.says) {
+			t.Errorf("%s: %+v, want %d with %q", c.name, decision, c.code, c.says)
 		}
 		s.end()
 	}
@@ -62,16 +62,16 @@
 	headers.Headers = append(headers.Headers, &corev3.HeaderValue{Key: "idempotency-key", Value: "other"})
 	s := h.open(context.Background())
 	s.send(doubled)
-	if v := s.decision(); v.Code != 400 || !strings.Contains(v.Body, "2 times") {
-		t.Errorf("a doubled header: %+v", v)
+	if decision := s.decision(); decision.Code != 400 || !strings.Contains(decision.Body, "2 times") {
+		t.Errorf("a doubled header: %+v", decision)
 	}
 	s.end()
 	headers.Headers[len(headers.Headers)-1] = &corev3.HeaderValue{Key: ":path", Value: "/pay/y"}
 	headers.Headers = append(headers.Headers, nil)
 	s = h.open(context.Background())
 	s.send(doubled)
-	if v := s.decision(); v.Code != 400 || !strings.Contains(v.Body, ":path") {
-		t.Errorf("a doubled path: %+v", v)
+	if decision := s.decision(); decision.Code != 400 || !strings.Contains(decision.Body, ":path") {
+		t.Errorf("a doubled path: %+v", decision)
 	}
 	s.end()
 	if n := h.openCount(); n != 0 {
@@ -129,7 +129,7 @@
 		t.Errorf("the other stream: %v", m)
 	}
 	other.end()
-	wait.Until(t, "the release of all streams", func() bool { return h.openCount() == 0 })
+	h.awaitRelease()
 }
 
 // streamedBody returns the piece of a body that a response passes on in full duplex mode.
@@ -278,8 +278,8 @@
 		}
 	}
 	s := h.open(context.Background())
-	if v := s.request(h.request("pay"), 0); v.Endpoint == "" {
-		t.Errorf("another stream: %+v", v)
+	if decision := s.request(h.request("pay"), 0); decision.Endpoint == "" {
+		t.Errorf("another stream: %+v", decision)
 	}
 	s.end()
 }
@@ -292,11 +292,11 @@
 		if err := c.head(2*n + 1); err != nil {
 			t.Fatal(err)
 		}
-		q := h.request("read")
+		req := h.request("read")
 		if n > 3 { // the module must not count all of them as load
-			delete(q.Header, "x-time-left-ms")
+			delete(req.Header, "x-time-left-ms")
 		}
-		m, err := marshal(proxy.Headers(q, 0))
+		m, err := marshal(proxy.Headers(req, 0))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -307,11 +307,11 @@
 	wait.Until(t, "the streams", func() bool { return h.server.streams.Load() == 400 })
 	for range 100 {
 		s := h.open(context.Background())
-		v := s.request(h.request("pay"), 0)
-		if v.Endpoint == "" {
-			t.Fatalf("beside it: %+v", v)
+		decision := s.request(h.request("pay"), 0)
+		if decision.Endpoint == "" {
+			t.Fatalf("beside it: %+v", decision)
 		}
-		s.report(200, "via_upstream", v.Endpoint)
+		s.report(200, "via_upstream", decision.Endpoint)
 		s.end()
 	}
 	c.Close()
--- a/internal/front/extproc/request.go
+++ b/internal/front/extproc/request.go
@@ -66,7 +66,7 @@
 	return head, head.checkContentLength()
 }
 
-// add takes one header.
+// add reads one header.
 func (r *requestHead) add(h *corev3.HeaderValue, all bool) error {
 	switch h.Key {
 	case ":method":
--- a/internal/front/extproc/stream_test.go
+++ b/internal/front/extproc/stream_test.go
@@ -24,9 +24,7 @@
 func TestDisconnectBeforeDecisionLeavesNothing(t *testing.T) {
 	h := start(t, 1, nil)
 	for range 20 {
-		busy, free := make(chan struct{}), make(chan struct{})
-		h.engine.Post(func(balancer.Micros) { close(busy); <-free })
-		<-busy
+		release := h.blockEngine()
 		ctx, cancel := context.WithCancel(context.Background())
 		s := h.open(ctx)
 		s.send(proxy.Headers(h.request("order"), 0))
@@ -34,8 +32,8 @@
 		cancel()
 		s.status()
 		wait.Until(t, "the stream's end", func() bool { return h.server.streams.Load() == 0 })
-		close(free)
-		wait.Until(t, "the release of all streams", func() bool { return h.openCount() == 0 })
+		release()
+		h.awaitRelease()
 	}
 	if _, _, entries := h.server.Held(); entries != 0 {
 		t.Errorf("%d entries of requests that were never sent", entries)
@@ -47,15 +45,15 @@
 func TestDisconnectAtDecisionCountsAsMayHaveRun(t *testing.T) {
 	h := start(t, 2, nil)
 	ctx, cancel := context.WithCancel(context.Background())
-	s, q := h.open(ctx), h.request("order")
-	if v := s.request(q, 0); v.Endpoint == "" {
-		t.Fatalf("decision %+v", v)
+	s, req := h.open(ctx), h.request("order")
+	if decision := s.request(req, 0); decision.Endpoint == "" {
+		t.Fatalf("decision %+v", decision)
 	}
 	cancel()
-	wait.Until(t, "the release of all streams", func() bool { return h.openCount() == 0 })
+	h.awaitRelease()
 	next := h.open(context.Background())
-	if v := next.request(q, 2); v.Code != 409 {
-		t.Errorf("requested again: %+v, want a conflict", v)
+	if decision := next.request(req, 2); decision.Code != 409 {
+		t.Errorf("requested again: %+v, want a conflict", decision)
 	}
 	next.end()
 }
@@ -64,9 +62,9 @@
 // final answer.
 func TestMissingReportIsReleasedAtDeadline(t *testing.T) {
 	h := start(t, 1, nil)
-	s, q := h.open(context.Background()), h.request("close")
-	q.Header["x-time-left-ms"] = "100"
-	s.request(q, 0)
+	s, req := h.open(context.Background()), h.request("close")
+	req.Header["x-time-left-ms"] = "100"
+	s.request(req, 0)
 	requests := func() (n int) {
 		done := make(chan struct{})
 		h.engine.Post(func(balancer.Micros) { n, _ = h.engine.Counts(); close(done) })
@@ -83,9 +81,7 @@
 // Requests beyond the backlog are rejected at once.
 func TestFullBacklogRejectsAtOnce(t *testing.T) {
 	h := start(t, 1, func(o *Options, _ *balancer.Settings) { o.Backlog = 3 })
-	busy, free := make(chan struct{}), make(chan struct{})
-	h.engine.Post(func(balancer.Micros) { close(busy); <-free })
-	<-busy
+	release := h.blockEngine()
 	var waiting []testStream
 	for range 3 {
 		s := h.open(context.Background())
@@ -94,14 +90,14 @@
 	}
 	wait.Until(t, "the backlog", func() bool { return h.server.backlog.Load() == 3 })
 	s := h.open(context.Background())
-	if v := s.request(h.request("pay"), 0); v.Code != 503 || v.After == "" {
-		t.Errorf("beyond the backlog: %+v, want 503 with Retry-After", v)
+	if decision := s.request(h.request("pay"), 0); decision.Code != 503 || decision.After == "" {
+		t.Errorf("beyond the backlog: %+v, want 503 with Retry-After", decision)
 	}
 	s.end()
-	close(free)
+	release()
 	for _, s := range waiting {
-		if v := s.decision(); v.Endpoint == "" {
-			t.Errorf("within the backlog: %+v", v)
+		if decision := s.decision(); decision.Endpoint == "" {
+			t.Errorf("within the backlog: %+v", decision)
 		}
 		s.end()
 	}
@@ -145,8 +141,8 @@
 	}
 	wait.Until(t, "the streams' end", func() bool { return h.server.streams.Load() == 0 })
 	after := h.open(context.Background())
-	if v := after.request(h.request("pay"), 0); v.Endpoint == "" {
-		t.Errorf("after the idle ones: %+v", v)
+	if decision := after.request(h.request("pay"), 0); decision.Endpoint == "" {
+		t.Errorf("after the idle ones: %+v", decision)
 	}
 	after.end()
 }
@@ -168,7 +164,7 @@
 		t.Fatalf("health %v, %v", m, err)
 	}
 	s := h.open(context.Background())
-	v := s.request(h.request("pay"), 0)
+	decision := s.request(h.request("pay"), 0)
 	h.stop()
 	if m, err := health.Recv(); err != nil || m.Status != healthv1.HealthCheckResponse_NOT_SERVING {
 		t.Errorf("health at the end: %v, %v", m, err)
@@ -189,7 +185,7 @@
 	if a := fresh.Do(context.Background(), h.request("pay"), proxy.Behaviour{}); a.Err == nil {
 		t.Errorf("a new request: %+v", a)
 	}
-	if m := s.report(200, "via_upstream", v.Endpoint); m.GetResponseHeaders() == nil {
+	if m := s.report(200, "via_upstream", decision.Endpoint); m.GetResponseHeaders() == nil {
 		t.Errorf("the open one: %v", m)
 	}
 	s.end()
--- a/internal/policy/lookup.go
+++ b/internal/policy/lookup.go
@@ -111,7 +111,7 @@
 	return string(canonical)
 }
 
-// Reason tells why a route got a request or did not.
+// Reason is why a route got a request or did not.
 type Reason struct {
 	Route int // index in Config.Routes
 	Taken bool
--- a/internal/routing/decision.go
+++ b/internal/routing/decision.go
@@ -2,7 +2,7 @@
 
 import "pinedale/balancer"
 
-// AttemptScheduled takes the module's decision to send the next attempt of a round. ref is the host's: it comes back
+// AttemptScheduled handles the module's decision to send the next attempt of a round. ref is the host's: it comes back
 // with the Forward.
 func (l *Ledger) AttemptScheduled(now Micros, roundID uint64, location Location, ref any) {
 	r := l.rounds[roundID]
@@ -17,12 +17,12 @@
 	l.offers = append(l.offers, offer{expires: now + OfferTimeout, round: r, attempt: index})
 }
 
-// RoundRejected takes the module's final answer that a round was rejected: a retry is harmless.
+// RoundRejected handles the module's final answer that a round was rejected: a retry is harmless.
 func (l *Ledger) RoundRejected(now Micros, roundID uint64, retryAfter Micros) {
 	l.finishRound(now, roundID, Response{Kind: Reject, RetryAfter: retryAfter})
 }
 
-// RoundFailed takes the module's final answer that a round failed: a retry may not be harmless.
+// RoundFailed handles the module's final answer that a round failed: a retry may not be harmless.
 func (l *Ledger) RoundFailed(now Micros, roundID uint64) {
 	l.finishRound(now, roundID, Response{Kind: Fail})
 }
@@ -43,7 +43,7 @@
 	l.release(now, r.entry)
 }
 
-// AttemptCancelled takes that the module no longer waits for an attempt. If a caller still waits for the endpoint
+// AttemptCancelled handles that the module no longer waits for an attempt. If a caller still waits for the endpoint
 // when the deadline has passed, the attempt counts as timed out; else nothing counts against the endpoint. It must
 // not be called from within an action.
 func (l *Ledger) AttemptCancelled(now Micros, roundID uint64, index int) {
--- a/internal/routing/harness_test.go
+++ b/internal/routing/harness_test.go
@@ -99,11 +99,11 @@
 		responses:   map[StreamID][]Response{},
 		open:        map[string]testRef{},
 	}
-	l := Limits{Classes: classes, MaxAttempts: 3, Hedging: true, CallersRetry: true, MaxEntries: 1000}
+	bounds := Limits{Classes: classes, MaxAttempts: 3, Hedging: true, CallersRetry: true, MaxEntries: 1000}
 	if limits != nil {
-		limits(&l)
+		limits(&bounds)
 	}
-	h.ledger = New(l, h)
+	h.ledger = New(bounds, h)
 	var err error
 	settings := balancer.Settings{
 		Balancers: 1,
@@ -114,7 +114,7 @@
 			Cancel:        true,
 			RetryAfter:    true,
 			Hedging:       true,
-			MaxAttempts:   l.MaxAttempts,
+			MaxAttempts:   bounds.MaxAttempts,
 			MaxOpen:       1000,
 			MaxRetryAfter: second,
 		},
@@ -132,8 +132,8 @@
 }
 
 // endpoints returns n ready endpoints, numbered from 1; pairs share a cell.
-func endpoints(n int) []balancer.Endpoint {
-	list := make([]balancer.Endpoint, n)
+func endpoints(index int) []balancer.Endpoint {
+	list := make([]balancer.Endpoint, index)
 	for i := range list {
 		list[i] = balancer.Endpoint{ID: uint32(i + 1), Zone: uint8(i / 4), Cell: cell(uint32(i + 1)), Weight: 1}
 	}
@@ -184,17 +184,17 @@
 
 func (m *moduleActions) Send(id uint64, endpoint uint32, _, _ Micros) {
 	h := (*harness)(m)
-	n := h.attempts[id]
+	index := h.attempts[id]
 	h.attempts[id]++
-	h.open[fmt.Sprint(id, " ", n)] = testRef{endpoint, id}
+	h.open[fmt.Sprint(id, " ", index)] = testRef{endpoint, id}
 	location := Location{Zone: uint8(endpoint-1) / 4, Cell: cell(endpoint)}
 	h.ledger.AttemptScheduled(h.now, id, location, testRef{endpoint, id})
 }
 func (m *moduleActions) Reject(id uint64, after Micros) { m.ledger.RoundRejected(m.now, id, after) }
 func (m *moduleActions) Fail(id uint64)                 { m.ledger.RoundFailed(m.now, id) }
-func (m *moduleActions) Cancel(id uint64, n int) {
+func (m *moduleActions) Cancel(id uint64, index int) {
 	h := (*harness)(m)
-	h.deferred = append(h.deferred, func() { h.ledger.AttemptCancelled(h.now, id, n) })
+	h.deferred = append(h.deferred, func() { h.ledger.AttemptCancelled(h.now, id, index) })
 }
 func (m *moduleActions) Timer(d Micros, token uint32) {
 	m.timers = append(m.timers, timer{m.now + d, token})
@@ -203,50 +203,50 @@
 func (m *moduleActions) Watch(bool)         {}
 func (m *moduleActions) Log(string, ...any) {}
 
-func (h *harness) StartRound(round uint64, _ string, in balancer.Request) {
-	h.started = append(h.started, in)
-	in.ID = round
-	h.call(func() { h.module.HandleRequest(h.now, in) })
+func (h *harness) StartRound(round uint64, _ string, req balancer.Request) {
+	h.started = append(h.started, req)
+	req.ID = round
+	h.call(func() { h.module.HandleRequest(h.now, req) })
 }
 func (h *harness) CancelRound(round uint64) {
 	h.call(func() { h.module.ClientDisconnected(h.now, round) })
 }
-func (h *harness) CompleteAttempt(round uint64, n int, o Outcome, settled bool) {
+func (h *harness) CompleteAttempt(round uint64, index int, outcome Outcome, settled bool) {
 	if h.depth > 0 {
 		h.t.Errorf("an attempt is completed from within a call of the module")
 	}
-	key := fmt.Sprint(round, " ", n)
+	key := fmt.Sprint(round, " ", index)
 	if h.completions[key]++; h.completions[key] > 1 {
-		h.t.Errorf("attempt %s is completed twice, with %v", key, o.Status)
+		h.t.Errorf("attempt %s is completed twice, with %v", key, outcome.Status)
 	}
 	at := h.open[key]
 	delete(h.open, key)
 	served := at.endpoint
-	if o.Endpoint != 0 {
-		served = o.Endpoint
+	if outcome.Endpoint != 0 {
+		served = outcome.Endpoint
 	}
 	h.call(func() {
 		h.module.AttemptCompleted(h.now, balancer.Outcome{
 			ID:       round,
-			Attempt:  n,
+			Attempt:  index,
 			Endpoint: served,
-			Status:   o.Status,
+			Status:   outcome.Status,
 			Settled:  settled,
 		})
 	})
 }
 func (h *harness) Usable(r any) bool { return !h.retired[r.(testRef).endpoint] }
-func (h *harness) Respond(a StreamID, t Response) {
-	h.responses[a] = append(h.responses[a], t)
-	if t.Kind == Forward && h.onForward != nil {
-		h.onForward(a, t.Ref.(testRef))
+func (h *harness) Respond(stream StreamID, response Response) {
+	h.responses[stream] = append(h.responses[stream], response)
+	if response.Kind == Forward && h.onForward != nil {
+		h.onForward(stream, response.Ref.(testRef))
 	}
 }
 
 // newRequest returns a request of a class with 2 s until its deadline.
-func (h *harness) newRequest(a StreamID, class uint8, id, key string) Request {
+func (h *harness) newRequest(stream StreamID, class uint8, id, key string) Request {
 	return Request{
-		Stream:        a,
+		Stream:        stream,
 		ID:            id,
 		Key:           key,
 		Fingerprint:   1,
@@ -255,24 +255,24 @@
 }
 
 // request requests a decision and returns the response, which must come at once.
-func (h *harness) request(q Request) Response {
+func (h *harness) request(req Request) Response {
 	h.t.Helper()
-	h.ledger.HandleRequest(h.now, q)
+	h.ledger.HandleRequest(h.now, req)
 	h.settle()
-	if n := len(h.responses[q.Stream]); n != 1 {
-		h.t.Fatalf("stream %d got %d responses", q.Stream, n)
+	if index := len(h.responses[req.Stream]); index != 1 {
+		h.t.Fatalf("stream %d got %d responses", req.Stream, index)
 	}
-	return h.responses[q.Stream][0]
+	return h.responses[req.Stream][0]
 }
 
-func (h *harness) report(a StreamID, s balancer.Status) Response {
-	t := h.ledger.HandleReport(a, Outcome{Status: s})
+func (h *harness) report(stream StreamID, status balancer.Status) Response {
+	response := h.ledger.HandleReport(stream, Outcome{Status: status})
 	h.settle()
-	return t
+	return response
 }
 
-func (h *harness) closeStream(a StreamID, undelivered bool) {
-	h.ledger.StreamClosed(h.now, a, undelivered)
+func (h *harness) closeStream(stream StreamID, undelivered bool) {
+	h.ledger.StreamClosed(h.now, stream, undelivered)
 	h.settle()
 }
 
--- a/internal/routing/ledger.go
+++ b/internal/routing/ledger.go
@@ -106,7 +106,7 @@
 	return "i" + req.ID
 }
 
-// HandleRequest takes a caller's request for a decision. The answer comes by Respond, within the call or later.
+// HandleRequest handles a caller's request for a decision. The answer comes by Respond, within the call or later.
 func (l *Ledger) HandleRequest(now Micros, req Request) {
 	s := &stream{id: req.Stream, requestID: req.ID}
 	l.streams[req.Stream] = s
@@ -178,8 +178,8 @@
 	e.waiting = slices.DeleteFunc(e.waiting, func(other *stream) bool { return other == s })
 }
 
-// StreamClosed takes that a stream has ended or broken off. undelivered says that a Forward certainly never reached
-// the caller.
+// StreamClosed handles the end of a stream, closed or broken off. undelivered says that a Forward certainly never
+// reached the caller.
 func (l *Ledger) StreamClosed(now Micros, id StreamID, undelivered bool) {
 	s := l.streams[id]
 	delete(l.streams, id)
--- a/internal/routing/model_test.go
+++ b/internal/routing/model_test.go
@@ -27,9 +27,9 @@
 }
 
 func (e *effect) firstThatMayHaveRun() *forwarded {
-	for _, c := range e.forwards {
-		if !c.neverRan {
-			return c
+	for _, sent := range e.forwards {
+		if !sent.neverRan {
+			return sent
 		}
 	}
 	return nil
@@ -49,40 +49,40 @@
 			reported bool
 		}
 		streams, openStreams := map[StreamID]*openStream{}, []StreamID{}
-		h.onForward = func(a StreamID, at testRef) {
-			open := streams[a]
+		h.onForward = func(stream StreamID, at testRef) {
+			open := streams[stream]
 			e := effects[open.name]
-			c := &forwarded{at: h.now, endpoint: at.endpoint}
+			sent := &forwarded{at: h.now, endpoint: at.endpoint}
 			if h.retired[at.endpoint] {
-				t.Fatalf("stream %d was forwarded to %d, which is retired", a, at.endpoint)
+				t.Fatalf("stream %d was forwarded to %d, which is retired", stream, at.endpoint)
 			}
 			if first := e.firstThatMayHaveRun(); first != nil {
 				k := classes[e.class]
 				sameCell := cell(at.endpoint) == cell(first.endpoint)
 				switch {
 				case k.Idempotency == balancer.NotIdempotent:
-					t.Fatalf("stream %d: a request that is not idempotent was forwarded again", a)
+					t.Fatalf("stream %d: a request that is not idempotent was forwarded again", stream)
 				case k.Idempotency == balancer.IdempotentWithKey && h.now >= first.at+k.DedupWindow:
-					t.Fatalf("stream %d: %s was forwarded %d after the first attempt", a, k.Name, h.now-first.at)
+					t.Fatalf("stream %d: %s was forwarded %d after the first attempt", stream, k.Name, h.now-first.at)
 				case k.Idempotency == balancer.IdempotentWithKey && k.Group == balancer.GroupCell && !sameCell:
-					t.Fatalf("stream %d: %s left its cell", a, k.Name)
+					t.Fatalf("stream %d: %s left its cell", stream, k.Name)
 				}
 			}
-			e.forwards = append(e.forwards, c)
+			e.forwards = append(e.forwards, sent)
 			if e.byID[open.request.ID]++; e.byID[open.request.ID] > 3 {
 				t.Fatalf("request %s was forwarded %d times", open.request.ID, e.byID[open.request.ID])
 			}
-			open.attempt = c
+			open.attempt = sent
 		}
 		lastStream := StreamID(0)
 		pick := func() (StreamID, *openStream) {
-			a := openStreams[rapid.IntRange(0, len(openStreams)-1).Draw(t, "stream")]
-			return a, streams[a]
+			stream := openStreams[rapid.IntRange(0, len(openStreams)-1).Draw(t, "stream")]
+			return stream, streams[stream]
 		}
-		remove := func(a StreamID) {
-			delete(streams, a)
+		remove := func(stream StreamID) {
+			delete(streams, stream)
 			for i, o := range openStreams {
-				if o == a {
+				if o == stream {
 					openStreams = append(openStreams[:i], openStreams[i+1:]...)
 					break
 				}
@@ -94,9 +94,9 @@
 				if h.ledger.entries[name] != nil {
 					continue
 				}
-				c := classes[e.class]
-				retained := e.firstThatMayHaveRun() != nil && c.Idempotency != balancer.Idempotent
-				if retained && h.now < e.lastClosed+c.ClientTimeout+c.DedupWindow {
+				sent := classes[e.class]
+				retained := e.firstThatMayHaveRun() != nil && sent.Idempotency != balancer.Idempotent
+				if retained && h.now < e.lastClosed+sent.ClientTimeout+sent.DedupWindow {
 					t.Fatalf("%q was removed %d after its last stream was closed, and may have run", name, h.now-e.lastClosed)
 				}
 				delete(effects, name)
@@ -127,7 +127,7 @@
 					t.Fatalf("stream %d got %d responses", lastStream, n)
 				}
 			case event < 7:
-				a, open := pick()
+				stream, open := pick()
 				if open.attempt == nil || open.reported {
 					continue
 				}
@@ -135,9 +135,9 @@
 				s := rapid.SampledFrom([]balancer.Status{balancer.OK, balancer.Error, balancer.Full, balancer.ConnectFailed,
 					balancer.Reset, balancer.Timeout}).Draw(t, "status")
 				open.attempt.neverRan = s == balancer.Full || s == balancer.ConnectFailed
-				h.report(a, s)
+				h.report(stream, s)
 			case event < 8:
-				a, open := pick()
+				stream, open := pick()
 				undelivered := open.attempt != nil && !open.reported && rapid.Bool().Draw(t, "undelivered")
 				if undelivered {
 					open.attempt.neverRan = true
@@ -146,8 +146,8 @@
 				if e := effects[open.name]; e != nil {
 					e.lastClosed = h.now
 				}
-				remove(a)
-				h.closeStream(a, undelivered)
+				remove(stream)
+				h.closeStream(stream, undelivered)
 			case event < 9:
 				e := rapid.IntRange(1, 6).Draw(t, "endpoint")
 				h.retired[uint32(e)] = true
@@ -160,9 +160,9 @@
 			checkForgotten()
 		}
 		for len(openStreams) > 0 {
-			a := openStreams[0]
-			remove(a)
-			h.closeStream(a, false)
+			stream := openStreams[0]
+			remove(stream)
+			h.closeStream(stream, false)
 		}
 		h.advance(40 * second)
 		h.checkEmpty()
--- a/internal/routing/report.go
+++ b/internal/routing/report.go
@@ -2,7 +2,7 @@
 
 import "pinedale/balancer"
 
-// HandleReport takes the outcome of the attempt that was forwarded to a stream, and returns what is to be done with
+// HandleReport handles the outcome of the attempt that was forwarded to a stream, and returns what is to be done with
 // the endpoint's answer. It counts only from a stream that was answered with Forward, and once.
 func (l *Ledger) HandleReport(id StreamID, outcome Outcome) Response {
 	s := l.streams[id]
@@ -69,7 +69,7 @@
 	return Response{Kind: Fail}
 }
 
-// ForwardDiscarded takes that the host did not pass a Forward on, since its endpoint no longer accepts requests. The
+// ForwardDiscarded handles that the host did not deliver a Forward, since its endpoint no longer accepts requests. The
 // stream gets another response.
 func (l *Ledger) ForwardDiscarded(id StreamID) {
 	s := l.streams[id]
