httpfront: standard names, files by job, drain and checks of a connection apart

Cause: the listener, the connection, the server and the drain shared two files and read as conversation (asked-on connections, making room, reading off); handle had 65 lines. Change: listener.go, conn.go, server.go, drain.go and a package comment; the checks of a connection and the parsing are functions of their own. The order of checks, headers, timings and texts are as before.

--- /dev/null
+++ b/internal/front/httpfront/conn.go
@@ -0,0 +1,230 @@
+package httpfront
+
+import (
+	"container/list"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"pinedale/internal/httpmsg"
+)
+
+const (
+	// maxReadAheadBytes bounds what is buffered that a client sends behind a request in flight. Clients
+	// send one request at a time: one that sends more does not wait for responses.
+	maxReadAheadBytes = 16 << 10
+	readAheadChunk    = 4 << 10
+)
+
+var errReadAhead = errors.New("too many bytes behind a request in flight")
+
+// clientConn is one connection of a client. It carries one request at a time.
+//
+// Its states, by the list that it is in: idle, receiving (a part of a request), in flight (no list). A
+// connection that is evicted or closed is uncounted and in no list.
+type clientConn struct {
+	net.Conn
+	owner *clientListener
+
+	// Under owner.mu.
+	list           *list.List // owner.idle, owner.receiving or nil
+	element        *list.Element
+	receivingSince time.Time // first byte of the request that is arriving
+	used           bool      // it has carried a request
+	uncounted      bool      // evicted or closed: not in owner.open
+	closed         bool
+
+	mu          sync.Mutex // net/http reads while a handler runs
+	head        httpmsg.HeadScan
+	inFlight    bool   // a request is: what is received belongs to the next one
+	readAhead   []byte // received while a request was in flight, not yet returned by Read
+	activeReads int    // calls of readNextRequest that are running
+}
+
+// moveTo moves a connection to one of its owner's lists, or to none. The caller holds owner.mu.
+func (c *clientConn) moveTo(to *list.List) {
+	if c.list != nil {
+		c.list.Remove(c.element)
+	}
+	if c.list, c.element = to, nil; to != nil {
+		c.element = to.PushBack(c)
+	}
+}
+
+// uncount removes a connection from its owner's counts and lists. The caller holds owner.mu.
+func (c *clientConn) uncount() {
+	if c.uncounted {
+		return
+	}
+	c.uncounted = true
+	c.owner.open--
+	if c.used {
+		c.owner.used--
+	}
+	c.moveTo(nil)
+}
+
+// interruptRead ends an idle connection by an expired read deadline, after which net/http closes it. It is
+// not closed here: a request that has been read at this very moment is still served, and one that has not is
+// unread when net/http closes, so that its client may send it again. The caller holds owner.mu.
+func (c *clientConn) interruptRead() {
+	_ = c.Conn.SetReadDeadline(expiredDeadline) // fails if the connection has ended already
+}
+
+// SetReadDeadline sets the deadline for reading. That of an idle connection stays expired once idle
+// connections are closed: net/http would undo interruptRead.
+func (c *clientConn) SetReadDeadline(at time.Time) error {
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	if c.owner.closeIdle && c.used && c.list == &c.owner.idle {
+		at = expiredDeadline
+	}
+	return c.Conn.SetReadDeadline(at)
+}
+
+// Close closes the connection and uncounts it.
+func (c *clientConn) Close() error {
+	c.owner.mu.Lock()
+	c.uncount()
+	c.closed = true
+	c.owner.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// Read reads for net/http. While a request is in flight it reads ahead and buffers what it receives:
+// net/http reads a single byte then to notice a disconnect, and would not notice it any more once that byte
+// has arrived.
+func (c *clientConn) Read(p []byte) (int, error) {
+	n, err := c.readNextRequest(p)
+	if n > 0 {
+		c.requestReceiving()
+	}
+	return n, err
+}
+
+// readNextRequest returns bytes of the next request: those that were read ahead, or else those that are
+// received while no request is in flight. While one is, it reads ahead.
+func (c *clientConn) readNextRequest(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.activeReads++
+	defer func() { c.activeReads-- }()
+	// Scanned under the same lock as the bytes are delivered: requestStarted must see both or neither.
+	deliver := func(n int, err error) (int, error) {
+		c.head.Scan(p[:n])
+		return n, err
+	}
+	buffer, direct := p, true
+	for c.inFlight || len(c.readAhead) == 0 {
+		c.mu.Unlock()
+		n, err := c.Conn.Read(buffer)
+		c.mu.Lock()
+		if direct && !c.inFlight && len(c.readAhead) == 0 {
+			return deliver(n, err)
+		}
+		c.readAhead = append(c.readAhead, buffer[:n]...)
+		if n == 0 || c.inFlight && err != nil {
+			return 0, err
+		}
+		if len(c.readAhead) > maxReadAheadBytes && c.inFlight {
+			return 0, errReadAhead
+		}
+		if direct {
+			buffer, direct = make([]byte, readAheadChunk), false
+		}
+	}
+	n := copy(p, c.readAhead)
+	if c.readAhead = c.readAhead[n:]; len(c.readAhead) == 0 {
+		c.readAhead = nil
+	}
+	return deliver(n, nil) // an error received with it is returned by the next Read
+}
+
+// requestReceiving records that a part of a request has been received.
+func (c *clientConn) requestReceiving() {
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	if c.closed || c.list == &c.owner.receiving {
+		return
+	}
+	if c.uncounted { // evicted at this very moment: the request is served first
+		c.uncounted = false
+		c.owner.open++
+		if c.used {
+			c.owner.used++
+		}
+	} else if c.list == nil {
+		return // it belongs to the request in flight
+	}
+	c.receivingSince = time.Now()
+	c.moveTo(&c.owner.receiving)
+}
+
+// requestStarted records that a request is in flight: what is received from here on belongs to the next
+// one. bodyLength is that of its body, -1 if unknown. alone reports that nothing was received behind the
+// request, ok that its connection has not been evicted in the meantime.
+func (c *clientConn) requestStarted(bodyLength int64) (alone, ok bool) {
+	c.mu.Lock()
+	alone = bodyLength >= 0 && c.head.Size == c.head.End+bodyLength
+	c.head = httpmsg.HeadScan{}
+	c.inFlight = true
+	c.mu.Unlock()
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	if c.uncounted {
+		return alone, false
+	}
+	c.moveTo(nil)
+	if !c.used {
+		c.used = true
+		c.owner.used++
+	}
+	return alone, true
+}
+
+// watchDisconnect calls disconnected when the client disconnects, if net/http does not watch for it any
+// more: it has read a byte of what was received behind the request before requestStarted. The goroutine ends
+// with the connection, or at the first byte that is received after the response.
+func (c *clientConn) watchDisconnect(disconnected func()) {
+	c.mu.Lock()
+	watched := c.activeReads > 0
+	c.mu.Unlock()
+	if watched {
+		return
+	}
+	go func() {
+		for buffer := make([]byte, 1); ; {
+			n, err := c.readNextRequest(buffer)
+			if err != nil {
+				disconnected()
+				return
+			}
+			c.mu.Lock()
+			inFlight := c.inFlight
+			c.mu.Unlock()
+			if n > 0 && !inFlight {
+				return // the connection is closed after its response
+			}
+		}
+	}()
+}
+
+// requestDone records that the request in flight has its response.
+func (c *clientConn) requestDone() {
+	c.mu.Lock()
+	c.inFlight = false
+	c.mu.Unlock()
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	if !c.uncounted && c.list == nil {
+		c.moveTo(&c.owner.idle)
+	}
+}
+
+// hasAmbiguousLength reports whether the request's header states the length of its body in two ways.
+func (c *clientConn) hasAmbiguousLength() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.Lengths > 1 || c.head.Lengths > 0 && c.head.Coding
+}
--- /dev/null
+++ b/internal/front/httpfront/doc.go
@@ -0,0 +1,11 @@
+// Package httpfront is the HTTP/1.1 front: it accepts the application's connections, passes each request to
+// the engine through a desk.Dispatcher and writes the response.
+//
+// A Server is the handler of a net/http server over a clientListener, which bounds the connections and
+// evicts idle ones. clientConn corrects what net/http does not show or do: a header with two body lengths, a
+// client that disconnects behind pipelined bytes. On shutdown Serve drains (drain.go): it closes idle
+// connections, accepts new ones for a while, and returns once each request has its response.
+//
+// State belongs to the goroutines of net/http, under the locks of clientListener and clientConn. Nothing
+// outlives the process.
+package httpfront
--- /dev/null
+++ b/internal/front/httpfront/drain.go
@@ -0,0 +1,72 @@
+package httpfront
+
+import (
+	"time"
+
+	"pinedale/balancer"
+)
+
+const (
+	// defaultAcceptTime is how long new connections are accepted after SIGTERM: clients go on connecting
+	// for 0.4 s.
+	defaultAcceptTime = 600 * time.Millisecond
+
+	// The platform kills the process no sooner than the longest class deadline, of which maxKillDelay
+	// counts at most, and killDelay after SIGTERM. Requests in flight have their responses killMargin before
+	// that, for the way to the client.
+	maxKillDelay = 3 * time.Second
+	killDelay    = 700 * time.Millisecond
+	killMargin   = 250 * time.Millisecond
+	// exitDelay later Serve returns, even if a client still holds a connection.
+	exitDelay = 100 * time.Millisecond
+
+	drainInterval = 5 * time.Millisecond // of the checks whether draining is complete
+)
+
+// drain ends the service without losing a request. Idle connections are closed at once, while a client whose
+// request crosses that can still connect anew; every response from here on closes its connection. served is
+// closed when the listener is. net/http's Shutdown is not used: it closes as idle also a connection whose
+// request has been read and not yet parsed.
+func (s *Server) drain(served <-chan struct{}) {
+	longest := s.longestDeadline()
+	began := time.Now()
+	end := began.Add(s.opts.EndBy(longest))
+	s.endAt.Store(s.engine.Now() + time.Until(end).Microseconds())
+	s.clients.closeIdleConnections()
+	stopped, accepting, expired := false, true, false
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+	for ; ; <-ticker.C {
+		now := time.Now()
+		if !stopped && now.Sub(began) >= s.opts.AcceptFor {
+			s.clients.stopAccepting()
+			stopped = true
+		}
+		select {
+		case <-served:
+			accepting = false
+		default:
+		}
+		if !expired && !now.Before(end) {
+			go s.engine.Post(s.engine.Expire)
+			expired = true
+		}
+		complete := !accepting && s.clients.count() == 0
+		if complete || now.Sub(end) >= exitDelay {
+			s.http.Close() // its error is that of the listener, which is closed already
+			return
+		}
+	}
+}
+
+// longestDeadline is that of the class that may take longest.
+func (s *Server) longestDeadline() time.Duration {
+	var longest balancer.Micros
+	for _, c := range s.engine.Settings().Classes {
+		longest = max(longest, c.ClientTimeout)
+	}
+	return time.Duration(longest) * time.Microsecond
+}
+
+// draining reports whether the service ends.
+func (s *Server) draining() bool { return s.endAt.Load() != 0 }
--- a/internal/front/httpfront/clients_test.go
+++ b/internal/front/httpfront/listener_test.go
@@ -14,7 +14,7 @@
 	"pinedale/internal/intake"
 )
 
-// Where every connection has a request open, one more is closed.
+// If every connection has a request in flight, one more is closed.
 func TestConnectionIsClosedAtLimitWithoutIdleOnes(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -45,7 +45,7 @@
 	defer dial().Close()
 	c := <-accepted
 	if _, ok := c.requestStarted(0); !ok {
-		t.Fatal("the first connection is gone")
+		t.Fatal("the first connection is evicted")
 	}
 	second := dial()
 	defer second.Close()
@@ -56,7 +56,7 @@
 	defer dial().Close()
 	<-accepted
 	if _, ok := c.requestStarted(0); ok {
-		t.Error("the first connection takes requests after making room")
+		t.Error("an evicted connection accepts a request")
 	}
 	c.Close()
 	if n := l.count(); n != 1 {
@@ -64,12 +64,13 @@
 	}
 }
 
-// hookedConn calls a function after each read that brings something, before it is told.
+// hookedConn calls a function after each read that returns bytes, before they are returned.
 type hookedConn struct {
 	net.Conn
 	read func()
 }
 
+// Read calls read before it returns.
 func (h *hookedConn) Read(p []byte) (int, error) {
 	n, err := h.Conn.Read(p)
 	if n > 0 {
@@ -78,12 +79,13 @@
 	return n, err
 }
 
-// hookedListener wraps accepted connections.
+// hookedListener makes accepted connections hookedConns.
 type hookedListener struct {
 	net.Listener
 	read func()
 }
 
+// Accept wraps the next connection.
 func (h *hookedListener) Accept() (net.Conn, error) {
 	c, err := h.Listener.Accept()
 	if err != nil {
@@ -92,12 +94,12 @@
 	return &hookedConn{c, h.read}, nil
 }
 
-// A request that has been read in the very moment in which its connection is to end, since the
-// service ends or another client needs the room, is served: nobody would know that it was read.
+// A request that is read at the very moment in which its connection is closed as idle, on shutdown or to make
+// room for another, is served: its client could not know that it was read.
 func TestRequestReadDuringEvictionIsServed(t *testing.T) {
-	for name, ends := range map[string]func(l *clientListener){
-		"the service ends": (*clientListener).closeIdleConnections,
-		"room is made": func(l *clientListener) {
+	for name, closeIdle := range map[string]func(l *clientListener){
+		"shutdown": (*clientListener).closeIdleConnections,
+		"eviction": func(l *clientListener) {
 			l.mu.Lock()
 			defer l.mu.Unlock()
 			l.evict()
@@ -112,11 +114,13 @@
 			l := &clientListener{maxConnections: 1}
 			l.Listener = &hookedListener{listener, func() {
 				if requests == 1 { // the second one has been read
-					ends(l)
+					closeIdle(l)
 				}
 			}}
 			s := http.Server{IdleTimeout: 20 * time.Second, ReadTimeout: 20 * time.Second,
-				ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
+				ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+					return context.WithValue(ctx, connKey{}, c)
+				},
 				Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 					c := r.Context().Value(connKey{}).(*clientConn)
 					if _, ok := c.requestStarted(r.ContentLength); !ok {
@@ -146,13 +150,13 @@
 					t.Fatalf("request %d: %v", n+1, err)
 				}
 				if _, err := io.Copy(io.Discard, response.Body); err != nil {
-					response.Body.Close()
 					t.Fatal(err)
 				}
+				response.Body.Close()
 			}
-			if name == "the service ends" {
+			if name == "shutdown" {
 				if _, err := in.ReadByte(); err != io.EOF {
-					t.Errorf("after its answer the connection: %v, want its end", err)
+					t.Errorf("after its response the connection: %v, want its end", err)
 				}
 			}
 			if l.count() > 1 {
@@ -162,43 +166,45 @@
 	}
 }
 
-// A connection whose request does not come to its end may have to make room, those that wait
-// first; one whose request has only begun is spared.
+// A connection whose request has been arriving for slowRequestAfter may be evicted; one whose request has only
+// begun to arrive is not.
 func TestSlowRequestIsEvicted(t *testing.T) {
 	local, peer := net.Pipe()
 	defer peer.Close()
 	l := &clientListener{maxConnections: 1}
 	slow := &clientConn{Conn: local, owner: l}
 	if !l.admit(slow) {
-		t.Fatal("no room for the first")
+		t.Fatal("the first connection is not admitted")
 	}
 	go func() { _, _ = io.WriteString(peer, "GET") }()
 	if _, err := slow.Read(make([]byte, 9)); err != nil {
 		t.Fatal(err)
 	}
 	if l.admit(&clientConn{Conn: local, owner: l}) {
-		t.Error("a request that has just begun to come made room")
+		t.Error("a connection whose request has just begun to arrive is evicted")
 	}
 	slow.receivingSince = time.Now().Add(-2 * slowRequestAfter)
 	if !l.admit(&clientConn{Conn: local, owner: l}) || l.count() != 1 {
-		t.Errorf("a slow request made no room; %d connections", l.count())
+		t.Errorf("a slow request is not evicted; %d connections", l.count())
 	}
 	if _, ok := slow.requestStarted(0); ok {
-		t.Error("the slow one takes requests after making room")
+		t.Error("an evicted connection accepts a request")
 	}
 }
 
-// All that was taken has its answer before the platform kills: no sooner than the longest
-// deadline, 3 s of it at most, and 0.7 s more after SIGTERM.
+// Each request has its response before the platform kills the process: no sooner than the longest deadline,
+// 3 s of it at most, and 0.7 s after SIGTERM.
 func TestShutdownEndsBeforeKill(t *testing.T) {
 	s := New(nil, nil, Options{Parser: &intake.Parser{}, Log: slog.New(slog.DiscardHandler)})
-	for _, longest := range []time.Duration{50 * time.Millisecond, time.Second, 3 * time.Second, 6 * time.Second, time.Minute} {
+	for _, longest := range []time.Duration{
+		50 * time.Millisecond, time.Second, 3 * time.Second, 6 * time.Second, time.Minute,
+	} {
 		kill := min(longest, 3*time.Second) + 700*time.Millisecond
 		if by := s.opts.EndBy(longest) + exitDelay; by >= kill {
-			t.Errorf("longest deadline %v: the process ends %v after SIGTERM and may be killed after %v", longest, by, kill)
+			t.Errorf("longest deadline %v: the process ends %v after SIGTERM, it may be killed after %v", longest, by, kill)
 		}
 		if s.opts.EndBy(longest) < defaultAcceptTime-150*time.Millisecond {
-			t.Errorf("longest deadline %v: all ends while clients still connect", longest)
+			t.Errorf("longest deadline %v: draining ends while clients still connect", longest)
 		}
 	}
 }
--- a/internal/front/httpfront/server.go
+++ b/internal/front/httpfront/server.go
@@ -1,5 +1,3 @@
-// Package httpfront takes the application's requests over HTTP/1.1 and gives
-// their final answers.
 package httpfront
 
 import (
@@ -20,77 +18,48 @@
 	"pinedale/internal/intake"
 )
 
+// Timeouts of clients' connections. The platform allows a client that sends nothing 3 s.
 const (
-	defaultAcceptTime = 600 * time.Millisecond // after SIGTERM: clients go on connecting for 0.4 s
-
-	// The platform kills no sooner than the longest deadline, longestMost of it at most, and
-	// killAfter more after SIGTERM. What is in hand has its answer killMargin before that: for
-	// its way to the client.
-	maxKillDelay  = 3 * time.Second
-	killDelay     = 700 * time.Millisecond
-	killMargin    = 250 * time.Millisecond
-	exitDelay     = 100 * time.Millisecond // and the process ends that much later, whoever still holds a connection
-	drainInterval = 5 * time.Millisecond
-
-	// ReadTimeout and IdleTimeout bound silent clients.
-	// A request comes in one piece from the application next door. A client that
-	// takes longer is silent, slow on purpose or dead, and 3 s are the most it may stay.
+	// ReadTimeout is how long a request may take to arrive. The application runs on the same host and sends
+	// it in one piece.
 	ReadTimeout = 2 * time.Second
-	// IdleTimeout outlasts the 2 s for which a client may keep a connection with no request open.
-	IdleTimeout  = 2100 * time.Millisecond
-	writeTimeout = 2 * time.Second // for an answer: it fits into the socket's buffer unless a client reads nothing
+	// IdleTimeout outlasts the 2 s for which a client may keep a connection with no request in flight.
+	IdleTimeout = 2100 * time.Millisecond
+	// writeTimeout is how long a response may take to be written: it fits into the socket's buffer unless
+	// the client does not read.
+	writeTimeout = 2 * time.Second
 )
 
-// Options bound what clients may hold.
+// readinessPath is answered by the front itself.
+const readinessPath = "/health/ready"
+
+// Options are the limits of a server.
 type Options struct {
-	Connections int            // open at most
-	Crowded     int            // asked-on connections from which an answer ends its own
-	BodyBytes   int64          // of requests in hand, at most
+	Connections int            // of clients, open at most
+	Crowded     int            // connections that have carried a request, above which a response closes its own
+	BodyBytes   int64          // of the requests in flight together, at most
 	Parser      *intake.Parser // nil for that of the engine's settings
-	AltSvc      string         // told with each answer, "" for none (RFC 7838)
-	AcceptFor   time.Duration  // new connections are still accepted after the end; 0 for what the platform asks
-	// EndBy is how long after the end all that was taken has its answer, by the longest time of
-	// any class; nil for what the platform allows.
+	AltSvc      string         // sent with each response, "" for none (RFC 7838)
+	AcceptFor   time.Duration  // how long new connections are accepted while draining; 0 for the platform's
+	// EndBy is how long after the start of draining each request in flight has its response, by the longest
+	// deadline of any class; nil for the platform's.
 	EndBy func(longest time.Duration) time.Duration
 	Log   *slog.Logger
 }
 
-// Server takes the application's requests.
+// Server is the front. Make one with New.
 type Server struct {
 	engine     *engine.Engine
 	http       http.Server
 	clients    *clientListener
 	parser     *intake.Parser
 	dispatcher *desk.Dispatcher
-	endAt      atomic.Int64 // by the engine's clock: no request is held longer; 0 before the end
+	endAt      atomic.Int64 // by the engine's clock, no request's deadline is later; 0 before draining
 	opts       Options
 }
 
-// Serve serves until ctx ends, then answers what it has taken and returns.
-func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
-	s.clients.Listener = listener
-	var serveErr error // once served is closed
-	served := make(chan struct{})
-	go func() {
-		defer close(served)
-		serveErr = s.http.Serve(s.clients)
-	}()
-	select {
-	case <-served:
-		return fmt.Errorf("serve: %w", serveErr)
-	case <-ctx.Done():
-	}
-	return s.drain(served)
-}
-
-// Close ends the service at once, and loses what is in hand.
-func (s *Server) Close() error { return s.http.Close() }
-
-// Connections counts the clients' open connections.
-func (s *Server) Connections() int { return s.clients.count() }
-
-// credentialed is a connection whose keys may come to their end while it stands: keep is false
-// where its next answer should be its last, trusted where its client would not be let in now.
+// credentialed is a connection whose certificates may expire or be revoked while it is open: keep is false
+// if it should be closed after the next response, trusted if its client's certificate is still valid.
 type credentialed interface {
 	Stands(now time.Time) (keep, trusted bool, reason string)
 }
@@ -98,9 +67,8 @@
 // connKey finds the connection of a request in its context.
 type connKey struct{}
 
-// New returns a server that passes requests to the engine and has them carried
-// by the upstream.
-func New(e *engine.Engine, up engine.Upstream, o Options) *Server {
+// New returns a server that passes requests to the engine, whose attempts the upstream sends.
+func New(e *engine.Engine, upstream engine.Upstream, o Options) *Server {
 	if o.AcceptFor == 0 {
 		o.AcceptFor = defaultAcceptTime
 	}
@@ -112,90 +80,53 @@
 	if o.Parser == nil {
 		o.Parser = intake.NewParser(e.Settings())
 	}
-	s := &Server{engine: e, parser: o.Parser, dispatcher: desk.New(e, up, o.BodyBytes), opts: o,
-		clients: &clientListener{maxConnections: o.Connections, keepAliveThreshold: o.Crowded}}
-	// Not a ServeMux: it would redirect paths that endpoints are to see as they are.
-	s.http = http.Server{Handler: http.HandlerFunc(s.handle),
-		ReadTimeout: ReadTimeout, WriteTimeout: intake.MaxRequestTime + writeTimeout, IdleTimeout: IdleTimeout,
-		MaxHeaderBytes: httpmsg.HeadMost, ErrorLog: slog.NewLogLogger(o.Log.Handler(), slog.LevelWarn),
+	s := &Server{
+		engine:     e,
+		parser:     o.Parser,
+		dispatcher: desk.New(e, upstream, o.BodyBytes),
+		opts:       o,
+		clients:    &clientListener{maxConnections: o.Connections, keepAliveThreshold: o.Crowded},
+	}
+	s.http = http.Server{
+		// Not a ServeMux: it would redirect paths that endpoints are to receive unchanged.
+		Handler:        http.HandlerFunc(s.handle),
+		ReadTimeout:    ReadTimeout,
+		WriteTimeout:   intake.MaxRequestTime + writeTimeout,
+		IdleTimeout:    IdleTimeout,
+		MaxHeaderBytes: httpmsg.HeadMost,
+		ErrorLog:       slog.NewLogLogger(o.Log.Handler(), slog.LevelWarn),
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, c)
-		}}
-	return s
-}
-
-// drain ends the service without losing a request. Connections that wait for a request are
-// closed at once, while a client whose request crosses that can still connect anew; every
-// answer from here on closes its connection. net/http's own Shutdown is not used: it closes
-// as idle also a connection whose request has been read and not yet parsed.
-func (s *Server) drain(served <-chan struct{}) error {
-	var longest balancer.Micros
-	for _, c := range s.engine.Settings().Classes {
-		longest = max(longest, c.ClientTimeout)
-	}
-	began := time.Now()
-	end := began.Add(s.opts.EndBy(time.Duration(longest) * time.Microsecond))
-	s.endAt.Store(s.engine.Now() + time.Until(end).Microseconds())
-	s.clients.closeIdleConnections()
-	closing, accepting, expired := false, true, false
-	for tick := time.NewTicker(drainInterval); ; <-tick.C {
-		now := time.Now()
-		if !closing && now.Sub(began) >= s.opts.AcceptFor {
-			s.clients.stopAccepting()
-			closing = true
-		}
-		select {
-		case <-served:
-			accepting = false
-		default:
-		}
-		if !expired && !now.Before(end) {
-			go s.engine.Post(s.engine.Expire)
-			expired = true
-		}
-		if !accepting && s.clients.count() == 0 || now.Sub(end) >= exitDelay {
-			tick.Stop()
-			s.http.Close() // the listener is closed already, and says so
-			return nil
-		}
-	}
-}
-
-// draining says that the service ends.
-func (s *Server) draining() bool { return s.endAt.Load() != 0 }
-
-// closeWhileDraining has an answer end its connection while the service ends.
-func (s *Server) closeWhileDraining(w http.ResponseWriter) {
-	if s.draining() {
-		w.Header().Set("Connection", "close")
+		},
 	}
+	return s
 }
 
-func (s *Server) writeReadiness(w http.ResponseWriter) {
-	if s.draining() || !s.engine.HasEndpoints() {
-		w.WriteHeader(http.StatusServiceUnavailable)
+// Serve serves until ctx ends, then answers the requests that it has accepted and returns.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	s.clients.Listener = listener
+	var serveErr error // once served is closed
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		serveErr = s.http.Serve(s.clients)
+	}()
+	select {
+	case <-served:
+		return fmt.Errorf("serve: %w", serveErr)
+	case <-ctx.Done():
 	}
+	s.drain(served)
+	return nil
 }
 
-// reject turns a request away, with its connection: what else a client sends
-// that gets this much wrong is not worth reading.
-func reject(w http.ResponseWriter, in *http.Request, err error) {
-	w.Header().Set("Connection", "close")
-	desk.WriteError(w, err)
-	discardBody(w, in)
-}
+// Close ends the service at once, without responses to the requests in flight.
+func (s *Server) Close() error { return s.http.Close() }
 
-// discardBody sends the answer off and then reads what a client still sends, within
-// limits: a connection closed before that is reset, and the client may never read its
-// answer (RFC 9112, section 9.6).
-func discardBody(w http.ResponseWriter, in *http.Request) {
-	if in.ContentLength == 0 || http.NewResponseController(w).Flush() != nil {
-		return
-	}
-	_, _ = io.CopyN(io.Discard, in.Body, 2*httpmsg.BodyMost) // at the longest until ReadTimeout
-}
+// Connections returns the number of clients' open connections.
+func (s *Server) Connections() int { return s.clients.count() }
 
-// handle reads a request whole and answers it.
+// handle answers one request. It rejects an invalid one before its body is read.
 func (s *Server) handle(w http.ResponseWriter, in *http.Request) {
 	arrived := s.engine.Now()
 	if s.opts.AltSvc != "" {
@@ -203,34 +134,22 @@
 	}
 	s.closeWhileDraining(w)
 	c := in.Context().Value(connKey{}).(*clientConn)
-	if c.hasAmbiguousLength() {
-		// What follows the head may hide another request: the connection ends here.
-		reject(w, in, intake.Bad("Content-Length beside another, or beside Transfer-Encoding"))
+	if err := checkConnection(w, c); err != nil {
+		reject(w, in, err)
 		return
 	}
-	if g, ok := c.Conn.(credentialed); ok {
-		keep, trusted, reason := g.Stands(time.Now())
-		if !trusted {
-			reject(w, in, &intake.Error{Code: http.StatusForbidden, Reason: reason})
-			return
-		}
-		if !keep {
-			w.Header().Set("Connection", "close")
-		}
-	}
-	ready := in.URL.Path == "/health/ready"
+	readiness := in.URL.Path == readinessPath
 	var req intake.Parsed
-	if !ready {
+	if !readiness {
 		var err error
-		if req, err = s.parser.Parse(intake.Request{Method: in.Method, Host: in.Host, Path: in.URL.Path, Header: in.Header,
-			Body: in.ContentLength != 0, At: arrived}); err != nil {
+		if req, err = s.parse(in, arrived); err != nil {
 			reject(w, in, err)
 			return
 		}
 	}
 	body, release, err := s.dispatcher.ReadBody(w, in)
 	if errors.Is(err, desk.ErrBusy) {
-		w.Header().Set("Connection", "close")
+		closeAfterResponse(w)
 		desk.WriteBusy(w)
 		discardBody(w, in)
 		return
@@ -244,19 +163,18 @@
 		panic(http.ErrAbortHandler)
 	}
 	defer c.requestDone()
-	// The deadline for reading the request would otherwise end its context
-	// while the answer is still awaited.
-	_ = c.SetReadDeadline(time.Time{}) // fails where the client has left: net/http notices by itself
+	// The deadline for reading the request would otherwise cancel its context while the response is awaited.
+	_ = c.SetReadDeadline(time.Time{}) // fails if the client has disconnected: net/http notices by itself
 	if !alone {
-		// Clients send one request at a time. What came behind this one is left
-		// unread: only a client's own word says that it is a request.
-		w.Header().Set("Connection", "close")
+		// Clients send one request at a time. What is received behind this one is not read: nothing but the
+		// client's own framing says that it is a request.
+		closeAfterResponse(w)
 		ctx, cancel := context.WithCancel(in.Context())
 		defer cancel()
 		in = in.WithContext(ctx)
 		c.watchDisconnect(cancel)
 	}
-	if ready {
+	if readiness {
 		s.writeReadiness(w)
 		return
 	}
@@ -265,15 +183,48 @@
 	s.dispatch(w, in, c, req, body)
 }
 
-// dispatch takes one request and gives its one final answer.
+// checkConnection returns an error if no request may be accepted on a connection. If this is to be its last
+// request, it has the response close it.
+func checkConnection(w http.ResponseWriter, c *clientConn) error {
+	if c.hasAmbiguousLength() {
+		// What follows the header may hide another request: the connection is closed.
+		return intake.Bad("Content-Length beside another, or beside Transfer-Encoding")
+	}
+	conn, ok := c.Conn.(credentialed)
+	if !ok {
+		return nil
+	}
+	keep, trusted, reason := conn.Stands(time.Now())
+	if !trusted {
+		return &intake.Error{Code: http.StatusForbidden, Reason: reason}
+	}
+	if !keep {
+		closeAfterResponse(w)
+	}
+	return nil
+}
+
+// parse parses the header of a request.
+func (s *Server) parse(in *http.Request, arrived balancer.Micros) (intake.Parsed, error) {
+	return s.parser.Parse(intake.Request{
+		Method: in.Method,
+		Host:   in.Host,
+		Path:   in.URL.Path,
+		Header: in.Header,
+		Body:   in.ContentLength != 0,
+		At:     arrived,
+	})
+}
+
+// dispatch passes a request to the engine and writes its response.
 func (s *Server) dispatch(w http.ResponseWriter, in *http.Request, c *clientConn, req intake.Parsed, body []byte) {
 	if end := s.endAt.Load(); end != 0 {
 		req.Deadline = min(req.Deadline, end)
 	}
-	a, err := s.dispatcher.Dispatch(in, req, body)
+	response, err := s.dispatcher.Dispatch(in, req, body)
 	if errors.Is(err, desk.ErrDisconnected) {
-		// A client that has only stopped sending must not read a whole answer
-		// that no endpoint gave.
+		// A client that has closed its sending side only must not receive a complete response that no
+		// endpoint made.
 		panic(http.ErrAbortHandler)
 	} else if err != nil {
 		reject(w, in, err)
@@ -281,8 +232,41 @@
 	}
 	s.closeWhileDraining(w)
 	if s.clients.aboveKeepAliveThreshold() {
-		w.Header().Set("Connection", "close")
+		closeAfterResponse(w)
+	}
+	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout)) // fails if the connection has ended: so does the write
+	desk.WriteResponse(w, response)
+}
+
+// writeReadiness writes 200 if requests can be served, else 503.
+func (s *Server) writeReadiness(w http.ResponseWriter) {
+	if s.draining() || !s.engine.HasEndpoints() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// closeAfterResponse has a response close its connection.
+func closeAfterResponse(w http.ResponseWriter) { w.Header().Set("Connection", "close") }
+
+// closeWhileDraining has a response close its connection if the service ends.
+func (s *Server) closeWhileDraining(w http.ResponseWriter) {
+	if s.draining() {
+		closeAfterResponse(w)
+	}
+}
+
+// reject rejects a request and closes its connection.
+func reject(w http.ResponseWriter, in *http.Request, err error) {
+	closeAfterResponse(w)
+	desk.WriteError(w, err)
+	discardBody(w, in)
+}
+
+// discardBody flushes the response and then reads what the client still sends, within limits: a connection
+// that is closed before is reset, and the client may never read its response (RFC 9112, section 9.6).
+func discardBody(w http.ResponseWriter, in *http.Request) {
+	if in.ContentLength == 0 || http.NewResponseController(w).Flush() != nil {
+		return
 	}
-	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout)) // likewise: the write fails
-	desk.WriteResponse(w, a)
+	_, _ = io.CopyN(io.Discard, in.Body, 2*httpmsg.BodyMost) // ends at the latest with ReadTimeout
 }
