http3front: standard names, Serve in steps; what both HTTP fronts repeat is desk's

Change: newTransport, admit, listen, dispatch; Dispatcher.LongestDeadline and WriteReadiness. Options are as before. Tests are named by condition and result.

--- a/internal/front/desk/desk.go
+++ b/internal/front/desk/desk.go
@@ -53,6 +53,15 @@
 	return &Dispatcher{engine: e, upstream: upstream, maxBodyBytes: maxBodyBytes, inFlight: map[string]bool{}}
 }
 
+// LongestDeadline is that of the class whose requests may take longest.
+func (d *Dispatcher) LongestDeadline() time.Duration {
+	var longest balancer.Micros
+	for _, c := range d.engine.Settings().Classes {
+		longest = max(longest, c.ClientTimeout)
+	}
+	return time.Duration(longest) * time.Microsecond
+}
+
 // ReadBody reads a request's body, within its own limit and the limit of all bodies together. The caller
 // calls release once the body is not needed any more. Its errors are ErrBusy and *intake.Error.
 func (d *Dispatcher) ReadBody(w http.ResponseWriter, in *http.Request) (body []byte, release func(), err error) {
--- a/internal/front/desk/response.go
+++ b/internal/front/desk/response.go
@@ -28,6 +28,16 @@
 	_, _ = w.Write(r.Body) // a client that has disconnected needs no response
 }
 
+// ReadinessPath is answered by the fronts themselves, by WriteReadiness.
+const ReadinessPath = "/health/ready"
+
+// WriteReadiness writes 200 if requests can be served, 503 while the front drains or no endpoint is known.
+func (d *Dispatcher) WriteReadiness(w http.ResponseWriter, draining bool) {
+	if draining || !d.engine.HasEndpoints() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
 // WriteError rejects an invalid request, with the reason as the body.
 func WriteError(w http.ResponseWriter, err error) {
 	text := err.Error() + "\n"
--- a/internal/front/http3front/server.go
+++ b/internal/front/http3front/server.go
@@ -1,6 +1,10 @@
-// Package http3front takes the application's requests over HTTP/3 (RFC 9114) on QUIC
-// (RFC 9000) and gives their final answers. What a request must say, how its body is
-// bounded and what its answer is are those of all fronts (packages intake and desk).
+// Package http3front is the HTTP/3 front (RFC 9114 on QUIC, RFC 9000): it accepts clients' connections, passes
+// each request to the engine through a desk.Dispatcher and writes the response. Headers, the limits of bodies
+// and responses are those of all fronts (packages intake and desk).
+//
+// A Server's state is counters; its calls run in goroutines of quic-go and net/http. Nothing outlives the
+// process, but the key of stateless resets is derived from the certificate's, so that a restarted process can
+// end connections of the one before.
 package http3front
 
 import (
@@ -29,118 +33,112 @@
 )
 
 const (
-	// A request comes in one piece from a client; one that takes longer to send its body
-	// is silent, slow on purpose or dead.
+	// readTimeout is how long a request's body may take to arrive: a client sends it in one piece.
 	readTimeout = 2 * time.Second
-	// A phone that changes networks is silent for some seconds, and its connection must
-	// outlive that; one that has gone for good is forgotten after it.
+	// idleTimeout ends connections on which nothing is received. A phone that changes networks is silent
+	// for some seconds, and its connection must outlive that.
 	idleTimeout = 30 * time.Second
-	// Answers are of at most httpmsg.BodyMost, and so are requests: windows need no more.
+	// Bodies of requests and responses have httpmsg.BodyMost at most: flow control needs no more.
 	streamWindow     = httpmsg.BodyMost
 	connectionWindow = 16 * streamWindow
-	// New connections from addresses that are not verified, in a second, from which on
-	// each has to show that it hears what is sent there (RFC 9000, section 8.1.2).
-	verifyFrom = 100
+	// maxUnverifiedPerSecond is how many new connections per second are accepted from addresses that are
+	// not verified. Each one beyond has to prove that it receives at its address (RFC 9000, section 8.1.2).
+	maxUnverifiedPerSecond = 100
 )
 
-// Options bound what clients may hold.
+// Options are the limits of a server.
 type Options struct {
-	Room        *keyroom.Room // whose keys it shows, and whom it lets in
-	Name        string        // of the instance: no other's packets are answered as its own
+	Room        *keyroom.Room // certificates of the server, and the roots that clients are verified by
+	Name        string        // of the instance: it makes the key of stateless resets its own
 	Connections int           // open at most
-	Streams     int           // requests open at once on one connection
-	BodyBytes   int64         // of requests in hand, at most
-	Early       bool          // 0-RTT is accepted, for classes that are safe to repeat (RFC 8470)
+	Streams     int           // requests in flight on one connection, at most
+	BodyBytes   int64         // of the requests in flight together, at most
+	Early       bool          // accept 0-RTT data, for idempotent classes (RFC 8470)
 	Parser      *intake.Parser
 	Log         *slog.Logger
 }
 
-// Server takes the application's requests.
+// Server is the front. Make one with New.
 type Server struct {
 	engine     *engine.Engine
 	dispatcher *desk.Dispatcher
 	opts       Options
 	http       http3.Server
-	ending     atomic.Bool
+	draining   atomic.Bool
 
-	open   atomic.Int64 // connections
-	second atomic.Int64 // that new connections are counted in
-	fresh  atomic.Int64 // new connections in it
-	asked  atomic.Int64 // addresses that had to be verified
+	open        atomic.Int64 // connections
+	second      atomic.Int64 // Unix time that newInSecond is counted in
+	newInSecond atomic.Int64 // connections
+	verified    atomic.Int64 // connections whose address had to be verified
 }
 
 // connKey finds the connection of a request in its context.
 type connKey struct{}
 
-// client is a connection of a client's.
-type client struct {
+// clientConn is a client's connection.
+type clientConn struct {
 	*quic.Conn
-	room     *keyroom.Room
-	material int
-	once     sync.Once
-	life     *keyroom.Life
+	certificates *keyroom.Room
+	material     int // number of the certificates at the start of the handshake
+	once         sync.Once
+	credentials  *keyroom.Life // set by once
 }
 
-// stands says how the connection's keys stand. Nothing is known before its handshake is done,
-// and then nothing can have changed much.
-func (c *client) stands() (trusted bool, reason string) {
-	if c.early() {
+// checkCredentials reports whether the certificates of a connection are still valid, and if not the reason.
+// Before the handshake is complete they are not known, and cannot have changed much since.
+func (c *clientConn) checkCredentials() (trusted bool, reason string) {
+	if c.mayBeEarlyData() {
 		return true, ""
 	}
 	c.once.Do(func() {
-		c.life = c.room.Life(c.ConnectionState().TLS, x509.ExtKeyUsageClientAuth, c.material)
+		c.credentials = c.certificates.Life(c.ConnectionState().TLS, x509.ExtKeyUsageClientAuth, c.material)
 	})
-	_, trusted, reason = c.life.At(time.Now())
+	_, trusted, reason = c.credentials.At(time.Now())
 	return trusted, reason
 }
 
-// New returns a server that passes requests to the engine and has them carried by the
-// upstream.
-func New(e *engine.Engine, up engine.Upstream, o Options) *Server {
+// mayBeEarlyData reports whether a request may have arrived in 0-RTT data, which anybody may replay. Once the
+// handshake is complete its client is known to be there (RFC 8470, section 3).
+func (c *clientConn) mayBeEarlyData() bool {
+	select {
+	case <-c.HandshakeComplete():
+		return false
+	default:
+		return true
+	}
+}
+
+// New returns a server that passes requests to the engine, whose attempts the upstream sends.
+func New(e *engine.Engine, upstream engine.Upstream, o Options) *Server {
 	if o.Parser == nil {
 		o.Parser = intake.NewParser(e.Settings())
 	}
-	s := &Server{engine: e, dispatcher: desk.New(e, up, o.BodyBytes), opts: o}
-	s.http = http3.Server{Handler: http.HandlerFunc(s.handle), MaxHeaderBytes: httpmsg.HeadMost, Logger: o.Log,
+	s := &Server{engine: e, dispatcher: desk.New(e, upstream, o.BodyBytes), opts: o}
+	s.http = http3.Server{
+		Handler:        http.HandlerFunc(s.handle),
+		MaxHeaderBytes: httpmsg.HeadMost,
+		Logger:         o.Log,
 		ConnContext: func(ctx context.Context, c *quic.Conn) context.Context {
-			return context.WithValue(ctx, connKey{}, &client{Conn: c, room: o.Room, material: o.Room.Number()})
-		}}
+			conn := &clientConn{Conn: c, certificates: o.Room, material: o.Room.Number()}
+			return context.WithValue(ctx, connKey{}, conn)
+		},
+	}
 	return s
 }
 
-// errCrowded turns a connection away before its handshake.
-var errCrowded = errors.New("as many connections are open as may be")
+// errTooManyConnections rejects a connection before its handshake.
+var errTooManyConnections = errors.New("the limit of open connections is reached")
 
-// Serve serves until ctx ends, then sends GOAWAY, answers what it has taken and returns.
-// It closes conn.
+// Serve serves until ctx ends, then sends GOAWAY, answers the requests that it has accepted and returns. It
+// closes conn.
 func (s *Server) Serve(ctx context.Context, conn net.PacketConn) error {
-	// After a restart clients' connections are known no more, and without a word to them each
-	// would wait for its idle time-out (RFC 9000, section 10.3). The key must be the same then,
-	// and another for each instance: one that reset another's connections could be used to
-	// end them (section 21.11).
-	secret, err := s.opts.Room.Secret("QUIC stateless reset, " + s.opts.Name)
+	defer conn.Close()
+	transport, err := s.newTransport(conn)
 	if err != nil {
-		conn.Close()
-		return fmt.Errorf("stateless reset: %w", err)
+		return err
 	}
-	resets := quic.StatelessResetKey(secret)
-	transport := &quic.Transport{Conn: conn, StatelessResetKey: &resets, VerifySourceAddress: s.verify,
-		ConnContext: func(ctx context.Context, _ *quic.ClientInfo) (context.Context, error) {
-			if s.open.Add(1) > int64(s.opts.Connections) {
-				s.open.Add(-1)
-				return nil, errCrowded
-			}
-			context.AfterFunc(ctx, func() { s.open.Add(-1) })
-			return ctx, nil
-		}}
-	defer conn.Close()
 	defer transport.Close()
-	set := s.opts.Room.Server()
-	set.MinVersion = tls.VersionTLS13
-	listener, err := transport.ListenEarly(http3.ConfigureTLSConfig(set), &quic.Config{MaxIdleTimeout: idleTimeout,
-		MaxIncomingStreams: int64(s.opts.Streams), Allow0RTT: s.opts.Early,
-		InitialStreamReceiveWindow: streamWindow, MaxStreamReceiveWindow: streamWindow,
-		InitialConnectionReceiveWindow: connectionWindow, MaxConnectionReceiveWindow: connectionWindow})
+	listener, err := s.listen(transport)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
@@ -155,12 +153,8 @@
 		return fmt.Errorf("serve: %w", serveErr)
 	case <-ctx.Done():
 	}
-	s.ending.Store(true)
-	var longest balancer.Micros
-	for _, c := range s.engine.Settings().Classes {
-		longest = max(longest, c.ClientTimeout)
-	}
-	end, cancel := context.WithTimeout(context.Background(), time.Duration(longest)*time.Microsecond)
+	s.draining.Store(true)
+	end, cancel := context.WithTimeout(context.Background(), s.dispatcher.LongestDeadline())
 	defer cancel()
 	err = s.http.Shutdown(end)
 	listener.Close()
@@ -171,70 +165,119 @@
 	return nil
 }
 
-// verify says whether a new connection's address must be verified first: under a flood
-// of connections, which may all come from addresses that are not the sender's.
-func (s *Server) verify(net.Addr) bool { return s.flooded(time.Now().Unix()) }
+// newTransport returns the QUIC transport over conn, which bounds the connections and the addresses that are
+// not verified, and resets connections of a process before this one.
+func (s *Server) newTransport(conn net.PacketConn) (*quic.Transport, error) {
+	// A restarted process does not know its clients' connections, and without a reset each would wait for
+	// its idle timeout (RFC 9000, section 10.3). The key must survive the restart, and differ between
+	// instances: one that reset another's connections could be used to end them (section 21.11).
+	secret, err := s.opts.Room.Secret("QUIC stateless reset, " + s.opts.Name)
+	if err != nil {
+		return nil, fmt.Errorf("stateless reset: %w", err)
+	}
+	resetKey := quic.StatelessResetKey(secret)
+	return &quic.Transport{
+		Conn:                conn,
+		StatelessResetKey:   &resetKey,
+		VerifySourceAddress: s.requiresVerification,
+		ConnContext:         s.admit,
+	}, nil
+}
+
+// admit counts a new connection until its context ends, and rejects it at the limit.
+func (s *Server) admit(ctx context.Context, _ *quic.ClientInfo) (context.Context, error) {
+	if s.open.Add(1) > int64(s.opts.Connections) {
+		s.open.Add(-1)
+		return nil, errTooManyConnections
+	}
+	context.AfterFunc(ctx, func() { s.open.Add(-1) })
+	return ctx, nil
+}
 
-// flooded counts a new connection in a second, and says whether there are too many in it.
-func (s *Server) flooded(second int64) bool {
+// listen starts to accept connections.
+func (s *Server) listen(transport *quic.Transport) (*quic.EarlyListener, error) {
+	config := s.opts.Room.Server()
+	config.MinVersion = tls.VersionTLS13
+	return transport.ListenEarly(http3.ConfigureTLSConfig(config), &quic.Config{
+		MaxIdleTimeout:                 idleTimeout,
+		MaxIncomingStreams:             int64(s.opts.Streams),
+		Allow0RTT:                      s.opts.Early,
+		InitialStreamReceiveWindow:     streamWindow,
+		MaxStreamReceiveWindow:         streamWindow,
+		InitialConnectionReceiveWindow: connectionWindow,
+		MaxConnectionReceiveWindow:     connectionWindow,
+	})
+}
+
+// requiresVerification reports whether a new connection's address must be verified first: under a flood of
+// connections, whose source addresses may be forged.
+func (s *Server) requiresVerification(net.Addr) bool { return s.aboveUnverifiedRate(time.Now().Unix()) }
+
+// aboveUnverifiedRate counts a new connection in a second, and reports whether there are too many in it.
+func (s *Server) aboveUnverifiedRate(second int64) bool {
 	if s.second.Swap(second) != second {
-		s.fresh.Store(0)
+		s.newInSecond.Store(0)
 	}
-	if s.fresh.Add(1) <= verifyFrom {
+	if s.newInSecond.Add(1) <= maxUnverifiedPerSecond {
 		return false
 	}
-	s.asked.Add(1)
+	s.verified.Add(1)
 	return true
 }
 
-// Connections counts the open ones.
+// Connections returns the number of open connections.
 func (s *Server) Connections() int { return int(s.open.Load()) }
 
-// Verified counts the connections whose address had to be verified first.
-func (s *Server) Verified() int { return int(s.asked.Load()) }
-
-// early says that a request may have come in 0-RTT data, which anybody may replay. Once
-// the handshake is done its client is known to be there (RFC 8470, section 3).
-func (c *client) early() bool {
-	select {
-	case <-c.HandshakeComplete():
-		return false
-	default:
-		return true
-	}
-}
+// Verified returns the number of connections whose address had to be verified first.
+func (s *Server) Verified() int { return int(s.verified.Load()) }
 
-// handle reads a request whole and answers it.
+// handle answers one request. It rejects an invalid one before its body is read.
 func (s *Server) handle(w http.ResponseWriter, in *http.Request) {
 	arrived := s.engine.Now()
-	if in.URL.Path == "/health/ready" {
-		if s.ending.Load() || !s.engine.HasEndpoints() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
+	if in.URL.Path == desk.ReadinessPath {
+		s.dispatcher.WriteReadiness(w, s.draining.Load())
 		return
 	}
-	c := in.Context().Value(connKey{}).(*client)
-	if trusted, reason := c.stands(); !trusted {
+	c := in.Context().Value(connKey{}).(*clientConn)
+	if trusted, reason := c.checkCredentials(); !trusted {
 		desk.WriteError(w, &intake.Error{Code: http.StatusForbidden, Reason: reason})
 		return
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(readTimeout)) // fails where the stream is over: reading tells that, too
-	if in.ContentLength < 0 && in.Method == http.MethodGet {
-		// A head does not say whether a body follows: its stream's end does.
-		if n, err := in.Body.Read(make([]byte, 1)); n == 0 && errors.Is(err, io.EOF) {
-			in.ContentLength, in.Body = 0, http.NoBody
-		}
-	}
-	req, err := s.opts.Parser.Parse(intake.Request{Method: in.Method, Host: in.Host, Path: in.URL.Path, Header: in.Header,
-		Body: in.ContentLength != 0, At: arrived})
+	// Fails if the stream has ended: so does reading.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(readTimeout))
+	detectEmptyBody(in)
+	req, err := s.opts.Parser.Parse(intake.Request{
+		Method: in.Method,
+		Host:   in.Host,
+		Path:   in.URL.Path,
+		Header: in.Header,
+		Body:   in.ContentLength != 0,
+		At:     arrived,
+	})
 	if err != nil {
 		desk.WriteError(w, err)
 		return
 	}
-	if c.early() && s.engine.Settings().Classes[req.Class].Idempotency != balancer.Idempotent {
+	if c.mayBeEarlyData() && s.engine.Settings().Classes[req.Class].Idempotency != balancer.Idempotent {
 		w.WriteHeader(http.StatusTooEarly)
 		return
 	}
+	s.dispatch(w, in, req)
+}
+
+// detectEmptyBody finds out whether a GET of unknown length has a body: in HTTP/3 the header does not say so, the
+// end of the stream does.
+func detectEmptyBody(in *http.Request) {
+	if in.ContentLength >= 0 || in.Method != http.MethodGet {
+		return
+	}
+	if n, err := in.Body.Read(make([]byte, 1)); n == 0 && errors.Is(err, io.EOF) {
+		in.ContentLength, in.Body = 0, http.NoBody
+	}
+}
+
+// dispatch reads a request's body, passes the request to the engine and writes its response.
+func (s *Server) dispatch(w http.ResponseWriter, in *http.Request, req intake.Parsed) {
 	body, release, err := s.dispatcher.ReadBody(w, in)
 	if errors.Is(err, desk.ErrBusy) {
 		desk.WriteBusy(w)
@@ -244,13 +287,13 @@
 		return
 	}
 	defer release()
-	a, err := s.dispatcher.Dispatch(in, req, body)
+	response, err := s.dispatcher.Dispatch(in, req, body)
 	switch {
 	case errors.Is(err, desk.ErrDisconnected):
 		panic(http.ErrAbortHandler)
 	case err != nil:
 		desk.WriteError(w, err)
 	default:
-		desk.WriteResponse(w, a)
+		desk.WriteResponse(w, response)
 	}
 }
--- a/internal/front/http3front/server_test.go
+++ b/internal/front/http3front/server_test.go
@@ -28,20 +28,22 @@
 )
 
 var classes = []balancer.Class{
-	{Name: "read", Idempotency: balancer.Idempotent, LatencyObjective: 600_000, ClientTimeout: 3_000_000, PriorityWeight: 1},
-	{Name: "pay", Idempotency: balancer.IdempotentWithKey, DedupWindow: 1_500_000, LatencyObjective: 600_000, ClientTimeout: 3_000_000, PriorityWeight: 1},
+	{Name: "read", Idempotency: balancer.Idempotent,
+		LatencyObjective: 600_000, ClientTimeout: 3_000_000, PriorityWeight: 1},
+	{Name: "pay", Idempotency: balancer.IdempotentWithKey, DedupWindow: 1_500_000,
+		LatencyObjective: 600_000, ClientTimeout: 3_000_000, PriorityWeight: 1},
 }
 
-// world is a front with two servers behind it, and a relay before it.
-type world struct {
+// harness is a front with two servers behind it and a UDP relay in front of it.
+type harness struct {
 	t      *testing.T
 	fleet  *soko.Fleet
 	engine *engine.Engine
 	server *Server
-	direct string // its own address
+	direct string // the front's address, without the relay
 	relay  *udprelay.Relay
 	pair   *cert.Pair
-	end    context.CancelFunc
+	stop   context.CancelFunc
 	served chan error
 
 	mu   sync.Mutex
@@ -50,13 +52,14 @@
 	opts Options
 }
 
-func start(t *testing.T, work time.Duration, alter func(*Options)) *world {
+// start runs a front whose options alter may change, until the test ends.
+func start(t *testing.T, work time.Duration, alter func(*Options)) *harness {
 	t.Helper()
-	w := &world{t: t, fleet: &soko.Fleet{Classes: classes, Work: work}, pair: cert.New(t), served: make(chan error, 1)}
+	h := &harness{t: t, fleet: &soko.Fleet{Classes: classes, Work: work}, pair: cert.New(t), served: make(chan error, 1)}
 	list := engine.List{Complete: true}
 	var servers []*soko.Server
 	for n := range 2 {
-		s, err := w.fleet.Start(fmt.Sprint("s-", n), n)
+		s, err := h.fleet.Start(fmt.Sprint("s-", n), n)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -66,66 +69,87 @@
 	engineCtx, stop := context.WithCancel(context.Background())
 	up := httpupstream.New(httpupstream.Options{DialTimeout: time.Second, Idle: time.Second, Connections: 500})
 	var err error
-	w.engine, err = engine.New(engineCtx, engine.Options{Seed: 1, Zones: []string{"a"}, Upstream: up, Log: slog.New(slog.DiscardHandler),
-		Settings: balancer.Settings{Balancers: 1, Zones: 1, Classes: classes, Contract: balancer.Contract{SlowStartRatio: 1, OverloadMultiple: 2.5},
-			Limits: balancer.Limits{Cancel: true, RetryAfter: true, MaxAttempts: 3, MaxOpen: 1000, MaxRetryAfter: 1_000_000}}})
+	h.engine, err = engine.New(engineCtx, engine.Options{
+		Seed:     1,
+		Zones:    []string{"a"},
+		Upstream: up,
+		Log:      slog.New(slog.DiscardHandler),
+		Settings: balancer.Settings{
+			Balancers: 1,
+			Zones:     1,
+			Classes:   classes,
+			Contract:  balancer.Contract{SlowStartRatio: 1, OverloadMultiple: 2.5},
+			Limits: balancer.Limits{
+				Cancel: true, RetryAfter: true, MaxAttempts: 3, MaxOpen: 1000, MaxRetryAfter: 1_000_000},
+		},
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	o := Options{Room: w.pair.Room(t), Connections: 100, Streams: 50, BodyBytes: 1 << 20, Log: slog.New(slog.DiscardHandler)}
+	o := Options{
+		Room:        h.pair.Room(t),
+		Connections: 100,
+		Streams:     50,
+		BodyBytes:   1 << 20,
+		Log:         slog.New(slog.DiscardHandler),
+	}
 	if alter != nil {
 		alter(&o)
 	}
-	w.up, w.opts = up, o
-	w.server = New(w.engine, up, o)
+	h.up, h.opts = up, o
+	h.server = New(h.engine, up, o)
 	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	w.direct = conn.LocalAddr().String()
+	h.direct = conn.LocalAddr().String()
 	ctx, end := context.WithCancel(context.Background())
-	w.end = end
-	go w.engine.Run()
-	w.engine.Call(func(now balancer.Micros) { w.engine.UpdateEndpoints(now, balancer.ListFull, list) })
-	go func() { w.served <- w.server.Serve(ctx, conn) }()
-	if w.relay, err = udprelay.Start(conn.LocalAddr().String(), udprelay.Script{}); err != nil {
+	h.stop = end
+	go h.engine.Run()
+	h.engine.Call(func(now balancer.Micros) { h.engine.UpdateEndpoints(now, balancer.ListFull, list) })
+	go func() { h.served <- h.server.Serve(ctx, conn) }()
+	if h.relay, err = udprelay.Start(conn.LocalAddr().String(), udprelay.Script{}); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() {
-		w.end()
-		if err := <-w.served; err != nil {
+		h.stop()
+		if err := <-h.served; err != nil {
 			t.Errorf("the front ended with %v", err)
 		}
 		stop()
-		w.relay.Close()
+		h.relay.Close()
 		for _, s := range servers {
 			s.Close()
 		}
 		goleak.VerifyNone(t)
 	})
-	return w
+	return h
 }
 
-// client is one that has its own connection, through the relay. It pings, as phones do:
-// a server learns of a new address from what comes from there.
-func (w *world) client() *http3.Transport {
-	c := &http3.Transport{TLSClientConfig: w.pair.Client, QUICConfig: &quic.Config{MaxIdleTimeout: 10 * time.Second, KeepAlivePeriod: 100 * time.Millisecond}}
-	w.t.Cleanup(func() { c.Close() })
+// newClient returns a client with a connection of its own, through the relay. It sends keep-alives, as phones
+// do: a server learns a client's new address from packets that arrive from there.
+func (h *harness) newClient() *http3.Transport {
+	c := &http3.Transport{
+		TLSClientConfig: h.pair.Client,
+		QUICConfig:      &quic.Config{MaxIdleTimeout: 10 * time.Second, KeepAlivePeriod: 100 * time.Millisecond},
+	}
+	h.t.Cleanup(func() { c.Close() })
 	return c
 }
 
-func (w *world) request(method, class, body string) *http.Request {
-	w.mu.Lock()
-	w.ids++
-	id := w.ids
-	w.mu.Unlock()
+// newRequest returns a request through the relay, with an id and a key of its own.
+func (h *harness) newRequest(method, class, body string) *http.Request {
+	h.mu.Lock()
+	h.ids++
+	id := h.ids
+	h.mu.Unlock()
 	var in io.Reader
 	if body != "" {
 		in = strings.NewReader(body)
 	}
-	r, err := http.NewRequest(method, "https://"+w.relay.Address+"/"+class+"/x", in)
+	r, err := http.NewRequest(method, "https://"+h.relay.Address+"/"+class+"/x", in)
 	if err != nil {
-		w.t.Fatal(err)
+		h.t.Fatal(err)
 	}
 	r.Header.Set("X-Correlation-Id", fmt.Sprint("r-", id))
 	r.Header.Set("X-Service-Class", class)
@@ -136,7 +160,8 @@
 	return r
 }
 
-func (w *world) ask(c *http3.Transport, r *http.Request) (int, string) {
+// roundTrip sends a request and returns the status and the body, or 0 and the error.
+func (h *harness) roundTrip(c *http3.Transport, r *http.Request) (int, string) {
 	out, err := c.RoundTrip(r)
 	if err != nil {
 		return 0, err.Error()
@@ -149,10 +174,15 @@
 	return out.StatusCode, string(text)
 }
 
-// What is asked of a request, and what it is answered, is as on the other fronts.
-func TestRequests(t *testing.T) {
-	w := start(t, 0, nil)
-	c := w.client()
+// Requests are checked and answered as on the other fronts.
+func TestRequestsAreCheckedAsOnOtherFronts(t *testing.T) {
+	h := start(t, 0, nil)
+	c := h.newClient()
+	hugeBody := strings.Repeat("x", httpmsg.BodyMost+1)
+	unknownLength := func(r *http.Request) { r.ContentLength = -1 }
+	without := func(header string) func(*http.Request) {
+		return func(r *http.Request) { r.Header.Del(header) }
+	}
 	for _, x := range []struct {
 		name  string
 		r     *http.Request
@@ -160,80 +190,82 @@
 		code  int
 		says  string
 	}{
-		{"safe", w.request("GET", "read", ""), nil, 200, "done"},
-		{"keyed", w.request("POST", "pay", "body"), nil, 200, "done"},
-		{"of unknown length", w.request("POST", "pay", "body"), func(r *http.Request) { r.ContentLength = -1 }, 200, "done"},
-		{"no id", w.request("GET", "read", ""), func(r *http.Request) { r.Header.Del("X-Correlation-Id") }, 400, "X-Correlation-Id"},
-		{"no key", w.request("POST", "pay", "body"), func(r *http.Request) { r.Header.Del("Idempotency-Key") }, 400, "Idempotency-Key"},
-		{"a GET with a body", w.request("GET", "read", "body"), nil, 400, "no body"},
-		{"a wrong method", w.request("PUT", "pay", "body"), nil, 405, "POST"},
-		{"a huge body", w.request("POST", "pay", strings.Repeat("x", httpmsg.BodyMost+1)), nil, 413, "65536"},
-		{"a huge body of unknown length", w.request("POST", "pay", strings.Repeat("x", httpmsg.BodyMost+1)), func(r *http.Request) { r.ContentLength = -1 }, 413, "65536"},
-		{"no class", w.request("GET", "gift", ""), nil, 400, "gift"},
+		{"idempotent", h.newRequest("GET", "read", ""), nil, 200, "done"},
+		{"with a key", h.newRequest("POST", "pay", "body"), nil, 200, "done"},
+		{"of unknown length", h.newRequest("POST", "pay", "body"), unknownLength, 200, "done"},
+		{"no id", h.newRequest("GET", "read", ""), without("X-Correlation-Id"), 400, "X-Correlation-Id"},
+		{"no key", h.newRequest("POST", "pay", "body"), without("Idempotency-Key"), 400, "Idempotency-Key"},
+		{"a GET with a body", h.newRequest("GET", "read", "body"), nil, 400, "no body"},
+		{"a wrong method", h.newRequest("PUT", "pay", "body"), nil, 405, "POST"},
+		{"a huge body", h.newRequest("POST", "pay", hugeBody), nil, 413, "65536"},
+		{"a huge body of unknown length", h.newRequest("POST", "pay", hugeBody), unknownLength, 413, "65536"},
+		{"no class", h.newRequest("GET", "gift", ""), nil, 400, "gift"},
 	} {
 		if x.alter != nil {
 			x.alter(x.r)
 		}
-		if code, text := w.ask(c, x.r); code != x.code || !strings.Contains(text, x.says) {
+		if code, text := h.roundTrip(c, x.r); code != x.code || !strings.Contains(text, x.says) {
 			t.Errorf("%s: %d %q, want %d with %q", x.name, code, text, x.code, x.says)
 		}
 	}
-	r := w.request("GET", "read", "")
+	r := h.newRequest("GET", "read", "")
 	r.URL.Path = "/health/ready"
-	if code, _ := w.ask(c, r); code != 200 {
+	if code, _ := h.roundTrip(c, r); code != 200 {
 		t.Errorf("ready: %d", code)
 	}
-	if n := w.server.Connections(); n != 1 {
+	if n := h.server.Connections(); n != 1 {
 		t.Errorf("%d connections", n)
 	}
 }
 
-// A client's address changes in the middle of a payment: one answer, one effect, and no
-// second connection.
-func TestMigrationDuringAPayment(t *testing.T) {
-	w := start(t, 300*time.Millisecond, nil)
-	c := w.client()
-	if code, text := w.ask(c, w.request("GET", "read", "")); code != 200 {
+// A client whose address changes during a request gets its response on the same connection, and the request
+// runs once.
+func TestClientMigrationKeepsRequestAndConnection(t *testing.T) {
+	h := start(t, 300*time.Millisecond, nil)
+	c := h.newClient()
+	if code, text := h.roundTrip(c, h.newRequest("GET", "read", "")); code != 200 {
 		t.Fatal(code, text)
 	}
-	before := w.fleet.Counts().Run
-	answer := make(chan string)
+	before := h.fleet.Counts().Run
+	response := make(chan string)
 	go func() {
-		code, text := w.ask(c, w.request("POST", "pay", "body"))
-		answer <- fmt.Sprint(code, text)
+		code, text := h.roundTrip(c, h.newRequest("POST", "pay", "body"))
+		response <- fmt.Sprint(code, text)
 	}()
-	wait.Until(t, "the payment at its server", func() bool { return w.fleet.Counts().Run == before+1 })
-	if err := w.relay.Rebind(); err != nil {
+	wait.Until(t, "the request at its server", func() bool { return h.fleet.Counts().Run == before+1 })
+	if err := h.relay.Rebind(); err != nil {
 		t.Fatal(err)
 	}
-	if got := <-answer; got != "200done" {
-		t.Errorf("answer %s", got)
+	if got := <-response; got != "200done" {
+		t.Errorf("response %s", got)
 	}
-	if code, text := w.ask(c, w.request("GET", "read", "")); code != 200 {
+	if code, text := h.roundTrip(c, h.newRequest("GET", "read", "")); code != 200 {
 		t.Errorf("afterwards: %d %s", code, text)
 	}
-	if n, ran := w.server.Connections(), w.fleet.Counts().Run-before; n != 1 || ran != 2 || w.relay.Addresses() != 2 || len(w.fleet.Twice()) > 0 {
-		t.Errorf("%d connections, %d requests ran, %d addresses, done twice %v", n, ran, w.relay.Addresses(), w.fleet.Twice())
+	n, ran := h.server.Connections(), h.fleet.Counts().Run-before
+	if n != 1 || ran != 2 || h.relay.Addresses() != 2 || len(h.fleet.Twice()) > 0 {
+		t.Errorf("%d connections, %d requests ran, %d addresses, done twice %v", n, ran, h.relay.Addresses(), h.fleet.Twice())
 	}
 }
 
-// On a path that loses, doubles and swaps datagrams all is served, each effect once.
-func TestLossyPath(t *testing.T) {
+// On a path that loses, duplicates and reorders datagrams every request is served, and runs once.
+func TestLossyPathServesEachRequestOnce(t *testing.T) {
 	for _, loss := range []float64{0.05, 0.2} {
 		t.Run(fmt.Sprint(loss), func(t *testing.T) {
-			w := start(t, 0, nil)
-			w.relay.Set(udprelay.Script{Loss: loss, Double: 0.1, Swap: 0.1, Seed: 1})
-			c := w.client()
+			h := start(t, 0, nil)
+			h.relay.Set(udprelay.Script{Loss: loss, Double: 0.1, Swap: 0.1, Seed: 1})
+			c := h.newClient()
 			var all sync.WaitGroup
 			for range 30 {
 				all.Go(func() {
-					key := w.request("POST", "pay", "").Header.Get("Idempotency-Key")
+					key := h.newRequest("POST", "pay", "").Header.Get("Idempotency-Key")
 					code, text := 503, ""
-					for tries := 0; code == 503 && tries < 50; tries++ { // a fleet that nobody has asked takes little at first
-						r := w.request("POST", "pay", "body")
+					// Endpoints without traffic before accept few requests at first.
+					for retries := 0; code == 503 && retries < 50; retries++ {
+						r := h.newRequest("POST", "pay", "body")
 						r.Header.Set("X-Time-Left-Ms", "30000")
 						r.Header.Set("Idempotency-Key", key)
-						if code, text = w.ask(c, r); code == 503 {
+						if code, text = h.roundTrip(c, r); code == 503 {
 							time.Sleep(20 * time.Millisecond)
 						}
 					}
@@ -243,53 +275,57 @@
 				})
 			}
 			all.Wait()
-			if n := w.fleet.Counts(); n.Run != 30 || len(w.fleet.Twice()) > 0 {
-				t.Errorf("%+v, done twice %v", n, w.fleet.Twice())
+			if n := h.fleet.Counts(); n.Run != 30 || len(h.fleet.Twice()) > 0 {
+				t.Errorf("%+v, done twice %v", n, h.fleet.Twice())
 			}
 		})
 	}
 }
 
-// At its end the front answers what it has taken and takes nothing more: GOAWAY, and
-// H3_REQUEST_REJECTED for what comes all the same.
-func TestDrain(t *testing.T) {
-	w := start(t, 300*time.Millisecond, nil)
-	c := w.client()
-	answer := make(chan int)
-	go func() { code, _ := w.ask(c, w.request("POST", "pay", "body")); answer <- code }()
-	wait.Until(t, "the payment at its server", func() bool { return w.fleet.Counts().Run == 1 })
-	w.end()
-	wait.Until(t, "the end", w.server.ending.Load)
-	if code := <-answer; code != 200 {
-		t.Errorf("the request in hand: %d", code)
+// A draining front answers the requests that it has accepted and accepts no more: it sends GOAWAY, and
+// H3_REQUEST_REJECTED for later requests.
+func TestDrainAnswersAcceptedRequestsOnly(t *testing.T) {
+	h := start(t, 300*time.Millisecond, nil)
+	c := h.newClient()
+	response := make(chan int)
+	go func() {
+		code, _ := h.roundTrip(c, h.newRequest("POST", "pay", "body"))
+		response <- code
+	}()
+	wait.Until(t, "the request at its server", func() bool { return h.fleet.Counts().Run == 1 })
+	h.stop()
+	wait.Until(t, "draining", h.server.draining.Load)
+	if code := <-response; code != 200 {
+		t.Errorf("the request in flight: %d", code)
 	}
 	soon, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 	defer cancel()
-	if code, _ := w.ask(w.client(), w.request("GET", "read", "").WithContext(soon)); code != 0 {
-		t.Errorf("a request after the end: %d", code)
+	if code, _ := h.roundTrip(h.newClient(), h.newRequest("GET", "read", "").WithContext(soon)); code != 0 {
+		t.Errorf("a request while draining: %d", code)
 	}
-	if err := <-w.served; err != nil {
+	if err := <-h.served; err != nil {
 		t.Errorf("ended with %v", err)
 	}
-	w.served <- nil // for the cleanup
+	h.served <- nil // for the cleanup
 }
 
-// early opens a connection with what an earlier one left, and sends a request before the
-// handshake is done.
-func (w *world) early(r *http.Request) (*http3.RequestStream, func()) {
-	w.t.Helper()
+// early opens a connection with the session ticket of an earlier one, and sends a request before the handshake
+// is complete.
+func (h *harness) early(r *http.Request) (*http3.RequestStream, func()) {
+	h.t.Helper()
 	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
-		w.t.Fatal(err)
+		h.t.Fatal(err)
 	}
 	transport := &quic.Transport{Conn: socket}
-	to, err := net.ResolveUDPAddr("udp", w.relay.Address)
+	to, err := net.ResolveUDPAddr("udp", h.relay.Address)
 	if err != nil {
-		w.t.Fatal(err)
+		h.t.Fatal(err)
 	}
-	conn, err := transport.DialEarly(context.Background(), to, http3.ConfigureTLSConfig(w.pair.Client), &quic.Config{MaxIdleTimeout: 10 * time.Second})
+	conn, err := transport.DialEarly(context.Background(), to, http3.ConfigureTLSConfig(h.pair.Client),
+		&quic.Config{MaxIdleTimeout: 10 * time.Second})
 	if err != nil {
-		w.t.Fatal(err)
+		h.t.Fatal(err)
 	}
 	h3 := &http3.Transport{}
 	stream, err := h3.NewClientConn(conn).OpenRequestStream(context.Background())
@@ -300,7 +336,7 @@
 		err = stream.Close()
 	}
 	if err != nil {
-		w.t.Fatal(err)
+		h.t.Fatal(err)
 	}
 	return stream, func() {
 		_ = conn.CloseWithError(0, "")
@@ -309,29 +345,32 @@
 	}
 }
 
-// Early data may be a replay: only what is safe to repeat is taken from it, all else is
-// told to come again (RFC 8470), and nothing of it runs.
-func TestEarlyData(t *testing.T) {
-	w := start(t, 0, func(o *Options) { o.Early = true })
-	first := w.client()
-	if code, text := w.ask(first, w.request("GET", "read", "")); code != 200 {
+// Early data may be a replay: idempotent requests in it are served, all others are rejected with 425 (RFC 8470)
+// and do not run.
+func TestEarlyDataServesIdempotentRequestsOnly(t *testing.T) {
+	h := start(t, 0, func(o *Options) { o.Early = true })
+	first := h.newClient()
+	if code, text := h.roundTrip(first, h.newRequest("GET", "read", "")); code != 200 {
 		t.Fatal(code, text)
 	}
 	first.Close()
-	ran := w.fleet.Counts().Run
+	ran := h.fleet.Counts().Run
 	for _, x := range []struct {
 		method, class string
 		want          int
 	}{{"POST", "pay", http.StatusTooEarly}, {"GET", "read", http.StatusOK}} {
-		// The server hears the client, and is not heard: its handshake is not done.
-		w.relay.Deafen(udprelay.ToClient, true)
-		stream, end := w.early(w.request(x.method, x.class, ""))
+		// The client receives nothing from the server: its handshake is not complete.
+		h.relay.Deafen(udprelay.ToClient, true)
+		stream, end := h.early(h.newRequest(x.method, x.class, ""))
 		if x.want == 200 {
-			wait.Until(t, "the safe one to run early", func() bool { return w.fleet.Counts().Run == ran+1 })
+			wait.Until(t, "the idempotent request to run early", func() bool { return h.fleet.Counts().Run == ran+1 })
 		}
-		_, sent := w.relay.Passed()
-		wait.Until(t, "the server to answer into the void", func() bool { _, n := w.relay.Passed(); return n >= sent+2 })
-		w.relay.Deafen(udprelay.ToClient, false)
+		_, sent := h.relay.Passed()
+		wait.Until(t, "the server to send datagrams that are lost", func() bool {
+			_, n := h.relay.Passed()
+			return n >= sent+2
+		})
+		h.relay.Deafen(udprelay.ToClient, false)
 		out, err := stream.ReadResponse()
 		if err != nil || out.StatusCode != x.want {
 			t.Errorf("%s: %v, %v, want %d", x.class, out, err, x.want)
@@ -341,40 +380,41 @@
 		}
 		end()
 	}
-	if n := w.fleet.Counts().Run; n != ran+1 {
-		t.Errorf("%d ran early, want the safe one", n-ran)
+	if n := h.fleet.Counts().Run; n != ran+1 {
+		t.Errorf("%d ran early, want the idempotent request", n-ran)
 	}
 }
 
-// Connections are bounded before their handshake, and a flood of new ones has to show
-// that their addresses are theirs.
-func TestConnectionsAndAddresses(t *testing.T) {
-	w := start(t, 0, func(o *Options) { o.Connections = 3 })
+// Connections beyond the limit are rejected before their handshake, and in a flood of new ones addresses must be
+// verified.
+func TestConnectionLimitAndAddressVerification(t *testing.T) {
+	h := start(t, 0, func(o *Options) { o.Connections = 3 })
 	for n := range 5 {
-		r := w.request("GET", "read", "")
-		r.URL.Host = w.direct // the relay serves one client at a time
-		code, text := w.ask(w.client(), r)
+		r := h.newRequest("GET", "read", "")
+		r.URL.Host = h.direct // the relay serves one client at a time
+		code, text := h.roundTrip(h.newClient(), r)
 		if want := map[bool]int{true: 200, false: 0}[n < 3]; code != want {
 			t.Errorf("connection %d: %d %s", n, code, text)
 		}
 	}
-	if n := w.server.Connections(); n != 3 {
+	if n := h.server.Connections(); n != 3 {
 		t.Errorf("%d connections are open", n)
 	}
-	if w.server.Verified() > 0 {
-		t.Error("a few connections have to show their addresses")
-	}
-	// One that nobody connects to: a client that was turned away may have a datagram under way.
-	flooded := New(w.engine, w.up, w.opts)
-	for second, came := range []int{verifyFrom + 50, verifyFrom, verifyFrom + 1} {
-		asked := 0
-		for range came {
-			if flooded.flooded(int64(second + 1)) {
-				asked++
+	if h.server.Verified() > 0 {
+		t.Error("a few connections had their addresses verified")
+	}
+	// A server that nobody connects to: datagrams of a rejected client may still arrive at the other one.
+	flooded := New(h.engine, h.up, h.opts)
+	const limit = maxUnverifiedPerSecond
+	for second, connections := range []int{limit + 50, limit, limit + 1} {
+		verified := 0
+		for range connections {
+			if flooded.aboveUnverifiedRate(int64(second + 1)) {
+				verified++
 			}
 		}
-		if asked != came-verifyFrom {
-			t.Errorf("of %d new connections in a second %d have to", came, asked)
+		if verified != connections-limit {
+			t.Errorf("of %d new connections in a second %d are verified", connections, verified)
 		}
 	}
 	if n := flooded.Verified(); n != 51 {
@@ -382,37 +422,36 @@
 	}
 }
 
-// A client that opens streams and resets them at once holds nothing, and others are
-// served meanwhile.
-func TestResetFlood(t *testing.T) {
-	w := start(t, 50*time.Millisecond, nil)
+// A client that opens streams and resets them at once leaves nothing behind, and others are served meanwhile.
+func TestResetFloodLeavesNothingBehind(t *testing.T) {
+	h := start(t, 50*time.Millisecond, nil)
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	conn, err := quic.DialAddr(ctx, w.direct, http3.ConfigureTLSConfig(w.pair.Client), nil)
+	conn, err := quic.DialAddr(ctx, h.direct, http3.ConfigureTLSConfig(h.pair.Client), nil)
 	if err != nil {
 		t.Fatal(err)
 	}
 	h3 := (&http3.Transport{}).NewClientConn(conn)
-	c := w.client()
+	c := h.newClient()
 	for n := range 500 {
 		stream, err := h3.OpenRequestStream(ctx)
 		if err != nil {
 			t.Fatal(n, err)
 		}
-		if err := stream.SendRequestHeader(w.request("GET", "read", "")); err != nil {
+		if err := stream.SendRequestHeader(h.newRequest("GET", "read", "")); err != nil {
 			t.Fatal(n, err)
 		}
 		stream.CancelWrite(quic.StreamErrorCode(http3.ErrCodeRequestCanceled))
 		stream.CancelRead(quic.StreamErrorCode(http3.ErrCodeRequestCanceled))
 		if n%100 == 0 {
-			if code, text := w.ask(c, w.request("GET", "read", "")); code != 200 {
+			if code, text := h.roundTrip(c, h.newRequest("GET", "read", "")); code != 200 {
 				t.Errorf("another client: %d %s", code, text)
 			}
 		}
 	}
-	wait.Until(t, "nothing to be held", func() bool {
+	wait.Until(t, "no request in flight", func() bool {
 		n := 0
-		w.engine.Call(func(balancer.Micros) { n, _ = w.engine.Counts() })
+		h.engine.Call(func(balancer.Micros) { n, _ = h.engine.Counts() })
 		return n == 0
 	})
 	if err := conn.CloseWithError(0, ""); err != nil {
@@ -423,11 +462,11 @@
 	}
 }
 
-// A front that is killed and comes back tells clients of before that their connections are no more, at once and
-// by a key that is the same: they need not wait for an idle time-out. Another instance's key ends none of them.
-func TestStatelessReset(t *testing.T) {
-	w := start(t, 0, func(o *Options) { o.Name = "till-1" })
-	to, err := net.ResolveUDPAddr("udp", w.relay.Address)
+// A front that is killed and restarted resets the connections of the process before, by a key that survives the
+// restart: clients need not wait for their idle timeout. Another instance's key ends none of them.
+func TestRestartedInstanceResetsItsConnections(t *testing.T) {
+	h := start(t, 0, func(o *Options) { o.Name = "till-1" })
+	to, err := net.ResolveUDPAddr("udp", h.relay.Address)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -438,60 +477,61 @@
 	transport := &quic.Transport{Conn: socket}
 	defer socket.Close()
 	defer transport.Close()
-	conn, err := transport.Dial(context.Background(), to, http3.ConfigureTLSConfig(w.pair.Client), &quic.Config{MaxIdleTimeout: time.Minute, KeepAlivePeriod: 50 * time.Millisecond})
+	conn, err := transport.Dial(context.Background(), to, http3.ConfigureTLSConfig(h.pair.Client),
+		&quic.Config{MaxIdleTimeout: time.Minute, KeepAlivePeriod: 50 * time.Millisecond})
 	if err != nil {
 		t.Fatal(err)
 	}
 	client := (&http3.Transport{}).NewClientConn(conn)
-	out, err := client.RoundTrip(w.request("GET", "read", ""))
+	out, err := client.RoundTrip(h.newRequest("GET", "read", ""))
 	if err != nil || out.StatusCode != 200 {
 		t.Fatalf("%v, %v", out, err)
 	}
 	out.Body.Close()
 	restart := func(name string) {
-		w.relay.Deafen(udprelay.ToClient, true) // it is killed: nobody hears a farewell
-		w.end()
-		if err := <-w.served; err != nil {
+		h.relay.Deafen(udprelay.ToClient, true) // killed: no CONNECTION_CLOSE arrives
+		h.stop()
+		if err := <-h.served; err != nil {
 			t.Fatal(err)
 		}
-		if err := w.relay.Rebind(); err != nil { // nor later: what is on its way is lost
+		if err := h.relay.Rebind(); err != nil { // datagrams on their way are lost
 			t.Fatal(err)
 		}
-		again, err := net.ListenPacket("udp", w.direct)
+		sameSocket, err := net.ListenPacket("udp", h.direct)
 		if err != nil {
 			t.Fatal(err)
 		}
 		ctx, end := context.WithCancel(context.Background())
-		w.end = end
-		o := w.opts
+		h.stop = end
+		o := h.opts
 		o.Name = name
-		next := New(w.engine, w.up, o)
-		go func() { w.served <- next.Serve(ctx, again) }()
-		w.relay.Deafen(udprelay.ToClient, false)
+		next := New(h.engine, h.up, o)
+		go func() { h.served <- next.Serve(ctx, sameSocket) }()
+		h.relay.Deafen(udprelay.ToClient, false)
 	}
 	restart("till-2")
-	// A reset answers what is larger than itself (RFC 9000, section 10.3.3): a request, and no ping.
-	var asked sync.WaitGroup
-	ask := func() {
-		r := w.request("GET", "read", "")
-		asked.Go(func() {
+	// A reset responds to larger packets only (RFC 9000, section 10.3.3): to a request, not to a keep-alive.
+	var pending sync.WaitGroup
+	sendRequest := func() {
+		r := h.newRequest("GET", "read", "")
+		pending.Go(func() {
 			if out, err := client.RoundTrip(r); err == nil {
 				out.Body.Close()
-				t.Error("a connection that nobody knows has carried a request")
+				t.Error("an unknown connection has carried a request")
 			}
 		})
 	}
-	_, before := w.relay.Passed()
-	ask()
-	wait.Until(t, "another instance's resets", func() bool { _, n := w.relay.Passed(); return n > before+1 })
+	_, before := h.relay.Passed()
+	sendRequest()
+	wait.Until(t, "another instance's resets", func() bool { _, n := h.relay.Passed(); return n > before+1 })
 	if conn.Context().Err() != nil {
 		t.Fatalf("another instance has ended a connection: %v", context.Cause(conn.Context()))
 	}
 	restart("till-1")
-	ask()
+	sendRequest()
 	wait.Until(t, "the connection's end", func() bool { return conn.Context().Err() != nil })
 	if reset := (*quic.StatelessResetError)(nil); !errors.As(context.Cause(conn.Context()), &reset) {
 		t.Errorf("ended by %v", context.Cause(conn.Context()))
 	}
-	asked.Wait()
+	pending.Wait()
 }
--- a/internal/front/httpfront/drain.go
+++ b/internal/front/httpfront/drain.go
@@ -1,10 +1,6 @@
 package httpfront
 
-import (
-	"time"
-
-	"pinedale/balancer"
-)
+import "time"
 
 const (
 	// defaultAcceptTime is how long new connections are accepted after SIGTERM: clients go on connecting
@@ -28,7 +24,7 @@
 // closed when the listener is. net/http's Shutdown is not used: it closes as idle also a connection whose
 // request has been read and not yet parsed.
 func (s *Server) drain(served <-chan struct{}) {
-	longest := s.longestDeadline()
+	longest := s.dispatcher.LongestDeadline()
 	began := time.Now()
 	end := began.Add(s.opts.EndBy(longest))
 	s.endAt.Store(s.engine.Now() + time.Until(end).Microseconds())
@@ -59,14 +55,5 @@
 	}
 }
 
-// longestDeadline is that of the class that may take longest.
-func (s *Server) longestDeadline() time.Duration {
-	var longest balancer.Micros
-	for _, c := range s.engine.Settings().Classes {
-		longest = max(longest, c.ClientTimeout)
-	}
-	return time.Duration(longest) * time.Microsecond
-}
-
 // draining reports whether the service ends.
 func (s *Server) draining() bool { return s.endAt.Load() != 0 }
--- a/internal/front/httpfront/server.go
+++ b/internal/front/httpfront/server.go
@@ -30,9 +30,6 @@
 	writeTimeout = 2 * time.Second
 )
 
-// readinessPath is answered by the front itself.
-const readinessPath = "/health/ready"
-
 // Options are the limits of a server.
 type Options struct {
 	Connections int            // of clients, open at most
@@ -138,7 +135,7 @@
 		reject(w, in, err)
 		return
 	}
-	readiness := in.URL.Path == readinessPath
+	readiness := in.URL.Path == desk.ReadinessPath
 	var req intake.Parsed
 	if !readiness {
 		var err error
@@ -175,7 +172,7 @@
 		c.watchDisconnect(cancel)
 	}
 	if readiness {
-		s.writeReadiness(w)
+		s.dispatcher.WriteReadiness(w, s.draining())
 		return
 	}
 	// The request's time counts from its last byte, which has only come now.
@@ -238,13 +235,6 @@
 	desk.WriteResponse(w, response)
 }
 
-// writeReadiness writes 200 if requests can be served, else 503.
-func (s *Server) writeReadiness(w http.ResponseWriter) {
-	if s.draining() || !s.engine.HasEndpoints() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-	}
-}
-
 // closeAfterResponse has a response close its connection.
 func closeAfterResponse(w http.ResponseWriter) { w.Header().Set("Connection", "close") }
 
