site, pinedale-site, keyroom: log events are fixed messages

Cause: some lines were sentences. Change: "configuration reloaded", "configuration reload failed" (path, err, table), "certificate counters", "handshake counters", "shutting down", "file watch failed" and "folder watch failed" (poll_interval, err).

--- a/cmd/pinedale-site/main.go
+++ b/cmd/pinedale-site/main.go
@@ -235,10 +235,11 @@
 
 // load reads the file. Its error has a line for each fault, with the file's name.
 func load(path string) (*site.File, error) {
-	return told(path, func() (*site.File, error) { return site.Load(path) })
+	return loadWith(path, func() (*site.File, error) { return site.Load(path) })
 }
 
-func told(path string, load func() (*site.File, error)) (*site.File, error) {
+// loadWith is load with another function that reads the file.
+func loadWith(path string, load func() (*site.File, error)) (*site.File, error) {
 	f, err := load()
 	if err == nil {
 		return f, nil
@@ -250,6 +251,7 @@
 	return nil, errors.New(path + ":\n  " + strings.Join(lines, "\n  "))
 }
 
+// serve runs an instance until a signal other than SIGHUP, and reloads its file on SIGHUP.
 func serve(path string, f *site.File, signals <-chan os.Signal) error {
 	f.UseMemory()
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("instance", f.Name)
@@ -261,16 +263,16 @@
 	go func() {
 		for s := range signals {
 			if s != syscall.SIGHUP {
-				log.Info("ending", "signal", s.String())
+				log.Info("shutting down", "signal", s.String())
 				i.Shutdown()
 				continue
 			}
-			next, err := told(path, func() (*site.File, error) { return i.Next(path) })
+			next, err := loadWith(path, func() (*site.File, error) { return i.Next(path) })
 			if err == nil {
 				err = i.Reload(next)
 			}
 			if err != nil {
-				log.Error("configuration not reloaded, the old one holds", "error", err, "table", i.Table().Version)
+				log.Error("configuration reload failed", "path", path, "err", err, "table", i.Table().Version)
 			}
 		}
 	}()
--- a/cmd/pinedale-site/main_test.go
+++ b/cmd/pinedale-site/main_test.go
@@ -187,7 +187,7 @@
 	if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
 		t.Fatal(err)
 	}
-	wait.Until(t, "the bad file's line", func() bool { return log.Find("old one holds") != nil })
+	wait.Until(t, "the bad file's line", func() bool { return log.Find("configuration reload failed") != nil })
 	if code := get(); code != 200 || !second.LastRequest().IsZero() {
 		t.Errorf("after a bad file: %d", code)
 	}
--- a/internal/keyroom/keyroom.go
+++ b/internal/keyroom/keyroom.go
@@ -203,7 +203,7 @@
 func (r *Room) Run(ctx context.Context) {
 	var events <-chan fsnotify.Event
 	if watcher, err := fsnotify.NewWatcher(); err != nil {
-		r.o.Log.Warn("files are not watched, only looked at", "every", poll, "error", err)
+		r.o.Log.Warn("file watch failed", "poll_interval", poll, "err", err)
 	} else {
 		defer watcher.Close()
 		events = watcher.Events
@@ -213,7 +213,7 @@
 				continue
 			}
 			if err := watcher.Add(filepath.Dir(path)); err != nil {
-				r.o.Log.Warn("a folder is not watched, only looked at", "every", poll, "folder", filepath.Dir(path), "error", err)
+				r.o.Log.Warn("folder watch failed", "poll_interval", poll, "folder", filepath.Dir(path), "err", err)
 			}
 		}
 	}
--- a/internal/site/run.go
+++ b/internal/site/run.go
@@ -365,10 +365,9 @@
 // Table is the one in use.
 func (i *Instance) Table() *policy.Table { return i.table.Load() }
 
-// Reload looks at the keys' files again and goes over to another file, which Next has read: its classes, routes, pools,
-// tenants and admission, and its source of membership. Requests in hand keep what they
-// began with. All else stays as it was at the start. If it returns an error, nothing has
-// changed.
+// Reload reads the keys' files again and applies another file, which Next has read: its classes, routes, pools,
+// tenants and admission, and its source of membership. Requests in flight keep the settings that they started
+// with; all else stays as it was at the start. After an error nothing has changed.
 func (i *Instance) Reload(f *File) error {
 	err := errors.New("the instance has ended")
 	i.engine.Call(func(now balancer.Micros) {
@@ -391,8 +390,8 @@
 		return err
 	}
 	i.rooms.look()
-	i.tellKeys()
-	i.log.Info("configuration reloaded: classes, routes, limits of tenants and servers are the new file's, all else is as at the start", "table", f.table.Version)
+	i.logCounters()
+	i.log.Info("configuration reloaded", "table", f.table.Version)
 	return nil
 }
 
@@ -414,17 +413,18 @@
 	return i.secure.Counters(), true
 }
 
-// tellKeys logs the counters of keys and handshakes.
-func (i *Instance) tellKeys() {
+// logCounters logs the counters of keys and handshakes.
+func (i *Instance) logCounters() {
 	for name, c := range i.Keys() {
 		args := []any{"keys", name, "taken", c.Taken, "kept", c.Kept}
 		if c.Left != 0 {
 			args = append(args, "days_left", int(c.Left/(24*time.Hour)))
 		}
-		i.log.Info("keys since the start", args...)
+		i.log.Info("certificate counters", args...)
 	}
 	if c, ok := i.Security(); ok {
-		i.log.Info("handshakes with servers since the start", "full", c.Full, "resumed", c.Resumed, "failed", c.Failed, "sessions", c.Sessions,
+		i.log.Info("handshake counters",
+			"full", c.Full, "resumed", c.Resumed, "failed", c.Failed, "sessions", c.Sessions,
 			"turns_waited", c.Turns.Waited, "turns_refused", c.Turns.Refused, "turns_put_off", c.Turns.Put)
 	}
 }
@@ -474,7 +474,7 @@
 		}
 		errs = append(errs, err)
 	}
-	i.tellKeys()
+	i.logCounters()
 	i.closePeers() // the last requests in hand were agreed on by now
 	i.stop()
 	return errors.Join(append(errs, i.closeUp())...)
--- a/internal/site/secure_test.go
+++ b/internal/site/secure_test.go
@@ -124,7 +124,7 @@
 					t.Errorf("requests went to %+v and %+v", w.fleet[0].Counts(), w.fleet[1].Counts())
 				}
 				wait.Until(t, "the failed handshake", func() bool { c, ok := w.Security(); return ok && c.Failed[reason] > 0 })
-				w.tellKeys()
+				w.logCounters()
 				if said := w.log.String(); !strings.Contains(said, "expected=s-0.example.org") || !strings.Contains(said, "failed=map["+reason) {
 					t.Errorf("the log says %s", said)
 				}
