--- a/internal/measure/departures/departures.go
+++ b/internal/measure/departures/departures.go
@@ -50,14 +50,14 @@
 	{Name: "waits in the engine's queue", queue: true, leave: closed},
 	{Name: "a byte behind the request", cancel: true, behind: "P", leave: closed},
 	{Name: "requests behind the request", cancel: true, behind: "GET / HTTP/1.1\r\n\r\nGET / HTTP/1.1\r\n\r\n", leave: reset},
-	{Name: "one direction is shut down", leave: func(c *net.TCPConn) { c.CloseWrite() }},
+	{Name: "one direction is shut down", leave: func(c *net.TCPConn) { _ = c.CloseWrite() }},
 	{Name: "in the middle of the body", part: true, leave: closed},
 }
 
 func closed(c *net.TCPConn) { c.Close() }
 
 func reset(c *net.TCPConn) {
-	c.SetLinger(0)
+	_ = c.SetLinger(0) // a connection that has ended needs no reset
 	c.Close()
 }
 
@@ -76,30 +76,53 @@
 	came map[string]time.Time // by id
 }
 
+// serve accepts connections until the listener is closed.
 func (s *server) serve() {
 	for {
 		conn, err := s.Accept()
 		if err != nil {
 			return
 		}
-		go func() {
-			defer conn.Close()
-			in := bufio.NewReader(conn)
-			for {
-				r, err := http.ReadRequest(in)
-				if err != nil {
-					return
-				}
-				if _, err := io.Copy(io.Discard, r.Body); err != nil {
-					return
-				}
-				s.mu.Lock()
-				s.came[r.Header.Get("X-Correlation-Id")] = time.Now()
-				s.mu.Unlock()
-				io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
-			}
-		}()
+		go s.connection(conn)
+	}
+}
+
+// connection answers the requests of one connection.
+func (s *server) connection(conn net.Conn) {
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.came[r.Header.Get("X-Correlation-Id")] = time.Now()
+		s.mu.Unlock()
+		// A sidecar that has gone shows in the next read.
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
+	}
+}
+
+// sent returns of how many clients' requests came after their client had left, and of how many they came
+// more than Tolerance after it.
+func (s *server) sent(left map[string]time.Time) (sent, late int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, at := range left {
+		came, ok := s.came[id]
+		if !ok || !came.After(at) {
+			continue
+		}
+		sent++
+		if came.Sub(at) > Tolerance {
+			late++
+		}
 	}
+	return sent, late
 }
 
 // Run measures one case with at least so many departures.
@@ -113,15 +136,45 @@
 	go s.serve()
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	log := slog.New(slog.DiscardHandler)
-	up := httpupstream.New(httpupstream.Options{DialTimeout: 4 * hold, Idle: time.Minute, Connections: 4 * batch,
+	up := newUpstream(c)
+	e, err := startEngine(ctx, c, up, listener.Addr().String())
+	if err != nil {
+		return nil, err
+	}
+	clients, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	front := httpfront.New(e, up, httpfront.Options{Connections: 4 * batch, Crowded: 4 * batch, BodyBytes: 64 << 20, AcceptFor: time.Millisecond, Log: slog.New(slog.DiscardHandler)})
+	fronts, end := context.WithCancel(context.Background())
+	defer end()
+	go func() { _ = front.Serve(fronts, clients) }() // it ends with fronts
+
+	out, left := &Result{Case: c}, map[string]time.Time{}
+	for out.Departures < departures {
+		if err := depart(c, e, clients.Addr().String(), out.Departures, left); err != nil {
+			return nil, err
+		}
+		out.Departures += batch
+	}
+	out.Sent, out.Late = s.sent(left)
+	return out, nil
+}
+
+// newUpstream makes the sidecar's connections, which take hold to come up unless requests wait in the queue.
+func newUpstream(c Case) *httpupstream.Upstream {
+	return httpupstream.New(httpupstream.Options{DialTimeout: 4 * hold, Idle: time.Minute, Connections: 4 * batch,
 		Dialer: net.Dialer{Control: func(string, string, syscall.RawConn) error {
 			if !c.queue {
 				time.Sleep(hold)
 			}
 			return nil
 		}}})
-	e, err := engine.New(ctx, engine.Options{Upstream: up, Log: log, Seed: 1, Settings: balancer.Settings{Balancers: 1,
+}
+
+// startEngine starts the sidecar's engine, with all its servers at one address.
+func startEngine(ctx context.Context, c Case, up *httpupstream.Upstream, address string) (*engine.Engine, error) {
+	e, err := engine.New(ctx, engine.Options{Upstream: up, Log: slog.New(slog.DiscardHandler), Seed: 1, Settings: balancer.Settings{Balancers: 1,
 		Classes:  []balancer.Class{{Name: "order", Idempotency: balancer.NotIdempotent, LatencyObjective: 60_000_000, ClientTimeout: 60_000_000, PriorityWeight: 1}},
 		Limits:   balancer.Limits{Cancel: c.cancel, MaxAttempts: 1, MaxOpen: 4 * batch},
 		Contract: balancer.Contract{SlowStartRatio: 0.3, OverloadMultiple: 2.5}}})
@@ -132,67 +185,47 @@
 	e.Call(func(now balancer.Micros) {
 		list := engine.List{Complete: true}
 		for n := range names {
-			list.Hosts = append(list.Hosts, engine.Host{Name: fmt.Sprint("s-", n), Address: listener.Addr().String(), Weight: 1})
+			list.Hosts = append(list.Hosts, engine.Host{Name: fmt.Sprint("s-", n), Address: address, Weight: 1})
 		}
 		e.UpdateEndpoints(now, balancer.ListFull, list)
 	})
-	clients, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	front := httpfront.New(e, up, httpfront.Options{Connections: 4 * batch, Crowded: 4 * batch, BodyBytes: 64 << 20, AcceptFor: time.Millisecond, Log: log})
-	served := make(chan error, 1)
-	fronts, end := context.WithCancel(context.Background())
-	defer end()
-	go func() { served <- front.Serve(fronts, clients) }()
+	return e, nil
+}
 
-	out, left := &Result{Case: c}, map[string]time.Time{}
-	for out.Departures < departures {
-		begun := time.Now()
-		if c.queue {
-			go e.Post(func(balancer.Micros) { time.Sleep(hold) })
-		}
-		conns := map[string]*net.TCPConn{}
-		for n := range batch {
-			id := fmt.Sprint(out.Departures + n)
-			conn, err := net.Dial("tcp", clients.Addr().String())
-			if err != nil {
-				return nil, err
-			}
-			body := "body"
-			if c.part {
-				body = "bo"
-			}
-			fmt.Fprintf(conn, "POST /order HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: %s\r\nX-Service-Class: order\r\nX-Time-Left-Ms: 50000\r\nContent-Length: 4\r\n\r\n%s", id, body)
-			conns[id] = conn.(*net.TCPConn)
-		}
-		time.Sleep(hold / 10) // they are in hand
-		for _, conn := range conns {
-			io.WriteString(conn, c.behind)
-		}
-		time.Sleep(hold / 10)
-		for id, conn := range conns {
-			left[id] = time.Now()
-			c.leave(conn)
+// depart has a batch of clients ask and leave while their requests wait, and notes when each has left.
+func depart(c Case, e *engine.Engine, front string, first int, left map[string]time.Time) error {
+	begun := time.Now()
+	if c.queue {
+		go e.Post(func(balancer.Micros) { time.Sleep(hold) })
+	}
+	conns := map[string]*net.TCPConn{}
+	for n := range batch {
+		id := fmt.Sprint(first + n)
+		conn, err := net.Dial("tcp", front)
+		if err != nil {
+			return err
 		}
-		out.Departures += batch
-		time.Sleep(time.Until(begun.Add(2 * hold)))
-		for _, conn := range conns {
-			conn.Close()
+		body := "body"
+		if c.part {
+			body = "bo"
 		}
+		fmt.Fprintf(conn, "POST /order HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: %s\r\nX-Service-Class: order\r\nX-Time-Left-Ms: 50000\r\nContent-Length: 4\r\n\r\n%s", id, body)
+		conns[id] = conn.(*net.TCPConn)
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for id, at := range left {
-		if came, sent := s.came[id]; sent && came.After(at) {
-			out.Sent++
-			if came.Sub(at) > Tolerance {
-				out.Late++
-			}
-		}
+	time.Sleep(hold / 10) // they are in hand
+	for _, conn := range conns {
+		_, _ = io.WriteString(conn, c.behind) // a request that is not in hand is not sent either
 	}
-	end()
-	return out, nil
+	time.Sleep(hold / 10)
+	for id, conn := range conns {
+		left[id] = time.Now()
+		c.leave(conn)
+	}
+	time.Sleep(time.Until(begun.Add(2 * hold)))
+	for _, conn := range conns {
+		conn.Close()
+	}
+	return nil
 }
 
 // Results are those of all cases.
--- a/internal/measure/gossip/gossip.go
+++ b/internal/measure/gossip/gossip.go
@@ -69,175 +69,260 @@
 // tick is the grain of virtual time: a message takes one.
 const tick = 10 * time.Millisecond
 
+// node is one instance: its store, and when it does next what it does at intervals.
 type node struct {
 	store                 *replication.Store
 	tell, rumour, compare time.Duration
 	start                 int
-	sent                  int
+	sent                  int // bytes
 	number                int // of its next entry
 	inbox, next           []message.Message
 }
 
+// entry names one entry of an origin.
+type entry struct {
+	origin string
+	seq    uint64
+}
+
+// simulation is a fleet of one size on virtual time.
+type simulation struct {
+	options  Options
+	limits   replication.Limits
+	rng      *rand.Rand
+	nodes    []*node
+	told     map[entry]*telling
+	messages int
+	busy     time.Duration // of all instances' modules
+	turn     time.Duration // the longest of one
+	now      time.Duration
+}
+
+// one simulates a fleet of n instances.
 func one(o Options, n int) (Row, error) {
-	row := Row{Instances: n}
-	rng := rand.New(rand.NewPCG(o.Seed, uint64(n)))
-	anything := func([]byte) error { return nil }
-	rules := map[replication.Topic]replication.Rule{1: {TTL: 5 * time.Minute, Check: anything}}
-	limits := replication.Defaults
+	s := &simulation{options: o, limits: replication.Defaults, rng: rand.New(rand.NewPCG(o.Seed, uint64(n))), told: map[entry]*telling{}}
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
-	nodes := make([]*node, n)
-	for i := range nodes {
-		spread := func(every time.Duration) time.Duration { return time.Duration(rng.Float64() * float64(every)) }
-		nodes[i] = &node{store: replication.New(replication.Origin{Name: fmt.Sprintf("instance-%04d", i), Epoch: epoch}, rules, limits),
-			tell: spread(replication.AdvertisementInterval(n)), rumour: spread(replication.GossipInterval), compare: spread(replication.AntiEntropyInterval)}
+	s.start(n)
+	for s.now = 0; s.now < o.Span; s.now += tick {
+		if err := s.step(); err != nil {
+			return Row{Instances: n}, err
+		}
 	}
-	type entry struct {
-		origin string
-		seq    uint64
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	row := s.row()
+	row.Bytes = int64(after.HeapAlloc-before.HeapAlloc) / int64(n)
+	runtime.KeepAlive(s.nodes)
+	return row, nil
+}
+
+// start makes the instances, each at its own place within the intervals.
+func (s *simulation) start(n int) {
+	anything := func([]byte) error { return nil }
+	rules := map[replication.Topic]replication.Rule{1: {TTL: 5 * time.Minute, Check: anything}}
+	spread := func(every time.Duration) time.Duration { return time.Duration(s.rng.Float64() * float64(every)) }
+	s.nodes = make([]*node, n)
+	for i := range s.nodes {
+		origin := replication.Origin{Name: fmt.Sprintf("instance-%04d", i), Epoch: epoch}
+		s.nodes[i] = &node{
+			store:   replication.New(origin, rules, s.limits),
+			tell:    spread(replication.AdvertisementInterval(n)),
+			rumour:  spread(replication.GossipInterval),
+			compare: spread(replication.AntiEntropyInterval),
+		}
 	}
-	told := map[entry]*telling{}
-	messages := 0
-	var busy time.Duration
-	for now := time.Duration(0); now < o.Span; now += tick {
-		for i, x := range nodes {
-			began := time.Now()
-			send := func(to int, what any) error {
-				data, err := message.Encode(message.Message{From: x.store.Self(), What: what})
-				if err != nil {
-					return err
-				}
-				messages++
-				x.sent += len(data)
-				if rng.Float64() < o.Loss {
-					return nil
-				}
-				m, err := message.Decode(data)
-				if err != nil {
-					return err
-				}
-				nodes[to].next = append(nodes[to].next, m)
-				return nil
-			}
-			other := func() int {
-				to := rng.IntN(n - 1)
-				if to >= i {
-					to++
-				}
-				return to
-			}
-			for _, m := range x.inbox {
-				from := 0
-				fmt.Sscanf(m.From.Name, "instance-%d", &from)
-				knew := func(e replication.Entry, of replication.Origin) func() {
-					k := entry{of.Name, e.Seq}
-					t := told[k]
-					if t == nil {
-						return func() {}
-					}
-					had := x.store.Contains(of, e.Seq)
-					return func() {
-						if !had && x.store.Contains(of, e.Seq) {
-							if t.left--; t.left == 0 {
-								t.known = now - t.at
-							}
-						}
-					}
-				}
-				var err error
-				switch w := m.What.(type) {
-				case message.Rumours:
-					for _, r := range w {
-						done := knew(r.Entry, r.Origin)
-						x.store.HandleRumour(now, r)
-						done()
-					}
-				case replication.Digest:
-					if v := x.store.HandleDigest(w, x.start); v != nil {
-						x.start = (x.start + 1) % replication.Buckets
-						err = send(from, v)
-					}
-				case *replication.Vectors:
-					deltas, own := x.store.HandleVectors(now, w)
-					if own != nil {
-						err = send(from, own)
-					}
-					for _, d := range deltas {
-						if err == nil {
-							err = send(from, d)
-						}
-					}
-				case replication.Delta:
-					var done []func()
-					for _, e := range w.Entries {
-						done = append(done, knew(e, w.Origin))
-					}
-					x.store.Merge(now, w)
-					for _, f := range done {
-						f()
-					}
-				}
-				if err != nil {
-					return row, err
-				}
-			}
-			x.inbox = x.inbox[:0]
-			if now >= x.tell {
-				x.tell += replication.AdvertisementInterval(n)
-				value, err := proto.Marshal(&peerspb.Server{Attempts: uint64(rng.IntN(1e6)) + 1e6, Failures: uint64(rng.IntN(1e6))})
-				if err != nil {
-					return row, err
-				}
-				if err := x.store.Put(now, 1, fmt.Sprintf("soko-%d@1796000000000", rng.IntN(min(o.Servers, limits.Entries))), value); err != nil {
-					return row, err
-				}
-				x.number++
-				told[entry{x.store.Self().Name, uint64(x.number)}] = &telling{at: now, left: n - 1}
-			}
-			if now >= x.rumour {
-				x.rumour += replication.GossipInterval
-				if r := x.store.Rumours(now); len(r) > 0 {
-					for range min(replication.Fanout, n-1) {
-						if err := send(other(), message.Rumours(r)); err != nil {
-							return row, err
-						}
-					}
-				}
-			}
-			if now >= x.compare {
-				x.compare += replication.AntiEntropyInterval
-				if err := send(other(), x.store.Digest()); err != nil {
-					return row, err
-				}
+}
+
+// step has every instance do what is due at the present instant. What they send comes at the next.
+func (s *simulation) step() error {
+	for i, x := range s.nodes {
+		began := time.Now()
+		if err := s.turnOf(i, x); err != nil {
+			return err
+		}
+		took := time.Since(began)
+		s.busy += took
+		s.turn = max(s.turn, took)
+	}
+	for _, x := range s.nodes {
+		x.inbox, x.next = x.next, x.inbox[:0]
+	}
+	return nil
+}
+
+// turnOf has one instance take its messages and do what is due.
+func (s *simulation) turnOf(i int, x *node) error {
+	for _, m := range x.inbox {
+		if err := s.handle(x, m); err != nil {
+			return err
+		}
+	}
+	x.inbox = x.inbox[:0]
+	if s.now >= x.tell {
+		x.tell += replication.AdvertisementInterval(len(s.nodes))
+		if err := s.put(x); err != nil {
+			return err
+		}
+	}
+	if s.now >= x.rumour {
+		x.rumour += replication.GossipInterval
+		if err := s.spread(i, x); err != nil {
+			return err
+		}
+	}
+	if s.now >= x.compare {
+		x.compare += replication.AntiEntropyInterval
+		return s.send(x, s.other(i), x.store.Digest())
+	}
+	return nil
+}
+
+// send sends a message, which may be lost.
+func (s *simulation) send(from *node, to int, what any) error {
+	data, err := message.Encode(message.Message{From: from.store.Self(), What: what})
+	if err != nil {
+		return err
+	}
+	s.messages++
+	from.sent += len(data)
+	if s.rng.Float64() < s.options.Loss {
+		return nil
+	}
+	m, err := message.Decode(data)
+	if err != nil {
+		return err
+	}
+	s.nodes[to].next = append(s.nodes[to].next, m)
+	return nil
+}
+
+// other draws another instance.
+func (s *simulation) other(i int) int {
+	to := s.rng.IntN(len(s.nodes) - 1)
+	if to >= i {
+		to++
+	}
+	return to
+}
+
+// handle takes a message and sends what it asks for.
+func (s *simulation) handle(x *node, m message.Message) error {
+	var from int
+	if _, err := fmt.Sscanf(m.From.Name, "instance-%d", &from); err != nil {
+		return err
+	}
+	switch w := m.What.(type) {
+	case message.Rumours:
+		for _, r := range w {
+			done := s.notice(x, r.Origin, r.Entry)
+			x.store.HandleRumour(s.now, r)
+			done()
+		}
+	case replication.Digest:
+		if v := x.store.HandleDigest(w, x.start); v != nil {
+			x.start = (x.start + 1) % replication.Buckets
+			return s.send(x, from, v)
+		}
+	case *replication.Vectors:
+		return s.answerVectors(x, from, w)
+	case replication.Delta:
+		var done []func()
+		for _, e := range w.Entries {
+			done = append(done, s.notice(x, w.Origin, e))
+		}
+		x.store.Merge(s.now, w)
+		for _, f := range done {
+			f()
+		}
+	}
+	return nil
+}
+
+// answerVectors sends what the sender of vectors lacks, and asks for what the receiver lacks.
+func (s *simulation) answerVectors(x *node, from int, vectors *replication.Vectors) error {
+	deltas, own := x.store.HandleVectors(s.now, vectors)
+	if own != nil {
+		if err := s.send(x, from, own); err != nil {
+			return err
+		}
+	}
+	for _, d := range deltas {
+		if err := s.send(x, from, d); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// notice looks whether an instance has an entry. The function that it returns looks again, and counts
+// the entry as known there if it has come meanwhile.
+func (s *simulation) notice(x *node, origin replication.Origin, e replication.Entry) func() {
+	t := s.told[entry{origin.Name, e.Seq}]
+	if t == nil {
+		return func() {}
+	}
+	had := x.store.Contains(origin, e.Seq)
+	return func() {
+		if !had && x.store.Contains(origin, e.Seq) {
+			if t.left--; t.left == 0 {
+				t.known = s.now - t.at
 			}
-			took := time.Since(began)
-			busy += took
-			row.Turn = max(row.Turn, took)
 		}
-		for _, x := range nodes {
-			x.inbox, x.next = x.next, x.inbox[:0]
+	}
+}
+
+// put has an instance tell of a server.
+func (s *simulation) put(x *node) error {
+	value, err := proto.Marshal(&peerspb.Server{Attempts: uint64(s.rng.IntN(1e6)) + 1e6, Failures: uint64(s.rng.IntN(1e6))})
+	if err != nil {
+		return err
+	}
+	subject := fmt.Sprintf("soko-%d@1796000000000", s.rng.IntN(min(s.options.Servers, s.limits.Entries)))
+	if err := x.store.Put(s.now, 1, subject, value); err != nil {
+		return err
+	}
+	x.number++
+	s.told[entry{x.store.Self().Name, uint64(x.number)}] = &telling{at: s.now, left: len(s.nodes) - 1}
+	return nil
+}
+
+// spread sends an instance's rumours to some others.
+func (s *simulation) spread(i int, x *node) error {
+	rumours := x.store.Rumours(s.now)
+	if len(rumours) == 0 {
+		return nil
+	}
+	for range min(replication.Fanout, len(s.nodes)-1) {
+		if err := s.send(x, s.other(i), message.Rumours(rumours)); err != nil {
+			return err
 		}
 	}
-	runtime.GC()
-	runtime.ReadMemStats(&after)
+	return nil
+}
+
+// row sums up, but for the memory.
+func (s *simulation) row() Row {
+	n, seconds := len(s.nodes), s.options.Span.Seconds()
 	var sum, most int
-	for _, x := range nodes {
+	for _, x := range s.nodes {
 		sum, most = sum+x.sent, max(most, x.sent)
 	}
-	seconds := o.Span.Seconds()
-	row.Sent, row.Most = float64(sum)/float64(n)/seconds, float64(most)/seconds
-	row.Messages = float64(messages) / float64(n) / seconds
-	row.CPU = busy.Seconds() / float64(n) / seconds
-	row.Bytes = int64(after.HeapAlloc-before.HeapAlloc) / int64(n)
+	row := Row{
+		Instances: n,
+		Told:      len(s.told),
+		Sent:      float64(sum) / float64(n) / seconds,
+		Most:      float64(most) / seconds,
+		Messages:  float64(s.messages) / float64(n) / seconds,
+		Turn:      s.turn,
+		CPU:       s.busy.Seconds() / float64(n) / seconds,
+	}
 	var known []time.Duration
-	for k, t := range told {
-		row.Told++
+	for k, t := range s.told {
 		if t.left == 0 {
 			known = append(known, t.known)
-		} else if t.at < o.Span*3/4 && slices.ContainsFunc(nodes, func(x *node) bool {
-			return !x.store.Contains(replication.Origin{Name: k.origin, Epoch: epoch}, k.seq)
-		}) {
+		} else if t.at < s.options.Span*3/4 && s.lacking(k) {
 			row.Unknown++
 		}
 	}
@@ -245,8 +330,14 @@
 	if len(known) > 0 {
 		row.Known, row.Known95 = known[len(known)/2], known[len(known)*95/100]
 	}
-	runtime.KeepAlive(nodes)
-	return row, nil
+	return row
+}
+
+// lacking says whether an instance does not have an entry.
+func (s *simulation) lacking(k entry) bool {
+	return slices.ContainsFunc(s.nodes, func(x *node) bool {
+		return !x.store.Contains(replication.Origin{Name: k.origin, Epoch: epoch}, k.seq)
+	})
 }
 
 // Print writes the rows.
--- a/internal/measure/nodes/nodes.go
+++ b/internal/measure/nodes/nodes.go
@@ -31,11 +31,14 @@
 		Servers: args, Path: path, Session: 15 * time.Second, Log: log})})
 	ctx, stop := context.WithCancel(context.Background())
 	listed := make(chan int, 1)
-	go s.Watch(ctx, nil, func(_ balancer.ListKind, list engine.List) {
-		if list.Complete {
-			listed <- len(list.Hosts)
-		}
-	})
+	go func() {
+		// It ends with ctx, with nobody left to tell.
+		_, _ = s.Watch(ctx, nil, func(_ balancer.ListKind, list engine.List) {
+			if list.Complete {
+				listed <- len(list.Hosts)
+			}
+		})
+	}()
 	return fmt.Sprint(<-listed), stop, nil
 }
 
--- a/internal/measure/process/process.go
+++ b/internal/measure/process/process.go
@@ -122,5 +122,5 @@
 // Stop ends the process.
 func (p *Process) Stop() {
 	p.in.Close()
-	p.cmd.Wait()
+	_ = p.cmd.Wait() // nothing more is asked of it
 }
--- a/internal/measure/properties/properties_test.go
+++ b/internal/measure/properties/properties_test.go
@@ -109,7 +109,9 @@
 	}
 	once := exec.Command("go", "test", "./a")
 	once.Dir = dir
-	once.Run() // the property never holds
+	if err := once.Run(); err == nil {
+		t.Error("a property that never holds passes")
+	}
 	if left, _ := filepath.Glob(filepath.Join(dir, "a/testdata/rapid/*/*")); len(left) > 0 {
 		t.Errorf("a failure file is left: %s", left)
 	}
--- a/internal/measure/reconnect/reconnect.go
+++ b/internal/measure/reconnect/reconnect.go
@@ -65,50 +65,11 @@
 	}
 	defer os.RemoveAll(dir)
 	files := ca.FolderAt(ca.Must{}, dir)
-	root := ca.New(ca.Must{}, "root")
-	files.Put(files.Roots, root.PEM())
-	p := root.Issue(ca.Spec{Names: []string{"soko.example.org"}, From: time.Now().Add(-time.Hour), Until: time.Now().Add(24 * time.Hour)})
-	pair, err := tls.X509KeyPair(p.Cert, p.Key)
+	servers, err := startServers(o, files)
 	if err != nil {
 		return nil, err
 	}
-	config := &tls.Config{Certificates: []tls.Certificate{pair}, SessionTicketsDisabled: true} // after an outage all are full
-
-	var mu sync.Mutex
-	shakes := make([][]time.Time, o.Servers)
-	var targets []*engine.Target
-	var serving sync.WaitGroup
-	born := int64(0)
-	if o.Cold {
-		born = time.Now().UnixMilli()
-	}
-	for n := range o.Servers {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		defer l.Close()
-		targets = append(targets, &engine.Target{Name: "soko", Address: l.Addr().String(), StartedMS: born})
-		serving.Go(func() {
-			for {
-				raw, err := l.Accept()
-				if err != nil {
-					return
-				}
-				go func() {
-					defer raw.Close()
-					raw.SetDeadline(time.Now().Add(o.Most))
-					began := time.Now()
-					if tls.Server(raw, config).Handshake() == nil {
-						mu.Lock()
-						shakes[n] = append(shakes[n], began)
-						mu.Unlock()
-					}
-				}()
-			}
-		})
-	}
-
+	defer servers.close()
 	r := &Result{Options: o, Whole: -1}
 	budget := handshake.Config{PerServer: 1e6, All: 1e6, ColdFrom: 1, Burst: 1e6}
 	if o.Budget {
@@ -118,60 +79,162 @@
 	ctx, cancel := context.WithTimeout(context.Background(), o.Most)
 	defer cancel()
 	var all sync.WaitGroup
-	var asked, lost, stood int
+	var outcomes tally
 	began := time.Now()
 	for range o.Instances {
-		room, err := keyroom.Open(keyroom.Options{Paths: keyroom.Paths{Roots: files.Roots}, Log: slog.New(slog.DiscardHandler)})
-		if err != nil {
-			return nil, err
-		}
-		c, err := secure.New(secure.Options{Room: room, Names: &secure.Names{Pattern: "soko.example.org"}, Budget: budget, Sessions: 4096, Timeout: timeout, Log: slog.New(slog.DiscardHandler)})
+		c, err := newClient(files, budget)
 		if err != nil {
 			return nil, err
 		}
-		for _, t := range targets {
+		for _, t := range servers.targets {
 			for range o.Each {
-				all.Go(func() {
-					for {
-						s, err := connect(ctx, c, t)
-						if err == nil {
-							s.Close() // descriptors are few; it has stood
-						}
-						mu.Lock()
-						switch {
-						case err == nil:
-							stood++
-						case errors.Is(err, attempt.ErrFull):
-							asked++
-						case ctx.Err() == nil:
-							lost++
-						}
-						mu.Unlock()
-						if err == nil {
-							return
-						}
-						select {
-						case <-time.After(retry):
-						case <-ctx.Done():
-							return
-						}
-					}
-				})
+				all.Go(func() { outcomes.connect(ctx, c, t) })
 			}
 		}
 	}
 	all.Wait()
-	if r.Asked, r.Lost, r.Total = asked, lost, stood; stood == o.Instances*o.Servers*o.Each {
+	r.Asked, r.Lost, r.Total = outcomes.refused, outcomes.lost, outcomes.stood
+	if r.Total == o.Instances*o.Servers*o.Each {
 		r.Whole = time.Since(began)
 	}
-	mu.Lock()
-	defer mu.Unlock()
-	for _, at := range shakes {
-		r.Peak = max(r.Peak, busiest(at))
-	}
+	r.Peak = servers.peak()
 	return r, nil
 }
 
+// servers accept handshakes and note when each began.
+type servers struct {
+	targets   []*engine.Target
+	config    *tls.Config
+	timeout   time.Duration // of a handshake
+	listeners []net.Listener
+	serving   sync.WaitGroup // of the listeners' goroutines
+
+	mu     sync.Mutex
+	shakes [][]time.Time // by server
+}
+
+// startServers starts the servers, and writes the root that their certificate is by into files.
+func startServers(o Options, files *ca.Folder) (*servers, error) {
+	root := ca.New(ca.Must{}, "root")
+	files.Put(files.Roots, root.PEM())
+	p := root.Issue(ca.Spec{Names: []string{"soko.example.org"}, From: time.Now().Add(-time.Hour), Until: time.Now().Add(24 * time.Hour)})
+	pair, err := tls.X509KeyPair(p.Cert, p.Key)
+	if err != nil {
+		return nil, err
+	}
+	s := &servers{
+		config:  &tls.Config{Certificates: []tls.Certificate{pair}, SessionTicketsDisabled: true}, // after an outage all are full
+		timeout: o.Most,
+		shakes:  make([][]time.Time, o.Servers),
+	}
+	started := int64(0)
+	if o.Cold {
+		started = time.Now().UnixMilli()
+	}
+	for n := range o.Servers {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			s.close()
+			return nil, err
+		}
+		s.listeners = append(s.listeners, l)
+		s.targets = append(s.targets, &engine.Target{Name: "soko", Address: l.Addr().String(), StartedMS: started})
+		s.serving.Go(func() { s.serve(n, l) })
+	}
+	return s, nil
+}
+
+// serve accepts connections until the listener is closed.
+func (s *servers) serve(n int, l net.Listener) {
+	for {
+		raw, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go s.handshake(n, raw)
+	}
+}
+
+// handshake does a server's side of a handshake, and notes it if it succeeds.
+func (s *servers) handshake(n int, raw net.Conn) {
+	defer raw.Close()
+	_ = raw.SetDeadline(time.Now().Add(s.timeout)) // a connection that has ended fails in the handshake
+	began := time.Now()
+	if tls.Server(raw, s.config).Handshake() != nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.shakes[n] = append(s.shakes[n], began)
+}
+
+// close stops accepting.
+func (s *servers) close() {
+	for _, l := range s.listeners {
+		l.Close()
+	}
+	s.serving.Wait()
+}
+
+// peak returns the handshakes that a server got in its busiest second, the worst of all servers.
+func (s *servers) peak() (most int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, at := range s.shakes {
+		most = max(most, busiest(at))
+	}
+	return most
+}
+
+// newClient makes an instance's security.
+func newClient(files *ca.Folder, budget handshake.Config) (*secure.Client, error) {
+	log := slog.New(slog.DiscardHandler)
+	room, err := keyroom.Open(keyroom.Options{Paths: keyroom.Paths{Roots: files.Roots}, Log: log})
+	if err != nil {
+		return nil, err
+	}
+	return secure.New(secure.Options{Room: room, Names: &secure.Names{Pattern: "soko.example.org"}, Budget: budget, Sessions: 4096, Timeout: timeout, Log: log})
+}
+
+// tally counts how connections came up.
+type tally struct {
+	mu                   sync.Mutex
+	stood, refused, lost int
+}
+
+// connect tries until a connection has stood, or ctx ends.
+func (a *tally) connect(ctx context.Context, c *secure.Client, t *engine.Target) {
+	for {
+		conn, err := connect(ctx, c, t)
+		if err == nil {
+			conn.Close() // descriptors are few; it has stood
+		}
+		a.count(ctx, err)
+		if err == nil {
+			return
+		}
+		select {
+		case <-time.After(retry):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// count counts what a try came to.
+func (a *tally) count(ctx context.Context, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case err == nil:
+		a.stood++
+	case errors.Is(err, attempt.ErrFull):
+		a.refused++
+	case ctx.Err() == nil:
+		a.lost++
+	}
+}
+
 // connect takes a turn and does a handshake.
 func connect(ctx context.Context, c *secure.Client, t *engine.Target) (net.Conn, error) {
 	if err := c.Turn(ctx, t); err != nil {
--- a/internal/measure/removal/run.go
+++ b/internal/measure/removal/run.go
@@ -190,7 +190,7 @@
 	}
 	defer func() {
 		s.site.Shutdown()
-		s.site.Wait()
+		_ = s.site.Wait() // the steps have told what came of them
 	}()
 	if err := s.site.WaitReady(); err != nil {
 		return err
@@ -243,7 +243,7 @@
 			s.failed.Add(1)
 			continue
 		}
-		io.Copy(io.Discard, out.Body)
+		_, _ = io.Copy(io.Discard, out.Body) // the status has come
 		out.Body.Close()
 		if out.StatusCode != 200 {
 			s.failed.Add(1)
@@ -331,7 +331,7 @@
 	case "remove":
 		s.remove()
 	case "add":
-		s.add()
+		_ = s.add() // a script goes on with the servers that it has
 	case "flap":
 		x := s.alive[s.rng.IntN(len(s.alive))]
 		for range 5 {
--- a/internal/measure/rotations/rotations.go
+++ b/internal/measure/rotations/rotations.go
@@ -115,22 +115,9 @@
 		}
 	}()
 	w := &world{o: o}
-	w.first, w.next = w.root(0), w.root(1)
-	for _, x := range []struct {
-		name string
-		at   **ca.Folder
-	}{{"front", &w.front}, {"fleet", &w.fleet}} {
-		dir := filepath.Join(o.Dir, x.name)
-		if err := os.MkdirAll(dir, 0o700); err != nil {
-			return nil, err
-		}
-		*x.at = ca.FolderAt(ca.Must{}, dir)
+	if err := w.issueAll(); err != nil {
+		return nil, err
 	}
-	w.front.Pair(issue(w.first, "127.0.0.1"))
-	w.fleet.Pair(issue(w.first, "pinedale.example.org"))
-	w.fleet.Put(w.fleet.Roots, w.first.PEM())
-	w.keys = guarded.NewKeys(ca.Must{}, issue(w.first, w.names()...))
-	w.keys.Trust(w.first)
 	fleet := &soko.Fleet{Work: time.Millisecond, TLS: w.keys.Follow, Classes: []balancer.Class{
 		{Name: "stall-pay", Idempotency: balancer.IdempotentWithKey, Group: balancer.GroupAll, DedupWindow: 30_000_000}}}
 	text := fmt.Sprintf(file, o.HTTP3, w.front.Cert, w.front.Key, w.fleet.Cert, w.fleet.Key, w.fleet.Roots)
@@ -156,52 +143,90 @@
 	if err := w.at.WaitReady(); err != nil {
 		return nil, err
 	}
-	r = &Result{Failed: map[string]int{}}
-	end := make(chan struct{})
+	r, err = w.rotateUnderLoad()
+	if err != nil {
+		return nil, err
+	}
+	r.Twice = fleet.Twice()
+	r.Security, _ = w.at.Security()
+	r.Keys = w.at.Keys()
+	return r, nil
+}
+
+// issueAll makes the first two roots and, by the first, the certificates of all sides.
+func (w *world) issueAll() error {
+	w.first, w.next = w.root(0), w.root(1)
+	for _, x := range []struct {
+		name string
+		at   **ca.Folder
+	}{{"front", &w.front}, {"fleet", &w.fleet}} {
+		dir := filepath.Join(w.o.Dir, x.name)
+		if err := os.MkdirAll(dir, 0o700); err != nil {
+			return err
+		}
+		*x.at = ca.FolderAt(ca.Must{}, dir)
+	}
+	w.front.Pair(issue(w.first, "127.0.0.1"))
+	w.fleet.Pair(issue(w.first, "pinedale.example.org"))
+	w.fleet.Put(w.fleet.Roots, w.first.PEM())
+	w.keys = guarded.NewKeys(ca.Must{}, issue(w.first, w.names()...))
+	w.keys.Trust(w.first)
+	return nil
+}
+
+// rotateUnderLoad makes all changes while clients ask, and returns what the clients saw.
+func (w *world) rotateUnderLoad() (*Result, error) {
+	l := &load{world: w, end: make(chan struct{}), result: &Result{Failed: map[string]int{}}}
 	var clients sync.WaitGroup
-	var mu sync.Mutex
-	var shakes, ids atomic.Int64
-	for n := range o.Clients {
-		clients.Go(func() {
-			// A client of its own each: its connection is the front's to end.
-			transport := &http.Transport{TLSClientConfig: &tls.Config{InsecureSkipVerify: true, VerifyConnection: func(s tls.ConnectionState) error {
-				shakes.Add(1)
-				_, err := s.PeerCertificates[0].Verify(x509.VerifyOptions{Roots: w.clients.Load()})
-				return err
-			}}}
-			defer transport.CloseIdleConnections()
-			for {
-				select {
-				case <-end:
-					return
-				default:
-				}
-				why := ask(transport, "https://"+w.at.HTTP.String(), n%2 == 0, ids.Add(1))
-				mu.Lock()
-				r.Requests++
-				if why != "" {
-					r.Failed[why]++
-				}
-				mu.Unlock()
-			}
-		})
+	for n := range w.o.Clients {
+		clients.Go(func() { l.client(n) })
 	}
-	for n := range o.Rotations {
+	var err error
+	for n := range w.o.Rotations {
 		if err = w.rotate(n); err != nil {
 			break
 		}
-		time.Sleep(o.Settle)
-		r.Rotations++
+		time.Sleep(w.o.Settle)
+		l.result.Rotations++
 	}
-	close(end)
+	close(l.end)
 	clients.Wait()
-	if err != nil {
-		return nil, err
+	l.result.Front = int(l.handshakes.Load())
+	return l.result, err
+}
+
+// load is what the clients do.
+type load struct {
+	world           *world
+	end             chan struct{}
+	handshakes, ids atomic.Int64
+	mu              sync.Mutex
+	result          *Result // the clients' part of it is guarded by mu
+}
+
+// client asks, one request after the other, until the end. Every other client pays.
+func (l *load) client(n int) {
+	// A client of its own each: its connection is the front's to end.
+	transport := &http.Transport{TLSClientConfig: &tls.Config{InsecureSkipVerify: true, VerifyConnection: func(s tls.ConnectionState) error {
+		l.handshakes.Add(1)
+		_, err := s.PeerCertificates[0].Verify(x509.VerifyOptions{Roots: l.world.clients.Load()})
+		return err
+	}}}
+	defer transport.CloseIdleConnections()
+	for {
+		select {
+		case <-l.end:
+			return
+		default:
+		}
+		why := ask(transport, "https://"+l.world.at.HTTP.String(), n%2 == 0, l.ids.Add(1))
+		l.mu.Lock()
+		l.result.Requests++
+		if why != "" {
+			l.result.Failed[why]++
+		}
+		l.mu.Unlock()
 	}
-	r.Twice, r.Front = fleet.Twice(), int(shakes.Load())
-	r.Security, _ = w.at.Security()
-	r.Keys = w.at.Keys()
-	return r, nil
 }
 
 // root makes one that clients trust from now on, for good: it is the front's side of a
@@ -281,7 +306,7 @@
 	if err != nil {
 		return err.Error()
 	}
-	io.Copy(io.Discard, out.Body)
+	_, _ = io.Copy(io.Discard, out.Body) // the status has come
 	out.Body.Close()
 	if out.StatusCode != http.StatusOK {
 		return out.Status
--- a/internal/measure/tenants/tenants.go
+++ b/internal/measure/tenants/tenants.go
@@ -94,7 +94,7 @@
 	}
 	defer func() {
 		i.Shutdown()
-		i.Wait()
+		_ = i.Wait() // the clients have told what came of their requests
 	}()
 	if err := i.WaitReady(); err != nil {
 		return nil, err
@@ -169,7 +169,7 @@
 	if err != nil {
 		return false
 	}
-	io.Copy(io.Discard, out.Body)
+	_, _ = io.Copy(io.Discard, out.Body) // the status has come
 	out.Body.Close()
 	return out.StatusCode == 200 && time.Since(began) <= inTime
 }
@@ -202,9 +202,9 @@
 		}
 		proxy.ServeHTTP(w, r)
 	})}
-	go server.Serve(listener)
+	go func() { _ = server.Serve(listener) }()
 	return "http://" + listener.Addr().String(), func() {
-		server.Shutdown(context.Background())
+		_ = server.Shutdown(context.Background()) // the load is over
 		proxy.Transport.(*http.Transport).CloseIdleConnections()
 	}, nil
 }
--- a/internal/measure/tlscost/proxies.go
+++ b/internal/measure/tlscost/proxies.go
@@ -76,7 +76,7 @@
 	}
 	return at.String(), func() {
 		i.Shutdown()
-		i.Wait()
+		_ = i.Wait() // the load is over
 	}, i.WaitReady()
 }
 
@@ -102,7 +102,7 @@
 			return "", nil, err
 		}
 		server := &http3.Server{Handler: proxy, TLSConfig: &tls.Config{Certificates: []tls.Certificate{pair}}}
-		go server.Serve(datagrams)
+		go func() { _ = server.Serve(datagrams) }()
 		return datagrams.LocalAddr().String(), func() {
 			server.Close()
 			datagrams.Close()
@@ -116,7 +116,7 @@
 	if args[2] == "tls" {
 		l = tls.NewListener(l, &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS13, NextProtos: []string{"http/1.1"}})
 	}
-	go server.Serve(l)
+	go func() { _ = server.Serve(l) }()
 	return l.Addr().String(), func() { server.Close() }, nil
 }
 
@@ -142,45 +142,75 @@
 	defer p.Stop()
 	var rows []ProxyRow
 	for _, front := range []string{"plain", "tls", "h3"} {
-		row := ProxyRow{Name: map[string]string{"plain": "TLS towards the server", "tls": "TLS on both sides", "h3": "HTTP/3, TLS to the server"}[front]}
-		var sides [2]*process.Process
-		for n, kind := range [...]string{"tls-site", "tls-reverse"} {
-			if sides[n], err = process.Start(kind, "", filepath.Dir(own.Cert), p.Line, front); err != nil {
-				return nil, err
-			}
-			defer sides[n].Stop()
+		m := &proxyMeasurement{front: front, clients: clients, span: span}
+		row, err := m.run(rounds, filepath.Dir(own.Cert), p.Line)
+		if err != nil {
+			return nil, err
 		}
-		var cpu [2][]time.Duration
-		var rate [2][]time.Duration // time of a request over all clients
-		for round := range rounds + 1 {
-			for n, side := range sides {
-				before, _, err := side.Figures()
-				if err != nil {
-					return nil, err
-				}
-				began := time.Now()
-				served, failed := load(side.Line, front, clients, span)
-				took := time.Since(began)
-				after, _, err := side.Figures()
-				if err != nil {
-					return nil, err
-				}
-				if served == 0 {
-					return nil, fmt.Errorf("%s: nothing was served", row.Name)
-				}
-				if round > 0 { // the first warms both up: a server that was never asked is not trusted with eight at once
-					row.Failed[n] += failed
-					cpu[n] = append(cpu[n], (after-before)/time.Duration(served))
-					rate[n] = append(rate[n], took/time.Duration(served))
-				}
-			}
+		rows = append(rows, *row)
+	}
+	return rows, nil
+}
+
+// frontNames are what is printed for a kind of front.
+var frontNames = map[string]string{"plain": "TLS towards the server", "tls": "TLS on both sides", "h3": "HTTP/3, TLS to the server"}
+
+// proxyMeasurement is that of one pair of proxies.
+type proxyMeasurement struct {
+	front   string
+	clients int
+	span    time.Duration
+	cpu     [2][]time.Duration
+	rate    [2][]time.Duration // time of a request over all clients
+	failed  [2]int
+}
+
+// run starts both proxies and measures them in turn.
+func (m *proxyMeasurement) run(rounds int, dir, server string) (row *ProxyRow, err error) {
+	var sides [2]*process.Process
+	for n, kind := range [...]string{"tls-site", "tls-reverse"} {
+		if sides[n], err = process.Start(kind, "", dir, server, m.front); err != nil {
+			return nil, err
 		}
-		for n := range sides {
-			row.CPU[n], row.Rate[n] = middle(cpu[n]), float64(time.Second)/float64(middle(rate[n]))
+		defer sides[n].Stop()
+	}
+	for round := range rounds + 1 {
+		for n, side := range sides {
+			// The first warms both up: a server that was never asked is not trusted with eight at once.
+			if err := m.measure(n, side, round > 0); err != nil {
+				return nil, err
+			}
 		}
-		rows = append(rows, row)
 	}
-	return rows, nil
+	row = &ProxyRow{Name: frontNames[m.front], Failed: m.failed}
+	for n := range sides {
+		row.CPU[n], row.Rate[n] = middle(m.cpu[n]), float64(time.Second)/float64(middle(m.rate[n]))
+	}
+	return row, nil
+}
+
+// measure puts the load on one proxy, and keeps the figures if they count.
+func (m *proxyMeasurement) measure(n int, side *process.Process, counts bool) error {
+	before, _, err := side.Figures()
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	served, failed := load(side.Line, m.front, m.clients, m.span)
+	took := time.Since(began)
+	after, _, err := side.Figures()
+	if err != nil {
+		return err
+	}
+	if served == 0 {
+		return fmt.Errorf("%s: nothing was served", frontNames[m.front])
+	}
+	if counts {
+		m.failed[n] += failed
+		m.cpu[n] = append(m.cpu[n], (after-before)/time.Duration(served))
+		m.rate[n] = append(m.rate[n], took/time.Duration(served))
+	}
+	return nil
 }
 
 // load has clients ask, one request after the other each.
@@ -219,7 +249,7 @@
 					bad.Add(1)
 					continue
 				}
-				io.Copy(io.Discard, out.Body)
+				_, _ = io.Copy(io.Discard, out.Body) // the status has come
 				out.Body.Close()
 				if out.StatusCode != http.StatusOK {
 					bad.Add(1)
--- a/internal/measure/tlscost/tlscost.go
+++ b/internal/measure/tlscost/tlscost.go
@@ -67,9 +67,9 @@
 			return c
 		},
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			io.Copy(io.Discard, r.Body)
+			_, _ = io.Copy(io.Discard, r.Body)
 			w.Header().Set("X-Backend-Load", "inflight=1")
-			w.Write(answer)
+			_, _ = w.Write(answer)
 		})})
 }
 
@@ -141,7 +141,7 @@
 
 func ownCPU() time.Duration {
 	var u syscall.Rusage
-	syscall.Getrusage(syscall.RUSAGE_SELF, &u) // cannot fail with these arguments
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u) // cannot fail with these arguments
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
@@ -159,7 +159,9 @@
 	took = time.Since(began)
 	defer s.Close()
 	if read {
-		io.WriteString(s, "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+		if _, err := io.WriteString(s, "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"); err != nil {
+			return 0, false, err
+		}
 		if _, err := io.Copy(io.Discard, s); err != nil {
 			return 0, false, err
 		}
@@ -187,7 +189,7 @@
 	if read {
 		time.Sleep(ticketWait)
 	}
-	conn.CloseWithError(0, "")
+	_ = conn.CloseWithError(0, "") // it is not needed any more
 	return took, state.DidResume, nil
 }
 
--- a/internal/measure/verdicts/cost.go
+++ b/internal/measure/verdicts/cost.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -33,15 +34,18 @@
 
 // CostReport compares verdicts with a processor that decides nothing.
 type CostReport struct {
-	Noop, Ours struct {
-		Peak        float64       // streams a second with as many callers as it takes
-		CPU         time.Duration // of the processor's process, per stream, at the common rate
-		P50, P99    time.Duration // of the verdict alone, at the common rate
-		Rate        float64       // that was reached
-		StreamBytes int64         // of heap and stacks, per open stream that has its verdict
-		Refused     float64       // share of verdicts at the common rate
-	}
-	Common float64 // the rate asked for: 70% of the no-op's peak
+	Noop, Ours ProcessorCost
+	Common     float64 // the rate asked for: 70% of the no-op's peak
+}
+
+// ProcessorCost is what one processor's verdicts cost.
+type ProcessorCost struct {
+	Peak        float64       // streams a second with as many callers as it takes
+	CPU         time.Duration // of the processor's process, per stream, at the common rate
+	P50, P99    time.Duration // of the verdict alone, at the common rate
+	Rate        float64       // that was reached
+	StreamBytes int64         // of heap and stacks, per open stream that has its verdict
+	Refused     float64       // share of verdicts at the common rate
 }
 
 // Print writes the report for a reader.
@@ -67,7 +71,7 @@
 func (noop) Process(s extprocv3.ExternalProcessor_ProcessServer) error {
 	for {
 		in, err := s.Recv()
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			return nil
 		} else if err != nil {
 			return err
@@ -99,7 +103,7 @@
 	}
 	server := grpc.NewServer()
 	extprocv3.RegisterExternalProcessorServer(server, noop{})
-	go server.Serve(listener)
+	go func() { _ = server.Serve(listener) }()
 	return listener.Addr().String(), server.Stop, nil
 }
 
@@ -164,8 +168,8 @@
 		// A refusal is a verdict, too: before it has learned how fast the servers
 		// are, the module takes a crowd for a queue.
 		c.refused.Add(1)
-		s.CloseSend()
-		s.Recv()
+		_ = s.CloseSend()
+		_, _ = s.Recv() // the stream's end
 		return took, nil
 	}
 	if err := s.Send(proxy.Report(200, nil, "via_upstream", v.Endpoint)); err != nil {
@@ -174,8 +178,10 @@
 	if _, err := s.Recv(); err != nil {
 		return 0, err
 	}
-	s.CloseSend()
-	if _, err := s.Recv(); err != io.EOF {
+	if err := s.CloseSend(); err != nil {
+		return 0, err
+	}
+	if _, err := s.Recv(); !errors.Is(err, io.EOF) {
 		return 0, err
 	}
 	return took, nil
@@ -247,6 +253,22 @@
 	return took, first
 }
 
+// The parts of a comparison.
+const (
+	peakCallers = 64  // that ask without a pause
+	commonShare = 0.7 // of the no-op's peak, at which both are compared
+	turns       = 3   // of each processor; of each figure the middle one counts
+)
+
+// side is one of the processors that are compared.
+type side struct {
+	options       CostOptions
+	kind, arg     string
+	profile       string // file for a CPU profile of the last turn
+	out           *ProcessorCost
+	cpu, p50, p99 []time.Duration // by turn
+}
+
 // Cost compares verdicts with a no-op processor on the same library. Both serve in
 // processes of their own, one after the other, in turns.
 func Cost(o CostOptions) (*CostReport, error) {
@@ -255,9 +277,42 @@
 		return nil, err
 	}
 	defer dir.Close()
+	if err := startFleet(dir, o.Servers); err != nil {
+		return nil, err
+	}
+	r := &CostReport{}
+	sides := []*side{
+		{options: o, kind: "noop", out: &r.Noop},
+		{options: o, kind: "processor", arg: dir.Address, profile: o.Profile, out: &r.Ours},
+	}
+	for _, s := range sides {
+		if err := s.with("", s.peak); err != nil {
+			return nil, err
+		}
+	}
+	r.Common = commonShare * r.Noop.Peak
+	for turn := range turns {
+		for _, s := range sides {
+			profile := ""
+			if turn == turns-1 {
+				profile = s.profile
+			}
+			if err := s.with(profile, func(p *process.Process, c *caller) error { return s.turn(p, c, turn, r.Common) }); err != nil {
+				return nil, err
+			}
+		}
+	}
+	for _, s := range sides {
+		s.out.CPU, s.out.P50, s.out.P99 = median(s.cpu), median(s.p50), median(s.p99)
+	}
+	return r, nil
+}
+
+// startFleet starts servers and lists them in the discovery.
+func startFleet(dir *directory.Directory, servers int) (err error) {
 	fleet := &soko.Fleet{Seed: 1}
 	dir.Change(func() {
-		for n := range o.Servers {
+		for n := range servers {
 			s, startErr := fleet.Start(fmt.Sprintf("soko-%d", n), n/2)
 			if startErr != nil {
 				err = startErr
@@ -269,107 +324,72 @@
 		}
 		dir.List.Seq = 1
 	})
+	return err
+}
+
+// with starts the processor, has a measurement done with a caller of it, and stops it.
+func (s *side) with(profile string, measure func(*process.Process, *caller) error) error {
+	p, err := process.Start(s.kind, profile, s.arg)
 	if err != nil {
-		return nil, err
+		return fmt.Errorf("%s: %w", s.kind, err)
 	}
-	r := &CostReport{}
-	sides := []struct {
-		kind, arg, profile string
-		out                *struct {
-			Peak        float64
-			CPU         time.Duration
-			P50, P99    time.Duration
-			Rate        float64
-			StreamBytes int64
-			Refused     float64
-		}
-	}{{"noop", "", "", &r.Noop}, {"processor", dir.Address, o.Profile, &r.Ours}}
-	for i := range sides {
-		side := &sides[i]
-		err := func() error {
-			p, err := process.Start(side.kind, "", side.arg)
-			if err != nil {
-				return err
-			}
-			defer p.Stop()
-			c := &caller{}
-			if c.p, err = proxy.Dial(p.Line, o.Connections); err != nil {
-				return err
-			}
-			defer c.p.Close()
-			if _, err := c.peak(64, o.Span/3); err != nil { // warm up
-				return err
-			}
-			side.out.Peak, err = c.peak(64, o.Span)
-			return err
-		}()
-		if err != nil {
-			return nil, fmt.Errorf("%s: %w", side.kind, err)
-		}
+	defer p.Stop()
+	c := &caller{}
+	if c.p, err = proxy.Dial(p.Line, s.options.Connections); err != nil {
+		return fmt.Errorf("%s: %w", s.kind, err)
 	}
-	r.Common = 0.7 * r.Noop.Peak
-	// Three turns each; of each figure the middle one counts.
-	const turns = 3
-	cpu, p50, p99 := [2][]time.Duration{}, [2][]time.Duration{}, [2][]time.Duration{}
-	for turn := range turns {
-		for i := range sides {
-			side := &sides[i]
-			err := func() error {
-				profile := ""
-				if turn == turns-1 {
-					profile = side.profile
-				}
-				p, err := process.Start(side.kind, profile, side.arg)
-				if err != nil {
-					return err
-				}
-				defer p.Stop()
-				c := &caller{}
-				if c.p, err = proxy.Dial(p.Line, o.Connections); err != nil {
-					return err
-				}
-				defer c.p.Close()
-				if _, err := c.paced(r.Common, o.Span/3); err != nil {
-					return err
-				}
-				c.refused.Store(0)
-				before, _, err := p.Figures()
-				if err != nil {
-					return err
-				}
-				began := time.Now()
-				took, err := c.paced(r.Common, o.Span)
-				if err != nil {
-					return err
-				}
-				after, idle, err := p.Figures()
-				if err != nil {
-					return err
-				}
-				side.out.Rate = float64(len(took)) / time.Since(began).Seconds()
-				side.out.Refused = float64(c.refused.Load()) / float64(len(took))
-				slices.Sort(took)
-				cpu[i] = append(cpu[i], (after-before)/time.Duration(len(took)))
-				p50[i] = append(p50[i], took[len(took)/2])
-				p99[i] = append(p99[i], took[len(took)*99/100])
-				if turn > 0 {
-					return nil
-				}
-				side.out.StreamBytes, err = c.openStreams(p, idle)
-				return err
-			}()
-			if err != nil {
-				return nil, fmt.Errorf("%s: %w", side.kind, err)
-			}
-		}
+	defer c.p.Close()
+	if err := measure(p, c); err != nil {
+		return fmt.Errorf("%s: %w", s.kind, err)
+	}
+	return nil
+}
+
+// peak measures the peak, after a warm-up.
+func (s *side) peak(_ *process.Process, c *caller) (err error) {
+	if _, err := c.peak(peakCallers, s.options.Span/3); err != nil {
+		return err
+	}
+	s.out.Peak, err = c.peak(peakCallers, s.options.Span)
+	return err
+}
+
+// turn measures at the common rate, after a warm-up. The first turn measures open streams, too.
+func (s *side) turn(p *process.Process, c *caller, turn int, rate float64) error {
+	if _, err := c.paced(rate, s.options.Span/3); err != nil {
+		return err
 	}
-	for i := range sides {
-		slices.Sort(cpu[i])
-		slices.Sort(p50[i])
-		slices.Sort(p99[i])
-		sides[i].out.CPU, sides[i].out.P50, sides[i].out.P99 = cpu[i][turns/2], p50[i][turns/2], p99[i][turns/2]
+	c.refused.Store(0)
+	before, _, err := p.Figures()
+	if err != nil {
+		return err
 	}
-	return r, nil
+	began := time.Now()
+	took, err := c.paced(rate, s.options.Span)
+	if err != nil {
+		return err
+	}
+	after, idle, err := p.Figures()
+	if err != nil {
+		return err
+	}
+	s.out.Rate = float64(len(took)) / time.Since(began).Seconds()
+	s.out.Refused = float64(c.refused.Load()) / float64(len(took))
+	slices.Sort(took)
+	s.cpu = append(s.cpu, (after-before)/time.Duration(len(took)))
+	s.p50 = append(s.p50, took[len(took)/2])
+	s.p99 = append(s.p99, took[len(took)*99/100])
+	if turn > 0 {
+		return nil
+	}
+	s.out.StreamBytes, err = c.openStreams(p, idle)
+	return err
+}
+
+// median returns the middle one. It sorts what it is given.
+func median(of []time.Duration) time.Duration {
+	slices.Sort(of)
+	return of[len(of)/2]
 }
 
 // openStreams opens streams that have their verdict and stay, and returns what each
--- a/internal/measure/verdicts/fronts.go
+++ b/internal/measure/verdicts/fronts.go
@@ -43,7 +43,7 @@
 		}
 		defer func() {
 			r.site.Shutdown()
-			r.site.Wait()
+			_ = r.site.Wait() // the calls have told what came of them
 			r.end()
 		}()
 		tallies := map[string]*Tally{}
