Attempt: one file per job, outcomes and send bounds by standard names

One file held the carrier, the bounds of a send, health checks and outcomes, and each upstream wrote the request's header and read the response's body by itself.

Files by job (doc, bounds, probe, outcome, message, secure); the package comment states what each outcome proves; Carry, Unwritten, MayWrite, Unsent, Broken and Answered become NewCarrier, SendContext, CheckBeforeWrite, UnsentStatus, InterruptedStatus and ResponseResult. RequestHeader and ReadBody stand once for HTTP/1.1 and HTTP/3.

--- a/internal/upstream/attempt/attempt_test.go
+++ b/internal/upstream/attempt/attempt_test.go
@@ -7,28 +7,28 @@
 	"time"
 )
 
-// The last look does not depend on a goroutine that may come late: nobody waits from the moment
-// in which that is so, and after the latest instant by the clock.
-func TestLastLook(t *testing.T) {
-	alive := context.Background()
-	left, leave := context.WithCancel(alive)
-	leave()
-	late, end := context.WithDeadline(alive, time.Unix(1, 0))
-	defer end()
+// The last check does not depend on a goroutine that may run late: the request is withheld as
+// soon as the client has disconnected, and after the send deadline by the clock.
+func TestCheckBeforeWriteFailsOnceNoResponseIsAwaited(t *testing.T) {
+	background := context.Background()
+	cancelled, cancel := context.WithCancel(background)
+	cancel()
+	expired, cancelExpired := context.WithDeadline(background, time.Unix(1, 0))
+	defer cancelExpired()
 	for name, c := range map[string]struct {
-		b    bounds
-		want error
+		bounds sendBounds
+		want   error
 	}{
-		"wanted":                      {bounds{alive, alive}, nil},
-		"left, and not passed on yet": {bounds{alive, left}, ErrLate},
-		"left":                        {bounds{left, left}, ErrLate},
-		"too late":                    {bounds{late, alive}, ErrLate},
+		"response awaited": {sendBounds{background, background}, nil},
+		"client disconnected, not propagated to send": {sendBounds{background, cancelled}, ErrLate},
+		"client disconnected":                         {sendBounds{cancelled, cancelled}, ErrLate},
+		"send deadline passed":                        {sendBounds{expired, background}, ErrLate},
 	} {
-		if err := MayWrite(context.WithValue(alive, unsentKey{}, c.b)); !errors.Is(err, c.want) {
+		if err := CheckBeforeWrite(context.WithValue(background, sendBoundsKey{}, c.bounds)); !errors.Is(err, c.want) {
 			t.Errorf("%s: %v, want %v", name, err, c.want)
 		}
 	}
-	if err := MayWrite(alive); err != nil {
-		t.Errorf("of a probe: %v", err)
+	if err := CheckBeforeWrite(background); err != nil {
+		t.Errorf("health check: %v", err)
 	}
 }
--- /dev/null
+++ b/internal/upstream/attempt/bounds.go
@@ -0,0 +1,44 @@
+package attempt
+
+import (
+	"context"
+	"time"
+)
+
+// sendBounds are the contexts that end when a request must no longer be written. The end of
+// client also cancels send, but on another goroutine, which may run late: CheckBeforeWrite
+// looks at both.
+type sendBounds struct {
+	send   context.Context // ends with the attempt, with client, and at the send deadline
+	client context.Context // ends when the client no longer awaits a response
+}
+
+// sendBoundsKey is the context key of an attempt's sendBounds.
+type sendBoundsKey struct{}
+
+// SendContext returns the context that an attempt's request may be written under. It ends with
+// the attempt, when the client has disconnected, when another attempt has delivered the
+// response, and when a request with an idempotency key would arrive after the endpoint has
+// dropped the key.
+func SendContext(ctx context.Context) context.Context { return sendBoundsFrom(ctx).send }
+
+// sendBoundsFrom returns an attempt's bounds. A health check has none: it is bounded by its own
+// context.
+func sendBoundsFrom(ctx context.Context) sendBounds {
+	if bounds, ok := ctx.Value(sendBoundsKey{}).(sendBounds); ok {
+		return bounds
+	}
+	return sendBounds{ctx, ctx}
+}
+
+// CheckBeforeWrite is the last check before a request is written. It returns ErrLate where the
+// request must not be written. It compares the send deadline with the clock as well, since a
+// context may end late on a busy machine.
+func CheckBeforeWrite(ctx context.Context) error {
+	bounds := sendBoundsFrom(ctx)
+	deadline, bounded := bounds.send.Deadline()
+	if bounds.client.Err() != nil || bounds.send.Err() != nil || bounded && !time.Now().Before(deadline) {
+		return ErrLate
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/upstream/attempt/outcome.go
@@ -0,0 +1,70 @@
+package attempt
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"pinedale/balancer"
+	"pinedale/internal/engine"
+	"pinedale/internal/httpmsg"
+)
+
+// Response headers of the endpoints.
+const (
+	unprocessedHeader = "X-Unprocessed"  // "1": the request was rejected before it was processed
+	loadReportHeader  = "X-Backend-Load" // load report, as the body of a load probe's response
+)
+
+// UnsentStatus returns the outcome of a request whose last byte was not written, so that it
+// never ran: ConnectFailed, which counts against the endpoint, unless the sidecar itself no
+// longer wanted to send it or was not free to.
+func UnsentStatus(ctx context.Context, err error) balancer.Status {
+	local := SendContext(ctx).Err() != nil ||
+		errors.Is(err, ErrClosed) || errors.Is(err, ErrFull) || errors.Is(err, ErrLate)
+	if local {
+		return balancer.NotSent
+	}
+	return balancer.ConnectFailed
+}
+
+// InterruptedStatus returns the outcome of a request that was written, perhaps in part, and has
+// no complete response: it may have run.
+func InterruptedStatus(ctx context.Context) balancer.Status {
+	switch deadline, ok := ctx.Deadline(); {
+	// By the clock: the balancer's own timer for the same instant may have cancelled the
+	// attempt already, and a cancellation in place of a timeout would hide from the balancer
+	// that the endpoint is unresponsive.
+	case ok && !time.Now().Before(deadline):
+		return balancer.Timeout
+	case ctx.Err() != nil:
+		return balancer.Cancelled
+	}
+	return balancer.Reset // an aborted, truncated or malformed response
+}
+
+// Response is an endpoint's complete response, its body read.
+type Response struct {
+	StatusCode int
+	Header     http.Header
+	Body       []byte
+}
+
+// ResponseResult returns the result of a request that has a complete response. fields are those
+// of load reports, in the order of the settings.
+func ResponseResult(fields []string, response *Response, duration time.Duration) engine.Result {
+	result := engine.Result{
+		Status:   balancer.Error,
+		Duration: duration,
+		Load:     httpmsg.LoadReport(fields, response.Header.Get(loadReportHeader)),
+	}
+	switch code := response.StatusCode; {
+	case code == http.StatusOK:
+		result.Status, result.Header, result.Body = balancer.OK, response.Header, response.Body
+	case (code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout) &&
+		response.Header.Get(unprocessedHeader) == "1":
+		result.Status = balancer.Full
+	}
+	return result
+}
--- a/internal/upstream/attempt/secure.go
+++ b/internal/upstream/attempt/secure.go
@@ -8,23 +8,26 @@
 	"pinedale/internal/engine"
 )
 
-// A Securer makes secure connections of fresh ones. Without one all is sent in plain text;
-// with one, nothing is.
+// A Securer performs the TLS handshakes of new connections. An upstream without one sends
+// everything in plain text; an upstream with one sends nothing in plain text.
 type Securer interface {
-	// Turn waits until a handshake with a target may begin. Its error is ErrFull
-	// where none may in time.
+	// Turn waits until a handshake with a target may begin. It fails with ErrFull where the
+	// rate limit does not allow one in time.
 	Turn(ctx context.Context, t *engine.Target) error
-	// Secure encrypts raw and verifies who is there. It closes raw where it fails.
+	// Secure performs a handshake over raw and verifies the target. It closes raw where it
+	// fails.
 	Secure(ctx context.Context, t *engine.Target, raw net.Conn) (Session, error)
-	// Retire follows the end of a target's life.
+	// Retire drops what is cached for a target that was removed.
 	Retire(t *engine.Target)
 }
 
-// A Session is a secure connection.
+// A Session is a TLS connection to a verified target.
 type Session interface {
 	net.Conn
-	// Usable says whether new requests may go on it. It is never called by two at once.
+	// Usable reports whether the connection may carry new requests. It must not be called
+	// concurrently.
 	Usable(now time.Time) bool
-	// Quiet says that nothing is held that was not read. It is never called beside Read.
+	// Quiet reports that no received data is unread. It must not be called concurrently with
+	// Read.
 	Quiet() bool
 }
--- a/internal/upstream/http3upstream/upstream.go
+++ b/internal/upstream/http3upstream/upstream.go
@@ -13,7 +13,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,7 +22,6 @@
 
 	"pinedale/balancer"
 	"pinedale/internal/engine"
-	"pinedale/internal/httpmsg"
 	"pinedale/internal/upstream/attempt"
 	"pinedale/internal/upstream/speaks"
 )
@@ -106,7 +104,9 @@
 }
 
 // NewCarrier returns a carrier for one request.
-func (u *Upstream) NewCarrier(m *engine.Message) engine.Carrier { return attempt.Carry(u.attempt, m) }
+func (u *Upstream) NewCarrier(m *engine.Message) engine.Carrier {
+	return attempt.NewCarrier(u.attempt, m)
+}
 
 // Probe asks an endpoint in a goroutine of its own.
 func (u *Upstream) Probe(ctx context.Context, t *engine.Target, told func(engine.Result)) {
@@ -294,12 +294,12 @@
 // (RFC 9114, section 8.1: H3_REQUEST_REJECTED); in doubt it may have run: an endpoint may
 // begin with a request whose end has not come.
 func (u *Upstream) attempt(ctx context.Context, t *engine.Target, m *engine.Message) engine.Result {
-	c, err := u.take(attempt.Unwritten(ctx), t)
+	c, err := u.take(attempt.SendContext(ctx), t)
 	if err != nil {
-		return engine.Result{Status: attempt.Unsent(ctx, err)}
+		return engine.Result{Status: attempt.UnsentStatus(ctx, err)}
 	}
 	defer u.release(c)
-	if t.Closed() || attempt.MayWrite(ctx) != nil { // told draining meanwhile, or nobody waits: nothing new may go there
+	if t.Closed() || attempt.CheckBeforeWrite(ctx) != nil { // told draining meanwhile, or nobody waits: nothing new may go there
 		return engine.Result{Status: balancer.NotSent}
 	}
 	start := time.Now()
@@ -311,20 +311,18 @@
 			u.mu.Unlock()
 			u.tell(t, speaks.Fails)
 		}
-		return engine.Result{Status: attempt.Unsent(ctx, err)}
+		return engine.Result{Status: attempt.UnsentStatus(ctx, err)}
 	}
 	took := time.Since(start)
 	var refused *http3.Error
 	if errors.As(err, &refused) && refused.Remote && refused.ErrorCode == http3.ErrCodeRequestRejected {
 		return engine.Result{Status: balancer.Full, Duration: took}
 	} else if err != nil {
-		return engine.Result{Status: attempt.Broken(ctx), Duration: took}
+		return engine.Result{Status: attempt.InterruptedStatus(ctx), Duration: took}
 	}
-	return attempt.Answered(u.opts.Fields, response, took)
+	return attempt.ResponseResult(u.opts.Fields, response, took)
 }
 
-var errLarge = errors.New("the answer's body is too large")
-
 // exchange sends one request on a stream of its own and reads the whole answer. left says
 // that a stream was there for it, and so that it may have left. ClientConn's RoundTrip
 // uses this connection alone, once.
@@ -341,12 +339,8 @@
 	open := func() { opened.Store(true) }
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaderField: func(string, []string) { open() }, WroteHeaders: open,
 		WroteRequest: func(httptrace.WroteRequestInfo) { open() }})
-	request := (&http.Request{Method: m.Method, Host: m.Host, Header: http.Header{}, ContentLength: int64(len(m.Body)),
+	request := (&http.Request{Method: m.Method, Host: m.Host, Header: attempt.RequestHeader(ctx, m), ContentLength: int64(len(m.Body)),
 		URL: &url.URL{Scheme: "https", Host: t.Address, Path: m.URL.Path, RawPath: m.URL.RawPath, RawQuery: m.URL.RawQuery}}).WithContext(ctx)
-	httpmsg.EndToEnd(request.Header, m.Header)
-	if until, ok := ctx.Deadline(); ok {
-		request.Header.Set("X-Time-Left-Ms", strconv.FormatInt(max(0, time.Until(until).Milliseconds()), 10))
-	}
 	if len(m.Body) > 0 {
 		request.Body = io.NopCloser(bytes.NewReader(m.Body))
 	}
@@ -359,12 +353,9 @@
 	// is up.
 	rest := time.AfterFunc(answerRest, cancel)
 	defer rest.Stop()
-	body, err := io.ReadAll(io.LimitReader(response.Body, httpmsg.BodyMost+1))
+	body, err := attempt.ReadBody(response.Body)
 	if err != nil {
 		return nil, true, err
 	}
-	if len(body) > httpmsg.BodyMost {
-		return nil, true, errLarge
-	}
 	return &attempt.Response{StatusCode: response.StatusCode, Header: response.Header, Body: body}, true, nil
 }
--- a/internal/upstream/httpupstream/upstream.go
+++ b/internal/upstream/httpupstream/upstream.go
@@ -6,12 +6,10 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"slices"
-	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -118,7 +116,9 @@
 }
 
 // NewCarrier returns a carrier for one request.
-func (u *Upstream) NewCarrier(m *engine.Message) engine.Carrier { return attempt.Carry(u.attempt, m) }
+func (u *Upstream) NewCarrier(m *engine.Message) engine.Carrier {
+	return attempt.NewCarrier(u.attempt, m)
+}
 
 // attempt sends a request once and tells what came of it. Its outcome claims
 // that the request never ran only where the last byte was not written, or the
@@ -130,7 +130,7 @@
 	for {
 		c, unable := u.connect(ctx, t)
 		if unable != nil {
-			return engine.Result{Status: attempt.Unsent(ctx, unable)}
+			return engine.Result{Status: attempt.UnsentStatus(ctx, unable)}
 		}
 		start = time.Now()
 		response, err = u.exchange(ctx, c, m)
@@ -142,11 +142,11 @@
 	took := time.Since(start)
 	var never *unsentError
 	if errors.As(err, &never) {
-		return engine.Result{Status: attempt.Unsent(ctx, never.error), Duration: took}
+		return engine.Result{Status: attempt.UnsentStatus(ctx, never.error), Duration: took}
 	} else if err != nil {
-		return engine.Result{Status: attempt.Broken(ctx), Duration: took}
+		return engine.Result{Status: attempt.InterruptedStatus(ctx), Duration: took}
 	}
-	return attempt.Answered(u.fields, response, took)
+	return attempt.ResponseResult(u.fields, response, took)
 }
 
 // Probe asks an endpoint in a goroutine of its own.
@@ -167,12 +167,12 @@
 			defer timer.Stop()
 			select {
 			case <-timer.C:
-			case <-attempt.Unwritten(ctx).Done(): // seen by the last look
+			case <-attempt.SendContext(ctx).Done(): // seen by the last look
 			}
 		}
 		return c, nil
 	}
-	if c, err = u.dial(attempt.Unwritten(ctx), t); err != nil {
+	if c, err = u.dial(attempt.SendContext(ctx), t); err != nil {
 		u.mu.Lock()
 		u.open--
 		u.mu.Unlock()
@@ -354,7 +354,7 @@
 	}
 	// Ahead of the look at the connection, which would seem dead to an attempt that is over, as
 	// would all others that stand idle.
-	if err := attempt.MayWrite(ctx); err != nil {
+	if err := attempt.CheckBeforeWrite(ctx); err != nil {
 		keep = true // for the next: nothing is wrong with it
 		return nil, &unsentError{err}
 	}
@@ -365,7 +365,7 @@
 	}
 	written = true
 	wrote := time.Now()
-	whole := context.AfterFunc(attempt.Unwritten(ctx), func() { _ = c.SetWriteDeadline(past) })
+	whole := context.AfterFunc(attempt.SendContext(ctx), func() { _ = c.SetWriteDeadline(past) })
 	n, err := c.Write(data)
 	lasting := whole() // else no more can be written on this connection
 	if n < len(data) {
@@ -386,7 +386,7 @@
 // saw notes how a connection that had been idle until wrote has fared. One that is given up
 // or breaks late tells nothing of that.
 func (u *Upstream) saw(ctx context.Context, c *conn, wrote time.Time, err error) {
-	if !c.used || err != nil && (attempt.Unwritten(ctx).Err() != nil || time.Since(wrote) > idle.Quick) {
+	if !c.used || err != nil && (attempt.SendContext(ctx).Err() != nil || time.Since(wrote) > idle.Quick) {
 		return
 	}
 	u.mu.Lock()
@@ -423,15 +423,12 @@
 			return nil, false, errors.New("the answer's length is not stated in one way")
 		}
 		if response.ContentLength > httpmsg.BodyMost {
-			return nil, false, errLarge
+			return nil, false, attempt.ErrBodyTooLarge
 		}
-		body, err := io.ReadAll(io.LimitReader(response.Body, httpmsg.BodyMost+1))
+		body, err := attempt.ReadBody(response.Body)
 		if err != nil {
 			return nil, false, err
 		}
-		if len(body) > httpmsg.BodyMost {
-			return nil, false, errLarge
-		}
 		response.Body.Close() // read to its end
 		reusable = !response.Close && response.StatusCode != http.StatusSwitchingProtocols
 		return &attempt.Response{StatusCode: response.StatusCode, Header: response.Header, Body: body}, reusable, nil
@@ -439,8 +436,6 @@
 	return nil, false, errors.New("interim answers without end")
 }
 
-var errLarge = fmt.Errorf("the answer's body is over %d bytes", httpmsg.BodyMost)
-
 // head waits for the whole head of the next answer and looks at its bytes, which
 // are left to be read.
 func (c *conn) head() (httpmsg.HeadScan, error) {
@@ -460,12 +455,12 @@
 
 // encode writes the request with the time that this attempt has left.
 func encode(ctx context.Context, m *engine.Message) ([]byte, error) {
-	request := http.Request{Method: m.Method, URL: m.URL, Host: m.Host, Header: http.Header{},
-		ContentLength: int64(len(m.Body))}
-	httpmsg.EndToEnd(request.Header, m.Header)
-	if until, ok := ctx.Deadline(); ok {
-		left := max(0, time.Until(until).Milliseconds())
-		request.Header.Set("X-Time-Left-Ms", strconv.FormatInt(left, 10))
+	request := http.Request{
+		Method:        m.Method,
+		URL:           m.URL,
+		Host:          m.Host,
+		Header:        attempt.RequestHeader(ctx, m),
+		ContentLength: int64(len(m.Body)),
 	}
 	if len(m.Body) > 0 {
 		request.Body = io.NopCloser(bytes.NewReader(m.Body))
