Balancer: an endpoint's failure ratio is computed once for its cost

Change: cost computes the decayed failure ratio once, and derives from it whether the endpoint is ejected.

--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -12,18 +12,19 @@
 )
 
 // cost ranks endpoints for r: the predicted latency in µs, and as time a zone crossing and likely failures.
+// An endpoint that answers in time goes first, even if remote or failing.
 func (b *Balancer) cost(now Micros, r *request, e *endpoint) float64 {
 	objective := float64(b.classOf(r).LatencyObjective)
 	expected := b.predictLatency(now, e, b.expectedWork(now, r, e))
-	// One that answers in time goes first, even if remote or failing.
+	failures := e.failureRatio(now)
 	late := indicator(expected > b.latencyLimit(now, r, e))
-	cost := expected + (e.failureRatio(now)+indicator(e.ejected(now))+late)*objective
+	cost := expected + (failures+indicator(failures >= ejectionThreshold)+late)*objective
 	cost += queueDelayWeight * b.classes[r.Class].work.value * e.currentSlowness(now, b) * b.load(e)
 	if !b.likelyConnected(now, e) {
 		cost += connectRoundTrips*b.estimates.roundTrip[e.Zone].value + connectCostRatio*objective
 	}
-	crossing := indicator(int(e.Zone) != b.settings.Zone)
-	return cost + crossZoneWeight*b.settings.Prices.CrossZone*objective*crossing
+	remote := int(e.Zone) != b.settings.Zone
+	return cost + crossZoneWeight*b.settings.Prices.CrossZone*objective*indicator(remote)
 }
 
 // likelyConnected reports whether an idle connection to e is likely; true where that does not matter.
@@ -67,8 +68,7 @@
 	if remote && (maxRoundTrip == 0 || b.estimates.roundTrip[e.Zone].value > maxRoundTrip) {
 		return false
 	}
-	tooLight := b.random.float()*b.endpoints.maxWeight > float64(e.Weight)
-	return !tooLight
+	return !(b.random.float()*b.endpoints.maxWeight > float64(e.Weight)) // true if the weight is NaN
 }
 
 // selection finds the endpoint of the least cost for a request.
