--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -26,12 +26,12 @@
 func frame(records ...[]byte) []byte {
 	body := bytes.Join(records, nil)
 	f := binary.BigEndian.AppendUint32(nil, 12)
-	f = binary.BigEndian.AppendUint32(f, uint32(batchHeader+len(body)))
+	f = binary.BigEndian.AppendUint32(f, uint32(batchHeaderSize+len(body)))
 	f = binary.BigEndian.AppendUint64(f, 0x805c5a)
 	return append(f, body...)
 }
 
-// The examples of the page.
+// The examples of the protocol's page.
 const (
 	exInstance          = "1b 00000004 00000003"
 	exRequest           = "12 00000020 0005bf975d3a91c4 91f03b7c55d20a64 00000000008405da 00002ee0 01 0000 00"
@@ -55,7 +55,7 @@
 	for {
 		var e Event
 		err := d.Next(&e)
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			return all
 		}
 		if err != nil {
@@ -67,14 +67,17 @@
 	}
 }
 
-func TestPageExamples(t *testing.T) {
-	f := unhex(t, "0000000c 0000005d 0000000000805c5a", exInstance, exRequest, exTimer, "1b 00000004 00000005", exCancelledByClient)
+func TestDecodeProtocolExamples(t *testing.T) {
+	f := unhex(t, "0000000c 0000005d 0000000000805c5a",
+		exInstance, exRequest, exTimer, "1b 00000004 00000005", exCancelledByClient)
 	got, err := ReadFrame(bytes.NewReader(f), nil)
 	if err != nil || !bytes.Equal(got, f) {
 		t.Fatalf("frame changed: %v", err)
 	}
 	e := decode(t, new(Decoder), f)
-	want := balancer.Request{ID: 0x5bf975d3a91c4, Key: 0x91f03b7c55d20a64, Deadline: 0x8405da, WorkHint: 12000, HasWorkHint: true}
+	want := balancer.Request{
+		ID: 0x5bf975d3a91c4, Key: 0x91f03b7c55d20a64, Deadline: 0x8405da, WorkHint: 12000, HasWorkHint: true,
+	}
 	if len(e) != 5 || e[0].Instance != 3 || e[1].Request != want || e[2].Token != 77 || e[3].Instance != 5 ||
 		e[4].Outcome.ID != 0xbf5a10e6f2b19 {
 		t.Errorf("decoded %+v", e)
@@ -98,7 +101,7 @@
 	}
 }
 
-func TestReplyExamples(t *testing.T) {
+func TestEncodeProtocolExamples(t *testing.T) {
 	var w Reply
 	w.Reset(1)
 	if got := w.Bytes(); !bytes.Equal(got, unhex(t, "00000001 0000000c 00000000")) {
@@ -130,24 +133,24 @@
 		"53 0000000a 0005bf975d3a91c4 0000 55 00000004 2c9011f2 56 00000004 2c9011f2",
 		"57 0000000a ffffffff 0004 68692037 59 00000014 0012 696e646578206f7574206f662072616e6765",
 		"5a 00000001 01 5b 00000000")
-	if got := w.Bytes()[replyHeader:]; !bytes.Equal(got, want) {
+	if got := w.Bytes()[replyHeaderSize:]; !bytes.Equal(got, want) {
 		t.Errorf("got  %x\nwant %x", got, want)
 	}
 }
 
-func TestNumbersOutOfRangeAreClamped(t *testing.T) {
+func TestDelaysOutOfRangeAreClamped(t *testing.T) {
 	var w Reply
 	w.Reset(0)
 	w.Arm(-5, 1)
 	w.Arm(math.MaxInt64, 1)
-	b := w.Bytes()[replyHeader:]
+	b := w.Bytes()[replyHeaderSize:]
 	if binary.BigEndian.Uint32(b[5:]) != 0 || binary.BigEndian.Uint32(b[18:]) != math.MaxUint32 {
 		t.Errorf("%x", b)
 	}
 }
 
-// A list number stands for the list last conveyed before, in event order.
-func TestListsAreResolvedInOrder(t *testing.T) {
+// A list number names the list of that number sent last before it.
+func TestListNumbersResolveInEventOrder(t *testing.T) {
 	one := "1a 0000001a 00 00000001 00000001 00 00 0000 00 3f800000 0000000000000000"
 	two := "1a 0000001a 00 00000001 00000002 00 00 0000 01 3f800000 0000000000000000"
 	d := new(Decoder)
@@ -160,11 +163,11 @@
 		t.Error("the list does not outlive its batch")
 	}
 	if e[1].Kind != balancer.ListFailed || e[1].Entries != nil {
-		t.Error("a failed call must not need a list")
+		t.Error("a failed poll must not need a list")
 	}
 }
 
-func TestMalformedRecords(t *testing.T) {
+func TestMalformedRecordIsFrameError(t *testing.T) {
 	for _, c := range []struct{ name, records, record, reason string }{
 		{"header cut", "12 0000", "record", "needs 5 bytes"},
 		{"fields overrun", "12 00000021 00", "request", "overrun"},
@@ -187,13 +190,14 @@
 		var e Event
 		err := d.Next(&e)
 		var bad *FrameError
-		if !errors.As(err, &bad) || bad.Record != c.record || !strings.Contains(bad.Reason, c.reason) || bad.Offset < batchHeader {
+		if !errors.As(err, &bad) || bad.Record != c.record || !strings.Contains(bad.Reason, c.reason) ||
+			bad.Offset < batchHeaderSize {
 			t.Errorf("%s: %v", c.name, err)
 		}
 	}
 }
 
-func TestMalformedFrames(t *testing.T) {
+func TestMalformedFrameIsFrameError(t *testing.T) {
 	for name, text := range map[string]string{
 		"header cut":            "0000000c 000000",
 		"size under the header": "0000000c 0000000f 0000000000805c5a",
@@ -206,14 +210,16 @@
 			t.Errorf("%s: %v", name, err)
 		}
 	}
-	if _, err := ReadFrame(bytes.NewReader(nil), nil); err != io.EOF {
+	if _, err := ReadFrame(bytes.NewReader(nil), nil); !errors.Is(err, io.EOF) {
 		t.Errorf("clean end: %v", err)
 	}
 }
 
 func FuzzDecoder(f *testing.F) {
-	for _, s := range []string{exInstance, exRequest, exTimer, exCancelledByClient, exHeaders, exAnswer, exHealth, exWhisper,
-		exManifest + exMembers, "ff 00000002 0102", "1a 00000005 00 ffffffff"} {
+	for _, s := range []string{
+		exInstance, exRequest, exTimer, exCancelledByClient, exHeaders, exAnswer, exHealth, exWhisper,
+		exManifest + exMembers, "ff 00000002 0102", "1a 00000005 00 ffffffff",
+	} {
 		f.Add(unhex(f, s))
 	}
 	f.Fuzz(func(t *testing.T, records []byte) {
@@ -226,8 +232,8 @@
 			err := d.Next(&e)
 			if err != nil {
 				var bad *FrameError
-				if err != io.EOF && !errors.As(err, &bad) {
-					t.Fatalf("error of another kind: %v", err)
+				if !errors.Is(err, io.EOF) && !errors.As(err, &bad) {
+					t.Fatalf("error of an unexpected type: %v", err)
 				}
 				return
 			}
@@ -265,13 +271,14 @@
 value-by=work
 `
 
-func TestSettings(t *testing.T) {
+func TestParseSettings(t *testing.T) {
 	s, err := ParseSettings(goodSettings)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if len(s.Classes) != 2 || s.Classes[1].Idempotency != balancer.IdempotentWithKey || s.Classes[1].Group != balancer.GroupZone ||
-		s.Classes[1].DedupWindow != 400000 || !s.PollDiscovery || !s.WeightByWork || s.Zones != 2 || s.Limits.MaxAttempts != 3 ||
+	if len(s.Classes) != 2 || s.Classes[1].Idempotency != balancer.IdempotentWithKey ||
+		s.Classes[1].Group != balancer.GroupZone || s.Classes[1].DedupWindow != 400000 ||
+		!s.PollDiscovery || !s.WeightByWork || s.Zones != 2 || s.Limits.MaxAttempts != 3 ||
 		s.Goal.Overall != 0.6 || s.Tenants[0].Quota != 137 || s.Prices.Probe != 0.002 {
 		t.Errorf("%+v", s)
 	}
@@ -279,14 +286,14 @@
 		t.Errorf("fields %v", s.Fields)
 	}
 	if _, err := balancer.New(s, 1, nil); err != nil {
-		t.Errorf("the constructor refuses them: %v", err)
+		t.Errorf("the constructor rejects them: %v", err)
 	}
 	if s, err = ParseSettings(strings.Replace(goodSettings, "how=probe", "how=none", 1)); err != nil || s.Fields != nil {
 		t.Errorf("no reports: %v %v", s.Fields, err)
 	}
 }
 
-func TestBadSettings(t *testing.T) {
+func TestParseSettingsNamesInvalidKey(t *testing.T) {
 	for _, c := range []struct{ old, new, key string }{
 		{"classes.count=2", "classes.count=3", "classes.count"},
 		{"classes.count=2\n", "", "classes.count"},
@@ -306,12 +313,12 @@
 			t.Errorf("%s -> %s: %v", c.old, c.new, err)
 		}
 	}
-	// Values that parse but make no sense are the constructor's to refuse.
+	// Values that parse but make no sense are rejected by the constructor.
 	s, err := ParseSettings(strings.Replace(goodSettings, "window=400000", "window=-1", 1))
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err = balancer.New(s, 1, nil); err == nil || !strings.Contains(err.Error(), "Window=-1") {
+	if _, err = balancer.New(s, 1, nil); err == nil || !strings.Contains(err.Error(), "DedupWindow=-1") {
 		t.Errorf("negative window: %v", err)
 	}
 }
