Simhost: one function for each kind of event, errors tested by errors.Is

Cause: the loop over a batch decided on unknown codes, instances and errors in one body. Change: unknown codes and the choice of an instance are methods; names and comments.

--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -1,9 +1,11 @@
-// Command simhost hosts balancers behind the simulator's wire: batches of events
-// on standard input, one reply each on standard output.
+// Command simhost runs balancers behind the simulator's protocol: it reads batches of events from standard input and
+// writes one reply to each to standard output. It ends at the end of input, or with an error at a malformed frame. A
+// panic or invalid settings of one instance become an exception record, and leave the others running.
 package main
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -13,10 +15,14 @@
 	"pinedale/internal/wire"
 )
 
+const (
+	inputBuffer = 1 << 18 // bytes
+	gcPercent   = 400     // nothing is allocated in the steady state: collect rarely
+)
+
 func main() {
-	// Nothing is allocated in the steady state: collect rarely.
-	debug.SetGCPercent(400)
-	if err := run(bufio.NewReaderSize(os.Stdin, 1<<18), os.Stdout, os.Stderr); err != nil {
+	debug.SetGCPercent(gcPercent)
+	if err := run(bufio.NewReaderSize(os.Stdin, inputBuffer), os.Stdout, os.Stderr); err != nil {
 		fmt.Fprintln(os.Stderr, "simhost:", err)
 		os.Exit(1)
 	}
@@ -27,23 +33,23 @@
 	decoder         wire.Decoder
 	reply           wire.Reply
 	instances       map[uint32]*instance
-	unknownReported [256]bool // unknown codes already reported
+	unknownReported [256]bool // by code
 	stderr          io.Writer
 }
 
-// instance is one balancer with its number, and the Actions given to it.
+// instance is one balancer, and the Actions given to it.
 type instance struct {
 	*host
-	number   uint32
 	balancer *balancer.Balancer // nil once stopped or faulty
 }
 
+// run answers batches until the end of input.
 func run(in io.Reader, out, stderr io.Writer) error {
 	h := &host{instances: map[uint32]*instance{}, stderr: stderr}
 	var frame []byte
 	for {
 		next, err := wire.ReadFrame(in, frame)
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			return nil
 		}
 		if err != nil {
@@ -59,55 +65,70 @@
 	}
 }
 
+// batch passes the events of a frame to their instances, and collects the reply.
 func (h *host) batch(frame []byte) error {
 	number, now, err := h.decoder.Reset(frame)
 	if err != nil {
 		return err
 	}
 	h.reply.Reset(number)
-	var e wire.Event
-	var current uint32
+	var event wire.Event
+	var current uint32 // instance of the following events
 	named := false
 	for {
-		err := h.decoder.Next(&e)
-		if err == io.EOF {
+		err := h.decoder.Next(&event)
+		if errors.Is(err, io.EOF) {
 			return nil
 		}
 		if err != nil {
 			return err
 		}
-		switch e.Code {
-		case wire.Manifest:
-			continue
-		case wire.Instance:
-			current, named = e.Instance, true
+		switch {
+		case event.Code == wire.Manifest:
+		case event.Code == wire.Instance:
+			current = event.Instance
+			named = true
 			h.reply.As(current)
-			continue
-		}
-		if e.Code < wire.Begin || e.Code > wire.Instance {
-			if !h.unknownReported[e.Code] {
-				h.unknownReported[e.Code] = true
-				fmt.Fprintf(h.stderr, "simhost: %v at byte %d: unknown code, skipped\n", e.Code, e.Offset)
-			}
-			continue
-		}
-		if !named {
-			return &wire.FrameError{Record: e.Code.String(), Offset: e.Offset, Reason: "comes before any instance"}
-		}
-		i := h.instances[current]
-		if i == nil {
-			if e.Code != wire.Begin {
-				return &wire.FrameError{Record: e.Code.String(), Offset: e.Offset,
-					Reason: fmt.Sprintf("instance %d has not begun", current)}
+		case event.Code < wire.Begin || event.Code > wire.Instance:
+			h.reportUnknown(&event)
+		case !named:
+			return &wire.FrameError{Record: event.Code.String(), Offset: event.Offset,
+				Reason: "comes before any instance"}
+		default:
+			i, err := h.instance(current, &event)
+			if err != nil {
+				return err
 			}
-			i = &instance{host: h, number: current}
-			h.instances[current] = i
+			i.handle(now, &event)
 		}
-		i.handle(now, &e)
 	}
 }
 
-// handle passes an event on. A panic becomes an exception on the wire.
+// reportUnknown reports an unknown code once.
+func (h *host) reportUnknown(event *wire.Event) {
+	if h.unknownReported[event.Code] {
+		return
+	}
+	h.unknownReported[event.Code] = true
+	fmt.Fprintf(h.stderr, "simhost: %v at byte %d: unknown code, skipped\n", event.Code, event.Offset)
+}
+
+// instance returns the instance of an event, which only a begin record may create.
+func (h *host) instance(number uint32, event *wire.Event) (*instance, error) {
+	i := h.instances[number]
+	if i != nil {
+		return i, nil
+	}
+	if event.Code != wire.Begin {
+		return nil, &wire.FrameError{Record: event.Code.String(), Offset: event.Offset,
+			Reason: fmt.Sprintf("instance %d has not begun", number)}
+	}
+	i = &instance{host: h}
+	h.instances[number] = i
+	return i, nil
+}
+
+// handle passes an event to the balancer. A panic stops it and becomes an exception record.
 func (i *instance) handle(now balancer.Micros, e *wire.Event) {
 	defer func() {
 		if p := recover(); p != nil {
@@ -144,11 +165,12 @@
 	}
 }
 
+// begin replaces the balancer by a new one with the settings of a begin record.
 func (i *instance) begin(now balancer.Micros, e *wire.Event) {
 	i.balancer = nil
-	s, err := wire.ParseSettings(e.Config)
+	settings, err := wire.ParseSettings(e.Config)
 	if err == nil {
-		i.balancer, err = balancer.New(s, e.Seed, i)
+		i.balancer, err = balancer.New(settings, e.Seed, i)
 	}
 	if err != nil {
 		i.reply.Exception(err.Error())
@@ -180,9 +202,7 @@
 // Watch writes a track record.
 func (i *instance) Watch(on bool) { i.reply.Track(on) }
 
-// Log writes a trace record.
-
-// Log writes an event as one line of text: the message, then key=value.
+// Log writes a trace record: the message, then key=value.
 func (i *instance) Log(event string, attributes ...any) {
 	line := event
 	for n := 0; n+1 < len(attributes); n += 2 {
--- a/cmd/simhost/main_test.go
+++ b/cmd/simhost/main_test.go
@@ -20,7 +20,7 @@
 reporting.how=probe
 `
 
-func rec(code byte, fields ...any) []byte {
+func record(code byte, fields ...any) []byte {
 	var b bytes.Buffer
 	for _, f := range fields {
 		if s, ok := f.(string); ok {
@@ -42,26 +42,28 @@
 	return append(b, body...)
 }
 
-func at(i uint32) []byte { return rec(27, i) }
+func at(i uint32) []byte { return record(27, i) }
 
-func begin(text string) []byte { return rec(16, uint64(5), uint32(len(text)), text) }
+func begin(text string) []byte { return record(16, uint64(5), uint32(len(text)), text) }
 
-func manifest(list uint8, ids ...uint32) []byte {
-	fields := []any{list, uint32(len(ids))}
+// manifest is a record of list 0.
+func manifest(ids ...uint32) []byte {
+	fields := []any{uint8(0), uint32(len(ids))}
 	for _, id := range ids {
 		fields = append(fields, id, uint8(0), uint8(0), uint16(0), uint8(0), float32(1), uint64(0))
 	}
-	return rec(26, fields...)
+	return record(26, fields...)
 }
 
-func members(list, kind uint8) []byte { return rec(17, uint32(1), list, kind) }
+// members is a membership record of list 0.
+func members(kind uint8) []byte { return record(17, uint32(1), uint8(0), kind) }
 
 func request(id uint64, deadline uint64) []byte {
-	return rec(18, id, uint64(0), deadline, uint32(0), uint8(0), uint16(0), uint8(0))
+	return record(18, id, uint64(0), deadline, uint32(0), uint8(0), uint16(0), uint8(0))
 }
 
 func answer(id uint64, endpoint uint32, status uint16, settled uint8) []byte {
-	return rec(20, id, uint16(0), endpoint, status, uint32(3000), settled, uint8(0))
+	return record(20, id, uint16(0), endpoint, status, uint32(3000), settled, uint8(0))
 }
 
 func drive(t *testing.T, batches ...[]byte) (out, stderr string, err error) {
@@ -87,15 +89,15 @@
 	return binary.BigEndian.Uint32(reply), codes
 }
 
-func TestEmptyBatchAndEnd(t *testing.T) {
+func TestEmptyBatchHasEmptyReply(t *testing.T) {
 	out, _, err := drive(t, batch(1, 100))
 	if err != nil || out != "\x00\x00\x00\x01\x00\x00\x00\x0c\x00\x00\x00\x00" {
 		t.Errorf("%x %v", out, err)
 	}
 }
 
-func TestRequestIsDelivered(t *testing.T) {
-	out, stderr, err := drive(t, batch(7, 1000, at(3), begin(settings), manifest(0, 11, 12), members(0, 3),
+func TestRequestIsSent(t *testing.T) {
+	out, stderr, err := drive(t, batch(7, 1000, at(3), begin(settings), manifest(11, 12), members(3),
 		request(5, 500_000)))
 	if err != nil || stderr != "" {
 		t.Fatal(stderr, err)
@@ -106,10 +108,10 @@
 	}
 }
 
-func TestStopAndBeginInOneBatch(t *testing.T) {
+func TestBalancerIsNewAfterStopAndBegin(t *testing.T) {
 	out, _, err := drive(t,
-		batch(1, 1000, at(3), begin(settings), manifest(0, 11), members(0, 3), request(5, 500_000)),
-		batch(2, 2000, at(3), rec(25), begin(settings), manifest(0, 12), members(0, 3), answer(5, 11, 500, 0),
+		batch(1, 1000, at(3), begin(settings), manifest(11), members(3), request(5, 500_000)),
+		batch(2, 2000, at(3), record(25), begin(settings), manifest(12), members(3), answer(5, 11, 500, 0),
 			request(6, 500_000)))
 	if err != nil {
 		t.Fatal(err)
@@ -117,23 +119,23 @@
 	first := int(binary.BigEndian.Uint32([]byte(out)[4:]))
 	_, codes := actions(t, []byte(out)[first:])
 	if bytes.Count(codes, []byte{80}) != 1 || bytes.IndexByte(codes, 81) >= 0 || bytes.IndexByte(codes, 82) >= 0 {
-		t.Errorf("the new life knows the old one's request: %v", codes)
+		t.Errorf("the new balancer knows a request of the old one: %v", codes)
 	}
 }
 
-func TestInstancesActAlikeTogetherAndAlone(t *testing.T) {
+func TestInstancesAreIndependent(t *testing.T) {
 	script := func(instances ...uint32) [][]byte {
 		var all [][]byte
 		var records [][]byte
-		records = append(records, manifest(0, 11, 12, 13))
-		for _, i := range instances {
-			records = append(records, at(i), begin(settings), members(0, 3))
+		records = append(records, manifest(11, 12, 13))
+		for _, instance := range instances {
+			records = append(records, at(instance), begin(settings), members(3))
 		}
 		all = append(all, batch(1, 1000, records...))
 		for n := range uint64(30) {
 			records = nil
-			for _, i := range instances {
-				records = append(records, at(i), request(100*uint64(i)+n, 1000*n+500_000))
+			for _, instance := range instances {
+				records = append(records, at(instance), request(100*uint64(instance)+n, 1000*n+500_000))
 			}
 			all = append(all, batch(uint32(n+2), 1000*n+2000, records...))
 		}
@@ -173,15 +175,15 @@
 	}
 }
 
-func TestBadInputEndsTheProcess(t *testing.T) {
+func TestMalformedInputEndsProcess(t *testing.T) {
 	good := batch(1, 1000, at(3), begin(settings))
 	for _, c := range []struct {
 		name  string
 		input []byte
 		says  string
 	}{
-		{"event before instance", batch(2, 1000, rec(22, uint32(1))), "timeout_fired at byte 16"},
-		{"event before begin", batch(2, 1000, at(4), rec(22, uint32(1))), "instance 4 has not begun"},
+		{"event before instance", batch(2, 1000, record(22, uint32(1))), "timeout_fired at byte 16"},
+		{"event before begin", batch(2, 1000, at(4), record(22, uint32(1))), "instance 4 has not begun"},
 		{"truncated", batch(2, 1000, at(3))[:20], "batch at byte 20"},
 		{"overrun", batch(2, 1000, []byte{18, 0, 0, 1, 0}), "request at byte 17"},
 	} {
@@ -190,19 +192,19 @@
 			t.Errorf("%s: %v", c.name, err)
 		}
 		if number, _ := actions(t, []byte(out)); number != 1 {
-			t.Errorf("%s: something was written for the bad batch", c.name)
+			t.Errorf("%s: a reply was written for the bad batch", c.name)
 		}
 	}
 }
 
 func TestUnknownEventIsReportedOnce(t *testing.T) {
-	_, stderr, err := drive(t, batch(1, 1000, rec(99, uint32(1)), rec(99), at(3), begin(settings)))
+	_, stderr, err := drive(t, batch(1, 1000, record(99, uint32(1)), record(99), at(3), begin(settings)))
 	if err != nil || strings.Count(stderr, "\n") != 1 || !strings.Contains(stderr, "event 99") {
 		t.Errorf("%q %v", stderr, err)
 	}
 }
 
-func TestBadSettingsAreAnException(t *testing.T) {
+func TestInvalidSettingsAreException(t *testing.T) {
 	for _, text := range []string{
 		strings.Replace(settings, "repeat=pure", "repeat=never", 1),
 		strings.Replace(settings, "target=250000", "target=-1", 1),
