--- a/balancer/state.go
+++ b/balancer/state.go
@@ -5,7 +5,8 @@
 	"slices"
 )
 
-// The records that decisions are taken by. Nothing here decides: only api.go and state.go are not policy.
+// Records, averages and bookkeeping that decisions are taken by. The order of the sections: requests and attempts,
+// endpoints, breaker, probes and load reports, budgets, keys, what outcomes teach, averages, random numbers, log.
 
 const second Micros = 1_000_000
 
@@ -201,6 +202,41 @@
 // classOf returns the settings of a request's class.
 func (b *Balancer) classOf(r *request) *Class { return &b.settings.Classes[r.Class] }
 
+// closeAttempt records that an attempt is no longer in flight, and what its status proves.
+func (b *Balancer) closeAttempt(now Micros, r *request, a *attempt, status Status) {
+	e := a.endpoint
+	a.pending = false
+	a.transportFailed = status == Reset || status == ConnectFailed
+	r.pending--
+	e.inFlight--
+	b.dropUnused(e)
+	if status.neverRan() {
+		a.mayHaveRun = false
+	}
+	if status.answered() {
+		e.lastResponseAt = now
+		e.lastAnsweredSentAt = max(e.lastAnsweredSentAt, a.sentAt)
+	}
+}
+
+// answered reports whether the endpoint itself has responded.
+func (s Status) answered() bool { return s == OK || s == Error || s == Full }
+
+// attributeAttempt moves an attempt to the endpoint that had it, where its carrier went elsewhere than it was
+// sent: statistics, and the group in which repeats are dropped, follow that endpoint.
+func (b *Balancer) attributeAttempt(a *attempt, actual uint32) {
+	e := b.endpoints.byID[actual]
+	if e == nil || e == a.endpoint {
+		return
+	}
+	a.endpoint.inFlight--
+	b.dropUnused(a.endpoint)
+	e.inFlight++
+	a.endpoint = e
+	a.zone = e.Zone
+	a.cell = e.Cell
+}
+
 // endpointSet holds the endpoints that discovery has listed.
 type endpointSet struct {
 	byID       map[uint32]*endpoint
@@ -210,6 +246,22 @@
 	maxWeight  float64     // of any endpoint so far
 }
 
+// dropIfRemoved removes e from the index if it is removed with nothing in flight, and reports whether it is.
+func (b *Balancer) dropIfRemoved(e *endpoint) bool {
+	drop := e.State == Removed && e.inFlight == 0
+	if drop && b.endpoints.byID[e.ID] == e {
+		delete(b.endpoints.byID, e.ID)
+	}
+	return drop
+}
+
+// dropUnused drops e at once if it is removed with nothing in flight: the next list may be long in coming.
+func (b *Balancer) dropUnused(e *endpoint) {
+	if b.dropIfRemoved(e) {
+		b.endpoints.list = slices.DeleteFunc(b.endpoints.list, func(other *endpoint) bool { return other == e })
+	}
+}
+
 // endpoint is what is known of an endpoint.
 type endpoint struct {
 	Endpoint
@@ -271,12 +323,39 @@
 	refilledAt Micros
 }
 
+// refill adds what was earned since the last time, up to burst.
+func (s *slowStart) refill(now Micros, rate, burst float64) {
+	earned := rate * float64(now-s.refilledAt) / float64(second)
+	s.tokens = min(burst, s.tokens+earned)
+	s.refilledAt = now
+}
+
 // failureAverage is the ratio of failures at an endpoint when it was updated; see failureRatio.
 type failureAverage struct {
 	ratio     float64
 	updatedAt Micros
 }
 
+// recordSuccess counts an answered attempt for e.
+func (e *endpoint) recordSuccess(now Micros) {
+	e.failures.ratio = (1 - failureWeight) * e.failureRatio(now)
+	e.failures.updatedAt = now
+}
+
+// recentlyUsed is a ring of the endpoints that requests were sent to last.
+type recentlyUsed struct {
+	ring  [maxRecent]*endpoint
+	count int // sends so far
+}
+
+func (u *recentlyUsed) add(e *endpoint) {
+	u.ring[u.count%maxRecent] = e
+	u.count++
+}
+
+// len returns how many endpoints the ring holds.
+func (u *recentlyUsed) len() int { return min(maxRecent, u.count) }
+
 // breaker holds an endpoint's window of outcomes, in buckets of time, and its two latency averages.
 type breaker struct {
 	buckets  [breakerBuckets]bucket
@@ -334,20 +413,6 @@
 	k.accepts += accepts
 }
 
-// recentlyUsed is a ring of the endpoints that requests were sent to last.
-type recentlyUsed struct {
-	ring  [maxRecent]*endpoint
-	count int // sends so far
-}
-
-func (u *recentlyUsed) add(e *endpoint) {
-	u.ring[u.count%maxRecent] = e
-	u.count++
-}
-
-// len returns how many endpoints the ring holds.
-func (u *recentlyUsed) len() int { return min(maxRecent, u.count) }
-
 // probePool holds the endpoints with a fresh load report, and the mode of probing.
 type probePool struct {
 	pool       []*endpoint
@@ -370,6 +435,49 @@
 	})
 }
 
+// reportQuality measures how far load reports and probes can be trusted.
+type reportQuality struct {
+	queued    ewma // ratio of probes that queued at the endpoint
+	lateRatio ewma // ratio of load reports that must be late
+	late      bool // reports are too late to decide by
+}
+
+// addBaselineLoad adds what a probe shows of the load of other balancers at an endpoint.
+func (b *Balancer) addBaselineLoad(others float64) {
+	b.estimates.baselineLoad.add(others, baselineProbeWeight)
+}
+
+// queuedAhead is how many requests are ahead of a probe that is queued for so long, in µs.
+func (b *Balancer) queuedAhead(queueing float64) float64 {
+	return queueing / b.classes[0].work.value * assumedCores
+}
+
+// reportedInFlight returns the least number of requests in flight that a load report proves, or -1; counted
+// says that the endpoint has counted them.
+func reportedInFlight(fields []Field, load []float32) (inFlight float64, counted bool) {
+	if inFlight = reportValue(fields, load, FieldInflight); inFlight >= 0 {
+		return inFlight, true
+	}
+	if queue := reportValue(fields, load, FieldQueue); queue >= 0 {
+		return queue + assumedCores*indicator(queue >= 1), false
+	}
+	if utilization := reportValue(fields, load, FieldUtil); utilization >= 0 {
+		return min(utilization, 1) * assumedCores, false
+	}
+	return -1, false
+}
+
+// reportValue returns a figure of a load report, or -1 if it is missing or makes no sense.
+func reportValue(fields []Field, load []float32, want Field) float64 {
+	for i, field := range fields[:min(len(fields), len(load))] {
+		value := float64(load[i])
+		if field == want && value >= 0 && !math.IsInf(value, 0) { // false for NaN, too
+			return value
+		}
+	}
+	return -1
+}
+
 // discoveryPolling is when discovery is polled next.
 type discoveryPolling struct {
 	subscribed bool
@@ -377,6 +485,12 @@
 	backoff    Micros
 }
 
+// schedulePoll sets the instant of the next poll of discovery.
+func (b *Balancer) schedulePoll(now, delay Micros) {
+	b.discovery.pollAt = now + delay
+	b.actions.Timer(delay, discoveryTimer)
+}
+
 // budgets are token balances, in attempts.
 type budgets struct {
 	retry float64   // of requests without a budget of their own
@@ -384,20 +498,6 @@
 	named []float64 // by index of Settings.Budgets
 }
 
-// initialize sets averages and balances to their initial values.
-func (b *Balancer) initialize() {
-	// These ratios start at 0 and not at their first sample.
-	b.reports.lateRatio.seen = true
-	b.traffic.rejected.seen = true
-	b.traffic.swallowed.seen = true
-	b.traffic.trialInterval = minTrialInterval
-	b.trend.ratio = 1
-	b.estimates.hintExponent = 0.5
-	b.keys.reset()
-	b.budgets.retry = budgetBurst
-	b.budgets.hedge = budgetBurst
-}
-
 // budgetOf returns the balance of a request's retry budget, and what the budget earns and holds.
 func (b *Balancer) budgetOf(r *request) (balance *float64, budget RetryBudget) {
 	if n := int(r.Budget); n > 0 && n <= len(b.settings.Budgets) {
@@ -406,43 +506,57 @@
 	return &b.budgets.retry, RetryBudget{EarnRatio: retryEarnRatio, Burst: budgetBurst}
 }
 
-// classStats is what is known of a class.
-type classStats struct {
-	work         ewma   // mean work of a request, in µs
-	arrivals     meter  // requests taken
-	onTime       ewma   // ratio of requests answered within the latency objective
-	hedgeLatency ewma   // latency at HedgeQuantile, in µs; 0 without one
-	trialAt      Micros // latest request sent over its latency limit
-	sinceTrial   int    // requests over their limit since then
-}
+// affinity says what an endpoint is to a request's key: 0 for a request without key, else notOwner, zoneOwner
+// or fleetOwner plus an age bucket. The last bucket stands for a key that was not sent there for long.
+type affinity uint8
 
-// traffic measures what was asked of this balancer, and what became of it.
-type traffic struct {
-	demand        meter // requests taken
-	sentWork      meter // work sent, in µs
-	rejected      ewma  // ratio of requests rejected at arrival
-	swallowed     ewma  // ratio of attempts that were never answered though later ones were
-	trialInterval int   // requests over their latency limit for one that is sent all the same
-}
+const (
+	maxKeys     = 4096       // of one generation: three times as many as any known deployment has
+	sendsPerKey = 4          // endpoints remembered for a key
+	minKeyAge   = second / 2 // upper limit of the first age bucket
 
-// reportQuality measures how far load reports and probes can be trusted.
-type reportQuality struct {
-	queued    ewma // ratio of probes that queued at the endpoint
-	lateRatio ewma // ratio of load reports that must be late
-	late      bool // reports are too late to decide by
+	ageBuckets    = 7 // each twice as long as the one before
+	notOwner      = affinity(1)
+	zoneOwner     = notOwner + ageBuckets
+	fleetOwner    = zoneOwner + ageBuckets
+	affinityCount = fleetOwner + ageBuckets
+	notCached     = notOwner + ageBuckets - 1 // neither an owner nor sent there
+)
+
+// Indexes of a key's owners.
+const (
+	inZone = iota
+	inFleet
+	ownersPerKey
+)
+
+// keyAffinity holds what is known of keys.
+type keyAffinity struct {
+	current, previous map[uint64]*keyRecord // by key: those used in this generation and in the one before
+	rotatedAt         Micros
+	workRatio         [affinityCount]float64
 }
 
-// estimates are what is expected of endpoints of which little is known.
-type estimates struct {
-	roundTrip     [256]ewma // shortest probe latency in µs, by zone
-	kindSlowness  [256]mean // slowness of endpoints, by kind of machine
-	fleetSlowness mean      // and of all
-	baselineLoad  ewma      // requests of other balancers in flight at an endpoint
-	hintExponent  float64   // work grows with this power of a work hint
+// reset sets all work ratios to their priors.
+func (k *keyAffinity) reset() {
+	k.workRatio[0] = 1
+	for age, ratio := range workRatioPrior {
+		bucket := affinity(age)
+		k.workRatio[notOwner+bucket] = ratio
+		k.workRatio[zoneOwner+bucket] = zoneOwnerPrior
+		k.workRatio[fleetOwner+bucket] = fleetOwnerPrior
+	}
 }
 
-// latencyTrend is the ratio of latencies to those predicted, for all endpoints together.
-type latencyTrend struct{ ratio float64 }
+// learn adds a sample of the work ratio. That of requests without key, or where nothing is cached, is the
+// reference and stays 1.
+func (k *keyAffinity) learn(a affinity, ratio float64) {
+	if a == 0 || a == notCached {
+		return
+	}
+	estimate := &k.workRatio[a]
+	*estimate = min(1, max(minWorkRatio, *estimate+workRatioWeight*(ratio-*estimate)))
+}
 
 // keyRecord is where a key was sent to lately.
 type keyRecord struct {
@@ -499,171 +613,64 @@
 	k.sends[slot] = keySend{endpoint: e, at: now}
 }
 
-// ewma is an exponentially weighted moving average that starts at its first sample.
-type ewma struct {
-	value float64
-	seen  bool
-}
-
-func (a *ewma) add(sample, weight float64) {
-	if !a.seen {
-		a.value = sample
-		a.seen = true
-		return
+// ageAt returns the age bucket of the last send of the key to e. A process that started since has nothing
+// cached.
+func (k *keyRecord) ageAt(now Micros, e *endpoint) affinity {
+	age := affinity(ageBuckets - 1)
+	for i := range k.sends {
+		if send := &k.sends[i]; send.endpoint == e && send.at >= e.StartTime {
+			age = 0
+			for since := now - send.at; since > minKeyAge<<age && age < ageBuckets-1; {
+				age++
+			}
+		}
 	}
-	a.value += (sample - a.value) * weight
+	return age
 }
 
-// or returns the average, or a fallback before the first sample.
-func (a *ewma) or(fallback float64) float64 {
-	if a.seen {
-		return a.value
-	}
-	return fallback
-}
-
-// mean is the arithmetic mean of its first samples, and a moving average from then on.
-type mean struct {
-	ewma
-	samples int
-}
-
-func (m *mean) add(sample, weight float64) {
-	m.samples++
-	m.ewma.add(sample, max(weight, 1/float64(m.samples)))
-}
-
-// meter is a rate per second, averaged over about meterSpan.
-type meter struct {
-	sum float64
-	at  Micros
-}
-
-const meterSpan = 2 * second
-
-func (m *meter) add(now Micros, amount float64) {
-	m.sum = m.decayed(now) + amount
-	m.at = now
-}
-
-func (m *meter) decayed(now Micros) float64 {
-	if m.sum == 0 {
-		return 0
-	}
-	return m.sum * math.Exp(-float64(now-m.at)/float64(meterSpan))
-}
-
-func (m *meter) rate(now Micros) float64 {
-	return m.decayed(now) * float64(second) / float64(meterSpan)
-}
-
-// indicator is 1 for true and 0 for false.
-func indicator(condition bool) float64 {
-	if condition {
-		return 1
-	}
-	return 0
-}
-
-// randomSource is a SplitMix64 generator (Steele, Lea and Flood, 2014).
-type randomSource uint64
-
-// float returns a number in [0,1).
-func (s *randomSource) float() float64 {
-	*s += 0x9e3779b97f4a7c15
-	z := uint64(*s)
-	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
-	z = (z ^ z>>27) * 0x94d049bb133111eb
-	return float64((z^z>>31)>>11) / (1 << 53)
-}
-
-// below returns a duration in [0,limit).
-func (s *randomSource) below(limit Micros) Micros { return Micros(s.float() * float64(limit)) }
-
-// reportedInFlight returns the least number of requests in flight that a load report proves, or -1; counted
-// says that the endpoint has counted them.
-func reportedInFlight(fields []Field, load []float32) (inFlight float64, counted bool) {
-	if inFlight = reportValue(fields, load, FieldInflight); inFlight >= 0 {
-		return inFlight, true
-	}
-	if queue := reportValue(fields, load, FieldQueue); queue >= 0 {
-		return queue + assumedCores*indicator(queue >= 1), false
-	}
-	if utilization := reportValue(fields, load, FieldUtil); utilization >= 0 {
-		return min(utilization, 1) * assumedCores, false
-	}
-	return -1, false
-}
-
-// reportValue returns a figure of a load report, or -1 if it is missing or makes no sense.
-func reportValue(fields []Field, load []float32, want Field) float64 {
-	for i, field := range fields[:min(len(fields), len(load))] {
-		value := float64(load[i])
-		if field == want && value >= 0 && !math.IsInf(value, 0) { // false for NaN, too
-			return value
-		}
-	}
-	return -1
-}
-
-// log records an event for on-call staff, each kind of event at most once a second: rejections come in thousands.
-func (b *Balancer) log(now Micros, event string, attributes ...any) {
-	if at, ok := b.lastLogged[event]; ok && now-at < second {
-		return
-	}
-	b.lastLogged[event] = now
-	b.actions.Log(event, attributes...)
+// classStats is what is known of a class.
+type classStats struct {
+	work         ewma   // mean work of a request, in µs
+	arrivals     meter  // requests taken
+	onTime       ewma   // ratio of requests answered within the latency objective
+	hedgeLatency ewma   // latency at HedgeQuantile, in µs; 0 without one
+	trialAt      Micros // latest request sent over its latency limit
+	sinceTrial   int    // requests over their limit since then
 }
 
-// roundForLog rounds to two decimals.
-func roundForLog(x float64) float64 { return math.Round(100*x) / 100 }
-
-// dropIfRemoved removes e from the index if it is removed with nothing in flight, and reports whether it is.
-func (b *Balancer) dropIfRemoved(e *endpoint) bool {
-	drop := e.State == Removed && e.inFlight == 0
-	if drop && b.endpoints.byID[e.ID] == e {
-		delete(b.endpoints.byID, e.ID)
-	}
-	return drop
+// traffic measures what was asked of this balancer, and what became of it.
+type traffic struct {
+	demand        meter // requests taken
+	sentWork      meter // work sent, in µs
+	rejected      ewma  // ratio of requests rejected at arrival
+	swallowed     ewma  // ratio of attempts that were never answered though later ones were
+	trialInterval int   // requests over their latency limit for one that is sent all the same
 }
 
-// dropUnused drops e at once if it is removed with nothing in flight: the next list may be long in coming.
-func (b *Balancer) dropUnused(e *endpoint) {
-	if b.dropIfRemoved(e) {
-		b.endpoints.list = slices.DeleteFunc(b.endpoints.list, func(other *endpoint) bool { return other == e })
-	}
+// estimates are what is expected of endpoints of which little is known.
+type estimates struct {
+	roundTrip     [256]ewma // shortest probe latency in µs, by zone
+	kindSlowness  [256]mean // slowness of endpoints, by kind of machine
+	fleetSlowness mean      // and of all
+	baselineLoad  ewma      // requests of other balancers in flight at an endpoint
+	hintExponent  float64   // work grows with this power of a work hint
 }
 
-// attributeAttempt moves an attempt to the endpoint that had it, where its carrier went elsewhere than it was
-// sent: statistics, and the group in which repeats are dropped, follow that endpoint.
-func (b *Balancer) attributeAttempt(a *attempt, actual uint32) {
-	e := b.endpoints.byID[actual]
-	if e == nil || e == a.endpoint {
-		return
-	}
-	a.endpoint.inFlight--
-	b.dropUnused(a.endpoint)
-	e.inFlight++
-	a.endpoint = e
-	a.zone = e.Zone
-	a.cell = e.Cell
-}
+// latencyTrend is the ratio of latencies to those predicted, for all endpoints together.
+type latencyTrend struct{ ratio float64 }
 
-// closeAttempt records that an attempt is no longer in flight, and what its status proves.
-func (b *Balancer) closeAttempt(now Micros, r *request, a *attempt, status Status) {
-	e := a.endpoint
-	a.pending = false
-	a.transportFailed = status == Reset || status == ConnectFailed
-	r.pending--
-	e.inFlight--
-	b.dropUnused(e)
-	if status.neverRan() {
-		a.mayHaveRun = false
-	}
-	if status.answered() {
-		e.lastResponseAt = now
-		e.lastAnsweredSentAt = max(e.lastAnsweredSentAt, a.sentAt)
-	}
+// initialize sets averages and balances to their initial values.
+func (b *Balancer) initialize() {
+	// These ratios start at 0 and not at their first sample.
+	b.reports.lateRatio.seen = true
+	b.traffic.rejected.seen = true
+	b.traffic.swallowed.seen = true
+	b.traffic.trialInterval = minTrialInterval
+	b.trend.ratio = 1
+	b.estimates.hintExponent = 0.5
+	b.keys.reset()
+	b.budgets.retry = budgetBurst
+	b.budgets.hedge = budgetBurst
 }
 
 // estimateWork sets what r is expected to cost, from its hint or else the mean of its class.
@@ -679,73 +686,6 @@
 	}
 }
 
-// affinity says what an endpoint is to a request's key: 0 for a request without key, else notOwner, zoneOwner
-// or fleetOwner plus an age bucket. The last bucket stands for a key that was not sent there for long.
-type affinity uint8
-
-const (
-	maxKeys     = 4096       // of one generation: three times as many as any known deployment has
-	sendsPerKey = 4          // endpoints remembered for a key
-	minKeyAge   = second / 2 // upper limit of the first age bucket
-
-	ageBuckets    = 7 // each twice as long as the one before
-	notOwner      = affinity(1)
-	zoneOwner     = notOwner + ageBuckets
-	fleetOwner    = zoneOwner + ageBuckets
-	affinityCount = fleetOwner + ageBuckets
-	notCached     = notOwner + ageBuckets - 1 // neither an owner nor sent there
-)
-
-// Indexes of a key's owners.
-const (
-	inZone = iota
-	inFleet
-	ownersPerKey
-)
-
-// keyAffinity holds what is known of keys.
-type keyAffinity struct {
-	current, previous map[uint64]*keyRecord // by key: those used in this generation and in the one before
-	rotatedAt         Micros
-	workRatio         [affinityCount]float64
-}
-
-// reset sets all work ratios to their priors.
-func (k *keyAffinity) reset() {
-	k.workRatio[0] = 1
-	for age, ratio := range workRatioPrior {
-		bucket := affinity(age)
-		k.workRatio[notOwner+bucket] = ratio
-		k.workRatio[zoneOwner+bucket] = zoneOwnerPrior
-		k.workRatio[fleetOwner+bucket] = fleetOwnerPrior
-	}
-}
-
-// ageAt returns the age bucket of the last send of the key to e. A process that started since has nothing
-// cached.
-func (k *keyRecord) ageAt(now Micros, e *endpoint) affinity {
-	age := affinity(ageBuckets - 1)
-	for i := range k.sends {
-		if send := &k.sends[i]; send.endpoint == e && send.at >= e.StartTime {
-			age = 0
-			for since := now - send.at; since > minKeyAge<<age && age < ageBuckets-1; {
-				age++
-			}
-		}
-	}
-	return age
-}
-
-// learn adds a sample of the work ratio. That of requests without key, or where nothing is cached, is the
-// reference and stays 1.
-func (k *keyAffinity) learn(a affinity, ratio float64) {
-	if a == 0 || a == notCached {
-		return
-	}
-	estimate := &k.workRatio[a]
-	*estimate = min(1, max(minWorkRatio, *estimate+workRatioWeight*(ratio-*estimate)))
-}
-
 // Weights are those of the latest sample in an exponentially weighted moving average.
 const (
 	hintExponentWeight     = 0.005
@@ -808,34 +748,95 @@
 // slowdown is the trend beyond what chance makes of it, 1 or more.
 func (t *latencyTrend) slowdown() float64 { return max(1, t.ratio/trendNoiseRatio) }
 
-// refill adds what was earned since the last time, up to burst.
-func (s *slowStart) refill(now Micros, rate, burst float64) {
-	earned := rate * float64(now-s.refilledAt) / float64(second)
-	s.tokens = min(burst, s.tokens+earned)
-	s.refilledAt = now
+// ewma is an exponentially weighted moving average that starts at its first sample.
+type ewma struct {
+	value float64
+	seen  bool
 }
 
-// answered reports whether the endpoint itself has responded.
-func (s Status) answered() bool { return s == OK || s == Error || s == Full }
+func (a *ewma) add(sample, weight float64) {
+	if !a.seen {
+		a.value = sample
+		a.seen = true
+		return
+	}
+	a.value += (sample - a.value) * weight
+}
 
-// recordSuccess counts an answered attempt for e.
-func (e *endpoint) recordSuccess(now Micros) {
-	e.failures.ratio = (1 - failureWeight) * e.failureRatio(now)
-	e.failures.updatedAt = now
+// or returns the average, or a fallback before the first sample.
+func (a *ewma) or(fallback float64) float64 {
+	if a.seen {
+		return a.value
+	}
+	return fallback
 }
 
-// addBaselineLoad adds what a probe shows of the load of other balancers at an endpoint.
-func (b *Balancer) addBaselineLoad(others float64) {
-	b.estimates.baselineLoad.add(others, baselineProbeWeight)
+// mean is the arithmetic mean of its first samples, and a moving average from then on.
+type mean struct {
+	ewma
+	samples int
 }
 
-// queuedAhead is how many requests are ahead of a probe that is queued for so long, in µs.
-func (b *Balancer) queuedAhead(queueing float64) float64 {
-	return queueing / b.classes[0].work.value * assumedCores
+func (m *mean) add(sample, weight float64) {
+	m.samples++
+	m.ewma.add(sample, max(weight, 1/float64(m.samples)))
 }
 
-// schedulePoll sets the instant of the next poll of discovery.
-func (b *Balancer) schedulePoll(now, delay Micros) {
-	b.discovery.pollAt = now + delay
-	b.actions.Timer(delay, discoveryTimer)
+// meter is a rate per second, averaged over about meterSpan.
+type meter struct {
+	sum float64
+	at  Micros
 }
+
+const meterSpan = 2 * second
+
+func (m *meter) add(now Micros, amount float64) {
+	m.sum = m.decayed(now) + amount
+	m.at = now
+}
+
+func (m *meter) decayed(now Micros) float64 {
+	if m.sum == 0 {
+		return 0
+	}
+	return m.sum * math.Exp(-float64(now-m.at)/float64(meterSpan))
+}
+
+func (m *meter) rate(now Micros) float64 {
+	return m.decayed(now) * float64(second) / float64(meterSpan)
+}
+
+// indicator is 1 for true and 0 for false.
+func indicator(condition bool) float64 {
+	if condition {
+		return 1
+	}
+	return 0
+}
+
+// randomSource is a SplitMix64 generator (Steele, Lea and Flood, 2014).
+type randomSource uint64
+
+// float returns a number in [0,1).
+func (s *randomSource) float() float64 {
+	*s += 0x9e3779b97f4a7c15
+	z := uint64(*s)
+	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
+	z = (z ^ z>>27) * 0x94d049bb133111eb
+	return float64((z^z>>31)>>11) / (1 << 53)
+}
+
+// below returns a duration in [0,limit).
+func (s *randomSource) below(limit Micros) Micros { return Micros(s.float() * float64(limit)) }
+
+// log records an event for on-call staff, each kind of event at most once a second: rejections come in thousands.
+func (b *Balancer) log(now Micros, event string, attributes ...any) {
+	if at, ok := b.lastLogged[event]; ok && now-at < second {
+		return
+	}
+	b.lastLogged[event] = now
+	b.actions.Log(event, attributes...)
+}
+
+// roundForLog rounds to two decimals.
+func roundForLog(x float64) float64 { return math.Round(100*x) / 100 }
--- a/cmd/simhost/main_test.go
+++ b/cmd/simhost/main_test.go
@@ -55,8 +55,8 @@
 	return record(26, fields...)
 }
 
-// members is a membership record of list 0.
-func members(kind uint8) []byte { return record(17, uint32(1), uint8(0), kind) }
+// members is a membership record of list 0, as a cached list.
+func members() []byte { return record(17, uint32(1), uint8(0), uint8(3)) }
 
 func request(id uint64, deadline uint64) []byte {
 	return record(18, id, uint64(0), deadline, uint32(0), uint8(0), uint16(0), uint8(0))
@@ -97,7 +97,7 @@
 }
 
 func TestRequestIsSent(t *testing.T) {
-	out, stderr, err := drive(t, batch(7, 1000, at(3), begin(settings), manifest(11, 12), members(3),
+	out, stderr, err := drive(t, batch(7, 1000, at(3), begin(settings), manifest(11, 12), members(),
 		request(5, 500_000)))
 	if err != nil || stderr != "" {
 		t.Fatal(stderr, err)
@@ -110,8 +110,8 @@
 
 func TestBalancerIsNewAfterStopAndBegin(t *testing.T) {
 	out, _, err := drive(t,
-		batch(1, 1000, at(3), begin(settings), manifest(11), members(3), request(5, 500_000)),
-		batch(2, 2000, at(3), record(25), begin(settings), manifest(12), members(3), answer(5, 11, 500, 0),
+		batch(1, 1000, at(3), begin(settings), manifest(11), members(), request(5, 500_000)),
+		batch(2, 2000, at(3), record(25), begin(settings), manifest(12), members(), answer(5, 11, 500, 0),
 			request(6, 500_000)))
 	if err != nil {
 		t.Fatal(err)
@@ -129,7 +129,7 @@
 		var records [][]byte
 		records = append(records, manifest(11, 12, 13))
 		for _, instance := range instances {
-			records = append(records, at(instance), begin(settings), members(3))
+			records = append(records, at(instance), begin(settings), members())
 		}
 		all = append(all, batch(1, 1000, records...))
 		for n := range uint64(30) {
