Fleet: one file for each job; the rig by concern

Long functions are steps with a name; constants have their unit. The order of random draws and of the relays' seeds is the same. The log event 'a fault could not be played' is 'fault not played' with the attribute err.

--- /dev/null
+++ b/internal/fleet/faults.go
@@ -0,0 +1,178 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"syscall"
+	"time"
+
+	"pinedale/internal/fleet/history"
+	"pinedale/internal/fleet/relay"
+	"pinedale/internal/fleet/schedule"
+)
+
+// faults is the state of the faults that are being played, by their numbers in the schedule.
+type faults struct {
+	mu        sync.Mutex
+	active    map[int]schedule.Fault // of paths
+	suspended map[int]*process       // the first of two processes of one name
+}
+
+// playFaults begins and ends the faults at their instants.
+func (r *rig) playFaults(ctx context.Context) {
+	var all sync.WaitGroup
+	defer all.Wait()
+	for n, f := range r.options.Schedule.Faults {
+		all.Go(func() { r.playFault(ctx, n, f) })
+	}
+}
+
+// playFault begins and ends one fault. A fault that cannot be played is recorded as an end of its process.
+func (r *rig) playFault(ctx context.Context, n int, f schedule.Fault) {
+	if !sleep(ctx, r.until(time.Duration(f.At))) {
+		return
+	}
+	err := r.beginFault(n, f)
+	if f.Kind == schedule.Twin {
+		sleep(ctx, r.until(time.Duration(f.At+f.For/2)))
+		r.signalSuspended(n, f, syscall.SIGCONT) // the first of the two goes on
+	}
+	sleep(ctx, r.until(f.End()))
+	if err = errors.Join(err, r.endFault(n, f)); err != nil {
+		r.options.Log.Error("fault not played", "fault", f.String(), "err", err)
+		r.recorder.record(func(h *history.History) {
+			h.Ends = append(h.Ends, fmt.Sprintf("%s did not come back: %v", f.Of, err))
+		})
+	}
+}
+
+// until is how long it is until an instant of the history's clock.
+func (r *rig) until(at time.Duration) time.Duration { return time.Until(r.began.Add(at)) }
+
+// beginFault begins the nth fault.
+func (r *rig) beginFault(n int, f schedule.Fault) error {
+	switch f.Kind {
+	case schedule.Kill:
+		r.byName[f.Of].signal(syscall.SIGKILL)
+	case schedule.Term, schedule.Build:
+		r.byName[f.Of].signal(syscall.SIGTERM)
+	case schedule.Stop:
+		r.byName[f.Of].signal(syscall.SIGSTOP)
+	case schedule.Twin:
+		return r.replaceSuspended(n, r.byName[f.Of])
+	case schedule.Server:
+		return r.requestServers("stop " + f.Of)
+	case schedule.Drain:
+		r.startDrain(f.Of)
+	case schedule.Break:
+		r.network.reset(f.Of, farName(&f))
+	default:
+		r.applyPathFault(n, &f)
+	}
+	return nil
+}
+
+// endFault ends the nth fault.
+func (r *rig) endFault(n int, f schedule.Fault) error {
+	switch f.Kind {
+	case schedule.Build:
+		if r.options.Next != "" {
+			r.byName[f.Of].mu.Lock()
+			r.byName[f.Of].program = r.options.Next
+			r.byName[f.Of].mu.Unlock()
+		}
+		return r.byName[f.Of].restart()
+	case schedule.Kill, schedule.Term:
+		return r.byName[f.Of].restart()
+	case schedule.Stop:
+		r.byName[f.Of].signal(syscall.SIGCONT)
+	case schedule.Twin:
+		<-r.signalSuspended(n, f, syscall.SIGKILL).ended
+	case schedule.Server:
+		return r.requestServers("start " + f.Of)
+	case schedule.Drain:
+		return r.endDrain(f.Of)
+	case schedule.Break:
+	default:
+		r.applyPathFault(n, nil)
+	}
+	return nil
+}
+
+// replaceSuspended stops an instance's process and starts another of its name, to which all paths lead
+// from now on. What stands between the first and others goes on standing.
+func (r *rig) replaceSuspended(n int, i *instance) error {
+	first := i.process()
+	i.signalProcess(first, syscall.SIGSTOP)
+	r.faults.mu.Lock()
+	r.faults.suspended[n] = first
+	r.faults.mu.Unlock()
+	if err := i.allocateAddresses(); err != nil {
+		return err
+	}
+	if err := r.writeConfig(i); err != nil {
+		return err
+	}
+	if err := i.start(); err != nil {
+		return err
+	}
+	return r.network.redirect(i)
+}
+
+// signalSuspended sends the first of two processes of one name a signal, and returns it.
+func (r *rig) signalSuspended(n int, f schedule.Fault, s syscall.Signal) *process {
+	r.faults.mu.Lock()
+	first := r.faults.suspended[n]
+	r.faults.mu.Unlock()
+	r.byName[f.Of].signalProcess(first, s)
+	return first
+}
+
+// applyPathFault has a fault of a path begin, or end where f is nil, and sets each path to what all
+// faults that hold come to.
+func (r *rig) applyPathFault(n int, f *schedule.Fault) {
+	r.faults.mu.Lock()
+	defer r.faults.mu.Unlock()
+	if f == nil {
+		delete(r.faults.active, n)
+	} else {
+		r.faults.active[n] = *f
+	}
+	for k, direction := range r.network.paths {
+		var s relay.Script
+		for _, x := range r.faults.active {
+			if affects(&x, k) {
+				addToScript(&s, &x)
+			}
+		}
+		direction.Set(s)
+	}
+}
+
+// affects says whether a fault is of a path.
+func affects(f *schedule.Fault, k path) bool {
+	to := farName(f)
+	forth := f.Of == k.from && to == k.to
+	back := f.Of == k.to && to == k.from
+	return forth || f.Both && back
+}
+
+// addToScript adds a fault to what happens on a path. Of two faults of a kind the heavier one counts.
+func addToScript(s *relay.Script, f *schedule.Fault) {
+	switch f.Kind {
+	case schedule.Cut:
+		s.Cut = true
+	case schedule.Loss:
+		s.Loss = max(s.Loss, f.Share)
+	case schedule.Double:
+		s.Double = max(s.Double, f.Share)
+	case schedule.Swap:
+		s.Swap = max(s.Swap, f.Share)
+	case schedule.Spoil:
+		s.Corrupt = max(s.Corrupt, f.Share)
+	case schedule.Slow:
+		s.Delay = max(s.Delay, time.Duration(f.Delay))
+	}
+}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -31,9 +31,9 @@
 	if err == nil {
 		program, next = filepath.Join(dir, "pinedale-site"), filepath.Join(dir, "next")
 		for path, name := range map[string]string{program: "this", next: "next"} {
-			said, failed := exec.Command("go", "build", "-ldflags", "-X pinedale/internal/site.Build="+name, "-o", path, "pinedale/cmd/pinedale-site").CombinedOutput()
+			output, failed := exec.Command("go", "build", "-ldflags", "-X pinedale/internal/site.Build="+name, "-o", path, "pinedale/cmd/pinedale-site").CombinedOutput()
 			if failed != nil {
-				err = fmt.Errorf("%w: %s", failed, said)
+				err = fmt.Errorf("%w: %s", failed, output)
 			}
 		}
 	}
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -69,36 +69,36 @@
 }
 
 // signal sends the present process a signal.
-func (i *instance) signal(s syscall.Signal) { i.tell(i.process(), s) }
+func (i *instance) signal(s syscall.Signal) { i.signalProcess(i.process(), s) }
 
-// tell sends a process a signal; one that ends it is meant to.
-func (i *instance) tell(p *process, s syscall.Signal) {
+// signalProcess sends a process a signal; one that ends it is meant to.
+func (i *instance) signalProcess(p *process, s syscall.Signal) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	p.meant = p.meant || s == syscall.SIGKILL || s == syscall.SIGTERM
 	_ = p.Process.Signal(s) // it may have ended
 }
 
-// end waits for the process's end after SIGTERM, and kills it where that takes too long.
-func (i *instance) end() {
+// waitEnd waits for the process's end after SIGTERM, and kills it where that takes too long.
+func (i *instance) waitEnd() {
 	p := i.process()
 	if p == nil {
 		return
 	}
 	select {
 	case <-p.ended:
-	case <-time.After(endMost):
-		i.tell(p, syscall.SIGKILL)
+	case <-time.After(endTimeout):
+		i.signalProcess(p, syscall.SIGKILL)
 		<-p.ended
 	}
 }
 
-// endMost is the longest that an instance may take for its orderly end: it answers what it
+// endTimeout is the longest that an instance may take for its orderly end: it answers what it
 // has taken, and its longest patience is 1.5 s.
-const endMost = 10 * time.Second
+const endTimeout = 10 * time.Second
 
-// addresses finds new ones for the next process.
-func (i *instance) addresses() (err error) {
+// allocateAddresses finds new ones for the next process.
+func (i *instance) allocateAddresses() (err error) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	for _, address := range []*string{&i.http, &i.peers, &i.status} {
@@ -109,9 +109,9 @@
 	return nil
 }
 
-// again starts the process anew, while its ports may still be closing.
-func (i *instance) again() error {
-	i.end()
+// restart starts the process anew, while its ports may still be closing.
+func (i *instance) restart() error {
+	i.waitEnd()
 	return i.start()
 }
 
@@ -128,9 +128,9 @@
 	// rest once clients are.
 	fmt.Fprintf(&b, "[limits]\nprobes = false\n[fleet]\nsites = [\"a\"]\nkinds = [\"box\"]\nreports = [\"queue\"]\ninstances = %d\nwarm_within = \"0s\"\n", len(r.instances))
 	for _, c := range classes {
-		fmt.Fprintf(&b, "[[class]]\nname = %q\nrepeat = %q\naim = %q\ndeadline = %q\n", c.name, repeats[c.repeat], c.aim, c.patience)
+		fmt.Fprintf(&b, "[[class]]\nname = %q\nrepeat = %q\naim = %q\ndeadline = %q\n", c.name, repeats[c.repeat], c.objective, c.patience)
 		if c.repeat == balancer.IdempotentWithKey {
-			fmt.Fprintf(&b, "group = %q\nwindow = %q\nagree = %q\n", groups[c.group], c.window, r.o.Schedule.Agree)
+			fmt.Fprintf(&b, "group = %q\nwindow = %q\nagree = %q\n", groups[c.group], c.window, r.options.Schedule.Agree)
 		}
 	}
 	var names, join []string
@@ -141,12 +141,12 @@
 			join = append(join, fmt.Sprintf("%q", other.name+"/"+i.via[other.name]))
 		}
 	}
-	fmt.Fprintf(&b, "[peers]\nlisten = %q\nstatus = %q\nkeys_file = %q\nwitnesses = [%s]\njoin = [%s]\n[peers.via]\n", i.peers, i.status, r.keys,
+	fmt.Fprintf(&b, "[peers]\nlisten = %q\nstatus = %q\nkeys_file = %q\nwitnesses = [%s]\njoin = [%s]\n[peers.via]\n", i.peers, i.status, r.keyFile,
 		strings.Join(names, ", "), strings.Join(join, ", "))
 	for name, address := range i.via {
 		fmt.Fprintf(&b, "%q = %q\n", name, address)
 	}
 	fmt.Fprintf(&b, "[discovery]\naddress = %q\nask_within = \"2s\"\n", i.discovery)
-	i.config = filepath.Join(r.o.Dir, i.name+".toml")
+	i.config = filepath.Join(r.options.Dir, i.name+".toml")
 	return os.WriteFile(i.config, []byte(b.String()), 0o600)
 }
--- a/internal/fleet/servers.go
+++ b/internal/fleet/servers.go
@@ -23,13 +23,13 @@
 
 // class is one class of the rig's requests.
 type class struct {
-	name     string
-	repeat   balancer.Idempotency
-	group    balancer.Group
-	window   time.Duration
-	share    float64 // of the effects
-	aim      time.Duration
-	patience time.Duration // of its clients, over all tries
+	name      string
+	repeat    balancer.Idempotency
+	group     balancer.Group
+	window    time.Duration
+	share     float64 // of the effects
+	objective time.Duration
+	patience  time.Duration // of its clients, over all tries
 }
 
 // The rig's classes: those of the co-operative, with patience scaled to runs of seconds. What
@@ -94,7 +94,7 @@
 	defer stop()
 	var mu sync.Mutex
 	var still []stall
-	go stalls(ctx, func(s stall) {
+	go observeStalls(ctx, func(s stall) {
 		mu.Lock()
 		defer mu.Unlock()
 		still = append(still, s)
@@ -105,23 +105,23 @@
 	}
 	for lines.Scan() {
 		what, name, _ := strings.Cut(lines.Text(), " ")
-		said := any("done")
+		response := any("done")
 		switch what {
 		case "stop":
 			servers[name].Close()
 		case "start":
 			s, err := fleet.StartAt(at[name], name, pods[name])
 			if err != nil {
-				said = err.Error()
+				response = err.Error()
 				break
 			}
 			servers[name] = s
 		case "report":
 			mu.Lock()
-			said = serverReport{fleet.Done(), fleet.Twice(), slices.Clone(still)}
+			response = serverReport{fleet.Done(), fleet.Twice(), slices.Clone(still)}
 			mu.Unlock()
 		}
-		if err := enc.Encode(said); err != nil {
+		if err := enc.Encode(response); err != nil {
 			return err
 		}
 	}
@@ -169,8 +169,8 @@
 	return s, addresses, nil
 }
 
-// ask has the servers do something and reads what they say.
-func (s *servers) ask(line string, into any) error {
+// request has the servers do something and reads what they say.
+func (s *servers) request(line string, into any) error {
 	if _, err := fmt.Fprintln(s.in, line); err != nil {
 		return err
 	}
