--- a/internal/standin/coord/coord_test.go
+++ b/internal/standin/coord/coord_test.go
@@ -16,9 +16,9 @@
 	"go.uber.org/goleak"
 )
 
-type silentLog struct{}
+type discardLog struct{}
 
-func (silentLog) Printf(string, ...any) {}
+func (discardLog) Printf(string, ...any) {}
 
 func service(t *testing.T, members int) *Service {
 	t.Helper()
@@ -35,7 +35,7 @@
 
 func client(t *testing.T, s *Service, session time.Duration) *zk.Conn {
 	t.Helper()
-	c, events, err := zk.Connect(s.Addresses(), session, zk.WithLogger(silentLog{}), zk.WithLogInfo(false))
+	c, events, err := zk.Connect(s.Addresses(), session, zk.WithLogger(discardLog{}), zk.WithLogInfo(false))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -156,12 +156,12 @@
 		t.Error("an operation that is not supported succeeds")
 	}
 	// A session that is closed takes its ephemeral nodes along.
-	_, _, gone, err := stranger.GetW("/d/e")
+	_, _, ended, err := stranger.GetW("/d/e")
 	if err != nil {
 		t.Fatal(err)
 	}
 	c.Close()
-	event(t, gone, zk.EventNodeDeleted, "/d/e")
+	event(t, ended, zk.EventNodeDeleted, "/d/e")
 }
 
 func sorted(s []string) []string {
--- a/internal/standin/coord/jute.go
+++ b/internal/standin/coord/jute.go
@@ -37,8 +37,8 @@
 	codeAuthFailed    int32 = -115
 )
 
-// frameMost is the largest frame that is read, ZooKeeper's own limit (jute.maxbuffer).
-const frameMost = 1 << 20
+// maxFrameBytes is the largest frame that is read, ZooKeeper's own limit (jute.maxbuffer).
+const maxFrameBytes = 1 << 20
 
 var errShort = errors.New("the frame ends within a field")
 
@@ -90,13 +90,13 @@
 
 func (r *reader) string() string { return string(r.buffer()) }
 
-// count reads the length of a list whose items have so many bytes at least.
-func (r *reader) count(least int) int {
+// count reads the length of a list whose items have at least minBytes each.
+func (r *reader) count(minBytes int) int {
 	n := int(r.int32())
 	if n == -1 {
 		return 0
 	}
-	if n < 0 || n > len(r.data)/least {
+	if n < 0 || n > len(r.data)/minBytes {
 		r.err = fmt.Errorf("a list of %d items in %d bytes", n, len(r.data))
 		return 0
 	}
@@ -216,3 +216,25 @@
 	}
 	return q, r.err
 }
+
+// head writes the head of an answer or event.
+func (w *writer) head(xid int32, zxid int64, code int32) {
+	w.int32(xid)
+	w.int64(zxid)
+	w.int32(code)
+}
+
+// stat writes a node's Stat.
+func (w *writer) stat(n *node) {
+	w.int64(n.czxid)
+	w.int64(n.mzxid)
+	w.int64(n.ctime)
+	w.int64(n.mtime)
+	w.int32(n.version)
+	w.int32(n.cversion)
+	w.int32(0)
+	w.int64(n.owner)
+	w.int32(int32(len(n.data)))
+	w.int32(int32(len(n.children)))
+	w.int64(n.pzxid)
+}
