Idle: the estimator of idle time limits by standard names

Trust, Saw, judge and proven didn't say that the package estimates how long idle connections last. They become Estimator, Observe, updateLimit and exceeds; constants carry their meaning and unit in a comment each; a bin's counts are a type.

--- a/internal/upstream/httpupstream/upstream.go
+++ b/internal/upstream/httpupstream/upstream.go
@@ -42,7 +42,7 @@
 	fields   []string        // of load reports
 
 	mu    sync.Mutex
-	trust idle.Trust // and for less, as far as they have broken
+	trust idle.Estimator // and for less, as far as they have broken
 	open  int        // connections, those being dialled included
 	most  int
 	idle  map[*engine.Target][]*conn // by endpoint, the latest used last
@@ -386,12 +386,12 @@
 // saw notes how a connection that had been idle until wrote has fared. One that is given up
 // or breaks late tells nothing of that.
 func (u *Upstream) saw(ctx context.Context, c *conn, wrote time.Time, err error) {
-	if !c.used || err != nil && (attempt.SendContext(ctx).Err() != nil || time.Since(wrote) > idle.Quick) {
+	if !c.used || err != nil && (attempt.SendContext(ctx).Err() != nil || time.Since(wrote) > idle.MaxStaleResetDelay) {
 		return
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.trust.Saw(time.Now(), wrote.Sub(c.idleAt), err != nil)
+	u.trust.Observe(time.Now(), wrote.Sub(c.idleAt), err != nil)
 }
 
 // receive reads one answer. A 200 must prove that it is whole: by one stated
--- a/internal/upstream/idle/idle.go
+++ b/internal/upstream/idle/idle.go
@@ -1,8 +1,13 @@
-// Package idle decides for how long a kept connection may stand idle and still be used for
-// a request. A deployment states after which time servers close idle connections, but what
-// stands between may do so far sooner and say nothing: the next request on such a
-// connection is reset, and then it may have run for all that its sender knows. How many are
-// reset by how long they stood idle is seen, and decides. There is no I/O here and no clock.
+// Package idle estimates for how long a cached connection may stand idle and still be used for
+// a request.
+//
+// A deployment states after which time servers close idle connections. What stands between, a
+// NAT or a firewall, may drop them far sooner without notice: the next request on such a
+// connection is reset, and its sender cannot tell whether it has run. The estimator counts by
+// idle time how many connections are reset at their next use, and limits the idle time to what
+// has proven to last.
+//
+// The package does no I/O, reads no clock and keeps nothing over a restart.
 package idle
 
 import (
@@ -11,81 +16,100 @@
 )
 
 const (
-	ages      = 12                    // bins of idle time, each twice as long as the one before
-	ageLeast  = 25 * time.Millisecond // the first: so short an idle time breaks no connection by itself
-	halfLife  = 10 * time.Second      // of what was seen: later it is tried anew, with as many requests as prove it
-	margin    = 0.1                   // share of resets beyond that of fresh connections at which a new one is cheaper
-	certainty = 2                     // standard deviations by which that must be exceeded
+	// binCount is the number of bins of idle time, each twice as wide as the one before.
+	binCount = 12
+	// minIdleTime is the upper bound of the first bin: so short an idle time by itself gets no
+	// connection dropped, so that the bin's resets are the baseline.
+	minIdleTime = 25 * time.Millisecond
+	// decayHalfLife is the half-life of observations. Once they have decayed, longer idle times
+	// are used again, by as many requests as it takes to prove that they are still reset.
+	decayHalfLife = 10 * time.Second
+	// resetMargin is the ratio of resets above the baseline at which a new connection is cheaper.
+	resetMargin = 0.1
+	// confidenceSigmas is the number of standard deviations by which resets must exceed the margin.
+	confidenceSigmas = 2
 )
 
-// Quick is how soon after a write the reset of a connection comes that was closed before it:
-// within a round trip between sites and some. What breaks later broke under the request.
-const Quick = 50 * time.Millisecond
+// MaxStaleResetDelay is the longest time between a write on a connection that was closed before
+// and the reset: more than a round trip between sites. A connection that is reset later broke
+// while the request was in flight.
+const MaxStaleResetDelay = 50 * time.Millisecond
 
-// Trust is what is known of idle connections. The zero value knows nothing; it is not safe
-// for concurrent use.
-type Trust struct {
-	bins [ages]struct{ uses, broke float64 } // each decayed to at
-	at   time.Time
-	ends int // first bin that is not trusted; 0 for none
+// An Estimator holds the observations and the limit derived from them. The zero value has no
+// observations. It is not safe for concurrent use.
+type Estimator struct {
+	bins      [binCount]counts
+	updatedAt time.Time // all bins are decayed to this instant
+	limitBin  int       // first bin whose idle times are not used; 0 for none
 }
 
-func bin(age time.Duration) int {
-	i := 0
-	for edge := ageLeast; age >= edge && i < ages-1; edge *= 2 {
-		i++
+// counts are the decayed observations of one bin.
+type counts struct{ uses, resets float64 }
+
+// binIndex returns the bin of an idle time.
+func binIndex(idleTime time.Duration) int {
+	index := 0
+	for edge := minIdleTime; idleTime >= edge && index < binCount-1; edge *= 2 {
+		index++
 	}
-	return i
+	return index
 }
 
-// Saw notes that a connection was used after it had been idle for age, and whether it broke
-// as one does that was closed before.
-func (t *Trust) Saw(now time.Time, age time.Duration, broke bool) {
-	t.decay(now)
-	b := &t.bins[bin(age)]
-	b.uses++
-	if broke {
-		b.broke++
+// Observe records that a connection was used after it had been idle for idleTime, and whether
+// it was reset within MaxStaleResetDelay.
+func (e *Estimator) Observe(now time.Time, idleTime time.Duration, reset bool) {
+	e.decay(now)
+	bin := &e.bins[binIndex(idleTime)]
+	bin.uses++
+	if reset {
+		bin.resets++
 	}
-	t.judge()
+	e.updateLimit()
 }
 
-func (t *Trust) decay(now time.Time) {
-	if since := now.Sub(t.at); since > 0 {
-		part := math.Exp2(-float64(since) / float64(halfLife))
-		for i := range t.bins {
-			t.bins[i].uses *= part
-			t.bins[i].broke *= part
-		}
-		t.at = now
+// decay reduces the weight of all observations by the time since the last update.
+func (e *Estimator) decay(now time.Time) {
+	elapsed := now.Sub(e.updatedAt)
+	if elapsed <= 0 {
+		return
+	}
+	factor := math.Exp2(-float64(elapsed) / float64(decayHalfLife))
+	for i := range e.bins {
+		e.bins[i].uses *= factor
+		e.bins[i].resets *= factor
 	}
+	e.updatedAt = now
 }
 
-// judge finds the least idle time from which on connections break more often than fresh ones
-// by the margin, beyond doubt. Older ones are no better: nothing opens a closed connection again.
-func (t *Trust) judge() {
-	t.ends = 0
-	fresh := t.bins[0].broke / max(1, t.bins[0].uses)
-	var uses, broke float64
-	for i := ages - 1; i > 0; i-- {
-		uses += t.bins[i].uses
-		broke += t.bins[i].broke
-		if b := t.bins[i]; proven(b.uses, b.broke, fresh) || b.uses < 1 && proven(uses, broke, fresh) {
-			t.ends = i
+// updateLimit finds the first bin from which on resets exceed the baseline. A bin without
+// observations is judged by all longer idle times together, since a connection that was closed
+// after a shorter time does not open again.
+func (e *Estimator) updateLimit() {
+	e.limitBin = 0
+	baseline := e.bins[0].resets / max(1, e.bins[0].uses)
+	var total counts
+	for i := binCount - 1; i > 0; i-- {
+		bin := e.bins[i]
+		total.uses += bin.uses
+		total.resets += bin.resets
+		if bin.exceeds(baseline) || bin.uses < 1 && total.exceeds(baseline) {
+			e.limitBin = i
 		}
 	}
 }
 
-// proven says whether so many resets are too many for chance around the share of fresh connections.
-func proven(uses, broke, fresh float64) bool {
-	return broke-certainty*math.Sqrt(broke) > (fresh+margin)*uses && broke > 0
+// exceeds reports whether the resets are above the baseline ratio by the margin, and too many
+// to be chance.
+func (c counts) exceeds(baseline float64) bool {
+	return c.resets-confidenceSigmas*math.Sqrt(c.resets) > (baseline+resetMargin)*c.uses && c.resets > 0
 }
 
-// Limit is how long a connection may have been idle to be used, at most most.
-func (t *Trust) Limit(now time.Time, most time.Duration) time.Duration {
-	t.decay(now)
-	if t.judge(); t.ends == 0 {
-		return most
+// Limit returns the idle time from which on a connection must not be used, at most maxIdle.
+func (e *Estimator) Limit(now time.Time, maxIdle time.Duration) time.Duration {
+	e.decay(now)
+	e.updateLimit()
+	if e.limitBin == 0 {
+		return maxIdle
 	}
-	return min(most, ageLeast<<(t.ends-1))
+	return min(maxIdle, minIdleTime<<(e.limitBin-1))
 }
--- a/internal/upstream/idle/idle_test.go
+++ b/internal/upstream/idle/idle_test.go
@@ -11,79 +11,93 @@
 
 var epoch = time.Unix(1000, 0)
 
-// world says how many of a hundred connections break by idle time.
-type world func(age time.Duration) int
+// resetPercent is the percentage of connections that are reset, by idle time.
+type resetPercent func(idleTime time.Duration) int
 
-// use plays n uses of idle ages that double in turn, 5 ms apart, as far as the limit permits, and returns how many of the
-// older ones, beyond the first bin, broke.
-func use(t *Trust, at *time.Time, n int, breaks world) (broke int) {
+// resetsAfter returns percentages that change at an idle time.
+func resetsAfter(limit time.Duration, before, after int) resetPercent {
+	return func(idleTime time.Duration) int {
+		if idleTime >= limit {
+			return after
+		}
+		return before
+	}
+}
+
+// simulate plays n uses, 5 ms apart, with idle times that double in turn as far as the limit
+// permits. It returns how many connections were reset beyond the first bin.
+func simulate(e *Estimator, at *time.Time, n int, percent resetPercent) (resets int) {
 	for i := range n {
 		*at = at.Add(5 * time.Millisecond)
-		age := 10 * time.Millisecond << (i % 8)
-		if age >= t.Limit(*at, time.Minute) {
+		idleTime := 10 * time.Millisecond << (i % 8)
+		if idleTime >= e.Limit(*at, time.Minute) {
 			continue
 		}
-		bad := i/8*37%100 < breaks(age) // spread evenly
-		if age > ageLeast && bad {
-			broke++
+		reset := i/8*37%100 < percent(idleTime) // spread evenly
+		if idleTime > minIdleTime && reset {
+			resets++
 		}
-		t.Saw(*at, age, bad)
+		e.Observe(*at, idleTime, reset)
 	}
-	return broke
+	return resets
 }
 
-func TestLimits(t *testing.T) {
+func TestLimitFollowsResetRate(t *testing.T) {
 	for name, c := range map[string]struct {
-		breaks world
-		want   time.Duration
+		percent resetPercent
+		want    time.Duration
 	}{
-		"nothing breaks":            {func(time.Duration) int { return 0 }, time.Minute},
-		"all break alike":           {func(time.Duration) int { return 7 }, time.Minute},
-		"half alike":                {func(time.Duration) int { return 50 }, time.Minute},
-		"closed after 100 ms":       {func(a time.Duration) int { return map[bool]int{true: 100}[a >= 100*time.Millisecond] }, 100 * time.Millisecond},
-		"some, closed after 400 ms": {func(a time.Duration) int { return map[bool]int{true: 60, false: 5}[a >= 400*time.Millisecond] }, 400 * time.Millisecond},
+		"no resets":                  {resetsAfter(0, 0, 0), time.Minute},
+		"7 % whatever the idle time": {resetsAfter(0, 7, 7), time.Minute},
+		"half":                       {resetsAfter(0, 50, 50), time.Minute},
+		"closed after 100 ms":        {resetsAfter(100*time.Millisecond, 0, 100), 100 * time.Millisecond},
+		"60 % closed after 400 ms":   {resetsAfter(400*time.Millisecond, 5, 60), 400 * time.Millisecond},
 	} {
-		var trust Trust
+		var estimator Estimator
 		at := epoch
-		use(&trust, &at, 4000, c.breaks)
-		// Now and then it is tried whether older ones last again: then the limit is up for a moment.
-		for tries := 0; tries < 50 && trust.Limit(at, time.Minute) != c.want; tries++ {
-			use(&trust, &at, 8, c.breaks)
+		simulate(&estimator, &at, 4000, c.percent)
+		// Longer idle times are used again now and then: meanwhile the limit is higher.
+		for retries := 0; retries < 50 && estimator.Limit(at, time.Minute) != c.want; retries++ {
+			simulate(&estimator, &at, 8, c.percent)
 		}
-		if got := trust.Limit(at, time.Minute); got != c.want {
-			t.Errorf("%s: limit %v, want %v: %+v", name, got, c.want, trust.bins)
+		if got := estimator.Limit(at, time.Minute); got != c.want {
+			t.Errorf("%s: limit %v, want %v: %+v", name, got, c.want, estimator.bins)
 		}
 	}
 }
 
-// What was seen fades: once servers keep connections again, they are kept here, and to find out costs few.
-func TestForgets(t *testing.T) {
-	var trust Trust
+// Once servers keep connections open again they are used again, and to find out costs few resets.
+func TestObservationsDecay(t *testing.T) {
+	var estimator Estimator
 	at := epoch
-	use(&trust, &at, 4000, func(a time.Duration) int { return map[bool]int{true: 100}[a >= 100*time.Millisecond] })
-	at = at.Add(20 * halfLife)
-	if got := trust.Limit(at, time.Minute); got != time.Minute {
-		t.Errorf("after %v: limit %v", 20*halfLife, got)
+	percent := resetsAfter(100*time.Millisecond, 0, 100)
+	simulate(&estimator, &at, 4000, percent)
+	at = at.Add(20 * decayHalfLife)
+	if got := estimator.Limit(at, time.Minute); got != time.Minute {
+		t.Errorf("after %v: limit %v", 20*decayHalfLife, got)
 	}
-	broke := use(&trust, &at, 4000, func(a time.Duration) int { return map[bool]int{true: 100}[a >= 100*time.Millisecond] })
-	if broke > 40 {
-		t.Errorf("%d broke until it was known again", broke)
+	resets := simulate(&estimator, &at, 4000, percent)
+	if resets > 40 {
+		t.Errorf("%d resets until the limit was found again", resets)
 	}
 }
 
-// Whatever is seen, the limit is above the first bin and not above what is allowed, and without a break it is that.
-func TestLimitIsBounded(t *testing.T) {
+// Whatever is observed, the limit is at least the first bin and at most what is allowed; without a reset it is
+// what is allowed.
+func TestLimitStaysWithinBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var trust Trust
-		at, any := epoch, false
-		most := time.Duration(rapid.Int64Range(int64(ageLeast), int64(time.Hour)).Draw(t, "most"))
+		var estimator Estimator
+		at, anyReset := epoch, false
+		maxIdle := time.Duration(rapid.Int64Range(int64(minIdleTime), int64(time.Hour)).Draw(t, "max_idle"))
 		for range rapid.IntRange(0, 300).Draw(t, "uses") {
 			at = at.Add(time.Duration(rapid.Int64Range(-int64(time.Second), int64(time.Minute)).Draw(t, "step")))
-			broke := rapid.Bool().Draw(t, "broke")
-			any = any || broke
-			trust.Saw(at, time.Duration(rapid.Int64Range(-1, int64(2*time.Hour)).Draw(t, "age")), broke)
-			if got := trust.Limit(at, most); got > most || got < min(most, ageLeast) || !any && got != most {
-				t.Fatalf("limit %v of %v", got, most)
+			reset := rapid.Bool().Draw(t, "reset")
+			anyReset = anyReset || reset
+			idleTime := time.Duration(rapid.Int64Range(-1, int64(2*time.Hour)).Draw(t, "idle_time"))
+			estimator.Observe(at, idleTime, reset)
+			got := estimator.Limit(at, maxIdle)
+			if got > maxIdle || got < min(maxIdle, minIdleTime) || !anyReset && got != maxIdle {
+				t.Fatalf("limit %v of %v", got, maxIdle)
 			}
 		}
 	})
