--- /dev/null
+++ b/internal/upstream/handshake/doc.go
@@ -0,0 +1,29 @@
+// Package handshake limits the rate at which an instance begins TLS handshakes. A full handshake
+// costs a server some milliseconds of a core, far more than a small request: after an outage or
+// a change of keys all instances reconnect at once, and the handshakes alone would overload a
+// server that has just started.
+//
+// Each server has a rate, and so has the instance as a whole. Both are kept by the generic cell
+// rate algorithm (ITU-T I.371, annex A): one instant each, the theoretical arrival time, in
+// place of a token bucket. A caller asks for a turn, the instant at which its handshake may
+// begin:
+//
+//	for                                   result
+//	a request, both rates have capacity   a turn now
+//	a request, a turn within its          a turn at that instant
+//	patience
+//	a request, a turn only after its      rejected at once: the request goes elsewhere unsent
+//	patience
+//	background, more than half a burst    a turn now
+//	of both rates is left
+//	background, otherwise                 rejected: it asks again later
+//
+// So background work (health checks, connections opened ahead) never takes a turn that a request
+// would have had, and in any span of t seconds no server gets more than burst + rate*t of this
+// instance's handshakes. A server that is warming up has only part of its rate and burst, as it
+// has of its capacity for requests. With every instance held to a share of what a server can do,
+// all of them together are, too.
+//
+// The package does no I/O and reads no clock. A Budget is guarded by its owner and kept in memory
+// only: after a restart all rates have their full burst.
+package handshake
--- a/internal/upstream/handshake/handshake.go
+++ b/internal/upstream/handshake/handshake.go
@@ -1,179 +1,118 @@
-// Package handshake decides when a handshake with a server may begin. A full handshake costs
-// a server some milliseconds of a core, far more than a small request: after an outage, or
-// when keys have changed, all instances reconnect at once, and the handshakes alone would
-// push over a server that has just started. There is no I/O here and no clock.
-//
-// Each server has a rate, and so has the instance as a whole. Both are kept by the generic
-// cell rate algorithm (ITU-T I.371, annex A): one instant each, the theoretical arrival time,
-// in place of a bucket that is refilled.
-//
-//	who asks                              what it gets
-//	a request, both rates have room       its turn at once
-//	a request, its turn would come soon   its turn at that instant, if that is within its patience
-//	a request, its turn would come late   a refusal at once: it goes elsewhere unsent
-//	background, more than half a burst    its turn at once
-//	of both rates is left
-//	background, else                      a refusal: it asks again later
-//
-// So background work (probes, connections opened ahead) never holds a turn that a request
-// could have had, and in any span of time t no server gets more than burst + rate*t of this
-// instance's handshakes. A server that is cold has only part of its rate and burst, as it has
-// of its room for requests; with every instance held to a share of what a server can do, all of
-// them together are, too.
 package handshake
 
-import (
-	"fmt"
-	"time"
-)
+import "time"
 
-// Kind says for what a connection is wanted.
+// Kind states what a connection is wanted for.
 type Kind uint8
 
-// The kinds.
+// The kinds of handshakes.
 const (
-	Request    Kind = iota // one waits for it
-	Background             // none does
+	Request    Kind = iota // a request waits for the connection
+	Background             // no request waits for it
 )
 
-// Config is what an operator grants. Rates are handshakes a second of this instance.
-type Config struct {
-	PerServer  float64       // with one warm server
-	All        float64       // with all servers together
-	ColdFrom   float64       // share of PerServer with a server that has just started, rising
-	WarmWithin time.Duration // to all of it by then
-	Burst      float64       // handshakes at once after a pause, with a server; All has as many seconds of its rate
+// Counts are the results of all calls of Ask.
+type Counts struct {
+	Now     int // turns granted at once
+	Waited  int // turns granted at a later instant
+	Refused int // requests rejected: no turn within their patience
+	Put     int // background work rejected
 }
 
-// Validate says which figure makes no sense.
-func (c *Config) Validate() error {
-	for _, x := range []struct {
-		key   string
-		value float64
-		ok    bool
-	}{
-		{"PerServer", c.PerServer, c.PerServer > 0 && c.PerServer <= 1e6},
-		{"All", c.All, c.All >= c.PerServer && c.All <= 1e6},
-		{"ColdFrom", c.ColdFrom, c.ColdFrom > 0 && c.ColdFrom <= 1},
-		{"WarmWithin", c.WarmWithin.Seconds(), c.WarmWithin >= 0},
-		{"Burst", c.Burst, c.Burst >= 1 && c.Burst <= 1e6},
-	} {
-		if !x.ok {
-			return fmt.Errorf("handshake: %s is %v", x.key, x.value)
-		}
-	}
-	return nil
-}
+// minSweepServers is the number of servers that are remembered without looking for idle ones.
+const minSweepServers = 64
 
-// Share is one instance's part of what all of them together may have with a server, at least
-// so many handshakes a second. All is each instance's own.
-func (c Config) Share(instances int, least float64) Config {
-	part := float64(max(1, instances))
-	c.PerServer = max(least, c.PerServer/part)
-	c.All = max(c.PerServer, c.All)
-	c.Burst = max(1, c.Burst/part)
-	return c
+// Budget holds the rates of one instance. Make one with New. It is not safe for concurrent use.
+type Budget struct {
+	config  Config
+	epoch   time.Time // instants are in seconds since the first call of Ask
+	total   rateState
+	servers map[string]*rateState // by address
+	sweepAt int                   // number of servers at which idle ones are removed
+	counts  Counts
 }
 
-// cell is one rate's theoretical arrival time, in seconds of the budget's time: how far it
-// lies ahead of now is how much of the burst is used up.
-type cell struct{ arrival float64 }
+// rateState is the state of one rate: its theoretical arrival time, in seconds since the
+// budget's epoch. How far it lies ahead of now is how much of the burst is used up.
+type rateState struct{ arrival float64 }
 
-// ready is when the next may begin at a rate.
-func (c *cell) ready(now, rate, burst float64) float64 { return max(now, c.arrival-(burst-1)/rate) }
-
-// take lets one begin at an instant.
-func (c *cell) take(at, rate float64) { c.arrival = max(c.arrival, at) + 1/rate }
-
-// Budget keeps the rates. It must not be used by two at once.
-type Budget struct {
-	c       Config
-	base    time.Time // instants count from here
-	all     cell
-	servers map[string]*cell
-	sweep   int // servers known at which the idle ones are let go
-
-	counts Counts
+// earliest returns the earliest instant at which a handshake may begin.
+func (s *rateState) earliest(now, rate, burst float64) float64 {
+	return max(now, s.arrival-(burst-1)/rate)
 }
 
-// Counts are what came of all that was asked.
-type Counts struct{ Now, Waited, Refused, Put int }
-
-// sweepLeast is how many servers are remembered without a look at which are idle.
-const sweepLeast = 64
+// take uses one handshake of the rate at an instant.
+func (s *rateState) take(instant, rate float64) { s.arrival = max(s.arrival, instant) + 1/rate }
 
-// New returns a budget of which nothing is used.
+// New returns a budget with all of its burst left.
 func New(c Config) (*Budget, error) {
 	if err := c.Validate(); err != nil {
 		return nil, err
 	}
-	return &Budget{c: c, servers: map[string]*cell{}, sweep: sweepLeast}, nil
+	return &Budget{config: c, servers: map[string]*rateState{}, sweepAt: minSweepServers}, nil
 }
 
-// warmth is the share of its rate that a server has which started at born; the zero time
-// for long ago. A start in the future is a clock that runs apart: it has just started.
-func (b *Budget) warmth(now, born time.Time) float64 {
-	if born.IsZero() || b.c.WarmWithin <= 0 {
-		return 1
+// Ask returns the instant at which a handshake with a server may begin. startedAt is the
+// server's start, zero where it has long been running. A turn that is granted is used up,
+// whether the handshake takes place or not. ok is false where there is none within patience;
+// nothing is used up then.
+func (b *Budget) Ask(now time.Time, server string, startedAt time.Time, kind Kind, patience time.Duration) (
+	begin time.Time, ok bool) {
+	if b.epoch.IsZero() {
+		b.epoch = now
 	}
-	age := max(0, now.Sub(born).Seconds()/b.c.WarmWithin.Seconds())
-	return min(1, b.c.ColdFrom+(1-b.c.ColdFrom)*age)
-}
-
-// Ask says when a handshake with a server that started at born may begin. A turn that is
-// granted is taken, whether it is used or not. ok is false where none is to be had within
-// patience; then nothing is taken.
-func (b *Budget) Ask(now time.Time, server string, born time.Time, k Kind, patience time.Duration) (begin time.Time, ok bool) {
-	if b.base.IsZero() {
-		b.base = now
-	}
-	at := now.Sub(b.base).Seconds()
-	warmth := b.warmth(now, born)
-	rate := b.c.PerServer * warmth
-	one := b.servers[server]
-	if one == nil {
-		if len(b.servers) >= b.sweep {
-			b.forget(at)
-		}
-		one = &cell{}
-		b.servers[server] = one
-	}
-	burst, burstAll := 1+(b.c.Burst-1)*warmth, max(1, b.c.All)
-	if k == Background {
-		// What is left over must still serve a request, and half a burst of them.
-		half := max(one.ready(at, rate, (burst+1)/2), b.all.ready(at, b.c.All, (burstAll+1)/2))
-		if half > at {
+	instant := now.Sub(b.epoch).Seconds()
+	warmup := b.config.warmupRatio(now, startedAt)
+	rate, burst := b.config.PerServer*warmup, 1+(b.config.Burst-1)*warmup
+	totalRate, totalBurst := b.config.All, max(1, b.config.All)
+	state := b.serverState(server, instant)
+	if kind == Background {
+		// What is left must still serve a request, and half a burst of them.
+		turn := max(state.earliest(instant, rate, (burst+1)/2),
+			b.total.earliest(instant, totalRate, (totalBurst+1)/2))
+		if turn > instant {
 			b.counts.Put++
 			return time.Time{}, false
 		}
 	}
-	turn := max(one.ready(at, rate, burst), b.all.ready(at, b.c.All, burstAll))
-	if turn-at > patience.Seconds() {
+	turn := max(state.earliest(instant, rate, burst), b.total.earliest(instant, totalRate, totalBurst))
+	wait := turn - instant
+	if wait > patience.Seconds() {
 		b.counts.Refused++
 		return time.Time{}, false
 	}
-	one.take(turn, rate)
-	b.all.take(turn, b.c.All)
-	if turn > at {
+	state.take(turn, rate)
+	b.total.take(turn, totalRate)
+	if wait > 0 {
 		b.counts.Waited++
-		return now.Add(time.Duration((turn - at) * float64(time.Second))), true
+		return now.Add(time.Duration(wait * float64(time.Second))), true
 	}
 	b.counts.Now++
 	return now, true
 }
 
-// forget lets go of servers whose rate is whole again: they are as new.
-func (b *Budget) forget(at float64) {
-	for name, c := range b.servers {
-		if c.arrival <= at {
-			delete(b.servers, name)
+// serverState returns the state of a server's rate, a new one where none is remembered.
+func (b *Budget) serverState(server string, instant float64) *rateState {
+	if state := b.servers[server]; state != nil {
+		return state
+	}
+	if len(b.servers) >= b.sweepAt {
+		b.removeIdle(instant)
+	}
+	state := &rateState{}
+	b.servers[server] = state
+	return state
+}
+
+// removeIdle forgets servers that have their full burst again: they equal new ones.
+func (b *Budget) removeIdle(instant float64) {
+	for server, state := range b.servers {
+		if state.arrival <= instant {
+			delete(b.servers, server)
 		}
 	}
-	b.sweep = max(sweepLeast, 2*len(b.servers))
+	b.sweepAt = max(minSweepServers, 2*len(b.servers))
 }
 
-// Counts returns what came of all that was asked.
+// Counts returns the results so far.
 func (b *Budget) Counts() Counts { return b.counts }
-
-// Held is how many servers are remembered.
-func (b *Budget) Held() int { return len(b.servers) }
--- a/internal/upstream/handshake/handshake_test.go
+++ b/internal/upstream/handshake/handshake_test.go
@@ -13,7 +13,7 @@
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-func budget(t interface{ Fatal(...any) }, c Config) *Budget {
+func newBudget(t interface{ Fatal(...any) }, c Config) *Budget {
 	b, err := New(c)
 	if err != nil {
 		t.Fatal(err)
@@ -21,45 +21,45 @@
 	return b
 }
 
-var plain = Config{PerServer: 10, All: 40, ColdFrom: 0.2, WarmWithin: 10 * time.Second, Burst: 5}
+var testConfig = Config{PerServer: 10, All: 40, ColdFrom: 0.2, WarmWithin: 10 * time.Second, Burst: 5}
 
-// Each row of the table.
-func TestWhoGetsWhat(t *testing.T) {
-	ask := func(b *Budget, k Kind, patience time.Duration) (wait time.Duration, ok bool) {
+// Each row of the table in the package comment.
+func TestTurnsByKindAndPatience(t *testing.T) {
+	turn := func(b *Budget, k Kind, patience time.Duration) (wait time.Duration, ok bool) {
 		begin, ok := b.Ask(start, "a", time.Time{}, k, patience)
 		if !ok {
 			return 0, false
 		}
 		return begin.Sub(start), true
 	}
-	b := budget(t, plain)
+	b := newBudget(t, testConfig)
 	for i := range 5 {
-		if wait, ok := ask(b, Request, time.Second); !ok || wait != 0 {
+		if wait, ok := turn(b, Request, time.Second); !ok || wait != 0 {
 			t.Fatalf("request %d of the burst: %v, %v", i, wait, ok)
 		}
 	}
-	if wait, ok := ask(b, Request, time.Second); !ok || math.Abs(wait.Seconds()-0.1) > 1e-6 {
+	if wait, ok := turn(b, Request, time.Second); !ok || math.Abs(wait.Seconds()-0.1) > 1e-6 {
 		t.Errorf("the next: after %v, %v; want 100 ms, one turn at 10 a second", wait, ok)
 	}
-	if _, ok := ask(b, Request, 150*time.Millisecond); ok {
+	if _, ok := turn(b, Request, 150*time.Millisecond); ok {
 		t.Error("a turn in 200 ms was granted to a patience of 150")
 	}
-	if wait, ok := ask(b, Request, 210*time.Millisecond); !ok || math.Abs(wait.Seconds()-0.2) > 1e-6 {
-		t.Errorf("what was refused must take no turn: %v, %v", wait, ok)
+	if wait, ok := turn(b, Request, 210*time.Millisecond); !ok || math.Abs(wait.Seconds()-0.2) > 1e-6 {
+		t.Errorf("a rejected request must use up no turn: %v, %v", wait, ok)
 	}
 
-	b = budget(t, plain)
+	b = newBudget(t, testConfig)
 	for i := range 3 {
-		if _, ok := ask(b, Background, time.Hour); !ok {
+		if _, ok := turn(b, Background, time.Hour); !ok {
 			t.Fatalf("background %d has more than half a burst ahead of it", i)
 		}
 	}
-	if _, ok := ask(b, Background, time.Hour); ok {
-		t.Error("background has used up what requests may need")
+	if _, ok := turn(b, Background, time.Hour); ok {
+		t.Error("background work has used up turns that requests may need")
 	}
 	for range 2 {
-		if wait, ok := ask(b, Request, 0); !ok || wait != 0 {
-			t.Error("a request finds no room that background has left")
+		if wait, ok := turn(b, Request, 0); !ok || wait != 0 {
+			t.Error("a request finds no turn that background work has left")
 		}
 	}
 	if got := b.Counts(); got != (Counts{Now: 5, Put: 1}) {
@@ -67,22 +67,28 @@
 	}
 }
 
-// A server that has just started has part of its rate, and all of it once it is warm.
-func TestColdServersHavePartOfTheirRate(t *testing.T) {
-	rate := func(age time.Duration, born time.Time) float64 {
-		b := budget(t, plain)
+// A server that has just started has part of its rate, and all of it once it has warmed up.
+func TestRateRisesWhileServerWarmsUp(t *testing.T) {
+	rate := func(age time.Duration, startedAt time.Time) float64 {
+		b := newBudget(t, testConfig)
 		at := start.Add(age)
 		var turns []time.Time
 		for range 25 {
-			begin, ok := b.Ask(at, "a", born, Request, time.Hour)
+			begin, ok := b.Ask(at, "a", startedAt, Request, time.Hour)
 			if !ok {
-				t.Fatal("refused")
+				t.Fatal("rejected")
 			}
 			turns = append(turns, begin)
 		}
 		return 10 / turns[24].Sub(turns[14]).Seconds() // well beyond the burst
 	}
-	for age, want := range map[time.Duration]float64{-time.Hour: 2, 0: 2, 5 * time.Second: 6, 10 * time.Second: 10, time.Hour: 10} {
+	for age, want := range map[time.Duration]float64{
+		-time.Hour:       2,
+		0:                2,
+		5 * time.Second:  6,
+		10 * time.Second: 10,
+		time.Hour:        10,
+	} {
 		if got := rate(age, start); math.Abs(got-want) > 1e-3 {
 			t.Errorf("%v after its start a server gets %v a second, want %v", age, got, want)
 		}
@@ -92,12 +98,13 @@
 	}
 }
 
-// The whole has a limit of its own, however many servers there are, and what is idle is forgotten.
-func TestAFleetTogether(t *testing.T) {
-	b := budget(t, plain)
+// The total has a limit of its own, however many servers there are, and idle servers are forgotten.
+func TestTotalRateHoldsForManyServers(t *testing.T) {
+	b := newBudget(t, testConfig)
 	turns := 0
 	for n := range 2000 {
-		if begin, ok := b.Ask(start, fmt.Sprint("s", n), time.Time{}, Request, time.Second); ok && begin.Sub(start) <= time.Second {
+		begin, ok := b.Ask(start, fmt.Sprint("s", n), time.Time{}, Request, time.Second)
+		if ok && begin.Sub(start) <= time.Second {
 			turns++
 		}
 	}
@@ -107,19 +114,23 @@
 	for n := range 10_000 {
 		b.Ask(start.Add(time.Duration(n)*time.Second), fmt.Sprint("t", n), time.Time{}, Request, 0)
 	}
-	if b.Held() > 2*sweepLeast {
-		t.Errorf("%d servers are remembered, nearly all of them idle", b.Held())
+	if len(b.servers) > 2*minSweepServers {
+		t.Errorf("%d servers are remembered, nearly all of them idle", len(b.servers))
 	}
 }
 
-// Whatever is asked: in no span does a server, or do all, get more than burst and rate allow, nobody waits
-// beyond its patience, and background never waits.
-func TestBounds(t *testing.T) {
+// In no span does a server, or do all together, get more turns than burst and rate allow; no request waits beyond
+// its patience, and background work never waits.
+func TestTurnsStayWithinBurstAndRate(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := Config{PerServer: rapid.Float64Range(0.5, 50).Draw(t, "rate"), ColdFrom: rapid.Float64Range(0.1, 1).Draw(t, "cold"),
-			WarmWithin: time.Duration(rapid.IntRange(0, 20).Draw(t, "warm")) * time.Second, Burst: rapid.Float64Range(1, 20).Draw(t, "burst")}
+		c := Config{
+			PerServer:  rapid.Float64Range(0.5, 50).Draw(t, "rate"),
+			ColdFrom:   rapid.Float64Range(0.1, 1).Draw(t, "cold"),
+			WarmWithin: time.Duration(rapid.IntRange(0, 20).Draw(t, "warm")) * time.Second,
+			Burst:      rapid.Float64Range(1, 20).Draw(t, "burst"),
+		}
 		c.All = c.PerServer * rapid.Float64Range(1, 4).Draw(t, "all")
-		b := budget(t, c)
+		b := newBudget(t, c)
 		turns := map[string][]float64{}
 		now := start
 		for range rapid.IntRange(1, 300).Draw(t, "asks") {
@@ -127,11 +138,11 @@
 			server := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "server")
 			kind := rapid.SampledFrom([]Kind{Request, Background}).Draw(t, "kind")
 			patience := time.Duration(rapid.IntRange(0, 2000).Draw(t, "patience")) * time.Millisecond
-			born := time.Time{}
+			startedAt := time.Time{}
 			if server == "c" {
-				born = start
+				startedAt = start
 			}
-			begin, ok := b.Ask(now, server, born, kind, patience)
+			begin, ok := b.Ask(now, server, startedAt, kind, patience)
 			if !ok {
 				continue
 			}
@@ -150,16 +161,16 @@
 			for i := range at {
 				for j := i; j < len(at); j++ {
 					if at[j] < at[i] {
-						continue // of another server: turns are not granted in their order
+						continue // with another server: turns are not granted in the order of their instants
 					}
 					n := 0
-					for _, x := range at {
-						if x >= at[i] && x <= at[j] {
+					for _, instant := range at {
+						if instant >= at[i] && instant <= at[j] {
 							n++
 						}
 					}
-					if most := burst + rate*(at[j]-at[i]) + 1e-6; float64(n) > most {
-						t.Fatalf("%s: %d turns in %v s, at most %v", name, n, at[j]-at[i], most)
+					if limit := burst + rate*(at[j]-at[i]) + 1e-6; float64(n) > limit {
+						t.Fatalf("%s: %d turns in %v s, at most %v", name, n, at[j]-at[i], limit)
 					}
 				}
 			}
@@ -167,12 +178,16 @@
 	})
 }
 
-func TestBadFiguresAreNamed(t *testing.T) {
-	for key, spoil := range map[string]func(*Config){
-		"PerServer": func(c *Config) { c.PerServer = 0 }, "All": func(c *Config) { c.All = 1 }, "ColdFrom": func(c *Config) { c.ColdFrom = math.NaN() },
-		"WarmWithin": func(c *Config) { c.WarmWithin = -1 }, "Burst": func(c *Config) { c.Burst = 0.5 }} {
-		c := plain
-		spoil(&c)
+func TestInvalidConfigErrorNamesField(t *testing.T) {
+	for key, invalidate := range map[string]func(*Config){
+		"PerServer":  func(c *Config) { c.PerServer = 0 },
+		"All":        func(c *Config) { c.All = 1 },
+		"ColdFrom":   func(c *Config) { c.ColdFrom = math.NaN() },
+		"WarmWithin": func(c *Config) { c.WarmWithin = -1 },
+		"Burst":      func(c *Config) { c.Burst = 0.5 },
+	} {
+		c := testConfig
+		invalidate(&c)
 		if _, err := New(c); err == nil || err.Error()[:len("handshake: "+key)] != "handshake: "+key {
 			t.Errorf("%s: %v", key, err)
 		}
