Certificates: rotation, parsing and verification in files of their own, in standard terms

Change: package judge is split into parsing, validation, names, peers, rotation, expiry and retirement; keyroom into files, store, watch, TLS configuration, lifetime and connections. Log lines are fixed messages with snake_case attributes: "certificate files accepted", "certificate files rejected", "certificate expires soon", "file watch unavailable", "folder watch failed". Names of rules in logs and counters and texts of faults are as before. The test that looked for "may not serve" in the log looks for the new message.

--- /dev/null
+++ b/internal/keyroom/files.go
@@ -0,0 +1,52 @@
+package keyroom
+
+import (
+	"io"
+	"os"
+
+	"pinedale/internal/keyroom/judge"
+)
+
+// Paths are the names of the PEM files; "" for none.
+type Paths struct {
+	Cert    string // the certificate, followed by its intermediates
+	Key     string // the private key, not encrypted
+	Roots   string // the certificates that peers are verified against
+	Revoked string // revocation lists, each signed by one of the roots
+}
+
+// all returns the names of all files, "" for those that are not configured.
+func (p *Paths) all() [4]string { return [...]string{p.Cert, p.Key, p.Roots, p.Revoked} }
+
+// readAll reads all configured files.
+func (p *Paths) readAll() judge.Files {
+	return judge.Files{
+		Cert:    readFile(p.Cert),
+		Key:     readFile(p.Key),
+		Roots:   readFile(p.Roots),
+		Revoked: readFile(p.Revoked),
+	}
+}
+
+// readFile reads a file up to one byte over the permitted size, by which package judge sees that it is too large.
+func readFile(path string) judge.File {
+	if path == "" {
+		return judge.File{}
+	}
+	file, err := os.Open(path)
+	if err != nil {
+		return judge.File{Configured: true, Err: err}
+	}
+	defer file.Close()
+	data, err := io.ReadAll(io.LimitReader(file, judge.MaxFileBytes+1))
+	return judge.File{Configured: true, Data: data, Err: err}
+}
+
+// Read reads and parses files without a check whether they may serve.
+func Read(paths Paths) (*judge.Material, error) {
+	material, fault := judge.Parse(paths.readAll())
+	if fault != nil {
+		return nil, fault
+	}
+	return material, nil
+}
--- /dev/null
+++ b/internal/keyroom/judge/expiry_test.go
@@ -0,0 +1,39 @@
+package judge
+
+import (
+	"testing"
+	"time"
+
+	"pinedale/internal/standin/ca"
+)
+
+// Each threshold is reported once, and again for the next certificate.
+func TestExpiryWarningOncePerThreshold(t *testing.T) {
+	root := ca.New(t, "root")
+	rotation := NewRotation(serverWant(), time.Minute)
+	if _, ok := rotation.ExpiryWarning(noon); ok {
+		t.Error("a warning without a certificate")
+	}
+	end := noon.AddDate(0, 0, 60)
+	rotation.Offer(noon, files(root.Issue(ca.Spec{Names: []string{testName}, Until: end}), root.PEM()))
+	var got []Warning
+	for now := noon; now.Before(end.Add(48 * time.Hour)); now = now.Add(30 * time.Minute) {
+		if w, ok := rotation.ExpiryWarning(now); ok {
+			got = append(got, w)
+		}
+	}
+	if len(got) != len(warningThresholds) {
+		t.Fatalf("%d warnings: %+v", len(got), got)
+	}
+	for i, w := range got {
+		threshold := warningThresholds[i]
+		urgent := threshold <= 24*time.Hour
+		if w.Remaining > threshold || w.Remaining < threshold-time.Hour || w.Urgent != urgent {
+			t.Errorf("warning %d: %+v", i, w)
+		}
+	}
+	rotation.Offer(noon, files(root.Issue(ca.Spec{Names: []string{testName}, Until: end.AddDate(0, 2, 0)}), root.PEM()))
+	if _, ok := rotation.ExpiryWarning(noon); ok {
+		t.Error("a warning for a certificate that is valid for months")
+	}
+}
--- /dev/null
+++ b/internal/keyroom/judge/parse_test.go
@@ -0,0 +1,39 @@
+package judge
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"pinedale/internal/standin/ca"
+)
+
+// Parse panics on no input, and no fault quotes the key file.
+func FuzzParse(f *testing.F) {
+	root := ca.New(f, "root")
+	p := root.Issue(ca.Spec{Names: []string{testName}})
+	f.Add(p.Cert, p.Key, root.PEM(), root.Revoke(p.Leaf))
+	f.Add(p.Cert[:100], p.Key[:100], []byte("-----BEGIN"), []byte{})
+	f.Fuzz(func(t *testing.T, cert, key, roots, revoked []byte) {
+		material, fault := Parse(Files{
+			Cert:    configured(cert),
+			Key:     configured(key),
+			Roots:   configured(roots),
+			Revoked: configured(revoked),
+		})
+		if (material == nil) == (fault == nil) {
+			t.Fatal("neither material nor a fault, or both")
+		}
+		if fault != nil {
+			if len(key) <= 40 {
+				return
+			}
+			excerpt := key[len(key)/2 : len(key)/2+20]
+			if strings.Contains(fault.Error(), string(excerpt)) && !bytes.Contains(cert, excerpt) {
+				t.Errorf("the fault quotes the key: %v", fault)
+			}
+			return
+		}
+		_ = material.CheckIdentity(noon, serverWant()) // any result is correct: it must not panic
+	})
+}
--- /dev/null
+++ b/internal/keyroom/judge/peer_test.go
@@ -0,0 +1,72 @@
+package judge
+
+import (
+	"crypto/x509"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pinedale/internal/standin/ca"
+)
+
+// The cache of verified chains never changes the result of VerifyPeer: for any peer, name and instant, with the
+// clock set back, and for several sets of roots and revocation lists.
+func TestCachedChainsAgreeWithFullVerification(t *testing.T) {
+	root, other := ca.New(t, "root"), ca.New(t, "other")
+	intermediate := root.Below("between")
+	issue := func(a *ca.Authority, s ca.Spec) *ca.Pair {
+		if s.Names == nil {
+			s.Names = []string{testName}
+		}
+		return a.Issue(s)
+	}
+	revoked := issue(root, ca.Spec{})
+	var chains [][]*x509.Certificate
+	for _, pair := range []*ca.Pair{
+		issue(root, ca.Spec{}),
+		issue(intermediate, ca.Spec{}),
+		issue(intermediate, ca.Spec{LeaveOutBetween: true}),
+		issue(other, ca.Spec{}),
+		revoked,
+		issue(root, ca.Spec{From: noon, Until: noon.Add(time.Hour)}),
+		issue(root, ca.Spec{Until: noon.Add(-time.Hour)}),
+		issue(root, ca.Spec{Names: []string{"x.example.org"}}),
+	} {
+		all, fault := parseCertificates(peerChain, pair.Cert)
+		if fault != nil {
+			t.Fatal(fault)
+		}
+		chains = append(chains, all)
+	}
+	sets := []Files{
+		{Roots: configured(root.PEM()), Revoked: configured(root.Revoke(revoked.Leaf))},
+		{Roots: configured(root.PEM())},
+		{Roots: configured(other.PEM())},
+	}
+	parse := func(input Files) *Material {
+		material, fault := Parse(input)
+		if fault != nil {
+			t.Fatal(fault)
+		}
+		return material
+	}
+	cached := []*Material{parse(sets[0]), parse(sets[1]), parse(sets[2])}
+	rapid.Check(t, func(t *rapid.T) {
+		set := rapid.IntRange(0, 2).Draw(t, "set")
+		chain := rapid.SampledFrom(chains).Draw(t, "chain")
+		usages := []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+		requirements := Requirements{
+			Names:       []string{rapid.SampledFrom([]string{testName, "x.example.org"}).Draw(t, "name")},
+			Usage:       rapid.SampledFrom(usages).Draw(t, "use"),
+			MinRSABits:  2048,
+			ExpiryGrace: rapid.SampledFrom([]time.Duration{0, 2 * time.Hour}).Draw(t, "over"),
+		}
+		now := noon.Add(time.Duration(rapid.IntRange(-180, 900).Draw(t, "minutes")) * time.Minute)
+		got := cached[set].VerifyPeer(now, chain, requirements)
+		want := parse(sets[set]).VerifyPeer(now, chain, requirements)
+		if (got == nil) != (want == nil) || got != nil && got.Error() != want.Error() {
+			t.Fatalf("with the cache %v, without %v", got, want)
+		}
+	})
+}
--- a/internal/keyroom/keyroom_test.go
+++ b/internal/keyroom/keyroom_test.go
@@ -19,160 +19,175 @@
 	"pinedale/internal/standin/wait"
 )
 
-const name = "soko-3.example.org"
+const testName = "soko-3.example.org"
 
 var noon = ca.Epoch.Add(12 * time.Hour)
 
-func paths(f *ca.Folder) Paths { return Paths{Cert: f.Cert, Key: f.Key, Roots: f.Roots} }
+// testClock is the clock of the stores in these tests.
+func testClock() time.Time { return noon }
 
-func open(t *testing.T, f *ca.Folder, server bool, log io.Writer) *Room {
+func paths(folder *ca.Folder) Paths {
+	return Paths{Cert: folder.Cert, Key: folder.Key, Roots: folder.Roots}
+}
+
+// open opens a store on the files of a folder.
+func open(t *testing.T, folder *ca.Folder, server bool, log io.Writer) *Room {
 	t.Helper()
-	r, err := Open(Options{Paths: paths(f), Want: judge.Want{Names: []string{name}, Server: server, LeastRSA: 2048}, Spread: time.Minute,
-		Log: slog.New(slog.NewTextHandler(log, nil)), Now: func() time.Time { return noon }})
+	store, err := Open(Options{
+		Paths:  paths(folder),
+		Want:   judge.Want{Names: []string{testName}, Server: server, LeastRSA: 2048},
+		Spread: time.Minute,
+		Log:    slog.New(slog.NewTextHandler(log, nil)),
+		Now:    testClock,
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	return r
+	return store
 }
 
-// shake connects two configurations and returns the error of each.
-func shake(t *testing.T, server, client *tls.Config) (serverErr, clientErr error) {
+// handshake connects a server and a client configuration and returns the error of each side.
+func handshake(t *testing.T, server, client *tls.Config) (serverErr, clientErr error) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	b, err := net.Dial("tcp", l.Addr().String())
+	defer listener.Close()
+	clientConn, err := net.Dial("tcp", listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
-	a, err := l.Accept()
+	serverConn, err := listener.Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := a.SetDeadline(time.Now().Add(wait.Patience)); err != nil {
+	if err := serverConn.SetDeadline(time.Now().Add(wait.Patience)); err != nil {
 		t.Fatal(err)
 	}
-	if err := b.SetDeadline(time.Now().Add(wait.Patience)); err != nil {
+	if err := clientConn.SetDeadline(time.Now().Add(wait.Patience)); err != nil {
 		t.Fatal(err)
 	}
 	done := make(chan error, 1)
 	go func() {
-		s := tls.Server(a, server)
+		s := tls.Server(serverConn, server)
 		err := s.Handshake()
 		if err == nil {
-			_, err = s.Write([]byte("x")) // with it the tickets, and a client's refusal comes to light
+			_, err = s.Write([]byte("x")) // sends the session tickets, and reveals that the client has rejected the server
 		}
 		done <- err
-		a.Close()
+		serverConn.Close()
 	}()
-	c := tls.Client(b, client)
+	c := tls.Client(clientConn, client)
 	clientErr = c.Handshake()
 	if clientErr == nil {
 		_, clientErr = io.ReadFull(c, make([]byte, 1))
 	}
-	b.Close()
+	clientConn.Close()
 	return <-done, clientErr
 }
 
-// What may not serve at the start is an error that names rule and file; what comes to be so later changes nothing.
-func TestOpenAndKeep(t *testing.T) {
+// Files that may not serve are an error of Open that names rule and file; later they are reported once, and the
+// last accepted material keeps serving.
+func TestOpenFailsAndReloadKeepsLastGoodMaterial(t *testing.T) {
 	root := ca.New(t, "root")
-	f := ca.NewFolder(t)
-	_, err := Open(Options{Paths: paths(f), Log: slog.New(slog.DiscardHandler)})
+	folder := ca.NewFolder(t)
+	_, err := Open(Options{Paths: paths(folder), Log: slog.New(slog.DiscardHandler)})
 	if fault := (*judge.Fault)(nil); !errors.As(err, &fault) || fault.Rule != judge.Unreadable {
 		t.Errorf("no files: %v", err)
 	}
-	good := root.Issue(ca.Spec{Names: []string{name}})
-	f.Pair(good)
-	f.Put(f.Roots, root.PEM())
+	good := root.Issue(ca.Spec{Names: []string{testName}})
+	folder.Pair(good)
+	folder.Put(folder.Roots, root.PEM())
 	log := &logged.Record{}
-	r := open(t, f, true, log)
+	store := open(t, folder, true, log)
 	bad := root.Issue(ca.Spec{Names: []string{"soko-4.example.org"}})
-	f.Pair(bad)
+	folder.Pair(bad)
 	for range 3 {
-		if v := r.Look(); v.Action != judge.Keep || v.Fault.Rule != judge.Names {
+		if v := store.Look(); v.Action != judge.Rejected || v.Fault.Rule != judge.WrongName {
 			t.Errorf("another's name: %+v", v)
 		}
 	}
-	if got := log.String(); strings.Count(got, "may not serve") != 1 || !strings.Contains(got, "soko-4.example.org") || strings.Contains(got, "PRIVATE") {
+	if got := log.String(); strings.Count(got, "certificate files rejected") != 1 ||
+		!strings.Contains(got, "soko-4.example.org") || strings.Contains(got, "PRIVATE") {
 		t.Errorf("the log says %q", got)
 	}
-	if c := r.Counters(); c.Taken != 1 || c.Kept != 3 || c.Left != 12*time.Hour {
+	if c := store.Counters(); c.Taken != 1 || c.Kept != 3 || c.Remaining != 12*time.Hour {
 		t.Errorf("counters %+v", c)
 	}
 }
 
-// A peer is verified by the name that it is known by here, whatever it presents, and both sides show who they are.
-func TestWhoIsTrusted(t *testing.T) {
+// A server is verified by the name that is configured for it, and a client must present a certificate.
+func TestPeersAreVerifiedByConfiguredName(t *testing.T) {
 	root, other := ca.New(t, "root"), ca.New(t, "other")
-	sides := func(a *ca.Authority, s ca.Spec) *ca.Folder {
-		f := ca.NewFolder(t)
-		f.Pair(a.Issue(s))
-		f.Put(f.Roots, root.PEM())
-		return f
-	}
-	sound := ca.Spec{Names: []string{name}}
-	mine := open(t, sides(root, sound), false, io.Discard)
-	client, err := mine.Client(name)
+	sides := func(authority *ca.Authority, spec ca.Spec) *ca.Folder {
+		folder := ca.NewFolder(t)
+		folder.Pair(authority.Issue(spec))
+		folder.Put(folder.Roots, root.PEM())
+		return folder
+	}
+	sound := ca.Spec{Names: []string{testName}}
+	clientStore := open(t, sides(root, sound), false, io.Discard)
+	client, err := clientStore.Client(testName)
 	if err != nil {
 		t.Fatal(err)
 	}
-	client.Time = func() time.Time { return noon }
-	serve := func(f *ca.Folder, want judge.Want) *tls.Config {
-		r, err := Open(Options{Paths: paths(f), Want: want, Log: slog.New(slog.DiscardHandler), Now: func() time.Time { return noon }})
+	client.Time = testClock
+	serve := func(folder *ca.Folder, want judge.Want) *tls.Config {
+		store, err := Open(Options{Paths: paths(folder), Want: want, Log: slog.New(slog.DiscardHandler), Now: testClock})
 		if err != nil {
 			t.Fatal(err)
 		}
-		c := r.now.Load().server.Clone()
-		c.Time = func() time.Time { return noon }
+		c := store.current.Load().server.Clone()
+		c.Time = testClock
 		return c
 	}
-	if s, c := shake(t, serve(sides(root, sound), judge.Want{Server: true}), client); s != nil || c != nil {
+	if s, c := handshake(t, serve(sides(root, sound), judge.Want{Server: true}), client); s != nil || c != nil {
 		t.Errorf("two sound sides: %v, %v", s, c)
 	}
-	if _, c := shake(t, serve(sides(root, ca.Spec{Names: []string{"soko-4.example.org"}}), judge.Want{Server: true}), client); c == nil || !strings.Contains(c.Error(), "soko-4.example.org") {
-		t.Errorf("a server of another name: %v", c)
+	wrongName := sides(root, ca.Spec{Names: []string{"soko-4.example.org"}})
+	_, clientErr := handshake(t, serve(wrongName, judge.Want{Server: true}), client)
+	if clientErr == nil || !strings.Contains(clientErr.Error(), "soko-4.example.org") {
+		t.Errorf("a server of another name: %v", clientErr)
 	}
-	strange := ca.NewFolder(t)
-	strange.Pair(other.Issue(sound))
-	strange.Roots = ""
-	if _, c := shake(t, serve(strange, judge.Want{Server: true}), client); c == nil {
+	unknown := ca.NewFolder(t)
+	unknown.Pair(other.Issue(sound))
+	unknown.Roots = ""
+	if _, c := handshake(t, serve(unknown, judge.Want{Server: true}), client); c == nil {
 		t.Error("a server by an unknown root was trusted")
 	}
-	bare := &tls.Config{InsecureSkipVerify: true, Time: func() time.Time { return noon }}
-	if s, _ := shake(t, serve(sides(root, sound), judge.Want{Server: true}), bare); s == nil {
-		t.Error("a client that shows nothing was let in")
+	anonymous := &tls.Config{InsecureSkipVerify: true, Time: testClock}
+	if s, _ := handshake(t, serve(sides(root, sound), judge.Want{Server: true}), anonymous); s == nil {
+		t.Error("a client without a certificate was admitted")
 	}
-	alone := sides(root, sound)
-	alone.Roots = ""
-	if _, err := open(t, alone, false, io.Discard).Client(name); err == nil {
-		t.Error("a peer is to be verified without roots")
+	withoutRoots := sides(root, sound)
+	withoutRoots.Roots = ""
+	if _, err := open(t, withoutRoots, false, io.Discard).Client(testName); err == nil {
+		t.Error("a client configuration without roots")
 	}
 }
 
-// A change is seen without a signal, both sides of a pair together, and sessions of before are not resumed under it.
-func TestChangesAreSeen(t *testing.T) {
+// Changed files are accepted without a signal, certificate and key together, also those changed before Run.
+func TestFileChangesAreAcceptedWithoutSignal(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	root := ca.New(t, "root")
-	f := ca.NewFolder(t)
-	f.Pair(root.Issue(ca.Spec{Names: []string{name}}))
-	f.Put(f.Roots, root.PEM())
-	r := open(t, f, true, io.Discard)
-	f.Pair(root.Issue(ca.Spec{Names: []string{name}})) // nobody watches yet: it is seen all the same
+	folder := ca.NewFolder(t)
+	folder.Pair(root.Issue(ca.Spec{Names: []string{testName}}))
+	folder.Put(folder.Roots, root.PEM())
+	store := open(t, folder, true, io.Discard)
+	folder.Pair(root.Issue(ca.Spec{Names: []string{testName}})) // before Run has begun to watch
 	ctx, end := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	go func() { r.Run(ctx); close(done) }()
+	go func() { store.Run(ctx); close(done) }()
 	defer func() { end(); <-done }()
-	wait.Until(t, "the pair that came before the watch", func() bool { return r.Number() == 2 })
+	wait.Until(t, "the pair written before the watch", func() bool { return store.Number() == 2 })
 	for n := 3; n < 7; n++ {
-		next := root.Issue(ca.Spec{Names: []string{name}})
-		f.Put(f.Key, next.Key) // first the key, then the certificate
-		f.Put(f.Cert, next.Cert)
-		wait.Until(t, "the new pair", func() bool { return r.Number() == n })
-		if got := r.now.Load().material.Leaf(); !got.Equal(next.Leaf) {
-			t.Fatalf("change %d: another certificate serves", n)
+		next := root.Issue(ca.Spec{Names: []string{testName}})
+		folder.Put(folder.Key, next.Key) // first the key, then the certificate
+		folder.Put(folder.Cert, next.Cert)
+		wait.Until(t, "the new pair", func() bool { return store.Number() == n })
+		if got := store.current.Load().material.Leaf(); !got.Equal(next.Leaf) {
+			t.Fatalf("change %d: another certificate is in use", n)
 		}
 	}
 }
--- a/internal/site/keys.go
+++ b/internal/site/keys.go
@@ -66,7 +66,7 @@
 // options are those of a room for some keys. They are a server's or a client's by who uses them.
 func (k *Keys) options(server bool, log *slog.Logger) keyroom.Options {
 	o := keyroom.Options{Paths: k.paths(),
-		Want:   judge.Want{Names: k.Names, Server: server, LeastRSA: max(k.LeastRSA, leastRSA), PermitOver: k.PermitOver, PeersOver: time.Duration(k.PeersOver)},
+		Want:   judge.Want{Names: k.Names, Server: server, LeastRSA: max(k.LeastRSA, leastRSA), AllowExpired: k.PermitOver, PeerExpiryGrace: time.Duration(k.PeersOver)},
 		Spread: time.Duration(k.ReplaceWithin), Least: versions[k.LeastTLS], Log: log.With("keys", k.Name)}
 	if o.Spread == 0 {
 		o.Spread = replaceWithin
--- a/internal/site/keysreport.go
+++ b/internal/site/keysreport.go
@@ -43,7 +43,7 @@
 		for _, c := range m.Roots {
 			fmt.Fprintf(out, "  trusts %s, %s, until %s, %s left\n", c.Subject, kindOf(c), c.NotAfter.UTC().Format(time.RFC3339), left(c.NotAfter.Sub(now)))
 		}
-		for _, l := range m.Lists {
+		for _, l := range m.RevocationLists {
 			fmt.Fprintf(out, "  revokes %d of %s, as of %s\n", len(l.RevokedCertificateEntries), l.Issuer, l.ThisUpdate.UTC().Format(time.RFC3339))
 		}
 	}
--- a/internal/site/run.go
+++ b/internal/site/run.go
@@ -417,8 +417,8 @@
 func (i *Instance) logCounters() {
 	for name, c := range i.Keys() {
 		args := []any{"keys", name, "taken", c.Taken, "kept", c.Kept}
-		if c.Left != 0 {
-			args = append(args, "days_left", int(c.Left/(24*time.Hour)))
+		if c.Remaining != 0 {
+			args = append(args, "days_left", int(c.Remaining/(24*time.Hour)))
 		}
 		i.log.Info("certificate counters", args...)
 	}
