--- /dev/null
+++ b/internal/emulator/play/call.go
@@ -0,0 +1,149 @@
+package play
+
+import (
+	"time"
+
+	"pinedale/balancer"
+	"pinedale/internal/engine"
+	"pinedale/internal/upstream/handshake"
+)
+
+// call is an attempt or a probe under way.
+type call struct {
+	instance  *instance
+	host      *host
+	target    *engine.Target
+	conn      *conn
+	startedAt Time
+	deadline  Time
+	number    uint64 // of the attempt; 0 for a probe
+	probe     bool
+	sent      bool                // it was written
+	finished  bool                // its result is known to the instance
+	onArrival func()              // at the server
+	onResult  func(engine.Result) // at the instance
+}
+
+// latency is how long something takes between the instance and the server, one way.
+func (c *call) latency() time.Duration {
+	return c.instance.play.scenario.Way(c.instance.site, c.host.spec.Site)
+}
+
+// start takes a connection, or opens one, and writes.
+func (c *call) start() {
+	n, p := c.instance, c.instance.play
+	c.startedAt = p.now
+	if c.finished { // given up before it began
+		return
+	}
+	p.atTime(c.deadline, func() { c.stop(balancer.Timeout) })
+	for list := n.idle[c.target]; len(list) > 0; list = n.idle[c.target] {
+		at := len(list) - 1
+		idle := list[at]
+		n.idle[c.target] = list[:at]
+		if !idle.broken() && !idle.rotated() && p.now-idle.idleAt < maxIdle {
+			c.conn = idle
+			c.write()
+			return
+		}
+		n.close(idle)
+	}
+	if n.budget == nil {
+		c.open()
+		return
+	}
+	kind := handshake.Request
+	if c.probe {
+		kind = handshake.Background
+	}
+	begin, ok := n.budget.Ask(p.Now(), c.target.Address, c.target.Started(), kind, min(maxHandshakeWait, (c.deadline-p.now)/2))
+	if !ok {
+		p.result.Turned++
+		p.after(0, func() { c.finish(engine.Result{Status: balancer.NotSent}) })
+		return
+	}
+	p.after(begin.Sub(p.Now()), c.open)
+}
+
+// maxHandshakeWait is how long a request waits for a handshake's turn: half of the time that one has,
+// as in pinedale-site with its defaults.
+const maxHandshakeWait = 250 * time.Millisecond
+
+// open opens a connection, and writes.
+func (c *call) open() {
+	n, p := c.instance, c.instance.play
+	if c.finished { // given up before it began
+		return
+	}
+	p.after(c.latency(), func() {
+		c.conn = c.host.connect()
+		answered := balancer.ConnectFailed
+		if c.conn == nil && c.host.machine != nil && !c.host.machine.Down() {
+			// It holds as many as it can: taken and closed at once, which the
+			// instance learns from what it has written.
+			answered = balancer.Reset
+		}
+		if c.conn != nil {
+			p.openConns++
+			p.result.Opened(c.host.number, p.now)
+			p.result.Connections = max(p.result.Connections, p.openConns)
+		}
+		p.after(c.latency(), func() {
+			switch {
+			case c.conn != nil && c.finished: // given up meanwhile
+				n.close(c.conn)
+			case c.conn != nil:
+				c.write()
+			default:
+				c.finish(engine.Result{Status: answered})
+			}
+		})
+	})
+}
+
+// write has the request be at its server one way later.
+func (c *call) write() {
+	if c.target.Closed() {
+		c.finish(engine.Result{Status: balancer.NotSent})
+		return
+	}
+	c.sent = true
+	c.instance.play.after(c.latency(), func() {
+		if c.conn.broken() {
+			c.host.reply(c, engine.Result{Status: balancer.Reset})
+			return
+		}
+		c.onArrival()
+	})
+}
+
+// stop gives a call up: what is out there goes on.
+func (c *call) stop(s balancer.Status) {
+	if !c.sent {
+		s = balancer.NotSent
+	}
+	c.finish(engine.Result{Status: s})
+}
+
+// finish passes the result to the instance, once.
+func (c *call) finish(res engine.Result) {
+	if c.finished {
+		return
+	}
+	c.finished = true
+	if c.conn != nil {
+		c.releaseConn(res.Status)
+	}
+	c.onResult(res)
+}
+
+// releaseConn keeps the call's connection for others after a complete answer, and closes it otherwise.
+func (c *call) releaseConn(s balancer.Status) {
+	complete := s == balancer.OK || s == balancer.Error || s == balancer.Full
+	if !complete || c.instance.dead || c.target.Closed() || c.conn.broken() {
+		c.instance.close(c.conn)
+		return
+	}
+	c.conn.idleAt = c.instance.play.now
+	c.instance.idle[c.target] = append(c.instance.idle[c.target], c.conn)
+}
--- /dev/null
+++ b/internal/emulator/play/client.go
@@ -0,0 +1,92 @@
+package play
+
+import (
+	"time"
+
+	"pinedale/balancer"
+	"pinedale/internal/emulator/plan"
+	"pinedale/internal/emulator/trace"
+	"pinedale/internal/engine"
+)
+
+// scheduleArrival has the next first try come.
+func (p *play) scheduleArrival() {
+	t, ok := p.script.Next()
+	if !ok {
+		return
+	}
+	p.atTime(t.At, func() {
+		p.submit(t)
+		p.scheduleArrival()
+	})
+}
+
+// request is one try at an instance.
+type request struct {
+	play      *play
+	try       *plan.Try
+	number    int // which try it is, the first is 1
+	instance  *instance
+	submitted engine.Request
+	finished  bool
+}
+
+// submit passes a try to its instance.
+func (p *play) submit(t *plan.Try) {
+	t.Tries++
+	p.result.Tries++
+	r := &request{play: p, try: t, number: t.Tries, instance: p.instances[t.Instance]}
+	r.instance.openRequests[r] = true
+	r.submitted = engine.Request{Carrier: r, Respond: func(a engine.Response) {
+		r.end(a.Code, time.Duration(a.RetryAfter)*time.Microsecond)
+	}}
+	p.emit(trace.Event{Kind: trace.Ask, Number: t.Number, Try: r.number, Instance: t.Instance + 1, Class: t.Class + 1})
+	patience := p.scenario.Patience(t)
+	r.instance.post(func(now balancer.Micros) {
+		r.instance.engine.Submit(now, &r.submitted, balancer.Request{Class: uint8(t.Class), Key: t.Subject, Tenant: uint16(t.Tenant), ClientRetry: r.number > 1,
+			Deadline: now + patience.Microseconds(), WorkHint: t.Hint, HasWorkHint: true})
+	})
+	if p.scenario.Clients.GiveUp > 0 && !r.finished {
+		p.after(p.scenario.Clients.GiveUp, func() {
+			if !r.finished {
+				r.end(plan.CodeGone, 0)
+				r.instance.post(func(now balancer.Micros) { r.instance.engine.ClientDisconnected(now, &r.submitted) })
+			}
+		})
+	}
+	p.after(patience+time.Millisecond, func() {
+		if !r.finished {
+			p.result.Unanswered++
+			r.end(plan.CodeGone, 0)
+		}
+	})
+}
+
+// end is the end of a try: an answer, or the client's going.
+func (r *request) end(code int, retryAfter time.Duration) {
+	p, t := r.play, r.try
+	if r.finished {
+		if code != plan.CodeGone && !r.instance.dead {
+			p.result.Unanswered++
+		}
+		return
+	}
+	r.finished = true
+	delete(r.instance.openRequests, r)
+	p.emit(trace.Event{Kind: trace.Answer, Number: t.Number, Try: r.number, Instance: t.Instance + 1, Code: code})
+	// Nobody knows since when what a killed instance held may have run: clients repeat only what is safe.
+	mayHaveRun := r.instance.dead && p.scenario.Classes[t.Class].Idempotency != balancer.Idempotent
+	if wait, retry := p.scenario.Again(t, code, retryAfter, p.now); retry && !mayHaveRun {
+		p.after(wait, func() { p.submit(t) })
+		return
+	}
+	p.result.Final(p.scenario, t, code, p.now)
+}
+
+// emit passes an event on to who watches the play.
+func (p *play) emit(e trace.Event) {
+	if p.options.Watch != nil {
+		e.At = p.now.Microseconds()
+		p.options.Watch(e)
+	}
+}
--- a/internal/emulator/play/hard_test.go
+++ b/internal/emulator/play/hard_test.go
@@ -60,8 +60,8 @@
 			}
 			r := playBy(t, scenario(), rivals.Module, nil)
 			before, during := shareOf(r, 0, 5, 3, 9), shareOf(r, 7, 15, 3, 9)
-			if why := r.Broken(); why != "" || r.InTime() < 0.95 || during > before/2 {
-				t.Errorf("in time %.3f, share of the failing %.2f before and %.2f then %s", r.InTime(), before, during, why)
+			if reason := r.Broken(); reason != "" || r.InTime() < 0.95 || during > before/2 {
+				t.Errorf("in time %.3f, share of the failing %.2f before and %.2f then %s", r.InTime(), before, during, reason)
 			}
 			other := playBy(t, scenario(), "least-request", nil)
 			drawn, was := shareOf(other, 7, 15, 3, 9), shareOf(other, 0, 5, 3, 9)
@@ -83,17 +83,17 @@
 		return playBy(t, s, rivals.Module, nil)
 	}
 	patient, hasty := jam(0), jam(250*ms)
-	asked := 0
+	requested := 0
 	for _, c := range hasty.Classes {
-		asked += c.Asked
+		requested += c.Asked
 	}
 	for name, r := range map[string]*plan.Result{"patient": patient, "hasty": hasty} {
-		if why := r.Broken(); why != "" {
-			t.Errorf("%s clients: %s", name, why)
+		if reason := r.Broken(); reason != "" {
+			t.Errorf("%s clients: %s", name, reason)
 		}
 	}
-	if hasty.Tries < asked*3/2 || hasty.InTime() >= patient.InTime() {
-		t.Errorf("hasty clients: %d tries for %d first ones, %.3f in time; patient ones: %d tries, %.3f", hasty.Tries, asked, hasty.InTime(), patient.Tries, patient.InTime())
+	if hasty.Tries < requested*3/2 || hasty.InTime() >= patient.InTime() {
+		t.Errorf("hasty clients: %d tries for %d first ones, %.3f in time; patient ones: %d tries, %.3f", hasty.Tries, requested, hasty.InTime(), patient.Tries, patient.InTime())
 	}
 }
 
@@ -144,7 +144,7 @@
 // The process may be paused at any time: nothing of real time is in a play.
 func TestPauseOfTheProcess(t *testing.T) {
 	sum, n := digest(t, market(3), 0)
-	if again, m := digest(t, market(3), 20*ms); again != sum || m != n {
+	if repeated, m := digest(t, market(3), 20*ms); repeated != sum || m != n {
 		t.Errorf("a play with pauses differs: %d events and %d", n, m)
 	}
 	if other, _ := digest(t, market(4), 0); other == sum {
@@ -225,18 +225,18 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if why := r.Broken(); why != "" {
-		t.Error(why)
+	if reason := r.Broken(); reason != "" {
+		t.Error(reason)
 	}
-	for _, n := range p.nodes {
-		if n.dead || len(n.open) > 0 {
-			t.Errorf("instance %d: dead %t, %d requests without their end", n.number, n.dead, len(n.open))
+	for _, n := range p.instances {
+		if n.dead || len(n.openRequests) > 0 {
+			t.Errorf("instance %d: dead %t, %d requests without their end", n.number, n.dead, len(n.openRequests))
 		}
 	}
 	if sends[1] > 0 || len(sends) < 2 {
 		t.Errorf("what started again sends to %v: server 1 is gone", sends)
 	}
-	if again, err := Run(market(6), Options{}); err != nil || again.Tries == r.Tries {
+	if repeated, err := Run(market(6), Options{}); err != nil || repeated.Tries == r.Tries {
 		t.Errorf("nobody comes again after a kill: %d tries, %v", r.Tries, err)
 	}
 }
@@ -293,8 +293,8 @@
 	}
 	s.Kills = []plan.Kill{k}
 	r := run(t, s)
-	if why := r.Broken(); why != "" {
-		t.Error(why)
+	if reason := r.Broken(); reason != "" {
+		t.Error(reason)
 	}
 	inTime := func(second int) float64 {
 		all := r.Seconds[second].All()
@@ -320,8 +320,8 @@
 		}
 	}
 	r := run(t, s)
-	if why := r.Broken(); why != "" {
-		t.Error(why)
+	if reason := r.Broken(); reason != "" {
+		t.Error(reason)
 	}
 	if r.Strain > 0.9 {
 		t.Errorf("a cold server came to %.2f of its fall", r.Strain)
--- /dev/null
+++ b/internal/emulator/play/instance.go
@@ -0,0 +1,143 @@
+package play
+
+import (
+	"cmp"
+	"context"
+	"log/slog"
+	"maps"
+	"slices"
+	"time"
+
+	"pinedale/balancer"
+	"pinedale/internal/emulator/plan"
+	"pinedale/internal/emulator/trace"
+	"pinedale/internal/engine"
+	"pinedale/internal/upstream/handshake"
+)
+
+// instance is one instance, which is its engine's upstream on virtual time.
+type instance struct {
+	play          *play
+	number        int
+	site          int
+	engine        *engine.Engine
+	idle          map[*engine.Target][]*conn // the latest used last
+	drainingSince map[int]Time               // since when it knows of a drain or an end, by server
+	budget        *handshake.Budget          // of handshakes; nil for none
+	openRequests  map[*request]bool          // without their end
+	dead          bool
+}
+
+// newInstance makes one that knows nothing; incarnation counts how often it was killed.
+func (p *play) newInstance(ctx context.Context, i, incarnation int) (n *instance, err error) {
+	n = &instance{play: p, number: i, site: p.scenario.Instances[i], idle: map[*engine.Target][]*conn{}, drainingSince: map[int]Time{}, openRequests: map[*request]bool{}}
+	if p.scenario.Budget != nil {
+		if n.budget, err = handshake.New(*p.scenario.Budget); err != nil {
+			return nil, err
+		}
+	}
+	part, err := p.scenario.SubsetOf(i)
+	if err != nil {
+		return nil, err
+	}
+	n.engine, err = engine.New(ctx, engine.Options{Settings: p.scenario.For(i), Seed: p.scenario.Seed<<16 | uint64(incarnation)<<40 | uint64(i), Zones: p.scenario.Sites, Kinds: p.scenario.Kinds,
+		Upstream: n, Clock: p, Subset: part, NewDecider: p.options.Decide, Log: slog.New(slog.DiscardHandler)})
+	return n, err
+}
+
+// start begins an instance's life with the list as it is known where it stands.
+func (n *instance) start() {
+	p := n.play
+	n.engine.Start()
+	list := engine.List{Complete: true}
+	for _, h := range p.hosts {
+		life, state, ok := h.stateFor(n)
+		if !ok {
+			continue
+		}
+		if state == balancer.Draining {
+			n.drainingSince[h.number] = p.now
+		}
+		list.Hosts = append(list.Hosts, p.scenario.Entry(h.number, life, state, h.address, epoch))
+	}
+	n.post(func(now balancer.Micros) { n.engine.UpdateEndpoints(now, balancer.ListFull, list) })
+}
+
+// kill ends an instance: its connections break, and clients with a request there come again where that is safe.
+func (n *instance) kill() {
+	n.dead = true
+	for _, list := range n.idle {
+		for _, c := range list {
+			n.close(c)
+		}
+	}
+	open := slices.SortedFunc(maps.Keys(n.openRequests), func(a, b *request) int { return cmp.Compare(a.try.Number, b.try.Number) })
+	for _, r := range open {
+		r.end(plan.CodeGone, 0)
+	}
+}
+
+// post hands an event to the engine, unless the instance has been killed.
+func (n *instance) post(event func(now balancer.Micros)) {
+	if !n.dead {
+		n.engine.Post(event)
+	}
+}
+
+// probeTimeout is how long an instance waits for a probe's answer.
+const probeTimeout = 400 * time.Millisecond
+
+// NewCarrier is not used: requests are their own carriers.
+func (n *instance) NewCarrier(*engine.Message) engine.Carrier { return nil }
+
+// Probe asks a server for its load.
+func (n *instance) Probe(_ context.Context, t *engine.Target, done func(engine.Result)) {
+	p := n.play
+	if n.dead {
+		return
+	}
+	p.result.Probes++
+	h := p.hostByAddress[t.Address]
+	c := &call{instance: n, host: h, target: t, deadline: p.now + probeTimeout, probe: true}
+	c.onArrival = func() {
+		if eps, queue, ok := h.machine.Load(p.now); ok {
+			h.reply(c, engine.Result{Status: balancer.OK, Load: []float32{float32(eps), float32(queue)}})
+			h.schedule()
+		}
+	}
+	c.onResult = func(res engine.Result) {
+		res.Duration = p.now - c.startedAt
+		done(res)
+	}
+	p.after(0, c.start)
+}
+
+// Send starts an attempt: the request is its own carrier.
+func (r *request) Send(a *engine.Attempt) {
+	p, n := r.play, r.instance
+	if n.dead { // what its timers ask for
+		a.Stop = func() {}
+		return
+	}
+	h := p.hostByAddress[a.Target.Address]
+	p.result.Sent(h.number, p.now)
+	if since, ok := n.drainingSince[h.number]; ok && p.now > since+time.Duration(p.scenario.Settings.Contract.DrainGrace)*time.Microsecond {
+		p.result.AfterDrain++
+	}
+	e := trace.Event{Number: r.try.Number, Try: r.number, Attempt: a.Number + 1, Instance: n.number + 1, Server: h.number + 1}
+	e.Kind = trace.Send
+	p.emit(e)
+	p.attempts++
+	c := &call{instance: n, host: h, target: a.Target, number: p.attempts, deadline: a.DeadlineTime().Sub(epoch)}
+	c.onArrival = func() { h.arrive(c, r.try) }
+	c.onResult = func(res engine.Result) {
+		e.Kind, e.Code = trace.End, int(res.Status)
+		p.emit(e)
+		a.PostResult(res)
+	}
+	a.Stop = func() { p.after(0, func() { c.stop(balancer.Cancelled) }) }
+	p.after(0, c.start)
+}
+
+// Cancel gives an attempt up; the server works on.
+func (r *request) Cancel(a *engine.Attempt) { a.Stop() }
--- a/internal/emulator/play/play_test.go
+++ b/internal/emulator/play/play_test.go
@@ -62,8 +62,8 @@
 func TestCalmMarket(t *testing.T) {
 	began := time.Now()
 	r := run(t, market(1))
-	if why := r.Broken(); why != "" {
-		t.Error(why)
+	if reason := r.Broken(); reason != "" {
+		t.Error(reason)
 	}
 	if in := r.InTime(); in < 0.98 {
 		t.Errorf("%.3f served in time on a calm day: %+v", in, r.Classes)
@@ -94,8 +94,8 @@
 		s.Servers[i].Faults = []model.Fault{{From: 5 * time.Second, Until: 15 * time.Second, FailFast: 0.9}}
 	}
 	r := run(t, s)
-	if why := r.Broken(); why != "" {
-		t.Error(why)
+	if reason := r.Broken(); reason != "" {
+		t.Error(reason)
 	}
 	if in := r.InTime(); in < 0.93 {
 		t.Errorf("%.3f served in time: %+v", in, r.Classes)
@@ -113,8 +113,8 @@
 			s.Servers[i].Config = machine(3, 1.5)
 		}
 		s.Servers[3].Lives = []plan.Life{{From: 10 * time.Second, Drain: plan.Never, End: plan.Never}}
-		cold := &s.Servers[3].Config
-		cold.ColdFrom, cold.ColdFor, cold.FallFactor = 0.31, 8600*ms, 1 // weaker than the market's: what it can do, for 1 s
+		warming := &s.Servers[3].Config
+		warming.ColdFrom, warming.ColdFor, warming.FallFactor = 0.31, 8600*ms, 1 // weaker than the market's: what it can do, for 1 s
 		s.Settings.Contract.OverloadMultiple = 1
 		return s
 	}
@@ -141,8 +141,8 @@
 	}
 	s.Surges = []plan.Surge{{From: 5 * time.Second, Until: 20 * time.Second, Factor: 0.5, Tenant: -1}}
 	r := run(t, s)
-	if why := r.Broken(); why != "" {
-		t.Error(why)
+	if reason := r.Broken(); reason != "" {
+		t.Error(reason)
 	}
 	if in := r.InTime(); in < 0.9 {
 		t.Errorf("%.3f served in time: %+v", in, r.Classes)
@@ -154,8 +154,8 @@
 	s := market(9)
 	s.Costly = []plan.Costly{{From: 5 * time.Second, Until: 15 * time.Second, Class: 0, Share: 0.02, Factor: 15}}
 	r := run(t, s)
-	if why := r.Broken(); why != "" {
-		t.Error(why)
+	if reason := r.Broken(); reason != "" {
+		t.Error(reason)
 	}
 	if c := r.Classes[1]; float64(c.InTime) < 0.85*float64(c.Asked) {
 		t.Errorf("stall-pay %+v", c)
--- /dev/null
+++ b/internal/emulator/play/server.go
@@ -0,0 +1,147 @@
+package play
+
+import (
+	"fmt"
+
+	"pinedale/balancer"
+	"pinedale/internal/emulator/model"
+	"pinedale/internal/emulator/plan"
+	"pinedale/internal/emulator/trace"
+	"pinedale/internal/engine"
+	"pinedale/internal/keyroom/judge"
+)
+
+// host is one server, in one life after the other.
+type host struct {
+	play        *play
+	spec        *plan.Server
+	number      int
+	address     string
+	machine     *model.Server // nil before its first life
+	wakeVersion uint64        // version of the wake-up that counts
+	waiting     map[uint64]*call
+	overloaded  bool // it fell over in one of its lives
+}
+
+// scheduleLives has the server start, drain and end when the scenario says.
+func (h *host) scheduleLives() {
+	p := h.play
+	for _, life := range h.spec.Lives {
+		p.atTime(life.From, func() {
+			p.recordStrain(h)
+			h.machine = model.New(h.spec.Config, p.scenario.SeedOf(h.number), p.now, life.From > 0, p.memory, fmt.Sprint(h.spec.Pod), h.spec.Faults)
+			if life.From > 0 {
+				h.notify(life, balancer.Ready)
+			}
+		})
+		if life.Drain != plan.Never {
+			p.atTime(life.Drain, func() { h.notify(life, balancer.Draining) })
+		}
+		if life.End != plan.Never {
+			p.atTime(life.End, func() {
+				h.finishRequests(h.machine.Stop(p.now))
+				h.notify(life, balancer.Removed)
+			})
+		}
+	}
+}
+
+// notify has every instance hear of the server, each with its own delay. What is sent
+// later is heard later.
+func (h *host) notify(life plan.Life, s balancer.State) {
+	p := h.play
+	for i := range p.instances {
+		p.after(p.scenario.Late(h.number, i), func() {
+			n := p.instances[i]
+			if s == balancer.Ready {
+				delete(n.drainingSince, h.number)
+			} else if _, was := n.drainingSince[h.number]; !was {
+				n.drainingSince[h.number] = p.now
+			}
+			p.emit(trace.Event{Kind: trace.Member, Instance: n.number + 1, Server: h.number + 1, Code: int(s)})
+			list := engine.List{Hosts: []engine.Host{p.scenario.Entry(h.number, life, s, h.address, epoch)}}
+			n.post(func(now balancer.Micros) { n.engine.UpdateEndpoints(now, balancer.ListDelta, list) })
+		})
+	}
+}
+
+// stateFor is the server's state as an instance that polls now gets it, as late as it hears of all else.
+func (h *host) stateFor(n *instance) (life plan.Life, state balancer.State, ok bool) {
+	at := h.play.now - h.play.scenario.Late(h.number, n.number)
+	for _, l := range h.spec.Lives {
+		if l.From > 0 && l.From > at {
+			break
+		}
+		life, ok = l, l.End == plan.Never || at < l.End
+		if state = balancer.Ready; l.Drain != plan.Never && at >= l.Drain {
+			state = balancer.Draining
+		}
+	}
+	return life, state, ok
+}
+
+// connect opens a connection; nil where there is none to be had.
+func (h *host) connect() *conn {
+	if h.machine == nil {
+		return nil
+	}
+	ok := h.machine.Connect(h.play.now)
+	h.schedule()
+	if !ok {
+		return nil
+	}
+	h.play.totalConns++
+	return &conn{host: h, machine: h.machine, opened: h.play.now, part: judge.Part(h.play.totalConns)}
+}
+
+// arrive takes an attempt's request.
+func (h *host) arrive(c *call, t *plan.Try) {
+	h.waiting[c.number] = c
+	h.finishRequests(h.machine.Arrive(h.play.now, model.Request{Number: c.number, Work: t.Work, Class: t.Class, Key: t.Key, Subject: t.Subject}))
+	h.schedule()
+}
+
+// schedule has the machine looked at when it next has something to say.
+func (h *host) schedule() {
+	if h.machine.Fallen() != model.Never && !h.overloaded {
+		h.overloaded = true
+		h.play.emit(trace.Event{Kind: trace.Fall, Server: h.number + 1})
+	}
+	h.wakeVersion++
+	version, at := h.wakeVersion, h.machine.Next()
+	if at == model.Never {
+		return
+	}
+	h.play.atTime(at, func() {
+		if version == h.wakeVersion {
+			h.finishRequests(h.machine.Advance(h.play.now))
+			h.schedule()
+		}
+	})
+}
+
+// statusByOutcome are what an instance makes of how a request ended.
+var statusByOutcome = map[model.Outcome]balancer.Status{model.Served: balancer.OK, model.Repeated: balancer.OK, model.Failed: balancer.Error,
+	model.Away: balancer.Full, model.Refused: balancer.Reset}
+
+// finishRequests has the machine's ended requests answered.
+func (h *host) finishRequests(all []model.Ended) {
+	for _, e := range all {
+		c := h.waiting[e.Number]
+		delete(h.waiting, e.Number)
+		if c == nil || e.Outcome == model.Lost {
+			continue
+		}
+		res := engine.Result{Status: statusByOutcome[e.Outcome]}
+		if e.Outcome != model.Refused {
+			eps, queue := h.machine.Report(h.play.now)
+			res.Load = []float32{float32(eps), float32(queue)}
+		}
+		h.reply(c, res)
+	}
+}
+
+// reply has a call's end be at its instance one way later.
+func (h *host) reply(c *call, res engine.Result) {
+	h.play.after(c.latency(), func() { c.finish(res) })
+}
