Fleet's history, schedule and relay: names are the field's own terms

Fields and constants had words of the withdrawn style: Asked, Told, Keyed, Left, Way, Twin, most and least.

They are Requested, Notified, HasKey, Cancelled, Path, DuplicateInstance, max and min.

--- a/internal/fleet/drains.go
+++ b/internal/fleet/drains.go
@@ -72,16 +72,16 @@
 func (r *rig) observedDrains() (out []history.Drain) {
 	for _, d := range r.drains.begun {
 		observed := history.Drain{
-			Server: d.server,
-			Until:  d.until,
-			Told:   map[string]time.Duration{},
-			Sent:   map[string][]time.Duration{},
+			Server:   d.server,
+			Until:    d.until,
+			Notified: map[string]time.Duration{},
+			Sent:     map[string][]time.Duration{},
 		}
 		for name, list := range r.network.lists {
 			if at, ok := list.Held(d.version); ok {
-				observed.Told[name] = at.Sub(r.began)
+				observed.Notified[name] = at.Sub(r.began)
 			}
-			for _, at := range r.network.paths[path{name, d.server}].Came() {
+			for _, at := range r.network.paths[path{name, d.server}].Arrivals() {
 				observed.Sent[name] = append(observed.Sent[name], at.Sub(r.began))
 			}
 		}
--- a/internal/fleet/faults.go
+++ b/internal/fleet/faults.go
@@ -35,7 +35,7 @@
 		return
 	}
 	err := r.beginFault(n, f)
-	if f.Kind == schedule.Twin {
+	if f.Kind == schedule.DuplicateInstance {
 		sleep(ctx, r.until(time.Duration(f.At+f.For/2)))
 		r.signalSuspended(n, f, syscall.SIGCONT) // the first of the two goes on
 	}
@@ -60,14 +60,14 @@
 		r.byName[f.Of].signal(syscall.SIGTERM)
 	case schedule.Stop:
 		r.byName[f.Of].signal(syscall.SIGSTOP)
-	case schedule.Twin:
+	case schedule.DuplicateInstance:
 		return r.replaceSuspended(n, r.byName[f.Of])
 	case schedule.Server:
 		return r.requestServers("stop " + f.Of)
 	case schedule.Drain:
 		r.startDrain(f.Of)
 	case schedule.Break:
-		r.network.reset(f.Of, farName(&f))
+		r.network.reset(f.Of, remoteEnd(&f))
 	default:
 		r.applyPathFault(n, &f)
 	}
@@ -88,7 +88,7 @@
 		return r.byName[f.Of].restart()
 	case schedule.Stop:
 		r.byName[f.Of].signal(syscall.SIGCONT)
-	case schedule.Twin:
+	case schedule.DuplicateInstance:
 		<-r.signalSuspended(n, f, syscall.SIGKILL).ended
 	case schedule.Server:
 		return r.requestServers("start " + f.Of)
@@ -153,7 +153,7 @@
 
 // affects says whether a fault is of a path.
 func affects(f *schedule.Fault, k path) bool {
-	to := farName(f)
+	to := remoteEnd(f)
 	forth := f.Of == k.from && to == k.to
 	back := f.Of == k.to && to == k.from
 	return forth || f.Both && back
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -102,8 +102,8 @@
 					t.Error(f)
 				}
 				for _, d := range h.Drains {
-					if len(d.Told) != s.Instances || len(d.Sent) != s.Instances || d.Until == 0 {
-						t.Errorf("of the drain of %s is known: until %v, told %v", d.Server, d.Until, d.Told)
+					if len(d.Notified) != s.Instances || len(d.Sent) != s.Instances || d.Until == 0 {
+						t.Errorf("of the drain of %s is known: until %v, told %v", d.Server, d.Until, d.Notified)
 					}
 				}
 				if sum := h.Sum(); sum.Effects < 100 || sum.Served == 0 {
--- a/internal/fleet/history/history.go
+++ b/internal/fleet/history/history.go
@@ -17,24 +17,24 @@
 
 // The kinds of end.
 const (
-	Answered Kind = "answered"
-	Left     Kind = "left"   // its client gave it up, as clients do
-	Silent   Kind = "silent" // no answer long after its time
-	Broken   Kind = "broken" // the connection never came up, or broke
+	Answered   Kind = "answered"
+	Cancelled  Kind = "left"   // its client gave it up, as clients do
+	Unanswered Kind = "silent" // no answer long after its time
+	Broken     Kind = "broken" // the connection never came up, or broke
 )
 
 // Try is one request of a client. The tries of one effect share its key.
 type Try struct {
-	Effect   string        `json:"effect"`
-	Class    string        `json:"class"`
-	Keyed    bool          `json:"keyed"`
-	Number   int           `json:"number"` // of the effect's tries, from 0
-	Instance string        `json:"instance"`
-	Asked    time.Duration `json:"asked"`
-	Deadline time.Duration `json:"deadline"` // by which it wanted its answer
-	Ended    time.Duration `json:"ended"`
-	Kind     Kind          `json:"kind"`
-	Code     int           `json:"code,omitempty"` // of an answer
+	Effect    string        `json:"effect"`
+	Class     string        `json:"class"`
+	HasKey    bool          `json:"keyed"`
+	Number    int           `json:"number"` // of the effect's tries, from 0
+	Instance  string        `json:"instance"`
+	Requested time.Duration `json:"asked"`
+	Deadline  time.Duration `json:"deadline"` // by which it wanted its answer
+	Ended     time.Duration `json:"ended"`
+	Kind      Kind          `json:"kind"`
+	Code      int           `json:"code,omitempty"` // of an answer
 }
 
 // View is what an instance takes to be there at an instant.
@@ -46,10 +46,10 @@
 
 // Drain is a server's drain as each instance has come to know of it.
 type Drain struct {
-	Server string                     `json:"server"`
-	Until  time.Duration              `json:"until"` // when it was started anew
-	Told   map[string]time.Duration   `json:"told"`  // when an instance has surely been told: it asked for what is newer
-	Sent   map[string][]time.Duration `json:"sent"`  // when instances wrote to the server
+	Server   string                     `json:"server"`
+	Until    time.Duration              `json:"until"` // when it was started anew
+	Notified map[string]time.Duration   `json:"told"`  // when an instance has surely been told: it asked for what is newer
+	Sent     map[string][]time.Duration `json:"sent"`  // when instances wrote to the server
 }
 
 // drainSlack is for how long after an instance was told something may still come from it: its own
@@ -58,21 +58,21 @@
 
 // late returns what an instance wrote to a server that it knew to drain, and nothing explains.
 func (d *Drain) late(s *schedule.Schedule, instance string) (out []time.Duration) {
-	told, ok := d.Told[instance]
+	notified, ok := d.Notified[instance]
 	if !ok {
 		return nil
 	}
 	for _, at := range d.Sent[instance] {
-		if at <= told+drainSlack || at >= d.Until {
+		if at <= notified+drainSlack || at >= d.Until {
 			continue
 		}
 		// A stopped process goes on where it was, and a way that was cut passes what was written before.
-		held := slices.ContainsFunc(s.Faults, func(f schedule.Fault) bool {
-			own := f.Kind == schedule.Stop && f.Of == instance
-			way := f.Of == instance && f.To == d.Server
-			return (own || way) && time.Duration(f.At) <= at && f.End()+drainSlack >= told
+		explained := slices.ContainsFunc(s.Faults, func(f schedule.Fault) bool {
+			processFault := f.Kind == schedule.Stop && f.Of == instance
+			pathFault := f.Of == instance && f.To == d.Server
+			return (processFault || pathFault) && time.Duration(f.At) <= at && f.End()+drainSlack >= notified
 		})
-		if !held {
+		if !explained {
 			out = append(out, at)
 		}
 	}
@@ -87,10 +87,10 @@
 	Until time.Duration `json:"until"`
 }
 
-// StallLeast is from which on one counts: what a resend keeps of its window is not much more. A
-// connection outlives a longer one.
 const (
-	StallLeast  = 200 * time.Millisecond
+	// MinStall is the shortest stall that counts: what a resend keeps of its window is not much more.
+	MinStall = 200 * time.Millisecond
+	// brokenAfter is the shortest stall that explains a broken connection, which outlives a shorter one.
 	brokenAfter = 500 * time.Millisecond
 )
 
@@ -121,29 +121,29 @@
 // are busy, and an answer that never comes is as late.
 const slack = 5 * time.Second
 
-// SilentAfter is how long after its deadline a try is waited for.
-const SilentAfter = slack
+// UnansweredAfter is how long after its deadline a try is waited for.
+const UnansweredAfter = slack
 
 // disturbed says whether a fault may have kept a try from its answer.
 func disturbed(s *schedule.Schedule, t *Try) bool {
 	return slices.ContainsFunc(s.Faults, func(f schedule.Fault) bool {
-		if time.Duration(f.At) > t.Ended || f.End()+slack < t.Asked {
+		if time.Duration(f.At) > t.Ended || f.End()+slack < t.Requested {
 			return false
 		}
 		process := f.To == "" && f.Of == t.Instance
-		way := (f.Of == schedule.Clients && f.To == t.Instance)
-		return process || way
+		pathFault := (f.Of == schedule.Clients && f.To == t.Instance)
+		return process || pathFault
 	})
 }
 
 // stalled says whether the rig stood still while a try was under way.
 func (h *History) stalled(t *Try) bool {
-	return h.stoodStill(t.Asked, t.Ended, brokenAfter)
+	return h.stalledDuring(t.Requested, t.Ended, brokenAfter)
 }
 
-// stoodStill says whether the rig or its servers did, for so long, at some time between two instants.
-func (h *History) stoodStill(from, until, least time.Duration) bool {
-	return slices.ContainsFunc(h.Stalls, func(s Stall) bool { return s.From <= until && s.Until >= from && s.Until-s.From > least })
+// stalledDuring says whether the rig or its servers did, for so long, at some time between two instants.
+func (h *History) stalledDuring(from, until, minLength time.Duration) bool {
+	return slices.ContainsFunc(h.Stalls, func(s Stall) bool { return s.From <= until && s.Until >= from && s.Until-s.From > minLength })
 }
 
 // Check returns what must not be: the rules over all processes together.
@@ -153,28 +153,28 @@
 		from, until := time.Duration(math.MaxInt64), time.Duration(0)
 		for _, t := range h.Tries {
 			if t.Effect == key {
-				from, until = min(from, t.Asked), max(until, t.Ended)
-				f.Text += fmt.Sprintf("; try %d at %s, %v to %v, %s %d", t.Number, t.Instance, t.Asked.Round(time.Millisecond), t.Ended.Round(time.Millisecond), t.Kind, t.Code)
+				from, until = min(from, t.Requested), max(until, t.Ended)
+				f.Text += fmt.Sprintf("; try %d at %s, %v to %v, %s %d", t.Number, t.Instance, t.Requested.Round(time.Millisecond), t.Ended.Round(time.Millisecond), t.Kind, t.Code)
 			}
 		}
-		if !h.stoodStill(from, until, StallLeast) {
+		if !h.stalledDuring(from, until, MinStall) {
 			out = append(out, f)
 		}
 	}
 	for i := range h.Tries {
 		t := &h.Tries[i]
 		switch {
-		case t.Keyed && t.Kind == Answered && t.Code == 200 && h.Done[t.Effect] == 0:
+		case t.HasKey && t.Kind == Answered && t.Code == 200 && h.Done[t.Effect] == 0:
 			out = append(out, Finding{"served is done", fmt.Sprintf("%s was answered 200 by %s at %v, and no server has done it", t.Effect, t.Instance, t.Ended)})
-		case (t.Kind == Silent || t.Kind == Broken) && !disturbed(h.Schedule, t) && !h.stalled(t):
-			out = append(out, Finding{"one final answer each", fmt.Sprintf("%s, try %d at %s from %v to %v: %s, and nothing befell that instance", t.Effect, t.Number, t.Instance, t.Asked, t.Ended, t.Kind)})
+		case (t.Kind == Unanswered || t.Kind == Broken) && !disturbed(h.Schedule, t) && !h.stalled(t):
+			out = append(out, Finding{"one final answer each", fmt.Sprintf("%s, try %d at %s from %v to %v: %s, and nothing befell that instance", t.Effect, t.Number, t.Instance, t.Requested, t.Ended, t.Kind)})
 		}
 	}
 	for i := range h.Drains {
 		d := &h.Drains[i]
-		for _, instance := range slices.Sorted(maps.Keys(d.Told)) {
+		for _, instance := range slices.Sorted(maps.Keys(d.Notified)) {
 			if late := d.late(h.Schedule, instance); len(late) > 0 {
-				out = append(out, Finding{"drains honoured", fmt.Sprintf("%s wrote to %s at %v, and knew at %v that it drains until %v", instance, d.Server, late, d.Told[instance], d.Until)})
+				out = append(out, Finding{"drains honoured", fmt.Sprintf("%s wrote to %s at %v, and knew at %v that it drains until %v", instance, d.Server, late, d.Notified[instance], d.Until)})
 			}
 		}
 	}
@@ -189,11 +189,11 @@
 
 // Sum is a run in figures.
 type Sum struct {
-	Effects, Tries, Served int // effects asked for, tries at them, effects that a client has its answer for
-	ByCode                 map[int]int
-	Left, Silent, Broken   int
-	Elsewhere              int           // tries of keyed effects at another instance than the try before
-	Median, P99            time.Duration // until an answer 200, from the try's asking
+	Effects, Tries, Served        int // effects asked for, tries at them, effects that a client has its answer for
+	ByCode                        map[int]int
+	Cancelled, Unanswered, Broken int
+	Elsewhere                     int           // tries of keyed effects at another instance than the try before
+	Median, P99                   time.Duration // until an answer 200, from the try's asking
 }
 
 // Sum counts.
@@ -210,7 +210,7 @@
 		at[try{t.Effect, t.Number}] = t.Instance
 	}
 	for _, t := range h.Tries {
-		if before, ok := at[try{t.Effect, t.Number - 1}]; ok && t.Keyed && before != t.Instance {
+		if before, ok := at[try{t.Effect, t.Number - 1}]; ok && t.HasKey && before != t.Instance {
 			s.Elsewhere++
 		}
 		s.Tries++
@@ -222,12 +222,12 @@
 			s.ByCode[t.Code]++
 			if t.Code == 200 {
 				served[t.Effect] = true
-				took = append(took, t.Ended-t.Asked)
+				took = append(took, t.Ended-t.Requested)
 			}
-		case Left:
-			s.Left++
-		case Silent:
-			s.Silent++
+		case Cancelled:
+			s.Cancelled++
+		case Unanswered:
+			s.Unanswered++
 		case Broken:
 			s.Broken++
 		}
--- a/internal/fleet/history/history_test.go
+++ b/internal/fleet/history/history_test.go
@@ -21,15 +21,15 @@
 		{Kind: schedule.Cut, Of: "i-6", To: "s-1", At: second(4), For: second(2)},
 		{Kind: schedule.Cut, Of: "i-7", To: "s-2", At: second(4), For: second(2)}}}
 	// s-1 drains until 8 s; an instance is told at an instant, never if that is before the start, and writes at another.
-	drained := func(instance string, told, sent int) []Drain {
-		d := Drain{Server: "s-1", Until: 8 * time.Second, Told: map[string]time.Duration{}, Sent: map[string][]time.Duration{instance: {time.Duration(sent) * time.Second}}}
-		if told >= 0 {
-			d.Told[instance] = time.Duration(told) * time.Second
+	drains := func(instance string, notified, sent int) []Drain {
+		d := Drain{Server: "s-1", Until: 8 * time.Second, Notified: map[string]time.Duration{}, Sent: map[string][]time.Duration{instance: {time.Duration(sent) * time.Second}}}
+		if notified >= 0 {
+			d.Notified[instance] = time.Duration(notified) * time.Second
 		}
 		return []Drain{d}
 	}
 	try := func(instance string, at int, k Kind, code int) Try {
-		return Try{Effect: "e", Keyed: true, Instance: instance, Asked: time.Duration(at) * time.Second, Ended: time.Duration(at+1) * time.Second, Kind: k, Code: code}
+		return Try{Effect: "e", HasKey: true, Instance: instance, Requested: time.Duration(at) * time.Second, Ended: time.Duration(at+1) * time.Second, Kind: k, Code: code}
 	}
 	for name, c := range map[string]struct {
 		h    History
@@ -38,31 +38,31 @@
 		"good":                    {History{Tries: []Try{try("i-1", 1, Answered, 200)}, Done: map[string]int{"e": 1}}, ""},
 		"served and not done":     {History{Tries: []Try{try("i-1", 1, Answered, 200)}}, "served is done"},
 		"failed and not done":     {History{Tries: []Try{try("i-1", 1, Answered, 502)}}, ""},
-		"lost":                    {History{Tries: []Try{try("i-1", 1, Silent, 0)}}, "one final answer each"},
+		"lost":                    {History{Tries: []Try{try("i-1", 1, Unanswered, 0)}}, "one final answer each"},
 		"killed":                  {History{Tries: []Try{try("i-1", 9, Broken, 0)}}, ""},
 		"another was killed":      {History{Tries: []Try{try("i-2", 9, Broken, 0)}}, "one final answer each"},
 		"long after the kill":     {History{Tries: []Try{try("i-1", 20, Broken, 0)}}, "one final answer each"},
-		"clients cut off":         {History{Tries: []Try{try("i-2", 30, Silent, 0)}}, ""},
-		"a cut between instances": {History{Tries: []Try{try("i-3", 30, Silent, 0)}}, "one final answer each"},
+		"clients cut off":         {History{Tries: []Try{try("i-2", 30, Unanswered, 0)}}, ""},
+		"a cut between instances": {History{Tries: []Try{try("i-3", 30, Unanswered, 0)}}, "one final answer each"},
 		"the rig stood still":     {History{Stalls: []Stall{{0, time.Second}, {30500 * time.Millisecond, 32 * time.Second}}, Tries: []Try{try("i-3", 30, Broken, 0)}}, ""},
 		"it stood still before":   {History{Stalls: []Stall{{28 * time.Second, 29 * time.Second}}, Tries: []Try{try("i-3", 30, Broken, 0)}}, "one final answer each"},
 		"and all else holds":      {History{Stalls: []Stall{{0, time.Minute}}, Tries: []Try{try("i-1", 1, Answered, 200)}}, "served is done"},
-		"left":                    {History{Tries: []Try{try("i-3", 30, Left, 0)}}, ""},
-		"twice":                   {History{Tries: []Try{try("i-3", 30, Left, 0)}, Twice: []string{"e"}}, "no effect twice"},
-		"twice, and a still rig":  {History{Stalls: []Stall{{30500 * time.Millisecond, 30800 * time.Millisecond}}, Tries: []Try{try("i-3", 30, Left, 0)}, Twice: []string{"e"}}, ""},
-		"a moment":                {History{Stalls: []Stall{{30500 * time.Millisecond, 30600 * time.Millisecond}}, Tries: []Try{try("i-3", 30, Left, 0)}, Twice: []string{"e"}}, "no effect twice"},
-		"twice, still before":     {History{Stalls: []Stall{{28 * time.Second, 29 * time.Second}}, Tries: []Try{try("i-3", 30, Left, 0)}, Twice: []string{"e"}}, "no effect twice"},
+		"left":                    {History{Tries: []Try{try("i-3", 30, Cancelled, 0)}}, ""},
+		"twice":                   {History{Tries: []Try{try("i-3", 30, Cancelled, 0)}, Twice: []string{"e"}}, "no effect twice"},
+		"twice, and a still rig":  {History{Stalls: []Stall{{30500 * time.Millisecond, 30800 * time.Millisecond}}, Tries: []Try{try("i-3", 30, Cancelled, 0)}, Twice: []string{"e"}}, ""},
+		"a moment":                {History{Stalls: []Stall{{30500 * time.Millisecond, 30600 * time.Millisecond}}, Tries: []Try{try("i-3", 30, Cancelled, 0)}, Twice: []string{"e"}}, "no effect twice"},
+		"twice, still before":     {History{Stalls: []Stall{{28 * time.Second, 29 * time.Second}}, Tries: []Try{try("i-3", 30, Cancelled, 0)}, Twice: []string{"e"}}, "no effect twice"},
 		"broken in a moment":      {History{Stalls: []Stall{{30500 * time.Millisecond, 30800 * time.Millisecond}}, Tries: []Try{try("i-3", 30, Broken, 0)}}, "one final answer each"},
 		"copies differ":           {History{Differ: []string{"s-1"}}, "copies converge"},
 		"a crash":                 {History{Ends: []string{"i-1"}}, "no crash"},
-		"sent before it was told": {History{Drains: drained("i-3", 5, 4)}, ""},
-		"sent as it was told":     {History{Drains: drained("i-3", 5, 6)}, ""},
-		"sent after it was told":  {History{Drains: drained("i-3", 5, 7)}, "drains honoured"},
-		"sent once it was back":   {History{Drains: drained("i-3", 5, 9)}, ""},
-		"never told":              {History{Drains: drained("i-3", -1, 7)}, ""},
-		"stopped meanwhile":       {History{Drains: drained("i-5", 5, 7)}, ""},
-		"its way was cut":         {History{Drains: drained("i-6", 5, 7)}, ""},
-		"another's way was cut":   {History{Drains: drained("i-7", 5, 7)}, "drains honoured"},
+		"sent before it was told": {History{Drains: drains("i-3", 5, 4)}, ""},
+		"sent as it was told":     {History{Drains: drains("i-3", 5, 6)}, ""},
+		"sent after it was told":  {History{Drains: drains("i-3", 5, 7)}, "drains honoured"},
+		"sent once it was back":   {History{Drains: drains("i-3", 5, 9)}, ""},
+		"never told":              {History{Drains: drains("i-3", -1, 7)}, ""},
+		"stopped meanwhile":       {History{Drains: drains("i-5", 5, 7)}, ""},
+		"its way was cut":         {History{Drains: drains("i-6", 5, 7)}, ""},
+		"another's way was cut":   {History{Drains: drains("i-7", 5, 7)}, "drains honoured"},
 	} {
 		c.h.Schedule = s
 		got := c.h.Check()
@@ -75,11 +75,11 @@
 func TestSum(t *testing.T) {
 	h := History{}
 	for n := range 100 {
-		h.Tries = append(h.Tries, Try{Effect: "e", Keyed: true, Number: n, Instance: []string{"i-1", "i-1", "i-2"}[n%3], Kind: Answered, Code: 200, Ended: time.Duration(n) * time.Millisecond})
+		h.Tries = append(h.Tries, Try{Effect: "e", HasKey: true, Number: n, Instance: []string{"i-1", "i-1", "i-2"}[n%3], Kind: Answered, Code: 200, Ended: time.Duration(n) * time.Millisecond})
 	}
-	h.Tries = append(h.Tries, Try{Effect: "f", Kind: Left}, Try{Effect: "f", Number: 1, Kind: Answered, Code: 502, Ended: time.Hour})
+	h.Tries = append(h.Tries, Try{Effect: "f", Kind: Cancelled}, Try{Effect: "f", Number: 1, Kind: Answered, Code: 502, Ended: time.Hour})
 	s := h.Sum()
-	if s.Effects != 2 || s.Tries != 102 || s.Served != 1 || s.Left != 1 || s.ByCode[502] != 1 || s.Elsewhere != 66 || s.Median != 50*time.Millisecond || s.P99 != 99*time.Millisecond {
+	if s.Effects != 2 || s.Tries != 102 || s.Served != 1 || s.Cancelled != 1 || s.ByCode[502] != 1 || s.Elsewhere != 66 || s.Median != 50*time.Millisecond || s.P99 != 99*time.Millisecond {
 		t.Errorf("%+v", s)
 	}
 }
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -84,13 +84,13 @@
 			return
 		}
 		t := history.Try{
-			Effect:   e.key,
-			Class:    e.class.name,
-			Keyed:    e.class.repeat == balancer.IdempotentWithKey,
-			Number:   n,
-			Instance: r.instances[instance].name,
-			Asked:    r.sinceStart(),
-			Deadline: deadline,
+			Effect:    e.key,
+			Class:     e.class.name,
+			HasKey:    e.class.repeat == balancer.IdempotentWithKey,
+			Number:    n,
+			Instance:  r.instances[instance].name,
+			Requested: r.sinceStart(),
+			Deadline:  deadline,
 		}
 		var giveUp time.Duration
 		if e.hasty && n < hastyAttempts {
@@ -114,9 +114,9 @@
 // attempt asks once, gives up after giveUp unless that is 0, and sets what became of it. It returns how
 // long the answer wants the client to wait.
 func (r *rig) attempt(ctx context.Context, c *http.Client, e *effect, t *history.Try, remaining, giveUp time.Duration) time.Duration {
-	timeout, onTimeout := remaining+history.SilentAfter, history.Silent
+	timeout, onTimeout := remaining+history.UnansweredAfter, history.Unanswered
 	if giveUp > 0 {
-		timeout, onTimeout = giveUp, history.Left
+		timeout, onTimeout = giveUp, history.Cancelled
 	}
 	ctx, stop := context.WithTimeout(ctx, timeout)
 	defer stop()
--- a/internal/fleet/network.go
+++ b/internal/fleet/network.go
@@ -12,7 +12,7 @@
 // network is what is between the rig's processes: a relay on each path, and each instance's discovery.
 type network struct {
 	seed   uint64
-	paths  map[path]*relay.Way
+	paths  map[path]*relay.Path
 	relays map[path]*relay.Relay           // by the direction in which connections are opened
 	fronts map[string]string               // where clients reach an instance
 	lists  map[string]*directory.Directory // each instance's discovery: addresses differ, since paths do
@@ -22,7 +22,7 @@
 func newNetwork(seed uint64) *network {
 	return &network{
 		seed:   seed,
-		paths:  map[path]*relay.Way{},
+		paths:  map[path]*relay.Path{},
 		relays: map[path]*relay.Relay{},
 		fronts: map[string]string{},
 		lists:  map[string]*directory.Directory{},
@@ -31,10 +31,10 @@
 
 // direction returns the path from one process to another. Its fates follow from the seed and the order
 // in which paths are made.
-func (n *network) direction(from, to string) *relay.Way {
+func (n *network) direction(from, to string) *relay.Path {
 	k := path{from, to}
 	if n.paths[k] == nil {
-		n.paths[k] = relay.NewWay(n.seed*1_000_003 + uint64(len(n.paths)))
+		n.paths[k] = relay.NewPath(n.seed*1_000_003 + uint64(len(n.paths)))
 	}
 	return n.paths[k]
 }
@@ -88,8 +88,8 @@
 // discoveryName names an instance's discovery, as the end of a path.
 func discoveryName(instance string) string { return schedule.Discovery + " of " + instance }
 
-// farName is the name of the process at the far end of a fault's path.
-func farName(f *schedule.Fault) string {
+// remoteEnd is the name of the process at the far end of a fault's path.
+func remoteEnd(f *schedule.Fault) string {
 	if f.To == schedule.Discovery {
 		return discoveryName(f.Of)
 	}
--- a/internal/fleet/observe.go
+++ b/internal/fleet/observe.go
@@ -60,7 +60,7 @@
 // observeStalls reports each stall of this process until ctx ends.
 func observeStalls(ctx context.Context, report func(stall)) {
 	for last := time.Now(); sleep(ctx, stallInterval); last = time.Now() {
-		if now := time.Now(); now.Sub(last) > history.StallLeast {
+		if now := time.Now(); now.Sub(last) > history.MinStall {
 			report(stall{last, now})
 		}
 	}
--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -14,7 +14,7 @@
 	"time"
 )
 
-// Script says what happens on a way, in one direction. The shares, 0 to 1, are of datagrams;
+// Script says what happens on a path, in one direction. The shares, 0 to 1, are of datagrams;
 // streams know Cut and Delay alone.
 type Script struct {
 	Cut     bool          // nothing passes: datagrams are lost, streams stand still
@@ -25,27 +25,27 @@
 	Delay   time.Duration // of each
 }
 
-// Way is one direction between two processes.
-type Way struct {
-	mu     sync.Mutex
-	script Script
-	healed *sync.Cond
-	rng    *rand.Rand
-	closed bool
-	passed int // datagrams and pieces of streams
-	lost   int
-	came   []time.Time // when pieces of streams were read from their sender
+// Path is one direction between two processes.
+type Path struct {
+	mu       sync.Mutex
+	script   Script
+	healed   *sync.Cond
+	rng      *rand.Rand
+	closed   bool
+	passed   int // datagrams and pieces of streams
+	dropped  int
+	arrivals []time.Time // when pieces of streams were read from their sender
 }
 
-// NewWay returns a way on which nothing happens. The seed draws what its shares come to.
-func NewWay(seed uint64) *Way {
-	w := &Way{rng: rand.New(rand.NewPCG(seed, 1))}
+// NewPath returns a path on which nothing happens. The seed draws what its shares come to.
+func NewPath(seed uint64) *Path {
+	w := &Path{rng: rand.New(rand.NewPCG(seed, 1))}
 	w.healed = sync.NewCond(&w.mu)
 	return w
 }
 
 // Set changes what happens from now on.
-func (w *Way) Set(s Script) {
+func (w *Path) Set(s Script) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.script = s
@@ -53,34 +53,34 @@
 }
 
 // Counts says how many datagrams and pieces of streams have passed, and how many were lost.
-func (w *Way) Counts() (passed, lost int) {
+func (w *Path) Counts() (passed, dropped int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.passed, w.lost
+	return w.passed, w.dropped
 }
 
-// Came says when pieces of streams came from their sender, whatever then became of them.
-func (w *Way) Came() []time.Time {
+// Arrivals says when pieces of streams came from their sender, whatever then became of them.
+func (w *Path) Arrivals() []time.Time {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return slices.Clone(w.came)
+	return slices.Clone(w.arrivals)
 }
 
-func (w *Way) note() {
+func (w *Path) note() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.came = append(w.came, time.Now())
+	w.arrivals = append(w.arrivals, time.Now())
 }
 
-func (w *Way) close() {
+func (w *Path) close() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.closed = true
 	w.healed.Broadcast()
 }
 
-// wait stands still for as long as the way is cut, and then for its delay.
-func (w *Way) wait() {
+// wait stands still for as long as the path is cut, and then for its delay.
+func (w *Path) wait() {
 	w.mu.Lock()
 	for w.script.Cut && !w.closed {
 		w.healed.Wait()
@@ -92,7 +92,7 @@
 }
 
 // fate draws what becomes of a datagram.
-func (w *Way) fate() (s Script, lose, double, swap bool, corrupt int) {
+func (w *Path) fate() (s Script, lose, double, swap bool, corrupt int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s, corrupt = w.script, -1
@@ -102,7 +102,7 @@
 		corrupt = w.rng.IntN(1 << 16)
 	}
 	if w.passed++; lose {
-		w.lost++
+		w.dropped++
 	}
 	return
 }
@@ -111,7 +111,7 @@
 type Relay struct {
 	Address string
 
-	forth, back *Way
+	forth, back *Path
 	stream      net.Listener
 	packets     *net.UDPConn
 	done        sync.WaitGroup
@@ -144,9 +144,9 @@
 	return r.target, r.to
 }
 
-// Start listens on loopback. forth is the way to the target, back the one from there, which
-// streams alone have: datagrams go one way, and their answers by another relay.
-func Start(target string, forth, back *Way) (*Relay, error) {
+// Start listens on loopback. forth is the path to the target, back the one from there, which
+// streams alone have: datagrams go one path, and their answers by another relay.
+func Start(target string, forth, back *Path) (*Relay, error) {
 	for range 100 {
 		stream, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -232,7 +232,7 @@
 	}
 }
 
-// connection carries one stream both ways until either side ends it.
+// connection carries one stream both paths until either side ends it.
 func (r *Relay) connection(from net.Conn) {
 	defer r.drop(from)
 	r.forth.wait()
@@ -252,11 +252,11 @@
 	ended := make(chan struct{}, 2)
 	for _, x := range []struct {
 		from, to net.Conn
-		way      *Way
+		path     *Path
 	}{{from, to, r.forth}, {to, from, r.back}} {
 		r.done.Go(func() {
 			// An end is passed on as an end, and anything else breaks the connection.
-			err := copyOn(x.to, x.from, x.way)
+			err := copyOn(x.to, x.from, x.path)
 			if t, ok := x.to.(*net.TCPConn); ok && errors.Is(err, io.EOF) {
 				_ = t.CloseWrite() // both ends are closed below
 			}
@@ -272,13 +272,13 @@
 }
 
 // copyOn returns what ended it: io.EOF is the sender's own end.
-func copyOn(to io.Writer, from io.Reader, way *Way) error {
+func copyOn(to io.Writer, from io.Reader, path *Path) error {
 	piece := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(piece)
 		if n > 0 {
-			way.note()
-			way.wait()
+			path.note()
+			path.wait()
 			if _, err := to.Write(piece[:n]); err != nil {
 				return err
 			}
@@ -295,7 +295,7 @@
 		return
 	}
 	defer out.Close()
-	var held []byte
+	var delayed []byte
 	buffer := make([]byte, 1<<16)
 	for {
 		n, _, err := r.packets.ReadFromUDP(buffer)
@@ -310,16 +310,16 @@
 		if corrupt >= 0 && n > 0 {
 			data[corrupt%n] ^= 1 << (corrupt % 8)
 		}
-		if swap && held == nil {
-			held = data
+		if swap && delayed == nil {
+			delayed = data
 			continue
 		}
 		batch := [][]byte{data}
 		if double {
 			batch = append(batch, data)
 		}
-		if held != nil {
-			batch, held = append(batch, held), nil
+		if delayed != nil {
+			batch, delayed = append(batch, delayed), nil
 		}
 		send := func() {
 			_, to := r.leads()
--- a/internal/fleet/relay/relay_test.go
+++ b/internal/fleet/relay/relay_test.go
@@ -12,7 +12,7 @@
 	"go.uber.org/goleak"
 )
 
-func between(t *testing.T) (r *Relay, forth, back *Way, target net.Listener, packets net.PacketConn) {
+func between(t *testing.T) (r *Relay, forth, back *Path, target net.Listener, packets net.PacketConn) {
 	target, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -20,7 +20,7 @@
 	if packets, err = net.ListenPacket("udp", target.Addr().String()); err != nil {
 		t.Fatal(err)
 	}
-	forth, back = NewWay(1), NewWay(2)
+	forth, back = NewPath(1), NewPath(2)
 	if r, err = Start(target.Addr().String(), forth, back); err != nil {
 		t.Fatal(err)
 	}
@@ -203,15 +203,15 @@
 	if got := next(); got != "late" {
 		t.Errorf("late: %q", got)
 	}
-	if _, lost := forth.Counts(); lost != 2 {
-		t.Errorf("%d are counted as lost", lost)
+	if _, dropped := forth.Counts(); dropped != 2 {
+		t.Errorf("%d are counted as lost", dropped)
 	}
 }
 
 // The same seed has the same fate.
 func TestSameSeedSameFate(t *testing.T) {
 	draw := func(seed uint64) string {
-		w := NewWay(seed)
+		w := NewPath(seed)
 		w.Set(Script{Loss: 0.3, Double: 0.3, Swap: 0.3, Corrupt: 0.3})
 		var b bytes.Buffer
 		for range 100 {
@@ -220,8 +220,8 @@
 		}
 		return b.String()
 	}
-	first, again, other := draw(1), draw(1), draw(2)
-	if first != again || first == other {
+	first, second, other := draw(1), draw(1), draw(2)
+	if first != second || first == other {
 		t.Error("fates do not follow the seed")
 	}
 }
--- a/internal/fleet/report.go
+++ b/internal/fleet/report.go
@@ -103,7 +103,7 @@
 	for _, t := range h.Tries {
 		kind := 4
 		switch {
-		case t.Kind == history.Left:
+		case t.Kind == history.Cancelled:
 			kind = 3
 		case t.Kind == history.Answered && t.Code == 200:
 			kind = 0
@@ -112,7 +112,7 @@
 		case t.Kind == history.Answered:
 			kind = 2
 		}
-		at := int(t.Asked / pointSpan)
+		at := int(t.Requested / pointSpan)
 		counts[kind][at]++
 		last = max(last, at)
 	}
--- a/internal/fleet/schedule/schedule.go
+++ b/internal/fleet/schedule/schedule.go
@@ -19,25 +19,25 @@
 // The kinds. Those of a process name it as Of; those of ways name both ends, and hold from
 // Of to To alone unless Both is set.
 const (
-	Kill   Kind = "kill"   // SIGKILL, and started again when the fault ends
-	Term   Kind = "term"   // SIGTERM, and started again
-	Stop   Kind = "stop"   // SIGSTOP, and SIGCONT when the fault ends
-	Build  Kind = "build"  // SIGTERM, and started again as another build, which it stays
-	Cut    Kind = "cut"    // nothing passes
-	Loss   Kind = "loss"   // Share of the datagrams is lost
-	Double Kind = "double" // comes twice
-	Swap   Kind = "swap"   // changes places with the next
-	Spoil  Kind = "spoil"  // has a byte changed
-	Slow   Kind = "slow"   // all of it takes Delay longer
-	Break  Kind = "break"  // connections that stand are reset, at once
-	Server Kind = "server" // a server ends with all that it holds, and is started again
-	Twin   Kind = "twin"   // SIGSTOP, and another process of its name in its place at other addresses; halfway SIGCONT, at the end SIGKILL
-	Drain  Kind = "drain"  // discovery says that a server drains, and at the fault's end that it has started anew, as it then has
+	Kill              Kind = "kill"   // SIGKILL, and started again when the fault ends
+	Term              Kind = "term"   // SIGTERM, and started again
+	Stop              Kind = "stop"   // SIGSTOP, and SIGCONT when the fault ends
+	Build             Kind = "build"  // SIGTERM, and started again as another build, which it stays
+	Cut               Kind = "cut"    // nothing passes
+	Loss              Kind = "loss"   // Share of the datagrams is lost
+	Double            Kind = "double" // comes twice
+	Swap              Kind = "swap"   // changes places with the next
+	Spoil             Kind = "spoil"  // has a byte changed
+	Slow              Kind = "slow"   // all of it takes Delay longer
+	Break             Kind = "break"  // connections that stand are reset, at once
+	Server            Kind = "server" // a server ends with all that it holds, and is started again
+	DuplicateInstance Kind = "twin"   // SIGSTOP, and another process of its name in its place at other addresses; halfway SIGCONT, at the end SIGKILL
+	Drain             Kind = "drain"  // discovery says that a server drains, and at the fault's end that it has started anew, as it then has
 )
 
-var ofProcess = []Kind{Kill, Term, Stop, Build, Twin, Server, Drain}
-var ofWays = []Kind{Cut, Loss, Double, Swap, Spoil, Slow, Break}
-var withShare = []Kind{Loss, Double, Swap, Spoil}
+var processKinds = []Kind{Kill, Term, Stop, Build, DuplicateInstance, Server, Drain}
+var pathKinds = []Kind{Cut, Loss, Double, Swap, Spoil, Slow, Break}
+var shareKinds = []Kind{Loss, Double, Swap, Spoil}
 
 // Clients is the end of a way that all clients are.
 const Clients = "clients"
@@ -102,11 +102,11 @@
 
 // The bounds of a rig: what one machine bears.
 const (
-	instancesLeast, instancesMost = 3, 24
-	serversMost                   = 48
-	lengthMost                    = 10 * time.Minute
-	rateMost                      = 2000
-	fileMost                      = 1 << 20 // bytes of a file
+	minInstances, maxInstances = 3, 24
+	maxServers                 = 48
+	maxLength                  = 10 * time.Minute
+	maxRate                    = 2000
+	maxFileBytes               = 1 << 20 // bytes of a file
 )
 
 // LastFault is when the last fault is over: from then on the fleet should become well.
@@ -120,7 +120,7 @@
 // Parse reads a file. Its error has a line for each fault found.
 func Parse(data []byte) (*Schedule, error) {
 	s := &Schedule{Servers: 6, Rate: 60, Agree: "always", Length: tomlfile.Duration(8 * time.Second)}
-	in, err := tomlfile.Decode(data, fileMost, s)
+	in, err := tomlfile.Decode(data, maxFileBytes, s)
 	if err != nil {
 		return nil, err
 	}
@@ -143,44 +143,44 @@
 
 func (s *Schedule) check(require func(ok bool, key, format string, args ...any)) {
 	require(s.Version == 1, "version", "%d is not a known version of this file; this program reads 1", s.Version)
-	require(s.Instances >= instancesLeast && s.Instances <= instancesMost, "instances", "%d is not in %d to %d", s.Instances, instancesLeast, instancesMost)
-	require(s.Servers >= 2 && s.Servers <= serversMost, "servers", "%d is not in 2 to %d", s.Servers, serversMost)
-	require(s.Length > 0 && time.Duration(s.Length) <= lengthMost, "length", "%v is not over 0 and up to %v", time.Duration(s.Length), lengthMost)
-	require(s.Rate > 0 && s.Rate <= rateMost, "rate", "%v is not over 0 and up to %d", s.Rate, rateMost)
+	require(s.Instances >= minInstances && s.Instances <= maxInstances, "instances", "%d is not in %d to %d", s.Instances, minInstances, maxInstances)
+	require(s.Servers >= 2 && s.Servers <= maxServers, "servers", "%d is not in 2 to %d", s.Servers, maxServers)
+	require(s.Length > 0 && time.Duration(s.Length) <= maxLength, "length", "%v is not over 0 and up to %v", time.Duration(s.Length), maxLength)
+	require(s.Rate > 0 && s.Rate <= maxRate, "rate", "%v is not over 0 and up to %d", s.Rate, maxRate)
 	require(slices.Contains([]string{"never", "soon", "always"}, s.Agree), "agree", "%q is not one of never, soon, always", s.Agree)
 	instances, servers := map[string]bool{}, map[string]bool{}
-	for n := range min(max(0, s.Instances), instancesMost) {
+	for n := range min(max(0, s.Instances), maxInstances) {
 		instances[InstanceName(n)] = true
 	}
-	for n := range min(max(0, s.Servers), serversMost) {
+	for n := range min(max(0, s.Servers), maxServers) {
 		servers[ServerName(n)] = true
 	}
 	for i, f := range s.Faults {
 		at := func(key string) string { return fmt.Sprintf("fault[%d].%s", i, key) }
-		process, way := slices.Contains(ofProcess, f.Kind), slices.Contains(ofWays, f.Kind)
-		require(process || way, at("kind"), "%q is not one of %v", f.Kind, append(slices.Clone(ofProcess), ofWays...))
+		isProcess, isPath := slices.Contains(processKinds, f.Kind), slices.Contains(pathKinds, f.Kind)
+		require(isProcess || isPath, at("kind"), "%q is not one of %v", f.Kind, append(slices.Clone(processKinds), pathKinds...))
 		require(f.At >= 0 && f.For >= 0 && f.End() <= time.Duration(s.Length), at("for"), "it is over %v after the start, and the load lasts %v", f.End(), time.Duration(s.Length))
 		require(f.For > 0 || f.Kind == Break, at("for"), "is missing: every fault ends")
-		require(f.Share >= 0 && f.Share <= 1 && (f.Share > 0) == slices.Contains(withShare, f.Kind), at("share"), "%v is not what a %q takes", f.Share, f.Kind)
+		require(f.Share >= 0 && f.Share <= 1 && (f.Share > 0) == slices.Contains(shareKinds, f.Kind), at("share"), "%v is not what a %q takes", f.Share, f.Kind)
 		require(f.Delay >= 0 && (f.Delay > 0) == (f.Kind == Slow), at("delay"), "%v is not what a %q takes", time.Duration(f.Delay), f.Kind)
 		switch {
 		case f.Kind == Server || f.Kind == Drain:
 			require(servers[f.Of], at("of"), "%q is no server", f.Of)
-		case process:
+		case isProcess:
 			require(instances[f.Of], at("of"), "%q is no instance", f.Of)
-		case way:
+		case isPath:
 			require(instances[f.Of] || f.Of == Clients, at("of"), "%q is neither an instance nor %s", f.Of, Clients)
 			require(instances[f.To] && f.To != f.Of || (servers[f.To] || f.To == Discovery) && f.Of != Clients, at("to"), "there is no way from %q to %q", f.Of, f.To)
 		}
-		require(way || f.To == "" && !f.Both, at("to"), "a %q is of one process", f.Kind)
+		require(isPath || f.To == "" && !f.Both, at("to"), "a %q is of one process", f.Kind)
 	}
 }
 
-// heldMost is how long a drawn fault may hold requests back on their way to a server: well
+// maxHold is how long a drawn fault may hold requests back on their way to a server: well
 // under the second for which the rig's servers remember a key of a class that all drop repeats
 // of. What the network holds for longer than servers remember may be done twice, whatever the
 // sender does: see docs/design/replicated-state.md.
-const heldMost = tomlfile.Duration(500 * time.Millisecond)
+const maxHold = tomlfile.Duration(500 * time.Millisecond)
 
 // Draw returns a schedule for a seed: three to eight faults, overlapping as they fall. The
 // same seed draws the same.
@@ -194,7 +194,7 @@
 	// Two processes of one name, drains, and discovery out of an instance's sight about then, from a sequence of their own: what
 	// the seed draws above stays as it is.
 	d.rng = rand.New(rand.NewPCG(seed, 13))
-	d.twin()
+	d.duplicateInstance()
 	for range d.rng.IntN(3) {
 		d.drain()
 	}
@@ -223,9 +223,9 @@
 func (d *drawing) coin() bool { return d.rng.IntN(2) == 0 }
 
 // part draws a part of the schedule's length that is between two shares of it.
-func (d *drawing) part(least, most float64) tomlfile.Duration {
+func (d *drawing) part(lower, upper float64) tomlfile.Duration {
 	length := float64(d.schedule.Length)
-	return tomlfile.Duration(time.Duration(length * (least + (most-least)*d.rng.Float64())).Round(time.Millisecond))
+	return tomlfile.Duration(time.Duration(length * (lower + (upper-lower)*d.rng.Float64())).Round(time.Millisecond))
 }
 
 // reserve notes a fault of a process, unless another is too near: a process is in one state at a
@@ -245,7 +245,7 @@
 func (d *drawing) ordinaryFault() {
 	f := Fault{At: d.part(0.05, 0.65), For: d.part(0.03, 0.3), Of: d.instance()}
 	d.kind(&f)
-	if slices.Contains(ofProcess, f.Kind) {
+	if slices.Contains(processKinds, f.Kind) {
 		if !d.reserve(f) {
 			return
 		}
@@ -254,7 +254,7 @@
 			f.To = d.instance()
 		}
 	}
-	if slices.Contains(withShare, f.Kind) {
+	if slices.Contains(shareKinds, f.Kind) {
 		f.Share = float64(1+d.rng.IntN(9)) / 10
 	}
 	if f.Kind == Slow {
@@ -285,7 +285,7 @@
 		f.Kind = []Kind{Cut, Slow, Break}[d.rng.IntN(3)]
 		f.To = d.server()
 		f.Both = d.coin()
-		f.For = min(f.For, heldMost)
+		f.For = min(f.For, maxHold)
 	default:
 		f.Kind, f.Both = []Kind{Loss, Double, Swap, Spoil, Slow}[d.rng.IntN(5)], true
 	}
@@ -299,11 +299,11 @@
 // early draws an instant in the first half.
 func (d *drawing) early() tomlfile.Duration { return d.part(0.1, 0.5) }
 
-// twin draws an instance that has two processes for a while, and adds it at one chance in four.
-func (d *drawing) twin() {
-	twin := Fault{Kind: Twin, At: d.early(), For: d.third(), Of: d.instance()}
-	if d.rng.IntN(4) == 0 && d.reserve(twin) {
-		d.add(twin)
+// duplicateInstance draws an instance that has two processes for a while, and adds it at one chance in four.
+func (d *drawing) duplicateInstance() {
+	duplicate := Fault{Kind: DuplicateInstance, At: d.early(), For: d.third(), Of: d.instance()}
+	if d.rng.IntN(4) == 0 && d.reserve(duplicate) {
+		d.add(duplicate)
 	}
 }
 
@@ -340,16 +340,16 @@
 // the shortest prefix that fails, then each of its faults by itself. fails plays a schedule
 // some times.
 func (s *Schedule) Shrink(fails func(*Schedule) bool) *Schedule {
-	least, most := 0, len(s.Faults) // the prefix of most fails
-	for least < most {
-		half := (least + most) / 2
+	lower, upper := 0, len(s.Faults) // the prefix of most fails
+	for lower < upper {
+		half := (lower + upper) / 2
 		if fails(s.Without(func(n int) bool { return n < half })) {
-			most = half
+			upper = half
 		} else {
-			least = half + 1
+			lower = half + 1
 		}
 	}
-	out := s.Without(func(n int) bool { return n < most })
+	out := s.Without(func(n int) bool { return n < upper })
 	for i := 0; i < len(out.Faults); {
 		if less := out.Without(func(n int) bool { return n != i }); fails(less) {
 			out = less
--- a/internal/fleet/schedule/schedule_test.go
+++ b/internal/fleet/schedule/schedule_test.go
@@ -37,7 +37,7 @@
 			kinds[f.Kind] = true
 		}
 	})
-	for _, k := range append(slices.Clone(ofProcess), ofWays...) {
+	for _, k := range append(slices.Clone(processKinds), pathKinds...) {
 		if !kinds[k] && k != Build {
 			t.Errorf("no %s was drawn", k)
 		}
