Secure: one file per job, handshake and session store by standard names

Files by job (client, handshake, conn, sessions, names); failure reasons are constants and keep their values, which counters and logs state. The log event is now 'tls handshake failed' with attribute err in place of error; the test that counts log events looks for the new message.

--- /dev/null
+++ b/internal/upstream/secure/client.go
@@ -0,0 +1,126 @@
+package secure
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"pinedale/internal/engine"
+	"pinedale/internal/keyroom"
+	"pinedale/internal/upstream/attempt"
+	"pinedale/internal/upstream/handshake"
+)
+
+// Options configure a Client.
+type Options struct {
+	Room     *keyroom.Room    // own certificate and trusted roots
+	Names    *Names           // see Client.Rename
+	Budget   handshake.Config // rates of handshakes
+	Sessions int              // maximum number of sessions that may be resumed, over all servers
+	Timeout  time.Duration    // of a handshake
+	Log      *slog.Logger
+	Now      func() time.Time // nil for time.Now
+}
+
+// Client performs handshakes with servers. Make one with New. It is safe for concurrent use.
+type Client struct {
+	options  Options
+	sessions *sessionStore
+	names    atomic.Pointer[Names]
+
+	mu       sync.Mutex
+	budget   *handshake.Budget
+	loggedAt map[string]time.Time // last log event of a failure, by address and reason
+	counters Counters
+}
+
+// Counters count events since the start.
+type Counters struct {
+	Full, Resumed int              // handshakes that succeeded
+	Failed        map[string]int   // handshakes that failed, by the result of failureReason
+	Turns         handshake.Counts // results of the rate limit
+	Sessions      int              // sessions in the store now
+}
+
+// New returns a client, or an error that names the invalid option.
+func New(o Options) (*Client, error) {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Sessions < 1 {
+		return nil, fmt.Errorf("secure: room for %d sessions", o.Sessions)
+	}
+	budget, err := handshake.New(o.Budget)
+	if err != nil {
+		return nil, err
+	}
+	c := &Client{
+		options:  o,
+		sessions: newSessionStore(o.Sessions),
+		budget:   budget,
+		loggedAt: map[string]time.Time{},
+		counters: Counters{Failed: map[string]int{}},
+	}
+	c.names.Store(o.Names)
+	return c, nil
+}
+
+// Rename has servers verified by other names from now on. An open connection takes no new
+// requests once its server goes by another name. n must not be modified afterwards.
+func (c *Client) Rename(n *Names) { c.names.Store(n) }
+
+// Turn waits until a handshake with a target may begin. It fails with attempt.ErrFull at once
+// where the rate limit allows none in time, and with ctx's error where ctx ends first.
+func (c *Client) Turn(ctx context.Context, t *engine.Target) error {
+	// Half of the time is left to the handshake itself.
+	patience := c.options.Timeout / 2
+	if deadline, ok := ctx.Deadline(); ok {
+		patience = min(patience, time.Until(deadline)/2)
+	}
+	kind := handshake.Request
+	if attempt.IsProbe(ctx) {
+		kind = handshake.Background
+	}
+	now := c.options.Now()
+	c.mu.Lock()
+	begin, ok := c.budget.Ask(now, t.Address, t.Started(), kind, patience)
+	c.mu.Unlock()
+	if !ok {
+		return fmt.Errorf("%w: handshake rate limit of %s", attempt.ErrFull, t.Address)
+	}
+	return sleep(ctx, begin.Sub(now))
+}
+
+// sleep waits for a duration, or returns ctx's error where ctx ends first.
+func sleep(ctx context.Context, duration time.Duration) error {
+	if duration <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Retire drops the sessions of a target that was removed.
+func (c *Client) Retire(t *engine.Target) { c.sessions.invalidate(t) }
+
+// Counters returns the counters so far.
+func (c *Client) Counters() Counters {
+	sessions := c.sessions.count()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	counters := c.counters
+	counters.Failed = maps.Clone(counters.Failed)
+	counters.Turns = c.budget.Counts()
+	counters.Sessions = sessions
+	return counters
+}
--- /dev/null
+++ b/internal/upstream/secure/conn.go
@@ -0,0 +1,41 @@
+package secure
+
+import (
+	"time"
+
+	"pinedale/internal/keyroom"
+)
+
+// conn is a TLS connection to a verified server.
+type conn struct {
+	*keyroom.Conn
+	lifetime lifetime
+}
+
+// Usable reports whether the connection may carry new requests. It must not be called
+// concurrently.
+func (c *conn) Usable(now time.Time) bool { return c.lifetime.isUsable(now) }
+
+// lifetime decides for how long a connection may carry new requests: as long as keys and trust
+// allow it, and as long as its server goes by the name that it was verified by.
+type lifetime struct {
+	keys   *keyroom.Life
+	client *Client
+	server string // name in membership
+	name   string // name in the certificate
+	names  *Names // under which name was last confirmed
+}
+
+// isUsable reports whether the connection may carry new requests. It must not be called
+// concurrently.
+func (l *lifetime) isUsable(now time.Time) bool {
+	if names := l.client.names.Load(); names != l.names {
+		name, err := names.Of(l.server)
+		if err != nil || name != l.name {
+			return false
+		}
+		l.names = names
+	}
+	usable, _, _ := l.keys.At(now)
+	return usable
+}
--- /dev/null
+++ b/internal/upstream/secure/conn_test.go
@@ -0,0 +1,80 @@
+package secure
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"pinedale/internal/standin/ca"
+	"pinedale/internal/standin/guarded"
+	"pinedale/internal/upstream/attempt"
+)
+
+// Open connections become unusable at once where their root is removed or their server goes by
+// another name, and spread over the configured time where a change leaves them trusted.
+func TestOpenConnectionsFollowChangesOfTrust(t *testing.T) {
+	f := newFixture(t)
+	second := ca.New(t, "second")
+	byFirst, bySecond := guarded.Start(t, issue(f.root, ca.Spec{})), guarded.Start(t, issue(second, ca.Spec{}))
+	connect := func(s *guarded.Server) attempt.Session {
+		c, err := f.connect(target(s))
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+	old := connect(byFirst)
+	if !old.Usable(f.now()) || !old.Quiet() {
+		t.Fatal("a new connection is not usable")
+	}
+	f.files.Put(f.files.Roots, f.root.PEM(), second.PEM()) // both are trusted for a while
+	f.keys.Look()
+	var sessions []attempt.Session
+	for range 20 {
+		sessions = append(sessions, connect(byFirst))
+	}
+	other := connect(bySecond)
+	if !old.Usable(f.now()) && !old.Usable(f.now().Add(-time.Minute)) {
+		t.Error("an older connection is unusable at once")
+	}
+	if old.Usable(f.now().Add(time.Minute)) {
+		t.Error("an older connection is usable after the configured time")
+	}
+	f.files.Put(f.files.Roots, second.PEM()) // the first is removed
+	f.keys.Look()
+	for n, c := range sessions {
+		if c.Usable(f.now()) {
+			t.Errorf("connection %d is usable, though its root is not trusted", n)
+		}
+	}
+	if other.Usable(f.now().Add(time.Minute)) {
+		t.Error("a connection that is still trusted is usable after the configured time")
+	}
+	last := connect(bySecond)
+	f.client.Rename(&Names{Pattern: "{name}.example.com"})
+	if last.Usable(f.now()) {
+		t.Error("a connection is usable, though its server goes by another name")
+	}
+}
+
+// Unsolicited data on an idle connection is seen before the next request, here in the TLS layer.
+func TestUnreadResponseIsSeenInTLSLayer(t *testing.T) {
+	f := newFixture(t)
+	s := guarded.Start(t, issue(f.root, ca.Spec{}))
+	c, err := f.connect(target(s))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	// Only a part of the response is read: the rest remains in the TLS layer.
+	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(c, make([]byte, 10)); err != nil {
+		t.Fatal(err)
+	}
+	if c.Quiet() {
+		t.Error("part of a response is unread, and not seen")
+	}
+}
--- /dev/null
+++ b/internal/upstream/secure/handshake_test.go
@@ -0,0 +1,213 @@
+package secure
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/rsa"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"pinedale/internal/engine"
+	"pinedale/internal/keyroom"
+	"pinedale/internal/keyroom/judge"
+	"pinedale/internal/standin/ca"
+	"pinedale/internal/standin/guarded"
+	"pinedale/internal/upstream/attempt"
+	"pinedale/internal/upstream/handshake"
+)
+
+// Over both protocols, a server that cannot be verified gets no request, and the log states the
+// expected name, the presented one, and the reason.
+func TestUnverifiedServerGetsNoRequest(t *testing.T) {
+	root, other := ca.New(t, "root"), ca.New(t, "other")
+	intermediate := root.Below("between")
+	weak, err := rsa.GenerateKey(rand.Reader, 1024)
+	if err != nil {
+		t.Fatal(err)
+	}
+	revoked := issue(root, ca.Spec{})
+	now := time.Now()
+	hour := now.Add(-time.Hour)
+	named := func(name string) *ca.Pair { return issue(root, ca.Spec{Names: []string{name}}) }
+	early := ca.Spec{From: now.Add(time.Hour), Until: now.Add(2 * time.Hour)}
+	forClients := ca.Spec{Uses: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth}}
+	for name, c := range map[string]struct {
+		pair   *ca.Pair
+		reason string // "" where it is trusted
+		log    string // part of the log event
+	}{
+		"valid":                    {issue(root, ca.Spec{}), "", ""},
+		"with its intermediate":    {issue(intermediate, ca.Spec{}), "", ""},
+		"without its intermediate": {issue(intermediate, ca.Spec{LeaveOutBetween: true}), "chain", "between"},
+		"for another name":         {named("soko-4.example.org"), "names", "presented=soko-4.example.org"},
+		"for a name below":         {named("x." + serverName), "names", "expected=" + serverName},
+		"for a wildcard":           {named("*.example.org"), "", ""},
+		"of another root":          {issue(other, ca.Spec{}), "chain", "CN=other"},
+		"expired":                  {issue(root, ca.Spec{From: hour.Add(-time.Hour), Until: hour}), "over", "valid until"},
+		"not valid yet":            {issue(root, early), "early", "valid from"},
+		"revoked":                  {revoked, "revoked", "is revoked"},
+		"for clients only":         {issue(root, forClients), "usage", "not meant for a server"},
+		"with a weak key":          {issue(root, ca.Spec{Key: weak}), "weak", "1024 bits"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.files.Put(f.files.Roots, root.PEM())
+			f.files.Put(f.files.Revoked, root.Revoke(revoked.Leaf))
+			k := f.keyOptions(keyroom.Paths{Roots: f.files.Roots, Revoked: f.files.Revoked})
+			k.Want = judge.Want{LeastRSA: minRSABits}
+			f.reopen(f.client.options, k)
+			s := guarded.Start(t, c.pair)
+			_, tcpErr := f.handshakeTCP(target(s))
+			_, quicErr := f.handshakeQUIC(target(s))
+			if c.reason == "" {
+				if tcpErr != nil || quicErr != nil {
+					t.Errorf("HTTP/1.1: %v; HTTP/3: %v", tcpErr, quicErr)
+				}
+				return
+			}
+			if fault := (*judge.Fault)(nil); !errors.As(tcpErr, &fault) || quicErr == nil {
+				t.Errorf("HTTP/1.1: %v; HTTP/3: %v", tcpErr, quicErr)
+			}
+			if got := f.client.Counters(); got.Failed[c.reason] != 2 || got.Full+got.Resumed != 0 {
+				t.Errorf("counted %+v", got)
+			}
+			logText := f.log.String()
+			if strings.Count(logText, "tls handshake failed") != 1 || !strings.Contains(logText, c.log) ||
+				!strings.Contains(logText, "server=soko-3") || !strings.Contains(logText, "expected="+serverName) ||
+				!strings.Contains(logText, "issuer=") {
+				t.Errorf("log %q, want one event with %q", logText, c.log)
+			}
+			if s.Requests() != 0 {
+				t.Error("a request was sent")
+			}
+		})
+	}
+}
+
+// A server that does not complete the handshake fails within the timeout, by a reason of its own,
+// and never gets plain text.
+func TestFailedHandshakeCountsItsReason(t *testing.T) {
+	for reason, behaviour := range map[string]guarded.Bad{
+		"silent":  guarded.Silent,
+		"broken":  guarded.Cut,
+		"not TLS": guarded.Plain,
+	} {
+		t.Run(reason, func(t *testing.T) {
+			f := newFixture(t, func(o *Options, _ *keyroom.Options) { o.Timeout = 200 * time.Millisecond })
+			endpoint := &engine.Target{Name: "soko-3", Address: guarded.Listen(t, behaviour)}
+			if _, err := f.handshakeTCP(endpoint); err == nil || f.client.Counters().Failed[reason] != 1 {
+				t.Errorf("%v, counted %v", err, f.client.Counters().Failed)
+			}
+		})
+	}
+	t.Run("noise", func(t *testing.T) {
+		f := newFixture(t)
+		endpoint := &engine.Target{Name: "soko-3", Address: guarded.Listen(t, guarded.Garbage)}
+		if _, err := f.handshakeTCP(endpoint); err == nil {
+			t.Error("noise is taken for a server")
+		}
+	})
+	t.Run("an older version", func(t *testing.T) {
+		f := newFixture(t)
+		s := guarded.Start(t, issue(f.root, ca.Spec{}))
+		s.Most(tls.VersionTLS12)
+		if _, err := f.handshakeTCP(target(s)); err == nil {
+			t.Error("TLS 1.2 is accepted where 1.3 is the minimum")
+		}
+		k := f.keyOptions(keyroom.Paths{Roots: f.files.Roots})
+		k.Least = tls.VersionTLS12
+		f.reopen(f.client.options, k)
+		if _, err := f.handshakeTCP(target(s)); err != nil {
+			t.Errorf("TLS 1.2 where the configuration allows it: %v", err)
+		}
+	})
+	t.Run("cancelled", func(t *testing.T) {
+		f := newFixture(t)
+		raw, err := net.Dial("tcp", guarded.Listen(t, guarded.Silent))
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		endpoint := &engine.Target{Name: "soko-3", Address: raw.RemoteAddr().String()}
+		_, err = f.client.Secure(ctx, endpoint, raw)
+		if err == nil || f.client.Counters().Failed["called off"] != 1 {
+			t.Errorf("%v, counted %v", err, f.client.Counters().Failed)
+		}
+	})
+}
+
+// The same failure of the same server is logged once per interval, however often it occurs.
+func TestRepeatedFailureIsLoggedOncePerInterval(t *testing.T) {
+	f := newFixture(t)
+	s := guarded.Start(t, issue(ca.New(t, "other"), ca.Spec{}))
+	for range 5 {
+		if _, err := f.handshakeTCP(target(s)); err == nil {
+			t.Error("a server of an unknown authority is trusted")
+		}
+	}
+	f.clockOffset.Store(int64(logInterval))
+	if _, err := f.handshakeTCP(target(s)); err == nil {
+		t.Error("a server of an unknown authority is trusted")
+	}
+	if n := f.log.Count("tls handshake failed"); n != 2 || f.client.Counters().Failed["chain"] != 6 {
+		t.Errorf("%d log events, counted %v", n, f.client.Counters().Failed)
+	}
+}
+
+// The client presents its current certificate to servers that require one.
+func TestClientPresentsItsCurrentCertificate(t *testing.T) {
+	f := newFixture(t)
+	f.files.Pair(issue(f.root, ca.Spec{Names: []string{"pinedale.example.org"}}))
+	f.reopen(f.client.options, f.keyOptions(keyroom.Paths{
+		Cert:  f.files.Cert,
+		Key:   f.files.Key,
+		Roots: f.files.Roots,
+	}))
+	s := guarded.Start(t, issue(f.root, ca.Spec{}))
+	s.Trust(f.root)
+	if _, err := f.handshakeTCP(target(s)); err != nil {
+		t.Errorf("HTTP/1.1: %v", err)
+	}
+	if _, err := f.handshakeQUIC(target(s)); err != nil {
+		t.Errorf("HTTP/3: %v", err)
+	}
+	s.Trust(ca.New(t, "other")) // in TLS 1.3 the client is told at its first read
+	if _, err := f.handshakeTCP(&engine.Target{Name: "soko-3", Address: s.Address}); err == nil {
+		t.Error("a server that does not trust the client has responded")
+	}
+}
+
+// Where the rate limit has no turn in time, Turn fails with ErrFull at once, so that the request
+// goes elsewhere unsent. Health checks get no turn that a request may need.
+func TestTurnRejectsAtOnceWithoutBudget(t *testing.T) {
+	f := newFixture(t, func(o *Options, _ *keyroom.Options) {
+		o.Budget = handshake.Config{PerServer: 0.5, All: 0.5, ColdFrom: 1, Burst: 2}
+		o.Timeout = time.Second
+	})
+	endpoint := &engine.Target{Name: "soko-3", Address: "127.0.0.1:1"}
+	ctx := context.Background()
+	if err := f.client.Turn(attempt.ForProbe(ctx), endpoint); err != nil {
+		t.Errorf("a health check with the full burst left: %v", err)
+	}
+	if err := f.client.Turn(attempt.ForProbe(ctx), endpoint); !errors.Is(err, attempt.ErrFull) {
+		t.Errorf("a health check with half of the burst left: %v", err)
+	}
+	f.clockOffset.Store(int64(4 * time.Second))
+	if err := f.client.Turn(ctx, endpoint); err != nil {
+		t.Errorf("a request: %v", err)
+	}
+	expiring, cancel := context.WithTimeout(ctx, time.Millisecond)
+	defer cancel()
+	if err := f.client.Turn(expiring, endpoint); !errors.Is(err, attempt.ErrFull) {
+		t.Errorf("a request without time left: %v", err)
+	}
+	if got := f.client.Counters().Turns; got != (handshake.Counts{Now: 2, Put: 1, Refused: 1}) {
+		t.Errorf("counted %+v", got)
+	}
+}
--- /dev/null
+++ b/internal/upstream/secure/harness_test.go
@@ -0,0 +1,170 @@
+package secure
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+	"go.uber.org/goleak"
+
+	"pinedale/internal/engine"
+	"pinedale/internal/keyroom"
+	"pinedale/internal/keyroom/judge"
+	"pinedale/internal/standin/ca"
+	"pinedale/internal/standin/guarded"
+	"pinedale/internal/standin/logged"
+	"pinedale/internal/standin/wait"
+	"pinedale/internal/upstream/attempt"
+	"pinedale/internal/upstream/handshake"
+)
+
+// serverName is the name that the test server is verified by.
+const serverName = "soko-3.example.org"
+
+// minRSABits is the shortest RSA key that the fixture accepts.
+const minRSABits = 2048
+
+// fixture is a client with its key files and a clock that the test sets.
+type fixture struct {
+	t           *testing.T
+	root        *ca.Authority
+	files       *ca.Folder
+	keys        *keyroom.Room
+	client      *Client
+	log         logged.Record
+	clockOffset atomic.Int64 // nanoseconds ahead of the system's clock
+}
+
+func (f *fixture) now() time.Time { return time.Now().Add(time.Duration(f.clockOffset.Load())) }
+
+// issue makes a certificate that is valid from an hour ago until an hour from now unless the spec
+// states otherwise.
+func issue(a *ca.Authority, s ca.Spec) *ca.Pair {
+	if s.Names == nil {
+		s.Names = []string{serverName}
+	}
+	if s.From.IsZero() {
+		s.From = time.Now().Add(-time.Hour)
+	}
+	if s.Until.IsZero() {
+		s.Until = time.Now().Add(time.Hour)
+	}
+	return a.Issue(s)
+}
+
+// unlimitedBudget delays no handshake of a test.
+var unlimitedBudget = handshake.Config{PerServer: 1000, All: 1000, ColdFrom: 1, Burst: 1000}
+
+// newFixture returns a fixture whose options change may adjust.
+func newFixture(t *testing.T, change ...func(*Options, *keyroom.Options)) *fixture {
+	t.Helper()
+	t.Cleanup(func() { goleak.VerifyNone(t) })
+	f := &fixture{t: t, root: ca.New(t, "root"), files: ca.NewFolder(t)}
+	f.files.Put(f.files.Roots, f.root.PEM())
+	o := f.options()
+	k := f.keyOptions(keyroom.Paths{Roots: f.files.Roots})
+	k.Want = judge.Want{LeastRSA: minRSABits}
+	for _, c := range change {
+		c(&o, &k)
+	}
+	f.reopen(o, k)
+	return f
+}
+
+// options returns a client's options without its keys.
+func (f *fixture) options() Options {
+	return Options{
+		Names:    &Names{Pattern: "{name}.example.org"},
+		Budget:   unlimitedBudget,
+		Sessions: 100,
+		Timeout:  wait.Patience,
+		Log:      f.log.Logger(),
+		Now:      f.now,
+	}
+}
+
+// keyOptions returns the options of the client's keys.
+func (f *fixture) keyOptions(paths keyroom.Paths) keyroom.Options {
+	return keyroom.Options{Paths: paths, Spread: time.Minute, Log: f.log.Logger(), Now: f.now}
+}
+
+// reopen replaces the client and its keys.
+func (f *fixture) reopen(o Options, k keyroom.Options) {
+	f.t.Helper()
+	var err error
+	if f.keys, err = keyroom.Open(k); err != nil {
+		f.t.Fatal(err)
+	}
+	o.Room = f.keys
+	if f.client, err = New(o); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// handshakeTCP performs a handshake over TCP.
+func (f *fixture) handshakeTCP(t *engine.Target) (resumed bool, err error) {
+	c, err := f.connect(t)
+	if err != nil {
+		return false, err
+	}
+	defer c.Close()
+	return c.(*conn).ConnectionState().DidResume, nil
+}
+
+// connect returns a connection that has carried a request, so that the server's session tickets
+// have arrived.
+func (f *fixture) connect(t *engine.Target) (attempt.Session, error) {
+	f.t.Helper()
+	raw, err := net.Dial("tcp", t.Address)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	c, err := f.client.Secure(context.Background(), t, raw)
+	if err != nil {
+		return nil, err
+	}
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n") // where this fails, reading returns the cause
+	response := make([]byte, 4096)
+	for n := 0; !strings.HasSuffix(string(response[:n]), "done"); {
+		more, err := c.Read(response[n:])
+		if n += more; err != nil {
+			c.Close()
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+// handshakeQUIC performs a handshake over QUIC.
+func (f *fixture) handshakeQUIC(t *engine.Target) (resumed bool, err error) {
+	f.t.Helper()
+	config, end, err := f.client.QUIC(t)
+	if err != nil {
+		return false, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), f.client.options.Timeout)
+	defer cancel()
+	c, err := quic.DialAddr(ctx, t.Address, http3.ConfigureTLSConfig(config), nil)
+	if err != nil {
+		end(tls.ConnectionState{}, err)
+		return false, err
+	}
+	f.t.Cleanup(func() { _ = c.CloseWithError(0, "") }) // the session ticket arrives after the handshake
+	state := c.ConnectionState().TLS
+	if usable := end(state, nil); !usable(f.now()) {
+		f.t.Error("a new connection is not usable")
+	}
+	return state.DidResume, nil
+}
+
+// target returns a target for a server.
+func target(s *guarded.Server) *engine.Target {
+	return &engine.Target{Name: "soko-3", Address: s.Address}
+}
--- a/internal/upstream/secure/names.go
+++ b/internal/upstream/secure/names.go
@@ -7,43 +7,50 @@
 	"strings"
 )
 
-// Names says which name each server's certificate must be for: one of its own, or one made
-// of its name in membership by a pattern. Never is it one that the server presents.
+// Limits of host names (RFC 1035, section 2.3.4).
+const (
+	maxLabelBytes    = 63
+	maxHostNameBytes = 253
+)
+
+// namePlaceholder stands for a server's name in membership.
+const namePlaceholder = "{name}"
+
+// Names states which name each server's certificate must be for: one configured for the server,
+// or one made of its name in membership by a pattern. It is never a name that the server itself
+// presents.
 type Names struct {
-	Pattern string            // "{name}" stands for the server's, as in "{name}.example.org"; it may be missing
-	Own     map[string]string // by the server's name; before the pattern
+	Pattern string            // may contain namePlaceholder, as in "{name}.example.org"
+	Own     map[string]string // by the server's name in membership; takes precedence over Pattern
 }
 
-// placeholder stands for a server's name in membership.
-const placeholder = "{name}"
-
-// Of is the name that a server's certificate must be for. An error means that the server
+// Of returns the name that a server's certificate must be for. An error means that the server
 // cannot be verified: nothing may be sent to it.
 func (n *Names) Of(server string) (string, error) {
-	if own := n.Own[server]; own != "" {
-		return own, nil
+	if configured := n.Own[server]; configured != "" {
+		return configured, nil
 	}
 	if n.Pattern == "" {
 		return "", fmt.Errorf("no name is known to verify %q by", server)
 	}
-	if !strings.Contains(n.Pattern, placeholder) {
+	if !strings.Contains(n.Pattern, namePlaceholder) {
 		return n.Pattern, nil
 	}
-	// Membership comes from outside: a name with a dot, a slash or a star in it would make
-	// another name than the operator has meant.
-	if !label(server) {
-		return "", fmt.Errorf("%q is no single label of a name, and cannot take the place of %s", server, placeholder)
+	// Membership is input from outside: a dot, a slash or a star in a name would make another
+	// name than the operator has meant.
+	if !isLabel(server) {
+		return "", fmt.Errorf("%q is no single label of a name, and cannot take the place of %s", server, namePlaceholder)
 	}
-	return strings.ReplaceAll(n.Pattern, placeholder, server), nil
+	return strings.ReplaceAll(n.Pattern, namePlaceholder, server), nil
 }
 
-// label says that a text is one label of a host name (RFC 1123, section 2.1; underscores are
-// in use, too).
-func label(s string) bool {
-	if s == "" || len(s) > 63 || s[0] == '-' || s[len(s)-1] == '-' {
+// isLabel reports whether a text is one label of a host name (RFC 1123, section 2.1), or has
+// underscores, which are in use, too.
+func isLabel(text string) bool {
+	if text == "" || len(text) > maxLabelBytes || text[0] == '-' || text[len(text)-1] == '-' {
 		return false
 	}
-	for _, c := range s {
+	for _, c := range text {
 		if (c < 'a' || c > 'z') && (c < 'A' || c > 'Z') && (c < '0' || c > '9') && c != '-' && c != '_' {
 			return false
 		}
@@ -51,24 +58,33 @@
 	return true
 }
 
-// CheckName says what is wrong with a name, or with a pattern of names.
+// CheckName returns an error where a text is neither a host name, an address or a SPIFFE ID, nor
+// a pattern of one.
 func CheckName(name string) error {
+	example := strings.ReplaceAll(name, namePlaceholder, "name")
 	if strings.HasPrefix(name, "spiffe://") {
-		// SPIFFE ID, section 2: a trust domain and a path, nothing else.
-		u, err := url.Parse(strings.ReplaceAll(name, placeholder, "name"))
-		if err != nil || u.Host == "" || u.Path == "" || u.Port() != "" || u.User != nil || u.RawQuery != "" || u.Fragment != "" {
-			return fmt.Errorf("%q is no SPIFFE ID, such as spiffe://example.org/soko/%s", name, placeholder)
+		if !isSPIFFEID(example) {
+			return fmt.Errorf("%q is no SPIFFE ID, such as spiffe://example.org/soko/%s", name, namePlaceholder)
 		}
 		return nil
 	}
 	if _, err := netip.ParseAddr(name); err == nil {
 		return nil
 	}
-	plain := strings.ReplaceAll(name, placeholder, "name")
-	for part := range strings.SplitSeq(plain, ".") {
-		if !label(part) || len(plain) > 253 {
+	for part := range strings.SplitSeq(example, ".") {
+		if !isLabel(part) || len(example) > maxHostNameBytes {
 			return fmt.Errorf("%q is no host name, address or SPIFFE ID", name)
 		}
 	}
 	return nil
 }
+
+// isSPIFFEID reports whether a URL has a trust domain and a path and nothing else (SPIFFE ID,
+// section 2).
+func isSPIFFEID(text string) bool {
+	id, err := url.Parse(text)
+	if err != nil || id.Host == "" || id.Path == "" {
+		return false
+	}
+	return id.Port() == "" && id.User == nil && id.RawQuery == "" && id.Fragment == ""
+}
--- a/internal/upstream/secure/sessions.go
+++ b/internal/upstream/secure/sessions.go
@@ -8,117 +8,131 @@
 	"pinedale/internal/engine"
 )
 
-// sessions keeps what is needed to resume a session with a server, bounded over all servers.
+// Protocols, by their ALPN names.
+const (
+	protocolHTTP1 = "http/1.1"
+	protocolHTTP3 = "h3"
+)
+
+// sessionStore holds the state needed to resume sessions with servers, bounded over all servers.
 //
-//	a session is used       with the same life of a server (address and start time), and under
-//	                        the same material of the room that it began under
-//	a session is void       once the server's life ends, once trust, own identity or revocation
-//	                        lists have changed, or once a handshake with it has failed
-//	a session is let go     when another is needed and it was used longest ago
+//	a session is used         with the same incarnation of a server (address and start time), and
+//	                          under the same keys and roots that it began under
+//	a session is invalidated  when the server is removed, when roots, own certificate or revocation
+//	                          lists have changed, or when a handshake with the server has failed
+//	a session is evicted      when the store is at capacity and it is the least recently used
 //
-// It proves that the server is the one that was verified when the session began, and no
-// more; so its chain is judged again, by the trust and the clock of now, whenever it is
+// A session proves that the server is the one that was verified when the session began, and no
+// more. Its chain is therefore verified again, by the roots and the time of now, whenever it is
 // resumed (keyroom.Room.Client).
-type sessions struct {
-	mu    sync.Mutex
-	most  int
-	known map[place]*list.Element
-	used  list.List // of *session, the latest used first
+type sessionStore struct {
+	mu       sync.Mutex
+	capacity int
+	entries  map[sessionKey]*list.Element
+	recency  list.List // of *cachedSession, the most recently used first
 }
 
-// Protocols, by their ALPN names.
-const (
-	overTCP  = "http/1.1"
-	overQUIC = "h3"
-)
-
-// place is what a session is with: one over TCP is of no use over QUIC.
-type place struct {
+// sessionKey identifies a session: one over TCP cannot be resumed over QUIC.
+type sessionKey struct {
 	target   *engine.Target
 	protocol string
 }
 
-type session struct {
-	place
-	material int
+// cachedSession is an entry of the store.
+type cachedSession struct {
+	sessionKey
+	material int // number of the keys and roots that it began under
 	state    *tls.ClientSessionState
 }
 
-func newSessions(most int) *sessions {
-	return &sessions{most: most, known: map[place]*list.Element{}}
+// newSessionStore returns an empty store.
+func newSessionStore(capacity int) *sessionStore {
+	return &sessionStore{capacity: capacity, entries: map[sessionKey]*list.Element{}}
 }
 
-// of is the cache of one handshake with a target.
-func (s *sessions) of(t *engine.Target, protocol string, material int) tls.ClientSessionCache {
-	return &view{s, place{t, protocol}, material}
+// cacheFor returns the cache for one handshake with a target.
+func (s *sessionStore) cacheFor(t *engine.Target, protocol string, material int) tls.ClientSessionCache {
+	return &sessionCache{s, sessionKey{t, protocol}, material}
 }
 
-type view struct {
-	all *sessions
-	place
+// sessionCache is the store as one handshake sees it. It implements tls.ClientSessionCache,
+// whose key it ignores: that is a name, which several incarnations of a server share.
+type sessionCache struct {
+	store *sessionStore
+	sessionKey
 	material int
 }
 
-// Get returns the target's session. crypto/tls's key is a name, which does not outlive its
-// server; the target is one life of it.
-func (v *view) Get(string) (*tls.ClientSessionState, bool) {
-	v.all.mu.Lock()
-	defer v.all.mu.Unlock()
-	at := v.all.known[v.place]
-	if at == nil {
+// Get returns the target's session.
+func (c *sessionCache) Get(string) (*tls.ClientSessionState, bool) {
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	element := c.store.entries[c.sessionKey]
+	if element == nil {
 		return nil, false
 	}
-	s := at.Value.(*session)
-	if s.material != v.material {
-		v.all.drop(at)
+	session := element.Value.(*cachedSession)
+	if session.material != c.material {
+		c.store.removeLocked(element)
 		return nil, false
 	}
-	v.all.used.MoveToFront(at)
-	return s.state, true
+	c.store.recency.MoveToFront(element)
+	return session.state, true
+}
+
+// Put stores a session, or removes it where state is nil: crypto/tls has found it invalid. A
+// ticket may arrive long after its handshake: it is stored under that handshake's keys, and not
+// at all once the target was removed.
+func (c *sessionCache) Put(_ string, state *tls.ClientSessionState) {
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	element := c.store.entries[c.sessionKey]
+	if state == nil || c.target.Closed() {
+		c.store.removeLocked(element)
+		return
+	}
+	session := cachedSession{c.sessionKey, c.material, state}
+	if element == nil {
+		c.store.insertLocked(&session)
+		return
+	}
+	existing := element.Value.(*cachedSession)
+	if existing.material > c.material {
+		return // a later connection has already stored a better one
+	}
+	*existing = session
+	c.store.recency.MoveToFront(element)
 }
 
-// Put keeps a session, or lets go of it: crypto/tls puts nil for one that will not do. A
-// ticket may come long after its handshake; it is of that one's material, and one for a life
-// that has ended is not kept.
-func (v *view) Put(_ string, state *tls.ClientSessionState) {
-	v.all.mu.Lock()
-	defer v.all.mu.Unlock()
-	at := v.all.known[v.place]
-	switch {
-	case state == nil || v.target.Closed():
-		v.all.drop(at)
-	case at != nil && at.Value.(*session).material > v.material:
-		// An older connection's: a later one has already brought a better one.
-	case at != nil:
-		*at.Value.(*session) = session{v.place, v.material, state}
-		v.all.used.MoveToFront(at)
-	default:
-		if v.all.used.Len() >= v.all.most {
-			v.all.drop(v.all.used.Back())
-		}
-		v.all.known[v.place] = v.all.used.PushFront(&session{v.place, v.material, state})
+// insertLocked adds a session and evicts the least recently used one where the store is at
+// capacity. The caller holds s.mu.
+func (s *sessionStore) insertLocked(session *cachedSession) {
+	if s.recency.Len() >= s.capacity {
+		s.removeLocked(s.recency.Back())
 	}
+	s.entries[session.sessionKey] = s.recency.PushFront(session)
 }
 
-// drop lets go of a session, if there is one. It holds s.mu.
-func (s *sessions) drop(at *list.Element) {
-	if at != nil {
-		delete(s.known, at.Value.(*session).place)
-		s.used.Remove(at)
+// removeLocked removes a session; element may be nil. The caller holds s.mu.
+func (s *sessionStore) removeLocked(element *list.Element) {
+	if element != nil {
+		delete(s.entries, element.Value.(*cachedSession).sessionKey)
+		s.recency.Remove(element)
 	}
 }
 
-// void lets go of what is known of a target.
-func (s *sessions) void(t *engine.Target) {
+// invalidate removes the sessions with a target.
+func (s *sessionStore) invalidate(t *engine.Target) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, protocol := range [...]string{overTCP, overQUIC} {
-		s.drop(s.known[place{t, protocol}])
+	for _, protocol := range [...]string{protocolHTTP1, protocolHTTP3} {
+		s.removeLocked(s.entries[sessionKey{t, protocol}])
 	}
 }
 
-func (s *sessions) held() int {
+// count returns the number of sessions.
+func (s *sessionStore) count() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.used.Len()
+	return s.recency.Len()
 }
