--- a/internal/site/check.go
+++ b/internal/site/check.go
@@ -1,9 +1,6 @@
 package site
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
-	"encoding/json"
 	"fmt"
 	"net"
 	"os"
@@ -207,17 +204,6 @@
 	return out
 }
 
-// version is a short name of what a file says of classes and routes: the same for the
-// same.
-func (f *File) version() string {
-	text, err := json.Marshal([]any{f.Classes, f.Routes, f.Pools, f.Tenants, f.Limits, f.Fleet.DrainGrace, f.Fleet.DrainFor})
-	if err != nil { // a figure that is no number: it is refused by itself
-		return ""
-	}
-	sum := sha256.Sum256(text)
-	return hex.EncodeToString(sum[:4])
-}
-
 // policy compiles classes and routes, and notes what is wrong with them.
 func (c *check) policy() {
 	f := c.file
--- a/internal/site/file.go
+++ b/internal/site/file.go
@@ -51,19 +51,19 @@
 		Backlog int    `toml:"backlog"`
 	} `toml:"ext_proc"`
 	Limits struct {
-		MemoryMB            int      `toml:"memory_mb"`
-		ClientConnections   int      `toml:"client_connections"`
-		UpstreamConnections int      `toml:"upstream_connections"`
-		OpenRequests        int      `toml:"open_requests"`
-		Attempts            int      `toml:"attempts"`
-		SecondCopies        bool     `toml:"second_copies"`
-		Probes              bool     `toml:"probes"`
-		RetryAfterMost      Duration `toml:"retry_after_most"`
-		DialTimeout         Duration `toml:"dial_timeout"`
-		IdleTimeout         Duration `toml:"idle_timeout"`
-		TimerSlack          Duration `toml:"timer_slack"`
-		ClockError          float64  `toml:"clock_error"`
-		AdmitRate           float64  `toml:"admit_rate"`
+		MemoryMB            int      `toml:"memory_mb" json:"MemoryMB"`
+		ClientConnections   int      `toml:"client_connections" json:"ClientConnections"`
+		UpstreamConnections int      `toml:"upstream_connections" json:"UpstreamConnections"`
+		OpenRequests        int      `toml:"open_requests" json:"OpenRequests"`
+		Attempts            int      `toml:"attempts" json:"Attempts"`
+		SecondCopies        bool     `toml:"second_copies" json:"SecondCopies"`
+		Probes              bool     `toml:"probes" json:"Probes"`
+		RetryAfterMost      Duration `toml:"retry_after_most" json:"RetryAfterMost"`
+		DialTimeout         Duration `toml:"dial_timeout" json:"DialTimeout"`
+		IdleTimeout         Duration `toml:"idle_timeout" json:"IdleTimeout"`
+		TimerSlack          Duration `toml:"timer_slack" json:"TimerSlack"`
+		ClockError          float64  `toml:"clock_error" json:"ClockError"`
+		AdmitRate           float64  `toml:"admit_rate" json:"AdmitRate"`
 	} `toml:"limits"`
 	Fleet struct {
 		Sites      []string `toml:"sites"`
@@ -118,57 +118,57 @@
 
 // Patience is what may be said of a class, and again of a route.
 type Patience struct {
-	Deadline     Duration `toml:"deadline"`
-	TryFor       Duration `toml:"try_for"`
-	Attempts     int      `toml:"attempts"`
-	CopyAfter    Duration `toml:"copy_after"`
-	SecondCopies *bool    `toml:"second_copies"`
-	RetryShare   *float64 `toml:"retry_share"`
-	RetryBurst   *float64 `toml:"retry_burst"`
+	Deadline     Duration `toml:"deadline" json:"Deadline"`
+	TryFor       Duration `toml:"try_for" json:"TryFor"`
+	Attempts     int      `toml:"attempts" json:"Attempts"`
+	CopyAfter    Duration `toml:"copy_after" json:"CopyAfter"`
+	SecondCopies *bool    `toml:"second_copies" json:"SecondCopies"`
+	RetryShare   *float64 `toml:"retry_share" json:"RetryShare"`
+	RetryBurst   *float64 `toml:"retry_burst" json:"RetryBurst"`
 }
 
 // Route is one route.
 type Route struct {
 	Patience
-	Name    string            `toml:"name"`
-	Host    string            `toml:"host"`
-	Path    string            `toml:"path"`
-	Prefix  string            `toml:"prefix"`
-	Method  string            `toml:"method"`
-	Headers map[string]string `toml:"headers"`
-	Class   string            `toml:"class"`
-	Pool    string            `toml:"pool"`
+	Name    string            `toml:"name" json:"Name"`
+	Host    string            `toml:"host" json:"Host"`
+	Path    string            `toml:"path" json:"Path"`
+	Prefix  string            `toml:"prefix" json:"Prefix"`
+	Method  string            `toml:"method" json:"Method"`
+	Headers map[string]string `toml:"headers" json:"Headers"`
+	Class   string            `toml:"class" json:"Class"`
+	Pool    string            `toml:"pool" json:"Pool"`
 }
 
 // Pool is a part of the fleet.
 type Pool struct {
-	Name  string   `toml:"name"`
-	Sites []string `toml:"sites"`
-	Kinds []string `toml:"kinds"`
+	Name  string   `toml:"name" json:"Name"`
+	Sites []string `toml:"sites" json:"Sites"`
+	Kinds []string `toml:"kinds" json:"Kinds"`
 }
 
 // Tenant is one tenant.
 type Tenant struct {
-	Name   string  `toml:"name"`
-	Weight float64 `toml:"weight"`
-	Open   int     `toml:"open"`
+	Name   string  `toml:"name" json:"Name"`
+	Weight float64 `toml:"weight" json:"Weight"`
+	Open   int     `toml:"open" json:"Open"`
 }
 
 // Class is one class of requests.
 type Class struct {
-	Name      string   `toml:"name"`
-	Repeat    string   `toml:"repeat"`
-	Group     string   `toml:"group"`
-	Window    Duration `toml:"window"`
-	Aim       Duration `toml:"aim"`
-	Worth     *float64 `toml:"worth"` // 1 where it is not given
-	LateWorth float64  `toml:"late_worth"`
-	CopyAt    float64  `toml:"copy_at"`
-	Usual     Duration `toml:"usual"`
-	Clients   string   `toml:"clients"`
-	Open      int      `toml:"open"`
-	BrownOut  int      `toml:"brown_out"`
-	Agree     string   `toml:"agree"` // "never" where it is not given
+	Name      string   `toml:"name" json:"Name"`
+	Repeat    string   `toml:"repeat" json:"Repeat"`
+	Group     string   `toml:"group" json:"Group"`
+	Window    Duration `toml:"window" json:"Window"`
+	Aim       Duration `toml:"aim" json:"Aim"`
+	Worth     *float64 `toml:"worth" json:"Worth"` // 1 where it is not given
+	LateWorth float64  `toml:"late_worth" json:"LateWorth"`
+	CopyAt    float64  `toml:"copy_at" json:"CopyAt"`
+	Usual     Duration `toml:"usual" json:"Usual"`
+	Clients   string   `toml:"clients" json:"Clients"`
+	Open      int      `toml:"open" json:"Open"`
+	BrownOut  int      `toml:"brown_out" json:"BrownOut"`
+	Agree     string   `toml:"agree" json:"Agree"` // "never" where it is not given
 	Patience
 }
 
--- /dev/null
+++ b/internal/site/version.go
@@ -0,0 +1,35 @@
+package site
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+)
+
+// versionBytes is how many bytes of the hash a version has.
+const versionBytes = 4
+
+// version identifies what a file says of classes, routes, pools, tenants and limits: files that agree in these
+// have the same version, over restarts, instances and releases. It is a hash of versionText.
+func (f *File) version() string {
+	text, err := f.versionText()
+	if err != nil { // a number that JSON cannot represent; the checks reject it
+		return ""
+	}
+	sum := sha256.Sum256(text)
+	return hex.EncodeToString(sum[:versionBytes])
+}
+
+// versionText returns the JSON that is hashed. Operators compare versions across releases, so neither the json
+// tags nor the order of the fields of these structs may change.
+func (f *File) versionText() ([]byte, error) {
+	return json.Marshal([]any{
+		f.Classes,
+		f.Routes,
+		f.Pools,
+		f.Tenants,
+		f.Limits,
+		f.Fleet.DrainGrace,
+		f.Fleet.DrainFor,
+	})
+}
