Balancer: the latency limit treats a prediction that is no number as before

Cause: exceedsLimit compared in the inverse direction, which differs for NaN alone. Change: the comparison is that of the code before the restructuring; exported methods name their parameters.

--- a/balancer/api.go
+++ b/balancer/api.go
@@ -41,8 +41,8 @@
 
 import "fmt"
 
-// Micros is an instant or a duration in microseconds. Instants share one
-// arbitrary origin chosen by the host; the host's clock never runs backwards.
+// Micros is an instant or a duration in microseconds. Instants share an arbitrary origin that the host chooses; its
+// clock never runs backwards.
 type Micros = int64
 
 // State is the state of an endpoint, by discovery.
--- a/balancer/attempts.go
+++ b/balancer/attempts.go
@@ -70,7 +70,7 @@
 }
 
 // ResponseStarted handles the start of a streamed answer: no deadline and no retry concern it from here on.
-func (b *Balancer) ResponseStarted(_ Micros, id uint64, attempt int, _ Micros) {
+func (b *Balancer) ResponseStarted(now Micros, id uint64, attempt int, latency Micros) {
 	r := b.ledger.requests[id]
 	if r == nil || r.finished || attempt < 0 || attempt >= len(r.attempts) {
 		return
--- a/balancer/rejection.go
+++ b/balancer/rejection.go
@@ -23,7 +23,7 @@
 	predicted := b.predictLatency(now, e, b.expectedWork(now, r, e))
 	limit := b.latencyLimit(now, r, e)
 	busy := b.loadFactor(e) > 1 || b.trend.slowdown() > 1
-	if predicted <= limit || !busy {
+	if !(predicted > limit) || !busy {
 		return false
 	}
 	class := &b.classes[r.Class]
@@ -40,7 +40,7 @@
 	return false
 }
 
-// latencyLimit is the longest predicted latency, at which r is still sent to e: its time there without a
+// latencyLimit is the longest predicted latency at which r is still sent to e: its time there without a
 // queue, and for queueing a part of the time left to its objective. Low priorities give way first.
 func (b *Balancer) latencyLimit(now Micros, r *request, e *endpoint) float64 {
 	service := b.expectedWork(now, r, e) * b.trend.slowdown() * e.currentSlowness(now, b)
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -94,7 +94,7 @@
 }
 
 // ClientDisconnected handles a client that left before its final answer.
-func (b *Balancer) ClientDisconnected(_ Micros, id uint64) {
+func (b *Balancer) ClientDisconnected(now Micros, id uint64) {
 	if r := b.ledger.requests[id]; r != nil {
 		b.finish(r)
 	}
