Balancer: dropped attempts and overload in place of swallowed ones and jams

Cause: metaphors were left in names, comments and test messages. Change: words only. A test of the example's host prints reject where it printed refuse.

--- a/balancer/attempts.go
+++ b/balancer/attempts.go
@@ -5,7 +5,7 @@
 	retryEarnRatio = 0.2  // retries that each request earns
 )
 
-// HandleRequest handles a client's request: it is sent, held while probes are out, or rejected.
+// HandleRequest handles a client's request: it is sent, waits for probes, or is rejected.
 func (b *Balancer) HandleRequest(now Micros, in Request) {
 	if b.ledger.requests[in.ID] != nil {
 		return
@@ -87,13 +87,13 @@
 	a := &r.attempts[o.Attempt]
 	b.attributeAttempt(a, o.Endpoint)
 	b.closeAttempt(now, r, a, o.Status)
-	b.traffic.swallowed.add(indicator(a.swallowed(o.Status)), swallowedWeight)
+	b.traffic.dropped.add(indicator(a.dropped(o.Status)), droppedWeight)
 	b.recordOutcome(now, r, a, o.Status, o.Latency)
 	if o.Status == OK && !r.finished && now-r.arrivedAt <= b.classOf(r).LatencyObjective {
 		r.onTime = 1
 		b.traffic.trialInterval = minTrialInterval
 	} else if r.trial {
-		// A jam needs rest: trials only prolong it.
+		// An overloaded fleet must work off its queues: trials only add to them.
 		b.traffic.trialInterval = min(2*b.traffic.trialInterval, maxTrialInterval)
 	}
 	if o.Settled || o.Status == OK || r.finished {
@@ -108,8 +108,8 @@
 // neverRan reports whether a status proves that the attempt had no effect.
 func (s Status) neverRan() bool { return s == Full || s == ConnectFailed || s == NotSent }
 
-// swallowed reports whether an attempt was lost: later ones were answered, or nothing was heard since.
-func (a *attempt) swallowed(status Status) bool {
+// dropped reports whether an attempt was lost: later ones were answered, or nothing was heard since.
+func (a *attempt) dropped(status Status) bool {
 	switch status {
 	case Cancelled:
 		return a.overdue && !a.plannedHedge
--- a/balancer/attempts_test.go
+++ b/balancer/attempts_test.go
@@ -210,7 +210,8 @@
 			})
 		}
 		if len(r.sends) != c.sends || len(r.rejected) != 1 {
-			t.Errorf("limit %d: %d sends and %d rejections, want %d and 1", c.maxAttempts, len(r.sends), len(r.rejected), c.sends)
+			t.Errorf("limit %d: %d sends and %d rejections, want %d and 1",
+				c.maxAttempts, len(r.sends), len(r.rejected), c.sends)
 		}
 	}
 }
@@ -248,7 +249,8 @@
 			b.AttemptCompleted(now, Outcome{ID: 1, Attempt: i, Endpoint: r.sends[i].endpoint, Status: Full})
 		}
 		if len(r.rejected) > 0 != c.rejected || len(r.failed) > 0 == c.rejected {
-			t.Errorf("%s: %d rejections and %d failures, want a rejection: %v", c.name, len(r.rejected), len(r.failed), c.rejected)
+			t.Errorf("%s: %d rejections and %d failures, want a rejection: %v",
+				c.name, len(r.rejected), len(r.failed), c.rejected)
 		}
 	}
 }
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -118,7 +118,7 @@
 			b.actions.Timer(delay, r.timerToken)
 		}
 	}
-	if b.hedgesSwallowed() && a.overdueAt+Micros(a.expectedLatency) < r.Deadline {
+	if b.hedgesDropped() && a.overdueAt+Micros(a.expectedLatency) < r.Deadline {
 		b.actions.Timer(a.overdueAt-now, r.timerToken)
 	}
 	return true
--- a/balancer/breaker_test.go
+++ b/balancer/breaker_test.go
@@ -11,7 +11,7 @@
 	for _, c := range []struct {
 		name              string
 		accepts, failures int
-		refusals          int
+		rejections        int
 		spread            int // buckets that failures are spread over
 		want              float64
 	}{
@@ -36,7 +36,7 @@
 			}
 			k.record(now, 0, 1)
 		}
-		for range c.refusals {
+		for range c.rejections {
 			k.record(now, 0, 0)
 		}
 		if got := k.errorChance(now); !almostEqual(got, c.want) {
@@ -71,7 +71,7 @@
 	if k.baseline != 100 || k.current != 100 {
 		t.Fatalf("first: base %v current %v", k.baseline, k.current)
 	}
-	k.recordLatency(60) // falls by a quarter of the way; current (60+3*100)/4
+	k.recordLatency(60) // falls by a quarter of the difference; current (60+3*100)/4
 	if !almostEqual(k.baseline, 90) || !almostEqual(k.current, 90) {
 		t.Fatalf("fall: base %v current %v", k.baseline, k.current)
 	}
--- a/balancer/example_test.go
+++ b/balancer/example_test.go
@@ -13,7 +13,7 @@
 	h.sent = append(h.sent, endpoint)
 	fmt.Printf("send request %d to endpoint %d\n", id, endpoint)
 }
-func (h *host) Reject(id uint64, after balancer.Micros) { fmt.Printf("refuse request %d\n", id) }
+func (h *host) Reject(id uint64, after balancer.Micros) { fmt.Printf("reject request %d\n", id) }
 func (h *host) Fail(id uint64)                          { fmt.Printf("fail request %d\n", id) }
 func (h *host) Cancel(id uint64, attempt int)           {}
 func (h *host) Timer(balancer.Micros, uint32)           {}
@@ -61,5 +61,5 @@
 	// send request 1 to endpoint 8
 	// endpoint ejected endpoint 8 failure_ratio 0.5
 	// send request 1 to endpoint 7
-	// refuse request 2
+	// reject request 2
 }
--- a/balancer/hedging.go
+++ b/balancer/hedging.go
@@ -3,14 +3,14 @@
 const (
 	hedgeEarnRatio    = 0.2  // hedges that each request earns
 	hedgeQuantileStep = 0.02 // of the latency objective: the longest step of the quantile estimate
-	swallowedWeight   = 0.02 // of the latest outcome in the ratio of swallowed attempts
-	minSwallowedRatio = 0.01 // from which overdue attempts are hedged
+	droppedWeight     = 0.02 // of the latest outcome in the ratio of dropped attempts
+	minDroppedRatio   = 0.01 // from which overdue attempts are hedged
 	overdueMultiple   = 2.5  // an attempt is overdue after this multiple of its expected latency,
 	minOverdueRatio   = 0.25 // but not before this ratio of the latency objective
 )
 
 // hedgeDelay is how long the first attempt is pending before it is hedged without proof that it was
-// swallowed; 0 for never. The quantile of the class stands in for a delay that the request does not give.
+// dropped; 0 for never. The quantile of the class stands in for a delay that the request does not give.
 func (b *Balancer) hedgeDelay(r *request) Micros {
 	if r.HedgeDelay > 0 {
 		return r.HedgeDelay
@@ -18,8 +18,8 @@
 	return Micros(b.classes[r.Class].hedgeLatency.value)
 }
 
-// hedgesSwallowed reports whether attempts are swallowed often enough to hedge the overdue ones.
-func (b *Balancer) hedgesSwallowed() bool { return b.traffic.swallowed.value >= minSwallowedRatio }
+// hedgesDropped reports whether attempts are dropped often enough to hedge the overdue ones.
+func (b *Balancer) hedgesDropped() bool { return b.traffic.dropped.value >= minDroppedRatio }
 
 // hedge sends a hedged request, if the limits, the class and the hedge budget permit.
 func (b *Balancer) hedge(now Micros, r *request) {
@@ -36,7 +36,7 @@
 	case now >= r.Deadline:
 		b.handleDeadline(now, r)
 	case r.waitingForProbes:
-		// Only idle endpoints answer in time: to count them alone would show an idle fleet in a jam.
+		// Only idle endpoints answer in time: to count them alone would hide an overload.
 		for _, e := range r.awaitedProbes {
 			b.addBaselineLoad(assumedCores + b.queuedAhead(float64(now-e.probedAt)))
 		}
@@ -75,10 +75,10 @@
 
 // handleOverdue handles an attempt that takes far longer than expected. Where all requests queue it must be
 // waited for: hedges double the work of endpoints that have too much. But if a later attempt was answered
-// before it, or the endpoint has sent nothing since, not even a probe response, it was swallowed: endpoints
-// and network paths may swallow some requests and answer the rest in time. Then a hedge goes elsewhere.
+// before it, or the endpoint has sent nothing since, not even a probe response, it was dropped: endpoints
+// and network paths may drop some requests and answer the rest in time. Then a hedge goes elsewhere.
 func (b *Balancer) handleOverdue(now Micros, r *request, a *attempt) {
-	if !b.hedgesSwallowed() {
+	if !b.hedgesDropped() {
 		return
 	}
 	e := a.endpoint
--- a/balancer/hedging_test.go
+++ b/balancer/hedging_test.go
@@ -86,7 +86,7 @@
 func TestNoHedgingDisablesHedges(t *testing.T) {
 	for _, noHedging := range []bool{false, true} {
 		b, r := start(t, testSettings(), ready(4))
-		b.traffic.swallowed.value = 1
+		b.traffic.dropped.value = 1
 		in := testRequest(1, 0, 0)
 		in.NoHedging = noHedging
 		b.HandleRequest(0, in)
@@ -112,13 +112,13 @@
 	}
 }
 
-// Where endpoints swallow requests and answer the rest in time, an attempt that a later one overtook is swallowed.
+// Where endpoints drop requests and answer the rest in time, an attempt that a later one overtook is dropped.
 // It is hedged elsewhere as far as its class permits; the first answer ends the request and cancels the other
 // attempt.
-func TestSwallowedAttemptIsHedgedElsewhere(t *testing.T) {
+func TestDroppedAttemptIsHedgedElsewhere(t *testing.T) {
 	for class, hedges := range []int{1, 1, 1, 1, 0} {
 		b, r := start(t, testSettings(), ready(4))
-		b.traffic.swallowed.value = minSwallowedRatio
+		b.traffic.dropped.value = minDroppedRatio
 		b.HandleRequest(1000, testRequest(1, uint8(class), 1000))
 		first := r.sends[0]
 		b.endpoints.byID[first.endpoint].lastAnsweredSentAt = 2000
--- a/balancer/helpers_test.go
+++ b/balancer/helpers_test.go
@@ -13,9 +13,9 @@
 		Balancers: 2, Zones: 1, Kinds: 1, Tick: 5000,
 		Classes: []Class{
 			{Name: "read", Idempotency: Idempotent},
-			{Name: "keyed-all", Idempotency: IdempotentWithKey, Group: GroupAll, DedupWindow: 500_000},
-			{Name: "keyed-zone", Idempotency: IdempotentWithKey, Group: GroupZone, DedupWindow: 500_000},
-			{Name: "keyed-cell", Idempotency: IdempotentWithKey, Group: GroupCell, DedupWindow: 500_000},
+			{Name: "with-key-all", Idempotency: IdempotentWithKey, Group: GroupAll, DedupWindow: 500_000},
+			{Name: "with-key-zone", Idempotency: IdempotentWithKey, Group: GroupZone, DedupWindow: 500_000},
+			{Name: "with-key-cell", Idempotency: IdempotentWithKey, Group: GroupCell, DedupWindow: 500_000},
 			{Name: "write", Idempotency: NotIdempotent},
 		},
 		Fields: []Field{FieldInflight},
--- a/balancer/learning.go
+++ b/balancer/learning.go
@@ -26,7 +26,7 @@
 func (b *Balancer) learnLatency(now Micros, r *request, a *attempt, latency float64, lowerBound bool) {
 	e := a.endpoint
 	slowness := max(0, latency-b.estimates.roundTrip[e.Zone].value) / a.workFactor
-	// One that was overtaken may be swallowed, and says nothing of how fast the endpoint or the fleet is.
+	// One that was overtaken may be dropped, and says nothing of how fast the endpoint or the fleet is.
 	if lowerBound && (slowness <= e.currentSlowness(now, b) || e.lastAnsweredSentAt > a.sentAt) {
 		return
 	}
--- a/balancer/probes_test.go
+++ b/balancer/probes_test.go
@@ -175,7 +175,7 @@
 	}
 }
 
-// Only idle endpoints respond to a probe in time. In a jam the others must count, or the fleet looks idle.
+// Only idle endpoints respond to a probe in time. Under overload the others must count, or the fleet looks idle.
 func TestUnansweredProbesCountAsLoad(t *testing.T) {
 	s := testSettings()
 	s.Balancers = 1000
--- a/balancer/rejection.go
+++ b/balancer/rejection.go
@@ -18,7 +18,7 @@
 // exceedsLimit reports whether r would come too late from e to be worth its work. It does not where nobody
 // queues while the fleet is well, since few samples of a long-tailed latency make a healthy endpoint look
 // hopeless. As with the breaker, a trial is sent now and then, so that a wrong prediction does not persist:
-// one in many, since a trial a second of each of a thousand balancers is more than a jammed fleet can bear.
+// one in many, since a trial a second of each of a thousand balancers would overload the fleet again.
 func (b *Balancer) exceedsLimit(now Micros, r *request, e *endpoint, mayTry bool) bool {
 	predicted := b.predictLatency(now, e, b.expectedWork(now, r, e))
 	limit := b.latencyLimit(now, r, e)
@@ -51,7 +51,7 @@
 	}
 	if n := len(r.attempts); b.reports.late || n > 0 && r.attempts[n-1].overdue {
 		// Either the least loaded endpoint is unknown, and averages must not reject what it would serve, or the
-		// attempt was swallowed: it has waited longer than its class should already.
+		// attempt was dropped: it has waited longer than its class should already.
 		queueing = 1
 	}
 	spare := float64(b.classOf(r).LatencyObjective) - float64(now-r.arrivedAt) - unqueued
--- a/balancer/rejection_test.go
+++ b/balancer/rejection_test.go
@@ -7,7 +7,7 @@
 )
 
 // A wrong estimate of a class's work must not reject that class for ever. But a trial a second at each of a
-// thousand balancers with little traffic would keep a jammed fleet jammed.
+// thousand balancers with little traffic would keep an overloaded fleet overloaded.
 func TestLatencyRejectionAdmitsFewTrials(t *testing.T) {
 	for _, c := range []struct {
 		gap      Micros
@@ -91,7 +91,7 @@
 	}
 }
 
-// Trials sent into a jam prolong it: each that fails makes the next rarer.
+// Trials prolong an overload: each that fails makes the next rarer.
 func TestFailedTrialsBecomeRarer(t *testing.T) {
 	b, r := start(t, testSettings(), ready(1))
 	b.classes[0].work.value = float64(100 * second)
--- a/balancer/rules_test.go
+++ b/balancer/rules_test.go
@@ -12,8 +12,8 @@
 	settings       Settings
 	now            Micros
 	states         map[uint32]Endpoint
-	slowStartSince map[uint32]Micros          // endpoint: told start
-	slowStartSends map[uint32]float64         // requests sent while cold
+	slowStartSince map[uint32]Micros          // by endpoint: start of its process
+	slowStartSends map[uint32]float64         // by endpoint: requests sent in slow start
 	requests       map[uint64]*checkedRequest // open and ended
 	violations     []string
 	timers         []pendingTimer
@@ -23,7 +23,7 @@
 type checkedRequest struct {
 	in       Request
 	answered int
-	closed   bool // it was told that the request is over
+	closed   bool // the balancer was notified that the request is over
 	attempts []checkedAttempt
 }
 
@@ -167,10 +167,10 @@
 	b.Start(c.now)
 	pause := 20_000 // at most, between events
 	list := ready(1 + rnd.Intn(6))
-	if s.Balancers > 2 { // a sliver of a large fleet
+	if s.Balancers > 2 { // one of many balancers of a large fleet
 		pause, list = 400_000, ready(20+rnd.Intn(60))
 	}
-	starts := rnd.Intn(3) // of all at once, cold
+	starts := rnd.Intn(3) // of all endpoints at once
 	maxWaiting := 0
 	members(ListCached, slices.Clone(list))
 	var open []uint64
@@ -316,12 +316,12 @@
 		"two final answers":          func(c *checker) { c.Reject(0, 0); c.Fail(0) },
 		"send after the end":         func(c *checker) { c.Fail(0); c.Send(0, 1, 0, 0) },
 		"send to draining":           func(c *checker) { c.states[1] = Endpoint{ID: 1, State: Draining}; c.Send(0, 1, 0, 0) },
-		"unsafe sent twice":          func(c *checker) { c.Send(4, 1, 0, 0); c.Send(4, 2, 0, 0) },
-		"unsafe rejected":            func(c *checker) { c.Send(4, 1, 0, 0); c.Reject(4, 0) },
-		"keyed outside its zone":     func(c *checker) { c.Send(2, 1, 0, 0); c.Send(2, 3, 0, 0) },
-		"keyed outside its cell":     func(c *checker) { c.Send(3, 1, 0, 0); c.Send(3, 3, 0, 0) },
+		"not idempotent sent twice":  func(c *checker) { c.Send(4, 1, 0, 0); c.Send(4, 2, 0, 0) },
+		"not idempotent rejected":    func(c *checker) { c.Send(4, 1, 0, 0); c.Reject(4, 0) },
+		"with key outside its zone":  func(c *checker) { c.Send(2, 1, 0, 0); c.Send(2, 3, 0, 0) },
+		"with key outside its cell":  func(c *checker) { c.Send(3, 1, 0, 0); c.Send(3, 3, 0, 0) },
 		"with key, after its window": func(c *checker) { c.Send(1, 1, 0, 0); c.now = second; c.Send(1, 2, 0, 0) },
-		"keyed written too late":     func(c *checker) { c.Send(1, 1, 0, 0); c.Send(1, 2, 0, 5*second) },
+		"with key written too late":  func(c *checker) { c.Send(1, 1, 0, 0); c.Send(1, 2, 0, 5*second) },
 		"written after its time":     func(c *checker) { c.Send(0, 1, 0, 9*second) },
 		"too many attempts": func(c *checker) {
 			for endpoint := range uint32(4) {
--- a/balancer/scenarios_test.go
+++ b/balancer/scenarios_test.go
@@ -25,7 +25,7 @@
 // and the removed ones are soon avoided, though no list says that they are.
 func TestStaleListHalfRemoved(t *testing.T) {
 	b, r := start(t, threeZoneSettings(), readyInThreeZones(12))
-	dead := func(id uint32) bool { return id%2 == 0 }
+	removed := func(id uint32) bool { return id%2 == 0 }
 	served, late := 0, 0
 	now := second
 	for id := uint64(1); id <= 300; id++ {
@@ -35,7 +35,7 @@
 		for ; done < len(r.sends); done++ { // each send is answered before the next
 			to := r.sends[done].endpoint
 			o := Outcome{ID: id, Attempt: attemptOf(r, done), Endpoint: to, Status: OK, Latency: 5_000, Settled: true}
-			if dead(to) {
+			if removed(to) {
 				o.Status, o.Settled, o.Latency = ConnectFailed, false, 300
 				if id > 150 {
 					late++
@@ -124,7 +124,7 @@
 	inFlight := map[uint32]int{}
 	slowSends := func(from, to Micros, slow bool) (sends int) {
 		for now := from; now < to; now += 5_000 {
-			for _, e := range list { // all probes are answered, with what is held there
+			for _, e := range list { // all probes are answered, with the load there
 				b.ProbeCompleted(now, e.ID, OK, 300, []float32{float32(inFlight[e.ID])})
 			}
 			for i := 0; i < len(out); {
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -131,10 +131,10 @@
 	workFactor      float64 // work times load factor, when sent
 	inFlightBefore  int     // local requests at the endpoint when sent
 	affinity        affinity
-	overdueAt       Micros // when it is looked at for having been swallowed
+	overdueAt       Micros // when it is looked at for having been dropped
 	probedOverdue   bool   // that was once, and the endpoint was probed
 	overdue         bool   // it is no longer waited for, though its outcome may still come
-	plannedHedge    bool   // it is overdue by the hedge delay, not for having been swallowed
+	plannedHedge    bool   // it is overdue by the hedge delay, not for having been dropped
 	pending         bool   // no outcome yet
 	transportFailed bool   // it failed on the network path, which says little of the endpoint
 	mayHaveRun      bool   // it may have had its effect, or may yet
@@ -643,7 +643,7 @@
 	demand        meter // requests taken
 	sentWork      meter // work sent, in µs
 	rejected      ewma  // ratio of requests rejected at arrival
-	swallowed     ewma  // ratio of attempts that were never answered though later ones were
+	dropped       ewma  // ratio of attempts that were never answered though later ones were
 	trialInterval int   // requests over their latency limit for one that is sent all the same
 }
 
@@ -664,7 +664,7 @@
 	// These ratios start at 0 and not at their first sample.
 	b.reports.lateRatio.seen = true
 	b.traffic.rejected.seen = true
-	b.traffic.swallowed.seen = true
+	b.traffic.dropped.seen = true
 	b.traffic.trialInterval = minTrialInterval
 	b.trend.ratio = 1
 	b.estimates.hintExponent = 0.5
