--- a/internal/upstream/either/either.go
+++ b/internal/upstream/either/either.go
@@ -1,6 +1,9 @@
-// Package either sends requests over HTTP/3 to endpoints that speak it, and over
-// HTTP/1.1 to all others. Each attempt goes by one protocol: one that could not be sent
-// ends so, and the balancer decides what follows.
+// Package either sends requests over HTTP/3 to endpoints that support it, and over HTTP/1.1 to
+// all others.
+//
+// Each attempt uses one protocol. An attempt that could not be sent is not repeated over the
+// other one: it ends as not run, and the balancer decides what follows. Package speaks chooses
+// the protocol; its state is guarded by Upstream.mu and not kept over a restart.
 package either
 
 import (
@@ -14,88 +17,91 @@
 	"pinedale/internal/upstream/speaks"
 )
 
-// Upstream sends by either protocol. Make one with New.
+// Upstream sends requests over one of two protocols. Make one with New. It is safe for
+// concurrent use.
 type Upstream struct {
-	one   *httpupstream.Upstream
-	three *http3upstream.Upstream
+	http1 *httpupstream.Upstream
+	http3 *http3upstream.Upstream
 
-	mu     sync.Mutex
-	memory *speaks.Memory
+	mu      sync.Mutex
+	tracker *speaks.Tracker
 }
 
-// New returns an upstream over two.
-func New(one httpupstream.Options, three http3upstream.Options) (*Upstream, error) {
-	u := &Upstream{one: httpupstream.New(one), memory: speaks.New()}
-	three.Told = u.told
+// New returns an upstream over both protocols. It sets http3.OnProtocolResult.
+func New(http1 httpupstream.Options, http3 http3upstream.Options) (*Upstream, error) {
+	u := &Upstream{http1: httpupstream.New(http1), tracker: speaks.New()}
+	http3.OnProtocolResult = u.recordResult
 	var err error
-	u.three, err = http3upstream.New(three)
+	u.http3, err = http3upstream.New(http3)
 	return u, err
 }
 
-// Close ends what is open over HTTP/3.
-func (u *Upstream) Close() error { return u.three.Close() }
+// Close closes all connections over HTTP/3.
+func (u *Upstream) Close() error { return u.http3.Close() }
 
-func (u *Upstream) told(t *engine.Target, how speaks.Tried) {
+// recordResult records the result of an attempt to use HTTP/3.
+func (u *Upstream) recordResult(t *engine.Target, result speaks.Result) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.memory.Told(time.Now(), t.Address, how)
+	u.tracker.Record(time.Now(), t.Address, result)
 }
 
-// use says by which protocol something goes to a target now.
-func (u *Upstream) use(t *engine.Target) (http3 bool) {
+// useHTTP3 reports whether a request to a target goes over HTTP/3. Where that is not known yet
+// it has a connection opened in the background.
+func (u *Upstream) useHTTP3(t *engine.Target) bool {
 	u.mu.Lock()
-	http3, try := u.memory.Use(time.Now(), t.Address)
+	supported, attempt := u.tracker.Choose(time.Now(), t.Address)
 	u.mu.Unlock()
-	if try {
-		u.three.Warm(t)
+	if attempt {
+		u.http3.Warm(t)
 	}
-	return http3
+	return supported
 }
 
-// carriage carries out the attempts of one request, each by its protocol.
-type carriage struct {
-	up         *Upstream
-	one, three engine.Carrier
+// carrier carries out the attempts of one request, each over one protocol.
+type carrier struct {
+	upstream     *Upstream
+	http1, http3 engine.Carrier
 }
 
 // NewCarrier returns a carrier for one request.
 func (u *Upstream) NewCarrier(m *engine.Message) engine.Carrier {
-	return &carriage{u, u.one.NewCarrier(m), u.three.NewCarrier(m)}
+	return &carrier{u, u.http1.NewCarrier(m), u.http3.NewCarrier(m)}
 }
 
 // Send starts an attempt.
-func (c *carriage) Send(a *engine.Attempt) {
-	if c.up.use(a.Target) {
-		c.three.Send(a)
+func (c *carrier) Send(a *engine.Attempt) {
+	if c.upstream.useHTTP3(a.Target) {
+		c.http3.Send(a)
 	} else {
-		c.one.Send(a)
+		c.http1.Send(a)
 	}
 }
 
-// Cancel gives an attempt up: both protocols stop by the attempt's own Stop.
-func (c *carriage) Cancel(a *engine.Attempt) { a.Stop() }
+// Cancel cancels an attempt. Over both protocols an attempt ends by its own Stop.
+func (c *carrier) Cancel(a *engine.Attempt) { a.Stop() }
 
-// Probe asks an endpoint by the protocol that its requests go by.
-func (u *Upstream) Probe(ctx context.Context, t *engine.Target, told func(engine.Result)) {
-	if u.use(t) {
-		u.three.Probe(ctx, t, told)
+// Probe sends a health check over the protocol that the endpoint's requests use.
+func (u *Upstream) Probe(ctx context.Context, t *engine.Target, completed func(engine.Result)) {
+	if u.useHTTP3(t) {
+		u.http3.Probe(ctx, t, completed)
 	} else {
-		u.one.Probe(ctx, t, told)
+		u.http1.Probe(ctx, t, completed)
 	}
 }
 
-// Retire lets go of what is kept for a target, and of what is known of it: the next one
-// at its address may be another program.
+// Retire drops a target's connections and what is known of its protocol: the next target at its
+// address may be another program.
 func (u *Upstream) Retire(t *engine.Target) {
-	u.one.Retire(t)
-	u.three.Retire(t)
+	u.http1.Retire(t)
+	u.http3.Retire(t)
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.memory.Forget(t.Address)
+	u.tracker.Forget(t.Address)
 }
 
-// Prune lets go of what has been idle for too long.
+// Prune closes connections that have been idle for too long.
 func (u *Upstream) Prune() {
-	u.one.Prune()
-	u.three.Prune()
+	u.http1.Prune()
+	u.http3.Prune()
 }
--- a/internal/upstream/either/either_test.go
+++ b/internal/upstream/either/either_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net"
 	"net/http"
@@ -22,133 +23,211 @@
 	"pinedale/internal/upstream/httpupstream"
 )
 
-// An endpoint that speaks both is asked over HTTP/1.1 at first, over HTTP/3 once a
-// connection stands, and over HTTP/1.1 again when that goes. Every request is answered,
-// and none of the changes sends one twice.
-func TestProtocolIsFoundOutAndLost(t *testing.T) {
-	defer goleak.VerifyNone(t)
-	pair := cert.New(t)
-	var one, three atomic.Int64
-	plain, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	datagrams, err := net.ListenPacket("udp", plain.Addr().String())
-	if err != nil {
-		t.Skipf("the port is taken on UDP: %v", err)
-	}
-	h1 := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { one.Add(1) })}
-	h3 := &http3.Server{TLSConfig: pair.Server, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { three.Add(1) })}
-	go func() { _ = h1.Serve(plain) }() // until Close
+// countRequests returns a handler that counts requests and responds 200.
+func countRequests(requests *atomic.Int64) http.Handler {
+	return http.HandlerFunc(func(http.ResponseWriter, *http.Request) { requests.Add(1) })
+}
+
+// serveHTTP1 serves HTTP/1.1 until the test ends.
+func serveHTTP1(t *testing.T, listener net.Listener, handler http.Handler) {
+	t.Helper()
+	server := &http.Server{Handler: handler}
 	served := make(chan struct{})
-	go func() { _ = h3.Serve(datagrams); close(served) }()
-	defer h1.Close()
+	go func() {
+		defer close(served)
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			t.Errorf("HTTP/1.1 server: %v", err)
+		}
+	}()
+	t.Cleanup(func() {
+		server.Close()
+		<-served
+	})
+}
 
-	up, err := New(httpupstream.Options{DialTimeout: time.Second, Idle: time.Second, Connections: 10},
-		http3upstream.Options{Secure: pair, DialTimeout: time.Second, Idle: time.Minute, Connections: 10})
+// serveHTTP3 serves HTTP/3 until stop is called or the test ends.
+func serveHTTP3(t *testing.T, pair *cert.Pair, conn net.PacketConn, handler http.Handler) (stop func()) {
+	t.Helper()
+	server := &http3.Server{TLSConfig: pair.Server, Handler: handler}
+	served := make(chan struct{})
+	go func() {
+		_ = server.Serve(conn) // until Close
+		close(served)
+	}()
+	stop = func() {
+		server.Close()
+		conn.Close()
+		<-served
+	}
+	t.Cleanup(stop)
+	return stop
+}
+
+// newTestUpstream returns an upstream over both protocols, which the end of the test closes.
+func newTestUpstream(t *testing.T, pair *cert.Pair, http3DialTimeout time.Duration) *Upstream {
+	t.Helper()
+	u, err := New(
+		httpupstream.Options{DialTimeout: time.Second, Idle: time.Second, Connections: 10},
+		http3upstream.Options{Secure: pair, DialTimeout: http3DialTimeout, Idle: time.Minute, Connections: 10})
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer up.Close()
+	t.Cleanup(func() { u.Close() })
+	return u
+}
+
+// startEngine runs an engine with one endpoint until the test ends.
+func startEngine(t *testing.T, u *Upstream, address string) *engine.Engine {
+	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
-	e, err := engine.New(ctx, engine.Options{Seed: 1, Zones: []string{"a"}, Upstream: up, Log: slog.New(slog.DiscardHandler),
-		Settings: balancer.Settings{Balancers: 1, Zones: 1, Contract: balancer.Contract{SlowStartRatio: 1, OverloadMultiple: 2.5},
-			Classes: []balancer.Class{{Name: "pay", Idempotency: balancer.NotIdempotent, LatencyObjective: 600_000, ClientTimeout: 5_000_000, PriorityWeight: 1}},
-			Limits:  balancer.Limits{MaxAttempts: 3, MaxOpen: 100}}})
+	e, err := engine.New(ctx, engine.Options{
+		Seed:     1,
+		Zones:    []string{"a"},
+		Upstream: u,
+		Log:      slog.New(slog.DiscardHandler),
+		Settings: balancer.Settings{
+			Balancers: 1,
+			Zones:     1,
+			Contract:  balancer.Contract{SlowStartRatio: 1, OverloadMultiple: 2.5},
+			Classes: []balancer.Class{{
+				Name:             "pay",
+				Idempotency:      balancer.NotIdempotent,
+				LatencyObjective: 600_000,
+				ClientTimeout:    5_000_000,
+				PriorityWeight:   1,
+			}},
+			Limits: balancer.Limits{MaxAttempts: 3, MaxOpen: 100},
+		},
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
 	go e.Run()
+	t.Cleanup(func() {
+		stop()
+		e.Call(func(balancer.Micros) {})
+	})
+	hosts := []engine.Host{{Name: "s", Address: address, Site: "a", Weight: 1}}
 	e.Call(func(now balancer.Micros) {
-		e.UpdateEndpoints(now, balancer.ListFull, engine.List{Complete: true, Hosts: []engine.Host{{Name: "s", Address: plain.Addr().String(), Site: "a", Weight: 1}}})
+		e.UpdateEndpoints(now, balancer.ListFull, engine.List{Complete: true, Hosts: hosts})
 	})
-	asked := int64(0)
-	ask := func() int {
-		asked++
-		answer := make(chan engine.Response, 1)
-		r := &engine.Request{Respond: func(a engine.Response) { answer <- a },
-			Carrier: up.NewCarrier(&engine.Message{Method: "POST", URL: &url.URL{Path: "/pay/x"}, Host: "x", Header: http.Header{}, Body: []byte("b")})}
-		e.Post(func(now balancer.Micros) { e.Submit(now, r, balancer.Request{Deadline: now + 5_000_000}) })
-		return (<-answer).Code
+	return e
+}
+
+// send sends a request through the engine and returns the response's code.
+func send(e *engine.Engine, u *Upstream) int {
+	responses := make(chan engine.Response, 1)
+	message := &engine.Message{
+		Method: http.MethodPost,
+		URL:    &url.URL{Path: "/pay/x"},
+		Host:   "x",
+		Header: http.Header{},
+		Body:   []byte("b"),
+	}
+	request := &engine.Request{
+		Respond: func(response engine.Response) { responses <- response },
+		Carrier: u.NewCarrier(message),
+	}
+	e.Post(func(now balancer.Micros) { e.Submit(now, request, balancer.Request{Deadline: now + 5_000_000}) })
+	return (<-responses).Code
+}
+
+// An endpoint that supports both protocols gets requests over HTTP/1.1 at first, over HTTP/3 once a
+// connection is established, and over HTTP/1.1 again when that is lost. Every request gets a
+// response, and no change of protocol sends one twice.
+func TestProtocolFollowsReachabilityOfHTTP3(t *testing.T) {
+	t.Cleanup(func() { goleak.VerifyNone(t) })
+	pair := cert.New(t)
+	var http1Requests, http3Requests atomic.Int64
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
 	}
-	if code := ask(); code != 200 || one.Load() != 1 {
-		t.Errorf("the first: %d, %d over HTTP/1.1", code, one.Load())
+	datagrams, err := net.ListenPacket("udp", listener.Addr().String())
+	if err != nil {
+		listener.Close()
+		t.Skipf("the port is taken on UDP: %v", err)
 	}
-	wait.Until(t, "HTTP/3", func() bool { return ask() == 200 && three.Load() > 0 })
-	if code, before := ask(), one.Load(); code != 200 || one.Load() != before {
-		t.Errorf("once it is known: %d", code)
+	serveHTTP1(t, listener, countRequests(&http1Requests))
+	stopHTTP3 := serveHTTP3(t, pair, datagrams, countRequests(&http3Requests))
+	u := newTestUpstream(t, pair, time.Second)
+	e := startEngine(t, u, listener.Addr().String())
+	sent := int64(0)
+	send := func() int {
+		sent++
+		return send(e, u)
 	}
-	if one.Load()+three.Load() != asked {
-		t.Errorf("%d and %d requests seen of %d", one.Load(), three.Load(), asked)
+	if code := send(); code != http.StatusOK || http1Requests.Load() != 1 {
+		t.Errorf("first request: %d, %d over HTTP/1.1", code, http1Requests.Load())
 	}
-	h3.Close()
-	datagrams.Close()
-	<-served
-	// The connection's end is heard, and nothing can be dialled: what is asked now was
-	// never sent there, and HTTP/1.1 serves what follows.
-	before := one.Load()
-	wait.Until(t, "HTTP/1.1 again", func() bool { ask(); return one.Load() > before })
-	if code := ask(); code != 200 {
-		t.Errorf("after HTTP/3 has gone: %d", code)
+	wait.Until(t, "HTTP/3", func() bool { return send() == http.StatusOK && http3Requests.Load() > 0 })
+	if code, before := send(), http1Requests.Load(); code != http.StatusOK || http1Requests.Load() != before {
+		t.Errorf("once HTTP/3 is established: %d", code)
+	}
+	if http1Requests.Load()+http3Requests.Load() != sent {
+		t.Errorf("%d and %d requests seen of %d", http1Requests.Load(), http3Requests.Load(), sent)
+	}
+	stopHTTP3()
+	// The connection ends, and no other can be dialled: a request of now was never sent over
+	// HTTP/3, and HTTP/1.1 serves what follows.
+	before := http1Requests.Load()
+	wait.Until(t, "HTTP/1.1 again", func() bool {
+		send()
+		return http1Requests.Load() > before
+	})
+	if code := send(); code != http.StatusOK {
+		t.Errorf("after HTTP/3 was lost: %d", code)
 	}
-	stop()
-	e.Call(func(balancer.Micros) {})
 }
 
-// UDP that is blocked in one direction, either one: nothing waits for it, HTTP/1.1 serves every request.
-func TestBlockedOneWay(t *testing.T) {
-	for name, direction := range map[string]int{"towards the server": udprelay.ToServer, "towards this side": udprelay.ToClient} {
+// While UDP is blocked in one direction no request waits for HTTP/3, and HTTP/1.1 serves all.
+func TestHTTP1ServesWhileUDPIsBlockedInOneDirection(t *testing.T) {
+	for name, direction := range map[string]int{
+		"towards the server": udprelay.ToServer,
+		"towards the client": udprelay.ToClient,
+	} {
 		t.Run(name, func(t *testing.T) {
-			defer goleak.VerifyNone(t)
+			t.Cleanup(func() { goleak.VerifyNone(t) })
 			pair := cert.New(t)
-			var one, three atomic.Int64
+			var http1Requests, http3Requests atomic.Int64
 			datagrams, err := net.ListenPacket("udp", "127.0.0.1:0")
 			if err != nil {
 				t.Fatal(err)
 			}
-			h3 := &http3.Server{TLSConfig: pair.Server, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { three.Add(1) })}
-			served := make(chan struct{})
-			go func() { _ = h3.Serve(datagrams); close(served) }()
-			defer func() { h3.Close(); datagrams.Close(); <-served }()
+			serveHTTP3(t, pair, datagrams, countRequests(&http3Requests))
 			relay, err := udprelay.Start(datagrams.LocalAddr().String(), udprelay.Script{})
 			if err != nil {
 				t.Fatal(err)
 			}
-			defer relay.Close()
+			t.Cleanup(func() { relay.Close() })
 			relay.Deafen(direction, true)
-			plain, err := net.Listen("tcp", relay.Address)
+			listener, err := net.Listen("tcp", relay.Address)
 			if err != nil {
 				t.Skipf("the port is taken on TCP: %v", err)
 			}
-			h1 := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { one.Add(1) })}
-			go func() { _ = h1.Serve(plain) }()
-			defer h1.Close()
-			up, err := New(httpupstream.Options{DialTimeout: time.Second, Idle: time.Second, Connections: 10},
-				http3upstream.Options{Secure: pair, DialTimeout: 100 * time.Millisecond, Idle: time.Minute, Connections: 10})
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer up.Close()
+			serveHTTP1(t, listener, countRequests(&http1Requests))
+			u := newTestUpstream(t, pair, 100*time.Millisecond)
 			target := &engine.Target{Name: "s", Address: relay.Address}
 			probe := func() engine.Result {
-				told := make(chan engine.Result, 1)
-				up.Probe(context.Background(), target, func(r engine.Result) { told <- r })
-				return <-told
+				results := make(chan engine.Result, 1)
+				u.Probe(context.Background(), target, func(r engine.Result) { results <- r })
+				return <-results
 			}
-			tried := func() bool { // that the try has begun, and its end
-				up.mu.Lock()
-				defer up.mu.Unlock()
-				_, try := up.memory.Use(time.Now(), target.Address)
-				return !try
+			// attempted reports whether HTTP/3 was attempted: then no other attempt is due.
+			attempted := func() bool {
+				u.mu.Lock()
+				defer u.mu.Unlock()
+				_, attempt := u.tracker.Choose(time.Now(), target.Address)
+				return !attempt
 			}
 			for n := range 20 {
 				if r := probe(); r.Status != balancer.OK {
 					t.Fatalf("request %d: %v", n, r.Status)
 				}
 			}
-			if !tried() || one.Load() != 20 || three.Load() != 0 {
-				t.Errorf("%d over HTTP/1.1, %d over HTTP/3, tried %t", one.Load(), three.Load(), tried())
+			if !attempted() || http1Requests.Load() != 20 || http3Requests.Load() != 0 {
+				t.Errorf("%d over HTTP/1.1, %d over HTTP/3, attempted %t",
+					http1Requests.Load(), http3Requests.Load(), attempted())
 			}
 		})
 	}
--- a/internal/upstream/http3upstream/upstream.go
+++ b/internal/upstream/http3upstream/upstream.go
@@ -27,13 +27,13 @@
 )
 
 const (
-	answerRest = 100 * time.Millisecond // from an answer's head to its last byte, as over HTTP/1.1
+	responseTimeout = 100 * time.Millisecond // from an answer's head to its last byte, as over HTTP/1.1
 	// An endpoint that answers on UDP may take no new streams. A request waits so long for
 	// one, and then goes elsewhere: it was not sent.
-	streamWait = 100 * time.Millisecond
+	streamTimeout = 100 * time.Millisecond
 	// A path that carries nothing any more is given up after this; pings show sooner that
 	// it lives.
-	silentMost = 5 * time.Second
+	idleTimeout = 5 * time.Second
 )
 
 // A Securer says how endpoints are verified, and when a handshake may begin.
@@ -57,14 +57,14 @@
 	Connections int           // at most
 	Fields      []string      // of load reports, in the order of the settings
 
-	// Told, where set, is told how the protocol fared at a target, each time that a
+	// OnProtocolResult, where set, is told how the protocol fared at a target, each time that a
 	// connection or a stream was wanted there. It must not call back.
-	Told func(t *engine.Target, how speaks.Tried)
+	OnProtocolResult func(t *engine.Target, how speaks.Result)
 }
 
 // Upstream sends requests to endpoints. Make one with New.
 type Upstream struct {
-	opts      Options
+	options   Options
 	transport *quic.Transport
 
 	mu    sync.Mutex
@@ -83,10 +83,10 @@
 	err    error
 
 	// Under Upstream.mu.
-	out    int // requests on it, those that wait for it included
-	last   time.Time
-	over   bool // nothing new goes on it
-	closed bool
+	inFlight int // requests on it, those that wait for it included
+	lastUsed time.Time
+	draining bool // nothing new goes on it
+	closed   bool
 }
 
 // New returns an upstream with a socket of its own and no connection.
@@ -95,7 +95,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Upstream{opts: o, transport: &quic.Transport{Conn: socket}, conns: map[*engine.Target]*conn{}}, nil
+	return &Upstream{options: o, transport: &quic.Transport{Conn: socket}, conns: map[*engine.Target]*conn{}}, nil
 }
 
 // Close ends all connections and the socket.
@@ -110,31 +110,31 @@
 
 // Probe asks an endpoint in a goroutine of its own.
 func (u *Upstream) Probe(ctx context.Context, t *engine.Target, told func(engine.Result)) {
-	go func() { told(attempt.Probe(ctx, u.attempt, t, u.opts.Fields)) }()
+	go func() { told(attempt.Probe(ctx, u.attempt, t, u.options.Fields)) }()
 }
 
 // Warm opens the connection to a target, and does not wait for it. No request does: where
 // turns for handshakes are few, it is put off.
 func (u *Upstream) Warm(t *engine.Target) {
 	go func() {
-		ctx, cancel := context.WithTimeout(attempt.ForProbe(context.Background()), u.opts.DialTimeout)
+		ctx, cancel := context.WithTimeout(attempt.ForProbe(context.Background()), u.options.DialTimeout)
 		defer cancel()
-		c, err := u.take(ctx, t)
+		c, err := u.acquire(ctx, t)
 		switch {
 		case err == nil:
 			u.release(c)
-			u.tell(t, speaks.Stands)
+			u.reportResult(t, speaks.Established)
 		case errors.Is(err, attempt.ErrFull):
-			u.tell(t, speaks.Put)
+			u.reportResult(t, speaks.Deferred)
 		case errors.Is(err, attempt.ErrClosed):
-			u.tell(t, speaks.Fails) // no dial was begun that would tell
+			u.reportResult(t, speaks.Failed) // no dial was begun that would tell
 		}
 	}()
 }
 
-func (u *Upstream) tell(t *engine.Target, how speaks.Tried) {
-	if u.opts.Told != nil {
-		u.opts.Told(t, how)
+func (u *Upstream) reportResult(t *engine.Target, how speaks.Result) {
+	if u.options.OnProtocolResult != nil {
+		u.options.OnProtocolResult(t, how)
 	}
 }
 
@@ -143,9 +143,9 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if c := u.conns[t]; c != nil {
-		u.end(c)
+		u.drainLocked(c)
 	}
-	u.opts.Secure.Retire(t)
+	u.options.Secure.Retire(t)
 }
 
 // Prune ends connections that have been without requests for too long, or are broken.
@@ -153,14 +153,14 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for _, c := range u.conns {
-		if c.out == 0 && (time.Since(c.last) >= u.opts.Idle || c.broken()) {
-			u.end(c)
+		if c.inFlight == 0 && (time.Since(c.lastUsed) >= u.options.Idle || c.isBroken()) {
+			u.drainLocked(c)
 		}
 	}
 }
 
-// broken says that a connection is there no more. One that is not ready yet is not broken.
-func (c *conn) broken() bool {
+// isBroken says that a connection is there no more. One that is not ready yet is not broken.
+func (c *conn) isBroken() bool {
 	select {
 	case <-c.ready:
 		return c.err != nil || c.quic.Context().Err() != nil
@@ -169,8 +169,8 @@
 	}
 }
 
-// stands says that a connection's handshake is done.
-func (c *conn) stands() bool {
+// isReady says that a connection's handshake is done.
+func (c *conn) isReady() bool {
 	select {
 	case <-c.ready:
 		return c.err == nil
@@ -179,16 +179,16 @@
 	}
 }
 
-// end lets nothing new go on a connection, and closes it once nothing is on it. It holds
+// drainLocked lets nothing new go on a connection, and closes it once nothing is on it. It holds
 // u.mu.
-func (u *Upstream) end(c *conn) {
-	if !c.over {
-		c.over = true
+func (u *Upstream) drainLocked(c *conn) {
+	if !c.draining {
+		c.draining = true
 		if u.conns[c.target] == c {
 			delete(u.conns, c.target)
 		}
 	}
-	if c.out == 0 && !c.closed {
+	if c.inFlight == 0 && !c.closed {
 		c.closed = true
 		u.open--
 		if c.quic != nil {
@@ -199,8 +199,8 @@
 	}
 }
 
-// take returns the connection to a target, counted as used: release must follow.
-func (u *Upstream) take(ctx context.Context, t *engine.Target) (*conn, error) {
+// acquire returns the connection to a target, counted as used: release must follow.
+func (u *Upstream) acquire(ctx context.Context, t *engine.Target) (*conn, error) {
 	u.mu.Lock()
 	if t.Closed() {
 		u.mu.Unlock()
@@ -209,12 +209,12 @@
 	c := u.conns[t]
 	// Whether keys and trust still allow a connection is asked here and not in Prune, which
 	// runs on the engine's goroutine: after a change of keys a chain is verified.
-	if c != nil && (c.broken() || c.stands() && !c.usable(time.Now())) {
-		u.end(c)
+	if c != nil && (c.isBroken() || c.isReady() && !c.usable(time.Now())) {
+		u.drainLocked(c)
 		c = nil
 	}
 	if c == nil {
-		if u.open >= u.opts.Connections {
+		if u.open >= u.options.Connections {
 			u.mu.Unlock()
 			return nil, attempt.ErrFull
 		}
@@ -223,7 +223,7 @@
 		u.open++
 		go u.dial(c, attempt.IsProbe(ctx))
 	}
-	c.out++
+	c.inFlight++
 	u.mu.Unlock()
 	select {
 	case <-c.ready:
@@ -240,7 +240,7 @@
 
 // dial opens a connection: for all requests that wait for it, so by none's context.
 func (u *Upstream) dial(c *conn, probe bool) {
-	ctx, cancel := context.WithTimeout(context.Background(), u.opts.DialTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), u.options.DialTimeout)
 	defer cancel()
 	if probe {
 		ctx = attempt.ForProbe(ctx)
@@ -249,9 +249,9 @@
 	c.err = u.connect(ctx, c)
 	switch {
 	case c.err == nil:
-		u.tell(c.target, speaks.Stands)
+		u.reportResult(c.target, speaks.Established)
 	case !errors.Is(c.err, attempt.ErrFull): // that no handshake may begin says nothing of the endpoint
-		u.tell(c.target, speaks.Fails)
+		u.reportResult(c.target, speaks.Failed)
 	}
 }
 
@@ -261,15 +261,15 @@
 	if err != nil {
 		return err
 	}
-	if err := u.opts.Secure.Turn(ctx, c.target); err != nil {
+	if err := u.options.Secure.Turn(ctx, c.target); err != nil {
 		return err
 	}
-	config, end, err := u.opts.Secure.QUIC(c.target)
+	config, end, err := u.options.Secure.QUIC(c.target)
 	if err != nil {
 		return err
 	}
-	c.quic, err = u.transport.Dial(ctx, to, http3.ConfigureTLSConfig(config), &quic.Config{HandshakeIdleTimeout: u.opts.DialTimeout,
-		MaxIdleTimeout: silentMost, KeepAlivePeriod: silentMost / 3, MaxIncomingStreams: -1})
+	c.quic, err = u.transport.Dial(ctx, to, http3.ConfigureTLSConfig(config), &quic.Config{HandshakeIdleTimeout: u.options.DialTimeout,
+		MaxIdleTimeout: idleTimeout, KeepAlivePeriod: idleTimeout / 3, MaxIncomingStreams: -1})
 	if err != nil {
 		end(tls.ConnectionState{}, err)
 		return err
@@ -282,10 +282,10 @@
 func (u *Upstream) release(c *conn) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	c.out--
-	c.last = time.Now()
-	if c.over || c.broken() {
-		u.end(c)
+	c.inFlight--
+	c.lastUsed = time.Now()
+	if c.draining || c.isBroken() {
+		u.drainLocked(c)
 	}
 }
 
@@ -294,7 +294,7 @@
 // (RFC 9114, section 8.1: H3_REQUEST_REJECTED); in doubt it may have run: an endpoint may
 // begin with a request whose end has not come.
 func (u *Upstream) attempt(ctx context.Context, t *engine.Target, m *engine.Message) engine.Result {
-	c, err := u.take(attempt.SendContext(ctx), t)
+	c, err := u.acquire(attempt.SendContext(ctx), t)
 	if err != nil {
 		return engine.Result{Status: attempt.UnsentStatus(ctx, err)}
 	}
@@ -307,9 +307,9 @@
 	if err != nil && !left {
 		if ctx.Err() == nil { // no stream, or the endpoint is going: the next request dials anew
 			u.mu.Lock()
-			u.end(c)
+			u.drainLocked(c)
 			u.mu.Unlock()
-			u.tell(t, speaks.Fails)
+			u.reportResult(t, speaks.Failed)
 		}
 		return engine.Result{Status: attempt.UnsentStatus(ctx, err)}
 	}
@@ -320,7 +320,7 @@
 	} else if err != nil {
 		return engine.Result{Status: attempt.InterruptedStatus(ctx), Duration: took}
 	}
-	return attempt.ResponseResult(u.opts.Fields, response, took)
+	return attempt.ResponseResult(u.options.Fields, response, took)
 }
 
 // exchange sends one request on a stream of its own and reads the whole answer. left says
@@ -330,7 +330,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var opened atomic.Bool
-	wait := time.AfterFunc(streamWait, func() {
+	wait := time.AfterFunc(streamTimeout, func() {
 		if !opened.Load() {
 			cancel()
 		}
@@ -351,7 +351,7 @@
 	defer response.Body.Close()
 	// An answer that has begun and stalls would hold its request until the client's time
 	// is up.
-	rest := time.AfterFunc(answerRest, cancel)
+	rest := time.AfterFunc(responseTimeout, cancel)
 	defer rest.Stop()
 	body, err := attempt.ReadBody(response.Body)
 	if err != nil {
--- a/internal/upstream/http3upstream/upstream_test.go
+++ b/internal/upstream/http3upstream/upstream_test.go
@@ -31,35 +31,35 @@
 	seen   atomic.Int64
 }
 
-// world is an upstream, and certificates for endpoints.
-type world struct {
+// fixture is an upstream, and certificates for endpoints.
+type fixture struct {
 	t    *testing.T
 	pair *cert.Pair
 	up   *Upstream
 }
 
-func start(t *testing.T) *world {
+func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	w := &world{t: t, pair: cert.New(t)}
+	f := &fixture{t: t, pair: cert.New(t)}
 	var err error
-	if w.up, err = New(Options{Secure: w.pair, DialTimeout: 500 * time.Millisecond, Idle: time.Minute, Connections: 3, Fields: []string{"eps", "queue"}}); err != nil {
+	if f.up, err = New(Options{Secure: f.pair, DialTimeout: 500 * time.Millisecond, Idle: time.Minute, Connections: 3, Fields: []string{"eps", "queue"}}); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() {
-		w.up.Close()
+		f.up.Close()
 		goleak.VerifyNone(t)
 	})
-	return w
+	return f
 }
 
-func (w *world) endpoint(streams int64, handle http.HandlerFunc) *endpoint {
-	w.t.Helper()
+func (f *fixture) endpoint(streams int64, handle http.HandlerFunc) *endpoint {
+	f.t.Helper()
 	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
-		w.t.Fatal(err)
+		f.t.Fatal(err)
 	}
 	e := &endpoint{target: &engine.Target{Address: conn.LocalAddr().String()}}
-	e.http = &http3.Server{TLSConfig: w.pair.Server, QUICConfig: &quic.Config{MaxIncomingStreams: streams},
+	e.http = &http3.Server{TLSConfig: f.pair.Server, QUICConfig: &quic.Config{MaxIncomingStreams: streams},
 		ConnContext: func(ctx context.Context, _ *quic.Conn) context.Context { e.conns.Add(1); return ctx },
 		Handler: http.HandlerFunc(func(out http.ResponseWriter, in *http.Request) {
 			e.seen.Add(1)
@@ -67,21 +67,21 @@
 		})}
 	done := make(chan struct{})
 	go func() { _ = e.http.Serve(conn); close(done) }()
-	w.t.Cleanup(func() { e.http.Close(); conn.Close(); <-done })
+	f.t.Cleanup(func() { e.http.Close(); conn.Close(); <-done })
 	return e
 }
 
 // raw is an endpoint that does what a test says with each request stream.
-func (w *world) raw(do func(c *quic.Conn, s *quic.Stream)) *engine.Target {
-	w.t.Helper()
+func (f *fixture) raw(respond func(c *quic.Conn, s *quic.Stream)) *engine.Target {
+	f.t.Helper()
 	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
-		w.t.Fatal(err)
+		f.t.Fatal(err)
 	}
 	transport := &quic.Transport{Conn: socket}
-	listener, err := transport.Listen(http3.ConfigureTLSConfig(w.pair.Server), nil)
+	listener, err := transport.Listen(http3.ConfigureTLSConfig(f.pair.Server), nil)
 	if err != nil {
-		w.t.Fatal(err)
+		f.t.Fatal(err)
 	}
 	var all sync.WaitGroup
 	all.Go(func() {
@@ -99,19 +99,19 @@
 					if err != nil {
 						return
 					}
-					all.Go(func() { _, _ = io.Copy(io.Discard, s); do(c, s) })
+					all.Go(func() { _, _ = io.Copy(io.Discard, s); respond(c, s) })
 				}
 			})
 		}
 	})
-	w.t.Cleanup(func() { transport.Close(); socket.Close(); all.Wait() })
+	f.t.Cleanup(func() { transport.Close(); socket.Close(); all.Wait() })
 	return &engine.Target{Address: listener.Addr().String()}
 }
 
-func (w *world) send(t *engine.Target, patience time.Duration) engine.Result {
+func (f *fixture) send(t *engine.Target, patience time.Duration) engine.Result {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	return w.up.attempt(ctx, t, message())
+	return f.up.attempt(ctx, t, message())
 }
 
 func message() *engine.Message {
@@ -120,9 +120,9 @@
 }
 
 // One connection carries many requests, each with its whole head and body.
-func TestServed(t *testing.T) {
-	w := start(t)
-	e := w.endpoint(100, func(out http.ResponseWriter, in *http.Request) {
+func TestRequestsShareOneConnection(t *testing.T) {
+	f := newFixture(t)
+	e := f.endpoint(100, func(out http.ResponseWriter, in *http.Request) {
 		body, _ := io.ReadAll(in.Body)
 		out.Header().Set("X-Backend-Load", "eps=1,queue=2")
 		fmt.Fprint(out, in.Method, in.Host, in.URL.RequestURI(), in.Header.Get("X-Correlation-Id"), in.Header.Get("Connection"), string(body), in.Header.Get("X-Time-Left-Ms") != "")
@@ -130,7 +130,7 @@
 	var all sync.WaitGroup
 	for range 30 {
 		all.Go(func() {
-			r := w.send(e.target, 10*time.Second)
+			r := f.send(e.target, 10*time.Second)
 			if r.Status != balancer.OK || string(r.Body) != "POSTtill.example/pay/x%20y?q=11bodytrue" || len(r.Load) != 2 || r.Load[1] != 2 {
 				t.Errorf("%v %q %v", r.Status, r.Body, r.Load)
 			}
@@ -143,9 +143,9 @@
 }
 
 // What an outcome proves.
-func TestOutcomes(t *testing.T) {
-	w := start(t)
-	answers := w.endpoint(100, func(out http.ResponseWriter, in *http.Request) {
+func TestOutcomeStatesWhatIsProven(t *testing.T) {
+	f := newFixture(t)
+	answers := f.endpoint(100, func(out http.ResponseWriter, in *http.Request) {
 		switch in.Header.Get("X-Correlation-Id") {
 		case "away":
 			out.Header().Set("X-Unprocessed", "1")
@@ -171,26 +171,26 @@
 		m := message()
 		m.Header.Set("X-Correlation-Id", id)
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		if r := w.up.attempt(ctx, answers.target, m); r.Status != want {
+		if r := f.up.attempt(ctx, answers.target, m); r.Status != want {
 			t.Errorf("%s: %v, want %v", id, r.Status, want)
 		}
 		cancel()
 	}
 	reset := func(code http3.ErrCode) *engine.Target {
-		return w.raw(func(_ *quic.Conn, s *quic.Stream) { s.CancelWrite(quic.StreamErrorCode(code)) })
+		return f.raw(func(_ *quic.Conn, s *quic.Stream) { s.CancelWrite(quic.StreamErrorCode(code)) })
 	}
-	if r := w.send(reset(http3.ErrCodeRequestRejected), time.Second); r.Status != balancer.Full {
+	if r := f.send(reset(http3.ErrCodeRequestRejected), time.Second); r.Status != balancer.Full {
 		t.Errorf("rejected unseen: %v", r.Status)
 	}
-	if r := w.send(reset(http3.ErrCodeInternalError), time.Second); r.Status != balancer.Reset {
+	if r := f.send(reset(http3.ErrCodeInternalError), time.Second); r.Status != balancer.Reset {
 		t.Errorf("reset after the last byte: %v", r.Status)
 	}
 }
 
 // Where nobody is, an attempt ends with the time to connect and was never sent; the next
 // one dials anew.
-func TestNobodyThere(t *testing.T) {
-	w := start(t)
+func TestUnreachableEndpointProvesNotRun(t *testing.T) {
+	f := newFixture(t)
 	socket, err := net.ListenPacket("udp", "127.0.0.1:0") // hears, and says nothing
 	if err != nil {
 		t.Fatal(err)
@@ -198,7 +198,7 @@
 	defer socket.Close()
 	began := time.Now()
 	for range 2 {
-		if r := w.send(&engine.Target{Address: socket.LocalAddr().String()}, 10*time.Second); r.Status != balancer.ConnectFailed {
+		if r := f.send(&engine.Target{Address: socket.LocalAddr().String()}, 10*time.Second); r.Status != balancer.ConnectFailed {
 			t.Errorf("%v", r.Status)
 		}
 	}
@@ -207,22 +207,22 @@
 	}
 	closed := &engine.Target{Address: socket.LocalAddr().String()}
 	closed.Close()
-	if r := w.send(closed, time.Second); r.Status != balancer.NotSent {
+	if r := f.send(closed, time.Second); r.Status != balancer.NotSent {
 		t.Errorf("to a closed target: %v", r.Status)
 	}
 }
 
 // An endpoint that answers on UDP and takes no new streams: a request is let go within
 // the time that is stated, as one that was not sent, long before its deadline.
-func TestNoStreamLeft(t *testing.T) {
-	w := start(t)
+func TestStreamLimitProvesNotRun(t *testing.T) {
+	f := newFixture(t)
 	end := make(chan struct{})
-	e := w.endpoint(1, func(_ http.ResponseWriter, in *http.Request) { <-end })
+	e := f.endpoint(1, func(_ http.ResponseWriter, in *http.Request) { <-end })
 	first := make(chan engine.Result)
-	go func() { first <- w.send(e.target, time.Minute) }()
+	go func() { first <- f.send(e.target, time.Minute) }()
 	wait.Until(t, "the first to be there", func() bool { return e.seen.Load() == 1 })
 	began := time.Now()
-	if r := w.send(e.target, time.Minute); r.Status != balancer.ConnectFailed || e.seen.Load() != 1 {
+	if r := f.send(e.target, time.Minute); r.Status != balancer.ConnectFailed || e.seen.Load() != 1 {
 		t.Errorf("%v, %d seen", r.Status, e.seen.Load())
 	}
 	if took := time.Since(began); took > 5*time.Second {
@@ -235,17 +235,17 @@
 }
 
 // GOAWAY: what is in hand is answered, nothing new is sent on the connection.
-func TestGoAway(t *testing.T) {
-	w := start(t)
+func TestGoAwayCompletesRequestsInFlight(t *testing.T) {
+	f := newFixture(t)
 	answer := make(chan struct{})
-	e := w.endpoint(100, func(http.ResponseWriter, *http.Request) { <-answer })
+	e := f.endpoint(100, func(http.ResponseWriter, *http.Request) { <-answer })
 	first := make(chan engine.Result)
-	go func() { first <- w.send(e.target, time.Minute) }()
+	go func() { first <- f.send(e.target, time.Minute) }()
 	wait.Until(t, "the first to be there", func() bool { return e.seen.Load() == 1 })
 	down := make(chan struct{})
 	go func() { _ = e.http.Shutdown(context.Background()); close(down) }()
-	wait.Until(t, "the end to be heard", func() bool { return w.send(e.target, time.Second).Status != balancer.Timeout })
-	if r := w.send(e.target, time.Second); r.Status != balancer.ConnectFailed && r.Status != balancer.Full {
+	wait.Until(t, "the end to be heard", func() bool { return f.send(e.target, time.Second).Status != balancer.Timeout })
+	if r := f.send(e.target, time.Second); r.Status != balancer.ConnectFailed && r.Status != balancer.Full {
 		t.Errorf("after GOAWAY: %v", r.Status)
 	}
 	if e.seen.Load() != 1 {
@@ -255,70 +255,70 @@
 	if r := <-first; r.Status != balancer.OK {
 		t.Errorf("the one in hand: %v", r.Status)
 	}
-	w.up.Close() // the server waits for its clients to go
+	f.up.Close() // the server waits for its clients to go
 	<-down
 }
 
 // An attempt that is called off resets its stream: the endpoint learns of it.
-func TestCancel(t *testing.T) {
-	w := start(t)
-	gone := make(chan struct{})
-	e := w.endpoint(100, func(_ http.ResponseWriter, in *http.Request) { <-in.Context().Done(); close(gone) })
+func TestCancelledAttemptResetsItsStream(t *testing.T) {
+	f := newFixture(t)
+	streamReset := make(chan struct{})
+	e := f.endpoint(100, func(_ http.ResponseWriter, in *http.Request) { <-in.Context().Done(); close(streamReset) })
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	result := make(chan engine.Result)
-	go func() { result <- w.up.attempt(ctx, e.target, message()) }()
+	go func() { result <- f.up.attempt(ctx, e.target, message()) }()
 	wait.Until(t, "it to be there", func() bool { return e.seen.Load() == 1 })
 	cancel()
 	if r := <-result; r.Status != balancer.Cancelled {
 		t.Errorf("%v", r.Status)
 	}
-	<-gone
+	<-streamReset
 }
 
 // A retired target's connection goes with its last request; connections are bounded, and
 // pruned once idle.
-func TestRetireAndPrune(t *testing.T) {
-	w := start(t)
+func TestRetireAndPruneCloseConnections(t *testing.T) {
+	f := newFixture(t)
 	answer := make(chan struct{})
-	e := w.endpoint(100, func(http.ResponseWriter, *http.Request) { <-answer })
+	e := f.endpoint(100, func(http.ResponseWriter, *http.Request) { <-answer })
 	result := make(chan engine.Result)
-	go func() { result <- w.send(e.target, time.Minute) }()
+	go func() { result <- f.send(e.target, time.Minute) }()
 	wait.Until(t, "it to be there", func() bool { return e.seen.Load() == 1 })
 	e.target.Close()
-	w.up.Retire(e.target)
+	f.up.Retire(e.target)
 	close(answer)
 	if r := <-result; r.Status != balancer.OK {
 		t.Errorf("in hand when retired: %v", r.Status)
 	}
-	held := func() int {
-		w.up.mu.Lock()
-		defer w.up.mu.Unlock()
-		return w.up.open
+	openConns := func() int {
+		f.up.mu.Lock()
+		defer f.up.mu.Unlock()
+		return f.up.open
 	}
-	if n := held(); n != 0 {
+	if n := openConns(); n != 0 {
 		t.Errorf("%d connections are held", n)
 	}
 	for n := range 5 {
-		quick := w.endpoint(100, func(http.ResponseWriter, *http.Request) {})
+		quick := f.endpoint(100, func(http.ResponseWriter, *http.Request) {})
 		want := balancer.OK
 		if n >= 3 {
 			want = balancer.NotSent
 		}
-		if r := w.send(quick.target, time.Minute); r.Status != want {
+		if r := f.send(quick.target, time.Minute); r.Status != want {
 			t.Errorf("connection %d: %v", n, r.Status)
 		}
 	}
-	w.up.opts.Idle = 0
-	w.up.Prune()
-	if n := held(); n != 0 {
+	f.up.options.Idle = 0
+	f.up.Prune()
+	if n := openConns(); n != 0 {
 		t.Errorf("%d connections are held after the pruning", n)
 	}
 }
 
 // A server that restarts knows nothing of the connection. What is sent on it meanwhile may have run for all that
 // this side knows, and ends at once by the server's word, not by a time-out; the next request finds the server.
-func TestServerRestarts(t *testing.T) {
-	w := start(t)
+func TestServerRestartResetsRequestsInFlight(t *testing.T) {
+	f := newFixture(t)
 	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -328,7 +328,7 @@
 	resets := quic.StatelessResetKey{1}
 	serve := func(socket net.PacketConn) (stop func()) {
 		transport := &quic.Transport{Conn: socket, StatelessResetKey: &resets}
-		listener, err := transport.ListenEarly(http3.ConfigureTLSConfig(w.pair.Server), nil)
+		listener, err := transport.ListenEarly(http3.ConfigureTLSConfig(f.pair.Server), nil)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -344,7 +344,7 @@
 	}
 	defer relay.Close()
 	at := &engine.Target{Address: relay.Address}
-	if r := w.send(at, wait.Patience); r.Status != balancer.OK {
+	if r := f.send(at, wait.Patience); r.Status != balancer.OK {
 		t.Fatalf("before: %v", r.Status)
 	}
 	relay.Deafen(udprelay.ToClient, true)
@@ -357,13 +357,13 @@
 	}
 	defer serve(socket)()
 	relay.Deafen(udprelay.ToClient, false)
-	if r := w.send(at, wait.Patience); r.Status != balancer.Reset {
+	if r := f.send(at, wait.Patience); r.Status != balancer.Reset {
 		t.Errorf("on the connection of before: %v, want may have run", r.Status)
 	}
 	// The end of the connection may still be on its way through this process: what is then not written has not
 	// run, and is sent again.
 	var r engine.Result
-	wait.Until(t, "the next connection", func() bool { r = w.send(at, wait.Patience); return r.Status != balancer.ConnectFailed })
+	wait.Until(t, "the next connection", func() bool { r = f.send(at, wait.Patience); return r.Status != balancer.ConnectFailed })
 	if r.Status != balancer.OK || seen.Load() != 2 {
 		t.Errorf("after: %v, %d requests seen", r.Status, seen.Load())
 	}
@@ -371,15 +371,15 @@
 
 // 5% and 20% of datagrams lost, doubled and out of order on the way to a server: each request is sent once,
 // whatever the path does with its packets, and answered.
-func TestLossTowardsServers(t *testing.T) {
+func TestPacketLossSendsNoRequestTwice(t *testing.T) {
 	for _, loss := range []float64{0.05, 0.2} {
 		t.Run(fmt.Sprint(loss), func(t *testing.T) {
-			w := start(t)
+			f := newFixture(t)
 			ids := sync.Map{}
-			var twice atomic.Int64
-			e := w.endpoint(100, func(_ http.ResponseWriter, in *http.Request) {
+			var duplicates atomic.Int64
+			e := f.endpoint(100, func(_ http.ResponseWriter, in *http.Request) {
 				if _, was := ids.LoadOrStore(in.Header.Get("X-Correlation-Id"), true); was {
-					twice.Add(1)
+					duplicates.Add(1)
 				}
 			})
 			relay, err := udprelay.Start(e.target.Address, udprelay.Script{Loss: loss, Double: 0.05, Swap: 0.05, Seed: 7})
@@ -393,7 +393,7 @@
 				m := message()
 				m.Header.Set("X-Correlation-Id", fmt.Sprint(n))
 				ctx, cancel := context.WithTimeout(context.Background(), wait.Patience)
-				switch r := w.up.attempt(ctx, at, m); r.Status {
+				switch r := f.up.attempt(ctx, at, m); r.Status {
 				case balancer.OK:
 					served++
 				case balancer.ConnectFailed, balancer.Reset: // no handshake in its time, or an answer that stalled
@@ -402,8 +402,8 @@
 				}
 				cancel()
 			}
-			if served == 0 || twice.Load() != 0 || int(e.seen.Load()) < served {
-				t.Errorf("%d served, %d seen, %d twice", served, e.seen.Load(), twice.Load())
+			if served == 0 || duplicates.Load() != 0 || int(e.seen.Load()) < served {
+				t.Errorf("%d served, %d seen, %d twice", served, e.seen.Load(), duplicates.Load())
 			}
 		})
 	}
--- a/internal/upstream/speaks/speaks.go
+++ b/internal/upstream/speaks/speaks.go
@@ -1,79 +1,85 @@
-// Package speaks remembers which endpoints speak HTTP/3, and decides by which protocol
-// an attempt goes. It does no I/O and has no clock.
+// Package speaks tracks which endpoints are reachable over HTTP/3, and chooses the protocol of
+// each attempt.
 //
-// An endpoint of which nothing is known gets its requests over HTTP/1.1 while a
-// connection over HTTP/3 is tried beside them: no request waits to find out. Once one
-// stands, attempts go over it. After a failure that proves that nothing was sent (no
-// connection, no stream) HTTP/1.1 serves, and HTTP/3 is tried again after a while, twice
-// as long each time.
+// An endpoint of which nothing is known gets its requests over HTTP/1.1 while a connection over
+// HTTP/3 is attempted in the background: no request waits for the result. Once a connection is
+// established, attempts use it. After a failure that proves that nothing was sent (no connection
+// or no stream was available) HTTP/1.1 serves, and HTTP/3 is attempted again after a backoff that
+// doubles with each failure.
+//
+// The package does no I/O and reads no clock. Its state is in memory only: after a restart every
+// endpoint is unknown.
 package speaks
 
 import "time"
 
-// Waits after a failure. UDP that is blocked on the way stays so for long; a server that
-// restarts is back within seconds.
+// Backoffs. UDP that is blocked on the network path stays so for long; a server that restarts is
+// back within seconds.
+const (
+	initialBackoff = 5 * time.Second
+	maxBackoff     = 5 * time.Minute
+	deferredDelay  = time.Second // the handshake rate limit has turns again within it
+)
+
+// Result is the result of an attempt to use HTTP/3 at an address. What becomes of a request
+// after that says nothing about the protocol.
+type Result uint8
+
+// The results of an attempt to use HTTP/3.
 const (
-	waitFirst = 5 * time.Second
-	waitMost  = 5 * time.Minute
-	waitPut   = time.Second // turns come back within it
+	Failed      Result = iota // no connection or no stream was available
+	Established               // a connection and a stream were
+	Deferred                  // not attempted: this side's handshake rate limit had no turn
 )
 
-// Memory is what is known. It must not be used by two at once.
-type Memory struct{ known map[string]*entry }
+// Tracker holds what is known of each address. It is not safe for concurrent use.
+type Tracker struct{ entries map[string]*entry }
 
+// entry is what is known of one address.
 type entry struct {
-	speaks bool
-	trying bool
-	wait   time.Duration // after the next failure
-	again  time.Time     // from when on it may be tried
+	supported  bool          // HTTP/3 was established and has not failed since
+	attempting bool          // a connection is being attempted
+	backoff    time.Duration // after the next failure
+	retryAt    time.Time     // earliest next attempt
 }
 
-// New returns a memory that knows nothing.
-func New() *Memory { return &Memory{map[string]*entry{}} }
+// New returns a tracker that knows of no address.
+func New() *Tracker { return &Tracker{map[string]*entry{}} }
 
-// Use says by which protocol an attempt at an address goes, and whether a connection
-// over HTTP/3 is to be tried beside it. Told must follow a try.
-func (m *Memory) Use(now time.Time, address string) (http3, try bool) {
-	e := m.known[address]
+// Choose returns whether a request to an address is sent over HTTP/3, and if not, whether the
+// caller must attempt a connection over HTTP/3 in the background and Record its result.
+func (t *Tracker) Choose(now time.Time, address string) (http3, attempt bool) {
+	e := t.entries[address]
 	if e == nil {
-		e = &entry{wait: waitFirst}
-		m.known[address] = e
+		e = &entry{backoff: initialBackoff}
+		t.entries[address] = e
 	}
-	if e.speaks {
+	if e.supported {
 		return true, false
 	}
-	try = !e.trying && !now.Before(e.again)
-	e.trying = e.trying || try
-	return false, try
+	attempt = !e.attempting && !now.Before(e.retryAt)
+	e.attempting = e.attempting || attempt
+	return false, attempt
 }
 
-// Tried is how HTTP/3 fared at an address.
-type Tried uint8
-
-// What came of a try. What came of a request after that says nothing of the protocol.
-const (
-	Fails  Tried = iota // no connection or no stream was to be had
-	Stands              // both were
-	Put                 // none was tried: this side had no turn for a handshake to give
-)
-
-// Told tells how HTTP/3 fared at an address.
-func (m *Memory) Told(now time.Time, address string, how Tried) {
-	e := m.known[address]
+// Record records the result of an attempt to use HTTP/3 at an address.
+func (t *Tracker) Record(now time.Time, address string, result Result) {
+	e := t.entries[address]
 	if e == nil {
-		return // forgotten meanwhile
+		return // removed meanwhile
 	}
-	e.trying, e.speaks = false, how == Stands
-	switch how {
-	case Stands:
-		e.wait = waitFirst
-	case Put:
-		e.again = now.Add(waitPut) // the address is not to blame, and waits no longer the next time
+	e.attempting = false
+	e.supported = result == Established
+	switch result {
+	case Established:
+		e.backoff = initialBackoff
+	case Deferred:
+		e.retryAt = now.Add(deferredDelay) // not a failure of the address: the backoff stays
 	default:
-		e.again = now.Add(e.wait)
-		e.wait = min(2*e.wait, waitMost)
+		e.retryAt = now.Add(e.backoff)
+		e.backoff = min(2*e.backoff, maxBackoff)
 	}
 }
 
-// Forget lets go of an address that is no longer listed.
-func (m *Memory) Forget(address string) { delete(m.known, address) }
+// Forget removes an address that is no longer listed.
+func (t *Tracker) Forget(address string) { delete(t.entries, address) }
--- a/internal/upstream/speaks/speaks_test.go
+++ b/internal/upstream/speaks/speaks_test.go
@@ -9,57 +9,58 @@
 	_ "pinedale/internal/standin/seeds"
 )
 
-var began = time.Unix(1_000_000_000, 0)
+var epoch = time.Unix(1_000_000_000, 0)
 
-func at(seconds int) time.Time { return began.Add(time.Duration(seconds) * time.Second) }
+func at(seconds int) time.Time { return epoch.Add(time.Duration(seconds) * time.Second) }
 
-func TestRules(t *testing.T) {
-	m := New()
-	use := func(seconds int, http3, try bool) {
+func TestChoiceFollowsResults(t *testing.T) {
+	tracker := New()
+	expect := func(seconds int, http3, attempt bool) {
 		t.Helper()
-		if a, b := m.Use(at(seconds), "x"); a != http3 || b != try {
-			t.Errorf("after %d s: HTTP/3 %v, try %v; want %v, %v", seconds, a, b, http3, try)
+		gotHTTP3, gotAttempt := tracker.Choose(at(seconds), "x")
+		if gotHTTP3 != http3 || gotAttempt != attempt {
+			t.Errorf("after %d s: HTTP/3 %v, attempt %v; want %v, %v", seconds, gotHTTP3, gotAttempt, http3, attempt)
 		}
 	}
-	use(0, false, true)  // nothing is known
-	use(0, false, false) // it is being tried
-	m.Told(at(1), "x", Stands)
-	use(1, true, false)
-	m.Told(at(2), "x", Fails)
-	use(2, false, false)
-	use(6, false, false)
-	use(7, false, true) // 5 s after
-	m.Told(at(7), "x", Fails)
-	use(16, false, false)
-	use(17, false, true) // 10 s after
-	m.Told(at(17), "x", Stands)
-	m.Told(at(18), "x", Fails)
-	use(23, false, true) // 5 s again
-	m.Forget("x")
-	m.Told(at(24), "x", Stands)
-	use(24, false, true)
+	expect(0, false, true)  // unknown address
+	expect(0, false, false) // being attempted
+	tracker.Record(at(1), "x", Established)
+	expect(1, true, false)
+	tracker.Record(at(2), "x", Failed)
+	expect(2, false, false)
+	expect(6, false, false)
+	expect(7, false, true) // 5 s after
+	tracker.Record(at(7), "x", Failed)
+	expect(16, false, false)
+	expect(17, false, true) // 10 s after
+	tracker.Record(at(17), "x", Established)
+	tracker.Record(at(18), "x", Failed)
+	expect(23, false, true) // the initial backoff again
+	tracker.Forget("x")
+	tracker.Record(at(24), "x", Established)
+	expect(24, false, true)
 }
 
-// One try at a time, HTTP/3 only after a success, and a wait that is bounded.
-func TestRandom(t *testing.T) {
+// There is one attempt at a time, HTTP/3 is used only after a success, and the backoff is bounded.
+func TestOneAttemptAtATimeWithBoundedBackoff(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m, now := New(), began
-		trying, speaks, failed := false, false, time.Time{}
+		tracker, now := New(), epoch
+		attempting, supported, failed := false, false, time.Time{}
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "seconds")) * time.Second)
 			if rapid.Bool().Draw(t, "use") {
-				http3, try := m.Use(now, "x")
-				if http3 != speaks || try && (trying || speaks) {
-					t.Fatalf("HTTP/3 %v, try %v; speaks %v, trying %v", http3, try, speaks, trying)
+				http3, attempt := tracker.Choose(now, "x")
+				if http3 != supported || attempt && (attempting || supported) {
+					t.Fatalf("HTTP/3 %v, attempt %v; supported %v, attempting %v", http3, attempt, supported, attempting)
 				}
-				if !try && !trying && !speaks && now.Sub(failed) >= waitMost {
-					t.Fatal("not tried after the longest wait")
+				if !attempt && !attempting && !supported && now.Sub(failed) >= maxBackoff {
+					t.Fatal("not attempted after the longest backoff")
 				}
-				trying = trying || try
-			} else if trying || speaks {
-				speaks = rapid.Bool().Draw(t, "ok")
-				m.Told(now, "x", map[bool]Tried{false: Fails, true: Stands}[speaks])
-				if trying = false; !speaks {
+				attempting = attempting || attempt
+			} else if attempting || supported {
+				supported = rapid.Bool().Draw(t, "ok")
+				tracker.Record(now, "x", map[bool]Result{false: Failed, true: Established}[supported])
+				if attempting = false; !supported {
 					failed = now
 				}
 			}
@@ -67,26 +68,26 @@
 	})
 }
 
-// A try that was put off says nothing of the address: it is made a second later, and the wait after a failure
-// is as long as it would have been.
-func TestPutOff(t *testing.T) {
-	m, start := New(), time.Unix(1000, 0)
+// A deferred attempt says nothing about the address: it is made a second later, and the backoff
+// after a failure is unchanged.
+func TestDeferredAttemptDoesNotRaiseBackoff(t *testing.T) {
+	tracker, start := New(), time.Unix(1000, 0)
 	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
-	m.Use(at(0), "x")
+	tracker.Choose(at(0), "x")
 	for n := range 10 {
-		m.Told(at(float64(n)), "x", Put)
-		if three, try := m.Use(at(float64(n)+0.5), "x"); three || try {
-			t.Errorf("put off %d times: asked again after half a second", n+1)
+		tracker.Record(at(float64(n)), "x", Deferred)
+		if http3, attempt := tracker.Choose(at(float64(n)+0.5), "x"); http3 || attempt {
+			t.Errorf("deferred %d times: attempted after half a second", n+1)
 		}
-		if _, try := m.Use(at(float64(n)+1), "x"); !try {
-			t.Errorf("put off %d times: not tried after a second", n+1)
+		if _, attempt := tracker.Choose(at(float64(n)+1), "x"); !attempt {
+			t.Errorf("deferred %d times: not attempted after a second", n+1)
 		}
 	}
-	m.Told(at(10), "x", Fails)
-	if _, try := m.Use(at(14), "x"); try {
-		t.Error("tried 4 s after a failure")
+	tracker.Record(at(10), "x", Failed)
+	if _, attempt := tracker.Choose(at(14), "x"); attempt {
+		t.Error("attempted 4 s after a failure")
 	}
-	if _, try := m.Use(at(15), "x"); !try {
-		t.Error("the first failure's wait is over, and it is not tried")
+	if _, attempt := tracker.Choose(at(15), "x"); !attempt {
+		t.Error("not attempted after the initial backoff")
 	}
 }
