--- a/internal/sidecar/config_test.go
+++ b/internal/sidecar/config_test.go
@@ -76,10 +76,11 @@
 		settings string
 		check    func(*Config) bool
 	}{
-		"a class and nothing else": {`{"classes":[{"name":"only","repeat":"side_effect","target":1,"give-up":2}]}`, func(c *Config) bool {
-			return c.Settings.Limits.KeepAlive == defaultKeepAlive && c.Settings.Limits.DialTimeout == defaultDialTimeout &&
-				!c.Settings.PollDiscovery && len(c.reportFields) == 0 && len(c.zones) == 0
-		}},
+		"a class and nothing else": {
+			`{"classes":[{"name":"only","repeat":"side_effect","target":1,"give-up":2}]}`, func(c *Config) bool {
+				return c.Settings.Limits.KeepAlive == defaultKeepAlive && c.Settings.Limits.DialTimeout == defaultDialTimeout &&
+					!c.Settings.PollDiscovery && len(c.reportFields) == 0 && len(c.zones) == 0
+			}},
 		"nulls and unknown keys": {`{"areas":null,"tenants":null,"limits":{"keepalive":null,"colour":"red"},` +
 			`"weather":{"sun":[{"x":1}]},` +
 			`"classes":[{"name":"only","repeat":"pure","target":1,"give-up":2,"share":0}]}`, func(c *Config) bool {
@@ -87,7 +88,8 @@
 		}},
 		"names with spaces and commas": {`{"areas":["Dar es Salaam","Kilwa, old"],` +
 			`"tenants":[{"name":"Mission Hospital","allowance-per-s":3}],` +
-			`"classes":[{"name":"bed, state","repeat":"token","group":"cell","window":5,"target":1,"give-up":2}]}`, func(c *Config) bool {
+			`"classes":[{"name":"bed, state","repeat":"token","group":"cell",` +
+			`"window":5,"target":1,"give-up":2}]}`, func(c *Config) bool {
 			return c.Settings.Classes[0].Name == "bed, state" && c.Settings.Tenants[0].Name == "Mission Hospital" &&
 				c.zones[1] == "Kilwa, old"
 		}},
