Balancer: records in files of their own; the deploy check lists them by name

Change: state.go becomes ten files by job (ledger, endpoints, budgets, probe pool, key records, breaker window, estimates, averages, random source, event log); functions are moved, none is changed. TestKeys names these files in a list: as before, any file of the module that is not listed must stand in policy.

--- a/balancer/api.go
+++ b/balancer/api.go
@@ -34,7 +34,9 @@
 //   - slowstart.go: slow start of new processes. members.go: membership. polling.go: polling of discovery.
 //   - keys.go: owners of keys, for endpoints that cache by key.
 //
-// Types of events, actions and settings stand in api.go; records, averages and the request ledger in state.go.
+// Types of events, actions and settings stand in api.go. Files that hold records and decide nothing: ledger.go for
+// requests and attempts, endpoints.go, budgets.go, probe_pool.go, key_records.go, breaker_window.go, estimates.go for
+// what outcomes teach, averages.go, random.go and eventlog.go.
 // Times are in microseconds, rates per second, ratios from 0 to 1. Work is the time in microseconds that a request
 // takes at a mean endpoint without a queue; slowness is the time per work at an endpoint, 1 at the mean one.
 package balancer
--- /dev/null
+++ b/balancer/ledger.go
@@ -0,0 +1,230 @@
+package balancer
+
+import "slices"
+
+// ledger holds the requests that are not done with, and the timer slots that name them.
+type ledger struct {
+	requests         map[uint64]*request // by ID: every request with an attempt pending or no final answer
+	slots            []*request          // by timer slot
+	free             []*request          // records to use again
+	open             int                 // requests without final answer
+	waitingForProbes []*request
+}
+
+// Timer tokens below firstRequestTimer belong to the balancer. Others name a request: the low bits hold its slot
+// plus firstRequestTimer, the high bits count uses of the slot, so that an old timer finds nothing.
+const (
+	probeTimer = iota
+	discoveryTimer
+	firstRequestTimer = 16
+	timerSlotBits     = 20
+)
+
+// newRecord returns an unused record with a timer token of its own.
+func (l *ledger) newRecord() *request {
+	var r *request
+	if n := len(l.free); n > 0 {
+		r = l.free[n-1]
+		l.free = l.free[:n-1]
+	} else {
+		r = &request{timerToken: uint32(len(l.slots) + firstRequestTimer)}
+		l.slots = append(l.slots, r)
+	}
+	r.timerToken += 1 << timerSlotBits
+	return r
+}
+
+// byTimer returns the request that a timer token names, or nil if it is done with.
+func (l *ledger) byTimer(token uint32) *request {
+	slot := int(token&(1<<timerSlotBits-1)) - firstRequestTimer
+	if slot < 0 || slot >= len(l.slots) {
+		return nil
+	}
+	if r := l.slots[slot]; r.timerToken == token && !r.finished && !r.streaming {
+		return r
+	}
+	return nil
+}
+
+// release frees the record of a request that has its final answer and no pending attempt.
+func (l *ledger) release(r *request) {
+	if l.requests[r.ID] == r {
+		delete(l.requests, r.ID)
+		l.free = append(l.free, r)
+	}
+}
+
+// stopWaiting ends r's wait for probes.
+func (l *ledger) stopWaiting(r *request) {
+	if !r.waitingForProbes {
+		return
+	}
+	r.waitingForProbes = false
+	r.awaitedProbes = r.awaitedProbes[:0]
+	l.waitingForProbes = slices.DeleteFunc(l.waitingForProbes, func(other *request) bool { return other == r })
+}
+
+// TimerFired handles a token given to Actions.Timer.
+func (b *Balancer) TimerFired(now Micros, token uint32) {
+	switch {
+	case token == probeTimer:
+		b.runProbeRound(now)
+	case token == discoveryTimer:
+		b.pollDiscovery(now)
+	case token >= firstRequestTimer:
+		if r := b.ledger.byTimer(token); r != nil {
+			b.handleRequestTimer(now, r)
+		}
+	}
+}
+
+// Expire handles a request that its host must answer now, before its deadline.
+func (b *Balancer) Expire(now Micros, id uint64) {
+	if r := b.ledger.requests[id]; r != nil {
+		b.reject(now, r)
+	}
+}
+
+// ClientDisconnected handles a client that left before its final answer.
+func (b *Balancer) ClientDisconnected(now Micros, id uint64) {
+	if r := b.ledger.requests[id]; r != nil {
+		b.finish(r)
+	}
+}
+
+// request is the ledger's record of a request and its attempts.
+type request struct {
+	Request
+	timerToken       uint32
+	arrivedAt        Micros
+	work             float64 // expected, in µs
+	logHint          float64 // logarithm of the ratio of its hint to the mean of its class; 0 without hint
+	priority         float64 // 0 to 1, when last decided on
+	key              *keyRecord
+	previous         attempt // made before this request was taken; valid if MayHaveRun
+	attempts         []attempt
+	pending          int     // attempts without outcome
+	finished         bool    // the final answer is out
+	streaming        bool    // an answer has begun: only its end is awaited
+	trial            bool    // sent although its predicted latency was over the limit
+	onTime           float64 // 1 once answered within the latency objective
+	waitingForProbes bool
+	awaitedProbes    []*endpoint
+}
+
+// attempt is one send of a request.
+type attempt struct {
+	endpoint        *endpoint
+	zone            uint8 // of the endpoint when sent: it may move
+	cell            uint16
+	sentAt          Micros
+	expectedLatency float64 // in µs, predicted when sent
+	loadFactor      float64 // of the endpoint when sent
+	workFactor      float64 // work times load factor, when sent
+	inFlightBefore  int     // local requests at the endpoint when sent
+	affinity        affinity
+	overdueAt       Micros // when it is looked at for having been dropped
+	probedOverdue   bool   // that was once, and the endpoint was probed
+	overdue         bool   // it is no longer waited for, though its outcome may still come
+	plannedHedge    bool   // it is overdue by the hedge delay, not for having been dropped
+	pending         bool   // no outcome yet
+	transportFailed bool   // it failed on the network path, which says little of the endpoint
+	mayHaveRun      bool   // it may have had its effect, or may yet
+}
+
+// newRequest enters a request into the ledger.
+func (b *Balancer) newRequest(now Micros, in Request) *request {
+	r := b.ledger.newRecord()
+	r.Request = in
+	r.arrivedAt = now
+	r.previous = attempt{sentAt: in.PreviousAttempt.At, zone: in.PreviousAttempt.Zone, cell: in.PreviousAttempt.Cell}
+	r.attempts = r.attempts[:0]
+	r.pending = 0
+	r.finished = false
+	r.streaming = false
+	r.trial = false
+	r.onTime = 0
+	r.waitingForProbes = false
+	r.awaitedProbes = r.awaitedProbes[:0]
+	r.key = b.keyRecord(now, r)
+	b.ledger.requests[in.ID] = r
+	b.ledger.open++
+	return r
+}
+
+// firstMayHaveRun returns the first attempt that may have run, or nil.
+func (r *request) firstMayHaveRun() *attempt {
+	if r.MayHaveRun {
+		return &r.previous
+	}
+	if i := slices.IndexFunc(r.attempts, func(a attempt) bool { return a.mayHaveRun }); i >= 0 {
+		return &r.attempts[i]
+	}
+	return nil
+}
+
+// writeDeadline is when an attempt must have been written: a connection may take long to open, and endpoints that
+// drop repeats count from the first attempt that may have run.
+func (r *request) writeDeadline(c *Class) Micros {
+	if first := r.firstMayHaveRun(); first != nil && c.Idempotency == IdempotentWithKey {
+		return min(r.Deadline, first.sentAt+c.DedupWindow)
+	}
+	return r.Deadline
+}
+
+// hasPendingAttempt reports whether an attempt is to be waited for: any that is pending, or with hedging permitted
+// one that is not overdue.
+func (r *request) hasPendingAttempt(hedging bool) bool {
+	hedging = hedging && !r.NoHedging
+	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.pending && (!hedging || !a.overdue) })
+}
+
+func (r *request) triedEndpoint(e *endpoint) bool {
+	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.endpoint == e })
+}
+
+// failedByEndpoint reports whether e itself has failed r, or may yet.
+func (r *request) failedByEndpoint(e *endpoint) bool {
+	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.endpoint == e && !a.transportFailed })
+}
+
+// inPool reports whether e is in the pool that r is restricted to.
+func (r *request) inPool(e *endpoint) bool { return r.Pool == 0 || e.Pools>>(r.Pool-1)&1 != 0 }
+
+// classOf returns the settings of a request's class.
+func (b *Balancer) classOf(r *request) *Class { return &b.settings.Classes[r.Class] }
+
+// closeAttempt records that an attempt is no longer in flight, and what its status proves.
+func (b *Balancer) closeAttempt(now Micros, r *request, a *attempt, status Status) {
+	e := a.endpoint
+	a.pending = false
+	a.transportFailed = status == Reset || status == ConnectFailed
+	r.pending--
+	e.inFlight--
+	b.dropUnused(e)
+	if status.neverRan() {
+		a.mayHaveRun = false
+	}
+	if status.answered() {
+		e.lastResponseAt = now
+		e.lastAnsweredSentAt = max(e.lastAnsweredSentAt, a.sentAt)
+	}
+}
+
+// answered reports whether the endpoint itself has responded.
+func (s Status) answered() bool { return s == OK || s == Error || s == Full }
+
+// attributeAttempt moves an attempt to the endpoint that had it, where its carrier went elsewhere than it was
+// sent: statistics, and the group in which repeats are dropped, follow that endpoint.
+func (b *Balancer) attributeAttempt(a *attempt, actual uint32) {
+	e := b.endpoints.byID[actual]
+	if e == nil || e == a.endpoint {
+		return
+	}
+	a.endpoint.inFlight--
+	b.dropUnused(a.endpoint)
+	e.inFlight++
+	a.endpoint = e
+	a.zone = e.Zone
+	a.cell = e.Cell
+}
--- /dev/null
+++ b/balancer/probe_pool.go
@@ -0,0 +1,84 @@
+package balancer
+
+import (
+	"math"
+	"slices"
+)
+
+// probePool holds the endpoints with a fresh load report, and the mode of probing.
+type probePool struct {
+	pool       []*endpoint
+	perRequest float64 // probes on demand for one request
+	onDemand   bool    // probes are sent for single requests, not in rounds
+}
+
+func (p *probePool) add(e *endpoint) {
+	if !e.pooled {
+		e.pooled = true
+		p.pool = append(p.pool, e)
+	}
+}
+
+// dropStale removes endpoints whose report is older than maxAge, or that are not ready.
+func (p *probePool) dropStale(now, maxAge Micros) {
+	p.pool = slices.DeleteFunc(p.pool, func(e *endpoint) bool {
+		e.pooled = e.State == Ready && now-e.reportedAt <= maxAge
+		return !e.pooled
+	})
+}
+
+// reportQuality measures how far load reports and probes can be trusted.
+type reportQuality struct {
+	queued    ewma // ratio of probes that queued at the endpoint
+	lateRatio ewma // ratio of load reports that must be late
+	late      bool // reports are too late to decide by
+}
+
+// addBaselineLoad adds what a probe shows of the load of other balancers at an endpoint.
+func (b *Balancer) addBaselineLoad(others float64) {
+	b.estimates.baselineLoad.add(others, baselineProbeWeight)
+}
+
+// queuedAhead is how many requests are ahead of a probe that is queued for so long, in µs.
+func (b *Balancer) queuedAhead(queueing float64) float64 {
+	return queueing / b.classes[0].work.value * assumedCores
+}
+
+// reportedInFlight returns the least number of requests in flight that a load report proves, or -1; counted
+// says that the endpoint has counted them.
+func reportedInFlight(fields []Field, load []float32) (inFlight float64, counted bool) {
+	if inFlight = reportValue(fields, load, FieldInflight); inFlight >= 0 {
+		return inFlight, true
+	}
+	if queue := reportValue(fields, load, FieldQueue); queue >= 0 {
+		return queue + assumedCores*indicator(queue >= 1), false
+	}
+	if utilization := reportValue(fields, load, FieldUtil); utilization >= 0 {
+		return min(utilization, 1) * assumedCores, false
+	}
+	return -1, false
+}
+
+// reportValue returns a figure of a load report, or -1 if it is missing or makes no sense.
+func reportValue(fields []Field, load []float32, want Field) float64 {
+	for i, field := range fields[:min(len(fields), len(load))] {
+		value := float64(load[i])
+		if field == want && value >= 0 && !math.IsInf(value, 0) { // false for NaN, too
+			return value
+		}
+	}
+	return -1
+}
+
+// discoveryPolling is when discovery is polled next.
+type discoveryPolling struct {
+	subscribed bool
+	pollAt     Micros // unless subscribed by then
+	backoff    Micros
+}
+
+// schedulePoll sets the instant of the next poll of discovery.
+func (b *Balancer) schedulePoll(now, delay Micros) {
+	b.discovery.pollAt = now + delay
+	b.actions.Timer(delay, discoveryTimer)
+}
--- a/deploy/deploy_test.go
+++ b/deploy/deploy_test.go
@@ -106,6 +106,14 @@
 	}
 }
 
+// records are the files of the module that hold its types, records and averages, and decide nothing. A new file
+// decides unless it is added here.
+var records = []string{
+	"balancer/api.go", "balancer/ledger.go", "balancer/endpoints.go", "balancer/budgets.go", "balancer/probe_pool.go",
+	"balancer/key_records.go", "balancer/breaker_window.go", "balancer/estimates.go", "balancer/averages.go",
+	"balancer/random.go", "balancer/eventlog.go",
+}
+
 // The files that decide are all of the module's but its records and its settings.
 func TestKeys(t *testing.T) {
 	k := read(t)
@@ -122,7 +130,7 @@
 	}
 	for _, path := range all {
 		name := strings.TrimPrefix(path, "../")
-		if !strings.HasSuffix(name, "_test.go") && !slices.Contains([]string{"balancer/api.go", "balancer/state.go"}, name) &&
+		if !strings.HasSuffix(name, "_test.go") && !slices.Contains(records, name) &&
 			!slices.Contains(k.Policy, name) {
 			t.Errorf("policy does not name %s", name)
 		}
