--- a/cmd/pinedale-rehearse/demo.go
+++ b/cmd/pinedale-rehearse/demo.go
@@ -118,7 +118,7 @@
 	}
 	fleet := sockets.New(sockets.Options{Seed: 1, Classes: []sockets.Class{
 		{Name: "price-check", Work: 120 * time.Millisecond, CV: 0.4},
-		{Name: "stall-pay", Class: model.Class{Repeat: model.Keyed, Window: 1500 * time.Millisecond}, Work: 100 * time.Millisecond, CV: 0.4}}})
+		{Name: "stall-pay", Class: model.Class{Idempotency: model.IdempotentWithKey, Window: 1500 * time.Millisecond}, Work: 100 * time.Millisecond, CV: 0.4}}})
 	return &demoFleet{directory: list, fleet: fleet}, nil
 }
 
@@ -132,9 +132,9 @@
 func (f *demoFleet) add(cold bool, faults ...model.Fault) error {
 	n := len(f.servers)
 	cfg := model.Config{Cores: 3, Speed: [...]float64{2, 1.2, 0.8}[n%3], SlotsPerCore: 1, QueuePerCore: 100, Thrash: 0.08, ThrashAt: 5,
-		ColdFrom: 0.35, ColdFor: 6 * time.Second, FallFactor: 2.5, FallAfter: time.Second,
+		SlowStartRatio: 0.35, SlowStartTime: 6 * time.Second, FallFactor: 2.5, FallAfter: time.Second,
 		ReportEvery: 100 * time.Millisecond, ProbeWork: 100 * time.Microsecond, Handshake: time.Millisecond}
-	s, err := f.fleet.Start(sockets.Spec{Name: fmt.Sprintf("soko-%d", n+1), Group: fmt.Sprint(n / 2), Config: cfg, Seed: uint64(n + 1), Cold: cold, Faults: faults})
+	s, err := f.fleet.Start(sockets.Spec{Name: fmt.Sprintf("soko-%d", n+1), Group: fmt.Sprint(n / 2), Config: cfg, Seed: uint64(n + 1), Warming: cold, Faults: faults})
 	if err != nil {
 		return err
 	}
--- a/cmd/pinedale-rehearse/main.go
+++ b/cmd/pinedale-rehearse/main.go
@@ -299,7 +299,7 @@
 			n[1]++
 		case e.Kind == trace.Answer && e.Code == 503:
 			n[2]++
-		case e.Kind == trace.Answer && e.Code == plan.CodeGone:
+		case e.Kind == trace.Answer && e.Code == plan.CodeDisconnected:
 			n[4]++
 		case e.Kind == trace.Answer:
 			n[3]++
--- a/internal/emulator/live/live.go
+++ b/internal/emulator/live/live.go
@@ -1,7 +1,7 @@
 // Package live plays a scenario on loopback sockets and the system's clock: emulated
 // servers, real instances (front, engine, upstream) and clients, all in one process.
 // It plays the plan that package play plays on virtual time, and counts in the same
-// way. Troubles, membership's lateness and the way between sites are emulated; the
+// way. Faults, membership's lateness and the latency between sites are emulated; the
 // requests, connections and time-outs are real.
 package live
 
@@ -63,14 +63,14 @@
 	client *http.Client
 	tasks  sync.WaitGroup // clients' tries, lives of servers
 
-	mu      sync.Mutex
-	result  *plan.Result
-	tries   map[string]*plan.Try // by id of the request
-	numbers map[*sockets.Server]int
-	servers []*sockets.Server    // by number, in their present life
-	told    map[[2]int]plan.Time // drains: by server and instance, when heard
-	fell    map[int]bool
-	closed  bool
+	mu            sync.Mutex
+	result        *plan.Result
+	tries         map[string]*plan.Try // by id of the request
+	numbers       map[*sockets.Server]int
+	servers       []*sockets.Server    // by number, in their present life
+	drainingSince map[[2]int]plan.Time // drains: by server and instance, when heard
+	fell          map[int]bool
+	closed        bool
 }
 
 // node is one instance.
@@ -86,7 +86,7 @@
 		return nil, errors.New("instances are killed on virtual time alone: play this scenario without sockets")
 	}
 	p := &rehearsal{s: s, o: o, result: s.NewResult(), tries: map[string]*plan.Try{}, numbers: map[*sockets.Server]int{},
-		servers: make([]*sockets.Server, len(s.Servers)), told: map[[2]int]plan.Time{}, fell: map[int]bool{}}
+		servers: make([]*sockets.Server, len(s.Servers)), drainingSince: map[[2]int]plan.Time{}, fell: map[int]bool{}}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	p.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: many, IdleConnTimeout: clientIdle}}
@@ -106,8 +106,8 @@
 	}})
 	defer p.fleet.Close()
 	for n := range s.Servers {
-		if s.Servers[n].Lives[0].From == 0 {
-			if err := p.start(n, s.Servers[n].Lives[0]); err != nil {
+		if s.Servers[n].Incarnations[0].From == 0 {
+			if err := p.start(n, s.Servers[n].Incarnations[0]); err != nil {
 				return nil, err
 			}
 		}
@@ -129,7 +129,7 @@
 		n.engine.Call(func(balancer.Micros) {})
 	}
 	sleep(ctx, -p.now())
-	p.lives(ctx)
+	p.incarnations(ctx)
 	p.clients(ctx)
 	p.tasks.Wait()
 	if ctx.Err() != nil {
@@ -140,14 +140,14 @@
 }
 
 // start starts a server in one of its lives.
-func (p *rehearsal) start(n int, life plan.Life) error {
+func (p *rehearsal) start(n int, incarnation plan.Incarnation) error {
 	x := &p.s.Servers[n]
-	var ways []time.Duration
+	var latencies []time.Duration
 	for site := range p.s.Sites {
-		ways = append(ways, p.s.Way(site, x.Site))
+		latencies = append(latencies, p.s.Latency(site, x.Site))
 	}
 	server, err := p.fleet.Start(sockets.Spec{Name: x.Name, Group: fmt.Sprint(x.Pod), Config: x.Config, Seed: p.s.SeedOf(n),
-		Cold: life.From > 0, Faults: x.Faults, Ways: ways})
+		Warming: incarnation.From > 0, Faults: x.Faults, Latencies: latencies})
 	if err != nil {
 		return err
 	}
@@ -176,8 +176,8 @@
 	p.nodes = append(p.nodes, &node{e, "http://" + listener.Addr().String()})
 	list := engine.List{Complete: true}
 	for n := range s.Servers {
-		if life := s.Servers[n].Lives[0]; life.From == 0 {
-			list.Hosts = append(list.Hosts, s.Entry(n, life, balancer.Ready, p.servers[n].Addresses[s.Instances[i]], p.began))
+		if incarnation := s.Servers[n].Incarnations[0]; incarnation.From == 0 {
+			list.Hosts = append(list.Hosts, s.Entry(n, incarnation, balancer.Ready, p.servers[n].Addresses[s.Instances[i]], p.began))
 		}
 	}
 	e.Post(func(now balancer.Micros) { e.UpdateEndpoints(now, balancer.ListFull, list) })
@@ -207,50 +207,50 @@
 	}
 }
 
-// lives has servers start, drain and end when the scenario says.
-func (p *rehearsal) lives(ctx context.Context) {
+// incarnations has servers start, drain and end when the scenario says.
+func (p *rehearsal) incarnations(ctx context.Context) {
 	for n := range p.s.Servers {
-		for _, life := range p.s.Servers[n].Lives {
-			if life.From > 0 && life.From < p.s.Length {
-				p.on(ctx, life.From, func() {
-					if err := p.start(n, life); err == nil {
-						p.tell(ctx, n, life, balancer.Ready)
+		for _, incarnation := range p.s.Servers[n].Incarnations {
+			if incarnation.From > 0 && incarnation.From < p.s.Length {
+				p.on(ctx, incarnation.From, func() {
+					if err := p.start(n, incarnation); err == nil {
+						p.notify(ctx, n, incarnation, balancer.Ready)
 					}
 				})
 			}
-			if life.Drain < p.s.Length {
-				p.on(ctx, life.Drain, func() { p.tell(ctx, n, life, balancer.Draining) })
+			if incarnation.Drain < p.s.Length {
+				p.on(ctx, incarnation.Drain, func() { p.notify(ctx, n, incarnation, balancer.Draining) })
 			}
-			if life.End < p.s.Length {
-				p.on(ctx, life.End, func() {
+			if incarnation.End < p.s.Length {
+				p.on(ctx, incarnation.End, func() {
 					p.fallen(n)
 					p.mu.Lock()
 					server := p.servers[n]
 					p.mu.Unlock()
 					server.Close()
-					p.tell(ctx, n, life, balancer.Removed)
+					p.notify(ctx, n, incarnation, balancer.Removed)
 				})
 			}
 		}
 	}
 }
 
-// tell has each instance hear of a server, each as late as it is.
-func (p *rehearsal) tell(ctx context.Context, n int, life plan.Life, state balancer.State) {
+// notify has each instance hear of a server, each as late as it is.
+func (p *rehearsal) notify(ctx context.Context, n int, incarnation plan.Incarnation, state balancer.State) {
 	at := p.now()
 	p.mu.Lock()
 	server := p.servers[n]
 	p.mu.Unlock()
 	for i, node := range p.nodes {
 		p.on(ctx, at+p.s.Late(n, i), func() {
-			list := engine.List{Hosts: []engine.Host{p.s.Entry(n, life, state, server.Addresses[p.s.Instances[i]], p.began)}}
+			list := engine.List{Hosts: []engine.Host{p.s.Entry(n, incarnation, state, server.Addresses[p.s.Instances[i]], p.began)}}
 			node.engine.Call(func(now balancer.Micros) { node.engine.UpdateEndpoints(now, balancer.ListDelta, list) })
 			p.mu.Lock()
 			defer p.mu.Unlock()
 			if state == balancer.Ready {
-				delete(p.told, [2]int{n, i})
-			} else if _, was := p.told[[2]int{n, i}]; !was {
-				p.told[[2]int{n, i}] = p.now()
+				delete(p.drainingSince, [2]int{n, i})
+			} else if _, was := p.drainingSince[[2]int{n, i}]; !was {
+				p.drainingSince[[2]int{n, i}] = p.now()
 			}
 			p.watch(trace.Event{Kind: trace.Member, Instance: i + 1, Server: n + 1, Code: int(state)})
 		})
@@ -292,8 +292,8 @@
 	}
 	at := p.now()
 	p.result.Sent(n, at)
-	grace := time.Duration(p.s.Settings.Contract.DrainGrace)*time.Microsecond + p.s.Way(p.s.Instances[t.Instance], p.s.Servers[n].Site)
-	if told, ok := p.told[[2]int{n, t.Instance}]; ok && at > told+grace {
+	grace := time.Duration(p.s.Settings.Contract.DrainGrace)*time.Microsecond + p.s.Latency(p.s.Instances[t.Instance], p.s.Servers[n].Site)
+	if since, ok := p.drainingSince[[2]int{n, t.Instance}]; ok && at > since+grace {
 		p.result.AfterDrain++
 	}
 	p.watch(trace.Event{Kind: trace.Send, Number: t.Number, Try: t.Tries, Instance: t.Instance + 1, Server: n + 1})
@@ -324,27 +324,27 @@
 		p.tries[id] = t
 		p.watch(trace.Event{Kind: trace.Ask, Number: t.Number, Try: t.Tries, Instance: t.Instance + 1, Class: t.Class + 1})
 		p.mu.Unlock()
-		code, retryAfter, missing := p.ask(ctx, t, id)
+		code, retryAfter, missing := p.submit(ctx, t, id)
 		p.mu.Lock()
 		if missing {
 			p.result.Unanswered++
 		}
 		p.watch(trace.Event{Kind: trace.Answer, Number: t.Number, Try: t.Tries, Instance: t.Instance + 1, Code: code})
 		now := p.now()
-		wait, again := p.s.Again(t, code, retryAfter, now)
-		if !again {
+		wait, retry := p.s.Retry(t, code, retryAfter, now)
+		if !retry {
 			p.result.Final(p.s, t, code, now)
 		}
 		p.mu.Unlock()
-		if !again || !sleep(ctx, wait) {
+		if !retry || !sleep(ctx, wait) {
 			return
 		}
 	}
 }
 
-// ask sends one try. missing says that there was no answer though the client waited
+// submit sends one try. missing says that there was no answer though the client waited
 // its time out.
-func (p *rehearsal) ask(ctx context.Context, t *plan.Try, id string) (code int, retryAfter time.Duration, missing bool) {
+func (p *rehearsal) submit(ctx context.Context, t *plan.Try, id string) (code int, retryAfter time.Duration, missing bool) {
 	c, patience := &p.s.Classes[t.Class], p.s.Patience(t)
 	wait := patience + answerSlack
 	if g := p.s.Clients.GiveUp; g > 0 {
@@ -358,7 +358,7 @@
 	}
 	r, err := http.NewRequestWithContext(ctx, method, p.nodes[t.Instance].url+"/"+c.Name+"/x", nil)
 	if err != nil {
-		return plan.CodeGone, 0, true
+		return plan.CodeDisconnected, 0, true
 	}
 	r.Header.Set("X-Correlation-Id", id)
 	r.Header.Set("X-Service-Class", c.Name)
@@ -379,11 +379,11 @@
 	out, err := p.client.Do(r)
 	if err != nil {
 		gaveUp := p.s.Clients.GiveUp > 0 && wait == p.s.Clients.GiveUp && errors.Is(err, context.DeadlineExceeded)
-		return plan.CodeGone, 0, !gaveUp
+		return plan.CodeDisconnected, 0, !gaveUp
 	}
 	defer out.Body.Close()
 	if _, err := io.Copy(io.Discard, out.Body); err != nil {
-		return plan.CodeGone, 0, true
+		return plan.CodeDisconnected, 0, true
 	}
 	if seconds, err := strconv.ParseFloat(strings.TrimSpace(out.Header.Get("Retry-After")), 64); err == nil {
 		retryAfter = time.Duration(seconds * float64(time.Second))
@@ -397,11 +397,11 @@
 		p.fallen(n)
 	}
 	twice := len(p.fleet.Twice())
-	_, most := p.fleet.Connections()
+	_, highest := p.fleet.Connections()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
-	p.result.Twice, p.result.Connections = twice, most
+	p.result.Twice, p.result.Connections = twice, highest
 	for n := range p.s.Servers {
 		if p.fell[n] {
 			p.result.Fell = append(p.result.Fell, n)
--- a/internal/emulator/live/live_test.go
+++ b/internal/emulator/live/live_test.go
@@ -64,16 +64,16 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if why := got.Broken(); why != "" {
-		t.Error(why)
+	if reason := got.Broken(); reason != "" {
+		t.Error(reason)
 	}
 	for i := range s.Classes {
-		if got.Classes[i].Asked != want.Classes[i].Asked {
+		if got.Classes[i].Requested != want.Classes[i].Requested {
 			t.Errorf("class %d: %+v, virtual %+v", i, got.Classes[i], want.Classes[i])
 		}
 	}
 	for i := range s.Tenants {
-		if got.Tenants[i].Asked != want.Tenants[i].Asked || got.Tenants[i].Asked == 0 {
+		if got.Tenants[i].Requested != want.Tenants[i].Requested || got.Tenants[i].Requested == 0 {
 			t.Errorf("tenant %d: %+v, virtual %+v", i, got.Tenants[i], want.Tenants[i])
 		}
 	}
@@ -91,18 +91,18 @@
 	defer goleak.VerifyNone(t)
 	s := morning(t)
 	ctx, cancel := context.WithCancel(context.Background())
-	asked := 0
+	requested := 0
 	if _, err := Run(ctx, s, Options{Watch: func(e trace.Event) {
 		if e.Kind == trace.Ask {
-			if asked++; asked == 20 {
+			if requested++; requested == 20 {
 				cancel()
 			}
 		}
 	}}); !errors.Is(err, context.Canceled) {
-		t.Errorf("%v after %d tries", err, asked)
+		t.Errorf("%v after %d tries", err, requested)
 	}
-	if asked > 100 {
-		t.Errorf("%d tries", asked)
+	if requested > 100 {
+		t.Errorf("%d tries", requested)
 	}
 }
 
@@ -120,7 +120,7 @@
 	for i := range s.Servers {
 		c := &s.Servers[i].Config
 		c.Cores, c.Speed, c.PauseEvery, c.Thrash, c.Handshake = 400, 1, 0, 0, 0 // all at once
-		s.Servers[i].Faults, s.Servers[i].Lives = nil, plan.Always
+		s.Servers[i].Faults, s.Servers[i].Incarnations = nil, plan.Always
 	}
 	// What is shown is what the hosts bear: the module would refuse most of it, not
 	// having seen the fleet serve.
@@ -132,8 +132,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if why := r.Broken(); r.Connections < 2000 || why != "" {
-		t.Errorf("%d connections at most for %d tries, %.3f in time %s", r.Connections, r.Tries, r.InTime(), why)
+	if reason := r.Broken(); r.Connections < 2000 || reason != "" {
+		t.Errorf("%d connections at most for %d tries, %.3f in time %s", r.Connections, r.Tries, r.InTime(), reason)
 	}
 	t.Logf("%d tries, %d connections at most, %.3f in time", r.Tries, r.Connections, r.InTime())
 }
--- a/internal/emulator/model/memory.go
+++ b/internal/emulator/model/memory.go
@@ -5,14 +5,14 @@
 	"time"
 )
 
-// Repeat says what a second run of a request of a class does.
-type Repeat uint8
+// Idempotency says what a second run of a request of a class does.
+type Idempotency uint8
 
 // The kinds of class.
 const (
-	Safe Repeat = iota
-	Keyed
-	Unsafe
+	Idempotent Idempotency = iota
+	IdempotentWithKey
+	NotIdempotent
 )
 
 // Scope is whose repeats of a key are dropped together.
@@ -26,9 +26,9 @@
 
 // Class is what a fleet knows of a class of requests.
 type Class struct {
-	Repeat Repeat
-	Scope  Scope
-	Window time.Duration // for which a key is remembered
+	Idempotency Idempotency
+	Scope       Scope
+	Window      time.Duration // for which a key is remembered
 }
 
 // Memory is what a fleet remembers of keys, and counts of effects: one effect is all
@@ -61,7 +61,7 @@
 		e = &effect{class: class}
 		m.effects[key] = e
 	}
-	if c.Repeat == Keyed {
+	if c.Idempotency == IdempotentWithKey {
 		scope := ""
 		if c.Scope == Group {
 			scope = group
@@ -97,7 +97,7 @@
 // more than once.
 func (m *Memory) Twice() (keys []string) {
 	for key, e := range m.effects {
-		if m.classes[e.class].Repeat != Safe && e.done > 1 {
+		if m.classes[e.class].Idempotency != Idempotent && e.done > 1 {
 			keys = append(keys, key)
 		}
 	}
--- a/internal/emulator/model/server.go
+++ b/internal/emulator/model/server.go
@@ -28,11 +28,11 @@
 	Thrash       float64 // share of its efficiency lost for each request a core holds beyond ThrashAt
 	ThrashAt     float64
 
-	ColdFrom   float64       // share of its capacity at a start
-	ColdFor    time.Duration // until it is warm
-	WarmByWork bool          // it warms with the work done, at the latest by ColdFor
-	FallFactor float64       // work sent beyond this multiple of what it can do just now,
-	FallAfter  time.Duration // counted over any window of this length, makes a cold server fall over
+	SlowStartRatio float64       // share of its capacity at a start
+	SlowStartTime  time.Duration // until it is warm
+	WarmByWork     bool          // it warms with the work done, at the latest by SlowStartTime
+	FallFactor     float64       // work sent beyond this multiple of what it can do just now,
+	FallAfter      time.Duration // counted over any window of this length, makes a cold server fall over
 
 	PauseEvery time.Duration // mean time between two pauses, 0 for none
 	PauseFor   time.Duration // mean length
@@ -66,12 +66,12 @@
 
 // The ways a request may end at a server.
 const (
-	Served   Outcome = iota
-	Failed           // an error at once
-	Away             // turned away unseen
-	Refused          // no connection, or it breaks: the server is down, or falls with it
-	Lost             // swallowed: there is no answer, though it has run
-	Repeated         // served from memory: the effect was there already
+	Served           Outcome = iota
+	Failed                   // an error at once
+	Rejected                 // turned away unseen
+	ConnectionFailed         // no connection, or it breaks: the server is down, or falls with it
+	Unanswered               // swallowed: there is no answer, though it has run
+	Repeated                 // served from memory: the effect was there already
 )
 
 // Ended is a request that ended.
@@ -83,14 +83,14 @@
 
 // Fault is a scripted trouble of a server, while it lasts.
 type Fault struct {
-	From, Until Time
-	FailFast    float64 // share of requests that fail at once, with a healthy face
-	Swallow     float64 // share that is never answered
-	TurnAway    float64 // share that is turned away unseen
-	FailLate    float64 // share that fails once its work is done
-	Break       float64 // share whose connection breaks once its work is done
-	Silent      bool    // nothing is answered, nothing refused: the machine has vanished
-	Slow        float64 // work takes so many times as long; probes are answered as ever
+	From, Until  Time
+	FailFast     float64 // share of requests that fail at once, with a healthy face
+	Swallow      float64 // share that is never answered
+	Reject       float64 // share that is turned away unseen
+	FailLate     float64 // share that fails once its work is done
+	Break        float64 // share whose connection breaks once its work is done
+	Unresponsive bool    // nothing is answered, nothing refused: the machine has vanished
+	Slow         float64 // work takes so many times as long; probes are answered as ever
 }
 
 // quick is how long an answer takes that costs no work.
@@ -99,8 +99,8 @@
 // job is a request in work or waiting.
 type job struct {
 	Request
-	left float64 // work, in seconds of a core of speed 1
-	end  Outcome // once its work is done
+	remaining float64 // work, in seconds of a core of speed 1
+	end       Outcome // once its work is done
 }
 
 // Server is one server. Make one with New.
@@ -112,25 +112,25 @@
 	group  string // whose repeats it drops, beside all
 	faults []Fault
 
-	now     Time
-	born    Time
-	cold    bool
-	down    bool
-	fallen  Time // when it fell over, Never before
-	strain  float64
-	done    float64
-	running []*job
-	waiting []*job
-	instant []Ended // that end without work, in order
-	window  []sent  // work that came while cold
-	pause   Time    // start of the next pause
-	resume  Time    // end of the present one
-	draws   uint64  // of noise
-	pauses  uint64  // drawn: apart, so that no report moves a pause
-	conns   int
-	errors  []Time // failures of the last second
-	reports []report
-	nextRep Time
+	now       Time
+	startedAt Time
+	warming   bool
+	down      bool
+	fallen    Time // when it fell over, Never before
+	strain    float64
+	done      float64
+	running   []*job
+	waiting   []*job
+	instant   []Ended // that end without work, in order
+	window    []sent  // work that came while cold
+	pause     Time    // start of the next pause
+	resume    Time    // end of the present one
+	draws     uint64  // of noise
+	pauses    uint64  // drawn: apart, so that no report moves a pause
+	conns     int
+	errors    []Time // failures of the last second
+	reports   []report
+	nextRep   Time
 }
 
 type sent struct {
@@ -146,8 +146,8 @@
 
 // New returns a server that starts at an instant, cold if told so. memory is the
 // fleet's, group the part of it that shares what it drops.
-func New(cfg Config, seed uint64, at Time, cold bool, memory *Memory, group string, faults []Fault) *Server {
-	s := &Server{cfg: cfg, seed: seed, memory: memory, group: group, faults: faults, now: at, born: at, cold: cold, fallen: Never, nextRep: at}
+func New(cfg Config, seed uint64, at Time, warming bool, memory *Memory, group string, faults []Fault) *Server {
+	s := &Server{cfg: cfg, seed: seed, memory: memory, group: group, faults: faults, now: at, startedAt: at, warming: warming, fallen: Never, nextRep: at}
 	s.pause = Never
 	if cfg.PauseEvery > 0 {
 		s.pause = at + s.spread(cfg.PauseEvery)
@@ -172,7 +172,7 @@
 	drawLate
 	drawPause
 	drawNoise
-	drawAway
+	drawRejected
 )
 
 // spread is an exponential time of this mean.
@@ -191,8 +191,8 @@
 // Fallen is when the server fell over, Never if it did not.
 func (s *Server) Fallen() Time { return s.fallen }
 
-// Held counts requests in work and waiting.
-func (s *Server) Held() (working, waiting int) { return len(s.running), len(s.waiting) }
+// InFlight counts requests in work and waiting.
+func (s *Server) InFlight() (working, waiting int) { return len(s.running), len(s.waiting) }
 
 // Worked is the work done since the start, in seconds of a core of speed 1.
 func (s *Server) Worked() float64 { return s.done }
@@ -209,7 +209,7 @@
 		if j.Key != "" {
 			s.memory.Undo(j.Class, j.Key, s.group)
 		}
-		out = append(out, Ended{j.Number, Refused, now})
+		out = append(out, Ended{j.Number, ConnectionFailed, now})
 	}
 	s.running, s.waiting = nil, nil
 	return out
@@ -217,15 +217,15 @@
 
 // Warmth is the share of its capacity that the server has.
 func (s *Server) Warmth(now Time) float64 {
-	if !s.cold || s.cfg.ColdFor <= 0 {
+	if !s.warming || s.cfg.SlowStartTime <= 0 {
 		return 1
 	}
-	part := float64(now-s.born) / float64(s.cfg.ColdFor)
+	part := float64(now-s.startedAt) / float64(s.cfg.SlowStartTime)
 	if s.cfg.WarmByWork {
-		// As warm as if it had worked at half its load for ColdFor.
-		part = max(part, s.done/(0.5*s.capacity()*s.cfg.ColdFor.Seconds()))
+		// As warm as if it had worked at half its load for SlowStartTime.
+		part = max(part, s.done/(0.5*s.capacity()*s.cfg.SlowStartTime.Seconds()))
 	}
-	return min(1, s.cfg.ColdFrom+(1-s.cfg.ColdFrom)*part)
+	return min(1, s.cfg.SlowStartRatio+(1-s.cfg.SlowStartRatio)*part)
 }
 
 // capacity is the work a second of a warm server.
@@ -262,13 +262,13 @@
 		return next
 	}
 	if r := s.rate(); r > 0 {
-		least := math.Inf(1)
+		shortest := math.Inf(1)
 		for _, j := range s.running {
-			least = min(least, j.left)
+			shortest = min(shortest, j.remaining)
 		}
 		// Rounded up, so that the work is done by then.
-		next = min(next, s.now+time.Duration(math.Ceil(least/r*1e9)))
-		if s.cold && s.Warmth(s.now) < 1 {
+		next = min(next, s.now+time.Duration(math.Ceil(shortest/r*1e9)))
+		if s.warming && s.Warmth(s.now) < 1 {
 			next = min(next, s.now+step)
 		}
 		next = min(next, s.pause)
@@ -303,7 +303,7 @@
 		}
 		for i := 0; i < len(s.running); {
 			j := s.running[i]
-			if j.left > 1e-12 {
+			if j.remaining > 1e-12 {
 				i++
 				continue
 			}
@@ -330,7 +330,7 @@
 	if r := s.rate(); r > 0 {
 		did := r * (at - s.now).Seconds()
 		for _, j := range s.running {
-			j.left = max(0, j.left-did)
+			j.remaining = max(0, j.remaining-did)
 			s.done += did
 		}
 	}
@@ -343,8 +343,8 @@
 		}
 		s.nextRep += s.cfg.ReportEvery
 	}
-	if s.cold && s.Warmth(s.now) >= 1 {
-		s.cold, s.window = false, nil
+	if s.warming && s.Warmth(s.now) >= 1 {
+		s.warming, s.window = false, nil
 	}
 }
 
@@ -361,17 +361,17 @@
 func (s *Server) Arrive(now Time, r Request) []Ended {
 	out := s.Advance(now)
 	if s.down {
-		return append(out, Ended{r.Number, Refused, now})
+		return append(out, Ended{r.Number, ConnectionFailed, now})
 	}
 	work := r.Work.Seconds()
-	if s.about.met(now, r.Subject, s.cfg.Subjects, s.cfg.SubjectFor) {
+	if s.about.recall(now, r.Subject, s.cfg.Subjects, s.cfg.SubjectFor) {
 		work *= 1 - s.cfg.SubjectSaves
 	}
 	if s.load(now, work) {
 		out = append(out, s.Advance(now)...)
-		return append(out, Ended{r.Number, Refused, now})
+		return append(out, Ended{r.Number, ConnectionFailed, now})
 	}
-	j, by := &job{Request: r, left: work}, r.Draw
+	j, by := &job{Request: r, remaining: work}, r.Draw
 	if by == 0 {
 		by = r.Number
 	}
@@ -379,11 +379,11 @@
 		if now < f.From || now >= f.Until {
 			continue
 		}
-		if f.Silent {
+		if f.Unresponsive {
 			return out // nobody is there to say so
 		}
-		if s.draw(by, drawAway) < f.TurnAway {
-			return append(out, Ended{r.Number, Away, now})
+		if s.draw(by, drawRejected) < f.Reject {
+			return append(out, Ended{r.Number, Rejected, now})
 		}
 		if s.draw(by, drawFail) < f.FailFast {
 			s.errors = append(s.errors, now)
@@ -394,14 +394,14 @@
 		case late < f.FailLate:
 			j.end = Failed
 		case late < f.FailLate+f.Break:
-			j.end = Refused
+			j.end = ConnectionFailed
 		case late < f.FailLate+f.Break+f.Swallow:
-			j.end = Lost
+			j.end = Unanswered
 		}
 	}
 	full := len(s.running) >= s.cfg.Cores*s.cfg.SlotsPerCore
 	if full && len(s.waiting) >= s.cfg.Cores*s.cfg.QueuePerCore {
-		return append(out, Ended{r.Number, Away, now})
+		return append(out, Ended{r.Number, Rejected, now})
 	}
 	// A repeat is dropped as it comes: its effect is there, or on its way.
 	if r.Key != "" && !s.memory.Run(now, r.Class, r.Key, s.group) {
@@ -428,7 +428,7 @@
 // load counts work that comes to a cold server, and says whether it falls over: all
 // work within any window of FallAfter, against what it can do just now.
 func (s *Server) load(now Time, work float64) bool {
-	if !s.cold || s.cfg.FallFactor <= 0 {
+	if !s.warming || s.cfg.FallFactor <= 0 {
 		return false
 	}
 	s.window = append(s.window, sent{now, work})
@@ -441,9 +441,9 @@
 	for _, w := range s.window {
 		sum += w.work
 	}
-	most := s.cfg.FallFactor * s.capacity() * s.Warmth(now) * s.cfg.FallAfter.Seconds()
-	s.strain = max(s.strain, sum/most)
-	if sum <= most {
+	limit := s.cfg.FallFactor * s.capacity() * s.Warmth(now) * s.cfg.FallAfter.Seconds()
+	s.strain = max(s.strain, sum/limit)
+	if sum <= limit {
 		return false
 	}
 	s.down, s.fallen = true, now
@@ -474,23 +474,23 @@
 		return
 	}
 	for _, j := range s.running {
-		j.left += work.Seconds() / float64(max(1, len(s.running)))
+		j.remaining += work.Seconds() / float64(max(1, len(s.running)))
 	}
 }
 
 // Connections counts the open ones.
 func (s *Server) Connections() int { return s.conns }
 
-// silent says that the server answers nothing just now.
-func (s *Server) silent(now Time) bool {
-	return slices.ContainsFunc(s.faults, func(f Fault) bool { return f.Silent && now >= f.From && now < f.Until })
+// unresponsive says that the server answers nothing just now.
+func (s *Server) unresponsive(now Time) bool {
+	return slices.ContainsFunc(s.faults, func(f Fault) bool { return f.Unresponsive && now >= f.From && now < f.Until })
 }
 
 // Load is what a probe tells, and what it costs. False where the server does not
 // answer.
 func (s *Server) Load(now Time) (eps, queue float64, ok bool) {
 	s.advance(now)
-	if s.down || s.silent(now) {
+	if s.down || s.unresponsive(now) {
 		return 0, 0, false
 	}
 	s.burden(now, s.cfg.ProbeWork)
--- a/internal/emulator/model/server_test.go
+++ b/internal/emulator/model/server_test.go
@@ -16,13 +16,13 @@
 const ms = time.Millisecond
 
 // box is a plain machine: two cores of speed 1, one slot each.
-var box = Config{Cores: 2, Speed: 1, SlotsPerCore: 1, QueuePerCore: 2, ColdFrom: 0.31, ColdFor: 8600 * ms, FallFactor: 2.5, FallAfter: time.Second,
+var box = Config{Cores: 2, Speed: 1, SlotsPerCore: 1, QueuePerCore: 2, SlowStartRatio: 0.31, SlowStartTime: 8600 * ms, FallFactor: 2.5, FallAfter: time.Second,
 	ReportEvery: 100 * ms, ReportDelay: 50 * ms}
 
-var classes = []Class{{Repeat: Safe}, {Repeat: Keyed, Window: 1500 * ms}, {Repeat: Keyed, Scope: Group, Window: 12 * time.Second}, {Repeat: Unsafe}}
+var classes = []Class{{Idempotency: Idempotent}, {Idempotency: IdempotentWithKey, Window: 1500 * ms}, {Idempotency: IdempotentWithKey, Scope: Group, Window: 12 * time.Second}, {Idempotency: NotIdempotent}}
 
-func server(cfg Config, cold bool, faults ...Fault) *Server {
-	return New(cfg, 7, 0, cold, NewMemory(classes), "g", faults)
+func server(cfg Config, warming bool, faults ...Fault) *Server {
+	return New(cfg, 7, 0, warming, NewMemory(classes), "g", faults)
 }
 
 // outcomes folds what ended.
@@ -36,12 +36,12 @@
 
 func TestWorkTakesItsTime(t *testing.T) {
 	for _, c := range []struct {
-		name   string
-		cfg    func(*Config)
-		n      int
-		last   time.Duration
-		served int
-		away   int
+		name     string
+		cfg      func(*Config)
+		n        int
+		last     time.Duration
+		served   int
+		rejected int
 	}{
 		{"alone", nil, 1, 100 * ms, 1, 0},
 		{"side by side", nil, 2, 100 * ms, 2, 0},
@@ -63,15 +63,15 @@
 		all = append(all, s.Advance(10*time.Second)...)
 		got := outcomes(all)
 		last := all[len(all)-1].At
-		if got[Served] != c.served || got[Away] != c.away || last < c.last || last > c.last+ms {
-			t.Errorf("%s: %v, the last after %v; want %d served, %d away, %v", c.name, got, last, c.served, c.away, c.last)
+		if got[Served] != c.served || got[Rejected] != c.rejected || last < c.last || last > c.last+ms {
+			t.Errorf("%s: %v, the last after %v; want %d served, %d rejected, %v", c.name, got, last, c.served, c.rejected, c.last)
 		}
 	}
 }
 
 // A cold server falls over at the load that is stated of the real ones, and not
 // below: 2.5 times what it can do just now, for 1 s, from 31% of its capacity on.
-func TestColdServerFallsAtItsLoad(t *testing.T) {
+func TestWarmingServerFallsAtItsLoad(t *testing.T) {
 	capacity := 2.0 // of the box, warm
 	for _, c := range []struct {
 		at    time.Duration // since its start
@@ -93,7 +93,7 @@
 			t.Errorf("at %v with %.1f times its capacity: down %v, want %v", c.at, c.load, s.Down(), c.falls)
 		}
 		if c.falls {
-			if got := outcomes(s.Arrive(time.Hour, Request{Number: 9999, Work: ms})); got[Refused] != 1 {
+			if got := outcomes(s.Arrive(time.Hour, Request{Number: 9999, Work: ms})); got[ConnectionFailed] != 1 {
 				t.Errorf("an hour later: %v, want it to be down still", got)
 			}
 			if late := s.Fallen(); late < c.at+900*ms || late > c.at+time.Second {
@@ -142,12 +142,12 @@
 		t.Errorf("warmth %v after 5 s of work", got)
 	}
 	// A cold server's answers take as much longer.
-	cold, warm := server(box, true), server(box, false)
+	warming, warm := server(box, true), server(box, false)
 	took := func(s *Server) Time {
 		s.Arrive(0, Request{Number: 1, Work: 100 * ms})
 		return s.Advance(time.Minute)[0].At
 	}
-	a, b := took(cold), took(warm)
+	a, b := took(warming), took(warm)
 	if ratio := float64(a) / float64(b); ratio < 2.9 || ratio > 1/0.31+0.05 {
 		t.Errorf("%v cold and %v warm", a, b)
 	}
@@ -161,10 +161,10 @@
 		want  Outcome
 		runs  bool
 	}{
-		"turned away":       {Fault{TurnAway: 1, FailLate: 1}, Away, false},
+		"turned away":       {Fault{Reject: 1, FailLate: 1}, Rejected, false},
 		"failing late":      {Fault{FailLate: 1}, Failed, true},
-		"its link breaks":   {Fault{Break: 1}, Refused, true},
-		"swallowed":         {Fault{Swallow: 1}, Lost, true},
+		"its link breaks":   {Fault{Break: 1}, ConnectionFailed, true},
+		"swallowed":         {Fault{Swallow: 1}, Unanswered, true},
 		"none of the three": {Fault{FailLate: 0, Break: 0, Swallow: 0}, Served, true},
 	} {
 		c.fault.Until = time.Hour
@@ -191,7 +191,7 @@
 			got[o] += k
 		}
 	}
-	for o, want := range map[Outcome]int{Failed: 1000, Refused: 2000, Lost: 3000, Served: 4000} {
+	for o, want := range map[Outcome]int{Failed: 1000, ConnectionFailed: 2000, Unanswered: 3000, Served: 4000} {
 		if math.Abs(float64(got[o]-want)) > 200 {
 			t.Errorf("%v, want about %d of outcome %d", got, want, o)
 		}
@@ -227,15 +227,15 @@
 	}
 }
 
-func TestSwallowedAndSilent(t *testing.T) {
+func TestSwallowedAndUnresponsive(t *testing.T) {
 	s := server(box, false, Fault{Until: time.Minute, Swallow: 1})
-	if got := outcomes(append(s.Arrive(0, Request{Number: 1, Work: ms, Class: 3, Key: "k"}), s.Advance(time.Second)...)); got[Lost] != 1 {
+	if got := outcomes(append(s.Arrive(0, Request{Number: 1, Work: ms, Class: 3, Key: "k"}), s.Advance(time.Second)...)); got[Unanswered] != 1 {
 		t.Errorf("swallowed: %v", got)
 	}
 	if s.memory.effects["k"].done != 1 {
 		t.Error("a swallowed request did not run")
 	}
-	s = server(box, false, Fault{Until: time.Minute, Silent: true})
+	s = server(box, false, Fault{Until: time.Minute, Unresponsive: true})
 	if got := append(s.Arrive(0, Request{Number: 1, Work: ms}), s.Advance(time.Second)...); len(got) != 0 {
 		t.Errorf("a vanished machine says %v", got)
 	}
@@ -276,7 +276,7 @@
 		t.Errorf("10 s of work took %v", end)
 	}
 	s.Arrive(time.Hour, Request{Number: 2, Work: time.Second})
-	if got := outcomes(s.Stop(time.Hour + ms)); got[Refused] != 1 || !s.Down() {
+	if got := outcomes(s.Stop(time.Hour + ms)); got[ConnectionFailed] != 1 || !s.Down() {
 		t.Errorf("at its stop: %v", got)
 	}
 }
@@ -286,11 +286,11 @@
 func TestRandomPlays(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		cfg := Config{Cores: rapid.IntRange(1, 3).Draw(t, "cores"), Speed: 1.5, SlotsPerCore: rapid.IntRange(1, 2).Draw(t, "slots"),
-			QueuePerCore: rapid.IntRange(0, 3).Draw(t, "queue"), Thrash: 0.1, ThrashAt: 2, ColdFrom: 0.3, ColdFor: time.Second,
+			QueuePerCore: rapid.IntRange(0, 3).Draw(t, "queue"), Thrash: 0.1, ThrashAt: 2, SlowStartRatio: 0.3, SlowStartTime: time.Second,
 			WarmByWork: rapid.Bool().Draw(t, "by work"), FallFactor: 2.5, FallAfter: time.Second, PauseEvery: 300 * ms, PauseFor: 30 * ms,
 			ReportEvery: 50 * ms, ReportDelay: 20 * ms, ReportNoise: 0.1, Handshake: ms, ProbeWork: ms}
 		faults := []Fault{{From: 500 * ms, Until: time.Second, FailFast: 0.5, Swallow: 0.3}}
-		cold := rapid.Bool().Draw(t, "cold")
+		warming := rapid.Bool().Draw(t, "cold")
 		type step struct {
 			at   Time
 			what int
@@ -302,8 +302,8 @@
 			now += Time(rapid.IntRange(0, 100).Draw(t, "ms")) * ms
 			steps = append(steps, step{now, rapid.IntRange(0, 9).Draw(t, "what"), time.Duration(rapid.IntRange(1, 200).Draw(t, "work")) * ms})
 		}
-		play := func() (trace []string, ended map[uint64]int, asked int) {
-			s := New(cfg, 7, 0, cold, NewMemory(classes), "g", faults)
+		play := func() (trace []string, ended map[uint64]int, requested int) {
+			s := New(cfg, 7, 0, warming, NewMemory(classes), "g", faults)
 			ended = map[uint64]int{}
 			take := func(all []Ended) {
 				for _, e := range all {
@@ -314,7 +314,7 @@
 			for i, x := range steps {
 				switch {
 				case x.what < 7:
-					asked++
+					requested++
 					take(s.Arrive(x.at, Request{Number: uint64(i), Work: x.work, Class: i % 4, Key: fmt.Sprint(i % 5)}))
 				case x.what == 7:
 					trace = append(trace, fmt.Sprint(s.Load(x.at)))
@@ -327,9 +327,9 @@
 			take(s.Advance(now + time.Hour))
 			return
 		}
-		first, ended, asked := play()
-		if len(ended) != asked {
-			t.Fatalf("%d requests, %d ended", asked, len(ended))
+		first, ended, requested := play()
+		if len(ended) != requested {
+			t.Fatalf("%d requests, %d ended", requested, len(ended))
 		}
 		for n, times := range ended {
 			if times != 1 {
--- a/internal/emulator/model/subjects.go
+++ b/internal/emulator/model/subjects.go
@@ -12,9 +12,9 @@
 	order []uint64 // the one met longest ago first; a server remembers dozens
 }
 
-// met says whether a subject is remembered, and remembers it as met now.
-func (m *subjects) met(now Time, subject uint64, most int, lasts time.Duration) bool {
-	if subject == 0 || most == 0 {
+// recall says whether a subject is remembered, and remembers it as met now.
+func (m *subjects) recall(now Time, subject uint64, capacity int, lasts time.Duration) bool {
+	if subject == 0 || capacity == 0 {
 		return false
 	}
 	if m.last == nil {
@@ -24,7 +24,7 @@
 	if known {
 		i := slices.Index(m.order, subject)
 		m.order = slices.Delete(m.order, i, i+1)
-	} else if len(m.order) == most {
+	} else if len(m.order) == capacity {
 		delete(m.last, m.order[0])
 		m.order = slices.Delete(m.order, 0, 1)
 	}
--- a/internal/emulator/model/subjects_test.go
+++ b/internal/emulator/model/subjects_test.go
@@ -12,9 +12,9 @@
 )
 
 // Held against the plainest list of what was met: the latest come first, and the rest falls off.
-func TestSubjectsAreTheLatestMet(t *testing.T) {
+func TestSubjectsAreTheMostRecentlyUsed(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		most := rapid.IntRange(0, 5).Draw(t, "most")
+		capacity := rapid.IntRange(0, 5).Draw(t, "most")
 		lasts := time.Duration(rapid.IntRange(0, 30).Draw(t, "lasts"))
 		var m subjects
 		var list []uint64
@@ -25,19 +25,19 @@
 			subject := uint64(rapid.IntRange(0, 8).Draw(t, "subject"))
 			at := slices.Index(list, subject)
 			want := subject != 0 && at >= 0 && now-last[subject] <= lasts
-			if got := m.met(now, subject, most, lasts); got != want {
+			if got := m.recall(now, subject, capacity, lasts); got != want {
 				t.Fatalf("subject %d at %d: %v, want %v of %v", subject, now, got, want, list)
 			}
-			if subject == 0 || most == 0 {
+			if subject == 0 || capacity == 0 {
 				continue
 			}
 			if at >= 0 {
 				list = slices.Delete(list, at, at+1)
 			}
 			list, last[subject] = slices.Insert(list, 0, subject), now
-			list = list[:min(len(list), most)]
-			if len(m.last) > most || len(m.order) > 4*most+1 {
-				t.Fatalf("%d subjects and %d places are kept of %d", len(m.last), len(m.order), most)
+			list = list[:min(len(list), capacity)]
+			if len(m.last) > capacity || len(m.order) > 4*capacity+1 {
+				t.Fatalf("%d subjects and %d places are kept of %d", len(m.last), len(m.order), capacity)
 			}
 		}
 	})
--- a/internal/emulator/plan/clients.go
+++ b/internal/emulator/plan/clients.go
@@ -153,13 +153,13 @@
 
 // Codes of a try's end beside those of HTTP.
 const (
-	CodeGone = 0 // the client went away before its answer
+	CodeDisconnected = 0 // the client went away before its answer
 )
 
-// Again says after which wait a client whose try ended in this way tries again; false
+// Retry says after which wait a client whose try ended in this way tries again; false
 // if it does not: it has its answer, is out of tries or patience, or must not: what
 // may have run is only repeated where a repeat is harmless.
-func (s *Scenario) Again(t *Try, code int, retryAfter time.Duration, now Time) (wait time.Duration, again bool) {
+func (s *Scenario) Retry(t *Try, code int, retryAfter time.Duration, now Time) (wait time.Duration, retry bool) {
 	if code == 200 || t.Tries > s.Clients.Retries {
 		return 0, false
 	}
@@ -169,7 +169,7 @@
 	if took >= time.Duration(c.ClientTimeout)*time.Microsecond {
 		return 0, false
 	}
-	harmless := code == 503 || c.Idempotency == balancer.Idempotent ||
+	safeToRetry := code == 503 || c.Idempotency == balancer.Idempotent ||
 		c.Idempotency == balancer.IdempotentWithKey && c.Group == balancer.GroupAll && took < time.Duration(c.DedupWindow)*time.Microsecond
-	return wait, harmless
+	return wait, safeToRetry
 }
--- a/internal/emulator/plan/plan.go
+++ b/internal/emulator/plan/plan.go
@@ -22,24 +22,24 @@
 // Never is an instant that does not come.
 const Never = model.Never
 
-// Life is one life of a server.
-type Life struct {
+// Incarnation is one life of a server.
+type Incarnation struct {
 	From  Time // it comes cold; 0: it was there before, warm
 	Drain Time // told draining, Never if it is not
 	End   Time // its process ends
 }
 
 // Always is the life of a server that was there before and stays.
-var Always = []Life{{Drain: Never, End: Never}}
+var Always = []Incarnation{{Drain: Never, End: Never}}
 
 // Server is one server of a scenario.
 type Server struct {
-	Name      string
-	Site, Pod int
-	Kind      int // of machine
-	Config    model.Config
-	Faults    []model.Fault
-	Lives     []Life // one after the other
+	Name         string
+	Site, Pod    int
+	Kind         int // of machine
+	Config       model.Config
+	Faults       []model.Fault
+	Incarnations []Incarnation // one after the other
 }
 
 // Class is one class of a scenario's requests.
@@ -75,9 +75,9 @@
 // until its end, by new ones with full handshakes.
 type Rotation struct{ From, Until Time }
 
-// Over is when a connection is of no more use by a rotation, Never where it began later. part
+// ReplaceAt is when a connection is of no more use by a rotation, Never where it began later. part
 // spreads their ends, from 0 to 1.
-func (r *Rotation) Over(opened Time, part float64) Time {
+func (r *Rotation) ReplaceAt(opened Time, part float64) Time {
 	if opened >= r.From {
 		return Never
 	}
@@ -109,7 +109,7 @@
 	Sites     []string
 	Kinds     []string         // of machine
 	Weights   []float64        // of each kind: the work a second of a warm machine
-	OneWay    [2]time.Duration // within a site, and between two
+	Latencies [2]time.Duration // within a site, and between two
 	Servers   []Server
 	Instances []int // site of each
 	Classes   []Class
@@ -126,12 +126,12 @@
 	Settings  balancer.Settings
 }
 
-// Way is how long what is sent from one site takes to another.
-func (s *Scenario) Way(from, to int) time.Duration {
+// Latency is how long what is sent from one site takes to another.
+func (s *Scenario) Latency(from, to int) time.Duration {
 	if from == to {
-		return s.OneWay[0]
+		return s.Latencies[0]
 	}
-	return s.OneWay[1]
+	return s.Latencies[1]
 }
 
 // For is the settings of one instance.
@@ -170,7 +170,7 @@
 
 // Remembered is what a fleet knows of a class.
 func (c *Class) Remembered() model.Class {
-	out := model.Class{Repeat: model.Repeat(c.Idempotency), Window: time.Duration(c.DedupWindow) * time.Microsecond}
+	out := model.Class{Idempotency: model.Idempotency(c.Idempotency), Window: time.Duration(c.DedupWindow) * time.Microsecond}
 	if c.Group != balancer.GroupAll {
 		out.Scope = model.Group
 	}
@@ -182,11 +182,11 @@
 
 // Entry is a server as a list of membership has it, in one of its lives. began is the
 // time of the system, or of a host, at the play's start.
-func (s *Scenario) Entry(server int, life Life, state balancer.State, address string, began time.Time) engine.Host {
+func (s *Scenario) Entry(server int, incarnation Incarnation, state balancer.State, address string, began time.Time) engine.Host {
 	x := &s.Servers[server]
 	h := engine.Host{Name: x.Name, Address: address, Site: s.Sites[x.Site], Kind: s.Kinds[x.Kind], Cell: uint16(x.Pod), State: state, Weight: 1}
-	if life.From > 0 {
-		h.StartedMS = began.Add(life.From).UnixMilli()
+	if incarnation.From > 0 {
+		h.StartedMS = began.Add(incarnation.From).UnixMilli()
 	}
 	return h
 }
--- a/internal/emulator/plan/plan_test.go
+++ b/internal/emulator/plan/plan_test.go
@@ -77,14 +77,14 @@
 }
 
 // A client repeats what was refused, and what may have run only where that is harmless.
-func TestAgain(t *testing.T) {
+func TestRetry(t *testing.T) {
 	s := scenario(1)
 	for _, c := range []struct {
 		class, tries, code int
 		after              time.Duration
 		at                 Time
 		wait               time.Duration
-		again              bool
+		retry              bool
 	}{
 		{0, 1, 200, 0, 100 * ms, 0, false},
 		{0, 1, 503, 0, 100 * ms, 50 * ms, true},
@@ -94,15 +94,15 @@
 		{0, 1, 502, 0, 100 * ms, 50 * ms, true},   // safe
 		{1, 1, 502, 0, 100 * ms, 50 * ms, true},   // remembered everywhere
 		{1, 1, 502, 0, 1450 * ms, 50 * ms, false}, // no more
-		{1, 1, CodeGone, 0, 100 * ms, 50 * ms, true},
+		{1, 1, CodeDisconnected, 0, 100 * ms, 50 * ms, true},
 		{2, 1, 502, 0, 100 * ms, 50 * ms, false}, // remembered by some
 		{2, 1, 503, 0, 100 * ms, 50 * ms, true},  // but it did not run
-		{3, 1, CodeGone, 0, 100 * ms, 50 * ms, false},
+		{3, 1, CodeDisconnected, 0, 100 * ms, 50 * ms, false},
 		{3, 1, 503, 0, 100 * ms, 50 * ms, true},
 	} {
-		wait, again := s.Again(&Try{Class: c.class, Tries: c.tries}, c.code, c.after, c.at)
-		if again != c.again || again && wait != c.wait {
-			t.Errorf("%+v: %v, %v", c, wait, again)
+		wait, retry := s.Retry(&Try{Class: c.class, Tries: c.tries}, c.code, c.after, c.at)
+		if retry != c.retry || retry && wait != c.wait {
+			t.Errorf("%+v: %v, %v", c, wait, retry)
 		}
 	}
 }
@@ -119,18 +119,18 @@
 		case second >= 40 && second < 45:
 			took = 700 * ms
 		case second == 50:
-			code = CodeGone
+			code = CodeDisconnected
 		}
 		r.Final(s, &Try{At: at, Class: 0}, code, at+took)
 	}
 	if got := r.Classes[0]; got != (Tally{60, 49, 5, 5, 1}) {
 		t.Errorf("%+v", got)
 	}
-	whole, window := (49+2.5)/60, 0.5
+	complete, window := (49+2.5)/60, 0.5
 	if got := s.WorstWindow(r); math.Abs(got-window) > 1e-9 {
 		t.Errorf("worst window %v", got)
 	}
-	if got, want := s.G(r), 0.45*whole+0.35*window+0.2*whole; math.Abs(got-want) > 1e-9 {
+	if got, want := s.G(r), 0.45*complete+0.35*window+0.2*complete; math.Abs(got-want) > 1e-9 {
 		t.Errorf("G %v, want %v", got, want)
 	}
 	if r.Seconds[41].Quantile(0.99) != 700*ms || r.Seconds[21].Quantile(0.5) != 0 {
--- a/internal/emulator/plan/result.go
+++ b/internal/emulator/plan/result.go
@@ -8,12 +8,12 @@
 
 // Tally counts first tries by how they ended at last.
 type Tally struct {
-	Asked, InTime, Late, Refused, Failed int
+	Requested, InTime, Late, Rejected, Failed int
 }
 
 func (t *Tally) add(o Tally) {
-	t.Asked, t.InTime, t.Late = t.Asked+o.Asked, t.InTime+o.InTime, t.Late+o.Late
-	t.Refused, t.Failed = t.Refused+o.Refused, t.Failed+o.Failed
+	t.Requested, t.InTime, t.Late = t.Requested+o.Requested, t.InTime+o.InTime, t.Late+o.Late
+	t.Rejected, t.Failed = t.Rejected+o.Rejected, t.Failed+o.Failed
 }
 
 // Second is one second of a play, by the start of the first try.
@@ -96,7 +96,7 @@
 // Final counts how a client's wish ended.
 func (r *Result) Final(s *Scenario, t *Try, code int, now Time) {
 	c, took := &s.Classes[t.Class], now-t.At
-	one := Tally{Asked: 1}
+	one := Tally{Requested: 1}
 	second := &r.Seconds[int(t.At/time.Second)]
 	switch code {
 	case 200:
@@ -107,7 +107,7 @@
 		}
 		second.Took = append(second.Took, float32(took.Seconds()*1e3))
 	case 503:
-		one.Refused = 1
+		one.Rejected = 1
 	default:
 		one.Failed = 1
 	}
@@ -124,17 +124,17 @@
 	for _, t := range r.Classes {
 		all.add(t)
 	}
-	return float64(all.InTime) / float64(max(1, all.Asked))
+	return float64(all.InTime) / float64(max(1, all.Requested))
 }
 
 // earned is the worth of what was served, and what there was to earn.
-func (s *Scenario) earned(classes []Tally) (got, most float64) {
+func (s *Scenario) earned(classes []Tally) (got, highest float64) {
 	for i, t := range classes {
 		c := &s.Classes[i]
 		got += c.PriorityWeight * (float64(t.InTime) + c.LateWeightRatio*float64(t.Late))
-		most += c.PriorityWeight * float64(t.Asked)
+		highest += c.PriorityWeight * float64(t.Requested)
 	}
-	return got, most
+	return got, highest
 }
 
 // window is the time whose worst stretch is told, in seconds.
@@ -145,13 +145,13 @@
 func (s *Scenario) WorstWindow(r *Result) float64 {
 	worst := 1.0
 	for i := 0; i+window <= len(r.Seconds); i++ {
-		var got, most float64
+		var got, highest float64
 		for j := range window {
 			g, m := s.earned(r.Seconds[i+j].Classes)
-			got, most = got+g, most+m
+			got, highest = got+g, highest+m
 		}
-		if most > 0 {
-			worst = min(worst, got/most)
+		if highest > 0 {
+			worst = min(worst, got/highest)
 		}
 	}
 	return worst
@@ -161,8 +161,8 @@
 func (s *Scenario) WorstClass(r *Result) float64 {
 	worst := 1.0
 	for i, t := range r.Classes {
-		if t.Asked > 0 {
-			worst = min(worst, (float64(t.InTime)+s.Classes[i].LateWeightRatio*float64(t.Late))/float64(t.Asked))
+		if t.Requested > 0 {
+			worst = min(worst, (float64(t.InTime)+s.Classes[i].LateWeightRatio*float64(t.Late))/float64(t.Requested))
 		}
 	}
 	return worst
@@ -171,12 +171,12 @@
 // G is the one figure of a play, 0 to 1: shares of the worth earned, over the whole,
 // in the worst 10 s and by the worst class, weighted by the settings' goal.
 func (s *Scenario) G(r *Result) float64 {
-	got, most := s.earned(r.Classes)
-	if most == 0 {
+	got, highest := s.earned(r.Classes)
+	if highest == 0 {
 		return 0
 	}
 	g := s.Settings.Goal
-	return (g.Overall*got/most + g.WorstWindow*s.WorstWindow(r) + g.WorstClass*s.WorstClass(r)) / (g.Overall + g.WorstWindow + g.WorstClass)
+	return (g.Overall*got/highest + g.WorstWindow*s.WorstWindow(r) + g.WorstClass*s.WorstClass(r)) / (g.Overall + g.WorstWindow + g.WorstClass)
 }
 
 // Broken says which rule was broken, "" if none was.
--- a/internal/emulator/play/call.go
+++ b/internal/emulator/play/call.go
@@ -26,7 +26,7 @@
 
 // latency is how long something takes between the instance and the server, one way.
 func (c *call) latency() time.Duration {
-	return c.instance.play.scenario.Way(c.instance.site, c.host.spec.Site)
+	return c.instance.play.scenario.Latency(c.instance.site, c.host.spec.Site)
 }
 
 // start takes a connection, or opens one, and writes.
--- a/internal/emulator/play/client.go
+++ b/internal/emulator/play/client.go
@@ -49,7 +49,7 @@
 	if p.scenario.Clients.GiveUp > 0 && !r.finished {
 		p.after(p.scenario.Clients.GiveUp, func() {
 			if !r.finished {
-				r.end(plan.CodeGone, 0)
+				r.end(plan.CodeDisconnected, 0)
 				r.instance.post(func(now balancer.Micros) { r.instance.engine.ClientDisconnected(now, &r.submitted) })
 			}
 		})
@@ -57,7 +57,7 @@
 	p.after(patience+time.Millisecond, func() {
 		if !r.finished {
 			p.result.Unanswered++
-			r.end(plan.CodeGone, 0)
+			r.end(plan.CodeDisconnected, 0)
 		}
 	})
 }
@@ -66,7 +66,7 @@
 func (r *request) end(code int, retryAfter time.Duration) {
 	p, t := r.play, r.try
 	if r.finished {
-		if code != plan.CodeGone && !r.instance.dead {
+		if code != plan.CodeDisconnected && !r.instance.dead {
 			p.result.Unanswered++
 		}
 		return
@@ -76,7 +76,7 @@
 	p.emit(trace.Event{Kind: trace.Answer, Number: t.Number, Try: r.number, Instance: t.Instance + 1, Code: code})
 	// Nobody knows since when what a killed instance held may have run: clients repeat only what is safe.
 	mayHaveRun := r.instance.dead && p.scenario.Classes[t.Class].Idempotency != balancer.Idempotent
-	if wait, retry := p.scenario.Again(t, code, retryAfter, p.now); retry && !mayHaveRun {
+	if wait, retry := p.scenario.Retry(t, code, retryAfter, p.now); retry && !mayHaveRun {
 		p.after(wait, func() { p.submit(t) })
 		return
 	}
--- a/internal/emulator/play/connection.go
+++ b/internal/emulator/play/connection.go
@@ -19,7 +19,7 @@
 // rotated says that a connection is of no more use since keys have changed.
 func (c *conn) rotated() bool {
 	for i := range c.host.play.scenario.Rotations {
-		if c.host.play.now >= c.host.play.scenario.Rotations[i].Over(c.opened, c.part) {
+		if c.host.play.now >= c.host.play.scenario.Rotations[i].ReplaceAt(c.opened, c.part) {
 			return true
 		}
 	}
@@ -58,7 +58,7 @@
 // close ends a connection; its server knows one way later.
 func (n *instance) close(c *conn) {
 	n.play.openConns--
-	n.play.after(n.play.scenario.Way(n.site, c.host.spec.Site), func() {
+	n.play.after(n.play.scenario.Latency(n.site, c.host.spec.Site), func() {
 		if !c.broken() {
 			c.machine.Disconnect()
 		}
--- a/internal/emulator/play/hard_test.go
+++ b/internal/emulator/play/hard_test.go
@@ -85,7 +85,7 @@
 	patient, hasty := jam(0), jam(250*ms)
 	requested := 0
 	for _, c := range hasty.Classes {
-		requested += c.Asked
+		requested += c.Requested
 	}
 	for name, r := range map[string]*plan.Result{"patient": patient, "hasty": hasty} {
 		if reason := r.Broken(); reason != "" {
@@ -121,7 +121,7 @@
 	if r.InTime() != 0 || started[1] < 3 {
 		t.Fatalf("%v in time, %d sends", r.InTime(), started[1])
 	}
-	if working, waiting := p.hosts[0].machine.Held(); working+waiting != 0 {
+	if working, waiting := p.hosts[0].machine.InFlight(); working+waiting != 0 {
 		t.Errorf("%d in work and %d waiting a minute later", working, waiting)
 	}
 	if worked := p.hosts[0].machine.Worked(); worked < 0.99*float64(started[1]) {
@@ -177,15 +177,15 @@
 // is lost, and it comes back to work.
 func TestRestart(t *testing.T) {
 	s := market(6)
-	s.Servers[0].Lives = []plan.Life{{Drain: 5 * time.Second, End: 9 * time.Second}, {From: 10 * time.Second, Drain: plan.Never, End: plan.Never}}
-	var told []string
+	s.Servers[0].Incarnations = []plan.Incarnation{{Drain: 5 * time.Second, End: 9 * time.Second}, {From: 10 * time.Second, Drain: plan.Never, End: plan.Never}}
+	var notified []string
 	r := playBy(t, s, rivals.Module, func(e trace.Event) {
 		if e.Kind == trace.Member && e.Instance == 1 {
-			told = append(told, fmt.Sprint(e.Server, balancer.State(e.Code)))
+			notified = append(notified, fmt.Sprint(e.Server, balancer.State(e.Code)))
 		}
 	})
 	want := fmt.Sprint([]string{fmt.Sprint(1, balancer.Draining), fmt.Sprint(1, balancer.Removed), fmt.Sprint(1, balancer.Ready)})
-	if got := fmt.Sprint(told); got != want || r.Broken() != "" {
+	if got := fmt.Sprint(notified); got != want || r.Broken() != "" {
 		t.Errorf("told %s, want %s; %s", got, want, r.Broken())
 	}
 	if idle, back := shareOf(r, 8, 10, 0), shareOf(r, 14, 20, 0); idle != 0 || back == 0 {
@@ -195,10 +195,10 @@
 
 // The other policies answer each request once and honour drains: what they lack is
 // judgement.
-func TestRivalsKeepTheLedger(t *testing.T) {
+func TestBaselinesKeepTheLedger(t *testing.T) {
 	for _, name := range rivals.Names() {
 		s := market(8)
-		s.Servers[1].Lives = []plan.Life{{Drain: 5 * time.Second, End: 9 * time.Second}}
+		s.Servers[1].Incarnations = []plan.Incarnation{{Drain: 5 * time.Second, End: 9 * time.Second}}
 		s.Servers[2].Faults = []model.Fault{{From: 3 * time.Second, Until: 9 * time.Second, FailFast: 0.5, Swallow: 0.2}}
 		if r := playBy(t, s, name, nil); r.Unanswered+r.AfterDrain > 0 || r.InTime() < 0.5 {
 			t.Errorf("%s: %s, %.3f in time", name, r.Broken(), r.InTime())
@@ -213,7 +213,7 @@
 // start in their place are told what holds by then, and serve.
 func TestKilledInstances(t *testing.T) {
 	s := market(6)
-	s.Servers[0].Lives = []plan.Life{{Drain: 5 * time.Second, End: 9 * time.Second}}
+	s.Servers[0].Incarnations = []plan.Incarnation{{Drain: 5 * time.Second, End: 9 * time.Second}}
 	s.Kills = []plan.Kill{{At: 7 * time.Second, Instances: []int{0}}, {At: 10 * time.Second, Instances: []int{0, 1}}}
 	var p *play
 	sends := map[int]int{} // of instance 1 after its second kill, by server
@@ -298,7 +298,7 @@
 	}
 	inTime := func(second int) float64 {
 		all := r.Seconds[second].All()
-		return float64(all.InTime) / float64(all.Asked)
+		return float64(all.InTime) / float64(all.Requested)
 	}
 	for second := 11; second < 15; second++ { // those of the tenth lost what was open
 		if got, want := inTime(second), inTime(8)-0.05; got < want {
@@ -312,11 +312,11 @@
 
 // Many instances that each send a request or two a second share servers without a word between them: nobody is
 // crowded by all at once, and a site that comes back cold before all of them does not fall over.
-func TestColdSiteBeforeManyInstances(t *testing.T) {
+func TestWarmingSiteBeforeManyInstances(t *testing.T) {
 	s := many(8)
 	for i := range s.Servers {
 		if s.Servers[i].Site == 1 {
-			s.Servers[i].Lives = []plan.Life{{Drain: plan.Never, End: 6 * time.Second}, {From: 9 * time.Second, Drain: plan.Never, End: plan.Never}}
+			s.Servers[i].Incarnations = []plan.Incarnation{{Drain: plan.Never, End: 6 * time.Second}, {From: 9 * time.Second, Drain: plan.Never, End: plan.Never}}
 		}
 	}
 	r := run(t, s)
@@ -326,11 +326,11 @@
 	if r.Strain > 0.9 {
 		t.Errorf("a cold server came to %.2f of its fall", r.Strain)
 	}
-	if back := r.Seconds[18].All(); float64(back.InTime) < 0.97*float64(back.Asked) {
+	if back := r.Seconds[18].All(); float64(back.InTime) < 0.97*float64(back.Requested) {
 		t.Errorf("9 s after its return: %+v", back)
 	}
-	most, least := slices.Max(r.Seconds[4].Sends), slices.Min(r.Seconds[4].Sends)
-	if most > 60 || least < 1 {
-		t.Errorf("while all was well a server got %d to %d requests in a second", least, most)
+	highest, lowest := slices.Max(r.Seconds[4].Sends), slices.Min(r.Seconds[4].Sends)
+	if highest > 60 || lowest < 1 {
+		t.Errorf("while all was well a server got %d to %d requests in a second", lowest, highest)
 	}
 }
--- a/internal/emulator/play/instance.go
+++ b/internal/emulator/play/instance.go
@@ -51,14 +51,14 @@
 	n.engine.Start()
 	list := engine.List{Complete: true}
 	for _, h := range p.hosts {
-		life, state, ok := h.stateFor(n)
+		incarnation, state, ok := h.stateFor(n)
 		if !ok {
 			continue
 		}
 		if state == balancer.Draining {
 			n.drainingSince[h.number] = p.now
 		}
-		list.Hosts = append(list.Hosts, p.scenario.Entry(h.number, life, state, h.address, epoch))
+		list.Hosts = append(list.Hosts, p.scenario.Entry(h.number, incarnation, state, h.address, epoch))
 	}
 	n.post(func(now balancer.Micros) { n.engine.UpdateEndpoints(now, balancer.ListFull, list) })
 }
@@ -73,7 +73,7 @@
 	}
 	open := slices.SortedFunc(maps.Keys(n.openRequests), func(a, b *request) int { return cmp.Compare(a.try.Number, b.try.Number) })
 	for _, r := range open {
-		r.end(plan.CodeGone, 0)
+		r.end(plan.CodeDisconnected, 0)
 	}
 }
 
--- a/internal/emulator/play/play.go
+++ b/internal/emulator/play/play.go
@@ -96,7 +96,7 @@
 		p.instances = append(p.instances, n)
 	}
 	for _, h := range p.hosts {
-		h.scheduleLives()
+		h.scheduleIncarnations()
 	}
 	p.tick()
 	for len(p.queue) > 0 && p.queue[0].at == 0 { // servers that were there before
--- a/internal/emulator/play/play_test.go
+++ b/internal/emulator/play/play_test.go
@@ -20,14 +20,14 @@
 // machine is one of the fleet's kinds.
 func machine(cores int, speed float64) model.Config {
 	return model.Config{Cores: cores, Speed: speed, SlotsPerCore: 1, QueuePerCore: 300, Thrash: 0.08, ThrashAt: 5,
-		ColdFrom: 0.4, ColdFor: 6 * time.Second, FallFactor: 2.5, FallAfter: time.Second, PauseEvery: 5 * time.Second, PauseFor: 20 * ms,
+		SlowStartRatio: 0.4, SlowStartTime: 6 * time.Second, FallFactor: 2.5, FallAfter: time.Second, PauseEvery: 5 * time.Second, PauseFor: 20 * ms,
 		ReportEvery: 150 * ms, ReportDelay: 40 * ms, ReportNoise: 0.1, ProbeWork: 120 * time.Microsecond}
 }
 
 // market is an ordinary market day's minute: 10 servers of three kinds on two sites,
 // 4 instances, load at about half of what they can do.
 func market(seed uint64) *plan.Scenario {
-	s := &plan.Scenario{Seed: seed, Length: 20 * time.Second, Sites: []string{"a", "b"}, Kinds: []string{"big", "small", "slow"}, Weights: []float64{6, 2.4, 2.4}, OneWay: [2]time.Duration{250 * time.Microsecond, 7 * ms},
+	s := &plan.Scenario{Seed: seed, Length: 20 * time.Second, Sites: []string{"a", "b"}, Kinds: []string{"big", "small", "slow"}, Weights: []float64{6, 2.4, 2.4}, Latencies: [2]time.Duration{250 * time.Microsecond, 7 * ms},
 		Instances: []int{0, 0, 1, 1}, Clients: plan.Clients{Rate: 120, Retries: 2, TryShare: 0.53, Pause: 50 * ms}, Notice: 2 * time.Second, DrainFor: 4 * time.Second,
 		Classes: []plan.Class{
 			{Class: balancer.Class{Name: "price-check", Idempotency: balancer.Idempotent, LatencyObjective: 600_000, ClientTimeout: 3 * second, PriorityWeight: 2, LateWeightRatio: 0.3}, Share: 0.47, Work: 120 * ms, CV: 0.4},
@@ -45,7 +45,7 @@
 		case 2:
 			cfg = machine(3, 0.8)
 		}
-		s.Servers = append(s.Servers, plan.Server{Name: fmt.Sprint("s-", i), Kind: i % 3, Site: i % 2, Pod: i / 4, Config: cfg, Lives: plan.Always})
+		s.Servers = append(s.Servers, plan.Server{Name: fmt.Sprint("s-", i), Kind: i % 3, Site: i % 2, Pod: i / 4, Config: cfg, Incarnations: plan.Always})
 	}
 	return s
 }
@@ -73,7 +73,7 @@
 			t.Errorf("server %d got nothing", i)
 		}
 	}
-	t.Logf("20 s of %d first tries in %v: %+v", r.Classes[0].Asked+r.Classes[1].Asked+r.Classes[2].Asked, time.Since(began), r.Classes)
+	t.Logf("20 s of %d first tries in %v: %+v", r.Classes[0].Requested+r.Classes[1].Requested+r.Classes[2].Requested, time.Since(began), r.Classes)
 }
 
 // The same seed gives the same answers, to the last one; another seed others.
@@ -112,9 +112,9 @@
 		for i := range s.Servers {
 			s.Servers[i].Config = machine(3, 1.5)
 		}
-		s.Servers[3].Lives = []plan.Life{{From: 10 * time.Second, Drain: plan.Never, End: plan.Never}}
+		s.Servers[3].Incarnations = []plan.Incarnation{{From: 10 * time.Second, Drain: plan.Never, End: plan.Never}}
 		warming := &s.Servers[3].Config
-		warming.ColdFrom, warming.ColdFor, warming.FallFactor = 0.31, 8600*ms, 1 // weaker than the market's: what it can do, for 1 s
+		warming.SlowStartRatio, warming.SlowStartTime, warming.FallFactor = 0.31, 8600*ms, 1 // weaker than the market's: what it can do, for 1 s
 		s.Settings.Contract.OverloadMultiple = 1
 		return s
 	}
@@ -137,7 +137,7 @@
 	s := market(7)
 	for i := range 5 {
 		at := Time(5+2*i) * time.Second
-		s.Servers[i*2].Lives = []plan.Life{{Drain: at, End: at + s.DrainFor}}
+		s.Servers[i*2].Incarnations = []plan.Incarnation{{Drain: at, End: at + s.DrainFor}}
 	}
 	s.Surges = []plan.Surge{{From: 5 * time.Second, Until: 20 * time.Second, Factor: 0.5, Tenant: -1}}
 	r := run(t, s)
@@ -157,7 +157,7 @@
 	if reason := r.Broken(); reason != "" {
 		t.Error(reason)
 	}
-	if c := r.Classes[1]; float64(c.InTime) < 0.85*float64(c.Asked) {
+	if c := r.Classes[1]; float64(c.InTime) < 0.85*float64(c.Requested) {
 		t.Errorf("stall-pay %+v", c)
 	}
 }
--- a/internal/emulator/play/server.go
+++ b/internal/emulator/play/server.go
@@ -23,24 +23,24 @@
 	overloaded  bool // it fell over in one of its lives
 }
 
-// scheduleLives has the server start, drain and end when the scenario says.
-func (h *host) scheduleLives() {
+// scheduleIncarnations has the server start, drain and end when the scenario says.
+func (h *host) scheduleIncarnations() {
 	p := h.play
-	for _, life := range h.spec.Lives {
-		p.atTime(life.From, func() {
+	for _, incarnation := range h.spec.Incarnations {
+		p.atTime(incarnation.From, func() {
 			p.recordStrain(h)
-			h.machine = model.New(h.spec.Config, p.scenario.SeedOf(h.number), p.now, life.From > 0, p.memory, fmt.Sprint(h.spec.Pod), h.spec.Faults)
-			if life.From > 0 {
-				h.notify(life, balancer.Ready)
+			h.machine = model.New(h.spec.Config, p.scenario.SeedOf(h.number), p.now, incarnation.From > 0, p.memory, fmt.Sprint(h.spec.Pod), h.spec.Faults)
+			if incarnation.From > 0 {
+				h.notify(incarnation, balancer.Ready)
 			}
 		})
-		if life.Drain != plan.Never {
-			p.atTime(life.Drain, func() { h.notify(life, balancer.Draining) })
+		if incarnation.Drain != plan.Never {
+			p.atTime(incarnation.Drain, func() { h.notify(incarnation, balancer.Draining) })
 		}
-		if life.End != plan.Never {
-			p.atTime(life.End, func() {
+		if incarnation.End != plan.Never {
+			p.atTime(incarnation.End, func() {
 				h.finishRequests(h.machine.Stop(p.now))
-				h.notify(life, balancer.Removed)
+				h.notify(incarnation, balancer.Removed)
 			})
 		}
 	}
@@ -48,7 +48,7 @@
 
 // notify has every instance hear of the server, each with its own delay. What is sent
 // later is heard later.
-func (h *host) notify(life plan.Life, s balancer.State) {
+func (h *host) notify(incarnation plan.Incarnation, s balancer.State) {
 	p := h.play
 	for i := range p.instances {
 		p.after(p.scenario.Late(h.number, i), func() {
@@ -59,25 +59,25 @@
 				n.drainingSince[h.number] = p.now
 			}
 			p.emit(trace.Event{Kind: trace.Member, Instance: n.number + 1, Server: h.number + 1, Code: int(s)})
-			list := engine.List{Hosts: []engine.Host{p.scenario.Entry(h.number, life, s, h.address, epoch)}}
+			list := engine.List{Hosts: []engine.Host{p.scenario.Entry(h.number, incarnation, s, h.address, epoch)}}
 			n.post(func(now balancer.Micros) { n.engine.UpdateEndpoints(now, balancer.ListDelta, list) })
 		})
 	}
 }
 
 // stateFor is the server's state as an instance that polls now gets it, as late as it hears of all else.
-func (h *host) stateFor(n *instance) (life plan.Life, state balancer.State, ok bool) {
+func (h *host) stateFor(n *instance) (incarnation plan.Incarnation, state balancer.State, ok bool) {
 	at := h.play.now - h.play.scenario.Late(h.number, n.number)
-	for _, l := range h.spec.Lives {
+	for _, l := range h.spec.Incarnations {
 		if l.From > 0 && l.From > at {
 			break
 		}
-		life, ok = l, l.End == plan.Never || at < l.End
+		incarnation, ok = l, l.End == plan.Never || at < l.End
 		if state = balancer.Ready; l.Drain != plan.Never && at >= l.Drain {
 			state = balancer.Draining
 		}
 	}
-	return life, state, ok
+	return incarnation, state, ok
 }
 
 // connect opens a connection; nil where there is none to be had.
@@ -122,18 +122,18 @@
 
 // statusByOutcome are what an instance makes of how a request ended.
 var statusByOutcome = map[model.Outcome]balancer.Status{model.Served: balancer.OK, model.Repeated: balancer.OK, model.Failed: balancer.Error,
-	model.Away: balancer.Full, model.Refused: balancer.Reset}
+	model.Rejected: balancer.Full, model.ConnectionFailed: balancer.Reset}
 
 // finishRequests has the machine's ended requests answered.
 func (h *host) finishRequests(all []model.Ended) {
 	for _, e := range all {
 		c := h.waiting[e.Number]
 		delete(h.waiting, e.Number)
-		if c == nil || e.Outcome == model.Lost {
+		if c == nil || e.Outcome == model.Unanswered {
 			continue
 		}
 		res := engine.Result{Status: statusByOutcome[e.Outcome]}
-		if e.Outcome != model.Refused {
+		if e.Outcome != model.ConnectionFailed {
 			eps, queue := h.machine.Report(h.play.now)
 			res.Load = []float32{float32(eps), float32(queue)}
 		}
--- a/internal/emulator/rivals/rivals.go
+++ b/internal/emulator/rivals/rivals.go
@@ -26,7 +26,7 @@
 
 var policies = map[string]func(weights []float64) picker{
 	"random":         func([]float64) picker { return random{} },
-	"least-request":  func([]float64) picker { return leastRequest{} },
+	"least-request":  func([]float64) picker { return fewestInFlight{} },
 	"weighted-round": func(w []float64) picker { return &weightedRound{weights: w, have: map[uint32]float64{}} },
 }
 
@@ -62,10 +62,10 @@
 
 type request struct {
 	balancer.Request
-	attempts int
-	at       uint32 // the latest endpoint
-	mayRun   bool
-	gone     bool
+	attempts     int
+	at           uint32 // the latest endpoint
+	mayRun       bool
+	disconnected bool
 }
 
 func (b *rival) Start(balancer.Micros)              {}
@@ -105,7 +105,7 @@
 
 func (b *rival) send(r *request) {
 	if len(b.ready) == 0 {
-		b.over(r)
+		b.finish(r)
 		return
 	}
 	to := b.picker.pick(b)
@@ -118,8 +118,8 @@
 	b.act.Send(r.ID, to, 0, r.Deadline)
 }
 
-// over gives the final answer that the attempts allow.
-func (b *rival) over(r *request) {
+// finish gives the final answer that the attempts allow.
+func (b *rival) finish(r *request) {
 	delete(b.requests, r.ID)
 	if r.mayRun {
 		b.act.Fail(r.ID)
@@ -130,8 +130,8 @@
 
 // Expire gives the final answer at once: an attempt that is out may have run.
 func (b *rival) Expire(_ balancer.Micros, id uint64) {
-	if r := b.requests[id]; r != nil && !r.gone {
-		r.gone = true
+	if r := b.requests[id]; r != nil && !r.disconnected {
+		r.disconnected = true
 		b.act.Fail(id)
 	}
 }
@@ -143,18 +143,18 @@
 		return
 	}
 	b.out[r.at]--
-	if o.Settled || r.gone {
+	if o.Settled || r.disconnected {
 		delete(b.requests, o.ID)
 		return
 	}
 	class := b.settings.Classes[r.Class]
-	harmless := class.Idempotency == balancer.Idempotent || class.Idempotency == balancer.IdempotentWithKey && class.Group == balancer.GroupAll
+	safeToRetry := class.Idempotency == balancer.Idempotent || class.Idempotency == balancer.IdempotentWithKey && class.Group == balancer.GroupAll
 	resend := false
 	switch o.Status {
 	case balancer.Full, balancer.ConnectFailed, balancer.NotSent:
-		resend = !r.mayRun || harmless
+		resend = !r.mayRun || safeToRetry
 	case balancer.Error, balancer.Reset:
-		r.mayRun, resend = true, harmless
+		r.mayRun, resend = true, safeToRetry
 	default:
 		r.mayRun = true
 	}
@@ -162,13 +162,13 @@
 		b.send(r)
 		return
 	}
-	b.over(r)
+	b.finish(r)
 }
 
 // ClientDisconnected lets the attempt go on: its outcome ends the request.
 func (b *rival) ClientDisconnected(_ balancer.Micros, id uint64) {
 	if r := b.requests[id]; r != nil {
-		r.gone = true
+		r.disconnected = true
 		b.act.Cancel(id, r.attempts-1)
 	}
 }
@@ -177,11 +177,11 @@
 
 func (random) pick(b *rival) uint32 { return b.ready[b.rng.IntN(len(b.ready))] }
 
-// leastRequest takes the one of two random endpoints with fewer attempts out, as
+// fewestInFlight takes the one of two random endpoints with fewer attempts out, as
 // Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", 2001.
-type leastRequest struct{}
+type fewestInFlight struct{}
 
-func (leastRequest) pick(b *rival) uint32 {
+func (fewestInFlight) pick(b *rival) uint32 {
 	x, y := b.ready[b.rng.IntN(len(b.ready))], b.ready[b.rng.IntN(len(b.ready))]
 	if b.out[y] < b.out[x] {
 		return y
--- a/internal/emulator/scenario/report.go
+++ b/internal/emulator/scenario/report.go
@@ -15,7 +15,7 @@
 	table := func(title string, names []string, tallies []plan.Tally) {
 		fmt.Fprintf(out, "%-16s %8s %9s %7s %8s %7s\n", title, "asked", "in time", "late", "refused", "failed")
 		for i, t := range tallies {
-			fmt.Fprintf(out, "%-16s %8d %8.1f%% %7d %8d %7d\n", names[i], t.Asked, 100*float64(t.InTime)/float64(max(1, t.Asked)), t.Late, t.Refused, t.Failed)
+			fmt.Fprintf(out, "%-16s %8d %8.1f%% %7d %8d %7d\n", names[i], t.Requested, 100*float64(t.InTime)/float64(max(1, t.Requested)), t.Late, t.Rejected, t.Failed)
 		}
 	}
 	var classes, tenants []string
@@ -34,8 +34,8 @@
 	if r.Handshakes > 0 {
 		fmt.Fprintf(out, "handshakes %d, %d at one server in its busiest second; without a turn %d\n", r.Handshakes, r.Busiest, r.Turned)
 	}
-	if why := r.Broken(); why != "" {
-		fmt.Fprintf(out, "BROKEN: %s\n", why)
+	if reason := r.Broken(); reason != "" {
+		fmt.Fprintf(out, "BROKEN: %s\n", reason)
 	} else {
 		fmt.Fprintln(out, "no rule broken")
 	}
@@ -43,10 +43,10 @@
 
 // Sizes of the page's plots, in its pixels.
 const (
-	plotWidth  = 900.0
-	plotHeight = 160.0
-	stripMost  = 60 // rows of servers; a larger fleet is shown in groups
-	stripRow   = 10.0
+	plotWidth      = 900.0
+	plotHeight     = 160.0
+	maxStripPoints = 60 // rows of servers; a larger fleet is shown in groups
+	stripRow       = 10.0
 )
 
 type mark struct {
@@ -73,17 +73,17 @@
 // curves draws one value a second each, on one scale.
 func (f *File) curves(r *plan.Result, title, unit string, values []curve, value func(curve, *plan.Second) float64) plot {
 	p := plot{Title: title, Width: plotWidth, Height: plotHeight, Marks: f.marks(r)}
-	most := 0.0
+	highest := 0.0
 	for _, c := range values {
 		for i := range r.Seconds {
-			most = max(most, value(c, &r.Seconds[i]))
+			highest = max(highest, value(c, &r.Seconds[i]))
 		}
 	}
-	p.Top = fmt.Sprintf("top: %.0f %s", most, unit)
+	p.Top = fmt.Sprintf("top: %.0f %s", highest, unit)
 	for _, c := range values {
 		var b strings.Builder
 		for i := range r.Seconds {
-			fmt.Fprintf(&b, "%.1f,%.1f ", (float64(i)+0.5)*plotWidth/float64(len(r.Seconds)), plotHeight-value(c, &r.Seconds[i])/max(most, 1e-9)*plotHeight)
+			fmt.Fprintf(&b, "%.1f,%.1f ", (float64(i)+0.5)*plotWidth/float64(len(r.Seconds)), plotHeight-value(c, &r.Seconds[i])/max(highest, 1e-9)*plotHeight)
 		}
 		c.Points = b.String()
 		p.Curves = append(p.Curves, c)
@@ -93,7 +93,7 @@
 
 func (f *File) marks(r *plan.Result) (out []mark) {
 	scale := plotWidth / float64(max(1, len(r.Seconds)))
-	for _, x := range f.Troubles {
+	for _, x := range f.Faults {
 		from := time.Duration(x.From).Seconds()
 		until := max(time.Duration(x.Until).Seconds(), from+0.3)
 		out = append(out, mark{from * scale, (until - from) * scale, x.Kind})
@@ -103,21 +103,21 @@
 
 // strips draws the attempts of each second at each server, the darker the more.
 func (f *File) strips(s *plan.Scenario, r *plan.Result) plot {
-	group := (len(s.Servers) + stripMost - 1) / stripMost
+	group := (len(s.Servers) + maxStripPoints - 1) / maxStripPoints
 	rows := (len(s.Servers) + group - 1) / group
 	p := plot{Title: "Attempts a second, by server", Width: plotWidth, Height: float64(rows) * stripRow}
 	sums := make([][]float64, rows)
-	most := 1.0
+	highest := 1.0
 	for row := range sums {
 		sums[row] = make([]float64, len(r.Seconds))
 		for i := range r.Seconds {
 			for n := row * group; n < min(len(s.Servers), (row+1)*group); n++ {
 				sums[row][i] += float64(r.Seconds[i].Sends[n])
 			}
-			most = max(most, sums[row][i])
+			highest = max(highest, sums[row][i])
 		}
 	}
-	p.Top = fmt.Sprintf("darkest: %.0f", most)
+	p.Top = fmt.Sprintf("darkest: %.0f", highest)
 	width := plotWidth / float64(max(1, len(r.Seconds)))
 	for row := range sums {
 		name := s.Servers[row*group].Name
@@ -125,7 +125,7 @@
 			name = fmt.Sprintf("%s and %d more", name, min(len(s.Servers), (row+1)*group)-row*group-1)
 		}
 		for i, n := range sums[row] {
-			p.Cells = append(p.Cells, cell{float64(i) * width, float64(row) * stripRow, width, stripRow - 1, n / most, fmt.Sprintf("%s, second %d: %.0f", name, i, n)})
+			p.Cells = append(p.Cells, cell{float64(i) * width, float64(row) * stripRow, width, stripRow - 1, n / highest, fmt.Sprintf("%s, second %d: %.0f", name, i, n)})
 		}
 	}
 	return p
@@ -144,10 +144,10 @@
 	}{Name: f.Name, Broken: r.Broken()}
 	page.Summary = fmt.Sprintf("seed %d: G %.3f, %.1f%% served in time, %.1f%% of the worth earned in the worst 10 s", s.Seed, s.G(r), 100*r.InTime(), 100*s.WorstWindow(r))
 	counts := map[string]func(plan.Tally) int{
-		"asked":   func(t plan.Tally) int { return t.Asked },
+		"asked":   func(t plan.Tally) int { return t.Requested },
 		"in time": func(t plan.Tally) int { return t.InTime },
 		"late":    func(t plan.Tally) int { return t.Late },
-		"refused": func(t plan.Tally) int { return t.Refused },
+		"refused": func(t plan.Tally) int { return t.Rejected },
 		"failed":  func(t plan.Tally) int { return t.Failed },
 	}
 	quantiles := map[string]float64{"median": 0.5, "95th percentile": 0.95, "99th percentile": 0.99}
@@ -179,7 +179,7 @@
 {{range .Cells}}<rect x="{{.X}}" y="{{.Y}}" width="{{.Width}}" height="{{.Height}}" fill="#2b6cb0" fill-opacity="{{.Shade}}"><title>{{.Name}}</title></rect>{{end}}
 {{range .Curves}}<polyline points="{{.Points}}" fill="none" stroke="{{.Colour}}" stroke-width="1.5"/>{{end}}</svg>
 {{end}}{{define "rows"}}<tr><th><th>asked<th>in time<th>late<th>refused<th>failed</tr>
-{{range .}}<tr><td>{{.Name}}<td>{{.Asked}}<td>{{.InTime}}<td>{{.Late}}<td>{{.Refused}}<td>{{.Failed}}</tr>{{end}}{{end}}
+{{range .}}<tr><td>{{.Name}}<td>{{.Requested}}<td>{{.InTime}}<td>{{.Late}}<td>{{.Rejected}}<td>{{.Failed}}</tr>{{end}}{{end}}
 <h2>By class</h2><table>{{template "rows" .Classes}}</table>
 {{if .Tenants}}<h2>By tenant</h2><table>{{template "rows" .Tenants}}</table>{{end}}</html>
 `))
--- a/internal/emulator/scenario/scenario.go
+++ b/internal/emulator/scenario/scenario.go
@@ -23,10 +23,10 @@
 type Duration = tomlfile.Duration
 
 const (
-	fileMost      = 1 << 20
-	lengthMost    = time.Hour
-	serversMost   = 10_000
-	instancesMost = 10_000
+	maxFileBytes = 1 << 20
+	maxLength    = time.Hour
+	maxServers   = 10_000
+	maxInstances = 10_000
 )
 
 // File is a scenario as written.
@@ -36,7 +36,7 @@
 	Seed    uint64   `toml:"seed"`
 	Length  Duration `toml:"length"`
 	Sites   []string `toml:"sites"`
-	Way     struct {
+	Latency struct {
 		Same  Duration `toml:"same"`  // one way within a site
 		Other Duration `toml:"other"` // and between two
 	} `toml:"way"`
@@ -79,22 +79,22 @@
 		Site    string `toml:"site"`
 		Count   int    `toml:"count"`
 	} `toml:"servers"`
-	PodSize  int       `toml:"pod_size"`
-	Troubles []Trouble `toml:"trouble"`
+	PodSize int     `toml:"pod_size"`
+	Faults  []Fault `toml:"trouble"`
 }
 
 // Class is one class of requests.
 type Class struct {
-	Name     string   `toml:"name"`
-	Repeat   string   `toml:"repeat"`
-	Group    string   `toml:"group"`
-	Window   Duration `toml:"window"`
-	Aim      Duration `toml:"aim"`
-	Deadline Duration `toml:"deadline"`
-	Worth    float64  `toml:"worth"`
-	Share    float64  `toml:"share"`
-	Work     Duration `toml:"work"` // mean, on a core of speed 1
-	CV       float64  `toml:"cv"`
+	Name             string   `toml:"name"`
+	Repeat           string   `toml:"repeat"`
+	Group            string   `toml:"group"`
+	Window           Duration `toml:"window"`
+	LatencyObjective Duration `toml:"aim"`
+	Deadline         Duration `toml:"deadline"`
+	PriorityWeight   float64  `toml:"worth"`
+	Share            float64  `toml:"share"`
+	Work             Duration `toml:"work"` // mean, on a core of speed 1
+	CV               float64  `toml:"cv"`
 }
 
 // Tenant is one tenant and its part of the load.
@@ -106,31 +106,31 @@
 
 // Machine is one kind of machine.
 type Machine struct {
-	Name         string   `toml:"name"`
-	Cores        int      `toml:"cores"`
-	Speed        float64  `toml:"speed"`
-	SlotsPerCore int      `toml:"slots_per_core"`
-	QueuePerCore int      `toml:"queue_per_core"`
-	Thrash       float64  `toml:"thrash"`
-	ThrashAt     float64  `toml:"thrash_at"`
-	ColdFrom     float64  `toml:"cold_from"`
-	ColdFor      Duration `toml:"cold_for"`
-	WarmByWork   bool     `toml:"warm_by_work"`
-	PauseEvery   Duration `toml:"pause_every"`
-	PauseFor     Duration `toml:"pause_for"`
-	ReportEvery  Duration `toml:"report_every"`
-	ReportDelay  Duration `toml:"report_delay"`
-	ReportNoise  float64  `toml:"report_noise"`
-	Connections  int      `toml:"connections"` // open at once, 0 for any number
-	Handshake    Duration `toml:"handshake"`   // work of a core for a new connection
-	ProbeWork    Duration `toml:"probe_work"`  // and for a probe
-	Subjects     int      `toml:"subjects"`    // remembered, the latest met
-	SubjectSaves float64  `toml:"subject_saves"`
-	SubjectFor   Duration `toml:"subject_for"`
+	Name           string   `toml:"name"`
+	Cores          int      `toml:"cores"`
+	Speed          float64  `toml:"speed"`
+	SlotsPerCore   int      `toml:"slots_per_core"`
+	QueuePerCore   int      `toml:"queue_per_core"`
+	Thrash         float64  `toml:"thrash"`
+	ThrashAt       float64  `toml:"thrash_at"`
+	SlowStartRatio float64  `toml:"cold_from"`
+	SlowStartTime  Duration `toml:"cold_for"`
+	WarmByWork     bool     `toml:"warm_by_work"`
+	PauseEvery     Duration `toml:"pause_every"`
+	PauseFor       Duration `toml:"pause_for"`
+	ReportEvery    Duration `toml:"report_every"`
+	ReportDelay    Duration `toml:"report_delay"`
+	ReportNoise    float64  `toml:"report_noise"`
+	Connections    int      `toml:"connections"` // open at once, 0 for any number
+	Handshake      Duration `toml:"handshake"`   // work of a core for a new connection
+	ProbeWork      Duration `toml:"probe_work"`  // and for a probe
+	Subjects       int      `toml:"subjects"`    // remembered, the latest met
+	SubjectSaves   float64  `toml:"subject_saves"`
+	SubjectFor     Duration `toml:"subject_for"`
 }
 
-// Trouble is one trouble of the timeline.
-type Trouble struct {
+// Fault is one trouble of the timeline.
+type Fault struct {
 	Kind   string   `toml:"kind"`
 	From   Duration `toml:"from"`
 	Until  Duration `toml:"until"`
@@ -175,7 +175,7 @@
 	f := &File{Seed: 1, PodSize: 4}
 	f.Limits.Attempts = 3
 	f.Clients.TryShare, f.Clients.Pause = 1, Duration(50*time.Millisecond)
-	in, err := tomlfile.Decode(data, fileMost, f)
+	in, err := tomlfile.Decode(data, maxFileBytes, f)
 	if err != nil {
 		return nil, err
 	}
@@ -195,10 +195,10 @@
 func (c *checker) all() {
 	f := c.f
 	c.Require(f.Version == 1, "version", "%d is not a known version of this file; this program reads 1", f.Version)
-	c.Require(f.Length > 0 && time.Duration(f.Length) <= lengthMost, "length", "%v is not over 0 and up to %v", time.Duration(f.Length), lengthMost)
+	c.Require(f.Length > 0 && time.Duration(f.Length) <= maxLength, "length", "%v is not over 0 and up to %v", time.Duration(f.Length), maxLength)
 	c.Require(len(f.Sites) > 0 && len(f.Sites) < 255, "sites", "%d sites, must be 1 to 254", len(f.Sites))
-	c.Require(f.Way.Same >= 0, "way.same", "is negative")
-	c.Require(f.Way.Other >= 0, "way.other", "is negative")
+	c.Require(f.Latency.Same >= 0, "way.same", "is negative")
+	c.Require(f.Latency.Other >= 0, "way.other", "is negative")
 	c.Require(f.Clients.Rate > 0 && f.Clients.Rate <= 1e6, "clients.rate", "%v is not over 0 and up to 1e6", f.Clients.Rate)
 	c.Require(f.Clients.Uneven >= 0 && f.Clients.Uneven <= 10, "clients.uneven", "%v is not in 0 to 10", f.Clients.Uneven)
 	c.Require(f.Clients.Retries >= 0 && f.Clients.Retries <= 10, "clients.retries", "%d is not in 0 to 10", f.Clients.Retries)
@@ -221,13 +221,13 @@
 		c.Require(x.Count >= 1, at+".count", "%d is not positive", x.Count)
 		n += x.Count
 	}
-	c.Require(n >= 1 && n <= instancesMost, "instances", "%d in all, must be 1 to %d", n, instancesMost)
+	c.Require(n >= 1 && n <= maxInstances, "instances", "%d in all, must be 1 to %d", n, maxInstances)
 	c.classes()
 	c.tenants()
 	c.servers(site)
 	c.subset()
 	c.handshakes()
-	c.troubles(site)
+	c.faults(site)
 }
 
 func (c *checker) classes() {
@@ -238,11 +238,11 @@
 		c.Require(slices.Contains([]string{"safe", "keyed", "unsafe"}, k.Repeat), at+"repeat", "%q is not one of safe, keyed, unsafe", k.Repeat)
 		c.Require(k.Repeat != "keyed" || k.Group == "all" || k.Group == "pod", at+"group", "%q is neither all nor pod", k.Group)
 		c.Require(k.Repeat != "keyed" || k.Window > 0, at+"window", "a keyed class needs one")
-		c.Positive(at+"aim", k.Aim)
-		c.Require(k.Deadline >= k.Aim, at+"deadline", "%v is under the aim", time.Duration(k.Deadline))
+		c.Positive(at+"aim", k.LatencyObjective)
+		c.Require(k.Deadline >= k.LatencyObjective, at+"deadline", "%v is under the aim", time.Duration(k.Deadline))
 		c.Positive(at+"work", k.Work)
 		c.Require(k.CV >= 0 && k.CV <= 10, at+"cv", "%v is not in 0 to 10", k.CV)
-		c.Require(k.Worth >= 0, at+"worth", "is negative")
+		c.Require(k.PriorityWeight >= 0, at+"worth", "is negative")
 		c.Require(k.Share >= 0, at+"share", "is negative")
 		sum += k.Share
 	}
@@ -273,8 +273,8 @@
 		c.Require(m.Speed > 0 && m.Speed <= 1000, at+"speed", "%v is not over 0 and up to 1000", m.Speed)
 		c.Require(m.SlotsPerCore >= 0 && m.QueuePerCore >= 0, at+"slots_per_core", "slots and queue must not be negative")
 		c.Require(m.Thrash >= 0 && m.ThrashAt >= 0, at+"thrash", "is negative")
-		c.Require(m.ColdFor == 0 || m.ColdFrom > 0 && m.ColdFrom <= 1, at+"cold_from", "%v is not over 0 and up to 1", m.ColdFrom)
-		for key, d := range map[string]Duration{"cold_for": m.ColdFor, "pause_every": m.PauseEvery, "pause_for": m.PauseFor,
+		c.Require(m.SlowStartTime == 0 || m.SlowStartRatio > 0 && m.SlowStartRatio <= 1, at+"cold_from", "%v is not over 0 and up to 1", m.SlowStartRatio)
+		for key, d := range map[string]Duration{"cold_for": m.SlowStartTime, "pause_every": m.PauseEvery, "pause_for": m.PauseFor,
 			"report_every": m.ReportEvery, "report_delay": m.ReportDelay, "handshake": m.Handshake, "probe_work": m.ProbeWork, "subject_for": m.SubjectFor} {
 			c.Require(d >= 0, at+key, "is negative")
 		}
@@ -291,12 +291,12 @@
 		c.Require(x.Count >= 1, at+"count", "%d is not positive", x.Count)
 		n += x.Count
 	}
-	c.Require(n >= 1 && n <= serversMost, "servers", "%d in all, must be 1 to %d", n, serversMost)
+	c.Require(n >= 1 && n <= maxServers, "servers", "%d in all, must be 1 to %d", n, maxServers)
 }
 
 func (c *checker) subset() {
 	x := &c.f.Subset
-	c.Require(x.Floor == 0 || x.Floor >= 2 && x.Floor <= serversMost, "subset.floor", "%d is not 2 to %d", x.Floor, serversMost)
+	c.Require(x.Floor == 0 || x.Floor >= 2 && x.Floor <= maxServers, "subset.floor", "%d is not 2 to %d", x.Floor, maxServers)
 	c.Require(x.Spread >= 0 && x.Spread <= 1000, "subset.spread", "%v is not in 0 to 1000", x.Spread)
 	c.Require(x.Floor > 0 || x.Spread == 0, "subset.floor", "is missing")
 }
@@ -309,8 +309,8 @@
 	c.Require(h.PerServer > 0 || h.All == 0 && h.Burst == 0, "handshakes.per_server", "is missing")
 }
 
-func (c *checker) troubles(site func(key, name string)) {
-	for i, x := range c.f.Troubles {
+func (c *checker) faults(site func(key, name string)) {
+	for i, x := range c.f.Faults {
 		at := fmt.Sprintf("trouble[%d].", i)
 		needs, ok := kinds[x.Kind]
 		var known []string
@@ -347,7 +347,7 @@
 // that the instances are told.
 func (m *Machine) config() model.Config {
 	c := model.Config{Cores: m.Cores, Speed: m.Speed, SlotsPerCore: max(1, m.SlotsPerCore), QueuePerCore: m.QueuePerCore,
-		Thrash: m.Thrash, ThrashAt: m.ThrashAt, ColdFrom: m.ColdFrom, ColdFor: time.Duration(m.ColdFor), WarmByWork: m.WarmByWork,
+		Thrash: m.Thrash, ThrashAt: m.ThrashAt, SlowStartRatio: m.SlowStartRatio, SlowStartTime: time.Duration(m.SlowStartTime), WarmByWork: m.WarmByWork,
 		FallFactor: fallFactor, FallAfter: time.Second, PauseEvery: time.Duration(m.PauseEvery), PauseFor: time.Duration(m.PauseFor),
 		ReportEvery: time.Duration(m.ReportEvery), ReportDelay: time.Duration(m.ReportDelay), ReportNoise: m.ReportNoise,
 		Connections: m.Connections, Subjects: m.Subjects, SubjectSaves: m.SubjectSaves, SubjectFor: time.Duration(m.SubjectFor), ProbeWork: time.Duration(m.ProbeWork), Handshake: time.Duration(m.Handshake)}
@@ -373,8 +373,8 @@
 	}
 	rng := rand.New(rand.NewPCG(seed, 99))
 	s := &plan.Scenario{Seed: seed, Length: time.Duration(f.Length), Sites: f.Sites,
-		OneWay: [2]time.Duration{time.Duration(f.Way.Same), time.Duration(f.Way.Other)},
-		Notice: time.Duration(f.List.Notice), DrainFor: time.Duration(f.List.DrainFor),
+		Latencies: [2]time.Duration{time.Duration(f.Latency.Same), time.Duration(f.Latency.Other)},
+		Notice:    time.Duration(f.List.Notice), DrainFor: time.Duration(f.List.DrainFor),
 		Clients: plan.Clients{Rate: f.Clients.Rate, Uneven: f.Clients.Uneven, Retries: f.Clients.Retries, TryShare: f.Clients.TryShare,
 			Subjects: f.Clients.Subjects, Skew: f.Clients.Skew,
 			GiveUp: time.Duration(f.Clients.GiveUp), Pause: time.Duration(f.Clients.Pause)},
@@ -388,7 +388,7 @@
 		}
 	}
 	for _, k := range f.Classes {
-		c := plan.Class{Class: balancer.Class{Name: k.Name, DedupWindow: k.Window.Micros(), LatencyObjective: k.Aim.Micros(), ClientTimeout: k.Deadline.Micros(), PriorityWeight: k.Worth, LateWeightRatio: 0.3},
+		c := plan.Class{Class: balancer.Class{Name: k.Name, DedupWindow: k.Window.Micros(), LatencyObjective: k.LatencyObjective.Micros(), ClientTimeout: k.Deadline.Micros(), PriorityWeight: k.PriorityWeight, LateWeightRatio: 0.3},
 			Share: k.Share, Work: time.Duration(k.Work), CV: k.CV}
 		switch k.Repeat {
 		case "keyed":
@@ -412,18 +412,18 @@
 	for _, x := range f.Servers {
 		kind := slices.Index(s.Kinds, x.Machine)
 		m := &f.Machines[kind]
-		if m.ColdFor > 0 { // the instances are told the worst of the fleet
-			contract.SlowStartRatio = min(contract.SlowStartRatio, m.ColdFrom)
-			contract.SlowStartTime = max(contract.SlowStartTime, m.ColdFor.Micros())
+		if m.SlowStartTime > 0 { // the instances are told the worst of the fleet
+			contract.SlowStartRatio = min(contract.SlowStartRatio, m.SlowStartRatio)
+			contract.SlowStartTime = max(contract.SlowStartTime, m.SlowStartTime.Micros())
 		}
 		for range x.Count {
 			n := len(s.Servers)
 			s.Servers = append(s.Servers, plan.Server{Name: fmt.Sprintf("%s-%d", x.Machine, n+1), Site: slices.Index(f.Sites, x.Site),
-				Kind: kind, Pod: n / f.PodSize, Config: m.config(), Lives: plan.Always})
+				Kind: kind, Pod: n / f.PodSize, Config: m.config(), Incarnations: plan.Always})
 		}
 	}
-	for _, x := range f.Troubles {
-		f.trouble(s, rng, x)
+	for _, x := range f.Faults {
+		f.addFault(s, rng, x)
 	}
 	if f.Subset.Floor > 0 {
 		s.Subset = &subset.Config{Floor: f.Subset.Floor, Spread: f.Subset.Spread}
@@ -440,14 +440,14 @@
 	return s
 }
 
-// trouble puts one trouble into a play.
-func (f *File) trouble(s *plan.Scenario, rng *rand.Rand, x Trouble) {
+// addFault puts one trouble into a play.
+func (f *File) addFault(s *plan.Scenario, rng *rand.Rand, x Fault) {
 	from, until := time.Duration(x.From), time.Duration(x.Until)
 	switch x.Kind {
 	case "cut_off":
 		for n := range s.Servers {
 			if s.Servers[n].Site == slices.Index(f.Sites, x.Site) {
-				x.addFault(s, n, model.Fault{Silent: true})
+				x.addServerFault(s, n, model.Fault{Unresponsive: true})
 			}
 		}
 	case "crash":
@@ -465,28 +465,28 @@
 		s.Costly = append(s.Costly, plan.Costly{From: from, Until: until, Class: class, Share: x.Share, Factor: x.Factor})
 	case "start":
 		for _, n := range x.drawServers(s, rng) {
-			s.Servers[n].Lives = []plan.Life{{From: max(from, time.Millisecond), Drain: plan.Never, End: plan.Never}}
+			s.Servers[n].Incarnations = []plan.Incarnation{{From: max(from, time.Millisecond), Drain: plan.Never, End: plan.Never}}
 		}
 	case "drain", "restart":
 		x.drain(s, x.drawServers(s, rng))
 	default:
 		if fault, ok := x.serverFault(); ok {
 			for _, n := range x.drawServers(s, rng) {
-				x.addFault(s, n, fault)
+				x.addServerFault(s, n, fault)
 			}
 		}
 	}
 }
 
 // serverFault returns the fault of a server that a trouble of its kind is, if it is one.
-func (x *Trouble) serverFault() (fault model.Fault, ok bool) {
+func (x *Fault) serverFault() (fault model.Fault, ok bool) {
 	switch x.Kind {
 	case "fail_fast":
 		return model.Fault{FailFast: x.Share}, true
 	case "swallow":
 		return model.Fault{Swallow: x.Share}, true
 	case "silent":
-		return model.Fault{Silent: true}, true
+		return model.Fault{Unresponsive: true}, true
 	case "slow":
 		return model.Fault{Slow: x.Factor}, true
 	case "break":
@@ -496,46 +496,46 @@
 }
 
 // drawServers draws the part of the servers that the trouble is with, at least one.
-func (x *Trouble) drawServers(s *plan.Scenario, rng *rand.Rand) []int {
+func (x *Fault) drawServers(s *plan.Scenario, rng *rand.Rand) []int {
 	n := max(1, int(x.Part*float64(len(s.Servers))+0.5))
 	return rng.Perm(len(s.Servers))[:n]
 }
 
-// addFault gives a server a fault for as long as the trouble lasts.
-func (x *Trouble) addFault(s *plan.Scenario, server int, fault model.Fault) {
+// addServerFault gives a server a fault for as long as the trouble lasts.
+func (x *Fault) addServerFault(s *plan.Scenario, server int, fault model.Fault) {
 	fault.From, fault.Until = time.Duration(x.From), time.Duration(x.Until)
 	s.Servers[server].Faults = append(s.Servers[server].Faults, fault)
 }
 
 // crash ends the lives of servers when the trouble begins and starts them again after its gap.
-func (x *Trouble) crash(s *plan.Scenario, servers []int) {
+func (x *Fault) crash(s *plan.Scenario, servers []int) {
 	from := time.Duration(x.From)
 	for _, n := range servers {
-		lives := slices.Clone(s.Servers[n].Lives)
-		last := &lives[len(lives)-1]
+		incarnations := slices.Clone(s.Servers[n].Incarnations)
+		last := &incarnations[len(incarnations)-1]
 		if from <= last.From || last.End != plan.Never {
 			continue // it is not there then
 		}
 		last.End = from
-		lives = append(lives, plan.Life{From: from + time.Duration(x.Gap), Drain: plan.Never, End: plan.Never})
-		s.Servers[n].Lives = lives
+		incarnations = append(incarnations, plan.Incarnation{From: from + time.Duration(x.Gap), Drain: plan.Never, End: plan.Never})
+		s.Servers[n].Incarnations = incarnations
 	}
 }
 
 // drain drains servers one after the other over the trouble's time, and starts them again if it is a restart.
-func (x *Trouble) drain(s *plan.Scenario, servers []int) {
+func (x *Fault) drain(s *plan.Scenario, servers []int) {
 	from, until := time.Duration(x.From), time.Duration(x.Until)
 	for i, n := range servers {
 		at := max(from+(until-from)*time.Duration(i)/time.Duration(len(servers)), time.Millisecond)
-		lives := slices.Clone(s.Servers[n].Lives)
-		last := &lives[len(lives)-1]
+		incarnations := slices.Clone(s.Servers[n].Incarnations)
+		last := &incarnations[len(incarnations)-1]
 		if at <= last.From || last.End != plan.Never {
 			continue // it is not there then
 		}
 		last.Drain, last.End = at, at+s.DrainFor
 		if x.Kind == "restart" {
-			lives = append(lives, plan.Life{From: last.End + time.Duration(x.Gap), Drain: plan.Never, End: plan.Never})
+			incarnations = append(incarnations, plan.Incarnation{From: last.End + time.Duration(x.Gap), Drain: plan.Never, End: plan.Never})
 		}
-		s.Servers[n].Lives = lives
+		s.Servers[n].Incarnations = incarnations
 	}
 }
--- a/internal/emulator/scenario/scenario_test.go
+++ b/internal/emulator/scenario/scenario_test.go
@@ -40,9 +40,9 @@
 // The days at full size: hundreds of instances with thin and uneven traffic. Each is held to what it served
 // when the least was set, less what seeds differ by; the figures by change stand in docs/design/full-size.md.
 func TestFullSize(t *testing.T) {
-	least := map[string]float64{"many-at-once": 0.98, "many-calm": 0.99, "many-cold": 0.972, "many-killed": 0.918, "many-replaced": 0.885, "many-rolled": 0.978, "many-silent": 0.972}
+	lower := map[string]float64{"many-at-once": 0.98, "many-calm": 0.99, "many-cold": 0.972, "many-killed": 0.918, "many-replaced": 0.885, "many-rolled": 0.978, "many-silent": 0.972}
 	paths, err := filepath.Glob("../../../scenarios/full-size/*.toml")
-	if err != nil || len(paths) != len(least) {
+	if err != nil || len(paths) != len(lower) {
 		t.Fatalf("%d scenarios, %v", len(paths), err)
 	}
 	for _, path := range paths {
@@ -59,10 +59,10 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if why := r.Broken(); why != "" {
-				t.Error(why)
+			if reason := r.Broken(); reason != "" {
+				t.Error(reason)
 			}
-			if want, ok := least[f.Name]; !ok || r.InTime() < want {
+			if want, ok := lower[f.Name]; !ok || r.InTime() < want {
 				t.Errorf("%.3f served in time, want %.3f (%v)", r.InTime(), want, ok)
 			}
 		})
@@ -72,7 +72,7 @@
 // Every scenario of the library plays without a broken rule, serves what it can be
 // held to, and plays the same way twice.
 func TestLibrary(t *testing.T) {
-	least := map[string]float64{"calm": 0.98, "failing-fast": 0.9, "traffic-jump": 0.6, "costly-class": 0.75,
+	lower := map[string]float64{"calm": 0.98, "failing-fast": 0.9, "traffic-jump": 0.6, "costly-class": 0.75,
 		"shrinking-fleet": 0.85, "fresh-under-load": 0.45, "site-cut-off": 0.6, "stale-list": 0.8, "rolling-restart": 0.9,
 		"lost-site": 0.97, "slow-and-dead": 0.97, "resets-old-list": 0.96, "key-rotation": 0.96, "quiet-instances": 0.97}
 	for name, f := range library(t) {
@@ -82,10 +82,10 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if why := a.Broken(); why != "" {
-				t.Error(why)
+			if reason := a.Broken(); reason != "" {
+				t.Error(reason)
 			}
-			if want, ok := least[name]; !ok || a.InTime() < want {
+			if want, ok := lower[name]; !ok || a.InTime() < want {
 				t.Errorf("%.3f served in time, want %.2f (%v): %+v", a.InTime(), want, ok, a.Classes)
 			}
 			if b, _ := play.Run(f.Plan(0), play.Options{}); !reflect.DeepEqual(a, b) {
@@ -144,8 +144,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if why := part.Broken(); why != "" || day.G(part) < day.G(all)-0.005 || 3*part.Connections > all.Connections || part.Handshakes >= all.Handshakes {
-		t.Errorf("%s G %.3f with %d connections and %d handshakes; with the whole fleet %.3f, %d and %d", why, day.G(part), part.Connections, part.Handshakes, day.G(all), all.Connections, all.Handshakes)
+	if reason := part.Broken(); reason != "" || day.G(part) < day.G(all)-0.005 || 3*part.Connections > all.Connections || part.Handshakes >= all.Handshakes {
+		t.Errorf("%s G %.3f with %d connections and %d handshakes; with the whole fleet %.3f, %d and %d", reason, day.G(part), part.Connections, part.Handshakes, day.G(all), all.Connections, all.Handshakes)
 	}
 }
 
--- a/internal/emulator/sockets/http1.go
+++ b/internal/emulator/sockets/http1.go
@@ -17,13 +17,13 @@
 // HTTP1 is the transport of HTTP/1.1, without TLS.
 type HTTP1 struct{}
 
-// bodyMost is what is read of a body.
-const bodyMost = 64 << 10
+// maxBodyBytes is what is read of a body.
+const maxBodyBytes = 64 << 10
 
 // handler passes what comes on one listener to a server.
 type handler struct {
-	server *Server
-	way    time.Duration
+	server  *Server
+	latency time.Duration
 
 	mu      sync.Mutex
 	counted map[net.Conn]bool // connections that the server has taken
@@ -33,12 +33,12 @@
 type freshKey struct{}
 
 // Listen listens at host:port.
-func (HTTP1) Listen(s *Server, at string, way time.Duration) (string, func(), error) {
+func (HTTP1) Listen(s *Server, at string, latency time.Duration) (string, func(), error) {
 	listener, err := net.Listen("tcp", at)
 	if err != nil {
 		return "", nil, err
 	}
-	h := &handler{server: s, way: way, counted: map[net.Conn]bool{}}
+	h := &handler{server: s, latency: latency, counted: map[net.Conn]bool{}}
 	server := &http.Server{Handler: h, ConnState: h.connection, ConnContext: func(ctx context.Context, _ net.Conn) context.Context { return fresh(ctx) }}
 	go func() { _ = server.Serve(listener) }()
 	return listener.Addr().String(), func() { server.Close() }, nil
@@ -51,8 +51,8 @@
 }
 
 // Listen listens at host:port.
-func (t TLS) Listen(s *Server, at string, way time.Duration) (string, func(), error) {
-	h := &handler{server: s, way: way, counted: map[net.Conn]bool{}}
+func (t TLS) Listen(s *Server, at string, latency time.Duration) (string, func(), error) {
+	h := &handler{server: s, latency: latency, counted: map[net.Conn]bool{}}
 	return dual.Listen(at, dual.Options{Handler: h, Config: t.Config, State: h.connection, Context: fresh})
 }
 
@@ -85,11 +85,11 @@
 
 // travel waits for as long as something takes between client and server, unless the client goes
 // away meanwhile.
-func travel(ctx context.Context, way time.Duration) {
-	if way <= 0 {
+func travel(ctx context.Context, latency time.Duration) {
+	if latency <= 0 {
 		return
 	}
-	timer := time.NewTimer(way)
+	timer := time.NewTimer(latency)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -99,41 +99,41 @@
 
 // ServeHTTP answers probes and requests. A client that has gone by then gets nothing.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	ctx, way := r.Context(), h.way
+	ctx, latency := r.Context(), h.latency
 	if used := ctx.Value(freshKey{}).(*atomic.Bool); !used.Swap(true) {
-		way += 2 * h.way // the connection's opening: loopback's own takes no time
+		latency += 2 * h.latency // the connection's opening: loopback's own takes no time
 	}
 	if r.URL.Path == "/stats" || r.URL.Path == "/health/live" {
-		travel(ctx, way)
+		travel(ctx, latency)
 		report, ok := h.server.Probe()
 		if !ok {
 			<-ctx.Done() // nobody is there to say so
 			return
 		}
-		travel(ctx, h.way)
+		travel(ctx, h.latency)
 		if r.URL.Path == "/stats" {
 			_, _ = io.WriteString(w, report)
 		}
 		return
 	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, bodyMost))
-	travel(ctx, way) // what a client has sent comes, though it may have gone
-	o, report, err := h.server.Ask(ctx, Request{Class: r.Header.Get("X-Service-Class"), ID: r.Header.Get("X-Correlation-Id"), Key: r.Header.Get("Idempotency-Key"), About: r.Header.Get("X-Session-Key")})
+	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxBodyBytes))
+	travel(ctx, latency) // what a client has sent comes, though it may have gone
+	o, report, err := h.server.Submit(ctx, Request{Class: r.Header.Get("X-Service-Class"), ID: r.Header.Get("X-Correlation-Id"), Key: r.Header.Get("Idempotency-Key"), About: r.Header.Get("X-Session-Key")})
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	travel(ctx, h.way)
+	travel(ctx, h.latency)
 	w.Header().Set("X-Backend-Load", report)
 	switch o {
 	case model.Served, model.Repeated:
 		_, _ = io.WriteString(w, "done")
 	case model.Failed:
 		w.WriteHeader(http.StatusInternalServerError)
-	case model.Away:
+	case model.Rejected:
 		w.Header().Set("X-Unprocessed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
-	case model.Lost:
+	case model.Unanswered:
 		<-ctx.Done()
 	default: // it is down
 		panic(http.ErrAbortHandler)
--- a/internal/emulator/sockets/sockets.go
+++ b/internal/emulator/sockets/sockets.go
@@ -28,7 +28,7 @@
 	// Listen opens a listener at host:port for clients that are this far away, one way,
 	// and passes what comes there to the server. stop ends the listener and all its
 	// connections, and returns without waiting for requests in hand.
-	Listen(s *Server, at string, way time.Duration) (address string, stop func(), err error)
+	Listen(s *Server, at string, latency time.Duration) (address string, stop func(), err error)
 }
 
 // Options are a fleet's.
@@ -54,19 +54,19 @@
 	number  uint64
 	servers []*Server
 	open    int // connections
-	most    int
+	highest int
 }
 
 // Spec is one server.
 type Spec struct {
-	Name   string
-	Group  string // whose repeats it drops, beside all
-	Config model.Config
-	Seed   uint64
-	Cold   bool
-	Faults []model.Fault
-	Ways   []time.Duration // one way to each group of clients; none: one group, next door
-	Listen string          // host:port of its one address; "" for ports of the system's choice on loopback
+	Name      string
+	Group     string // whose repeats it drops, beside all
+	Config    model.Config
+	Seed      uint64
+	Warming   bool
+	Faults    []model.Fault
+	Latencies []time.Duration // one way to each group of clients; none: one group, next door
+	Listen    string          // host:port of its one address; "" for ports of the system's choice on loopback
 }
 
 // Server is one server on sockets.
@@ -108,15 +108,15 @@
 // Start starts a server.
 func (f *Fleet) Start(spec Spec) (*Server, error) {
 	s := &Server{Name: spec.Name, fleet: f, waiting: map[uint64]chan model.Outcome{}}
-	s.machine = model.New(spec.Config, spec.Seed, f.Now(), spec.Cold, f.memory, spec.Group, spec.Faults)
-	if len(spec.Ways) == 0 {
-		spec.Ways = []time.Duration{0}
+	s.machine = model.New(spec.Config, spec.Seed, f.Now(), spec.Warming, f.memory, spec.Group, spec.Faults)
+	if len(spec.Latencies) == 0 {
+		spec.Latencies = []time.Duration{0}
 	}
 	if spec.Listen == "" {
 		spec.Listen = "127.0.0.1:0"
 	}
-	for _, way := range spec.Ways {
-		address, stop, err := f.o.Transport.Listen(s, spec.Listen, way)
+	for _, latency := range spec.Latencies {
+		address, stop, err := f.o.Transport.Listen(s, spec.Listen, latency)
 		if err != nil {
 			s.Close()
 			return nil, err
@@ -161,10 +161,10 @@
 }
 
 // Connections counts the open ones, now and at most so far.
-func (f *Fleet) Connections() (open, most int) {
+func (f *Fleet) Connections() (open, highest int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.open, f.most
+	return f.open, f.highest
 }
 
 // Close ends a server: what it holds is lost, and connections are refused.
@@ -188,10 +188,10 @@
 }
 
 // Figures are what a server holds, has served, how warm it is, and whether it is down.
-func (s *Server) Figures() (held, served int, warmth float64, down bool) {
+func (s *Server) Figures() (inFlight, served int, warmth float64, down bool) {
 	s.fleet.mu.Lock()
 	defer s.fleet.mu.Unlock()
-	working, waiting := s.machine.Held()
+	working, waiting := s.machine.InFlight()
 	return working + waiting, s.served, s.machine.Warmth(s.fleet.Now()), s.machine.Down()
 }
 
@@ -213,7 +213,7 @@
 		return false
 	}
 	f.open++
-	f.most = max(f.most, f.open)
+	f.highest = max(f.highest, f.open)
 	return true
 }
 
@@ -293,9 +293,9 @@
 	About string // its subject, "" if it has none
 }
 
-// Ask has a request worked at, and waits for its end; model.Lost if ctx ends before.
+// Submit has a request worked at, and waits for its end; model.Lost if ctx ends before.
 // The work goes on then. report is what the answer tells of the load.
-func (s *Server) Ask(ctx context.Context, r Request) (o model.Outcome, report string, err error) {
+func (s *Server) Submit(ctx context.Context, r Request) (o model.Outcome, report string, err error) {
 	f := s.fleet
 	class, ok := f.index[r.Class]
 	if !ok {
@@ -325,7 +325,7 @@
 	select {
 	case o = <-ended:
 	case <-ctx.Done():
-		return model.Lost, "", nil
+		return model.Unanswered, "", nil
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/emulator/sockets/sockets_test.go
+++ b/internal/emulator/sockets/sockets_test.go
@@ -21,10 +21,10 @@
 
 const ms = time.Millisecond
 
-var classes = []Class{{Name: "read", Work: 10 * ms}, {Name: "pay", Class: model.Class{Repeat: model.Keyed, Window: 1500 * ms}, Work: 10 * ms},
-	{Name: "order", Class: model.Class{Repeat: model.Unsafe}, Work: 10 * ms}}
+var classes = []Class{{Name: "read", Work: 10 * ms}, {Name: "pay", Class: model.Class{Idempotency: model.IdempotentWithKey, Window: 1500 * ms}, Work: 10 * ms},
+	{Name: "order", Class: model.Class{Idempotency: model.NotIdempotent}, Work: 10 * ms}}
 
-var box = model.Config{Cores: 1, Speed: 1, SlotsPerCore: 1, QueuePerCore: 3, ColdFrom: 0.31, ColdFor: 8600 * ms, FallFactor: 2.5, FallAfter: time.Second,
+var box = model.Config{Cores: 1, Speed: 1, SlotsPerCore: 1, QueuePerCore: 3, SlowStartRatio: 0.31, SlowStartTime: 8600 * ms, FallFactor: 2.5, FallAfter: time.Second,
 	ReportEvery: 50 * ms}
 
 func fleet(t *testing.T) *Fleet {
@@ -38,17 +38,17 @@
 	return f
 }
 
-func start(t *testing.T, f *Fleet, cfg model.Config, cold bool, faults ...model.Fault) *Server {
+func start(t *testing.T, f *Fleet, cfg model.Config, warming bool, faults ...model.Fault) *Server {
 	t.Helper()
-	s, err := f.Start(Spec{Name: "s", Group: "g", Config: cfg, Seed: 1, Cold: cold, Faults: faults})
+	s, err := f.Start(Spec{Name: "s", Group: "g", Config: cfg, Seed: 1, Warming: warming, Faults: faults})
 	if err != nil {
 		t.Fatal(err)
 	}
 	return s
 }
 
-// ask sends one request and returns its status, 0 where there is none.
-func ask(s *Server, class, id, key string, patience time.Duration) (int, http.Header) {
+// request sends one request and returns its status, 0 where there is none.
+func request(s *Server, class, id, key string, patience time.Duration) (int, http.Header) {
 	r, _ := http.NewRequest("POST", "http://"+s.Addresses[0]+"/"+class+"/x", strings.NewReader("body"))
 	r.Header.Set("X-Service-Class", class)
 	r.Header.Set("X-Correlation-Id", id)
@@ -69,34 +69,34 @@
 func TestAnswers(t *testing.T) {
 	f := fleet(t)
 	well := start(t, f, box, false)
-	if code, _ := ask(well, "read", "1", "", time.Minute); code != 200 {
+	if code, _ := request(well, "read", "1", "", time.Minute); code != 200 {
 		t.Errorf("served: %d", code)
 	}
-	if code, _ := ask(well, "gift", "1", "", time.Minute); code != 400 {
+	if code, _ := request(well, "gift", "1", "", time.Minute); code != 400 {
 		t.Errorf("of no class: %d", code)
 	}
 	for range 2 { // the second is dropped, and answered
-		if code, _ := ask(well, "pay", "2", "k", time.Minute); code != 200 {
+		if code, _ := request(well, "pay", "2", "k", time.Minute); code != 200 {
 			t.Errorf("keyed: %d", code)
 		}
 	}
 	if len(f.Twice()) != 0 {
 		t.Error("a repeat had a second effect")
 	}
-	ask(well, "order", "3", "", time.Minute)
-	ask(well, "order", "3", "", time.Minute)
+	request(well, "order", "3", "", time.Minute)
+	request(well, "order", "3", "", time.Minute)
 	if len(f.Twice()) != 1 {
 		t.Error("an unsafe request that was sent twice was done once")
 	}
 	always := model.Fault{Until: time.Hour}
 	fast := always
 	fast.FailFast = 1
-	if code, _ := ask(start(t, f, box, false, fast), "read", "4", "", time.Minute); code != 500 {
+	if code, _ := request(start(t, f, box, false, fast), "read", "4", "", time.Minute); code != 500 {
 		t.Errorf("failing fast: %d", code)
 	}
-	lost := always
-	lost.Swallow = 1
-	if code, _ := ask(start(t, f, box, false, lost), "read", "5", "", 300*ms); code != 0 {
+	unanswered := always
+	unanswered.Swallow = 1
+	if code, _ := request(start(t, f, box, false, unanswered), "read", "5", "", 300*ms); code != 0 {
 		t.Errorf("swallowed: %d", code)
 	}
 	response, err := http.Get("http://" + well.Addresses[0] + "/stats")
@@ -109,13 +109,13 @@
 		t.Errorf("its report: %q", text)
 	}
 	well.Close()
-	if code, _ := ask(well, "read", "6", "", time.Minute); code != 0 {
+	if code, _ := request(well, "read", "6", "", time.Minute); code != 0 {
 		t.Errorf("after its end: %d", code)
 	}
 }
 
-// A full room turns away, and says that nothing ran.
-func TestFullRoom(t *testing.T) {
+// A server whose queue is full rejects, and says that nothing ran.
+func TestFullQueueRejects(t *testing.T) {
 	f := fleet(t)
 	cfg := box
 	cfg.Speed = 0.02 // half a second for each
@@ -125,7 +125,7 @@
 	codes := map[int]int{}
 	for i := range 10 {
 		all.Go(func() {
-			code, header := ask(s, "read", string(rune('a'+i)), "", time.Minute)
+			code, header := request(s, "read", string(rune('a'+i)), "", time.Minute)
 			mu.Lock()
 			defer mu.Unlock()
 			codes[code]++
@@ -141,18 +141,18 @@
 }
 
 // A cold server that is overrun falls over, and stays down.
-func TestColdServerFalls(t *testing.T) {
+func TestWarmingServerFalls(t *testing.T) {
 	f := fleet(t)
 	s := start(t, f, box, true)
 	var all sync.WaitGroup
 	for i := range 200 { // 2 s of work at once, where 0.78 s are borne
-		all.Go(func() { ask(s, "read", string(rune(0x4e00+i)), "", 10*time.Second) })
+		all.Go(func() { request(s, "read", string(rune(0x4e00+i)), "", 10*time.Second) })
 	}
 	all.Wait()
 	if _, _, _, down := s.Figures(); !down {
 		t.Error("it stands")
 	}
-	if code, _ := ask(s, "read", "later", "", time.Second); code != 0 {
+	if code, _ := request(s, "read", "later", "", time.Second); code != 0 {
 		t.Errorf("a request after it fell: %d", code)
 	}
 }
@@ -164,17 +164,17 @@
 	cfg := box
 	cfg.Speed = 0.02 // half a second for each
 	s := start(t, f, cfg, false)
-	if code, _ := ask(s, "order", "1", "", 50*ms); code != 0 {
+	if code, _ := request(s, "order", "1", "", 50*ms); code != 0 {
 		t.Fatalf("answered %d", code)
 	}
 	began := time.Now()
-	if code, _ := ask(s, "order", "2", "", time.Minute); code != 200 {
+	if code, _ := request(s, "order", "2", "", time.Minute); code != 200 {
 		t.Fatalf("answered %d", code)
 	}
 	if took := time.Since(began); took < 800*ms {
 		t.Errorf("answered after %v: it did not wait for what was called off", took)
 	}
-	ask(s, "order", "1", "", time.Minute)
+	request(s, "order", "1", "", time.Minute)
 	if len(f.Twice()) != 1 {
 		t.Error("the effect of what was called off is not there")
 	}
@@ -196,7 +196,7 @@
 			Arrived: func(*Server, string, model.Time) { arrived <- struct{}{} }})
 		cfg := box
 		cfg.QueuePerCore = 1000
-		s, err := f.Start(Spec{Name: "s", Config: cfg, Seed: 1, Cold: true})
+		s, err := f.Start(Spec{Name: "s", Config: cfg, Seed: 1, Warming: true})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -260,27 +260,27 @@
 			closed++
 		}
 	}
-	if now, most := f.Connections(); closed != 3 || now != 3 || most != 3 {
-		t.Errorf("%d closed, %d open, %d at most", closed, now, most)
+	if now, highest := f.Connections(); closed != 3 || now != 3 || highest != 3 {
+		t.Errorf("%d closed, %d open, %d at most", closed, now, highest)
 	}
 }
 
 // A way is gone there and back, and a new connection costs one more.
-func TestWays(t *testing.T) {
+func TestLatencies(t *testing.T) {
 	f := fleet(t)
-	s, err := f.Start(Spec{Name: "s", Config: box, Seed: 1, Ways: []time.Duration{0, 100 * ms}})
+	s, err := f.Start(Spec{Name: "s", Config: box, Seed: 1, Latencies: []time.Duration{0, 100 * ms}})
 	if err != nil {
 		t.Fatal(err)
 	}
-	far := &Server{Addresses: s.Addresses[1:]}
+	remote := &Server{Addresses: s.Addresses[1:]}
 	for _, c := range []struct {
-		to          *Server
-		least, most time.Duration
-	}{{s, 0, 100 * ms}, {far, 400 * ms, time.Minute}, {far, 200 * ms, 390 * ms}} {
+		to              *Server
+		lowest, highest time.Duration
+	}{{s, 0, 100 * ms}, {remote, 400 * ms, time.Minute}, {remote, 200 * ms, 390 * ms}} {
 		began := time.Now()
-		ask(c.to, "read", "1", "", time.Minute)
-		if took := time.Since(began); took < c.least || took > c.most {
-			t.Errorf("took %v, want %v to %v", took, c.least, c.most)
+		request(c.to, "read", "1", "", time.Minute)
+		if took := time.Since(began); took < c.lowest || took > c.highest {
+			t.Errorf("took %v, want %v to %v", took, c.lowest, c.highest)
 		}
 	}
 }
--- a/internal/emulator/trace/trace.go
+++ b/internal/emulator/trace/trace.go
@@ -90,22 +90,22 @@
 	return errors.Join(w.err, w.out.Flush())
 }
 
-// lineMost is the longest line: the head holds a scenario's text, of up to 1 MB, in
+// maxLineBytes is the longest line: the head holds a scenario's text, of up to 1 MB, in
 // which a character may take six bytes.
-const lineMost = 6<<20 + 1<<16
+const maxLineBytes = 6<<20 + 1<<16
 
 // Reader reads a trace.
 type Reader struct {
-	Head Head
-	scan *bufio.Scanner
-	line int
-	over bool
+	Head     Head
+	scan     *bufio.Scanner
+	line     int
+	finished bool
 }
 
 // NewReader reads the head.
 func NewReader(in io.Reader) (*Reader, error) {
 	r := &Reader{scan: bufio.NewScanner(in)}
-	r.scan.Buffer(make([]byte, 1<<16), lineMost)
+	r.scan.Buffer(make([]byte, 1<<16), maxLineBytes)
 	if err := r.next(&r.Head); errors.Is(err, io.EOF) {
 		return nil, errors.New("line 1: the trace is empty")
 	} else if err != nil {
@@ -139,7 +139,7 @@
 
 // Read returns the next event, io.EOF after the last of a whole trace.
 func (r *Reader) Read() (Event, error) {
-	if r.over {
+	if r.finished {
 		return Event{}, io.EOF
 	}
 	var e struct {
@@ -160,7 +160,7 @@
 	if *e.Events != r.line-2 {
 		return Event{}, fmt.Errorf("line %d: events: says %d, %d are there", r.line, *e.Events, r.line-2)
 	}
-	r.over = true
+	r.finished = true
 	if r.scan.Scan() {
 		return Event{}, fmt.Errorf("line %d: something follows the end", r.line+1)
 	}
--- a/internal/emulator/trace/trace_test.go
+++ b/internal/emulator/trace/trace_test.go
@@ -67,7 +67,7 @@
 		"more after it":  {good + lines[1], "something follows"},
 		"of no kind":     {strings.Replace(good, `"k":"send",`, "", 1), "line 3: k: is missing"},
 		"a wrong type":   {strings.Replace(good, `"y":1`, `"y":"one"`, 1), "line 2"},
-		"an endless one": {strings.Replace(good, `"t":5`, `"t":`+strings.Repeat("5", lineMost), 1), "line 2"},
+		"an endless one": {strings.Replace(good, `"t":5`, `"t":`+strings.Repeat("5", maxLineBytes), 1), "line 2"},
 	} {
 		if _, _, err := read(c.text); err == nil || !strings.Contains(err.Error(), c.says) {
 			t.Errorf("%s: %v, want %q", name, err, c.says)
--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -145,7 +145,7 @@
 }
 
 // Start listens on loopback. forth is the path to the target, back the one from there, which
-// streams alone have: datagrams go one path, and their answers by another relay.
+// streams alone have: datagrams go one way, and their answers by another relay.
 func Start(target string, forth, back *Path) (*Relay, error) {
 	for range 100 {
 		stream, err := net.Listen("tcp", "127.0.0.1:0")
@@ -232,7 +232,7 @@
 	}
 }
 
-// connection carries one stream both paths until either side ends it.
+// connection carries one stream in both directions until either side ends it.
 func (r *Relay) connection(from net.Conn) {
 	defer r.drop(from)
 	r.forth.wait()
--- a/internal/fleet/schedule/schedule.go
+++ b/internal/fleet/schedule/schedule.go
@@ -1,4 +1,4 @@
-// Package schedule says what befalls a rig's processes and the ways between them, and when:
+// Package schedule says what befalls a rig's processes and the paths between them, and when:
 // drawn from a seed, or written in a TOML file. It does no I/O.
 package schedule
 
@@ -16,7 +16,7 @@
 // Kind is what befalls them.
 type Kind string
 
-// The kinds. Those of a process name it as Of; those of ways name both ends, and hold from
+// The kinds. Those of a process name it as Of; those of paths name both ends, and hold from
 // Of to To alone unless Both is set.
 const (
 	Kill              Kind = "kill"   // SIGKILL, and started again when the fault ends
@@ -39,10 +39,10 @@
 var pathKinds = []Kind{Cut, Loss, Double, Swap, Spoil, Slow, Break}
 var shareKinds = []Kind{Loss, Double, Swap, Spoil}
 
-// Clients is the end of a way that all clients are.
+// Clients is the end of a path that all clients are.
 const Clients = "clients"
 
-// Discovery is the end of a way that each instance's discovery is.
+// Discovery is the end of a path that each instance's discovery is.
 const Discovery = "discovery"
 
 // Fault is one thing that befalls the rig. Every fault ends.
@@ -241,7 +241,7 @@
 	return true
 }
 
-// ordinaryFault draws a fault of a process or of a way, and adds it unless its process is busy.
+// ordinaryFault draws a fault of a process or of a path, and adds it unless its process is busy.
 func (d *drawing) ordinaryFault() {
 	f := Fault{At: d.part(0.05, 0.65), For: d.part(0.03, 0.3), Of: d.instance()}
 	d.kind(&f)
--- a/internal/measure/newcomer/newcomer.go
+++ b/internal/measure/newcomer/newcomer.go
@@ -155,7 +155,7 @@
 	var work []float64
 	sum := 0.0
 	for n := range day.Servers {
-		if day.Servers[n].Lives[0].From > 0 {
+		if day.Servers[n].Incarnations[0].From > 0 {
 			continue
 		}
 		sends := 0.0
--- a/internal/standin/soko/soko.go
+++ b/internal/standin/soko/soko.go
@@ -87,7 +87,7 @@
 	if n := f.started.Add(1); !f.Faults.Everywhere {
 		seed ^= n * 0x9e3779b97f4a7c15
 	}
-	fault := model.Fault{Until: model.Never, TurnAway: f.Faults.TurnAway, FailLate: f.Faults.Error, Break: f.Faults.Reset, Swallow: f.Faults.Silent}
+	fault := model.Fault{Until: model.Never, Reject: f.Faults.TurnAway, FailLate: f.Faults.Error, Break: f.Faults.Reset, Swallow: f.Faults.Silent}
 	made, err := f.emulated.Start(sockets.Spec{Name: name, Group: fmt.Sprint(cell), Seed: seed, Listen: address, Faults: []model.Fault{fault},
 		Config: model.Config{Cores: room, Speed: 1, SlotsPerCore: 1}})
 	if err != nil {
