HTTP/3 upstream: one file per job, typed error for an unsent request

One file of 370 lines held the upstream, its connections and the exchange; whether a request was sent was a second boolean result, left.

Files by job (upstream, pool, exchange); an unsentError proves that no stream was opened, as over HTTP/1.1; acquire is split into reserving and waiting; the trace and the request are built by steps of their own. Tests are split in the same way.

--- /dev/null
+++ b/internal/upstream/http3upstream/outcome_test.go
@@ -0,0 +1,202 @@
+package http3upstream
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+
+	"pinedale/balancer"
+	"pinedale/internal/engine"
+	"pinedale/internal/standin/udprelay"
+	"pinedale/internal/standin/wait"
+)
+
+// One connection carries many requests, each with its complete header and body.
+func TestRequestsShareOneConnection(t *testing.T) {
+	f := newFixture(t)
+	e := f.endpoint(100, func(out http.ResponseWriter, in *http.Request) {
+		body, _ := io.ReadAll(in.Body)
+		out.Header().Set("X-Backend-Load", "eps=1,queue=2")
+		fmt.Fprint(out, in.Method, in.Host, in.URL.RequestURI(), in.Header.Get("X-Correlation-Id"),
+			in.Header.Get("Connection"), string(body), in.Header.Get("X-Time-Left-Ms") != "")
+	})
+	var all sync.WaitGroup
+	for range 30 {
+		all.Go(func() {
+			r := f.send(e.target, 10*time.Second)
+			const want = "POSTtill.example/pay/x%20y?q=11bodytrue"
+			if r.Status != balancer.OK || string(r.Body) != want || len(r.Load) != 2 || r.Load[1] != 2 {
+				t.Errorf("%v %q %v", r.Status, r.Body, r.Load)
+			}
+		})
+	}
+	all.Wait()
+	if n := e.conns.Load(); n != 1 {
+		t.Errorf("%d connections for 30 requests", n)
+	}
+}
+
+// The outcomes after which a request may have run, and the one that proves that it has not.
+func TestOutcomeStatesWhatIsProven(t *testing.T) {
+	f := newFixture(t)
+	e := f.endpoint(100, func(out http.ResponseWriter, in *http.Request) {
+		switch in.Header.Get("X-Correlation-Id") {
+		case "rejected":
+			out.Header().Set("X-Unprocessed", "1")
+			out.WriteHeader(503)
+		case "busy":
+			out.WriteHeader(503)
+		case "error":
+			out.WriteHeader(500)
+		case "abort":
+			panic(http.ErrAbortHandler)
+		case "large":
+			_, _ = out.Write(make([]byte, 1<<20))
+		case "stall":
+			out.WriteHeader(200)
+			out.(http.Flusher).Flush()
+			<-in.Context().Done()
+		case "unresponsive":
+			<-in.Context().Done()
+		}
+	})
+	for id, want := range map[string]balancer.Status{
+		"rejected":     balancer.Full,
+		"busy":         balancer.Error,
+		"error":        balancer.Error,
+		"abort":        balancer.Reset,
+		"large":        balancer.Reset,
+		"stall":        balancer.Reset,
+		"unresponsive": balancer.Timeout,
+	} {
+		m := message()
+		m.Header.Set("X-Correlation-Id", id)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		if r := f.upstream.attempt(ctx, e.target, m); r.Status != want {
+			t.Errorf("%s: %v, want %v", id, r.Status, want)
+		}
+		cancel()
+	}
+	reset := func(code http3.ErrCode) *engine.Target {
+		return f.raw(func(_ *quic.Conn, s *quic.Stream) { s.CancelWrite(quic.StreamErrorCode(code)) })
+	}
+	if r := f.send(reset(http3.ErrCodeRequestRejected), time.Second); r.Status != balancer.Full {
+		t.Errorf("rejected unprocessed: %v", r.Status)
+	}
+	if r := f.send(reset(http3.ErrCodeInternalError), time.Second); r.Status != balancer.Reset {
+		t.Errorf("reset after the last byte: %v", r.Status)
+	}
+}
+
+// Where no endpoint responds an attempt ends at the dial timeout as not run; the next one dials
+// anew.
+func TestUnreachableEndpointProvesNotRun(t *testing.T) {
+	f := newFixture(t)
+	socket, err := net.ListenPacket("udp", "127.0.0.1:0") // receives, and sends nothing
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.Close()
+	start := time.Now()
+	for range 2 {
+		target := &engine.Target{Address: socket.LocalAddr().String()}
+		if r := f.send(target, 10*time.Second); r.Status != balancer.ConnectFailed {
+			t.Errorf("%v", r.Status)
+		}
+	}
+	if took := time.Since(start); took > 5*time.Second {
+		t.Errorf("two attempts took %v", took)
+	}
+	closed := &engine.Target{Address: socket.LocalAddr().String()}
+	closed.Close()
+	if r := f.send(closed, time.Second); r.Status != balancer.NotSent {
+		t.Errorf("to a closed target: %v", r.Status)
+	}
+}
+
+// Where an endpoint accepts no new streams a request ends at the stream timeout as not run, long
+// before its deadline.
+func TestStreamLimitProvesNotRun(t *testing.T) {
+	f := newFixture(t)
+	end := make(chan struct{})
+	e := f.endpoint(1, func(_ http.ResponseWriter, in *http.Request) { <-end })
+	first := make(chan engine.Result)
+	go func() { first <- f.send(e.target, time.Minute) }()
+	wait.Until(t, "the first request", func() bool { return e.requests.Load() == 1 })
+	start := time.Now()
+	if r := f.send(e.target, time.Minute); r.Status != balancer.ConnectFailed || e.requests.Load() != 1 {
+		t.Errorf("%v, %d requests arrived", r.Status, e.requests.Load())
+	}
+	if took := time.Since(start); took > 5*time.Second {
+		t.Errorf("ended after %v", took)
+	}
+	close(end)
+	if r := <-first; r.Status != balancer.OK {
+		t.Errorf("the first: %v", r.Status)
+	}
+}
+
+// A cancelled attempt resets its stream, so that the endpoint is notified.
+func TestCancelledAttemptResetsItsStream(t *testing.T) {
+	f := newFixture(t)
+	streamReset := make(chan struct{})
+	e := f.endpoint(100, func(_ http.ResponseWriter, in *http.Request) { <-in.Context().Done(); close(streamReset) })
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	result := make(chan engine.Result)
+	go func() { result <- f.upstream.attempt(ctx, e.target, message()) }()
+	wait.Until(t, "the request", func() bool { return e.requests.Load() == 1 })
+	cancel()
+	if r := <-result; r.Status != balancer.Cancelled {
+		t.Errorf("%v", r.Status)
+	}
+	<-streamReset
+}
+
+// With 5 % and 20 % of datagrams lost, and others duplicated and reordered, no request is sent
+// twice, and requests are served.
+func TestPacketLossSendsNoRequestTwice(t *testing.T) {
+	for _, loss := range []float64{0.05, 0.2} {
+		t.Run(fmt.Sprint(loss), func(t *testing.T) {
+			f := newFixture(t)
+			ids := sync.Map{}
+			var duplicates atomic.Int64
+			e := f.endpoint(100, func(_ http.ResponseWriter, in *http.Request) {
+				if _, was := ids.LoadOrStore(in.Header.Get("X-Correlation-Id"), true); was {
+					duplicates.Add(1)
+				}
+			})
+			relay, err := udprelay.Start(e.target.Address, udprelay.Script{Loss: loss, Double: 0.05, Swap: 0.05, Seed: 7})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer relay.Close()
+			target := &engine.Target{Address: relay.Address}
+			served := 0
+			for n := range 60 {
+				m := message()
+				m.Header.Set("X-Correlation-Id", fmt.Sprint(n))
+				ctx, cancel := context.WithTimeout(context.Background(), wait.Patience)
+				switch r := f.upstream.attempt(ctx, target, m); r.Status {
+				case balancer.OK:
+					served++
+				case balancer.ConnectFailed, balancer.Reset: // the handshake timed out, or the response stalled
+				default:
+					t.Errorf("request %d: %v", n, r.Status)
+				}
+				cancel()
+			}
+			if served == 0 || duplicates.Load() != 0 || int(e.requests.Load()) < served {
+				t.Errorf("%d served, %d arrived, %d twice", served, e.requests.Load(), duplicates.Load())
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/upstream/http3upstream/pool.go
@@ -0,0 +1,215 @@
+package http3upstream
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+
+	"pinedale/internal/engine"
+	"pinedale/internal/upstream/attempt"
+	"pinedale/internal/upstream/speaks"
+)
+
+// idleTimeout is how long a network path may carry nothing before its connection is given up.
+// Keep-alive packets at a third of it prove that the path works.
+const idleTimeout = 5 * time.Second
+
+// conn is a connection, perhaps one that is still being dialled.
+type conn struct {
+	target *engine.Target
+
+	// ready is closed once the dial has ended. The next fields are set before that and not
+	// changed afterwards.
+	ready  chan struct{}
+	quic   *quic.Conn
+	client *http3.ClientConn
+	usable func(now time.Time) bool // keys and trust allow new requests; called under Upstream.mu
+	err    error                    // of the dial
+
+	// Guarded by Upstream.mu.
+	inFlight int // requests on the connection, those that wait for it included
+	lastUsed time.Time
+	draining bool // it takes no new requests
+	closed   bool
+}
+
+// isBroken reports whether a connection could not be established, or has ended. One that is still
+// being dialled is not broken.
+func (c *conn) isBroken() bool {
+	select {
+	case <-c.ready:
+		return c.err != nil || c.quic.Context().Err() != nil
+	default:
+		return false
+	}
+}
+
+// isReady reports whether a connection's handshake has succeeded.
+func (c *conn) isReady() bool {
+	select {
+	case <-c.ready:
+		return c.err == nil
+	default:
+		return false
+	}
+}
+
+// Retire has a target's connection closed once its requests have completed.
+func (u *Upstream) Retire(t *engine.Target) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if c := u.conns[t]; c != nil {
+		u.drainLocked(c)
+	}
+	u.options.Secure.Retire(t)
+}
+
+// Prune closes connections that have been without requests for too long, or are broken.
+func (u *Upstream) Prune() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, c := range u.conns {
+		if c.inFlight == 0 && (time.Since(c.lastUsed) >= u.options.Idle || c.isBroken()) {
+			u.drainLocked(c)
+		}
+	}
+}
+
+// drainLocked gives a connection no new requests, and closes it once it has none in flight. The
+// caller holds u.mu.
+func (u *Upstream) drainLocked(c *conn) {
+	if !c.draining {
+		c.draining = true
+		if u.conns[c.target] == c {
+			delete(u.conns, c.target)
+		}
+	}
+	if c.inFlight > 0 || c.closed {
+		return
+	}
+	c.closed = true
+	u.open--
+	if c.quic != nil {
+		go func(connection *quic.Conn) {
+			_ = connection.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), "")
+		}(c.quic)
+	}
+}
+
+// abandon gives a connection no new requests.
+func (u *Upstream) abandon(c *conn) {
+	u.mu.Lock()
+	u.drainLocked(c)
+	u.mu.Unlock()
+	u.reportResult(c.target, speaks.Failed)
+}
+
+// acquire returns the connection to a target with one more request in flight: release must
+// follow. It waits until the connection is established, but not beyond ctx.
+func (u *Upstream) acquire(ctx context.Context, t *engine.Target) (*conn, error) {
+	c, err := u.reserve(t, attempt.IsProbe(ctx))
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case <-c.ready:
+	case <-ctx.Done():
+		u.release(c)
+		return nil, ctx.Err()
+	}
+	if c.err != nil {
+		u.release(c)
+		return nil, c.err
+	}
+	return c, nil
+}
+
+// reserve returns the connection to a target with one more request in flight. It begins to dial
+// where there is none.
+func (u *Upstream) reserve(t *engine.Target, probe bool) (*conn, error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if t.Closed() {
+		return nil, attempt.ErrClosed
+	}
+	c := u.conns[t]
+	// usable is not called in Prune, which runs on the engine's goroutine: after a change of
+	// keys it verifies a certificate chain.
+	if c != nil && (c.isBroken() || c.isReady() && !c.usable(time.Now())) {
+		u.drainLocked(c)
+		c = nil
+	}
+	if c == nil {
+		if u.open >= u.options.Connections {
+			return nil, attempt.ErrFull
+		}
+		c = &conn{target: t, ready: make(chan struct{})}
+		u.conns[t] = c
+		u.open++
+		go u.dial(c, probe)
+	}
+	c.inFlight++
+	return c, nil
+}
+
+// release ends one request's use of a connection.
+func (u *Upstream) release(c *conn) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	c.inFlight--
+	c.lastUsed = time.Now()
+	if c.draining || c.isBroken() {
+		u.drainLocked(c)
+	}
+}
+
+// dial establishes a connection and reports the result. It serves all requests that wait for the
+// connection, so that it doesn't end with the context of one of them.
+func (u *Upstream) dial(c *conn, probe bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), u.options.DialTimeout)
+	defer cancel()
+	if probe {
+		ctx = attempt.ForProbe(ctx)
+	}
+	defer close(c.ready)
+	c.err = u.connect(ctx, c)
+	switch {
+	case c.err == nil:
+		u.reportResult(c.target, speaks.Established)
+	case !errors.Is(c.err, attempt.ErrFull): // the rate limit says nothing about the endpoint
+		u.reportResult(c.target, speaks.Failed)
+	}
+}
+
+// connect performs the handshake.
+func (u *Upstream) connect(ctx context.Context, c *conn) error {
+	address, err := net.ResolveUDPAddr("udp", c.target.Address)
+	if err != nil {
+		return err
+	}
+	if err := u.options.Secure.Turn(ctx, c.target); err != nil {
+		return err
+	}
+	config, end, err := u.options.Secure.QUIC(c.target)
+	if err != nil {
+		return err
+	}
+	c.quic, err = u.transport.Dial(ctx, address, http3.ConfigureTLSConfig(config), &quic.Config{
+		HandshakeIdleTimeout: u.options.DialTimeout,
+		MaxIdleTimeout:       idleTimeout,
+		KeepAlivePeriod:      idleTimeout / 3,
+		MaxIncomingStreams:   -1, // none
+	})
+	if err != nil {
+		end(tls.ConnectionState{}, err)
+		return err
+	}
+	c.usable = end(c.quic.ConnectionState().TLS, nil)
+	c.client = (&http3.Transport{DisableCompression: true}).NewClientConn(c.quic)
+	return nil
+}
--- /dev/null
+++ b/internal/upstream/http3upstream/pool_test.go
@@ -0,0 +1,152 @@
+package http3upstream
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+
+	"pinedale/balancer"
+	"pinedale/internal/engine"
+	"pinedale/internal/standin/udprelay"
+	"pinedale/internal/standin/wait"
+)
+
+// After GOAWAY requests in flight are completed, and no new ones are sent on the connection.
+func TestGoAwayCompletesRequestsInFlight(t *testing.T) {
+	f := newFixture(t)
+	proceed := make(chan struct{})
+	e := f.endpoint(100, func(http.ResponseWriter, *http.Request) { <-proceed })
+	first := make(chan engine.Result)
+	go func() { first <- f.send(e.target, time.Minute) }()
+	wait.Until(t, "the first request", func() bool { return e.requests.Load() == 1 })
+	down := make(chan struct{})
+	go func() {
+		_ = e.http.Shutdown(context.Background())
+		close(down)
+	}()
+	wait.Until(t, "GOAWAY to arrive", func() bool { return f.send(e.target, time.Second).Status != balancer.Timeout })
+	if r := f.send(e.target, time.Second); r.Status != balancer.ConnectFailed && r.Status != balancer.Full {
+		t.Errorf("after GOAWAY: %v", r.Status)
+	}
+	if e.requests.Load() != 1 {
+		t.Errorf("%d requests arrived", e.requests.Load())
+	}
+	close(proceed)
+	if r := <-first; r.Status != balancer.OK {
+		t.Errorf("request in flight: %v", r.Status)
+	}
+	f.upstream.Close() // the server waits for its clients to disconnect
+	<-down
+}
+
+// A retired target's connection is closed with its last request; connections are bounded, and
+// pruned once idle.
+func TestRetireAndPruneCloseConnections(t *testing.T) {
+	f := newFixture(t)
+	proceed := make(chan struct{})
+	e := f.endpoint(100, func(http.ResponseWriter, *http.Request) { <-proceed })
+	result := make(chan engine.Result)
+	go func() { result <- f.send(e.target, time.Minute) }()
+	wait.Until(t, "the request", func() bool { return e.requests.Load() == 1 })
+	e.target.Close()
+	f.upstream.Retire(e.target)
+	close(proceed)
+	if r := <-result; r.Status != balancer.OK {
+		t.Errorf("in flight when retired: %v", r.Status)
+	}
+	openConns := func() int {
+		f.upstream.mu.Lock()
+		defer f.upstream.mu.Unlock()
+		return f.upstream.open
+	}
+	if n := openConns(); n != 0 {
+		t.Errorf("%d connections are open", n)
+	}
+	for n := range 5 {
+		quick := f.endpoint(100, func(http.ResponseWriter, *http.Request) {})
+		want := balancer.OK
+		if n >= 3 {
+			want = balancer.NotSent
+		}
+		if r := f.send(quick.target, time.Minute); r.Status != want {
+			t.Errorf("connection %d: %v", n, r.Status)
+		}
+	}
+	f.upstream.options.Idle = 0
+	f.upstream.Prune()
+	if n := openConns(); n != 0 {
+		t.Errorf("%d connections are open after Prune", n)
+	}
+}
+
+// A restarted server does not know the connection. A request sent on it may have run, and ends at
+// once with the server's stateless reset, not with a timeout; the next request finds the server.
+func TestServerRestartResetsRequestsInFlight(t *testing.T) {
+	f := newFixture(t)
+	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := socket.LocalAddr().String()
+	var requests atomic.Int64
+	resets := quic.StatelessResetKey{1}
+	serve := func(socket net.PacketConn) (stop func()) {
+		transport := &quic.Transport{Conn: socket, StatelessResetKey: &resets}
+		listener, err := transport.ListenEarly(http3.ConfigureTLSConfig(f.pair.Server), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		server := &http3.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { requests.Add(1) })}
+		done := make(chan struct{})
+		go func() {
+			_ = server.ServeListener(listener) // until Close
+			close(done)
+		}()
+		return func() {
+			server.Close()
+			listener.Close()
+			transport.Close()
+			socket.Close()
+			<-done
+		}
+	}
+	stop := serve(socket)
+	relay, err := udprelay.Start(address, udprelay.Script{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer relay.Close()
+	target := &engine.Target{Address: relay.Address}
+	if r := f.send(target, wait.Patience); r.Status != balancer.OK {
+		t.Fatalf("before: %v", r.Status)
+	}
+	relay.Deafen(udprelay.ToClient, true)
+	stop()
+	if err := relay.Rebind(); err != nil { // packets on their way are lost, the server's close included
+		t.Fatal(err)
+	}
+	if socket, err = net.ListenPacket("udp", address); err != nil {
+		t.Fatal(err)
+	}
+	defer serve(socket)()
+	relay.Deafen(udprelay.ToClient, false)
+	if r := f.send(target, wait.Patience); r.Status != balancer.Reset {
+		t.Errorf("on the earlier connection: %v, want Reset", r.Status)
+	}
+	// The connection's end may still be propagating through this process: a request that was not
+	// written then has not run, and is sent again.
+	var r engine.Result
+	wait.Until(t, "the next connection", func() bool {
+		r = f.send(target, wait.Patience)
+		return r.Status != balancer.ConnectFailed
+	})
+	if r.Status != balancer.OK || requests.Load() != 2 {
+		t.Errorf("after: %v, %d requests arrived", r.Status, requests.Load())
+	}
+}
