--- a/internal/upstream/attempt/outcome.go
+++ b/internal/upstream/attempt/outcome.go
@@ -17,6 +17,14 @@
 	loadReportHeader  = "X-Backend-Load" // load report, as the body of a load probe's response
 )
 
+// An UnsentError proves that the last byte of a request was never written.
+type UnsentError struct{ Cause error }
+
+func (e *UnsentError) Error() string { return "request not sent: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *UnsentError) Unwrap() error { return e.Cause }
+
 // UnsentStatus returns the outcome of a request whose last byte was not written, so that it
 // never ran: ConnectFailed, which counts against the endpoint, unless the sidecar itself no
 // longer wanted to send it or was not free to.
--- a/internal/upstream/http3upstream/exchange.go
+++ b/internal/upstream/http3upstream/exchange.go
@@ -25,15 +25,8 @@
 	streamTimeout = 100 * time.Millisecond
 )
 
-// An unsentError proves that no stream was opened for a request.
-type unsentError struct{ cause error }
-
-func (e *unsentError) Error() string { return e.cause.Error() }
-
-func (e *unsentError) Unwrap() error { return e.cause }
-
 // exchange sends one request on a stream of its own and reads the complete response. Its error is
-// an unsentError where no stream was opened; after any other error the request may have run.
+// an attempt.UnsentError where no stream was opened; after any other error the request may have run.
 // ClientConn.RoundTrip uses this connection alone, once.
 func exchange(ctx context.Context, client *http3.ClientConn, t *engine.Target, m *engine.Message) (
 	*attempt.Response, error) {
@@ -49,7 +42,7 @@
 	request := newRequest(withStreamTrace(ctx, &opened), t, m)
 	response, err := client.RoundTrip(request)
 	if err != nil && !opened.Load() {
-		return nil, &unsentError{err}
+		return nil, &attempt.UnsentError{Cause: err}
 	}
 	if err != nil {
 		return nil, err
--- a/internal/upstream/http3upstream/upstream.go
+++ b/internal/upstream/http3upstream/upstream.go
@@ -122,12 +122,12 @@
 	}
 	start := time.Now()
 	response, err := exchange(ctx, c.client, t, m)
-	var unsent *unsentError
+	var unsent *attempt.UnsentError
 	if errors.As(err, &unsent) {
 		if ctx.Err() == nil {
 			u.abandon(c) // no stream, or GOAWAY: the next request dials anew
 		}
-		return engine.Result{Status: attempt.UnsentStatus(ctx, unsent.cause)}
+		return engine.Result{Status: attempt.UnsentStatus(ctx, unsent.Cause)}
 	}
 	duration := time.Since(start)
 	switch {
--- a/internal/upstream/httpupstream/exchange.go
+++ b/internal/upstream/httpupstream/exchange.go
@@ -13,8 +13,8 @@
 )
 
 // exchange sends one request on a connection and reads the complete response. It releases the
-// connection. Its error is errStale or an unsentError where the last byte of the request was not
-// written; after any other error the request may have run.
+// connection. Its error is errStale or an attempt.UnsentError where the last byte of the request
+// was not written; after any other error the request may have run.
 func (u *Upstream) exchange(ctx context.Context, c *conn, m *engine.Message) (response *attempt.Response, err error) {
 	reusable := false
 	written := false // at least in part
@@ -31,17 +31,17 @@
 
 	data, err := encode(ctx, m)
 	if err != nil {
-		return nil, &unsentError{err}
+		return nil, &attempt.UnsentError{Cause: err}
 	}
 	// The endpoint may have begun to drain while the connection was dialled.
 	if c.target.Closed() {
-		return nil, &unsentError{attempt.ErrClosed}
+		return nil, &attempt.UnsentError{Cause: attempt.ErrClosed}
 	}
 	// Checked ahead of isAlive: to an attempt that is over this connection would look dead, and
 	// so would every other idle one.
 	if err := attempt.CheckBeforeWrite(ctx); err != nil {
 		reusable = true
-		return nil, &unsentError{err}
+		return nil, &attempt.UnsentError{Cause: err}
 	}
 	// Checked last before the write: bytes that have arrived by now belong to no request, and
 	// must not be taken for the response.
@@ -63,7 +63,7 @@
 	writable := stopDeadline() // else the write deadline has passed for good
 	if n < len(data) {
 		u.observeIdle(ctx, c, start, err)
-		return nil, false, &unsentError{err}
+		return nil, false, &attempt.UnsentError{Cause: err}
 	}
 	response, reusable, err = c.receive(method)
 	u.observeIdle(ctx, c, start, err)
--- a/internal/upstream/httpupstream/outcome_test.go
+++ b/internal/upstream/httpupstream/outcome_test.go
@@ -106,7 +106,7 @@
 	}
 }
 
-func TestRefusedConnectionProvesNotRun(t *testing.T) {
+func TestFailedDialProvesNotRun(t *testing.T) {
 	u := newTestUpstream(1)
 	for range 2 { // a failed dial releases its slot
 		r := u.attempt(context.Background(), &engine.Target{Address: closedAddress(t)}, get("/"))
--- a/internal/upstream/httpupstream/upstream.go
+++ b/internal/upstream/httpupstream/upstream.go
@@ -21,13 +21,6 @@
 // written to it.
 var errStale = errors.New("idle connection no longer usable")
 
-// An unsentError proves that the last byte of a request was never written.
-type unsentError struct{ cause error }
-
-func (e *unsentError) Error() string { return e.cause.Error() }
-
-func (e *unsentError) Unwrap() error { return e.cause }
-
 // Options configure an Upstream.
 type Options struct {
 	DialTimeout time.Duration
@@ -101,10 +94,10 @@
 		}
 	}
 	duration := time.Since(start)
-	var unsent *unsentError
+	var unsent *attempt.UnsentError
 	switch {
 	case errors.As(err, &unsent):
-		return engine.Result{Status: attempt.UnsentStatus(ctx, unsent.cause), Duration: duration}
+		return engine.Result{Status: attempt.UnsentStatus(ctx, unsent.Cause), Duration: duration}
 	case err != nil:
 		return engine.Result{Status: attempt.InterruptedStatus(ctx), Duration: duration}
 	}
