TOML files: decoding, errors, positions and durations in files of their own, with tests

Cause: one file did five jobs with names such as most, words and at, and had tests only in its callers.

Change: errors, durations, decoding, positions of keys and the collection of errors are separate files; File.Good is File.Valid. Texts of errors, their lines and their order are as before. Tests of the package itself are new.

Measured: go test of tomlfile, scenario and schedule, and of site's tests of files: ok. The new tests also pass on the code before the change, with Valid written as Good. Lint of tomlfile: 0 issues.

--- a/internal/site/check.go
+++ b/internal/site/check.go
@@ -80,7 +80,7 @@
 	c.members()
 	c.peers()
 	c.policy()
-	if c.Good() {
+	if c.Valid() {
 		// The module's own checks are the last net.
 		s := f.Settings()
 		if err := s.Validate(); err != nil {
--- a/internal/site/keys.go
+++ b/internal/site/keys.go
@@ -115,7 +115,7 @@
 	if k.PermitOver || k.PeersOver > 0 {
 		c.Warn(at("name"), "takes certificates whose time is over: meant for an emergency")
 	}
-	if !c.Good() {
+	if !c.Valid() {
 		return
 	}
 	if _, err := keyroom.Open(k.options(c.file.serves(k.Name), slog.New(slog.DiscardHandler))); err != nil {
--- /dev/null
+++ b/internal/tomlfile/file.go
@@ -0,0 +1,65 @@
+package tomlfile
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+)
+
+// File collects the errors and warnings that are found in a decoded file.
+type File struct {
+	lines    map[string]int // of keys and tables, by their complete keys
+	errs     []*Error
+	warnings []*Error
+}
+
+// Require records an error for a key unless ok.
+func (f *File) Require(ok bool, key, format string, args ...any) {
+	if ok {
+		return
+	}
+	f.errs = append(f.errs, &Error{Line: f.line(key), Key: key, Reason: fmt.Sprintf(format, args...)})
+}
+
+// Positive records an error unless a duration is positive.
+func (f *File) Positive(key string, d Duration) {
+	f.Require(d > 0, key, "%v is not positive", time.Duration(d))
+}
+
+// Warn records a value that is valid but probably a mistake.
+func (f *File) Warn(key, reason string) {
+	f.warnings = append(f.warnings, &Error{Line: f.line(key), Key: key, Reason: reason})
+}
+
+// Valid reports whether no error was recorded.
+func (f *File) Valid() bool { return len(f.errs) == 0 }
+
+// Err joins the recorded errors in the order of their lines; nil if there are none.
+func (f *File) Err() error {
+	if f.Valid() {
+		return nil
+	}
+	sortByLine(f.errs)
+	errs := make([]error, len(f.errs))
+	for i, e := range f.errs {
+		errs[i] = e
+	}
+	return errors.Join(errs...)
+}
+
+// Warnings returns the recorded warnings in the order of their lines.
+func (f *File) Warnings() []*Error {
+	sortByLine(f.warnings)
+	return f.warnings
+}
+
+// line returns the line of a key. For a missing key it is the line of its table, 0 if that is missing as well.
+func (f *File) line(key string) int {
+	line := f.lines[key]
+	for table := key; line == 0 && strings.Contains(table, "."); {
+		table = table[:strings.LastIndex(table, ".")]
+		line = f.lines[table]
+	}
+	return line
+}
