--- a/internal/site/bad_test.go
+++ b/internal/site/bad_test.go
@@ -20,7 +20,7 @@
 }
 
 // Each deliberately bad file is refused with the line, key and reason that it states.
-func TestDeliberatelyBadFiles(t *testing.T) {
+func TestBadFileCorpusIsRejectedAsStated(t *testing.T) {
 	for _, path := range badFiles(t) {
 		text, err := os.ReadFile(path)
 		if err != nil {
--- /dev/null
+++ b/internal/site/build_fronts.go
@@ -0,0 +1,116 @@
+package site
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"pinedale/internal/engine"
+	"pinedale/internal/front/extproc"
+	"pinedale/internal/front/http3front"
+	"pinedale/internal/front/httpfront"
+)
+
+const (
+	// atCapacityDivisor is the fraction of client connections from which on responses close theirs.
+	atCapacityDivisor = 3
+	// bodyMemoryDivisor is the fraction of the memory that request bodies may use in each HTTP front.
+	bodyMemoryDivisor = 8
+	// entryMemoryDivisor is the fraction of the memory that the external processor's entries may use.
+	entryMemoryDivisor = 8
+	// entryBytes is about the size of an entry: two names, a round and two attempts.
+	entryBytes = 1 << 10
+	// altSvcMaxAge is how long clients may remember that HTTP/3 is available (RFC 7838).
+	altSvcMaxAge = time.Hour
+	// endMargin is added to the longest deadline when the HTTP/1.1 front ends: nothing kills the process.
+	endMargin = time.Second
+)
+
+// bytesPerMB converts limits.memory_mb.
+const bytesPerMB = 1 << 20
+
+// maxBodyBytes bounds the request bodies that each HTTP front holds.
+func (f *File) maxBodyBytes() int64 { return int64(f.Limits.MemoryMB) * bytesPerMB / bodyMemoryDivisor }
+
+// serve runs a front in a goroutine of its own; Wait receives its error.
+func (i *Instance) serve(front func() error) {
+	i.fronts++
+	go func() { i.frontErrors <- front() }()
+}
+
+// serveHTTP3 starts the HTTP/3 front and returns the Alt-Svc value by which the HTTP/1.1 front advertises it, "" if
+// it is not switched on.
+func (i *Instance) serveHTTP3(ctx context.Context, socket net.PacketConn, upstream engine.Upstream) (altSvc string) {
+	if socket == nil {
+		return ""
+	}
+	f := i.file
+	front := http3front.New(i.engine, upstream, http3front.Options{
+		Room:        i.stores[f.HTTP3.Keys],
+		Name:        f.Name,
+		Connections: f.HTTP3.MaxConnections,
+		Streams:     f.HTTP3.MaxStreams,
+		Early:       f.HTTP3.EarlyData,
+		BodyBytes:   f.maxBodyBytes(),
+		Parser:      i.parser,
+		Log:         i.log,
+	})
+	i.HTTP3 = socket.LocalAddr()
+	i.serve(func() error { return front.Serve(ctx, socket) })
+	return fmt.Sprintf(`h3=":%d"; ma=%d`, i.HTTP3.(*net.UDPAddr).Port, altSvcMaxAge/time.Second)
+}
+
+// serveHTTP starts the HTTP/1.1 front if it is switched on.
+func (i *Instance) serveHTTP(ctx context.Context, listener net.Listener, upstream engine.Upstream, altSvc string) {
+	if listener == nil {
+		return
+	}
+	f := i.file
+	if store := i.stores[f.HTTP.Keys]; store != nil {
+		listener = store.Listen(listener, "http/1.1")
+	}
+	front := httpfront.New(i.engine, upstream, httpfront.Options{
+		Connections: f.Limits.ClientConnections,
+		Crowded:     f.Limits.ClientConnections / atCapacityDivisor,
+		BodyBytes:   f.maxBodyBytes(),
+		Parser:      i.parser,
+		AltSvc:      altSvc,
+		EndBy:       func(longest time.Duration) time.Duration { return longest + endMargin },
+		Log:         i.log,
+	})
+	i.HTTP = listener.Addr()
+	i.serve(func() error { return front.Serve(ctx, listener) })
+}
+
+// serveExtProc starts the external processor if it is switched on.
+func (i *Instance) serveExtProc(ctx context.Context, listener net.Listener) {
+	if listener == nil {
+		return
+	}
+	f := i.file
+	options := extproc.Options{
+		Streams: f.ExtProc.Streams,
+		Backlog: f.ExtProc.Backlog,
+		Retries: f.ExtProc.Retries == retriesByProxy,
+		Entries: f.Limits.MemoryMB * bytesPerMB / entryMemoryDivisor / entryBytes,
+		Fields:  f.Fleet.LoadFields,
+		Parser:  i.parser,
+		Drain:   f.longestDeadline(),
+		Log:     i.log,
+	}
+	if store := i.stores[f.ExtProc.Keys]; store != nil {
+		options.TLS, options.Renew = store.Server("h2"), store.Spread()
+	}
+	i.extProc = extproc.New(i.engine, options)
+	i.ExtProc = listener.Addr()
+	i.serve(func() error { return i.extProc.Serve(ctx, listener) })
+}
+
+// longestDeadline returns the longest deadline of a class.
+func (f *File) longestDeadline() (longest time.Duration) {
+	for i := range f.Classes {
+		longest = max(longest, time.Duration(f.Classes[i].Deadline))
+	}
+	return longest
+}
--- /dev/null
+++ b/internal/site/build_settings.go
@@ -0,0 +1,138 @@
+package site
+
+import (
+	"slices"
+	"time"
+
+	"pinedale/balancer"
+	"pinedale/internal/intake"
+	"pinedale/internal/policy"
+)
+
+// Settings returns the settings of the balancer.
+func (f *File) Settings() balancer.Settings {
+	settings := balancer.Settings{
+		Balancers:     f.Fleet.Instances,
+		Zone:          slices.Index(f.Fleet.Sites, f.Site),
+		Zones:         len(f.Fleet.Sites),
+		Kinds:         len(f.Fleet.Kinds),
+		PollDiscovery: f.Discovery.Address != "" && len(f.Ephemeral.Servers) == 0,
+		Limits:        f.balancerLimits(),
+		Contract:      f.balancerContract(),
+		// How users weigh failures, and what probes and requests to other zones cost the operator.
+		Goal:   balancer.Goal{Overall: 0.45, WorstWindow: 0.35, WorstClass: 0.2},
+		Prices: balancer.Prices{CrossZone: 0.03, Probe: 0.05, Waste: 0.05, LateFail: 0.05},
+	}
+	for _, field := range f.Fleet.LoadFields {
+		settings.Fields = append(settings.Fields, loadFields[field])
+	}
+	if f.table != nil {
+		settings.Classes, settings.Budgets = f.table.Classes(), f.table.Budgets()
+	}
+	return settings
+}
+
+// balancerLimits returns what the balancer may do.
+func (f *File) balancerLimits() balancer.Limits {
+	l := &f.Limits
+	return balancer.Limits{
+		Cancel:        true,
+		Probes:        l.LoadProbes,
+		Hedging:       l.Hedging,
+		RetryAfter:    l.MaxRetryAfter > 0,
+		MaxAttempts:   l.MaxAttempts,
+		MaxOpen:       l.OpenRequests,
+		MaxRetryAfter: l.MaxRetryAfter.Micros(),
+		DialTimeout:   l.DialTimeout.Micros(),
+	}
+}
+
+// balancerContract returns how servers and clients behave.
+func (f *File) balancerContract() balancer.Contract {
+	return balancer.Contract{
+		DrainGrace:       f.Fleet.DrainGrace.Micros(),
+		SlowStartRatio:   f.Fleet.SlowStartRatio,
+		SlowStartTime:    f.Fleet.SlowStartTime.Micros(),
+		OverloadMultiple: f.Fleet.OverloadMultiple,
+		OverloadTime:     f.Fleet.OverloadTime.Micros(),
+		PollInterval:     f.Discovery.PollInterval.Micros(),
+		AnswerSlack:      intake.ResponseMargin.Microseconds(),
+	}
+}
+
+// policyConfig returns the classes, routes, pools and tenants for the policy compiler.
+func (f *File) policyConfig() *policy.Config {
+	config := &policy.Config{
+		Version: f.version(),
+		Limits: policy.Limits{
+			MaxAttempts: f.Limits.MaxAttempts,
+			Hedging:     f.Limits.Hedging,
+			MaxDeadline: intake.MaxRequestTime,
+			Dial:        time.Duration(f.Limits.DialTimeout),
+			TimerSlack:  time.Duration(f.Limits.TimerSlack),
+			ClockError:  f.Limits.ClockDrift,
+			DrainGrace:  time.Duration(f.Fleet.DrainGrace),
+			DrainFor:    time.Duration(f.Fleet.DrainTime),
+		},
+	}
+	for i := range f.Classes {
+		config.Classes = append(config.Classes, f.Classes[i].policyClass())
+	}
+	for i := range f.Routes {
+		config.Routes = append(config.Routes, f.Routes[i].policyRoute())
+	}
+	for _, pool := range f.Pools {
+		config.Pools = append(config.Pools, policy.Pool(pool))
+	}
+	for _, tenant := range f.Tenants {
+		config.Tenants = append(config.Tenants, policy.Tenant(tenant))
+	}
+	return config
+}
+
+// policyTiming returns the timing for the policy compiler.
+func (t *Timing) policyTiming() policy.Timing {
+	return policy.Timing{
+		Deadline:       time.Duration(t.Deadline),
+		AttemptTimeout: time.Duration(t.AttemptTimeout),
+		MaxAttempts:    t.MaxAttempts,
+		HedgeDelay:     time.Duration(t.HedgeDelay),
+		Hedging:        t.Hedging,
+		RetryRatio:     t.RetryRatio,
+		RetryBurst:     t.RetryBurst,
+	}
+}
+
+// policyClass returns the class for the policy compiler.
+func (c *Class) policyClass() policy.Class {
+	return policy.Class{
+		Timing:           c.policyTiming(),
+		Name:             c.Name,
+		Idempotency:      idempotencies[c.Idempotency],
+		Group:            groups[c.Group],
+		DedupWindow:      time.Duration(c.DedupWindow),
+		LatencyObjective: time.Duration(c.LatencyObjective),
+		PriorityWeight:   valueOr(c.PriorityWeight, 1),
+		LateWeightRatio:  c.LateWeightRatio,
+		HedgeQuantile:    c.HedgeQuantile,
+		TypicalWork:      time.Duration(c.TypicalWork),
+		Clients:          c.Clients,
+		MaxInFlight:      c.MaxInFlight,
+		BrownOut:         c.BrownOut,
+	}
+}
+
+// policyRoute returns the route for the policy compiler.
+func (r *Route) policyRoute() policy.Route {
+	return policy.Route{
+		Timing:  r.policyTiming(),
+		Name:    r.Name,
+		Host:    r.Host,
+		Path:    r.Path,
+		Prefix:  r.Prefix,
+		Method:  r.Method,
+		Headers: r.Headers,
+		Class:   r.Class,
+		Pool:    r.Pool,
+	}
+}
--- a/internal/site/file_test.go
+++ b/internal/site/file_test.go
@@ -12,7 +12,7 @@
 	"pinedale/balancer"
 )
 
-const good = `version = 1
+const goodFile = `version = 1
 name = "arusha-1"
 site = "arusha"
 [http]
@@ -47,8 +47,8 @@
 pod = 3
 `
 
-func TestGoodFile(t *testing.T) {
-	f, err := Parse([]byte(good))
+func TestGoodFileSettings(t *testing.T) {
+	f, err := Parse([]byte(goodFile))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -70,7 +70,7 @@
 }
 
 // Every fault is named with its line, key and reason, and no file with one is used.
-func TestBadFiles(t *testing.T) {
+func TestBadFilesAreRejectedWithLineAndKey(t *testing.T) {
 	for _, c := range []struct {
 		old, new string
 		line     int
@@ -123,8 +123,8 @@
 		{`name = "soko-1"`, "name = \"soko-1", 29, ""},
 		{"name = \"soko-1\"", "name = \"soko\xff\"", 29, "file"},
 	} {
-		bad := strings.Replace(good, c.old, c.new, 1)
-		if bad == good {
+		bad := strings.Replace(goodFile, c.old, c.new, 1)
+		if bad == goodFile {
 			t.Fatalf("%q is not in the file", c.old)
 		}
 		f, err := Parse([]byte(bad))
@@ -152,8 +152,8 @@
 }
 
 // All faults of a file are told at once, in the order of its lines.
-func TestAllFaultsAtOnce(t *testing.T) {
-	bad := strings.NewReplacer("attempts = 2", "attempts = 9", `group = "all"`, `group = "x"`, "pod = 3", "pod = -1").Replace(good)
+func TestAllFaultsAreReportedInLineOrder(t *testing.T) {
+	bad := strings.NewReplacer("attempts = 2", "attempts = 9", `group = "all"`, `group = "x"`, "pod = 3", "pod = -1").Replace(goodFile)
 	_, err := Parse([]byte(bad))
 	want := []string{"line 10: limits.attempts", "line 23: class[1].group", "line 33: server[0].pod"}
 	lines := strings.Split(fmt.Sprint(err), "\n")
@@ -167,8 +167,8 @@
 	}
 }
 
-func TestHugeAndMissingFiles(t *testing.T) {
-	if _, err := Parse([]byte(strings.Repeat("#", fileMost+1))); err == nil {
+func TestHugeMissingAndTruncatedFiles(t *testing.T) {
+	if _, err := Parse([]byte(strings.Repeat("#", maxFileBytes+1))); err == nil {
 		t.Error("a file over the limit is taken")
 	}
 	path := filepath.Join(t.TempDir(), "site.toml")
@@ -199,7 +199,7 @@
 	}
 	// Ten thousand servers are read in a time that nobody notices.
 	var big strings.Builder
-	big.WriteString(strings.Split(good, "[[server]]")[0])
+	big.WriteString(strings.Split(goodFile, "[[server]]")[0])
 	for i := range 10_000 {
 		fmt.Fprintf(&big, "[[server]]\nname = \"s-%d\"\naddress = \"127.0.0.1:%d\"\nsite = \"dar\"\n", i, 10_000+i)
 	}
@@ -213,7 +213,7 @@
 }
 
 // The example that stands in the repository is good.
-func TestExampleFile(t *testing.T) {
+func TestExampleFileIsValid(t *testing.T) {
 	if _, err := Load("../../deploy/site.example.toml"); err != nil {
 		t.Error(err)
 	}
@@ -221,8 +221,8 @@
 
 // Whatever a file holds, it is taken whole or refused with a reason.
 func FuzzFile(f *testing.F) {
-	f.Add([]byte(good))
-	f.Add([]byte(good[:200]))
+	f.Add([]byte(goodFile))
+	f.Add([]byte(goodFile[:200]))
 	f.Add([]byte("[[class]]\n[class]\n"))
 	f.Add([]byte("server = [{name=\"a\"}]\nclass = 3"))
 	f.Fuzz(func(t *testing.T, data []byte) {
@@ -237,7 +237,7 @@
 }
 
 // A part of the fleet is large enough for retries in each site, and chosen by the instance's name.
-func TestSubsetInTheFile(t *testing.T) {
+func TestSubsetBounds(t *testing.T) {
 	text, err := os.ReadFile("../../deploy/site.example.toml")
 	if err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/internal/site/keys_report.go
@@ -0,0 +1,122 @@
+package site
+
+import (
+	"cmp"
+	"crypto/ecdsa"
+	"crypto/ed25519"
+	"crypto/rsa"
+	"crypto/x509"
+	"fmt"
+	"io"
+	"log/slog"
+	"slices"
+	"strings"
+	"time"
+
+	"pinedale/internal/keyroom"
+	"pinedale/internal/keyroom/judge"
+)
+
+// ShowKeys writes what the files of each [[keys]] entry hold, what uses it, and by which name each server is
+// verified. It never writes a private key.
+func (f *File) ShowKeys(out io.Writer, now time.Time) error {
+	for i := range f.Keys {
+		if err := f.showKeysEntry(out, &f.Keys[i], now); err != nil {
+			return err
+		}
+	}
+	return f.showServerNames(out)
+}
+
+// showKeysEntry writes what the files of one [[keys]] entry hold.
+func (f *File) showKeysEntry(out io.Writer, k *Keys, now time.Time) error {
+	material, err := keyroom.Read(k.paths())
+	if err != nil {
+		return fmt.Errorf("keys %q: %w", k.Name, err)
+	}
+	var users []string
+	for _, user := range f.keyUsers() {
+		if user.keysName == k.Name {
+			users = append(users, strings.TrimSuffix(user.key, ".keys"))
+		}
+	}
+	fmt.Fprintf(out, "keys %q, used by %s\n", k.Name, cmp.Or(strings.Join(users, ", "), "nothing"))
+	validity := func(cert *x509.Certificate) string {
+		return fmt.Sprintf("until %s, %s left",
+			cert.NotAfter.UTC().Format(time.RFC3339), formatRemaining(cert.NotAfter.Sub(now)))
+	}
+	for i, cert := range material.Certs {
+		role := "shows"
+		if i > 0 {
+			role = "  over" // an intermediate
+		}
+		fmt.Fprintf(out, "  %s %s, %s, by %s, number %s, %s\n",
+			role, judge.Shown(cert), keyType(cert), cert.Issuer, cert.SerialNumber, validity(cert))
+	}
+	for _, root := range material.Roots {
+		fmt.Fprintf(out, "  trusts %s, %s, %s\n", root.Subject, keyType(root), validity(root))
+	}
+	for _, list := range material.RevocationLists {
+		fmt.Fprintf(out, "  revokes %d of %s, as of %s\n",
+			len(list.RevokedCertificateEntries), list.Issuer, list.ThisUpdate.UTC().Format(time.RFC3339))
+	}
+	return nil
+}
+
+// showServerNames writes the names by which servers are verified.
+func (f *File) showServerNames(out io.Writer) error {
+	if f.Upstream.Keys == "" {
+		fmt.Fprintln(out, "servers are spoken to in plain text")
+		return nil
+	}
+	names := f.verifyNames()
+	for _, s := range f.Servers {
+		name, err := names.Of(s.Name)
+		if err != nil {
+			return err // unexpected: the file was checked
+		}
+		fmt.Fprintf(out, "server %q must be %s\n", s.Name, name)
+	}
+	if f.Upstream.VerifyPattern != "" {
+		fmt.Fprintf(out, "any other server must be %s\n", f.Upstream.VerifyPattern)
+	}
+	return nil
+}
+
+// VerifyKeys checks whether files would be accepted in place of those of a [[keys]] entry; an empty path stands for
+// the entry's own file. The error is a *judge.Fault if they would not be.
+func (f *File) VerifyKeys(name string, replacement keyroom.Paths) error {
+	index := slices.IndexFunc(f.Keys, func(k Keys) bool { return k.Name == name })
+	if index < 0 {
+		return fmt.Errorf("%q is not the name of a [[keys]] of this file", name)
+	}
+	keys := f.Keys[index]
+	keys.CertFile = cmp.Or(replacement.Cert, keys.CertFile)
+	keys.KeyFile = cmp.Or(replacement.Key, keys.KeyFile)
+	keys.RootsFile = cmp.Or(replacement.Roots, keys.RootsFile)
+	keys.RevokedFile = cmp.Or(replacement.Revoked, keys.RevokedFile)
+	_, err := keyroom.Open(keys.storeOptions(f.usedByFront(name), slog.New(slog.DiscardHandler)))
+	return err
+}
+
+// formatRemaining formats a remaining validity: in days from two days on.
+func formatRemaining(remaining time.Duration) string {
+	const day = 24 * time.Hour
+	if remaining < 2*day {
+		return remaining.Round(time.Minute).String()
+	}
+	return fmt.Sprintf("%d days", remaining/day)
+}
+
+// keyType names the type and size of a certificate's key.
+func keyType(cert *x509.Certificate) string {
+	switch key := cert.PublicKey.(type) {
+	case *rsa.PublicKey:
+		return fmt.Sprintf("RSA %d", key.N.BitLen())
+	case *ecdsa.PublicKey:
+		return "ECDSA " + key.Curve.Params().Name
+	case ed25519.PublicKey:
+		return "Ed25519"
+	}
+	return cert.PublicKeyAlgorithm.String()
+}
--- a/internal/site/keys_test.go
+++ b/internal/site/keys_test.go
@@ -19,7 +19,7 @@
 
 // The HTTP/3 front's certificate is replaced over and over, file by file, while requests come on standing and
 // on new connections: none fails, and new connections see the new one.
-func TestKeysChangeInService(t *testing.T) {
+func TestCertificateRotationFailsNoRequest(t *testing.T) {
 	root := ca.New(t, "root")
 	dir := t.TempDir()
 	put := func(name string, data []byte) {
@@ -46,7 +46,7 @@
 		shown.Store(s.PeerCertificates[0].SerialNumber.String(), true)
 		return nil
 	}}
-	ask := func(client *http3.Transport, id string) error {
+	sendRequest := func(client *http3.Transport, id string) error {
 		in, err := http.NewRequest("GET", "https://"+r.HTTP3.String()+"/price-check/x", nil)
 		if err != nil {
 			return err
@@ -67,21 +67,21 @@
 		}
 		return nil
 	}
-	standing := &http3.Transport{TLSClientConfig: config}
-	defer standing.Close()
+	established := &http3.Transport{TLSClientConfig: config}
+	defer established.Close()
 	for n := range 20 {
 		next := issue()
 		put("key", next.Key)
-		r.rooms.look() // half of the change is seen, and must do nothing
+		r.stores.reload() // half of the change is seen, and must do nothing
 		fresh := &http3.Transport{TLSClientConfig: config}
-		if err := ask(fresh, fmt.Sprint("half-", n)); err != nil {
+		if err := sendRequest(fresh, fmt.Sprint("half-", n)); err != nil {
 			t.Fatalf("change %d, half: %v", n, err)
 		}
 		fresh.Close()
 		put("cert", next.Cert)
-		r.rooms.look()
-		for i, client := range []*http3.Transport{standing, {TLSClientConfig: config}} {
-			if err := ask(client, fmt.Sprint("whole-", n, "-", i)); err != nil {
+		r.stores.reload()
+		for i, client := range []*http3.Transport{established, {TLSClientConfig: config}} {
+			if err := sendRequest(client, fmt.Sprint("whole-", n, "-", i)); err != nil {
 				t.Fatalf("change %d, client %d: %v", n, i, err)
 			}
 			if i == 1 {
--- /dev/null
+++ b/internal/site/listen.go
@@ -0,0 +1,56 @@
+package site
+
+import (
+	"fmt"
+	"net"
+)
+
+// sockets are the open sockets of the fronts, nil for a front that is not switched on.
+type sockets struct {
+	http    net.Listener
+	extProc net.Listener
+	http3   net.PacketConn
+}
+
+// listen opens the sockets of all fronts, or none if one of them fails.
+func (f *File) listen() (*sockets, error) {
+	s := &sockets{}
+	if err := s.open(f); err != nil {
+		s.close()
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	return s, nil
+}
+
+// open opens one socket after the other, up to the first that fails.
+func (s *sockets) open(f *File) (err error) {
+	if f.HTTP.Listen != "" {
+		if s.http, err = net.Listen("tcp", f.HTTP.Listen); err != nil {
+			return err
+		}
+	}
+	if f.ExtProc.Listen != "" {
+		if s.extProc, err = net.Listen("tcp", f.ExtProc.Listen); err != nil {
+			return err
+		}
+	}
+	if f.HTTP3.Listen != "" {
+		if s.http3, err = net.ListenPacket("udp", f.HTTP3.Listen); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// close closes the sockets that are open.
+func (s *sockets) close() {
+	if s.http != nil {
+		s.http.Close()
+	}
+	if s.extProc != nil {
+		s.extProc.Close()
+	}
+	if s.http3 != nil {
+		s.http3.Close()
+	}
+}
--- a/internal/site/peers_test.go
+++ b/internal/site/peers_test.go
@@ -31,9 +31,9 @@
 agree = %q
 `
 
-// together runs three instances that know each other, before servers in four pods that fail
+// startUnknownOutcomeCluster runs three instances that know each other, before servers in four pods that fail
 // every request after they have run it.
-func together(t *testing.T, agree string) (*soko.Fleet, []*Instance) {
+func startUnknownOutcomeCluster(t *testing.T, agree string) (*soko.Fleet, []*Instance) {
 	t.Helper()
 	fleet := &soko.Fleet{Faults: soko.Faults{Error: 1}, Classes: []balancer.Class{{Name: "day-close", Idempotency: balancer.IdempotentWithKey, Group: balancer.GroupCell, DedupWindow: 20_000_000}}}
 	servers := ""
@@ -45,22 +45,22 @@
 		t.Cleanup(s.Close)
 		servers += fmt.Sprintf("[[server]]\nname = %q\naddress = %q\nsite = \"a\"\nkind = \"k0\"\npod = %d\n", s.Name, s.Address, n/2)
 	}
-	return fleet, knowEachOther(t, func(int) string { return fmt.Sprintf(closeClass, agree) + servers })
+	return fleet, startCluster(t, func(int) string { return fmt.Sprintf(closeClass, agree) + servers })
 }
 
-// knowEachOther runs three instances, whose files have their own part, until all know each other and
+// startCluster runs three instances, whose files have their own part, until all know each other and
 // answer as witnesses.
-func knowEachOther(t *testing.T, own func(n int) string) []*Instance {
+func startCluster(t *testing.T, extraConfig func(n int) string) []*Instance {
 	t.Helper()
 	keys := filepath.Join(t.TempDir(), "peers.key")
 	if err := os.WriteFile(keys, []byte("# the only one\nMDEyMzQ1Njc4OWFiY2RlZg==\n"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	at := []string{platform.FreeAddress(t), platform.FreeAddress(t), platform.FreeAddress(t)}
-	var all []*Instance
-	for n := range at {
+	addresses := []string{platform.FreeAddress(t), platform.FreeAddress(t), platform.FreeAddress(t)}
+	var instances []*Instance
+	for n := range addresses {
 		text := strings.Replace(runningHead, `name = "a"`, fmt.Sprintf(`name = "i-%d"`, n), 1) + "[limits]\nprobes = false\n" +
-			fmt.Sprintf("[peers]\nlisten = %q\nkeys_file = %q\nstatus = \"127.0.0.1:0\"\nwait = \"5s\"\nwitnesses = [\"i-0\", \"i-1\", \"i-2\"]\njoin = [\"i-0/%s\"]\n", at[n], keys, at[0]) + own(n)
+			fmt.Sprintf("[peers]\nlisten = %q\nkeys_file = %q\nstatus = \"127.0.0.1:0\"\nwait = \"5s\"\nwitnesses = [\"i-0\", \"i-1\", \"i-2\"]\njoin = [\"i-0/%s\"]\n", addresses[n], keys, addresses[0]) + extraConfig(n)
 		f, err := Parse([]byte(text))
 		if err != nil {
 			t.Fatal(err)
@@ -77,24 +77,24 @@
 				t.Error(err)
 			}
 		})
-		all = append(all, i)
+		instances = append(instances, i)
 	}
 	wait.Until(t, "all know each other and answer as witnesses", func() bool {
-		for _, i := range all {
+		for _, i := range instances {
 			s, err := i.Peers.Status(t.Context())
-			if err != nil || len(s.Alive) != len(all) || s.Quiet != "0s" {
+			if err != nil || len(s.Alive) != len(instances) || s.Quiet != "0s" {
 				return false
 			}
 		}
 		return true
 	})
-	return all
+	return instances
 }
 
-// pays has an instance's HTTP front asked for an effect and returns the answer's code.
-func pays(ctx context.Context, t *testing.T, at *Instance, id, key string) int {
+// payThrough has an instance's HTTP front asked for an effect and returns the answer's code.
+func payThrough(ctx context.Context, t *testing.T, addresses *Instance, id, key string) int {
 	t.Helper()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+at.HTTP.String()+"/day-close/x", strings.NewReader("pay"))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addresses.HTTP.String()+"/day-close/x", strings.NewReader("pay"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -119,10 +119,10 @@
 
 // A client whose request failed asks again at another instance, by the other front: it meets
 // the pod that remembers its key.
-func TestRepetitionsAtOtherInstances(t *testing.T) {
-	fleet, all := together(t, "always")
+func TestRetriesAtOtherInstancesAreDeduplicated(t *testing.T) {
+	fleet, instances := startUnknownOutcomeCluster(t, "always")
 	var proxies []*proxy.Proxy
-	for _, i := range all {
+	for _, i := range instances {
 		p, err := proxy.Dial(i.ExtProc.String(), 1)
 		if err != nil {
 			t.Fatal(err)
@@ -134,7 +134,7 @@
 	defer stop()
 	for n := range 30 {
 		key := fmt.Sprint("key-", n)
-		if code := pays(ctx, t, all[n%3], key+"-0", key); code != http.StatusBadGateway {
+		if code := payThrough(ctx, t, instances[n%3], key+"-0", key); code != http.StatusBadGateway {
 			t.Fatalf("%s: %d, and every server fails", key, code)
 		}
 		for try := 1; try <= 2; try++ {
@@ -154,11 +154,11 @@
 // The same without agreement: the test above shows something only if this finds effects done
 // twice. Three pods of four are wrong for a repetition, so that of 30 none goes wrong once in
 // 4 to the 60.
-func TestRepetitionsAreDoneTwiceWithoutAgreement(t *testing.T) {
-	fleet, all := together(t, "never")
+func TestRetriesRunTwiceWithoutAgreement(t *testing.T) {
+	fleet, instances := startUnknownOutcomeCluster(t, "never")
 	for n := range 30 {
 		for try := range 3 {
-			pays(t.Context(), t, all[try], fmt.Sprint(n, "-", try), fmt.Sprint("key-", n))
+			payThrough(t.Context(), t, instances[try], fmt.Sprint(n, "-", try), fmt.Sprint("key-", n))
 		}
 	}
 	if len(fleet.Twice()) == 0 {
@@ -168,7 +168,7 @@
 
 // One instance's list goes quiet, and the two others hear that a server drains: the one that
 // has not heard sends there no more on their word, and goes by its own list once that tells.
-func TestDrainsThatOthersKnow(t *testing.T) {
+func TestServerKnownToDrainByPeersGetsNoRequests(t *testing.T) {
 	fleet := &soko.Fleet{Classes: []balancer.Class{{Name: "day-close", Idempotency: balancer.IdempotentWithKey, Group: balancer.GroupCell, DedupWindow: 20_000_000}}}
 	var hosts []directory.Host
 	var servers []*soko.Server
@@ -182,12 +182,12 @@
 		hosts = append(hosts, directory.Host{Name: s.Name, Dial: s.Address, Site: "a", Class: "k0", Block: uint16(n / 2), Health: "Ready", Share: 1})
 	}
 	var lists []*directory.Directory
-	all := knowEachOther(t, func(int) string {
+	instances := startCluster(t, func(int) string {
 		lists = append(lists, directory.New(t, hosts...))
 		return fmt.Sprintf(closeClass, "never") + fmt.Sprintf("[discovery]\naddress = %q\nask_within = \"2s\"\n", lists[len(lists)-1].Address)
 	})
-	held := func(n int) []string {
-		s, err := all[n].Peers.Status(t.Context())
+	advisedDraining := func(n int) []string {
+		s, err := instances[n].Peers.Status(t.Context())
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -196,22 +196,22 @@
 	for n, list := range lists {
 		wait.Until(t, fmt.Sprint("the watch of ", n), func() bool { return list.Count() > 1 })
 	}
-	tell := func(n int, alter func(h *directory.Host)) {
+	changeList := func(n int, alter func(h *directory.Host)) {
 		changed := slices.Clone(hosts)
 		alter(&changed[0])
 		lists[n].Change(func() { lists[n].List = directory.Document{Seq: lists[n].List.Seq + 1, Whole: true, Hosts: changed} })
 	}
 	drains := func(h *directory.Host) { h.Health = "Terminating" }
 	lists[2].Silence()
-	tell(0, drains)
-	tell(1, drains)
-	wait.Until(t, "the word of two", func() bool { return slices.Equal(held(2), []string{"s-0@0"}) })
-	ask := func(n int) { pays(t.Context(), t, all[2], fmt.Sprint("r-", n), fmt.Sprint("key-", n)) }
+	changeList(0, drains)
+	changeList(1, drains)
+	wait.Until(t, "the word of two", func() bool { return slices.Equal(advisedDraining(2), []string{"s-0@0"}) })
+	sendRequest := func(n int) { payThrough(t.Context(), t, instances[2], fmt.Sprint("r-", n), fmt.Sprint("key-", n)) }
 	from := time.Now()
 	for n := range 60 {
-		ask(n)
+		sendRequest(n)
 	}
-	if at := servers[0].LastRequest(); at.After(from) {
+	if addresses := servers[0].LastRequest(); addresses.After(from) {
 		t.Error("a request went to a server that two others know to drain")
 	}
 	if n := fleet.Counts().Run; n < 50 {
@@ -219,12 +219,12 @@
 	}
 	// It has started anew, as all hear: what was said of its life before does not count.
 	for n := range lists {
-		tell(n, func(h *directory.Host) { h.BornMS = 1 })
+		changeList(n, func(h *directory.Host) { h.BornMS = 1 })
 	}
-	wait.Until(t, "the own list to count", func() bool { return len(held(2)) == 0 })
+	wait.Until(t, "the own list to count", func() bool { return len(advisedDraining(2)) == 0 })
 	next := 60
 	wait.Until(t, "it to serve again", func() bool {
-		ask(next)
+		sendRequest(next)
 		next++
 		return servers[0].LastRequest().After(from)
 	})
--- /dev/null
+++ b/internal/site/reload.go
@@ -0,0 +1,54 @@
+package site
+
+import (
+	"errors"
+
+	"pinedale/balancer"
+	"pinedale/internal/engine"
+	"pinedale/internal/policy"
+)
+
+// errEnded is the error of a reload after the engine has stopped.
+var errEnded = errors.New("the instance has ended")
+
+// Table returns the table of classes and routes in use.
+func (i *Instance) Table() *policy.Table { return i.table.Load() }
+
+// Reload replaces classes, routes, pools, tenants, admission, names for verification and the source of membership by
+// those of a file that Next has read, and reads the files of all [[keys]] again. Requests in flight keep the rules
+// that they began with. All other settings stay as they were at the start. After an error nothing has changed.
+func (i *Instance) Reload(f *File) error {
+	err := errEnded
+	i.engine.Call(func(now balancer.Micros) { err = i.configure(now, f) })
+	if err != nil {
+		return err
+	}
+	i.stores.reload()
+	i.logCounters()
+	i.log.Info("configuration reloaded", "table", f.table.Version)
+	return nil
+}
+
+// configure applies a file in the engine's goroutine.
+func (i *Instance) configure(now balancer.Micros, f *File) error {
+	table := f.table
+	err := i.engine.Configure(now, engine.RuntimeSettings{
+		Classes: table.Classes(),
+		Budgets: table.Budgets(),
+		Pools:   table.Pools,
+	})
+	if err != nil {
+		return err
+	}
+	i.admission.Configure(table.Admission(f.Limits.AdmitRate))
+	if i.extProc != nil {
+		i.extProc.Classes(table.Classes())
+	}
+	i.table.Store(table)
+	i.parser.Use(newRouter(table))
+	if i.upstreamTLS != nil {
+		i.upstreamTLS.Rename(f.verifyNames())
+	}
+	i.engine.SwitchSource(f.source(i.log))
+	return nil
+}
--- a/internal/site/reload_test.go
+++ b/internal/site/reload_test.go
@@ -113,8 +113,8 @@
 	}
 }
 
-// ask sends a request; each header is "Name: value".
-func (r *running) ask(method, path string, headers ...string) (int, http.Header) {
+// request sends a request; each header is "Name: value".
+func (r *running) request(method, path string, headers ...string) (int, http.Header) {
 	in, err := http.NewRequest(method, "http://"+r.HTTP.String()+path, nil)
 	if err != nil {
 		r.t.Error(err)
@@ -141,23 +141,23 @@
 }
 
 func (r *running) price() int {
-	code, _ := r.ask("GET", "/price-check/x", "X-Service-Class: price-check", "X-Time-Left-Ms: 3000")
+	code, _ := r.request("GET", "/price-check/x", "X-Service-Class: price-check", "X-Time-Left-Ms: 3000")
 	return code
 }
 
 func (r *running) pay() int {
-	code, _ := r.ask("POST", "/stall-pay/x", "X-Service-Class: stall-pay", "X-Time-Left-Ms: 2500", fmt.Sprint("Idempotency-Key: k", r.ids.Add(1)))
+	code, _ := r.request("POST", "/stall-pay/x", "X-Service-Class: stall-pay", "X-Time-Left-Ms: 2500", fmt.Sprint("Idempotency-Key: k", r.ids.Add(1)))
 	return code
 }
 
 // A running instance is not touched by any bad file: its table is the same, and no
 // request is lost or refused for it.
-func TestBadFilesUnderLoad(t *testing.T) {
+func TestBadReloadUnderLoadChangesNothing(t *testing.T) {
 	r := startRunning(t, time.Millisecond, priceClass, payClass)
 	before := r.Table()
 	var clients sync.WaitGroup
 	var end atomic.Bool
-	var asked atomic.Int64
+	var answered atomic.Int64
 	for n := range 4 {
 		clients.Go(func() {
 			for !end.Load() {
@@ -169,7 +169,7 @@
 					t.Errorf("answer %d", got)
 					return
 				}
-				asked.Add(1)
+				answered.Add(1)
 			}
 		})
 	}
@@ -178,7 +178,7 @@
 			t.Errorf("%s is taken", path)
 		}
 	}
-	wait.Until(t, "some load", func() bool { return asked.Load() > 200 || t.Failed() })
+	wait.Until(t, "some load", func() bool { return answered.Load() > 200 || t.Failed() })
 	end.Store(true)
 	clients.Wait()
 	if r.Table() != before {
@@ -188,7 +188,7 @@
 
 // A reload that removes the class of a request in flight: it is answered by the rules
 // that it began with, and the next one is turned away.
-func TestClassRemovedInFlight(t *testing.T) {
+func TestRequestInFlightKeepsRemovedClass(t *testing.T) {
 	r := startRunning(t, 300*time.Millisecond, priceClass, payClass)
 	answer := make(chan int)
 	go func() { answer <- r.pay() }()
@@ -254,13 +254,13 @@
 		{"POST", "/any", []string{"Host: TILL.example:80", "Idempotency-Key: k3"}, 200},
 		{"POST", "/any", []string{"Idempotency-Key: k4"}, 404},
 	} {
-		if code, _ := r.ask(c.method, c.path, c.headers...); code != c.want {
+		if code, _ := r.request(c.method, c.path, c.headers...); code != c.want {
 			t.Errorf("%s %s %v: %d, want %d", c.method, c.path, c.headers, code, c.want)
 		}
 	}
 	second := r.servers[1].LastRequest()
 	for range 20 {
-		r.ask("GET", "/prices/maize")
+		r.request("GET", "/prices/maize")
 	}
 	if !r.servers[0].LastRequest().Before(r.servers[1].LastRequest()) || !r.servers[1].LastRequest().After(second) {
 		t.Error("requests of the pool did not go to its server alone")
@@ -276,7 +276,7 @@
 `)
 	at := time.Now()
 	for range 20 {
-		if code, _ := r.ask("GET", "/prices/maize"); code != 200 {
+		if code, _ := r.request("GET", "/prices/maize"); code != 200 {
 			t.Fatalf("after the reload: %d", code)
 		}
 	}
@@ -296,27 +296,27 @@
 weight = 1
 `
 	r := startRunning(t, 300*time.Millisecond, priceClass, payClass, tenants)
-	ask := func(tenant string) (int, http.Header) {
-		return r.ask("GET", "/price-check/x", "X-Service-Class: price-check", "X-Time-Left-Ms: 3000", "X-Account: "+tenant)
+	sendRequest := func(tenant string) (int, http.Header) {
+		return r.request("GET", "/price-check/x", "X-Service-Class: price-check", "X-Time-Left-Ms: 3000", "X-Account: "+tenant)
 	}
 	first := make(chan int)
-	go func() { code, _ := ask("duka"); first <- code }()
+	go func() { code, _ := sendRequest("duka"); first <- code }()
 	wait.Until(t, "the first in hand", func() bool { return r.Requests() == 1 })
 	began := time.Now()
-	code, header := ask("duka")
+	code, header := sendRequest("duka")
 	if took := time.Since(began); code != 503 || header.Get("Retry-After") == "" || took > 200*time.Millisecond {
 		t.Errorf("the second of a tenant that may have one: %d after %v, %v", code, took, header)
 	}
-	if code, _ := ask("soko"); code != 200 {
+	if code, _ := sendRequest("soko"); code != 200 {
 		t.Errorf("another tenant: %d", code)
 	}
-	if code, _ := ask("nobody"); code != 400 {
+	if code, _ := sendRequest("nobody"); code != 400 {
 		t.Errorf("of no tenant: %d", code)
 	}
 	if code := <-first; code != 200 {
 		t.Errorf("the first: %d", code)
 	}
-	if code, _ := ask("duka"); code != 200 {
+	if code, _ := sendRequest("duka"); code != 200 {
 		t.Errorf("once it is over: %d", code)
 	}
 }
@@ -333,7 +333,7 @@
 	}
 	table := fmt.Sprintf("[http3]\nlisten = \"127.0.0.1:0\"\nkeys = \"front\"\n[[keys]]\nname = \"front\"\ncert_file = %q\nkey_file = %q\n", filepath.Join(dir, "cert"), filepath.Join(dir, "key"))
 	r := startRunning(t, 0, priceClass, payClass, table)
-	_, header := r.ask("GET", "/price-check/x", "X-Service-Class: price-check", "X-Time-Left-Ms: 3000")
+	_, header := r.request("GET", "/price-check/x", "X-Service-Class: price-check", "X-Time-Left-Ms: 3000")
 	if want := fmt.Sprintf(`h3=":%d"; ma=3600`, r.HTTP3.(*net.UDPAddr).Port); header.Get("Alt-Svc") != want {
 		t.Errorf("Alt-Svc: %q, want %q", header.Get("Alt-Svc"), want)
 	}
--- a/internal/site/router.go
+++ b/internal/site/router.go
@@ -5,36 +5,55 @@
 	"pinedale/internal/policy"
 )
 
-// router is a compiled table as the fronts look it up.
+// router lets the fronts look up a compiled table. It is immutable.
 type router struct {
 	table  *policy.Table
 	bounds map[*policy.Bounds]*intake.Bounds
 }
 
-func newRouter(t *policy.Table) *router {
-	r := &router{t, map[*policy.Bounds]*intake.Bounds{}}
-	t.Each(func(b *policy.Bounds) {
-		r.bounds[b] = &intake.Bounds{Class: b.Class, ClassName: b.ClassName, Repeat: b.Idempotency, Methods: b.Methods, Deadline: b.Deadline,
-			TryFor: b.AttemptTimeout, HedgeDelay: b.HedgeDelay, Attempts: b.MaxAttempts, NoHedging: b.NoHedging, Budget: b.Budget, Pool: b.Pool}
+// newRouter converts the bounds of a table once, so that a lookup allocates nothing.
+func newRouter(table *policy.Table) *router {
+	r := &router{table, map[*policy.Bounds]*intake.Bounds{}}
+	table.Each(func(b *policy.Bounds) {
+		r.bounds[b] = &intake.Bounds{
+			Class:      b.Class,
+			ClassName:  b.ClassName,
+			Repeat:     b.Idempotency,
+			Methods:    b.Methods,
+			Deadline:   b.Deadline,
+			TryFor:     b.AttemptTimeout,
+			HedgeDelay: b.HedgeDelay,
+			Attempts:   b.MaxAttempts,
+			NoHedging:  b.NoHedging,
+			Budget:     b.Budget,
+			Pool:       b.Pool,
+		}
 	})
 	return r
 }
 
+// Routed reports whether the table has routes. Without, a request names its class.
 func (r *router) Routed() bool { return r.table.Routed() }
 
-// Route refuses paths that a server could read otherwise than the table does.
+// Route returns the bounds of a request's route. It rejects paths that a server could interpret differently from the
+// table.
 func (r *router) Route(in *intake.Request) (*intake.Bounds, bool) {
 	if policy.Unclean(in.Path) {
 		return nil, false
 	}
-	b, ok := r.table.Lookup(&policy.Query{Method: in.Method, Host: in.Host, Path: in.Path, Header: in.Header})
+	query := policy.Query{Method: in.Method, Host: in.Host, Path: in.Path, Header: in.Header}
+	b, ok := r.table.Lookup(&query)
 	return r.bounds[b], ok
 }
 
+// OfClass returns the bounds of a class.
 func (r *router) OfClass(name string) (*intake.Bounds, bool) {
 	b, ok := r.table.OfClass(name)
 	return r.bounds[b], ok
 }
 
+// Tenant returns the number of a tenant.
 func (r *router) Tenant(name string) (uint16, bool) { return r.table.Tenant(name) }
-func (r *router) Tenants() int                      { return r.table.Tenants() }
+
+// Tenants returns the number of tenants.
+func (r *router) Tenants() int { return r.table.Tenants() }
--- /dev/null
+++ b/internal/site/section_extproc.go
@@ -0,0 +1,41 @@
+package site
+
+import "net"
+
+// Values of ExtProc.Retries.
+const (
+	retriesNone    = "none"
+	retriesByProxy = "ask-again"
+)
+
+// maxExtProcBacklog bounds ext_proc.backlog.
+const maxExtProcBacklog = 1024
+
+// ExtProc is the section of the external processor, which proxies such as Envoy call over gRPC.
+type ExtProc struct {
+	Listen  string `toml:"listen"`  // host:port, "" to switch it off
+	Keys    string `toml:"keys"`    // name of the [[keys]] for TLS, "" for plain text
+	Retries string `toml:"retries"` // "ask-again" if the proxy retries when it is told to
+	Streams int    `toml:"streams"` // max streams open at once
+	Backlog int    `toml:"backlog"` // max requests that wait for a decision
+}
+
+func defaultExtProc() ExtProc {
+	return ExtProc{Retries: retriesNone, Streams: 10_000, Backlog: 512}
+}
+
+// checkExtProc checks the [ext_proc] section.
+func (c *checker) checkExtProc() {
+	e := &c.file.ExtProc
+	if e.Listen != "" {
+		c.requireAddress("ext_proc.listen", e.Listen)
+		httpListen := c.file.HTTP.Listen
+		_, port, _ := net.SplitHostPort(httpListen) // checkHTTP reports its error
+		c.Require(e.Listen != httpListen || port == "0", "ext_proc.listen", "%q is http.listen, too", e.Listen)
+	}
+	c.Require(e.Retries == retriesNone || e.Retries == retriesByProxy, "ext_proc.retries",
+		"%q is neither none nor ask-again", e.Retries)
+	c.Require(e.Streams >= 1, "ext_proc.streams", "%d is not positive", e.Streams)
+	c.Require(e.Backlog >= 1 && e.Backlog <= maxExtProcBacklog, "ext_proc.backlog",
+		"%d is not in 1 to %d", e.Backlog, maxExtProcBacklog)
+}
--- /dev/null
+++ b/internal/site/section_fleet.go
@@ -0,0 +1,98 @@
+package site
+
+import (
+	"slices"
+	"time"
+
+	"pinedale/balancer"
+)
+
+const (
+	// maxNames bounds sites and kinds: the balancer numbers them in one byte.
+	maxNames = 255
+	// maxSubsetSpread bounds fleet.subset_spread.
+	maxSubsetSpread = 1000
+	// minSubsetPerSite is the smallest subset for each site. A request with an idempotency key may be retried
+	// within its site or cell only, so two servers of each must be in the subset.
+	minSubsetPerSite = 4
+)
+
+// loadFields are the values of fleet.reports.
+var loadFields = map[string]balancer.Field{
+	"inflight":   balancer.FieldInflight,
+	"queue":      balancer.FieldQueue,
+	"util":       balancer.FieldUtil,
+	"latency_ms": balancer.FieldLatency,
+	"qps":        balancer.FieldServed,
+	"eps":        balancer.FieldErrors,
+}
+
+// Fleet is the section of what servers have in common. DrainGrace and DrainTime are part of the file's version.
+type Fleet struct {
+	Sites            []string `toml:"sites"`
+	Kinds            []string `toml:"kinds"`     // of servers, by their hardware
+	Instances        int      `toml:"instances"` // of pinedale in front of this fleet
+	LoadFields       []string `toml:"reports"`   // fields of the servers' load reports
+	DrainGrace       Duration `toml:"drain_grace"`
+	DrainTime        Duration `toml:"drain_for"`     // after which a draining server stops, 0 if not known
+	SlowStartRatio   float64  `toml:"cold_from"`     // of its capacity that a started server has
+	SlowStartTime    Duration `toml:"warm_within"`   // until a started server has its full capacity
+	OverloadMultiple float64  `toml:"fall_factor"`   // of its capacity under which a server fails
+	OverloadTime     Duration `toml:"fall_after"`    // for which it must be sent that
+	MinSubset        int      `toml:"subset"`        // servers that this instance uses at least, 0 for all
+	SubsetSpread     float64  `toml:"subset_spread"` // further servers for each request in flight
+}
+
+func defaultFleet() Fleet {
+	return Fleet{
+		Instances:        1,
+		DrainGrace:       Duration(2 * time.Second),
+		SlowStartRatio:   0.31,
+		SlowStartTime:    Duration(8600 * time.Millisecond),
+		OverloadMultiple: 2.5,
+		OverloadTime:     Duration(time.Second),
+		SubsetSpread:     2,
+	}
+}
+
+// checkFleet checks the [fleet] section.
+func (c *checker) checkFleet() {
+	f := &c.file.Fleet
+	c.Require(f.Instances >= 1, "fleet.instances", "%d is not positive", f.Instances)
+	c.checkNames("fleet.sites", f.Sites)
+	c.checkNames("fleet.kinds", f.Kinds)
+	c.Require(len(f.Sites) > 0, "fleet.sites", "no site is named")
+	c.Require(slices.Contains(f.Sites, c.file.Site), "site", "%q is not in fleet.sites", c.file.Site)
+	for _, field := range f.LoadFields {
+		_, ok := loadFields[field]
+		c.Require(ok, "fleet.reports", "%q is not one of %s", field, knownNames(loadFields))
+	}
+	c.Require(f.DrainGrace >= 0, "fleet.drain_grace", "%v is negative", time.Duration(f.DrainGrace))
+	c.Require(f.SlowStartRatio > 0 && f.SlowStartRatio <= 1, "fleet.cold_from",
+		"%v is not over 0 and up to 1", f.SlowStartRatio)
+	c.Require(f.SlowStartTime >= 0, "fleet.warm_within", "%v is negative", time.Duration(f.SlowStartTime))
+	c.checkSubset()
+	c.Require(f.OverloadMultiple > 0, "fleet.fall_factor", "%v is not positive", f.OverloadMultiple)
+	c.Require(f.OverloadTime >= 0, "fleet.fall_after", "%v is negative", time.Duration(f.OverloadTime))
+}
+
+// checkNames checks the number and the uniqueness of names.
+func (c *checker) checkNames(key string, names []string) {
+	c.Require(len(names) <= maxNames, key, "%d names, at most %d", len(names), maxNames)
+	for i, name := range names {
+		c.Require(name != "", key, "name %d is empty", i+1)
+		c.Require(!slices.Contains(names[:i], name), key, "%q is there twice", name)
+	}
+}
+
+// checkSubset checks the keys of subsetting.
+func (c *checker) checkSubset() {
+	f := &c.file.Fleet
+	minimum := minSubsetPerSite * max(1, len(f.Sites))
+	c.Require(f.MinSubset == 0 || f.MinSubset >= minimum && f.MinSubset <= maxServers, "fleet.subset",
+		"%d is not 0 (the whole fleet) or %d to %d", f.MinSubset, minimum, maxServers)
+	c.Require(f.SubsetSpread >= 0 && f.SubsetSpread <= maxSubsetSpread, "fleet.subset_spread",
+		"%v is not in 0 to %d", f.SubsetSpread, maxSubsetSpread)
+	c.Require(f.MinSubset == 0 || c.file.Name != "", "name",
+		"is missing: by it an instance chooses its part of the fleet")
+}
--- /dev/null
+++ b/internal/site/section_keys.go
@@ -0,0 +1,167 @@
+package site
+
+import (
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"log/slog"
+	"slices"
+	"time"
+
+	"pinedale/internal/keyroom"
+	"pinedale/internal/keyroom/judge"
+	"pinedale/internal/upstream/secure"
+)
+
+const (
+	// minRSABits is the smallest RSA key: shorter ones are no longer approved for signatures (NIST SP 800-131A).
+	minRSABits = 2048
+	// maxRSABits bounds keys.least_rsa.
+	maxRSABits = 16384
+	// defaultReplacementTime is the default of replace_within: operators who replace keys wait a minute anyway.
+	defaultReplacementTime = time.Minute
+	// maxPeerExpiryGrace bounds how long expired certificates of peers may be accepted in an emergency.
+	maxPeerExpiryGrace = 30 * 24 * time.Hour
+)
+
+// tlsVersions are the values of keys.least_tls. Versions before 1.2 are deprecated (RFC 8996).
+var tlsVersions = map[string]uint16{"": tls.VersionTLS13, "1.3": tls.VersionTLS13, "1.2": tls.VersionTLS12}
+
+// Keys is a [[keys]] entry: an identity and the roots it trusts. Fronts and the upstream refer to one each by name.
+type Keys struct {
+	Name            string   `toml:"name"`
+	CertFile        string   `toml:"cert_file"`
+	KeyFile         string   `toml:"key_file"`
+	RootsFile       string   `toml:"roots_file"`
+	RevokedFile     string   `toml:"revoked_file"`
+	Names           []string `toml:"names"`     // that the certificate must be valid for
+	MinRSABits      int      `toml:"least_rsa"` // 0 for minRSABits
+	MinTLSVersion   string   `toml:"least_tls"` // a key of tlsVersions
+	AllowExpired    bool     `toml:"permit_over"`
+	PeerExpiryGrace Duration `toml:"peers_over"`     // for which expired certificates of peers are accepted
+	ReplacementTime Duration `toml:"replace_within"` // over which connections are replaced, 0 for the default
+}
+
+// keyUser is a key of the file that refers to a [[keys]] entry.
+type keyUser struct {
+	key      string // of the file
+	keysName string // "" if it is not set
+	enabled  bool   // the front is switched on
+	server   bool   // it presents the certificate as a server, otherwise as a client
+}
+
+// keyUsers returns all keys of the file that refer to a [[keys]] entry.
+func (f *File) keyUsers() [4]keyUser {
+	return [...]keyUser{
+		{key: "http.keys", keysName: f.HTTP.Keys, enabled: f.HTTP.Listen != "", server: true},
+		{key: "http3.keys", keysName: f.HTTP3.Keys, enabled: f.HTTP3.Listen != "", server: true},
+		{key: "ext_proc.keys", keysName: f.ExtProc.Keys, enabled: f.ExtProc.Listen != "", server: true},
+		{key: "upstream.keys", keysName: f.Upstream.Keys, enabled: true, server: false},
+	}
+}
+
+// usedByFront reports whether a [[keys]] entry is that of a front, which is a server.
+func (f *File) usedByFront(name string) bool { return f.Upstream.Keys != name }
+
+// checkKeys checks the [[keys]] entries and the references to them.
+func (c *checker) checkKeys() {
+	seen := map[string]bool{}
+	for i := range c.file.Keys {
+		c.checkKeysEntry(i, seen)
+	}
+	used := c.checkKeyUsers()
+	for i := range c.file.Keys {
+		if name := c.file.Keys[i].Name; name != "" && !used[name] {
+			c.Warn(fmt.Sprintf("keys[%d].name", i), "nothing uses them")
+		}
+	}
+}
+
+// checkKeysEntry checks one [[keys]] entry and, if no error has been found so far, its files. seen holds the names
+// of the entries before it.
+func (c *checker) checkKeysEntry(index int, seen map[string]bool) {
+	k := &c.file.Keys[index]
+	prefix := fmt.Sprintf("keys[%d].", index)
+	c.Require(k.Name != "", prefix+"name", "is missing")
+	c.Require(!seen[k.Name], prefix+"name", "%q is there twice", k.Name)
+	seen[k.Name] = true
+	c.checkKeyPaths(prefix, k)
+	c.checkKeyRequirements(prefix, k)
+	if k.AllowExpired || k.PeerExpiryGrace > 0 {
+		c.Warn(prefix+"name", "takes certificates whose time is over: meant for an emergency")
+	}
+	if c.Valid() {
+		c.checkKeyFiles(prefix, k)
+	}
+}
+
+// checkKeyPaths checks which files are named together.
+func (c *checker) checkKeyPaths(prefix string, k *Keys) {
+	c.Require((k.CertFile == "") == (k.KeyFile == ""), prefix+"key_file",
+		"a certificate and its key are named together, or neither is")
+	c.Require(k.CertFile != "" || k.RootsFile != "", prefix+"cert_file",
+		"neither a certificate nor roots are named")
+	c.Require(k.RevokedFile == "" || k.RootsFile != "", prefix+"revoked_file",
+		"is signed by a root, and no roots_file is named")
+	c.Require(k.CertFile != "" || len(k.Names) == 0, prefix+"names",
+		"are of a certificate, and no cert_file is named")
+}
+
+// checkKeyRequirements checks what is required of certificates.
+func (c *checker) checkKeyRequirements(prefix string, k *Keys) {
+	c.Require(k.MinRSABits == 0 || k.MinRSABits >= minRSABits && k.MinRSABits <= maxRSABits, prefix+"least_rsa",
+		"%d is not in %d to %d", k.MinRSABits, minRSABits, maxRSABits)
+	_, ok := tlsVersions[k.MinTLSVersion]
+	c.Require(ok, prefix+"least_tls", "%q is neither 1.3 nor 1.2", k.MinTLSVersion)
+	grace := time.Duration(k.PeerExpiryGrace)
+	c.Require(grace >= 0 && grace <= maxPeerExpiryGrace, prefix+"peers_over",
+		"%v is not in 0s to %v", grace, maxPeerExpiryGrace)
+	c.Require(k.ReplacementTime >= 0, prefix+"replace_within",
+		"%v is negative", time.Duration(k.ReplacementTime))
+	for _, name := range k.Names {
+		err := secure.CheckName(name)
+		c.Require(err == nil, prefix+"names", "%v", err)
+	}
+}
+
+// checkKeyFiles checks that the files may serve.
+func (c *checker) checkKeyFiles(prefix string, k *Keys) {
+	options := k.storeOptions(c.file.usedByFront(k.Name), slog.New(slog.DiscardHandler))
+	_, err := keyroom.Open(options)
+	if err == nil {
+		return
+	}
+	key := "cert_file"
+	var fault *judge.Fault
+	if errors.As(err, &fault) {
+		key = fault.File + "_file"
+	}
+	c.Require(false, prefix+key, "%v", err)
+}
+
+// checkKeyUsers checks the references to [[keys]] entries and returns the names that are in use.
+func (c *checker) checkKeyUsers() map[string]bool {
+	f := c.file
+	used := map[string]bool{}
+	for _, user := range f.keyUsers() {
+		name := user.keysName
+		if name == "" {
+			continue
+		}
+		used[name] = true
+		c.Require(user.enabled, user.key, "%q is named for a front that is not switched on", name)
+		index := slices.IndexFunc(f.Keys, func(k Keys) bool { return k.Name == name })
+		c.Require(index >= 0, user.key, "%q is not the name of a [[keys]] of this file", name)
+		if index < 0 {
+			continue
+		}
+		c.Require(!user.server || f.Keys[index].CertFile != "", user.key,
+			"%q has no certificate, and a front must show one", name)
+		c.Require(!user.server || name != f.Upstream.Keys, user.key,
+			"%q are upstream.keys, too: a server's certificate and a client's are judged apart, "+
+				"give each a [[keys]] of its own", name)
+		c.Require(user.server || f.Keys[index].RootsFile != "", user.key,
+			"%q has no roots_file, and servers cannot be verified without", name)
+	}
+	return used
+}
--- /dev/null
+++ b/internal/site/section_limits.go
@@ -0,0 +1,62 @@
+package site
+
+import "time"
+
+// maxAttempts bounds the attempts of a request; the protocol allows no more.
+const maxAttempts = 3
+
+// Limits is the section of limits of the whole instance. It is part of the file's version: see versionText
+// before any change.
+type Limits struct {
+	MemoryMB            int      `toml:"memory_mb" json:"MemoryMB"`
+	ClientConnections   int      `toml:"client_connections" json:"ClientConnections"`
+	UpstreamConnections int      `toml:"upstream_connections" json:"UpstreamConnections"`
+	OpenRequests        int      `toml:"open_requests" json:"OpenRequests"` // max requests in flight
+	MaxAttempts         int      `toml:"attempts" json:"Attempts"`          // of one request
+	Hedging             bool     `toml:"second_copies" json:"SecondCopies"`
+	LoadProbes          bool     `toml:"probes" json:"Probes"`
+	MaxRetryAfter       Duration `toml:"retry_after_most" json:"RetryAfterMost"` // 0 to send no Retry-After
+	DialTimeout         Duration `toml:"dial_timeout" json:"DialTimeout"`
+	IdleTimeout         Duration `toml:"idle_timeout" json:"IdleTimeout"` // of connections to servers
+	TimerSlack          Duration `toml:"timer_slack" json:"TimerSlack"`   // by which timers may fire late
+	ClockDrift          float64  `toml:"clock_error" json:"ClockError"`   // by which two clocks may diverge, a ratio
+	AdmitRate           float64  `toml:"admit_rate" json:"AdmitRate"`     // requests a second, 0 for no limit
+}
+
+func defaultLimits() Limits {
+	return Limits{
+		MemoryMB:            256,
+		ClientConnections:   1024,
+		UpstreamConnections: 1024,
+		OpenRequests:        20_000,
+		MaxAttempts:         3,
+		Hedging:             true,
+		LoadProbes:          true,
+		MaxRetryAfter:       Duration(1500 * time.Millisecond),
+		DialTimeout:         Duration(250 * time.Millisecond),
+		IdleTimeout:         Duration(5 * time.Second),
+		TimerSlack:          Duration(10 * time.Millisecond),
+		ClockDrift:          0.0005, // 500 ppm: an ordinary quartz is within 100
+	}
+}
+
+// checkLimits checks the [limits] section. checkPolicy checks limits.admit_rate.
+func (c *checker) checkLimits() {
+	l := &c.file.Limits
+	for _, limit := range [...]struct {
+		key   string
+		value int
+	}{
+		{"limits.memory_mb", l.MemoryMB},
+		{"limits.client_connections", l.ClientConnections},
+		{"limits.upstream_connections", l.UpstreamConnections},
+		{"limits.open_requests", l.OpenRequests},
+	} {
+		c.Require(limit.value >= 1, limit.key, "%d is not positive", limit.value)
+	}
+	c.Require(l.MaxAttempts >= 1 && l.MaxAttempts <= maxAttempts, "limits.attempts",
+		"%d is not in 1 to %d: no request may be sent more often", l.MaxAttempts, maxAttempts)
+	c.Require(l.MaxRetryAfter >= 0, "limits.retry_after_most", "%v is negative", time.Duration(l.MaxRetryAfter))
+	c.Positive("limits.dial_timeout", l.DialTimeout)
+	c.Positive("limits.idle_timeout", l.IdleTimeout)
+}
--- /dev/null
+++ b/internal/site/section_route.go
@@ -0,0 +1,69 @@
+package site
+
+import (
+	"fmt"
+	"slices"
+
+	"pinedale/internal/policy"
+)
+
+// maxAdmitRate bounds limits.admit_rate, in requests a second.
+const maxAdmitRate = 1e7
+
+// Route is a [[route]]: requests that match it get its class, pool and timing. It is part of the file's version:
+// see versionText before any change.
+type Route struct {
+	Timing
+	Name    string            `toml:"name" json:"Name"`
+	Host    string            `toml:"host" json:"Host"`     // "" for any
+	Path    string            `toml:"path" json:"Path"`     // the complete path
+	Prefix  string            `toml:"prefix" json:"Prefix"` // or its beginning
+	Method  string            `toml:"method" json:"Method"` // "" for those of the class
+	Headers map[string]string `toml:"headers" json:"Headers"`
+	Class   string            `toml:"class" json:"Class"`
+	Pool    string            `toml:"pool" json:"Pool"` // "" for the whole fleet
+}
+
+// Pool is a [[pool]], a part of the fleet. It is part of the file's version: see versionText before any change.
+type Pool struct {
+	Name  string   `toml:"name" json:"Name"`
+	Sites []string `toml:"sites" json:"Sites"` // empty for all
+	Kinds []string `toml:"kinds" json:"Kinds"` // empty for all
+}
+
+// Tenant is a [[tenant]], which has a quota of the admitted rate. It is part of the file's version: see
+// versionText before any change.
+type Tenant struct {
+	Name   string  `toml:"name" json:"Name"`
+	Weight float64 `toml:"weight" json:"Weight"` // of its quota
+	Open   int     `toml:"open" json:"Open"`     // max requests in flight, 0 for no limit
+}
+
+// checkPolicy checks pools and compiles classes, routes, pools and tenants into the table, which reports their
+// errors.
+func (c *checker) checkPolicy() {
+	f := c.file
+	c.Require(f.Limits.AdmitRate >= 0 && f.Limits.AdmitRate <= maxAdmitRate, "limits.admit_rate",
+		"%v is not in 0 to 1e7", f.Limits.AdmitRate)
+	for i, pool := range f.Pools {
+		c.checkPoolNames(i, "sites", pool.Sites, f.Fleet.Sites)
+		c.checkPoolNames(i, "kinds", pool.Kinds, f.Fleet.Kinds)
+	}
+	table, faults := policy.Compile(f.policyConfig(), c.previous)
+	for _, fault := range faults {
+		if fault.Warning {
+			c.Warn(fault.Key, fault.Reason)
+		} else {
+			c.Require(false, fault.Key, "%s", fault.Reason)
+		}
+	}
+	f.table = table
+}
+
+// checkPoolNames checks that the fleet has all names of a key of a pool.
+func (c *checker) checkPoolNames(pool int, key string, names, fleet []string) {
+	for _, name := range names {
+		c.Require(slices.Contains(fleet, name), fmt.Sprintf("pool[%d].%s", pool, key),
+			"%q is not in fleet.%s", name, key)
+	}
+}
--- /dev/null
+++ b/internal/site/section_upstream.go
@@ -0,0 +1,100 @@
+package site
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"pinedale/internal/upstream/secure"
+)
+
+const (
+	// maxSessions bounds upstream.sessions.
+	maxSessions = 1_000_000
+	// maxHandshakeRate bounds the rates and the burst of handshakes.
+	maxHandshakeRate = 1e6
+	// namePlaceholder stands for a server's name in upstream.verify.
+	namePlaceholder = "{name}"
+)
+
+// Upstream is the section on connections to servers.
+type Upstream struct {
+	HTTP3               bool     `toml:"http3"`           // use HTTP/3 with servers that support it
+	Keys                string   `toml:"keys"`            // name of the [[keys]] for TLS, "" for plain text
+	VerifyPattern       string   `toml:"verify"`          // name of a server's certificate, with {name}
+	HandshakesPerServer float64  `toml:"handshakes"`      // a second, by all instances
+	HandshakesTotal     float64  `toml:"handshakes_all"`  // a second, by this instance
+	HandshakeBurst      float64  `toml:"handshake_burst"` // with one server, by all instances
+	HandshakeTimeout    Duration `toml:"handshake_timeout"`
+	MaxSessions         int      `toml:"sessions"` // that may be resumed
+}
+
+func defaultUpstream() Upstream {
+	return Upstream{
+		HandshakesPerServer: 200,
+		HandshakesTotal:     500,
+		HandshakeBurst:      20,
+		HandshakeTimeout:    Duration(500 * time.Millisecond),
+		MaxSessions:         4096,
+	}
+}
+
+// checkUpstream checks the [upstream] section and server.verify.
+func (c *checker) checkUpstream() {
+	u := &c.file.Upstream
+	if u.Keys == "" {
+		c.checkPlainUpstream()
+		return
+	}
+	c.checkVerifyNames()
+	c.Require(u.MaxSessions >= 1 && u.MaxSessions <= maxSessions, "upstream.sessions",
+		"%d is not in 1 to %d", u.MaxSessions, maxSessions)
+	c.requireHandshakeRate("upstream.handshakes", u.HandshakesPerServer)
+	c.requireHandshakeRate("upstream.handshakes_all", u.HandshakesTotal)
+	c.requireHandshakeRate("upstream.handshake_burst", u.HandshakeBurst)
+	c.Positive("upstream.handshake_timeout", u.HandshakeTimeout)
+}
+
+// checkPlainUpstream checks that nothing depends on TLS, which is not configured.
+func (c *checker) checkPlainUpstream() {
+	const reason = "is of no use without upstream.keys: servers are spoken to in plain text"
+	u := &c.file.Upstream
+	c.Require(!u.HTTP3, "upstream.http3", "is encrypted: upstream.keys must say whom to trust")
+	c.Require(u.VerifyPattern == "", "upstream.verify", reason)
+	for i, s := range c.file.Servers {
+		c.Require(s.VerifyName == "", fmt.Sprintf("server[%d].verify", i), reason)
+	}
+}
+
+// checkVerifyNames checks that each server has a name by which it can be verified.
+func (c *checker) checkVerifyNames() {
+	f, pattern := c.file, c.file.Upstream.VerifyPattern
+	if pattern != "" {
+		err := secure.CheckName(pattern)
+		c.Require(err == nil, "upstream.verify", "%v", err)
+		if err == nil && !strings.Contains(pattern, namePlaceholder) {
+			c.Warn("upstream.verify", "has no {name}: any server's certificate will do for every other")
+		}
+	}
+	onlyListed := f.Discovery.Address == "" && len(f.Ephemeral.Servers) == 0
+	c.Require(pattern != "" || onlyListed, "upstream.verify",
+		"is missing: the names of servers that membership tells must come from a pattern, such as {name}.example.org")
+	names := f.verifyNames()
+	for i, s := range f.Servers {
+		key := fmt.Sprintf("server[%d].verify", i)
+		if s.VerifyName != "" {
+			err := secure.CheckName(s.VerifyName)
+			c.Require(err == nil && !strings.Contains(s.VerifyName, namePlaceholder), key,
+				"%q is no host name, address or SPIFFE ID", s.VerifyName)
+			continue
+		}
+		if _, err := names.Of(s.Name); err != nil {
+			c.Require(false, key, "is missing: %v", err)
+		}
+	}
+}
+
+// requireHandshakeRate records an error unless a rate is in bounds.
+func (c *checker) requireHandshakeRate(key string, rate float64) {
+	c.Require(rate >= 1 && rate <= maxHandshakeRate, key, "%v is not in 1 to 1e6", rate)
+}
--- a/internal/site/secure_test.go
+++ b/internal/site/secure_test.go
@@ -25,37 +25,37 @@
 	"pinedale/internal/standin/wait"
 )
 
-// guardedWorld is an instance whose two servers speak TLS, each with keys of its own.
-type guardedWorld struct {
+// tlsInstance is an instance whose two servers speak TLS, each with keys of its own.
+type tlsInstance struct {
 	*Instance
-	t     *testing.T
-	root  *ca.Authority
-	files *ca.Folder
-	keys  [2]*guarded.Keys
-	fleet [2]*soko.Fleet
-	log   logged.Record
-	ids   int
-	text  string
+	t          *testing.T
+	root       *ca.Authority
+	files      *ca.Folder
+	serverKeys [2]*guarded.Keys
+	fleet      [2]*soko.Fleet
+	log        logged.Record
+	ids        int
+	text       string
 }
 
-func now(a *ca.Authority, names ...string) *ca.Pair {
+func issueNow(a *ca.Authority, names ...string) *ca.Pair {
 	return a.Issue(ca.Spec{Names: names, From: time.Now().Add(-time.Hour), Until: time.Now().Add(time.Hour)})
 }
 
-// startGuarded has the servers show these, and the parts stand in the file; "@" stands for the folder of its keys.
-func startGuarded(t *testing.T, root *ca.Authority, first, second *ca.Pair, parts ...string) *guardedWorld {
+// startTLSInstance has the servers show these, and the parts stand in the file; "@" stands for the folder of its keys.
+func startTLSInstance(t *testing.T, root *ca.Authority, first, second *ca.Pair, parts ...string) *tlsInstance {
 	t.Helper()
-	w := &guardedWorld{t: t, root: root, files: ca.NewFolder(t)}
+	w := &tlsInstance{t: t, root: root, files: ca.NewFolder(t)}
 	w.files.Put(w.files.Roots, root.PEM())
 	w.files.Put(w.files.Revoked, root.Revoke())
-	w.files.Pair(now(root, "127.0.0.1"))
+	w.files.Pair(issueNow(root, "127.0.0.1"))
 	w.text = runningHead + priceClass + payClass + strings.ReplaceAll(strings.Join(parts, ""), "@", strings.TrimSuffix(w.files.Cert, "cert.pem"))
 	if strings.Contains(w.text, `name = "front"`) {
 		w.text = strings.Replace(strings.Replace(w.text, "[http]\n", "[http]\nkeys = \"front\"\n", 1), "[ext_proc]\n", "[ext_proc]\nkeys = \"front\"\n", 1)
 	}
 	for n, p := range []*ca.Pair{first, second} {
-		w.keys[n] = guarded.NewKeys(t, p)
-		w.fleet[n] = &soko.Fleet{TLS: w.keys[n].Follow}
+		w.serverKeys[n] = guarded.NewKeys(t, p)
+		w.fleet[n] = &soko.Fleet{TLS: w.serverKeys[n].Follow}
 		s, err := w.fleet[n].Start(fmt.Sprint("s-", n), n)
 		if err != nil {
 			t.Fatal(err)
@@ -82,8 +82,8 @@
 	return w
 }
 
-// ask sends a price check by a client, and returns the answer's code.
-func (w *guardedWorld) ask(client *http.Client, scheme string) (int, error) {
+// get sends a price check by a client, and returns the answer's code.
+func (w *tlsInstance) get(client *http.Client, scheme string) (int, error) {
 	w.ids++
 	in, err := http.NewRequest("GET", scheme+"://"+w.HTTP.String()+"/price-check/x", nil)
 	if err != nil {
@@ -103,20 +103,20 @@
 	return out.StatusCode, nil
 }
 
-const towards = "[upstream]\nkeys = \"fleet\"\nverify = \"{name}.example.org\"\nhttp3 = %t\n[[keys]]\nname = \"fleet\"\nroots_file = \"@roots.pem\"\nrevoked_file = \"@revoked.pem\"\n"
+const upstreamKeys = "[upstream]\nkeys = \"fleet\"\nverify = \"{name}.example.org\"\nhttp3 = %t\n[[keys]]\nname = \"fleet\"\nroots_file = \"@roots.pem\"\nrevoked_file = \"@revoked.pem\"\n"
 
 // The right certificate at the wrong server, one that is over, one by a strange root: none of the requests goes
 // there, over either protocol, and each is served by the other server. The counters name the reason.
-func TestRequestsGoWhereWhoIsThereIsKnown(t *testing.T) {
+func TestRequestsAvoidServersThatFailVerification(t *testing.T) {
 	root, other := ca.New(t, "root"), ca.New(t, "other")
 	hour := time.Now().Add(-time.Hour)
-	for reason, shown := range map[string]*ca.Pair{"names": now(root, "s-1.example.org"), "chain": now(other, "s-0.example.org"),
+	for reason, shown := range map[string]*ca.Pair{"names": issueNow(root, "s-1.example.org"), "chain": issueNow(other, "s-0.example.org"),
 		"over": root.Issue(ca.Spec{Names: []string{"s-0.example.org"}, From: hour.Add(-time.Hour), Until: hour})} {
-		for _, three := range []bool{false, true} {
-			t.Run(fmt.Sprint(reason, three), func(t *testing.T) {
-				w := startGuarded(t, root, shown, now(root, "s-1.example.org"), fmt.Sprintf(towards, three))
+		for _, http3 := range []bool{false, true} {
+			t.Run(fmt.Sprint(reason, http3), func(t *testing.T) {
+				w := startTLSInstance(t, root, shown, issueNow(root, "s-1.example.org"), fmt.Sprintf(upstreamKeys, http3))
 				for n := range 30 {
-					if code, err := w.ask(http.DefaultClient, "http"); code != 200 {
+					if code, err := w.get(http.DefaultClient, "http"); code != 200 {
 						t.Fatalf("request %d: %d, %v", n, code, err)
 					}
 				}
@@ -125,8 +125,8 @@
 				}
 				wait.Until(t, "the failed handshake", func() bool { c, ok := w.Security(); return ok && c.Failed[reason] > 0 })
 				w.logCounters()
-				if said := w.log.String(); !strings.Contains(said, "expected=s-0.example.org") || !strings.Contains(said, "failed=map["+reason) {
-					t.Errorf("the log says %s", said)
+				if message := w.log.String(); !strings.Contains(message, "expected=s-0.example.org") || !strings.Contains(message, "failed=map["+reason) {
+					t.Errorf("the log says %s", message)
 				}
 			})
 		}
@@ -135,38 +135,38 @@
 
 // Certificates of a whole fleet run out at once: nothing is sent, every request has its answer at once, and only
 // an operator's word lets them in, for no longer than it says.
-func TestAWholeFleetIsOver(t *testing.T) {
+func TestExpiredFleetIsRejectedUnlessGraceAllows(t *testing.T) {
 	root := ca.New(t, "root")
-	over := func(name string) *ca.Pair {
+	expired := func(name string) *ca.Pair {
 		return root.Issue(ca.Spec{Names: []string{name}, From: time.Now().Add(-3 * time.Hour), Until: time.Now().Add(-time.Hour)})
 	}
-	w := startGuarded(t, root, over("s-0.example.org"), over("s-1.example.org"), fmt.Sprintf(towards, false))
+	w := startTLSInstance(t, root, expired("s-0.example.org"), expired("s-1.example.org"), fmt.Sprintf(upstreamKeys, false))
 	for range 5 {
 		began := time.Now()
-		if code, err := w.ask(http.DefaultClient, "http"); code != 503 && code != 502 || time.Since(began) > 2*time.Second {
+		if code, err := w.get(http.DefaultClient, "http"); code != 503 && code != 502 || time.Since(began) > 2*time.Second {
 			t.Errorf("%d, %v after %v of 3 s", code, err, time.Since(began))
 		}
 	}
 	if w.fleet[0].Counts().Requests+w.fleet[1].Counts().Requests != 0 {
 		t.Error("something was sent")
 	}
-	w = startGuarded(t, root, over("s-0.example.org"), over("s-1.example.org"), fmt.Sprintf(towards, false), "peers_over = \"2h\"\n")
+	w = startTLSInstance(t, root, expired("s-0.example.org"), expired("s-1.example.org"), fmt.Sprintf(upstreamKeys, false), "peers_over = \"2h\"\n")
 	for range 5 {
-		if code, err := w.ask(http.DefaultClient, "http"); code != 200 {
+		if code, err := w.get(http.DefaultClient, "http"); code != 200 {
 			t.Errorf("the operator has said so: %d, %v", code, err)
 		}
 	}
-	w = startGuarded(t, root, over("s-0.example.org"), over("s-1.example.org"), fmt.Sprintf(towards, false), "peers_over = \"30m\"\n")
-	if code, _ := w.ask(http.DefaultClient, "http"); code == 200 {
+	w = startTLSInstance(t, root, expired("s-0.example.org"), expired("s-1.example.org"), fmt.Sprintf(upstreamKeys, false), "peers_over = \"30m\"\n")
+	if code, _ := w.get(http.DefaultClient, "http"); code == 200 {
 		t.Error("over for longer than the operator has said")
 	}
 }
 
 // Fronts with TLS: who shows no certificate, or one by nobody that is trusted, is not let in; who is revoked is
 // turned away on a connection that stands.
-func TestFrontsLetInWhoIsKnown(t *testing.T) {
+func TestFrontsRequireTrustedClientCertificates(t *testing.T) {
 	root, other := ca.New(t, "root"), ca.New(t, "other")
-	w := startGuarded(t, root, now(root, "s-0.example.org"), now(root, "s-1.example.org"), fmt.Sprintf(towards, false),
+	w := startTLSInstance(t, root, issueNow(root, "s-0.example.org"), issueNow(root, "s-1.example.org"), fmt.Sprintf(upstreamKeys, false),
 		"[[keys]]\nname = \"front\"\ncert_file = \"@cert.pem\"\nkey_file = \"@key.pem\"\nroots_file = \"@roots.pem\"\nrevoked_file = \"@revoked.pem\"\nreplace_within = \"1h\"\n")
 	roots := x509.NewCertPool()
 	roots.AddCert(root.Cert)
@@ -186,13 +186,13 @@
 		t.Cleanup(transport.CloseIdleConnections)
 		return &http.Client{Transport: transport}
 	}
-	known := now(root, "clerk.example.org")
+	known := issueNow(root, "clerk.example.org")
 	clerk := client(known)
-	if code, err := w.ask(clerk, "https"); code != 200 {
+	if code, err := w.get(clerk, "https"); code != 200 {
 		t.Fatalf("a client that is known: %d, %v", code, err)
 	}
-	for who, p := range map[string]*ca.Pair{"shows nothing": nil, "is known to others": now(other, "clerk.example.org")} {
-		if code, err := w.ask(client(p), "https"); err == nil {
+	for who, p := range map[string]*ca.Pair{"shows nothing": nil, "is known to others": issueNow(other, "clerk.example.org")} {
+		if code, err := w.get(client(p), "https"); err == nil {
 			t.Errorf("a client that %s: %d", who, code)
 		}
 	}
@@ -219,24 +219,24 @@
 	if err := processor(known); err != nil {
 		t.Errorf("a proxy that is known: %v", err)
 	}
-	if processor(now(other, "proxy.example.org")) == nil {
+	if processor(issueNow(other, "proxy.example.org")) == nil {
 		t.Error("a proxy that nobody knows was let in")
 	}
 	w.files.Put(w.files.Revoked, root.Revoke(known.Leaf))
-	w.rooms.look()
-	if code, err := w.ask(clerk, "https"); code != 403 {
+	w.stores.reload()
+	if code, err := w.get(clerk, "https"); code != 403 {
 		t.Errorf("revoked, on a connection that stands: %d, %v", code, err)
 	}
-	if code, err := w.ask(clerk, "https"); err == nil {
+	if code, err := w.get(clerk, "https"); err == nil {
 		t.Errorf("revoked, on a new one: %d", code)
 	}
 }
 
 // What the file may not say of keys, and by which key it is told; and what keys show and verify print of one that
 // is good. No private key is in any of it.
-func TestKeysInTheFile(t *testing.T) {
+func TestKeysSectionErrorsAndReports(t *testing.T) {
 	root := ca.New(t, "root")
-	w := startGuarded(t, root, now(root, "s-0.example.org"), now(root, "s-1.example.org"), fmt.Sprintf(towards, false),
+	w := startTLSInstance(t, root, issueNow(root, "s-0.example.org"), issueNow(root, "s-1.example.org"), fmt.Sprintf(upstreamKeys, false),
 		"[[keys]]\nname = \"front\"\ncert_file = \"@cert.pem\"\nkey_file = \"@key.pem\"\nnames = [\"127.0.0.1\"]\n")
 	front, ups := "[http]\nkeys = \"front\"\n", "[upstream]\nkeys = \"fleet\"\n"
 	for _, c := range []struct{ from, to, key, reason string }{
@@ -272,12 +272,12 @@
 			t.Fatalf("%q is not in the file", c.from)
 		}
 		_, err := Parse([]byte(text))
-		said := ""
+		message := ""
 		if err != nil {
-			said = err.Error()
+			message = err.Error()
 		}
-		if !strings.Contains(said, c.key+": ") || !strings.Contains(said, c.reason) || strings.Contains(said, "PRIVATE") {
-			t.Errorf("%q for %q: %q, want %s, %s", c.to, c.from, said, c.key, c.reason)
+		if !strings.Contains(message, c.key+": ") || !strings.Contains(message, c.reason) || strings.Contains(message, "PRIVATE") {
+			t.Errorf("%q for %q: %q, want %s, %s", c.to, c.from, message, c.key, c.reason)
 		}
 	}
 	f, err := Parse([]byte(w.text))
@@ -288,20 +288,20 @@
 	if err := f.ShowKeys(&out, time.Now()); err != nil {
 		t.Fatal(err)
 	}
-	for _, says := range []string{`keys "front", used by http, ext_proc`, `keys "fleet", used by upstream`, "shows 127.0.0.1, ECDSA P-256, by CN=root", "trusts CN=root", "revokes 0 of CN=root", `server "s-1" must be s-1.example.org`} {
-		if !strings.Contains(out.String(), says) || strings.Contains(out.String(), "PRIVATE") {
-			t.Errorf("shown is\n%swant %q", out.String(), says)
+	for _, wantText := range []string{`keys "front", used by http, ext_proc`, `keys "fleet", used by upstream`, "shows 127.0.0.1, ECDSA P-256, by CN=root", "trusts CN=root", "revokes 0 of CN=root", `server "s-1" must be s-1.example.org`} {
+		if !strings.Contains(out.String(), wantText) || strings.Contains(out.String(), "PRIVATE") {
+			t.Errorf("shown is\n%swant %q", out.String(), wantText)
 		}
 	}
 	next := ca.NewFolder(t)
-	next.Pair(now(root, "10.0.0.1"))
+	next.Pair(issueNow(root, "10.0.0.1"))
 	if err := f.VerifyKeys("front", keyroom.Paths{Cert: next.Cert, Key: next.Key}); err == nil || !strings.Contains(err.Error(), "names: cert") {
 		t.Errorf("files for another name: %v", err)
 	}
 	if err := f.VerifyKeys("front", keyroom.Paths{Cert: next.Cert}); err == nil || !strings.Contains(err.Error(), "mismatch") {
 		t.Errorf("half of a pair: %v", err)
 	}
-	next.Pair(now(root, "127.0.0.1"))
+	next.Pair(issueNow(root, "127.0.0.1"))
 	if err := f.VerifyKeys("front", keyroom.Paths{Cert: next.Cert, Key: next.Key}); err != nil {
 		t.Errorf("good files: %v", err)
 	}
--- a/internal/site/version.go
+++ b/internal/site/version.go
@@ -30,6 +30,6 @@
 		f.Tenants,
 		f.Limits,
 		f.Fleet.DrainGrace,
-		f.Fleet.DrainFor,
+		f.Fleet.DrainTime,
 	})
 }
