--- a/cmd/pinedale-fleet/main.go
+++ b/cmd/pinedale-fleet/main.go
@@ -107,7 +107,7 @@
 			if err != nil {
 				return err
 			}
-			least := s.Shrink(func(s *schedule.Schedule) bool {
+			shortest := s.Shrink(func(s *schedule.Schedule) bool {
 				for range o.attempts {
 					h, err := playOne(c.Context(), o, s)
 					if c.Context().Err() != nil || err == nil && len(h.Check()) > 0 {
@@ -119,7 +119,7 @@
 			if err := c.Context().Err(); err != nil {
 				return err
 			}
-			text, err := toml.Marshal(least)
+			text, err := toml.Marshal(shortest)
 			if err == nil {
 				_, err = out.Write(text)
 			}
--- a/cmd/pinedale-measure/main.go
+++ b/cmd/pinedale-measure/main.go
@@ -94,8 +94,8 @@
 	Broken() string
 }) error {
 	r.Print(out)
-	if why := r.Broken(); why != "" {
-		return errors.New("broken: " + why)
+	if reason := r.Broken(); reason != "" {
+		return errors.New("broken: " + reason)
 	}
 	return nil
 }
@@ -151,7 +151,7 @@
 func servers(flags *flag.FlagSet) func(io.Writer) error {
 	addresses := flags.String("listen", "127.0.0.1:9101,127.0.0.1:9102", "host:port of each")
 	work := flags.Duration("work", 20*time.Millisecond, "of a request")
-	most := flags.Duration("for", time.Hour, "end by itself after this long")
+	timeout := flags.Duration("for", time.Hour, "end by itself after this long")
 	return func(out io.Writer) error {
 		fleet := &soko.Fleet{Work: *work}
 		for n, address := range strings.Split(*addresses, ",") {
@@ -164,7 +164,7 @@
 		signal.Notify(end, os.Interrupt, syscall.SIGTERM)
 		select {
 		case <-end:
-		case <-time.After(*most):
+		case <-time.After(*timeout):
 		}
 		return nil
 	}
@@ -279,13 +279,13 @@
 	instances := flags.Int("instances", 5, "that reconnect at once")
 	limit := flags.Float64("limit", 200, "handshakes a second that a server may have of all of them")
 	all := flags.Float64("all", 500, "and one instance with all servers")
-	most := flags.Duration("most", 30*time.Second, "for each")
+	timeout := flags.Duration("most", 30*time.Second, "for each")
 	return func(out io.Writer) error {
 		var results []*reconnect.Result
 		for _, x := range []struct{ servers, each int }{{10, 200}, {200, 10}, {2000, 1}} { // as many connections each time
 			for _, cold := range []bool{false, true} {
 				for _, budget := range []bool{false, true} {
-					r, err := reconnect.Run(reconnect.Options{Servers: x.servers, Instances: *instances, Each: x.each, Budget: budget, Limit: *limit, All: *all, Cold: cold, Most: *most})
+					r, err := reconnect.Run(reconnect.Options{Servers: x.servers, Instances: *instances, Each: x.each, Budget: budget, Limit: *limit, All: *all, Warming: cold, Timeout: *timeout})
 					if err != nil {
 						return err
 					}
@@ -306,7 +306,7 @@
 	flags.Float64Var(&o.Rate, "rate", 1500, "requests a second, of all instances")
 	flags.IntVar(&o.Floor, "floor", 8, "servers that an instance holds")
 	flags.IntVar(&o.Seeds, "seeds", 50, "to play")
-	flags.BoolVar(&o.Whole, "whole", false, "without subsets, too")
+	flags.BoolVar(&o.Unsubset, "whole", false, "without subsets, too")
 	return func(out io.Writer) error {
 		began := time.Now()
 		rows, err := newcomer.Run(o)
@@ -314,8 +314,8 @@
 			return err
 		}
 		newcomer.Print(out, rows, time.Since(began))
-		if why := newcomer.Broken(rows); why != "" {
-			return errors.New("broken: " + why)
+		if reason := newcomer.Broken(rows); reason != "" {
+			return errors.New("broken: " + reason)
 		}
 		return nil
 	}
--- a/cmd/pinedale-rehearse/demo.go
+++ b/cmd/pinedale-rehearse/demo.go
@@ -98,7 +98,7 @@
 	defer clients.mu.Unlock()
 	sum := &clients.sum
 	fmt.Fprintf(out, "in all: asked %d, in time %d, late %d, refused %d, failed %d; effects done twice %d\n",
-		sum.asked, sum.inTime, sum.late, sum.refused, sum.failed, len(f.fleet.Twice()))
+		sum.requested, sum.inTime, sum.late, sum.rejected, sum.failed, len(f.fleet.Twice()))
 	return nil
 }
 
@@ -129,19 +129,19 @@
 }
 
 // add starts a server and lists it.
-func (f *demoFleet) add(cold bool, faults ...model.Fault) error {
+func (f *demoFleet) add(warming bool, faults ...model.Fault) error {
 	n := len(f.servers)
 	cfg := model.Config{Cores: 3, Speed: [...]float64{2, 1.2, 0.8}[n%3], SlotsPerCore: 1, QueuePerCore: 100, Thrash: 0.08, ThrashAt: 5,
 		SlowStartRatio: 0.35, SlowStartTime: 6 * time.Second, FallFactor: 2.5, FallAfter: time.Second,
 		ReportEvery: 100 * time.Millisecond, ProbeWork: 100 * time.Microsecond, Handshake: time.Millisecond}
-	s, err := f.fleet.Start(sockets.Spec{Name: fmt.Sprintf("soko-%d", n+1), Group: fmt.Sprint(n / 2), Config: cfg, Seed: uint64(n + 1), Warming: cold, Faults: faults})
+	s, err := f.fleet.Start(sockets.Spec{Name: fmt.Sprintf("soko-%d", n+1), Group: fmt.Sprint(n / 2), Config: cfg, Seed: uint64(n + 1), Warming: warming, Faults: faults})
 	if err != nil {
 		return err
 	}
 	f.servers = append(f.servers, s)
 	h := directory.Ready(s.Name, s.Addresses[0])
 	h.Site, h.Class, h.Block = [...]string{"arusha", "dar"}[n%2], "box", uint16(n/2)
-	if cold {
+	if warming {
 		h.BornMS = time.Now().UnixMilli()
 	}
 	f.hosts = append(f.hosts, h)
@@ -156,12 +156,12 @@
 func (d *demoClients) load(out io.Writer, f *demoFleet, length time.Duration, failing model.Fault) error {
 	var all sync.WaitGroup
 	rng := rand.New(rand.NewPCG(1, 1))
-	began, next, told, added := time.Now(), time.Duration(0), time.Duration(0), false
+	began, next, printed, added := time.Now(), time.Duration(0), time.Duration(0), false
 	for n := 0; time.Since(began) < length; n++ {
 		next += time.Duration(rng.ExpFloat64() / demoRate * float64(time.Second))
 		time.Sleep(time.Until(began.Add(next)))
 		stall := rng.Float64() < 0.4
-		all.Go(func() { d.ask(n, stall) })
+		all.Go(func() { d.request(n, stall) })
 		if !added && next >= length/2 {
 			added = true
 			if err := f.add(true); err != nil {
@@ -169,10 +169,10 @@
 			}
 			fmt.Fprintln(out, "     a sixth server has started, cold")
 		}
-		if next >= told+time.Second {
-			told += time.Second
-			d.line(out, int(told/time.Second), f.servers)
-			if told >= failing.From && told < failing.From+time.Second {
+		if next >= printed+time.Second {
+			printed += time.Second
+			d.line(out, int(printed/time.Second), f.servers)
+			if printed >= failing.From && printed < failing.From+time.Second {
 				fmt.Fprintln(out, "     soko-1 fails 90% of its requests at once from here on, for a while")
 			}
 		}
@@ -183,8 +183,8 @@
 
 // counts are of a second, or of all.
 type counts struct {
-	asked, inTime, late, refused, failed int
-	took                                 []time.Duration
+	requested, inTime, late, rejected, failed int
+	took                                      []time.Duration
 }
 
 // demoClients send requests and count what comes of them.
@@ -196,7 +196,7 @@
 	now, sum counts
 }
 
-func (d *demoClients) ask(n int, stall bool) {
+func (d *demoClients) request(n int, stall bool) {
 	method, class := "GET", "price-check"
 	if stall {
 		method, class = "POST", "stall-pay"
@@ -222,14 +222,14 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, c := range []*counts{&d.now, &d.sum} {
-		c.asked++
+		c.requested++
 		switch {
 		case code == 200 && took <= 600*time.Millisecond:
 			c.inTime++
 		case code == 200:
 			c.late++
 		case code == 503:
-			c.refused++
+			c.rejected++
 		default:
 			c.failed++
 		}
@@ -250,7 +250,7 @@
 		}
 		return c.took[min(len(c.took)-1, int(q*float64(len(c.took))))].Round(time.Millisecond)
 	}
-	var held []string
+	var inFlight []string
 	for _, s := range servers {
 		n, _, warmth, down := s.Figures()
 		text := fmt.Sprint(n)
@@ -259,8 +259,8 @@
 		} else if warmth < 1 {
 			text += fmt.Sprintf(" (%.0f%% warm)", 100*warmth)
 		}
-		held = append(held, text)
+		inFlight = append(inFlight, text)
 	}
-	fmt.Fprintf(out, "%4d %6d %8d %6d %8d %7d %9v %9v  %s\n", second, c.asked, c.inTime, c.late, c.refused, c.failed,
-		quantile(0.5), quantile(0.99), strings.Join(held, ", "))
+	fmt.Fprintf(out, "%4d %6d %8d %6d %8d %7d %9v %9v  %s\n", second, c.requested, c.inTime, c.late, c.rejected, c.failed,
+		quantile(0.5), quantile(0.99), strings.Join(inFlight, ", "))
 }
--- a/cmd/pinedale-rehearse/main.go
+++ b/cmd/pinedale-rehearse/main.go
@@ -153,11 +153,11 @@
 	if err != nil {
 		return nil, err
 	}
-	told := func(at time.Duration) { p(at, s.Length) }
+	report := func(at time.Duration) { p(at, s.Length) }
 	if host == trace.Sockets {
-		return live.Run(context.Background(), s, live.Options{Decide: decide, Watch: watch, Progress: told})
+		return live.Run(context.Background(), s, live.Options{Decide: decide, Watch: watch, Progress: report})
 	}
-	return play.Run(s, play.Options{Decide: decide, Watch: watch, Progress: told})
+	return play.Run(s, play.Options{Decide: decide, Watch: watch, Progress: report})
 }
 
 func (o *options) host() string {
@@ -168,8 +168,8 @@
 }
 
 func broken(r *plan.Result) error {
-	if why := r.Broken(); why != "" {
-		return errors.New("a rule was broken: " + why)
+	if reason := r.Broken(); reason != "" {
+		return errors.New("a rule was broken: " + reason)
 	}
 	return nil
 }
@@ -329,8 +329,8 @@
 	return nil
 }
 
-// agreeMost is by how much G may differ between the hosts.
-const agreeMost = 0.03
+// maxDifference is by how much G may differ between the hosts.
+const maxDifference = 0.03
 
 // agree plays each scenario on both hosts, those on sockets side by side.
 func agree(out io.Writer, paths []string, o options) error {
@@ -363,14 +363,14 @@
 			return fmt.Errorf("%s: %w", x.name, x.err)
 		}
 		a, b := x.s.G(x.virtual), x.s.G(x.live)
-		if math.Abs(a-b) > agreeMost {
+		if math.Abs(a-b) > maxDifference {
 			apart++
 		}
 		fmt.Fprintf(out, "%-18s %9.3f %9.3f %+9.3f %5d, %5d %5d, %5d  %s\n", x.name, a, b, b-a, x.virtual.Tries, x.live.Tries,
 			x.virtual.Connections, x.live.Connections, x.live.Broken())
 	}
 	if apart > 0 {
-		return fmt.Errorf("%d of %d scenarios are more than %v apart", apart, len(all), agreeMost)
+		return fmt.Errorf("%d of %d scenarios are more than %v apart", apart, len(all), maxDifference)
 	}
 	return nil
 }
@@ -463,11 +463,11 @@
 		n := float64(len(results))
 		mean := sum / n
 		noise := math.Sqrt(max(0, square/n-mean*mean) / (n - 1))
-		verdict := "within the noise"
+		conclusion := "within the noise"
 		if math.Abs(mean) > 2*noise && mean != 0 {
-			verdict = "a difference"
+			conclusion = "a difference"
 		}
-		fmt.Fprintf(out, "%-20s %9.2f %9.2f %+9.2f +- %.2f  %s\n", name, 100*first/n, 100*second/n, 100*mean, 100*noise, verdict)
+		fmt.Fprintf(out, "%-20s %9.2f %9.2f %+9.2f +- %.2f  %s\n", name, 100*first/n, 100*second/n, 100*mean, 100*noise, conclusion)
 	}
 	row("G", func(x played) float64 { return x.s.G(x.r) })
 	row("in time", func(x played) float64 { return x.r.InTime() })
--- a/cmd/pinedale-rehearse/main_test.go
+++ b/cmd/pinedale-rehearse/main_test.go
@@ -9,13 +9,13 @@
 	"time"
 )
 
-func quiet(_, _ time.Duration) {}
+func discard(_, _ time.Duration) {}
 
 // says runs a command and returns what it says.
 func says(t *testing.T, args ...string) string {
 	t.Helper()
 	var out bytes.Buffer
-	if err := run(args, &out, quiet); err != nil {
+	if err := run(args, &out, discard); err != nil {
 		t.Fatalf("%v: %v\n%s", args, err, out.String())
 	}
 	return out.String()
@@ -38,7 +38,7 @@
 	for _, args := range [][]string{nil, {"play"}, {"run"}, {"run", "a", "b"}, {"compare", "a"}, {"run", "/nowhere"}, {"demo", "x"}, {"run", "-what"},
 		{"record", "../../scenarios/calm.toml"}, {"replay", "/nowhere"}, {"replay", "../../scenarios/calm.toml"},
 		{"run", "-policy", "best", "../../scenarios/calm.toml"}, {"run", "-out", "x", "../../scenarios/calm.toml"}} {
-		if err := run(args, &bytes.Buffer{}, quiet); err == nil {
+		if err := run(args, &bytes.Buffer{}, discard); err == nil {
 			t.Errorf("%v is taken", args)
 		}
 	}
@@ -75,7 +75,7 @@
 			t.Fatal(err)
 		}
 		var out bytes.Buffer
-		if err := run([]string{"replay", second}, &out, quiet); err == nil || !strings.Contains(out.String()+err.Error(), c.says) {
+		if err := run([]string{"replay", second}, &out, discard); err == nil || !strings.Contains(out.String()+err.Error(), c.says) {
 			t.Errorf("%s: %v, said %s", name, err, out.String())
 		}
 	}
@@ -89,12 +89,12 @@
 		t.Fatal(err)
 	}
 	dir := t.TempDir()
-	short, kept := filepath.Join(dir, "short.toml"), filepath.Join(dir, "trace")
+	short, stored := filepath.Join(dir, "short.toml"), filepath.Join(dir, "trace")
 	if err := os.WriteFile(short, bytes.Replace(text, []byte(`length = "30s"`), []byte(`length = "1500ms"`), 1), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	says(t, "record", "-sockets", "-out", kept, short)
-	if text := says(t, "replay", kept); !strings.Contains(text, "answered 200") {
+	says(t, "record", "-sockets", "-out", stored, short)
+	if text := says(t, "replay", stored); !strings.Contains(text, "answered 200") {
 		t.Errorf("said %s", text)
 	}
 	if text := says(t, "run", "-sockets", short); !strings.Contains(text, "sockets: 1.5s played") {
--- a/internal/measure/departures/departures.go
+++ b/internal/measure/departures/departures.go
@@ -36,22 +36,22 @@
 
 // Case is one way to leave.
 type Case struct {
-	Name   string
-	cancel bool // the settings allow to call attempts off
-	queue  bool // requests wait in the engine's queue, else for a connection
-	behind string
-	part   bool // of the body only is sent
-	leave  func(*net.TCPConn)
+	Name       string
+	cancel     bool // the settings allow to call attempts off
+	queue      bool // requests wait in the engine's queue, else for a connection
+	behind     string
+	part       bool // of the body only is sent
+	disconnect func(*net.TCPConn)
 }
 
 // Cases are all ways to leave that are measured.
 var Cases = []Case{
-	{Name: "waits for a connection, no leave to cancel", leave: closed},
-	{Name: "waits in the engine's queue", queue: true, leave: closed},
-	{Name: "a byte behind the request", cancel: true, behind: "P", leave: closed},
-	{Name: "requests behind the request", cancel: true, behind: "GET / HTTP/1.1\r\n\r\nGET / HTTP/1.1\r\n\r\n", leave: reset},
-	{Name: "one direction is shut down", leave: func(c *net.TCPConn) { _ = c.CloseWrite() }},
-	{Name: "in the middle of the body", part: true, leave: closed},
+	{Name: "waits for a connection, no leave to cancel", disconnect: closed},
+	{Name: "waits in the engine's queue", queue: true, disconnect: closed},
+	{Name: "a byte behind the request", cancel: true, behind: "P", disconnect: closed},
+	{Name: "requests behind the request", cancel: true, behind: "GET / HTTP/1.1\r\n\r\nGET / HTTP/1.1\r\n\r\n", disconnect: reset},
+	{Name: "one direction is shut down", disconnect: func(c *net.TCPConn) { _ = c.CloseWrite() }},
+	{Name: "in the middle of the body", part: true, disconnect: closed},
 }
 
 func closed(c *net.TCPConn) { c.Close() }
@@ -72,8 +72,8 @@
 // server notes when each request comes.
 type server struct {
 	net.Listener
-	mu   sync.Mutex
-	came map[string]time.Time // by id
+	mu       sync.Mutex
+	arrivals map[string]time.Time // by id
 }
 
 // serve accepts connections until the listener is closed.
@@ -100,7 +100,7 @@
 			return
 		}
 		s.mu.Lock()
-		s.came[r.Header.Get("X-Correlation-Id")] = time.Now()
+		s.arrivals[r.Header.Get("X-Correlation-Id")] = time.Now()
 		s.mu.Unlock()
 		// A sidecar that has gone shows in the next read.
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
@@ -109,16 +109,16 @@
 
 // sent returns of how many clients' requests came after their client had left, and of how many they came
 // more than Tolerance after it.
-func (s *server) sent(left map[string]time.Time) (sent, late int) {
+func (s *server) sent(disconnected map[string]time.Time) (sent, late int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id, at := range left {
-		came, ok := s.came[id]
-		if !ok || !came.After(at) {
+	for id, at := range disconnected {
+		arrived, ok := s.arrivals[id]
+		if !ok || !arrived.After(at) {
 			continue
 		}
 		sent++
-		if came.Sub(at) > Tolerance {
+		if arrived.Sub(at) > Tolerance {
 			late++
 		}
 	}
@@ -131,7 +131,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &server{Listener: listener, came: map[string]time.Time{}}
+	s := &server{Listener: listener, arrivals: map[string]time.Time{}}
 	defer s.Close()
 	go s.serve()
 	ctx, stop := context.WithCancel(context.Background())
@@ -150,14 +150,14 @@
 	defer end()
 	go func() { _ = front.Serve(fronts, clients) }() // it ends with fronts
 
-	out, left := &Result{Case: c}, map[string]time.Time{}
+	out, disconnected := &Result{Case: c}, map[string]time.Time{}
 	for out.Departures < departures {
-		if err := depart(c, e, clients.Addr().String(), out.Departures, left); err != nil {
+		if err := depart(c, e, clients.Addr().String(), out.Departures, disconnected); err != nil {
 			return nil, err
 		}
 		out.Departures += batch
 	}
-	out.Sent, out.Late = s.sent(left)
+	out.Sent, out.Late = s.sent(disconnected)
 	return out, nil
 }
 
@@ -193,7 +193,7 @@
 }
 
 // depart has a batch of clients ask and leave while their requests wait, and notes when each has left.
-func depart(c Case, e *engine.Engine, front string, first int, left map[string]time.Time) error {
+func depart(c Case, e *engine.Engine, front string, first int, disconnected map[string]time.Time) error {
 	begun := time.Now()
 	if c.queue {
 		go e.Post(func(balancer.Micros) { time.Sleep(hold) })
@@ -218,8 +218,8 @@
 	}
 	time.Sleep(hold / 10)
 	for id, conn := range conns {
-		left[id] = time.Now()
-		c.leave(conn)
+		disconnected[id] = time.Now()
+		c.disconnect(conn)
 	}
 	time.Sleep(time.Until(begun.Add(2 * hold)))
 	for _, conn := range conns {
--- a/internal/measure/gossip/gossip.go
+++ b/internal/measure/gossip/gossip.go
@@ -31,9 +31,9 @@
 // Row is what came of a fleet.
 type Row struct {
 	Instances int
-	Told      int           // entries
+	Entries   int           // that were put
 	Sent      float64       // bytes a second and instance, the mean
-	Most      float64       // and of the instance that sent most
+	MaxSent   float64       // and of the instance that sent most
 	Messages  float64       // a second and instance
 	Known     time.Duration // until an entry was known by all, the median
 	Known95   time.Duration
@@ -43,11 +43,11 @@
 	Bytes     int64         // of memory that one instance's store takes
 }
 
-// telling is one entry under way.
-type telling struct {
-	at    time.Duration
-	left  int // instances that do not know it yet
-	known time.Duration
+// propagation is one entry under way.
+type propagation struct {
+	at        time.Duration
+	remaining int // instances that do not know it yet
+	known     time.Duration
 }
 
 // Run simulates each size.
@@ -71,12 +71,12 @@
 
 // node is one instance: its store, and when it does next what it does at intervals.
 type node struct {
-	store                 *replication.Store
-	tell, rumour, compare time.Duration
-	start                 int
-	sent                  int // bytes
-	number                int // of its next entry
-	inbox, next           []message.Message
+	store                            *replication.Store
+	nextPut, nextRumours, nextDigest time.Duration
+	start                            int
+	sent                             int // bytes
+	number                           int // of its next entry
+	inbox, next                      []message.Message
 }
 
 // entry names one entry of an origin.
@@ -91,7 +91,7 @@
 	limits   replication.Limits
 	rng      *rand.Rand
 	nodes    []*node
-	told     map[entry]*telling
+	entries  map[entry]*propagation
 	messages int
 	busy     time.Duration // of all instances' modules
 	turn     time.Duration // the longest of one
@@ -100,7 +100,7 @@
 
 // one simulates a fleet of n instances.
 func one(o Options, n int) (Row, error) {
-	s := &simulation{options: o, limits: replication.Defaults, rng: rand.New(rand.NewPCG(o.Seed, uint64(n))), told: map[entry]*telling{}}
+	s := &simulation{options: o, limits: replication.Defaults, rng: rand.New(rand.NewPCG(o.Seed, uint64(n))), entries: map[entry]*propagation{}}
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
@@ -127,10 +127,10 @@
 	for i := range s.nodes {
 		origin := replication.Origin{Name: fmt.Sprintf("instance-%04d", i), Epoch: epoch}
 		s.nodes[i] = &node{
-			store:   replication.New(origin, rules, s.limits),
-			tell:    spread(replication.AdvertisementInterval(n)),
-			rumour:  spread(replication.GossipInterval),
-			compare: spread(replication.AntiEntropyInterval),
+			store:       replication.New(origin, rules, s.limits),
+			nextPut:     spread(replication.AdvertisementInterval(n)),
+			nextRumours: spread(replication.GossipInterval),
+			nextDigest:  spread(replication.AntiEntropyInterval),
 		}
 	}
 }
@@ -160,20 +160,20 @@
 		}
 	}
 	x.inbox = x.inbox[:0]
-	if s.now >= x.tell {
-		x.tell += replication.AdvertisementInterval(len(s.nodes))
+	if s.now >= x.nextPut {
+		x.nextPut += replication.AdvertisementInterval(len(s.nodes))
 		if err := s.put(x); err != nil {
 			return err
 		}
 	}
-	if s.now >= x.rumour {
-		x.rumour += replication.GossipInterval
+	if s.now >= x.nextRumours {
+		x.nextRumours += replication.GossipInterval
 		if err := s.spread(i, x); err != nil {
 			return err
 		}
 	}
-	if s.now >= x.compare {
-		x.compare += replication.AntiEntropyInterval
+	if s.now >= x.nextDigest {
+		x.nextDigest += replication.AntiEntropyInterval
 		return s.send(x, s.other(i), x.store.Digest())
 	}
 	return nil
@@ -242,9 +242,9 @@
 
 // answerVectors sends what the sender of vectors lacks, and asks for what the receiver lacks.
 func (s *simulation) answerVectors(x *node, from int, vectors *replication.Vectors) error {
-	deltas, own := x.store.HandleVectors(s.now, vectors)
-	if own != nil {
-		if err := s.send(x, from, own); err != nil {
+	deltas, request := x.store.HandleVectors(s.now, vectors)
+	if request != nil {
+		if err := s.send(x, from, request); err != nil {
 			return err
 		}
 	}
@@ -259,14 +259,14 @@
 // notice looks whether an instance has an entry. The function that it returns looks again, and counts
 // the entry as known there if it has come meanwhile.
 func (s *simulation) notice(x *node, origin replication.Origin, e replication.Entry) func() {
-	t := s.told[entry{origin.Name, e.Seq}]
+	t := s.entries[entry{origin.Name, e.Seq}]
 	if t == nil {
 		return func() {}
 	}
 	had := x.store.Contains(origin, e.Seq)
 	return func() {
 		if !had && x.store.Contains(origin, e.Seq) {
-			if t.left--; t.left == 0 {
+			if t.remaining--; t.remaining == 0 {
 				t.known = s.now - t.at
 			}
 		}
@@ -284,7 +284,7 @@
 		return err
 	}
 	x.number++
-	s.told[entry{x.store.Self().Name, uint64(x.number)}] = &telling{at: s.now, left: len(s.nodes) - 1}
+	s.entries[entry{x.store.Self().Name, uint64(x.number)}] = &propagation{at: s.now, remaining: len(s.nodes) - 1}
 	return nil
 }
 
@@ -305,22 +305,22 @@
 // row sums up, but for the memory.
 func (s *simulation) row() Row {
 	n, seconds := len(s.nodes), s.options.Span.Seconds()
-	var sum, most int
+	var sum, highest int
 	for _, x := range s.nodes {
-		sum, most = sum+x.sent, max(most, x.sent)
+		sum, highest = sum+x.sent, max(highest, x.sent)
 	}
 	row := Row{
 		Instances: n,
-		Told:      len(s.told),
+		Entries:   len(s.entries),
 		Sent:      float64(sum) / float64(n) / seconds,
-		Most:      float64(most) / seconds,
+		MaxSent:   float64(highest) / seconds,
 		Messages:  float64(s.messages) / float64(n) / seconds,
 		Turn:      s.turn,
 		CPU:       s.busy.Seconds() / float64(n) / seconds,
 	}
 	var known []time.Duration
-	for k, t := range s.told {
-		if t.left == 0 {
+	for k, t := range s.entries {
+		if t.remaining == 0 {
 			known = append(known, t.known)
 		} else if t.at < s.options.Span*3/4 && s.lacking(k) {
 			row.Unknown++
@@ -345,7 +345,7 @@
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(w, "instances\tentries\tB/s sent\tmost\tmessages/s\tknown by all, median\t95%\tnot known\tlongest turn\tof a core\tmemory\t")
 	for _, r := range rows {
-		fmt.Fprintf(w, "%d\t%d\t%.0f\t%.0f\t%.1f\t%v\t%v\t%d\t%v\t%.4f\t%.1f MB\t\n", r.Instances, r.Told, r.Sent, r.Most, r.Messages, r.Known, r.Known95, r.Unknown,
+		fmt.Fprintf(w, "%d\t%d\t%.0f\t%.0f\t%.1f\t%v\t%v\t%d\t%v\t%.4f\t%.1f MB\t\n", r.Instances, r.Entries, r.Sent, r.MaxSent, r.Messages, r.Known, r.Known95, r.Unknown,
 			r.Turn.Round(10*time.Microsecond), r.CPU, float64(r.Bytes)/(1<<20))
 	}
 	w.Flush()
--- a/internal/measure/gossip/gossip_test.go
+++ b/internal/measure/gossip/gossip_test.go
@@ -15,8 +15,8 @@
 		t.Fatal(err)
 	}
 	for _, r := range rows {
-		if r.Unknown > 0 || r.Told == 0 {
-			t.Errorf("%d instances: %d of %d entries did not come to all within 2 s", r.Instances, r.Unknown, r.Told)
+		if r.Unknown > 0 || r.Entries == 0 {
+			t.Errorf("%d instances: %d of %d entries did not come to all within 2 s", r.Instances, r.Unknown, r.Entries)
 		}
 	}
 	if rows[1].Sent > 1.5*rows[0].Sent {
--- a/internal/measure/newcomer/newcomer.go
+++ b/internal/measure/newcomer/newcomer.go
@@ -26,7 +26,7 @@
 	Rate      float64 // first tries a second, over all instances
 	Floor     int     // of subsets
 	Seeds     int
-	Whole     bool // it is measured without subsets, too
+	Unsubset  bool // it is measured without subsets, too
 }
 
 // Row is what came of all seeds, one way.
@@ -104,20 +104,20 @@
 	if err != nil {
 		return nil, err
 	}
-	ways := []Row{{Name: fmt.Sprintf("subsets of %d", o.Floor)}}
-	if o.Whole {
-		ways = append(ways, Row{Name: "the whole fleet"})
+	variants := []Row{{Name: fmt.Sprintf("subsets of %d", o.Floor)}}
+	if o.Unsubset {
+		variants = append(variants, Row{Name: "the whole fleet"})
 	}
-	for w := range ways {
-		row := &ways[w]
+	for w := range variants {
+		row := &variants[w]
 		row.G = 1
 		var mu sync.Mutex
 		var all sync.WaitGroup
-		room := make(chan bool, max(1, runtime.NumCPU()/2)) // whole fleets for all instances need much memory
+		slots := make(chan bool, max(1, runtime.NumCPU()/2)) // whole fleets for all instances need much memory
 		for seed := range o.Seeds {
 			all.Go(func() {
-				room <- true
-				defer func() { <-room }()
+				slots <- true
+				defer func() { <-slots }()
 				day := f.Plan(uint64(seed + 1))
 				if w == 0 {
 					day.Subset = &subset.Config{Floor: o.Floor, Spread: 2}
@@ -138,7 +138,7 @@
 		}
 		slices.Sort(row.Strain)
 	}
-	return ways, nil
+	return variants, nil
 }
 
 // take counts one play in.
@@ -148,8 +148,8 @@
 	r.G = min(r.G, day.G(x))
 	r.Connections = max(r.Connections, x.Connections)
 	r.Probes = max(r.Probes, float64(x.Probes)/float64(max(1, x.Tries)))
-	if why := x.Broken(); why != "" {
-		r.Broken = why
+	if reason := x.Broken(); reason != "" {
+		r.Broken = reason
 	}
 	// Of servers that were there all the time, in the seconds before others came.
 	var work []float64
--- a/internal/measure/properties/properties.go
+++ b/internal/measure/properties/properties.go
@@ -44,7 +44,7 @@
 
 // Failure is one seed that breaks a property.
 type Failure struct {
-	Test, Said, Command string
+	Test, Output, Command string
 }
 
 // Report is what came of a play.
@@ -72,7 +72,7 @@
 		fmt.Fprintf(w, "%-34s %3d properties  %6d seeds  %9d checks  %d failing\n", p.Path, len(p.Tests), p.Seeds, p.Checks, len(p.Failing))
 		seeds, checks = seeds+p.Seeds, checks+p.Checks
 		for _, f := range p.Failing {
-			fmt.Fprintf(w, "  %s: %s\n    %s\n", f.Test, f.Said, f.Command)
+			fmt.Fprintf(w, "  %s: %s\n    %s\n", f.Test, f.Output, f.Command)
 		}
 	}
 	fmt.Fprintf(w, "%d seeds, %d checks in %v\n", seeds, checks, r.Took.Round(time.Second))
@@ -210,9 +210,9 @@
 	if err == nil || ctx.Err() != nil {
 		return checks, nil
 	}
-	said := "it ended with " + err.Error()
+	output := "it ended with " + err.Error()
 	if m := failed.FindSubmatch(out); m != nil {
-		said = string(m[1])
+		output = string(m[1])
 	}
 	race := ""
 	if c.Race {
@@ -220,11 +220,11 @@
 	}
 	for _, test := range p.Tests {
 		if strings.Contains(string(out), "--- FAIL: "+test+" ") {
-			failing = append(failing, Failure{test, said, fmt.Sprintf("go test %s%s -run '^%s$' -rapid.seed=%d -rapid.checks=%d", race, p.Path, test, seed, c.Checks)})
+			failing = append(failing, Failure{test, output, fmt.Sprintf("go test %s%s -run '^%s$' -rapid.seed=%d -rapid.checks=%d", race, p.Path, test, seed, c.Checks)})
 		}
 	}
 	if len(failing) == 0 { // it crashed, or did not start
-		failing = append(failing, Failure{strings.Join(p.Tests, ", "), said, fmt.Sprintf("go test %s%s -run '%s' -rapid.seed=%d -rapid.checks=%d", race, p.Path, pattern, seed, c.Checks)})
+		failing = append(failing, Failure{strings.Join(p.Tests, ", "), output, fmt.Sprintf("go test %s%s -run '%s' -rapid.seed=%d -rapid.checks=%d", race, p.Path, pattern, seed, c.Checks)})
 	}
 	return checks, failing
 }
--- a/internal/measure/properties/properties_test.go
+++ b/internal/measure/properties/properties_test.go
@@ -91,12 +91,12 @@
 		t.Fatalf("%+v", r)
 	}
 	f := r.Packages[0].Failing[0]
-	if f.Test != "TestOne" || !strings.HasPrefix(f.Said, "drew ") {
+	if f.Test != "TestOne" || !strings.HasPrefix(f.Output, "drew ") {
 		t.Errorf("%+v", f)
 	}
-	again := exec.Command("sh", "-c", f.Command)
-	again.Dir = dir
-	if out, err := again.CombinedOutput(); err == nil || !bytes.Contains(out, []byte(f.Said)) {
+	repeated := exec.Command("sh", "-c", f.Command)
+	repeated.Dir = dir
+	if out, err := repeated.CombinedOutput(); err == nil || !bytes.Contains(out, []byte(f.Output)) {
 		t.Errorf("%s: %v: %s", f.Command, err, out)
 	}
 	// A case that failed before is not played first.
@@ -112,7 +112,7 @@
 	if err := once.Run(); err == nil {
 		t.Error("a property that never holds passes")
 	}
-	if left, _ := filepath.Glob(filepath.Join(dir, "a/testdata/rapid/*/*")); len(left) > 0 {
-		t.Errorf("a failure file is left: %s", left)
+	if remaining, _ := filepath.Glob(filepath.Join(dir, "a/testdata/rapid/*/*")); len(remaining) > 0 {
+		t.Errorf("a failure file is left: %s", remaining)
 	}
 }
--- a/internal/measure/reconnect/reconnect.go
+++ b/internal/measure/reconnect/reconnect.go
@@ -32,27 +32,27 @@
 	Budget             bool // is kept
 	Limit              float64
 	All                float64
-	Cold               bool // servers have just started
-	Most               time.Duration
+	Warming            bool // servers have just started
+	Timeout            time.Duration
 }
 
 // Result is what came of one.
 type Result struct {
 	Options
-	Peak  int           // handshakes that a server got in its busiest second, the worst of all servers
-	Bound float64       // that the budgets of all instances permit in a second, at most; 0 without
-	Total int           // handshakes
-	Whole time.Duration // until all stood; under 0 if they did not within Most
-	Asked int           // turns that were refused, and asked for again
-	Lost  int           // handshakes that did not end in their time, and were done again
+	Peak      int           // handshakes that a server got in its busiest second, the worst of all servers
+	Bound     float64       // that the budgets of all instances permit in a second, at most; 0 without
+	Total     int           // handshakes
+	Completed time.Duration // until all stood; under 0 if they did not within Timeout
+	Rejected  int           // turns that were refused, and asked for again
+	TimedOut  int           // handshakes that did not end in their time, and were done again
 }
 
 // These are the defaults of the operator's file.
 const (
-	coldFrom   = 0.31
-	warmWithin = 8600 * time.Millisecond
-	burst      = 20 // of all instances together with one server
-	timeout    = 500 * time.Millisecond
+	slowStartRatio = 0.31
+	warmWithin     = 8600 * time.Millisecond
+	burst          = 20 // of all instances together with one server
+	timeout        = 500 * time.Millisecond
 	// retry is after how long an instance that got no turn comes again: a client does.
 	retry = 100 * time.Millisecond
 )
@@ -70,13 +70,13 @@
 		return nil, err
 	}
 	defer servers.close()
-	r := &Result{Options: o, Whole: -1}
+	r := &Result{Options: o, Completed: -1}
 	budget := handshake.Config{PerServer: 1e6, All: 1e6, ColdFrom: 1, Burst: 1e6}
 	if o.Budget {
-		budget = handshake.Config{PerServer: o.Limit, All: o.All, Burst: burst, ColdFrom: coldFrom, WarmWithin: warmWithin}.Share(o.Instances, 1)
+		budget = handshake.Config{PerServer: o.Limit, All: o.All, Burst: burst, ColdFrom: slowStartRatio, WarmWithin: warmWithin}.Share(o.Instances, 1)
 		r.Bound = float64(o.Instances) * (budget.PerServer + budget.Burst)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), o.Most)
+	ctx, cancel := context.WithTimeout(context.Background(), o.Timeout)
 	defer cancel()
 	var all sync.WaitGroup
 	var outcomes tally
@@ -93,9 +93,9 @@
 		}
 	}
 	all.Wait()
-	r.Asked, r.Lost, r.Total = outcomes.refused, outcomes.lost, outcomes.stood
+	r.Rejected, r.TimedOut, r.Total = outcomes.rejected, outcomes.timedOut, outcomes.succeeded
 	if r.Total == o.Instances*o.Servers*o.Each {
-		r.Whole = time.Since(began)
+		r.Completed = time.Since(began)
 	}
 	r.Peak = servers.peak()
 	return r, nil
@@ -124,11 +124,11 @@
 	}
 	s := &servers{
 		config:  &tls.Config{Certificates: []tls.Certificate{pair}, SessionTicketsDisabled: true}, // after an outage all are full
-		timeout: o.Most,
+		timeout: o.Timeout,
 		shakes:  make([][]time.Time, o.Servers),
 	}
 	started := int64(0)
-	if o.Cold {
+	if o.Warming {
 		started = time.Now().UnixMilli()
 	}
 	for n := range o.Servers {
@@ -177,29 +177,29 @@
 }
 
 // peak returns the handshakes that a server got in its busiest second, the worst of all servers.
-func (s *servers) peak() (most int) {
+func (s *servers) peak() (highest int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, at := range s.shakes {
-		most = max(most, busiest(at))
+		highest = max(highest, busiest(at))
 	}
-	return most
+	return highest
 }
 
 // newClient makes an instance's security.
 func newClient(files *ca.Folder, budget handshake.Config) (*secure.Client, error) {
 	log := slog.New(slog.DiscardHandler)
-	room, err := keyroom.Open(keyroom.Options{Paths: keyroom.Paths{Roots: files.Roots}, Log: log})
+	certificates, err := keyroom.Open(keyroom.Options{Paths: keyroom.Paths{Roots: files.Roots}, Log: log})
 	if err != nil {
 		return nil, err
 	}
-	return secure.New(secure.Options{Room: room, Names: &secure.Names{Pattern: "soko.example.org"}, Budget: budget, Sessions: 4096, Timeout: timeout, Log: log})
+	return secure.New(secure.Options{Room: certificates, Names: &secure.Names{Pattern: "soko.example.org"}, Budget: budget, Sessions: 4096, Timeout: timeout, Log: log})
 }
 
 // tally counts how connections came up.
 type tally struct {
-	mu                   sync.Mutex
-	stood, refused, lost int
+	mu                            sync.Mutex
+	succeeded, rejected, timedOut int
 }
 
 // connect tries until a connection has stood, or ctx ends.
@@ -227,11 +227,11 @@
 	defer a.mu.Unlock()
 	switch {
 	case err == nil:
-		a.stood++
+		a.succeeded++
 	case errors.Is(err, attempt.ErrFull):
-		a.refused++
+		a.rejected++
 	case ctx.Err() == nil:
-		a.lost++
+		a.timedOut++
 	}
 }
 
@@ -248,29 +248,29 @@
 }
 
 // busiest is how many fell into the busiest second.
-func busiest(at []time.Time) (most int) {
+func busiest(at []time.Time) (highest int) {
 	slices.SortFunc(at, time.Time.Compare)
 	from := 0
 	for to := range at {
 		for at[to].Sub(at[from]) >= time.Second {
 			from++
 		}
-		most = max(most, to-from+1)
+		highest = max(highest, to-from+1)
 	}
-	return most
+	return highest
 }
 
 // Print writes results for a reader.
 func Print(out io.Writer, all []*Result) {
 	fmt.Fprintf(out, "%8s %10s %6s %6s %8s %12s %8s %14s %14s %10s\n", "servers", "instances", "each", "cold", "budget", "handshakes", "lost", "busiest second", "bound", "whole")
 	for _, r := range all {
-		whole, bound := r.Whole.Round(10*time.Millisecond).String(), fmt.Sprintf("%.0f", r.Bound)
-		if r.Whole < 0 {
-			whole = fmt.Sprintf("over %v", r.Most)
+		completed, bound := r.Completed.Round(10*time.Millisecond).String(), fmt.Sprintf("%.0f", r.Bound)
+		if r.Completed < 0 {
+			completed = fmt.Sprintf("over %v", r.Timeout)
 		}
 		if r.Bound == 0 {
 			bound = "-"
 		}
-		fmt.Fprintf(out, "%8d %10d %6d %6t %8t %12d %8d %14d %14s %10s\n", r.Servers, r.Instances, r.Each, r.Cold, r.Budget, r.Total, r.Lost, r.Peak, bound, whole)
+		fmt.Fprintf(out, "%8d %10d %6d %6t %8t %12d %8d %14d %14s %10s\n", r.Servers, r.Instances, r.Each, r.Warming, r.Budget, r.Total, r.TimedOut, r.Peak, bound, completed)
 	}
 }
--- a/internal/measure/removal/run.go
+++ b/internal/measure/removal/run.go
@@ -346,13 +346,13 @@
 		s.service.Member(s.rng.IntN(2)).Break()
 	case "silence", "refuse":
 		s.silences++
-		quiet := s.service.Silence
+		disturb := s.service.Silence
 		if what == "refuse" {
-			quiet = s.service.Refuse
+			disturb = s.service.Refuse
 		}
-		quiet(true)
+		disturb(true)
 		s.still(session + time.Second)
-		quiet(false)
+		disturb(false)
 		s.settle()
 	case "lose":
 		// All sessions and so all nodes are lost; the servers register anew, late.
--- a/internal/measure/removal/run_test.go
+++ b/internal/measure/removal/run_test.go
@@ -13,8 +13,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if why := r.Broken(); why != "" {
-		t.Error(why)
+	if reason := r.Broken(); reason != "" {
+		t.Error(reason)
 	}
 	if len(r.Removals) < 5 || r.Silences < 3 || r.Requests < 5000 {
 		t.Errorf("the scripts did not cause what they are for: %+v", r)
--- a/internal/measure/rotations/rotations.go
+++ b/internal/measure/rotations/rotations.go
@@ -219,11 +219,11 @@
 			return
 		default:
 		}
-		why := ask(transport, "https://"+l.world.at.HTTP.String(), n%2 == 0, l.ids.Add(1))
+		reason := request(transport, "https://"+l.world.at.HTTP.String(), n%2 == 0, l.ids.Add(1))
 		l.mu.Lock()
 		l.result.Requests++
-		if why != "" {
-			l.result.Failed[why]++
+		if reason != "" {
+			l.result.Failed[reason]++
 		}
 		l.mu.Unlock()
 	}
@@ -242,17 +242,17 @@
 	return a
 }
 
-// takeMost is how long a change of files may take to be seen: notification and its calm take
+// reloadTimeout is how long a change of files may take to be seen: notification and its calm take
 // well under a second, and without notification the poll half a minute.
-const takeMost = 40 * time.Second
+const reloadTimeout = 40 * time.Second
 
 // taken waits until a change of files has been taken.
 func (w *world) taken(keys string, change func()) error {
 	before := w.at.Keys()[keys].Taken
 	change()
-	for end := time.Now().Add(takeMost); w.at.Keys()[keys].Taken == before; time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(reloadTimeout); w.at.Keys()[keys].Taken == before; time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
-			return fmt.Errorf("a change of the keys %q was not taken within %v", keys, takeMost)
+			return fmt.Errorf("a change of the keys %q was not taken within %v", keys, reloadTimeout)
 		}
 	}
 	return nil
@@ -286,8 +286,8 @@
 	return nil
 }
 
-// ask sends a request and says what was wrong with its answer, "" for nothing.
-func ask(transport *http.Transport, at string, pays bool, id int64) string {
+// request sends a request and says what was wrong with its answer, "" for nothing.
+func request(transport *http.Transport, at string, pays bool, id int64) string {
 	method, class := "GET", "price-check"
 	if pays {
 		method, class = "POST", "stall-pay"
@@ -317,15 +317,15 @@
 // Broken says what must not be, "" if nothing is.
 func (r *Result) Broken() string {
 	var all []string
-	for why, n := range r.Failed {
-		all = append(all, fmt.Sprintf("%d requests: %s", n, why))
+	for reason, n := range r.Failed {
+		all = append(all, fmt.Sprintf("%d requests: %s", n, reason))
 	}
 	if len(r.Twice) > 0 {
 		all = append(all, fmt.Sprintf("%d effects were done twice", len(r.Twice)))
 	}
-	for why, n := range r.Security.Failed {
-		if why != "called off" { // nobody waited for it any more
-			all = append(all, fmt.Sprintf("%d handshakes: %s", n, why))
+	for reason, n := range r.Security.Failed {
+		if reason != "called off" { // nobody waited for it any more
+			all = append(all, fmt.Sprintf("%d handshakes: %s", n, reason))
 		}
 	}
 	return strings.Join(all, "; ")
--- a/internal/measure/rotations/rotations_test.go
+++ b/internal/measure/rotations/rotations_test.go
@@ -14,8 +14,8 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if why := r.Broken(); why != "" || r.Rotations != 18 || r.Requests == 0 {
-				t.Errorf("%s: %+v", why, r)
+			if reason := r.Broken(); reason != "" || r.Rotations != 18 || r.Requests == 0 {
+				t.Errorf("%s: %+v", reason, r)
 			}
 			if r.Keys["fleet"].Taken < 13 || r.Keys["front"].Taken < 4 || r.Security.Full == 0 {
 				t.Errorf("too little has changed: %+v", r)
--- a/internal/measure/tenants/tenants.go
+++ b/internal/measure/tenants/tenants.go
@@ -34,9 +34,9 @@
 
 // Row is one run: the share of each tenant's requests that was served in time.
 type Row struct {
-	Name   string
-	Served [3]float64
-	Asked  [3]int
+	Name      string
+	Served    [3]float64
+	Requested [3]int
 }
 
 // inTime is when an answer is of use: the servers take 5 ms.
@@ -140,9 +140,9 @@
 					return
 				}
 				time.Sleep(time.Until(began.Add(next)))
-				r.Asked[n]++
+				r.Requested[n]++
 				all.Go(func() {
-					if ask(client, at, names[n], ids.Add(1)) {
+					if request(client, at, names[n], ids.Add(1)) {
 						served[n].Add(1)
 					}
 				})
@@ -151,11 +151,11 @@
 	}
 	all.Wait()
 	for n := range rates {
-		r.Served[n] = float64(served[n].Load()) / float64(max(1, r.Asked[n]))
+		r.Served[n] = float64(served[n].Load()) / float64(max(1, r.Requested[n]))
 	}
 }
 
-func ask(client *http.Client, at, tenant string, id int64) bool {
+func request(client *http.Client, at, tenant string, id int64) bool {
 	r, err := http.NewRequest("GET", at+"/read/x", nil)
 	if err != nil {
 		return false
@@ -219,11 +219,11 @@
 	for _, r := range rows {
 		fmt.Fprintf(out, "%-38s", r.Name)
 		for n := range names {
-			if r.Asked[n] == 0 {
+			if r.Requested[n] == 0 {
 				fmt.Fprintf(out, " %18s", "-")
 				continue
 			}
-			fmt.Fprintf(out, " %8.3f (%7d)", r.Served[n], r.Asked[n])
+			fmt.Fprintf(out, " %8.3f (%7d)", r.Served[n], r.Requested[n])
 		}
 		fmt.Fprintln(out)
 	}
--- a/internal/measure/tlscost/proxies.go
+++ b/internal/measure/tlscost/proxies.go
@@ -131,7 +131,7 @@
 // Proxies measures both in turn, in so many rounds of span each, with clients that ask one
 // after the other.
 func Proxies(dir string, rounds, clients int, span time.Duration) ([]ProxyRow, error) {
-	server, own, err := files(dir, nil)
+	server, proxy, err := files(dir, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -143,7 +143,7 @@
 	var rows []ProxyRow
 	for _, front := range []string{"plain", "tls", "h3"} {
 		m := &proxyMeasurement{front: front, clients: clients, span: span}
-		row, err := m.run(rounds, filepath.Dir(own.Cert), p.Line)
+		row, err := m.run(rounds, filepath.Dir(proxy.Cert), p.Line)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/measure/tlscost/tlscost.go
+++ b/internal/measure/tlscost/tlscost.go
@@ -76,11 +76,11 @@
 // client is this side's security, without a bound that would be felt.
 func client(f *ca.Folder) (*secure.Client, error) {
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
-	room, err := keyroom.Open(keyroom.Options{Paths: keyroom.Paths{Cert: f.Cert, Key: f.Key, Roots: f.Roots}, Log: slog.New(slog.DiscardHandler)})
+	certificates, err := keyroom.Open(keyroom.Options{Paths: keyroom.Paths{Cert: f.Cert, Key: f.Key, Roots: f.Roots}, Log: slog.New(slog.DiscardHandler)})
 	if err != nil {
 		return nil, err
 	}
-	return secure.New(secure.Options{Room: room, Names: &secure.Names{Pattern: serverName}, Budget: handshake.Config{PerServer: 1e6, All: 1e6, ColdFrom: 1, Burst: 1e6},
+	return secure.New(secure.Options{Room: certificates, Names: &secure.Names{Pattern: serverName}, Budget: handshake.Config{PerServer: 1e6, All: 1e6, ColdFrom: 1, Burst: 1e6},
 		Sessions: 16, Timeout: 10 * time.Second, Log: log})
 }
 
@@ -97,7 +97,7 @@
 	if err != nil {
 		return "", nil, err
 	}
-	shake := overTCP
+	shake := handshakeTCP
 	if args[2] == "h3" {
 		socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 		if err != nil {
@@ -110,7 +110,7 @@
 			return "", nil, err
 		}
 		shake = func(c *secure.Client, at *engine.Target, read bool) (time.Duration, bool, error) {
-			return overQUIC(c, transport, to, at, read)
+			return handshakeQUIC(c, transport, to, at, read)
 		}
 	}
 	const first = 20 // handshakes that are not counted, and bring the session
@@ -118,7 +118,7 @@
 	var before time.Duration
 	for i := range n + first {
 		if i == first {
-			before = ownCPU()
+			before = processCPU()
 		}
 		if args[3] == "full" {
 			c.Retire(at)
@@ -134,19 +134,19 @@
 			}
 		}
 	}
-	cpu := ownCPU() - before
+	cpu := processCPU() - before
 	slices.Sort(took)
 	return fmt.Sprintln(took[len(took)/2].Nanoseconds(), took[len(took)*99/100].Nanoseconds(), cpu.Nanoseconds()/int64(n)), func() {}, nil
 }
 
-func ownCPU() time.Duration {
+func processCPU() time.Duration {
 	var u syscall.Rusage
 	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u) // cannot fail with these arguments
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
-// overTCP does a handshake; with read it waits for an answer, and so for tickets.
-func overTCP(c *secure.Client, at *engine.Target, read bool) (took time.Duration, resumed bool, err error) {
+// handshakeTCP does a handshake; with read it waits for an answer, and so for tickets.
+func handshakeTCP(c *secure.Client, at *engine.Target, read bool) (took time.Duration, resumed bool, err error) {
 	raw, err := net.Dial("tcp", at.Address)
 	if err != nil {
 		return 0, false, err
@@ -172,7 +172,7 @@
 // ticketWait is how long a ticket may take that comes behind a handshake over QUIC.
 const ticketWait = 20 * time.Millisecond
 
-func overQUIC(c *secure.Client, transport *quic.Transport, to *net.UDPAddr, at *engine.Target, read bool) (took time.Duration, resumed bool, err error) {
+func handshakeQUIC(c *secure.Client, transport *quic.Transport, to *net.UDPAddr, at *engine.Target, read bool) (took time.Duration, resumed bool, err error) {
 	config, end, err := c.QUIC(at)
 	if err != nil {
 		return 0, false, err
@@ -194,13 +194,13 @@
 }
 
 // files writes what a server and a client need into folders below dir.
-func files(dir string, key func() (crypto.Signer, error)) (server, own *ca.Folder, err error) {
+func files(dir string, key func() (crypto.Signer, error)) (server, client *ca.Folder, err error) {
 	root := ca.New(ca.Must{}, "root")
 	between := root.Below("between") // as most have it
 	for _, x := range []struct {
 		at   **ca.Folder
 		name string
-	}{{&server, "s-0.example.org"}, {&own, "pinedale.example.org"}} {
+	}{{&server, "s-0.example.org"}, {&client, "pinedale.example.org"}} {
 		at := filepath.Join(dir, x.name)
 		if err := os.MkdirAll(at, 0o700); err != nil {
 			return nil, nil, err
@@ -215,7 +215,7 @@
 		(*x.at).Pair(between.Issue(spec))
 		(*x.at).Put((*x.at).Roots, root.PEM())
 	}
-	return server, own, nil
+	return server, client, nil
 }
 
 // Row is one kind of handshake: full and resumed.
@@ -251,7 +251,7 @@
 func rsa2048() (crypto.Signer, error) { return rsa.GenerateKey(rand.Reader, 2048) }
 
 func one(dir, protocol, mutual string, key func() (crypto.Signer, error), rounds, n int) (*Row, error) {
-	server, own, err := files(dir, key)
+	server, client, err := files(dir, key)
 	if err != nil {
 		return nil, err
 	}
@@ -268,7 +268,7 @@
 			if err != nil {
 				return nil, err
 			}
-			c, err := process.Start("tls-client", "", filepath.Dir(own.Cert), p.Line, protocol, name, strconv.Itoa(n))
+			c, err := process.Start("tls-client", "", filepath.Dir(client.Cert), p.Line, protocol, name, strconv.Itoa(n))
 			if err != nil {
 				return nil, err
 			}
--- a/internal/measure/verdicts/cost.go
+++ b/internal/measure/verdicts/cost.go
@@ -45,7 +45,7 @@
 	P50, P99    time.Duration // of the verdict alone, at the common rate
 	Rate        float64       // that was reached
 	StreamBytes int64         // of heap and stacks, per open stream that has its verdict
-	Refused     float64       // share of verdicts at the common rate
+	Rejected    float64       // share of verdicts at the common rate
 }
 
 // Print writes the report for a reader.
@@ -59,7 +59,7 @@
 	row("CPU a stream", "us", micros(r.Noop.CPU), micros(r.Ours.CPU))
 	row("verdict, median", "us", micros(r.Noop.P50), micros(r.Ours.P50))
 	row("verdict, 99th percentile", "us", micros(r.Noop.P99), micros(r.Ours.P99))
-	fmt.Fprintf(out, "refused: %.4f of pinedale's verdicts\n", r.Ours.Refused)
+	fmt.Fprintf(out, "refused: %.4f of pinedale's verdicts\n", r.Ours.Rejected)
 	row("memory an open stream", "KB", float64(r.Noop.StreamBytes)/1024, float64(r.Ours.StreamBytes)/1024)
 }
 
@@ -128,9 +128,9 @@
 
 // caller drives streams over a few connections.
 type caller struct {
-	p       *proxy.Proxy
-	id      atomic.Int64
-	refused atomic.Int64
+	p        *proxy.Proxy
+	id       atomic.Int64
+	rejected atomic.Int64
 }
 
 // stream asks, takes the verdict, reports 200 and ends. It returns how long the
@@ -167,7 +167,7 @@
 		}
 		// A refusal is a verdict, too: before it has learned how fast the servers
 		// are, the module takes a crowd for a queue.
-		c.refused.Add(1)
+		c.rejected.Add(1)
 		_ = s.CloseSend()
 		_, _ = s.Recv() // the stream's end
 		return took, nil
@@ -359,7 +359,7 @@
 	if _, err := c.paced(rate, s.options.Span/3); err != nil {
 		return err
 	}
-	c.refused.Store(0)
+	c.rejected.Store(0)
 	before, _, err := p.Figures()
 	if err != nil {
 		return err
@@ -374,7 +374,7 @@
 		return err
 	}
 	s.out.Rate = float64(len(took)) / time.Since(began).Seconds()
-	s.out.Refused = float64(c.refused.Load()) / float64(len(took))
+	s.out.Rejected = float64(c.rejected.Load()) / float64(len(took))
 	slices.Sort(took)
 	s.cpu = append(s.cpu, (after-before)/time.Duration(len(took)))
 	s.p50 = append(s.p50, took[len(took)/2])
--- a/internal/measure/verdicts/fronts.go
+++ b/internal/measure/verdicts/fronts.go
@@ -16,14 +16,14 @@
 )
 
 // Tally counts the final answers of one class.
-type Tally struct{ Served, Refused, Failed int }
+type Tally struct{ Served, Rejected, Failed int }
 
 func (t *Tally) add(code int) {
 	switch code {
 	case 200:
 		t.Served++
 	case 503, 429:
-		t.Refused++
+		t.Rejected++
 	default:
 		t.Failed++
 	}
@@ -111,6 +111,6 @@
 		if y == nil {
 			y = &Tally{}
 		}
-		fmt.Fprintf(out, "%-14s %10d %7d %6d %10d %7d %6d\n", class, x.Served, x.Refused, x.Failed, y.Served, y.Refused, y.Failed)
+		fmt.Fprintf(out, "%-14s %10d %7d %6d %10d %7d %6d\n", class, x.Served, x.Rejected, x.Failed, y.Served, y.Rejected, y.Failed)
 	}
 }
--- a/internal/measure/verdicts/run.go
+++ b/internal/measure/verdicts/run.go
@@ -41,24 +41,24 @@
 
 // Report is what came of a run.
 type Report struct {
-	Calls, Asks       int
-	Verdicts          int            // answers to asks
-	Kinds             map[string]int // calls by what the caller did
-	Codes             map[int]int    // final answers to clients
-	Unanswered        int            // asks that stayed and got no verdict
-	Doubled           int            // asks that got more than one
-	Split             int            // pairs about one keyed request that were told different servers
-	Twice             []string       // effects done twice
-	Removed           int            // servers removed
-	Latest            time.Duration  // latest request at a removed server after its removal was written
-	Late              int            // servers that had one later than 2 s after
-	Errors            int            // streams that failed without being broken off
-	FirstError        error
-	Took              time.Duration
-	HeldAsks, Rounds  int // at the end, as are Entries and Ledger
-	Entries, Ledger   int
-	Goroutines, Extra int // at the start, and more at the end
-	Fleet             soko.Counts
+	Calls, Requests      int
+	Decisions            int            // answers to asks
+	Kinds                map[string]int // calls by what the caller did
+	Codes                map[int]int    // final answers to clients
+	Unanswered           int            // asks that stayed and got no verdict
+	Doubled              int            // asks that got more than one
+	Split                int            // pairs about one keyed request that were told different servers
+	Twice                []string       // effects done twice
+	Removed              int            // servers removed
+	Latest               time.Duration  // latest request at a removed server after its removal was written
+	Late                 int            // servers that had one later than 2 s after
+	Errors               int            // streams that failed without being broken off
+	FirstError           error
+	Took                 time.Duration
+	OpenRequests, Rounds int // at the end, as are Entries and Ledger
+	Entries, Ledger      int
+	Goroutines, Extra    int // at the start, and more at the end
+	Fleet                soko.Counts
 }
 
 // Broken says what of the report must not be, "" if nothing is.
@@ -72,8 +72,8 @@
 		return fmt.Sprintf("%d effects done twice, such as %s", len(r.Twice), r.Twice[0])
 	case r.Late > 0:
 		return fmt.Sprintf("%d removed servers had requests over 2 s later", r.Late)
-	case r.HeldAsks+r.Rounds+r.Entries+r.Ledger > 0:
-		return fmt.Sprintf("held at the end: %d asks, %d rounds, %d entries, %d requests", r.HeldAsks, r.Rounds, r.Entries, r.Ledger)
+	case r.OpenRequests+r.Rounds+r.Entries+r.Ledger > 0:
+		return fmt.Sprintf("held at the end: %d asks, %d rounds, %d entries, %d requests", r.OpenRequests, r.Rounds, r.Entries, r.Ledger)
 	case r.Extra > 0:
 		return fmt.Sprintf("%d goroutines are left", r.Extra)
 	case r.Errors > 0:
@@ -239,13 +239,13 @@
 func (r *run) change() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	gone := r.alive[0]
+	removed := r.alive[0]
 	r.alive = r.alive[1:]
 	if r.add() != nil {
 		return
 	}
 	r.publish()
-	r.removed[gone] = time.Now()
+	r.removed[removed] = time.Now()
 	r.report.Removed++
 }
 
@@ -300,7 +300,7 @@
 	p := r.proxies[n%len(r.proxies)]
 	other := r.proxies[(n+1)%len(r.proxies)]
 	ctx := context.Background()
-	_, keyed := q.Header["idempotency-key"]
+	_, hasKey := q.Header["idempotency-key"]
 	kind, x := "plain", rng.Float64()
 	switch {
 	case x < 0.03:
@@ -315,7 +315,7 @@
 	case x < 0.10:
 		kind = "broken off"
 		r.breakOff(q)
-	case x < 0.15 && keyed:
+	case x < 0.15 && hasKey:
 		kind = "asked twice at once"
 		var second proxy.Answer
 		var both sync.WaitGroup
@@ -326,16 +326,16 @@
 		r.ask(second, false)
 		r.pair(first, second)
 		r.code(first.Code)
-	case x < 0.20 && keyed:
+	case x < 0.20 && hasKey:
 		kind = "asked again after the outcome"
 		first := p.Do(ctx, q, proxy.Behaviour{})
-		again := q
-		again.Header = map[string]string{}
+		retry := q
+		retry.Header = map[string]string{}
 		for k, v := range q.Header {
-			again.Header[k] = v
+			retry.Header[k] = v
 		}
-		again.Header["x-correlation-id"] += "r" // a client's retry
-		second := other.Do(ctx, again, proxy.Behaviour{})
+		retry.Header["x-correlation-id"] += "r" // a client's retry
+		second := other.Do(ctx, retry, proxy.Behaviour{})
 		r.ask(first, false)
 		r.ask(second, false)
 		if first.Code == 200 {
@@ -362,15 +362,15 @@
 }
 
 // ask counts an ask. left says that it was broken off before its verdict.
-func (r *run) ask(a proxy.Answer, left bool) {
+func (r *run) ask(a proxy.Answer, remaining bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.report.Asks++
-	r.report.Verdicts += a.Verdicts
+	r.report.Requests++
+	r.report.Decisions += a.Verdicts
 	if a.Verdicts > 1 {
 		r.report.Doubled++
 	}
-	if !left && a.Verdicts == 0 {
+	if !remaining && a.Verdicts == 0 {
 		r.report.Unanswered++
 	}
 	if a.Err != nil {
@@ -402,17 +402,17 @@
 	r.mu.Unlock()
 }
 
-// memoryMost is the longest that the front may remember a request: the deadline and
+// maxMemory is the longest that the front may remember a request: the deadline and
 // window of day-close, twice, since what is asked for again is kept anew.
-const memoryMost = 40 * time.Second
+const maxMemory = 40 * time.Second
 
 // finish waits until all is forgotten, ends everything and counts what is left.
 func (r *run) finish() {
 	rep := &r.report
-	for end := time.Now().Add(memoryMost); ; time.Sleep(20 * time.Millisecond) {
-		rep.HeldAsks, rep.Rounds, rep.Entries = r.site.Held()
+	for end := time.Now().Add(maxMemory); ; time.Sleep(20 * time.Millisecond) {
+		rep.OpenRequests, rep.Rounds, rep.Entries = r.site.Held()
 		rep.Ledger = r.site.Requests()
-		if rep.HeldAsks+rep.Rounds+rep.Entries+rep.Ledger == 0 || time.Now().After(end) {
+		if rep.OpenRequests+rep.Rounds+rep.Entries+rep.Ledger == 0 || time.Now().After(end) {
 			break
 		}
 	}
--- a/internal/measure/verdicts/run_test.go
+++ b/internal/measure/verdicts/run_test.go
@@ -14,8 +14,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if why := r.Broken(); why != "" {
-		t.Error(why)
+	if reason := r.Broken(); reason != "" {
+		t.Error(reason)
 	}
 	if r.Codes[200] < r.Calls/2 || r.Removed < 5 || r.Fleet.Dropped == 0 || r.Fleet.TurnedAway == 0 || len(r.Kinds) != 7 {
 		t.Errorf("the run did not cause what it is for: %+v", r)
@@ -37,9 +37,9 @@
 		if y == nil || *x != *y {
 			t.Errorf("%s: over HTTP %+v, over the processor %+v", class, x, y)
 		}
-		sum.Served, sum.Refused, sum.Failed = sum.Served+x.Served, sum.Refused+x.Refused, sum.Failed+x.Failed
+		sum.Served, sum.Rejected, sum.Failed = sum.Served+x.Served, sum.Rejected+x.Rejected, sum.Failed+x.Failed
 	}
-	if len(a) != 4 || sum.Refused < 20 || sum.Failed < 10 || sum.Served < 1000 {
+	if len(a) != 4 || sum.Rejected < 20 || sum.Failed < 10 || sum.Served < 1000 {
 		t.Errorf("the load did not cause what it is for: %+v", sum)
 	}
 }
--- a/internal/standin/directory/directory.go
+++ b/internal/standin/directory/directory.go
@@ -44,13 +44,13 @@
 	Broken     string   // an answer to give in place of the list
 	Calls      []string // queries, so far
 	server     *http.Server
-	news       chan struct{} // closed and replaced with every change
-	held       []held        // by those who call, each a newer version than the one before
+	changed    chan struct{} // closed and replaced with every change
+	polls      []versionPoll // by those who call, each a newer version than the one before
 	Conns      atomic.Int32  // open connections
 }
 
-// held is when a caller first said that it has a version.
-type held struct {
+// versionPoll is when a caller first said that it has a version.
+type versionPoll struct {
 	seq uint64
 	at  time.Time
 }
@@ -60,7 +60,7 @@
 func (d *Directory) Held(seq uint64) (time.Time, bool) {
 	d.Lock()
 	defer d.Unlock()
-	for _, h := range d.held {
+	for _, h := range d.polls {
 		if h.seq >= seq {
 			return h.at, true
 		}
@@ -81,7 +81,7 @@
 
 // Start starts a service with a list of these entries.
 func Start(hosts ...Host) (*Directory, error) {
-	d := &Directory{List: Document{Whole: true, Hosts: hosts}, news: make(chan struct{})}
+	d := &Directory{List: Document{Whole: true, Hosts: hosts}, changed: make(chan struct{})}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -106,23 +106,23 @@
 func (d *Directory) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	d.Lock()
 	d.Calls = append(d.Calls, r.URL.RawQuery)
-	after, wait, news := r.FormValue("after"), r.FormValue("wait_ms"), d.news
-	if seq, err := strconv.ParseUint(after, 10, 64); err == nil && (len(d.held) == 0 || seq > d.held[len(d.held)-1].seq) {
-		d.held = append(d.held, held{seq, time.Now()})
+	after, wait, changed := r.FormValue("after"), r.FormValue("wait_ms"), d.changed
+	if seq, err := strconv.ParseUint(after, 10, 64); err == nil && (len(d.polls) == 0 || seq > d.polls[len(d.polls)-1].seq) {
+		d.polls = append(d.polls, versionPoll{seq, time.Now()})
 	}
 	waits := after == fmt.Sprint(d.List.Seq) && wait != "0" && !d.Down && d.Broken == ""
 	d.Unlock()
 	if waits {
 		ms, _ := strconv.Atoi(wait)
 		select {
-		case <-news:
+		case <-changed:
 		case <-time.After(time.Duration(ms) * time.Millisecond):
 			d.Lock()
-			silenced := news != d.news
+			silenced := changed != d.changed
 			d.Unlock()
 			if silenced {
 				select {
-				case <-news: // it came just now
+				case <-changed: // it came just now
 				case <-r.Context().Done():
 					return
 				}
@@ -151,15 +151,15 @@
 	d.Lock()
 	defer d.Unlock()
 	alter()
-	close(d.news)
-	d.news = make(chan struct{})
+	close(d.changed)
+	d.changed = make(chan struct{})
 }
 
 // Silence has the calls that wait now never be answered, and their connections stay open.
 func (d *Directory) Silence() {
 	d.Lock()
 	defer d.Unlock()
-	d.news = make(chan struct{})
+	d.changed = make(chan struct{})
 }
 
 // Count is how many calls came.
--- a/internal/standin/proxy/proxy.go
+++ b/internal/standin/proxy/proxy.go
@@ -210,9 +210,9 @@
 		endStream(stream)
 		return out
 	}
-	left, _ := strconv.Atoi(out.Verdict.Headers["x-envoy-upstream-rq-timeout-ms"])
+	remaining, _ := strconv.Atoi(out.Verdict.Headers["x-envoy-upstream-rq-timeout-ms"])
 	out.SentAt, out.SentTo = time.Now(), out.Verdict.Endpoint
-	code, header, details := p.forward(out.Verdict, r, time.Duration(left)*time.Millisecond)
+	code, header, details := p.forward(out.Verdict, r, time.Duration(remaining)*time.Millisecond)
 	if b.NoReport {
 		endStream(stream)
 		out.Code = code
--- a/internal/standin/udprelay/udprelay.go
+++ b/internal/standin/udprelay/udprelay.go
@@ -45,8 +45,8 @@
 	ToClient
 )
 
-// datagramMost is more than any datagram of QUIC's on loopback.
-const datagramMost = 1 << 16
+// maxDatagramBytes is more than any datagram of QUIC's on loopback.
+const maxDatagramBytes = 1 << 16
 
 // Start returns a relay to a server at host:port.
 func Start(server string, script Script) (*Relay, error) {
@@ -127,7 +127,7 @@
 
 // forth passes what clients send.
 func (r *Relay) forth() {
-	buffer := make([]byte, datagramMost)
+	buffer := make([]byte, maxDatagramBytes)
 	for {
 		n, from, err := r.front.ReadFromUDP(buffer)
 		if err != nil {
@@ -142,15 +142,15 @@
 
 // backward passes what the server sends to one of the client's addresses.
 func (r *Relay) backward(back *net.UDPConn) {
-	buffer := make([]byte, datagramMost)
+	buffer := make([]byte, maxDatagramBytes)
 	for {
 		n, err := back.Read(buffer)
 		if err != nil {
 			// A server that is gone answers with "port unreachable", which ends nothing.
 			r.mu.Lock()
-			over := r.closed || r.back != back
+			stale := r.closed || r.back != back
 			r.mu.Unlock()
-			if over {
+			if stale {
 				return
 			}
 			continue
