--- a/internal/emulator/live/live_test.go
+++ b/internal/emulator/live/live_test.go
@@ -18,7 +18,7 @@
 	"pinedale/internal/emulator/trace"
 )
 
-// morning is a short scenario with troubles of each kind that sockets carry: a server
+// morning is a short scenario with faults of each kind that sockets carry: a server
 // that fails fast, one that drains and comes back cold, clients of two tenants.
 func morning(t *testing.T) *plan.Scenario {
 	t.Helper()
--- /dev/null
+++ b/internal/emulator/model/config.go
@@ -0,0 +1,77 @@
+package model
+
+import "time"
+
+// Config is one server's machine.
+type Config struct {
+	Cores        int
+	Speed        float64 // of a core: work done in a unit of time
+	SlotsPerCore int     // requests in work
+	QueuePerCore int     // requests that wait; more are turned away
+	Thrash       float64 // share of its efficiency lost for each request a core holds beyond ThrashAt
+	ThrashAt     float64
+
+	SlowStartRatio float64       // share of its capacity at a start
+	SlowStartTime  time.Duration // until it is warm
+	WarmByWork     bool          // it warms with the work done, at the latest by SlowStartTime
+	FallFactor     float64       // work sent beyond this multiple of what it can do just now,
+	FallAfter      time.Duration // counted over any window of this length, makes a cold server fall over
+
+	PauseEvery time.Duration // mean time between two pauses, 0 for none
+	PauseFor   time.Duration // mean length
+
+	ReportEvery time.Duration // a load report is taken so often,
+	ReportDelay time.Duration // and is so old when it is given
+	ReportNoise float64       // share by which its figures are off, at most
+
+	Connections int           // open at once, 0 for any number
+	Handshake   time.Duration // work of a core for a new connection
+	ProbeWork   time.Duration // and for a probe
+
+	Subjects     int           // it remembers so many, the latest met; 0 for none
+	SubjectSaves float64       // share of its work that a request saves about one that is remembered,
+	SubjectFor   time.Duration // for so long after it was met
+}
+
+// Request is one request as a server gets it.
+type Request struct {
+	Number uint64        // of the attempt: unique in a play
+	Draw   uint64        // that faults are drawn by; 0 for Number
+	Work   time.Duration // on a core of speed 1
+	Class  int
+	Key    string // of the effect, "" where the class has none
+
+	Subject uint64 // what it is about, 0 for nothing that a server could remember
+}
+
+// Outcome is how a request ended.
+type Outcome uint8
+
+// The ways a request may end at a server.
+const (
+	Served           Outcome = iota
+	Failed                   // an error at once
+	Rejected                 // turned away unseen
+	ConnectionFailed         // no connection, or it breaks: the server is down, or falls with it
+	Unanswered               // swallowed: there is no answer, though it has run
+	Repeated                 // served from memory: the effect was there already
+)
+
+// Ended is a request that ended.
+type Ended struct {
+	Number  uint64
+	Outcome Outcome
+	At      Time
+}
+
+// Fault is a scripted misbehaviour of a server, while it lasts.
+type Fault struct {
+	From, Until  Time
+	FailFast     float64 // share of requests that fail at once, with a healthy face
+	Swallow      float64 // share that is never answered
+	Reject       float64 // share that is turned away unseen
+	FailLate     float64 // share that fails once its work is done
+	Break        float64 // share whose connection breaks once its work is done
+	Unresponsive bool    // nothing is answered, nothing refused: the machine has vanished
+	Slow         float64 // work takes so many times as long; probes are answered as ever
+}
--- a/internal/emulator/model/server_test.go
+++ b/internal/emulator/model/server_test.go
@@ -218,7 +218,7 @@
 	if eps, queue, ok := s.Load(time.Second); !ok || queue != 0 || eps < 50 {
 		t.Errorf("it reports %v failures a second and %v waiting, %v", eps, queue, ok)
 	}
-	// Before and after the trouble it is well.
+	// Before and after the fault it is well.
 	s = server(box, false, Fault{From: time.Second, Until: 2 * time.Second, FailFast: 1, Swallow: 1})
 	for _, at := range []Time{0, 3 * time.Second} {
 		if got := outcomes(append(s.Arrive(at, Request{Number: 1, Work: ms}), s.Advance(at+time.Second)...)); got[Served] != 1 {
