--- a/internal/site/bad_test.go
+++ b/internal/site/bad_test.go
@@ -9,7 +9,7 @@
 	"testing"
 )
 
-// badFiles are those of testdata/bad, each with what its first line wants to be said.
+// badFiles returns the files of testdata/bad. The first line of each states the expected error.
 func badFiles(t *testing.T) []string {
 	t.Helper()
 	paths, err := filepath.Glob("testdata/bad/*.toml")
@@ -19,7 +19,7 @@
 	return paths
 }
 
-// Each deliberately bad file is refused with the line, key and reason that it states.
+// Each file of the corpus is rejected with the line, key and reason that it states.
 func TestBadFileCorpusIsRejectedAsStated(t *testing.T) {
 	for _, path := range badFiles(t) {
 		text, err := os.ReadFile(path)
@@ -34,19 +34,20 @@
 		}
 		f, err := Load(path)
 		if err == nil || f != nil {
-			t.Errorf("%s is taken", path)
+			t.Errorf("%s is accepted", path)
 			continue
 		}
-		at := fmt.Sprintf("line %d: ", line)
+		prefix := fmt.Sprintf("line %d: ", line)
 		if line == 0 {
-			at = ""
+			prefix = ""
 		}
 		found := false
-		for _, said := range strings.Split(err.Error(), "\n") {
-			found = found || strings.HasPrefix(said, at) && strings.Contains(said, want[1]) && strings.Contains(said, want[2])
+		for _, message := range strings.Split(err.Error(), "\n") {
+			found = found || strings.HasPrefix(message, prefix) &&
+				strings.Contains(message, want[1]) && strings.Contains(message, want[2])
 		}
 		if !found {
-			t.Errorf("%s: said\n%v\nwant line %d, %q, %q", path, err, line, want[1], want[2])
+			t.Errorf("%s: reported\n%v\nwant line %d, %q, %q", path, err, line, want[1], want[2])
 		}
 	}
 }
--- a/internal/site/file_test.go
+++ b/internal/site/file_test.go
@@ -47,18 +47,21 @@
 pod = 3
 `
 
+// A valid file becomes the settings of the balancer, hosts and a summary.
 func TestGoodFileSettings(t *testing.T) {
 	f, err := Parse([]byte(goodFile))
 	if err != nil {
 		t.Fatal(err)
 	}
 	s := f.Settings()
-	if s.Zone != 0 || s.Limits.MaxAttempts != 2 || s.PollDiscovery || len(s.Fields) != 2 || s.Fields[0] != balancer.FieldErrors {
+	if s.Zone != 0 || s.Limits.MaxAttempts != 2 || s.PollDiscovery ||
+		len(s.Fields) != 2 || s.Fields[0] != balancer.FieldErrors {
 		t.Errorf("settings %+v", s)
 	}
-	// Of the window of 1.5 s a connection, late timers and clocks that run apart are taken.
+	// The window of 1.5 s is reduced by the time of a dial, late timers and clock drift.
 	c := s.Classes[1]
-	if c.Idempotency != balancer.IdempotentWithKey || c.Group != balancer.GroupAll || c.DedupWindow != 1_239_250 || c.ClientTimeout != 2_500_000 || c.PriorityWeight != 10 || s.Classes[0].PriorityWeight != 1 {
+	if c.Idempotency != balancer.IdempotentWithKey || c.Group != balancer.GroupAll || c.DedupWindow != 1_239_250 ||
+		c.ClientTimeout != 2_500_000 || c.PriorityWeight != 10 || s.Classes[0].PriorityWeight != 1 {
 		t.Errorf("classes %+v", s.Classes)
 	}
 	if h := f.hosts(); len(h) != 1 || h[0].Cell != 3 || h[0].Site != "dar" || h[0].Weight != 1 {
@@ -69,7 +72,7 @@
 	}
 }
 
-// Every fault is named with its line, key and reason, and no file with one is used.
+// Every error is reported with its line, key and reason, and no file with an error is returned.
 func TestBadFilesAreRejectedWithLineAndKey(t *testing.T) {
 	for _, c := range []struct {
 		old, new string
@@ -115,8 +118,14 @@
 		{"pod = 3", "pod = 3\n[discovery]\naddress = \"127.0.0.1:1\"", 35, "discovery.address"},
 		{"pod = 3", "pod = 3\n[ephemeral]\nservers = [\"x\"]\npath = \"/s\"", 35, "ephemeral.servers"},
 		{"pod = 3", "pod = 3\n[ephemeral]\nservers = [\"x:1\"]\npath = \"s\"", 36, "ephemeral.path"},
-		{"pod = 3", "pod = 3\n[ephemeral]\nservers = [\"x:1\"]\npath = \"/s\"\nsession = \"10ms\"", 37, "ephemeral.session"},
-		{"pod = 3", "pod = 3\n[ephemeral]\nservers = [\"x:1\"]\npath = \"/s\"\ndigest_file = \"/nowhere\"", 37, "ephemeral.digest_file"},
+		{
+			"pod = 3", "pod = 3\n[ephemeral]\nservers = [\"x:1\"]\npath = \"/s\"\nsession = \"10ms\"",
+			37, "ephemeral.session",
+		},
+		{
+			"pod = 3", "pod = 3\n[ephemeral]\nservers = [\"x:1\"]\npath = \"/s\"\ndigest_file = \"/nowhere\"",
+			37, "ephemeral.digest_file",
+		},
 		{"pod = 3", "pod = 3\n[membership]\nshrink_most = 0", 35, "membership.shrink_most"},
 		{"pod = 3", "pod = 3\n[membership]\nhold = \"0s\"", 35, "membership.hold"},
 		{"[[server]]", "[[sever]]", 28, "sever"},
@@ -129,7 +138,7 @@
 		}
 		f, err := Parse([]byte(bad))
 		if err == nil {
-			t.Errorf("%q is taken", c.new)
+			t.Errorf("%q is accepted", c.new)
 			continue
 		}
 		var fault *FileError
@@ -151,9 +160,13 @@
 	}
 }
 
-// All faults of a file are told at once, in the order of its lines.
+// All errors of a file are reported together, in the order of its lines.
 func TestAllFaultsAreReportedInLineOrder(t *testing.T) {
-	bad := strings.NewReplacer("attempts = 2", "attempts = 9", `group = "all"`, `group = "x"`, "pod = 3", "pod = -1").Replace(goodFile)
+	bad := strings.NewReplacer(
+		"attempts = 2", "attempts = 9",
+		`group = "all"`, `group = "x"`,
+		"pod = 3", "pod = -1",
+	).Replace(goodFile)
 	_, err := Parse([]byte(bad))
 	want := []string{"line 10: limits.attempts", "line 23: class[1].group", "line 33: server[0].pod"}
 	lines := strings.Split(fmt.Sprint(err), "\n")
@@ -167,9 +180,10 @@
 	}
 }
 
+// Files that are too large, missing, binary or truncated are errors, and a large valid file is read quickly.
 func TestHugeMissingAndTruncatedFiles(t *testing.T) {
 	if _, err := Parse([]byte(strings.Repeat("#", maxFileBytes+1))); err == nil {
-		t.Error("a file over the limit is taken")
+		t.Error("a file over the limit is accepted")
 	}
 	path := filepath.Join(t.TempDir(), "site.toml")
 	if _, err := Load(path); err == nil {
@@ -179,15 +193,15 @@
 		t.Fatal(err)
 	}
 	if _, err := Load(path); err == nil {
-		t.Error("a file of nulls is taken")
+		t.Error("a file of null bytes is accepted")
 	}
-	if err := os.Truncate(path, 100<<20); err != nil { // 100 MB, which take no room
+	if err := os.Truncate(path, 100<<20); err != nil { // 100 MB, a sparse file
 		t.Fatal(err)
 	}
 	if _, err := Load(path); err == nil || !strings.Contains(err.Error(), "is over") {
 		t.Errorf("a file of 100 MB: %v", err)
 	}
-	// Cut anywhere, a file is bad or a shorter good one; nothing panics.
+	// Truncated anywhere, a file is either invalid or a shorter valid one; nothing panics.
 	text, err := os.ReadFile("../../deploy/site.example.toml")
 	if err != nil {
 		t.Fatal(err)
@@ -197,7 +211,7 @@
 			t.Fatalf("cut at %d: %v, %v", at, f, err)
 		}
 	}
-	// Ten thousand servers are read in a time that nobody notices.
+	// Ten thousand servers are read within a few seconds.
 	var big strings.Builder
 	big.WriteString(strings.Split(goodFile, "[[server]]")[0])
 	for i := range 10_000 {
@@ -212,14 +226,14 @@
 	}
 }
 
-// The example that stands in the repository is good.
+// The example in the repository is valid.
 func TestExampleFileIsValid(t *testing.T) {
 	if _, err := Load("../../deploy/site.example.toml"); err != nil {
 		t.Error(err)
 	}
 }
 
-// Whatever a file holds, it is taken whole or refused with a reason.
+// Any input is accepted completely or rejected with a reason.
 func FuzzFile(f *testing.F) {
 	f.Add([]byte(goodFile))
 	f.Add([]byte(goodFile[:200]))
@@ -236,20 +250,26 @@
 	})
 }
 
-// A part of the fleet is large enough for retries in each site, and chosen by the instance's name.
+// A subset is large enough for retries within each site, and is chosen by the name of the instance.
 func TestSubsetBounds(t *testing.T) {
 	text, err := os.ReadFile("../../deploy/site.example.toml")
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, c := range []struct{ add, reason string }{{"subset = 8\n", ""}, {"subset = 7\n", "8 to 10000"}, {"subset = -1\n", "8 to 10000"}, {"subset = 8\nsubset_spread = -1\n", "0 to 1000"}, {"subset = 8\nsubset_spread = nan\n", "0 to 1000"}} {
+	for _, c := range []struct{ add, reason string }{
+		{"subset = 8\n", ""},
+		{"subset = 7\n", "8 to 10000"},
+		{"subset = -1\n", "8 to 10000"},
+		{"subset = 8\nsubset_spread = -1\n", "0 to 1000"},
+		{"subset = 8\nsubset_spread = nan\n", "0 to 1000"},
+	} {
 		f, err := Parse([]byte(strings.Replace(string(text), "[fleet]\n", "[fleet]\n"+c.add, 1)))
 		if (err == nil) != (c.reason == "") || err != nil && !strings.Contains(err.Error(), c.reason) {
 			t.Errorf("%q: %v", c.add, err)
 		}
 		if err == nil {
 			if part, err := f.subset(); part == nil || err != nil {
-				t.Errorf("%q: no part is chosen, %v", c.add, err)
+				t.Errorf("%q: no subset, %v", c.add, err)
 			}
 		}
 	}
--- a/internal/site/keys_test.go
+++ b/internal/site/keys_test.go
@@ -10,15 +10,14 @@
 	"path/filepath"
 	"sync"
 	"testing"
-	"time"
 
 	"github.com/quic-go/quic-go/http3"
 
 	"pinedale/internal/standin/ca"
 )
 
-// The HTTP/3 front's certificate is replaced over and over, file by file, while requests come on standing and
-// on new connections: none fails, and new connections see the new one.
+// The HTTP/3 front's certificate is replaced repeatedly, file by file, during requests on established and on new
+// connections: none fails, and new connections get the new certificate.
 func TestCertificateRotationFailsNoRequest(t *testing.T) {
 	root := ca.New(t, "root")
 	dir := t.TempDir()
@@ -32,13 +31,12 @@
 		}
 	}
 	issue := func() *ca.Pair {
-		return root.Issue(ca.Spec{Names: []string{"127.0.0.1"}, From: time.Now().Add(-time.Hour), Until: time.Now().Add(time.Hour)})
+		return issueNow(root, "127.0.0.1")
 	}
 	first := issue()
 	put("cert", first.Cert)
 	put("key", first.Key)
-	r := startRunning(t, 0, priceClass, payClass,
-		fmt.Sprintf("[http3]\nlisten = \"127.0.0.1:0\"\nkeys = \"front\"\n[[keys]]\nname = \"front\"\ncert_file = %q\nkey_file = %q\n", filepath.Join(dir, "cert"), filepath.Join(dir, "key")))
+	r := startRunning(t, 0, priceClass, payClass, http3Section(dir))
 	roots := x509.NewCertPool()
 	roots.AddCert(root.Cert)
 	var shown sync.Map // serial numbers that clients have seen
@@ -51,9 +49,7 @@
 		if err != nil {
 			return err
 		}
-		for name, value := range map[string]string{"X-Correlation-Id": id, "X-Service-Class": "price-check", "X-Time-Left-Ms": "3000"} {
-			in.Header.Set(name, value)
-		}
+		setPriceHeaders(in, id)
 		out, err := client.RoundTrip(in)
 		if err != nil {
 			return err
@@ -72,16 +68,16 @@
 	for n := range 20 {
 		next := issue()
 		put("key", next.Key)
-		r.stores.reload() // half of the change is seen, and must do nothing
+		r.stores.reload() // one file of two has changed: nothing may change
 		fresh := &http3.Transport{TLSClientConfig: config}
-		if err := sendRequest(fresh, fmt.Sprint("half-", n)); err != nil {
-			t.Fatalf("change %d, half: %v", n, err)
+		if err := sendRequest(fresh, fmt.Sprint("partial-", n)); err != nil {
+			t.Fatalf("change %d, one file: %v", n, err)
 		}
 		fresh.Close()
 		put("cert", next.Cert)
 		r.stores.reload()
 		for i, client := range []*http3.Transport{established, {TLSClientConfig: config}} {
-			if err := sendRequest(client, fmt.Sprint("whole-", n, "-", i)); err != nil {
+			if err := sendRequest(client, fmt.Sprint("complete-", n, "-", i)); err != nil {
 				t.Fatalf("change %d, client %d: %v", n, i, err)
 			}
 			if i == 1 {
--- a/internal/site/peers_test.go
+++ b/internal/site/peers_test.go
@@ -31,11 +31,21 @@
 agree = %q
 `
 
-// startUnknownOutcomeCluster runs three instances that know each other, before servers in four pods that fail
-// every request after they have run it.
+// dayClose returns the class of closeClass as the servers know it.
+func dayClose() []balancer.Class {
+	return []balancer.Class{{
+		Name:        "day-close",
+		Idempotency: balancer.IdempotentWithKey,
+		Group:       balancer.GroupCell,
+		DedupWindow: 20_000_000,
+	}}
+}
+
+// startUnknownOutcomeCluster starts three connected instances, and servers in four pods that fail every request
+// after they have executed it.
 func startUnknownOutcomeCluster(t *testing.T, agree string) (*soko.Fleet, []*Instance) {
 	t.Helper()
-	fleet := &soko.Fleet{Faults: soko.Faults{Error: 1}, Classes: []balancer.Class{{Name: "day-close", Idempotency: balancer.IdempotentWithKey, Group: balancer.GroupCell, DedupWindow: 20_000_000}}}
+	fleet := &soko.Fleet{Faults: soko.Faults{Error: 1}, Classes: dayClose()}
 	servers := ""
 	for n := range 8 {
 		s, err := fleet.Start(fmt.Sprint("s-", n), n/2)
@@ -43,13 +53,14 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(s.Close)
-		servers += fmt.Sprintf("[[server]]\nname = %q\naddress = %q\nsite = \"a\"\nkind = \"k0\"\npod = %d\n", s.Name, s.Address, n/2)
+		const format = "[[server]]\nname = %q\naddress = %q\nsite = \"a\"\nkind = \"k0\"\npod = %d\n"
+		servers += fmt.Sprintf(format, s.Name, s.Address, n/2)
 	}
 	return fleet, startCluster(t, func(int) string { return fmt.Sprintf(closeClass, agree) + servers })
 }
 
-// startCluster runs three instances, whose files have their own part, until all know each other and
-// answer as witnesses.
+// startCluster starts three instances with extra configuration for each, and waits until all are connected and ready
+// to vote.
 func startCluster(t *testing.T, extraConfig func(n int) string) []*Instance {
 	t.Helper()
 	keys := filepath.Join(t.TempDir(), "peers.key")
@@ -59,8 +70,11 @@
 	addresses := []string{platform.FreeAddress(t), platform.FreeAddress(t), platform.FreeAddress(t)}
 	var instances []*Instance
 	for n := range addresses {
-		text := strings.Replace(runningHead, `name = "a"`, fmt.Sprintf(`name = "i-%d"`, n), 1) + "[limits]\nprobes = false\n" +
-			fmt.Sprintf("[peers]\nlisten = %q\nkeys_file = %q\nstatus = \"127.0.0.1:0\"\nwait = \"5s\"\nwitnesses = [\"i-0\", \"i-1\", \"i-2\"]\njoin = [\"i-0/%s\"]\n", addresses[n], keys, addresses[0]) + extraConfig(n)
+		const peers = "[limits]\nprobes = false\n" +
+			"[peers]\nlisten = %q\nkeys_file = %q\nstatus = \"127.0.0.1:0\"\nwait = \"5s\"\n" +
+			"witnesses = [\"i-0\", \"i-1\", \"i-2\"]\njoin = [\"i-0/%s\"]\n"
+		head := strings.Replace(runningHead, `name = "a"`, fmt.Sprintf(`name = "i-%d"`, n), 1)
+		text := head + fmt.Sprintf(peers, addresses[n], keys, addresses[0]) + extraConfig(n)
 		f, err := Parse([]byte(text))
 		if err != nil {
 			t.Fatal(err)
@@ -79,7 +93,7 @@
 		})
 		instances = append(instances, i)
 	}
-	wait.Until(t, "all know each other and answer as witnesses", func() bool {
+	wait.Until(t, "all instances to be connected and ready to vote", func() bool {
 		for _, i := range instances {
 			s, err := i.Peers.Status(t.Context())
 			if err != nil || len(s.Alive) != len(instances) || s.Quiet != "0s" {
@@ -91,10 +105,11 @@
 	return instances
 }
 
-// payThrough has an instance's HTTP front asked for an effect and returns the answer's code.
-func payThrough(ctx context.Context, t *testing.T, addresses *Instance, id, key string) int {
+// payThrough sends a request with an idempotency key to an instance's HTTP front and returns the status code.
+func payThrough(ctx context.Context, t *testing.T, instance *Instance, id, key string) int {
 	t.Helper()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addresses.HTTP.String()+"/day-close/x", strings.NewReader("pay"))
+	url := "http://" + instance.HTTP.String() + "/day-close/x"
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader("pay"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -112,13 +127,18 @@
 	return res.StatusCode
 }
 
-// payment is what a request says of itself.
+// payment returns the headers of a request.
 func payment(id, key string) map[string]string {
-	return map[string]string{"x-correlation-id": id, "x-service-class": "day-close", "x-time-left-ms": "1000", "idempotency-key": key}
+	return map[string]string{
+		"x-correlation-id": id,
+		"x-service-class":  "day-close",
+		"x-time-left-ms":   "1000",
+		"idempotency-key":  key,
+	}
 }
 
-// A client whose request failed asks again at another instance, by the other front: it meets
-// the pod that remembers its key.
+// A client whose request has failed retries at another instance, over the other front: the retry is sent to the pod
+// that remembers its key.
 func TestRetriesAtOtherInstancesAreDeduplicated(t *testing.T) {
 	fleet, instances := startUnknownOutcomeCluster(t, "always")
 	var proxies []*proxy.Proxy
@@ -137,39 +157,44 @@
 		if code := payThrough(ctx, t, instances[n%3], key+"-0", key); code != http.StatusBadGateway {
 			t.Fatalf("%s: %d, and every server fails", key, code)
 		}
-		for try := 1; try <= 2; try++ {
-			if a := proxies[(n+try)%3].Do(ctx, proxy.Request{Method: http.MethodPost, Path: "/day-close/x", Header: payment(fmt.Sprint(key, "-", try), key), Body: "pay"}, proxy.Behaviour{}); a.Err != nil {
-				t.Fatal(a.Err)
+		for retry := 1; retry <= 2; retry++ {
+			request := proxy.Request{
+				Method: http.MethodPost,
+				Path:   "/day-close/x",
+				Header: payment(fmt.Sprint(key, "-", retry), key),
+				Body:   "pay",
+			}
+			if result := proxies[(n+retry)%3].Do(ctx, request, proxy.Behaviour{}); result.Err != nil {
+				t.Fatal(result.Err)
 			}
 		}
 	}
 	if twice := fleet.Twice(); len(twice) > 0 {
-		t.Errorf("done twice: %v", twice)
+		t.Errorf("executed twice: %v", twice)
 	}
 	if c := fleet.Counts(); c.Run != 30 || c.Dropped < 30 {
-		t.Errorf("%+v: each effect is to be done once, and its repetitions to be dropped", c)
+		t.Errorf("%+v: each key is to be executed once, and its retries to be dropped", c)
 	}
 }
 
-// The same without agreement: the test above shows something only if this finds effects done
-// twice. Three pods of four are wrong for a repetition, so that of 30 none goes wrong once in
-// 4 to the 60.
+// The same without agreement executes requests twice: this shows that the test above can fail. Three of four pods are
+// wrong for a retry, so the probability that all retries of 30 requests hit the right one is 4 to the power of -60.
 func TestRetriesRunTwiceWithoutAgreement(t *testing.T) {
 	fleet, instances := startUnknownOutcomeCluster(t, "never")
 	for n := range 30 {
-		for try := range 3 {
-			payThrough(t.Context(), t, instances[try], fmt.Sprint(n, "-", try), fmt.Sprint("key-", n))
+		for attempt := range 3 {
+			payThrough(t.Context(), t, instances[attempt], fmt.Sprint(n, "-", attempt), fmt.Sprint("key-", n))
 		}
 	}
 	if len(fleet.Twice()) == 0 {
-		t.Error("no effect was done twice")
+		t.Error("no request was executed twice")
 	}
 }
 
-// One instance's list goes quiet, and the two others hear that a server drains: the one that
-// has not heard sends there no more on their word, and goes by its own list once that tells.
+// The endpoint list of one instance stalls, and the two others learn that a server is draining: on their advisory,
+// the first sends it no more requests, and follows its own list once that is updated.
 func TestServerKnownToDrainByPeersGetsNoRequests(t *testing.T) {
-	fleet := &soko.Fleet{Classes: []balancer.Class{{Name: "day-close", Idempotency: balancer.IdempotentWithKey, Group: balancer.GroupCell, DedupWindow: 20_000_000}}}
+	fleet := &soko.Fleet{Classes: dayClose()}
 	var hosts []directory.Host
 	var servers []*soko.Server
 	for n := range 6 {
@@ -179,12 +204,22 @@
 		}
 		t.Cleanup(s.Close)
 		servers = append(servers, s)
-		hosts = append(hosts, directory.Host{Name: s.Name, Dial: s.Address, Site: "a", Class: "k0", Block: uint16(n / 2), Health: "Ready", Share: 1})
+		hosts = append(hosts, directory.Host{
+			Name:   s.Name,
+			Dial:   s.Address,
+			Site:   "a",
+			Class:  "k0",
+			Block:  uint16(n / 2),
+			Health: "Ready",
+			Share:  1,
+		})
 	}
 	var lists []*directory.Directory
 	instances := startCluster(t, func(int) string {
 		lists = append(lists, directory.New(t, hosts...))
-		return fmt.Sprintf(closeClass, "never") + fmt.Sprintf("[discovery]\naddress = %q\nask_within = \"2s\"\n", lists[len(lists)-1].Address)
+		address := lists[len(lists)-1].Address
+		discovery := fmt.Sprintf("[discovery]\naddress = %q\nask_within = \"2s\"\n", address)
+		return fmt.Sprintf(closeClass, "never") + discovery
 	})
 	advisedDraining := func(n int) []string {
 		s, err := instances[n].Peers.Status(t.Context())
@@ -199,31 +234,35 @@
 	changeList := func(n int, alter func(h *directory.Host)) {
 		changed := slices.Clone(hosts)
 		alter(&changed[0])
-		lists[n].Change(func() { lists[n].List = directory.Document{Seq: lists[n].List.Seq + 1, Whole: true, Hosts: changed} })
+		lists[n].Change(func() {
+			lists[n].List = directory.Document{Seq: lists[n].List.Seq + 1, Whole: true, Hosts: changed}
+		})
 	}
 	drains := func(h *directory.Host) { h.Health = "Terminating" }
 	lists[2].Silence()
 	changeList(0, drains)
 	changeList(1, drains)
-	wait.Until(t, "the word of two", func() bool { return slices.Equal(advisedDraining(2), []string{"s-0@0"}) })
+	wait.Until(t, "the advisory of two instances", func() bool {
+		return slices.Equal(advisedDraining(2), []string{"s-0@0"})
+	})
 	sendRequest := func(n int) { payThrough(t.Context(), t, instances[2], fmt.Sprint("r-", n), fmt.Sprint("key-", n)) }
 	from := time.Now()
 	for n := range 60 {
 		sendRequest(n)
 	}
 	if addresses := servers[0].LastRequest(); addresses.After(from) {
-		t.Error("a request went to a server that two others know to drain")
+		t.Error("a request went to a server that two others know to be draining")
 	}
 	if n := fleet.Counts().Run; n < 50 {
 		t.Errorf("%d of 60 ran", n)
 	}
-	// It has started anew, as all hear: what was said of its life before does not count.
+	// It was restarted, as all lists say: the advisory on its previous incarnation no longer counts.
 	for n := range lists {
 		changeList(n, func(h *directory.Host) { h.BornMS = 1 })
 	}
-	wait.Until(t, "the own list to count", func() bool { return len(advisedDraining(2)) == 0 })
+	wait.Until(t, "the own list to be followed", func() bool { return len(advisedDraining(2)) == 0 })
 	next := 60
-	wait.Until(t, "it to serve again", func() bool {
+	wait.Until(t, "the server to get requests again", func() bool {
 		sendRequest(next)
 		next++
 		return servers[0].LastRequest().After(from)
--- a/internal/site/reload_test.go
+++ b/internal/site/reload_test.go
@@ -57,15 +57,36 @@
 deadline = "2.5s"
 `
 
-// text is an operator's file with these parts and the servers.
+// text returns an operator's file with these parts and the servers.
 func (r *running) text(parts ...string) string {
 	text := runningHead + strings.Join(parts, "")
 	for n, s := range r.servers {
-		text += fmt.Sprintf("[[server]]\nname = %q\naddress = %q\nsite = \"a\"\nkind = \"k%d\"\npod = %d\n", s.Name, s.Address, n, n)
+		text += serverSection(s, n)
 	}
 	return text
 }
 
+// serverSection returns the [[server]] entry of a stand-in in a pod.
+func serverSection(s *soko.Server, pod int) string {
+	const format = "[[server]]\nname = %q\naddress = %q\nsite = \"a\"\nkind = \"k%d\"\npod = %d\n"
+	return fmt.Sprintf(format, s.Name, s.Address, pod, pod)
+}
+
+// http3Section returns the section of an HTTP/3 front whose certificate is in a folder.
+func http3Section(dir string) string {
+	const format = "[http3]\nlisten = \"127.0.0.1:0\"\nkeys = \"front\"\n" +
+		"[[keys]]\nname = \"front\"\ncert_file = %q\nkey_file = %q\n"
+	return fmt.Sprintf(format, filepath.Join(dir, "cert"), filepath.Join(dir, "key"))
+}
+
+// setPriceHeaders sets the headers of a price check.
+func setPriceHeaders(in *http.Request, id string) {
+	in.Header.Set("X-Correlation-Id", id)
+	in.Header.Set("X-Service-Class", "price-check")
+	in.Header.Set("X-Time-Left-Ms", "3000")
+}
+
+// startRunning starts an instance with these parts of a file, and two servers that take some time for a request.
 func startRunning(t *testing.T, work time.Duration, parts ...string) *running {
 	t.Helper()
 	r := &running{t: t}
@@ -97,7 +118,7 @@
 	return r
 }
 
-// reload goes over to a file with these parts.
+// reload replaces the file by one with these parts.
 func (r *running) reload(parts ...string) {
 	r.t.Helper()
 	path := filepath.Join(r.t.TempDir(), "site.toml")
@@ -146,12 +167,12 @@
 }
 
 func (r *running) pay() int {
-	code, _ := r.request("POST", "/stall-pay/x", "X-Service-Class: stall-pay", "X-Time-Left-Ms: 2500", fmt.Sprint("Idempotency-Key: k", r.ids.Add(1)))
+	key := fmt.Sprint("Idempotency-Key: k", r.ids.Add(1))
+	code, _ := r.request("POST", "/stall-pay/x", "X-Service-Class: stall-pay", "X-Time-Left-Ms: 2500", key)
 	return code
 }
 
-// A running instance is not touched by any bad file: its table is the same, and no
-// request is lost or refused for it.
+// A bad file has no effect on a running instance: its table stays the same, and no request fails or is rejected.
 func TestBadReloadUnderLoadChangesNothing(t *testing.T) {
 	r := startRunning(t, time.Millisecond, priceClass, payClass)
 	before := r.Table()
@@ -175,7 +196,7 @@
 	}
 	for _, path := range badFiles(t) {
 		if f, err := r.Next(path); err == nil || f != nil {
-			t.Errorf("%s is taken", path)
+			t.Errorf("%s is accepted", path)
 		}
 	}
 	wait.Until(t, "some load", func() bool { return answered.Load() > 200 || t.Failed() })
@@ -186,24 +207,24 @@
 	}
 }
 
-// A reload that removes the class of a request in flight: it is answered by the rules
-// that it began with, and the next one is turned away.
+// A reload removes the class of a request in flight: the request is completed by the rules that it began with, and
+// the next one is rejected.
 func TestRequestInFlightKeepsRemovedClass(t *testing.T) {
 	r := startRunning(t, 300*time.Millisecond, priceClass, payClass)
 	answer := make(chan int)
 	go func() { answer <- r.pay() }()
-	wait.Until(t, "the request in hand", func() bool { return r.Requests() == 1 })
+	wait.Until(t, "the request in flight", func() bool { return r.Requests() == 1 })
 	number := func() uint8 { b, _ := r.Table().OfClass("stall-pay"); return b.Class }
 	was := number()
 	r.reload(priceClass)
 	if code := r.pay(); code != 400 {
-		t.Errorf("a request of the class that is gone: %d", code)
+		t.Errorf("a request of the removed class: %d", code)
 	}
 	if code := r.price(); code != 200 {
 		t.Errorf("a request of the other: %d", code)
 	}
 	if code := <-answer; code != 200 {
-		t.Errorf("the request in hand: %d", code)
+		t.Errorf("the request in flight: %d", code)
 	}
 	r.reload(priceClass, payClass)
 	if code := r.pay(); code != 200 || number() != was {
@@ -216,8 +237,7 @@
 	}
 }
 
-// Requests are told apart by routes, and brought to their pool; headers need not name a
-// class or a time.
+// Routes select the class and the pool of requests, whose headers need not name a class or a deadline.
 func TestRoutes(t *testing.T) {
 	r := startRunning(t, 0, priceClass, payClass, `[[pool]]
 name = "second"
@@ -265,7 +285,7 @@
 	if !r.servers[0].LastRequest().Before(r.servers[1].LastRequest()) || !r.servers[1].LastRequest().After(second) {
 		t.Error("requests of the pool did not go to its server alone")
 	}
-	// Another file, another pool: the servers that are known are told anew.
+	// Another file with another pool applies to servers that are known already.
 	r.reload(priceClass, `[[pool]]
 name = "other"
 kinds = ["k0"]
@@ -285,7 +305,7 @@
 	}
 }
 
-// A tenant's limit is its own, and what is over it is refused at once with Retry-After.
+// Each tenant has its own limit, and a request over it is rejected at once with Retry-After.
 func TestTenants(t *testing.T) {
 	tenants := `[[tenant]]
 name = "duka"
@@ -297,11 +317,12 @@
 `
 	r := startRunning(t, 300*time.Millisecond, priceClass, payClass, tenants)
 	sendRequest := func(tenant string) (int, http.Header) {
-		return r.request("GET", "/price-check/x", "X-Service-Class: price-check", "X-Time-Left-Ms: 3000", "X-Account: "+tenant)
+		return r.request("GET", "/price-check/x",
+			"X-Service-Class: price-check", "X-Time-Left-Ms: 3000", "X-Account: "+tenant)
 	}
 	first := make(chan int)
 	go func() { code, _ := sendRequest("duka"); first <- code }()
-	wait.Until(t, "the first in hand", func() bool { return r.Requests() == 1 })
+	wait.Until(t, "the first in flight", func() bool { return r.Requests() == 1 })
 	began := time.Now()
 	code, header := sendRequest("duka")
 	if took := time.Since(began); code != 503 || header.Get("Retry-After") == "" || took > 200*time.Millisecond {
@@ -321,7 +342,7 @@
 	}
 }
 
-// HTTP/3 is served beside HTTP/1.1, on the same engine, and told to its clients.
+// HTTP/3 is served next to HTTP/1.1 by the same engine, and advertised to clients of HTTP/1.1.
 func TestHTTP3(t *testing.T) {
 	pair := cert.New(t)
 	dir := t.TempDir()
@@ -331,7 +352,7 @@
 			t.Fatal(err)
 		}
 	}
-	table := fmt.Sprintf("[http3]\nlisten = \"127.0.0.1:0\"\nkeys = \"front\"\n[[keys]]\nname = \"front\"\ncert_file = %q\nkey_file = %q\n", filepath.Join(dir, "cert"), filepath.Join(dir, "key"))
+	table := http3Section(dir)
 	r := startRunning(t, 0, priceClass, payClass, table)
 	_, header := r.request("GET", "/price-check/x", "X-Service-Class: price-check", "X-Time-Left-Ms: 3000")
 	if want := fmt.Sprintf(`h3=":%d"; ma=3600`, r.HTTP3.(*net.UDPAddr).Port); header.Get("Alt-Svc") != want {
@@ -343,9 +364,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for name, value := range map[string]string{"X-Correlation-Id": "h3", "X-Service-Class": "price-check", "X-Time-Left-Ms": "3000"} {
-		in.Header.Set(name, value)
-	}
+	setPriceHeaders(in, "h3")
 	out, err := client.RoundTrip(in)
 	if err != nil || out.StatusCode != 200 {
 		t.Fatalf("%v, %v", out, err)
@@ -359,8 +378,9 @@
 		strings.Replace(table, "[http3]", "[http3]\nconnections = 0", 1): "http3.connections",
 		strings.Replace(table, "127.0.0.1:0", "here", 1):                 "http3.listen",
 	} {
-		if _, err := Parse([]byte(r.text(priceClass, payClass, bad))); err == nil || !strings.Contains(err.Error(), key+": ") {
-			t.Errorf("%q: %v, want a fault of %s", bad, err, key)
+		_, err := Parse([]byte(r.text(priceClass, payClass, bad)))
+		if err == nil || !strings.Contains(err.Error(), key+": ") {
+			t.Errorf("%q: %v, want an error of %s", bad, err, key)
 		}
 	}
 }
--- a/internal/site/secure_test.go
+++ b/internal/site/secure_test.go
@@ -25,7 +25,7 @@
 	"pinedale/internal/standin/wait"
 )
 
-// tlsInstance is an instance whose two servers speak TLS, each with keys of its own.
+// tlsInstance is an instance whose two servers use TLS, each with a certificate of its own.
 type tlsInstance struct {
 	*Instance
 	t          *testing.T
@@ -42,16 +42,20 @@
 	return a.Issue(ca.Spec{Names: names, From: time.Now().Add(-time.Hour), Until: time.Now().Add(time.Hour)})
 }
 
-// startTLSInstance has the servers show these, and the parts stand in the file; "@" stands for the folder of its keys.
+// startTLSInstance starts an instance with these parts of a file, in which "@" stands for the folder of its keys, and
+// two servers with these certificates.
 func startTLSInstance(t *testing.T, root *ca.Authority, first, second *ca.Pair, parts ...string) *tlsInstance {
 	t.Helper()
 	w := &tlsInstance{t: t, root: root, files: ca.NewFolder(t)}
 	w.files.Put(w.files.Roots, root.PEM())
 	w.files.Put(w.files.Revoked, root.Revoke())
 	w.files.Pair(issueNow(root, "127.0.0.1"))
-	w.text = runningHead + priceClass + payClass + strings.ReplaceAll(strings.Join(parts, ""), "@", strings.TrimSuffix(w.files.Cert, "cert.pem"))
+	folder := strings.TrimSuffix(w.files.Cert, "cert.pem")
+	w.text = runningHead + priceClass + payClass + strings.ReplaceAll(strings.Join(parts, ""), "@", folder)
 	if strings.Contains(w.text, `name = "front"`) {
-		w.text = strings.Replace(strings.Replace(w.text, "[http]\n", "[http]\nkeys = \"front\"\n", 1), "[ext_proc]\n", "[ext_proc]\nkeys = \"front\"\n", 1)
+		for _, section := range []string{"[http]\n", "[ext_proc]\n"} {
+			w.text = strings.Replace(w.text, section, section+"keys = \"front\"\n", 1)
+		}
 	}
 	for n, p := range []*ca.Pair{first, second} {
 		w.serverKeys[n] = guarded.NewKeys(t, p)
@@ -61,7 +65,7 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(s.Close)
-		w.text += fmt.Sprintf("[[server]]\nname = %q\naddress = %q\nsite = \"a\"\nkind = \"k%d\"\npod = %d\n", s.Name, s.Address, n, n)
+		w.text += serverSection(s, n)
 	}
 	f, err := Parse([]byte(w.text))
 	if err != nil {
@@ -82,16 +86,14 @@
 	return w
 }
 
-// get sends a price check by a client, and returns the answer's code.
+// get sends a price check with a client and returns the status code.
 func (w *tlsInstance) get(client *http.Client, scheme string) (int, error) {
 	w.ids++
 	in, err := http.NewRequest("GET", scheme+"://"+w.HTTP.String()+"/price-check/x", nil)
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	for name, value := range map[string]string{"X-Correlation-Id": fmt.Sprint("g-", w.ids), "X-Service-Class": "price-check", "X-Time-Left-Ms": "3000"} {
-		in.Header.Set(name, value)
-	}
+	setPriceHeaders(in, fmt.Sprint("g-", w.ids))
 	out, err := client.Do(in)
 	if err != nil {
 		return 0, err
@@ -103,18 +105,23 @@
 	return out.StatusCode, nil
 }
 
-const upstreamKeys = "[upstream]\nkeys = \"fleet\"\nverify = \"{name}.example.org\"\nhttp3 = %t\n[[keys]]\nname = \"fleet\"\nroots_file = \"@roots.pem\"\nrevoked_file = \"@revoked.pem\"\n"
+// upstreamKeys configures TLS towards servers.
+const upstreamKeys = "[upstream]\nkeys = \"fleet\"\nverify = \"{name}.example.org\"\nhttp3 = %t\n" +
+	"[[keys]]\nname = \"fleet\"\nroots_file = \"@roots.pem\"\nrevoked_file = \"@revoked.pem\"\n"
 
-// The right certificate at the wrong server, one that is over, one by a strange root: none of the requests goes
-// there, over either protocol, and each is served by the other server. The counters name the reason.
+// A server presents the certificate of another, an expired one, or one of an unknown root: over either protocol it
+// gets no request, and the other server answers all of them. The counters name the reason.
 func TestRequestsAvoidServersThatFailVerification(t *testing.T) {
 	root, other := ca.New(t, "root"), ca.New(t, "other")
-	hour := time.Now().Add(-time.Hour)
-	for reason, shown := range map[string]*ca.Pair{"names": issueNow(root, "s-1.example.org"), "chain": issueNow(other, "s-0.example.org"),
-		"over": root.Issue(ca.Spec{Names: []string{"s-0.example.org"}, From: hour.Add(-time.Hour), Until: hour})} {
+	expiry := time.Now().Add(-time.Hour)
+	for reason, presented := range map[string]*ca.Pair{
+		"names": issueNow(root, "s-1.example.org"),
+		"chain": issueNow(other, "s-0.example.org"),
+		"over":  root.Issue(ca.Spec{Names: []string{"s-0.example.org"}, From: expiry.Add(-time.Hour), Until: expiry}),
+	} {
 		for _, http3 := range []bool{false, true} {
 			t.Run(fmt.Sprint(reason, http3), func(t *testing.T) {
-				w := startTLSInstance(t, root, shown, issueNow(root, "s-1.example.org"), fmt.Sprintf(upstreamKeys, http3))
+				w := startTLSInstance(t, root, presented, issueNow(root, "s-1.example.org"), fmt.Sprintf(upstreamKeys, http3))
 				for n := range 30 {
 					if code, err := w.get(http.DefaultClient, "http"); code != 200 {
 						t.Fatalf("request %d: %d, %v", n, code, err)
@@ -125,22 +132,32 @@
 				}
 				wait.Until(t, "the failed handshake", func() bool { c, ok := w.Security(); return ok && c.Failed[reason] > 0 })
 				w.logCounters()
-				if message := w.log.String(); !strings.Contains(message, "expected=s-0.example.org") || !strings.Contains(message, "failed=map["+reason) {
-					t.Errorf("the log says %s", message)
+				logged := w.log.String()
+				if !strings.Contains(logged, "expected=s-0.example.org") ||
+					!strings.Contains(logged, "failed=map["+reason) {
+					t.Errorf("the log says %s", logged)
 				}
 			})
 		}
 	}
 }
 
-// Certificates of a whole fleet run out at once: nothing is sent, every request has its answer at once, and only
-// an operator's word lets them in, for no longer than it says.
+// All certificates of a fleet expire: nothing is sent, every request is answered at once, and only peers_over lets
+// the servers be used, for no longer than it says.
 func TestExpiredFleetIsRejectedUnlessGraceAllows(t *testing.T) {
 	root := ca.New(t, "root")
 	expired := func(name string) *ca.Pair {
-		return root.Issue(ca.Spec{Names: []string{name}, From: time.Now().Add(-3 * time.Hour), Until: time.Now().Add(-time.Hour)})
+		return root.Issue(ca.Spec{
+			Names: []string{name},
+			From:  time.Now().Add(-3 * time.Hour),
+			Until: time.Now().Add(-time.Hour),
+		})
 	}
-	w := startTLSInstance(t, root, expired("s-0.example.org"), expired("s-1.example.org"), fmt.Sprintf(upstreamKeys, false))
+	start := func(grace string) *tlsInstance {
+		return startTLSInstance(t, root, expired("s-0.example.org"), expired("s-1.example.org"),
+			fmt.Sprintf(upstreamKeys, false), grace)
+	}
+	w := start("")
 	for range 5 {
 		began := time.Now()
 		if code, err := w.get(http.DefaultClient, "http"); code != 503 && code != 502 || time.Since(began) > 2*time.Second {
@@ -150,54 +167,59 @@
 	if w.fleet[0].Counts().Requests+w.fleet[1].Counts().Requests != 0 {
 		t.Error("something was sent")
 	}
-	w = startTLSInstance(t, root, expired("s-0.example.org"), expired("s-1.example.org"), fmt.Sprintf(upstreamKeys, false), "peers_over = \"2h\"\n")
+	w = start("peers_over = \"2h\"\n")
 	for range 5 {
 		if code, err := w.get(http.DefaultClient, "http"); code != 200 {
-			t.Errorf("the operator has said so: %d, %v", code, err)
+			t.Errorf("within the grace: %d, %v", code, err)
 		}
 	}
-	w = startTLSInstance(t, root, expired("s-0.example.org"), expired("s-1.example.org"), fmt.Sprintf(upstreamKeys, false), "peers_over = \"30m\"\n")
+	w = start("peers_over = \"30m\"\n")
 	if code, _ := w.get(http.DefaultClient, "http"); code == 200 {
-		t.Error("over for longer than the operator has said")
+		t.Error("expired for longer than the grace")
 	}
 }
 
-// Fronts with TLS: who shows no certificate, or one by nobody that is trusted, is not let in; who is revoked is
-// turned away on a connection that stands.
+// Fronts with TLS reject clients without a certificate or with one of an untrusted root, and requests of a revoked
+// client on an established connection.
 func TestFrontsRequireTrustedClientCertificates(t *testing.T) {
 	root, other := ca.New(t, "root"), ca.New(t, "other")
-	w := startTLSInstance(t, root, issueNow(root, "s-0.example.org"), issueNow(root, "s-1.example.org"), fmt.Sprintf(upstreamKeys, false),
-		"[[keys]]\nname = \"front\"\ncert_file = \"@cert.pem\"\nkey_file = \"@key.pem\"\nroots_file = \"@roots.pem\"\nrevoked_file = \"@revoked.pem\"\nreplace_within = \"1h\"\n")
+	w := startTLSInstance(t, root, issueNow(root, "s-0.example.org"), issueNow(root, "s-1.example.org"),
+		fmt.Sprintf(upstreamKeys, false),
+		"[[keys]]\nname = \"front\"\ncert_file = \"@cert.pem\"\nkey_file = \"@key.pem\"\n"+
+			"roots_file = \"@roots.pem\"\nrevoked_file = \"@revoked.pem\"\nreplace_within = \"1h\"\n")
 	roots := x509.NewCertPool()
 	roots.AddCert(root.Cert)
-	tlsOf := func(p *ca.Pair) *tls.Config {
+	tlsConfig := func(p *ca.Pair) *tls.Config {
 		c := &tls.Config{RootCAs: roots}
 		if p != nil {
-			both, err := tls.X509KeyPair(p.Cert, p.Key)
+			pair, err := tls.X509KeyPair(p.Cert, p.Key)
 			if err != nil {
 				t.Fatal(err)
 			}
-			c.Certificates = []tls.Certificate{both}
+			c.Certificates = []tls.Certificate{pair}
 		}
 		return c
 	}
 	client := func(p *ca.Pair) *http.Client {
-		transport := &http.Transport{TLSClientConfig: tlsOf(p)}
+		transport := &http.Transport{TLSClientConfig: tlsConfig(p)}
 		t.Cleanup(transport.CloseIdleConnections)
 		return &http.Client{Transport: transport}
 	}
 	known := issueNow(root, "clerk.example.org")
 	clerk := client(known)
 	if code, err := w.get(clerk, "https"); code != 200 {
-		t.Fatalf("a client that is known: %d, %v", code, err)
+		t.Fatalf("a trusted client: %d, %v", code, err)
 	}
-	for who, p := range map[string]*ca.Pair{"shows nothing": nil, "is known to others": issueNow(other, "clerk.example.org")} {
+	for condition, p := range map[string]*ca.Pair{
+		"no certificate":    nil,
+		"an untrusted root": issueNow(other, "clerk.example.org"),
+	} {
 		if code, err := w.get(client(p), "https"); err == nil {
-			t.Errorf("a client that %s: %d", who, code)
+			t.Errorf("a client with %s: %d", condition, code)
 		}
 	}
 	processor := func(p *ca.Pair) error {
-		c, err := grpc.NewClient(w.ExtProc.String(), grpc.WithTransportCredentials(credentials.NewTLS(tlsOf(p))))
+		c, err := grpc.NewClient(w.ExtProc.String(), grpc.WithTransportCredentials(credentials.NewTLS(tlsConfig(p))))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -217,26 +239,27 @@
 		return err
 	}
 	if err := processor(known); err != nil {
-		t.Errorf("a proxy that is known: %v", err)
+		t.Errorf("a trusted proxy: %v", err)
 	}
 	if processor(issueNow(other, "proxy.example.org")) == nil {
-		t.Error("a proxy that nobody knows was let in")
+		t.Error("a proxy of an untrusted root was admitted")
 	}
 	w.files.Put(w.files.Revoked, root.Revoke(known.Leaf))
 	w.stores.reload()
 	if code, err := w.get(clerk, "https"); code != 403 {
-		t.Errorf("revoked, on a connection that stands: %d, %v", code, err)
+		t.Errorf("revoked, on an established connection: %d, %v", code, err)
 	}
 	if code, err := w.get(clerk, "https"); err == nil {
 		t.Errorf("revoked, on a new one: %d", code)
 	}
 }
 
-// What the file may not say of keys, and by which key it is told; and what keys show and verify print of one that
-// is good. No private key is in any of it.
+// Errors of the keys sections name the key of the file; the reports of a valid file name users, certificates, roots
+// and servers. None of them contains a private key.
 func TestKeysSectionErrorsAndReports(t *testing.T) {
 	root := ca.New(t, "root")
-	w := startTLSInstance(t, root, issueNow(root, "s-0.example.org"), issueNow(root, "s-1.example.org"), fmt.Sprintf(upstreamKeys, false),
+	w := startTLSInstance(t, root, issueNow(root, "s-0.example.org"), issueNow(root, "s-1.example.org"),
+		fmt.Sprintf(upstreamKeys, false),
 		"[[keys]]\nname = \"front\"\ncert_file = \"@cert.pem\"\nkey_file = \"@key.pem\"\nnames = [\"127.0.0.1\"]\n")
 	front, ups := "[http]\nkeys = \"front\"\n", "[upstream]\nkeys = \"fleet\"\n"
 	for _, c := range []struct{ from, to, key, reason string }{
@@ -264,7 +287,10 @@
 		{"key_file = \"" + w.files.Key + "\"\n", "", "keys[1].key_file", "together"},
 		{w.files.Key, w.files.Roots, "keys[1].key_file", "no private key"},
 		{w.files.Roots, w.files.Roots + "x", "keys[0].roots_file", "no such file"},
-		{"revoked_file = \"" + w.files.Revoked, "revoked_file = \"" + w.files.Roots, "keys[0].revoked_file", "no revocation list"},
+		{
+			"revoked_file = \"" + w.files.Revoked, "revoked_file = \"" + w.files.Roots,
+			"keys[0].revoked_file", "no revocation list",
+		},
 		{"pod = 1\n", "pod = 1\nverify = \"{name}.example.org\"\n", "server[1].verify", "no host name"},
 	} {
 		text := strings.Replace(w.text, c.from, c.to, 1)
@@ -276,7 +302,8 @@
 		if err != nil {
 			message = err.Error()
 		}
-		if !strings.Contains(message, c.key+": ") || !strings.Contains(message, c.reason) || strings.Contains(message, "PRIVATE") {
+		if !strings.Contains(message, c.key+": ") || !strings.Contains(message, c.reason) ||
+			strings.Contains(message, "PRIVATE") {
 			t.Errorf("%q for %q: %q, want %s, %s", c.to, c.from, message, c.key, c.reason)
 		}
 	}
@@ -288,24 +315,33 @@
 	if err := f.ShowKeys(&out, time.Now()); err != nil {
 		t.Fatal(err)
 	}
-	for _, wantText := range []string{`keys "front", used by http, ext_proc`, `keys "fleet", used by upstream`, "shows 127.0.0.1, ECDSA P-256, by CN=root", "trusts CN=root", "revokes 0 of CN=root", `server "s-1" must be s-1.example.org`} {
+	for _, wantText := range []string{
+		`keys "front", used by http, ext_proc`,
+		`keys "fleet", used by upstream`,
+		"shows 127.0.0.1, ECDSA P-256, by CN=root",
+		"trusts CN=root",
+		"revokes 0 of CN=root",
+		`server "s-1" must be s-1.example.org`,
+	} {
 		if !strings.Contains(out.String(), wantText) || strings.Contains(out.String(), "PRIVATE") {
-			t.Errorf("shown is\n%swant %q", out.String(), wantText)
+			t.Errorf("the report is\n%swant %q", out.String(), wantText)
 		}
 	}
 	next := ca.NewFolder(t)
 	next.Pair(issueNow(root, "10.0.0.1"))
-	if err := f.VerifyKeys("front", keyroom.Paths{Cert: next.Cert, Key: next.Key}); err == nil || !strings.Contains(err.Error(), "names: cert") {
+	err = f.VerifyKeys("front", keyroom.Paths{Cert: next.Cert, Key: next.Key})
+	if err == nil || !strings.Contains(err.Error(), "names: cert") {
 		t.Errorf("files for another name: %v", err)
 	}
-	if err := f.VerifyKeys("front", keyroom.Paths{Cert: next.Cert}); err == nil || !strings.Contains(err.Error(), "mismatch") {
-		t.Errorf("half of a pair: %v", err)
+	err = f.VerifyKeys("front", keyroom.Paths{Cert: next.Cert})
+	if err == nil || !strings.Contains(err.Error(), "mismatch") {
+		t.Errorf("a certificate without its key: %v", err)
 	}
 	next.Pair(issueNow(root, "127.0.0.1"))
 	if err := f.VerifyKeys("front", keyroom.Paths{Cert: next.Cert, Key: next.Key}); err != nil {
 		t.Errorf("good files: %v", err)
 	}
 	if err := f.VerifyKeys("back", keyroom.Paths{}); err == nil {
-		t.Error("keys that are not there")
+		t.Error("an unknown name of keys")
 	}
 }
