pinedale-site: commands, check, explain, peers and serving in files of their own

Cause: one function built all commands with nested closures, and main.go did five jobs.

Change: one function for each command; the reports and the handling of signals are separate files. Commands, flags and printed texts are as before.

Against the program before the refactoring, help of all commands, check (text and JSON), explain and keys show print the same on the example and the golden files.

--- /dev/null
+++ b/cmd/pinedale-site/check.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"pinedale/internal/policy"
+	"pinedale/internal/site"
+)
+
+// printCheckJSON prints the table of a valid file as JSON.
+func printCheckJSON(out io.Writer, f *site.File) error {
+	var warnings []string
+	for _, warning := range f.Warnings() {
+		warnings = append(warnings, warning.Error())
+	}
+	table := f.Table()
+	encoder := json.NewEncoder(out)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(struct {
+		Version  string       `json:"version"`
+		Warnings []string     `json:"warnings"`
+		Rows     []policy.Row `json:"rows"`
+	}{table.Version, warnings, table.Rows()})
+}
+
+// printCheck prints a summary of a valid file, its warnings and its table.
+func printCheck(out io.Writer, path string, f *site.File) error {
+	fmt.Fprintf(out, "%s: good: %s\n", path, f.Summary())
+	for _, warning := range f.Warnings() {
+		fmt.Fprintf(out, "  warning: %v\n", warning)
+	}
+	fmt.Fprintf(out, "table %s\n", f.Table().Version)
+	return printRows(out, f.Table().Rows())
+}
+
+// printRows prints the rows of a table in columns.
+func printRows(out io.Writer, rows []policy.Row) error {
+	columns := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(columns,
+		"route\tmatches\tclass\tpool\tdeadline\ttry for\tattempts\tcopy after\tretries a request\tburst")
+	for _, row := range rows {
+		hedgeDelay := orDash(row.CopyAfter)
+		if !row.Copies {
+			hedgeDelay = "never"
+		}
+		fmt.Fprintf(columns, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%s\t%g\t%g\n",
+			orDash(row.Route), orDash(row.Match), row.Class, orDash(row.Pool), row.Deadline, orDash(row.TryFor),
+			row.Attempts, hedgeDelay, row.Share, row.Burst)
+	}
+	return columns.Flush()
+}
+
+// orDash returns a dash for an empty cell.
+func orDash(cell string) string { return cmp.Or(cell, "-") }
--- /dev/null
+++ b/cmd/pinedale-site/commands.go
@@ -0,0 +1,156 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"pinedale/internal/keyroom"
+	"pinedale/internal/site"
+)
+
+// signalBacklog is how many signals may wait while a file is read.
+const signalBacklog = 4
+
+// commandLine builds the commands. All of them write to out and take the operator's file.
+type commandLine struct {
+	out        io.Writer
+	configPath string // flag --config
+}
+
+// rootCommand returns the command line of the program.
+func rootCommand(out io.Writer) *cobra.Command {
+	c := &commandLine{out: out}
+	root := &cobra.Command{
+		Use:           "pinedale-site",
+		Short:         "pinedale for installations of the operator's own",
+		SilenceErrors: true,
+		SilenceUsage:  true,
+		Args:          cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return errors.New("a command is missing\n" + cmd.UsageString())
+		},
+	}
+	root.SetOut(out)
+	root.CompletionOptions.DisableDefaultCmd = true
+	root.PersistentFlags().StringVar(&c.configPath, "config", "", "the operator's file (TOML)")
+	root.AddCommand(c.serveCommand(), c.checkCommand(), c.explainCommand(), c.keysCommand(), c.peersCommand())
+	return root
+}
+
+// withFile returns a function for a command that loads the operator's file first.
+func (c *commandLine) withFile(run func(f *site.File, args []string) error) func(*cobra.Command, []string) error {
+	return func(cmd *cobra.Command, args []string) error {
+		if c.configPath == "" {
+			return errors.New("--config FILE is what a command takes\n" + cmd.UsageString())
+		}
+		f, err := load(c.configPath)
+		if err != nil {
+			return err
+		}
+		return run(f, args)
+	}
+}
+
+// serveCommand returns the command that runs an instance.
+func (c *commandLine) serveCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "serve",
+		Short: "serve as the file says",
+		Args:  cobra.NoArgs,
+		Long: "Serve as the operator's file says. SIGTERM ends the service in order. " +
+			"SIGHUP has the file and all keys read\nagain: classes, routes, limits and servers change, or nothing does.",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			// Without a handler, SIGHUP would end the process, even while it reads its file.
+			signals := make(chan os.Signal, signalBacklog)
+			signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT)
+			return c.withFile(func(f *site.File, _ []string) error {
+				return serve(c.configPath, f, signals)
+			})(cmd, args)
+		},
+	}
+}
+
+// checkCommand returns the command that reports errors of the file and its table of classes and routes.
+func (c *commandLine) checkCommand() *cobra.Command {
+	var asJSON bool
+	check := &cobra.Command{
+		Use:   "check",
+		Short: "say what is wrong with the file, and what its classes and routes come to",
+		Args:  cobra.NoArgs,
+		RunE: c.withFile(func(f *site.File, _ []string) error {
+			if asJSON {
+				return printCheckJSON(c.out, f)
+			}
+			return printCheck(c.out, c.configPath, f)
+		}),
+	}
+	check.Flags().BoolVar(&asJSON, "json", false, "print the table as JSON")
+	return check
+}
+
+// explainCommand returns the command that explains which route a request gets.
+func (c *commandLine) explainCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "explain METHOD PATH ['Header: value'...]",
+		Short: "say which route and class a request gets, and why",
+		Args:  cobra.MinimumNArgs(2),
+		RunE:  c.withFile(func(f *site.File, args []string) error { return explain(c.out, f, args) }),
+	}
+}
+
+// keysCommand returns the commands on certificates, keys and trust.
+func (c *commandLine) keysCommand() *cobra.Command {
+	keys := &cobra.Command{Use: "keys", Short: "certificates, keys and trust"}
+	keys.AddCommand(&cobra.Command{
+		Use:   "show",
+		Short: "print what the file's keys hold, and how servers are verified",
+		Args:  cobra.NoArgs,
+		RunE:  c.withFile(func(f *site.File, _ []string) error { return f.ShowKeys(c.out, time.Now()) }),
+	})
+	var replacement keyroom.Paths
+	verify := &cobra.Command{
+		Use:   "verify NAME",
+		Short: "say whether new files would be taken for the keys of this name",
+		Args:  cobra.ExactArgs(1),
+		RunE: c.withFile(func(f *site.File, args []string) error {
+			if err := f.VerifyKeys(args[0], replacement); err != nil {
+				return err
+			}
+			fmt.Fprintln(c.out, "good: these files would be taken")
+			return nil
+		}),
+	}
+	verify.Flags().StringVar(&replacement.Cert, "cert", "", "the certificate, in place of cert_file")
+	verify.Flags().StringVar(&replacement.Key, "key", "", "its key, in place of key_file")
+	verify.Flags().StringVar(&replacement.Roots, "roots", "", "in place of roots_file")
+	verify.Flags().StringVar(&replacement.Revoked, "revoked", "", "in place of revoked_file")
+	keys.AddCommand(verify)
+	return keys
+}
+
+// load loads the operator's file.
+func load(path string) (*site.File, error) {
+	f, err := site.Load(path)
+	if err != nil {
+		return nil, describeError(path, err)
+	}
+	return f, nil
+}
+
+// describeError adds the file's name to an error of loading it: in front of a single error, on a line of its own in
+// front of several.
+func describeError(path string, err error) error {
+	lines := strings.Split(err.Error(), "\n")
+	if len(lines) == 1 {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	return errors.New(path + ":\n  " + strings.Join(lines, "\n  "))
+}
--- /dev/null
+++ b/cmd/pinedale-site/explain.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"pinedale/internal/intake"
+	"pinedale/internal/policy"
+	"pinedale/internal/site"
+)
+
+// explain prints the class of a request, and for each route why it is chosen or not. args are the method, the path
+// and headers.
+func explain(out io.Writer, f *site.File, args []string) error {
+	query, err := parseQuery(args)
+	if err != nil {
+		return err
+	}
+	table := f.Table()
+	if !table.Routed() {
+		return explainUnrouted(out, table, query)
+	}
+	if policy.Unclean(query.Path) {
+		return fmt.Errorf("the path %q has //, /. or /.., and gets no route", query.Path)
+	}
+	if bounds, ok := table.Lookup(query); ok {
+		fmt.Fprintf(out, "class %s\n", bounds.ClassName)
+	} else {
+		fmt.Fprintln(out, "no route: 404")
+	}
+	for _, reason := range table.Explain(query) {
+		route := &f.Routes[reason.Route]
+		name, mark := route.Name, " "
+		if name == "" {
+			name = "of class " + route.Class
+		}
+		if reason.Taken {
+			mark = ">"
+		}
+		fmt.Fprintf(out, "%s route[%d] (%s): %s\n", mark, reason.Route, name, reason.Text)
+	}
+	return nil
+}
+
+// parseQuery parses the arguments of explain.
+func parseQuery(args []string) (*policy.Query, error) {
+	location, err := url.Parse(args[1])
+	if err != nil {
+		return nil, err
+	}
+	header := http.Header{}
+	query := &policy.Query{Method: args[0], Host: location.Host, Path: location.Path, Header: header}
+	for _, line := range args[2:] {
+		name, value, ok := strings.Cut(line, ":")
+		if !ok {
+			return nil, fmt.Errorf("%q is not a header, such as \"X-Account: duka\"", line)
+		}
+		value = strings.TrimSpace(value)
+		if strings.EqualFold(name, "host") {
+			query.Host = value
+			continue
+		}
+		header.Add(strings.TrimSpace(name), value)
+	}
+	return query, nil
+}
+
+// explainUnrouted prints the class that a request names, for a file without routes.
+func explainUnrouted(out io.Writer, table *policy.Table, query *policy.Query) error {
+	name := http.Header(query.Header).Get(intake.HeaderClass)
+	if _, ok := table.OfClass(name); !ok {
+		return fmt.Errorf("the file has no routes: a request names its class in %s, and %q is none",
+			intake.HeaderClass, name)
+	}
+	fmt.Fprintf(out, "class %s, as the request says: the file has no routes\n", name)
+	return nil
+}
--- /dev/null
+++ b/cmd/pinedale-site/peers.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"pinedale/internal/cluster"
+	"pinedale/internal/site"
+)
+
+// statusTimeout bounds the request for a status page.
+const statusTimeout = 5 * time.Second
+
+// peersCommand returns the commands on other instances. Their addresses are those of peers.status.
+func (c *commandLine) peersCommand() *cobra.Command {
+	peers := &cobra.Command{Use: "peers", Short: "other instances, and what they tell"}
+	peers.AddCommand(&cobra.Command{
+		Use:   "show [HOST:PORT]",
+		Short: "print what an instance holds: the file's, or that whose status is served there",
+		Args:  cobra.MaximumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if len(args) == 1 {
+				return showStatus(c.out, args[0])
+			}
+			return c.withFile(func(f *site.File, _ []string) error {
+				if f.Peers.Status == "" {
+					return errors.New("peers.status is not set in the file")
+				}
+				return showStatus(c.out, f.Peers.Status)
+			})(cmd, args)
+		},
+	}, &cobra.Command{
+		Use:   "diff HOST:PORT HOST:PORT",
+		Short: "name what two instances hold otherwise",
+		Args:  cobra.ExactArgs(2),
+		RunE:  func(_ *cobra.Command, args []string) error { return diffStatus(c.out, args[0], args[1]) },
+	})
+	return peers
+}
+
+// fetchStatus fetches the status page of an instance.
+func fetchStatus(address string) (status cluster.Status, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
+	defer cancel()
+	if status, err = cluster.Fetch(ctx, address); err != nil {
+		return status, fmt.Errorf("peers: %w", err)
+	}
+	return status, nil
+}
+
+// showStatus prints the status of an instance.
+func showStatus(out io.Writer, address string) error {
+	status, err := fetchStatus(address)
+	if err != nil {
+		return err
+	}
+	return status.Print(out)
+}
+
+// diffStatus prints the differences between two instances. It returns an error if there are any.
+func diffStatus(out io.Writer, first, second string) error {
+	firstStatus, err := fetchStatus(first)
+	if err != nil {
+		return err
+	}
+	secondStatus, err := fetchStatus(second)
+	if err != nil {
+		return err
+	}
+	differences := cluster.Diff(&firstStatus, &secondStatus)
+	for _, line := range differences {
+		fmt.Fprintln(out, line)
+	}
+	if len(differences) > 0 {
+		return fmt.Errorf("%d differences", len(differences))
+	}
+	fmt.Fprintln(out, "both hold the same")
+	return nil
+}
--- a/internal/tomlfile/decode.go
+++ b/internal/tomlfile/decode.go
@@ -14,10 +14,10 @@
 // joins one *Error for each key that is unknown or cannot be decoded.
 func Decode(data []byte, maxBytes int, target any) (*File, error) {
 	if len(data) > maxBytes {
-		return nil, &Error{Key: wholeFile, Reason: fmt.Sprintf("is over %d bytes", maxBytes)}
+		return nil, &Error{Key: fileKey, Reason: fmt.Sprintf("is over %d bytes", maxBytes)}
 	}
 	if !utf8.Valid(data) {
-		return nil, &Error{Line: firstInvalidLine(data), Key: wholeFile, Reason: "is not UTF-8"}
+		return nil, &Error{Line: firstInvalidLine(data), Key: fileKey, Reason: "is not UTF-8"}
 	}
 	positions := locateKeys(data)
 	file := &File{lines: positions.lines}
--- a/internal/tomlfile/errors.go
+++ b/internal/tomlfile/errors.go
@@ -9,8 +9,8 @@
 	"github.com/pelletier/go-toml/v2"
 )
 
-// wholeFile is the key of errors that belong to no key.
-const wholeFile = "file"
+// fileKey is the key of errors that belong to no key.
+const fileKey = "file"
 
 // libraryPrefix begins the messages of the TOML library.
 const libraryPrefix = "toml: "
@@ -52,9 +52,9 @@
 		line, _ := decode.Position()
 		key := strings.Join(decode.Key(), ".")
 		if key == "" {
-			key = wholeFile
+			key = fileKey
 		}
 		return &Error{Line: line, Key: key, Reason: strings.TrimPrefix(decode.Error(), libraryPrefix)}
 	}
-	return &Error{Key: wholeFile, Reason: strings.TrimPrefix(err.Error(), libraryPrefix)}
+	return &Error{Key: fileKey, Reason: strings.TrimPrefix(err.Error(), libraryPrefix)}
 }
