--- a/internal/front/desk/desk_test.go
+++ b/internal/front/exchange/desk_test.go
@@ -1,4 +1,4 @@
-package desk
+package exchange
 
 import (
 	"context"
--- a/internal/front/http3front/server.go
+++ b/internal/front/http3front/server.go
@@ -26,7 +26,7 @@
 
 	"pinedale/balancer"
 	"pinedale/internal/engine"
-	"pinedale/internal/front/desk"
+	"pinedale/internal/front/exchange"
 	"pinedale/internal/httpmsg"
 	"pinedale/internal/intake"
 	"pinedale/internal/keyroom"
@@ -61,7 +61,7 @@
 // Server is the front. Make one with New.
 type Server struct {
 	engine     *engine.Engine
-	dispatcher *desk.Dispatcher
+	dispatcher *exchange.Dispatcher
 	opts       Options
 	http       http3.Server
 	draining   atomic.Bool
@@ -113,7 +113,7 @@
 	if o.Parser == nil {
 		o.Parser = intake.NewParser(e.Settings())
 	}
-	s := &Server{engine: e, dispatcher: desk.New(e, upstream, o.BodyBytes), opts: o}
+	s := &Server{engine: e, dispatcher: exchange.New(e, upstream, o.BodyBytes), opts: o}
 	s.http = http3.Server{
 		Handler:        http.HandlerFunc(s.handle),
 		MaxHeaderBytes: httpmsg.HeadMost,
@@ -234,13 +234,13 @@
 // handle answers one request. It rejects an invalid one before its body is read.
 func (s *Server) handle(w http.ResponseWriter, in *http.Request) {
 	arrived := s.engine.Now()
-	if in.URL.Path == desk.ReadinessPath {
+	if in.URL.Path == exchange.ReadinessPath {
 		s.dispatcher.WriteReadiness(w, s.draining.Load())
 		return
 	}
 	c := in.Context().Value(connKey{}).(*clientConn)
 	if trusted, reason := c.checkCredentials(); !trusted {
-		desk.WriteError(w, &intake.Error{Code: http.StatusForbidden, Reason: reason})
+		exchange.WriteError(w, &intake.Error{Code: http.StatusForbidden, Reason: reason})
 		return
 	}
 	// Fails if the stream has ended: so does reading.
@@ -255,7 +255,7 @@
 		At:     arrived,
 	})
 	if err != nil {
-		desk.WriteError(w, err)
+		exchange.WriteError(w, err)
 		return
 	}
 	if c.mayBeEarlyData() && s.engine.Settings().Classes[req.Class].Idempotency != balancer.Idempotent {
@@ -279,21 +279,21 @@
 // dispatch reads a request's body, passes the request to the engine and writes its response.
 func (s *Server) dispatch(w http.ResponseWriter, in *http.Request, req intake.Parsed) {
 	body, release, err := s.dispatcher.ReadBody(w, in)
-	if errors.Is(err, desk.ErrBusy) {
-		desk.WriteBusy(w)
+	if errors.Is(err, exchange.ErrBusy) {
+		exchange.WriteBusy(w)
 		return
 	} else if err != nil {
-		desk.WriteError(w, err)
+		exchange.WriteError(w, err)
 		return
 	}
 	defer release()
 	response, err := s.dispatcher.Dispatch(in, req, body)
 	switch {
-	case errors.Is(err, desk.ErrDisconnected):
+	case errors.Is(err, exchange.ErrDisconnected):
 		panic(http.ErrAbortHandler)
 	case err != nil:
-		desk.WriteError(w, err)
+		exchange.WriteError(w, err)
 	default:
-		desk.WriteResponse(w, response)
+		exchange.WriteResponse(w, response)
 	}
 }
--- a/internal/front/httpfront/server.go
+++ b/internal/front/httpfront/server.go
@@ -13,7 +13,7 @@
 
 	"pinedale/balancer"
 	"pinedale/internal/engine"
-	"pinedale/internal/front/desk"
+	"pinedale/internal/front/exchange"
 	"pinedale/internal/httpmsg"
 	"pinedale/internal/intake"
 )
@@ -50,7 +50,7 @@
 	http       http.Server
 	clients    *clientListener
 	parser     *intake.Parser
-	dispatcher *desk.Dispatcher
+	dispatcher *exchange.Dispatcher
 	endAt      atomic.Int64 // by the engine's clock, no request's deadline is later; 0 before draining
 	opts       Options
 }
@@ -80,7 +80,7 @@
 	s := &Server{
 		engine:     e,
 		parser:     o.Parser,
-		dispatcher: desk.New(e, upstream, o.BodyBytes),
+		dispatcher: exchange.New(e, upstream, o.BodyBytes),
 		opts:       o,
 		clients:    &clientListener{maxConnections: o.Connections, keepAliveThreshold: o.Crowded},
 	}
@@ -135,7 +135,7 @@
 		reject(w, in, err)
 		return
 	}
-	readiness := in.URL.Path == desk.ReadinessPath
+	readiness := in.URL.Path == exchange.ReadinessPath
 	var req intake.Parsed
 	if !readiness {
 		var err error
@@ -145,9 +145,9 @@
 		}
 	}
 	body, release, err := s.dispatcher.ReadBody(w, in)
-	if errors.Is(err, desk.ErrBusy) {
+	if errors.Is(err, exchange.ErrBusy) {
 		closeAfterResponse(w)
-		desk.WriteBusy(w)
+		exchange.WriteBusy(w)
 		discardBody(w, in)
 		return
 	} else if err != nil {
@@ -219,7 +219,7 @@
 		req.Deadline = min(req.Deadline, end)
 	}
 	response, err := s.dispatcher.Dispatch(in, req, body)
-	if errors.Is(err, desk.ErrDisconnected) {
+	if errors.Is(err, exchange.ErrDisconnected) {
 		// A client that has closed its sending side only must not receive a complete response that no
 		// endpoint made.
 		panic(http.ErrAbortHandler)
@@ -232,7 +232,7 @@
 		closeAfterResponse(w)
 	}
 	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout)) // fails if the connection has ended: so does the write
-	desk.WriteResponse(w, response)
+	exchange.WriteResponse(w, response)
 }
 
 // closeAfterResponse has a response close its connection.
@@ -248,7 +248,7 @@
 // reject rejects a request and closes its connection.
 func reject(w http.ResponseWriter, in *http.Request, err error) {
 	closeAfterResponse(w)
-	desk.WriteError(w, err)
+	exchange.WriteError(w, err)
 	discardBody(w, in)
 }
 
