--- a/cmd/pinedale-site/explain.go
+++ b/cmd/pinedale-site/explain.go
@@ -7,8 +7,8 @@
 	"net/url"
 	"strings"
 
-	"pinedale/internal/intake"
 	"pinedale/internal/policy"
+	"pinedale/internal/requestmeta"
 	"pinedale/internal/site"
 )
 
@@ -70,10 +70,10 @@
 
 // explainUnrouted prints the class that a request names, for a file without routes.
 func explainUnrouted(out io.Writer, table *policy.Table, query *policy.Query) error {
-	name := http.Header(query.Header).Get(intake.HeaderClass)
+	name := http.Header(query.Header).Get(requestmeta.HeaderClass)
 	if _, ok := table.OfClass(name); !ok {
 		return fmt.Errorf("the file has no routes: a request names its class in %s, and %q is none",
-			intake.HeaderClass, name)
+			requestmeta.HeaderClass, name)
 	}
 	fmt.Fprintf(out, "class %s, as the request says: the file has no routes\n", name)
 	return nil
--- a/internal/front/exchange/desk.go
+++ b/internal/front/exchange/desk.go
@@ -19,7 +19,7 @@
 	"pinedale/balancer"
 	"pinedale/internal/engine"
 	"pinedale/internal/httpmsg"
-	"pinedale/internal/intake"
+	"pinedale/internal/requestmeta"
 )
 
 // Errors that end a request without a response of the engine, besides *intake.Error.
@@ -70,7 +70,7 @@
 		reserved = in.ContentLength
 	}
 	if reserved > httpmsg.BodyMost {
-		return nil, nil, &intake.Error{Code: http.StatusRequestEntityTooLarge, Reason: bodyTooLarge}
+		return nil, nil, &requestmeta.Error{Code: http.StatusRequestEntityTooLarge, Reason: bodyTooLarge}
 	}
 	release = func() { d.bodyBytes.Add(-reserved) }
 	if d.bodyBytes.Add(reserved) > d.maxBodyBytes {
@@ -89,25 +89,25 @@
 	if in.ContentLength >= 0 {
 		body := make([]byte, in.ContentLength)
 		if _, err := io.ReadFull(in.Body, body); err != nil {
-			return nil, intake.Bad("the body could not be read")
+			return nil, requestmeta.Bad("the body could not be read")
 		}
 		return body, nil
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, in.Body, httpmsg.BodyMost))
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
-		return nil, &intake.Error{Code: http.StatusRequestEntityTooLarge, Reason: bodyTooLarge}
+		return nil, &requestmeta.Error{Code: http.StatusRequestEntityTooLarge, Reason: bodyTooLarge}
 	} else if err != nil {
-		return nil, intake.Bad("the body could not be read")
+		return nil, requestmeta.Bad("the body could not be read")
 	}
 	return body, nil
 }
 
 // Dispatch submits a request to the engine and returns its one response, at the latest responseSlack after
 // the request's deadline. Its errors are ErrDisconnected and *intake.Error.
-func (d *Dispatcher) Dispatch(in *http.Request, req intake.Parsed, body []byte) (engine.Response, error) {
+func (d *Dispatcher) Dispatch(in *http.Request, req requestmeta.Parsed, body []byte) (engine.Response, error) {
 	if !d.register(req.CorrelationID) {
-		return engine.Response{}, &intake.Error{
+		return engine.Response{}, &requestmeta.Error{
 			Code:   http.StatusConflict,
 			Reason: "a request with this X-Correlation-Id is open",
 		}
--- a/internal/front/exchange/desk_test.go
+++ b/internal/front/exchange/desk_test.go
@@ -11,7 +11,7 @@
 
 	"pinedale/balancer"
 	"pinedale/internal/engine"
-	"pinedale/internal/intake"
+	"pinedale/internal/requestmeta"
 	"pinedale/internal/standin/wait"
 )
 
@@ -70,7 +70,7 @@
 func dispatch(ctx context.Context, d *Dispatcher, e *engine.Engine, remaining time.Duration) (engine.Response, error) {
 	in := httptest.NewRequest(http.MethodPost, "/order", nil).WithContext(ctx)
 	deadline := e.Now() + remaining.Microseconds()
-	return d.Dispatch(in, intake.Parsed{CorrelationID: "1", Request: balancer.Request{Deadline: deadline}}, nil)
+	return d.Dispatch(in, requestmeta.Parsed{CorrelationID: "1", Request: balancer.Request{Deadline: deadline}}, nil)
 }
 
 // A response does not wait for the engine beyond the request's deadline, however long the engine is
--- a/internal/front/exchange/response.go
+++ b/internal/front/exchange/response.go
@@ -8,7 +8,7 @@
 
 	"pinedale/internal/engine"
 	"pinedale/internal/httpmsg"
-	"pinedale/internal/intake"
+	"pinedale/internal/requestmeta"
 )
 
 // busyRetryAfter is the Retry-After of a request that is rejected since the memory for bodies is in use.
@@ -43,7 +43,7 @@
 	text := err.Error() + "\n"
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
-	w.WriteHeader(intake.Code(err))
+	w.WriteHeader(requestmeta.Code(err))
 	_, _ = io.WriteString(w, text) // likewise
 }
 
--- a/internal/front/extproc/decision_test.go
+++ b/internal/front/extproc/decision_test.go
@@ -10,7 +10,7 @@
 	extprocv3 "github.com/envoyproxy/go-control-plane/envoy/service/ext_proc/v3"
 
 	"pinedale/balancer"
-	"pinedale/internal/intake"
+	"pinedale/internal/requestmeta"
 	"pinedale/internal/standin/proxy"
 	"pinedale/internal/standin/soko"
 )
@@ -55,14 +55,14 @@
 }
 
 // byTier routes by one header, to a route with its own bounds.
-type byTier struct{ intake.Router }
+type byTier struct{ requestmeta.Router }
 
 func (byTier) Routed() bool { return true }
-func (byTier) Route(in *intake.Request) (*intake.Bounds, bool) {
+func (byTier) Route(in *requestmeta.Request) (*requestmeta.Bounds, bool) {
 	if in.Host != "till.example" || in.Header.Get("X-Tier") != "gold" {
 		return nil, false
 	}
-	return &intake.Bounds{
+	return &requestmeta.Bounds{
 		Class:     1,
 		ClassName: classes[1].Name,
 		Repeat:    classes[1].Idempotency,
@@ -76,9 +76,9 @@
 // Routes may match any header that the proxy passes on. A route's bounds apply to its decisions: the attempt timeout
 // and the number of attempts.
 func TestRouteBoundsApplyToDecisions(t *testing.T) {
-	var parser *intake.Parser
+	var parser *requestmeta.Parser
 	h := start(t, 2, func(server *Options, s *balancer.Settings) {
-		parser = intake.NewParser(s)
+		parser = requestmeta.NewParser(s)
 		parser.Use(byTier{})
 		server.Parser = parser
 	})
--- a/internal/front/extproc/request.go
+++ b/internal/front/extproc/request.go
@@ -10,7 +10,7 @@
 	extprocv3 "github.com/envoyproxy/go-control-plane/envoy/service/ext_proc/v3"
 
 	"pinedale/internal/httpmsg"
-	"pinedale/internal/intake"
+	"pinedale/internal/requestmeta"
 )
 
 // Headers of a request, besides those of package intake.
@@ -24,8 +24,8 @@
 
 func init() {
 	for _, name := range [...]string{
-		intake.HeaderID, intake.HeaderClass, intake.HeaderTenant, intake.HeaderSubject,
-		intake.HeaderTimeLeft, intake.HeaderRepeat, intake.HeaderHint, intake.HeaderKey,
+		requestmeta.HeaderID, requestmeta.HeaderClass, requestmeta.HeaderTenant, requestmeta.HeaderSubject,
+		requestmeta.HeaderTimeLeft, requestmeta.HeaderRepeat, requestmeta.HeaderHint, requestmeta.HeaderKey,
 	} {
 		requestHeaders[strings.ToLower(name)] = name
 	}
@@ -61,7 +61,7 @@
 		}
 	}
 	if head.method == "" || head.path == "" {
-		return head, intake.Bad(":method or :path is missing")
+		return head, requestmeta.Bad(":method or :path is missing")
 	}
 	return head, head.checkContentLength()
 }
@@ -80,7 +80,7 @@
 	case headerAttemptCount:
 		n, err := strconv.Atoi(headerValue(h))
 		if err != nil || n < 1 || r.attempt != 0 {
-			return intake.Bad("%s: %q is not one whole number from 1", headerAttemptCount, headerValue(h))
+			return requestmeta.Bad("%s: %q is not one whole number from 1", headerAttemptCount, headerValue(h))
 		}
 		r.attempt = n
 		return nil
@@ -98,7 +98,7 @@
 // setOnce sets a field from a header that must not be repeated.
 func setOnce(field *string, h *corev3.HeaderValue) error {
 	if *field != "" {
-		return intake.Bad("%s is there twice", h.Key)
+		return requestmeta.Bad("%s is there twice", h.Key)
 	}
 	*field = headerValue(h)
 	return nil
@@ -112,7 +112,7 @@
 	if n, err := strconv.ParseUint(r.contentLength, 10, 63); err == nil && n <= httpmsg.BodyMost {
 		return nil
 	}
-	return &intake.Error{
+	return &requestmeta.Error{
 		Code: http.StatusRequestEntityTooLarge,
 		Reason: "content-length: " + strconv.Quote(r.contentLength) + " is not a whole number up to " +
 			strconv.Itoa(httpmsg.BodyMost),
@@ -127,8 +127,8 @@
 	var hash maphash.Hash
 	hash.SetSeed(fingerprintSeed)
 	for _, s := range [...]string{
-		r.method, r.path, r.contentLength, r.header.Get(intake.HeaderClass),
-		r.header.Get(intake.HeaderTenant), r.header.Get(intake.HeaderSubject),
+		r.method, r.path, r.contentLength, r.header.Get(requestmeta.HeaderClass),
+		r.header.Get(requestmeta.HeaderTenant), r.header.Get(requestmeta.HeaderSubject),
 	} {
 		_, _ = hash.WriteString(s) // never fails
 		_ = hash.WriteByte(0)      // never fails
--- a/internal/front/extproc/server.go
+++ b/internal/front/extproc/server.go
@@ -21,7 +21,7 @@
 	"pinedale/balancer"
 	"pinedale/internal/engine"
 	"pinedale/internal/httpmsg"
-	"pinedale/internal/intake"
+	"pinedale/internal/requestmeta"
 	"pinedale/internal/routing"
 )
 
@@ -48,15 +48,15 @@
 
 // Options configure a Server and bound what callers may hold.
 type Options struct {
-	Streams int            // max open streams over all connections
-	Backlog int            // max requests that wait for the engine; more are rejected at once
-	Retries bool           // callers request another decision after a reported failure
-	Entries int            // max entries of the routing ledger
-	Fields  []string       // names of the load report's fields
-	Parser  *intake.Parser // nil for the one of the engine's settings
-	TLS     *tls.Config    // nil for plain text
-	Renew   time.Duration  // max age of a TLS connection, so that none outlives its certificate by more
-	Drain   time.Duration  // longest deadline of a class: open requests finish within it at shutdown
+	Streams int                 // max open streams over all connections
+	Backlog int                 // max requests that wait for the engine; more are rejected at once
+	Retries bool                // callers request another decision after a reported failure
+	Entries int                 // max entries of the routing ledger
+	Fields  []string            // names of the load report's fields
+	Parser  *requestmeta.Parser // nil for the one of the engine's settings
+	TLS     *tls.Config         // nil for plain text
+	Renew   time.Duration       // max age of a TLS connection, so that none outlives its certificate by more
+	Drain   time.Duration       // longest deadline of a class: open requests finish within it at shutdown
 	Log     *slog.Logger
 }
 
@@ -64,7 +64,7 @@
 type Server struct {
 	engine     *engine.Engine
 	host       *host // on the engine's goroutine
-	parser     *intake.Parser
+	parser     *requestmeta.Parser
 	opts       Options
 	grpc       *grpc.Server
 	health     *health.Server
@@ -78,7 +78,7 @@
 func New(e *engine.Engine, o Options) *Server {
 	settings := e.Settings()
 	if o.Parser == nil {
-		o.Parser = intake.NewParser(settings)
+		o.Parser = requestmeta.NewParser(settings)
 	}
 	limits := routing.Limits{
 		Classes:      settings.Classes,
--- a/internal/front/extproc/stream.go
+++ b/internal/front/extproc/stream.go
@@ -14,7 +14,7 @@
 	"google.golang.org/grpc/status"
 
 	"pinedale/balancer"
-	"pinedale/internal/intake"
+	"pinedale/internal/requestmeta"
 	"pinedale/internal/routing"
 )
 
@@ -127,7 +127,7 @@
 func (s *stream) handleRequestHeaders(in *extprocv3.HttpHeaders) (*extprocv3.ProcessingResponse, error) {
 	req, err := s.parseRequest(in)
 	if err != nil {
-		return s.answerImmediately(immediateResponse(intake.Code(err), 0, err.Error())), nil
+		return s.answerImmediately(immediateResponse(requestmeta.Code(err), 0, err.Error())), nil
 	}
 	if !s.submit(req) {
 		return s.answerImmediately(immediateResponse(http.StatusServiceUnavailable, backlogRetryAfter, "")), nil
@@ -143,7 +143,7 @@
 		return routing.Request{}, err
 	}
 	path, _, _ := strings.Cut(h.path, "?")
-	parsed, err := s.server.parser.Parse(intake.Request{
+	parsed, err := s.server.parser.Parse(requestmeta.Request{
 		Method: h.method,
 		Host:   h.host,
 		Path:   path,
@@ -159,7 +159,7 @@
 		Key:           parsed.IdempotencyKey,
 		Fingerprint:   h.fingerprint(),
 		ModuleRequest: parsed.Request,
-		Tenant:        h.header.Get(intake.HeaderTenant),
+		Tenant:        h.header.Get(requestmeta.HeaderTenant),
 	}, nil
 }
 
--- a/internal/front/http3front/server.go
+++ b/internal/front/http3front/server.go
@@ -28,8 +28,8 @@
 	"pinedale/internal/engine"
 	"pinedale/internal/front/exchange"
 	"pinedale/internal/httpmsg"
-	"pinedale/internal/intake"
 	"pinedale/internal/keyroom"
+	"pinedale/internal/requestmeta"
 )
 
 const (
@@ -54,7 +54,7 @@
 	Streams     int           // requests in flight on one connection, at most
 	BodyBytes   int64         // of the requests in flight together, at most
 	Early       bool          // accept 0-RTT data, for idempotent classes (RFC 8470)
-	Parser      *intake.Parser
+	Parser      *requestmeta.Parser
 	Log         *slog.Logger
 }
 
@@ -111,7 +111,7 @@
 // New returns a server that passes requests to the engine, whose attempts the upstream sends.
 func New(e *engine.Engine, upstream engine.Upstream, o Options) *Server {
 	if o.Parser == nil {
-		o.Parser = intake.NewParser(e.Settings())
+		o.Parser = requestmeta.NewParser(e.Settings())
 	}
 	s := &Server{engine: e, dispatcher: exchange.New(e, upstream, o.BodyBytes), opts: o}
 	s.http = http3.Server{
@@ -240,13 +240,13 @@
 	}
 	c := in.Context().Value(connKey{}).(*clientConn)
 	if trusted, reason := c.checkCredentials(); !trusted {
-		exchange.WriteError(w, &intake.Error{Code: http.StatusForbidden, Reason: reason})
+		exchange.WriteError(w, &requestmeta.Error{Code: http.StatusForbidden, Reason: reason})
 		return
 	}
 	// Fails if the stream has ended: so does reading.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(readTimeout))
 	detectEmptyBody(in)
-	req, err := s.opts.Parser.Parse(intake.Request{
+	req, err := s.opts.Parser.Parse(requestmeta.Request{
 		Method: in.Method,
 		Host:   in.Host,
 		Path:   in.URL.Path,
@@ -277,7 +277,7 @@
 }
 
 // dispatch reads a request's body, passes the request to the engine and writes its response.
-func (s *Server) dispatch(w http.ResponseWriter, in *http.Request, req intake.Parsed) {
+func (s *Server) dispatch(w http.ResponseWriter, in *http.Request, req requestmeta.Parsed) {
 	body, release, err := s.dispatcher.ReadBody(w, in)
 	if errors.Is(err, exchange.ErrBusy) {
 		exchange.WriteBusy(w)
--- a/internal/front/httpfront/listener_test.go
+++ b/internal/front/httpfront/listener_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"pinedale/internal/intake"
+	"pinedale/internal/requestmeta"
 )
 
 // If every connection has a request in flight, one more is closed.
@@ -195,7 +195,7 @@
 // Each request has its response before the platform kills the process: no sooner than the longest deadline,
 // 3 s of it at most, and 0.7 s after SIGTERM.
 func TestShutdownEndsBeforeKill(t *testing.T) {
-	s := New(nil, nil, Options{Parser: &intake.Parser{}, Log: slog.New(slog.DiscardHandler)})
+	s := New(nil, nil, Options{Parser: &requestmeta.Parser{}, Log: slog.New(slog.DiscardHandler)})
 	for _, longest := range []time.Duration{
 		50 * time.Millisecond, time.Second, 3 * time.Second, 6 * time.Second, time.Minute,
 	} {
--- a/internal/front/httpfront/server.go
+++ b/internal/front/httpfront/server.go
@@ -15,7 +15,7 @@
 	"pinedale/internal/engine"
 	"pinedale/internal/front/exchange"
 	"pinedale/internal/httpmsg"
-	"pinedale/internal/intake"
+	"pinedale/internal/requestmeta"
 )
 
 // Timeouts of clients' connections. The platform allows a client that sends nothing 3 s.
@@ -32,12 +32,12 @@
 
 // Options are the limits of a server.
 type Options struct {
-	Connections int            // of clients, open at most
-	Crowded     int            // connections that have carried a request, above which a response closes its own
-	BodyBytes   int64          // of the requests in flight together, at most
-	Parser      *intake.Parser // nil for that of the engine's settings
-	AltSvc      string         // sent with each response, "" for none (RFC 7838)
-	AcceptFor   time.Duration  // how long new connections are accepted while draining; 0 for the platform's
+	Connections int                 // of clients, open at most
+	Crowded     int                 // connections that have carried a request, above which a response closes its own
+	BodyBytes   int64               // of the requests in flight together, at most
+	Parser      *requestmeta.Parser // nil for that of the engine's settings
+	AltSvc      string              // sent with each response, "" for none (RFC 7838)
+	AcceptFor   time.Duration       // how long new connections are accepted while draining; 0 for the platform's
 	// EndBy is how long after the start of draining each request in flight has its response, by the longest
 	// deadline of any class; nil for the platform's.
 	EndBy func(longest time.Duration) time.Duration
@@ -49,7 +49,7 @@
 	engine     *engine.Engine
 	http       http.Server
 	clients    *clientListener
-	parser     *intake.Parser
+	parser     *requestmeta.Parser
 	dispatcher *exchange.Dispatcher
 	endAt      atomic.Int64 // by the engine's clock, no request's deadline is later; 0 before draining
 	opts       Options
@@ -75,7 +75,7 @@
 		}
 	}
 	if o.Parser == nil {
-		o.Parser = intake.NewParser(e.Settings())
+		o.Parser = requestmeta.NewParser(e.Settings())
 	}
 	s := &Server{
 		engine:     e,
@@ -88,7 +88,7 @@
 		// Not a ServeMux: it would redirect paths that endpoints are to receive unchanged.
 		Handler:        http.HandlerFunc(s.handle),
 		ReadTimeout:    ReadTimeout,
-		WriteTimeout:   intake.MaxRequestTime + writeTimeout,
+		WriteTimeout:   requestmeta.MaxRequestTime + writeTimeout,
 		IdleTimeout:    IdleTimeout,
 		MaxHeaderBytes: httpmsg.HeadMost,
 		ErrorLog:       slog.NewLogLogger(o.Log.Handler(), slog.LevelWarn),
@@ -136,7 +136,7 @@
 		return
 	}
 	readiness := in.URL.Path == exchange.ReadinessPath
-	var req intake.Parsed
+	var req requestmeta.Parsed
 	if !readiness {
 		var err error
 		if req, err = s.parse(in, arrived); err != nil {
@@ -185,7 +185,7 @@
 func checkConnection(w http.ResponseWriter, c *clientConn) error {
 	if c.hasAmbiguousLength() {
 		// What follows the header may hide another request: the connection is closed.
-		return intake.Bad("Content-Length beside another, or beside Transfer-Encoding")
+		return requestmeta.Bad("Content-Length beside another, or beside Transfer-Encoding")
 	}
 	conn, ok := c.Conn.(credentialed)
 	if !ok {
@@ -193,7 +193,7 @@
 	}
 	keep, trusted, reason := conn.Stands(time.Now())
 	if !trusted {
-		return &intake.Error{Code: http.StatusForbidden, Reason: reason}
+		return &requestmeta.Error{Code: http.StatusForbidden, Reason: reason}
 	}
 	if !keep {
 		closeAfterResponse(w)
@@ -202,8 +202,8 @@
 }
 
 // parse parses the header of a request.
-func (s *Server) parse(in *http.Request, arrived balancer.Micros) (intake.Parsed, error) {
-	return s.parser.Parse(intake.Request{
+func (s *Server) parse(in *http.Request, arrived balancer.Micros) (requestmeta.Parsed, error) {
+	return s.parser.Parse(requestmeta.Request{
 		Method: in.Method,
 		Host:   in.Host,
 		Path:   in.URL.Path,
@@ -214,7 +214,7 @@
 }
 
 // dispatch passes a request to the engine and writes its response.
-func (s *Server) dispatch(w http.ResponseWriter, in *http.Request, c *clientConn, req intake.Parsed, body []byte) {
+func (s *Server) dispatch(w http.ResponseWriter, in *http.Request, c *clientConn, req requestmeta.Parsed, body []byte) {
 	if end := s.endAt.Load(); end != 0 {
 		req.Deadline = min(req.Deadline, end)
 	}
--- a/internal/intake/intake_test.go
+++ b/internal/requestmeta/intake_test.go
@@ -1,4 +1,4 @@
-package intake
+package requestmeta
 
 import (
 	"net/http"
--- a/internal/sidecar/requests_test.go
+++ b/internal/sidecar/requests_test.go
@@ -16,7 +16,7 @@
 	"pinedale/balancer"
 	"pinedale/internal/front/httpfront"
 	"pinedale/internal/httpmsg"
-	"pinedale/internal/intake"
+	"pinedale/internal/requestmeta"
 	"pinedale/internal/standin/directory"
 	"pinedale/internal/standin/peer"
 )
@@ -142,7 +142,7 @@
 			})
 			var given int64
 			given, _ = strconv.ParseInt(e.Request(0).Header.Get("X-Time-Left-Ms"), 10, 64)
-			if maxTime := remaining - intake.ResponseMargin; given <= 0 || given > maxTime.Milliseconds() {
+			if maxTime := remaining - requestmeta.ResponseMargin; given <= 0 || given > maxTime.Milliseconds() {
 				t.Errorf("the endpoint was given %d ms of %v, want at most %v", given, remaining, maxTime)
 			}
 			if took := time.Duration(h.engine.Now()-sent) * time.Microsecond; took < remaining/2 {
--- a/internal/site/build_settings.go
+++ b/internal/site/build_settings.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"pinedale/balancer"
-	"pinedale/internal/intake"
 	"pinedale/internal/policy"
+	"pinedale/internal/requestmeta"
 )
 
 // Settings returns the settings of the balancer.
@@ -56,7 +56,7 @@
 		OverloadMultiple: f.Fleet.OverloadMultiple,
 		OverloadTime:     f.Fleet.OverloadTime.Micros(),
 		PollInterval:     f.Discovery.PollInterval.Micros(),
-		AnswerSlack:      intake.ResponseMargin.Microseconds(),
+		AnswerSlack:      requestmeta.ResponseMargin.Microseconds(),
 	}
 }
 
@@ -67,7 +67,7 @@
 		Limits: policy.Limits{
 			MaxAttempts: f.Limits.MaxAttempts,
 			Hedging:     f.Limits.Hedging,
-			MaxDeadline: intake.MaxRequestTime,
+			MaxDeadline: requestmeta.MaxRequestTime,
 			Dial:        time.Duration(f.Limits.DialTimeout),
 			TimerSlack:  time.Duration(f.Limits.TimerSlack),
 			ClockError:  f.Limits.ClockDrift,
--- a/internal/site/instance.go
+++ b/internal/site/instance.go
@@ -18,8 +18,8 @@
 	"pinedale/internal/cluster"
 	"pinedale/internal/engine"
 	"pinedale/internal/front/extproc"
-	"pinedale/internal/intake"
 	"pinedale/internal/policy"
+	"pinedale/internal/requestmeta"
 	"pinedale/internal/upstream/secure"
 )
 
@@ -48,7 +48,7 @@
 	file   *File // that the instance was started with
 	log    *slog.Logger
 	engine *engine.Engine
-	parser *intake.Parser
+	parser *requestmeta.Parser
 	table  atomic.Pointer[policy.Table] // in use
 
 	admission   *admission.Admission // owned by the engine's goroutine
@@ -109,7 +109,7 @@
 	settings := f.Settings()
 	i.table.Store(f.table)
 	i.admission = admission.New(f.table.Admission(f.Limits.AdmitRate))
-	i.parser = intake.NewParser(&settings)
+	i.parser = requestmeta.NewParser(&settings)
 	i.parser.Use(newRouter(f.table))
 	upstream, closeUpstream, err := f.upstream(i.upstreamTLS)
 	if err != nil {
--- a/internal/site/router.go
+++ b/internal/site/router.go
@@ -1,21 +1,21 @@
 package site
 
 import (
-	"pinedale/internal/intake"
 	"pinedale/internal/policy"
+	"pinedale/internal/requestmeta"
 )
 
 // router lets the fronts look up a compiled table. It is immutable.
 type router struct {
 	table  *policy.Table
-	bounds map[*policy.Bounds]*intake.Bounds
+	bounds map[*policy.Bounds]*requestmeta.Bounds
 }
 
 // newRouter converts the bounds of a table once, so that a lookup allocates nothing.
 func newRouter(table *policy.Table) *router {
-	r := &router{table, map[*policy.Bounds]*intake.Bounds{}}
+	r := &router{table, map[*policy.Bounds]*requestmeta.Bounds{}}
 	table.Each(func(b *policy.Bounds) {
-		r.bounds[b] = &intake.Bounds{
+		r.bounds[b] = &requestmeta.Bounds{
 			Class:      b.Class,
 			ClassName:  b.ClassName,
 			Repeat:     b.Idempotency,
@@ -37,7 +37,7 @@
 
 // Route returns the bounds of a request's route. It rejects paths that a server could interpret differently from the
 // table.
-func (r *router) Route(in *intake.Request) (*intake.Bounds, bool) {
+func (r *router) Route(in *requestmeta.Request) (*requestmeta.Bounds, bool) {
 	if policy.Unclean(in.Path) {
 		return nil, false
 	}
@@ -47,7 +47,7 @@
 }
 
 // OfClass returns the bounds of a class.
-func (r *router) OfClass(name string) (*intake.Bounds, bool) {
+func (r *router) OfClass(name string) (*requestmeta.Bounds, bool) {
 	b, ok := r.table.OfClass(name)
 	return r.bounds[b], ok
 }
--- a/internal/site/section_class.go
+++ b/internal/site/section_class.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"pinedale/balancer"
-	"pinedale/internal/intake"
+	"pinedale/internal/requestmeta"
 )
 
 // maxClasses bounds the classes: the balancer numbers them in one byte.
@@ -85,7 +85,7 @@
 	c.Positive(prefix+"aim", class.LatencyObjective)
 	c.Positive(prefix+"deadline", class.Deadline)
 	c.Require(deadline >= objective, prefix+"deadline", "%v is under the aim of %v", deadline, objective)
-	c.Require(deadline <= intake.MaxRequestTime, prefix+"deadline", "%v is over %v", deadline, intake.MaxRequestTime)
+	c.Require(deadline <= requestmeta.MaxRequestTime, prefix+"deadline", "%v is over %v", deadline, requestmeta.MaxRequestTime)
 	c.Require(class.PriorityWeight == nil || *class.PriorityWeight >= 0, prefix+"worth", "is negative")
 	c.Require(class.LateWeightRatio >= 0 && class.LateWeightRatio <= 1, prefix+"late_worth",
 		"%v is not in 0 to 1", class.LateWeightRatio)
