--- a/internal/emulator/play/server.go
+++ b/internal/emulator/play/server.go
@@ -8,7 +8,7 @@
 	"pinedale/internal/emulator/plan"
 	"pinedale/internal/emulator/trace"
 	"pinedale/internal/engine"
-	"pinedale/internal/keyroom/judge"
+	"pinedale/internal/keyroom/validate"
 )
 
 // host is one server, in one life after the other.
@@ -91,7 +91,7 @@
 		return nil
 	}
 	h.play.totalConns++
-	return &conn{host: h, machine: h.machine, opened: h.play.now, part: judge.Part(h.play.totalConns)}
+	return &conn{host: h, machine: h.machine, opened: h.play.now, part: validate.Part(h.play.totalConns)}
 }
 
 // arrive takes an attempt's request.
--- a/internal/keyroom/files.go
+++ b/internal/keyroom/files.go
@@ -4,7 +4,7 @@
 	"io"
 	"os"
 
-	"pinedale/internal/keyroom/judge"
+	"pinedale/internal/keyroom/validate"
 )
 
 // Paths are the names of the PEM files; "" for none.
@@ -19,8 +19,8 @@
 func (p *Paths) all() [4]string { return [...]string{p.Cert, p.Key, p.Roots, p.Revoked} }
 
 // readAll reads all configured files.
-func (p *Paths) readAll() judge.Files {
-	return judge.Files{
+func (p *Paths) readAll() validate.Files {
+	return validate.Files{
 		Cert:    readFile(p.Cert),
 		Key:     readFile(p.Key),
 		Roots:   readFile(p.Roots),
@@ -29,22 +29,22 @@
 }
 
 // readFile reads a file up to one byte over the permitted size, by which package judge sees that it is too large.
-func readFile(path string) judge.File {
+func readFile(path string) validate.File {
 	if path == "" {
-		return judge.File{}
+		return validate.File{}
 	}
 	file, err := os.Open(path)
 	if err != nil {
-		return judge.File{Configured: true, Err: err}
+		return validate.File{Configured: true, Err: err}
 	}
 	defer file.Close()
-	data, err := io.ReadAll(io.LimitReader(file, judge.MaxFileBytes+1))
-	return judge.File{Configured: true, Data: data, Err: err}
+	data, err := io.ReadAll(io.LimitReader(file, validate.MaxFileBytes+1))
+	return validate.File{Configured: true, Data: data, Err: err}
 }
 
 // Read reads and parses files without a check whether they may serve.
-func Read(paths Paths) (*judge.Material, error) {
-	material, fault := judge.Parse(paths.readAll())
+func Read(paths Paths) (*validate.Material, error) {
+	material, fault := validate.Parse(paths.readAll())
 	if fault != nil {
 		return nil, fault
 	}
--- a/internal/keyroom/files_test.go
+++ b/internal/keyroom/files_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"pinedale/internal/keyroom/judge"
+	"pinedale/internal/keyroom/validate"
 	"pinedale/internal/standin/ca"
 )
 
@@ -18,7 +18,7 @@
 	folder := ca.FolderAt(t, filepath.Join("testdata", "folder"))
 	store, err := Open(Options{
 		Paths: Paths{Cert: folder.Cert, Key: folder.Key, Roots: folder.Roots, Revoked: folder.Revoked},
-		Want:  judge.Want{Names: []string{testName}, Server: true, LeastRSA: 2048},
+		Want:  validate.Want{Names: []string{testName}, Server: true, LeastRSA: 2048},
 		Log:   slog.New(slog.DiscardHandler),
 		Now:   testClock,
 	})
@@ -26,7 +26,7 @@
 		t.Fatal(err)
 	}
 	leaf := store.LocalCert()
-	if got := judge.Shown(leaf); got != "soko-3.example.org, 127.0.0.1, spiffe://soko/pay" {
+	if got := validate.Shown(leaf); got != "soko-3.example.org, 127.0.0.1, spiffe://soko/pay" {
 		t.Errorf("names %q", got)
 	}
 	if got := leaf.SerialNumber.String(); got != "4" {
--- a/internal/keyroom/keyroom_test.go
+++ b/internal/keyroom/keyroom_test.go
@@ -13,7 +13,7 @@
 
 	"go.uber.org/goleak"
 
-	"pinedale/internal/keyroom/judge"
+	"pinedale/internal/keyroom/validate"
 	"pinedale/internal/standin/ca"
 	"pinedale/internal/standin/logged"
 	"pinedale/internal/standin/wait"
@@ -35,7 +35,7 @@
 	t.Helper()
 	store, err := Open(Options{
 		Paths:  paths(folder),
-		Want:   judge.Want{Names: []string{testName}, Server: server, LeastRSA: 2048},
+		Want:   validate.Want{Names: []string{testName}, Server: server, LeastRSA: 2048},
 		Spread: time.Minute,
 		Log:    slog.New(slog.NewTextHandler(log, nil)),
 		Now:    testClock,
@@ -93,7 +93,7 @@
 	root := ca.New(t, "root")
 	folder := ca.NewFolder(t)
 	_, err := Open(Options{Paths: paths(folder), Log: slog.New(slog.DiscardHandler)})
-	if fault := (*judge.Fault)(nil); !errors.As(err, &fault) || fault.Rule != judge.Unreadable {
+	if fault := (*validate.Fault)(nil); !errors.As(err, &fault) || fault.Rule != validate.Unreadable {
 		t.Errorf("no files: %v", err)
 	}
 	good := root.Issue(ca.Spec{Names: []string{testName}})
@@ -104,7 +104,7 @@
 	bad := root.Issue(ca.Spec{Names: []string{"soko-4.example.org"}})
 	folder.Pair(bad)
 	for range 3 {
-		if v := store.Look(); v.Action != judge.Rejected || v.Fault.Rule != judge.WrongName {
+		if v := store.Look(); v.Action != validate.Rejected || v.Fault.Rule != validate.WrongName {
 			t.Errorf("another's name: %+v", v)
 		}
 	}
@@ -133,7 +133,7 @@
 		t.Fatal(err)
 	}
 	client.Time = testClock
-	serve := func(folder *ca.Folder, want judge.Want) *tls.Config {
+	serve := func(folder *ca.Folder, want validate.Want) *tls.Config {
 		store, err := Open(Options{Paths: paths(folder), Want: want, Log: slog.New(slog.DiscardHandler), Now: testClock})
 		if err != nil {
 			t.Fatal(err)
@@ -142,22 +142,22 @@
 		c.Time = testClock
 		return c
 	}
-	if s, c := handshake(t, serve(sides(root, sound), judge.Want{Server: true}), client); s != nil || c != nil {
+	if s, c := handshake(t, serve(sides(root, sound), validate.Want{Server: true}), client); s != nil || c != nil {
 		t.Errorf("two sound sides: %v, %v", s, c)
 	}
 	wrongName := sides(root, ca.Spec{Names: []string{"soko-4.example.org"}})
-	_, clientErr := handshake(t, serve(wrongName, judge.Want{Server: true}), client)
+	_, clientErr := handshake(t, serve(wrongName, validate.Want{Server: true}), client)
 	if clientErr == nil || !strings.Contains(clientErr.Error(), "soko-4.example.org") {
 		t.Errorf("a server of another name: %v", clientErr)
 	}
 	unknown := ca.NewFolder(t)
 	unknown.Pair(other.Issue(sound))
 	unknown.Roots = ""
-	if _, c := handshake(t, serve(unknown, judge.Want{Server: true}), client); c == nil {
+	if _, c := handshake(t, serve(unknown, validate.Want{Server: true}), client); c == nil {
 		t.Error("a server by an unknown root was trusted")
 	}
 	anonymous := &tls.Config{InsecureSkipVerify: true, Time: testClock}
-	if s, _ := handshake(t, serve(sides(root, sound), judge.Want{Server: true}), anonymous); s == nil {
+	if s, _ := handshake(t, serve(sides(root, sound), validate.Want{Server: true}), anonymous); s == nil {
 		t.Error("a client without a certificate was admitted")
 	}
 	withoutRoots := sides(root, sound)
--- a/internal/keyroom/lifetime.go
+++ b/internal/keyroom/lifetime.go
@@ -7,17 +7,17 @@
 	"sync/atomic"
 	"time"
 
-	"pinedale/internal/keyroom/judge"
+	"pinedale/internal/keyroom/validate"
 )
 
 // Life tells until when one connection may carry new requests. It is safe for concurrent use.
 type Life struct {
 	store *Room
-	conn  judge.Conn
+	conn  validate.Conn
 
 	mu                sync.Mutex
 	checkedGeneration int // that retirement was determined under
-	retirement        judge.Retirement
+	retirement        validate.Retirement
 }
 
 // lastConnID is the last connection ID that was assigned, over all rooms.
@@ -29,7 +29,7 @@
 	return &Life{
 		store:             r,
 		checkedGeneration: generation,
-		conn: judge.Conn{
+		conn: validate.Conn{
 			ID:         lastConnID.Add(1),
 			Generation: generation,
 			Local:      r.LocalCert(),
@@ -61,7 +61,7 @@
 
 // update adopts a retirement unless an earlier one is set: a second change of the material does not postpone the
 // retirement that the first has caused.
-func (l *Life) update(next judge.Retirement) {
+func (l *Life) update(next validate.Retirement) {
 	if next.At.IsZero() {
 		return
 	}
--- a/internal/keyroom/room.go
+++ b/internal/keyroom/room.go
@@ -12,7 +12,7 @@
 	"sync/atomic"
 	"time"
 
-	"pinedale/internal/keyroom/judge"
+	"pinedale/internal/keyroom/validate"
 )
 
 // ticketKeyLifetime is how long one key encrypts session tickets. Whoever obtains a key can decrypt the resumed
@@ -29,7 +29,7 @@
 // Options configure a Room.
 type Options struct {
 	Paths  Paths
-	Want   judge.Want
+	Want   validate.Want
 	Spread time.Duration // period over which connections are replaced after a change
 	Least  uint16        // minimum TLS version, tls.VersionTLS13 if 0
 	Log    *slog.Logger
@@ -38,7 +38,7 @@
 
 // snapshot is the material in use with what is derived from it. It is immutable.
 type snapshot struct {
-	material     *judge.Material
+	material     *validate.Material
 	generation   int
 	server       *tls.Config
 	certificates []tls.Certificate // the own certificate, if there is one
@@ -51,7 +51,7 @@
 	current atomic.Pointer[snapshot]
 
 	mu               sync.Mutex // guards the fields below
-	rotation         *judge.Rotation
+	rotation         *validate.Rotation
 	recheckAt        time.Time // when unchanged files are to be checked again, zero for no such time
 	accepted         int       // counters of Look
 	rejected         int
@@ -66,15 +66,15 @@
 	if options.Now == nil {
 		options.Now = time.Now
 	}
-	r := &Room{options: options, rotation: judge.NewRotation(options.Want, options.Spread)}
-	if decision := r.Look(); decision.Action != judge.Accepted {
+	r := &Room{options: options, rotation: validate.NewRotation(options.Want, options.Spread)}
+	if decision := r.Look(); decision.Action != validate.Accepted {
 		return nil, decision.Fault
 	}
 	return r, nil
 }
 
 // Look reads the files and accepts them if they may serve. It also renews the session ticket key when that is due.
-func (r *Room) Look() judge.Decision {
+func (r *Room) Look() validate.Decision {
 	files := r.options.Paths.readAll()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -82,10 +82,10 @@
 	decision := r.rotation.Offer(now, files)
 	r.recheckAt = decision.RecheckAt
 	switch decision.Action {
-	case judge.Accepted:
+	case validate.Accepted:
 		r.accepted++
 		r.publish()
-	case judge.Rejected:
+	case validate.Rejected:
 		r.rejected++
 	}
 	if r.current.Load() != nil && now.Sub(r.ticketKeyCreated) > ticketKeyLifetime {
@@ -114,9 +114,9 @@
 }
 
 // logDecision logs a decision that operators have not been informed of. r.mu must be held.
-func (r *Room) logDecision(now time.Time, decision judge.Decision) {
+func (r *Room) logDecision(now time.Time, decision validate.Decision) {
 	log := r.options.Log.With("cert", r.options.Paths.Cert, "roots", r.options.Paths.Roots)
-	if decision.Action != judge.Accepted {
+	if decision.Action != validate.Accepted {
 		fault := decision.Fault
 		log.Error("certificate files rejected", "rule", fault.Rule.String(), "file", fault.File, "reason", fault.Reason)
 		return
@@ -125,7 +125,7 @@
 	attributes := []any{"generation", generation}
 	if leaf := material.Leaf(); leaf != nil {
 		attributes = append(attributes,
-			"names", judge.Shown(leaf),
+			"names", validate.Shown(leaf),
 			"issuer", leaf.Issuer.String(),
 			"not_after", leaf.NotAfter.UTC(),
 			"remaining", r.rotation.Remaining(now).Round(time.Minute))
@@ -159,7 +159,7 @@
 func (r *Room) Number() int { return r.current.Load().generation }
 
 // Retirement returns until when a connection may carry new requests.
-func (r *Room) Retirement(conn judge.Conn) judge.Retirement {
+func (r *Room) Retirement(conn validate.Conn) validate.Retirement {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.rotation.Retirement(r.options.Now(), conn)
--- a/internal/keyroom/tlsconfig.go
+++ b/internal/keyroom/tlsconfig.go
@@ -6,13 +6,13 @@
 	"strings"
 	"sync/atomic"
 
-	"pinedale/internal/keyroom/judge"
+	"pinedale/internal/keyroom/validate"
 )
 
 // serverConfig returns the server configuration of one snapshot. Its session tickets are valid for this snapshot
 // only, so a resumed session was always verified under the present trust and identity. The ticket key is set
 // explicitly because libraries clone the configuration, and each clone would generate its own.
-func (r *Room) serverConfig(material *judge.Material, certificates []tls.Certificate) *tls.Config {
+func (r *Room) serverConfig(material *validate.Material, certificates []tls.Certificate) *tls.Config {
 	config := &tls.Config{MinVersion: r.options.Least, Certificates: certificates}
 	config.SetSessionTicketKeys([][32]byte{newTicketKey()})
 	if len(material.Roots) > 0 {
--- a/internal/keyroom/judge/doc.go
+++ b/internal/keyroom/validate/doc.go
@@ -1,4 +1,4 @@
-// Package judge validates certificates, private keys and trusted roots without I/O and without a
+// Package validate validates certificates, private keys and trusted roots without I/O and without a
 // clock: the caller passes in the contents of files and the present time.
 //
 // It answers three questions:
@@ -23,4 +23,4 @@
 //
 // The first three are transient: a certificate and its key are two files that are replaced one after the
 // other, so a reader may see one new and one old file for a moment.
-package judge
+package validate
--- a/internal/keyroom/judge/expiry_test.go
+++ b/internal/keyroom/validate/expiry_test.go
@@ -1,4 +1,4 @@
-package judge
+package validate
 
 import (
 	"testing"
--- a/internal/site/build_stores.go
+++ b/internal/site/build_stores.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"pinedale/internal/keyroom"
-	"pinedale/internal/keyroom/judge"
+	"pinedale/internal/keyroom/validate"
 )
 
 // paths returns the names of the files.
@@ -20,7 +20,7 @@
 func (k *Keys) storeOptions(server bool, log *slog.Logger) keyroom.Options {
 	options := keyroom.Options{
 		Paths: k.paths(),
-		Want: judge.Want{
+		Want: validate.Want{
 			Names:           k.Names,
 			Server:          server,
 			LeastRSA:        max(k.MinRSABits, minRSABits),
--- a/internal/site/section_keys.go
+++ b/internal/site/section_keys.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"pinedale/internal/keyroom"
-	"pinedale/internal/keyroom/judge"
+	"pinedale/internal/keyroom/validate"
 	"pinedale/internal/upstream/secure"
 )
 
@@ -132,7 +132,7 @@
 		return
 	}
 	key := "cert_file"
-	var fault *judge.Fault
+	var fault *validate.Fault
 	if errors.As(err, &fault) {
 		key = fault.File + "_file"
 	}
--- a/internal/standin/cert/cert.go
+++ b/internal/standin/cert/cert.go
@@ -20,7 +20,7 @@
 
 	"pinedale/internal/engine"
 	"pinedale/internal/keyroom"
-	"pinedale/internal/keyroom/judge"
+	"pinedale/internal/keyroom/validate"
 )
 
 // Pair is a certificate and its key, and who trusts it.
@@ -40,7 +40,7 @@
 			t.Fatal(err)
 		}
 	}
-	room, err := keyroom.Open(keyroom.Options{Paths: paths, Want: judge.Want{Server: true}, Log: slog.New(slog.DiscardHandler)})
+	room, err := keyroom.Open(keyroom.Options{Paths: paths, Want: validate.Want{Server: true}, Log: slog.New(slog.DiscardHandler)})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/upstream/secure/handshake.go
+++ b/internal/upstream/secure/handshake.go
@@ -11,7 +11,7 @@
 
 	"pinedale/internal/engine"
 	"pinedale/internal/keyroom"
-	"pinedale/internal/keyroom/judge"
+	"pinedale/internal/keyroom/validate"
 	"pinedale/internal/upstream/attempt"
 )
 
@@ -94,7 +94,7 @@
 	}
 	if len(h.presented) > 0 {
 		leaf := h.presented[0]
-		args = append(args, "presented", judge.Shown(leaf), "issuer", leaf.Issuer.String())
+		args = append(args, "presented", validate.Shown(leaf), "issuer", leaf.Issuer.String())
 	}
 	h.client.options.Log.Error("tls handshake failed", args...)
 }
@@ -174,7 +174,7 @@
 //	broken                   the connection ended
 //	other                    anything else, such as no common version or protocol
 func failureReason(err error) string {
-	var fault *judge.Fault
+	var fault *validate.Fault
 	var remote *net.OpError
 	var record tls.RecordHeaderError
 	var timeout interface{ Timeout() bool }
--- a/internal/upstream/secure/handshake_test.go
+++ b/internal/upstream/secure/handshake_test.go
@@ -14,7 +14,7 @@
 
 	"pinedale/internal/engine"
 	"pinedale/internal/keyroom"
-	"pinedale/internal/keyroom/judge"
+	"pinedale/internal/keyroom/validate"
 	"pinedale/internal/standin/ca"
 	"pinedale/internal/standin/guarded"
 	"pinedale/internal/upstream/attempt"
@@ -59,7 +59,7 @@
 			f.files.Put(f.files.Roots, root.PEM())
 			f.files.Put(f.files.Revoked, root.Revoke(revoked.Leaf))
 			k := f.keyOptions(keyroom.Paths{Roots: f.files.Roots, Revoked: f.files.Revoked})
-			k.Want = judge.Want{LeastRSA: minRSABits}
+			k.Want = validate.Want{LeastRSA: minRSABits}
 			f.reopen(f.client.options, k)
 			s := guarded.Start(t, c.pair)
 			_, tcpErr := f.handshakeTCP(target(s))
@@ -70,7 +70,7 @@
 				}
 				return
 			}
-			if fault := (*judge.Fault)(nil); !errors.As(tcpErr, &fault) || quicErr == nil {
+			if fault := (*validate.Fault)(nil); !errors.As(tcpErr, &fault) || quicErr == nil {
 				t.Errorf("HTTP/1.1: %v; HTTP/3: %v", tcpErr, quicErr)
 			}
 			if got := f.client.Counters(); got.Failed[c.reason] != 2 || got.Full+got.Resumed != 0 {
--- a/internal/upstream/secure/harness_test.go
+++ b/internal/upstream/secure/harness_test.go
@@ -16,7 +16,7 @@
 
 	"pinedale/internal/engine"
 	"pinedale/internal/keyroom"
-	"pinedale/internal/keyroom/judge"
+	"pinedale/internal/keyroom/validate"
 	"pinedale/internal/standin/ca"
 	"pinedale/internal/standin/guarded"
 	"pinedale/internal/standin/logged"
@@ -70,7 +70,7 @@
 	f.files.Put(f.files.Roots, f.root.PEM())
 	o := f.options()
 	k := f.keyOptions(keyroom.Paths{Roots: f.files.Roots})
-	k.Want = judge.Want{LeastRSA: minRSABits}
+	k.Want = validate.Want{LeastRSA: minRSABits}
 	for _, c := range change {
 		c(&o, &k)
 	}
