--- a/cmd/pinedale-site/commands.go
+++ b/cmd/pinedale-site/commands.go
@@ -12,7 +12,7 @@
 
 	"github.com/spf13/cobra"
 
-	"pinedale/internal/keyroom"
+	"pinedale/internal/certstore"
 	"pinedale/internal/site"
 )
 
@@ -115,7 +115,7 @@
 		Args:  cobra.NoArgs,
 		RunE:  c.withFile(func(f *site.File, _ []string) error { return f.ShowKeys(c.out, time.Now()) }),
 	})
-	var replacement keyroom.Paths
+	var replacement certstore.Paths
 	verify := &cobra.Command{
 		Use:   "verify NAME",
 		Short: "say whether new files would be taken for the keys of this name",
--- a/internal/keyroom/files.go
+++ b/internal/certstore/files.go
@@ -1,10 +1,10 @@
-package keyroom
+package certstore
 
 import (
 	"io"
 	"os"
 
-	"pinedale/internal/keyroom/validate"
+	"pinedale/internal/certstore/validate"
 )
 
 // Paths are the names of the PEM files; "" for none.
--- a/internal/keyroom/files_test.go
+++ b/internal/certstore/files_test.go
@@ -1,4 +1,4 @@
-package keyroom
+package certstore
 
 import (
 	"encoding/hex"
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"pinedale/internal/keyroom/validate"
+	"pinedale/internal/certstore/validate"
 	"pinedale/internal/standin/ca"
 )
 
--- a/internal/keyroom/keyroom_test.go
+++ b/internal/certstore/keyroom_test.go
@@ -1,4 +1,4 @@
-package keyroom
+package certstore
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 
 	"go.uber.org/goleak"
 
-	"pinedale/internal/keyroom/validate"
+	"pinedale/internal/certstore/validate"
 	"pinedale/internal/standin/ca"
 	"pinedale/internal/standin/logged"
 	"pinedale/internal/standin/wait"
--- a/internal/keyroom/lifetime.go
+++ b/internal/certstore/lifetime.go
@@ -1,4 +1,4 @@
-package keyroom
+package certstore
 
 import (
 	"crypto/tls"
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"pinedale/internal/keyroom/validate"
+	"pinedale/internal/certstore/validate"
 )
 
 // Life tells until when one connection may carry new requests. It is safe for concurrent use.
--- a/internal/keyroom/room.go
+++ b/internal/certstore/room.go
@@ -1,4 +1,4 @@
-package keyroom
+package certstore
 
 import (
 	"crypto/hkdf"
@@ -12,7 +12,7 @@
 	"sync/atomic"
 	"time"
 
-	"pinedale/internal/keyroom/validate"
+	"pinedale/internal/certstore/validate"
 )
 
 // ticketKeyLifetime is how long one key encrypts session tickets. Whoever obtains a key can decrypt the resumed
--- a/internal/keyroom/tlsconfig.go
+++ b/internal/certstore/tlsconfig.go
@@ -1,4 +1,4 @@
-package keyroom
+package certstore
 
 import (
 	"crypto/tls"
@@ -6,7 +6,7 @@
 	"strings"
 	"sync/atomic"
 
-	"pinedale/internal/keyroom/validate"
+	"pinedale/internal/certstore/validate"
 )
 
 // serverConfig returns the server configuration of one snapshot. Its session tickets are valid for this snapshot
--- a/internal/keyroom/watch.go
+++ b/internal/certstore/watch.go
@@ -1,4 +1,4 @@
-package keyroom
+package certstore
 
 import (
 	"context"
--- a/internal/emulator/play/server.go
+++ b/internal/emulator/play/server.go
@@ -4,11 +4,11 @@
 	"fmt"
 
 	"pinedale/balancer"
+	"pinedale/internal/certstore/validate"
 	"pinedale/internal/emulator/model"
 	"pinedale/internal/emulator/plan"
 	"pinedale/internal/emulator/trace"
 	"pinedale/internal/engine"
-	"pinedale/internal/keyroom/validate"
 )
 
 // host is one server, in one life after the other.
--- a/internal/front/http3front/server.go
+++ b/internal/front/http3front/server.go
@@ -25,10 +25,10 @@
 	"github.com/quic-go/quic-go/http3"
 
 	"pinedale/balancer"
+	"pinedale/internal/certstore"
 	"pinedale/internal/engine"
 	"pinedale/internal/front/exchange"
 	"pinedale/internal/httpmsg"
-	"pinedale/internal/keyroom"
 	"pinedale/internal/requestmeta"
 )
 
@@ -48,12 +48,12 @@
 
 // Options are the limits of a server.
 type Options struct {
-	Room        *keyroom.Room // certificates of the server, and the roots that clients are verified by
-	Name        string        // of the instance: it makes the key of stateless resets its own
-	Connections int           // open at most
-	Streams     int           // requests in flight on one connection, at most
-	BodyBytes   int64         // of the requests in flight together, at most
-	Early       bool          // accept 0-RTT data, for idempotent classes (RFC 8470)
+	Room        *certstore.Room // certificates of the server, and the roots that clients are verified by
+	Name        string          // of the instance: it makes the key of stateless resets its own
+	Connections int             // open at most
+	Streams     int             // requests in flight on one connection, at most
+	BodyBytes   int64           // of the requests in flight together, at most
+	Early       bool            // accept 0-RTT data, for idempotent classes (RFC 8470)
 	Parser      *requestmeta.Parser
 	Log         *slog.Logger
 }
@@ -78,10 +78,10 @@
 // clientConn is a client's connection.
 type clientConn struct {
 	*quic.Conn
-	certificates *keyroom.Room
+	certificates *certstore.Room
 	material     int // number of the certificates at the start of the handshake
 	once         sync.Once
-	credentials  *keyroom.Life // set by once
+	credentials  *certstore.Life // set by once
 }
 
 // checkCredentials reports whether the certificates of a connection are still valid, and if not the reason.
--- a/internal/measure/reconnect/reconnect.go
+++ b/internal/measure/reconnect/reconnect.go
@@ -17,8 +17,8 @@
 	"sync"
 	"time"
 
+	"pinedale/internal/certstore"
 	"pinedale/internal/engine"
-	"pinedale/internal/keyroom"
 	"pinedale/internal/standin/ca"
 	"pinedale/internal/upstream/attempt"
 	"pinedale/internal/upstream/handshake"
@@ -189,7 +189,7 @@
 // newClient makes an instance's security.
 func newClient(files *ca.Folder, budget handshake.Config) (*secure.Client, error) {
 	log := slog.New(slog.DiscardHandler)
-	certificates, err := keyroom.Open(keyroom.Options{Paths: keyroom.Paths{Roots: files.Roots}, Log: log})
+	certificates, err := certstore.Open(certstore.Options{Paths: certstore.Paths{Roots: files.Roots}, Log: log})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/measure/rotations/rotations.go
+++ b/internal/measure/rotations/rotations.go
@@ -19,7 +19,7 @@
 	"time"
 
 	"pinedale/balancer"
-	"pinedale/internal/keyroom"
+	"pinedale/internal/certstore"
 	"pinedale/internal/site"
 	"pinedale/internal/standin/ca"
 	"pinedale/internal/standin/guarded"
@@ -43,7 +43,7 @@
 	Failed              map[string]int // by what the client saw
 	Twice               []string
 	Security            secure.Counters
-	Keys                map[string]keyroom.Counters
+	Keys                map[string]certstore.Counters
 	Front               int // handshakes that the clients did with the front
 }
 
--- a/internal/measure/tlscost/tlscost.go
+++ b/internal/measure/tlscost/tlscost.go
@@ -27,9 +27,9 @@
 	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
 
+	"pinedale/internal/certstore"
 	"pinedale/internal/emulator/sockets/dual"
 	"pinedale/internal/engine"
-	"pinedale/internal/keyroom"
 	"pinedale/internal/measure/process"
 	"pinedale/internal/standin/ca"
 	"pinedale/internal/upstream/handshake"
@@ -76,7 +76,7 @@
 // client is this side's security, without a bound that would be felt.
 func client(f *ca.Folder) (*secure.Client, error) {
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
-	certificates, err := keyroom.Open(keyroom.Options{Paths: keyroom.Paths{Cert: f.Cert, Key: f.Key, Roots: f.Roots}, Log: slog.New(slog.DiscardHandler)})
+	certificates, err := certstore.Open(certstore.Options{Paths: certstore.Paths{Cert: f.Cert, Key: f.Key, Roots: f.Roots}, Log: slog.New(slog.DiscardHandler)})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/site/build_stores.go
+++ b/internal/site/build_stores.go
@@ -7,18 +7,18 @@
 	"sync"
 	"time"
 
-	"pinedale/internal/keyroom"
-	"pinedale/internal/keyroom/validate"
+	"pinedale/internal/certstore"
+	"pinedale/internal/certstore/validate"
 )
 
 // paths returns the names of the files.
-func (k *Keys) paths() keyroom.Paths {
-	return keyroom.Paths{Cert: k.CertFile, Key: k.KeyFile, Roots: k.RootsFile, Revoked: k.RevokedFile}
+func (k *Keys) paths() certstore.Paths {
+	return certstore.Paths{Cert: k.CertFile, Key: k.KeyFile, Roots: k.RootsFile, Revoked: k.RevokedFile}
 }
 
 // storeOptions returns the options of a store for the keys, used by a server or a client.
-func (k *Keys) storeOptions(server bool, log *slog.Logger) keyroom.Options {
-	options := keyroom.Options{
+func (k *Keys) storeOptions(server bool, log *slog.Logger) certstore.Options {
+	options := certstore.Options{
 		Paths: k.paths(),
 		Want: validate.Want{
 			Names:           k.Names,
@@ -38,7 +38,7 @@
 }
 
 // stores are the open certificate stores by the name of their [[keys]] entry.
-type stores map[string]*keyroom.Room
+type stores map[string]*certstore.Room
 
 // openStores opens the stores that an enabled front or the upstream uses.
 func (f *File) openStores(log *slog.Logger) (stores, error) {
@@ -52,7 +52,7 @@
 			if f.Keys[i].Name != name {
 				continue
 			}
-			store, err := keyroom.Open(f.Keys[i].storeOptions(user.server, log))
+			store, err := certstore.Open(f.Keys[i].storeOptions(user.server, log))
 			if err != nil {
 				return nil, fmt.Errorf("keys %q: %w", name, err)
 			}
--- a/internal/site/counters.go
+++ b/internal/site/counters.go
@@ -4,13 +4,13 @@
 	"time"
 
 	"pinedale/balancer"
-	"pinedale/internal/keyroom"
+	"pinedale/internal/certstore"
 	"pinedale/internal/upstream/secure"
 )
 
 // Keys returns the counters of the certificate stores by the name of their [[keys]] entry.
-func (i *Instance) Keys() map[string]keyroom.Counters {
-	counters := map[string]keyroom.Counters{}
+func (i *Instance) Keys() map[string]certstore.Counters {
+	counters := map[string]certstore.Counters{}
 	for name, store := range i.stores {
 		counters[name] = store.Counters()
 	}
--- a/internal/site/keys_report.go
+++ b/internal/site/keys_report.go
@@ -13,8 +13,8 @@
 	"strings"
 	"time"
 
-	"pinedale/internal/keyroom"
-	"pinedale/internal/keyroom/validate"
+	"pinedale/internal/certstore"
+	"pinedale/internal/certstore/validate"
 )
 
 // ShowKeys writes what the files of each [[keys]] entry hold, what uses it, and by which name each server is
@@ -30,7 +30,7 @@
 
 // showKeysEntry writes what the files of one [[keys]] entry hold.
 func (f *File) showKeysEntry(out io.Writer, k *Keys, now time.Time) error {
-	material, err := keyroom.Read(k.paths())
+	material, err := certstore.Read(k.paths())
 	if err != nil {
 		return fmt.Errorf("keys %q: %w", k.Name, err)
 	}
@@ -85,7 +85,7 @@
 
 // VerifyKeys checks whether files would be accepted in place of those of a [[keys]] entry; an empty path stands for
 // the entry's own file. The error is a *judge.Fault if they would not be.
-func (f *File) VerifyKeys(name string, replacement keyroom.Paths) error {
+func (f *File) VerifyKeys(name string, replacement certstore.Paths) error {
 	index := slices.IndexFunc(f.Keys, func(k Keys) bool { return k.Name == name })
 	if index < 0 {
 		return fmt.Errorf("%q is not the name of a [[keys]] of this file", name)
@@ -95,7 +95,7 @@
 	keys.KeyFile = cmp.Or(replacement.Key, keys.KeyFile)
 	keys.RootsFile = cmp.Or(replacement.Roots, keys.RootsFile)
 	keys.RevokedFile = cmp.Or(replacement.Revoked, keys.RevokedFile)
-	_, err := keyroom.Open(keys.storeOptions(f.usedByFront(name), slog.New(slog.DiscardHandler)))
+	_, err := certstore.Open(keys.storeOptions(f.usedByFront(name), slog.New(slog.DiscardHandler)))
 	return err
 }
 
--- a/internal/site/section_keys.go
+++ b/internal/site/section_keys.go
@@ -8,8 +8,8 @@
 	"slices"
 	"time"
 
-	"pinedale/internal/keyroom"
-	"pinedale/internal/keyroom/validate"
+	"pinedale/internal/certstore"
+	"pinedale/internal/certstore/validate"
 	"pinedale/internal/upstream/secure"
 )
 
@@ -127,7 +127,7 @@
 // checkKeyFiles checks that the files may serve.
 func (c *checker) checkKeyFiles(prefix string, k *Keys) {
 	options := k.storeOptions(c.file.usedByFront(k.Name), slog.New(slog.DiscardHandler))
-	_, err := keyroom.Open(options)
+	_, err := certstore.Open(options)
 	if err == nil {
 		return
 	}
--- a/internal/site/secure_test.go
+++ b/internal/site/secure_test.go
@@ -17,7 +17,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
 
-	"pinedale/internal/keyroom"
+	"pinedale/internal/certstore"
 	"pinedale/internal/standin/ca"
 	"pinedale/internal/standin/guarded"
 	"pinedale/internal/standin/logged"
@@ -329,19 +329,19 @@
 	}
 	next := ca.NewFolder(t)
 	next.Pair(issueNow(root, "10.0.0.1"))
-	err = f.VerifyKeys("front", keyroom.Paths{Cert: next.Cert, Key: next.Key})
+	err = f.VerifyKeys("front", certstore.Paths{Cert: next.Cert, Key: next.Key})
 	if err == nil || !strings.Contains(err.Error(), "names: cert") {
 		t.Errorf("files for another name: %v", err)
 	}
-	err = f.VerifyKeys("front", keyroom.Paths{Cert: next.Cert})
+	err = f.VerifyKeys("front", certstore.Paths{Cert: next.Cert})
 	if err == nil || !strings.Contains(err.Error(), "mismatch") {
 		t.Errorf("a certificate without its key: %v", err)
 	}
 	next.Pair(issueNow(root, "127.0.0.1"))
-	if err := f.VerifyKeys("front", keyroom.Paths{Cert: next.Cert, Key: next.Key}); err != nil {
+	if err := f.VerifyKeys("front", certstore.Paths{Cert: next.Cert, Key: next.Key}); err != nil {
 		t.Errorf("good files: %v", err)
 	}
-	if err := f.VerifyKeys("back", keyroom.Paths{}); err == nil {
+	if err := f.VerifyKeys("back", certstore.Paths{}); err == nil {
 		t.Error("an unknown name of keys")
 	}
 }
--- a/internal/standin/cert/cert.go
+++ b/internal/standin/cert/cert.go
@@ -18,9 +18,9 @@
 	"testing"
 	"time"
 
+	"pinedale/internal/certstore"
+	"pinedale/internal/certstore/validate"
 	"pinedale/internal/engine"
-	"pinedale/internal/keyroom"
-	"pinedale/internal/keyroom/validate"
 )
 
 // Pair is a certificate and its key, and who trusts it.
@@ -31,16 +31,16 @@
 }
 
 // Room is one that shows the certificate, and lets in whoever comes.
-func (p *Pair) Room(t *testing.T) *keyroom.Room {
+func (p *Pair) Room(t *testing.T) *certstore.Room {
 	t.Helper()
 	dir := t.TempDir()
-	paths := keyroom.Paths{Cert: filepath.Join(dir, "cert"), Key: filepath.Join(dir, "key")}
+	paths := certstore.Paths{Cert: filepath.Join(dir, "cert"), Key: filepath.Join(dir, "key")}
 	for path, data := range map[string][]byte{paths.Cert: p.Cert, paths.Key: p.Key} {
 		if err := os.WriteFile(path, data, 0o600); err != nil {
 			t.Fatal(err)
 		}
 	}
-	room, err := keyroom.Open(keyroom.Options{Paths: paths, Want: validate.Want{Server: true}, Log: slog.New(slog.DiscardHandler)})
+	room, err := certstore.Open(certstore.Options{Paths: paths, Want: validate.Want{Server: true}, Log: slog.New(slog.DiscardHandler)})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/upstream/secure/client.go
+++ b/internal/upstream/secure/client.go
@@ -9,15 +9,15 @@
 	"sync/atomic"
 	"time"
 
+	"pinedale/internal/certstore"
 	"pinedale/internal/engine"
-	"pinedale/internal/keyroom"
 	"pinedale/internal/upstream/attempt"
 	"pinedale/internal/upstream/handshake"
 )
 
 // Options configure a Client.
 type Options struct {
-	Room     *keyroom.Room    // own certificate and trusted roots
+	Room     *certstore.Room  // own certificate and trusted roots
 	Names    *Names           // see Client.Rename
 	Budget   handshake.Config // rates of handshakes
 	Sessions int              // maximum number of sessions that may be resumed, over all servers
--- a/internal/upstream/secure/conn.go
+++ b/internal/upstream/secure/conn.go
@@ -3,12 +3,12 @@
 import (
 	"time"
 
-	"pinedale/internal/keyroom"
+	"pinedale/internal/certstore"
 )
 
 // conn is a TLS connection to a verified server.
 type conn struct {
-	*keyroom.Conn
+	*certstore.Conn
 	lifetime lifetime
 }
 
@@ -19,7 +19,7 @@
 // lifetime decides for how long a connection may carry new requests: as long as keys and trust
 // allow it, and as long as its server goes by the name that it was verified by.
 type lifetime struct {
-	keys   *keyroom.Life
+	keys   *certstore.Life
 	client *Client
 	server string // name in membership
 	name   string // name in the certificate
--- a/internal/upstream/secure/handshake.go
+++ b/internal/upstream/secure/handshake.go
@@ -9,9 +9,9 @@
 	"net"
 	"time"
 
+	"pinedale/internal/certstore"
+	"pinedale/internal/certstore/validate"
 	"pinedale/internal/engine"
-	"pinedale/internal/keyroom"
-	"pinedale/internal/keyroom/validate"
 	"pinedale/internal/upstream/attempt"
 )
 
@@ -100,7 +100,7 @@
 }
 
 // succeed counts a completed handshake, and returns the lifetime of its connection.
-func (h *clientHandshake) succeed(state tls.ConnectionState, keys *keyroom.Life) lifetime {
+func (h *clientHandshake) succeed(state tls.ConnectionState, keys *certstore.Life) lifetime {
 	c := h.client
 	c.mu.Lock()
 	if state.DidResume {
--- a/internal/upstream/secure/handshake_test.go
+++ b/internal/upstream/secure/handshake_test.go
@@ -12,9 +12,9 @@
 	"testing"
 	"time"
 
+	"pinedale/internal/certstore"
+	"pinedale/internal/certstore/validate"
 	"pinedale/internal/engine"
-	"pinedale/internal/keyroom"
-	"pinedale/internal/keyroom/validate"
 	"pinedale/internal/standin/ca"
 	"pinedale/internal/standin/guarded"
 	"pinedale/internal/upstream/attempt"
@@ -58,7 +58,7 @@
 			f := newFixture(t)
 			f.files.Put(f.files.Roots, root.PEM())
 			f.files.Put(f.files.Revoked, root.Revoke(revoked.Leaf))
-			k := f.keyOptions(keyroom.Paths{Roots: f.files.Roots, Revoked: f.files.Revoked})
+			k := f.keyOptions(certstore.Paths{Roots: f.files.Roots, Revoked: f.files.Revoked})
 			k.Want = validate.Want{LeastRSA: minRSABits}
 			f.reopen(f.client.options, k)
 			s := guarded.Start(t, c.pair)
@@ -98,7 +98,7 @@
 		"not TLS": guarded.Plain,
 	} {
 		t.Run(reason, func(t *testing.T) {
-			f := newFixture(t, func(o *Options, _ *keyroom.Options) { o.Timeout = 200 * time.Millisecond })
+			f := newFixture(t, func(o *Options, _ *certstore.Options) { o.Timeout = 200 * time.Millisecond })
 			endpoint := &engine.Target{Name: "soko-3", Address: guarded.Listen(t, behaviour)}
 			if _, err := f.handshakeTCP(endpoint); err == nil || f.client.Counters().Failed[reason] != 1 {
 				t.Errorf("%v, counted %v", err, f.client.Counters().Failed)
@@ -119,7 +119,7 @@
 		if _, err := f.handshakeTCP(target(s)); err == nil {
 			t.Error("TLS 1.2 is accepted where 1.3 is the minimum")
 		}
-		k := f.keyOptions(keyroom.Paths{Roots: f.files.Roots})
+		k := f.keyOptions(certstore.Paths{Roots: f.files.Roots})
 		k.Least = tls.VersionTLS12
 		f.reopen(f.client.options, k)
 		if _, err := f.handshakeTCP(target(s)); err != nil {
@@ -164,7 +164,7 @@
 func TestClientPresentsItsCurrentCertificate(t *testing.T) {
 	f := newFixture(t)
 	f.files.Pair(issue(f.root, ca.Spec{Names: []string{"pinedale.example.org"}}))
-	f.reopen(f.client.options, f.keyOptions(keyroom.Paths{
+	f.reopen(f.client.options, f.keyOptions(certstore.Paths{
 		Cert:  f.files.Cert,
 		Key:   f.files.Key,
 		Roots: f.files.Roots,
@@ -186,7 +186,7 @@
 // Where the rate limit has no turn in time, Turn fails with ErrFull at once, so that the request
 // goes elsewhere unsent. Health checks get no turn that a request may need.
 func TestTurnRejectsAtOnceWithoutBudget(t *testing.T) {
-	f := newFixture(t, func(o *Options, _ *keyroom.Options) {
+	f := newFixture(t, func(o *Options, _ *certstore.Options) {
 		o.Budget = handshake.Config{PerServer: 0.5, All: 0.5, ColdFrom: 1, Burst: 2}
 		o.Timeout = time.Second
 	})
--- a/internal/upstream/secure/harness_test.go
+++ b/internal/upstream/secure/harness_test.go
@@ -14,9 +14,9 @@
 	"github.com/quic-go/quic-go/http3"
 	"go.uber.org/goleak"
 
+	"pinedale/internal/certstore"
+	"pinedale/internal/certstore/validate"
 	"pinedale/internal/engine"
-	"pinedale/internal/keyroom"
-	"pinedale/internal/keyroom/validate"
 	"pinedale/internal/standin/ca"
 	"pinedale/internal/standin/guarded"
 	"pinedale/internal/standin/logged"
@@ -36,7 +36,7 @@
 	t           *testing.T
 	root        *ca.Authority
 	files       *ca.Folder
-	keys        *keyroom.Room
+	keys        *certstore.Room
 	client      *Client
 	log         logged.Record
 	clockOffset atomic.Int64 // nanoseconds ahead of the system's clock
@@ -63,13 +63,13 @@
 var unlimitedBudget = handshake.Config{PerServer: 1000, All: 1000, ColdFrom: 1, Burst: 1000}
 
 // newFixture returns a fixture whose options change may adjust.
-func newFixture(t *testing.T, change ...func(*Options, *keyroom.Options)) *fixture {
+func newFixture(t *testing.T, change ...func(*Options, *certstore.Options)) *fixture {
 	t.Helper()
 	t.Cleanup(func() { goleak.VerifyNone(t) })
 	f := &fixture{t: t, root: ca.New(t, "root"), files: ca.NewFolder(t)}
 	f.files.Put(f.files.Roots, f.root.PEM())
 	o := f.options()
-	k := f.keyOptions(keyroom.Paths{Roots: f.files.Roots})
+	k := f.keyOptions(certstore.Paths{Roots: f.files.Roots})
 	k.Want = validate.Want{LeastRSA: minRSABits}
 	for _, c := range change {
 		c(&o, &k)
@@ -91,15 +91,15 @@
 }
 
 // keyOptions returns the options of the client's keys.
-func (f *fixture) keyOptions(paths keyroom.Paths) keyroom.Options {
-	return keyroom.Options{Paths: paths, Spread: time.Minute, Log: f.log.Logger(), Now: f.now}
+func (f *fixture) keyOptions(paths certstore.Paths) certstore.Options {
+	return certstore.Options{Paths: paths, Spread: time.Minute, Log: f.log.Logger(), Now: f.now}
 }
 
 // reopen replaces the client and its keys.
-func (f *fixture) reopen(o Options, k keyroom.Options) {
+func (f *fixture) reopen(o Options, k certstore.Options) {
 	f.t.Helper()
 	var err error
-	if f.keys, err = keyroom.Open(k); err != nil {
+	if f.keys, err = certstore.Open(k); err != nil {
 		f.t.Fatal(err)
 	}
 	o.Room = f.keys
--- a/internal/upstream/secure/sessions_test.go
+++ b/internal/upstream/secure/sessions_test.go
@@ -6,8 +6,8 @@
 
 	"go.uber.org/goleak"
 
+	"pinedale/internal/certstore"
 	"pinedale/internal/engine"
-	"pinedale/internal/keyroom"
 	"pinedale/internal/standin/ca"
 	"pinedale/internal/standin/guarded"
 	"pinedale/internal/standin/wait"
@@ -69,7 +69,7 @@
 					t.Cleanup(func() { goleak.VerifyNone(t) })
 					f.files.Put(f.files.Roots, f.root.PEM())
 					f.files.Put(f.files.Revoked, f.root.Revoke())
-					f.reopen(f.options(), f.keyOptions(keyroom.Paths{Roots: f.files.Roots, Revoked: f.files.Revoked}))
+					f.reopen(f.options(), f.keyOptions(certstore.Paths{Roots: f.files.Roots, Revoked: f.files.Revoked}))
 					pair := issue(f.root, ca.Spec{})
 					s := guarded.Start(t, pair)
 					endpoint := target(s)
@@ -104,7 +104,7 @@
 		}
 	})
 	t.Run("the number is bounded", func(t *testing.T) {
-		f := newFixture(t, func(o *Options, _ *keyroom.Options) { o.Sessions = 2 })
+		f := newFixture(t, func(o *Options, _ *certstore.Options) { o.Sessions = 2 })
 		pair := issue(f.root, ca.Spec{})
 		var targets []*engine.Target
 		for range 3 {
