--- a/internal/upstream/either/either.go
+++ b/internal/upstream/either/either.go
@@ -14,7 +14,7 @@
 	"pinedale/internal/engine"
 	"pinedale/internal/upstream/http3upstream"
 	"pinedale/internal/upstream/httpupstream"
-	"pinedale/internal/upstream/speaks"
+	"pinedale/internal/upstream/protocol"
 )
 
 // Upstream sends requests over one of two protocols. Make one with New. It is safe for
@@ -24,12 +24,12 @@
 	http3 *http3upstream.Upstream
 
 	mu      sync.Mutex
-	tracker *speaks.Tracker
+	tracker *protocol.Tracker
 }
 
 // New returns an upstream over both protocols. It sets http3.OnProtocolResult.
 func New(http1 httpupstream.Options, http3 http3upstream.Options) (*Upstream, error) {
-	u := &Upstream{http1: httpupstream.New(http1), tracker: speaks.New()}
+	u := &Upstream{http1: httpupstream.New(http1), tracker: protocol.New()}
 	http3.OnProtocolResult = u.recordResult
 	var err error
 	u.http3, err = http3upstream.New(http3)
@@ -40,7 +40,7 @@
 func (u *Upstream) Close() error { return u.http3.Close() }
 
 // recordResult records the result of an attempt to use HTTP/3.
-func (u *Upstream) recordResult(t *engine.Target, result speaks.Result) {
+func (u *Upstream) recordResult(t *engine.Target, result protocol.Result) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.tracker.Record(time.Now(), t.Address, result)
--- a/internal/upstream/http3upstream/pool.go
+++ b/internal/upstream/http3upstream/pool.go
@@ -12,7 +12,7 @@
 
 	"pinedale/internal/engine"
 	"pinedale/internal/upstream/attempt"
-	"pinedale/internal/upstream/speaks"
+	"pinedale/internal/upstream/protocol"
 )
 
 // idleTimeout is how long a network path may carry nothing before its connection is given up.
@@ -106,7 +106,7 @@
 	u.mu.Lock()
 	u.drainLocked(c)
 	u.mu.Unlock()
-	u.reportResult(c.target, speaks.Failed)
+	u.reportResult(c.target, protocol.Failed)
 }
 
 // acquire returns the connection to a target with one more request in flight: release must
@@ -180,9 +180,9 @@
 	c.err = u.connect(ctx, c)
 	switch {
 	case c.err == nil:
-		u.reportResult(c.target, speaks.Established)
+		u.reportResult(c.target, protocol.Established)
 	case !errors.Is(c.err, attempt.ErrFull): // the rate limit says nothing about the endpoint
-		u.reportResult(c.target, speaks.Failed)
+		u.reportResult(c.target, protocol.Failed)
 	}
 }
 
--- a/internal/upstream/http3upstream/upstream.go
+++ b/internal/upstream/http3upstream/upstream.go
@@ -14,7 +14,7 @@
 	"pinedale/balancer"
 	"pinedale/internal/engine"
 	"pinedale/internal/upstream/attempt"
-	"pinedale/internal/upstream/speaks"
+	"pinedale/internal/upstream/protocol"
 )
 
 // A Securer verifies endpoints, and decides when a handshake may begin.
@@ -41,7 +41,7 @@
 
 	// OnProtocolResult, where set, is called with the result each time that a connection or a
 	// stream was needed. It must not call back.
-	OnProtocolResult func(t *engine.Target, result speaks.Result)
+	OnProtocolResult func(t *engine.Target, result protocol.Result)
 }
 
 // Upstream sends requests to endpoints. Make one with New. It is safe for concurrent use.
@@ -94,16 +94,16 @@
 	switch {
 	case err == nil:
 		u.release(c)
-		u.reportResult(t, speaks.Established)
+		u.reportResult(t, protocol.Established)
 	case errors.Is(err, attempt.ErrFull):
-		u.reportResult(t, speaks.Deferred)
+		u.reportResult(t, protocol.Deferred)
 	case errors.Is(err, attempt.ErrClosed):
-		u.reportResult(t, speaks.Failed) // nothing was dialled
+		u.reportResult(t, protocol.Failed) // nothing was dialled
 	}
 }
 
 // reportResult reports the result of an attempt to use the protocol.
-func (u *Upstream) reportResult(t *engine.Target, result speaks.Result) {
+func (u *Upstream) reportResult(t *engine.Target, result protocol.Result) {
 	if u.options.OnProtocolResult != nil {
 		u.options.OnProtocolResult(t, result)
 	}
--- a/internal/upstream/speaks/speaks.go
+++ b/internal/upstream/protocol/speaks.go
@@ -1,4 +1,4 @@
-// Package speaks tracks which endpoints are reachable over HTTP/3, and chooses the protocol of
+// Package protocol tracks which endpoints are reachable over HTTP/3, and chooses the protocol of
 // each attempt.
 //
 // An endpoint of which nothing is known gets its requests over HTTP/1.1 while a connection over
@@ -9,7 +9,7 @@
 //
 // The package does no I/O and reads no clock. Its state is in memory only: after a restart every
 // endpoint is unknown.
-package speaks
+package protocol
 
 import "time"
 
--- a/internal/upstream/speaks/speaks_test.go
+++ b/internal/upstream/protocol/speaks_test.go
@@ -1,4 +1,4 @@
-package speaks
+package protocol
 
 import (
 	"testing"
