--- a/internal/site/build_upstream.go
+++ b/internal/site/build_upstream.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"pinedale/internal/engine"
-	"pinedale/internal/upstream/either"
+	"pinedale/internal/upstream/byprotocol"
 	"pinedale/internal/upstream/handshake"
 	"pinedale/internal/upstream/http3upstream"
 	"pinedale/internal/upstream/httpupstream"
@@ -69,7 +69,7 @@
 	if !f.Upstream.HTTP3 {
 		return httpupstream.New(options), func() error { return nil }, nil
 	}
-	byProtocol, err := either.New(options, http3upstream.Options{
+	byProtocol, err := byprotocol.New(options, http3upstream.Options{
 		Secure:      security,
 		DialTimeout: time.Duration(f.Upstream.HandshakeTimeout),
 		Idle:        options.Idle,
--- a/internal/upstream/either/either.go
+++ b/internal/upstream/byprotocol/either.go
@@ -1,10 +1,10 @@
-// Package either sends requests over HTTP/3 to endpoints that support it, and over HTTP/1.1 to
+// Package byprotocol sends requests over HTTP/3 to endpoints that support it, and over HTTP/1.1 to
 // all others.
 //
 // Each attempt uses one protocol. An attempt that could not be sent is not repeated over the
 // other one: it ends as not run, and the balancer decides what follows. Package speaks chooses
 // the protocol; its state is guarded by Upstream.mu and not kept over a restart.
-package either
+package byprotocol
 
 import (
 	"context"
--- a/internal/upstream/either/either_test.go
+++ b/internal/upstream/byprotocol/either_test.go
@@ -1,4 +1,4 @@
-package either
+package byprotocol
 
 import (
 	"context"
