--- a/internal/fleet/drains.go
+++ b/internal/faulttest/drains.go
@@ -1,11 +1,11 @@
-package fleet
+package faulttest
 
 import (
 	"slices"
 	"sync"
 	"time"
 
-	"pinedale/internal/fleet/history"
+	"pinedale/internal/faulttest/history"
 	"pinedale/internal/standin/directory"
 )
 
--- a/internal/fleet/faults.go
+++ b/internal/faulttest/faults.go
@@ -1,4 +1,4 @@
-package fleet
+package faulttest
 
 import (
 	"context"
@@ -8,9 +8,9 @@
 	"syscall"
 	"time"
 
-	"pinedale/internal/fleet/history"
-	"pinedale/internal/fleet/relay"
-	"pinedale/internal/fleet/schedule"
+	"pinedale/internal/faulttest/history"
+	"pinedale/internal/faulttest/relay"
+	"pinedale/internal/faulttest/schedule"
 )
 
 // faults is the state of the faults that are being played, by their numbers in the schedule.
--- a/internal/fleet/file.go
+++ b/internal/faulttest/file.go
@@ -1,11 +1,11 @@
-package fleet
+package faulttest
 
 import (
 	"encoding/json"
 	"fmt"
 	"os"
 
-	"pinedale/internal/fleet/history"
+	"pinedale/internal/faulttest/history"
 )
 
 // Save writes a history to a file.
--- a/internal/fleet/fleet.go
+++ b/internal/faulttest/fleet.go
@@ -1,8 +1,8 @@
-// Package fleet is a rig of real processes: instances of pinedale-site, servers in a process
+// Package faulttest is a rig of real processes: instances of pinedale-site, servers in a process
 // of their own, and seeded clients, with a relay on each path between them, through which a
 // schedule of faults is played. What was asked, answered and done is kept as a history and
 // checked against the rules over all processes together.
-package fleet
+package faulttest
 
 import (
 	"context"
@@ -11,8 +11,8 @@
 	"sync"
 	"time"
 
-	"pinedale/internal/fleet/history"
-	"pinedale/internal/fleet/schedule"
+	"pinedale/internal/faulttest/history"
+	"pinedale/internal/faulttest/schedule"
 )
 
 // Options say what a run is made of.
--- a/internal/fleet/fleet_test.go
+++ b/internal/faulttest/fleet_test.go
@@ -1,4 +1,4 @@
-package fleet
+package faulttest
 
 import (
 	"fmt"
@@ -12,8 +12,8 @@
 
 	"go.uber.org/goleak"
 
-	"pinedale/internal/fleet/history"
-	"pinedale/internal/fleet/schedule"
+	"pinedale/internal/faulttest/history"
+	"pinedale/internal/faulttest/schedule"
 )
 
 // program is pinedale-site, and next another build of it, built once.
--- a/internal/fleet/history/golden_test.go
+++ b/internal/faulttest/history/golden_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"pinedale/internal/fleet/schedule"
+	"pinedale/internal/faulttest/schedule"
 	"pinedale/internal/tomlfile"
 )
 
--- a/internal/fleet/history/history.go
+++ b/internal/faulttest/history/history.go
@@ -9,7 +9,7 @@
 	"slices"
 	"time"
 
-	"pinedale/internal/fleet/schedule"
+	"pinedale/internal/faulttest/schedule"
 )
 
 // Kind is what became of a try.
--- a/internal/fleet/load.go
+++ b/internal/faulttest/load.go
@@ -1,4 +1,4 @@
-package fleet
+package faulttest
 
 import (
 	"bytes"
@@ -11,7 +11,7 @@
 	"time"
 
 	"pinedale/balancer"
-	"pinedale/internal/fleet/history"
+	"pinedale/internal/faulttest/history"
 )
 
 // The behaviour of clients.
--- a/internal/fleet/network.go
+++ b/internal/faulttest/network.go
@@ -1,8 +1,8 @@
-package fleet
+package faulttest
 
 import (
-	"pinedale/internal/fleet/relay"
-	"pinedale/internal/fleet/schedule"
+	"pinedale/internal/faulttest/relay"
+	"pinedale/internal/faulttest/schedule"
 	"pinedale/internal/standin/directory"
 )
 
--- a/internal/fleet/observe.go
+++ b/internal/faulttest/observe.go
@@ -1,4 +1,4 @@
-package fleet
+package faulttest
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 	"time"
 
 	"pinedale/internal/cluster"
-	"pinedale/internal/fleet/history"
+	"pinedale/internal/faulttest/history"
 )
 
 const (
--- a/internal/fleet/processes.go
+++ b/internal/faulttest/processes.go
@@ -1,4 +1,4 @@
-package fleet
+package faulttest
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 	"time"
 
 	"pinedale/internal/cluster"
-	"pinedale/internal/fleet/schedule"
+	"pinedale/internal/faulttest/schedule"
 	"pinedale/internal/standin/directory"
 	"pinedale/internal/standin/soko"
 )
--- a/internal/fleet/report.go
+++ b/internal/faulttest/report.go
@@ -1,4 +1,4 @@
-package fleet
+package faulttest
 
 import (
 	"bytes"
@@ -14,7 +14,7 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
 
-	"pinedale/internal/fleet/history"
+	"pinedale/internal/faulttest/history"
 )
 
 // The plots' size, and the span of one point of the service's.
--- a/internal/fleet/servers.go
+++ b/internal/faulttest/servers.go
@@ -1,4 +1,4 @@
-package fleet
+package faulttest
 
 import (
 	"bufio"
