--- a/cmd/pinedale-rehearse/main.go
+++ b/cmd/pinedale-rehearse/main.go
@@ -16,9 +16,9 @@
 
 	"pinedale/internal/emulator/live"
 	"pinedale/internal/emulator/plan"
-	"pinedale/internal/emulator/play"
 	"pinedale/internal/emulator/rivals"
 	"pinedale/internal/emulator/scenario"
+	"pinedale/internal/emulator/simulation"
 	"pinedale/internal/emulator/trace"
 )
 
@@ -157,7 +157,7 @@
 	if host == trace.Sockets {
 		return live.Run(context.Background(), s, live.Options{Decide: decide, Watch: watch, Progress: report})
 	}
-	return play.Run(s, play.Options{Decide: decide, Watch: watch, Progress: report})
+	return simulation.Run(s, simulation.Options{Decide: decide, Watch: watch, Progress: report})
 }
 
 func (o *options) host() string {
--- a/internal/emulator/live/live_test.go
+++ b/internal/emulator/live/live_test.go
@@ -12,9 +12,9 @@
 	"go.uber.org/goleak"
 
 	"pinedale/internal/emulator/plan"
-	"pinedale/internal/emulator/play"
 	"pinedale/internal/emulator/rivals"
 	"pinedale/internal/emulator/scenario"
+	"pinedale/internal/emulator/simulation"
 	"pinedale/internal/emulator/trace"
 )
 
@@ -60,7 +60,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	want, err := play.Run(s, play.Options{})
+	want, err := simulation.Run(s, simulation.Options{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/emulator/scenario/scenario_test.go
+++ b/internal/emulator/scenario/scenario_test.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"pinedale/internal/emulator/plan"
-	"pinedale/internal/emulator/play"
+	"pinedale/internal/emulator/simulation"
 	"pinedale/internal/tomlfile"
 	"pinedale/internal/upstream/handshake"
 )
@@ -55,7 +55,7 @@
 				t.Skip("played without the race detector")
 			}
 			t.Parallel()
-			r, err := play.Run(f.Plan(0), play.Options{})
+			r, err := simulation.Run(f.Plan(0), simulation.Options{})
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -78,7 +78,7 @@
 	for name, f := range library(t) {
 		t.Run(name, func(t *testing.T) {
 			day := f.Plan(0)
-			a, err := play.Run(day, play.Options{})
+			a, err := simulation.Run(day, simulation.Options{})
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -88,7 +88,7 @@
 			if want, ok := lower[name]; !ok || a.InTime() < want {
 				t.Errorf("%.3f served in time, want %.2f (%v): %+v", a.InTime(), want, ok, a.Classes)
 			}
-			if b, _ := play.Run(f.Plan(0), play.Options{}); !reflect.DeepEqual(a, b) {
+			if b, _ := simulation.Run(f.Plan(0), simulation.Options{}); !reflect.DeepEqual(a, b) {
 				t.Error("it plays otherwise the second time")
 			}
 			var text, page bytes.Buffer
@@ -115,7 +115,7 @@
 	g := func(rotations []plan.Rotation, budget *handshake.Config) float64 {
 		day := f.Plan(0)
 		day.Rotations, day.Budget = rotations, budget
-		r, err := play.Run(day, play.Options{})
+		r, err := simulation.Run(day, simulation.Options{})
 		if err != nil || r.Handshakes == 0 {
 			t.Fatal(err, r.Handshakes)
 		}
@@ -134,13 +134,13 @@
 // third of the connections at most.
 func TestWhatASubsetSaves(t *testing.T) {
 	f := library(t)["quiet-instances"]
-	part, err := play.Run(f.Plan(0), play.Options{})
+	part, err := simulation.Run(f.Plan(0), simulation.Options{})
 	if err != nil {
 		t.Fatal(err)
 	}
 	day := f.Plan(0)
 	day.Subset = nil
-	all, err := play.Run(day, play.Options{})
+	all, err := simulation.Run(day, simulation.Options{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/emulator/play/client.go
+++ b/internal/emulator/simulation/client.go
@@ -1,4 +1,4 @@
-package play
+package simulation
 
 import (
 	"time"
--- a/internal/emulator/play/play.go
+++ b/internal/emulator/simulation/play.go
@@ -1,8 +1,8 @@
-// Package play runs a scenario on virtual time: clients, the real engine and decision
+// Package simulation runs a scenario on virtual time: clients, the real engine and decision
 // module of each instance, the way between, connections, and emulated servers. Nothing
 // waits for a clock or a socket, so a minute of a fleet takes a fraction of a second,
 // and the same seed gives the same answers.
-package play
+package simulation
 
 import (
 	"context"
--- a/internal/measure/newcomer/newcomer.go
+++ b/internal/measure/newcomer/newcomer.go
@@ -13,8 +13,8 @@
 	"time"
 
 	"pinedale/internal/emulator/plan"
-	"pinedale/internal/emulator/play"
 	"pinedale/internal/emulator/scenario"
+	"pinedale/internal/emulator/simulation"
 	"pinedale/internal/subset"
 )
 
@@ -122,7 +122,7 @@
 				if w == 0 {
 					day.Subset = &subset.Config{Floor: o.Floor, Spread: 2}
 				}
-				r, e := play.Run(day, play.Options{})
+				r, e := simulation.Run(day, simulation.Options{})
 				mu.Lock()
 				defer mu.Unlock()
 				if e != nil {
