--- a/cmd/pinedale-rehearse/main.go
+++ b/cmd/pinedale-rehearse/main.go
@@ -14,8 +14,8 @@
 	"sync"
 	"time"
 
-	"pinedale/internal/emulator/live"
 	"pinedale/internal/emulator/plan"
+	"pinedale/internal/emulator/realtime"
 	"pinedale/internal/emulator/rivals"
 	"pinedale/internal/emulator/scenario"
 	"pinedale/internal/emulator/simulation"
@@ -155,7 +155,7 @@
 	}
 	report := func(at time.Duration) { p(at, s.Length) }
 	if host == trace.Sockets {
-		return live.Run(context.Background(), s, live.Options{Decide: decide, Watch: watch, Progress: report})
+		return realtime.Run(context.Background(), s, realtime.Options{Decide: decide, Watch: watch, Progress: report})
 	}
 	return simulation.Run(s, simulation.Options{Decide: decide, Watch: watch, Progress: report})
 }
--- a/internal/emulator/live/live_test.go
+++ b/internal/emulator/realtime/live_test.go
@@ -1,4 +1,4 @@
-package live
+package realtime
 
 import (
 	"context"
