--- a/cmd/pinedale-rehearse/main.go
+++ b/cmd/pinedale-rehearse/main.go
@@ -14,9 +14,9 @@
 	"sync"
 	"time"
 
+	"pinedale/internal/emulator/baselines"
 	"pinedale/internal/emulator/plan"
 	"pinedale/internal/emulator/realtime"
-	"pinedale/internal/emulator/rivals"
 	"pinedale/internal/emulator/scenario"
 	"pinedale/internal/emulator/simulation"
 	"pinedale/internal/emulator/trace"
@@ -79,7 +79,7 @@
 }
 
 func run(args []string, out io.Writer, p progress) error {
-	help := errors.New("see how it is used\n" + usage + strings.Join(rivals.Names(), ", "))
+	help := errors.New("see how it is used\n" + usage + strings.Join(baselines.Names(), ", "))
 	if len(args) == 0 {
 		return help
 	}
@@ -88,7 +88,7 @@
 	flags.SetOutput(io.Discard)
 	switch args[0] {
 	case "run", "record", "compare":
-		flags.StringVar(&o.policy, "policy", rivals.Module, "that decides")
+		flags.StringVar(&o.policy, "policy", baselines.Module, "that decides")
 	}
 	switch args[0] {
 	case "run", "record", "agree":
@@ -149,7 +149,7 @@
 
 // playOn plays on one of the hosts.
 func playOn(host string, s *plan.Scenario, policy string, watch func(trace.Event), p progress) (*plan.Result, error) {
-	decide, err := rivals.Named(policy, s.Weights)
+	decide, err := baselines.Named(policy, s.Weights)
 	if err != nil {
 		return nil, err
 	}
@@ -350,10 +350,10 @@
 		}
 		x := &all[i]
 		x.name, x.s = f.Name, f.Plan(o.seed)
-		if x.virtual, err = playOn(trace.Virtual, x.s, rivals.Module, nil, none); err != nil {
+		if x.virtual, err = playOn(trace.Virtual, x.s, baselines.Module, nil, none); err != nil {
 			return err
 		}
-		tasks.Go(func() { x.live, x.err = playOn(trace.Sockets, x.s, rivals.Module, nil, none) })
+		tasks.Go(func() { x.live, x.err = playOn(trace.Sockets, x.s, baselines.Module, nil, none) })
 	}
 	tasks.Wait()
 	fmt.Fprintf(out, "%-18s %9s %9s %9s %12s %12s  %s\n", "", "virtual", "sockets", "apart", "tries", "connections", "broken on sockets")
@@ -379,7 +379,7 @@
 // and in how many plays a rule was broken.
 func rank(out io.Writer, paths []string, o options, p progress) error {
 	fmt.Fprintf(out, "%-18s", fmt.Sprintf("G over %d seeds", o.seeds))
-	for _, name := range rivals.Names() {
+	for _, name := range baselines.Names() {
 		fmt.Fprintf(out, " %20s", name)
 	}
 	fmt.Fprintln(out)
@@ -389,7 +389,7 @@
 			return err
 		}
 		fmt.Fprintf(out, "%-18s", f.Name)
-		for _, name := range rivals.Names() {
+		for _, name := range baselines.Names() {
 			sum, rules := 0.0, 0
 			for seed := range o.seeds {
 				s := f.Plan(uint64(seed + 1))
--- a/internal/emulator/rivals/rivals.go
+++ b/internal/emulator/baselines/rivals.go
@@ -1,8 +1,8 @@
-// Package rivals holds the simplest policies that a user would pick instead of the
+// Package baselines holds the simplest policies that a user would pick instead of the
 // decision module, to compare it with in rehearsals: random choice, the lesser loaded
 // of two, weighted round robin. They balance; what they know of repeats is the retry
 // rule that proxies come with.
-package rivals
+package baselines
 
 import (
 	"fmt"
--- a/internal/emulator/realtime/live.go
+++ b/internal/emulator/realtime/live.go
@@ -19,9 +19,9 @@
 	"time"
 
 	"pinedale/balancer"
+	"pinedale/internal/emulator/baselines"
 	"pinedale/internal/emulator/model"
 	"pinedale/internal/emulator/plan"
-	"pinedale/internal/emulator/rivals"
 	"pinedale/internal/emulator/sockets"
 	"pinedale/internal/emulator/trace"
 	"pinedale/internal/engine"
@@ -31,7 +31,7 @@
 
 // Options are of one play.
 type Options struct {
-	Decide   rivals.Decide     // in place of the decision module
+	Decide   baselines.Decide  // in place of the decision module
 	Watch    func(trace.Event) // is told what is asked, sent and answered; one call at a time
 	Progress func(plan.Time)
 }
--- a/internal/emulator/realtime/live_test.go
+++ b/internal/emulator/realtime/live_test.go
@@ -11,8 +11,8 @@
 
 	"go.uber.org/goleak"
 
+	"pinedale/internal/emulator/baselines"
 	"pinedale/internal/emulator/plan"
-	"pinedale/internal/emulator/rivals"
 	"pinedale/internal/emulator/scenario"
 	"pinedale/internal/emulator/simulation"
 	"pinedale/internal/emulator/trace"
@@ -124,7 +124,7 @@
 	}
 	// What is shown is what the hosts bear: the module would refuse most of it, not
 	// having seen the fleet serve.
-	decide, err := rivals.Named("random", nil)
+	decide, err := baselines.Named("random", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/emulator/simulation/hard_test.go
+++ b/internal/emulator/simulation/hard_test.go
@@ -9,16 +9,16 @@
 	"time"
 
 	"pinedale/balancer"
+	"pinedale/internal/emulator/baselines"
 	"pinedale/internal/emulator/model"
 	"pinedale/internal/emulator/plan"
-	"pinedale/internal/emulator/rivals"
 	"pinedale/internal/emulator/trace"
 )
 
 // playBy plays with one of the policies.
 func playBy(t *testing.T, s *plan.Scenario, policy string, watch func(trace.Event)) *plan.Result {
 	t.Helper()
-	decide, err := rivals.Named(policy, s.Weights)
+	decide, err := baselines.Named(policy, s.Weights)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -58,7 +58,7 @@
 				}
 				return s
 			}
-			r := playBy(t, scenario(), rivals.Module, nil)
+			r := playBy(t, scenario(), baselines.Module, nil)
 			before, during := shareOf(r, 0, 5, 3, 9), shareOf(r, 7, 15, 3, 9)
 			if reason := r.Broken(); reason != "" || r.InTime() < 0.95 || during > before/2 {
 				t.Errorf("in time %.3f, share of the failing %.2f before and %.2f then %s", r.InTime(), before, during, reason)
@@ -80,7 +80,7 @@
 		s := market(11)
 		s.Surges = []plan.Surge{{From: 5 * time.Second, Until: 15 * time.Second, Factor: 3.5, Tenant: -1}}
 		s.Clients.GiveUp, s.Clients.Retries = giveUp, 4
-		return playBy(t, s, rivals.Module, nil)
+		return playBy(t, s, baselines.Module, nil)
 	}
 	patient, hasty := jam(0), jam(250*ms)
 	requested := 0
@@ -132,7 +132,7 @@
 // digest plays and folds everything that is told.
 func digest(t *testing.T, s *plan.Scenario, pause time.Duration) (sum uint64, events int) {
 	h := fnv.New64a()
-	playBy(t, s, rivals.Module, func(e trace.Event) {
+	playBy(t, s, baselines.Module, func(e trace.Event) {
 		if events++; pause > 0 && events%1000 == 0 {
 			time.Sleep(pause)
 		}
@@ -160,7 +160,7 @@
 		s.Servers[i].Config.Connections = 3 // fewer than the instances want
 	}
 	resets := 0
-	r := playBy(t, s, rivals.Module, func(e trace.Event) {
+	r := playBy(t, s, baselines.Module, func(e trace.Event) {
 		if e.Kind == trace.End && e.Code == int(balancer.Reset) {
 			resets++
 		}
@@ -179,7 +179,7 @@
 	s := market(6)
 	s.Servers[0].Incarnations = []plan.Incarnation{{Drain: 5 * time.Second, End: 9 * time.Second}, {From: 10 * time.Second, Drain: plan.Never, End: plan.Never}}
 	var notified []string
-	r := playBy(t, s, rivals.Module, func(e trace.Event) {
+	r := playBy(t, s, baselines.Module, func(e trace.Event) {
 		if e.Kind == trace.Member && e.Instance == 1 {
 			notified = append(notified, fmt.Sprint(e.Server, balancer.State(e.Code)))
 		}
@@ -196,7 +196,7 @@
 // The other policies answer each request once and honour drains: what they lack is
 // judgement.
 func TestBaselinesKeepTheLedger(t *testing.T) {
-	for _, name := range rivals.Names() {
+	for _, name := range baselines.Names() {
 		s := market(8)
 		s.Servers[1].Incarnations = []plan.Incarnation{{Drain: 5 * time.Second, End: 9 * time.Second}}
 		s.Servers[2].Faults = []model.Fault{{From: 3 * time.Second, Until: 9 * time.Second, FailFast: 0.5, Swallow: 0.2}}
@@ -204,7 +204,7 @@
 			t.Errorf("%s: %s, %.3f in time", name, r.Broken(), r.InTime())
 		}
 	}
-	if _, err := rivals.Named("best", nil); err == nil || !strings.Contains(err.Error(), "least-request") {
+	if _, err := baselines.Named("best", nil); err == nil || !strings.Contains(err.Error(), "least-request") {
 		t.Errorf("an unknown policy: %v", err)
 	}
 }
--- a/internal/emulator/simulation/play.go
+++ b/internal/emulator/simulation/play.go
@@ -9,9 +9,9 @@
 	"fmt"
 	"time"
 
+	"pinedale/internal/emulator/baselines"
 	"pinedale/internal/emulator/model"
 	"pinedale/internal/emulator/plan"
-	"pinedale/internal/emulator/rivals"
 	"pinedale/internal/emulator/trace"
 )
 
@@ -20,7 +20,7 @@
 
 // Options are of one play.
 type Options struct {
-	Decide   rivals.Decide     // in place of the decision module
+	Decide   baselines.Decide  // in place of the decision module
 	Watch    func(trace.Event) // is told all that is asked, decided and answered
 	Progress func(Time)        // is called each virtual second
 }
--- a/internal/emulator/simulation/play_test.go
+++ b/internal/emulator/simulation/play_test.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"pinedale/balancer"
+	"pinedale/internal/emulator/baselines"
 	"pinedale/internal/emulator/model"
 	"pinedale/internal/emulator/plan"
-	"pinedale/internal/emulator/rivals"
 )
 
 const (
@@ -166,7 +166,7 @@
 // load: what a play costs, and what of it is the policy.
 func BenchmarkPlay(b *testing.B) {
 	for _, servers := range []int{10, 100, 1000} {
-		for _, policy := range rivals.Names() {
+		for _, policy := range baselines.Names() {
 			b.Run(fmt.Sprintf("%d/%s", servers, policy), func(b *testing.B) {
 				tries := 0
 				for b.Loop() {
@@ -178,7 +178,7 @@
 					}
 					s.Clients.Rate = 12 * float64(servers)
 					s.Length = max(2*time.Second, time.Duration(100/servers)*time.Second)
-					decide, err := rivals.Named(policy, s.Weights)
+					decide, err := baselines.Named(policy, s.Weights)
 					if err != nil {
 						b.Fatal(err)
 					}
