--- a/internal/emulator/sockets/dual/dual.go
+++ b/internal/emulator/sockets/dualprotocol/dual.go
@@ -1,6 +1,6 @@
-// Package dual serves one handler over HTTP/1.1 with TLS and over HTTP/3, on the same port
+// Package dualprotocol serves one handler over HTTP/1.1 with TLS and over HTTP/3, on the same port
 // number: as a server does that clients may find out to speak both.
-package dual
+package dualprotocol
 
 import (
 	"context"
--- a/internal/emulator/sockets/http1.go
+++ b/internal/emulator/sockets/http1.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"pinedale/internal/emulator/model"
-	"pinedale/internal/emulator/sockets/dual"
+	"pinedale/internal/emulator/sockets/dualprotocol"
 )
 
 // HTTP1 is the transport of HTTP/1.1, without TLS.
@@ -53,7 +53,7 @@
 // Listen listens at host:port.
 func (t TLS) Listen(s *Server, at string, latency time.Duration) (string, func(), error) {
 	h := &handler{server: s, latency: latency, counted: map[net.Conn]bool{}}
-	return dual.Listen(at, dual.Options{Handler: h, Config: t.Config, State: h.connection, Context: fresh})
+	return dualprotocol.Listen(at, dualprotocol.Options{Handler: h, Config: t.Config, State: h.connection, Context: fresh})
 }
 
 // fresh is the context of a connection that has carried nothing.
--- a/internal/measure/tlscost/tlscost.go
+++ b/internal/measure/tlscost/tlscost.go
@@ -28,7 +28,7 @@
 	"github.com/quic-go/quic-go/http3"
 
 	"pinedale/internal/certstore"
-	"pinedale/internal/emulator/sockets/dual"
+	"pinedale/internal/emulator/sockets/dualprotocol"
 	"pinedale/internal/engine"
 	"pinedale/internal/measure/process"
 	"pinedale/internal/standin/ca"
@@ -60,7 +60,7 @@
 		base.ClientAuth = tls.RequireAndVerifyClientCert
 	}
 	answer := []byte(strings.Repeat("x", 512))
-	return dual.Listen("127.0.0.1:0", dual.Options{
+	return dualprotocol.Listen("127.0.0.1:0", dualprotocol.Options{
 		Config: func(protocol string) *tls.Config {
 			c := base.Clone()
 			c.NextProtos = []string{protocol}
--- a/internal/standin/guarded/guarded.go
+++ b/internal/standin/guarded/guarded.go
@@ -14,7 +14,7 @@
 	"sync/atomic"
 	"testing"
 
-	"pinedale/internal/emulator/sockets/dual"
+	"pinedale/internal/emulator/sockets/dualprotocol"
 	"pinedale/internal/standin/ca"
 )
 
@@ -123,7 +123,7 @@
 		_, _ = io.Copy(io.Discard, r.Body)
 		_, _ = io.WriteString(w, "done")
 	})
-	address, stop, err := dual.Listen("127.0.0.1:0", dual.Options{Handler: handle, Config: s.Follow})
+	address, stop, err := dualprotocol.Listen("127.0.0.1:0", dualprotocol.Options{Handler: handle, Config: s.Follow})
 	if err != nil {
 		t.Fatal(err)
 	}
