--- a/cmd/pinedale-measure/main.go
+++ b/cmd/pinedale-measure/main.go
@@ -28,7 +28,7 @@
 	"pinedale/internal/measure/tenants"
 	"pinedale/internal/measure/tlscost"
 	"pinedale/internal/measure/verdicts"
-	"pinedale/internal/standin/soko"
+	"pinedale/internal/standin/fakebackend"
 )
 
 const usage = `usage: pinedale-measure MEASUREMENT [FLAGS]
@@ -153,7 +153,7 @@
 	work := flags.Duration("work", 20*time.Millisecond, "of a request")
 	timeout := flags.Duration("for", time.Hour, "end by itself after this long")
 	return func(out io.Writer) error {
-		fleet := &soko.Fleet{Work: *work}
+		fleet := &fakebackend.Fleet{Work: *work}
 		for n, address := range strings.Split(*addresses, ",") {
 			if _, err := fleet.StartAt(address, fmt.Sprintf("soko-%d", n+1), n); err != nil {
 				return err
--- a/cmd/pinedale-site/main_test.go
+++ b/cmd/pinedale-site/main_test.go
@@ -12,8 +12,8 @@
 	"syscall"
 	"testing"
 
+	"pinedale/internal/standin/fakebackend"
 	"pinedale/internal/standin/logged"
-	"pinedale/internal/standin/soko"
 	"pinedale/internal/standin/wait"
 )
 
@@ -167,7 +167,7 @@
 // The program serves a request, uses the servers of a new file after SIGHUP, keeps the old ones if that file is
 // invalid, and ends gracefully after SIGTERM.
 func TestServeReloadsOnHangupAndEndsOnTerm(t *testing.T) {
-	fleet := &soko.Fleet{}
+	fleet := &fakebackend.Fleet{}
 	first, err := fleet.Start("s-1", 0)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/faulttest/processes.go
+++ b/internal/faulttest/processes.go
@@ -13,11 +13,11 @@
 	"pinedale/internal/cluster"
 	"pinedale/internal/faulttest/schedule"
 	"pinedale/internal/standin/directory"
-	"pinedale/internal/standin/soko"
+	"pinedale/internal/standin/fakebackend"
 )
 
 // ordinary are the servers' own faults: enough that requests are repeated without any other trouble.
-var ordinary = soko.Faults{TurnAway: 0.03, Error: 0.03, Reset: 0.03, Silent: 0.02}
+var ordinary = fakebackend.Faults{TurnAway: 0.03, Error: 0.03, Reset: 0.03, Silent: 0.02}
 
 const (
 	serverWork    = 10 * time.Millisecond
--- a/internal/faulttest/servers.go
+++ b/internal/faulttest/servers.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"pinedale/balancer"
-	"pinedale/internal/standin/soko"
+	"pinedale/internal/standin/fakebackend"
 )
 
 // envServers is set for a process that is the rig's servers.
@@ -46,7 +46,7 @@
 	Pods   []int
 	Seed   uint64
 	Work   time.Duration
-	Faults soko.Faults
+	Faults fakebackend.Faults
 }
 
 // serverReport is what it tells at the end.
@@ -75,11 +75,11 @@
 	if err := json.Unmarshal(lines.Bytes(), &spec); err != nil {
 		return err
 	}
-	fleet := &soko.Fleet{Seed: spec.Seed, Work: spec.Work, Faults: spec.Faults}
+	fleet := &fakebackend.Fleet{Seed: spec.Seed, Work: spec.Work, Faults: spec.Faults}
 	for _, c := range classes {
 		fleet.Classes = append(fleet.Classes, balancer.Class{Name: c.name, Idempotency: c.repeat, Group: c.group, DedupWindow: c.window.Microseconds()})
 	}
-	servers, at := map[string]*soko.Server{}, map[string]string{}
+	servers, at := map[string]*fakebackend.Server{}, map[string]string{}
 	pods := map[string]int{}
 	var addresses []string
 	for n, name := range spec.Names {
--- a/internal/front/extproc/decision_test.go
+++ b/internal/front/extproc/decision_test.go
@@ -11,8 +11,8 @@
 
 	"pinedale/balancer"
 	"pinedale/internal/requestmeta"
+	"pinedale/internal/standin/fakebackend"
 	"pinedale/internal/standin/proxy"
-	"pinedale/internal/standin/soko"
 )
 
 // A forward names its endpoint as header and as metadata, with the timeout and the attempt, and has the proxy send no
@@ -250,7 +250,7 @@
 	req := h.request("pay")
 	s := h.open(context.Background())
 	first := s.request(req, 1)
-	var remaining []*soko.Server
+	var remaining []*fakebackend.Server
 	for _, server := range h.servers {
 		if server.Address != first.Endpoint {
 			remaining = append(remaining, server)
--- a/internal/front/extproc/harness_test.go
+++ b/internal/front/extproc/harness_test.go
@@ -19,8 +19,8 @@
 
 	"pinedale/balancer"
 	"pinedale/internal/engine"
+	"pinedale/internal/standin/fakebackend"
 	"pinedale/internal/standin/proxy"
-	"pinedale/internal/standin/soko"
 	"pinedale/internal/standin/wait"
 	"pinedale/internal/upstream/httpupstream"
 )
@@ -88,8 +88,8 @@
 	engine  *engine.Engine
 	server  *Server
 	address string
-	fleet   *soko.Fleet
-	servers []*soko.Server
+	fleet   *fakebackend.Fleet
+	servers []*fakebackend.Server
 	source  *source
 	proxy   *proxy.Proxy
 	stop    context.CancelFunc
@@ -103,7 +103,7 @@
 	t.Helper()
 	h := &harness{
 		t:      t,
-		fleet:  &soko.Fleet{Classes: classes, Seed: 1},
+		fleet:  &fakebackend.Fleet{Classes: classes, Seed: 1},
 		source: &source{make(chan engine.List)},
 		served: make(chan error, 1),
 	}
@@ -184,7 +184,7 @@
 	return h
 }
 
-func (h *harness) list(servers ...*soko.Server) engine.List {
+func (h *harness) list(servers ...*fakebackend.Server) engine.List {
 	list := engine.List{Version: 1, Complete: true}
 	for _, s := range servers {
 		list.Hosts = append(list.Hosts, engine.Host{
--- a/internal/front/http3front/server_test.go
+++ b/internal/front/http3front/server_test.go
@@ -21,7 +21,7 @@
 	"pinedale/internal/engine"
 	"pinedale/internal/httpmsg"
 	"pinedale/internal/standin/cert"
-	"pinedale/internal/standin/soko"
+	"pinedale/internal/standin/fakebackend"
 	"pinedale/internal/standin/udprelay"
 	"pinedale/internal/standin/wait"
 	"pinedale/internal/upstream/httpupstream"
@@ -37,7 +37,7 @@
 // harness is a front with two servers behind it and a UDP relay in front of it.
 type harness struct {
 	t      *testing.T
-	fleet  *soko.Fleet
+	fleet  *fakebackend.Fleet
 	engine *engine.Engine
 	server *Server
 	direct string // the front's address, without the relay
@@ -55,9 +55,9 @@
 // start runs a front whose options alter may change, until the test ends.
 func start(t *testing.T, work time.Duration, alter func(*Options)) *harness {
 	t.Helper()
-	h := &harness{t: t, fleet: &soko.Fleet{Classes: classes, Work: work}, pair: cert.New(t), served: make(chan error, 1)}
+	h := &harness{t: t, fleet: &fakebackend.Fleet{Classes: classes, Work: work}, pair: cert.New(t), served: make(chan error, 1)}
 	list := engine.List{Complete: true}
-	var servers []*soko.Server
+	var servers []*fakebackend.Server
 	for n := range 2 {
 		s, err := h.fleet.Start(fmt.Sprint("s-", n), n)
 		if err != nil {
--- a/internal/measure/removal/run.go
+++ b/internal/measure/removal/run.go
@@ -19,7 +19,7 @@
 	"pinedale/internal/site"
 	"pinedale/internal/standin/coord"
 	"pinedale/internal/standin/directory"
-	"pinedale/internal/standin/soko"
+	"pinedale/internal/standin/fakebackend"
 )
 
 // Options are the size of a run.
@@ -89,7 +89,7 @@
 				if n > int64(o.Scripts) {
 					return
 				}
-				s := &script{o: o, rng: rand.New(rand.NewPCG(o.Seed, uint64(n))), removed: map[*soko.Server]time.Time{}, steps: map[string]int{}}
+				s := &script{o: o, rng: rand.New(rand.NewPCG(o.Seed, uint64(n))), removed: map[*fakebackend.Server]time.Time{}, steps: map[string]int{}}
 				err := s.play()
 				mu.Lock()
 				if first == nil && err != nil {
@@ -116,16 +116,16 @@
 type script struct {
 	o       Options
 	rng     *rand.Rand
-	fleet   *soko.Fleet
+	fleet   *fakebackend.Fleet
 	service *coord.Service
 	dir     *directory.Directory
 	site    *site.Instance
 	names   int
 
 	mu       sync.Mutex
-	alive    []*soko.Server
-	all      []*soko.Server
-	removed  map[*soko.Server]time.Time
+	alive    []*fakebackend.Server
+	all      []*fakebackend.Server
+	removed  map[*fakebackend.Server]time.Time
 	lagging  sync.WaitGroup
 	requests atomic.Int64
 	failed   atomic.Int64
@@ -152,7 +152,7 @@
 		return err
 	}
 	defer s.dir.Close()
-	s.fleet = &soko.Fleet{Seed: s.rng.Uint64()}
+	s.fleet = &fakebackend.Fleet{Seed: s.rng.Uint64()}
 	defer func() {
 		for _, x := range s.all {
 			x.Close()
@@ -264,7 +264,7 @@
 	return nil
 }
 
-func (s *script) register(x *soko.Server) {
+func (s *script) register(x *fakebackend.Server) {
 	data, _ := json.Marshal(ephemeral.Data{Address: x.Address, Site: "a", StartedMS: 1000})
 	s.service.Put(path+"/"+x.Name, data)
 }
--- a/internal/measure/rotations/rotations.go
+++ b/internal/measure/rotations/rotations.go
@@ -22,8 +22,8 @@
 	"pinedale/internal/certstore"
 	"pinedale/internal/site"
 	"pinedale/internal/standin/ca"
+	"pinedale/internal/standin/fakebackend"
 	"pinedale/internal/standin/guarded"
-	"pinedale/internal/standin/soko"
 	"pinedale/internal/upstream/secure"
 )
 
@@ -118,7 +118,7 @@
 	if err := w.issueAll(); err != nil {
 		return nil, err
 	}
-	fleet := &soko.Fleet{Work: time.Millisecond, TLS: w.keys.Follow, Classes: []balancer.Class{
+	fleet := &fakebackend.Fleet{Work: time.Millisecond, TLS: w.keys.Follow, Classes: []balancer.Class{
 		{Name: "stall-pay", Idempotency: balancer.IdempotentWithKey, Group: balancer.GroupAll, DedupWindow: 30_000_000}}}
 	text := fmt.Sprintf(file, o.HTTP3, w.front.Cert, w.front.Key, w.fleet.Cert, w.fleet.Key, w.fleet.Roots)
 	for n := range o.Servers {
--- a/internal/measure/tenants/tenants.go
+++ b/internal/measure/tenants/tenants.go
@@ -18,7 +18,7 @@
 	"time"
 
 	"pinedale/internal/site"
-	"pinedale/internal/standin/soko"
+	"pinedale/internal/standin/fakebackend"
 )
 
 // Options are of a measurement.
@@ -70,7 +70,7 @@
 
 // Run measures. The quiet tenants are first alone, then beside the loud one.
 func Run(o Options) ([]Row, error) {
-	fleet := &soko.Fleet{Seed: o.Seed, Work: 5 * time.Millisecond}
+	fleet := &fakebackend.Fleet{Seed: o.Seed, Work: 5 * time.Millisecond}
 	text := fmt.Sprintf(file, o.Rate)
 	var first string
 	for n := range 3 {
--- a/internal/measure/verdicts/cost.go
+++ b/internal/measure/verdicts/cost.go
@@ -20,8 +20,8 @@
 	"pinedale/internal/measure/process"
 	"pinedale/internal/site"
 	"pinedale/internal/standin/directory"
+	"pinedale/internal/standin/fakebackend"
 	"pinedale/internal/standin/proxy"
-	"pinedale/internal/standin/soko"
 )
 
 // CostOptions are the size of a comparison.
@@ -310,7 +310,7 @@
 
 // startFleet starts servers and lists them in the discovery.
 func startFleet(dir *directory.Directory, servers int) (err error) {
-	fleet := &soko.Fleet{Seed: 1}
+	fleet := &fakebackend.Fleet{Seed: 1}
 	dir.Change(func() {
 		for n := range servers {
 			s, startErr := fleet.Start(fmt.Sprintf("soko-%d", n), n/2)
--- a/internal/measure/verdicts/run.go
+++ b/internal/measure/verdicts/run.go
@@ -16,8 +16,8 @@
 
 	"pinedale/internal/site"
 	"pinedale/internal/standin/directory"
+	"pinedale/internal/standin/fakebackend"
 	"pinedale/internal/standin/proxy"
-	"pinedale/internal/standin/soko"
 )
 
 // Options are the size of a run.
@@ -58,7 +58,7 @@
 	OpenRequests, Rounds int // at the end, as are Entries and Ledger
 	Entries, Ledger      int
 	Goroutines, Extra    int // at the start, and more at the end
-	Fleet                soko.Counts
+	Fleet                fakebackend.Counts
 }
 
 // Broken says what of the report must not be, "" if nothing is.
@@ -141,23 +141,23 @@
 	file    *site.File
 	site    *site.Instance
 	dir     *directory.Directory
-	fleet   *soko.Fleet
+	fleet   *fakebackend.Fleet
 	proxies []*proxy.Proxy
 	ext     string
 
 	mu      sync.Mutex
 	report  Report
-	alive   []*soko.Server
-	removed map[*soko.Server]time.Time
-	all     []*soko.Server
+	alive   []*fakebackend.Server
+	removed map[*fakebackend.Server]time.Time
+	all     []*fakebackend.Server
 	names   int
 }
 
 // Run plays a run. Its error is one of the rig; what the run shows is in the report.
 func Run(o Options) (*Report, error) {
-	r := &run{o: o, removed: map[*soko.Server]time.Time{}}
+	r := &run{o: o, removed: map[*fakebackend.Server]time.Time{}}
 	r.report = Report{Calls: o.Calls, Kinds: map[string]int{}, Codes: map[int]int{}, Goroutines: runtime.NumGoroutine()}
-	if err := r.begin(soko.Faults{TurnAway: 0.02, Error: 0.02, Reset: 0.01, Silent: 0.0005}); err != nil {
+	if err := r.begin(fakebackend.Faults{TurnAway: 0.02, Error: 0.02, Reset: 0.01, Silent: 0.0005}); err != nil {
 		return nil, err
 	}
 	defer r.end()
@@ -174,7 +174,7 @@
 }
 
 // begin starts the servers, discovery and the processor.
-func (r *run) begin(faults soko.Faults) (err error) {
+func (r *run) begin(faults fakebackend.Faults) (err error) {
 	defer func() {
 		if err != nil {
 			r.end()
@@ -186,7 +186,7 @@
 	if r.file, err = site.Parse([]byte(File(r.dir.Address, r.o.Short, r.o.attempts()))); err != nil {
 		return err
 	}
-	r.fleet = &soko.Fleet{Classes: r.file.Settings().Classes, Seed: r.o.Seed, Work: r.o.Work, Faults: faults}
+	r.fleet = &fakebackend.Fleet{Classes: r.file.Settings().Classes, Seed: r.o.Seed, Work: r.o.Work, Faults: faults}
 	for range r.o.Servers {
 		if err = r.add(); err != nil {
 			return err
--- a/internal/site/peers_test.go
+++ b/internal/site/peers_test.go
@@ -15,9 +15,9 @@
 
 	"pinedale/balancer"
 	"pinedale/internal/standin/directory"
+	"pinedale/internal/standin/fakebackend"
 	"pinedale/internal/standin/platform"
 	"pinedale/internal/standin/proxy"
-	"pinedale/internal/standin/soko"
 	"pinedale/internal/standin/wait"
 )
 
@@ -43,9 +43,9 @@
 
 // startUnknownOutcomeCluster starts three connected instances, and servers in four pods that fail every request
 // after they have executed it.
-func startUnknownOutcomeCluster(t *testing.T, agree string) (*soko.Fleet, []*Instance) {
+func startUnknownOutcomeCluster(t *testing.T, agree string) (*fakebackend.Fleet, []*Instance) {
 	t.Helper()
-	fleet := &soko.Fleet{Faults: soko.Faults{Error: 1}, Classes: dayClose()}
+	fleet := &fakebackend.Fleet{Faults: fakebackend.Faults{Error: 1}, Classes: dayClose()}
 	servers := ""
 	for n := range 8 {
 		s, err := fleet.Start(fmt.Sprint("s-", n), n/2)
@@ -194,9 +194,9 @@
 // The endpoint list of one instance stalls, and the two others learn that a server is draining: on their advisory,
 // the first sends it no more requests, and follows its own list once that is updated.
 func TestServerKnownToDrainByPeersGetsNoRequests(t *testing.T) {
-	fleet := &soko.Fleet{Classes: dayClose()}
+	fleet := &fakebackend.Fleet{Classes: dayClose()}
 	var hosts []directory.Host
-	var servers []*soko.Server
+	var servers []*fakebackend.Server
 	for n := range 6 {
 		s, err := fleet.Start(fmt.Sprint("s-", n), n/2)
 		if err != nil {
--- a/internal/site/reload_test.go
+++ b/internal/site/reload_test.go
@@ -17,7 +17,7 @@
 	"github.com/quic-go/quic-go/http3"
 
 	"pinedale/internal/standin/cert"
-	"pinedale/internal/standin/soko"
+	"pinedale/internal/standin/fakebackend"
 	"pinedale/internal/standin/wait"
 )
 
@@ -25,7 +25,7 @@
 type running struct {
 	*Instance
 	t       *testing.T
-	servers []*soko.Server
+	servers []*fakebackend.Server
 	ids     atomic.Int64
 }
 
@@ -67,7 +67,7 @@
 }
 
 // serverSection returns the [[server]] entry of a stand-in in a pod.
-func serverSection(s *soko.Server, pod int) string {
+func serverSection(s *fakebackend.Server, pod int) string {
 	const format = "[[server]]\nname = %q\naddress = %q\nsite = \"a\"\nkind = \"k%d\"\npod = %d\n"
 	return fmt.Sprintf(format, s.Name, s.Address, pod, pod)
 }
@@ -90,7 +90,7 @@
 func startRunning(t *testing.T, work time.Duration, parts ...string) *running {
 	t.Helper()
 	r := &running{t: t}
-	fleet := &soko.Fleet{Work: work}
+	fleet := &fakebackend.Fleet{Work: work}
 	for n := range 2 {
 		s, err := fleet.Start(fmt.Sprint("s-", n), n)
 		if err != nil {
--- a/internal/site/secure_test.go
+++ b/internal/site/secure_test.go
@@ -19,9 +19,9 @@
 
 	"pinedale/internal/certstore"
 	"pinedale/internal/standin/ca"
+	"pinedale/internal/standin/fakebackend"
 	"pinedale/internal/standin/guarded"
 	"pinedale/internal/standin/logged"
-	"pinedale/internal/standin/soko"
 	"pinedale/internal/standin/wait"
 )
 
@@ -32,7 +32,7 @@
 	root       *ca.Authority
 	files      *ca.Folder
 	serverKeys [2]*guarded.Keys
-	fleet      [2]*soko.Fleet
+	fleet      [2]*fakebackend.Fleet
 	log        logged.Record
 	ids        int
 	text       string
@@ -59,7 +59,7 @@
 	}
 	for n, p := range []*ca.Pair{first, second} {
 		w.serverKeys[n] = guarded.NewKeys(t, p)
-		w.fleet[n] = &soko.Fleet{TLS: w.serverKeys[n].Follow}
+		w.fleet[n] = &fakebackend.Fleet{TLS: w.serverKeys[n].Follow}
 		s, err := w.fleet[n].Start(fmt.Sprint("s-", n), n)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/standin/soko/soko.go
+++ b/internal/standin/fakebackend/soko.go
@@ -1,8 +1,8 @@
-// Package soko is a stand-in for the co-operative's servers in the tests of other
+// Package fakebackend is a stand-in for the co-operative's servers in the tests of other
 // packages: emulated servers on HTTP/1.1 that have room for all that comes. They report
 // their load, drop repeats of a key as their class says, fail as they are scripted to,
 // and record every effect, so that a test can tell whether one was done twice.
-package soko
+package fakebackend
 
 import (
 	"crypto/tls"
