--- a/cmd/pinedale-register/main_test.go
+++ b/cmd/pinedale-register/main_test.go
@@ -10,7 +10,7 @@
 	"syscall"
 	"testing"
 
-	"pinedale/internal/standin/coord"
+	"pinedale/internal/standin/fakezookeeper"
 	"pinedale/internal/standin/wait"
 )
 
@@ -43,7 +43,7 @@
 // The server is registered once it listens; on SIGTERM its node goes first, it serves
 // on for the grace, and its exit code is the program's.
 func TestServerBesideItsNode(t *testing.T) {
-	s, err := coord.Start(1)
+	s, err := fakezookeeper.Start(1)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -78,7 +78,7 @@
 
 // A server that ends by itself takes its node along at once.
 func TestServerThatEnds(t *testing.T) {
-	s, err := coord.Start(1)
+	s, err := fakezookeeper.Start(1)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/measure/nodes/nodes.go
+++ b/internal/measure/nodes/nodes.go
@@ -15,7 +15,7 @@
 	"pinedale/internal/membership/ephemeral"
 	"pinedale/internal/membership/multisource"
 	"pinedale/internal/membership/reconcile"
-	"pinedale/internal/standin/coord"
+	"pinedale/internal/standin/fakezookeeper"
 )
 
 // Kinds are what this package's measurements start as processes of their own.
@@ -55,7 +55,7 @@
 }
 
 func measure(out io.Writer, n int, span time.Duration) error {
-	s, err := coord.Start(1)
+	s, err := fakezookeeper.Start(1)
 	if err != nil {
 		return err
 	}
--- a/internal/measure/removal/run.go
+++ b/internal/measure/removal/run.go
@@ -17,9 +17,9 @@
 
 	"pinedale/internal/membership/ephemeral"
 	"pinedale/internal/site"
-	"pinedale/internal/standin/coord"
 	"pinedale/internal/standin/directory"
 	"pinedale/internal/standin/fakebackend"
+	"pinedale/internal/standin/fakezookeeper"
 )
 
 // Options are the size of a run.
@@ -117,7 +117,7 @@
 	o       Options
 	rng     *rand.Rand
 	fleet   *fakebackend.Fleet
-	service *coord.Service
+	service *fakezookeeper.Service
 	dir     *directory.Directory
 	site    *site.Instance
 	names   int
@@ -144,7 +144,7 @@
 
 func (s *script) play() error {
 	var err error
-	if s.service, err = coord.Start(2); err != nil {
+	if s.service, err = fakezookeeper.Start(2); err != nil {
 		return err
 	}
 	defer s.service.Close()
--- a/internal/membership/ephemeral/client_test.go
+++ b/internal/membership/ephemeral/client_test.go
@@ -10,7 +10,7 @@
 
 	"pinedale/balancer"
 	"pinedale/internal/engine"
-	"pinedale/internal/standin/coord"
+	"pinedale/internal/standin/fakezookeeper"
 )
 
 func TestNodesAreReportedAsTheyChange(t *testing.T) {
@@ -210,7 +210,7 @@
 	}
 	h := start(t, 1, longSession, names...)
 	h.waitUntil("all nodes", func() bool { return h.recorder.nodeCount() == 2000 })
-	lists, reads, began := h.service.Count(coord.OpGetChildren2), h.service.Count(coord.OpGetData), time.Now()
+	lists, reads, began := h.service.Count(fakezookeeper.OpGetChildren2), h.service.Count(fakezookeeper.OpGetData), time.Now()
 	for i := range 200 { // removed and put a hundred times
 		if i%2 == 0 {
 			h.drop("n0000")
@@ -221,10 +221,10 @@
 	}
 	h.waitUntil("all nodes again", func() bool { return h.recorder.nodeCount() == 2000 })
 	limit := int(time.Since(began)/minListInterval) + 2
-	if n := h.service.Count(coord.OpGetChildren2) - lists; n > limit {
+	if n := h.service.Count(fakezookeeper.OpGetChildren2) - lists; n > limit {
 		t.Errorf("the directory was read %d times, want at most %d", n, limit)
 	}
-	if n := h.service.Count(coord.OpGetData) - reads; n > 220 {
+	if n := h.service.Count(fakezookeeper.OpGetData) - reads; n > 220 {
 		t.Errorf("%d nodes were read for 200 changes of one", n)
 	}
 }
--- a/internal/membership/ephemeral/harness_test.go
+++ b/internal/membership/ephemeral/harness_test.go
@@ -14,7 +14,7 @@
 
 	"pinedale/balancer"
 	"pinedale/internal/membership/reconcile"
-	"pinedale/internal/standin/coord"
+	"pinedale/internal/standin/fakezookeeper"
 	"pinedale/internal/standin/logged"
 	"pinedale/internal/standin/wait"
 )
@@ -98,12 +98,12 @@
 // harness is a client of a service and what it reports.
 type harness struct {
 	t        *testing.T
-	service  *coord.Service
+	service  *fakezookeeper.Service
 	recorder *recorder
 	log      logged.Record
 }
 
-func newHarness(t *testing.T, service *coord.Service) *harness {
+func newHarness(t *testing.T, service *fakezookeeper.Service) *harness {
 	t.Helper()
 	return &harness{t: t, service: service, recorder: &recorder{nodes: map[string]reconcile.Entry{}}}
 }
@@ -138,9 +138,9 @@
 	return fmt.Appendf(nil, `{"address":"127.0.0.1:%d","site":"arusha"%s}`, port, keys)
 }
 
-func startService(t *testing.T, members int) *coord.Service {
+func startService(t *testing.T, members int) *fakezookeeper.Service {
 	t.Helper()
-	service, err := coord.Start(members)
+	service, err := fakezookeeper.Start(members)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/membership/multisource/source_test.go
+++ b/internal/membership/multisource/source_test.go
@@ -21,8 +21,8 @@
 	"pinedale/internal/membership/register"
 	"pinedale/internal/membership/registry"
 	"pinedale/internal/membership/static"
-	"pinedale/internal/standin/coord"
 	"pinedale/internal/standin/directory"
+	"pinedale/internal/standin/fakezookeeper"
 	"pinedale/internal/standin/logged"
 	"pinedale/internal/standin/wait"
 )
@@ -33,7 +33,7 @@
 // harness runs a source and applies its lists as the engine does.
 type harness struct {
 	t         *testing.T
-	service   *coord.Service
+	service   *fakezookeeper.Service
 	discovery *directory.Directory
 	log       logged.Record
 
@@ -84,7 +84,7 @@
 	t.Helper()
 	h := &harness{t: t, hosts: map[string]engine.Host{}}
 	var err error
-	if h.service, err = coord.Start(2); err != nil {
+	if h.service, err = fakezookeeper.Start(2); err != nil {
 		t.Fatal(err)
 	}
 	if h.discovery, err = directory.Start(); err != nil {
--- a/internal/membership/register/register_test.go
+++ b/internal/membership/register/register_test.go
@@ -12,7 +12,7 @@
 	"go.uber.org/goleak"
 
 	"pinedale/internal/membership/ephemeral"
-	"pinedale/internal/standin/coord"
+	"pinedale/internal/standin/fakezookeeper"
 	"pinedale/internal/standin/wait"
 )
 
@@ -21,7 +21,7 @@
 	nodePath  = directory + "/s-1"
 )
 
-func options(service *coord.Service) Options {
+func options(service *fakezookeeper.Service) Options {
 	return Options{
 		Servers: service.Addresses(),
 		Path:    directory,
@@ -51,9 +51,9 @@
 	return registrar
 }
 
-func startService(t *testing.T) *coord.Service {
+func startService(t *testing.T) *fakezookeeper.Service {
 	t.Helper()
-	service, err := coord.Start(1)
+	service, err := fakezookeeper.Start(1)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -142,11 +142,11 @@
 	o.Digest = "soko:secret"
 	registrar := startRegistrar(t, o)
 	wait.Until(t, "the node", registrar.Registered)
-	sets, deletes := service.Count(coord.OpSetData), service.Count(coord.OpDelete)
+	sets, deletes := service.Count(fakezookeeper.OpSetData), service.Count(fakezookeeper.OpDelete)
 	if err := registrar.Drain(); err != nil {
 		t.Fatal(err)
 	}
-	if service.Count(coord.OpSetData) != sets+1 || service.Count(coord.OpDelete) != deletes+1 {
+	if service.Count(fakezookeeper.OpSetData) != sets+1 || service.Count(fakezookeeper.OpDelete) != deletes+1 {
 		t.Error("the node was not marked and then removed")
 	}
 	for _, id := range service.Sessions() {
--- a/internal/membership/zkconn/zkconn_test.go
+++ b/internal/membership/zkconn/zkconn_test.go
@@ -9,14 +9,14 @@
 	"github.com/go-zookeeper/zk"
 	"go.uber.org/goleak"
 
-	"pinedale/internal/standin/coord"
+	"pinedale/internal/standin/fakezookeeper"
 	"pinedale/internal/standin/wait"
 )
 
 // A connection's goroutines end with Close, whether the service answers or not.
 func TestCloseWaitsForGoroutines(t *testing.T) {
 	for _, reject := range []bool{false, true} {
-		service, err := coord.Start(1)
+		service, err := fakezookeeper.Start(1)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/standin/coord/coord.go
+++ b/internal/standin/fakezookeeper/coord.go
@@ -1,8 +1,8 @@
-// Package coord is a stand-in for a coordination service: it speaks ZooKeeper's
+// Package fakezookeeper is a stand-in for a coordination service: it speaks ZooKeeper's
 // wire protocol (sessions, ephemeral nodes, watches) to any client, and fails as a
 // test scripts it: drops nodes, expires sessions, falls silent, refuses, delays,
 // restarts with another zxid, and has its members see different lists.
-package coord
+package fakezookeeper
 
 import (
 	"net"
--- a/internal/standin/coord/request.go
+++ b/internal/standin/fakezookeeper/request.go
@@ -1,4 +1,4 @@
-package coord
+package fakezookeeper
 
 import (
 	"bytes"
--- a/internal/standin/coord/watch.go
+++ b/internal/standin/fakezookeeper/watch.go
@@ -1,4 +1,4 @@
-package coord
+package fakezookeeper
 
 // The kinds of watch event (Watcher.Event.EventType).
 const (
