--- a/cmd/pinedale-rehearse/demo.go
+++ b/cmd/pinedale-rehearse/demo.go
@@ -14,7 +14,7 @@
 	"pinedale/internal/emulator/model"
 	"pinedale/internal/emulator/sockets"
 	"pinedale/internal/site"
-	"pinedale/internal/standin/directory"
+	"pinedale/internal/standin/fakediscovery"
 )
 
 // demoFile is the operator's file of the demo.
@@ -104,15 +104,15 @@
 
 // demoFleet is the demo's servers and the discovery that lists them.
 type demoFleet struct {
-	directory *directory.Directory
+	directory *fakediscovery.Directory
 	fleet     *sockets.Fleet
 	servers   []*sockets.Server
-	hosts     []directory.Host
+	hosts     []fakediscovery.Host
 }
 
 // startDemoFleet starts a fleet without servers.
 func startDemoFleet() (*demoFleet, error) {
-	list, err := directory.Start()
+	list, err := fakediscovery.Start()
 	if err != nil {
 		return nil, err
 	}
@@ -139,14 +139,14 @@
 		return err
 	}
 	f.servers = append(f.servers, s)
-	h := directory.Ready(s.Name, s.Addresses[0])
+	h := fakediscovery.Ready(s.Name, s.Addresses[0])
 	h.Site, h.Class, h.Block = [...]string{"arusha", "dar"}[n%2], "box", uint16(n/2)
 	if warming {
 		h.BornMS = time.Now().UnixMilli()
 	}
 	f.hosts = append(f.hosts, h)
 	f.directory.Change(func() {
-		f.directory.List = directory.Document{Seq: f.directory.List.Seq + 1, Whole: true, Hosts: slices.Clone(f.hosts)}
+		f.directory.List = fakediscovery.Document{Seq: f.directory.List.Seq + 1, Whole: true, Hosts: slices.Clone(f.hosts)}
 	})
 	return nil
 }
--- a/cmd/pinedale/crossings_test.go
+++ b/cmd/pinedale/crossings_test.go
@@ -15,7 +15,7 @@
 	"testing"
 	"time"
 
-	"pinedale/internal/standin/directory"
+	"pinedale/internal/standin/fakediscovery"
 	"pinedale/internal/standin/logged"
 	"pinedale/internal/standin/peer"
 	"pinedale/internal/standin/platform"
@@ -41,7 +41,7 @@
 	config   platform.Config
 	path     string // of the configuration
 	log      logged.Record
-	dir      *directory.Directory
+	dir      *fakediscovery.Directory
 	ended    chan error
 	arrivals chan arrival
 	auto     atomic.Bool  // arrivals are answered at once
@@ -75,9 +75,9 @@
 	s := &program{t: t, arrivals: make(chan arrival, 100), sent: map[string]int{}}
 	for n := range 3 {
 		e := peer.New(t, s.serve)
-		s.config.Known = append(s.config.Known, directory.Ready(fmt.Sprint("s-", n), e.Address))
+		s.config.Known = append(s.config.Known, fakediscovery.Ready(fmt.Sprint("s-", n), e.Address))
 	}
-	s.dir = directory.New(t, s.config.Known...)
+	s.dir = fakediscovery.New(t, s.config.Known...)
 	s.config.Listen, s.config.Discovery, s.config.Settings = platform.FreeAddress(t), s.dir.Address, settings(cancel)
 	return s
 }
@@ -191,7 +191,7 @@
 }
 
 // moves has the program watch another discovery.
-func (s *program) moves(to *directory.Directory) {
+func (s *program) moves(to *fakediscovery.Directory) {
 	s.t.Helper()
 	moved := s.config
 	moved.Discovery = to.Address
@@ -325,7 +325,7 @@
 					t.Parallel()
 					s := surround(t, cancel)
 					s.launch(single)
-					other := directory.New(t, s.config.Known...)
+					other := fakediscovery.New(t, s.config.Known...)
 					c := s.dial()
 					text, id := s.request(class)
 					if _, err := io.WriteString(c, text); err != nil {
@@ -466,12 +466,12 @@
 	s.auto.Store(true)
 	wait.Until(t, "the watch", func() bool { return s.dir.Count() > 1 })
 	s.dir.Silence()
-	hosts := append([]directory.Host{}, s.config.Known...)
+	hosts := append([]fakediscovery.Host{}, s.config.Known...)
 	for n := range 2 {
 		hosts[n].Health = "Terminating"
 	}
 	calls := s.dir.Count()
-	s.dir.Change(func() { s.dir.List = directory.Document{Seq: 2, Whole: true, Hosts: hosts} })
+	s.dir.Change(func() { s.dir.List = fakediscovery.Document{Seq: 2, Whole: true, Hosts: hosts} })
 	wait.Until(t, "the watch to be opened anew, and once more with the new version", func() bool {
 		s.dir.Lock()
 		defer s.dir.Unlock()
--- a/cmd/pinedale/main_test.go
+++ b/cmd/pinedale/main_test.go
@@ -14,7 +14,7 @@
 	"testing"
 	"time"
 
-	"pinedale/internal/standin/directory"
+	"pinedale/internal/standin/fakediscovery"
 	"pinedale/internal/standin/logged"
 	"pinedale/internal/standin/platform"
 	"pinedale/internal/standin/wait"
@@ -42,7 +42,7 @@
 // config knows one endpoint that is not there.
 func config(listen string) string {
 	return platform.Config{Listen: listen, Discovery: "127.0.0.1:1",
-		Known: []directory.Host{directory.Ready("s-1", "127.0.0.1:1")}}.Text()
+		Known: []fakediscovery.Host{fakediscovery.Ready("s-1", "127.0.0.1:1")}}.Text()
 }
 
 func TestBadConfigurationStopsWithOneLine(t *testing.T) {
--- a/internal/faulttest/drains.go
+++ b/internal/faulttest/drains.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"pinedale/internal/faulttest/history"
-	"pinedale/internal/standin/directory"
+	"pinedale/internal/standin/fakediscovery"
 )
 
 // drain is a server's drain, from the list's version that advertises it.
@@ -24,7 +24,7 @@
 }
 
 // updateLists changes a server's entry in all lists, and returns the version that has the change.
-func (r *rig) updateLists(server string, change func(*directory.Host)) (version uint64) {
+func (r *rig) updateLists(server string, change func(*fakediscovery.Host)) (version uint64) {
 	r.drains.listMu.Lock()
 	defer r.drains.listMu.Unlock()
 	for _, d := range r.network.lists {
@@ -45,7 +45,7 @@
 
 // startDrain has discovery advertise that a server drains.
 func (r *rig) startDrain(server string) {
-	version := r.updateLists(server, func(h *directory.Host) { h.Health = "Terminating" })
+	version := r.updateLists(server, func(h *fakediscovery.Host) { h.Health = "Terminating" })
 	r.drains.mu.Lock()
 	defer r.drains.mu.Unlock()
 	r.drains.begun = append(r.drains.begun, drain{server: server, version: version})
@@ -64,7 +64,7 @@
 	if err := r.requestServers("start " + server); err != nil {
 		return err
 	}
-	r.updateLists(server, func(h *directory.Host) { h.Health, h.BornMS = "Ready", time.Now().UnixMilli() })
+	r.updateLists(server, func(h *fakediscovery.Host) { h.Health, h.BornMS = "Ready", time.Now().UnixMilli() })
 	return nil
 }
 
--- a/internal/faulttest/network.go
+++ b/internal/faulttest/network.go
@@ -3,7 +3,7 @@
 import (
 	"pinedale/internal/faulttest/relay"
 	"pinedale/internal/faulttest/schedule"
-	"pinedale/internal/standin/directory"
+	"pinedale/internal/standin/fakediscovery"
 )
 
 // path names a direction between two processes.
@@ -13,9 +13,9 @@
 type network struct {
 	seed   uint64
 	paths  map[path]*relay.Path
-	relays map[path]*relay.Relay           // by the direction in which connections are opened
-	fronts map[string]string               // where clients reach an instance
-	lists  map[string]*directory.Directory // each instance's discovery: addresses differ, since paths do
+	relays map[path]*relay.Relay               // by the direction in which connections are opened
+	fronts map[string]string                   // where clients reach an instance
+	lists  map[string]*fakediscovery.Directory // each instance's discovery: addresses differ, since paths do
 }
 
 // newNetwork makes a network without processes.
@@ -25,7 +25,7 @@
 		paths:  map[path]*relay.Path{},
 		relays: map[path]*relay.Relay{},
 		fronts: map[string]string{},
-		lists:  map[string]*directory.Directory{},
+		lists:  map[string]*fakediscovery.Directory{},
 	}
 }
 
--- a/internal/faulttest/processes.go
+++ b/internal/faulttest/processes.go
@@ -12,8 +12,8 @@
 
 	"pinedale/internal/cluster"
 	"pinedale/internal/faulttest/schedule"
-	"pinedale/internal/standin/directory"
 	"pinedale/internal/standin/fakebackend"
+	"pinedale/internal/standin/fakediscovery"
 )
 
 // ordinary are the servers' own faults: enough that requests are repeated without any other trouble.
@@ -108,17 +108,17 @@
 			return err
 		}
 	}
-	var hosts []directory.Host
+	var hosts []fakediscovery.Host
 	for s, name := range r.serverSpec.Names {
 		address, err := n.connect(i.name, name, addresses[s])
 		if err != nil {
 			return err
 		}
-		hosts = append(hosts, directory.Host{
+		hosts = append(hosts, fakediscovery.Host{
 			Name: name, Dial: address, Site: "a", Class: "box", Block: uint16(r.serverSpec.Pods[s]), Health: "Ready", Share: 1,
 		})
 	}
-	if n.lists[i.name], err = directory.Start(hosts...); err != nil {
+	if n.lists[i.name], err = fakediscovery.Start(hosts...); err != nil {
 		return err
 	}
 	if i.discovery, err = n.connect(i.name, discoveryName(i.name), n.lists[i.name].Address); err != nil {
--- a/internal/measure/removal/run.go
+++ b/internal/measure/removal/run.go
@@ -17,8 +17,8 @@
 
 	"pinedale/internal/membership/ephemeral"
 	"pinedale/internal/site"
-	"pinedale/internal/standin/directory"
 	"pinedale/internal/standin/fakebackend"
+	"pinedale/internal/standin/fakediscovery"
 	"pinedale/internal/standin/fakezookeeper"
 )
 
@@ -118,7 +118,7 @@
 	rng     *rand.Rand
 	fleet   *fakebackend.Fleet
 	service *fakezookeeper.Service
-	dir     *directory.Directory
+	dir     *fakediscovery.Directory
 	site    *site.Instance
 	names   int
 
@@ -148,7 +148,7 @@
 		return err
 	}
 	defer s.service.Close()
-	if s.dir, err = directory.Start(); err != nil {
+	if s.dir, err = fakediscovery.Start(); err != nil {
 		return err
 	}
 	defer s.dir.Close()
@@ -271,12 +271,12 @@
 
 // publish writes discovery's list.
 func (s *script) publish() {
-	hosts := []directory.Host{}
+	hosts := []fakediscovery.Host{}
 	for _, x := range s.alive {
-		hosts = append(hosts, directory.Ready(x.Name, x.Address))
+		hosts = append(hosts, fakediscovery.Ready(x.Name, x.Address))
 	}
 	s.dir.Change(func() {
-		s.dir.List = directory.Document{Seq: s.dir.List.Seq + 1, Whole: true, Hosts: hosts}
+		s.dir.List = fakediscovery.Document{Seq: s.dir.List.Seq + 1, Whole: true, Hosts: hosts}
 	})
 }
 
@@ -294,13 +294,13 @@
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.dir.Change(func() {
-				list := []directory.Host{}
+				list := []fakediscovery.Host{}
 				for _, h := range s.dir.List.Hosts {
 					if h.Name != x.Name {
 						list = append(list, h)
 					}
 				}
-				s.dir.List = directory.Document{Seq: s.dir.List.Seq + 1, Whole: true, Hosts: list}
+				s.dir.List = fakediscovery.Document{Seq: s.dir.List.Seq + 1, Whole: true, Hosts: list}
 			})
 		})
 	}
--- a/internal/measure/verdicts/cost.go
+++ b/internal/measure/verdicts/cost.go
@@ -19,8 +19,8 @@
 
 	"pinedale/internal/measure/process"
 	"pinedale/internal/site"
-	"pinedale/internal/standin/directory"
 	"pinedale/internal/standin/fakebackend"
+	"pinedale/internal/standin/fakediscovery"
 	"pinedale/internal/standin/proxy"
 )
 
@@ -272,7 +272,7 @@
 // Cost compares verdicts with a no-op processor on the same library. Both serve in
 // processes of their own, one after the other, in turns.
 func Cost(o CostOptions) (*CostReport, error) {
-	dir, err := directory.Start()
+	dir, err := fakediscovery.Start()
 	if err != nil {
 		return nil, err
 	}
@@ -309,7 +309,7 @@
 }
 
 // startFleet starts servers and lists them in the discovery.
-func startFleet(dir *directory.Directory, servers int) (err error) {
+func startFleet(dir *fakediscovery.Directory, servers int) (err error) {
 	fleet := &fakebackend.Fleet{Seed: 1}
 	dir.Change(func() {
 		for n := range servers {
@@ -318,7 +318,7 @@
 				err = startErr
 				return
 			}
-			h := directory.Ready(s.Name, s.Address)
+			h := fakediscovery.Ready(s.Name, s.Address)
 			h.Site, h.Class = "arusha", "box"
 			dir.List.Hosts = append(dir.List.Hosts, h)
 		}
--- a/internal/measure/verdicts/run.go
+++ b/internal/measure/verdicts/run.go
@@ -15,8 +15,8 @@
 	"time"
 
 	"pinedale/internal/site"
-	"pinedale/internal/standin/directory"
 	"pinedale/internal/standin/fakebackend"
+	"pinedale/internal/standin/fakediscovery"
 	"pinedale/internal/standin/proxy"
 )
 
@@ -140,7 +140,7 @@
 	o       Options
 	file    *site.File
 	site    *site.Instance
-	dir     *directory.Directory
+	dir     *fakediscovery.Directory
 	fleet   *fakebackend.Fleet
 	proxies []*proxy.Proxy
 	ext     string
@@ -180,7 +180,7 @@
 			r.end()
 		}
 	}()
-	if r.dir, err = directory.Start(); err != nil {
+	if r.dir, err = fakediscovery.Start(); err != nil {
 		return err
 	}
 	if r.file, err = site.Parse([]byte(File(r.dir.Address, r.o.Short, r.o.attempts()))); err != nil {
@@ -224,13 +224,13 @@
 // publish writes the list of servers that are there.
 func (r *run) publish() {
 	r.dir.Change(func() {
-		hosts := []directory.Host{}
+		hosts := []fakediscovery.Host{}
 		for _, s := range r.alive {
-			h := directory.Ready(s.Name, s.Address)
+			h := fakediscovery.Ready(s.Name, s.Address)
 			h.Site, h.Class, h.Block = [...]string{"arusha", "dar"}[s.Cell%2], "box", uint16(s.Cell)
 			hosts = append(hosts, h)
 		}
-		r.dir.List = directory.Document{Seq: r.dir.List.Seq + 1, Whole: true, Hosts: hosts}
+		r.dir.List = fakediscovery.Document{Seq: r.dir.List.Seq + 1, Whole: true, Hosts: hosts}
 	})
 }
 
--- a/internal/membership/multisource/source_test.go
+++ b/internal/membership/multisource/source_test.go
@@ -21,7 +21,7 @@
 	"pinedale/internal/membership/register"
 	"pinedale/internal/membership/registry"
 	"pinedale/internal/membership/static"
-	"pinedale/internal/standin/directory"
+	"pinedale/internal/standin/fakediscovery"
 	"pinedale/internal/standin/fakezookeeper"
 	"pinedale/internal/standin/logged"
 	"pinedale/internal/standin/wait"
@@ -34,7 +34,7 @@
 type harness struct {
 	t         *testing.T
 	service   *fakezookeeper.Service
-	discovery *directory.Directory
+	discovery *fakediscovery.Directory
 	log       logged.Record
 
 	mu       sync.Mutex
@@ -87,7 +87,7 @@
 	if h.service, err = fakezookeeper.Start(2); err != nil {
 		t.Fatal(err)
 	}
-	if h.discovery, err = directory.Start(); err != nil {
+	if h.discovery, err = fakediscovery.Start(); err != nil {
 		t.Fatal(err)
 	}
 	for _, node := range nodes {
@@ -232,10 +232,10 @@
 }
 
 // document returns a complete list of ready servers in discovery's form.
-func document(version uint64, names ...string) directory.Document {
-	list := directory.Document{Seq: version, Whole: true}
+func document(version uint64, names ...string) fakediscovery.Document {
+	list := fakediscovery.Document{Seq: version, Whole: true}
 	for _, name := range names {
-		list.Hosts = append(list.Hosts, directory.Ready(name, "127.0.0.1:1"))
+		list.Hosts = append(list.Hosts, fakediscovery.Ready(name, "127.0.0.1:1"))
 	}
 	return list
 }
--- a/internal/sidecar/connections_test.go
+++ b/internal/sidecar/connections_test.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"pinedale/internal/front/httpfront"
-	"pinedale/internal/standin/directory"
+	"pinedale/internal/standin/fakediscovery"
 	"pinedale/internal/standin/peer"
 )
 
@@ -55,7 +55,7 @@
 // the second length.
 func TestRequestWithTwoLengthsIsRejected(t *testing.T) {
 	e := peer.New(t, peer.Always(peer.Served))
-	h := start(t, nil, directory.Ready("s-1", e.Address))
+	h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
 	hidden := readHeaders + "X-Correlation-Id: 2\r\n\r\n"
 	body := "0\r\n\r\n" + hidden
 	for name, head := range map[string]string{
@@ -98,7 +98,7 @@
 // request with more bytes behind it.
 func TestChunkedAndPipelinedRequestsCloseTheConnection(t *testing.T) {
 	e := peer.New(t, peer.Always(peer.Served))
-	h := start(t, nil, directory.Ready("s-1", e.Address))
+	h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
 	for name, text := range map[string]string{
 		"chunked": payHeaders + "X-Correlation-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
 		"pipelined": payHeaders + "X-Correlation-Id: 2\r\nContent-Length: 4\r\n\r\nbody" +
@@ -122,7 +122,7 @@
 // Bytes that are no valid request are rejected before a body is read, or the connection is closed.
 func TestInvalidHTTPIsRejected(t *testing.T) {
 	e := peer.New(t, peer.Always(peer.Served))
-	h := start(t, nil, directory.Ready("s-1", e.Address))
+	h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
 	for name, c := range map[string]struct{ text, want string }{
 		"a length beyond the limit": {
 			payHeaders + "X-Correlation-Id: 1\r\nContent-Length: 3000000000\r\n\r\n", "HTTP/1.1 413"},
@@ -158,7 +158,7 @@
 		}
 	}
 	e := peer.New(t, peer.Always(peer.Served))
-	h := start(t, nil, directory.Ready("s-1", e.Address))
+	h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
 	for name, c := range map[string]struct{ text, want string }{
 		"nothing":          {"", ""},
 		"half a header":    {payHeaders, ""},
@@ -184,7 +184,7 @@
 			_, _ = io.WriteString(conn, peer.Served)
 		}
 	})
-	h := start(t, nil, directory.Ready("s-1", e.Address))
+	h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
 	for class, body := range map[string]string{"read": "", "pay": "x"} {
 		if got := h.send(h.newRequest(class, body, time.Minute)); got.code != http.StatusOK {
 			t.Errorf("%s: got %+v", class, got)
@@ -201,7 +201,7 @@
 			_, _ = io.WriteString(conn, peer.Served)
 		}
 	})
-	h := start(t, nil, directory.Ready("s-1", e.Address))
+	h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
 	first, same := make(chan reply), h.newRequest("pay", "", time.Minute)
 	go func() { first <- h.send(same.Clone(context.Background())) }()
 	h.waitFor("the first request to arrive", func() bool { n, _ := e.Seen(); return n == 1 })
@@ -229,7 +229,7 @@
 			_, _ = io.WriteString(conn, peer.Served)
 		}
 	})
-	h := start(t, nil, directory.Ready("s-1", e.Address))
+	h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
 	first := make(chan reply)
 	go func() { first <- h.send(h.newRequest("pay", "x", time.Minute)) }()
 	h.waitFor("the first request to arrive", func() bool { n, _ := e.Seen(); return n == 1 })
@@ -262,7 +262,7 @@
 func TestResponsesCloseConnectionsAboveThreshold(t *testing.T) {
 	e := peer.New(t, peer.Always(peer.Served))
 	const threshold = 3 // few enough for all requests to arrive before a connection is closed as idle
-	h := startWith(t, nil, func(o *httpfront.Options) { o.Crowded = threshold }, directory.Ready("s-1", e.Address))
+	h := startWith(t, nil, func(o *httpfront.Options) { o.Crowded = threshold }, fakediscovery.Ready("s-1", e.Address))
 	h.waitFor("other connections to end", func() bool { return h.server.Connections() == 0 })
 	for i := range threshold + 3 {
 		conn := h.dial()
@@ -286,7 +286,7 @@
 // The bodies in memory are bounded together: a request beyond the limit is rejected before its body is read.
 func TestRequestIsRejectedBeyondBodyLimit(t *testing.T) {
 	e := peer.New(t, peer.Always(peer.Served))
-	h := startWith(t, nil, func(o *httpfront.Options) { o.BodyBytes = 20 }, directory.Ready("s-1", e.Address))
+	h := startWith(t, nil, func(o *httpfront.Options) { o.BodyBytes = 20 }, fakediscovery.Ready("s-1", e.Address))
 	got := h.send(h.newRequest("pay", strings.Repeat("x", 21), 3*time.Second))
 	if got.code != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
 		t.Errorf("beyond the limit: %+v", got)
--- a/internal/sidecar/deadline_test.go
+++ b/internal/sidecar/deadline_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"pinedale/internal/standin/directory"
+	"pinedale/internal/standin/fakediscovery"
 	"pinedale/internal/standin/peer"
 )
 
@@ -17,7 +17,7 @@
 func TestDeadlineCountsFromTheLastByte(t *testing.T) {
 	const timeLeft, slowWrite, tail = 400 * time.Millisecond, 500 * time.Millisecond, 5
 	endpoint := peer.New(t, peer.Always(peer.Served))
-	h := start(t, nil, directory.Ready("s-1", endpoint.Address))
+	h := start(t, nil, fakediscovery.Ready("s-1", endpoint.Address))
 	conn := h.dial()
 	var wire bytes.Buffer
 	if err := h.newRequest("order", "0123456789", timeLeft).Write(&wire); err != nil {
--- a/internal/sidecar/disconnect_test.go
+++ b/internal/sidecar/disconnect_test.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"pinedale/balancer"
-	"pinedale/internal/standin/directory"
+	"pinedale/internal/standin/fakediscovery"
 	"pinedale/internal/standin/peer"
 )
 
@@ -57,7 +57,7 @@
 			t.Parallel()
 			e := peer.New(t, peer.Always(peer.Served))
 			dialling, established := make(chan struct{}, 1), make(chan struct{})
-			h := &harness{t: t, dir: directory.New(t, directory.Ready("s-1", e.Address))}
+			h := &harness{t: t, dir: fakediscovery.New(t, fakediscovery.Ready("s-1", e.Address))}
 			h.dialControl = func(string, string, syscall.RawConn) error {
 				dialling <- struct{}{}
 				<-established
@@ -65,7 +65,7 @@
 			}
 			h.startReady(func(s map[string]any) {
 				s["limits"].(map[string]any)["cancel"] = c.cancel
-			}, directory.Ready("s-1", e.Address))
+			}, fakediscovery.Ready("s-1", e.Address))
 			conn := h.dial()
 			if _, err := io.WriteString(conn, h.requestText(c.class, "x")+c.within); err != nil {
 				t.Fatal(err)
@@ -97,13 +97,13 @@
 func TestPipelinedRequestIsServedNext(t *testing.T) {
 	e := peer.New(t, peer.Always(peer.Served))
 	dialling, established := make(chan struct{}, 9), make(chan struct{})
-	h := &harness{t: t, dir: directory.New(t, directory.Ready("s-1", e.Address))}
+	h := &harness{t: t, dir: fakediscovery.New(t, fakediscovery.Ready("s-1", e.Address))}
 	h.dialControl = func(string, string, syscall.RawConn) error {
 		dialling <- struct{}{}
 		<-established
 		return nil
 	}
-	h.startReady(nil, directory.Ready("s-1", e.Address))
+	h.startReady(nil, fakediscovery.Ready("s-1", e.Address))
 	conn := h.dial()
 	if _, err := io.WriteString(conn, h.requestText("pay", "first")); err != nil {
 		t.Fatal(err)
@@ -145,8 +145,8 @@
 func TestRetryIsNotWrittenAfterDedupWindow(t *testing.T) {
 	e := peer.New(t, peer.Then(peer.Failing, peer.Served))
 	// Both names have the address of one endpoint: whichever is chosen first fails.
-	hosts := []directory.Host{directory.Ready("s-1", e.Address), directory.Ready("s-2", e.Address)}
-	h := &harness{t: t, dir: directory.New(t, hosts...)}
+	hosts := []fakediscovery.Host{fakediscovery.Ready("s-1", e.Address), fakediscovery.Ready("s-2", e.Address)}
+	h := &harness{t: t, dir: fakediscovery.New(t, hosts...)}
 	const window = 2 * time.Second // longer than a busy machine takes from the first outcome to the retry
 	dials := make(chan struct{}, 9)
 	h.dialControl = func(string, string, syscall.RawConn) error {
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -12,7 +12,7 @@
 
 	"pinedale/balancer"
 	"pinedale/internal/membership/registry"
-	"pinedale/internal/standin/directory"
+	"pinedale/internal/standin/fakediscovery"
 	"pinedale/internal/standin/peer"
 )
 
@@ -32,7 +32,7 @@
 // complete list at once each time and never hold the call open.
 func TestWatchContinuesFromKnownVersion(t *testing.T) {
 	e := peer.New(t, peer.Always(peer.Served))
-	h := start(t, nil, directory.Ready("s-1", e.Address))
+	h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
 	h.waitFor("the waiting call", func() bool { return h.dir.Count() == 2 })
 	h.dir.Lock()
 	calls := slices.Clone(h.dir.Calls)
@@ -43,7 +43,7 @@
 	// A change reaches the balancer; the next call asks for newer versions.
 	second := peer.New(t, peer.Always(peer.Served))
 	h.dir.Change(func() {
-		h.dir.List = directory.Document{Seq: 7, Whole: true, Hosts: []directory.Host{directory.Ready("s-2", second.Address)}}
+		h.dir.List = fakediscovery.Document{Seq: 7, Whole: true, Hosts: []fakediscovery.Host{fakediscovery.Ready("s-2", second.Address)}}
 	})
 	h.waitFor("the call after the change", func() bool { return h.dir.Count() == 3 })
 	h.waitFor("the change", func() bool { return h.spy.listCount(balancer.ListFull) == 1 })
@@ -73,7 +73,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			e, second := peer.New(t, peer.Always(peer.Served)), peer.New(t, peer.Always(peer.Served))
-			h := start(t, nil, directory.Ready("s-1", e.Address))
+			h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
 			h.waitFor("the watch", func() bool { return h.dir.Count() >= 2 })
 			h.dir.Change(func() { h.dir.Down, h.dir.Broken = broken == "", broken })
 			// The open call is answered without a change; calls after it fail.
@@ -83,8 +83,8 @@
 			}
 			h.dir.Change(func() {
 				h.dir.Down, h.dir.Broken = false, ""
-				hosts := []directory.Host{directory.Ready("s-2", second.Address)}
-				h.dir.List = directory.Document{Seq: 1, Whole: true, Hosts: hosts}
+				hosts := []fakediscovery.Host{fakediscovery.Ready("s-2", second.Address)}
+				h.dir.List = fakediscovery.Document{Seq: 1, Whole: true, Hosts: hosts}
 			})
 			h.waitFor("the new list", func() bool { return h.spy.listCount(balancer.ListFull) >= 1 })
 			if got := h.send(h.newRequest("pay", "x", 3*time.Second)); got.code != http.StatusOK {
@@ -101,13 +101,13 @@
 // the watch again after a failure.
 func TestPushedListWatchRestartsAfterFailure(t *testing.T) {
 	e, second := peer.New(t, peer.Always(peer.Served)), peer.New(t, peer.Always(peer.Served))
-	h := start(t, func(s map[string]any) { s["discovery"] = "automatic" }, directory.Ready("s-1", e.Address))
+	h := start(t, func(s map[string]any) { s["discovery"] = "automatic" }, fakediscovery.Ready("s-1", e.Address))
 	h.waitFor("the watch", func() bool { return h.dir.Count() >= 2 })
 	h.dir.Change(func() { h.dir.Down = true })
 	h.waitFor("the failure", func() bool { return h.spy.listCount(balancer.ListFailed) >= 1 })
 	h.dir.Change(func() {
 		h.dir.Down = false
-		h.dir.List = directory.Document{Seq: 3, Whole: true, Hosts: []directory.Host{directory.Ready("s-2", second.Address)}}
+		h.dir.List = fakediscovery.Document{Seq: 3, Whole: true, Hosts: []fakediscovery.Host{fakediscovery.Ready("s-2", second.Address)}}
 	})
 	h.waitFor("the new list", func() bool { return h.spy.listCount(balancer.ListFull) >= 1 })
 }
@@ -115,7 +115,7 @@
 // A sidecar without a cached list is not ready until discovery has sent one.
 func TestReadyOnlyWithFirstList(t *testing.T) {
 	e := peer.New(t, peer.Always(peer.Served))
-	h := &harness{t: t, dir: directory.New(t)}
+	h := &harness{t: t, dir: fakediscovery.New(t)}
 	h.dir.Down = true
 	h.launch(configure(t, h.dir.Address, nil))
 	status := func() int {
@@ -132,7 +132,7 @@
 	}
 	h.dir.Change(func() {
 		h.dir.Down = false
-		h.dir.List = directory.Document{Seq: 1, Whole: true, Hosts: []directory.Host{directory.Ready("s-1", e.Address)}}
+		h.dir.List = fakediscovery.Document{Seq: 1, Whole: true, Hosts: []fakediscovery.Host{fakediscovery.Ready("s-1", e.Address)}}
 	})
 	h.waitFor("ready", func() bool { return status() == http.StatusOK })
 	if last := h.dir.Calls[0]; last != "" {
@@ -151,13 +151,13 @@
 		}
 	})
 	second := peer.New(t, peer.Always(peer.Served))
-	h := start(t, nil, directory.Ready("s-1", e.Address))
+	h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
 	h.waitFor("the watch", func() bool { return h.dir.Count() == 2 })
 	inFlight := make(chan reply)
 	go func() { inFlight <- h.send(h.newRequest("pay", "x", time.Minute)) }()
 	h.waitFor("the request in flight", func() bool { n, _ := e.Seen(); return n == 1 })
 
-	moved := directory.New(t, directory.Ready("s-2", second.Address))
+	moved := fakediscovery.New(t, fakediscovery.Ready("s-2", second.Address))
 	for range 2 { // the same reload again changes nothing
 		lists := h.spy.listCount(balancer.ListFull)
 		h.inEngine(func() { h.engine.SwitchSource(registry.New(moved.Address, h.cfg.discoveryTiming())) })
--- a/internal/sidecar/events_test.go
+++ b/internal/sidecar/events_test.go
@@ -18,7 +18,7 @@
 	"pinedale/balancer"
 	"pinedale/internal/front/httpfront"
 	"pinedale/internal/membership/registry"
-	"pinedale/internal/standin/directory"
+	"pinedale/internal/standin/fakediscovery"
 	"pinedale/internal/standin/peer"
 	_ "pinedale/internal/standin/seeds"
 )
@@ -58,7 +58,7 @@
 // eventRun is a sidecar with clients and endpoints that act only when an event says so.
 type eventRun struct {
 	*harness
-	hosts        []directory.Host
+	hosts        []fakediscovery.Host
 	inOrder      []*clientRequest
 	shuttingDown bool
 
@@ -100,13 +100,13 @@
 }
 
 // startEndpoint starts an endpoint that receives requests and responds when respond is called.
-func (o *eventRun) startEndpoint(name string) directory.Host {
+func (o *eventRun) startEndpoint(name string) fakediscovery.Host {
 	e := peer.New(o.t, func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
 		for r := e.Next(in); r != nil; r = e.Next(in) {
 			<-o.receive(name, conn, r).done
 		}
 	})
-	return directory.Ready(name, e.Address)
+	return fakediscovery.Ready(name, e.Address)
 }
 
 // receive records an attempt that an endpoint has received, and checks that it was permitted.
@@ -299,7 +299,7 @@
 	hosts[0].Health = "Terminating"
 	o.hosts = hosts
 	lists := o.spy.listCount(balancer.ListFull)
-	o.dir.Change(func() { o.dir.List = directory.Document{Seq: version, Whole: true, Hosts: hosts} })
+	o.dir.Change(func() { o.dir.List = fakediscovery.Document{Seq: version, Whole: true, Hosts: hosts} })
 	o.waitFor("the list", func() bool { return o.spy.listCount(balancer.ListFull) > lists })
 }
 
@@ -350,8 +350,8 @@
 		f.AcceptFor = time.Millisecond
 		f.EndBy = func(time.Duration) time.Duration { return testTimeout } // it ends once all is answered
 	}}
-	o.hosts = []directory.Host{o.startEndpoint("s-1"), o.startEndpoint("s-2"), o.startEndpoint("s-3")}
-	o.dir = directory.New(t, o.hosts...)
+	o.hosts = []fakediscovery.Host{o.startEndpoint("s-1"), o.startEndpoint("s-2"), o.startEndpoint("s-3")}
+	o.dir = fakediscovery.New(t, o.hosts...)
 	o.startReady(func(settings map[string]any) {
 		limits := settings["limits"].(map[string]any)
 		limits["cancel"] = cancel
--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -19,7 +19,7 @@
 	"pinedale/balancer"
 	"pinedale/internal/engine"
 	"pinedale/internal/front/httpfront"
-	"pinedale/internal/standin/directory"
+	"pinedale/internal/standin/fakediscovery"
 	"pinedale/internal/standin/wait"
 	"pinedale/internal/upstream/httpupstream"
 )
@@ -129,13 +129,13 @@
 	dialControl    func(network, address string, c syscall.RawConn) error // of dials to endpoints
 	adjustFront    func(*httpfront.Options)
 	spy            *spy
-	dir            *directory.Directory
+	dir            *fakediscovery.Directory
 	stop           context.CancelFunc // as SIGTERM does
 	ended          chan error
 }
 
 // configure returns a configuration whose cached list has the given hosts.
-func configure(t *testing.T, discovery string, alter func(settings map[string]any), hosts ...directory.Host) *Config {
+func configure(t *testing.T, discovery string, alter func(settings map[string]any), hosts ...fakediscovery.Host) *Config {
 	t.Helper()
 	var settings map[string]any
 	if err := json.Unmarshal([]byte(settingsText), &settings); err != nil {
@@ -147,7 +147,7 @@
 	text, err := json.Marshal(map[string]any{
 		"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f30d27a5be964",
 		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 256},
-		"known":  directory.Document{Whole: true, Hosts: hosts}, "settings": settings})
+		"known":  fakediscovery.Document{Whole: true, Hosts: hosts}, "settings": settings})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -159,20 +159,20 @@
 }
 
 // start runs a sidecar whose cached list has these hosts, and waits until it is ready.
-func start(t *testing.T, alter func(settings map[string]any), hosts ...directory.Host) *harness {
+func start(t *testing.T, alter func(settings map[string]any), hosts ...fakediscovery.Host) *harness {
 	t.Helper()
 	return startWith(t, alter, nil, hosts...)
 }
 
 // startWith is start with other options for the front.
 func startWith(t *testing.T, alter func(settings map[string]any), options func(*httpfront.Options),
-	hosts ...directory.Host) *harness {
+	hosts ...fakediscovery.Host) *harness {
 	t.Helper()
-	return (&harness{t: t, adjustFront: options, dir: directory.New(t, hosts...)}).startReady(alter, hosts...)
+	return (&harness{t: t, adjustFront: options, dir: fakediscovery.New(t, hosts...)}).startReady(alter, hosts...)
 }
 
 // startReady launches the sidecar and waits until it is ready.
-func (h *harness) startReady(alter func(settings map[string]any), hosts ...directory.Host) *harness {
+func (h *harness) startReady(alter func(settings map[string]any), hosts ...fakediscovery.Host) *harness {
 	t := h.t
 	t.Helper()
 	h.launch(configure(t, h.dir.Address, alter, hosts...))
--- a/internal/sidecar/requests_test.go
+++ b/internal/sidecar/requests_test.go
@@ -17,14 +17,14 @@
 	"pinedale/internal/front/httpfront"
 	"pinedale/internal/httpmsg"
 	"pinedale/internal/requestmeta"
-	"pinedale/internal/standin/directory"
+	"pinedale/internal/standin/fakediscovery"
 	"pinedale/internal/standin/peer"
 )
 
 // Requests of every class are served, on one connection to the endpoint.
 func TestServesAndReusesConnections(t *testing.T) {
 	e := peer.New(t, peer.Always(peer.Served))
-	h := start(t, nil, directory.Ready("s-1", e.Address))
+	h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
 	for _, class := range []string{"read", "pay", "close", "order"} {
 		body := "body of " + class
 		if class == "read" {
@@ -50,14 +50,14 @@
 			_, _ = io.WriteString(conn, peer.Served)
 		}
 	}
-	other := func(h directory.Host) directory.Host {
+	other := func(h fakediscovery.Host) fakediscovery.Host {
 		h.Block = 2
 		return h
 	}
 	for _, c := range []struct {
 		name, class string
 		first       func(*peer.Endpoint, net.Conn, *bufio.Reader)
-		move        func(directory.Host) directory.Host // of the second endpoint
+		move        func(fakediscovery.Host) fakediscovery.Host // of the second endpoint
 		code        int
 		attempts    int
 	}{
@@ -77,11 +77,11 @@
 			t.Parallel()
 			// Both names have the address of one endpoint: whichever is chosen first, its first attempt ends as scripted.
 			e := peer.New(t, c.first)
-			second := directory.Ready("s-2", e.Address)
+			second := fakediscovery.Ready("s-2", e.Address)
 			if c.move != nil {
 				second = c.move(second)
 			}
-			h := start(t, nil, directory.Ready("s-1", e.Address), second)
+			h := start(t, nil, fakediscovery.Ready("s-1", e.Address), second)
 			got := h.send(h.newRequest(c.class, "x", 3*time.Second))
 			if n, _ := e.Seen(); got.code != c.code || n != c.attempts || got.err != nil {
 				t.Errorf("response %d (%v) after %d attempts, want %d after %d", got.code, got.err, n, c.code, c.attempts)
@@ -97,7 +97,7 @@
 // settled.
 func TestEachAttemptHasOneOutcomeInOrder(t *testing.T) {
 	e := peer.New(t, peer.Then(peer.Full, peer.Served))
-	h := start(t, nil, directory.Ready("s-1", e.Address), directory.Ready("s-2", e.Address))
+	h := start(t, nil, fakediscovery.Ready("s-1", e.Address), fakediscovery.Ready("s-2", e.Address))
 	h.send(h.newRequest("order", "x", 3*time.Second))
 	h.waitFor("two outcomes", func() bool { return len(h.spy.statuses()) >= 2 })
 	h.spy.mu.Lock()
@@ -119,7 +119,7 @@
 	for class, code := range map[string]int{"read": 503, "pay": 503, "close": 502, "order": 502} {
 		t.Run(class, func(t *testing.T) {
 			e := peer.New(t, peer.Silent)
-			h := start(t, nil, directory.Ready("s-1", e.Address))
+			h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
 			const remaining = 400 * time.Millisecond
 			sent := h.engine.Now()
 			got := h.send(h.newRequest(class, "x", remaining))
@@ -155,7 +155,7 @@
 // A request that no endpoint accepts is answered at once, with a Retry-After.
 func TestFullEndpointIsAnsweredWithRetryAfter(t *testing.T) {
 	e := peer.New(t, peer.Always(peer.Full))
-	h := start(t, nil, directory.Ready("s-1", e.Address))
+	h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
 	began := time.Now()
 	got := h.send(h.newRequest("read", "", time.Minute))
 	after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
@@ -176,7 +176,7 @@
 		_, _ = in.ReadByte() // until the sidecar closes the connection
 		close(closed)
 	})
-	h := start(t, nil, directory.Ready("s-1", e.Address))
+	h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
 	ctx, cancel := context.WithCancel(context.Background())
 	go h.send(h.newRequest("pay", "x", time.Minute).WithContext(ctx))
 	h.waitFor("the attempt", func() bool { n, _ := e.Seen(); return n == 1 })
@@ -201,7 +201,7 @@
 // response that no endpoint made.
 func TestHalfClosedClientGetsNoResponse(t *testing.T) {
 	e := peer.New(t, peer.Silent)
-	h := start(t, nil, directory.Ready("s-1", e.Address))
+	h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
 	conn, err := net.Dial("tcp", strings.TrimPrefix(h.url, "http://"))
 	if err != nil {
 		t.Fatal(err)
@@ -234,7 +234,7 @@
 	// Where the settings forbid to cancel, the attempt continues after its request has ended.
 	h := start(t, func(s map[string]any) {
 		s["limits"].(map[string]any)["cancel"] = false
-	}, directory.Ready("s-1", e.Address))
+	}, fakediscovery.Ready("s-1", e.Address))
 	ctx, cancel := context.WithCancel(context.Background())
 	go h.send(h.newRequest("pay", "x", time.Minute).WithContext(ctx))
 	h.waitFor("the attempt", func() bool { n, _ := e.Seen(); return n == 1 })
@@ -254,7 +254,7 @@
 	e := peer.New(t, peer.Always(peer.Served))
 	h := start(t, func(s map[string]any) {
 		s["tenants"] = []any{map[string]any{"name": "acme", "share": 1, "allowance-per-s": 10}}
-	}, directory.Ready("s-1", e.Address))
+	}, fakediscovery.Ready("s-1", e.Address))
 	for _, c := range []struct {
 		name  string
 		alter func(*http.Request)
@@ -323,7 +323,7 @@
 func TestEndpointDrainingDuringDialGetsNothing(t *testing.T) {
 	first, second := peer.New(t, peer.Always(peer.Served)), peer.New(t, peer.Always(peer.Served))
 	dialling, proceed := make(chan struct{}), make(chan struct{})
-	h := &harness{t: t, dir: directory.New(t, directory.Ready("s-1", first.Address))}
+	h := &harness{t: t, dir: fakediscovery.New(t, fakediscovery.Ready("s-1", first.Address))}
 	h.dialControl = func(_, address string, _ syscall.RawConn) error {
 		if address == first.Address {
 			close(dialling)
@@ -331,15 +331,15 @@
 		}
 		return nil
 	}
-	h.startReady(nil, directory.Ready("s-1", first.Address))
+	h.startReady(nil, fakediscovery.Ready("s-1", first.Address))
 	answer := make(chan reply)
 	go func() { answer <- h.send(h.newRequest("order", "x", time.Minute)) }()
 	<-dialling
-	draining := directory.Ready("s-1", first.Address)
+	draining := fakediscovery.Ready("s-1", first.Address)
 	draining.Health = "Terminating"
 	h.dir.Change(func() {
-		hosts := []directory.Host{draining, directory.Ready("s-2", second.Address)}
-		h.dir.List = directory.Document{Seq: 1, Whole: true, Hosts: hosts}
+		hosts := []fakediscovery.Host{draining, fakediscovery.Ready("s-2", second.Address)}
+		h.dir.List = fakediscovery.Document{Seq: 1, Whole: true, Hosts: hosts}
 	})
 	h.waitFor("the new list", func() bool { return h.spy.listCount(balancer.ListFull) == 1 })
 	close(proceed)
@@ -369,7 +369,7 @@
 	h := startWith(t, nil, func(o *httpfront.Options) {
 		o.AcceptFor = 3 * time.Second // a busy machine may be slow to connect
 		o.EndBy = func(time.Duration) time.Duration { return testTimeout }
-	}, directory.Ready("s-1", e.Address))
+	}, fakediscovery.Ready("s-1", e.Address))
 	idle, err := net.Dial("tcp", strings.TrimPrefix(h.url, "http://"))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/sidecar/shutdown_test.go
+++ b/internal/sidecar/shutdown_test.go
@@ -9,7 +9,7 @@
 
 	"pinedale/balancer"
 	"pinedale/internal/front/httpfront"
-	"pinedale/internal/standin/directory"
+	"pinedale/internal/standin/fakediscovery"
 	"pinedale/internal/standin/peer"
 )
 
@@ -25,7 +25,7 @@
 			end <- longest
 			return time.Second
 		}
-	}, directory.Ready("s-1", e.Address))
+	}, fakediscovery.Ready("s-1", e.Address))
 	codes := map[string]int{"read": 503, "pay": 503, "close": 502, "order": 502}
 	answers := map[string]chan reply{}
 	for class := range codes {
@@ -69,7 +69,7 @@
 	h := startWith(t, nil, func(o *httpfront.Options) {
 		o.AcceptFor = testTimeout
 		o.EndBy = func(time.Duration) time.Duration { return testTimeout }
-	}, directory.Ready("s-1", first.Address))
+	}, fakediscovery.Ready("s-1", first.Address))
 	h.waitFor("the watch", func() bool { return h.dir.Count() >= 2 })
 	h.stop()
 	h.waitFor("shutdown to begin", func() bool {
@@ -80,12 +80,12 @@
 		response.Body.Close()
 		return response.StatusCode == http.StatusServiceUnavailable
 	})
-	draining := directory.Ready("s-1", first.Address)
+	draining := fakediscovery.Ready("s-1", first.Address)
 	draining.Health = "Terminating"
 	before := len(h.spy.statuses())
 	h.dir.Change(func() {
-		hosts := []directory.Host{draining, directory.Ready("s-2", second.Address)}
-		h.dir.List = directory.Document{Seq: 1, Whole: true, Hosts: hosts}
+		hosts := []fakediscovery.Host{draining, fakediscovery.Ready("s-2", second.Address)}
+		h.dir.List = fakediscovery.Document{Seq: 1, Whole: true, Hosts: hosts}
 	})
 	h.waitFor("the new list", func() bool { return h.spy.listCount(balancer.ListFull) == 1 })
 	for range 5 {
--- a/internal/site/peers_test.go
+++ b/internal/site/peers_test.go
@@ -14,8 +14,8 @@
 	"time"
 
 	"pinedale/balancer"
-	"pinedale/internal/standin/directory"
 	"pinedale/internal/standin/fakebackend"
+	"pinedale/internal/standin/fakediscovery"
 	"pinedale/internal/standin/platform"
 	"pinedale/internal/standin/proxy"
 	"pinedale/internal/standin/wait"
@@ -195,7 +195,7 @@
 // the first sends it no more requests, and follows its own list once that is updated.
 func TestServerKnownToDrainByPeersGetsNoRequests(t *testing.T) {
 	fleet := &fakebackend.Fleet{Classes: dayClose()}
-	var hosts []directory.Host
+	var hosts []fakediscovery.Host
 	var servers []*fakebackend.Server
 	for n := range 6 {
 		s, err := fleet.Start(fmt.Sprint("s-", n), n/2)
@@ -204,7 +204,7 @@
 		}
 		t.Cleanup(s.Close)
 		servers = append(servers, s)
-		hosts = append(hosts, directory.Host{
+		hosts = append(hosts, fakediscovery.Host{
 			Name:   s.Name,
 			Dial:   s.Address,
 			Site:   "a",
@@ -214,9 +214,9 @@
 			Share:  1,
 		})
 	}
-	var lists []*directory.Directory
+	var lists []*fakediscovery.Directory
 	instances := startCluster(t, func(int) string {
-		lists = append(lists, directory.New(t, hosts...))
+		lists = append(lists, fakediscovery.New(t, hosts...))
 		address := lists[len(lists)-1].Address
 		discovery := fmt.Sprintf("[discovery]\naddress = %q\nask_within = \"2s\"\n", address)
 		return fmt.Sprintf(closeClass, "never") + discovery
@@ -231,14 +231,14 @@
 	for n, list := range lists {
 		wait.Until(t, fmt.Sprint("the watch of ", n), func() bool { return list.Count() > 1 })
 	}
-	changeList := func(n int, alter func(h *directory.Host)) {
+	changeList := func(n int, alter func(h *fakediscovery.Host)) {
 		changed := slices.Clone(hosts)
 		alter(&changed[0])
 		lists[n].Change(func() {
-			lists[n].List = directory.Document{Seq: lists[n].List.Seq + 1, Whole: true, Hosts: changed}
+			lists[n].List = fakediscovery.Document{Seq: lists[n].List.Seq + 1, Whole: true, Hosts: changed}
 		})
 	}
-	drains := func(h *directory.Host) { h.Health = "Terminating" }
+	drains := func(h *fakediscovery.Host) { h.Health = "Terminating" }
 	lists[2].Silence()
 	changeList(0, drains)
 	changeList(1, drains)
@@ -258,7 +258,7 @@
 	}
 	// It was restarted, as all lists say: the advisory on its previous incarnation no longer counts.
 	for n := range lists {
-		changeList(n, func(h *directory.Host) { h.BornMS = 1 })
+		changeList(n, func(h *fakediscovery.Host) { h.BornMS = 1 })
 	}
 	wait.Until(t, "the own list to be followed", func() bool { return len(advisedDraining(2)) == 0 })
 	next := 60
--- a/internal/standin/directory/directory.go
+++ b/internal/standin/fakediscovery/directory.go
@@ -1,6 +1,6 @@
-// Package directory is a stand-in for the platform's discovery service: one list,
+// Package fakediscovery is a stand-in for the platform's discovery service: one list,
 // whole or watched, that a test changes, takes down or spoils.
-package directory
+package fakediscovery
 
 import (
 	"encoding/json"
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -8,7 +8,7 @@
 	"os"
 	"testing"
 
-	"pinedale/internal/standin/directory"
+	"pinedale/internal/standin/fakediscovery"
 	"pinedale/internal/standin/ports"
 )
 
@@ -27,7 +27,7 @@
 type Config struct {
 	Listen    string
 	Discovery string
-	Known     []directory.Host
+	Known     []fakediscovery.Host
 	Settings  map[string]any
 }
 
@@ -41,11 +41,11 @@
 	}
 	known := c.Known
 	if known == nil {
-		known = []directory.Host{}
+		known = []fakediscovery.Host{}
 	}
 	text, err := json.Marshal(map[string]any{"name": "n0", "listen": c.Listen, "discovery": c.Discovery, "seed": "1f",
 		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
-		"known":  directory.Document{Seq: 1, Whole: true, Hosts: known}, "settings": settings})
+		"known":  fakediscovery.Document{Seq: 1, Whole: true, Hosts: known}, "settings": settings})
 	if err != nil {
 		panic(fmt.Sprintf("a configuration that JSON has no words for: %v", err))
 	}
