--- a/internal/measure/rotations/rotations.go
+++ b/internal/measure/rotations/rotations.go
@@ -23,7 +23,7 @@
 	"pinedale/internal/site"
 	"pinedale/internal/standin/ca"
 	"pinedale/internal/standin/fakebackend"
-	"pinedale/internal/standin/guarded"
+	"pinedale/internal/standin/tlsbackend"
 	"pinedale/internal/upstream/secure"
 )
 
@@ -90,7 +90,7 @@
 	o            Options
 	first, next  *ca.Authority
 	front, fleet *ca.Folder
-	keys         *guarded.Keys
+	keys         *tlsbackend.Keys
 	at           *site.Instance
 	clients      atomic.Pointer[x509.CertPool] // whom they trust
 }
@@ -169,7 +169,7 @@
 	w.front.Pair(issue(w.first, "127.0.0.1"))
 	w.fleet.Pair(issue(w.first, "pinedale.example.org"))
 	w.fleet.Put(w.fleet.Roots, w.first.PEM())
-	w.keys = guarded.NewKeys(ca.Must{}, issue(w.first, w.names()...))
+	w.keys = tlsbackend.NewKeys(ca.Must{}, issue(w.first, w.names()...))
 	w.keys.Trust(w.first)
 	return nil
 }
--- a/internal/site/secure_test.go
+++ b/internal/site/secure_test.go
@@ -20,8 +20,8 @@
 	"pinedale/internal/certstore"
 	"pinedale/internal/standin/ca"
 	"pinedale/internal/standin/fakebackend"
-	"pinedale/internal/standin/guarded"
 	"pinedale/internal/standin/logged"
+	"pinedale/internal/standin/tlsbackend"
 	"pinedale/internal/standin/wait"
 )
 
@@ -31,7 +31,7 @@
 	t          *testing.T
 	root       *ca.Authority
 	files      *ca.Folder
-	serverKeys [2]*guarded.Keys
+	serverKeys [2]*tlsbackend.Keys
 	fleet      [2]*fakebackend.Fleet
 	log        logged.Record
 	ids        int
@@ -58,7 +58,7 @@
 		}
 	}
 	for n, p := range []*ca.Pair{first, second} {
-		w.serverKeys[n] = guarded.NewKeys(t, p)
+		w.serverKeys[n] = tlsbackend.NewKeys(t, p)
 		w.fleet[n] = &fakebackend.Fleet{TLS: w.serverKeys[n].Follow}
 		s, err := w.fleet[n].Start(fmt.Sprint("s-", n), n)
 		if err != nil {
--- a/internal/standin/guarded/guarded.go
+++ b/internal/standin/tlsbackend/guarded.go
@@ -1,7 +1,7 @@
-// Package guarded is a stand-in for servers that speak TLS: over HTTP/1.1 and HTTP/3 on the
+// Package tlsbackend is a stand-in for servers that speak TLS: over HTTP/1.1 and HTTP/3 on the
 // same port number, with certificates that are rotated on command, and listeners that do in
 // place of a handshake what no server should.
-package guarded
+package tlsbackend
 
 import (
 	"crypto/rand"
--- a/internal/upstream/secure/conn_test.go
+++ b/internal/upstream/secure/conn_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"pinedale/internal/standin/ca"
-	"pinedale/internal/standin/guarded"
+	"pinedale/internal/standin/tlsbackend"
 	"pinedale/internal/upstream/attempt"
 )
 
@@ -15,8 +15,8 @@
 func TestOpenConnectionsFollowChangesOfTrust(t *testing.T) {
 	f := newFixture(t)
 	second := ca.New(t, "second")
-	byFirst, bySecond := guarded.Start(t, issue(f.root, ca.Spec{})), guarded.Start(t, issue(second, ca.Spec{}))
-	connect := func(s *guarded.Server) attempt.Session {
+	byFirst, bySecond := tlsbackend.Start(t, issue(f.root, ca.Spec{})), tlsbackend.Start(t, issue(second, ca.Spec{}))
+	connect := func(s *tlsbackend.Server) attempt.Session {
 		c, err := f.connect(target(s))
 		if err != nil {
 			t.Fatal(err)
@@ -61,7 +61,7 @@
 // Unsolicited data on an idle connection is seen before the next request, here in the TLS layer.
 func TestUnreadResponseIsSeenInTLSLayer(t *testing.T) {
 	f := newFixture(t)
-	s := guarded.Start(t, issue(f.root, ca.Spec{}))
+	s := tlsbackend.Start(t, issue(f.root, ca.Spec{}))
 	c, err := f.connect(target(s))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/upstream/secure/handshake_test.go
+++ b/internal/upstream/secure/handshake_test.go
@@ -16,7 +16,7 @@
 	"pinedale/internal/certstore/validate"
 	"pinedale/internal/engine"
 	"pinedale/internal/standin/ca"
-	"pinedale/internal/standin/guarded"
+	"pinedale/internal/standin/tlsbackend"
 	"pinedale/internal/upstream/attempt"
 	"pinedale/internal/upstream/handshake"
 )
@@ -61,7 +61,7 @@
 			k := f.keyOptions(certstore.Paths{Roots: f.files.Roots, Revoked: f.files.Revoked})
 			k.Want = validate.Want{LeastRSA: minRSABits}
 			f.reopen(f.client.options, k)
-			s := guarded.Start(t, c.pair)
+			s := tlsbackend.Start(t, c.pair)
 			_, tcpErr := f.handshakeTCP(target(s))
 			_, quicErr := f.handshakeQUIC(target(s))
 			if c.reason == "" {
@@ -92,14 +92,14 @@
 // A server that does not complete the handshake fails within the timeout, by a reason of its own,
 // and never gets plain text.
 func TestFailedHandshakeCountsItsReason(t *testing.T) {
-	for reason, behaviour := range map[string]guarded.Bad{
-		"silent":  guarded.Silent,
-		"broken":  guarded.Cut,
-		"not TLS": guarded.Plain,
+	for reason, behaviour := range map[string]tlsbackend.Bad{
+		"silent":  tlsbackend.Silent,
+		"broken":  tlsbackend.Cut,
+		"not TLS": tlsbackend.Plain,
 	} {
 		t.Run(reason, func(t *testing.T) {
 			f := newFixture(t, func(o *Options, _ *certstore.Options) { o.Timeout = 200 * time.Millisecond })
-			endpoint := &engine.Target{Name: "soko-3", Address: guarded.Listen(t, behaviour)}
+			endpoint := &engine.Target{Name: "soko-3", Address: tlsbackend.Listen(t, behaviour)}
 			if _, err := f.handshakeTCP(endpoint); err == nil || f.client.Counters().Failed[reason] != 1 {
 				t.Errorf("%v, counted %v", err, f.client.Counters().Failed)
 			}
@@ -107,14 +107,14 @@
 	}
 	t.Run("noise", func(t *testing.T) {
 		f := newFixture(t)
-		endpoint := &engine.Target{Name: "soko-3", Address: guarded.Listen(t, guarded.Garbage)}
+		endpoint := &engine.Target{Name: "soko-3", Address: tlsbackend.Listen(t, tlsbackend.Garbage)}
 		if _, err := f.handshakeTCP(endpoint); err == nil {
 			t.Error("noise is taken for a server")
 		}
 	})
 	t.Run("an older version", func(t *testing.T) {
 		f := newFixture(t)
-		s := guarded.Start(t, issue(f.root, ca.Spec{}))
+		s := tlsbackend.Start(t, issue(f.root, ca.Spec{}))
 		s.Most(tls.VersionTLS12)
 		if _, err := f.handshakeTCP(target(s)); err == nil {
 			t.Error("TLS 1.2 is accepted where 1.3 is the minimum")
@@ -128,7 +128,7 @@
 	})
 	t.Run("cancelled", func(t *testing.T) {
 		f := newFixture(t)
-		raw, err := net.Dial("tcp", guarded.Listen(t, guarded.Silent))
+		raw, err := net.Dial("tcp", tlsbackend.Listen(t, tlsbackend.Silent))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -145,7 +145,7 @@
 // The same failure of the same server is logged once per interval, however often it occurs.
 func TestRepeatedFailureIsLoggedOncePerInterval(t *testing.T) {
 	f := newFixture(t)
-	s := guarded.Start(t, issue(ca.New(t, "other"), ca.Spec{}))
+	s := tlsbackend.Start(t, issue(ca.New(t, "other"), ca.Spec{}))
 	for range 5 {
 		if _, err := f.handshakeTCP(target(s)); err == nil {
 			t.Error("a server of an unknown authority is trusted")
@@ -169,7 +169,7 @@
 		Key:   f.files.Key,
 		Roots: f.files.Roots,
 	}))
-	s := guarded.Start(t, issue(f.root, ca.Spec{}))
+	s := tlsbackend.Start(t, issue(f.root, ca.Spec{}))
 	s.Trust(f.root)
 	if _, err := f.handshakeTCP(target(s)); err != nil {
 		t.Errorf("HTTP/1.1: %v", err)
--- a/internal/upstream/secure/harness_test.go
+++ b/internal/upstream/secure/harness_test.go
@@ -18,8 +18,8 @@
 	"pinedale/internal/certstore/validate"
 	"pinedale/internal/engine"
 	"pinedale/internal/standin/ca"
-	"pinedale/internal/standin/guarded"
 	"pinedale/internal/standin/logged"
+	"pinedale/internal/standin/tlsbackend"
 	"pinedale/internal/standin/wait"
 	"pinedale/internal/upstream/attempt"
 	"pinedale/internal/upstream/handshake"
@@ -165,6 +165,6 @@
 }
 
 // target returns a target for a server.
-func target(s *guarded.Server) *engine.Target {
+func target(s *tlsbackend.Server) *engine.Target {
 	return &engine.Target{Name: "soko-3", Address: s.Address}
 }
--- a/internal/upstream/secure/sessions_test.go
+++ b/internal/upstream/secure/sessions_test.go
@@ -9,7 +9,7 @@
 	"pinedale/internal/certstore"
 	"pinedale/internal/engine"
 	"pinedale/internal/standin/ca"
-	"pinedale/internal/standin/guarded"
+	"pinedale/internal/standin/tlsbackend"
 	"pinedale/internal/standin/wait"
 )
 
@@ -33,34 +33,34 @@
 	} {
 		t.Run(protocol, func(t *testing.T) {
 			for name, c := range map[string]struct {
-				change  func(f *fixture, s *guarded.Server, pair *ca.Pair) // between two handshakes
+				change  func(f *fixture, s *tlsbackend.Server, pair *ca.Pair) // between two handshakes
 				resumed bool
 				reason  string // of the second one's failure, "" for none
 			}{
-				"no change": {func(*fixture, *guarded.Server, *ca.Pair) {
+				"no change": {func(*fixture, *tlsbackend.Server, *ca.Pair) {
 				}, true, ""},
-				"the server has a new ticket key": {func(_ *fixture, s *guarded.Server, _ *ca.Pair) {
+				"the server has a new ticket key": {func(_ *fixture, s *tlsbackend.Server, _ *ca.Pair) {
 					s.NewTicketKey()
 				}, false, ""},
-				"the server resumes no sessions": {func(_ *fixture, s *guarded.Server, _ *ca.Pair) {
+				"the server resumes no sessions": {func(_ *fixture, s *tlsbackend.Server, _ *ca.Pair) {
 					s.Tickets(false)
 				}, false, ""},
-				"the roots have changed": {func(f *fixture, _ *guarded.Server, _ *ca.Pair) {
+				"the roots have changed": {func(f *fixture, _ *tlsbackend.Server, _ *ca.Pair) {
 					f.files.Put(f.files.Roots, f.root.PEM(), ca.New(f.t, "second").PEM())
 					f.keys.Look()
 				}, false, ""},
-				"its root is no longer trusted": {func(f *fixture, _ *guarded.Server, _ *ca.Pair) {
+				"its root is no longer trusted": {func(f *fixture, _ *tlsbackend.Server, _ *ca.Pair) {
 					second := ca.New(f.t, "second")
 					f.files.Put(f.files.Revoked, second.Revoke())
 					f.files.Put(f.files.Roots, second.PEM())
 					f.keys.Look()
 				}, false, "chain"},
-				"its certificate is revoked": {func(f *fixture, _ *guarded.Server, pair *ca.Pair) {
+				"its certificate is revoked": {func(f *fixture, _ *tlsbackend.Server, pair *ca.Pair) {
 					f.files.Put(f.files.Revoked, f.root.Revoke(pair.Leaf))
 					f.keys.Look()
 				}, false, "revoked"},
 				// The server still resumes sessions: only the client's rules prevent it.
-				"its certificate has expired": {func(f *fixture, _ *guarded.Server, _ *ca.Pair) {
+				"its certificate has expired": {func(f *fixture, _ *tlsbackend.Server, _ *ca.Pair) {
 					f.clockOffset.Store(int64(90 * time.Minute))
 				}, false, "over"},
 			} {
@@ -71,7 +71,7 @@
 					f.files.Put(f.files.Revoked, f.root.Revoke())
 					f.reopen(f.options(), f.keyOptions(certstore.Paths{Roots: f.files.Roots, Revoked: f.files.Revoked}))
 					pair := issue(f.root, ca.Spec{})
-					s := guarded.Start(t, pair)
+					s := tlsbackend.Start(t, pair)
 					endpoint := target(s)
 					if resumed, err := handshakeAndAwaitSession(f, handshakeBy, endpoint); resumed || err != nil {
 						t.Fatalf("first handshake: resumed %t, %v", resumed, err)
@@ -92,7 +92,7 @@
 	}
 	t.Run("another incarnation at the same address", func(t *testing.T) {
 		f := newFixture(t)
-		s := guarded.Start(t, issue(f.root, ca.Spec{}))
+		s := tlsbackend.Start(t, issue(f.root, ca.Spec{}))
 		before := target(s)
 		if _, err := f.handshakeTCP(before); err != nil {
 			t.Fatal(err)
@@ -108,7 +108,7 @@
 		pair := issue(f.root, ca.Spec{})
 		var targets []*engine.Target
 		for range 3 {
-			targets = append(targets, target(guarded.Start(t, pair)))
+			targets = append(targets, target(tlsbackend.Start(t, pair)))
 		}
 		for _, endpoint := range targets {
 			if _, err := f.handshakeTCP(endpoint); err != nil {
