--- a/cmd/pinedale/crossings_test.go
+++ b/cmd/pinedale/crossings_test.go
@@ -17,8 +17,8 @@
 
 	"pinedale/internal/standin/fakediscovery"
 	"pinedale/internal/standin/logged"
-	"pinedale/internal/standin/peer"
 	"pinedale/internal/standin/platform"
+	"pinedale/internal/standin/scriptedconn"
 	"pinedale/internal/standin/wait"
 )
 
@@ -74,7 +74,7 @@
 	t.Helper()
 	s := &program{t: t, arrivals: make(chan arrival, 100), sent: map[string]int{}}
 	for n := range 3 {
-		e := peer.New(t, s.serve)
+		e := scriptedconn.New(t, s.serve)
 		s.config.Known = append(s.config.Known, fakediscovery.Ready(fmt.Sprint("s-", n), e.Address))
 	}
 	s.dir = fakediscovery.New(t, s.config.Known...)
@@ -113,7 +113,7 @@
 }
 
 // serve is an endpoint's side of a connection.
-func (s *program) serve(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
+func (s *program) serve(e *scriptedconn.Endpoint, conn net.Conn, in *bufio.Reader) {
 	s.conns.Add(1)
 	defer s.conns.Add(-1)
 	for r := e.Next(in); r != nil; r = e.Next(in) {
@@ -121,14 +121,14 @@
 		s.mu.Lock()
 		s.sent[a.id]++
 		s.mu.Unlock()
-		text := peer.Served
+		text := scriptedconn.Served
 		if !s.auto.Load() {
 			s.arrivals <- a
 			text = <-a.answer
 		}
 		_, _ = io.WriteString(conn, text)
 		switch text {
-		case peer.Served, peer.Failing, peer.Full:
+		case scriptedconn.Served, scriptedconn.Failing, scriptedconn.Full:
 		case reset:
 			_ = conn.(*net.TCPConn).SetLinger(0)
 			return
@@ -308,9 +308,9 @@
 		mayRun     bool // as far as the program can know
 		code       int
 	}{
-		{"served", peer.Served, true, 200},
-		{"failing", peer.Failing, true, 502},
-		{"full", peer.Full, false, 0},
+		{"served", scriptedconn.Served, true, 200},
+		{"failing", scriptedconn.Failing, true, 502},
+		{"full", scriptedconn.Full, false, 0},
 		{"reset", reset, true, 502},
 		{"in the middle of its answer", halved, true, 502},
 		{"in the middle of the answer's head", begun, true, 502},
@@ -385,7 +385,7 @@
 					switch {
 					case crossing == "departure", class == "order" && end.mayRun:
 						most = 1
-					case end.text != peer.Served && len(c.codes) == 1 && c.codes[0] == 200:
+					case end.text != scriptedconn.Served && len(c.codes) == 1 && c.codes[0] == 200:
 						least = 2
 					}
 					if n := s.attempts(id); n < least || n > most {
@@ -434,7 +434,7 @@
 	s.launch(true)
 	s.auto.Store(true)
 	for _, a := range out {
-		a.answer <- peer.Served
+		a.answer <- scriptedconn.Served
 	}
 	c := s.dial()
 	for _, class := range []string{"pay", "order"} {
@@ -498,7 +498,7 @@
 		if at := a.conn.LocalAddr().String(); drained[at] {
 			t.Errorf("a request went to %s, which drains", at)
 		}
-		a.answer <- peer.Served
+		a.answer <- scriptedconn.Served
 	}
 	s.signal(syscall.SIGTERM)
 	<-c.over
@@ -513,7 +513,7 @@
 func TestEndsWithoutAList(t *testing.T) {
 	t.Parallel()
 	s := surround(t, true)
-	silent := peer.New(t, peer.Silent)
+	silent := scriptedconn.New(t, scriptedconn.Silent)
 	s.config.Known, s.config.Discovery = nil, silent.Address
 	s.launchUntil(false, "the program to ask for a list", func() bool { n, _ := silent.Seen(); return n > 0 })
 	if s.ready() {
--- a/internal/sidecar/connections_test.go
+++ b/internal/sidecar/connections_test.go
@@ -14,7 +14,7 @@
 
 	"pinedale/internal/front/httpfront"
 	"pinedale/internal/standin/fakediscovery"
-	"pinedale/internal/standin/peer"
+	"pinedale/internal/standin/scriptedconn"
 )
 
 // dial opens a client connection that the test closes.
@@ -54,7 +54,7 @@
 // request is rejected, and nothing behind it is read as a request. net/http does not show its handlers
 // the second length.
 func TestRequestWithTwoLengthsIsRejected(t *testing.T) {
-	e := peer.New(t, peer.Always(peer.Served))
+	e := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
 	h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
 	hidden := readHeaders + "X-Correlation-Id: 2\r\n\r\n"
 	body := "0\r\n\r\n" + hidden
@@ -97,7 +97,7 @@
 // A chunked body is valid HTTP/1.1 and is served. The connection is closed after it, as it is after a
 // request with more bytes behind it.
 func TestChunkedAndPipelinedRequestsCloseTheConnection(t *testing.T) {
-	e := peer.New(t, peer.Always(peer.Served))
+	e := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
 	h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
 	for name, text := range map[string]string{
 		"chunked": payHeaders + "X-Correlation-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
@@ -121,7 +121,7 @@
 
 // Bytes that are no valid request are rejected before a body is read, or the connection is closed.
 func TestInvalidHTTPIsRejected(t *testing.T) {
-	e := peer.New(t, peer.Always(peer.Served))
+	e := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
 	h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
 	for name, c := range map[string]struct{ text, want string }{
 		"a length beyond the limit": {
@@ -157,7 +157,7 @@
 			t.Errorf("limit of %v", limit)
 		}
 	}
-	e := peer.New(t, peer.Always(peer.Served))
+	e := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
 	h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
 	for name, c := range map[string]struct{ text, want string }{
 		"nothing":          {"", ""},
@@ -178,10 +178,10 @@
 // disconnected client and cancels the request's context.
 func TestResponseAfterReadTimeoutIsDelivered(t *testing.T) {
 	t.Parallel()
-	e := peer.New(t, func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
+	e := scriptedconn.New(t, func(e *scriptedconn.Endpoint, conn net.Conn, in *bufio.Reader) {
 		for e.Next(in) != nil {
 			time.Sleep(httpfront.ReadTimeout + 300*time.Millisecond)
-			_, _ = io.WriteString(conn, peer.Served)
+			_, _ = io.WriteString(conn, scriptedconn.Served)
 		}
 	})
 	h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
@@ -195,10 +195,10 @@
 // A second request with the id of one in flight is a conflict; the id is free again afterwards.
 func TestDuplicateIDIsRejectedWhileInFlight(t *testing.T) {
 	answer := make(chan struct{})
-	e := peer.New(t, func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
+	e := scriptedconn.New(t, func(e *scriptedconn.Endpoint, conn net.Conn, in *bufio.Reader) {
 		for e.Next(in) != nil {
 			<-answer
-			_, _ = io.WriteString(conn, peer.Served)
+			_, _ = io.WriteString(conn, scriptedconn.Served)
 		}
 	})
 	h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
@@ -221,12 +221,12 @@
 // limit the one that has been idle longest is closed. One with a request in flight is not.
 func TestLongestIdleConnectionIsClosedAtLimit(t *testing.T) {
 	answer := make(chan struct{})
-	e := peer.New(t, func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
+	e := scriptedconn.New(t, func(e *scriptedconn.Endpoint, conn net.Conn, in *bufio.Reader) {
 		for r := e.Next(in); r != nil; r = e.Next(in) {
 			if strings.HasPrefix(r.RequestURI, "/pay") {
 				<-answer
 			}
-			_, _ = io.WriteString(conn, peer.Served)
+			_, _ = io.WriteString(conn, scriptedconn.Served)
 		}
 	})
 	h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
@@ -260,7 +260,7 @@
 // Clients that send one request and keep the connection must not use up all connections: beyond a
 // threshold a response closes its connection.
 func TestResponsesCloseConnectionsAboveThreshold(t *testing.T) {
-	e := peer.New(t, peer.Always(peer.Served))
+	e := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
 	const threshold = 3 // few enough for all requests to arrive before a connection is closed as idle
 	h := startWith(t, nil, func(o *httpfront.Options) { o.Crowded = threshold }, fakediscovery.Ready("s-1", e.Address))
 	h.waitFor("other connections to end", func() bool { return h.server.Connections() == 0 })
@@ -285,7 +285,7 @@
 
 // The bodies in memory are bounded together: a request beyond the limit is rejected before its body is read.
 func TestRequestIsRejectedBeyondBodyLimit(t *testing.T) {
-	e := peer.New(t, peer.Always(peer.Served))
+	e := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
 	h := startWith(t, nil, func(o *httpfront.Options) { o.BodyBytes = 20 }, fakediscovery.Ready("s-1", e.Address))
 	got := h.send(h.newRequest("pay", strings.Repeat("x", 21), 3*time.Second))
 	if got.code != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
--- a/internal/sidecar/deadline_test.go
+++ b/internal/sidecar/deadline_test.go
@@ -9,14 +9,14 @@
 	"time"
 
 	"pinedale/internal/standin/fakediscovery"
-	"pinedale/internal/standin/peer"
+	"pinedale/internal/standin/scriptedconn"
 )
 
 // TestDeadlineCountsFromTheLastByte sends the end of a body later than the request's time left: the client
 // counts from the last byte, so all of that time is still there.
 func TestDeadlineCountsFromTheLastByte(t *testing.T) {
 	const timeLeft, slowWrite, tail = 400 * time.Millisecond, 500 * time.Millisecond, 5
-	endpoint := peer.New(t, peer.Always(peer.Served))
+	endpoint := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
 	h := start(t, nil, fakediscovery.Ready("s-1", endpoint.Address))
 	conn := h.dial()
 	var wire bytes.Buffer
--- a/internal/sidecar/disconnect_test.go
+++ b/internal/sidecar/disconnect_test.go
@@ -14,7 +14,7 @@
 
 	"pinedale/balancer"
 	"pinedale/internal/standin/fakediscovery"
-	"pinedale/internal/standin/peer"
+	"pinedale/internal/standin/scriptedconn"
 )
 
 // requestText is a request with a minute left, as it is written to a connection.
@@ -55,7 +55,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			e := peer.New(t, peer.Always(peer.Served))
+			e := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
 			dialling, established := make(chan struct{}, 1), make(chan struct{})
 			h := &harness{t: t, dir: fakediscovery.New(t, fakediscovery.Ready("s-1", e.Address))}
 			h.dialControl = func(string, string, syscall.RawConn) error {
@@ -95,7 +95,7 @@
 
 // Bytes that arrive behind a request in flight are served as the next request, unchanged.
 func TestPipelinedRequestIsServedNext(t *testing.T) {
-	e := peer.New(t, peer.Always(peer.Served))
+	e := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
 	dialling, established := make(chan struct{}, 9), make(chan struct{})
 	h := &harness{t: t, dir: fakediscovery.New(t, fakediscovery.Ready("s-1", e.Address))}
 	h.dialControl = func(string, string, syscall.RawConn) error {
@@ -143,7 +143,7 @@
 // A request with an idempotency key that may have run is not written again once the dedup window of its
 // key is over, however long the connection takes to be established.
 func TestRetryIsNotWrittenAfterDedupWindow(t *testing.T) {
-	e := peer.New(t, peer.Then(peer.Failing, peer.Served))
+	e := scriptedconn.New(t, scriptedconn.Then(scriptedconn.Failing, scriptedconn.Served))
 	// Both names have the address of one endpoint: whichever is chosen first fails.
 	hosts := []fakediscovery.Host{fakediscovery.Ready("s-1", e.Address), fakediscovery.Ready("s-2", e.Address)}
 	h := &harness{t: t, dir: fakediscovery.New(t, hosts...)}
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -13,7 +13,7 @@
 	"pinedale/balancer"
 	"pinedale/internal/membership/registry"
 	"pinedale/internal/standin/fakediscovery"
-	"pinedale/internal/standin/peer"
+	"pinedale/internal/standin/scriptedconn"
 )
 
 // listCount returns how often the balancer received a list of a kind.
@@ -31,7 +31,7 @@
 // The watch continues from the known version, 0 included: without a version, discovery would send the
 // complete list at once each time and never hold the call open.
 func TestWatchContinuesFromKnownVersion(t *testing.T) {
-	e := peer.New(t, peer.Always(peer.Served))
+	e := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
 	h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
 	h.waitFor("the waiting call", func() bool { return h.dir.Count() == 2 })
 	h.dir.Lock()
@@ -41,7 +41,7 @@
 		t.Errorf("calls %q", calls)
 	}
 	// A change reaches the balancer; the next call asks for newer versions.
-	second := peer.New(t, peer.Always(peer.Served))
+	second := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
 	h.dir.Change(func() {
 		h.dir.List = fakediscovery.Document{Seq: 7, Whole: true, Hosts: []fakediscovery.Host{fakediscovery.Ready("s-2", second.Address)}}
 	})
@@ -72,7 +72,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			e, second := peer.New(t, peer.Always(peer.Served)), peer.New(t, peer.Always(peer.Served))
+			e, second := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served)), scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
 			h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
 			h.waitFor("the watch", func() bool { return h.dir.Count() >= 2 })
 			h.dir.Change(func() { h.dir.Down, h.dir.Broken = broken == "", broken })
@@ -100,7 +100,7 @@
 // Where lists are pushed the balancer does not poll: the sidecar watches its agent by itself, and starts
 // the watch again after a failure.
 func TestPushedListWatchRestartsAfterFailure(t *testing.T) {
-	e, second := peer.New(t, peer.Always(peer.Served)), peer.New(t, peer.Always(peer.Served))
+	e, second := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served)), scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
 	h := start(t, func(s map[string]any) { s["discovery"] = "automatic" }, fakediscovery.Ready("s-1", e.Address))
 	h.waitFor("the watch", func() bool { return h.dir.Count() >= 2 })
 	h.dir.Change(func() { h.dir.Down = true })
@@ -114,7 +114,7 @@
 
 // A sidecar without a cached list is not ready until discovery has sent one.
 func TestReadyOnlyWithFirstList(t *testing.T) {
-	e := peer.New(t, peer.Always(peer.Served))
+	e := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
 	h := &harness{t: t, dir: fakediscovery.New(t)}
 	h.dir.Down = true
 	h.launch(configure(t, h.dir.Address, nil))
@@ -144,13 +144,13 @@
 // of the previous address are ignored. A request in flight is not affected.
 func TestReloadSwitchesDiscovery(t *testing.T) {
 	answer := make(chan struct{})
-	e := peer.New(t, func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
+	e := scriptedconn.New(t, func(e *scriptedconn.Endpoint, conn net.Conn, in *bufio.Reader) {
 		for e.Next(in) != nil {
 			<-answer
-			_, _ = io.WriteString(conn, peer.Served)
+			_, _ = io.WriteString(conn, scriptedconn.Served)
 		}
 	})
-	second := peer.New(t, peer.Always(peer.Served))
+	second := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
 	h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
 	h.waitFor("the watch", func() bool { return h.dir.Count() == 2 })
 	inFlight := make(chan reply)
--- a/internal/sidecar/events_test.go
+++ b/internal/sidecar/events_test.go
@@ -19,7 +19,7 @@
 	"pinedale/internal/front/httpfront"
 	"pinedale/internal/membership/registry"
 	"pinedale/internal/standin/fakediscovery"
-	"pinedale/internal/standin/peer"
+	"pinedale/internal/standin/scriptedconn"
 	_ "pinedale/internal/standin/seeds"
 )
 
@@ -101,7 +101,7 @@
 
 // startEndpoint starts an endpoint that receives requests and responds when respond is called.
 func (o *eventRun) startEndpoint(name string) fakediscovery.Host {
-	e := peer.New(o.t, func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
+	e := scriptedconn.New(o.t, func(e *scriptedconn.Endpoint, conn net.Conn, in *bufio.Reader) {
 		for r := e.Next(in); r != nil; r = e.Next(in) {
 			<-o.receive(name, conn, r).done
 		}
@@ -136,7 +136,7 @@
 	}
 	a := o.openAttempts[0]
 	o.openAttempts = o.openAttempts[1:]
-	if text == peer.Full {
+	if text == scriptedconn.Full {
 		a.request.mayHaveRun--
 	}
 	if text == "" {
@@ -324,11 +324,11 @@
 	case dialsPass, dialsBlock:
 		o.setDialsPass(e.kind == dialsPass)
 	case endpointServes:
-		o.respond(peer.Served)
+		o.respond(scriptedconn.Served)
 	case endpointFails:
-		o.respond(peer.Failing)
+		o.respond(scriptedconn.Failing)
 	case endpointIsFull:
-		o.respond(peer.Full)
+		o.respond(scriptedconn.Full)
 	case endpointResets:
 		o.respond("")
 	case endpointDrains:
@@ -377,7 +377,7 @@
 		}
 	}
 	for running := true; running; {
-		o.respond(peer.Served)
+		o.respond(scriptedconn.Served)
 		select {
 		case err := <-o.ended:
 			running = false
--- a/internal/sidecar/requests_test.go
+++ b/internal/sidecar/requests_test.go
@@ -18,12 +18,12 @@
 	"pinedale/internal/httpmsg"
 	"pinedale/internal/requestmeta"
 	"pinedale/internal/standin/fakediscovery"
-	"pinedale/internal/standin/peer"
+	"pinedale/internal/standin/scriptedconn"
 )
 
 // Requests of every class are served, on one connection to the endpoint.
 func TestServesAndReusesConnections(t *testing.T) {
-	e := peer.New(t, peer.Always(peer.Served))
+	e := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
 	h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
 	for _, class := range []string{"read", "pay", "close", "order"} {
 		body := "body of " + class
@@ -42,12 +42,12 @@
 // Whether a request is retried follows from its class and from the previous attempt's outcome. The client
 // receives one response in each case.
 func TestRetriesFollowClassAndOutcome(t *testing.T) {
-	reset := func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
+	reset := func(e *scriptedconn.Endpoint, conn net.Conn, in *bufio.Reader) {
 		for e.Next(in) != nil {
 			if n, _ := e.Seen(); n == 1 {
 				return
 			}
-			_, _ = io.WriteString(conn, peer.Served)
+			_, _ = io.WriteString(conn, scriptedconn.Served)
 		}
 	}
 	other := func(h fakediscovery.Host) fakediscovery.Host {
@@ -56,27 +56,27 @@
 	}
 	for _, c := range []struct {
 		name, class string
-		first       func(*peer.Endpoint, net.Conn, *bufio.Reader)
+		first       func(*scriptedconn.Endpoint, net.Conn, *bufio.Reader)
 		move        func(fakediscovery.Host) fakediscovery.Host // of the second endpoint
 		code        int
 		attempts    int
 	}{
 		{"idempotent after a reset", "read", reset, nil, 200, 2},
-		{"idempotent after an error", "read", peer.Then(peer.Failing, peer.Served), nil, 200, 2},
+		{"idempotent after an error", "read", scriptedconn.Then(scriptedconn.Failing, scriptedconn.Served), nil, 200, 2},
 		{"with key, after a reset", "pay", reset, nil, 200, 2},
 		{"with key, in its cell", "close", reset, nil, 200, 2},
-		{"with key, out of its cell", "close", peer.Then(peer.Failing, peer.Served), other, 502, 1},
+		{"with key, out of its cell", "close", scriptedconn.Then(scriptedconn.Failing, scriptedconn.Served), other, 502, 1},
 		// The first endpoint again, the only one of its cell: a reset does not rule it out.
 		{"with key, alone in its cell", "close", reset, other, 200, 2},
-		{"with key, out of its cell, never ran", "close", peer.Then(peer.Full, peer.Served), other, 200, 2},
+		{"with key, out of its cell, never ran", "close", scriptedconn.Then(scriptedconn.Full, scriptedconn.Served), other, 200, 2},
 		{"not idempotent after a reset", "order", reset, nil, 502, 1},
-		{"not idempotent after an error", "order", peer.Then(peer.Failing, peer.Served), nil, 502, 1},
-		{"not idempotent, never ran", "order", peer.Then(peer.Full, peer.Served), nil, 200, 2},
+		{"not idempotent after an error", "order", scriptedconn.Then(scriptedconn.Failing, scriptedconn.Served), nil, 502, 1},
+		{"not idempotent, never ran", "order", scriptedconn.Then(scriptedconn.Full, scriptedconn.Served), nil, 200, 2},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			// Both names have the address of one endpoint: whichever is chosen first, its first attempt ends as scripted.
-			e := peer.New(t, c.first)
+			e := scriptedconn.New(t, c.first)
 			second := fakediscovery.Ready("s-2", e.Address)
 			if c.move != nil {
 				second = c.move(second)
@@ -96,7 +96,7 @@
 // The balancer receives one outcome for each attempt, in order, and the last one marks the request as
 // settled.
 func TestEachAttemptHasOneOutcomeInOrder(t *testing.T) {
-	e := peer.New(t, peer.Then(peer.Full, peer.Served))
+	e := scriptedconn.New(t, scriptedconn.Then(scriptedconn.Full, scriptedconn.Served))
 	h := start(t, nil, fakediscovery.Ready("s-1", e.Address), fakediscovery.Ready("s-2", e.Address))
 	h.send(h.newRequest("order", "x", 3*time.Second))
 	h.waitFor("two outcomes", func() bool { return len(h.spy.statuses()) >= 2 })
@@ -118,7 +118,7 @@
 func TestUnresponsiveEndpointIsAnsweredByDeadline(t *testing.T) {
 	for class, code := range map[string]int{"read": 503, "pay": 503, "close": 502, "order": 502} {
 		t.Run(class, func(t *testing.T) {
-			e := peer.New(t, peer.Silent)
+			e := scriptedconn.New(t, scriptedconn.Silent)
 			h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
 			const remaining = 400 * time.Millisecond
 			sent := h.engine.Now()
@@ -154,7 +154,7 @@
 
 // A request that no endpoint accepts is answered at once, with a Retry-After.
 func TestFullEndpointIsAnsweredWithRetryAfter(t *testing.T) {
-	e := peer.New(t, peer.Always(peer.Full))
+	e := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Full))
 	h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
 	began := time.Now()
 	got := h.send(h.newRequest("read", "", time.Minute))
@@ -171,7 +171,7 @@
 // balancer still receives its outcome, settled.
 func TestClientDisconnectCancelsAttempt(t *testing.T) {
 	closed := make(chan struct{})
-	e := peer.New(t, func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
+	e := scriptedconn.New(t, func(e *scriptedconn.Endpoint, conn net.Conn, in *bufio.Reader) {
 		e.Next(in)
 		_, _ = in.ReadByte() // until the sidecar closes the connection
 		close(closed)
@@ -200,7 +200,7 @@
 // A client that has closed its sending side counts as disconnected and must not receive a complete
 // response that no endpoint made.
 func TestHalfClosedClientGetsNoResponse(t *testing.T) {
-	e := peer.New(t, peer.Silent)
+	e := scriptedconn.New(t, scriptedconn.Silent)
 	h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
 	conn, err := net.Dial("tcp", strings.TrimPrefix(h.url, "http://"))
 	if err != nil {
@@ -226,10 +226,10 @@
 // delivered.
 func TestLateOutcomeIsReportedAsSettled(t *testing.T) {
 	answer := make(chan struct{})
-	e := peer.New(t, func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
+	e := scriptedconn.New(t, func(e *scriptedconn.Endpoint, conn net.Conn, in *bufio.Reader) {
 		e.Next(in)
 		<-answer
-		_, _ = io.WriteString(conn, peer.Served)
+		_, _ = io.WriteString(conn, scriptedconn.Served)
 	})
 	// Where the settings forbid to cancel, the attempt continues after its request has ended.
 	h := start(t, func(s map[string]any) {
@@ -251,7 +251,7 @@
 
 // An invalid request is rejected with the header and the reason, and reaches no endpoint.
 func TestInvalidRequestIsRejectedWithReason(t *testing.T) {
-	e := peer.New(t, peer.Always(peer.Served))
+	e := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
 	h := start(t, func(s map[string]any) {
 		s["tenants"] = []any{map[string]any{"name": "acme", "share": 1, "allowance-per-s": 10}}
 	}, fakediscovery.Ready("s-1", e.Address))
@@ -321,7 +321,7 @@
 // An endpoint that starts to drain while a connection to it is being dialled gets nothing, and the request
 // is sent to another one.
 func TestEndpointDrainingDuringDialGetsNothing(t *testing.T) {
-	first, second := peer.New(t, peer.Always(peer.Served)), peer.New(t, peer.Always(peer.Served))
+	first, second := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served)), scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
 	dialling, proceed := make(chan struct{}), make(chan struct{})
 	h := &harness{t: t, dir: fakediscovery.New(t, fakediscovery.Ready("s-1", first.Address))}
 	h.dialControl = func(_, address string, _ syscall.RawConn) error {
@@ -358,12 +358,12 @@
 // accepted for a while, and the sidecar ends without an error.
 func TestSIGTERMAnswersOpenRequests(t *testing.T) {
 	answer := make(chan struct{})
-	e := peer.New(t, func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
+	e := scriptedconn.New(t, func(e *scriptedconn.Endpoint, conn net.Conn, in *bufio.Reader) {
 		for r := e.Next(in); r != nil; r = e.Next(in) {
 			if strings.HasPrefix(r.RequestURI, "/pay") {
 				<-answer
 			}
-			_, _ = io.WriteString(conn, peer.Served)
+			_, _ = io.WriteString(conn, scriptedconn.Served)
 		}
 	})
 	h := startWith(t, nil, func(o *httpfront.Options) {
--- a/internal/sidecar/shutdown_test.go
+++ b/internal/sidecar/shutdown_test.go
@@ -10,14 +10,14 @@
 	"pinedale/balancer"
 	"pinedale/internal/front/httpfront"
 	"pinedale/internal/standin/fakediscovery"
-	"pinedale/internal/standin/peer"
+	"pinedale/internal/standin/scriptedconn"
 )
 
 // Every request in flight at shutdown is answered before the process ends, whatever its deadline: it is
 // rejected if a retry is safe, else it fails. So is a request that arrives during shutdown on a connection
 // that was opened before it.
 func TestShutdownAnswersEveryRequest(t *testing.T) {
-	e := peer.New(t, peer.Silent)
+	e := scriptedconn.New(t, scriptedconn.Silent)
 	end := make(chan time.Duration, 1)
 	h := startWith(t, nil, func(o *httpfront.Options) {
 		o.AcceptFor = time.Millisecond
@@ -65,7 +65,7 @@
 
 // Lists are still watched during shutdown: an endpoint that starts to drain then gets no new request.
 func TestDrainingEndpointGetsNothingDuringShutdown(t *testing.T) {
-	first, second := peer.New(t, peer.Always(peer.Served)), peer.New(t, peer.Always(peer.Served))
+	first, second := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served)), scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
 	h := startWith(t, nil, func(o *httpfront.Options) {
 		o.AcceptFor = testTimeout
 		o.EndBy = func(time.Duration) time.Duration { return testTimeout }
--- a/internal/standin/peer/peer.go
+++ b/internal/standin/scriptedconn/peer.go
@@ -1,6 +1,6 @@
-// Package peer is a stand-in for an endpoint whose answers a test writes byte by
+// Package scriptedconn is a stand-in for an endpoint whose answers a test writes byte by
 // byte: what no proper server would send.
-package peer
+package scriptedconn
 
 import (
 	"bufio"
--- a/internal/upstream/httpupstream/outcome_test.go
+++ b/internal/upstream/httpupstream/outcome_test.go
@@ -17,60 +17,60 @@
 	"pinedale/balancer"
 	"pinedale/internal/engine"
 	"pinedale/internal/httpmsg"
-	"pinedale/internal/standin/peer"
+	"pinedale/internal/standin/scriptedconn"
 	"pinedale/internal/standin/wait"
 )
 
 func TestOutcomesOnNewConnections(t *testing.T) {
-	respondAndClose := func(response string) func(*peer.Endpoint, net.Conn, *bufio.Reader) {
-		return func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
+	respondAndClose := func(response string) func(*scriptedconn.Endpoint, net.Conn, *bufio.Reader) {
+		return func(e *scriptedconn.Endpoint, conn net.Conn, in *bufio.Reader) {
 			e.Next(in)
 			_, _ = io.WriteString(conn, response)
 		}
 	}
 	for _, c := range []struct {
 		name  string
-		serve func(*peer.Endpoint, net.Conn, *bufio.Reader)
+		serve func(*scriptedconn.Endpoint, net.Conn, *bufio.Reader)
 		want  balancer.Status
 	}{
-		{"served", peer.Always(peer.Served), balancer.OK},
+		{"served", scriptedconn.Always(scriptedconn.Served), balancer.OK},
 		{"served after an interim response",
-			peer.Always("HTTP/1.1 103 Early Hints\r\n\r\n" + peer.Served), balancer.OK},
+			scriptedconn.Always("HTTP/1.1 103 Early Hints\r\n\r\n" + scriptedconn.Served), balancer.OK},
 		{"served in chunks",
-			peer.Always("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n"), balancer.OK},
-		{"served twice at once", peer.Always(peer.Served + peer.Served), balancer.OK},
+			scriptedconn.Always("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n"), balancer.OK},
+		{"served twice at once", scriptedconn.Always(scriptedconn.Served + scriptedconn.Served), balancer.OK},
 		{"complete only by the connection's end", respondAndClose("HTTP/1.1 200 OK\r\n\r\ndone"), balancer.Reset},
 		{"length stated in two ways",
-			peer.Always("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n" +
+			scriptedconn.Always("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n" +
 				"4\r\ndone\r\n0\r\n\r\n"), balancer.Reset},
 		{"the same length twice",
-			peer.Always("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 4\r\n\r\ndone"), balancer.Reset},
+			scriptedconn.Always("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 4\r\n\r\ndone"), balancer.Reset},
 		{"two lengths",
-			peer.Always("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 9\r\n\r\ndone"), balancer.Reset},
+			scriptedconn.Always("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 9\r\n\r\ndone"), balancer.Reset},
 		{"length stated in two ways after interim responses",
-			peer.Always("HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" +
+			scriptedconn.Always("HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" +
 				"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n" +
 				"4\r\ndone\r\n0\r\n\r\n"), balancer.Reset},
 		{"interim responses without end",
-			peer.Always(strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 1000)), balancer.Reset},
+			scriptedconn.Always(strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 1000)), balancer.Reset},
 		{"a length without end",
-			peer.Always("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\ndone"), balancer.Reset},
-		{"stalled in its body", peer.Always("HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\ndone"), balancer.Reset},
-		{"stalled in its head", peer.Always("HTTP/1.1 200 OK\r\nContent-"), balancer.Reset},
+			scriptedconn.Always("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\ndone"), balancer.Reset},
+		{"stalled in its body", scriptedconn.Always("HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\ndone"), balancer.Reset},
+		{"stalled in its head", scriptedconn.Always("HTTP/1.1 200 OK\r\nContent-"), balancer.Reset},
 		{"a broken chunk",
-			peer.Always("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\nzz\r\n"), balancer.Reset},
-		{"a broken status line", peer.Always("HTTP/1.1 2x0 OK\r\nContent-Length: 4\r\n\r\ndone"), balancer.Reset},
-		{"another protocol", peer.Always("ICY 200 OK\r\nContent-Length: 4\r\n\r\ndone"), balancer.Reset},
-		{"error", peer.Always(peer.Failing), balancer.Error},
+			scriptedconn.Always("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\nzz\r\n"), balancer.Reset},
+		{"a broken status line", scriptedconn.Always("HTTP/1.1 2x0 OK\r\nContent-Length: 4\r\n\r\ndone"), balancer.Reset},
+		{"another protocol", scriptedconn.Always("ICY 200 OK\r\nContent-Length: 4\r\n\r\ndone"), balancer.Reset},
+		{"error", scriptedconn.Always(scriptedconn.Failing), balancer.Error},
 		{"an unexpected status",
-			peer.Always("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"), balancer.Error},
-		{"rejected unprocessed", peer.Always(peer.Full), balancer.Full},
+			scriptedconn.Always("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"), balancer.Error},
+		{"rejected unprocessed", scriptedconn.Always(scriptedconn.Full), balancer.Full},
 		{"rejected unprocessed after its deadline",
-			peer.Always("HTTP/1.1 504 Gateway Timeout\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"), balancer.Full},
+			scriptedconn.Always("HTTP/1.1 504 Gateway Timeout\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"), balancer.Full},
 		{"503 without X-Unprocessed",
-			peer.Always("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"), balancer.Error},
+			scriptedconn.Always("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"), balancer.Error},
 		{"500 with X-Unprocessed",
-			peer.Always("HTTP/1.1 500 x\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"), balancer.Error},
+			scriptedconn.Always("HTTP/1.1 500 x\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"), balancer.Error},
 		{"closed after the request", respondAndClose(""), balancer.Reset},
 		{"truncated in its body",
 			respondAndClose("HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\ndone"), balancer.Reset},
@@ -79,16 +79,16 @@
 		{"truncated in its head", respondAndClose("HTTP/1.1 200 OK\r\nContent-"), balancer.Reset},
 		{"503 truncated in its body",
 			respondAndClose("HTTP/1.1 503 x\r\nX-Unprocessed: 1\r\nContent-Length: 9\r\n\r\n"), balancer.Reset},
-		{"malformed", peer.Always("nonsense\r\n\r\n"), balancer.Reset},
-		{"malformed length", peer.Always("HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\ndone"), balancer.Reset},
+		{"malformed", scriptedconn.Always("nonsense\r\n\r\n"), balancer.Reset},
+		{"malformed length", scriptedconn.Always("HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\ndone"), balancer.Reset},
 		{"body too large",
-			peer.Always("HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + strings.Repeat("x", 65537)), balancer.Reset},
-		{"head without end", peer.Always("HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 200<<10)), balancer.Reset},
-		{"unresponsive", peer.Silent, balancer.Timeout},
+			scriptedconn.Always("HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + strings.Repeat("x", 65537)), balancer.Reset},
+		{"head without end", scriptedconn.Always("HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 200<<10)), balancer.Reset},
+		{"unresponsive", scriptedconn.Silent, balancer.Timeout},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			e, wait := peer.New(t, c.serve), patience
+			e, wait := scriptedconn.New(t, c.serve), patience
 			if c.want == balancer.Timeout {
 				wait = 50 * time.Millisecond
 			}
@@ -167,7 +167,7 @@
 
 // The endpoint receives the client's request with the attempt's remaining time.
 func TestRequestIsForwardedUnchanged(t *testing.T) {
-	e := peer.New(t, peer.Always(peer.Served))
+	e := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
 	target, _ := url.Parse("/pay/x%2Fy?q=1&r=%20")
 	m := &engine.Message{Method: http.MethodPost, URL: target, Host: "api.internal", Body: []byte("body"),
 		Header: http.Header{"X-Correlation-Id": {"9b"}, "Idempotency-Key": {"5c"}, "X-Time-Left-Ms": {"99999"},
@@ -200,7 +200,7 @@
 // delivered, where an orderly close would deliver them once a network partition has healed.
 func TestCancelledAttemptResetsItsConnection(t *testing.T) {
 	ended := make(chan error, 1)
-	e := peer.New(t, func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
+	e := scriptedconn.New(t, func(e *scriptedconn.Endpoint, conn net.Conn, in *bufio.Reader) {
 		e.Next(in)
 		_, err := in.ReadByte()
 		ended <- err
--- a/internal/upstream/httpupstream/pool_test.go
+++ b/internal/upstream/httpupstream/pool_test.go
@@ -11,7 +11,7 @@
 
 	"pinedale/balancer"
 	"pinedale/internal/engine"
-	"pinedale/internal/standin/peer"
+	"pinedale/internal/standin/scriptedconn"
 	"pinedale/internal/standin/wait"
 )
 
@@ -19,9 +19,9 @@
 // http.Transport would do that for a GET or with an Idempotency-Key on a connection that had
 // been idle.
 func TestResetOnReusedConnectionIsNotResent(t *testing.T) {
-	e := peer.New(t, func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
+	e := scriptedconn.New(t, func(e *scriptedconn.Endpoint, conn net.Conn, in *bufio.Reader) {
 		if e.Next(in) != nil {
-			_, _ = io.WriteString(conn, peer.Served)
+			_, _ = io.WriteString(conn, scriptedconn.Served)
 			e.Next(in) // and close without a response
 		}
 	})
@@ -41,9 +41,9 @@
 // with a reset, and might have run.
 func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
 	closed := make(chan struct{}, 2)
-	e := peer.New(t, func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
+	e := scriptedconn.New(t, func(e *scriptedconn.Endpoint, conn net.Conn, in *bufio.Reader) {
 		e.Next(in)
-		_, _ = io.WriteString(conn, peer.Served)
+		_, _ = io.WriteString(conn, scriptedconn.Served)
 		conn.Close()
 		closed <- struct{}{}
 	})
@@ -64,7 +64,7 @@
 // Idle connections are closed before the endpoint's own limit, both when one is reserved and by
 // Prune.
 func TestIdleConnectionsAreClosedBeforeTheEndpointsLimit(t *testing.T) {
-	e := peer.New(t, peer.Always(peer.Served))
+	e := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
 	u, target := newTestUpstream(4), &engine.Target{Address: e.Address}
 	if limit := 5 * time.Second; u.maxIdle > limit*4/5 {
 		t.Errorf("idle connections are used for %v of %v", u.maxIdle, limit)
@@ -98,7 +98,7 @@
 
 // The number of connections is bounded: an idle one is evicted for a new one, a busy one is not.
 func TestOpenConnectionsAreBounded(t *testing.T) {
-	quick, slow := peer.New(t, peer.Always(peer.Served)), peer.New(t, peer.Silent)
+	quick, slow := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served)), scriptedconn.New(t, scriptedconn.Silent)
 	// Each target is another endpoint to the upstream, so that no idle connection is reused.
 	quickTarget := func() *engine.Target { return &engine.Target{Address: quick.Address} }
 	u := newTestUpstream(1)
@@ -123,7 +123,7 @@
 
 // A request that waited for its connection must not be written once its endpoint is draining.
 func TestDrainDuringDialSendsNothing(t *testing.T) {
-	e := peer.New(t, peer.Always(peer.Served))
+	e := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
 	u, target := newTestUpstream(1), &engine.Target{Address: e.Address}
 	dialling, proceed := make(chan struct{}), make(chan struct{})
 	u.dialer.Control = func(_, _ string, _ syscall.RawConn) error {
@@ -151,7 +151,7 @@
 // A connection rests after a response, since a second one may be on its way and must not be taken
 // for the response to the next request, which waits. Settled connections are preferred.
 func TestConnectionsSettle(t *testing.T) {
-	e := peer.New(t, peer.Always(peer.Served))
+	e := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
 	u, target := newTestUpstream(2), &engine.Target{Address: e.Address}
 	u.settleTime = time.Hour
 	send := func(ctx context.Context) balancer.Status { return u.attempt(ctx, target, get("/")).Status }
--- a/internal/upstream/httpupstream/response_test.go
+++ b/internal/upstream/httpupstream/response_test.go
@@ -14,7 +14,7 @@
 
 	"pinedale/balancer"
 	"pinedale/internal/engine"
-	"pinedale/internal/standin/peer"
+	"pinedale/internal/standin/scriptedconn"
 	"pinedale/internal/standin/wait"
 	"pinedale/internal/upstream/attempt"
 )
@@ -38,7 +38,7 @@
 		{"rejected", "HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n", balancer.Error, nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			e := peer.New(t, peer.Always(c.response))
+			e := scriptedconn.New(t, scriptedconn.Always(c.response))
 			u := newTestUpstream(1)
 			r := attempt.Probe(context.Background(), u.attempt, &engine.Target{Address: e.Address}, u.loadFields)
 			for i, v := range r.Load {
@@ -63,9 +63,9 @@
 	for name, late := range map[string]bool{"at once": false, "later": true} {
 		t.Run(name, func(t *testing.T) {
 			excess := make(chan struct{})
-			e := peer.New(t, func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
+			e := scriptedconn.New(t, func(e *scriptedconn.Endpoint, conn net.Conn, in *bufio.Reader) {
 				for r := e.Next(in); r != nil; r = e.Next(in) {
-					response := strings.Replace(peer.Served, "done", r.URL.Path[1:5], 1)
+					response := strings.Replace(scriptedconn.Served, "done", r.URL.Path[1:5], 1)
 					if !late {
 						response += response
 					}
@@ -103,11 +103,11 @@
 		"plain":                     "",
 		"after an interim response": "HTTP/1.1 102 Processing\r\n\r\n",
 	} {
-		e := peer.New(t, func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
+		e := scriptedconn.New(t, func(e *scriptedconn.Endpoint, conn net.Conn, in *bufio.Reader) {
 			for e.Next(in) != nil {
 				_, _ = io.WriteString(conn, first)
 				time.Sleep(2 * responseTimeout)
-				_, _ = io.WriteString(conn, peer.Served)
+				_, _ = io.WriteString(conn, scriptedconn.Served)
 			}
 		})
 		u, target := newTestUpstream(1), &engine.Target{Address: e.Address}
@@ -126,7 +126,7 @@
 // interim response clears the deadline, a first byte sets a later one.
 func TestInterruptEndsReadingDuringAResponse(t *testing.T) {
 	const interim = "HTTP/1.1 102 Processing\r\n\r\n"
-	e := peer.New(t, func(e *peer.Endpoint, conn net.Conn, in *bufio.Reader) {
+	e := scriptedconn.New(t, func(e *scriptedconn.Endpoint, conn net.Conn, in *bufio.Reader) {
 		_, _ = io.WriteString(conn, interim)
 		_, _ = in.ReadByte() // until the other side closes
 	})
