--- a/cmd/pinedale-site/main_test.go
+++ b/cmd/pinedale-site/main_test.go
@@ -13,7 +13,7 @@
 	"testing"
 
 	"pinedale/internal/standin/fakebackend"
-	"pinedale/internal/standin/logged"
+	"pinedale/internal/standin/logcapture"
 	"pinedale/internal/standin/wait"
 )
 
@@ -183,7 +183,7 @@
 		t.Fatal(err)
 	}
 	cmd := command("serve", "--config", path)
-	var log logged.Record
+	var log logcapture.Record
 	cmd.Stderr = &log
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
--- a/cmd/pinedale/crossings_test.go
+++ b/cmd/pinedale/crossings_test.go
@@ -16,7 +16,7 @@
 	"time"
 
 	"pinedale/internal/standin/fakediscovery"
-	"pinedale/internal/standin/logged"
+	"pinedale/internal/standin/logcapture"
 	"pinedale/internal/standin/platform"
 	"pinedale/internal/standin/scriptedconn"
 	"pinedale/internal/standin/wait"
@@ -40,7 +40,7 @@
 	cmd      *exec.Cmd
 	config   platform.Config
 	path     string // of the configuration
-	log      logged.Record
+	log      logcapture.Record
 	dir      *fakediscovery.Directory
 	ended    chan error
 	arrivals chan arrival
--- a/cmd/pinedale/main_test.go
+++ b/cmd/pinedale/main_test.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"pinedale/internal/standin/fakediscovery"
-	"pinedale/internal/standin/logged"
+	"pinedale/internal/standin/logcapture"
 	"pinedale/internal/standin/platform"
 	"pinedale/internal/standin/wait"
 )
@@ -75,7 +75,7 @@
 	listen := platform.FreeAddress(t)
 	cmd := command(t, config(listen))
 	path := strings.TrimPrefix(cmd.Env[len(cmd.Env)-1], "BALANCER_CONFIG=")
-	var log logged.Record
+	var log logcapture.Record
 	cmd.Stderr = &log
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
--- a/internal/certstore/keyroom_test.go
+++ b/internal/certstore/keyroom_test.go
@@ -15,7 +15,7 @@
 
 	"pinedale/internal/certstore/validate"
 	"pinedale/internal/standin/ca"
-	"pinedale/internal/standin/logged"
+	"pinedale/internal/standin/logcapture"
 	"pinedale/internal/standin/wait"
 )
 
@@ -99,7 +99,7 @@
 	good := root.Issue(ca.Spec{Names: []string{testName}})
 	folder.Pair(good)
 	folder.Put(folder.Roots, root.PEM())
-	log := &logged.Record{}
+	log := &logcapture.Record{}
 	store := open(t, folder, true, log)
 	bad := root.Issue(ca.Spec{Names: []string{"soko-4.example.org"}})
 	folder.Pair(bad)
--- a/internal/membership/ephemeral/harness_test.go
+++ b/internal/membership/ephemeral/harness_test.go
@@ -15,7 +15,7 @@
 	"pinedale/balancer"
 	"pinedale/internal/membership/reconcile"
 	"pinedale/internal/standin/fakezookeeper"
-	"pinedale/internal/standin/logged"
+	"pinedale/internal/standin/logcapture"
 	"pinedale/internal/standin/wait"
 )
 
@@ -100,7 +100,7 @@
 	t        *testing.T
 	service  *fakezookeeper.Service
 	recorder *recorder
-	log      logged.Record
+	log      logcapture.Record
 }
 
 func newHarness(t *testing.T, service *fakezookeeper.Service) *harness {
--- a/internal/membership/multisource/source_test.go
+++ b/internal/membership/multisource/source_test.go
@@ -23,7 +23,7 @@
 	"pinedale/internal/membership/static"
 	"pinedale/internal/standin/fakediscovery"
 	"pinedale/internal/standin/fakezookeeper"
-	"pinedale/internal/standin/logged"
+	"pinedale/internal/standin/logcapture"
 	"pinedale/internal/standin/wait"
 )
 
@@ -35,7 +35,7 @@
 	t         *testing.T
 	service   *fakezookeeper.Service
 	discovery *fakediscovery.Directory
-	log       logged.Record
+	log       logcapture.Record
 
 	mu       sync.Mutex
 	hosts    map[string]engine.Host
--- a/internal/membership/reconcile/harness_test.go
+++ b/internal/membership/reconcile/harness_test.go
@@ -10,7 +10,7 @@
 
 	"pinedale/balancer"
 	"pinedale/internal/engine"
-	"pinedale/internal/standin/logged"
+	"pinedale/internal/standin/logcapture"
 	_ "pinedale/internal/standin/seeds"
 )
 
@@ -65,7 +65,7 @@
 	reconciler *Reconciler
 	now        time.Duration
 	hosts      map[string]engine.Host
-	log        logged.Record
+	log        logcapture.Record
 	lists      int // how many were returned
 }
 
--- a/internal/sidecar/reload_test.go
+++ b/internal/sidecar/reload_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"pinedale/internal/standin/logged"
+	"pinedale/internal/standin/logcapture"
 )
 
 // configText is the text of a configuration file.
@@ -31,7 +31,7 @@
 		}
 	}
 	signals, waits, proceed := make(chan os.Signal, 1), make(chan time.Duration), make(chan time.Time)
-	var log logged.Record
+	var log logcapture.Record
 	out := ReloadOnSignal(path, signals, func(d time.Duration) <-chan time.Time {
 		waits <- d
 		return proceed
--- a/internal/site/secure_test.go
+++ b/internal/site/secure_test.go
@@ -20,7 +20,7 @@
 	"pinedale/internal/certstore"
 	"pinedale/internal/standin/ca"
 	"pinedale/internal/standin/fakebackend"
-	"pinedale/internal/standin/logged"
+	"pinedale/internal/standin/logcapture"
 	"pinedale/internal/standin/tlsbackend"
 	"pinedale/internal/standin/wait"
 )
@@ -33,7 +33,7 @@
 	files      *ca.Folder
 	serverKeys [2]*tlsbackend.Keys
 	fleet      [2]*fakebackend.Fleet
-	log        logged.Record
+	log        logcapture.Record
 	ids        int
 	text       string
 }
--- a/internal/standin/logged/logged.go
+++ b/internal/standin/logcapture/logged.go
@@ -1,5 +1,5 @@
-// Package logged is a log for tests that can be read while it is written.
-package logged
+// Package logcapture is a log for tests that can be read while it is written.
+package logcapture
 
 import (
 	"log/slog"
--- a/internal/upstream/secure/harness_test.go
+++ b/internal/upstream/secure/harness_test.go
@@ -18,7 +18,7 @@
 	"pinedale/internal/certstore/validate"
 	"pinedale/internal/engine"
 	"pinedale/internal/standin/ca"
-	"pinedale/internal/standin/logged"
+	"pinedale/internal/standin/logcapture"
 	"pinedale/internal/standin/tlsbackend"
 	"pinedale/internal/standin/wait"
 	"pinedale/internal/upstream/attempt"
@@ -38,7 +38,7 @@
 	files       *ca.Folder
 	keys        *certstore.Room
 	client      *Client
-	log         logged.Record
+	log         logcapture.Record
 	clockOffset atomic.Int64 // nanoseconds ahead of the system's clock
 }
 
