--- a/cmd/pinedale-measure/main.go
+++ b/cmd/pinedale-measure/main.go
@@ -16,9 +16,9 @@
 	"syscall"
 	"time"
 
+	"pinedale/internal/measure/coldstart"
 	"pinedale/internal/measure/departures"
 	"pinedale/internal/measure/gossip"
-	"pinedale/internal/measure/newcomer"
 	"pinedale/internal/measure/nodes"
 	"pinedale/internal/measure/process"
 	"pinedale/internal/measure/properties"
@@ -299,7 +299,7 @@
 }
 
 func newcomerRun(flags *flag.FlagSet) func(io.Writer) error {
-	o := newcomer.Options{}
+	o := coldstart.Options{}
 	flags.IntVar(&o.Instances, "instances", 5000, "of pinedale")
 	flags.IntVar(&o.Servers, "servers", 100, "of the fleet")
 	flags.IntVar(&o.Fresh, "fresh", 5, "of them, that start in the middle")
@@ -309,12 +309,12 @@
 	flags.BoolVar(&o.Unsubset, "whole", false, "without subsets, too")
 	return func(out io.Writer) error {
 		began := time.Now()
-		rows, err := newcomer.Run(o)
+		rows, err := coldstart.Run(o)
 		if err != nil {
 			return err
 		}
-		newcomer.Print(out, rows, time.Since(began))
-		if reason := newcomer.Broken(rows); reason != "" {
+		coldstart.Print(out, rows, time.Since(began))
+		if reason := coldstart.Broken(rows); reason != "" {
 			return errors.New("broken: " + reason)
 		}
 		return nil
--- a/internal/measure/newcomer/newcomer.go
+++ b/internal/measure/coldstart/newcomer.go
@@ -1,7 +1,7 @@
-// Package newcomer measures what thousands of quiet instances do together to servers that have
+// Package coldstart measures what thousands of quiet instances do together to servers that have
 // just started, and how evenly they spread their work, with subsets of the fleet and without:
 // whole engines with their decision modules, in one process, on the emulator's virtual time.
-package newcomer
+package coldstart
 
 import (
 	"fmt"
--- a/internal/measure/newcomer/newcomer_test.go
+++ b/internal/measure/coldstart/newcomer_test.go
@@ -1,4 +1,4 @@
-package newcomer
+package coldstart
 
 import "testing"
 
