--- a/cmd/pinedale-measure/main.go
+++ b/cmd/pinedale-measure/main.go
@@ -18,12 +18,12 @@
 
 	"pinedale/internal/measure/coldstart"
 	"pinedale/internal/measure/departures"
+	"pinedale/internal/measure/endpointremoval"
 	"pinedale/internal/measure/gossip"
 	"pinedale/internal/measure/nodes"
 	"pinedale/internal/measure/process"
 	"pinedale/internal/measure/properties"
 	"pinedale/internal/measure/reconnect"
-	"pinedale/internal/measure/removal"
 	"pinedale/internal/measure/rotations"
 	"pinedale/internal/measure/tenants"
 	"pinedale/internal/measure/tlscost"
@@ -185,7 +185,7 @@
 }
 
 func removalRun(flags *flag.FlagSet) func(io.Writer) error {
-	o := removal.Options{}
+	o := endpointremoval.Options{}
 	flags.IntVar(&o.Scripts, "scripts", 200, "to play")
 	flags.IntVar(&o.Parallel, "parallel", 32, "at once")
 	flags.IntVar(&o.Servers, "servers", 5, "of each script's fleet at the start")
@@ -193,7 +193,7 @@
 	flags.Uint64Var(&o.Seed, "seed", 1, "of the scripts")
 	flags.BoolVar(&o.Discovery, "discovery", false, "removals alone, told by a discovery that is 0.6 to 5 s late")
 	return func(out io.Writer) error {
-		r, err := removal.Run(o)
+		r, err := endpointremoval.Run(o)
 		if err != nil {
 			return err
 		}
--- a/internal/measure/removal/run.go
+++ b/internal/measure/endpointremoval/run.go
@@ -1,7 +1,7 @@
-// Package removal plays seeded scripts of a coordination service's troubles against a
+// Package endpointremoval plays seeded scripts of a coordination service's troubles against a
 // whole pinedale-site under load, and measures how soon the last request reaches a
 // server after its node has ended.
-package removal
+package endpointremoval
 
 import (
 	"encoding/json"
--- a/internal/measure/removal/run_test.go
+++ b/internal/measure/endpointremoval/run_test.go
@@ -1,4 +1,4 @@
-package removal
+package endpointremoval
 
 import (
 	"testing"
