--- a/cmd/pinedale-measure/main.go
+++ b/cmd/pinedale-measure/main.go
@@ -20,7 +20,6 @@
 	"pinedale/internal/measure/departures"
 	"pinedale/internal/measure/endpointremoval"
 	"pinedale/internal/measure/gossip"
-	"pinedale/internal/measure/nodes"
 	"pinedale/internal/measure/process"
 	"pinedale/internal/measure/properties"
 	"pinedale/internal/measure/reconnect"
@@ -28,6 +27,7 @@
 	"pinedale/internal/measure/tenants"
 	"pinedale/internal/measure/tlscost"
 	"pinedale/internal/measure/verdicts"
+	"pinedale/internal/measure/zookeeper"
 	"pinedale/internal/standin/fakebackend"
 )
 
@@ -59,7 +59,7 @@
 
 func main() {
 	kinds := maps.Clone(verdicts.Kinds)
-	maps.Copy(kinds, nodes.Kinds)
+	maps.Copy(kinds, zookeeper.Kinds)
 	maps.Copy(kinds, tlscost.Kinds)
 	did, err := process.Main(kinds)
 	if !did {
@@ -203,7 +203,7 @@
 
 func nodesRun(flags *flag.FlagSet) func(io.Writer) error {
 	span := flags.Duration("span", 5*time.Second, "of each step")
-	return func(out io.Writer) error { return nodes.Run(out, *span) }
+	return func(out io.Writer) error { return zookeeper.Run(out, *span) }
 }
 
 func noop(flags *flag.FlagSet) func(io.Writer) error {
--- a/internal/measure/nodes/nodes.go
+++ b/internal/measure/zookeeper/nodes.go
@@ -1,6 +1,6 @@
-// Package nodes measures what reading membership from ephemeral nodes costs, as the
+// Package zookeeper measures what reading membership from ephemeral nodes costs, as the
 // directory grows and as nodes change.
-package nodes
+package zookeeper
 
 import (
 	"context"
