--- a/cmd/pinedale-measure/main.go
+++ b/cmd/pinedale-measure/main.go
@@ -19,6 +19,7 @@
 	"pinedale/internal/measure/coldstart"
 	"pinedale/internal/measure/departures"
 	"pinedale/internal/measure/endpointremoval"
+	"pinedale/internal/measure/extproc"
 	"pinedale/internal/measure/gossip"
 	"pinedale/internal/measure/process"
 	"pinedale/internal/measure/properties"
@@ -26,7 +27,6 @@
 	"pinedale/internal/measure/rotations"
 	"pinedale/internal/measure/tenants"
 	"pinedale/internal/measure/tlscost"
-	"pinedale/internal/measure/verdicts"
 	"pinedale/internal/measure/zookeeper"
 	"pinedale/internal/standin/fakebackend"
 )
@@ -58,7 +58,7 @@
 }
 
 func main() {
-	kinds := maps.Clone(verdicts.Kinds)
+	kinds := maps.Clone(extproc.Kinds)
 	maps.Copy(kinds, zookeeper.Kinds)
 	maps.Copy(kinds, tlscost.Kinds)
 	did, err := process.Main(kinds)
@@ -116,7 +116,7 @@
 }
 
 func verdictRun(flags *flag.FlagSet) func(io.Writer) error {
-	o := verdicts.Options{}
+	o := extproc.Options{}
 	flags.IntVar(&o.Calls, "calls", 100_000, "clients' requests")
 	flags.IntVar(&o.Callers, "callers", 64, "at work at once")
 	flags.IntVar(&o.Servers, "servers", 12, "of the fleet")
@@ -124,7 +124,7 @@
 	flags.IntVar(&o.Change, "change", 500, "calls between two changes of the fleet")
 	flags.DurationVar(&o.Work, "work", time.Millisecond, "of a request at a server")
 	return func(out io.Writer) error {
-		r, err := verdicts.Run(o)
+		r, err := extproc.Run(o)
 		if err != nil {
 			return err
 		}
@@ -133,16 +133,16 @@
 }
 
 func fronts(flags *flag.FlagSet) func(io.Writer) error {
-	o := verdicts.Options{}
+	o := extproc.Options{}
 	flags.IntVar(&o.Calls, "calls", 5000, "clients' requests")
 	flags.IntVar(&o.Servers, "servers", 12, "of the fleet")
 	flags.Uint64Var(&o.Seed, "seed", 1, "of the faults")
 	flags.BoolVar(&o.Once, "once", false, "no request is sent twice")
 	everywhere := flags.Bool("everywhere", false, "a request fares the same at every server")
 	return func(out io.Writer) error {
-		a, b, err := verdicts.Fronts(o, *everywhere)
+		a, b, err := extproc.Fronts(o, *everywhere)
 		if err == nil {
-			verdicts.PrintFronts(out, a, b)
+			extproc.PrintFronts(out, a, b)
 		}
 		return err
 	}
@@ -207,13 +207,13 @@
 }
 
 func noop(flags *flag.FlagSet) func(io.Writer) error {
-	o := verdicts.CostOptions{}
+	o := extproc.CostOptions{}
 	flags.IntVar(&o.Servers, "servers", 12, "of the fleet")
 	flags.IntVar(&o.Connections, "connections", 4, "of the caller")
 	flags.DurationVar(&o.Span, "span", 3*time.Second, "of each step")
 	flags.StringVar(&o.Profile, "profile", "", "file for a CPU profile of the verdicts")
 	return func(out io.Writer) error {
-		r, err := verdicts.Cost(o)
+		r, err := extproc.Cost(o)
 		if err == nil {
 			r.Print(out)
 		}
--- a/internal/measure/verdicts/cost.go
+++ b/internal/measure/extproc/cost.go
@@ -1,4 +1,4 @@
-package verdicts
+package extproc
 
 import (
 	"context"
