--- a/balancer/api.go
+++ b/balancer/api.go
@@ -79,7 +79,7 @@
 	ListFull                   // the complete list
 	ListCached                 // the complete list from a cache, perhaps out of date
 	ListFailed                 // a poll of discovery failed; no entries
-	ListHost                   // changed entries of the host, not of discovery
+	ListLocal                  // changed entries of the host, not of discovery
 )
 
 // Request is a client's request. It has exactly one final answer: an outcome that settles it, Actions.Reject or
@@ -190,13 +190,13 @@
 // The figures that a load report may carry. FieldOther is unknown to this version
 // and skipped.
 const (
-	FieldOther    Field = iota
-	FieldInflight       // requests in flight at the endpoint
-	FieldQueue          // requests in its queue
-	FieldUtil           // ratio of its cores in use
-	FieldLatency        // recent service time in milliseconds
-	FieldServed         // requests served per second
-	FieldErrors         // errors per second
+	FieldOther       Field = iota
+	FieldInFlight          // requests in flight at the endpoint
+	FieldQueue             // requests in its queue
+	FieldUtilization       // ratio of its cores in use
+	FieldLatency           // recent service time in milliseconds
+	FieldServed            // requests served per second
+	FieldErrors            // errors per second
 )
 
 // Class describes one class of requests.
--- a/balancer/example_test.go
+++ b/balancer/example_test.go
@@ -30,7 +30,7 @@
 			Name: "read", Idempotency: balancer.Idempotent, LatencyObjective: 200_000, ClientTimeout: 800_000,
 			PriorityWeight: 1,
 		}},
-		Fields:   []balancer.Field{balancer.FieldInflight},
+		Fields:   []balancer.Field{balancer.FieldInFlight},
 		Limits:   balancer.Limits{Probes: true, MaxAttempts: 2, MaxOpen: 1000},
 		Contract: balancer.Contract{SlowStartRatio: 0.2, SlowStartTime: 10_000_000, OverloadMultiple: 2.5},
 		Goal:     balancer.Goal{Overall: 1},
--- a/balancer/helpers_test.go
+++ b/balancer/helpers_test.go
@@ -18,7 +18,7 @@
 			{Name: "with-key-cell", Idempotency: IdempotentWithKey, Group: GroupCell, DedupWindow: 500_000},
 			{Name: "write", Idempotency: NotIdempotent},
 		},
-		Fields: []Field{FieldInflight},
+		Fields: []Field{FieldInFlight},
 		Limits: Limits{Cancel: true, Probes: true, Hedging: true, RetryAfter: true,
 			MaxAttempts: 3, MaxOpen: 1000, MaxRetryAfter: second, DialTimeout: 100_000},
 		Contract: Contract{DrainGrace: 500_000, SlowStartRatio: 0.2, SlowStartTime: 10 * second,
--- a/balancer/probe_pool.go
+++ b/balancer/probe_pool.go
@@ -47,13 +47,13 @@
 // reportedInFlight returns the least number of requests in flight that a load report proves, or -1; counted
 // says that the endpoint has counted them.
 func reportedInFlight(fields []Field, load []float32) (inFlight float64, counted bool) {
-	if inFlight = reportValue(fields, load, FieldInflight); inFlight >= 0 {
+	if inFlight = reportValue(fields, load, FieldInFlight); inFlight >= 0 {
 		return inFlight, true
 	}
 	if queue := reportValue(fields, load, FieldQueue); queue >= 0 {
 		return queue + assumedCores*indicator(queue >= 1), false
 	}
-	if utilization := reportValue(fields, load, FieldUtil); utilization >= 0 {
+	if utilization := reportValue(fields, load, FieldUtilization); utilization >= 0 {
 		return min(utilization, 1) * assumedCores, false
 	}
 	return -1, false
--- a/balancer/probes_test.go
+++ b/balancer/probes_test.go
@@ -158,7 +158,7 @@
 // Where reports are old or have no count, a probe that queued still shows that there is a queue.
 func TestQueuedProbeIndicatesLoad(t *testing.T) {
 	s := testSettings()
-	s.Fields = []Field{FieldServed, FieldUtil}
+	s.Fields = []Field{FieldServed, FieldUtilization}
 	b, _ := start(t, s, ready(2))
 	e := b.endpoints.byID[1]
 	b.ProbeCompleted(1000, 1, OK, 500, []float32{90, 0.5})
--- a/balancer/rules_test.go
+++ b/balancer/rules_test.go
@@ -287,7 +287,7 @@
 		s.Limits.MaxAttempts = 1 + int(seed%4)
 		if seed >= 40 {
 			s.Balancers = []int{300, 1500}[seed%2]
-			s.Fields = [][]Field{{FieldInflight}, {FieldQueue, FieldServed}, {FieldServed, FieldUtil}, {FieldOther}}[seed%4]
+			s.Fields = [][]Field{{FieldInFlight}, {FieldQueue, FieldServed}, {FieldServed, FieldUtilization}, {FieldOther}}[seed%4]
 			s.Prices = Prices{Probe: []float64{0, 0.002, 0.01, 0.5}[seed/3%4], CrossZone: 0.03}
 			s.Tenants = []Tenant{{Name: "one", Quota: 50}, {Name: "two"}}[:seed%3]
 			s.Limits.Cancel, s.Limits.RetryAfter = seed%3 != 0, seed%4 != 0
--- a/cmd/pinedale-rehearse/demo.go
+++ b/cmd/pinedale-rehearse/demo.go
@@ -142,11 +142,11 @@
 	h := fakediscovery.Ready(s.Name, s.Addresses[0])
 	h.Site, h.Class, h.Block = [...]string{"arusha", "dar"}[n%2], "box", uint16(n/2)
 	if warming {
-		h.BornMS = time.Now().UnixMilli()
+		h.StartedMS = time.Now().UnixMilli()
 	}
 	f.hosts = append(f.hosts, h)
 	f.directory.Change(func() {
-		f.directory.List = fakediscovery.Document{Seq: f.directory.List.Seq + 1, Whole: true, Hosts: slices.Clone(f.hosts)}
+		f.directory.List = fakediscovery.Document{Seq: f.directory.List.Seq + 1, Complete: true, Hosts: slices.Clone(f.hosts)}
 	})
 	return nil
 }
--- a/cmd/pinedale-site/check.go
+++ b/cmd/pinedale-site/check.go
@@ -43,13 +43,13 @@
 	fmt.Fprintln(columns,
 		"route\tmatches\tclass\tpool\tdeadline\ttry for\tattempts\tcopy after\tretries a request\tburst")
 	for _, row := range rows {
-		hedgeDelay := orDash(row.CopyAfter)
-		if !row.Copies {
+		hedgeDelay := orDash(row.HedgeDelay)
+		if !row.Hedging {
 			hedgeDelay = "never"
 		}
 		fmt.Fprintf(columns, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%s\t%g\t%g\n",
-			orDash(row.Route), orDash(row.Match), row.Class, orDash(row.Pool), row.Deadline, orDash(row.TryFor),
-			row.Attempts, hedgeDelay, row.Share, row.Burst)
+			orDash(row.Route), orDash(row.Match), row.Class, orDash(row.Pool), row.Deadline, orDash(row.AttemptTimeout),
+			row.Attempts, hedgeDelay, row.RetryRatio, row.RetryBurst)
 	}
 	return columns.Flush()
 }
--- a/cmd/pinedale-site/explain.go
+++ b/cmd/pinedale-site/explain.go
@@ -20,10 +20,10 @@
 		return err
 	}
 	table := f.Table()
-	if !table.Routed() {
+	if !table.HasRoutes() {
 		return explainUnrouted(out, table, query)
 	}
-	if policy.Unclean(query.Path) {
+	if policy.IsAmbiguousPath(query.Path) {
 		return fmt.Errorf("the path %q has //, /. or /.., and gets no route", query.Path)
 	}
 	if bounds, ok := table.Lookup(query); ok {
@@ -71,7 +71,7 @@
 // explainUnrouted prints the class that a request names, for a file without routes.
 func explainUnrouted(out io.Writer, table *policy.Table, query *policy.Query) error {
 	name := http.Header(query.Header).Get(requestmeta.HeaderClass)
-	if _, ok := table.OfClass(name); !ok {
+	if _, ok := table.ClassBounds(name); !ok {
 		return fmt.Errorf("the file has no routes: a request names its class in %s, and %q is none",
 			requestmeta.HeaderClass, name)
 	}
--- a/cmd/pinedale/crossings_test.go
+++ b/cmd/pinedale/crossings_test.go
@@ -471,7 +471,7 @@
 		hosts[n].Health = "Terminating"
 	}
 	calls := s.dir.Count()
-	s.dir.Change(func() { s.dir.List = fakediscovery.Document{Seq: 2, Whole: true, Hosts: hosts} })
+	s.dir.Change(func() { s.dir.List = fakediscovery.Document{Seq: 2, Complete: true, Hosts: hosts} })
 	wait.Until(t, "the watch to be opened anew, and once more with the new version", func() bool {
 		s.dir.Lock()
 		defer s.dir.Unlock()
@@ -513,7 +513,7 @@
 func TestEndsWithoutAList(t *testing.T) {
 	t.Parallel()
 	s := surround(t, true)
-	silent := scriptedconn.New(t, scriptedconn.Silent)
+	silent := scriptedconn.New(t, scriptedconn.Unresponsive)
 	s.config.Known, s.config.Discovery = nil, silent.Address
 	s.launchUntil(false, "the program to ask for a list", func() bool { n, _ := silent.Seen(); return n > 0 })
 	if s.ready() {
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -27,8 +27,8 @@
 
 // Class holds the limits of one class.
 type Class struct {
-	MaxInFlight int // 0 for no limit
-	BrownOut    int // under overload, classes of a higher number are shed first
+	MaxInFlight   int // 0 for no limit
+	BrownoutLevel int // under overload, classes of a higher number are shed first
 }
 
 // tenantState is a tenant's limits and counts.
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -89,7 +89,7 @@
 }
 
 func TestClassesAreShedInOrderUnderOverload(t *testing.T) {
-	classes := []Class{{BrownOut: 0}, {BrownOut: 1}, {BrownOut: 2}}
+	classes := []Class{{BrownoutLevel: 0}, {BrownoutLevel: 1}, {BrownoutLevel: 2}}
 	for _, c := range []struct {
 		rate float64
 		want [3]float64 // admitted ratio of each class, at 3000 requests per second in equal parts
--- a/internal/admission/window.go
+++ b/internal/admission/window.go
@@ -21,11 +21,11 @@
 
 // sheds reports whether a request of a class is to be rejected.
 func (b *brownout) sheds(c *classState) bool {
-	return c.limits.BrownOut > b.level || c.limits.BrownOut == b.level && b.remaining < 1
+	return c.limits.BrownoutLevel > b.level || c.limits.BrownoutLevel == b.level && b.remaining < 1
 }
 
 func (b *brownout) countAdmitted(c *classState) {
-	if c.limits.BrownOut == b.level {
+	if c.limits.BrownoutLevel == b.level {
 		b.remaining--
 	}
 }
@@ -60,14 +60,14 @@
 	a.brownout = brownout{level: noBrownout}
 	maxLevel := 0
 	for i := range a.classes {
-		maxLevel = max(maxLevel, a.classes[i].limits.BrownOut)
+		maxLevel = max(maxLevel, a.classes[i].limits.BrownoutLevel)
 	}
 	capacity := a.windowCapacity()
 	requested := 0.0 // by the levels so far
 	for level := 0; a.rate > 0 && level <= maxLevel; level++ {
 		before := requested
 		for i := range a.classes {
-			if a.classes[i].limits.BrownOut == level {
+			if a.classes[i].limits.BrownoutLevel == level {
 				requested += a.classes[i].requested
 			}
 		}
--- a/internal/certstore/conn.go
+++ b/internal/certstore/conn.go
@@ -15,17 +15,17 @@
 type Conn struct {
 	*tls.Conn
 	socket     *socket
-	store      *Room
+	store      *Store
 	peerUsage  x509.ExtKeyUsage
 	generation int // of the material from before the handshake
 
 	lifetimeOnce sync.Once
-	lifetime     *Life
+	lifetime     *Lifetime
 }
 
 // Dial returns a client connection over raw. The caller performs the handshake. generation is Room.Number from
 // before the configuration was created.
-func (r *Room) Dial(raw net.Conn, config *tls.Config, generation int) *Conn {
+func (r *Store) Dial(raw net.Conn, config *tls.Config, generation int) *Conn {
 	socket := &socket{Conn: raw}
 	return &Conn{
 		Conn:       tls.Client(socket, config),
@@ -38,14 +38,14 @@
 
 // Listen returns a listener for TLS connections. The handshake is performed by the first read or write, within
 // its deadline.
-func (r *Room) Listen(l net.Listener, protocols ...string) net.Listener {
+func (r *Store) Listen(l net.Listener, protocols ...string) net.Listener {
 	return &listener{l, r, r.Server(protocols...)}
 }
 
 // listener accepts server connections.
 type listener struct {
 	net.Listener
-	store  *Room
+	store  *Store
 	config *tls.Config
 }
 
@@ -61,13 +61,13 @@
 		socket:     socket,
 		store:      l.store,
 		peerUsage:  x509.ExtKeyUsageClientAuth,
-		generation: l.store.Number(),
+		generation: l.store.Generation(),
 	}, nil
 }
 
 // Life returns the connection's lifetime. The handshake must be complete.
-func (c *Conn) Life() *Life {
-	c.lifetimeOnce.Do(func() { c.lifetime = c.store.Life(c.ConnectionState(), c.peerUsage, c.generation) })
+func (c *Conn) Life() *Lifetime {
+	c.lifetimeOnce.Do(func() { c.lifetime = c.store.Lifetime(c.ConnectionState(), c.peerUsage, c.generation) })
 	return c.lifetime
 }
 
--- a/internal/certstore/files_test.go
+++ b/internal/certstore/files_test.go
@@ -18,7 +18,7 @@
 	folder := ca.FolderAt(t, filepath.Join("testdata", "folder"))
 	store, err := Open(Options{
 		Paths: Paths{Cert: folder.Cert, Key: folder.Key, Roots: folder.Roots, Revoked: folder.Revoked},
-		Want:  validate.Want{Names: []string{testName}, Server: true, LeastRSA: 2048},
+		Want:  validate.Requirements{Names: []string{testName}, Server: true, MinRSABits: 2048},
 		Log:   slog.New(slog.DiscardHandler),
 		Now:   testClock,
 	})
@@ -26,13 +26,13 @@
 		t.Fatal(err)
 	}
 	leaf := store.LocalCert()
-	if got := validate.Shown(leaf); got != "soko-3.example.org, 127.0.0.1, spiffe://soko/pay" {
+	if got := validate.NamesOf(leaf); got != "soko-3.example.org, 127.0.0.1, spiffe://soko/pay" {
 		t.Errorf("names %q", got)
 	}
 	if got := leaf.SerialNumber.String(); got != "4" {
 		t.Errorf("serial number %s", got)
 	}
-	if got := store.Counters(); got != (Counters{Taken: 1, Remaining: 12 * time.Hour}) {
+	if got := store.Counters(); got != (Counters{Accepted: 1, Remaining: 12 * time.Hour}) {
 		t.Errorf("counters %+v", got)
 	}
 	secret, err := store.Secret("QUIC stateless reset, pinedale-1")
--- a/internal/certstore/keyroom_test.go
+++ b/internal/certstore/keyroom_test.go
@@ -31,14 +31,14 @@
 }
 
 // open opens a store on the files of a folder.
-func open(t *testing.T, folder *ca.Folder, server bool, log io.Writer) *Room {
+func open(t *testing.T, folder *ca.Folder, server bool, log io.Writer) *Store {
 	t.Helper()
 	store, err := Open(Options{
-		Paths:  paths(folder),
-		Want:   validate.Want{Names: []string{testName}, Server: server, LeastRSA: 2048},
-		Spread: time.Minute,
-		Log:    slog.New(slog.NewTextHandler(log, nil)),
-		Now:    testClock,
+		Paths:           paths(folder),
+		Want:            validate.Requirements{Names: []string{testName}, Server: server, MinRSABits: 2048},
+		ReplacementTime: time.Minute,
+		Log:             slog.New(slog.NewTextHandler(log, nil)),
+		Now:             testClock,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -104,7 +104,7 @@
 	bad := root.Issue(ca.Spec{Names: []string{"soko-4.example.org"}})
 	folder.Pair(bad)
 	for range 3 {
-		if v := store.Look(); v.Action != validate.Rejected || v.Fault.Rule != validate.WrongName {
+		if v := store.Reload(); v.Action != validate.Rejected || v.Fault.Rule != validate.WrongName {
 			t.Errorf("another's name: %+v", v)
 		}
 	}
@@ -112,7 +112,7 @@
 		!strings.Contains(got, "soko-4.example.org") || strings.Contains(got, "PRIVATE") {
 		t.Errorf("the log says %q", got)
 	}
-	if c := store.Counters(); c.Taken != 1 || c.Kept != 3 || c.Remaining != 12*time.Hour {
+	if c := store.Counters(); c.Accepted != 1 || c.Rejected != 3 || c.Remaining != 12*time.Hour {
 		t.Errorf("counters %+v", c)
 	}
 }
@@ -133,7 +133,7 @@
 		t.Fatal(err)
 	}
 	client.Time = testClock
-	serve := func(folder *ca.Folder, want validate.Want) *tls.Config {
+	serve := func(folder *ca.Folder, want validate.Requirements) *tls.Config {
 		store, err := Open(Options{Paths: paths(folder), Want: want, Log: slog.New(slog.DiscardHandler), Now: testClock})
 		if err != nil {
 			t.Fatal(err)
@@ -142,22 +142,22 @@
 		c.Time = testClock
 		return c
 	}
-	if s, c := handshake(t, serve(sides(root, sound), validate.Want{Server: true}), client); s != nil || c != nil {
+	if s, c := handshake(t, serve(sides(root, sound), validate.Requirements{Server: true}), client); s != nil || c != nil {
 		t.Errorf("two sound sides: %v, %v", s, c)
 	}
 	wrongName := sides(root, ca.Spec{Names: []string{"soko-4.example.org"}})
-	_, clientErr := handshake(t, serve(wrongName, validate.Want{Server: true}), client)
+	_, clientErr := handshake(t, serve(wrongName, validate.Requirements{Server: true}), client)
 	if clientErr == nil || !strings.Contains(clientErr.Error(), "soko-4.example.org") {
 		t.Errorf("a server of another name: %v", clientErr)
 	}
 	unknown := ca.NewFolder(t)
 	unknown.Pair(other.Issue(sound))
 	unknown.Roots = ""
-	if _, c := handshake(t, serve(unknown, validate.Want{Server: true}), client); c == nil {
+	if _, c := handshake(t, serve(unknown, validate.Requirements{Server: true}), client); c == nil {
 		t.Error("a server by an unknown root was trusted")
 	}
 	anonymous := &tls.Config{InsecureSkipVerify: true, Time: testClock}
-	if s, _ := handshake(t, serve(sides(root, sound), validate.Want{Server: true}), anonymous); s == nil {
+	if s, _ := handshake(t, serve(sides(root, sound), validate.Requirements{Server: true}), anonymous); s == nil {
 		t.Error("a client without a certificate was admitted")
 	}
 	withoutRoots := sides(root, sound)
@@ -180,12 +180,12 @@
 	done := make(chan struct{})
 	go func() { store.Run(ctx); close(done) }()
 	defer func() { end(); <-done }()
-	wait.Until(t, "the pair written before the watch", func() bool { return store.Number() == 2 })
+	wait.Until(t, "the pair written before the watch", func() bool { return store.Generation() == 2 })
 	for n := 3; n < 7; n++ {
 		next := root.Issue(ca.Spec{Names: []string{testName}})
 		folder.Put(folder.Key, next.Key) // first the key, then the certificate
 		folder.Put(folder.Cert, next.Cert)
-		wait.Until(t, "the new pair", func() bool { return store.Number() == n })
+		wait.Until(t, "the new pair", func() bool { return store.Generation() == n })
 		if got := store.current.Load().material.Leaf(); !got.Equal(next.Leaf) {
 			t.Fatalf("change %d: another certificate is in use", n)
 		}
--- a/internal/certstore/lifetime.go
+++ b/internal/certstore/lifetime.go
@@ -10,9 +10,9 @@
 	"pinedale/internal/certstore/validate"
 )
 
-// Life tells until when one connection may carry new requests. It is safe for concurrent use.
-type Life struct {
-	store *Room
+// Lifetime tells until when one connection may carry new requests. It is safe for concurrent use.
+type Lifetime struct {
+	store *Store
 	conn  validate.Conn
 
 	mu                sync.Mutex
@@ -23,10 +23,10 @@
 // lastConnID is the last connection ID that was assigned, over all rooms.
 var lastConnID atomic.Uint64
 
-// Life returns the lifetime of a connection after its handshake. The peer was verified for a usage; generation
+// Lifetime returns the lifetime of a connection after its handshake. The peer was verified for a usage; generation
 // is that of the material from before the handshake.
-func (r *Room) Life(state tls.ConnectionState, usage x509.ExtKeyUsage, generation int) *Life {
-	return &Life{
+func (r *Store) Lifetime(state tls.ConnectionState, usage x509.ExtKeyUsage, generation int) *Lifetime {
+	return &Lifetime{
 		store:             r,
 		checkedGeneration: generation,
 		conn: validate.Conn{
@@ -44,10 +44,10 @@
 //
 // The chain is verified again only if the material has changed or a certificate has expired: nothing else can
 // change the result.
-func (l *Life) At(now time.Time) (usable, trusted bool, reason string) {
+func (l *Lifetime) At(now time.Time) (usable, trusted bool, reason string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	generation := l.store.Number()
+	generation := l.store.Generation()
 	if !l.retirement.PeerUntrusted && (generation != l.checkedGeneration || l.expired(now)) {
 		l.update(l.store.Retirement(l.conn))
 		l.checkedGeneration = generation
@@ -61,7 +61,7 @@
 
 // update adopts a retirement unless an earlier one is set: a second change of the material does not postpone the
 // retirement that the first has caused.
-func (l *Life) update(next validate.Retirement) {
+func (l *Lifetime) update(next validate.Retirement) {
 	if next.At.IsZero() {
 		return
 	}
@@ -71,7 +71,7 @@
 }
 
 // expired reports whether a certificate of the connection has expired.
-func (l *Life) expired(now time.Time) bool {
+func (l *Lifetime) expired(now time.Time) bool {
 	for _, cert := range l.conn.Peer {
 		if now.After(cert.NotAfter) {
 			return true
--- a/internal/certstore/room.go
+++ b/internal/certstore/room.go
@@ -28,12 +28,12 @@
 
 // Options configure a Room.
 type Options struct {
-	Paths  Paths
-	Want   validate.Want
-	Spread time.Duration // period over which connections are replaced after a change
-	Least  uint16        // minimum TLS version, tls.VersionTLS13 if 0
-	Log    *slog.Logger
-	Now    func() time.Time // the clock, time.Now if nil
+	Paths           Paths
+	Want            validate.Requirements
+	ReplacementTime time.Duration // period over which connections are replaced after a change
+	MinTLSVersion   uint16        // minimum TLS version, tls.VersionTLS13 if 0
+	Log             *slog.Logger
+	Now             func() time.Time // the clock, time.Now if nil
 }
 
 // snapshot is the material in use with what is derived from it. It is immutable.
@@ -44,9 +44,9 @@
 	certificates []tls.Certificate // the own certificate, if there is one
 }
 
-// Room holds the certificates, keys and trust of one identity. It is safe for concurrent use. Create one with
+// Store holds the certificates, keys and trust of one identity. It is safe for concurrent use. Create one with
 // Open.
-type Room struct {
+type Store struct {
 	options Options
 	current atomic.Pointer[snapshot]
 
@@ -59,22 +59,22 @@
 }
 
 // Open reads the files. Its error is a *judge.Fault if they may not serve.
-func Open(options Options) (*Room, error) {
-	if options.Least == 0 {
-		options.Least = tls.VersionTLS13
+func Open(options Options) (*Store, error) {
+	if options.MinTLSVersion == 0 {
+		options.MinTLSVersion = tls.VersionTLS13
 	}
 	if options.Now == nil {
 		options.Now = time.Now
 	}
-	r := &Room{options: options, rotation: validate.NewRotation(options.Want, options.Spread)}
-	if decision := r.Look(); decision.Action != validate.Accepted {
+	r := &Store{options: options, rotation: validate.NewRotation(options.Want, options.ReplacementTime)}
+	if decision := r.Reload(); decision.Action != validate.Accepted {
 		return nil, decision.Fault
 	}
 	return r, nil
 }
 
-// Look reads the files and accepts them if they may serve. It also renews the session ticket key when that is due.
-func (r *Room) Look() validate.Decision {
+// Reload reads the files and accepts them if they may serve. It also renews the session ticket key when that is due.
+func (r *Store) Reload() validate.Decision {
 	files := r.options.Paths.readAll()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -98,7 +98,7 @@
 }
 
 // publish makes the accepted material current, with a new session ticket key. r.mu must be held.
-func (r *Room) publish() {
+func (r *Store) publish() {
 	material, generation := r.rotation.Serving()
 	next := &snapshot{material: material, generation: generation}
 	if leaf := material.Leaf(); leaf != nil {
@@ -114,7 +114,7 @@
 }
 
 // logDecision logs a decision that operators have not been informed of. r.mu must be held.
-func (r *Room) logDecision(now time.Time, decision validate.Decision) {
+func (r *Store) logDecision(now time.Time, decision validate.Decision) {
 	log := r.options.Log.With("cert", r.options.Paths.Cert, "roots", r.options.Paths.Roots)
 	if decision.Action != validate.Accepted {
 		fault := decision.Fault
@@ -125,7 +125,7 @@
 	attributes := []any{"generation", generation}
 	if leaf := material.Leaf(); leaf != nil {
 		attributes = append(attributes,
-			"names", validate.Shown(leaf),
+			"names", validate.NamesOf(leaf),
 			"issuer", leaf.Issuer.String(),
 			"not_after", leaf.NotAfter.UTC(),
 			"remaining", r.rotation.Remaining(now).Round(time.Minute))
@@ -135,7 +135,7 @@
 
 // Secret derives a key for another purpose from the private key in use (HKDF, RFC 5869). It is the same after a
 // restart as long as the private key is.
-func (r *Room) Secret(purpose string) (secret [32]byte, err error) {
+func (r *Store) Secret(purpose string) (secret [32]byte, err error) {
 	material := r.current.Load().material
 	if material.Key == nil {
 		return secret, ErrNoPrivateKey
@@ -150,16 +150,16 @@
 }
 
 // LocalCert returns the certificate that is presented to peers, nil for none.
-func (r *Room) LocalCert() *x509.Certificate { return r.current.Load().material.Leaf() }
+func (r *Store) LocalCert() *x509.Certificate { return r.current.Load().material.Leaf() }
 
 // Spread returns the period over which connections are replaced after a change.
-func (r *Room) Spread() time.Duration { return r.options.Spread }
+func (r *Store) Spread() time.Duration { return r.options.ReplacementTime }
 
-// Number returns the generation of the material in use, from 1.
-func (r *Room) Number() int { return r.current.Load().generation }
+// Generation returns the generation of the material in use, from 1.
+func (r *Store) Generation() int { return r.current.Load().generation }
 
 // Retirement returns until when a connection may carry new requests.
-func (r *Room) Retirement(conn validate.Conn) validate.Retirement {
+func (r *Store) Retirement(conn validate.Conn) validate.Retirement {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.rotation.Retirement(r.options.Now(), conn)
@@ -167,16 +167,16 @@
 
 // Counters count the results of Look since the start.
 type Counters struct {
-	Taken     int           // files accepted
-	Kept      int           // files rejected, the previous material kept
+	Accepted  int           // files accepted
+	Rejected  int           // files rejected, the previous material kept
 	Remaining time.Duration // until the certificate in use expires; 0 without one
 }
 
 // Counters returns the present counters.
-func (r *Room) Counters() Counters {
+func (r *Store) Counters() Counters {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	counters := Counters{Taken: r.accepted, Kept: r.rejected}
+	counters := Counters{Accepted: r.accepted, Rejected: r.rejected}
 	if material, _ := r.rotation.Serving(); material.Leaf() != nil {
 		counters.Remaining = r.rotation.Remaining(r.options.Now())
 	}
--- a/internal/certstore/tlsconfig.go
+++ b/internal/certstore/tlsconfig.go
@@ -12,8 +12,8 @@
 // serverConfig returns the server configuration of one snapshot. Its session tickets are valid for this snapshot
 // only, so a resumed session was always verified under the present trust and identity. The ticket key is set
 // explicitly because libraries clone the configuration, and each clone would generate its own.
-func (r *Room) serverConfig(material *validate.Material, certificates []tls.Certificate) *tls.Config {
-	config := &tls.Config{MinVersion: r.options.Least, Certificates: certificates}
+func (r *Store) serverConfig(material *validate.Material, certificates []tls.Certificate) *tls.Config {
+	config := &tls.Config{MinVersion: r.options.MinTLSVersion, Certificates: certificates}
 	config.SetSessionTicketKeys([][32]byte{newTicketKey()})
 	if len(material.Roots) > 0 {
 		config.ClientCAs = material.Pool()
@@ -27,7 +27,7 @@
 
 // Server returns a server configuration for some protocols (ALPN, RFC 7301). Each connection uses the material
 // that is current when it is accepted. Clients must present a certificate if there are trusted roots.
-func (r *Room) Server(protocols ...string) *tls.Config {
+func (r *Store) Server(protocols ...string) *tls.Config {
 	// The configuration is cloned once per snapshot, not per connection.
 	type clone struct {
 		source *snapshot
@@ -44,19 +44,19 @@
 		cached.Store(next)
 		return next.config, nil
 	}
-	return &tls.Config{MinVersion: r.options.Least, NextProtos: protocols, GetConfigForClient: configForClient}
+	return &tls.Config{MinVersion: r.options.MinTLSVersion, NextProtos: protocols, GetConfigForClient: configForClient}
 }
 
 // Client returns a client configuration for one server, which is verified by the name under which it is
 // configured here, not by what it presents. The error is ErrNoRoots without trusted roots: the system's roots
 // are not used for the servers of a fleet. If a handshake fails because of a certificate, its error is a
 // *judge.Fault.
-func (r *Room) Client(name string) (*tls.Config, error) {
+func (r *Store) Client(name string) (*tls.Config, error) {
 	if len(r.current.Load().material.Roots) == 0 {
 		return nil, ErrNoRoots
 	}
 	return &tls.Config{
-		MinVersion: r.options.Least,
+		MinVersion: r.options.MinTLSVersion,
 		ServerName: serverName(name),
 		Time:       r.options.Now,
 		// The standard verification supports neither SPIFFE IDs nor roots that change. VerifyConnection takes
@@ -84,7 +84,7 @@
 }
 
 // verifyPeer verifies the chain that a peer has presented against the present roots and revocation lists.
-func (r *Room) verifyPeer(state tls.ConnectionState, usage x509.ExtKeyUsage, names ...string) error {
+func (r *Store) verifyPeer(state tls.ConnectionState, usage x509.ExtKeyUsage, names ...string) error {
 	requirements := r.rotation.PeerRequirements(usage) // constant: needs no lock
 	requirements.Names = names
 	material := r.current.Load().material
--- a/internal/certstore/validate/names.go
+++ b/internal/certstore/validate/names.go
@@ -15,7 +15,7 @@
 func MatchName(cert *x509.Certificate, name string) error {
 	if strings.HasPrefix(name, spiffeScheme) {
 		if len(cert.URIs) != 1 || cert.URIs[0].String() != name {
-			return fmt.Errorf("it is not for %s but for %s", name, Shown(cert))
+			return fmt.Errorf("it is not for %s but for %s", name, NamesOf(cert))
 		}
 		return nil
 	}
@@ -24,13 +24,13 @@
 		host = "[" + name + "]" // the form in which VerifyHostname expects addresses
 	}
 	if err := cert.VerifyHostname(host); err != nil {
-		return fmt.Errorf("it is not for %s but for %s", strings.Trim(host, "[]"), Shown(cert))
+		return fmt.Errorf("it is not for %s but for %s", strings.Trim(host, "[]"), NamesOf(cert))
 	}
 	return nil
 }
 
-// Shown returns the names that a certificate is valid for, as logs show them.
-func Shown(cert *x509.Certificate) string {
+// NamesOf returns the names that a certificate is valid for, as logs show them.
+func NamesOf(cert *x509.Certificate) string {
 	var names []string
 	names = append(names, cert.DNSNames...)
 	for _, ip := range cert.IPAddresses {
--- a/internal/certstore/validate/peer.go
+++ b/internal/certstore/validate/peer.go
@@ -12,7 +12,7 @@
 // It is called for each full handshake, and for each resumed session with the chain that the peer presented
 // when the session began: a ticket does not admit a peer that has since been revoked, has expired or is no
 // longer trusted.
-func (m *Material) VerifyPeer(now time.Time, presented []*x509.Certificate, requirements Requirements) *Fault {
+func (m *Material) VerifyPeer(now time.Time, presented []*x509.Certificate, requirements ChainRequirements) *Fault {
 	if len(presented) == 0 {
 		return &Fault{Rule: Incomplete, File: peerChain, Reason: "no certificate was shown"}
 	}
@@ -38,7 +38,7 @@
 type chainKey [sha256.Size]byte
 
 // cacheKey hashes a chain and its requirements.
-func cacheKey(presented []*x509.Certificate, requirements Requirements) (key chainKey) {
+func cacheKey(presented []*x509.Certificate, requirements ChainRequirements) (key chainKey) {
 	hasher := sha256.New()
 	fmt.Fprintf(hasher, "%q %d %d\n", requirements.Names, requirements.Usage, requirements.MinRSABits)
 	for _, cert := range presented {
--- a/internal/certstore/validate/peer_test.go
+++ b/internal/certstore/validate/peer_test.go
@@ -26,7 +26,7 @@
 	for _, pair := range []*ca.Pair{
 		issue(root, ca.Spec{}),
 		issue(intermediate, ca.Spec{}),
-		issue(intermediate, ca.Spec{LeaveOutBetween: true}),
+		issue(intermediate, ca.Spec{OmitIntermediate: true}),
 		issue(other, ca.Spec{}),
 		revoked,
 		issue(root, ca.Spec{From: noon, Until: noon.Add(time.Hour)}),
@@ -56,7 +56,7 @@
 		set := rapid.IntRange(0, 2).Draw(t, "set")
 		chain := rapid.SampledFrom(chains).Draw(t, "chain")
 		usages := []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
-		requirements := Requirements{
+		requirements := ChainRequirements{
 			Names:       []string{rapid.SampledFrom([]string{testName, "x.example.org"}).Draw(t, "name")},
 			Usage:       rapid.SampledFrom(usages).Draw(t, "use"),
 			MinRSABits:  2048,
--- a/internal/certstore/validate/retirement.go
+++ b/internal/certstore/validate/retirement.go
@@ -22,10 +22,10 @@
 }
 
 // PeerRequirements returns what is required of a peer of any name.
-func (r *Rotation) PeerRequirements(usage x509.ExtKeyUsage) Requirements {
-	return Requirements{
+func (r *Rotation) PeerRequirements(usage x509.ExtKeyUsage) ChainRequirements {
+	return ChainRequirements{
 		Usage:       usage,
-		MinRSABits:  r.want.LeastRSA,
+		MinRSABits:  r.want.MinRSABits,
 		ExpiryGrace: r.want.PeerExpiryGrace,
 	}
 }
@@ -52,7 +52,7 @@
 		return Retirement{At: now, Reason: "its own certificate is over"}
 	}
 	if conn.Generation != r.generation {
-		delay := time.Duration(Part(conn.ID) * float64(r.spread))
+		delay := time.Duration(SpreadPosition(conn.ID) * float64(r.spread))
 		return Retirement{At: r.since.Add(delay), Reason: "keys have changed since"}
 	}
 	return Retirement{}
@@ -61,9 +61,9 @@
 // goldenRatio is 2^64 divided by the golden ratio, the factor of Knuth's multiplicative hash.
 const goldenRatio = 0x9e3779b97f4a7c15
 
-// Part returns the position, from 0 to 1, of a connection's end in the period after a change. It is a
+// SpreadPosition returns the position, from 0 to 1, of a connection's end in the period after a change. It is a
 // multiplicative hash: connections with consecutive IDs end far apart.
-func Part(id uint64) float64 {
+func SpreadPosition(id uint64) float64 {
 	const mantissaBits = 53 // of a float64
 	return float64(id*goldenRatio>>(64-mantissaBits)) / (1 << mantissaBits)
 }
--- a/internal/certstore/validate/retirement_test.go
+++ b/internal/certstore/validate/retirement_test.go
@@ -22,7 +22,7 @@
 	local := old.Issue(ca.Spec{Names: []string{testName}})
 	peer := old.Issue(ca.Spec{Names: []string{"peer"}})
 	byNext := next.Issue(ca.Spec{Names: []string{"peer"}})
-	rotation := NewRotation(Want{LeastRSA: 2048}, time.Hour)
+	rotation := NewRotation(Requirements{MinRSABits: 2048}, time.Hour)
 	conn := func(peer *ca.Pair, generation int) Conn {
 		return Conn{
 			ID:         7,
--- a/internal/certstore/validate/rotation.go
+++ b/internal/certstore/validate/rotation.go
@@ -36,7 +36,7 @@
 // Rotation holds the material that serves and decides whether other material replaces it. It is not safe for
 // concurrent use. Create one with NewRotation.
 type Rotation struct {
-	want       Want
+	want       Requirements
 	spread     time.Duration // period over which connections are replaced after a change
 	serving    *Material     // nil until files are accepted
 	generation int           // of serving, from 1
@@ -56,7 +56,7 @@
 
 // NewRotation returns a Rotation that serves nothing yet. After a change, connections made before it are replaced
 // over the given period.
-func NewRotation(want Want, spread time.Duration) *Rotation {
+func NewRotation(want Requirements, spread time.Duration) *Rotation {
 	return &Rotation{want: want, spread: max(spread, minSpread)}
 }
 
--- a/internal/certstore/validate/validate.go
+++ b/internal/certstore/validate/validate.go
@@ -15,18 +15,18 @@
 // minCurveBits is the smallest elliptic curve that is accepted.
 const minCurveBits = 256
 
-// Want is what the operator requires of an identity and its trust.
-type Want struct {
+// Requirements is what the operator requires of an identity and its trust.
+type Requirements struct {
 	Names        []string // DNS names, IP addresses or spiffe:// URIs that the certificate must be valid for
 	Server       bool     // the certificate is presented by a server, otherwise by a client
-	LeastRSA     int      // minimum RSA key size in bits
+	MinRSABits   int      // minimum RSA key size in bits
 	AllowExpired bool     // accept an expired own certificate: for emergencies
 	// PeerExpiryGrace is how long after its expiry a peer's certificate is still accepted, 0 by default.
 	PeerExpiryGrace time.Duration
 }
 
-// Requirements are what a certificate chain must satisfy.
-type Requirements struct {
+// ChainRequirements are what a certificate chain must satisfy.
+type ChainRequirements struct {
 	Names       []string // the leaf must be valid for each of them
 	Usage       x509.ExtKeyUsage
 	MinRSABits  int
@@ -34,14 +34,14 @@
 }
 
 // CheckIdentity returns the first rule that the own certificate breaks at an instant, nil if it may serve.
-func (m *Material) CheckIdentity(now time.Time, want Want) *Fault {
+func (m *Material) CheckIdentity(now time.Time, want Requirements) *Fault {
 	if m.Leaf() == nil {
 		return nil // only trust is configured
 	}
-	requirements := Requirements{
+	requirements := ChainRequirements{
 		Names:      want.Names,
 		Usage:      x509.ExtKeyUsageClientAuth,
-		MinRSABits: want.LeastRSA,
+		MinRSABits: want.MinRSABits,
 	}
 	if want.Server {
 		requirements.Usage = x509.ExtKeyUsageServerAuth
@@ -55,7 +55,7 @@
 
 // checkChain checks a chain, leaf first, against the rules from Weak on. If there are roots, it also returns
 // the chain from the leaf to one of them.
-func (m *Material) checkChain(now time.Time, file string, chain []*x509.Certificate, requirements Requirements) (
+func (m *Material) checkChain(now time.Time, file string, chain []*x509.Certificate, requirements ChainRequirements) (
 	verified []*x509.Certificate, fault *Fault,
 ) {
 	if fault := checkForm(file, chain, requirements); fault != nil {
@@ -82,7 +82,7 @@
 }
 
 // checkForm checks what does not depend on time or trust: Weak, WrongName and WrongUsage.
-func checkForm(file string, chain []*x509.Certificate, requirements Requirements) *Fault {
+func checkForm(file string, chain []*x509.Certificate, requirements ChainRequirements) *Fault {
 	for i, cert := range chain {
 		if err := checkStrength(cert, requirements.MinRSABits); err != nil {
 			return &Fault{Rule: Weak, File: file, Reason: fmt.Sprintf("certificate %d: %s", i+1, err)}
--- a/internal/certstore/validate/validate_test.go
+++ b/internal/certstore/validate/validate_test.go
@@ -26,7 +26,9 @@
 	return Files{Cert: configured(p.Cert), Key: configured(p.Key), Roots: configured(bytes.Join(roots, nil))}
 }
 
-func serverWant() Want { return Want{Names: []string{testName}, Server: true, LeastRSA: 2048} }
+func serverWant() Requirements {
+	return Requirements{Names: []string{testName}, Server: true, MinRSABits: 2048}
+}
 
 // Each rule has inputs that break it, and inputs that nearly do.
 func TestFirstBrokenRuleIsReported(t *testing.T) {
@@ -59,22 +61,22 @@
 	below := intermediate.Issue(ca.Spec{Names: []string{testName}})
 	for condition, c := range map[string]struct {
 		files  Files
-		want   Want
+		want   Requirements
 		rule   Rule
 		reason string
 	}{
 		"sound": {ok, serverWant(), 0, ""},
 		"sound, an address": {
 			files: issue(root, ca.Spec{Names: []string{"127.0.0.1"}}),
-			want:  Want{Names: []string{"127.0.0.1"}},
+			want:  Requirements{Names: []string{"127.0.0.1"}},
 		},
 		"sound, SPIFFE": {
 			files: issue(root, ca.Spec{Names: []string{"spiffe://soko/pay"}}),
-			want:  Want{Names: []string{"spiffe://soko/pay"}},
+			want:  Requirements{Names: []string{"spiffe://soko/pay"}},
 		},
 		"sound, over another": {files(below, root.PEM()), serverWant(), 0, ""},
 		"sound, RSA":          {issue(root, ca.Spec{Key: rsaKey(2048)}), serverWant(), 0, ""},
-		"trust alone":         {Files{Roots: configured(root.PEM())}, Want{}, 0, ""},
+		"trust alone":         {Files{Roots: configured(root.PEM())}, Requirements{}, 0, ""},
 		"text between the blocks": {
 			files: with(ok, func(files *Files) {
 				files.Cert.Data = append([]byte("issued for the market\n"), files.Cert.Data...)
@@ -129,7 +131,7 @@
 			rule:   KeyMismatch,
 			reason: "not the certificate's",
 		},
-		"small RSA":   {issue(root, ca.Spec{Key: rsaKey(2048)}), Want{LeastRSA: 3072}, Weak, "2048 bits"},
+		"small RSA":   {issue(root, ca.Spec{Key: rsaKey(2048)}), Requirements{MinRSABits: 3072}, Weak, "2048 bits"},
 		"small curve": {issue(root, ca.Spec{Key: p224}), serverWant(), Weak, "224 bits"},
 		"another name": {
 			files:  issue(root, ca.Spec{Names: []string{"soko-4.example.org"}}),
@@ -139,13 +141,13 @@
 		},
 		"no name": {
 			files:  issue(root, ca.Spec{Names: []string{}}),
-			want:   Want{Names: []string{testName}},
+			want:   Requirements{Names: []string{testName}},
 			rule:   WrongName,
 			reason: "no name",
 		},
 		"two SPIFFE names": {
 			files:  issue(root, ca.Spec{Names: []string{"spiffe://soko/pay", "spiffe://soko/all"}}),
-			want:   Want{Names: []string{"spiffe://soko/pay"}},
+			want:   Requirements{Names: []string{"spiffe://soko/pay"}},
 			rule:   WrongName,
 			reason: "spiffe://soko/all",
 		},
@@ -157,7 +159,7 @@
 		},
 		"a server's for a client": {
 			files:  issue(root, ca.Spec{Uses: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth}}),
-			want:   Want{},
+			want:   Requirements{},
 			rule:   WrongUsage,
 			reason: "client",
 		},
@@ -175,11 +177,11 @@
 		},
 		"over, and permitted": {
 			files: issue(root, ca.Spec{Until: noon.Add(-time.Minute)}),
-			want:  Want{Names: []string{testName}, Server: true, AllowExpired: true},
+			want:  Requirements{Names: []string{testName}, Server: true, AllowExpired: true},
 		},
 		"another root's": {issue(other, ca.Spec{}), serverWant(), Untrusted, "unknown authority"},
 		"half a chain": {
-			files:  issue(intermediate, ca.Spec{LeaveOutBetween: true}),
+			files:  issue(intermediate, ca.Spec{OmitIntermediate: true}),
 			want:   serverWant(),
 			rule:   Untrusted,
 			reason: "unknown authority",
--- a/internal/certstore/watch.go
+++ b/internal/certstore/watch.go
@@ -17,7 +17,7 @@
 )
 
 // Run reads the files whenever their folders change and at intervals, until ctx is cancelled.
-func (r *Room) Run(ctx context.Context) {
+func (r *Store) Run(ctx context.Context) {
 	var events <-chan fsnotify.Event
 	watcher, err := fsnotify.NewWatcher()
 	if err != nil {
@@ -41,7 +41,7 @@
 			}
 			timer.Reset(debounceDelay)
 		case <-timer.C:
-			r.Look()
+			r.Reload()
 			r.logExpiry()
 			timer.Reset(r.nextPoll())
 		}
@@ -50,7 +50,7 @@
 
 // watchFolders watches the folders of all files. It does not watch the files themselves: one that is renamed
 // into place is a different file.
-func (r *Room) watchFolders(watcher *fsnotify.Watcher) {
+func (r *Store) watchFolders(watcher *fsnotify.Watcher) {
 	for _, path := range r.options.Paths.all() {
 		if path == "" {
 			continue
@@ -63,7 +63,7 @@
 }
 
 // nextPoll returns the delay before the next read.
-func (r *Room) nextPoll() time.Duration {
+func (r *Store) nextPoll() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.recheckAt.IsZero() {
@@ -73,7 +73,7 @@
 }
 
 // logExpiry logs that the certificate in use expires soon, once for each threshold.
-func (r *Room) logExpiry() {
+func (r *Store) logExpiry() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	warning, due := r.rotation.ExpiryWarning(r.options.Now())
--- a/internal/cluster/config.go
+++ b/internal/cluster/config.go
@@ -56,8 +56,8 @@
 // leaseLimits bounds the keys that an acceptor remembers.
 func (c *Config) leaseLimits() keylease.Limits {
 	return keylease.Limits{
-		Keys:        maxLeaseKeys,
-		Holders:     maxLeaseKeyHolders,
+		MaxKeys:     maxLeaseKeys,
+		MaxHolders:  maxLeaseKeyHolders,
 		MaxDuration: max(c.LeaseDuration, time.Millisecond),
 	}
 }
--- a/internal/cluster/drains.go
+++ b/internal/cluster/drains.go
@@ -145,9 +145,9 @@
 	reporters = map[string]int{}
 	for _, record := range d.store.View(now, topicDrain) {
 		reports = append(reports, drainadvisory.Report{
-			Origin:    record.Origin.Name,
-			StartedMS: record.Subject,
-			Age:       record.Age,
+			Origin:      record.Origin.Name,
+			Incarnation: record.Subject,
+			Age:         record.Age,
 		})
 		if record.Origin != d.self && record.Age < drainRefreshInterval {
 			reporters[record.Subject]++
@@ -194,7 +194,7 @@
 
 // advise posts the servers to hold back to the engine if they have changed.
 func (d *drains) advise(reports []drainadvisory.Report) {
-	incarnations := drainadvisory.HeldBack(d.cfg.Name, d.endpoints.ready, reports)
+	incarnations := drainadvisory.Withheld(d.cfg.Name, d.endpoints.ready, reports)
 	if slices.Equal(incarnations, d.advised.Load().incarnations) {
 		return
 	}
--- a/internal/cluster/gossip.go
+++ b/internal/cluster/gossip.go
@@ -100,7 +100,7 @@
 		return
 	}
 	if g.transport.sendAnswer(from, vectors) {
-		g.firstBucket = (g.firstBucket + 1) % replication.Buckets
+		g.firstBucket = (g.firstBucket + 1) % replication.DigestBuckets
 	}
 }
 
--- a/internal/cluster/leases.go
+++ b/internal/cluster/leases.go
@@ -199,23 +199,23 @@
 		return engine.LeaseDecision{Group: group, Since: l.started.Add(first)}, true
 	case outcome == keylease.Shared:
 		l.counts.Shared++
-		return engine.LeaseDecision{Kind: engine.LeaseShared, Group: group, Since: l.started.Add(first)}, true
+		return engine.LeaseDecision{Outcome: engine.LeaseShared, Group: group, Since: l.started.Add(first)}, true
 	case outcome == keylease.SplitVote:
 		// Several requested the key at once, and none can have a majority: none of them sends.
 		l.counts.Denied++
 		return denied("several ask for the key at once"), true
 	case !expired:
 		return engine.LeaseDecision{}, false
-	case open.lease.Seen():
+	case open.lease.Contended():
 		l.counts.Denied++
 		return denied("others hold the key, and no majority of its witnesses says where"), true
 	case l.cfg.agreement(open.request.Class) == AgreeSoon && open.localResponse.Shared:
 		// Nobody else answers, but another request with the key went through this instance.
 		l.counts.Shared++
 		return engine.LeaseDecision{
-			Kind:  engine.LeaseShared,
-			Group: open.localResponse.Group,
-			Since: l.started.Add(open.started - open.localResponse.Age),
+			Outcome: engine.LeaseShared,
+			Group:   open.localResponse.Group,
+			Since:   l.started.Add(open.started - open.localResponse.Age),
 		}, true
 	default:
 		l.counts.NoMajority++
@@ -229,11 +229,11 @@
 	if l.cfg.agreement(class) == AgreeAlways {
 		return denied(reason)
 	}
-	return engine.LeaseDecision{Kind: engine.LeaseExclusive}
+	return engine.LeaseDecision{Outcome: engine.LeaseExclusive}
 }
 
 func denied(reason string) engine.LeaseDecision {
-	return engine.LeaseDecision{Kind: engine.LeaseDenied, Reason: reason}
+	return engine.LeaseDecision{Outcome: engine.LeaseDenied, Reason: reason}
 }
 
 func (l *leases) key(request engine.LeaseRequest) keylease.Key {
--- a/internal/cluster/leases_test.go
+++ b/internal/cluster/leases_test.go
@@ -30,20 +30,20 @@
 	})
 	waitReady(t, nodes)
 	first := acquire(nodes[0], engine.LeaseRequest{Key: "k", Request: 1, Term: 1, Group: "pod 1"})
-	if decision := <-first; decision.Kind != engine.LeaseExclusive {
+	if decision := <-first; decision.Outcome != engine.LeaseExclusive {
 		t.Fatalf("first request: %+v", decision)
 	}
 	granted := time.Now()
 	second := <-acquire(nodes[1], engine.LeaseRequest{Key: "k", Request: 1, Term: 1, Group: "pod 2"})
-	if second.Kind != engine.LeaseShared || second.Group != "pod 1" || second.Since.After(granted) {
+	if second.Outcome != engine.LeaseShared || second.Group != "pod 1" || second.Since.After(granted) {
 		t.Fatalf("second request: %+v", second)
 	}
 	otherClass := <-acquire(nodes[1], engine.LeaseRequest{Class: 1, Key: "k", Request: 2, Term: 1, Group: "pod 2"})
-	if otherClass.Kind != engine.LeaseExclusive {
+	if otherClass.Outcome != engine.LeaseExclusive {
 		t.Fatalf("the same key of another class: %+v", otherClass)
 	}
 	request := engine.LeaseRequest{Key: "r", Request: 3, Term: 1, Group: "pod 1"}
-	if decision := <-acquire(nodes[2], request); decision.Kind != engine.LeaseExclusive {
+	if decision := <-acquire(nodes[2], request); decision.Outcome != engine.LeaseExclusive {
 		t.Fatalf("a key to be released: %+v", decision)
 	}
 	nodes[2].Release(request)
@@ -51,7 +51,7 @@
 		request := engine.LeaseRequest{Key: "r", Request: uint64(time.Now().UnixNano()), Term: 1, Group: "pod 2"}
 		decision := <-acquire(nodes[3], request)
 		nodes[3].Release(request)
-		return decision.Kind == engine.LeaseExclusive
+		return decision.Outcome == engine.LeaseExclusive
 	})
 	for n := range 20 {
 		var decisions []<-chan engine.LeaseDecision
@@ -62,7 +62,7 @@
 		}
 		exclusive, groups := 0, map[string]bool{}
 		for i, pending := range decisions {
-			switch decision := <-pending; decision.Kind {
+			switch decision := <-pending; decision.Outcome {
 			case engine.LeaseExclusive:
 				exclusive++
 				groups[fmt.Sprint("pod ", i)] = true
@@ -84,16 +84,16 @@
 		c.LeaseTimeout = 30 * time.Millisecond
 	})[0]
 	always := <-acquire(node, engine.LeaseRequest{Key: "k", Request: 1, Term: 1})
-	if always.Kind != engine.LeaseDenied {
+	if always.Outcome != engine.LeaseDenied {
 		t.Errorf("AgreeAlways: %+v", always)
 	}
 	soon := <-acquire(node, engine.LeaseRequest{Class: 1, Key: "k", Request: 2, Term: 1})
-	if soon.Kind != engine.LeaseExclusive {
+	if soon.Outcome != engine.LeaseExclusive {
 		t.Errorf("AgreeSoon: %+v", soon)
 	}
 	// But what went through the instance itself is known.
 	second := <-acquire(node, engine.LeaseRequest{Class: 1, Key: "k", Request: 3, Term: 1, Group: "pod 3"})
-	if second.Kind != engine.LeaseShared || second.Group != "" {
+	if second.Outcome != engine.LeaseShared || second.Group != "" {
 		t.Errorf("AgreeSoon, second request: %+v", second)
 	}
 	if node.Covers(2) || !node.Covers(0) || node.Covers(9) {
@@ -117,7 +117,7 @@
 		wait.Until(t, "a denial with the reason "+reason, func() bool {
 			n++
 			decision := <-acquire(node, engine.LeaseRequest{Key: fmt.Sprint("k-", n), Request: n, Term: 1})
-			if decision.Kind != engine.LeaseDenied {
+			if decision.Outcome != engine.LeaseDenied {
 				t.Fatalf("%s: %+v", reason, decision)
 			}
 			return strings.Contains(decision.Reason, reason)
--- a/internal/cluster/membership_test.go
+++ b/internal/cluster/membership_test.go
@@ -40,11 +40,11 @@
 		c.Join, c.Voters = []string{"i-1/" + nodes[1].Addr()}, []string{"i-0", "i-1", "i-2"}
 	})[0]
 	wait.Until(t, "the duplicate knows of the original", func() bool {
-		recovering, err := time.ParseDuration(status(t, duplicate).Quiet)
+		recovering, err := time.ParseDuration(status(t, duplicate).RecoveringFor)
 		return err == nil && recovering > 10*time.Second
 	})
 	decision := <-acquire(nodes[1], engine.LeaseRequest{Key: "k", Request: 1, Term: 1, Group: "pod 1"})
-	if decision.Kind != engine.LeaseExclusive {
+	if decision.Outcome != engine.LeaseExclusive {
 		t.Errorf("beside the duplicate: %+v", decision)
 	}
 }
--- a/internal/cluster/message/decode.go
+++ b/internal/cluster/message/decode.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		return Message{}, err
 	}
-	return Message{From: from, What: what}, nil
+	return Message{From: from, Payload: what}, nil
 }
 
 // decodeWhat decodes the envelope's content by its kind.
@@ -124,8 +124,8 @@
 
 func decodeDigest(in *peerspb.Digest) (replication.Digest, error) {
 	buckets := in.GetBuckets()
-	if len(buckets) != replication.Buckets {
-		return replication.Digest{}, fmt.Errorf("digest.buckets: %d, want %d", len(buckets), replication.Buckets)
+	if len(buckets) != replication.DigestBuckets {
+		return replication.Digest{}, fmt.Errorf("digest.buckets: %d, want %d", len(buckets), replication.DigestBuckets)
 	}
 	return replication.Digest(buckets), nil
 }
@@ -133,8 +133,8 @@
 func decodeVectors(in *peerspb.Vectors) (*replication.Vectors, error) {
 	out := &replication.Vectors{Response: in.GetAnswer()}
 	for _, bucket := range in.GetBuckets() {
-		if bucket >= replication.Buckets {
-			return nil, fmt.Errorf("vectors.buckets: %d, at most %d", bucket, replication.Buckets-1)
+		if bucket >= replication.DigestBuckets {
+			return nil, fmt.Errorf("vectors.buckets: %d, at most %d", bucket, replication.DigestBuckets-1)
 		}
 		out.Buckets = append(out.Buckets, int(bucket))
 	}
--- a/internal/cluster/message/encode.go
+++ b/internal/cluster/message/encode.go
@@ -14,7 +14,7 @@
 // Encode returns a message's bytes. It fails for a type that Message does not name.
 func Encode(m Message) ([]byte, error) {
 	envelope := &peerspb.Envelope{From: encodeOrigin(m.From)}
-	switch what := m.What.(type) {
+	switch what := m.Payload.(type) {
 	case keylease.Request:
 		envelope.What = &peerspb.Envelope_Ask{Ask: encodeRequest(what)}
 	case keylease.Response:
--- a/internal/cluster/message/message.go
+++ b/internal/cluster/message/message.go
@@ -24,8 +24,8 @@
 // Message is one message with its sender. What is a keylease.Request, keylease.Response,
 // replication.Digest, *replication.Vectors, replication.Delta, Release or Rumours.
 type Message struct {
-	From replication.Origin
-	What any
+	From    replication.Origin
+	Payload any
 }
 
 // Release gives up a lease, and requests for it that are still on their way.
--- a/internal/cluster/message/message_test.go
+++ b/internal/cluster/message/message_test.go
@@ -79,8 +79,8 @@
 			t.Fatalf("%d bytes, %v", len(data), err)
 		}
 		got, err := Decode(data)
-		if err != nil || got.From != from || !reflect.DeepEqual(got.What, m) {
-			t.Fatalf("%+v arrived as %+v, %v", m, got.What, err)
+		if err != nil || got.From != from || !reflect.DeepEqual(got.Payload, m) {
+			t.Fatalf("%+v arrived as %+v, %v", m, got.Payload, err)
 		}
 	})
 }
--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -102,7 +102,7 @@
 		members: newMembership(cfg.Name, cfg.Log),
 	}
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	n.store = replication.New(n.self, topics, replication.Defaults)
+	n.store = replication.NewStore(n.self, topics, replication.DefaultLimits)
 	n.transport = &transport{
 		self:    n.self,
 		members: n.members,
@@ -264,7 +264,7 @@
 	n.counts.Received++
 	now := n.now()
 	from := m.From.Name
-	switch what := m.What.(type) {
+	switch what := m.Payload.(type) {
 	case keylease.Request:
 		n.leases.handleRequest(now, from, what)
 	case keylease.Response:
--- a/internal/cluster/node_test.go
+++ b/internal/cluster/node_test.go
@@ -66,7 +66,7 @@
 	t.Helper()
 	wait.Until(t, "all nodes are alive and grant leases", func() bool {
 		for _, node := range nodes {
-			if s := status(t, node); len(s.Alive) != len(nodes) || s.Quiet != "0s" {
+			if s := status(t, node); len(s.Alive) != len(nodes) || s.RecoveringFor != "0s" {
 				return false
 			}
 		}
@@ -86,7 +86,7 @@
 		}); err != nil {
 			t.Fatal(err)
 		}
-		return status(t, node).Quiet
+		return status(t, node).RecoveringFor
 	}
 	if recovering := recoveringAfter(20 * time.Minute); recovering != "0s" {
 		t.Errorf("after a third of the lease duration it recovers for %s", recovering)
@@ -98,7 +98,7 @@
 	// Once it has reached another instance it is as one that has just started.
 	other := startNodes(t, 1, func(_ int, c *Config) { c.Name, c.Join = "i-9", []string{"i-0/" + node.Addr()} })[0]
 	wait.Until(t, "it has reached another instance", func() bool {
-		recovering, err := time.ParseDuration(status(t, node).Quiet)
+		recovering, err := time.ParseDuration(status(t, node).RecoveringFor)
 		return err == nil && recovering <= time.Hour && len(status(t, other).Alive) == 2
 	})
 }
@@ -129,7 +129,7 @@
 		&replication.Vectors{Buckets: []int{1}, Vectors: []replication.Vector{{Origin: from, Have: 3}}},
 		replication.Delta{Origin: from, To: 2, Parts: 1, Entries: []replication.Entry{{Topic: 2, Subject: "s", Seq: 1}}},
 	} {
-		data, err := message.Encode(message.Message{From: from, What: what})
+		data, err := message.Encode(message.Message{From: from, Payload: what})
 		if err != nil {
 			f.Fatal(err)
 		}
@@ -137,7 +137,7 @@
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		node := newNode(Config{Name: "i", Log: slog.New(slog.DiscardHandler)}, 1, nil)
-		limits := keylease.Limits{Keys: 8, Holders: 2, MaxDuration: time.Second}
+		limits := keylease.Limits{MaxKeys: 8, MaxHolders: 2, MaxDuration: time.Second}
 		node.leases.acceptor = keylease.NewAcceptor(-time.Second, limits, 0)
 		node.leases.local = keylease.NewAcceptor(-time.Second, limits, 0)
 		for range 3 {
--- a/internal/cluster/status.go
+++ b/internal/cluster/status.go
@@ -26,15 +26,15 @@
 	Epoch           uint64               `json:"epoch"` // of this instance's life
 	Address         string               `json:"at"`    // host:port that it listens on
 	Alive           []string             `json:"alive"` // instances that are alive, this one included
-	Quiet           string               `json:"quiet"` // for how long the acceptor will grant nothing
+	RecoveringFor   string               `json:"quiet"` // for how long the acceptor will grant nothing
 	AcceptorKeys    int                  `json:"keys"`  // keys that the acceptor remembers
 	OpenLeases      int                  `json:"open"`  // lease requests of this instance without a decision
 	RejectedEntries uint64               `json:"refused"`
 	DroppedMessages uint64               `json:"dropped"` // messages from peers that found the queue full
 	Counts          Counts               `json:"counts"`
 	Vectors         []replication.Vector `json:"have"`        // up to which number each origin's entries are complete
-	Held            []string             `json:"held"`        // servers that others know to drain
-	Told            []Record             `json:"told"`        // all entries, by topic, origin and subject
+	HeldBack        []string             `json:"held"`        // servers that others know to drain
+	Records         []Record             `json:"told"`        // all entries, by topic, origin and subject
 	Servers         []ServerTotal        `json:"servers"`     // sums of all origins' server entries
 	Voters          []string             `json:"witnesses"`   // as configured
 	LongestTurn     float64              `json:"longest_ms"`  // for which one event kept the goroutine busy, in ms
@@ -64,7 +64,7 @@
 func (n *Node) Status(ctx context.Context) (Status, error) {
 	var status Status
 	err := n.runTask(ctx, func() { status = n.snapshot() })
-	status.Held = n.drains.applied.Load().incarnations
+	status.HeldBack = n.drains.applied.Load().incarnations
 	status.Alive = append(n.members.others(), n.cfg.Name)
 	slices.Sort(status.Alive)
 	return status, err
@@ -77,7 +77,7 @@
 		Name:            n.self.Name,
 		Epoch:           n.self.Epoch,
 		Address:         n.Addr(),
-		Quiet:           n.leases.acceptor.RecoveringFor(now).Round(time.Millisecond).String(),
+		RecoveringFor:   n.leases.acceptor.RecoveringFor(now).Round(time.Millisecond).String(),
 		AcceptorKeys:    n.leases.acceptor.KeyCount(),
 		OpenLeases:      len(n.leases.open),
 		RejectedEntries: n.store.RejectedCount(),
@@ -90,7 +90,7 @@
 	}
 	for _, topic := range []replication.Topic{topicInstance, topicServer, topicDrain} {
 		for _, entry := range n.store.View(now, topic) {
-			status.Told = append(status.Told, Record{
+			status.Records = append(status.Records, Record{
 				Origin:  entry.Origin,
 				Topic:   topic,
 				Subject: entry.Subject,
@@ -99,7 +99,7 @@
 			})
 		}
 	}
-	status.Servers = serverTotals(status.Told)
+	status.Servers = serverTotals(status.Records)
 	return status
 }
 
--- a/internal/cluster/statustext.go
+++ b/internal/cluster/statustext.go
@@ -14,16 +14,16 @@
 	fmt.Fprintf(out, "%s (epoch %d) at %s, up for %.0f s\n", s.Name, s.Epoch, s.Address, s.Uptime)
 	fmt.Fprintf(out, "alive: %v\n", s.Alive)
 	fmt.Fprintf(out, "witness: %d keys held", s.AcceptorKeys)
-	if s.Quiet != "0s" {
-		fmt.Fprintf(out, "; answers nothing for another %s, since it has started", s.Quiet)
+	if s.RecoveringFor != "0s" {
+		fmt.Fprintf(out, "; answers nothing for another %s, since it has started", s.RecoveringFor)
 	}
 	counts := s.Counts
 	fmt.Fprintf(out, "\nclaims: %d, of them %d clear, %d shared, %d refused, %d without a majority's word\n",
 		counts.Requests, counts.Exclusive, counts.Shared, counts.Denied, counts.NoMajority)
 	fmt.Fprintf(out, "messages: %d heard, %d sent (%d bytes), %d made no sense, %d found no room; %d entries left out\n",
 		counts.Received, counts.Sent, counts.Bytes, counts.Malformed, s.DroppedMessages, s.RejectedEntries)
-	if len(s.Held) > 0 {
-		fmt.Fprintf(out, "held back, since others know that they drain: %v\n", s.Held)
+	if len(s.HeldBack) > 0 {
+		fmt.Fprintf(out, "held back, since others know that they drain: %v\n", s.HeldBack)
 	}
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, "origin\tepoch\tall up to")
@@ -79,7 +79,7 @@
 
 func recordsByID(status *Status) map[recordID]Record {
 	records := map[recordID]Record{}
-	for _, record := range status.Told {
+	for _, record := range status.Records {
 		records[recordID{record.Origin, record.Topic, record.Subject}] = record
 	}
 	return records
--- a/internal/cluster/transport.go
+++ b/internal/cluster/transport.go
@@ -49,7 +49,7 @@
 	if member == nil {
 		return
 	}
-	data, err := message.Encode(message.Message{From: t.self, What: what})
+	data, err := message.Encode(message.Message{From: t.self, Payload: what})
 	if err != nil {
 		t.log.Error("peer message encoding failed", "receiver", receiver, "err", err)
 		return
--- a/internal/drainadvisory/drainadvisory.go
+++ b/internal/drainadvisory/drainadvisory.go
@@ -54,14 +54,14 @@
 
 // Report is one instance's report that an incarnation of an endpoint is draining.
 type Report struct {
-	Origin    string        // name of the reporting instance
-	StartedMS string        // incarnation of the endpoint
-	Age       time.Duration // time since the report was written
+	Origin      string        // name of the reporting instance
+	Incarnation string        // incarnation of the endpoint
+	Age         time.Duration // time since the report was written
 }
 
-// HeldBack returns the ready incarnations that are to be withheld, sorted. self is this
+// Withheld returns the ready incarnations that are to be withheld, sorted. self is this
 // instance's name, ready the incarnations that its own source lists as ready.
-func HeldBack(self string, ready []string, reports []Report) []string {
+func Withheld(self string, ready []string, reports []Report) []string {
 	isReady := map[string]bool{}
 	for _, incarnation := range ready {
 		isReady[incarnation] = true
@@ -85,7 +85,7 @@
 func reportersByIncarnation(self string, isReady map[string]bool, reports []Report) map[string]map[string]bool {
 	reporters := map[string]map[string]bool{}
 	for _, report := range reports {
-		incarnation := report.StartedMS
+		incarnation := report.Incarnation
 		if report.Origin == self || report.Age > MaxReportAge || !isReady[incarnation] {
 			continue
 		}
--- a/internal/drainadvisory/drainadvisory_test.go
+++ b/internal/drainadvisory/drainadvisory_test.go
@@ -15,7 +15,7 @@
 func reportsOf(incarnation string, age time.Duration, origins ...string) []Report {
 	var reports []Report
 	for _, origin := range origins {
-		reports = append(reports, Report{Origin: origin, StartedMS: incarnation, Age: age})
+		reports = append(reports, Report{Origin: origin, Incarnation: incarnation, Age: age})
 	}
 	return reports
 }
@@ -52,11 +52,11 @@
 			[]string{"s-1@0", "s-6@0"},
 		},
 	} {
-		if got := HeldBack("i-1", ready, c.reports); !slices.Equal(got, c.want) {
+		if got := Withheld("i-1", ready, c.reports); !slices.Equal(got, c.want) {
 			t.Errorf("%s: %v, want %v", name, got, c.want)
 		}
 	}
-	if got := HeldBack("i-1", []string{"s-1@0", "s-2@0"}, reportsOf("s-1@0", 0, "i-2", "i-3")); len(got) > 0 {
+	if got := Withheld("i-1", []string{"s-1@0", "s-2@0"}, reportsOf("s-1@0", 0, "i-2", "i-3")); len(got) > 0 {
 		t.Errorf("of two endpoints %v is withheld", got)
 	}
 }
@@ -67,9 +67,9 @@
 	var reports []Report
 	for range rapid.IntRange(0, 60).Draw(t, "reports") {
 		reports = append(reports, Report{
-			Origin:    fmt.Sprint("i-", rapid.IntRange(0, 4).Draw(t, "origin")),
-			StartedMS: fmt.Sprint("s-", rapid.IntRange(0, 14).Draw(t, "endpoint")),
-			Age:       time.Duration(rapid.IntRange(0, 90).Draw(t, "age")) * time.Second,
+			Origin:      fmt.Sprint("i-", rapid.IntRange(0, 4).Draw(t, "origin")),
+			Incarnation: fmt.Sprint("s-", rapid.IntRange(0, 14).Draw(t, "endpoint")),
+			Age:         time.Duration(rapid.IntRange(0, 90).Draw(t, "age")) * time.Second,
 		})
 	}
 	return reports
@@ -79,7 +79,7 @@
 func validReporters(self, incarnation string, reports []Report) map[string]bool {
 	reporters := map[string]bool{}
 	for _, r := range reports {
-		if r.StartedMS == incarnation && r.Origin != self && r.Age <= MaxReportAge {
+		if r.Incarnation == incarnation && r.Origin != self && r.Age <= MaxReportAge {
 			reporters[r.Origin] = true
 		}
 	}
@@ -96,7 +96,7 @@
 			ready = append(ready, fmt.Sprint("s-", n))
 		}
 		reports := drawReports(t)
-		withheld := HeldBack(self, ready, reports)
+		withheld := Withheld(self, ready, reports)
 		if 3*len(withheld) > len(ready) {
 			t.Fatalf("%d of %d are withheld", len(withheld), len(ready))
 		}
@@ -107,11 +107,11 @@
 			}
 		}
 		ofOne := slices.DeleteFunc(slices.Clone(reports), func(r Report) bool { return r.Origin != "i-3" })
-		if got := HeldBack(self, ready, ofOne); len(got) > 0 {
+		if got := Withheld(self, ready, ofOne); len(got) > 0 {
 			t.Fatalf("%v are withheld on the reports of one instance", got)
 		}
 		shuffled := rapid.Permutation(reports).Draw(t, "order")
-		if got := HeldBack(self, ready, shuffled); !slices.Equal(got, withheld) {
+		if got := Withheld(self, ready, shuffled); !slices.Equal(got, withheld) {
 			t.Fatalf("in another order %v, not %v", got, withheld)
 		}
 	})
--- a/internal/emulator/realtime/live.go
+++ b/internal/emulator/realtime/live.go
@@ -171,7 +171,7 @@
 		return err
 	}
 	go e.Run()
-	front := httpfront.New(e, up, httpfront.Options{Connections: many, Crowded: many, BodyBytes: bodies, AcceptFor: time.Millisecond, Log: log})
+	front := httpfront.New(e, up, httpfront.Options{Connections: many, KeepAliveThreshold: many, BodyBytes: bodies, AcceptFor: time.Millisecond, Log: log})
 	served.Go(func() { _ = front.Serve(fronts, listener) }) // it ends with fronts
 	p.nodes = append(p.nodes, &node{e, "http://" + listener.Addr().String()})
 	list := engine.List{Complete: true}
--- a/internal/emulator/scenario/scenario.go
+++ b/internal/emulator/scenario/scenario.go
@@ -388,7 +388,7 @@
 		}
 	}
 	for _, k := range f.Classes {
-		c := plan.Class{Class: balancer.Class{Name: k.Name, DedupWindow: k.Window.Micros(), LatencyObjective: k.LatencyObjective.Micros(), ClientTimeout: k.Deadline.Micros(), PriorityWeight: k.PriorityWeight, LateWeightRatio: 0.3},
+		c := plan.Class{Class: balancer.Class{Name: k.Name, DedupWindow: k.Window.Microseconds(), LatencyObjective: k.LatencyObjective.Microseconds(), ClientTimeout: k.Deadline.Microseconds(), PriorityWeight: k.PriorityWeight, LateWeightRatio: 0.3},
 			Share: k.Share, Work: time.Duration(k.Work), CV: k.CV}
 		switch k.Repeat {
 		case "keyed":
@@ -414,7 +414,7 @@
 		m := &f.Machines[kind]
 		if m.SlowStartTime > 0 { // the instances are told the worst of the fleet
 			contract.SlowStartRatio = min(contract.SlowStartRatio, m.SlowStartRatio)
-			contract.SlowStartTime = max(contract.SlowStartTime, m.SlowStartTime.Micros())
+			contract.SlowStartTime = max(contract.SlowStartTime, m.SlowStartTime.Microseconds())
 		}
 		for range x.Count {
 			n := len(s.Servers)
@@ -426,14 +426,14 @@
 		f.addFault(s, rng, x)
 	}
 	if f.Subset.Floor > 0 {
-		s.Subset = &subset.Config{Floor: f.Subset.Floor, Spread: f.Subset.Spread}
+		s.Subset = &subset.Config{MinSize: f.Subset.Floor, PerInFlight: f.Subset.Spread}
 		for _, k := range f.Classes {
-			s.Subset.Pods = s.Subset.Pods || k.Group == "pod"
+			s.Subset.RankPods = s.Subset.RankPods || k.Group == "pod"
 		}
 	}
 	if h := f.Handshakes; h.PerServer > 0 {
 		all := handshake.Config{PerServer: h.PerServer, All: h.All, Burst: h.Burst,
-			ColdFrom: s.Settings.Contract.SlowStartRatio, WarmWithin: time.Duration(s.Settings.Contract.SlowStartTime) * time.Microsecond}
+			InitialWarmupRatio: s.Settings.Contract.SlowStartRatio, WarmWithin: time.Duration(s.Settings.Contract.SlowStartTime) * time.Microsecond}
 		one := all.Share(len(s.Instances), 0)
 		s.Budget = &one
 	}
--- a/internal/emulator/simulation/call.go
+++ b/internal/emulator/simulation/call.go
@@ -56,7 +56,7 @@
 	if c.probe {
 		kind = handshake.Background
 	}
-	begin, ok := n.budget.Ask(p.Now(), c.target.Address, c.target.Started(), kind, min(maxHandshakeWait, (c.deadline-p.now)/2))
+	begin, ok := n.budget.RequestTurn(p.Now(), c.target.Address, c.target.Started(), kind, min(maxHandshakeWait, (c.deadline-p.now)/2))
 	if !ok {
 		p.result.Turned++
 		p.after(0, func() { c.finish(engine.Result{Status: balancer.NotSent}) })
--- a/internal/emulator/simulation/instance.go
+++ b/internal/emulator/simulation/instance.go
@@ -116,7 +116,7 @@
 func (r *request) Send(a *engine.Attempt) {
 	p, n := r.play, r.instance
 	if n.dead { // what its timers ask for
-		a.Stop = func() {}
+		a.Abort = func() {}
 		return
 	}
 	h := p.hostByAddress[a.Target.Address]
@@ -135,9 +135,9 @@
 		p.emit(e)
 		a.PostResult(res)
 	}
-	a.Stop = func() { p.after(0, func() { c.stop(balancer.Cancelled) }) }
+	a.Abort = func() { p.after(0, func() { c.stop(balancer.Cancelled) }) }
 	p.after(0, c.start)
 }
 
 // Cancel gives an attempt up; the server works on.
-func (r *request) Cancel(a *engine.Attempt) { a.Stop() }
+func (r *request) Cancel(a *engine.Attempt) { a.Abort() }
--- a/internal/emulator/simulation/server.go
+++ b/internal/emulator/simulation/server.go
@@ -91,7 +91,7 @@
 		return nil
 	}
 	h.play.totalConns++
-	return &conn{host: h, machine: h.machine, opened: h.play.now, part: validate.Part(h.play.totalConns)}
+	return &conn{host: h, machine: h.machine, opened: h.play.now, part: validate.SpreadPosition(h.play.totalConns)}
 }
 
 // arrive takes an attempt's request.
--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -19,8 +19,8 @@
 	Zone     uint8           // of the endpoint when the attempt was decided, as is Cell
 	Cell     uint16
 
-	// Stop belongs to the carrier: it aborts the attempt.
-	Stop func()
+	// Abort belongs to the carrier: it aborts the attempt.
+	Abort func()
 
 	engine    *Engine
 	request   *Request
--- a/internal/engine/discovery_test.go
+++ b/internal/engine/discovery_test.go
@@ -38,7 +38,7 @@
 		t.Run(name, func(t *testing.T) {
 			clock := &virtualClock{now: time.Unix(1_000_000_000, 0)}
 			source := failingSource{make(chan struct{}, 100)}
-			selector, err := subset.New(subset.Config{Instance: "one", Site: "a", Floor: 2, Spread: 1})
+			selector, err := subset.New(subset.Config{Instance: "one", Site: "a", MinSize: 2, PerInFlight: 1})
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -121,7 +121,7 @@
 	settings.Budgets = t.Budgets
 	e.settings.Store(&settings)
 	e.endpoints.pools = t.Pools
-	e.decider.UpdateEndpoints(now, balancer.ListHost, e.endpoints.entries())
+	e.decider.UpdateEndpoints(now, balancer.ListLocal, e.endpoints.entries())
 	return nil
 }
 
--- a/internal/engine/interfaces.go
+++ b/internal/engine/interfaces.go
@@ -142,10 +142,10 @@
 
 // LeaseDecision is the answer to a LeaseRequest.
 type LeaseDecision struct {
-	Kind   LeaseOutcome
-	Group  string    // of LeaseShared: where the request may go
-	Since  time.Time // of LeaseShared: no attempt of another instance is older
-	Reason string    // of LeaseDenied
+	Outcome LeaseOutcome
+	Group   string    // of LeaseShared: where the request may go
+	Since   time.Time // of LeaseShared: no attempt of another instance is older
+	Reason  string    // of LeaseDenied
 }
 
 // LeaseOutcome is the kind of a LeaseDecision.
--- a/internal/engine/keylease.go
+++ b/internal/engine/keylease.go
@@ -107,14 +107,14 @@
 	}
 	a.parked = false
 	switch {
-	case v.Kind == LeaseExclusive:
+	case v.Outcome == LeaseExclusive:
 		lease.granted = true
 		e.sendParked(now, r, a)
-	case v.Kind == LeaseShared && r.in.MayHaveRun && v.Group == lease.Group:
+	case v.Outcome == LeaseShared && r.in.MayHaveRun && v.Group == lease.Group:
 		// The decision module takes it for one that may have run already, perhaps earlier.
 		lease.granted = true
 		e.sendParked(now, r, a)
-	case v.Kind == LeaseShared:
+	case v.Outcome == LeaseShared:
 		lease.granted = true
 		lease.Group = v.Group
 		e.resubmit(now, r, a, v)
--- a/internal/engine/keylease_test.go
+++ b/internal/engine/keylease_test.go
@@ -111,7 +111,7 @@
 		leases.requests[0].Key != "k" || leases.requests[0].Term != 1 {
 		t.Fatalf("%d attempts, lease requests %+v", len(l.up.attempts), leases.requests)
 	}
-	leases.decide(l.engine, 0, LeaseDecision{Kind: LeaseExclusive})
+	leases.decide(l.engine, 0, LeaseDecision{Outcome: LeaseExclusive})
 	if len(l.up.attempts) != 1 || podGroupName(l.up.attempts[0].Cell) != leases.requests[0].Group {
 		t.Fatalf("%d attempts", len(l.up.attempts))
 	}
@@ -128,7 +128,7 @@
 		if leases.requests[requests].Group == other {
 			other = "pod 1"
 		}
-		shared := LeaseDecision{Kind: LeaseShared, Group: other, Since: l.clock.Now()}
+		shared := LeaseDecision{Outcome: LeaseShared, Group: other, Since: l.clock.Now()}
 		leases.decide(l.engine, requests, shared)
 		for n := attempts; n < len(l.up.attempts) && n < attempts+3; n++ {
 			a := l.up.attempts[n]
@@ -146,7 +146,7 @@
 	// Denied.
 	attempts := len(l.up.attempts)
 	_, responses = l.submit("m")
-	leases.decide(l.engine, len(leases.requests)-1, LeaseDecision{Kind: LeaseDenied})
+	leases.decide(l.engine, len(leases.requests)-1, LeaseDecision{Outcome: LeaseDenied})
 	if len(l.up.attempts) != attempts || len(*responses) != 1 ||
 		(*responses)[0].Code != http.StatusBadGateway || len(leases.released) != 1 {
 		t.Errorf("%d further attempts, answers %+v, released %v",
@@ -163,7 +163,7 @@
 		list.Hosts = append(list.Hosts, h)
 	}
 	l.updateEndpoints(balancer.ListDelta, list)
-	l.leases.decide(l.engine, 0, LeaseDecision{Kind: LeaseExclusive})
+	l.leases.decide(l.engine, 0, LeaseDecision{Outcome: LeaseExclusive})
 	if len(l.up.attempts) != 0 {
 		t.Error("it was sent to a server that drains")
 	}
@@ -173,7 +173,7 @@
 	l := newLeaseTest(t)
 	r, responses := l.submit("k")
 	l.disconnect(r)
-	l.leases.decide(l.engine, 0, LeaseDecision{Kind: LeaseExclusive})
+	l.leases.decide(l.engine, 0, LeaseDecision{Outcome: LeaseExclusive})
 	if len(l.up.attempts) != 0 || len(*responses) != 0 || len(l.leases.released) != 1 {
 		t.Errorf("%d attempts, answers %v, released %v", len(l.up.attempts), *responses, l.leases.released)
 	}
@@ -250,13 +250,13 @@
 		}
 		m.decided[n] = true
 		kinds := []LeaseOutcome{LeaseExclusive, LeaseExclusive, LeaseShared, LeaseDenied}
-		v := LeaseDecision{Kind: rapid.SampledFrom(kinds).Draw(t, "verdict"), Since: m.clock.now}
+		v := LeaseDecision{Outcome: rapid.SampledFrom(kinds).Draw(t, "verdict"), Since: m.clock.now}
 		group := c.Group
-		if v.Kind == LeaseShared {
+		if v.Outcome == LeaseShared {
 			v.Group = rapid.SampledFrom([]string{"pod 0", "pod 1", "pod 7", "what?"}).Draw(t, "pod")
 			group = v.Group
 		}
-		if v.Kind != LeaseDenied {
+		if v.Outcome != LeaseDenied {
 			m.granted[c.Key] = map[string]bool{group: true} // a later term revokes the earlier
 		}
 		m.leases.decide(m.engine, n, v)
@@ -315,7 +315,7 @@
 	}
 	for n := range m.leases.requests {
 		if !m.decided[n] {
-			m.leases.decide(m.engine, n, LeaseDecision{Kind: LeaseExclusive}) // far too late
+			m.leases.decide(m.engine, n, LeaseDecision{Outcome: LeaseExclusive}) // far too late
 		}
 	}
 }
--- a/internal/engine/ledger.go
+++ b/internal/engine/ledger.go
@@ -92,9 +92,9 @@
 	e.removeIfDone(r)
 }
 
-// Expire gives every request its final answer now, since the host is about to end. It must be
+// ExpireAll gives every request its final answer now, since the host is about to end. It must be
 // called on the engine's goroutine.
-func (e *Engine) Expire(now balancer.Micros) {
+func (e *Engine) ExpireAll(now balancer.Micros) {
 	for _, id := range e.requests.sortedIDs() {
 		if r := e.requests.get(id); r != nil && !r.completed {
 			e.decider.Expire(now, id)
--- a/internal/engine/ledger_test.go
+++ b/internal/engine/ledger_test.go
@@ -45,7 +45,7 @@
 	e, up, _ := newTestEngine(t)
 	e.UpdateEndpoints(e.Now(), balancer.ListFull, snapshot(readyHost("s-1", "127.0.0.1:1")))
 	responses := []*Response{submit(e, up), submit(e, up)}
-	e.Expire(e.Now())
+	e.ExpireAll(e.Now())
 	e.runDeferred()
 	for i, r := range responses {
 		if r.Code != 503 { // the class's group is all servers, and its window is open: a repeat has no effect
@@ -58,7 +58,7 @@
 	for _, a := range up.attempts {
 		a.Complete(e.Now(), Result{Status: balancer.OK})
 	}
-	e.Expire(e.Now()) // without requests it has no effect
+	e.ExpireAll(e.Now()) // without requests it has no effect
 	if n, _ := e.Counts(); n != 0 || responses[0].Code != 503 {
 		t.Errorf("%d requests in the ledger, answer %+v", n, *responses[0])
 	}
--- a/internal/engine/options.go
+++ b/internal/engine/options.go
@@ -28,9 +28,9 @@
 	Admission Admission // nil admits all requests
 	Subset    Subset    // nil for the complete fleet
 	KeyLeases KeyLeases // nil where each instance decides alone on requests with a key
-	// Observe, where set, is called with the outcome of each attempt and health check of a
+	// ObserveOutcome, where set, is called with the outcome of each attempt and health check of a
 	// server, on the engine's goroutine.
-	Observe func(t *Target, s balancer.Status)
+	ObserveOutcome func(t *Target, s balancer.Status)
 	// Pools is RuntimeSettings.Pools at the start.
 	Pools func(site, kind string) uint64
 
--- a/internal/engine/registry.go
+++ b/internal/engine/registry.go
@@ -235,7 +235,7 @@
 // goroutine.
 func (e *Engine) SetAdvisedDraining(now balancer.Micros, draining map[string]int64) {
 	if entries := e.endpoints.setAdvisedDraining(draining); len(entries) > 0 {
-		e.decider.UpdateEndpoints(now, balancer.ListHost, entries)
+		e.decider.UpdateEndpoints(now, balancer.ListLocal, entries)
 	}
 }
 
--- a/internal/engine/subset.go
+++ b/internal/engine/subset.go
@@ -126,7 +126,7 @@
 // reselect has the subset select anew, and passes the changes on.
 func (e *Engine) reselect(now balancer.Micros) {
 	if hosts := e.subset.reselect(); len(hosts) > 0 {
-		e.applyHosts(now, balancer.ListHost, hosts)
+		e.applyHosts(now, balancer.ListLocal, hosts)
 	}
 }
 
@@ -137,8 +137,8 @@
 	if ep == nil {
 		return
 	}
-	if ep.target != nil && e.options.Observe != nil {
-		e.options.Observe(ep.target, status)
+	if ep.target != nil && e.options.ObserveOutcome != nil {
+		e.options.ObserveOutcome(ep.target, status)
 	}
 	if e.subset == nil || status == balancer.NotSent || status == balancer.Cancelled {
 		return
--- a/internal/engine/subset_test.go
+++ b/internal/engine/subset_test.go
@@ -43,7 +43,7 @@
 }
 
 func newSubsetModel(t *rapid.T) *subsetModel {
-	selector, err := subset.New(subset.Config{Instance: "one", Site: "a", Floor: 4, Spread: 1})
+	selector, err := subset.New(subset.Config{Instance: "one", Site: "a", MinSize: 4, PerInFlight: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -193,7 +193,7 @@
 		Settings: settings,
 	}
 	if useSubset {
-		selector, err := subset.New(subset.Config{Instance: "one", Site: "a", Floor: 20, Spread: 2})
+		selector, err := subset.New(subset.Config{Instance: "one", Site: "a", MinSize: 20, PerInFlight: 2})
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/internal/faulttest/drains.go
+++ b/internal/faulttest/drains.go
@@ -64,7 +64,7 @@
 	if err := r.requestServers("start " + server); err != nil {
 		return err
 	}
-	r.updateLists(server, func(h *fakediscovery.Host) { h.Health, h.BornMS = "Ready", time.Now().UnixMilli() })
+	r.updateLists(server, func(h *fakediscovery.Host) { h.Health, h.StartedMS = "Ready", time.Now().UnixMilli() })
 	return nil
 }
 
@@ -78,7 +78,7 @@
 			Sent:     map[string][]time.Duration{},
 		}
 		for name, list := range r.network.lists {
-			if at, ok := list.Held(d.version); ok {
+			if at, ok := list.Acknowledged(d.version); ok {
 				observed.Notified[name] = at.Sub(r.began)
 			}
 			for _, at := range r.network.paths[path{name, d.server}].Arrivals() {
--- a/internal/faulttest/observe.go
+++ b/internal/faulttest/observe.go
@@ -97,7 +97,7 @@
 			continue
 		}
 		// What each says of itself goes on changing.
-		s.Told = slices.DeleteFunc(s.Told, func(t cluster.Record) bool { return t.Subject == "self" })
+		s.Records = slices.DeleteFunc(s.Records, func(t cluster.Record) bool { return t.Subject == "self" })
 		if len(s.Alive) != len(r.instances) {
 			differ = append(differ, fmt.Sprintf("%s knows %v", i.name, s.Alive))
 		}
--- a/internal/faulttest/processes.go
+++ b/internal/faulttest/processes.go
@@ -17,7 +17,7 @@
 )
 
 // ordinary are the servers' own faults: enough that requests are repeated without any other trouble.
-var ordinary = fakebackend.Faults{TurnAway: 0.03, Error: 0.03, Reset: 0.03, Silent: 0.02}
+var ordinary = fakebackend.Faults{Reject: 0.03, Error: 0.03, Reset: 0.03, Unresponsive: 0.02}
 
 const (
 	serverWork    = 10 * time.Millisecond
@@ -170,8 +170,8 @@
 		s, err := r.status(ctx, i, time.Second)
 		if err != nil {
 			reason = fmt.Sprintf("%s: %v", i.name, err)
-		} else if len(s.Alive) != len(r.instances) || s.Quiet != "0s" {
-			reason = fmt.Sprintf("%s knows %v, and is quiet for %s", i.name, s.Alive, s.Quiet)
+		} else if len(s.Alive) != len(r.instances) || s.RecoveringFor != "0s" {
+			reason = fmt.Sprintf("%s knows %v, and is quiet for %s", i.name, s.Alive, s.RecoveringFor)
 		}
 	}
 	return reason
--- a/internal/front/exchange/desk.go
+++ b/internal/front/exchange/desk.go
@@ -35,7 +35,7 @@
 const responseSlack = 10 * time.Millisecond
 
 // bodyTooLarge is the reason for a 413.
-var bodyTooLarge = fmt.Sprintf("the body is over %d bytes", httpmsg.BodyMost)
+var bodyTooLarge = fmt.Sprintf("the body is over %d bytes", httpmsg.MaxBodyBytes)
 
 // Dispatcher passes the requests of one front to the engine.
 type Dispatcher struct {
@@ -65,11 +65,11 @@
 // ReadBody reads a request's body, within its own limit and the limit of all bodies together. The caller
 // calls release once the body is not needed any more. Its errors are ErrBusy and *intake.Error.
 func (d *Dispatcher) ReadBody(w http.ResponseWriter, in *http.Request) (body []byte, release func(), err error) {
-	reserved := int64(httpmsg.BodyMost)
+	reserved := int64(httpmsg.MaxBodyBytes)
 	if in.ContentLength >= 0 {
 		reserved = in.ContentLength
 	}
-	if reserved > httpmsg.BodyMost {
+	if reserved > httpmsg.MaxBodyBytes {
 		return nil, nil, &requestmeta.Error{Code: http.StatusRequestEntityTooLarge, Reason: bodyTooLarge}
 	}
 	release = func() { d.bodyBytes.Add(-reserved) }
@@ -89,16 +89,16 @@
 	if in.ContentLength >= 0 {
 		body := make([]byte, in.ContentLength)
 		if _, err := io.ReadFull(in.Body, body); err != nil {
-			return nil, requestmeta.Bad("the body could not be read")
+			return nil, requestmeta.BadRequest("the body could not be read")
 		}
 		return body, nil
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, in.Body, httpmsg.BodyMost))
+	body, err := io.ReadAll(http.MaxBytesReader(w, in.Body, httpmsg.MaxBodyBytes))
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		return nil, &requestmeta.Error{Code: http.StatusRequestEntityTooLarge, Reason: bodyTooLarge}
 	} else if err != nil {
-		return nil, requestmeta.Bad("the body could not be read")
+		return nil, requestmeta.BadRequest("the body could not be read")
 	}
 	return body, nil
 }
--- a/internal/front/extproc/decision_test.go
+++ b/internal/front/extproc/decision_test.go
@@ -63,12 +63,12 @@
 		return nil, false
 	}
 	return &requestmeta.Bounds{
-		Class:     1,
-		ClassName: classes[1].Name,
-		Repeat:    classes[1].Idempotency,
-		Methods:   true,
-		TryFor:    200_000,
-		Attempts:  1,
+		Class:          1,
+		ClassName:      classes[1].Name,
+		Idempotency:    classes[1].Idempotency,
+		Methods:        true,
+		AttemptTimeout: 200_000,
+		MaxAttempts:    1,
 	}, true
 }
 func (byTier) Tenants() int { return 0 }
--- a/internal/front/extproc/harness_test.go
+++ b/internal/front/extproc/harness_test.go
@@ -130,12 +130,12 @@
 		Contract: balancer.Contract{SlowStartRatio: 1, OverloadMultiple: 2.5},
 	}
 	options := Options{
-		Streams: 20_000,
-		Backlog: 500,
-		Retries: true,
-		Entries: 10_000,
-		Drain:   time.Second,
-		Log:     slog.New(slog.DiscardHandler),
+		MaxStreams:   20_000,
+		MaxBacklog:   500,
+		CallersRetry: true,
+		MaxEntries:   10_000,
+		Drain:        time.Second,
+		Log:          slog.New(slog.DiscardHandler),
 	}
 	if alter != nil {
 		alter(&options, &settings)
@@ -247,13 +247,13 @@
 }
 
 // request requests a decision and returns it.
-func (s testStream) request(req proxy.Request, attempt int) proxy.Verdict {
+func (s testStream) request(req proxy.Request, attempt int) proxy.Decision {
 	s.t.Helper()
 	s.send(proxy.Headers(req, attempt))
 	return s.decision()
 }
 
-func (s testStream) decision() proxy.Verdict {
+func (s testStream) decision() proxy.Decision {
 	s.t.Helper()
 	m, err := s.Recv()
 	if err != nil {
@@ -328,7 +328,7 @@
 
 // openCount returns the number of open streams and rounds. Entries may remain.
 func (h *harness) openCount() int {
-	streams, rounds, _ := h.server.Held()
+	streams, rounds, _ := h.server.Counts()
 	return streams + rounds
 }
 
--- a/internal/front/extproc/mem_test.go
+++ b/internal/front/extproc/mem_test.go
@@ -11,7 +11,7 @@
 // An entry of a request with a key takes no more memory than the limit of entries assumes.
 func TestEntryStaysWithinMemoryBudget(t *testing.T) {
 	h := start(t, 2, func(o *Options, s *balancer.Settings) {
-		o.Entries = 20_000
+		o.MaxEntries = 20_000
 		s.Classes = append([]balancer.Class{}, classes...)
 		s.Classes[2].DedupWindow = 600_000_000
 	})
@@ -36,7 +36,7 @@
 	run(500) // allocates all that is allocated once
 	before := memory()
 	run(n)
-	if _, _, entries := h.server.Held(); entries < n {
+	if _, _, entries := h.server.Counts(); entries < n {
 		t.Fatalf("%d entries, want at least %d", entries, n)
 	}
 	each := (memory() - before) / n
--- a/internal/front/extproc/request.go
+++ b/internal/front/extproc/request.go
@@ -61,7 +61,7 @@
 		}
 	}
 	if head.method == "" || head.path == "" {
-		return head, requestmeta.Bad(":method or :path is missing")
+		return head, requestmeta.BadRequest(":method or :path is missing")
 	}
 	return head, head.checkContentLength()
 }
@@ -80,7 +80,7 @@
 	case headerAttemptCount:
 		n, err := strconv.Atoi(headerValue(h))
 		if err != nil || n < 1 || r.attempt != 0 {
-			return requestmeta.Bad("%s: %q is not one whole number from 1", headerAttemptCount, headerValue(h))
+			return requestmeta.BadRequest("%s: %q is not one whole number from 1", headerAttemptCount, headerValue(h))
 		}
 		r.attempt = n
 		return nil
@@ -98,7 +98,7 @@
 // setOnce sets a field from a header that must not be repeated.
 func setOnce(field *string, h *corev3.HeaderValue) error {
 	if *field != "" {
-		return requestmeta.Bad("%s is there twice", h.Key)
+		return requestmeta.BadRequest("%s is there twice", h.Key)
 	}
 	*field = headerValue(h)
 	return nil
@@ -109,13 +109,13 @@
 	if r.contentLength == "" {
 		return nil
 	}
-	if n, err := strconv.ParseUint(r.contentLength, 10, 63); err == nil && n <= httpmsg.BodyMost {
+	if n, err := strconv.ParseUint(r.contentLength, 10, 63); err == nil && n <= httpmsg.MaxBodyBytes {
 		return nil
 	}
 	return &requestmeta.Error{
 		Code: http.StatusRequestEntityTooLarge,
 		Reason: "content-length: " + strconv.Quote(r.contentLength) + " is not a whole number up to " +
-			strconv.Itoa(httpmsg.BodyMost),
+			strconv.Itoa(httpmsg.MaxBodyBytes),
 	}
 }
 
--- a/internal/front/extproc/server.go
+++ b/internal/front/extproc/server.go
@@ -30,7 +30,7 @@
 	backlogRetryAfter routing.Micros = 1_000_000
 
 	// maxMessageBytes leaves space for a request's head, its attributes and metadata.
-	maxMessageBytes = 4 * httpmsg.HeadMost
+	maxMessageBytes = 4 * httpmsg.MaxHeaderBytes
 
 	// A connection that answers no ping is dead, and so are its streams: their requests must not stay reserved for
 	// callers that no longer exist.
@@ -48,16 +48,16 @@
 
 // Options configure a Server and bound what callers may hold.
 type Options struct {
-	Streams int                 // max open streams over all connections
-	Backlog int                 // max requests that wait for the engine; more are rejected at once
-	Retries bool                // callers request another decision after a reported failure
-	Entries int                 // max entries of the routing ledger
-	Fields  []string            // names of the load report's fields
-	Parser  *requestmeta.Parser // nil for the one of the engine's settings
-	TLS     *tls.Config         // nil for plain text
-	Renew   time.Duration       // max age of a TLS connection, so that none outlives its certificate by more
-	Drain   time.Duration       // longest deadline of a class: open requests finish within it at shutdown
-	Log     *slog.Logger
+	MaxStreams   int                 // max open streams over all connections
+	MaxBacklog   int                 // max requests that wait for the engine; more are rejected at once
+	CallersRetry bool                // callers request another decision after a reported failure
+	MaxEntries   int                 // max entries of the routing ledger
+	LoadFields   []string            // names of the load report's fields
+	Parser       *requestmeta.Parser // nil for the one of the engine's settings
+	TLS          *tls.Config         // nil for plain text
+	Renew        time.Duration       // max age of a TLS connection, so that none outlives its certificate by more
+	Drain        time.Duration       // longest deadline of a class: open requests finish within it at shutdown
+	Log          *slog.Logger
 }
 
 // Server is the front. Make one with New.
@@ -84,8 +84,8 @@
 		Classes:      settings.Classes,
 		MaxAttempts:  settings.Limits.MaxAttempts,
 		Hedging:      settings.Limits.Hedging,
-		CallersRetry: o.Retries,
-		MaxEntries:   o.Entries,
+		CallersRetry: o.CallersRetry,
+		MaxEntries:   o.MaxEntries,
 	}
 	s := &Server{
 		engine: e,
@@ -113,14 +113,14 @@
 	return append(options,
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.InTapHandle(s.admit),
-		grpc.MaxConcurrentStreams(uint32(s.opts.Streams)),
+		grpc.MaxConcurrentStreams(uint32(s.opts.MaxStreams)),
 		grpc.KeepaliveParams(pings),
 		grpc.KeepaliveEnforcementPolicy(enforcement))
 }
 
-// Classes replaces the classes. The numbers of the classes before stay valid. It must be called on the engine's
+// SetClasses replaces the classes. The numbers of the classes before stay valid. It must be called on the engine's
 // goroutine.
-func (s *Server) Classes(all []balancer.Class) { s.host.ledger.SetClasses(all) }
+func (s *Server) SetClasses(all []balancer.Class) { s.host.ledger.SetClasses(all) }
 
 func (s *Server) setHealth(servingStatus healthv1.HealthCheckResponse_ServingStatus) {
 	s.health.SetServingStatus("", servingStatus)
@@ -132,7 +132,7 @@
 	if info.FullMethodName != extprocv3.ExternalProcessor_Process_FullMethodName {
 		return ctx, nil
 	}
-	if s.streams.Load() >= int64(s.opts.Streams) {
+	if s.streams.Load() >= int64(s.opts.MaxStreams) {
 		return nil, s.tooManyStreams()
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.opts.Drain+streamGrace)
@@ -141,13 +141,13 @@
 }
 
 func (s *Server) tooManyStreams() error {
-	return status.Errorf(codes.ResourceExhausted, "%d streams are open, and no more may be", s.opts.Streams)
+	return status.Errorf(codes.ResourceExhausted, "%d streams are open, and no more may be", s.opts.MaxStreams)
 }
 
 // Process handles one stream: one request of a caller. It implements extprocv3.ExternalProcessorServer.
 func (s *Server) Process(connection extprocv3.ExternalProcessor_ProcessServer) error {
 	defer s.streams.Add(-1)
-	if s.streams.Add(1) > int64(s.opts.Streams) {
+	if s.streams.Add(1) > int64(s.opts.MaxStreams) {
 		return s.tooManyStreams()
 	}
 	handler := &stream{server: s, connection: connection}
@@ -174,9 +174,9 @@
 	return <-served
 }
 
-// Held returns the number of streams, rounds and entries of the routing ledger. It must not be called on the engine's
+// Counts returns the number of streams, rounds and entries of the routing ledger. It must not be called on the engine's
 // goroutine.
-func (s *Server) Held() (streams, rounds, entries int) {
+func (s *Server) Counts() (streams, rounds, entries int) {
 	s.engine.Call(func(balancer.Micros) { streams, rounds, entries = s.host.ledger.Counts() })
 	return
 }
--- a/internal/front/extproc/stream.go
+++ b/internal/front/extproc/stream.go
@@ -166,7 +166,7 @@
 // submit passes a request to the host. It returns false if too many wait for the engine.
 func (s *stream) submit(req routing.Request) bool {
 	server := s.server
-	if server.backlog.Add(1) > int64(server.opts.Backlog) {
+	if server.backlog.Add(1) > int64(server.opts.MaxBacklog) {
 		server.backlog.Add(-1)
 		return false
 	}
@@ -231,7 +231,7 @@
 		return passThroughResponse(false, 0), nil // our own answer, on its way to the client
 	}
 	server := s.server
-	r := readReport(in, server.opts.Fields)
+	r := readReport(in, server.opts.LoadFields)
 	if r.outcome.Status == balancer.OK {
 		// The client need not wait until the engine has learned of its answer.
 		server.engine.Post(func(balancer.Micros) { server.host.handleReport(&s.pending, r) })
--- a/internal/front/extproc/stream_test.go
+++ b/internal/front/extproc/stream_test.go
@@ -35,7 +35,7 @@
 		release()
 		h.awaitRelease()
 	}
-	if _, _, entries := h.server.Held(); entries != 0 {
+	if _, _, entries := h.server.Counts(); entries != 0 {
 		t.Errorf("%d entries of requests that were never sent", entries)
 	}
 }
@@ -80,7 +80,7 @@
 
 // Requests beyond the backlog are rejected at once.
 func TestFullBacklogRejectsAtOnce(t *testing.T) {
-	h := start(t, 1, func(o *Options, _ *balancer.Settings) { o.Backlog = 3 })
+	h := start(t, 1, func(o *Options, _ *balancer.Settings) { o.MaxBacklog = 3 })
 	release := h.blockEngine()
 	var waiting []testStream
 	for range 3 {
@@ -109,7 +109,7 @@
 		maxStreams     = 10_000
 		maxStreamBytes = 32 << 10 // of both ends
 	)
-	h := start(t, 1, func(o *Options, _ *balancer.Settings) { o.Streams, o.Drain = maxStreams, 6*time.Second-streamGrace })
+	h := start(t, 1, func(o *Options, _ *balancer.Settings) { o.MaxStreams, o.Drain = maxStreams, 6*time.Second-streamGrace })
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	memory := func() uint64 {
--- a/internal/front/http3front/server.go
+++ b/internal/front/http3front/server.go
@@ -39,7 +39,7 @@
 	// for some seconds, and its connection must outlive that.
 	idleTimeout = 30 * time.Second
 	// Bodies of requests and responses have httpmsg.BodyMost at most: flow control needs no more.
-	streamWindow     = httpmsg.BodyMost
+	streamWindow     = httpmsg.MaxBodyBytes
 	connectionWindow = 16 * streamWindow
 	// maxUnverifiedPerSecond is how many new connections per second are accepted from addresses that are
 	// not verified. Each one beyond has to prove that it receives at its address (RFC 9000, section 8.1.2).
@@ -48,12 +48,12 @@
 
 // Options are the limits of a server.
 type Options struct {
-	Room        *certstore.Room // certificates of the server, and the roots that clients are verified by
-	Name        string          // of the instance: it makes the key of stateless resets its own
-	Connections int             // open at most
-	Streams     int             // requests in flight on one connection, at most
-	BodyBytes   int64           // of the requests in flight together, at most
-	Early       bool            // accept 0-RTT data, for idempotent classes (RFC 8470)
+	Room        *certstore.Store // certificates of the server, and the roots that clients are verified by
+	Name        string           // of the instance: it makes the key of stateless resets its own
+	Connections int              // open at most
+	Streams     int              // requests in flight on one connection, at most
+	BodyBytes   int64            // of the requests in flight together, at most
+	Early       bool             // accept 0-RTT data, for idempotent classes (RFC 8470)
 	Parser      *requestmeta.Parser
 	Log         *slog.Logger
 }
@@ -78,10 +78,10 @@
 // clientConn is a client's connection.
 type clientConn struct {
 	*quic.Conn
-	certificates *certstore.Room
+	certificates *certstore.Store
 	material     int // number of the certificates at the start of the handshake
 	once         sync.Once
-	credentials  *certstore.Life // set by once
+	credentials  *certstore.Lifetime // set by once
 }
 
 // checkCredentials reports whether the certificates of a connection are still valid, and if not the reason.
@@ -91,7 +91,7 @@
 		return true, ""
 	}
 	c.once.Do(func() {
-		c.credentials = c.certificates.Life(c.ConnectionState().TLS, x509.ExtKeyUsageClientAuth, c.material)
+		c.credentials = c.certificates.Lifetime(c.ConnectionState().TLS, x509.ExtKeyUsageClientAuth, c.material)
 	})
 	_, trusted, reason = c.credentials.At(time.Now())
 	return trusted, reason
@@ -116,10 +116,10 @@
 	s := &Server{engine: e, dispatcher: exchange.New(e, upstream, o.BodyBytes), opts: o}
 	s.http = http3.Server{
 		Handler:        http.HandlerFunc(s.handle),
-		MaxHeaderBytes: httpmsg.HeadMost,
+		MaxHeaderBytes: httpmsg.MaxHeaderBytes,
 		Logger:         o.Log,
 		ConnContext: func(ctx context.Context, c *quic.Conn) context.Context {
-			conn := &clientConn{Conn: c, certificates: o.Room, material: o.Room.Number()}
+			conn := &clientConn{Conn: c, certificates: o.Room, material: o.Room.Generation()}
 			return context.WithValue(ctx, connKey{}, conn)
 		},
 	}
--- a/internal/front/http3front/server_test.go
+++ b/internal/front/http3front/server_test.go
@@ -87,7 +87,7 @@
 		t.Fatal(err)
 	}
 	o := Options{
-		Room:        h.pair.Room(t),
+		Room:        h.pair.CertificateStore(t),
 		Connections: 100,
 		Streams:     50,
 		BodyBytes:   1 << 20,
@@ -178,7 +178,7 @@
 func TestRequestsAreCheckedAsOnOtherFronts(t *testing.T) {
 	h := start(t, 0, nil)
 	c := h.newClient()
-	hugeBody := strings.Repeat("x", httpmsg.BodyMost+1)
+	hugeBody := strings.Repeat("x", httpmsg.MaxBodyBytes+1)
 	unknownLength := func(r *http.Request) { r.ContentLength = -1 }
 	without := func(header string) func(*http.Request) {
 		return func(r *http.Request) { r.Header.Del(header) }
--- a/internal/front/httpfront/drain.go
+++ b/internal/front/httpfront/drain.go
@@ -44,7 +44,7 @@
 		default:
 		}
 		if !expired && !now.Before(end) {
-			go s.engine.Post(s.engine.Expire)
+			go s.engine.Post(s.engine.ExpireAll)
 			expired = true
 		}
 		complete := !accepting && s.clients.count() == 0
--- a/internal/front/httpfront/server.go
+++ b/internal/front/httpfront/server.go
@@ -32,12 +32,12 @@
 
 // Options are the limits of a server.
 type Options struct {
-	Connections int                 // of clients, open at most
-	Crowded     int                 // connections that have carried a request, above which a response closes its own
-	BodyBytes   int64               // of the requests in flight together, at most
-	Parser      *requestmeta.Parser // nil for that of the engine's settings
-	AltSvc      string              // sent with each response, "" for none (RFC 7838)
-	AcceptFor   time.Duration       // how long new connections are accepted while draining; 0 for the platform's
+	Connections        int                 // of clients, open at most
+	KeepAliveThreshold int                 // connections that have carried a request, above which a response closes its own
+	BodyBytes          int64               // of the requests in flight together, at most
+	Parser             *requestmeta.Parser // nil for that of the engine's settings
+	AltSvc             string              // sent with each response, "" for none (RFC 7838)
+	AcceptFor          time.Duration       // how long new connections are accepted while draining; 0 for the platform's
 	// EndBy is how long after the start of draining each request in flight has its response, by the longest
 	// deadline of any class; nil for the platform's.
 	EndBy func(longest time.Duration) time.Duration
@@ -82,7 +82,7 @@
 		parser:     o.Parser,
 		dispatcher: exchange.New(e, upstream, o.BodyBytes),
 		opts:       o,
-		clients:    &clientListener{maxConnections: o.Connections, keepAliveThreshold: o.Crowded},
+		clients:    &clientListener{maxConnections: o.Connections, keepAliveThreshold: o.KeepAliveThreshold},
 	}
 	s.http = http.Server{
 		// Not a ServeMux: it would redirect paths that endpoints are to receive unchanged.
@@ -90,7 +90,7 @@
 		ReadTimeout:    ReadTimeout,
 		WriteTimeout:   requestmeta.MaxRequestTime + writeTimeout,
 		IdleTimeout:    IdleTimeout,
-		MaxHeaderBytes: httpmsg.HeadMost,
+		MaxHeaderBytes: httpmsg.MaxHeaderBytes,
 		ErrorLog:       slog.NewLogLogger(o.Log.Handler(), slog.LevelWarn),
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, c)
@@ -185,7 +185,7 @@
 func checkConnection(w http.ResponseWriter, c *clientConn) error {
 	if c.hasAmbiguousLength() {
 		// What follows the header may hide another request: the connection is closed.
-		return requestmeta.Bad("Content-Length beside another, or beside Transfer-Encoding")
+		return requestmeta.BadRequest("Content-Length beside another, or beside Transfer-Encoding")
 	}
 	conn, ok := c.Conn.(credentialed)
 	if !ok {
@@ -258,5 +258,5 @@
 	if in.ContentLength == 0 || http.NewResponseController(w).Flush() != nil {
 		return
 	}
-	_, _ = io.CopyN(io.Discard, in.Body, 2*httpmsg.BodyMost) // ends at the latest with ReadTimeout
+	_, _ = io.CopyN(io.Discard, in.Body, 2*httpmsg.MaxBodyBytes) // ends at the latest with ReadTimeout
 }
--- a/internal/httpmsg/httpmsg.go
+++ b/internal/httpmsg/httpmsg.go
@@ -14,8 +14,8 @@
 
 // Limits of messages, in bytes.
 const (
-	BodyMost = 64 << 10 // of the body of a request or a response
-	HeadMost = 32 << 10 // of the header of a request
+	MaxBodyBytes   = 64 << 10 // of the body of a request or a response
+	MaxHeaderBytes = 32 << 10 // of the header of a request
 )
 
 // hopByHop headers concern one connection only (RFC 9110, section 7.6.1).
--- a/internal/keylease/acceptor.go
+++ b/internal/keylease/acceptor.go
@@ -7,8 +7,8 @@
 
 // Limits bound the memory of an acceptor, whatever messages it receives.
 type Limits struct {
-	Keys        int           // keys that are leased at the same time; one takes about 200 bytes
-	Holders     int           // holders of one key, including those that have released it
+	MaxKeys     int           // keys that are leased at the same time; one takes about 200 bytes
+	MaxHolders  int           // holders of one key, including those that have released it
 	MaxDuration time.Duration // longest lease that is granted
 }
 
@@ -101,7 +101,7 @@
 	if index >= 0 && state.holders[index].supersedes(request.Term) {
 		return response, false
 	}
-	if index < 0 && len(state.holders) >= a.limits.Holders {
+	if index < 0 && len(state.holders) >= a.limits.MaxHolders {
 		response.Kind = AtCapacity
 		return response, true
 	}
@@ -119,7 +119,7 @@
 	if state != nil && now < state.expiresAt {
 		return state
 	}
-	if state == nil && len(a.keys) >= a.limits.Keys {
+	if state == nil && len(a.keys) >= a.limits.MaxKeys {
 		return nil
 	}
 	state = &keyState{key: key}
--- a/internal/keylease/explore_test.go
+++ b/internal/keylease/explore_test.go
@@ -27,7 +27,7 @@
 
 var (
 	exploredKey    = Key{1}
-	exploredLimits = Limits{Keys: 4, Holders: 8, MaxDuration: leaseDuration}
+	exploredLimits = Limits{MaxKeys: 4, MaxHolders: 8, MaxDuration: leaseDuration}
 )
 
 // explorer visits every state that three acceptors and some requesters can reach. Each
--- a/internal/keylease/lease.go
+++ b/internal/keylease/lease.go
@@ -141,9 +141,9 @@
 	return leader, count, undecided
 }
 
-// Seen reports whether any vote named another holder or another group. While none did, a
+// Contended reports whether any vote named another holder or another group. While none did, a
 // pending lease has met no competing request.
-func (l *Lease) Seen() bool {
+func (l *Lease) Contended() bool {
 	for _, v := range l.votes {
 		if v.status == voteGranted && (v.shared || v.group != l.Request.Group) {
 			return true
--- a/internal/keylease/linearizability_test.go
+++ b/internal/keylease/linearizability_test.go
@@ -154,7 +154,7 @@
 // Leases are linearizable: with messages delayed, lost and duplicated and an acceptor that
 // restarts, the granted groups could have been granted one after the other.
 func TestLeasesAreLinearizable(t *testing.T) {
-	limits := Limits{Keys: 4, Holders: 8, MaxDuration: simulatedLease}
+	limits := Limits{MaxKeys: 4, MaxHolders: 8, MaxDuration: simulatedLease}
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSimulation(t, []string{"a", "b", "c"}, limits)
 		restartAt := drawMilliseconds(t, 0, 1000, "restart")
--- a/internal/measure/coldstart/newcomer.go
+++ b/internal/measure/coldstart/newcomer.go
@@ -120,7 +120,7 @@
 				defer func() { <-slots }()
 				day := f.Plan(uint64(seed + 1))
 				if w == 0 {
-					day.Subset = &subset.Config{Floor: o.Floor, Spread: 2}
+					day.Subset = &subset.Config{MinSize: o.Floor, PerInFlight: 2}
 				}
 				r, e := simulation.Run(day, simulation.Options{})
 				mu.Lock()
--- a/internal/measure/departures/departures.go
+++ b/internal/measure/departures/departures.go
@@ -145,7 +145,7 @@
 	if err != nil {
 		return nil, err
 	}
-	front := httpfront.New(e, up, httpfront.Options{Connections: 4 * batch, Crowded: 4 * batch, BodyBytes: 64 << 20, AcceptFor: time.Millisecond, Log: slog.New(slog.DiscardHandler)})
+	front := httpfront.New(e, up, httpfront.Options{Connections: 4 * batch, KeepAliveThreshold: 4 * batch, BodyBytes: 64 << 20, AcceptFor: time.Millisecond, Log: slog.New(slog.DiscardHandler)})
 	fronts, end := context.WithCancel(context.Background())
 	defer end()
 	go func() { _ = front.Serve(fronts, clients) }() // it ends with fronts
--- a/internal/measure/endpointremoval/run.go
+++ b/internal/measure/endpointremoval/run.go
@@ -276,7 +276,7 @@
 		hosts = append(hosts, fakediscovery.Ready(x.Name, x.Address))
 	}
 	s.dir.Change(func() {
-		s.dir.List = fakediscovery.Document{Seq: s.dir.List.Seq + 1, Whole: true, Hosts: hosts}
+		s.dir.List = fakediscovery.Document{Seq: s.dir.List.Seq + 1, Complete: true, Hosts: hosts}
 	})
 }
 
@@ -300,7 +300,7 @@
 						list = append(list, h)
 					}
 				}
-				s.dir.List = fakediscovery.Document{Seq: s.dir.List.Seq + 1, Whole: true, Hosts: list}
+				s.dir.List = fakediscovery.Document{Seq: s.dir.List.Seq + 1, Complete: true, Hosts: list}
 			})
 		})
 	}
@@ -348,7 +348,7 @@
 		s.silences++
 		disturb := s.service.Silence
 		if what == "refuse" {
-			disturb = s.service.Refuse
+			disturb = s.service.Reject
 		}
 		disturb(true)
 		s.still(session + time.Second)
--- a/internal/measure/extproc/fronts.go
+++ b/internal/measure/extproc/fronts.go
@@ -35,7 +35,7 @@
 // is left: a request that fails at every server it tries would otherwise be all that
 // some servers see, and their breakers draw lots on what comes next.
 func Fronts(o Options, everywhere bool) (overHTTP, overProcessor map[string]*Tally, err error) {
-	faults := fakebackend.Faults{TurnAway: 0.02, Error: 0.03, Reset: 0.02, Everywhere: everywhere}
+	faults := fakebackend.Faults{Reject: 0.02, Error: 0.03, Reset: 0.02, Everywhere: everywhere}
 	play := func(call func(r *run, q proxy.Request) (int, error)) (map[string]*Tally, error) {
 		r := &run{o: o}
 		if err := r.begin(faults); err != nil {
--- a/internal/measure/extproc/run.go
+++ b/internal/measure/extproc/run.go
@@ -157,7 +157,7 @@
 func Run(o Options) (*Report, error) {
 	r := &run{o: o, removed: map[*fakebackend.Server]time.Time{}}
 	r.report = Report{Calls: o.Calls, Kinds: map[string]int{}, Codes: map[int]int{}, Goroutines: runtime.NumGoroutine()}
-	if err := r.begin(fakebackend.Faults{TurnAway: 0.02, Error: 0.02, Reset: 0.01, Silent: 0.0005}); err != nil {
+	if err := r.begin(fakebackend.Faults{Reject: 0.02, Error: 0.02, Reset: 0.01, Unresponsive: 0.0005}); err != nil {
 		return nil, err
 	}
 	defer r.end()
@@ -230,7 +230,7 @@
 			h.Site, h.Class, h.Block = [...]string{"arusha", "dar"}[s.Cell%2], "box", uint16(s.Cell)
 			hosts = append(hosts, h)
 		}
-		r.dir.List = fakediscovery.Document{Seq: r.dir.List.Seq + 1, Whole: true, Hosts: hosts}
+		r.dir.List = fakediscovery.Document{Seq: r.dir.List.Seq + 1, Complete: true, Hosts: hosts}
 	})
 }
 
@@ -305,10 +305,10 @@
 	switch {
 	case x < 0.03:
 		kind = "left before the verdict"
-		r.ask(p.Do(ctx, q, proxy.Behaviour{LeaveBeforeVerdict: true}), true)
+		r.ask(p.Do(ctx, q, proxy.Behaviour{DisconnectBeforeDecision: true}), true)
 	case x < 0.06:
 		kind = "left with the verdict"
-		r.ask(p.Do(ctx, q, proxy.Behaviour{LeaveAtVerdict: true}), false)
+		r.ask(p.Do(ctx, q, proxy.Behaviour{DisconnectAtDecision: true}), false)
 	case x < 0.09:
 		kind = "no report"
 		r.ask(p.Do(ctx, q, proxy.Behaviour{NoReport: true}), false)
@@ -357,7 +357,7 @@
 	if err != nil {
 		return
 	}
-	r.ask(p.Do(context.Background(), q, proxy.Behaviour{LeaveAtVerdict: true}), false)
+	r.ask(p.Do(context.Background(), q, proxy.Behaviour{DisconnectAtDecision: true}), false)
 	p.Close()
 }
 
@@ -366,11 +366,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.report.Requests++
-	r.report.Decisions += a.Verdicts
-	if a.Verdicts > 1 {
+	r.report.Decisions += a.Decisions
+	if a.Decisions > 1 {
 		r.report.Doubled++
 	}
-	if !remaining && a.Verdicts == 0 {
+	if !remaining && a.Decisions == 0 {
 		r.report.Unanswered++
 	}
 	if a.Err != nil {
@@ -384,7 +384,7 @@
 // pair checks two asks about one keyed request: where both had the first attempt
 // handed out, it was one verdict.
 func (r *run) pair(a, b proxy.Answer) {
-	x, y := a.Verdict, b.Verdict
+	x, y := a.Decision, b.Decision
 	if x.Endpoint == "" || y.Endpoint == "" || x.Headers["x-pinedale-attempt"] != "1" ||
 		y.Headers["x-pinedale-attempt"] != "1" || a.Code != 200 || b.Code != 200 {
 		return
@@ -410,7 +410,7 @@
 func (r *run) finish() {
 	rep := &r.report
 	for end := time.Now().Add(maxMemory); ; time.Sleep(20 * time.Millisecond) {
-		rep.OpenRequests, rep.Rounds, rep.Entries = r.site.Held()
+		rep.OpenRequests, rep.Rounds, rep.Entries = r.site.InFlight()
 		rep.Ledger = r.site.Requests()
 		if rep.OpenRequests+rep.Rounds+rep.Entries+rep.Ledger == 0 || time.Now().After(end) {
 			break
--- a/internal/measure/gossip/gossip.go
+++ b/internal/measure/gossip/gossip.go
@@ -100,7 +100,7 @@
 
 // one simulates a fleet of n instances.
 func one(o Options, n int) (Row, error) {
-	s := &simulation{options: o, limits: replication.Defaults, rng: rand.New(rand.NewPCG(o.Seed, uint64(n))), entries: map[entry]*propagation{}}
+	s := &simulation{options: o, limits: replication.DefaultLimits, rng: rand.New(rand.NewPCG(o.Seed, uint64(n))), entries: map[entry]*propagation{}}
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
@@ -127,7 +127,7 @@
 	for i := range s.nodes {
 		origin := replication.Origin{Name: fmt.Sprintf("instance-%04d", i), Epoch: epoch}
 		s.nodes[i] = &node{
-			store:       replication.New(origin, rules, s.limits),
+			store:       replication.NewStore(origin, rules, s.limits),
 			nextPut:     spread(replication.AdvertisementInterval(n)),
 			nextRumours: spread(replication.GossipInterval),
 			nextDigest:  spread(replication.AntiEntropyInterval),
@@ -181,7 +181,7 @@
 
 // send sends a message, which may be lost.
 func (s *simulation) send(from *node, to int, what any) error {
-	data, err := message.Encode(message.Message{From: from.store.Self(), What: what})
+	data, err := message.Encode(message.Message{From: from.store.Self(), Payload: what})
 	if err != nil {
 		return err
 	}
@@ -213,7 +213,7 @@
 	if _, err := fmt.Sscanf(m.From.Name, "instance-%d", &from); err != nil {
 		return err
 	}
-	switch w := m.What.(type) {
+	switch w := m.Payload.(type) {
 	case message.Rumours:
 		for _, r := range w {
 			done := s.notice(x, r.Origin, r.Entry)
@@ -222,7 +222,7 @@
 		}
 	case replication.Digest:
 		if v := x.store.HandleDigest(w, x.start); v != nil {
-			x.start = (x.start + 1) % replication.Buckets
+			x.start = (x.start + 1) % replication.DigestBuckets
 			return s.send(x, from, v)
 		}
 	case *replication.Vectors:
@@ -279,7 +279,7 @@
 	if err != nil {
 		return err
 	}
-	subject := fmt.Sprintf("soko-%d@1796000000000", s.rng.IntN(min(s.options.Servers, s.limits.Entries)))
+	subject := fmt.Sprintf("soko-%d@1796000000000", s.rng.IntN(min(s.options.Servers, s.limits.MaxEntries)))
 	if err := x.store.Put(s.now, 1, subject, value); err != nil {
 		return err
 	}
--- a/internal/measure/reconnect/reconnect.go
+++ b/internal/measure/reconnect/reconnect.go
@@ -71,9 +71,9 @@
 	}
 	defer servers.close()
 	r := &Result{Options: o, Completed: -1}
-	budget := handshake.Config{PerServer: 1e6, All: 1e6, ColdFrom: 1, Burst: 1e6}
+	budget := handshake.Config{PerServer: 1e6, All: 1e6, InitialWarmupRatio: 1, Burst: 1e6}
 	if o.Budget {
-		budget = handshake.Config{PerServer: o.Limit, All: o.All, Burst: burst, ColdFrom: slowStartRatio, WarmWithin: warmWithin}.Share(o.Instances, 1)
+		budget = handshake.Config{PerServer: o.Limit, All: o.All, Burst: burst, InitialWarmupRatio: slowStartRatio, WarmWithin: warmWithin}.Share(o.Instances, 1)
 		r.Bound = float64(o.Instances) * (budget.PerServer + budget.Burst)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), o.Timeout)
@@ -193,7 +193,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return secure.New(secure.Options{Room: certificates, Names: &secure.Names{Pattern: "soko.example.org"}, Budget: budget, Sessions: 4096, Timeout: timeout, Log: log})
+	return secure.New(secure.Options{KeyStore: certificates, Names: &secure.Names{Pattern: "soko.example.org"}, Budget: budget, Sessions: 4096, Timeout: timeout, Log: log})
 }
 
 // tally counts how connections came up.
--- a/internal/measure/rotations/rotations.go
+++ b/internal/measure/rotations/rotations.go
@@ -148,7 +148,7 @@
 		return nil, err
 	}
 	r.Twice = fleet.Twice()
-	r.Security, _ = w.at.Security()
+	r.Security, _ = w.at.HandshakeCounters()
 	r.Keys = w.at.Keys()
 	return r, nil
 }
@@ -248,9 +248,9 @@
 
 // taken waits until a change of files has been taken.
 func (w *world) taken(keys string, change func()) error {
-	before := w.at.Keys()[keys].Taken
+	before := w.at.Keys()[keys].Accepted
 	change()
-	for end := time.Now().Add(reloadTimeout); w.at.Keys()[keys].Taken == before; time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(reloadTimeout); w.at.Keys()[keys].Accepted == before; time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
 			return fmt.Errorf("a change of the keys %q was not taken within %v", keys, reloadTimeout)
 		}
@@ -335,9 +335,9 @@
 func (r *Result) Print(out io.Writer) {
 	fmt.Fprintf(out, "%d rotations under %d requests: %d failed, %d effects twice\n", r.Rotations, r.Requests, sum(r.Failed), len(r.Twice))
 	fmt.Fprintf(out, "handshakes with servers: %d full, %d resumed, %d failed; with clients: %d\n", r.Security.Full, r.Security.Resumed, sum(r.Security.Failed), r.Front)
-	fmt.Fprintf(out, "turns for them: %d at once, %d waited for, %d refused, %d put off\n", r.Security.Turns.Now, r.Security.Turns.Waited, r.Security.Turns.Refused, r.Security.Turns.Put)
+	fmt.Fprintf(out, "turns for them: %d at once, %d waited for, %d refused, %d put off\n", r.Security.Turns.Now, r.Security.Turns.Waited, r.Security.Turns.Rejected, r.Security.Turns.Put)
 	for name, k := range r.Keys {
-		fmt.Fprintf(out, "keys %q: %d taken, %d looks kept what served\n", name, k.Taken, k.Kept)
+		fmt.Fprintf(out, "keys %q: %d taken, %d looks kept what served\n", name, k.Accepted, k.Rejected)
 	}
 }
 
--- a/internal/measure/rotations/rotations_test.go
+++ b/internal/measure/rotations/rotations_test.go
@@ -17,7 +17,7 @@
 			if reason := r.Broken(); reason != "" || r.Rotations != 18 || r.Requests == 0 {
 				t.Errorf("%s: %+v", reason, r)
 			}
-			if r.Keys["fleet"].Taken < 13 || r.Keys["front"].Taken < 4 || r.Security.Full == 0 {
+			if r.Keys["fleet"].Accepted < 13 || r.Keys["front"].Accepted < 4 || r.Security.Full == 0 {
 				t.Errorf("too little has changed: %+v", r)
 			}
 		})
--- a/internal/measure/tlscost/tlscost.go
+++ b/internal/measure/tlscost/tlscost.go
@@ -80,7 +80,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return secure.New(secure.Options{Room: certificates, Names: &secure.Names{Pattern: serverName}, Budget: handshake.Config{PerServer: 1e6, All: 1e6, ColdFrom: 1, Burst: 1e6},
+	return secure.New(secure.Options{KeyStore: certificates, Names: &secure.Names{Pattern: serverName}, Budget: handshake.Config{PerServer: 1e6, All: 1e6, InitialWarmupRatio: 1, Burst: 1e6},
 		Sessions: 16, Timeout: 10 * time.Second, Log: log})
 }
 
--- a/internal/measure/zookeeper/nodes.go
+++ b/internal/measure/zookeeper/nodes.go
@@ -28,7 +28,7 @@
 func serveReader(args []string) (string, func(), error) {
 	log := slog.New(slog.DiscardHandler)
 	s := multisource.New(reconcile.DefaultConfig, log, multisource.Input{Kind: reconcile.Ephemeral, Name: path, Feeder: ephemeral.New(ephemeral.Options{
-		Servers: args, Path: path, Session: 15 * time.Second, Log: log})})
+		Servers: args, Path: path, SessionTimeout: 15 * time.Second, Log: log})})
 	ctx, stop := context.WithCancel(context.Background())
 	listed := make(chan int, 1)
 	go func() {
--- a/internal/membership/ephemeral/client.go
+++ b/internal/membership/ephemeral/client.go
@@ -33,12 +33,12 @@
 
 // Options are where the nodes are, and what their data must keep to.
 type Options struct {
-	Servers []string      // host:port, of the coordination service
-	Path    string        // of the directory
-	Session time.Duration // the session timeout
-	Digest  string        // user:password, "" for none
-	Rules   Rules
-	Log     *slog.Logger
+	Servers        []string      // host:port, of the coordination service
+	Path           string        // of the directory
+	SessionTimeout time.Duration // the session timeout
+	Digest         string        // user:password, "" for none
+	Rules          Rules
+	Log            *slog.Logger
 }
 
 // Sink takes what a source reports. Its methods may block.
@@ -87,7 +87,7 @@
 	events := newEventQueue(c.opts.Path, c.opts.Log)
 	conn, err := zkconn.Open(zkconn.Options{
 		Servers:        c.opts.Servers,
-		SessionTimeout: c.opts.Session,
+		SessionTimeout: c.opts.SessionTimeout,
 		Digest:         c.opts.Digest,
 		OnEvent:        events.push,
 		Dialer:         dialOnce(),
--- a/internal/membership/ephemeral/client_test.go
+++ b/internal/membership/ephemeral/client_test.go
@@ -133,10 +133,10 @@
 		t.Errorf("%d outages of a slow service", n)
 	}
 	h.service.Delay(0)
-	h.service.Refuse(true)
+	h.service.Reject(true)
 	h.waitUntil("the outage", func() bool { return h.recorder.outageCount() > 0 })
 	h.put("c", nodeData(1, ""))
-	h.service.Refuse(false)
+	h.service.Reject(false)
 	h.waitNames("a b c")
 }
 
--- a/internal/membership/ephemeral/data.go
+++ b/internal/membership/ephemeral/data.go
@@ -36,8 +36,8 @@
 	Address   string  `json:"address"` // host:port
 	Site      string  `json:"site,omitempty"`
 	Kind      string  `json:"kind,omitempty"`       // of machine
-	Block     int     `json:"block,omitempty"`      // the pod
-	Share     float64 `json:"share,omitempty"`      // weight of its share of requests; 1 if missing
+	Cell      int     `json:"block,omitempty"`      // the pod
+	Weight    float64 `json:"share,omitempty"`      // weight of its share of requests; 1 if missing
 	StartedMS int64   `json:"started_ms,omitempty"` // when the process started, Unix time in milliseconds
 	Draining  bool    `json:"draining,omitempty"`   // it takes no new requests
 }
@@ -63,8 +63,8 @@
 		Address:   decoded.Address,
 		Site:      decoded.Site,
 		Kind:      decoded.Kind,
-		Cell:      uint16(decoded.Block),
-		Weight:    float32(decoded.Share),
+		Cell:      uint16(decoded.Cell),
+		Weight:    float32(decoded.Weight),
 		StartedMS: decoded.StartedMS,
 	}}
 	if decoded.Draining {
@@ -90,8 +90,8 @@
 		return Data{}, err
 	}
 	share, given := keys["share"]
-	if decoded.Share == 0 && (!given || string(share) == "null") {
-		decoded.Share = defaultShare
+	if decoded.Weight == 0 && (!given || string(share) == "null") {
+		decoded.Weight = defaultShare
 	}
 	return decoded, nil
 }
@@ -106,10 +106,10 @@
 		return fmt.Errorf("site: %q is not in fleet.sites", d.Site)
 	case d.Kind != "" && !slices.Contains(rules.Kinds, d.Kind):
 		return fmt.Errorf("kind: %q is not in fleet.kinds", d.Kind)
-	case d.Block < 0 || d.Block > maxBlock:
-		return fmt.Errorf("block: %d is not in 0 to %d", d.Block, maxBlock)
-	case !(d.Share > 0 && d.Share <= maxShare): // so that NaN fails, too
-		return fmt.Errorf("share: %v is not over 0 and up to %v", d.Share, float64(maxShare))
+	case d.Cell < 0 || d.Cell > maxBlock:
+		return fmt.Errorf("block: %d is not in 0 to %d", d.Cell, maxBlock)
+	case !(d.Weight > 0 && d.Weight <= maxShare): // so that NaN fails, too
+		return fmt.Errorf("share: %v is not over 0 and up to %v", d.Weight, float64(maxShare))
 	case d.StartedMS < 0 || d.StartedMS > latestStart:
 		return fmt.Errorf("started_ms: %d is not a time that has been", d.StartedMS)
 	}
--- a/internal/membership/ephemeral/golden_test.go
+++ b/internal/membership/ephemeral/golden_test.go
@@ -78,10 +78,10 @@
 var writtenData = []Data{
 	{Address: "10.0.0.7:9101"},
 	{Address: "10.0.0.7:9101", Draining: true},
-	{Address: "10.0.0.7:9101", Site: "dar", Kind: "box", Block: 7, Share: 2.5, StartedMS: 1700000000000},
-	{Address: "10.0.0.7:9101", Site: "dar", Kind: "box", Block: 7, Share: 2.5, StartedMS: 1700000000000, Draining: true},
-	{Address: "[::1]:9101", Site: "arusha", Block: 65535, Share: 1},
-	{Address: "a<b>&:1", Share: 1e-7, StartedMS: 1},
+	{Address: "10.0.0.7:9101", Site: "dar", Kind: "box", Cell: 7, Weight: 2.5, StartedMS: 1700000000000},
+	{Address: "10.0.0.7:9101", Site: "dar", Kind: "box", Cell: 7, Weight: 2.5, StartedMS: 1700000000000, Draining: true},
+	{Address: "[::1]:9101", Site: "arusha", Cell: 65535, Weight: 1},
+	{Address: "a<b>&:1", Weight: 1e-7, StartedMS: 1},
 }
 
 // goldenBytes returns a golden file's content; with -update it first writes what the code yields.
--- a/internal/membership/ephemeral/harness_test.go
+++ b/internal/membership/ephemeral/harness_test.go
@@ -110,11 +110,11 @@
 
 func (h *harness) options() Options {
 	return Options{
-		Servers: h.service.Addresses(),
-		Path:    "/soko",
-		Session: sessionTimeout,
-		Rules:   rules,
-		Log:     h.log.Logger(),
+		Servers:        h.service.Addresses(),
+		Path:           "/soko",
+		SessionTimeout: sessionTimeout,
+		Rules:          rules,
+		Log:            h.log.Logger(),
 	}
 }
 
@@ -169,7 +169,7 @@
 }
 
 // longSession is an option that keeps sessions alive while their connections break.
-func longSession(o *Options) { o.Session = 10 * time.Second }
+func longSession(o *Options) { o.SessionTimeout = 10 * time.Second }
 
 func (h *harness) put(node string, data []byte) { h.service.Put("/soko/"+node, data) }
 
--- a/internal/membership/multisource/source_test.go
+++ b/internal/membership/multisource/source_test.go
@@ -94,11 +94,11 @@
 		h.put(node)
 	}
 	client := ephemeral.New(ephemeral.Options{
-		Servers: h.service.Addresses(),
-		Path:    "/soko",
-		Session: sessionTimeout,
-		Log:     h.log.Logger(),
-		Rules:   ephemeral.Rules{Sites: []string{"a"}, Kinds: []string{"m1"}},
+		Servers:        h.service.Addresses(),
+		Path:           "/soko",
+		SessionTimeout: sessionTimeout,
+		Log:            h.log.Logger(),
+		Rules:          ephemeral.Rules{Sites: []string{"a"}, Kinds: []string{"m1"}},
 	})
 	inputs := []Input{{reconcile.Ephemeral, "/soko", client}}
 	if others != nil {
@@ -168,9 +168,9 @@
 			h.service.Silence(false)
 		},
 		"with a broken connection": func(h *harness) {
-			h.service.Refuse(true)
+			h.service.Reject(true)
 			h.dropNodes()
-			h.service.Refuse(false)
+			h.service.Reject(false)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -196,12 +196,12 @@
 func TestServerReturnsAfterSessionExpiry(t *testing.T) {
 	h := start(t, nil, "a")
 	registrar, err := register.New(register.Options{
-		Servers: h.service.Addresses(),
-		Path:    "/soko",
-		Name:    "s",
-		Session: sessionTimeout,
-		Data:    ephemeral.Data{Address: "127.0.0.1:7", Site: "a", StartedMS: 5000},
-		Log:     slog.New(slog.DiscardHandler),
+		Servers:        h.service.Addresses(),
+		Path:           "/soko",
+		Name:           "s",
+		SessionTimeout: sessionTimeout,
+		Data:           ephemeral.Data{Address: "127.0.0.1:7", Site: "a", StartedMS: 5000},
+		Log:            slog.New(slog.DiscardHandler),
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -233,7 +233,7 @@
 
 // document returns a complete list of ready servers in discovery's form.
 func document(version uint64, names ...string) fakediscovery.Document {
-	list := fakediscovery.Document{Seq: version, Whole: true}
+	list := fakediscovery.Document{Seq: version, Complete: true}
 	for _, name := range names {
 		list.Hosts = append(list.Hosts, fakediscovery.Ready(name, "127.0.0.1:1"))
 	}
--- a/internal/membership/register/register.go
+++ b/internal/membership/register/register.go
@@ -41,13 +41,13 @@
 
 // Options are what to register, and where.
 type Options struct {
-	Servers []string // host:port, of the coordination service
-	Path    string   // of the directory; it is created if it does not exist
-	Name    string   // of the node: the same for as long as the server exists, restarts included
-	Data    ephemeral.Data
-	Session time.Duration // the session timeout, after which the node ends if the server is unreachable
-	Digest  string        // user:password that alone may change the node, "" for none
-	Log     *slog.Logger
+	Servers        []string // host:port, of the coordination service
+	Path           string   // of the directory; it is created if it does not exist
+	Name           string   // of the node: the same for as long as the server exists, restarts included
+	Data           ephemeral.Data
+	SessionTimeout time.Duration // the session timeout, after which the node ends if the server is unreachable
+	Digest         string        // user:password that alone may change the node, "" for none
+	Log            *slog.Logger
 }
 
 // validate checks each option, and the data by the rules that readers apply.
@@ -67,8 +67,8 @@
 		return errors.New("servers: none is named")
 	case !strings.HasPrefix(o.Path, "/") || path.Clean(o.Path) != o.Path || o.Path == "/":
 		return fmt.Errorf("path: %q is not a directory's", o.Path)
-	case o.Session <= 0:
-		return fmt.Errorf("session: %v is not positive", o.Session)
+	case o.SessionTimeout <= 0:
+		return fmt.Errorf("session: %v is not positive", o.SessionTimeout)
 	}
 	return nil
 }
@@ -98,7 +98,7 @@
 func (r *Registrar) Run(ctx context.Context) error {
 	conn, err := zkconn.Open(zkconn.Options{
 		Servers:        r.opts.Servers,
-		SessionTimeout: r.opts.Session,
+		SessionTimeout: r.opts.SessionTimeout,
 		Digest:         r.opts.Digest,
 		OnEvent:        r.onEvent,
 		Log:            r.opts.Log,
@@ -145,7 +145,7 @@
 		}
 		return retryDelay
 	}
-	return min(maxCheckInterval, r.opts.Session/checksPerSession)
+	return min(maxCheckInterval, r.opts.SessionTimeout/checksPerSession)
 }
 
 // Registered reports whether the node existed, and was ours, at the last check.
--- a/internal/membership/register/register_test.go
+++ b/internal/membership/register/register_test.go
@@ -23,12 +23,12 @@
 
 func options(service *fakezookeeper.Service) Options {
 	return Options{
-		Servers: service.Addresses(),
-		Path:    directory,
-		Name:    "s-1",
-		Session: 600 * time.Millisecond,
-		Data:    ephemeral.Data{Address: "127.0.0.1:9101", Site: "a", StartedMS: 1000},
-		Log:     slog.New(slog.DiscardHandler),
+		Servers:        service.Addresses(),
+		Path:           directory,
+		Name:           "s-1",
+		SessionTimeout: 600 * time.Millisecond,
+		Data:           ephemeral.Data{Address: "127.0.0.1:9101", Site: "a", StartedMS: 1000},
+		Log:            slog.New(slog.DiscardHandler),
 	}
 }
 
@@ -94,7 +94,7 @@
 func TestNodeHoldsEncodedData(t *testing.T) {
 	service := startService(t)
 	o := options(service)
-	o.Data.Kind, o.Data.Block, o.Data.Share = "box", 7, 2.5
+	o.Data.Kind, o.Data.Cell, o.Data.Weight = "box", 7, 2.5
 	registrar := startRegistrar(t, o)
 	wait.Until(t, "the node", registrar.Registered)
 	conn, events, err := zk.Connect(service.Addresses(), time.Second, zk.WithLogInfo(false))
@@ -162,12 +162,12 @@
 // Without a session a drain fails, and says so.
 func TestDrainFailsWithoutSession(t *testing.T) {
 	registrar, err := New(Options{
-		Servers: []string{"127.0.0.1:1"},
-		Path:    "/soko",
-		Name:    "s",
-		Session: time.Second,
-		Data:    ephemeral.Data{Address: "127.0.0.1:1"},
-		Log:     slog.New(slog.DiscardHandler),
+		Servers:        []string{"127.0.0.1:1"},
+		Path:           "/soko",
+		Name:           "s",
+		SessionTimeout: time.Second,
+		Data:           ephemeral.Data{Address: "127.0.0.1:1"},
+		Log:            slog.New(slog.DiscardHandler),
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -183,15 +183,15 @@
 		"name":    func(o *Options) { o.Name = "a/b" },
 		"path":    func(o *Options) { o.Path = "soko" },
 		"servers": func(o *Options) { o.Servers = nil },
-		"session": func(o *Options) { o.Session = 0 },
-		"share":   func(o *Options) { o.Data.Share = -1 },
+		"session": func(o *Options) { o.SessionTimeout = 0 },
+		"share":   func(o *Options) { o.Data.Weight = -1 },
 	} {
 		o := Options{
-			Servers: []string{"127.0.0.1:1"},
-			Path:    "/soko",
-			Name:    "s",
-			Session: time.Second,
-			Data:    ephemeral.Data{Address: "127.0.0.1:1"},
+			Servers:        []string{"127.0.0.1:1"},
+			Path:           "/soko",
+			Name:           "s",
+			SessionTimeout: time.Second,
+			Data:           ephemeral.Data{Address: "127.0.0.1:1"},
 		}
 		invalidate(&o)
 		if _, err := New(o); err == nil || !strings.Contains(err.Error(), key) {
--- a/internal/policy/build.go
+++ b/internal/policy/build.go
@@ -138,7 +138,7 @@
 	}
 	e.Class = classBounds.Class
 	e.Pool = uint8(slices.Index(t.pools, r.Pool) + 1)
-	e.Methods = r.Method != ""
+	e.RestrictsMethods = r.Method != ""
 	for name, value := range r.Headers {
 		e.headers = append(e.headers, header{Canonical(name), value})
 	}
--- a/internal/policy/check_class.go
+++ b/internal/policy/check_class.go
@@ -29,14 +29,14 @@
 	c.checkHedgeQuantile(prefix+"copy_at", class)
 	c.require(class.TypicalWork >= 0, prefix+"usual", "%v is negative", class.TypicalWork)
 	c.require(class.MaxInFlight >= 0, prefix+"open", "%d is negative", class.MaxInFlight)
-	c.require(class.BrownOut >= 0 && class.BrownOut <= maxBrownOut,
-		prefix+"brown_out", "%d is not in 0 to %d", class.BrownOut, maxBrownOut)
+	c.require(class.BrownoutLevel >= 0 && class.BrownoutLevel <= maxBrownOut,
+		prefix+"brown_out", "%d is not in 0 to %d", class.BrownoutLevel, maxBrownOut)
 	c.checkClients(prefix+"clients", class)
 	if class.deduplicates() {
 		l := &c.Limits
 		c.require(l.moduleWindow(class.DedupWindow) >= minModuleWindow, prefix+"window",
 			"rule window: of %v nothing is left for a repeat, after a connection of %v, timers %v late and clocks %v apart",
-			class.DedupWindow, l.Dial, l.TimerSlack, l.ClockError)
+			class.DedupWindow, l.DialTimeout, l.TimerSlack, l.ClockError)
 	}
 	c.checkEffective(prefix, c.Effective(class, nil))
 }
@@ -99,14 +99,14 @@
 	if class.deduplicates() {
 		c.checkSchedule(prefix, e)
 	}
-	if l.DrainFor > 0 {
+	if l.DrainTimeout > 0 {
 		longest := e.Deadline
 		if e.AttemptTimeout > 0 {
 			longest = e.AttemptTimeout
 		}
-		c.require(longest+l.DrainGrace+l.TimerSlack <= l.DrainFor, prefix+"deadline",
+		c.require(longest+l.DrainGrace+l.TimerSlack <= l.DrainTimeout, prefix+"deadline",
 			"rule drain: an attempt may take %v and be sent %v after a drain is told, and servers end after %v",
-			longest, l.DrainGrace, l.DrainFor)
+			longest, l.DrainGrace, l.DrainTimeout)
 	}
 	c.warnOfAttemptTimeout(prefix, e)
 	c.warnOfHedgeDelay(prefix+"copy_after", e)
@@ -120,7 +120,7 @@
 		c.require(worst < e.Class.DedupWindow, prefix+repeat.Key,
 			"rule window: %s may reach a server %v after the first, which remembers its key for %v"+
 				" (connection %v, timers %v late, clocks %v apart)",
-			repeat.Description, worst, e.Class.DedupWindow, l.Dial, l.TimerSlack, l.ClockError)
+			repeat.Description, worst, e.Class.DedupWindow, l.DialTimeout, l.TimerSlack, l.ClockError)
 	}
 }
 
@@ -133,9 +133,9 @@
 		c.warn(key, "%v is under the usual work of its class, %v: most attempts would be given up",
 			e.AttemptTimeout, class.TypicalWork)
 	}
-	if e.AttemptTimeout <= l.Dial {
+	if e.AttemptTimeout <= l.DialTimeout {
 		c.warn(key, "%v is not over limits.dial_timeout, %v: a slow connection ends the attempt",
-			e.AttemptTimeout, l.Dial)
+			e.AttemptTimeout, l.DialTimeout)
 	}
 	lastBegin := time.Duration(e.MaxAttempts-1) * e.AttemptTimeout
 	if e.MaxAttempts > 1 && lastBegin >= e.Deadline {
--- a/internal/policy/check_route.go
+++ b/internal/policy/check_route.go
@@ -51,7 +51,7 @@
 }
 
 func (c *compiler) checkPath(key, path string) {
-	c.require(path == "" || strings.HasPrefix(path, "/") && !Unclean(path), key,
+	c.require(path == "" || strings.HasPrefix(path, "/") && !IsAmbiguousPath(path), key,
 		"%q does not begin with a slash, or holds //, /. or /..", path)
 }
 
--- a/internal/policy/compile.go
+++ b/internal/policy/compile.go
@@ -73,7 +73,7 @@
 	l := &c.Limits
 	c.require(l.TimerSlack >= 0, "limits.timer_slack", "%v is negative", l.TimerSlack)
 	c.require(l.ClockError >= 0 && l.ClockError < 1, "limits.clock_error", "%v is not in 0 to 1", l.ClockError)
-	c.require(l.DrainFor >= 0, "fleet.drain_for", "%v is negative", l.DrainFor)
+	c.require(l.DrainTimeout >= 0, "fleet.drain_for", "%v is negative", l.DrainTimeout)
 }
 
 // checkPools returns the names of the pools.
--- a/internal/policy/compile_test.go
+++ b/internal/policy/compile_test.go
@@ -19,7 +19,7 @@
 			MaxAttempts: 3,
 			Hedging:     true,
 			MaxDeadline: time.Minute,
-			Dial:        250 * ms,
+			DialTimeout: 250 * ms,
 			TimerSlack:  10 * ms,
 			ClockError:  0.0005,
 			DrainGrace:  2 * time.Second,
@@ -111,7 +111,7 @@
 			}, "class[2].try_for", []string{"clocks 0.02 apart"}},
 		"with a slow connection": {
 			func(c *Config) { c.Classes[classPay].AttemptTimeout = 600 * ms },
-			func(c *Config) { c.Classes[classPay].AttemptTimeout, c.Limits.Dial = 600*ms, 300*ms },
+			func(c *Config) { c.Classes[classPay].AttemptTimeout, c.Limits.DialTimeout = 600*ms, 300*ms },
 			"class[1].try_for", []string{"connection 300ms"}},
 		"clients that retry": {
 			func(c *Config) {
@@ -148,16 +148,16 @@
 			func(c *Config) { c.Classes[0].MaxAttempts = 4 },
 			"class[0].attempts", []string{"rule attempts", "4"}},
 		"a drain that cuts off": {
-			func(c *Config) { c.Limits.DrainFor = 5100 * ms },
-			func(c *Config) { c.Limits.DrainFor = 5 * time.Second },
+			func(c *Config) { c.Limits.DrainTimeout = 5100 * ms },
+			func(c *Config) { c.Limits.DrainTimeout = 5 * time.Second },
 			"class[0].deadline", []string{"rule drain", "3s", "2s", "5s"}},
 		"a drain, and time for an attempt": {
 			func(c *Config) {
-				c.Limits.DrainFor = 3500 * ms
+				c.Limits.DrainTimeout = 3500 * ms
 				for i := range c.Classes {
 					c.Classes[i].AttemptTimeout, c.Classes[i].MaxAttempts = 1400*ms, 1
 				}
-			}, func(c *Config) { c.Limits.DrainFor = 3500 * ms }, "class[0].deadline", []string{"rule drain"}},
+			}, func(c *Config) { c.Limits.DrainTimeout = 3500 * ms }, "class[0].deadline", []string{"rule drain"}},
 		"a route that is later than its class": {
 			func(c *Config) {
 				c.Routes = []Route{{Class: "stall-pay", Prefix: "/a", Timing: Timing{HedgeDelay: time.Second}}}
@@ -253,12 +253,12 @@
 	for key, set := range map[string]func(*Config){
 		"limits.timer_slack":     func(c *Config) { c.Limits.TimerSlack = -1 },
 		"limits.clock_error":     func(c *Config) { c.Limits.ClockError = 1 },
-		"fleet.drain_for":        func(c *Config) { c.Limits.DrainFor = -1 },
+		"fleet.drain_for":        func(c *Config) { c.Limits.DrainTimeout = -1 },
 		"class[0].copy_at":       func(c *Config) { c.Classes[0].HedgeQuantile = 1 },
 		"class[1].copy_at":       func(c *Config) { c.Classes[1].HedgeQuantile, c.Classes[1].HedgeDelay = 0.5, ms },
 		"class[0].usual":         func(c *Config) { c.Classes[0].TypicalWork = -1 },
 		"class[0].open":          func(c *Config) { c.Classes[0].MaxInFlight = -1 },
-		"class[0].brown_out":     func(c *Config) { c.Classes[0].BrownOut = 10 },
+		"class[0].brown_out":     func(c *Config) { c.Classes[0].BrownoutLevel = 10 },
 		"class[0].clients":       func(c *Config) { c.Classes[0].Clients = "never" },
 		"class[0].try_for":       func(c *Config) { c.Classes[0].AttemptTimeout = -1 },
 		"class[1].try_for":       func(c *Config) { c.Classes[1].AttemptTimeout = time.Minute },
--- a/internal/policy/config.go
+++ b/internal/policy/config.go
@@ -37,7 +37,7 @@
 	TypicalWork      time.Duration // service time of an ordinary request, 0 if unknown
 	Clients          string        // ClientsRetryRejected, ClientsRetryFailed or ""
 	MaxInFlight      int           // 0 for no limit
-	BrownOut         int           // classes with a higher number are shed first
+	BrownoutLevel    int           // classes with a higher number are shed first
 }
 
 // Route is one route. A matcher that is empty matches everything.
@@ -68,14 +68,14 @@
 
 // Limits are those of the installation.
 type Limits struct {
-	MaxAttempts int
-	Hedging     bool
-	MaxDeadline time.Duration
-	Dial        time.Duration // timeout of a connection attempt
-	TimerSlack  time.Duration // by which timers may fire late
-	ClockError  float64       // ratio by which two clocks may run apart
-	DrainGrace  time.Duration // for which a draining endpoint still accepts requests
-	DrainFor    time.Duration // after which a draining endpoint ends, 0 if unknown
+	MaxAttempts  int
+	Hedging      bool
+	MaxDeadline  time.Duration
+	DialTimeout  time.Duration // timeout of a connection attempt
+	TimerSlack   time.Duration // by which timers may fire late
+	ClockError   float64       // ratio by which two clocks may run apart
+	DrainGrace   time.Duration // for which a draining endpoint still accepts requests
+	DrainTimeout time.Duration // after which a draining endpoint ends, 0 if unknown
 }
 
 // Config is the operator's configuration.
--- a/internal/policy/lookup.go
+++ b/internal/policy/lookup.go
@@ -88,9 +88,9 @@
 	return host
 }
 
-// Unclean reports whether a path could be read in two ways, here and by an endpoint: it has empty segments, or some
+// IsAmbiguousPath reports whether a path could be read in two ways, here and by an endpoint: it has empty segments, or some
 // that refer to themselves or to their parent.
-func Unclean(path string) bool {
+func IsAmbiguousPath(path string) bool {
 	return strings.Contains(path, "//") || strings.Contains(path, "/./") || strings.Contains(path, "/../") ||
 		strings.HasSuffix(path, "/.") || strings.HasSuffix(path, "/..")
 }
--- a/internal/policy/model_test.go
+++ b/internal/policy/model_test.go
@@ -110,7 +110,7 @@
 			Settled:  r.answered,
 		})
 	}
-	dial := time.Duration(rapid.IntRange(0, 4).Draw(s.t, "dial")) * s.config.Limits.Dial / 4
+	dial := time.Duration(rapid.IntRange(0, 4).Draw(s.t, "dial")) * s.config.Limits.DialTimeout / 4
 	until := s.realTime(timeout)
 	if timeout == 0 {
 		until = time.Hour
@@ -224,13 +224,13 @@
 		MaxAttempts: rapid.IntRange(1, 3).Draw(t, "attempts"),
 		Hedging:     rapid.Bool().Draw(t, "hedging"),
 		MaxDeadline: time.Minute,
-		Dial:        span("dial", 8),
+		DialTimeout: span("dial", 8),
 		TimerSlack:  span("slack", 2),
 		ClockError:  rapid.SampledFrom([]float64{0, 0.0005, 0.05}).Draw(t, "clocks"),
 		DrainGrace:  2 * time.Second,
 	}}
 	if rapid.IntRange(0, 3).Draw(t, "drains") == 0 {
-		c.Limits.DrainFor = span("drain", 100)
+		c.Limits.DrainTimeout = span("drain", 100)
 	}
 	timing := func() (p Timing) {
 		if rapid.Bool().Draw(t, "attempt settings") {
@@ -277,7 +277,7 @@
 		}
 		if send {
 			sends++
-			worst = max(worst, now+l.Dial)
+			worst = max(worst, now+l.DialTimeout)
 		}
 	}
 	// A hedge is sent when its time comes, however late the timer, while the first attempt is in flight.
@@ -286,10 +286,10 @@
 		firstEnd = min(firstEnd, e.AttemptTimeout)
 	}
 	if e.HedgeDelay > 0 && e.Hedging && e.MaxAttempts > 1 && e.HedgeDelay < firstEnd {
-		worst, hedges = max(worst, e.HedgeDelay+l.TimerSlack+l.Dial), 1
+		worst, hedges = max(worst, e.HedgeDelay+l.TimerSlack+l.DialTimeout), 1
 	}
 	if e.Class.Clients == ClientsRetryFailed {
-		worst = max(worst, e.Deadline+l.TimerSlack+l.Dial)
+		worst = max(worst, e.Deadline+l.TimerSlack+l.DialTimeout)
 	}
 	return time.Duration(float64(worst) * (1 + l.ClockError)), hedges
 }
@@ -299,7 +299,7 @@
 	for i := range c.Classes {
 		k := &c.Classes[i]
 		withKey := k.Idempotency == balancer.IdempotentWithKey
-		window := float64(k.DedupWindow)/(1+c.Limits.ClockError) - float64(c.Limits.Dial+c.Limits.TimerSlack)
+		window := float64(k.DedupWindow)/(1+c.Limits.ClockError) - float64(c.Limits.DialTimeout+c.Limits.TimerSlack)
 		if withKey && window < float64(time.Millisecond) {
 			return "nothing of the window is left"
 		}
@@ -328,7 +328,7 @@
 			if e.AttemptTimeout > 0 {
 				longest = e.AttemptTimeout
 			}
-			if c.Limits.DrainFor > 0 && longest+c.Limits.DrainGrace+c.Limits.TimerSlack > c.Limits.DrainFor {
+			if c.Limits.DrainTimeout > 0 && longest+c.Limits.DrainGrace+c.Limits.TimerSlack > c.Limits.DrainTimeout {
 				return "a drain cuts off"
 			}
 		}
@@ -425,7 +425,7 @@
 // The module gets a shorter window than the configured one, since a slow connection would carry a repeat past it; and
 // playing the schedule finds a late repeat.
 func TestPlayedScheduleFindsLateRepeat(t *testing.T) {
-	c := &Config{Limits: Limits{MaxAttempts: 2, MaxDeadline: time.Minute, Dial: 400 * time.Millisecond},
+	c := &Config{Limits: Limits{MaxAttempts: 2, MaxDeadline: time.Minute, DialTimeout: 400 * time.Millisecond},
 		Classes: []Class{{
 			Name:             "pay",
 			Idempotency:      balancer.IdempotentWithKey,
--- a/internal/policy/rows.go
+++ b/internal/policy/rows.go
@@ -11,17 +11,17 @@
 
 // Row is one line of a table as it is shown to the operator.
 type Row struct {
-	Route     string  `json:"route"` // "" for a class by itself
-	Match     string  `json:"match"`
-	Class     string  `json:"class"`
-	Pool      string  `json:"pool,omitempty"`
-	Deadline  string  `json:"deadline"`
-	TryFor    string  `json:"try_for,omitempty"` // attempt timeout
-	Attempts  int     `json:"attempts"`
-	CopyAfter string  `json:"copy_after,omitempty"` // hedge delay or quantile
-	Copies    bool    `json:"second_copies"`        // hedging
-	Share     float64 `json:"retry_share"`
-	Burst     float64 `json:"retry_burst"`
+	Route          string  `json:"route"` // "" for a class by itself
+	Match          string  `json:"match"`
+	Class          string  `json:"class"`
+	Pool           string  `json:"pool,omitempty"`
+	Deadline       string  `json:"deadline"`
+	AttemptTimeout string  `json:"try_for,omitempty"` // attempt timeout
+	Attempts       int     `json:"attempts"`
+	HedgeDelay     string  `json:"copy_after,omitempty"` // hedge delay or quantile
+	Hedging        bool    `json:"second_copies"`        // hedging
+	RetryRatio     float64 `json:"retry_share"`
+	RetryBurst     float64 `json:"retry_burst"`
 }
 
 // Rows returns the complete table: the classes first, then the routes in the order of the file.
@@ -29,7 +29,7 @@
 	for _, class := range t.config.Classes {
 		row := t.row(t.classBounds[class.Name])
 		if class.HedgeQuantile > 0 {
-			row.CopyAfter = fmt.Sprintf("quantile %v", class.HedgeQuantile)
+			row.HedgeDelay = fmt.Sprintf("quantile %v", class.HedgeQuantile)
 		}
 		rows = append(rows, row)
 	}
@@ -56,14 +56,14 @@
 		budget = t.budgets[b.Budget-1]
 	}
 	return Row{
-		Class:     b.ClassName,
-		Deadline:  durationText(b.Deadline),
-		TryFor:    durationText(b.AttemptTimeout),
-		Attempts:  b.MaxAttempts,
-		CopyAfter: durationText(b.HedgeDelay),
-		Copies:    !b.NoHedging,
-		Share:     budget.EarnRatio,
-		Burst:     budget.Burst,
+		Class:          b.ClassName,
+		Deadline:       durationText(b.Deadline),
+		AttemptTimeout: durationText(b.AttemptTimeout),
+		Attempts:       b.MaxAttempts,
+		HedgeDelay:     durationText(b.HedgeDelay),
+		Hedging:        !b.NoHedging,
+		RetryRatio:     budget.EarnRatio,
+		RetryBurst:     budget.Burst,
 	}
 }
 
--- a/internal/policy/schedule.go
+++ b/internal/policy/schedule.go
@@ -24,14 +24,14 @@
 		repeats = append(repeats, ScheduledRepeat{
 			Description: "a second copy",
 			Key:         "copy_after",
-			At:          e.HedgeDelay + l.TimerSlack + l.Dial,
+			At:          e.HedgeDelay + l.TimerSlack + l.DialTimeout,
 		})
 	}
 	if e.Class.Clients == ClientsRetryFailed {
 		repeats = append(repeats, ScheduledRepeat{
 			Description: fmt.Sprintf("a client that comes again within its %v", e.Deadline),
 			Key:         "deadline",
-			At:          e.Deadline + l.TimerSlack + l.Dial,
+			At:          e.Deadline + l.TimerSlack + l.DialTimeout,
 		})
 	}
 	return repeats
@@ -45,7 +45,7 @@
 			break
 		}
 		description := fmt.Sprintf("attempt %d, after %d time-outs of %v", timeouts+1, timeouts, e.AttemptTimeout)
-		repeats = append(repeats, ScheduledRepeat{Description: description, Key: "try_for", At: at + l.Dial})
+		repeats = append(repeats, ScheduledRepeat{Description: description, Key: "try_for", At: at + l.DialTimeout})
 	}
 	return repeats
 }
@@ -65,5 +65,5 @@
 // moduleWindow returns the deduplication window that the module is given: what it sends within it reaches the endpoint
 // in time even if the connection takes as long as it may.
 func (l *Limits) moduleWindow(window time.Duration) time.Duration {
-	return l.certainWindow(window) - l.Dial - l.TimerSlack
+	return l.certainWindow(window) - l.DialTimeout - l.TimerSlack
 }
--- a/internal/policy/table.go
+++ b/internal/policy/table.go
@@ -9,17 +9,17 @@
 
 // Bounds is what the requests of a route or class bring to the decision module.
 type Bounds struct {
-	Class          uint8
-	Deadline       balancer.Micros
-	AttemptTimeout balancer.Micros
-	HedgeDelay     balancer.Micros
-	MaxAttempts    int
-	NoHedging      bool
-	Budget         uint16 // number of the retry budget from 1, 0 for the default
-	Pool           uint8  // number of the pool from 1, 0 for all endpoints
-	ClassName      string
-	Idempotency    balancer.Idempotency
-	Methods        bool // the route names a method
+	Class            uint8
+	Deadline         balancer.Micros
+	AttemptTimeout   balancer.Micros
+	HedgeDelay       balancer.Micros
+	MaxAttempts      int
+	NoHedging        bool
+	Budget           uint16 // number of the retry budget from 1, 0 for the default
+	Pool             uint8  // number of the pool from 1, 0 for all endpoints
+	ClassName        string
+	Idempotency      balancer.Idempotency
+	RestrictsMethods bool // the route names a method
 }
 
 // Table is a compiled configuration. It is immutable and may be shared.
@@ -64,11 +64,11 @@
 // Config returns the configuration that the table was compiled from.
 func (t *Table) Config() *Config { return t.config }
 
-// Routed reports whether there are routes. Without, a request names its class itself.
-func (t *Table) Routed() bool { return len(t.config.Routes) > 0 }
+// HasRoutes reports whether there are routes. Without, a request names its class itself.
+func (t *Table) HasRoutes() bool { return len(t.config.Routes) > 0 }
 
-// Each calls f for the bounds of each class and route.
-func (t *Table) Each(f func(*Bounds)) {
+// ForEachBounds calls f for the bounds of each class and route.
+func (t *Table) ForEachBounds(f func(*Bounds)) {
 	for _, b := range t.classBounds {
 		f(b)
 	}
@@ -79,8 +79,8 @@
 	}
 }
 
-// OfClass returns the bounds of a class by its name.
-func (t *Table) OfClass(name string) (*Bounds, bool) {
+// ClassBounds returns the bounds of a class by its name.
+func (t *Table) ClassBounds(name string) (*Bounds, bool) {
 	b, ok := t.classBounds[name]
 	return b, ok
 }
@@ -105,7 +105,7 @@
 	}
 	for _, class := range t.config.Classes {
 		number := t.classBounds[class.Name].Class
-		out.Classes[number] = admission.Class{MaxInFlight: class.MaxInFlight, BrownOut: class.BrownOut}
+		out.Classes[number] = admission.Class{MaxInFlight: class.MaxInFlight, BrownoutLevel: class.BrownoutLevel}
 	}
 	return out
 }
--- a/internal/replication/convergence_test.go
+++ b/internal/replication/convergence_test.go
@@ -37,13 +37,13 @@
 	size := rapid.IntRange(2, 6).Draw(t, "stores")
 	f := &fleet{
 		t:         t,
-		limits:    Defaults,
+		limits:    DefaultLimits,
 		stores:    make([]*Store, size),
 		epochs:    make([]uint64, size),
 		writers:   map[Origin]*Store{},
 		writtenAt: map[entryID]time.Duration{},
 	}
-	f.limits.Message = rapid.IntRange(60, 1100).Draw(t, "message")
+	f.limits.MaxMessageBytes = rapid.IntRange(60, 1100).Draw(t, "message")
 	for i := range size {
 		f.start(i)
 	}
@@ -53,7 +53,7 @@
 // start starts the next incarnation of an instance.
 func (f *fleet) start(i int) {
 	f.epochs[i] += 10
-	s := New(Origin{Name: fmt.Sprint("i-", i), Epoch: f.epochs[i]}, testRules, f.limits)
+	s := NewStore(Origin{Name: fmt.Sprint("i-", i), Epoch: f.epochs[i]}, testRules, f.limits)
 	f.stores[i] = s
 	f.writers[s.Self()] = s
 }
--- a/internal/replication/delta.go
+++ b/internal/replication/delta.go
@@ -15,11 +15,11 @@
 	var deltas []Delta
 	if above < o.completeTo {
 		header := Delta{Origin: o.id, From: above, To: o.completeTo}
-		deltas = splitDelta(header, complete, s.limits.Message)
+		deltas = splitDelta(header, complete, s.limits.MaxMessageBytes)
 	}
 	if len(beyond) > 0 {
 		header := Delta{Origin: o.id, From: o.completeTo, To: o.completeTo, Incomplete: true}
-		deltas = append(deltas, splitDelta(header, beyond, s.limits.Message)...)
+		deltas = append(deltas, splitDelta(header, beyond, s.limits.MaxMessageBytes)...)
 	}
 	return deltas
 }
@@ -55,7 +55,7 @@
 	if d.Origin == s.self {
 		return
 	}
-	if d.To < d.From || d.Parts < 1 || d.Parts > s.limits.Entries || d.Part < 0 || d.Part >= d.Parts {
+	if d.To < d.From || d.Parts < 1 || d.Parts > s.limits.MaxEntries || d.Part < 0 || d.Part >= d.Parts {
 		s.rejected++
 		return
 	}
--- a/internal/replication/digest.go
+++ b/internal/replication/digest.go
@@ -7,12 +7,12 @@
 	"pinedale/internal/splitmix"
 )
 
-// Buckets is the number of buckets of a digest: 512 bytes, with 64 origins in each bucket if
+// DigestBuckets is the number of buckets of a digest: 512 bytes, with 64 origins in each bucket if
 // there are as many as Defaults permit.
-const Buckets = 64
+const DigestBuckets = 64
 
 // Digest has a hash of the origins in each bucket and of their vectors.
-type Digest [Buckets]uint64
+type Digest [DigestBuckets]uint64
 
 // goldenRatio64 is 2^64 divided by the golden ratio, an odd multiplier that spreads
 // consecutive numbers.
@@ -29,7 +29,7 @@
 }
 
 // bucket returns the bucket of the digest that the origin is in.
-func (o Origin) bucket() int { return int(o.hash() % Buckets) }
+func (o Origin) bucket() int { return int(o.hash() % DigestBuckets) }
 
 // hash returns the vector's contribution to its bucket. It is mixed, so that a higher number
 // in one vector and a lower one in another do not cancel out.
@@ -51,8 +51,8 @@
 func (s *Store) HandleDigest(d Digest, start int) *Vectors {
 	local := s.Digest()
 	var differing []int
-	for i := range Buckets {
-		bucket := (start + i) % Buckets
+	for i := range DigestBuckets {
+		bucket := (start + i) % DigestBuckets
 		if local[bucket] != d[bucket] {
 			differing = append(differing, bucket)
 		}
--- a/internal/replication/everyorder_test.go
+++ b/internal/replication/everyorder_test.go
@@ -12,7 +12,7 @@
 // of them.
 func writeSixEntries(t *testing.T) (writer *Store, sent []Rumour) {
 	t.Helper()
-	writer = New(testOrigin(1), testRules, Defaults)
+	writer = NewStore(testOrigin(1), testRules, DefaultLimits)
 	for _, write := range []struct{ subject, value string }{
 		{"a", "1"}, {"b", "1"}, {"a", "2"}, {"b", ""}, {"c", "1"}, {"b", "2"},
 	} {
@@ -66,6 +66,6 @@
 	if raceEnabled {
 		deliveries = 4
 	}
-	deliver(New(testOrigin(2), testRules, Defaults), deliveries, [6]int{})
+	deliver(NewStore(testOrigin(2), testRules, DefaultLimits), deliveries, [6]int{})
 	t.Logf("%d states", states)
 }
--- a/internal/replication/helpers_test.go
+++ b/internal/replication/helpers_test.go
@@ -97,7 +97,7 @@
 
 // cloneStore returns a copy of a store without indexed topics.
 func cloneStore(s *Store) *Store {
-	c := New(s.self, s.rules, s.limits)
+	c := NewStore(s.self, s.rules, s.limits)
 	c.seq, c.rejected = s.seq, s.rejected
 	c.rumours.queued = slices.Clone(s.rumours.queued)
 	c.floors = maps.Clone(s.floors)
--- a/internal/replication/limits.go
+++ b/internal/replication/limits.go
@@ -23,28 +23,28 @@
 
 // Limits bound the memory of a store, whatever messages it receives, and the size of messages.
 type Limits struct {
-	Origins     int           // known origins, and as many names of forgotten ones
-	Entries     int           // entries of one origin
-	Subject     int           // length of a subject and of an instance's name, in bytes
-	Value       int           // length of a value, in bytes
-	Message     int           // approximate size of the entries in one message, in bytes
-	ForgetAfter time.Duration // how long an origin is kept that is not heard from
-	Repeats     int           // number of times that each replica passes a new entry on
-	Rumours     int           // entries waiting to be passed on
-	Messages    int           // deltas sent in response to one Vectors message
+	MaxOrigins           int           // known origins, and as many names of forgotten ones
+	MaxEntries           int           // entries of one origin
+	MaxSubjectBytes      int           // length of a subject and of an instance's name, in bytes
+	MaxValueBytes        int           // length of a value, in bytes
+	MaxMessageBytes      int           // approximate size of the entries in one message, in bytes
+	ForgetAfter          time.Duration // how long an origin is kept that is not heard from
+	Transmissions        int           // number of times that each replica passes a new entry on
+	MaxQueuedRumours     int           // entries waiting to be passed on
+	MaxDeltasPerResponse int           // deltas sent in response to one Vectors message
 }
 
-// Defaults keep a store under 64 MB with 4,096 origins of 256 entries of 64 bytes.
-var Defaults = Limits{
-	Origins:     4096,
-	Entries:     256,
-	Subject:     128,
-	Value:       256,
-	Message:     1100,
-	ForgetAfter: time.Hour,
-	Repeats:     2,
-	Rumours:     4096,
-	Messages:    16,
+// DefaultLimits keep a store under 64 MB with 4,096 origins of 256 entries of 64 bytes.
+var DefaultLimits = Limits{
+	MaxOrigins:           4096,
+	MaxEntries:           256,
+	MaxSubjectBytes:      128,
+	MaxValueBytes:        256,
+	MaxMessageBytes:      1100,
+	ForgetAfter:          time.Hour,
+	Transmissions:        2,
+	MaxQueuedRumours:     4096,
+	MaxDeltasPerResponse: 16,
 }
 
 // Approximate size of messages on the wire, in bytes, beside names, subjects and values.
@@ -71,9 +71,9 @@
 	switch {
 	case !ok:
 		return fmt.Errorf("%w: %d", ErrUnknownTopic, key.topic)
-	case key.subject == "" || len(key.subject) > v.limits.Subject:
+	case key.subject == "" || len(key.subject) > v.limits.MaxSubjectBytes:
 		return fmt.Errorf("%w: %d bytes", ErrInvalidSubject, len(key.subject))
-	case len(value) > v.limits.Value:
+	case len(value) > v.limits.MaxValueBytes:
 		return fmt.Errorf("%w: %d bytes", ErrValueTooLong, len(value))
 	}
 	return rule.Check(value)
@@ -83,7 +83,7 @@
 func (v validator) acceptable(e Entry) bool {
 	key := registerKey{e.Topic, e.Subject}
 	_, known := v.rules[e.Topic]
-	if !known || e.Age < 0 || e.Subject == "" || len(e.Subject) > v.limits.Subject {
+	if !known || e.Age < 0 || e.Subject == "" || len(e.Subject) > v.limits.MaxSubjectBytes {
 		return false
 	}
 	return e.Withdrawn || v.validate(key, e.Value) == nil
--- a/internal/replication/rumours.go
+++ b/internal/replication/rumours.go
@@ -37,7 +37,7 @@
 		next := q.queued[0]
 		if r := s.current(next); r != nil { // otherwise it has expired or been replaced
 			size += rumourOverheadBytes + len(next.origin.Name) + len(next.key.subject) + len(r.value)
-			if size > s.limits.Message && len(batch) > 0 {
+			if size > s.limits.MaxMessageBytes && len(batch) > 0 {
 				break
 			}
 			batch = append(batch, Rumour{Origin: next.origin, Entry: r.entry(now, next.key)})
--- a/internal/replication/store.go
+++ b/internal/replication/store.go
@@ -20,14 +20,14 @@
 	rejected uint64 // entries and messages
 }
 
-// New returns a store that knows no origin but self.
-func New(self Origin, rules map[Topic]Rule, limits Limits) *Store {
+// NewStore returns a store that knows no origin but self.
+func NewStore(self Origin, rules map[Topic]Rule, limits Limits) *Store {
 	return &Store{
 		validator: validator{rules: rules, limits: limits},
 		self:      self,
 		origins:   map[Origin]*originState{self: newOriginState(self, 0)},
 		floors:    epochFloors{},
-		rumours:   rumourQueue{capacity: limits.Rumours, sendings: limits.Repeats},
+		rumours:   rumourQueue{capacity: limits.MaxQueuedRumours, sendings: limits.Transmissions},
 	}
 }
 
@@ -39,7 +39,7 @@
 		return err
 	}
 	local := s.origins[s.self]
-	if local.registers[key] == nil && len(local.registers) >= s.limits.Entries {
+	if local.registers[key] == nil && len(local.registers) >= s.limits.MaxEntries {
 		return fmt.Errorf("%w: %d", ErrSubjectLimit, len(local.registers))
 	}
 	s.write(now, key, &register{value: value})
@@ -90,7 +90,7 @@
 
 // admit reports whether an origin that is not known may be added.
 func (s *Store) admit(id Origin) bool {
-	return id.Name != "" && len(id.Name) <= s.limits.Subject && s.floors.admit(id)
+	return id.Name != "" && len(id.Name) <= s.limits.MaxSubjectBytes && s.floors.admit(id)
 }
 
 // findOrAddOrigin returns the state of an origin, a new one if it is not known, and nil if it
@@ -99,7 +99,7 @@
 	if o := s.origins[id]; o != nil {
 		return o
 	}
-	if !s.admit(id) || len(s.origins) >= s.limits.Origins {
+	if !s.admit(id) || len(s.origins) >= s.limits.MaxOrigins {
 		s.rejected++
 		return nil
 	}
@@ -133,7 +133,7 @@
 		o.remove(key) // the stored entry is older still
 		return false
 	}
-	if old == nil && len(o.registers) >= s.limits.Entries {
+	if old == nil && len(o.registers) >= s.limits.MaxEntries {
 		s.rejected++
 		return false
 	}
@@ -156,5 +156,5 @@
 			s.floors.raise(id, now)
 		}
 	}
-	s.floors.trim(s.limits.Origins)
+	s.floors.trim(s.limits.MaxOrigins)
 }
--- a/internal/replication/store_test.go
+++ b/internal/replication/store_test.go
@@ -11,9 +11,9 @@
 )
 
 func TestPutReturnsTypedErrors(t *testing.T) {
-	limits := Defaults
-	limits.Entries, limits.Subject, limits.Value = 1, 4, 4
-	s := New(testOrigin(1), testRules, limits)
+	limits := DefaultLimits
+	limits.MaxEntries, limits.MaxSubjectBytes, limits.MaxValueBytes = 1, 4, 4
+	s := NewStore(testOrigin(1), testRules, limits)
 	mustPut(t, s, 0, checkedTopic, "s", "1")
 	for name, c := range map[string]struct {
 		topic          Topic
@@ -36,11 +36,11 @@
 // What was withdrawn or has expired does not reappear, whatever arrives late: a recorded
 // rumour, a replica that was disconnected for an hour, an earlier incarnation.
 func TestWithdrawnEntryStaysWithdrawn(t *testing.T) {
-	limits := Defaults
+	limits := DefaultLimits
 	limits.ForgetAfter = 30 * time.Minute
-	writer := New(testOrigin(1), testRules, limits)
-	replica := New(testOrigin(2), testRules, limits)
-	disconnected := New(testOrigin(3), testRules, limits)
+	writer := NewStore(testOrigin(1), testRules, limits)
+	replica := NewStore(testOrigin(2), testRules, limits)
+	disconnected := NewStore(testOrigin(3), testRules, limits)
 	mustPut(t, writer, 0, checkedTopic, "s", "1")
 	recorded := writer.Rumours(0)
 	runAntiEntropy(0, writer, replica, loseNothing)
@@ -73,7 +73,7 @@
 		t.Fatalf("%d origins are known after an hour, want 1", replica.Origins())
 	}
 	replay(time.Hour, "after the origin was forgotten")
-	restarted := New(Origin{Name: "i-1", Epoch: 2000}, testRules, limits)
+	restarted := NewStore(Origin{Name: "i-1", Epoch: 2000}, testRules, limits)
 	mustPut(t, restarted, time.Hour, checkedTopic, "s", "2")
 	runAntiEntropy(time.Hour, restarted, replica, loseNothing)
 	if v := replica.View(time.Hour, checkedTopic); len(v) != 1 || string(v[0].Value) != "2" {
@@ -84,9 +84,9 @@
 // Two incarnations of one name that both run are two instances: neither replaces the other's
 // entries.
 func TestIncarnationsOfOneNameAreIndependent(t *testing.T) {
-	first := New(Origin{Name: "i-1", Epoch: 1}, testRules, Defaults)
-	second := New(Origin{Name: "i-1", Epoch: 2}, testRules, Defaults)
-	other := New(testOrigin(2), testRules, Defaults)
+	first := NewStore(Origin{Name: "i-1", Epoch: 1}, testRules, DefaultLimits)
+	second := NewStore(Origin{Name: "i-1", Epoch: 2}, testRules, DefaultLimits)
+	other := NewStore(testOrigin(2), testRules, DefaultLimits)
 	mustPut(t, first, 0, uncheckedTopic, "s", "1")
 	mustPut(t, second, 0, uncheckedTopic, "s", "2")
 	for range 3 {
@@ -105,9 +105,9 @@
 // A faulty instance that sends more than permitted, in another's name or invalid, causes
 // nothing that the writer does not correct, and uses no more memory than the limits permit.
 func TestFaultyPeerIsCorrectedAndBounded(t *testing.T) {
-	limits := Defaults
-	limits.Origins, limits.Entries = 50, 10
-	writer, replica := New(testOrigin(1), testRules, limits), New(testOrigin(2), testRules, limits)
+	limits := DefaultLimits
+	limits.MaxOrigins, limits.MaxEntries = 50, 10
+	writer, replica := NewStore(testOrigin(1), testRules, limits), NewStore(testOrigin(2), testRules, limits)
 	mustPut(t, writer, 0, checkedTopic, "s", "true")
 	runAntiEntropy(0, writer, replica, loseNothing)
 	// In the writer's name, with sequence numbers that it has not assigned.
@@ -127,12 +127,12 @@
 		})
 	}
 	for id, o := range replica.origins {
-		if len(o.registers) > limits.Entries {
+		if len(o.registers) > limits.MaxEntries {
 			t.Errorf("%d entries of %v", len(o.registers), id)
 		}
 	}
 	queued := len(replica.rumours.queued)
-	if replica.Origins() > limits.Origins || queued > limits.Rumours || replica.RejectedCount() == 0 {
+	if replica.Origins() > limits.MaxOrigins || queued > limits.MaxQueuedRumours || replica.RejectedCount() == 0 {
 		t.Errorf("%d origins, %d rumours, %d rejected", replica.Origins(), queued, replica.RejectedCount())
 	}
 	if v := writer.View(0, checkedTopic); len(v) != 1 || string(v[0].Value) != "true" {
@@ -158,7 +158,7 @@
 	indexedRule.Indexed = true
 	indexedRules := map[Topic]Rule{checkedTopic: testRules[checkedTopic], uncheckedTopic: indexedRule}
 	rapid.Check(t, func(t *rapid.T) {
-		plain, indexed := New(testOrigin(0), testRules, Defaults), New(testOrigin(0), indexedRules, Defaults)
+		plain, indexed := NewStore(testOrigin(0), testRules, DefaultLimits), NewStore(testOrigin(0), indexedRules, DefaultLimits)
 		now, seq := time.Duration(0), uint64(0)
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			topic := Topic(rapid.IntRange(1, 2).Draw(t, "topic"))
--- a/internal/replication/vectors.go
+++ b/internal/replication/vectors.go
@@ -33,7 +33,7 @@
 		for _, v := range vectors {
 			size += vectorOverheadBytes + len(v.Origin.Name)
 		}
-		if len(message.Buckets) > 0 && size > s.limits.Message {
+		if len(message.Buckets) > 0 && size > s.limits.MaxMessageBytes {
 			break
 		}
 		slices.SortFunc(vectors, compareVectors)
@@ -93,7 +93,7 @@
 	var deltas []Delta
 	for _, o := range origins {
 		next := s.deltas(now, o, remote[o.id].Have)
-		if len(deltas) > 0 && len(deltas)+len(next) > s.limits.Messages {
+		if len(deltas) > 0 && len(deltas)+len(next) > s.limits.MaxDeltasPerResponse {
 			break
 		}
 		deltas = append(deltas, next...)
@@ -111,7 +111,7 @@
 func validBuckets(buckets []int) []int {
 	var valid []int
 	for _, bucket := range buckets {
-		if bucket >= 0 && bucket < Buckets && !slices.Contains(valid, bucket) {
+		if bucket >= 0 && bucket < DigestBuckets && !slices.Contains(valid, bucket) {
 			valid = append(valid, bucket)
 		}
 	}
--- a/internal/requestmeta/intake.go
+++ b/internal/requestmeta/intake.go
@@ -55,8 +55,8 @@
 // Error returns the reason.
 func (e *Error) Error() string { return e.Reason }
 
-// Bad returns an *Error of status 400.
-func Bad(format string, args ...any) error {
+// BadRequest returns an *Error of status 400.
+func BadRequest(format string, args ...any) error {
 	return &Error{http.StatusBadRequest, fmt.Sprintf(format, args...)}
 }
 
@@ -71,19 +71,19 @@
 
 // Bounds are the properties and limits of the requests of a class or route. A zero limit is none.
 type Bounds struct {
-	Class     uint8 // number, as the balancer has it
-	ClassName string
-	Repeat    balancer.Idempotency
-	Methods   bool            // the route lists its methods, the class's does not matter
-	Deadline  balancer.Micros // longest time for a request
-	TryFor    balancer.Micros // balancer.Request.AttemptTimeout
+	Class          uint8 // number, as the balancer has it
+	ClassName      string
+	Idempotency    balancer.Idempotency
+	Methods        bool            // the route lists its methods, the class's does not matter
+	Deadline       balancer.Micros // longest time for a request
+	AttemptTimeout balancer.Micros // balancer.Request.AttemptTimeout
 
 	// As the fields of balancer.Request.
-	HedgeDelay balancer.Micros
-	Attempts   int // MaxAttempts
-	NoHedging  bool
-	Budget     uint16
-	Pool       uint8
+	HedgeDelay  balancer.Micros
+	MaxAttempts int // MaxAttempts
+	NoHedging   bool
+	Budget      uint16
+	Pool        uint8
 }
 
 // Router finds the class or route of a request. A router is immutable and may be shared.
@@ -107,7 +107,7 @@
 func NewParser(s *balancer.Settings) *Parser {
 	router := &settingsRouter{map[string]*Bounds{}, map[string]uint16{}}
 	for i, c := range s.Classes {
-		router.classes[c.Name] = &Bounds{Class: uint8(i), ClassName: c.Name, Repeat: c.Idempotency}
+		router.classes[c.Name] = &Bounds{Class: uint8(i), ClassName: c.Name, Idempotency: c.Idempotency}
 	}
 	for i, t := range s.Tenants {
 		router.tenants[t.Name] = uint16(i)
@@ -165,12 +165,12 @@
 	var out Parsed
 	for _, name := range singleValueHeaders {
 		if n := len(in.Header[name]); n > 1 {
-			return out, Bad("%s is there %d times", name, n)
+			return out, BadRequest("%s is there %d times", name, n)
 		}
 	}
 	out.CorrelationID = in.Header.Get(HeaderID)
 	if n := len(out.CorrelationID); n == 0 || n > maxIDBytes {
-		return out, Bad("%s: %d characters, must be 1 to %d", HeaderID, n, maxIDBytes)
+		return out, BadRequest("%s: %d characters, must be 1 to %d", HeaderID, n, maxIDBytes)
 	}
 	router := *p.router.Load()
 	bounds, err := findBounds(router, &in)
@@ -190,7 +190,7 @@
 	if router.Tenants() > 0 {
 		var ok bool
 		if out.Tenant, ok = router.Tenant(in.Header.Get(HeaderTenant)); !ok {
-			return out, Bad("%s: %q is not a known tenant", HeaderTenant, in.Header.Get(HeaderTenant))
+			return out, BadRequest("%s: %q is not a known tenant", HeaderTenant, in.Header.Get(HeaderTenant))
 		}
 	}
 	if subject := in.Header.Get(HeaderSubject); subject != "" {
@@ -205,9 +205,9 @@
 // apply sets what a class or route says of its requests.
 func (p *Parsed) apply(b *Bounds) {
 	p.Class = b.Class
-	p.AttemptTimeout = b.TryFor
+	p.AttemptTimeout = b.AttemptTimeout
 	p.HedgeDelay = b.HedgeDelay
-	p.MaxAttempts = b.Attempts
+	p.MaxAttempts = b.MaxAttempts
 	p.NoHedging = b.NoHedging
 	p.Budget = b.Budget
 	p.Pool = b.Pool
@@ -218,7 +218,7 @@
 	if hint := header.Get(HeaderHint); hint != "" {
 		micros, err := strconv.ParseUint(hint, 10, 63)
 		if err != nil {
-			return Bad("%s: %q is not a whole number of microseconds", HeaderHint, hint)
+			return BadRequest("%s: %q is not a whole number of microseconds", HeaderHint, hint)
 		}
 		p.WorkHint = int64(micros)
 		p.HasWorkHint = true
@@ -228,7 +228,7 @@
 		p.ClientRetry = true
 	case "", "0":
 	default:
-		return Bad("%s: %q is neither 0 nor 1", HeaderRepeat, retry)
+		return BadRequest("%s: %q is neither 0 nor 1", HeaderRepeat, retry)
 	}
 	return nil
 }
@@ -242,30 +242,30 @@
 			return nil, &Error{http.StatusNotFound, "no route is of this request"}
 		}
 		if name != "" && name != b.ClassName {
-			return nil, Bad("%s: %q, but the route's class is %q", HeaderClass, name, b.ClassName)
+			return nil, BadRequest("%s: %q, but the route's class is %q", HeaderClass, name, b.ClassName)
 		}
 		return b, nil
 	}
 	b, ok := router.OfClass(name)
 	if !ok {
-		return nil, Bad("%s: %q is not a known class", HeaderClass, name)
+		return nil, BadRequest("%s: %q is not a known class", HeaderClass, name)
 	}
 	if first, _, _ := strings.Cut(strings.TrimPrefix(in.Path, "/"), "/"); first != name {
-		return nil, Bad("the path is not of %s %q", HeaderClass, name)
+		return nil, BadRequest("the path is not of %s %q", HeaderClass, name)
 	}
 	return b, nil
 }
 
 // parseKey returns the idempotency key of a request whose class needs one, "" for other classes.
 func parseKey(b *Bounds, key string) (string, error) {
-	if b.Repeat != balancer.IdempotentWithKey {
+	if b.Idempotency != balancer.IdempotentWithKey {
 		return "", nil
 	}
 	if key == "" {
-		return "", Bad("%s is missing", HeaderKey)
+		return "", BadRequest("%s is missing", HeaderKey)
 	}
 	if len(key) > maxIDBytes {
-		return "", Bad("%s: %d characters, at most %d", HeaderKey, len(key), maxIDBytes)
+		return "", BadRequest("%s: %d characters, at most %d", HeaderKey, len(key), maxIDBytes)
 	}
 	return key, nil
 }
@@ -273,14 +273,14 @@
 // checkMethod checks a request's method: that of its class, unless its route names the methods.
 func checkMethod(b *Bounds, in *Request) error {
 	method := http.MethodPost
-	if b.Repeat == balancer.Idempotent {
+	if b.Idempotency == balancer.Idempotent {
 		method = http.MethodGet
 	}
 	if in.Method != method && !b.Methods {
 		return &Error{http.StatusMethodNotAllowed, fmt.Sprintf("requests of this class are %s", method)}
 	}
 	if in.Method == http.MethodGet && in.Body {
-		return Bad("a GET has no body")
+		return BadRequest("a GET has no body")
 	}
 	return nil
 }
@@ -295,7 +295,7 @@
 	if header := in.Header.Get(HeaderTimeLeft); header != "" || !router.Routed() {
 		millis, err := strconv.ParseUint(header, 10, 63)
 		if err != nil {
-			return 0, Bad("%s: %q is not a whole number of milliseconds", HeaderTimeLeft, header)
+			return 0, BadRequest("%s: %q is not a whole number of milliseconds", HeaderTimeLeft, header)
 		}
 		millis = min(millis, uint64(MaxRequestTime.Milliseconds())) // before it is converted: it may be huge
 		allowed = min(allowed, int64(millis)*microsPerMilli)
--- a/internal/sidecar/connections_test.go
+++ b/internal/sidecar/connections_test.go
@@ -262,7 +262,7 @@
 func TestResponsesCloseConnectionsAboveThreshold(t *testing.T) {
 	e := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
 	const threshold = 3 // few enough for all requests to arrive before a connection is closed as idle
-	h := startWith(t, nil, func(o *httpfront.Options) { o.Crowded = threshold }, fakediscovery.Ready("s-1", e.Address))
+	h := startWith(t, nil, func(o *httpfront.Options) { o.KeepAliveThreshold = threshold }, fakediscovery.Ready("s-1", e.Address))
 	h.waitFor("other connections to end", func() bool { return h.server.Connections() == 0 })
 	for i := range threshold + 3 {
 		conn := h.dial()
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -43,7 +43,7 @@
 	// A change reaches the balancer; the next call asks for newer versions.
 	second := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
 	h.dir.Change(func() {
-		h.dir.List = fakediscovery.Document{Seq: 7, Whole: true, Hosts: []fakediscovery.Host{fakediscovery.Ready("s-2", second.Address)}}
+		h.dir.List = fakediscovery.Document{Seq: 7, Complete: true, Hosts: []fakediscovery.Host{fakediscovery.Ready("s-2", second.Address)}}
 	})
 	h.waitFor("the call after the change", func() bool { return h.dir.Count() == 3 })
 	h.waitFor("the change", func() bool { return h.spy.listCount(balancer.ListFull) == 1 })
@@ -84,7 +84,7 @@
 			h.dir.Change(func() {
 				h.dir.Down, h.dir.Broken = false, ""
 				hosts := []fakediscovery.Host{fakediscovery.Ready("s-2", second.Address)}
-				h.dir.List = fakediscovery.Document{Seq: 1, Whole: true, Hosts: hosts}
+				h.dir.List = fakediscovery.Document{Seq: 1, Complete: true, Hosts: hosts}
 			})
 			h.waitFor("the new list", func() bool { return h.spy.listCount(balancer.ListFull) >= 1 })
 			if got := h.send(h.newRequest("pay", "x", 3*time.Second)); got.code != http.StatusOK {
@@ -107,7 +107,7 @@
 	h.waitFor("the failure", func() bool { return h.spy.listCount(balancer.ListFailed) >= 1 })
 	h.dir.Change(func() {
 		h.dir.Down = false
-		h.dir.List = fakediscovery.Document{Seq: 3, Whole: true, Hosts: []fakediscovery.Host{fakediscovery.Ready("s-2", second.Address)}}
+		h.dir.List = fakediscovery.Document{Seq: 3, Complete: true, Hosts: []fakediscovery.Host{fakediscovery.Ready("s-2", second.Address)}}
 	})
 	h.waitFor("the new list", func() bool { return h.spy.listCount(balancer.ListFull) >= 1 })
 }
@@ -132,7 +132,7 @@
 	}
 	h.dir.Change(func() {
 		h.dir.Down = false
-		h.dir.List = fakediscovery.Document{Seq: 1, Whole: true, Hosts: []fakediscovery.Host{fakediscovery.Ready("s-1", e.Address)}}
+		h.dir.List = fakediscovery.Document{Seq: 1, Complete: true, Hosts: []fakediscovery.Host{fakediscovery.Ready("s-1", e.Address)}}
 	})
 	h.waitFor("ready", func() bool { return status() == http.StatusOK })
 	if last := h.dir.Calls[0]; last != "" {
--- a/internal/sidecar/events_test.go
+++ b/internal/sidecar/events_test.go
@@ -299,7 +299,7 @@
 	hosts[0].Health = "Terminating"
 	o.hosts = hosts
 	lists := o.spy.listCount(balancer.ListFull)
-	o.dir.Change(func() { o.dir.List = fakediscovery.Document{Seq: version, Whole: true, Hosts: hosts} })
+	o.dir.Change(func() { o.dir.List = fakediscovery.Document{Seq: version, Complete: true, Hosts: hosts} })
 	o.waitFor("the list", func() bool { return o.spy.listCount(balancer.ListFull) > lists })
 }
 
--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -147,7 +147,7 @@
 	text, err := json.Marshal(map[string]any{
 		"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f30d27a5be964",
 		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 256},
-		"known":  fakediscovery.Document{Whole: true, Hosts: hosts}, "settings": settings})
+		"known":  fakediscovery.Document{Complete: true, Hosts: hosts}, "settings": settings})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/sidecar/requests_test.go
+++ b/internal/sidecar/requests_test.go
@@ -118,7 +118,7 @@
 func TestUnresponsiveEndpointIsAnsweredByDeadline(t *testing.T) {
 	for class, code := range map[string]int{"read": 503, "pay": 503, "close": 502, "order": 502} {
 		t.Run(class, func(t *testing.T) {
-			e := scriptedconn.New(t, scriptedconn.Silent)
+			e := scriptedconn.New(t, scriptedconn.Unresponsive)
 			h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
 			const remaining = 400 * time.Millisecond
 			sent := h.engine.Now()
@@ -200,7 +200,7 @@
 // A client that has closed its sending side counts as disconnected and must not receive a complete
 // response that no endpoint made.
 func TestHalfClosedClientGetsNoResponse(t *testing.T) {
-	e := scriptedconn.New(t, scriptedconn.Silent)
+	e := scriptedconn.New(t, scriptedconn.Unresponsive)
 	h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
 	conn, err := net.Dial("tcp", strings.TrimPrefix(h.url, "http://"))
 	if err != nil {
@@ -287,11 +287,11 @@
 		{"bad hint", func(r *http.Request) { r.Header.Set("X-Weight-Hint", "heavy") }, 400, "heavy"},
 		{"unknown tenant", func(r *http.Request) { r.Header.Set("X-Account", "nobody") }, 400, "nobody"},
 		{"body too large", func(r *http.Request) {
-			r.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", httpmsg.BodyMost+1)))
-			r.ContentLength = httpmsg.BodyMost + 1
+			r.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", httpmsg.MaxBodyBytes+1)))
+			r.ContentLength = httpmsg.MaxBodyBytes + 1
 		}, 413, "65536"},
 		{"body too large, of unknown length", func(r *http.Request) {
-			r.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", httpmsg.BodyMost+1)))
+			r.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", httpmsg.MaxBodyBytes+1)))
 			r.ContentLength = -1
 		}, 413, "65536"},
 	} {
@@ -309,7 +309,7 @@
 			t.Errorf("an invalid request reached the endpoint: %s %s %v", r.Method, r.URL, r.Header)
 		}
 	}
-	r := h.newRequest("pay", strings.Repeat("x", httpmsg.BodyMost), 3*time.Second)
+	r := h.newRequest("pay", strings.Repeat("x", httpmsg.MaxBodyBytes), 3*time.Second)
 	r.Header.Set("X-Account", "acme")
 	r.Header.Set("X-Weight-Hint", "90000")
 	r.Header.Set("X-Session-Key", "7f3a9c21e0b4d655")
@@ -339,7 +339,7 @@
 	draining.Health = "Terminating"
 	h.dir.Change(func() {
 		hosts := []fakediscovery.Host{draining, fakediscovery.Ready("s-2", second.Address)}
-		h.dir.List = fakediscovery.Document{Seq: 1, Whole: true, Hosts: hosts}
+		h.dir.List = fakediscovery.Document{Seq: 1, Complete: true, Hosts: hosts}
 	})
 	h.waitFor("the new list", func() bool { return h.spy.listCount(balancer.ListFull) == 1 })
 	close(proceed)
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -38,10 +38,10 @@
 // frontOptions are what the configuration says of connections of clients.
 func frontOptions(cfg *Config, log *slog.Logger) httpfront.Options {
 	return httpfront.Options{
-		Connections: maxConnections(cfg),
-		Crowded:     cfg.Limits.Sockets / keepAliveDivisor,
-		BodyBytes:   int64(cfg.Limits.MemoryMB) * bytesPerMB / bodyMemoryDivisor,
-		Log:         log,
+		Connections:        maxConnections(cfg),
+		KeepAliveThreshold: cfg.Limits.Sockets / keepAliveDivisor,
+		BodyBytes:          int64(cfg.Limits.MemoryMB) * bytesPerMB / bodyMemoryDivisor,
+		Log:                log,
 	}
 }
 
--- a/internal/sidecar/shutdown_test.go
+++ b/internal/sidecar/shutdown_test.go
@@ -17,7 +17,7 @@
 // rejected if a retry is safe, else it fails. So is a request that arrives during shutdown on a connection
 // that was opened before it.
 func TestShutdownAnswersEveryRequest(t *testing.T) {
-	e := scriptedconn.New(t, scriptedconn.Silent)
+	e := scriptedconn.New(t, scriptedconn.Unresponsive)
 	end := make(chan time.Duration, 1)
 	h := startWith(t, nil, func(o *httpfront.Options) {
 		o.AcceptFor = time.Millisecond
@@ -85,7 +85,7 @@
 	before := len(h.spy.statuses())
 	h.dir.Change(func() {
 		hosts := []fakediscovery.Host{draining, fakediscovery.Ready("s-2", second.Address)}
-		h.dir.List = fakediscovery.Document{Seq: 1, Whole: true, Hosts: hosts}
+		h.dir.List = fakediscovery.Document{Seq: 1, Complete: true, Hosts: hosts}
 	})
 	h.waitFor("the new list", func() bool { return h.spy.listCount(balancer.ListFull) == 1 })
 	for range 5 {
--- a/internal/site/build_fronts.go
+++ b/internal/site/build_fronts.go
@@ -71,13 +71,13 @@
 		listener = store.Listen(listener, "http/1.1")
 	}
 	front := httpfront.New(i.engine, upstream, httpfront.Options{
-		Connections: f.Limits.ClientConnections,
-		Crowded:     f.Limits.ClientConnections / atCapacityDivisor,
-		BodyBytes:   f.maxBodyBytes(),
-		Parser:      i.parser,
-		AltSvc:      altSvc,
-		EndBy:       func(longest time.Duration) time.Duration { return longest + endMargin },
-		Log:         i.log,
+		Connections:        f.Limits.ClientConnections,
+		KeepAliveThreshold: f.Limits.ClientConnections / atCapacityDivisor,
+		BodyBytes:          f.maxBodyBytes(),
+		Parser:             i.parser,
+		AltSvc:             altSvc,
+		EndBy:              func(longest time.Duration) time.Duration { return longest + endMargin },
+		Log:                i.log,
 	})
 	i.HTTP = listener.Addr()
 	i.serve(func() error { return front.Serve(ctx, listener) })
@@ -90,14 +90,14 @@
 	}
 	f := i.file
 	options := extproc.Options{
-		Streams: f.ExtProc.Streams,
-		Backlog: f.ExtProc.Backlog,
-		Retries: f.ExtProc.Retries == retriesByProxy,
-		Entries: f.Limits.MemoryMB * bytesPerMB / entryMemoryDivisor / entryBytes,
-		Fields:  f.Fleet.LoadFields,
-		Parser:  i.parser,
-		Drain:   f.longestDeadline(),
-		Log:     i.log,
+		MaxStreams:   f.ExtProc.Streams,
+		MaxBacklog:   f.ExtProc.Backlog,
+		CallersRetry: f.ExtProc.Retries == retriesByProxy,
+		MaxEntries:   f.Limits.MemoryMB * bytesPerMB / entryMemoryDivisor / entryBytes,
+		LoadFields:   f.Fleet.LoadFields,
+		Parser:       i.parser,
+		Drain:        f.longestDeadline(),
+		Log:          i.log,
 	}
 	if store := i.stores[f.ExtProc.Keys]; store != nil {
 		options.TLS, options.Renew = store.Server("h2"), store.Spread()
--- a/internal/site/build_settings.go
+++ b/internal/site/build_settings.go
@@ -42,20 +42,20 @@
 		RetryAfter:    l.MaxRetryAfter > 0,
 		MaxAttempts:   l.MaxAttempts,
 		MaxOpen:       l.OpenRequests,
-		MaxRetryAfter: l.MaxRetryAfter.Micros(),
-		DialTimeout:   l.DialTimeout.Micros(),
+		MaxRetryAfter: l.MaxRetryAfter.Microseconds(),
+		DialTimeout:   l.DialTimeout.Microseconds(),
 	}
 }
 
 // balancerContract returns how servers and clients behave.
 func (f *File) balancerContract() balancer.Contract {
 	return balancer.Contract{
-		DrainGrace:       f.Fleet.DrainGrace.Micros(),
+		DrainGrace:       f.Fleet.DrainGrace.Microseconds(),
 		SlowStartRatio:   f.Fleet.SlowStartRatio,
-		SlowStartTime:    f.Fleet.SlowStartTime.Micros(),
+		SlowStartTime:    f.Fleet.SlowStartTime.Microseconds(),
 		OverloadMultiple: f.Fleet.OverloadMultiple,
-		OverloadTime:     f.Fleet.OverloadTime.Micros(),
-		PollInterval:     f.Discovery.PollInterval.Micros(),
+		OverloadTime:     f.Fleet.OverloadTime.Microseconds(),
+		PollInterval:     f.Discovery.PollInterval.Microseconds(),
 		AnswerSlack:      requestmeta.ResponseMargin.Microseconds(),
 	}
 }
@@ -65,14 +65,14 @@
 	config := &policy.Config{
 		Version: f.version(),
 		Limits: policy.Limits{
-			MaxAttempts: f.Limits.MaxAttempts,
-			Hedging:     f.Limits.Hedging,
-			MaxDeadline: requestmeta.MaxRequestTime,
-			Dial:        time.Duration(f.Limits.DialTimeout),
-			TimerSlack:  time.Duration(f.Limits.TimerSlack),
-			ClockError:  f.Limits.ClockDrift,
-			DrainGrace:  time.Duration(f.Fleet.DrainGrace),
-			DrainFor:    time.Duration(f.Fleet.DrainTime),
+			MaxAttempts:  f.Limits.MaxAttempts,
+			Hedging:      f.Limits.Hedging,
+			MaxDeadline:  requestmeta.MaxRequestTime,
+			DialTimeout:  time.Duration(f.Limits.DialTimeout),
+			TimerSlack:   time.Duration(f.Limits.TimerSlack),
+			ClockError:   f.Limits.ClockDrift,
+			DrainGrace:   time.Duration(f.Fleet.DrainGrace),
+			DrainTimeout: time.Duration(f.Fleet.DrainTime),
 		},
 	}
 	for i := range f.Classes {
@@ -118,7 +118,7 @@
 		TypicalWork:      time.Duration(c.TypicalWork),
 		Clients:          c.Clients,
 		MaxInFlight:      c.MaxInFlight,
-		BrownOut:         c.BrownOut,
+		BrownoutLevel:    c.BrownOut,
 	}
 }
 
--- a/internal/site/build_source.go
+++ b/internal/site/build_source.go
@@ -57,12 +57,12 @@
 		Kind: reconcile.Ephemeral,
 		Name: e.Path,
 		Feeder: ephemeral.New(ephemeral.Options{
-			Servers: e.Servers,
-			Path:    e.Path,
-			Session: time.Duration(e.SessionTimeout),
-			Digest:  f.digest,
-			Rules:   ephemeral.Rules{Sites: f.Fleet.Sites, Kinds: f.Fleet.Kinds},
-			Log:     log,
+			Servers:        e.Servers,
+			Path:           e.Path,
+			SessionTimeout: time.Duration(e.SessionTimeout),
+			Digest:         f.digest,
+			Rules:          ephemeral.Rules{Sites: f.Fleet.Sites, Kinds: f.Fleet.Kinds},
+			Log:            log,
 		}),
 	}
 }
@@ -90,13 +90,13 @@
 		return nil, nil
 	}
 	config := subset.Config{
-		Instance: f.Name,
-		Site:     f.Site,
-		Floor:    f.Fleet.MinSubset,
-		Spread:   f.Fleet.SubsetSpread,
+		Instance:    f.Name,
+		Site:        f.Site,
+		MinSize:     f.Fleet.MinSubset,
+		PerInFlight: f.Fleet.SubsetSpread,
 	}
 	for i := range f.Classes {
-		config.Pods = config.Pods || f.Classes[i].Group == "pod"
+		config.RankPods = config.RankPods || f.Classes[i].Group == "pod"
 	}
 	return subset.New(config)
 }
--- a/internal/site/build_stores.go
+++ b/internal/site/build_stores.go
@@ -20,25 +20,25 @@
 func (k *Keys) storeOptions(server bool, log *slog.Logger) certstore.Options {
 	options := certstore.Options{
 		Paths: k.paths(),
-		Want: validate.Want{
+		Want: validate.Requirements{
 			Names:           k.Names,
 			Server:          server,
-			LeastRSA:        max(k.MinRSABits, minRSABits),
+			MinRSABits:      max(k.MinRSABits, minRSABits),
 			AllowExpired:    k.AllowExpired,
 			PeerExpiryGrace: time.Duration(k.PeerExpiryGrace),
 		},
-		Spread: time.Duration(k.ReplacementTime),
-		Least:  tlsVersions[k.MinTLSVersion],
-		Log:    log.With("keys", k.Name),
+		ReplacementTime: time.Duration(k.ReplacementTime),
+		MinTLSVersion:   tlsVersions[k.MinTLSVersion],
+		Log:             log.With("keys", k.Name),
 	}
-	if options.Spread == 0 {
-		options.Spread = defaultReplacementTime
+	if options.ReplacementTime == 0 {
+		options.ReplacementTime = defaultReplacementTime
 	}
 	return options
 }
 
 // stores are the open certificate stores by the name of their [[keys]] entry.
-type stores map[string]*certstore.Room
+type stores map[string]*certstore.Store
 
 // openStores opens the stores that an enabled front or the upstream uses.
 func (f *File) openStores(log *slog.Logger) (stores, error) {
@@ -72,6 +72,6 @@
 // reload reads the files of all stores now.
 func (s stores) reload() {
 	for _, store := range s {
-		store.Look()
+		store.Reload()
 	}
 }
--- a/internal/site/build_upstream.go
+++ b/internal/site/build_upstream.go
@@ -18,10 +18,10 @@
 
 // verifyNames returns the names by which servers are verified.
 func (f *File) verifyNames() *secure.Names {
-	names := &secure.Names{Pattern: f.Upstream.VerifyPattern, Own: map[string]string{}}
+	names := &secure.Names{Pattern: f.Upstream.VerifyPattern, ByServer: map[string]string{}}
 	for _, s := range f.Servers {
 		if s.VerifyName != "" {
-			names.Own[s.Name] = s.VerifyName
+			names.ByServer[s.Name] = s.VerifyName
 		}
 	}
 	return names
@@ -31,11 +31,11 @@
 func (f *File) handshakeBudget() handshake.Config {
 	u := &f.Upstream
 	all := handshake.Config{
-		PerServer:  u.HandshakesPerServer,
-		All:        u.HandshakesTotal,
-		Burst:      u.HandshakeBurst,
-		ColdFrom:   f.Fleet.SlowStartRatio,
-		WarmWithin: time.Duration(f.Fleet.SlowStartTime),
+		PerServer:          u.HandshakesPerServer,
+		All:                u.HandshakesTotal,
+		Burst:              u.HandshakeBurst,
+		InitialWarmupRatio: f.Fleet.SlowStartRatio,
+		WarmWithin:         time.Duration(f.Fleet.SlowStartTime),
 	}
 	return all.Share(f.Fleet.Instances, minInstanceHandshakes)
 }
@@ -46,7 +46,7 @@
 		return nil, nil
 	}
 	return secure.New(secure.Options{
-		Room:     open[f.Upstream.Keys],
+		KeyStore: open[f.Upstream.Keys],
 		Names:    f.verifyNames(),
 		Budget:   f.handshakeBudget(),
 		Sessions: f.Upstream.MaxSessions,
--- a/internal/site/counters.go
+++ b/internal/site/counters.go
@@ -17,8 +17,8 @@
 	return counters
 }
 
-// Security returns the counters of handshakes with servers; ok is false if the upstream is plain text.
-func (i *Instance) Security() (counters secure.Counters, ok bool) {
+// HandshakeCounters returns the counters of handshakes with servers; ok is false if the upstream is plain text.
+func (i *Instance) HandshakeCounters() (counters secure.Counters, ok bool) {
 	if i.upstreamTLS == nil {
 		return counters, false
 	}
@@ -29,20 +29,20 @@
 func (i *Instance) logCounters() {
 	const day = 24 * time.Hour
 	for name, c := range i.Keys() {
-		attributes := []any{"keys", name, "accepted", c.Taken, "rejected", c.Kept}
+		attributes := []any{"keys", name, "accepted", c.Accepted, "rejected", c.Rejected}
 		if c.Remaining != 0 {
 			attributes = append(attributes, "days_remaining", int(c.Remaining/day))
 		}
 		i.log.Info("certificate counters", attributes...)
 	}
-	if c, ok := i.Security(); ok {
+	if c, ok := i.HandshakeCounters(); ok {
 		i.log.Info("server handshake counters",
 			"full", c.Full,
 			"resumed", c.Resumed,
 			"failed", c.Failed,
 			"sessions", c.Sessions,
 			"budget_delayed", c.Turns.Waited,
-			"budget_rejected", c.Turns.Refused,
+			"budget_rejected", c.Turns.Rejected,
 			"budget_deferred", c.Turns.Put)
 	}
 }
@@ -53,11 +53,11 @@
 	return count
 }
 
-// Held returns what the external processor holds: requests that wait for a decision, rounds of attempts and entries.
+// InFlight returns what the external processor holds: requests that wait for a decision, rounds of attempts and entries.
 // It must not be called from the engine's goroutine.
-func (i *Instance) Held() (waiting, rounds, entries int) {
+func (i *Instance) InFlight() (waiting, rounds, entries int) {
 	if i.extProc == nil {
 		return 0, 0, 0
 	}
-	return i.extProc.Held()
+	return i.extProc.Counts()
 }
--- a/internal/site/instance.go
+++ b/internal/site/instance.go
@@ -157,7 +157,7 @@
 	}
 	if i.Peers != nil {
 		options.KeyLeases = i.Peers
-		options.Observe = i.Peers.ObserveAttempt
+		options.ObserveOutcome = i.Peers.ObserveAttempt
 		options.Source = observedSource{options.Source, i.Peers}
 	}
 	return options
--- a/internal/site/keys_report.go
+++ b/internal/site/keys_report.go
@@ -51,7 +51,7 @@
 			role = "  over" // an intermediate
 		}
 		fmt.Fprintf(out, "  %s %s, %s, by %s, number %s, %s\n",
-			role, validate.Shown(cert), keyType(cert), cert.Issuer, cert.SerialNumber, validity(cert))
+			role, validate.NamesOf(cert), keyType(cert), cert.Issuer, cert.SerialNumber, validity(cert))
 	}
 	for _, root := range material.Roots {
 		fmt.Fprintf(out, "  trusts %s, %s, %s\n", root.Subject, keyType(root), validity(root))
--- a/internal/site/peers_test.go
+++ b/internal/site/peers_test.go
@@ -96,7 +96,7 @@
 	wait.Until(t, "all instances to be connected and ready to vote", func() bool {
 		for _, i := range instances {
 			s, err := i.Peers.Status(t.Context())
-			if err != nil || len(s.Alive) != len(instances) || s.Quiet != "0s" {
+			if err != nil || len(s.Alive) != len(instances) || s.RecoveringFor != "0s" {
 				return false
 			}
 		}
@@ -226,7 +226,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		return s.Held
+		return s.HeldBack
 	}
 	for n, list := range lists {
 		wait.Until(t, fmt.Sprint("the watch of ", n), func() bool { return list.Count() > 1 })
@@ -235,7 +235,7 @@
 		changed := slices.Clone(hosts)
 		alter(&changed[0])
 		lists[n].Change(func() {
-			lists[n].List = fakediscovery.Document{Seq: lists[n].List.Seq + 1, Whole: true, Hosts: changed}
+			lists[n].List = fakediscovery.Document{Seq: lists[n].List.Seq + 1, Complete: true, Hosts: changed}
 		})
 	}
 	drains := func(h *fakediscovery.Host) { h.Health = "Terminating" }
@@ -258,7 +258,7 @@
 	}
 	// It was restarted, as all lists say: the advisory on its previous incarnation no longer counts.
 	for n := range lists {
-		changeList(n, func(h *fakediscovery.Host) { h.BornMS = 1 })
+		changeList(n, func(h *fakediscovery.Host) { h.StartedMS = 1 })
 	}
 	wait.Until(t, "the own list to be followed", func() bool { return len(advisedDraining(2)) == 0 })
 	next := 60
--- a/internal/site/reload.go
+++ b/internal/site/reload.go
@@ -42,7 +42,7 @@
 	}
 	i.admission.Configure(table.Admission(f.Limits.AdmitRate))
 	if i.extProc != nil {
-		i.extProc.Classes(table.Classes())
+		i.extProc.SetClasses(table.Classes())
 	}
 	i.table.Store(table)
 	i.parser.Use(newRouter(table))
--- a/internal/site/reload_test.go
+++ b/internal/site/reload_test.go
@@ -214,7 +214,7 @@
 	answer := make(chan int)
 	go func() { answer <- r.pay() }()
 	wait.Until(t, "the request in flight", func() bool { return r.Requests() == 1 })
-	number := func() uint8 { b, _ := r.Table().OfClass("stall-pay"); return b.Class }
+	number := func() uint8 { b, _ := r.Table().ClassBounds("stall-pay"); return b.Class }
 	was := number()
 	r.reload(priceClass)
 	if code := r.pay(); code != 400 {
--- a/internal/site/router.go
+++ b/internal/site/router.go
@@ -14,31 +14,31 @@
 // newRouter converts the bounds of a table once, so that a lookup allocates nothing.
 func newRouter(table *policy.Table) *router {
 	r := &router{table, map[*policy.Bounds]*requestmeta.Bounds{}}
-	table.Each(func(b *policy.Bounds) {
+	table.ForEachBounds(func(b *policy.Bounds) {
 		r.bounds[b] = &requestmeta.Bounds{
-			Class:      b.Class,
-			ClassName:  b.ClassName,
-			Repeat:     b.Idempotency,
-			Methods:    b.Methods,
-			Deadline:   b.Deadline,
-			TryFor:     b.AttemptTimeout,
-			HedgeDelay: b.HedgeDelay,
-			Attempts:   b.MaxAttempts,
-			NoHedging:  b.NoHedging,
-			Budget:     b.Budget,
-			Pool:       b.Pool,
+			Class:          b.Class,
+			ClassName:      b.ClassName,
+			Idempotency:    b.Idempotency,
+			Methods:        b.RestrictsMethods,
+			Deadline:       b.Deadline,
+			AttemptTimeout: b.AttemptTimeout,
+			HedgeDelay:     b.HedgeDelay,
+			MaxAttempts:    b.MaxAttempts,
+			NoHedging:      b.NoHedging,
+			Budget:         b.Budget,
+			Pool:           b.Pool,
 		}
 	})
 	return r
 }
 
 // Routed reports whether the table has routes. Without, a request names its class.
-func (r *router) Routed() bool { return r.table.Routed() }
+func (r *router) Routed() bool { return r.table.HasRoutes() }
 
 // Route returns the bounds of a request's route. It rejects paths that a server could interpret differently from the
 // table.
 func (r *router) Route(in *requestmeta.Request) (*requestmeta.Bounds, bool) {
-	if policy.Unclean(in.Path) {
+	if policy.IsAmbiguousPath(in.Path) {
 		return nil, false
 	}
 	query := policy.Query{Method: in.Method, Host: in.Host, Path: in.Path, Header: in.Header}
@@ -48,7 +48,7 @@
 
 // OfClass returns the bounds of a class.
 func (r *router) OfClass(name string) (*requestmeta.Bounds, bool) {
-	b, ok := r.table.OfClass(name)
+	b, ok := r.table.ClassBounds(name)
 	return r.bounds[b], ok
 }
 
--- a/internal/site/section_fleet.go
+++ b/internal/site/section_fleet.go
@@ -19,9 +19,9 @@
 
 // loadFields are the values of fleet.reports.
 var loadFields = map[string]balancer.Field{
-	"inflight":   balancer.FieldInflight,
+	"inflight":   balancer.FieldInFlight,
 	"queue":      balancer.FieldQueue,
-	"util":       balancer.FieldUtil,
+	"util":       balancer.FieldUtilization,
 	"latency_ms": balancer.FieldLatency,
 	"qps":        balancer.FieldServed,
 	"eps":        balancer.FieldErrors,
--- a/internal/site/secure_test.go
+++ b/internal/site/secure_test.go
@@ -130,7 +130,7 @@
 				if w.fleet[0].Counts().Requests != 0 || w.fleet[1].Counts().Run < 30 {
 					t.Errorf("requests went to %+v and %+v", w.fleet[0].Counts(), w.fleet[1].Counts())
 				}
-				wait.Until(t, "the failed handshake", func() bool { c, ok := w.Security(); return ok && c.Failed[reason] > 0 })
+				wait.Until(t, "the failed handshake", func() bool { c, ok := w.HandshakeCounters(); return ok && c.Failed[reason] > 0 })
 				w.logCounters()
 				logged := w.log.String()
 				if !strings.Contains(logged, "expected=s-0.example.org") ||
--- a/internal/standin/ca/ca.go
+++ b/internal/standin/ca/ca.go
@@ -54,11 +54,11 @@
 
 // Spec is what is issued. The zero value is a sound certificate for a server and a client.
 type Spec struct {
-	Names           []string // DNS names, addresses and URIs
-	From, Until     time.Time
-	Uses            []x509.ExtKeyUsage
-	Key             crypto.Signer // nil for a new one of P-256
-	LeaveOutBetween bool          // half a chain
+	Names            []string // DNS names, addresses and URIs
+	From, Until      time.Time
+	Uses             []x509.ExtKeyUsage
+	Key              crypto.Signer // nil for a new one of P-256
+	OmitIntermediate bool          // half a chain
 }
 
 // Epoch is when authorities begin; they last for ten years.
@@ -140,7 +140,7 @@
 	}
 	p := &Pair{Signer: s.Key, Leaf: a.sign(about, a.Cert, s.Key.Public(), a.Key)}
 	p.Cert = block("CERTIFICATE", p.Leaf.Raw)
-	for up := a; up.above != nil && !s.LeaveOutBetween; up = up.above {
+	for up := a; up.above != nil && !s.OmitIntermediate; up = up.above {
 		p.Cert = append(p.Cert, up.PEM()...)
 	}
 	private, err := x509.MarshalPKCS8PrivateKey(s.Key)
--- a/internal/standin/cert/cert.go
+++ b/internal/standin/cert/cert.go
@@ -30,8 +30,8 @@
 	Client    *tls.Config // trusts the certificate; sessions are resumed
 }
 
-// Room is one that shows the certificate, and lets in whoever comes.
-func (p *Pair) Room(t *testing.T) *certstore.Room {
+// CertificateStore is one that shows the certificate, and lets in whoever comes.
+func (p *Pair) CertificateStore(t *testing.T) *certstore.Store {
 	t.Helper()
 	dir := t.TempDir()
 	paths := certstore.Paths{Cert: filepath.Join(dir, "cert"), Key: filepath.Join(dir, "key")}
@@ -40,7 +40,7 @@
 			t.Fatal(err)
 		}
 	}
-	room, err := certstore.Open(certstore.Options{Paths: paths, Want: validate.Want{Server: true}, Log: slog.New(slog.DiscardHandler)})
+	room, err := certstore.Open(certstore.Options{Paths: paths, Want: validate.Requirements{Server: true}, Log: slog.New(slog.DiscardHandler)})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/standin/fakebackend/soko.go
+++ b/internal/standin/fakebackend/soko.go
@@ -20,10 +20,10 @@
 // Faults are the shares of requests that a fleet fails, each 0 to 1, drawn by the
 // request's id: the same seed and id fail in the same way at the same server.
 type Faults struct {
-	TurnAway float64 // 503 with X-Unprocessed: 1, never run
-	Error    float64 // 500 after it has run
-	Reset    float64 // the connection is closed after it has run
-	Silent   float64 // no answer, though it has run
+	Reject       float64 // 503 with X-Unprocessed: 1, never run
+	Error        float64 // 500 after it has run
+	Reset        float64 // the connection is closed after it has run
+	Unresponsive float64 // no answer, though it has run
 
 	// Everywhere has a request fare the same at every server: nothing depends on
 	// which is chosen.
@@ -49,7 +49,7 @@
 }
 
 // Counts is what came to a fleet.
-type Counts struct{ Requests, Run, TurnedAway, Dropped int }
+type Counts struct{ Requests, Run, Rejected, Dropped int }
 
 // Server is one server of a fleet.
 type Server struct {
@@ -87,7 +87,7 @@
 	if n := f.started.Add(1); !f.Faults.Everywhere {
 		seed ^= n * 0x9e3779b97f4a7c15
 	}
-	fault := model.Fault{Until: model.Never, Reject: f.Faults.TurnAway, FailLate: f.Faults.Error, Break: f.Faults.Reset, Swallow: f.Faults.Silent}
+	fault := model.Fault{Until: model.Never, Reject: f.Faults.Reject, FailLate: f.Faults.Error, Break: f.Faults.Reset, Swallow: f.Faults.Unresponsive}
 	made, err := f.emulated.Start(sockets.Spec{Name: name, Group: fmt.Sprint(cell), Seed: seed, Listen: address, Faults: []model.Fault{fault},
 		Config: model.Config{Cores: room, Speed: 1, SlotsPerCore: 1}})
 	if err != nil {
@@ -127,6 +127,6 @@
 func (f *Fleet) Counts() Counts {
 	c := Counts{Requests: int(f.requests.Load())}
 	c.Run, c.Dropped = f.emulated.Counts()
-	c.TurnedAway = c.Requests - c.Run - c.Dropped
+	c.Rejected = c.Requests - c.Run - c.Dropped
 	return c
 }
