--- a/internal/standin/fakediscovery/directory.go
+++ b/internal/standin/fakediscovery/directory.go
@@ -17,21 +17,21 @@
 
 // Document is a list in discovery's form.
 type Document struct {
-	Seq   uint64 `json:"seq"`
-	Whole bool   `json:"whole"`
-	Hosts []Host `json:"hosts"`
+	Seq      uint64 `json:"seq"`
+	Complete bool   `json:"whole"`
+	Hosts    []Host `json:"hosts"`
 }
 
 // Host is one of its entries.
 type Host struct {
-	Name   string  `json:"host"`
-	Dial   string  `json:"dial"`
-	Site   string  `json:"site"`
-	Class  string  `json:"class"`
-	Block  uint16  `json:"block"`
-	Health string  `json:"health"`
-	Share  float32 `json:"share"`
-	BornMS int64   `json:"born_ms"`
+	Name      string  `json:"host"`
+	Dial      string  `json:"dial"`
+	Site      string  `json:"site"`
+	Class     string  `json:"class"`
+	Block     uint16  `json:"block"`
+	Health    string  `json:"health"`
+	Share     float32 `json:"share"`
+	StartedMS int64   `json:"born_ms"`
 }
 
 // Directory is a discovery service with one list.
@@ -55,9 +55,9 @@
 	at  time.Time
 }
 
-// Held says when a caller first asked for what is newer than a version, or than a newer one:
+// Acknowledged says when a caller first asked for what is newer than a version, or than a newer one:
 // it has been told then. False if none has.
-func (d *Directory) Held(seq uint64) (time.Time, bool) {
+func (d *Directory) Acknowledged(seq uint64) (time.Time, bool) {
 	d.Lock()
 	defer d.Unlock()
 	for _, h := range d.polls {
@@ -81,7 +81,7 @@
 
 // Start starts a service with a list of these entries.
 func Start(hosts ...Host) (*Directory, error) {
-	d := &Directory{List: Document{Whole: true, Hosts: hosts}, changed: make(chan struct{})}
+	d := &Directory{List: Document{Complete: true, Hosts: hosts}, changed: make(chan struct{})}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
--- a/internal/standin/fakezookeeper/script.go
+++ b/internal/standin/fakezookeeper/script.go
@@ -86,8 +86,8 @@
 	s.touch()
 }
 
-// Refuse has all members break connections, and close new ones.
-func (s *Service) Refuse(on bool) {
+// Reject has all members break connections, and close new ones.
+func (s *Service) Reject(on bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, m := range s.members {
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -45,7 +45,7 @@
 	}
 	text, err := json.Marshal(map[string]any{"name": "n0", "listen": c.Listen, "discovery": c.Discovery, "seed": "1f",
 		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
-		"known":  fakediscovery.Document{Seq: 1, Whole: true, Hosts: known}, "settings": settings})
+		"known":  fakediscovery.Document{Seq: 1, Complete: true, Hosts: known}, "settings": settings})
 	if err != nil {
 		panic(fmt.Sprintf("a configuration that JSON has no words for: %v", err))
 	}
--- a/internal/standin/proxy/proxy.go
+++ b/internal/standin/proxy/proxy.go
@@ -34,14 +34,14 @@
 
 // Behaviour is what a proxy does out of the ordinary with one ask.
 type Behaviour struct {
-	LeaveBeforeVerdict bool // the stream is broken as soon as it has asked
-	LeaveAtVerdict     bool // broken when the verdict comes, which is not used
-	NoReport           bool // forwarded, and the stream is ended without a report
-	Attempt            int  // x-envoy-attempt-count, 0 for none
+	DisconnectBeforeDecision bool // the stream is broken as soon as it has asked
+	DisconnectAtDecision     bool // broken when the verdict comes, which is not used
+	NoReport                 bool // forwarded, and the stream is ended without a report
+	Attempt                  int  // x-envoy-attempt-count, 0 for none
 }
 
-// Verdict is what the processor answered to an ask.
-type Verdict struct {
+// Decision is what the processor answered to an ask.
+type Decision struct {
 	Endpoint string // "" for an immediate answer
 	Code     int    // of an immediate answer
 	After    string // its Retry-After
@@ -52,14 +52,14 @@
 
 // Answer is what the client gets.
 type Answer struct {
-	Verdicts int // messages that answered the ask: one, if it was not left before
-	Verdict  Verdict
-	Code     int
-	After    string
-	Again    bool // the processor lets the proxy ask once more
-	SentAt   time.Time
-	SentTo   string
-	Err      error // of the stream
+	Decisions    int // messages that answered the ask: one, if it was not left before
+	Decision     Decision
+	Code         int
+	After        string
+	RetryAllowed bool // the processor lets the proxy ask once more
+	SentAt       time.Time
+	SentTo       string
+	Err          error // of the stream
 }
 
 // Proxy is one proxy with its connections. Make one with Dial.
@@ -156,8 +156,8 @@
 func lower(name string) string { return string(bytes.ToLower([]byte(name))) }
 
 // Read takes a message as the answer to request headers.
-func Read(m *extprocv3.ProcessingResponse) (Verdict, error) {
-	v := Verdict{Headers: map[string]string{}}
+func Read(m *extprocv3.ProcessingResponse) (Decision, error) {
+	v := Decision{Headers: map[string]string{}}
 	take := func(in *extprocv3.HeaderMutation) {
 		for _, h := range in.GetSetHeaders() {
 			v.Headers[h.GetHeader().GetKey()] = string(h.GetHeader().GetRawValue())
@@ -193,7 +193,7 @@
 	if out.Err = stream.Send(Headers(r, b.Attempt)); out.Err != nil {
 		return out
 	}
-	if b.LeaveBeforeVerdict {
+	if b.DisconnectBeforeDecision {
 		return out
 	}
 	m, err := stream.Recv()
@@ -201,24 +201,24 @@
 		out.Err = err
 		return out
 	}
-	out.Verdicts++
-	if out.Verdict, out.Err = Read(m); out.Err != nil || b.LeaveAtVerdict {
+	out.Decisions++
+	if out.Decision, out.Err = Read(m); out.Err != nil || b.DisconnectAtDecision {
 		return out
 	}
-	if out.Verdict.Endpoint == "" {
-		out.Code, out.After = out.Verdict.Code, out.Verdict.After
+	if out.Decision.Endpoint == "" {
+		out.Code, out.After = out.Decision.Code, out.Decision.After
 		endStream(stream)
 		return out
 	}
-	remaining, _ := strconv.Atoi(out.Verdict.Headers["x-envoy-upstream-rq-timeout-ms"])
-	out.SentAt, out.SentTo = time.Now(), out.Verdict.Endpoint
-	code, header, details := p.forward(out.Verdict, r, time.Duration(remaining)*time.Millisecond)
+	remaining, _ := strconv.Atoi(out.Decision.Headers["x-envoy-upstream-rq-timeout-ms"])
+	out.SentAt, out.SentTo = time.Now(), out.Decision.Endpoint
+	code, header, details := p.forward(out.Decision, r, time.Duration(remaining)*time.Millisecond)
 	if b.NoReport {
 		endStream(stream)
 		out.Code = code
 		return out
 	}
-	if out.Err = stream.Send(Report(code, header, details, out.Verdict.Endpoint)); out.Err != nil {
+	if out.Err = stream.Send(Report(code, header, details, out.Decision.Endpoint)); out.Err != nil {
 		return out
 	}
 	if m, out.Err = stream.Recv(); out.Err != nil {
@@ -233,11 +233,11 @@
 			case ":status":
 				out.Code, _ = strconv.Atoi(string(h.GetHeader().GetRawValue()))
 			case "x-pinedale-retry":
-				out.Again = true
+				out.RetryAllowed = true
 			}
 		}
 	case *extprocv3.ProcessingResponse_ImmediateResponse:
-		var v Verdict
+		var v Decision
 		v, out.Err = Read(m)
 		out.Code, out.After = v.Code, v.After
 	default:
@@ -253,7 +253,7 @@
 		if each != nil {
 			each(out)
 		}
-		if !out.Again || out.Err != nil {
+		if !out.RetryAllowed || out.Err != nil {
 			return out
 		}
 	}
@@ -267,7 +267,7 @@
 
 // forward sends a request to an endpoint once, and answers for it as Envoy does
 // where there is no answer.
-func (p *Proxy) forward(v Verdict, r Request, timeout time.Duration) (code int, header http.Header, details string) {
+func (p *Proxy) forward(v Decision, r Request, timeout time.Duration) (code int, header http.Header, details string) {
 	c, err := p.connect(v.Endpoint)
 	if err != nil {
 		return 503, nil, "upstream_reset_before_response_started{remote_connection_failure|delayed_connect_error:_Connection_refused}"
@@ -294,7 +294,7 @@
 }
 
 // exchange writes a request and reads its whole response.
-func (c *connection) exchange(v Verdict, r Request) (*answer, error) {
+func (c *connection) exchange(v Decision, r Request) (*answer, error) {
 	var out bytes.Buffer
 	fmt.Fprintf(&out, "%s %s HTTP/1.1\r\nHost: api.internal\r\nContent-Length: %d\r\n", r.Method, r.Path, len(r.Body))
 	for name, value := range r.Header {
--- a/internal/standin/scriptedconn/peer.go
+++ b/internal/standin/scriptedconn/peer.go
@@ -96,8 +96,8 @@
 	Full    = "HTTP/1.1 503 Service Unavailable\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"
 )
 
-// Silent takes requests and never answers.
-func Silent(e *Endpoint, conn net.Conn, in *bufio.Reader) {
+// Unresponsive takes requests and never answers.
+func Unresponsive(e *Endpoint, conn net.Conn, in *bufio.Reader) {
 	for e.Next(in) != nil {
 	}
 }
--- a/internal/standin/tlsbackend/guarded.go
+++ b/internal/standin/tlsbackend/guarded.go
@@ -100,8 +100,8 @@
 // NewTicketKey makes tickets of before worth nothing, as a restart does.
 func (s *Keys) NewTicketKey() { s.change(func() { rand.Read(s.ticket[:]) }) }
 
-// Most is the highest TLS version that is spoken.
-func (s *Keys) Most(version uint16) { s.change(func() { s.most = version }) }
+// MaxTLSVersion is the highest TLS version that is spoken.
+func (s *Keys) MaxTLSVersion(version uint16) { s.change(func() { s.most = version }) }
 
 // Handshakes counts those that came to their end at the server.
 func (s *Keys) Handshakes() (full, resumed int) { return int(s.full.Load()), int(s.resumed.Load()) }
@@ -140,9 +140,9 @@
 
 // What may be done.
 var (
-	Silent  Bad = func(c net.Conn) { _, _ = io.Copy(io.Discard, c) }
-	Cut     Bad = func(c net.Conn) { _, _ = c.Read(make([]byte, 16)) }
-	Garbage Bad = func(c net.Conn) {
+	Unresponsive Bad = func(c net.Conn) { _, _ = io.Copy(io.Discard, c) }
+	Cut          Bad = func(c net.Conn) { _, _ = c.Read(make([]byte, 16)) }
+	Garbage      Bad = func(c net.Conn) {
 		_, _ = c.Write(make([]byte, 4096))
 		_, _ = io.Copy(io.Discard, c)
 	}
--- a/internal/subset/select.go
+++ b/internal/subset/select.go
@@ -68,7 +68,7 @@
 			break
 		}
 		members := u.members
-		if s.config.Pods {
+		if s.config.RankPods {
 			members = members[:min(len(members), serversPerPod)]
 		}
 		for _, m := range members {
@@ -140,7 +140,7 @@
 // capacity returns how many servers of a site may be selected.
 func (s *Subset) capacity(site string) int {
 	capacity := s.serverCount[site]
-	if s.config.Pods {
+	if s.config.RankPods {
 		capacity = min(capacity, serversPerPod*len(s.sites[site]))
 	}
 	return capacity
--- a/internal/subset/size.go
+++ b/internal/subset/size.go
@@ -25,7 +25,7 @@
 }
 
 func newSizeController(c Config) sizeController {
-	return sizeController{minSize: c.Floor, perInFlight: c.Spread, size: c.Floor}
+	return sizeController{minSize: c.MinSize, perInFlight: c.PerInFlight, size: c.MinSize}
 }
 
 // observe takes in the number of requests in flight and reports whether the size has changed.
--- a/internal/subset/subset.go
+++ b/internal/subset/subset.go
@@ -84,7 +84,7 @@
 
 // newUnit returns the unit, still without members, that a server of the given rank belongs to.
 func (s *Subset) newUnit(server Server, rank uint64) *unit {
-	if !s.config.Pods {
+	if !s.config.RankPods {
 		return &unit{name: server.Name, rank: rank}
 	}
 	return &unit{pod: server.Pod, rank: s.rank("pod", fmt.Sprint(server.Site, " ", server.Pod))}
--- a/internal/subset/subset_test.go
+++ b/internal/subset/subset_test.go
@@ -116,7 +116,7 @@
 
 // Each row of the table in the package comment.
 func TestSelectionFollowsPackageTable(t *testing.T) {
-	config := Config{Instance: "one", Site: "a", Floor: 12, Spread: 2}
+	config := Config{Instance: "one", Site: "a", MinSize: 12, PerInFlight: 2}
 	if s := newSubsetOf(t, config, makeServers(10, 2)); len(selectedNames(s)) != 10 {
 		t.Errorf("small fleet: %d servers selected, want all 10", len(selectedNames(s)))
 	}
@@ -124,7 +124,7 @@
 	if got := selectedPerSite(s); got != [3]int{6, 3, 3} {
 		t.Errorf("selected per site: %v, want half from the own site", got)
 	}
-	otherConfig := Config{Instance: "two", Site: "a", Floor: 12, Spread: 2}
+	otherConfig := Config{Instance: "two", Site: "a", MinSize: 12, PerInFlight: 2}
 	other := newSubsetOf(t, otherConfig, makeServers(300, 3))
 	if slices.Equal(selectedNames(other), selectedNames(s)) {
 		t.Error("two instances selected the same servers")
@@ -169,7 +169,7 @@
 		t.Errorf("selected per site with the own site lost: %v", perSite)
 	}
 
-	pods := newSubsetOf(t, Config{Instance: "one", Site: "a", Floor: 12, Pods: true}, makeServers(300, 3))
+	pods := newSubsetOf(t, Config{Instance: "one", Site: "a", MinSize: 12, RankPods: true}, makeServers(300, 3))
 	perPod := map[uint16]int{}
 	for _, name := range selectedNames(pods) {
 		perPod[pods.members[name].Pod]++
@@ -182,7 +182,7 @@
 }
 
 func TestSizeGrowsAtOnceAndShrinksAfterDelay(t *testing.T) {
-	s := newSubset(t, Config{Instance: "one", Floor: 10, Spread: 1})
+	s := newSubset(t, Config{Instance: "one", MinSize: 10, PerInFlight: 1})
 	observe := func(seconds int, inFlight float64) int {
 		s.ObserveLoad(startTime.Add(time.Duration(seconds)*time.Second), inFlight)
 		return s.sizing.size
@@ -290,7 +290,7 @@
 			selectedHealthy++
 		}
 	}
-	if !c.config.Pods && healthy == len(s.members) && selectedHealthy < min(healthy, s.sizing.size) {
+	if !c.config.RankPods && healthy == len(s.members) && selectedHealthy < min(healthy, s.sizing.size) {
 		t.Fatalf("%d of %d healthy servers selected, %d wanted", selectedHealthy, healthy, s.sizing.size)
 	}
 }
@@ -316,17 +316,17 @@
 func TestSelectionIsMinimalAndHistoryIndependentUnderChurn(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		config := Config{
-			Instance: rapid.StringN(1, 5, -1).Draw(t, "instance"),
-			Site:     rapid.SampledFrom([]string{"a", "b", "z"}).Draw(t, "site"),
-			Floor:    rapid.IntRange(2, 20).Draw(t, "floor"),
-			Spread:   1,
-			Pods:     rapid.Bool().Draw(t, "pods"),
+			Instance:    rapid.StringN(1, 5, -1).Draw(t, "instance"),
+			Site:        rapid.SampledFrom([]string{"a", "b", "z"}).Draw(t, "site"),
+			MinSize:     rapid.IntRange(2, 20).Draw(t, "floor"),
+			PerInFlight: 1,
+			RankPods:    rapid.Bool().Draw(t, "pods"),
 		}
 		servers := makeServers(rapid.IntRange(2, 80).Draw(t, "servers"), rapid.IntRange(1, 3).Draw(t, "sites"))
 		s := newSubset(t, config)
 		c := &churn{config: config, subset: s, listed: map[string]Server{}, expected: map[string]bool{}}
 		unitSize := 1
-		if config.Pods {
+		if config.RankPods {
 			unitSize = serversPerPod
 		}
 		for range rapid.IntRange(1, 100).Draw(t, "steps") {
@@ -353,7 +353,7 @@
 // ones rank before them: more servers than a pod's change for one server then, but of the healthy ones no more
 // than a pod's and its successor's.
 func TestFailingServersAreRemovedWhenHealthyOneIsAdded(t *testing.T) {
-	s := newSubset(t, Config{Instance: "a", Site: "a", Floor: 4, Spread: 1, Pods: true})
+	s := newSubset(t, Config{Instance: "a", Site: "a", MinSize: 4, PerInFlight: 1, RankPods: true})
 	servers := makeServers(17, 1)
 	for _, n := range []int{0, 1, 4, 5, 8, 11, 12, 13, 16} {
 		s.Add(servers[n])
@@ -382,7 +382,7 @@
 	servers := makeServers(serverCount, 2)
 	instances := map[string]int{} // by server
 	for n := range instanceCount {
-		config := Config{Instance: fmt.Sprint("i-", n), Site: string(rune('a' + n%2)), Floor: floor}
+		config := Config{Instance: fmt.Sprint("i-", n), Site: string(rune('a' + n%2)), MinSize: floor}
 		for _, name := range selectedNames(newSubsetOf(t, config, servers)) {
 			instances[name]++
 		}
@@ -401,10 +401,10 @@
 
 func TestNewFailsOnInvalidConfig(t *testing.T) {
 	for _, c := range []Config{
-		{Floor: 10},
-		{Instance: "a", Floor: 1},
-		{Instance: "a", Floor: 10, Spread: -1},
-		{Instance: "a", Floor: 10, Spread: math.NaN()},
+		{MinSize: 10},
+		{Instance: "a", MinSize: 1},
+		{Instance: "a", MinSize: 10, PerInFlight: -1},
+		{Instance: "a", MinSize: 10, PerInFlight: math.NaN()},
 	} {
 		if _, err := New(c); err == nil {
 			t.Errorf("%+v was accepted", c)
@@ -416,7 +416,7 @@
 	for _, n := range []int{10, 100, 1000, 10_000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			servers := makeServers(n, 2)
-			s := newSubsetOf(b, Config{Instance: "one", Site: "a", Floor: 20}, servers)
+			s := newSubsetOf(b, Config{Instance: "one", Site: "a", MinSize: 20}, servers)
 			for b.Loop() {
 				s.Remove(servers[0].Name)
 				s.Select()
--- a/internal/tomlfile/duration.go
+++ b/internal/tomlfile/duration.go
@@ -19,8 +19,8 @@
 // MarshalText formats the duration so that UnmarshalText parses it.
 func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
 
-// Micros returns the duration in microseconds.
-func (d Duration) Micros() int64 { return time.Duration(d).Microseconds() }
+// Microseconds returns the duration in microseconds.
+func (d Duration) Microseconds() int64 { return time.Duration(d).Microseconds() }
 
 // addDurationKeys adds the keys of a type that hold a Duration, without indexes, to keys. prefix is the key of
 // the type itself, "" for the file. The TOML library would accept a bare number for a Duration, as nanoseconds.
--- a/internal/tomlfile/tomlfile_test.go
+++ b/internal/tomlfile/tomlfile_test.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if decoded.Timeout != Duration(250*time.Millisecond) || decoded.Timeout.Micros() != 250_000 {
+	if decoded.Timeout != Duration(250*time.Millisecond) || decoded.Timeout.Microseconds() != 250_000 {
 		t.Errorf("timeout %v", decoded.Timeout)
 	}
 	if !file.Valid() || file.Err() != nil {
--- a/internal/upstream/attempt/attempt.go
+++ b/internal/upstream/attempt/attempt.go
@@ -29,7 +29,7 @@
 // Send sends the request on a goroutine of its own.
 func (c *carrier) Send(a *engine.Attempt) {
 	ctx, cancel := context.WithDeadline(a.Context(), a.DeadlineTime())
-	a.Stop = cancel
+	a.Abort = cancel
 	go func() {
 		res := c.start(ctx, a)
 		cancel()
@@ -51,4 +51,4 @@
 }
 
 // Cancel ends the attempt's context.
-func (c *carrier) Cancel(a *engine.Attempt) { a.Stop() }
+func (c *carrier) Cancel(a *engine.Attempt) { a.Abort() }
--- a/internal/upstream/attempt/message.go
+++ b/internal/upstream/attempt/message.go
@@ -32,11 +32,11 @@
 
 // ReadBody reads a response's body to its end, or fails with ErrBodyTooLarge.
 func ReadBody(body io.Reader) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(body, httpmsg.BodyMost+1))
+	data, err := io.ReadAll(io.LimitReader(body, httpmsg.MaxBodyBytes+1))
 	if err != nil {
 		return nil, err
 	}
-	if len(data) > httpmsg.BodyMost {
+	if len(data) > httpmsg.MaxBodyBytes {
 		return nil, ErrBodyTooLarge
 	}
 	return data, nil
--- a/internal/upstream/attempt/message_test.go
+++ b/internal/upstream/attempt/message_test.go
@@ -17,9 +17,9 @@
 
 func TestReadBodyFailsBeyondItsLimit(t *testing.T) {
 	for size, want := range map[int]error{
-		0:                    nil,
-		httpmsg.BodyMost:     nil,
-		httpmsg.BodyMost + 1: ErrBodyTooLarge,
+		0:                        nil,
+		httpmsg.MaxBodyBytes:     nil,
+		httpmsg.MaxBodyBytes + 1: ErrBodyTooLarge,
 	} {
 		body, err := ReadBody(bytes.NewReader(make([]byte, size)))
 		if !errors.Is(err, want) {
--- a/internal/upstream/byprotocol/either.go
+++ b/internal/upstream/byprotocol/either.go
@@ -79,7 +79,7 @@
 }
 
 // Cancel cancels an attempt. Over both protocols an attempt ends by its own Stop.
-func (c *carrier) Cancel(a *engine.Attempt) { a.Stop() }
+func (c *carrier) Cancel(a *engine.Attempt) { a.Abort() }
 
 // Probe sends a health check over the protocol that the endpoint's requests use.
 func (u *Upstream) Probe(ctx context.Context, t *engine.Target, completed func(engine.Result)) {
--- a/internal/upstream/handshake/config.go
+++ b/internal/upstream/handshake/config.go
@@ -7,11 +7,11 @@
 
 // Config is what an operator allows. Rates are in handshakes per second of this instance.
 type Config struct {
-	PerServer  float64       // rate with one server that is not warming up
-	All        float64       // rate with all servers together
-	ColdFrom   float64       // ratio of PerServer for a server that has just started; it rises to 1
-	WarmWithin time.Duration // time from a server's start until the ratio is 1
-	Burst      float64       // handshakes with one server at once after a pause; All allows one second's worth
+	PerServer          float64       // rate with one server that is not warming up
+	All                float64       // rate with all servers together
+	InitialWarmupRatio float64       // ratio of PerServer for a server that has just started; it rises to 1
+	WarmWithin         time.Duration // time from a server's start until the ratio is 1
+	Burst              float64       // handshakes with one server at once after a pause; All allows one second's worth
 }
 
 // maxRate is the largest valid rate and burst.
@@ -26,7 +26,7 @@
 	}{
 		{"PerServer", c.PerServer, c.PerServer > 0 && c.PerServer <= maxRate},
 		{"All", c.All, c.All >= c.PerServer && c.All <= maxRate},
-		{"ColdFrom", c.ColdFrom, c.ColdFrom > 0 && c.ColdFrom <= 1},
+		{"ColdFrom", c.InitialWarmupRatio, c.InitialWarmupRatio > 0 && c.InitialWarmupRatio <= 1},
 		{"WarmWithin", c.WarmWithin.Seconds(), c.WarmWithin >= 0},
 		{"Burst", c.Burst, c.Burst >= 1 && c.Burst <= maxRate},
 	} {
@@ -55,5 +55,5 @@
 		return 1
 	}
 	progress := max(0, now.Sub(startedAt).Seconds()/c.WarmWithin.Seconds())
-	return min(1, c.ColdFrom+(1-c.ColdFrom)*progress)
+	return min(1, c.InitialWarmupRatio+(1-c.InitialWarmupRatio)*progress)
 }
--- a/internal/upstream/handshake/handshake.go
+++ b/internal/upstream/handshake/handshake.go
@@ -13,10 +13,10 @@
 
 // Counts are the results of all calls of Ask.
 type Counts struct {
-	Now     int // turns granted at once
-	Waited  int // turns granted at a later instant
-	Refused int // requests rejected: no turn within their patience
-	Put     int // background work rejected
+	Now      int // turns granted at once
+	Waited   int // turns granted at a later instant
+	Rejected int // requests rejected: no turn within their patience
+	Put      int // background work rejected
 }
 
 // minSweepServers is the number of servers that are remembered without looking for idle ones.
@@ -52,11 +52,11 @@
 	return &Budget{config: c, servers: map[string]*rateState{}, sweepAt: minSweepServers}, nil
 }
 
-// Ask returns the instant at which a handshake with a server may begin. startedAt is the
+// RequestTurn returns the instant at which a handshake with a server may begin. startedAt is the
 // server's start, zero where it has long been running. A turn that is granted is used up,
 // whether the handshake takes place or not. ok is false where there is none within patience;
 // nothing is used up then.
-func (b *Budget) Ask(now time.Time, server string, startedAt time.Time, kind Kind, patience time.Duration) (
+func (b *Budget) RequestTurn(now time.Time, server string, startedAt time.Time, kind Kind, patience time.Duration) (
 	begin time.Time, ok bool) {
 	if b.epoch.IsZero() {
 		b.epoch = now
@@ -78,7 +78,7 @@
 	turn := max(state.earliest(instant, rate, burst), b.total.earliest(instant, totalRate, totalBurst))
 	wait := turn - instant
 	if wait > patience.Seconds() {
-		b.counts.Refused++
+		b.counts.Rejected++
 		return time.Time{}, false
 	}
 	state.take(turn, rate)
--- a/internal/upstream/handshake/handshake_test.go
+++ b/internal/upstream/handshake/handshake_test.go
@@ -21,12 +21,12 @@
 	return b
 }
 
-var testConfig = Config{PerServer: 10, All: 40, ColdFrom: 0.2, WarmWithin: 10 * time.Second, Burst: 5}
+var testConfig = Config{PerServer: 10, All: 40, InitialWarmupRatio: 0.2, WarmWithin: 10 * time.Second, Burst: 5}
 
 // Each row of the table in the package comment.
 func TestTurnsByKindAndPatience(t *testing.T) {
 	turn := func(b *Budget, k Kind, patience time.Duration) (wait time.Duration, ok bool) {
-		begin, ok := b.Ask(start, "a", time.Time{}, k, patience)
+		begin, ok := b.RequestTurn(start, "a", time.Time{}, k, patience)
 		if !ok {
 			return 0, false
 		}
@@ -74,7 +74,7 @@
 		at := start.Add(age)
 		var turns []time.Time
 		for range 25 {
-			begin, ok := b.Ask(at, "a", startedAt, Request, time.Hour)
+			begin, ok := b.RequestTurn(at, "a", startedAt, Request, time.Hour)
 			if !ok {
 				t.Fatal("rejected")
 			}
@@ -103,7 +103,7 @@
 	b := newBudget(t, testConfig)
 	turns := 0
 	for n := range 2000 {
-		begin, ok := b.Ask(start, fmt.Sprint("s", n), time.Time{}, Request, time.Second)
+		begin, ok := b.RequestTurn(start, fmt.Sprint("s", n), time.Time{}, Request, time.Second)
 		if ok && begin.Sub(start) <= time.Second {
 			turns++
 		}
@@ -112,7 +112,7 @@
 		t.Errorf("%d turns within a second, want 80", turns)
 	}
 	for n := range 10_000 {
-		b.Ask(start.Add(time.Duration(n)*time.Second), fmt.Sprint("t", n), time.Time{}, Request, 0)
+		b.RequestTurn(start.Add(time.Duration(n)*time.Second), fmt.Sprint("t", n), time.Time{}, Request, 0)
 	}
 	if len(b.servers) > 2*minSweepServers {
 		t.Errorf("%d servers are remembered, nearly all of them idle", len(b.servers))
@@ -124,10 +124,10 @@
 func TestTurnsStayWithinBurstAndRate(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := Config{
-			PerServer:  rapid.Float64Range(0.5, 50).Draw(t, "rate"),
-			ColdFrom:   rapid.Float64Range(0.1, 1).Draw(t, "cold"),
-			WarmWithin: time.Duration(rapid.IntRange(0, 20).Draw(t, "warm")) * time.Second,
-			Burst:      rapid.Float64Range(1, 20).Draw(t, "burst"),
+			PerServer:          rapid.Float64Range(0.5, 50).Draw(t, "rate"),
+			InitialWarmupRatio: rapid.Float64Range(0.1, 1).Draw(t, "cold"),
+			WarmWithin:         time.Duration(rapid.IntRange(0, 20).Draw(t, "warm")) * time.Second,
+			Burst:              rapid.Float64Range(1, 20).Draw(t, "burst"),
 		}
 		c.All = c.PerServer * rapid.Float64Range(1, 4).Draw(t, "all")
 		b := newBudget(t, c)
@@ -142,7 +142,7 @@
 			if server == "c" {
 				startedAt = start
 			}
-			begin, ok := b.Ask(now, server, startedAt, kind, patience)
+			begin, ok := b.RequestTurn(now, server, startedAt, kind, patience)
 			if !ok {
 				continue
 			}
@@ -182,7 +182,7 @@
 	for key, invalidate := range map[string]func(*Config){
 		"PerServer":  func(c *Config) { c.PerServer = 0 },
 		"All":        func(c *Config) { c.All = 1 },
-		"ColdFrom":   func(c *Config) { c.ColdFrom = math.NaN() },
+		"ColdFrom":   func(c *Config) { c.InitialWarmupRatio = math.NaN() },
 		"WarmWithin": func(c *Config) { c.WarmWithin = -1 },
 		"Burst":      func(c *Config) { c.Burst = 0.5 },
 	} {
--- a/internal/upstream/httpupstream/outcome_test.go
+++ b/internal/upstream/httpupstream/outcome_test.go
@@ -84,7 +84,7 @@
 		{"body too large",
 			scriptedconn.Always("HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + strings.Repeat("x", 65537)), balancer.Reset},
 		{"head without end", scriptedconn.Always("HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 200<<10)), balancer.Reset},
-		{"unresponsive", scriptedconn.Silent, balancer.Timeout},
+		{"unresponsive", scriptedconn.Unresponsive, balancer.Timeout},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -158,7 +158,7 @@
 	u := newTestUpstream(1)
 	u.dialer.Control = small(syscall.SO_SNDBUF)
 	m := get("/")
-	m.Method, m.Body = http.MethodPost, make([]byte, httpmsg.BodyMost)
+	m.Method, m.Body = http.MethodPost, make([]byte, httpmsg.MaxBodyBytes)
 	target := &engine.Target{Address: listener.Addr().String()}
 	if r := u.attempt(context.Background(), target, m); r.Status != balancer.ConnectFailed {
 		t.Errorf("status %v, want ConnectFailed", r.Status)
--- a/internal/upstream/httpupstream/pool_test.go
+++ b/internal/upstream/httpupstream/pool_test.go
@@ -98,7 +98,7 @@
 
 // The number of connections is bounded: an idle one is evicted for a new one, a busy one is not.
 func TestOpenConnectionsAreBounded(t *testing.T) {
-	quick, slow := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served)), scriptedconn.New(t, scriptedconn.Silent)
+	quick, slow := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served)), scriptedconn.New(t, scriptedconn.Unresponsive)
 	// Each target is another endpoint to the upstream, so that no idle connection is reused.
 	quickTarget := func() *engine.Target { return &engine.Target{Address: quick.Address} }
 	u := newTestUpstream(1)
--- a/internal/upstream/httpupstream/response.go
+++ b/internal/upstream/httpupstream/response.go
@@ -29,7 +29,7 @@
 // receive reads one final response. reusable reports whether the response leaves the connection
 // open for other requests.
 func (c *conn) receive(method string) (answer *attempt.Response, reusable bool, err error) {
-	c.responseLimit.N = maxHeadBytes + httpmsg.BodyMost
+	c.responseLimit.N = maxHeadBytes + httpmsg.MaxBodyBytes
 	defer c.setReadDeadline(time.Time{})
 	for range maxInterimResponses {
 		if _, err := c.reader.Peek(1); err != nil {
@@ -72,7 +72,7 @@
 	if response.StatusCode == http.StatusOK && ambiguous {
 		return errAmbiguousLength
 	}
-	if response.ContentLength > httpmsg.BodyMost {
+	if response.ContentLength > httpmsg.MaxBodyBytes {
 		return attempt.ErrBodyTooLarge
 	}
 	return nil
--- a/internal/upstream/secure/client.go
+++ b/internal/upstream/secure/client.go
@@ -17,7 +17,7 @@
 
 // Options configure a Client.
 type Options struct {
-	Room     *certstore.Room  // own certificate and trusted roots
+	KeyStore *certstore.Store // own certificate and trusted roots
 	Names    *Names           // see Client.Rename
 	Budget   handshake.Config // rates of handshakes
 	Sessions int              // maximum number of sessions that may be resumed, over all servers
@@ -87,7 +87,7 @@
 	}
 	now := c.options.Now()
 	c.mu.Lock()
-	begin, ok := c.budget.Ask(now, t.Address, t.Started(), kind, patience)
+	begin, ok := c.budget.RequestTurn(now, t.Address, t.Started(), kind, patience)
 	c.mu.Unlock()
 	if !ok {
 		return fmt.Errorf("%w: handshake rate limit of %s", attempt.ErrFull, t.Address)
--- a/internal/upstream/secure/conn.go
+++ b/internal/upstream/secure/conn.go
@@ -19,7 +19,7 @@
 // lifetime decides for how long a connection may carry new requests: as long as keys and trust
 // allow it, and as long as its server goes by the name that it was verified by.
 type lifetime struct {
-	keys   *certstore.Life
+	keys   *certstore.Lifetime
 	client *Client
 	server string // name in membership
 	name   string // name in the certificate
--- a/internal/upstream/secure/conn_test.go
+++ b/internal/upstream/secure/conn_test.go
@@ -29,7 +29,7 @@
 		t.Fatal("a new connection is not usable")
 	}
 	f.files.Put(f.files.Roots, f.root.PEM(), second.PEM()) // both are trusted for a while
-	f.keys.Look()
+	f.keys.Reload()
 	var sessions []attempt.Session
 	for range 20 {
 		sessions = append(sessions, connect(byFirst))
@@ -42,7 +42,7 @@
 		t.Error("an older connection is usable after the configured time")
 	}
 	f.files.Put(f.files.Roots, second.PEM()) // the first is removed
-	f.keys.Look()
+	f.keys.Reload()
 	for n, c := range sessions {
 		if c.Usable(f.now()) {
 			t.Errorf("connection %d is usable, though its root is not trusted", n)
--- a/internal/upstream/secure/handshake.go
+++ b/internal/upstream/secure/handshake.go
@@ -36,12 +36,12 @@
 
 // begin prepares a handshake with a target for a protocol (ALPN, RFC 7301).
 func (c *Client) begin(t *engine.Target, protocol string) (*clientHandshake, error) {
-	h := &clientHandshake{client: c, target: t, material: c.options.Room.Number(), names: c.names.Load()}
+	h := &clientHandshake{client: c, target: t, material: c.options.KeyStore.Generation(), names: c.names.Load()}
 	var err error
 	if h.name, err = h.names.Of(t.Name); err != nil {
 		return nil, h.fail(err)
 	}
-	if h.config, err = c.options.Room.Client(h.name); err != nil {
+	if h.config, err = c.options.KeyStore.Client(h.name); err != nil {
 		return nil, h.fail(err)
 	}
 	h.config.NextProtos = []string{protocol}
@@ -94,13 +94,13 @@
 	}
 	if len(h.presented) > 0 {
 		leaf := h.presented[0]
-		args = append(args, "presented", validate.Shown(leaf), "issuer", leaf.Issuer.String())
+		args = append(args, "presented", validate.NamesOf(leaf), "issuer", leaf.Issuer.String())
 	}
 	h.client.options.Log.Error("tls handshake failed", args...)
 }
 
 // succeed counts a completed handshake, and returns the lifetime of its connection.
-func (h *clientHandshake) succeed(state tls.ConnectionState, keys *certstore.Life) lifetime {
+func (h *clientHandshake) succeed(state tls.ConnectionState, keys *certstore.Lifetime) lifetime {
 	c := h.client
 	c.mu.Lock()
 	if state.DidResume {
@@ -122,7 +122,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.options.Timeout)
 	defer cancel()
-	encrypted := c.options.Room.Dial(raw, h.config, h.material)
+	encrypted := c.options.KeyStore.Dial(raw, h.config, h.material)
 	if err := encrypted.HandshakeContext(ctx); err != nil {
 		raw.Close()
 		return nil, h.fail(err)
@@ -148,7 +148,7 @@
 		_ = h.fail(err) // the caller has the error
 		return nil
 	}
-	keys := h.client.options.Room.Life(state, x509.ExtKeyUsageServerAuth, h.material)
+	keys := h.client.options.KeyStore.Lifetime(state, x509.ExtKeyUsageServerAuth, h.material)
 	connLifetime := h.succeed(state, keys)
 	return connLifetime.isUsable
 }
--- a/internal/upstream/secure/handshake_test.go
+++ b/internal/upstream/secure/handshake_test.go
@@ -43,7 +43,7 @@
 	}{
 		"valid":                    {issue(root, ca.Spec{}), "", ""},
 		"with its intermediate":    {issue(intermediate, ca.Spec{}), "", ""},
-		"without its intermediate": {issue(intermediate, ca.Spec{LeaveOutBetween: true}), "chain", "between"},
+		"without its intermediate": {issue(intermediate, ca.Spec{OmitIntermediate: true}), "chain", "between"},
 		"for another name":         {named("soko-4.example.org"), "names", "presented=soko-4.example.org"},
 		"for a name below":         {named("x." + serverName), "names", "expected=" + serverName},
 		"for a wildcard":           {named("*.example.org"), "", ""},
@@ -59,7 +59,7 @@
 			f.files.Put(f.files.Roots, root.PEM())
 			f.files.Put(f.files.Revoked, root.Revoke(revoked.Leaf))
 			k := f.keyOptions(certstore.Paths{Roots: f.files.Roots, Revoked: f.files.Revoked})
-			k.Want = validate.Want{LeastRSA: minRSABits}
+			k.Want = validate.Requirements{MinRSABits: minRSABits}
 			f.reopen(f.client.options, k)
 			s := tlsbackend.Start(t, c.pair)
 			_, tcpErr := f.handshakeTCP(target(s))
@@ -93,7 +93,7 @@
 // and never gets plain text.
 func TestFailedHandshakeCountsItsReason(t *testing.T) {
 	for reason, behaviour := range map[string]tlsbackend.Bad{
-		"silent":  tlsbackend.Silent,
+		"silent":  tlsbackend.Unresponsive,
 		"broken":  tlsbackend.Cut,
 		"not TLS": tlsbackend.Plain,
 	} {
@@ -115,12 +115,12 @@
 	t.Run("an older version", func(t *testing.T) {
 		f := newFixture(t)
 		s := tlsbackend.Start(t, issue(f.root, ca.Spec{}))
-		s.Most(tls.VersionTLS12)
+		s.MaxTLSVersion(tls.VersionTLS12)
 		if _, err := f.handshakeTCP(target(s)); err == nil {
 			t.Error("TLS 1.2 is accepted where 1.3 is the minimum")
 		}
 		k := f.keyOptions(certstore.Paths{Roots: f.files.Roots})
-		k.Least = tls.VersionTLS12
+		k.MinTLSVersion = tls.VersionTLS12
 		f.reopen(f.client.options, k)
 		if _, err := f.handshakeTCP(target(s)); err != nil {
 			t.Errorf("TLS 1.2 where the configuration allows it: %v", err)
@@ -128,7 +128,7 @@
 	})
 	t.Run("cancelled", func(t *testing.T) {
 		f := newFixture(t)
-		raw, err := net.Dial("tcp", tlsbackend.Listen(t, tlsbackend.Silent))
+		raw, err := net.Dial("tcp", tlsbackend.Listen(t, tlsbackend.Unresponsive))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -187,7 +187,7 @@
 // goes elsewhere unsent. Health checks get no turn that a request may need.
 func TestTurnRejectsAtOnceWithoutBudget(t *testing.T) {
 	f := newFixture(t, func(o *Options, _ *certstore.Options) {
-		o.Budget = handshake.Config{PerServer: 0.5, All: 0.5, ColdFrom: 1, Burst: 2}
+		o.Budget = handshake.Config{PerServer: 0.5, All: 0.5, InitialWarmupRatio: 1, Burst: 2}
 		o.Timeout = time.Second
 	})
 	endpoint := &engine.Target{Name: "soko-3", Address: "127.0.0.1:1"}
@@ -207,7 +207,7 @@
 	if err := f.client.Turn(expiring, endpoint); !errors.Is(err, attempt.ErrFull) {
 		t.Errorf("a request without time left: %v", err)
 	}
-	if got := f.client.Counters().Turns; got != (handshake.Counts{Now: 2, Put: 1, Refused: 1}) {
+	if got := f.client.Counters().Turns; got != (handshake.Counts{Now: 2, Put: 1, Rejected: 1}) {
 		t.Errorf("counted %+v", got)
 	}
 }
--- a/internal/upstream/secure/harness_test.go
+++ b/internal/upstream/secure/harness_test.go
@@ -36,7 +36,7 @@
 	t           *testing.T
 	root        *ca.Authority
 	files       *ca.Folder
-	keys        *certstore.Room
+	keys        *certstore.Store
 	client      *Client
 	log         logcapture.Record
 	clockOffset atomic.Int64 // nanoseconds ahead of the system's clock
@@ -60,7 +60,7 @@
 }
 
 // unlimitedBudget delays no handshake of a test.
-var unlimitedBudget = handshake.Config{PerServer: 1000, All: 1000, ColdFrom: 1, Burst: 1000}
+var unlimitedBudget = handshake.Config{PerServer: 1000, All: 1000, InitialWarmupRatio: 1, Burst: 1000}
 
 // newFixture returns a fixture whose options change may adjust.
 func newFixture(t *testing.T, change ...func(*Options, *certstore.Options)) *fixture {
@@ -70,7 +70,7 @@
 	f.files.Put(f.files.Roots, f.root.PEM())
 	o := f.options()
 	k := f.keyOptions(certstore.Paths{Roots: f.files.Roots})
-	k.Want = validate.Want{LeastRSA: minRSABits}
+	k.Want = validate.Requirements{MinRSABits: minRSABits}
 	for _, c := range change {
 		c(&o, &k)
 	}
@@ -92,7 +92,7 @@
 
 // keyOptions returns the options of the client's keys.
 func (f *fixture) keyOptions(paths certstore.Paths) certstore.Options {
-	return certstore.Options{Paths: paths, Spread: time.Minute, Log: f.log.Logger(), Now: f.now}
+	return certstore.Options{Paths: paths, ReplacementTime: time.Minute, Log: f.log.Logger(), Now: f.now}
 }
 
 // reopen replaces the client and its keys.
@@ -102,7 +102,7 @@
 	if f.keys, err = certstore.Open(k); err != nil {
 		f.t.Fatal(err)
 	}
-	o.Room = f.keys
+	o.KeyStore = f.keys
 	if f.client, err = New(o); err != nil {
 		f.t.Fatal(err)
 	}
--- a/internal/upstream/secure/names.go
+++ b/internal/upstream/secure/names.go
@@ -20,14 +20,14 @@
 // or one made of its name in membership by a pattern. It is never a name that the server itself
 // presents.
 type Names struct {
-	Pattern string            // may contain namePlaceholder, as in "{name}.example.org"
-	Own     map[string]string // by the server's name in membership; takes precedence over Pattern
+	Pattern  string            // may contain namePlaceholder, as in "{name}.example.org"
+	ByServer map[string]string // by the server's name in membership; takes precedence over Pattern
 }
 
 // Of returns the name that a server's certificate must be for. An error means that the server
 // cannot be verified: nothing may be sent to it.
 func (n *Names) Of(server string) (string, error) {
-	if configured := n.Own[server]; configured != "" {
+	if configured := n.ByServer[server]; configured != "" {
 		return configured, nil
 	}
 	if n.Pattern == "" {
--- a/internal/upstream/secure/names_test.go
+++ b/internal/upstream/secure/names_test.go
@@ -6,7 +6,7 @@
 )
 
 func TestNamesAcceptOnlySingleLabels(t *testing.T) {
-	n := &Names{Pattern: "{name}.example.org", Own: map[string]string{"soko-9": "spiffe://example.org/soko/9"}}
+	n := &Names{Pattern: "{name}.example.org", ByServer: map[string]string{"soko-9": "spiffe://example.org/soko/9"}}
 	for server, want := range map[string]string{
 		"soko-3":                "soko-3.example.org",
 		"soko-9":                "spiffe://example.org/soko/9",
--- a/internal/upstream/secure/sessions_test.go
+++ b/internal/upstream/secure/sessions_test.go
@@ -47,17 +47,17 @@
 				}, false, ""},
 				"the roots have changed": {func(f *fixture, _ *tlsbackend.Server, _ *ca.Pair) {
 					f.files.Put(f.files.Roots, f.root.PEM(), ca.New(f.t, "second").PEM())
-					f.keys.Look()
+					f.keys.Reload()
 				}, false, ""},
 				"its root is no longer trusted": {func(f *fixture, _ *tlsbackend.Server, _ *ca.Pair) {
 					second := ca.New(f.t, "second")
 					f.files.Put(f.files.Revoked, second.Revoke())
 					f.files.Put(f.files.Roots, second.PEM())
-					f.keys.Look()
+					f.keys.Reload()
 				}, false, "chain"},
 				"its certificate is revoked": {func(f *fixture, _ *tlsbackend.Server, pair *ca.Pair) {
 					f.files.Put(f.files.Revoked, f.root.Revoke(pair.Leaf))
-					f.keys.Look()
+					f.keys.Reload()
 				}, false, "revoked"},
 				// The server still resumes sessions: only the client's rules prevent it.
 				"its certificate has expired": {func(f *fixture, _ *tlsbackend.Server, _ *ca.Pair) {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -114,7 +114,7 @@
 
 // fieldNames maps the figures of load reports; others are FieldOther.
 var fieldNames = map[string]balancer.Field{
-	"busy_reqs": balancer.FieldInflight, "pending": balancer.FieldQueue, "cpu_share": balancer.FieldUtil,
+	"busy_reqs": balancer.FieldInFlight, "pending": balancer.FieldQueue, "cpu_share": balancer.FieldUtilization,
 	"svc_ms": balancer.FieldLatency, "served_ps": balancer.FieldServed, "failed_ps": balancer.FieldErrors,
 }
 
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -282,7 +282,7 @@
 		s.Goal.Overall != 0.6 || s.Tenants[0].Quota != 137 || s.Prices.Probe != 0.002 {
 		t.Errorf("%+v", s)
 	}
-	if len(s.Fields) != 3 || s.Fields[0] != balancer.FieldInflight || s.Fields[2] != balancer.FieldOther {
+	if len(s.Fields) != 3 || s.Fields[0] != balancer.FieldInFlight || s.Fields[2] != balancer.FieldOther {
 		t.Errorf("fields %v", s.Fields)
 	}
 	if _, err := balancer.New(s, 1, nil); err != nil {
