--- a/cmd/pinedale-measure/main.go
+++ b/cmd/pinedale-measure/main.go
@@ -52,8 +52,8 @@
 
 // measurements set their flags and return what to run once these are parsed.
 var measurements = map[string]func(*flag.FlagSet) func(io.Writer) error{
-	"verdicts": verdictRun, "fronts": fronts, "servers": servers, "removal": removalRun, "nodes": nodesRun, "noop": noop, "tenants": tenantsRun,
-	"rotations": rotationsRun, "handshakes": handshakesRun, "tls": tlsRun, "reconnect": reconnectRun, "newcomer": newcomerRun,
+	"verdicts": extprocRun, "fronts": fronts, "servers": servers, "removal": removalRun, "nodes": nodesRun, "noop": noop, "tenants": tenantsRun,
+	"rotations": rotationsRun, "handshakes": handshakesRun, "tls": tlsRun, "reconnect": reconnectRun, "newcomer": coldStartRun,
 	"properties": propertiesRun, "gossip": gossipRun, "departures": departuresRun,
 }
 
@@ -115,7 +115,7 @@
 	}
 }
 
-func verdictRun(flags *flag.FlagSet) func(io.Writer) error {
+func extprocRun(flags *flag.FlagSet) func(io.Writer) error {
 	o := extproc.Options{}
 	flags.IntVar(&o.Calls, "calls", 100_000, "clients' requests")
 	flags.IntVar(&o.Callers, "callers", 64, "at work at once")
@@ -298,7 +298,7 @@
 	}
 }
 
-func newcomerRun(flags *flag.FlagSet) func(io.Writer) error {
+func coldStartRun(flags *flag.FlagSet) func(io.Writer) error {
 	o := coldstart.Options{}
 	flags.IntVar(&o.Instances, "instances", 5000, "of pinedale")
 	flags.IntVar(&o.Servers, "servers", 100, "of the fleet")
--- a/cmd/pinedale/crossings_test.go
+++ b/cmd/pinedale/crossings_test.go
@@ -381,15 +381,15 @@
 						}
 					}
 					s.exits()
-					least, most := 1, 3
+					minAttempts, maxAttempts := 1, 3
 					switch {
 					case crossing == "departure", class == "order" && end.mayRun:
-						most = 1
+						maxAttempts = 1
 					case end.text != scriptedconn.Served && len(c.codes) == 1 && c.codes[0] == 200:
-						least = 2
+						minAttempts = 2
 					}
-					if n := s.attempts(id); n < least || n > most {
-						t.Errorf("%d attempts, want %d to %d", n, least, most)
+					if n := s.attempts(id); n < minAttempts || n > maxAttempts {
+						t.Errorf("%d attempts, want %d to %d", n, minAttempts, maxAttempts)
 					}
 					wait.Until(t, "connections to endpoints to end", func() bool { return s.conns.Load() == 0 })
 				})
@@ -401,7 +401,7 @@
 // A process that is killed with requests in flight and started again under its name and
 // address serves at once, and sends nothing of before: its clients have been reset, and are
 // the ones who know what they repeat.
-func TestKilledAndStartedAgain(t *testing.T) {
+func TestRestartAfterKillServes(t *testing.T) {
 	t.Parallel()
 	s := surround(t, true)
 	s.launch(false)
@@ -459,7 +459,7 @@
 
 // A list that goes quiet: the watch stands open and nothing comes on it. What begins to drain
 // meanwhile gets nothing new once the program has been told, on the watch that it opens anew.
-func TestQuietList(t *testing.T) {
+func TestDrainIsHonouredAfterWatchFellSilent(t *testing.T) {
 	t.Parallel()
 	s := surround(t, true)
 	s.launch(false)
@@ -483,9 +483,9 @@
 		return false
 	})
 	// The program has been told: it asks for what is newer.
-	drained := map[string]bool{}
+	draining := map[string]bool{}
 	for _, h := range hosts[:2] {
-		drained[h.Dial] = true
+		draining[h.Dial] = true
 	}
 	s.auto.Store(false)
 	c := s.dial()
@@ -495,7 +495,7 @@
 			t.Fatal(err)
 		}
 		a := s.arrives()
-		if at := a.conn.LocalAddr().String(); drained[at] {
+		if at := a.conn.LocalAddr().String(); draining[at] {
 			t.Errorf("a request went to %s, which drains", at)
 		}
 		a.answer <- scriptedconn.Served
@@ -513,9 +513,9 @@
 func TestEndsWithoutAList(t *testing.T) {
 	t.Parallel()
 	s := surround(t, true)
-	silent := scriptedconn.New(t, scriptedconn.Unresponsive)
-	s.config.Known, s.config.Discovery = nil, silent.Address
-	s.launchUntil(false, "the program to ask for a list", func() bool { n, _ := silent.Seen(); return n > 0 })
+	unresponsive := scriptedconn.New(t, scriptedconn.Unresponsive)
+	s.config.Known, s.config.Discovery = nil, unresponsive.Address
+	s.launchUntil(false, "the program to ask for a list", func() bool { n, _ := unresponsive.Seen(); return n > 0 })
 	if s.ready() {
 		t.Error("it is ready without a list")
 	}
--- a/deploy/docs_test.go
+++ b/deploy/docs_test.go
@@ -90,22 +90,21 @@
 // TestPagesNameTestsThatExist checks that each test, fuzz test and benchmark that a page names is there.
 func TestPagesNameTestsThatExist(t *testing.T) {
 	declared := map[string]bool{}
-	err := filepath.WalkDir("..", func(path string, entry fs.DirEntry, err error) error {
-		if err != nil {
-			return err
-		}
-		if entry.IsDir() && strings.HasPrefix(entry.Name(), ".") && path != ".." {
-			return filepath.SkipDir
-		}
-		if strings.HasSuffix(path, "_test.go") {
-			for name := range functions(t, path) {
-				declared[name] = true
+	for _, root := range []string{"../balancer", "../cmd", "../deploy", "../internal", "../tools"} {
+		err := filepath.WalkDir(root, func(path string, _ fs.DirEntry, err error) error {
+			if err != nil {
+				return err
 			}
+			if strings.HasSuffix(path, "_test.go") {
+				for name := range functions(t, path) {
+					declared[name] = true
+				}
+			}
+			return nil
+		})
+		if err != nil {
+			t.Fatal(err)
 		}
-		return nil
-	})
-	if err != nil {
-		t.Fatal(err)
 	}
 	named := regexp.MustCompile(`\b(?:Test|Fuzz|Benchmark)[A-Z][A-Za-z0-9]+\b`)
 	for page, text := range pages(t) {
--- a/internal/certstore/conn.go
+++ b/internal/certstore/conn.go
@@ -65,14 +65,16 @@
 	}, nil
 }
 
-// Life returns the connection's lifetime. The handshake must be complete.
-func (c *Conn) Life() *Lifetime {
+// Lifetime returns the connection's lifetime. The handshake must be complete.
+func (c *Conn) Lifetime() *Lifetime {
 	c.lifetimeOnce.Do(func() { c.lifetime = c.store.Lifetime(c.ConnectionState(), c.peerUsage, c.generation) })
 	return c.lifetime
 }
 
 // Stands is Life.At of the connection. The handshake must be complete.
-func (c *Conn) Stands(now time.Time) (usable, trusted bool, reason string) { return c.Life().At(now) }
+func (c *Conn) Stands(now time.Time) (usable, trusted bool, reason string) {
+	return c.Lifetime().At(now)
+}
 
 // Quiet reports whether the TLS layer holds no unread data, such as an alert or a response that was not asked
 // for. It does not look at the socket itself, and must not be called concurrently with Read.
--- a/internal/front/http3front/server.go
+++ b/internal/front/http3front/server.go
@@ -48,7 +48,7 @@
 
 // Options are the limits of a server.
 type Options struct {
-	Room        *certstore.Store // certificates of the server, and the roots that clients are verified by
+	KeyStore    *certstore.Store // certificates of the server, and the roots that clients are verified by
 	Name        string           // of the instance: it makes the key of stateless resets its own
 	Connections int              // open at most
 	Streams     int              // requests in flight on one connection, at most
@@ -119,7 +119,7 @@
 		MaxHeaderBytes: httpmsg.MaxHeaderBytes,
 		Logger:         o.Log,
 		ConnContext: func(ctx context.Context, c *quic.Conn) context.Context {
-			conn := &clientConn{Conn: c, certificates: o.Room, material: o.Room.Generation()}
+			conn := &clientConn{Conn: c, certificates: o.KeyStore, material: o.KeyStore.Generation()}
 			return context.WithValue(ctx, connKey{}, conn)
 		},
 	}
@@ -171,7 +171,7 @@
 	// A restarted process does not know its clients' connections, and without a reset each would wait for
 	// its idle timeout (RFC 9000, section 10.3). The key must survive the restart, and differ between
 	// instances: one that reset another's connections could be used to end them (section 21.11).
-	secret, err := s.opts.Room.Secret("QUIC stateless reset, " + s.opts.Name)
+	secret, err := s.opts.KeyStore.Secret("QUIC stateless reset, " + s.opts.Name)
 	if err != nil {
 		return nil, fmt.Errorf("stateless reset: %w", err)
 	}
@@ -196,7 +196,7 @@
 
 // listen starts to accept connections.
 func (s *Server) listen(transport *quic.Transport) (*quic.EarlyListener, error) {
-	config := s.opts.Room.Server()
+	config := s.opts.KeyStore.Server()
 	config.MinVersion = tls.VersionTLS13
 	return transport.ListenEarly(http3.ConfigureTLSConfig(config), &quic.Config{
 		MaxIdleTimeout:                 idleTimeout,
--- a/internal/front/http3front/server_test.go
+++ b/internal/front/http3front/server_test.go
@@ -87,7 +87,7 @@
 		t.Fatal(err)
 	}
 	o := Options{
-		Room:        h.pair.CertificateStore(t),
+		KeyStore:    h.pair.CertificateStore(t),
 		Connections: 100,
 		Streams:     50,
 		BodyBytes:   1 << 20,
--- a/internal/measure/extproc/run_test.go
+++ b/internal/measure/extproc/run_test.go
@@ -8,7 +8,7 @@
 )
 
 // The run of the operators' page, at a size for every commit.
-func TestOneVerdictForEachAsk(t *testing.T) {
+func TestOneDecisionForEachStream(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	r, err := Run(Options{Calls: 3000, Callers: 16, Servers: 8, Seed: 5, Change: 250, Short: true, Work: time.Millisecond})
 	if err != nil {
--- a/internal/sidecar/deadline_test.go
+++ b/internal/sidecar/deadline_test.go
@@ -15,12 +15,12 @@
 // TestDeadlineCountsFromTheLastByte sends the end of a body later than the request's time left: the client
 // counts from the last byte, so all of that time is still there.
 func TestDeadlineCountsFromTheLastByte(t *testing.T) {
-	const timeLeft, slowWrite, tail = 400 * time.Millisecond, 500 * time.Millisecond, 5
+	const requestTimeout, slowWrite, tail = 400 * time.Millisecond, 500 * time.Millisecond, 5
 	endpoint := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
 	h := start(t, nil, fakediscovery.Ready("s-1", endpoint.Address))
 	conn := h.dial()
 	var wire bytes.Buffer
-	if err := h.newRequest("order", "0123456789", timeLeft).Write(&wire); err != nil {
+	if err := h.newRequest("order", "0123456789", requestTimeout).Write(&wire); err != nil {
 		t.Fatal(err)
 	}
 	text := wire.String()
--- a/internal/site/build_fronts.go
+++ b/internal/site/build_fronts.go
@@ -47,7 +47,7 @@
 	}
 	f := i.file
 	front := http3front.New(i.engine, upstream, http3front.Options{
-		Room:        i.stores[f.HTTP3.Keys],
+		KeyStore:    i.stores[f.HTTP3.Keys],
 		Name:        f.Name,
 		Connections: f.HTTP3.MaxConnections,
 		Streams:     f.HTTP3.MaxStreams,
--- a/internal/standin/cert/cert.go
+++ b/internal/standin/cert/cert.go
@@ -40,11 +40,11 @@
 			t.Fatal(err)
 		}
 	}
-	room, err := certstore.Open(certstore.Options{Paths: paths, Want: validate.Requirements{Server: true}, Log: slog.New(slog.DiscardHandler)})
+	store, err := certstore.Open(certstore.Options{Paths: paths, Want: validate.Requirements{Server: true}, Log: slog.New(slog.DiscardHandler)})
 	if err != nil {
 		t.Fatal(err)
 	}
-	return room
+	return store
 }
 
 // Turn sets no bound on handshakes. With QUIC and Retire it makes a pair an http3upstream.Securer
--- a/internal/upstream/secure/handshake.go
+++ b/internal/upstream/secure/handshake.go
@@ -127,7 +127,7 @@
 		raw.Close()
 		return nil, h.fail(err)
 	}
-	return &conn{encrypted, h.succeed(encrypted.ConnectionState(), encrypted.Life())}, nil
+	return &conn{encrypted, h.succeed(encrypted.ConnectionState(), encrypted.Lifetime())}, nil
 }
 
 // QUIC returns the TLS configuration of one handshake over QUIC, and a function that must be
