--- a/cmd/pinedale-measure/main.go
+++ b/cmd/pinedale-bench/main.go
@@ -1,4 +1,4 @@
-// Command pinedale-measure runs the measurements that are too long for the tests.
+// Command pinedale-bench runs the measurements that are too long for the tests.
 // All of them stay on loopback and end by themselves.
 package main
 
@@ -31,17 +31,17 @@
 	"pinedale/internal/standin/fakebackend"
 )
 
-const usage = `usage: pinedale-measure MEASUREMENT [FLAGS]
+const usage = `usage: pinedale-bench MEASUREMENT [FLAGS]
 
   verdicts   seeded callers with faults against a whole external processor
   fronts     one load through the HTTP front and through the processor
-  servers    stand-in servers to try pinedale-site with, until interrupted
+  servers    stand-in servers to try pinedale-proxy with, until interrupted
   removal    scripts of a coordination service's troubles, and how soon removals count
   nodes      what reading ephemeral nodes costs, at rest and with changes
   tenants    what a tenant at ten times its share costs the others
   rotations  whether requests fail while keys change on either side, over and over
   handshakes a resumed session beside a full handshake
-  tls        pinedale-site with TLS towards its servers beside a reverse proxy
+  tls        pinedale-proxy with TLS towards its servers beside a reverse proxy
   reconnect  a whole fleet connected to again, with a budget of handshakes and without
   newcomer   what thousands of quiet instances do together to servers that have just started
   departures what is sent for clients that have left while their requests waited
@@ -66,7 +66,7 @@
 		err = run(os.Args[1:], os.Stdout)
 	}
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "pinedale-measure:", err)
+		fmt.Fprintln(os.Stderr, "pinedale-bench:", err)
 		os.Exit(1)
 	}
 }
@@ -241,7 +241,7 @@
 // inFolder runs a measurement with a folder that is gone afterwards.
 func inFolder(measure func(dir string, out io.Writer) error) func(io.Writer) error {
 	return func(out io.Writer) error {
-		dir, err := os.MkdirTemp("", "pinedale-measure")
+		dir, err := os.MkdirTemp("", "pinedale-bench")
 		if err != nil {
 			return err
 		}
--- a/cmd/pinedale-fleet/main.go
+++ b/cmd/pinedale-faulttest/main.go
@@ -1,4 +1,4 @@
-// Command pinedale-fleet runs several processes of pinedale-site with servers and clients on
+// Command pinedale-faulttest runs several processes of pinedale-proxy with servers and clients on
 // loopback, plays faults between them, and checks what came of it. All of it ends by itself.
 package main
 
@@ -27,7 +27,7 @@
 
 func main() {
 	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "pinedale-fleet:", err)
+		fmt.Fprintln(os.Stderr, "pinedale-faulttest:", err)
 		os.Exit(1)
 	}
 }
@@ -57,13 +57,13 @@
 // program is the command line.
 func program(out io.Writer) *cobra.Command {
 	o := &options{}
-	root := &cobra.Command{Use: "pinedale-fleet", Short: "several processes of pinedale-site, and faults between them", SilenceErrors: true, SilenceUsage: true,
+	root := &cobra.Command{Use: "pinedale-faulttest", Short: "several processes of pinedale-proxy, and faults between them", SilenceErrors: true, SilenceUsage: true,
 		Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
 			return errors.New("a command is missing\n" + c.UsageString())
 		}}
 	root.SetOut(out)
 	root.CompletionOptions.DisableDefaultCmd = true
-	root.PersistentFlags().StringVar(&o.program, "program", beside("pinedale-site"), "the program whose processes are run")
+	root.PersistentFlags().StringVar(&o.program, "program", beside("pinedale-proxy"), "the program whose processes are run")
 	root.PersistentFlags().StringVar(&o.next, "next", "", "another build of it, that faults of kind build go over to")
 	root.PersistentFlags().StringVar(&o.dir, "dir", "", "folder for files and logs; one that is removed if all went well, where it is not given")
 	run := &cobra.Command{Use: "run [SCENARIO]", Short: "play schedules drawn from seeds, or one of a file, and check what came of them", Args: cobra.MaximumNArgs(1),
@@ -88,7 +88,7 @@
 	run.Flags().Uint64Var(&o.seed, "seed", 1, "of the first schedule")
 	run.Flags().IntVar(&o.seeds, "seeds", 1, "schedules to play, each of the next seed")
 	run.Flags().IntVar(&o.parallel, "parallel", 1, "schedules played at once")
-	run.Flags().IntVar(&o.instances, "instances", 5, "of pinedale-site, 3 to 24")
+	run.Flags().IntVar(&o.instances, "instances", 5, "of pinedale-proxy, 3 to 24")
 	run.Flags().IntVar(&o.servers, "servers", 6, "in pods of two")
 	run.Flags().DurationVar(&o.length, "length", 8*time.Second, "of the load")
 	run.Flags().Float64Var(&o.rate, "rate", 60, "effects asked for a second")
@@ -171,7 +171,7 @@
 func playOne(ctx context.Context, o *options, s *schedule.Schedule) (*history.History, error) {
 	program, err := exec.LookPath(o.program)
 	if err != nil {
-		return nil, fmt.Errorf("%w: build ./cmd/pinedale-site, or name it with --program", err)
+		return nil, fmt.Errorf("%w: build ./cmd/pinedale-proxy, or name it with --program", err)
 	}
 	dir, err := os.MkdirTemp(o.dir, "run-")
 	if err != nil {
--- a/cmd/pinedale-site/commands.go
+++ b/cmd/pinedale-proxy/commands.go
@@ -29,7 +29,7 @@
 func rootCommand(out io.Writer) *cobra.Command {
 	c := &commandLine{out: out}
 	root := &cobra.Command{
-		Use:           "pinedale-site",
+		Use:           "pinedale-proxy",
 		Short:         "pinedale for installations of the operator's own",
 		SilenceErrors: true,
 		SilenceUsage:  true,
--- a/cmd/pinedale-site/main.go
+++ b/cmd/pinedale-proxy/main.go
@@ -1,4 +1,4 @@
-// Command pinedale-site is pinedale for installations of the operator's own: the fronts and the sources of
+// Command pinedale-proxy is pinedale for installations of the operator's own: the fronts and the sources of
 // membership are those that the operator's TOML file configures.
 package main
 
@@ -9,7 +9,7 @@
 
 func main() {
 	if err := rootCommand(os.Stdout).Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, "pinedale-site:", err)
+		fmt.Fprintln(os.Stderr, "pinedale-proxy:", err)
 		os.Exit(1)
 	}
 }
--- a/cmd/pinedale-rehearse/demo.go
+++ b/cmd/pinedale-simulate/demo.go
@@ -51,7 +51,7 @@
 // demoServers is how many servers the demo begins with.
 const demoServers = 5
 
-// demo brings up a small fleet, discovery, pinedale-site and clients on loopback, and
+// demo brings up a small fleet, discovery, pinedale-proxy and clients on loopback, and
 // prints what happens each second. A server fails fast for a while, one comes cold.
 func demo(out io.Writer, length time.Duration) error {
 	f, err := startDemoFleet()
@@ -84,7 +84,7 @@
 	if err := i.WaitReady(); err != nil {
 		return err
 	}
-	fmt.Fprintf(out, "five servers, discovery and pinedale-site on %s; %d requests a second\n", i.HTTP, demoRate)
+	fmt.Fprintf(out, "five servers, discovery and pinedale-proxy on %s; %d requests a second\n", i.HTTP, demoRate)
 	fmt.Fprintf(out, "%4s %6s %8s %6s %8s %7s %9s %9s  %s\n", "s", "asked", "in time", "late", "refused", "failed", "median", "99th", "held by server")
 	clients := &demoClients{
 		url:    "http://" + i.HTTP.String(),
--- a/cmd/pinedale-rehearse/main.go
+++ b/cmd/pinedale-simulate/main.go
@@ -1,4 +1,4 @@
-// Command pinedale-rehearse plays scenarios of bad market mornings: the real engine and
+// Command pinedale-simulate plays scenarios of bad market mornings: the real engine and
 // decision module against emulated servers, on virtual time or on loopback sockets.
 package main
 
@@ -22,15 +22,15 @@
 	"pinedale/internal/emulator/trace"
 )
 
-const usage = `usage: pinedale-rehearse demo [-length 12s]
-       pinedale-rehearse run [-seed N] [-policy NAME] [-sockets] [-html FILE] SCENARIO
-       pinedale-rehearse compare [-seeds N] [-policy NAME] [-against NAME] SCENARIO [SCENARIO]
-       pinedale-rehearse record [-seed N] [-policy NAME] [-sockets] -out FILE SCENARIO
-       pinedale-rehearse replay FILE
-       pinedale-rehearse agree [-seed N] SCENARIO...
-       pinedale-rehearse rank [-seeds N] SCENARIO...
+const usage = `usage: pinedale-simulate demo [-length 12s]
+       pinedale-simulate run [-seed N] [-policy NAME] [-sockets] [-html FILE] SCENARIO
+       pinedale-simulate compare [-seeds N] [-policy NAME] [-against NAME] SCENARIO [SCENARIO]
+       pinedale-simulate record [-seed N] [-policy NAME] [-sockets] -out FILE SCENARIO
+       pinedale-simulate replay FILE
+       pinedale-simulate agree [-seed N] SCENARIO...
+       pinedale-simulate rank [-seeds N] SCENARIO...
 
-  demo     a small fleet, discovery, pinedale-site and clients on loopback sockets
+  demo     a small fleet, discovery, pinedale-proxy and clients on loopback sockets
   run      play a scenario, on virtual time or sockets, and say what came of it
   compare  play two scenarios, or one with two policies, on the same seeds, and say how
            they differ and how much is noise
@@ -54,7 +54,7 @@
 
 func main() {
 	if err := run(os.Args[1:], os.Stdout, progressTo(os.Stderr)); err != nil {
-		fmt.Fprintln(os.Stderr, "pinedale-rehearse:", err)
+		fmt.Fprintln(os.Stderr, "pinedale-simulate:", err)
 		os.Exit(1)
 	}
 }
--- a/internal/cluster/doc.go
+++ b/internal/cluster/doc.go
@@ -1,4 +1,4 @@
-// Package cluster connects the instances of pinedale-site with each other. Each instance runs
+// Package cluster connects the instances of pinedale-proxy with each other. Each instance runs
 // one Node, which combines
 //
 //   - membership: memberlist (SWIM) finds out which instances are alive and carries the
--- a/internal/emulator/simulation/call.go
+++ b/internal/emulator/simulation/call.go
@@ -66,7 +66,7 @@
 }
 
 // maxHandshakeWait is how long a request waits for a handshake's turn: half of the time that one has,
-// as in pinedale-site with its defaults.
+// as in pinedale-proxy with its defaults.
 const maxHandshakeWait = 250 * time.Millisecond
 
 // open opens a connection, and writes.
--- a/internal/faulttest/faulttest.go
+++ b/internal/faulttest/faulttest.go
@@ -1,4 +1,4 @@
-// Package faulttest is a rig of real processes: instances of pinedale-site, servers in a process
+// Package faulttest is a rig of real processes: instances of pinedale-proxy, servers in a process
 // of their own, and seeded clients, with a relay on each path between them, through which a
 // schedule of faults is played. What was asked, answered and done is kept as a history and
 // checked against the rules over all processes together.
@@ -18,7 +18,7 @@
 // Options say what a run is made of.
 type Options struct {
 	Schedule *schedule.Schedule
-	Program  string // path of pinedale-site
+	Program  string // path of pinedale-proxy
 	Next     string // path of another build of it, for faults that ask for one
 	Dir      string // for files of the run
 	Log      *slog.Logger
--- a/internal/faulttest/faulttest_test.go
+++ b/internal/faulttest/faulttest_test.go
@@ -16,7 +16,7 @@
 	"pinedale/internal/faulttest/schedule"
 )
 
-// program is pinedale-site, and next another build of it, built once.
+// program is pinedale-proxy, and next another build of it, built once.
 var program, next string
 
 func TestMain(m *testing.M) {
@@ -27,11 +27,11 @@
 		}
 		return
 	}
-	dir, err := os.MkdirTemp("", "pinedale-fleet-test-")
+	dir, err := os.MkdirTemp("", "pinedale-faulttest-test-")
 	if err == nil {
-		program, next = filepath.Join(dir, "pinedale-site"), filepath.Join(dir, "next")
+		program, next = filepath.Join(dir, "pinedale-proxy"), filepath.Join(dir, "next")
 		for path, name := range map[string]string{program: "this", next: "next"} {
-			output, failed := exec.Command("go", "build", "-ldflags", "-X pinedale/internal/site.Build="+name, "-o", path, "pinedale/cmd/pinedale-site").CombinedOutput()
+			output, failed := exec.Command("go", "build", "-ldflags", "-X pinedale/internal/site.Build="+name, "-o", path, "pinedale/cmd/pinedale-proxy").CombinedOutput()
 			if failed != nil {
 				err = fmt.Errorf("%w: %s", failed, output)
 			}
@@ -56,7 +56,7 @@
 }
 
 // schedules are a few that CI plays: two that were drawn, and hard cases. Many more are played
-// by pinedale-fleet run.
+// by pinedale-faulttest run.
 func schedules(t *testing.T) []*schedule.Schedule {
 	head := "version = 1\ninstances = 4\nlength = \"5s\"\nseed = %d\nname = %q\n"
 	all := []*schedule.Schedule{schedule.Draw(3, 5, 6, 6*time.Second), schedule.Draw(10, 4, 6, 6*time.Second)}
--- a/internal/faulttest/instance.go
+++ b/internal/faulttest/instance.go
@@ -14,7 +14,7 @@
 	"pinedale/internal/standin/ports"
 )
 
-// instance is one process of pinedale-site.
+// instance is one process of pinedale-proxy.
 type instance struct {
 	name      string
 	via       map[string]string // where it reaches the others, by name
--- a/internal/measure/endpointremoval/run.go
+++ b/internal/measure/endpointremoval/run.go
@@ -1,5 +1,5 @@
 // Package endpointremoval plays seeded scripts of a coordination service's troubles against a
-// whole pinedale-site under load, and measures how soon the last request reaches a
+// whole pinedale-proxy under load, and measures how soon the last request reaches a
 // server after its node has ended.
 package endpointremoval
 
--- a/internal/measure/extproc/run.go
+++ b/internal/measure/extproc/run.go
@@ -1,4 +1,4 @@
-// Package extproc plays seeded callers with faults against a whole pinedale-site
+// Package extproc plays seeded callers with faults against a whole pinedale-proxy
 // and its external processor, over loopback sockets, and counts what must hold:
 // one verdict for an ask, no effect twice, nothing to removed servers, nothing held
 // at the end.
--- a/internal/measure/rotations/rotations.go
+++ b/internal/measure/rotations/rotations.go
@@ -1,5 +1,5 @@
 // Package rotations measures what changes of keys cost the requests that come meanwhile: a
-// whole pinedale-site between clients and servers, TLS on both sides of it, certificates and
+// whole pinedale-proxy between clients and servers, TLS on both sides of it, certificates and
 // roots replaced over and over on either side.
 package rotations
 
--- a/internal/measure/tenants/tenants.go
+++ b/internal/measure/tenants/tenants.go
@@ -1,5 +1,5 @@
 // Package tenants measures what one tenant that asks for ten times its share costs the
-// others: behind pinedale-site with its fair admission, and behind
+// others: behind pinedale-proxy with its fair admission, and behind
 // net/http/httputil.ReverseProxy with one limit for all.
 package tenants
 
@@ -111,7 +111,7 @@
 		name  string
 		at    string
 		rates [3]float64
-	}{{"pinedale-site, without the loud one", "http://" + i.HTTP.String(), alone}, {"pinedale-site, beside it", "http://" + i.HTTP.String(), beside},
+	}{{"pinedale-proxy, without the loud one", "http://" + i.HTTP.String(), alone}, {"pinedale-proxy, beside it", "http://" + i.HTTP.String(), beside},
 		{"ReverseProxy, without the loud one", plain, alone}, {"ReverseProxy, beside it", plain, beside}} {
 		r := Row{Name: run.name}
 		load(o, run.at, run.rates, &r)
--- a/internal/measure/tlscost/proxies.go
+++ b/internal/measure/tlscost/proxies.go
@@ -50,7 +50,7 @@
 site = "a"
 `
 
-// serveSite runs a pinedale-site. Arguments: the folder of its files, the server's address,
+// serveSite runs a pinedale-proxy. Arguments: the folder of its files, the server's address,
 // and "tls" for a front with TLS or "h3" for one on HTTP/3.
 func serveSite(args []string) (line string, stop func(), err error) {
 	f := ca.FolderAt(ca.Must{}, args[0])
@@ -120,7 +120,7 @@
 	return l.Addr().String(), func() { server.Close() }, nil
 }
 
-// ProxyRow is one pair of proxies: pinedale-site, and ReverseProxy beside it.
+// ProxyRow is one pair of proxies: pinedale-proxy, and ReverseProxy beside it.
 type ProxyRow struct {
 	Name   string
 	CPU    [2]time.Duration // of one request
@@ -265,7 +265,7 @@
 
 // PrintProxies writes the rows for a reader.
 func PrintProxies(out io.Writer, rows []ProxyRow) {
-	fmt.Fprintf(out, "%-26s %14s %14s %6s %12s %12s %8s\n", "CPU of a request", "pinedale-site", "ReverseProxy", "ratio", "site req/s", "rev req/s", "failed")
+	fmt.Fprintf(out, "%-26s %14s %14s %6s %12s %12s %8s\n", "CPU of a request", "pinedale-proxy", "ReverseProxy", "ratio", "site req/s", "rev req/s", "failed")
 	for _, r := range rows {
 		fmt.Fprintf(out, "%-26s %14v %14v %6.2f %12.0f %12.0f %5d/%d\n", r.Name, r.CPU[0].Round(100*time.Nanosecond), r.CPU[1].Round(100*time.Nanosecond),
 			float64(r.CPU[0])/float64(r.CPU[1]), r.Rate[0], r.Rate[1], r.Failed[0], r.Failed[1])
--- a/internal/measure/tlscost/tlscost.go
+++ b/internal/measure/tlscost/tlscost.go
@@ -1,5 +1,5 @@
 // Package tlscost measures what TLS costs: a resumed session beside a full handshake, and
-// pinedale-site with TLS towards its servers beside httputil.ReverseProxy over
+// pinedale-proxy with TLS towards its servers beside httputil.ReverseProxy over
 // http.Transport. Server, client and proxies are processes of their own, whose CPU time is
 // theirs alone.
 package tlscost
--- a/internal/standin/seeds/seeds.go
+++ b/internal/standin/seeds/seeds.go
@@ -2,7 +2,7 @@
 // changes. A test file that uses rapid imports it for its effect alone; one import serves a package's tests,
 // where a TestMain would have to stand in each and could not where one stands for other reasons.
 //
-// -rapid.seed on the command line still draws others; pinedale-measure properties does so at length.
+// -rapid.seed on the command line still draws others; pinedale-bench properties does so at length.
 package seeds
 
 import (
