--- a/balancer/api.go
+++ b/balancer/api.go
@@ -23,8 +23,8 @@
 //
 //   - balancer.go: start, the rules, and the one function that sends.
 //   - attempts.go: what happens to a new request and after an attempt; retries and their budget.
-//   - rejection.go: which requests come too late to be worth their work; priorities of classes and tenants.
-//   - hedging.go: planned hedges, and hedges of attempts that were dropped; deadlines.
+//   - rejection.go: which requests come too late to be worth their work, and their Retry-After; priorities.
+//   - hedging.go: planned hedges, and hedges of attempts that seem dropped; deadlines.
 //   - pick.go: choice of an endpoint among probed, random, recently used and key-owning ones.
 //   - prediction.go: the latency expected of an endpoint.
 //   - learning.go: what an outcome teaches about endpoint, kind, fleet and class.
--- a/internal/certstore/conn.go
+++ b/internal/certstore/conn.go
@@ -11,7 +11,7 @@
 	"time"
 )
 
-// Conn is a TLS connection whose lifetime follows the material of a Room.
+// Conn is a TLS connection whose lifetime follows the material of a Store.
 type Conn struct {
 	*tls.Conn
 	socket     *socket
@@ -23,7 +23,7 @@
 	lifetime     *Lifetime
 }
 
-// Dial returns a client connection over raw. The caller performs the handshake. generation is Room.Number from
+// Dial returns a client connection over raw. The caller performs the handshake. generation is Store.Generation from
 // before the configuration was created.
 func (r *Store) Dial(raw net.Conn, config *tls.Config, generation int) *Conn {
 	socket := &socket{Conn: raw}
@@ -71,7 +71,7 @@
 	return c.lifetime
 }
 
-// Stands is Life.At of the connection. The handshake must be complete.
+// Stands is Lifetime.At of the connection. The handshake must be complete.
 func (c *Conn) Stands(now time.Time) (usable, trusted bool, reason string) {
 	return c.Lifetime().At(now)
 }
--- a/internal/certstore/files.go
+++ b/internal/certstore/files.go
@@ -28,7 +28,7 @@
 	}
 }
 
-// readFile reads a file up to one byte over the permitted size, by which package judge sees that it is too large.
+// readFile reads a file up to one byte over the permitted size, by which package validate sees that it is too large.
 func readFile(path string) validate.File {
 	if path == "" {
 		return validate.File{}
--- a/internal/certstore/store.go
+++ b/internal/certstore/store.go
@@ -26,7 +26,7 @@
 	ErrNoPrivateKey = errors.New("no private key is there")
 )
 
-// Options configure a Room.
+// Options configure a Store.
 type Options struct {
 	Paths           Paths
 	Want            validate.Requirements
@@ -58,7 +58,7 @@
 	ticketKeyCreated time.Time
 }
 
-// Open reads the files. Its error is a *judge.Fault if they may not serve.
+// Open reads the files. Its error is a *validate.Fault if they may not serve.
 func Open(options Options) (*Store, error) {
 	if options.MinTLSVersion == 0 {
 		options.MinTLSVersion = tls.VersionTLS13
@@ -165,7 +165,7 @@
 	return r.rotation.Retirement(r.options.Now(), conn)
 }
 
-// Counters count the results of Look since the start.
+// Counters count the results of Reload since the start.
 type Counters struct {
 	Accepted  int           // files accepted
 	Rejected  int           // files rejected, the previous material kept
--- a/internal/certstore/tlsconfig.go
+++ b/internal/certstore/tlsconfig.go
@@ -50,7 +50,7 @@
 // Client returns a client configuration for one server, which is verified by the name under which it is
 // configured here, not by what it presents. The error is ErrNoRoots without trusted roots: the system's roots
 // are not used for the servers of a fleet. If a handshake fails because of a certificate, its error is a
-// *judge.Fault.
+// *validate.Fault.
 func (r *Store) Client(name string) (*tls.Config, error) {
 	if len(r.current.Load().material.Roots) == 0 {
 		return nil, ErrNoRoots
--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -67,7 +67,7 @@
 	Requests   uint64 `json:"Claims"`  // lease requests of this instance
 	Exclusive  uint64 `json:"Clear"`   // of these: granted, and nobody else has a lease of the key
 	Shared     uint64 `json:"Shared"`  // granted for the group that others send to
-	Denied     uint64 `json:"Refused"` // not to be sent, since others hold the key or request it at once
+	Denied     uint64 `json:"Refused"` // not to be sent: the votes are split, or others hold the key and no majority says for which group
 	NoMajority uint64 `json:"Unsure"`  // sent or not, by class, since no majority of voters answered
 	Received   uint64 `json:"Heard"`   // messages that were handled
 	Malformed  uint64 `json:"Bad"`     // messages that could not be decoded
--- a/internal/emulator/plan/plan.go
+++ b/internal/emulator/plan/plan.go
@@ -1,6 +1,6 @@
 // Package plan is a rehearsal as it is played: a fleet, what its clients do, a
 // timeline of faults, and the count of what came of it. It does no I/O and has no
-// clock: the hosts (package play on virtual time, package live on sockets) play the
+// clock: the hosts (package simulation on virtual time, package realtime on sockets) play the
 // same plan and count in the same way.
 package plan
 
--- a/internal/emulator/realtime/realtime.go
+++ b/internal/emulator/realtime/realtime.go
@@ -1,6 +1,6 @@
 // Package realtime plays a scenario on loopback sockets and the system's clock: emulated
 // servers, real instances (front, engine, upstream) and clients, all in one process.
-// It plays the plan that package play plays on virtual time, and counts in the same
+// It plays the plan that package simulation plays on virtual time, and counts in the same
 // way. Faults, membership's lateness and the latency between sites are emulated; the
 // requests, connections and time-outs are real.
 package realtime
--- a/internal/emulator/sockets/http1.go
+++ b/internal/emulator/sockets/http1.go
@@ -47,7 +47,7 @@
 // TLS is the transport of HTTP/1.1 with TLS and of HTTP/3, on one port number. Connections
 // over UDP are not counted against a server's most: they hold no descriptor there.
 type TLS struct {
-	Config func(protocol string) *tls.Config // see package dual
+	Config func(protocol string) *tls.Config // see package dualprotocol
 }
 
 // Listen listens at host:port.
--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -9,7 +9,7 @@
 	"pinedale/balancer"
 )
 
-// Attempt is one attempt at a request. Its exported fields but Stop must not be changed.
+// Attempt is one attempt at a request. Its exported fields but Abort must not be changed.
 type Attempt struct {
 	Number   int // from 0
 	Endpoint uint32
--- a/internal/engine/doc.go
+++ b/internal/engine/doc.go
@@ -42,7 +42,7 @@
 //
 // # Files
 //
-//	interfaces.go  what surrounds the engine: carrier, upstream, source, decider, admission, subset
+//	interfaces.go  what surrounds the engine: carrier, upstream, source, decider, admission, subset, key leases
 //	options.go     Options and RuntimeSettings
 //	engine.go      Engine: New, Start, Run, Configure
 //	loop.go        the event loop
--- a/internal/engine/interfaces.go
+++ b/internal/engine/interfaces.go
@@ -155,5 +155,5 @@
 const (
 	LeaseExclusive LeaseOutcome = iota // no other instance has sent the request: it may be sent
 	LeaseShared                        // another may have: it may go to Group, as one that may have run
-	LeaseDenied                        // unknown whether another has: it must not be sent
+	LeaseDenied                        // unknown whether another has: it must not be sent, and is answered with 502
 )
--- a/internal/front/exchange/desk.go
+++ b/internal/front/exchange/desk.go
@@ -22,7 +22,7 @@
 	"pinedale/internal/requestmeta"
 )
 
-// Errors that end a request without a response of the engine, besides *intake.Error.
+// Errors that end a request without a response of the engine, besides *requestmeta.Error.
 var (
 	// ErrBusy: the bodies in memory have reached their limit.
 	ErrBusy = errors.New("the memory for request bodies is in use")
@@ -63,7 +63,7 @@
 }
 
 // ReadBody reads a request's body, within its own limit and the limit of all bodies together. The caller
-// calls release once the body is not needed any more. Its errors are ErrBusy and *intake.Error.
+// calls release once the body is not needed any more. Its errors are ErrBusy and *requestmeta.Error.
 func (d *Dispatcher) ReadBody(w http.ResponseWriter, in *http.Request) (body []byte, release func(), err error) {
 	reserved := int64(httpmsg.MaxBodyBytes)
 	if in.ContentLength >= 0 {
@@ -84,7 +84,7 @@
 	return body, release, nil
 }
 
-// readBody reads a body of known or unknown length. Its errors are *intake.Error.
+// readBody reads a body of known or unknown length. Its errors are *requestmeta.Error.
 func readBody(w http.ResponseWriter, in *http.Request) ([]byte, error) {
 	if in.ContentLength >= 0 {
 		body := make([]byte, in.ContentLength)
@@ -104,7 +104,7 @@
 }
 
 // Dispatch submits a request to the engine and returns its one response, at the latest responseSlack after
-// the request's deadline. Its errors are ErrDisconnected and *intake.Error.
+// the request's deadline. Its errors are ErrDisconnected and *requestmeta.Error.
 func (d *Dispatcher) Dispatch(in *http.Request, req requestmeta.Parsed, body []byte) (engine.Response, error) {
 	if !d.register(req.CorrelationID) {
 		return engine.Response{}, &requestmeta.Error{
--- a/internal/front/extproc/request.go
+++ b/internal/front/extproc/request.go
@@ -13,7 +13,7 @@
 	"pinedale/internal/requestmeta"
 )
 
-// Headers of a request, besides those of package intake.
+// Headers of a request, besides those of package requestmeta.
 const (
 	headerContentLength = "content-length"
 	headerAttemptCount  = "x-envoy-attempt-count" // by Envoy's router, from 1
@@ -49,7 +49,7 @@
 }
 
 // readHead reads a request's headers: those of requestHeaders, or all if routes may match others. Its errors are
-// *intake.Error.
+// *requestmeta.Error.
 func readHead(in *extprocv3.HttpHeaders, all bool) (requestHead, error) {
 	head := requestHead{header: make(http.Header, len(requestHeaders))}
 	for _, h := range in.GetHeaders().GetHeaders() {
--- a/internal/front/extproc/stream.go
+++ b/internal/front/extproc/stream.go
@@ -135,7 +135,7 @@
 	return s.awaitDecision()
 }
 
-// parseRequest reads a request's headers. Its errors are *intake.Error.
+// parseRequest reads a request's headers. Its errors are *requestmeta.Error.
 func (s *stream) parseRequest(in *extprocv3.HttpHeaders) (routing.Request, error) {
 	arrived := s.server.engine.Now()
 	h, err := readHead(in, s.server.parser.Routed())
--- a/internal/keylease/doc.go
+++ b/internal/keylease/doc.go
@@ -34,7 +34,8 @@
 //
 // # Safety
 //
-// At any time, requests with one key are sent to at most one group:
+// At any time, requests with one key are sent to at most one group, as far as nothing is sent
+// without a lease (cluster.AgreeAlways; AgreeSoon gives this up when voters do not answer):
 //
 //   - Any two majorities of one voter set have an acceptor in common.
 //   - An acceptor changes the group of a key only when every holder has released the lease
--- a/internal/keylease/message.go
+++ b/internal/keylease/message.go
@@ -32,7 +32,7 @@
 	AtCapacity                 // the acceptor has no capacity for another key or another holder of it
 )
 
-// String returns the kind as it appears in the reason of a rejected request.
+// String returns the kind as it appears in the reason of a denied lease.
 func (k ResponseKind) String() string {
 	texts := [...]string{"told", "started too lately", "has other witnesses in its file", "has no room"}
 	return texts[min(k, AtCapacity)]
--- a/internal/measure/gossip/gossip.go
+++ b/internal/measure/gossip/gossip.go
@@ -1,5 +1,5 @@
 // Package gossip measures what it costs to hold copies of what all instances tell, in fleets
-// of any size: the stores of package replica at the pace of package peers, on virtual time,
+// of any size: the stores of package replication at the pace of package cluster, on virtual time,
 // their messages as long as they are on the wire.
 package gossip
 
--- a/internal/site/keys_report.go
+++ b/internal/site/keys_report.go
@@ -84,7 +84,7 @@
 }
 
 // VerifyKeys checks whether files would be accepted in place of those of a [[keys]] entry; an empty path stands for
-// the entry's own file. The error is a *judge.Fault if they would not be.
+// the entry's own file. The error is a *validate.Fault if they would not be.
 func (f *File) VerifyKeys(name string, replacement certstore.Paths) error {
 	index := slices.IndexFunc(f.Keys, func(k Keys) bool { return k.Name == name })
 	if index < 0 {
--- a/internal/upstream/byprotocol/byprotocol.go
+++ b/internal/upstream/byprotocol/byprotocol.go
@@ -2,7 +2,7 @@
 // all others.
 //
 // Each attempt uses one protocol. An attempt that could not be sent is not repeated over the
-// other one: it ends as not run, and the balancer decides what follows. Package speaks chooses
+// other one: it ends as not run, and the balancer decides what follows. Package protocol chooses
 // the protocol; its state is guarded by Upstream.mu and not kept over a restart.
 package byprotocol
 
--- a/internal/upstream/secure/doc.go
+++ b/internal/upstream/secure/doc.go
@@ -1,5 +1,5 @@
 // Package secure performs TLS handshakes with servers and verifies them, for the upstreams over
-// HTTP/1.1 and HTTP/3. Keys and trust are those of a keyroom.Room; package handshake decides when
+// HTTP/1.1 and HTTP/3. Keys and trust are those of a certstore.Store; package handshake decides when
 // a handshake may begin. There is no fallback to plain text: a connection whose server cannot be
 // verified fails before a byte of a request is sent, so that the request never ran.
 //
--- a/internal/upstream/secure/handshake.go
+++ b/internal/upstream/secure/handshake.go
@@ -166,7 +166,7 @@
 
 // failureReason returns why a handshake has failed, for counters and log events.
 //
-//	a rule of package judge  the server's certificate was rejected
+//	a rule of package validate  the server's certificate was rejected
 //	silent                   the handshake did not complete within its timeout
 //	called off               the attempt was cancelled
 //	refused                  the server has sent an alert: it may require a client certificate
--- a/internal/upstream/secure/sessions.go
+++ b/internal/upstream/secure/sessions.go
@@ -24,7 +24,7 @@
 //
 // A session proves that the server is the one that was verified when the session began, and no
 // more. Its chain is therefore verified again, by the roots and the time of now, whenever it is
-// resumed (keyroom.Room.Client).
+// resumed (certstore.Store.Client).
 type sessionStore struct {
 	mu       sync.Mutex
 	capacity int
