--- a/internal/front/httpfront/doc.go
+++ b/internal/front/httpfront/doc.go
@@ -1,5 +1,5 @@
 // Package httpfront is the HTTP/1.1 front: it accepts the application's connections, passes each request to
-// the engine through a exchange.Dispatcher and writes the response.
+// the engine through an exchange.Dispatcher and writes the response.
 //
 // A Server is the handler of a net/http server over a clientListener, which bounds the connections and
 // evicts idle ones. clientConn corrects what net/http does not show or do: a header with two body lengths, a
