--- a/cmd/pinedale-simulate/demo.go
+++ b/cmd/pinedale-simulate/demo.go
@@ -59,7 +59,7 @@
 		return err
 	}
 	defer f.close()
-	failing := model.Fault{From: length * 3 / 10, Until: length * 6 / 10, FailFast: 0.9}
+	failing := model.Fault{From: length * 3 / 10, Until: length * 6 / 10, FailFastRatio: 0.9}
 	for n := range demoServers {
 		var faults []model.Fault
 		if n == 0 {
@@ -98,7 +98,7 @@
 	defer clients.mu.Unlock()
 	sum := &clients.sum
 	fmt.Fprintf(out, "in all: asked %d, in time %d, late %d, refused %d, failed %d; effects done twice %d\n",
-		sum.requested, sum.inTime, sum.late, sum.rejected, sum.failed, len(f.fleet.Twice()))
+		sum.requested, sum.inTime, sum.late, sum.rejected, sum.failed, len(f.fleet.DuplicateEffects()))
 	return nil
 }
 
@@ -131,10 +131,10 @@
 // add starts a server and lists it.
 func (f *demoFleet) add(warming bool, faults ...model.Fault) error {
 	n := len(f.servers)
-	cfg := model.Config{Cores: 3, Speed: [...]float64{2, 1.2, 0.8}[n%3], SlotsPerCore: 1, QueuePerCore: 100, Thrash: 0.08, ThrashAt: 5,
-		SlowStartRatio: 0.35, SlowStartTime: 6 * time.Second, FallFactor: 2.5, FallAfter: time.Second,
-		ReportEvery: 100 * time.Millisecond, ProbeWork: 100 * time.Microsecond, Handshake: time.Millisecond}
-	s, err := f.fleet.Start(sockets.Spec{Name: fmt.Sprintf("soko-%d", n+1), Group: fmt.Sprint(n / 2), Config: cfg, Seed: uint64(n + 1), Warming: warming, Faults: faults})
+	cfg := model.Config{Cores: 3, Speed: [...]float64{2, 1.2, 0.8}[n%3], SlotsPerCore: 1, QueuePerCore: 100, ThrashRatio: 0.08, ThrashThreshold: 5,
+		SlowStartRatio: 0.35, SlowStartTime: 6 * time.Second, OverloadMultiple: 2.5, OverloadWindow: time.Second,
+		ReportEvery: 100 * time.Millisecond, ProbeWork: 100 * time.Microsecond, HandshakeWork: time.Millisecond}
+	s, err := f.fleet.Start(sockets.ServerSpec{Name: fmt.Sprintf("soko-%d", n+1), Group: fmt.Sprint(n / 2), Config: cfg, Seed: uint64(n + 1), Warming: warming, Faults: faults})
 	if err != nil {
 		return err
 	}
--- a/cmd/pinedale-simulate/main.go
+++ b/cmd/pinedale-simulate/main.go
@@ -168,7 +168,7 @@
 }
 
 func broken(r *plan.Result) error {
-	if reason := r.Broken(); reason != "" {
+	if reason := r.Violations(); reason != "" {
 		return errors.New("a rule was broken: " + reason)
 	}
 	return nil
@@ -186,9 +186,9 @@
 		return err
 	}
 	fmt.Fprintf(out, "%s, seed %d, %s, %s: %v played in %v\n", f.Name, s.Seed, o.policy, o.host(), s.Length, time.Since(began).Round(time.Millisecond))
-	f.Print(out, s, r)
+	f.WriteText(out, s, r)
 	if o.html != "" {
-		if err := write(o.html, func(w io.Writer) error { return f.HTML(w, s, r) }); err != nil {
+		if err := write(o.html, func(w io.Writer) error { return f.WriteHTML(w, s, r) }); err != nil {
 			return err
 		}
 	}
@@ -214,7 +214,7 @@
 	var r *plan.Result
 	events := 0
 	err = write(o.out, func(file io.Writer) (err error) {
-		w := trace.NewWriter(file, trace.Head{Host: o.host(), Policy: o.policy, Seed: s.Seed, Scenario: text})
+		w := trace.NewWriter(file, trace.Header{Host: o.host(), Policy: o.policy, Seed: s.Seed, Scenario: text})
 		if r, err = playOn(o.host(), s, o.policy, func(e trace.Event) { events++; w.Write(e) }, p); err != nil {
 			return err
 		}
@@ -223,7 +223,7 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(out, "%s, seed %d, %s: %d events, G %.3f\n", f.Name, s.Seed, o.policy, events, s.G(r))
+	fmt.Fprintf(out, "%s, seed %d, %s: %d events, G %.3f\n", f.Name, s.Seed, o.policy, events, s.Score(r))
 	return broken(r)
 }
 
@@ -238,17 +238,17 @@
 	if err != nil {
 		return fmt.Errorf("%s: %w", path, err)
 	}
-	f, err := scenario.Parse([]byte(old.Head.Scenario))
+	f, err := scenario.Parse([]byte(old.Header.Scenario))
 	if err != nil {
 		return fmt.Errorf("%s: line 1: scenario: %w", path, err)
 	}
-	s := f.Plan(old.Head.Seed)
-	if old.Head.Host == trace.Sockets {
+	s := f.Plan(old.Header.Seed)
+	if old.Header.Host == trace.Sockets {
 		return recount(out, path, f, s, old, p)
 	}
 	same, events := true, 0
 	var fault error
-	r, err := playOn(trace.Virtual, s, old.Head.Policy, func(e trace.Event) {
+	r, err := playOn(trace.Virtual, s, old.Header.Policy, func(e trace.Event) {
 		if !same || fault != nil {
 			return
 		}
@@ -283,7 +283,7 @@
 	if !same {
 		return errors.New("it plays otherwise")
 	}
-	fmt.Fprintf(out, "%s, seed %d, %s: all %d events are the same, G %.3f\n", f.Name, s.Seed, old.Head.Policy, events, s.G(r))
+	fmt.Fprintf(out, "%s, seed %d, %s: all %d events are the same, G %.3f\n", f.Name, s.Seed, old.Header.Policy, events, s.Score(r))
 	return nil
 }
 
@@ -293,19 +293,19 @@
 	names := []string{"tries", "answered 200", "answered 503", "other answers", "clients gone", "attempts", "servers fallen"}
 	count := func(n []int, e trace.Event) {
 		switch {
-		case e.Kind == trace.Ask:
+		case e.Kind == trace.KindRequest:
 			n[0]++
-		case e.Kind == trace.Answer && e.Code == 200:
+		case e.Kind == trace.KindResponse && e.Code == 200:
 			n[1]++
-		case e.Kind == trace.Answer && e.Code == 503:
+		case e.Kind == trace.KindResponse && e.Code == 503:
 			n[2]++
-		case e.Kind == trace.Answer && e.Code == plan.CodeDisconnected:
+		case e.Kind == trace.KindResponse && e.Code == plan.CodeDisconnected:
 			n[4]++
-		case e.Kind == trace.Answer:
+		case e.Kind == trace.KindResponse:
 			n[3]++
-		case e.Kind == trace.Send:
+		case e.Kind == trace.KindAttempt:
 			n[5]++
-		case e.Kind == trace.Fall:
+		case e.Kind == trace.KindCollapse:
 			n[6]++
 		}
 	}
@@ -319,10 +319,10 @@
 		}
 		count(then, e)
 	}
-	if _, err := playOn(trace.Virtual, s, old.Head.Policy, func(e trace.Event) { count(now, e) }, p); err != nil {
+	if _, err := playOn(trace.Virtual, s, old.Header.Policy, func(e trace.Event) { count(now, e) }, p); err != nil {
 		return err
 	}
-	fmt.Fprintf(out, "%s, seed %d, %s\n%-16s %9s %9s\n", f.Name, s.Seed, old.Head.Policy, "", "sockets", "virtual")
+	fmt.Fprintf(out, "%s, seed %d, %s\n%-16s %9s %9s\n", f.Name, s.Seed, old.Header.Policy, "", "sockets", "virtual")
 	for i, name := range names {
 		fmt.Fprintf(out, "%-16s %9d %9d\n", name, then[i], now[i])
 	}
@@ -362,12 +362,12 @@
 		if x.err != nil {
 			return fmt.Errorf("%s: %w", x.name, x.err)
 		}
-		a, b := x.s.G(x.virtual), x.s.G(x.live)
+		a, b := x.s.Score(x.virtual), x.s.Score(x.live)
 		if math.Abs(a-b) > maxDifference {
 			apart++
 		}
-		fmt.Fprintf(out, "%-18s %9.3f %9.3f %+9.3f %5d, %5d %5d, %5d  %s\n", x.name, a, b, b-a, x.virtual.Tries, x.live.Tries,
-			x.virtual.Connections, x.live.Connections, x.live.Broken())
+		fmt.Fprintf(out, "%-18s %9.3f %9.3f %+9.3f %5d, %5d %5d, %5d  %s\n", x.name, a, b, b-a, x.virtual.ClientAttempts, x.live.ClientAttempts,
+			x.virtual.Connections, x.live.Connections, x.live.Violations())
 	}
 	if apart > 0 {
 		return fmt.Errorf("%d of %d scenarios are more than %v apart", apart, len(all), maxDifference)
@@ -397,8 +397,8 @@
 				if err != nil {
 					return err
 				}
-				sum += s.G(r)
-				if r.Broken() != "" {
+				sum += s.Score(r)
+				if r.Violations() != "" {
 					rules++
 				}
 			}
@@ -441,7 +441,7 @@
 			if err != nil {
 				return err
 			}
-			if r.Broken() != "" {
+			if r.Violations() != "" {
 				rules[i]++
 			}
 			pair[i] = played{s, r}
@@ -469,7 +469,7 @@
 		}
 		fmt.Fprintf(out, "%-20s %9.2f %9.2f %+9.2f +- %.2f  %s\n", name, 100*first/n, 100*second/n, 100*mean, 100*noise, conclusion)
 	}
-	row("G", func(x played) float64 { return x.s.G(x.r) })
+	row("G", func(x played) float64 { return x.s.Score(x.r) })
 	row("in time", func(x played) float64 { return x.r.InTime() })
 	row("in the worst 10 s", func(x played) float64 { return x.s.WorstWindow(x.r) })
 	row("of the worst class", func(x played) float64 { return x.s.WorstClass(x.r) })
--- a/internal/emulator/model/config.go
+++ b/internal/emulator/model/config.go
@@ -4,18 +4,18 @@
 
 // Config is one server's machine.
 type Config struct {
-	Cores        int
-	Speed        float64 // of a core: work done in a unit of time
-	SlotsPerCore int     // requests in work
-	QueuePerCore int     // requests that wait; more are turned away
-	Thrash       float64 // share of its efficiency lost for each request a core holds beyond ThrashAt
-	ThrashAt     float64
+	Cores           int
+	Speed           float64 // of a core: work done in a unit of time
+	SlotsPerCore    int     // requests in work
+	QueuePerCore    int     // requests that wait; more are turned away
+	ThrashRatio     float64 // share of its efficiency lost for each request a core holds beyond ThrashAt
+	ThrashThreshold float64
 
-	SlowStartRatio float64       // share of its capacity at a start
-	SlowStartTime  time.Duration // until it is warm
-	WarmByWork     bool          // it warms with the work done, at the latest by SlowStartTime
-	FallFactor     float64       // work sent beyond this multiple of what it can do just now,
-	FallAfter      time.Duration // counted over any window of this length, makes a cold server fall over
+	SlowStartRatio   float64       // share of its capacity at a start
+	SlowStartTime    time.Duration // until it is warm
+	WarmByWork       bool          // it warms with the work done, at the latest by SlowStartTime
+	OverloadMultiple float64       // work sent beyond this multiple of what it can do just now,
+	OverloadWindow   time.Duration // counted over any window of this length, makes a cold server fall over
 
 	PauseEvery time.Duration // mean time between two pauses, 0 for none
 	PauseFor   time.Duration // mean length
@@ -24,9 +24,9 @@
 	ReportDelay time.Duration // and is so old when it is given
 	ReportNoise float64       // share by which its figures are off, at most
 
-	Connections int           // open at once, 0 for any number
-	Handshake   time.Duration // work of a core for a new connection
-	ProbeWork   time.Duration // and for a probe
+	Connections   int           // open at once, 0 for any number
+	HandshakeWork time.Duration // work of a core for a new connection
+	ProbeWork     time.Duration // and for a probe
 
 	Subjects     int           // it remembers so many, the latest met; 0 for none
 	SubjectSaves float64       // share of its work that a request saves about one that is remembered,
@@ -66,12 +66,12 @@
 
 // Fault is a scripted misbehaviour of a server, while it lasts.
 type Fault struct {
-	From, Until  Time
-	FailFast     float64 // share of requests that fail at once, with a healthy face
-	Swallow      float64 // share that is never answered
-	Reject       float64 // share that is turned away unseen
-	FailLate     float64 // share that fails once its work is done
-	Break        float64 // share whose connection breaks once its work is done
-	Unresponsive bool    // nothing is answered, nothing refused: the machine has vanished
-	Slow         float64 // work takes so many times as long; probes are answered as ever
+	From, Until     Time
+	FailFastRatio   float64 // share of requests that fail at once, with a healthy face
+	UnansweredRatio float64 // share that is never answered
+	RejectRatio     float64 // share that is turned away unseen
+	FailLateRatio   float64 // share that fails once its work is done
+	ResetRatio      float64 // share whose connection breaks once its work is done
+	Unresponsive    bool    // nothing is answered, nothing refused: the machine has vanished
+	SlowdownFactor  float64 // work takes so many times as long; probes are answered as ever
 }
--- a/internal/emulator/model/server.go
+++ b/internal/emulator/model/server.go
@@ -164,12 +164,12 @@
 		return 0
 	}
 	each := s.cfg.Speed * min(1, float64(s.cfg.Cores)/float64(n))
-	if crowd := float64(n+len(s.waiting))/float64(s.cfg.Cores) - s.cfg.ThrashAt; crowd > 0 && s.cfg.Thrash > 0 {
-		each /= 1 + s.cfg.Thrash*crowd
+	if crowd := float64(n+len(s.waiting))/float64(s.cfg.Cores) - s.cfg.ThrashThreshold; crowd > 0 && s.cfg.ThrashRatio > 0 {
+		each /= 1 + s.cfg.ThrashRatio*crowd
 	}
 	for _, f := range s.faults {
-		if f.Slow > 1 && s.now >= f.From && s.now < f.Until {
-			each /= f.Slow
+		if f.SlowdownFactor > 1 && s.now >= f.From && s.now < f.Until {
+			each /= f.SlowdownFactor
 		}
 	}
 	return each * s.Warmth(s.now)
@@ -200,7 +200,7 @@
 		next = min(next, s.pause)
 		for _, f := range s.faults { // the rate changes there
 			for _, edge := range [2]Time{f.From, f.Until} {
-				if f.Slow > 1 && edge > s.now {
+				if f.SlowdownFactor > 1 && edge > s.now {
 					next = min(next, edge)
 				}
 			}
@@ -308,20 +308,20 @@
 		if f.Unresponsive {
 			return out // nobody is there to say so
 		}
-		if s.draw(by, drawRejected) < f.Reject {
+		if s.draw(by, drawRejected) < f.RejectRatio {
 			return append(out, Ended{r.Number, Rejected, now})
 		}
-		if s.draw(by, drawFail) < f.FailFast {
+		if s.draw(by, drawFail) < f.FailFastRatio {
 			s.errors = append(s.errors, now)
 			s.end(Ended{r.Number, Failed, now + quick})
 			return out
 		}
 		switch late := s.draw(by, drawLate); {
-		case late < f.FailLate:
+		case late < f.FailLateRatio:
 			j.end = Failed
-		case late < f.FailLate+f.Break:
+		case late < f.FailLateRatio+f.ResetRatio:
 			j.end = ConnectionFailed
-		case late < f.FailLate+f.Break+f.Swallow:
+		case late < f.FailLateRatio+f.ResetRatio+f.UnansweredRatio:
 			j.end = Unanswered
 		}
 	}
@@ -354,12 +354,12 @@
 // load counts work that comes to a cold server, and says whether it falls over: all
 // work within any window of FallAfter, against what it can do just now.
 func (s *Server) load(now Time, work float64) bool {
-	if !s.warming || s.cfg.FallFactor <= 0 {
+	if !s.warming || s.cfg.OverloadMultiple <= 0 {
 		return false
 	}
 	s.window = append(s.window, sent{now, work})
 	old := 0
-	for old < len(s.window) && s.window[old].at <= now-s.cfg.FallAfter {
+	for old < len(s.window) && s.window[old].at <= now-s.cfg.OverloadWindow {
 		old++
 	}
 	s.window = slices.Delete(s.window, 0, old)
@@ -367,7 +367,7 @@
 	for _, w := range s.window {
 		sum += w.work
 	}
-	limit := s.cfg.FallFactor * s.capacity() * s.Warmth(now) * s.cfg.FallAfter.Seconds()
+	limit := s.cfg.OverloadMultiple * s.capacity() * s.Warmth(now) * s.cfg.OverloadWindow.Seconds()
 	s.strain = max(s.strain, sum/limit)
 	if sum <= limit {
 		return false
@@ -387,7 +387,7 @@
 		return false
 	}
 	s.conns++
-	s.burden(now, s.cfg.Handshake)
+	s.burden(now, s.cfg.HandshakeWork)
 	return !s.down
 }
 
--- a/internal/emulator/model/server_test.go
+++ b/internal/emulator/model/server_test.go
@@ -16,7 +16,7 @@
 const ms = time.Millisecond
 
 // box is a plain machine: two cores of speed 1, one slot each.
-var box = Config{Cores: 2, Speed: 1, SlotsPerCore: 1, QueuePerCore: 2, SlowStartRatio: 0.31, SlowStartTime: 8600 * ms, FallFactor: 2.5, FallAfter: time.Second,
+var box = Config{Cores: 2, Speed: 1, SlotsPerCore: 1, QueuePerCore: 2, SlowStartRatio: 0.31, SlowStartTime: 8600 * ms, OverloadMultiple: 2.5, OverloadWindow: time.Second,
 	ReportEvery: 100 * ms, ReportDelay: 50 * ms}
 
 var classes = []Class{{Idempotency: Idempotent}, {Idempotency: IdempotentWithKey, Window: 1500 * ms}, {Idempotency: IdempotentWithKey, Scope: Group, Window: 12 * time.Second}, {Idempotency: NotIdempotent}}
@@ -49,7 +49,7 @@
 		{"the room is full", nil, 8, 300 * ms, 6, 2},
 		{"a fast core", func(c *Config) { c.Speed = 2 }, 1, 50 * ms, 1, 0},
 		{"two on a core", func(c *Config) { c.Cores, c.SlotsPerCore = 1, 2 }, 2, 200 * ms, 2, 0},
-		{"crowded", func(c *Config) { c.Cores, c.SlotsPerCore, c.Thrash, c.ThrashAt = 1, 2, 0.5, 1 }, 2, 300 * ms, 2, 0},
+		{"crowded", func(c *Config) { c.Cores, c.SlotsPerCore, c.ThrashRatio, c.ThrashThreshold = 1, 2, 0.5, 1 }, 2, 300 * ms, 2, 0},
 	} {
 		cfg := box
 		if c.cfg != nil {
@@ -109,7 +109,7 @@
 	}
 	// What it is asked beside requests counts, too.
 	cfg := box
-	cfg.Handshake, cfg.ProbeWork = 100*ms, 100*ms
+	cfg.HandshakeWork, cfg.ProbeWork = 100*ms, 100*ms
 	s = server(cfg, true)
 	for i := range 20 {
 		if i%2 == 0 {
@@ -132,7 +132,7 @@
 	}
 	// With work it warms sooner.
 	cfg := box
-	cfg.WarmByWork, cfg.FallFactor, cfg.QueuePerCore = true, 0, 10_000
+	cfg.WarmByWork, cfg.OverloadMultiple, cfg.QueuePerCore = true, 0, 10_000
 	s = server(cfg, true)
 	for n := range uint64(1000) {
 		s.Arrive(0, Request{Number: n, Work: 10 * ms})
@@ -161,11 +161,11 @@
 		want  Outcome
 		runs  bool
 	}{
-		"turned away":       {Fault{Reject: 1, FailLate: 1}, Rejected, false},
-		"failing late":      {Fault{FailLate: 1}, Failed, true},
-		"its link breaks":   {Fault{Break: 1}, ConnectionFailed, true},
-		"swallowed":         {Fault{Swallow: 1}, Unanswered, true},
-		"none of the three": {Fault{FailLate: 0, Break: 0, Swallow: 0}, Served, true},
+		"turned away":       {Fault{RejectRatio: 1, FailLateRatio: 1}, Rejected, false},
+		"failing late":      {Fault{FailLateRatio: 1}, Failed, true},
+		"its link breaks":   {Fault{ResetRatio: 1}, ConnectionFailed, true},
+		"swallowed":         {Fault{UnansweredRatio: 1}, Unanswered, true},
+		"none of the three": {Fault{FailLateRatio: 0, ResetRatio: 0, UnansweredRatio: 0}, Served, true},
 	} {
 		c.fault.Until = time.Hour
 		s := server(box, false, c.fault)
@@ -184,7 +184,7 @@
 		}
 	}
 	// Each has its share.
-	s := server(box, false, Fault{Until: time.Hour, FailLate: 0.1, Break: 0.2, Swallow: 0.3})
+	s := server(box, false, Fault{Until: time.Hour, FailLateRatio: 0.1, ResetRatio: 0.2, UnansweredRatio: 0.3})
 	got := map[Outcome]int{}
 	for n := range uint64(10_000) {
 		for o, k := range outcomes(append(s.Arrive(Time(n)*10*ms, Request{Number: n, Work: ms}), s.Advance(Time(n)*10*ms+5*ms)...)) {
@@ -201,7 +201,7 @@
 // 18% of a fleet failing fast look healthy: their queues are empty, their answers
 // soon. Only the failures tell.
 func TestFailingFastLooksHealthy(t *testing.T) {
-	s := server(box, false, Fault{From: time.Second, Until: 10 * time.Second, FailFast: 0.6})
+	s := server(box, false, Fault{From: time.Second, Until: 10 * time.Second, FailFastRatio: 0.6})
 	var all []Ended
 	for n := range uint64(1000) {
 		all = append(all, s.Arrive(time.Second+Time(n)*5*ms, Request{Number: n, Work: 2 * ms})...)
@@ -211,7 +211,7 @@
 	if got[Failed] < 550 || got[Failed] > 650 || got[Served]+got[Failed] != 1000 {
 		t.Errorf("%v, want about 600 failures", got)
 	}
-	s = server(box, false, Fault{Until: time.Minute, FailFast: 0.6})
+	s = server(box, false, Fault{Until: time.Minute, FailFastRatio: 0.6})
 	for n := range uint64(200) {
 		s.Arrive(Time(n)*5*ms, Request{Number: n, Work: 2 * ms})
 	}
@@ -219,7 +219,7 @@
 		t.Errorf("it reports %v failures a second and %v waiting, %v", eps, queue, ok)
 	}
 	// Before and after the fault it is well.
-	s = server(box, false, Fault{From: time.Second, Until: 2 * time.Second, FailFast: 1, Swallow: 1})
+	s = server(box, false, Fault{From: time.Second, Until: 2 * time.Second, FailFastRatio: 1, UnansweredRatio: 1})
 	for _, at := range []Time{0, 3 * time.Second} {
 		if got := outcomes(append(s.Arrive(at, Request{Number: 1, Work: ms}), s.Advance(at+time.Second)...)); got[Served] != 1 {
 			t.Errorf("at %v: %v", at, got)
@@ -228,7 +228,7 @@
 }
 
 func TestSwallowedAndUnresponsive(t *testing.T) {
-	s := server(box, false, Fault{Until: time.Minute, Swallow: 1})
+	s := server(box, false, Fault{Until: time.Minute, UnansweredRatio: 1})
 	if got := outcomes(append(s.Arrive(0, Request{Number: 1, Work: ms, Class: 3, Key: "k"}), s.Advance(time.Second)...)); got[Unanswered] != 1 {
 		t.Errorf("swallowed: %v", got)
 	}
@@ -286,10 +286,10 @@
 func TestRandomPlays(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		cfg := Config{Cores: rapid.IntRange(1, 3).Draw(t, "cores"), Speed: 1.5, SlotsPerCore: rapid.IntRange(1, 2).Draw(t, "slots"),
-			QueuePerCore: rapid.IntRange(0, 3).Draw(t, "queue"), Thrash: 0.1, ThrashAt: 2, SlowStartRatio: 0.3, SlowStartTime: time.Second,
-			WarmByWork: rapid.Bool().Draw(t, "by work"), FallFactor: 2.5, FallAfter: time.Second, PauseEvery: 300 * ms, PauseFor: 30 * ms,
-			ReportEvery: 50 * ms, ReportDelay: 20 * ms, ReportNoise: 0.1, Handshake: ms, ProbeWork: ms}
-		faults := []Fault{{From: 500 * ms, Until: time.Second, FailFast: 0.5, Swallow: 0.3}}
+			QueuePerCore: rapid.IntRange(0, 3).Draw(t, "queue"), ThrashRatio: 0.1, ThrashThreshold: 2, SlowStartRatio: 0.3, SlowStartTime: time.Second,
+			WarmByWork: rapid.Bool().Draw(t, "by work"), OverloadMultiple: 2.5, OverloadWindow: time.Second, PauseEvery: 300 * ms, PauseFor: 30 * ms,
+			ReportEvery: 50 * ms, ReportDelay: 20 * ms, ReportNoise: 0.1, HandshakeWork: ms, ProbeWork: ms}
+		faults := []Fault{{From: 500 * ms, Until: time.Second, FailFastRatio: 0.5, UnansweredRatio: 0.3}}
 		warming := rapid.Bool().Draw(t, "cold")
 		type step struct {
 			at   Time
--- a/internal/emulator/model/subjects_test.go
+++ b/internal/emulator/model/subjects_test.go
@@ -46,7 +46,7 @@
 // A server that slows by a factor and speeds up again does what the factor says, to the instant.
 func TestSlowServer(t *testing.T) {
 	s := New(Config{Cores: 1, Speed: 1, SlotsPerCore: 1, QueuePerCore: 10}, 1, 0, false, NewMemory([]Class{{}}), "",
-		[]Fault{{From: time.Second, Until: 5 * time.Second, Slow: 4}})
+		[]Fault{{From: time.Second, Until: 5 * time.Second, SlowdownFactor: 4}})
 	s.Arrive(0, Request{Number: 1, Work: 3 * time.Second})
 	// A second's work by 1 s, another in the four slow ones, and the last by 6 s.
 	var ended []Ended
--- a/internal/emulator/plan/plan.go
+++ b/internal/emulator/plan/plan.go
@@ -163,13 +163,13 @@
 func (s *Scenario) Memory() *model.Memory {
 	classes := make([]model.Class, len(s.Classes))
 	for i, c := range s.Classes {
-		classes[i] = c.Remembered()
+		classes[i] = c.DedupClass()
 	}
 	return model.NewMemory(classes)
 }
 
-// Remembered is what a fleet knows of a class.
-func (c *Class) Remembered() model.Class {
+// DedupClass is what a fleet knows of a class.
+func (c *Class) DedupClass() model.Class {
 	out := model.Class{Idempotency: model.Idempotency(c.Idempotency), Window: time.Duration(c.DedupWindow) * time.Microsecond}
 	if c.Group != balancer.GroupAll {
 		out.Scope = model.Group
--- a/internal/emulator/plan/plan_test.go
+++ b/internal/emulator/plan/plan_test.go
@@ -130,17 +130,17 @@
 	if got := s.WorstWindow(r); math.Abs(got-window) > 1e-9 {
 		t.Errorf("worst window %v", got)
 	}
-	if got, want := s.G(r), 0.45*complete+0.35*window+0.2*complete; math.Abs(got-want) > 1e-9 {
+	if got, want := s.Score(r), 0.45*complete+0.35*window+0.2*complete; math.Abs(got-want) > 1e-9 {
 		t.Errorf("G %v, want %v", got, want)
 	}
 	if r.Seconds[41].Quantile(0.99) != 700*ms || r.Seconds[21].Quantile(0.5) != 0 {
 		t.Error("quantiles of a second")
 	}
-	if r.Broken() != "" {
-		t.Error(r.Broken())
+	if r.Violations() != "" {
+		t.Error(r.Violations())
 	}
-	r.Fell = append(r.Fell, 3)
-	if r.Broken() == "" {
+	r.Collapsed = append(r.Collapsed, 3)
+	if r.Violations() == "" {
 		t.Error("a server that fell over breaks no rule")
 	}
 }
--- a/internal/emulator/plan/result.go
+++ b/internal/emulator/plan/result.go
@@ -43,17 +43,17 @@
 
 // Result is what came of a play.
 type Result struct {
-	Classes     []Tally
-	Tenants     []Tally
-	Seconds     []Second
-	Sends       []int // attempts at each server
-	Tries       int   // first ones and retries
-	Probes      int
-	Connections int     // open at once, at most
-	Handshakes  int     // connections opened; on virtual time alone
-	Strain      float64 // of the cold server that came nearest to its fall, 1 being that; on virtual time alone
-	Turned      int     // attempts and probes that had no turn for a handshake
-	Busiest     int     // handshakes that one server had in one second of the play, at most
+	Classes        []Tally
+	Tenants        []Tally
+	Seconds        []Second
+	Sends          []int // attempts at each server
+	ClientAttempts int   // first ones and retries
+	Probes         int
+	Connections    int     // open at once, at most
+	Handshakes     int     // connections opened; on virtual time alone
+	Strain         float64 // of the cold server that came nearest to its fall, 1 being that; on virtual time alone
+	Turned         int     // attempts and probes that had no turn for a handshake
+	Busiest        int     // handshakes that one server had in one second of the play, at most
 
 	shakes []int // by server, in the second that is counted now
 	second int
@@ -62,7 +62,7 @@
 	Unanswered int   // tries without a final answer in time, or with two
 	Twice      int   // effects done twice
 	AfterDrain int   // sends later than the grace after a drain was told
-	Fell       []int // servers that fell over
+	Collapsed  []int // servers that fell over
 }
 
 // NewResult returns a result of nothing yet.
@@ -168,9 +168,9 @@
 	return worst
 }
 
-// G is the one figure of a play, 0 to 1: shares of the worth earned, over the whole,
+// Score is G, the one figure of a play, 0 to 1: shares of the worth earned, over the whole,
 // in the worst 10 s and by the worst class, weighted by the settings' goal.
-func (s *Scenario) G(r *Result) float64 {
+func (s *Scenario) Score(r *Result) float64 {
 	got, highest := s.earned(r.Classes)
 	if highest == 0 {
 		return 0
@@ -179,10 +179,10 @@
 	return (g.Overall*got/highest + g.WorstWindow*s.WorstWindow(r) + g.WorstClass*s.WorstClass(r)) / (g.Overall + g.WorstWindow + g.WorstClass)
 }
 
-// Broken says which rule was broken, "" if none was.
-func (r *Result) Broken() string {
-	if r.Unanswered+r.Twice+r.AfterDrain+len(r.Fell) == 0 {
+// Violations says which rule was broken, "" if none was.
+func (r *Result) Violations() string {
+	if r.Unanswered+r.Twice+r.AfterDrain+len(r.Collapsed) == 0 {
 		return ""
 	}
-	return fmt.Sprintf("unanswered %d, done twice %d, sent after a drain %d, fallen over %v", r.Unanswered, r.Twice, r.AfterDrain, r.Fell)
+	return fmt.Sprintf("unanswered %d, done twice %d, sent after a drain %d, fallen over %v", r.Unanswered, r.Twice, r.AfterDrain, r.Collapsed)
 }
--- a/internal/emulator/realtime/realtime.go
+++ b/internal/emulator/realtime/realtime.go
@@ -94,9 +94,9 @@
 	p.began = time.Now().Add(setUp + setUpEach*time.Duration(len(s.Servers)*len(s.Sites)+len(s.Instances)))
 	var classes []sockets.Class
 	for i := range s.Classes {
-		classes = append(classes, sockets.Class{Name: s.Classes[i].Name, Class: s.Classes[i].Remembered()})
+		classes = append(classes, sockets.Class{Name: s.Classes[i].Name, Class: s.Classes[i].DedupClass()})
 	}
-	p.fleet = sockets.New(sockets.Options{Classes: classes, Now: p.now, Arrived: p.arrived, Work: func(_ int, id string) time.Duration {
+	p.fleet = sockets.New(sockets.Options{Classes: classes, Now: p.now, OnArrival: p.arrived, Work: func(_ int, id string) time.Duration {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		if t := p.tries[id]; t != nil {
@@ -146,7 +146,7 @@
 	for site := range p.s.Sites {
 		latencies = append(latencies, p.s.Latency(site, x.Site))
 	}
-	server, err := p.fleet.Start(sockets.Spec{Name: x.Name, Group: fmt.Sprint(x.Pod), Config: x.Config, Seed: p.s.SeedOf(n),
+	server, err := p.fleet.Start(sockets.ServerSpec{Name: x.Name, Group: fmt.Sprint(x.Pod), Config: x.Config, Seed: p.s.SeedOf(n),
 		Warming: incarnation.From > 0, Faults: x.Faults, Latencies: latencies})
 	if err != nil {
 		return err
@@ -252,7 +252,7 @@
 			} else if _, was := p.drainingSince[[2]int{n, i}]; !was {
 				p.drainingSince[[2]int{n, i}] = p.now()
 			}
-			p.watch(trace.Event{Kind: trace.Member, Instance: i + 1, Server: n + 1, Code: int(state)})
+			p.watch(trace.Event{Kind: trace.KindEndpoint, Instance: i + 1, Server: n + 1, Code: int(state)})
 		})
 	}
 }
@@ -269,7 +269,7 @@
 	defer p.mu.Unlock()
 	if !p.fell[n] {
 		p.fell[n] = true
-		p.watch(trace.Event{Kind: trace.Fall, Server: n + 1})
+		p.watch(trace.Event{Kind: trace.KindCollapse, Server: n + 1})
 	}
 }
 
@@ -296,7 +296,7 @@
 	if since, ok := p.drainingSince[[2]int{n, t.Instance}]; ok && at > since+grace {
 		p.result.AfterDrain++
 	}
-	p.watch(trace.Event{Kind: trace.Send, Number: t.Number, Try: t.Tries, Instance: t.Instance + 1, Server: n + 1})
+	p.watch(trace.Event{Kind: trace.KindAttempt, Number: t.Number, Try: t.Tries, Instance: t.Instance + 1, Server: n + 1})
 }
 
 // clients asks as the script says.
@@ -319,17 +319,17 @@
 	for {
 		p.mu.Lock()
 		t.Tries++
-		p.result.Tries++
+		p.result.ClientAttempts++
 		id := fmt.Sprintf("t%d-%d", t.Number, t.Tries)
 		p.tries[id] = t
-		p.watch(trace.Event{Kind: trace.Ask, Number: t.Number, Try: t.Tries, Instance: t.Instance + 1, Class: t.Class + 1})
+		p.watch(trace.Event{Kind: trace.KindRequest, Number: t.Number, Try: t.Tries, Instance: t.Instance + 1, Class: t.Class + 1})
 		p.mu.Unlock()
 		code, retryAfter, missing := p.submit(ctx, t, id)
 		p.mu.Lock()
 		if missing {
 			p.result.Unanswered++
 		}
-		p.watch(trace.Event{Kind: trace.Answer, Number: t.Number, Try: t.Tries, Instance: t.Instance + 1, Code: code})
+		p.watch(trace.Event{Kind: trace.KindResponse, Number: t.Number, Try: t.Tries, Instance: t.Instance + 1, Code: code})
 		now := p.now()
 		wait, retry := p.s.Retry(t, code, retryAfter, now)
 		if !retry {
@@ -396,7 +396,7 @@
 	for n := range p.s.Servers {
 		p.fallen(n)
 	}
-	twice := len(p.fleet.Twice())
+	twice := len(p.fleet.DuplicateEffects())
 	_, highest := p.fleet.Connections()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -404,7 +404,7 @@
 	p.result.Twice, p.result.Connections = twice, highest
 	for n := range p.s.Servers {
 		if p.fell[n] {
-			p.result.Fell = append(p.result.Fell, n)
+			p.result.Collapsed = append(p.result.Collapsed, n)
 		}
 	}
 }
--- a/internal/emulator/realtime/realtime_test.go
+++ b/internal/emulator/realtime/realtime_test.go
@@ -64,7 +64,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if reason := got.Broken(); reason != "" {
+	if reason := got.Violations(); reason != "" {
 		t.Error(reason)
 	}
 	for i := range s.Classes {
@@ -78,11 +78,11 @@
 		}
 	}
 	// The bound is wide: tests share the machine. What is measured is in the docs.
-	if a, b := s.G(got), s.G(want); math.Abs(a-b) > 0.15 {
+	if a, b := s.Score(got), s.Score(want); math.Abs(a-b) > 0.15 {
 		t.Errorf("G %.3f, virtual %.3f", a, b)
 	}
-	if kinds[trace.Ask] != got.Tries || kinds[trace.Answer] != got.Tries || kinds[trace.Member] != 3*len(s.Instances) || kinds[trace.Send] < got.Tries/2 {
-		t.Errorf("told of %v, %d tries", kinds, got.Tries)
+	if kinds[trace.KindRequest] != got.ClientAttempts || kinds[trace.KindResponse] != got.ClientAttempts || kinds[trace.KindEndpoint] != 3*len(s.Instances) || kinds[trace.KindAttempt] < got.ClientAttempts/2 {
+		t.Errorf("told of %v, %d tries", kinds, got.ClientAttempts)
 	}
 }
 
@@ -93,7 +93,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	requested := 0
 	if _, err := Run(ctx, s, Options{Watch: func(e trace.Event) {
-		if e.Kind == trace.Ask {
+		if e.Kind == trace.KindRequest {
 			if requested++; requested == 20 {
 				cancel()
 			}
@@ -119,7 +119,7 @@
 	}
 	for i := range s.Servers {
 		c := &s.Servers[i].Config
-		c.Cores, c.Speed, c.PauseEvery, c.Thrash, c.Handshake = 400, 1, 0, 0, 0 // all at once
+		c.Cores, c.Speed, c.PauseEvery, c.ThrashRatio, c.HandshakeWork = 400, 1, 0, 0, 0 // all at once
 		s.Servers[i].Faults, s.Servers[i].Incarnations = nil, plan.Always
 	}
 	// What is shown is what the hosts bear: the module would refuse most of it, not
@@ -132,8 +132,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if reason := r.Broken(); r.Connections < 2000 || reason != "" {
-		t.Errorf("%d connections at most for %d tries, %.3f in time %s", r.Connections, r.Tries, r.InTime(), reason)
+	if reason := r.Violations(); r.Connections < 2000 || reason != "" {
+		t.Errorf("%d connections at most for %d tries, %.3f in time %s", r.Connections, r.ClientAttempts, r.InTime(), reason)
 	}
-	t.Logf("%d tries, %d connections at most, %.3f in time", r.Tries, r.Connections, r.InTime())
+	t.Logf("%d tries, %d connections at most, %.3f in time", r.ClientAttempts, r.Connections, r.InTime())
 }
--- a/internal/emulator/scenario/fault.go
+++ b/internal/emulator/scenario/fault.go
@@ -51,15 +51,15 @@
 func (x *Fault) serverFault() (fault model.Fault, ok bool) {
 	switch x.Kind {
 	case "fail_fast":
-		return model.Fault{FailFast: x.Share}, true
+		return model.Fault{FailFastRatio: x.Share}, true
 	case "swallow":
-		return model.Fault{Swallow: x.Share}, true
+		return model.Fault{UnansweredRatio: x.Share}, true
 	case "silent":
 		return model.Fault{Unresponsive: true}, true
 	case "slow":
-		return model.Fault{Slow: x.Factor}, true
+		return model.Fault{SlowdownFactor: x.Factor}, true
 	case "break":
-		return model.Fault{Break: x.Share}, true
+		return model.Fault{ResetRatio: x.Share}, true
 	}
 	return model.Fault{}, false
 }
--- a/internal/emulator/scenario/report.go
+++ b/internal/emulator/scenario/report.go
@@ -10,8 +10,8 @@
 	"pinedale/internal/emulator/plan"
 )
 
-// Print writes a play's result for a reader.
-func (f *File) Print(out io.Writer, s *plan.Scenario, r *plan.Result) {
+// WriteText writes a play's result for a reader.
+func (f *File) WriteText(out io.Writer, s *plan.Scenario, r *plan.Result) {
 	table := func(title string, names []string, tallies []plan.Tally) {
 		fmt.Fprintf(out, "%-16s %8s %9s %7s %8s %7s\n", title, "asked", "in time", "late", "refused", "failed")
 		for i, t := range tallies {
@@ -29,12 +29,12 @@
 	if len(tenants) > 0 {
 		table("tenant", tenants, r.Tenants)
 	}
-	fmt.Fprintf(out, "G %.3f; in time %.1f%%, worth earned in the worst 10 s %.1f%%\n", s.G(r), 100*r.InTime(), 100*s.WorstWindow(r))
-	fmt.Fprintf(out, "tries %d; attempts by server %v; probes %d; connections at most %d\n", r.Tries, r.Sends, r.Probes, r.Connections)
+	fmt.Fprintf(out, "G %.3f; in time %.1f%%, worth earned in the worst 10 s %.1f%%\n", s.Score(r), 100*r.InTime(), 100*s.WorstWindow(r))
+	fmt.Fprintf(out, "tries %d; attempts by server %v; probes %d; connections at most %d\n", r.ClientAttempts, r.Sends, r.Probes, r.Connections)
 	if r.Handshakes > 0 {
 		fmt.Fprintf(out, "handshakes %d, %d at one server in its busiest second; without a turn %d\n", r.Handshakes, r.Busiest, r.Turned)
 	}
-	if reason := r.Broken(); reason != "" {
+	if reason := r.Violations(); reason != "" {
 		fmt.Fprintf(out, "BROKEN: %s\n", reason)
 	} else {
 		fmt.Fprintln(out, "no rule broken")
@@ -131,8 +131,8 @@
 	return p
 }
 
-// HTML writes a play's result as one page that needs nothing else.
-func (f *File) HTML(out io.Writer, s *plan.Scenario, r *plan.Result) error {
+// WriteHTML writes a play's result as one page that needs nothing else.
+func (f *File) WriteHTML(out io.Writer, s *plan.Scenario, r *plan.Result) error {
 	type row struct {
 		Name string
 		plan.Tally
@@ -141,8 +141,8 @@
 		Name, Summary, Broken string
 		Plots                 []plot
 		Classes, Tenants      []row
-	}{Name: f.Name, Broken: r.Broken()}
-	page.Summary = fmt.Sprintf("seed %d: G %.3f, %.1f%% served in time, %.1f%% of the worth earned in the worst 10 s", s.Seed, s.G(r), 100*r.InTime(), 100*s.WorstWindow(r))
+	}{Name: f.Name, Broken: r.Violations()}
+	page.Summary = fmt.Sprintf("seed %d: G %.3f, %.1f%% served in time, %.1f%% of the worth earned in the worst 10 s", s.Seed, s.Score(r), 100*r.InTime(), 100*s.WorstWindow(r))
 	counts := map[string]func(plan.Tally) int{
 		"asked":   func(t plan.Tally) int { return t.Requested },
 		"in time": func(t plan.Tally) int { return t.InTime },
--- a/internal/emulator/scenario/scenario.go
+++ b/internal/emulator/scenario/scenario.go
@@ -347,15 +347,15 @@
 // that the instances are told.
 func (m *Machine) config() model.Config {
 	c := model.Config{Cores: m.Cores, Speed: m.Speed, SlotsPerCore: max(1, m.SlotsPerCore), QueuePerCore: m.QueuePerCore,
-		Thrash: m.Thrash, ThrashAt: m.ThrashAt, SlowStartRatio: m.SlowStartRatio, SlowStartTime: time.Duration(m.SlowStartTime), WarmByWork: m.WarmByWork,
-		FallFactor: fallFactor, FallAfter: time.Second, PauseEvery: time.Duration(m.PauseEvery), PauseFor: time.Duration(m.PauseFor),
+		ThrashRatio: m.Thrash, ThrashThreshold: m.ThrashAt, SlowStartRatio: m.SlowStartRatio, SlowStartTime: time.Duration(m.SlowStartTime), WarmByWork: m.WarmByWork,
+		OverloadMultiple: fallFactor, OverloadWindow: time.Second, PauseEvery: time.Duration(m.PauseEvery), PauseFor: time.Duration(m.PauseFor),
 		ReportEvery: time.Duration(m.ReportEvery), ReportDelay: time.Duration(m.ReportDelay), ReportNoise: m.ReportNoise,
-		Connections: m.Connections, Subjects: m.Subjects, SubjectSaves: m.SubjectSaves, SubjectFor: time.Duration(m.SubjectFor), ProbeWork: time.Duration(m.ProbeWork), Handshake: time.Duration(m.Handshake)}
+		Connections: m.Connections, Subjects: m.Subjects, SubjectSaves: m.SubjectSaves, SubjectFor: time.Duration(m.SubjectFor), ProbeWork: time.Duration(m.ProbeWork), HandshakeWork: time.Duration(m.Handshake)}
 	if c.ProbeWork == 0 {
 		c.ProbeWork = 120 * time.Microsecond
 	}
-	if c.Handshake == 0 {
-		c.Handshake = time.Millisecond
+	if c.HandshakeWork == 0 {
+		c.HandshakeWork = time.Millisecond
 	}
 	if c.ReportEvery == 0 {
 		c.ReportEvery = 150 * time.Millisecond
--- a/internal/emulator/scenario/scenario_test.go
+++ b/internal/emulator/scenario/scenario_test.go
@@ -59,7 +59,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if reason := r.Broken(); reason != "" {
+			if reason := r.Violations(); reason != "" {
 				t.Error(reason)
 			}
 			if want, ok := lower[f.Name]; !ok || r.InTime() < want {
@@ -82,7 +82,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if reason := a.Broken(); reason != "" {
+			if reason := a.Violations(); reason != "" {
 				t.Error(reason)
 			}
 			if want, ok := lower[name]; !ok || a.InTime() < want {
@@ -92,14 +92,14 @@
 				t.Error("it plays otherwise the second time")
 			}
 			var text, page bytes.Buffer
-			f.Print(&text, day, a)
-			if err := f.HTML(&page, day, a); err != nil {
+			f.WriteText(&text, day, a)
+			if err := f.WriteHTML(&page, day, a); err != nil {
 				t.Fatal(err)
 			}
 			if !strings.Contains(text.String(), "no rule broken") || !strings.Contains(page.String(), "polyline") || strings.Contains(page.String(), "http") {
 				t.Errorf("the reports: %s%s", text.String(), page.String())
 			}
-			t.Logf("G %.3f, in time %.3f, connections %d", day.G(a), a.InTime(), a.Connections)
+			t.Logf("G %.3f, in time %.3f, connections %d", day.Score(a), a.InTime(), a.Connections)
 		})
 	}
 }
@@ -119,7 +119,7 @@
 		if err != nil || r.Handshakes == 0 {
 			t.Fatal(err, r.Handshakes)
 		}
-		return day.G(r)
+		return day.Score(r)
 	}
 	none, both, spreadOnly, budgetOnly, neither := g(nil, budget), g(spread, budget), g(spread, nil), g(once, budget), g(once, nil)
 	if both < none-0.01 {
@@ -144,8 +144,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if reason := part.Broken(); reason != "" || day.G(part) < day.G(all)-0.005 || 3*part.Connections > all.Connections || part.Handshakes >= all.Handshakes {
-		t.Errorf("%s G %.3f with %d connections and %d handshakes; with the whole fleet %.3f, %d and %d", reason, day.G(part), part.Connections, part.Handshakes, day.G(all), all.Connections, all.Handshakes)
+	if reason := part.Violations(); reason != "" || day.Score(part) < day.Score(all)-0.005 || 3*part.Connections > all.Connections || part.Handshakes >= all.Handshakes {
+		t.Errorf("%s G %.3f with %d connections and %d handshakes; with the whole fleet %.3f, %d and %d", reason, day.Score(part), part.Connections, part.Handshakes, day.Score(all), all.Connections, all.Handshakes)
 	}
 }
 
--- a/internal/emulator/simulation/client.go
+++ b/internal/emulator/simulation/client.go
@@ -34,13 +34,13 @@
 // submit passes a try to its instance.
 func (p *play) submit(t *plan.Try) {
 	t.Tries++
-	p.result.Tries++
+	p.result.ClientAttempts++
 	r := &request{play: p, try: t, number: t.Tries, instance: p.instances[t.Instance]}
 	r.instance.openRequests[r] = true
 	r.submitted = engine.Request{Carrier: r, Respond: func(a engine.Response) {
 		r.end(a.Code, time.Duration(a.RetryAfter)*time.Microsecond)
 	}}
-	p.emit(trace.Event{Kind: trace.Ask, Number: t.Number, Try: r.number, Instance: t.Instance + 1, Class: t.Class + 1})
+	p.emit(trace.Event{Kind: trace.KindRequest, Number: t.Number, Try: r.number, Instance: t.Instance + 1, Class: t.Class + 1})
 	patience := p.scenario.Patience(t)
 	r.instance.post(func(now balancer.Micros) {
 		r.instance.engine.Submit(now, &r.submitted, balancer.Request{Class: uint8(t.Class), Key: t.Subject, Tenant: uint16(t.Tenant), ClientRetry: r.number > 1,
@@ -73,7 +73,7 @@
 	}
 	r.finished = true
 	delete(r.instance.openRequests, r)
-	p.emit(trace.Event{Kind: trace.Answer, Number: t.Number, Try: r.number, Instance: t.Instance + 1, Code: code})
+	p.emit(trace.Event{Kind: trace.KindResponse, Number: t.Number, Try: r.number, Instance: t.Instance + 1, Code: code})
 	// Nobody knows since when what a killed instance held may have run: clients repeat only what is safe.
 	mayHaveRun := r.instance.dead && p.scenario.Classes[t.Class].Idempotency != balancer.Idempotent
 	if wait, retry := p.scenario.Retry(t, code, retryAfter, p.now); retry && !mayHaveRun {
--- a/internal/emulator/simulation/hard_test.go
+++ b/internal/emulator/simulation/hard_test.go
@@ -54,13 +54,13 @@
 			scenario := func() *plan.Scenario {
 				s := market(5)
 				for _, i := range []int{3, 9} { // big ones
-					s.Servers[i].Faults = []model.Fault{{From: 5 * time.Second, Until: 15 * time.Second, FailFast: share}}
+					s.Servers[i].Faults = []model.Fault{{From: 5 * time.Second, Until: 15 * time.Second, FailFastRatio: share}}
 				}
 				return s
 			}
 			r := playBy(t, scenario(), baselines.Module, nil)
 			before, during := shareOf(r, 0, 5, 3, 9), shareOf(r, 7, 15, 3, 9)
-			if reason := r.Broken(); reason != "" || r.InTime() < 0.95 || during > before/2 {
+			if reason := r.Violations(); reason != "" || r.InTime() < 0.95 || during > before/2 {
 				t.Errorf("in time %.3f, share of the failing %.2f before and %.2f then %s", r.InTime(), before, during, reason)
 			}
 			other := playBy(t, scenario(), "least-request", nil)
@@ -88,12 +88,12 @@
 		requested += c.Requested
 	}
 	for name, r := range map[string]*plan.Result{"patient": patient, "hasty": hasty} {
-		if reason := r.Broken(); reason != "" {
+		if reason := r.Violations(); reason != "" {
 			t.Errorf("%s clients: %s", name, reason)
 		}
 	}
-	if hasty.Tries < requested*3/2 || hasty.InTime() >= patient.InTime() {
-		t.Errorf("hasty clients: %d tries for %d first ones, %.3f in time; patient ones: %d tries, %.3f", hasty.Tries, requested, hasty.InTime(), patient.Tries, patient.InTime())
+	if hasty.ClientAttempts < requested*3/2 || hasty.InTime() >= patient.InTime() {
+		t.Errorf("hasty clients: %d tries for %d first ones, %.3f in time; patient ones: %d tries, %.3f", hasty.ClientAttempts, requested, hasty.InTime(), patient.ClientAttempts, patient.InTime())
 	}
 }
 
@@ -110,7 +110,7 @@
 	started := map[int]int{}
 	var p *play
 	r, err := runWith(s, Options{Watch: func(e trace.Event) {
-		if e.Kind == trace.Send {
+		if e.Kind == trace.KindAttempt {
 			started[e.Server]++
 		}
 	}}, func(made *play) { p = made })
@@ -161,7 +161,7 @@
 	}
 	resets := 0
 	r := playBy(t, s, baselines.Module, func(e trace.Event) {
-		if e.Kind == trace.End && e.Code == int(balancer.Reset) {
+		if e.Kind == trace.KindAttemptEnd && e.Code == int(balancer.Reset) {
 			resets++
 		}
 	})
@@ -169,7 +169,7 @@
 		t.Errorf("%d resets, %d connections at most", resets, r.Connections)
 	}
 	if r.Twice+r.AfterDrain+r.Unanswered > 0 {
-		t.Error(r.Broken())
+		t.Error(r.Violations())
 	}
 }
 
@@ -180,13 +180,13 @@
 	s.Servers[0].Incarnations = []plan.Incarnation{{Drain: 5 * time.Second, End: 9 * time.Second}, {From: 10 * time.Second, Drain: plan.Never, End: plan.Never}}
 	var notified []string
 	r := playBy(t, s, baselines.Module, func(e trace.Event) {
-		if e.Kind == trace.Member && e.Instance == 1 {
+		if e.Kind == trace.KindEndpoint && e.Instance == 1 {
 			notified = append(notified, fmt.Sprint(e.Server, balancer.State(e.Code)))
 		}
 	})
 	want := fmt.Sprint([]string{fmt.Sprint(1, balancer.Draining), fmt.Sprint(1, balancer.Removed), fmt.Sprint(1, balancer.Ready)})
-	if got := fmt.Sprint(notified); got != want || r.Broken() != "" {
-		t.Errorf("told %s, want %s; %s", got, want, r.Broken())
+	if got := fmt.Sprint(notified); got != want || r.Violations() != "" {
+		t.Errorf("told %s, want %s; %s", got, want, r.Violations())
 	}
 	if idle, back := shareOf(r, 8, 10, 0), shareOf(r, 14, 20, 0); idle != 0 || back == 0 {
 		t.Errorf("its share is %.2f while it is gone and %.2f afterwards", idle, back)
@@ -199,9 +199,9 @@
 	for _, name := range baselines.Names() {
 		s := market(8)
 		s.Servers[1].Incarnations = []plan.Incarnation{{Drain: 5 * time.Second, End: 9 * time.Second}}
-		s.Servers[2].Faults = []model.Fault{{From: 3 * time.Second, Until: 9 * time.Second, FailFast: 0.5, Swallow: 0.2}}
+		s.Servers[2].Faults = []model.Fault{{From: 3 * time.Second, Until: 9 * time.Second, FailFastRatio: 0.5, UnansweredRatio: 0.2}}
 		if r := playBy(t, s, name, nil); r.Unanswered+r.AfterDrain > 0 || r.InTime() < 0.5 {
-			t.Errorf("%s: %s, %.3f in time", name, r.Broken(), r.InTime())
+			t.Errorf("%s: %s, %.3f in time", name, r.Violations(), r.InTime())
 		}
 	}
 	if _, err := baselines.Named("best", nil); err == nil || !strings.Contains(err.Error(), "least-request") {
@@ -218,14 +218,14 @@
 	var p *play
 	sends := map[int]int{} // of instance 1 after its second kill, by server
 	r, err := runWith(s, Options{Watch: func(e trace.Event) {
-		if e.Kind == trace.Send && e.Instance == 1 && e.At > 10_000_000 {
+		if e.Kind == trace.KindAttempt && e.Instance == 1 && e.At > 10_000_000 {
 			sends[e.Server]++
 		}
 	}}, func(made *play) { p = made })
 	if err != nil {
 		t.Fatal(err)
 	}
-	if reason := r.Broken(); reason != "" {
+	if reason := r.Violations(); reason != "" {
 		t.Error(reason)
 	}
 	for _, n := range p.instances {
@@ -236,8 +236,8 @@
 	if sends[1] > 0 || len(sends) < 2 {
 		t.Errorf("what started again sends to %v: server 1 is gone", sends)
 	}
-	if repeated, err := Run(market(6), Options{}); err != nil || repeated.Tries == r.Tries {
-		t.Errorf("nobody comes again after a kill: %d tries, %v", r.Tries, err)
+	if repeated, err := Run(market(6), Options{}); err != nil || repeated.ClientAttempts == r.ClientAttempts {
+		t.Errorf("nobody comes again after a kill: %d tries, %v", r.ClientAttempts, err)
 	}
 }
 
@@ -293,7 +293,7 @@
 	}
 	s.Kills = []plan.Kill{k}
 	r := run(t, s)
-	if reason := r.Broken(); reason != "" {
+	if reason := r.Violations(); reason != "" {
 		t.Error(reason)
 	}
 	inTime := func(second int) float64 {
@@ -320,7 +320,7 @@
 		}
 	}
 	r := run(t, s)
-	if reason := r.Broken(); reason != "" {
+	if reason := r.Violations(); reason != "" {
 		t.Error(reason)
 	}
 	if r.Strain > 0.9 {
--- a/internal/emulator/simulation/instance.go
+++ b/internal/emulator/simulation/instance.go
@@ -125,13 +125,13 @@
 		p.result.AfterDrain++
 	}
 	e := trace.Event{Number: r.try.Number, Try: r.number, Attempt: a.Number + 1, Instance: n.number + 1, Server: h.number + 1}
-	e.Kind = trace.Send
+	e.Kind = trace.KindAttempt
 	p.emit(e)
 	p.attempts++
 	c := &call{instance: n, host: h, target: a.Target, number: p.attempts, deadline: a.DeadlineTime().Sub(epoch)}
 	c.onArrival = func() { h.arrive(c, r.try) }
 	c.onResult = func(res engine.Result) {
-		e.Kind, e.Code = trace.End, int(res.Status)
+		e.Kind, e.Code = trace.KindAttemptEnd, int(res.Status)
 		p.emit(e)
 		a.PostResult(res)
 	}
--- a/internal/emulator/simulation/server.go
+++ b/internal/emulator/simulation/server.go
@@ -58,7 +58,7 @@
 			} else if _, was := n.drainingSince[h.number]; !was {
 				n.drainingSince[h.number] = p.now
 			}
-			p.emit(trace.Event{Kind: trace.Member, Instance: n.number + 1, Server: h.number + 1, Code: int(s)})
+			p.emit(trace.Event{Kind: trace.KindEndpoint, Instance: n.number + 1, Server: h.number + 1, Code: int(s)})
 			list := engine.List{Hosts: []engine.Host{p.scenario.Entry(h.number, incarnation, s, h.address, epoch)}}
 			n.post(func(now balancer.Micros) { n.engine.UpdateEndpoints(now, balancer.ListDelta, list) })
 		})
@@ -105,7 +105,7 @@
 func (h *host) schedule() {
 	if h.machine.Fallen() != model.Never && !h.overloaded {
 		h.overloaded = true
-		h.play.emit(trace.Event{Kind: trace.Fall, Server: h.number + 1})
+		h.play.emit(trace.Event{Kind: trace.KindCollapse, Server: h.number + 1})
 	}
 	h.wakeVersion++
 	version, at := h.wakeVersion, h.machine.Next()
--- a/internal/emulator/simulation/simulation.go
+++ b/internal/emulator/simulation/simulation.go
@@ -75,7 +75,7 @@
 	for _, h := range p.hosts {
 		p.recordStrain(h)
 		if h.overloaded {
-			p.result.Fell = append(p.result.Fell, h.number)
+			p.result.Collapsed = append(p.result.Collapsed, h.number)
 		}
 	}
 	return p.result, nil
--- a/internal/emulator/simulation/simulation_test.go
+++ b/internal/emulator/simulation/simulation_test.go
@@ -19,8 +19,8 @@
 
 // machine is one of the fleet's kinds.
 func machine(cores int, speed float64) model.Config {
-	return model.Config{Cores: cores, Speed: speed, SlotsPerCore: 1, QueuePerCore: 300, Thrash: 0.08, ThrashAt: 5,
-		SlowStartRatio: 0.4, SlowStartTime: 6 * time.Second, FallFactor: 2.5, FallAfter: time.Second, PauseEvery: 5 * time.Second, PauseFor: 20 * ms,
+	return model.Config{Cores: cores, Speed: speed, SlotsPerCore: 1, QueuePerCore: 300, ThrashRatio: 0.08, ThrashThreshold: 5,
+		SlowStartRatio: 0.4, SlowStartTime: 6 * time.Second, OverloadMultiple: 2.5, OverloadWindow: time.Second, PauseEvery: 5 * time.Second, PauseFor: 20 * ms,
 		ReportEvery: 150 * ms, ReportDelay: 40 * ms, ReportNoise: 0.1, ProbeWork: 120 * time.Microsecond}
 }
 
@@ -62,7 +62,7 @@
 func TestCalmMarket(t *testing.T) {
 	began := time.Now()
 	r := run(t, market(1))
-	if reason := r.Broken(); reason != "" {
+	if reason := r.Violations(); reason != "" {
 		t.Error(reason)
 	}
 	if in := r.InTime(); in < 0.98 {
@@ -91,10 +91,10 @@
 func TestServersFailingFast(t *testing.T) {
 	s := market(5)
 	for _, i := range []int{0, 6} {
-		s.Servers[i].Faults = []model.Fault{{From: 5 * time.Second, Until: 15 * time.Second, FailFast: 0.9}}
+		s.Servers[i].Faults = []model.Fault{{From: 5 * time.Second, Until: 15 * time.Second, FailFastRatio: 0.9}}
 	}
 	r := run(t, s)
-	if reason := r.Broken(); reason != "" {
+	if reason := r.Violations(); reason != "" {
 		t.Error(reason)
 	}
 	if in := r.InTime(); in < 0.93 {
@@ -114,18 +114,18 @@
 		}
 		s.Servers[3].Incarnations = []plan.Incarnation{{From: 10 * time.Second, Drain: plan.Never, End: plan.Never}}
 		warming := &s.Servers[3].Config
-		warming.SlowStartRatio, warming.SlowStartTime, warming.FallFactor = 0.31, 8600*ms, 1 // weaker than the market's: what it can do, for 1 s
+		warming.SlowStartRatio, warming.SlowStartTime, warming.OverloadMultiple = 0.31, 8600*ms, 1 // weaker than the market's: what it can do, for 1 s
 		s.Settings.Contract.OverloadMultiple = 1
 		return s
 	}
 	fell := 0
 	for seed := range uint64(4) {
-		if r := run(t, fresh(seed)); r.Broken() != "" {
-			t.Errorf("seed %d: %s", seed, r.Broken())
+		if r := run(t, fresh(seed)); r.Violations() != "" {
+			t.Errorf("seed %d: %s", seed, r.Violations())
 		}
 		s := fresh(seed)
 		s.Settings.Contract.SlowStartTime = 0
-		fell += len(run(t, s).Fell)
+		fell += len(run(t, s).Collapsed)
 	}
 	if fell == 0 {
 		t.Error("nothing falls over without the protection: the play shows nothing")
@@ -141,7 +141,7 @@
 	}
 	s.Surges = []plan.Surge{{From: 5 * time.Second, Until: 20 * time.Second, Factor: 0.5, Tenant: -1}}
 	r := run(t, s)
-	if reason := r.Broken(); reason != "" {
+	if reason := r.Violations(); reason != "" {
 		t.Error(reason)
 	}
 	if in := r.InTime(); in < 0.9 {
@@ -154,7 +154,7 @@
 	s := market(9)
 	s.Costly = []plan.Costly{{From: 5 * time.Second, Until: 15 * time.Second, Class: 0, Share: 0.02, Factor: 15}}
 	r := run(t, s)
-	if reason := r.Broken(); reason != "" {
+	if reason := r.Violations(); reason != "" {
 		t.Error(reason)
 	}
 	if c := r.Classes[1]; float64(c.InTime) < 0.85*float64(c.Requested) {
@@ -186,7 +186,7 @@
 					if err != nil {
 						b.Fatal(err)
 					}
-					tries += r.Tries
+					tries += r.ClientAttempts
 				}
 				b.ReportMetric(float64(tries)/b.Elapsed().Seconds(), "requests/s")
 				b.ReportMetric(b.Elapsed().Seconds()*1e6/float64(tries), "us/request")
--- a/internal/emulator/sockets/sockets.go
+++ b/internal/emulator/sockets/sockets.go
@@ -39,9 +39,9 @@
 	Transport Transport         // nil for HTTP1
 	// Work, where set, says how much work a request is, in place of a draw by its id.
 	Work func(class int, id string) time.Duration
-	// Arrived, where set, is told of each request that comes to a server, and must not
+	// OnArrival, where set, is told of each request that comes to a server, and must not
 	// block.
-	Arrived func(s *Server, id string, at model.Time)
+	OnArrival func(s *Server, id string, at model.Time)
 }
 
 // Fleet is a set of servers with one memory and one clock. Make one with New.
@@ -57,8 +57,8 @@
 	highest int
 }
 
-// Spec is one server.
-type Spec struct {
+// ServerSpec is one server.
+type ServerSpec struct {
 	Name      string
 	Group     string // whose repeats it drops, beside all
 	Config    model.Config
@@ -106,7 +106,7 @@
 func (f *Fleet) Now() model.Time { return f.o.Now() }
 
 // Start starts a server.
-func (f *Fleet) Start(spec Spec) (*Server, error) {
+func (f *Fleet) Start(spec ServerSpec) (*Server, error) {
 	s := &Server{Name: spec.Name, fleet: f, waiting: map[uint64]chan model.Outcome{}}
 	s.machine = model.New(spec.Config, spec.Seed, f.Now(), spec.Warming, f.memory, spec.Group, spec.Faults)
 	if len(spec.Latencies) == 0 {
@@ -146,15 +146,15 @@
 	return f.memory.Counts()
 }
 
-// Twice names the keys of effects that were done twice and must not be.
-func (f *Fleet) Twice() []string {
+// DuplicateEffects names the keys of effects that were done twice and must not be.
+func (f *Fleet) DuplicateEffects() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.memory.Twice()
 }
 
-// Done says how often each effect was done, by its key.
-func (f *Fleet) Done() map[string]int {
+// EffectCounts says how often each effect was done, by its key.
+func (f *Fleet) EffectCounts() map[string]int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.memory.Done()
@@ -312,8 +312,8 @@
 	}
 	ended := make(chan model.Outcome, 1)
 	f.mu.Lock()
-	if f.o.Arrived != nil {
-		f.o.Arrived(s, r.ID, f.Now())
+	if f.o.OnArrival != nil {
+		f.o.OnArrival(s, r.ID, f.Now())
 	}
 	f.number++
 	q.Number = f.number
--- a/internal/emulator/sockets/sockets_test.go
+++ b/internal/emulator/sockets/sockets_test.go
@@ -24,7 +24,7 @@
 var classes = []Class{{Name: "read", Work: 10 * ms}, {Name: "pay", Class: model.Class{Idempotency: model.IdempotentWithKey, Window: 1500 * ms}, Work: 10 * ms},
 	{Name: "order", Class: model.Class{Idempotency: model.NotIdempotent}, Work: 10 * ms}}
 
-var box = model.Config{Cores: 1, Speed: 1, SlotsPerCore: 1, QueuePerCore: 3, SlowStartRatio: 0.31, SlowStartTime: 8600 * ms, FallFactor: 2.5, FallAfter: time.Second,
+var box = model.Config{Cores: 1, Speed: 1, SlotsPerCore: 1, QueuePerCore: 3, SlowStartRatio: 0.31, SlowStartTime: 8600 * ms, OverloadMultiple: 2.5, OverloadWindow: time.Second,
 	ReportEvery: 50 * ms}
 
 func fleet(t *testing.T) *Fleet {
@@ -40,7 +40,7 @@
 
 func start(t *testing.T, f *Fleet, cfg model.Config, warming bool, faults ...model.Fault) *Server {
 	t.Helper()
-	s, err := f.Start(Spec{Name: "s", Group: "g", Config: cfg, Seed: 1, Warming: warming, Faults: faults})
+	s, err := f.Start(ServerSpec{Name: "s", Group: "g", Config: cfg, Seed: 1, Warming: warming, Faults: faults})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -80,22 +80,22 @@
 			t.Errorf("keyed: %d", code)
 		}
 	}
-	if len(f.Twice()) != 0 {
+	if len(f.DuplicateEffects()) != 0 {
 		t.Error("a repeat had a second effect")
 	}
 	request(well, "order", "3", "", time.Minute)
 	request(well, "order", "3", "", time.Minute)
-	if len(f.Twice()) != 1 {
+	if len(f.DuplicateEffects()) != 1 {
 		t.Error("an unsafe request that was sent twice was done once")
 	}
 	always := model.Fault{Until: time.Hour}
 	fast := always
-	fast.FailFast = 1
+	fast.FailFastRatio = 1
 	if code, _ := request(start(t, f, box, false, fast), "read", "4", "", time.Minute); code != 500 {
 		t.Errorf("failing fast: %d", code)
 	}
 	unanswered := always
-	unanswered.Swallow = 1
+	unanswered.UnansweredRatio = 1
 	if code, _ := request(start(t, f, box, false, unanswered), "read", "5", "", 300*ms); code != 0 {
 		t.Errorf("swallowed: %d", code)
 	}
@@ -175,7 +175,7 @@
 		t.Errorf("answered after %v: it did not wait for what was called off", took)
 	}
 	request(s, "order", "1", "", time.Minute)
-	if len(f.Twice()) != 1 {
+	if len(f.DuplicateEffects()) != 1 {
 		t.Error("the effect of what was called off is not there")
 	}
 }
@@ -193,10 +193,10 @@
 		arrived := make(chan struct{}, 1000)
 		work := time.Duration(0)
 		f := New(Options{Classes: classes, Now: clock.now, Work: func(int, string) time.Duration { return work },
-			Arrived: func(*Server, string, model.Time) { arrived <- struct{}{} }})
+			OnArrival: func(*Server, string, model.Time) { arrived <- struct{}{} }})
 		cfg := box
 		cfg.QueuePerCore = 1000
-		s, err := f.Start(Spec{Name: "s", Config: cfg, Seed: 1, Warming: true})
+		s, err := f.Start(ServerSpec{Name: "s", Config: cfg, Seed: 1, Warming: true})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -268,7 +268,7 @@
 // A way is gone there and back, and a new connection costs one more.
 func TestLatencies(t *testing.T) {
 	f := fleet(t)
-	s, err := f.Start(Spec{Name: "s", Config: box, Seed: 1, Latencies: []time.Duration{0, 100 * ms}})
+	s, err := f.Start(ServerSpec{Name: "s", Config: box, Seed: 1, Latencies: []time.Duration{0, 100 * ms}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/emulator/trace/golden_test.go
+++ b/internal/emulator/trace/golden_test.go
@@ -14,21 +14,21 @@
 var update = flag.Bool("update", false, "write the golden file anew")
 
 // goldenHead has every field set but Trace, which the writer sets.
-var goldenHead = Head{Host: Sockets, Policy: "pinedale", Seed: 18446744073709551615, Scenario: "version = 1\nname = \"<golden> & more\"\n"}
+var goldenHead = Header{Host: Sockets, Policy: "pinedale", Seed: 18446744073709551615, Scenario: "version = 1\nname = \"<golden> & more\"\n"}
 
 // goldenEvents have every kind, every field set, and one event with all that may be left out left out.
 var goldenEvents = []Event{
-	{At: 1, Kind: Ask, Number: 18446744073709551615, Try: 2, Attempt: 3, Instance: 4, Server: 5, Class: 6, Code: 7},
-	{At: 2, Kind: Send, Number: 1, Try: 1, Attempt: 1, Instance: 2, Server: 3},
-	{At: 3, Kind: End, Number: 1, Try: 1, Attempt: 1, Instance: 2, Server: 3, Code: 1},
-	{At: 4, Kind: Answer, Number: 1, Try: 1, Instance: 2, Code: 502},
-	{At: 5, Kind: Member, Instance: 1, Server: 2, Code: 2},
-	{At: 6, Kind: Fall, Server: 3},
-	{At: 9007199254740993, Kind: Fall},
+	{At: 1, Kind: KindRequest, Number: 18446744073709551615, Try: 2, Attempt: 3, Instance: 4, Server: 5, Class: 6, Code: 7},
+	{At: 2, Kind: KindAttempt, Number: 1, Try: 1, Attempt: 1, Instance: 2, Server: 3},
+	{At: 3, Kind: KindAttemptEnd, Number: 1, Try: 1, Attempt: 1, Instance: 2, Server: 3, Code: 1},
+	{At: 4, Kind: KindResponse, Number: 1, Try: 1, Instance: 2, Code: 502},
+	{At: 5, Kind: KindEndpoint, Instance: 1, Server: 2, Code: 2},
+	{At: 6, Kind: KindCollapse, Server: 3},
+	{At: 9007199254740993, Kind: KindCollapse},
 }
 
 // writeTrace returns a whole trace as it is in a file.
-func writeTrace(t *testing.T, head Head, events []Event) []byte {
+func writeTrace(t *testing.T, head Header, events []Event) []byte {
 	t.Helper()
 	var out bytes.Buffer
 	writer := NewWriter(&out, head)
@@ -62,7 +62,7 @@
 		t.Fatal(err)
 	}
 	wantHead := goldenHead
-	wantHead.Trace = 1 // the literal: the version of the file does not follow the constant
+	wantHead.FormatVersion = 1 // the literal: the version of the file does not follow the constant
 	if head != wantHead {
 		t.Errorf("read head %+v, want %+v", head, wantHead)
 	}
--- a/internal/emulator/trace/trace.go
+++ b/internal/emulator/trace/trace.go
@@ -20,24 +20,24 @@
 	Sockets = "sockets"
 )
 
-// Head is a trace's first line. The scenario is there as its file's text: a trace
+// Header is a trace's first line. The scenario is there as its file's text: a trace
 // needs nothing else to be played again.
-type Head struct {
-	Trace    int    `json:"pinedale_trace"` // the format's version
-	Host     string `json:"host"`
-	Policy   string `json:"policy"`
-	Seed     uint64 `json:"seed"`
-	Scenario string `json:"scenario"`
+type Header struct {
+	FormatVersion int    `json:"pinedale_trace"` // the format's version
+	Host          string `json:"host"`
+	Policy        string `json:"policy"`
+	Seed          uint64 `json:"seed"`
+	Scenario      string `json:"scenario"`
 }
 
 // Kinds of events.
 const (
-	Ask    = "ask"    // a client sends a try to an instance
-	Send   = "send"   // the instance sends an attempt to a server
-	End    = "end"    // an attempt ended there, with a status of the decision module
-	Answer = "answer" // the try's final answer; 0 if the client went away before it
-	Member = "member" // an instance is told of a server: 0 ready, 1 draining, 2 gone
-	Fall   = "fall"   // a server fell over
+	KindRequest    = "ask"    // a client sends a try to an instance
+	KindAttempt    = "send"   // the instance sends an attempt to a server
+	KindAttemptEnd = "end"    // an attempt ended there, with a status of the decision module
+	KindResponse   = "answer" // the try's final answer; 0 if the client went away before it
+	KindEndpoint   = "member" // an instance is told of a server: 0 ready, 1 draining, 2 gone
+	KindCollapse   = "fall"   // a server fell over
 )
 
 // Event is one line. Servers and instances count from 1.
@@ -66,10 +66,10 @@
 }
 
 // NewWriter writes the head.
-func NewWriter(out io.Writer, h Head) *Writer {
+func NewWriter(out io.Writer, h Header) *Writer {
 	w := &Writer{out: bufio.NewWriter(out)}
 	w.encode = json.NewEncoder(w.out)
-	h.Trace = Version
+	h.FormatVersion = Version
 	w.err = w.encode.Encode(h)
 	return w
 }
@@ -96,7 +96,7 @@
 
 // Reader reads a trace.
 type Reader struct {
-	Head     Head
+	Header   Header
 	scan     *bufio.Scanner
 	line     int
 	finished bool
@@ -106,16 +106,16 @@
 func NewReader(in io.Reader) (*Reader, error) {
 	r := &Reader{scan: bufio.NewScanner(in)}
 	r.scan.Buffer(make([]byte, 1<<16), maxLineBytes)
-	if err := r.next(&r.Head); errors.Is(err, io.EOF) {
+	if err := r.next(&r.Header); errors.Is(err, io.EOF) {
 		return nil, errors.New("line 1: the trace is empty")
 	} else if err != nil {
 		return nil, err
 	}
-	if r.Head.Trace != Version {
-		return nil, fmt.Errorf("line 1: pinedale_trace: %d is not a known version of this format; this program reads %d", r.Head.Trace, Version)
+	if r.Header.FormatVersion != Version {
+		return nil, fmt.Errorf("line 1: pinedale_trace: %d is not a known version of this format; this program reads %d", r.Header.FormatVersion, Version)
 	}
-	if r.Head.Host != Virtual && r.Head.Host != Sockets {
-		return nil, fmt.Errorf("line 1: host: %q is neither %s nor %s", r.Head.Host, Virtual, Sockets)
+	if r.Header.Host != Virtual && r.Header.Host != Sockets {
+		return nil, fmt.Errorf("line 1: host: %q is neither %s nor %s", r.Header.Host, Virtual, Sockets)
 	}
 	return r, nil
 }
--- a/internal/emulator/trace/trace_test.go
+++ b/internal/emulator/trace/trace_test.go
@@ -9,10 +9,10 @@
 	"testing"
 )
 
-var head = Head{Host: Virtual, Policy: "pinedale", Seed: 7, Scenario: "version = 1\n\"x\""}
+var head = Header{Host: Virtual, Policy: "pinedale", Seed: 7, Scenario: "version = 1\n\"x\""}
 
-var events = []Event{{At: 5, Kind: Ask, Number: 1, Try: 1, Instance: 2, Class: 1}, {At: 6, Kind: Send, Number: 1, Try: 1, Attempt: 1, Instance: 2, Server: 3},
-	{At: 9, Kind: End, Number: 1, Try: 1, Attempt: 1, Instance: 2, Server: 3, Code: 1}, {At: 9, Kind: Answer, Number: 1, Try: 1, Instance: 2, Code: 502}}
+var events = []Event{{At: 5, Kind: KindRequest, Number: 1, Try: 1, Instance: 2, Class: 1}, {At: 6, Kind: KindAttempt, Number: 1, Try: 1, Attempt: 1, Instance: 2, Server: 3},
+	{At: 9, Kind: KindAttemptEnd, Number: 1, Try: 1, Attempt: 1, Instance: 2, Server: 3, Code: 1}, {At: 9, Kind: KindResponse, Number: 1, Try: 1, Instance: 2, Code: 502}}
 
 func written(t *testing.T) string {
 	t.Helper()
@@ -28,7 +28,7 @@
 }
 
 // read reads a whole trace.
-func read(text string) (h Head, all []Event, err error) {
+func read(text string) (h Header, all []Event, err error) {
 	r, err := NewReader(strings.NewReader(text))
 	if err != nil {
 		return h, nil, err
@@ -36,9 +36,9 @@
 	for {
 		e, err := r.Read()
 		if errors.Is(err, io.EOF) {
-			return r.Head, all, nil
+			return r.Header, all, nil
 		} else if err != nil {
-			return r.Head, all, err
+			return r.Header, all, err
 		}
 		all = append(all, e)
 	}
@@ -47,7 +47,7 @@
 func TestWhatIsWrittenIsRead(t *testing.T) {
 	h, all, err := read(written(t))
 	want := head
-	want.Trace = Version
+	want.FormatVersion = Version
 	if err != nil || h != want || !reflect.DeepEqual(all, events) {
 		t.Errorf("%+v, %+v, %v", h, all, err)
 	}
@@ -93,7 +93,7 @@
 	f.Add(`{"pinedale_trace":1,"host":"virtual"}` + "\n" + `{"t":1,"k":"ask"}` + "\n" + `{"events":1}` + "\n")
 	f.Add(`{"events":0}`)
 	f.Fuzz(func(t *testing.T, text string) {
-		if h, _, err := read(text); err == nil && h.Trace != Version {
+		if h, _, err := read(text); err == nil && h.FormatVersion != Version {
 			t.Errorf("read with head %+v", h)
 		}
 	})
--- a/internal/measure/coldstart/coldstart.go
+++ b/internal/measure/coldstart/coldstart.go
@@ -144,11 +144,11 @@
 // take counts one play in.
 func (r *Row) take(day *plan.Scenario, x *plan.Result) {
 	r.Strain = append(r.Strain, x.Strain)
-	r.Fell += len(x.Fell)
-	r.G = min(r.G, day.G(x))
+	r.Fell += len(x.Collapsed)
+	r.G = min(r.G, day.Score(x))
 	r.Connections = max(r.Connections, x.Connections)
-	r.Probes = max(r.Probes, float64(x.Probes)/float64(max(1, x.Tries)))
-	if reason := x.Broken(); reason != "" {
+	r.Probes = max(r.Probes, float64(x.Probes)/float64(max(1, x.ClientAttempts)))
+	if reason := x.Violations(); reason != "" {
 		r.Broken = reason
 	}
 	// Of servers that were there all the time, in the seconds before others came.
--- a/internal/standin/fakebackend/fakebackend.go
+++ b/internal/standin/fakebackend/fakebackend.go
@@ -75,9 +75,9 @@
 		classes := []sockets.Class{{Work: f.Work}}
 		for _, c := range f.Classes {
 			known := plan.Class{Class: c}
-			classes = append(classes, sockets.Class{Name: c.Name, Class: known.Remembered(), Work: f.Work})
+			classes = append(classes, sockets.Class{Name: c.Name, Class: known.DedupClass(), Work: f.Work})
 		}
-		o := sockets.Options{Classes: classes, Arrived: f.arrived}
+		o := sockets.Options{Classes: classes, OnArrival: f.arrived}
 		if f.TLS != nil {
 			o.Transport = sockets.TLS{Config: f.TLS}
 		}
@@ -87,8 +87,8 @@
 	if n := f.started.Add(1); !f.Faults.Everywhere {
 		seed ^= n * 0x9e3779b97f4a7c15
 	}
-	fault := model.Fault{Until: model.Never, Reject: f.Faults.Reject, FailLate: f.Faults.Error, Break: f.Faults.Reset, Swallow: f.Faults.Unresponsive}
-	made, err := f.emulated.Start(sockets.Spec{Name: name, Group: fmt.Sprint(cell), Seed: seed, Listen: address, Faults: []model.Fault{fault},
+	fault := model.Fault{Until: model.Never, RejectRatio: f.Faults.Reject, FailLateRatio: f.Faults.Error, ResetRatio: f.Faults.Reset, UnansweredRatio: f.Faults.Unresponsive}
+	made, err := f.emulated.Start(sockets.ServerSpec{Name: name, Group: fmt.Sprint(cell), Seed: seed, Listen: address, Faults: []model.Fault{fault},
 		Config: model.Config{Cores: room, Speed: 1, SlotsPerCore: 1}})
 	if err != nil {
 		return nil, err
@@ -118,10 +118,10 @@
 
 // Twice names the effects of keyed and unsafe classes that were done more than
 // once.
-func (f *Fleet) Twice() []string { return f.emulated.Twice() }
+func (f *Fleet) Twice() []string { return f.emulated.DuplicateEffects() }
 
 // Done says how often each effect was done, by its key.
-func (f *Fleet) Done() map[string]int { return f.emulated.Done() }
+func (f *Fleet) Done() map[string]int { return f.emulated.EffectCounts() }
 
 // Counts returns what came so far.
 func (f *Fleet) Counts() Counts {
