Package site is split into config, which reads the file, and app, which runs it

Cause: reading and checking the operator's file, and building and running what it asks for, are two jobs with importers of their own; one package held both.

Change: internal/config holds the file's sections, defaults, checks, the settings that follow from it and the report on keys; internal/app holds the instance with its fronts, source, stores, upstream and cluster. Functions that build are functions of app on a *config.File. config exports what app needs: PeerKeys, EphemeralDigest, LongestDeadline, VerifyNames, KeyUsers, StoreOptions, Hosts, SubsetConfig, LoadNext. The linker's variable is pinedale/internal/app.Build. The corpus of bad files is in internal/config/testdata; the reload test reads it there.

--- a/cmd/pinedale-proxy/check.go
+++ b/cmd/pinedale-proxy/check.go
@@ -7,12 +7,12 @@
 	"io"
 	"text/tabwriter"
 
+	"pinedale/internal/config"
 	"pinedale/internal/policy"
-	"pinedale/internal/site"
 )
 
 // printCheckJSON prints the table of a valid file as JSON.
-func printCheckJSON(out io.Writer, f *site.File) error {
+func printCheckJSON(out io.Writer, f *config.File) error {
 	var warnings []string
 	for _, warning := range f.Warnings() {
 		warnings = append(warnings, warning.Error())
@@ -28,7 +28,7 @@
 }
 
 // printCheck prints a summary of a valid file, its warnings and its table.
-func printCheck(out io.Writer, path string, f *site.File) error {
+func printCheck(out io.Writer, path string, f *config.File) error {
 	fmt.Fprintf(out, "%s: good: %s\n", path, f.Summary())
 	for _, warning := range f.Warnings() {
 		fmt.Fprintf(out, "  warning: %v\n", warning)
--- a/cmd/pinedale-proxy/commands.go
+++ b/cmd/pinedale-proxy/commands.go
@@ -13,7 +13,7 @@
 	"github.com/spf13/cobra"
 
 	"pinedale/internal/certstore"
-	"pinedale/internal/site"
+	"pinedale/internal/config"
 )
 
 // signalBacklog is how many signals may wait while a file is read.
@@ -46,7 +46,7 @@
 }
 
 // withFile returns a function for a command that loads the operator's file first.
-func (c *commandLine) withFile(run func(f *site.File, args []string) error) func(*cobra.Command, []string) error {
+func (c *commandLine) withFile(run func(f *config.File, args []string) error) func(*cobra.Command, []string) error {
 	return func(cmd *cobra.Command, args []string) error {
 		if c.configPath == "" {
 			return errors.New("--config FILE is what a command takes\n" + cmd.UsageString())
@@ -71,7 +71,7 @@
 			// Without a handler, SIGHUP would end the process, even while it reads its file.
 			signals := make(chan os.Signal, signalBacklog)
 			signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT)
-			return c.withFile(func(f *site.File, _ []string) error {
+			return c.withFile(func(f *config.File, _ []string) error {
 				return serve(c.configPath, f, signals)
 			})(cmd, args)
 		},
@@ -85,7 +85,7 @@
 		Use:   "check",
 		Short: "say what is wrong with the file, and what its classes and routes come to",
 		Args:  cobra.NoArgs,
-		RunE: c.withFile(func(f *site.File, _ []string) error {
+		RunE: c.withFile(func(f *config.File, _ []string) error {
 			if asJSON {
 				return printCheckJSON(c.out, f)
 			}
@@ -102,7 +102,7 @@
 		Use:   "explain METHOD PATH ['Header: value'...]",
 		Short: "say which route and class a request gets, and why",
 		Args:  cobra.MinimumNArgs(2),
-		RunE:  c.withFile(func(f *site.File, args []string) error { return explain(c.out, f, args) }),
+		RunE:  c.withFile(func(f *config.File, args []string) error { return explain(c.out, f, args) }),
 	}
 }
 
@@ -113,14 +113,14 @@
 		Use:   "show",
 		Short: "print what the file's keys hold, and how servers are verified",
 		Args:  cobra.NoArgs,
-		RunE:  c.withFile(func(f *site.File, _ []string) error { return f.ShowKeys(c.out, time.Now()) }),
+		RunE:  c.withFile(func(f *config.File, _ []string) error { return f.ShowKeys(c.out, time.Now()) }),
 	})
 	var replacement certstore.Paths
 	verify := &cobra.Command{
 		Use:   "verify NAME",
 		Short: "say whether new files would be taken for the keys of this name",
 		Args:  cobra.ExactArgs(1),
-		RunE: c.withFile(func(f *site.File, args []string) error {
+		RunE: c.withFile(func(f *config.File, args []string) error {
 			if err := f.VerifyKeys(args[0], replacement); err != nil {
 				return err
 			}
@@ -137,8 +137,8 @@
 }
 
 // load loads the operator's file.
-func load(path string) (*site.File, error) {
-	f, err := site.Load(path)
+func load(path string) (*config.File, error) {
+	f, err := config.Load(path)
 	if err != nil {
 		return nil, describeError(path, err)
 	}
--- a/cmd/pinedale-proxy/explain.go
+++ b/cmd/pinedale-proxy/explain.go
@@ -7,14 +7,14 @@
 	"net/url"
 	"strings"
 
+	"pinedale/internal/config"
 	"pinedale/internal/policy"
 	"pinedale/internal/requestmeta"
-	"pinedale/internal/site"
 )
 
 // explain prints the class of a request, and for each route why it is chosen or not. args are the method, the path
 // and headers.
-func explain(out io.Writer, f *site.File, args []string) error {
+func explain(out io.Writer, f *config.File, args []string) error {
 	query, err := parseQuery(args)
 	if err != nil {
 		return err
--- a/cmd/pinedale-proxy/peers.go
+++ b/cmd/pinedale-proxy/peers.go
@@ -10,7 +10,7 @@
 	"github.com/spf13/cobra"
 
 	"pinedale/internal/cluster"
-	"pinedale/internal/site"
+	"pinedale/internal/config"
 )
 
 // statusTimeout bounds the request for a status page.
@@ -27,7 +27,7 @@
 			if len(args) == 1 {
 				return showStatus(c.out, args[0])
 			}
-			return c.withFile(func(f *site.File, _ []string) error {
+			return c.withFile(func(f *config.File, _ []string) error {
 				if f.Peers.Status == "" {
 					return errors.New("peers.status is not set in the file")
 				}
--- a/cmd/pinedale-proxy/serve.go
+++ b/cmd/pinedale-proxy/serve.go
@@ -6,14 +6,15 @@
 	"os"
 	"syscall"
 
-	"pinedale/internal/site"
+	"pinedale/internal/app"
+	"pinedale/internal/config"
 )
 
 // serve runs an instance until it has ended: SIGHUP reloads the file, any other signal begins the graceful shutdown.
-func serve(path string, f *site.File, signals <-chan os.Signal) error {
-	f.UseMemory()
+func serve(path string, f *config.File, signals <-chan os.Signal) error {
+	app.UseMemory(f)
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("instance", f.Name)
-	instance, err := site.Start(f, log)
+	instance, err := app.Start(f, log)
 	if err != nil {
 		return err
 	}
@@ -26,7 +27,7 @@
 }
 
 // handleSignals reloads or shuts down an instance when a signal arrives.
-func handleSignals(signals <-chan os.Signal, instance *site.Instance, path string, log *slog.Logger) {
+func handleSignals(signals <-chan os.Signal, instance *app.Instance, path string, log *slog.Logger) {
 	for received := range signals {
 		if received != syscall.SIGHUP {
 			log.Info("shutting down", "signal", received.String())
@@ -40,7 +41,7 @@
 }
 
 // reload loads the file again and lets the instance use it. After an error nothing has changed.
-func reload(instance *site.Instance, path string) error {
+func reload(instance *app.Instance, path string) error {
 	next, err := instance.Next(path)
 	if err != nil {
 		return describeError(path, err)
--- a/cmd/pinedale-simulate/demo.go
+++ b/cmd/pinedale-simulate/demo.go
@@ -11,9 +11,10 @@
 	"sync"
 	"time"
 
+	"pinedale/internal/app"
+	"pinedale/internal/config"
 	"pinedale/internal/emulator/model"
 	"pinedale/internal/emulator/sockets"
-	"pinedale/internal/site"
 	"pinedale/internal/standin/fakediscovery"
 )
 
@@ -69,11 +70,11 @@
 			return err
 		}
 	}
-	file, err := site.Parse(fmt.Appendf(nil, demoFile, f.directory.Address))
+	file, err := config.Parse(fmt.Appendf(nil, demoFile, f.directory.Address))
 	if err != nil {
 		return err
 	}
-	i, err := site.Start(file, slog.New(slog.DiscardHandler))
+	i, err := app.Start(file, slog.New(slog.DiscardHandler))
 	if err != nil {
 		return err
 	}
--- a/internal/site/build_cluster.go
+++ b/internal/app/cluster.go
@@ -1,4 +1,4 @@
-package site
+package app
 
 import (
 	"context"
@@ -10,6 +10,7 @@
 
 	"pinedale/balancer"
 	"pinedale/internal/cluster"
+	"pinedale/internal/config"
 	"pinedale/internal/engine"
 )
 
@@ -23,14 +24,14 @@
 var Build = "unnamed"
 
 // clusterConfig returns the configuration of the connection to other instances.
-func (f *File) clusterConfig(log *slog.Logger) cluster.Config {
-	config := cluster.Config{
+func clusterConfig(f *config.File, log *slog.Logger) cluster.Config {
+	settings := cluster.Config{
 		Name:          f.Name,
 		Listen:        f.Peers.Listen,
 		Advertise:     f.Peers.Advertise,
 		Join:          f.Peers.Join,
 		Via:           f.Peers.Via,
-		Keys:          f.peerKeys,
+		Keys:          f.PeerKeys(),
 		Voters:        f.Peers.Voters,
 		LeaseTimeout:  time.Duration(f.Peers.LeaseTimeout),
 		Site:          f.Site,
@@ -40,14 +41,14 @@
 	}
 	for i := range f.Classes {
 		class := &f.Classes[i]
-		agreement := agreements[class.Agreement]
-		config.Classes = append(config.Classes, cluster.Class{Name: class.Name, Agreement: agreement})
+		agreement := class.ClusterAgreement()
+		settings.Classes = append(settings.Classes, cluster.Class{Name: class.Name, Agreement: agreement})
 		if agreement != cluster.AgreeNever {
 			// A client retries within the deadline of its first request, and its retry has another deadline.
-			config.LeaseDuration = max(config.LeaseDuration, 2*time.Duration(class.Deadline))
+			settings.LeaseDuration = max(settings.LeaseDuration, 2*time.Duration(class.Deadline))
 		}
 	}
-	return config
+	return settings
 }
 
 // observedSource is a source of membership whose updates other instances receive as well.
@@ -67,16 +68,16 @@
 }
 
 // startPeers connects to other instances if the file configures them, and sets closePeers.
-func (i *Instance) startPeers(f *File) error {
+func (i *Instance) startPeers(f *config.File) error {
 	i.closePeers = func() {}
 	if f.Peers.Listen == "" {
 		return nil
 	}
-	config := f.clusterConfig(i.log)
-	config.OnDrainAdvisory = func(now balancer.Micros, draining map[string]int64) {
+	settings := clusterConfig(f, i.log)
+	settings.OnDrainAdvisory = func(now balancer.Micros, draining map[string]int64) {
 		i.engine.SetAdvisedDraining(now, draining)
 	}
-	node, err := cluster.Start(config, func(event func(now balancer.Micros)) { i.engine.Post(event) })
+	node, err := cluster.Start(settings, func(event func(now balancer.Micros)) { i.engine.Post(event) })
 	if err != nil {
 		return err
 	}
--- a/internal/site/build_fronts.go
+++ b/internal/app/fronts.go
@@ -1,4 +1,4 @@
-package site
+package app
 
 import (
 	"context"
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"pinedale/internal/config"
 	"pinedale/internal/engine"
 	"pinedale/internal/front/extproc"
 	"pinedale/internal/front/http3front"
@@ -27,11 +28,8 @@
 	endMargin = time.Second
 )
 
-// bytesPerMB converts limits.memory_mb.
-const bytesPerMB = 1 << 20
-
 // maxBodyBytes bounds the request bodies that each HTTP front holds.
-func (f *File) maxBodyBytes() int64 { return int64(f.Limits.MemoryMB) * bytesPerMB / bodyMemoryDivisor }
+func maxBodyBytes(f *config.File) int64 { return f.Limits.MemoryBytes() / bodyMemoryDivisor }
 
 // serve runs a front in a goroutine of its own; Wait receives its error.
 func (i *Instance) serve(front func() error) {
@@ -52,7 +50,7 @@
 		Connections: f.HTTP3.MaxConnections,
 		Streams:     f.HTTP3.MaxStreams,
 		Early:       f.HTTP3.EarlyData,
-		BodyBytes:   f.maxBodyBytes(),
+		BodyBytes:   maxBodyBytes(f),
 		Parser:      i.parser,
 		Log:         i.log,
 	})
@@ -73,7 +71,7 @@
 	front := httpfront.New(i.engine, upstream, httpfront.Options{
 		Connections:        f.Limits.ClientConnections,
 		KeepAliveThreshold: f.Limits.ClientConnections / atCapacityDivisor,
-		BodyBytes:          f.maxBodyBytes(),
+		BodyBytes:          maxBodyBytes(f),
 		Parser:             i.parser,
 		AltSvc:             altSvc,
 		EndBy:              func(longest time.Duration) time.Duration { return longest + endMargin },
@@ -92,11 +90,11 @@
 	options := extproc.Options{
 		MaxStreams:   f.ExtProc.Streams,
 		MaxBacklog:   f.ExtProc.Backlog,
-		CallersRetry: f.ExtProc.Retries == retriesByProxy,
-		MaxEntries:   f.Limits.MemoryMB * bytesPerMB / entryMemoryDivisor / entryBytes,
+		CallersRetry: f.ExtProc.CallersRetry(),
+		MaxEntries:   int(f.Limits.MemoryBytes() / entryMemoryDivisor / entryBytes),
 		LoadFields:   f.Fleet.LoadFields,
 		Parser:       i.parser,
-		Drain:        f.longestDeadline(),
+		Drain:        f.LongestDeadline(),
 		Log:          i.log,
 	}
 	if store := i.stores[f.ExtProc.Keys]; store != nil {
@@ -106,11 +104,3 @@
 	i.ExtProc = listener.Addr()
 	i.serve(func() error { return i.extProc.Serve(ctx, listener) })
 }
-
-// longestDeadline returns the longest deadline of a class.
-func (f *File) longestDeadline() (longest time.Duration) {
-	for i := range f.Classes {
-		longest = max(longest, time.Duration(f.Classes[i].Deadline))
-	}
-	return longest
-}
--- a/internal/site/instance.go
+++ b/internal/app/instance.go
@@ -1,4 +1,4 @@
-package site
+package app
 
 import (
 	"context"
@@ -16,6 +16,7 @@
 	"pinedale/balancer"
 	"pinedale/internal/admission"
 	"pinedale/internal/cluster"
+	"pinedale/internal/config"
 	"pinedale/internal/engine"
 	"pinedale/internal/front/extproc"
 	"pinedale/internal/policy"
@@ -45,7 +46,7 @@
 	Status net.Addr      // of the status page on other instances, nil without one
 	Peers  *cluster.Node // connection to other instances, nil without one
 
-	file   *File // that the instance was started with
+	file   *config.File // that the instance was started with
 	log    *slog.Logger
 	engine *engine.Engine
 	parser *requestmeta.Parser
@@ -68,20 +69,20 @@
 
 // Start opens the file's sockets, starts the engine, the connection to other instances and the fronts, and returns
 // without waiting for them. After an error nothing is left running.
-func Start(f *File, log *slog.Logger) (*Instance, error) {
+func Start(f *config.File, log *slog.Logger) (*Instance, error) {
 	i := &Instance{file: f, log: log, frontErrors: make(chan error, maxFronts)}
 	var err error
-	if i.stores, err = f.openStores(log); err != nil {
+	if i.stores, err = openStores(f, log); err != nil {
 		return nil, err
 	}
-	if i.upstreamTLS, err = f.secureClient(i.stores, log); err != nil {
+	if i.upstreamTLS, err = newSecureClient(f, i.stores, log); err != nil {
 		return nil, err
 	}
-	subset, err := f.subset()
+	subset, err := newSubset(f)
 	if err != nil {
 		return nil, err
 	}
-	open, err := f.listen()
+	open, err := openSockets(f)
 	if err != nil {
 		return nil, err
 	}
@@ -107,11 +108,11 @@
 func (i *Instance) createEngine(ctx context.Context, subset engine.Subset) (engine.Upstream, error) {
 	f := i.file
 	settings := f.Settings()
-	i.table.Store(f.table)
-	i.admission = admission.New(f.table.Admission(f.Limits.AdmitRate))
+	i.table.Store(f.Table())
+	i.admission = admission.New(f.Table().Admission(f.Limits.AdmitRate))
 	i.parser = requestmeta.NewParser(&settings)
-	i.parser.Use(newRouter(f.table))
-	upstream, closeUpstream, err := f.upstream(i.upstreamTLS)
+	i.parser.Use(newRouter(f.Table()))
+	upstream, closeUpstream, err := newUpstream(f, i.upstreamTLS)
 	if err != nil {
 		i.cancel()
 		return nil, fmt.Errorf("upstream: %w", err)
@@ -147,13 +148,13 @@
 		Seed:       randomSeed(),
 		Zones:      f.Fleet.Sites,
 		Kinds:      f.Fleet.Kinds,
-		CachedList: engine.List{Complete: true, Hosts: f.hosts()},
+		CachedList: engine.List{Complete: true, Hosts: f.Hosts()},
 		Upstream:   upstream,
-		Source:     f.source(i.log),
+		Source:     newSource(f, i.log),
 		Log:        i.log,
 		Admission:  i.admission,
 		Subset:     subset,
-		Pools:      f.table.Pools,
+		Pools:      f.Table().Pools,
 	}
 	if i.Peers != nil {
 		options.KeyLeases = i.Peers
@@ -170,11 +171,11 @@
 	return binary.LittleEndian.Uint64(seed[:])
 }
 
-// UseMemory lets the process use the memory that the file grants it: collections are rare until the heap comes near
+// UseMemory lets the process use the memory that a file grants it: collections are rare until the heap comes near
 // the limit. A fifth is left for what the runtime does not count.
-func (f *File) UseMemory() {
+func UseMemory(f *config.File) {
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(f.Limits.MemoryMB) * bytesPerMB / 10 * 8)
+	debug.SetMemoryLimit(f.Limits.MemoryBytes() / 10 * 8)
 }
 
 // Ready reports whether an endpoint is known that requests may be sent to.
--- a/internal/site/keys_test.go
+++ b/internal/app/keys_test.go
@@ -1,4 +1,4 @@
-package site
+package app
 
 import (
 	"crypto/tls"
--- a/internal/site/listen.go
+++ b/internal/app/listen.go
@@ -1,8 +1,9 @@
-package site
+package app
 
 import (
 	"fmt"
 	"net"
+	"pinedale/internal/config"
 )
 
 // sockets are the open sockets of the fronts, nil for a front that is not switched on.
@@ -12,8 +13,8 @@
 	http3   net.PacketConn
 }
 
-// listen opens the sockets of all fronts, or none if one of them fails.
-func (f *File) listen() (*sockets, error) {
+// openSockets opens the sockets of all fronts, or none if one of them fails.
+func openSockets(f *config.File) (*sockets, error) {
 	s := &sockets{}
 	if err := s.open(f); err != nil {
 		s.close()
@@ -23,7 +24,7 @@
 }
 
 // open opens one socket after the other, up to the first that fails.
-func (s *sockets) open(f *File) (err error) {
+func (s *sockets) open(f *config.File) (err error) {
 	if f.HTTP.Listen != "" {
 		if s.http, err = net.Listen("tcp", f.HTTP.Listen); err != nil {
 			return err
--- a/internal/site/peers_test.go
+++ b/internal/app/peers_test.go
@@ -1,4 +1,4 @@
-package site
+package app
 
 import (
 	"context"
@@ -14,6 +14,7 @@
 	"time"
 
 	"pinedale/balancer"
+	"pinedale/internal/config"
 	"pinedale/internal/standin/fakebackend"
 	"pinedale/internal/standin/fakediscovery"
 	"pinedale/internal/standin/platform"
@@ -75,7 +76,7 @@
 			"witnesses = [\"i-0\", \"i-1\", \"i-2\"]\njoin = [\"i-0/%s\"]\n"
 		head := strings.Replace(runningHead, `name = "a"`, fmt.Sprintf(`name = "i-%d"`, n), 1)
 		text := head + fmt.Sprintf(peers, addresses[n], keys, addresses[0]) + extraConfig(n)
-		f, err := Parse([]byte(text))
+		f, err := config.Parse([]byte(text))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/site/reload.go
+++ b/internal/app/reload.go
@@ -1,9 +1,10 @@
-package site
+package app
 
 import (
 	"errors"
 
 	"pinedale/balancer"
+	"pinedale/internal/config"
 	"pinedale/internal/engine"
 	"pinedale/internal/policy"
 )
@@ -11,13 +12,17 @@
 // errEnded is the error of a reload after the engine has stopped.
 var errEnded = errors.New("the instance has ended")
 
+// Next loads a file that Reload is to take. Classes, routes and budgets that requests in flight may refer to keep
+// their numbers.
+func (i *Instance) Next(path string) (*config.File, error) { return config.LoadNext(path, i.Table()) }
+
 // Table returns the table of classes and routes in use.
 func (i *Instance) Table() *policy.Table { return i.table.Load() }
 
 // Reload replaces classes, routes, pools, tenants, admission, names for verification and the source of membership by
 // those of a file that Next has read, and reads the files of all [[keys]] again. Requests in flight keep the rules
 // that they began with. All other settings stay as they were at the start. After an error nothing has changed.
-func (i *Instance) Reload(f *File) error {
+func (i *Instance) Reload(f *config.File) error {
 	err := errEnded
 	i.engine.Call(func(now balancer.Micros) { err = i.configure(now, f) })
 	if err != nil {
@@ -25,13 +30,13 @@
 	}
 	i.stores.reload()
 	i.logCounters()
-	i.log.Info("configuration reloaded", "table", f.table.Version)
+	i.log.Info("configuration reloaded", "table", f.Table().Version)
 	return nil
 }
 
 // configure applies a file in the engine's goroutine.
-func (i *Instance) configure(now balancer.Micros, f *File) error {
-	table := f.table
+func (i *Instance) configure(now balancer.Micros, f *config.File) error {
+	table := f.Table()
 	err := i.engine.Configure(now, engine.RuntimeSettings{
 		Classes: table.Classes(),
 		Budgets: table.Budgets(),
@@ -47,8 +52,8 @@
 	i.table.Store(table)
 	i.parser.Use(newRouter(table))
 	if i.upstreamTLS != nil {
-		i.upstreamTLS.Rename(f.verifyNames())
+		i.upstreamTLS.Rename(f.VerifyNames())
 	}
-	i.engine.SwitchSource(f.source(i.log))
+	i.engine.SwitchSource(newSource(f, i.log))
 	return nil
 }
--- a/internal/site/reload_test.go
+++ b/internal/app/reload_test.go
@@ -1,4 +1,4 @@
-package site
+package app
 
 import (
 	"fmt"
@@ -16,6 +16,7 @@
 
 	"github.com/quic-go/quic-go/http3"
 
+	"pinedale/internal/config"
 	"pinedale/internal/standin/cert"
 	"pinedale/internal/standin/fakebackend"
 	"pinedale/internal/standin/wait"
@@ -99,7 +100,7 @@
 		t.Cleanup(s.Close)
 		r.servers = append(r.servers, s)
 	}
-	f, err := Parse([]byte(r.text(parts...)))
+	f, err := config.Parse([]byte(r.text(parts...)))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -194,7 +195,11 @@
 			}
 		})
 	}
-	for _, path := range badFiles(t) {
+	badFiles, err := filepath.Glob("../config/testdata/bad/*.toml")
+	if err != nil || len(badFiles) < 150 {
+		t.Fatalf("%d bad files, %v", len(badFiles), err)
+	}
+	for _, path := range badFiles {
 		if f, err := r.Next(path); err == nil || f != nil {
 			t.Errorf("%s is accepted", path)
 		}
@@ -378,7 +383,7 @@
 		strings.Replace(table, "[http3]", "[http3]\nconnections = 0", 1): "http3.connections",
 		strings.Replace(table, "127.0.0.1:0", "here", 1):                 "http3.listen",
 	} {
-		_, err := Parse([]byte(r.text(priceClass, payClass, bad)))
+		_, err := config.Parse([]byte(r.text(priceClass, payClass, bad)))
 		if err == nil || !strings.Contains(err.Error(), key+": ") {
 			t.Errorf("%q: %v, want an error of %s", bad, err, key)
 		}
--- a/internal/site/secure_test.go
+++ b/internal/app/secure_test.go
@@ -1,4 +1,4 @@
-package site
+package app
 
 import (
 	"bytes"
@@ -18,6 +18,7 @@
 	"google.golang.org/grpc/credentials"
 
 	"pinedale/internal/certstore"
+	"pinedale/internal/config"
 	"pinedale/internal/standin/ca"
 	"pinedale/internal/standin/fakebackend"
 	"pinedale/internal/standin/logcapture"
@@ -67,7 +68,7 @@
 		t.Cleanup(s.Close)
 		w.text += serverSection(s, n)
 	}
-	f, err := Parse([]byte(w.text))
+	f, err := config.Parse([]byte(w.text))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -130,7 +131,10 @@
 				if w.fleet[0].Counts().Requests != 0 || w.fleet[1].Counts().Run < 30 {
 					t.Errorf("requests went to %+v and %+v", w.fleet[0].Counts(), w.fleet[1].Counts())
 				}
-				wait.Until(t, "the failed handshake", func() bool { c, ok := w.HandshakeCounters(); return ok && c.Failed[reason] > 0 })
+				wait.Until(t, "the failed handshake", func() bool {
+					counters, ok := w.HandshakeCounters()
+					return ok && counters.Failed[reason] > 0
+				})
 				w.logCounters()
 				logged := w.log.String()
 				if !strings.Contains(logged, "expected=s-0.example.org") ||
@@ -297,7 +301,7 @@
 		if text == w.text {
 			t.Fatalf("%q is not in the file", c.from)
 		}
-		_, err := Parse([]byte(text))
+		_, err := config.Parse([]byte(text))
 		message := ""
 		if err != nil {
 			message = err.Error()
@@ -307,7 +311,7 @@
 			t.Errorf("%q for %q: %q, want %s, %s", c.to, c.from, message, c.key, c.reason)
 		}
 	}
-	f, err := Parse([]byte(w.text))
+	f, err := config.Parse([]byte(w.text))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/site/build_upstream.go
+++ b/internal/app/upstream.go
@@ -1,9 +1,10 @@
-package site
+package app
 
 import (
 	"log/slog"
 	"time"
 
+	"pinedale/internal/config"
 	"pinedale/internal/engine"
 	"pinedale/internal/upstream/byprotocol"
 	"pinedale/internal/upstream/handshake"
@@ -16,19 +17,8 @@
 // share the budget: with fewer it could not replace broken connections.
 const minInstanceHandshakes = 1
 
-// verifyNames returns the names by which servers are verified.
-func (f *File) verifyNames() *secure.Names {
-	names := &secure.Names{Pattern: f.Upstream.VerifyPattern, ByServer: map[string]string{}}
-	for _, s := range f.Servers {
-		if s.VerifyName != "" {
-			names.ByServer[s.Name] = s.VerifyName
-		}
-	}
-	return names
-}
-
 // handshakeBudget returns this instance's quota of the handshakes that a server may have.
-func (f *File) handshakeBudget() handshake.Config {
+func handshakeBudget(f *config.File) handshake.Config {
 	u := &f.Upstream
 	all := handshake.Config{
 		PerServer:          u.HandshakesPerServer,
@@ -40,23 +30,23 @@
 	return all.Share(f.Fleet.Instances, minInstanceHandshakes)
 }
 
-// secureClient returns what performs the upstream's TLS handshakes, nil for plain text.
-func (f *File) secureClient(open stores, log *slog.Logger) (*secure.Client, error) {
+// newSecureClient returns what performs the upstream's TLS handshakes, nil for plain text.
+func newSecureClient(f *config.File, open stores, log *slog.Logger) (*secure.Client, error) {
 	if f.Upstream.Keys == "" {
 		return nil, nil
 	}
 	return secure.New(secure.Options{
 		KeyStore: open[f.Upstream.Keys],
-		Names:    f.verifyNames(),
-		Budget:   f.handshakeBudget(),
+		Names:    f.VerifyNames(),
+		Budget:   handshakeBudget(f),
 		Sessions: f.Upstream.MaxSessions,
 		Timeout:  time.Duration(f.Upstream.HandshakeTimeout),
 		Log:      log,
 	})
 }
 
-// upstream returns what sends requests to servers, and the function that closes it. security is nil for plain text.
-func (f *File) upstream(security *secure.Client) (engine.Upstream, func() error, error) {
+// newUpstream returns what sends requests to servers, and the function that closes it. security is nil for plain text.
+func newUpstream(f *config.File, security *secure.Client) (engine.Upstream, func() error, error) {
 	options := httpupstream.Options{
 		DialTimeout: time.Duration(f.Limits.DialTimeout),
 		Idle:        time.Duration(f.Limits.IdleTimeout),
--- /dev/null
+++ b/internal/config/doc.go
@@ -0,0 +1,9 @@
+// Package config reads and checks the operator's TOML file, and converts it to the settings of the balancer and of the
+// policy compiler. It has two jobs, each in files of its own:
+//
+//   - file.go, read.go and section_*.go: the file as written, with its defaults. Each section is a type.
+//   - check.go and the check methods in section_*.go: every error of a file, with line and key. A file with an
+//     error is not used at all.
+//
+// Package app builds and runs what a file asks for.
+package config
--- a/internal/site/file.go
+++ b/internal/config/file.go
@@ -1,8 +1,11 @@
-package site
+package config
 
 import (
+	"time"
+
 	"pinedale/internal/policy"
 	"pinedale/internal/tomlfile"
+	"pinedale/internal/upstream/secure"
 )
 
 // Types that all files of this form share.
@@ -48,3 +51,28 @@
 
 // Table returns the compiled classes and routes.
 func (f *File) Table() *policy.Table { return f.table }
+
+// PeerKeys returns the keys that encrypt messages between instances, the first for sending; nil for none.
+func (f *File) PeerKeys() [][]byte { return f.peerKeys }
+
+// EphemeralDigest returns user:password for digest authentication with ZooKeeper, "" for none.
+func (f *File) EphemeralDigest() string { return f.digest }
+
+// LongestDeadline returns the longest deadline of a class.
+func (f *File) LongestDeadline() (longest time.Duration) {
+	for i := range f.Classes {
+		longest = max(longest, time.Duration(f.Classes[i].Deadline))
+	}
+	return longest
+}
+
+// VerifyNames returns the names by which servers are verified.
+func (f *File) VerifyNames() *secure.Names {
+	names := &secure.Names{Pattern: f.Upstream.VerifyPattern, ByServer: map[string]string{}}
+	for _, s := range f.Servers {
+		if s.VerifyName != "" {
+			names.ByServer[s.Name] = s.VerifyName
+		}
+	}
+	return names
+}
--- a/internal/site/file_test.go
+++ b/internal/config/file_test.go
@@ -1,4 +1,4 @@
-package site
+package config
 
 import (
 	"errors"
@@ -10,6 +10,7 @@
 	"time"
 
 	"pinedale/balancer"
+	"pinedale/internal/subset"
 )
 
 const goodFile = `version = 1
@@ -64,7 +65,7 @@
 		c.ClientTimeout != 2_500_000 || c.PriorityWeight != 10 || s.Classes[0].PriorityWeight != 1 {
 		t.Errorf("classes %+v", s.Classes)
 	}
-	if h := f.hosts(); len(h) != 1 || h[0].Cell != 3 || h[0].Site != "dar" || h[0].Weight != 1 {
+	if h := f.Hosts(); len(h) != 1 || h[0].Cell != 3 || h[0].Site != "dar" || h[0].Weight != 1 {
 		t.Errorf("hosts %+v", h)
 	}
 	if got := f.Summary(); !strings.Contains(got, "stall-pay") || !strings.Contains(got, "1 servers") {
@@ -268,7 +269,8 @@
 			t.Errorf("%q: %v", c.add, err)
 		}
 		if err == nil {
-			if part, err := f.subset(); part == nil || err != nil {
+			settings, ok := f.SubsetConfig()
+			if part, err := subset.New(settings); !ok || part == nil || err != nil {
 				t.Errorf("%q: no subset, %v", c.add, err)
 			}
 		}
--- a/internal/site/keys_report.go
+++ b/internal/config/keys_report.go
@@ -1,4 +1,4 @@
-package site
+package config
 
 import (
 	"cmp"
@@ -35,9 +35,9 @@
 		return fmt.Errorf("keys %q: %w", k.Name, err)
 	}
 	var users []string
-	for _, user := range f.keyUsers() {
-		if user.keysName == k.Name {
-			users = append(users, strings.TrimSuffix(user.key, ".keys"))
+	for _, user := range f.KeyUsers() {
+		if user.Entry == k.Name {
+			users = append(users, strings.TrimSuffix(user.Key, ".keys"))
 		}
 	}
 	fmt.Fprintf(out, "keys %q, used by %s\n", k.Name, cmp.Or(strings.Join(users, ", "), "nothing"))
@@ -69,7 +69,7 @@
 		fmt.Fprintln(out, "servers are spoken to in plain text")
 		return nil
 	}
-	names := f.verifyNames()
+	names := f.VerifyNames()
 	for _, s := range f.Servers {
 		name, err := names.Of(s.Name)
 		if err != nil {
@@ -95,7 +95,7 @@
 	keys.KeyFile = cmp.Or(replacement.Key, keys.KeyFile)
 	keys.RootsFile = cmp.Or(replacement.Roots, keys.RootsFile)
 	keys.RevokedFile = cmp.Or(replacement.Revoked, keys.RevokedFile)
-	_, err := certstore.Open(keys.storeOptions(f.usedByFront(name), slog.New(slog.DiscardHandler)))
+	_, err := certstore.Open(keys.StoreOptions(f.usedByFront(name), slog.New(slog.DiscardHandler)))
 	return err
 }
 
--- a/internal/site/read.go
+++ b/internal/config/read.go
@@ -1,4 +1,4 @@
-package site
+package config
 
 import (
 	"io"
@@ -17,9 +17,9 @@
 // Parse is Load for the text of a file.
 func Parse(data []byte) (*File, error) { return parse(data, nil) }
 
-// Next loads a file that Reload is to take. Classes, routes and budgets that requests in flight may refer to keep
-// their numbers.
-func (i *Instance) Next(path string) (*File, error) { return load(path, i.Table()) }
+// LoadNext is Load for a file that replaces another one in service. Classes, routes and budgets of inUse, to which
+// requests in flight may refer, keep their numbers.
+func LoadNext(path string, inUse *policy.Table) (*File, error) { return load(path, inUse) }
 
 // load reads and checks a file. previous is the table in use, nil at the start.
 func load(path string, previous *policy.Table) (*File, error) {
--- a/internal/site/section_class.go
+++ b/internal/config/section_class.go
@@ -1,4 +1,4 @@
-package site
+package config
 
 import (
 	"fmt"
@@ -6,6 +6,7 @@
 	"time"
 
 	"pinedale/balancer"
+	"pinedale/internal/cluster"
 	"pinedale/internal/requestmeta"
 )
 
@@ -56,6 +57,9 @@
 	Timing
 }
 
+// ClusterAgreement returns when instances have to agree on the keys of the class.
+func (c *Class) ClusterAgreement() cluster.Agreement { return agreements[c.Agreement] }
+
 // checkClasses checks the [[class]] entries. checkPolicy checks their timing.
 func (c *checker) checkClasses() {
 	classes := c.file.Classes
@@ -85,7 +89,8 @@
 	c.Positive(prefix+"aim", class.LatencyObjective)
 	c.Positive(prefix+"deadline", class.Deadline)
 	c.Require(deadline >= objective, prefix+"deadline", "%v is under the aim of %v", deadline, objective)
-	c.Require(deadline <= requestmeta.MaxRequestTime, prefix+"deadline", "%v is over %v", deadline, requestmeta.MaxRequestTime)
+	c.Require(deadline <= requestmeta.MaxRequestTime, prefix+"deadline",
+		"%v is over %v", deadline, requestmeta.MaxRequestTime)
 	c.Require(class.PriorityWeight == nil || *class.PriorityWeight >= 0, prefix+"worth", "is negative")
 	c.Require(class.LateWeightRatio >= 0 && class.LateWeightRatio <= 1, prefix+"late_worth",
 		"%v is not in 0 to 1", class.LateWeightRatio)
--- a/internal/site/section_extproc.go
+++ b/internal/config/section_extproc.go
@@ -1,4 +1,4 @@
-package site
+package config
 
 import "net"
 
@@ -20,6 +20,9 @@
 	Backlog int    `toml:"backlog"` // max requests that wait for a decision
 }
 
+// CallersRetry reports whether the proxy retries when a response asks it to.
+func (e *ExtProc) CallersRetry() bool { return e.Retries == retriesByProxy }
+
 func defaultExtProc() ExtProc {
 	return ExtProc{Retries: retriesNone, Streams: 10_000, Backlog: 512}
 }
--- a/internal/site/section_http.go
+++ b/internal/config/section_http.go
@@ -1,4 +1,4 @@
-package site
+package config
 
 // HTTP is the section of the HTTP/1.1 front.
 type HTTP struct {
--- a/internal/site/section_http3.go
+++ b/internal/config/section_http3.go
@@ -1,4 +1,4 @@
-package site
+package config
 
 // maxHTTP3Streams bounds http3.streams.
 const maxHTTP3Streams = 1 << 16
--- a/internal/site/section_keys.go
+++ b/internal/config/section_keys.go
@@ -1,4 +1,4 @@
-package site
+package config
 
 import (
 	"crypto/tls"
@@ -42,27 +42,53 @@
 	ReplacementTime Duration `toml:"replace_within"` // over which connections are replaced, 0 for the default
 }
 
-// keyUser is a key of the file that refers to a [[keys]] entry.
-type keyUser struct {
-	key      string // of the file
-	keysName string // "" if it is not set
-	enabled  bool   // the front is switched on
-	server   bool   // it presents the certificate as a server, otherwise as a client
+// KeyUser is a key of the file that refers to a [[keys]] entry.
+type KeyUser struct {
+	Key     string // as the file writes it
+	Entry   string // name of the [[keys]] entry, "" if it is not set
+	Enabled bool   // the front is switched on
+	Server  bool   // it presents the certificate as a server, otherwise as a client
 }
 
-// keyUsers returns all keys of the file that refer to a [[keys]] entry.
-func (f *File) keyUsers() [4]keyUser {
-	return [...]keyUser{
-		{key: "http.keys", keysName: f.HTTP.Keys, enabled: f.HTTP.Listen != "", server: true},
-		{key: "http3.keys", keysName: f.HTTP3.Keys, enabled: f.HTTP3.Listen != "", server: true},
-		{key: "ext_proc.keys", keysName: f.ExtProc.Keys, enabled: f.ExtProc.Listen != "", server: true},
-		{key: "upstream.keys", keysName: f.Upstream.Keys, enabled: true, server: false},
+// KeyUsers returns all keys of the file that refer to a [[keys]] entry.
+func (f *File) KeyUsers() [4]KeyUser {
+	return [...]KeyUser{
+		{Key: "http.keys", Entry: f.HTTP.Keys, Enabled: f.HTTP.Listen != "", Server: true},
+		{Key: "http3.keys", Entry: f.HTTP3.Keys, Enabled: f.HTTP3.Listen != "", Server: true},
+		{Key: "ext_proc.keys", Entry: f.ExtProc.Keys, Enabled: f.ExtProc.Listen != "", Server: true},
+		{Key: "upstream.keys", Entry: f.Upstream.Keys, Enabled: true, Server: false},
 	}
 }
 
 // usedByFront reports whether a [[keys]] entry is that of a front, which is a server.
 func (f *File) usedByFront(name string) bool { return f.Upstream.Keys != name }
 
+// paths returns the names of the files.
+func (k *Keys) paths() certstore.Paths {
+	return certstore.Paths{Cert: k.CertFile, Key: k.KeyFile, Roots: k.RootsFile, Revoked: k.RevokedFile}
+}
+
+// StoreOptions returns the options of a store for the keys, used by a server or a client.
+func (k *Keys) StoreOptions(server bool, log *slog.Logger) certstore.Options {
+	options := certstore.Options{
+		Paths: k.paths(),
+		Want: validate.Requirements{
+			Names:           k.Names,
+			Server:          server,
+			MinRSABits:      max(k.MinRSABits, minRSABits),
+			AllowExpired:    k.AllowExpired,
+			PeerExpiryGrace: time.Duration(k.PeerExpiryGrace),
+		},
+		ReplacementTime: time.Duration(k.ReplacementTime),
+		MinTLSVersion:   tlsVersions[k.MinTLSVersion],
+		Log:             log.With("keys", k.Name),
+	}
+	if options.ReplacementTime == 0 {
+		options.ReplacementTime = defaultReplacementTime
+	}
+	return options
+}
+
 // checkKeys checks the [[keys]] entries and the references to them.
 func (c *checker) checkKeys() {
 	seen := map[string]bool{}
@@ -126,7 +152,7 @@
 
 // checkKeyFiles checks that the files may serve.
 func (c *checker) checkKeyFiles(prefix string, k *Keys) {
-	options := k.storeOptions(c.file.usedByFront(k.Name), slog.New(slog.DiscardHandler))
+	options := k.StoreOptions(c.file.usedByFront(k.Name), slog.New(slog.DiscardHandler))
 	_, err := certstore.Open(options)
 	if err == nil {
 		return
@@ -143,24 +169,24 @@
 func (c *checker) checkKeyUsers() map[string]bool {
 	f := c.file
 	used := map[string]bool{}
-	for _, user := range f.keyUsers() {
-		name := user.keysName
+	for _, user := range f.KeyUsers() {
+		name := user.Entry
 		if name == "" {
 			continue
 		}
 		used[name] = true
-		c.Require(user.enabled, user.key, "%q is named for a front that is not switched on", name)
+		c.Require(user.Enabled, user.Key, "%q is named for a front that is not switched on", name)
 		index := slices.IndexFunc(f.Keys, func(k Keys) bool { return k.Name == name })
-		c.Require(index >= 0, user.key, "%q is not the name of a [[keys]] of this file", name)
+		c.Require(index >= 0, user.Key, "%q is not the name of a [[keys]] of this file", name)
 		if index < 0 {
 			continue
 		}
-		c.Require(!user.server || f.Keys[index].CertFile != "", user.key,
+		c.Require(!user.Server || f.Keys[index].CertFile != "", user.Key,
 			"%q has no certificate, and a front must show one", name)
-		c.Require(!user.server || name != f.Upstream.Keys, user.key,
+		c.Require(!user.Server || name != f.Upstream.Keys, user.Key,
 			"%q are upstream.keys, too: a server's certificate and a client's are judged apart, "+
 				"give each a [[keys]] of its own", name)
-		c.Require(user.server || f.Keys[index].RootsFile != "", user.key,
+		c.Require(user.Server || f.Keys[index].RootsFile != "", user.Key,
 			"%q has no roots_file, and servers cannot be verified without", name)
 	}
 	return used
--- a/internal/site/section_limits.go
+++ b/internal/config/section_limits.go
@@ -1,9 +1,13 @@
-package site
+package config
 
 import "time"
 
-// maxAttempts bounds the attempts of a request; the protocol allows no more.
-const maxAttempts = 3
+const (
+	// maxAttempts bounds the attempts of a request; the protocol allows no more.
+	maxAttempts = 3
+	// bytesPerMB converts limits.memory_mb.
+	bytesPerMB = 1 << 20
+)
 
 // Limits is the section of limits of the whole instance. It is part of the file's version: see versionText
 // before any change.
@@ -23,6 +27,9 @@
 	AdmitRate           float64  `toml:"admit_rate" json:"AdmitRate"`     // requests a second, 0 for no limit
 }
 
+// MemoryBytes returns the memory that the process may use.
+func (l *Limits) MemoryBytes() int64 { return int64(l.MemoryMB) * bytesPerMB }
+
 func defaultLimits() Limits {
 	return Limits{
 		MemoryMB:            256,
--- a/internal/site/section_server.go
+++ b/internal/config/section_server.go
@@ -1,4 +1,4 @@
-package site
+package config
 
 import (
 	"fmt"
@@ -10,6 +10,8 @@
 	maxServers = 10_000
 	// maxCells bounds server.pod: the balancer numbers cells in two bytes.
 	maxCells = 1 << 16
+	// defaultWeight is the weight of a server, and of a class, that states none.
+	defaultWeight = 1
 	// maxServerWeight bounds server.share.
 	maxServerWeight = 1e6
 )
--- a/internal/site/section_upstream.go
+++ b/internal/config/section_upstream.go
@@ -1,4 +1,4 @@
-package site
+package config
 
 import (
 	"fmt"
@@ -79,7 +79,7 @@
 	onlyListed := f.Discovery.Address == "" && len(f.Ephemeral.Servers) == 0
 	c.Require(pattern != "" || onlyListed, "upstream.verify",
 		"is missing: the names of servers that membership tells must come from a pattern, such as {name}.example.org")
-	names := f.verifyNames()
+	names := f.VerifyNames()
 	for i, s := range f.Servers {
 		key := fmt.Sprintf("server[%d].verify", i)
 		if s.VerifyName != "" {
--- a/internal/site/build_settings.go
+++ b/internal/config/settings.go
@@ -1,12 +1,14 @@
-package site
+package config
 
 import (
 	"slices"
 	"time"
 
 	"pinedale/balancer"
+	"pinedale/internal/engine"
 	"pinedale/internal/policy"
 	"pinedale/internal/requestmeta"
+	"pinedale/internal/subset"
 )
 
 // Settings returns the settings of the balancer.
@@ -112,7 +114,7 @@
 		Group:            groups[c.Group],
 		DedupWindow:      time.Duration(c.DedupWindow),
 		LatencyObjective: time.Duration(c.LatencyObjective),
-		PriorityWeight:   valueOr(c.PriorityWeight, 1),
+		PriorityWeight:   valueOr(c.PriorityWeight, defaultWeight),
 		LateWeightRatio:  c.LateWeightRatio,
 		HedgeQuantile:    c.HedgeQuantile,
 		TypicalWork:      time.Duration(c.TypicalWork),
@@ -136,3 +138,46 @@
 		Pool:    r.Pool,
 	}
 }
+
+// Hosts returns the servers that the file lists.
+func (f *File) Hosts() []engine.Host {
+	hosts := make([]engine.Host, len(f.Servers))
+	for i := range f.Servers {
+		s := &f.Servers[i]
+		hosts[i] = engine.Host{
+			Name:    s.Name,
+			Address: s.Address,
+			Site:    s.Site,
+			Kind:    s.Kind,
+			Cell:    uint16(s.Cell),
+			State:   balancer.Ready,
+			Weight:  float32(valueOr(s.Weight, defaultWeight)),
+		}
+	}
+	return hosts
+}
+
+// SubsetConfig returns how this instance chooses its part of the fleet; ok is false if it uses all of it.
+func (f *File) SubsetConfig() (config subset.Config, ok bool) {
+	if f.Fleet.MinSubset == 0 {
+		return config, false
+	}
+	config = subset.Config{
+		Instance:    f.Name,
+		Site:        f.Site,
+		MinSize:     f.Fleet.MinSubset,
+		PerInFlight: f.Fleet.SubsetSpread,
+	}
+	for i := range f.Classes {
+		config.RankPods = config.RankPods || f.Classes[i].Group == "pod"
+	}
+	return config, true
+}
+
+// valueOr returns the value of a key that the file need not set.
+func valueOr(value *float64, fallback float64) float64 {
+	if value == nil {
+		return fallback
+	}
+	return *value
+}
--- a/internal/site/version_test.go
+++ b/internal/config/version_test.go
@@ -1,4 +1,4 @@
-package site
+package config
 
 import (
 	"os"
--- a/internal/faulttest/faulttest_test.go
+++ b/internal/faulttest/faulttest_test.go
@@ -31,7 +31,7 @@
 	if err == nil {
 		program, next = filepath.Join(dir, "pinedale-proxy"), filepath.Join(dir, "next")
 		for path, name := range map[string]string{program: "this", next: "next"} {
-			output, failed := exec.Command("go", "build", "-ldflags", "-X pinedale/internal/site.Build="+name, "-o", path, "pinedale/cmd/pinedale-proxy").CombinedOutput()
+			output, failed := exec.Command("go", "build", "-ldflags", "-X pinedale/internal/app.Build="+name, "-o", path, "pinedale/cmd/pinedale-proxy").CombinedOutput()
 			if failed != nil {
 				err = fmt.Errorf("%w: %s", failed, output)
 			}
--- a/internal/measure/endpointremoval/run.go
+++ b/internal/measure/endpointremoval/run.go
@@ -15,8 +15,9 @@
 	"sync/atomic"
 	"time"
 
+	"pinedale/internal/app"
+	"pinedale/internal/config"
 	"pinedale/internal/membership/ephemeral"
-	"pinedale/internal/site"
 	"pinedale/internal/standin/fakebackend"
 	"pinedale/internal/standin/fakediscovery"
 	"pinedale/internal/standin/fakezookeeper"
@@ -119,7 +120,7 @@
 	fleet   *fakebackend.Fleet
 	service *fakezookeeper.Service
 	dir     *fakediscovery.Directory
-	site    *site.Instance
+	site    *app.Instance
 	names   int
 
 	mu       sync.Mutex
@@ -168,7 +169,7 @@
 	if s.o.Discovery {
 		source = fmt.Sprintf("[discovery]\naddress = %q\n", s.dir.Address)
 	}
-	f, err := site.Parse([]byte(`version = 1
+	f, err := config.Parse([]byte(`version = 1
 name = "script"
 site = "a"
 [http]
@@ -185,7 +186,7 @@
 	if err != nil {
 		return err
 	}
-	if s.site, err = site.Start(f, slog.New(slog.DiscardHandler)); err != nil {
+	if s.site, err = app.Start(f, slog.New(slog.DiscardHandler)); err != nil {
 		return err
 	}
 	defer func() {
--- a/internal/measure/extproc/cost.go
+++ b/internal/measure/extproc/cost.go
@@ -17,8 +17,9 @@
 	extprocv3 "github.com/envoyproxy/go-control-plane/envoy/service/ext_proc/v3"
 	"google.golang.org/grpc"
 
+	"pinedale/internal/app"
+	"pinedale/internal/config"
 	"pinedale/internal/measure/process"
-	"pinedale/internal/site"
 	"pinedale/internal/standin/fakebackend"
 	"pinedale/internal/standin/fakediscovery"
 	"pinedale/internal/standin/proxy"
@@ -109,14 +110,14 @@
 
 // serveProcessor serves pinedale's, for the discovery at the address given.
 func serveProcessor(args []string) (string, func(), error) {
-	f, err := site.Parse([]byte(File(args[0], false, 3)))
+	f, err := config.Parse([]byte(File(args[0], false, 3)))
 	if err != nil {
 		return "", nil, err
 	}
 	f.ExtProc.Streams = 50_000
 	f.Limits.MemoryMB = 2048 // at the peak keys are remembered by tens of thousands
-	f.UseMemory()
-	i, err := site.Start(f, slog.New(slog.DiscardHandler))
+	app.UseMemory(f)
+	i, err := app.Start(f, slog.New(slog.DiscardHandler))
 	if err != nil {
 		return "", nil, err
 	}
--- a/internal/measure/extproc/run.go
+++ b/internal/measure/extproc/run.go
@@ -14,7 +14,8 @@
 	"sync/atomic"
 	"time"
 
-	"pinedale/internal/site"
+	"pinedale/internal/app"
+	"pinedale/internal/config"
 	"pinedale/internal/standin/fakebackend"
 	"pinedale/internal/standin/fakediscovery"
 	"pinedale/internal/standin/proxy"
@@ -138,8 +139,8 @@
 // run is the state of one run.
 type run struct {
 	o       Options
-	file    *site.File
-	site    *site.Instance
+	file    *config.File
+	site    *app.Instance
 	dir     *fakediscovery.Directory
 	fleet   *fakebackend.Fleet
 	proxies []*proxy.Proxy
@@ -183,7 +184,7 @@
 	if r.dir, err = fakediscovery.Start(); err != nil {
 		return err
 	}
-	if r.file, err = site.Parse([]byte(File(r.dir.Address, r.o.Short, r.o.attempts()))); err != nil {
+	if r.file, err = config.Parse([]byte(File(r.dir.Address, r.o.Short, r.o.attempts()))); err != nil {
 		return err
 	}
 	r.fleet = &fakebackend.Fleet{Classes: r.file.Settings().Classes, Seed: r.o.Seed, Work: r.o.Work, Faults: faults}
@@ -193,7 +194,7 @@
 		}
 	}
 	r.publish()
-	if r.site, err = site.Start(r.file, slog.New(slog.DiscardHandler)); err != nil {
+	if r.site, err = app.Start(r.file, slog.New(slog.DiscardHandler)); err != nil {
 		return err
 	}
 	r.ext = r.site.ExtProc.String()
--- a/internal/measure/rotations/rotations.go
+++ b/internal/measure/rotations/rotations.go
@@ -19,8 +19,9 @@
 	"time"
 
 	"pinedale/balancer"
+	"pinedale/internal/app"
 	"pinedale/internal/certstore"
-	"pinedale/internal/site"
+	"pinedale/internal/config"
 	"pinedale/internal/standin/ca"
 	"pinedale/internal/standin/fakebackend"
 	"pinedale/internal/standin/tlsbackend"
@@ -91,7 +92,7 @@
 	first, next  *ca.Authority
 	front, fleet *ca.Folder
 	keys         *tlsbackend.Keys
-	at           *site.Instance
+	at           *app.Instance
 	clients      atomic.Pointer[x509.CertPool] // whom they trust
 }
 
@@ -129,11 +130,11 @@
 		defer s.Close()
 		text += fmt.Sprintf("[[server]]\nname = %q\naddress = %q\nsite = \"a\"\npod = %d\n", s.Name, s.Address, n)
 	}
-	f, err := site.Parse([]byte(text))
+	f, err := config.Parse([]byte(text))
 	if err != nil {
 		return nil, err
 	}
-	if w.at, err = site.Start(f, slog.New(slog.DiscardHandler)); err != nil {
+	if w.at, err = app.Start(f, slog.New(slog.DiscardHandler)); err != nil {
 		return nil, err
 	}
 	defer func() {
--- a/internal/measure/tenants/tenants.go
+++ b/internal/measure/tenants/tenants.go
@@ -17,7 +17,8 @@
 	"sync/atomic"
 	"time"
 
-	"pinedale/internal/site"
+	"pinedale/internal/app"
+	"pinedale/internal/config"
 	"pinedale/internal/standin/fakebackend"
 )
 
@@ -84,11 +85,11 @@
 		}
 		text += fmt.Sprintf("[[server]]\nname = %q\naddress = %q\nsite = \"a\"\npod = %d\n", s.Name, s.Address, n)
 	}
-	f, err := site.Parse([]byte(text))
+	f, err := config.Parse([]byte(text))
 	if err != nil {
 		return nil, err
 	}
-	i, err := site.Start(f, slog.New(slog.DiscardHandler))
+	i, err := app.Start(f, slog.New(slog.DiscardHandler))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/measure/tlscost/proxies.go
+++ b/internal/measure/tlscost/proxies.go
@@ -18,8 +18,9 @@
 
 	"github.com/quic-go/quic-go/http3"
 
+	"pinedale/internal/app"
+	"pinedale/internal/config"
 	"pinedale/internal/measure/process"
-	"pinedale/internal/site"
 	"pinedale/internal/standin/ca"
 )
 
@@ -61,12 +62,12 @@
 	if args[2] == "h3" {
 		front += "\n[http3]\nlisten = \"127.0.0.1:0\"\nkeys = \"front\""
 	}
-	file, err := site.Parse([]byte(fmt.Sprintf(siteFile, front, f.Roots, keys, args[1])))
+	file, err := config.Parse([]byte(fmt.Sprintf(siteFile, front, f.Roots, keys, args[1])))
 	if err != nil {
 		return "", nil, err
 	}
-	file.UseMemory()
-	i, err := site.Start(file, slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelWarn})))
+	app.UseMemory(file)
+	i, err := app.Start(file, slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelWarn})))
 	if err != nil {
 		return "", nil, err
 	}
