--- a/cmd/pinedale-simulate/demo.go
+++ b/cmd/pinedale-simulate/demo.go
@@ -134,7 +134,7 @@
 	n := len(f.servers)
 	cfg := model.Config{Cores: 3, Speed: [...]float64{2, 1.2, 0.8}[n%3], SlotsPerCore: 1, QueuePerCore: 100, ThrashRatio: 0.08, ThrashThreshold: 5,
 		SlowStartRatio: 0.35, SlowStartTime: 6 * time.Second, OverloadMultiple: 2.5, OverloadWindow: time.Second,
-		ReportEvery: 100 * time.Millisecond, ProbeWork: 100 * time.Microsecond, HandshakeWork: time.Millisecond}
+		ReportInterval: 100 * time.Millisecond, ProbeWork: 100 * time.Microsecond, HandshakeWork: time.Millisecond}
 	s, err := f.fleet.Start(sockets.ServerSpec{Name: fmt.Sprintf("soko-%d", n+1), Group: fmt.Sprint(n / 2), Config: cfg, Seed: uint64(n + 1), Warming: warming, Faults: faults})
 	if err != nil {
 		return err
--- a/internal/emulator/model/config.go
+++ b/internal/emulator/model/config.go
@@ -17,31 +17,31 @@
 	OverloadMultiple float64       // work sent beyond this multiple of what it can do just now,
 	OverloadWindow   time.Duration // counted over any window of this length, makes a cold server fall over
 
-	PauseEvery time.Duration // mean time between two pauses, 0 for none
-	PauseFor   time.Duration // mean length
+	PauseInterval time.Duration // mean time between two pauses, 0 for none
+	PauseDuration time.Duration // mean length
 
-	ReportEvery time.Duration // a load report is taken so often,
-	ReportDelay time.Duration // and is so old when it is given
-	ReportNoise float64       // share by which its figures are off, at most
+	ReportInterval time.Duration // a load report is taken so often,
+	ReportDelay    time.Duration // and is so old when it is given
+	ReportNoise    float64       // share by which its figures are off, at most
 
-	Connections   int           // open at once, 0 for any number
-	HandshakeWork time.Duration // work of a core for a new connection
-	ProbeWork     time.Duration // and for a probe
+	MaxConnections int           // open at once, 0 for any number
+	HandshakeWork  time.Duration // work of a core for a new connection
+	ProbeWork      time.Duration // and for a probe
 
-	Subjects     int           // it remembers so many, the latest met; 0 for none
-	SubjectSaves float64       // share of its work that a request saves about one that is remembered,
-	SubjectFor   time.Duration // for so long after it was met
+	KeyCacheSize    int           // it remembers so many, the latest met; 0 for none
+	KeyCacheSavings float64       // share of its work that a request saves about one that is remembered,
+	KeyCacheTTL     time.Duration // for so long after it was met
 }
 
 // Request is one request as a server gets it.
 type Request struct {
-	Number uint64        // of the attempt: unique in a play
-	Draw   uint64        // that faults are drawn by; 0 for Number
-	Work   time.Duration // on a core of speed 1
-	Class  int
-	Key    string // of the effect, "" where the class has none
+	Number    uint64        // of the attempt: unique in a play
+	FaultSeed uint64        // that faults are drawn by; 0 for Number
+	Work      time.Duration // on a core of speed 1
+	Class     int
+	Key       string // of the effect, "" where the class has none
 
-	Subject uint64 // what it is about, 0 for nothing that a server could remember
+	AffinityKey uint64 // what it is about, 0 for nothing that a server could remember
 }
 
 // Outcome is how a request ended.
@@ -54,11 +54,11 @@
 	Rejected                 // turned away unseen
 	ConnectionFailed         // no connection, or it breaks: the server is down, or falls with it
 	Unanswered               // swallowed: there is no answer, though it has run
-	Repeated                 // served from memory: the effect was there already
+	Deduplicated             // served from memory: the effect was there already
 )
 
-// Ended is a request that ended.
-type Ended struct {
+// Completion is a request that ended.
+type Completion struct {
 	Number  uint64
 	Outcome Outcome
 	At      Time
--- a/internal/emulator/model/memory.go
+++ b/internal/emulator/model/memory.go
@@ -31,30 +31,30 @@
 	Window      time.Duration // for which a key is remembered
 }
 
-// Memory is what a fleet remembers of keys, and counts of effects: one effect is all
+// DedupStore is what a fleet remembers of keys, and counts of effects: one effect is all
 // that runs under one key.
-type Memory struct {
+type DedupStore struct {
 	classes []Class
-	keys    map[memoryKey]Time // when it last ran in a scope
+	keys    map[scopedKey]Time // when it last ran in a scope
 	effects map[string]*effect
 	ran     int
 	dropped int
 }
 
-type memoryKey struct{ scope, key string }
+type scopedKey struct{ scope, key string }
 
 type effect struct {
 	class int
 	done  int
 }
 
-// NewMemory returns a memory for these classes.
-func NewMemory(classes []Class) *Memory {
-	return &Memory{classes: classes, keys: map[memoryKey]Time{}, effects: map[string]*effect{}}
+// NewDedupStore returns a memory for these classes.
+func NewDedupStore(classes []Class) *DedupStore {
+	return &DedupStore{classes: classes, keys: map[scopedKey]Time{}, effects: map[string]*effect{}}
 }
 
-// Run has an effect done, unless its scope remembers the key: then it is false.
-func (m *Memory) Run(now Time, class int, key, group string) bool {
+// Execute has an effect done, unless its scope remembers the key: then it is false.
+func (m *DedupStore) Execute(now Time, class int, key, group string) bool {
 	c := m.classes[class]
 	e := m.effects[key]
 	if e == nil {
@@ -66,20 +66,20 @@
 		if c.Scope == Group {
 			scope = group
 		}
-		at, ran := m.keys[memoryKey{scope, key}]
+		at, ran := m.keys[scopedKey{scope, key}]
 		if ran && now < at+c.Window {
 			m.dropped++
 			return false
 		}
-		m.keys[memoryKey{scope, key}] = now
+		m.keys[scopedKey{scope, key}] = now
 	}
 	e.done++
 	m.ran++
 	return true
 }
 
-// Undo takes back that an effect was done: its server ended with the request.
-func (m *Memory) Undo(class int, key, group string) {
+// Revert takes back that an effect was done: its server ended with the request.
+func (m *DedupStore) Revert(class int, key, group string) {
 	if e := m.effects[key]; e != nil {
 		e.done--
 	}
@@ -87,15 +87,15 @@
 	if m.classes[class].Scope == Group {
 		scope = group
 	}
-	delete(m.keys, memoryKey{scope, key})
+	delete(m.keys, scopedKey{scope, key})
 }
 
 // Counts returns how many requests with a key ran, and how many repeats were dropped.
-func (m *Memory) Counts() (ran, dropped int) { return m.ran, m.dropped }
+func (m *DedupStore) Counts() (ran, dropped int) { return m.ran, m.dropped }
 
-// Twice names the keys of effects of classes that must not be repeated and were done
+// DuplicateEffects names the keys of effects of classes that must not be repeated and were done
 // more than once.
-func (m *Memory) Twice() (keys []string) {
+func (m *DedupStore) DuplicateEffects() (keys []string) {
 	for key, e := range m.effects {
 		if m.classes[e.class].Idempotency != Idempotent && e.done > 1 {
 			keys = append(keys, key)
@@ -105,8 +105,8 @@
 	return keys
 }
 
-// Done says how often each effect was done.
-func (m *Memory) Done() map[string]int {
+// EffectCounts says how often each effect was done.
+func (m *DedupStore) EffectCounts() map[string]int {
 	out := make(map[string]int, len(m.effects))
 	for key, e := range m.effects {
 		out[key] = e.done
--- a/internal/emulator/model/server.go
+++ b/internal/emulator/model/server.go
@@ -31,12 +31,12 @@
 
 // Server is one server. Make one with New.
 type Server struct {
-	cfg    Config
-	seed   uint64
-	memory *Memory
-	about  subjects
-	group  string // whose repeats it drops, beside all
-	faults []Fault
+	cfg        Config
+	seed       uint64
+	dedup      *DedupStore
+	recentKeys keyCache
+	group      string // whose repeats it drops, beside all
+	faults     []Fault
 
 	now       Time
 	startedAt Time
@@ -47,12 +47,12 @@
 	done      float64
 	running   []*job
 	waiting   []*job
-	instant   []Ended // that end without work, in order
-	window    []sent  // work that came while cold
-	pause     Time    // start of the next pause
-	resume    Time    // end of the present one
-	draws     uint64  // of noise
-	pauses    uint64  // drawn: apart, so that no report moves a pause
+	instant   []Completion // that end without work, in order
+	window    []sent       // work that came while cold
+	pause     Time         // start of the next pause
+	resume    Time         // end of the present one
+	draws     uint64       // of noise
+	pauses    uint64       // drawn: apart, so that no report moves a pause
 	conns     int
 	errors    []Time // failures of the last second
 	reports   []report
@@ -72,11 +72,11 @@
 
 // New returns a server that starts at an instant, cold if told so. memory is the
 // fleet's, group the part of it that shares what it drops.
-func New(cfg Config, seed uint64, at Time, warming bool, memory *Memory, group string, faults []Fault) *Server {
-	s := &Server{cfg: cfg, seed: seed, memory: memory, group: group, faults: faults, now: at, startedAt: at, warming: warming, fallen: Never, nextRep: at}
+func New(cfg Config, seed uint64, at Time, warming bool, memory *DedupStore, group string, faults []Fault) *Server {
+	s := &Server{cfg: cfg, seed: seed, dedup: memory, group: group, faults: faults, now: at, startedAt: at, warming: warming, fallen: Never, nextRep: at}
 	s.pause = Never
-	if cfg.PauseEvery > 0 {
-		s.pause = at + s.spread(cfg.PauseEvery)
+	if cfg.PauseInterval > 0 {
+		s.pause = at + s.spread(cfg.PauseInterval)
 	}
 	return s
 }
@@ -114,28 +114,28 @@
 // window, as a share of what would push it over. Handshakes and probes count.
 func (s *Server) Strain() float64 { return s.strain }
 
-// Fallen is when the server fell over, Never if it did not.
-func (s *Server) Fallen() Time { return s.fallen }
+// CollapsedAt is when the server fell over, Never if it did not.
+func (s *Server) CollapsedAt() Time { return s.fallen }
 
 // InFlight counts requests in work and waiting.
 func (s *Server) InFlight() (working, waiting int) { return len(s.running), len(s.waiting) }
 
-// Worked is the work done since the start, in seconds of a core of speed 1.
-func (s *Server) Worked() float64 { return s.done }
+// WorkDone is the work done since the start, in seconds of a core of speed 1.
+func (s *Server) WorkDone() float64 { return s.done }
 
 // Stop has the process end: what it holds is lost, and connections are refused.
-func (s *Server) Stop(now Time) []Ended {
+func (s *Server) Stop(now Time) []Completion {
 	out := s.Advance(now)
 	s.down = true
 	return append(out, s.drop(now)...)
 }
 
-func (s *Server) drop(now Time) (out []Ended) {
+func (s *Server) drop(now Time) (out []Completion) {
 	for _, j := range append(s.running, s.waiting...) {
 		if j.Key != "" {
-			s.memory.Undo(j.Class, j.Key, s.group)
+			s.dedup.Revert(j.Class, j.Key, s.group)
 		}
-		out = append(out, Ended{j.Number, ConnectionFailed, now})
+		out = append(out, Completion{j.Number, ConnectionFailed, now})
 	}
 	s.running, s.waiting = nil, nil
 	return out
@@ -178,8 +178,8 @@
 // step is the longest that a rate is taken to hold while the server warms.
 const step = 50 * time.Millisecond
 
-// Next is when something next happens by itself.
-func (s *Server) Next() Time {
+// NextEvent is when something next happens by itself.
+func (s *Server) NextEvent() Time {
 	next := Never
 	if len(s.instant) > 0 {
 		next = s.instant[0].At
@@ -212,9 +212,9 @@
 }
 
 // Advance lets time go on and returns what ended, in order.
-func (s *Server) Advance(now Time) (out []Ended) {
+func (s *Server) Advance(now Time) (out []Completion) {
 	for {
-		at := s.Next()
+		at := s.NextEvent()
 		if at > now {
 			break
 		}
@@ -224,8 +224,8 @@
 			s.instant = s.instant[1:]
 		}
 		if s.pause <= s.now { // until it resumes nothing is done
-			s.resume = s.now + s.spread(s.cfg.PauseFor)
-			s.pause = s.resume + s.spread(s.cfg.PauseEvery)
+			s.resume = s.now + s.spread(s.cfg.PauseDuration)
+			s.pause = s.resume + s.spread(s.cfg.PauseInterval)
 		}
 		for i := 0; i < len(s.running); {
 			j := s.running[i]
@@ -234,7 +234,7 @@
 				continue
 			}
 			s.running = slices.Delete(s.running, i, i+1)
-			out = append(out, Ended{j.Number, j.end, s.now})
+			out = append(out, Completion{j.Number, j.end, s.now})
 		}
 		s.fill()
 	}
@@ -261,13 +261,13 @@
 		}
 	}
 	s.now = max(s.now, at)
-	for s.cfg.ReportEvery > 0 && s.nextRep <= s.now {
+	for s.cfg.ReportInterval > 0 && s.nextRep <= s.now {
 		s.errors = slices.DeleteFunc(s.errors, func(at Time) bool { return at < s.nextRep-time.Second })
 		s.reports = append(s.reports, report{at: s.nextRep, queue: len(s.waiting), eps: float64(len(s.errors))})
 		if len(s.reports) > 64 {
 			s.reports = slices.Delete(s.reports, 0, 32)
 		}
-		s.nextRep += s.cfg.ReportEvery
+		s.nextRep += s.cfg.ReportInterval
 	}
 	if s.warming && s.Warmth(s.now) >= 1 {
 		s.warming, s.window = false, nil
@@ -284,20 +284,20 @@
 
 // Arrive takes a request. What ends with it, at once or soon, comes from Advance, but
 // for what is refused, turned away, or falls with the server, which is returned.
-func (s *Server) Arrive(now Time, r Request) []Ended {
+func (s *Server) Arrive(now Time, r Request) []Completion {
 	out := s.Advance(now)
 	if s.down {
-		return append(out, Ended{r.Number, ConnectionFailed, now})
+		return append(out, Completion{r.Number, ConnectionFailed, now})
 	}
 	work := r.Work.Seconds()
-	if s.about.recall(now, r.Subject, s.cfg.Subjects, s.cfg.SubjectFor) {
-		work *= 1 - s.cfg.SubjectSaves
+	if s.recentKeys.touch(now, r.AffinityKey, s.cfg.KeyCacheSize, s.cfg.KeyCacheTTL) {
+		work *= 1 - s.cfg.KeyCacheSavings
 	}
 	if s.load(now, work) {
 		out = append(out, s.Advance(now)...)
-		return append(out, Ended{r.Number, ConnectionFailed, now})
+		return append(out, Completion{r.Number, ConnectionFailed, now})
 	}
-	j, by := &job{Request: r, remaining: work}, r.Draw
+	j, by := &job{Request: r, remaining: work}, r.FaultSeed
 	if by == 0 {
 		by = r.Number
 	}
@@ -309,11 +309,11 @@
 			return out // nobody is there to say so
 		}
 		if s.draw(by, drawRejected) < f.RejectRatio {
-			return append(out, Ended{r.Number, Rejected, now})
+			return append(out, Completion{r.Number, Rejected, now})
 		}
 		if s.draw(by, drawFail) < f.FailFastRatio {
 			s.errors = append(s.errors, now)
-			s.end(Ended{r.Number, Failed, now + quick})
+			s.end(Completion{r.Number, Failed, now + quick})
 			return out
 		}
 		switch late := s.draw(by, drawLate); {
@@ -327,14 +327,14 @@
 	}
 	full := len(s.running) >= s.cfg.Cores*s.cfg.SlotsPerCore
 	if full && len(s.waiting) >= s.cfg.Cores*s.cfg.QueuePerCore {
-		return append(out, Ended{r.Number, Rejected, now})
+		return append(out, Completion{r.Number, Rejected, now})
 	}
 	// A repeat is dropped as it comes: its effect is there, or on its way.
-	if r.Key != "" && !s.memory.Run(now, r.Class, r.Key, s.group) {
+	if r.Key != "" && !s.dedup.Execute(now, r.Class, r.Key, s.group) {
 		if j.end == Served {
-			j.end = Repeated
+			j.end = Deduplicated
 		}
-		s.end(Ended{r.Number, j.end, now + quick})
+		s.end(Completion{r.Number, j.end, now + quick})
 		return out
 	}
 	if full {
@@ -346,8 +346,8 @@
 }
 
 // end has something end without work.
-func (s *Server) end(e Ended) {
-	at, _ := slices.BinarySearchFunc(s.instant, e, func(a, b Ended) int { return int(min(1, max(-1, a.At-b.At))) })
+func (s *Server) end(e Completion) {
+	at, _ := slices.BinarySearchFunc(s.instant, e, func(a, b Completion) int { return int(min(1, max(-1, a.At-b.At))) })
 	s.instant = slices.Insert(s.instant, at, e)
 }
 
@@ -383,7 +383,7 @@
 // server is down or holds as many as it can.
 func (s *Server) Connect(now Time) bool {
 	s.advance(now)
-	if s.down || s.cfg.Connections > 0 && s.conns >= s.cfg.Connections {
+	if s.down || s.cfg.MaxConnections > 0 && s.conns >= s.cfg.MaxConnections {
 		return false
 	}
 	s.conns++
@@ -404,29 +404,29 @@
 	}
 }
 
-// Connections counts the open ones.
-func (s *Server) Connections() int { return s.conns }
+// OpenConnections counts the open ones.
+func (s *Server) OpenConnections() int { return s.conns }
 
 // unresponsive says that the server answers nothing just now.
 func (s *Server) unresponsive(now Time) bool {
 	return slices.ContainsFunc(s.faults, func(f Fault) bool { return f.Unresponsive && now >= f.From && now < f.Until })
 }
 
-// Load is what a probe tells, and what it costs. False where the server does not
+// Probe is what a probe tells, and what it costs. False where the server does not
 // answer.
-func (s *Server) Load(now Time) (eps, queue float64, ok bool) {
+func (s *Server) Probe(now Time) (eps, queue float64, ok bool) {
 	s.advance(now)
 	if s.down || s.unresponsive(now) {
 		return 0, 0, false
 	}
 	s.burden(now, s.cfg.ProbeWork)
-	eps, queue = s.Report(now)
+	eps, queue = s.LoadReport(now)
 	return eps, queue, !s.down
 }
 
-// Report is what an answer tells beside: failures a second and requests that wait,
+// LoadReport is what an answer tells beside: failures a second and requests that wait,
 // some time old and not exact. The server has been brought to this instant.
-func (s *Server) Report(now Time) (eps, queue float64) {
+func (s *Server) LoadReport(now Time) (eps, queue float64) {
 	for i := len(s.reports) - 1; i >= 0; i-- {
 		if r := s.reports[i]; r.at <= now-s.cfg.ReportDelay {
 			s.draws++
--- a/internal/emulator/model/server_test.go
+++ b/internal/emulator/model/server_test.go
@@ -17,16 +17,16 @@
 
 // box is a plain machine: two cores of speed 1, one slot each.
 var box = Config{Cores: 2, Speed: 1, SlotsPerCore: 1, QueuePerCore: 2, SlowStartRatio: 0.31, SlowStartTime: 8600 * ms, OverloadMultiple: 2.5, OverloadWindow: time.Second,
-	ReportEvery: 100 * ms, ReportDelay: 50 * ms}
+	ReportInterval: 100 * ms, ReportDelay: 50 * ms}
 
 var classes = []Class{{Idempotency: Idempotent}, {Idempotency: IdempotentWithKey, Window: 1500 * ms}, {Idempotency: IdempotentWithKey, Scope: Group, Window: 12 * time.Second}, {Idempotency: NotIdempotent}}
 
 func server(cfg Config, warming bool, faults ...Fault) *Server {
-	return New(cfg, 7, 0, warming, NewMemory(classes), "g", faults)
+	return New(cfg, 7, 0, warming, NewDedupStore(classes), "g", faults)
 }
 
 // outcomes folds what ended.
-func outcomes(all []Ended) map[Outcome]int {
+func outcomes(all []Completion) map[Outcome]int {
 	n := map[Outcome]int{}
 	for _, e := range all {
 		n[e.Outcome]++
@@ -56,7 +56,7 @@
 			c.cfg(&cfg)
 		}
 		s := server(cfg, false)
-		var all []Ended
+		var all []Completion
 		for n := range c.n {
 			all = append(all, s.Arrive(0, Request{Number: uint64(n), Work: 100 * ms})...)
 		}
@@ -96,7 +96,7 @@
 			if got := outcomes(s.Arrive(time.Hour, Request{Number: 9999, Work: ms})); got[ConnectionFailed] != 1 {
 				t.Errorf("an hour later: %v, want it to be down still", got)
 			}
-			if late := s.Fallen(); late < c.at+900*ms || late > c.at+time.Second {
+			if late := s.CollapsedAt(); late < c.at+900*ms || late > c.at+time.Second {
 				t.Errorf("it fell %v after the load began", late-c.at)
 			}
 		}
@@ -115,7 +115,7 @@
 		if i%2 == 0 {
 			s.Connect(0)
 		} else {
-			s.Load(0)
+			s.Probe(0)
 		}
 	}
 	if !s.Down() {
@@ -170,16 +170,16 @@
 		c.fault.Until = time.Hour
 		s := server(box, false, c.fault)
 		for n := range uint64(2) {
-			all := append(s.Arrive(Time(n)*time.Second, Request{Number: n, Draw: 77, Work: ms, Class: 1, Key: "k"}), s.Advance(Time(n+1)*time.Second)...)
+			all := append(s.Arrive(Time(n)*time.Second, Request{Number: n, FaultSeed: 77, Work: ms, Class: 1, Key: "k"}), s.Advance(Time(n+1)*time.Second)...)
 			want := c.want
 			if n == 1 && want == Served {
-				want = Repeated
+				want = Deduplicated
 			}
 			if got := outcomes(all); got[want] != 1 || len(all) != 1 {
 				t.Errorf("%s, request %d: %v", name, n, got)
 			}
 		}
-		if ran, dropped := s.memory.Counts(); (ran == 1) != c.runs || (dropped == 1) != c.runs {
+		if ran, dropped := s.dedup.Counts(); (ran == 1) != c.runs || (dropped == 1) != c.runs {
 			t.Errorf("%s: ran %d, dropped %d", name, ran, dropped)
 		}
 	}
@@ -202,7 +202,7 @@
 // soon. Only the failures tell.
 func TestFailingFastLooksHealthy(t *testing.T) {
 	s := server(box, false, Fault{From: time.Second, Until: 10 * time.Second, FailFastRatio: 0.6})
-	var all []Ended
+	var all []Completion
 	for n := range uint64(1000) {
 		all = append(all, s.Arrive(time.Second+Time(n)*5*ms, Request{Number: n, Work: 2 * ms})...)
 	}
@@ -215,7 +215,7 @@
 	for n := range uint64(200) {
 		s.Arrive(Time(n)*5*ms, Request{Number: n, Work: 2 * ms})
 	}
-	if eps, queue, ok := s.Load(time.Second); !ok || queue != 0 || eps < 50 {
+	if eps, queue, ok := s.Probe(time.Second); !ok || queue != 0 || eps < 50 {
 		t.Errorf("it reports %v failures a second and %v waiting, %v", eps, queue, ok)
 	}
 	// Before and after the fault it is well.
@@ -232,20 +232,20 @@
 	if got := outcomes(append(s.Arrive(0, Request{Number: 1, Work: ms, Class: 3, Key: "k"}), s.Advance(time.Second)...)); got[Unanswered] != 1 {
 		t.Errorf("swallowed: %v", got)
 	}
-	if s.memory.effects["k"].done != 1 {
+	if s.dedup.effects["k"].done != 1 {
 		t.Error("a swallowed request did not run")
 	}
 	s = server(box, false, Fault{Until: time.Minute, Unresponsive: true})
 	if got := append(s.Arrive(0, Request{Number: 1, Work: ms}), s.Advance(time.Second)...); len(got) != 0 {
 		t.Errorf("a vanished machine says %v", got)
 	}
-	if _, _, ok := s.Load(0); ok {
+	if _, _, ok := s.Probe(0); ok {
 		t.Error("a vanished machine answers probes")
 	}
 }
 
 func TestMemory(t *testing.T) {
-	m := NewMemory(classes)
+	m := NewDedupStore(classes)
 	for _, c := range []struct {
 		at    Time
 		class int
@@ -257,18 +257,18 @@
 		{0, 2, "b", "x", true}, {11 * time.Second, 2, "b", "x", false}, {11 * time.Second, 2, "b", "y", true},
 		{0, 3, "c", "x", true}, {0, 3, "c", "x", true}, {0, 0, "d", "x", true}, {0, 0, "d", "x", true},
 	} {
-		if got := m.Run(c.at, c.class, c.key, c.group); got != c.runs {
+		if got := m.Execute(c.at, c.class, c.key, c.group); got != c.runs {
 			t.Errorf("%+v: ran %v", c, got)
 		}
 	}
-	if keys := m.Twice(); !slices.Equal(keys, []string{"a", "b", "c"}) {
+	if keys := m.DuplicateEffects(); !slices.Equal(keys, []string{"a", "b", "c"}) {
 		t.Errorf("%v done twice, want a, b and c", keys)
 	}
 }
 
 func TestPausesAndStop(t *testing.T) {
 	cfg := box
-	cfg.PauseEvery, cfg.PauseFor = 100*ms, 50*ms
+	cfg.PauseInterval, cfg.PauseDuration = 100*ms, 50*ms
 	s := server(cfg, false)
 	s.Arrive(0, Request{Number: 1, Work: 10 * time.Second})
 	end := s.Advance(time.Hour)[0].At
@@ -287,8 +287,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		cfg := Config{Cores: rapid.IntRange(1, 3).Draw(t, "cores"), Speed: 1.5, SlotsPerCore: rapid.IntRange(1, 2).Draw(t, "slots"),
 			QueuePerCore: rapid.IntRange(0, 3).Draw(t, "queue"), ThrashRatio: 0.1, ThrashThreshold: 2, SlowStartRatio: 0.3, SlowStartTime: time.Second,
-			WarmByWork: rapid.Bool().Draw(t, "by work"), OverloadMultiple: 2.5, OverloadWindow: time.Second, PauseEvery: 300 * ms, PauseFor: 30 * ms,
-			ReportEvery: 50 * ms, ReportDelay: 20 * ms, ReportNoise: 0.1, HandshakeWork: ms, ProbeWork: ms}
+			WarmByWork: rapid.Bool().Draw(t, "by work"), OverloadMultiple: 2.5, OverloadWindow: time.Second, PauseInterval: 300 * ms, PauseDuration: 30 * ms,
+			ReportInterval: 50 * ms, ReportDelay: 20 * ms, ReportNoise: 0.1, HandshakeWork: ms, ProbeWork: ms}
 		faults := []Fault{{From: 500 * ms, Until: time.Second, FailFastRatio: 0.5, UnansweredRatio: 0.3}}
 		warming := rapid.Bool().Draw(t, "cold")
 		type step struct {
@@ -303,9 +303,9 @@
 			steps = append(steps, step{now, rapid.IntRange(0, 9).Draw(t, "what"), time.Duration(rapid.IntRange(1, 200).Draw(t, "work")) * ms})
 		}
 		play := func() (trace []string, ended map[uint64]int, requested int) {
-			s := New(cfg, 7, 0, warming, NewMemory(classes), "g", faults)
+			s := New(cfg, 7, 0, warming, NewDedupStore(classes), "g", faults)
 			ended = map[uint64]int{}
-			take := func(all []Ended) {
+			take := func(all []Completion) {
 				for _, e := range all {
 					ended[e.Number]++
 					trace = append(trace, fmt.Sprint(e))
@@ -317,7 +317,7 @@
 					requested++
 					take(s.Arrive(x.at, Request{Number: uint64(i), Work: x.work, Class: i % 4, Key: fmt.Sprint(i % 5)}))
 				case x.what == 7:
-					trace = append(trace, fmt.Sprint(s.Load(x.at)))
+					trace = append(trace, fmt.Sprint(s.Probe(x.at)))
 				case x.what == 8:
 					trace = append(trace, fmt.Sprint(s.Connect(x.at)))
 				default:
@@ -357,7 +357,7 @@
 		jobs := map[uint64]job{}
 		var waited float64
 		done := 0
-		take := func(all []Ended) {
+		take := func(all []Completion) {
 			for _, e := range all {
 				j := jobs[e.Number]
 				delete(jobs, e.Number)
--- a/internal/emulator/model/subjects.go
+++ b/internal/emulator/model/subjects.go
@@ -5,29 +5,29 @@
 	"time"
 )
 
-// subjects is what a server remembers of what its requests were about: the latest ones met.
+// keyCache is what a server remembers of what its requests were about: the latest ones met.
 // The zero value remembers none.
-type subjects struct {
-	last  map[uint64]Time
-	order []uint64 // the one met longest ago first; a server remembers dozens
+type keyCache struct {
+	lastUsed map[uint64]Time
+	order    []uint64 // the one met longest ago first; a server remembers dozens
 }
 
-// recall says whether a subject is remembered, and remembers it as met now.
-func (m *subjects) recall(now Time, subject uint64, capacity int, lasts time.Duration) bool {
+// touch says whether a subject is remembered, and remembers it as met now.
+func (m *keyCache) touch(now Time, subject uint64, capacity int, lasts time.Duration) bool {
 	if subject == 0 || capacity == 0 {
 		return false
 	}
-	if m.last == nil {
-		m.last = map[uint64]Time{}
+	if m.lastUsed == nil {
+		m.lastUsed = map[uint64]Time{}
 	}
-	at, known := m.last[subject]
+	at, known := m.lastUsed[subject]
 	if known {
 		i := slices.Index(m.order, subject)
 		m.order = slices.Delete(m.order, i, i+1)
 	} else if len(m.order) == capacity {
-		delete(m.last, m.order[0])
+		delete(m.lastUsed, m.order[0])
 		m.order = slices.Delete(m.order, 0, 1)
 	}
-	m.last[subject], m.order = now, append(m.order, subject)
+	m.lastUsed[subject], m.order = now, append(m.order, subject)
 	return known && now-at <= lasts
 }
--- a/internal/emulator/plan/clients.go
+++ b/internal/emulator/plan/clients.go
@@ -10,23 +10,23 @@
 	"pinedale/balancer"
 )
 
-// Try is what a client wants: its first try and the ones after it.
-type Try struct {
-	Number   uint64 // they count from 1
-	At       Time   // of the first try
-	Class    int
-	Tenant   int
-	Instance int
-	Key      string // of the effect, "" where the class has none
-	Subject  uint64 // what it is about, 0 for nothing
-	Work     time.Duration
-	Hint     balancer.Micros // as the client knows the work: off by up to two
-	Tries    int             // made so far
+// Request is what a client wants: its first try and the ones after it.
+type Request struct {
+	Number         uint64 // they count from 1
+	At             Time   // of the first try
+	Class          int
+	Tenant         int
+	Instance       int
+	Key            string // of the effect, "" where the class has none
+	AffinityKey    uint64 // what it is about, 0 for nothing
+	Work           time.Duration
+	WorkHint       balancer.Micros // as the client knows the work: off by up to two
+	ClientAttempts int             // made so far
 }
 
-// Script draws what clients want, in order. Nothing that happens in a play changes
+// Workload draws what clients want, in order. Nothing that happens in a play changes
 // it: two plays of one seed, on any host, are asked the same.
-type Script struct {
+type Workload struct {
 	s   *Scenario
 	rng *rand.Rand
 	now Time
@@ -37,12 +37,12 @@
 	parts   []float64  // of the traffic, by instance, summed up; nil before the first draw
 }
 
-// Script returns the scenario's script, from its start.
-func (s *Scenario) Script() *Script {
-	c := &Script{s: s, rng: rand.New(rand.NewPCG(s.Seed, 1)), about: rand.New(rand.NewPCG(s.Seed, 2))}
+// Workload returns the scenario's script, from its start.
+func (s *Scenario) Workload() *Workload {
+	c := &Workload{s: s, rng: rand.New(rand.NewPCG(s.Seed, 1)), about: rand.New(rand.NewPCG(s.Seed, 2))}
 	sum := 0.0
-	for n := range s.Clients.Subjects {
-		sum += math.Pow(float64(n+1), -s.Clients.Skew)
+	for n := range s.Clients.AffinityKeys {
+		sum += math.Pow(float64(n+1), -s.Clients.PopularityExponent)
 		c.popular = append(c.popular, sum)
 	}
 	return c
@@ -69,7 +69,7 @@
 
 // Next returns the next first try, false at the end. The rate is that of the instant
 // before it: a surge is felt one arrival late.
-func (c *Script) Next() (*Try, bool) {
+func (c *Workload) Next() (*Request, bool) {
 	s := c.s
 	var rates []float64
 	all := 0.0
@@ -85,21 +85,21 @@
 		return nil, false
 	}
 	c.n++
-	t := &Try{Number: c.n, At: c.now}
+	t := &Request{Number: c.n, At: c.now}
 	t.Tenant = pick(c.rng, all, len(s.Tenants), func(i int) float64 { return rates[i] })
 	t.Class = pick(c.rng, 1, len(s.Classes), func(i int) float64 { return s.Classes[i].Share })
 	class := &s.Classes[t.Class]
 	work := Lognormal(c.rng, float64(class.Work), class.CV)
-	for _, x := range s.Costly {
+	for _, x := range s.CostSurges {
 		if x.Class == t.Class && c.now >= x.From && c.now < x.Until && c.rng.Float64() < x.Share {
 			work *= x.Factor
 		}
 	}
 	t.Work = time.Duration(work)
 	t.Instance = c.instance()
-	t.Hint = time.Duration(work * math.Exp2(2*c.rng.Float64()-1)).Microseconds()
+	t.WorkHint = time.Duration(work * math.Exp2(2*c.rng.Float64()-1)).Microseconds()
 	if n := len(c.popular); n > 0 {
-		t.Subject = 1 + uint64(min(n-1, sort.SearchFloat64s(c.popular, c.about.Float64()*c.popular[n-1])))
+		t.AffinityKey = 1 + uint64(min(n-1, sort.SearchFloat64s(c.popular, c.about.Float64()*c.popular[n-1])))
 	}
 	if class.Idempotency != balancer.Idempotent {
 		t.Key = fmt.Sprint("k", t.Number)
@@ -108,16 +108,16 @@
 }
 
 // instance draws the instance that a try comes to.
-func (c *Script) instance() int {
+func (c *Workload) instance() int {
 	n := len(c.s.Instances)
-	if c.s.Clients.Uneven <= 0 {
+	if c.s.Clients.RateVariation <= 0 {
 		return c.rng.IntN(n)
 	}
 	if c.parts == nil {
 		rng := rand.New(rand.NewPCG(c.s.Seed, uint64(n)))
 		sum := 0.0
 		for range n {
-			sum += Lognormal(rng, 1, c.s.Clients.Uneven)
+			sum += Lognormal(rng, 1, c.s.Clients.RateVariation)
 			c.parts = append(c.parts, sum)
 		}
 	}
@@ -146,9 +146,9 @@
 	return mean * math.Exp(rng.NormFloat64()*math.Sqrt(v)-v/2)
 }
 
-// Patience is what a client tells for its next try.
-func (s *Scenario) Patience(t *Try) time.Duration {
-	return time.Duration(float64(s.Classes[t.Class].ClientTimeout)*s.Clients.TryShare) * time.Microsecond
+// AttemptTimeout is what a client tells for its next try.
+func (s *Scenario) AttemptTimeout(t *Request) time.Duration {
+	return time.Duration(float64(s.Classes[t.Class].ClientTimeout)*s.Clients.TimeoutRatio) * time.Microsecond
 }
 
 // Codes of a try's end beside those of HTTP.
@@ -159,12 +159,12 @@
 // Retry says after which wait a client whose try ended in this way tries again; false
 // if it does not: it has its answer, is out of tries or patience, or must not: what
 // may have run is only repeated where a repeat is harmless.
-func (s *Scenario) Retry(t *Try, code int, retryAfter time.Duration, now Time) (wait time.Duration, retry bool) {
-	if code == 200 || t.Tries > s.Clients.Retries {
+func (s *Scenario) Retry(t *Request, code int, retryAfter time.Duration, now Time) (wait time.Duration, retry bool) {
+	if code == 200 || t.ClientAttempts > s.Clients.Retries {
 		return 0, false
 	}
 	c := &s.Classes[t.Class]
-	wait = max(s.Clients.Pause, retryAfter)
+	wait = max(s.Clients.RetryDelay, retryAfter)
 	took := now + wait - t.At
 	if took >= time.Duration(c.ClientTimeout)*time.Microsecond {
 		return 0, false
--- a/internal/emulator/plan/plan.go
+++ b/internal/emulator/plan/plan.go
@@ -63,8 +63,8 @@
 	Tenant      int // -1 for all
 }
 
-// Costly has a share of one class's requests cost a multiple while it lasts.
-type Costly struct {
+// CostSurge has a share of one class's requests cost a multiple while it lasts.
+type CostSurge struct {
 	From, Until Time
 	Class       int
 	Share       float64
@@ -92,38 +92,38 @@
 
 // Clients is what clients do.
 type Clients struct {
-	Rate     float64       // first tries a second, over all instances
-	Uneven   float64       // coefficient of variation of their parts of it
-	Retries  int           // of what is refused, failed or given up
-	TryShare float64       // of a class's patience, told for one try
-	Subjects int           // that requests are about, 0 for none
-	Skew     float64       // of their popularity: that of the n-th goes by 1/n to this power
-	GiveUp   time.Duration // after which a client goes away, whatever it told; 0 for never
-	Pause    time.Duration // before a retry, where no longer one was asked for
+	Rate               float64       // first tries a second, over all instances
+	RateVariation      float64       // coefficient of variation of their parts of it
+	Retries            int           // of what is refused, failed or given up
+	TimeoutRatio       float64       // of a class's patience, told for one try
+	AffinityKeys       int           // that requests are about, 0 for none
+	PopularityExponent float64       // of their popularity: that of the n-th goes by 1/n to this power
+	AbandonAfter       time.Duration // after which a client goes away, whatever it told; 0 for never
+	RetryDelay         time.Duration // before a retry, where no longer one was asked for
 }
 
 // Scenario is what is played.
 type Scenario struct {
-	Seed      uint64
-	Length    Time
-	Sites     []string
-	Kinds     []string         // of machine
-	Weights   []float64        // of each kind: the work a second of a warm machine
-	Latencies [2]time.Duration // within a site, and between two
-	Servers   []Server
-	Instances []int // site of each
-	Classes   []Class
-	Tenants   []Tenant
-	Clients   Clients
-	Surges    []Surge
-	Costly    []Costly
-	Rotations []Rotation
-	Kills     []Kill            // on virtual time alone
-	Budget    *handshake.Config // of each instance's handshakes, nil for none; on virtual time alone
-	Subset    *subset.Config    // of what each instance holds, but for its name and site; nil for the whole fleet
-	Notice    time.Duration     // by which instances hear of the list's changes late, at most
-	DrainFor  time.Duration     // from a drain's telling to the process's end
-	Settings  balancer.Settings
+	Seed                 uint64
+	Length               Time
+	Sites                []string
+	Kinds                []string         // of machine
+	Weights              []float64        // of each kind: the work a second of a warm machine
+	Latencies            [2]time.Duration // within a site, and between two
+	Servers              []Server
+	Instances            []int // site of each
+	Classes              []Class
+	Tenants              []Tenant
+	Clients              Clients
+	Surges               []Surge
+	CostSurges           []CostSurge
+	Rotations            []Rotation
+	Kills                []Kill            // on virtual time alone
+	Budget               *handshake.Config // of each instance's handshakes, nil for none; on virtual time alone
+	Subset               *subset.Config    // of what each instance holds, but for its name and site; nil for the whole fleet
+	MaxNotificationDelay time.Duration     // by which instances hear of the list's changes late, at most
+	DrainDuration        time.Duration     // from a drain's telling to the process's end
+	Settings             balancer.Settings
 }
 
 // Latency is how long what is sent from one site takes to another.
@@ -134,8 +134,8 @@
 	return s.Latencies[1]
 }
 
-// For is the settings of one instance.
-func (s *Scenario) For(instance int) balancer.Settings {
+// SettingsFor is the settings of one instance.
+func (s *Scenario) SettingsFor(instance int) balancer.Settings {
 	out := s.Settings
 	out.Balancers, out.Position, out.Zone = len(s.Instances), instance, s.Instances[instance]
 	out.Zones, out.Kinds, out.PollDiscovery = len(s.Sites), len(s.Kinds), false
@@ -149,8 +149,8 @@
 	return out
 }
 
-// SubsetOf is what an instance holds of the fleet, nil for all of it.
-func (s *Scenario) SubsetOf(instance int) (engine.Subset, error) {
+// SubsetFor is what an instance holds of the fleet, nil for all of it.
+func (s *Scenario) SubsetFor(instance int) (engine.Subset, error) {
 	if s.Subset == nil {
 		return nil, nil
 	}
@@ -159,13 +159,13 @@
 	return subset.New(c)
 }
 
-// Memory is what the fleet remembers of keys.
-func (s *Scenario) Memory() *model.Memory {
+// NewDedupStore is what the fleet remembers of keys.
+func (s *Scenario) NewDedupStore() *model.DedupStore {
 	classes := make([]model.Class, len(s.Classes))
 	for i, c := range s.Classes {
 		classes[i] = c.DedupClass()
 	}
-	return model.NewMemory(classes)
+	return model.NewDedupStore(classes)
 }
 
 // DedupClass is what a fleet knows of a class.
@@ -177,12 +177,12 @@
 	return out
 }
 
-// SeedOf is one server's, from the scenario's.
-func (s *Scenario) SeedOf(server int) uint64 { return s.Seed ^ uint64(server+1)*0x9e3779b97f4a7c15 }
+// ServerSeed is one server's, from the scenario's.
+func (s *Scenario) ServerSeed(server int) uint64 { return s.Seed ^ uint64(server+1)*0x9e3779b97f4a7c15 }
 
-// Entry is a server as a list of membership has it, in one of its lives. began is the
+// HostEntry is a server as a list of membership has it, in one of its lives. began is the
 // time of the system, or of a host, at the play's start.
-func (s *Scenario) Entry(server int, incarnation Incarnation, state balancer.State, address string, began time.Time) engine.Host {
+func (s *Scenario) HostEntry(server int, incarnation Incarnation, state balancer.State, address string, began time.Time) engine.Host {
 	x := &s.Servers[server]
 	h := engine.Host{Name: x.Name, Address: address, Site: s.Sites[x.Site], Kind: s.Kinds[x.Kind], Cell: uint16(x.Pod), State: state, Weight: 1}
 	if incarnation.From > 0 {
@@ -191,9 +191,9 @@
 	return h
 }
 
-// Late is by how much an instance hears late of what happens to a server: the same for
+// NotificationDelay is by how much an instance hears late of what happens to a server: the same for
 // all that happens to it, so that news never overtakes older news.
-func (s *Scenario) Late(server, instance int) time.Duration {
+func (s *Scenario) NotificationDelay(server, instance int) time.Duration {
 	rng := rand.New(rand.NewPCG(s.Seed, uint64(server+1)<<32|uint64(instance+1)))
-	return time.Duration(rng.Float64() * float64(s.Notice))
+	return time.Duration(rng.Float64() * float64(s.MaxNotificationDelay))
 }
--- a/internal/emulator/plan/plan_test.go
+++ b/internal/emulator/plan/plan_test.go
@@ -13,7 +13,7 @@
 
 func scenario(seed uint64) *Scenario {
 	return &Scenario{Seed: seed, Length: 60 * time.Second, Sites: []string{"a"}, Instances: []int{0, 0, 0},
-		Clients: Clients{Rate: 100, Retries: 2, TryShare: 0.5, Pause: 50 * ms},
+		Clients: Clients{Rate: 100, Retries: 2, TimeoutRatio: 0.5, RetryDelay: 50 * ms},
 		Classes: []Class{
 			{Class: balancer.Class{Name: "read", LatencyObjective: 600_000, ClientTimeout: 3_000_000, PriorityWeight: 1, LateWeightRatio: 0.5}, Share: 0.25, Work: 100 * ms, CV: 0.5},
 			{Class: balancer.Class{Name: "pay", Idempotency: balancer.IdempotentWithKey, DedupWindow: 1_500_000, LatencyObjective: 600_000, ClientTimeout: 3_000_000, PriorityWeight: 3, LateWeightRatio: 0.5}, Share: 0.25, Work: 50 * ms},
@@ -22,8 +22,8 @@
 		Settings: balancer.Settings{Goal: balancer.Goal{Overall: 0.45, WorstWindow: 0.35, WorstClass: 0.2}}}
 }
 
-func tries(s *Scenario) (all []Try) {
-	script := s.Script()
+func tries(s *Scenario) (all []Request) {
+	script := s.Workload()
 	for t, ok := script.Next(); ok; t, ok = script.Next() {
 		all = append(all, *t)
 	}
@@ -47,7 +47,7 @@
 			work += x.Work.Seconds()
 			square += x.Work.Seconds() * x.Work.Seconds()
 		}
-		if (x.Key == "") != (x.Class == 0) || x.Instance > 2 || float64(x.Hint) < float64(x.Work.Microseconds())/2-1 || x.Hint > 2*x.Work.Microseconds() {
+		if (x.Key == "") != (x.Class == 0) || x.Instance > 2 || float64(x.WorkHint) < float64(x.Work.Microseconds())/2-1 || x.WorkHint > 2*x.Work.Microseconds() {
 			t.Fatalf("%+v", x)
 		}
 	}
@@ -100,7 +100,7 @@
 		{3, 1, CodeDisconnected, 0, 100 * ms, 50 * ms, false},
 		{3, 1, 503, 0, 100 * ms, 50 * ms, true},
 	} {
-		wait, retry := s.Retry(&Try{Class: c.class, Tries: c.tries}, c.code, c.after, c.at)
+		wait, retry := s.Retry(&Request{Class: c.class, ClientAttempts: c.tries}, c.code, c.after, c.at)
 		if retry != c.retry || retry && wait != c.wait {
 			t.Errorf("%+v: %v, %v", c, wait, retry)
 		}
@@ -121,7 +121,7 @@
 		case second == 50:
 			code = CodeDisconnected
 		}
-		r.Final(s, &Try{At: at, Class: 0}, code, at+took)
+		r.RecordOutcome(s, &Request{At: at, Class: 0}, code, at+took)
 	}
 	if got := r.Classes[0]; got != (Tally{60, 49, 5, 5, 1}) {
 		t.Errorf("%+v", got)
--- a/internal/emulator/plan/result.go
+++ b/internal/emulator/plan/result.go
@@ -18,13 +18,13 @@
 
 // Second is one second of a play, by the start of the first try.
 type Second struct {
-	Classes []Tally
-	Took    []float32 // of those served, milliseconds, unordered
-	Sends   []int32   // attempts at each server
+	Classes        []Tally
+	ResponseMillis []float32 // of those served, milliseconds, unordered
+	Attempts       []int32   // attempts at each server
 }
 
-// All sums the classes.
-func (s *Second) All() (t Tally) {
+// Total sums the classes.
+func (s *Second) Total() (t Tally) {
 	for _, c := range s.Classes {
 		t.add(c)
 	}
@@ -33,68 +33,68 @@
 
 // Quantile is a quantile of the times to an answer; 0 if nothing was served.
 func (s *Second) Quantile(q float64) time.Duration {
-	if len(s.Took) == 0 {
+	if len(s.ResponseMillis) == 0 {
 		return 0
 	}
-	sorted := slices.Sorted(slices.Values(s.Took))
+	sorted := slices.Sorted(slices.Values(s.ResponseMillis))
 	at := min(len(sorted)-1, int(q*float64(len(sorted))))
 	return time.Duration(float64(sorted[at]) * float64(time.Millisecond))
 }
 
 // Result is what came of a play.
 type Result struct {
-	Classes        []Tally
-	Tenants        []Tally
-	Seconds        []Second
-	Sends          []int // attempts at each server
-	ClientAttempts int   // first ones and retries
-	Probes         int
-	Connections    int     // open at once, at most
-	Handshakes     int     // connections opened; on virtual time alone
-	Strain         float64 // of the cold server that came nearest to its fall, 1 being that; on virtual time alone
-	Turned         int     // attempts and probes that had no turn for a handshake
-	Busiest        int     // handshakes that one server had in one second of the play, at most
+	Classes          []Tally
+	Tenants          []Tally
+	Seconds          []Second
+	Attempts         []int // attempts at each server
+	ClientAttempts   int   // first ones and retries
+	Probes           int
+	Connections      int     // open at once, at most
+	Handshakes       int     // connections opened; on virtual time alone
+	PeakStrain       float64 // of the cold server that came nearest to its fall, 1 being that; on virtual time alone
+	HandshakesDenied int     // attempts and probes that had no turn for a handshake
+	PeakHandshakes   int     // handshakes that one server had in one second of the play, at most
 
 	shakes []int // by server, in the second that is counted now
 	second int
 
 	// What must not be.
-	Unanswered int   // tries without a final answer in time, or with two
-	Twice      int   // effects done twice
-	AfterDrain int   // sends later than the grace after a drain was told
-	Collapsed  []int // servers that fell over
+	Unanswered       int   // tries without a final answer in time, or with two
+	DuplicateEffects int   // effects done twice
+	SentAfterDrain   int   // sends later than the grace after a drain was told
+	Collapsed        []int // servers that fell over
 }
 
 // NewResult returns a result of nothing yet.
 func (s *Scenario) NewResult() *Result {
-	r := &Result{Classes: make([]Tally, len(s.Classes)), Tenants: make([]Tally, len(s.Tenants)), Sends: make([]int, len(s.Servers)),
+	r := &Result{Classes: make([]Tally, len(s.Classes)), Tenants: make([]Tally, len(s.Tenants)), Attempts: make([]int, len(s.Servers)),
 		Seconds: make([]Second, int((s.Length+time.Second-1)/time.Second))}
 	for i := range r.Seconds {
-		r.Seconds[i].Classes, r.Seconds[i].Sends = make([]Tally, len(s.Classes)), make([]int32, len(s.Servers))
+		r.Seconds[i].Classes, r.Seconds[i].Attempts = make([]Tally, len(s.Classes)), make([]int32, len(s.Servers))
 	}
 	return r
 }
 
-// Opened counts a handshake.
-func (r *Result) Opened(server int, at Time) {
+// RecordHandshake counts a handshake.
+func (r *Result) RecordHandshake(server int, at Time) {
 	if second := int(at / time.Second); second != r.second || r.shakes == nil {
-		r.second, r.shakes = second, make([]int, len(r.Sends))
+		r.second, r.shakes = second, make([]int, len(r.Attempts))
 	}
 	r.Handshakes++
 	r.shakes[server]++
-	r.Busiest = max(r.Busiest, r.shakes[server])
+	r.PeakHandshakes = max(r.PeakHandshakes, r.shakes[server])
 }
 
-// Sent counts an attempt.
-func (r *Result) Sent(server int, at Time) {
-	r.Sends[server]++
+// RecordAttempt counts an attempt.
+func (r *Result) RecordAttempt(server int, at Time) {
+	r.Attempts[server]++
 	if i := int(at / time.Second); i < len(r.Seconds) {
-		r.Seconds[i].Sends[server]++
+		r.Seconds[i].Attempts[server]++
 	}
 }
 
-// Final counts how a client's wish ended.
-func (r *Result) Final(s *Scenario, t *Try, code int, now Time) {
+// RecordOutcome counts how a client's wish ended.
+func (r *Result) RecordOutcome(s *Scenario, t *Request, code int, now Time) {
 	c, took := &s.Classes[t.Class], now-t.At
 	one := Tally{Requested: 1}
 	second := &r.Seconds[int(t.At/time.Second)]
@@ -105,7 +105,7 @@
 		} else {
 			one.Late = 1
 		}
-		second.Took = append(second.Took, float32(took.Seconds()*1e3))
+		second.ResponseMillis = append(second.ResponseMillis, float32(took.Seconds()*1e3))
 	case 503:
 		one.Rejected = 1
 	default:
@@ -181,8 +181,8 @@
 
 // Violations says which rule was broken, "" if none was.
 func (r *Result) Violations() string {
-	if r.Unanswered+r.Twice+r.AfterDrain+len(r.Collapsed) == 0 {
+	if r.Unanswered+r.DuplicateEffects+r.SentAfterDrain+len(r.Collapsed) == 0 {
 		return ""
 	}
-	return fmt.Sprintf("unanswered %d, done twice %d, sent after a drain %d, fallen over %v", r.Unanswered, r.Twice, r.AfterDrain, r.Collapsed)
+	return fmt.Sprintf("unanswered %d, done twice %d, sent after a drain %d, fallen over %v", r.Unanswered, r.DuplicateEffects, r.SentAfterDrain, r.Collapsed)
 }
--- a/internal/emulator/realtime/realtime.go
+++ b/internal/emulator/realtime/realtime.go
@@ -53,8 +53,8 @@
 	bodies    = 1 << 26
 )
 
-// rehearsal is one play.
-type rehearsal struct {
+// player is one play.
+type player struct {
 	s      *plan.Scenario
 	o      Options
 	began  time.Time
@@ -65,7 +65,7 @@
 
 	mu            sync.Mutex
 	result        *plan.Result
-	tries         map[string]*plan.Try // by id of the request
+	tries         map[string]*plan.Request // by id of the request
 	numbers       map[*sockets.Server]int
 	servers       []*sockets.Server    // by number, in their present life
 	drainingSince map[[2]int]plan.Time // drains: by server and instance, when heard
@@ -85,7 +85,7 @@
 	if len(s.Kills) > 0 {
 		return nil, errors.New("instances are killed on virtual time alone: play this scenario without sockets")
 	}
-	p := &rehearsal{s: s, o: o, result: s.NewResult(), tries: map[string]*plan.Try{}, numbers: map[*sockets.Server]int{},
+	p := &player{s: s, o: o, result: s.NewResult(), tries: map[string]*plan.Request{}, numbers: map[*sockets.Server]int{},
 		servers: make([]*sockets.Server, len(s.Servers)), drainingSince: map[[2]int]plan.Time{}, fell: map[int]bool{}}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
@@ -140,13 +140,13 @@
 }
 
 // start starts a server in one of its lives.
-func (p *rehearsal) start(n int, incarnation plan.Incarnation) error {
+func (p *player) start(n int, incarnation plan.Incarnation) error {
 	x := &p.s.Servers[n]
 	var latencies []time.Duration
 	for site := range p.s.Sites {
 		latencies = append(latencies, p.s.Latency(site, x.Site))
 	}
-	server, err := p.fleet.Start(sockets.ServerSpec{Name: x.Name, Group: fmt.Sprint(x.Pod), Config: x.Config, Seed: p.s.SeedOf(n),
+	server, err := p.fleet.Start(sockets.ServerSpec{Name: x.Name, Group: fmt.Sprint(x.Pod), Config: x.Config, Seed: p.s.ServerSeed(n),
 		Warming: incarnation.From > 0, Faults: x.Faults, Latencies: latencies})
 	if err != nil {
 		return err
@@ -158,10 +158,10 @@
 }
 
 // instance starts an instance with the list of servers that are there.
-func (p *rehearsal) instance(engines, fronts context.Context, served *sync.WaitGroup, i int) error {
+func (p *player) instance(engines, fronts context.Context, served *sync.WaitGroup, i int) error {
 	s, log := p.s, slog.New(slog.DiscardHandler)
 	up := httpupstream.New(httpupstream.Options{DialTimeout: dialTimeout, Idle: keepIdle, Connections: many, Fields: []string{"eps", "queue"}})
-	e, err := engine.New(engines, engine.Options{Settings: s.For(i), Seed: s.Seed<<16 | uint64(i), Zones: s.Sites, Kinds: s.Kinds,
+	e, err := engine.New(engines, engine.Options{Settings: s.SettingsFor(i), Seed: s.Seed<<16 | uint64(i), Zones: s.Sites, Kinds: s.Kinds,
 		Upstream: up, NewDecider: p.o.Decide, Log: log})
 	if err != nil {
 		return err
@@ -177,7 +177,7 @@
 	list := engine.List{Complete: true}
 	for n := range s.Servers {
 		if incarnation := s.Servers[n].Incarnations[0]; incarnation.From == 0 {
-			list.Hosts = append(list.Hosts, s.Entry(n, incarnation, balancer.Ready, p.servers[n].Addresses[s.Instances[i]], p.began))
+			list.Hosts = append(list.Hosts, s.HostEntry(n, incarnation, balancer.Ready, p.servers[n].Addresses[s.Instances[i]], p.began))
 		}
 	}
 	e.Post(func(now balancer.Micros) { e.UpdateEndpoints(now, balancer.ListFull, list) })
@@ -185,10 +185,10 @@
 }
 
 // now is the play's time.
-func (p *rehearsal) now() plan.Time { return time.Since(p.began) }
+func (p *player) now() plan.Time { return time.Since(p.began) }
 
 // on has something done at an instant of the play, unless it ends before.
-func (p *rehearsal) on(ctx context.Context, at plan.Time, do func()) {
+func (p *player) on(ctx context.Context, at plan.Time, do func()) {
 	p.tasks.Go(func() {
 		if sleep(ctx, at-p.now()) {
 			do()
@@ -208,7 +208,7 @@
 }
 
 // incarnations has servers start, drain and end when the scenario says.
-func (p *rehearsal) incarnations(ctx context.Context) {
+func (p *player) incarnations(ctx context.Context) {
 	for n := range p.s.Servers {
 		for _, incarnation := range p.s.Servers[n].Incarnations {
 			if incarnation.From > 0 && incarnation.From < p.s.Length {
@@ -236,14 +236,14 @@
 }
 
 // notify has each instance hear of a server, each as late as it is.
-func (p *rehearsal) notify(ctx context.Context, n int, incarnation plan.Incarnation, state balancer.State) {
+func (p *player) notify(ctx context.Context, n int, incarnation plan.Incarnation, state balancer.State) {
 	at := p.now()
 	p.mu.Lock()
 	server := p.servers[n]
 	p.mu.Unlock()
 	for i, node := range p.nodes {
-		p.on(ctx, at+p.s.Late(n, i), func() {
-			list := engine.List{Hosts: []engine.Host{p.s.Entry(n, incarnation, state, server.Addresses[p.s.Instances[i]], p.began)}}
+		p.on(ctx, at+p.s.NotificationDelay(n, i), func() {
+			list := engine.List{Hosts: []engine.Host{p.s.HostEntry(n, incarnation, state, server.Addresses[p.s.Instances[i]], p.began)}}
 			node.engine.Call(func(now balancer.Micros) { node.engine.UpdateEndpoints(now, balancer.ListDelta, list) })
 			p.mu.Lock()
 			defer p.mu.Unlock()
@@ -258,11 +258,11 @@
 }
 
 // fallen notes a server that fell over.
-func (p *rehearsal) fallen(n int) {
+func (p *player) fallen(n int) {
 	p.mu.Lock()
 	server := p.servers[n]
 	p.mu.Unlock()
-	if server == nil || !server.Fell() { // without mu: the fleet's lock comes first
+	if server == nil || !server.Collapsed() { // without mu: the fleet's lock comes first
 		return
 	}
 	p.mu.Lock()
@@ -274,7 +274,7 @@
 }
 
 // watch is called with mu held.
-func (p *rehearsal) watch(e trace.Event) {
+func (p *player) watch(e trace.Event) {
 	if p.o.Watch != nil && !p.closed {
 		e.At = p.now().Microseconds()
 		p.o.Watch(e)
@@ -282,7 +282,7 @@
 }
 
 // arrived counts an attempt at its server.
-func (p *rehearsal) arrived(server *sockets.Server, id string, _ model.Time) {
+func (p *player) arrived(server *sockets.Server, id string, _ model.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t := p.tries[id]
@@ -291,17 +291,17 @@
 		return
 	}
 	at := p.now()
-	p.result.Sent(n, at)
+	p.result.RecordAttempt(n, at)
 	grace := time.Duration(p.s.Settings.Contract.DrainGrace)*time.Microsecond + p.s.Latency(p.s.Instances[t.Instance], p.s.Servers[n].Site)
 	if since, ok := p.drainingSince[[2]int{n, t.Instance}]; ok && at > since+grace {
-		p.result.AfterDrain++
+		p.result.SentAfterDrain++
 	}
-	p.watch(trace.Event{Kind: trace.KindAttempt, Number: t.Number, Try: t.Tries, Instance: t.Instance + 1, Server: n + 1})
+	p.watch(trace.Event{Kind: trace.KindAttempt, Number: t.Number, Try: t.ClientAttempts, Instance: t.Instance + 1, Server: n + 1})
 }
 
 // clients asks as the script says.
-func (p *rehearsal) clients(ctx context.Context) {
-	script, second := p.s.Script(), time.Duration(0)
+func (p *player) clients(ctx context.Context) {
+	script, second := p.s.Workload(), time.Duration(0)
 	for t, ok := script.Next(); ok && sleep(ctx, t.At-p.now()); t, ok = script.Next() {
 		p.tasks.Go(func() { p.want(ctx, t) })
 		if p.o.Progress != nil && t.At >= second {
@@ -315,25 +315,25 @@
 }
 
 // want is one client's wish: its tries, one after the other.
-func (p *rehearsal) want(ctx context.Context, t *plan.Try) {
+func (p *player) want(ctx context.Context, t *plan.Request) {
 	for {
 		p.mu.Lock()
-		t.Tries++
+		t.ClientAttempts++
 		p.result.ClientAttempts++
-		id := fmt.Sprintf("t%d-%d", t.Number, t.Tries)
+		id := fmt.Sprintf("t%d-%d", t.Number, t.ClientAttempts)
 		p.tries[id] = t
-		p.watch(trace.Event{Kind: trace.KindRequest, Number: t.Number, Try: t.Tries, Instance: t.Instance + 1, Class: t.Class + 1})
+		p.watch(trace.Event{Kind: trace.KindRequest, Number: t.Number, Try: t.ClientAttempts, Instance: t.Instance + 1, Class: t.Class + 1})
 		p.mu.Unlock()
 		code, retryAfter, missing := p.submit(ctx, t, id)
 		p.mu.Lock()
 		if missing {
 			p.result.Unanswered++
 		}
-		p.watch(trace.Event{Kind: trace.KindResponse, Number: t.Number, Try: t.Tries, Instance: t.Instance + 1, Code: code})
+		p.watch(trace.Event{Kind: trace.KindResponse, Number: t.Number, Try: t.ClientAttempts, Instance: t.Instance + 1, Code: code})
 		now := p.now()
 		wait, retry := p.s.Retry(t, code, retryAfter, now)
 		if !retry {
-			p.result.Final(p.s, t, code, now)
+			p.result.RecordOutcome(p.s, t, code, now)
 		}
 		p.mu.Unlock()
 		if !retry || !sleep(ctx, wait) {
@@ -344,10 +344,10 @@
 
 // submit sends one try. missing says that there was no answer though the client waited
 // its time out.
-func (p *rehearsal) submit(ctx context.Context, t *plan.Try, id string) (code int, retryAfter time.Duration, missing bool) {
-	c, patience := &p.s.Classes[t.Class], p.s.Patience(t)
+func (p *player) submit(ctx context.Context, t *plan.Request, id string) (code int, retryAfter time.Duration, missing bool) {
+	c, patience := &p.s.Classes[t.Class], p.s.AttemptTimeout(t)
 	wait := patience + answerSlack
-	if g := p.s.Clients.GiveUp; g > 0 {
+	if g := p.s.Clients.AbandonAfter; g > 0 {
 		wait = min(wait, g)
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
@@ -363,14 +363,14 @@
 	r.Header.Set("X-Correlation-Id", id)
 	r.Header.Set("X-Service-Class", c.Name)
 	r.Header.Set("X-Time-Left-Ms", strconv.FormatInt(patience.Milliseconds(), 10))
-	r.Header.Set("X-Weight-Hint", strconv.FormatInt(t.Hint, 10))
+	r.Header.Set("X-Weight-Hint", strconv.FormatInt(t.WorkHint, 10))
 	if t.Key != "" {
 		r.Header.Set("Idempotency-Key", t.Key)
 	}
-	if t.Subject > 0 {
-		r.Header.Set("X-Session-Key", fmt.Sprint("s", t.Subject))
+	if t.AffinityKey > 0 {
+		r.Header.Set("X-Session-Key", fmt.Sprint("s", t.AffinityKey))
 	}
-	if t.Tries > 1 {
+	if t.ClientAttempts > 1 {
 		r.Header.Set("X-Repeat", "1")
 	}
 	if len(p.s.Tenants) > 0 {
@@ -378,7 +378,7 @@
 	}
 	out, err := p.client.Do(r)
 	if err != nil {
-		gaveUp := p.s.Clients.GiveUp > 0 && wait == p.s.Clients.GiveUp && errors.Is(err, context.DeadlineExceeded)
+		gaveUp := p.s.Clients.AbandonAfter > 0 && wait == p.s.Clients.AbandonAfter && errors.Is(err, context.DeadlineExceeded)
 		return plan.CodeDisconnected, 0, !gaveUp
 	}
 	defer out.Body.Close()
@@ -392,7 +392,7 @@
 }
 
 // finish counts what must not be.
-func (p *rehearsal) finish() {
+func (p *player) finish() {
 	for n := range p.s.Servers {
 		p.fallen(n)
 	}
@@ -401,7 +401,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
-	p.result.Twice, p.result.Connections = twice, highest
+	p.result.DuplicateEffects, p.result.Connections = twice, highest
 	for n := range p.s.Servers {
 		if p.fell[n] {
 			p.result.Collapsed = append(p.result.Collapsed, n)
--- a/internal/emulator/realtime/realtime_test.go
+++ b/internal/emulator/realtime/realtime_test.go
@@ -113,13 +113,13 @@
 	s := morning(t)
 	s.Length = time.Second
 	s.Instances = make([]int, 20)
-	s.Clients = plan.Clients{Rate: 4000, TryShare: 1}
+	s.Clients = plan.Clients{Rate: 4000, TimeoutRatio: 1}
 	for i := range s.Classes {
 		s.Classes[i].Work, s.Classes[i].CV, s.Classes[i].ClientTimeout, s.Classes[i].LatencyObjective = 2*time.Second, 0, 20_000_000, 10_000_000
 	}
 	for i := range s.Servers {
 		c := &s.Servers[i].Config
-		c.Cores, c.Speed, c.PauseEvery, c.ThrashRatio, c.HandshakeWork = 400, 1, 0, 0, 0 // all at once
+		c.Cores, c.Speed, c.PauseInterval, c.ThrashRatio, c.HandshakeWork = 400, 1, 0, 0, 0 // all at once
 		s.Servers[i].Faults, s.Servers[i].Incarnations = nil, plan.Always
 	}
 	// What is shown is what the hosts bear: the module would refuse most of it, not
--- a/internal/emulator/scenario/fault.go
+++ b/internal/emulator/scenario/fault.go
@@ -31,7 +31,7 @@
 		s.Surges = append(s.Surges, plan.Surge{From: from, Until: until, Factor: x.Factor, Tenant: tenant})
 	case "costly":
 		class := slices.IndexFunc(f.Classes, func(k Class) bool { return k.Name == x.Class })
-		s.Costly = append(s.Costly, plan.Costly{From: from, Until: until, Class: class, Share: x.Share, Factor: x.Factor})
+		s.CostSurges = append(s.CostSurges, plan.CostSurge{From: from, Until: until, Class: class, Share: x.Share, Factor: x.Factor})
 	case "start":
 		for _, n := range x.drawServers(s, rng) {
 			s.Servers[n].Incarnations = []plan.Incarnation{{From: max(from, time.Millisecond), Drain: plan.Never, End: plan.Never}}
@@ -101,7 +101,7 @@
 		if at <= last.From || last.End != plan.Never {
 			continue // it is not there then
 		}
-		last.Drain, last.End = at, at+s.DrainFor
+		last.Drain, last.End = at, at+s.DrainDuration
 		if x.Kind == "restart" {
 			incarnations = append(incarnations, plan.Incarnation{From: last.End + time.Duration(x.Gap), Drain: plan.Never, End: plan.Never})
 		}
--- a/internal/emulator/scenario/report.go
+++ b/internal/emulator/scenario/report.go
@@ -30,9 +30,9 @@
 		table("tenant", tenants, r.Tenants)
 	}
 	fmt.Fprintf(out, "G %.3f; in time %.1f%%, worth earned in the worst 10 s %.1f%%\n", s.Score(r), 100*r.InTime(), 100*s.WorstWindow(r))
-	fmt.Fprintf(out, "tries %d; attempts by server %v; probes %d; connections at most %d\n", r.ClientAttempts, r.Sends, r.Probes, r.Connections)
+	fmt.Fprintf(out, "tries %d; attempts by server %v; probes %d; connections at most %d\n", r.ClientAttempts, r.Attempts, r.Probes, r.Connections)
 	if r.Handshakes > 0 {
-		fmt.Fprintf(out, "handshakes %d, %d at one server in its busiest second; without a turn %d\n", r.Handshakes, r.Busiest, r.Turned)
+		fmt.Fprintf(out, "handshakes %d, %d at one server in its busiest second; without a turn %d\n", r.Handshakes, r.PeakHandshakes, r.HandshakesDenied)
 	}
 	if reason := r.Violations(); reason != "" {
 		fmt.Fprintf(out, "BROKEN: %s\n", reason)
@@ -112,7 +112,7 @@
 		sums[row] = make([]float64, len(r.Seconds))
 		for i := range r.Seconds {
 			for n := row * group; n < min(len(s.Servers), (row+1)*group); n++ {
-				sums[row][i] += float64(r.Seconds[i].Sends[n])
+				sums[row][i] += float64(r.Seconds[i].Attempts[n])
 			}
 			highest = max(highest, sums[row][i])
 		}
@@ -154,7 +154,7 @@
 	page.Plots = []plot{
 		f.curves(r, "Requests a second, by the second of their first try", "a second", []curve{{Colour: "#888", Name: "asked"}, {Colour: "#276749", Name: "in time"},
 			{Colour: "#b7791f", Name: "late"}, {Colour: "#6b46c1", Name: "refused"}, {Colour: "#b00", Name: "failed"}},
-			func(c curve, x *plan.Second) float64 { return float64(counts[c.Name](x.All())) }),
+			func(c curve, x *plan.Second) float64 { return float64(counts[c.Name](x.Total())) }),
 		f.curves(r, "Time to the answer, of those served", "ms", []curve{{Colour: "#276749", Name: "median"}, {Colour: "#2b6cb0", Name: "95th percentile"}, {Colour: "#b00", Name: "99th percentile"}},
 			func(c curve, x *plan.Second) float64 { return x.Quantile(quantiles[c.Name]).Seconds() * 1e3 }),
 		f.strips(s, r),
--- a/internal/emulator/scenario/scenario.go
+++ b/internal/emulator/scenario/scenario.go
@@ -348,17 +348,17 @@
 func (m *Machine) config() model.Config {
 	c := model.Config{Cores: m.Cores, Speed: m.Speed, SlotsPerCore: max(1, m.SlotsPerCore), QueuePerCore: m.QueuePerCore,
 		ThrashRatio: m.Thrash, ThrashThreshold: m.ThrashAt, SlowStartRatio: m.SlowStartRatio, SlowStartTime: time.Duration(m.SlowStartTime), WarmByWork: m.WarmByWork,
-		OverloadMultiple: fallFactor, OverloadWindow: time.Second, PauseEvery: time.Duration(m.PauseEvery), PauseFor: time.Duration(m.PauseFor),
-		ReportEvery: time.Duration(m.ReportEvery), ReportDelay: time.Duration(m.ReportDelay), ReportNoise: m.ReportNoise,
-		Connections: m.Connections, Subjects: m.Subjects, SubjectSaves: m.SubjectSaves, SubjectFor: time.Duration(m.SubjectFor), ProbeWork: time.Duration(m.ProbeWork), HandshakeWork: time.Duration(m.Handshake)}
+		OverloadMultiple: fallFactor, OverloadWindow: time.Second, PauseInterval: time.Duration(m.PauseEvery), PauseDuration: time.Duration(m.PauseFor),
+		ReportInterval: time.Duration(m.ReportEvery), ReportDelay: time.Duration(m.ReportDelay), ReportNoise: m.ReportNoise,
+		MaxConnections: m.Connections, KeyCacheSize: m.Subjects, KeyCacheSavings: m.SubjectSaves, KeyCacheTTL: time.Duration(m.SubjectFor), ProbeWork: time.Duration(m.ProbeWork), HandshakeWork: time.Duration(m.Handshake)}
 	if c.ProbeWork == 0 {
 		c.ProbeWork = 120 * time.Microsecond
 	}
 	if c.HandshakeWork == 0 {
 		c.HandshakeWork = time.Millisecond
 	}
-	if c.ReportEvery == 0 {
-		c.ReportEvery = 150 * time.Millisecond
+	if c.ReportInterval == 0 {
+		c.ReportInterval = 150 * time.Millisecond
 	}
 	return c
 }
@@ -373,11 +373,11 @@
 	}
 	rng := rand.New(rand.NewPCG(seed, 99))
 	s := &plan.Scenario{Seed: seed, Length: time.Duration(f.Length), Sites: f.Sites,
-		Latencies: [2]time.Duration{time.Duration(f.Latency.Same), time.Duration(f.Latency.Other)},
-		Notice:    time.Duration(f.List.Notice), DrainFor: time.Duration(f.List.DrainFor),
-		Clients: plan.Clients{Rate: f.Clients.Rate, Uneven: f.Clients.Uneven, Retries: f.Clients.Retries, TryShare: f.Clients.TryShare,
-			Subjects: f.Clients.Subjects, Skew: f.Clients.Skew,
-			GiveUp: time.Duration(f.Clients.GiveUp), Pause: time.Duration(f.Clients.Pause)},
+		Latencies:            [2]time.Duration{time.Duration(f.Latency.Same), time.Duration(f.Latency.Other)},
+		MaxNotificationDelay: time.Duration(f.List.Notice), DrainDuration: time.Duration(f.List.DrainFor),
+		Clients: plan.Clients{Rate: f.Clients.Rate, RateVariation: f.Clients.Uneven, Retries: f.Clients.Retries, TimeoutRatio: f.Clients.TryShare,
+			AffinityKeys: f.Clients.Subjects, PopularityExponent: f.Clients.Skew,
+			AbandonAfter: time.Duration(f.Clients.GiveUp), RetryDelay: time.Duration(f.Clients.Pause)},
 		Settings: balancer.Settings{Fields: []balancer.Field{balancer.FieldErrors, balancer.FieldQueue},
 			Limits:   balancer.Limits{Cancel: true, Probes: true, Hedging: !f.Limits.NoCopies, RetryAfter: true, MaxAttempts: f.Limits.Attempts, MaxOpen: 20_000, MaxRetryAfter: 1_500_000, KeepAlive: 5_000_000},
 			Contract: balancer.Contract{DrainGrace: 2_000_000, SlowStartRatio: 1, OverloadMultiple: fallFactor, OverloadTime: 1_000_000, PollInterval: 10_000_000},
--- a/internal/emulator/simulation/call.go
+++ b/internal/emulator/simulation/call.go
@@ -10,39 +10,39 @@
 
 // call is an attempt or a probe under way.
 type call struct {
-	instance  *instance
-	host      *host
-	target    *engine.Target
-	conn      *conn
-	startedAt Time
-	deadline  Time
-	number    uint64 // of the attempt; 0 for a probe
-	probe     bool
-	sent      bool                // it was written
-	finished  bool                // its result is known to the instance
-	onArrival func()              // at the server
-	onResult  func(engine.Result) // at the instance
+	instance   *instance
+	server     *server
+	target     *engine.Target
+	connection *connection
+	startedAt  Time
+	deadline   Time
+	number     uint64 // of the attempt; 0 for a probe
+	probe      bool
+	sent       bool                // it was written
+	finished   bool                // its result is known to the instance
+	onArrival  func()              // at the server
+	onResult   func(engine.Result) // at the instance
 }
 
 // latency is how long something takes between the instance and the server, one way.
 func (c *call) latency() time.Duration {
-	return c.instance.play.scenario.Latency(c.instance.site, c.host.spec.Site)
+	return c.instance.simulator.scenario.Latency(c.instance.site, c.server.spec.Site)
 }
 
 // start takes a connection, or opens one, and writes.
 func (c *call) start() {
-	n, p := c.instance, c.instance.play
+	n, p := c.instance, c.instance.simulator
 	c.startedAt = p.now
 	if c.finished { // given up before it began
 		return
 	}
-	p.atTime(c.deadline, func() { c.stop(balancer.Timeout) })
-	for list := n.idle[c.target]; len(list) > 0; list = n.idle[c.target] {
+	p.at(c.deadline, func() { c.stop(balancer.Timeout) })
+	for list := n.idleConnections[c.target]; len(list) > 0; list = n.idleConnections[c.target] {
 		at := len(list) - 1
 		idle := list[at]
-		n.idle[c.target] = list[:at]
-		if !idle.broken() && !idle.rotated() && p.now-idle.idleAt < maxIdle {
-			c.conn = idle
+		n.idleConnections[c.target] = list[:at]
+		if !idle.closedByServer() && !idle.rotatedOut() && p.now-idle.idleSince < maxIdle {
+			c.connection = idle
 			c.write()
 			return
 		}
@@ -58,7 +58,7 @@
 	}
 	begin, ok := n.budget.RequestTurn(p.Now(), c.target.Address, c.target.Started(), kind, min(maxHandshakeWait, (c.deadline-p.now)/2))
 	if !ok {
-		p.result.Turned++
+		p.result.HandshakesDenied++
 		p.after(0, func() { c.finish(engine.Result{Status: balancer.NotSent}) })
 		return
 	}
@@ -71,28 +71,28 @@
 
 // open opens a connection, and writes.
 func (c *call) open() {
-	n, p := c.instance, c.instance.play
+	n, p := c.instance, c.instance.simulator
 	if c.finished { // given up before it began
 		return
 	}
 	p.after(c.latency(), func() {
-		c.conn = c.host.connect()
+		c.connection = c.server.connect()
 		answered := balancer.ConnectFailed
-		if c.conn == nil && c.host.machine != nil && !c.host.machine.Down() {
+		if c.connection == nil && c.server.machine != nil && !c.server.machine.Down() {
 			// It holds as many as it can: taken and closed at once, which the
 			// instance learns from what it has written.
 			answered = balancer.Reset
 		}
-		if c.conn != nil {
-			p.openConns++
-			p.result.Opened(c.host.number, p.now)
-			p.result.Connections = max(p.result.Connections, p.openConns)
+		if c.connection != nil {
+			p.openConnections++
+			p.result.RecordHandshake(c.server.number, p.now)
+			p.result.Connections = max(p.result.Connections, p.openConnections)
 		}
 		p.after(c.latency(), func() {
 			switch {
-			case c.conn != nil && c.finished: // given up meanwhile
-				n.close(c.conn)
-			case c.conn != nil:
+			case c.connection != nil && c.finished: // given up meanwhile
+				n.close(c.connection)
+			case c.connection != nil:
 				c.write()
 			default:
 				c.finish(engine.Result{Status: answered})
@@ -108,9 +108,9 @@
 		return
 	}
 	c.sent = true
-	c.instance.play.after(c.latency(), func() {
-		if c.conn.broken() {
-			c.host.reply(c, engine.Result{Status: balancer.Reset})
+	c.instance.simulator.after(c.latency(), func() {
+		if c.connection.closedByServer() {
+			c.server.reply(c, engine.Result{Status: balancer.Reset})
 			return
 		}
 		c.onArrival()
@@ -131,7 +131,7 @@
 		return
 	}
 	c.finished = true
-	if c.conn != nil {
+	if c.connection != nil {
 		c.releaseConn(res.Status)
 	}
 	c.onResult(res)
@@ -140,10 +140,10 @@
 // releaseConn keeps the call's connection for others after a complete answer, and closes it otherwise.
 func (c *call) releaseConn(s balancer.Status) {
 	complete := s == balancer.OK || s == balancer.Error || s == balancer.Full
-	if !complete || c.instance.dead || c.target.Closed() || c.conn.broken() {
-		c.instance.close(c.conn)
+	if !complete || c.instance.killed || c.target.Closed() || c.connection.closedByServer() {
+		c.instance.close(c.connection)
 		return
 	}
-	c.conn.idleAt = c.instance.play.now
-	c.instance.idle[c.target] = append(c.instance.idle[c.target], c.conn)
+	c.connection.idleSince = c.instance.simulator.now
+	c.instance.idleConnections[c.target] = append(c.instance.idleConnections[c.target], c.connection)
 }
--- a/internal/emulator/simulation/clock.go
+++ b/internal/emulator/simulation/clock.go
@@ -7,9 +7,9 @@
 
 // event is something that is done at an instant; of several at one instant the first that was added comes first.
 type event struct {
-	at  Time
-	seq uint64
-	do  func()
+	at     Time
+	seq    uint64
+	action func()
 }
 
 // queue is a heap of events.
@@ -34,23 +34,23 @@
 var epoch = time.Unix(1_000_000_000, 0)
 
 // Now is virtual time as the engines have it.
-func (p *play) Now() time.Time { return epoch.Add(p.now) }
+func (p *simulator) Now() time.Time { return epoch.Add(p.now) }
 
 // AfterFunc has something done after a while, as engines ask for it.
-func (p *play) AfterFunc(d time.Duration, do func()) { p.after(d, do) }
+func (p *simulator) AfterFunc(d time.Duration, do func()) { p.after(d, do) }
 
 // after has something done after a while.
-func (p *play) after(d time.Duration, do func()) {
+func (p *simulator) after(d time.Duration, do func()) {
 	p.seq++
 	heap.Push(&p.queue, event{p.now + max(0, d), p.seq, do})
 }
 
-// atTime has something done at an instant.
-func (p *play) atTime(t Time, do func()) { p.after(t-p.now, do) }
+// at has something done at an instant.
+func (p *simulator) at(t Time, do func()) { p.after(t-p.now, do) }
 
 // step does the next event.
-func (p *play) step() {
+func (p *simulator) step() {
 	e := heap.Pop(&p.queue).(event)
 	p.now = e.at
-	e.do()
+	e.action()
 }
--- a/internal/emulator/simulation/hard_test.go
+++ b/internal/emulator/simulation/hard_test.go
@@ -33,7 +33,7 @@
 func shareOf(r *plan.Result, from, until int, servers ...int) float64 {
 	var these, all float64
 	for _, x := range r.Seconds[from:until] {
-		for n, sends := range x.Sends {
+		for n, sends := range x.Attempts {
 			all += float64(sends)
 			for _, i := range servers {
 				if i == n {
@@ -79,7 +79,7 @@
 	jam := func(giveUp time.Duration) *plan.Result {
 		s := market(11)
 		s.Surges = []plan.Surge{{From: 5 * time.Second, Until: 15 * time.Second, Factor: 3.5, Tenant: -1}}
-		s.Clients.GiveUp, s.Clients.Retries = giveUp, 4
+		s.Clients.AbandonAfter, s.Clients.Retries = giveUp, 4
 		return playBy(t, s, baselines.Module, nil)
 	}
 	patient, hasty := jam(0), jam(250*ms)
@@ -104,16 +104,16 @@
 	s.Servers, s.Instances, s.Length = s.Servers[:1], []int{0}, 4*time.Second
 	s.Classes = s.Classes[1:2] // payments
 	s.Classes[0].Share, s.Classes[0].Work, s.Classes[0].CV = 1, time.Second, 0
-	s.Servers[0].Config = model.Config{Cores: 1, Speed: 1, SlotsPerCore: 1, QueuePerCore: 10, ReportEvery: 150 * ms}
-	s.Clients = plan.Clients{Rate: 5, TryShare: 1, GiveUp: 50 * ms}
+	s.Servers[0].Config = model.Config{Cores: 1, Speed: 1, SlotsPerCore: 1, QueuePerCore: 10, ReportInterval: 150 * ms}
+	s.Clients = plan.Clients{Rate: 5, TimeoutRatio: 1, AbandonAfter: 50 * ms}
 	s.Settings.Contract.SlowStartTime = 0
 	started := map[int]int{}
-	var p *play
+	var p *simulator
 	r, err := runWith(s, Options{Watch: func(e trace.Event) {
 		if e.Kind == trace.KindAttempt {
 			started[e.Server]++
 		}
-	}}, func(made *play) { p = made })
+	}}, func(made *simulator) { p = made })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -121,10 +121,10 @@
 	if r.InTime() != 0 || started[1] < 3 {
 		t.Fatalf("%v in time, %d sends", r.InTime(), started[1])
 	}
-	if working, waiting := p.hosts[0].machine.InFlight(); working+waiting != 0 {
+	if working, waiting := p.servers[0].machine.InFlight(); working+waiting != 0 {
 		t.Errorf("%d in work and %d waiting a minute later", working, waiting)
 	}
-	if worked := p.hosts[0].machine.Worked(); worked < 0.99*float64(started[1]) {
+	if worked := p.servers[0].machine.WorkDone(); worked < 0.99*float64(started[1]) {
 		t.Errorf("%.2f s of work were done for %d requests of 1 s", worked, started[1])
 	}
 }
@@ -157,7 +157,7 @@
 func TestConnectionLimit(t *testing.T) {
 	s := market(2)
 	for i := range s.Servers {
-		s.Servers[i].Config.Connections = 3 // fewer than the instances want
+		s.Servers[i].Config.MaxConnections = 3 // fewer than the instances want
 	}
 	resets := 0
 	r := playBy(t, s, baselines.Module, func(e trace.Event) {
@@ -168,7 +168,7 @@
 	if resets == 0 || r.Connections > 3*len(s.Servers) {
 		t.Errorf("%d resets, %d connections at most", resets, r.Connections)
 	}
-	if r.Twice+r.AfterDrain+r.Unanswered > 0 {
+	if r.DuplicateEffects+r.SentAfterDrain+r.Unanswered > 0 {
 		t.Error(r.Violations())
 	}
 }
@@ -200,7 +200,7 @@
 		s := market(8)
 		s.Servers[1].Incarnations = []plan.Incarnation{{Drain: 5 * time.Second, End: 9 * time.Second}}
 		s.Servers[2].Faults = []model.Fault{{From: 3 * time.Second, Until: 9 * time.Second, FailFastRatio: 0.5, UnansweredRatio: 0.2}}
-		if r := playBy(t, s, name, nil); r.Unanswered+r.AfterDrain > 0 || r.InTime() < 0.5 {
+		if r := playBy(t, s, name, nil); r.Unanswered+r.SentAfterDrain > 0 || r.InTime() < 0.5 {
 			t.Errorf("%s: %s, %.3f in time", name, r.Violations(), r.InTime())
 		}
 	}
@@ -215,13 +215,13 @@
 	s := market(6)
 	s.Servers[0].Incarnations = []plan.Incarnation{{Drain: 5 * time.Second, End: 9 * time.Second}}
 	s.Kills = []plan.Kill{{At: 7 * time.Second, Instances: []int{0}}, {At: 10 * time.Second, Instances: []int{0, 1}}}
-	var p *play
+	var p *simulator
 	sends := map[int]int{} // of instance 1 after its second kill, by server
 	r, err := runWith(s, Options{Watch: func(e trace.Event) {
 		if e.Kind == trace.KindAttempt && e.Instance == 1 && e.At > 10_000_000 {
 			sends[e.Server]++
 		}
-	}}, func(made *play) { p = made })
+	}}, func(made *simulator) { p = made })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -229,8 +229,8 @@
 		t.Error(reason)
 	}
 	for _, n := range p.instances {
-		if n.dead || len(n.openRequests) > 0 {
-			t.Errorf("instance %d: dead %t, %d requests without their end", n.number, n.dead, len(n.openRequests))
+		if n.killed || len(n.openAttempts) > 0 {
+			t.Errorf("instance %d: dead %t, %d requests without their end", n.number, n.killed, len(n.openAttempts))
 		}
 	}
 	if sends[1] > 0 || len(sends) < 2 {
@@ -245,9 +245,9 @@
 func TestUnevenTraffic(t *testing.T) {
 	counts := func(uneven float64) (by []int) {
 		s := market(2)
-		s.Instances, s.Clients.Uneven = make([]int, 20), uneven
+		s.Instances, s.Clients.RateVariation = make([]int, 20), uneven
 		by = make([]int, 20)
-		for script := s.Script(); ; {
+		for script := s.Workload(); ; {
 			try, ok := script.Next()
 			if !ok {
 				return by
@@ -278,7 +278,7 @@
 	for i := range 300 {
 		s.Instances = append(s.Instances, i%2)
 	}
-	s.Clients.Rate, s.Clients.Uneven = 900, 0.8
+	s.Clients.Rate, s.Clients.RateVariation = 900, 0.8
 	s.Settings.Limits.KeepAlive = 5 * second
 	return s
 }
@@ -297,7 +297,7 @@
 		t.Error(reason)
 	}
 	inTime := func(second int) float64 {
-		all := r.Seconds[second].All()
+		all := r.Seconds[second].Total()
 		return float64(all.InTime) / float64(all.Requested)
 	}
 	for second := 11; second < 15; second++ { // those of the tenth lost what was open
@@ -305,8 +305,8 @@
 			t.Errorf("second %d: %.3f served in time, %.3f before the start", second, got, inTime(8))
 		}
 	}
-	if mean := r.Handshakes / len(s.Servers) / int(s.Length/time.Second); r.Busiest > 4*mean {
-		t.Errorf("%d connections opened to one server in a second, the mean is %d", r.Busiest, mean)
+	if mean := r.Handshakes / len(s.Servers) / int(s.Length/time.Second); r.PeakHandshakes > 4*mean {
+		t.Errorf("%d connections opened to one server in a second, the mean is %d", r.PeakHandshakes, mean)
 	}
 }
 
@@ -323,13 +323,13 @@
 	if reason := r.Violations(); reason != "" {
 		t.Error(reason)
 	}
-	if r.Strain > 0.9 {
-		t.Errorf("a cold server came to %.2f of its fall", r.Strain)
+	if r.PeakStrain > 0.9 {
+		t.Errorf("a cold server came to %.2f of its fall", r.PeakStrain)
 	}
-	if back := r.Seconds[18].All(); float64(back.InTime) < 0.97*float64(back.Requested) {
+	if back := r.Seconds[18].Total(); float64(back.InTime) < 0.97*float64(back.Requested) {
 		t.Errorf("9 s after its return: %+v", back)
 	}
-	highest, lowest := slices.Max(r.Seconds[4].Sends), slices.Min(r.Seconds[4].Sends)
+	highest, lowest := slices.Max(r.Seconds[4].Attempts), slices.Min(r.Seconds[4].Attempts)
 	if highest > 60 || lowest < 1 {
 		t.Errorf("while all was well a server got %d to %d requests in a second", lowest, highest)
 	}
--- a/internal/emulator/simulation/instance.go
+++ b/internal/emulator/simulation/instance.go
@@ -17,40 +17,40 @@
 
 // instance is one instance, which is its engine's upstream on virtual time.
 type instance struct {
-	play          *play
-	number        int
-	site          int
-	engine        *engine.Engine
-	idle          map[*engine.Target][]*conn // the latest used last
-	drainingSince map[int]Time               // since when it knows of a drain or an end, by server
-	budget        *handshake.Budget          // of handshakes; nil for none
-	openRequests  map[*request]bool          // without their end
-	dead          bool
+	simulator       *simulator
+	number          int
+	site            int
+	engine          *engine.Engine
+	idleConnections map[*engine.Target][]*connection // the latest used last
+	drainingSince   map[int]Time                     // since when it knows of a drain or an end, by server
+	budget          *handshake.Budget                // of handshakes; nil for none
+	openAttempts    map[*clientAttempt]bool          // without their end
+	killed          bool
 }
 
 // newInstance makes one that knows nothing; incarnation counts how often it was killed.
-func (p *play) newInstance(ctx context.Context, i, incarnation int) (n *instance, err error) {
-	n = &instance{play: p, number: i, site: p.scenario.Instances[i], idle: map[*engine.Target][]*conn{}, drainingSince: map[int]Time{}, openRequests: map[*request]bool{}}
+func (p *simulator) newInstance(ctx context.Context, i, incarnation int) (n *instance, err error) {
+	n = &instance{simulator: p, number: i, site: p.scenario.Instances[i], idleConnections: map[*engine.Target][]*connection{}, drainingSince: map[int]Time{}, openAttempts: map[*clientAttempt]bool{}}
 	if p.scenario.Budget != nil {
 		if n.budget, err = handshake.New(*p.scenario.Budget); err != nil {
 			return nil, err
 		}
 	}
-	part, err := p.scenario.SubsetOf(i)
+	part, err := p.scenario.SubsetFor(i)
 	if err != nil {
 		return nil, err
 	}
-	n.engine, err = engine.New(ctx, engine.Options{Settings: p.scenario.For(i), Seed: p.scenario.Seed<<16 | uint64(incarnation)<<40 | uint64(i), Zones: p.scenario.Sites, Kinds: p.scenario.Kinds,
+	n.engine, err = engine.New(ctx, engine.Options{Settings: p.scenario.SettingsFor(i), Seed: p.scenario.Seed<<16 | uint64(incarnation)<<40 | uint64(i), Zones: p.scenario.Sites, Kinds: p.scenario.Kinds,
 		Upstream: n, Clock: p, Subset: part, NewDecider: p.options.Decide, Log: slog.New(slog.DiscardHandler)})
 	return n, err
 }
 
 // start begins an instance's life with the list as it is known where it stands.
 func (n *instance) start() {
-	p := n.play
+	p := n.simulator
 	n.engine.Start()
 	list := engine.List{Complete: true}
-	for _, h := range p.hosts {
+	for _, h := range p.servers {
 		incarnation, state, ok := h.stateFor(n)
 		if !ok {
 			continue
@@ -58,20 +58,20 @@
 		if state == balancer.Draining {
 			n.drainingSince[h.number] = p.now
 		}
-		list.Hosts = append(list.Hosts, p.scenario.Entry(h.number, incarnation, state, h.address, epoch))
+		list.Hosts = append(list.Hosts, p.scenario.HostEntry(h.number, incarnation, state, h.address, epoch))
 	}
 	n.post(func(now balancer.Micros) { n.engine.UpdateEndpoints(now, balancer.ListFull, list) })
 }
 
 // kill ends an instance: its connections break, and clients with a request there come again where that is safe.
 func (n *instance) kill() {
-	n.dead = true
-	for _, list := range n.idle {
+	n.killed = true
+	for _, list := range n.idleConnections {
 		for _, c := range list {
 			n.close(c)
 		}
 	}
-	open := slices.SortedFunc(maps.Keys(n.openRequests), func(a, b *request) int { return cmp.Compare(a.try.Number, b.try.Number) })
+	open := slices.SortedFunc(maps.Keys(n.openAttempts), func(a, b *clientAttempt) int { return cmp.Compare(a.request.Number, b.request.Number) })
 	for _, r := range open {
 		r.end(plan.CodeDisconnected, 0)
 	}
@@ -79,7 +79,7 @@
 
 // post hands an event to the engine, unless the instance has been killed.
 func (n *instance) post(event func(now balancer.Micros)) {
-	if !n.dead {
+	if !n.killed {
 		n.engine.Post(event)
 	}
 }
@@ -92,15 +92,15 @@
 
 // Probe asks a server for its load.
 func (n *instance) Probe(_ context.Context, t *engine.Target, done func(engine.Result)) {
-	p := n.play
-	if n.dead {
+	p := n.simulator
+	if n.killed {
 		return
 	}
 	p.result.Probes++
-	h := p.hostByAddress[t.Address]
-	c := &call{instance: n, host: h, target: t, deadline: p.now + probeTimeout, probe: true}
+	h := p.serverByAddress[t.Address]
+	c := &call{instance: n, server: h, target: t, deadline: p.now + probeTimeout, probe: true}
 	c.onArrival = func() {
-		if eps, queue, ok := h.machine.Load(p.now); ok {
+		if eps, queue, ok := h.machine.Probe(p.now); ok {
 			h.reply(c, engine.Result{Status: balancer.OK, Load: []float32{float32(eps), float32(queue)}})
 			h.schedule()
 		}
@@ -113,23 +113,23 @@
 }
 
 // Send starts an attempt: the request is its own carrier.
-func (r *request) Send(a *engine.Attempt) {
-	p, n := r.play, r.instance
-	if n.dead { // what its timers ask for
+func (r *clientAttempt) Send(a *engine.Attempt) {
+	p, n := r.simulator, r.instance
+	if n.killed { // what its timers ask for
 		a.Abort = func() {}
 		return
 	}
-	h := p.hostByAddress[a.Target.Address]
-	p.result.Sent(h.number, p.now)
+	h := p.serverByAddress[a.Target.Address]
+	p.result.RecordAttempt(h.number, p.now)
 	if since, ok := n.drainingSince[h.number]; ok && p.now > since+time.Duration(p.scenario.Settings.Contract.DrainGrace)*time.Microsecond {
-		p.result.AfterDrain++
+		p.result.SentAfterDrain++
 	}
-	e := trace.Event{Number: r.try.Number, Try: r.number, Attempt: a.Number + 1, Instance: n.number + 1, Server: h.number + 1}
+	e := trace.Event{Number: r.request.Number, Try: r.number, Attempt: a.Number + 1, Instance: n.number + 1, Server: h.number + 1}
 	e.Kind = trace.KindAttempt
 	p.emit(e)
 	p.attempts++
-	c := &call{instance: n, host: h, target: a.Target, number: p.attempts, deadline: a.DeadlineTime().Sub(epoch)}
-	c.onArrival = func() { h.arrive(c, r.try) }
+	c := &call{instance: n, server: h, target: a.Target, number: p.attempts, deadline: a.DeadlineTime().Sub(epoch)}
+	c.onArrival = func() { h.arrive(c, r.request) }
 	c.onResult = func(res engine.Result) {
 		e.Kind, e.Code = trace.KindAttemptEnd, int(res.Status)
 		p.emit(e)
@@ -140,4 +140,4 @@
 }
 
 // Cancel gives an attempt up; the server works on.
-func (r *request) Cancel(a *engine.Attempt) { a.Abort() }
+func (r *clientAttempt) Cancel(a *engine.Attempt) { a.Abort() }
--- a/internal/emulator/simulation/simulation.go
+++ b/internal/emulator/simulation/simulation.go
@@ -25,23 +25,23 @@
 	Progress func(Time)        // is called each virtual second
 }
 
-// play is one run. It has one goroutine: all is done by events, one after the other.
-type play struct {
-	scenario      *plan.Scenario
-	options       Options
-	now           Time
-	seq           uint64 // of the event added last
-	queue         queue
-	memory        *model.Memory // of all servers
-	hosts         []*host
-	hostByAddress map[string]*host
-	instances     []*instance
-	attempts      uint64 // started so far
-	openConns     int
-	totalConns    uint64 // opened since the start
-	script        *plan.Script
-	result        *plan.Result
-	err           error // that ends the play
+// simulator is one run. It has one goroutine: all is done by events, one after the other.
+type simulator struct {
+	scenario          *plan.Scenario
+	options           Options
+	now               Time
+	seq               uint64 // of the event added last
+	queue             queue
+	dedup             *model.DedupStore // of all servers
+	servers           []*server
+	serverByAddress   map[string]*server
+	instances         []*instance
+	attempts          uint64 // started so far
+	openConnections   int
+	connectionsOpened uint64 // opened since the start
+	script            *plan.Workload
+	result            *plan.Result
+	err               error // that ends the play
 }
 
 // settleDuration is how long a play goes on after the last first try: all is answered and
@@ -50,12 +50,12 @@
 
 // Run plays a scenario. Its error is one of the scenario.
 func Run(s *plan.Scenario, o Options) (*plan.Result, error) {
-	return runWith(s, o, func(*play) {})
+	return runWith(s, o, func(*simulator) {})
 }
 
 // runWith hands the play to made before it begins.
-func runWith(s *plan.Scenario, o Options, made func(*play)) (*plan.Result, error) {
-	p := &play{scenario: s, options: o, memory: s.Memory(), hostByAddress: map[string]*host{}, script: s.Script(), result: s.NewResult()}
+func runWith(s *plan.Scenario, o Options, made func(*simulator)) (*plan.Result, error) {
+	p := &simulator{scenario: s, options: o, dedup: s.NewDedupStore(), serverByAddress: map[string]*server{}, script: s.Workload(), result: s.NewResult()}
 	made(p)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -63,7 +63,7 @@
 		return nil, err
 	}
 	for n, k := range s.Kills {
-		p.atTime(k.At, func() { p.kill(ctx, k.Instances, n+1) })
+		p.at(k.At, func() { p.kill(ctx, k.Instances, n+1) })
 	}
 	p.scheduleArrival()
 	for end := s.Length + settleDuration; len(p.queue) > 0 && p.queue[0].at <= end; {
@@ -71,8 +71,8 @@
 			return nil, p.err
 		}
 	}
-	p.result.Twice = len(p.memory.Twice())
-	for _, h := range p.hosts {
+	p.result.DuplicateEffects = len(p.dedup.DuplicateEffects())
+	for _, h := range p.servers {
 		p.recordStrain(h)
 		if h.overloaded {
 			p.result.Collapsed = append(p.result.Collapsed, h.number)
@@ -82,11 +82,11 @@
 }
 
 // start makes servers and instances, and starts all that is there from the beginning.
-func (p *play) start(ctx context.Context) error {
+func (p *simulator) start(ctx context.Context) error {
 	for i := range p.scenario.Servers {
-		h := &host{play: p, spec: &p.scenario.Servers[i], number: i, address: fmt.Sprintf("server-%d:80", i+1), waiting: map[uint64]*call{}}
-		p.hosts = append(p.hosts, h)
-		p.hostByAddress[h.address] = h
+		h := &server{simulator: p, spec: &p.scenario.Servers[i], number: i, address: fmt.Sprintf("server-%d:80", i+1), pending: map[uint64]*call{}}
+		p.servers = append(p.servers, h)
+		p.serverByAddress[h.address] = h
 	}
 	for i := range p.scenario.Instances {
 		n, err := p.newInstance(ctx, i, 0)
@@ -95,7 +95,7 @@
 		}
 		p.instances = append(p.instances, n)
 	}
-	for _, h := range p.hosts {
+	for _, h := range p.servers {
 		h.scheduleIncarnations()
 	}
 	p.tick()
@@ -109,7 +109,7 @@
 }
 
 // kill ends instances and starts each again as one that knows nothing.
-func (p *play) kill(ctx context.Context, instances []int, incarnation int) {
+func (p *simulator) kill(ctx context.Context, instances []int, incarnation int) {
 	for _, i := range instances {
 		p.instances[i].kill()
 		n, err := p.newInstance(ctx, i, incarnation)
@@ -123,14 +123,14 @@
 }
 
 // recordStrain counts how near a life of a server has come to its fall.
-func (p *play) recordStrain(h *host) {
+func (p *simulator) recordStrain(h *server) {
 	if h.machine != nil {
-		p.result.Strain = max(p.result.Strain, h.machine.Strain())
+		p.result.PeakStrain = max(p.result.PeakStrain, h.machine.Strain())
 	}
 }
 
 // tick is called each second: instances let go of idle connections.
-func (p *play) tick() {
+func (p *simulator) tick() {
 	if p.options.Progress != nil {
 		p.options.Progress(p.now)
 	}
--- a/internal/emulator/simulation/simulation_test.go
+++ b/internal/emulator/simulation/simulation_test.go
@@ -20,15 +20,15 @@
 // machine is one of the fleet's kinds.
 func machine(cores int, speed float64) model.Config {
 	return model.Config{Cores: cores, Speed: speed, SlotsPerCore: 1, QueuePerCore: 300, ThrashRatio: 0.08, ThrashThreshold: 5,
-		SlowStartRatio: 0.4, SlowStartTime: 6 * time.Second, OverloadMultiple: 2.5, OverloadWindow: time.Second, PauseEvery: 5 * time.Second, PauseFor: 20 * ms,
-		ReportEvery: 150 * ms, ReportDelay: 40 * ms, ReportNoise: 0.1, ProbeWork: 120 * time.Microsecond}
+		SlowStartRatio: 0.4, SlowStartTime: 6 * time.Second, OverloadMultiple: 2.5, OverloadWindow: time.Second, PauseInterval: 5 * time.Second, PauseDuration: 20 * ms,
+		ReportInterval: 150 * ms, ReportDelay: 40 * ms, ReportNoise: 0.1, ProbeWork: 120 * time.Microsecond}
 }
 
 // market is an ordinary market day's minute: 10 servers of three kinds on two sites,
 // 4 instances, load at about half of what they can do.
 func market(seed uint64) *plan.Scenario {
 	s := &plan.Scenario{Seed: seed, Length: 20 * time.Second, Sites: []string{"a", "b"}, Kinds: []string{"big", "small", "slow"}, Weights: []float64{6, 2.4, 2.4}, Latencies: [2]time.Duration{250 * time.Microsecond, 7 * ms},
-		Instances: []int{0, 0, 1, 1}, Clients: plan.Clients{Rate: 120, Retries: 2, TryShare: 0.53, Pause: 50 * ms}, Notice: 2 * time.Second, DrainFor: 4 * time.Second,
+		Instances: []int{0, 0, 1, 1}, Clients: plan.Clients{Rate: 120, Retries: 2, TimeoutRatio: 0.53, RetryDelay: 50 * ms}, MaxNotificationDelay: 2 * time.Second, DrainDuration: 4 * time.Second,
 		Classes: []plan.Class{
 			{Class: balancer.Class{Name: "price-check", Idempotency: balancer.Idempotent, LatencyObjective: 600_000, ClientTimeout: 3 * second, PriorityWeight: 2, LateWeightRatio: 0.3}, Share: 0.47, Work: 120 * ms, CV: 0.4},
 			{Class: balancer.Class{Name: "stall-pay", Idempotency: balancer.IdempotentWithKey, Group: balancer.GroupAll, DedupWindow: 1_500_000, LatencyObjective: 600_000, ClientTimeout: 2_500_000, PriorityWeight: 10, LateWeightRatio: 0.3}, Share: 0.34, Work: 100 * ms, CV: 0.4},
@@ -68,7 +68,7 @@
 	if in := r.InTime(); in < 0.98 {
 		t.Errorf("%.3f served in time on a calm day: %+v", in, r.Classes)
 	}
-	for i, n := range r.Sends {
+	for i, n := range r.Attempts {
 		if n == 0 {
 			t.Errorf("server %d got nothing", i)
 		}
@@ -137,7 +137,7 @@
 	s := market(7)
 	for i := range 5 {
 		at := Time(5+2*i) * time.Second
-		s.Servers[i*2].Incarnations = []plan.Incarnation{{Drain: at, End: at + s.DrainFor}}
+		s.Servers[i*2].Incarnations = []plan.Incarnation{{Drain: at, End: at + s.DrainDuration}}
 	}
 	s.Surges = []plan.Surge{{From: 5 * time.Second, Until: 20 * time.Second, Factor: 0.5, Tenant: -1}}
 	r := run(t, s)
@@ -152,7 +152,7 @@
 // One class turns costly: the others keep most of their service.
 func TestOneClassTurnsCostly(t *testing.T) {
 	s := market(9)
-	s.Costly = []plan.Costly{{From: 5 * time.Second, Until: 15 * time.Second, Class: 0, Share: 0.02, Factor: 15}}
+	s.CostSurges = []plan.CostSurge{{From: 5 * time.Second, Until: 15 * time.Second, Class: 0, Share: 0.02, Factor: 15}}
 	r := run(t, s)
 	if reason := r.Violations(); reason != "" {
 		t.Error(reason)
--- a/internal/emulator/sockets/http1.go
+++ b/internal/emulator/sockets/http1.go
@@ -65,7 +65,7 @@
 func (h *handler) connection(c net.Conn, state http.ConnState) {
 	switch state {
 	case http.StateNew:
-		if !h.server.Open() {
+		if !h.server.OpenConnection() {
 			c.Close()
 			return
 		}
@@ -78,7 +78,7 @@
 		delete(h.counted, c)
 		h.mu.Unlock()
 		if was {
-			h.server.Shut()
+			h.server.CloseConnection()
 		}
 	}
 }
@@ -118,7 +118,7 @@
 	}
 	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxBodyBytes))
 	travel(ctx, latency) // what a client has sent comes, though it may have gone
-	o, report, err := h.server.Submit(ctx, Request{Class: r.Header.Get("X-Service-Class"), ID: r.Header.Get("X-Correlation-Id"), Key: r.Header.Get("Idempotency-Key"), About: r.Header.Get("X-Session-Key")})
+	o, report, err := h.server.Submit(ctx, Request{Class: r.Header.Get("X-Service-Class"), ID: r.Header.Get("X-Correlation-Id"), Key: r.Header.Get("Idempotency-Key"), AffinityKey: r.Header.Get("X-Session-Key")})
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -126,7 +126,7 @@
 	travel(ctx, h.latency)
 	w.Header().Set("X-Backend-Load", report)
 	switch o {
-	case model.Served, model.Repeated:
+	case model.Served, model.Deduplicated:
 		_, _ = io.WriteString(w, "done")
 	case model.Failed:
 		w.WriteHeader(http.StatusInternalServerError)
--- a/internal/emulator/sockets/sockets.go
+++ b/internal/emulator/sockets/sockets.go
@@ -50,7 +50,7 @@
 	index map[string]int
 
 	mu      sync.Mutex // held around every call of a model: they share the memory
-	memory  *model.Memory
+	memory  *model.DedupStore
 	number  uint64
 	servers []*Server
 	open    int // connections
@@ -98,7 +98,7 @@
 		kinds[i] = c.Class
 		f.index[c.Name] = i
 	}
-	f.memory = model.NewMemory(kinds)
+	f.memory = model.NewDedupStore(kinds)
 	return f
 }
 
@@ -150,14 +150,14 @@
 func (f *Fleet) DuplicateEffects() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.memory.Twice()
+	return f.memory.DuplicateEffects()
 }
 
 // EffectCounts says how often each effect was done, by its key.
 func (f *Fleet) EffectCounts() map[string]int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.memory.Done()
+	return f.memory.EffectCounts()
 }
 
 // Connections counts the open ones, now and at most so far.
@@ -170,17 +170,17 @@
 // Close ends a server: what it holds is lost, and connections are refused.
 func (s *Server) Close() {
 	s.fleet.mu.Lock()
-	s.give(s.machine.Stop(s.fleet.Now()))
-	s.shut()
+	s.deliver(s.machine.Stop(s.fleet.Now()))
+	s.markClosed()
 	s.fleet.mu.Unlock()
 	for _, stop := range s.stops {
 		stop()
 	}
 }
 
-// shut has nothing more happen at a server whose process is over. It holds the fleet's
+// markClosed has nothing more happen at a server whose process is over. It holds the fleet's
 // lock.
-func (s *Server) shut() {
+func (s *Server) markClosed() {
 	s.closed = true
 	if s.timer != nil {
 		s.timer.Stop()
@@ -195,20 +195,20 @@
 	return working + waiting, s.served, s.machine.Warmth(s.fleet.Now()), s.machine.Down()
 }
 
-// Fell says that the server fell over.
-func (s *Server) Fell() bool {
+// Collapsed says that the server fell over.
+func (s *Server) Collapsed() bool {
 	s.fleet.mu.Lock()
 	defer s.fleet.mu.Unlock()
-	return s.machine.Fallen() != model.Never
+	return s.machine.CollapsedAt() != model.Never
 }
 
-// Open counts a new connection in, which costs the server work; false where it takes
+// OpenConnection counts a new connection in, which costs the server work; false where it takes
 // none. What was counted in is counted out with Shut.
-func (s *Server) Open() bool {
+func (s *Server) OpenConnection() bool {
 	f := s.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	defer s.arm()
+	defer s.scheduleAdvance()
 	if !s.machine.Connect(f.Now()) {
 		return false
 	}
@@ -217,17 +217,17 @@
 	return true
 }
 
-// Shut counts a connection out.
-func (s *Server) Shut() {
+// CloseConnection counts a connection out.
+func (s *Server) CloseConnection() {
 	s.fleet.mu.Lock()
 	defer s.fleet.mu.Unlock()
 	s.machine.Disconnect()
 	s.fleet.open--
-	s.arm()
+	s.scheduleAdvance()
 }
 
-// give hands out what ended, to those that still wait. It holds the fleet's lock.
-func (s *Server) give(ended []model.Ended) {
+// deliver hands out what ended, to those that still wait. It holds the fleet's lock.
+func (s *Server) deliver(ended []model.Completion) {
 	for _, e := range ended {
 		if e.Outcome == model.Served {
 			s.served++
@@ -239,20 +239,20 @@
 	}
 }
 
-// arm has the model looked at when it next has something to say. A server that has
+// scheduleAdvance has the model looked at when it next has something to say. A server that has
 // fallen over takes its sockets with it. It holds the fleet's lock.
-func (s *Server) arm() {
+func (s *Server) scheduleAdvance() {
 	if s.timer != nil {
 		s.timer.Stop()
 	}
 	if s.machine.Down() && !s.closed {
-		s.give(s.machine.Advance(s.fleet.Now()))
-		s.shut()
+		s.deliver(s.machine.Advance(s.fleet.Now()))
+		s.markClosed()
 		for _, stop := range s.stops {
 			go stop()
 		}
 	}
-	at := s.machine.Next()
+	at := s.machine.NextEvent()
 	if at == model.Never || s.closed {
 		return
 	}
@@ -260,8 +260,8 @@
 		s.fleet.mu.Lock()
 		defer s.fleet.mu.Unlock()
 		if !s.closed {
-			s.give(s.machine.Advance(s.fleet.Now()))
-			s.arm()
+			s.deliver(s.machine.Advance(s.fleet.Now()))
+			s.scheduleAdvance()
 		}
 	})
 }
@@ -287,10 +287,10 @@
 
 // Request is one request as a transport reads it.
 type Request struct {
-	Class string
-	ID    string
-	Key   string // "" if it has none
-	About string // its subject, "" if it has none
+	Class       string
+	ID          string
+	Key         string // "" if it has none
+	AffinityKey string // its subject, "" if it has none
 }
 
 // Submit has a request worked at, and waits for its end; model.Lost if ctx ends before.
@@ -303,9 +303,9 @@
 			return 0, "", fmt.Errorf("%q is not a known class", r.Class)
 		}
 	}
-	q := model.Request{Class: class, Work: f.work(class, r.ID), Key: r.Key, Draw: hash(r.ID)}
-	if r.About != "" {
-		q.Subject = hash(r.About)
+	q := model.Request{Class: class, Work: f.work(class, r.ID), Key: r.Key, FaultSeed: hash(r.ID)}
+	if r.AffinityKey != "" {
+		q.AffinityKey = hash(r.AffinityKey)
 	}
 	if q.Key == "" {
 		q.Key = "id " + r.ID
@@ -318,9 +318,9 @@
 	f.number++
 	q.Number = f.number
 	s.waiting[q.Number] = ended
-	s.give(s.machine.Arrive(f.Now(), q))
-	s.give(s.machine.Advance(f.Now())) // what is no work ends here
-	s.arm()
+	s.deliver(s.machine.Arrive(f.Now(), q))
+	s.deliver(s.machine.Advance(f.Now())) // what is no work ends here
+	s.scheduleAdvance()
 	f.mu.Unlock()
 	select {
 	case o = <-ended:
@@ -329,7 +329,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return o, figures(s.machine.Report(f.Now())), nil
+	return o, figures(s.machine.LoadReport(f.Now())), nil
 }
 
 func figures(eps, queue float64) string { return fmt.Sprintf("eps=%.2f,queue=%.2f", eps, queue) }
@@ -338,7 +338,7 @@
 func (s *Server) Probe() (report string, ok bool) {
 	s.fleet.mu.Lock()
 	defer s.fleet.mu.Unlock()
-	defer s.arm()
-	eps, queue, ok := s.machine.Load(s.fleet.Now())
+	defer s.scheduleAdvance()
+	eps, queue, ok := s.machine.Probe(s.fleet.Now())
 	return figures(eps, queue), ok
 }
--- a/internal/emulator/sockets/sockets_test.go
+++ b/internal/emulator/sockets/sockets_test.go
@@ -25,7 +25,7 @@
 	{Name: "order", Class: model.Class{Idempotency: model.NotIdempotent}, Work: 10 * ms}}
 
 var box = model.Config{Cores: 1, Speed: 1, SlotsPerCore: 1, QueuePerCore: 3, SlowStartRatio: 0.31, SlowStartTime: 8600 * ms, OverloadMultiple: 2.5, OverloadWindow: time.Second,
-	ReportEvery: 50 * ms}
+	ReportInterval: 50 * ms}
 
 func fleet(t *testing.T) *Fleet {
 	t.Helper()
@@ -215,17 +215,17 @@
 					out.Body.Close()
 				}
 			})
-			if !s.Fell() {
+			if !s.Collapsed() {
 				select {
 				case <-arrived:
 				case <-time.After(10 * time.Second):
-					if !s.Fell() {
+					if !s.Collapsed() {
 						t.Fatalf("request %d did not arrive", i)
 					}
 				}
 			}
 		}
-		if fell, want := s.Fell(), load > 2.5; fell != want {
+		if fell, want := s.Collapsed(), load > 2.5; fell != want {
 			t.Errorf("at %.1f times what it can do: fell %v, want %v", load, fell, want)
 		}
 		stop()
@@ -240,7 +240,7 @@
 func TestConnectionLimit(t *testing.T) {
 	f := fleet(t)
 	cfg := box
-	cfg.Connections = 3
+	cfg.MaxConnections = 3
 	s := start(t, f, cfg, false)
 	open := make([]net.Conn, 6)
 	for i := range open {
--- a/internal/measure/coldstart/coldstart.go
+++ b/internal/measure/coldstart/coldstart.go
@@ -143,7 +143,7 @@
 
 // take counts one play in.
 func (r *Row) take(day *plan.Scenario, x *plan.Result) {
-	r.Strain = append(r.Strain, x.Strain)
+	r.Strain = append(r.Strain, x.PeakStrain)
 	r.Fell += len(x.Collapsed)
 	r.G = min(r.G, day.Score(x))
 	r.Connections = max(r.Connections, x.Connections)
@@ -160,7 +160,7 @@
 		}
 		sends := 0.0
 		for second := 2; second < 5 && second < len(x.Seconds); second++ {
-			sends += float64(x.Seconds[second].Sends[n])
+			sends += float64(x.Seconds[second].Attempts[n])
 		}
 		work = append(work, sends)
 		sum += sends
