--- a/internal/subset/config.go
+++ b/internal/subset/config.go
@@ -2,11 +2,11 @@
 
 import "fmt"
 
-// Bounds of Config.
+// Bounds of the fields of Config.
 const (
-	minFloor  = 2 // a retry must find another server
-	maxFloor  = 1_000_000
-	maxSpread = 1000
+	lowestMinSize      = 2 // a retry needs another server
+	highestMinSize     = 1_000_000
+	highestPerInFlight = 1000
 )
 
 // Config holds the parameters of one instance's selection.
@@ -18,16 +18,33 @@
 	RankPods    bool    // rank pods in place of single servers
 }
 
-// Validate returns an error that names the first field out of range.
+// ConfigError reports a field of Config that is missing or out of range.
+type ConfigError struct {
+	Field  string // name of the field of Config
+	Reason string
+}
+
+// Error names the field and the reason.
+func (e *ConfigError) Error() string { return "subset: " + e.Field + " " + e.Reason }
+
+// Validate returns a *ConfigError for the first field that is missing or out of range.
 func (c *Config) Validate() error {
 	switch {
 	case c.Instance == "":
-		return fmt.Errorf("subset: Instance is missing: instances without a name choose alike")
-	case c.MinSize < minFloor || c.MinSize > maxFloor:
-		return fmt.Errorf("subset: Floor is %d, not %d to %d: a request must find another server",
-			c.MinSize, minFloor, maxFloor)
-	case !(c.PerInFlight >= 0 && c.PerInFlight <= maxSpread): // also rejects NaN
-		return fmt.Errorf("subset: Spread is %v, not 0 to %d", c.PerInFlight, maxSpread)
+		return &ConfigError{
+			Field:  "Instance",
+			Reason: "is missing: instances without a name would select the same servers",
+		}
+	case c.MinSize < lowestMinSize || c.MinSize > highestMinSize:
+		return &ConfigError{
+			Field:  "MinSize",
+			Reason: fmt.Sprintf("is %d, want %d to %d", c.MinSize, lowestMinSize, highestMinSize),
+		}
+	case !(c.PerInFlight >= 0 && c.PerInFlight <= highestPerInFlight): // also rejects NaN
+		return &ConfigError{
+			Field:  "PerInFlight",
+			Reason: fmt.Sprintf("is %v, want 0 to %d", c.PerInFlight, highestPerInFlight),
+		}
 	}
 	return nil
 }
--- a/internal/subset/select.go
+++ b/internal/subset/select.go
@@ -4,15 +4,15 @@
 
 const (
 	// maxServersPerWanted limits the selected servers of a site, failing ones included, to a
-	// multiple of the wanted number. Where most servers fail, the site is lost, and further
-	// servers of it are of no use.
+	// multiple of the wanted number. If most of a site's servers fail, selecting more of them
+	// does not help.
 	maxServersPerWanted = 4
-	// serversPerPod is how many servers of a pod are selected: one, and another for its retries.
+	// serversPerPod is how many servers of a pod are selected: one, and another for retries.
 	serversPerPod = 2
 )
 
 // Select computes the selection anew. It returns the names of servers that were added to it and
-// of those that were removed from it, sorted; a server that Remove was called for is in neither.
+// of those that were removed from it, sorted. Neither contains a server that Remove was called for.
 // Its cost is proportional to the size of the selection, not of the fleet.
 func (s *Subset) Select() (added, removed []string) {
 	next := s.selectMembers()
@@ -37,8 +37,8 @@
 	return added, removed
 }
 
-// selectMembers selects members of each site up to its quota. What a site is short of because
-// its servers fail is taken from sites that filled theirs, the instance's own site first.
+// selectMembers selects members of each site up to its quota. If a site has too few healthy
+// servers for its quota, sites that filled theirs supply the rest, the instance's own site first.
 func (s *Subset) selectMembers() map[*member]bool {
 	selected := map[*member]bool{}
 	quotas := s.quotas()
@@ -98,8 +98,8 @@
 }
 
 // quotas returns the number of healthy servers wanted of each site: half from the instance's
-// own site, the rest from the others in equal parts, and where one of them has too few servers,
-// more from the others and at last from the own site.
+// own site, and the rest from the others in equal parts. If one of them has too few servers, the
+// others make up for it, and if they cannot, the own site.
 func (s *Subset) quotas() map[string]int {
 	a := allocation{subset: s, quotas: map[string]int{}, remaining: s.sizing.size}
 	localSite := s.config.Site
@@ -112,13 +112,7 @@
 		}
 		a.assign(localSite, localQuota)
 	}
-	for before := -1; a.remaining > 0 && a.remaining != before; {
-		before = a.remaining
-		each := max(1, a.remaining/max(1, len(otherSites)))
-		for _, site := range otherSites {
-			a.assign(site, each)
-		}
-	}
+	a.assignEvenly(otherSites)
 	a.assign(localSite, a.remaining)
 	return a.quotas
 }
@@ -137,6 +131,23 @@
 	a.remaining -= n
 }
 
+// assignEvenly raises the quotas of sites in equal parts until no server remains to be assigned
+// or the sites have no more servers.
+func (a *allocation) assignEvenly(sites []string) {
+	if len(sites) == 0 {
+		return
+	}
+	progress := true
+	for progress && a.remaining > 0 {
+		before := a.remaining
+		perSite := max(1, a.remaining/len(sites))
+		for _, site := range sites {
+			a.assign(site, perSite)
+		}
+		progress = a.remaining < before
+	}
+}
+
 // capacity returns how many servers of a site may be selected.
 func (s *Subset) capacity(site string) int {
 	capacity := s.serverCount[site]
--- a/internal/subset/size.go
+++ b/internal/subset/size.go
@@ -19,16 +19,16 @@
 	perInFlight float64
 	size        int // number of servers wanted
 
-	shrinking   bool      // a markedly smaller size is sufficient at present
-	shrinkSince time.Time // since when, if shrinking
-	shrinkSize  int       // largest size needed since shrinkSince
+	shrinking   bool      // a size below shrinkRatio has been sufficient since shrinkSince
+	shrinkSince time.Time // if shrinking
+	shrinkSize  int       // if shrinking: the largest size needed since shrinkSince
 }
 
 func newSizeController(c Config) sizeController {
 	return sizeController{minSize: c.MinSize, perInFlight: c.PerInFlight, size: c.MinSize}
 }
 
-// observe takes in the number of requests in flight and reports whether the size has changed.
+// observe records the number of requests in flight and reports whether the size has changed.
 func (c *sizeController) observe(now time.Time, inFlight float64) (changed bool) {
 	needed := c.minSize + int(math.Ceil(c.perInFlight*max(0, inFlight)))
 	switch {
@@ -50,6 +50,7 @@
 	return false
 }
 
+// resize sets the size and ends a shrinking period.
 func (c *sizeController) resize(size int) {
 	c.size = size
 	c.shrinking = false
--- a/internal/subset/subset.go
+++ b/internal/subset/subset.go
@@ -11,7 +11,7 @@
 )
 
 // failureThreshold is the number of consecutive failures from which a server counts as failing.
-// A single connection reset means nothing.
+// A single connection reset is no evidence of a failure.
 const failureThreshold = 3
 
 // Server is a server that is ready to take requests.
@@ -24,10 +24,10 @@
 // member is a server with its state in the subset.
 type member struct {
 	Server
-	rank     uint64
-	unit     *unit
-	failures int // consecutive
-	selected bool
+	rank     uint64 // place in the instance's order, lowest first
+	unit     *unit  // that contains this member
+	failures int    // consecutive
+	selected bool   // as of the last Select
 }
 
 func (m *member) failing() bool { return m.failures >= failureThreshold }
@@ -36,12 +36,12 @@
 	return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.Name, b.Name))
 }
 
-// unit is what is ranked within a site: a server, or a pod where Config.Pods is set.
+// unit is what is ranked within a site: a pod if Config.RankPods is set, otherwise a server.
 type unit struct {
-	pod     uint16    // of a pod
-	name    string    // of a server
+	pod     uint16    // of a pod, 0 for a server
+	name    string    // of a server, "" for a pod
 	rank    uint64    // place in the instance's order, lowest first
-	members []*member // by rank
+	members []*member // sorted by compareMembers
 }
 
 func compareUnits(a, b *unit) int {
@@ -52,7 +52,7 @@
 type Subset struct {
 	config      Config
 	members     map[string]*member // by name
-	sites       map[string][]*unit // by site; units by rank
+	sites       map[string][]*unit // by site; sorted by compareUnits
 	serverCount map[string]int     // by site
 	selected    map[*member]bool   // as of the last Select
 	sizing      sizeController
@@ -76,13 +76,13 @@
 // rank returns the place of a server or pod in this instance's order. It depends on its
 // arguments and the instance's name alone.
 func (s *Subset) rank(kind, name string) uint64 {
-	h := fnv.New64a()
-	_, _ = fmt.Fprintf(h, "%d %s%s%s", len(s.config.Instance), s.config.Instance, kind, name) // a hash does not fail
+	hash := fnv.New64a()
+	_, _ = fmt.Fprintf(hash, "%d %s%s%s", len(s.config.Instance), s.config.Instance, kind, name) // a hash never fails
 	// The high bits of FNV barely differ between strings that differ in their last characters only.
-	return splitmix.Mix(h.Sum64())
+	return splitmix.Mix(hash.Sum64())
 }
 
-// newUnit returns the unit, still without members, that a server of the given rank belongs to.
+// newUnit returns a unit without members for a server of the given rank.
 func (s *Subset) newUnit(server Server, rank uint64) *unit {
 	if !s.config.RankPods {
 		return &unit{name: server.Name, rank: rank}
@@ -94,26 +94,34 @@
 // keeps its failures and its place in the selection until the next Select.
 func (s *Subset) Add(server Server) {
 	old := s.members[server.Name]
-	if old != nil {
-		if old.Server == server {
-			return
-		}
-		s.Remove(server.Name)
+	if old != nil && old.Server == server {
+		return
 	}
 	m := &member{Server: server, rank: s.rank("server", server.Name)}
 	if old != nil {
-		m.failures = old.failures
-		m.selected = old.selected
-		delete(s.selected, old)
-		if m.selected {
-			s.selected[m] = true
-		}
+		s.Remove(server.Name)
+		s.transferState(old, m)
 	}
-	m.unit = s.findOrInsertUnit(server.Site, s.newUnit(server, m.rank))
+	s.insert(m)
+}
+
+// transferState copies the failures and the selection of a removed member to its replacement.
+func (s *Subset) transferState(old, replacement *member) {
+	replacement.failures = old.failures
+	replacement.selected = old.selected
+	delete(s.selected, old)
+	if replacement.selected {
+		s.selected[replacement] = true
+	}
+}
+
+// insert adds a member to its unit and to the indexes by name and by site.
+func (s *Subset) insert(m *member) {
+	m.unit = s.findOrInsertUnit(m.Site, s.newUnit(m.Server, m.rank))
 	index, _ := slices.BinarySearchFunc(m.unit.members, m, compareMembers)
 	m.unit.members = slices.Insert(m.unit.members, index, m)
-	s.members[server.Name] = m
-	s.serverCount[server.Site]++
+	s.members[m.Name] = m
+	s.serverCount[m.Site]++
 }
 
 // findOrInsertUnit returns the site's unit that compares equal to u, and inserts u if there is none.
@@ -127,7 +135,7 @@
 	return u
 }
 
-// Remove removes a server that is not ready any more. An unknown name is ignored.
+// Remove removes a server that is no longer ready. An unknown name is ignored.
 func (s *Subset) Remove(name string) {
 	m := s.members[name]
 	if m == nil {
@@ -145,6 +153,7 @@
 	}
 }
 
+// deleteUnit removes a unit without members from its site, and the site with its last unit.
 func (s *Subset) deleteUnit(site string, u *unit) {
 	units := s.sites[site]
 	if index, found := slices.BinarySearchFunc(units, u, compareUnits); found {
@@ -156,26 +165,26 @@
 	}
 }
 
-// ObserveLoad takes in the number of requests in flight. It reports whether the wanted number
-// of servers has changed, so that Select should be called.
-func (s *Subset) ObserveLoad(now time.Time, inflight float64) (changed bool) {
-	return s.sizing.observe(now, inflight)
+// ObserveLoad records the number of requests in flight. It reports whether the wanted number of
+// servers has changed, in which case Select should be called.
+func (s *Subset) ObserveLoad(now time.Time, inFlight float64) (changed bool) {
+	return s.sizing.observe(now, inFlight)
 }
 
-// ObserveOutcome takes in whether a server answered a request. It reports whether a selected
-// server has begun or ceased to fail, so that Select should be called.
+// ObserveOutcome records whether a server answered a request. It reports whether a selected
+// server has begun or ceased to fail, in which case Select should be called.
 func (s *Subset) ObserveOutcome(name string, answered bool) (changed bool) {
 	m := s.members[name]
 	if m == nil {
 		return false
 	}
-	before := m.failing()
+	wasFailing := m.failing()
 	if answered {
 		m.failures = 0
 	} else {
 		m.failures++
 	}
-	return m.selected && before != m.failing()
+	return m.selected && wasFailing != m.failing()
 }
 
 // Contains reports whether a server is selected.
