--- a/internal/membership/backoff/backoff.go
+++ b/internal/membership/backoff/backoff.go
@@ -1,5 +1,6 @@
-// Package backoff spaces out attempts to reach a membership service: exponentially, and
-// with jitter, so that instances that lost the service together do not return in step.
+// Package backoff implements exponential backoff with jitter between attempts to reach a
+// membership service. The jitter keeps instances that lost the service at the same time from
+// retrying at the same time.
 package backoff
 
 import (
@@ -8,32 +9,31 @@
 	"time"
 )
 
-// Backoff is the delay before the next attempt. It is for one goroutine. Make one with
-// New.
+// Backoff holds the delay before the next attempt. It is not safe for concurrent use.
 type Backoff struct {
 	initial time.Duration
 	limit   time.Duration
 	delay   time.Duration
 }
 
-// New returns a backoff that begins with an initial delay, and doubles it up to a limit.
+// New returns a backoff whose delay begins with initial and doubles with each Wait up to limit.
 func New(initial, limit time.Duration) *Backoff {
 	return &Backoff{initial: initial, limit: limit, delay: initial}
 }
 
-// Reset begins anew with the initial delay, after an attempt that succeeded.
+// Reset restores the initial delay. It is called after a successful attempt.
 func (b *Backoff) Reset() { b.delay = b.initial }
 
-// Wait waits for half to one and a half of the delay, or until ctx ends, and doubles the
-// delay.
+// Wait waits for a random duration between half and one and a half of the delay, or until ctx
+// ends, and doubles the delay.
 func (b *Backoff) Wait(ctx context.Context) {
 	Sleep(ctx, b.delay/2+rand.N(b.delay))
 	b.delay = min(2*b.delay, b.limit)
 }
 
-// Sleep waits for a fixed time, or until ctx ends.
-func Sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
+// Sleep waits for a fixed delay, or until ctx ends.
+func Sleep(ctx context.Context, delay time.Duration) {
+	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/internal/membership/backoff/backoff_test.go
+++ b/internal/membership/backoff/backoff_test.go
@@ -7,22 +7,22 @@
 	"time"
 )
 
-// Each delay is drawn from half to one and a half of a value that doubles up to the
-// limit, and begins anew after a reset.
+// Each wait is between half and one and a half of a delay that doubles up to the limit, and a
+// reset restores the initial delay.
 func TestWaitDoublesUpToLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := New(50*time.Millisecond, 200*time.Millisecond)
 		wait := func(nominal time.Duration) {
 			t.Helper()
-			began := time.Now()
+			start := time.Now()
 			b.Wait(t.Context())
-			if took := time.Since(began); took < nominal/2 || took >= nominal*3/2 {
-				t.Errorf("waited %v, want half to one and a half of %v", took, nominal)
+			if elapsed := time.Since(start); elapsed < nominal/2 || elapsed >= nominal*3/2 {
+				t.Errorf("waited %v, want half to one and a half of %v", elapsed, nominal)
 			}
 		}
 		for range 20 {
-			for _, ms := range []time.Duration{50, 100, 200, 200} {
-				wait(ms * time.Millisecond)
+			for _, milliseconds := range []time.Duration{50, 100, 200, 200} {
+				wait(milliseconds * time.Millisecond)
 			}
 			b.Reset()
 		}
@@ -33,10 +33,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		began := time.Now()
+		start := time.Now()
 		New(time.Hour, time.Hour).Wait(ctx)
-		if took := time.Since(began); took != time.Second {
-			t.Errorf("waited %v, want until the context ended after 1s", took)
+		if elapsed := time.Since(start); elapsed != time.Second {
+			t.Errorf("waited %v, want until the context ended after 1s", elapsed)
 		}
 	})
 }
--- a/internal/membership/registry/client.go
+++ b/internal/membership/registry/client.go
@@ -1,8 +1,8 @@
-// Package registry reads membership from a discovery service over HTTP: complete lists
-// (snapshots), and a watch on changes by long polling.
+// Package registry reads membership from a discovery service over HTTP. It requests complete
+// lists (snapshots) and watches for changes by long polling.
 //
-// A [Client] starts no goroutine: [Client.Watch] makes one call after the other on its
-// caller's, and keeps nothing between watches but the HTTP connection.
+// A [Client] starts no goroutine. [Client.Watch] makes one call after the other on its caller's
+// goroutine; between watches a client has no state except its HTTP connection.
 package registry
 
 import (
@@ -19,16 +19,16 @@
 )
 
 const (
-	// maxDocumentBytes bounds a document. A longer one is cut off, and does not parse.
+	// maxDocumentBytes bounds a document. A longer one is truncated, so that parsing it fails.
 	maxDocumentBytes = 8 << 20
 
-	// watchPause separates a watch call from the answer before it: calls without any
-	// pause could become a flood. The service ends a watch whose next call comes later
-	// than 200 ms after the last answer.
+	// watchPause is the delay between a response and the next watch call. It limits the rate
+	// of calls. The service ends a watch if the next call comes more than 200 ms after the
+	// last response.
 	watchPause = 20 * time.Millisecond
 )
 
-// Client calls the service that lists endpoints. It is an engine.Source.
+// Client is a client of the discovery service. It implements engine.Source.
 type Client struct {
 	url    string
 	timing Timing
@@ -47,13 +47,13 @@
 // Close closes idle connections.
 func (c *Client) Close() { c.client.CloseIdleConnections() }
 
-// Watch passes what discovery reports to notify until a call fails, and then the failure;
-// if the timing has a RetryDelay, it goes on after that until ctx ends. The first call does
-// not wait for changes: its answer is the balancer's sign that the watch has begun. after
-// is the version to go on from, nil if there was no list yet; so is the result.
+// Watch passes lists and changes to notify until a call fails, and then the failure. If the
+// timing has a RetryDelay, it retries after that delay until ctx ends. The first call does not
+// wait for changes: its response tells the balancer that the watch has begun. after is the
+// version to continue from, nil if no list was received yet; so is the result.
 //
-// A watch call that times out is replaced at once, one time: nothing shows that discovery
-// is at fault, and what was missed may count as reported already.
+// A watch call that times out is repeated once without delay and without a failure report: the
+// service may be healthy, and changes that were missed may already count as reported.
 func (c *Client) Watch(
 	ctx context.Context, after *uint64, notify func(balancer.ListKind, engine.List),
 ) (*uint64, error) {
@@ -83,12 +83,13 @@
 	}
 }
 
-// isForeignDelta reports whether changes are to another list than ours: their version is
-// older. Only a complete list helps then.
+// isForeignDelta reports whether list holds changes to another list than the one of version
+// after, because its version is older. The client then needs a complete list.
 func isForeignDelta(list engine.List, after *uint64) bool {
 	return !list.Complete && after != nil && list.Version < *after
 }
 
+// kindOf returns the kind of a list that was received.
 func kindOf(list engine.List) balancer.ListKind {
 	if list.Complete {
 		return balancer.ListFull
@@ -96,8 +97,8 @@
 	return balancer.ListDelta
 }
 
-// fetch makes one call. With after, which may be 0, it requests what is newer than that
-// version, and waits for changes up to wait; with nil for the complete list.
+// fetch makes one call. If after is nil, it requests the complete list. Otherwise it requests
+// the changes since that version, for which the service waits up to wait.
 func (c *Client) fetch(ctx context.Context, after *uint64, wait time.Duration) (engine.List, error) {
 	timeout := c.timing.ListTimeout
 	if wait > 0 {
@@ -116,6 +117,7 @@
 	return list, nil
 }
 
+// requestURL returns the URL of the call that fetch describes.
 func (c *Client) requestURL(after *uint64, wait time.Duration) string {
 	if after == nil {
 		return c.url
@@ -123,7 +125,7 @@
 	return fmt.Sprintf("%s?after=%d&wait_ms=%d", c.url, *after, wait.Milliseconds())
 }
 
-// get returns the body of a successful answer.
+// get returns the body of a successful response.
 func (c *Client) get(ctx context.Context, url string) ([]byte, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
--- a/internal/membership/registry/client_test.go
+++ b/internal/membership/registry/client_test.go
@@ -16,7 +16,7 @@
 	"pinedale/internal/engine"
 )
 
-// outcome is what becomes of one call.
+// outcome is how a scripted service handles one call.
 type outcome uint8
 
 const (
@@ -29,15 +29,16 @@
 	reset         // the connection breaks
 )
 
-// scriptedService is a discovery service in memory. Each call has the next outcome of the
-// script; after its end all calls are answered.
+// scriptedService is a discovery service in memory. Each call has the next of the outcomes;
+// calls after the last one are answered.
 type scriptedService struct {
 	outcomes []outcome
 	version  uint64
-	document func(call int) string // the document of a call that is answered; nil for an empty list
+	document func(call int) string // returns the document of a call; nil for an empty list
 	calls    []recordedCall
 }
 
+// recordedCall is a call that a scripted service received.
 type recordedCall struct {
 	url string
 	at  time.Time
@@ -78,7 +79,7 @@
 	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(body)}, nil
 }
 
-// stalledReader is a body that never arrives.
+// stalledReader is a body of which nothing arrives until its context ends.
 type stalledReader struct{ ctx context.Context }
 
 func (s stalledReader) Read([]byte) (int, error) {
@@ -93,13 +94,13 @@
 	list engine.List
 }
 
-// watch runs a script until Watch has reported a number of lists and failures.
-func watch(t *testing.T, timing Timing, s *scriptedService, count int) (reported []notification) {
+// watch calls Watch on a scripted service until it has reported count lists and failures.
+func watch(t *testing.T, timing Timing, service *scriptedService, count int) (reported []notification) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	client := New("127.0.0.1:1", timing)
-	client.client.Transport = s
+	client.client.Transport = service
 	_, err := client.Watch(ctx, nil, func(kind balancer.ListKind, list engine.List) {
 		if len(reported) == count {
 			return // the failure of the call that was cancelled
@@ -115,6 +116,7 @@
 	return reported
 }
 
+// kindsOf returns the kinds of notifications, in order.
 func kindsOf(reported []notification) (kinds []balancer.ListKind) {
 	for _, n := range reported {
 		kinds = append(kinds, n.kind)
@@ -122,8 +124,8 @@
 	return kinds
 }
 
-// However a watch stalls, it is opened again and answered before what it missed counts as
-// reported, and with half of the drain grace to spare where the agent's lists count at once.
+// A watch that stalls is opened again and answered before the changes that it missed count as
+// reported. With PushTiming, where they count at once, that takes at most half of the drain grace.
 func TestStalledWatchIsReplacedInTime(t *testing.T) {
 	const (
 		second = time.Second
@@ -158,41 +160,56 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				s := &scriptedService{outcomes: c.outcomes, version: 41}
-				reported := watch(t, c.timing, s, len(c.kinds))
+				service := &scriptedService{outcomes: c.outcomes, version: 41}
+				reported := watch(t, c.timing, service, len(c.kinds))
 				if got := kindsOf(reported); !slices.Equal(got, c.kinds) {
-					t.Fatalf("reported %v, want %v; calls %v", got, c.kinds, s.calls)
+					t.Fatalf("reported %v, want %v; calls %v", got, c.kinds, service.calls)
 				}
-				first := len(c.outcomes) - 1 // of the calls that stalled one after the other
-				for first > 0 && (c.outcomes[first-1] == stalled || c.outcomes[first-1] == stalledInBody) {
-					first--
-				}
-				if took := reported[len(reported)-1].at.Sub(s.calls[first].at); took > c.limit {
-					t.Errorf("the next list after %v, want at most %v", took, c.limit)
+				stalledSince := service.calls[firstOfLastStall(c.outcomes)].at
+				if elapsed := reported[len(reported)-1].at.Sub(stalledSince); elapsed > c.limit {
+					t.Errorf("the next list after %v, want at most %v", elapsed, c.limit)
 				}
 			})
 		})
 	}
 }
 
-// A watch without changes calls no more often than its timing says.
+// firstOfLastStall returns the index of the first of the consecutive calls without an answer at
+// the end of outcomes.
+func firstOfLastStall(outcomes []outcome) int {
+	first := len(outcomes) - 1
+	for first > 0 && (outcomes[first-1] == stalled || outcomes[first-1] == stalledInBody) {
+		first--
+	}
+	return first
+}
+
+// A watch without changes calls no more often than its timing allows.
 func TestWatchWithoutChangesKeepsItsTiming(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		waited := answeredAfterWait
-		s := &scriptedService{outcomes: []outcome{answered, waited, waited, waited, waited}, version: 41}
-		began := time.Now()
-		watch(t, PollTiming, s, 5)
-		if took := time.Since(began); len(s.calls) != 5 || took < 14*time.Second {
-			t.Errorf("%d calls in %v: %v", len(s.calls), took, s.calls)
+		service := &scriptedService{
+			outcomes: []outcome{
+				answered,
+				answeredAfterWait,
+				answeredAfterWait,
+				answeredAfterWait,
+				answeredAfterWait,
+			},
+			version: 41,
+		}
+		start := time.Now()
+		watch(t, PollTiming, service, 5)
+		if elapsed := time.Since(start); len(service.calls) != 5 || elapsed < 14*time.Second {
+			t.Errorf("%d calls in %v: %v", len(service.calls), elapsed, service.calls)
 		}
-		if s.calls[1].url != "/registry/instances?after=41&wait_ms=3500" {
-			t.Errorf("the watch call is %s", s.calls[1].url)
+		if service.calls[1].url != "/registry/instances?after=41&wait_ms=3500" {
+			t.Errorf("the watch call is %s", service.calls[1].url)
 		}
 	})
 }
 
-// A version that goes back is another list's: changes to it say nothing, and the complete
-// list is requested. A complete list may have any version.
+// A lower version belongs to another list: changes to it are ignored, and the complete list is
+// requested. A complete list may have any version.
 func TestDeltaOfOlderVersionRequestsCompleteList(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		documents := []string{
@@ -201,8 +218,8 @@
 			`{"seq":8,"whole":true,"hosts":[]}`,
 			`{"seq":3,"whole":true,"hosts":[]}`,
 		}
-		s := &scriptedService{document: func(call int) string { return documents[call] }}
-		reported := watch(t, PollTiming, s, 3)
+		service := &scriptedService{document: func(call int) string { return documents[call] }}
+		reported := watch(t, PollTiming, service, 3)
 		want := []balancer.ListKind{balancer.ListFull, balancer.ListFull, balancer.ListFull}
 		if got := kindsOf(reported); !slices.Equal(got, want) {
 			t.Fatalf("reported %v, want %v", got, want)
@@ -210,12 +227,18 @@
 		if reported[1].list.Version != 8 || reported[2].list.Version != 3 {
 			t.Errorf("reported %+v", reported)
 		}
-		if s.calls[2].url != "/registry/instances" {
-			t.Errorf("after the version that went back: %s", s.calls[2].url)
+		if service.calls[2].url != "/registry/instances" {
+			t.Errorf("after the lower version: %s", service.calls[2].url)
 		}
-		s = &scriptedService{outcomes: []outcome{answeredIndented}}
-		if reported = watch(t, PollTiming, s, 1); reported[0].kind != balancer.ListFull || reported[0].list.Version != 41 {
-			t.Errorf("indented: reported %+v", reported)
+	})
+}
+
+func TestWatchReadsIndentedDocument(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := &scriptedService{outcomes: []outcome{answeredIndented}}
+		reported := watch(t, PollTiming, service, 1)
+		if reported[0].kind != balancer.ListFull || reported[0].list.Version != 41 {
+			t.Errorf("reported %+v", reported)
 		}
 	})
 }
--- a/internal/membership/registry/document.go
+++ b/internal/membership/registry/document.go
@@ -8,14 +8,14 @@
 	"pinedale/internal/engine"
 )
 
-// document is a list of endpoints, or of changes to it, in discovery's form.
+// document is the JSON form of an endpoint list, or of changes to one.
 type document struct {
 	Version  uint64 `json:"seq"`
 	Complete bool   `json:"whole"`
 	Hosts    []host `json:"hosts"`
 }
 
-// host is one endpoint of a document.
+// host is the JSON form of one endpoint.
 type host struct {
 	Name      string  `json:"host"`
 	Address   string  `json:"dial"`
@@ -27,14 +27,14 @@
 	StartedMS int64   `json:"born_ms"`
 }
 
-// states maps discovery's names of states to the balancer's.
-var states = map[string]balancer.State{
+// statesByName maps the names of states in a document.
+var statesByName = map[string]balancer.State{
 	"Ready":       balancer.Ready,
 	"Terminating": balancer.Draining,
 	"Gone":        balancer.Removed,
 }
 
-// Parse reads a document. Its errors name the entry and key at fault.
+// Parse decodes and validates a document. Its errors name the invalid entry and key.
 func Parse(data []byte) (engine.List, error) {
 	var parsed document
 	if err := json.Unmarshal(data, &parsed); err != nil {
@@ -46,7 +46,7 @@
 		Hosts:    make([]engine.Host, len(parsed.Hosts)),
 	}
 	for i, h := range parsed.Hosts {
-		state, ok := states[h.State]
+		state, ok := statesByName[h.State]
 		if !ok {
 			return engine.List{}, fmt.Errorf("hosts[%d].health: %q is not a known state", i, h.State)
 		}
--- a/internal/membership/registry/golden_test.go
+++ b/internal/membership/registry/golden_test.go
@@ -11,9 +11,9 @@
 	"pinedale/internal/engine"
 )
 
-var updateGolden = flag.Bool("update", false, "write the golden file in testdata anew from the current code")
+var updateGolden = flag.Bool("update", false, "rewrite the golden file in testdata from the current code")
 
-// documentCase is a discovery document and what Parse makes of it.
+// documentCase is a discovery document and the result of Parse.
 type documentCase struct {
 	Name     string
 	Document string
@@ -21,7 +21,7 @@
 	Error    string `json:",omitempty"`
 }
 
-// documentInputs are the forms of the document that Parse accepts, and faulty ones.
+// documentInputs are valid documents in all forms, and invalid ones.
 var documentInputs = []documentCase{
 	{Name: "empty full list", Document: `{"seq":41,"whole":true,"hosts":[]}`},
 	{Name: "full list", Document: `{"seq":41,"whole":true,"hosts":[` +
@@ -69,7 +69,7 @@
 	{Name: "more after the document", Document: `{"seq":1,"whole":true,"hosts":[]}{}`},
 }
 
-// A discovery document in each form is read to the list, or fails with the error, of the golden file.
+// Parse returns the list or the error of the golden file for each document.
 func TestParseReadsGoldenDocuments(t *testing.T) {
 	current := make([]documentCase, len(documentInputs))
 	for i, input := range documentInputs {
--- a/internal/membership/registry/timing.go
+++ b/internal/membership/registry/timing.go
@@ -2,37 +2,42 @@
 
 import "time"
 
-// Timing is how long a client's calls wait, and are waited for.
+// Timing holds the durations and timeouts of a client's calls.
 type Timing struct {
-	WatchWait   time.Duration // the service holds a watch call for this long if nothing changes
-	WatchGrace  time.Duration // a watch call is given up this long after WatchWait
-	ListTimeout time.Duration // a call that does not wait is given up after this
-	RetryDelay  time.Duration // before the client calls again after a failure; 0 leaves retries to its caller
+	WatchWait   time.Duration // how long the service holds a watch call if nothing changes
+	WatchGrace  time.Duration // timeout of a watch call, in addition to WatchWait
+	ListTimeout time.Duration // timeout of a call that does not wait for changes
+	RetryDelay  time.Duration // delay before a retry after a failure; 0 leaves retries to the caller of Watch
 }
 
-// PollTiming is for a service that all instances share and that works through their calls
-// in turn. What a stalled watch has missed counts as reported 6 s after it stalled, or 2 s
-// after its wait is over, whichever is later: half a second remains for the call that opens
-// it again, besides the drain grace. Calls without changes cost the service 2 in 7 s for
-// each instance.
+// PollTiming is for a service that all instances share and that handles their calls one at a
+// time. Changes that a stalled watch has missed count as reported 6 s after the stall, or 2 s
+// after the end of its wait, whichever is later. That leaves half a second, besides the drain
+// grace, for the call that opens the watch again. While nothing changes, each instance makes
+// 2 calls in 7 s.
 var PollTiming = Timing{
 	WatchWait:   3500 * time.Millisecond,
 	WatchGrace:  2 * time.Second,
 	ListTimeout: 4 * time.Second,
 }
 
-// The bounds of the drain grace that PushTiming divides. Below the lower one the machine's
-// own delays dominate, above the upper one nothing is gained.
+// Bounds of the drain grace that PushTiming divides. Below the lower bound, delays of the
+// machine itself dominate; above the upper bound, longer timeouts have no benefit.
 const (
 	minPushGrace = 400 * time.Millisecond
 	maxPushGrace = 4 * time.Second
 )
 
-// PushTiming is for an agent on the instance's own machine, which answers at once and at no
-// cost. What the agent has counts as reported, whatever became of the calls: a call that is
-// lost must be detected and repeated within the drain grace, after which no new request may
-// go to a server that was reported draining. All parts together take less than half of it.
+// PushTiming is for an agent on the instance's own machine, where calls are fast and cheap. A
+// change counts as reported as soon as the agent knows it, even if the client's calls fail. After
+// the drain grace no new request may go to a server that was reported draining, so a lost call
+// must be detected and repeated within it. All durations together are less than half of it.
 func PushTiming(grace time.Duration) Timing {
 	grace = min(max(grace, minPushGrace), maxPushGrace)
-	return Timing{WatchWait: grace / 4, WatchGrace: grace / 8, ListTimeout: grace / 8, RetryDelay: grace / 20}
+	return Timing{
+		WatchWait:   grace / 4,
+		WatchGrace:  grace / 8,
+		ListTimeout: grace / 8,
+		RetryDelay:  grace / 20,
+	}
 }
--- a/internal/wire/decoder.go
+++ b/internal/wire/decoder.go
@@ -9,27 +9,28 @@
 	"pinedale/balancer"
 )
 
-// Event is one decoded record. Only the fields of its code are set; slices are valid until the next call of Next.
+// Event is one decoded record. Comments name the codes of the records that set a field; the other fields are left
+// unset. Slices are valid until the next call of Next.
 type Event struct {
 	Code     Code
-	Offset   int    // of the record in its frame
-	Instance uint32 // Instance
-	Seed     uint64 // Begin
-	Config   string // Begin: the settings text
-	Kind     balancer.ListKind
+	Offset   int                 // byte offset of the record in its frame
+	Instance uint32              // Instance
+	Seed     uint64              // Begin
+	Config   string              // Begin: the settings text
+	Kind     balancer.ListKind   // Membership
 	Entries  []balancer.Endpoint // Membership
-	Request  balancer.Request
-	Outcome  balancer.Outcome // Answer; Headers and CancelledByClient set parts of it
-	Token    uint32           // TimeoutFired
-	Endpoint uint32           // HealthResult
-	Status   balancer.Status  // HealthResult
-	Latency  balancer.Micros  // HealthResult
-	Load     []float32        // HealthResult
-	From     uint16           // Whisper
-	Data     []byte           // Whisper
+	Request  balancer.Request    // Request
+	Outcome  balancer.Outcome    // Answer; Headers and CancelledByClient set parts of it
+	Token    uint32              // TimeoutFired
+	Endpoint uint32              // HealthResult
+	Status   balancer.Status     // HealthResult
+	Latency  balancer.Micros     // HealthResult
+	Load     []float32           // HealthResult
+	From     uint16              // Whisper
+	Data     []byte              // Whisper
 }
 
-// Decoder reads the records of batches. It keeps the numbered endpoint lists, which outlive a batch.
+// Decoder reads the records of batches. It stores the numbered endpoint lists, which remain valid in later batches.
 type Decoder struct {
 	frame  []byte
 	offset int // of the next record in the frame
@@ -38,12 +39,12 @@
 	record       []byte
 	recordOffset int // in the frame
 	recordName   string
-	read         int // bytes of the record that were read
+	bytesRead    int // of the record
 	err          error
 
-	lists [maxLists][]balancer.Endpoint
-	known [maxLists]bool // by number: the list was sent
-	load  []float32      // buffer of load reports
+	lists     [maxLists][]balancer.Endpoint
+	listKnown [maxLists]bool // by number: a manifest record has set the list
+	load      []float32      // buffer of load reports
 }
 
 // Reset starts on a frame from ReadFrame and returns its number and clock.
@@ -51,13 +52,16 @@
 	if len(frame) < batchHeaderSize {
 		return 0, 0, &FrameError{Record: "batch header", Offset: len(frame), Reason: "shorter than a header"}
 	}
-	if size := int(binary.BigEndian.Uint32(frame[4:])); size != len(frame) {
-		return 0, 0, &FrameError{Record: "batch header", Offset: 4,
-			Reason: fmt.Sprintf("size %d but %d bytes", size, len(frame))}
+	if size := int(binary.BigEndian.Uint32(frame[batchSizeOffset:])); size != len(frame) {
+		return 0, 0, &FrameError{
+			Record: "batch header",
+			Offset: batchSizeOffset,
+			Reason: fmt.Sprintf("size %d but %d bytes", size, len(frame)),
+		}
 	}
 	d.frame = frame
 	d.offset = batchHeaderSize
-	return binary.BigEndian.Uint32(frame), balancer.Micros(binary.BigEndian.Uint64(frame[8:])), nil
+	return binary.BigEndian.Uint32(frame), balancer.Micros(binary.BigEndian.Uint64(frame[batchClockOffset:])), nil
 }
 
 // Next decodes one record into e. It returns io.EOF after the last one, and a *FrameError for a malformed one. A
@@ -73,32 +77,33 @@
 	e.Code = Code(d.record[0])
 	e.Offset = d.offset
 	d.decodeFields(e)
-	if d.err == nil && d.read < len(d.record) {
-		d.fail(fmt.Sprintf("%d bytes too many", len(d.record)-d.read))
+	if d.err == nil && d.bytesRead < len(d.record) {
+		d.fail(fmt.Sprintf("%d bytes too many", len(d.record)-d.bytesRead))
 	}
 	d.offset += len(d.record)
 	return d.err
 }
 
-// startRecord reads the header of the next record.
+// startRecord reads the header of the next record, where that many bytes of the frame remain.
 func (d *Decoder) startRecord(remaining int) error {
 	d.recordOffset = d.offset
 	d.recordName = "record"
-	d.read = 0
+	d.bytesRead = 0
 	d.err = nil
 	if remaining < recordHeaderSize {
 		d.fail(fmt.Sprintf("a record header needs %d bytes, has %d", recordHeaderSize, remaining))
 		return d.err
 	}
 	d.recordName = Code(d.frame[d.offset]).String()
-	size := int(binary.BigEndian.Uint32(d.frame[d.offset+1:]))
-	if size > remaining-recordHeaderSize {
-		d.read = 1
-		d.fail(fmt.Sprintf("fields of %d bytes overrun the frame, which has %d left", size, remaining-recordHeaderSize))
+	size := int(binary.BigEndian.Uint32(d.frame[d.offset+codeSize:]))
+	remaining -= recordHeaderSize
+	if size > remaining {
+		d.bytesRead = codeSize // the error is at the size
+		d.fail(fmt.Sprintf("fields of %d bytes overrun the frame, which has %d left", size, remaining))
 		return d.err
 	}
 	d.record = d.frame[d.offset : d.offset+recordHeaderSize+size]
-	d.read = recordHeaderSize
+	d.bytesRead = recordHeaderSize
 	return nil
 }
 
@@ -140,17 +145,44 @@
 	case Instance:
 		e.Instance = d.uint32()
 	default:
-		d.read = len(d.record)
+		d.bytesRead = len(d.record)
 	}
 }
 
 // Bits of the options of a request record.
 const (
-	optionHasWorkHint = 1 << iota
+	optionHasWorkHint uint8 = 1 << iota
 	optionClientRetry
 	optionWrite
 )
 
+// States of endpoints in a manifest record.
+const (
+	stateReady    = 0
+	stateDraining = 1
+	stateRemoved  = 3
+)
+
+// Kinds of list in a membership record.
+const (
+	kindDelta  = 0
+	kindFailed = 2
+	kindCached = 3
+	kindFull   = 4
+)
+
+// Statuses of attempts and health checks.
+const (
+	statusOK            = 200
+	statusNotSent       = 410
+	statusCancelled     = 499
+	statusError         = 500
+	statusConnectFailed = 502
+	statusFull          = 503
+	statusTimeout       = 504
+	statusReset         = 598
+)
+
 // request reads the fields of a request record.
 func (d *Decoder) request(r *balancer.Request) {
 	r.ID = d.uint64()
@@ -176,9 +208,8 @@
 func (d *Decoder) manifest() {
 	number := d.listNumber()
 	count := int(d.uint32())
-	if d.err == nil && count*entrySize > len(d.record)-d.read {
-		d.read -= 4
-		d.fail(fmt.Sprintf("%d entries overrun the record", count))
+	if count*entrySize > len(d.record)-d.bytesRead {
+		d.failAtLast(4, fmt.Sprintf("%d entries overrun the record", count))
 	}
 	if d.err != nil {
 		return
@@ -188,7 +219,7 @@
 		list = append(list, d.endpoint())
 	}
 	d.lists[number] = list
-	d.known[number] = true
+	d.listKnown[number] = true
 }
 
 // endpoint reads one entry of a manifest.
@@ -198,28 +229,32 @@
 	e.Zone = d.uint8()
 	e.Kind = d.uint8()
 	e.Cell = d.uint16()
-	switch state := d.uint8(); state {
-	case 0:
-		e.State = balancer.Ready
-	case 1:
-		e.State = balancer.Draining
-	case 3:
-		e.State = balancer.Removed
-	default:
-		d.read--
-		d.fail(fmt.Sprintf("unknown endpoint status %d", state))
-	}
+	e.State = d.endpointState()
 	e.Weight = math.Float32frombits(d.uint32())
 	e.StartTime = balancer.Micros(d.uint64())
 	return e
 }
 
+// endpointState reads the state of an endpoint.
+func (d *Decoder) endpointState() balancer.State {
+	code := d.uint8()
+	switch code {
+	case stateReady:
+		return balancer.Ready
+	case stateDraining:
+		return balancer.Draining
+	case stateRemoved:
+		return balancer.Removed
+	}
+	d.failAtLast(1, fmt.Sprintf("unknown endpoint status %d", code))
+	return balancer.Ready
+}
+
 // listNumber reads the number of an endpoint list.
 func (d *Decoder) listNumber() int {
 	number := int(d.uint8())
-	if number >= maxLists && d.err == nil {
-		d.read--
-		d.fail(fmt.Sprintf("list number %d is over %d", number, maxLists-1))
+	if number >= maxLists {
+		d.failAtLast(1, fmt.Sprintf("list number %d is over %d", number, maxLists-1))
 		return 0
 	}
 	return number
@@ -229,74 +264,82 @@
 func (d *Decoder) membership(e *Event) {
 	number := d.uint8()
 	e.Entries = nil
-	switch kind := d.uint8(); kind {
-	case 0:
-		e.Kind = balancer.ListDelta
-	case 4:
-		e.Kind = balancer.ListFull
-	case 3:
-		e.Kind = balancer.ListCached
-	case 2:
-		e.Kind = balancer.ListFailed
-		return
-	default:
-		d.read--
-		d.fail(fmt.Sprintf("unknown kind %d", kind))
-	}
-	if d.err != nil {
+	e.Kind = d.listKind()
+	if d.err != nil || e.Kind == balancer.ListFailed {
 		return
 	}
-	if number >= maxLists || !d.known[number] {
-		d.read -= 2
-		d.fail(fmt.Sprintf("list number %d has not been conveyed", number))
+	if number >= maxLists || !d.listKnown[number] {
+		d.failAtLast(2, fmt.Sprintf("list number %d has not been conveyed", number))
 		return
 	}
 	e.Entries = d.lists[number]
 }
 
-// status reads the status of an attempt or a probe.
+// listKind reads the kind of a list.
+func (d *Decoder) listKind() balancer.ListKind {
+	code := d.uint8()
+	switch code {
+	case kindDelta:
+		return balancer.ListDelta
+	case kindFull:
+		return balancer.ListFull
+	case kindCached:
+		return balancer.ListCached
+	case kindFailed:
+		return balancer.ListFailed
+	}
+	d.failAtLast(1, fmt.Sprintf("unknown kind %d", code))
+	return balancer.ListFailed
+}
+
+// status reads the status of an attempt or a health check.
 func (d *Decoder) status() balancer.Status {
 	code := d.uint16()
 	switch code {
-	case 200:
+	case statusOK:
 		return balancer.OK
-	case 500:
+	case statusError:
 		return balancer.Error
-	case 503:
+	case statusFull:
 		return balancer.Full
-	case 504:
+	case statusTimeout:
 		return balancer.Timeout
-	case 502:
+	case statusConnectFailed:
 		return balancer.ConnectFailed
-	case 598:
+	case statusReset:
 		return balancer.Reset
-	case 499:
+	case statusCancelled:
 		return balancer.Cancelled
-	case 410:
+	case statusNotSent:
 		return balancer.NotSent
 	}
-	if d.err == nil {
-		d.read -= 2
-		d.fail(fmt.Sprintf("unknown status %d", code))
-	}
+	d.failAtLast(2, fmt.Sprintf("unknown status %d", code))
 	return balancer.Error
 }
 
 // loadReport reads the figures of a load report into the decoder's buffer.
 func (d *Decoder) loadReport() []float32 {
 	count := int(d.uint8())
-	data := d.take(4 * count)
+	data := d.take(count * loadFigureSize)
 	d.load = d.load[:0]
-	for i := 0; i+4 <= len(data); i += 4 {
+	for i := 0; i+loadFigureSize <= len(data); i += loadFigureSize {
 		d.load = append(d.load, math.Float32frombits(binary.BigEndian.Uint32(data[i:])))
 	}
 	return d.load
 }
 
+// failAtLast records an error about the last n bytes that were read, unless there was one before.
+func (d *Decoder) failAtLast(n int, reason string) {
+	if d.err == nil {
+		d.bytesRead -= n
+		d.fail(reason)
+	}
+}
+
 // fail records the first error of a record, at the byte that is read next.
 func (d *Decoder) fail(reason string) {
 	if d.err == nil {
-		d.err = &FrameError{Record: d.recordName, Offset: d.recordOffset + d.read, Reason: reason}
+		d.err = &FrameError{Record: d.recordName, Offset: d.recordOffset + d.bytesRead, Reason: reason}
 	}
 }
 
@@ -305,12 +348,12 @@
 	if d.err != nil {
 		return nil
 	}
-	if n < 0 || len(d.record)-d.read < n {
-		d.fail(fmt.Sprintf("needs %d more bytes, has %d", n, len(d.record)-d.read))
+	if n < 0 || len(d.record)-d.bytesRead < n {
+		d.fail(fmt.Sprintf("needs %d more bytes, has %d", n, len(d.record)-d.bytesRead))
 		return nil
 	}
-	data := d.record[d.read : d.read+n]
-	d.read += n
+	data := d.record[d.bytesRead : d.bytesRead+n]
+	d.bytesRead += n
 	return data
 }
 
--- a/internal/wire/reply.go
+++ b/internal/wire/reply.go
@@ -10,128 +10,143 @@
 // AllPeers addresses WritePeer to every peer.
 const AllPeers uint32 = math.MaxUint32
 
-// maxPeerData is the size in bytes to which the data of a write_peer record is cut.
-const maxPeerData = 256
+// maxPeerDataBytes is the size to which the data of a write_peer record is cut.
+const maxPeerDataBytes = 256
+
+// Sizes of the fields of records, in bytes.
+const (
+	idSize       = 8 // of a request
+	attemptSize  = 2
+	endpointSize = 4
+	instanceSize = 4
+	peerSize     = 4
+	delaySize    = 4
+	tokenSize    = 4
+	flagSize     = 1
+	lengthSize   = 2 // of data or text that follows
+)
 
-// Reply builds the answer to one batch. It reuses its buffer.
+// Reply builds the frame that answers one batch. It reuses its buffer.
 type Reply struct {
 	buffer  []byte
 	records uint32
 }
 
 // Reset starts the reply to a batch.
-func (w *Reply) Reset(batch uint32) {
-	w.buffer = binary.BigEndian.AppendUint32(w.buffer[:0], batch)
-	w.buffer = append(w.buffer, 0, 0, 0, 0, 0, 0, 0, 0) // size and number of records: see Bytes
-	w.records = 0
+func (r *Reply) Reset(batch uint32) {
+	r.buffer = binary.BigEndian.AppendUint32(r.buffer[:0], batch)
+	r.buffer = append(r.buffer, 0, 0, 0, 0, 0, 0, 0, 0) // the size and the number of records, which Bytes sets
+	r.records = 0
 }
 
 // Bytes completes the frame and returns it. It is valid until the next call of Reset.
-func (w *Reply) Bytes() []byte {
-	binary.BigEndian.PutUint32(w.buffer[4:], uint32(len(w.buffer)))
-	binary.BigEndian.PutUint32(w.buffer[8:], w.records)
-	return w.buffer
+func (r *Reply) Bytes() []byte {
+	binary.BigEndian.PutUint32(r.buffer[replySizeOffset:], uint32(len(r.buffer)))
+	binary.BigEndian.PutUint32(r.buffer[replyCountOffset:], r.records)
+	return r.buffer
 }
 
-// As names the instance that issues the following actions.
-func (w *Reply) As(instance uint32) {
-	w.startRecord(As, 4)
-	w.uint32(instance)
+// As writes an as record: the instance that issues the actions after it.
+func (r *Reply) As(instance uint32) {
+	r.startRecord(As, instanceSize)
+	r.uint32(instance)
 }
 
 // Deliver writes a deliver record.
-func (w *Reply) Deliver(id uint64, endpoint uint32, timeout balancer.Micros) {
-	w.startRecord(Deliver, 16)
-	w.uint64(id)
-	w.uint32(endpoint)
-	w.micros(timeout)
+func (r *Reply) Deliver(id uint64, endpoint uint32, timeout balancer.Micros) {
+	r.startRecord(Deliver, idSize+endpointSize+delaySize)
+	r.uint64(id)
+	r.uint32(endpoint)
+	r.micros(timeout)
 }
 
 // Decline writes a decline record.
-func (w *Reply) Decline(id uint64, retryIn balancer.Micros) {
-	w.startRecord(Decline, 12)
-	w.uint64(id)
-	w.micros(retryIn)
+func (r *Reply) Decline(id uint64, retryIn balancer.Micros) {
+	r.startRecord(Decline, idSize+delaySize)
+	r.uint64(id)
+	r.micros(retryIn)
 }
 
 // Fail writes a fail record.
-func (w *Reply) Fail(id uint64) {
-	w.startRecord(Fail, 8)
-	w.uint64(id)
+func (r *Reply) Fail(id uint64) {
+	r.startRecord(Fail, idSize)
+	r.uint64(id)
 }
 
 // Revoke writes a revoke record.
-func (w *Reply) Revoke(id uint64, attempt int) {
-	w.startRecord(Revoke, 10)
-	w.uint64(id)
-	w.uint16(uint16(attempt))
+func (r *Reply) Revoke(id uint64, attempt int) {
+	r.startRecord(Revoke, idSize+attemptSize)
+	r.uint64(id)
+	r.uint16(uint16(attempt))
 }
 
 // Arm writes an arm record.
-func (w *Reply) Arm(delay balancer.Micros, token uint32) {
-	w.startRecord(Arm, 8)
-	w.micros(delay)
-	w.uint32(token)
+func (r *Reply) Arm(delay balancer.Micros, token uint32) {
+	r.startRecord(Arm, delaySize+tokenSize)
+	r.micros(delay)
+	r.uint32(token)
 }
 
 // SoundOut writes a sound_out record.
-func (w *Reply) SoundOut(endpoint uint32) {
-	w.startRecord(SoundOut, 4)
-	w.uint32(endpoint)
+func (r *Reply) SoundOut(endpoint uint32) {
+	r.startRecord(SoundOut, endpointSize)
+	r.uint32(endpoint)
 }
 
 // LetGo writes a let_go record.
-func (w *Reply) LetGo(endpoint uint32) {
-	w.startRecord(LetGo, 4)
-	w.uint32(endpoint)
+func (r *Reply) LetGo(endpoint uint32) {
+	r.startRecord(LetGo, endpointSize)
+	r.uint32(endpoint)
 }
 
-// WritePeer writes a write_peer record; data beyond 256 bytes is cut off.
-func (w *Reply) WritePeer(peer uint32, data []byte) {
-	data = data[:min(len(data), maxPeerData)]
-	w.startRecord(WritePeer, 6+len(data))
-	w.uint32(peer)
-	w.uint16(uint16(len(data)))
-	w.buffer = append(w.buffer, data...)
+// WritePeer writes a write_peer record. Data beyond maxPeerDataBytes is cut off.
+func (r *Reply) WritePeer(peer uint32, data []byte) {
+	data = data[:min(len(data), maxPeerDataBytes)]
+	r.startRecord(WritePeer, peerSize+lengthSize+len(data))
+	r.uint32(peer)
+	r.uint16(uint16(len(data)))
+	r.buffer = append(r.buffer, data...)
 }
 
 // Trace writes a trace record.
-func (w *Reply) Trace(line string) { w.text(Trace, line) }
+func (r *Reply) Trace(line string) { r.text(Trace, line) }
 
 // Exception writes an exception record.
-func (w *Reply) Exception(line string) { w.text(Exception, line) }
+func (r *Reply) Exception(line string) { r.text(Exception, line) }
 
 // Track writes a track record.
-func (w *Reply) Track(on bool) {
-	w.startRecord(Track, 1)
+func (r *Reply) Track(on bool) {
+	r.startRecord(Track, flagSize)
 	if on {
-		w.buffer = append(w.buffer, 1)
+		r.buffer = append(r.buffer, 1)
 	} else {
-		w.buffer = append(w.buffer, 0)
+		r.buffer = append(r.buffer, 0)
 	}
 }
 
 // ListAll writes a list_all record.
-func (w *Reply) ListAll() { w.startRecord(ListAll, 0) }
+func (r *Reply) ListAll() { r.startRecord(ListAll, 0) }
 
-// startRecord writes the header of a record with fields of so many bytes.
-func (w *Reply) startRecord(code Code, size int) {
-	w.records++
-	w.buffer = append(w.buffer, byte(code))
-	w.uint32(uint32(size))
+// startRecord writes the header of a record whose fields take size bytes.
+func (r *Reply) startRecord(code Code, size int) {
+	r.records++
+	r.buffer = append(r.buffer, byte(code))
+	r.uint32(uint32(size))
 }
 
-// text writes a record of one line, cut to the longest that its size can state.
-func (w *Reply) text(code Code, line string) {
+// text writes a record of one line, which is cut to the longest length that its field can hold.
+func (r *Reply) text(code Code, line string) {
 	line = line[:min(len(line), math.MaxUint16)]
-	w.startRecord(code, 2+len(line))
-	w.uint16(uint16(len(line)))
-	w.buffer = append(w.buffer, line...)
+	r.startRecord(code, lengthSize+len(line))
+	r.uint16(uint16(len(line)))
+	r.buffer = append(r.buffer, line...)
 }
 
-func (w *Reply) uint16(v uint16) { w.buffer = binary.BigEndian.AppendUint16(w.buffer, v) }
-func (w *Reply) uint32(v uint32) { w.buffer = binary.BigEndian.AppendUint32(w.buffer, v) }
-func (w *Reply) uint64(v uint64) { w.buffer = binary.BigEndian.AppendUint64(w.buffer, v) }
+func (r *Reply) uint16(value uint16) { r.buffer = binary.BigEndian.AppendUint16(r.buffer, value) }
+func (r *Reply) uint32(value uint32) { r.buffer = binary.BigEndian.AppendUint32(r.buffer, value) }
+func (r *Reply) uint64(value uint64) { r.buffer = binary.BigEndian.AppendUint64(r.buffer, value) }
 
-// micros writes a duration, clamped to what four bytes can state.
-func (w *Reply) micros(v balancer.Micros) { w.uint32(uint32(min(max(v, 0), math.MaxUint32))) }
+// micros writes a duration, clamped to the range of four bytes.
+func (r *Reply) micros(duration balancer.Micros) {
+	r.uint32(uint32(min(max(duration, 0), math.MaxUint32)))
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -3,17 +3,28 @@
 import (
 	"fmt"
 	"math"
-	"strconv"
 	"strings"
 
 	"pinedale/balancer"
 )
 
 const (
-	maxListed           = 256        // classes or tenants
-	defaultPollInterval = 10_000_000 // µs
+	second              balancer.Micros = 1_000_000
+	defaultPollInterval                 = 10 * second
 )
 
+// discoveryModes maps the values of "discovery" to Settings.PollDiscovery.
+var discoveryModes = map[string]bool{
+	"automatic": false,
+	"subscribe": true,
+}
+
+// valueUnits maps the values of "value-by" to Settings.WeightByWork.
+var valueUnits = map[string]bool{
+	"request": false,
+	"work":    true,
+}
+
 // ParseSettings reads the settings text of a begin record: lines of the form path=value. Unknown keys are skipped.
 // Errors are *balancer.SettingError and name the key on the wire; whether values make sense is left to balancer.New.
 func ParseSettings(text string) (balancer.Settings, error) {
@@ -21,13 +32,13 @@
 	if err != nil {
 		return balancer.Settings{}, err
 	}
-	s := balancer.Settings{
+	settings := balancer.Settings{
 		Balancers:            int(t.integer("peers-total", 1)),
 		Position:             int(t.integer("position", 0)),
 		Zone:                 int(t.integer("zone", 0)),
 		Zones:                countItems(t.pairs["areas"]),
 		Kinds:                countItems(t.pairs["skus"]),
-		PollDiscovery:        keyword(t, "discovery", false, map[string]bool{"automatic": false, "subscribe": true}),
+		PollDiscovery:        keyword(t, "discovery", false, discoveryModes),
 		Tick:                 t.integer("tick", 0),
 		Limits:               t.limits(),
 		Contract:             t.contract(),
@@ -35,36 +46,12 @@
 		Goal:                 t.goal(),
 		KeyAffinity:          t.boolean("family-info.warm-keys"),
 		OverQuotaWeightRatio: t.number("over-share-worth", 1),
-		WeightByWork:         keyword(t, "value-by", false, map[string]bool{"request": false, "work": true}),
-	}
-	s.Fields = t.fields()
-	s.Classes = t.classes()
-	s.Tenants = t.tenants()
-	return s, t.err
-}
-
-// settingsText holds the pairs of a settings text, and the first error met in reading them.
-type settingsText struct {
-	pairs map[string]string
-	err   error
-}
-
-// parsePairs splits a settings text into keys and values.
-func parsePairs(text string) (*settingsText, error) {
-	t := &settingsText{pairs: map[string]string{}}
-	for i, line := range strings.Split(text, "\n") {
-		line = strings.TrimSuffix(line, "\r")
-		if line == "" {
-			continue
-		}
-		key, value, ok := strings.Cut(line, "=")
-		if !ok {
-			return nil, &balancer.SettingError{Key: fmt.Sprintf("line %d", i+1), Value: line,
-				Reason: "not of the form path=value"}
-		}
-		t.pairs[key] = value
+		WeightByWork:         keyword(t, "value-by", false, valueUnits),
 	}
-	return t, nil
+	settings.Fields = t.fields()
+	settings.Classes = t.classes()
+	settings.Tenants = t.tenants()
+	return settings, t.err
 }
 
 func (t *settingsText) limits() balancer.Limits {
@@ -112,44 +99,60 @@
 	}
 }
 
-// fieldNames maps the figures of load reports; others are FieldOther.
-var fieldNames = map[string]balancer.Field{
-	"busy_reqs": balancer.FieldInFlight, "pending": balancer.FieldQueue, "cpu_share": balancer.FieldUtilization,
-	"svc_ms": balancer.FieldLatency, "served_ps": balancer.FieldServed, "failed_ps": balancer.FieldErrors,
+// fieldsByName maps the names of load figures; other names are FieldOther.
+var fieldsByName = map[string]balancer.Field{
+	"busy_reqs": balancer.FieldInFlight,
+	"pending":   balancer.FieldQueue,
+	"cpu_share": balancer.FieldUtilization,
+	"svc_ms":    balancer.FieldLatency,
+	"served_ps": balancer.FieldServed,
+	"failed_ps": balancer.FieldErrors,
 }
 
-var reportingKinds = map[string]string{"answers": "answers", "probe": "probe", "none": "none"}
+// reportingModes maps the values of "reporting.how" to whether endpoints report their load.
+var reportingModes = map[string]bool{
+	"answers": true,
+	"probe":   true,
+	"none":    false,
+}
 
-// fields returns the figures of load reports, in order; none where endpoints do not report.
+// fields returns the figures of load reports in order, nil if endpoints do not report.
 func (t *settingsText) fields() []balancer.Field {
-	kind := keyword(t, "reporting.how", "none", reportingKinds)
+	reported := keyword(t, "reporting.how", false, reportingModes)
 	names := t.pairs["reporting.fields"]
-	if kind == "none" || names == "" {
+	if !reported || names == "" {
 		return nil
 	}
 	var fields []balancer.Field
 	for _, name := range strings.Split(names, ",") {
-		fields = append(fields, fieldNames[name])
+		fields = append(fields, fieldsByName[name])
 	}
 	return fields
 }
 
+// idempotencies maps the values of "repeat" of a class.
 var idempotencies = map[string]balancer.Idempotency{
-	"pure": balancer.Idempotent, "token": balancer.IdempotentWithKey, "side_effect": balancer.NotIdempotent,
+	"pure":        balancer.Idempotent,
+	"token":       balancer.IdempotentWithKey,
+	"side_effect": balancer.NotIdempotent,
 }
 
+// groups maps the values of "group" of a class.
 var groups = map[string]balancer.Group{
-	"all": balancer.GroupAll, "zone": balancer.GroupZone, "cell": balancer.GroupCell,
+	"all":  balancer.GroupAll,
+	"zone": balancer.GroupZone,
+	"cell": balancer.GroupCell,
 }
 
+// requiredClassKeys must be present in each class.
+var requiredClassKeys = [...]string{"target", "give-up", "repeat"}
+
 func (t *settingsText) classes() []balancer.Class {
 	var classes []balancer.Class
 	for i := range t.count("classes", true) {
 		prefix := fmt.Sprintf("classes.%d.", i)
-		for _, key := range [...]string{"target", "give-up", "repeat"} {
-			if _, ok := t.pairs[prefix+key]; !ok {
-				t.fail(prefix+key, "", "is missing")
-			}
+		for _, key := range requiredClassKeys {
+			t.require(prefix + key)
 		}
 		classes = append(classes, balancer.Class{
 			Name:             t.pairs[prefix+"name"],
@@ -178,93 +181,3 @@
 	}
 	return tenants
 }
-
-// fail records the first error.
-func (t *settingsText) fail(key, value, reason string) {
-	if t.err == nil {
-		t.err = &balancer.SettingError{Key: key, Value: value, Reason: reason}
-	}
-}
-
-// value returns the value of a key, parsed, or the fallback if the key is absent.
-func value[T any](t *settingsText, key string, fallback T, form string, parse func(string) (T, error)) T {
-	text, ok := t.pairs[key]
-	if !ok {
-		return fallback
-	}
-	v, err := parse(text)
-	if err != nil {
-		t.fail(key, text, "not "+form)
-		return fallback
-	}
-	return v
-}
-
-func (t *settingsText) number(key string, fallback float64) float64 {
-	return value(t, key, fallback, "a finite number", func(s string) (float64, error) {
-		v, err := strconv.ParseFloat(s, 64)
-		if err == nil && (math.IsNaN(v) || math.IsInf(v, 0)) {
-			err = strconv.ErrRange
-		}
-		return v, err
-	})
-}
-
-func (t *settingsText) integer(key string, fallback int64) int64 {
-	return value(t, key, fallback, "a whole number", func(s string) (int64, error) {
-		return strconv.ParseInt(s, 10, 64)
-	})
-}
-
-// boolean returns false for a key that is absent.
-func (t *settingsText) boolean(key string) bool {
-	return value(t, key, false, "true or false", strconv.ParseBool)
-}
-
-// keyword returns the meaning of a word; an unknown word is an error.
-func keyword[T any](t *settingsText, key string, fallback T, meanings map[string]T) T {
-	return value(t, key, fallback, "a known word", func(s string) (T, error) {
-		if meaning, ok := meanings[s]; ok {
-			return meaning, nil
-		}
-		return fallback, strconv.ErrSyntax
-	})
-}
-
-// count returns the length of a list of objects, each of which must have a key at least.
-func (t *settingsText) count(list string, required bool) int {
-	key := list + ".count"
-	if _, ok := t.pairs[key]; !ok && required {
-		t.fail(key, "", "is missing")
-	}
-	count := t.integer(key, 0)
-	text := strconv.FormatInt(count, 10)
-	if count < 0 || count > maxListed {
-		t.fail(key, text, "out of range")
-		return 0
-	}
-	for i := range int(count) {
-		if object := fmt.Sprintf("%s.%d", list, i); !t.has(object + ".") {
-			t.fail(key, text, object+" is missing")
-		}
-	}
-	return int(count)
-}
-
-// has reports whether any key has a prefix.
-func (t *settingsText) has(prefix string) bool {
-	for key := range t.pairs {
-		if strings.HasPrefix(key, prefix) {
-			return true
-		}
-	}
-	return false
-}
-
-// countItems counts the comma-separated items of a list of plain values.
-func countItems(text string) int {
-	if text == "" {
-		return 0
-	}
-	return strings.Count(text, ",") + 1
-}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -1,9 +1,9 @@
 // Package wire is the codec of the simulator's protocol: binary frames in both directions, and the settings text of
-// a begin record. It takes no decisions and keeps no state but the endpoint lists that a Decoder was sent.
+// a begin record. It makes no decisions, and its only state is the endpoint lists that a Decoder has received.
 //
-// A frame to the host is a batch of events: number, size and clock, then records of one code byte, a size and
-// fields, all big endian. The host answers each batch by one frame of actions. Codes, names of records and keys of
-// settings are those of the protocol; the decoder maps them to the terms of package balancer.
+// A frame to the host is a batch of events: number, size and clock, followed by records of a code byte, a size and
+// fields, all big endian. The host answers each batch with one frame of actions. Codes, names of records and keys of
+// settings are those of the protocol. The decoder maps them to the terms of package balancer.
 package wire
 
 import (
@@ -50,10 +50,18 @@
 )
 
 var eventNames = map[Code]string{
-	Begin: "begin", Membership: "membership", Request: "request", Headers: "headers",
-	Answer: "answer", CancelledByClient: "cancelled_by_client", TimeoutFired: "timeout_fired",
-	HealthResult: "health_result", Whisper: "whisper", Stop: "stop", Manifest: "manifest",
-	Instance: "instance",
+	Begin:             "begin",
+	Membership:        "membership",
+	Request:           "request",
+	Headers:           "headers",
+	Answer:            "answer",
+	CancelledByClient: "cancelled_by_client",
+	TimeoutFired:      "timeout_fired",
+	HealthResult:      "health_result",
+	Whisper:           "whisper",
+	Stop:              "stop",
+	Manifest:          "manifest",
+	Instance:          "instance",
 }
 
 // String returns the event's name on the wire.
@@ -64,19 +72,27 @@
 	return fmt.Sprintf("event %d", uint8(c))
 }
 
-// Sizes in bytes, but maxLists.
+// Layout of frames, in bytes. A batch begins with its number, followed by its size and its clock.
 const (
-	batchHeaderSize  = 16
-	replyHeaderSize  = 12
-	recordHeaderSize = 5
-	entrySize        = 21 // of an endpoint in a manifest record
-	maxFrameSize     = 1 << 30
-	initialBuffer    = 1 << 16
-	maxReadStep      = 1 << 20
-	maxLists         = 16 // numbered endpoint lists
+	batchSizeOffset   = 4
+	batchClockOffset  = 8
+	batchHeaderSize   = 16
+	replySizeOffset   = 4
+	replyCountOffset  = 8
+	replyHeaderSize   = 12
+	codeSize          = 1
+	recordHeaderSize  = 5
+	entrySize         = 21 // of an endpoint in a manifest record
+	loadFigureSize    = 4
+	maxFrameSize      = 1 << 30
+	initialBufferSize = 1 << 16
+	maxReadStep       = 1 << 20 // bytes that ReadFrame makes room for at a time
 )
 
-// FrameError says which record is malformed and at which byte of its frame.
+// maxLists is the number of numbered endpoint lists.
+const maxLists = 16
+
+// FrameError reports which record is malformed and at which byte of its frame.
 type FrameError struct {
 	Record string
 	Offset int
@@ -88,39 +104,60 @@
 	return fmt.Sprintf("%s at byte %d: %s", e.Record, e.Offset, e.Reason)
 }
 
-// ReadFrame reads one batch into buf, which grows as needed, and returns it. It returns io.EOF only at the end of
+// ReadFrame reads one batch into buffer, which grows as needed, and returns it. It returns io.EOF only at the end of
 // input between two frames, and a *FrameError for a malformed or truncated frame.
-func ReadFrame(r io.Reader, buf []byte) ([]byte, error) {
-	if cap(buf) < batchHeaderSize {
-		buf = make([]byte, initialBuffer)
+func ReadFrame(r io.Reader, buffer []byte) ([]byte, error) {
+	if cap(buffer) < batchHeaderSize {
+		buffer = make([]byte, initialBufferSize)
+	}
+	buffer = buffer[:batchHeaderSize]
+	size, err := readHeader(r, buffer)
+	if err != nil {
+		return nil, err
 	}
-	buf = buf[:batchHeaderSize]
-	if n, err := io.ReadFull(r, buf); err != nil {
-		if errors.Is(err, io.EOF) {
-			return nil, io.EOF
+	for len(buffer) < size {
+		// The buffer grows as bytes arrive, so that a large size in a header alone allocates no memory.
+		start := len(buffer)
+		buffer = extend(buffer, min(size-start, maxReadStep))
+		n, err := io.ReadFull(r, buffer[start:])
+		if err != nil {
+			return nil, &FrameError{
+				Record: "batch",
+				Offset: start + n,
+				Reason: fmt.Sprintf("input ends inside a frame of %d bytes", size),
+			}
 		}
-		return nil, &FrameError{Record: "batch header", Offset: n, Reason: "input ends inside it"}
 	}
-	size := int(binary.BigEndian.Uint32(buf[4:]))
-	if size < batchHeaderSize || size > maxFrameSize {
-		return nil, &FrameError{Record: "batch header", Offset: 4,
-			Reason: fmt.Sprintf("frame size %d is out of range", size)}
+	return buffer, nil
+}
+
+// readHeader reads the header of a batch and returns the size of the frame, header included.
+func readHeader(r io.Reader, header []byte) (size int, err error) {
+	n, err := io.ReadFull(r, header)
+	if errors.Is(err, io.EOF) {
+		return 0, io.EOF
 	}
-	for have := batchHeaderSize; have < size; {
-		// The buffer grows as bytes arrive: a size alone must not allocate memory.
-		step := min(size-have, maxReadStep)
-		if cap(buf) < have+step {
-			grown := make([]byte, have, max(have+step, 2*cap(buf)))
-			copy(grown, buf)
-			buf = grown
-		}
-		buf = buf[:have+step]
-		n, err := io.ReadFull(r, buf[have:])
-		if err != nil {
-			return nil, &FrameError{Record: "batch", Offset: have + n,
-				Reason: fmt.Sprintf("input ends inside a frame of %d bytes", size)}
+	if err != nil {
+		return 0, &FrameError{Record: "batch header", Offset: n, Reason: "input ends inside it"}
+	}
+	size = int(binary.BigEndian.Uint32(header[batchSizeOffset:]))
+	if size < batchHeaderSize || size > maxFrameSize {
+		return 0, &FrameError{
+			Record: "batch header",
+			Offset: batchSizeOffset,
+			Reason: fmt.Sprintf("frame size %d is out of range", size),
 		}
-		have += step
 	}
-	return buf, nil
+	return size, nil
+}
+
+// extend returns buffer with n more bytes of any content.
+func extend(buffer []byte, n int) []byte {
+	length := len(buffer) + n
+	if cap(buffer) < length {
+		grown := make([]byte, len(buffer), max(length, 2*cap(buffer)))
+		copy(grown, buffer)
+		buffer = grown
+	}
+	return buffer[:length]
 }
