--- a/cmd/pinedale-bench/main.go
+++ b/cmd/pinedale-bench/main.go
@@ -153,7 +153,7 @@
 	work := flags.Duration("work", 20*time.Millisecond, "of a request")
 	timeout := flags.Duration("for", time.Hour, "end by itself after this long")
 	return func(out io.Writer) error {
-		fleet := &fakebackend.Fleet{Work: *work}
+		fleet := &fakebackend.Fleet{ServiceTime: *work}
 		for n, address := range strings.Split(*addresses, ",") {
 			if _, err := fleet.StartAt(address, fmt.Sprintf("soko-%d", n+1), n); err != nil {
 				return err
--- a/cmd/pinedale-proxy/main_test.go
+++ b/cmd/pinedale-proxy/main_test.go
@@ -183,7 +183,7 @@
 		t.Fatal(err)
 	}
 	cmd := command("serve", "--config", path)
-	var log logcapture.Record
+	var log logcapture.Buffer
 	cmd.Stderr = &log
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
--- a/cmd/pinedale-register/main_test.go
+++ b/cmd/pinedale-register/main_test.go
@@ -98,7 +98,7 @@
 	if err := c.Wait(); c.ProcessState.ExitCode() != 3 {
 		t.Errorf("ended with %v, want the exit code 3", err)
 	}
-	wait.Until(t, "the node's end", func() bool { return len(s.Nodes("/soko")) == 0 })
+	wait.Until(t, "the node's end", func() bool { return len(s.Children("/soko")) == 0 })
 }
 
 func TestBadArguments(t *testing.T) {
--- a/cmd/pinedale/crossings_test.go
+++ b/cmd/pinedale/crossings_test.go
@@ -40,7 +40,7 @@
 	cmd      *exec.Cmd
 	config   platform.Config
 	path     string // of the configuration
-	log      logcapture.Record
+	log      logcapture.Buffer
 	dir      *fakediscovery.Directory
 	ended    chan error
 	arrivals chan arrival
@@ -151,7 +151,7 @@
 	select {
 	case a := <-s.arrivals:
 		return a
-	case <-time.After(wait.Patience):
+	case <-time.After(wait.Timeout):
 		s.t.Fatal("no request comes")
 		panic("unreachable")
 	}
@@ -166,7 +166,7 @@
 
 // ready says whether the program says so. Each question has a connection of its own.
 func (s *program) ready() bool {
-	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: wait.Patience}
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: wait.Timeout}
 	response, err := client.Get("http://" + s.config.Listen + "/health/ready")
 	if err != nil {
 		return false
@@ -221,7 +221,7 @@
 		if err != nil {
 			s.t.Errorf("the program ended with %v", err)
 		}
-	case <-time.After(wait.Patience):
+	case <-time.After(wait.Timeout):
 		s.t.Error("the program does not end")
 	}
 }
@@ -243,7 +243,7 @@
 		s.t.Fatal(err)
 	}
 	s.t.Cleanup(func() { conn.Close() })
-	if err := conn.SetDeadline(time.Now().Add(2 * wait.Patience)); err != nil {
+	if err := conn.SetDeadline(time.Now().Add(2 * wait.Timeout)); err != nil {
 		s.t.Fatal(err)
 	}
 	c := &client{Conn: conn, first: make(chan struct{}), over: make(chan struct{})}
@@ -337,7 +337,7 @@
 					switch crossing {
 					case "SIGHUP":
 						s.moves(other)
-						wait.Until(t, "the call of the new address", func() bool { return other.Count() > 0 })
+						wait.Until(t, "the call of the new address", func() bool { return other.CallCount() > 0 })
 					case "SIGHUP and SIGTERM":
 						s.moves(other)
 						s.terminates()
@@ -464,13 +464,13 @@
 	s := surround(t, true)
 	s.launch(false)
 	s.auto.Store(true)
-	wait.Until(t, "the watch", func() bool { return s.dir.Count() > 1 })
+	wait.Until(t, "the watch", func() bool { return s.dir.CallCount() > 1 })
 	s.dir.Silence()
 	hosts := append([]fakediscovery.Host{}, s.config.Known...)
 	for n := range 2 {
 		hosts[n].Health = "Terminating"
 	}
-	calls := s.dir.Count()
+	calls := s.dir.CallCount()
 	s.dir.Change(func() { s.dir.List = fakediscovery.Document{Seq: 2, Complete: true, Hosts: hosts} })
 	wait.Until(t, "the watch to be opened anew, and once more with the new version", func() bool {
 		s.dir.Lock()
@@ -515,7 +515,7 @@
 	s := surround(t, true)
 	unresponsive := scriptedconn.New(t, scriptedconn.Unresponsive)
 	s.config.Known, s.config.Discovery = nil, unresponsive.Address
-	s.launchUntil(false, "the program to ask for a list", func() bool { n, _ := unresponsive.Seen(); return n > 0 })
+	s.launchUntil(false, "the program to ask for a list", func() bool { return unresponsive.RequestCount() > 0 })
 	if s.ready() {
 		t.Error("it is ready without a list")
 	}
--- a/cmd/pinedale/main_test.go
+++ b/cmd/pinedale/main_test.go
@@ -75,7 +75,7 @@
 	listen := platform.FreeAddress(t)
 	cmd := command(t, config(listen))
 	path := strings.TrimPrefix(cmd.Env[len(cmd.Env)-1], "BALANCER_CONFIG=")
-	var log logcapture.Record
+	var log logcapture.Buffer
 	cmd.Stderr = &log
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
--- a/internal/app/peers_test.go
+++ b/internal/app/peers_test.go
@@ -17,7 +17,7 @@
 	"pinedale/internal/config"
 	"pinedale/internal/standin/fakebackend"
 	"pinedale/internal/standin/fakediscovery"
-	"pinedale/internal/standin/platform"
+	"pinedale/internal/standin/ports"
 	"pinedale/internal/standin/proxy"
 	"pinedale/internal/standin/wait"
 )
@@ -68,7 +68,7 @@
 	if err := os.WriteFile(keys, []byte("# the only one\nMDEyMzQ1Njc4OWFiY2RlZg==\n"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	addresses := []string{platform.FreeAddress(t), platform.FreeAddress(t), platform.FreeAddress(t)}
+	addresses := []string{ports.MustFree(t), ports.MustFree(t), ports.MustFree(t)}
 	var instances []*Instance
 	for n := range addresses {
 		const peers = "[limits]\nprobes = false\n" +
@@ -151,7 +151,7 @@
 		defer p.Close()
 		proxies = append(proxies, p)
 	}
-	ctx, stop := context.WithTimeout(t.Context(), wait.Patience)
+	ctx, stop := context.WithTimeout(t.Context(), wait.Timeout)
 	defer stop()
 	for n := range 30 {
 		key := fmt.Sprint("key-", n)
@@ -170,10 +170,10 @@
 			}
 		}
 	}
-	if twice := fleet.Twice(); len(twice) > 0 {
+	if twice := fleet.DuplicateEffects(); len(twice) > 0 {
 		t.Errorf("executed twice: %v", twice)
 	}
-	if c := fleet.Counts(); c.Run != 30 || c.Dropped < 30 {
+	if c := fleet.Counts(); c.Executed != 30 || c.Deduplicated < 30 {
 		t.Errorf("%+v: each key is to be executed once, and its retries to be dropped", c)
 	}
 }
@@ -187,7 +187,7 @@
 			payThrough(t.Context(), t, instances[attempt], fmt.Sprint(n, "-", attempt), fmt.Sprint("key-", n))
 		}
 	}
-	if len(fleet.Twice()) == 0 {
+	if len(fleet.DuplicateEffects()) == 0 {
 		t.Error("no request was executed twice")
 	}
 }
@@ -230,7 +230,7 @@
 		return s.HeldBack
 	}
 	for n, list := range lists {
-		wait.Until(t, fmt.Sprint("the watch of ", n), func() bool { return list.Count() > 1 })
+		wait.Until(t, fmt.Sprint("the watch of ", n), func() bool { return list.CallCount() > 1 })
 	}
 	changeList := func(n int, alter func(h *fakediscovery.Host)) {
 		changed := slices.Clone(hosts)
@@ -254,7 +254,7 @@
 	if addresses := servers[0].LastRequest(); addresses.After(from) {
 		t.Error("a request went to a server that two others know to be draining")
 	}
-	if n := fleet.Counts().Run; n < 50 {
+	if n := fleet.Counts().Executed; n < 50 {
 		t.Errorf("%d of 60 ran", n)
 	}
 	// It was restarted, as all lists say: the advisory on its previous incarnation no longer counts.
--- a/internal/app/reload_test.go
+++ b/internal/app/reload_test.go
@@ -91,7 +91,7 @@
 func startRunning(t *testing.T, work time.Duration, parts ...string) *running {
 	t.Helper()
 	r := &running{t: t}
-	fleet := &fakebackend.Fleet{Work: work}
+	fleet := &fakebackend.Fleet{ServiceTime: work}
 	for n := range 2 {
 		s, err := fleet.Start(fmt.Sprint("s-", n), n)
 		if err != nil {
--- a/internal/app/secure_test.go
+++ b/internal/app/secure_test.go
@@ -32,15 +32,15 @@
 	t          *testing.T
 	root       *ca.Authority
 	files      *ca.Folder
-	serverKeys [2]*tlsbackend.Keys
+	serverKeys [2]*tlsbackend.Credentials
 	fleet      [2]*fakebackend.Fleet
-	log        logcapture.Record
+	log        logcapture.Buffer
 	ids        int
 	text       string
 }
 
 func issueNow(a *ca.Authority, names ...string) *ca.Pair {
-	return a.Issue(ca.Spec{Names: names, From: time.Now().Add(-time.Hour), Until: time.Now().Add(time.Hour)})
+	return a.Issue(ca.Spec{Names: names, NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour)})
 }
 
 // startTLSInstance starts an instance with these parts of a file, in which "@" stands for the folder of its keys, and
@@ -48,9 +48,9 @@
 func startTLSInstance(t *testing.T, root *ca.Authority, first, second *ca.Pair, parts ...string) *tlsInstance {
 	t.Helper()
 	w := &tlsInstance{t: t, root: root, files: ca.NewFolder(t)}
-	w.files.Put(w.files.Roots, root.PEM())
-	w.files.Put(w.files.Revoked, root.Revoke())
-	w.files.Pair(issueNow(root, "127.0.0.1"))
+	w.files.WriteFile(w.files.Roots, root.PEM())
+	w.files.WriteFile(w.files.Revoked, root.RevocationList())
+	w.files.WritePair(issueNow(root, "127.0.0.1"))
 	folder := strings.TrimSuffix(w.files.Cert, "cert.pem")
 	w.text = runningHead + priceClass + payClass + strings.ReplaceAll(strings.Join(parts, ""), "@", folder)
 	if strings.Contains(w.text, `name = "front"`) {
@@ -59,8 +59,8 @@
 		}
 	}
 	for n, p := range []*ca.Pair{first, second} {
-		w.serverKeys[n] = tlsbackend.NewKeys(t, p)
-		w.fleet[n] = &fakebackend.Fleet{TLS: w.serverKeys[n].Follow}
+		w.serverKeys[n] = tlsbackend.NewCredentials(t, p)
+		w.fleet[n] = &fakebackend.Fleet{TLS: w.serverKeys[n].ServerConfig}
 		s, err := w.fleet[n].Start(fmt.Sprint("s-", n), n)
 		if err != nil {
 			t.Fatal(err)
@@ -118,7 +118,7 @@
 	for reason, presented := range map[string]*ca.Pair{
 		"names": issueNow(root, "s-1.example.org"),
 		"chain": issueNow(other, "s-0.example.org"),
-		"over":  root.Issue(ca.Spec{Names: []string{"s-0.example.org"}, From: expiry.Add(-time.Hour), Until: expiry}),
+		"over":  root.Issue(ca.Spec{Names: []string{"s-0.example.org"}, NotBefore: expiry.Add(-time.Hour), NotAfter: expiry}),
 	} {
 		for _, http3 := range []bool{false, true} {
 			t.Run(fmt.Sprint(reason, http3), func(t *testing.T) {
@@ -128,7 +128,7 @@
 						t.Fatalf("request %d: %d, %v", n, code, err)
 					}
 				}
-				if w.fleet[0].Counts().Requests != 0 || w.fleet[1].Counts().Run < 30 {
+				if w.fleet[0].Counts().Requests != 0 || w.fleet[1].Counts().Executed < 30 {
 					t.Errorf("requests went to %+v and %+v", w.fleet[0].Counts(), w.fleet[1].Counts())
 				}
 				wait.Until(t, "the failed handshake", func() bool {
@@ -152,9 +152,9 @@
 	root := ca.New(t, "root")
 	expired := func(name string) *ca.Pair {
 		return root.Issue(ca.Spec{
-			Names: []string{name},
-			From:  time.Now().Add(-3 * time.Hour),
-			Until: time.Now().Add(-time.Hour),
+			Names:     []string{name},
+			NotBefore: time.Now().Add(-3 * time.Hour),
+			NotAfter:  time.Now().Add(-time.Hour),
 		})
 	}
 	start := func(grace string) *tlsInstance {
@@ -228,7 +228,7 @@
 			t.Fatal(err)
 		}
 		defer c.Close()
-		ctx, cancel := context.WithTimeout(context.Background(), wait.Patience)
+		ctx, cancel := context.WithTimeout(context.Background(), wait.Timeout)
 		defer cancel()
 		s, err := extprocv3.NewExternalProcessorClient(c).Process(ctx)
 		if err != nil {
@@ -248,7 +248,7 @@
 	if processor(issueNow(other, "proxy.example.org")) == nil {
 		t.Error("a proxy of an untrusted root was admitted")
 	}
-	w.files.Put(w.files.Revoked, root.Revoke(known.Leaf))
+	w.files.WriteFile(w.files.Revoked, root.RevocationList(known.Leaf))
 	w.stores.reload()
 	if code, err := w.get(clerk, "https"); code != 403 {
 		t.Errorf("revoked, on an established connection: %d, %v", code, err)
@@ -332,7 +332,7 @@
 		}
 	}
 	next := ca.NewFolder(t)
-	next.Pair(issueNow(root, "10.0.0.1"))
+	next.WritePair(issueNow(root, "10.0.0.1"))
 	err = f.VerifyKeys("front", certstore.Paths{Cert: next.Cert, Key: next.Key})
 	if err == nil || !strings.Contains(err.Error(), "names: cert") {
 		t.Errorf("files for another name: %v", err)
@@ -341,7 +341,7 @@
 	if err == nil || !strings.Contains(err.Error(), "mismatch") {
 		t.Errorf("a certificate without its key: %v", err)
 	}
-	next.Pair(issueNow(root, "127.0.0.1"))
+	next.WritePair(issueNow(root, "127.0.0.1"))
 	if err := f.VerifyKeys("front", certstore.Paths{Cert: next.Cert, Key: next.Key}); err != nil {
 		t.Errorf("good files: %v", err)
 	}
--- a/internal/certstore/store_test.go
+++ b/internal/certstore/store_test.go
@@ -62,10 +62,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := serverConn.SetDeadline(time.Now().Add(wait.Patience)); err != nil {
+	if err := serverConn.SetDeadline(time.Now().Add(wait.Timeout)); err != nil {
 		t.Fatal(err)
 	}
-	if err := clientConn.SetDeadline(time.Now().Add(wait.Patience)); err != nil {
+	if err := clientConn.SetDeadline(time.Now().Add(wait.Timeout)); err != nil {
 		t.Fatal(err)
 	}
 	done := make(chan error, 1)
@@ -97,12 +97,12 @@
 		t.Errorf("no files: %v", err)
 	}
 	good := root.Issue(ca.Spec{Names: []string{testName}})
-	folder.Pair(good)
-	folder.Put(folder.Roots, root.PEM())
-	log := &logcapture.Record{}
+	folder.WritePair(good)
+	folder.WriteFile(folder.Roots, root.PEM())
+	log := &logcapture.Buffer{}
 	store := open(t, folder, true, log)
 	bad := root.Issue(ca.Spec{Names: []string{"soko-4.example.org"}})
-	folder.Pair(bad)
+	folder.WritePair(bad)
 	for range 3 {
 		if v := store.Reload(); v.Action != validate.Rejected || v.Fault.Rule != validate.WrongName {
 			t.Errorf("another's name: %+v", v)
@@ -122,8 +122,8 @@
 	root, other := ca.New(t, "root"), ca.New(t, "other")
 	sides := func(authority *ca.Authority, spec ca.Spec) *ca.Folder {
 		folder := ca.NewFolder(t)
-		folder.Pair(authority.Issue(spec))
-		folder.Put(folder.Roots, root.PEM())
+		folder.WritePair(authority.Issue(spec))
+		folder.WriteFile(folder.Roots, root.PEM())
 		return folder
 	}
 	sound := ca.Spec{Names: []string{testName}}
@@ -151,7 +151,7 @@
 		t.Errorf("a server of another name: %v", clientErr)
 	}
 	unknown := ca.NewFolder(t)
-	unknown.Pair(other.Issue(sound))
+	unknown.WritePair(other.Issue(sound))
 	unknown.Roots = ""
 	if _, c := handshake(t, serve(unknown, validate.Requirements{Server: true}), client); c == nil {
 		t.Error("a server by an unknown root was trusted")
@@ -172,10 +172,10 @@
 	defer goleak.VerifyNone(t)
 	root := ca.New(t, "root")
 	folder := ca.NewFolder(t)
-	folder.Pair(root.Issue(ca.Spec{Names: []string{testName}}))
-	folder.Put(folder.Roots, root.PEM())
+	folder.WritePair(root.Issue(ca.Spec{Names: []string{testName}}))
+	folder.WriteFile(folder.Roots, root.PEM())
 	store := open(t, folder, true, io.Discard)
-	folder.Pair(root.Issue(ca.Spec{Names: []string{testName}})) // before Run has begun to watch
+	folder.WritePair(root.Issue(ca.Spec{Names: []string{testName}})) // before Run has begun to watch
 	ctx, end := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { store.Run(ctx); close(done) }()
@@ -183,8 +183,8 @@
 	wait.Until(t, "the pair written before the watch", func() bool { return store.Generation() == 2 })
 	for n := 3; n < 7; n++ {
 		next := root.Issue(ca.Spec{Names: []string{testName}})
-		folder.Put(folder.Key, next.Key) // first the key, then the certificate
-		folder.Put(folder.Cert, next.Cert)
+		folder.WriteFile(folder.Key, next.Key) // first the key, then the certificate
+		folder.WriteFile(folder.Cert, next.Cert)
 		wait.Until(t, "the new pair", func() bool { return store.Generation() == n })
 		if got := store.current.Load().material.Leaf(); !got.Equal(next.Leaf) {
 			t.Fatalf("change %d: another certificate is in use", n)
--- a/internal/certstore/validate/expiry_test.go
+++ b/internal/certstore/validate/expiry_test.go
@@ -15,7 +15,7 @@
 		t.Error("a warning without a certificate")
 	}
 	end := noon.AddDate(0, 0, 60)
-	rotation.Offer(noon, files(root.Issue(ca.Spec{Names: []string{testName}, Until: end}), root.PEM()))
+	rotation.Offer(noon, files(root.Issue(ca.Spec{Names: []string{testName}, NotAfter: end}), root.PEM()))
 	var got []Warning
 	for now := noon; now.Before(end.Add(48 * time.Hour)); now = now.Add(30 * time.Minute) {
 		if w, ok := rotation.ExpiryWarning(now); ok {
@@ -32,7 +32,7 @@
 			t.Errorf("warning %d: %+v", i, w)
 		}
 	}
-	rotation.Offer(noon, files(root.Issue(ca.Spec{Names: []string{testName}, Until: end.AddDate(0, 2, 0)}), root.PEM()))
+	rotation.Offer(noon, files(root.Issue(ca.Spec{Names: []string{testName}, NotAfter: end.AddDate(0, 2, 0)}), root.PEM()))
 	if _, ok := rotation.ExpiryWarning(noon); ok {
 		t.Error("a warning for a certificate that is valid for months")
 	}
--- a/internal/certstore/validate/parse_test.go
+++ b/internal/certstore/validate/parse_test.go
@@ -12,7 +12,7 @@
 func FuzzParse(f *testing.F) {
 	root := ca.New(f, "root")
 	p := root.Issue(ca.Spec{Names: []string{testName}})
-	f.Add(p.Cert, p.Key, root.PEM(), root.Revoke(p.Leaf))
+	f.Add(p.Cert, p.Key, root.PEM(), root.RevocationList(p.Leaf))
 	f.Add(p.Cert[:100], p.Key[:100], []byte("-----BEGIN"), []byte{})
 	f.Fuzz(func(t *testing.T, cert, key, roots, revoked []byte) {
 		material, fault := Parse(Files{
--- a/internal/certstore/validate/peer_test.go
+++ b/internal/certstore/validate/peer_test.go
@@ -14,7 +14,7 @@
 // clock set back, and for several sets of roots and revocation lists.
 func TestCachedChainsAgreeWithFullVerification(t *testing.T) {
 	root, other := ca.New(t, "root"), ca.New(t, "other")
-	intermediate := root.Below("between")
+	intermediate := root.NewIntermediate("between")
 	issue := func(a *ca.Authority, s ca.Spec) *ca.Pair {
 		if s.Names == nil {
 			s.Names = []string{testName}
@@ -29,8 +29,8 @@
 		issue(intermediate, ca.Spec{OmitIntermediate: true}),
 		issue(other, ca.Spec{}),
 		revoked,
-		issue(root, ca.Spec{From: noon, Until: noon.Add(time.Hour)}),
-		issue(root, ca.Spec{Until: noon.Add(-time.Hour)}),
+		issue(root, ca.Spec{NotBefore: noon, NotAfter: noon.Add(time.Hour)}),
+		issue(root, ca.Spec{NotAfter: noon.Add(-time.Hour)}),
 		issue(root, ca.Spec{Names: []string{"x.example.org"}}),
 	} {
 		all, fault := parseCertificates(peerChain, pair.Cert)
@@ -40,7 +40,7 @@
 		chains = append(chains, all)
 	}
 	sets := []Files{
-		{Roots: configured(root.PEM()), Revoked: configured(root.Revoke(revoked.Leaf))},
+		{Roots: configured(root.PEM()), Revoked: configured(root.RevocationList(revoked.Leaf))},
 		{Roots: configured(root.PEM())},
 		{Roots: configured(other.PEM())},
 	}
--- a/internal/certstore/validate/retirement_test.go
+++ b/internal/certstore/validate/retirement_test.go
@@ -66,8 +66,8 @@
 		t.Errorf("root removed: until %v, %s", until, reason)
 	}
 	// Revoked, and expired.
-	input := files(next.Issue(ca.Spec{Names: []string{testName}, Until: noon.AddDate(1, 0, 0)}), next.PEM())
-	input.Revoked = configured(next.Revoke(byNext.Leaf))
+	input := files(next.Issue(ca.Spec{Names: []string{testName}, NotAfter: noon.AddDate(1, 0, 0)}), next.PEM())
+	input.Revoked = configured(next.RevocationList(byNext.Leaf))
 	rotation.Offer(changedAt, input)
 	until, reason = retirement(rotation, changedAt, conn(byNext, 4))
 	if !until.Equal(changedAt) || !strings.Contains(reason, "revoked") {
--- a/internal/certstore/validate/rotation_test.go
+++ b/internal/certstore/validate/rotation_test.go
@@ -56,7 +56,7 @@
 	root := ca.New(t, "root")
 	rotation := NewRotation(serverWant(), time.Minute)
 	rotation.Offer(noon, files(root.Issue(ca.Spec{Names: []string{testName}}), root.PEM()))
-	early := files(root.Issue(ca.Spec{Names: []string{testName}, From: noon.Add(time.Hour)}), root.PEM())
+	early := files(root.Issue(ca.Spec{Names: []string{testName}, NotBefore: noon.Add(time.Hour)}), root.PEM())
 	if decision := rotation.Offer(noon, early); decision.Action != Pending ||
 		!decision.Report || !decision.RecheckAt.Equal(noon.Add(time.Hour)) {
 		t.Errorf("early: %+v", decision)
@@ -82,7 +82,7 @@
 	var pairs []*ca.Pair
 	for i := range 4 {
 		from := noon.Add(time.Duration(i-1) * time.Hour)
-		pairs = append(pairs, root.Issue(ca.Spec{Names: []string{testName}, From: from}))
+		pairs = append(pairs, root.Issue(ca.Spec{Names: []string{testName}, NotBefore: from}))
 	}
 	pairs = append(pairs, other.Issue(ca.Spec{Names: []string{testName}}))
 	pairs = append(pairs, root.Issue(ca.Spec{Names: []string{"elsewhere"}}))
--- a/internal/certstore/validate/validate_test.go
+++ b/internal/certstore/validate/validate_test.go
@@ -33,7 +33,7 @@
 // Each rule has inputs that break it, and inputs that nearly do.
 func TestFirstBrokenRuleIsReported(t *testing.T) {
 	root, other := ca.New(t, "root"), ca.New(t, "other")
-	intermediate := root.Below("between")
+	intermediate := root.NewIntermediate("between")
 	sound := root.Issue(ca.Spec{Names: []string{testName}})
 	issue := func(a *ca.Authority, s ca.Spec) Files {
 		if s.Names == nil {
@@ -152,31 +152,31 @@
 			reason: "spiffe://soko/all",
 		},
 		"a client's for a server": {
-			files:  issue(root, ca.Spec{Uses: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth}}),
+			files:  issue(root, ca.Spec{ExtKeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth}}),
 			want:   serverWant(),
 			rule:   WrongUsage,
 			reason: "server",
 		},
 		"a server's for a client": {
-			files:  issue(root, ca.Spec{Uses: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth}}),
+			files:  issue(root, ca.Spec{ExtKeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth}}),
 			want:   Requirements{},
 			rule:   WrongUsage,
 			reason: "client",
 		},
 		"not yet": {
-			files:  issue(root, ca.Spec{From: noon.Add(time.Minute)}),
+			files:  issue(root, ca.Spec{NotBefore: noon.Add(time.Minute)}),
 			want:   serverWant(),
 			rule:   NotYetValid,
 			reason: "2026-01-01T12:01:00Z",
 		},
 		"over": {
-			files:  issue(root, ca.Spec{Until: noon.Add(-time.Minute)}),
+			files:  issue(root, ca.Spec{NotAfter: noon.Add(-time.Minute)}),
 			want:   serverWant(),
 			rule:   Expired,
 			reason: "2026-01-01T11:59:00Z",
 		},
 		"over, and permitted": {
-			files: issue(root, ca.Spec{Until: noon.Add(-time.Minute)}),
+			files: issue(root, ca.Spec{NotAfter: noon.Add(-time.Minute)}),
 			want:  Requirements{Names: []string{testName}, Server: true, AllowExpired: true},
 		},
 		"another root's": {issue(other, ca.Spec{}), serverWant(), Untrusted, "unknown authority"},
@@ -188,7 +188,7 @@
 		},
 		"revoked": {
 			files: with(files(revoked, root.PEM()), func(files *Files) {
-				files.Revoked = configured(root.Revoke(revoked.Leaf))
+				files.Revoked = configured(root.RevocationList(revoked.Leaf))
 			}),
 			want:   serverWant(),
 			rule:   Revoked,
@@ -196,18 +196,18 @@
 		},
 		"its issuer revoked": {
 			files: with(files(below, root.PEM()), func(files *Files) {
-				files.Revoked = configured(root.Revoke(intermediate.Cert))
+				files.Revoked = configured(root.RevocationList(intermediate.Cert))
 			}),
 			want:   serverWant(),
 			rule:   Revoked,
 			reason: "between",
 		},
 		"others revoked": {
-			files: with(ok, func(files *Files) { files.Revoked = configured(root.Revoke(revoked.Leaf)) }),
+			files: with(ok, func(files *Files) { files.Revoked = configured(root.RevocationList(revoked.Leaf)) }),
 			want:  serverWant(),
 		},
 		"a list by another": {
-			files:  with(ok, func(files *Files) { files.Revoked = configured(other.Revoke(sound.Leaf)) }),
+			files:  with(ok, func(files *Files) { files.Revoked = configured(other.RevocationList(sound.Leaf)) }),
 			want:   serverWant(),
 			rule:   Incomplete,
 			reason: "signed by no root",
--- a/internal/faulttest/servers.go
+++ b/internal/faulttest/servers.go
@@ -75,7 +75,7 @@
 	if err := json.Unmarshal(lines.Bytes(), &spec); err != nil {
 		return err
 	}
-	fleet := &fakebackend.Fleet{Seed: spec.Seed, Work: spec.Work, Faults: spec.Faults}
+	fleet := &fakebackend.Fleet{Seed: spec.Seed, ServiceTime: spec.Work, Faults: spec.Faults}
 	for _, c := range classes {
 		fleet.Classes = append(fleet.Classes, balancer.Class{Name: c.name, Idempotency: c.repeat, Group: c.group, DedupWindow: c.window.Microseconds()})
 	}
@@ -118,7 +118,7 @@
 			servers[name] = s
 		case "report":
 			mu.Lock()
-			response = serverReport{fleet.Done(), fleet.Twice(), slices.Clone(still)}
+			response = serverReport{fleet.EffectCounts(), fleet.DuplicateEffects(), slices.Clone(still)}
 			mu.Unlock()
 		}
 		if err := enc.Encode(response); err != nil {
--- a/internal/front/extproc/decision_test.go
+++ b/internal/front/extproc/decision_test.go
@@ -20,14 +20,14 @@
 func TestForwardNamesEndpointTimeoutAndAttempt(t *testing.T) {
 	h := start(t, 2, nil)
 	s := h.open(context.Background())
-	if err := s.Send(proxy.Headers(h.request("pay"), 1)); err != nil {
+	if err := s.Send(proxy.RequestHeaders(h.request("pay"), 1)); err != nil {
 		t.Fatal(err)
 	}
 	response, err := s.Recv()
 	if err != nil {
 		t.Fatal(err)
 	}
-	decision, err := proxy.Read(response)
+	decision, err := proxy.ParseDecision(response)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -87,7 +87,7 @@
 		req.Header["x-tier"], req.Header[":authority"] = "gold", "till.example"
 		alter(req.Header)
 		s := h.open(context.Background())
-		if err := s.Send(proxy.Headers(req, 1)); err != nil {
+		if err := s.Send(proxy.RequestHeaders(req, 1)); err != nil {
 			t.Fatal(err)
 		}
 		response, err := s.Recv()
@@ -97,7 +97,7 @@
 		return response, s
 	}
 	response, s := request(func(map[string]string) {})
-	decision, err := proxy.Read(response)
+	decision, err := proxy.ParseDecision(response)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -132,8 +132,8 @@
 		maps.Copy(other.Header, req.Header)
 		other.Header["x-correlation-id"] += "b" // a client's retry
 		first, second := h.open(context.Background()), h.open(context.Background())
-		first.send(proxy.Headers(req, 0))
-		second.send(proxy.Headers(other, 0))
+		first.send(proxy.RequestHeaders(req, 0))
+		second.send(proxy.RequestHeaders(other, 0))
 		firstDecision, secondDecision := first.decision(), second.decision()
 		if firstDecision.Endpoint == "" || firstDecision.Endpoint != secondDecision.Endpoint {
 			t.Fatalf("forwarded to %q and %q", firstDecision.Endpoint, secondDecision.Endpoint)
--- a/internal/front/extproc/harness_test.go
+++ b/internal/front/extproc/harness_test.go
@@ -223,7 +223,7 @@
 
 func (h *harness) open(ctx context.Context) testStream {
 	h.t.Helper()
-	s, err := h.proxy.Stream(ctx)
+	s, err := h.proxy.OpenStream(ctx)
 	if err != nil {
 		h.t.Fatal(err)
 	}
@@ -249,7 +249,7 @@
 // request requests a decision and returns it.
 func (s testStream) request(req proxy.Request, attempt int) proxy.Decision {
 	s.t.Helper()
-	s.send(proxy.Headers(req, attempt))
+	s.send(proxy.RequestHeaders(req, attempt))
 	return s.decision()
 }
 
@@ -259,7 +259,7 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	decision, err := proxy.Read(m)
+	decision, err := proxy.ParseDecision(m)
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -269,7 +269,7 @@
 // report reports an answer and returns the response to it.
 func (s testStream) report(code int, details string, served string) *extprocv3.ProcessingResponse {
 	s.t.Helper()
-	if err := s.Send(proxy.Report(code, nil, details, served)); err != nil {
+	if err := s.Send(proxy.ResponseHeaders(code, nil, details, served)); err != nil {
 		s.t.Fatal(err)
 	}
 	m, err := s.Recv()
--- a/internal/front/extproc/protocol_test.go
+++ b/internal/front/extproc/protocol_test.go
@@ -57,7 +57,7 @@
 		}
 		s.end()
 	}
-	doubled := proxy.Headers(h.request("pay"), 0)
+	doubled := proxy.RequestHeaders(h.request("pay"), 0)
 	headers := doubled.GetRequestHeaders().Headers
 	headers.Headers = append(headers.Headers, &corev3.HeaderValue{Key: "idempotency-key", Value: "other"})
 	s := h.open(context.Background())
@@ -96,8 +96,8 @@
 	answerTrailers := &extprocv3.ProcessingRequest{Request: &extprocv3.ProcessingRequest_ResponseTrailers{
 		ResponseTrailers: &extprocv3.HttpTrailers{},
 	}}
-	report := proxy.Report(200, nil, "", "")
-	request := func() *extprocv3.ProcessingRequest { return proxy.Headers(h.request("pay"), 0) }
+	report := proxy.ResponseHeaders(200, nil, "", "")
+	request := func() *extprocv3.ProcessingRequest { return proxy.RequestHeaders(h.request("pay"), 0) }
 	observed := request()
 	observed.ObservabilityMode = true
 	for name, messages := range map[string][]*extprocv3.ProcessingRequest{
@@ -144,7 +144,7 @@
 		t.Run(fmt.Sprint("duplex ", duplex), func(t *testing.T) {
 			h := start(t, 1, nil)
 			s := h.open(context.Background())
-			m := proxy.Headers(h.request("pay"), 0)
+			m := proxy.RequestHeaders(h.request("pay"), 0)
 			if duplex {
 				m.ProtocolConfig = &extprocv3.ProtocolConfiguration{RequestBodyMode: modev3.ProcessingMode_FULL_DUPLEX_STREAMED,
 					ResponseBodyMode: modev3.ProcessingMode_FULL_DUPLEX_STREAMED}
@@ -296,7 +296,7 @@
 		if n > 3 { // the module must not count all of them as load
 			delete(req.Header, "x-time-left-ms")
 		}
-		m, err := marshal(proxy.Headers(req, 0))
+		m, err := marshal(proxy.RequestHeaders(req, 0))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -321,12 +321,12 @@
 // Any head gives an error or a request, and never a panic.
 func FuzzHead(f *testing.F) {
 	for _, class := range []string{"read", "pay"} {
-		m, _ := marshal(proxy.Headers(proxy.Request{Method: "GET", Path: "/" + class + "/x", Header: map[string]string{
+		m, _ := marshal(proxy.RequestHeaders(proxy.Request{Method: "GET", Path: "/" + class + "/x", Header: map[string]string{
 			"x-correlation-id": "1", "x-service-class": class, "x-time-left-ms": "900", "content-length": "4"}}, 1))
 		f.Add(m[5:])
 	}
 	const details = "upstream_reset_before_response_started{remote_connection_failure|x}"
-	m, _ := marshal(proxy.Report(200, nil, details, "127.0.0.1:1"))
+	m, _ := marshal(proxy.ResponseHeaders(200, nil, details, "127.0.0.1:1"))
 	f.Add(m[5:])
 	f.Fuzz(func(t *testing.T, data []byte) {
 		in, err := unmarshal(data)
--- a/internal/front/extproc/stream_test.go
+++ b/internal/front/extproc/stream_test.go
@@ -27,7 +27,7 @@
 		release := h.blockEngine()
 		ctx, cancel := context.WithCancel(context.Background())
 		s := h.open(ctx)
-		s.send(proxy.Headers(h.request("order"), 0))
+		s.send(proxy.RequestHeaders(h.request("order"), 0))
 		wait.Until(t, "the request", func() bool { return h.server.backlog.Load() == 1 })
 		cancel()
 		s.status()
@@ -85,12 +85,12 @@
 	var waiting []testStream
 	for range 3 {
 		s := h.open(context.Background())
-		s.send(proxy.Headers(h.request("pay"), 0))
+		s.send(proxy.RequestHeaders(h.request("pay"), 0))
 		waiting = append(waiting, s)
 	}
 	wait.Until(t, "the backlog", func() bool { return h.server.backlog.Load() == 3 })
 	s := h.open(context.Background())
-	if decision := s.request(h.request("pay"), 0); decision.Code != 503 || decision.After == "" {
+	if decision := s.request(h.request("pay"), 0); decision.Code != 503 || decision.RetryAfter == "" {
 		t.Errorf("beyond the backlog: %+v, want 503 with Retry-After", decision)
 	}
 	s.end()
@@ -127,7 +127,7 @@
 	if n := (memory() - before) / maxStreams; n > maxStreamBytes {
 		t.Errorf("an idle stream takes %d bytes, want at most %d", n, maxStreamBytes)
 	}
-	s, err := h.proxy.Stream(context.Background())
+	s, err := h.proxy.OpenStream(context.Background())
 	if err == nil {
 		_, err = s.Recv()
 	}
--- a/internal/front/http3front/server_test.go
+++ b/internal/front/http3front/server_test.go
@@ -55,7 +55,7 @@
 // start runs a front whose options alter may change, until the test ends.
 func start(t *testing.T, work time.Duration, alter func(*Options)) *harness {
 	t.Helper()
-	h := &harness{t: t, fleet: &fakebackend.Fleet{Classes: classes, Work: work}, pair: cert.New(t), served: make(chan error, 1)}
+	h := &harness{t: t, fleet: &fakebackend.Fleet{Classes: classes, ServiceTime: work}, pair: cert.New(t), served: make(chan error, 1)}
 	list := engine.List{Complete: true}
 	var servers []*fakebackend.Server
 	for n := range 2 {
@@ -226,13 +226,13 @@
 	if code, text := h.roundTrip(c, h.newRequest("GET", "read", "")); code != 200 {
 		t.Fatal(code, text)
 	}
-	before := h.fleet.Counts().Run
+	before := h.fleet.Counts().Executed
 	response := make(chan string)
 	go func() {
 		code, text := h.roundTrip(c, h.newRequest("POST", "pay", "body"))
 		response <- fmt.Sprint(code, text)
 	}()
-	wait.Until(t, "the request at its server", func() bool { return h.fleet.Counts().Run == before+1 })
+	wait.Until(t, "the request at its server", func() bool { return h.fleet.Counts().Executed == before+1 })
 	if err := h.relay.Rebind(); err != nil {
 		t.Fatal(err)
 	}
@@ -242,9 +242,9 @@
 	if code, text := h.roundTrip(c, h.newRequest("GET", "read", "")); code != 200 {
 		t.Errorf("afterwards: %d %s", code, text)
 	}
-	n, ran := h.server.Connections(), h.fleet.Counts().Run-before
-	if n != 1 || ran != 2 || h.relay.Addresses() != 2 || len(h.fleet.Twice()) > 0 {
-		t.Errorf("%d connections, %d requests ran, %d addresses, done twice %v", n, ran, h.relay.Addresses(), h.fleet.Twice())
+	n, ran := h.server.Connections(), h.fleet.Counts().Executed-before
+	if n != 1 || ran != 2 || h.relay.ClientAddressCount() != 2 || len(h.fleet.DuplicateEffects()) > 0 {
+		t.Errorf("%d connections, %d requests ran, %d addresses, done twice %v", n, ran, h.relay.ClientAddressCount(), h.fleet.DuplicateEffects())
 	}
 }
 
@@ -253,7 +253,7 @@
 	for _, loss := range []float64{0.05, 0.2} {
 		t.Run(fmt.Sprint(loss), func(t *testing.T) {
 			h := start(t, 0, nil)
-			h.relay.Set(udprelay.Script{Loss: loss, Double: 0.1, Swap: 0.1, Seed: 1})
+			h.relay.SetScript(udprelay.Script{Loss: loss, Duplicate: 0.1, Reorder: 0.1, Seed: 1})
 			c := h.newClient()
 			var all sync.WaitGroup
 			for range 30 {
@@ -275,8 +275,8 @@
 				})
 			}
 			all.Wait()
-			if n := h.fleet.Counts(); n.Run != 30 || len(h.fleet.Twice()) > 0 {
-				t.Errorf("%+v, done twice %v", n, h.fleet.Twice())
+			if n := h.fleet.Counts(); n.Executed != 30 || len(h.fleet.DuplicateEffects()) > 0 {
+				t.Errorf("%+v, done twice %v", n, h.fleet.DuplicateEffects())
 			}
 		})
 	}
@@ -292,7 +292,7 @@
 		code, _ := h.roundTrip(c, h.newRequest("POST", "pay", "body"))
 		response <- code
 	}()
-	wait.Until(t, "the request at its server", func() bool { return h.fleet.Counts().Run == 1 })
+	wait.Until(t, "the request at its server", func() bool { return h.fleet.Counts().Executed == 1 })
 	h.stop()
 	wait.Until(t, "draining", h.server.draining.Load)
 	if code := <-response; code != 200 {
@@ -354,23 +354,23 @@
 		t.Fatal(code, text)
 	}
 	first.Close()
-	ran := h.fleet.Counts().Run
+	ran := h.fleet.Counts().Executed
 	for _, x := range []struct {
 		method, class string
 		want          int
 	}{{"POST", "pay", http.StatusTooEarly}, {"GET", "read", http.StatusOK}} {
 		// The client receives nothing from the server: its handshake is not complete.
-		h.relay.Deafen(udprelay.ToClient, true)
+		h.relay.SetBlocked(udprelay.ToClient, true)
 		stream, end := h.early(h.newRequest(x.method, x.class, ""))
 		if x.want == 200 {
-			wait.Until(t, "the idempotent request to run early", func() bool { return h.fleet.Counts().Run == ran+1 })
+			wait.Until(t, "the idempotent request to run early", func() bool { return h.fleet.Counts().Executed == ran+1 })
 		}
-		_, sent := h.relay.Passed()
+		_, sent := h.relay.DatagramCounts()
 		wait.Until(t, "the server to send datagrams that are lost", func() bool {
-			_, n := h.relay.Passed()
+			_, n := h.relay.DatagramCounts()
 			return n >= sent+2
 		})
-		h.relay.Deafen(udprelay.ToClient, false)
+		h.relay.SetBlocked(udprelay.ToClient, false)
 		out, err := stream.ReadResponse()
 		if err != nil || out.StatusCode != x.want {
 			t.Errorf("%s: %v, %v, want %d", x.class, out, err, x.want)
@@ -380,7 +380,7 @@
 		}
 		end()
 	}
-	if n := h.fleet.Counts().Run; n != ran+1 {
+	if n := h.fleet.Counts().Executed; n != ran+1 {
 		t.Errorf("%d ran early, want the idempotent request", n-ran)
 	}
 }
@@ -489,7 +489,7 @@
 	}
 	out.Body.Close()
 	restart := func(name string) {
-		h.relay.Deafen(udprelay.ToClient, true) // killed: no CONNECTION_CLOSE arrives
+		h.relay.SetBlocked(udprelay.ToClient, true) // killed: no CONNECTION_CLOSE arrives
 		h.stop()
 		if err := <-h.served; err != nil {
 			t.Fatal(err)
@@ -507,7 +507,7 @@
 		o.Name = name
 		next := New(h.engine, h.up, o)
 		go func() { h.served <- next.Serve(ctx, sameSocket) }()
-		h.relay.Deafen(udprelay.ToClient, false)
+		h.relay.SetBlocked(udprelay.ToClient, false)
 	}
 	restart("till-2")
 	// A reset responds to larger packets only (RFC 9000, section 10.3.3): to a request, not to a keep-alive.
@@ -521,9 +521,9 @@
 			}
 		})
 	}
-	_, before := h.relay.Passed()
+	_, before := h.relay.DatagramCounts()
 	sendRequest()
-	wait.Until(t, "another instance's resets", func() bool { _, n := h.relay.Passed(); return n > before+1 })
+	wait.Until(t, "another instance's resets", func() bool { _, n := h.relay.DatagramCounts(); return n > before+1 })
 	if conn.Context().Err() != nil {
 		t.Fatalf("another instance has ended a connection: %v", context.Cause(conn.Context()))
 	}
--- a/internal/measure/endpointremoval/run.go
+++ b/internal/measure/endpointremoval/run.go
@@ -287,7 +287,7 @@
 	x := s.alive[n]
 	s.alive = slices.Delete(s.alive, n, n+1)
 	s.removed[x] = time.Now()
-	s.service.Drop(path + "/" + x.Name)
+	s.service.Delete(path + "/" + x.Name)
 	if s.o.Discovery {
 		lag := time.Duration((0.6 + 4.4*s.rng.Float64()) * float64(time.Second))
 		s.lagging.Go(func() {
@@ -336,7 +336,7 @@
 	case "flap":
 		x := s.alive[s.rng.IntN(len(s.alive))]
 		for range 5 {
-			s.service.Drop(path + "/" + x.Name)
+			s.service.Delete(path + "/" + x.Name)
 			time.Sleep(20 * time.Millisecond)
 			s.register(x)
 			time.Sleep(30 * time.Millisecond)
@@ -344,12 +344,12 @@
 		// It is let in again once it stays.
 		time.Sleep(5 * time.Second)
 	case "break":
-		s.service.Member(s.rng.IntN(2)).Break()
+		s.service.Member(s.rng.IntN(2)).CloseConnections()
 	case "silence", "refuse":
 		s.silences++
-		disturb := s.service.Silence
+		disturb := s.service.SetUnresponsive
 		if what == "refuse" {
-			disturb = s.service.Reject
+			disturb = s.service.SetRejecting
 		}
 		disturb(true)
 		s.still(session + time.Second)
@@ -358,12 +358,12 @@
 	case "lose":
 		// All sessions and so all nodes are lost; the servers register anew, late.
 		s.silences++
-		s.service.Silence(true)
+		s.service.SetUnresponsive(true)
 		time.Sleep(session)
 		for _, x := range s.alive {
-			s.service.Drop(path + "/" + x.Name)
+			s.service.Delete(path + "/" + x.Name)
 		}
-		s.service.Silence(false)
+		s.service.SetUnresponsive(false)
 		time.Sleep(2 * session) // it has connected again, and read an empty directory
 		s.still(session)
 		for _, x := range s.alive {
@@ -374,9 +374,9 @@
 		s.service.Restart(int64(s.rng.IntN(400)-200), false)
 		s.settle()
 	case "slow":
-		s.service.Delay(100 * time.Millisecond)
+		s.service.SetDelay(100 * time.Millisecond)
 		time.Sleep(300 * time.Millisecond)
-		s.service.Delay(0)
+		s.service.SetDelay(0)
 	}
 }
 
--- a/internal/measure/extproc/cost.go
+++ b/internal/measure/extproc/cost.go
@@ -146,11 +146,11 @@
 		q.Header["x-service-class"] = "price-check"
 	}
 	began := time.Now()
-	s, err := c.p.Stream(ctx)
+	s, err := c.p.OpenStream(ctx)
 	if err != nil {
 		return 0, err
 	}
-	if err := s.Send(proxy.Headers(q, 0)); err != nil {
+	if err := s.Send(proxy.RequestHeaders(q, 0)); err != nil {
 		return 0, err
 	}
 	m, err := s.Recv()
@@ -158,7 +158,7 @@
 		return 0, err
 	}
 	took := time.Since(began)
-	v, err := proxy.Read(m)
+	v, err := proxy.ParseDecision(m)
 	if err != nil {
 		return 0, err
 	}
@@ -173,7 +173,7 @@
 		_, _ = s.Recv() // the stream's end
 		return took, nil
 	}
-	if err := s.Send(proxy.Report(200, nil, "via_upstream", v.Endpoint)); err != nil {
+	if err := s.Send(proxy.ResponseHeaders(200, nil, "via_upstream", v.Endpoint)); err != nil {
 		return 0, err
 	}
 	if _, err := s.Recv(); err != nil {
@@ -400,12 +400,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	for n := range streams {
-		s, err := c.p.Stream(ctx)
+		s, err := c.p.OpenStream(ctx)
 		if err != nil {
 			return 0, err
 		}
 		id := "open-" + strconv.Itoa(n)
-		if err := s.Send(proxy.Headers(proxy.Request{Method: "GET", Path: "/price-check/x", Header: map[string]string{
+		if err := s.Send(proxy.RequestHeaders(proxy.Request{Method: "GET", Path: "/price-check/x", Header: map[string]string{
 			"x-correlation-id": id, "x-service-class": "price-check", "x-time-left-ms": "60000"}}, 0)); err != nil {
 			return 0, err
 		}
--- a/internal/measure/extproc/fronts.go
+++ b/internal/measure/extproc/fronts.go
@@ -35,7 +35,7 @@
 // is left: a request that fails at every server it tries would otherwise be all that
 // some servers see, and their breakers draw lots on what comes next.
 func Fronts(o Options, everywhere bool) (overHTTP, overProcessor map[string]*Tally, err error) {
-	faults := fakebackend.Faults{Reject: 0.02, Error: 0.03, Reset: 0.02, Everywhere: everywhere}
+	faults := fakebackend.Faults{Reject: 0.02, Error: 0.03, Reset: 0.02, SameOnAllServers: everywhere}
 	play := func(call func(r *run, q proxy.Request) (int, error)) (map[string]*Tally, error) {
 		r := &run{o: o}
 		if err := r.begin(faults); err != nil {
@@ -94,7 +94,7 @@
 				return 0, err
 			}
 		}
-		a := p.Retry(context.Background(), q, nil)
+		a := p.DoWithRetries(context.Background(), q, nil)
 		return a.Code, a.Err
 	})
 	if err != nil {
--- a/internal/measure/extproc/print.go
+++ b/internal/measure/extproc/print.go
@@ -19,7 +19,7 @@
 		fmt.Fprintf(out, "  answered %-21d %d\n", c, r.Codes[c])
 	}
 	fmt.Fprintf(out, "servers: %d requests, %d run, %d turned away, %d repeats dropped; effects done twice %d; pairs told two servers %d\n",
-		r.Fleet.Requests, r.Fleet.Run, r.Fleet.Rejected, r.Fleet.Dropped, len(r.Twice), r.Split)
+		r.Fleet.Requests, r.Fleet.Executed, r.Fleet.Rejected, r.Fleet.Deduplicated, len(r.Twice), r.Split)
 	fmt.Fprintf(out, "removed servers %d; latest request after a removal %v; over 2 s %d\n", r.Removed, r.Latest, r.Late)
 	fmt.Fprintf(out, "at the end: %d asks, %d rounds, %d entries, %d requests, %d goroutines more than at the start; streams failed %d\n",
 		r.OpenRequests, r.Rounds, r.Entries, r.Ledger, max(0, r.Extra), r.Errors)
--- a/internal/measure/extproc/run.go
+++ b/internal/measure/extproc/run.go
@@ -187,7 +187,7 @@
 	if r.file, err = config.Parse([]byte(File(r.dir.Address, r.o.Short, r.o.attempts()))); err != nil {
 		return err
 	}
-	r.fleet = &fakebackend.Fleet{Classes: r.file.Settings().Classes, Seed: r.o.Seed, Work: r.o.Work, Faults: faults}
+	r.fleet = &fakebackend.Fleet{Classes: r.file.Settings().Classes, Seed: r.o.Seed, ServiceTime: r.o.Work, Faults: faults}
 	for range r.o.Servers {
 		if err = r.add(); err != nil {
 			return err
@@ -318,7 +318,7 @@
 		r.breakOff(q)
 	case x < 0.15 && hasKey:
 		kind = "asked twice at once"
-		var second proxy.Answer
+		var second proxy.Result
 		var both sync.WaitGroup
 		both.Go(func() { second = other.Do(ctx, q, proxy.Behaviour{}) })
 		first := p.Do(ctx, q, proxy.Behaviour{})
@@ -344,7 +344,7 @@
 		}
 		r.code(first.Code)
 	default:
-		last := p.Retry(ctx, q, func(a proxy.Answer) { r.ask(a, false) })
+		last := p.DoWithRetries(ctx, q, func(a proxy.Result) { r.ask(a, false) })
 		r.code(last.Code)
 	}
 	r.mu.Lock()
@@ -363,7 +363,7 @@
 }
 
 // ask counts an ask. left says that it was broken off before its verdict.
-func (r *run) ask(a proxy.Answer, remaining bool) {
+func (r *run) ask(a proxy.Result, remaining bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.report.Requests++
@@ -384,7 +384,7 @@
 
 // pair checks two asks about one keyed request: where both had the first attempt
 // handed out, it was one verdict.
-func (r *run) pair(a, b proxy.Answer) {
+func (r *run) pair(a, b proxy.Result) {
 	x, y := a.Decision, b.Decision
 	if x.Endpoint == "" || y.Endpoint == "" || x.Headers["x-pinedale-attempt"] != "1" ||
 		y.Headers["x-pinedale-attempt"] != "1" || a.Code != 200 || b.Code != 200 {
@@ -434,7 +434,7 @@
 		}
 	}
 	r.end()
-	rep.Twice, rep.Fleet = r.fleet.Twice(), r.fleet.Counts()
+	rep.Twice, rep.Fleet = r.fleet.DuplicateEffects(), r.fleet.Counts()
 	for end := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
 		rep.Extra = runtime.NumGoroutine() - rep.Goroutines
 		if rep.Extra <= 0 || time.Now().After(end) {
--- a/internal/measure/extproc/run_test.go
+++ b/internal/measure/extproc/run_test.go
@@ -17,7 +17,7 @@
 	if reason := r.Broken(); reason != "" {
 		t.Error(reason)
 	}
-	if r.Codes[200] < r.Calls/2 || r.Removed < 5 || r.Fleet.Dropped == 0 || r.Fleet.Rejected == 0 || len(r.Kinds) != 7 {
+	if r.Codes[200] < r.Calls/2 || r.Removed < 5 || r.Fleet.Deduplicated == 0 || r.Fleet.Rejected == 0 || len(r.Kinds) != 7 {
 		t.Errorf("the run did not cause what it is for: %+v", r)
 	}
 	t.Logf("%+v", r)
--- a/internal/measure/reconnect/reconnect.go
+++ b/internal/measure/reconnect/reconnect.go
@@ -64,7 +64,7 @@
 		return nil, err
 	}
 	defer os.RemoveAll(dir)
-	files := ca.FolderAt(ca.Must{}, dir)
+	files := ca.FolderAt(ca.PanicOnFatal{}, dir)
 	servers, err := startServers(o, files)
 	if err != nil {
 		return nil, err
@@ -115,9 +115,9 @@
 
 // startServers starts the servers, and writes the root that their certificate is by into files.
 func startServers(o Options, files *ca.Folder) (*servers, error) {
-	root := ca.New(ca.Must{}, "root")
-	files.Put(files.Roots, root.PEM())
-	p := root.Issue(ca.Spec{Names: []string{"soko.example.org"}, From: time.Now().Add(-time.Hour), Until: time.Now().Add(24 * time.Hour)})
+	root := ca.New(ca.PanicOnFatal{}, "root")
+	files.WriteFile(files.Roots, root.PEM())
+	p := root.Issue(ca.Spec{Names: []string{"soko.example.org"}, NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(24 * time.Hour)})
 	pair, err := tls.X509KeyPair(p.Cert, p.Key)
 	if err != nil {
 		return nil, err
--- a/internal/measure/rotations/rotations.go
+++ b/internal/measure/rotations/rotations.go
@@ -91,7 +91,7 @@
 	o            Options
 	first, next  *ca.Authority
 	front, fleet *ca.Folder
-	keys         *tlsbackend.Keys
+	keys         *tlsbackend.Credentials
 	at           *app.Instance
 	clients      atomic.Pointer[x509.CertPool] // whom they trust
 }
@@ -105,7 +105,7 @@
 
 // issue makes a certificate for now.
 func issue(a *ca.Authority, names ...string) *ca.Pair {
-	return a.Issue(ca.Spec{Names: names, From: time.Now().Add(-time.Hour), Until: time.Now().Add(24 * time.Hour)})
+	return a.Issue(ca.Spec{Names: names, NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(24 * time.Hour)})
 }
 
 // Run measures.
@@ -119,7 +119,7 @@
 	if err := w.issueAll(); err != nil {
 		return nil, err
 	}
-	fleet := &fakebackend.Fleet{Work: time.Millisecond, TLS: w.keys.Follow, Classes: []balancer.Class{
+	fleet := &fakebackend.Fleet{ServiceTime: time.Millisecond, TLS: w.keys.ServerConfig, Classes: []balancer.Class{
 		{Name: "stall-pay", Idempotency: balancer.IdempotentWithKey, Group: balancer.GroupAll, DedupWindow: 30_000_000}}}
 	text := fmt.Sprintf(file, o.HTTP3, w.front.Cert, w.front.Key, w.fleet.Cert, w.fleet.Key, w.fleet.Roots)
 	for n := range o.Servers {
@@ -148,7 +148,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r.Twice = fleet.Twice()
+	r.Twice = fleet.DuplicateEffects()
 	r.Security, _ = w.at.HandshakeCounters()
 	r.Keys = w.at.Keys()
 	return r, nil
@@ -165,13 +165,13 @@
 		if err := os.MkdirAll(dir, 0o700); err != nil {
 			return err
 		}
-		*x.at = ca.FolderAt(ca.Must{}, dir)
+		*x.at = ca.FolderAt(ca.PanicOnFatal{}, dir)
 	}
-	w.front.Pair(issue(w.first, "127.0.0.1"))
-	w.fleet.Pair(issue(w.first, "pinedale.example.org"))
-	w.fleet.Put(w.fleet.Roots, w.first.PEM())
-	w.keys = tlsbackend.NewKeys(ca.Must{}, issue(w.first, w.names()...))
-	w.keys.Trust(w.first)
+	w.front.WritePair(issue(w.first, "127.0.0.1"))
+	w.fleet.WritePair(issue(w.first, "pinedale.example.org"))
+	w.fleet.WriteFile(w.fleet.Roots, w.first.PEM())
+	w.keys = tlsbackend.NewCredentials(ca.PanicOnFatal{}, issue(w.first, w.names()...))
+	w.keys.SetClientCAs(w.first)
 	return nil
 }
 
@@ -233,7 +233,7 @@
 // root makes one that clients trust from now on, for good: it is the front's side of a
 // rotation that is measured, not theirs.
 func (w *world) root(n int) *ca.Authority {
-	a := ca.New(ca.Must{}, fmt.Sprint("root ", n))
+	a := ca.New(ca.PanicOnFatal{}, fmt.Sprint("root ", n))
 	pool := x509.NewCertPool()
 	if before := w.clients.Load(); before != nil {
 		pool = before.Clone()
@@ -263,24 +263,24 @@
 func (w *world) rotate(n int) error {
 	switch n % 6 {
 	case 0: // the servers' certificate
-		w.keys.Show(issue(w.first, w.names()...))
+		w.keys.SetCertificate(issue(w.first, w.names()...))
 	case 1: // this side's towards them: the key, and then the certificate
 		return w.taken("fleet", func() {
 			p := issue(w.first, "pinedale.example.org")
-			w.fleet.Put(w.fleet.Key, p.Key)
-			w.fleet.Put(w.fleet.Cert, p.Cert)
+			w.fleet.WriteFile(w.fleet.Key, p.Key)
+			w.fleet.WriteFile(w.fleet.Cert, p.Cert)
 		})
 	case 2: // this side's towards clients: the certificate, and then the key
-		return w.taken("front", func() { w.front.Pair(issue(w.first, "127.0.0.1")) })
+		return w.taken("front", func() { w.front.WritePair(issue(w.first, "127.0.0.1")) })
 	case 3: // both roots are trusted on both sides
-		w.keys.Trust(w.first, w.next)
-		return w.taken("fleet", func() { w.fleet.Put(w.fleet.Roots, w.first.PEM(), w.next.PEM()) })
+		w.keys.SetClientCAs(w.first, w.next)
+		return w.taken("fleet", func() { w.fleet.WriteFile(w.fleet.Roots, w.first.PEM(), w.next.PEM()) })
 	case 4: // all show what is by the new one
-		w.keys.Show(issue(w.next, w.names()...))
-		return w.taken("fleet", func() { w.fleet.Pair(issue(w.next, "pinedale.example.org")) })
+		w.keys.SetCertificate(issue(w.next, w.names()...))
+		return w.taken("fleet", func() { w.fleet.WritePair(issue(w.next, "pinedale.example.org")) })
 	case 5: // and the old one is taken away, while connections stand
-		err := w.taken("fleet", func() { w.fleet.Put(w.fleet.Roots, w.next.PEM()) })
-		w.keys.Trust(w.next)
+		err := w.taken("fleet", func() { w.fleet.WriteFile(w.fleet.Roots, w.next.PEM()) })
+		w.keys.SetClientCAs(w.next)
 		w.first, w.next = w.next, w.root(n/6+2)
 		return err
 	}
--- a/internal/measure/tenants/tenants.go
+++ b/internal/measure/tenants/tenants.go
@@ -71,7 +71,7 @@
 
 // Run measures. The quiet tenants are first alone, then beside the loud one.
 func Run(o Options) ([]Row, error) {
-	fleet := &fakebackend.Fleet{Seed: o.Seed, Work: 5 * time.Millisecond}
+	fleet := &fakebackend.Fleet{Seed: o.Seed, ServiceTime: 5 * time.Millisecond}
 	text := fmt.Sprintf(file, o.Rate)
 	var first string
 	for n := range 3 {
--- a/internal/measure/tlscost/proxies.go
+++ b/internal/measure/tlscost/proxies.go
@@ -54,7 +54,7 @@
 // serveSite runs a pinedale-proxy. Arguments: the folder of its files, the server's address,
 // and "tls" for a front with TLS or "h3" for one on HTTP/3.
 func serveSite(args []string) (line string, stop func(), err error) {
-	f := ca.FolderAt(ca.Must{}, args[0])
+	f := ca.FolderAt(ca.PanicOnFatal{}, args[0])
 	front, keys := "", ""
 	if args[2] != "plain" {
 		front, keys = `keys = "front"`, fmt.Sprintf("[[keys]]\nname = \"front\"\ncert_file = %q\nkey_file = %q\n", f.Cert, f.Key)
@@ -83,7 +83,7 @@
 
 // serveReverse runs an httputil.ReverseProxy over http.Transport, with the same arguments.
 func serveReverse(args []string) (line string, stop func(), err error) {
-	f := ca.FolderAt(ca.Must{}, args[0])
+	f := ca.FolderAt(ca.PanicOnFatal{}, args[0])
 	text, err := os.ReadFile(f.Roots)
 	if err != nil {
 		return "", nil, err
--- a/internal/measure/tlscost/tlscost.go
+++ b/internal/measure/tlscost/tlscost.go
@@ -44,7 +44,7 @@
 // serveServer answers over HTTP/1.1 and HTTP/3. Its argument is the folder with its files;
 // with "mutual" clients must show a certificate.
 func serveServer(args []string) (line string, stop func(), err error) {
-	f := ca.FolderAt(ca.Must{}, args[0])
+	f := ca.FolderAt(ca.PanicOnFatal{}, args[0])
 	pair, err := tls.LoadX509KeyPair(f.Cert, f.Key)
 	if err != nil {
 		return "", nil, err
@@ -88,7 +88,7 @@
 // the 99th percentile, and the CPU time of each, in nanoseconds. Arguments: the folder, the
 // server's address, the protocol, "full" or "resumed", and how many.
 func serveClient(args []string) (line string, stop func(), err error) {
-	c, err := client(ca.FolderAt(ca.Must{}, args[0]))
+	c, err := client(ca.FolderAt(ca.PanicOnFatal{}, args[0]))
 	if err != nil {
 		return "", nil, err
 	}
@@ -195,8 +195,8 @@
 
 // files writes what a server and a client need into folders below dir.
 func files(dir string, key func() (crypto.Signer, error)) (server, client *ca.Folder, err error) {
-	root := ca.New(ca.Must{}, "root")
-	between := root.Below("between") // as most have it
+	root := ca.New(ca.PanicOnFatal{}, "root")
+	between := root.NewIntermediate("between") // as most have it
 	for _, x := range []struct {
 		at   **ca.Folder
 		name string
@@ -205,15 +205,15 @@
 		if err := os.MkdirAll(at, 0o700); err != nil {
 			return nil, nil, err
 		}
-		*x.at = ca.FolderAt(ca.Must{}, at)
-		spec := ca.Spec{Names: []string{x.name, "127.0.0.1"}, From: time.Now().Add(-time.Hour), Until: time.Now().Add(24 * time.Hour)}
+		*x.at = ca.FolderAt(ca.PanicOnFatal{}, at)
+		spec := ca.Spec{Names: []string{x.name, "127.0.0.1"}, NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(24 * time.Hour)}
 		if key != nil {
 			if spec.Key, err = key(); err != nil {
 				return nil, nil, err
 			}
 		}
-		(*x.at).Pair(between.Issue(spec))
-		(*x.at).Put((*x.at).Roots, root.PEM())
+		(*x.at).WritePair(between.Issue(spec))
+		(*x.at).WriteFile((*x.at).Roots, root.PEM())
 	}
 	return server, client, nil
 }
--- a/internal/measure/zookeeper/zookeeper.go
+++ b/internal/measure/zookeeper/zookeeper.go
@@ -89,7 +89,7 @@
 			// Each node in turn goes, and comes back a tenth of them later.
 			at := i / 2 % max(1, n/10)
 			if i%2 == 0 {
-				s.Drop(name(at))
+				s.Delete(name(at))
 			} else {
 				s.Put(name(at), data(at))
 			}
--- a/internal/membership/ephemeral/client_test.go
+++ b/internal/membership/ephemeral/client_test.go
@@ -111,14 +111,14 @@
 func TestUnresponsiveServiceIsReported(t *testing.T) {
 	h := start(t, 1, nil, "a", "b")
 	h.waitNames("a b")
-	h.service.Silence(true)
+	h.service.SetUnresponsive(true)
 	h.waitUntil("the outage", func() bool { return h.recorder.outageCount() == 1 })
 	h.drop("a")
 	h.put("c", nodeData(1, ""))
 	if got := h.recorder.names(); got != "a b" {
 		t.Errorf("listed in the outage: %q", got)
 	}
-	h.service.Silence(false)
+	h.service.SetUnresponsive(false)
 	h.waitNames("b c")
 }
 
@@ -126,17 +126,17 @@
 func TestRejectedConnectionIsAnOutageAndDelayIsNot(t *testing.T) {
 	h := start(t, 2, nil, "a")
 	h.waitNames("a")
-	h.service.Delay(100 * time.Millisecond)
+	h.service.SetDelay(100 * time.Millisecond)
 	h.put("b", nodeData(1, ""))
 	h.waitNames("a b")
 	if n := h.recorder.outageCount(); n != 0 {
 		t.Errorf("%d outages of a slow service", n)
 	}
-	h.service.Delay(0)
-	h.service.Reject(true)
+	h.service.SetDelay(0)
+	h.service.SetRejecting(true)
 	h.waitUntil("the outage", func() bool { return h.recorder.outageCount() > 0 })
 	h.put("c", nodeData(1, ""))
-	h.service.Reject(false)
+	h.service.SetRejecting(false)
 	h.waitNames("a b c")
 }
 
@@ -160,8 +160,8 @@
 func TestSplitServiceIsReportedAsEachMemberLists(t *testing.T) {
 	h := start(t, 2, longSession, "a", "b", "c")
 	h.waitNames("a b c")
-	h.service.Member(0).Split(true, "/soko/a", "/soko/b")
-	h.service.Member(1).Split(true, "/soko/c")
+	h.service.Member(0).SetStaleView(true, "/soko/a", "/soko/b")
+	h.service.Member(1).SetStaleView(true, "/soko/c")
 	seen := map[string]bool{}
 	for range 64 { // the member is drawn anew each time: 8 were too few once in 128 runs
 		snapshots := h.recorder.snapshotCount()
@@ -189,7 +189,7 @@
 		stop := h.run(o)
 		if want != "" {
 			h.waitNames(want)
-			service.Member(0).Break()
+			service.Member(0).CloseConnections()
 			h.waitUntil("a second list", func() bool { return h.recorder.snapshotCount() == 2 })
 		} else {
 			h.waitUntil("the rejection", func() bool { return h.log.Count("not authenticated") > 0 })
@@ -210,7 +210,7 @@
 	}
 	h := start(t, 1, longSession, names...)
 	h.waitUntil("all nodes", func() bool { return h.recorder.nodeCount() == 2000 })
-	lists, reads, began := h.service.Count(fakezookeeper.OpGetChildren2), h.service.Count(fakezookeeper.OpGetData), time.Now()
+	lists, reads, began := h.service.RequestCount(fakezookeeper.OpGetChildren2), h.service.RequestCount(fakezookeeper.OpGetData), time.Now()
 	for i := range 200 { // removed and put a hundred times
 		if i%2 == 0 {
 			h.drop("n0000")
@@ -221,10 +221,10 @@
 	}
 	h.waitUntil("all nodes again", func() bool { return h.recorder.nodeCount() == 2000 })
 	limit := int(time.Since(began)/minListInterval) + 2
-	if n := h.service.Count(fakezookeeper.OpGetChildren2) - lists; n > limit {
+	if n := h.service.RequestCount(fakezookeeper.OpGetChildren2) - lists; n > limit {
 		t.Errorf("the directory was read %d times, want at most %d", n, limit)
 	}
-	if n := h.service.Count(fakezookeeper.OpGetData) - reads; n > 220 {
+	if n := h.service.RequestCount(fakezookeeper.OpGetData) - reads; n > 220 {
 		t.Errorf("%d nodes were read for 200 changes of one", n)
 	}
 }
--- a/internal/membership/ephemeral/harness_test.go
+++ b/internal/membership/ephemeral/harness_test.go
@@ -100,7 +100,7 @@
 	t        *testing.T
 	service  *fakezookeeper.Service
 	recorder *recorder
-	log      logcapture.Record
+	log      logcapture.Buffer
 }
 
 func newHarness(t *testing.T, service *fakezookeeper.Service) *harness {
@@ -173,12 +173,12 @@
 
 func (h *harness) put(node string, data []byte) { h.service.Put("/soko/"+node, data) }
 
-func (h *harness) drop(node string) { h.service.Drop("/soko/" + node) }
+func (h *harness) drop(node string) { h.service.Delete("/soko/" + node) }
 
 // breakConnections breaks the connections of a service of two members.
 func (h *harness) breakConnections() {
-	h.service.Member(0).Break()
-	h.service.Member(1).Break()
+	h.service.Member(0).CloseConnections()
+	h.service.Member(1).CloseConnections()
 }
 
 func (h *harness) waitUntil(what string, condition func() bool) {
--- a/internal/membership/multisource/source_test.go
+++ b/internal/membership/multisource/source_test.go
@@ -35,7 +35,7 @@
 	t         *testing.T
 	service   *fakezookeeper.Service
 	discovery *fakediscovery.Directory
-	log       logcapture.Record
+	log       logcapture.Buffer
 
 	mu       sync.Mutex
 	hosts    map[string]engine.Host
@@ -135,8 +135,8 @@
 
 // dropNodes removes all nodes of the service.
 func (h *harness) dropNodes() {
-	for _, node := range h.service.Nodes("/soko") {
-		h.service.Drop("/soko/" + node)
+	for _, node := range h.service.Children("/soko") {
+		h.service.Delete("/soko/" + node)
 	}
 }
 
@@ -162,15 +162,15 @@
 func TestServiceThatLosesAllNodesTakesNobodyOut(t *testing.T) {
 	for name, loseNodes := range map[string]func(h *harness){
 		"in an outage": func(h *harness) {
-			h.service.Silence(true)
+			h.service.SetUnresponsive(true)
 			h.waitUntil("the outage", func() bool { return h.logged(`membership source unavailable.* reason="no connection"`) })
 			h.dropNodes()
-			h.service.Silence(false)
+			h.service.SetUnresponsive(false)
 		},
 		"with a broken connection": func(h *harness) {
-			h.service.Reject(true)
+			h.service.SetRejecting(true)
 			h.dropNodes()
-			h.service.Reject(false)
+			h.service.SetRejecting(false)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -249,7 +249,7 @@
 		return []Input{{reconcile.Discovery, h.discovery.Address, SourceFeeder{client}}}
 	}, "a", "b", "c")
 	h.waitReady("a b c")
-	h.service.Silence(true)
+	h.service.SetUnresponsive(true)
 	h.waitUntil("the outage", func() bool { return h.logged(`membership source unavailable.* reason="no connection"`) })
 	set := func(version uint64, names ...string) {
 		h.discovery.Change(func() { h.discovery.List = document(version, names...) })
@@ -263,7 +263,7 @@
 	h.discovery.Change(func() { h.discovery.Down = false })
 	set(3, "b", "d", "e")
 	h.waitReady("b c d e")
-	h.service.Silence(false)
+	h.service.SetUnresponsive(false)
 	h.waitUntil("it is back", func() bool { return h.logged("membership source recovered.* kind=ephemeral source=/soko") })
 }
 
@@ -283,7 +283,7 @@
 		defer h.mu.Unlock()
 		return h.hosts["a"].Address == "127.0.0.1:1"
 	})
-	h.service.Drop("/soko/a")
+	h.service.Delete("/soko/a")
 	h.waitReady("z")
 	h.put("a")
 	h.waitReady("a z")
@@ -299,7 +299,7 @@
 	began := time.Now()
 	for i := range 300 {
 		h.put(fmt.Sprint("n", i%30))
-		h.service.Drop(fmt.Sprint("/soko/n", i%30))
+		h.service.Delete(fmt.Sprint("/soko/n", i%30))
 	}
 	h.put("last")
 	h.waitUntil("the last", func() bool { return strings.Contains(h.ready(), "last") })
--- a/internal/membership/reconcile/harness_test.go
+++ b/internal/membership/reconcile/harness_test.go
@@ -65,7 +65,7 @@
 	reconciler *Reconciler
 	now        time.Duration
 	hosts      map[string]engine.Host
-	log        logcapture.Record
+	log        logcapture.Buffer
 	lists      int // how many were returned
 }
 
--- a/internal/membership/register/register_test.go
+++ b/internal/membership/register/register_test.go
@@ -75,7 +75,7 @@
 	const removed = "removal"
 	for name, end := range map[string]func(){
 		"expiry":  func() { service.ExpireSession(service.Owner(nodePath)) },
-		removed:   func() { service.Drop(nodePath) },
+		removed:   func() { service.Delete(nodePath) },
 		"restart": func() { service.Restart(1000, true) },
 	} {
 		owner := service.Owner(nodePath)
@@ -84,9 +84,9 @@
 			return exists() && (name == removed || service.Owner(nodePath) != owner)
 		})
 	}
-	service.Silence(true)
+	service.SetUnresponsive(true)
 	time.Sleep(time.Second) // longer than the session: it must not be reported as expired
-	service.Silence(false)
+	service.SetUnresponsive(false)
 	wait.Until(t, "the node after an outage", exists)
 }
 
@@ -131,7 +131,7 @@
 	if service.Owner(directory+"/s-2") != 0 || registrar.Registered() {
 		t.Error("another server's node was replaced")
 	}
-	service.Drop(directory + "/s-2")
+	service.Delete(directory + "/s-2")
 	wait.Until(t, "the name that is free", registrar.Registered)
 }
 
@@ -142,11 +142,11 @@
 	o.Digest = "soko:secret"
 	registrar := startRegistrar(t, o)
 	wait.Until(t, "the node", registrar.Registered)
-	sets, deletes := service.Count(fakezookeeper.OpSetData), service.Count(fakezookeeper.OpDelete)
+	sets, deletes := service.RequestCount(fakezookeeper.OpSetData), service.RequestCount(fakezookeeper.OpDelete)
 	if err := registrar.Drain(); err != nil {
 		t.Fatal(err)
 	}
-	if service.Count(fakezookeeper.OpSetData) != sets+1 || service.Count(fakezookeeper.OpDelete) != deletes+1 {
+	if service.RequestCount(fakezookeeper.OpSetData) != sets+1 || service.RequestCount(fakezookeeper.OpDelete) != deletes+1 {
 		t.Error("the node was not marked and then removed")
 	}
 	for _, id := range service.Sessions() {
@@ -154,7 +154,7 @@
 	}
 	wait.Until(t, "a new session", func() bool { return len(service.Sessions()) == 1 })
 	time.Sleep(2 * retryDelay)
-	if names := service.Nodes(directory); len(names) != 0 {
+	if names := service.Children(directory); len(names) != 0 {
 		t.Errorf("nodes %v after the drain", names)
 	}
 }
--- a/internal/membership/zkconn/zkconn_test.go
+++ b/internal/membership/zkconn/zkconn_test.go
@@ -20,7 +20,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		service.Reject(reject)
+		service.SetRejecting(reject)
 		events := make(chan zk.Event, 100)
 		conn, err := Open(Options{
 			Servers:        service.Addresses(),
--- a/internal/sidecar/connections_test.go
+++ b/internal/sidecar/connections_test.go
@@ -89,7 +89,7 @@
 	if strings.Count(string(rest), "HTTP/1.1") != 1 || !strings.HasPrefix(string(rest), "HTTP/1.1 400") {
 		t.Errorf("after an empty line: got %q", rest)
 	}
-	if n, _ := e.Seen(); n != 1 {
+	if n := e.RequestCount(); n != 1 {
 		t.Errorf("%d requests reached the endpoint, want the valid one", n)
 	}
 }
@@ -109,7 +109,7 @@
 			t.Errorf("%s: got %q", name, got)
 		}
 	}
-	if n, _ := e.Seen(); n != 2 {
+	if n := e.RequestCount(); n != 2 {
 		t.Errorf("%d requests reached the endpoint, want 2", n)
 	}
 	for i := range 2 {
@@ -143,7 +143,7 @@
 		})
 	}
 	t.Cleanup(func() {
-		if n, _ := e.Seen(); n != 0 {
+		if n := e.RequestCount(); n != 0 {
 			t.Errorf("%d of them reached the endpoint", n)
 		}
 	})
@@ -204,7 +204,7 @@
 	h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
 	first, same := make(chan reply), h.newRequest("pay", "", time.Minute)
 	go func() { first <- h.send(same.Clone(context.Background())) }()
-	h.waitFor("the first request to arrive", func() bool { n, _ := e.Seen(); return n == 1 })
+	h.waitFor("the first request to arrive", func() bool { return e.RequestCount() == 1 })
 	if got := h.send(same.Clone(context.Background())); got.code != http.StatusConflict {
 		t.Errorf("the second request: %+v", got)
 	}
@@ -232,7 +232,7 @@
 	h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
 	first := make(chan reply)
 	go func() { first <- h.send(h.newRequest("pay", "x", time.Minute)) }()
-	h.waitFor("the first request to arrive", func() bool { n, _ := e.Seen(); return n == 1 })
+	h.waitFor("the first request to arrive", func() bool { return e.RequestCount() == 1 })
 	h.waitFor("other connections to end", func() bool { return h.server.Connections() == 1 })
 	oldest := h.dial()
 	h.waitFor("the oldest", func() bool { return h.server.Connections() == 2 })
--- a/internal/sidecar/deadline_test.go
+++ b/internal/sidecar/deadline_test.go
@@ -41,7 +41,7 @@
 	if err := response.Body.Close(); err != nil {
 		t.Fatal(err)
 	}
-	attempts, _ := endpoint.Seen()
+	attempts := endpoint.RequestCount()
 	if response.StatusCode != http.StatusOK || attempts != 1 {
 		t.Errorf("answer %d after %d attempts, want 200 after 1", response.StatusCode, attempts)
 	}
--- a/internal/sidecar/disconnect_test.go
+++ b/internal/sidecar/disconnect_test.go
@@ -81,7 +81,7 @@
 			if s := h.spy.statuses()[0]; s != balancer.NotSent {
 				t.Errorf("status %v, want NotSent", s)
 			}
-			if n, _ := e.Seen(); n != 0 {
+			if n := e.RequestCount(); n != 0 {
 				t.Errorf("%d requests were written after their client disconnected", n)
 			}
 			h.waitFor("no request in flight", func() bool {
@@ -132,7 +132,7 @@
 		}
 		r.Body.Close()
 	}
-	h.waitFor("both requests", func() bool { n, _ := e.Seen(); return n == 2 })
+	h.waitFor("both requests", func() bool { return e.RequestCount() == 2 })
 	for n, want := range []string{"first", "next"} {
 		if body, _ := io.ReadAll(e.Request(n).Body); string(body) != want {
 			t.Errorf("request %d has body %q, want %q", n, body, want)
@@ -143,7 +143,7 @@
 // A request with an idempotency key that may have run is not written again once the dedup window of its
 // key is over, however long the connection takes to be established.
 func TestRetryIsNotWrittenAfterDedupWindow(t *testing.T) {
-	e := scriptedconn.New(t, scriptedconn.Then(scriptedconn.Failing, scriptedconn.Served))
+	e := scriptedconn.New(t, scriptedconn.FirstThen(scriptedconn.Failing, scriptedconn.Served))
 	// Both names have the address of one endpoint: whichever is chosen first fails.
 	hosts := []fakediscovery.Host{fakediscovery.Ready("s-1", e.Address), fakediscovery.Ready("s-2", e.Address)}
 	h := &harness{t: t, dir: fakediscovery.New(t, hosts...)}
@@ -161,7 +161,7 @@
 		pay["window"], pay["give-up"] = window.Microseconds(), (10 * window).Microseconds()
 	}, hosts...)
 	got := h.send(h.newRequest("pay", "x", time.Minute))
-	if n, _ := e.Seen(); n != 1 || got.code != http.StatusBadGateway {
+	if n := e.RequestCount(); n != 1 || got.code != http.StatusBadGateway {
 		t.Errorf("%d attempts were written, response %d; want 1 and 502", n, got.code)
 	}
 	if all := h.spy.statuses(); !slices.Equal(all, []balancer.Status{balancer.Error, balancer.NotSent}) {
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -33,7 +33,7 @@
 func TestWatchContinuesFromKnownVersion(t *testing.T) {
 	e := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
 	h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
-	h.waitFor("the waiting call", func() bool { return h.dir.Count() == 2 })
+	h.waitFor("the waiting call", func() bool { return h.dir.CallCount() == 2 })
 	h.dir.Lock()
 	calls := slices.Clone(h.dir.Calls)
 	h.dir.Unlock()
@@ -45,12 +45,12 @@
 	h.dir.Change(func() {
 		h.dir.List = fakediscovery.Document{Seq: 7, Complete: true, Hosts: []fakediscovery.Host{fakediscovery.Ready("s-2", second.Address)}}
 	})
-	h.waitFor("the call after the change", func() bool { return h.dir.Count() == 3 })
+	h.waitFor("the call after the change", func() bool { return h.dir.CallCount() == 3 })
 	h.waitFor("the change", func() bool { return h.spy.listCount(balancer.ListFull) == 1 })
 	if got := h.send(h.newRequest("pay", "x", 3*time.Second)); got.code != http.StatusOK {
 		t.Errorf("response %+v", got)
 	}
-	if n, _ := second.Seen(); n != 1 {
+	if n := second.RequestCount(); n != 1 {
 		t.Errorf("the endpoint of the new list got %d requests, want 1", n)
 	}
 	h.dir.Lock()
@@ -74,7 +74,7 @@
 			t.Parallel()
 			e, second := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served)), scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
 			h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
-			h.waitFor("the watch", func() bool { return h.dir.Count() >= 2 })
+			h.waitFor("the watch", func() bool { return h.dir.CallCount() >= 2 })
 			h.dir.Change(func() { h.dir.Down, h.dir.Broken = broken == "", broken })
 			// The open call is answered without a change; calls after it fail.
 			h.waitFor("the failure and one more", func() bool { return h.spy.listCount(balancer.ListFailed) >= 2 })
@@ -90,7 +90,7 @@
 			if got := h.send(h.newRequest("pay", "x", 3*time.Second)); got.code != http.StatusOK {
 				t.Errorf("with discovery back: %+v", got)
 			}
-			if n, _ := second.Seen(); n != 1 {
+			if n := second.RequestCount(); n != 1 {
 				t.Errorf("the endpoint of the new list got %d requests, want 1", n)
 			}
 		})
@@ -102,7 +102,7 @@
 func TestPushedListWatchRestartsAfterFailure(t *testing.T) {
 	e, second := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served)), scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
 	h := start(t, func(s map[string]any) { s["discovery"] = "automatic" }, fakediscovery.Ready("s-1", e.Address))
-	h.waitFor("the watch", func() bool { return h.dir.Count() >= 2 })
+	h.waitFor("the watch", func() bool { return h.dir.CallCount() >= 2 })
 	h.dir.Change(func() { h.dir.Down = true })
 	h.waitFor("the failure", func() bool { return h.spy.listCount(balancer.ListFailed) >= 1 })
 	h.dir.Change(func() {
@@ -152,10 +152,10 @@
 	})
 	second := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
 	h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
-	h.waitFor("the watch", func() bool { return h.dir.Count() == 2 })
+	h.waitFor("the watch", func() bool { return h.dir.CallCount() == 2 })
 	inFlight := make(chan reply)
 	go func() { inFlight <- h.send(h.newRequest("pay", "x", time.Minute)) }()
-	h.waitFor("the request in flight", func() bool { n, _ := e.Seen(); return n == 1 })
+	h.waitFor("the request in flight", func() bool { return e.RequestCount() == 1 })
 
 	moved := fakediscovery.New(t, fakediscovery.Ready("s-2", second.Address))
 	for range 2 { // the same reload again changes nothing
@@ -168,12 +168,12 @@
 		t.Errorf("the first call asked for %q, want the complete list", first)
 	}
 	moved.Unlock()
-	h.waitFor("the new watch", func() bool { return moved.Count() >= 3 })
-	h.waitFor("the end of the connections to the previous address", func() bool { return h.dir.Conns.Load() == 0 })
+	h.waitFor("the new watch", func() bool { return moved.CallCount() >= 3 })
+	h.waitFor("the end of the connections to the previous address", func() bool { return h.dir.OpenConns.Load() == 0 })
 	if got := h.send(h.newRequest("read", "", time.Minute)); got.code != http.StatusOK {
 		t.Errorf("through the new list: %+v", got)
 	}
-	if n, _ := second.Seen(); n != 1 {
+	if n := second.RequestCount(); n != 1 {
 		t.Errorf("the endpoint of the new list got %d requests, want 1", n)
 	}
 	close(answer)
--- a/internal/sidecar/reload_test.go
+++ b/internal/sidecar/reload_test.go
@@ -31,7 +31,7 @@
 		}
 	}
 	signals, waits, proceed := make(chan os.Signal, 1), make(chan time.Duration), make(chan time.Time)
-	var log logcapture.Record
+	var log logcapture.Buffer
 	out := ReloadOnSignal(path, signals, func(d time.Duration) <-chan time.Time {
 		waits <- d
 		return proceed
--- a/internal/sidecar/requests_test.go
+++ b/internal/sidecar/requests_test.go
@@ -34,7 +34,7 @@
 			t.Errorf("%s: got %+v", class, got)
 		}
 	}
-	if requests, conns := e.Seen(); requests != 4 || conns != 1 {
+	if requests, conns := e.RequestCount(), e.ConnCount(); requests != 4 || conns != 1 {
 		t.Errorf("%d requests on %d connections, want 4 on 1", requests, conns)
 	}
 }
@@ -44,7 +44,7 @@
 func TestRetriesFollowClassAndOutcome(t *testing.T) {
 	reset := func(e *scriptedconn.Endpoint, conn net.Conn, in *bufio.Reader) {
 		for e.Next(in) != nil {
-			if n, _ := e.Seen(); n == 1 {
+			if n := e.RequestCount(); n == 1 {
 				return
 			}
 			_, _ = io.WriteString(conn, scriptedconn.Served)
@@ -62,16 +62,16 @@
 		attempts    int
 	}{
 		{"idempotent after a reset", "read", reset, nil, 200, 2},
-		{"idempotent after an error", "read", scriptedconn.Then(scriptedconn.Failing, scriptedconn.Served), nil, 200, 2},
+		{"idempotent after an error", "read", scriptedconn.FirstThen(scriptedconn.Failing, scriptedconn.Served), nil, 200, 2},
 		{"with key, after a reset", "pay", reset, nil, 200, 2},
 		{"with key, in its cell", "close", reset, nil, 200, 2},
-		{"with key, out of its cell", "close", scriptedconn.Then(scriptedconn.Failing, scriptedconn.Served), other, 502, 1},
+		{"with key, out of its cell", "close", scriptedconn.FirstThen(scriptedconn.Failing, scriptedconn.Served), other, 502, 1},
 		// The first endpoint again, the only one of its cell: a reset does not rule it out.
 		{"with key, alone in its cell", "close", reset, other, 200, 2},
-		{"with key, out of its cell, never ran", "close", scriptedconn.Then(scriptedconn.Full, scriptedconn.Served), other, 200, 2},
+		{"with key, out of its cell, never ran", "close", scriptedconn.FirstThen(scriptedconn.Full, scriptedconn.Served), other, 200, 2},
 		{"not idempotent after a reset", "order", reset, nil, 502, 1},
-		{"not idempotent after an error", "order", scriptedconn.Then(scriptedconn.Failing, scriptedconn.Served), nil, 502, 1},
-		{"not idempotent, never ran", "order", scriptedconn.Then(scriptedconn.Full, scriptedconn.Served), nil, 200, 2},
+		{"not idempotent after an error", "order", scriptedconn.FirstThen(scriptedconn.Failing, scriptedconn.Served), nil, 502, 1},
+		{"not idempotent, never ran", "order", scriptedconn.FirstThen(scriptedconn.Full, scriptedconn.Served), nil, 200, 2},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -83,7 +83,7 @@
 			}
 			h := start(t, nil, fakediscovery.Ready("s-1", e.Address), second)
 			got := h.send(h.newRequest(c.class, "x", 3*time.Second))
-			if n, _ := e.Seen(); got.code != c.code || n != c.attempts || got.err != nil {
+			if n := e.RequestCount(); got.code != c.code || n != c.attempts || got.err != nil {
 				t.Errorf("response %d (%v) after %d attempts, want %d after %d", got.code, got.err, n, c.code, c.attempts)
 			}
 			if got.code == http.StatusOK && got.body != "done" {
@@ -96,7 +96,7 @@
 // The balancer receives one outcome for each attempt, in order, and the last one marks the request as
 // settled.
 func TestEachAttemptHasOneOutcomeInOrder(t *testing.T) {
-	e := scriptedconn.New(t, scriptedconn.Then(scriptedconn.Full, scriptedconn.Served))
+	e := scriptedconn.New(t, scriptedconn.FirstThen(scriptedconn.Full, scriptedconn.Served))
 	h := start(t, nil, fakediscovery.Ready("s-1", e.Address), fakediscovery.Ready("s-2", e.Address))
 	h.send(h.newRequest("order", "x", 3*time.Second))
 	h.waitFor("two outcomes", func() bool { return len(h.spy.statuses()) >= 2 })
@@ -179,7 +179,7 @@
 	h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
 	ctx, cancel := context.WithCancel(context.Background())
 	go h.send(h.newRequest("pay", "x", time.Minute).WithContext(ctx))
-	h.waitFor("the attempt", func() bool { n, _ := e.Seen(); return n == 1 })
+	h.waitFor("the attempt", func() bool { return e.RequestCount() == 1 })
 	cancel()
 	select {
 	case <-closed:
@@ -210,7 +210,7 @@
 	if err := h.newRequest("pay", "x", time.Minute).Write(conn); err != nil {
 		t.Fatal(err)
 	}
-	h.waitFor("the attempt", func() bool { n, _ := e.Seen(); return n == 1 })
+	h.waitFor("the attempt", func() bool { return e.RequestCount() == 1 })
 	if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
 		t.Fatal(err)
 	}
@@ -237,7 +237,7 @@
 	}, fakediscovery.Ready("s-1", e.Address))
 	ctx, cancel := context.WithCancel(context.Background())
 	go h.send(h.newRequest("pay", "x", time.Minute).WithContext(ctx))
-	h.waitFor("the attempt", func() bool { n, _ := e.Seen(); return n == 1 })
+	h.waitFor("the attempt", func() bool { return e.RequestCount() == 1 })
 	cancel()
 	h.waitFor("the disconnect", func() bool { return h.spy.hasEvent(clientDisconnected) })
 	close(answer)
@@ -303,7 +303,7 @@
 		}
 	}
 	// Late requests of other tests may arrive on this port: only those with the header count.
-	n, _ := e.Seen()
+	n := e.RequestCount()
 	for i := range n {
 		if r := e.Request(i); r.Header.Get("X-Account") != "" {
 			t.Errorf("an invalid request reached the endpoint: %s %s %v", r.Method, r.URL, r.Header)
@@ -346,7 +346,7 @@
 	if got := <-answer; got.code != http.StatusOK {
 		t.Errorf("response %+v", got)
 	}
-	if n, _ := first.Seen(); n != 0 {
+	if n := first.RequestCount(); n != 0 {
 		t.Errorf("the draining endpoint got %d requests", n)
 	}
 	if all := h.spy.statuses(); !slices.Equal(all, []balancer.Status{balancer.NotSent, balancer.OK}) {
@@ -390,7 +390,7 @@
 
 	inFlight := make(chan reply)
 	go func() { inFlight <- h.send(h.newRequest("pay", "x", time.Minute)) }()
-	h.waitFor("the request in flight", func() bool { n, _ := e.Seen(); return n == 2 })
+	h.waitFor("the request in flight", func() bool { return e.RequestCount() == 2 })
 	h.stop()
 	if err := idle.SetReadDeadline(time.Now().Add(testTimeout)); err != nil {
 		t.Fatal(err)
--- a/internal/sidecar/shutdown_test.go
+++ b/internal/sidecar/shutdown_test.go
@@ -33,7 +33,7 @@
 		answers[class] = answer
 		go func() { answer <- h.send(h.newRequest(class, "x", time.Minute)) }()
 	}
-	h.waitFor("all attempts", func() bool { n, _ := e.Seen(); return n == len(codes) })
+	h.waitFor("all attempts", func() bool { return e.RequestCount() == len(codes) })
 	h.waitFor("other connections to end", func() bool { return h.server.Connections() == len(codes) })
 	early := h.dial() // sends nothing yet
 	h.waitFor("the connection to be accepted", func() bool { return h.server.Connections() == len(codes)+1 })
@@ -70,7 +70,7 @@
 		o.AcceptFor = testTimeout
 		o.EndBy = func(time.Duration) time.Duration { return testTimeout }
 	}, fakediscovery.Ready("s-1", first.Address))
-	h.waitFor("the watch", func() bool { return h.dir.Count() >= 2 })
+	h.waitFor("the watch", func() bool { return h.dir.CallCount() >= 2 })
 	h.stop()
 	h.waitFor("shutdown to begin", func() bool {
 		response, err := http.Get(h.url + "/health/ready")
@@ -93,7 +93,7 @@
 			t.Errorf("during shutdown: %+v", got)
 		}
 	}
-	if n, _ := first.Seen(); n != 0 || len(h.spy.statuses()) != before+5 {
+	if n := first.RequestCount(); n != 0 || len(h.spy.statuses()) != before+5 {
 		t.Errorf("the draining endpoint got %d requests", n)
 	}
 }
--- a/internal/standin/ca/ca.go
+++ b/internal/standin/ca/ca.go
@@ -20,24 +20,24 @@
 )
 
 // T is what is told of trouble that must not be: a test, or a measurement.
-type T interface {
+type TB interface {
 	Helper()
 	Fatal(args ...any)
 }
 
 // Must is a T that panics with an error: for measurements, where a certificate that cannot be
 // made is a fault of the program.
-type Must struct{}
+type PanicOnFatal struct{}
 
 // Helper does nothing.
-func (Must) Helper() {}
+func (PanicOnFatal) Helper() {}
 
 // Fatal panics.
-func (Must) Fatal(args ...any) { panic(errors.New(fmt.Sprint(args...))) }
+func (PanicOnFatal) Fatal(args ...any) { panic(errors.New(fmt.Sprint(args...))) }
 
 // Authority signs certificates.
 type Authority struct {
-	t     T
+	t     TB
 	Cert  *x509.Certificate
 	Key   crypto.Signer
 	above *Authority // nil for a root
@@ -54,23 +54,23 @@
 
 // Spec is what is issued. The zero value is a sound certificate for a server and a client.
 type Spec struct {
-	Names            []string // DNS names, addresses and URIs
-	From, Until      time.Time
-	Uses             []x509.ExtKeyUsage
-	Key              crypto.Signer // nil for a new one of P-256
-	OmitIntermediate bool          // half a chain
+	Names               []string // DNS names, addresses and URIs
+	NotBefore, NotAfter time.Time
+	ExtKeyUsages        []x509.ExtKeyUsage
+	Key                 crypto.Signer // nil for a new one of P-256
+	OmitIntermediate    bool          // half a chain
 }
 
 // Epoch is when authorities begin; they last for ten years.
 var Epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 // New makes a root.
-func New(t T, name string) *Authority { return authority(t, name, nil) }
+func New(t TB, name string) *Authority { return authority(t, name, nil) }
 
 // Below makes an authority that this one vouches for.
-func (a *Authority) Below(name string) *Authority { return authority(a.t, name, a) }
+func (a *Authority) NewIntermediate(name string) *Authority { return authority(a.t, name, a) }
 
-func key(t T) crypto.Signer {
+func key(t TB) crypto.Signer {
 	t.Helper()
 	k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
@@ -79,7 +79,7 @@
 	return k
 }
 
-func authority(t T, name string, above *Authority) *Authority {
+func authority(t TB, name string, above *Authority) *Authority {
 	t.Helper()
 	a := &Authority{t: t, Key: key(t), above: above}
 	about := &x509.Certificate{SerialNumber: big.NewInt(numbers.Add(1)), Subject: pkix.Name{CommonName: name}, NotBefore: Epoch, NotAfter: Epoch.AddDate(10, 0, 0),
@@ -115,20 +115,20 @@
 // Issue makes a certificate. It is valid for a day from Epoch on unless the spec says otherwise.
 func (a *Authority) Issue(s Spec) *Pair {
 	a.t.Helper()
-	if s.From.IsZero() {
-		s.From = Epoch
+	if s.NotBefore.IsZero() {
+		s.NotBefore = Epoch
 	}
-	if s.Until.IsZero() {
-		s.Until = s.From.AddDate(0, 0, 1)
+	if s.NotAfter.IsZero() {
+		s.NotAfter = s.NotBefore.AddDate(0, 0, 1)
 	}
-	if s.Uses == nil {
-		s.Uses = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	if s.ExtKeyUsages == nil {
+		s.ExtKeyUsages = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
 	}
 	if s.Key == nil {
 		s.Key = key(a.t)
 	}
-	about := &x509.Certificate{SerialNumber: big.NewInt(numbers.Add(1)), Subject: pkix.Name{CommonName: "issued"}, NotBefore: s.From, NotAfter: s.Until,
-		KeyUsage: x509.KeyUsageDigitalSignature, ExtKeyUsage: s.Uses, BasicConstraintsValid: true}
+	about := &x509.Certificate{SerialNumber: big.NewInt(numbers.Add(1)), Subject: pkix.Name{CommonName: "issued"}, NotBefore: s.NotBefore, NotAfter: s.NotAfter,
+		KeyUsage: x509.KeyUsageDigitalSignature, ExtKeyUsage: s.ExtKeyUsages, BasicConstraintsValid: true}
 	for _, name := range s.Names {
 		if ip := net.ParseIP(name); ip != nil {
 			about.IPAddresses = append(about.IPAddresses, ip)
@@ -152,7 +152,7 @@
 }
 
 // Revoke makes a list that names these.
-func (a *Authority) Revoke(all ...*x509.Certificate) []byte {
+func (a *Authority) RevocationList(all ...*x509.Certificate) []byte {
 	a.t.Helper()
 	list := &x509.RevocationList{Number: big.NewInt(numbers.Add(1)), ThisUpdate: Epoch, NextUpdate: Epoch.AddDate(1, 0, 0)}
 	for _, c := range all {
--- a/internal/standin/ca/folder.go
+++ b/internal/standin/ca/folder.go
@@ -8,7 +8,7 @@
 
 // Folder is an operator's, with the files of one identity and its trust.
 type Folder struct {
-	t                         T
+	t                         TB
 	Cert, Key, Roots, Revoked string // paths
 }
 
@@ -16,13 +16,13 @@
 func NewFolder(t testing.TB) *Folder { return FolderAt(t, t.TempDir()) }
 
 // FolderAt uses a folder that is there.
-func FolderAt(t T, at string) *Folder {
+func FolderAt(t TB, at string) *Folder {
 	in := func(name string) string { return filepath.Join(at, name+".pem") }
 	return &Folder{t, in("cert"), in("key"), in("roots"), in("revoked")}
 }
 
 // Put writes a file beside its place and renames it there.
-func (f *Folder) Put(path string, data ...[]byte) {
+func (f *Folder) WriteFile(path string, data ...[]byte) {
 	f.t.Helper()
 	var all []byte
 	for _, part := range data {
@@ -37,8 +37,8 @@
 }
 
 // Pair puts a certificate and its key.
-func (f *Folder) Pair(p *Pair) {
+func (f *Folder) WritePair(p *Pair) {
 	f.t.Helper()
-	f.Put(f.Cert, p.Cert)
-	f.Put(f.Key, p.Key)
+	f.WriteFile(f.Cert, p.Cert)
+	f.WriteFile(f.Key, p.Key)
 }
--- a/internal/standin/fakebackend/fakebackend.go
+++ b/internal/standin/fakebackend/fakebackend.go
@@ -27,16 +27,16 @@
 
 	// Everywhere has a request fare the same at every server: nothing depends on
 	// which is chosen.
-	Everywhere bool
+	SameOnAllServers bool
 }
 
 // Fleet is a set of servers with one memory of what has run. Set its fields before the
 // first server starts.
 type Fleet struct {
-	Classes []balancer.Class // all others are safe to repeat
-	Seed    uint64
-	Work    time.Duration // of a request
-	Faults  Faults
+	Classes     []balancer.Class // all others are safe to repeat
+	Seed        uint64
+	ServiceTime time.Duration // of a request
+	Faults      Faults
 	// TLS, where set, has servers speak HTTP/1.1 over TLS and HTTP/3 with the configuration
 	// for each protocol's ALPN name, and nothing in plain text.
 	TLS func(protocol string) *tls.Config
@@ -49,7 +49,7 @@
 }
 
 // Counts is what came to a fleet.
-type Counts struct{ Requests, Run, Rejected, Dropped int }
+type Counts struct{ Requests, Executed, Rejected, Deduplicated int }
 
 // Server is one server of a fleet.
 type Server struct {
@@ -72,10 +72,10 @@
 // StartAt listens at host:port.
 func (f *Fleet) StartAt(address, name string, cell int) (*Server, error) {
 	f.once.Do(func() {
-		classes := []sockets.Class{{Work: f.Work}}
+		classes := []sockets.Class{{Work: f.ServiceTime}}
 		for _, c := range f.Classes {
 			known := plan.Class{Class: c}
-			classes = append(classes, sockets.Class{Name: c.Name, Class: known.DedupClass(), Work: f.Work})
+			classes = append(classes, sockets.Class{Name: c.Name, Class: known.DedupClass(), Work: f.ServiceTime})
 		}
 		o := sockets.Options{Classes: classes, OnArrival: f.arrived}
 		if f.TLS != nil {
@@ -84,7 +84,7 @@
 		f.emulated = sockets.New(o)
 	})
 	seed := f.Seed
-	if n := f.started.Add(1); !f.Faults.Everywhere {
+	if n := f.started.Add(1); !f.Faults.SameOnAllServers {
 		seed ^= n * 0x9e3779b97f4a7c15
 	}
 	fault := model.Fault{Until: model.Never, RejectRatio: f.Faults.Reject, FailLateRatio: f.Faults.Error, ResetRatio: f.Faults.Reset, UnansweredRatio: f.Faults.Unresponsive}
@@ -118,15 +118,15 @@
 
 // Twice names the effects of keyed and unsafe classes that were done more than
 // once.
-func (f *Fleet) Twice() []string { return f.emulated.DuplicateEffects() }
+func (f *Fleet) DuplicateEffects() []string { return f.emulated.DuplicateEffects() }
 
 // Done says how often each effect was done, by its key.
-func (f *Fleet) Done() map[string]int { return f.emulated.EffectCounts() }
+func (f *Fleet) EffectCounts() map[string]int { return f.emulated.EffectCounts() }
 
 // Counts returns what came so far.
 func (f *Fleet) Counts() Counts {
 	c := Counts{Requests: int(f.requests.Load())}
-	c.Run, c.Dropped = f.emulated.Counts()
-	c.Rejected = c.Requests - c.Run - c.Dropped
+	c.Executed, c.Deduplicated = f.emulated.Counts()
+	c.Rejected = c.Requests - c.Executed - c.Deduplicated
 	return c
 }
--- a/internal/standin/fakediscovery/fakediscovery.go
+++ b/internal/standin/fakediscovery/fakediscovery.go
@@ -46,7 +46,7 @@
 	server     *http.Server
 	changed    chan struct{} // closed and replaced with every change
 	polls      []versionPoll // by those who call, each a newer version than the one before
-	Conns      atomic.Int32  // open connections
+	OpenConns  atomic.Int32  // open connections
 }
 
 // versionPoll is when a caller first said that it has a version.
@@ -90,9 +90,9 @@
 	d.server = &http.Server{Handler: d, ConnState: func(_ net.Conn, state http.ConnState) {
 		switch state {
 		case http.StateNew:
-			d.Conns.Add(1)
+			d.OpenConns.Add(1)
 		case http.StateClosed:
-			d.Conns.Add(-1)
+			d.OpenConns.Add(-1)
 		}
 	}}
 	go func() { _ = d.server.Serve(listener) }()
@@ -163,7 +163,7 @@
 }
 
 // Count is how many calls came.
-func (d *Directory) Count() int {
+func (d *Directory) CallCount() int {
 	d.Lock()
 	defer d.Unlock()
 	return len(d.Calls)
--- a/internal/standin/fakezookeeper/fakezookeeper.go
+++ b/internal/standin/fakezookeeper/fakezookeeper.go
@@ -84,7 +84,7 @@
 }
 
 // Count is how many requests of an operation all members had.
-func (s *Service) Count(op int32) (n int) {
+func (s *Service) RequestCount(op int32) (n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, m := range s.members {
--- a/internal/standin/fakezookeeper/fakezookeeper_test.go
+++ b/internal/standin/fakezookeeper/fakezookeeper_test.go
@@ -182,8 +182,8 @@
 		t.Fatal(err)
 	}
 	id := c.SessionID()
-	s.Member(0).Break()
-	s.Member(1).Break()
+	s.Member(0).CloseConnections()
+	s.Member(1).CloseConnections()
 	for end := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
 		if _, _, err := c.Get("/e"); err == nil && c.SessionID() == id {
 			break
--- a/internal/standin/fakezookeeper/script.go
+++ b/internal/standin/fakezookeeper/script.go
@@ -25,7 +25,7 @@
 }
 
 // Drop deletes a node as if its owner's session had ended.
-func (s *Service) Drop(p string) {
+func (s *Service) Delete(p string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.nodes[p] != nil {
@@ -34,7 +34,7 @@
 }
 
 // Nodes are the names of a directory's nodes.
-func (s *Service) Nodes(dir string) []string {
+func (s *Service) Children(dir string) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return names(s.nodes[dir])
@@ -72,7 +72,7 @@
 
 // Silence has all members read and answer nothing, with their connections open.
 // Sessions do not expire meanwhile: nobody is there to judge.
-func (s *Service) Silence(on bool) {
+func (s *Service) SetUnresponsive(on bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, m := range s.members {
@@ -87,7 +87,7 @@
 }
 
 // Reject has all members break connections, and close new ones.
-func (s *Service) Reject(on bool) {
+func (s *Service) SetRejecting(on bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, m := range s.members {
@@ -107,7 +107,7 @@
 }
 
 // Delay has all members wait so long with each answer.
-func (s *Service) Delay(d time.Duration) {
+func (s *Service) SetDelay(d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, m := range s.members {
@@ -136,7 +136,7 @@
 
 // Split has a member show the tree as it is now, but for the nodes left out,
 // whatever comes, until it is split no more.
-func (m *Member) Split(on bool, without ...string) {
+func (m *Member) SetStaleView(on bool, without ...string) {
 	s := m.service
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -160,7 +160,7 @@
 }
 
 // Break closes a member's connections.
-func (m *Member) Break() {
+func (m *Member) CloseConnections() {
 	m.service.mu.Lock()
 	defer m.service.mu.Unlock()
 	for c := range m.conns {
--- a/internal/standin/logcapture/logcapture.go
+++ b/internal/standin/logcapture/logcapture.go
@@ -9,32 +9,32 @@
 )
 
 // Record keeps what is logged. The zero value is empty.
-type Record struct {
+type Buffer struct {
 	mu   sync.Mutex
 	text strings.Builder
 }
 
 // Write takes a line.
-func (r *Record) Write(p []byte) (int, error) {
+func (r *Buffer) Write(p []byte) (int, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.text.Write(p)
 }
 
 // String is all that was logged.
-func (r *Record) String() string {
+func (r *Buffer) String() string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.text.String()
 }
 
 // Logger writes to the record.
-func (r *Record) Logger() *slog.Logger { return slog.New(slog.NewTextHandler(r, nil)) }
+func (r *Buffer) Logger() *slog.Logger { return slog.New(slog.NewTextHandler(r, nil)) }
 
 // Count is how often something was said.
-func (r *Record) Count(what string) int { return strings.Count(r.String(), what) }
+func (r *Buffer) Count(what string) int { return strings.Count(r.String(), what) }
 
 // Find returns the first match of a pattern and its groups, nil for none.
-func (r *Record) Find(pattern string) []string {
+func (r *Buffer) Find(pattern string) []string {
 	return regexp.MustCompile(pattern).FindStringSubmatch(r.String())
 }
--- a/internal/standin/ports/ports.go
+++ b/internal/standin/ports/ports.go
@@ -1,4 +1,4 @@
-// Package ports finds addresses on loopback for processes that are to listen there later.
+// Package ports finds free addresses on loopback for processes that will listen there later.
 package ports
 
 import (
@@ -7,39 +7,63 @@
 	"net"
 	"os"
 	"sync"
+	"testing"
 )
 
-// Below those that the kernel gives to outgoing connections, one of which could take a port
-// before its process listens, or between two lives of a process.
-const from, to = 12_000, 30_000
+// The range of ports lies below the kernel's ephemeral ports. An outgoing connection could otherwise take a port
+// before its process listens, or while its process restarts.
+const (
+	firstPort = 12_000
+	endPort   = 30_000 // exclusive
+)
+
+// pidStride spreads processes that run at the same time over the range.
+const pidStride = 97
 
-// Processes begin far from each other, and none names a port twice before it has been through all.
-var next = struct {
+// lastPort is the port that was tried last. A process tries the whole range before it repeats a port.
+var lastPort = struct {
 	sync.Mutex
-	at int
-}{at: from + os.Getpid()*97%(to-from)}
+	number int
+}{number: firstPort + os.Getpid()*pidStride%(endPort-firstPort)}
 
-// Free returns a host:port that is free for TCP and UDP.
+// Free returns an address, as host:port, on which nobody listens with TCP or UDP.
 func Free() (string, error) {
-	next.Lock()
-	defer next.Unlock()
-	for range to - from {
-		next.at++
-		if next.at >= to {
-			next.at = from
-		}
-		address := fmt.Sprintf("127.0.0.1:%d", next.at)
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
+	lastPort.Lock()
+	defer lastPort.Unlock()
+	for range endPort - firstPort {
+		lastPort.number++
+		if lastPort.number >= endPort {
+			lastPort.number = firstPort
 		}
-		p, err := net.ListenPacket("udp", address)
-		l.Close()
-		if err != nil {
-			continue
+		address := fmt.Sprintf("127.0.0.1:%d", lastPort.number)
+		if isFree(address) {
+			return address, nil
 		}
-		p.Close()
-		return address, nil
 	}
 	return "", errors.New("no port is free")
 }
+
+// MustFree is like [Free] but ends the test if there is no free address.
+func MustFree(t testing.TB) string {
+	t.Helper()
+	address, err := Free()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return address
+}
+
+// isFree reports whether one can listen at an address with both TCP and UDP.
+func isFree(address string) bool {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	defer listener.Close()
+	packetConn, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
+	}
+	packetConn.Close()
+	return true
+}
--- a/internal/standin/proxy/proxy.go
+++ b/internal/standin/proxy/proxy.go
@@ -42,20 +42,20 @@
 
 // Decision is what the processor answered to an ask.
 type Decision struct {
-	Endpoint string // "" for an immediate answer
-	Code     int    // of an immediate answer
-	After    string // its Retry-After
-	Body     string
-	Headers  map[string]string
-	Metadata string // x-gateway-destination-endpoint under envoy.lb
+	Endpoint   string // "" for an immediate answer
+	Code       int    // of an immediate answer
+	RetryAfter string // its Retry-After
+	Body       string
+	Headers    map[string]string
+	Metadata   string // x-gateway-destination-endpoint under envoy.lb
 }
 
 // Answer is what the client gets.
-type Answer struct {
+type Result struct {
 	Decisions    int // messages that answered the ask: one, if it was not left before
 	Decision     Decision
 	Code         int
-	After        string
+	RetryAfter   string
 	RetryAllowed bool // the processor lets the proxy ask once more
 	SentAt       time.Time
 	SentTo       string
@@ -107,7 +107,7 @@
 }
 
 // Stream opens a stream on the next connection in turn.
-func (p *Proxy) Stream(ctx context.Context) (extprocv3.ExternalProcessor_ProcessClient, error) {
+func (p *Proxy) OpenStream(ctx context.Context) (extprocv3.ExternalProcessor_ProcessClient, error) {
 	p.mu.Lock()
 	c := p.conns[p.next%len(p.conns)]
 	p.next++
@@ -116,7 +116,7 @@
 }
 
 // Headers is a message of request headers.
-func Headers(r Request, attempt int) *extprocv3.ProcessingRequest {
+func RequestHeaders(r Request, attempt int) *extprocv3.ProcessingRequest {
 	h := []*corev3.HeaderValue{{Key: ":method", RawValue: []byte(r.Method)}, {Key: ":path", RawValue: []byte(r.Path)}}
 	for name, value := range r.Header {
 		h = append(h, &corev3.HeaderValue{Key: name, RawValue: []byte(value)})
@@ -133,7 +133,7 @@
 
 // Report is a message of response headers, with the details that Envoy gives of an
 // answer of its own, and the endpoint that served.
-func Report(code int, header http.Header, details, served string) *extprocv3.ProcessingRequest {
+func ResponseHeaders(code int, header http.Header, details, served string) *extprocv3.ProcessingRequest {
 	h := []*corev3.HeaderValue{{Key: ":status", RawValue: []byte(strconv.Itoa(code))}}
 	for _, name := range [...]string{"X-Unprocessed", "X-Backend-Load"} {
 		if v := header.Get(name); v != "" {
@@ -156,7 +156,7 @@
 func lower(name string) string { return string(bytes.ToLower([]byte(name))) }
 
 // Read takes a message as the answer to request headers.
-func Read(m *extprocv3.ProcessingResponse) (Decision, error) {
+func ParseDecision(m *extprocv3.ProcessingResponse) (Decision, error) {
 	v := Decision{Headers: map[string]string{}}
 	take := func(in *extprocv3.HeaderMutation) {
 		for _, h := range in.GetSetHeaders() {
@@ -173,7 +173,7 @@
 		}
 	case *extprocv3.ProcessingResponse_ImmediateResponse:
 		take(x.ImmediateResponse.GetHeaders())
-		v.Code, v.After = int(x.ImmediateResponse.GetStatus().GetCode()), v.Headers["retry-after"]
+		v.Code, v.RetryAfter = int(x.ImmediateResponse.GetStatus().GetCode()), v.Headers["retry-after"]
 		v.Body = string(x.ImmediateResponse.GetBody())
 	default:
 		return v, fmt.Errorf("%T in answer to request headers", x)
@@ -182,15 +182,15 @@
 }
 
 // Do asks about a request once and carries the verdict out. It does not ask again.
-func (p *Proxy) Do(ctx context.Context, r Request, b Behaviour) (out Answer) {
+func (p *Proxy) Do(ctx context.Context, r Request, b Behaviour) (out Result) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stream, err := p.Stream(ctx)
+	stream, err := p.OpenStream(ctx)
 	if err != nil {
 		out.Err = err
 		return out
 	}
-	if out.Err = stream.Send(Headers(r, b.Attempt)); out.Err != nil {
+	if out.Err = stream.Send(RequestHeaders(r, b.Attempt)); out.Err != nil {
 		return out
 	}
 	if b.DisconnectBeforeDecision {
@@ -202,11 +202,11 @@
 		return out
 	}
 	out.Decisions++
-	if out.Decision, out.Err = Read(m); out.Err != nil || b.DisconnectAtDecision {
+	if out.Decision, out.Err = ParseDecision(m); out.Err != nil || b.DisconnectAtDecision {
 		return out
 	}
 	if out.Decision.Endpoint == "" {
-		out.Code, out.After = out.Decision.Code, out.Decision.After
+		out.Code, out.RetryAfter = out.Decision.Code, out.Decision.RetryAfter
 		endStream(stream)
 		return out
 	}
@@ -218,7 +218,7 @@
 		out.Code = code
 		return out
 	}
-	if out.Err = stream.Send(Report(code, header, details, out.Decision.Endpoint)); out.Err != nil {
+	if out.Err = stream.Send(ResponseHeaders(code, header, details, out.Decision.Endpoint)); out.Err != nil {
 		return out
 	}
 	if m, out.Err = stream.Recv(); out.Err != nil {
@@ -238,8 +238,8 @@
 		}
 	case *extprocv3.ProcessingResponse_ImmediateResponse:
 		var v Decision
-		v, out.Err = Read(m)
-		out.Code, out.After = v.Code, v.After
+		v, out.Err = ParseDecision(m)
+		out.Code, out.RetryAfter = v.Code, v.RetryAfter
 	default:
 		out.Err = fmt.Errorf("%T in answer to response headers", x)
 	}
@@ -247,7 +247,7 @@
 }
 
 // Retry asks as Do does, and again for as long as the processor lets it.
-func (p *Proxy) Retry(ctx context.Context, r Request, each func(Answer)) Answer {
+func (p *Proxy) DoWithRetries(ctx context.Context, r Request, each func(Result)) Result {
 	for attempt := 1; ; attempt++ {
 		out := p.Do(ctx, r, Behaviour{Attempt: attempt})
 		if each != nil {
--- a/internal/standin/scriptedconn/scriptedconn.go
+++ b/internal/standin/scriptedconn/scriptedconn.go
@@ -1,117 +1,155 @@
-// Package scriptedconn is a stand-in for an endpoint whose answers a test writes byte by
-// byte: what no proper server would send.
+// Package scriptedconn provides a TCP endpoint whose responses a test writes byte by byte, for what no
+// correct server would send.
 package scriptedconn
 
 import (
 	"bufio"
+	"bytes"
+	"errors"
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"testing"
 )
 
-// Endpoint is a TCP server whose answers a test writes byte by byte.
+// Responses that endpoints give.
+const (
+	Served  = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+	Failing = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"
+	Full    = "HTTP/1.1 503 Service Unavailable\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"
+)
+
+// A Handler serves one connection, which is closed once it returns. It reads requests with [Endpoint.Next].
+type Handler = func(e *Endpoint, conn net.Conn, in *bufio.Reader)
+
+// Endpoint is a TCP server whose responses are written by a [Handler].
 type Endpoint struct {
 	Address string // host:port
 
-	mu       sync.Mutex
-	conns    int
-	requests []*http.Request // read by Next
+	mu        sync.Mutex
+	connCount int
+	requests  []*http.Request // read by Next
 }
 
-// New starts an endpoint that serves each connection with a function of its own
-// until the test ends.
-func New(t *testing.T, serve func(e *Endpoint, conn net.Conn, in *bufio.Reader)) *Endpoint {
+// New starts an endpoint that serves each connection with handler. It accepts connections until the test ends.
+func New(t testing.TB, handler Handler) *Endpoint {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { listener.Close() })
 	e := &Endpoint{Address: listener.Addr().String()}
+	accepting := make(chan struct{})
 	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			e.mu.Lock()
-			e.conns++
-			e.mu.Unlock()
-			go func() {
-				defer conn.Close()
-				serve(e, conn, bufio.NewReader(conn))
-			}()
-		}
+		defer close(accepting)
+		e.accept(t, listener, handler)
 	}()
+	t.Cleanup(func() {
+		listener.Close()
+		<-accepting
+	})
 	return e
 }
 
-// Next reads a whole request, or returns nil when the connection has ended.
+// accept serves connections until the listener is closed. It does not wait for their handlers, which a test
+// may have left waiting for a release that never comes.
+func (e *Endpoint) accept(t testing.TB, listener net.Listener, handler Handler) {
+	for {
+		conn, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			t.Errorf("scriptedconn: accept: %v", err)
+			return
+		}
+		e.mu.Lock()
+		e.connCount++
+		e.mu.Unlock()
+		go func() {
+			defer conn.Close()
+			handler(e, conn, bufio.NewReader(conn))
+		}()
+	}
+}
+
+// Next reads a complete request. It returns nil once the connection has ended.
 func (e *Endpoint) Next(in *bufio.Reader) *http.Request {
-	r, err := http.ReadRequest(in)
+	request, err := http.ReadRequest(in)
 	if err != nil {
 		return nil
 	}
-	body, err := io.ReadAll(r.Body)
+	body, err := io.ReadAll(request.Body)
 	if err != nil {
 		return nil
 	}
-	r.Body = io.NopCloser(strings.NewReader(string(body)))
+	request.Body = io.NopCloser(bytes.NewReader(body))
 	e.mu.Lock()
-	e.requests = append(e.requests, r)
-	e.mu.Unlock()
-	return r
+	defer e.mu.Unlock()
+	e.requests = append(e.requests, request)
+	return request
 }
 
-// Seen counts the requests read and the connections accepted.
-func (e *Endpoint) Seen() (requests, conns int) {
+// RequestCount returns the number of requests read so far.
+func (e *Endpoint) RequestCount() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return len(e.requests), e.conns
+	return len(e.requests)
 }
 
-// Request returns one of the requests read.
+// ConnCount returns the number of connections accepted so far.
+func (e *Endpoint) ConnCount() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.connCount
+}
+
+// Request returns the request that was read as number i, from 0.
 func (e *Endpoint) Request(i int) *http.Request {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.requests[i]
 }
 
-// Always answers every request with the same bytes.
-func Always(answer string) func(*Endpoint, net.Conn, *bufio.Reader) {
+// Always returns a handler that gives the same response to every request.
+func Always(response string) Handler {
 	return func(e *Endpoint, conn net.Conn, in *bufio.Reader) {
 		for e.Next(in) != nil {
-			_, _ = io.WriteString(conn, answer)
+			_, _ = io.WriteString(conn, response)
 		}
 	}
 }
 
-// Answers as endpoints give them.
-const (
-	Served  = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
-	Failing = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"
-	Full    = "HTTP/1.1 503 Service Unavailable\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"
-)
-
-// Unresponsive takes requests and never answers.
-func Unresponsive(e *Endpoint, conn net.Conn, in *bufio.Reader) {
-	for e.Next(in) != nil {
+// FirstThen returns a handler that gives one response to the first request of the endpoint, counted over all its
+// connections, and another to all later ones.
+func FirstThen(first, later string) Handler {
+	return func(e *Endpoint, conn net.Conn, in *bufio.Reader) {
+		for e.Next(in) != nil {
+			response := later
+			if e.RequestCount() == 1 {
+				response = first
+			}
+			_, _ = io.WriteString(conn, response)
+		}
 	}
 }
 
-// Then answers the first request in one way and all others in another, over
-// all connections.
-func Then(first, rest string) func(*Endpoint, net.Conn, *bufio.Reader) {
+// ServedAfter returns a handler that serves every request, but those that match only once release is closed. A nil
+// matches stands for all requests.
+func ServedAfter(release <-chan struct{}, matches func(*http.Request) bool) Handler {
 	return func(e *Endpoint, conn net.Conn, in *bufio.Reader) {
-		for e.Next(in) != nil {
-			if n, _ := e.Seen(); n == 1 {
-				_, _ = io.WriteString(conn, first)
-			} else {
-				_, _ = io.WriteString(conn, rest)
+		for request := e.Next(in); request != nil; request = e.Next(in) {
+			if matches == nil || matches(request) {
+				<-release
 			}
+			_, _ = io.WriteString(conn, Served)
 		}
 	}
 }
+
+// Unresponsive is a [Handler] that reads requests and never responds.
+func Unresponsive(e *Endpoint, _ net.Conn, in *bufio.Reader) {
+	for e.Next(in) != nil {
+	}
+}
--- a/internal/standin/tlsbackend/tlsbackend.go
+++ b/internal/standin/tlsbackend/tlsbackend.go
@@ -20,8 +20,8 @@
 
 // Keys are what servers show and ask for: a configuration of which each handshake gets what
 // holds at its instant. Make them with NewKeys.
-type Keys struct {
-	t       ca.T
+type Credentials struct {
+	t       ca.TB
 	mu      sync.Mutex
 	shown   tls.Certificate
 	trusted *x509.CertPool
@@ -34,16 +34,16 @@
 }
 
 // NewKeys shows a certificate.
-func NewKeys(t ca.T, p *ca.Pair) *Keys {
+func NewCredentials(t ca.TB, p *ca.Pair) *Credentials {
 	t.Helper()
-	s := &Keys{t: t, tickets: true}
+	s := &Credentials{t: t, tickets: true}
 	rand.Read(s.ticket[:])
-	s.Show(p)
+	s.SetCertificate(p)
 	return s
 }
 
 // Follow is a configuration for a protocol, by its ALPN name.
-func (s *Keys) Follow(protocol string) *tls.Config {
+func (s *Credentials) ServerConfig(protocol string) *tls.Config {
 	return &tls.Config{NextProtos: []string{protocol}, GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
 		c := s.config.Load().Clone()
 		c.NextProtos = []string{protocol}
@@ -52,7 +52,7 @@
 }
 
 // change remakes the configuration.
-func (s *Keys) change(do func()) {
+func (s *Credentials) change(do func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	do()
@@ -73,7 +73,7 @@
 }
 
 // Show has a certificate shown from now on.
-func (s *Keys) Show(p *ca.Pair) {
+func (s *Credentials) SetCertificate(p *ca.Pair) {
 	both, err := tls.X509KeyPair(p.Cert, p.Key)
 	if err != nil {
 		s.t.Fatal(err)
@@ -82,7 +82,7 @@
 }
 
 // Trust has clients show a certificate by one of these; none for whoever comes.
-func (s *Keys) Trust(roots ...*ca.Authority) {
+func (s *Credentials) SetClientCAs(roots ...*ca.Authority) {
 	s.change(func() {
 		s.trusted = nil
 		for _, a := range roots {
@@ -95,20 +95,22 @@
 }
 
 // Tickets has sessions be given out and resumed, or not.
-func (s *Keys) Tickets(on bool) { s.change(func() { s.tickets = on }) }
+func (s *Credentials) SetSessionTickets(on bool) { s.change(func() { s.tickets = on }) }
 
 // NewTicketKey makes tickets of before worth nothing, as a restart does.
-func (s *Keys) NewTicketKey() { s.change(func() { rand.Read(s.ticket[:]) }) }
+func (s *Credentials) RotateTicketKey() { s.change(func() { rand.Read(s.ticket[:]) }) }
 
 // MaxTLSVersion is the highest TLS version that is spoken.
-func (s *Keys) MaxTLSVersion(version uint16) { s.change(func() { s.most = version }) }
+func (s *Credentials) SetMaxVersion(version uint16) { s.change(func() { s.most = version }) }
 
 // Handshakes counts those that came to their end at the server.
-func (s *Keys) Handshakes() (full, resumed int) { return int(s.full.Load()), int(s.resumed.Load()) }
+func (s *Credentials) Handshakes() (full, resumed int) {
+	return int(s.full.Load()), int(s.resumed.Load())
+}
 
 // Server is one server with keys of its own. Make one with Start.
 type Server struct {
-	*Keys
+	*Credentials
 	Address string // host:port, TCP and UDP
 
 	requests atomic.Int64
@@ -117,13 +119,13 @@
 // Start listens on loopback, shows a certificate and answers "done", until the test ends.
 func Start(t testing.TB, p *ca.Pair) *Server {
 	t.Helper()
-	s := &Server{Keys: NewKeys(t, p)}
+	s := &Server{Credentials: NewCredentials(t, p)}
 	handle := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.requests.Add(1)
 		_, _ = io.Copy(io.Discard, r.Body)
 		_, _ = io.WriteString(w, "done")
 	})
-	address, stop, err := dualprotocol.Listen("127.0.0.1:0", dualprotocol.Options{Handler: handle, Config: s.Follow})
+	address, stop, err := dualprotocol.Listen("127.0.0.1:0", dualprotocol.Options{Handler: handle, Config: s.ServerConfig})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -136,24 +138,24 @@
 func (s *Server) Requests() int { return int(s.requests.Load()) }
 
 // Bad is what a listener does in place of a handshake.
-type Bad func(net.Conn)
+type HandshakeFault func(net.Conn)
 
 // What may be done.
 var (
-	Unresponsive Bad = func(c net.Conn) { _, _ = io.Copy(io.Discard, c) }
-	Cut          Bad = func(c net.Conn) { _, _ = c.Read(make([]byte, 16)) }
-	Garbage      Bad = func(c net.Conn) {
+	Unresponsive HandshakeFault = func(c net.Conn) { _, _ = io.Copy(io.Discard, c) }
+	Disconnect   HandshakeFault = func(c net.Conn) { _, _ = c.Read(make([]byte, 16)) }
+	Garbage      HandshakeFault = func(c net.Conn) {
 		_, _ = c.Write(make([]byte, 4096))
 		_, _ = io.Copy(io.Discard, c)
 	}
-	Plain Bad = func(c net.Conn) {
+	PlainHTTP HandshakeFault = func(c net.Conn) {
 		_, _ = io.WriteString(c, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
 		_, _ = io.Copy(io.Discard, c)
 	}
 )
 
 // Listen is a listener that does so, on TCP, until the test ends.
-func Listen(t testing.TB, do Bad) (address string) {
+func ListenFaulty(t testing.TB, do HandshakeFault) (address string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/standin/udprelay/udprelay.go
+++ b/internal/standin/udprelay/udprelay.go
@@ -12,11 +12,11 @@
 
 // Script says what happens to datagrams. The shares are drawn from the seed.
 type Script struct {
-	Loss   float64       // share that is dropped, each way
-	Double float64       // share that is passed twice
-	Swap   float64       // share that is held until the next one has passed
-	Delay  time.Duration // each way
-	Seed   uint64
+	Loss      float64       // share that is dropped, each way
+	Duplicate float64       // share that is passed twice
+	Reorder   float64       // share that is held until the next one has passed
+	Delay     time.Duration // each way
+	Seed      uint64
 }
 
 // Relay passes datagrams between one client at a time and a server.
@@ -87,28 +87,28 @@
 }
 
 // Addresses counts those that the server has seen the client at.
-func (r *Relay) Addresses() int {
+func (r *Relay) ClientAddressCount() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.ports
 }
 
 // Set changes the script.
-func (r *Relay) Set(script Script) {
+func (r *Relay) SetScript(script Script) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.script = script
 }
 
 // Deafen drops all datagrams of a direction, or passes them again.
-func (r *Relay) Deafen(direction int, deaf bool) {
+func (r *Relay) SetBlocked(direction int, deaf bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.deaf[direction] = deaf
 }
 
 // Passed counts the datagrams that came in each direction.
-func (r *Relay) Passed() (toServer, toClient int) {
+func (r *Relay) DatagramCounts() (toServer, toClient int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.passed[ToServer], r.passed[ToClient]
@@ -172,11 +172,11 @@
 	var out [][]byte
 	switch {
 	case r.deaf[direction] || r.rng.Float64() < s.Loss:
-	case r.held[direction] == nil && r.rng.Float64() < s.Swap:
+	case r.held[direction] == nil && r.rng.Float64() < s.Reorder:
 		r.held[direction] = append([]byte{}, data...)
 	default:
 		out = append(out, append([]byte{}, data...))
-		if r.rng.Float64() < s.Double {
+		if r.rng.Float64() < s.Duplicate {
 			out = append(out, out[0])
 		}
 		if late := r.held[direction]; late != nil {
--- a/internal/upstream/byprotocol/byprotocol_test.go
+++ b/internal/upstream/byprotocol/byprotocol_test.go
@@ -200,7 +200,7 @@
 				t.Fatal(err)
 			}
 			t.Cleanup(func() { relay.Close() })
-			relay.Deafen(direction, true)
+			relay.SetBlocked(direction, true)
 			listener, err := net.Listen("tcp", relay.Address)
 			if err != nil {
 				t.Skipf("the port is taken on TCP: %v", err)
--- a/internal/upstream/http3upstream/outcome_test.go
+++ b/internal/upstream/http3upstream/outcome_test.go
@@ -174,7 +174,7 @@
 					duplicates.Add(1)
 				}
 			})
-			relay, err := udprelay.Start(e.target.Address, udprelay.Script{Loss: loss, Double: 0.05, Swap: 0.05, Seed: 7})
+			relay, err := udprelay.Start(e.target.Address, udprelay.Script{Loss: loss, Duplicate: 0.05, Reorder: 0.05, Seed: 7})
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -184,7 +184,7 @@
 			for n := range 60 {
 				m := message()
 				m.Header.Set("X-Correlation-Id", fmt.Sprint(n))
-				ctx, cancel := context.WithTimeout(context.Background(), wait.Patience)
+				ctx, cancel := context.WithTimeout(context.Background(), wait.Timeout)
 				switch r := f.upstream.attempt(ctx, target, m); r.Status {
 				case balancer.OK:
 					served++
--- a/internal/upstream/http3upstream/pool_test.go
+++ b/internal/upstream/http3upstream/pool_test.go
@@ -123,10 +123,10 @@
 	}
 	defer relay.Close()
 	target := &engine.Target{Address: relay.Address}
-	if r := f.send(target, wait.Patience); r.Status != balancer.OK {
+	if r := f.send(target, wait.Timeout); r.Status != balancer.OK {
 		t.Fatalf("before: %v", r.Status)
 	}
-	relay.Deafen(udprelay.ToClient, true)
+	relay.SetBlocked(udprelay.ToClient, true)
 	stop()
 	if err := relay.Rebind(); err != nil { // packets on their way are lost, the server's close included
 		t.Fatal(err)
@@ -135,15 +135,15 @@
 		t.Fatal(err)
 	}
 	defer serve(socket)()
-	relay.Deafen(udprelay.ToClient, false)
-	if r := f.send(target, wait.Patience); r.Status != balancer.Reset {
+	relay.SetBlocked(udprelay.ToClient, false)
+	if r := f.send(target, wait.Timeout); r.Status != balancer.Reset {
 		t.Errorf("on the earlier connection: %v, want Reset", r.Status)
 	}
 	// The connection's end may still be propagating through this process: a request that was not
 	// written then has not run, and is sent again.
 	var r engine.Result
 	wait.Until(t, "the next connection", func() bool {
-		r = f.send(target, wait.Patience)
+		r = f.send(target, wait.Timeout)
 		return r.Status != balancer.ConnectFailed
 	})
 	if r.Status != balancer.OK || requests.Load() != 2 {
--- a/internal/upstream/httpupstream/outcome_test.go
+++ b/internal/upstream/httpupstream/outcome_test.go
@@ -210,7 +210,7 @@
 	defer cancel()
 	done := make(chan engine.Result)
 	go func() { done <- u.attempt(ctx, &engine.Target{Address: e.Address}, get("/")) }()
-	wait.Until(t, "the request", func() bool { n, _ := e.Seen(); return n == 1 })
+	wait.Until(t, "the request", func() bool { return e.RequestCount() == 1 })
 	cancel()
 	if r := <-done; r.Status != balancer.Cancelled {
 		t.Errorf("status %v, want Cancelled", r.Status)
--- a/internal/upstream/httpupstream/pool_test.go
+++ b/internal/upstream/httpupstream/pool_test.go
@@ -32,7 +32,7 @@
 	if r := u.attempt(context.Background(), target, get("/2")); r.Status != balancer.Reset {
 		t.Errorf("second: status %v, want Reset", r.Status)
 	}
-	if requests, conns := e.Seen(); requests != 2 || conns != 1 {
+	if requests, conns := e.RequestCount(), e.ConnCount(); requests != 2 || conns != 1 {
 		t.Errorf("%d requests on %d connections, want 2 on 1", requests, conns)
 	}
 }
@@ -78,7 +78,7 @@
 	attempt()
 	u.idleConns[target][0].idleSince = time.Now().Add(-u.maxIdle)
 	attempt()
-	if _, conns := e.Seen(); conns != 2 {
+	if conns := e.ConnCount(); conns != 2 {
 		t.Errorf("%d connections, want a second one after the idle time", conns)
 	}
 	u.Prune()
@@ -108,7 +108,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	busy := make(chan engine.Result)
 	go func() { busy <- u.attempt(ctx, &engine.Target{Address: slow.Address}, get("/")) }()
-	wait.Until(t, "the slow endpoint's request", func() bool { n, _ := slow.Seen(); return n == 1 })
+	wait.Until(t, "the slow endpoint's request", func() bool { return slow.RequestCount() == 1 })
 	if r := u.attempt(context.Background(), quickTarget(), get("/")); r.Status != balancer.NotSent {
 		t.Errorf("beyond the limit: status %v, want NotSent", r.Status)
 	}
@@ -140,7 +140,7 @@
 	if r := <-done; r.Status != balancer.NotSent {
 		t.Errorf("status %v, want NotSent", r.Status)
 	}
-	if n, _ := e.Seen(); n != 0 {
+	if n := e.RequestCount(); n != 0 {
 		t.Errorf("the draining endpoint got %d requests", n)
 	}
 	if r := u.attempt(context.Background(), target, get("/")); r.Status != balancer.NotSent || u.open != 0 {
@@ -173,14 +173,14 @@
 	if s := <-done; s != balancer.NotSent {
 		t.Errorf("status %v while its connection has not settled, want NotSent", s)
 	}
-	if n, conns := e.Seen(); n != 2 || conns != 2 {
+	if n, conns := e.RequestCount(), e.ConnCount(); n != 2 || conns != 2 {
 		t.Errorf("%d requests on %d connections, want 2 on 2", n, conns)
 	}
 	u.settleTime = 1
 	if s := send(context.Background()); s != balancer.OK {
 		t.Errorf("settled: status %v", s)
 	}
-	if _, conns := e.Seen(); conns != 2 {
+	if conns := e.ConnCount(); conns != 2 {
 		t.Errorf("%d connections, want 2", conns)
 	}
 }
--- a/internal/upstream/httpupstream/response_test.go
+++ b/internal/upstream/httpupstream/response_test.go
@@ -89,7 +89,7 @@
 			if r.Status != balancer.OK || string(r.Body) != "two." {
 				t.Errorf("second: status %v, body %q", r.Status, r.Body)
 			}
-			if _, conns := e.Seen(); conns != 2 {
+			if conns := e.ConnCount(); conns != 2 {
 				t.Errorf("%d connections, want 2", conns)
 			}
 		})
@@ -116,7 +116,7 @@
 				t.Errorf("%s: status %v, want OK", name, r.Status)
 			}
 		}
-		if _, conns := e.Seen(); conns != 1 {
+		if conns := e.ConnCount(); conns != 1 {
 			t.Errorf("%s: %d connections, want 1", name, conns)
 		}
 	}
--- a/internal/upstream/secure/conn_test.go
+++ b/internal/upstream/secure/conn_test.go
@@ -28,7 +28,7 @@
 	if !old.Usable(f.now()) || !old.Quiet() {
 		t.Fatal("a new connection is not usable")
 	}
-	f.files.Put(f.files.Roots, f.root.PEM(), second.PEM()) // both are trusted for a while
+	f.files.WriteFile(f.files.Roots, f.root.PEM(), second.PEM()) // both are trusted for a while
 	f.keys.Reload()
 	var sessions []attempt.Session
 	for range 20 {
@@ -41,7 +41,7 @@
 	if old.Usable(f.now().Add(time.Minute)) {
 		t.Error("an older connection is usable after the configured time")
 	}
-	f.files.Put(f.files.Roots, second.PEM()) // the first is removed
+	f.files.WriteFile(f.files.Roots, second.PEM()) // the first is removed
 	f.keys.Reload()
 	for n, c := range sessions {
 		if c.Usable(f.now()) {
--- a/internal/upstream/secure/handshake_test.go
+++ b/internal/upstream/secure/handshake_test.go
@@ -25,7 +25,7 @@
 // expected name, the presented one, and the reason.
 func TestUnverifiedServerGetsNoRequest(t *testing.T) {
 	root, other := ca.New(t, "root"), ca.New(t, "other")
-	intermediate := root.Below("between")
+	intermediate := root.NewIntermediate("between")
 	weak, err := rsa.GenerateKey(rand.Reader, 1024)
 	if err != nil {
 		t.Fatal(err)
@@ -34,8 +34,8 @@
 	now := time.Now()
 	hour := now.Add(-time.Hour)
 	named := func(name string) *ca.Pair { return issue(root, ca.Spec{Names: []string{name}}) }
-	early := ca.Spec{From: now.Add(time.Hour), Until: now.Add(2 * time.Hour)}
-	forClients := ca.Spec{Uses: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth}}
+	early := ca.Spec{NotBefore: now.Add(time.Hour), NotAfter: now.Add(2 * time.Hour)}
+	forClients := ca.Spec{ExtKeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth}}
 	for name, c := range map[string]struct {
 		pair   *ca.Pair
 		reason string // "" where it is trusted
@@ -48,7 +48,7 @@
 		"for a name below":         {named("x." + serverName), "names", "expected=" + serverName},
 		"for a wildcard":           {named("*.example.org"), "", ""},
 		"of another root":          {issue(other, ca.Spec{}), "chain", "CN=other"},
-		"expired":                  {issue(root, ca.Spec{From: hour.Add(-time.Hour), Until: hour}), "over", "valid until"},
+		"expired":                  {issue(root, ca.Spec{NotBefore: hour.Add(-time.Hour), NotAfter: hour}), "over", "valid until"},
 		"not valid yet":            {issue(root, early), "early", "valid from"},
 		"revoked":                  {revoked, "revoked", "is revoked"},
 		"for clients only":         {issue(root, forClients), "usage", "not meant for a server"},
@@ -56,8 +56,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t)
-			f.files.Put(f.files.Roots, root.PEM())
-			f.files.Put(f.files.Revoked, root.Revoke(revoked.Leaf))
+			f.files.WriteFile(f.files.Roots, root.PEM())
+			f.files.WriteFile(f.files.Revoked, root.RevocationList(revoked.Leaf))
 			k := f.keyOptions(certstore.Paths{Roots: f.files.Roots, Revoked: f.files.Revoked})
 			k.Want = validate.Requirements{MinRSABits: minRSABits}
 			f.reopen(f.client.options, k)
@@ -92,14 +92,14 @@
 // A server that does not complete the handshake fails within the timeout, by a reason of its own,
 // and never gets plain text.
 func TestFailedHandshakeCountsItsReason(t *testing.T) {
-	for reason, behaviour := range map[string]tlsbackend.Bad{
+	for reason, behaviour := range map[string]tlsbackend.HandshakeFault{
 		"silent":  tlsbackend.Unresponsive,
-		"broken":  tlsbackend.Cut,
-		"not TLS": tlsbackend.Plain,
+		"broken":  tlsbackend.Disconnect,
+		"not TLS": tlsbackend.PlainHTTP,
 	} {
 		t.Run(reason, func(t *testing.T) {
 			f := newFixture(t, func(o *Options, _ *certstore.Options) { o.Timeout = 200 * time.Millisecond })
-			endpoint := &engine.Target{Name: "soko-3", Address: tlsbackend.Listen(t, behaviour)}
+			endpoint := &engine.Target{Name: "soko-3", Address: tlsbackend.ListenFaulty(t, behaviour)}
 			if _, err := f.handshakeTCP(endpoint); err == nil || f.client.Counters().Failed[reason] != 1 {
 				t.Errorf("%v, counted %v", err, f.client.Counters().Failed)
 			}
@@ -107,7 +107,7 @@
 	}
 	t.Run("noise", func(t *testing.T) {
 		f := newFixture(t)
-		endpoint := &engine.Target{Name: "soko-3", Address: tlsbackend.Listen(t, tlsbackend.Garbage)}
+		endpoint := &engine.Target{Name: "soko-3", Address: tlsbackend.ListenFaulty(t, tlsbackend.Garbage)}
 		if _, err := f.handshakeTCP(endpoint); err == nil {
 			t.Error("noise is taken for a server")
 		}
@@ -115,7 +115,7 @@
 	t.Run("an older version", func(t *testing.T) {
 		f := newFixture(t)
 		s := tlsbackend.Start(t, issue(f.root, ca.Spec{}))
-		s.MaxTLSVersion(tls.VersionTLS12)
+		s.SetMaxVersion(tls.VersionTLS12)
 		if _, err := f.handshakeTCP(target(s)); err == nil {
 			t.Error("TLS 1.2 is accepted where 1.3 is the minimum")
 		}
@@ -128,7 +128,7 @@
 	})
 	t.Run("cancelled", func(t *testing.T) {
 		f := newFixture(t)
-		raw, err := net.Dial("tcp", tlsbackend.Listen(t, tlsbackend.Unresponsive))
+		raw, err := net.Dial("tcp", tlsbackend.ListenFaulty(t, tlsbackend.Unresponsive))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -163,21 +163,21 @@
 // The client presents its current certificate to servers that require one.
 func TestClientPresentsItsCurrentCertificate(t *testing.T) {
 	f := newFixture(t)
-	f.files.Pair(issue(f.root, ca.Spec{Names: []string{"pinedale.example.org"}}))
+	f.files.WritePair(issue(f.root, ca.Spec{Names: []string{"pinedale.example.org"}}))
 	f.reopen(f.client.options, f.keyOptions(certstore.Paths{
 		Cert:  f.files.Cert,
 		Key:   f.files.Key,
 		Roots: f.files.Roots,
 	}))
 	s := tlsbackend.Start(t, issue(f.root, ca.Spec{}))
-	s.Trust(f.root)
+	s.SetClientCAs(f.root)
 	if _, err := f.handshakeTCP(target(s)); err != nil {
 		t.Errorf("HTTP/1.1: %v", err)
 	}
 	if _, err := f.handshakeQUIC(target(s)); err != nil {
 		t.Errorf("HTTP/3: %v", err)
 	}
-	s.Trust(ca.New(t, "other")) // in TLS 1.3 the client is told at its first read
+	s.SetClientCAs(ca.New(t, "other")) // in TLS 1.3 the client is told at its first read
 	if _, err := f.handshakeTCP(&engine.Target{Name: "soko-3", Address: s.Address}); err == nil {
 		t.Error("a server that does not trust the client has responded")
 	}
--- a/internal/upstream/secure/harness_test.go
+++ b/internal/upstream/secure/harness_test.go
@@ -38,7 +38,7 @@
 	files       *ca.Folder
 	keys        *certstore.Store
 	client      *Client
-	log         logcapture.Record
+	log         logcapture.Buffer
 	clockOffset atomic.Int64 // nanoseconds ahead of the system's clock
 }
 
@@ -50,11 +50,11 @@
 	if s.Names == nil {
 		s.Names = []string{serverName}
 	}
-	if s.From.IsZero() {
-		s.From = time.Now().Add(-time.Hour)
+	if s.NotBefore.IsZero() {
+		s.NotBefore = time.Now().Add(-time.Hour)
 	}
-	if s.Until.IsZero() {
-		s.Until = time.Now().Add(time.Hour)
+	if s.NotAfter.IsZero() {
+		s.NotAfter = time.Now().Add(time.Hour)
 	}
 	return a.Issue(s)
 }
@@ -67,7 +67,7 @@
 	t.Helper()
 	t.Cleanup(func() { goleak.VerifyNone(t) })
 	f := &fixture{t: t, root: ca.New(t, "root"), files: ca.NewFolder(t)}
-	f.files.Put(f.files.Roots, f.root.PEM())
+	f.files.WriteFile(f.files.Roots, f.root.PEM())
 	o := f.options()
 	k := f.keyOptions(certstore.Paths{Roots: f.files.Roots})
 	k.Want = validate.Requirements{MinRSABits: minRSABits}
@@ -84,7 +84,7 @@
 		Names:    &Names{Pattern: "{name}.example.org"},
 		Budget:   unlimitedBudget,
 		Sessions: 100,
-		Timeout:  wait.Patience,
+		Timeout:  wait.Timeout,
 		Log:      f.log.Logger(),
 		Now:      f.now,
 	}
--- a/internal/upstream/secure/sessions_test.go
+++ b/internal/upstream/secure/sessions_test.go
@@ -40,23 +40,23 @@
 				"no change": {func(*fixture, *tlsbackend.Server, *ca.Pair) {
 				}, true, ""},
 				"the server has a new ticket key": {func(_ *fixture, s *tlsbackend.Server, _ *ca.Pair) {
-					s.NewTicketKey()
+					s.RotateTicketKey()
 				}, false, ""},
 				"the server resumes no sessions": {func(_ *fixture, s *tlsbackend.Server, _ *ca.Pair) {
-					s.Tickets(false)
+					s.SetSessionTickets(false)
 				}, false, ""},
 				"the roots have changed": {func(f *fixture, _ *tlsbackend.Server, _ *ca.Pair) {
-					f.files.Put(f.files.Roots, f.root.PEM(), ca.New(f.t, "second").PEM())
+					f.files.WriteFile(f.files.Roots, f.root.PEM(), ca.New(f.t, "second").PEM())
 					f.keys.Reload()
 				}, false, ""},
 				"its root is no longer trusted": {func(f *fixture, _ *tlsbackend.Server, _ *ca.Pair) {
 					second := ca.New(f.t, "second")
-					f.files.Put(f.files.Revoked, second.Revoke())
-					f.files.Put(f.files.Roots, second.PEM())
+					f.files.WriteFile(f.files.Revoked, second.RevocationList())
+					f.files.WriteFile(f.files.Roots, second.PEM())
 					f.keys.Reload()
 				}, false, "chain"},
 				"its certificate is revoked": {func(f *fixture, _ *tlsbackend.Server, pair *ca.Pair) {
-					f.files.Put(f.files.Revoked, f.root.Revoke(pair.Leaf))
+					f.files.WriteFile(f.files.Revoked, f.root.RevocationList(pair.Leaf))
 					f.keys.Reload()
 				}, false, "revoked"},
 				// The server still resumes sessions: only the client's rules prevent it.
@@ -67,8 +67,8 @@
 				t.Run(name, func(t *testing.T) {
 					f := &fixture{t: t, root: ca.New(t, "root"), files: ca.NewFolder(t)}
 					t.Cleanup(func() { goleak.VerifyNone(t) })
-					f.files.Put(f.files.Roots, f.root.PEM())
-					f.files.Put(f.files.Revoked, f.root.Revoke())
+					f.files.WriteFile(f.files.Roots, f.root.PEM())
+					f.files.WriteFile(f.files.Revoked, f.root.RevocationList())
 					f.reopen(f.options(), f.keyOptions(certstore.Paths{Roots: f.files.Roots, Revoked: f.files.Revoked}))
 					pair := issue(f.root, ca.Spec{})
 					s := tlsbackend.Start(t, pair)
