Package cli: root command, exit codes and one-dash flags of the cobra programs

Cause: each cobra program repeats the conventions of its root command, and programs that move from package flag to cobra would no longer take the one-dash flags of operators' scripts.

--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,66 @@
+// Package cli holds what the programs of this repository that use cobra share: a root command with the same
+// conventions, exit codes, and the one-dash flags of earlier releases.
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+)
+
+// exitFailure is the exit code after an error that has no code of its own.
+const exitFailure = 1
+
+// ExitError ends a program with a code of its own.
+type ExitError struct {
+	Code int
+	Err  error // what Execute prints; nil if there is nothing to print
+}
+
+// Error returns the text of the error below, or else the exit code.
+func (e *ExitError) Error() string {
+	if e.Err == nil {
+		return fmt.Sprintf("exit code %d", e.Code)
+	}
+	return e.Err.Error()
+}
+
+// Unwrap returns the error below.
+func (e *ExitError) Unwrap() error { return e.Err }
+
+// NewRoot returns the root command of a program, to which the caller adds commands. It prints help to out and leaves
+// errors to Execute. Without a command it fails with its usage. It has cobra's command "completion".
+func NewRoot(name, short string, out io.Writer) *cobra.Command {
+	root := &cobra.Command{
+		Use:           name,
+		Short:         short,
+		SilenceErrors: true,
+		SilenceUsage:  true,
+		Args:          cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return errors.New("a command is missing\n" + cmd.UsageString())
+		},
+	}
+	root.SetOut(out)
+	return root
+}
+
+// Execute runs the command that args select, after Normalize, and returns the exit code of the program: 0 for
+// success, that of an ExitError, or 1 for any other error. It prints an error to stderr as "program: error".
+func Execute(ctx context.Context, root *cobra.Command, args []string, stderr io.Writer) int {
+	root.SetErr(stderr)
+	root.SetArgs(Normalize(root, args))
+	err := root.ExecuteContext(ctx)
+	if err == nil {
+		return 0
+	}
+	exit := &ExitError{Code: exitFailure, Err: err}
+	errors.As(err, &exit)
+	if exit.Err != nil {
+		fmt.Fprintf(stderr, "%s: %v\n", root.Name(), err)
+	}
+	return exit.Code
+}
