--- a/internal/membership/ephemeral/client.go
+++ b/internal/membership/ephemeral/client.go
@@ -1,11 +1,11 @@
-// Package ephemeral reads membership from the ephemeral nodes of a coordination service
-// that speaks ZooKeeper's protocol: one directory, with one node for each endpoint.
+// Package ephemeral reads membership from the ephemeral nodes of a coordination service that
+// speaks ZooKeeper's protocol. One directory has one node for each endpoint.
 //
-// [Client.Feed] opens a session, reads the directory and all nodes, and then what its
-// watches report. Watches are set by the readings themselves, so that no change falls
-// between. Each connection is a session of its own and reads everything anew; nothing is
-// kept over a restart. The goroutine that called Feed owns all state but the event queue,
-// which the client library fills from its own goroutine.
+// [Client.Feed] opens a session, reads the directory and all nodes, and then reads what its
+// watches report. The calls that read also set the watches, so that no change is missed in
+// between. Each connection has its own session and reads everything again. No state survives a
+// restart. The goroutine that called Feed owns all state except for the event queue, which the
+// client library fills from its own goroutine.
 package ephemeral
 
 import (
@@ -23,51 +23,52 @@
 )
 
 const (
-	// The delay before a new connection.
+	// Bounds of the delay before a new connection.
 	initialReconnectDelay = 50 * time.Millisecond
 	maxReconnectDelay     = 2 * time.Second
 
-	// maxAnswerBytes is ZooKeeper's own limit of an answer (jute.maxbuffer).
-	maxAnswerBytes = 1 << 20
+	// maxResponseBytes is ZooKeeper's own limit for a response (jute.maxbuffer).
+	maxResponseBytes = 1 << 20
 )
 
-// Options are where the nodes are, and what their data must keep to.
+// Options say where the nodes are, and which rules apply to their data.
 type Options struct {
-	Servers        []string      // host:port, of the coordination service
-	Path           string        // of the directory
-	SessionTimeout time.Duration // the session timeout
-	Digest         string        // user:password, "" for none
+	Servers        []string // host:port, of the coordination service
+	Path           string   // of the directory
+	SessionTimeout time.Duration
+	Digest         string // user:password, "" for none
 	Rules          Rules
 	Log            *slog.Logger
 }
 
-// Sink takes what a source reports. Its methods may block.
+// Sink receives the reports of a source. Its methods may block.
 type Sink interface {
-	// Snapshot takes the complete list.
+	// Snapshot receives the complete list.
 	Snapshot(version uint64, entries []reconcile.Entry)
-	// Delta takes the entries that changed; those that ended have State Removed.
+	// Delta receives the entries that changed. Entries that were removed have State Removed.
 	Delta(version uint64, entries []reconcile.Entry)
-	// SourceUnavailable takes that nothing is reported until the next Snapshot.
+	// SourceUnavailable is called when the source reports nothing until the next Snapshot.
 	SourceUnavailable(reason string)
 }
 
-// Client reads one directory. Make one with New.
+// Client reads one directory.
 type Client struct {
-	opts Options
+	options Options
 
-	// The fields below outlive a connection and belong to Feed's goroutine.
+	// The fields below are kept from one connection to the next. Feed's goroutine owns them.
 
-	listed   map[string]bool   // the nodes that were reported as endpoints
-	rejected map[string]string // the nodes whose data is invalid, and why
+	listed   map[string]bool   // nodes that were reported as endpoints, by name
+	rejected map[string]string // reasons why nodes have invalid data, by name
 	version  uint64            // of the directory: the zxid of its last change
 }
 
 // New returns a client that is not connected.
-func New(o Options) *Client { return &Client{opts: o} }
+func New(options Options) *Client { return &Client{options: options} }
 
 // Feed reads the directory and reports to sink until ctx ends.
 func (c *Client) Feed(ctx context.Context, sink Sink) {
-	c.listed, c.rejected = map[string]bool{}, map[string]string{}
+	c.listed = map[string]bool{}
+	c.rejected = map[string]string{}
 	reconnect := backoff.New(initialReconnectDelay, maxReconnectDelay)
 	for ctx.Err() == nil {
 		synced, err := c.readConnection(ctx, sink)
@@ -81,18 +82,18 @@
 	}
 }
 
-// readConnection reads over one connection until that or ctx ends. synced is whether
-// it could read the complete directory.
+// readConnection reads over one connection until the connection or ctx ends. synced reports
+// whether it has read the complete directory.
 func (c *Client) readConnection(ctx context.Context, sink Sink) (synced bool, err error) {
-	events := newEventQueue(c.opts.Path, c.opts.Log)
+	events := newEventQueue(c.options.Path, c.options.Log)
 	conn, err := zkconn.Open(zkconn.Options{
-		Servers:        c.opts.Servers,
-		SessionTimeout: c.opts.SessionTimeout,
-		Digest:         c.opts.Digest,
-		OnEvent:        events.push,
-		Dialer:         dialOnce(),
-		MaxAnswerBytes: maxAnswerBytes,
-		Log:            c.opts.Log,
+		Servers:          c.options.Servers,
+		SessionTimeout:   c.options.SessionTimeout,
+		Digest:           c.options.Digest,
+		OnEvent:          events.push,
+		Dialer:           dialOnce(),
+		MaxResponseBytes: maxResponseBytes,
+		Log:              c.options.Log,
 	})
 	if err != nil {
 		return false, err
@@ -106,22 +107,22 @@
 	return r.synced, nil
 }
 
-// errConnectionUsed keeps the library from connecting a second time.
-var errConnectionUsed = errors.New("the connection has ended")
+// errConnectionEnded is returned to the library when it dials again after its first connection.
+var errConnectionEnded = errors.New("the connection has ended")
 
-// dialOnce returns a dialer that connects one time. The library would reconnect by itself,
-// resume its session and set its watches again. But a reader owns nothing that a session
-// keeps, and reads everything anew in any case. A new session also sees what a resumed one
-// may not: a service that was restored to an older zxid rejects clients that have seen a
-// newer one.
+// dialOnce returns a dialer that connects only once. Otherwise the library would reconnect by
+// itself, resume its session and restore its watches. A reader does not need that: it has no
+// ephemeral nodes, and it reads everything again in any case. A new session also succeeds where
+// resuming one would not: a service that was restored to an older zxid rejects clients that have
+// seen a newer one.
 func dialOnce() zk.Dialer {
-	used := false // the library dials from one goroutine
+	connected := false // the library dials from one goroutine
 	return func(network, address string, timeout time.Duration) (net.Conn, error) {
-		if used {
-			return nil, errConnectionUsed
+		if connected {
+			return nil, errConnectionEnded
 		}
 		conn, err := net.DialTimeout(network, address, timeout)
-		used = err == nil
+		connected = err == nil
 		return conn, err
 	}
 }
--- a/internal/membership/ephemeral/client_test.go
+++ b/internal/membership/ephemeral/client_test.go
@@ -28,7 +28,7 @@
 	if got := h.recorder.node("b").Host; got != want {
 		t.Errorf("b is %+v, want %+v", got, want)
 	}
-	// Watches are set again each time.
+	// Each read sets the watch again.
 	for range 20 {
 		h.drop("c")
 		h.waitNames("b")
@@ -37,14 +37,14 @@
 	}
 }
 
-func TestMissingDirectoryIsWatchedFor(t *testing.T) {
+func TestCreationOfMissingDirectoryIsNoticed(t *testing.T) {
 	h := start(t, 1, nil)
 	h.waitUntil("an empty list", func() bool { return h.recorder.snapshotCount() == 1 })
 	h.put("a", nodeData(1, ""))
 	h.waitNames("a")
 }
 
-// Invalid data is one line in the log and leaves the other nodes alone; corrected, it counts.
+// Invalid data is logged once and does not affect other nodes. Corrected data is accepted.
 func TestInvalidDataIsRejectedOnce(t *testing.T) {
 	h := start(t, 1, nil, "a", "b")
 	h.waitNames("a b")
@@ -53,7 +53,7 @@
 	h.waitNames("a b d")
 	h.put("a", []byte(`{"address":"here"}`))
 	h.waitNames("b d")
-	for i := range 10 { // other changes do not have it read, or logged, again
+	for i := range 10 { // other changes do not cause invalid data to be read or logged again
 		h.put("b", nodeData(100+i, ""))
 		h.drop("d")
 		h.waitNames("b")
@@ -68,22 +68,23 @@
 	h.waitNames("a b c d")
 }
 
-// After a broken connection the list stands, what changed meanwhile is read, and watches
-// are set again.
+// After a broken connection the list remains, changes that were missed are read, and watches are
+// set again.
 func TestBrokenConnectionIsReplaced(t *testing.T) {
 	h := start(t, 2, longSession, "a", "b")
 	h.waitNames("a b")
 	for i := range 3 {
+		added := fmt.Sprint("n", i)
 		h.breakConnections()
-		h.put(fmt.Sprint("n", i), nodeData(1, ""))
+		h.put(added, nodeData(1, ""))
 		h.drop("b")
 		h.waitUntil("the new list", func() bool {
 			names := h.recorder.names()
-			return strings.Contains(names, fmt.Sprint("n", i)) && !strings.Contains(names, "b")
+			return strings.Contains(names, added) && !strings.Contains(names, "b")
 		})
 		h.put("b", nodeData(2, ""))
 		h.waitUntil("the watch", func() bool { return strings.Contains(h.recorder.names(), "b") })
-		h.drop(fmt.Sprint("n", i))
+		h.drop(added)
 		h.waitNames("a b")
 	}
 	if h.recorder.outageCount() < 3 {
@@ -91,7 +92,8 @@
 	}
 }
 
-// If the client's own session expires, as after a long pause, all is read anew, and watched.
+// If the client's own session expires, as after a long pause, the directory is read and watched
+// again.
 func TestExpiredSessionIsReplaced(t *testing.T) {
 	h := start(t, 1, nil, "a", "b")
 	h.waitNames("a b")
@@ -106,8 +108,8 @@
 	}
 }
 
-// A service that stops answering with its connections open is noticed within the session
-// timeout, and reported; the list stands, and all is read when it answers again.
+// A service that stops responding on open connections is reported as unavailable within the
+// session timeout. The list remains, and the directory is read once the service responds again.
 func TestUnresponsiveServiceIsReported(t *testing.T) {
 	h := start(t, 1, nil, "a", "b")
 	h.waitNames("a b")
@@ -122,8 +124,7 @@
 	h.waitNames("b c")
 }
 
-// A service that rejects connections is unavailable; one that answers slowly is not.
-func TestRejectedConnectionIsAnOutageAndDelayIsNot(t *testing.T) {
+func TestSlowServiceIsAvailable(t *testing.T) {
 	h := start(t, 2, nil, "a")
 	h.waitNames("a")
 	h.service.SetDelay(100 * time.Millisecond)
@@ -132,7 +133,11 @@
 	if n := h.recorder.outageCount(); n != 0 {
 		t.Errorf("%d outages of a slow service", n)
 	}
-	h.service.SetDelay(0)
+}
+
+func TestServiceThatRejectsConnectionsIsUnavailable(t *testing.T) {
+	h := start(t, 2, nil, "a", "b")
+	h.waitNames("a b")
 	h.service.SetRejecting(true)
 	h.waitUntil("the outage", func() bool { return h.recorder.outageCount() > 0 })
 	h.put("c", nodeData(1, ""))
@@ -140,14 +145,14 @@
 	h.waitNames("a b c")
 }
 
-// A service may restart with an older or a newer zxid, and lose every node with its
-// sessions. What it then lists is reported, for package reconcile to decide on.
-func TestRestartedServiceIsReadAnew(t *testing.T) {
+// A service may restart with an older or a newer zxid and without its nodes. The list that it
+// then has is reported; package reconcile decides about the missing nodes.
+func TestRestartedServiceIsReadAgain(t *testing.T) {
 	h := start(t, 1, nil, "a", "b")
 	h.waitNames("a b")
-	for _, by := range []int64{1000, -900, -100} {
+	for _, zxidChange := range []int64{1000, -900, -100} {
 		snapshots := h.recorder.snapshotCount()
-		h.service.Restart(by, true)
+		h.service.Restart(zxidChange, true)
 		h.waitSnapshotAfter(snapshots)
 		h.put("c", nodeData(1, ""))
 		h.waitNames("a b c")
@@ -163,7 +168,7 @@
 	h.service.Member(0).SetStaleView(true, "/soko/a", "/soko/b")
 	h.service.Member(1).SetStaleView(true, "/soko/c")
 	seen := map[string]bool{}
-	for range 64 { // the member is drawn anew each time: 8 were too few once in 128 runs
+	for range 64 { // each connection is to a random member: 8 were too few once in 128 runs
 		snapshots := h.recorder.snapshotCount()
 		h.breakConnections()
 		h.waitSnapshotAfter(snapshots)
@@ -177,16 +182,16 @@
 	}
 }
 
-// A digest is presented if one is set, and again on each connection.
-func TestDigestIsPresentedOnEachConnection(t *testing.T) {
+// A digest is sent on each connection if one is set.
+func TestDigestIsSentOnEachConnection(t *testing.T) {
 	service := startService(t, 1)
 	service.Put("/soko/a", nodeData(1, ""))
 	service.Protect("/soko/a", "reader:secret")
 	for digest, want := range map[string]string{"reader:secret": "a", "reader:wrong": ""} {
 		h := newHarness(t, service)
-		o := h.options()
-		o.Digest = digest
-		stop := h.run(o)
+		options := h.options()
+		options.Digest = digest
+		stop := h.run(options)
 		if want != "" {
 			h.waitNames(want)
 			service.Member(0).CloseConnections()
@@ -201,26 +206,27 @@
 	goleak.VerifyNone(t)
 }
 
-// Two thousand nodes are read in the time of a few round trips, and a burst of changes has
-// the directory read no more often than minListInterval allows.
+// A burst of changes causes no more reads of a large directory than minListInterval allows, and
+// reads of nodes only for those that changed.
 func TestBurstOfChangesReadsLargeDirectoryRarely(t *testing.T) {
+	const nodeCount = 2000
 	var names []string
-	for i := range 2000 {
+	for i := range nodeCount {
 		names = append(names, fmt.Sprintf("n%04d", i))
 	}
 	h := start(t, 1, longSession, names...)
-	h.waitUntil("all nodes", func() bool { return h.recorder.nodeCount() == 2000 })
-	lists, reads, began := h.service.RequestCount(fakezookeeper.OpGetChildren2), h.service.RequestCount(fakezookeeper.OpGetData), time.Now()
-	for i := range 200 { // removed and put a hundred times
-		if i%2 == 0 {
-			h.drop("n0000")
-		} else {
-			h.put("n0000", nodeData(1, ""))
-		}
+	h.waitUntil("all nodes", func() bool { return h.recorder.nodeCount() == nodeCount })
+	lists := h.service.RequestCount(fakezookeeper.OpGetChildren2)
+	reads := h.service.RequestCount(fakezookeeper.OpGetData)
+	burstStart := time.Now()
+	for range 100 {
+		h.drop("n0000")
+		time.Sleep(5 * time.Millisecond)
+		h.put("n0000", nodeData(1, ""))
 		time.Sleep(5 * time.Millisecond)
 	}
-	h.waitUntil("all nodes again", func() bool { return h.recorder.nodeCount() == 2000 })
-	limit := int(time.Since(began)/minListInterval) + 2
+	h.waitUntil("all nodes again", func() bool { return h.recorder.nodeCount() == nodeCount })
+	limit := int(time.Since(burstStart)/minListInterval) + 2
 	if n := h.service.RequestCount(fakezookeeper.OpGetChildren2) - lists; n > limit {
 		t.Errorf("the directory was read %d times, want at most %d", n, limit)
 	}
--- a/internal/membership/ephemeral/curator.go
+++ b/internal/membership/ephemeral/curator.go
@@ -2,15 +2,14 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net"
 	"strconv"
 )
 
-// curator is the part that is read of the node data that Apache Curator's service
-// discovery writes (ServiceInstance).
-type curator struct {
+// curatorInstance is the part of Apache Curator's node data (ServiceInstance) whose form is
+// checked. Only Address, Port, Payload and Enabled are used.
+type curatorInstance struct {
 	Name         string          `json:"name"`
 	ID           string          `json:"id"`
 	Address      string          `json:"address"`
@@ -21,11 +20,12 @@
 	Enabled      *bool           `json:"enabled"`
 }
 
-// decodeCurator takes address and port from the instance, and all else from a payload in
-// pinedale's own form, if there is one. The registration time is not used: it is not the
-// start time, as a server whose session expired registers anew.
+// decodeCurator decodes the data that Apache Curator's service discovery writes. The address and
+// port are those of the instance; all other values are those of the payload, if it has
+// pinedale's own form. The registration time is not used as the start time, since a server whose
+// session expired registers again.
 func decodeCurator(data []byte) (Data, error) {
-	var instance curator
+	var instance curatorInstance
 	if err := json.Unmarshal(data, &instance); err != nil {
 		return Data{}, singleLine(err)
 	}
@@ -36,12 +36,14 @@
 		}
 	}
 	if instance.Port == nil {
-		return Data{}, errors.New("port: is missing")
+		return Data{}, &DataError{Key: "port", Reason: "is missing"}
 	}
 	if instance.Address == "" {
-		return Data{}, errors.New("address: is missing")
+		return Data{}, &DataError{Key: "address", Reason: "is missing"}
 	}
 	decoded.Address = net.JoinHostPort(instance.Address, strconv.Itoa(*instance.Port))
-	decoded.Draining = decoded.Draining || instance.Enabled != nil && !*instance.Enabled
+	if instance.Enabled != nil && !*instance.Enabled {
+		decoded.Draining = true
+	}
 	return decoded, nil
 }
--- a/internal/membership/ephemeral/data.go
+++ b/internal/membership/ephemeral/data.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"slices"
 	"strconv"
@@ -15,17 +16,27 @@
 	"pinedale/internal/membership/reconcile"
 )
 
-// The bounds of a node's name and data.
+// Bounds of a node's name and data.
 const (
 	maxNameBytes  = 256
 	maxDataBytes  = 16 << 10 // a few hundred are usual
-	maxBlock      = 1<<16 - 1
-	maxShare      = 1e6
-	maxClockAhead = time.Hour // by which a start time may be in the future
-	defaultShare  = 1
+	maxCell       = math.MaxUint16
+	maxWeight     = 1e6
+	maxPort       = math.MaxUint16
+	maxClockAhead = time.Hour // how far a start time may be in the future
+	defaultWeight = 1
 )
 
-// Rules are what node data must keep to.
+// DataError reports an invalid value in node data.
+type DataError struct {
+	Key    string // in the JSON form
+	Reason string
+}
+
+// Error names the key and the reason.
+func (e *DataError) Error() string { return e.Key + ": " + e.Reason }
+
+// Rules are the values that node data may contain.
 type Rules struct {
 	Sites []string // the known sites
 	Kinds []string // the known kinds of machine
@@ -37,16 +48,17 @@
 	Site      string  `json:"site,omitempty"`
 	Kind      string  `json:"kind,omitempty"`       // of machine
 	Cell      int     `json:"block,omitempty"`      // the pod
-	Weight    float64 `json:"share,omitempty"`      // weight of its share of requests; 1 if missing
-	StartedMS int64   `json:"started_ms,omitempty"` // when the process started, Unix time in milliseconds
-	Draining  bool    `json:"draining,omitempty"`   // it takes no new requests
+	Weight    float64 `json:"share,omitempty"`      // relative share of requests; defaultWeight if missing
+	StartedMS int64   `json:"started_ms,omitempty"` // start time of the process in Unix milliseconds
+	Draining  bool    `json:"draining,omitempty"`   // the endpoint takes no new requests
 }
 
-// Parse reads a node's data, in pinedale's own form or Curator's. Its errors name the key
-// and the reason, in one line.
+// Parse decodes and validates a node's data, in pinedale's own form or Curator's. The texts of
+// its errors have a single line. An invalid value is a *DataError.
 func Parse(node string, data []byte, rules Rules) (reconcile.Entry, error) {
 	if len(node) == 0 || len(node) > maxNameBytes {
-		return reconcile.Entry{}, fmt.Errorf("the node's name has %d characters, must be 1 to %d", len(node), maxNameBytes)
+		return reconcile.Entry{},
+			fmt.Errorf("the node's name has %d characters, must be 1 to %d", len(node), maxNameBytes)
 	}
 	if len(data) > maxDataBytes {
 		return reconcile.Entry{}, fmt.Errorf("%d bytes, at most %d", len(data), maxDataBytes)
@@ -58,73 +70,86 @@
 	if err := decoded.validate(rules); err != nil {
 		return reconcile.Entry{}, err
 	}
-	entry := reconcile.Entry{Host: engine.Host{
-		Name:      node,
-		Address:   decoded.Address,
-		Site:      decoded.Site,
-		Kind:      decoded.Kind,
-		Cell:      uint16(decoded.Cell),
-		Weight:    float32(decoded.Weight),
-		StartedMS: decoded.StartedMS,
-	}}
-	if decoded.Draining {
-		entry.Host.State = balancer.Draining
+	return reconcile.Entry{Host: decoded.host(node)}, nil
+}
+
+// host returns the endpoint of a node with this data.
+func (d *Data) host(name string) engine.Host {
+	state := balancer.Ready
+	if d.Draining {
+		state = balancer.Draining
+	}
+	return engine.Host{
+		Name:      name,
+		Address:   d.Address,
+		Site:      d.Site,
+		Kind:      d.Kind,
+		Cell:      uint16(d.Cell),
+		State:     state,
+		Weight:    float32(d.Weight),
+		StartedMS: d.StartedMS,
 	}
-	return entry, nil
 }
 
-// decode reads either form of node data, and fills in the share if it is missing.
+// decode decodes either form of node data, and sets the weight if it is missing.
 func decode(data []byte) (Data, error) {
 	var keys map[string]json.RawMessage
 	if err := json.Unmarshal(data, &keys); err != nil {
 		return Data{}, fmt.Errorf("not a JSON object: %w", err)
 	}
-	var decoded Data
-	var err error
+	decodeForm := decodeOwn
 	if _, isCurator := keys["serviceType"]; isCurator {
-		decoded, err = decodeCurator(data)
-	} else if err = json.Unmarshal(data, &decoded); err != nil {
-		err = singleLine(err)
+		decodeForm = decodeCurator
 	}
+	decoded, err := decodeForm(data)
 	if err != nil {
 		return Data{}, err
 	}
-	share, given := keys["share"]
-	if decoded.Weight == 0 && (!given || string(share) == "null") {
-		decoded.Weight = defaultShare
+	share, present := keys["share"]
+	if decoded.Weight == 0 && (!present || string(share) == "null") {
+		decoded.Weight = defaultWeight
+	}
+	return decoded, nil
+}
+
+// decodeOwn decodes pinedale's own form of node data.
+func decodeOwn(data []byte) (Data, error) {
+	var decoded Data
+	if err := json.Unmarshal(data, &decoded); err != nil {
+		return Data{}, singleLine(err)
 	}
 	return decoded, nil
 }
 
-// validate checks each value.
+// validate returns a *DataError for the first invalid value.
 func (d *Data) validate(rules Rules) error {
 	latestStart := time.Now().Add(maxClockAhead).UnixMilli()
 	switch {
 	case !isHostPort(d.Address):
-		return fmt.Errorf("address: %q is not host:port", d.Address)
+		return &DataError{"address", fmt.Sprintf("%q is not host:port", d.Address)}
 	case d.Site != "" && !slices.Contains(rules.Sites, d.Site):
-		return fmt.Errorf("site: %q is not in fleet.sites", d.Site)
+		return &DataError{"site", fmt.Sprintf("%q is not in fleet.sites", d.Site)}
 	case d.Kind != "" && !slices.Contains(rules.Kinds, d.Kind):
-		return fmt.Errorf("kind: %q is not in fleet.kinds", d.Kind)
-	case d.Cell < 0 || d.Cell > maxBlock:
-		return fmt.Errorf("block: %d is not in 0 to %d", d.Cell, maxBlock)
-	case !(d.Weight > 0 && d.Weight <= maxShare): // so that NaN fails, too
-		return fmt.Errorf("share: %v is not over 0 and up to %v", d.Weight, float64(maxShare))
+		return &DataError{"kind", fmt.Sprintf("%q is not in fleet.kinds", d.Kind)}
+	case d.Cell < 0 || d.Cell > maxCell:
+		return &DataError{"block", fmt.Sprintf("%d is not in 0 to %d", d.Cell, maxCell)}
+	case !(d.Weight > 0 && d.Weight <= maxWeight): // also rejects NaN
+		return &DataError{"share", fmt.Sprintf("%v is not over 0 and up to %v", d.Weight, float64(maxWeight))}
 	case d.StartedMS < 0 || d.StartedMS > latestStart:
-		return fmt.Errorf("started_ms: %d is not a time that has been", d.StartedMS)
+		return &DataError{"started_ms", fmt.Sprintf("%d is not a time that has been", d.StartedMS)}
 	}
 	return nil
 }
 
-// isHostPort reports whether an address is a host and a port number.
+// isHostPort reports whether address has the form host:port with a port number.
 func isHostPort(address string) bool {
 	_, port, err := net.SplitHostPort(address)
 	if err != nil {
 		return false
 	}
 	number, err := strconv.Atoi(port)
-	return err == nil && number >= 1 && number <= 65535
+	return err == nil && number >= 1 && number <= maxPort
 }
 
-// singleLine returns an error's text in one line.
+// singleLine returns an error with the text of err on a single line.
 func singleLine(err error) error { return errors.New(strings.ReplaceAll(err.Error(), "\n", " ")) }
--- a/internal/membership/ephemeral/data_test.go
+++ b/internal/membership/ephemeral/data_test.go
@@ -9,27 +9,33 @@
 	"pinedale/internal/engine"
 )
 
-func TestParseReadsBothForms(t *testing.T) {
-	full := `{"address":"10.0.0.7:9101","site":"dar","kind":"box","block":7,"share":2.5,"started_ms":1700000000000}`
+func TestParseReadsOwnForm(t *testing.T) {
+	data := `{"address":"10.0.0.7:9101","site":"dar","kind":"box","block":7,"share":2.5,"started_ms":1700000000000}`
 	want := engine.Host{
 		Name: "s-1", Address: "10.0.0.7:9101", Site: "dar", Kind: "box", Cell: 7, Weight: 2.5, StartedMS: 1700000000000,
 	}
-	if entry, err := Parse("s-1", []byte(full), rules); err != nil || entry.Host != want {
+	if entry, err := Parse("s-1", []byte(data), rules); err != nil || entry.Host != want {
 		t.Errorf("%+v, %v, want %+v", entry, err, want)
 	}
-	curator := `{"name":"soko","id":"7","address":"10.0.0.8","port":9102,"sslPort":null,
+}
+
+func TestParseReadsCuratorForm(t *testing.T) {
+	data := `{"name":"soko","id":"7","address":"10.0.0.8","port":9102,"sslPort":null,
 		"payload":{"site":"arusha","block":3},
 		"registrationTimeUTC":1700000000000,"serviceType":"DYNAMIC","uriSpec":null,"enabled":false}`
-	want = engine.Host{
+	want := engine.Host{
 		Name: "7", Address: "10.0.0.8:9102", Site: "arusha", Cell: 3, Weight: 1, State: balancer.Draining,
 	}
-	if entry, err := Parse("7", []byte(curator), rules); err != nil || entry.Host != want {
+	if entry, err := Parse("7", []byte(data), rules); err != nil || entry.Host != want {
 		t.Errorf("%+v, %v, want %+v", entry, err, want)
 	}
 }
 
 func TestParseRejectsInvalidData(t *testing.T) {
-	for _, c := range []struct{ data, message string }{
+	for _, c := range []struct {
+		data    string
+		message string // part of the error
+	}{
 		{``, "JSON"},
 		{`[]`, "JSON"},
 		{`null`, "address"},
@@ -58,13 +64,13 @@
 	}
 }
 
-// Any data is an endpoint with an address, or an error in one line.
+// Parse returns an endpoint with an address, or an error of a single line, for any data.
 func FuzzParse(f *testing.F) {
 	f.Add("a", nodeData(1, `,"block":3`))
 	f.Add("b", []byte(`{"serviceType":"DYNAMIC","address":"::1","port":7,"payload":{}}`))
 	f.Add("", []byte(`{"address":":1","share":1e300}`))
-	f.Fuzz(func(t *testing.T, name string, in []byte) {
-		entry, err := Parse(name, in, rules)
+	f.Fuzz(func(t *testing.T, name string, data []byte) {
+		entry, err := Parse(name, data, rules)
 		if err != nil {
 			if err.Error() == "" || strings.Contains(err.Error(), "\n") {
 				t.Errorf("error %q", err)
@@ -72,8 +78,8 @@
 			return
 		}
 		host := entry.Host
-		if host.Name == "" || host.Address == "" || !(host.Weight > 0) || host.StartedMS < 0 || !json.Valid(in) {
-			t.Errorf("%q gives %+v", in, entry)
+		if host.Name == "" || host.Address == "" || !(host.Weight > 0) || host.StartedMS < 0 || !json.Valid(data) {
+			t.Errorf("%q gives %+v", data, entry)
 		}
 	})
 }
--- a/internal/membership/ephemeral/events.go
+++ b/internal/membership/ephemeral/events.go
@@ -8,20 +8,20 @@
 	"github.com/go-zookeeper/zk"
 )
 
-// pendingEvents is what the library has reported of one connection.
+// pendingEvents are the library's events for one connection.
 type pendingEvents struct {
-	nodes        map[string]zk.EventType // last event of nodes whose watch fired, by name
+	nodes        map[string]zk.EventType // latest event of each node whose watch fired, by name
 	directory    bool                    // the directory's watch fired
 	hasSession   bool
-	disconnected bool // the connection has ended, for good
+	disconnected bool // the connection has ended and is not opened again
 }
 
-// eventQueue collects the library's events until the reader takes them. push is called on
-// the library's goroutine, all else on the reader's.
+// eventQueue collects the library's events until the reader takes them. push is called on the
+// library's goroutine, the other methods on the reader's.
 type eventQueue struct {
 	directoryPath string
 	log           *slog.Logger
-	wake          chan struct{} // has an element if push was called since it was read
+	wake          chan struct{} // has an element if push was called since the last receive
 
 	mu      sync.Mutex
 	pending pendingEvents
@@ -36,14 +36,14 @@
 	}
 }
 
-// push adds an event and wakes the reader.
+// push records an event and wakes the reader.
 func (q *eventQueue) push(event zk.Event) {
 	q.mu.Lock()
 	switch {
 	case event.Type == zk.EventSession:
 		q.pushSessionState(event.State)
 	case event.Type == zk.EventNotWatching:
-		// Its session has ended, which is an event of its own.
+		// The session has ended, which is reported by a session event.
 	case event.Path == q.directoryPath:
 		q.pending.directory = true
 	default:
@@ -56,7 +56,7 @@
 	}
 }
 
-// pushSessionState adds a change of the session. The queue must be locked.
+// pushSessionState records a change of the session. The queue must be locked.
 func (q *eventQueue) pushSessionState(state zk.State) {
 	switch state {
 	case zk.StateHasSession:
@@ -69,17 +69,18 @@
 	}
 }
 
-// take returns what is pending, and clears what watches have reported.
+// take returns the pending events, and clears those of watches.
 func (q *eventQueue) take() pendingEvents {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	taken := q.pending
-	q.pending.nodes, q.pending.directory = map[string]zk.EventType{}, false
+	q.pending.nodes = map[string]zk.EventType{}
+	q.pending.directory = false
 	return taken
 }
 
-// requeue puts back what could not be read, without a wake-up. Newer events of the same
-// nodes stand.
+// requeue puts events back without waking the reader. It does not replace newer events of the
+// same nodes.
 func (q *eventQueue) requeue(nodes map[string]zk.EventType, directory bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/internal/membership/ephemeral/golden_test.go
+++ b/internal/membership/ephemeral/golden_test.go
@@ -11,9 +11,9 @@
 	"pinedale/internal/engine"
 )
 
-var updateGolden = flag.Bool("update", false, "write the golden files in testdata anew from the current code")
+var updateGolden = flag.Bool("update", false, "rewrite the golden files in testdata from the current code")
 
-// parseCase is a node's name and data, and what Parse makes of them.
+// parseCase is a node's name and data, and the result of Parse.
 type parseCase struct {
 	Node  string
 	Data  string
@@ -21,7 +21,7 @@
 	Error string `json:",omitempty"`
 }
 
-// parseInputs are the forms of node data that deployed servers and registrars write, and faulty ones.
+// parseInputs are node data in all forms that deployed servers and registrars write, and invalid data.
 var parseInputs = []parseCase{
 	{Node: "minimal", Data: `{"address":"10.0.0.7:9101"}`},
 	{Node: "full", Data: `{"address":"10.0.0.7:9101","site":"dar","kind":"box","block":7,"share":2.5,` +
@@ -74,7 +74,7 @@
 	{Node: "curator-payload-bad", Data: `{"serviceType":"DYNAMIC","address":"a","port":1,"payload":{"block":"b"}}`},
 }
 
-// writtenData are values as registrars write them.
+// writtenData are values that registrars write.
 var writtenData = []Data{
 	{Address: "10.0.0.7:9101"},
 	{Address: "10.0.0.7:9101", Draining: true},
@@ -84,7 +84,7 @@
 	{Address: "a<b>&:1", Weight: 1e-7, StartedMS: 1},
 }
 
-// goldenBytes returns a golden file's content; with -update it first writes what the code yields.
+// goldenBytes returns a golden file's content. With -update it first writes current to the file.
 func goldenBytes(t *testing.T, name string, current []byte) []byte {
 	t.Helper()
 	file := filepath.Join("testdata", name)
@@ -132,7 +132,7 @@
 	}
 }
 
-// Node data is written to the same bytes, and read back to the same values.
+// Node data is encoded to the bytes of the golden file, and decodes to the same values.
 func TestDataWritesGoldenBytes(t *testing.T) {
 	var current []byte
 	for _, data := range writtenData {
--- a/internal/membership/ephemeral/harness_test.go
+++ b/internal/membership/ephemeral/harness_test.go
@@ -19,10 +19,11 @@
 	"pinedale/internal/standin/wait"
 )
 
-// sessionTimeout is short, so that an outage is noticed soon; the library notices it after
-// two thirds.
+// sessionTimeout is short, so that an outage is noticed soon. The library notices it after two
+// thirds of the timeout.
 const sessionTimeout = 600 * time.Millisecond
 
+// rules are those of the test's node data.
 var rules = Rules{Sites: []string{"arusha", "dar"}, Kinds: []string{"box"}}
 
 // recorder is a sink that applies reports to one list.
@@ -64,7 +65,7 @@
 	r.outages++
 }
 
-// names returns the listed names, in order and with spaces between.
+// names returns the listed names, sorted and separated by spaces.
 func (r *recorder) names() string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -95,7 +96,7 @@
 	return r.outages
 }
 
-// harness is a client of a service and what it reports.
+// harness runs a client of a service and records its reports.
 type harness struct {
 	t        *testing.T
 	service  *fakezookeeper.Service
@@ -108,6 +109,7 @@
 	return &harness{t: t, service: service, recorder: &recorder{nodes: map[string]reconcile.Entry{}}}
 }
 
+// options returns the options of a client of the service.
 func (h *harness) options() Options {
 	return Options{
 		Servers:        h.service.Addresses(),
@@ -119,25 +121,23 @@
 }
 
 // run runs a client until stop is called, which waits for it.
-func (h *harness) run(o Options) (stop func()) {
+func (h *harness) run(options Options) (stop func()) {
 	h.t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan struct{})
-	go func() {
-		New(o).Feed(ctx, h.recorder)
-		close(ended)
-	}()
+	var feed sync.WaitGroup
+	feed.Go(func() { New(options).Feed(ctx, h.recorder) })
 	return func() {
 		cancel()
-		<-ended
+		feed.Wait()
 	}
 }
 
-// nodeData returns data with a port and further keys.
+// nodeData returns node data with a port and further keys, as text that begins with a comma.
 func nodeData(port int, keys string) []byte {
 	return fmt.Appendf(nil, `{"address":"127.0.0.1:%d","site":"arusha"%s}`, port, keys)
 }
 
+// startService runs a service with a number of members. The caller closes it.
 func startService(t *testing.T, members int) *fakezookeeper.Service {
 	t.Helper()
 	service, err := fakezookeeper.Start(members)
@@ -147,19 +147,19 @@
 	return service
 }
 
-// start runs a client of a service with so many members until the test ends. alter may be
-// nil.
-func start(t *testing.T, members int, alter func(*Options), nodes ...string) *harness {
+// start runs a client of a service with a number of members until the test ends. change adapts
+// the client's options; it may be nil.
+func start(t *testing.T, members int, change func(*Options), nodes ...string) *harness {
 	t.Helper()
 	h := newHarness(t, startService(t, members))
 	for i, node := range nodes {
 		h.put(node, nodeData(1000+i, ""))
 	}
-	o := h.options()
-	if alter != nil {
-		alter(&o)
+	options := h.options()
+	if change != nil {
+		change(&options)
 	}
-	stop := h.run(o)
+	stop := h.run(options)
 	t.Cleanup(func() {
 		stop()
 		h.service.Close()
@@ -169,7 +169,7 @@
 }
 
 // longSession is an option that keeps sessions alive while their connections break.
-func longSession(o *Options) { o.SessionTimeout = 10 * time.Second }
+func longSession(options *Options) { options.SessionTimeout = 10 * time.Second }
 
 func (h *harness) put(node string, data []byte) { h.service.Put("/soko/"+node, data) }
 
@@ -181,16 +181,19 @@
 	h.service.Member(1).CloseConnections()
 }
 
+// waitUntil waits for a condition. If it fails, it reports the list and the log.
 func (h *harness) waitUntil(what string, condition func() bool) {
 	h.t.Helper()
 	wait.Until(h.t, what, condition, h.recorder.names, h.log.String)
 }
 
+// waitNames waits until exactly the given names are listed, sorted and separated by spaces.
 func (h *harness) waitNames(names string) {
 	h.t.Helper()
 	h.waitUntil("the list "+names, func() bool { return h.recorder.names() == names })
 }
 
+// waitSnapshotAfter waits until more than the given number of snapshots were reported.
 func (h *harness) waitSnapshotAfter(snapshots int) {
 	h.t.Helper()
 	h.waitUntil("a new snapshot", func() bool { return h.recorder.snapshotCount() > snapshots })
--- a/internal/membership/ephemeral/reader.go
+++ b/internal/membership/ephemeral/reader.go
@@ -17,15 +17,15 @@
 )
 
 const (
-	// maxParallelReads is how many nodes are read at a time: a directory of 2,000 takes a
-	// hundred round trips, not 2,000.
+	// maxParallelReads is how many nodes are read concurrently: a directory of 2,000 nodes
+	// takes 100 round trips instead of 2,000.
 	maxParallelReads = 20
 
-	// minListInterval is the least time between two readings of the directory, whose
-	// answer has all names: a node that flaps must not have them sent with each change.
+	// minListInterval is the minimum time between two reads of the directory. The response
+	// contains all names, so a node that flaps must not cause a read with each change.
 	minListInterval = 50 * time.Millisecond
 
-	// readRetryDelay is the delay after a reading that failed while the session stands.
+	// readRetryDelay is the delay after a read that failed although the session exists.
 	readRetryDelay = 200 * time.Millisecond
 )
 
@@ -40,7 +40,7 @@
 	listedAt time.Time // when the directory was last listed
 }
 
-// run reads what is new until the connection or ctx ends.
+// run reads the directory and its changes until the connection or ctx ends.
 func (r *reader) run(ctx context.Context) {
 	var retry <-chan time.Time
 	for {
@@ -64,8 +64,9 @@
 	}
 }
 
-// read reads what is new. It returns after which delay it is to be called again although
-// no event comes, 0 for never.
+// read reads the complete directory if that has not been done yet, and otherwise the pending
+// changes. It returns the delay after which it must be called again even without an event, 0 for
+// none.
 func (r *reader) read(pending pendingEvents) time.Duration {
 	if !r.synced {
 		return r.readAll()
@@ -82,19 +83,20 @@
 	if err != nil {
 		return r.readFailed(err, nil, false)
 	}
-	before := r.listed
+	previous := r.listed
 	r.listed = map[string]bool{}
 	entries, err := r.readNodes(names)
 	if err != nil {
-		r.listed = before
+		r.listed = previous
 		return r.readFailed(err, nil, false)
 	}
-	r.synced, r.version = true, version
+	r.synced = true
+	r.version = version
 	r.sink.Snapshot(r.version, entries)
 	return 0
 }
 
-// readChanges reads what watches have reported, and reports what changed.
+// readChanges reads the nodes and the directory whose watches fired, and reports the changes.
 func (r *reader) readChanges(pending pendingEvents) time.Duration {
 	var removed []reconcile.Entry
 	var changed []string
@@ -106,7 +108,7 @@
 		delete(r.rejected, name)
 		removed = r.appendRemoved(removed, name)
 	}
-	r.report(removed) // before anything that takes a round trip
+	r.report(removed) // without waiting for the reads below
 	if err := r.readAndReport(changed); err != nil {
 		return r.readFailed(err, pending.nodes, pending.directory)
 	}
@@ -123,29 +125,35 @@
 	return 0
 }
 
-// readFailed requeues what could not be read, and returns the delay until the next attempt.
-// It logs the failure, unless the connection has ended, which is an event of its own.
+// readFailed requeues the events of nodes, and of the directory if set, and returns the delay
+// until the next attempt. It logs the error unless the connection has ended, which is reported
+// by an event.
 func (r *reader) readFailed(err error, nodes map[string]zk.EventType, directory bool) time.Duration {
 	if !zkconn.IsDisconnect(err) {
-		r.opts.Log.Warn("ephemeral directory read failed", "path", r.opts.Path, "err", err, "retry_delay", readRetryDelay)
+		r.options.Log.Warn(
+			"ephemeral directory read failed",
+			"path", r.options.Path,
+			"err", err,
+			"retry_delay", readRetryDelay,
+		)
 	}
 	r.events.requeue(nodes, directory)
 	return readRetryDelay
 }
 
-// listDirectory reads the names of the nodes and the directory's version, and sets the
-// directory's watch. A directory that does not exist is watched for, and has none.
+// listDirectory reads the names of the nodes and the directory's version, and sets a watch on
+// the directory. If the directory does not exist, it watches for its creation and returns no names.
 func (r *reader) listDirectory() (names []string, version uint64, err error) {
 	r.listedAt = time.Now()
 	for {
-		names, stat, _, err := r.conn.ChildrenW(r.opts.Path)
+		names, stat, _, err := r.conn.ChildrenW(r.options.Path)
 		if err == nil {
 			return names, uint64(stat.Pzxid), nil
 		}
 		if !errors.Is(err, zk.ErrNoNode) {
 			return nil, 0, err
 		}
-		exists, _, _, err := r.conn.ExistsW(r.opts.Path)
+		exists, _, _, err := r.conn.ExistsW(r.options.Path)
 		if err != nil {
 			return nil, 0, err
 		}
@@ -155,8 +163,8 @@
 	}
 }
 
-// refreshDirectory lists the directory again and reads the nodes that are new. A node that
-// is missing has ended, in case its own watch has not reported that.
+// refreshDirectory lists the directory again and reads its new nodes. It reports nodes that are
+// missing as removed, in case their own watches have not.
 func (r *reader) refreshDirectory() error {
 	names, version, err := r.listDirectory()
 	if err != nil {
@@ -186,7 +194,7 @@
 	return r.readAndReport(added)
 }
 
-// readAndReport reads nodes and reports what changed, also if some could not be read.
+// readAndReport reads nodes and reports their entries, even if the read of some nodes failed.
 func (r *reader) readAndReport(names []string) error {
 	entries, err := r.readNodes(names)
 	r.report(entries)
@@ -200,16 +208,16 @@
 	}
 }
 
-// nodeReading is the result of reading one node.
-type nodeReading struct {
+// readResult is the result of reading one node.
+type readResult struct {
 	data []byte
 	err  error
 }
 
-// fetchNodes reads the data of nodes and sets their watches. The result has the order of
-// the names.
-func (r *reader) fetchNodes(names []string) []nodeReading {
-	readings := make([]nodeReading, len(names))
+// fetchNodes reads the data of nodes and sets their watches. The results are in the order of
+// names.
+func (r *reader) fetchNodes(names []string) []readResult {
+	results := make([]readResult, len(names))
 	indexes := make(chan int, len(names))
 	for i := range names {
 		indexes <- i
@@ -219,55 +227,62 @@
 	for range min(maxParallelReads, len(names)) {
 		workers.Go(func() {
 			for i := range indexes {
-				data, _, _, err := r.conn.GetW(path.Join(r.opts.Path, names[i]))
-				readings[i] = nodeReading{data, err}
+				data, _, _, err := r.conn.GetW(path.Join(r.options.Path, names[i]))
+				results[i] = readResult{data: data, err: err}
 			}
 		})
 	}
 	workers.Wait()
-	return readings
+	return results
 }
 
-// readNodes reads nodes, sets their watches and returns what is to be reported of them.
-// Invalid data is logged once for each fault, ends its own endpoint and leaves the others
-// alone. The error is that of a node that could not be read.
+// readNodes reads nodes, sets their watches and returns the entries to report. A node with
+// invalid data is logged once for each reason and its endpoint is reported as removed; other
+// nodes are not affected. The error is that of the last node whose read failed.
 func (r *reader) readNodes(names []string) (entries []reconcile.Entry, err error) {
-	for i, reading := range r.fetchNodes(names) {
+	for i, result := range r.fetchNodes(names) {
 		name := names[i]
 		switch {
-		case errors.Is(reading.err, zk.ErrNoNode):
+		case errors.Is(result.err, zk.ErrNoNode):
 			delete(r.rejected, name)
 			entries = r.appendRemoved(entries, name)
-			continue
-		case reading.err != nil:
-			err = reading.err
-			continue
-		}
-		entry, invalid := Parse(name, reading.data, r.opts.Rules)
-		if invalid != nil {
-			r.reject(name, invalid)
-			entries = r.appendRemoved(entries, name)
-			continue
+		case result.err != nil:
+			err = result.err
+		default:
+			entries = r.appendParsed(entries, name, result.data)
 		}
-		delete(r.rejected, name)
-		r.listed[name] = true
-		entries = append(entries, entry)
 	}
 	return entries, err
 }
 
-// reject records that a node's data is invalid, and logs that if the reason is new.
+// appendParsed appends the entry that a node's data describes, or the removal of its endpoint if
+// the data is invalid.
+func (r *reader) appendParsed(entries []reconcile.Entry, name string, data []byte) []reconcile.Entry {
+	entry, err := Parse(name, data, r.options.Rules)
+	if err != nil {
+		r.reject(name, err)
+		return r.appendRemoved(entries, name)
+	}
+	delete(r.rejected, name)
+	r.listed[name] = true
+	return append(entries, entry)
+}
+
+// reject records that a node's data is invalid, and logs the reason if it is new.
 func (r *reader) reject(name string, invalid error) {
 	reason := invalid.Error()
 	if r.rejected[name] == reason {
 		return
 	}
 	r.rejected[name] = reason
-	r.opts.Log.Warn("ephemeral node rejected, invalid data", "node", path.Join(r.opts.Path, name),
-		"err", strings.TrimSpace(reason))
+	r.options.Log.Warn(
+		"ephemeral node rejected, invalid data",
+		"node", path.Join(r.options.Path, name),
+		"err", strings.TrimSpace(reason),
+	)
 }
 
-// appendRemoved appends the end of an endpoint, if the node was listed as one.
+// appendRemoved appends the removal of a node's endpoint if the node was reported as one.
 func (r *reader) appendRemoved(entries []reconcile.Entry, name string) []reconcile.Entry {
 	if !r.listed[name] {
 		return entries
--- a/internal/membership/multisource/feeder.go
+++ b/internal/membership/multisource/feeder.go
@@ -11,14 +11,14 @@
 	"pinedale/internal/membership/reconcile"
 )
 
-// The delay before a watch that failed is opened again.
+// Bounds of the delay before a failed watch is opened again.
 const (
 	initialRetryDelay = 200 * time.Millisecond
 	maxRetryDelay     = 5 * time.Second
 )
 
-// SourceFeeder feeds the lists of an engine.Source, and opens its watch again when it
-// fails.
+// SourceFeeder is a Feeder of an engine.Source. It opens the source's watch again after a
+// failure.
 type SourceFeeder struct{ Source engine.Source }
 
 // Feed implements Feeder.
@@ -26,10 +26,10 @@
 	defer f.Source.Close()
 	retry := backoff.New(initialRetryDelay, maxRetryDelay)
 	for ctx.Err() == nil {
-		// A nil version requests a complete list: only that shows what was missed.
+		// A nil version requests a complete list, which includes changes that were missed.
 		_, err := f.Source.Watch(ctx, nil, func(kind balancer.ListKind, list engine.List) {
 			if kind == balancer.ListFailed {
-				return // reported below, with its reason
+				return // SourceUnavailable is called below, with the reason
 			}
 			forward(sink, kind, list)
 			retry.Reset()
@@ -46,7 +46,7 @@
 	}
 }
 
-// forward passes a list or a change to a sink.
+// forward passes a complete list or changes to sink.
 func forward(sink ephemeral.Sink, kind balancer.ListKind, list engine.List) {
 	entries := make([]reconcile.Entry, len(list.Hosts))
 	for i, host := range list.Hosts {
--- a/internal/membership/multisource/source.go
+++ b/internal/membership/multisource/source.go
@@ -1,10 +1,9 @@
-// Package multisource runs several membership sources side by side and merges them into
-// one: package reconcile decides what their reports come to, and the engine gets a single
-// endpoint list.
+// Package multisource runs several membership sources concurrently and merges their reports into
+// a single endpoint list for the engine. Package reconcile decides how they are merged.
 //
-// One goroutine for each source runs its feeder. All pass their reports to the goroutine
-// that called [Source.Watch], which owns the reconciler and waits for the feeders before
-// it returns.
+// Each source has a feeder, which runs on its own goroutine. The feeders pass their reports to
+// the goroutine that called [Source.Watch], which owns the reconciler and waits for the feeders
+// before it returns.
 package multisource
 
 import (
@@ -19,12 +18,20 @@
 	"pinedale/internal/membership/reconcile"
 )
 
-// reportBacklog is how many reports may wait for the reconciler before feeders block.
-const reportBacklog = 64
+const (
+	// reportBacklog is how many reports may be queued before feeders block.
+	reportBacklog = 64
 
-// Feeder reads one of the sources.
+	// minTimer is the shortest time between two deadlines of the reconciler.
+	minTimer = time.Millisecond
+
+	// initialTimer is arbitrary: the first report sets the timer.
+	initialTimer = time.Hour
+)
+
+// Feeder reads one source.
 type Feeder interface {
-	// Feed passes what the source reports to sink until ctx ends.
+	// Feed passes the reports of the source to sink until ctx ends.
 	Feed(ctx context.Context, sink ephemeral.Sink)
 }
 
@@ -35,7 +42,7 @@
 	Feeder Feeder
 }
 
-// Source merges its inputs. It is an engine.Source.
+// Source merges its inputs. It implements engine.Source.
 type Source struct {
 	cfg    reconcile.Config
 	inputs []Input
@@ -47,76 +54,80 @@
 	return &Source{cfg: cfg, inputs: inputs, log: log}
 }
 
-// Close does nothing: all that a watch uses ends with it.
+// Close does nothing: Watch releases its resources before it returns.
 func (s *Source) Close() {}
 
-// Watch runs the feeders until ctx ends, and passes a complete list to notify first and
-// changes from then on. It fails only when ctx ends: an input that fails is unavailable.
+// Watch runs the feeders until ctx ends. It passes a complete list to notify first, and changes
+// after that. It returns only when ctx ends: if an input fails, it counts as unavailable.
 func (s *Source) Watch(
 	ctx context.Context, after *uint64, notify func(balancer.ListKind, engine.List),
 ) (*uint64, error) {
 	w := &watch{
 		reconciler: reconcile.New(s.cfg, s.log),
 		reports:    make(chan report, reportBacklog),
-		began:      time.Now(),
+		start:      time.Now(),
 		notify:     notify,
 	}
 	var feeders sync.WaitGroup
 	defer feeders.Wait()
 	for _, input := range s.inputs {
-		sink := reportSink{done: ctx.Done(), index: w.reconciler.AddSource(input.Kind, input.Name), reports: w.reports}
+		sink := reportSink{
+			done:    ctx.Done(),
+			index:   w.reconciler.AddSource(input.Kind, input.Name),
+			reports: w.reports,
+		}
 		feeders.Go(func() { input.Feeder.Feed(ctx, sink) })
 	}
 	w.run(ctx)
 	return after, ctx.Err()
 }
 
-// watch is the state of one call of Watch. All of it belongs to that goroutine; the
-// feeders have only the channel.
+// watch is the state of one call of Watch. The goroutine of that call owns it; the feeders only
+// send to the channel.
 type watch struct {
 	reconciler *reconcile.Reconciler
 	reports    chan report
-	began      time.Time // the origin of the reconciler's clock
+	start      time.Time // the origin of the reconciler's clock
 	notify     func(balancer.ListKind, engine.List)
 }
 
 // run applies reports and publishes lists until ctx ends.
 func (w *watch) run(ctx context.Context) {
-	timer := time.NewTimer(time.Hour)
+	timer := time.NewTimer(initialTimer)
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case first := <-w.reports:
-			first(w.reconciler, w.now())
+		case apply := <-w.reports:
+			apply(w.reconciler, w.now())
 			w.applyBacklog()
 		case <-timer.C:
 		}
 		w.publish()
 		timer.Stop()
 		if deadline := w.reconciler.NextDeadline(); deadline != 0 {
-			timer.Reset(max(time.Millisecond, deadline-w.now()))
+			timer.Reset(max(minTimer, deadline-w.now()))
 		}
 	}
 }
 
-// now returns the reconciler's time.
-func (w *watch) now() time.Duration { return time.Since(w.began) }
+// now returns the time on the reconciler's clock.
+func (w *watch) now() time.Duration { return time.Since(w.start) }
 
-// applyBacklog applies the reports that wait, so that one list covers them all.
+// applyBacklog applies all queued reports, so that a single list covers them.
 func (w *watch) applyBacklog() {
 	for {
 		select {
-		case next := <-w.reports:
-			next(w.reconciler, w.now())
+		case apply := <-w.reports:
+			apply(w.reconciler, w.now())
 		default:
 			return
 		}
 	}
 }
 
-// publish passes on what has changed.
+// publish passes the changes of the list to notify, if there are any.
 func (w *watch) publish() {
 	list, ok := w.reconciler.List(w.now())
 	if !ok {
--- a/internal/membership/multisource/source_test.go
+++ b/internal/membership/multisource/source_test.go
@@ -27,8 +27,13 @@
 	"pinedale/internal/standin/wait"
 )
 
-// sessionTimeout is short, so that an outage is noticed soon.
-const sessionTimeout = 600 * time.Millisecond
+const (
+	// sessionTimeout is short, so that an outage is noticed soon.
+	sessionTimeout = 600 * time.Millisecond
+
+	// ephemeralUnavailable matches the log line of an outage of the coordination service.
+	ephemeralUnavailable = `membership source unavailable.* reason="no connection"`
+)
 
 // harness runs a source and applies its lists as the engine does.
 type harness struct {
@@ -39,10 +44,11 @@
 
 	mu       sync.Mutex
 	hosts    map[string]engine.Host
-	lists    int
-	minReady int // fewest ready endpoints since recordMinReady
+	lists    int // number of lists received
+	minReady int // minimum number of ready endpoints since recordMinReady
 }
 
+// applyList is called by the source's watch.
 func (h *harness) applyList(_ balancer.ListKind, list engine.List) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -60,6 +66,7 @@
 	h.minReady = min(h.minReady, len(h.readyLocked()))
 }
 
+// readyLocked returns the names of the ready endpoints, sorted. The harness must be locked.
 func (h *harness) readyLocked() (names []string) {
 	for name, host := range h.hosts {
 		if host.State == balancer.Ready {
@@ -70,16 +77,18 @@
 	return names
 }
 
-// ready returns the names of the ready endpoints, in order and with spaces between.
+// ready returns the names of the ready endpoints, sorted and separated by spaces.
 func (h *harness) ready() string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return strings.Join(h.readyLocked(), " ")
 }
 
+// logged reports whether a line matches a pattern.
 func (h *harness) logged(pattern string) bool { return h.log.Find(pattern) != nil }
 
-// start runs a source of ephemeral nodes and others until the test ends.
+// start runs a source of ephemeral nodes and of further inputs until the test ends. others may be
+// nil.
 func start(t *testing.T, others func(h *harness) []Input, nodes ...string) *harness {
 	t.Helper()
 	h := &harness{t: t, hosts: map[string]engine.Host{}}
@@ -150,20 +159,20 @@
 	h.waitUntil("the list "+names, func() bool { return h.ready() == names })
 }
 
-// recordMinReady begins to record the fewest ready endpoints.
+// recordMinReady begins to record the minimum number of ready endpoints.
 func (h *harness) recordMinReady() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.minReady = len(h.hosts)
 }
 
-// A service that loses all its nodes in an outage or a restart takes nobody out; the
-// reason is logged, and servers that register anew are as if nothing had happened.
-func TestServiceThatLosesAllNodesTakesNobodyOut(t *testing.T) {
+// If a service loses all its nodes in an outage or a restart, all endpoints remain ready and the
+// reason is logged. Servers that register again keep their history.
+func TestEndpointsRemainWhenServiceLosesAllNodes(t *testing.T) {
 	for name, loseNodes := range map[string]func(h *harness){
 		"in an outage": func(h *harness) {
 			h.service.SetUnresponsive(true)
-			h.waitUntil("the outage", func() bool { return h.logged(`membership source unavailable.* reason="no connection"`) })
+			h.waitUntil("the outage", func() bool { return h.logged(ephemeralUnavailable) })
 			h.dropNodes()
 			h.service.SetUnresponsive(false)
 		},
@@ -191,8 +200,8 @@
 	}
 }
 
-// A server whose session expires registers anew by itself, and is ready again in the same
-// incarnation as soon as its node is back.
+// A server whose session expires registers again by itself, and is ready in the same incarnation
+// as soon as its node exists.
 func TestServerReturnsAfterSessionExpiry(t *testing.T) {
 	h := start(t, nil, "a")
 	registrar, err := register.New(register.Options{
@@ -209,16 +218,16 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	runEnded := make(chan error, 1)
 	go func() { runEnded <- registrar.Run(ctx) }()
-	defer func() {
+	t.Cleanup(func() {
 		cancel()
 		if err := <-runEnded; err != nil {
 			t.Error(err)
 		}
-	}()
+	})
 	h.waitReady("a s")
 	h.recordMinReady()
 	h.service.ExpireSession(h.service.Owner("/soko/s"))
-	h.waitUntil("the end of its node", func() bool {
+	h.waitUntil("the removal of its node", func() bool {
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		return h.minReady == 1
@@ -231,7 +240,7 @@
 	}
 }
 
-// document returns a complete list of ready servers in discovery's form.
+// document returns a discovery document with a complete list of ready servers.
 func document(version uint64, names ...string) fakediscovery.Document {
 	list := fakediscovery.Document{Seq: version, Complete: true}
 	for _, name := range names {
@@ -240,8 +249,9 @@
 	return list
 }
 
-// With discovery as another source: what it adds counts at once, what it removes goes
-// although the coordination service is unavailable, and its failures take nobody out.
+// With discovery as a second source, endpoints that it adds are ready at once, and endpoints that
+// it removes are removed even while the coordination service is unavailable. If discovery fails,
+// all endpoints remain ready.
 func TestDiscoveryBesideEphemeralNodes(t *testing.T) {
 	h := start(t, func(h *harness) []Input {
 		h.discovery.List = document(1, "a", "b")
@@ -250,25 +260,26 @@
 	}, "a", "b", "c")
 	h.waitReady("a b c")
 	h.service.SetUnresponsive(true)
-	h.waitUntil("the outage", func() bool { return h.logged(`membership source unavailable.* reason="no connection"`) })
-	set := func(version uint64, names ...string) {
+	h.waitUntil("the outage", func() bool { return h.logged(ephemeralUnavailable) })
+	setList := func(version uint64, names ...string) {
 		h.discovery.Change(func() { h.discovery.List = document(version, names...) })
 	}
-	set(2, "b", "d")
+	setList(2, "b", "d")
 	h.waitReady("b c d")
 	h.discovery.Change(func() { h.discovery.Down = true })
 	discoveryUnavailable := "membership source unavailable.* kind=discovery source=" + h.discovery.Address
 	h.waitUntil("discovery's failure", func() bool { return h.logged(discoveryUnavailable) })
 	h.waitReady("b c d")
 	h.discovery.Change(func() { h.discovery.Down = false })
-	set(3, "b", "d", "e")
+	setList(3, "b", "d", "e")
 	h.waitReady("b c d e")
 	h.service.SetUnresponsive(false)
-	h.waitUntil("it is back", func() bool { return h.logged("membership source recovered.* kind=ephemeral source=/soko") })
+	const recovered = "membership source recovered.* kind=ephemeral source=/soko"
+	h.waitUntil("the recovery", func() bool { return h.logged(recovered) })
 }
 
-// With a static list as another source: its servers are ready without a node, and a
-// node's end overrules the list.
+// With a static list as a second source, its servers are ready without a node, and the removal of
+// a node overrules the list.
 func TestStaticListBesideEphemeralNodes(t *testing.T) {
 	h := start(t, func(*harness) []Input {
 		list := static.New([]engine.Host{
@@ -294,9 +305,9 @@
 	h := start(t, nil, "a", "b")
 	h.waitReady("a b")
 	h.mu.Lock()
-	before := h.lists
+	listsBefore := h.lists
 	h.mu.Unlock()
-	began := time.Now()
+	burstStart := time.Now()
 	for i := range 300 {
 		h.put(fmt.Sprint("n", i%30))
 		h.service.Delete(fmt.Sprint("/soko/n", i%30))
@@ -305,7 +316,9 @@
 	h.waitUntil("the last", func() bool { return strings.Contains(h.ready(), "last") })
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if limit := int(time.Since(began)/(20*time.Millisecond)) + 2; h.lists-before > limit {
-		t.Errorf("%d lists in %v, want at most %d", h.lists-before, time.Since(began), limit)
+	const minListInterval = 20 * time.Millisecond // of package reconcile
+	limit := int(time.Since(burstStart)/minListInterval) + 2
+	if lists := h.lists - listsBefore; lists > limit {
+		t.Errorf("%d lists in %v, want at most %d", lists, time.Since(burstStart), limit)
 	}
 }
--- a/internal/membership/reconcile/config.go
+++ b/internal/membership/reconcile/config.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// Kind is the type of a source. Where sources differ on an endpoint's address, site,
-// pod or share, the lower kind is believed.
+// Kind is the type of a source. If sources differ on an endpoint's address, site, pod or share,
+// the lower kind takes precedence.
 type Kind uint8
 
 // The kinds of source, in order of precedence.
@@ -20,47 +20,51 @@
 
 // Config holds the operator's settings.
 type Config struct {
-	// MaxShrinkRatio is the share of a source's endpoints that may be missing from its
-	// first list after an outage, from an older list or from an empty one. If more are
-	// missing, they are retained: the source has more likely lost them than they ended.
+	// MaxShrinkRatio is the fraction of a source's endpoints that may be missing from its first
+	// list after an outage or from an older list. If more are missing, or the list is empty,
+	// they are retained: it is more likely that the source lost them than that they ended.
 	MaxShrinkRatio float64
-	// HoldTime is how long endpoints are retained, so that they can register anew.
-	// After it they are evicted, MaxShrinkRatio at a time, each HoldTime. An empty list
-	// evicts nobody.
+	// HoldTime is how long endpoints are retained, so that they can register again. After that
+	// they are evicted, MaxShrinkRatio at a time, once per HoldTime. While the list is empty,
+	// none are evicted.
 	HoldTime time.Duration
-	// MaxDiscoveryLag bounds how far discovery runs behind. An endpoint whose node
-	// vanished without a drain, and that discovery still lists so long after, is running.
+	// MaxDiscoveryLag is the maximum delay of discovery. If an endpoint's node vanished without
+	// a drain, and discovery still lists the endpoint after this delay, it is running.
 	MaxDiscoveryLag time.Duration
 }
 
-// DefaultConfig holds the defaults: a third of a fleet; twice the usual session timeout
-// of 15 s; discovery's 5 s and 9 s more for when it falls behind.
-var DefaultConfig = Config{MaxShrinkRatio: 0.34, HoldTime: 30 * time.Second, MaxDiscoveryLag: 15 * time.Second}
+// DefaultConfig holds the default settings.
+var DefaultConfig = Config{
+	MaxShrinkRatio:  0.34,             // a third of a fleet
+	HoldTime:        30 * time.Second, // twice the usual session timeout of 15 s
+	MaxDiscoveryLag: 15 * time.Second, // discovery's usual 5 s, and time for it to catch up
+}
 
 const (
-	// minEvictable is how many endpoints may be missing in any case: in a fleet of two,
-	// one is half.
+	// minEvictable is how many endpoints may be missing regardless of MaxShrinkRatio, so that one
+	// of a fleet of two may be.
 	minEvictable = 1
 
-	// removalLinger is how long a vanished endpoint is listed as draining, so that one
-	// that returns in the same incarnation keeps its history and needs no new slow start.
+	// removalLinger is how long a vanished endpoint is listed as draining. If it returns in the
+	// same incarnation within that time, it keeps its history and needs no slow start.
 	removalLinger = time.Minute
 
-	// flapThreshold is the number of returns within flapWindow from which on an endpoint
-	// must stay up before it is believed: for flapBackoff, doubled by each further
-	// return up to maxFlapBackoff.
+	// flapThreshold is the number of returns within flapWindow from which on an endpoint must
+	// stay up for a backoff before it counts as up: flapBackoff, doubled by each further return
+	// up to maxFlapBackoff.
 	flapThreshold  = 3
 	flapWindow     = 10 * time.Second
 	flapBackoff    = time.Second
 	maxFlapBackoff = 30 * time.Second
 
-	// maxFlapDoublings keeps the shift of flapBackoff from overflowing.
+	// maxFlapDoublings prevents an overflow when flapBackoff is doubled.
 	maxFlapDoublings = 10
 
-	// minListInterval is the least time between two lists: a burst of changes is one.
+	// minListInterval is the minimum time between two lists. It combines a burst of changes into
+	// one list.
 	minListInterval = 20 * time.Millisecond
 
-	// discoveryPollInterval is how often an endpoint is looked at again that waits for
+	// discoveryPollInterval is the interval of decisions on an endpoint that depends on
 	// discovery's next report.
 	discoveryPollInterval = time.Second
 )
--- a/internal/membership/reconcile/decide.go
+++ b/internal/membership/reconcile/decide.go
@@ -8,70 +8,72 @@
 	"pinedale/internal/engine"
 )
 
-// decision is what the sources' claims on an endpoint come to.
+// decision is the result of merging all claims on an endpoint.
 type decision struct {
-	host      engine.Host   // Ready or Draining
-	listed    bool          // false once nothing is left of the endpoint
-	recheckAt time.Duration // when the decision may change by time alone, 0 for never
+	host      engine.Host   // with State Ready or Draining
+	listed    bool          // false if the endpoint is removed
+	recheckAt time.Duration // when the decision may change without a report, 0 for never
 }
 
-// endpointView is all sources' claims on one endpoint, sorted by what they say.
+// endpointView holds all sources' claims on one endpoint.
 type endpointView struct {
 	now       time.Duration
-	recheckAt time.Duration
+	recheckAt time.Duration // when the decision may change without a report, 0 for never
 
-	present       []*claim // those that say that it is up
-	described     *claim   // the one of present that describes it, nil for none
-	describedKind Kind
+	present       []*claim // claims that the endpoint is up
+	described     *claim   // of present, the claim whose address and other values count; may be nil
+	describedKind Kind     // kind of the source of described
 
-	end     *claim // the latest that says that it takes no requests, nil for none
-	endKind Kind
+	end     *claim // latest claim that the endpoint takes no requests; may be nil
+	endKind Kind   // kind of the source of end
 }
 
-// recheck schedules the decision to be made again at a time in the future.
+// recheck schedules a new decision at the given time if that is in the future.
 func (v *endpointView) recheck(at time.Duration) {
 	if at > v.now {
 		v.recheckAt = earliest(v.recheckAt, at)
 	}
 }
 
-// addPresent adds a claim that the endpoint is up. It describes the endpoint if it names
-// the newest incarnation; within one incarnation the lowest kind of source does.
+// addPresent adds a claim that the endpoint is up. The claim with the newest start time describes
+// the endpoint; of several with the same start time, the one of the lowest kind of source.
 func (v *endpointView) addPresent(kind Kind, c *claim) {
 	v.present = append(v.present, c)
 	if v.described != nil {
-		started, best := c.host.StartedMS, v.described.host.StartedMS
-		if started < best || started == best && kind >= v.describedKind {
+		started, newest := c.host.StartedMS, v.described.host.StartedMS
+		if started < newest || started == newest && kind >= v.describedKind {
 			return
 		}
 	}
-	v.described, v.describedKind = c, kind
+	v.described = c
+	v.describedKind = kind
 }
 
-// addEnd adds a claim that the endpoint takes no requests: it drains, has vanished, or
-// flapped and has not stayed up for long enough.
+// addEnd adds a claim that the endpoint takes no requests: it drains, it has vanished, or it
+// flapped and has not been up for long enough.
 func (v *endpointView) addEnd(kind Kind, c *claim) {
 	if c.state == stateUp {
-		v.recheck(c.believedFrom)
+		v.recheck(c.upFrom)
 	}
 	if v.end == nil || c.supersedes(v.end) {
-		v.end, v.endKind = c, kind
+		v.end = c
+		v.endKind = kind
 	}
 }
 
-// endSuperseded reports whether a claim that the endpoint is up supersedes its end.
+// endSuperseded reports whether a claim that the endpoint is up supersedes the end.
 func (v *endpointView) endSuperseded() bool {
 	return slices.ContainsFunc(v.present, func(c *claim) bool { return c.supersedes(v.end) })
 }
 
-// view sorts the sources' claims on an endpoint.
+// view returns all claims on an endpoint.
 func (r *Reconciler) view(now time.Duration, name string) *endpointView {
 	v := &endpointView{now: now}
 	for _, s := range r.sources {
 		c := s.claims[name]
 		switch {
 		case c == nil:
-		case c.state == stateRetained, c.state == stateUp && c.believedFrom <= now:
+		case c.state == stateRetained, c.state == stateUp && c.upFrom <= now:
 			v.addPresent(s.kind, c)
 		default:
 			v.addEnd(s.kind, c)
@@ -80,7 +82,7 @@
 	return v
 }
 
-// decide returns what an endpoint is, from the sources' claims on it.
+// decide merges all claims on an endpoint.
 func (r *Reconciler) decide(now time.Duration, name string) decision {
 	v := r.view(now, name)
 	var host engine.Host
@@ -107,32 +109,31 @@
 	return decision{host: host, listed: true, recheckAt: v.recheckAt}
 }
 
-// discoveryConfirms reports whether discovery overrules an endpoint's end. It does if
-// the endpoint's node vanished without a drain, and discovery still lists it in a report
-// so late that it must have noticed: the session has expired, but the process runs.
+// discoveryConfirms reports whether discovery overrules an endpoint's end. That is so if the
+// endpoint's node vanished without a drain, and discovery listed the endpoint in a report after
+// MaxDiscoveryLag: the session has expired, but the process runs.
 func (r *Reconciler) discoveryConfirms(v *endpointView, name string) bool {
-	if v.described == nil || v.endKind != Ephemeral || v.end.state != stateVanished || v.end.drainingBefore {
+	if v.described == nil || v.endKind != Ephemeral || v.end.state != stateVanished || v.end.drainedFirst {
 		return false
 	}
-	knownBy := v.end.since + r.cfg.MaxDiscoveryLag
+	requiredAt := v.end.since + r.cfg.MaxDiscoveryLag
 	for _, s := range r.sources {
-		c := s.claims[name]
-		if s.kind != Discovery || c == nil || c.state != stateUp && c.state != stateRetained {
+		if s.kind != Discovery {
 			continue
 		}
-		confirmedAt := s.reportedAt
-		if c.state == stateRetained {
-			confirmedAt = c.confirmedAt
+		confirmedAt, listed := s.lastListing(name)
+		if !listed {
+			continue
 		}
-		if confirmedAt >= knownBy {
+		if confirmedAt >= requiredAt {
 			return true
 		}
-		v.recheck(max(knownBy, v.now+discoveryPollInterval))
+		v.recheck(max(requiredAt, v.now+discoveryPollInterval))
 	}
 	return false
 }
 
-// earliest returns the earlier of two deadlines, where 0 is never.
+// earliest returns the earlier of two deadlines, where 0 means never.
 func earliest(a, b time.Duration) time.Duration {
 	if a == 0 || b != 0 && b < a {
 		return b
--- a/internal/membership/reconcile/harness_test.go
+++ b/internal/membership/reconcile/harness_test.go
@@ -14,19 +14,20 @@
 	_ "pinedale/internal/standin/seeds"
 )
 
+// newHost returns a ready endpoint.
 func newHost(name string, startedMS int64) engine.Host {
 	return engine.Host{Name: name, Address: "127.0.0.1:1", Site: "a", Weight: 1, StartedMS: startedMS}
 }
 
-// entries returns ready endpoints without a start time.
-func entries(names ...string) (all []Entry) {
+// entries returns entries of ready endpoints without a start time.
+func entries(names ...string) (ready []Entry) {
 	for _, name := range names {
-		all = append(all, Entry{Host: newHost(name, 0)})
+		ready = append(ready, Entry{Host: newHost(name, 0)})
 	}
-	return all
+	return ready
 }
 
-// change returns a report on one endpoint.
+// change returns the entry of one endpoint in a state.
 func change(name string, state balancer.State) []Entry {
 	host := newHost(name, 0)
 	host.State = state
@@ -47,7 +48,7 @@
 	}
 }
 
-// readyNames returns the names of ready endpoints, in order and with spaces between.
+// readyNames returns the names of the ready endpoints, sorted and separated by spaces.
 func readyNames(hosts map[string]engine.Host) string {
 	var ready []string
 	for name, host := range hosts {
@@ -66,9 +67,10 @@
 	now        time.Duration
 	hosts      map[string]engine.Host
 	log        logcapture.Buffer
-	lists      int // how many were returned
+	lists      int // number of lists that were returned
 }
 
+// newHarness returns a harness with one source of each of the given kinds.
 func newHarness(t *testing.T, kinds ...Kind) *harness {
 	t.Helper()
 	h := &harness{t: t, hosts: map[string]engine.Host{}, now: 100 * time.Second}
@@ -91,6 +93,7 @@
 	h.reconciler.SourceUnavailable(h.now, source, reason)
 }
 
+// readList applies the list if there is one.
 func (h *harness) readList() {
 	if list, ok := h.reconciler.List(h.now); ok {
 		h.lists++
@@ -99,15 +102,15 @@
 }
 
 // advance lets time pass and reads the list at each deadline.
-func (h *harness) advance(d time.Duration) {
-	h.now = advanceTo(h.reconciler, h.now, h.now+d, func(now time.Duration) {
+func (h *harness) advance(duration time.Duration) {
+	h.now = advanceTo(h.reconciler, h.now, h.now+duration, func(now time.Duration) {
 		h.now = now
 		h.readList()
 	})
 }
 
-// advanceTo calls read at each of a reconciler's deadlines up to an end, and at the end,
-// which it returns.
+// advanceTo calls read at each of a reconciler's deadlines from now to end, and at the end. It
+// returns the time of the last call.
 func advanceTo(reconciler *Reconciler, now, end time.Duration, read func(now time.Duration)) time.Duration {
 	for {
 		deadline := reconciler.NextDeadline()
@@ -122,16 +125,16 @@
 	return now
 }
 
-// wantReady checks the names of the ready endpoints.
-func (h *harness) wantReady(step string, names string) {
+// wantReady checks the names of the ready endpoints, in the form of readyNames.
+func (h *harness) wantReady(situation string, names string) {
 	h.t.Helper()
 	h.advance(minListInterval)
 	if got := readyNames(h.hosts); got != names {
-		h.t.Errorf("%s: ready are %q, want %q", step, got, names)
+		h.t.Errorf("%s: ready are %q, want %q", situation, got, names)
 	}
 }
 
-// wantSingleLogLine checks that one line was logged, and that it has a text.
+// wantSingleLogLine checks that exactly one line was logged, and that it contains text.
 func (h *harness) wantSingleLogLine(text string) {
 	h.t.Helper()
 	if h.log.Count("\n") != 1 {
@@ -142,5 +145,5 @@
 	}
 }
 
-// discardLog returns a logger whose lines go nowhere.
+// discardLog returns a logger that discards its lines.
 func discardLog() *slog.Logger { return slog.New(slog.DiscardHandler) }
--- a/internal/membership/reconcile/random_test.go
+++ b/internal/membership/reconcile/random_test.go
@@ -38,10 +38,12 @@
 	}
 }
 
+// randomNames are the names of all endpoints in random histories.
 var randomNames = []string{"a", "b", "c", "d", "e"}
 
-// randomHistory drives a reconciler, which looks only at what has changed, and a
-// reference, which looks at everything each time.
+// randomHistory passes the same reports to two reconcilers. One is used through List, which
+// decides only on endpoints that may have changed. The other is the reference, for which the test
+// decides on all endpoints each time.
 type randomHistory struct {
 	t          *rapid.T
 	kinds      []Kind
@@ -52,7 +54,7 @@
 	hosts     map[string]engine.Host
 	available [3]bool
 	version   [3]uint64
-	endedAt   map[string]time.Duration // when an available source reported an end that nothing has overruled
+	endedAt   map[string]time.Duration // when an end was reported that no source overrules, by name
 }
 
 func newRandomHistory(t *rapid.T) *randomHistory {
@@ -78,8 +80,8 @@
 	r.apply(h.reference)
 }
 
-// read reads the list, has the reference decide on all names, and checks that ends count
-// within 2 s.
+// read applies the list, updates the reference, and checks that no endpoint is ready 2 s after its
+// end was reported.
 func (h *randomHistory) read() {
 	if list, ok := h.reconciler.List(h.now); ok {
 		applyList(h.hosts, list)
@@ -103,13 +105,14 @@
 }
 
 // advance lets time pass and reads the list at each deadline.
-func (h *randomHistory) advance(d time.Duration) {
-	h.now = advanceTo(h.reconciler, h.now, h.now+d, func(now time.Duration) {
+func (h *randomHistory) advance(duration time.Duration) {
+	h.now = advanceTo(h.reconciler, h.now, h.now+duration, func(now time.Duration) {
 		h.now = now
 		h.read()
 	})
 }
 
+// drawEntry draws a ready or draining entry.
 func (h *randomHistory) drawEntry() Entry {
 	name := rapid.SampledFrom(randomNames).Draw(h.t, "name")
 	incarnation := rapid.IntRange(0, 2).Draw(h.t, "incarnation")
@@ -118,71 +121,84 @@
 	return Entry{Host: host}
 }
 
-// snapshot has a source report a complete list. An empty one, or the first one after an
-// outage, does not empty ours.
+// snapshot reports a random complete list. It checks that an empty list leaves all endpoints
+// ready.
 func (h *randomHistory) snapshot(source int) {
-	r := report{at: h.now, source: source, kind: reportSnapshot}
-	seen := map[string]bool{}
-	for range rapid.IntRange(0, 5).Draw(h.t, "length") {
-		if entry := h.drawEntry(); !seen[entry.Host.Name] {
-			seen[entry.Host.Name] = true
-			r.entries = append(r.entries, entry)
-		}
-	}
+	snapshot := report{at: h.now, source: source, kind: reportSnapshot, entries: h.drawEntries()}
 	h.version[source] = uint64(max(0, int(h.version[source])+rapid.IntRange(-1, 3).Draw(h.t, "version")))
-	r.version = h.version[source]
-	before := countReady(h.hosts)
+	snapshot.version = h.version[source]
+	readyBefore := countReady(h.hosts)
 	h.available[source] = true
-	for _, entry := range r.entries {
+	for _, entry := range snapshot.entries {
 		delete(h.endedAt, entry.Host.Name)
 	}
-	h.apply(r)
+	h.apply(snapshot)
 	h.read()
-	after := countReady(h.hosts)
-	if h.kinds[source] != Static && len(r.entries) == 0 && after < before {
-		h.t.Fatalf("an empty list took %d of %d out", before-after, before)
+	readyAfter := countReady(h.hosts)
+	if h.kinds[source] != Static && len(snapshot.entries) == 0 && readyAfter < readyBefore {
+		h.t.Fatalf("an empty list took %d of %d out", readyBefore-readyAfter, readyBefore)
+	}
+}
+
+// drawEntries draws up to five entries of different names.
+func (h *randomHistory) drawEntries() (entries []Entry) {
+	drawn := map[string]bool{}
+	for range rapid.IntRange(0, 5).Draw(h.t, "length") {
+		entry := h.drawEntry()
+		if drawn[entry.Host.Name] {
+			continue
+		}
+		drawn[entry.Host.Name] = true
+		entries = append(entries, entry)
 	}
+	return entries
 }
 
-// delta has an available source report on one endpoint.
+// delta reports a random change of one endpoint by an available source.
 func (h *randomHistory) delta(source int) {
-	r := report{at: h.now, source: source, kind: reportDelta, version: h.version[source]}
 	entry := h.drawEntry()
 	if rapid.Bool().Draw(h.t, "removed") {
 		entry.Host.State = balancer.Removed
 	}
-	r.entries = []Entry{entry}
 	name := entry.Host.Name
-	before := h.reconciler.sources[source].claims[name]
-	known := before != nil && before.state != stateVanished
-	h.apply(r)
+	claimBefore := h.reconciler.sources[source].claims[name]
+	wasListed := claimBefore != nil && claimBefore.state != stateVanished
+	h.apply(report{
+		at:      h.now,
+		source:  source,
+		kind:    reportDelta,
+		version: h.version[source],
+		entries: []Entry{entry},
+	})
 	delete(h.endedAt, name)
-	if entry.Host.State == balancer.Removed && known && onlyClaim(h.reconciler, source, name) {
+	if entry.Host.State == balancer.Removed && wasListed && onlyClaim(h.reconciler, source, name) {
 		h.endedAt[name] = h.now
 	}
 }
 
-// unavailable has a source fail, which takes nobody out.
+// unavailable reports that a source is unavailable. It checks that all endpoints remain ready.
 func (h *randomHistory) unavailable(source int) {
-	before := countReady(h.hosts)
+	readyBefore := countReady(h.hosts)
 	h.available[source] = false
 	h.apply(report{at: h.now, source: source, kind: reportUnavailable})
 	h.read()
-	if after := countReady(h.hosts); after < before {
-		h.t.Fatalf("an outage took %d out", before-after)
+	if readyAfter := countReady(h.hosts); readyAfter < readyBefore {
+		h.t.Fatalf("an outage took %d out", readyBefore-readyAfter)
 	}
 }
 
-// checkReady checks that an endpoint is ready that is up by each claim and has not
+// checkReady checks that each endpoint is ready that has an up claim, no end, and no claim that
 // flapped.
 func (h *randomHistory) checkReady() {
 	for _, name := range randomNames {
 		up, ended := false, false
 		for _, s := range h.reconciler.sources {
-			if c := s.claims[name]; c != nil {
-				up = up || c.state == stateUp
-				ended = ended || c.state == stateVanished || c.state == stateDraining || c.returns >= flapThreshold
+			c := s.claims[name]
+			if c == nil {
+				continue
 			}
+			up = up || c.state == stateUp
+			ended = ended || c.state == stateVanished || c.state == stateDraining || c.returns >= flapThreshold
 		}
 		if host, ok := h.hosts[name]; up && !ended && (!ok || host.State != balancer.Ready) {
 			h.t.Fatalf("%s is up by each claim, and listed as %v (%v)", name, host, ok)
@@ -190,7 +206,7 @@
 	}
 }
 
-// checkReference checks that the list is what the reference decides.
+// checkReference checks that the list agrees with the reference's decisions.
 func (h *randomHistory) checkReference() {
 	for _, name := range randomNames {
 		want := h.reference.decide(h.now, name)
@@ -202,9 +218,9 @@
 	}
 }
 
-// TestRandomHistories holds the reconciler against the reference, and both against the
-// rules.
-func TestRandomHistories(t *testing.T) {
+// For random reports at random times, the list agrees with the reference and follows the rules
+// that the checks name.
+func TestRandomReportsAgreeWithReference(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		h := newRandomHistory(t)
 		for range rapid.IntRange(1, 40).Draw(t, "events") {
@@ -229,8 +245,8 @@
 	})
 }
 
-// onlyClaim reports whether no other source has ever reported on an endpoint: then an end
-// stands until the same source reports again.
+// onlyClaim reports whether no other source has a claim on an endpoint. If so, an end remains valid
+// until the same source reports the endpoint again.
 func onlyClaim(reconciler *Reconciler, source int, name string) bool {
 	for i, s := range reconciler.sources {
 		if i != source && s.claims[name] != nil {
--- a/internal/membership/reconcile/reconciler.go
+++ b/internal/membership/reconcile/reconciler.go
@@ -12,23 +12,23 @@
 
 // Entry is one endpoint in a source's report.
 type Entry struct {
-	Host    engine.Host // its State is Ready, Draining or, in changes, Removed
-	Version int64       // of the entry, where the source has one
+	Host    engine.Host // with State Ready, Draining or, in changes, Removed
+	Version int64       // of the entry, if the source has one
 }
 
-// Reconciler merges the reports of several sources. Make one with New.
+// Reconciler merges the reports of several sources.
 type Reconciler struct {
 	cfg     Config
 	log     *slog.Logger
 	sources []*source
 
-	published map[string]engine.Host   // the endpoint list as last returned
-	dirty     map[string]bool          // endpoints that were reported on since
-	pending   map[string]time.Duration // endpoints that may change by time alone, and when
+	published map[string]engine.Host   // the endpoint list, by name, as of the last result of List
+	dirty     map[string]bool          // names of endpoints to decide on at the next call of List
+	pending   map[string]time.Duration // when decisions may change without a report, by name
 
-	sequence    uint64        // version of the last list
+	listVersion uint64        // version of the last list
 	publishedAt time.Duration // when the last list was returned
-	started     bool          // a first, complete list was returned
+	started     bool          // the first list, which is complete, was returned
 }
 
 // New returns a reconciler without sources.
@@ -53,35 +53,41 @@
 	return len(r.sources) - 1
 }
 
-// Snapshot takes a source's complete list.
+// Snapshot handles a source's report of its complete list.
 func (r *Reconciler) Snapshot(now time.Duration, index int, version uint64, entries []Entry) {
 	r.evictAllDue(now)
 	s := r.sources[index]
 	missing := s.missingFrom(entries)
-	keepMissing := r.shouldRetain(s, s.suspicionOf(version, entries), len(missing))
+	retainMissing := r.shouldRetain(s, s.suspicionOf(version, entries), len(missing))
 	if !s.available && s.hasList {
 		s.log.Warn("membership source recovered", "endpoints", len(entries))
 	}
 	for _, name := range missing {
-		if keepMissing {
+		if retainMissing {
 			r.retain(now, s, name)
 		} else {
 			r.vanish(now, s, name)
 		}
 	}
-	s.available, s.interrupted, s.hasList, s.emptyList = true, false, true, len(entries) == 0
-	s.version, s.reportedAt, s.listedAt = version, now, now
+	s.available = true
+	s.interrupted = false
+	s.hasList = true
+	s.emptyList = len(entries) == 0
+	s.version = version
+	s.reportedAt = now
+	s.listedAt = now
 	for _, entry := range entries {
 		r.upsert(now, s, entry)
 	}
-	r.recheckPending()
+	r.markPendingDirty()
 }
 
-// Delta takes an available source's report on single endpoints.
+// Delta handles an available source's report of changes.
 func (r *Reconciler) Delta(now time.Duration, index int, version uint64, entries []Entry) {
 	r.evictAllDue(now)
 	s := r.sources[index]
-	s.version, s.reportedAt = max(s.version, version), now
+	s.version = max(s.version, version)
+	s.reportedAt = now
 	for _, entry := range entries {
 		if entry.Host.State == balancer.Removed {
 			r.vanish(now, s, entry.Host.Name)
@@ -89,18 +95,19 @@
 			r.upsert(now, s, entry)
 		}
 	}
-	r.recheckPending()
+	r.markPendingDirty()
 }
 
-// SourceUnavailable takes that a source reports no more. Its last list stands.
+// SourceUnavailable records that a source does not report any more. Its last list remains valid.
 func (r *Reconciler) SourceUnavailable(now time.Duration, index int, reason string) {
 	r.evictAllDue(now)
 	s := r.sources[index]
 	if s.available || !s.interrupted {
 		s.log.Warn("membership source unavailable, its last list stands", "reason", reason, "endpoints", len(s.claims))
 	}
-	s.available, s.interrupted = false, true
-	r.recheckPending()
+	s.available = false
+	s.interrupted = true
+	r.markPendingDirty()
 }
 
 // upsert records that a source lists an endpoint as up or draining.
@@ -119,8 +126,8 @@
 	r.dirty[name] = true
 }
 
-// recordReturn counts that a node that vanished is back. One that flaps, in the same
-// incarnation, is believed only after a backoff.
+// recordReturn records that a vanished node exists again. An endpoint that flaps within one
+// incarnation counts as up only after a backoff.
 func (r *Reconciler) recordReturn(now time.Duration, s *source, c *claim, host engine.Host) {
 	if now-c.lastReturn >= flapWindow {
 		c.returns = 0
@@ -131,33 +138,33 @@
 		return
 	}
 	backoff := min(flapBackoff<<min(c.returns-flapThreshold, maxFlapDoublings), maxFlapBackoff)
-	c.believedFrom = now + backoff
+	c.upFrom = now + backoff
 	if c.returns == flapThreshold {
 		s.log.Warn("endpoint flapping, taken out until it stays up", "endpoint", host.Name, "backoff", backoff)
 	}
 }
 
-// vanish records that a source lists an endpoint no more.
+// vanish records that a source no longer lists an endpoint.
 func (r *Reconciler) vanish(now time.Duration, s *source, name string) {
 	c := s.claims[name]
 	if c == nil || c.state == stateVanished {
 		return
 	}
-	c.drainingBefore = c.state == stateDraining
-	c.state, c.since = stateVanished, now
+	c.drainedFirst = c.state == stateDraining
+	c.state = stateVanished
+	c.since = now
 	delete(s.retained, name)
 	r.dirty[name] = true
 }
 
-// recheckPending marks all endpoints dirty that wait for a source's next report.
-func (r *Reconciler) recheckPending() {
+// markPendingDirty marks all pending endpoints dirty: a report may change the decisions on them.
+func (r *Reconciler) markPendingDirty() {
 	for name := range r.pending {
 		r.dirty[name] = true
 	}
 }
 
-// advance applies what is due by a time: evictions, and decisions that change by time
-// alone.
+// advance evicts the endpoints that are due, and marks the pending endpoints that are due dirty.
 func (r *Reconciler) advance(now time.Duration) {
 	r.evictAllDue(now)
 	for name, at := range r.pending {
@@ -167,9 +174,9 @@
 	}
 }
 
-// List returns what has changed since its last call: a complete list first, changes from
-// then on, in which endpoints that are no more have State Removed. ok is false if nothing
-// has changed, or if the last list is younger than minListInterval.
+// List returns the changes since the last list that it returned. The first list is complete. In
+// later ones, endpoints that were removed have State Removed. ok is false if nothing has changed,
+// or if less than minListInterval has passed since the last list.
 func (r *Reconciler) List(now time.Duration) (list engine.List, ok bool) {
 	if r.started && now < r.publishedAt+minListInterval {
 		return list, false
@@ -185,14 +192,15 @@
 		return list, false
 	}
 	slices.SortFunc(list.Hosts, func(a, b engine.Host) int { return cmp.Compare(a.Name, b.Name) })
-	r.sequence++
-	list.Version, list.Complete = r.sequence, !r.started
-	r.publishedAt, r.started = now, true
+	r.listVersion++
+	list.Version = r.listVersion
+	list.Complete = !r.started
+	r.publishedAt = now
+	r.started = true
 	return list, true
 }
 
-// refresh decides on an endpoint again, and returns its entry for the next list if that has
-// changed.
+// refresh makes a new decision on an endpoint, and returns the endpoint if it has changed.
 func (r *Reconciler) refresh(now time.Duration, name string) (host engine.Host, changed bool) {
 	d := r.decide(now, name)
 	delete(r.pending, name)
@@ -212,18 +220,17 @@
 	return previous, wasListed
 }
 
-// NextDeadline returns when List is to be called next if nothing is reported, 0 for
-// never.
+// NextDeadline returns when List must be called next if there is no report before, 0 for never.
 func (r *Reconciler) NextDeadline() time.Duration {
-	var at time.Duration
+	var next time.Duration
 	if len(r.dirty) > 0 {
-		at = r.publishedAt + minListInterval
+		next = r.publishedAt + minListInterval
 	}
 	for _, deadline := range r.pending {
-		at = earliest(at, deadline)
+		next = earliest(next, deadline)
 	}
 	for _, s := range r.sources {
-		at = earliest(at, r.nextEviction(s))
+		next = earliest(next, r.nextEviction(s))
 	}
-	return at
+	return next
 }
--- a/internal/membership/reconcile/reconciler_test.go
+++ b/internal/membership/reconcile/reconciler_test.go
@@ -7,8 +7,8 @@
 	"pinedale/balancer"
 )
 
-// A vanished node takes its endpoint out at once. One that returns in the same
-// incarnation keeps its history: meanwhile it was listed as draining, not as removed.
+// The endpoint of a vanished node is listed as draining at once, so that it keeps its history if
+// it returns in the same incarnation, and as removed after removalLinger.
 func TestVanishedNodeDrainsThenIsRemoved(t *testing.T) {
 	h := newHarness(t, Ephemeral)
 	h.snapshot(0, 1, entries("a", "b"))
@@ -22,42 +22,53 @@
 	h.wantReady("returned", "a b")
 	h.delta(0, 4, change("a", balancer.Removed))
 	h.advance(removalLinger + time.Second)
-	if _, listed := h.hosts["a"]; listed || len(h.reconciler.pending)+len(h.reconciler.sources[0].claims) != 1 {
-		t.Errorf("a minute later it is still listed, or known: %v", h.hosts)
+	_, listed := h.hosts["a"]
+	stateCount := len(h.reconciler.pending) + len(h.reconciler.sources[0].claims)
+	if listed || stateCount != 1 {
+		t.Errorf("after removalLinger it is still listed, or has state: %v", h.hosts)
 	}
 }
 
-// A session may expire while its server runs: the end counts at once, and the server is
-// believed again once discovery, which cannot be so late, lists it.
+// A session may expire while its server runs. The end counts at once, and the server is ready
+// again once discovery lists it in a report after MaxDiscoveryLag.
 func TestExpiredSessionIsOverruledByDiscovery(t *testing.T) {
-	for _, drained := range []bool{false, true} {
-		h := newHarness(t, Ephemeral, Discovery)
-		h.snapshot(0, 1, entries("a", "b"))
-		h.snapshot(1, 1, entries("a", "b"))
-		h.wantReady("at first", "a b")
-		if drained {
-			h.delta(0, 2, change("a", balancer.Draining))
-		}
-		h.delta(0, 2, change("a", balancer.Removed))
-		h.wantReady("expired", "b")
-		h.advance(DefaultConfig.MaxDiscoveryLag / 2)
-		h.snapshot(1, 2, entries("a", "b"))
-		h.wantReady("discovery is late", "b")
-		h.advance(DefaultConfig.MaxDiscoveryLag)
-		h.wantReady("discovery has not reported since", "b")
-		h.snapshot(1, 3, entries("a", "b"))
-		if drained { // the server removed its node itself
-			h.wantReady("drained", "b")
-			continue
-		}
-		h.wantReady("discovery must have noticed by now", "a b")
-		h.sourceUnavailable(1, "test")
-		h.snapshot(1, 4, entries("b"))
-		h.wantReady("discovery lists it no more", "b")
-	}
+	h := newHarness(t, Ephemeral, Discovery)
+	h.snapshot(0, 1, entries("a", "b"))
+	h.snapshot(1, 1, entries("a", "b"))
+	h.wantReady("at first", "a b")
+	h.delta(0, 2, change("a", balancer.Removed))
+	h.wantReady("expired", "b")
+	h.advance(DefaultConfig.MaxDiscoveryLag / 2)
+	h.snapshot(1, 2, entries("a", "b"))
+	h.wantReady("discovery may not have noticed yet", "b")
+	h.advance(DefaultConfig.MaxDiscoveryLag)
+	h.wantReady("discovery has not reported since", "b")
+	h.snapshot(1, 3, entries("a", "b"))
+	h.wantReady("discovery has listed it after its maximum lag", "a b")
+	h.sourceUnavailable(1, "test")
+	h.snapshot(1, 4, entries("b"))
+	h.wantReady("discovery no longer lists it", "b")
 }
 
-// An unavailable source takes nobody out and adds nobody; other sources still count.
+// A server that drained has removed its node itself, so that discovery does not overrule the end.
+func TestDrainIsNotOverruledByDiscovery(t *testing.T) {
+	h := newHarness(t, Ephemeral, Discovery)
+	h.snapshot(0, 1, entries("a", "b"))
+	h.snapshot(1, 1, entries("a", "b"))
+	h.wantReady("at first", "a b")
+	h.delta(0, 2, change("a", balancer.Draining))
+	h.delta(0, 2, change("a", balancer.Removed))
+	h.wantReady("removed after a drain", "b")
+	h.advance(DefaultConfig.MaxDiscoveryLag / 2)
+	h.snapshot(1, 2, entries("a", "b"))
+	h.wantReady("discovery may not have noticed yet", "b")
+	h.advance(DefaultConfig.MaxDiscoveryLag)
+	h.wantReady("discovery has not reported since", "b")
+	h.snapshot(1, 3, entries("a", "b"))
+	h.wantReady("discovery has listed it after its maximum lag", "b")
+}
+
+// Endpoints of an unavailable source remain ready, and changes by other sources count.
 func TestUnavailableSourceKeepsItsList(t *testing.T) {
 	h := newHarness(t, Ephemeral, Discovery)
 	h.snapshot(0, 1, entries("a", "b", "c"))
@@ -73,20 +84,21 @@
 	h.wantReady("added by discovery", "a c d")
 }
 
-// A source that recovers with an empty or a far shorter list has lost endpoints more
-// likely than they have ended. They are retained, and evicted few at a time unless they
-// return; an empty list evicts nobody.
+// sixNames are the names of all endpoints in the tests of suspect snapshots.
+var sixNames = []string{"a", "b", "c", "d", "e", "f"}
+
+// Endpoints that are missing from an empty list, from an older list or from a much shorter one after
+// an outage are retained. After each HoldTime, some of them are evicted unless the list is empty.
 func TestSuspectSnapshotRetainsMissingEndpoints(t *testing.T) {
-	all := []string{"a", "b", "c", "d", "e", "f"}
 	for _, c := range []struct {
 		name          string
-		unavailable   bool
+		unavailable   bool // before the snapshot
 		version       uint64
 		listed        []string
-		atOnce        string
-		afterOneHold  string
-		afterTwoHolds string
-		snapshot      string // as logged
+		atOnce        string // ready endpoints
+		afterOneHold  string // ready endpoints after HoldTime
+		afterTwoHolds string // ready endpoints after another HoldTime
+		snapshot      string // as logged, "" for nothing
 	}{
 		{"empty after an outage", true, 9, nil, "a b c d e f", "a b c d e f", "a b c d e f", "empty"},
 		{"empty without an outage", false, 9, nil, "a b c d e f", "a b c d e f", "a b c d e f", "empty"},
@@ -97,7 +109,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			h := newHarness(t, Ephemeral)
-			h.snapshot(0, 5, entries(all...))
+			h.snapshot(0, 5, entries(sixNames...))
 			h.wantReady("at first", "a b c d e f")
 			if c.unavailable {
 				h.sourceUnavailable(0, "test")
@@ -111,28 +123,32 @@
 			if c.snapshot == "" {
 				return
 			}
-			if text := `missing endpoints retained" kind=ephemeral source=0 snapshot=` + c.snapshot; h.log.Count(text) == 0 {
+			text := `missing endpoints retained" kind=ephemeral source=0 snapshot=` + c.snapshot
+			if h.log.Count(text) == 0 {
 				t.Errorf("logged %q, want a line with %q", h.log.String(), text)
 			}
 		})
 	}
-	// What returns while it is retained is as if nothing had happened.
+}
+
+func TestRetainedEndpointsThatReturnAreNotEvicted(t *testing.T) {
 	h := newHarness(t, Ephemeral)
-	h.snapshot(0, 5, entries(all...))
+	h.snapshot(0, 5, entries(sixNames...))
 	h.sourceUnavailable(0, "test")
 	h.snapshot(0, 6, nil)
-	for i := range all {
-		h.snapshot(0, uint64(7+i), entries(all[:i+1]...))
+	for i := range sixNames {
+		h.snapshot(0, uint64(7+i), entries(sixNames[:i+1]...))
 		h.advance(time.Second)
 	}
 	h.wantReady("all have registered anew", "a b c d e f")
 	h.advance(10 * DefaultConfig.HoldTime)
-	h.wantReady("and stay", "a b c d e f")
+	h.wantReady("ten hold times later", "a b c d e f")
 }
 
-// A retained endpoint is evicted when it is due, whenever List is next called: a server
-// that another source names right after that has arrived since, and is ready at once. If
-// its end were dated later, it would wait for MaxDiscoveryLag.
+// A retained endpoint is evicted when it is due, even if List is called later. If another source
+// lists it right after that, its claim supersedes the end, and the endpoint is ready at once. If
+// the end had the time of the next call of List, the endpoint would not be ready before
+// MaxDiscoveryLag.
 func TestEvictionPrecedesLaterReports(t *testing.T) {
 	h := newHarness(t, Ephemeral, Discovery)
 	h.snapshot(0, 1, entries("a"))
@@ -145,37 +161,37 @@
 	h.readList() // List returns nothing within minListInterval from here
 	h.now += minListInterval / 2
 	h.delta(1, 1, change("a", balancer.Ready))
-	h.wantReady("named after its hold time", "a b c")
+	h.wantReady("listed by discovery after its hold time", "a b c")
 }
 
-// A node that flaps ten times a second ends up out, is believed again once it stays, and
-// lists are not more frequent than minListInterval.
+// The endpoint of a node that flaps ten times a second is not ready until the node has existed for
+// the backoff, and the changes cause few lists.
 func TestFlappingNodeWaitsForBackoff(t *testing.T) {
 	h := newHarness(t, Ephemeral)
 	h.snapshot(0, 1, entries("a", "b"))
 	h.wantReady("at first", "a b")
-	before := h.lists
+	listsBefore := h.lists
 	for range 100 {
 		h.delta(0, 2, change("a", balancer.Removed))
 		h.advance(50 * time.Millisecond)
 		h.delta(0, 3, change("a", balancer.Ready))
 		h.advance(50 * time.Millisecond)
 	}
-	if n := h.lists - before; n > 20 {
-		t.Errorf("%d lists for a hundred changes of a node that is not believed", n)
+	if n := h.lists - listsBefore; n > 20 {
+		t.Errorf("%d lists for a hundred changes of a flapping node", n)
 	}
 	h.wantReady("flapping", "b")
 	h.advance(maxFlapBackoff + time.Second)
-	h.wantReady("it stays", "a b")
+	h.wantReady("after the backoff", "a b")
 	if host := h.hosts["a"]; host.StartedMS != 0 {
 		t.Errorf("it has a new start time: %v", host)
 	}
 	h.wantSingleLogLine("endpoint flapping")
 }
 
-// The same address with a new start time is a new incarnation, whatever was reported of
-// the previous one; the source that knows the newer one is believed.
-func TestNewIncarnationVoidsClaimsOnThePreviousOne(t *testing.T) {
+// An endpoint with a newer start time is a new incarnation. Claims on the previous incarnation do
+// not count any more.
+func TestClaimsOnPreviousIncarnationDoNotCount(t *testing.T) {
 	h := newHarness(t, Ephemeral, Discovery)
 	h.snapshot(0, 1, []Entry{{Host: newHost("a", 1000)}})
 	h.snapshot(1, 1, []Entry{{Host: newHost("a", 1000)}})
@@ -190,17 +206,18 @@
 	h.wantReady("discovery reports the end of the previous one", "a")
 }
 
-// Where sources differ on an endpoint its own node is believed, and a drain wins.
-func TestContradictingSources(t *testing.T) {
+// If sources differ on an endpoint, the values of its own node count, and a drain overrules a claim
+// that it is up.
+func TestNodeAndDrainTakePrecedenceOverOtherClaims(t *testing.T) {
 	h := newHarness(t, Static, Discovery, Ephemeral)
-	at := func(address string) []Entry {
+	atAddress := func(address string) []Entry {
 		host := newHost("a", 0)
 		host.Address = address
 		return []Entry{{Host: host}}
 	}
-	h.snapshot(0, 1, at("127.0.0.1:10"))
-	h.snapshot(1, 1, at("127.0.0.1:11"))
-	h.snapshot(2, 1, at("127.0.0.1:12"))
+	h.snapshot(0, 1, atAddress("127.0.0.1:10"))
+	h.snapshot(1, 1, atAddress("127.0.0.1:11"))
+	h.snapshot(2, 1, atAddress("127.0.0.1:12"))
 	h.wantReady("three addresses", "a")
 	if host := h.hosts["a"]; host.Address != "127.0.0.1:12" {
 		t.Errorf("at %s, want the address of its node", host.Address)
@@ -210,7 +227,7 @@
 	h.wantReady("discovery reports that it drains", "")
 	h.advance(time.Second)
 	h.delta(1, 3, change("a", balancer.Ready))
-	h.wantReady("and not any more", "a")
+	h.wantReady("discovery reports that it is ready again", "a")
 	h.delta(2, 2, change("a", balancer.Removed))
 	h.advance(time.Hour)
 	h.wantReady("a static list does not overrule a vanished node", "")
--- a/internal/membership/reconcile/source.go
+++ b/internal/membership/reconcile/source.go
@@ -9,34 +9,33 @@
 	"pinedale/internal/engine"
 )
 
-// claimState is what a source last reported of an endpoint.
+// claimState is the state in which a source last reported an endpoint.
 type claimState uint8
 
 const (
 	stateUp       claimState = iota
-	stateDraining            // listed, and takes no new requests
-	stateVanished            // was listed, and is not any more
-	stateRetained            // missing from a suspect list, and not believed to be
+	stateDraining            // listed, but takes no new requests
+	stateVanished            // no longer listed
+	stateRetained            // missing from a suspect list, and still counted as up
 )
 
 // claim is one source's view of one endpoint.
 type claim struct {
 	state claimState
 	host  engine.Host
-	// since is when the endpoint arrived, began to drain or vanished. To be retained
-	// does not change it.
+	// since is when the endpoint was first listed, began to drain or vanished. Retaining it
+	// does not change this time.
 	since time.Duration
-	// drainingBefore is set if the endpoint was marked draining before it vanished.
-	drainingBefore bool
+	// drainedFirst is set if the endpoint was marked draining before it vanished.
+	drainedFirst bool
 
 	// evictAt is when a retained endpoint may be evicted.
 	evictAt time.Duration
-	// confirmedAt is when the source had last reported before it lost the endpoint, set
-	// while the endpoint is retained.
+	// confirmedAt is the time of the source's last report that listed a retained endpoint.
 	confirmedAt time.Duration
 
-	// believedFrom is when an endpoint that flapped counts as up, if it stays.
-	believedFrom time.Duration
+	// upFrom is when an endpoint that flapped counts as up, if it does not vanish before.
+	upFrom time.Duration
 	// returns counts how often the endpoint returned within flapWindow of lastReturn.
 	returns    int
 	lastReturn time.Duration
@@ -51,14 +50,16 @@
 	if c.state != next || host.StartedMS > c.host.StartedMS {
 		c.since = now
 	}
-	c.state, c.host = next, host
+	c.state = next
+	c.host = host
 }
 
-// supersedes reports whether the claim is about a later incarnation than another: one
-// with a newer start time, or else one that arrived after the other's end.
+// supersedes reports whether the claim is about a later incarnation than other: it has a newer
+// start time or, if the start times are equal or unknown, it began later.
 func (c *claim) supersedes(other *claim) bool {
-	if c.host.StartedMS != 0 && other.host.StartedMS != 0 && c.host.StartedMS != other.host.StartedMS {
-		return c.host.StartedMS > other.host.StartedMS
+	started, otherStarted := c.host.StartedMS, other.host.StartedMS
+	if started != 0 && otherStarted != 0 && started != otherStarted {
+		return started > otherStarted
 	}
 	return c.since > other.since
 }
@@ -68,16 +69,16 @@
 	kind Kind
 	log  *slog.Logger // with the source's kind and name
 
-	available   bool // it reports
-	interrupted bool // it was unavailable since its last list
-	hasList     bool // it has reported a list
-	emptyList   bool // its last list was empty
+	available   bool
+	interrupted bool // unavailable at some time since the last list
+	hasList     bool // at least one list was reported
+	emptyList   bool // the last list was empty
 	version     uint64
-	reportedAt  time.Duration // of its last list or change
-	listedAt    time.Duration // of its last list
+	reportedAt  time.Duration // time of the last list or change
+	listedAt    time.Duration // time of the last list
 
 	claims    map[string]*claim // by endpoint name
-	retained  map[string]bool   // the names of claims in stateRetained
+	retained  map[string]bool   // names of the claims in stateRetained
 	evictedAt time.Duration     // when retained endpoints were last evicted, 0 for never
 }
 
@@ -93,8 +94,8 @@
 	return count
 }
 
-// missingFrom returns the endpoints that a list lacks, in order of name. It leaves out
-// those that are retained already.
+// missingFrom returns the names of the up and draining endpoints that a list does not contain,
+// sorted.
 func (s *source) missingFrom(entries []Entry) []string {
 	listed := make(map[string]bool, len(entries))
 	for _, entry := range entries {
@@ -109,3 +110,18 @@
 	slices.Sort(missing)
 	return missing
 }
+
+// lastListing returns the time of the last report in which the source listed an endpoint as up.
+// listed is false if the source has no claim on it that is up or retained.
+func (s *source) lastListing(name string) (at time.Duration, listed bool) {
+	c := s.claims[name]
+	switch {
+	case c == nil:
+		return 0, false
+	case c.state == stateUp:
+		return s.reportedAt, true
+	case c.state == stateRetained:
+		return c.confirmedAt, true
+	}
+	return 0, false
+}
--- a/internal/membership/reconcile/suspect.go
+++ b/internal/membership/reconcile/suspect.go
@@ -5,18 +5,18 @@
 	"time"
 )
 
-// suspicion is the reason for which a list may lack endpoints that still run.
+// suspicion is the reason why endpoints that still run may be missing from a list.
 type suspicion string
 
-// The reasons, as log lines name them.
+// Reasons, in the form of log lines.
 const (
 	trusted       suspicion = ""
 	emptySnapshot suspicion = "empty"
-	olderSnapshot suspicion = "older" // its version is below that of the list before
+	olderSnapshot suspicion = "older" // with a lower version than the list before
 	firstSnapshot suspicion = "first" // since the source was unavailable
 )
 
-// suspicionOf returns why a list is suspect, if it is. The operator's own list never is.
+// suspicionOf returns the reason why a list is suspect, or trusted. A static list is trusted.
 func (s *source) suspicionOf(version uint64, entries []Entry) suspicion {
 	switch {
 	case s.kind == Static:
@@ -31,14 +31,14 @@
 	return trusted
 }
 
-// evictionLimit is how many of a source's endpoints may be missing from a suspect list,
-// or be evicted at once.
+// evictionLimit returns how many of a source's endpoints may be missing from a suspect list or
+// be evicted at once, where present is the number of all of them.
 func (r *Reconciler) evictionLimit(present int) int {
 	return max(minEvictable, int(r.cfg.MaxShrinkRatio*float64(present)))
 }
 
-// shouldRetain reports whether the endpoints that a list lacks are retained: the list
-// is suspect, and lacks too many. It logs that.
+// shouldRetain reports whether the endpoints that are missing from a list are retained, because
+// the list is suspect and too many are missing. It logs the reason.
 func (r *Reconciler) shouldRetain(s *source, reason suspicion, missing int) bool {
 	present := s.presentCount()
 	limit := r.evictionLimit(present)
@@ -46,25 +46,33 @@
 		return false
 	}
 	if missing > 0 {
-		s.log.Warn("membership snapshot suspect, missing endpoints retained", "snapshot", string(reason),
-			"missing", missing, "known", present, "limit", limit, "hold_time", r.cfg.HoldTime)
+		s.log.Warn(
+			"membership snapshot suspect, missing endpoints retained",
+			"snapshot", string(reason),
+			"missing", missing,
+			"known", present,
+			"limit", limit,
+			"hold_time", r.cfg.HoldTime,
+		)
 	}
 	return true
 }
 
-// retain keeps an endpoint that is missing from a suspect list. One that drains goes on
-// draining.
+// retain retains an endpoint that is up and missing from a suspect list. A draining endpoint
+// remains draining.
 func (r *Reconciler) retain(now time.Duration, s *source, name string) {
 	c := s.claims[name]
 	if c.state != stateUp {
 		return
 	}
-	c.state, c.evictAt, c.confirmedAt = stateRetained, now+r.cfg.HoldTime, s.reportedAt
+	c.state = stateRetained
+	c.evictAt = now + r.cfg.HoldTime
+	c.confirmedAt = s.reportedAt
 	s.retained[name] = true
 }
 
-// nextEviction returns when retained endpoints of a source may be evicted, 0 for never.
-// It is not before the list that shows them missing.
+// nextEviction returns when retained endpoints of a source may next be evicted, 0 for never. It
+// is never before the time of the source's last list.
 func (r *Reconciler) nextEviction(s *source) time.Duration {
 	if len(s.retained) == 0 || !s.available || s.emptyList {
 		return 0
@@ -80,17 +88,16 @@
 	return at
 }
 
-// evictAllDue evicts the retained endpoints of all sources that are due. It precedes
-// each report, so that what was due by then has happened first, however long ago List
-// was last called.
+// evictAllDue evicts the retained endpoints that are due, of all sources. Each report calls it
+// first, so that evictions precede later reports even if List was not called in between.
 func (r *Reconciler) evictAllDue(now time.Duration) {
 	for _, s := range r.sources {
 		r.evictDue(now, s)
 	}
 }
 
-// evictDue evicts the retained endpoints of a source whose hold time has passed, up to
-// the eviction limit.
+// evictDue evicts those of a source's retained endpoints whose hold time has passed, up to the
+// eviction limit.
 func (r *Reconciler) evictDue(now time.Duration, s *source) {
 	at := r.nextEviction(s)
 	if at == 0 || at > now {
--- a/internal/membership/register/node.go
+++ b/internal/membership/register/node.go
@@ -11,21 +11,30 @@
 	"pinedale/internal/membership/ephemeral"
 )
 
-// anyVersion has a node written whatever its version is.
+// anyVersion in a write matches any version of the node.
 const anyVersion = -1
 
-// acl returns who may change the node: those with the digest, or everyone if there is
-// none.
+// acl returns the node's access control list: only clients with the digest may change the node,
+// or any client if there is no digest.
 func (r *Registrar) acl() []zk.ACL {
-	if r.opts.Digest == "" {
+	if r.options.Digest == "" {
 		return zk.WorldACL(zk.PermAll)
 	}
 	return append(zk.AuthACL(zk.PermAll), zk.WorldACL(zk.PermRead)...)
 }
 
-// ensureNode makes sure that the node exists and is of our session, unless the server
-// drains. A node of an earlier session of ours is replaced without waiting for that to
-// expire.
+// NameTakenError reports that a node of the registrar's name belongs to another server.
+type NameTakenError struct {
+	Address string // in the node's data, "" if that is invalid
+}
+
+// Error gives the other server's address.
+func (e *NameTakenError) Error() string {
+	return fmt.Sprintf("the name is registered by another server, at %q", e.Address)
+}
+
+// ensureNode ensures that the node exists in the current session, unless the server drains. It
+// replaces a node of an earlier session of the server without waiting for that session to expire.
 func (r *Registrar) ensureNode() error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -39,7 +48,7 @@
 			return err
 		case exists && stat.EphemeralOwner == r.conn.SessionID():
 			if !r.registered {
-				r.opts.Log.Info("node registered", "node", r.nodePath)
+				r.options.Log.Info("node registered", "node", r.nodePath)
 			}
 			r.registered = true
 			return nil
@@ -54,8 +63,8 @@
 	}
 }
 
-// removeStaleNode removes a node that an earlier session of this server left. Another
-// server's node, which has another address, is an error.
+// removeStaleNode removes a node that an earlier session of this server created. It returns an
+// error if the node has another address and thus belongs to another server.
 func (r *Registrar) removeStaleNode() error {
 	content, stat, err := r.conn.Get(r.nodePath)
 	if errors.Is(err, zk.ErrNoNode) {
@@ -65,8 +74,8 @@
 		return err
 	}
 	var stale ephemeral.Data
-	if json.Unmarshal(content, &stale) != nil || stale.Address != r.opts.Data.Address {
-		return fmt.Errorf("the name is another server's, at %q", stale.Address)
+	if json.Unmarshal(content, &stale) != nil || stale.Address != r.options.Data.Address {
+		return &NameTakenError{Address: stale.Address}
 	}
 	if err := r.conn.Delete(r.nodePath, stat.Version); err != nil && !errors.Is(err, zk.ErrNoNode) {
 		return err
@@ -74,10 +83,11 @@
 	return nil
 }
 
-// createNode creates the node, or its directory if that does not exist.
+// createNode creates the node, or its directory if that does not exist; ensureNode then tries
+// again.
 func (r *Registrar) createNode() error {
 	r.registered = false
-	data, err := json.Marshal(r.opts.Data)
+	data, err := json.Marshal(r.options.Data)
 	if err != nil {
 		return err
 	}
@@ -91,10 +101,10 @@
 	return nil
 }
 
-// createDirectory creates the directory and those above it.
+// createDirectory creates the directory and its parents.
 func (r *Registrar) createDirectory() error {
 	directory := ""
-	for name := range strings.SplitSeq(strings.TrimPrefix(r.opts.Path, "/"), "/") {
+	for name := range strings.SplitSeq(strings.TrimPrefix(r.options.Path, "/"), "/") {
 		directory += "/" + name
 		_, err := r.conn.Create(directory, nil, 0, zk.WorldACL(zk.PermAll))
 		if err != nil && !errors.Is(err, zk.ErrNodeExists) {
--- a/internal/membership/register/register.go
+++ b/internal/membership/register/register.go
@@ -1,10 +1,10 @@
-// Package register keeps a server's own ephemeral node in a coordination service, so that
-// readers of package ephemeral list the server. When the server drains it marks the node
-// first and then removes it.
+// Package register maintains the ephemeral node of a server in a coordination service, so that
+// readers of package ephemeral list the server. When the server drains, it first marks the node
+// and then removes it.
 //
 // The goroutine that called [Registrar.Run] owns the session and resumes it after a lost
-// connection. The node itself is the only state; it ends with the session, and a restarted
-// server replaces its predecessor's.
+// connection. The only persistent state is the node itself. It ends with the session, and a
+// restarted server replaces the node of the previous process.
 package register
 
 import (
@@ -25,32 +25,42 @@
 )
 
 const (
-	// retryDelay is the delay after an attempt that failed while the session stands.
+	// retryDelay is the delay after an attempt that failed although the session exists.
 	retryDelay = 200 * time.Millisecond
 
-	// The node is checked for removal by others every maxCheckInterval, or each
-	// 1/checksPerSession of the session timeout if that is shorter. A watch would report
-	// it sooner, but the library sets watches again in a resumed session unsafely beside
-	// its readings.
+	// The registrar checks every maxCheckInterval whether others have removed the node, or
+	// checksPerSession times in a session timeout if that is more often. A watch would report
+	// a removal sooner, but when the library restores watches in a resumed session, that races
+	// with its reads.
 	maxCheckInterval = 2 * time.Second
 	checksPerSession = 3
 )
 
-// errNotConnected is returned by Drain if there is no session to remove the node with.
-var errNotConnected = errors.New("no connection: the node goes when the session ends")
+// ErrNotConnected is returned by Drain if there is no session in which to remove the node.
+var ErrNotConnected = errors.New("no connection: the node is removed when the session ends")
 
-// Options are what to register, and where.
+// OptionError reports an option that is invalid.
+type OptionError struct {
+	Option string
+	Reason string
+}
+
+// Error names the option and the reason.
+func (e *OptionError) Error() string { return e.Option + ": " + e.Reason }
+
+// Options say what is registered, and where.
 type Options struct {
 	Servers        []string // host:port, of the coordination service
 	Path           string   // of the directory; it is created if it does not exist
-	Name           string   // of the node: the same for as long as the server exists, restarts included
+	Name           string   // of the node: the same in all processes of the server
 	Data           ephemeral.Data
-	SessionTimeout time.Duration // the session timeout, after which the node ends if the server is unreachable
-	Digest         string        // user:password that alone may change the node, "" for none
+	SessionTimeout time.Duration // how long the node of an unreachable server remains
+	Digest         string        // user:password required to change the node, "" for none
 	Log            *slog.Logger
 }
 
-// validate checks each option, and the data by the rules that readers apply.
+// validate returns an error for the first invalid option. It checks the data by the rules that
+// readers apply.
 func (o *Options) validate() error {
 	data, err := json.Marshal(o.Data)
 	if err != nil {
@@ -62,46 +72,50 @@
 	}
 	switch {
 	case strings.Contains(o.Name, "/"):
-		return fmt.Errorf("name: %q has a slash", o.Name)
+		return &OptionError{"name", fmt.Sprintf("%q contains a slash", o.Name)}
 	case len(o.Servers) == 0:
-		return errors.New("servers: none is named")
+		return &OptionError{"servers", "at least one is required"}
 	case !strings.HasPrefix(o.Path, "/") || path.Clean(o.Path) != o.Path || o.Path == "/":
-		return fmt.Errorf("path: %q is not a directory's", o.Path)
+		return &OptionError{"path", fmt.Sprintf("%q is not the absolute path of a directory", o.Path)}
 	case o.SessionTimeout <= 0:
-		return fmt.Errorf("session: %v is not positive", o.SessionTimeout)
+		return &OptionError{"session", fmt.Sprintf("%v is not positive", o.SessionTimeout)}
 	}
 	return nil
 }
 
-// Registrar keeps one node. Make one with New.
+// Registrar maintains one node. Its methods are safe for concurrent use, except that Run must be
+// called only once.
 type Registrar struct {
-	opts     Options
+	options  Options
 	nodePath string
-	wake     chan struct{} // has an element if the session changed since it was read
+	wake     chan struct{} // has an element if the session has changed since the last receive
 
 	mu         sync.Mutex // held while the node is written
 	conn       *zkconn.Conn
 	draining   bool
-	registered bool // the node exists, and is of our session
+	registered bool // the node exists in the current session
 }
 
-// New checks the options and returns a registrar that is not connected.
-func New(o Options) (*Registrar, error) {
-	if err := o.validate(); err != nil {
+// New validates the options and returns a registrar that is not connected.
+func New(options Options) (*Registrar, error) {
+	if err := options.validate(); err != nil {
 		return nil, err
 	}
-	return &Registrar{opts: o, nodePath: path.Join(o.Path, o.Name), wake: make(chan struct{}, 1)}, nil
+	return &Registrar{
+		options:  options,
+		nodePath: path.Join(options.Path, options.Name),
+		wake:     make(chan struct{}, 1),
+	}, nil
 }
 
-// Run keeps the node until ctx ends; then it closes the session, and the node ends with
-// it.
+// Run maintains the node until ctx ends. Then it closes the session, which removes the node.
 func (r *Registrar) Run(ctx context.Context) error {
 	conn, err := zkconn.Open(zkconn.Options{
-		Servers:        r.opts.Servers,
-		SessionTimeout: r.opts.SessionTimeout,
-		Digest:         r.opts.Digest,
+		Servers:        r.options.Servers,
+		SessionTimeout: r.options.SessionTimeout,
+		Digest:         r.options.Digest,
 		OnEvent:        r.onEvent,
-		Log:            r.opts.Log,
+		Log:            r.options.Log,
 	})
 	if err != nil {
 		return err
@@ -110,23 +124,23 @@
 	r.mu.Lock()
 	r.conn = conn
 	r.mu.Unlock()
-	var next <-chan time.Time
+	var nextCheck <-chan time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-r.wake:
-		case <-next:
+		case <-nextCheck:
 		}
-		next = nil
+		nextCheck = nil
 		if conn.State() != zk.StateHasSession {
-			continue // an event follows
+			continue // onEvent wakes Run when there is a session
 		}
-		next = time.After(r.check(conn))
+		nextCheck = time.After(r.check(conn))
 	}
 }
 
-// onEvent wakes Run: a session has begun, or is resumed.
+// onEvent wakes Run after a change of the session.
 func (r *Registrar) onEvent(zk.Event) {
 	select {
 	case r.wake <- struct{}{}:
@@ -134,38 +148,38 @@
 	}
 }
 
-// check makes sure that the node exists, and returns the delay until the next check.
+// check ensures that the node exists, and returns the delay until the next check.
 func (r *Registrar) check(conn *zkconn.Conn) time.Duration {
 	if err := conn.Authenticate(); err != nil {
 		return retryDelay
 	}
 	if err := r.ensureNode(); err != nil {
 		if !zkconn.IsDisconnect(err) {
-			r.opts.Log.Warn("registration failed", "node", r.nodePath, "err", err, "retry_delay", retryDelay)
+			r.options.Log.Warn("registration failed", "node", r.nodePath, "err", err, "retry_delay", retryDelay)
 		}
 		return retryDelay
 	}
-	return min(maxCheckInterval, r.opts.SessionTimeout/checksPerSession)
+	return min(maxCheckInterval, r.options.SessionTimeout/checksPerSession)
 }
 
-// Registered reports whether the node existed, and was ours, at the last check.
+// Registered reports whether the node existed in this registrar's session at the last check.
 func (r *Registrar) Registered() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.registered && !r.draining
 }
 
-// Drain marks the node as draining, so that readers know that its end is intended, and
-// removes it. The server should go on serving for 2 s, until all readers have noticed.
-// Without a session nothing can be removed: the node ends with the session.
+// Drain marks the node as draining, so that readers know that its removal is intended, and
+// removes it. The server should continue to serve for 2 s, until all readers have noticed.
+// Without a session it returns ErrNotConnected.
 func (r *Registrar) Drain() error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.draining = true
 	if r.conn == nil || r.conn.State() != zk.StateHasSession {
-		return errNotConnected
+		return ErrNotConnected
 	}
-	marked := r.opts.Data
+	marked := r.options.Data
 	marked.Draining = true
 	data, err := json.Marshal(marked)
 	if err != nil {
@@ -181,6 +195,6 @@
 	if err := r.conn.Delete(r.nodePath, anyVersion); err != nil && !errors.Is(err, zk.ErrNoNode) {
 		return err
 	}
-	r.opts.Log.Info("node removed", "node", r.nodePath)
+	r.options.Log.Info("node removed", "node", r.nodePath)
 	return nil
 }
--- a/internal/membership/register/register_test.go
+++ b/internal/membership/register/register_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"strings"
 	"testing"
 	"time"
 
@@ -21,6 +20,7 @@
 	nodePath  = directory + "/s-1"
 )
 
+// options returns valid options for a service.
 func options(service *fakezookeeper.Service) Options {
 	return Options{
 		Servers:        service.Addresses(),
@@ -33,24 +33,25 @@
 }
 
 // startRegistrar runs a registrar until the test ends.
-func startRegistrar(t *testing.T, o Options) *Registrar {
+func startRegistrar(t *testing.T, options Options) *Registrar {
 	t.Helper()
-	registrar, err := New(o)
+	registrar, err := New(options)
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error)
-	go func() { ended <- registrar.Run(ctx) }()
+	runEnded := make(chan error)
+	go func() { runEnded <- registrar.Run(ctx) }()
 	t.Cleanup(func() {
 		cancel()
-		if err := <-ended; err != nil {
+		if err := <-runEnded; err != nil {
 			t.Error(err)
 		}
 	})
 	return registrar
 }
 
+// startService runs a service until the test ends.
 func startService(t *testing.T) *fakezookeeper.Service {
 	t.Helper()
 	service, err := fakezookeeper.Start(1)
@@ -64,24 +65,27 @@
 	return service
 }
 
-// The node is created with its directory, and created again whatever removed it: an
-// expired session, an operator, a service that lost all nodes.
+// The node is created with its directory. It is created again after an expired session, after an
+// operator removed it, and after the service restarted without its nodes.
 func TestNodeIsRecreatedAfterRemoval(t *testing.T) {
 	service := startService(t)
 	registrar := startRegistrar(t, options(service))
 	exists := func() bool { return service.Owner(nodePath) != 0 }
 	wait.Until(t, "the node", exists)
 	wait.Until(t, "the registrar to notice", registrar.Registered)
-	const removed = "removal"
-	for name, end := range map[string]func(){
-		"expiry":  func() { service.ExpireSession(service.Owner(nodePath)) },
-		removed:   func() { service.Delete(nodePath) },
-		"restart": func() { service.Restart(1000, true) },
+	for _, c := range []struct {
+		name       string
+		removeNode func()
+		newSession bool // the node is created in a new session
+	}{
+		{"expiry", func() { service.ExpireSession(service.Owner(nodePath)) }, true},
+		{"removal", func() { service.Delete(nodePath) }, false},
+		{"restart", func() { service.Restart(1000, true) }, true},
 	} {
-		owner := service.Owner(nodePath)
-		end()
-		wait.Until(t, "the node after "+name, func() bool {
-			return exists() && (name == removed || service.Owner(nodePath) != owner)
+		previousOwner := service.Owner(nodePath)
+		c.removeNode()
+		wait.Until(t, "the node after "+c.name, func() bool {
+			return exists() && (!c.newSession || service.Owner(nodePath) != previousOwner)
 		})
 	}
 	service.SetUnresponsive(true)
@@ -90,22 +94,24 @@
 	wait.Until(t, "the node after an outage", exists)
 }
 
-// The node holds the data as package ephemeral encodes it, byte for byte.
+// The node holds exactly the bytes that package ephemeral encodes.
 func TestNodeHoldsEncodedData(t *testing.T) {
 	service := startService(t)
-	o := options(service)
-	o.Data.Kind, o.Data.Cell, o.Data.Weight = "box", 7, 2.5
-	registrar := startRegistrar(t, o)
+	allSet := options(service)
+	allSet.Data.Kind = "box"
+	allSet.Data.Cell = 7
+	allSet.Data.Weight = 2.5
+	registrar := startRegistrar(t, allSet)
 	wait.Until(t, "the node", registrar.Registered)
 	conn, events, err := zk.Connect(service.Addresses(), time.Second, zk.WithLogInfo(false))
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() {
+	t.Cleanup(func() {
 		conn.Close()
 		for range events { // until the library's goroutines have ended
 		}
-	}()
+	})
 	content, _, err := conn.Get(nodePath)
 	if err != nil {
 		t.Fatal(err)
@@ -116,33 +122,35 @@
 	}
 }
 
-// A restarted server replaces the node of its own earlier session; the name of another
-// server is left alone, and taken once it is free.
-func TestTakenNameIsReplacedOnlyIfOurs(t *testing.T) {
+func TestNodeOfEarlierSessionIsReplaced(t *testing.T) {
 	service := startService(t)
-	service.Put(nodePath, []byte(`{"address":"127.0.0.1:9101"}`)) // ours, of an earlier session
-	service.Put(directory+"/s-2", []byte(`{"address":"127.0.0.1:7"}`))
+	service.Put(nodePath, []byte(`{"address":"127.0.0.1:9101"}`))
 	startRegistrar(t, options(service))
-	wait.Until(t, "our node", func() bool { return service.Owner(nodePath) != 0 })
-	o := options(service)
-	o.Name = "s-2"
-	registrar := startRegistrar(t, o)
+	wait.Until(t, "the node of the new session", func() bool { return service.Owner(nodePath) != 0 })
+}
+
+// The node of another server is not replaced. Once it is removed, its name can be registered.
+func TestNodeOfOtherServerIsNotReplaced(t *testing.T) {
+	service := startService(t)
+	service.Put(nodePath, []byte(`{"address":"127.0.0.1:7"}`))
+	registrar := startRegistrar(t, options(service))
 	time.Sleep(3 * retryDelay)
-	if service.Owner(directory+"/s-2") != 0 || registrar.Registered() {
+	if service.Owner(nodePath) != 0 || registrar.Registered() {
 		t.Error("another server's node was replaced")
 	}
-	service.Delete(directory + "/s-2")
+	service.Delete(nodePath)
 	wait.Until(t, "the name that is free", registrar.Registered)
 }
 
-// A drain marks the node first and removes it for good.
+// A drain marks the node before it removes it, and the node is not created again.
 func TestDrainMarksThenRemovesNode(t *testing.T) {
 	service := startService(t)
-	o := options(service)
-	o.Digest = "soko:secret"
-	registrar := startRegistrar(t, o)
+	withDigest := options(service)
+	withDigest.Digest = "soko:secret"
+	registrar := startRegistrar(t, withDigest)
 	wait.Until(t, "the node", registrar.Registered)
-	sets, deletes := service.RequestCount(fakezookeeper.OpSetData), service.RequestCount(fakezookeeper.OpDelete)
+	sets := service.RequestCount(fakezookeeper.OpSetData)
+	deletes := service.RequestCount(fakezookeeper.OpDelete)
 	if err := registrar.Drain(); err != nil {
 		t.Fatal(err)
 	}
@@ -159,7 +167,6 @@
 	}
 }
 
-// Without a session a drain fails, and says so.
 func TestDrainFailsWithoutSession(t *testing.T) {
 	registrar, err := New(Options{
 		Servers:        []string{"127.0.0.1:1"},
@@ -172,30 +179,44 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := registrar.Drain(); !errors.Is(err, errNotConnected) {
-		t.Errorf("the drain returned %v, want %v", err, errNotConnected)
+	if err := registrar.Drain(); !errors.Is(err, ErrNotConnected) {
+		t.Errorf("the drain returned %v, want %v", err, ErrNotConnected)
 	}
 }
 
 func TestNewRejectsInvalidOptions(t *testing.T) {
 	for key, invalidate := range map[string]func(*Options){
-		"address": func(o *Options) { o.Data.Address = "here" },
-		"name":    func(o *Options) { o.Name = "a/b" },
-		"path":    func(o *Options) { o.Path = "soko" },
-		"servers": func(o *Options) { o.Servers = nil },
-		"session": func(o *Options) { o.SessionTimeout = 0 },
-		"share":   func(o *Options) { o.Data.Weight = -1 },
+		"address": func(options *Options) { options.Data.Address = "here" },
+		"name":    func(options *Options) { options.Name = "a/b" },
+		"path":    func(options *Options) { options.Path = "soko" },
+		"servers": func(options *Options) { options.Servers = nil },
+		"session": func(options *Options) { options.SessionTimeout = 0 },
+		"share":   func(options *Options) { options.Data.Weight = -1 },
 	} {
-		o := Options{
+		options := Options{
 			Servers:        []string{"127.0.0.1:1"},
 			Path:           "/soko",
 			Name:           "s",
 			SessionTimeout: time.Second,
 			Data:           ephemeral.Data{Address: "127.0.0.1:1"},
 		}
-		invalidate(&o)
-		if _, err := New(o); err == nil || !strings.Contains(err.Error(), key) {
-			t.Errorf("%s: %v", key, err)
+		invalidate(&options)
+		_, err := New(options)
+		if got := invalidKey(err); got != key {
+			t.Errorf("error %v is about %q, want %q", err, got, key)
 		}
 	}
 }
+
+// invalidKey returns the option or the key of the data that err is about, "" for any other error.
+func invalidKey(err error) string {
+	var option *OptionError
+	var data *ephemeral.DataError
+	switch {
+	case errors.As(err, &option):
+		return option.Option
+	case errors.As(err, &data):
+		return data.Key
+	}
+	return ""
+}
--- a/internal/membership/static/static.go
+++ b/internal/membership/static/static.go
@@ -1,5 +1,5 @@
-// Package static is a membership source for fleets that do not change: its endpoints are
-// those of the operator's file. It starts no goroutine and has no state beyond the list.
+// Package static is a membership source for fleets that do not change. Its endpoints are those
+// of the operator's file. It starts no goroutine, and its only state is the list.
 package static
 
 import (
@@ -9,15 +9,15 @@
 	"pinedale/internal/engine"
 )
 
-// listVersion is the version of the only list.
+// listVersion is the version of the only list that a source reports.
 const listVersion = 1
 
-// Source reports one list. It is an engine.Source.
+// Source reports one list. It implements engine.Source.
 type Source struct{ list engine.List }
 
 // New returns a source of these endpoints, which must be valid.
 func New(hosts []engine.Host) *Source {
-	return &Source{engine.List{Version: listVersion, Complete: true, Hosts: hosts}}
+	return &Source{list: engine.List{Version: listVersion, Complete: true, Hosts: hosts}}
 }
 
 // Watch passes the list to notify once and waits for ctx to end.
--- a/internal/membership/zkconn/zkconn.go
+++ b/internal/membership/zkconn/zkconn.go
@@ -1,7 +1,6 @@
-// Package zkconn opens sessions with a coordination service that speaks ZooKeeper's
-// protocol, by means of the public client library. It adds to the library what both of
-// its users need: authentication once a session, an owner for the library's event
-// channel, and log lines at debug level.
+// Package zkconn opens sessions with a coordination service that speaks ZooKeeper's protocol. It
+// wraps the public client library and adds what its users have in common: authentication once
+// for each connection, an owner for the library's event channel, and log lines at debug level.
 package zkconn
 
 import (
@@ -13,48 +12,60 @@
 	"github.com/go-zookeeper/zk"
 )
 
-// Options are the service's address and the library's settings.
+// Options are the service's addresses and the library's settings.
 type Options struct {
-	Servers        []string // host:port
-	SessionTimeout time.Duration
-	Digest         string         // user:password, "" for none
-	OnEvent        func(zk.Event) // is called on a goroutine of the library
-	Dialer         zk.Dialer      // nil for the library's own
-	MaxAnswerBytes int            // 0 for the library's default
-	Log            *slog.Logger
+	Servers          []string // host:port
+	SessionTimeout   time.Duration
+	Digest           string         // user:password, "" for none
+	OnEvent          func(zk.Event) // called on a goroutine of the library
+	Dialer           zk.Dialer      // nil for the library's own
+	MaxResponseBytes int            // 0 for the library's default
+	Log              *slog.Logger
 }
 
-// Conn is the library's connection. Make one with Open, and close it.
+// Conn is a connection of the library. Open returns one; Close must be called on it.
 type Conn struct {
 	*zk.Conn
 	digest        string
 	authenticated bool
-	eventsEnded   chan struct{} // closed once the library's event channel is
+	eventsEnded   chan struct{} // closed after the library has closed its event channel
 }
 
-// Open begins to connect, and returns at once. The library connects, and connects again,
-// on goroutines of its own until Close.
-func Open(o Options) (*Conn, error) {
+// Open begins to connect and returns without waiting for the connection. Until Close, the library
+// connects and reconnects on its own goroutines.
+func Open(options Options) (*Conn, error) {
 	noOption := func(*zk.Conn) {}
-	dialer, maxAnswer := noOption, noOption
-	if o.Dialer != nil {
-		dialer = zk.WithDialer(o.Dialer)
+	withDialer := noOption
+	if options.Dialer != nil {
+		withDialer = zk.WithDialer(options.Dialer)
 	}
-	if o.MaxAnswerBytes > 0 {
-		maxAnswer = zk.WithMaxBufferSize(o.MaxAnswerBytes)
+	withMaxResponse := noOption
+	if options.MaxResponseBytes > 0 {
+		withMaxResponse = zk.WithMaxBufferSize(options.MaxResponseBytes)
 	}
-	conn, events, err := zk.Connect(o.Servers, o.SessionTimeout,
-		zk.WithLogger(debugLogger{o.Log}), zk.WithLogInfo(false), zk.WithEventCallback(o.OnEvent), dialer, maxAnswer)
+	conn, events, err := zk.Connect(
+		options.Servers,
+		options.SessionTimeout,
+		zk.WithLogger(debugLogger{options.Log}),
+		zk.WithLogInfo(false),
+		zk.WithEventCallback(options.OnEvent),
+		withDialer,
+		withMaxResponse,
+	)
 	if err != nil {
 		return nil, err
 	}
-	c := &Conn{Conn: conn, digest: o.Digest, eventsEnded: make(chan struct{})}
+	c := &Conn{
+		Conn:        conn,
+		digest:      options.Digest,
+		eventsEnded: make(chan struct{}),
+	}
 	go c.discardEvents(events)
 	return c, nil
 }
 
-// discardEvents empties the event channel, which the library wants read: the callback has
-// had each event.
+// discardEvents receives from the event channel until the library closes it. The callback has
+// already handled each event, but the library requires that the channel is read.
 func (c *Conn) discardEvents(events <-chan zk.Event) {
 	defer close(c.eventsEnded)
 	for range events {
@@ -67,8 +78,8 @@
 	<-c.eventsEnded
 }
 
-// Authenticate presents the digest, if there is one and the service has not taken it yet.
-// It is for one goroutine.
+// Authenticate sends the digest, if there is one that the service has not accepted yet. It is
+// not safe for concurrent use.
 func (c *Conn) Authenticate() error {
 	if c.digest == "" || c.authenticated {
 		return nil
@@ -80,14 +91,14 @@
 	return nil
 }
 
-// IsDisconnect reports whether a call failed because its connection or session ended. The
-// library reports that by an event, too.
+// IsDisconnect reports whether err is due to the end of a connection or session, which the
+// library also reports by an event.
 func IsDisconnect(err error) bool {
 	return errors.Is(err, zk.ErrConnectionClosed) || errors.Is(err, zk.ErrSessionExpired)
 }
 
-// debugLogger takes the library's log lines, which matter only when its own faults are
-// looked for.
+// debugLogger logs the library's lines at debug level: they only help to find faults of the
+// library itself.
 type debugLogger struct{ log *slog.Logger }
 
 // Printf implements zk.Logger.
