Fault tests: wait until servers that drained are used again

TestFleetUnderFaults/all/drains_unheard failed once on a busy machine: all four instances had been notified and the drain had ended, so the condition that failed was len(d.Sent) != s.Instances. Sent holds every chunk that an instance sent to the server during the whole run, recorded when its relay reads it; nothing is lost there.

The test now continues to send requests after the load until every instance has sent one to each server that drained, after the end of its drain, within one minute. The check requires a chunk after the end of the drain where it was content with one at any time, and its message prints what it compares.

--- a/internal/faulttest/faulttest.go
+++ b/internal/faulttest/faulttest.go
@@ -22,6 +22,9 @@
 	Next     string // path of another build of it, for faults that ask for one
 	Dir      string // for files of the run
 	Log      *slog.Logger
+
+	// afterLoad, if set, is called once load and faults are over and before replicas are compared.
+	afterLoad func(context.Context, *rig) error
 }
 
 // rig is one run: its processes, the network between them, and what is recorded. The maps and slices
@@ -69,6 +72,11 @@
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
+	if o.afterLoad != nil {
+		if err := o.afterLoad(ctx, r); err != nil {
+			return nil, err
+		}
+	}
 	if err := r.waitConverged(ctx); err != nil {
 		return nil, err
 	}
--- a/internal/faulttest/faulttest_test.go
+++ b/internal/faulttest/faulttest_test.go
@@ -1,8 +1,10 @@
 package faulttest
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -94,17 +96,22 @@
 			t.Run(s.Name, func(t *testing.T) {
 				t.Parallel()
 				dir := t.TempDir()
-				h, err := Run(t.Context(), Options{Schedule: s, Program: program, Next: next, Dir: dir, Log: slog.New(slog.DiscardHandler)})
+				h, err := Run(t.Context(), Options{
+					Schedule:  s,
+					Program:   program,
+					Next:      next,
+					Dir:       dir,
+					Log:       slog.New(slog.DiscardHandler),
+					afterLoad: waitDrainedServersReused,
+				})
 				if err != nil {
 					t.Fatal(err)
 				}
 				for _, f := range h.Check() {
 					t.Error(f)
 				}
-				for _, d := range h.Drains {
-					if len(d.Notified) != s.Instances || len(d.Sent) != s.Instances || d.Until == 0 {
-						t.Errorf("of the drain of %s is known: until %v, told %v", d.Server, d.Until, d.Notified)
-					}
+				for i := range h.Drains {
+					checkDrainObserved(t, &h.Drains[i], s.Instances)
 				}
 				if sum := h.Sum(); sum.Effects < 100 || sum.Served == 0 {
 					t.Errorf("%+v: the load did not run", sum)
@@ -129,6 +136,72 @@
 	})
 }
 
+const (
+	reuseTimeout  = time.Minute           // for all instances to send to the servers that have drained
+	reuseInterval = 10 * time.Millisecond // between two requests to the same instance
+)
+
+// waitDrainedServersReused sends requests to each instance until it has forwarded one to each server that
+// drained during the run, after the end of the drain. The load alone does not guarantee that: of the few
+// requests that an instance gets before and after a drain, possibly none is forwarded to that server.
+func waitDrainedServersReused(ctx context.Context, r *rig) error {
+	ctx, cancel := context.WithTimeout(ctx, reuseTimeout)
+	defer cancel()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	for _, drain := range r.drains.begun {
+		for _, instance := range r.instances {
+			if err := waitServerReused(ctx, r, client, instance.name, drain); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// waitServerReused sends requests to one instance until it has forwarded one to the server after its drain.
+func waitServerReused(ctx context.Context, r *rig, client *http.Client, instance string, drain drain) error {
+	server := r.network.paths[path{instance, drain.server}]
+	drainEnd := r.began.Add(drain.until)
+	class := &classes[0] // safe to retry, and any server may serve it
+	for number := 0; ; number++ {
+		arrivals := server.Arrivals()
+		if len(arrivals) > 0 && arrivals[len(arrivals)-1].After(drainEnd) {
+			return nil
+		}
+		request, err := r.newRequest(ctx, &effect{key: "reuse-" + drain.server, class: class},
+			&history.Try{Instance: instance, Number: number}, class.patience)
+		if err != nil {
+			return err
+		}
+		if response, err := client.Do(request); err == nil {
+			response.Body.Close() // any response will do: only the server that was chosen counts
+		}
+		if !sleep(ctx, reuseInterval) {
+			return fmt.Errorf("%s forwarded none of %d requests to %s within %v after its drain",
+				instance, number+1, drain.server, reuseTimeout)
+		}
+	}
+}
+
+// checkDrainObserved fails unless the drain has ended, and each instance was notified of it and has sent to
+// the server after its end: a drain that was not observed cannot break a rule.
+func checkDrainObserved(t *testing.T, drain *history.Drain, instances int) {
+	t.Helper()
+	lastSent := map[string]time.Duration{}
+	reused := 0
+	for instance, sent := range drain.Sent {
+		lastSent[instance] = sent[len(sent)-1]
+		if lastSent[instance] > drain.Until {
+			reused++
+		}
+	}
+	if drain.Until == 0 || len(drain.Notified) != instances || reused != instances {
+		t.Errorf("drain of %s: ended at %v, instances notified at %v, last sent to the server at %v; "+
+			"want an end, and all %d instances notified and sending after it",
+			drain.Server, drain.Until, drain.Notified, lastSent, instances)
+	}
+}
+
 // What is no run is not read as one.
 func TestReadWhatIsNoRun(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "run.json")
