pinedale-simulate: cobra commands, one file per command; help and completion

Cause: main.go held all commands, their flags, comparisons and output in one file with one switch over flags; the demo counted responses in types of its own. agree left plays on sockets running when a later scenario failed to load.

Change: one file per command on internal/cli; old command lines keep working through cli.Normalize. The demo counts with plan.Second and names headers as requestmeta does; its requests are waited for after an error, too. agree loads all scenarios first, plays them on virtual time and then all on sockets. Errors of the flag parser itself have cobra's words; -h prints help and exits with 0. TestRunAndCompare, TestRecordAndReplay and TestOnSockets are split by condition; a table of old command lines, help and completion are new.

--- a/cmd/pinedale-simulate/main_test.go
+++ b/cmd/pinedale-simulate/main_test.go
@@ -2,116 +2,188 @@
 
 import (
 	"bytes"
+	"context"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 	"time"
+
+	"pinedale/internal/cli"
 )
 
-func discard(_, _ time.Duration) {}
+// The scenarios that the tests play.
+const (
+	calmScenario           = "../../scenarios/calm.toml"
+	failingFastScenario    = "../../scenarios/failing-fast.toml"
+	rollingRestartScenario = "../../scenarios/rolling-restart.toml"
+)
 
-// says runs a command and returns what it says.
-func says(t *testing.T, args ...string) string {
+// execute runs a command line. It returns what is printed to standard output and standard error, and the exit code.
+func execute(args ...string) (stdout, stderr string, code int) {
+	var out, errOut bytes.Buffer
+	code = cli.Execute(context.Background(), rootCommand(&out, func(_, _ time.Duration) {}), args, &errOut)
+	return out.String(), errOut.String(), code
+}
+
+// mustExecute runs a command line that has to succeed, and returns what it prints.
+func mustExecute(t *testing.T, args ...string) string {
 	t.Helper()
-	var out bytes.Buffer
-	if err := run(args, &out, discard); err != nil {
-		t.Fatalf("%v: %v\n%s", args, err, out.String())
+	stdout, stderr, code := execute(args...)
+	if code != 0 || stderr != "" {
+		t.Fatalf("%v: exit code %d: %s\n%s", args, code, stderr, stdout)
 	}
-	return out.String()
+	return stdout
 }
 
-func TestRunAndCompare(t *testing.T) {
+// writeShortScenario writes the calm scenario with another length into a folder of the test and returns its path.
+func writeShortScenario(t *testing.T, length time.Duration) string {
+	t.Helper()
+	text, err := os.ReadFile(calmScenario)
+	if err != nil {
+		t.Fatal(err)
+	}
+	shortened := bytes.Replace(text, []byte(`length = "30s"`), fmt.Appendf(nil, "length = %q", length), 1)
+	if bytes.Equal(shortened, text) {
+		t.Fatal("the calm scenario is not 30 s long")
+	}
+	path := filepath.Join(t.TempDir(), "short.toml")
+	if err := os.WriteFile(path, shortened, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestRunPrintsResultAndWritesHTMLReport(t *testing.T) {
 	page := filepath.Join(t.TempDir(), "report.html")
-	if text := says(t, "run", "-html", page, "../../scenarios/calm.toml"); !strings.Contains(text, "no rule broken") || !strings.Contains(text, "stall-pay") {
-		t.Errorf("said %s", text)
+	text := mustExecute(t, "run", "-html", page, calmScenario)
+	if !strings.Contains(text, "no rule broken") || !strings.Contains(text, "stall-pay") {
+		t.Errorf("printed %s", text)
 	}
 	if data, err := os.ReadFile(page); err != nil || !bytes.Contains(data, []byte("<svg")) {
 		t.Errorf("the page: %v", err)
 	}
-	if text := says(t, "compare", "-seeds", "3", "../../scenarios/calm.toml", "../../scenarios/calm.toml"); strings.Count(text, "within the noise") != 4 {
+}
+
+func TestCompareFindsNoDifferenceOfScenarioFromItself(t *testing.T) {
+	text := mustExecute(t, "compare", "-seeds", "3", calmScenario, calmScenario)
+	if strings.Count(text, "within the noise") != 4 {
 		t.Errorf("a scenario against itself: %s", text)
 	}
-	if text := says(t, "compare", "-seeds", "3", "-against", "random", "../../scenarios/failing-fast.toml"); !strings.Contains(text, "a difference") {
+}
+
+func TestCompareFindsDifferenceOfModuleFromRandomChoice(t *testing.T) {
+	text := mustExecute(t, "compare", "-seeds", "3", "-against", "random", failingFastScenario)
+	if !strings.Contains(text, "a difference") {
 		t.Errorf("the module and random choice: %s", text)
 	}
-	for _, args := range [][]string{nil, {"play"}, {"run"}, {"run", "a", "b"}, {"compare", "a"}, {"run", "/nowhere"}, {"demo", "x"}, {"run", "-what"},
-		{"record", "../../scenarios/calm.toml"}, {"replay", "/nowhere"}, {"replay", "../../scenarios/calm.toml"},
-		{"run", "-policy", "best", "../../scenarios/calm.toml"}, {"run", "-out", "x", "../../scenarios/calm.toml"}} {
-		if err := run(args, &bytes.Buffer{}, discard); err == nil {
-			t.Errorf("%v is taken", args)
+}
+
+func TestInvalidCommandLinesExitWithOne(t *testing.T) {
+	const usageText = "see how it is used\nusage: pinedale-simulate demo [-length 12s]\n"
+	for _, c := range []struct {
+		args []string
+		want string // in the error
+	}{
+		{nil, usageText},
+		{[]string{"play"}, usageText},
+		{[]string{"run"}, usageText},
+		{[]string{"run", "a", "b"}, usageText},
+		{[]string{"compare", "a"}, "open a: no such file"},
+		{[]string{"compare", "a", "b", "c"}, usageText},
+		{[]string{"compare", "-seeds", "1", calmScenario}, usageText},
+		{[]string{"run", "/nowhere"}, "open /nowhere: no such file"},
+		{[]string{"demo", "x"}, usageText},
+		{[]string{"demo", "-length", "1ms"}, usageText},
+		{[]string{"run", "-what"}, usageText},
+		{[]string{"run", "-seed", "-1", calmScenario}, usageText},
+		{[]string{"record", calmScenario}, usageText},
+		{[]string{"replay", "/nowhere"}, "open /nowhere: no such file"},
+		{[]string{"replay", calmScenario}, calmScenario + ": line 1: "},
+		{[]string{"rank", "-seeds", "0", calmScenario}, usageText},
+		{[]string{"agree"}, usageText},
+		{[]string{"run", "-policy", "best", calmScenario}, `policy "best" is not one of pinedale, `},
+		{[]string{"run", "-out", "x", calmScenario}, usageText},
+	} {
+		stdout, stderr, code := execute(c.args...)
+		if code != 1 || !strings.HasPrefix(stderr, "pinedale-simulate: ") || !strings.Contains(stderr, c.want) {
+			t.Errorf("%v: exit code %d, printed %q and %q, want 1 and %q", c.args, code, stdout, stderr, c.want)
 		}
 	}
 }
 
-// A trace is the same, byte for byte, each time that it is recorded, and replays. One
-// that differs, is cut off or was touched is told.
-func TestRecordAndReplay(t *testing.T) {
+func TestRecordWritesSameTraceEachTimeAndReplayConfirmsIt(t *testing.T) {
 	dir := t.TempDir()
 	first, second := filepath.Join(dir, "first"), filepath.Join(dir, "second")
 	for _, path := range []string{first, second} {
-		says(t, "record", "-seed", "4", "-out", path, "../../scenarios/rolling-restart.toml")
+		mustExecute(t, "record", "-seed", "4", "-out", path, rollingRestartScenario)
 	}
-	a, err := os.ReadFile(first)
+	content, err := os.ReadFile(first)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if b, _ := os.ReadFile(second); !bytes.Equal(a, b) {
+	if again, _ := os.ReadFile(second); !bytes.Equal(content, again) {
 		t.Error("the second record differs")
 	}
-	if text := says(t, "replay", first); !strings.Contains(text, "are the same") {
-		t.Errorf("said %s", text)
+	if text := mustExecute(t, "replay", first); !strings.Contains(text, "are the same") {
+		t.Errorf("printed %s", text)
 	}
-	lines := strings.SplitAfter(string(a), "\n")
-	for name, c := range map[string]struct{ data, says string }{
-		"another seed":    {strings.Replace(string(a), `"seed":4`, `"seed":5`, 1), "differs"},
-		"another policy":  {strings.Replace(string(a), `"policy":"pinedale"`, `"policy":"random"`, 1), "differs"},
-		"cut off":         {string(a[:len(a)-40]), "line"},
-		"an event less":   {strings.Join(append(append([]string{}, lines[:9]...), lines[10:]...), ""), "differs"},
-		"another version": {strings.Replace(string(a), `"pinedale_trace":1`, `"pinedale_trace":9`, 1), "version"},
+}
+
+func TestReplayRejectsTraceThatWasAltered(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "trace")
+	mustExecute(t, "record", "-seed", "4", "-out", path, rollingRestartScenario)
+	content, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := string(content)
+	lines := strings.SplitAfter(text, "\n")
+	withoutTenthLine := strings.Join(lines[:9], "") + strings.Join(lines[10:], "")
+	for name, c := range map[string]struct{ altered, want string }{
+		"another seed":    {strings.Replace(text, `"seed":4`, `"seed":5`, 1), "differs"},
+		"another policy":  {strings.Replace(text, `"policy":"pinedale"`, `"policy":"random"`, 1), "differs"},
+		"cut off":         {text[:len(text)-40], "line"},
+		"an event less":   {withoutTenthLine, "differs"},
+		"another version": {strings.Replace(text, `"pinedale_trace":1`, `"pinedale_trace":9`, 1), "version"},
 		"empty":           {"", "empty"},
 	} {
-		if err := os.WriteFile(second, []byte(c.data), 0o600); err != nil {
+		if err := os.WriteFile(path, []byte(c.altered), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		var out bytes.Buffer
-		if err := run([]string{"replay", second}, &out, discard); err == nil || !strings.Contains(out.String()+err.Error(), c.says) {
-			t.Errorf("%s: %v, said %s", name, err, out.String())
+		stdout, stderr, code := execute("replay", path)
+		if code != 1 || !strings.Contains(stdout+stderr, c.want) {
+			t.Errorf("%s: exit code %d, printed %s\n%s", name, code, stdout, stderr)
 		}
 	}
 }
 
-// On sockets the same commands play for as long as the scenario says; a trace from there
-// is compared by its counts.
-func TestOnSockets(t *testing.T) {
-	text, err := os.ReadFile("../../scenarios/calm.toml")
-	if err != nil {
-		t.Fatal(err)
-	}
-	dir := t.TempDir()
-	short, stored := filepath.Join(dir, "short.toml"), filepath.Join(dir, "trace")
-	if err := os.WriteFile(short, bytes.Replace(text, []byte(`length = "30s"`), []byte(`length = "1500ms"`), 1), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	says(t, "record", "-sockets", "-out", stored, short)
-	if text := says(t, "replay", stored); !strings.Contains(text, "answered 200") {
-		t.Errorf("said %s", text)
+func TestTraceFromSocketsIsComparedByItsCounts(t *testing.T) {
+	scenario, recorded := writeShortScenario(t, 1500*time.Millisecond), filepath.Join(t.TempDir(), "trace")
+	mustExecute(t, "record", "-sockets", "-out", recorded, scenario)
+	if text := mustExecute(t, "replay", recorded); !strings.Contains(text, "answered 200") {
+		t.Errorf("printed %s", text)
 	}
-	if text := says(t, "run", "-sockets", short); !strings.Contains(text, "sockets: 1.5s played") {
-		t.Errorf("said %s", text)
-	}
-	if text := says(t, "rank", "-seeds", "2", short); strings.Count(text, "broken") != 4 {
-		t.Errorf("said %s", text)
+}
+
+func TestRunOnSocketsTakesAsLongAsTheScenario(t *testing.T) {
+	scenario := writeShortScenario(t, 1500*time.Millisecond)
+	if text := mustExecute(t, "run", "-sockets", scenario); !strings.Contains(text, "sockets: 1.5s played") {
+		t.Errorf("printed %s", text)
 	}
 }
 
-// The demo ends by itself with a summary, and breaks no rule.
-func TestDemo(t *testing.T) {
-	var out bytes.Buffer
-	if err := demo(&out, 2*time.Second); err != nil {
-		t.Fatal(err)
+func TestRankPrintsEachPolicy(t *testing.T) {
+	scenario := writeShortScenario(t, 1500*time.Millisecond)
+	if text := mustExecute(t, "rank", "-seeds", "2", scenario); strings.Count(text, "broken") != 4 {
+		t.Errorf("printed %s", text)
 	}
-	if !strings.Contains(out.String(), "in all: asked") || !strings.Contains(out.String(), "effects done twice 0") {
-		t.Errorf("said %s", out.String())
+}
+
+func TestDemoEndsByItselfWithSummaryAndBreaksNoRule(t *testing.T) {
+	text := mustExecute(t, "demo", "-length", "2s")
+	if !strings.Contains(text, "in all: asked") || !strings.Contains(text, "effects done twice 0") {
+		t.Errorf("printed %s", text)
 	}
 }
--- /dev/null
+++ b/cmd/pinedale-simulate/progress.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+)
+
+// progressInterval is the shortest time between two lines of progress.
+const progressInterval = 100 * time.Millisecond
+
+// progressFunc reports how much of a play is done.
+type progressFunc func(done, total time.Duration)
+
+// terminalProgress returns a function that writes progress to a terminal in one line, which it clears at the end. It
+// writes nothing to any other file.
+func terminalProgress(out *os.File) progressFunc {
+	if info, err := out.Stat(); err != nil || info.Mode()&os.ModeCharDevice == 0 {
+		return func(_, _ time.Duration) {}
+	}
+	var lastWritten time.Time
+	return func(done, total time.Duration) {
+		if done >= total {
+			fmt.Fprintf(out, "\r%40s\r", "")
+			return
+		}
+		if time.Since(lastWritten) > progressInterval {
+			lastWritten = time.Now()
+			fmt.Fprintf(out, "\r%v of %v", done.Round(time.Second), total)
+		}
+	}
+}
+
+// countProgress reports progress in units that are no time, one as a second.
+func (c *commandLine) countProgress(done, total int) {
+	c.progress(time.Duration(done)*time.Second, time.Duration(total)*time.Second)
+}
--- /dev/null
+++ b/cmd/pinedale-simulate/record.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+
+	"pinedale/internal/emulator/baselines"
+	"pinedale/internal/emulator/plan"
+	"pinedale/internal/emulator/trace"
+)
+
+// recordOptions are the flags of the command record.
+type recordOptions struct {
+	seed      uint64 // 0 for the scenario's
+	policy    string
+	onSockets bool
+	traceFile string
+}
+
+// recordCommand returns the command that plays a scenario and writes its trace.
+func (c *commandLine) recordCommand() *cobra.Command {
+	var options recordOptions
+	record := &cobra.Command{
+		Use:   "record SCENARIO",
+		Short: "write what is asked, decided and answered as a trace",
+		Args:  countArgs(cobra.ExactArgs(1)),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if options.traceFile == "" {
+				return usageError()
+			}
+			return c.record(cmd.Context(), args[0], options)
+		},
+	}
+	addSeedFlag(record, &options.seed)
+	addPolicyFlag(record, &options.policy, "policy", baselines.Module, "that decides")
+	addSocketsFlag(record, &options.onSockets)
+	record.Flags().StringVar(&options.traceFile, "out", "", "file for the trace")
+	return record
+}
+
+// record plays a scenario and writes its trace. It returns an error if a rule was broken.
+func (c *commandLine) record(ctx context.Context, path string, options recordOptions) error {
+	file, text, err := loadScenario(path)
+	if err != nil {
+		return err
+	}
+	planned := file.Plan(options.seed)
+	header := trace.Header{
+		Host:     hostName(options.onSockets),
+		Policy:   options.policy,
+		Seed:     planned.Seed,
+		Scenario: text,
+	}
+	var result *plan.Result
+	events := 0
+	err = createFile(options.traceFile, func(out io.Writer) (err error) {
+		result, events, err = c.playToTrace(ctx, planned, header, out)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(c.out, "%s, seed %d, %s: %d events, G %.3f\n",
+		file.Name, planned.Seed, options.policy, events, planned.Score(result))
+	return checkRules(result)
+}
+
+// playToTrace plays a scenario as the header says and writes its trace. It returns the number of events, too.
+func (c *commandLine) playToTrace(
+	ctx context.Context, planned *plan.Scenario, header trace.Header, out io.Writer,
+) (result *plan.Result, events int, err error) {
+	writer := trace.NewWriter(out, header)
+	result, err = play(ctx, planned, playOptions{
+		host:   header.Host,
+		policy: header.Policy,
+		watch: func(event trace.Event) {
+			events++
+			writer.Write(event)
+		},
+		progress: c.progress,
+	})
+	if err != nil {
+		return nil, events, err
+	}
+	return result, events, writer.Close()
+}
--- /dev/null
+++ b/cmd/pinedale-simulate/run.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"pinedale/internal/emulator/baselines"
+)
+
+// runOptions are the flags of the command run.
+type runOptions struct {
+	seed      uint64 // 0 for the scenario's
+	policy    string
+	onSockets bool
+	html      string // path of the report, or ""
+}
+
+// runCommand returns the command that plays a scenario and prints its result.
+func (c *commandLine) runCommand() *cobra.Command {
+	var options runOptions
+	run := &cobra.Command{
+		Use:   "run SCENARIO",
+		Short: "play a scenario, on virtual time or sockets, and say what came of it",
+		Args:  countArgs(cobra.ExactArgs(1)),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return c.run(cmd.Context(), args[0], options)
+		},
+	}
+	addSeedFlag(run, &options.seed)
+	addPolicyFlag(run, &options.policy, "policy", baselines.Module, "that decides")
+	addSocketsFlag(run, &options.onSockets)
+	run.Flags().StringVar(&options.html, "html", "", "file for a report")
+	return run
+}
+
+// run plays a scenario and prints its result. It returns an error if a rule was broken.
+func (c *commandLine) run(ctx context.Context, path string, options runOptions) error {
+	file, _, err := loadScenario(path)
+	if err != nil {
+		return err
+	}
+	planned := file.Plan(options.seed)
+	host := hostName(options.onSockets)
+	began := time.Now()
+	result, err := play(ctx, planned, playOptions{host: host, policy: options.policy, progress: c.progress})
+	if err != nil {
+		return err
+	}
+	elapsed := time.Since(began).Round(time.Millisecond)
+	fmt.Fprintf(c.out, "%s, seed %d, %s, %s: %v played in %v\n",
+		file.Name, planned.Seed, options.policy, host, planned.Length, elapsed)
+	file.WriteText(c.out, planned, result)
+	if options.html != "" {
+		err := createFile(options.html, func(page io.Writer) error { return file.WriteHTML(page, planned, result) })
+		if err != nil {
+			return err
+		}
+	}
+	return checkRules(result)
+}
