--- a/internal/emulator/simulation/call.go
+++ b/internal/emulator/simulation/call.go
@@ -8,108 +8,111 @@
 	"pinedale/internal/upstream/handshake"
 )
 
-// call is an attempt or a probe under way.
+// maxHandshakeWait bounds how long a request waits for the handshake budget: half of the time that a handshake may
+// take, as in pinedale-proxy with its defaults.
+const maxHandshakeWait = 250 * time.Millisecond
+
+// call is one attempt or probe between an instance and a server.
 type call struct {
-	instance   *instance
-	server     *server
-	target     *engine.Target
-	connection *connection
-	startedAt  Time
-	deadline   Time
-	number     uint64 // of the attempt; 0 for a probe
-	probe      bool
-	sent       bool                // it was written
-	finished   bool                // its result is known to the instance
-	onArrival  func()              // at the server
-	onResult   func(engine.Result) // at the instance
+	instance  *instance
+	server    *server
+	target    *engine.Target
+	conn      *connection
+	startedAt Time
+	deadline  Time
+	number    uint64 // of the attempt; 0 for a probe
+	probe     bool
+	written   bool                // the request was written to a connection
+	finished  bool                // the instance has the result
+	onArrival func()              // runs at the server
+	onResult  func(engine.Result) // runs at the instance
 }
 
-// latency is how long something takes between the instance and the server, one way.
+// latency returns the one-way latency between the instance and the server.
 func (c *call) latency() time.Duration {
 	return c.instance.simulator.scenario.Latency(c.instance.site, c.server.spec.Site)
 }
 
-// start takes a connection, or opens one, and writes.
+// start writes the request to an idle connection, or to a new one.
 func (c *call) start() {
-	n, p := c.instance, c.instance.simulator
-	c.startedAt = p.now
-	if c.finished { // given up before it began
+	sim := c.instance.simulator
+	c.startedAt = sim.now
+	if c.finished { // aborted before its start
 		return
 	}
-	p.at(c.deadline, func() { c.stop(balancer.Timeout) })
-	for list := n.idleConnections[c.target]; len(list) > 0; list = n.idleConnections[c.target] {
-		at := len(list) - 1
-		idle := list[at]
-		n.idleConnections[c.target] = list[:at]
-		if !idle.closedByServer() && !idle.rotatedOut() && p.now-idle.idleSince < maxIdle {
-			c.connection = idle
-			c.write()
-			return
-		}
-		n.close(idle)
-	}
-	if n.budget == nil {
+	sim.at(c.deadline, func() { c.abort(balancer.Timeout) })
+	c.conn = c.instance.takeIdle(c.target)
+	switch {
+	case c.conn != nil:
+		c.write()
+	case c.instance.budget == nil:
 		c.open()
-		return
+	default:
+		c.openWithinBudget()
 	}
-	kind := handshake.Request
+}
+
+// openWithinBudget opens a connection when the handshake budget permits it, and fails if that takes too long.
+func (c *call) openWithinBudget() {
+	sim := c.instance.simulator
+	priority := handshake.Request
 	if c.probe {
-		kind = handshake.Background
+		priority = handshake.Background
 	}
-	begin, ok := n.budget.RequestTurn(p.Now(), c.target.Address, c.target.Started(), kind, min(maxHandshakeWait, (c.deadline-p.now)/2))
+	maxWait := min(maxHandshakeWait, (c.deadline-sim.now)/2)
+	begin, ok := c.instance.budget.RequestTurn(sim.Now(), c.target.Address, c.target.Started(), priority, maxWait)
 	if !ok {
-		p.result.HandshakesDenied++
-		p.after(0, func() { c.finish(engine.Result{Status: balancer.NotSent}) })
+		sim.result.HandshakesDenied++
+		sim.after(0, func() { c.finish(engine.Result{Status: balancer.NotSent}) })
 		return
 	}
-	p.after(begin.Sub(p.Now()), c.open)
+	sim.after(begin.Sub(sim.Now()), c.open)
 }
 
-// maxHandshakeWait is how long a request waits for a handshake's turn: half of the time that one has,
-// as in pinedale-proxy with its defaults.
-const maxHandshakeWait = 250 * time.Millisecond
-
-// open opens a connection, and writes.
+// open opens a connection and writes the request to it, after a round trip.
 func (c *call) open() {
-	n, p := c.instance, c.instance.simulator
-	if c.finished { // given up before it began
+	if c.finished { // aborted before the handshake
 		return
 	}
-	p.after(c.latency(), func() {
-		c.connection = c.server.connect()
-		answered := balancer.ConnectFailed
-		if c.connection == nil && c.server.machine != nil && !c.server.machine.Down() {
-			// It holds as many as it can: taken and closed at once, which the
-			// instance learns from what it has written.
-			answered = balancer.Reset
-		}
-		if c.connection != nil {
-			p.openConnections++
-			p.result.RecordHandshake(c.server.number, p.now)
-			p.result.Connections = max(p.result.Connections, p.openConnections)
+	c.instance.simulator.after(c.latency(), c.accept)
+}
+
+// accept handles the arrival of a new connection at the server.
+func (c *call) accept() {
+	sim := c.instance.simulator
+	c.conn = c.server.accept()
+	failure := balancer.ConnectFailed
+	if c.server.running() {
+		// A running server that does not accept has reached its connection limit. The connection opens and is closed at
+		// once, which the instance notices only after it has written the request.
+		failure = balancer.Reset
+	}
+	if c.conn != nil {
+		sim.openConnections++
+		sim.result.RecordHandshake(c.server.number, sim.now)
+		sim.result.Connections = max(sim.result.Connections, sim.openConnections)
+	}
+	sim.after(c.latency(), func() {
+		switch {
+		case c.conn == nil:
+			c.finish(engine.Result{Status: failure})
+		case c.finished: // aborted during the handshake
+			c.instance.closeConnection(c.conn)
+		default:
+			c.write()
 		}
-		p.after(c.latency(), func() {
-			switch {
-			case c.connection != nil && c.finished: // given up meanwhile
-				n.close(c.connection)
-			case c.connection != nil:
-				c.write()
-			default:
-				c.finish(engine.Result{Status: answered})
-			}
-		})
 	})
 }
 
-// write has the request be at its server one way later.
+// write sends the request, which arrives at the server after the one-way latency.
 func (c *call) write() {
 	if c.target.Closed() {
 		c.finish(engine.Result{Status: balancer.NotSent})
 		return
 	}
-	c.sent = true
+	c.written = true
 	c.instance.simulator.after(c.latency(), func() {
-		if c.connection.closedByServer() {
+		if c.conn.closedByServer() {
 			c.server.reply(c, engine.Result{Status: balancer.Reset})
 			return
 		}
@@ -117,33 +120,32 @@
 	})
 }
 
-// stop gives a call up: what is out there goes on.
-func (c *call) stop(s balancer.Status) {
-	if !c.sent {
-		s = balancer.NotSent
+// abort ends the call with a status. What the server has received continues.
+func (c *call) abort(status balancer.Status) {
+	if !c.written {
+		status = balancer.NotSent
 	}
-	c.finish(engine.Result{Status: s})
+	c.finish(engine.Result{Status: status})
 }
 
-// finish passes the result to the instance, once.
-func (c *call) finish(res engine.Result) {
+// finish passes the result to the instance. Only the first result counts.
+func (c *call) finish(result engine.Result) {
 	if c.finished {
 		return
 	}
 	c.finished = true
-	if c.connection != nil {
-		c.releaseConn(res.Status)
+	if c.conn != nil {
+		c.releaseConnection(result.Status)
 	}
-	c.onResult(res)
+	c.onResult(result)
 }
 
-// releaseConn keeps the call's connection for others after a complete answer, and closes it otherwise.
-func (c *call) releaseConn(s balancer.Status) {
-	complete := s == balancer.OK || s == balancer.Error || s == balancer.Full
-	if !complete || c.instance.killed || c.target.Closed() || c.connection.closedByServer() {
-		c.instance.close(c.connection)
+// releaseConnection keeps the connection for other requests after a complete response and closes it otherwise.
+func (c *call) releaseConnection(status balancer.Status) {
+	complete := status == balancer.OK || status == balancer.Error || status == balancer.Full
+	if !complete || c.instance.killed || c.target.Closed() || c.conn.closedByServer() {
+		c.instance.closeConnection(c.conn)
 		return
 	}
-	c.connection.idleSince = c.instance.simulator.now
-	c.instance.idleConnections[c.target] = append(c.instance.idleConnections[c.target], c.connection)
+	c.instance.putIdle(c.target, c.conn)
 }
--- a/internal/emulator/simulation/client.go
+++ b/internal/emulator/simulation/client.go
@@ -9,84 +9,131 @@
 	"pinedale/internal/engine"
 )
 
-// scheduleArrival has the next first try come.
-func (p *simulator) scheduleArrival() {
-	t, ok := p.script.Next()
-	if !ok {
-		return
-	}
-	p.at(t.At, func() {
-		p.submit(t)
-		p.scheduleArrival()
-	})
-}
+// answerSlack is how long after the client's timeout a response still counts as sent in time.
+const answerSlack = time.Millisecond
 
-// clientAttempt is one try at an instance.
+// clientAttempt is one attempt of a client at an instance: the first of its request, or a retry. It is its own
+// engine.Carrier.
 type clientAttempt struct {
 	simulator *simulator
 	request   *plan.Request
-	number    int // which try it is, the first is 1
+	number    int // counts from 1
 	instance  *instance
 	submitted engine.Request
 	finished  bool
 }
 
-// submit passes a try to its instance.
-func (p *simulator) submit(t *plan.Request) {
-	t.ClientAttempts++
-	p.result.ClientAttempts++
-	r := &clientAttempt{simulator: p, request: t, number: t.ClientAttempts, instance: p.instances[t.Instance]}
-	r.instance.openAttempts[r] = true
-	r.submitted = engine.Request{Carrier: r, Respond: func(a engine.Response) {
-		r.end(a.Code, time.Duration(a.RetryAfter)*time.Microsecond)
-	}}
-	p.emit(trace.Event{Kind: trace.KindRequest, Number: t.Number, Try: r.number, Instance: t.Instance + 1, Class: t.Class + 1})
-	patience := p.scenario.AttemptTimeout(t)
-	r.instance.post(func(now balancer.Micros) {
-		r.instance.engine.Submit(now, &r.submitted, balancer.Request{Class: uint8(t.Class), Key: t.AffinityKey, Tenant: uint16(t.Tenant), ClientRetry: r.number > 1,
-			Deadline: now + patience.Microseconds(), WorkHint: t.WorkHint, HasWorkHint: true})
+// scheduleArrival schedules the next new request.
+func (sim *simulator) scheduleArrival() {
+	request, ok := sim.workload.Next()
+	if !ok {
+		return
+	}
+	sim.at(request.At, func() {
+		sim.submit(request)
+		sim.scheduleArrival()
+	})
+}
+
+// submit sends one client attempt of a request to its instance.
+func (sim *simulator) submit(request *plan.Request) {
+	request.ClientAttempts++
+	sim.result.ClientAttempts++
+	attempt := &clientAttempt{
+		simulator: sim,
+		request:   request,
+		number:    request.ClientAttempts,
+		instance:  sim.instances[request.Instance],
+	}
+	attempt.instance.openAttempts[attempt] = true
+	sim.emit(trace.Event{
+		Kind:     trace.KindRequest,
+		Number:   request.Number,
+		Try:      attempt.number,
+		Instance: request.Instance + 1,
+		Class:    request.Class + 1,
 	})
-	if p.scenario.Clients.AbandonAfter > 0 && !r.finished {
-		p.after(p.scenario.Clients.AbandonAfter, func() {
-			if !r.finished {
-				r.end(plan.CodeDisconnected, 0)
-				r.instance.post(func(now balancer.Micros) { r.instance.engine.ClientDisconnected(now, &r.submitted) })
-			}
+	timeout := sim.scenario.AttemptTimeout(request)
+	attempt.submit(timeout)
+	abandonAfter := sim.scenario.Clients.AbandonAfter
+	if abandonAfter > 0 && !attempt.finished {
+		sim.after(abandonAfter, attempt.abandon)
+	}
+	sim.after(timeout+answerSlack, attempt.expire)
+}
+
+// submit passes the attempt to the engine of its instance.
+func (a *clientAttempt) submit(timeout time.Duration) {
+	engineOfInstance := a.instance.engine
+	a.submitted = engine.Request{
+		Carrier: a,
+		Respond: func(response engine.Response) {
+			a.finish(response.Code, time.Duration(response.RetryAfter)*time.Microsecond)
+		},
+	}
+	a.instance.post(func(now balancer.Micros) {
+		engineOfInstance.Submit(now, &a.submitted, balancer.Request{
+			Class:       uint8(a.request.Class),
+			Key:         a.request.AffinityKey,
+			Tenant:      uint16(a.request.Tenant),
+			ClientRetry: a.number > 1,
+			Deadline:    now + timeout.Microseconds(),
+			WorkHint:    a.request.WorkHint,
+			HasWorkHint: true,
 		})
+	})
+}
+
+// abandon disconnects the client of an attempt that has no response yet.
+func (a *clientAttempt) abandon() {
+	if a.finished {
+		return
 	}
-	p.after(patience+time.Millisecond, func() {
-		if !r.finished {
-			p.result.Unanswered++
-			r.end(plan.CodeDisconnected, 0)
-		}
+	a.finish(plan.CodeDisconnected, 0)
+	a.instance.post(func(now balancer.Micros) {
+		a.instance.engine.ClientDisconnected(now, &a.submitted)
 	})
 }
 
-// end is the end of a try: an answer, or the client's going.
-func (r *clientAttempt) end(code int, retryAfter time.Duration) {
-	p, t := r.simulator, r.request
-	if r.finished {
-		if code != plan.CodeDisconnected && !r.instance.killed {
-			p.result.Unanswered++
+// expire records a violation if the instance has not answered within the client's timeout.
+func (a *clientAttempt) expire() {
+	if a.finished {
+		return
+	}
+	a.simulator.result.Unanswered++
+	a.finish(plan.CodeDisconnected, 0)
+}
+
+// finish ends the attempt with a response or with the client's disconnect, and schedules a retry if the client makes
+// one. A second response is a violation.
+func (a *clientAttempt) finish(code int, retryAfter time.Duration) {
+	sim, request := a.simulator, a.request
+	if a.finished {
+		if code != plan.CodeDisconnected && !a.instance.killed {
+			sim.result.Unanswered++
 		}
 		return
 	}
-	r.finished = true
-	delete(r.instance.openAttempts, r)
-	p.emit(trace.Event{Kind: trace.KindResponse, Number: t.Number, Try: r.number, Instance: t.Instance + 1, Code: code})
-	// Nobody knows since when what a killed instance held may have run: clients repeat only what is safe.
-	mayHaveRun := r.instance.killed && p.scenario.Classes[t.Class].Idempotency != balancer.Idempotent
-	if wait, retry := p.scenario.Retry(t, code, retryAfter, p.now); retry && !mayHaveRun {
-		p.after(wait, func() { p.submit(t) })
+	a.finished = true
+	delete(a.instance.openAttempts, a)
+	sim.emit(trace.Event{
+		Kind:     trace.KindResponse,
+		Number:   request.Number,
+		Try:      a.number,
+		Instance: request.Instance + 1,
+		Code:     code,
+	})
+	wait, retry := sim.scenario.Retry(request, code, retryAfter, sim.now)
+	if retry && !a.mayHaveRun() {
+		sim.after(wait, func() { sim.submit(request) })
 		return
 	}
-	p.result.RecordOutcome(p.scenario, t, code, p.now)
+	sim.result.RecordOutcome(sim.scenario, request, code, sim.now)
 }
 
-// emit passes an event on to who watches the play.
-func (p *simulator) emit(e trace.Event) {
-	if p.options.Watch != nil {
-		e.At = p.now.Microseconds()
-		p.options.Watch(e)
-	}
+// mayHaveRun reports whether a killed instance leaves open if and when the request ran. Clients then retry only
+// idempotent requests: a server may have forgotten the idempotency key by the time of a retry.
+func (a *clientAttempt) mayHaveRun() bool {
+	class := &a.simulator.scenario.Classes[a.request.Class]
+	return a.instance.killed && class.Idempotency != balancer.Idempotent
 }
--- a/internal/emulator/simulation/clock.go
+++ b/internal/emulator/simulation/clock.go
@@ -5,52 +5,57 @@
 	"time"
 )
 
-// event is something that is done at an instant; of several at one instant the first that was added comes first.
+// event is an action scheduled for an instant. Events of the same instant run in the order in which they were
+// scheduled.
 type event struct {
-	at     Time
-	seq    uint64
-	action func()
+	at       Time
+	sequence uint64
+	action   func()
 }
 
-// queue is a heap of events.
-type queue []event
+// eventQueue is a heap of events. It implements heap.Interface.
+type eventQueue []event
 
-func (q queue) Len() int { return len(q) }
-func (q queue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+func (q eventQueue) Len() int      { return len(q) }
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+
+func (q eventQueue) Less(i, j int) bool {
+	if q[i].at != q[j].at {
+		return q[i].at < q[j].at
+	}
+	return q[i].sequence < q[j].sequence
 }
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *queue) Pop() any {
-	old := *q
-	e := old[len(old)-1]
-	old[len(old)-1] = event{}
-	*q = old[:len(old)-1]
-	return e
+
+func (q *eventQueue) Pop() any {
+	events := *q
+	last := events[len(events)-1]
+	events[len(events)-1] = event{} // releases the action
+	*q = events[:len(events)-1]
+	return last
 }
 
-// epoch is the system's time at the start of every play. It is no instant of the
-// machine that plays.
+// epoch is the wall clock time at the start of every run. It differs from the time of the machine that simulates.
 var epoch = time.Unix(1_000_000_000, 0)
 
-// Now is virtual time as the engines have it.
-func (p *simulator) Now() time.Time { return epoch.Add(p.now) }
+// Now returns virtual time as the clock of the engines.
+func (sim *simulator) Now() time.Time { return epoch.Add(sim.now) }
 
-// AfterFunc has something done after a while, as engines ask for it.
-func (p *simulator) AfterFunc(d time.Duration, do func()) { p.after(d, do) }
+// AfterFunc schedules an action as the clock of the engines.
+func (sim *simulator) AfterFunc(delay time.Duration, action func()) { sim.after(delay, action) }
 
-// after has something done after a while.
-func (p *simulator) after(d time.Duration, do func()) {
-	p.seq++
-	heap.Push(&p.queue, event{p.now + max(0, d), p.seq, do})
+// after schedules an action; a negative delay counts as none.
+func (sim *simulator) after(delay time.Duration, action func()) {
+	sim.sequence++
+	heap.Push(&sim.queue, event{at: sim.now + max(0, delay), sequence: sim.sequence, action: action})
 }
 
-// at has something done at an instant.
-func (p *simulator) at(t Time, do func()) { p.after(t-p.now, do) }
+// at schedules an action for an instant.
+func (sim *simulator) at(t Time, action func()) { sim.after(t-sim.now, action) }
 
-// step does the next event.
-func (p *simulator) step() {
-	e := heap.Pop(&p.queue).(event)
-	p.now = e.at
-	e.action()
+// step runs the next event.
+func (sim *simulator) step() {
+	next := heap.Pop(&sim.queue).(event)
+	sim.now = next.at
+	next.action()
 }
--- a/internal/emulator/simulation/connection.go
+++ b/internal/emulator/simulation/connection.go
@@ -7,60 +7,94 @@
 	"pinedale/internal/engine"
 )
 
+// maxIdle is how long an idle connection may be reused. It is the sidecar's setting for servers that close idle
+// connections after 5 s.
+const maxIdle = 3750 * time.Millisecond
+
 // connection is one connection between an instance and a server.
 type connection struct {
 	server         *server
-	machine        *model.Server // the life that it was opened to
-	idleSince      Time
+	machine        *model.Server // the process that accepted the connection
 	openedAt       Time
-	spreadPosition float64 // of a rotation's span, at which it is replaced
+	idleSince      Time
+	spreadPosition float64 // 0 to 1: when within a key rotation the connection is replaced
 }
 
-// rotatedOut says that a connection is of no more use since keys have changed.
+// reusable reports whether an idle connection may carry another request.
+func (c *connection) reusable() bool {
+	idle := c.server.simulator.now - c.idleSince
+	return !c.closedByServer() && !c.rotatedOut() && idle < maxIdle
+}
+
+// rotatedOut reports whether a key rotation has replaced the connection.
 func (c *connection) rotatedOut() bool {
-	for i := range c.server.simulator.scenario.Rotations {
-		if c.server.simulator.now >= c.server.simulator.scenario.Rotations[i].ReplaceAt(c.openedAt, c.spreadPosition) {
+	sim := c.server.simulator
+	for i := range sim.scenario.Rotations {
+		if sim.now >= sim.scenario.Rotations[i].ReplaceAt(c.openedAt, c.spreadPosition) {
 			return true
 		}
 	}
 	return false
 }
 
-// closedByServer says that the life at its other end is over.
-func (c *connection) closedByServer() bool { return c.machine != c.server.machine || c.machine.Down() }
-
-// maxIdle is for how long an idle connection is used, as by the sidecar where servers
-// keep theirs for 5 s.
-const maxIdle = 3750 * time.Millisecond
+// closedByServer reports whether the process that accepted the connection has ended.
+func (c *connection) closedByServer() bool {
+	return c.machine != c.server.machine || c.machine.Down()
+}
 
-// Retire closes a target's idle connections.
-func (n *instance) Retire(t *engine.Target) {
-	for _, c := range n.idleConnections[t] {
-		n.close(c)
+// Retire closes the idle connections to a target.
+func (n *instance) Retire(target *engine.Target) {
+	for _, conn := range n.idleConnections[target] {
+		n.closeConnection(conn)
 	}
-	delete(n.idleConnections, t)
+	delete(n.idleConnections, target)
 }
 
 // Prune closes connections that have been idle for too long.
 func (n *instance) Prune() {
-	for t, list := range n.idleConnections {
-		old := 0
-		for old < len(list) && n.simulator.now-list[old].idleSince >= maxIdle {
-			n.close(list[old])
-			old++
+	for target, idle := range n.idleConnections {
+		expired := 0
+		for expired < len(idle) && n.simulator.now-idle[expired].idleSince >= maxIdle {
+			n.closeConnection(idle[expired])
+			expired++
 		}
-		if n.idleConnections[t] = list[old:]; old == len(list) {
-			delete(n.idleConnections, t)
+		if expired == len(idle) {
+			delete(n.idleConnections, target)
+		} else {
+			n.idleConnections[target] = idle[expired:]
 		}
 	}
 }
 
-// close ends a connection; its server knows one way later.
-func (n *instance) close(c *connection) {
+// takeIdle returns the connection to a target that was used last, nil if there is none to reuse. It closes the
+// unusable ones that it finds.
+func (n *instance) takeIdle(target *engine.Target) *connection {
+	for len(n.idleConnections[target]) > 0 {
+		idle := n.idleConnections[target]
+		last := len(idle) - 1
+		conn := idle[last]
+		n.idleConnections[target] = idle[:last]
+		if conn.reusable() {
+			return conn
+		}
+		n.closeConnection(conn)
+	}
+	return nil
+}
+
+// putIdle keeps a connection for later requests.
+func (n *instance) putIdle(target *engine.Target, conn *connection) {
+	conn.idleSince = n.simulator.now
+	n.idleConnections[target] = append(n.idleConnections[target], conn)
+}
+
+// closeConnection closes a connection. Its server learns of it after the one-way latency.
+func (n *instance) closeConnection(conn *connection) {
 	n.simulator.openConnections--
-	n.simulator.after(n.simulator.scenario.Latency(n.site, c.server.spec.Site), func() {
-		if !c.closedByServer() {
-			c.machine.Disconnect()
+	latency := n.simulator.scenario.Latency(n.site, conn.server.spec.Site)
+	n.simulator.after(latency, func() {
+		if !conn.closedByServer() {
+			conn.machine.Disconnect()
 		}
 	})
 }
--- a/internal/emulator/simulation/instance.go
+++ b/internal/emulator/simulation/instance.go
@@ -6,138 +6,114 @@
 	"log/slog"
 	"maps"
 	"slices"
-	"time"
 
 	"pinedale/balancer"
 	"pinedale/internal/emulator/plan"
-	"pinedale/internal/emulator/trace"
 	"pinedale/internal/engine"
 	"pinedale/internal/upstream/handshake"
 )
 
-// instance is one instance, which is its engine's upstream on virtual time.
+// instance is one load balancer instance. It is the engine.Upstream of its engine on virtual time.
 type instance struct {
 	simulator       *simulator
 	number          int
 	site            int
 	engine          *engine.Engine
-	idleConnections map[*engine.Target][]*connection // the latest used last
-	drainingSince   map[int]Time                     // since when it knows of a drain or an end, by server
-	budget          *handshake.Budget                // of handshakes; nil for none
-	openAttempts    map[*clientAttempt]bool          // without their end
+	budget          *handshake.Budget                // nil for no limit
+	idleConnections map[*engine.Target][]*connection // the one used last is last
+	drainingSince   map[int]Time                     // by server: when the instance learned of its drain or removal
+	openAttempts    map[*clientAttempt]bool          // of clients, without a response
 	killed          bool
 }
 
-// newInstance makes one that knows nothing; incarnation counts how often it was killed.
-func (p *simulator) newInstance(ctx context.Context, i, incarnation int) (n *instance, err error) {
-	n = &instance{simulator: p, number: i, site: p.scenario.Instances[i], idleConnections: map[*engine.Target][]*connection{}, drainingSince: map[int]Time{}, openAttempts: map[*clientAttempt]bool{}}
-	if p.scenario.Budget != nil {
-		if n.budget, err = handshake.New(*p.scenario.Budget); err != nil {
+// newInstance creates an instance without state. incarnation counts how often it was killed before.
+func (sim *simulator) newInstance(ctx context.Context, number, incarnation int) (*instance, error) {
+	n := &instance{
+		simulator:       sim,
+		number:          number,
+		site:            sim.scenario.Instances[number],
+		idleConnections: map[*engine.Target][]*connection{},
+		drainingSince:   map[int]Time{},
+		openAttempts:    map[*clientAttempt]bool{},
+	}
+	if sim.scenario.Budget != nil {
+		budget, err := handshake.New(*sim.scenario.Budget)
+		if err != nil {
 			return nil, err
 		}
+		n.budget = budget
 	}
-	part, err := p.scenario.SubsetFor(i)
+	subset, err := sim.scenario.SubsetFor(number)
 	if err != nil {
 		return nil, err
 	}
-	n.engine, err = engine.New(ctx, engine.Options{Settings: p.scenario.SettingsFor(i), Seed: p.scenario.Seed<<16 | uint64(incarnation)<<40 | uint64(i), Zones: p.scenario.Sites, Kinds: p.scenario.Kinds,
-		Upstream: n, Clock: p, Subset: part, NewDecider: p.options.Decide, Log: slog.New(slog.DiscardHandler)})
+	n.engine, err = engine.New(ctx, engine.Options{
+		Settings:   sim.scenario.SettingsFor(number),
+		Seed:       instanceSeed(sim.scenario.Seed, number, incarnation),
+		Zones:      sim.scenario.Sites,
+		Kinds:      sim.scenario.Kinds,
+		Upstream:   n,
+		Clock:      sim,
+		Subset:     subset,
+		NewDecider: sim.options.Decide,
+		Log:        slog.New(slog.DiscardHandler),
+	})
 	return n, err
 }
 
-// start begins an instance's life with the list as it is known where it stands.
+// instanceSeed derives the seed of an instance from that of the scenario.
+func instanceSeed(seed uint64, number, incarnation int) uint64 {
+	return seed<<16 | uint64(incarnation)<<40 | uint64(number)
+}
+
+// start starts the engine with the endpoint list as it is known on the instance's site.
 func (n *instance) start() {
-	p := n.simulator
+	sim := n.simulator
 	n.engine.Start()
 	list := engine.List{Complete: true}
-	for _, h := range p.servers {
-		incarnation, state, ok := h.stateFor(n)
-		if !ok {
+	for _, server := range sim.servers {
+		incarnation, state, listed := server.stateFor(n)
+		if !listed {
 			continue
 		}
 		if state == balancer.Draining {
-			n.drainingSince[h.number] = p.now
+			n.drainingSince[server.number] = sim.now
 		}
-		list.Hosts = append(list.Hosts, p.scenario.HostEntry(h.number, incarnation, state, h.address, epoch))
+		entry := sim.scenario.HostEntry(server.number, incarnation, state, server.address, epoch)
+		list.Hosts = append(list.Hosts, entry)
 	}
 	n.post(func(now balancer.Micros) { n.engine.UpdateEndpoints(now, balancer.ListFull, list) })
 }
 
-// kill ends an instance: its connections break, and clients with a request there come again where that is safe.
+// kill stops the instance: its connections break, and its clients retry if that is safe.
 func (n *instance) kill() {
 	n.killed = true
-	for _, list := range n.idleConnections {
-		for _, c := range list {
-			n.close(c)
+	for _, idle := range n.idleConnections {
+		for _, conn := range idle {
+			n.closeConnection(conn)
 		}
 	}
-	open := slices.SortedFunc(maps.Keys(n.openAttempts), func(a, b *clientAttempt) int { return cmp.Compare(a.request.Number, b.request.Number) })
-	for _, r := range open {
-		r.end(plan.CodeDisconnected, 0)
+	byNumber := func(a, b *clientAttempt) int { return cmp.Compare(a.request.Number, b.request.Number) }
+	for _, attempt := range slices.SortedFunc(maps.Keys(n.openAttempts), byNumber) {
+		attempt.finish(plan.CodeDisconnected, 0)
 	}
 }
 
-// post hands an event to the engine, unless the instance has been killed.
+// post passes an event to the engine unless the instance was killed.
 func (n *instance) post(event func(now balancer.Micros)) {
 	if !n.killed {
 		n.engine.Post(event)
 	}
 }
 
-// probeTimeout is how long an instance waits for a probe's answer.
-const probeTimeout = 400 * time.Millisecond
-
-// NewCarrier is not used: requests are their own carriers.
-func (n *instance) NewCarrier(*engine.Message) engine.Carrier { return nil }
-
-// Probe asks a server for its load.
-func (n *instance) Probe(_ context.Context, t *engine.Target, done func(engine.Result)) {
-	p := n.simulator
-	if n.killed {
-		return
-	}
-	p.result.Probes++
-	h := p.serverByAddress[t.Address]
-	c := &call{instance: n, server: h, target: t, deadline: p.now + probeTimeout, probe: true}
-	c.onArrival = func() {
-		if eps, queue, ok := h.machine.Probe(p.now); ok {
-			h.reply(c, engine.Result{Status: balancer.OK, Load: []float32{float32(eps), float32(queue)}})
-			h.schedule()
-		}
-	}
-	c.onResult = func(res engine.Result) {
-		res.Duration = p.now - c.startedAt
-		done(res)
-	}
-	p.after(0, c.start)
-}
-
-// Send starts an attempt: the request is its own carrier.
-func (r *clientAttempt) Send(a *engine.Attempt) {
-	p, n := r.simulator, r.instance
-	if n.killed { // what its timers ask for
-		a.Abort = func() {}
-		return
+// updateEndpoint applies a change of one server to the instance's endpoint list.
+func (n *instance) updateEndpoint(server *server, incarnation plan.Incarnation, state balancer.State) {
+	if state == balancer.Ready {
+		delete(n.drainingSince, server.number)
+	} else if _, known := n.drainingSince[server.number]; !known {
+		n.drainingSince[server.number] = n.simulator.now
 	}
-	h := p.serverByAddress[a.Target.Address]
-	p.result.RecordAttempt(h.number, p.now)
-	if since, ok := n.drainingSince[h.number]; ok && p.now > since+time.Duration(p.scenario.Settings.Contract.DrainGrace)*time.Microsecond {
-		p.result.SentAfterDrain++
-	}
-	e := trace.Event{Number: r.request.Number, Try: r.number, Attempt: a.Number + 1, Instance: n.number + 1, Server: h.number + 1}
-	e.Kind = trace.KindAttempt
-	p.emit(e)
-	p.attempts++
-	c := &call{instance: n, server: h, target: a.Target, number: p.attempts, deadline: a.DeadlineTime().Sub(epoch)}
-	c.onArrival = func() { h.arrive(c, r.request) }
-	c.onResult = func(res engine.Result) {
-		e.Kind, e.Code = trace.KindAttemptEnd, int(res.Status)
-		p.emit(e)
-		a.PostResult(res)
-	}
-	a.Abort = func() { p.after(0, func() { c.stop(balancer.Cancelled) }) }
-	p.after(0, c.start)
+	entry := n.simulator.scenario.HostEntry(server.number, incarnation, state, server.address, epoch)
+	list := engine.List{Hosts: []engine.Host{entry}}
+	n.post(func(now balancer.Micros) { n.engine.UpdateEndpoints(now, balancer.ListDelta, list) })
 }
-
-// Cancel gives an attempt up; the server works on.
-func (r *clientAttempt) Cancel(a *engine.Attempt) { a.Abort() }
--- a/internal/emulator/simulation/server.go
+++ b/internal/emulator/simulation/server.go
@@ -11,137 +11,152 @@
 	"pinedale/internal/engine"
 )
 
-// server is one server, in one life after the other.
+// server is one server over all its incarnations.
 type server struct {
 	simulator   *simulator
 	spec        *plan.Server
 	number      int
 	address     string
-	machine     *model.Server // nil before its first life
-	wakeVersion uint64        // version of the wake-up that counts
+	machine     *model.Server // the present process; nil before the first
+	wakeVersion uint64        // number of the wake-up that is valid
 	pending     map[uint64]*call
-	overloaded  bool // it fell over in one of its lives
+	collapsed   bool // in one of its incarnations
 }
 
-// scheduleIncarnations has the server start, drain and end when the scenario says.
-func (h *server) scheduleIncarnations() {
-	p := h.simulator
-	for _, incarnation := range h.spec.Incarnations {
-		p.at(incarnation.From, func() {
-			p.recordStrain(h)
-			h.machine = model.New(h.spec.Config, p.scenario.ServerSeed(h.number), p.now, incarnation.From > 0, p.dedup, fmt.Sprint(h.spec.Pod), h.spec.Faults)
-			if incarnation.From > 0 {
-				h.notify(incarnation, balancer.Ready)
-			}
-		})
+// running reports whether the server has a process that accepts connections.
+func (s *server) running() bool { return s.machine != nil && !s.machine.Down() }
+
+// scheduleIncarnations schedules the starts, drains and ends of the server's processes.
+func (s *server) scheduleIncarnations() {
+	sim := s.simulator
+	for _, incarnation := range s.spec.Incarnations {
+		sim.at(incarnation.From, func() { s.startProcess(incarnation) })
 		if incarnation.Drain != plan.Never {
-			p.at(incarnation.Drain, func() { h.notify(incarnation, balancer.Draining) })
+			sim.at(incarnation.Drain, func() { s.notifyInstances(incarnation, balancer.Draining) })
 		}
 		if incarnation.End != plan.Never {
-			p.at(incarnation.End, func() {
-				h.finishRequests(h.machine.Stop(p.now))
-				h.notify(incarnation, balancer.Removed)
+			sim.at(incarnation.End, func() {
+				s.complete(s.machine.Stop(sim.now))
+				s.notifyInstances(incarnation, balancer.Removed)
 			})
 		}
 	}
 }
 
-// notify has every instance hear of the server, each with its own delay. What is sent
-// later is heard later.
-func (h *server) notify(incarnation plan.Incarnation, s balancer.State) {
-	p := h.simulator
-	for i := range p.instances {
-		p.after(p.scenario.NotificationDelay(h.number, i), func() {
-			n := p.instances[i]
-			if s == balancer.Ready {
-				delete(n.drainingSince, h.number)
-			} else if _, was := n.drainingSince[h.number]; !was {
-				n.drainingSince[h.number] = p.now
-			}
-			p.emit(trace.Event{Kind: trace.KindEndpoint, Instance: n.number + 1, Server: h.number + 1, Code: int(s)})
-			list := engine.List{Hosts: []engine.Host{p.scenario.HostEntry(h.number, incarnation, s, h.address, epoch)}}
-			n.post(func(now balancer.Micros) { n.engine.UpdateEndpoints(now, balancer.ListDelta, list) })
-		})
+// startProcess starts a process of the server. One that was there before the run is warm and known to all instances.
+func (s *server) startProcess(incarnation plan.Incarnation) {
+	sim := s.simulator
+	s.recordStrain()
+	warming := incarnation.From > 0
+	seed, group := sim.scenario.ServerSeed(s.number), fmt.Sprint(s.spec.Pod)
+	s.machine = model.New(s.spec.Config, seed, sim.now, warming, sim.dedup, group, s.spec.Faults)
+	if warming {
+		s.notifyInstances(incarnation, balancer.Ready)
 	}
 }
 
-// stateFor is the server's state as an instance that polls now gets it, as late as it hears of all else.
-func (h *server) stateFor(n *instance) (incarnation plan.Incarnation, state balancer.State, ok bool) {
-	at := h.simulator.now - h.simulator.scenario.NotificationDelay(h.number, n.number)
-	for _, l := range h.spec.Incarnations {
-		if l.From > 0 && l.From > at {
-			break
-		}
-		incarnation, ok = l, l.End == plan.Never || at < l.End
-		if state = balancer.Ready; l.Drain != plan.Never && at >= l.Drain {
-			state = balancer.Draining
-		}
+// recordStrain records how close the present process has come to a collapse.
+func (s *server) recordStrain() {
+	if s.machine != nil {
+		result := s.simulator.result
+		result.PeakStrain = max(result.PeakStrain, s.machine.Strain())
 	}
-	return incarnation, state, ok
 }
 
-// connect opens a connection; nil where there is none to be had.
-func (h *server) connect() *connection {
-	if h.machine == nil {
+// accept opens a connection, nil if the server does not accept one.
+func (s *server) accept() *connection {
+	if s.machine == nil {
 		return nil
 	}
-	ok := h.machine.Connect(h.simulator.now)
-	h.schedule()
-	if !ok {
+	sim := s.simulator
+	accepted := s.machine.Connect(sim.now)
+	s.scheduleWakeUp()
+	if !accepted {
 		return nil
 	}
-	h.simulator.connectionsOpened++
-	return &connection{server: h, machine: h.machine, openedAt: h.simulator.now, spreadPosition: validate.SpreadPosition(h.simulator.connectionsOpened)}
+	sim.connectionsOpened++
+	return &connection{
+		server:         s,
+		machine:        s.machine,
+		openedAt:       sim.now,
+		spreadPosition: validate.SpreadPosition(sim.connectionsOpened),
+	}
 }
 
-// arrive takes an attempt's request.
-func (h *server) arrive(c *call, t *plan.Request) {
-	h.pending[c.number] = c
-	h.finishRequests(h.machine.Arrive(h.simulator.now, model.Request{Number: c.number, Work: t.Work, Class: t.Class, Key: t.Key, AffinityKey: t.AffinityKey}))
-	h.schedule()
+// arrive passes the request of an attempt to the server's process.
+func (s *server) arrive(c *call, request *plan.Request) {
+	s.pending[c.number] = c
+	s.complete(s.machine.Arrive(s.simulator.now, model.Request{
+		Number:      c.number,
+		Work:        request.Work,
+		Class:       request.Class,
+		Key:         request.Key,
+		AffinityKey: request.AffinityKey,
+	}))
+	s.scheduleWakeUp()
 }
 
-// schedule has the machine looked at when it next has something to say.
-func (h *server) schedule() {
-	if h.machine.CollapsedAt() != model.Never && !h.overloaded {
-		h.overloaded = true
-		h.simulator.emit(trace.Event{Kind: trace.KindCollapse, Server: h.number + 1})
+// answerProbe answers a load probe unless the server is unresponsive.
+func (s *server) answerProbe(probe *call) {
+	eps, queue, ok := s.machine.Probe(s.simulator.now)
+	if ok {
+		s.reply(probe, engine.Result{Status: balancer.OK, Load: []float32{float32(eps), float32(queue)}})
+		s.scheduleWakeUp()
 	}
-	h.wakeVersion++
-	version, at := h.wakeVersion, h.machine.NextEvent()
-	if at == model.Never {
+}
+
+// scheduleWakeUp schedules the next advance of the model and cancels the one scheduled before.
+func (s *server) scheduleWakeUp() {
+	s.emitCollapse()
+	s.wakeVersion++
+	version, next := s.wakeVersion, s.machine.NextEvent()
+	if next == model.Never {
 		return
 	}
-	h.simulator.at(at, func() {
-		if version == h.wakeVersion {
-			h.finishRequests(h.machine.Advance(h.simulator.now))
-			h.schedule()
+	s.simulator.at(next, func() {
+		if version == s.wakeVersion {
+			s.complete(s.machine.Advance(s.simulator.now))
+			s.scheduleWakeUp()
 		}
 	})
 }
 
-// statusByOutcome are what an instance makes of how a request ended.
-var statusByOutcome = map[model.Outcome]balancer.Status{model.Served: balancer.OK, model.Deduplicated: balancer.OK, model.Failed: balancer.Error,
-	model.Rejected: balancer.Full, model.ConnectionFailed: balancer.Reset}
+// emitCollapse emits an event when the server collapses for the first time.
+func (s *server) emitCollapse() {
+	if s.machine.CollapsedAt() == model.Never || s.collapsed {
+		return
+	}
+	s.collapsed = true
+	s.simulator.emit(trace.Event{Kind: trace.KindCollapse, Server: s.number + 1})
+}
+
+// statusByOutcome maps the end of a request at a server to the status that its instance sees.
+var statusByOutcome = map[model.Outcome]balancer.Status{
+	model.Served:           balancer.OK,
+	model.Deduplicated:     balancer.OK,
+	model.Failed:           balancer.Error,
+	model.Rejected:         balancer.Full,
+	model.ConnectionFailed: balancer.Reset,
+}
 
-// finishRequests has the machine's ended requests answered.
-func (h *server) finishRequests(all []model.Completion) {
-	for _, e := range all {
-		c := h.pending[e.Number]
-		delete(h.pending, e.Number)
-		if c == nil || e.Outcome == model.Unanswered {
+// complete replies to the requests that the model has completed.
+func (s *server) complete(completions []model.Completion) {
+	for _, completion := range completions {
+		c := s.pending[completion.Number]
+		delete(s.pending, completion.Number)
+		if c == nil || completion.Outcome == model.Unanswered {
 			continue
 		}
-		res := engine.Result{Status: statusByOutcome[e.Outcome]}
-		if e.Outcome != model.ConnectionFailed {
-			eps, queue := h.machine.LoadReport(h.simulator.now)
-			res.Load = []float32{float32(eps), float32(queue)}
+		result := engine.Result{Status: statusByOutcome[completion.Outcome]}
+		if completion.Outcome != model.ConnectionFailed {
+			eps, queue := s.machine.LoadReport(s.simulator.now)
+			result.Load = []float32{float32(eps), float32(queue)}
 		}
-		h.reply(c, res)
+		s.reply(c, result)
 	}
 }
 
-// reply has a call's end be at its instance one way later.
-func (h *server) reply(c *call, res engine.Result) {
-	h.simulator.after(c.latency(), func() { c.finish(res) })
+// reply delivers the result of a call to its instance after the one-way latency.
+func (s *server) reply(c *call, result engine.Result) {
+	s.simulator.after(c.latency(), func() { c.finish(result) })
 }
--- a/internal/emulator/simulation/simulation.go
+++ b/internal/emulator/simulation/simulation.go
@@ -1,7 +1,6 @@
-// Package simulation runs a scenario on virtual time: clients, the real engine and decision
-// module of each instance, the way between, connections, and emulated servers. Nothing
-// waits for a clock or a socket, so a minute of a fleet takes a fraction of a second,
-// and the same seed gives the same answers.
+// Package simulation runs a scenario on virtual time: clients, the real engine and decision module of each instance,
+// the network between instances and servers, and emulated servers. Nothing waits for a clock or a socket, so that a
+// minute of a fleet takes a fraction of a second, and the same seed gives the same result.
 package simulation
 
 import (
@@ -15,129 +14,156 @@
 	"pinedale/internal/emulator/trace"
 )
 
-// Time is virtual.
+// Time is virtual time since the start of a run.
 type Time = plan.Time
 
-// Options are of one play.
+// Options configure one run.
 type Options struct {
-	Decide   baselines.Decide  // in place of the decision module
-	Watch    func(trace.Event) // is told all that is asked, decided and answered
-	Progress func(Time)        // is called each virtual second
+	Decide   baselines.Decide  // creates the deciders of the engines; nil for the decision module
+	Watch    func(trace.Event) // called with every event of the trace; may be nil
+	Progress func(Time)        // called each virtual second; may be nil
 }
 
-// simulator is one run. It has one goroutine: all is done by events, one after the other.
+// simulator is one run. It has a single goroutine, which executes scheduled events one after the other.
 type simulator struct {
-	scenario          *plan.Scenario
-	options           Options
-	now               Time
-	seq               uint64 // of the event added last
-	queue             queue
-	dedup             *model.DedupStore // of all servers
+	scenario *plan.Scenario
+	options  Options
+	result   *plan.Result
+	workload *plan.Workload
+	dedup    *model.DedupStore // shared by all servers
+	err      error             // ends the run
+
+	now      Time
+	sequence uint64 // number of the event scheduled last
+	queue    eventQueue
+
 	servers           []*server
 	serverByAddress   map[string]*server
 	instances         []*instance
 	attempts          uint64 // started so far
 	openConnections   int
-	connectionsOpened uint64 // opened since the start
-	script            *plan.Workload
-	result            *plan.Result
-	err               error // that ends the play
+	connectionsOpened uint64 // since the start of the run
 }
 
-// settleDuration is how long a play goes on after the last first try: all is answered and
-// its servers' work done well within this time.
+// settleDuration is how long a run continues after the last new request. All responses have come and the servers have
+// completed their work well within this time.
 const settleDuration = time.Minute
 
-// Run plays a scenario. Its error is one of the scenario.
+// tickInterval is the interval at which engines prune idle connections.
+const tickInterval = time.Second
+
+// Run runs a scenario to its end.
 func Run(s *plan.Scenario, o Options) (*plan.Result, error) {
-	return runWith(s, o, func(*simulator) {})
+	return newSimulator(s, o).run()
 }
 
-// runWith hands the play to made before it begins.
-func runWith(s *plan.Scenario, o Options, made func(*simulator)) (*plan.Result, error) {
-	p := &simulator{scenario: s, options: o, dedup: s.NewDedupStore(), serverByAddress: map[string]*server{}, script: s.Workload(), result: s.NewResult()}
-	made(p)
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
-	if err := p.start(ctx); err != nil {
-		return nil, err
+func newSimulator(s *plan.Scenario, o Options) *simulator {
+	return &simulator{
+		scenario:        s,
+		options:         o,
+		result:          s.NewResult(),
+		workload:        s.Workload(),
+		dedup:           s.NewDedupStore(),
+		serverByAddress: map[string]*server{},
 	}
-	for n, k := range s.Kills {
-		p.at(k.At, func() { p.kill(ctx, k.Instances, n+1) })
+}
+
+func (sim *simulator) run() (*plan.Result, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if err := sim.start(ctx); err != nil {
+		return nil, err
 	}
-	p.scheduleArrival()
-	for end := s.Length + settleDuration; len(p.queue) > 0 && p.queue[0].at <= end; {
-		if p.step(); p.err != nil {
-			return nil, p.err
-		}
+	for i, kill := range sim.scenario.Kills {
+		sim.at(kill.At, func() { sim.killInstances(ctx, kill.Instances, i+1) })
 	}
-	p.result.DuplicateEffects = len(p.dedup.DuplicateEffects())
-	for _, h := range p.servers {
-		p.recordStrain(h)
-		if h.overloaded {
-			p.result.Collapsed = append(p.result.Collapsed, h.number)
+	sim.scheduleArrival()
+	end := sim.scenario.Length + settleDuration
+	for len(sim.queue) > 0 && sim.queue[0].at <= end {
+		sim.step()
+		if sim.err != nil {
+			return nil, sim.err
 		}
 	}
-	return p.result, nil
+	sim.completeResult()
+	return sim.result, nil
 }
 
-// start makes servers and instances, and starts all that is there from the beginning.
-func (p *simulator) start(ctx context.Context) error {
-	for i := range p.scenario.Servers {
-		h := &server{simulator: p, spec: &p.scenario.Servers[i], number: i, address: fmt.Sprintf("server-%d:80", i+1), pending: map[uint64]*call{}}
-		p.servers = append(p.servers, h)
-		p.serverByAddress[h.address] = h
+// start creates the servers and instances, and starts those that are there from the beginning.
+func (sim *simulator) start(ctx context.Context) error {
+	for i := range sim.scenario.Servers {
+		server := &server{
+			simulator: sim,
+			spec:      &sim.scenario.Servers[i],
+			number:    i,
+			address:   fmt.Sprintf("server-%d:80", i+1),
+			pending:   map[uint64]*call{},
+		}
+		sim.servers = append(sim.servers, server)
+		sim.serverByAddress[server.address] = server
 	}
-	for i := range p.scenario.Instances {
-		n, err := p.newInstance(ctx, i, 0)
+	for i := range sim.scenario.Instances {
+		instance, err := sim.newInstance(ctx, i, 0)
 		if err != nil {
 			return err
 		}
-		p.instances = append(p.instances, n)
+		sim.instances = append(sim.instances, instance)
 	}
-	for _, h := range p.servers {
-		h.scheduleIncarnations()
+	for _, server := range sim.servers {
+		server.scheduleIncarnations()
 	}
-	p.tick()
-	for len(p.queue) > 0 && p.queue[0].at == 0 { // servers that were there before
-		p.step()
+	sim.tick()
+	for len(sim.queue) > 0 && sim.queue[0].at == 0 { // servers that were there before the run
+		sim.step()
 	}
-	for _, n := range p.instances {
-		n.start()
+	for _, instance := range sim.instances {
+		instance.start()
 	}
 	return nil
 }
 
-// kill ends instances and starts each again as one that knows nothing.
-func (p *simulator) kill(ctx context.Context, instances []int, incarnation int) {
-	for _, i := range instances {
-		p.instances[i].kill()
-		n, err := p.newInstance(ctx, i, incarnation)
+// killInstances stops instances and replaces each of them by one without state.
+func (sim *simulator) killInstances(ctx context.Context, numbers []int, incarnation int) {
+	for _, number := range numbers {
+		sim.instances[number].kill()
+		replacement, err := sim.newInstance(ctx, number, incarnation)
 		if err != nil {
-			p.err = err
+			sim.err = err
 			return
 		}
-		p.instances[i] = n
-		n.start()
+		sim.instances[number] = replacement
+		replacement.start()
 	}
 }
 
-// recordStrain counts how near a life of a server has come to its fall.
-func (p *simulator) recordStrain(h *server) {
-	if h.machine != nil {
-		p.result.PeakStrain = max(p.result.PeakStrain, h.machine.Strain())
+// tick runs every tickInterval until the last new request.
+func (sim *simulator) tick() {
+	if sim.options.Progress != nil {
+		sim.options.Progress(sim.now)
+	}
+	for _, instance := range sim.instances {
+		instance.engine.Tick()
+	}
+	if sim.now < sim.scenario.Length {
+		sim.after(tickInterval, sim.tick)
 	}
 }
 
-// tick is called each second: instances let go of idle connections.
-func (p *simulator) tick() {
-	if p.options.Progress != nil {
-		p.options.Progress(p.now)
-	}
-	for _, n := range p.instances {
-		n.engine.Tick()
+// completeResult adds what is known only at the end of the run.
+func (sim *simulator) completeResult() {
+	sim.result.DuplicateEffects = len(sim.dedup.DuplicateEffects())
+	for _, server := range sim.servers {
+		server.recordStrain()
+		if server.collapsed {
+			sim.result.Collapsed = append(sim.result.Collapsed, server.number)
+		}
 	}
-	if p.now < p.scenario.Length {
-		p.after(time.Second, p.tick)
+}
+
+// emit passes an event of the trace to the caller of Run.
+func (sim *simulator) emit(event trace.Event) {
+	if sim.options.Watch != nil {
+		event.At = sim.now.Microseconds()
+		sim.options.Watch(event)
 	}
 }
--- a/internal/emulator/simulation/simulation_test.go
+++ b/internal/emulator/simulation/simulation_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -10,187 +12,303 @@
 	"pinedale/internal/emulator/baselines"
 	"pinedale/internal/emulator/model"
 	"pinedale/internal/emulator/plan"
+	"pinedale/internal/emulator/trace"
 )
 
 const (
-	ms     = time.Millisecond
-	second = balancer.Micros(1_000_000)
+	ms           = time.Millisecond
+	microsSecond = balancer.Micros(1_000_000)
 )
 
-// machine is one of the fleet's kinds.
+// machine returns the configuration of one of the test fleet's machine kinds.
 func machine(cores int, speed float64) model.Config {
-	return model.Config{Cores: cores, Speed: speed, SlotsPerCore: 1, QueuePerCore: 300, ThrashRatio: 0.08, ThrashThreshold: 5,
-		SlowStartRatio: 0.4, SlowStartTime: 6 * time.Second, OverloadMultiple: 2.5, OverloadWindow: time.Second, PauseInterval: 5 * time.Second, PauseDuration: 20 * ms,
-		ReportInterval: 150 * ms, ReportDelay: 40 * ms, ReportNoise: 0.1, ProbeWork: 120 * time.Microsecond}
-}
-
-// market is an ordinary market day's minute: 10 servers of three kinds on two sites,
-// 4 instances, load at about half of what they can do.
-func market(seed uint64) *plan.Scenario {
-	s := &plan.Scenario{Seed: seed, Length: 20 * time.Second, Sites: []string{"a", "b"}, Kinds: []string{"big", "small", "slow"}, Weights: []float64{6, 2.4, 2.4}, Latencies: [2]time.Duration{250 * time.Microsecond, 7 * ms},
-		Instances: []int{0, 0, 1, 1}, Clients: plan.Clients{Rate: 120, Retries: 2, TimeoutRatio: 0.53, RetryDelay: 50 * ms}, MaxNotificationDelay: 2 * time.Second, DrainDuration: 4 * time.Second,
-		Classes: []plan.Class{
-			{Class: balancer.Class{Name: "price-check", Idempotency: balancer.Idempotent, LatencyObjective: 600_000, ClientTimeout: 3 * second, PriorityWeight: 2, LateWeightRatio: 0.3}, Share: 0.47, Work: 120 * ms, CV: 0.4},
-			{Class: balancer.Class{Name: "stall-pay", Idempotency: balancer.IdempotentWithKey, Group: balancer.GroupAll, DedupWindow: 1_500_000, LatencyObjective: 600_000, ClientTimeout: 2_500_000, PriorityWeight: 10, LateWeightRatio: 0.3}, Share: 0.34, Work: 100 * ms, CV: 0.4},
-			{Class: balancer.Class{Name: "day-close", Idempotency: balancer.IdempotentWithKey, Group: balancer.GroupCell, DedupWindow: 12 * second, LatencyObjective: 1_200_000, ClientTimeout: 2_500_000, PriorityWeight: 3, LateWeightRatio: 0.3}, Share: 0.19, Work: 190 * ms, CV: 0.4}},
-		Settings: balancer.Settings{Fields: []balancer.Field{balancer.FieldErrors, balancer.FieldQueue},
-			Limits:   balancer.Limits{Cancel: true, Probes: true, Hedging: true, RetryAfter: true, MaxAttempts: 3, MaxOpen: 1000, MaxRetryAfter: 1_500_000},
-			Contract: balancer.Contract{DrainGrace: 2 * second, SlowStartRatio: 0.31, SlowStartTime: 8_600_000, OverloadMultiple: 2.5, OverloadTime: second, PollInterval: 10 * second},
-			Prices:   balancer.Prices{CrossZone: 0.03, Probe: 0.05}, Goal: balancer.Goal{Overall: 0.45, WorstWindow: 0.35, WorstClass: 0.2}, WeightByWork: true}}
+	return model.Config{
+		Cores:            cores,
+		Speed:            speed,
+		SlotsPerCore:     1,
+		QueuePerCore:     300,
+		ThrashRatio:      0.08,
+		ThrashThreshold:  5,
+		SlowStartRatio:   0.4,
+		SlowStartTime:    6 * time.Second,
+		OverloadMultiple: 2.5,
+		OverloadWindow:   time.Second,
+		PauseInterval:    5 * time.Second,
+		PauseDuration:    20 * ms,
+		ReportInterval:   150 * ms,
+		ReportDelay:      40 * ms,
+		ReportNoise:      0.1,
+		ProbeWork:        120 * time.Microsecond,
+	}
+}
+
+// smallFleet returns a scenario of 20 s: 10 servers of three kinds on two sites and 4 instances, with a load of about
+// half the fleet's capacity.
+func smallFleet(seed uint64) *plan.Scenario {
+	s := &plan.Scenario{
+		Seed:                 seed,
+		Length:               20 * time.Second,
+		Sites:                []string{"a", "b"},
+		Kinds:                []string{"big", "small", "slow"},
+		Weights:              []float64{6, 2.4, 2.4},
+		Latencies:            [2]time.Duration{250 * time.Microsecond, 7 * ms},
+		Instances:            []int{0, 0, 1, 1},
+		Clients:              plan.Clients{Rate: 120, Retries: 2, TimeoutRatio: 0.53, RetryDelay: 50 * ms},
+		MaxNotificationDelay: 2 * time.Second,
+		DrainDuration:        4 * time.Second,
+		Classes:              smallFleetClasses(),
+		Settings: balancer.Settings{
+			Fields: []balancer.Field{balancer.FieldErrors, balancer.FieldQueue},
+			Limits: balancer.Limits{
+				Cancel:        true,
+				Probes:        true,
+				Hedging:       true,
+				RetryAfter:    true,
+				MaxAttempts:   3,
+				MaxOpen:       1000,
+				MaxRetryAfter: 1_500_000,
+			},
+			Contract: balancer.Contract{
+				DrainGrace:       2 * microsSecond,
+				SlowStartRatio:   0.31,
+				SlowStartTime:    8_600_000,
+				OverloadMultiple: 2.5,
+				OverloadTime:     microsSecond,
+				PollInterval:     10 * microsSecond,
+			},
+			Prices:       balancer.Prices{CrossZone: 0.03, Probe: 0.05},
+			Goal:         balancer.Goal{Overall: 0.45, WorstWindow: 0.35, WorstClass: 0.2},
+			WeightByWork: true,
+		},
+	}
+	kinds := []model.Config{machine(3, 2), machine(2, 1.2), machine(3, 0.8)}
 	for i := range 10 {
-		cfg := machine(3, 2)
-		switch i % 3 {
-		case 1:
-			cfg = machine(2, 1.2)
-		case 2:
-			cfg = machine(3, 0.8)
-		}
-		s.Servers = append(s.Servers, plan.Server{Name: fmt.Sprint("s-", i), Kind: i % 3, Site: i % 2, Pod: i / 4, Config: cfg, Incarnations: plan.Always})
+		s.Servers = append(s.Servers, plan.Server{
+			Name:         fmt.Sprint("s-", i),
+			Kind:         i % 3,
+			Site:         i % 2,
+			Pod:          i / 4,
+			Config:       kinds[i%3],
+			Incarnations: plan.Always,
+		})
 	}
 	return s
 }
 
+func smallFleetClasses() []plan.Class {
+	return []plan.Class{
+		{
+			Class: balancer.Class{
+				Name:             "price-check",
+				Idempotency:      balancer.Idempotent,
+				LatencyObjective: 600_000,
+				ClientTimeout:    3 * microsSecond,
+				PriorityWeight:   2,
+				LateWeightRatio:  0.3,
+			},
+			Share: 0.47,
+			Work:  120 * ms,
+			CV:    0.4,
+		},
+		{
+			Class: balancer.Class{
+				Name:             "stall-pay",
+				Idempotency:      balancer.IdempotentWithKey,
+				Group:            balancer.GroupAll,
+				DedupWindow:      1_500_000,
+				LatencyObjective: 600_000,
+				ClientTimeout:    2_500_000,
+				PriorityWeight:   10,
+				LateWeightRatio:  0.3,
+			},
+			Share: 0.34,
+			Work:  100 * ms,
+			CV:    0.4,
+		},
+		{
+			Class: balancer.Class{
+				Name:             "day-close",
+				Idempotency:      balancer.IdempotentWithKey,
+				Group:            balancer.GroupCell,
+				DedupWindow:      12 * microsSecond,
+				LatencyObjective: 1_200_000,
+				ClientTimeout:    2_500_000,
+				PriorityWeight:   3,
+				LateWeightRatio:  0.3,
+			},
+			Share: 0.19,
+			Work:  190 * ms,
+			CV:    0.4,
+		},
+	}
+}
+
+// drainAndEnd returns the incarnations of a server that drains and ends.
+func drainAndEnd(drain, end Time) []plan.Incarnation {
+	return []plan.Incarnation{{Drain: drain, End: end}}
+}
+
+// joinAt returns the incarnation of a server that starts cold and stays.
+func joinAt(from Time) plan.Incarnation {
+	return plan.Incarnation{From: from, Drain: plan.Never, End: plan.Never}
+}
+
+// run runs a scenario with the decision module.
 func run(t *testing.T, s *plan.Scenario) *plan.Result {
 	t.Helper()
-	r, err := Run(s, Options{})
+	return runPolicy(t, s, baselines.Module, nil)
+}
+
+// runPolicy runs a scenario with a policy and passes the events of its trace to watch.
+func runPolicy(t *testing.T, s *plan.Scenario, policy string, watch func(trace.Event)) *plan.Result {
+	t.Helper()
+	decide, err := baselines.Named(policy, s.Weights)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return r
+	result, err := Run(s, Options{Decide: decide, Watch: watch})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return result
 }
 
-func TestCalmMarket(t *testing.T) {
-	began := time.Now()
-	r := run(t, market(1))
-	if reason := r.Violations(); reason != "" {
-		t.Error(reason)
+// requireNoViolations reports the violations of a run.
+func requireNoViolations(t *testing.T, result *plan.Result) {
+	t.Helper()
+	if violations := result.Violations(); violations != "" {
+		t.Error(violations)
 	}
-	if in := r.InTime(); in < 0.98 {
-		t.Errorf("%.3f served in time on a calm day: %+v", in, r.Classes)
+}
+
+// requireInTime reports a run that served less than a ratio of its requests in time.
+func requireInTime(t *testing.T, result *plan.Result, lowest float64) {
+	t.Helper()
+	if got := result.InTime(); got < lowest {
+		t.Errorf("%.3f served in time, want at least %.3f: %+v", got, lowest, result.Classes)
 	}
-	for i, n := range r.Attempts {
-		if n == 0 {
-			t.Errorf("server %d got nothing", i)
+}
+
+// attemptShare returns the share of the attempts in seconds from to before until that went to some servers.
+func attemptShare(result *plan.Result, from, until int, servers ...int) float64 {
+	var selected, total float64
+	for _, second := range result.Seconds[from:until] {
+		for server, attempts := range second.Attempts {
+			total += float64(attempts)
+			if slices.Contains(servers, server) {
+				selected += float64(attempts)
+			}
 		}
 	}
-	t.Logf("20 s of %d first tries in %v: %+v", r.Classes[0].Requested+r.Classes[1].Requested+r.Classes[2].Requested, time.Since(began), r.Classes)
+	return selected / total
 }
 
-// The same seed gives the same answers, to the last one; another seed others.
-func TestSameSeedSameAnswers(t *testing.T) {
-	a, b, c := run(t, market(3)), run(t, market(3)), run(t, market(4))
-	if !reflect.DeepEqual(a, b) {
-		t.Errorf("the same seed: %+v and %+v", a, b)
-	}
-	if reflect.DeepEqual(a.Seconds, c.Seconds) {
-		t.Error("another seed gives the same seconds")
+func TestCalmFleetServesInTime(t *testing.T) {
+	began := time.Now()
+	result := run(t, smallFleet(1))
+	requireNoViolations(t, result)
+	requireInTime(t, result, 0.98)
+	for server, attempts := range result.Attempts {
+		if attempts == 0 {
+			t.Errorf("server %d got no attempt", server)
+		}
 	}
+	requested := result.Classes[0].Requested + result.Classes[1].Requested + result.Classes[2].Requested
+	t.Logf("20 s of %d requests in %v: %+v", requested, time.Since(began), result.Classes)
 }
 
-// 18% of the servers fail most of their requests at once while looking healthy.
-func TestServersFailingFast(t *testing.T) {
-	s := market(5)
-	for _, i := range []int{0, 6} {
-		s.Servers[i].Faults = []model.Fault{{From: 5 * time.Second, Until: 15 * time.Second, FailFastRatio: 0.9}}
-	}
-	r := run(t, s)
-	if reason := r.Violations(); reason != "" {
-		t.Error(reason)
+func TestSameSeedGivesSameResult(t *testing.T) {
+	first, second, other := run(t, smallFleet(3)), run(t, smallFleet(3)), run(t, smallFleet(4))
+	if !reflect.DeepEqual(first, second) {
+		t.Errorf("the same seed gives %+v and %+v", first, second)
 	}
-	if in := r.InTime(); in < 0.93 {
-		t.Errorf("%.3f served in time: %+v", in, r.Classes)
+	if reflect.DeepEqual(first.Seconds, other.Seconds) {
+		t.Error("another seed gives the same seconds")
 	}
 }
 
-// A fresh server that comes to a crowded fleet is not overrun; where the instances are
-// told that servers start warm, it is: the play shows what the protection is worth.
-func TestFreshServerUnderFullLoad(t *testing.T) {
-	fresh := func(seed uint64) *plan.Scenario {
-		s := market(seed)
-		s.Servers, s.Clients.Rate = s.Servers[:4], 150 // more than the first three can do
-		s.Instances = make([]int, 40)
-		for i := range s.Servers {
-			s.Servers[i].Config = machine(3, 1.5)
-		}
-		s.Servers[3].Incarnations = []plan.Incarnation{{From: 10 * time.Second, Drain: plan.Never, End: plan.Never}}
-		warming := &s.Servers[3].Config
-		warming.SlowStartRatio, warming.SlowStartTime, warming.OverloadMultiple = 0.31, 8600*ms, 1 // weaker than the market's: what it can do, for 1 s
-		s.Settings.Contract.OverloadMultiple = 1
-		return s
-	}
-	fell := 0
-	for seed := range uint64(4) {
-		if r := run(t, fresh(seed)); r.Violations() != "" {
-			t.Errorf("seed %d: %s", seed, r.Violations())
+// digest runs a scenario and hashes its trace. With a pause it sleeps after every 1000 events.
+func digest(t *testing.T, s *plan.Scenario, pause time.Duration) (sum uint64, events int) {
+	t.Helper()
+	hash := fnv.New64a()
+	runPolicy(t, s, baselines.Module, func(event trace.Event) {
+		events++
+		if pause > 0 && events%1000 == 0 {
+			time.Sleep(pause)
 		}
-		s := fresh(seed)
-		s.Settings.Contract.SlowStartTime = 0
-		fell += len(run(t, s).Collapsed)
-	}
-	if fell == 0 {
-		t.Error("nothing falls over without the protection: the play shows nothing")
-	}
+		fmt.Fprintln(hash, event)
+	})
+	return hash.Sum64(), events
 }
 
-// A fleet that shrinks: drains are honoured, and a broken rule would show.
-func TestShrinkingFleet(t *testing.T) {
-	s := market(7)
-	for i := range 5 {
-		at := Time(5+2*i) * time.Second
-		s.Servers[i*2].Incarnations = []plan.Incarnation{{Drain: at, End: at + s.DrainDuration}}
-	}
-	s.Surges = []plan.Surge{{From: 5 * time.Second, Until: 20 * time.Second, Factor: 0.5, Tenant: -1}}
-	r := run(t, s)
-	if reason := r.Violations(); reason != "" {
-		t.Error(reason)
+func TestResultIsIndependentOfRealTime(t *testing.T) {
+	sum, events := digest(t, smallFleet(3), 0)
+	if pausedSum, pausedEvents := digest(t, smallFleet(3), 20*ms); pausedSum != sum || pausedEvents != events {
+		t.Errorf("a run with pauses differs: %d events and %d", events, pausedEvents)
 	}
-	if in := r.InTime(); in < 0.9 {
-		t.Errorf("%.3f served in time: %+v", in, r.Classes)
+	if otherSum, _ := digest(t, smallFleet(4), 0); otherSum == sum {
+		t.Error("another seed gives the same trace")
 	}
 }
 
-// One class turns costly: the others keep most of their service.
-func TestOneClassTurnsCostly(t *testing.T) {
-	s := market(9)
-	s.CostSurges = []plan.CostSurge{{From: 5 * time.Second, Until: 15 * time.Second, Class: 0, Share: 0.02, Factor: 15}}
-	r := run(t, s)
-	if reason := r.Violations(); reason != "" {
-		t.Error(reason)
+func TestRateVariationSpreadsRequestsUnevenly(t *testing.T) {
+	requestsByInstance := func(variation float64) []int {
+		s := smallFleet(2)
+		s.Instances, s.Clients.RateVariation = make([]int, 20), variation
+		counts := make([]int, 20)
+		workload := s.Workload()
+		for request, ok := workload.Next(); ok; request, ok = workload.Next() {
+			counts[request.Instance]++
+		}
+		return counts
+	}
+	imbalance := func(counts []int) float64 {
+		return float64(slices.Max(counts)) / float64(slices.Min(counts))
+	}
+	even, uneven := requestsByInstance(0), requestsByInstance(1)
+	if imbalance(even) > 2.5 || imbalance(uneven) < 4 {
+		t.Errorf("without variation: %v, with: %v", even, uneven)
 	}
-	if c := r.Classes[1]; float64(c.InTime) < 0.85*float64(c.Requested) {
-		t.Errorf("stall-pay %+v", c)
+	if !slices.Equal(uneven, requestsByInstance(1)) {
+		t.Error("another run has other rates")
 	}
 }
 
-// Simulated requests a second of one core, by servers and policy, at half the fleet's
-// load: what a play costs, and what of it is the policy.
-func BenchmarkPlay(b *testing.B) {
+// BenchmarkRun measures simulated requests a second on one core, by the number of servers and the policy, at half the
+// fleet's capacity.
+func BenchmarkRun(b *testing.B) {
 	for _, servers := range []int{10, 100, 1000} {
 		for _, policy := range baselines.Names() {
 			b.Run(fmt.Sprintf("%d/%s", servers, policy), func(b *testing.B) {
-				tries := 0
+				requests := 0
 				for b.Loop() {
-					s := market(1)
-					for i := len(s.Servers); i < servers; i++ {
-						x := s.Servers[i%10]
-						x.Name, x.Pod = fmt.Sprint("s-", i), i/4
-						s.Servers = append(s.Servers, x)
-					}
-					s.Clients.Rate = 12 * float64(servers)
-					s.Length = max(2*time.Second, time.Duration(100/servers)*time.Second)
+					s := benchmarkScenario(servers)
 					decide, err := baselines.Named(policy, s.Weights)
 					if err != nil {
 						b.Fatal(err)
 					}
-					r, err := Run(s, Options{Decide: decide})
+					result, err := Run(s, Options{Decide: decide})
 					if err != nil {
 						b.Fatal(err)
 					}
-					tries += r.ClientAttempts
+					requests += result.ClientAttempts
 				}
-				b.ReportMetric(float64(tries)/b.Elapsed().Seconds(), "requests/s")
-				b.ReportMetric(b.Elapsed().Seconds()*1e6/float64(tries), "us/request")
+				b.ReportMetric(float64(requests)/b.Elapsed().Seconds(), "requests/s")
+				b.ReportMetric(b.Elapsed().Seconds()*1e6/float64(requests), "us/request")
 			})
 		}
 	}
 }
+
+// benchmarkScenario returns a scenario with this many servers and a load in proportion.
+func benchmarkScenario(servers int) *plan.Scenario {
+	s := smallFleet(1)
+	for i := len(s.Servers); i < servers; i++ {
+		copied := s.Servers[i%10]
+		copied.Name, copied.Pod = fmt.Sprint("s-", i), i/4
+		s.Servers = append(s.Servers, copied)
+	}
+	s.Clients.Rate = 12 * float64(servers)
+	s.Length = max(2*time.Second, time.Duration(100/servers)*time.Second)
+	return s
+}
