--- a/internal/emulator/plan/result.go
+++ b/internal/emulator/plan/result.go
@@ -2,187 +2,144 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"time"
 )
 
-// Tally counts first tries by how they ended at last.
+// Tally counts requests by their final outcome.
 type Tally struct {
 	Requested, InTime, Late, Rejected, Failed int
 }
 
-func (t *Tally) add(o Tally) {
-	t.Requested, t.InTime, t.Late = t.Requested+o.Requested, t.InTime+o.InTime, t.Late+o.Late
-	t.Rejected, t.Failed = t.Rejected+o.Rejected, t.Failed+o.Failed
+// add adds the counts of another tally.
+func (t *Tally) add(other Tally) {
+	t.Requested += other.Requested
+	t.InTime += other.InTime
+	t.Late += other.Late
+	t.Rejected += other.Rejected
+	t.Failed += other.Failed
 }
 
-// Second is one second of a play, by the start of the first try.
+// Second is the result of one second of a run. Requests count for the second of their first client attempt.
 type Second struct {
 	Classes        []Tally
-	ResponseMillis []float32 // of those served, milliseconds, unordered
-	Attempts       []int32   // attempts at each server
+	ResponseMillis []float32 // response times of successes, unordered
+	Attempts       []int32   // by server
 }
 
-// Total sums the classes.
-func (s *Second) Total() (t Tally) {
-	for _, c := range s.Classes {
-		t.add(c)
+// Total sums the tallies of all classes.
+func (s *Second) Total() Tally { return sumTallies(s.Classes) }
+
+func sumTallies(tallies []Tally) Tally {
+	var sum Tally
+	for _, tally := range tallies {
+		sum.add(tally)
 	}
-	return t
+	return sum
 }
 
-// Quantile is a quantile of the times to an answer; 0 if nothing was served.
-func (s *Second) Quantile(q float64) time.Duration {
+// Quantile returns a quantile of the response times, 0 if there are none.
+func (s *Second) Quantile(quantile float64) time.Duration {
 	if len(s.ResponseMillis) == 0 {
 		return 0
 	}
 	sorted := slices.Sorted(slices.Values(s.ResponseMillis))
-	at := min(len(sorted)-1, int(q*float64(len(sorted))))
-	return time.Duration(float64(sorted[at]) * float64(time.Millisecond))
+	rank := min(len(sorted)-1, int(quantile*float64(len(sorted))))
+	return time.Duration(float64(sorted[rank]) * float64(time.Millisecond))
 }
 
-// Result is what came of a play.
+// Result is the result of a run.
 type Result struct {
 	Classes          []Tally
 	Tenants          []Tally
 	Seconds          []Second
-	Attempts         []int // attempts at each server
-	ClientAttempts   int   // first ones and retries
+	Attempts         []int // by server
+	ClientAttempts   int   // with retries
 	Probes           int
-	Connections      int     // open at once, at most
-	Handshakes       int     // connections opened; on virtual time alone
-	PeakStrain       float64 // of the cold server that came nearest to its fall, 1 being that; on virtual time alone
-	HandshakesDenied int     // attempts and probes that had no turn for a handshake
-	PeakHandshakes   int     // handshakes that one server had in one second of the play, at most
+	Connections      int     // the highest number open at once
+	Handshakes       int     // connections opened; on virtual time only
+	HandshakesDenied int     // attempts and probes that the handshake budget refused
+	PeakHandshakes   int     // the highest number at one server in one second
+	PeakStrain       float64 // of all warming servers; 1 is a collapse; on virtual time only
 
-	shakes []int // by server, in the second that is counted now
-	second int
+	// Violations of what an instance and a fleet must ensure.
+	Unanswered       int   // client attempts with no response in time, or with two
+	DuplicateEffects int   // effects that happened more than once
+	SentAfterDrain   int   // attempts later than the grace after the notification of a drain
+	Collapsed        []int // servers that collapsed
 
-	// What must not be.
-	Unanswered       int   // tries without a final answer in time, or with two
-	DuplicateEffects int   // effects done twice
-	SentAfterDrain   int   // sends later than the grace after a drain was told
-	Collapsed        []int // servers that fell over
+	// State of RecordHandshake.
+	handshakeSecond    int
+	handshakesByServer []int // in handshakeSecond
 }
 
-// NewResult returns a result of nothing yet.
+// NewResult returns the empty result of a run.
 func (s *Scenario) NewResult() *Result {
-	r := &Result{Classes: make([]Tally, len(s.Classes)), Tenants: make([]Tally, len(s.Tenants)), Attempts: make([]int, len(s.Servers)),
-		Seconds: make([]Second, int((s.Length+time.Second-1)/time.Second))}
+	r := &Result{
+		Classes:  make([]Tally, len(s.Classes)),
+		Tenants:  make([]Tally, len(s.Tenants)),
+		Attempts: make([]int, len(s.Servers)),
+		Seconds:  make([]Second, int((s.Length+time.Second-1)/time.Second)),
+	}
 	for i := range r.Seconds {
-		r.Seconds[i].Classes, r.Seconds[i].Attempts = make([]Tally, len(s.Classes)), make([]int32, len(s.Servers))
+		r.Seconds[i].Classes = make([]Tally, len(s.Classes))
+		r.Seconds[i].Attempts = make([]int32, len(s.Servers))
 	}
 	return r
 }
 
-// RecordHandshake counts a handshake.
+// RecordHandshake counts a new connection to a server. Calls must be in the order of time.
 func (r *Result) RecordHandshake(server int, at Time) {
-	if second := int(at / time.Second); second != r.second || r.shakes == nil {
-		r.second, r.shakes = second, make([]int, len(r.Attempts))
+	second := int(at / time.Second)
+	if second != r.handshakeSecond || r.handshakesByServer == nil {
+		r.handshakeSecond = second
+		r.handshakesByServer = make([]int, len(r.Attempts))
 	}
 	r.Handshakes++
-	r.shakes[server]++
-	r.PeakHandshakes = max(r.PeakHandshakes, r.shakes[server])
+	r.handshakesByServer[server]++
+	r.PeakHandshakes = max(r.PeakHandshakes, r.handshakesByServer[server])
 }
 
-// RecordAttempt counts an attempt.
+// RecordAttempt counts an attempt at a server.
 func (r *Result) RecordAttempt(server int, at Time) {
 	r.Attempts[server]++
-	if i := int(at / time.Second); i < len(r.Seconds) {
-		r.Seconds[i].Attempts[server]++
+	if second := int(at / time.Second); second < len(r.Seconds) {
+		r.Seconds[second].Attempts[server]++
 	}
 }
 
-// RecordOutcome counts how a client's wish ended.
-func (r *Result) RecordOutcome(s *Scenario, t *Request, code int, now Time) {
-	c, took := &s.Classes[t.Class], now-t.At
-	one := Tally{Requested: 1}
-	second := &r.Seconds[int(t.At/time.Second)]
+// RecordOutcome counts the final outcome of a request.
+func (r *Result) RecordOutcome(s *Scenario, request *Request, code int, now Time) {
+	second := &r.Seconds[int(request.At/time.Second)]
+	elapsed := now - request.At
+	outcome := Tally{Requested: 1}
 	switch code {
-	case 200:
-		if took <= time.Duration(c.LatencyObjective)*time.Microsecond {
-			one.InTime = 1
+	case http.StatusOK:
+		objective := time.Duration(s.Classes[request.Class].LatencyObjective) * time.Microsecond
+		if elapsed <= objective {
+			outcome.InTime = 1
 		} else {
-			one.Late = 1
+			outcome.Late = 1
 		}
-		second.ResponseMillis = append(second.ResponseMillis, float32(took.Seconds()*1e3))
-	case 503:
-		one.Rejected = 1
+		second.ResponseMillis = append(second.ResponseMillis, float32(elapsed.Seconds()*1e3))
+	case http.StatusServiceUnavailable:
+		outcome.Rejected = 1
 	default:
-		one.Failed = 1
-	}
-	r.Classes[t.Class].add(one)
-	second.Classes[t.Class].add(one)
-	if t.Tenant < len(r.Tenants) {
-		r.Tenants[t.Tenant].add(one)
-	}
-}
-
-// InTime is the share of first tries that were served within their aim.
-func (r *Result) InTime() float64 {
-	var all Tally
-	for _, t := range r.Classes {
-		all.add(t)
-	}
-	return float64(all.InTime) / float64(max(1, all.Requested))
-}
-
-// earned is the worth of what was served, and what there was to earn.
-func (s *Scenario) earned(classes []Tally) (got, highest float64) {
-	for i, t := range classes {
-		c := &s.Classes[i]
-		got += c.PriorityWeight * (float64(t.InTime) + c.LateWeightRatio*float64(t.Late))
-		highest += c.PriorityWeight * float64(t.Requested)
-	}
-	return got, highest
-}
-
-// window is the time whose worst stretch is told, in seconds.
-const window = 10
-
-// WorstWindow is the least share of the worth earned over any 10 s, of a play that is
-// as long.
-func (s *Scenario) WorstWindow(r *Result) float64 {
-	worst := 1.0
-	for i := 0; i+window <= len(r.Seconds); i++ {
-		var got, highest float64
-		for j := range window {
-			g, m := s.earned(r.Seconds[i+j].Classes)
-			got, highest = got+g, highest+m
-		}
-		if highest > 0 {
-			worst = min(worst, got/highest)
-		}
+		outcome.Failed = 1
 	}
-	return worst
-}
-
-// WorstClass is the least share of a class's worth that was earned.
-func (s *Scenario) WorstClass(r *Result) float64 {
-	worst := 1.0
-	for i, t := range r.Classes {
-		if t.Requested > 0 {
-			worst = min(worst, (float64(t.InTime)+s.Classes[i].LateWeightRatio*float64(t.Late))/float64(t.Requested))
-		}
-	}
-	return worst
-}
-
-// Score is G, the one figure of a play, 0 to 1: shares of the worth earned, over the whole,
-// in the worst 10 s and by the worst class, weighted by the settings' goal.
-func (s *Scenario) Score(r *Result) float64 {
-	got, highest := s.earned(r.Classes)
-	if highest == 0 {
-		return 0
+	r.Classes[request.Class].add(outcome)
+	second.Classes[request.Class].add(outcome)
+	if request.Tenant < len(r.Tenants) {
+		r.Tenants[request.Tenant].add(outcome)
 	}
-	g := s.Settings.Goal
-	return (g.Overall*got/highest + g.WorstWindow*s.WorstWindow(r) + g.WorstClass*s.WorstClass(r)) / (g.Overall + g.WorstWindow + g.WorstClass)
 }
 
-// Violations says which rule was broken, "" if none was.
+// Violations describes the violations of a run, empty if there are none.
 func (r *Result) Violations() string {
 	if r.Unanswered+r.DuplicateEffects+r.SentAfterDrain+len(r.Collapsed) == 0 {
 		return ""
 	}
-	return fmt.Sprintf("unanswered %d, done twice %d, sent after a drain %d, fallen over %v", r.Unanswered, r.DuplicateEffects, r.SentAfterDrain, r.Collapsed)
+	return fmt.Sprintf("unanswered %d, done twice %d, sent after a drain %d, fallen over %v",
+		r.Unanswered, r.DuplicateEffects, r.SentAfterDrain, r.Collapsed)
 }
--- a/internal/emulator/scenario/plan.go
+++ b/internal/emulator/scenario/plan.go
@@ -39,7 +39,7 @@
 		Seed:                 seed,
 		Length:               time.Duration(f.Length),
 		Sites:                f.Sites,
-		Latencies:            [2]time.Duration{time.Duration(f.Latency.SameSite), time.Duration(f.Latency.CrossSite)},
+		Latencies:            f.Latency.plan(),
 		MaxNotificationDelay: time.Duration(f.Membership.MaxNotificationDelay),
 		DrainDuration:        time.Duration(f.Membership.DrainDuration),
 		Clients:              f.Clients.plan(),
@@ -68,6 +68,10 @@
 	return s
 }
 
+func (l *Latency) plan() plan.Latencies {
+	return plan.Latencies{SameSite: time.Duration(l.SameSite), CrossSite: time.Duration(l.CrossSite)}
+}
+
 func (c *Clients) plan() plan.Clients {
 	return plan.Clients{
 		Rate:               c.Rate,
--- a/internal/emulator/simulation/simulation_test.go
+++ b/internal/emulator/simulation/simulation_test.go
@@ -51,7 +51,7 @@
 		Sites:                []string{"a", "b"},
 		Kinds:                []string{"big", "small", "slow"},
 		Weights:              []float64{6, 2.4, 2.4},
-		Latencies:            [2]time.Duration{250 * time.Microsecond, 7 * ms},
+		Latencies:            plan.Latencies{SameSite: 250 * time.Microsecond, CrossSite: 7 * ms},
 		Instances:            []int{0, 0, 1, 1},
 		Clients:              plan.Clients{Rate: 120, Retries: 2, TimeoutRatio: 0.53, RetryDelay: 50 * ms},
 		MaxNotificationDelay: 2 * time.Second,
