--- a/cmd/pinedale-simulate/compare.go
+++ b/cmd/pinedale-simulate/compare.go
@@ -26,8 +26,8 @@
 	compare := &cobra.Command{
 		Use:   "compare SCENARIO [SCENARIO]",
 		Short: "play two scenarios, or one with two policies, on the same seeds, and say how they differ",
-		Long: "Play two scenarios, or one with two policies, on the same seeds, and say how they differ and how much is\n" +
-			"noise.",
+		Long: `Play two scenarios, or one with two policies, on the same seeds, and say how they differ and how
+much is noise.`,
 		Args: countArgs(cobra.RangeArgs(1, 2)),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			if options.seeds < 2 || options.seeds > maxSeeds {
--- a/cmd/pinedale-simulate/replay.go
+++ b/cmd/pinedale-simulate/replay.go
@@ -20,8 +20,8 @@
 	return &cobra.Command{
 		Use:   "replay FILE",
 		Short: "play a trace again on virtual time, and name the first event that differs",
-		Long: "Play a trace again on virtual time, and name the first event that differs; of one from sockets, how the\n" +
-			"counts differ.",
+		Long: `Play a trace again on virtual time, and name the first event that differs; of one from sockets, how the counts
+differ.`,
 		Args: countArgs(cobra.ExactArgs(1)),
 		RunE: func(cmd *cobra.Command, args []string) error { return c.replay(cmd.Context(), args[0]) },
 	}
--- a/cmd/pinedale-simulate/root.go
+++ b/cmd/pinedale-simulate/root.go
@@ -11,6 +11,12 @@
 	"pinedale/internal/emulator/baselines"
 )
 
+// description is printed by help. The names of the policies follow it.
+const description = `Play scenarios of bad market mornings: the real engine and decision module against emulated
+servers, on virtual time or on loopback sockets.
+
+Policies: `
+
 // usage ends the error of a command line that the program does not take. The names of the policies follow it.
 const usage = `usage: pinedale-simulate demo [-length 12s]
        pinedale-simulate run [-seed N] [-policy NAME] [-sockets] [-html FILE] SCENARIO
@@ -47,8 +53,7 @@
 func rootCommand(out io.Writer, progress progressFunc) *cobra.Command {
 	c := &commandLine{out: out, progress: progress}
 	root := cli.NewRoot("pinedale-simulate", "play scenarios of bad market mornings", out)
-	root.Long = "Play scenarios of bad market mornings: the real engine and decision module against emulated servers, on\n" +
-		"virtual time or on loopback sockets.\n\nPolicies: " + policyNames()
+	root.Long = description + policyNames()
 	root.Args = cobra.ArbitraryArgs
 	root.RunE = func(*cobra.Command, []string) error { return usageError() }
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
