--- a/internal/cluster/config.go
+++ b/internal/cluster/config.go
@@ -8,22 +8,26 @@
 	"pinedale/internal/keylease"
 )
 
-// Agreement says how much a class of requests depends on other instances.
+// Agreement is how much a class of requests depends on other instances.
 type Agreement uint8
 
-// The levels of agreement.
+// Levels of agreement.
 const (
 	AgreeNever  Agreement = iota // each instance decides alone
-	AgreeSoon                    // what is known within LeaseTimeout counts, then the request is sent
-	AgreeAlways                  // without a majority of voters the request is denied
+	AgreeSoon                    // the request is sent after LeaseTimeout even without a majority of voters
+	AgreeAlways                  // the request is denied without a majority of voters
 )
 
 // Class is one class of requests.
 type Class struct {
-	Name      string // leases are by name: instances may number their classes differently
+	Name      string // identifies the class in leases: instances may number their classes differently
 	Agreement Agreement
 }
 
+// PostFunc posts an event to the engine's goroutine, and returns once the event is queued or the
+// engine has ended. The node calls it from its own goroutines, never from the engine's.
+type PostFunc func(event func(now balancer.Micros))
+
 // Config is the configuration of a Node.
 type Config struct {
 	Name      string // of this instance, unique in the fleet
@@ -33,27 +37,30 @@
 	Join []string
 	// Via maps names of instances to the host:port at which they are reached from here, where
 	// it differs from what they advertise.
-	Via           map[string]string
-	Keys          [][]byte // of 16, 24 or 32 bytes: the first encrypts, all decrypt; none: plain text
+	Via map[string]string
+	// Keys encrypt messages, with 16, 24 or 32 bytes each. The first key encrypts, all keys
+	// decrypt. Without keys, messages are sent in plain text.
+	Keys          [][]byte
 	Voters        []string // names of the instances that grant leases, the same at all instances
 	Classes       []Class  // by number
 	LeaseTimeout  time.Duration
 	LeaseDuration time.Duration // twice the longest deadline of the classes with agreement
 	Site          string
 	Build         string
-	SlowStartTime time.Duration // for which a server counts as warming up after its start
-	// OnDrainAdvisory is called on the engine's goroutine with the servers to hold back: start
-	// times in Unix milliseconds by name. Nil if nothing is to be held back.
+	SlowStartTime time.Duration // how long a server counts as warming up after its start
+	// OnDrainAdvisory is called on the engine's goroutine with the servers that get no new
+	// requests: start times in Unix milliseconds by name. If it is nil, there are no advisories.
 	OnDrainAdvisory func(now balancer.Micros, draining map[string]int64)
 	Log             *slog.Logger
 }
 
+// Bounds of the state of an acceptor.
 const (
 	maxLeaseKeys       = 1 << 17
 	maxLeaseKeyHolders = 16
 )
 
-// leaseLimits bounds the keys that an acceptor remembers.
+// leaseLimits returns the limits of the acceptors.
 func (c *Config) leaseLimits() keylease.Limits {
 	return keylease.Limits{
 		MaxKeys:     maxLeaseKeys,
@@ -62,7 +69,7 @@
 	}
 }
 
-// agreement returns a class's level of agreement: AgreeNever for an unknown class.
+// agreement returns the level of agreement of a class, AgreeNever for an unknown class.
 func (c *Config) agreement(class uint8) Agreement {
 	if int(class) >= len(c.Classes) {
 		return AgreeNever
--- /dev/null
+++ b/internal/cluster/decision.go
@@ -0,0 +1,94 @@
+package cluster
+
+import (
+	"time"
+
+	"pinedale/balancer"
+	"pinedale/internal/engine"
+	"pinedale/internal/keylease"
+)
+
+// Reasons of denied leases, for the log.
+const (
+	reasonQueueFull  = "too many lease requests are queued"
+	reasonSplitVote  = "several instances request the key at the same time"
+	reasonContended  = "other instances hold the key, and no majority of voters grants one group"
+	reasonNoMajority = "no majority of the key's voters granted a lease"
+)
+
+// resolve posts the decision on a request if there is one. There always is one if expired is set.
+func (l *leases) resolve(open *openLease, expired bool) {
+	decision, ok := l.decide(open, expired)
+	if !ok {
+		return
+	}
+	delete(l.open, open.request.Request)
+	l.post(func(now balancer.Micros) { open.onDecision(now, decision) })
+}
+
+// decide returns the decision on a request and counts it. ok is false if the decision depends on
+// responses that may still arrive.
+func (l *leases) decide(open *openLease, expired bool) (decision engine.LeaseDecision, ok bool) {
+	outcome, group, first := open.lease.State()
+	switch {
+	case outcome == keylease.Exclusive:
+		l.counts.Exclusive++
+		return engine.LeaseDecision{
+			Outcome: engine.LeaseExclusive,
+			Group:   group,
+			Since:   l.started.Add(first),
+		}, true
+	case outcome == keylease.Shared:
+		return l.shared(group, first), true
+	case outcome == keylease.SplitVote:
+		// Requests of several instances split the votes, so that none can reach a majority.
+		l.counts.Denied++
+		return denied(reasonSplitVote), true
+	case expired:
+		return l.decideExpired(open), true
+	}
+	return engine.LeaseDecision{}, false
+}
+
+// decideExpired returns the decision on a request whose deadline passed without a majority.
+func (l *leases) decideExpired(open *openLease) engine.LeaseDecision {
+	if open.lease.Contended() {
+		l.counts.Denied++
+		return denied(reasonContended)
+	}
+	local := open.localResponse
+	if l.cfg.agreement(open.request.Class) == AgreeSoon && local.Shared {
+		// No other instance responded, but this one has sent another request with the key.
+		return l.shared(local.Group, open.started-local.Age)
+	}
+	l.counts.NoMajority++
+	reason := reasonNoMajority
+	if denial := open.lease.DenialReason(); denial != keylease.Granted {
+		reason += "; one of them " + denial.String()
+	}
+	return l.withoutMajority(open.request.Class, reason)
+}
+
+// shared counts and returns the decision to send to the group of other holders, the first of
+// which sent its request at the given time.
+func (l *leases) shared(group string, first time.Duration) engine.LeaseDecision {
+	l.counts.Shared++
+	return engine.LeaseDecision{
+		Outcome: engine.LeaseShared,
+		Group:   group,
+		Since:   l.started.Add(first),
+	}
+}
+
+// withoutMajority returns the decision if no majority of voters has responded. It may be called on
+// any goroutine.
+func (l *leases) withoutMajority(class uint8, reason string) engine.LeaseDecision {
+	if l.cfg.agreement(class) == AgreeAlways {
+		return denied(reason)
+	}
+	return engine.LeaseDecision{Outcome: engine.LeaseExclusive}
+}
+
+func denied(reason string) engine.LeaseDecision {
+	return engine.LeaseDecision{Outcome: engine.LeaseDenied, Reason: reason}
+}
--- a/internal/cluster/drains.go
+++ b/internal/cluster/drains.go
@@ -15,24 +15,23 @@
 )
 
 const (
-	// maxAdvertisedDrains bounds the draining servers that an instance advertises: with more a
-	// release is under way, and nobody needs others to find out.
+	// maxAdvertisedDrains bounds the draining servers that an instance advertises. More of them
+	// mean that a release is being rolled out, which all instances notice by themselves.
 	maxAdvertisedDrains = 48
-	// drainRefreshInterval is how long after its advertisement a drain that goes on is
-	// advertised again.
+	// drainRefreshInterval is the interval at which a drain that continues is advertised again.
 	drainRefreshInterval = drainadvisory.MaxReportAge / 2
-	// drainAdvertisers is how many instances in the mean advertise a drain at each round while
-	// it has fewer than enoughDrainReports. In a large fleet the others leave it at that, so
-	// that the messages do not grow with the fleet.
+	// drainAdvertisers is the mean number of instances that advertise a drain in each gossip
+	// round while it has fewer than enoughDrainReports. It limits the number of messages in a
+	// large fleet.
 	drainAdvertisers = 8
-	// enoughDrainReports is more than MinReporters, since reports may be lost.
+	// enoughDrainReports exceeds MinReporters because reports may be lost.
 	enoughDrainReports = 2 * drainadvisory.MinReporters
 )
 
-// drains advertises the servers that the own endpoint list has as draining, and advises the
-// engine to hold back those that it has as ready although others know that they drain.
+// drains advertises the servers that this instance's endpoint list has as draining. It advises the
+// engine to hold back servers that the list has as ready but other instances report as draining.
 //
-// Servers are identified by incarnation: a drain of one incarnation says nothing of the next.
+// Servers are identified by incarnation: a drain of one incarnation does not apply to the next.
 type drains struct {
 	cfg        *Config
 	self       replication.Origin
@@ -40,37 +39,41 @@
 	members    *membership
 	rng        *rand.Rand
 	log        *slog.Logger
-	post       func(func(now balancer.Micros)) // to the engine
-	goroutines *sync.WaitGroup                 // of the node, which waits for them at its end
+	post       PostFunc
+	goroutines *sync.WaitGroup // of the node, which waits for them at its end
 
 	mu          sync.Mutex
-	listed      map[string]engine.Host // by name, as the own source lists them
+	listed      map[string]engine.Host // this instance's endpoint list, by name
 	listChanged bool                   // since endpoints was derived from it
 
-	// Owned by the node's goroutine.
+	// The node's goroutine owns the fields below.
 	endpoints  endpoints
 	advertised map[string]time.Duration // when each drain was advertised, by incarnation
 
-	advised atomic.Pointer[advisory] // the newest
-	applied atomic.Pointer[advisory] // what the engine holds back
+	advised atomic.Pointer[advisory] // the latest advisory
+	applied atomic.Pointer[advisory] // the latest advisory that the engine has applied
 }
 
-// endpoints are the incarnations of the own endpoint list.
+// endpoints holds the incarnations of this instance's endpoint list.
 type endpoints struct {
 	hosts    map[string]engine.Host // by incarnation
 	ready    []string
-	draining []string // in order, at most maxAdvertisedDrains
+	draining []string // sorted, at most maxAdvertisedDrains
 }
 
-// advisory lists servers to hold back.
+// advisory is a set of server incarnations to hold back.
 type advisory struct {
-	incarnations []string         // in order
-	started      map[string]int64 // the same, as start times in Unix milliseconds by name
+	incarnations []string         // sorted
+	started      map[string]int64 // start times in Unix milliseconds, by name
 }
 
 func newDrains(
-	cfg *Config, store *replication.Store, members *membership, rng *rand.Rand,
-	post func(func(now balancer.Micros)), goroutines *sync.WaitGroup,
+	cfg *Config,
+	store *replication.Store,
+	members *membership,
+	rng *rand.Rand,
+	post PostFunc,
+	goroutines *sync.WaitGroup,
 ) *drains {
 	d := &drains{
 		cfg:        cfg,
@@ -89,7 +92,8 @@
 	return d
 }
 
-// endpointsUpdated takes over an update of the own endpoint list, on any goroutine.
+// endpointsUpdated handles an update of this instance's endpoint list. It may be called on any
+// goroutine.
 func (d *drains) endpointsUpdated(kind balancer.ListKind, list engine.List) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -106,18 +110,18 @@
 	}
 }
 
-// update advertises drains and advises the engine. It is called once a gossip round.
+// update advertises drains and advises the engine. It is called once per gossip round.
 func (d *drains) update(now time.Duration) {
 	d.refreshEndpoints()
-	reports, reporters := d.reports(now)
+	reports, reporterCounts := d.reports(now)
 	d.withdrawEnded(now)
-	d.advertise(now, reporters)
+	d.advertise(now, reporterCounts)
 	if d.cfg.OnDrainAdvisory != nil {
 		d.advise(reports)
 	}
 }
 
-// refreshEndpoints derives endpoints from the own list if that has changed.
+// refreshEndpoints derives endpoints from this instance's list if that has changed.
 func (d *drains) refreshEndpoints() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -139,10 +143,10 @@
 	d.endpoints.draining = d.endpoints.draining[:min(len(d.endpoints.draining), maxAdvertisedDrains)]
 }
 
-// reports returns what all instances advertise of drains, and how many others have lately
-// advertised each, by incarnation.
-func (d *drains) reports(now time.Duration) (reports []drainadvisory.Report, reporters map[string]int) {
-	reporters = map[string]int{}
+// reports returns the drains that all instances advertise, and how many other instances have
+// recently advertised each, by incarnation.
+func (d *drains) reports(now time.Duration) (reports []drainadvisory.Report, reporterCounts map[string]int) {
+	reporterCounts = map[string]int{}
 	for _, record := range d.store.View(now, topicDrain) {
 		reports = append(reports, drainadvisory.Report{
 			Origin:      record.Origin.Name,
@@ -150,39 +154,40 @@
 			Age:         record.Age,
 		})
 		if record.Origin != d.self && record.Age < drainRefreshInterval {
-			reporters[record.Subject]++
+			reporterCounts[record.Subject]++
 		}
 	}
-	return reports, reporters
+	return reports, reporterCounts
 }
 
-// withdrawEnded withdraws drains of servers that are listed and no longer among the draining. A
-// server that is not listed any more has ended: its drain stays until it is too old to count.
+// withdrawEnded withdraws the drains of servers that are listed but no longer draining. A server
+// that is no longer listed has ended; its drain is withdrawn when it is too old to count.
 func (d *drains) withdrawEnded(now time.Duration) {
-	for incarnation, at := range d.advertised {
+	for incarnation, advertisedAt := range d.advertised {
 		if slices.Contains(d.endpoints.draining, incarnation) {
 			continue
 		}
 		_, listed := d.endpoints.hosts[incarnation]
-		if listed || now-at > drainadvisory.MaxReportAge {
+		if listed || now-advertisedAt > drainadvisory.MaxReportAge {
 			d.store.Withdraw(now, topicDrain, incarnation)
 			delete(d.advertised, incarnation)
 		}
 	}
 }
 
-// advertise advertises drains that not enough others have lately advertised.
-func (d *drains) advertise(now time.Duration, reporters map[string]int) {
-	others := len(d.members.others())
+// advertise advertises drains that too few other instances have recently advertised.
+func (d *drains) advertise(now time.Duration, reporterCounts map[string]int) {
+	instanceCount := len(d.members.others()) + 1
 	for _, incarnation := range d.endpoints.draining {
-		at, advertised := d.advertised[incarnation]
-		if advertised && now-at < drainRefreshInterval {
+		advertisedAt, advertised := d.advertised[incarnation]
+		if advertised && now-advertisedAt < drainRefreshInterval {
 			continue
 		}
-		if reporters[incarnation] >= enoughDrainReports {
+		if reporterCounts[incarnation] >= enoughDrainReports {
 			continue
 		}
-		if d.rng.Float64()*float64(others+1) > drainAdvertisers {
+		selected := d.rng.Float64()*float64(instanceCount) <= drainAdvertisers
+		if !selected {
 			continue
 		}
 		if err := d.store.Put(now, topicDrain, incarnation, nil); err != nil {
@@ -192,7 +197,7 @@
 	}
 }
 
-// advise posts the servers to hold back to the engine if they have changed.
+// advise posts an advisory to the engine if the servers to hold back have changed.
 func (d *drains) advise(reports []drainadvisory.Report) {
 	incarnations := drainadvisory.Withheld(d.cfg.Name, d.endpoints.ready, reports)
 	if slices.Equal(incarnations, d.advised.Load().incarnations) {
@@ -205,13 +210,13 @@
 		next.started[host.Name] = host.StartedMS
 	}
 	d.advised.Store(next)
-	// The engine may be busy, and must not block the node's goroutine. Events that overtake each
-	// other do no harm: each applies the newest advisory.
+	// The engine must not block the node's goroutine. The order of the events does not matter,
+	// because each event applies the latest advisory.
 	d.goroutines.Go(func() {
 		d.post(func(now balancer.Micros) {
-			newest := d.advised.Load()
-			d.cfg.OnDrainAdvisory(now, newest.started)
-			d.applied.Store(newest)
+			latest := d.advised.Load()
+			d.cfg.OnDrainAdvisory(now, latest.started)
+			d.applied.Store(latest)
 		})
 	})
 }
--- a/internal/cluster/gossip.go
+++ b/internal/cluster/gossip.go
@@ -16,16 +16,15 @@
 const (
 	// instanceSubject is the subject of an instance's entry about itself.
 	instanceSubject = "self"
-	// instanceEntryRatio is the share of advertisements that are about the instance itself while
-	// there is something to advertise about servers: one in so many.
-	instanceEntryRatio = 8
-	// minInstanceInterval is the least time between an advertisement about the instance itself
-	// and the next.
+	// instanceEntryInterval is the number of advertisements of which one, on average, is about
+	// the instance itself while there are changed tallies of servers to advertise.
+	instanceEntryInterval = 8
+	// minInstanceInterval is the minimum time after an advertisement about the instance itself.
 	minInstanceInterval = time.Second
 )
 
-// gossip replicates entries: it advertises what this instance has observed, passes on rumours,
-// and finds by anti-entropy what rumours have missed. The node's goroutine owns it, except for
+// gossip replicates entries: it advertises the observations of this instance, forwards rumours,
+// and repairs by anti-entropy what rumours have missed. The node's goroutine owns it, except for
 // tallies, which have a lock.
 type gossip struct {
 	cfg       *Config
@@ -37,18 +36,19 @@
 	log       *slog.Logger
 
 	nextAdvertisement time.Duration
-	firstBucket       int // of the next vectors that answer a digest
+	firstBucket       int // where the next response to a digest begins
 }
 
-// advertise writes an entry about one server whose tally has changed or about the instance
-// itself, as often as the fleet's size allows.
+// advertise writes an entry about one server whose tally has changed, or about the instance
+// itself. The interval between entries grows with the size of the fleet.
 func (g *gossip) advertise(now time.Duration) {
 	if now < g.nextAdvertisement {
 		return
 	}
 	g.nextAdvertisement = now + replication.AdvertisementInterval(g.members.count())
-	if g.rng.IntN(instanceEntryRatio) != 0 {
-		if incarnation, server := g.tallies.next(); server != nil {
+	if g.rng.IntN(instanceEntryInterval) != 0 {
+		incarnation, server := g.tallies.next()
+		if server != nil {
 			g.put(now, topicServer, incarnation, server)
 			return
 		}
@@ -62,6 +62,7 @@
 	})
 }
 
+// put encodes a record and writes it to the store.
 func (g *gossip) put(now time.Duration, topic replication.Topic, subject string, record proto.Message) {
 	value, err := proto.Marshal(record)
 	if err == nil {
@@ -72,20 +73,20 @@
 	}
 }
 
-// sendRumours passes on new entries to a few other instances.
+// sendRumours sends new entries to a few randomly selected instances.
 func (g *gossip) sendRumours(now time.Duration) {
 	others := g.members.others()
 	rumours := g.store.Rumours(now)
 	for range min(replication.Fanout, len(others)) {
-		i := g.rng.IntN(len(others))
+		index := g.rng.IntN(len(others))
 		if len(rumours) > 0 {
-			g.transport.send(others[i], message.Rumours(rumours))
+			g.transport.send(others[index], message.Rumours(rumours))
 		}
-		others = slices.Delete(others, i, i+1)
+		others = slices.Delete(others, index, index+1)
 	}
 }
 
-// sendDigest begins a round of anti-entropy with one other instance.
+// sendDigest starts a round of anti-entropy with a randomly selected instance.
 func (g *gossip) sendDigest() {
 	others := g.members.others()
 	if len(others) > 0 {
@@ -93,26 +94,26 @@
 	}
 }
 
-// handleDigest answers a digest with the vectors of some buckets that differ.
-func (g *gossip) handleDigest(from string, digest replication.Digest) {
+// handleDigest responds to a digest with the vectors of some of the buckets that differ.
+func (g *gossip) handleDigest(sender string, digest replication.Digest) {
 	vectors := g.store.HandleDigest(digest, g.firstBucket)
 	if vectors == nil {
 		return
 	}
-	if g.transport.sendAnswer(from, vectors) {
+	if g.transport.sendWithinBudget(sender, vectors) {
 		g.firstBucket = (g.firstBucket + 1) % replication.DigestBuckets
 	}
 }
 
-// handleVectors answers vectors with the deltas that their sender lacks, and with the vectors of
-// what is lacking here.
-func (g *gossip) handleVectors(now time.Duration, from string, vectors *replication.Vectors) {
+// handleVectors responds to vectors with the deltas that their sender is missing, and with vectors
+// that request the deltas that are missing here.
+func (g *gossip) handleVectors(now time.Duration, sender string, vectors *replication.Vectors) {
 	deltas, local := g.store.HandleVectors(now, vectors)
 	if local != nil {
-		g.transport.sendAnswer(from, local)
+		g.transport.sendWithinBudget(sender, local)
 	}
 	for _, delta := range deltas {
-		if !g.transport.sendAnswer(from, delta) {
+		if !g.transport.sendWithinBudget(sender, delta) {
 			break
 		}
 	}
--- a/internal/cluster/gossip_test.go
+++ b/internal/cluster/gossip_test.go
@@ -13,30 +13,55 @@
 	"pinedale/internal/standin/wait"
 )
 
-// What each instance counts reaches all, and is summed once however often it is replicated.
-func TestServerTalliesReachAllInstances(t *testing.T) {
-	nodes := startNodes(t, 4, func(_ int, c *Config) { c.SlowStartTime = time.Hour })
+// observeAttempts has each node count ten times its number of attempts at server s-1, of which one
+// in five fails: 100 attempts and 20 failures in all for four nodes.
+func observeAttempts(nodes []*Node) {
 	startedMS := time.Now().UnixMilli()
-	for n, node := range nodes {
-		for i := range 10 * (n + 1) {
-			result := balancer.OK
+	for index, node := range nodes {
+		for i := range 10 * (index + 1) {
+			outcome := balancer.OK
 			if i%5 == 0 {
-				result = balancer.Error
+				outcome = balancer.Error
 			}
-			node.ObserveAttempt(&engine.Target{Name: "s-1", StartedMS: startedMS}, result)
+			node.ObserveAttempt(&engine.Target{Name: "s-1", StartedMS: startedMS}, outcome)
 		}
 		node.ObserveAttempt(&engine.Target{Name: "s-1"}, balancer.NotSent)
 	}
+}
+
+// sumServers returns the sum of the totals of all servers.
+func sumServers(servers []ServerTotal) (sum ServerTotal) {
+	for _, server := range servers {
+		sum.Attempts += server.Attempts
+		sum.Failures += server.Failures
+		sum.SlowStart += server.SlowStart
+	}
+	return sum
+}
+
+// printAll returns the printed status of all nodes.
+func printAll(t *testing.T, nodes []*Node) string {
+	t.Helper()
+	var text strings.Builder
+	for _, node := range nodes {
+		s := status(t, node)
+		if err := s.Print(&text); err != nil {
+			t.Error(err)
+		}
+	}
+	return text.String()
+}
+
+// The tallies of each instance reach all instances. Each attempt is counted once in the sums, however
+// often a tally is replicated.
+func TestServerTalliesReachAllInstances(t *testing.T) {
+	nodes := startNodes(t, 4, func(_ int, c *Config) { c.SlowStartTime = time.Hour })
+	observeAttempts(nodes)
 	wait.Until(t, "all nodes have all tallies", func() bool {
 		var first *Status
 		for _, node := range nodes {
 			s := status(t, node)
-			total := ServerTotal{}
-			for _, server := range s.Servers {
-				total.Attempts += server.Attempts
-				total.Failures += server.Failures
-				total.SlowStart += server.SlowStart
-			}
+			total := sumServers(s.Servers)
 			if total.Attempts > 100 || total.Failures > 20 || total.SlowStart > total.Attempts {
 				t.Fatalf("totals of %s: %+v", s.Name, total)
 			}
@@ -53,18 +78,15 @@
 			}
 		}
 		return true
-	}, func() string {
-		var text strings.Builder
-		for _, node := range nodes {
-			s := status(t, node)
-			if err := s.Print(&text); err != nil {
-				t.Error(err)
-			}
-		}
-		return text.String()
-	})
+	}, func() string { return printAll(t, nodes) })
+}
+
+func TestFetchReturnsServedStatus(t *testing.T) {
+	nodes := startNodes(t, 4, func(_ int, c *Config) { c.SlowStartTime = time.Hour })
+	observeAttempts(nodes)
+	wait.Until(t, "the first node has a tally", func() bool { return len(status(t, nodes[0]).Servers) > 0 })
 	server := httptest.NewServer(nodes[0])
-	defer server.Close()
+	t.Cleanup(server.Close)
 	got, err := Fetch(t.Context(), strings.TrimPrefix(server.URL, "http://"))
 	if err != nil || got.Name != "i-0" || len(got.Servers) == 0 {
 		t.Errorf("fetched %+v, %v", got, err)
--- a/internal/cluster/membership.go
+++ b/internal/cluster/membership.go
@@ -17,10 +17,15 @@
 
 const (
 	joinInterval = 2 * time.Second
+	// leaveTimeout bounds the announcement that this instance leaves.
 	leaveTimeout = 500 * time.Millisecond
+	// deadNodeReclaimTime is after how long an instance that was found dead may rejoin under its
+	// name with another address. It is short since the operator assigns names, and addresses may
+	// change with each start.
+	deadNodeReclaimTime = time.Millisecond
 )
 
-// membership holds which instances are alive. It is safe for concurrent use once started.
+// membership knows which instances are alive. It is safe for concurrent use after start.
 type membership struct {
 	self       string // this instance's name
 	advertised string // host:port at which others reach this instance
@@ -50,51 +55,63 @@
 	if err != nil {
 		return fmt.Errorf("peers: listen: %w", err)
 	}
-	if err := m.create(cfg, host, netTransport, callbacks, logger); err != nil {
-		_ = netTransport.Shutdown() // err says why the node does not start
+	options, err := memberlistConfig(cfg, host, netTransport)
+	if err == nil {
+		options.Logger = logger
+		options.Delegate = callbacks
+		options.Events = callbacks
+		options.Alive = callbacks
+		err = m.create(options)
+	}
+	if err != nil {
+		_ = netTransport.Shutdown() // err is the reason why the node does not start
 		return err
 	}
 	return nil
 }
 
-// create configures memberlist and starts it on a transport that already listens.
-func (m *membership) create(
-	cfg *Config, host string, netTransport *memberlist.NetTransport, callbacks *delegate, logger *log.Logger,
-) error {
+// create starts memberlist on a transport that already listens.
+func (m *membership) create(options *memberlist.Config) error {
+	m.advertised = net.JoinHostPort(options.AdvertiseAddr, strconv.Itoa(options.AdvertisePort))
+	list, err := memberlist.Create(options)
+	if err != nil {
+		return fmt.Errorf("peers: %w", err)
+	}
+	m.list = list
+	return nil
+}
+
+// memberlistConfig returns memberlist's configuration for a transport that listens on host,
+// without its logger and callbacks.
+func memberlistConfig(
+	cfg *Config, host string, netTransport *memberlist.NetTransport,
+) (*memberlist.Config, error) {
 	options := memberlist.DefaultLANConfig()
 	options.Name = cfg.Name
 	options.Transport = &mappedTransport{netTransport, cfg.Via}
-	options.Logger = logger
-	options.BindAddr, options.BindPort = host, netTransport.GetAutoBindPort()
-	options.AdvertiseAddr, options.AdvertisePort = host, options.BindPort
+	options.BindAddr = host
+	options.BindPort = netTransport.GetAutoBindPort()
+	options.AdvertiseAddr = host
+	options.AdvertisePort = options.BindPort
 	if cfg.Advertise != "" {
 		var err error
 		options.AdvertiseAddr, options.AdvertisePort, err = splitAddress(cfg.Advertise)
 		if err != nil {
-			return fmt.Errorf("peers: advertise: %w", err)
+			return nil, fmt.Errorf("peers: advertise: %w", err)
 		}
 	}
-	m.advertised = net.JoinHostPort(options.AdvertiseAddr, strconv.Itoa(options.AdvertisePort))
-	options.Delegate, options.Events, options.Alive = callbacks, callbacks, callbacks
-	// An instance that was found dead may come back at once under its name at another address:
-	// the operator assigns names, and addresses may change with each start.
-	options.DeadNodeReclaimTime = time.Millisecond
+	options.DeadNodeReclaimTime = deadNodeReclaimTime
 	if len(cfg.Keys) > 0 {
 		keyring, err := memberlist.NewKeyring(cfg.Keys, cfg.Keys[0])
 		if err != nil {
-			return fmt.Errorf("peers: keys: %w", err)
+			return nil, fmt.Errorf("peers: keys: %w", err)
 		}
 		options.Keyring = keyring
 	}
-	list, err := memberlist.Create(options)
-	if err != nil {
-		return fmt.Errorf("peers: %w", err)
-	}
-	m.list = list
-	return nil
+	return options, nil
 }
 
-// splitAddress splits host:port with a numeric port.
+// splitAddress splits an address of the form host:port with a numeric port.
 func splitAddress(address string) (host string, port int, err error) {
 	host, portText, err := net.SplitHostPort(address)
 	if err != nil {
@@ -104,9 +121,9 @@
 	return host, port, err
 }
 
-// stop announces to the others that this instance leaves, and closes the listeners.
+// stop announces to the other instances that this one leaves, and closes the listeners.
 func (m *membership) stop() {
-	// The others find out by themselves if the announcement does not reach them in time.
+	// Instances that the announcement does not reach in time detect that this one is dead.
 	_ = m.list.Leave(leaveTimeout)
 	if err := m.list.Shutdown(); err != nil {
 		m.log.Debug("membership shutdown failed", "err", err)
@@ -119,7 +136,7 @@
 	return net.JoinHostPort(local.Addr.String(), strconv.Itoa(int(local.Port)))
 }
 
-// others returns the names of the other instances that are alive, in order.
+// others returns the names of the other instances that are alive, sorted.
 func (m *membership) others() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -133,49 +150,53 @@
 	return names
 }
 
-// count returns how many instances are alive, this one included.
+// count returns the number of instances that are alive, this one included.
 func (m *membership) count() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return len(m.alive)
 }
 
-// member returns an instance by name, nil if it is not alive.
+// member returns the instance of a name, nil if it is not alive.
 func (m *membership) member(name string) *memberlist.Node {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.alive[name]
 }
 
+// add records that an instance is alive, or its new address.
 func (m *membership) add(member *memberlist.Node) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.alive[member.Name] = member
 }
 
+// remove records that an instance is no longer alive.
 func (m *membership) remove(name string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.alive, name)
 }
 
-// joinLoop contacts configured instances while some of them are not alive. It returns when done
-// is closed.
+// joinLoop contacts those of the targets that are not alive, one at a time, until done is closed.
+// Each target has the form name/host:port.
 func (m *membership) joinLoop(targets []string, done <-chan struct{}) {
 	if len(targets) == 0 {
 		return
 	}
-	for delay := time.Duration(0); sleep(done, delay); delay = joinInterval/2 + rand.N(joinInterval) {
+	delay := time.Duration(0)
+	for sleep(done, delay) {
+		delay = joinInterval/2 + rand.N(joinInterval)
 		missing := m.missing(targets)
 		if len(missing) == 0 {
 			continue
 		}
-		// A failed attempt is repeated after the next delay.
-		_, _ = m.list.Join([]string{missing[rand.IntN(len(missing))]})
+		target := missing[rand.IntN(len(missing))]
+		_, _ = m.list.Join([]string{target}) // a failed attempt is repeated after the delay
 	}
 }
 
-// missing returns the targets, each a name/host:port, that are not alive.
+// missing returns the targets that are not alive.
 func (m *membership) missing(targets []string) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -189,16 +210,19 @@
 	return missing
 }
 
-// syncWithAny exchanges the complete membership with one other instance, whichever it reaches
-// first. It returns false if done is closed before.
+// syncWithAny exchanges the complete membership with the first other instance that it reaches. It
+// returns false if done is closed before.
 func (m *membership) syncWithAny(done <-chan struct{}) bool {
-	for delay := time.Duration(0); sleep(done, delay); delay = joinInterval {
+	delay := time.Duration(0)
+	for sleep(done, delay) {
+		delay = joinInterval
 		for _, member := range m.list.Members() {
 			if member.Name == m.self {
 				continue
 			}
-			// Where it fails the next member is contacted.
-			if reached, _ := m.list.Join([]string{member.Name + "/" + member.Address()}); reached > 0 {
+			target := member.Name + "/" + member.Address()
+			reached, _ := m.list.Join([]string{target}) // after a failure the next member is contacted
+			if reached > 0 {
 				return true
 			}
 		}
@@ -215,53 +239,3 @@
 		return true
 	}
 }
-
-// delegate receives memberlist's callbacks. None of them may block.
-type delegate struct{ node *Node }
-
-// NodeMeta returns no metadata.
-func (d *delegate) NodeMeta(int) []byte { return nil }
-
-// GetBroadcasts returns none: the node sends its messages itself.
-func (d *delegate) GetBroadcasts(int, int) [][]byte { return nil }
-
-// LocalState returns nothing: memberlist's own state is all that is exchanged.
-func (d *delegate) LocalState(bool) []byte { return nil }
-
-// MergeRemoteState ignores what LocalState never sends.
-func (d *delegate) MergeRemoteState([]byte, bool) {}
-
-// NotifyMsg queues a message from a peer, or drops it if the queue is full.
-func (d *delegate) NotifyMsg(data []byte) {
-	select {
-	case d.node.inbox <- slices.Clone(data):
-	default:
-		d.node.droppedMessages.Add(1)
-	}
-}
-
-// NotifyJoin records that an instance is alive.
-func (d *delegate) NotifyJoin(member *memberlist.Node) { d.node.members.add(member) }
-
-// NotifyUpdate records an instance's new address.
-func (d *delegate) NotifyUpdate(member *memberlist.Node) { d.node.members.add(member) }
-
-// NotifyLeave records that an instance has left or was found dead.
-func (d *delegate) NotifyLeave(member *memberlist.Node) { d.node.members.remove(member.Name) }
-
-// NotifyAlive is called for each instance that announces itself. One with this instance's name
-// at another address runs from a copy of this instance's folder, or is the successor of this
-// process after a stall. While two answer as one acceptor, neither knows what the other has
-// granted, so the one that finds out about the other stops granting. (A newcomer finds out when
-// it joins. The other instance need not: the members do not admit the newcomer.)
-func (d *delegate) NotifyAlive(member *memberlist.Node) error {
-	if member.Name != d.node.members.self || member.Address() == d.node.members.advertised {
-		return nil
-	}
-	d.node.log.Error("duplicate instance name, acceptor recovering", "name", member.Name, "address", member.Address())
-	select {
-	case d.node.tasks <- d.node.recoverFromDuplicate:
-	default: // memberlist announces the instance again
-	}
-	return nil
-}
--- a/internal/cluster/membership_test.go
+++ b/internal/cluster/membership_test.go
@@ -11,14 +11,17 @@
 	"pinedale/internal/standin/wait"
 )
 
-// Messages without the keyring's key and messages that can't be decoded change nothing.
-func TestMessagesOfStrangersAreIgnored(t *testing.T) {
-	nodes := startNodes(t, 2, func(i int, c *Config) { c.Keys = [][]byte{bytes.Repeat([]byte{byte(i)}, 16)} })
+// Messages that are not encrypted with a key of the keyring, and messages that cannot be decoded,
+// change nothing.
+func TestUndecodableMessagesAreIgnored(t *testing.T) {
+	nodes := startNodes(t, 2, func(index int, c *Config) {
+		c.Keys = [][]byte{bytes.Repeat([]byte{byte(index)}, 16)}
+	})
 	conn, err := net.Dial("udp", nodes[0].Addr())
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer conn.Close()
+	t.Cleanup(func() { conn.Close() })
 	for range 50 {
 		if _, err := conn.Write([]byte("\x08rubbish")); err != nil {
 			t.Fatal(err)
@@ -27,17 +30,18 @@
 	nodes[0].inbox <- []byte("rubbish")
 	wait.Until(t, "the malformed message is counted", func() bool { return status(t, nodes[0]).Counts.Malformed == 1 })
 	if s := status(t, nodes[0]); !slices.Equal(s.Alive, []string{"i-0"}) || s.Counts.Received != 0 {
-		t.Errorf("messages of strangers were handled: %+v", s)
+		t.Errorf("messages without the key were handled: %+v", s)
 	}
 }
 
-// An instance that runs from a copy of another's folder grants no leases, and the others agree as
-// before.
+// An instance that runs from a copy of another's folder grants no leases. Leases of the other
+// instances are granted as before.
 func TestDuplicateInstanceGrantsNoLeases(t *testing.T) {
 	nodes := startNodes(t, 3, nil)
 	waitReady(t, nodes)
 	duplicate := startNodes(t, 1, func(_ int, c *Config) {
-		c.Join, c.Voters = []string{"i-1/" + nodes[1].Addr()}, []string{"i-0", "i-1", "i-2"}
+		c.Join = []string{"i-1/" + nodes[1].Addr()}
+		c.Voters = []string{"i-0", "i-1", "i-2"}
 	})[0]
 	wait.Until(t, "the duplicate knows of the original", func() bool {
 		recovering, err := time.ParseDuration(status(t, duplicate).RecoveringFor)
--- a/internal/cluster/message/decode.go
+++ b/internal/cluster/message/decode.go
@@ -13,14 +13,29 @@
 	"pinedale/internal/replication"
 )
 
-// maxDuration bounds a decoded age or lease duration: a longer one makes no difference.
+// maxDuration bounds a decoded age or lease duration. It is longer than any that is used.
 const maxDuration = 365 * 24 * time.Hour
 
-// Decode reads a message from a peer. For any input it returns a valid message or an error that
-// names the field that is wrong.
+// FieldError reports a field of a message that is missing or invalid.
+type FieldError struct {
+	Field  string // name of the field on the wire
+	Reason string
+}
+
+// Error names the field and the reason.
+func (e *FieldError) Error() string { return e.Field + ": " + e.Reason }
+
+// Errors of Decode about a message as a whole.
+var (
+	ErrTooLong     = errors.New("message: too long")
+	ErrUnknownType = errors.New("message: no payload of a known type")
+)
+
+// Decode decodes a message from a peer. For any input it returns a valid message or an error:
+// ErrTooLong, ErrUnknownType, a *FieldError or an error of package proto.
 func Decode(data []byte) (Message, error) {
 	if len(data) > maxDecodeBytes {
-		return Message{}, fmt.Errorf("%d bytes", len(data))
+		return Message{}, fmt.Errorf("%w: %d bytes", ErrTooLong, len(data))
 	}
 	envelope := &peerspb.Envelope{}
 	if err := proto.Unmarshal(data, envelope); err != nil {
@@ -28,34 +43,34 @@
 	}
 	from := decodeOrigin(envelope.GetFrom())
 	if from.Name == "" {
-		return Message{}, errors.New("from: no name")
+		return Message{}, &FieldError{Field: "from", Reason: "no name"}
 	}
-	what, err := decodeWhat(from, envelope)
+	payload, err := decodePayload(from, envelope)
 	if err != nil {
 		return Message{}, err
 	}
-	return Message{From: from, Payload: what}, nil
+	return Message{From: from, Payload: payload}, nil
 }
 
-// decodeWhat decodes the envelope's content by its kind.
-func decodeWhat(from replication.Origin, envelope *peerspb.Envelope) (any, error) {
-	switch what := envelope.What.(type) {
+// decodePayload decodes the payload of an envelope by its type.
+func decodePayload(from replication.Origin, envelope *peerspb.Envelope) (any, error) {
+	switch payload := envelope.What.(type) {
 	case *peerspb.Envelope_Ask:
-		return decodeRequest(from, what.Ask)
+		return decodeRequest(from, payload.Ask)
 	case *peerspb.Envelope_Answer:
-		return decodeResponse(what.Answer)
+		return decodeResponse(payload.Answer)
 	case *peerspb.Envelope_Release:
-		return decodeRelease(from, what.Release)
+		return decodeRelease(from, payload.Release)
 	case *peerspb.Envelope_Rumours:
-		return decodeRumours(what.Rumours)
+		return decodeRumours(payload.Rumours)
 	case *peerspb.Envelope_Digest:
-		return decodeDigest(what.Digest)
+		return decodeDigest(payload.Digest)
 	case *peerspb.Envelope_Vectors:
-		return decodeVectors(what.Vectors)
+		return decodeVectors(payload.Vectors)
 	case *peerspb.Envelope_Delta:
-		return decodeDelta(what.Delta)
+		return decodeDelta(payload.Delta)
 	default:
-		return nil, errors.New("it says nothing that is known here")
+		return nil, ErrUnknownType
 	}
 }
 
@@ -65,11 +80,11 @@
 		return keylease.Request{}, err
 	}
 	if len(in.GetGroup()) > maxGroupBytes {
-		return keylease.Request{}, fmt.Errorf("ask.group: %d bytes, at most %d", len(in.GetGroup()), maxGroupBytes)
+		return keylease.Request{}, fieldErrorf("ask.group", "%d bytes, at most %d", len(in.GetGroup()), maxGroupBytes)
 	}
 	owner := decodeOwner(in.GetOwner())
 	if !sentBy(owner, from) {
-		return keylease.Request{}, errors.New("ask.owner: not who sends it")
+		return keylease.Request{}, fieldErrorf("ask.owner", "is not the sender")
 	}
 	return keylease.Request{
 		Key:      key,
@@ -81,7 +96,7 @@
 	}, nil
 }
 
-// decodeResponse takes an unknown kind for AtCapacity: whatever it is, it grants nothing.
+// decodeResponse decodes an unknown kind as AtCapacity, since it is not a grant either.
 func decodeResponse(in *peerspb.Answer) (keylease.Response, error) {
 	key, err := decodeKey(in.GetKey())
 	if err != nil {
@@ -105,7 +120,7 @@
 	}
 	owner := decodeOwner(in.GetOwner())
 	if !sentBy(owner, from) {
-		return Release{}, errors.New("release.owner: not who sends it")
+		return Release{}, fieldErrorf("release.owner", "is not the sender")
 	}
 	return Release{Key: key, Owner: owner, Term: in.GetRound()}, nil
 }
@@ -125,7 +140,7 @@
 func decodeDigest(in *peerspb.Digest) (replication.Digest, error) {
 	buckets := in.GetBuckets()
 	if len(buckets) != replication.DigestBuckets {
-		return replication.Digest{}, fmt.Errorf("digest.buckets: %d, want %d", len(buckets), replication.DigestBuckets)
+		return replication.Digest{}, fieldErrorf("digest.buckets", "%d, want %d", len(buckets), replication.DigestBuckets)
 	}
 	return replication.Digest(buckets), nil
 }
@@ -134,7 +149,7 @@
 	out := &replication.Vectors{Response: in.GetAnswer()}
 	for _, bucket := range in.GetBuckets() {
 		if bucket >= replication.DigestBuckets {
-			return nil, fmt.Errorf("vectors.buckets: %d, at most %d", bucket, replication.DigestBuckets-1)
+			return nil, fieldErrorf("vectors.buckets", "%d, at most %d", bucket, replication.DigestBuckets-1)
 		}
 		out.Buckets = append(out.Buckets, int(bucket))
 	}
@@ -158,8 +173,8 @@
 		Checksum:   in.GetSum(),
 		Incomplete: in.GetLoose(),
 	}
-	for _, each := range in.GetEntries() {
-		entry, err := decodeEntry(each)
+	for _, encoded := range in.GetEntries() {
+		entry, err := decodeEntry(encoded)
 		if err != nil {
 			return replication.Delta{}, err
 		}
@@ -170,7 +185,7 @@
 
 func decodeEntry(in *peerspb.Entry) (replication.Entry, error) {
 	if in.GetTopic() > math.MaxUint8 {
-		return replication.Entry{}, fmt.Errorf("entry.topic: %d is none", in.GetTopic())
+		return replication.Entry{}, fieldErrorf("entry.topic", "%d, at most %d", in.GetTopic(), math.MaxUint8)
 	}
 	return replication.Entry{
 		Topic:     replication.Topic(in.GetTopic()),
@@ -185,7 +200,7 @@
 func decodeKey(data []byte) (keylease.Key, error) {
 	var key keylease.Key
 	if len(data) != len(key) {
-		return key, fmt.Errorf("key: %d bytes, want %d", len(data), len(key))
+		return key, fieldErrorf("key", "%d bytes, want %d", len(data), len(key))
 	}
 	return keylease.Key(data), nil
 }
@@ -202,11 +217,18 @@
 	}
 }
 
-// sentBy reports whether an owner is the sender itself: no instance acts for another.
+// sentBy reports whether the owner is the sender. No instance may send messages for another one.
 func sentBy(owner keylease.Owner, from replication.Origin) bool {
 	return owner.Name == from.Name && owner.Epoch == from.Epoch
 }
 
-func decodeDuration(us uint64) time.Duration {
-	return time.Duration(min(us, uint64(maxDuration.Microseconds()))) * time.Microsecond
+// decodeDuration decodes a duration in microseconds, up to maxDuration.
+func decodeDuration(microseconds uint64) time.Duration {
+	bounded := min(microseconds, uint64(maxDuration.Microseconds()))
+	return time.Duration(bounded) * time.Microsecond
+}
+
+// fieldErrorf returns a *FieldError.
+func fieldErrorf(field, format string, args ...any) error {
+	return &FieldError{Field: field, Reason: fmt.Sprintf(format, args...)}
 }
--- a/internal/cluster/message/encode.go
+++ b/internal/cluster/message/encode.go
@@ -11,26 +11,27 @@
 	"pinedale/internal/replication"
 )
 
-// Encode returns a message's bytes. It fails for a type that Message does not name.
+// Encode returns the encoding of a message. It fails if the type of Payload is none of those that
+// Message lists.
 func Encode(m Message) ([]byte, error) {
 	envelope := &peerspb.Envelope{From: encodeOrigin(m.From)}
-	switch what := m.Payload.(type) {
+	switch payload := m.Payload.(type) {
 	case keylease.Request:
-		envelope.What = &peerspb.Envelope_Ask{Ask: encodeRequest(what)}
+		envelope.What = &peerspb.Envelope_Ask{Ask: encodeRequest(payload)}
 	case keylease.Response:
-		envelope.What = &peerspb.Envelope_Answer{Answer: encodeResponse(what)}
+		envelope.What = &peerspb.Envelope_Answer{Answer: encodeResponse(payload)}
 	case Release:
-		envelope.What = &peerspb.Envelope_Release{Release: encodeRelease(what)}
+		envelope.What = &peerspb.Envelope_Release{Release: encodeRelease(payload)}
 	case Rumours:
-		envelope.What = &peerspb.Envelope_Rumours{Rumours: encodeRumours(what)}
+		envelope.What = &peerspb.Envelope_Rumours{Rumours: encodeRumours(payload)}
 	case replication.Digest:
-		envelope.What = &peerspb.Envelope_Digest{Digest: &peerspb.Digest{Buckets: what[:]}}
+		envelope.What = &peerspb.Envelope_Digest{Digest: &peerspb.Digest{Buckets: payload[:]}}
 	case *replication.Vectors:
-		envelope.What = &peerspb.Envelope_Vectors{Vectors: encodeVectors(what)}
+		envelope.What = &peerspb.Envelope_Vectors{Vectors: encodeVectors(payload)}
 	case replication.Delta:
-		envelope.What = &peerspb.Envelope_Delta{Delta: encodeDelta(what)}
+		envelope.What = &peerspb.Envelope_Delta{Delta: encodeDelta(payload)}
 	default:
-		return nil, fmt.Errorf("message: %T is none", what)
+		return nil, fmt.Errorf("message: unknown type of payload %T", payload)
 	}
 	return proto.Marshal(envelope)
 }
@@ -130,5 +131,7 @@
 	}
 }
 
-// microseconds encodes an age or a lease duration. A negative one counts as zero.
-func microseconds(d time.Duration) uint64 { return uint64(max(0, d).Microseconds()) }
+// microseconds encodes an age or a lease duration. A negative duration is encoded as 0.
+func microseconds(duration time.Duration) uint64 {
+	return uint64(max(0, duration).Microseconds())
+}
--- a/internal/cluster/message/golden_test.go
+++ b/internal/cluster/message/golden_test.go
@@ -13,9 +13,9 @@
 	"pinedale/internal/replication"
 )
 
-// goldenMessages returns one message for each file below testdata, with every field set. The
-// files were encoded by an earlier build. They are never written anew: instances of two builds
-// talk to each other during a rollout.
+// goldenMessages returns one message for each file in testdata, with every field set. An earlier
+// build has encoded the files. They are never rewritten, because instances of two builds exchange
+// messages during a rollout.
 func goldenMessages() map[string]Message {
 	sender := replication.Origin{Name: "instance-a", Epoch: 1796000000000001}
 	origin := replication.Origin{Name: "instance-b", Epoch: 1796000000000002}
@@ -97,7 +97,7 @@
 	}
 }
 
-// TestGoldenFilesAndMessagesMatch fails for a golden file that no message of this test names.
+// Each golden file has a message, and each message a golden file.
 func TestGoldenFilesAndMessagesMatch(t *testing.T) {
 	files, err := filepath.Glob(filepath.Join("testdata", "*.binpb"))
 	if err != nil {
--- a/internal/cluster/message/message.go
+++ b/internal/cluster/message/message.go
@@ -1,9 +1,9 @@
-// Package message is the codec between the protobuf messages that instances exchange (package
-// peerspb) and the types of packages keylease and replication that they carry.
+// Package message converts between the protobuf messages that instances exchange (package peerspb)
+// and the types of packages keylease and replication.
 //
 // Names on the wire are older than those of the code: an Ask is a keylease.Request, an Answer a
-// keylease.Response, a round a lease term, a roll a voter set, a hold a lease duration. The
-// package does no I/O and has no state.
+// keylease.Response, a round a lease term, a roll a voter set, a hold a lease duration. The package
+// does no I/O and has no state.
 package message
 
 import (
@@ -12,28 +12,29 @@
 )
 
 const (
-	// MaxBytes is the size of memberlist's datagrams, which one message should fit into.
+	// MaxBytes is the maximum size of a message that memberlist sends in one datagram.
 	MaxBytes = 1400
-	// maxDecodeBytes bounds a message that is decoded: the vectors of one bucket may be longer
-	// than MaxBytes, in a datagram that IP fragments.
+	// maxDecodeBytes is the maximum size of a message that is decoded. The vectors of one bucket
+	// may be longer than MaxBytes and arrive in a fragmented datagram.
 	maxDecodeBytes = 4 * MaxBytes
 	// maxGroupBytes bounds the name of a group of servers.
 	maxGroupBytes = 80
 )
 
-// Message is one message with its sender. What is a keylease.Request, keylease.Response,
-// replication.Digest, *replication.Vectors, replication.Delta, Release or Rumours.
+// Message is one message with its sender. The type of Payload is keylease.Request,
+// keylease.Response, replication.Digest, *replication.Vectors, replication.Delta, Release or
+// Rumours.
 type Message struct {
 	From    replication.Origin
 	Payload any
 }
 
-// Release gives up a lease, and requests for it that are still on their way.
+// Release releases a lease. It also cancels requests for the lease that arrive later.
 type Release struct {
 	Key   keylease.Key
 	Owner keylease.Owner
-	Term  uint64 // this term and those before it are released
+	Term  uint64 // this term and all earlier ones are released
 }
 
-// Rumours are entries that a peer passes on as they are written.
+// Rumours are new entries that a peer forwards.
 type Rumours []replication.Rumour
--- a/internal/cluster/message/message_test.go
+++ b/internal/cluster/message/message_test.go
@@ -20,9 +20,9 @@
 			return replication.Origin{Name: text.Draw(t, "name"), Epoch: number.Draw(t, "epoch")}
 		}
 		age := func() time.Duration { return time.Duration(rapid.IntRange(0, 1e9).Draw(t, "us")) * time.Microsecond }
-		from := origin()
+		sender := origin()
 		key := keylease.KeyOf(text.Draw(t, "class"), text.Draw(t, "key"))
-		owner := keylease.Owner{Name: from.Name, Epoch: from.Epoch, Request: number.Draw(t, "request")}
+		owner := keylease.Owner{Name: sender.Name, Epoch: sender.Epoch, Request: number.Draw(t, "request")}
 		entry := func() replication.Entry {
 			return replication.Entry{
 				Topic:     replication.Topic(rapid.IntRange(1, 255).Draw(t, "topic")),
@@ -33,17 +33,17 @@
 				Value:     rapid.SliceOfN(rapid.Byte(), 1, 60).Draw(t, "value"),
 			}
 		}
-		var m any
-		switch rapid.IntRange(0, 6).Draw(t, "what") {
+		var payload any
+		switch rapid.IntRange(0, 6).Draw(t, "type") {
 		case 0:
-			m = keylease.Request{
+			payload = keylease.Request{
 				Key: key, Owner: owner, Term: 2,
 				Group:    text.Draw(t, "group"),
 				Duration: age(),
 				VoterSet: number.Draw(t, "voter set"),
 			}
 		case 1:
-			m = keylease.Response{
+			payload = keylease.Response{
 				Key: key, Owner: owner, Term: 2,
 				Kind:   keylease.ResponseKind(rapid.IntRange(0, 3).Draw(t, "kind")),
 				Group:  text.Draw(t, "group"),
@@ -51,21 +51,21 @@
 				Shared: true,
 			}
 		case 2:
-			m = Release{key, owner, number.Draw(t, "term")}
+			payload = Release{key, owner, number.Draw(t, "term")}
 		case 3:
-			m = Rumours{{Origin: origin(), Entry: entry()}, {Origin: origin(), Entry: entry()}}
+			payload = Rumours{{Origin: origin(), Entry: entry()}, {Origin: origin(), Entry: entry()}}
 		case 4:
-			var d replication.Digest
-			d[3] = number.Draw(t, "hash")
-			m = d
+			var digest replication.Digest
+			digest[3] = number.Draw(t, "hash")
+			payload = digest
 		case 5:
-			m = &replication.Vectors{
+			payload = &replication.Vectors{
 				Buckets:  []int{1, 63},
 				Vectors:  []replication.Vector{{Origin: origin(), Have: 3, More: number.Draw(t, "more")}},
 				Response: true,
 			}
 		case 6:
-			m = replication.Delta{
+			payload = replication.Delta{
 				Origin: origin(), From: 1,
 				To:   number.Draw(t, "to"),
 				Part: 1, Parts: 2,
@@ -74,13 +74,13 @@
 				Entries:    []replication.Entry{entry()},
 			}
 		}
-		data, err := Encode(Message{from, m})
+		data, err := Encode(Message{From: sender, Payload: payload})
 		if err != nil || len(data) > MaxBytes {
 			t.Fatalf("%d bytes, %v", len(data), err)
 		}
 		got, err := Decode(data)
-		if err != nil || got.From != from || !reflect.DeepEqual(got.Payload, m) {
-			t.Fatalf("%+v arrived as %+v, %v", m, got.Payload, err)
+		if err != nil || got.From != sender || !reflect.DeepEqual(got.Payload, payload) {
+			t.Fatalf("%+v is decoded as %+v, %v", payload, got.Payload, err)
 		}
 	})
 }
--- a/internal/cluster/node_test.go
+++ b/internal/cluster/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"testing"
@@ -16,16 +17,16 @@
 	"pinedale/internal/standin/wait"
 )
 
-// startNodes runs nodes that join each other, closed at the test's end. change may adapt each
-// one's configuration.
-func startNodes(t *testing.T, n int, change func(i int, c *Config)) []*Node {
+// startNodes runs nodes that join each other. They are closed when the test ends. change adapts the
+// configuration of the node of an index; it may be nil.
+func startNodes(t *testing.T, count int, change func(index int, c *Config)) []*Node {
 	t.Helper()
 	var names []string
-	for i := range n {
+	for i := range count {
 		names = append(names, fmt.Sprint("i-", i))
 	}
 	var nodes []*Node
-	for i := range n {
+	for i := range count {
 		c := Config{
 			Name:          names[i],
 			Listen:        "127.0.0.1:0",
@@ -52,6 +53,7 @@
 	return nodes
 }
 
+// status returns the status of a node that is not closed.
 func status(t *testing.T, node *Node) Status {
 	t.Helper()
 	s, err := node.Status(t.Context())
@@ -61,7 +63,7 @@
 	return s
 }
 
-// waitReady waits until all nodes are alive to each other and grant leases.
+// waitReady waits until each node knows that all nodes are alive, and grants leases.
 func waitReady(t *testing.T, nodes []*Node) {
 	t.Helper()
 	wait.Until(t, "all nodes are alive and grant leases", func() bool {
@@ -74,15 +76,15 @@
 	})
 }
 
-// A process that stalled for more than half of the lease duration forgets what it has granted: a
-// successor may have granted leases in its name.
+// A process that stalled for more than half of the lease duration grants nothing: another process
+// with its name may have granted leases meanwhile.
 func TestStalledProcessGrantsNoLeases(t *testing.T) {
 	node := startNodes(t, 1, func(_ int, c *Config) { c.LeaseDuration = time.Hour })[0]
 	recoveringAfter := func(stall time.Duration) string {
 		t.Helper()
 		if err := node.runTask(t.Context(), func() {
 			node.leases.restartAcceptor(node.now() - time.Hour)
-			node.lastCheck = node.now() - stall
+			node.lastTurn = node.now() - stall
 		}); err != nil {
 			t.Fatal(err)
 		}
@@ -93,10 +95,14 @@
 	}
 	recovering, err := time.ParseDuration(recoveringAfter(40 * time.Minute))
 	if err != nil || recovering < forever/2 {
-		t.Errorf("after two thirds of the lease duration, with no other instance, it recovers for %v, %v", recovering, err)
+		t.Errorf("after two thirds of the lease duration, without other instances, it recovers for %v, %v",
+			recovering, err)
 	}
-	// Once it has reached another instance it is as one that has just started.
-	other := startNodes(t, 1, func(_ int, c *Config) { c.Name, c.Join = "i-9", []string{"i-0/" + node.Addr()} })[0]
+	// After it has reached another instance, it recovers like one that has just started.
+	other := startNodes(t, 1, func(_ int, c *Config) {
+		c.Name = "i-9"
+		c.Join = []string{"i-0/" + node.Addr()}
+	})[0]
 	wait.Until(t, "it has reached another instance", func() bool {
 		recovering, err := time.ParseDuration(status(t, node).RecoveringFor)
 		return err == nil && recovering <= time.Hour && len(status(t, other).Alive) == 2
@@ -110,26 +116,31 @@
 	for _, node := range nodes {
 		node.Close()
 	}
-	if _, err := nodes[0].Status(context.Background()); err == nil {
-		t.Error("a closed node returns its status")
+	if _, err := nodes[0].Status(context.Background()); !errors.Is(err, ErrClosed) {
+		t.Errorf("the status of a closed node: error %v, want %v", err, ErrClosed)
 	}
 }
 
-// Any input from a peer is handled or rejected, and what is kept of it stays within its bounds.
+// Any message from a peer is handled or rejected, and the state that results is valid and bounded.
 func FuzzHandleMessage(f *testing.F) {
-	from := replication.Origin{Name: "x", Epoch: 1}
+	sender := replication.Origin{Name: "x", Epoch: 1}
 	owner := keylease.Owner{Name: "x", Epoch: 1}
 	key := keylease.KeyOf("a", "b")
-	for _, what := range []any{
+	for _, payload := range []any{
 		keylease.Request{Key: key, Owner: owner},
 		keylease.Response{Key: key},
 		message.Release{Key: key, Owner: owner},
-		message.Rumours{{Origin: from, Entry: replication.Entry{Topic: 1, Subject: "s", Seq: 1}}},
+		message.Rumours{{Origin: sender, Entry: replication.Entry{Topic: 1, Subject: "s", Seq: 1}}},
 		replication.Digest{},
-		&replication.Vectors{Buckets: []int{1}, Vectors: []replication.Vector{{Origin: from, Have: 3}}},
-		replication.Delta{Origin: from, To: 2, Parts: 1, Entries: []replication.Entry{{Topic: 2, Subject: "s", Seq: 1}}},
+		&replication.Vectors{Buckets: []int{1}, Vectors: []replication.Vector{{Origin: sender, Have: 3}}},
+		replication.Delta{
+			Origin:  sender,
+			To:      2,
+			Parts:   1,
+			Entries: []replication.Entry{{Topic: 2, Subject: "s", Seq: 1}},
+		},
 	} {
-		data, err := message.Encode(message.Message{From: from, Payload: what})
+		data, err := message.Encode(message.Message{From: sender, Payload: payload})
 		if err != nil {
 			f.Fatal(err)
 		}
@@ -148,7 +159,7 @@
 		}
 		for _, record := range node.store.View(node.now(), topicInstance) {
 			if topics[topicInstance].Check(record.Value) != nil {
-				t.Fatalf("an invalid record is kept: %v", record)
+				t.Fatalf("an invalid record is stored: %v", record)
 			}
 		}
 	})
--- a/internal/cluster/records_test.go
+++ b/internal/cluster/records_test.go
@@ -9,7 +9,7 @@
 	"pinedale/internal/cluster/peerspb"
 )
 
-// TestTopicNumbersAreStable holds the numbers that entries carry on the wire.
+// The numbers of topics are part of the wire format.
 func TestTopicNumbersAreStable(t *testing.T) {
 	if topicInstance != 1 || topicServer != 2 || topicDrain != 3 || len(topics) != 3 {
 		t.Errorf("instance %d, server %d, drain %d, %d topics; want 1, 2, 3, and 3 topics",
--- a/internal/cluster/status.go
+++ b/internal/cluster/status.go
@@ -16,28 +16,28 @@
 	"pinedale/internal/replication"
 )
 
-// maxStatusBytes bounds a status that is fetched.
+// maxStatusBytes bounds the JSON of a status that Fetch reads.
 const maxStatusBytes = 64 << 20
 
-// Status is the state of one instance's node. Instances of other builds and the operator's
-// tools read it as JSON: its keys never change.
+// Status is the state of one instance's node. The operator's tools and instances of other builds
+// read it as JSON. Its keys never change.
 type Status struct {
 	Name            string               `json:"name"`
-	Epoch           uint64               `json:"epoch"` // of this instance's life
-	Address         string               `json:"at"`    // host:port that it listens on
-	Alive           []string             `json:"alive"` // instances that are alive, this one included
-	RecoveringFor   string               `json:"quiet"` // for how long the acceptor will grant nothing
-	AcceptorKeys    int                  `json:"keys"`  // keys that the acceptor remembers
-	OpenLeases      int                  `json:"open"`  // lease requests of this instance without a decision
-	RejectedEntries uint64               `json:"refused"`
-	DroppedMessages uint64               `json:"dropped"` // messages from peers that found the queue full
+	Epoch           uint64               `json:"epoch"`   // incarnation of the instance
+	Address         string               `json:"at"`      // host:port that it listens on
+	Alive           []string             `json:"alive"`   // instances that are alive, this one included
+	RecoveringFor   string               `json:"quiet"`   // how long the acceptor will grant nothing
+	AcceptorKeys    int                  `json:"keys"`    // keys that the acceptor remembers
+	OpenLeases      int                  `json:"open"`    // lease requests of this instance without a decision
+	RejectedEntries uint64               `json:"refused"` // replicated entries without capacity or invalid
+	DroppedMessages uint64               `json:"dropped"` // messages from peers that did not fit into the queue
 	Counts          Counts               `json:"counts"`
-	Vectors         []replication.Vector `json:"have"`        // up to which number each origin's entries are complete
-	HeldBack        []string             `json:"held"`        // servers that others know to drain
+	Vectors         []replication.Vector `json:"have"`        // how far each origin's entries are complete
+	HeldBack        []string             `json:"held"`        // incarnations of servers that get no new requests
 	Records         []Record             `json:"told"`        // all entries, by topic, origin and subject
 	Servers         []ServerTotal        `json:"servers"`     // sums of all origins' server entries
 	Voters          []string             `json:"witnesses"`   // as configured
-	LongestTurn     float64              `json:"longest_ms"`  // for which one event kept the goroutine busy, in ms
+	LongestTurn     float64              `json:"longest_ms"`  // longest time that one event took, in ms
 	Uptime          float64              `json:"uptime_secs"` // in seconds
 }
 
@@ -50,17 +50,17 @@
 	Value   []byte             `json:"value"`
 }
 
-// ServerTotal sums what all instances have counted for one incarnation of a server. Each counts
-// its own attempts alone, so the sum counts each attempt once.
+// ServerTotal is the sum of all instances' tallies for one incarnation of a server. Each instance
+// counts only its own attempts, so that each attempt is counted once.
 type ServerTotal struct {
-	Server    string `json:"server"` // name@start
-	Origins   int    `json:"origins"`
+	Server    string `json:"server"`  // incarnation in the form name@start
+	Origins   int    `json:"origins"` // number of instances
 	Attempts  uint64 `json:"attempts"`
 	Failures  uint64 `json:"failures"`
 	SlowStart uint64 `json:"cold"` // attempts while the server was warming up
 }
 
-// Status returns the present state.
+// Status returns the current state, or an error if ctx ends or the node is closed.
 func (n *Node) Status(ctx context.Context) (Status, error) {
 	var status Status
 	err := n.runTask(ctx, func() { status = n.snapshot() })
@@ -70,7 +70,7 @@
 	return status, err
 }
 
-// snapshot returns the state that the node's goroutine owns. It is called there.
+// snapshot returns the state that the node's goroutine owns. It must be called on that goroutine.
 func (n *Node) snapshot() Status {
 	now := n.now()
 	status := Status{
@@ -88,9 +88,16 @@
 		LongestTurn:     float64(n.longestTurn.Microseconds()) / 1000,
 		Uptime:          now.Seconds(),
 	}
+	status.Records = n.records(now)
+	status.Servers = serverTotals(status.Records)
+	return status
+}
+
+// records returns all replicated entries.
+func (n *Node) records(now time.Duration) (records []Record) {
 	for _, topic := range []replication.Topic{topicInstance, topicServer, topicDrain} {
 		for _, entry := range n.store.View(now, topic) {
-			status.Records = append(status.Records, Record{
+			records = append(records, Record{
 				Origin:  entry.Origin,
 				Topic:   topic,
 				Subject: entry.Subject,
@@ -99,36 +106,35 @@
 			})
 		}
 	}
-	status.Servers = serverTotals(status.Records)
-	return status
+	return records
 }
 
-// serverTotals sums the server entries of all origins, in the order of the servers' names.
+// serverTotals sums the server entries of all origins. The result is sorted by incarnation.
 func serverTotals(records []Record) []ServerTotal {
-	totals := map[string]*ServerTotal{}
+	byServer := map[string]*ServerTotal{}
 	for _, record := range records {
 		if record.Topic != topicServer {
 			continue
 		}
 		server := &peerspb.Server{}
 		if proto.Unmarshal(record.Value, server) != nil {
-			continue // the topic's check has rejected such values
+			continue // the check of the topic rejects such values
 		}
-		total := totals[record.Subject]
+		total := byServer[record.Subject]
 		if total == nil {
 			total = &ServerTotal{Server: record.Subject}
-			totals[record.Subject] = total
+			byServer[record.Subject] = total
 		}
 		total.Origins++
 		total.Attempts += server.GetAttempts()
 		total.Failures += server.GetFailures()
 		total.SlowStart += server.GetCold()
 	}
-	var out []ServerTotal
-	for _, name := range slices.Sorted(maps.Keys(totals)) {
-		out = append(out, *totals[name])
+	var totals []ServerTotal
+	for _, server := range slices.Sorted(maps.Keys(byServer)) {
+		totals = append(totals, *byServer[server])
 	}
-	return out
+	return totals
 }
 
 // ServeHTTP serves the status as JSON.
@@ -139,7 +145,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(status) // it fails only where the client has disconnected
+	_ = json.NewEncoder(w).Encode(status) // fails only if the client has disconnected
 }
 
 // Fetch requests an instance's status at host:port.
--- a/internal/cluster/status_test.go
+++ b/internal/cluster/status_test.go
@@ -7,8 +7,8 @@
 	"pinedale/internal/replication"
 )
 
-// TestStatusJSONKeysAreStable compares the status that an instance serves over HTTP with the
-// document that earlier builds serve: `peers show` and `peers diff` read both.
+// The status that an instance serves over HTTP has the JSON keys of earlier builds: `peers show` and
+// `peers diff` read the status of instances of other builds.
 func TestStatusJSONKeysAreStable(t *testing.T) {
 	origin := replication.Origin{Name: "i-0", Epoch: 7}
 	status := Status{
--- a/internal/cluster/statustext.go
+++ b/internal/cluster/statustext.go
@@ -9,7 +9,7 @@
 	"pinedale/internal/replication"
 )
 
-// Print writes a status for people.
+// Print writes the status as text for operators.
 func (s *Status) Print(out io.Writer) error {
 	fmt.Fprintf(out, "%s (epoch %d) at %s, up for %.0f s\n", s.Name, s.Epoch, s.Address, s.Uptime)
 	fmt.Fprintf(out, "alive: %v\n", s.Alive)
@@ -38,7 +38,7 @@
 	return table.Flush()
 }
 
-// recordID identifies a record across copies.
+// recordID identifies a record in the copies of all instances.
 type recordID struct {
 	origin  replication.Origin
 	topic   replication.Topic
@@ -49,34 +49,34 @@
 	return fmt.Sprintf("%s/%d %s", id.origin.Name, id.origin.Epoch, id.subject)
 }
 
-// Diff lists in which records the copies of two instances differ. Records of the last second or
-// so may still be on their way.
+// Diff returns one line for each difference between the records of two instances, sorted. Records
+// that were written within about the last second may not have reached both instances yet.
 func Diff(a, b *Status) []string {
 	var lines []string
-	first, second := recordsByID(a), recordsByID(b)
-	for id, record := range first {
-		other, ok := second[id]
+	addLine := func(format string, args ...any) { lines = append(lines, fmt.Sprintf(format, args...)) }
+	recordsOfA, recordsOfB := recordsByID(a), recordsByID(b)
+	for id, record := range recordsOfA {
+		other, ok := recordsOfB[id]
 		switch {
 		case !ok:
-			lines = append(lines, fmt.Sprintf("%v: %s has number %d, %s nothing", id, a.Name, record.Seq, b.Name))
+			addLine("%v: %s has number %d, %s nothing", id, a.Name, record.Seq, b.Name)
 		case record.Seq != other.Seq:
-			lines = append(lines,
-				fmt.Sprintf("%v: %s has number %d, %s number %d", id, a.Name, record.Seq, b.Name, other.Seq))
+			addLine("%v: %s has number %d, %s number %d", id, a.Name, record.Seq, b.Name, other.Seq)
 		}
 	}
-	for id, record := range second {
-		if _, ok := first[id]; !ok {
-			lines = append(lines, fmt.Sprintf("%v: %s has nothing, %s number %d", id, a.Name, b.Name, record.Seq))
+	for id, record := range recordsOfB {
+		if _, ok := recordsOfA[id]; !ok {
+			addLine("%v: %s has nothing, %s number %d", id, a.Name, b.Name, record.Seq)
 		}
 	}
 	if !slices.Equal(a.Voters, b.Voters) {
-		lines = append(lines,
-			fmt.Sprintf("the files name other witnesses: %v at %s, %v at %s", a.Voters, a.Name, b.Voters, b.Name))
+		addLine("the files name other witnesses: %v at %s, %v at %s", a.Voters, a.Name, b.Voters, b.Name)
 	}
 	slices.Sort(lines)
 	return lines
 }
 
+// recordsByID returns the records of a status by their identity.
 func recordsByID(status *Status) map[recordID]Record {
 	records := map[recordID]Record{}
 	for _, record := range status.Records {
--- a/internal/cluster/transport.go
+++ b/internal/cluster/transport.go
@@ -12,20 +12,24 @@
 	"pinedale/internal/replication"
 )
 
-// answerBytesPerSecond limits the deltas and vectors that are sent in answer to peers, whatever
-// the fleet's size. Leases are not limited; rumours and digests take a few kB a second.
-const answerBytesPerSecond = 64 << 10
+// budgetBytesPerSecond limits the deltas and vectors that are sent in response to peers,
+// regardless of the fleet's size. Lease messages have no limit; rumours and digests take a few kB
+// per second.
+const budgetBytesPerSecond = 64 << 10
 
-// byteBudget is a token bucket of bytes that holds at most one second's worth.
+// byteBudget is a token bucket of bytes. Its capacity is the budget of one second.
 type byteBudget struct{ available float64 }
 
-func newByteBudget() byteBudget { return byteBudget{available: answerBytesPerSecond} }
+// newByteBudget returns a full budget.
+func newByteBudget() byteBudget { return byteBudget{available: budgetBytesPerSecond} }
 
+// refill adds the budget of the elapsed time.
 func (b *byteBudget) refill(elapsed time.Duration) {
-	b.available = min(answerBytesPerSecond, b.available+answerBytesPerSecond*elapsed.Seconds())
+	added := budgetBytesPerSecond * elapsed.Seconds()
+	b.available = min(budgetBytesPerSecond, b.available+added)
 }
 
-// spend takes n bytes and returns true, or returns false if fewer are available.
+// spend removes n bytes and returns true, or returns false if fewer are available.
 func (b *byteBudget) spend(n int) bool {
 	if b.available < float64(n) {
 		return false
@@ -39,17 +43,18 @@
 	self    replication.Origin
 	members *membership
 	counts  *Counts
-	budget  byteBudget // for answers
+	budget  byteBudget // of sendWithinBudget
 	log     *slog.Logger
 }
 
-// send sends one message if its receiver is alive. The message may be lost.
-func (t *transport) send(receiver string, what any) {
+// send sends one message if its receiver is alive. The message may be lost. The types of payload
+// are those of message.Message.
+func (t *transport) send(receiver string, payload any) {
 	member := t.members.member(receiver)
 	if member == nil {
 		return
 	}
-	data, err := message.Encode(message.Message{From: t.self, Payload: what})
+	data, err := message.Encode(message.Message{From: t.self, Payload: payload})
 	if err != nil {
 		t.log.Error("peer message encoding failed", "receiver", receiver, "err", err)
 		return
@@ -61,16 +66,16 @@
 	}
 }
 
-// sendAnswer sends one message within the byte budget, and returns false if the budget is spent.
-func (t *transport) sendAnswer(receiver string, what any) bool {
+// sendWithinBudget sends one message, or returns false if the byte budget is spent.
+func (t *transport) sendWithinBudget(receiver string, payload any) bool {
 	if !t.budget.spend(message.MaxBytes) {
 		return false
 	}
-	t.send(receiver, what)
+	t.send(receiver, payload)
 	return true
 }
 
-// mappedTransport is memberlist's transport with other addresses for some instances.
+// mappedTransport is memberlist's transport with replaced addresses for some instances.
 type mappedTransport struct {
 	*memberlist.NetTransport
 	addresses map[string]string // host:port by name
@@ -86,15 +91,16 @@
 	return t.NetTransport.DialAddressTimeout(t.mapped(address), timeout)
 }
 
+// mapped returns the address under which an instance is reached from here.
 func (t *mappedTransport) mapped(address memberlist.Address) memberlist.Address {
-	if other, ok := t.addresses[address.Name]; ok {
-		address.Addr = other
+	if replacement, ok := t.addresses[address.Name]; ok {
+		address.Addr = replacement
 	}
 	return address
 }
 
-// debugWriter logs memberlist's lines at debug level: the node itself logs what matters, and an
-// instance that is down would fill the log.
+// debugWriter logs memberlist's lines at debug level. The node logs important events itself, and an
+// instance that is down would fill the log with memberlist's lines.
 type debugWriter struct{ log *slog.Logger }
 
 // Write logs one line.
--- a/internal/keylease/message.go
+++ b/internal/keylease/message.go
@@ -16,14 +16,14 @@
 	Owner    Owner
 	Term     uint64        // lease term; the owner increments it after a release
 	Group    string        // group of endpoints that the owner wants to send to
-	Duration time.Duration // how long the acceptor has to remember the lease
+	Duration time.Duration // how long the acceptor must remember the lease
 	VoterSet uint64        // hash of the voters as configured at the requester, see VoterSetHash
 }
 
 // ResponseKind says whether an acceptor granted a lease, or why it could not vote.
 type ResponseKind uint8
 
-// The kinds of responses. Only Granted counts towards a majority. The values are part of the
+// Kinds of responses. Only Granted counts towards a majority. The values are part of the
 // wire format.
 const (
 	Granted       ResponseKind = iota
@@ -32,10 +32,16 @@
 	AtCapacity                 // the acceptor has no capacity for another key or another holder of it
 )
 
-// String returns the kind as it appears in the reason of a denied lease.
+// String returns what an acceptor that responds with this kind has done, for the reason of a
+// denied lease.
 func (k ResponseKind) String() string {
-	texts := [...]string{"told", "started too lately", "has other witnesses in its file", "has no room"}
-	return texts[min(k, AtCapacity)]
+	descriptions := [...]string{
+		Granted:       "granted it",
+		Recovering:    "started too recently",
+		UnknownVoters: "is configured with other voters",
+		AtCapacity:    "is at capacity",
+	}
+	return descriptions[min(k, AtCapacity)]
 }
 
 // Response is an acceptor's response to a lease request.
--- a/internal/membership/register/register_test.go
+++ b/internal/membership/register/register_test.go
@@ -154,8 +154,10 @@
 	if err := registrar.Drain(); err != nil {
 		t.Fatal(err)
 	}
-	if service.RequestCount(fakezookeeper.OpSetData) != sets+1 || service.RequestCount(fakezookeeper.OpDelete) != deletes+1 {
-		t.Error("the node was not marked and then removed")
+	newSets := service.RequestCount(fakezookeeper.OpSetData) - sets
+	newDeletes := service.RequestCount(fakezookeeper.OpDelete) - deletes
+	if newSets != 1 || newDeletes != 1 {
+		t.Errorf("%d writes and %d deletions by the drain, want 1 and 1", newSets, newDeletes)
 	}
 	for _, id := range service.Sessions() {
 		service.ExpireSession(id)
