--- a/cmd/pinedale-proxy/check.go
+++ b/cmd/pinedale-proxy/check.go
@@ -12,12 +12,12 @@
 )
 
 // printCheckJSON prints the table of a valid file as JSON.
-func printCheckJSON(out io.Writer, f *config.File) error {
+func printCheckJSON(out io.Writer, file *config.File) error {
 	var warnings []string
-	for _, warning := range f.Warnings() {
+	for _, warning := range file.Warnings() {
 		warnings = append(warnings, warning.Error())
 	}
-	table := f.Table()
+	table := file.Table()
 	encoder := json.NewEncoder(out)
 	encoder.SetIndent("", "  ")
 	return encoder.Encode(struct {
@@ -28,13 +28,13 @@
 }
 
 // printCheck prints a summary of a valid file, its warnings and its table.
-func printCheck(out io.Writer, path string, f *config.File) error {
-	fmt.Fprintf(out, "%s: good: %s\n", path, f.Summary())
-	for _, warning := range f.Warnings() {
+func printCheck(out io.Writer, path string, file *config.File) error {
+	fmt.Fprintf(out, "%s: good: %s\n", path, file.Summary())
+	for _, warning := range file.Warnings() {
 		fmt.Fprintf(out, "  warning: %v\n", warning)
 	}
-	fmt.Fprintf(out, "table %s\n", f.Table().Version)
-	return printRows(out, f.Table().Rows())
+	fmt.Fprintf(out, "table %s\n", file.Table().Version)
+	return printRows(out, file.Table().Rows())
 }
 
 // printRows prints the rows of a table in columns.
--- a/cmd/pinedale-proxy/commands.go
+++ b/cmd/pinedale-proxy/commands.go
@@ -13,6 +13,7 @@
 	"github.com/spf13/cobra"
 
 	"pinedale/internal/certstore"
+	"pinedale/internal/cli"
 	"pinedale/internal/config"
 )
 
@@ -28,34 +29,23 @@
 // rootCommand returns the command line of the program.
 func rootCommand(out io.Writer) *cobra.Command {
 	c := &commandLine{out: out}
-	root := &cobra.Command{
-		Use:           "pinedale-proxy",
-		Short:         "pinedale for installations of the operator's own",
-		SilenceErrors: true,
-		SilenceUsage:  true,
-		Args:          cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			return errors.New("a command is missing\n" + cmd.UsageString())
-		},
-	}
-	root.SetOut(out)
-	root.CompletionOptions.DisableDefaultCmd = true
+	root := cli.NewRoot("pinedale-proxy", "pinedale for installations of the operator's own", out)
 	root.PersistentFlags().StringVar(&c.configPath, "config", "", "the operator's file (TOML)")
 	root.AddCommand(c.serveCommand(), c.checkCommand(), c.explainCommand(), c.keysCommand(), c.peersCommand())
 	return root
 }
 
 // withFile returns a function for a command that loads the operator's file first.
-func (c *commandLine) withFile(run func(f *config.File, args []string) error) func(*cobra.Command, []string) error {
+func (c *commandLine) withFile(run func(file *config.File, args []string) error) func(*cobra.Command, []string) error {
 	return func(cmd *cobra.Command, args []string) error {
 		if c.configPath == "" {
 			return errors.New("--config FILE is what a command takes\n" + cmd.UsageString())
 		}
-		f, err := load(c.configPath)
+		file, err := load(c.configPath)
 		if err != nil {
 			return err
 		}
-		return run(f, args)
+		return run(file, args)
 	}
 }
 
@@ -65,14 +55,14 @@
 		Use:   "serve",
 		Short: "serve as the file says",
 		Args:  cobra.NoArgs,
-		Long: "Serve as the operator's file says. SIGTERM ends the service in order. " +
-			"SIGHUP has the file and all keys read\nagain: classes, routes, limits and servers change, or nothing does.",
+		Long: `Serve as the operator's file says. SIGTERM ends the service in order. SIGHUP has the file and all keys read
+again: classes, routes, limits and servers change, or nothing does.`,
 		RunE: func(cmd *cobra.Command, args []string) error {
 			// Without a handler, SIGHUP would end the process, even while it reads its file.
 			signals := make(chan os.Signal, signalBacklog)
 			signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT)
-			return c.withFile(func(f *config.File, _ []string) error {
-				return serve(c.configPath, f, signals)
+			return c.withFile(func(file *config.File, _ []string) error {
+				return serve(c.configPath, file, signals)
 			})(cmd, args)
 		},
 	}
@@ -85,11 +75,11 @@
 		Use:   "check",
 		Short: "say what is wrong with the file, and what its classes and routes come to",
 		Args:  cobra.NoArgs,
-		RunE: c.withFile(func(f *config.File, _ []string) error {
+		RunE: c.withFile(func(file *config.File, _ []string) error {
 			if asJSON {
-				return printCheckJSON(c.out, f)
+				return printCheckJSON(c.out, file)
 			}
-			return printCheck(c.out, c.configPath, f)
+			return printCheck(c.out, c.configPath, file)
 		}),
 	}
 	check.Flags().BoolVar(&asJSON, "json", false, "print the table as JSON")
@@ -102,26 +92,40 @@
 		Use:   "explain METHOD PATH ['Header: value'...]",
 		Short: "say which route and class a request gets, and why",
 		Args:  cobra.MinimumNArgs(2),
-		RunE:  c.withFile(func(f *config.File, args []string) error { return explain(c.out, f, args) }),
+		RunE: c.withFile(func(file *config.File, args []string) error {
+			return explain(c.out, file, args)
+		}),
 	}
 }
 
 // keysCommand returns the commands on certificates, keys and trust.
 func (c *commandLine) keysCommand() *cobra.Command {
 	keys := &cobra.Command{Use: "keys", Short: "certificates, keys and trust"}
-	keys.AddCommand(&cobra.Command{
+	keys.AddCommand(c.keysShowCommand(), c.keysVerifyCommand())
+	return keys
+}
+
+// keysShowCommand returns the command that prints the keys of the file.
+func (c *commandLine) keysShowCommand() *cobra.Command {
+	return &cobra.Command{
 		Use:   "show",
 		Short: "print what the file's keys hold, and how servers are verified",
 		Args:  cobra.NoArgs,
-		RunE:  c.withFile(func(f *config.File, _ []string) error { return f.ShowKeys(c.out, time.Now()) }),
-	})
+		RunE: c.withFile(func(file *config.File, _ []string) error {
+			return file.ShowKeys(c.out, time.Now())
+		}),
+	}
+}
+
+// keysVerifyCommand returns the command that checks files that are to replace those of the keys of a name.
+func (c *commandLine) keysVerifyCommand() *cobra.Command {
 	var replacement certstore.Paths
 	verify := &cobra.Command{
 		Use:   "verify NAME",
 		Short: "say whether new files would be taken for the keys of this name",
 		Args:  cobra.ExactArgs(1),
-		RunE: c.withFile(func(f *config.File, args []string) error {
-			if err := f.VerifyKeys(args[0], replacement); err != nil {
+		RunE: c.withFile(func(file *config.File, args []string) error {
+			if err := file.VerifyKeys(args[0], replacement); err != nil {
 				return err
 			}
 			fmt.Fprintln(c.out, "good: these files would be taken")
@@ -132,17 +136,16 @@
 	verify.Flags().StringVar(&replacement.Key, "key", "", "its key, in place of key_file")
 	verify.Flags().StringVar(&replacement.Roots, "roots", "", "in place of roots_file")
 	verify.Flags().StringVar(&replacement.Revoked, "revoked", "", "in place of revoked_file")
-	keys.AddCommand(verify)
-	return keys
+	return verify
 }
 
 // load loads the operator's file.
 func load(path string) (*config.File, error) {
-	f, err := config.Load(path)
+	file, err := config.Load(path)
 	if err != nil {
 		return nil, describeError(path, err)
 	}
-	return f, nil
+	return file, nil
 }
 
 // describeError adds the file's name to an error of loading it: in front of a single error, on a line of its own in
--- a/cmd/pinedale-proxy/explain.go
+++ b/cmd/pinedale-proxy/explain.go
@@ -14,12 +14,12 @@
 
 // explain prints the class of a request, and for each route why it is chosen or not. args are the method, the path
 // and headers.
-func explain(out io.Writer, f *config.File, args []string) error {
+func explain(out io.Writer, file *config.File, args []string) error {
 	query, err := parseQuery(args)
 	if err != nil {
 		return err
 	}
-	table := f.Table()
+	table := file.Table()
 	if !table.HasRoutes() {
 		return explainUnrouted(out, table, query)
 	}
@@ -32,19 +32,24 @@
 		fmt.Fprintln(out, "no route: 404")
 	}
 	for _, reason := range table.Explain(query) {
-		route := &f.Routes[reason.Route]
-		name, mark := route.Name, " "
-		if name == "" {
-			name = "of class " + route.Class
-		}
+		mark := " "
 		if reason.Taken {
 			mark = ">"
 		}
-		fmt.Fprintf(out, "%s route[%d] (%s): %s\n", mark, reason.Route, name, reason.Text)
+		fmt.Fprintf(out, "%s route[%d] (%s): %s\n", mark, reason.Route, routeTitle(file, reason.Route), reason.Text)
 	}
 	return nil
 }
 
+// routeTitle returns the name of a route, or the class of a route without one.
+func routeTitle(file *config.File, route int) string {
+	name := file.Routes[route].Name
+	if name == "" {
+		return "of class " + file.Routes[route].Class
+	}
+	return name
+}
+
 // parseQuery parses the arguments of explain.
 func parseQuery(args []string) (*policy.Query, error) {
 	location, err := url.Parse(args[1])
--- a/cmd/pinedale-proxy/main.go
+++ b/cmd/pinedale-proxy/main.go
@@ -3,13 +3,12 @@
 package main
 
 import (
-	"fmt"
+	"context"
 	"os"
+
+	"pinedale/internal/cli"
 )
 
 func main() {
-	if err := rootCommand(os.Stdout).Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, "pinedale-proxy:", err)
-		os.Exit(1)
-	}
+	os.Exit(cli.Execute(context.Background(), rootCommand(os.Stdout), os.Args[1:], os.Stderr))
 }
--- a/cmd/pinedale-proxy/peers.go
+++ b/cmd/pinedale-proxy/peers.go
@@ -27,11 +27,11 @@
 			if len(args) == 1 {
 				return showStatus(c.out, args[0])
 			}
-			return c.withFile(func(f *config.File, _ []string) error {
-				if f.Peers.Status == "" {
+			return c.withFile(func(file *config.File, _ []string) error {
+				if file.Peers.Status == "" {
 					return errors.New("peers.status is not set in the file")
 				}
-				return showStatus(c.out, f.Peers.Status)
+				return showStatus(c.out, file.Peers.Status)
 			})(cmd, args)
 		},
 	}, &cobra.Command{
--- a/cmd/pinedale-register/supervisor.go
+++ b/cmd/pinedale-register/supervisor.go
@@ -36,7 +36,6 @@
 func (s *supervisor) run() error {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	defer signal.Stop(signals)
 	if err := s.startServer(); err != nil {
 		return err
 	}
