--- a/internal/emulator/simulation/server.go
+++ b/internal/emulator/simulation/server.go
@@ -48,8 +48,15 @@
 	sim := s.simulator
 	s.recordStrain()
 	warming := incarnation.From > 0
-	seed, group := sim.scenario.ServerSeed(s.number), fmt.Sprint(s.spec.Pod)
-	s.machine = model.New(s.spec.Config, seed, sim.now, warming, sim.dedup, group, s.spec.Faults)
+	s.machine = model.New(model.Options{
+		Config:  s.spec.Config,
+		Seed:    sim.scenario.ServerSeed(s.number),
+		Start:   sim.now,
+		Warming: warming,
+		Dedup:   sim.dedup,
+		Group:   fmt.Sprint(s.spec.Pod),
+		Faults:  s.spec.Faults,
+	})
 	if warming {
 		s.notifyInstances(incarnation, balancer.Ready)
 	}
@@ -98,9 +105,8 @@
 
 // answerProbe answers a load probe unless the server is unresponsive.
 func (s *server) answerProbe(probe *call) {
-	eps, queue, ok := s.machine.Probe(s.simulator.now)
-	if ok {
-		s.reply(probe, engine.Result{Status: balancer.OK, Load: []float32{float32(eps), float32(queue)}})
+	if report, ok := s.machine.Probe(s.simulator.now); ok {
+		s.reply(probe, engine.Result{Status: balancer.OK, Load: loadFields(report)})
 		s.scheduleWakeUp()
 	}
 }
@@ -149,13 +155,17 @@
 		}
 		result := engine.Result{Status: statusByOutcome[completion.Outcome]}
 		if completion.Outcome != model.ConnectionFailed {
-			eps, queue := s.machine.LoadReport(s.simulator.now)
-			result.Load = []float32{float32(eps), float32(queue)}
+			result.Load = loadFields(s.machine.Report(s.simulator.now))
 		}
 		s.reply(c, result)
 	}
 }
 
+// loadFields returns a load report in the order of the settings' fields: errors, queue.
+func loadFields(report model.LoadReport) []float32 {
+	return []float32{float32(report.ErrorsPerSecond), float32(report.Queue)}
+}
+
 // reply delivers the result of a call to its instance after the one-way latency.
 func (s *server) reply(c *call, result engine.Result) {
 	s.simulator.after(c.latency(), func() { c.finish(result) })
--- a/internal/emulator/sockets/sockets.go
+++ b/internal/emulator/sockets/sockets.go
@@ -108,7 +108,8 @@
 // Start starts a server.
 func (f *Fleet) Start(spec ServerSpec) (*Server, error) {
 	s := &Server{Name: spec.Name, fleet: f, waiting: map[uint64]chan model.Outcome{}}
-	s.machine = model.New(spec.Config, spec.Seed, f.Now(), spec.Warming, f.memory, spec.Group, spec.Faults)
+	s.machine = model.New(model.Options{
+		Config: spec.Config, Seed: spec.Seed, Start: f.Now(), Warming: spec.Warming, Dedup: f.memory, Group: spec.Group, Faults: spec.Faults})
 	if len(spec.Latencies) == 0 {
 		spec.Latencies = []time.Duration{0}
 	}
@@ -329,16 +330,18 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return o, figures(s.machine.LoadReport(f.Now())), nil
+	return o, figures(s.machine.Report(f.Now())), nil
 }
 
-func figures(eps, queue float64) string { return fmt.Sprintf("eps=%.2f,queue=%.2f", eps, queue) }
+func figures(r model.LoadReport) string {
+	return fmt.Sprintf("eps=%.2f,queue=%.2f", r.ErrorsPerSecond, r.Queue)
+}
 
 // Probe is what the server tells of its load, false if it does not answer.
 func (s *Server) Probe() (report string, ok bool) {
 	s.fleet.mu.Lock()
 	defer s.fleet.mu.Unlock()
 	defer s.scheduleAdvance()
-	eps, queue, ok := s.machine.Probe(s.fleet.Now())
-	return figures(eps, queue), ok
+	load, ok := s.machine.Probe(s.fleet.Now())
+	return figures(load), ok
 }
