--- a/internal/standin/ca/ca.go
+++ b/internal/standin/ca/ca.go
@@ -1,5 +1,5 @@
-// Package ca is a certificate authority for tests: it issues what a server or client may
-// come to show, sound or not.
+// Package ca provides a certificate authority for tests, which issues the certificates that servers and clients may
+// present, valid or not.
 package ca
 
 import (
@@ -19,102 +19,132 @@
 	"time"
 )
 
-// T is what is told of trouble that must not be: a test, or a measurement.
+// Types of PEM blocks.
+const (
+	pemCertificate    = "CERTIFICATE"
+	pemPrivateKey     = "PRIVATE KEY"
+	pemRevocationList = "X509 CRL"
+)
+
+// Epoch is when the validity of authorities begins. It lasts for ten years.
+var Epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// TB is the part of testing.TB that reports errors. [PanicOnFatal] is one without a test.
 type TB interface {
 	Helper()
 	Fatal(args ...any)
 }
 
-// Must is a T that panics with an error: for measurements, where a certificate that cannot be
-// made is a fault of the program.
+// PanicOnFatal is a [TB] that panics with an error, for measurements: a certificate that cannot be made is a fault of
+// the program.
 type PanicOnFatal struct{}
 
 // Helper does nothing.
 func (PanicOnFatal) Helper() {}
 
-// Fatal panics.
+// Fatal panics with an error.
 func (PanicOnFatal) Fatal(args ...any) { panic(errors.New(fmt.Sprint(args...))) }
 
 // Authority signs certificates.
 type Authority struct {
-	t     TB
-	Cert  *x509.Certificate
-	Key   crypto.Signer
-	above *Authority // nil for a root
-}
-
-var numbers atomic.Int64
+	Cert *x509.Certificate
+	Key  crypto.Signer
 
-// Pair is a certificate and its key, as PEM, with what stands between it and the root.
-type Pair struct {
-	Cert, Key []byte
-	Leaf      *x509.Certificate
-	Signer    crypto.Signer
+	t      TB
+	issuer *Authority // nil for a root
 }
 
-// Spec is what is issued. The zero value is a sound certificate for a server and a client.
-type Spec struct {
-	Names               []string // DNS names, addresses and URIs
-	NotBefore, NotAfter time.Time
-	ExtKeyUsages        []x509.ExtKeyUsage
-	Key                 crypto.Signer // nil for a new one of P-256
-	OmitIntermediate    bool          // half a chain
+// New returns a root authority.
+func New(t TB, name string) *Authority {
+	t.Helper()
+	return newAuthority(t, name, nil)
 }
 
-// Epoch is when authorities begin; they last for ten years.
-var Epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-
-// New makes a root.
-func New(t TB, name string) *Authority { return authority(t, name, nil) }
+// NewIntermediate returns an authority whose certificate this one has signed.
+func (a *Authority) NewIntermediate(name string) *Authority {
+	a.t.Helper()
+	return newAuthority(a.t, name, a)
+}
 
-// Below makes an authority that this one vouches for.
-func (a *Authority) NewIntermediate(name string) *Authority { return authority(a.t, name, a) }
+func newAuthority(t TB, name string, issuer *Authority) *Authority {
+	t.Helper()
+	a := &Authority{t: t, Key: newKey(t), issuer: issuer}
+	template := &x509.Certificate{
+		SerialNumber:          nextSerialNumber(),
+		Subject:               pkix.Name{CommonName: name},
+		NotBefore:             Epoch,
+		NotAfter:              Epoch.AddDate(10, 0, 0),
+		KeyUsage:              x509.KeyUsageCertSign | x509.KeyUsageCRLSign,
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+	}
+	parent, signer := template, a.Key
+	if issuer != nil {
+		parent, signer = issuer.Cert, issuer.Key
+	}
+	a.Cert = sign(t, template, parent, a.Key.Public(), signer)
+	return a
+}
 
-func key(t TB) crypto.Signer {
+// newKey returns a private key of P-256.
+func newKey(t TB) crypto.Signer {
 	t.Helper()
-	k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return k
+	return key
 }
 
-func authority(t TB, name string, above *Authority) *Authority {
-	t.Helper()
-	a := &Authority{t: t, Key: key(t), above: above}
-	about := &x509.Certificate{SerialNumber: big.NewInt(numbers.Add(1)), Subject: pkix.Name{CommonName: name}, NotBefore: Epoch, NotAfter: Epoch.AddDate(10, 0, 0),
-		KeyUsage: x509.KeyUsageCertSign | x509.KeyUsageCRLSign, IsCA: true, BasicConstraintsValid: true}
-	by, signer := about, a.Key
-	if above != nil {
-		by, signer = above.Cert, above.Key
-	}
-	a.Cert = a.sign(about, by, a.Key.Public(), signer)
-	return a
-}
+// lastSerialNumber is that of the certificate or revocation list made last.
+var lastSerialNumber atomic.Int64
 
-func (a *Authority) sign(about, by *x509.Certificate, public crypto.PublicKey, signer crypto.Signer) *x509.Certificate {
-	a.t.Helper()
-	der, err := x509.CreateCertificate(rand.Reader, about, by, public, signer)
+func nextSerialNumber() *big.Int { return big.NewInt(lastSerialNumber.Add(1)) }
+
+// sign returns the certificate of template for a public key, signed by the signer of parent.
+func sign(
+	t TB, template, parent *x509.Certificate, public crypto.PublicKey, signer crypto.Signer,
+) *x509.Certificate {
+	t.Helper()
+	der, err := x509.CreateCertificate(rand.Reader, template, parent, public, signer)
 	if err != nil {
-		a.t.Fatal(err)
+		t.Fatal(err)
 	}
-	c, err := x509.ParseCertificate(der)
+	certificate, err := x509.ParseCertificate(der)
 	if err != nil {
-		a.t.Fatal(err)
+		t.Fatal(err)
 	}
-	return c
+	return certificate
 }
 
-// PEM is the authority's own certificate.
-func (a *Authority) PEM() []byte { return block("CERTIFICATE", a.Cert.Raw) }
+// PEM returns the authority's own certificate.
+func (a *Authority) PEM() []byte { return encodePEM(pemCertificate, a.Cert.Raw) }
 
-func block(kind string, der []byte) []byte {
-	return pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+func encodePEM(blockType string, der []byte) []byte {
+	return pem.EncodeToMemory(&pem.Block{Type: blockType, Bytes: der})
 }
 
-// Issue makes a certificate. It is valid for a day from Epoch on unless the spec says otherwise.
-func (a *Authority) Issue(s Spec) *Pair {
-	a.t.Helper()
+// Pair is a certificate and its private key.
+type Pair struct {
+	Cert   []byte // PEM, followed by the intermediate certificates
+	Key    []byte // PEM
+	Leaf   *x509.Certificate
+	Signer crypto.Signer
+}
+
+// Spec describes a certificate. The zero value is one that a server and a client may present.
+type Spec struct {
+	Names            []string           // DNS names, IP addresses and URIs
+	NotBefore        time.Time          // Epoch if zero
+	NotAfter         time.Time          // a day after NotBefore if zero
+	ExtKeyUsages     []x509.ExtKeyUsage // of servers and of clients if nil
+	Key              crypto.Signer      // a new one of P-256 if nil
+	OmitIntermediate bool               // leaves the chain incomplete
+}
+
+// withDefaults returns the spec with all fields set.
+func (s Spec) withDefaults(t TB) Spec {
+	t.Helper()
 	if s.NotBefore.IsZero() {
 		s.NotBefore = Epoch
 	}
@@ -125,42 +155,74 @@
 		s.ExtKeyUsages = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
 	}
 	if s.Key == nil {
-		s.Key = key(a.t)
+		s.Key = newKey(t)
+	}
+	return s
+}
+
+// template returns the certificate to be signed.
+func (s Spec) template() *x509.Certificate {
+	template := &x509.Certificate{
+		SerialNumber:          nextSerialNumber(),
+		Subject:               pkix.Name{CommonName: "issued"},
+		NotBefore:             s.NotBefore,
+		NotAfter:              s.NotAfter,
+		KeyUsage:              x509.KeyUsageDigitalSignature,
+		ExtKeyUsage:           s.ExtKeyUsages,
+		BasicConstraintsValid: true,
 	}
-	about := &x509.Certificate{SerialNumber: big.NewInt(numbers.Add(1)), Subject: pkix.Name{CommonName: "issued"}, NotBefore: s.NotBefore, NotAfter: s.NotAfter,
-		KeyUsage: x509.KeyUsageDigitalSignature, ExtKeyUsage: s.ExtKeyUsages, BasicConstraintsValid: true}
 	for _, name := range s.Names {
 		if ip := net.ParseIP(name); ip != nil {
-			about.IPAddresses = append(about.IPAddresses, ip)
-		} else if u, err := url.Parse(name); err == nil && u.Scheme != "" {
-			about.URIs = append(about.URIs, u)
+			template.IPAddresses = append(template.IPAddresses, ip)
+		} else if uri, err := url.Parse(name); err == nil && uri.Scheme != "" {
+			template.URIs = append(template.URIs, uri)
 		} else {
-			about.DNSNames = append(about.DNSNames, name)
+			template.DNSNames = append(template.DNSNames, name)
 		}
 	}
-	p := &Pair{Signer: s.Key, Leaf: a.sign(about, a.Cert, s.Key.Public(), a.Key)}
-	p.Cert = block("CERTIFICATE", p.Leaf.Raw)
-	for up := a; up.above != nil && !s.OmitIntermediate; up = up.above {
-		p.Cert = append(p.Cert, up.PEM()...)
+	return template
+}
+
+// Issue returns a new certificate with its key.
+func (a *Authority) Issue(spec Spec) *Pair {
+	a.t.Helper()
+	spec = spec.withDefaults(a.t)
+	leaf := sign(a.t, spec.template(), a.Cert, spec.Key.Public(), a.Key)
+	chain := encodePEM(pemCertificate, leaf.Raw)
+	if !spec.OmitIntermediate {
+		for authority := a; authority.issuer != nil; authority = authority.issuer {
+			chain = append(chain, authority.PEM()...)
+		}
 	}
-	private, err := x509.MarshalPKCS8PrivateKey(s.Key)
+	key, err := x509.MarshalPKCS8PrivateKey(spec.Key)
 	if err != nil {
 		a.t.Fatal(err)
 	}
-	p.Key = block("PRIVATE KEY", private)
-	return p
+	return &Pair{
+		Cert:   chain,
+		Key:    encodePEM(pemPrivateKey, key),
+		Leaf:   leaf,
+		Signer: spec.Key,
+	}
 }
 
-// Revoke makes a list that names these.
-func (a *Authority) RevocationList(all ...*x509.Certificate) []byte {
+// RevocationList returns a list, as PEM, that revokes certificates. It is valid for a year from Epoch.
+func (a *Authority) RevocationList(revoked ...*x509.Certificate) []byte {
 	a.t.Helper()
-	list := &x509.RevocationList{Number: big.NewInt(numbers.Add(1)), ThisUpdate: Epoch, NextUpdate: Epoch.AddDate(1, 0, 0)}
-	for _, c := range all {
-		list.RevokedCertificateEntries = append(list.RevokedCertificateEntries, x509.RevocationListEntry{SerialNumber: c.SerialNumber, RevocationTime: Epoch})
+	list := &x509.RevocationList{
+		Number:     nextSerialNumber(),
+		ThisUpdate: Epoch,
+		NextUpdate: Epoch.AddDate(1, 0, 0),
+	}
+	for _, certificate := range revoked {
+		list.RevokedCertificateEntries = append(list.RevokedCertificateEntries, x509.RevocationListEntry{
+			SerialNumber:   certificate.SerialNumber,
+			RevocationTime: Epoch,
+		})
 	}
 	der, err := x509.CreateRevocationList(rand.Reader, list, a.Cert, a.Key)
 	if err != nil {
 		a.t.Fatal(err)
 	}
-	return block("X509 CRL", der)
+	return encodePEM(pemRevocationList, der)
 }
--- a/internal/standin/ca/folder.go
+++ b/internal/standin/ca/folder.go
@@ -1,42 +1,50 @@
 package ca
 
 import (
+	"bytes"
 	"os"
 	"path/filepath"
 	"testing"
 )
 
-// Folder is an operator's, with the files of one identity and its trust.
+// Folder is an operator's folder with the files of one identity and of the authorities that it trusts.
 type Folder struct {
-	t                         TB
-	Cert, Key, Roots, Revoked string // paths
+	// Paths of the files, which need not exist.
+	Cert, Key, Roots, Revoked string
+
+	t TB
 }
 
-// NewFolder makes one in which nothing lies yet, for as long as a test.
-func NewFolder(t testing.TB) *Folder { return FolderAt(t, t.TempDir()) }
+// NewFolder returns an empty folder that is removed when the test ends.
+func NewFolder(t testing.TB) *Folder {
+	t.Helper()
+	return FolderAt(t, t.TempDir())
+}
 
-// FolderAt uses a folder that is there.
-func FolderAt(t TB, at string) *Folder {
-	in := func(name string) string { return filepath.Join(at, name+".pem") }
-	return &Folder{t, in("cert"), in("key"), in("roots"), in("revoked")}
+// FolderAt returns a folder that exists.
+func FolderAt(t TB, dir string) *Folder {
+	return &Folder{
+		Cert:    filepath.Join(dir, "cert.pem"),
+		Key:     filepath.Join(dir, "key.pem"),
+		Roots:   filepath.Join(dir, "roots.pem"),
+		Revoked: filepath.Join(dir, "revoked.pem"),
+		t:       t,
+	}
 }
 
-// Put writes a file beside its place and renames it there.
-func (f *Folder) WriteFile(path string, data ...[]byte) {
+// WriteFile replaces a file by the parts, one after the other. A reader finds the old file or the new one.
+func (f *Folder) WriteFile(path string, parts ...[]byte) {
 	f.t.Helper()
-	var all []byte
-	for _, part := range data {
-		all = append(all, part...)
-	}
-	if err := os.WriteFile(path+".new", all, 0o600); err != nil {
+	temporary := path + ".new"
+	if err := os.WriteFile(temporary, bytes.Join(parts, nil), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
-	if err := os.Rename(path+".new", path); err != nil {
+	if err := os.Rename(temporary, path); err != nil {
 		f.t.Fatal(err)
 	}
 }
 
-// Pair puts a certificate and its key.
+// WritePair replaces the certificate, and then its key.
 func (f *Folder) WritePair(p *Pair) {
 	f.t.Helper()
 	f.WriteFile(f.Cert, p.Cert)
--- a/internal/standin/cert/cert.go
+++ b/internal/standin/cert/cert.go
@@ -1,4 +1,5 @@
-// Package cert makes certificates for tests: one for loopback, signed by itself.
+// Package cert provides a self-signed certificate for loopback, and the TLS configurations of a server that presents
+// it and of a client that trusts it.
 package cert
 
 import (
@@ -23,68 +24,112 @@
 	"pinedale/internal/engine"
 )
 
-// Pair is a certificate and its key, and who trusts it.
-type Pair struct {
-	Cert, Key []byte // PEM
-	Server    *tls.Config
-	Client    *tls.Config // trusts the certificate; sessions are resumed
-}
+// loopback is the address that certificates are for.
+const loopback = "127.0.0.1"
 
-// CertificateStore is one that shows the certificate, and lets in whoever comes.
-func (p *Pair) CertificateStore(t *testing.T) *certstore.Store {
-	t.Helper()
-	dir := t.TempDir()
-	paths := certstore.Paths{Cert: filepath.Join(dir, "cert"), Key: filepath.Join(dir, "key")}
-	for path, data := range map[string][]byte{paths.Cert: p.Cert, paths.Key: p.Key} {
-		if err := os.WriteFile(path, data, 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
-	store, err := certstore.Open(certstore.Options{Paths: paths, Want: validate.Requirements{Server: true}, Log: slog.New(slog.DiscardHandler)})
-	if err != nil {
-		t.Fatal(err)
-	}
-	return store
-}
+// clockSkew is how long before now certificates become valid, and lifetime how long they stay so.
+const (
+	clockSkew = time.Minute
+	lifetime  = time.Hour
+)
 
-// Turn sets no bound on handshakes. With QUIC and Retire it makes a pair an http3upstream.Securer
-// that verifies by the client's configuration.
-func (p *Pair) Turn(context.Context, *engine.Target) error { return nil }
+// sessionCacheSize is the number of sessions that a client may resume.
+const sessionCacheSize = 8
 
-// QUIC returns the client's configuration.
-func (p *Pair) QUIC(*engine.Target) (*tls.Config, func(tls.ConnectionState, error) func(time.Time) bool, error) {
-	return p.Client, func(tls.ConnectionState, error) func(time.Time) bool { return func(time.Time) bool { return true } }, nil
+// Pair is a certificate with its key. It implements the Securer interface of package http3upstream: every handshake may
+// begin at once, and servers are verified by the client's configuration.
+type Pair struct {
+	Cert, Key []byte      // PEM
+	Server    *tls.Config // presents the certificate
+	Client    *tls.Config // trusts the certificate and resumes sessions
 }
 
-// Retire does nothing.
-func (p *Pair) Retire(*engine.Target) {}
-
-// New makes a pair for 127.0.0.1, good for an hour.
-func New(t *testing.T) *Pair {
+// New returns a new certificate for 127.0.0.1.
+func New(t testing.TB) *Pair {
 	t.Helper()
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		t.Fatal(err)
 	}
-	about := x509.Certificate{SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "loopback"}, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-		NotBefore: time.Now().Add(-time.Minute), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth}, IsCA: true, BasicConstraintsValid: true}
-	der, err := x509.CreateCertificate(rand.Reader, &about, &about, &key.PublicKey, key)
+	template := newTemplate()
+	certificate, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
 	if err != nil {
 		t.Fatal(err)
 	}
-	private, err := x509.MarshalECPrivateKey(key)
+	encodedKey, err := x509.MarshalECPrivateKey(key)
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &Pair{Cert: pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}), Key: pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: private})}
-	both, err := tls.X509KeyPair(p.Cert, p.Key)
+	p := &Pair{
+		Cert: pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: certificate}),
+		Key:  pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: encodedKey}),
+	}
+	keyPair, err := tls.X509KeyPair(p.Cert, p.Key)
 	if err != nil {
 		t.Fatal(err)
 	}
 	roots := x509.NewCertPool()
 	roots.AppendCertsFromPEM(p.Cert)
-	p.Server = &tls.Config{Certificates: []tls.Certificate{both}}
-	p.Client = &tls.Config{RootCAs: roots, ServerName: "127.0.0.1", ClientSessionCache: tls.NewLRUClientSessionCache(8)}
+	p.Server = &tls.Config{Certificates: []tls.Certificate{keyPair}}
+	p.Client = &tls.Config{
+		RootCAs:            roots,
+		ServerName:         loopback,
+		ClientSessionCache: tls.NewLRUClientSessionCache(sessionCacheSize),
+	}
 	return p
 }
+
+// newTemplate returns the certificate to be signed.
+func newTemplate() *x509.Certificate {
+	now := time.Now()
+	return &x509.Certificate{
+		SerialNumber:          big.NewInt(1),
+		Subject:               pkix.Name{CommonName: "loopback"},
+		IPAddresses:           []net.IP{net.ParseIP(loopback)},
+		NotBefore:             now.Add(-clockSkew),
+		NotAfter:              now.Add(lifetime),
+		KeyUsage:              x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+		ExtKeyUsage:           []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth},
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+	}
+}
+
+// CertificateStore returns a store that presents the certificate and admits any client.
+func (p *Pair) CertificateStore(t testing.TB) *certstore.Store {
+	t.Helper()
+	dir := t.TempDir()
+	paths := certstore.Paths{
+		Cert: filepath.Join(dir, "cert"),
+		Key:  filepath.Join(dir, "key"),
+	}
+	for path, data := range map[string][]byte{paths.Cert: p.Cert, paths.Key: p.Key} {
+		if err := os.WriteFile(path, data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	store, err := certstore.Open(certstore.Options{
+		Paths: paths,
+		Want:  validate.Requirements{Server: true},
+		Log:   slog.New(slog.DiscardHandler),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return store
+}
+
+// Turn lets a handshake begin at once.
+func (p *Pair) Turn(context.Context, *engine.Target) error { return nil }
+
+// QUIC returns the client's configuration. The connection may always carry new requests.
+func (p *Pair) QUIC(*engine.Target) (
+	config *tls.Config, end func(tls.ConnectionState, error) (usable func(now time.Time) bool), err error,
+) {
+	alwaysUsable := func(time.Time) bool { return true }
+	end = func(tls.ConnectionState, error) func(time.Time) bool { return alwaysUsable }
+	return p.Client, end, nil
+}
+
+// Retire does nothing.
+func (p *Pair) Retire(*engine.Target) {}
--- a/internal/standin/fakebackend/fakebackend.go
+++ b/internal/standin/fakebackend/fakebackend.go
@@ -1,14 +1,14 @@
-// Package fakebackend is a stand-in for the co-operative's servers in the tests of other
-// packages: emulated servers on HTTP/1.1 that have room for all that comes. They report
-// their load, drop repeats of a key as their class says, fail as they are scripted to,
-// and record every effect, so that a test can tell whether one was done twice.
+// Package fakebackend provides a fleet of backends for the tests of other packages: emulated servers that have capacity
+// for every request. They report their load, deduplicate requests by their idempotency keys, fail at the ratios that a
+// test sets, and record every effect, so that a test can find those that happened twice.
 package fakebackend
 
 import (
 	"crypto/tls"
-	"fmt"
+	"strconv"
 	"sync"
 	"sync/atomic"
+	"testing"
 	"time"
 
 	"pinedale/balancer"
@@ -17,116 +17,172 @@
 	"pinedale/internal/emulator/sockets"
 )
 
-// Faults are the shares of requests that a fleet fails, each 0 to 1, drawn by the
-// request's id: the same seed and id fail in the same way at the same server.
+// unlimitedCores is more than the number of requests that any test has in flight.
+const unlimitedCores = 1 << 20
+
+// seedIncrement tells the seeds of servers apart: 2^64 divided by the golden ratio, as in SplitMix64.
+const seedIncrement = 0x9e3779b97f4a7c15
+
+// Faults are the ratios, from 0 to 1, of requests that a fleet fails. They are drawn by the request's id: the same seed
+// and id fail in the same way at the same server.
 type Faults struct {
-	Reject       float64 // 503 with X-Unprocessed: 1, never run
-	Error        float64 // 500 after it has run
-	Reset        float64 // the connection is closed after it has run
-	Unresponsive float64 // no answer, though it has run
+	Reject       float64 // 503 with X-Unprocessed: 1, never executed
+	Error        float64 // 500 after execution
+	Reset        float64 // the connection is closed after execution
+	Unresponsive float64 // no response after execution
 
-	// Everywhere has a request fare the same at every server: nothing depends on
-	// which is chosen.
+	// SameOnAllServers lets a request fail in the same way at every server, so that nothing depends on the choice.
 	SameOnAllServers bool
 }
 
-// Fleet is a set of servers with one memory of what has run. Set its fields before the
-// first server starts.
+// Fleet is a set of servers with a common record of effects. Its fields are set before the first server starts.
 type Fleet struct {
-	Classes     []balancer.Class // all others are safe to repeat
+	Classes     []balancer.Class // all others are idempotent
 	Seed        uint64
 	ServiceTime time.Duration // of a request
 	Faults      Faults
-	// TLS, where set, has servers speak HTTP/1.1 over TLS and HTTP/3 with the configuration
-	// for each protocol's ALPN name, and nothing in plain text.
+
+	// TLS, if set, returns the configuration for the ALPN name of a protocol. Servers then speak HTTP/1.1 over TLS and
+	// HTTP/3, and nothing in plain text.
 	TLS func(protocol string) *tls.Config
 
 	once     sync.Once
 	emulated *sockets.Fleet
-	started  atomic.Uint64
+	started  atomic.Uint64 // number of servers so far
 	requests atomic.Int64
-	servers  sync.Map // *Server by its emulated one
+	servers  sync.Map // *Server by its *sockets.Server
 }
 
-// Counts is what came to a fleet.
-type Counts struct{ Requests, Executed, Rejected, Deduplicated int }
+// Counts are numbers of requests.
+type Counts struct {
+	Requests     int // received
+	Executed     int
+	Rejected     int
+	Deduplicated int // dropped, as their key had been seen
+}
 
-// Server is one server of a fleet.
+// Server is one server of a [Fleet].
 type Server struct {
 	Name    string
 	Address string // host:port
 	Cell    int
 
-	emulated *sockets.Server
-	last     atomic.Int64 // start of the last request that came, Unix nanoseconds
+	emulated      *sockets.Server
+	lastRequestNS atomic.Int64 // in Unix time, 0 before the first
 }
 
-// room is for more requests at once than any test has.
-const room = 1 << 20
-
-// Start listens on loopback.
+// Start starts a server on loopback.
 func (f *Fleet) Start(name string, cell int) (*Server, error) {
 	return f.StartAt("", name, cell)
 }
 
-// StartAt listens at host:port.
+// MustStart is like [Fleet.Start] but ends the test on an error. The server is closed when the test ends.
+func (f *Fleet) MustStart(t testing.TB, name string, cell int) *Server {
+	t.Helper()
+	s, err := f.Start(name, cell)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s
+}
+
+// StartAt starts a server that listens at host:port.
 func (f *Fleet) StartAt(address, name string, cell int) (*Server, error) {
-	f.once.Do(func() {
-		classes := []sockets.Class{{Work: f.ServiceTime}}
-		for _, c := range f.Classes {
-			known := plan.Class{Class: c}
-			classes = append(classes, sockets.Class{Name: c.Name, Class: known.DedupClass(), Work: f.ServiceTime})
-		}
-		o := sockets.Options{Classes: classes, OnArrival: f.arrived}
-		if f.TLS != nil {
-			o.Transport = sockets.TLS{Config: f.TLS}
-		}
-		f.emulated = sockets.New(o)
+	f.once.Do(f.newEmulatedFleet)
+	emulated, err := f.emulated.Start(sockets.ServerSpec{
+		Name:   name,
+		Group:  strconv.Itoa(cell),
+		Seed:   f.nextSeed(),
+		Listen: address,
+		Faults: []model.Fault{f.Faults.model()},
+		Config: model.Config{Cores: unlimitedCores, Speed: 1, SlotsPerCore: 1},
 	})
-	seed := f.Seed
-	if n := f.started.Add(1); !f.Faults.SameOnAllServers {
-		seed ^= n * 0x9e3779b97f4a7c15
-	}
-	fault := model.Fault{Until: model.Never, RejectRatio: f.Faults.Reject, FailLateRatio: f.Faults.Error, ResetRatio: f.Faults.Reset, UnansweredRatio: f.Faults.Unresponsive}
-	made, err := f.emulated.Start(sockets.ServerSpec{Name: name, Group: fmt.Sprint(cell), Seed: seed, Listen: address, Faults: []model.Fault{fault},
-		Config: model.Config{Cores: room, Speed: 1, SlotsPerCore: 1}})
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{Name: name, Address: made.Addresses[0], Cell: cell, emulated: made}
-	f.servers.Store(made, s)
+	s := &Server{
+		Name:     name,
+		Address:  emulated.Addresses[0],
+		Cell:     cell,
+		emulated: emulated,
+	}
+	f.servers.Store(emulated, s)
 	return s, nil
 }
 
-func (f *Fleet) arrived(at *sockets.Server, _ string, _ model.Time) {
+// newEmulatedFleet sets the emulated fleet by the exported fields.
+func (f *Fleet) newEmulatedFleet() {
+	classes := []sockets.Class{{Work: f.ServiceTime}}
+	for _, class := range f.Classes {
+		planned := plan.Class{Class: class}
+		classes = append(classes, sockets.Class{
+			Name:  class.Name,
+			Class: planned.DedupClass(),
+			Work:  f.ServiceTime,
+		})
+	}
+	options := sockets.Options{Classes: classes, OnArrival: f.recordArrival}
+	if f.TLS != nil {
+		options.Transport = sockets.TLS{Config: f.TLS}
+	}
+	f.emulated = sockets.New(options)
+}
+
+// nextSeed returns the seed of the next server.
+func (f *Fleet) nextSeed() uint64 {
+	number := f.started.Add(1)
+	if f.Faults.SameOnAllServers {
+		return f.Seed
+	}
+	return f.Seed ^ number*seedIncrement
+}
+
+// model returns the emulator's form of the faults.
+func (f Faults) model() model.Fault {
+	return model.Fault{
+		Until:           model.Never,
+		RejectRatio:     f.Reject,
+		FailLateRatio:   f.Error,
+		ResetRatio:      f.Reset,
+		UnansweredRatio: f.Unresponsive,
+	}
+}
+
+// recordArrival records that a server has received a request.
+func (f *Fleet) recordArrival(server *sockets.Server, _ string, _ model.Time) {
 	f.requests.Add(1)
-	if s, ok := f.servers.Load(at); ok {
-		s.(*Server).last.Store(time.Now().UnixNano())
+	if s, ok := f.servers.Load(server); ok {
+		s.(*Server).lastRequestNS.Store(time.Now().UnixNano())
 	}
 }
 
 // Close ends the server and its connections.
 func (s *Server) Close() { s.emulated.Close() }
 
-// LastRequest is when the last request came; the zero time before the first.
+// LastRequest returns when the last request was received, the zero time before the first.
 func (s *Server) LastRequest() time.Time {
-	if at := s.last.Load(); at != 0 {
-		return time.Unix(0, at)
+	if ns := s.lastRequestNS.Load(); ns != 0 {
+		return time.Unix(0, ns)
 	}
 	return time.Time{}
 }
 
-// Twice names the effects of keyed and unsafe classes that were done more than
-// once.
+// DuplicateEffects returns the keys of effects that happened more than once, of classes that are not idempotent by
+// themselves.
 func (f *Fleet) DuplicateEffects() []string { return f.emulated.DuplicateEffects() }
 
-// Done says how often each effect was done, by its key.
+// EffectCounts returns how often each effect happened, by its key.
 func (f *Fleet) EffectCounts() map[string]int { return f.emulated.EffectCounts() }
 
-// Counts returns what came so far.
+// Counts returns the numbers of requests so far.
 func (f *Fleet) Counts() Counts {
-	c := Counts{Requests: int(f.requests.Load())}
-	c.Executed, c.Deduplicated = f.emulated.Counts()
-	c.Rejected = c.Requests - c.Executed - c.Deduplicated
-	return c
+	requests := int(f.requests.Load())
+	executed, deduplicated := f.emulated.Counts()
+	return Counts{
+		Requests:     requests,
+		Executed:     executed,
+		Rejected:     requests - executed - deduplicated,
+		Deduplicated: deduplicated,
+	}
 }
--- a/internal/standin/fakediscovery/fakediscovery.go
+++ b/internal/standin/fakediscovery/fakediscovery.go
@@ -1,5 +1,5 @@
-// Package fakediscovery is a stand-in for the platform's discovery service: one list,
-// whole or watched, that a test changes, takes down or spoils.
+// Package fakediscovery provides a discovery service with one endpoint list, served complete or watched, that a test
+// changes, takes down or spoils.
 package fakediscovery
 
 import (
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -15,14 +16,14 @@
 	"time"
 )
 
-// Document is a list in discovery's form.
+// Document is an endpoint list in discovery's form.
 type Document struct {
 	Seq      uint64 `json:"seq"`
 	Complete bool   `json:"whole"`
 	Hosts    []Host `json:"hosts"`
 }
 
-// Host is one of its entries.
+// Host is one entry of a [Document].
 type Host struct {
 	Name      string  `json:"host"`
 	Dial      string  `json:"dial"`
@@ -34,42 +35,50 @@
 	StartedMS int64   `json:"born_ms"`
 }
 
+// Values of Host.Health.
+const (
+	healthReady       = "Ready"
+	healthTerminating = "Terminating"
+)
+
+// Ready returns the entry of an endpoint that is ready.
+func Ready(name, address string) Host {
+	return Host{Name: name, Dial: address, Site: "a", Class: "m1", Health: healthReady, Share: 1}
+}
+
+// Draining returns the entry of an endpoint that drains.
+func Draining(name, address string) Host {
+	host := Ready(name, address)
+	host.Health = healthTerminating
+	return host
+}
+
 // Directory is a discovery service with one list.
 type Directory struct {
-	Address string
+	Address   string       // host:port
+	OpenConns atomic.Int32 // number of open connections
 
-	sync.Mutex          // guards all but Conns
-	List       Document // these are to be altered within Change
-	Down       bool
-	Broken     string   // an answer to give in place of the list
-	Calls      []string // queries, so far
-	server     *http.Server
-	changed    chan struct{} // closed and replaced with every change
-	polls      []versionPoll // by those who call, each a newer version than the one before
-	OpenConns  atomic.Int32  // open connections
+	sync.Mutex // guards the fields below
+
+	List   Document // to be altered within Change
+	Down   bool     // every call fails; to be altered within Change
+	Broken string   // the response in place of the list, if not empty; to be altered within Change
+	Calls  []string // query strings so far
+
+	server  *http.Server
+	serving sync.WaitGroup
+	changed chan struct{}     // closed and replaced with every change
+	acks    []acknowledgement // each of a newer version than the one before
 }
 
-// versionPoll is when a caller first said that it has a version.
-type versionPoll struct {
+// acknowledgement is when a caller first said that it has a version.
+type acknowledgement struct {
 	seq uint64
 	at  time.Time
 }
 
-// Acknowledged says when a caller first asked for what is newer than a version, or than a newer one:
-// it has been told then. False if none has.
-func (d *Directory) Acknowledged(seq uint64) (time.Time, bool) {
-	d.Lock()
-	defer d.Unlock()
-	for _, h := range d.polls {
-		if h.seq >= seq {
-			return h.at, true
-		}
-	}
-	return time.Time{}, false
-}
-
-// New starts a service with a list of these entries, until the test ends.
-func New(t *testing.T, hosts ...Host) *Directory {
+// New starts a service whose list has these hosts. It is closed when the test ends.
+func New(t testing.TB, hosts ...Host) *Directory {
 	t.Helper()
 	d, err := Start(hosts...)
 	if err != nil {
@@ -79,64 +88,99 @@
 	return d
 }
 
-// Start starts a service with a list of these entries.
+// Start starts a service whose list has these hosts.
 func Start(hosts ...Host) (*Directory, error) {
-	d := &Directory{List: Document{Complete: true, Hosts: hosts}, changed: make(chan struct{})}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	d.Address = listener.Addr().String()
-	d.server = &http.Server{Handler: d, ConnState: func(_ net.Conn, state http.ConnState) {
-		switch state {
-		case http.StateNew:
-			d.OpenConns.Add(1)
-		case http.StateClosed:
-			d.OpenConns.Add(-1)
-		}
-	}}
-	go func() { _ = d.server.Serve(listener) }()
+	d := &Directory{
+		Address: listener.Addr().String(),
+		List:    Document{Complete: true, Hosts: hosts},
+		changed: make(chan struct{}),
+	}
+	d.server = &http.Server{Handler: d, ConnState: d.countConn}
+	d.serving.Go(func() { _ = d.server.Serve(listener) }) // until Close
 	return d, nil
 }
 
-// Close ends the service.
-func (d *Directory) Close() { d.server.Close() }
+// countConn keeps OpenConns.
+func (d *Directory) countConn(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		d.OpenConns.Add(1)
+	case http.StateClosed:
+		d.OpenConns.Add(-1)
+	}
+}
+
+// Close ends the service and its connections.
+func (d *Directory) Close() {
+	d.server.Close()
+	d.serving.Wait()
+}
 
-// ServeHTTP answers a call for the list. A caller that has gone by then gets nothing.
+// ServeHTTP responds to a call for the list. A call for what is newer than the current version waits for a change, as
+// long as it asks to. A caller that has disconnected meanwhile gets nothing.
 func (d *Directory) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	after := r.FormValue("after")
+	waitMS, _ := strconv.Atoi(r.FormValue("wait_ms")) // 0 if it is absent
+	changed, waits := d.recordCall(r.URL.RawQuery, after, waitMS)
+	if waits && !d.waitForChange(r, changed, time.Duration(waitMS)*time.Millisecond) {
+		return
+	}
+	d.respond(w, after)
+}
+
+// recordCall records a call, and returns the channel of the next change and whether the call waits for it.
+func (d *Directory) recordCall(query, after string, waitMS int) (changed <-chan struct{}, waits bool) {
 	d.Lock()
-	d.Calls = append(d.Calls, r.URL.RawQuery)
-	after, wait, changed := r.FormValue("after"), r.FormValue("wait_ms"), d.changed
-	if seq, err := strconv.ParseUint(after, 10, 64); err == nil && (len(d.polls) == 0 || seq > d.polls[len(d.polls)-1].seq) {
-		d.polls = append(d.polls, versionPoll{seq, time.Now()})
+	defer d.Unlock()
+	d.Calls = append(d.Calls, query)
+	if seq, err := strconv.ParseUint(after, 10, 64); err == nil && d.isNewerThanAcknowledged(seq) {
+		d.acks = append(d.acks, acknowledgement{seq: seq, at: time.Now()})
 	}
-	waits := after == fmt.Sprint(d.List.Seq) && wait != "0" && !d.Down && d.Broken == ""
+	isCurrent := after == fmt.Sprint(d.List.Seq)
+	return d.changed, isCurrent && waitMS != 0 && !d.Down && d.Broken == ""
+}
+
+// isNewerThanAcknowledged reports whether no caller has acknowledged a version yet. The lock is held.
+func (d *Directory) isNewerThanAcknowledged(seq uint64) bool {
+	return len(d.acks) == 0 || seq > d.acks[len(d.acks)-1].seq
+}
+
+// waitForChange waits for a change until timeout. It reports whether the call is to be answered: not if its caller has
+// disconnected, nor at the timeout if the service has been silenced.
+func (d *Directory) waitForChange(r *http.Request, changed <-chan struct{}, timeout time.Duration) bool {
+	select {
+	case <-changed:
+		return true
+	case <-r.Context().Done():
+		return false
+	case <-time.After(timeout):
+	}
+	d.Lock()
+	isCurrent := changed == d.changed
 	d.Unlock()
-	if waits {
-		ms, _ := strconv.Atoi(wait)
-		select {
-		case <-changed:
-		case <-time.After(time.Duration(ms) * time.Millisecond):
-			d.Lock()
-			silenced := changed != d.changed
-			d.Unlock()
-			if silenced {
-				select {
-				case <-changed: // it came just now
-				case <-r.Context().Done():
-					return
-				}
-			}
-		case <-r.Context().Done():
-			return
-		}
+	if isCurrent {
+		return true
+	}
+	select {
+	case <-changed: // the change came just now
+		return true
+	case <-r.Context().Done():
+		return false
 	}
+}
+
+// respond writes the list, or what stands in its place, to a caller that has the version after.
+func (d *Directory) respond(w http.ResponseWriter, after string) {
 	d.Lock()
 	defer d.Unlock()
 	switch {
 	case d.Down:
 		w.WriteHeader(http.StatusServiceUnavailable)
-		_ = json.NewEncoder(w).Encode(d.List) // which must not be believed
+		_ = json.NewEncoder(w).Encode(d.List) // which the caller must not use
 	case d.Broken != "":
 		_, _ = io.WriteString(w, d.Broken)
 	case after == fmt.Sprint(d.List.Seq):
@@ -146,7 +190,7 @@
 	}
 }
 
-// Change alters the service and wakes the calls that wait.
+// Change calls alter under the lock and then answers the calls that wait.
 func (d *Directory) Change(alter func()) {
 	d.Lock()
 	defer d.Unlock()
@@ -155,21 +199,46 @@
 	d.changed = make(chan struct{})
 }
 
-// Silence has the calls that wait now never be answered, and their connections stay open.
+// SetHosts replaces the list by a complete one of this version.
+func (d *Directory) SetHosts(version uint64, hosts ...Host) {
+	d.Change(func() { d.List = Document{Seq: version, Complete: true, Hosts: hosts} })
+}
+
+// SetDown has every call fail, or succeed again.
+func (d *Directory) SetDown(down bool) {
+	d.Change(func() { d.Down = down })
+}
+
+// Silence leaves the calls that wait now without a response for good, with their connections open.
 func (d *Directory) Silence() {
 	d.Lock()
 	defer d.Unlock()
 	d.changed = make(chan struct{})
 }
 
-// Count is how many calls came.
+// CallCount returns the number of calls so far.
 func (d *Directory) CallCount() int {
 	d.Lock()
 	defer d.Unlock()
 	return len(d.Calls)
 }
 
-// Ready is discovery's entry for an endpoint.
-func Ready(name, address string) Host {
-	return Host{Name: name, Dial: address, Site: "a", Class: "m1", Health: "Ready", Share: 1}
+// Queries returns the query strings of all calls so far.
+func (d *Directory) Queries() []string {
+	d.Lock()
+	defer d.Unlock()
+	return slices.Clone(d.Calls)
+}
+
+// Acknowledged returns when a caller first said that it has a version or a newer one, by a call for what is newer. It
+// reports false if none has.
+func (d *Directory) Acknowledged(seq uint64) (time.Time, bool) {
+	d.Lock()
+	defer d.Unlock()
+	for _, ack := range d.acks {
+		if ack.seq >= seq {
+			return ack.at, true
+		}
+	}
+	return time.Time{}, false
 }
--- a/internal/standin/fakezookeeper/connection.go
+++ b/internal/standin/fakezookeeper/connection.go
@@ -9,19 +9,23 @@
 	"time"
 )
 
+// writeTimeout is that of a frame.
+const writeTimeout = time.Second
+
+// Lengths of fields, in bytes.
 const (
-	writeTimeout  = time.Second // of a frame
-	passwordBytes = 16          // of a session's password
+	lengthBytes   = 4  // of a frame's length
+	passwordBytes = 16 // of a session's password
 )
 
 // conn is one connection of a client to a member.
 type conn struct {
 	net.Conn
-	member  *Member
-	session *session
-	auth    []string // digest identities
-	writeMu sync.Mutex
-	watches map[watchKey]bool
+	member     *Member
+	session    *session
+	identities []string // that the client has authenticated as, by digest
+	watches    map[watchKey]bool
+	writeMu    sync.Mutex
 }
 
 // accept serves connections until the listener is closed.
@@ -31,21 +35,25 @@
 		if err != nil {
 			return
 		}
-		c := &conn{Conn: raw, member: m, watches: map[watchKey]bool{}}
-		if !c.add() {
+		c := &conn{
+			Conn:    raw,
+			member:  m,
+			watches: map[watchKey]bool{},
+		}
+		if !c.register() {
 			raw.Close()
 			continue
 		}
 		m.service.stopped.Go(func() {
 			c.serve()
 			c.Close()
-			c.remove()
+			c.unregister()
 		})
 	}
 }
 
-// add adds a connection to its member's, unless the member rejects it.
-func (c *conn) add() bool {
+// register adds the connection to its member's. It reports false if the member rejects it.
+func (c *conn) register() bool {
 	s := c.member.service
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -56,8 +64,8 @@
 	return true
 }
 
-// remove takes a connection that has ended from its member and its session.
-func (c *conn) remove() {
+// unregister removes the connection, which has ended, from its member and its session.
+func (c *conn) unregister() {
 	s := c.member.service
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -67,22 +75,22 @@
 	}
 }
 
-// readFrame reads one frame.
+// readFrame reads one frame and returns it without its length.
 func (c *conn) readFrame() ([]byte, error) {
-	var head [4]byte
+	var head [lengthBytes]byte
 	if _, err := io.ReadFull(c, head[:]); err != nil {
 		return nil, err
 	}
-	n := binary.BigEndian.Uint32(head[:])
-	if n > maxFrameBytes {
-		return nil, fmt.Errorf("a frame of %d bytes", n)
+	length := binary.BigEndian.Uint32(head[:])
+	if length > maxFrameBytes {
+		return nil, fmt.Errorf("a frame of %d bytes", length)
 	}
-	data := make([]byte, n)
+	data := make([]byte, length)
 	_, err := io.ReadFull(c, data)
 	return data, err
 }
 
-// send writes one frame. The connection's reader finds out where that fails.
+// send writes one frame. If that fails, the connection's reader will notice.
 func (c *conn) send(w *writer) {
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
@@ -90,15 +98,14 @@
 	_, _ = c.Write(w.seal())
 }
 
-// serve reads a connection's frames until it ends. One that can't be read ends it,
-// as ZooKeeper's does.
+// serve reads a connection's frames until it ends. As in ZooKeeper, a malformed frame ends it.
 func (c *conn) serve() {
 	data, err := c.readFrame()
 	if err != nil {
 		return
 	}
-	in, err := parseConnect(data)
-	if err != nil || !c.open(in) {
+	opening, err := parseConnect(data)
+	if err != nil || !c.open(opening) {
 		return
 	}
 	for {
@@ -106,20 +113,20 @@
 		if err != nil {
 			return
 		}
-		q, err := parseRequest(data)
-		if err != nil || !c.serveRequest(q) {
+		r, err := parseRequest(data)
+		if err != nil || !c.serveRequest(r) {
 			return
 		}
 	}
 }
 
-// serveRequest answers a request as the member's script says. False ends the connection.
-func (c *conn) serveRequest(q request) bool {
+// serveRequest responds to a request as the member is set to. It reports whether the connection stays open.
+func (c *conn) serveRequest(r request) bool {
 	s := c.member.service
 	s.mu.Lock()
 	unresponsive, delay := c.member.unresponsive, c.member.delay
 	if !unresponsive {
-		c.member.Requests[q.op]++
+		c.member.requests[r.op]++
 	}
 	s.mu.Unlock()
 	if unresponsive {
@@ -132,37 +139,35 @@
 			return false
 		}
 	}
-	return c.answer(q)
+	return c.respond(r)
 }
 
-// open takes a connect request: a new session, or one that still lives. Session 0
-// in the answer says that it does not.
-func (c *conn) open(in connect) bool {
+// open responds to a connect request with a new session, or with one that has not ended. It reports whether the
+// connection stays open.
+func (c *conn) open(opening connectRequest) bool {
 	s := c.member.service
 	s.mu.Lock()
 	if c.member.unresponsive {
 		s.mu.Unlock()
-		_, _ = io.Copy(io.Discard, c) // until the client has had enough
+		_, _ = io.Copy(io.Discard, c) // until the client gives up
 		return false
 	}
-	if in.zxid > s.zxid {
-		// A member that is behind the client closes, so that it tries another.
+	if opening.zxid > s.zxid {
+		// A member that is behind the client closes the connection, so that the client tries another.
 		s.mu.Unlock()
 		return false
 	}
-	c.session = s.openSession(in)
-	opened := c.session
-	if opened != nil {
-		opened.conn, opened.lastSeen = c, time.Now()
+	c.session = s.openSession(opening)
+	answered := c.session
+	if answered == nil {
+		answered = &session{password: make([]byte, passwordBytes)} // id 0 says that the session has ended
 	} else {
-		opened = &session{password: make([]byte, passwordBytes)}
+		answered.conn = c
+		answered.lastSeen = time.Now()
 	}
-	out := frame()
-	out.int32(0)
-	out.int32(int32(opened.timeout.Milliseconds()))
-	out.int64(opened.id)
-	out.buffer(opened.password)
+	response := newFrame()
+	response.connectResponse(answered)
 	s.mu.Unlock()
-	c.send(out)
+	c.send(response)
 	return c.session != nil
 }
--- a/internal/standin/fakezookeeper/fakezookeeper.go
+++ b/internal/standin/fakezookeeper/fakezookeeper.go
@@ -1,19 +1,18 @@
-// Package fakezookeeper is a stand-in for a coordination service: it speaks ZooKeeper's
-// wire protocol (sessions, ephemeral nodes, watches) to any client, and fails as a
-// test scripts it: drops nodes, expires sessions, falls silent, refuses, delays,
-// restarts with another zxid, and has its members see different lists.
+// Package fakezookeeper provides a ZooKeeper service for tests. It speaks the wire protocol (sessions, ephemeral
+// nodes, watches) to any client, and fails on command: it deletes nodes, expires sessions, stops responding, rejects
+// connections, delays responses, restarts with another zxid, and lets members serve stale lists.
 package fakezookeeper
 
 import (
 	"net"
 	"sync"
+	"testing"
 	"time"
 )
 
-// Service is a tree of nodes behind one or more members. Make one with Start. Its lock guards the state of
-// its members, sessions and connections, too.
+// Service is a tree of nodes behind one or more members. Make one with [New] or [Start].
 type Service struct {
-	mu          sync.Mutex
+	mu          sync.Mutex       // guards the state of members, sessions and connections, too
 	nodes       map[string]*node // by path
 	sessions    map[int64]*session
 	members     []*Member
@@ -23,72 +22,100 @@
 	stopped     sync.WaitGroup // of all goroutines
 }
 
-// Member is one address of a service.
+// Member is one address of a [Service].
 type Member struct {
 	Address string // host:port
 
-	service      *Service
-	listener     net.Listener
+	service  *Service
+	listener net.Listener
+
+	// Guarded by the service's mu.
 	conns        map[*conn]bool
-	unresponsive bool             // it reads and answers nothing
-	rejecting    bool             // it closes new connections
-	delay        time.Duration    // of each answer
-	view         map[string]*node // what it shows in place of the tree, if it is split off
-	Requests     map[int32]int    // by operation; guarded by the service
+	requests     map[int32]int    // number by operation
+	unresponsive bool             // reads requests and does not respond
+	rejecting    bool             // closes new connections
+	delay        time.Duration    // before each response
+	staleView    map[string]*node // served in place of the tree, if not nil
+}
+
+// New starts a service with this number of members on loopback. It is closed when the test ends.
+func New(t testing.TB, members int) *Service {
+	t.Helper()
+	s, err := Start(members)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s
 }
 
-// Start starts a service with so many members on loopback.
+// Start starts a service with this number of members on loopback.
 func Start(members int) (*Service, error) {
-	s := &Service{nodes: map[string]*node{"/": {children: map[string]bool{}}}, sessions: map[int64]*session{}, stop: make(chan struct{})}
+	s := &Service{
+		nodes:    map[string]*node{"/": {children: map[string]bool{}}},
+		sessions: map[int64]*session{},
+		stop:     make(chan struct{}),
+	}
 	for range members {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			s.Close()
 			return nil, err
 		}
-		m := &Member{Address: l.Addr().String(), service: s, listener: l, conns: map[*conn]bool{}, Requests: map[int32]int{}}
+		m := &Member{
+			Address:  listener.Addr().String(),
+			service:  s,
+			listener: listener,
+			conns:    map[*conn]bool{},
+			requests: map[int32]int{},
+		}
 		s.members = append(s.members, m)
 		s.stopped.Go(m.accept)
 	}
-	s.stopped.Go(s.expire)
+	s.stopped.Go(s.expireUntilStop)
 	return s, nil
 }
 
-// Addresses are the members'.
-func (s *Service) Addresses() (all []string) {
+// Addresses returns the addresses of all members.
+func (s *Service) Addresses() []string {
+	var addresses []string
 	for _, m := range s.members {
-		all = append(all, m.Address)
+		addresses = append(addresses, m.Address)
 	}
-	return all
+	return addresses
 }
 
-// Member returns the nth member.
+// Member returns the member of number n, from 0.
 func (s *Service) Member(n int) *Member { return s.members[n] }
 
-// Close ends the service and waits for its goroutines.
-func (s *Service) Close() {
+// RequestCount returns the number of requests of an operation that members have received.
+func (s *Service) RequestCount(op int32) int {
 	s.mu.Lock()
-	select {
-	case <-s.stop:
-	default:
-		close(s.stop)
-	}
+	defer s.mu.Unlock()
+	count := 0
 	for _, m := range s.members {
-		m.listener.Close()
-		for c := range m.conns {
-			c.Close()
-		}
+		count += m.requests[op]
 	}
-	s.mu.Unlock()
+	return count
+}
+
+// Close ends the service and waits for its goroutines. It may be called more than once.
+func (s *Service) Close() {
+	s.closeListeners()
 	s.stopped.Wait()
 }
 
-// Count is how many requests of an operation all members had.
-func (s *Service) RequestCount(op int32) (n int) {
+// closeListeners closes all listeners and connections and lets goroutines end.
+func (s *Service) closeListeners() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	select {
+	case <-s.stop:
+	default:
+		close(s.stop)
+	}
 	for _, m := range s.members {
-		n += m.Requests[op]
+		m.listener.Close()
+		m.closeConns()
 	}
-	return n
 }
--- a/internal/standin/fakezookeeper/jute.go
+++ b/internal/standin/fakezookeeper/jute.go
@@ -6,8 +6,7 @@
 	"fmt"
 )
 
-// The operations that the service knows, by their numbers on the wire (ZooKeeper's
-// ZooDefs.OpCode).
+// The operations that the service supports, by their numbers on the wire (ZooDefs.OpCode).
 const (
 	OpCreate       int32 = 1
 	OpDelete       int32 = 2
@@ -37,28 +36,34 @@
 	codeAuthFailed    int32 = -115
 )
 
-// maxFrameBytes is the largest frame that is read, ZooKeeper's own limit (jute.maxbuffer).
+// maxFrameBytes is the length of the longest frame that is read, which is ZooKeeper's limit (jute.maxbuffer).
 const maxFrameBytes = 1 << 20
 
-var errShort = errors.New("the frame ends within a field")
+// nullLength is the length of a string, buffer or list that is not there.
+const nullLength = -1
 
-// reader reads the fields of a frame (Jute's encoding: big-endian numbers, strings
-// and buffers behind their length, -1 for none). Its first error stays.
+// errTruncated means that a frame ends within a field.
+var errTruncated = errors.New("the frame ends within a field")
+
+// reader reads the fields of a frame in Jute's encoding: numbers are big-endian; strings, buffers and lists follow
+// their length. After an error it reads zero values.
 type reader struct {
 	data []byte
 	err  error
 }
 
+// take returns the next n bytes, nil after an error.
 func (r *reader) take(n int) []byte {
-	if r.err != nil || n < 0 || n > len(r.data) {
-		if r.err == nil {
-			r.err = errShort
-		}
+	if r.err != nil {
+		return nil
+	}
+	if n < 0 || n > len(r.data) {
+		r.err = errTruncated
 		return nil
 	}
-	out := r.data[:n]
+	taken := r.data[:n]
 	r.data = r.data[n:]
-	return out
+	return taken
 }
 
 func (r *reader) int32() int32 {
@@ -81,11 +86,11 @@
 }
 
 func (r *reader) buffer() []byte {
-	n := r.int32()
-	if n == -1 {
+	length := r.int32()
+	if length == nullLength {
 		return nil
 	}
-	return append([]byte{}, r.take(int(n))...)
+	return append([]byte{}, r.take(int(length))...)
 }
 
 func (r *reader) string() string { return string(r.buffer()) }
@@ -93,7 +98,7 @@
 // count reads the length of a list whose items have at least minBytes each.
 func (r *reader) count(minBytes int) int {
 	n := int(r.int32())
-	if n == -1 {
+	if n == nullLength {
 		return 0
 	}
 	if n < 0 || n > len(r.data)/minBytes {
@@ -104,137 +109,181 @@
 }
 
 func (r *reader) strings() []string {
-	out := make([]string, r.count(4))
-	for i := range out {
-		out[i] = r.string()
+	list := make([]string, r.count(lengthBytes))
+	for i := range list {
+		list[i] = r.string()
 	}
-	return out
+	return list
 }
 
-// writer writes a frame. Its first four bytes are the frame's length.
+// writer is a frame that is being written. Its first bytes are the frame's length.
 type writer []byte
 
+// newFrame returns an empty frame, to be ended by seal.
+func newFrame() *writer {
+	w := make(writer, lengthBytes, 64)
+	return &w
+}
+
+// seal sets the frame's length and returns the frame.
+func (w *writer) seal() []byte {
+	binary.BigEndian.PutUint32(*w, uint32(len(*w)-lengthBytes))
+	return *w
+}
+
 func (w *writer) int32(v int32) { *w = binary.BigEndian.AppendUint32(*w, uint32(v)) }
+
 func (w *writer) int64(v int64) { *w = binary.BigEndian.AppendUint64(*w, uint64(v)) }
+
+func (w *writer) string(v string) {
+	w.int32(int32(len(v)))
+	*w = append(*w, v...)
+}
+
 func (w *writer) buffer(v []byte) {
 	if v == nil {
-		w.int32(-1)
+		w.int32(nullLength)
 		return
 	}
 	w.int32(int32(len(v)))
 	*w = append(*w, v...)
 }
-func (w *writer) string(v string) {
-	w.int32(int32(len(v)))
-	*w = append(*w, v...)
+
+func (w *writer) strings(list []string) {
+	w.int32(int32(len(list)))
+	for _, v := range list {
+		w.string(v)
+	}
 }
 
-// frame starts a frame; seal ends it.
-func frame() *writer {
-	w := make(writer, 4, 64)
-	return &w
+// connectResponse writes the response to a connect request.
+func (w *writer) connectResponse(opened *session) {
+	w.int32(0) // protocol version
+	w.int32(int32(opened.timeout.Milliseconds()))
+	w.int64(opened.id)
+	w.buffer(opened.password)
 }
 
-func (w *writer) seal() []byte {
-	binary.BigEndian.PutUint32(*w, uint32(len(*w)-4))
-	return *w
+// header writes the header of a response or watch event.
+func (w *writer) header(xid int32, zxid int64, code int32) {
+	w.int32(xid)
+	w.int64(zxid)
+	w.int32(code)
+}
+
+// stat writes a node's Stat.
+func (w *writer) stat(n *node) {
+	w.int64(n.czxid)
+	w.int64(n.mzxid)
+	w.int64(n.ctime)
+	w.int64(n.mtime)
+	w.int32(n.version)
+	w.int32(n.cversion)
+	w.int32(0) // version of the access control list
+	w.int64(n.owner)
+	w.int32(int32(len(n.data)))
+	w.int32(int32(len(n.children)))
+	w.int64(n.pzxid)
 }
 
 // ACL is one entry of a node's access control list.
 type ACL struct {
-	Perms      int32 // read 1, write 2, create 4, delete 8, admin 16
+	Perms      int32 // bits of ZooDefs.Perms
 	Scheme, ID string
 }
 
-// connect is the first frame of a connection.
-type connect struct {
-	version  int32
-	zxid     int64 // last seen
-	timeout  int32 // of the session, milliseconds
-	session  int64
-	password []byte
+// minACLBytes is the length of the shortest ACL on the wire.
+const minACLBytes = 3 * lengthBytes
+
+// connectRequest is the first frame of a connection.
+type connectRequest struct {
+	version   int32
+	zxid      int64 // last seen by the client
+	timeoutMS int32 // of the session
+	session   int64 // 0 for a new one
+	password  []byte
 }
 
-func parseConnect(data []byte) (connect, error) {
+func parseConnect(data []byte) (connectRequest, error) {
 	r := &reader{data: data}
-	c := connect{version: r.int32(), zxid: r.int64(), timeout: r.int32(), session: r.int64(), password: r.buffer()}
+	c := connectRequest{
+		version:   r.int32(),
+		zxid:      r.int64(),
+		timeoutMS: r.int32(),
+		session:   r.int64(),
+		password:  r.buffer(),
+	}
 	if len(r.data) == 1 {
-		r.bool() // read-only, from 3.4 on
+		r.bool() // read-only mode, which clients send from version 3.4 on
 	}
 	if r.err == nil && len(r.data) > 0 {
-		r.err = errors.New("bytes behind the connect request")
+		r.err = fmt.Errorf("%d bytes behind the connect request", len(r.data))
 	}
 	return c, r.err
 }
 
 // request is any other frame. Only the fields of its operation are set.
 type request struct {
-	xid      int32
-	op       int32
-	path     string
-	data     []byte
-	acl      []ACL
-	flags    int32
-	version  int32
-	watch    bool
-	scheme   string
-	zxid     int64
-	dataSet  []string // watches to set again
-	existSet []string
-	childSet []string
+	xid     int32
+	op      int32
+	path    string
+	data    []byte
+	acl     []ACL
+	flags   int32
+	version int32
+	watch   bool
+	scheme  string
+	zxid    int64
+
+	// Paths of watches to set again.
+	dataWatches, existWatches, childWatches []string
 }
 
 func parseRequest(data []byte) (request, error) {
 	r := &reader{data: data}
-	q := request{xid: r.int32(), op: r.int32()}
-	switch q.op {
+	parsed := request{xid: r.int32(), op: r.int32()}
+	switch parsed.op {
 	case OpPing, OpClose:
 	case OpCreate:
-		q.path, q.data = r.string(), r.buffer()
-		for range r.count(12) {
-			q.acl = append(q.acl, ACL{r.int32(), r.string(), r.string()})
-		}
-		q.flags = r.int32()
+		parsed.path = r.string()
+		parsed.data = r.buffer()
+		parsed.acl = r.acl()
+		parsed.flags = r.int32()
 	case OpDelete:
-		q.path, q.version = r.string(), r.int32()
+		parsed.path = r.string()
+		parsed.version = r.int32()
 	case OpExists, OpGetData, OpGetChildren, OpGetChildren2:
-		q.path, q.watch = r.string(), r.bool()
+		parsed.path = r.string()
+		parsed.watch = r.bool()
 	case OpSetData:
-		q.path, q.data, q.version = r.string(), r.buffer(), r.int32()
+		parsed.path = r.string()
+		parsed.data = r.buffer()
+		parsed.version = r.int32()
 	case OpSync:
-		q.path = r.string()
+		parsed.path = r.string()
 	case OpSetAuth:
-		r.int32()
-		q.scheme, q.data = r.string(), r.buffer()
+		r.int32() // type
+		parsed.scheme = r.string()
+		parsed.data = r.buffer()
 	case OpSetWatches:
-		q.zxid, q.dataSet, q.existSet, q.childSet = r.int64(), r.strings(), r.strings(), r.strings()
+		parsed.zxid = r.int64()
+		parsed.dataWatches = r.strings()
+		parsed.existWatches = r.strings()
+		parsed.childWatches = r.strings()
 	default:
-		return q, r.err // answered as unimplemented, whatever it holds
+		return parsed, r.err // its response is that it is not supported, whatever it holds
 	}
 	if r.err == nil && len(r.data) > 0 {
-		r.err = fmt.Errorf("%d bytes behind a request of operation %d", len(r.data), q.op)
+		r.err = fmt.Errorf("%d bytes behind a request of operation %d", len(r.data), parsed.op)
 	}
-	return q, r.err
+	return parsed, r.err
 }
 
-// head writes the head of an answer or event.
-func (w *writer) head(xid int32, zxid int64, code int32) {
-	w.int32(xid)
-	w.int64(zxid)
-	w.int32(code)
-}
-
-// stat writes a node's Stat.
-func (w *writer) stat(n *node) {
-	w.int64(n.czxid)
-	w.int64(n.mzxid)
-	w.int64(n.ctime)
-	w.int64(n.mtime)
-	w.int32(n.version)
-	w.int32(n.cversion)
-	w.int32(0)
-	w.int64(n.owner)
-	w.int32(int32(len(n.data)))
-	w.int32(int32(len(n.children)))
-	w.int64(n.pzxid)
+// acl reads an access control list.
+func (r *reader) acl() []ACL {
+	var list []ACL
+	for range r.count(minACLBytes) {
+		list = append(list, ACL{Perms: r.int32(), Scheme: r.string(), ID: r.string()})
+	}
+	return list
 }
--- a/internal/standin/fakezookeeper/request.go
+++ b/internal/standin/fakezookeeper/request.go
@@ -11,40 +11,7 @@
 	"time"
 )
 
-// answer carries out one request. False ends the connection.
-func (c *conn) answer(q request) bool {
-	s := c.member.service
-	s.mu.Lock()
-	if s.sessions[c.session.id] != c.session {
-		s.mu.Unlock()
-		return false // it has expired
-	}
-	c.session.lastSeen = time.Now()
-	var body writer
-	code := c.carryOut(q, &body)
-	out := frame()
-	out.head(q.xid, s.zxid, code)
-	if code == codeOK {
-		*out = append(*out, body...)
-	}
-	if q.op == OpClose {
-		s.end(&session{id: c.session.id}) // its connection answers first
-	}
-	// Answers and watch events leave in the order of the changes: under the lock.
-	c.send(out)
-	s.mu.Unlock()
-	return q.op != OpClose && code != codeAuthFailed
-}
-
-// tree is what the connection's member shows.
-func (c *conn) tree() map[string]*node {
-	if c.member.view != nil {
-		return c.member.view
-	}
-	return c.member.service.nodes
-}
-
-// Permissions of an access list (ZooDefs.Perms).
+// Permissions of an access control list (ZooDefs.Perms).
 const (
 	permRead   int32 = 1
 	permWrite  int32 = 2
@@ -53,172 +20,236 @@
 	permAll    int32 = 31
 )
 
-// allowed says whether the connection has a permission on a node. A node without a
-// list of its own is open to all.
-func (c *conn) allowed(n *node, perm int32) bool {
-	if len(n.acl) == 0 {
-		return true
-	}
-	return slices.ContainsFunc(n.acl, func(a ACL) bool {
-		return a.Perms&perm != 0 && (a.Scheme == "world" || a.Scheme == "digest" && slices.Contains(c.auth, a.ID) ||
-			a.Scheme == "auth" && len(c.auth) > 0)
-	})
-}
+// Schemes of an access control list.
+const (
+	schemeWorld  = "world"
+	schemeDigest = "digest"
+	schemeAuth   = "auth" // any identity of the connection
+)
 
-// validPath says whether a path is absolute and clean.
-func validPath(p string) bool { return strings.HasPrefix(p, "/") && path.Clean(p) == p }
+// Flags of a create request.
+const (
+	flagEphemeral = 1
+	flagSequence  = 2
+)
 
-// anyVersion is the version of a request that holds for any version of the node.
+// anyVersion is the version in a request that any version of the node satisfies.
 const anyVersion int32 = -1
 
-// carryOut carries out a request, writes the body of its answer and returns the answer's code.
-func (c *conn) carryOut(q request, out *writer) int32 {
-	switch q.op {
+// respond executes a request and sends the response. It reports whether the connection stays open.
+func (c *conn) respond(r request) bool {
+	s := c.member.service
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.sessions[c.session.id] != c.session {
+		return false // it has expired
+	}
+	c.session.lastSeen = time.Now()
+	var body writer
+	code := c.execute(r, &body)
+	response := newFrame()
+	response.header(r.xid, s.zxid, code)
+	if code == codeOK {
+		*response = append(*response, body...)
+	}
+	if r.op == OpClose {
+		s.forgetSession(c.session.id) // its connection is closed after the response
+	}
+	// Responses and watch events are sent in the order of the changes: under the lock.
+	c.send(response)
+	return r.op != OpClose && code != codeAuthFailed
+}
+
+// execute executes a request, writes the body of its response and returns its code.
+func (c *conn) execute(r request, body *writer) int32 {
+	switch r.op {
 	case OpPing, OpClose:
 		return codeOK
 	case OpSetAuth:
-		if q.scheme != "digest" || !bytes.Contains(q.data, []byte(":")) {
-			return codeAuthFailed
-		}
-		c.auth = append(c.auth, digest(q.data))
-		return codeOK
+		return c.authenticate(r)
 	case OpSetWatches:
-		c.setWatches(q)
+		c.setWatches(r)
 		return codeOK
 	case OpCreate, OpDelete, OpSetData, OpExists, OpGetData, OpGetChildren, OpGetChildren2, OpSync:
-		if !validPath(q.path) {
+		if !isValidPath(r.path) {
 			return codeBadArguments
 		}
+		return c.executeOnPath(r, body)
 	default:
 		return codeUnimplemented
 	}
-	switch q.op {
+}
+
+// executeOnPath is execute for the operations that have a path.
+func (c *conn) executeOnPath(r request, body *writer) int32 {
+	switch r.op {
 	case OpCreate:
-		return c.create(q, out)
+		return c.create(r, body)
 	case OpSync:
-		out.string(q.path)
+		body.string(r.path)
 		return codeOK
 	}
-	n := c.tree()[q.path]
+	n := c.tree()[r.path]
 	if n == nil {
-		if q.op == OpExists {
-			c.watch(q, existWatch)
+		if r.op == OpExists {
+			c.watch(r, existWatch)
 		}
 		return codeNoNode
 	}
-	switch q.op {
+	switch r.op {
 	case OpDelete:
-		return c.delete(q, n)
+		return c.delete(r, n)
 	case OpSetData:
-		return c.setData(q, n, out)
+		return c.setData(r, n, body)
 	default:
-		return c.read(q, n, out)
+		return c.read(r, n, body)
 	}
 }
 
-// delete deletes a node that has no children.
-func (c *conn) delete(q request, n *node) int32 {
-	s := c.member.service
-	switch {
-	case !c.allowed(s.nodes[path.Dir(q.path)], permDelete):
-		return codeNoAuth
-	case q.version != anyVersion && q.version != n.version:
-		return codeBadVersion
-	case len(n.children) > 0:
-		return codeNotEmpty
+// isValidPath reports whether a path is absolute and clean.
+func isValidPath(nodePath string) bool {
+	return strings.HasPrefix(nodePath, "/") && path.Clean(nodePath) == nodePath
+}
+
+// tree returns the nodes that the connection's member serves.
+func (c *conn) tree() map[string]*node {
+	if c.member.staleView != nil {
+		return c.member.staleView
 	}
-	s.remove(q.path)
-	return codeOK
+	return c.member.service.nodes
 }
 
-// setData replaces a node's data.
-func (c *conn) setData(q request, n *node, out *writer) int32 {
-	switch {
-	case !c.allowed(n, permWrite):
-		return codeNoAuth
-	case q.version != anyVersion && q.version != n.version:
-		return codeBadVersion
+// isAllowed reports whether the connection has a permission on a node. A node without a list is open to all.
+func (c *conn) isAllowed(n *node, perm int32) bool {
+	if len(n.acl) == 0 {
+		return true
 	}
-	c.member.service.set(q.path, n, q.data)
-	out.stat(n)
-	return codeOK
+	return slices.ContainsFunc(n.acl, func(entry ACL) bool {
+		return entry.Perms&perm != 0 && c.matches(entry)
+	})
 }
 
-// read answers a request that changes nothing, and sets its watch.
-func (c *conn) read(q request, n *node, out *writer) int32 {
-	if q.op != OpExists && !c.allowed(n, permRead) {
-		return codeNoAuth
+// matches reports whether an entry of an access control list stands for an identity of the connection.
+func (c *conn) matches(entry ACL) bool {
+	switch entry.Scheme {
+	case schemeWorld:
+		return true
+	case schemeDigest:
+		return slices.Contains(c.identities, entry.ID)
+	case schemeAuth:
+		return len(c.identities) > 0
+	default:
+		return false
 	}
-	switch q.op {
-	case OpExists:
-		c.watch(q, dataWatch)
-		out.stat(n)
-	case OpGetData:
-		c.watch(q, dataWatch)
-		out.buffer(n.data)
-		out.stat(n)
-	case OpGetChildren, OpGetChildren2:
-		c.watch(q, childWatch)
-		all := names(n)
-		out.int32(int32(len(all)))
-		for _, name := range all {
-			out.string(name)
-		}
-		if q.op == OpGetChildren2 {
-			out.stat(n)
-		}
+}
+
+// authenticate adds a digest identity to the connection.
+func (c *conn) authenticate(r request) int32 {
+	if r.scheme != schemeDigest || !bytes.Contains(r.data, []byte(":")) {
+		return codeAuthFailed
 	}
+	c.identities = append(c.identities, digest(r.data))
 	return codeOK
 }
 
-// Flags of a create request.
-const (
-	flagEphemeral = 1
-	flagSequence  = 2
-)
+// digest returns ZooKeeper's name for a user with a password (user:password).
+func digest(userPassword []byte) string {
+	user, _, _ := strings.Cut(string(userPassword), ":")
+	sum := sha1.Sum(userPassword)
+	return user + ":" + base64.StdEncoding.EncodeToString(sum[:])
+}
 
-// create creates a node and answers its path.
-func (c *conn) create(q request, out *writer) int32 {
+// create creates a node. The body of the response is its path.
+func (c *conn) create(r request, body *writer) int32 {
 	s := c.member.service
-	dir := s.nodes[path.Dir(q.path)]
+	parent := s.nodes[path.Dir(r.path)]
 	switch {
-	case q.path == "/":
+	case r.path == "/":
 		return codeNodeExists
-	case q.flags&^(flagEphemeral|flagSequence) != 0:
+	case r.flags&^(flagEphemeral|flagSequence) != 0:
 		return codeUnimplemented
-	case dir == nil:
+	case parent == nil:
 		return codeNoNode
-	case dir.owner != 0:
+	case parent.owner != 0:
 		return codeNoChildren
-	case !c.allowed(dir, permCreate):
+	case !c.isAllowed(parent, permCreate):
 		return codeNoAuth
 	}
-	p := q.path
-	if q.flags&flagSequence != 0 {
-		p = fmt.Sprintf("%s%010d", p, dir.sequence)
-		dir.sequence++
+	nodePath := r.path
+	if r.flags&flagSequence != 0 {
+		nodePath = fmt.Sprintf("%s%010d", nodePath, parent.nextSequence)
+		parent.nextSequence++
 	}
-	if s.nodes[p] != nil {
+	if s.nodes[nodePath] != nil {
 		return codeNodeExists
 	}
-	acl := q.acl
-	for i, a := range acl {
-		if a.Scheme == "auth" && len(c.auth) > 0 { // it stands for the connection's identity
-			acl[i] = ACL{a.Perms, "digest", c.auth[0]}
-		}
-	}
 	owner := int64(0)
-	if q.flags&flagEphemeral != 0 {
+	if r.flags&flagEphemeral != 0 {
 		owner = c.session.id
 	}
-	s.create(p, q.data, acl, owner)
-	out.string(p)
+	s.create(nodePath, r.data, c.resolveAuth(r.acl), owner)
+	body.string(nodePath)
 	return codeOK
 }
 
-// digest is ZooKeeper's name for a user with a password.
-func digest(userPassword []byte) string {
-	user, _, _ := strings.Cut(string(userPassword), ":")
-	sum := sha1.Sum(userPassword)
-	return user + ":" + base64.StdEncoding.EncodeToString(sum[:])
+// resolveAuth replaces the scheme "auth" by the connection's first identity.
+func (c *conn) resolveAuth(acl []ACL) []ACL {
+	for i, entry := range acl {
+		if entry.Scheme == schemeAuth && len(c.identities) > 0 {
+			acl[i] = ACL{Perms: entry.Perms, Scheme: schemeDigest, ID: c.identities[0]}
+		}
+	}
+	return acl
+}
+
+// delete deletes a node that has no children.
+func (c *conn) delete(r request, n *node) int32 {
+	s := c.member.service
+	switch {
+	case !c.isAllowed(s.nodes[path.Dir(r.path)], permDelete):
+		return codeNoAuth
+	case r.version != anyVersion && r.version != n.version:
+		return codeBadVersion
+	case len(n.children) > 0:
+		return codeNotEmpty
+	}
+	s.remove(r.path)
+	return codeOK
+}
+
+// setData replaces a node's data. The body of the response is the node's Stat.
+func (c *conn) setData(r request, n *node, body *writer) int32 {
+	switch {
+	case !c.isAllowed(n, permWrite):
+		return codeNoAuth
+	case r.version != anyVersion && r.version != n.version:
+		return codeBadVersion
+	}
+	c.member.service.setData(r.path, n, r.data)
+	body.stat(n)
+	return codeOK
+}
+
+// read executes a request that changes nothing, and sets its watch.
+func (c *conn) read(r request, n *node, body *writer) int32 {
+	if r.op != OpExists && !c.isAllowed(n, permRead) {
+		return codeNoAuth
+	}
+	switch r.op {
+	case OpExists:
+		c.watch(r, dataWatch)
+		body.stat(n)
+	case OpGetData:
+		c.watch(r, dataWatch)
+		body.buffer(n.data)
+		body.stat(n)
+	case OpGetChildren:
+		c.watch(r, childWatch)
+		body.strings(childNames(n))
+	case OpGetChildren2:
+		c.watch(r, childWatch)
+		body.strings(childNames(n))
+		body.stat(n)
+	}
+	return codeOK
 }
--- a/internal/standin/fakezookeeper/session.go
+++ b/internal/standin/fakezookeeper/session.go
@@ -7,9 +7,15 @@
 	"time"
 )
 
-// expireInterval is how often sessions are looked at.
+// expireInterval is how often sessions are checked for their timeout.
 const expireInterval = 10 * time.Millisecond
 
+// A session's id has its number in the upper bits and the same suffix as all others.
+const (
+	sessionNumberShift = 8
+	sessionIDSuffix    = 1
+)
+
 // session is a client's session. It outlives its connections.
 type session struct {
 	id       int64
@@ -19,22 +25,14 @@
 	conn     *conn // nil between two connections
 }
 
-// openSession opens a new session, or finds one that still lives and ends its former connection. It
-// returns nil if there is no such session. It holds mu.
-func (s *Service) openSession(in connect) *session {
-	if in.session == 0 {
-		s.lastSession++
-		opened := &session{
-			id:       s.lastSession<<8 | 1,
-			password: make([]byte, passwordBytes),
-			timeout:  time.Duration(in.timeout) * time.Millisecond,
-		}
-		rand.Read(opened.password)
-		s.sessions[opened.id] = opened
-		return opened
+// openSession returns a new session, or one that has not ended, whose earlier connection it closes. It returns nil if
+// there is no such session. It holds mu.
+func (s *Service) openSession(request connectRequest) *session {
+	if request.session == 0 {
+		return s.newSession(time.Duration(request.timeoutMS) * time.Millisecond)
 	}
-	known := s.sessions[in.session]
-	if known == nil || !bytes.Equal(known.password, in.password) {
+	known := s.sessions[request.session]
+	if known == nil || !bytes.Equal(known.password, request.password) {
 		return nil
 	}
 	if known.conn != nil {
@@ -43,48 +41,74 @@
 	return known
 }
 
-// expire ends sessions of which nothing was received for their time-out, until the service is closed.
-func (s *Service) expire() {
-	tick := time.NewTicker(expireInterval)
-	defer tick.Stop()
+// newSession adds a session. It holds mu.
+func (s *Service) newSession(timeout time.Duration) *session {
+	s.lastSession++
+	opened := &session{
+		id:       s.lastSession<<sessionNumberShift | sessionIDSuffix,
+		password: make([]byte, passwordBytes),
+		timeout:  timeout,
+	}
+	rand.Read(opened.password)
+	s.sessions[opened.id] = opened
+	return opened
+}
+
+// expireUntilStop ends sessions whose timeout is over, until the service is closed.
+func (s *Service) expireUntilStop() {
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-s.stop:
 			return
-		case <-tick.C:
+		case <-ticker.C:
+			s.expireSessions()
 		}
-		s.mu.Lock()
-		s.expireSessions()
-		s.mu.Unlock()
 	}
 }
 
-// expireSessions ends the sessions whose time-out is over, unless a member is out of order. It holds mu.
+// expireSessions ends the sessions whose timeout is over, unless a member is unresponsive or rejects connections.
 func (s *Service) expireSessions() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if slices.ContainsFunc(s.members, func(m *Member) bool { return m.unresponsive || m.rejecting }) {
 		return
 	}
-	for _, c := range s.sessions {
-		if time.Since(c.lastSeen) > c.timeout {
-			s.end(c)
+	for _, known := range s.sessions {
+		if time.Since(known.lastSeen) > known.timeout {
+			s.endSession(known)
 		}
 	}
 }
 
-// end ends a session. It holds mu.
-func (s *Service) end(c *session) {
-	delete(s.sessions, c.id)
+// endSession ends a session, with its nodes and its connection. It holds mu.
+func (s *Service) endSession(ended *session) {
+	s.forgetSession(ended.id)
+	if ended.conn != nil {
+		ended.conn.Close()
+	}
+}
+
+// forgetSession removes a session and its nodes, and leaves its connection open. It holds mu.
+func (s *Service) forgetSession(id int64) {
+	delete(s.sessions, id)
 	var owned []string
-	for p, n := range s.nodes {
-		if n.owner == c.id {
-			owned = append(owned, p)
+	for nodePath, n := range s.nodes {
+		if n.owner == id {
+			owned = append(owned, nodePath)
 		}
 	}
 	slices.Sort(owned)
-	for _, p := range owned {
-		s.remove(p)
+	for _, nodePath := range owned {
+		s.remove(nodePath)
 	}
-	if c.conn != nil {
-		c.conn.Close()
+}
+
+// restartSessionTimeouts lets the timeout of every session begin now. It holds mu.
+func (s *Service) restartSessionTimeouts() {
+	now := time.Now()
+	for _, known := range s.sessions {
+		known.lastSeen = now
 	}
 }
--- a/internal/standin/fakezookeeper/tree.go
+++ b/internal/standin/fakezookeeper/tree.go
@@ -6,61 +6,74 @@
 	"time"
 )
 
-// node is one node of the tree, with what its Stat tells.
+// node is one node of the tree, with what its Stat has.
 type node struct {
 	data                []byte
 	acl                 []ACL
 	czxid, mzxid, pzxid int64
 	ctime, mtime        int64 // milliseconds
 	version, cversion   int32
-	owner               int64 // session of an ephemeral node
+	owner               int64 // session of an ephemeral node, else 0
 	children            map[string]bool
-	sequence            int32 // of the next sequential child
+	nextSequence        int32 // of sequential children
 }
 
-// names returns the sorted names of a node's children.
-func names(n *node) []string {
+// childNames returns the sorted names of a node's children, nil for no node.
+func childNames(n *node) []string {
 	if n == nil {
 		return nil
 	}
-	var all []string
+	var names []string
 	for name := range n.children {
-		all = append(all, name)
+		names = append(names, name)
 	}
-	slices.Sort(all)
-	return all
+	slices.Sort(names)
+	return names
 }
 
 // create creates a node and fires its watches. It holds mu.
-func (s *Service) create(p string, data []byte, acl []ACL, owner int64) {
+func (s *Service) create(nodePath string, data []byte, acl []ACL, owner int64) {
 	s.zxid++
 	now := time.Now().UnixMilli()
-	s.nodes[p] = &node{data: data, acl: acl, czxid: s.zxid, mzxid: s.zxid, pzxid: s.zxid, ctime: now, mtime: now, owner: owner,
-		children: map[string]bool{}}
-	dir := s.nodes[path.Dir(p)]
-	dir.children[path.Base(p)] = true
-	dir.cversion++
-	dir.pzxid = s.zxid
-	s.fire(p, eventCreated, existWatch)
-	s.fire(path.Dir(p), eventChildren, childWatch)
+	s.nodes[nodePath] = &node{
+		data:     data,
+		acl:      acl,
+		czxid:    s.zxid,
+		mzxid:    s.zxid,
+		pzxid:    s.zxid,
+		ctime:    now,
+		mtime:    now,
+		owner:    owner,
+		children: map[string]bool{},
+	}
+	parentPath := path.Dir(nodePath)
+	parent := s.nodes[parentPath]
+	parent.children[path.Base(nodePath)] = true
+	parent.cversion++
+	parent.pzxid = s.zxid
+	s.fire(nodePath, eventCreated, existWatch)
+	s.fire(parentPath, eventChildren, childWatch)
 }
 
-// set replaces a node's data and fires its watches. It holds mu.
-func (s *Service) set(p string, n *node, data []byte) {
+// setData replaces a node's data and fires its watches. It holds mu.
+func (s *Service) setData(nodePath string, n *node, data []byte) {
 	s.zxid++
-	n.data, n.mzxid, n.mtime = data, s.zxid, time.Now().UnixMilli()
+	n.data = data
+	n.mzxid = s.zxid
+	n.mtime = time.Now().UnixMilli()
 	n.version++
-	s.fire(p, eventData, dataWatch)
+	s.fire(nodePath, eventData, dataWatch)
 }
 
 // remove deletes a node and fires its watches. It holds mu.
-func (s *Service) remove(p string) {
+func (s *Service) remove(nodePath string) {
 	s.zxid++
-	delete(s.nodes, p)
-	dir := s.nodes[path.Dir(p)]
-	delete(dir.children, path.Base(p))
-	dir.cversion++
-	dir.pzxid = s.zxid
-	s.fire(p, eventDeleted, dataWatch, existWatch, childWatch)
-	s.fire(path.Dir(p), eventChildren, childWatch)
+	delete(s.nodes, nodePath)
+	parentPath := path.Dir(nodePath)
+	parent := s.nodes[parentPath]
+	delete(parent.children, path.Base(nodePath))
+	parent.cversion++
+	parent.pzxid = s.zxid
+	s.fire(nodePath, eventDeleted, dataWatch, existWatch, childWatch)
+	s.fire(parentPath, eventChildren, childWatch)
 }
--- a/internal/standin/fakezookeeper/watch.go
+++ b/internal/standin/fakezookeeper/watch.go
@@ -8,10 +8,16 @@
 	eventChildren = 4
 )
 
-// connected is the state of the session that each watch event tells (Watcher.Event.KeeperState).
-const connected = 3
+// stateConnected is the state of the session in a watch event (Watcher.Event.KeeperState).
+const stateConnected = 3
 
-// watchKind is what a watch waits for.
+// Fields of a watch event's header.
+const (
+	eventXID  = -1
+	eventZxid = -1
+)
+
+// watchKind is the kind of change that fires a watch.
 type watchKind int
 
 // The kinds of watch.
@@ -21,83 +27,82 @@
 	childWatch                  // a node's children change, or the node is deleted
 )
 
-// watchKey names one watch of a connection.
+// watchKey identifies one watch of a connection.
 type watchKey struct {
 	kind watchKind
 	path string
 }
 
 // watch sets the watch that a request asks for.
-func (c *conn) watch(q request, kind watchKind) {
-	if q.watch {
-		c.watches[watchKey{kind, q.path}] = true
+func (c *conn) watch(r request, kind watchKind) {
+	if r.watch {
+		c.watches[watchKey{kind, r.path}] = true
 	}
 }
 
-// takeWatches ends a connection's watches of these kinds on a node, and says whether there were any.
-func (c *conn) takeWatches(p string, kinds []watchKind) (found bool) {
+// takeWatches removes a connection's watches of these kinds on a node. It reports whether there were any.
+func (c *conn) takeWatches(nodePath string, kinds []watchKind) bool {
+	found := false
 	for _, kind := range kinds {
-		k := watchKey{kind, p}
-		found = found || c.watches[k]
-		delete(c.watches, k)
+		key := watchKey{kind, nodePath}
+		found = found || c.watches[key]
+		delete(c.watches, key)
 	}
 	return found
 }
 
-// fire notifies all that watch a node in one of these ways, each connection once, and
-// ends their watches.
-func (s *Service) fire(p string, event int32, kinds ...watchKind) {
+// fire sends an event to each connection that has a watch of one of these kinds on a node, and removes the watches.
+func (s *Service) fire(nodePath string, event int32, kinds ...watchKind) {
 	for _, m := range s.members {
-		if m.view != nil || m.unresponsive {
+		if m.staleView != nil || m.unresponsive {
 			continue
 		}
 		for c := range m.conns {
-			if c.takeWatches(p, kinds) {
-				c.event(p, event)
+			if c.takeWatches(nodePath, kinds) {
+				c.sendEvent(nodePath, event)
 			}
 		}
 	}
 }
 
-// event sends a watch event.
-func (c *conn) event(p string, event int32) {
-	out := frame()
-	out.head(-1, -1, codeOK)
-	out.int32(event)
-	out.int32(connected)
-	out.string(p)
-	c.send(out)
+// sendEvent sends a watch event.
+func (c *conn) sendEvent(nodePath string, event int32) {
+	frame := newFrame()
+	frame.header(eventXID, eventZxid, codeOK)
+	frame.int32(event)
+	frame.int32(stateConnected)
+	frame.string(nodePath)
+	c.send(frame)
 }
 
-// setWatches sets watches again after a new connection. What has changed since the
-// client's last zxid is an event at once.
-func (c *conn) setWatches(q request) {
+// setWatches sets watches again after a reconnect. A change since the client's last zxid is an event at once.
+func (c *conn) setWatches(r request) {
 	tree := c.tree()
-	for _, p := range q.dataSet {
-		switch n := tree[p]; {
+	for _, nodePath := range r.dataWatches {
+		switch n := tree[nodePath]; {
 		case n == nil:
-			c.event(p, eventDeleted)
-		case n.mzxid > q.zxid:
-			c.event(p, eventData)
+			c.sendEvent(nodePath, eventDeleted)
+		case n.mzxid > r.zxid:
+			c.sendEvent(nodePath, eventData)
 		default:
-			c.watches[watchKey{dataWatch, p}] = true
+			c.watches[watchKey{dataWatch, nodePath}] = true
 		}
 	}
-	for _, p := range q.existSet {
-		if tree[p] != nil {
-			c.event(p, eventCreated)
+	for _, nodePath := range r.existWatches {
+		if tree[nodePath] != nil {
+			c.sendEvent(nodePath, eventCreated)
 		} else {
-			c.watches[watchKey{existWatch, p}] = true
+			c.watches[watchKey{existWatch, nodePath}] = true
 		}
 	}
-	for _, p := range q.childSet {
-		switch n := tree[p]; {
+	for _, nodePath := range r.childWatches {
+		switch n := tree[nodePath]; {
 		case n == nil:
-			c.event(p, eventDeleted)
-		case n.pzxid > q.zxid:
-			c.event(p, eventChildren)
+			c.sendEvent(nodePath, eventDeleted)
+		case n.pzxid > r.zxid:
+			c.sendEvent(nodePath, eventChildren)
 		default:
-			c.watches[watchKey{childWatch, p}] = true
+			c.watches[watchKey{childWatch, nodePath}] = true
 		}
 	}
 }
--- a/internal/standin/logcapture/logcapture.go
+++ b/internal/standin/logcapture/logcapture.go
@@ -1,40 +1,41 @@
-// Package logcapture is a log for tests that can be read while it is written.
+// Package logcapture provides a log for tests that may be read while it is written.
 package logcapture
 
 import (
+	"bytes"
 	"log/slog"
 	"regexp"
 	"strings"
 	"sync"
 )
 
-// Record keeps what is logged. The zero value is empty.
+// Buffer is an io.Writer that keeps what is written. The zero value is empty and ready for use.
 type Buffer struct {
 	mu   sync.Mutex
-	text strings.Builder
+	text bytes.Buffer
 }
 
-// Write takes a line.
-func (r *Buffer) Write(p []byte) (int, error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.text.Write(p)
+// Write appends p. It never fails.
+func (b *Buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
 }
 
-// String is all that was logged.
-func (r *Buffer) String() string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.text.String()
+// String returns all that was written.
+func (b *Buffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
 }
 
-// Logger writes to the record.
-func (r *Buffer) Logger() *slog.Logger { return slog.New(slog.NewTextHandler(r, nil)) }
+// Logger returns a logger that writes lines of text to the buffer.
+func (b *Buffer) Logger() *slog.Logger { return slog.New(slog.NewTextHandler(b, nil)) }
 
-// Count is how often something was said.
-func (r *Buffer) Count(what string) int { return strings.Count(r.String(), what) }
+// Count returns how often a text occurs.
+func (b *Buffer) Count(text string) int { return strings.Count(b.String(), text) }
 
-// Find returns the first match of a pattern and its groups, nil for none.
-func (r *Buffer) Find(pattern string) []string {
-	return regexp.MustCompile(pattern).FindStringSubmatch(r.String())
+// Find returns the first match of a regular expression and of its groups, nil if there is none.
+func (b *Buffer) Find(pattern string) []string {
+	return regexp.MustCompile(pattern).FindStringSubmatch(b.String())
 }
--- a/internal/standin/scriptedconn/scriptedconn.go
+++ b/internal/standin/scriptedconn/scriptedconn.go
@@ -29,6 +29,7 @@
 
 	mu        sync.Mutex
 	connCount int
+	openConns int
 	requests  []*http.Request // read by Next
 }
 
@@ -66,14 +67,23 @@
 		}
 		e.mu.Lock()
 		e.connCount++
+		e.openConns++
 		e.mu.Unlock()
-		go func() {
-			defer conn.Close()
-			handler(e, conn, bufio.NewReader(conn))
-		}()
+		go e.serve(conn, handler)
 	}
 }
 
+// serve has a handler serve one connection.
+func (e *Endpoint) serve(conn net.Conn, handler Handler) {
+	defer func() {
+		conn.Close()
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.openConns--
+	}()
+	handler(e, conn, bufio.NewReader(conn))
+}
+
 // Next reads a complete request. It returns nil once the connection has ended.
 func (e *Endpoint) Next(in *bufio.Reader) *http.Request {
 	request, err := http.ReadRequest(in)
@@ -105,6 +115,13 @@
 	return e.connCount
 }
 
+// OpenConnCount returns the number of connections whose handler has not returned.
+func (e *Endpoint) OpenConnCount() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.openConns
+}
+
 // Request returns the request that was read as number i, from 0.
 func (e *Endpoint) Request(i int) *http.Request {
 	e.mu.Lock()
--- a/internal/standin/seeds/seeds.go
+++ b/internal/standin/seeds/seeds.go
@@ -1,8 +1,8 @@
-// Package seeds has the property tests draw the same cases at every run, so that a change is judged by what it
-// changes. A test file that uses rapid imports it for its effect alone; one import serves a package's tests,
-// where a TestMain would have to stand in each and could not where one stands for other reasons.
+// Package seeds lets property tests draw the same cases in every run, so that a change is judged by what it changes.
+// A test file that uses rapid imports it for its side effect, once in each package. A TestMain would have to be
+// repeated in each package, and some have one for another purpose.
 //
-// -rapid.seed on the command line still draws others; pinedale-bench properties does so at length.
+// The flag -rapid.seed still selects other cases, which "pinedale-bench properties" does at length.
 package seeds
 
 import (
@@ -10,22 +10,35 @@
 	"os"
 	"path/filepath"
 
-	_ "pgregory.net/rapid" // whose flags these are
+	_ "pgregory.net/rapid" // defines the flags
 )
 
-// fixed is the seed of every property. Any would do but 0, which asks rapid for a random one.
-const fixed = "1"
+// defaults are the values of rapid's flags. The seed may be any number but 0, which stands for a random one.
+var defaults = map[string]string{
+	"rapid.seed":       "1",
+	"rapid.nofailfile": "true",
+}
+
+// failFiles are the files in which rapid records failed cases, from the folder of the tested package.
+const failFiles = "testdata/rapid/*/*.fail"
 
 func init() {
-	for name, value := range map[string]string{"rapid.seed": fixed, "rapid.nofailfile": "true"} {
+	for name, value := range defaults {
 		if err := flag.Set(name, value); err != nil {
 			panic(err)
 		}
 	}
-	// Rapid plays the cases that failed in former runs first, whatever the flags say: a file that
-	// lies here since another version of the code must not decide on this one.
-	old, _ := filepath.Glob("testdata/rapid/*/*.fail") // the pattern is well-formed
-	for _, path := range old {
+	removeFailFiles()
+}
+
+// removeFailFiles removes recorded failures: rapid repeats them first, whatever its flags say, and those of another
+// version of the code must not decide about this one.
+func removeFailFiles() {
+	paths, err := filepath.Glob(failFiles)
+	if err != nil {
+		panic(err) // the pattern is malformed
+	}
+	for _, path := range paths {
 		os.Remove(path)
 	}
 }
--- /dev/null
+++ b/internal/standin/tlsbackend/credentials.go
@@ -0,0 +1,123 @@
+package tlsbackend
+
+import (
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"sync"
+	"sync/atomic"
+
+	"pinedale/internal/standin/ca"
+)
+
+// ticketKeyBytes is the length of a key that encrypts session tickets.
+const ticketKeyBytes = 32
+
+// Credentials are what servers present to clients and require of them. They may be changed at any time; a handshake
+// uses those that hold when it begins.
+type Credentials struct {
+	t      ca.TB
+	config atomic.Pointer[tls.Config] // of all protocols
+
+	mu             sync.Mutex // guards the fields that config is made from
+	certificate    tls.Certificate
+	clientCAs      *x509.CertPool // nil if clients need no certificate
+	sessionTickets bool
+	ticketKey      [ticketKeyBytes]byte
+	maxVersion     uint16 // 0 for the highest
+
+	fullHandshakes, resumedHandshakes atomic.Int64
+}
+
+// NewCredentials returns credentials with a certificate and session tickets. Clients need no certificate.
+func NewCredentials(t ca.TB, pair *ca.Pair) *Credentials {
+	t.Helper()
+	c := &Credentials{t: t, sessionTickets: true}
+	rand.Read(c.ticketKey[:])
+	c.SetCertificate(pair)
+	return c
+}
+
+// ServerConfig returns the configuration of servers that speak the protocol of an ALPN name.
+func (c *Credentials) ServerConfig(protocol string) *tls.Config {
+	return &tls.Config{
+		NextProtos: []string{protocol},
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			config := c.config.Load().Clone()
+			config.NextProtos = []string{protocol}
+			return config, nil
+		},
+	}
+}
+
+// SetCertificate has servers present another certificate.
+func (c *Credentials) SetCertificate(pair *ca.Pair) {
+	c.t.Helper()
+	certificate, err := tls.X509KeyPair(pair.Cert, pair.Key)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.update(func() { c.certificate = certificate })
+}
+
+// SetClientCAs has servers require a client certificate that one of the authorities has signed, or none if there are no
+// authorities.
+func (c *Credentials) SetClientCAs(authorities ...*ca.Authority) {
+	var pool *x509.CertPool
+	if len(authorities) > 0 {
+		pool = x509.NewCertPool()
+	}
+	for _, authority := range authorities {
+		pool.AddCert(authority.Cert)
+	}
+	c.update(func() { c.clientCAs = pool })
+}
+
+// SetSessionTickets has servers issue and accept session tickets, or not.
+func (c *Credentials) SetSessionTickets(enabled bool) {
+	c.update(func() { c.sessionTickets = enabled })
+}
+
+// RotateTicketKey invalidates all session tickets, as a restart does.
+func (c *Credentials) RotateTicketKey() {
+	c.update(func() { rand.Read(c.ticketKey[:]) })
+}
+
+// SetMaxVersion sets the highest TLS version that servers speak.
+func (c *Credentials) SetMaxVersion(version uint16) {
+	c.update(func() { c.maxVersion = version })
+}
+
+// Handshakes returns the numbers of handshakes that servers have completed.
+func (c *Credentials) Handshakes() (full, resumed int) {
+	return int(c.fullHandshakes.Load()), int(c.resumedHandshakes.Load())
+}
+
+// update changes fields and makes the configuration from them.
+func (c *Credentials) update(change func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change()
+	config := &tls.Config{
+		Certificates:           []tls.Certificate{c.certificate},
+		SessionTicketsDisabled: !c.sessionTickets,
+		MaxVersion:             c.maxVersion,
+		VerifyConnection:       c.countHandshake,
+	}
+	if c.clientCAs != nil {
+		config.ClientAuth = tls.RequireAndVerifyClientCert
+		config.ClientCAs = c.clientCAs
+	}
+	config.SetSessionTicketKeys([][ticketKeyBytes]byte{c.ticketKey})
+	c.config.Store(config)
+}
+
+// countHandshake counts a handshake. It is tls.Config.VerifyConnection and accepts the connection.
+func (c *Credentials) countHandshake(state tls.ConnectionState) error {
+	if state.DidResume {
+		c.resumedHandshakes.Add(1)
+	} else {
+		c.fullHandshakes.Add(1)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/tlsbackend/faulty.go
@@ -0,0 +1,92 @@
+package tlsbackend
+
+import (
+	"io"
+	"net"
+	"sync"
+	"testing"
+)
+
+// HandshakeFault is what a listener does with a connection in place of a handshake. The connection is closed once it
+// returns.
+type HandshakeFault func(net.Conn)
+
+// How many bytes the faults read or write.
+const (
+	truncatedBytes = 16
+	garbageBytes   = 4096
+)
+
+// The faults.
+var (
+	// Unresponsive reads and writes nothing.
+	Unresponsive HandshakeFault = discardAll
+
+	// Disconnect ends the connection within the client's first message.
+	Disconnect HandshakeFault = func(conn net.Conn) {
+		_, _ = conn.Read(make([]byte, truncatedBytes))
+	}
+
+	// Garbage writes bytes that are no TLS record.
+	Garbage HandshakeFault = func(conn net.Conn) {
+		_, _ = conn.Write(make([]byte, garbageBytes))
+		discardAll(conn)
+	}
+
+	// PlainHTTP responds as a server of plain HTTP does.
+	PlainHTTP HandshakeFault = func(conn net.Conn) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
+		discardAll(conn)
+	}
+)
+
+// discardAll reads until the connection ends.
+func discardAll(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) }
+
+// faultyListener accepts connections and has a fault serve them.
+type faultyListener struct {
+	net.Listener
+	fault     HandshakeFault
+	accepting sync.WaitGroup
+	serving   sync.WaitGroup
+	conns     []net.Conn // of the accepting goroutine, until that has ended
+}
+
+// ListenFaulty returns the address of a TCP listener with a fault. It is closed, with its connections, when the test
+// ends.
+func ListenFaulty(t testing.TB, fault HandshakeFault) (address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &faultyListener{Listener: listener, fault: fault}
+	l.accepting.Go(l.accept)
+	t.Cleanup(l.close)
+	return listener.Addr().String()
+}
+
+// accept serves connections until the listener is closed.
+func (l *faultyListener) accept() {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		l.conns = append(l.conns, conn)
+		l.serving.Go(func() {
+			defer conn.Close()
+			l.fault(conn)
+		})
+	}
+}
+
+// close closes the listener and its connections and waits for their goroutines.
+func (l *faultyListener) close() {
+	l.Close()
+	l.accepting.Wait()
+	for _, conn := range l.conns {
+		conn.Close()
+	}
+	l.serving.Wait()
+}
--- a/internal/standin/udprelay/udprelay.go
+++ b/internal/standin/udprelay/udprelay.go
@@ -1,208 +1,234 @@
-// Package udprelay is a stand-in for the path between QUIC peers: it passes datagrams on
-// loopback, and drops, doubles, delays and holds them back as it is scripted to. It can
-// change the client's address as a rebinding NAT does, and go deaf in one direction.
+// Package udprelay provides a lossy network path on loopback between a QUIC client and its server: it forwards
+// datagrams, and drops, duplicates, delays and reorders them by a script. It can change the client's address as a
+// rebinding NAT does, and block one direction.
 package udprelay
 
 import (
+	"bytes"
 	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
 )
 
-// Script says what happens to datagrams. The shares are drawn from the seed.
+// Script says what happens to datagrams in both directions. Ratios, from 0 to 1, are drawn from the seed that the relay
+// was started with.
 type Script struct {
-	Loss      float64       // share that is dropped, each way
-	Duplicate float64       // share that is passed twice
-	Reorder   float64       // share that is held until the next one has passed
-	Delay     time.Duration // each way
+	Loss      float64       // ratio of datagrams that are dropped
+	Duplicate float64       // ratio that is forwarded twice
+	Reorder   float64       // ratio that is held until the next one has been forwarded
+	Delay     time.Duration // one way
 	Seed      uint64
 }
 
-// Relay passes datagrams between one client at a time and a server.
-type Relay struct {
-	Address string // that clients send to
-
-	server *net.UDPAddr
-	front  *net.UDPConn
-	done   sync.WaitGroup
-
-	mu     sync.Mutex
-	script Script
-	rng    *rand.Rand
-	client *net.UDPAddr // that sent last
-	back   *net.UDPConn // towards the server; its address is the client's, as the server sees it
-	ports  int          // addresses that the server has seen
-	deaf   [2]bool      // towards the server, and towards the client
-	held   [2][]byte
-	passed [2]int
-	closed bool
-}
+// Direction is that of a datagram.
+type Direction int
 
-// Directions of datagrams.
+// The directions.
 const (
-	ToServer = iota
+	ToServer Direction = iota
 	ToClient
+	directionCount
 )
 
-// maxDatagramBytes is more than any datagram of QUIC's on loopback.
+// maxDatagramBytes is more than any datagram of QUIC on loopback.
 const maxDatagramBytes = 1 << 16
 
-// Start returns a relay to a server at host:port.
+// Relay forwards datagrams between a server and one client at a time.
+type Relay struct {
+	Address string // host:port, to which clients send
+
+	server     *net.UDPAddr
+	clientSide *net.UDPConn
+	forwarding sync.WaitGroup
+
+	mu           sync.Mutex
+	script       Script
+	random       *rand.Rand
+	client       *net.UDPAddr // that sent last
+	serverSide   *net.UDPConn // its local address is the client's, as the server sees it
+	addressCount int          // of serverSide so far
+	directions   [directionCount]directionState
+	closed       bool
+}
+
+// directionState is the state of one direction.
+type directionState struct {
+	blocked   bool
+	held      []byte // a datagram to be forwarded after the next one
+	datagrams int    // received so far
+}
+
+// Start starts a relay to a server at host:port.
 func Start(server string, script Script) (*Relay, error) {
-	to, err := net.ResolveUDPAddr("udp", server)
+	serverAddress, err := net.ResolveUDPAddr("udp", server)
 	if err != nil {
 		return nil, err
 	}
-	front, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	clientSide, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{Address: front.LocalAddr().String(), server: to, front: front, script: script, rng: rand.New(rand.NewPCG(script.Seed, 1))}
+	r := &Relay{
+		Address:    clientSide.LocalAddr().String(),
+		server:     serverAddress,
+		clientSide: clientSide,
+		script:     script,
+		random:     rand.New(rand.NewPCG(script.Seed, 1)),
+	}
 	if err := r.Rebind(); err != nil {
-		front.Close()
+		clientSide.Close()
 		return nil, err
 	}
-	r.done.Go(r.forth)
+	r.forwarding.Go(r.forwardToServer)
 	return r, nil
 }
 
-// Rebind gives the client another address, as the server sees it. What is on its way to
-// the old one is lost.
+// Rebind gives the client another address, as the server sees it. Datagrams in flight to the old address are lost.
 func (r *Relay) Rebind() error {
-	back, err := net.DialUDP("udp", nil, r.server)
+	serverSide, err := net.DialUDP("udp", nil, r.server)
 	if err != nil {
 		return err
 	}
 	r.mu.Lock()
-	old := r.back
-	r.back = back
-	r.ports++
+	old := r.serverSide
+	r.serverSide = serverSide
+	r.addressCount++
 	r.mu.Unlock()
 	if old != nil {
 		old.Close()
 	}
-	r.done.Go(func() { r.backward(back) })
+	r.forwarding.Go(func() { r.forwardToClient(serverSide) })
 	return nil
 }
 
-// Addresses counts those that the server has seen the client at.
+// ClientAddressCount returns the number of addresses that the client has had, as the server sees it.
 func (r *Relay) ClientAddressCount() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.ports
+	return r.addressCount
 }
 
-// Set changes the script.
+// SetScript replaces the script. Its seed is not used.
 func (r *Relay) SetScript(script Script) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.script = script
 }
 
-// Deafen drops all datagrams of a direction, or passes them again.
-func (r *Relay) SetBlocked(direction int, deaf bool) {
+// SetBlocked drops all datagrams of a direction, or forwards them again.
+func (r *Relay) SetBlocked(direction Direction, blocked bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.deaf[direction] = deaf
+	r.directions[direction].blocked = blocked
 }
 
-// Passed counts the datagrams that came in each direction.
+// DatagramCounts returns the numbers of datagrams received so far in each direction.
 func (r *Relay) DatagramCounts() (toServer, toClient int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.passed[ToServer], r.passed[ToClient]
+	return r.directions[ToServer].datagrams, r.directions[ToClient].datagrams
 }
 
-// Close ends the relay.
+// Close ends the relay and waits for its goroutines.
 func (r *Relay) Close() {
 	r.mu.Lock()
 	r.closed = true
-	back := r.back
+	serverSide := r.serverSide
 	r.mu.Unlock()
-	r.front.Close()
-	back.Close()
-	r.done.Wait()
+	r.clientSide.Close()
+	serverSide.Close()
+	r.forwarding.Wait()
 }
 
-// forth passes what clients send.
-func (r *Relay) forth() {
+// forwardToServer forwards what clients send, until the relay is closed.
+func (r *Relay) forwardToServer() {
 	buffer := make([]byte, maxDatagramBytes)
 	for {
-		n, from, err := r.front.ReadFromUDP(buffer)
+		n, client, err := r.clientSide.ReadFromUDP(buffer)
 		if err != nil {
 			return
 		}
 		r.mu.Lock()
-		r.client = from
+		r.client = client
 		r.mu.Unlock()
-		r.pass(ToServer, nil, buffer[:n])
+		r.forward(ToServer, nil, buffer[:n])
 	}
 }
 
-// backward passes what the server sends to one of the client's addresses.
-func (r *Relay) backward(back *net.UDPConn) {
+// forwardToClient forwards what the server sends to one of the client's addresses, until that is replaced or the relay
+// is closed.
+func (r *Relay) forwardToClient(serverSide *net.UDPConn) {
 	buffer := make([]byte, maxDatagramBytes)
 	for {
-		n, err := back.Read(buffer)
-		if err != nil {
-			// A server that is gone answers with "port unreachable", which ends nothing.
-			r.mu.Lock()
-			stale := r.closed || r.back != back
-			r.mu.Unlock()
-			if stale {
-				return
-			}
+		n, err := serverSide.Read(buffer)
+		if err == nil {
+			r.forward(ToClient, serverSide, buffer[:n])
 			continue
 		}
-		r.pass(ToClient, back, buffer[:n])
+		// "Port unreachable", while the server is down, is no end.
+		r.mu.Lock()
+		ended := r.closed || r.serverSide != serverSide
+		r.mu.Unlock()
+		if ended {
+			return
+		}
 	}
 }
 
-// pass has a datagram fare as the script says. One that came to an address of before is lost,
-// also if it was read already.
-func (r *Relay) pass(direction int, to *net.UDPConn, data []byte) {
+// forward forwards a datagram, and those that it releases, as the script says. One that was sent to an earlier address
+// of the client, which is that of from, is lost; from is nil for a datagram of the client.
+func (r *Relay) forward(direction Direction, from *net.UDPConn, datagram []byte) {
 	r.mu.Lock()
-	if to != nil && to != r.back {
+	if from != nil && from != r.serverSide {
 		r.mu.Unlock()
 		return
 	}
-	r.passed[direction]++
-	s := r.script
-	var out [][]byte
-	switch {
-	case r.deaf[direction] || r.rng.Float64() < s.Loss:
-	case r.held[direction] == nil && r.rng.Float64() < s.Reorder:
-		r.held[direction] = append([]byte{}, data...)
-	default:
-		out = append(out, append([]byte{}, data...))
-		if r.rng.Float64() < s.Duplicate {
-			out = append(out, out[0])
-		}
-		if late := r.held[direction]; late != nil {
-			out, r.held[direction] = append(out, late), nil
-		}
-	}
+	released := r.applyScript(direction, datagram)
+	delay := r.script.Delay
 	r.mu.Unlock()
-	for _, d := range out {
-		if s.Delay > 0 {
-			time.AfterFunc(s.Delay, func() { r.write(direction, d) })
+	for _, d := range released {
+		if delay > 0 {
+			time.AfterFunc(delay, func() { r.write(direction, d) }) // does nothing once the relay is closed
 		} else {
 			r.write(direction, d)
 		}
 	}
 }
 
-// write passes a datagram on. One that cannot be sent is lost, as on any network.
-func (r *Relay) write(direction int, data []byte) {
+// applyScript returns the datagrams to forward after one is received, as copies. The lock is held.
+func (r *Relay) applyScript(direction Direction, datagram []byte) [][]byte {
+	state := &r.directions[direction]
+	state.datagrams++
+	if state.blocked || r.random.Float64() < r.script.Loss {
+		return nil
+	}
+	datagram = bytes.Clone(datagram)
+	if state.held == nil && r.random.Float64() < r.script.Reorder {
+		state.held = datagram
+		return nil
+	}
+	released := [][]byte{datagram}
+	if r.random.Float64() < r.script.Duplicate {
+		released = append(released, datagram)
+	}
+	if state.held != nil {
+		released = append(released, state.held)
+		state.held = nil
+	}
+	return released
+}
+
+// write sends a datagram. One that cannot be sent is lost, as on any network.
+func (r *Relay) write(direction Direction, datagram []byte) {
 	r.mu.Lock()
-	client, back, closed := r.client, r.back, r.closed
+	client, serverSide, closed := r.client, r.serverSide, r.closed
 	r.mu.Unlock()
 	switch {
 	case closed:
 	case direction == ToServer:
-		_, _ = back.Write(data)
+		_, _ = serverSide.Write(datagram)
 	case client != nil:
-		_, _ = r.front.WriteToUDP(data, client)
+		_, _ = r.clientSide.WriteToUDP(datagram, client)
 	}
 }
--- a/internal/standin/wait/wait.go
+++ b/internal/standin/wait/wait.go
@@ -1,4 +1,4 @@
-// Package wait has tests wait for what must come, and fail where it does not.
+// Package wait lets a test wait for a condition.
 package wait
 
 import (
@@ -6,20 +6,23 @@
 	"time"
 )
 
-// Patience is how long a test waits: far longer than anything takes on a machine
-// that does much else.
+// Timeout is how long a test waits for what must happen, far longer than anything takes on a busy machine.
 const Timeout = 20 * time.Second
 
-// Until waits until something is so, and ends the test where it does not come. more
-// says what else the failure is to tell.
-func Until(t testing.TB, what string, is func() bool, more ...func() string) {
+// pollInterval is how often a condition is checked.
+const pollInterval = 2 * time.Millisecond
+
+// Until waits until condition is true. It ends the test after [Timeout], with what as the name of the condition and
+// the text of each of details.
+func Until(t testing.TB, what string, condition func() bool, details ...func() string) {
 	t.Helper()
-	for end := time.Now().Add(Timeout); !is(); time.Sleep(2 * time.Millisecond) {
-		if time.Now().After(end) {
-			for _, f := range more {
-				t.Log(f())
-			}
-			t.Fatalf("waited in vain for: %s", what)
+	for end := time.Now().Add(Timeout); !condition(); time.Sleep(pollInterval) {
+		if time.Now().Before(end) {
+			continue
+		}
+		for _, detail := range details {
+			t.Log(detail())
 		}
+		t.Fatalf("waited %v in vain for: %s", Timeout, what)
 	}
 }
--- a/internal/upstream/byprotocol/byprotocol_test.go
+++ b/internal/upstream/byprotocol/byprotocol_test.go
@@ -182,7 +182,7 @@
 
 // While UDP is blocked in one direction no request waits for HTTP/3, and HTTP/1.1 serves all.
 func TestHTTP1ServesWhileUDPIsBlockedInOneDirection(t *testing.T) {
-	for name, direction := range map[string]int{
+	for name, direction := range map[string]udprelay.Direction{
 		"towards the server": udprelay.ToServer,
 		"towards the client": udprelay.ToClient,
 	} {
