testfleet: one package for what the tests of programs build around them

The tests of cmd/pinedale, pinedale-proxy, pinedale-register and deploy each started processes, wrote configurations and requests, and read responses by themselves. internal/standin/testfleet has this once, in place of internal/standin/platform: Main, Command and StartProcess; SidecarConfig with typed settings; Request; Client; Backends that leave the response of each attempt to the test. crossings_test.go is split into the harness, crossings, restart and discovery.

Processes are now waited for after they are killed, and a process that must end has a limit of one minute where it had none (proxy, register). The missing variable BALANCER_CONFIG has a test of its own.

--- a/cmd/pinedale-proxy/main_test.go
+++ b/cmd/pinedale-proxy/main_test.go
@@ -5,32 +5,34 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"pinedale/internal/standin/fakebackend"
-	"pinedale/internal/standin/logcapture"
+	"pinedale/internal/standin/testfleet"
 	"pinedale/internal/standin/wait"
 )
 
-// TestMain lets the test binary run as the program.
+// programName is that of the tested program for testfleet.
+const programName = "pinedale-proxy"
+
 func TestMain(m *testing.M) {
-	if os.Getenv("PINEDALE_SITE_TEST_RUN") != "" {
-		main()
-		os.Exit(0)
-	}
-	os.Exit(m.Run())
+	testfleet.Main(m, map[string]func(){programName: main})
 }
 
-// command returns a run of the program.
-func command(args ...string) *exec.Cmd {
-	c := exec.Command(os.Args[0], args...)
-	c.Env = append(os.Environ(), "PINEDALE_SITE_TEST_RUN=1")
-	return c
+// command returns a command that runs the program.
+func command(args ...string) *exec.Cmd { return testfleet.Command(programName, args...) }
+
+// configFile writes an operator's file and returns its path.
+func configFile(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "site.toml")
+	testfleet.WriteFile(t, path, text)
+	return path
 }
 
 // fileFor returns an operator's file with one server.
@@ -58,13 +60,10 @@
 
 // Wrong arguments and invalid files are reported with exit code 1.
 func TestUsageErrorsAndInvalidFilesExitWithOne(t *testing.T) {
-	path := filepath.Join(t.TempDir(), "site.toml")
-	if err := os.WriteFile(path, []byte(strings.Replace(fileFor("here"), "safe", "never", 1)), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	for _, c := range []struct {
-		args []string
-		says []string
+	path := configFile(t, strings.Replace(fileFor("here"), "safe", "never", 1))
+	for _, test := range []struct {
+		args        []string
+		wantOutputs []string
 	}{
 		{nil, []string{"Usage", "serve"}},
 		{[]string{"run"}, []string{"unknown command", "run"}},
@@ -77,29 +76,26 @@
 		},
 		{[]string{"serve", "--config", path}, []string{"line 12: class[0].repeat"}},
 	} {
-		out, err := command(c.args...).CombinedOutput()
+		out, err := command(test.args...).CombinedOutput()
 		if exit := (*exec.ExitError)(nil); !errors.As(err, &exit) || exit.ExitCode() != 1 {
-			t.Errorf("%v: %v, want exit code 1", c.args, err)
+			t.Errorf("%v: %v, want exit code 1", test.args, err)
 		}
-		for _, wantOutput := range c.says {
-			if !bytes.Contains(out, []byte(wantOutput)) {
-				t.Errorf("%v: printed %q, want %q", c.args, out, wantOutput)
+		for _, want := range test.wantOutputs {
+			if !bytes.Contains(out, []byte(want)) {
+				t.Errorf("%v: printed %q, want %q", test.args, out, want)
 			}
 		}
 	}
-	if err := os.WriteFile(path, []byte(fileFor("127.0.0.1:1")), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	testfleet.WriteFile(t, path, fileFor("127.0.0.1:1"))
 	out, err := command("check", "--config", path).CombinedOutput()
 	if err != nil || !bytes.Contains(out, []byte("good")) {
-		t.Errorf("a good file: %v, %q", err, out)
+		t.Errorf("a valid file: %v, %q", err, out)
 	}
 }
 
 // check prints the table of classes and routes, explain why a request gets its route.
 func TestCheckPrintsTableAndExplainPrintsReasons(t *testing.T) {
-	path := filepath.Join(t.TempDir(), "site.toml")
-	routed := fileFor("127.0.0.1:1") + `[[route]]
+	path := configFile(t, fileFor("127.0.0.1:1")+`[[route]]
 name = "prices"
 prefix = "/shop"
 class = "read"
@@ -109,13 +105,10 @@
 method = "POST"
 headers = { X-Tier = "gold" }
 class = "read"
-`
-	if err := os.WriteFile(path, []byte(routed), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	for _, c := range []struct {
-		args []string
-		says []string
+`)
+	for _, test := range []struct {
+		args        []string
+		wantOutputs []string
 	}{
 		{
 			[]string{"check", "--config", path},
@@ -142,13 +135,13 @@
 			[]string{"no route: 404", `does not begin with "/shop"`},
 		},
 	} {
-		out, err := command(c.args...).CombinedOutput()
+		out, err := command(test.args...).CombinedOutput()
 		if err != nil {
-			t.Errorf("%v: %v: %s", c.args, err, out)
+			t.Errorf("%v: %v: %s", test.args, err, out)
 		}
-		for _, wantOutput := range c.says {
-			if !bytes.Contains(out, []byte(wantOutput)) {
-				t.Errorf("%v: printed\n%s\nwant %q", c.args, out, wantOutput)
+		for _, want := range test.wantOutputs {
+			if !bytes.Contains(out, []byte(want)) {
+				t.Errorf("%v: printed\n%s\nwant %q", test.args, out, want)
 			}
 		}
 	}
@@ -164,77 +157,58 @@
 	}
 }
 
+// exitTimeout is how long the program may take to end.
+const exitTimeout = time.Minute
+
 // The program serves a request, uses the servers of a new file after SIGHUP, keeps the old ones if that file is
 // invalid, and ends gracefully after SIGTERM.
 func TestServeReloadsOnHangupAndEndsOnTerm(t *testing.T) {
 	fleet := &fakebackend.Fleet{}
-	first, err := fleet.Start("s-1", 0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer first.Close()
-	second, err := fleet.Start("s-2", 0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer second.Close()
-	path := filepath.Join(t.TempDir(), "site.toml")
-	if err := os.WriteFile(path, []byte(fileFor(first.Address)), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	cmd := command("serve", "--config", path)
-	var log logcapture.Buffer
-	cmd.Stderr = &log
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = cmd.Process.Kill() }() // it has ended unless the test fails
+	first, second := fleet.MustStart(t, "s-1", 0), fleet.MustStart(t, "s-2", 0)
+	path := configFile(t, fileFor(first.Address))
+	process := testfleet.StartProcess(t, command("serve", "--config", path))
 	wait.Until(t, "the log of addresses", func() bool {
-		return log.Find(`http=(\S+) http3=(\S+) ext_proc=(\S+)`) != nil
+		return process.Log.Find(`http=(\S+) http3=(\S+) ext_proc=(\S+)`) != nil
 	})
-	url := "http://" + log.Find(`http=(\S+)`)[1]
-	n := 0
+	address := process.Log.Find(`http=(\S+)`)[1]
 	get := func() int {
-		n++
-		r, err := http.NewRequest("GET", url+"/read/x", nil)
-		if err != nil {
-			t.Fatal(err)
+		request := testfleet.Request{
+			ID:       testfleet.NewRequestID(),
+			Class:    "read",
+			Path:     "x",
+			TimeLeft: time.Second,
 		}
-		r.Header.Set("X-Correlation-Id", fmt.Sprint(n))
-		r.Header.Set("X-Service-Class", "read")
-		r.Header.Set("X-Time-Left-Ms", "1000")
-		out, err := http.DefaultClient.Do(r)
+		response, err := http.DefaultClient.Do(request.HTTP(t, address))
 		if err != nil {
 			return 0
 		}
-		out.Body.Close()
-		return out.StatusCode
-	}
-	if code := get(); code != 200 {
-		t.Errorf("answer %d", code)
-	}
-	if err := os.WriteFile(path, []byte("version = 7"), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
-		t.Fatal(err)
-	}
-	wait.Until(t, "the log of the invalid file", func() bool { return log.Find("configuration reload failed") != nil })
-	if code := get(); code != 200 || !second.LastRequest().IsZero() {
-		t.Errorf("after a bad file: %d", code)
-	}
-	if err := os.WriteFile(path, []byte(strings.Replace(fileFor(second.Address), "s-1", "s-2", 1)), 0o600); err != nil {
-		t.Fatal(err)
+		response.Body.Close()
+		return response.StatusCode
 	}
-	if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
-		t.Fatal(err)
+	if code := get(); code != http.StatusOK {
+		t.Errorf("response %d", code)
 	}
-	wait.Until(t, "the new file", func() bool { return log.Find("configuration reloaded") != nil })
-	wait.Until(t, "a request at the new server", func() bool { return get() == 200 && !second.LastRequest().IsZero() })
-	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
-		t.Fatal(err)
+
+	testfleet.WriteFile(t, path, "version = 7")
+	process.Signal(syscall.SIGHUP)
+	wait.Until(t, "the log of the invalid file", func() bool {
+		return process.Log.Find("configuration reload failed") != nil
+	})
+	if code := get(); code != http.StatusOK || !second.LastRequest().IsZero() {
+		t.Errorf("after an invalid file: response %d", code)
 	}
-	if err := cmd.Wait(); err != nil {
+
+	testfleet.WriteFile(t, path, strings.Replace(fileFor(second.Address), "s-1", "s-2", 1))
+	process.Signal(syscall.SIGHUP)
+	wait.Until(t, "the log of the new file", func() bool {
+		return process.Log.Find("configuration reloaded") != nil
+	})
+	wait.Until(t, "a request at the new server", func() bool {
+		return get() == http.StatusOK && !second.LastRequest().IsZero()
+	})
+
+	process.Signal(syscall.SIGTERM)
+	if err := process.Wait(exitTimeout); err != nil {
 		t.Errorf("the program ended with %v", err)
 	}
 }
--- a/cmd/pinedale-register/main_test.go
+++ b/cmd/pinedale-register/main_test.go
@@ -9,102 +9,116 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"pinedale/internal/standin/fakezookeeper"
+	"pinedale/internal/standin/ports"
+	"pinedale/internal/standin/testfleet"
 	"pinedale/internal/standin/wait"
 )
 
-// TestMain lets the test binary stand in for the program, and for a server.
-func TestMain(m *testing.M) {
-	switch os.Getenv("PINEDALE_REGISTER_TEST") {
-	case "program":
-		main()
-	case "server":
-		term := make(chan os.Signal, 1)
-		signal.Notify(term, syscall.SIGTERM)
-		l, err := net.Listen("tcp", os.Getenv("PINEDALE_REGISTER_ADDRESS"))
-		if err != nil {
-			os.Exit(9)
-		}
-		go func() { _ = http.Serve(l, http.NotFoundHandler()) }()
-		<-term
-		os.Exit(7)
-	}
-	os.Exit(m.Run())
-}
+// The programs that the test binary runs.
+const (
+	programName = "pinedale-register"
+	serverName  = "server" // listens at the address in serverAddressVariable
+)
+
+const serverAddressVariable = "PINEDALE_REGISTER_ADDRESS"
+
+// Exit codes of the server.
+const (
+	exitTerminated  = 7 // by SIGTERM
+	exitCannotServe = 9
+)
 
-func program(args ...string) *exec.Cmd {
-	c := exec.Command(os.Args[0], args...)
-	c.Env = append(os.Environ(), "PINEDALE_REGISTER_TEST=program")
-	c.Stderr = os.Stderr
-	return c
+// exitTimeout is how long the program may take to end.
+const exitTimeout = time.Minute
+
+// Names in ZooKeeper.
+const (
+	directory = "/soko"
+	nodePath  = directory + "/s-1"
+)
+
+func TestMain(m *testing.M) {
+	testfleet.Main(m, map[string]func(){programName: main, serverName: serve})
 }
 
-// The server is registered once it listens; on SIGTERM its node goes first, it serves
-// on for the grace, and its exit code is the program's.
-func TestServerBesideItsNode(t *testing.T) {
-	s, err := fakezookeeper.Start(1)
+// serve serves HTTP until SIGTERM.
+func serve() {
+	terminated := make(chan os.Signal, 1)
+	signal.Notify(terminated, syscall.SIGTERM)
+	listener, err := net.Listen("tcp", os.Getenv(serverAddressVariable))
 	if err != nil {
-		t.Fatal(err)
-	}
-	defer s.Close()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+		os.Exit(exitCannotServe)
 	}
-	address := l.Addr().String()
-	l.Close()
-	c := program("-servers", s.Addresses()[0], "-name", "s-1", "-address", address, "-session", "2s", "-grace", "1s",
-		"--", "/usr/bin/env", "PINEDALE_REGISTER_TEST=server", "PINEDALE_REGISTER_ADDRESS="+address, os.Args[0])
-	if err := c.Start(); err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = c.Process.Kill() }() // it may have ended
-	wait.Until(t, "the node", func() bool { return s.Owner("/soko/s-1") != 0 })
-	if err := c.Process.Signal(syscall.SIGTERM); err != nil {
-		t.Fatal(err)
+	go func() { _ = http.Serve(listener, http.NotFoundHandler()) }() // until the process ends
+	<-terminated
+	os.Exit(exitTerminated)
+}
+
+// program returns a command that runs the program.
+func program(args ...string) *exec.Cmd { return testfleet.Command(programName, args...) }
+
+// registerCommand returns a command that keeps the node of a server, and runs the server.
+func registerCommand(service *fakezookeeper.Service, address, session string, args ...string) *exec.Cmd {
+	flags := []string{
+		"-servers", service.Addresses()[0],
+		"-name", "s-1",
+		"-address", address,
+		"-session", session,
 	}
-	wait.Until(t, "the node's end", func() bool { return s.Owner("/soko/s-1") == 0 })
+	return program(append(flags, args...)...)
+}
+
+// waitForNode waits until the server's node exists.
+func waitForNode(t *testing.T, service *fakezookeeper.Service) {
+	t.Helper()
+	wait.Until(t, "the node", func() bool { return service.Owner(nodePath) != 0 })
+}
+
+// The server is registered once it listens. On SIGTERM its node is removed first, it serves until the grace period is
+// over, and the program ends with the server's exit code.
+func TestSIGTERMRemovesNodeBeforeServerEnds(t *testing.T) {
+	service := fakezookeeper.New(t, 1)
+	address := ports.MustFree(t)
+	process := testfleet.StartProcess(t, registerCommand(service, address, "2s", "-grace", "1s", "--",
+		"/usr/bin/env", testfleet.ProgramVariable+"="+serverName, serverAddressVariable+"="+address, os.Args[0]))
+	waitForNode(t, service)
+	process.Signal(syscall.SIGTERM)
+	wait.Until(t, "the end of the node", func() bool { return service.Owner(nodePath) == 0 })
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
-		t.Errorf("the server does not serve on after its node's end: %v", err)
+		t.Errorf("the server does not serve after the end of its node: %v", err)
 	} else {
 		conn.Close()
 	}
-	if err := c.Wait(); c.ProcessState.ExitCode() != 7 {
-		t.Errorf("ended with %v, want the server's exit code 7", err)
+	if err := process.Wait(exitTimeout); process.ExitCode() != exitTerminated {
+		t.Errorf("the program ended with %v, want exit code %d", err, exitTerminated)
 	}
 }
 
-// A server that ends by itself takes its node along at once.
-func TestServerThatEnds(t *testing.T) {
-	s, err := fakezookeeper.Start(1)
+// A server that ends by itself loses its node at once, long before its session would expire.
+func TestServerExitRemovesNode(t *testing.T) {
+	service := fakezookeeper.New(t, 1)
+	listener, err := net.Listen("tcp", "127.0.0.1:0") // in place of the server
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer s.Close()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close() // something listens there already
-	c := program("-servers", s.Addresses()[0], "-name", "s-1", "-address", l.Addr().String(), "-session", "60s",
-		"--", "/bin/sh", "-c", "sleep 2; exit 3")
-	if err := c.Start(); err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = c.Process.Kill() }() // it may have ended
-	wait.Until(t, "the node", func() bool { return s.Owner("/soko/s-1") != 0 })
-	if err := c.Wait(); c.ProcessState.ExitCode() != 3 {
-		t.Errorf("ended with %v, want the exit code 3", err)
+	defer listener.Close()
+	process := testfleet.StartProcess(t, registerCommand(service, listener.Addr().String(), "60s", "--",
+		"/bin/sh", "-c", "sleep 2; exit 3"))
+	waitForNode(t, service)
+	if err := process.Wait(exitTimeout); process.ExitCode() != 3 {
+		t.Errorf("the program ended with %v, want exit code 3", err)
 	}
-	wait.Until(t, "the node's end", func() bool { return len(s.Children("/soko")) == 0 })
+	wait.Until(t, "the end of the node", func() bool { return len(service.Children(directory)) == 0 })
 }
 
-func TestBadArguments(t *testing.T) {
-	for _, c := range []struct {
-		args []string
-		says string
+func TestInvalidArgumentsAreReported(t *testing.T) {
+	for _, test := range []struct {
+		args       []string
+		wantOutput string
 	}{
 		{nil, "name"},
 		{[]string{"-name", "a", "-address", "here"}, "address"},
@@ -112,11 +126,9 @@
 		{[]string{"-what"}, "usage"},
 		{[]string{"-digest-file", "/nowhere"}, "nowhere"},
 	} {
-		cmd := program(c.args...)
-		cmd.Stderr = nil
-		out, err := cmd.CombinedOutput()
-		if err == nil || !strings.Contains(string(out), c.says) {
-			t.Errorf("%v: %v, said %q, want %q", c.args, err, out, c.says)
+		output, err := program(test.args...).CombinedOutput()
+		if err == nil || !strings.Contains(string(output), test.wantOutput) {
+			t.Errorf("%v: error %v, output %q, want %q", test.args, err, output, test.wantOutput)
 		}
 	}
 }
--- /dev/null
+++ b/cmd/pinedale/discovery_test.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+
+	"pinedale/internal/standin/scriptedconn"
+	"pinedale/internal/standin/testfleet"
+	"pinedale/internal/standin/wait"
+)
+
+// A watch stays open but nothing arrives on it any more. The program opens a new one, and an endpoint that has begun
+// to drain meanwhile gets no new request once the program has received that list.
+func TestDrainIsHonouredAfterWatchFellSilent(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t, true)
+	h.start()
+	wait.Until(t, "the watch", func() bool { return h.discovery.CallCount() > 1 })
+	h.discovery.Silence()
+	hosts := slices.Clone(h.config.Hosts)
+	draining := map[string]bool{}
+	for n := range 2 {
+		hosts[n].Health = "Terminating"
+		draining[hosts[n].Dial] = true
+	}
+	earlier := h.discovery.CallCount()
+	h.discovery.SetHosts(2, hosts...)
+	// A call for what is newer than a version acknowledges it.
+	wait.Until(t, "a new watch that has received version 2", func() bool {
+		return slices.ContainsFunc(h.discovery.Queries()[earlier:], func(query string) bool {
+			return strings.HasPrefix(query, "after=2&")
+		})
+	})
+
+	const requests = 20
+	client := h.dial()
+	for range requests {
+		h.send(client, "read")
+		attempt := h.nextAttempt()
+		if draining[attempt.Address] {
+			t.Errorf("a request went to %s, which drains", attempt.Address)
+		}
+		attempt.Respond(scriptedconn.Served)
+	}
+	h.process.Signal(syscall.SIGTERM)
+	<-client.Closed()
+	h.waitForExit()
+	if codes := client.StatusCodes(); len(codes) != requests || client.Err() != nil {
+		t.Errorf("%d answers, %v", len(codes), client.Err())
+	}
+}
+
+// A program that has no list yet, and whose new configuration is half written, rejects requests and ends on SIGTERM.
+func TestEndsWithoutAList(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t, true)
+	discovery := scriptedconn.New(t, scriptedconn.Unresponsive)
+	h.config.Hosts = nil
+	h.config.Discovery = discovery.Address
+	h.startUntil("a query for the list", func() bool { return discovery.RequestCount() > 0 })
+	if h.isReady() {
+		t.Error("the program is ready without a list")
+	}
+	testfleet.WriteFile(t, h.configPath, h.config.JSON(t)[:200])
+	h.process.Signal(syscall.SIGHUP)
+	wait.Until(t, "the log line of the incomplete file", func() bool {
+		return h.process.Log.Count("configuration reload failed") == 1
+	})
+	client := h.dial()
+	h.send(client, "read")
+	h.process.Signal(syscall.SIGTERM)
+	<-client.Closed()
+	h.waitForExit()
+	codes := client.StatusCodes()
+	if len(codes) != 1 || codes[0] != http.StatusServiceUnavailable || client.Err() != nil {
+		t.Errorf("answers %v, %v; want one rejection", codes, client.Err())
+	}
+}
--- a/cmd/pinedale/main_test.go
+++ b/cmd/pinedale/main_test.go
@@ -3,10 +3,8 @@
 import (
 	"bytes"
 	"errors"
-	"io"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -15,112 +13,115 @@
 	"time"
 
 	"pinedale/internal/standin/fakediscovery"
-	"pinedale/internal/standin/logcapture"
-	"pinedale/internal/standin/platform"
+	"pinedale/internal/standin/ports"
+	"pinedale/internal/standin/testfleet"
 	"pinedale/internal/standin/wait"
 )
 
-// TestMain lets the test binary stand in for the program.
+// programName is that of the tested program for testfleet.
+const programName = "pinedale"
+
 func TestMain(m *testing.M) {
-	if os.Getenv("PINEDALE_TEST_RUN") != "" {
-		main()
-		os.Exit(0)
-	}
-	os.Exit(m.Run())
+	testfleet.Main(m, map[string]func(){programName: main})
 }
 
-// command runs the program with a configuration file of this text.
-func command(t *testing.T, config string) *exec.Cmd {
+// command returns a command that runs the program with a configuration file of this text, and the file's path.
+func command(t *testing.T, config string) (cmd *exec.Cmd, configPath string) {
 	t.Helper()
-	path := filepath.Join(t.TempDir(), "config.json")
-	platform.Write(t, path, config)
-	c := exec.Command(os.Args[0])
-	c.Env = append(os.Environ(), "PINEDALE_TEST_RUN=1", "BALANCER_CONFIG="+path)
-	return c
+	configPath = filepath.Join(t.TempDir(), "config.json")
+	testfleet.WriteFile(t, configPath, config)
+	cmd = testfleet.Command(programName)
+	cmd.Env = append(cmd.Env, "BALANCER_CONFIG="+configPath)
+	return cmd, configPath
 }
 
-// config knows one endpoint that is not there.
-func config(listen string) string {
-	return platform.Config{Listen: listen, Discovery: "127.0.0.1:1",
-		Known: []fakediscovery.Host{fakediscovery.Ready("s-1", "127.0.0.1:1")}}.Text()
+// unusedAddress is an address on which nothing listens.
+const unusedAddress = "127.0.0.1:1"
+
+// minimalConfig returns a configuration whose only endpoint does not exist.
+func minimalConfig(t *testing.T, listen, discovery string) string {
+	t.Helper()
+	return testfleet.SidecarConfig{
+		Listen:    listen,
+		Discovery: discovery,
+		Hosts:     []fakediscovery.Host{fakediscovery.Ready("s-1", unusedAddress)},
+		Version:   1,
+		Settings:  testfleet.MinimalSettings(),
+	}.JSON(t)
 }
 
-func TestBadConfigurationStopsWithOneLine(t *testing.T) {
-	good := config("127.0.0.1:0")
-	for name, c := range map[string]struct{ text, key string }{
-		"no seed":         {strings.Replace(good, `"seed"`, `"sed"`, 1), "seed"},
-		"not JSON":        {good[:40], "JSON"},
-		"a class missing": {strings.Replace(good, `"classes"`, `"glasses"`, 1), "classes"},
+func TestInvalidConfigurationExitsWithOneLine(t *testing.T) {
+	valid := minimalConfig(t, "127.0.0.1:0", unusedAddress)
+	for _, test := range []struct {
+		name       string
+		text       string
+		wantOutput string
+	}{
+		{"no seed", strings.Replace(valid, `"seed"`, `"sed"`, 1), "seed"},
+		{"not JSON", valid[:40], "JSON"},
+		{"no classes", strings.Replace(valid, `"classes"`, `"glasses"`, 1), "classes"},
 	} {
-		cmd := command(t, c.text)
-		out, err := cmd.CombinedOutput()
-		var exit *exec.ExitError
-		if !errors.As(err, &exit) || exit.ExitCode() != 1 {
-			t.Errorf("%s: %v, want exit code 1", name, err)
-		}
-		if bytes.Count(out, []byte("\n")) != 1 || !bytes.Contains(out, []byte(c.key)) {
-			t.Errorf("%s: said %q, want one line with %q", name, out, c.key)
-		}
+		t.Run(test.name, func(t *testing.T) {
+			cmd, _ := command(t, test.text)
+			output, err := cmd.CombinedOutput()
+			var exit *exec.ExitError
+			if !errors.As(err, &exit) || exit.ExitCode() != 1 {
+				t.Errorf("error %v, want exit code 1", err)
+			}
+			if bytes.Count(output, []byte("\n")) != 1 || !bytes.Contains(output, []byte(test.wantOutput)) {
+				t.Errorf("printed %q, want one line with %q", output, test.wantOutput)
+			}
+		})
 	}
-	cmd := command(t, good)
+}
+
+func TestMissingConfigurationVariableIsReported(t *testing.T) {
+	cmd := testfleet.Command(programName)
 	cmd.Env = append(cmd.Env, "BALANCER_CONFIG=")
-	if out, err := cmd.CombinedOutput(); err == nil || !bytes.Contains(out, []byte("BALANCER_CONFIG")) {
-		t.Errorf("without the variable: %v, %q", err, out)
+	output, err := cmd.CombinedOutput()
+	if err == nil || !bytes.Contains(output, []byte("BALANCER_CONFIG")) {
+		t.Errorf("error %v, output %q", err, output)
 	}
 }
 
-// SIGHUP, which by default ends a process, has the file read again; a bad file
-// changes nothing. SIGTERM ends the program, also with SIGHUP on its heels.
-func TestSignals(t *testing.T) {
-	listen := platform.FreeAddress(t)
-	cmd := command(t, config(listen))
-	path := strings.TrimPrefix(cmd.Env[len(cmd.Env)-1], "BALANCER_CONFIG=")
-	var log logcapture.Buffer
-	cmd.Stderr = &log
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = cmd.Process.Kill() }() // it has ended unless the test fails
-	ready := func() bool {
-		response, err := http.Get("http://" + listen + "/health/ready")
-		if err != nil {
-			return false
-		}
-		response.Body.Close()
-		return response.StatusCode == http.StatusOK
-	}
-	wait.Until(t, "the program to be ready", ready)
-	signal := func(s os.Signal) {
-		t.Helper()
-		if err := cmd.Process.Signal(s); err != nil {
-			t.Fatal(err)
-		}
-	}
-	platform.Write(t, path, "{")
-	signal(syscall.SIGHUP)
-	wait.Until(t, "the bad file's line", func() bool { return log.Count("configuration reload failed") == 1 })
-	registry := make(chan string, 100)
+// SIGHUP, which by default ends a process, has the program read its file again; an invalid file changes nothing.
+// SIGTERM ends the program, even if SIGHUP follows it.
+func TestSIGHUPReloadsAndSIGTERMEndsProgram(t *testing.T) {
+	listen := ports.MustFree(t)
+	cmd, configPath := command(t, minimalConfig(t, listen, unusedAddress))
+	process := testfleet.StartProcess(t, cmd)
+	wait.Until(t, "the program to be ready", func() bool { return testfleet.IsReady(listen) })
+
+	testfleet.WriteFile(t, configPath, "{")
+	process.Signal(syscall.SIGHUP)
+	wait.Until(t, "the log line of the invalid file", func() bool {
+		return process.Log.Count("configuration reload failed") == 1
+	})
+
+	queries := make(chan string, 100)
 	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		registry <- r.URL.String()
-		_, _ = io.WriteString(w, `{"seq":1,"whole":true,"hosts":[{"host":"s-1","dial":"127.0.0.1:1","site":"a","health":"Ready","share":1}]}`)
+		queries <- r.URL.String()
+		_, _ = w.Write([]byte(`{"seq":1,"whole":true,"hosts":[
+			{"host":"s-1","dial":"127.0.0.1:1","site":"a","health":"Ready","share":1}]}`))
 	}))
 	defer discovery.Close()
-	platform.Write(t, path, strings.Replace(config(listen), "127.0.0.1:1", discovery.Listener.Addr().String(), 1))
-	signal(syscall.SIGHUP)
+	testfleet.WriteFile(t, configPath, minimalConfig(t, listen, discovery.Listener.Addr().String()))
+	process.Signal(syscall.SIGHUP)
 	select {
-	case call := <-registry:
-		if call != "/registry/instances" {
-			t.Errorf("the first call of the new address: %s", call)
+	case query := <-queries:
+		if query != "/registry/instances" {
+			t.Errorf("the first query to the new address is %s", query)
 		}
-	case <-time.After(20 * time.Second):
-		t.Fatal("the new address is not asked")
+	case <-time.After(wait.Timeout):
+		t.Fatal("the new address gets no query")
 	}
-	if !ready() {
+	if !testfleet.IsReady(listen) {
 		t.Error("the program is not ready after SIGHUP")
 	}
-	signal(syscall.SIGTERM)
-	signal(syscall.SIGHUP)
-	if err := cmd.Wait(); err != nil {
+
+	process.Signal(syscall.SIGTERM)
+	process.Signal(syscall.SIGHUP)
+	if err := process.Wait(wait.Timeout); err != nil {
 		t.Errorf("the program ended with %v, want exit code 0", err)
 	}
 }
--- a/deploy/deploy_test.go
+++ b/deploy/deploy_test.go
@@ -1,11 +1,11 @@
-// Package deploy has the files by which the platform builds and starts the programs, and holds them to its terms.
+// Package deploy has the files by which the platform builds and starts the programs. Its tests check them, and the
+// pages, against the code.
 package deploy
 
 import (
 	"bytes"
 	"debug/elf"
 	"fmt"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -17,48 +17,96 @@
 
 	"github.com/pelletier/go-toml/v2"
 
-	"pinedale/internal/standin/platform"
+	"pinedale/internal/standin/ports"
+	"pinedale/internal/standin/testfleet"
 	"pinedale/internal/standin/wait"
 )
 
-// keys are those that the platform reads.
-type keys struct {
+// root is the folder of the repository.
+const root = ".."
+
+// deployFile has the keys of balancer.toml, which the platform reads.
+type deployFile struct {
 	Build, Run, Sim string
 	Policy, Node    []string
 	Packages        []string
 }
 
-func read(t *testing.T) (k keys) {
+// readDeployFile reads balancer.toml. A key that the platform does not know ends the test.
+func readDeployFile(t *testing.T) deployFile {
 	t.Helper()
 	text, err := os.ReadFile("balancer.toml")
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(&k); err != nil {
+	var file deployFile
+	if err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(&file); err != nil {
 		t.Fatal(err)
 	}
-	return k
+	return file
 }
 
-// shell runs a command as the platform does, in a folder, with cgo switched off by the machine's environment.
-func shell(dir, command string) *exec.Cmd {
-	c := exec.Command("/bin/sh", "-c", command)
-	c.Dir = dir
-	c.Env = append(os.Environ(), "CGO_ENABLED=0")
-	return c
+// platformCommand returns a command that runs in the root as the platform does, with cgo switched off by the
+// machine's environment.
+func platformCommand(command string) *exec.Cmd {
+	cmd := exec.Command("/bin/sh", "-c", command)
+	cmd.Dir = root
+	cmd.Env = append(os.Environ(), "CGO_ENABLED=0")
+	return cmd
 }
 
-// What the deploy file builds is linked against the C library, whatever the environment says of cgo, and what it
-// runs becomes the one process that the shell was.
-func TestBuiltAndRun(t *testing.T) {
-	k := read(t)
-	// Into a folder of the test's own: the root's bin may be in use.
-	bin := t.TempDir()
-	build := strings.NewReplacer("mkdir -p bin", "true", "-o bin/", "-o "+bin+"/").Replace(k.Build)
-	if out, err := shell("..", build).CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, out)
+// exitTimeout is how long the sidecar may take to end.
+const exitTimeout = time.Minute
+
+// The build command makes a program that is linked against the C library, whatever the environment says of cgo. The
+// run command's shell becomes that program, which has no children and ends on SIGTERM.
+func TestBuildLinksCLibraryAndRunBecomesSidecar(t *testing.T) {
+	file := readDeployFile(t)
+	bin := buildInto(t, t.TempDir(), file.Build)
+	checkLinkedAgainstC(t, filepath.Join(bin, "pinedale"))
+
+	listen := ports.MustFree(t)
+	configPath := filepath.Join(t.TempDir(), "config.json")
+	config := testfleet.SidecarConfig{
+		Listen:    listen,
+		Discovery: "127.0.0.1:1",
+		Version:   1,
+		Settings:  testfleet.MinimalSettings(),
+	}
+	testfleet.WriteFile(t, configPath, config.JSON(t))
+	cmd := platformCommand(strings.ReplaceAll(file.Run, "bin/", bin+"/"))
+	cmd.Env = append(cmd.Env, "BALANCER_CONFIG="+configPath)
+	process := testfleet.StartProcess(t, cmd)
+	wait.Until(t, "the sidecar to listen", func() bool { return testfleet.Readiness(listen) != 0 })
+
+	executable, err := os.Readlink(fmt.Sprintf("/proc/%d/exe", process.PID()))
+	if err != nil || executable != filepath.Join(bin, "pinedale") {
+		t.Errorf("the shell became %s, %v", executable, err)
+	}
+	children, err := os.ReadFile(fmt.Sprintf("/proc/%d/task/%d/children", process.PID(), process.PID()))
+	if err != nil || len(children) > 0 {
+		t.Errorf("the sidecar has child processes %s, %v", children, err)
+	}
+	process.Signal(syscall.SIGTERM)
+	if err := process.Wait(exitTimeout); err != nil {
+		t.Errorf("after SIGTERM: %v", err)
 	}
-	file, err := elf.Open(filepath.Join(bin, "pinedale"))
+}
+
+// buildInto runs the build command with another folder in place of bin, which may be in use, and returns that folder.
+func buildInto(t *testing.T, bin, command string) string {
+	t.Helper()
+	command = strings.NewReplacer("mkdir -p bin", "true", "-o bin/", "-o "+bin+"/").Replace(command)
+	if output, err := platformCommand(command).CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, output)
+	}
+	return bin
+}
+
+// checkLinkedAgainstC checks that a program is linked against the C library.
+func checkLinkedAgainstC(t *testing.T, path string) {
+	t.Helper()
+	file, err := elf.Open(path)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -67,71 +115,37 @@
 	if err != nil || !slices.Contains(libraries, "libc.so.6") {
 		t.Fatalf("linked against %q, %v: want the C library", libraries, err)
 	}
-
-	listen := platform.FreeAddress(t)
-	config := filepath.Join(t.TempDir(), "config.json")
-	platform.Write(t, config, platform.Config{Listen: listen, Discovery: "127.0.0.1:1"}.Text())
-	c := shell("..", strings.ReplaceAll(k.Run, "bin/", bin+"/"))
-	c.Env = append(c.Env, "BALANCER_CONFIG="+config)
-	if err := c.Start(); err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = c.Process.Kill() }() // it may have ended
-	wait.Until(t, "the sidecar to listen", func() bool {
-		answer, err := http.Get("http://" + listen + "/health/ready")
-		if err == nil {
-			answer.Body.Close()
-		}
-		return err == nil
-	})
-	if exe, err := os.Readlink(fmt.Sprintf("/proc/%d/exe", c.Process.Pid)); err != nil || exe != filepath.Join(bin, "pinedale") {
-		t.Errorf("the shell became %s, %v", exe, err)
-	}
-	children, err := os.ReadFile(fmt.Sprintf("/proc/%d/task/%d/children", c.Process.Pid, c.Process.Pid))
-	if err != nil || len(children) > 0 {
-		t.Errorf("it has processes of its own: %s, %v", children, err)
-	}
-	if err := c.Process.Signal(syscall.SIGTERM); err != nil {
-		t.Fatal(err)
-	}
-	done := make(chan error, 1)
-	go func() { done <- c.Wait() }()
-	select {
-	case err := <-done:
-		if err != nil {
-			t.Errorf("after SIGTERM: %v", err)
-		}
-	case <-time.After(time.Minute):
-		t.Error("it goes on after SIGTERM")
-	}
 }
 
-// records are the files of the module that hold its types, records and averages, and decide nothing. A new file
-// decides unless it is added here.
-var records = []string{
+// recordFiles are the files of the decision module that hold its types, records and averages, and decide nothing. A
+// new file counts as one that decides unless it is added here.
+var recordFiles = []string{
 	"balancer/api.go", "balancer/ledger.go", "balancer/endpoints.go", "balancer/budgets.go", "balancer/probe_pool.go",
 	"balancer/key_records.go", "balancer/breaker_window.go", "balancer/estimates.go", "balancer/averages.go",
 	"balancer/random.go", "balancer/eventlog.go",
 }
 
-// The files that decide are all of the module's but its records and its settings.
-func TestKeys(t *testing.T) {
-	k := read(t)
-	for key, names := range map[string][]string{"policy": k.Policy, "node": k.Node} {
+// The deploy file names files that exist, and its policy names every file of the decision module that decides.
+func TestDeployFileNamesDecidingFiles(t *testing.T) {
+	file := readDeployFile(t)
+	for key, names := range map[string][]string{"policy": file.Policy, "node": file.Node} {
 		for _, name := range names {
-			if _, err := os.Stat(filepath.Join("..", name)); err != nil {
-				t.Errorf("%s names what is not there: %v", key, err)
+			if _, err := os.Stat(filepath.Join(root, name)); err != nil {
+				t.Errorf("%s names a file that does not exist: %v", key, err)
 			}
 		}
 	}
-	all, err := filepath.Glob("../balancer/*.go")
+	paths, err := filepath.Glob(filepath.Join(root, "balancer", "*.go"))
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, path := range all {
-		name := strings.TrimPrefix(path, "../")
-		if !strings.HasSuffix(name, "_test.go") && !slices.Contains(records, name) &&
-			!slices.Contains(k.Policy, name) {
+	for _, path := range paths {
+		name, err := filepath.Rel(root, path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		decides := !strings.HasSuffix(name, "_test.go") && !slices.Contains(recordFiles, name)
+		if decides && !slices.Contains(file.Policy, name) {
 			t.Errorf("policy does not name %s", name)
 		}
 	}
--- /dev/null
+++ b/internal/standin/testfleet/sidecar.go
@@ -0,0 +1,240 @@
+package testfleet
+
+import (
+	"cmp"
+	"encoding/json"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"pinedale/internal/standin/fakediscovery"
+	"pinedale/internal/standin/wait"
+)
+
+// SidecarConfig is the file by which the platform configures its sidecar.
+type SidecarConfig struct {
+	Listen    string
+	Discovery string
+	Hosts     []fakediscovery.Host // known before discovery has responded
+	Version   uint64               // of the list of Hosts
+	Seed      string               // hexadecimal; empty for defaultSeed
+	Sockets   int                  // 0 for defaultSockets
+	Settings  SidecarSettings
+}
+
+// Values that a [SidecarConfig] leaves out.
+const (
+	defaultSeed    = "1f"
+	defaultSockets = 1024
+)
+
+// SidecarSettings are a customer's settings, by the names that they have in the file. Times are in microseconds.
+type SidecarSettings struct {
+	Areas     []string   `json:"areas"`
+	SKUs      []string   `json:"skus"`
+	Stages    []string   `json:"stages,omitempty"`
+	Tenants   []Tenant   `json:"tenants,omitempty"`
+	Discovery string     `json:"discovery"` // DiscoveryPolled or DiscoveryPushed
+	Classes   []Class    `json:"classes"`
+	Contract  *Contract  `json:"contract,omitempty"`
+	Limits    Limits     `json:"limits"`
+	Reporting *Reporting `json:"reporting,omitempty"`
+	Peers     int        `json:"peers-total,omitempty"`
+	Position  int        `json:"position"`
+	Zone      int        `json:"zone"`
+}
+
+// The values of SidecarSettings.Discovery.
+const (
+	DiscoveryPolled = "subscribe"
+	DiscoveryPushed = "automatic"
+)
+
+// Class is a class of requests.
+type Class struct {
+	Name   string  `json:"name"`
+	Repeat string  `json:"repeat"`
+	Group  string  `json:"group,omitempty"`
+	Window int64   `json:"window,omitempty"`
+	Target int64   `json:"target"`
+	GiveUp int64   `json:"give-up"`
+	Credit float64 `json:"credit,omitempty"`
+}
+
+// Tenant is a tenant with its quota.
+type Tenant struct {
+	Name          string  `json:"name"`
+	Share         float64 `json:"share"`
+	AllowancePerS float64 `json:"allowance-per-s"`
+}
+
+// Contract is what the platform promises of endpoints.
+type Contract struct {
+	AnswerSlack  int64   `json:"answer-slack"`
+	AskWithin    int64   `json:"ask-within"`
+	ColdFrom     float64 `json:"cold-from"`
+	DrainGrace   int64   `json:"drain-grace"`
+	FallMultiple float64 `json:"fall-multiple"`
+	OverloadFor  int64   `json:"overload-for"`
+	RampTime     int64   `json:"ramp-time"`
+}
+
+// Limits are what the sidecar may do.
+type Limits struct {
+	Cancel        bool  `json:"cancel"`
+	DialTimeout   int64 `json:"dial-timeout"`
+	KeepAlive     int64 `json:"keepalive"`
+	MaxRetryAfter int64 `json:"max-retry-after,omitempty"`
+	MostHeld      int   `json:"most-held,omitempty"`
+	MostTries     int   `json:"most-tries,omitempty"`
+	Multiplex     int   `json:"multiplex,omitempty"`
+	Probes        bool  `json:"probes"`
+	RetryAfter    bool  `json:"retry-after"`
+	SecondCopies  bool  `json:"second-copies"`
+}
+
+// Reporting says how endpoints report their load.
+type Reporting struct {
+	How    string   `json:"how"`
+	Fields []string `json:"fields"`
+}
+
+// MinimalSettings returns settings with one class, which is idempotent, and little else.
+func MinimalSettings() SidecarSettings {
+	return SidecarSettings{
+		Areas:     []string{"a"},
+		SKUs:      []string{"m"},
+		Discovery: DiscoveryPolled,
+		Classes: []Class{
+			{Name: "read", Repeat: "pure", Target: 600_000, GiveUp: 1_000_000},
+		},
+		Limits: Limits{KeepAlive: 5_000_000, DialTimeout: 250_000},
+	}
+}
+
+// FullSettings returns settings with a class of each kind of effect: "read" is idempotent, "pay" and "close" are with
+// an idempotency key, in the whole fleet and in a cell, and "order" is not idempotent. A request may take up to
+// clientTimeout, and its key is remembered for dedupWindow.
+func FullSettings(clientTimeout, dedupWindow time.Duration) SidecarSettings {
+	class := func(name, repeat, group string) Class {
+		c := Class{
+			Name:   name,
+			Repeat: repeat,
+			Group:  group,
+			Target: 600_000,
+			GiveUp: clientTimeout.Microseconds(),
+			Credit: 1,
+		}
+		if group != "" {
+			c.Window = dedupWindow.Microseconds()
+		}
+		return c
+	}
+	return SidecarSettings{
+		Areas:     []string{"a", "b"},
+		SKUs:      []string{"m1"},
+		Discovery: DiscoveryPolled,
+		Classes: []Class{
+			class("read", "pure", ""),
+			class("pay", "token", "all"),
+			class("close", "token", "cell"),
+			class("order", "side_effect", ""),
+		},
+		Contract: &Contract{
+			AnswerSlack:  20_000,
+			AskWithin:    1_000_000,
+			ColdFrom:     0.3,
+			DrainGrace:   1_000_000,
+			FallMultiple: 2.5,
+			OverloadFor:  1_000_000,
+		},
+		Limits: Limits{
+			Cancel:        true,
+			DialTimeout:   2_000_000,
+			KeepAlive:     5_000_000,
+			MaxRetryAfter: 1_500_000,
+			MostHeld:      1000,
+			MostTries:     3,
+			Multiplex:     1,
+			RetryAfter:    true,
+		},
+		Peers: 1,
+	}
+}
+
+// resources are what the platform grants a sidecar.
+type resources struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int     `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// sidecarFile is the file's outer form.
+type sidecarFile struct {
+	Name      string                 `json:"name"`
+	Listen    string                 `json:"listen"`
+	Discovery string                 `json:"discovery"`
+	Seed      string                 `json:"seed"`
+	Limits    resources              `json:"limits"`
+	Known     fakediscovery.Document `json:"known"`
+	Settings  SidecarSettings        `json:"settings"`
+}
+
+// JSON returns the text of the file.
+func (c SidecarConfig) JSON(t testing.TB) string {
+	t.Helper()
+	file := sidecarFile{
+		Name:      "n0",
+		Listen:    c.Listen,
+		Discovery: c.Discovery,
+		Seed:      cmp.Or(c.Seed, defaultSeed),
+		Limits:    resources{Cores: 1, MemoryMB: 192, Sockets: cmp.Or(c.Sockets, defaultSockets)},
+		Known:     fakediscovery.Document{Seq: c.Version, Complete: true, Hosts: c.Hosts},
+		Settings:  c.Settings,
+	}
+	if file.Known.Hosts == nil {
+		file.Known.Hosts = []fakediscovery.Host{}
+	}
+	text, err := json.Marshal(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+// JSON returns the settings as the file has them.
+func (s SidecarSettings) JSON(t testing.TB) string {
+	t.Helper()
+	text, err := json.Marshal(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+// WriteFile writes a configuration, or what a test puts in its place.
+func WriteFile(t testing.TB, path, text string) {
+	t.Helper()
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Readiness returns the status code with which a sidecar responds to a readiness check, 0 if it does not respond.
+// Each check has a connection of its own.
+func Readiness(address string) int {
+	client := http.Client{
+		Transport: &http.Transport{DisableKeepAlives: true},
+		Timeout:   wait.Timeout,
+	}
+	response, err := client.Get("http://" + address + "/health/ready")
+	if err != nil {
+		return 0
+	}
+	response.Body.Close()
+	return response.StatusCode
+}
+
+// IsReady reports whether a sidecar is ready.
+func IsReady(address string) bool { return Readiness(address) == http.StatusOK }
