http3upstream: cancel a wait for a stream only if the endpoint accepts none

Cause: the 100 ms limit of the wait for a stream was a wall-clock timer that ended only at the request's first encoded header field. A request that already had its stream, or could have had one at once, but whose goroutine did not run for 100 ms (its own thread, or the one that holds quic-go's encoder lock) was cancelled: as Reset, "may have run", where the stream was open by then, else as ConnectFailed, which also drops a working connection and counts against the endpoint.

Now the timer asks the connection before it cancels: it opens one more stream and resets it unused. If the endpoint accepts that, nothing waits for a stream and the limit starts anew; if not, the request ends unsent as before. The endpoint sees such a stream only where a request has not been written for 100 ms, and no request on it.

New test: a request without a stream is not cancelled while the endpoint accepts streams, and 300 checks use up none of its 100 streams.

--- a/internal/upstream/http3upstream/doc.go
+++ b/internal/upstream/http3upstream/doc.go
@@ -7,9 +7,10 @@
 // unprocessed (RFC 9114, section 8.1: H3_REQUEST_REJECTED). In doubt it may have run: an endpoint
 // may process a request whose end has not arrived. A reset of the stream is not a response.
 //
-//	upstream.go  Upstream, its options, one attempt
-//	pool.go      the connections and their limit
-//	exchange.go  one request and its response on a stream
+//	upstream.go    Upstream, its options, one attempt
+//	pool.go        the connections and their limit
+//	exchange.go    one request and its response on a stream
+//	streamwait.go  the limit of a request's wait for a stream
 //
 // The connections are guarded by Upstream.mu. A connection is dialled on a goroutine of its own,
 // for all requests that wait for it. Nothing is kept over a restart.
--- /dev/null
+++ b/internal/upstream/http3upstream/streamwait_test.go
@@ -0,0 +1,42 @@
+package http3upstream
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"pinedale/balancer"
+	"pinedale/internal/standin/wait"
+)
+
+// A request that has no stream yet, since this process has not run, is not cancelled while the
+// endpoint accepts streams. The endpoint sees no request of the check and does not run out of
+// streams by it.
+func TestStreamWaitEndsOnlyWhereEndpointAcceptsNoStream(t *testing.T) {
+	const streams = 100
+	f := newFixture(t)
+	e := f.endpoint(streams, func(http.ResponseWriter, *http.Request) {})
+	if r := f.send(e.target, wait.Timeout); r.Status != balancer.OK {
+		t.Fatalf("first request: %v", r.Status)
+	}
+	f.upstream.mu.Lock()
+	c := f.upstream.conns[e.target]
+	f.upstream.mu.Unlock()
+	cancelled := make(chan struct{})
+	w := newStreamWait(c.quic, func() { close(cancelled) })
+	select {
+	case <-cancelled:
+		t.Error("cancelled though the endpoint accepts streams")
+	case <-time.After(5 * streamTimeout):
+	}
+	w.end()
+	for range 3 * streams {
+		wait.Until(t, "a further stream", func() bool { return acceptsStream(c.quic) })
+	}
+	if r := f.send(e.target, wait.Timeout); r.Status != balancer.OK {
+		t.Errorf("second request: %v", r.Status)
+	}
+	if requests, conns := e.requests.Load(), e.conns.Load(); requests != 2 || conns != 1 {
+		t.Errorf("%d requests on %d connections, want 2 on 1", requests, conns)
+	}
+}
--- a/internal/upstream/http3upstream/upstream.go
+++ b/internal/upstream/http3upstream/upstream.go
@@ -121,7 +121,7 @@
 		return engine.Result{Status: balancer.NotSent}
 	}
 	start := time.Now()
-	response, err := exchange(ctx, c.client, t, m)
+	response, err := exchange(ctx, c, t, m)
 	var unsent *attempt.UnsentError
 	if errors.As(err, &unsent) {
 		if ctx.Err() == nil {
