--- a/cmd/pinedale-simulate/demo_clients.go
+++ b/cmd/pinedale-simulate/demo_clients.go
@@ -31,10 +31,10 @@
 var demoClasses = []struct {
 	name   string
 	method string
-	keyed  bool // whether requests have an idempotency key
+	hasKey bool // whether requests have an idempotency key
 }{
 	priceCheck: {name: "price-check", method: http.MethodGet},
-	stallPay:   {name: "stall-pay", method: http.MethodPost, keyed: true},
+	stallPay:   {name: "stall-pay", method: http.MethodPost, hasKey: true},
 }
 
 // drawClass returns the index of a class, drawn by the classes' ratios.
@@ -96,7 +96,7 @@
 	request.Header.Set(requestmeta.HeaderID, fmt.Sprintf("demo-%d", number))
 	request.Header.Set(requestmeta.HeaderClass, demoClasses[class].name)
 	request.Header.Set(requestmeta.HeaderTimeLeft, strconv.FormatInt(demoRequestDeadline.Milliseconds(), 10))
-	if demoClasses[class].keyed {
+	if demoClasses[class].hasKey {
 		request.Header.Set(requestmeta.HeaderKey, fmt.Sprintf("demo-key-%d", number))
 	}
 	response, err := c.client.Do(request)
--- a/cmd/pinedale-simulate/main_test.go
+++ b/cmd/pinedale-simulate/main_test.go
@@ -123,7 +123,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if again, _ := os.ReadFile(second); !bytes.Equal(content, again) {
+	if repeated, _ := os.ReadFile(second); !bytes.Equal(content, repeated) {
 		t.Error("the second record differs")
 	}
 	if text := mustExecute(t, "replay", first); !strings.Contains(text, "are the same") {
--- a/cmd/simhost/main_test.go
+++ b/cmd/simhost/main_test.go
@@ -20,31 +20,60 @@
 reporting.how=probe
 `
 
+// Codes of records, as the protocol numbers them.
+const (
+	codeBegin         = 16
+	codeMembership    = 17
+	codeRequest       = 18
+	codeAnswer        = 20
+	codeTimeoutFired  = 22
+	codeStop          = 25
+	codeManifest      = 26
+	codeInstance      = 27
+	codeDeliver       = 80
+	codeDecline       = 81
+	codeFail          = 82
+	codeException     = 89
+	codeReplyInstance = 92
+	codeUnknown       = 99
+)
+
+// Sizes of headers in bytes.
+const (
+	batchHeaderBytes  = 16
+	replyHeaderBytes  = 12
+	recordHeaderBytes = 5
+)
+
+// record returns a record with the fields in the protocol's encoding.
 func record(code byte, fields ...any) []byte {
-	var b bytes.Buffer
-	for _, f := range fields {
-		if s, ok := f.(string); ok {
-			f = []byte(s)
+	var payload bytes.Buffer
+	for _, field := range fields {
+		if text, ok := field.(string); ok {
+			field = []byte(text)
 		}
-		if err := binary.Write(&b, binary.BigEndian, f); err != nil {
+		if err := binary.Write(&payload, binary.BigEndian, field); err != nil {
 			panic(err)
 		}
 	}
-	out := binary.BigEndian.AppendUint32([]byte{code}, uint32(b.Len()))
-	return append(out, b.Bytes()...)
+	header := binary.BigEndian.AppendUint32([]byte{code}, uint32(payload.Len()))
+	return append(header, payload.Bytes()...)
 }
 
+// batch returns a frame of records.
 func batch(number uint32, now uint64, records ...[]byte) []byte {
 	body := bytes.Join(records, nil)
-	b := binary.BigEndian.AppendUint32(nil, number)
-	b = binary.BigEndian.AppendUint32(b, uint32(16+len(body)))
-	b = binary.BigEndian.AppendUint64(b, now)
-	return append(b, body...)
+	frame := binary.BigEndian.AppendUint32(nil, number)
+	frame = binary.BigEndian.AppendUint32(frame, uint32(batchHeaderBytes+len(body)))
+	frame = binary.BigEndian.AppendUint64(frame, now)
+	return append(frame, body...)
 }
 
-func at(i uint32) []byte { return record(27, i) }
+// selectInstance is a record that passes the following ones to an instance.
+func selectInstance(number uint32) []byte { return record(codeInstance, number) }
 
-func begin(text string) []byte { return record(16, uint64(5), uint32(len(text)), text) }
+// begin is a record that starts a balancer with these settings.
+func begin(text string) []byte { return record(codeBegin, uint64(5), uint32(len(text)), text) }
 
 // manifest is a record of list 0.
 func manifest(ids ...uint32) []byte {
@@ -52,36 +81,38 @@
 	for _, id := range ids {
 		fields = append(fields, id, uint8(0), uint8(0), uint16(0), uint8(0), float32(1), uint64(0))
 	}
-	return record(26, fields...)
+	return record(codeManifest, fields...)
 }
 
 // members is a membership record of list 0, as a cached list.
-func members() []byte { return record(17, uint32(1), uint8(0), uint8(3)) }
+func members() []byte { return record(codeMembership, uint32(1), uint8(0), uint8(3)) }
 
+// request is a record of a request of class 0.
 func request(id uint64, deadline uint64) []byte {
-	return record(18, id, uint64(0), deadline, uint32(0), uint8(0), uint16(0), uint8(0))
+	return record(codeRequest, id, uint64(0), deadline, uint32(0), uint8(0), uint16(0), uint8(0))
 }
 
+// answer is a record of the outcome of a request's first attempt.
 func answer(id uint64, endpoint uint32, status uint16, settled uint8) []byte {
-	return record(20, id, uint16(0), endpoint, status, uint32(3000), settled, uint8(0))
+	return record(codeAnswer, id, uint16(0), endpoint, status, uint32(3000), settled, uint8(0))
 }
 
-func drive(t *testing.T, batches ...[]byte) (out, stderr string, err error) {
+// runBatches runs a host on batches.
+func runBatches(t *testing.T, batches ...[]byte) (replies, stderr string, err error) {
 	t.Helper()
-	var o, e bytes.Buffer
-	err = run(bytes.NewReader(bytes.Join(batches, nil)), &o, &e)
-	return o.String(), e.String(), err
+	var out, errOut bytes.Buffer
+	err = run(bytes.NewReader(bytes.Join(batches, nil)), &out, &errOut)
+	return out.String(), errOut.String(), err
 }
 
-// actions lists the codes of the records of one reply and its number.
+// actions returns the number of one reply and the codes of its records.
 func actions(t *testing.T, reply []byte) (number uint32, codes []byte) {
 	t.Helper()
 	if int(binary.BigEndian.Uint32(reply[4:])) != len(reply) {
 		t.Fatalf("reply of %d bytes says %d", len(reply), binary.BigEndian.Uint32(reply[4:]))
 	}
-	for at := 12; at < len(reply); {
-		codes = append(codes, reply[at])
-		at += 5 + int(binary.BigEndian.Uint32(reply[at+1:]))
+	for _, action := range splitRecords(reply[replyHeaderBytes:]) {
+		codes = append(codes, action[0])
 	}
 	if int(binary.BigEndian.Uint32(reply[8:])) != len(codes) {
 		t.Fatalf("%d records, header says %d", len(codes), binary.BigEndian.Uint32(reply[8:]))
@@ -89,106 +120,120 @@
 	return binary.BigEndian.Uint32(reply), codes
 }
 
+// splitRecords splits what follows the header of a reply.
+func splitRecords(body []byte) [][]byte {
+	var records [][]byte
+	for len(body) > 0 {
+		size := recordHeaderBytes + int(binary.BigEndian.Uint32(body[1:]))
+		records = append(records, body[:size])
+		body = body[size:]
+	}
+	return records
+}
+
+// countRecords returns how often each record is in a sequence of replies.
+func countRecords(replies string) map[string]int {
+	counts := map[string]int{}
+	for rest := []byte(replies); len(rest) > 0; {
+		size := int(binary.BigEndian.Uint32(rest[4:]))
+		for _, action := range splitRecords(rest[replyHeaderBytes:size]) {
+			counts[string(action)]++
+		}
+		rest = rest[size:]
+	}
+	return counts
+}
+
 func TestEmptyBatchHasEmptyReply(t *testing.T) {
-	out, _, err := drive(t, batch(1, 100))
+	out, _, err := runBatches(t, batch(1, 100))
 	if err != nil || out != "\x00\x00\x00\x01\x00\x00\x00\x0c\x00\x00\x00\x00" {
 		t.Errorf("%x %v", out, err)
 	}
 }
 
-func TestRequestIsSent(t *testing.T) {
-	out, stderr, err := drive(t, batch(7, 1000, at(3), begin(settings), manifest(11, 12), members(),
+func TestRequestIsSentToOneEndpoint(t *testing.T) {
+	out, stderr, err := runBatches(t, batch(7, 1000, selectInstance(3), begin(settings), manifest(11, 12), members(),
 		request(5, 500_000)))
 	if err != nil || stderr != "" {
 		t.Fatal(stderr, err)
 	}
 	number, codes := actions(t, []byte(out))
-	if number != 7 || codes[0] != 92 || bytes.Count(codes, []byte{80}) != 1 {
+	if number != 7 || codes[0] != codeReplyInstance || bytes.Count(codes, []byte{codeDeliver}) != 1 {
 		t.Errorf("number %d, codes %v", number, codes)
 	}
 }
 
-func TestBalancerIsNewAfterStopAndBegin(t *testing.T) {
-	out, _, err := drive(t,
-		batch(1, 1000, at(3), begin(settings), manifest(11), members(), request(5, 500_000)),
-		batch(2, 2000, at(3), record(25), begin(settings), manifest(12), members(), answer(5, 11, 500, 0),
+func TestBeginAfterStopForgetsEarlierRequests(t *testing.T) {
+	out, _, err := runBatches(t,
+		batch(1, 1000, selectInstance(3), begin(settings), manifest(11), members(), request(5, 500_000)),
+		batch(2, 2000, selectInstance(3), record(codeStop), begin(settings), manifest(12), members(), answer(5, 11, 500, 0),
 			request(6, 500_000)))
 	if err != nil {
 		t.Fatal(err)
 	}
 	first := int(binary.BigEndian.Uint32([]byte(out)[4:]))
 	_, codes := actions(t, []byte(out)[first:])
-	if bytes.Count(codes, []byte{80}) != 1 || bytes.IndexByte(codes, 81) >= 0 || bytes.IndexByte(codes, 82) >= 0 {
+	ended := bytes.IndexByte(codes, codeDecline) >= 0 || bytes.IndexByte(codes, codeFail) >= 0
+	if bytes.Count(codes, []byte{codeDeliver}) != 1 || ended {
 		t.Errorf("the new balancer knows a request of the old one: %v", codes)
 	}
 }
 
-func TestInstancesAreIndependent(t *testing.T) {
-	script := func(instances ...uint32) [][]byte {
-		var all [][]byte
-		var records [][]byte
-		records = append(records, manifest(11, 12, 13))
-		for _, instance := range instances {
-			records = append(records, at(instance), begin(settings), members())
-		}
-		all = append(all, batch(1, 1000, records...))
-		for n := range uint64(30) {
-			records = nil
-			for _, instance := range instances {
-				records = append(records, at(instance), request(100*uint64(instance)+n, 1000*n+500_000))
-			}
-			all = append(all, batch(uint32(n+2), 1000*n+2000, records...))
-		}
-		return all
-	}
-	together, _, _ := drive(t, script(1, 2)...)
-	next, _, _ := drive(t, script(1, 2)...)
-	if together != next {
+func TestInstancesOfOneProcessReplyAsIfAlone(t *testing.T) {
+	together, _, _ := runBatches(t, scriptFor(1, 2)...)
+	repeated, _, _ := runBatches(t, scriptFor(1, 2)...)
+	if together != repeated {
 		t.Fatal("two runs differ")
 	}
 	alone := ""
-	for _, i := range []uint32{1, 2} {
-		out, _, _ := drive(t, script(i)...)
-		alone += out
-	}
-	count := func(s string) map[string]int {
-		seen := map[string]int{}
-		for rest := []byte(s); len(rest) > 0; {
-			n := int(binary.BigEndian.Uint32(rest[4:]))
-			for at := 12; at < n; {
-				size := 5 + int(binary.BigEndian.Uint32(rest[at+1:]))
-				seen[string(rest[at:at+size])]++
-				at += size
-			}
-			rest = rest[n:]
+	for _, instance := range []uint32{1, 2} {
+		replies, _, _ := runBatches(t, scriptFor(instance)...)
+		alone += replies
+	}
+	countsTogether, countsAlone := countRecords(together), countRecords(alone)
+	if len(countsTogether) != len(countsAlone) {
+		t.Fatalf("%d kinds of record together, %d alone", len(countsTogether), len(countsAlone))
+	}
+	for action, count := range countsTogether {
+		if countsAlone[action] != count {
+			t.Errorf("record %x: %d together, %d alone", action, count, countsAlone[action])
 		}
-		return seen
 	}
-	a, b := count(together), count(alone)
-	if len(a) != len(b) {
-		t.Fatalf("%d kinds of record together, %d alone", len(a), len(b))
+}
+
+// scriptFor returns batches in which each instance begins and gets 30 requests of its own.
+func scriptFor(instances ...uint32) [][]byte {
+	records := [][]byte{manifest(11, 12, 13)}
+	for _, instance := range instances {
+		records = append(records, selectInstance(instance), begin(settings), members())
 	}
-	for k, n := range a {
-		if b[k] != n {
-			t.Errorf("record %x: %d together, %d alone", k, n, b[k])
+	batches := [][]byte{batch(1, 1000, records...)}
+	for n := range uint64(30) {
+		records = nil
+		for _, instance := range instances {
+			id := 100*uint64(instance) + n
+			records = append(records, selectInstance(instance), request(id, 1000*n+500_000))
 		}
+		batches = append(batches, batch(uint32(n+2), 1000*n+2000, records...))
 	}
+	return batches
 }
 
-func TestMalformedInputEndsProcess(t *testing.T) {
-	good := batch(1, 1000, at(3), begin(settings))
+func TestMalformedInputEndsProcessWithoutReply(t *testing.T) {
+	good := batch(1, 1000, selectInstance(3), begin(settings))
+	timeout := record(codeTimeoutFired, uint32(1))
 	for _, c := range []struct {
 		name  string
 		input []byte
-		says  string
+		want  string
 	}{
-		{"event before instance", batch(2, 1000, record(22, uint32(1))), "timeout_fired at byte 16"},
-		{"event before begin", batch(2, 1000, at(4), record(22, uint32(1))), "instance 4 has not begun"},
-		{"truncated", batch(2, 1000, at(3))[:20], "batch at byte 20"},
-		{"overrun", batch(2, 1000, []byte{18, 0, 0, 1, 0}), "request at byte 17"},
+		{"event before instance", batch(2, 1000, timeout), "timeout_fired at byte 16"},
+		{"event before begin", batch(2, 1000, selectInstance(4), timeout), "instance 4 has not begun"},
+		{"truncated", batch(2, 1000, selectInstance(3))[:20], "batch at byte 20"},
+		{"overrun", batch(2, 1000, []byte{codeRequest, 0, 0, 1, 0}), "request at byte 17"},
 	} {
-		out, _, err := drive(t, good, c.input)
-		if err == nil || !strings.Contains(err.Error(), c.says) || strings.Contains(err.Error(), "\n") {
+		out, _, err := runBatches(t, good, c.input)
+		if err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
 			t.Errorf("%s: %v", c.name, err)
 		}
 		if number, _ := actions(t, []byte(out)); number != 1 {
@@ -198,22 +243,23 @@
 }
 
 func TestUnknownEventIsReportedOnce(t *testing.T) {
-	_, stderr, err := drive(t, batch(1, 1000, record(99, uint32(1)), record(99), at(3), begin(settings)))
+	_, stderr, err := runBatches(t, batch(1, 1000, record(codeUnknown, uint32(1)), record(codeUnknown),
+		selectInstance(3), begin(settings)))
 	if err != nil || strings.Count(stderr, "\n") != 1 || !strings.Contains(stderr, "event 99") {
 		t.Errorf("%q %v", stderr, err)
 	}
 }
 
-func TestInvalidSettingsAreException(t *testing.T) {
+func TestInvalidSettingsBecomeExceptionRecord(t *testing.T) {
 	for _, text := range []string{
 		strings.Replace(settings, "repeat=pure", "repeat=never", 1),
 		strings.Replace(settings, "target=250000", "target=-1", 1),
 	} {
-		out, _, err := drive(t, batch(1, 1000, at(3), begin(text)))
+		out, _, err := runBatches(t, batch(1, 1000, selectInstance(3), begin(text)))
 		if err != nil {
 			t.Fatal(err)
 		}
-		if _, codes := actions(t, []byte(out)); codes[len(codes)-1] != 89 {
+		if _, codes := actions(t, []byte(out)); codes[len(codes)-1] != codeException {
 			t.Errorf("codes %v", codes)
 		}
 	}
