--- a/internal/emulator/sockets/dualprotocol/dualprotocol.go
+++ b/internal/emulator/sockets/dualprotocol/dualprotocol.go
@@ -1,5 +1,5 @@
-// Package dualprotocol serves one handler over HTTP/1.1 with TLS and over HTTP/3, on the same port
-// number: as a server does that clients may find out to speak both.
+// Package dualprotocol serves one handler over HTTP/1.1 with TLS and over HTTP/3 on the same port number, as a server
+// does whose clients discover HTTP/3.
 package dualprotocol
 
 import (
@@ -16,54 +16,77 @@
 	"github.com/quic-go/quic-go/http3"
 )
 
-// Options are of a listener.
+// ALPN names of the protocols.
+const (
+	protocolHTTP1 = "http/1.1"
+	protocolHTTP3 = "h3"
+)
+
+// ErrNoPort is the error of a listener that finds no port free on both TCP and UDP.
+var ErrNoPort = errors.New("no port is free on TCP and UDP")
+
+// Options configure a listener.
 type Options struct {
 	Handler http.Handler
-	Config  func(protocol string) *tls.Config // for an ALPN name: "http/1.1" or "h3"
-	State   func(net.Conn, http.ConnState)    // of connections over TCP; nil for nobody
-	Context func(context.Context) context.Context
+	Config  func(protocol string) *tls.Config         // by ALPN name: "http/1.1" or "h3"
+	State   func(net.Conn, http.ConnState)            // called for connections over TCP; may be nil
+	Context func(ctx context.Context) context.Context // returns the context of a connection; may be nil
 }
 
-// portTries is how many ports are tried for one that is free on TCP and UDP alike.
-const portTries = 20
-
-// Listen listens at host:port. stop ends the listener and all its connections, without
-// waiting for requests in hand.
-func Listen(at string, o Options) (address string, stop func(), err error) {
-	plain, datagrams, err := listen(at)
+// Listen opens a listener at host:port. stop closes the listener and its connections; it does not wait for requests in
+// flight.
+func Listen(hostPort string, o Options) (address string, stop func(), err error) {
+	tcp, udp, err := listen(hostPort)
 	if err != nil {
 		return "", nil, err
 	}
 	if o.Context == nil {
 		o.Context = func(ctx context.Context) context.Context { return ctx }
 	}
-	one := &http.Server{Handler: o.Handler, ConnState: o.State, ErrorLog: log.New(io.Discard, "", 0),
-		ConnContext: func(ctx context.Context, _ net.Conn) context.Context { return o.Context(ctx) }}
-	three := &http3.Server{Handler: o.Handler, TLSConfig: o.Config("h3"),
-		ConnContext: func(ctx context.Context, _ *quic.Conn) context.Context { return o.Context(ctx) }}
-	var served sync.WaitGroup
-	served.Go(func() { _ = one.Serve(tls.NewListener(plain, o.Config("http/1.1"))) })
-	served.Go(func() { _ = three.Serve(datagrams) })
-	return plain.Addr().String(), func() {
-		one.Close()
-		three.Close()
-		datagrams.Close()
-		served.Wait()
-	}, nil
+	http1Server := &http.Server{
+		Handler:     o.Handler,
+		ConnState:   o.State,
+		ErrorLog:    log.New(io.Discard, "", 0),
+		ConnContext: func(ctx context.Context, _ net.Conn) context.Context { return o.Context(ctx) },
+	}
+	http3Server := &http3.Server{
+		Handler:     o.Handler,
+		TLSConfig:   o.Config(protocolHTTP3),
+		ConnContext: func(ctx context.Context, _ *quic.Conn) context.Context { return o.Context(ctx) },
+	}
+	tlsListener := tls.NewListener(tcp, o.Config(protocolHTTP1))
+	var serving sync.WaitGroup // each server ends with its Close
+	serving.Go(func() { _ = http1Server.Serve(tlsListener) })
+	serving.Go(func() { _ = http3Server.Serve(udp) })
+	stop = func() {
+		http1Server.Close()
+		http3Server.Close()
+		udp.Close()
+		serving.Wait()
+	}
+	return tcp.Addr().String(), stop, nil
 }
 
-func listen(at string) (plain net.Listener, datagrams net.PacketConn, err error) {
-	for range portTries {
-		if plain, err = net.Listen("tcp", at); err != nil {
+// maxPortAttempts bounds the search for a port that is free on both TCP and UDP.
+const maxPortAttempts = 20
+
+// listen opens a port on TCP and UDP.
+func listen(hostPort string) (net.Listener, net.PacketConn, error) {
+	var lastErr error
+	for range maxPortAttempts {
+		tcp, err := net.Listen("tcp", hostPort)
+		if err != nil {
 			return nil, nil, err
 		}
-		if datagrams, err = net.ListenPacket("udp", plain.Addr().String()); err == nil {
-			return plain, datagrams, nil
+		udp, err := net.ListenPacket("udp", tcp.Addr().String())
+		if err == nil {
+			return tcp, udp, nil
 		}
-		plain.Close()
-		if _, port, _ := net.SplitHostPort(at); port != "0" {
-			break // another try finds the same port
+		lastErr = err
+		tcp.Close()
+		if _, port, _ := net.SplitHostPort(hostPort); port != "0" {
+			break // another attempt would find the same port
 		}
 	}
-	return nil, nil, errors.Join(errors.New("no port is free on TCP and UDP"), err)
+	return nil, nil, errors.Join(ErrNoPort, lastErr)
 }
