pinedale-simulate, pinedale-register: flag descriptions for the help page

Cause: descriptions such as "that decides" or "of machine" were fragments; pinedale-simulate never printed them before it had help.

Change: descriptions are whole phrases, with names of values. Names of variables in the same files are whole; a test of simhost is renamed.

--- a/cmd/pinedale-register/root.go
+++ b/cmd/pinedale-register/root.go
@@ -49,41 +49,42 @@
 
 // rootCommand returns the command line of the program, which is given args.
 func rootCommand(args []string) *cobra.Command {
-	o := &options{}
+	opts := &options{}
 	root := cli.NewRoot(useLine, "keep a server's ephemeral node alive beside it", os.Stdout)
 	root.Long = description
 	root.DisableFlagsInUseLine = true
 	root.Args = cobra.ArbitraryArgs
 	root.RunE = func(_ *cobra.Command, args []string) error {
-		o.command = args
-		return run(o)
+		opts.command = args
+		return run(opts)
 	}
 	root.SetFlagErrorFunc(flagError)
 	// After a flag, "completion" may be the name of the server's program.
 	root.CompletionOptions.DisableDefaultCmd = len(args) == 0 || args[0] != completionCommand
-	addFlags(root, o)
+	addFlags(root, opts)
 	cli.EndFlagsAtFirstArgument(root)
 	return root
 }
 
 // addFlags adds the flags that set the options.
-func addFlags(root *cobra.Command, o *options) {
-	registration := &o.registration
+func addFlags(root *cobra.Command, opts *options) {
+	registration := &opts.registration
 	node := &registration.Data
 	flags := root.Flags()
-	flags.StringVar(&o.servers, "servers", "", "of the coordination service, with commas between")
-	flags.StringVar(&registration.Path, "path", defaultPath, "directory of the nodes")
-	flags.StringVar(&registration.Name, "name", "", "of this server: the same after a restart")
-	flags.StringVar(&node.Address, "address", "", "host:port where it takes requests")
-	flags.StringVar(&node.Site, "site", "", "where it stands")
-	flags.StringVar(&node.Kind, "kind", "", "of machine")
-	flags.IntVar(&node.Cell, "pod", 0, "that it belongs to")
-	flags.Float64Var(&node.Weight, "share", defaultShare, "of the requests, against the others")
+	flags.StringVar(&opts.servers, "servers", "", "`addresses` of the coordination service, separated by commas")
+	flags.StringVar(&registration.Path, "path", defaultPath, "`directory` of the nodes")
+	flags.StringVar(&registration.Name, "name", "", "`name` of this server, the same after a restart")
+	flags.StringVar(&node.Address, "address", "", "`host:port` where the server takes requests")
+	flags.StringVar(&node.Site, "site", "", "`site` of the server")
+	flags.StringVar(&node.Kind, "kind", "", "`kind` of machine")
+	flags.IntVar(&node.Cell, "pod", 0, "`number` of the pod that the server belongs to")
+	flags.Float64Var(&node.Weight, "share", defaultShare, "`weight` of the server's share of requests")
 	flags.DurationVar(&registration.SessionTimeout, "session", defaultSessionTimeout,
-		"the node goes if nothing is heard of us for so long")
-	flags.StringVar(&o.digestFile, "digest-file", "", "file with user:password")
-	flags.DurationVar(&o.listenTimeout, "wait", defaultListenTimeout, "for the server to listen")
-	flags.DurationVar(&o.grace, "grace", defaultGrace, "between the node's end and the server's: the rule on drains")
+		"session timeout: the node goes if the service hears nothing for so long")
+	flags.StringVar(&opts.digestFile, "digest-file", "", "`file` with user:password")
+	flags.DurationVar(&opts.listenTimeout, "wait", defaultListenTimeout, "how long the server may take to listen")
+	flags.DurationVar(&opts.grace, "grace", defaultGrace,
+		"time between the node's removal and the server's end: the drain rule")
 }
 
 // flagError prints an error of the flags and the usage, and returns the error that ends the program.
@@ -93,16 +94,16 @@
 }
 
 // run completes the options, and keeps the node until the server or the program is to end.
-func run(o *options) error {
+func run(opts *options) error {
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
-	registration := &o.registration
+	registration := &opts.registration
 	registration.Log = log
 	registration.Data.StartedMS = time.Now().UnixMilli()
-	if o.servers != "" {
-		registration.Servers = strings.Split(o.servers, ",")
+	if opts.servers != "" {
+		registration.Servers = strings.Split(opts.servers, ",")
 	}
-	if o.digestFile != "" {
-		digest, err := os.ReadFile(o.digestFile)
+	if opts.digestFile != "" {
+		digest, err := os.ReadFile(opts.digestFile)
 		if err != nil {
 			return err
 		}
@@ -112,6 +113,6 @@
 	if err != nil {
 		return err
 	}
-	s := &supervisor{options: o, log: log, registrar: registrar}
+	s := &supervisor{options: opts, log: log, registrar: registrar}
 	return s.run()
 }
--- a/cmd/pinedale-simulate/agree.go
+++ b/cmd/pinedale-simulate/agree.go
@@ -53,18 +53,19 @@
 	}
 	fmt.Fprintf(c.out, "%-18s %9s %9s %9s %12s %12s  %s\n",
 		"", "virtual", "sockets", "apart", "tries", "connections", "broken on sockets")
-	apart := 0
+	disagreeing := 0
 	for _, comparison := range comparisons {
 		if comparison.socketsErr != nil {
 			return fmt.Errorf("%s: %w", comparison.name, comparison.socketsErr)
 		}
 		difference := c.printHostComparison(comparison)
 		if math.Abs(difference) > maxScoreDifference {
-			apart++
+			disagreeing++
 		}
 	}
-	if apart > 0 {
-		return fmt.Errorf("%d of %d scenarios are more than %v apart", apart, len(comparisons), maxScoreDifference)
+	if disagreeing > 0 {
+		return fmt.Errorf("%d of %d scenarios are more than %v apart",
+			disagreeing, len(comparisons), maxScoreDifference)
 	}
 	return nil
 }
--- a/cmd/pinedale-simulate/compare.go
+++ b/cmd/pinedale-simulate/compare.go
@@ -37,9 +37,9 @@
 		},
 	}
 	addSeedsFlag(compare, &options.seeds)
-	addPolicyFlag(compare, &options.policy, "policy", baselines.Module, "that decides")
+	addPolicyFlag(compare, &options.policy, "policy", baselines.Module, "`name` of the policy that decides")
 	addPolicyFlag(compare, &options.against, "against", "",
-		"the second's policy, the first's where it is not given")
+		"`name` of the second play's policy (default: that of the first)")
 	return compare
 }
 
--- a/cmd/pinedale-simulate/demo.go
+++ b/cmd/pinedale-simulate/demo.go
@@ -68,7 +68,7 @@
 			return runDemo(c.out, length)
 		},
 	}
-	command.Flags().DurationVar(&length, "length", defaultDemoLength, "of the demo")
+	command.Flags().DurationVar(&length, "length", defaultDemoLength, "length of the demo")
 	return command
 }
 
@@ -134,11 +134,11 @@
 	var requests sync.WaitGroup
 	defer requests.Wait()
 	random := rand.New(rand.NewPCG(1, 1))
-	began := time.Now()
+	start := time.Now()
 	var sendTime time.Duration
-	for number := 0; time.Since(began) < d.length; number++ {
+	for number := 0; time.Since(start) < d.length; number++ {
 		sendTime += time.Duration(random.ExpFloat64() / demoRate * float64(time.Second))
-		time.Sleep(time.Until(began.Add(sendTime)))
+		time.Sleep(time.Until(start.Add(sendTime)))
 		class := drawClass(random)
 		requests.Go(func() { d.clients.request(number, class) })
 		if err := d.advance(sendTime); err != nil {
--- a/cmd/pinedale-simulate/demo_clients.go
+++ b/cmd/pinedale-simulate/demo_clients.go
@@ -78,13 +78,13 @@
 
 // request sends a request and counts its response.
 func (c *demoClients) request(number, class int) {
-	began := time.Now()
+	start := time.Now()
 	status := c.send(number, class)
-	latency := time.Since(began)
+	latency := time.Since(start)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	record(&c.second, class, status, latency)
-	record(&c.total, class, status, latency)
+	countResponse(&c.second, class, status, latency)
+	countResponse(&c.total, class, status, latency)
 }
 
 // send sends a request and returns the status code of its response, 0 if there is none.
@@ -108,8 +108,8 @@
 	return response.StatusCode
 }
 
-// record counts a response.
-func record(second *plan.Second, class, status int, latency time.Duration) {
+// countResponse counts a response by its status code and latency.
+func countResponse(second *plan.Second, class, status int, latency time.Duration) {
 	tally := &second.Classes[class]
 	tally.Requested++
 	switch {
--- a/cmd/pinedale-simulate/record.go
+++ b/cmd/pinedale-simulate/record.go
@@ -35,9 +35,9 @@
 		},
 	}
 	addSeedFlag(record, &options.seed)
-	addPolicyFlag(record, &options.policy, "policy", baselines.Module, "that decides")
+	addPolicyFlag(record, &options.policy, "policy", baselines.Module, "`name` of the policy that decides")
 	addSocketsFlag(record, &options.onSockets)
-	record.Flags().StringVar(&options.traceFile, "out", "", "file for the trace")
+	record.Flags().StringVar(&options.traceFile, "out", "", "`file` for the trace")
 	return record
 }
 
--- a/cmd/pinedale-simulate/root.go
+++ b/cmd/pinedale-simulate/root.go
@@ -93,12 +93,12 @@
 
 // addSeedFlag adds the flag for the seed of a single play.
 func addSeedFlag(command *cobra.Command, seed *uint64) {
-	command.Flags().Uint64Var(seed, "seed", 0, "in place of the scenario's")
+	command.Flags().Uint64Var(seed, "seed", 0, "seed of the play (0 for the scenario's)")
 }
 
 // addSeedsFlag adds the flag for the number of seeds of a comparison.
 func addSeedsFlag(command *cobra.Command, seeds *int) {
-	command.Flags().IntVar(seeds, "seeds", defaultSeeds, "to compare on")
+	command.Flags().IntVar(seeds, "seeds", defaultSeeds, "number of seeds to play, from 1 on")
 }
 
 // addPolicyFlag adds a flag for the name of a policy.
@@ -112,5 +112,5 @@
 
 // addSocketsFlag adds the flag for the host of a play.
 func addSocketsFlag(command *cobra.Command, onSockets *bool) {
-	command.Flags().BoolVar(onSockets, "sockets", false, "on loopback sockets, as long as it takes")
+	command.Flags().BoolVar(onSockets, "sockets", false, "play on loopback sockets, in real time")
 }
--- a/cmd/pinedale-simulate/run.go
+++ b/cmd/pinedale-simulate/run.go
@@ -31,9 +31,9 @@
 		},
 	}
 	addSeedFlag(run, &options.seed)
-	addPolicyFlag(run, &options.policy, "policy", baselines.Module, "that decides")
+	addPolicyFlag(run, &options.policy, "policy", baselines.Module, "`name` of the policy that decides")
 	addSocketsFlag(run, &options.onSockets)
-	run.Flags().StringVar(&options.html, "html", "", "file for a report")
+	run.Flags().StringVar(&options.html, "html", "", "`file` for a report")
 	return run
 }
 
@@ -45,12 +45,12 @@
 	}
 	planned := file.Plan(options.seed)
 	host := hostName(options.onSockets)
-	began := time.Now()
+	start := time.Now()
 	result, err := play(ctx, planned, playOptions{host: host, policy: options.policy, progress: c.progress})
 	if err != nil {
 		return err
 	}
-	elapsed := time.Since(began).Round(time.Millisecond)
+	elapsed := time.Since(start).Round(time.Millisecond)
 	fmt.Fprintf(c.out, "%s, seed %d, %s, %s: %v played in %v\n",
 		file.Name, planned.Seed, options.policy, host, planned.Length, elapsed)
 	file.WriteText(c.out, planned, result)
--- a/cmd/simhost/main_test.go
+++ b/cmd/simhost/main_test.go
@@ -163,7 +163,7 @@
 	}
 }
 
-func TestBeginAfterStopForgetsEarlierRequests(t *testing.T) {
+func TestBeginAfterStopDiscardsRequests(t *testing.T) {
 	out, _, err := runBatches(t,
 		batch(1, 1000, selectInstance(3), begin(settings), manifest(11), members(), request(5, 500_000)),
 		batch(2, 2000, selectInstance(3), record(codeStop), begin(settings), manifest(12), members(), answer(5, 11, 500, 0),
