--- a/internal/cluster/decision.go
+++ b/internal/cluster/decision.go
@@ -29,18 +29,18 @@
 // decide returns the decision on a request and counts it. ok is false if the decision depends on
 // responses that may still arrive.
 func (l *leases) decide(open *openLease, expired bool) (decision engine.LeaseDecision, ok bool) {
-	outcome, group, first := open.lease.State()
+	result := open.lease.State()
 	switch {
-	case outcome == keylease.Exclusive:
+	case result.Outcome == keylease.Exclusive:
 		l.counts.Exclusive++
 		return engine.LeaseDecision{
 			Outcome: engine.LeaseExclusive,
-			Group:   group,
-			Since:   l.started.Add(first),
+			Group:   result.Group,
+			Since:   l.started.Add(result.FirstGrantedAt),
 		}, true
-	case outcome == keylease.Shared:
-		return l.shared(group, first), true
-	case outcome == keylease.SplitVote:
+	case result.Outcome == keylease.Shared:
+		return l.shared(result.Group, result.FirstGrantedAt), true
+	case result.Outcome == keylease.SplitVote:
 		// Requests of several instances split the votes, so that none can reach a majority.
 		l.counts.Denied++
 		return denied(reasonSplitVote), true
--- a/internal/cluster/leases_test.go
+++ b/internal/cluster/leases_test.go
@@ -27,19 +27,19 @@
 	return <-acquire(node, request)
 }
 
-// startEncryptedNodes runs five nodes with a keyring, and waits until they grant leases.
-func startEncryptedNodes(t *testing.T) []*Node {
-	t.Helper()
+// Instances of one cluster with a keyring grant each key to one group.
+func TestAcquireGrantsKeyToOneGroup(t *testing.T) {
 	nodes := startNodes(t, 5, func(_ int, c *Config) {
 		c.Keys = [][]byte{bytes.Repeat([]byte{7}, 32)}
 		c.LeaseDuration = 2 * time.Second
 	})
 	waitReady(t, nodes)
-	return nodes
+	t.Run("a lease of another instance is shared", func(t *testing.T) { testLeaseIsShared(t, nodes) })
+	t.Run("a released key is granted to another group", func(t *testing.T) { testReleasedKeyIsFree(t, nodes) })
+	t.Run("concurrent requests get one group", func(t *testing.T) { testConcurrentRequests(t, nodes) })
 }
 
-func TestAcquireSharesLeaseOfOtherInstance(t *testing.T) {
-	nodes := startEncryptedNodes(t)
+func testLeaseIsShared(t *testing.T, nodes []*Node) {
 	first := acquireOnce(nodes[0], engine.LeaseRequest{Key: "k", Request: 1, Term: 1, Group: "pod 1"})
 	if first.Outcome != engine.LeaseExclusive {
 		t.Fatalf("first request: %+v", first)
@@ -55,8 +55,7 @@
 	}
 }
 
-func TestAcquireGrantsReleasedKeyToOtherGroup(t *testing.T) {
-	nodes := startEncryptedNodes(t)
+func testReleasedKeyIsFree(t *testing.T, nodes []*Node) {
 	request := engine.LeaseRequest{Key: "r", Request: 3, Term: 1, Group: "pod 1"}
 	if decision := acquireOnce(nodes[2], request); decision.Outcome != engine.LeaseExclusive {
 		t.Fatalf("a key to be released: %+v", decision)
@@ -71,11 +70,10 @@
 }
 
 // Of several concurrent requests at most one is exclusive, and all may be sent to one group only.
-func TestAcquireGrantsKeyToOneGroup(t *testing.T) {
-	nodes := startEncryptedNodes(t)
+func testConcurrentRequests(t *testing.T, nodes []*Node) {
 	for n := range 20 {
-		var decisions []<-chan engine.LeaseDecision
 		key := fmt.Sprint("concurrent-", n)
+		var decisions []<-chan engine.LeaseDecision
 		for i, node := range nodes {
 			request := engine.LeaseRequest{Key: key, Request: 100 + uint64(n), Term: 1, Group: fmt.Sprint("pod ", i)}
 			decisions = append(decisions, acquire(node, request))
--- a/internal/keylease/acceptor.go
+++ b/internal/keylease/acceptor.go
@@ -26,7 +26,7 @@
 	return h.term > term || h.released && h.term >= term
 }
 
-// keyState is what an acceptor knows about one key.
+// keyState is an acceptor's state of one key.
 type keyState struct {
 	key       Key
 	group     string
@@ -35,12 +35,12 @@
 	holders   []holder
 }
 
-// holderIndex returns the index of an owner among the holders, -1 if it is not one.
+// holderIndex returns the index of an owner among the holders, -1 if it is none of them.
 func (s *keyState) holderIndex(owner Owner) int {
 	return slices.IndexFunc(s.holders, func(h holder) bool { return h.owner == owner })
 }
 
-// hasOtherHolder reports whether any holder other than the one at index has not released.
+// hasOtherHolder reports whether any holder other than the one at index has not released the key.
 func (s *keyState) hasOtherHolder(index int) bool {
 	for i, h := range s.holders {
 		if i != index && !h.released {
@@ -57,7 +57,7 @@
 	voterSet        uint64        // see VoterSetHash
 	recoveredAt     time.Duration // until then leases of the previous incarnation may be valid
 	keys            map[Key]*keyState
-	expirationQueue []*keyState // queue that expireSome works through
+	expirationQueue []*keyState // all of keys, in the order in which expireSome inspects them
 }
 
 // NewAcceptor returns an acceptor that grants nothing until the longest lease of a previous
@@ -79,8 +79,8 @@
 	return max(0, a.recoveredAt-now)
 }
 
-// HandleRequest processes a lease request. ok is false if no response must be sent, since
-// the request is of a term that its owner has ended.
+// HandleRequest processes a lease request. ok is false if no response must be sent, because its
+// owner has ended the term of the request.
 func (a *Acceptor) HandleRequest(now time.Duration, request Request) (response Response, ok bool) {
 	a.expireSome(now)
 	response = Response{Key: request.Key, Owner: request.Owner, Term: request.Term}
@@ -128,7 +128,7 @@
 	return state
 }
 
-// grant records the requester as a holder. index is its place among the holders, -1 if it is
+// grant records the requester as a holder. index is its index among the holders, -1 if it is
 // a new one. The group changes only if there is no other holder and the request is not a
 // retransmission of the current term.
 func (a *Acceptor) grant(now time.Duration, state *keyState, index int, request Request, shared bool) {
@@ -176,7 +176,7 @@
 		switch {
 		case now < state.expiresAt:
 			a.expirationQueue = append(a.expirationQueue, state)
-		case a.keys[state.key] == state: // else a newer state has replaced it
+		case a.keys[state.key] == state: // otherwise a newer state has replaced it
 			delete(a.keys, state.key)
 		}
 	}
--- a/internal/keylease/doc.go
+++ b/internal/keylease/doc.go
@@ -34,8 +34,8 @@
 //
 // # Safety
 //
-// At any time, requests with one key are sent to at most one group, as far as nothing is sent
-// without a lease (cluster.AgreeAlways; AgreeSoon gives this up when voters do not answer):
+// At any time, requests with one key are sent to at most one group, provided that nothing is sent
+// without a lease (cluster.AgreeAlways; with AgreeSoon this does not hold if voters do not respond):
 //
 //   - Any two majorities of one voter set have an acceptor in common.
 //   - An acceptor changes the group of a key only when every holder has released the lease
@@ -43,7 +43,7 @@
 //     send) or when the lease has expired (by then no holder may send any more). As long as
 //     any holder may send to one group, no majority can grant another.
 //   - Of two holders of one group, the common acceptor has seen one first. It reports to the
-//     second that the lease is shared, so at most one holder is told that it is exclusive.
+//     second that the lease is shared, so at most one holder has an exclusive lease.
 //
 // Nothing is stored on disk. An acceptor that starts does not know what its previous
 // incarnation granted, and therefore grants nothing until the longest lease that the
@@ -65,5 +65,5 @@
 //	any      the lease has expired                      as without an entry
 //
 // An acceptor that cannot vote (it is recovering, has another voter set configured, or is at
-// capacity) changes nothing and says so in its response. The requester may retry.
+// capacity) changes nothing and responds with the reason. The requester may retry.
 package keylease
--- a/internal/keylease/key.go
+++ b/internal/keylease/key.go
@@ -15,11 +15,11 @@
 // keys of one class collide, a request that could be served may fail, but no effect is
 // executed twice.
 func KeyOf(class, key string) Key {
-	h := sha256.New()
-	var classBytes [8]byte
-	binary.BigEndian.PutUint64(classBytes[:], uint64(len(class)))
-	h.Write(classBytes[:])
-	h.Write([]byte(class))
-	h.Write([]byte(key))
-	return Key(h.Sum(nil)[:keyBytes])
+	hash := sha256.New()
+	var classLength [8]byte
+	binary.BigEndian.PutUint64(classLength[:], uint64(len(class)))
+	hash.Write(classLength[:])
+	hash.Write([]byte(class))
+	hash.Write([]byte(key))
+	return Key(hash.Sum(nil)[:keyBytes])
 }
--- a/internal/keylease/lease.go
+++ b/internal/keylease/lease.go
@@ -2,18 +2,28 @@
 
 import "time"
 
-// Outcome is the result of a lease request, as far as it is known.
+// Outcome is the outcome of a lease request.
 type Outcome uint8
 
-// The outcomes of a lease request.
+// Outcomes of a lease request.
 const (
-	Pending   Outcome = iota // not known yet
+	Pending   Outcome = iota // responses are missing
 	Exclusive                // the requested group is granted and there is no other holder
 	Shared                   // there are other holders; the request may have been executed already
 	SplitVote                // no group can reach a majority any more: nothing may be sent
 )
 
-// voteStatus says whether an acceptor has responded.
+// Result is the evaluation of the votes for a lease request.
+type Result struct {
+	Outcome Outcome
+	// Group is the group that the request may be sent to, for Exclusive and Shared.
+	Group string
+	// FirstGrantedAt is the earliest time at which a request may have been sent to Group, for
+	// Exclusive and Shared.
+	FirstGrantedAt time.Duration
+}
+
+// voteStatus is whether an acceptor has responded, and whether it granted the lease.
 type voteStatus uint8
 
 const (
@@ -27,13 +37,13 @@
 	status    voteStatus
 	group     string
 	shared    bool
-	grantedAt time.Duration // by the requester's clock, not later than it was
-	denial    ResponseKind  // of a denied vote: the reason
+	grantedAt time.Duration // by the requester's clock; never later than the actual time
+	denial    ResponseKind  // reason of a denied vote
 }
 
 // Lease is a requester's side of one lease request: it collects the votes for one term. It
 // has no clock and sends nothing. The caller sends Request to the acceptors that Unanswered
-// names, and calls Retry before it sends it again.
+// returns, and calls Retry before it sends Request again.
 type Lease struct {
 	Request Request
 	voters  []string
@@ -58,9 +68,9 @@
 }
 
 // HandleResponse records a voter's response. requestedAt is when this lease was first
-// requested: the age in a response is subtracted from it, so that a slow response makes a
-// lease older than it is and never younger. It reports whether the response was recorded:
-// false if it is not of this lease or the voter's grant is recorded already.
+// requested. The age in a response is subtracted from it, so that a slow response makes a
+// lease appear older than it is but never younger. HandleResponse reports whether the response
+// was recorded: it is not if it belongs to another lease or the voter's grant is recorded already.
 func (l *Lease) HandleResponse(requestedAt time.Duration, voter string, response Response) bool {
 	if response.Key != l.Request.Key || response.Owner != l.Request.Owner || response.Term != l.Request.Term {
 		return false
@@ -75,7 +85,7 @@
 	return false
 }
 
-// newVote returns the vote that a response to a request of requestedAt casts.
+// newVote returns the vote of a response to a request that was first sent at requestedAt.
 func newVote(requestedAt time.Duration, response Response) vote {
 	if response.Kind != Granted {
 		return vote{status: voteDenied, denial: response.Kind}
@@ -88,7 +98,8 @@
 	}
 }
 
-// Retry makes Unanswered name the voters again that could not vote: they may be able to now.
+// Retry makes Unanswered return the voters again that could not vote, since they may be able to
+// vote now.
 func (l *Lease) Retry() {
 	for i := range l.votes {
 		if l.votes[i].status == voteDenied {
@@ -97,52 +108,68 @@
 	}
 }
 
-// State evaluates the votes. group and first are set for Exclusive and Shared: the group that
-// the request may be sent to, and the earliest time at which it may have been sent there.
-func (l *Lease) State() (outcome Outcome, group string, first time.Duration) {
+// State evaluates the votes.
+func (l *Lease) State() Result {
 	majority := len(l.voters)/2 + 1
-	leader, count, undecided := l.tally()
-	if count+undecided < majority {
-		return SplitVote, "", 0
+	count := l.countVotes()
+	switch {
+	case count.leaderVotes+count.undecided < majority:
+		return Result{Outcome: SplitVote}
+	case count.leaderVotes < majority:
+		return Result{Outcome: Pending}
 	}
-	if count < majority {
-		return Pending, "", 0
+	return l.grantedResult(count.leader)
+}
+
+// grantedResult returns the result for a group that a majority has granted.
+func (l *Lease) grantedResult(group string) Result {
+	result := Result{Outcome: Exclusive, Group: group}
+	if group != l.Request.Group {
+		result.Outcome = Shared
 	}
-	shared, found := false, false
+	first := true
 	for _, v := range l.votes {
-		if v.status != voteGranted || v.group != leader {
+		if v.status != voteGranted || v.group != group {
 			continue
 		}
-		if !found || v.grantedAt < first {
-			first, found = v.grantedAt, true
+		if first || v.grantedAt < result.FirstGrantedAt {
+			result.FirstGrantedAt = v.grantedAt
+			first = false
+		}
+		if v.shared {
+			result.Outcome = Shared
 		}
-		shared = shared || v.shared
-	}
-	if shared || leader != l.Request.Group {
-		return Shared, leader, first
 	}
-	return Exclusive, leader, first
+	return result
+}
+
+// voteCount is the distribution of votes.
+type voteCount struct {
+	leader      string // group with the most votes
+	leaderVotes int
+	undecided   int // voters that have not granted any group
 }
 
-// tally returns the group with the most votes, their count, and the number of voters that
-// have not granted any group yet.
-func (l *Lease) tally() (leader string, count, undecided int) {
-	counts := map[string]int{}
+// countVotes counts the votes. Of several groups with the most votes, the first that reached
+// their number is the leader.
+func (l *Lease) countVotes() voteCount {
+	var count voteCount
+	votesByGroup := map[string]int{}
 	for _, v := range l.votes {
 		if v.status != voteGranted {
-			undecided++
+			count.undecided++
 			continue
 		}
-		counts[v.group]++
-		if counts[v.group] > count {
-			leader, count = v.group, counts[v.group]
+		votesByGroup[v.group]++
+		if votesByGroup[v.group] > count.leaderVotes {
+			count.leader = v.group
+			count.leaderVotes = votesByGroup[v.group]
 		}
 	}
-	return leader, count, undecided
+	return count
 }
 
-// Contended reports whether any vote named another holder or another group. While none did, a
-// pending lease has met no competing request.
+// Contended reports whether any vote reported another holder or granted another group.
 func (l *Lease) Contended() bool {
 	for _, v := range l.votes {
 		if v.status == voteGranted && (v.shared || v.group != l.Request.Group) {
@@ -152,8 +179,8 @@
 	return false
 }
 
-// DenialReason returns why the first of the voters that could not vote could not, and Granted
-// if there is none.
+// DenialReason returns the reason of the first voter that could not vote, Granted if there is
+// none.
 func (l *Lease) DenialReason() ResponseKind {
 	for _, v := range l.votes {
 		if v.status == voteDenied {
--- a/internal/keylease/linearizability_test.go
+++ b/internal/keylease/linearizability_test.go
@@ -14,9 +14,9 @@
 	_ "pinedale/internal/standin/seeds"
 )
 
-// writeOnceRegister models a key whose holders never release it: a register that is written
+// writeOnceRegister models a key whose holders never release it as a register that is written
 // once. The input of an operation is the requested group, its output the granted one. An
-// operation without an output may have written the register or not.
+// operation without an output may or may not have written the register.
 var writeOnceRegister = porcupine.NondeterministicModel{
 	Init: func() []any { return []any{""} },
 	Step: func(state, input, output any) []any {
@@ -38,7 +38,7 @@
 	simulatedTime = 500 * time.Millisecond
 	// retryInterval is the time between two transmissions of a request.
 	retryInterval = 20 * time.Millisecond
-	// simulatedLease is longer than a simulation: no lease expires in it.
+	// simulatedLease is longer than a simulation, so that no lease expires.
 	simulatedLease = time.Minute
 )
 
@@ -68,10 +68,12 @@
 	network       []networkMessage
 }
 
+// drawMilliseconds draws a duration between two numbers of milliseconds.
 func drawMilliseconds(t *rapid.T, low, high int, label string) time.Duration {
 	return time.Duration(rapid.IntRange(low, high).Draw(t, label)) * time.Millisecond
 }
 
+// newSimulation draws the requesters of a simulation.
 func newSimulation(t *rapid.T, acceptorNames []string, limits Limits) *simulation {
 	s := &simulation{t: t, acceptorNames: acceptorNames}
 	voterSet := VoterSetHash(acceptorNames)
@@ -102,7 +104,7 @@
 	return s
 }
 
-// send loses a message, or delivers it once or twice after a delay.
+// send drops a message, or queues it for delivery once or twice after a delay.
 func (s *simulation) send(now time.Duration, m networkMessage) {
 	for range rapid.SampledFrom([]int{0, 1, 1, 1, 2}).Draw(s.t, "deliveries") {
 		m.deliverAt = now + drawMilliseconds(s.t, 1, 50, "delay")
@@ -124,17 +126,18 @@
 			}
 		}
 	}
-	outcome, group, _ := r.lease.State()
+	result := r.lease.State()
 	switch {
-	case outcome == Exclusive || outcome == Shared:
+	case result.Outcome == Exclusive || result.Outcome == Shared:
 		r.finished = true
-		r.operation.Output, r.operation.Return = group, int64(now)
-	case outcome == SplitVote || now >= r.giveUpAt:
-		r.finished = true // without an output: its votes may have been counted or not
+		r.operation.Output = result.Group
+		r.operation.Return = int64(now)
+	case result.Outcome == SplitVote || now >= r.giveUpAt:
+		r.finished = true // without an output, since its votes may or may not have been counted
 	}
 }
 
-// deliver delivers all messages that are due, and those sent in response that are due as well.
+// deliver delivers all messages that are due, including responses that are due at the same time.
 func (s *simulation) deliver(now time.Duration) {
 	slices.SortStableFunc(s.network, func(a, b networkMessage) int { return cmp.Compare(a.deliverAt, b.deliverAt) })
 	for len(s.network) > 0 && s.network[0].deliverAt <= now {
@@ -151,8 +154,8 @@
 	}
 }
 
-// Leases are linearizable: with messages delayed, lost and duplicated and an acceptor that
-// restarts, the granted groups could have been granted one after the other.
+// Leases are linearizable: even if messages are delayed, lost and duplicated and an acceptor
+// restarts, some sequential order of the requests explains the granted groups.
 func TestLeasesAreLinearizable(t *testing.T) {
 	limits := Limits{MaxKeys: 4, MaxHolders: 8, MaxDuration: simulatedLease}
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/keylease/voters.go
+++ b/internal/keylease/voters.go
@@ -10,12 +10,12 @@
 
 // VoterSetHash returns a hash of the names of all voters. It does not depend on their order.
 func VoterSetHash(names []string) uint64 {
-	h := fnv.New64a()
+	hash := fnv.New64a()
 	for _, name := range slices.Sorted(slices.Values(names)) {
-		h.Write([]byte(name))
-		h.Write([]byte{0})
+		hash.Write([]byte(name))
+		hash.Write([]byte{0})
 	}
-	return h.Sum64()
+	return hash.Sum64()
 }
 
 // Voters returns the voter set of a key: count of the names, selected by rendezvous hashing
@@ -43,8 +43,8 @@
 // voterScore returns the rendezvous weight of a voter for a key. The hash is mixed because
 // FNV leaves differences in the last bytes of its input in the low bits of its output.
 func voterScore(name string, key Key) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(name))
-	h.Write(key[:])
-	return splitmix.Mix(h.Sum64())
+	hash := fnv.New64a()
+	hash.Write([]byte(name))
+	hash.Write(key[:])
+	return splitmix.Mix(hash.Sum64())
 }
