Balancer: a failed poll of discovery is retried within four seconds at any poll interval

Cause: the backoff after a failed poll was bounded by a quarter of the poll interval and its jitter, 3/8 of it in all. The platform counts a change as known 6 s after discovery had it and could be reached, whatever else is allowed after a failed call; from an interval of 16 s on the next poll could come later than that (balancer/polling.go, pollAfterBackoff).

Change: the backoff is also bounded by 2.5 s, 3.75 s with jitter. At intervals up to 10 s nothing changes.

--- a/balancer/members_test.go
+++ b/balancer/members_test.go
@@ -1,6 +1,9 @@
 package balancer
 
-import "testing"
+import (
+	"slices"
+	"testing"
+)
 
 func TestDrainingEndpointReceivesNothing(t *testing.T) {
 	b, r := start(t, testSettings(), ready(2))
@@ -56,3 +59,28 @@
 		t.Error("polled again while subscribed")
 	}
 }
+
+// However long the poll interval: a change must be known 6 s after discovery can be reached again, and the poll itself
+// takes time, too.
+func TestFailedPollIsRetriedWithinFourSeconds(t *testing.T) {
+	for _, interval := range []Micros{5 * second, 10 * second, 16 * second, 60 * second} {
+		s := testSettings()
+		s.PollDiscovery = true
+		s.Contract.PollInterval = interval
+		b, r := start(t, s, ready(2))
+		now := Micros(0)
+		for range 20 {
+			r.timers, r.delays = nil, nil
+			b.UpdateEndpoints(now, ListFailed, nil)
+			index := slices.Index(r.timers, discoveryTimer)
+			if index < 0 {
+				t.Fatal("no timer for discovery")
+			}
+			if delay := r.delays[index]; delay > 4*second {
+				t.Errorf("interval of %d s: polled only after %d µs", interval/second, delay)
+			}
+			now += r.delays[index]
+			b.TimerFired(now, discoveryTimer)
+		}
+	}
+}
--- a/balancer/polling.go
+++ b/balancer/polling.go
@@ -1,5 +1,7 @@
 package balancer
 
+const maxPollBackoff = 5 * second / 2 // before jitter: a change must be known 6 s after discovery is back
+
 // pollDiscovery subscribes to discovery, unless a subscription stands or the timer is out of date.
 func (b *Balancer) pollDiscovery(now Micros) {
 	if !b.settings.PollDiscovery || b.discovery.subscribed || now < b.discovery.pollAt {
@@ -17,7 +19,6 @@
 		return
 	}
 	interval := b.settings.Contract.PollInterval
-	backoff := min(max(2*b.discovery.backoff, interval/20), interval/4)
-	b.discovery.backoff = backoff
-	b.schedulePoll(now, 1+backoff/2+b.random.below(backoff))
+	b.discovery.backoff = min(max(2*b.discovery.backoff, interval/20), interval/4, maxPollBackoff)
+	b.schedulePoll(now, 1+b.discovery.backoff/2+b.random.below(b.discovery.backoff))
 }
