Balancer: package comment, events and settings in files of their own

Cause: api.go held four jobs in 435 lines: the package's comment, the types of events and actions, the settings with their checks, and the balancer's construction.

Change: doc.go has the package comment, settings.go the settings and Validate, api.go the rest.

Result: go test ./balancer and ./deploy TestKeys pass; no code changed.

--- /dev/null
+++ b/balancer/doc.go
@@ -0,0 +1,43 @@
+// Package balancer makes the decisions of a client-side sidecar load balancer: to which endpoint a request goes,
+// whether it is retried, hedged or rejected, which endpoints are probed, and when discovery is polled.
+//
+// A Balancer is a deterministic state machine. It does no I/O, starts no goroutine and reads no clock: its host
+// calls one method per event, with the instant of the event, from one goroutine at a time, and carries out the
+// Actions that the balancer calls before the method returns. The same seed and the same events give the same
+// actions. All state is in memory and is lost with the process.
+//
+// Events: Start, HandleRequest, ResponseStarted, AttemptCompleted, ClientDisconnected and Expire for requests;
+// UpdateEndpoints for discovery; ProbeCompleted for probes; TimerFired for timers that the balancer has set.
+//
+// Actions: Send, Cancel, Reject and Fail for requests; Probe; Watch for discovery; Timer; Log.
+//
+// Rules, which hold whatever the statistics say, and stand in balancer.go:
+//
+//   - No request has its effect twice: an attempt that may have run is repeated only as its class's Idempotency
+//     permits, within the group and the window that drop repeats.
+//   - No request is lost: each has exactly one final answer, at its deadline at the latest.
+//   - A draining or removed endpoint is sent nothing.
+//   - An endpoint in slow start is sent no more than its part of the fleet's traffic.
+//
+// Decisions, by file:
+//
+//   - balancer.go: start, the rules, and the one function that sends.
+//   - attempts.go: what happens to a new request and after an attempt; retries and their budget.
+//   - rejection.go: which requests come too late to be worth their work, and their Retry-After; priorities.
+//   - hedging.go: planned hedges, and hedges of attempts that seem dropped; deadlines.
+//   - pick.go: choice of an endpoint among probed, random, recently used and key-owning ones.
+//   - prediction.go: the latency expected of an endpoint.
+//   - learning.go: what an outcome teaches about endpoint, kind, fleet and class.
+//   - probes.go: probing in rounds and on demand, and load reports, after Prequal (Wydrowski et al., "Load is not
+//     what you should balance", NSDI 2024).
+//   - breaker.go: the adaptive breaker of go-zero. ejection.go: outlier ejection.
+//   - slowstart.go: slow start of new processes. members.go: membership. polling.go: polling of discovery.
+//   - keys.go: owners of keys, for endpoints that cache by key.
+//
+// Types of events and actions stand in api.go, those of settings in settings.go. Files that hold records and decide
+// nothing: ledger.go for requests and attempts, endpoints.go, budgets.go, probe_pool.go, key_records.go,
+// breaker_window.go, estimates.go for what outcomes teach, averages.go, random.go and eventlog.go.
+//
+// Times are in microseconds, rates per second, ratios from 0 to 1. Work is the time in microseconds that a request
+// takes at a mean endpoint without a queue; slowness is the time per work at an endpoint, 1 at the mean one.
+package balancer
--- a/deploy/deploy_test.go
+++ b/deploy/deploy_test.go
@@ -120,9 +120,9 @@
 // recordFiles are the files of the decision module that hold its types, records and averages, and decide nothing. A
 // new file counts as one that decides unless it is added here.
 var recordFiles = []string{
-	"balancer/api.go", "balancer/ledger.go", "balancer/endpoints.go", "balancer/budgets.go", "balancer/probe_pool.go",
-	"balancer/key_records.go", "balancer/breaker_window.go", "balancer/estimates.go", "balancer/averages.go",
-	"balancer/random.go", "balancer/eventlog.go",
+	"balancer/doc.go", "balancer/api.go", "balancer/settings.go", "balancer/ledger.go", "balancer/endpoints.go",
+	"balancer/budgets.go", "balancer/probe_pool.go", "balancer/key_records.go", "balancer/breaker_window.go",
+	"balancer/estimates.go", "balancer/averages.go", "balancer/random.go", "balancer/eventlog.go",
 }
 
 // The deploy file names files that exist, and its policy names every file of the decision module that decides.
