--- a/internal/sidecar/config_test.go
+++ b/internal/sidecar/config_test.go
@@ -14,7 +14,7 @@
 	good := `{"name":"n3","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f30d27a5be964",` +
 		`"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},` +
 		`"known":{"seq":4,"whole":true,"hosts":[{"host":"s-1","dial":"127.0.0.1:3","health":"Ready"}]},` +
-		`"settings":` + settingsText + `}`
+		`"settings":` + testSettings().JSON(t) + `}`
 	if cfg, err := parseConfig([]byte(good)); err != nil {
 		t.Fatal(err)
 	} else if cfg.Settings.Limits.MaxRetryAfter != 1_500_000 || len(cfg.Settings.Classes) != 4 ||
--- a/internal/sidecar/connections_test.go
+++ b/internal/sidecar/connections_test.go
@@ -17,20 +17,6 @@
 	"pinedale/internal/standin/scriptedconn"
 )
 
-// dial opens a client connection that the test closes.
-func (h *harness) dial() net.Conn {
-	h.t.Helper()
-	conn, err := net.Dial("tcp", strings.TrimPrefix(h.url, "http://"))
-	if err != nil {
-		h.t.Fatal(err)
-	}
-	h.t.Cleanup(func() { conn.Close() })
-	if err := conn.SetDeadline(time.Now().Add(testTimeout)); err != nil {
-		h.t.Fatal(err)
-	}
-	return conn
-}
-
 // exchangeRaw sends bytes on a new connection and returns what is received until the connection ends.
 func (h *harness) exchangeRaw(text string) string {
 	h.t.Helper()
@@ -54,8 +40,7 @@
 // request is rejected, and nothing behind it is read as a request. net/http does not show its handlers
 // the second length.
 func TestRequestWithTwoLengthsIsRejected(t *testing.T) {
-	e := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
-	h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
+	h, endpoint := startServing(t)
 	hidden := readHeaders + "X-Correlation-Id: 2\r\n\r\n"
 	body := "0\r\n\r\n" + hidden
 	for name, head := range map[string]string{
@@ -72,9 +57,7 @@
 	// The same after a valid request, where net/http skips empty lines.
 	conn := h.dial()
 	in := bufio.NewReader(conn)
-	if _, err := io.WriteString(conn, payHeaders+"X-Correlation-Id: 3\r\nContent-Length: 2\r\n\r\nok"); err != nil {
-		t.Fatal(err)
-	}
+	h.mustWrite(conn, payHeaders+"X-Correlation-Id: 3\r\nContent-Length: 2\r\n\r\nok")
 	response, err := http.ReadResponse(in, nil)
 	if err != nil || response.StatusCode != http.StatusOK {
 		t.Fatalf("a valid request: %v, %v", response, err)
@@ -89,7 +72,7 @@
 	if strings.Count(string(rest), "HTTP/1.1") != 1 || !strings.HasPrefix(string(rest), "HTTP/1.1 400") {
 		t.Errorf("after an empty line: got %q", rest)
 	}
-	if n := e.RequestCount(); n != 1 {
+	if n := endpoint.RequestCount(); n != 1 {
 		t.Errorf("%d requests reached the endpoint, want the valid one", n)
 	}
 }
@@ -97,8 +80,7 @@
 // A chunked body is valid HTTP/1.1 and is served. The connection is closed after it, as it is after a
 // request with more bytes behind it.
 func TestChunkedAndPipelinedRequestsCloseTheConnection(t *testing.T) {
-	e := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
-	h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
+	h, endpoint := startServing(t)
 	for name, text := range map[string]string{
 		"chunked": payHeaders + "X-Correlation-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
 		"pipelined": payHeaders + "X-Correlation-Id: 2\r\nContent-Length: 4\r\n\r\nbody" +
@@ -109,11 +91,11 @@
 			t.Errorf("%s: got %q", name, got)
 		}
 	}
-	if n := e.RequestCount(); n != 2 {
+	if n := endpoint.RequestCount(); n != 2 {
 		t.Errorf("%d requests reached the endpoint, want 2", n)
 	}
 	for i := range 2 {
-		if body, _ := io.ReadAll(e.Request(i).Body); string(body) != "body" {
+		if body, _ := io.ReadAll(endpoint.Request(i).Body); string(body) != "body" {
 			t.Errorf("the endpoint got the body %q", body)
 		}
 	}
@@ -121,9 +103,8 @@
 
 // Bytes that are no valid request are rejected before a body is read, or the connection is closed.
 func TestInvalidHTTPIsRejected(t *testing.T) {
-	e := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
-	h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
-	for name, c := range map[string]struct{ text, want string }{
+	h, endpoint := startServing(t)
+	for name, test := range map[string]struct{ text, want string }{
 		"a length beyond the limit": {
 			payHeaders + "X-Correlation-Id: 1\r\nContent-Length: 3000000000\r\n\r\n", "HTTP/1.1 413"},
 		"a negative length": {payHeaders + "X-Correlation-Id: 1\r\nContent-Length: -3\r\n\r\nabc", "HTTP/1.1 400"},
@@ -137,13 +118,14 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			if got := h.exchangeRaw(c.text); !strings.HasPrefix(got, c.want) && got != "" { // a reset may discard the response
-				t.Errorf("got %q, want %s", got, c.want)
+			got := h.exchangeRaw(test.text)
+			if !strings.HasPrefix(got, test.want) && got != "" { // a reset may discard the response
+				t.Errorf("got %q, want %s", got, test.want)
 			}
 		})
 	}
 	t.Cleanup(func() {
-		if n := e.RequestCount(); n != 0 {
+		if n := endpoint.RequestCount(); n != 0 {
 			t.Errorf("%d of them reached the endpoint", n)
 		}
 	})
@@ -157,9 +139,8 @@
 			t.Errorf("limit of %v", limit)
 		}
 	}
-	e := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
-	h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
-	for name, c := range map[string]struct{ text, want string }{
+	h, _ := startServing(t)
+	for name, test := range map[string]struct{ text, want string }{
 		"nothing":          {"", ""},
 		"half a header":    {payHeaders, ""},
 		"half a body":      {payHeaders + "X-Correlation-Id: 1\r\nContent-Length: 9\r\n\r\nabc", "HTTP/1.1 400"},
@@ -167,8 +148,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			if got := h.exchangeRaw(c.text); !strings.HasPrefix(got, c.want) {
-				t.Errorf("got %q, want %q", got, c.want)
+			if got := h.exchangeRaw(test.text); !strings.HasPrefix(got, test.want) {
+				t.Errorf("got %q, want %q", got, test.want)
 			}
 		})
 	}
@@ -178,13 +159,12 @@
 // disconnected client and cancels the request's context.
 func TestResponseAfterReadTimeoutIsDelivered(t *testing.T) {
 	t.Parallel()
-	e := scriptedconn.New(t, func(e *scriptedconn.Endpoint, conn net.Conn, in *bufio.Reader) {
+	h, _ := startWithEndpoint(t, func(e *scriptedconn.Endpoint, conn net.Conn, in *bufio.Reader) {
 		for e.Next(in) != nil {
 			time.Sleep(httpfront.ReadTimeout + 300*time.Millisecond)
 			_, _ = io.WriteString(conn, scriptedconn.Served)
 		}
 	})
-	h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
 	for class, body := range map[string]string{"read": "", "pay": "x"} {
 		if got := h.send(h.newRequest(class, body, time.Minute)); got.code != http.StatusOK {
 			t.Errorf("%s: got %+v", class, got)
@@ -195,16 +175,10 @@
 // A second request with the id of one in flight is a conflict; the id is free again afterwards.
 func TestDuplicateIDIsRejectedWhileInFlight(t *testing.T) {
 	answer := make(chan struct{})
-	e := scriptedconn.New(t, func(e *scriptedconn.Endpoint, conn net.Conn, in *bufio.Reader) {
-		for e.Next(in) != nil {
-			<-answer
-			_, _ = io.WriteString(conn, scriptedconn.Served)
-		}
-	})
-	h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
-	first, same := make(chan reply), h.newRequest("pay", "", time.Minute)
-	go func() { first <- h.send(same.Clone(context.Background())) }()
-	h.waitFor("the first request to arrive", func() bool { return e.RequestCount() == 1 })
+	h, endpoint := startWithEndpoint(t, scriptedconn.ServedAfter(answer, nil))
+	same := h.newRequest("pay", "", time.Minute)
+	first := h.sendAsync(same.Clone(context.Background()))
+	h.waitFor("the first request to arrive", func() bool { return endpoint.RequestCount() == 1 })
 	if got := h.send(same.Clone(context.Background())); got.code != http.StatusConflict {
 		t.Errorf("the second request: %+v", got)
 	}
@@ -221,18 +195,9 @@
 // limit the one that has been idle longest is closed. One with a request in flight is not.
 func TestLongestIdleConnectionIsClosedAtLimit(t *testing.T) {
 	answer := make(chan struct{})
-	e := scriptedconn.New(t, func(e *scriptedconn.Endpoint, conn net.Conn, in *bufio.Reader) {
-		for r := e.Next(in); r != nil; r = e.Next(in) {
-			if strings.HasPrefix(r.RequestURI, "/pay") {
-				<-answer
-			}
-			_, _ = io.WriteString(conn, scriptedconn.Served)
-		}
-	})
-	h := start(t, nil, fakediscovery.Ready("s-1", e.Address))
-	first := make(chan reply)
-	go func() { first <- h.send(h.newRequest("pay", "x", time.Minute)) }()
-	h.waitFor("the first request to arrive", func() bool { return e.RequestCount() == 1 })
+	h, endpoint := startWithEndpoint(t, scriptedconn.ServedAfter(answer, isPay))
+	first := h.sendAsync(h.newRequest("pay", "x", time.Minute))
+	h.waitFor("the first request to arrive", func() bool { return endpoint.RequestCount() == 1 })
 	h.waitFor("other connections to end", func() bool { return h.server.Connections() == 1 })
 	oldest := h.dial()
 	h.waitFor("the oldest", func() bool { return h.server.Connections() == 2 })
@@ -260,15 +225,15 @@
 // Clients that send one request and keep the connection must not use up all connections: beyond a
 // threshold a response closes its connection.
 func TestResponsesCloseConnectionsAboveThreshold(t *testing.T) {
-	e := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
 	const threshold = 3 // few enough for all requests to arrive before a connection is closed as idle
-	h := startWith(t, nil, func(o *httpfront.Options) { o.KeepAliveThreshold = threshold }, fakediscovery.Ready("s-1", e.Address))
+	endpoint := newServingEndpoint(t)
+	h := startWith(t, nil, func(o *httpfront.Options) {
+		o.KeepAliveThreshold = threshold
+	}, fakediscovery.Ready("s-1", endpoint.Address))
 	h.waitFor("other connections to end", func() bool { return h.server.Connections() == 0 })
 	for i := range threshold + 3 {
 		conn := h.dial()
-		if err := h.newRequest("read", "", time.Minute).Write(conn); err != nil {
-			t.Fatal(err)
-		}
+		h.mustWrite(conn, h.requestText("read", ""))
 		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 		if err != nil || response.StatusCode != http.StatusOK {
 			t.Fatalf("request %d: %v, %v", i, response, err)
@@ -282,18 +247,3 @@
 		}
 	}
 }
-
-// The bodies in memory are bounded together: a request beyond the limit is rejected before its body is read.
-func TestRequestIsRejectedBeyondBodyLimit(t *testing.T) {
-	e := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
-	h := startWith(t, nil, func(o *httpfront.Options) { o.BodyBytes = 20 }, fakediscovery.Ready("s-1", e.Address))
-	got := h.send(h.newRequest("pay", strings.Repeat("x", 21), 3*time.Second))
-	if got.code != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
-		t.Errorf("beyond the limit: %+v", got)
-	}
-	for range 2 { // the first releases what it reserved
-		if got := h.send(h.newRequest("pay", strings.Repeat("x", 20), 3*time.Second)); got.code != http.StatusOK {
-			t.Errorf("within it: %+v", got)
-		}
-	}
-}
--- a/internal/sidecar/deadline_test.go
+++ b/internal/sidecar/deadline_test.go
@@ -2,36 +2,35 @@
 
 import (
 	"bufio"
-	"bytes"
-	"io"
 	"net/http"
+	"slices"
+	"strconv"
 	"testing"
 	"time"
 
-	"pinedale/internal/standin/fakediscovery"
+	"pinedale/balancer"
+	"pinedale/internal/requestmeta"
 	"pinedale/internal/standin/scriptedconn"
+	"pinedale/internal/standin/testfleet"
+	"pinedale/internal/standin/wait"
 )
 
-// TestDeadlineCountsFromTheLastByte sends the end of a body later than the request's time left: the client
-// counts from the last byte, so all of that time is still there.
+// The end of a body that is sent later than the request's time left does not shorten it: the client counts from the
+// last byte.
 func TestDeadlineCountsFromTheLastByte(t *testing.T) {
-	const requestTimeout, slowWrite, tail = 400 * time.Millisecond, 500 * time.Millisecond, 5
-	endpoint := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
-	h := start(t, nil, fakediscovery.Ready("s-1", endpoint.Address))
+	const (
+		timeLeft  = 400 * time.Millisecond
+		slowWrite = 500 * time.Millisecond
+		tailBytes = 5 // that are sent late
+	)
+	h, endpoint := startServing(t)
 	conn := h.dial()
-	var wire bytes.Buffer
-	if err := h.newRequest("order", "0123456789", requestTimeout).Write(&wire); err != nil {
-		t.Fatal(err)
-	}
-	text := wire.String()
-	if _, err := io.WriteString(conn, text[:len(text)-tail]); err != nil {
-		t.Fatal(err)
-	}
+	text := testfleet.RequestText(t, h.newRequest("order", "0123456789", timeLeft))
+	head, tail := text[:len(text)-tailBytes], text[len(text)-tailBytes:]
+	h.mustWrite(conn, head)
 	time.Sleep(slowWrite)
-	if _, err := io.WriteString(conn, text[len(text)-tail:]); err != nil {
-		t.Fatal(err)
-	}
-	if err := conn.SetReadDeadline(time.Now().Add(testTimeout)); err != nil {
+	h.mustWrite(conn, tail)
+	if err := conn.SetReadDeadline(time.Now().Add(wait.Timeout)); err != nil {
 		t.Fatal(err)
 	}
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
@@ -43,6 +42,37 @@
 	}
 	attempts := endpoint.RequestCount()
 	if response.StatusCode != http.StatusOK || attempts != 1 {
-		t.Errorf("answer %d after %d attempts, want 200 after 1", response.StatusCode, attempts)
+		t.Errorf("response %d after %d attempts, want 200 after 1", response.StatusCode, attempts)
+	}
+}
+
+// A request whose endpoint does not respond is answered before the client's deadline. The balancer
+// receives a timeout even if its own timer for the same instant cancels the attempt first.
+func TestUnresponsiveEndpointIsAnsweredByDeadline(t *testing.T) {
+	for class, code := range map[string]int{"read": 503, "pay": 503, "close": 502, "order": 502} {
+		t.Run(class, func(t *testing.T) {
+			h, endpoint := startWithEndpoint(t, scriptedconn.Unresponsive)
+			const remaining = 400 * time.Millisecond
+			sent := h.engine.Now()
+			got := h.send(h.newRequest(class, "x", remaining))
+			if got.code != code {
+				t.Errorf("response %d (%v), want %d", got.code, got.err, code)
+			}
+			h.waitFor("the outcome", func() bool { return len(h.spy.statuses()) > 0 })
+			if all := h.spy.statuses(); !slices.Equal(all, []balancer.Status{balancer.Timeout}) {
+				t.Errorf("outcomes %v, want one timeout", all)
+			}
+			h.waitFor("the timer", func() bool { return h.spy.hasEvent(requestTimerFired) })
+			if h.requestsInFlight() != 0 {
+				t.Error("the request is still in flight")
+			}
+			given, _ := strconv.ParseInt(endpoint.Request(0).Header.Get("X-Time-Left-Ms"), 10, 64)
+			if maxTime := remaining - requestmeta.ResponseMargin; given <= 0 || given > maxTime.Milliseconds() {
+				t.Errorf("the endpoint was given %d ms of %v, want at most %v", given, remaining, maxTime)
+			}
+			if took := time.Duration(h.engine.Now()-sent) * time.Microsecond; took < remaining/2 {
+				t.Errorf("the request was answered after %v of %v", took, remaining)
+			}
+		})
 	}
 }
--- a/internal/sidecar/disconnect_test.go
+++ b/internal/sidecar/disconnect_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"bufio"
-	"bytes"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -15,126 +15,111 @@
 	"pinedale/balancer"
 	"pinedale/internal/standin/fakediscovery"
 	"pinedale/internal/standin/scriptedconn"
+	"pinedale/internal/standin/testfleet"
+	"pinedale/internal/standin/wait"
 )
 
-// requestText is a request with a minute left, as it is written to a connection.
-func (h *harness) requestText(class, body string) string {
-	h.t.Helper()
-	var text bytes.Buffer
-	if err := h.newRequest(class, body, time.Minute).Write(&text); err != nil {
-		h.t.Fatal(err)
-	}
-	return text.String()
-}
-
 // A client that disconnects while its request waits for a connection gets no response, and its request
 // is not written once the connection is established: not even if the settings forbid to cancel attempts,
 // or if bytes behind the request hide the disconnect from net/http, which stops watching the connection
 // once a byte has arrived.
 func TestRequestOfDisconnectedClientIsNotWritten(t *testing.T) {
-	reset := func(c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0); c.Close() }
-	closed := func(c net.Conn) { c.Close() }
-	half := func(c net.Conn) { _ = c.(*net.TCPConn).CloseWrite() }
-	for _, c := range []struct {
+	const (
+		pay  = payHeaders + "X-Correlation-Id: 2\r\n\r\n"
+		read = readHeaders + "X-Correlation-Id: 2\r\n\r\n"
+	)
+	for _, test := range []struct {
 		name           string
 		class          string
 		cancel         bool
 		within, behind string // bytes behind the request, sent with it and once it is in flight
 		disconnect     func(net.Conn)
 	}{
-		{"closed", "order", false, "", "", closed},
-		{"closed, cancelling permitted", "order", true, "", "", closed},
-		{"reset", "pay", false, "", "", reset},
-		{"half-closed", "read", false, "", "", half},
-		{"a byte behind", "read", false, "", "G", closed},
-		{"a byte behind a body", "pay", false, "", "G", closed},
-		{"requests behind", "order", false, "", strings.Repeat(payHeaders+"X-Correlation-Id: 2\r\n\r\n", 5), closed},
-		{"requests with it", "read", false, strings.Repeat(readHeaders+"X-Correlation-Id: 2\r\n\r\n", 5), "", closed},
-		{"requests with it and behind, reset", "read", true, readHeaders + "X-Correlation-Id: 2\r\n\r\n", "GET", reset},
-		{"noise", "pay", false, "", strings.Repeat("x", 100<<10), closed},
+		{"closed", "order", false, "", "", closeConn},
+		{"closed, cancelling permitted", "order", true, "", "", closeConn},
+		{"reset", "pay", false, "", "", resetConn},
+		{"half-closed", "read", false, "", "", halfCloseConn},
+		{"a byte behind", "read", false, "", "G", closeConn},
+		{"a byte behind a body", "pay", false, "", "G", closeConn},
+		{"requests behind", "order", false, "", strings.Repeat(pay, 5), closeConn},
+		{"requests with it", "read", false, strings.Repeat(read, 5), "", closeConn},
+		{"requests with it and behind, reset", "read", true, read, "GET", resetConn},
+		{"noise", "pay", false, "", strings.Repeat("x", 100<<10), closeConn},
 	} {
-		t.Run(c.name, func(t *testing.T) {
+		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			e := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
-			dialling, established := make(chan struct{}, 1), make(chan struct{})
-			h := &harness{t: t, dir: fakediscovery.New(t, fakediscovery.Ready("s-1", e.Address))}
-			h.dialControl = func(string, string, syscall.RawConn) error {
-				dialling <- struct{}{}
-				<-established
-				return nil
-			}
-			h.startReady(func(s map[string]any) {
-				s["limits"].(map[string]any)["cancel"] = c.cancel
-			}, fakediscovery.Ready("s-1", e.Address))
+			endpoint := newServingEndpoint(t)
+			host := fakediscovery.Ready("s-1", endpoint.Address)
+			control, dialling, established := blockDials()
+			h := &harness{t: t, dialControl: control, dir: fakediscovery.New(t, host)}
+			h.startReady(func(s *testfleet.SidecarSettings) { s.Limits.Cancel = test.cancel }, host)
 			conn := h.dial()
-			if _, err := io.WriteString(conn, h.requestText(c.class, "x")+c.within); err != nil {
-				t.Fatal(err)
-			}
+			h.mustWrite(conn, h.requestText(test.class, "x")+test.within)
 			<-dialling
-			if _, err := io.WriteString(conn, c.behind); err != nil {
-				t.Fatal(err)
-			}
-			c.disconnect(conn)
+			h.mustWrite(conn, test.behind)
+			test.disconnect(conn)
 			h.waitFor("the disconnect", func() bool { return h.spy.hasEvent(clientDisconnected) })
 			close(established)
 			h.waitFor("the outcome", func() bool { return len(h.spy.statuses()) == 1 })
 			if s := h.spy.statuses()[0]; s != balancer.NotSent {
 				t.Errorf("status %v, want NotSent", s)
 			}
-			if n := e.RequestCount(); n != 0 {
+			if n := endpoint.RequestCount(); n != 0 {
 				t.Errorf("%d requests were written after their client disconnected", n)
 			}
-			h.waitFor("no request in flight", func() bool {
-				n := 0
-				h.inEngine(func() { n, _ = h.engine.Counts() })
-				return n == 0
-			})
+			h.waitFor("no request in flight", func() bool { return h.requestsInFlight() == 0 })
 		})
 	}
 }
 
+// Ways in which a client disconnects.
+func closeConn(conn net.Conn)     { conn.Close() }
+func halfCloseConn(conn net.Conn) { _ = conn.(*net.TCPConn).CloseWrite() }
+func resetConn(conn net.Conn) {
+	_ = conn.(*net.TCPConn).SetLinger(0)
+	conn.Close()
+}
+
+// requestsInFlight returns their number in the engine.
+func (h *harness) requestsInFlight() int {
+	h.t.Helper()
+	requests := 0
+	h.inEngine(func() { requests, _ = h.engine.Counts() })
+	return requests
+}
+
 // Bytes that arrive behind a request in flight are served as the next request, unchanged.
 func TestPipelinedRequestIsServedNext(t *testing.T) {
-	e := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
-	dialling, established := make(chan struct{}, 9), make(chan struct{})
-	h := &harness{t: t, dir: fakediscovery.New(t, fakediscovery.Ready("s-1", e.Address))}
-	h.dialControl = func(string, string, syscall.RawConn) error {
-		dialling <- struct{}{}
-		<-established
-		return nil
-	}
-	h.startReady(nil, fakediscovery.Ready("s-1", e.Address))
+	endpoint := newServingEndpoint(t)
+	host := fakediscovery.Ready("s-1", endpoint.Address)
+	control, dialling, established := blockDials()
+	h := &harness{t: t, dialControl: control, dir: fakediscovery.New(t, host)}
+	h.startReady(nil, host)
 	conn := h.dial()
-	if _, err := io.WriteString(conn, h.requestText("pay", "first")); err != nil {
-		t.Fatal(err)
-	}
+	h.mustWrite(conn, h.requestText("pay", "first"))
 	<-dialling
-	next := h.requestText("pay", "next")
-	for len(next) > 0 {
-		n := min(7, len(next))
-		if _, err := io.WriteString(conn, next[:n]); err != nil {
-			t.Fatal(err)
-		}
-		next = next[n:]
+	for part := range slices.Chunk([]byte(h.requestText("pay", "next")), 7) {
+		h.mustWrite(conn, string(part))
 	}
 	close(established)
-	if err := conn.SetReadDeadline(time.Now().Add(testTimeout)); err != nil {
+	if err := conn.SetReadDeadline(time.Now().Add(wait.Timeout)); err != nil {
 		t.Fatal(err)
 	}
 	in := bufio.NewReader(conn) // both responses may arrive in one segment
 	for range 2 {
-		r, err := http.ReadResponse(in, nil)
+		response, err := http.ReadResponse(in, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if body, err := io.ReadAll(r.Body); err != nil || r.StatusCode != http.StatusOK || string(body) != "done" {
-			t.Fatalf("got %d %q, %v", r.StatusCode, body, err)
+		body, err := io.ReadAll(response.Body)
+		if err != nil || response.StatusCode != http.StatusOK || string(body) != "done" {
+			t.Fatalf("got %d %q, %v", response.StatusCode, body, err)
 		}
-		r.Body.Close()
+		response.Body.Close()
 	}
-	h.waitFor("both requests", func() bool { return e.RequestCount() == 2 })
+	h.waitFor("both requests", func() bool { return endpoint.RequestCount() == 2 })
 	for n, want := range []string{"first", "next"} {
-		if body, _ := io.ReadAll(e.Request(n).Body); string(body) != want {
+		if body, _ := io.ReadAll(endpoint.Request(n).Body); string(body) != want {
 			t.Errorf("request %d has body %q, want %q", n, body, want)
 		}
 	}
@@ -143,9 +128,12 @@
 // A request with an idempotency key that may have run is not written again once the dedup window of its
 // key is over, however long the connection takes to be established.
 func TestRetryIsNotWrittenAfterDedupWindow(t *testing.T) {
-	e := scriptedconn.New(t, scriptedconn.FirstThen(scriptedconn.Failing, scriptedconn.Served))
+	endpoint := scriptedconn.New(t, scriptedconn.FirstThen(scriptedconn.Failing, scriptedconn.Served))
 	// Both names have the address of one endpoint: whichever is chosen first fails.
-	hosts := []fakediscovery.Host{fakediscovery.Ready("s-1", e.Address), fakediscovery.Ready("s-2", e.Address)}
+	hosts := []fakediscovery.Host{
+		fakediscovery.Ready("s-1", endpoint.Address),
+		fakediscovery.Ready("s-2", endpoint.Address),
+	}
 	h := &harness{t: t, dir: fakediscovery.New(t, hosts...)}
 	const window = 2 * time.Second // longer than a busy machine takes from the first outcome to the retry
 	dials := make(chan struct{}, 9)
@@ -155,16 +143,88 @@
 		}
 		return nil
 	}
-	h.startReady(func(s map[string]any) {
-		s["limits"].(map[string]any)["dial-timeout"] = (4 * window).Microseconds()
-		pay := s["classes"].([]any)[1].(map[string]any)
-		pay["window"], pay["give-up"] = window.Microseconds(), (10 * window).Microseconds()
+	h.startReady(func(s *testfleet.SidecarSettings) {
+		s.Limits.DialTimeout = (4 * window).Microseconds()
+		pay := &s.Classes[1]
+		pay.Window = window.Microseconds()
+		pay.GiveUp = (10 * window).Microseconds()
 	}, hosts...)
 	got := h.send(h.newRequest("pay", "x", time.Minute))
-	if n := e.RequestCount(); n != 1 || got.code != http.StatusBadGateway {
+	if n := endpoint.RequestCount(); n != 1 || got.code != http.StatusBadGateway {
 		t.Errorf("%d attempts were written, response %d; want 1 and 502", n, got.code)
 	}
 	if all := h.spy.statuses(); !slices.Equal(all, []balancer.Status{balancer.Error, balancer.NotSent}) {
 		t.Errorf("outcomes %v, want an error and one never sent", all)
 	}
 }
+
+// A client that disconnects ends its request: the attempt is cancelled by closing its connection, and the
+// balancer still receives its outcome, settled.
+func TestClientDisconnectCancelsAttempt(t *testing.T) {
+	closed := make(chan struct{})
+	h, endpoint := startWithEndpoint(t, func(e *scriptedconn.Endpoint, _ net.Conn, in *bufio.Reader) {
+		e.Next(in)
+		_, _ = in.ReadByte() // until the sidecar closes the connection
+		close(closed)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	received := h.sendAsync(h.newRequest("pay", "x", time.Minute).WithContext(ctx))
+	h.waitFor("the attempt", func() bool { return endpoint.RequestCount() == 1 })
+	cancel()
+	<-received
+	select {
+	case <-closed:
+	case <-time.After(wait.Timeout):
+		t.Fatal("the attempt's connection stays open")
+	}
+	h.waitFor("the outcome", func() bool { return len(h.spy.statuses()) == 1 })
+	h.spy.mu.Lock()
+	defer h.spy.mu.Unlock()
+	if o := h.spy.outcomes[0]; o.Status != balancer.Cancelled || !o.Settled {
+		t.Errorf("outcome %+v, want cancelled and settled", o)
+	}
+	if h.spy.events[0] != clientDisconnected {
+		t.Errorf("events %v, want the disconnect first", h.spy.events)
+	}
+}
+
+// A client that has closed its sending side counts as disconnected and must not receive a complete
+// response that no endpoint made.
+func TestHalfClosedClientGetsNoResponse(t *testing.T) {
+	h, endpoint := startWithEndpoint(t, scriptedconn.Unresponsive)
+	conn := h.dial()
+	h.mustWrite(conn, h.requestText("pay", "x"))
+	h.waitFor("the attempt", func() bool { return endpoint.RequestCount() == 1 })
+	if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	if err := conn.SetReadDeadline(time.Now().Add(wait.Timeout)); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := io.ReadAll(conn); len(got) > 0 {
+		t.Errorf("the client read %q (%v)", got, err)
+	}
+}
+
+// A response that arrives after its request has ended is reported to the balancer as settled and is not
+// delivered.
+func TestLateOutcomeIsReportedAsSettled(t *testing.T) {
+	answer := make(chan struct{})
+	endpoint := scriptedconn.New(t, scriptedconn.ServedAfter(answer, nil))
+	// Where the settings forbid to cancel, the attempt continues after its request has ended.
+	forbidCancel := func(s *testfleet.SidecarSettings) { s.Limits.Cancel = false }
+	h := start(t, forbidCancel, fakediscovery.Ready("s-1", endpoint.Address))
+	ctx, cancel := context.WithCancel(context.Background())
+	received := h.sendAsync(h.newRequest("pay", "x", time.Minute).WithContext(ctx))
+	h.waitFor("the attempt", func() bool { return endpoint.RequestCount() == 1 })
+	cancel()
+	<-received
+	h.waitFor("the disconnect", func() bool { return h.spy.hasEvent(clientDisconnected) })
+	close(answer)
+	h.waitFor("the outcome", func() bool { return len(h.spy.statuses()) == 1 })
+	h.spy.mu.Lock()
+	defer h.spy.mu.Unlock()
+	if o := h.spy.outcomes[0]; o.Status != balancer.OK || !o.Settled {
+		t.Errorf("outcome %+v, want served and settled", o)
+	}
+}
--- a/internal/sidecar/events_test.go
+++ b/internal/sidecar/events_test.go
@@ -1,13 +1,9 @@
 package sidecar
 
 import (
-	"bufio"
 	"fmt"
 	"io"
-	"net"
-	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -21,6 +17,8 @@
 	"pinedale/internal/standin/fakediscovery"
 	"pinedale/internal/standin/scriptedconn"
 	_ "pinedale/internal/standin/seeds"
+	"pinedale/internal/standin/testfleet"
+	"pinedale/internal/standin/wait"
 )
 
 // event is one step of an eventRun.
@@ -66,32 +64,35 @@
 	requests     map[string]*clientRequest // by id
 	dialsPass    bool                      // else connections to endpoints are not established
 	blockedDials []chan struct{}
-	openAttempts []*endpointAttempt // in the order of their arrival
+	openAttempts []*testfleet.Attempt // in the order of their arrival
 	violations   []string
 }
 
 // clientRequest is a request of a client.
 type clientRequest struct {
 	id, class    string
-	conn         net.Conn
+	client       *testfleet.Client
 	complete     bool   // all its bytes have been sent
 	rest         string // not sent yet
 	disconnected bool
-	ended        chan struct{} // closed once no more response is read
 
 	// Under eventRun.mu.
 	disconnectSeen bool // by the balancer
-	codes          []int
 	attempts       int
 	mayHaveRun     int // of the attempts
 }
 
-// endpointAttempt is an attempt that an endpoint has received.
-type endpointAttempt struct {
-	request *clientRequest
-	name    string
-	conn    net.Conn
-	done    chan struct{}
+// hasResponse reports whether the client has received a complete response.
+func (r *clientRequest) hasResponse() bool { return len(r.client.StatusCodes()) > 0 }
+
+// hasEnded reports whether the client's connection has ended.
+func (r *clientRequest) hasEnded() bool {
+	select {
+	case <-r.client.Closed():
+		return true
+	default:
+		return false
+	}
 }
 
 // addViolation records an invariant that does not hold. It is called under mu, or once all has ended.
@@ -99,36 +100,24 @@
 	o.violations = append(o.violations, fmt.Sprintf(format, args...))
 }
 
-// startEndpoint starts an endpoint that receives requests and responds when respond is called.
-func (o *eventRun) startEndpoint(name string) fakediscovery.Host {
-	e := scriptedconn.New(o.t, func(e *scriptedconn.Endpoint, conn net.Conn, in *bufio.Reader) {
-		for r := e.Next(in); r != nil; r = e.Next(in) {
-			<-o.receive(name, conn, r).done
-		}
-	})
-	return fakediscovery.Ready(name, e.Address)
-}
-
 // receive records an attempt that an endpoint has received, and checks that it was permitted.
-func (o *eventRun) receive(name string, conn net.Conn, r *http.Request) *endpointAttempt {
+func (o *eventRun) receive(a *testfleet.Attempt) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	request := o.requests[r.Header.Get("X-Correlation-Id")]
+	request := o.requests[a.RequestID]
 	if request.disconnectSeen {
-		o.addViolation("%s (%s) was sent to %s after its client had disconnected", request.id, request.class, name)
+		o.addViolation("%s (%s) was sent to %s after its client had disconnected", request.id, request.class, a.Backend)
 	}
 	request.attempts++
 	request.mayHaveRun++
 	if request.class == "order" && request.mayHaveRun > 1 {
 		o.addViolation("%s is not idempotent and was sent while another attempt may run", request.id)
 	}
-	a := &endpointAttempt{request: request, name: name, conn: conn, done: make(chan struct{})}
 	o.openAttempts = append(o.openAttempts, a)
-	return a
 }
 
-// respond ends the oldest open attempt with this response, or with a reset if it is empty.
-func (o *eventRun) respond(text string) {
+// respond ends the oldest open attempt with this response.
+func (o *eventRun) respond(response string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if len(o.openAttempts) == 0 {
@@ -136,15 +125,10 @@
 	}
 	a := o.openAttempts[0]
 	o.openAttempts = o.openAttempts[1:]
-	if text == scriptedconn.Full {
-		a.request.mayHaveRun--
+	if response == scriptedconn.Full {
+		o.requests[a.RequestID].mayHaveRun--
 	}
-	if text == "" {
-		_ = a.conn.(*net.TCPConn).SetLinger(0)
-		a.conn.Close()
-	}
-	_, _ = io.WriteString(a.conn, text) // after a reset nobody reads it
-	close(a.done)
+	a.Respond(response)
 }
 
 // setDialsPass lets connections to endpoints be established, those that are blocked and later ones, or
@@ -176,130 +160,102 @@
 	return nil
 }
 
-// disconnects counts the disconnects that the balancer was notified of.
-func (o *eventRun) disconnects() (n int) {
+// disconnects returns the number of disconnects that the balancer was notified of.
+func (o *eventRun) disconnects() int {
+	count := 0
 	o.spy.record(func() {
 		for _, e := range o.spy.events {
 			if e == clientDisconnected {
-				n++
+				count++
 			}
 		}
 	})
-	return n
+	return count
 }
 
 // sendRequest sends a request on a new connection, complete or without its last byte.
 func (o *eventRun) sendRequest(class string, complete bool) {
-	conn, err := net.Dial("tcp", strings.TrimPrefix(o.url, "http://"))
+	client, err := testfleet.Dial(o.address, wait.Timeout)
 	if err != nil {
 		return // the sidecar has ended
 	}
-	_ = conn.SetDeadline(time.Now().Add(testTimeout))
-	text := o.requestText(class, "x")
-	a := &clientRequest{class: class, conn: conn, complete: complete, ended: make(chan struct{})}
-	for line := range strings.Lines(text) {
-		if id, ok := strings.CutPrefix(line, "X-Correlation-Id: "); ok {
-			a.id = strings.TrimSpace(id)
-		}
+	request := o.newRequest(class, "x", time.Minute)
+	text := testfleet.RequestText(o.t, request)
+	r := &clientRequest{
+		id:       request.Header.Get("X-Correlation-Id"),
+		class:    class,
+		client:   client,
+		complete: complete,
 	}
-	o.mu.Lock()
-	o.requests[a.id] = a
-	o.mu.Unlock()
-	o.inOrder = append(o.inOrder, a)
 	if !complete {
-		text, a.rest = text[:len(text)-1], text[len(text)-1:]
-	}
-	_, _ = io.WriteString(conn, text) // the sidecar may have ended
-	go o.readResponses(a)
-}
-
-// readResponses records the status codes that a client receives, until its connection ends.
-func (o *eventRun) readResponses(a *clientRequest) {
-	defer close(a.ended)
-	in := bufio.NewReader(a.conn)
-	for {
-		r, err := http.ReadResponse(in, nil)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, r.Body)
-		r.Body.Close()
-		o.mu.Lock()
-		a.codes = append(a.codes, r.StatusCode)
-		o.mu.Unlock()
-		if r.Close {
-			return
-		}
+		text, r.rest = text[:len(text)-1], text[len(text)-1:]
 	}
+	o.mu.Lock()
+	o.requests[r.id] = r
+	o.mu.Unlock()
+	o.inOrder = append(o.inOrder, r)
+	_, _ = io.WriteString(client, text) // the sidecar may have ended
 }
 
 // completeRequest sends the last byte of the oldest request that lacks it.
 func (o *eventRun) completeRequest() {
-	for _, a := range o.inOrder {
-		if !a.complete && !a.disconnected {
-			a.complete = true
-			_, _ = io.WriteString(a.conn, a.rest) // the sidecar may have ended
-			o.waitReceived(a)
+	for _, r := range o.inOrder {
+		if !r.complete && !r.disconnected {
+			r.complete = true
+			_, _ = io.WriteString(r.client, r.rest) // the sidecar may have ended
+			o.waitReceived(r)
 			return
 		}
 	}
 }
 
-// waitReceived waits until the balancer has received all complete requests, the latest of which is a. On a
-// busy machine the read timeout may have ended a's connection before.
-func (o *eventRun) waitReceived(a *clientRequest) {
+// waitReceived waits until the balancer has received all complete requests, the latest of which is r. On a
+// busy machine the read timeout may have ended r's connection before.
+func (o *eventRun) waitReceived(r *clientRequest) {
 	complete := 0
-	for _, a := range o.inOrder {
-		if a.complete {
+	for _, other := range o.inOrder {
+		if other.complete {
 			complete++
 		}
 	}
-	o.waitFor("the request to be received", func() (all bool) {
-		ended := false
-		select {
-		case <-a.ended:
-			ended = true
-		default:
+	o.waitFor("the request to be received", func() bool {
+		ended, received := r.hasEnded(), false
+		o.spy.record(func() { received = o.spy.requests == complete })
+		if ended && !received {
+			r.complete, r.disconnected = false, true
 		}
-		o.spy.record(func() { all = o.spy.requests == complete })
-		if !all && ended {
-			a.complete, a.disconnected = false, true
-		}
-		return all || ended
+		return ended || received
 	})
 }
 
 // disconnect closes a client's connection. If its request is in flight, it waits until the sidecar has
 // noticed: its connection has ended, unless a response was being written.
-func (o *eventRun) disconnect(a *clientRequest) {
-	if a.disconnected {
+func (o *eventRun) disconnect(r *clientRequest) {
+	if r.disconnected {
 		return
 	}
 	conns, before := o.server.Connections(), o.disconnects()
-	a.disconnected = true
-	a.conn.Close()
-	if !a.complete {
+	r.disconnected = true
+	r.client.Close()
+	if !r.complete {
 		return
 	}
 	o.waitFor("the disconnect", func() bool {
-		o.mu.Lock()
-		answered := len(a.codes) > 0
-		o.mu.Unlock()
-		return answered || o.disconnects() > before || o.server.Connections() < conns
+		return r.hasResponse() || o.disconnects() > before || o.server.Connections() < conns
 	})
 	o.inEngine(func() {})
 	o.mu.Lock()
-	a.disconnectSeen = o.disconnects() > before
-	o.mu.Unlock()
+	defer o.mu.Unlock()
+	r.disconnectSeen = o.disconnects() > before
 }
 
 // drain has the first endpoint drain, in a list of this version.
 func (o *eventRun) drain(version uint64) {
 	hosts := slices.Clone(o.hosts)
-	hosts[0].Health = "Terminating"
+	hosts[0] = fakediscovery.Draining(hosts[0].Name, hosts[0].Dial)
 	o.hosts = hosts
 	lists := o.spy.listCount(balancer.ListFull)
-	o.dir.Change(func() { o.dir.List = fakediscovery.Document{Seq: version, Complete: true, Hosts: hosts} })
+	o.dir.SetHosts(version, hosts...)
 	o.waitFor("the list", func() bool { return o.spy.listCount(balancer.ListFull) > lists })
 }
 
@@ -330,7 +286,7 @@
 	case endpointIsFull:
 		o.respond(scriptedconn.Full)
 	case endpointResets:
-		o.respond("")
+		o.respond(testfleet.ResetConnection)
 	case endpointDrains:
 		if !o.shuttingDown { // else the engine may not receive the list
 			o.drain(uint64(n + 1))
@@ -346,16 +302,19 @@
 // runEvents runs a sidecar through the events and returns the invariants that did not hold.
 func runEvents(t *testing.T, cancel bool, events []event) []string {
 	o := &eventRun{requests: map[string]*clientRequest{}}
-	o.harness = &harness{t: t, dialControl: o.blockDial, adjustFront: func(f *httpfront.Options) {
-		f.AcceptFor = time.Millisecond
-		f.EndBy = func(time.Duration) time.Duration { return testTimeout } // it ends once all is answered
-	}}
-	o.hosts = []fakediscovery.Host{o.startEndpoint("s-1"), o.startEndpoint("s-2"), o.startEndpoint("s-3")}
-	o.dir = fakediscovery.New(t, o.hosts...)
-	o.startReady(func(settings map[string]any) {
-		limits := settings["limits"].(map[string]any)
-		limits["cancel"] = cancel
-		limits["dial-timeout"] = time.Minute.Microseconds()
+	o.hosts = testfleet.StartBackends(t, 3, o.receive).Hosts
+	o.harness = &harness{
+		t:           t,
+		dialControl: o.blockDial,
+		dir:         fakediscovery.New(t, o.hosts...),
+		adjustFront: func(f *httpfront.Options) {
+			f.AcceptFor = time.Millisecond
+			f.EndBy = func(time.Duration) time.Duration { return wait.Timeout } // it ends once all is answered
+		},
+	}
+	o.startReady(func(s *testfleet.SidecarSettings) {
+		s.Limits.Cancel = cancel
+		s.Limits.DialTimeout = time.Minute.Microseconds()
 	}, o.hosts...)
 	for n, e := range events {
 		o.apply(n, e)
@@ -370,40 +329,45 @@
 	if !o.shuttingDown {
 		o.stop()
 	}
-	for _, a := range o.inOrder {
-		if !a.complete && !a.disconnected {
-			a.disconnected = true
-			a.conn.Close()
-		}
-	}
-	for running := true; running; {
-		o.respond(scriptedconn.Served)
-		select {
-		case err := <-o.ended:
-			running = false
-			if err != nil {
-				o.addViolation("the sidecar ended with %v", err)
-			}
-		case <-time.After(time.Millisecond):
+	for _, r := range o.inOrder {
+		if !r.complete && !r.disconnected {
+			r.disconnected = true
+			r.client.Close()
 		}
 	}
-	for _, a := range o.inOrder {
-		if a.disconnected {
+	o.serveUntilEnd()
+	for _, r := range o.inOrder {
+		if r.disconnected {
 			continue
 		}
-		<-a.ended
-		if len(a.codes) != 1 {
-			o.addViolation("%s (%s) has responses %v, want one", a.id, a.class, a.codes)
+		<-r.client.Closed()
+		if codes := r.client.StatusCodes(); len(codes) != 1 {
+			o.addViolation("%s (%s) has responses %v, want one", r.id, r.class, codes)
 		}
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, a := range o.openAttempts {
-		close(a.done)
+		a.Respond(testfleet.ResetConnection)
 	}
 	return o.violations
 }
 
+// serveUntilEnd serves open attempts until the sidecar has ended.
+func (o *eventRun) serveUntilEnd() {
+	for {
+		o.respond(scriptedconn.Served)
+		select {
+		case err := <-o.ended:
+			if err != nil {
+				o.addViolation("the sidecar ended with %v", err)
+			}
+			return
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
+
 // Whatever the order of events, an accepted request gets one response, nothing is sent once its client is
 // known to have disconnected, a request that is not idempotent has at most one attempt that may run,
 // nothing new goes to a draining endpoint, and nothing remains at the end.
--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -11,7 +9,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -20,41 +17,47 @@
 	"pinedale/internal/engine"
 	"pinedale/internal/front/httpfront"
 	"pinedale/internal/standin/fakediscovery"
+	"pinedale/internal/standin/scriptedconn"
+	"pinedale/internal/standin/testfleet"
 	"pinedale/internal/standin/wait"
 	"pinedale/internal/upstream/httpupstream"
 )
 
-// testTimeout is how long a test waits for an event that must happen.
-const testTimeout = 20 * time.Second
-
-// settingsText are the settings of the platform's file.
-const settingsText = `{"areas":["a","b"],"skus":["m1"],"stages":["s"],"tenants":[],"discovery":"subscribe",
- "classes":[
- {"name":"read","repeat":"pure","target":600000,"give-up":3000000,"credit":1},
- {"name":"pay","repeat":"token","group":"all","window":5000000,"target":600000,"give-up":3000000,"credit":1},
- {"name":"close","repeat":"token","group":"cell","window":5000000,"target":600000,"give-up":3000000,"credit":1},
- {"name":"order","repeat":"side_effect","target":600000,"give-up":3000000,"credit":1}],
- "contract":{"answer-slack":20000,"ask-within":1000000,"cold-from":0.3,"drain-grace":1000000,"fall-multiple":2.5,
- "overload-for":1000000,"ramp-time":0},
- "limits":{"cancel":true,"dial-timeout":2000000,"keepalive":5000000,"max-retry-after":1500000,
- "most-held":1000,"most-tries":3,"multiplex":1,"probes":false,"retry-after":true,"second-copies":true},
- "reporting":{"how":"probe","fields":["failed_ps","pending"]},"peers-total":1,"position":0,"zone":0}`
-
-// clientDisconnected is spy's name of that event.
-const clientDisconnected = "client disconnected"
+// testSettings returns the settings of the platform's file, with a class of each kind of effect.
+func testSettings() testfleet.SidecarSettings {
+	settings := testfleet.FullSettings(3*time.Second, 5*time.Second)
+	settings.Stages = []string{"s"}
+	settings.Limits.SecondCopies = true
+	settings.Reporting = &testfleet.Reporting{
+		How:    "probe",
+		Fields: []string{"failed_ps", "pending"},
+	}
+	return settings
+}
+
+// decisionEvent is an event that the balancer is notified of.
+type decisionEvent string
+
+const (
+	attemptCompleted   decisionEvent = "attempt completed"
+	requestTimerFired  decisionEvent = "request timer fired"
+	clientDisconnected decisionEvent = "client disconnected"
+)
 
 // spy passes all events on to the balancer and records them.
 type spy struct {
 	engine.Decider
+
 	mu       sync.Mutex
 	outcomes []balancer.Outcome
-	events   []string
+	events   []decisionEvent
 	lists    []balancer.ListKind
-	probes   []balancer.Status
-	loads    [][]float32
-	requests int
+	requests int // received
 }
 
+// firstRequestToken is the lowest token of a timer that belongs to a request.
+const firstRequestToken = 1 << 20
+
 func (s *spy) HandleRequest(now balancer.Micros, in balancer.Request) {
 	s.record(func() { s.requests++ })
 	s.Decider.HandleRequest(now, in)
@@ -63,14 +66,14 @@
 func (s *spy) AttemptCompleted(now balancer.Micros, o balancer.Outcome) {
 	s.record(func() {
 		s.outcomes = append(s.outcomes, o)
-		s.events = append(s.events, "outcome")
+		s.events = append(s.events, attemptCompleted)
 	})
 	s.Decider.AttemptCompleted(now, o)
 }
 
 func (s *spy) TimerFired(now balancer.Micros, token uint32) {
-	if token >= 1<<20 { // the token is a request's
-		s.record(func() { s.events = append(s.events, "timer") })
+	if token >= firstRequestToken {
+		s.record(func() { s.events = append(s.events, requestTimerFired) })
 	}
 	s.Decider.TimerFired(now, token)
 }
@@ -85,15 +88,6 @@
 	s.record(func() { s.lists = append(s.lists, kind) })
 }
 
-func (s *spy) ProbeCompleted(now balancer.Micros, id uint32, status balancer.Status, latency balancer.Micros,
-	load []float32) {
-	s.record(func() {
-		s.probes = append(s.probes, status)
-		s.loads = append(s.loads, load)
-	})
-	s.Decider.ProbeCompleted(now, id, status, latency, load)
-}
-
 // record runs f under the lock.
 func (s *spy) record(f func()) {
 	s.mu.Lock()
@@ -101,57 +95,88 @@
 	f()
 }
 
-// hasEvent reports whether the balancer was notified of an event of this name.
-func (s *spy) hasEvent(event string) bool {
+// hasEvent reports whether the balancer was notified of an event.
+func (s *spy) hasEvent(event decisionEvent) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return slices.Contains(s.events, event)
 }
 
 // statuses returns the status of each attempt that has ended so far.
-func (s *spy) statuses() (all []balancer.Status) {
+func (s *spy) statuses() []balancer.Status {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	var statuses []balancer.Status
 	for _, o := range s.outcomes {
-		all = append(all, o.Status)
+		statuses = append(statuses, o.Status)
 	}
-	return all
+	return statuses
 }
 
+// listCount returns how often the balancer received a list of a kind.
+func (s *spy) listCount(kind balancer.ListKind) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := 0
+	for _, k := range s.lists {
+		if k == kind {
+			count++
+		}
+	}
+	return count
+}
+
+// alterSettings changes the settings of a test; nil leaves them.
+type alterSettings func(*testfleet.SidecarSettings)
+
+// dialControl is called with each dial to an endpoint, as net.Dialer.Control.
+type dialControl func(network, address string, conn syscall.RawConn) error
+
 // harness is a running sidecar with a discovery service.
 type harness struct {
-	t              *testing.T
-	url            string
-	cfg            *Config
-	engine         *engine.Engine
-	server         *httpfront.Server
-	maxConnections int                                                    // connections of clients
-	dialControl    func(network, address string, c syscall.RawConn) error // of dials to endpoints
+	t       *testing.T
+	address string // on which the sidecar listens
+	cfg     *Config
+	engine  *engine.Engine
+	server  *httpfront.Server
+	spy     *spy
+	dir     *fakediscovery.Directory
+	stop    context.CancelFunc // as SIGTERM does
+	ended   chan error         // receives the error of Serve
+
+	maxConnections int // of clients
+	dialControl    dialControl
 	adjustFront    func(*httpfront.Options)
-	spy            *spy
-	dir            *fakediscovery.Directory
-	stop           context.CancelFunc // as SIGTERM does
-	ended          chan error
+}
+
+// blockDials returns a control that reports each dial to an endpoint on dialling, and blocks it until established is
+// closed.
+func blockDials() (control dialControl, dialling <-chan struct{}, established chan<- struct{}) {
+	began, proceed := make(chan struct{}, 9), make(chan struct{})
+	control = func(string, string, syscall.RawConn) error {
+		began <- struct{}{}
+		<-proceed
+		return nil
+	}
+	return control, began, proceed
 }
 
 // configure returns a configuration whose cached list has the given hosts.
-func configure(t *testing.T, discovery string, alter func(settings map[string]any), hosts ...fakediscovery.Host) *Config {
+func configure(t *testing.T, discovery string, alter alterSettings, hosts ...fakediscovery.Host) *Config {
 	t.Helper()
-	var settings map[string]any
-	if err := json.Unmarshal([]byte(settingsText), &settings); err != nil {
-		t.Fatal(err)
-	}
+	settings := testSettings()
 	if alter != nil {
-		alter(settings)
-	}
-	text, err := json.Marshal(map[string]any{
-		"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f30d27a5be964",
-		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 256},
-		"known":  fakediscovery.Document{Complete: true, Hosts: hosts}, "settings": settings})
-	if err != nil {
-		t.Fatal(err)
+		alter(&settings)
 	}
-	cfg, err := parseConfig(text)
+	text := testfleet.SidecarConfig{
+		Listen:    "127.0.0.1:0",
+		Discovery: discovery,
+		Hosts:     hosts,
+		Seed:      "8c1f30d27a5be964",
+		Sockets:   256,
+		Settings:  settings,
+	}.JSON(t)
+	cfg, err := parseConfig([]byte(text))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -159,31 +184,47 @@
 }
 
 // start runs a sidecar whose cached list has these hosts, and waits until it is ready.
-func start(t *testing.T, alter func(settings map[string]any), hosts ...fakediscovery.Host) *harness {
+func start(t *testing.T, alter alterSettings, hosts ...fakediscovery.Host) *harness {
 	t.Helper()
 	return startWith(t, alter, nil, hosts...)
 }
 
 // startWith is start with other options for the front.
-func startWith(t *testing.T, alter func(settings map[string]any), options func(*httpfront.Options),
-	hosts ...fakediscovery.Host) *harness {
+func startWith(
+	t *testing.T, alter alterSettings, adjustFront func(*httpfront.Options), hosts ...fakediscovery.Host,
+) *harness {
 	t.Helper()
-	return (&harness{t: t, adjustFront: options, dir: fakediscovery.New(t, hosts...)}).startReady(alter, hosts...)
+	h := &harness{t: t, adjustFront: adjustFront, dir: fakediscovery.New(t, hosts...)}
+	return h.startReady(alter, hosts...)
 }
 
-// startReady launches the sidecar and waits until it is ready.
-func (h *harness) startReady(alter func(settings map[string]any), hosts ...fakediscovery.Host) *harness {
-	t := h.t
+// startWithEndpoint runs a sidecar with one endpoint, s-1, whose connections are served by handler.
+func startWithEndpoint(t *testing.T, handler scriptedconn.Handler) (*harness, *scriptedconn.Endpoint) {
 	t.Helper()
-	h.launch(configure(t, h.dir.Address, alter, hosts...))
-	h.waitFor("ready", func() bool {
-		response, err := http.Get(h.url + "/health/ready")
-		if err != nil {
-			return false
-		}
-		response.Body.Close()
-		return response.StatusCode == http.StatusOK
-	})
+	endpoint := scriptedconn.New(t, handler)
+	return start(t, nil, fakediscovery.Ready("s-1", endpoint.Address)), endpoint
+}
+
+// startServing runs a sidecar with one endpoint, s-1, which serves every request.
+func startServing(t *testing.T) (*harness, *scriptedconn.Endpoint) {
+	t.Helper()
+	return startWithEndpoint(t, scriptedconn.Always(scriptedconn.Served))
+}
+
+// newServingEndpoint starts an endpoint that serves every request.
+func newServingEndpoint(t *testing.T) *scriptedconn.Endpoint {
+	t.Helper()
+	return scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
+}
+
+// isPay reports whether a request is of the class "pay".
+func isPay(r *http.Request) bool { return strings.HasPrefix(r.RequestURI, "/pay") }
+
+// startReady launches the sidecar and waits until it is ready.
+func (h *harness) startReady(alter alterSettings, hosts ...fakediscovery.Host) *harness {
+	h.t.Helper()
+	h.launch(configure(h.t, h.dir.Address, alter, hosts...))
+	h.waitFor("ready", func() bool { return testfleet.IsReady(h.address) })
 	return h
 }
 
@@ -194,23 +235,19 @@
 	if err != nil {
 		h.t.Fatal(err)
 	}
-	h.ended = make(chan error, 1)
-	h.url = "http://" + listener.Addr().String()
-	engineCtx, stopEngine := context.WithCancel(context.Background())
+	h.cfg = cfg
+	h.address = listener.Addr().String()
 	log := slog.New(slog.DiscardHandler)
-	upOptions := upstreamOptions(cfg)
-	upOptions.Dialer.Control = h.dialControl
-	// 1 ns: the number of connections must not depend on how busy the machine is.
-	upOptions.Settle = 1
-	up := httpupstream.New(upOptions)
-	options := engineOptions(cfg, up, log)
+	upstream := httpupstream.New(h.upstreamOptions())
+	options := engineOptions(cfg, upstream, log)
 	options.WrapDecider = func(d engine.Decider) engine.Decider {
 		h.spy = &spy{Decider: d}
 		return h.spy
 	}
-	h.cfg = cfg
+	engineCtx, stopEngine := context.WithCancel(context.Background())
 	h.engine, err = engine.New(engineCtx, options)
 	if err != nil {
+		stopEngine()
 		h.t.Fatal(err)
 	}
 	front := frontOptions(cfg, log)
@@ -218,17 +255,33 @@
 		h.adjustFront(&front)
 	}
 	h.maxConnections = front.Connections
-	h.server = httpfront.New(h.engine, up, front)
-	go h.engine.Run()
+	h.server = httpfront.New(h.engine, upstream, front)
+	h.run(listener, stopEngine)
+}
+
+// upstreamOptions are those of the sidecar, with the harness's control of dials.
+func (h *harness) upstreamOptions() httpupstream.Options {
+	options := upstreamOptions(h.cfg)
+	options.Dialer.Control = h.dialControl
+	options.Settle = 1 // ns: the number of connections must not depend on how busy the machine is
+	return options
+}
+
+// run serves until stop is called or the test ends, and then stops the engine.
+func (h *harness) run(listener net.Listener, stopEngine context.CancelFunc) {
 	ctx, stop := context.WithCancel(context.Background())
 	h.stop = stop
-	go func() {
+	h.ended = make(chan error, 1)
+	var running sync.WaitGroup
+	running.Go(h.engine.Run)
+	running.Go(func() {
 		h.ended <- h.server.Serve(ctx, listener)
 		stopEngine()
-	}()
+	})
 	h.t.Cleanup(func() {
 		stop()
 		h.server.Close()
+		running.Wait()
 	})
 }
 
@@ -246,7 +299,7 @@
 		if err != nil {
 			h.t.Errorf("the sidecar ended with %v", err)
 		}
-	case <-time.After(testTimeout):
+	case <-time.After(wait.Timeout):
 		h.t.Error("the sidecar does not end")
 	}
 }
@@ -262,26 +315,51 @@
 	<-done
 }
 
-var lastID atomic.Uint32 // of the requests made by newRequest
+// testKey is the idempotency key of all requests of classes with a key.
+const testKey = "5c0f6e1a2b3d4c59"
 
 // newRequest returns a client's request of a class.
 func (h *harness) newRequest(class, body string, remaining time.Duration) *http.Request {
 	h.t.Helper()
-	method := http.MethodPost
-	if class == "read" {
-		method, body = http.MethodGet, ""
+	request := testfleet.Request{
+		ID:       testfleet.NewRequestID(),
+		Class:    class,
+		Path:     "x%2Fy?q=1",
+		Body:     body,
+		TimeLeft: remaining,
 	}
-	r, err := http.NewRequest(method, h.url+"/"+class+"/x%2Fy?q=1", strings.NewReader(body))
+	if class == "pay" || class == "close" {
+		request.IdempotencyKey = testKey
+	}
+	return request.HTTP(h.t, h.address)
+}
+
+// requestText returns a request with a minute left, as it is written to a connection.
+func (h *harness) requestText(class, body string) string {
+	h.t.Helper()
+	return testfleet.RequestText(h.t, h.newRequest(class, body, time.Minute))
+}
+
+// dial opens a client's connection, which is closed when the test ends.
+func (h *harness) dial() net.Conn {
+	h.t.Helper()
+	conn, err := net.Dial("tcp", h.address)
 	if err != nil {
 		h.t.Fatal(err)
 	}
-	r.Header.Set("X-Correlation-Id", fmt.Sprintf("9b1f03aa%08x", lastID.Add(1)))
-	r.Header.Set("X-Service-Class", class)
-	r.Header.Set("X-Time-Left-Ms", fmt.Sprint(remaining.Milliseconds()))
-	if class == "pay" || class == "close" {
-		r.Header.Set("Idempotency-Key", "5c0f6e1a2b3d4c59")
+	h.t.Cleanup(func() { conn.Close() })
+	if err := conn.SetDeadline(time.Now().Add(wait.Timeout)); err != nil {
+		h.t.Fatal(err)
+	}
+	return conn
+}
+
+// mustWrite writes bytes to a connection.
+func (h *harness) mustWrite(conn net.Conn, text string) {
+	h.t.Helper()
+	if _, err := io.WriteString(conn, text); err != nil {
+		h.t.Fatal(err)
 	}
-	return r
 }
 
 // reply is a response as a client receives it.
@@ -294,8 +372,11 @@
 
 // send sends a request on a connection of its own.
 func (h *harness) send(r *http.Request) reply {
-	transport := &http.Transport{DisableKeepAlives: true}
-	response, err := (&http.Client{Transport: transport, Timeout: testTimeout}).Do(r)
+	client := http.Client{
+		Transport: &http.Transport{DisableKeepAlives: true},
+		Timeout:   wait.Timeout,
+	}
+	response, err := client.Do(r)
 	if err != nil {
 		return reply{err: err}
 	}
@@ -303,3 +384,10 @@
 	body, err := io.ReadAll(response.Body)
 	return reply{response.StatusCode, response.Header, string(body), err}
 }
+
+// sendAsync sends a request like send and returns the channel of its reply.
+func (h *harness) sendAsync(r *http.Request) <-chan reply {
+	received := make(chan reply, 1)
+	go func() { received <- h.send(r) }()
+	return received
+}
--- a/internal/sidecar/reload_test.go
+++ b/internal/sidecar/reload_test.go
@@ -1,8 +1,6 @@
 package sidecar
 
 import (
-	"fmt"
-	"log/slog"
 	"os"
 	"path/filepath"
 	"strings"
@@ -11,12 +9,17 @@
 	"time"
 
 	"pinedale/internal/standin/logcapture"
+	"pinedale/internal/standin/testfleet"
 )
 
-// configText is the text of a configuration file.
-func configText(discovery string) string {
-	return fmt.Sprintf(`{"name":"n3","listen":"127.0.0.1:1","discovery":%q,"seed":"1f",`+
-		`"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"settings":%s}`, discovery, settingsText)
+// configText returns the text of a configuration file.
+func configText(t *testing.T, discovery string) string {
+	t.Helper()
+	return testfleet.SidecarConfig{
+		Listen:    "127.0.0.1:1",
+		Discovery: discovery,
+		Settings:  testSettings(),
+	}.JSON(t)
 }
 
 // A file that is half written when the signal arrives is read again until it is complete; one log line
@@ -26,17 +29,15 @@
 	path := filepath.Join(t.TempDir(), "config.json")
 	write := func(text string) {
 		t.Helper()
-		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-			t.Fatal(err)
-		}
+		testfleet.WriteFile(t, path, text)
 	}
 	signals, waits, proceed := make(chan os.Signal, 1), make(chan time.Duration), make(chan time.Time)
 	var log logcapture.Buffer
 	out := ReloadOnSignal(path, signals, func(d time.Duration) <-chan time.Time {
 		waits <- d
 		return proceed
-	}, slog.New(slog.NewTextHandler(&log, nil)))
-	complete := configText("127.0.0.1:7")
+	}, log.Logger())
+	complete := configText(t, "127.0.0.1:7")
 	write(complete[:len(complete)/2])
 	signals <- syscall.SIGHUP
 	<-waits
@@ -55,7 +56,7 @@
 	signals <- syscall.SIGHUP
 	<-waits
 	signals <- syscall.SIGHUP
-	write(configText("127.0.0.1:8"))
+	write(configText(t, "127.0.0.1:8"))
 	proceed <- time.Time{}
 	if next := <-out; next.Discovery != "127.0.0.1:8" {
 		t.Errorf("switched to %s", next.Discovery)
@@ -67,7 +68,7 @@
 		<-waits
 		proceed <- time.Time{}
 	}
-	write(configText("127.0.0.1:9"))
+	write(configText(t, "127.0.0.1:9"))
 	signals <- syscall.SIGHUP
 	if next := <-out; next.Discovery != "127.0.0.1:9" {
 		t.Errorf("switched to %s", next.Discovery)
--- a/internal/sidecar/shutdown_test.go
+++ b/internal/sidecar/shutdown_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -11,13 +12,15 @@
 	"pinedale/internal/front/httpfront"
 	"pinedale/internal/standin/fakediscovery"
 	"pinedale/internal/standin/scriptedconn"
+	"pinedale/internal/standin/testfleet"
+	"pinedale/internal/standin/wait"
 )
 
 // Every request in flight at shutdown is answered before the process ends, whatever its deadline: it is
 // rejected if a retry is safe, else it fails. So is a request that arrives during shutdown on a connection
 // that was opened before it.
 func TestShutdownAnswersEveryRequest(t *testing.T) {
-	e := scriptedconn.New(t, scriptedconn.Unresponsive)
+	endpoint := scriptedconn.New(t, scriptedconn.Unresponsive)
 	end := make(chan time.Duration, 1)
 	h := startWith(t, nil, func(o *httpfront.Options) {
 		o.AcceptFor = time.Millisecond
@@ -25,15 +28,13 @@
 			end <- longest
 			return time.Second
 		}
-	}, fakediscovery.Ready("s-1", e.Address))
+	}, fakediscovery.Ready("s-1", endpoint.Address))
 	codes := map[string]int{"read": 503, "pay": 503, "close": 502, "order": 502}
-	answers := map[string]chan reply{}
+	received := map[string]<-chan reply{}
 	for class := range codes {
-		answer := make(chan reply, 1)
-		answers[class] = answer
-		go func() { answer <- h.send(h.newRequest(class, "x", time.Minute)) }()
+		received[class] = h.sendAsync(h.newRequest(class, "x", time.Minute))
 	}
-	h.waitFor("all attempts", func() bool { return e.RequestCount() == len(codes) })
+	h.waitFor("all attempts", func() bool { return endpoint.RequestCount() == len(codes) })
 	h.waitFor("other connections to end", func() bool { return h.server.Connections() == len(codes) })
 	early := h.dial() // sends nothing yet
 	h.waitFor("the connection to be accepted", func() bool { return h.server.Connections() == len(codes)+1 })
@@ -42,9 +43,7 @@
 	if longest := <-end; longest != 3*time.Second {
 		t.Errorf("the longest deadline is %v", longest)
 	}
-	if _, err := io.WriteString(early, h.requestText("order", "x")); err != nil {
-		t.Fatal(err)
-	}
+	h.mustWrite(early, h.requestText("order", "x"))
 	response, err := http.ReadResponse(bufio.NewReader(early), nil)
 	if err != nil || response.StatusCode != http.StatusBadGateway || !response.Close {
 		t.Errorf("a request during shutdown: %v, %v; want 502 and Connection: close", response, err)
@@ -53,7 +52,7 @@
 		defer response.Body.Close()
 	}
 	for class, code := range codes {
-		if got := <-answers[class]; got.code != code || got.err != nil {
+		if got := <-received[class]; got.code != code || got.err != nil {
 			t.Errorf("%s: response %d (%v), want %d", class, got.code, got.err, code)
 		}
 	}
@@ -65,28 +64,20 @@
 
 // Lists are still watched during shutdown: an endpoint that starts to drain then gets no new request.
 func TestDrainingEndpointGetsNothingDuringShutdown(t *testing.T) {
-	first, second := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served)), scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
+	first, second := newServingEndpoint(t), newServingEndpoint(t)
 	h := startWith(t, nil, func(o *httpfront.Options) {
-		o.AcceptFor = testTimeout
-		o.EndBy = func(time.Duration) time.Duration { return testTimeout }
+		o.AcceptFor = wait.Timeout
+		o.EndBy = func(time.Duration) time.Duration { return wait.Timeout }
 	}, fakediscovery.Ready("s-1", first.Address))
 	h.waitFor("the watch", func() bool { return h.dir.CallCount() >= 2 })
 	h.stop()
 	h.waitFor("shutdown to begin", func() bool {
-		response, err := http.Get(h.url + "/health/ready")
-		if err != nil {
-			return false
-		}
-		response.Body.Close()
-		return response.StatusCode == http.StatusServiceUnavailable
+		return testfleet.Readiness(h.address) == http.StatusServiceUnavailable
 	})
-	draining := fakediscovery.Ready("s-1", first.Address)
-	draining.Health = "Terminating"
 	before := len(h.spy.statuses())
-	h.dir.Change(func() {
-		hosts := []fakediscovery.Host{draining, fakediscovery.Ready("s-2", second.Address)}
-		h.dir.List = fakediscovery.Document{Seq: 1, Complete: true, Hosts: hosts}
-	})
+	h.dir.SetHosts(1,
+		fakediscovery.Draining("s-1", first.Address),
+		fakediscovery.Ready("s-2", second.Address))
 	h.waitFor("the new list", func() bool { return h.spy.listCount(balancer.ListFull) == 1 })
 	for range 5 {
 		if got := h.send(h.newRequest("order", "x", time.Minute)); got.code != http.StatusOK {
@@ -97,3 +88,60 @@
 		t.Errorf("the draining endpoint got %d requests", n)
 	}
 }
+
+// After SIGTERM, accepted requests are answered, idle connections are closed, new connections are still
+// accepted for a while, and the sidecar ends without an error.
+func TestSIGTERMAnswersOpenRequests(t *testing.T) {
+	answer := make(chan struct{})
+	endpoint := scriptedconn.New(t, scriptedconn.ServedAfter(answer, isPay))
+	h := startWith(t, nil, func(o *httpfront.Options) {
+		o.AcceptFor = 3 * time.Second // a busy machine may be slow to connect
+		o.EndBy = func(time.Duration) time.Duration { return wait.Timeout }
+	}, fakediscovery.Ready("s-1", endpoint.Address))
+	idle := h.dial()
+	h.mustWrite(idle, h.requestText("read", ""))
+	in := bufio.NewReader(idle)
+	response, err := http.ReadResponse(in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		response.Body.Close()
+		t.Fatal(err)
+	}
+
+	inFlight := h.sendAsync(h.newRequest("pay", "x", time.Minute))
+	h.waitFor("the request in flight", func() bool { return endpoint.RequestCount() == 2 })
+	h.stop()
+	if err := idle.SetReadDeadline(time.Now().Add(wait.Timeout)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := in.ReadByte(); err != io.EOF {
+		t.Errorf("the idle connection: %v, want its end", err)
+	}
+	// New connections are still served, one request each.
+	conn := h.dial()
+	h.mustWrite(conn, h.requestText("read", ""))
+	if err := conn.SetReadDeadline(time.Now().Add(wait.Timeout)); err != nil {
+		t.Fatal(err)
+	}
+	late, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil || late.StatusCode != 200 || !late.Close {
+		t.Errorf("a request after SIGTERM: %v, %v; want 200 and Connection: close", late, err)
+	}
+	if err == nil {
+		defer late.Body.Close()
+	}
+	h.waitFor("the end of accepting connections", func() bool {
+		conn, err := net.Dial("tcp", h.address)
+		if err == nil {
+			conn.Close()
+		}
+		return err != nil
+	})
+	close(answer)
+	if got := <-inFlight; got.code != http.StatusOK || got.body != "done" {
+		t.Errorf("the request in flight: %+v", got)
+	}
+	h.waitForEnd()
+}
