--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -2,8 +2,8 @@
 
 import "pinedale/balancer"
 
-// Window is the length of a counting window: short against a client's patience, long against
-// the time between two requests at the rates where limits are of use.
+// Window is the length of a counting window. It is short compared to the timeouts of clients, and
+// long compared to the time between two requests at rates that need limits.
 const Window = second / 10
 
 const second = balancer.Micros(1_000_000)
@@ -19,51 +19,54 @@
 	Classes []Class
 }
 
-// Tenant holds the limits of one tenant. Without tenants, all requests are of one.
+// Tenant holds the limits of one tenant. Without configured tenants, all requests belong to a single
+// tenant.
 type Tenant struct {
-	Weight      float64 // of its share of the rate; 0 for a tenant that is not configured any more
+	Weight      float64 // relative share of the rate; 0 for a tenant that is no longer configured
 	MaxInFlight int     // 0 for no limit
 }
 
 // Class holds the limits of one class.
 type Class struct {
 	MaxInFlight   int // 0 for no limit
-	BrownoutLevel int // under overload, classes of a higher number are shed first
+	BrownoutLevel int // under overload, classes with higher levels are shed first
 }
 
-// tenantState is a tenant's limits and counts.
+// tenantState holds a tenant's limits and counts.
 type tenantState struct {
 	limits    Tenant
 	inFlight  int
 	requested float64 // requests in this window
 	quota     float64 // requests granted for this window
-	remaining float64 // requests that may still be admitted, savings included
+	remaining float64 // requests that may still be admitted, including savings
 }
 
+// full reports whether the limit of requests in flight is reached.
 func (t *tenantState) full() bool {
 	return t.limits.MaxInFlight > 0 && t.inFlight >= t.limits.MaxInFlight
 }
 
-// classState is a class's limits and counts.
+// classState holds a class's limits and counts.
 type classState struct {
 	limits    Class
 	inFlight  int
 	requested float64 // requests in this window
 }
 
+// full reports whether the limit of requests in flight is reached.
 func (c *classState) full() bool {
 	return c.limits.MaxInFlight > 0 && c.inFlight >= c.limits.MaxInFlight
 }
 
-// Admission holds limits and counts. It is not safe for concurrent use. Make one with New.
+// Admission holds limits and counts. It is not safe for concurrent use.
 type Admission struct {
 	rate      float64
 	tenants   []tenantState
 	classes   []classState
 	windowEnd balancer.Micros
 	brownout  brownout
-	fillOrder []int // scratch space of assignQuotas: tenants by demand over weight
-	retrySlot balancer.Micros
+	fillOrder []int           // buffer of assignQuotas: tenants by demand over weight
+	retrySlot balancer.Micros // slot of the last rejected request, 1 to retrySlots
 }
 
 // New returns an admission with all counts at zero.
@@ -73,48 +76,53 @@
 	return a
 }
 
-// Configure replaces the limits. Requests in flight stay counted, by the numbers of their
+// Configure replaces the limits. Requests in flight remain counted under the numbers of their
 // tenants and classes.
 func (a *Admission) Configure(c Config) {
 	if len(c.Tenants) == 0 {
 		c.Tenants = []Tenant{{Weight: 1}}
 	}
 	a.rate = c.Rate
-	for len(a.tenants) < len(c.Tenants) {
-		a.tenants = append(a.tenants, tenantState{})
-	}
+	a.tenants = growTo(a.tenants, len(c.Tenants))
 	for i := range a.tenants {
-		a.tenants[i].limits = Tenant{}
-		if i < len(c.Tenants) {
-			a.tenants[i].limits = c.Tenants[i]
-		}
-	}
-	for len(a.classes) < len(c.Classes) {
-		a.classes = append(a.classes, classState{})
+		a.tenants[i].limits = elementOrZero(c.Tenants, i)
 	}
+	a.classes = growTo(a.classes, len(c.Classes))
 	for i := range a.classes {
-		a.classes[i].limits = Class{}
-		if i < len(c.Classes) {
-			a.classes[i].limits = c.Classes[i]
-		}
+		a.classes[i].limits = elementOrZero(c.Classes, i)
 	}
 	a.fillOrder = make([]int, len(a.tenants))
 	a.brownout.level = noBrownout
 	a.assignQuotas()
 }
 
-// Admit decides whether a request is admitted. For one that is, Release must be called; for one
-// that is not, retryAfter is when the client may retry.
+// growTo returns a slice of at least the given length, with zero values added at its end.
+func growTo[T any](slice []T, length int) []T {
+	missing := max(0, length-len(slice))
+	return append(slice, make([]T, missing)...)
+}
+
+// elementOrZero returns an element of a slice, the zero value if the slice is shorter.
+func elementOrZero[T any](slice []T, index int) T {
+	if index >= len(slice) {
+		var zero T
+		return zero
+	}
+	return slice[index]
+}
+
+// Admit decides whether a request is admitted. If it is, Release must be called later. If not,
+// retryAfter is the time after which the client may retry.
 func (a *Admission) Admit(now balancer.Micros, in *balancer.Request) (retryAfter balancer.Micros, ok bool) {
 	a.advanceWindow(now)
 	tenant, class := a.lookup(in)
 	if tenant == nil || class == nil {
-		return 0, true // the front numbered the request by an earlier configuration
+		return 0, true // the request has numbers of an earlier configuration
 	}
 	tenant.requested++
 	class.requested++
-	// Of a request that MayHaveRun an earlier attempt was admitted already. How it is answered
-	// is the decision module's to decide.
+	// An earlier attempt of a request with MayHaveRun was already admitted. The decision module
+	// decides how it is answered.
 	if !in.MayHaveRun && !a.hasCapacity(tenant, class) {
 		return a.nextRetryAfter(now), false
 	}
@@ -133,8 +141,8 @@
 	return a.rate <= 0 || tenant.remaining >= 1 && !a.brownout.sheds(class)
 }
 
-// nextRetryAfter returns the time to the end of the window and, in turn, to one of the slots
-// of the window after it.
+// nextRetryAfter returns the time until one of the slots of the next window. Successive calls return
+// successive slots.
 func (a *Admission) nextRetryAfter(now balancer.Micros) balancer.Micros {
 	a.retrySlot++
 	if a.retrySlot > retrySlots {
@@ -143,7 +151,7 @@
 	return a.windowEnd - now + a.retrySlot*Window/retrySlots
 }
 
-// lookup returns the tenant and class of a request, nil if there are none of these numbers.
+// lookup returns the tenant and class of a request, nil if there is none with its numbers.
 func (a *Admission) lookup(in *balancer.Request) (*tenantState, *classState) {
 	if int(in.Tenant) >= len(a.tenants) || int(in.Class) >= len(a.classes) {
 		return nil, nil
@@ -151,7 +159,7 @@
 	return &a.tenants[in.Tenant], &a.classes[in.Class]
 }
 
-// Release must be called once a request that was admitted has its final answer.
+// Release must be called when an admitted request has its final response.
 func (a *Admission) Release(in *balancer.Request) {
 	tenant, class := a.lookup(in)
 	if tenant == nil {
@@ -161,7 +169,7 @@
 	class.inFlight--
 }
 
-// InFlight returns the number of admitted requests without final answer.
+// InFlight returns the number of admitted requests without a final response.
 func (a *Admission) InFlight() int {
 	total := 0
 	for i := range a.tenants {
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -12,44 +12,47 @@
 	_ "pinedale/internal/standin/seeds"
 )
 
-// counts are the requests of each tenant, after a first second.
+// counts holds numbers of requests by tenant.
 type counts struct {
 	requested []float64
 	admitted  []float64
 }
 
-// playArrivals plays Poisson arrivals of each tenant, at rates per second, over a time given in seconds. A
-// request has its final answer at once. Counting starts a second after the start.
+// playArrivals simulates Poisson arrivals of each tenant at rates per second. start and seconds are in seconds.
+// Each request is released at once. Requests of the first second are not counted.
 func playArrivals(a *Admission, rates []float64, start, seconds int) counts {
 	rng := rand.New(rand.NewPCG(1, uint64(start)))
-	c := counts{make([]float64, len(rates)), make([]float64, len(rates))}
-	next := make([]float64, len(rates)) // time of each tenant's next arrival, in microseconds
+	result := counts{make([]float64, len(rates)), make([]float64, len(rates))}
+	arrivals := make([]float64, len(rates)) // time of each tenant's next arrival, in microseconds
 	for i, rate := range rates {
-		next[i] = float64(start)*1e6 + rng.ExpFloat64()/rate*1e6
+		arrivals[i] = float64(start)*1e6 + rng.ExpFloat64()/rate*1e6
 	}
+	countFrom := balancer.Micros(start+1) * second
+	end := balancer.Micros(start+seconds) * second
 	for {
-		tenant := slices.Index(next, slices.Min(next))
-		now := balancer.Micros(next[tenant])
-		if now >= balancer.Micros(start+seconds)*second {
-			return c
+		tenant := slices.Index(arrivals, slices.Min(arrivals))
+		now := balancer.Micros(arrivals[tenant])
+		if now >= end {
+			return result
 		}
-		next[tenant] += rng.ExpFloat64() / rates[tenant] * 1e6
-		r := balancer.Request{Tenant: uint16(tenant)}
-		_, ok := a.Admit(now, &r)
+		arrivals[tenant] += rng.ExpFloat64() / rates[tenant] * 1e6
+		request := balancer.Request{Tenant: uint16(tenant)}
+		_, ok := a.Admit(now, &request)
 		if ok {
-			a.Release(&r)
+			a.Release(&request)
 		}
-		if now >= balancer.Micros(start+1)*second {
-			c.requested[tenant]++
-			if ok {
-				c.admitted[tenant]++
-			}
+		if now < countFrom {
+			continue
+		}
+		result.requested[tenant]++
+		if ok {
+			result.admitted[tenant]++
 		}
 	}
 }
 
-// One tenant requests ten times its share: the others, which stay below theirs, have all requests admitted, and
-// the first has the rest.
+// One tenant requests ten times its share. The requests of the others, which are below their shares, are all
+// admitted, and the first tenant gets the remaining capacity.
 func TestTenantAboveItsShareDoesNotAffectOthers(t *testing.T) {
 	a := New(Config{Rate: 3000, Tenants: []Tenant{{Weight: 1}, {Weight: 1}, {Weight: 1}}, Classes: []Class{{}}})
 	c := playArrivals(a, []float64{10_000, 800, 800}, 0, 11)
@@ -73,7 +76,7 @@
 	}
 }
 
-// A tenant that comes back has its share at once, whatever the others got meanwhile.
+// A tenant that returns has its share at once, although the other tenant used it before.
 func TestReturningTenantHasItsShareAtOnce(t *testing.T) {
 	a := New(Config{Rate: 1000, Tenants: []Tenant{{Weight: 1}, {Weight: 1}}, Classes: []Class{{}}})
 	playArrivals(a, []float64{5000, 1e-9}, 0, 3)
@@ -92,7 +95,7 @@
 	classes := []Class{{BrownoutLevel: 0}, {BrownoutLevel: 1}, {BrownoutLevel: 2}}
 	for _, c := range []struct {
 		rate float64
-		want [3]float64 // admitted ratio of each class, at 3000 requests per second in equal parts
+		want [3]float64 // admitted fraction of each class, with 1000 requests per second each
 	}{
 		{4000, [3]float64{1, 1, 1}},
 		{2100, [3]float64{1, 1, 0.1}},
@@ -101,14 +104,15 @@
 		a := New(Config{Rate: c.rate, Classes: classes})
 		var requested, admitted [3]float64
 		for i := range 30_000 {
-			now, class := balancer.Micros(i)*second/3000, i%3
-			r := balancer.Request{Class: uint8(class)}
-			_, ok := a.Admit(now, &r)
-			if now >= second {
-				requested[class]++
-				if ok {
-					admitted[class]++
-				}
+			now := balancer.Micros(i) * second / 3000
+			class := i % 3
+			_, ok := a.Admit(now, &balancer.Request{Class: uint8(class)})
+			if now < second {
+				continue
+			}
+			requested[class]++
+			if ok {
+				admitted[class]++
 			}
 		}
 		for class := range admitted {
@@ -154,40 +158,75 @@
 	if !admit(0, 1) || !admit(1, 0) {
 		t.Error("a released request still counts")
 	}
-	if _, ok := a.Admit(1, &balancer.Request{Tenant: 0, Class: 0, MayHaveRun: true}); !ok {
+}
+
+func TestRequestThatMayHaveRunIsAdmittedAboveLimits(t *testing.T) {
+	a := New(Config{Tenants: []Tenant{{Weight: 1, MaxInFlight: 1}}, Classes: []Class{{MaxInFlight: 1}}})
+	if _, ok := a.Admit(1, &balancer.Request{}); !ok {
+		t.Error("the first request was rejected")
+	}
+	if _, ok := a.Admit(1, &balancer.Request{}); ok {
+		t.Error("a request above the limits was admitted")
+	}
+	if _, ok := a.Admit(1, &balancer.Request{MayHaveRun: true}); !ok {
 		t.Error("a request that may have run was rejected")
 	}
+}
+
+func TestRequestNumberedByEarlierConfigurationIsAdmitted(t *testing.T) {
+	a := New(Config{Tenants: []Tenant{{Weight: 1, MaxInFlight: 1}}, Classes: []Class{{MaxInFlight: 1}}})
 	if _, ok := a.Admit(1, &balancer.Request{Tenant: 9, Class: 9}); !ok {
 		t.Error("a request numbered by an earlier configuration was rejected")
 	}
 }
 
-// Whatever is requested, requests in flight are counted right, and each tenant gets its share of what it requests.
+// drawConfig draws a rate, which may be 0, and the weights of tenants.
+func drawConfig(t *rapid.T) Config {
+	tenantCount := rapid.IntRange(1, 4).Draw(t, "tenants")
+	config := Config{
+		Rate:    float64(rapid.IntRange(0, 3).Draw(t, "rate") * 500),
+		Classes: make([]Class, 3),
+	}
+	for range tenantCount {
+		weight := float64(rapid.IntRange(1, 5).Draw(t, "weight"))
+		config.Tenants = append(config.Tenants, Tenant{Weight: weight})
+	}
+	return config
+}
+
+// checkShares checks that each tenant got its share of the rate in a window, or as much as it requested.
+func checkShares(t *rapid.T, config Config, window counts) {
+	if config.Rate == 0 {
+		return
+	}
+	totalWeight := 0.0
+	for _, tenant := range config.Tenants {
+		totalWeight += tenant.Weight
+	}
+	for i, tenant := range config.Tenants {
+		requested, admitted := window.requested[i], window.admitted[i]
+		share := math.Floor(config.Rate * float64(Window) / 1e6 * tenant.Weight / totalWeight)
+		if admitted < min(requested, share) {
+			t.Fatalf("tenant %d: %v of %v admitted, its share is %v", i, admitted, requested, share)
+		}
+	}
+}
+
+// For random requests, the requests in flight are counted correctly, and each tenant gets its share in each window.
 func TestTenantsGetTheirShareUnderRandomLoad(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		n := rapid.IntRange(1, 4).Draw(t, "tenants")
-		config := Config{Rate: float64(rapid.IntRange(0, 3).Draw(t, "rate") * 500), Classes: make([]Class, 3)}
-		totalWeight := 0.0
-		for range n {
-			weight := float64(rapid.IntRange(1, 5).Draw(t, "weight"))
-			config.Tenants = append(config.Tenants, Tenant{Weight: weight})
-			totalWeight += weight
-		}
+		config := drawConfig(t)
+		tenantCount := len(config.Tenants)
 		a := New(config)
 		var inFlight []balancer.Request
 		now, windowEnd := balancer.Micros(0), balancer.Micros(0)
-		requested, admitted := make([]float64, n), make([]float64, n) // in this window
+		window := counts{make([]float64, tenantCount), make([]float64, tenantCount)}
 		for range rapid.IntRange(1, 400).Draw(t, "steps") {
 			now += balancer.Micros(rapid.IntRange(0, 3000).Draw(t, "gap"))
-			if now >= windowEnd { // a window has ended: no tenant was denied its share
-				for i, tenant := range config.Tenants {
-					share := math.Floor(config.Rate * float64(Window) / 1e6 * tenant.Weight / totalWeight)
-					if config.Rate > 0 && admitted[i] < min(requested[i], share) {
-						t.Fatalf("tenant %d: %v of %v admitted, its share is %v", i, admitted[i], requested[i], share)
-					}
-				}
-				clear(requested)
-				clear(admitted)
+			if now >= windowEnd {
+				checkShares(t, config, window)
+				clear(window.requested)
+				clear(window.admitted)
 				windowEnd = now - now%Window + Window
 			}
 			if len(inFlight) > 0 && rapid.Bool().Draw(t, "release") {
@@ -195,14 +234,14 @@
 				inFlight = inFlight[1:]
 				continue
 			}
-			r := balancer.Request{
-				Tenant: uint16(rapid.IntRange(0, n-1).Draw(t, "tenant")),
+			request := balancer.Request{
+				Tenant: uint16(rapid.IntRange(0, tenantCount-1).Draw(t, "tenant")),
 				Class:  uint8(rapid.IntRange(0, 2).Draw(t, "class")),
 			}
-			requested[r.Tenant]++
-			if _, ok := a.Admit(now, &r); ok {
-				admitted[r.Tenant]++
-				inFlight = append(inFlight, r)
+			window.requested[request.Tenant]++
+			if _, ok := a.Admit(now, &request); ok {
+				window.admitted[request.Tenant]++
+				inFlight = append(inFlight, request)
 			} else if config.Rate == 0 {
 				t.Fatal("rejected without a limit")
 			}
@@ -218,25 +257,28 @@
 	for i := range a.tenants {
 		a.tenants[i].limits.Weight = 1
 	}
-	now, r := balancer.Micros(0), balancer.Request{}
-	if n := testing.AllocsPerRun(10_000, func() {
+	now := balancer.Micros(0)
+	request := balancer.Request{}
+	allocations := testing.AllocsPerRun(10_000, func() {
 		now += 700
-		r.Tenant = uint16(now % 100)
-		if _, ok := a.Admit(now, &r); ok {
-			a.Release(&r)
+		request.Tenant = uint16(now % 100)
+		if _, ok := a.Admit(now, &request); ok {
+			a.Release(&request)
 		}
-	}); n != 0 {
-		t.Errorf("%v allocations per request", n)
+	})
+	if allocations != 0 {
+		t.Errorf("%v allocations per request", allocations)
 	}
 }
 
 func BenchmarkAdmit(b *testing.B) {
 	a := New(Config{Rate: 1000, Tenants: []Tenant{{Weight: 1}, {Weight: 1}, {Weight: 1}}, Classes: []Class{{}}})
-	now, r := balancer.Micros(0), balancer.Request{}
+	now := balancer.Micros(0)
+	request := balancer.Request{}
 	for b.Loop() {
 		now += 100
-		if _, ok := a.Admit(now, &r); ok {
-			a.Release(&r)
+		if _, ok := a.Admit(now, &request); ok {
+			a.Release(&request)
 		}
 	}
 }
--- a/internal/admission/doc.go
+++ b/internal/admission/doc.go
@@ -1,19 +1,19 @@
-// Package admission decides which requests are admitted where there is not enough capacity for
-// all: each tenant gets its share of the rate whatever the others request, and what one tenant
-// does not use is divided among the rest (weighted max-min fairness; Bertsekas and Gallager,
+// Package admission decides which requests are admitted if there is not enough capacity for all.
+// Each tenant gets its share of the rate regardless of the requests of others, and shares that are
+// not used are divided among the other tenants (weighted max-min fairness; Bertsekas and Gallager,
 // Data Networks, section 6.5.2). Under overload, classes are shed in the operator's order
-// (brownout). The package does no I/O, reads no clock, and allocates nothing per request.
+// (brownout). The package does no I/O, reads no clock, and does not allocate memory per request.
 //
 // The rate is counted in windows of 100 ms. A tenant's quota in a window is the larger of
 //
-//   - its own share, which no other tenant can take, and
-//   - what max-min fairness gives it by the demand of all tenants in the window before.
+//   - its own share, which is reserved for it, and
+//   - its max-min fair share, computed from the demand of all tenants in the previous window.
 //
-// So a tenant that comes back has its share at once, and more than the rate is admitted for one
-// window at most. What a tenant leaves of its quota it saves, up to five windows' share:
-// arrivals are bursty, and a tenant that requests nine tenths of its share would lose a
-// twentieth of it otherwise.
+// A tenant that returns therefore has its share at once, and for at most one window more than the
+// rate is admitted. A tenant saves the unused part of its quota, up to the share of five windows:
+// arrivals are bursty, and a tenant that requests nine tenths of its share would otherwise lose a
+// twentieth of it.
 //
-//	admission.go  the limits, Admit and Release
-//	window.go     what happens between two windows: brownout and quotas
+//	admission.go  limits, Admit and Release
+//	window.go     transition between two windows: brownout and quotas
 package admission
--- a/internal/admission/window.go
+++ b/internal/admission/window.go
@@ -7,10 +7,10 @@
 	"pinedale/balancer"
 )
 
-// maxSavedWindows is how many windows of its own share a tenant may save.
+// maxSavedWindows is the number of windows whose share a tenant may save.
 const maxSavedWindows = 5
 
-// noBrownout is a level above that of any class.
+// noBrownout is a level above those of all classes.
 const noBrownout = 1 << 30
 
 // brownout sheds classes under overload.
@@ -19,24 +19,28 @@
 	remaining float64 // requests of the classes at this level that may still be admitted
 }
 
-// sheds reports whether a request of a class is to be rejected.
+// sheds reports whether a request of a class must be rejected.
 func (b *brownout) sheds(c *classState) bool {
-	return c.limits.BrownoutLevel > b.level || c.limits.BrownoutLevel == b.level && b.remaining < 1
+	if c.limits.BrownoutLevel == b.level {
+		return b.remaining < 1
+	}
+	return c.limits.BrownoutLevel > b.level
 }
 
+// countAdmitted counts an admitted request of a class.
 func (b *brownout) countAdmitted(c *classState) {
 	if c.limits.BrownoutLevel == b.level {
 		b.remaining--
 	}
 }
 
-// windowCapacity returns how many requests the rate admits in a window.
+// windowCapacity returns the number of requests that the rate permits in a window.
 func (a *Admission) windowCapacity() float64 {
 	return a.rate * float64(Window) / float64(second)
 }
 
-// advanceWindow begins a new window if the current one is over. Time without requests counts
-// as windows without demand.
+// advanceWindow begins a new window if the current one has ended. If a complete window without
+// requests has passed since, the previous demand is 0.
 func (a *Admission) advanceWindow(now balancer.Micros) {
 	if now < a.windowEnd {
 		return
@@ -45,51 +49,66 @@
 		for i := range a.tenants {
 			a.tenants[i].requested = 0
 		}
-		for i := range a.classes {
-			a.classes[i].requested = 0
-		}
+		a.clearClassDemand()
 	}
-	a.updateBrownout()
+	a.brownout = a.nextBrownout()
+	a.clearClassDemand()
 	a.assignQuotas()
 	a.windowEnd = now - now%Window + Window
 }
 
-// updateBrownout sets the level from which classes are shed by the demand of the window that
-// ends: the levels before it fit into the rate, and it gets what they leave.
-func (a *Admission) updateBrownout() {
-	a.brownout = brownout{level: noBrownout}
-	maxLevel := 0
+func (a *Admission) clearClassDemand() {
 	for i := range a.classes {
-		maxLevel = max(maxLevel, a.classes[i].limits.BrownoutLevel)
+		a.classes[i].requested = 0
+	}
+}
+
+// nextBrownout returns the brownout of the next window by the classes' demand in the current one.
+// The capacity goes to the levels in ascending order. The first level whose demand exceeds the
+// remaining capacity gets what remains, and the levels above it are shed.
+func (a *Admission) nextBrownout() brownout {
+	if a.rate <= 0 {
+		return brownout{level: noBrownout}
 	}
 	capacity := a.windowCapacity()
-	requested := 0.0 // by the levels so far
-	for level := 0; a.rate > 0 && level <= maxLevel; level++ {
-		before := requested
-		for i := range a.classes {
-			if a.classes[i].limits.BrownoutLevel == level {
-				requested += a.classes[i].requested
-			}
-		}
-		if requested <= capacity {
-			continue
+	requestedBelow := 0.0 // by the levels below the current one
+	for level := range a.maxBrownoutLevel() + 1 {
+		requested := requestedBelow + a.demandOfLevel(level)
+		switch {
+		case requested <= capacity:
+			requestedBelow = requested
+		case requestedBelow == 0:
+			// The lowest level with demand exceeds the capacity by itself. All levels above it
+			// are shed, and only the tenants' quotas limit it.
+			return brownout{level: level + 1}
+		default:
+			return brownout{level: level, remaining: capacity - requestedBelow}
 		}
-		if before == 0 {
-			// The lowest level with demand exceeds the rate by itself: all levels above it are
-			// shed, and it is limited by the tenants' quotas alone.
-			a.brownout = brownout{level: level + 1}
-		} else {
-			a.brownout = brownout{level: level, remaining: capacity - before}
-		}
-		break
 	}
+	return brownout{level: noBrownout}
+}
+
+func (a *Admission) maxBrownoutLevel() int {
+	level := 0
 	for i := range a.classes {
-		a.classes[i].requested = 0
+		level = max(level, a.classes[i].limits.BrownoutLevel)
+	}
+	return level
+}
+
+// demandOfLevel returns the requests of all classes of a level in the current window.
+func (a *Admission) demandOfLevel(level int) float64 {
+	demand := 0.0
+	for i := range a.classes {
+		if a.classes[i].limits.BrownoutLevel == level {
+			demand += a.classes[i].requested
+		}
 	}
+	return demand
 }
 
-// assignQuotas gives each tenant its quota for the window that begins, by weighted max-min
-// fairness over the demand of the window that ends.
+// assignQuotas sets each tenant's quota for the next window by weighted max-min fairness over the
+// demand in the current window.
 func (a *Admission) assignQuotas() {
 	if a.rate <= 0 {
 		return
@@ -110,32 +129,34 @@
 			continue
 		}
 		share := capacity * t.limits.Weight / totalWeight
-		// What no tenant demanded goes to the tenants that request it first.
+		// Capacity without demand is in the quotas of all tenants: the first that request it get it.
 		t.quota = max(t.quota+unassigned*t.limits.Weight/totalWeight, share)
 		t.remaining = min(t.remaining, max(1, maxSavedWindows*share)) + t.quota
 		t.requested = 0
 	}
 }
 
-// compareDemand orders tenants by demand over weight, and equal ones by number.
+// compareDemand orders the tenants of two indexes by demand over weight, and then by index.
 func (a *Admission) compareDemand(i, j int) int {
-	x, y := &a.tenants[i], &a.tenants[j]
-	return cmp.Or(cmp.Compare(x.requested*y.limits.Weight, y.requested*x.limits.Weight), i-j)
+	left, right := &a.tenants[i], &a.tenants[j]
+	// Each demand is multiplied by the other weight, since a weight may be 0.
+	byDemand := cmp.Compare(left.requested*right.limits.Weight, right.requested*left.limits.Weight)
+	return cmp.Or(byDemand, i-j)
 }
 
-// fillDemand sets the tenants' quotas to their demand or their part of the capacity, in the
-// order of fillOrder: what a tenant of low demand leaves is divided among those after it. It
-// returns the capacity that no tenant demanded.
+// fillDemand sets each tenant's quota to the smaller of its demand and its share of the capacity, in
+// the order of fillOrder. Capacity that a tenant does not demand is divided among the tenants after
+// it. The result is the capacity that no tenant demanded.
 func (a *Admission) fillDemand(capacity, totalWeight float64) (unassigned float64) {
-	weight := totalWeight // of the tenants not filled yet
+	remainingWeight := totalWeight // of the tenants whose quota is not set yet
 	for _, i := range a.fillOrder {
 		t := &a.tenants[i]
 		if t.limits.Weight <= 0 {
-			continue // not configured any more
+			continue // no longer configured
 		}
-		t.quota = min(t.requested, capacity*t.limits.Weight/weight)
+		t.quota = min(t.requested, capacity*t.limits.Weight/remainingWeight)
 		capacity -= t.quota
-		weight -= t.limits.Weight
+		remainingWeight -= t.limits.Weight
 	}
 	return capacity
 }
--- a/internal/drainadvisory/drainadvisory.go
+++ b/internal/drainadvisory/drainadvisory.go
@@ -1,13 +1,12 @@
-// Package drainadvisory decides which endpoints an instance sends nothing to because other
+// Package drainadvisory decides to which endpoints an instance sends no requests because other
 // instances report them as draining, although its own endpoint list still has them as ready.
-// It does no I/O, keeps no state and reads no clock.
+// It does no I/O, has no state and reads no clock.
 //
 // # Problem
 //
-// An instance may not have received the latest watch event of its source: a watch that is
-// silent gives no information, and for seconds nobody can tell whether it is broken. Until
-// then the instance would send requests to an endpoint that is shutting down, while others
-// have been notified of the drain.
+// An instance may not have received the latest watch event of its source. A watch without events
+// may be broken, which takes seconds to detect. In that time the instance would send requests to an
+// endpoint that is shutting down, while other instances have been notified of the drain.
 //
 // # Rules
 //
@@ -15,16 +14,16 @@
 // lists as draining, or not at all, is not considered here. An endpoint that it lists as ready
 // is withheld on reports of others, within bounds that limit the effect of wrong reports:
 //
-//   - A report is about one incarnation of an endpoint. An endpoint that has restarted since
-//     is another one.
-//   - [MinReporters] instances other than this one have to report it. One instance that is
-//     faulty, or mistakes a fault of its own network for one of the endpoint, changes nothing.
-//   - A report is valid for [MaxReportAge]. By then the drain has ended or the own list has
-//     arrived.
-//   - At most [MaxWithheldRatio] of the ready endpoints are withheld, those with the most
-//     reporters first. If all other instances were wrong, the rest continues to serve.
+//   - A report is about one incarnation of an endpoint. It does not apply after a restart of the
+//     endpoint.
+//   - At least [MinReporters] instances other than this one must report it. A single instance that
+//     is faulty, or mistakes a fault of its own network for one of the endpoint, has no effect.
+//   - A report is valid for [MaxReportAge]. After that time the drain has ended, or the own source
+//     has reported it.
+//   - At most [MaxWithheldRatio] of the ready endpoints are withheld, those with the most reporters
+//     first. Even if all other instances are wrong, the remaining endpoints continue to serve.
 //
-// A report never makes an endpoint ready, and relaxes no other rule.
+// A report never makes an endpoint ready, and does not relax any other rule.
 //
 //	own list             reports                                     result
 //	-------------------  ------------------------------------------  -----------------------
@@ -43,12 +42,12 @@
 )
 
 const (
-	// MinReporters is the number of other instances that have to report a drain.
+	// MinReporters is the minimum number of other instances that report a drain.
 	MinReporters = 2
 	// MaxReportAge is how long a report is valid.
 	MaxReportAge = time.Minute
-	// MaxWithheldRatio is the largest ratio of the ready endpoints that is withheld. Rolling
-	// updates replace endpoints in smaller steps. With two endpoints none is withheld.
+	// MaxWithheldRatio is the maximum fraction of the ready endpoints that is withheld. Rolling
+	// updates replace endpoints in smaller steps. Of two endpoints none is withheld.
 	MaxWithheldRatio = 1.0 / 3
 )
 
@@ -59,8 +58,8 @@
 	Age         time.Duration // time since the report was written
 }
 
-// Withheld returns the ready incarnations that are to be withheld, sorted. self is this
-// instance's name, ready the incarnations that its own source lists as ready.
+// Withheld returns the ready incarnations to withhold, sorted. self is this instance's name, ready
+// are the incarnations that its own source lists as ready.
 func Withheld(self string, ready []string, reports []Report) []string {
 	isReady := map[string]bool{}
 	for _, incarnation := range ready {
@@ -80,8 +79,8 @@
 	return withheld
 }
 
-// reportersByIncarnation returns the instances other than self that have valid reports, by the
-// ready incarnation that they report.
+// reportersByIncarnation returns, for each ready incarnation, the instances other than self with a
+// valid report.
 func reportersByIncarnation(self string, isReady map[string]bool, reports []Report) map[string]map[string]bool {
 	reporters := map[string]map[string]bool{}
 	for _, report := range reports {
--- a/internal/drainadvisory/drainadvisory_test.go
+++ b/internal/drainadvisory/drainadvisory_test.go
@@ -56,13 +56,17 @@
 			t.Errorf("%s: %v, want %v", name, got, c.want)
 		}
 	}
-	if got := Withheld("i-1", []string{"s-1@0", "s-2@0"}, reportsOf("s-1@0", 0, "i-2", "i-3")); len(got) > 0 {
+}
+
+func TestOfTwoEndpointsNoneIsWithheld(t *testing.T) {
+	ready := []string{"s-1@0", "s-2@0"}
+	if got := Withheld("i-1", ready, reportsOf("s-1@0", 0, "i-2", "i-3")); len(got) > 0 {
 		t.Errorf("of two endpoints %v is withheld", got)
 	}
 }
 
-// drawReports draws reports of which some are by this instance, expired or not of a ready
-// endpoint.
+// drawReports draws reports. Some of them are by this instance, expired, or about an endpoint that
+// is not ready.
 func drawReports(t *rapid.T) []Report {
 	var reports []Report
 	for range rapid.IntRange(0, 60).Draw(t, "reports") {
@@ -86,8 +90,8 @@
 	return reporters
 }
 
-// Whatever is reported: what is withheld is ready and has enough reporters, at least two
-// thirds of the endpoints remain, one reporter alone has no effect, and neither has the order.
+// For any reports: each withheld endpoint is ready and has enough reporters, at least two thirds of
+// the endpoints remain, a single reporter has no effect, and the order of the reports does not matter.
 func TestWithholdingIsBounded(t *testing.T) {
 	const self = "i-0"
 	rapid.Check(t, func(t *rapid.T) {
@@ -106,8 +110,8 @@
 				t.Fatalf("%s is withheld on the reports of %v", incarnation, reporters)
 			}
 		}
-		ofOne := slices.DeleteFunc(slices.Clone(reports), func(r Report) bool { return r.Origin != "i-3" })
-		if got := Withheld(self, ready, ofOne); len(got) > 0 {
+		ofOneInstance := slices.DeleteFunc(slices.Clone(reports), func(r Report) bool { return r.Origin != "i-3" })
+		if got := Withheld(self, ready, ofOneInstance); len(got) > 0 {
 			t.Fatalf("%v are withheld on the reports of one instance", got)
 		}
 		shuffled := rapid.Permutation(reports).Draw(t, "order")
--- a/internal/replication/convergence_test.go
+++ b/internal/replication/convergence_test.go
@@ -21,18 +21,19 @@
 	rumour Rumour
 }
 
-// fleet is a number of stores on virtual time whose messages are lost, duplicated and delayed.
+// fleet is a number of stores in virtual time whose messages are lost, duplicated and delayed.
 type fleet struct {
 	t         *rapid.T
 	now       time.Duration
 	limits    Limits
 	stores    []*Store
 	epochs    []uint64
-	writers   map[Origin]*Store         // the reference: the store of each incarnation
+	writers   map[Origin]*Store         // store of each incarnation, which is the reference
 	writtenAt map[entryID]time.Duration // by the writer's clock
 	network   []delayedRumour
 }
 
+// newFleet draws the number of stores and the size of messages.
 func newFleet(t *rapid.T) *fleet {
 	size := rapid.IntRange(2, 6).Draw(t, "stores")
 	f := &fleet{
@@ -58,46 +59,63 @@
 	f.writers[s.Self()] = s
 }
 
+// events are the events of a fleet. One that is listed several times is drawn more often.
+var events = []string{
+	"put", "put", "put",
+	"withdraw",
+	"gossip", "gossip",
+	"deliver", "deliver",
+	"compare",
+	"wait",
+	"restart",
+	"expire",
+}
+
 // step draws one event.
 func (f *fleet) step() {
 	t := f.t
-	i := rapid.IntRange(0, len(f.stores)-1).Draw(t, "store")
+	index := rapid.IntRange(0, len(f.stores)-1).Draw(t, "store")
 	other := rapid.IntRange(0, len(f.stores)-1).Draw(t, "other")
-	s := f.stores[i]
+	store := f.stores[index]
 	subject := fmt.Sprint("s", rapid.IntRange(0, 4).Draw(t, "subject"))
-	events := []string{"put", "put", "put", "withdraw", "gossip", "gossip", "deliver", "deliver",
-		"compare", "wait", "restart", "expire"}
 	switch rapid.SampledFrom(events).Draw(t, "event") {
 	case "put":
 		value := byte(rapid.IntRange(0, 200).Draw(t, "value"))
-		mustPut(t, s, f.now, checkedTopic, subject, string([]byte{value, 1}))
-		f.writtenAt[entryID{s.Self(), s.seq}] = f.now
+		mustPut(t, store, f.now, checkedTopic, subject, string([]byte{value, 1}))
+		f.writtenAt[entryID{store.Self(), store.seq}] = f.now
 	case "withdraw":
-		s.Withdraw(f.now, checkedTopic, subject)
+		store.Withdraw(f.now, checkedTopic, subject)
 	case "gossip":
-		for _, r := range s.Rumours(f.now) {
-			f.network = append(f.network, delayedRumour{to: other, rumour: r})
+		for _, rumour := range store.Rumours(f.now) {
+			f.network = append(f.network, delayedRumour{to: other, rumour: rumour})
 		}
 	case "deliver":
-		if len(f.network) > 0 { // any message, which may be delivered again later
-			m := f.network[rapid.IntRange(0, len(f.network)-1).Draw(t, "message")]
-			f.stores[m.to].HandleRumour(f.now, m.rumour)
-		}
+		f.deliverAny()
 	case "compare":
-		runAntiEntropy(f.now, s, f.stores[other], func() bool { return rapid.IntRange(0, 3).Draw(t, "lost") == 0 })
+		lose := func() bool { return rapid.IntRange(0, 3).Draw(t, "lost") == 0 }
+		runAntiEntropy(f.now, store, f.stores[other], lose)
 	case "wait":
 		f.now += time.Duration(rapid.IntRange(1, 20).Draw(t, "seconds")) * time.Second
 	case "restart":
-		f.start(i)
+		f.start(index)
 	case "expire":
-		s.Expire(f.now)
+		store.Expire(f.now)
+	}
+}
+
+// deliverAny delivers any delayed message. The message may be delivered again later.
+func (f *fleet) deliverAny() {
+	if len(f.network) == 0 {
+		return
 	}
+	message := f.network[rapid.IntRange(0, len(f.network)-1).Draw(f.t, "message")]
+	f.stores[message.to].HandleRumour(f.now, message.rumour)
 }
 
 // settle delivers all delayed messages and has all stores compare with each other.
 func (f *fleet) settle() {
-	for _, m := range f.network {
-		f.stores[m.to].HandleRumour(f.now, m.rumour)
+	for _, message := range f.network {
+		f.stores[message.to].HandleRumour(f.now, message.rumour)
 	}
 	for range f.stores {
 		for _, a := range f.stores {
@@ -110,16 +128,17 @@
 	}
 }
 
-// view returns the entries of a store that have not expired by their writers' clocks. Time on
-// the network counts in no age: an entry that was delayed may be stored longer by as much.
-func (f *fleet) view(s *Store) []Record {
-	return slices.DeleteFunc(s.View(f.now, checkedTopic), func(r Record) bool {
-		return f.now-f.writtenAt[entryID{r.Origin, r.Seq}] >= testRules[checkedTopic].TTL
+// view returns the entries of a store that have not expired by their writers' clocks. An age does not
+// include the time on the network, so that a store may keep a delayed entry for that much longer.
+func (f *fleet) view(store *Store) []Record {
+	return slices.DeleteFunc(store.View(f.now, checkedTopic), func(record Record) bool {
+		writtenAt := f.writtenAt[entryID{record.Origin, record.Seq}]
+		return f.now-writtenAt >= testRules[checkedTopic].TTL
 	})
 }
 
-// checkAgainstWriters checks that a store has nothing of a running writer that the writer does
-// not have. Of an incarnation that has ended, the last entry that anybody received is valid.
+// checkAgainstWriters checks that a store has no entry of a running writer that the writer does not
+// have. For an incarnation that has ended, any store may have its last entry.
 func (f *fleet) checkAgainstWriters(i int) {
 	for _, r := range f.view(f.stores[i]) {
 		writer := f.writers[r.Origin]
@@ -144,18 +163,19 @@
 			if r.withdrawn || f.now-r.writtenAt >= testRules[checkedTopic].TTL {
 				continue
 			}
-			if !slices.ContainsFunc(view, func(x Record) bool {
-				return x.Origin == writer.Self() && x.Subject == key.subject && x.Seq == r.seq
-			}) {
-				f.t.Fatalf("store %d lacks %v of %v", i, key, writer.Self())
+			found := slices.ContainsFunc(view, func(record Record) bool {
+				return record.Origin == writer.Self() && record.Subject == key.subject && record.Seq == r.seq
+			})
+			if !found {
+				f.t.Fatalf("store %d is missing %v of %v", i, key, writer.Self())
 			}
 		}
 	}
 }
 
-// Stores write, withdraw, gossip, lose, duplicate and delay messages, restart and expire. Once
-// all messages are delivered and all have compared without loss, every store is equal to the
-// writers, so that a sum over origins counts each entry once.
+// Stores write and withdraw entries, restart and expire entries, while messages are lost, duplicated
+// and delayed. After all messages are delivered and all stores have compared without loss, every store
+// has the entries of the writers, so that a sum over origins counts each entry once.
 func TestReplicasConvergeAfterLossAndRestart(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFleet(t)
--- a/internal/replication/digest.go
+++ b/internal/replication/digest.go
@@ -7,11 +7,11 @@
 	"pinedale/internal/splitmix"
 )
 
-// DigestBuckets is the number of buckets of a digest: 512 bytes, with 64 origins in each bucket if
-// there are as many as Defaults permit.
+// DigestBuckets is the number of buckets of a digest, which thus has 512 bytes. With the maximum
+// number of origins of DefaultLimits, a bucket has 64 origins on average.
 const DigestBuckets = 64
 
-// Digest has a hash of the origins in each bucket and of their vectors.
+// Digest holds a hash of the vectors of the origins in each bucket.
 type Digest [DigestBuckets]uint64
 
 // goldenRatio64 is 2^64 divided by the golden ratio, an odd multiplier that spreads
@@ -20,12 +20,12 @@
 
 // hash returns a hash of the origin that is the same at all instances.
 func (o Origin) hash() uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(o.Name))
+	hash := fnv.New64a()
+	hash.Write([]byte(o.Name))
 	var epoch [8]byte
 	binary.LittleEndian.PutUint64(epoch[:], o.Epoch)
-	h.Write(epoch[:])
-	return h.Sum64()
+	hash.Write(epoch[:])
+	return hash.Sum64()
 }
 
 // bucket returns the bucket of the digest that the origin is in.
@@ -38,22 +38,22 @@
 }
 
 // Digest returns the digest of the replica.
-func (s *Store) Digest() (d Digest) {
-	for id, o := range s.origins {
-		d[id.bucket()] += o.vector().hash() // a sum does not depend on the order
+func (s *Store) Digest() (digest Digest) {
+	for id, state := range s.origins {
+		digest[id.bucket()] += state.vector().hash() // a sum does not depend on the order
 	}
-	return d
+	return digest
 }
 
-// HandleDigest compares another replica's digest with this one's and returns the vectors of
-// some buckets that differ, nil if none does. start is the bucket to begin with. A caller
-// that varies it keeps a bucket that can't be repaired from blocking the others.
-func (s *Store) HandleDigest(d Digest, start int) *Vectors {
+// HandleDigest compares another replica's digest with this one's. It returns the vectors of some of
+// the buckets that differ, nil if none does. start is the first bucket to compare. If the caller
+// varies it, a bucket that cannot be repaired does not block the others.
+func (s *Store) HandleDigest(remote Digest, start int) *Vectors {
 	local := s.Digest()
 	var differing []int
 	for i := range DigestBuckets {
 		bucket := (start + i) % DigestBuckets
-		if local[bucket] != d[bucket] {
+		if local[bucket] != remote[bucket] {
 			differing = append(differing, bucket)
 		}
 	}
--- a/internal/replication/doc.go
+++ b/internal/replication/doc.go
@@ -1,7 +1,7 @@
-// Package replication keeps a replica of what every instance of the load balancer
-// advertises: which instances exist and how endpoints behave as seen by each of them. It
-// does no I/O, starts no goroutine and reads no clock: the caller delivers messages and
-// passes the current time.
+// Package replication maintains a replica of the entries that every instance of the load balancer
+// advertises: which instances exist, and how endpoints behave as seen by each of them. It does no
+// I/O, starts no goroutine and reads no clock: the caller delivers messages and passes the current
+// time.
 //
 // # Data model
 //
@@ -11,16 +11,15 @@
 // taking the highest sequence number for each origin and subject. This is the join of a
 // lattice (a map of single-writer registers; Almeida, Shoker and Baquero, "Delta state
 // replicated data types", 2018): the order and the number of deliveries make no difference.
-// What an origin counts is in its own entries only, so that a sum over origins counts nothing
-// twice.
+// Counts of an origin are in its own entries only, so that a sum over origins counts nothing twice.
 //
 // # Protocol
 //
 // For each origin a replica knows the sequence number up to which it is complete.
 //
 //   - Rumour mongering: [Store.Rumours] returns single entries shortly after they are
-//     written. Each replica passes a new entry on a limited number of times.
-//   - Anti-entropy finds what rumours have missed. Two replicas compare a [Digest], which has
+//     written. Each replica forwards a new entry a limited number of times.
+//   - Anti-entropy finds entries that rumours have missed. Two replicas compare a [Digest], which has
 //     a hash for each of 64 buckets of origins. For buckets that differ they compare
 //     [Vectors], the sequence numbers by origin. Then each sends [Delta] messages with the
 //     entries above the sequence number that the other one has.
@@ -31,7 +30,7 @@
 //
 //	two replicas of an entry            result
 //	----------------------------------  -------------------------------------------------------
-//	sequence numbers differ             the higher number, in whatever order they arrived
+//	sequence numbers differ             the higher number, regardless of the order of arrival
 //	same sequence number                they are the same entry; the greater age is kept
 //	one is withdrawn                    as above: a withdrawal has a sequence number, too
 //	epochs of the origin differ         both are kept, as of two instances, until they expire by
@@ -39,22 +38,22 @@
 //	paused process that continues)
 //	ages differ since clocks differ     no message has an absolute time: each replica adds its own
 //	                                    elapsed time to the age that it received
-//	the origin was forgotten            it stays forgotten: epochs of its name up to the forgotten
+//	the origin was forgotten            it remains forgotten: epochs of its name up to the forgotten
 //	                                    one are rejected
-//	the entry is of the receiver        unchanged: nobody else writes for this incarnation
+//	the entry is of the receiver        unchanged: no other instance writes for this incarnation
 //	the entry is invalid (unknown       the entry is ignored, and counted as rejected
 //	topic, too long, check fails)
 //
 // # Expiry and tombstones
 //
-// An expired entry does not reappear. An entry lives for its topic's TTL, and each replica
-// removes it then on its own. A withdrawn entry is kept for the same time as a tombstone. A
-// replica that has removed an entry still knows the sequence number up to which it is complete
-// and accepts nothing up to it.
+// An expired entry does not reappear. An entry is valid for its topic's TTL; after that, each
+// replica removes it independently. A withdrawn entry is kept as a tombstone for the same time.
+// After it has removed an entry, a replica still knows the sequence number up to which it is
+// complete, and accepts no entry with a lower number.
 //
-// An origin that was not heard from for Limits.ForgetAfter is removed with all its entries.
-// Its epoch is kept as a floor: later incarnations of its name must have a higher epoch. The
-// floors of at most Limits.Origins names are kept, and the oldest are discarded first. Only a
-// message that was delayed for longer than ForgetAfter, of a name whose floor was discarded,
-// can be accepted as new; its entry then lives for its topic's TTL.
+// An origin from which no entry was received for Limits.ForgetAfter is removed with all its
+// entries. Its epoch is kept as a floor: later incarnations of its name must have a higher epoch.
+// The floors of at most Limits.MaxOrigins names are kept, and the oldest are discarded first. Only
+// a message that was delayed for longer than ForgetAfter, of a name whose floor was discarded, can
+// be accepted as new. Its entry is then valid for its topic's TTL.
 package replication
--- a/internal/replication/entry.go
+++ b/internal/replication/entry.go
@@ -9,7 +9,7 @@
 // Origin is one incarnation of an instance.
 type Origin struct {
 	Name  string `json:"Name"`
-	Epoch uint64 `json:"Epoch"` // Unix microseconds of its start by its own clock; a later incarnation has a higher one
+	Epoch uint64 `json:"Epoch"` // start time by its own clock, in Unix microseconds; higher in later incarnations
 }
 
 // compare orders origins by name and epoch.
@@ -36,22 +36,22 @@
 	Entry
 }
 
-// Rumour is a single entry on its way to other replicas, with the origin that wrote it.
+// Rumour is a single entry that is sent to other replicas, with the origin that wrote it.
 type Rumour struct {
 	Origin Origin
 	Entry  Entry
 }
 
-// Delta is one of several parts of all entries that an origin wrote above From, up to To. Only
-// all parts together make a replica complete up to To: an entry that is absent from one part
-// may have been replaced by an entry of another part, and a replica that advanced after one
-// part would hold a state that the origin never had.
+// Delta is one of several parts that together contain all entries of an origin with sequence numbers
+// above From and up to To. A replica is complete up to To only after it has merged all parts: an
+// entry that is absent from one part may have been replaced by an entry of another part, and a
+// replica that advanced after one part would have a state that the origin never had.
 type Delta struct {
 	Origin      Origin
 	From, To    uint64
 	Part, Parts int
 	Checksum    uint64 // of all parts together, so that parts of different deltas are not combined
-	Incomplete  bool   // entries beyond a gap in the sequence numbers, which possibly nobody can fill any more
+	Incomplete  bool   // entries beyond a gap in the sequence numbers, which may never be filled
 	Entries     []Entry
 }
 
@@ -62,9 +62,9 @@
 	More   uint64 `json:"More"` // hash of the sequence numbers of entries beyond Have
 }
 
-// Vectors are the vectors of all origins in some buckets of the digest.
+// Vectors holds the vectors of all origins in some buckets of the digest.
 type Vectors struct {
 	Buckets  []int
 	Vectors  []Vector
-	Response bool // sent in response to vectors: the receiver sends deltas, and no vectors
+	Response bool // sent in response to vectors: the receiver responds with deltas only
 }
--- a/internal/replication/everyorder_test.go
+++ b/internal/replication/everyorder_test.go
@@ -8,8 +8,7 @@
 // maxDeliveries is the number of deliveries in the longest explored order.
 const maxDeliveries = 6
 
-// writeSixEntries returns a store that has written values and a tombstone, and the six rumours
-// of them.
+// writeSixEntries returns a store that has written values and a tombstone, and their six rumours.
 func writeSixEntries(t *testing.T) (writer *Store, sent []Rumour) {
 	t.Helper()
 	writer = NewStore(testOrigin(1), testRules, DefaultLimits)
@@ -21,18 +20,18 @@
 		} else {
 			mustPut(t, writer, 0, checkedTopic, write.subject, write.value)
 		}
-		for _, r := range writer.Rumours(0) {
-			if !slices.ContainsFunc(sent, func(s Rumour) bool { return s.Entry.Seq == r.Entry.Seq }) {
-				sent = append(sent, r)
+		for _, rumour := range writer.Rumours(0) {
+			alreadySent := slices.ContainsFunc(sent, func(s Rumour) bool { return s.Entry.Seq == rumour.Entry.Seq })
+			if !alreadySent {
+				sent = append(sent, rumour)
 			}
 		}
 	}
 	return writer, sent
 }
 
-// Six messages are delivered in each order, each of them not at all, once or twice, at a store
-// that may have received some already. Whatever was delivered, one comparison then makes the
-// store equal to the writer, and nothing that was withdrawn reappears.
+// Six messages are delivered in every order, each of them never, once or twice. After any of these
+// deliveries, one comparison makes the store equal to the writer, so that no withdrawn entry reappears.
 func TestEveryOrderOfMessagesConverges(t *testing.T) {
 	writer, sent := writeSixEntries(t)
 	if len(sent) != 6 {
@@ -40,11 +39,11 @@
 	}
 	want := writer.View(0, checkedTopic)
 	states := 0
-	// The deliveries of an order are chosen one after the other. delivered counts them by message.
-	var deliver func(s *Store, remaining int, delivered [6]int)
-	deliver = func(s *Store, remaining int, delivered [6]int) {
+	// deliver explores all further deliveries at a store. delivered counts the deliveries of each message.
+	var deliver func(store *Store, remaining int, delivered [6]int)
+	deliver = func(store *Store, remaining int, delivered [6]int) {
 		states++
-		compared := cloneStore(s)
+		compared := cloneStore(store)
 		runAntiEntropy(0, compared, writer, loseNothing)
 		if err := compareViews(compared.View(0, checkedTopic), want); err != nil {
 			t.Fatalf("after %v: %v", delivered, err)
@@ -52,13 +51,14 @@
 		if remaining == 0 {
 			return
 		}
-		for i, r := range sent {
+		for i, rumour := range sent {
 			if delivered[i] == 2 {
 				continue
 			}
-			next, nextDelivered := cloneStore(s), delivered
+			next := cloneStore(store)
+			nextDelivered := delivered
 			nextDelivered[i]++
-			next.HandleRumour(0, r)
+			next.HandleRumour(0, rumour)
 			deliver(next, remaining-1, nextDelivered)
 		}
 	}
--- a/internal/replication/floors.go
+++ b/internal/replication/floors.go
@@ -8,10 +8,10 @@
 	forgottenAt time.Duration
 }
 
-// epochFloors keep incarnations that were forgotten from being accepted again, by name.
+// epochFloors prevents forgotten incarnations from being accepted again. It maps names to floors.
 type epochFloors map[string]epochFloor
 
-// admit reports whether an origin is later than all forgotten ones of its name.
+// admit reports whether an origin is later than all forgotten origins of its name.
 func (f epochFloors) admit(id Origin) bool {
 	floor, found := f[id.Name]
 	return !found || id.Epoch > floor.epoch
--- a/internal/replication/helpers_test.go
+++ b/internal/replication/helpers_test.go
@@ -14,25 +14,34 @@
 )
 
 const (
-	checkedTopic   Topic = 1 // its values are validated
-	uncheckedTopic Topic = 2 // it accepts any value
+	checkedTopic   Topic = 1 // values are validated
+	uncheckedTopic Topic = 2 // any value is accepted
 )
 
+// errInvalidValue is returned by the check of checkedTopic.
 var errInvalidValue = errors.New("invalid value")
 
+// testRules are the rules of both topics.
 var testRules = map[Topic]Rule{
-	checkedTopic: {TTL: time.Minute, Check: func(value []byte) error {
-		if len(value) == 0 || value[0] == 0xff {
-			return errInvalidValue
-		}
-		return nil
-	}},
-	uncheckedTopic: {TTL: 10 * time.Minute, Check: func([]byte) error { return nil }},
+	checkedTopic: {
+		TTL: time.Minute,
+		Check: func(value []byte) error {
+			if len(value) == 0 || value[0] == 0xff {
+				return errInvalidValue
+			}
+			return nil
+		},
+	},
+	uncheckedTopic: {
+		TTL:   10 * time.Minute,
+		Check: func([]byte) error { return nil },
+	},
 }
 
-// raceEnabled is set if the race detector is on: the full exploration then takes minutes.
+// raceEnabled is set if the race detector is enabled, with which the full exploration takes minutes.
 var raceEnabled bool
 
+// testOrigin returns the origin of instance i-<number>.
 func testOrigin(number int) Origin {
 	return Origin{Name: fmt.Sprint("i-", number), Epoch: 1000}
 }
@@ -44,15 +53,15 @@
 	}
 }
 
-// compareViews returns an error that names the first difference of two views. Ages are not
-// compared.
+// compareViews returns an error about the first difference between two views, nil if there is none.
+// It does not compare ages.
 func compareViews(a, b []Record) error {
 	for i := range max(len(a), len(b)) {
 		switch {
 		case i >= len(a):
-			return fmt.Errorf("the first lacks %v", b[i])
+			return fmt.Errorf("the first is missing %v", b[i])
 		case i >= len(b):
-			return fmt.Errorf("the second lacks %v", a[i])
+			return fmt.Errorf("the second is missing %v", a[i])
 		case !sameRecord(a[i], b[i]):
 			return fmt.Errorf("%v and %v differ", a[i], b[i])
 		}
@@ -67,10 +76,13 @@
 // loseNothing is a network that delivers every message.
 func loseNothing() bool { return false }
 
-// runAntiEntropy has two stores compare until neither has anything for the other, or eight
-// times at most. lose says of each message whether it is lost.
+// maxComparisons bounds the comparisons of runAntiEntropy.
+const maxComparisons = 8
+
+// runAntiEntropy has two stores compare until they have the same digest, up to maxComparisons times.
+// lose reports whether a message is lost.
 func runAntiEntropy(now time.Duration, a, b *Store, lose func() bool) {
-	for start := range 8 {
+	for start := range maxComparisons {
 		vectors := b.HandleDigest(a.Digest(), start)
 		if vectors == nil {
 			return
@@ -87,29 +99,35 @@
 	}
 }
 
-func mergeDeltas(now time.Duration, s *Store, deltas []Delta, lose func() bool) {
-	for _, d := range deltas {
+// mergeDeltas delivers deltas to a store.
+func mergeDeltas(now time.Duration, store *Store, deltas []Delta, lose func() bool) {
+	for _, delta := range deltas {
 		if !lose() {
-			s.Merge(now, d)
+			store.Merge(now, delta)
 		}
 	}
 }
 
 // cloneStore returns a copy of a store without indexed topics.
-func cloneStore(s *Store) *Store {
-	c := NewStore(s.self, s.rules, s.limits)
-	c.seq, c.rejected = s.seq, s.rejected
-	c.rumours.queued = slices.Clone(s.rumours.queued)
-	c.floors = maps.Clone(s.floors)
-	for id, original := range s.origins {
-		o := *original
-		o.partial.merged = slices.Clone(original.partial.merged)
-		o.registers = map[registerKey]*register{}
-		for key, r := range original.registers {
-			copied := *r
-			o.registers[key] = &copied
-		}
-		c.origins[id] = &o
+func cloneStore(original *Store) *Store {
+	clone := NewStore(original.self, original.rules, original.limits)
+	clone.seq = original.seq
+	clone.rejected = original.rejected
+	clone.rumours.queued = slices.Clone(original.rumours.queued)
+	clone.floors = maps.Clone(original.floors)
+	for id, state := range original.origins {
+		clone.origins[id] = cloneOriginState(state)
+	}
+	return clone
+}
+
+func cloneOriginState(original *originState) *originState {
+	clone := *original
+	clone.partial.merged = slices.Clone(original.partial.merged)
+	clone.registers = map[registerKey]*register{}
+	for key, r := range original.registers {
+		copied := *r
+		clone.registers[key] = &copied
 	}
-	return c
+	return &clone
 }
--- a/internal/replication/limits.go
+++ b/internal/replication/limits.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Errors of Store.Put, beside those of Rule.Check.
+// Errors of Store.Put, in addition to those of Rule.Check.
 var (
 	ErrUnknownTopic   = errors.New("replication: unknown topic")
 	ErrInvalidSubject = errors.New("replication: subject is empty or too long")
@@ -17,7 +17,7 @@
 // Rule describes the entries of a topic.
 type Rule struct {
 	TTL     time.Duration            // how long an entry is valid after it was written
-	Indexed bool                     // entries are few and viewed often: View does not scan other topics
+	Indexed bool                     // View does not scan other topics, for topics with few entries and frequent views
 	Check   func(value []byte) error // validates a value
 }
 
@@ -28,13 +28,13 @@
 	MaxSubjectBytes      int           // length of a subject and of an instance's name, in bytes
 	MaxValueBytes        int           // length of a value, in bytes
 	MaxMessageBytes      int           // approximate size of the entries in one message, in bytes
-	ForgetAfter          time.Duration // how long an origin is kept that is not heard from
-	Transmissions        int           // number of times that each replica passes a new entry on
-	MaxQueuedRumours     int           // entries waiting to be passed on
+	ForgetAfter          time.Duration // how long an origin is kept without a new entry
+	Transmissions        int           // number of times that each replica forwards a new entry
+	MaxQueuedRumours     int           // entries to be forwarded
 	MaxDeltasPerResponse int           // deltas sent in response to one Vectors message
 }
 
-// DefaultLimits keep a store under 64 MB with 4,096 origins of 256 entries of 64 bytes.
+// DefaultLimits limit the memory of a store to 64 MB with 4,096 origins of 256 entries of 64 bytes.
 var DefaultLimits = Limits{
 	MaxOrigins:           4096,
 	MaxEntries:           256,
@@ -47,7 +47,7 @@
 	MaxDeltasPerResponse: 16,
 }
 
-// Approximate size of messages on the wire, in bytes, beside names, subjects and values.
+// Approximate sizes on the wire, in bytes, without names, subjects and values.
 const (
 	entryOverheadBytes  = 24
 	vectorOverheadBytes = 24
@@ -55,8 +55,8 @@
 )
 
 // maxSeqGap is how far a received sequence number may exceed the known one. No instance writes
-// as many entries in its lifetime, so that a larger gap is a fault of the sender. Below it,
-// renumber can still exceed whatever number was received.
+// that many entries in its lifetime, so that a larger gap is a fault of the sender. The bound also
+// ensures that renumberAbove can exceed any number that was accepted.
 const maxSeqGap = 1 << 32
 
 // validator checks entries against the rules of their topics and the limits.
@@ -65,7 +65,7 @@
 	limits Limits
 }
 
-// validate returns why an entry with a value is not accepted.
+// validate returns an error if an entry with a value is not accepted.
 func (v validator) validate(key registerKey, value []byte) error {
 	rule, ok := v.rules[key.topic]
 	switch {
@@ -80,11 +80,11 @@
 }
 
 // acceptable reports whether a received entry is valid, a value or a tombstone.
-func (v validator) acceptable(e Entry) bool {
-	key := registerKey{e.Topic, e.Subject}
-	_, known := v.rules[e.Topic]
-	if !known || e.Age < 0 || e.Subject == "" || len(e.Subject) > v.limits.MaxSubjectBytes {
+func (v validator) acceptable(entry Entry) bool {
+	_, known := v.rules[entry.Topic]
+	if !known || entry.Age < 0 || entry.Subject == "" || len(entry.Subject) > v.limits.MaxSubjectBytes {
 		return false
 	}
-	return e.Withdrawn || v.validate(key, e.Value) == nil
+	key := registerKey{entry.Topic, entry.Subject}
+	return entry.Withdrawn || v.validate(key, entry.Value) == nil
 }
--- a/internal/replication/originstate.go
+++ b/internal/replication/originstate.go
@@ -20,7 +20,7 @@
 	value     []byte
 }
 
-// entry returns the register as it is sent to others, with its age.
+// entry returns the register's entry with its current age.
 func (r *register) entry(now time.Duration, key registerKey) Entry {
 	return Entry{
 		Topic:     key.topic,
@@ -32,15 +32,15 @@
 	}
 }
 
-// originState is what a replica knows about one origin.
+// originState is a replica's state of one origin.
 type originState struct {
 	id Origin
-	// completeTo is the sequence number up to which the replica is complete: of each subject it
+	// completeTo is the sequence number up to which the replica is complete. For each subject it
 	// has the latest entry up to this number, unless that has expired.
 	completeTo uint64
-	updatedAt  time.Duration // when it was last heard from
+	updatedAt  time.Duration // when the last new entry was received
 	registers  map[registerKey]*register
-	indexed    map[registerKey]*register // the registers whose topics are Indexed; nil if there are none
+	indexed    map[registerKey]*register // registers whose topics are Indexed; nil if there are none
 	partial    partialDelta
 }
 
@@ -48,37 +48,37 @@
 	return &originState{id: id, updatedAt: now, registers: map[registerKey]*register{}}
 }
 
-// set stores a register. indexed says whether its topic is.
-func (o *originState) set(key registerKey, r *register, indexed bool) {
-	o.registers[key] = r
+// set stores a register. indexed is whether its topic is Indexed.
+func (o *originState) set(key registerKey, value *register, indexed bool) {
+	o.registers[key] = value
 	if !indexed {
 		return
 	}
 	if o.indexed == nil {
 		o.indexed = map[registerKey]*register{}
 	}
-	o.indexed[key] = r
+	o.indexed[key] = value
 }
 
-// remove removes a register.
+// remove deletes a register.
 func (o *originState) remove(key registerKey) {
 	delete(o.registers, key)
 	delete(o.indexed, key)
 }
 
-// vector returns the state of the origin in short.
+// vector returns the vector of the origin.
 func (o *originState) vector() Vector {
-	v := Vector{Origin: o.id, Have: o.completeTo}
+	vector := Vector{Origin: o.id, Have: o.completeTo}
 	for _, r := range o.registers {
 		if r.seq > o.completeTo {
-			v.More += splitmix.Mix(r.seq)
+			vector.More += splitmix.Mix(r.seq)
 		}
 	}
-	return v
+	return vector
 }
 
-// contains reports whether the entry of a sequence number is stored, or was and has been
-// replaced or has expired.
+// contains reports whether the entry of a sequence number is stored, or was stored until it was
+// replaced or expired.
 func (o *originState) contains(seq uint64) bool {
 	if seq <= o.completeTo {
 		return true
@@ -91,8 +91,8 @@
 	return false
 }
 
-// entriesAbove returns the entries above a sequence number up to completeTo, and those beyond
-// completeTo, in no order.
+// entriesAbove returns the entries above a sequence number up to completeTo, and the entries beyond
+// completeTo, in no particular order.
 func (o *originState) entriesAbove(now time.Duration, seq uint64) (complete, beyond []Entry) {
 	for key, r := range o.registers {
 		switch {
@@ -121,23 +121,27 @@
 	remaining          int
 }
 
-// add records a part and reports whether the delta is complete with it. A part of another
-// delta than the recorded one starts anew.
-func (p *partialDelta) add(d Delta) (complete bool) {
-	same := p.from == d.From && p.to == d.To && p.checksum == d.Checksum && len(p.merged) == d.Parts
-	if !same {
+// add records a part and reports whether it was the last missing one. A part of another delta than
+// the recorded one replaces the record.
+func (p *partialDelta) add(part Delta) (complete bool) {
+	if !p.matches(part) {
 		*p = partialDelta{
-			from:      d.From,
-			to:        d.To,
-			checksum:  d.Checksum,
-			merged:    make([]bool, d.Parts),
-			remaining: d.Parts,
+			from:      part.From,
+			to:        part.To,
+			checksum:  part.Checksum,
+			merged:    make([]bool, part.Parts),
+			remaining: part.Parts,
 		}
 	}
-	if p.merged[d.Part] {
+	if p.merged[part.Part] {
 		return false
 	}
-	p.merged[d.Part] = true
+	p.merged[part.Part] = true
 	p.remaining--
 	return p.remaining == 0
 }
+
+// matches reports whether a part belongs to the recorded delta.
+func (p *partialDelta) matches(part Delta) bool {
+	return p.from == part.From && p.to == part.To && p.checksum == part.Checksum && len(p.merged) == part.Parts
+}
--- a/internal/replication/rumours.go
+++ b/internal/replication/rumours.go
@@ -2,83 +2,92 @@
 
 import "time"
 
-// queuedRumour is an entry that is still to be passed on.
+// queuedRumour is an entry to be forwarded.
 type queuedRumour struct {
-	origin   Origin
-	key      registerKey
-	seq      uint64
-	sendings int // how often it is still to be sent
+	origin    Origin
+	key       registerKey
+	seq       uint64
+	remaining int // number of times that it will be sent
 }
 
-// rumourQueue has the entries to pass on, those sent least often first.
+// rumourQueue holds the entries to be forwarded. Those that were sent least often come first.
 type rumourQueue struct {
-	queued   []queuedRumour
-	capacity int
-	sendings int // how often each entry is sent
+	queued        []queuedRumour
+	capacity      int
+	transmissions int // number of times that each entry is sent
 }
 
-// add queues an entry. If the queue is full, its first entry is discarded: anti-entropy
-// repairs what that would have delivered.
+// add queues an entry. If the queue is full, its first entry is discarded, and delivered by
+// anti-entropy instead.
 func (q *rumourQueue) add(origin Origin, key registerKey, seq uint64) {
 	if len(q.queued) >= q.capacity {
 		q.queued = q.queued[1:]
 	}
-	q.queued = append(q.queued, queuedRumour{origin: origin, key: key, seq: seq, sendings: q.sendings})
+	q.queued = append(q.queued, queuedRumour{
+		origin:    origin,
+		key:       key,
+		seq:       seq,
+		remaining: q.transmissions,
+	})
 }
 
-// Rumours returns the entries to pass on now, as many as one message holds. The caller sends
+// Rumours returns the entries to forward now, as many as fit into one message. The caller sends
 // them to a few other instances.
 func (s *Store) Rumours(now time.Duration) []Rumour {
 	var batch []Rumour
 	var resend []queuedRumour
 	size := 0
-	q := &s.rumours
-	for len(q.queued) > 0 {
-		next := q.queued[0]
-		if r := s.current(next); r != nil { // otherwise it has expired or been replaced
-			size += rumourOverheadBytes + len(next.origin.Name) + len(next.key.subject) + len(r.value)
-			if size > s.limits.MaxMessageBytes && len(batch) > 0 {
-				break
-			}
-			batch = append(batch, Rumour{Origin: next.origin, Entry: r.entry(now, next.key)})
-			next.sendings--
-			if next.sendings > 0 {
-				resend = append(resend, next)
-			}
+	queue := &s.rumours
+	for len(queue.queued) > 0 {
+		next := queue.queued[0]
+		current := s.currentRegister(next)
+		if current == nil { // the entry has expired or was replaced
+			queue.queued = queue.queued[1:]
+			continue
+		}
+		size += rumourOverheadBytes + len(next.origin.Name) + len(next.key.subject) + len(current.value)
+		if size > s.limits.MaxMessageBytes && len(batch) > 0 {
+			break
+		}
+		queue.queued = queue.queued[1:]
+		batch = append(batch, Rumour{Origin: next.origin, Entry: current.entry(now, next.key)})
+		next.remaining--
+		if next.remaining > 0 {
+			resend = append(resend, next)
 		}
-		q.queued = q.queued[1:]
 	}
-	q.queued = append(q.queued, resend...)
+	queue.queued = append(queue.queued, resend...)
 	return batch
 }
 
-// current returns the register of a queued rumour, nil if that has another entry by now.
-func (s *Store) current(queued queuedRumour) *register {
-	o := s.origins[queued.origin]
-	if o == nil {
+// currentRegister returns the register of a queued entry, nil if the register has another entry now.
+func (s *Store) currentRegister(queued queuedRumour) *register {
+	state := s.origins[queued.origin]
+	if state == nil {
 		return nil
 	}
-	r := o.registers[queued.key]
-	if r == nil || r.seq != queued.seq {
+	stored := state.registers[queued.key]
+	if stored == nil || stored.seq != queued.seq {
 		return nil
 	}
-	return r
+	return stored
 }
 
-// HandleRumour merges a received rumour, and passes it on if it was new.
-func (s *Store) HandleRumour(now time.Duration, r Rumour) {
-	if r.Origin == s.self {
+// HandleRumour merges a received rumour, and forwards it if it was new.
+func (s *Store) HandleRumour(now time.Duration, rumour Rumour) {
+	if rumour.Origin == s.self {
 		return
 	}
-	o := s.findOrAddOrigin(now, r.Origin)
-	if o == nil {
+	state := s.findOrAddOrigin(now, rumour.Origin)
+	if state == nil {
 		return
 	}
-	isNew := s.mergeEntry(now, o, r.Entry)
-	if r.Entry.Seq == o.completeTo+1 {
-		o.completeTo++
+	entry := rumour.Entry
+	isNew := s.mergeEntry(now, state, entry)
+	if entry.Seq == state.completeTo+1 {
+		state.completeTo++
 	}
 	if isNew {
-		s.rumours.add(r.Origin, registerKey{r.Entry.Topic, r.Entry.Subject}, r.Entry.Seq)
+		s.rumours.add(rumour.Origin, registerKey{entry.Topic, entry.Subject}, entry.Seq)
 	}
 }
--- a/internal/replication/store.go
+++ b/internal/replication/store.go
@@ -17,22 +17,22 @@
 	origins  map[Origin]*originState
 	floors   epochFloors
 	rumours  rumourQueue
-	rejected uint64 // entries and messages
+	rejected uint64 // number of entries and messages
 }
 
-// NewStore returns a store that knows no origin but self.
+// NewStore returns a store without entries that is written by self.
 func NewStore(self Origin, rules map[Topic]Rule, limits Limits) *Store {
 	return &Store{
 		validator: validator{rules: rules, limits: limits},
 		self:      self,
 		origins:   map[Origin]*originState{self: newOriginState(self, 0)},
 		floors:    epochFloors{},
-		rumours:   rumourQueue{capacity: limits.MaxQueuedRumours, sendings: limits.Transmissions},
+		rumours:   rumourQueue{capacity: limits.MaxQueuedRumours, transmissions: limits.Transmissions},
 	}
 }
 
-// Put writes a value under a topic and a subject. The error is that of the topic's check, or
-// one of ErrUnknownTopic, ErrInvalidSubject, ErrValueTooLong and ErrSubjectLimit.
+// Put writes a value under a topic and a subject. Its errors are ErrUnknownTopic,
+// ErrInvalidSubject, ErrValueTooLong, ErrSubjectLimit and those of the topic's check.
 func (s *Store) Put(now time.Duration, topic Topic, subject string, value []byte) error {
 	key := registerKey{topic, subject}
 	if err := s.validate(key, value); err != nil {
@@ -49,25 +49,27 @@
 // Withdraw replaces a value by a tombstone. It does nothing if there is no value.
 func (s *Store) Withdraw(now time.Duration, topic Topic, subject string) {
 	key := registerKey{topic, subject}
-	r := s.origins[s.self].registers[key]
-	if r != nil && !r.withdrawn {
+	stored := s.origins[s.self].registers[key]
+	if stored != nil && !stored.withdrawn {
 		s.write(now, key, &register{withdrawn: true})
 	}
 }
 
-// write stores a local register under the next sequence number and passes it on.
-func (s *Store) write(writtenAt time.Duration, key registerKey, r *register) {
+// write stores a local register under the next sequence number and queues it as a rumour.
+func (s *Store) write(writtenAt time.Duration, key registerKey, value *register) {
 	s.seq++
-	r.seq, r.writtenAt = s.seq, writtenAt
+	value.seq = s.seq
+	value.writtenAt = writtenAt
 	local := s.origins[s.self]
-	local.set(key, r, s.rules[key.topic].Indexed)
-	local.completeTo, local.updatedAt = s.seq, writtenAt
-	s.rumours.add(s.self, key, r.seq)
+	local.set(key, value, s.rules[key.topic].Indexed)
+	local.completeTo = s.seq
+	local.updatedAt = writtenAt
+	s.rumours.add(s.self, key, s.seq)
 }
 
-// renumberAbove writes all local entries anew if another replica's vector has a higher sequence
-// number for this incarnation than was ever assigned. Somebody has distributed entries in its
-// name, and replicas that hold them would ignore entries with lower numbers.
+// renumberAbove writes all local entries again if another replica's vector has a higher sequence
+// number for this incarnation than this store has assigned. Another instance has then distributed
+// entries in its name, and replicas that have them would ignore entries with lower numbers.
 func (s *Store) renumberAbove(now time.Duration, remote Vector) {
 	if remote.Origin != s.self || remote.Have <= s.seq || remote.Have-s.seq > maxSeqGap {
 		return
@@ -82,76 +84,81 @@
 		return cmp.Or(cmp.Compare(a.topic, b.topic), strings.Compare(a.subject, b.subject))
 	})
 	for _, key := range keys {
-		r := local.registers[key]
-		s.write(r.writtenAt, key, &register{withdrawn: r.withdrawn, value: r.value})
+		stored := local.registers[key]
+		s.write(stored.writtenAt, key, &register{withdrawn: stored.withdrawn, value: stored.value})
 	}
-	local.completeTo, local.updatedAt = s.seq, now
+	local.completeTo = s.seq
+	local.updatedAt = now
 }
 
-// admit reports whether an origin that is not known may be added.
+// admit reports whether an unknown origin may be added.
 func (s *Store) admit(id Origin) bool {
 	return id.Name != "" && len(id.Name) <= s.limits.MaxSubjectBytes && s.floors.admit(id)
 }
 
-// findOrAddOrigin returns the state of an origin, a new one if it is not known, and nil if it
-// may not be added or there is no capacity for it.
+// findOrAddOrigin returns the state of an origin. An unknown origin is added; the result is nil if
+// it may not be added or there is no capacity for it.
 func (s *Store) findOrAddOrigin(now time.Duration, id Origin) *originState {
-	if o := s.origins[id]; o != nil {
-		return o
+	if known := s.origins[id]; known != nil {
+		return known
 	}
 	if !s.admit(id) || len(s.origins) >= s.limits.MaxOrigins {
 		s.rejected++
 		return nil
 	}
-	o := newOriginState(id, now)
-	s.origins[id] = o
-	return o
+	added := newOriginState(id, now)
+	s.origins[id] = added
+	return added
 }
 
 // mergeEntry merges a received entry and reports whether it was new.
-func (s *Store) mergeEntry(now time.Duration, o *originState, e Entry) bool {
-	if e.Seq <= o.completeTo {
+func (s *Store) mergeEntry(now time.Duration, state *originState, entry Entry) bool {
+	if entry.Seq <= state.completeTo {
 		return false
 	}
-	if e.Seq-o.completeTo > maxSeqGap {
+	if entry.Seq-state.completeTo > maxSeqGap {
 		s.rejected++
 		return false
 	}
-	key := registerKey{e.Topic, e.Subject}
-	old := o.registers[key]
-	if old != nil && old.seq == e.Seq {
-		old.writtenAt = min(old.writtenAt, now-max(0, e.Age))
+	key := registerKey{entry.Topic, entry.Subject}
+	stored := state.registers[key]
+	if stored != nil && stored.seq == entry.Seq {
+		stored.writtenAt = min(stored.writtenAt, now-max(0, entry.Age))
 	}
-	if old != nil && old.seq >= e.Seq {
+	if stored != nil && stored.seq >= entry.Seq {
 		return false
 	}
-	if !s.acceptable(e) {
+	if !s.acceptable(entry) {
 		s.rejected++
 		return false
 	}
-	if e.Age >= s.rules[e.Topic].TTL {
-		o.remove(key) // the stored entry is older still
+	if entry.Age >= s.rules[entry.Topic].TTL {
+		state.remove(key) // the stored entry was written before this one
 		return false
 	}
-	if old == nil && len(o.registers) >= s.limits.MaxEntries {
+	if stored == nil && len(state.registers) >= s.limits.MaxEntries {
 		s.rejected++
 		return false
 	}
-	r := &register{seq: e.Seq, writtenAt: now - e.Age, withdrawn: e.Withdrawn}
-	if !e.Withdrawn {
-		r.value = e.Value
+	merged := &register{
+		seq:       entry.Seq,
+		writtenAt: now - entry.Age,
+		withdrawn: entry.Withdrawn,
 	}
-	o.set(key, r, s.rules[e.Topic].Indexed)
-	o.updatedAt = now
+	if !entry.Withdrawn {
+		merged.value = entry.Value
+	}
+	state.set(key, merged, s.rules[entry.Topic].Indexed)
+	state.updatedAt = now
 	return true
 }
 
-// Expire removes expired entries and forgets origins that were not heard from for
-// Limits.ForgetAfter. It is to be called about every second.
+// Expire removes expired entries, and origins without a new entry for Limits.ForgetAfter. It must be
+// called about once per second.
 func (s *Store) Expire(now time.Duration) {
-	for id, o := range s.origins {
-		o.removeExpired(now, s.rules)
-		if id != s.self && now-o.updatedAt >= s.limits.ForgetAfter {
+	for id, state := range s.origins {
+		state.removeExpired(now, s.rules)
+		if id != s.self && now-state.updatedAt >= s.limits.ForgetAfter {
 			delete(s.origins, id)
 			s.floors.raise(id, now)
 		}
--- a/internal/replication/store_test.go
+++ b/internal/replication/store_test.go
@@ -12,9 +12,11 @@
 
 func TestPutReturnsTypedErrors(t *testing.T) {
 	limits := DefaultLimits
-	limits.MaxEntries, limits.MaxSubjectBytes, limits.MaxValueBytes = 1, 4, 4
-	s := NewStore(testOrigin(1), testRules, limits)
-	mustPut(t, s, 0, checkedTopic, "s", "1")
+	limits.MaxEntries = 1
+	limits.MaxSubjectBytes = 4
+	limits.MaxValueBytes = 4
+	store := NewStore(testOrigin(1), testRules, limits)
+	mustPut(t, store, 0, checkedTopic, "s", "1")
 	for name, c := range map[string]struct {
 		topic          Topic
 		subject, value string
@@ -27,14 +29,14 @@
 		"value fails the check": {checkedTopic, "s", "", errInvalidValue},
 		"too many subjects":     {checkedTopic, "t", "1", ErrSubjectLimit},
 	} {
-		if err := s.Put(0, c.topic, c.subject, []byte(c.value)); !errors.Is(err, c.want) {
+		if err := store.Put(0, c.topic, c.subject, []byte(c.value)); !errors.Is(err, c.want) {
 			t.Errorf("%s: error %v, want %v", name, err, c.want)
 		}
 	}
 }
 
-// What was withdrawn or has expired does not reappear, whatever arrives late: a recorded
-// rumour, a replica that was disconnected for an hour, an earlier incarnation.
+// An entry that was withdrawn or has expired does not reappear, even if a recorded rumour is
+// delivered again or a replica returns that was disconnected for an hour.
 func TestWithdrawnEntryStaysWithdrawn(t *testing.T) {
 	limits := DefaultLimits
 	limits.ForgetAfter = 30 * time.Minute
@@ -47,17 +49,17 @@
 	runAntiEntropy(0, writer, disconnected, loseNothing)
 	writer.Withdraw(time.Second, checkedTopic, "s")
 	runAntiEntropy(time.Second, writer, replica, loseNothing)
-	if v := replica.View(time.Second, checkedTopic); len(v) != 0 {
-		t.Fatalf("withdrawn, but visible: %v", v)
+	if view := replica.View(time.Second, checkedTopic); len(view) != 0 {
+		t.Fatalf("withdrawn, but visible: %v", view)
 	}
 	replay := func(now time.Duration, condition string) {
 		t.Helper()
-		for _, r := range recorded {
-			replica.HandleRumour(now, r)
+		for _, rumour := range recorded {
+			replica.HandleRumour(now, rumour)
 		}
 		runAntiEntropy(now, replica, disconnected, loseNothing)
-		if v := replica.View(now, checkedTopic); len(v) != 0 {
-			t.Errorf("%s: %v reappeared", condition, v)
+		if view := replica.View(now, checkedTopic); len(view) != 0 {
+			t.Errorf("%s: %v reappeared", condition, view)
 		}
 	}
 	replay(2*time.Second, "two seconds later")
@@ -76,13 +78,12 @@
 	restarted := NewStore(Origin{Name: "i-1", Epoch: 2000}, testRules, limits)
 	mustPut(t, restarted, time.Hour, checkedTopic, "s", "2")
 	runAntiEntropy(time.Hour, restarted, replica, loseNothing)
-	if v := replica.View(time.Hour, checkedTopic); len(v) != 1 || string(v[0].Value) != "2" {
-		t.Errorf("the next incarnation is not accepted: %v", v)
+	if view := replica.View(time.Hour, checkedTopic); len(view) != 1 || string(view[0].Value) != "2" {
+		t.Errorf("the next incarnation is not accepted: %v", view)
 	}
 }
 
-// Two incarnations of one name that both run are two instances: neither replaces the other's
-// entries.
+// Two incarnations of one name that run at the same time do not replace each other's entries.
 func TestIncarnationsOfOneNameAreIndependent(t *testing.T) {
 	first := NewStore(Origin{Name: "i-1", Epoch: 1}, testRules, DefaultLimits)
 	second := NewStore(Origin{Name: "i-1", Epoch: 2}, testRules, DefaultLimits)
@@ -93,31 +94,33 @@
 		runAntiEntropy(0, first, other, loseNothing)
 		runAntiEntropy(0, second, other, loseNothing)
 	}
-	v := other.View(0, uncheckedTopic)
-	if len(v) != 2 || string(v[0].Value) != "1" || string(v[1].Value) != "2" {
-		t.Errorf("view %v, want both values", v)
+	view := other.View(0, uncheckedTopic)
+	if len(view) != 2 || string(view[0].Value) != "1" || string(view[1].Value) != "2" {
+		t.Errorf("view %v, want both values", view)
 	}
 	if err := compareViews(first.View(0, uncheckedTopic), second.View(0, uncheckedTopic)); err != nil {
 		t.Errorf("the incarnations' views: %v", err)
 	}
 }
 
-// A faulty instance that sends more than permitted, in another's name or invalid, causes
-// nothing that the writer does not correct, and uses no more memory than the limits permit.
+// Entries that a faulty instance sends in a writer's name are corrected by the writer. Entries that
+// are invalid or too many use no more memory than the limits permit.
 func TestFaultyPeerIsCorrectedAndBounded(t *testing.T) {
 	limits := DefaultLimits
-	limits.MaxOrigins, limits.MaxEntries = 50, 10
-	writer, replica := NewStore(testOrigin(1), testRules, limits), NewStore(testOrigin(2), testRules, limits)
+	limits.MaxOrigins = 50
+	limits.MaxEntries = 10
+	writer := NewStore(testOrigin(1), testRules, limits)
+	replica := NewStore(testOrigin(2), testRules, limits)
 	mustPut(t, writer, 0, checkedTopic, "s", "true")
 	runAntiEntropy(0, writer, replica, loseNothing)
-	// In the writer's name, with sequence numbers that it has not assigned.
+	// The forged entry has the writer's name and a sequence number that the writer has not assigned.
 	forged := Entry{Topic: checkedTopic, Subject: "s", Seq: 900, Value: []byte("forged")}
 	replica.Merge(0, Delta{Origin: testOrigin(1), From: 0, To: 900, Parts: 1, Entries: []Entry{forged}})
 	replica.Merge(0, Delta{Origin: testOrigin(1), From: 900, To: 1 << 60, Parts: 1})
 	runAntiEntropy(0, writer, replica, loseNothing)
 	runAntiEntropy(0, writer, replica, loseNothing)
-	if v := replica.View(0, checkedTopic); len(v) != 1 || string(v[0].Value) != "true" {
-		t.Errorf("the replica has %v", v)
+	if view := replica.View(0, checkedTopic); len(view) != 1 || string(view[0].Value) != "true" {
+		t.Errorf("the replica has %v", view)
 	}
 	random := rand.New(rand.NewPCG(1, 2))
 	for n := range 2000 {
@@ -126,40 +129,41 @@
 			Entry:  randomEntry(random, fmt.Sprint(n%31)),
 		})
 	}
-	for id, o := range replica.origins {
-		if len(o.registers) > limits.MaxEntries {
-			t.Errorf("%d entries of %v", len(o.registers), id)
+	for id, state := range replica.origins {
+		if len(state.registers) > limits.MaxEntries {
+			t.Errorf("%d entries of %v", len(state.registers), id)
 		}
 	}
 	queued := len(replica.rumours.queued)
 	if replica.Origins() > limits.MaxOrigins || queued > limits.MaxQueuedRumours || replica.RejectedCount() == 0 {
 		t.Errorf("%d origins, %d rumours, %d rejected", replica.Origins(), queued, replica.RejectedCount())
 	}
-	if v := writer.View(0, checkedTopic); len(v) != 1 || string(v[0].Value) != "true" {
-		t.Errorf("the writer has %v", v)
+	if view := writer.View(0, checkedTopic); len(view) != 1 || string(view[0].Value) != "true" {
+		t.Errorf("the writer has %v", view)
 	}
 }
 
-// randomEntry returns an entry of which anything but the subject may be invalid. Its age is
-// positive or negative.
+// randomEntry returns an entry whose topic, sequence number, age and value may be invalid.
 func randomEntry(random *rand.Rand, subject string) Entry {
-	e := Entry{Topic: Topic(random.IntN(4)), Subject: subject}
-	e.Seq = random.Uint64() >> random.IntN(64)
+	entry := Entry{Topic: Topic(random.IntN(4)), Subject: subject}
+	entry.Seq = random.Uint64() >> random.IntN(64)
 	added, subtracted := time.Duration(random.Int64()), time.Duration(random.Int64())
-	e.Age = added - subtracted
-	e.Value = []byte{byte(random.IntN(256))}
-	return e
+	entry.Age = added - subtracted // positive or negative
+	entry.Value = []byte{byte(random.IntN(256))}
+	return entry
 }
 
-// A store with an indexed topic has the same views as one without, whatever is written,
-// received, withdrawn and expired.
+// A store with an indexed topic has the same views as a store without one after any sequence of
+// entries that are written, received, withdrawn and expired.
 func TestIndexedTopicHasTheSameView(t *testing.T) {
 	indexedRule := testRules[uncheckedTopic]
 	indexedRule.Indexed = true
 	indexedRules := map[Topic]Rule{checkedTopic: testRules[checkedTopic], uncheckedTopic: indexedRule}
 	rapid.Check(t, func(t *rapid.T) {
-		plain, indexed := NewStore(testOrigin(0), testRules, DefaultLimits), NewStore(testOrigin(0), indexedRules, DefaultLimits)
-		now, seq := time.Duration(0), uint64(0)
+		plain := NewStore(testOrigin(0), testRules, DefaultLimits)
+		indexed := NewStore(testOrigin(0), indexedRules, DefaultLimits)
+		now := time.Duration(0)
+		seq := uint64(0)
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			topic := Topic(rapid.IntRange(1, 2).Draw(t, "topic"))
 			subject := fmt.Sprint("s-", rapid.IntRange(0, 3).Draw(t, "subject"))
@@ -168,14 +172,14 @@
 			gap := rapid.IntRange(0, 2).Draw(t, "gap")
 			now += time.Duration(rapid.IntRange(0, 20).Draw(t, "seconds")) * time.Second
 			seq += uint64(gap)
-			for _, s := range []*Store{plain, indexed} {
+			for _, store := range []*Store{plain, indexed} {
 				switch event {
 				case 0:
-					mustPut(t, s, now, topic, subject, "\x01")
+					mustPut(t, store, now, topic, subject, "\x01")
 				case 1:
-					s.Withdraw(now, topic, subject)
+					store.Withdraw(now, topic, subject)
 				case 2, 3:
-					s.HandleRumour(now, Rumour{Origin: origin, Entry: Entry{
+					store.HandleRumour(now, Rumour{Origin: origin, Entry: Entry{
 						Topic:     topic,
 						Subject:   subject,
 						Seq:       seq + 1,
@@ -184,7 +188,7 @@
 						Value:     []byte{2},
 					}})
 				case 4:
-					s.Expire(now)
+					store.Expire(now)
 				}
 			}
 			for _, topic := range []Topic{checkedTopic, uncheckedTopic} {
--- a/internal/replication/vectors.go
+++ b/internal/replication/vectors.go
@@ -11,27 +11,27 @@
 // Vectors returns the vectors of all origins.
 func (s *Store) Vectors() []Vector {
 	var vectors []Vector
-	for _, o := range s.origins {
-		vectors = append(vectors, o.vector())
+	for _, state := range s.origins {
+		vectors = append(vectors, state.vector())
 	}
 	slices.SortFunc(vectors, compareVectors)
 	return vectors
 }
 
-// bucketVectors returns the vectors of as many of the buckets as one message holds, and of one
-// bucket at least.
+// bucketVectors returns the vectors of as many of the buckets as fit into one message, but of at
+// least one bucket.
 func (s *Store) bucketVectors(buckets []int, response bool) *Vectors {
 	byBucket := map[int][]Vector{}
-	for id, o := range s.origins {
+	for id, state := range s.origins {
 		bucket := id.bucket()
-		byBucket[bucket] = append(byBucket[bucket], o.vector())
+		byBucket[bucket] = append(byBucket[bucket], state.vector())
 	}
 	message := &Vectors{Response: response}
 	size := 0
 	for _, bucket := range buckets {
 		vectors := byBucket[bucket]
-		for _, v := range vectors {
-			size += vectorOverheadBytes + len(v.Origin.Name)
+		for _, vector := range vectors {
+			size += vectorOverheadBytes + len(vector.Origin.Name)
 		}
 		if len(message.Buckets) > 0 && size > s.limits.MaxMessageBytes {
 			break
@@ -43,56 +43,56 @@
 	return message
 }
 
-// HandleVectors compares another replica's vectors with this one's. It returns the deltas
-// that the other one lacks, and this one's vectors of the same buckets if it lacks some
-// itself, nil if not or if v is a response.
-func (s *Store) HandleVectors(now time.Duration, v *Vectors) (deltas []Delta, local *Vectors) {
-	remote := map[Origin]Vector{}
+// HandleVectors compares another replica's vectors with this one's. It returns the deltas that the
+// other replica is missing. If this replica is missing entries, and remote is not a response, it
+// also returns its own vectors of the same buckets; otherwise local is nil.
+func (s *Store) HandleVectors(now time.Duration, remote *Vectors) (deltas []Delta, local *Vectors) {
+	remoteByOrigin := map[Origin]Vector{}
 	behind := false
-	for _, vector := range v.Vectors {
+	for _, vector := range remote.Vectors {
 		s.renumberAbove(now, vector)
-		remote[vector.Origin] = vector
+		remoteByOrigin[vector.Origin] = vector
 		behind = behind || s.behind(vector)
 	}
-	buckets := validBuckets(v.Buckets)
-	deltas = s.missingDeltas(now, buckets, remote)
-	if behind && !v.Response {
+	buckets := validBuckets(remote.Buckets)
+	deltas = s.missingDeltas(now, buckets, remoteByOrigin)
+	if behind && !remote.Response {
 		local = s.bucketVectors(buckets, true)
 	}
 	return deltas, local
 }
 
-// behind reports whether another replica's vector has entries that this one lacks.
+// behind reports whether this replica is missing entries that another one has, by its vector.
 func (s *Store) behind(remote Vector) bool {
 	if remote.Origin == s.self {
 		return false
 	}
-	o := s.origins[remote.Origin]
-	if o == nil {
+	state := s.origins[remote.Origin]
+	if state == nil {
 		return s.admit(remote.Origin)
 	}
-	return o.completeTo < remote.Have || o.vector().More != remote.More
+	return state.completeTo < remote.Have || state.vector().More != remote.More
 }
 
-// missingDeltas returns the deltas of origins in some buckets that another replica lacks, by its
-// vectors. The first origin's deltas are returned whatever their number, those of others as
-// far as one response holds them.
+// missingDeltas returns the deltas of origins in some buckets that another replica is missing, by
+// its vectors. The deltas of the first origin are all returned. Those of further origins are returned
+// up to MaxDeltasPerResponse.
 func (s *Store) missingDeltas(now time.Duration, buckets []int, remote map[Origin]Vector) []Delta {
 	requested := map[int]bool{}
 	for _, bucket := range buckets {
 		requested[bucket] = true
 	}
-	var origins []*originState
-	for id, o := range s.origins {
+	var ahead []*originState
+	for id, state := range s.origins {
 		vector, known := remote[id]
-		if requested[id.bucket()] && (!known || o.ahead(vector)) {
-			origins = append(origins, o)
+		if requested[id.bucket()] && (!known || state.ahead(vector)) {
+			ahead = append(ahead, state)
 		}
 	}
-	slices.SortFunc(origins, func(a, b *originState) int { return a.id.compare(b.id) })
+	slices.SortFunc(ahead, func(a, b *originState) int { return a.id.compare(b.id) })
 	var deltas []Delta
-	for _, o := range origins {
-		next := s.deltas(now, o, remote[o.id].Have)
+	for _, state := range ahead {
+		next := s.deltas(now, state, remote[state.id].Have)
 		if len(deltas) > 0 && len(deltas)+len(next) > s.limits.MaxDeltasPerResponse {
 			break
 		}
@@ -101,7 +101,7 @@
 	return deltas
 }
 
-// ahead reports whether the origin has entries that another replica lacks, by its vector.
+// ahead reports whether another replica is missing entries of the origin, by its vector.
 func (o *originState) ahead(remote Vector) bool {
 	local := o.vector()
 	return remote.Have < local.Have || local.More != 0 && local.More != remote.More
--- a/internal/replication/view.go
+++ b/internal/replication/view.go
@@ -7,15 +7,15 @@
 	"time"
 )
 
-// View returns the valid entries of a topic, by origin and subject. Tombstones and expired
-// entries are not among them.
+// View returns the valid entries of a topic, sorted by origin and subject. It does not return
+// tombstones and expired entries.
 func (s *Store) View(now time.Duration, topic Topic) []Record {
 	rule := s.rules[topic]
 	var records []Record
-	for id, o := range s.origins {
-		registers := o.registers
+	for id, state := range s.origins {
+		registers := state.registers
 		if rule.Indexed {
-			registers = o.indexed
+			registers = state.indexed
 		}
 		for key, r := range registers {
 			if key.topic == topic && !r.withdrawn && now-r.writtenAt < rule.TTL {
@@ -29,11 +29,11 @@
 	return records
 }
 
-// Contains reports whether an origin's entry of a sequence number is stored, or was and has
-// been replaced or has expired.
+// Contains reports whether an origin's entry of a sequence number is stored, or was stored until it
+// was replaced or expired.
 func (s *Store) Contains(id Origin, seq uint64) bool {
-	o := s.origins[id]
-	return o != nil && o.contains(seq)
+	state := s.origins[id]
+	return state != nil && state.contains(seq)
 }
 
 // Self returns this instance's incarnation.
