--- a/internal/emulator/realtime/realtime_test.go
+++ b/internal/emulator/realtime/realtime_test.go
@@ -64,7 +64,7 @@
 func TestResultMatchesVirtualTime(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	s := shortScenario(t)
-	events := map[string]int{} // by kind
+	events := map[trace.Kind]int{}
 	got, err := Run(context.Background(), s, Options{Watch: func(event trace.Event) { events[event.Kind]++ }})
 	if err != nil {
 		t.Fatal(err)
@@ -94,7 +94,7 @@
 }
 
 // checkEvents checks that the trace has an event for each client attempt, each notification and most attempts.
-func checkEvents(t *testing.T, events map[string]int, s *plan.Scenario, result *plan.Result) {
+func checkEvents(t *testing.T, events map[trace.Kind]int, s *plan.Scenario, result *plan.Result) {
 	t.Helper()
 	if events[trace.KindRequest] != result.ClientAttempts || events[trace.KindResponse] != result.ClientAttempts {
 		t.Errorf("events %v, want a request and a response for each of %d client attempts", events, result.ClientAttempts)
--- a/internal/emulator/trace/golden_test.go
+++ b/internal/emulator/trace/golden_test.go
@@ -3,35 +3,52 @@
 import (
 	"bytes"
 	"flag"
+	"math"
 	"os"
 	"path/filepath"
 	"reflect"
 	"testing"
 )
 
-// update writes the golden file anew. The format of kept traces may not change without a new
-// Version.
-var update = flag.Bool("update", false, "write the golden file anew")
+// update rewrites the golden file. The format of recorded traces must not change without a new Version.
+var update = flag.Bool("update", false, "rewrite the golden file")
 
-// goldenHead has every field set but Trace, which the writer sets.
-var goldenHead = Header{Host: Sockets, Policy: "pinedale", Seed: 18446744073709551615, Scenario: "version = 1\nname = \"<golden> & more\"\n"}
+// goldenHeader has every field set except FormatVersion, which the writer sets.
+var goldenHeader = Header{
+	Host:   Sockets,
+	Policy: "pinedale",
+	Seed:   math.MaxUint64,
+	Scenario: `version = 1
+name = "<golden> & more"
+`,
+}
 
-// goldenEvents have every kind, every field set, and one event with all that may be left out left out.
+// goldenEvents have every kind of event, one event with every field set, and one with as few fields as possible.
 var goldenEvents = []Event{
-	{At: 1, Kind: KindRequest, Number: 18446744073709551615, Try: 2, Attempt: 3, Instance: 4, Server: 5, Class: 6, Code: 7},
+	{
+		At:       1,
+		Kind:     KindRequest,
+		Number:   math.MaxUint64,
+		Try:      2,
+		Attempt:  3,
+		Instance: 4,
+		Server:   5,
+		Class:    6,
+		Code:     7,
+	},
 	{At: 2, Kind: KindAttempt, Number: 1, Try: 1, Attempt: 1, Instance: 2, Server: 3},
 	{At: 3, Kind: KindAttemptEnd, Number: 1, Try: 1, Attempt: 1, Instance: 2, Server: 3, Code: 1},
 	{At: 4, Kind: KindResponse, Number: 1, Try: 1, Instance: 2, Code: 502},
 	{At: 5, Kind: KindEndpoint, Instance: 1, Server: 2, Code: 2},
 	{At: 6, Kind: KindCollapse, Server: 3},
-	{At: 9007199254740993, Kind: KindCollapse},
+	{At: 1<<53 + 1, Kind: KindCollapse}, // not representable as a floating-point number
 }
 
-// writeTrace returns a whole trace as it is in a file.
-func writeTrace(t *testing.T, head Header, events []Event) []byte {
+// writeTrace returns a complete trace as it is in a file.
+func writeTrace(t *testing.T, header Header, events []Event) []byte {
 	t.Helper()
 	var out bytes.Buffer
-	writer := NewWriter(&out, head)
+	writer := NewWriter(&out, header)
 	for _, event := range events {
 		writer.Write(event)
 	}
@@ -49,7 +66,7 @@
 	}
 	file := filepath.Join("testdata", "trace.jsonl")
 	if *update {
-		if err := os.WriteFile(file, writeTrace(t, goldenHead, goldenEvents), 0o644); err != nil {
+		if err := os.WriteFile(file, writeTrace(t, goldenHeader, goldenEvents), 0o644); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -57,19 +74,19 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	head, events, err := read(string(golden))
+	header, events, err := readAll(string(golden))
 	if err != nil {
 		t.Fatal(err)
 	}
-	wantHead := goldenHead
-	wantHead.FormatVersion = 1 // the literal: the version of the file does not follow the constant
-	if head != wantHead {
-		t.Errorf("read head %+v, want %+v", head, wantHead)
+	wantHeader := goldenHeader
+	wantHeader.FormatVersion = 1 // the literal: the version of the file does not follow the constant
+	if header != wantHeader {
+		t.Errorf("read header %+v, want %+v", header, wantHeader)
 	}
 	if !reflect.DeepEqual(events, goldenEvents) {
 		t.Errorf("read events %+v, want %+v", events, goldenEvents)
 	}
-	if written := writeTrace(t, head, events); !bytes.Equal(written, golden) {
+	if written := writeTrace(t, header, events); !bytes.Equal(written, golden) {
 		t.Errorf("written %s\nwant %s", written, golden)
 	}
 }
--- a/internal/emulator/trace/trace_test.go
+++ b/internal/emulator/trace/trace_test.go
@@ -1,7 +1,6 @@
 package trace
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"reflect"
@@ -9,83 +8,104 @@
 	"testing"
 )
 
-var head = Header{Host: Virtual, Policy: "pinedale", Seed: 7, Scenario: "version = 1\n\"x\""}
+var testHeader = Header{Host: Virtual, Policy: "pinedale", Seed: 7, Scenario: "version = 1\n\"x\""}
 
-var events = []Event{{At: 5, Kind: KindRequest, Number: 1, Try: 1, Instance: 2, Class: 1}, {At: 6, Kind: KindAttempt, Number: 1, Try: 1, Attempt: 1, Instance: 2, Server: 3},
-	{At: 9, Kind: KindAttemptEnd, Number: 1, Try: 1, Attempt: 1, Instance: 2, Server: 3, Code: 1}, {At: 9, Kind: KindResponse, Number: 1, Try: 1, Instance: 2, Code: 502}}
-
-func written(t *testing.T) string {
-	t.Helper()
-	var b bytes.Buffer
-	w := NewWriter(&b, head)
-	for _, e := range events {
-		w.Write(e)
-	}
-	if err := w.Close(); err != nil {
-		t.Fatal(err)
-	}
-	return b.String()
+var testEvents = []Event{
+	{At: 5, Kind: KindRequest, Number: 1, Try: 1, Instance: 2, Class: 1},
+	{At: 6, Kind: KindAttempt, Number: 1, Try: 1, Attempt: 1, Instance: 2, Server: 3},
+	{At: 9, Kind: KindAttemptEnd, Number: 1, Try: 1, Attempt: 1, Instance: 2, Server: 3, Code: 1},
+	{At: 9, Kind: KindResponse, Number: 1, Try: 1, Instance: 2, Code: 502},
 }
 
-// read reads a whole trace.
-func read(text string) (h Header, all []Event, err error) {
-	r, err := NewReader(strings.NewReader(text))
+// readAll reads a complete trace.
+func readAll(text string) (Header, []Event, error) {
+	reader, err := NewReader(strings.NewReader(text))
 	if err != nil {
-		return h, nil, err
+		return Header{}, nil, err
 	}
+	var events []Event
 	for {
-		e, err := r.Read()
+		event, err := reader.Read()
 		if errors.Is(err, io.EOF) {
-			return r.Header, all, nil
-		} else if err != nil {
-			return r.Header, all, err
+			return reader.Header, events, nil
 		}
-		all = append(all, e)
+		if err != nil {
+			return reader.Header, events, err
+		}
+		events = append(events, event)
 	}
 }
 
-func TestWhatIsWrittenIsRead(t *testing.T) {
-	h, all, err := read(written(t))
-	want := head
+func TestReaderReturnsWhatWriterWrote(t *testing.T) {
+	header, events, err := readAll(string(writeTrace(t, testHeader, testEvents)))
+	want := testHeader
 	want.FormatVersion = Version
-	if err != nil || h != want || !reflect.DeepEqual(all, events) {
-		t.Errorf("%+v, %+v, %v", h, all, err)
+	if err != nil || header != want || !reflect.DeepEqual(events, testEvents) {
+		t.Errorf("%+v, %+v, %v", header, events, err)
 	}
 }
 
-func TestFaults(t *testing.T) {
-	good := written(t)
-	lines := strings.SplitAfter(good, "\n")
-	for name, c := range map[string]struct{ text, says string }{
-		"empty":          {"", "line 1: the trace is empty"},
-		"not JSON":       {"hello\n", "line 1:"},
-		"of no version":  {"{}\n", "pinedale_trace: 0"},
-		"of no host":     {strings.Replace(good, Virtual, "moon", 1), "host"},
-		"cut in a line":  {good[:len(good)-30], "line 5"},
-		"without end":    {strings.Join(lines[:5], ""), "line 6: the trace ends without its end"},
-		"a line less":    {strings.Join(append(append([]string{}, lines[:2]...), lines[3:]...), ""), "says 4, 3 are there"},
-		"more after it":  {good + lines[1], "something follows"},
-		"of no kind":     {strings.Replace(good, `"k":"send",`, "", 1), "line 3: k: is missing"},
-		"a wrong type":   {strings.Replace(good, `"y":1`, `"y":"one"`, 1), "line 2"},
-		"an endless one": {strings.Replace(good, `"t":5`, `"t":`+strings.Repeat("5", maxLineBytes), 1), "line 2"},
-	} {
-		if _, _, err := read(c.text); err == nil || !strings.Contains(err.Error(), c.says) {
-			t.Errorf("%s: %v, want %q", name, err, c.says)
+func TestReaderReturnsEOFAgainAfterEnd(t *testing.T) {
+	reader, err := NewReader(strings.NewReader(string(writeTrace(t, testHeader, nil))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		if _, err := reader.Read(); !errors.Is(err, io.EOF) {
+			t.Errorf("error %v, want io.EOF", err)
 		}
 	}
 }
 
-type failing struct{}
+func TestReaderNamesInvalidLine(t *testing.T) {
+	valid := string(writeTrace(t, testHeader, testEvents))
+	lines := strings.SplitAfter(valid, "\n")
+	withoutEvent := strings.Join(lines[:2], "") + strings.Join(lines[3:], "")
+	tooLong := strings.Replace(valid, `"t":5`, `"t":`+strings.Repeat("5", maxLineBytes), 1)
+	for name, test := range map[string]struct {
+		text    string
+		want    string
+		wantErr error // nil for any
+	}{
+		"empty":           {"", "line 1: the trace is empty", ErrEmpty},
+		"not JSON":        {"hello\n", "line 1:", nil},
+		"no version":      {"{}\n", "pinedale_trace: 0", nil},
+		"unknown host":    {strings.Replace(valid, Virtual, "moon", 1), "host", nil},
+		"truncated line":  {valid[:len(valid)-30], "line 5", nil},
+		"no end":          {strings.Join(lines[:5], ""), "line 6: the trace ends without its end", ErrTruncated},
+		"missing event":   {withoutEvent, "says 4, 3 are there", nil},
+		"data after end":  {valid + lines[1], "line 7: data follows the end", ErrTrailingData},
+		"no kind":         {strings.Replace(valid, `"k":"send",`, "", 1), "line 3: k: is missing", ErrNoKind},
+		"wrong type":      {strings.Replace(valid, `"y":1`, `"y":"one"`, 1), "line 2", nil},
+		"line over limit": {tooLong, "line 2", nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, _, err := readAll(test.text)
+			var lineError *LineError
+			if !errors.As(err, &lineError) || !strings.Contains(err.Error(), test.want) {
+				t.Errorf("error %v, want a LineError with %q", err, test.want)
+			}
+			if test.wantErr != nil && !errors.Is(err, test.wantErr) {
+				t.Errorf("error %v, want %v", err, test.wantErr)
+			}
+		})
+	}
+}
+
+// errDiskFull is the error of failingWriter.
+var errDiskFull = errors.New("the disk is full")
+
+type failingWriter struct{}
 
-func (failing) Write([]byte) (int, error) { return 0, errors.New("the disk is full") }
+func (failingWriter) Write([]byte) (int, error) { return 0, errDiskFull }
 
-func TestWriteFails(t *testing.T) {
-	w := NewWriter(failing{}, head)
+func TestCloseReturnsWriteError(t *testing.T) {
+	w := NewWriter(failingWriter{}, testHeader)
 	for range 10_000 {
-		w.Write(events[0])
+		w.Write(testEvents[0])
 	}
-	if err := w.Close(); err == nil {
-		t.Error("a full disk goes unnoticed")
+	if err := w.Close(); !errors.Is(err, errDiskFull) {
+		t.Errorf("error %v, want %v", err, errDiskFull)
 	}
 }
 
@@ -93,8 +113,8 @@
 	f.Add(`{"pinedale_trace":1,"host":"virtual"}` + "\n" + `{"t":1,"k":"ask"}` + "\n" + `{"events":1}` + "\n")
 	f.Add(`{"events":0}`)
 	f.Fuzz(func(t *testing.T, text string) {
-		if h, _, err := read(text); err == nil && h.FormatVersion != Version {
-			t.Errorf("read with head %+v", h)
+		if header, _, err := readAll(text); err == nil && header.FormatVersion != Version {
+			t.Errorf("read with header %+v", header)
 		}
 	})
 }
