requestmeta, exchange, httpmsg: files named by what they hold

requestmeta/intake.go is now parse.go, router.go, deadline.go, errors.go and doc.go; exchange/desk.go is dispatcher.go, body.go and doc.go; the load report and the header scanner of httpmsg have files of their own. No statement changed: declarations moved, and a few comments of constants that no longer exist were corrected (httpmsg.BodyMost).

Tests of requestmeta, httpmsg, front/exchange, front/httpfront, upstream/attempt and deploy passed under -race.

--- a/internal/front/exchange/desk.go
+++ b/internal/front/exchange/dispatcher.go
@@ -1,16 +1,8 @@
-// Package exchange is what all HTTP fronts share about a request, whatever version of HTTP carries it: it
-// bounds the memory of bodies, rejects an id that is in flight already, submits the request to the engine
-// and waits for its response, and writes responses.
-//
-// A Dispatcher has no goroutine: its calls run in those of net/http, under a lock. Nothing outlives the
-// process.
 package exchange
 
 import (
 	"context"
 	"errors"
-	"fmt"
-	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -18,25 +10,16 @@
 
 	"pinedale/balancer"
 	"pinedale/internal/engine"
-	"pinedale/internal/httpmsg"
 	"pinedale/internal/requestmeta"
 )
 
-// Errors that end a request without a response of the engine, besides *requestmeta.Error.
-var (
-	// ErrBusy: the bodies in memory have reached their limit.
-	ErrBusy = errors.New("the memory for request bodies is in use")
-	// ErrDisconnected: the client has disconnected, nobody reads a response.
-	ErrDisconnected = errors.New("the client has disconnected")
-)
+// ErrDisconnected is the error of Dispatch if the client has disconnected: nobody reads a response.
+var ErrDisconnected = errors.New("the client has disconnected")
 
 // responseSlack is how long after its deadline a request is answered here if the engine has not: the
 // engine's own timer for that instant comes first, unless the engine is late or its queue is full.
 const responseSlack = 10 * time.Millisecond
 
-// bodyTooLarge is the reason for a 413.
-var bodyTooLarge = fmt.Sprintf("the body is over %d bytes", httpmsg.MaxBodyBytes)
-
 // Dispatcher passes the requests of one front to the engine.
 type Dispatcher struct {
 	engine       *engine.Engine
@@ -62,47 +45,6 @@
 	return time.Duration(longest) * time.Microsecond
 }
 
-// ReadBody reads a request's body, within its own limit and the limit of all bodies together. The caller
-// calls release once the body is not needed any more. Its errors are ErrBusy and *requestmeta.Error.
-func (d *Dispatcher) ReadBody(w http.ResponseWriter, in *http.Request) (body []byte, release func(), err error) {
-	reserved := int64(httpmsg.MaxBodyBytes)
-	if in.ContentLength >= 0 {
-		reserved = in.ContentLength
-	}
-	if reserved > httpmsg.MaxBodyBytes {
-		return nil, nil, &requestmeta.Error{Code: http.StatusRequestEntityTooLarge, Reason: bodyTooLarge}
-	}
-	release = func() { d.bodyBytes.Add(-reserved) }
-	if d.bodyBytes.Add(reserved) > d.maxBodyBytes {
-		release()
-		return nil, nil, ErrBusy
-	}
-	if body, err = readBody(w, in); err != nil {
-		release()
-		return nil, nil, err
-	}
-	return body, release, nil
-}
-
-// readBody reads a body of known or unknown length. Its errors are *requestmeta.Error.
-func readBody(w http.ResponseWriter, in *http.Request) ([]byte, error) {
-	if in.ContentLength >= 0 {
-		body := make([]byte, in.ContentLength)
-		if _, err := io.ReadFull(in.Body, body); err != nil {
-			return nil, requestmeta.BadRequest("the body could not be read")
-		}
-		return body, nil
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, in.Body, httpmsg.MaxBodyBytes))
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return nil, &requestmeta.Error{Code: http.StatusRequestEntityTooLarge, Reason: bodyTooLarge}
-	} else if err != nil {
-		return nil, requestmeta.BadRequest("the body could not be read")
-	}
-	return body, nil
-}
-
 // Dispatch submits a request to the engine and returns its one response, at the latest responseSlack after
 // the request's deadline. Its errors are ErrDisconnected and *requestmeta.Error.
 func (d *Dispatcher) Dispatch(in *http.Request, req requestmeta.Parsed, body []byte) (engine.Response, error) {
--- a/internal/front/http3front/server.go
+++ b/internal/front/http3front/server.go
@@ -38,7 +38,7 @@
 	// idleTimeout ends connections on which nothing is received. A phone that changes networks is silent
 	// for some seconds, and its connection must outlive that.
 	idleTimeout = 30 * time.Second
-	// Bodies of requests and responses have httpmsg.BodyMost at most: flow control needs no more.
+	// Bodies of requests and responses have httpmsg.MaxBodyBytes at most: flow control needs no more.
 	streamWindow     = httpmsg.MaxBodyBytes
 	connectionWindow = 16 * streamWindow
 	// maxUnverifiedPerSecond is how many new connections per second are accepted from addresses that are
--- /dev/null
+++ b/internal/requestmeta/errors.go
@@ -0,0 +1,30 @@
+package requestmeta
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+)
+
+// Error is the reason for which a request is rejected.
+type Error struct {
+	Code   int    // HTTP status
+	Reason string // body of the response
+}
+
+// Error returns the reason.
+func (e *Error) Error() string { return e.Reason }
+
+// BadRequest returns an *Error of status 400.
+func BadRequest(format string, args ...any) error {
+	return &Error{http.StatusBadRequest, fmt.Sprintf(format, args...)}
+}
+
+// Code returns the HTTP status for an error: that of an *Error, else 400.
+func Code(err error) int {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return http.StatusBadRequest
+}
--- a/internal/requestmeta/intake.go
+++ b/internal/requestmeta/parse.go
@@ -1,33 +1,17 @@
-// Package requestmeta parses the headers by which a client describes its request: class, remaining time, id,
-// idempotency key, tenant. All fronts parse requests here, whatever protocol carries them, so that all
-// accept and reject the same ones.
-//
-// A Parser may be shared: its router is replaced as one value on a reload. Nothing outlives the process.
 package requestmeta
 
 import (
-	"errors"
 	"fmt"
 	"hash/fnv"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync/atomic"
-	"time"
 
 	"pinedale/balancer"
 )
 
-// MaxRequestTime is the longest time that a request gets, whatever its client asks for.
-const MaxRequestTime = time.Minute
-
-// ResponseMargin of a client's time is reserved for writing the response: some clients have 40 ms in all.
-const ResponseMargin = 2 * time.Millisecond
-
-const (
-	maxIDBytes     = 256 // of an id or a key: those of the protocol have 16 and 32
-	microsPerMilli = 1000
-)
+// maxIDBytes bounds an id and a key: those of the protocol have 16 and 32 bytes.
+const maxIDBytes = 256
 
 // The headers of a request.
 const (
@@ -46,60 +30,6 @@
 var singleValueHeaders = []string{HeaderID, HeaderClass, HeaderTenant, HeaderSubject, HeaderTimeLeft, HeaderRepeat,
 	HeaderHint, HeaderKey}
 
-// Error is the reason for which a request is rejected.
-type Error struct {
-	Code   int    // HTTP status
-	Reason string // body of the response
-}
-
-// Error returns the reason.
-func (e *Error) Error() string { return e.Reason }
-
-// BadRequest returns an *Error of status 400.
-func BadRequest(format string, args ...any) error {
-	return &Error{http.StatusBadRequest, fmt.Sprintf(format, args...)}
-}
-
-// Code returns the HTTP status for an error: that of an *Error, else 400.
-func Code(err error) int {
-	var e *Error
-	if errors.As(err, &e) {
-		return e.Code
-	}
-	return http.StatusBadRequest
-}
-
-// Bounds are the properties and limits of the requests of a class or route. A zero limit is none.
-type Bounds struct {
-	Class          uint8 // number, as the balancer has it
-	ClassName      string
-	Idempotency    balancer.Idempotency
-	Methods        bool            // the route lists its methods, the class's does not matter
-	Deadline       balancer.Micros // longest time for a request
-	AttemptTimeout balancer.Micros // balancer.Request.AttemptTimeout
-
-	// As the fields of balancer.Request.
-	HedgeDelay  balancer.Micros
-	MaxAttempts int // MaxAttempts
-	NoHedging   bool
-	Budget      uint16
-	Pool        uint8
-}
-
-// Router finds the class or route of a request. A router is immutable and may be shared.
-type Router interface {
-	// Routed reports whether requests are matched by Route. Otherwise they name their class.
-	Routed() bool
-	// Route returns the bounds of the route that matches a request.
-	Route(in *Request) (*Bounds, bool)
-	// OfClass returns the bounds of a class by its name.
-	OfClass(name string) (*Bounds, bool)
-	// Tenant returns a tenant's number by its name.
-	Tenant(name string) (uint16, bool)
-	// Tenants returns the number of tenants. If it is 0, requests need not name one.
-	Tenants() int
-}
-
 // Parser parses requests for the classes and tenants of one installation. It may be shared.
 type Parser struct{ router atomic.Pointer[Router] }
 
@@ -123,26 +53,6 @@
 // Routed reports whether requests are matched by routes, which may depend on any header.
 func (p *Parser) Routed() bool { return (*p.router.Load()).Routed() }
 
-// settingsRouter is the router of the balancer's settings: requests name their class.
-type settingsRouter struct {
-	classes map[string]*Bounds
-	tenants map[string]uint16
-}
-
-func (p *settingsRouter) Routed() bool                   { return false }
-func (p *settingsRouter) Route(*Request) (*Bounds, bool) { return nil, false }
-func (p *settingsRouter) Tenants() int                   { return len(p.tenants) }
-
-func (p *settingsRouter) OfClass(name string) (*Bounds, bool) {
-	b, ok := p.classes[name]
-	return b, ok
-}
-
-func (p *settingsRouter) Tenant(name string) (uint16, bool) {
-	n, ok := p.tenants[name]
-	return n, ok
-}
-
 // Request is a request as a front receives it, before its body.
 type Request struct {
 	Method string
@@ -213,49 +123,6 @@
 	p.Pool = b.Pool
 }
 
-// parseOptional parses the headers that a request may do without.
-func (p *Parsed) parseOptional(header http.Header) error {
-	if hint := header.Get(HeaderHint); hint != "" {
-		micros, err := strconv.ParseUint(hint, 10, 63)
-		if err != nil {
-			return BadRequest("%s: %q is not a whole number of microseconds", HeaderHint, hint)
-		}
-		p.WorkHint = int64(micros)
-		p.HasWorkHint = true
-	}
-	switch retry := header.Get(HeaderRepeat); retry {
-	case "1":
-		p.ClientRetry = true
-	case "", "0":
-	default:
-		return BadRequest("%s: %q is neither 0 nor 1", HeaderRepeat, retry)
-	}
-	return nil
-}
-
-// findBounds returns the bounds of a request: by its route, or by the class that it names.
-func findBounds(router Router, in *Request) (*Bounds, error) {
-	name := in.Header.Get(HeaderClass)
-	if router.Routed() {
-		b, ok := router.Route(in)
-		if !ok {
-			return nil, &Error{http.StatusNotFound, "no route is of this request"}
-		}
-		if name != "" && name != b.ClassName {
-			return nil, BadRequest("%s: %q, but the route's class is %q", HeaderClass, name, b.ClassName)
-		}
-		return b, nil
-	}
-	b, ok := router.OfClass(name)
-	if !ok {
-		return nil, BadRequest("%s: %q is not a known class", HeaderClass, name)
-	}
-	if first, _, _ := strings.Cut(strings.TrimPrefix(in.Path, "/"), "/"); first != name {
-		return nil, BadRequest("the path is not of %s %q", HeaderClass, name)
-	}
-	return b, nil
-}
-
 // parseKey returns the idempotency key of a request whose class needs one, "" for other classes.
 func parseKey(b *Bounds, key string) (string, error) {
 	if b.Idempotency != balancer.IdempotentWithKey {
@@ -285,20 +152,22 @@
 	return nil
 }
 
-// parseDeadline returns the instant by which the engine must respond: the least of the client's remaining
-// time, the bounds' and MaxRequestTime after the arrival, less ResponseMargin.
-func parseDeadline(router Router, b *Bounds, in *Request) (balancer.Micros, error) {
-	allowed := MaxRequestTime.Microseconds()
-	if b.Deadline > 0 {
-		allowed = min(allowed, b.Deadline)
-	}
-	if header := in.Header.Get(HeaderTimeLeft); header != "" || !router.Routed() {
-		millis, err := strconv.ParseUint(header, 10, 63)
+// parseOptional parses the headers that a request may do without.
+func (p *Parsed) parseOptional(header http.Header) error {
+	if hint := header.Get(HeaderHint); hint != "" {
+		micros, err := strconv.ParseUint(hint, 10, 63)
 		if err != nil {
-			return 0, BadRequest("%s: %q is not a whole number of milliseconds", HeaderTimeLeft, header)
+			return BadRequest("%s: %q is not a whole number of microseconds", HeaderHint, hint)
 		}
-		millis = min(millis, uint64(MaxRequestTime.Milliseconds())) // before it is converted: it may be huge
-		allowed = min(allowed, int64(millis)*microsPerMilli)
+		p.WorkHint = int64(micros)
+		p.HasWorkHint = true
 	}
-	return in.At + allowed - ResponseMargin.Microseconds(), nil
+	switch retry := header.Get(HeaderRepeat); retry {
+	case "1":
+		p.ClientRetry = true
+	case "", "0":
+	default:
+		return BadRequest("%s: %q is neither 0 nor 1", HeaderRepeat, retry)
+	}
+	return nil
 }
--- /dev/null
+++ b/internal/requestmeta/router.go
@@ -0,0 +1,82 @@
+package requestmeta
+
+import (
+	"net/http"
+	"strings"
+
+	"pinedale/balancer"
+)
+
+// Bounds are the properties and limits of the requests of a class or route. A zero limit is none.
+type Bounds struct {
+	Class          uint8 // number, as the balancer has it
+	ClassName      string
+	Idempotency    balancer.Idempotency
+	Methods        bool            // the route lists its methods, the class's does not matter
+	Deadline       balancer.Micros // longest time for a request
+	AttemptTimeout balancer.Micros // balancer.Request.AttemptTimeout
+
+	// As the fields of balancer.Request.
+	HedgeDelay  balancer.Micros
+	MaxAttempts int // MaxAttempts
+	NoHedging   bool
+	Budget      uint16
+	Pool        uint8
+}
+
+// Router finds the class or route of a request. A router is immutable and may be shared.
+type Router interface {
+	// Routed reports whether requests are matched by Route. Otherwise they name their class.
+	Routed() bool
+	// Route returns the bounds of the route that matches a request.
+	Route(in *Request) (*Bounds, bool)
+	// OfClass returns the bounds of a class by its name.
+	OfClass(name string) (*Bounds, bool)
+	// Tenant returns a tenant's number by its name.
+	Tenant(name string) (uint16, bool)
+	// Tenants returns the number of tenants. If it is 0, requests need not name one.
+	Tenants() int
+}
+
+// settingsRouter is the router of the balancer's settings: requests name their class.
+type settingsRouter struct {
+	classes map[string]*Bounds
+	tenants map[string]uint16
+}
+
+func (p *settingsRouter) Routed() bool                   { return false }
+func (p *settingsRouter) Route(*Request) (*Bounds, bool) { return nil, false }
+func (p *settingsRouter) Tenants() int                   { return len(p.tenants) }
+
+func (p *settingsRouter) OfClass(name string) (*Bounds, bool) {
+	b, ok := p.classes[name]
+	return b, ok
+}
+
+func (p *settingsRouter) Tenant(name string) (uint16, bool) {
+	n, ok := p.tenants[name]
+	return n, ok
+}
+
+// findBounds returns the bounds of a request: by its route, or by the class that it names.
+func findBounds(router Router, in *Request) (*Bounds, error) {
+	name := in.Header.Get(HeaderClass)
+	if router.Routed() {
+		b, ok := router.Route(in)
+		if !ok {
+			return nil, &Error{http.StatusNotFound, "no route is of this request"}
+		}
+		if name != "" && name != b.ClassName {
+			return nil, BadRequest("%s: %q, but the route's class is %q", HeaderClass, name, b.ClassName)
+		}
+		return b, nil
+	}
+	b, ok := router.OfClass(name)
+	if !ok {
+		return nil, BadRequest("%s: %q is not a known class", HeaderClass, name)
+	}
+	if first, _, _ := strings.Cut(strings.TrimPrefix(in.Path, "/"), "/"); first != name {
+		return nil, BadRequest("the path is not of %s %q", HeaderClass, name)
+	}
+	return b, nil
+}
--- a/internal/upstream/attempt/message.go
+++ b/internal/upstream/attempt/message.go
@@ -15,7 +15,7 @@
 // remainingTimeHeader states the milliseconds that an attempt has left when it is sent.
 const remainingTimeHeader = "X-Time-Left-Ms"
 
-// ErrBodyTooLarge is the error for a response whose body exceeds httpmsg.BodyMost.
+// ErrBodyTooLarge is the error for a response whose body exceeds httpmsg.MaxBodyBytes.
 var ErrBodyTooLarge = errors.New("response body too large")
 
 // RequestHeader returns the header that a request is sent with: the client's end-to-end fields,
