--- a/internal/faulttest/faults.go
+++ b/internal/faulttest/faults.go
@@ -141,13 +141,13 @@
 		r.faults.active[n] = *f
 	}
 	for k, direction := range r.network.paths {
-		var s relay.Script
+		var s relay.Conditions
 		for _, x := range r.faults.active {
 			if affects(&x, k) {
-				addToScript(&s, &x)
+				addConditions(&s, &x)
 			}
 		}
-		direction.Set(s)
+		direction.SetConditions(s)
 	}
 }
 
@@ -159,17 +159,17 @@
 	return forth || f.Both && back
 }
 
-// addToScript adds a fault to what happens on a path. Of two faults of a kind the heavier one counts.
-func addToScript(s *relay.Script, f *schedule.Fault) {
+// addConditions adds a fault to what happens on a path. Of two faults of a kind the heavier one counts.
+func addConditions(s *relay.Conditions, f *schedule.Fault) {
 	switch f.Kind {
 	case schedule.Cut:
-		s.Cut = true
+		s.Partitioned = true
 	case schedule.Loss:
 		s.Loss = max(s.Loss, f.Share)
 	case schedule.Double:
-		s.Double = max(s.Double, f.Share)
+		s.Duplicate = max(s.Duplicate, f.Share)
 	case schedule.Swap:
-		s.Swap = max(s.Swap, f.Share)
+		s.Reorder = max(s.Reorder, f.Share)
 	case schedule.Spoil:
 		s.Corrupt = max(s.Corrupt, f.Share)
 	case schedule.Slow:
--- a/internal/faulttest/network.go
+++ b/internal/faulttest/network.go
@@ -53,7 +53,7 @@
 func (n *network) reset(a, b string) {
 	for _, k := range []path{{a, b}, {b, a}} {
 		if x := n.relays[k]; x != nil {
-			x.Break()
+			x.ResetConnections()
 		}
 	}
 }
@@ -68,7 +68,7 @@
 		if k.from == schedule.Clients {
 			target = i.http
 		}
-		if err := x.Lead(target); err != nil {
+		if err := x.SetTarget(target); err != nil {
 			return err
 		}
 	}
--- a/internal/faulttest/relay/relay_test.go
+++ b/internal/faulttest/relay/relay_test.go
@@ -1,95 +1,104 @@
 package relay
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
 	"go.uber.org/goleak"
 )
 
-func between(t *testing.T) (r *Relay, forth, back *Path, target net.Listener, packets net.PacketConn) {
-	target, err := net.Listen("tcp", "127.0.0.1:0")
+const (
+	receiveTimeout = 20 * time.Second      // for what must arrive
+	silentTime     = 50 * time.Millisecond // for what must not arrive
+)
+
+// testTarget is a target that accepts TCP connections and receives datagrams at one address.
+type testTarget struct {
+	address  string
+	listener net.Listener
+	socket   net.PacketConn
+}
+
+// newTestTarget starts a target, which ends with the test.
+func newTestTarget(t *testing.T) *testTarget {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	if packets, err = net.ListenPacket("udp", target.Addr().String()); err != nil {
+	t.Cleanup(func() { listener.Close() })
+	socket, err := net.ListenPacket("udp", listener.Addr().String())
+	if err != nil {
 		t.Fatal(err)
 	}
-	forth, back = NewPath(1), NewPath(2)
-	if r, err = Start(target.Addr().String(), forth, back); err != nil {
-		t.Fatal(err)
+	t.Cleanup(func() { socket.Close() })
+	return &testTarget{
+		address:  listener.Addr().String(),
+		listener: listener,
+		socket:   socket,
 	}
-	return r, forth, back, target, packets
 }
 
-// New connections and datagrams go where the relay leads by then; what stands goes on.
-func TestLead(t *testing.T) {
-	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
-	r, _, _, target, packets := between(t)
-	defer r.Close()
-	defer target.Close()
-	defer packets.Close()
-	other, _, _, second, secondPackets := between(t)
-	other.Close()
-	defer second.Close()
-	defer secondPackets.Close()
-	pass := func(to net.Listener) (from, at net.Conn) {
-		t.Helper()
-		from, err := net.Dial("tcp", r.Address)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if at, err = to.Accept(); err != nil {
-			t.Fatal(err)
-		}
-		return from, at
+// receive returns the next datagram.
+func (target *testTarget) receive(t *testing.T) string {
+	t.Helper()
+	if err := target.socket.SetReadDeadline(time.Now().Add(receiveTimeout)); err != nil {
+		t.Fatal(err)
 	}
-	says := func(from, at net.Conn, what string) {
-		t.Helper()
-		send(t, from, what)
-		got := make([]byte, len(what))
-		if _, err := io.ReadFull(at, got); err != nil || string(got) != what {
-			t.Fatalf("came %q, %v, want %q", got, err, what)
-		}
+	buffer := make([]byte, 100)
+	count, _, err := target.socket.ReadFrom(buffer)
+	if err != nil {
+		t.Fatal(err)
 	}
-	hears := func(at net.PacketConn, what string) {
-		t.Helper()
-		from, err := net.Dial("udp", r.Address)
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer from.Close()
-		got := make([]byte, 64)
-		send(t, from, what)
-		if err := at.SetReadDeadline(time.Now().Add(20 * time.Second)); err != nil {
-			t.Fatal(err)
-		}
-		if n, _, err := at.ReadFrom(got); err != nil || string(got[:n]) != what {
-			t.Fatalf("came %q, %v, want %q", got[:n], err, what)
-		}
+	return string(buffer[:count])
+}
+
+// testRelay is a relay to a target.
+type testRelay struct {
+	*Relay
+	target *testTarget
+}
+
+// newTestRelay starts a relay to a new target. Both end with the test, which then must have left no goroutines.
+func newTestRelay(t *testing.T) *testRelay {
+	t.Helper()
+	ignored := goleak.IgnoreCurrent()
+	t.Cleanup(func() { goleak.VerifyNone(t, ignored) })
+	target := newTestTarget(t)
+	relay, err := Start(target.address, NewPath(1), NewPath(2))
+	if err != nil {
+		t.Fatal(err)
 	}
-	from, at := pass(target)
-	defer from.Close()
-	defer at.Close()
-	says(from, at, "before")
-	hears(packets, "one")
-	if err := r.Lead(second.Addr().String()); err != nil {
+	t.Cleanup(relay.Close)
+	return &testRelay{Relay: relay, target: target}
+}
+
+// dial opens a connection to the relay, which ends with the test.
+func (r *testRelay) dial(t *testing.T, network string) net.Conn {
+	t.Helper()
+	connection, err := net.Dial(network, r.Address)
+	if err != nil {
 		t.Fatal(err)
 	}
-	newFrom, newAt := pass(second)
-	defer newFrom.Close()
-	defer newAt.Close()
-	says(newFrom, newAt, "to the other")
-	says(from, at, "still here")
-	hears(secondPackets, "two")
-	if err := r.Lead("nowhere"); err == nil {
-		t.Error("it leads to an address without a port")
+	t.Cleanup(func() { connection.Close() })
+	return connection
+}
+
+// connect opens a TCP connection through the relay and returns its ends at the client and at the target.
+func (r *testRelay) connect(t *testing.T, target *testTarget) (client, server net.Conn) {
+	t.Helper()
+	client = r.dial(t, "tcp")
+	server, err := target.listener.Accept()
+	if err != nil {
+		t.Fatal(err)
 	}
+	t.Cleanup(func() { server.Close() })
+	return client, server
 }
 
 // send writes a text.
@@ -100,128 +109,141 @@
 	}
 }
 
-// Streams stand still in the direction that is cut, and go on once it is healed: nothing of
-// them is lost or changed.
-func TestStreams(t *testing.T) {
-	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
-	r, forth, back, target, packets := between(t)
-	defer r.Close()
-	defer target.Close()
-	defer packets.Close()
-	c, err := net.Dial("tcp", r.Address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	s, err := target.Accept()
-	if err != nil {
+// receive reads a number of bytes, for at most a timeout.
+func receive(t *testing.T, from net.Conn, count int, timeout time.Duration) (string, error) {
+	t.Helper()
+	if err := from.SetReadDeadline(time.Now().Add(timeout)); err != nil {
 		t.Fatal(err)
 	}
-	defer s.Close()
-	read := func(from net.Conn, n int, within time.Duration) ([]byte, error) {
-		if err := from.SetReadDeadline(time.Now().Add(within)); err != nil {
-			t.Fatal(err)
-		}
-		b := make([]byte, n)
-		n, err := io.ReadFull(from, b)
-		return b[:n], err
+	buffer := make([]byte, count)
+	count, err := io.ReadFull(from, buffer)
+	return string(buffer[:count]), err
+}
+
+// requireReceived fails unless a text arrives.
+func requireReceived(t *testing.T, from net.Conn, want string) {
+	t.Helper()
+	if got, err := receive(t, from, len(want), receiveTimeout); err != nil || got != want {
+		t.Fatalf("received %q, %v, want %q", got, err, want)
 	}
-	const patience, silence = 20 * time.Second, 50 * time.Millisecond
-	forth.Set(Script{Cut: true, Loss: 1, Corrupt: 1})
-	send(t, c, "question")
-	send(t, s, "other way")
-	if got, err := read(c, 9, patience); err != nil || string(got) != "other way" {
-		t.Fatalf("against the cut: %q, %v", got, err)
+}
+
+func TestSetTargetAffectsNewConnectionsAndDatagramsOnly(t *testing.T) {
+	relay := newTestRelay(t)
+	second := newTestTarget(t)
+	datagrams := relay.dial(t, "udp")
+
+	oldClient, oldServer := relay.connect(t, relay.target)
+	send(t, oldClient, "before")
+	requireReceived(t, oldServer, "before")
+	send(t, datagrams, "one")
+	if got := relay.target.receive(t); got != "one" {
+		t.Fatalf("the first target received %q", got)
 	}
-	if got, err := read(s, 1, silence); err == nil {
-		t.Fatalf("%q came through the cut", got)
+
+	if err := relay.SetTarget(second.address); err != nil {
+		t.Fatal(err)
 	}
-	forth.Set(Script{})
-	if got, err := read(s, 8, patience); err != nil || string(got) != "question" {
-		t.Fatalf("after it: %q, %v", got, err)
+	newClient, newServer := relay.connect(t, second)
+	send(t, newClient, "to the other")
+	requireReceived(t, newServer, "to the other")
+	send(t, oldClient, "still here")
+	requireReceived(t, oldServer, "still here")
+	send(t, datagrams, "two")
+	if got := second.receive(t); got != "two" {
+		t.Fatalf("the second target received %q", got)
 	}
-	back.Set(Script{Cut: true})
-	r.Break()
-	if _, err := read(c, 1, patience); err == nil || errors.Is(err, io.EOF) {
-		t.Errorf("a connection that was broken ends with %v, want a reset", err)
+
+	if err := relay.SetTarget("nowhere"); err == nil {
+		t.Error("an address without a port was accepted as target")
 	}
 }
 
-// Datagrams are lost, doubled, swapped and changed as the script says.
-func TestDatagrams(t *testing.T) {
-	r, forth, _, target, packets := between(t)
-	defer r.Close()
-	defer target.Close()
-	defer packets.Close()
-	c, err := net.Dial("udp", r.Address)
-	if err != nil {
-		t.Fatal(err)
+func TestPartitionStallsStreamInOneDirectionWithoutLoss(t *testing.T) {
+	relay := newTestRelay(t)
+	client, server := relay.connect(t, relay.target)
+
+	relay.outbound.SetConditions(Conditions{Partitioned: true, Loss: 1, Corrupt: 1})
+	send(t, client, "question")
+	send(t, server, "other way")
+	requireReceived(t, client, "other way")
+	if got, err := receive(t, server, 1, silentTime); err == nil {
+		t.Fatalf("%q passed the partition", got)
 	}
-	defer c.Close()
-	next := func() string {
-		b := make([]byte, 100)
-		if err := packets.SetReadDeadline(time.Now().Add(20 * time.Second)); err != nil {
-			t.Fatal(err)
-		}
-		n, _, err := packets.ReadFrom(b)
-		if err != nil {
-			t.Fatal(err)
-		}
-		return string(b[:n])
+
+	relay.outbound.SetConditions(Conditions{})
+	requireReceived(t, server, "question")
+}
+
+func TestResetConnectionsResetsDespitePartition(t *testing.T) {
+	relay := newTestRelay(t)
+	client, _ := relay.connect(t, relay.target)
+	relay.inbound.SetConditions(Conditions{Partitioned: true})
+	relay.ResetConnections()
+	if _, err := receive(t, client, 1, receiveTimeout); err == nil || errors.Is(err, io.EOF) {
+		t.Errorf("the connection ended with %v, want a reset", err)
 	}
-	// sent waits until the relay has taken a datagram, so that the next script is not its.
-	sent := func(what string) {
-		before, _ := forth.Counts()
-		send(t, c, what)
-		for n := before; n == before; n, _ = forth.Counts() {
+}
+
+func TestConditionsOfDatagrams(t *testing.T) {
+	relay := newTestRelay(t)
+	client := relay.dial(t, "udp")
+	// sendAndWait returns once the relay has received the datagram, so that later conditions do not apply to it.
+	sendAndWait := func(text string) {
+		t.Helper()
+		before := relay.outbound.Counts().Received
+		send(t, client, text)
+		for relay.outbound.Counts().Received == before {
 			time.Sleep(time.Millisecond)
 		}
 	}
-	forth.Set(Script{Loss: 1})
-	sent("lost")
-	forth.Set(Script{Cut: true})
-	sent("cut")
-	forth.Set(Script{Double: 1})
-	sent("a")
-	if got := next() + next(); got != "aa" {
-		t.Errorf("doubled: %q", got)
-	}
-	forth.Set(Script{Swap: 1})
-	sent("b")
-	forth.Set(Script{})
-	sent("c")
-	if got := next() + next(); got != "cb" {
-		t.Errorf("swapped: %q", got)
-	}
-	forth.Set(Script{Corrupt: 1})
-	sent("changed")
-	if got := next(); got == "changed" || len(got) != 7 {
-		t.Errorf("changed: %q", got)
-	}
-	forth.Set(Script{Delay: time.Millisecond})
-	sent("late")
-	if got := next(); got != "late" {
-		t.Errorf("late: %q", got)
-	}
-	if _, dropped := forth.Counts(); dropped != 2 {
-		t.Errorf("%d are counted as lost", dropped)
+
+	relay.outbound.SetConditions(Conditions{Loss: 1})
+	sendAndWait("lost")
+	relay.outbound.SetConditions(Conditions{Partitioned: true})
+	sendAndWait("partitioned")
+	relay.outbound.SetConditions(Conditions{Duplicate: 1})
+	sendAndWait("a")
+	if got := relay.target.receive(t) + relay.target.receive(t); got != "aa" {
+		t.Errorf("duplicated: %q", got)
+	}
+	relay.outbound.SetConditions(Conditions{Reorder: 1})
+	sendAndWait("b")
+	relay.outbound.SetConditions(Conditions{})
+	sendAndWait("c")
+	if got := relay.target.receive(t) + relay.target.receive(t); got != "cb" {
+		t.Errorf("reordered: %q", got)
+	}
+	relay.outbound.SetConditions(Conditions{Corrupt: 1})
+	sendAndWait("changed")
+	if got := relay.target.receive(t); got == "changed" || len(got) != len("changed") {
+		t.Errorf("corrupted: %q", got)
+	}
+	relay.outbound.SetConditions(Conditions{Delay: time.Millisecond})
+	sendAndWait("late")
+	if got := relay.target.receive(t); got != "late" {
+		t.Errorf("delayed: %q", got)
+	}
+	if dropped := relay.outbound.Counts().Dropped; dropped != 2 {
+		t.Errorf("%d datagrams were counted as dropped, want 2", dropped)
 	}
 }
 
-// The same seed has the same fate.
-func TestSameSeedSameFate(t *testing.T) {
-	draw := func(seed uint64) string {
-		w := NewPath(seed)
-		w.Set(Script{Loss: 0.3, Double: 0.3, Swap: 0.3, Corrupt: 0.3})
-		var b bytes.Buffer
+func TestFatesFollowSeed(t *testing.T) {
+	drawFates := func(seed uint64) string {
+		path := NewPath(seed)
+		path.SetConditions(Conditions{Loss: 0.3, Duplicate: 0.3, Reorder: 0.3, Corrupt: 0.3})
+		var fates strings.Builder
 		for range 100 {
-			_, lose, double, swap, corrupt := w.fate()
-			fmt.Fprint(&b, lose, double, swap, corrupt)
+			fmt.Fprintf(&fates, "%+v\n", path.drawFate())
 		}
-		return b.String()
+		return fates.String()
+	}
+	first, second, other := drawFates(1), drawFates(1), drawFates(2)
+	if first != second {
+		t.Error("the same seed has different fates")
 	}
-	first, second, other := draw(1), draw(1), draw(2)
-	if first != second || first == other {
-		t.Error("fates do not follow the seed")
+	if first == other {
+		t.Error("different seeds have the same fates")
 	}
 }
