Schedule: standard names of faults, one file per job, typed errors

Kinds, fields and methods were named in prose (Of, For, Both, Share, Spoil, Double, twin) in one file of 361 lines. The package is now fault.go, schedule.go, validate.go, draw.go and shrink.go; validation and drawing are methods of one step each, the agreement is a type, and Validate returns a *tomlfile.Error. Reasons of errors say what is wrong ("there is no network path from ...", "needs a duration").

--- a/cmd/pinedale-faulttest/main.go
+++ b/cmd/pinedale-faulttest/main.go
@@ -79,7 +79,7 @@
 			} else {
 				for n := range o.seeds {
 					s := schedule.Draw(o.seed+uint64(n), o.instances, o.servers, o.length)
-					s.Rate, s.Agree = o.rate, o.agree
+					s.Rate, s.Agreement = o.rate, schedule.Agreement(o.agree)
 					all = append(all, s)
 				}
 			}
--- a/internal/faulttest/faults.go
+++ b/internal/faulttest/faults.go
@@ -31,19 +31,19 @@
 
 // playFault begins and ends one fault. A fault that cannot be played is recorded as an end of its process.
 func (r *rig) playFault(ctx context.Context, n int, f schedule.Fault) {
-	if !sleep(ctx, r.until(time.Duration(f.At))) {
+	if !sleep(ctx, r.until(f.StartTime())) {
 		return
 	}
 	err := r.beginFault(n, f)
 	if f.Kind == schedule.DuplicateInstance {
-		sleep(ctx, r.until(time.Duration(f.At+f.For/2)))
+		sleep(ctx, r.until(time.Duration(f.Start+f.Duration/2)))
 		r.signalSuspended(n, f, syscall.SIGCONT) // the first of the two goes on
 	}
-	sleep(ctx, r.until(f.End()))
+	sleep(ctx, r.until(f.EndTime()))
 	if err = errors.Join(err, r.endFault(n, f)); err != nil {
 		r.options.Log.Error("fault not played", "fault", f.String(), "err", err)
 		r.recorder.record(func(h *history.History) {
-			h.Ends = append(h.Ends, fmt.Sprintf("%s did not come back: %v", f.Of, err))
+			h.Ends = append(h.Ends, fmt.Sprintf("%s did not come back: %v", f.Target, err))
 		})
 	}
 }
@@ -55,19 +55,19 @@
 func (r *rig) beginFault(n int, f schedule.Fault) error {
 	switch f.Kind {
 	case schedule.Kill:
-		r.byName[f.Of].signal(syscall.SIGKILL)
-	case schedule.Term, schedule.Build:
-		r.byName[f.Of].signal(syscall.SIGTERM)
-	case schedule.Stop:
-		r.byName[f.Of].signal(syscall.SIGSTOP)
+		r.byName[f.Target].signal(syscall.SIGKILL)
+	case schedule.Terminate, schedule.Upgrade:
+		r.byName[f.Target].signal(syscall.SIGTERM)
+	case schedule.Suspend:
+		r.byName[f.Target].signal(syscall.SIGSTOP)
 	case schedule.DuplicateInstance:
-		return r.replaceSuspended(n, r.byName[f.Of])
-	case schedule.Server:
-		return r.requestServers("stop " + f.Of)
-	case schedule.Drain:
-		r.startDrain(f.Of)
-	case schedule.Break:
-		r.network.reset(f.Of, remoteEnd(&f))
+		return r.replaceSuspended(n, r.byName[f.Target])
+	case schedule.StopServer:
+		return r.requestServers("stop " + f.Target)
+	case schedule.DrainServer:
+		r.startDrain(f.Target)
+	case schedule.ResetConnections:
+		r.network.reset(f.Target, remoteEnd(&f))
 	default:
 		r.applyPathFault(n, &f)
 	}
@@ -77,24 +77,24 @@
 // endFault ends the nth fault.
 func (r *rig) endFault(n int, f schedule.Fault) error {
 	switch f.Kind {
-	case schedule.Build:
+	case schedule.Upgrade:
 		if r.options.Next != "" {
-			r.byName[f.Of].mu.Lock()
-			r.byName[f.Of].program = r.options.Next
-			r.byName[f.Of].mu.Unlock()
+			r.byName[f.Target].mu.Lock()
+			r.byName[f.Target].program = r.options.Next
+			r.byName[f.Target].mu.Unlock()
 		}
-		return r.byName[f.Of].restart()
-	case schedule.Kill, schedule.Term:
-		return r.byName[f.Of].restart()
-	case schedule.Stop:
-		r.byName[f.Of].signal(syscall.SIGCONT)
+		return r.byName[f.Target].restart()
+	case schedule.Kill, schedule.Terminate:
+		return r.byName[f.Target].restart()
+	case schedule.Suspend:
+		r.byName[f.Target].signal(syscall.SIGCONT)
 	case schedule.DuplicateInstance:
 		<-r.signalSuspended(n, f, syscall.SIGKILL).ended
-	case schedule.Server:
-		return r.requestServers("start " + f.Of)
-	case schedule.Drain:
-		return r.endDrain(f.Of)
-	case schedule.Break:
+	case schedule.StopServer:
+		return r.requestServers("start " + f.Target)
+	case schedule.DrainServer:
+		return r.endDrain(f.Target)
+	case schedule.ResetConnections:
 	default:
 		r.applyPathFault(n, nil)
 	}
@@ -126,7 +126,7 @@
 	r.faults.mu.Lock()
 	first := r.faults.suspended[n]
 	r.faults.mu.Unlock()
-	r.byName[f.Of].signalProcess(first, s)
+	r.byName[f.Target].signalProcess(first, s)
 	return first
 }
 
@@ -154,25 +154,25 @@
 // affects says whether a fault is of a path.
 func affects(f *schedule.Fault, k path) bool {
 	to := remoteEnd(f)
-	forth := f.Of == k.from && to == k.to
-	back := f.Of == k.to && to == k.from
-	return forth || f.Both && back
+	forth := f.Target == k.from && to == k.to
+	back := f.Target == k.to && to == k.from
+	return forth || f.Bidirectional && back
 }
 
 // addConditions adds a fault to what happens on a path. Of two faults of a kind the heavier one counts.
 func addConditions(s *relay.Conditions, f *schedule.Fault) {
 	switch f.Kind {
-	case schedule.Cut:
+	case schedule.Partition:
 		s.Partitioned = true
 	case schedule.Loss:
-		s.Loss = max(s.Loss, f.Share)
-	case schedule.Double:
-		s.Duplicate = max(s.Duplicate, f.Share)
-	case schedule.Swap:
-		s.Reorder = max(s.Reorder, f.Share)
-	case schedule.Spoil:
-		s.Corrupt = max(s.Corrupt, f.Share)
-	case schedule.Slow:
+		s.Loss = max(s.Loss, f.Probability)
+	case schedule.Duplicate:
+		s.Duplicate = max(s.Duplicate, f.Probability)
+	case schedule.Reorder:
+		s.Reorder = max(s.Reorder, f.Probability)
+	case schedule.Corrupt:
+		s.Corrupt = max(s.Corrupt, f.Probability)
+	case schedule.Latency:
 		s.Delay = max(s.Delay, time.Duration(f.Delay))
 	}
 }
--- a/internal/faulttest/faulttest.go
+++ b/internal/faulttest/faulttest.go
@@ -50,7 +50,7 @@
 // Run plays a schedule. Its error is of the rig; what the program did wrong is in the
 // history's findings.
 func Run(ctx context.Context, o Options) (*history.History, error) {
-	if err := o.Schedule.Check(); err != nil {
+	if err := o.Schedule.Validate(); err != nil {
 		return nil, err
 	}
 	r := &rig{
--- a/internal/faulttest/file.go
+++ b/internal/faulttest/file.go
@@ -30,5 +30,5 @@
 	if h.Schedule == nil {
 		return nil, fmt.Errorf("%s: it has no schedule", path)
 	}
-	return h, h.Schedule.Check()
+	return h, h.Schedule.Validate()
 }
--- a/internal/faulttest/history/golden_test.go
+++ b/internal/faulttest/history/golden_test.go
@@ -22,18 +22,18 @@
 func goldenHistory() *History {
 	return &History{
 		Schedule: &schedule.Schedule{
-			Version:   1,
-			Name:      "golden",
-			Seed:      18446744073709551615,
-			Length:    tomlfile.Duration(90 * time.Second),
-			Instances: 5,
-			Servers:   7,
-			Rate:      62.5,
-			Agree:     "soon",
+			Version:      1,
+			Name:         "golden",
+			Seed:         18446744073709551615,
+			LoadDuration: tomlfile.Duration(90 * time.Second),
+			Instances:    5,
+			Servers:      7,
+			Rate:         62.5,
+			Agreement:    "soon",
 			Faults: []schedule.Fault{
-				{Kind: schedule.Loss, At: tomlfile.Duration(1500 * time.Millisecond), For: tomlfile.Duration(2 * time.Second), Of: "i-1",
-					To: "i-2", Both: true, Share: 0.3, Delay: tomlfile.Duration(7 * time.Millisecond)},
-				{Kind: schedule.Kill, At: tomlfile.Duration(time.Minute), For: tomlfile.Duration(time.Second), Of: "i-3"},
+				{Kind: schedule.Loss, Start: tomlfile.Duration(1500 * time.Millisecond), Duration: tomlfile.Duration(2 * time.Second), Target: "i-1",
+					Destination: "i-2", Bidirectional: true, Probability: 0.3, Delay: tomlfile.Duration(7 * time.Millisecond)},
+				{Kind: schedule.Kill, Start: tomlfile.Duration(time.Minute), Duration: tomlfile.Duration(time.Second), Target: "i-3"},
 			},
 		},
 		Tries: []Try{
--- a/internal/faulttest/history/history.go
+++ b/internal/faulttest/history/history.go
@@ -68,9 +68,9 @@
 		}
 		// A stopped process goes on where it was, and a way that was cut passes what was written before.
 		explained := slices.ContainsFunc(s.Faults, func(f schedule.Fault) bool {
-			processFault := f.Kind == schedule.Stop && f.Of == instance
-			pathFault := f.Of == instance && f.To == d.Server
-			return (processFault || pathFault) && time.Duration(f.At) <= at && f.End()+drainSlack >= notified
+			processFault := f.Kind == schedule.Suspend && f.Target == instance
+			pathFault := f.Target == instance && f.Destination == d.Server
+			return (processFault || pathFault) && f.StartTime() <= at && f.EndTime()+drainSlack >= notified
 		})
 		if !explained {
 			out = append(out, at)
@@ -127,11 +127,11 @@
 // disturbed says whether a fault may have kept a try from its answer.
 func disturbed(s *schedule.Schedule, t *Try) bool {
 	return slices.ContainsFunc(s.Faults, func(f schedule.Fault) bool {
-		if time.Duration(f.At) > t.Ended || f.End()+slack < t.Requested {
+		if f.StartTime() > t.Ended || f.EndTime()+slack < t.Requested {
 			return false
 		}
-		process := f.To == "" && f.Of == t.Instance
-		pathFault := (f.Of == schedule.Clients && f.To == t.Instance)
+		process := f.Destination == "" && f.Target == t.Instance
+		pathFault := (f.Target == schedule.Clients && f.Destination == t.Instance)
 		return process || pathFault
 	})
 }
--- a/internal/faulttest/history/history_test.go
+++ b/internal/faulttest/history/history_test.go
@@ -14,12 +14,12 @@
 func TestCheck(t *testing.T) {
 	second := func(n int) tomlfile.Duration { return tomlfile.Duration(time.Duration(n) * time.Second) }
 	s := &schedule.Schedule{Faults: []schedule.Fault{
-		{Kind: schedule.Kill, Of: "i-1", At: second(10), For: second(1)},
-		{Kind: schedule.Cut, Of: schedule.Clients, To: "i-2", At: second(30), For: second(1)},
-		{Kind: schedule.Cut, Of: "i-3", To: "i-4", At: second(0), For: second(60)},
-		{Kind: schedule.Stop, Of: "i-5", At: second(5), For: second(1)},
-		{Kind: schedule.Cut, Of: "i-6", To: "s-1", At: second(4), For: second(2)},
-		{Kind: schedule.Cut, Of: "i-7", To: "s-2", At: second(4), For: second(2)}}}
+		{Kind: schedule.Kill, Target: "i-1", Start: second(10), Duration: second(1)},
+		{Kind: schedule.Partition, Target: schedule.Clients, Destination: "i-2", Start: second(30), Duration: second(1)},
+		{Kind: schedule.Partition, Target: "i-3", Destination: "i-4", Start: second(0), Duration: second(60)},
+		{Kind: schedule.Suspend, Target: "i-5", Start: second(5), Duration: second(1)},
+		{Kind: schedule.Partition, Target: "i-6", Destination: "s-1", Start: second(4), Duration: second(2)},
+		{Kind: schedule.Partition, Target: "i-7", Destination: "s-2", Start: second(4), Duration: second(2)}}}
 	// s-1 drains until 8 s; an instance is told at an instant, never if that is before the start, and writes at another.
 	drains := func(instance string, notified, sent int) []Drain {
 		d := Drain{Server: "s-1", Until: 8 * time.Second, Notified: map[string]time.Duration{}, Sent: map[string][]time.Duration{instance: {time.Duration(sent) * time.Second}}}
--- a/internal/faulttest/instance.go
+++ b/internal/faulttest/instance.go
@@ -130,7 +130,7 @@
 	for _, c := range classes {
 		fmt.Fprintf(&b, "[[class]]\nname = %q\nrepeat = %q\naim = %q\ndeadline = %q\n", c.name, repeats[c.repeat], c.objective, c.patience)
 		if c.repeat == balancer.IdempotentWithKey {
-			fmt.Fprintf(&b, "group = %q\nwindow = %q\nagree = %q\n", groups[c.group], c.window, r.options.Schedule.Agree)
+			fmt.Fprintf(&b, "group = %q\nwindow = %q\nagree = %q\n", groups[c.group], c.window, r.options.Schedule.Agreement)
 		}
 	}
 	var names, join []string
--- a/internal/faulttest/load.go
+++ b/internal/faulttest/load.go
@@ -44,7 +44,7 @@
 	var at time.Duration
 	for n := 0; ; n++ {
 		at += time.Duration(rng.ExpFloat64() / s.Rate * float64(time.Second))
-		if at >= time.Duration(s.Length) {
+		if at >= time.Duration(s.LoadDuration) {
 			return
 		}
 		e := drawEffect(rng, s.Seed, n, s.Instances)
--- a/internal/faulttest/network.go
+++ b/internal/faulttest/network.go
@@ -90,8 +90,8 @@
 
 // remoteEnd is the name of the process at the far end of a fault's path.
 func remoteEnd(f *schedule.Fault) string {
-	if f.To == schedule.Discovery {
-		return discoveryName(f.Of)
+	if f.Destination == schedule.Discovery {
+		return discoveryName(f.Target)
 	}
-	return f.To
+	return f.Destination
 }
--- a/internal/faulttest/report.go
+++ b/internal/faulttest/report.go
@@ -59,7 +59,7 @@
 // draw makes an SVG of a plot, with the faults marked behind it.
 func draw(p *plot.Plot, h *history.History, top float64) (string, error) {
 	for _, f := range h.Schedule.Faults {
-		from, to := time.Duration(f.At).Seconds(), max(f.End(), time.Duration(f.At)+pointSpan/5).Seconds()
+		from, to := f.StartTime().Seconds(), max(f.EndTime(), f.StartTime()+pointSpan/5).Seconds()
 		area, err := plotter.NewPolygon(plotter.XYs{{X: from, Y: 0}, {X: to, Y: 0}, {X: to, Y: top}, {X: from, Y: top}})
 		if err != nil {
 			return "", err
--- a/internal/faulttest/schedule/schedule_test.go
+++ b/internal/faulttest/schedule/schedule_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"reflect"
 	"slices"
 	"strings"
@@ -10,70 +11,86 @@
 
 	"pgregory.net/rapid"
 
+	"pinedale/internal/tomlfile"
+
 	_ "pinedale/internal/standin/seeds"
 )
 
-// What is drawn makes sense, ends within the load, and is the same for the same seed, also
-// after it was written and read.
-func TestDraw(t *testing.T) {
-	kinds := map[Kind]bool{}
+const (
+	testServers      = 6
+	testLoadDuration = 8 * time.Second
+)
+
+func TestDrawnSchedulesAreValidAndReproducible(t *testing.T) {
+	drawn := map[Kind]bool{}
 	rapid.Check(t, func(t *rapid.T) {
-		seed, instances := rapid.Uint64().Draw(t, "seed"), rapid.IntRange(3, 24).Draw(t, "instances")
-		s := Draw(seed, instances, 6, 8*time.Second)
-		if err := s.Check(); err != nil {
+		seed := rapid.Uint64().Draw(t, "seed")
+		instances := rapid.IntRange(minInstances, maxInstances).Draw(t, "instances")
+		schedule := Draw(seed, instances, testServers, testLoadDuration)
+		if err := schedule.Validate(); err != nil {
 			t.Fatal(err)
 		}
-		if !reflect.DeepEqual(s, Draw(seed, instances, 6, 8*time.Second)) {
+		if !reflect.DeepEqual(schedule, Draw(seed, instances, testServers, testLoadDuration)) {
 			t.Fatal("the same seed draws another schedule")
 		}
-		if s.LastFault() > time.Duration(s.Length) {
-			t.Fatalf("the last fault ends at %v", s.LastFault())
+		if schedule.LastFaultEnd() > testLoadDuration {
+			t.Fatalf("the last fault ends at %v, after the load", schedule.LastFaultEnd())
 		}
-		var back Schedule
-		if b, err := json.Marshal(s); err != nil || json.Unmarshal(b, &back) != nil || !reflect.DeepEqual(*s, back) {
-			t.Fatalf("%+v comes back as %+v", s, back)
-		}
-		for _, f := range s.Faults {
-			kinds[f.Kind] = true
+		requireRoundTrip(t, schedule)
+		for _, fault := range schedule.Faults {
+			drawn[fault.Kind] = true
 		}
 	})
-	for _, k := range append(slices.Clone(processKinds), pathKinds...) {
-		if !kinds[k] && k != Build {
-			t.Errorf("no %s was drawn", k)
+	for _, kind := range slices.Concat(processKinds, pathKinds) {
+		if !drawn[kind] && kind != Upgrade {
+			t.Errorf("no fault of kind %q was drawn", kind)
 		}
 	}
 }
 
-// Shrinking finds the faults that it takes, whichever they are.
-func TestShrink(t *testing.T) {
+// requireRoundTrip fails unless a schedule is equal after it was encoded as JSON and decoded.
+func requireRoundTrip(t *rapid.T, schedule *Schedule) {
+	encoded, err := json.Marshal(schedule)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var decoded Schedule
+	if err := json.Unmarshal(encoded, &decoded); err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(*schedule, decoded) {
+		t.Fatalf("%+v was decoded as %+v", schedule, decoded)
+	}
+}
+
+func TestShrinkKeepsExactlyTheNecessaryFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s := Draw(rapid.Uint64().Draw(t, "seed"), 5, 6, 8*time.Second)
-		need := map[string]bool{}
-		for _, f := range s.Faults {
-			if rapid.Bool().Draw(t, "needed") {
-				need[f.String()] = true
+		schedule := Draw(rapid.Uint64().Draw(t, "seed"), 5, testServers, testLoadDuration)
+		necessary := map[string]bool{}
+		for _, fault := range schedule.Faults {
+			if rapid.Bool().Draw(t, "necessary") {
+				necessary[fault.String()] = true
 			}
 		}
-		got := s.Shrink(func(s *Schedule) bool {
-			have := map[string]bool{}
-			for _, f := range s.Faults {
-				have[f.String()] = true
+		shrunk := schedule.Shrink(func(candidate *Schedule) bool {
+			present := map[string]bool{}
+			for _, fault := range candidate.Faults {
+				present[fault.String()] = true
 			}
-			for f := range need {
-				if !have[f] {
+			for fault := range necessary {
+				if !present[fault] {
 					return false
 				}
 			}
 			return true
 		})
-		if len(got.Faults) != len(need) {
-			t.Fatalf("%d faults are left, %d are needed", len(got.Faults), len(need))
+		if len(shrunk.Faults) != len(necessary) {
+			t.Fatalf("%d faults are left, %d are necessary", len(shrunk.Faults), len(necessary))
 		}
 	})
 }
 
-func TestParse(t *testing.T) {
-	good := `version = 1
+const validFile = `version = 1
 name = "triangle"
 instances = 3
 length = "6s"
@@ -85,33 +102,54 @@
 to = "i-3"
 both = true
 `
-	if s, err := Parse([]byte(good)); err != nil || len(s.Faults) != 1 || s.LastFault() != 3*time.Second {
-		t.Fatalf("%+v, %v", s, err)
+
+func TestParseAcceptsValidFile(t *testing.T) {
+	schedule, err := Parse([]byte(validFile))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(schedule.Faults) != 1 || schedule.LastFaultEnd() != 3*time.Second {
+		t.Fatalf("%+v", schedule)
 	}
-	for change, want := range map[string]string{
-		`kind = "cut"|kind = "flood"`:       "line 6: fault[0].kind",
-		`for = "2s"|for = "6s"`:             "the load lasts 6s",
-		`to = "i-3"|to = "i-1"`:             "there is no way",
-		`of = "i-1"|of = "i-9"`:             "is neither an instance",
-		`both = true|share = 0.5`:           "is not what a",
-		`instances = 3|instances = 2`:       "is not in 3 to 24",
-		`version = 1|version = 7`:           "known version",
-		`kind = "cut"|kind = "kill"`:        "is of one process",
-		`for = "2s"|`:                       "every fault ends",
-		`name = "triangle"|agree = "maybe"`: "is not one of never, soon, always",
+}
+
+func TestParseRejectsInvalidValues(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		old, new string // the change to validFile
+		want     string // part of the error
+	}{
+		{"unknown kind", `kind = "cut"`, `kind = "flood"`, "line 6: fault[0].kind"},
+		{"end after the load", `for = "2s"`, `for = "6s"`, "the load lasts 6s"},
+		{"path to itself", `to = "i-3"`, `to = "i-1"`, "there is no network path"},
+		{"unknown instance", `of = "i-1"`, `of = "i-9"`, "is neither an instance"},
+		{"probability of a partition", `both = true`, `share = 0.5`, "is not valid for a fault of kind"},
+		{"too few instances", `instances = 3`, `instances = 2`, "is not in 3 to 24"},
+		{"unknown version", `version = 1`, `version = 7`, "known version"},
+		{"path of a process fault", `kind = "cut"`, `kind = "kill"`, "affects one process"},
+		{"no duration", `for = "2s"`, ``, "needs a duration"},
+		{"unknown agreement", `name = "triangle"`, `agree = "maybe"`, "is not one of never, soon, always"},
 	} {
-		from, to, _ := strings.Cut(change, "|")
-		if _, err := Parse([]byte(strings.Replace(good, from, to, 1))); err == nil || !strings.Contains(err.Error(), want) {
-			t.Errorf("%s: %v, want %q", change, err, want)
-		}
+		t.Run(test.name, func(t *testing.T) {
+			_, err := Parse([]byte(strings.Replace(validFile, test.old, test.new, 1)))
+			var keyError *tomlfile.Error
+			if !errors.As(err, &keyError) || !strings.Contains(err.Error(), test.want) {
+				t.Errorf("error %v, want a *tomlfile.Error with %q", err, test.want)
+			}
+		})
 	}
 }
 
+// A schedule that Parse accepts is valid.
 func FuzzParse(f *testing.F) {
 	f.Add([]byte("version = 1\ninstances = 3\n[[fault]]\nkind = \"kill\"\nof = \"i-1\"\nfor = \"1s\"\n"))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		if s, err := Parse(data); err == nil && s.Check() != nil {
-			t.Fatalf("%+v is taken, and %v", s, s.Check())
+		schedule, err := Parse(data)
+		if err != nil {
+			return
+		}
+		if err := schedule.Validate(); err != nil {
+			t.Fatalf("%+v was accepted, but is invalid: %v", schedule, err)
 		}
 	})
 }
