--- a/cmd/pinedale-faulttest/main.go
+++ b/cmd/pinedale-faulttest/main.go
@@ -208,7 +208,7 @@
 	var wait sync.WaitGroup
 	var settled []time.Duration
 	var failed []string
-	total := history.Sum{ByCode: map[int]int{}}
+	total := history.Summary{ByStatus: map[int]int{}}
 	faults := 0
 	turn := make(chan struct{}, max(1, o.parallel))
 	for _, s := range all {
@@ -226,17 +226,17 @@
 				fmt.Fprintf(out, "%s: %v\n", s.Name, err)
 				return
 			}
-			sum := h.Sum()
-			total.Effects, total.Tries, total.Served = total.Effects+sum.Effects, total.Tries+sum.Tries, total.Served+sum.Served
-			total.Elsewhere += sum.Elsewhere
-			for code, n := range sum.ByCode {
-				total.ByCode[code] += n
+			sum := h.Summarize()
+			total.Effects, total.Attempts, total.Served = total.Effects+sum.Effects, total.Attempts+sum.Attempts, total.Served+sum.Served
+			total.InstanceChanges += sum.InstanceChanges
+			for code, n := range sum.ByStatus {
+				total.ByStatus[code] += n
 			}
 			faults += len(s.Faults)
-			settled = append(settled, h.Settled)
+			settled = append(settled, h.ConvergenceTime)
 			found := h.Check()
-			fmt.Fprintf(out, "%s: %d faults, %d effects, %d tries, served %.1f%% (median %v, 99%% %v), same copies after %v, %d findings\n", s.Name, len(s.Faults), sum.Effects, sum.Tries,
-				100*float64(sum.Served)/float64(max(1, sum.Effects)), sum.Median.Round(100*time.Microsecond), sum.P99.Round(100*time.Microsecond), h.Settled.Round(100*time.Millisecond), len(found))
+			fmt.Fprintf(out, "%s: %d faults, %d effects, %d tries, served %.1f%% (median %v, 99%% %v), same copies after %v, %d findings\n", s.Name, len(s.Faults), sum.Effects, sum.Attempts,
+				100*float64(sum.Served)/float64(max(1, sum.Effects)), sum.MedianLatency.Round(100*time.Microsecond), sum.P99Latency.Round(100*time.Microsecond), h.ConvergenceTime.Round(100*time.Millisecond), len(found))
 			for n, f := range found {
 				if n == 5 {
 					fmt.Fprintf(out, "  and %d more\n", len(found)-n)
@@ -264,7 +264,7 @@
 		return settled[min(len(settled)-1, int(q*float64(len(settled))))].Round(100 * time.Millisecond)
 	}
 	fmt.Fprintf(out, "%d schedules, %d faults, %d effects, %d tries (%d keyed ones at another instance than the one before), answers by code %v, served %.1f%%; same copies after %v (median), %v (nine of ten), %v (at most)\n",
-		len(all), faults, total.Effects, total.Tries, total.Elsewhere, total.ByCode, 100*float64(total.Served)/float64(max(1, total.Effects)), at(0.5), at(0.9), at(1))
+		len(all), faults, total.Effects, total.Attempts, total.InstanceChanges, total.ByStatus, 100*float64(total.Served)/float64(max(1, total.Effects)), at(0.5), at(0.9), at(1))
 	if len(failed) > 0 {
 		return fmt.Errorf("%d of %d schedules failed: %v", len(failed), len(all), failed)
 	}
--- a/internal/faulttest/drains.go
+++ b/internal/faulttest/drains.go
@@ -73,7 +73,7 @@
 	for _, d := range r.drains.begun {
 		observed := history.Drain{
 			Server:   d.server,
-			Until:    d.until,
+			End:      d.until,
 			Notified: map[string]time.Duration{},
 			Sent:     map[string][]time.Duration{},
 		}
--- a/internal/faulttest/faults.go
+++ b/internal/faulttest/faults.go
@@ -43,7 +43,7 @@
 	if err = errors.Join(err, r.endFault(n, f)); err != nil {
 		r.options.Log.Error("fault not played", "fault", f.String(), "err", err)
 		r.recorder.record(func(h *history.History) {
-			h.Ends = append(h.Ends, fmt.Sprintf("%s did not come back: %v", f.Target, err))
+			h.UnexpectedExits = append(h.UnexpectedExits, fmt.Sprintf("%s did not come back: %v", f.Target, err))
 		})
 	}
 }
--- a/internal/faulttest/faulttest.go
+++ b/internal/faulttest/faulttest.go
@@ -105,21 +105,21 @@
 	h := &r.recorder.history
 	for _, i := range r.instances {
 		if s, err := r.status(ctx, i, statusTimeout); err == nil {
-			h.Claims = append(h.Claims, fmt.Sprintf("%s: %+v", i.name, s.Counts))
+			h.LeaseCounts = append(h.LeaseCounts, fmt.Sprintf("%s: %+v", i.name, s.Counts))
 		}
 	}
 	var report serverReport
 	if err := r.servers.request("report", &report); err != nil {
 		return err
 	}
-	h.Done, h.Twice = report.Done, report.Twice
+	h.Executions, h.DuplicateEffects = report.Done, report.Twice
 	for _, s := range report.Stalls {
 		r.recordStall(s)
 	}
 	h.Drains = r.observedDrains()
 	for _, i := range r.instances {
 		i.mu.Lock()
-		h.Ends = append(h.Ends, i.crashes...)
+		h.UnexpectedExits = append(h.UnexpectedExits, i.crashes...)
 		i.mu.Unlock()
 	}
 	return nil
--- a/internal/faulttest/faulttest_test.go
+++ b/internal/faulttest/faulttest_test.go
@@ -113,7 +113,7 @@
 				for i := range h.Drains {
 					checkDrainObserved(t, &h.Drains[i], s.Instances)
 				}
-				if sum := h.Sum(); sum.Effects < 100 || sum.Served == 0 {
+				if sum := h.Summarize(); sum.Effects < 100 || sum.Served == 0 {
 					t.Errorf("%+v: the load did not run", sum)
 				}
 				path := filepath.Join(dir, "run.json")
@@ -121,7 +121,7 @@
 					t.Fatal(err)
 				}
 				back, err := Read(path)
-				if err != nil || len(back.Tries) != len(h.Tries) || len(back.Schedule.Faults) != len(s.Faults) {
+				if err != nil || len(back.Attempts) != len(h.Attempts) || len(back.Schedule.Faults) != len(s.Faults) {
 					t.Errorf("what was kept comes back as %+v, %v", back, err)
 				}
 				page := filepath.Join(dir, "page.html")
@@ -169,7 +169,7 @@
 			return nil
 		}
 		request, err := r.newRequest(ctx, &effect{key: "reuse-" + drain.server, class: class},
-			&history.Try{Instance: instance, Number: number}, class.patience)
+			&history.Attempt{Instance: instance, Number: number}, class.patience)
 		if err != nil {
 			return err
 		}
@@ -191,14 +191,14 @@
 	reused := 0
 	for instance, sent := range drain.Sent {
 		lastSent[instance] = sent[len(sent)-1]
-		if lastSent[instance] > drain.Until {
+		if lastSent[instance] > drain.End {
 			reused++
 		}
 	}
-	if drain.Until == 0 || len(drain.Notified) != instances || reused != instances {
+	if drain.End == 0 || len(drain.Notified) != instances || reused != instances {
 		t.Errorf("drain of %s: ended at %v, instances notified at %v, last sent to the server at %v; "+
 			"want an end, and all %d instances notified and sending after it",
-			drain.Server, drain.Until, drain.Notified, lastSent, instances)
+			drain.Server, drain.End, drain.Notified, lastSent, instances)
 	}
 }
 
--- a/internal/faulttest/history/golden_test.go
+++ b/internal/faulttest/history/golden_test.go
@@ -14,50 +14,96 @@
 	"pinedale/internal/tomlfile"
 )
 
-// update writes the golden file anew. The format of kept histories may not change: it is for a
-// field that is added, and the lines that are there stay.
-var update = flag.Bool("update", false, "write the golden file anew")
+// update rewrites the golden file. The format of stored histories may not change: it is for a field that is added, and
+// the fields that exist stay as they are.
+var update = flag.Bool("update", false, "rewrite the golden file")
 
-// goldenHistory has every field set.
+// goldenHistory returns a history in which every field is set.
 func goldenHistory() *History {
 	return &History{
-		Schedule: &schedule.Schedule{
-			Version:      1,
-			Name:         "golden",
-			Seed:         18446744073709551615,
-			LoadDuration: tomlfile.Duration(90 * time.Second),
-			Instances:    5,
-			Servers:      7,
-			Rate:         62.5,
-			Agreement:    "soon",
-			Faults: []schedule.Fault{
-				{Kind: schedule.Loss, Start: tomlfile.Duration(1500 * time.Millisecond), Duration: tomlfile.Duration(2 * time.Second), Target: "i-1",
-					Destination: "i-2", Bidirectional: true, Probability: 0.3, Delay: tomlfile.Duration(7 * time.Millisecond)},
-				{Kind: schedule.Kill, Start: tomlfile.Duration(time.Minute), Duration: tomlfile.Duration(time.Second), Target: "i-3"},
+		Schedule: goldenSchedule(),
+		Attempts: []Attempt{
+			{
+				Effect:    "e-1",
+				Class:     "order",
+				HasKey:    true,
+				Number:    2,
+				Instance:  "i-1",
+				Requested: 1000000001,
+				Deadline:  3000000002,
+				Ended:     2000000003,
+				Outcome:   Answered,
+				Status:    502,
 			},
+			goldenAttempt("e-2", 0, 4, Unanswered),
+			goldenAttempt("e-3", 1, 7, Cancelled),
+			goldenAttempt("e-4", 1, 10, Broken),
 		},
-		Tries: []Try{
-			{Effect: "e-1", Class: "order", HasKey: true, Number: 2, Instance: "i-1", Requested: 1000000001, Deadline: 3000000002,
-				Ended: 2000000003, Kind: Answered, Code: 502},
-			{Effect: "e-2", Class: "price-check", Number: 0, Instance: "i-2", Requested: 4, Deadline: 5, Ended: 6, Kind: Unanswered},
-			{Effect: "e-3", Class: "price-check", Number: 1, Instance: "i-2", Requested: 7, Deadline: 8, Ended: 9, Kind: Cancelled},
-			{Effect: "e-4", Class: "price-check", Number: 1, Instance: "i-2", Requested: 10, Deadline: 11, Ended: 12, Kind: Broken},
+		Views:              []View{{At: 13, Instance: "i-1", Alive: 5}},
+		Executions:         map[string]int{"e-1": 1, "e-2": 2},
+		DuplicateEffects:   []string{"e-2"},
+		ConvergenceTime:    14,
+		ReplicaDifferences: []string{`copy <of> & "i-4"`},
+		UnexpectedExits:    []string{"i-5: exit status 2"},
+		LeaseCounts:        []string{"i-1: 3 granted"},
+		Drains: []Drain{{
+			Server:   "s-1",
+			End:      15,
+			Notified: map[string]time.Duration{"i-1": 16, "i-2": 17},
+			Sent:     map[string][]time.Duration{"i-1": {18, 19}, "i-2": {20}},
+		}},
+		Stalls: []Stall{{Start: 21, End: 22}},
+	}
+}
+
+// goldenAttempt returns an attempt without a response, with successive times.
+func goldenAttempt(effect string, number int, requested time.Duration, outcome Outcome) Attempt {
+	return Attempt{
+		Effect:    effect,
+		Class:     "price-check",
+		Number:    number,
+		Instance:  "i-2",
+		Requested: requested,
+		Deadline:  requested + 1,
+		Ended:     requested + 2,
+		Outcome:   outcome,
+	}
+}
+
+// goldenSchedule returns a schedule in which every field is set.
+func goldenSchedule() *schedule.Schedule {
+	return &schedule.Schedule{
+		Version:      1,
+		Name:         "golden",
+		Seed:         18446744073709551615,
+		LoadDuration: tomlfile.Duration(90 * time.Second),
+		Instances:    5,
+		Servers:      7,
+		Rate:         62.5,
+		Agreement:    schedule.AgreeSoon,
+		Faults: []schedule.Fault{
+			{
+				Kind:          schedule.Loss,
+				Start:         tomlfile.Duration(1500 * time.Millisecond),
+				Duration:      tomlfile.Duration(2 * time.Second),
+				Target:        "i-1",
+				Destination:   "i-2",
+				Bidirectional: true,
+				Probability:   0.3,
+				Delay:         tomlfile.Duration(7 * time.Millisecond),
+			},
+			{
+				Kind:     schedule.Kill,
+				Start:    tomlfile.Duration(time.Minute),
+				Duration: tomlfile.Duration(time.Second),
+				Target:   "i-3",
+			},
 		},
-		Views:   []View{{At: 13, Instance: "i-1", Alive: 5}},
-		Done:    map[string]int{"e-1": 1, "e-2": 2},
-		Twice:   []string{"e-2"},
-		Settled: 14,
-		Differ:  []string{"copy <of> & \"i-4\""},
-		Ends:    []string{"i-5: exit status 2"},
-		Claims:  []string{"i-1: 3 granted"},
-		Drains: []Drain{{Server: "s-1", Until: 15, Notified: map[string]time.Duration{"i-1": 16, "i-2": 17},
-			Sent: map[string][]time.Duration{"i-1": {18, 19}, "i-2": {20}}}},
-		Stalls: []Stall{{From: 21, Until: 22}},
 	}
 }
 
-// requireFieldsSet fails for each field that no element of the value sets: an unset field is not
-// covered by the golden file. Of a slice one element must set it.
+// requireFieldsSet fails for each field that none of the values sets: the golden file does not cover it. The elements
+// of a slice count as one set of values.
 func requireFieldsSet(t *testing.T, path string, values []reflect.Value) {
 	t.Helper()
 	var found []reflect.Value
--- a/internal/faulttest/history/history_test.go
+++ b/internal/faulttest/history/history_test.go
@@ -1,7 +1,6 @@
 package history
 
 import (
-	"strings"
 	"testing"
 	"time"
 
@@ -9,77 +8,345 @@
 	"pinedale/internal/tomlfile"
 )
 
-// Each rule is found broken by a history that breaks it, and by that alone; what a fault
-// explains is not held against an instance, and only while it may.
-func TestCheck(t *testing.T) {
-	second := func(n int) tomlfile.Duration { return tomlfile.Duration(time.Duration(n) * time.Second) }
-	s := &schedule.Schedule{Faults: []schedule.Fault{
-		{Kind: schedule.Kill, Target: "i-1", Start: second(10), Duration: second(1)},
-		{Kind: schedule.Partition, Target: schedule.Clients, Destination: "i-2", Start: second(30), Duration: second(1)},
-		{Kind: schedule.Partition, Target: "i-3", Destination: "i-4", Start: second(0), Duration: second(60)},
-		{Kind: schedule.Suspend, Target: "i-5", Start: second(5), Duration: second(1)},
-		{Kind: schedule.Partition, Target: "i-6", Destination: "s-1", Start: second(4), Duration: second(2)},
-		{Kind: schedule.Partition, Target: "i-7", Destination: "s-2", Start: second(4), Duration: second(2)}}}
-	// s-1 drains until 8 s; an instance is told at an instant, never if that is before the start, and writes at another.
-	drains := func(instance string, notified, sent int) []Drain {
-		d := Drain{Server: "s-1", Until: 8 * time.Second, Notified: map[string]time.Duration{}, Sent: map[string][]time.Duration{instance: {time.Duration(sent) * time.Second}}}
-		if notified >= 0 {
-			d.Notified[instance] = time.Duration(notified) * time.Second
+// seconds returns a duration of whole seconds.
+func seconds(count int) time.Duration { return time.Duration(count) * time.Second }
+
+// faultOf returns a fault that starts at a second and lasts some seconds.
+func faultOf(kind schedule.Kind, target, destination string, start, duration int) schedule.Fault {
+	return schedule.Fault{
+		Kind:        kind,
+		Target:      target,
+		Destination: destination,
+		Start:       tomlfile.Duration(seconds(start)),
+		Duration:    tomlfile.Duration(seconds(duration)),
+	}
+}
+
+// attemptAt returns an attempt at effect "e" that starts at a second and lasts a second.
+func attemptAt(instance string, start int, outcome Outcome, status int) Attempt {
+	return Attempt{
+		Effect:    "e",
+		HasKey:    true,
+		Instance:  instance,
+		Requested: seconds(start),
+		Ended:     seconds(start + 1),
+		Outcome:   outcome,
+		Status:    status,
+	}
+}
+
+// neverNotified is for drainOf.
+const neverNotified = -1
+
+// drainOf returns a drain of s-1 until second 8, of which an instance was notified at one second, unless that is
+// neverNotified, and during which it sent data at another.
+func drainOf(instance string, notified, sent int) Drain {
+	drain := Drain{
+		Server:   "s-1",
+		End:      seconds(8),
+		Notified: map[string]time.Duration{},
+		Sent:     map[string][]time.Duration{instance: {seconds(sent)}},
+	}
+	if notified != neverNotified {
+		drain.Notified[instance] = seconds(notified)
+	}
+	return drain
+}
+
+// stallBetween returns a stall between two times in milliseconds.
+func stallBetween(start, end int) Stall {
+	return Stall{
+		Start: time.Duration(start) * time.Millisecond,
+		End:   time.Duration(end) * time.Millisecond,
+	}
+}
+
+// Each rule is violated by a history that breaks it, and by no other. A fault or a stall excuses an instance only
+// where it may be the cause.
+func TestCheckReportsExactlyTheViolatedRule(t *testing.T) {
+	faults := []schedule.Fault{
+		faultOf(schedule.Kill, "i-1", "", 10, 1),
+		faultOf(schedule.Partition, schedule.Clients, "i-2", 30, 1),
+		faultOf(schedule.Partition, "i-3", "i-4", 0, 60),
+		faultOf(schedule.Suspend, "i-5", "", 5, 1),
+		faultOf(schedule.Partition, "i-6", "s-1", 4, 2),
+		faultOf(schedule.Partition, "i-7", "s-2", 4, 2),
+	}
+	const none Rule = ""
+	for _, test := range []struct {
+		name    string
+		history History
+		want    Rule
+	}{
+		{
+			name: "answered and executed",
+			history: History{
+				Attempts:   []Attempt{attemptAt("i-1", 1, Answered, 200)},
+				Executions: map[string]int{"e": 1},
+			},
+			want: none,
+		},
+		{
+			name:    "answered with success and not executed",
+			history: History{Attempts: []Attempt{attemptAt("i-1", 1, Answered, 200)}},
+			want:    SuccessIsExecuted,
+		},
+		{
+			name: "answered with success and not executed during a stall",
+			history: History{
+				Stalls:   []Stall{stallBetween(0, 60_000)},
+				Attempts: []Attempt{attemptAt("i-1", 1, Answered, 200)},
+			},
+			want: SuccessIsExecuted,
+		},
+		{
+			name:    "answered with failure and not executed",
+			history: History{Attempts: []Attempt{attemptAt("i-1", 1, Answered, 502)}},
+			want:    none,
+		},
+		{
+			name:    "unanswered before the instance is killed",
+			history: History{Attempts: []Attempt{attemptAt("i-1", 1, Unanswered, 0)}},
+			want:    OneResponse,
+		},
+		{
+			name:    "broken when the instance is killed",
+			history: History{Attempts: []Attempt{attemptAt("i-1", 9, Broken, 0)}},
+			want:    none,
+		},
+		{
+			name:    "broken when another instance is killed",
+			history: History{Attempts: []Attempt{attemptAt("i-2", 9, Broken, 0)}},
+			want:    OneResponse,
+		},
+		{
+			name:    "broken long after the instance was killed",
+			history: History{Attempts: []Attempt{attemptAt("i-1", 20, Broken, 0)}},
+			want:    OneResponse,
+		},
+		{
+			name:    "unanswered while the path from clients is partitioned",
+			history: History{Attempts: []Attempt{attemptAt("i-2", 30, Unanswered, 0)}},
+			want:    none,
+		},
+		{
+			name:    "unanswered while a path to another instance is partitioned",
+			history: History{Attempts: []Attempt{attemptAt("i-3", 30, Unanswered, 0)}},
+			want:    OneResponse,
+		},
+		{
+			name: "broken during a long stall",
+			history: History{
+				Stalls:   []Stall{stallBetween(0, 1_000), stallBetween(30_500, 32_000)},
+				Attempts: []Attempt{attemptAt("i-3", 30, Broken, 0)},
+			},
+			want: none,
+		},
+		{
+			name: "broken after a long stall",
+			history: History{
+				Stalls:   []Stall{stallBetween(28_000, 29_000)},
+				Attempts: []Attempt{attemptAt("i-3", 30, Broken, 0)},
+			},
+			want: OneResponse,
+		},
+		{
+			name: "broken during a short stall",
+			history: History{
+				Stalls:   []Stall{stallBetween(30_500, 30_800)},
+				Attempts: []Attempt{attemptAt("i-3", 30, Broken, 0)},
+			},
+			want: OneResponse,
+		},
+		{
+			name:    "cancelled by the client",
+			history: History{Attempts: []Attempt{attemptAt("i-3", 30, Cancelled, 0)}},
+			want:    none,
+		},
+		{
+			name: "executed twice",
+			history: History{
+				Attempts:         []Attempt{attemptAt("i-3", 30, Cancelled, 0)},
+				DuplicateEffects: []string{"e"},
+			},
+			want: AtMostOnce,
+		},
+		{
+			name: "executed twice during a short stall",
+			history: History{
+				Stalls:           []Stall{stallBetween(30_500, 30_800)},
+				Attempts:         []Attempt{attemptAt("i-3", 30, Cancelled, 0)},
+				DuplicateEffects: []string{"e"},
+			},
+			want: none,
+		},
+		{
+			name: "executed twice during a stall that is too short to count",
+			history: History{
+				Stalls:           []Stall{stallBetween(30_500, 30_600)},
+				Attempts:         []Attempt{attemptAt("i-3", 30, Cancelled, 0)},
+				DuplicateEffects: []string{"e"},
+			},
+			want: AtMostOnce,
+		},
+		{
+			name: "executed twice after a stall",
+			history: History{
+				Stalls:           []Stall{stallBetween(28_000, 29_000)},
+				Attempts:         []Attempt{attemptAt("i-3", 30, Cancelled, 0)},
+				DuplicateEffects: []string{"e"},
+			},
+			want: AtMostOnce,
+		},
+		{
+			name:    "replicas differ",
+			history: History{ReplicaDifferences: []string{"s-1"}},
+			want:    ReplicasConverge,
+		},
+		{
+			name:    "an instance exits unexpectedly",
+			history: History{UnexpectedExits: []string{"i-1"}},
+			want:    NoUnexpectedExits,
+		},
+		{
+			name:    "sent before the notification of a drain",
+			history: History{Drains: []Drain{drainOf("i-3", 5, 4)}},
+			want:    none,
+		},
+		{
+			name:    "sent just after the notification of a drain",
+			history: History{Drains: []Drain{drainOf("i-3", 5, 6)}},
+			want:    none,
+		},
+		{
+			name:    "sent long after the notification of a drain",
+			history: History{Drains: []Drain{drainOf("i-3", 5, 7)}},
+			want:    DrainsHonoured,
+		},
+		{
+			name:    "sent after the end of a drain",
+			history: History{Drains: []Drain{drainOf("i-3", 5, 9)}},
+			want:    none,
+		},
+		{
+			name:    "sent without notification of a drain",
+			history: History{Drains: []Drain{drainOf("i-3", neverNotified, 7)}},
+			want:    none,
+		},
+		{
+			name:    "suspended when notified of a drain",
+			history: History{Drains: []Drain{drainOf("i-5", 5, 7)}},
+			want:    none,
+		},
+		{
+			name:    "path to the server partitioned during its drain",
+			history: History{Drains: []Drain{drainOf("i-6", 5, 7)}},
+			want:    none,
+		},
+		{
+			name:    "path to another server partitioned during a drain",
+			history: History{Drains: []Drain{drainOf("i-7", 5, 7)}},
+			want:    DrainsHonoured,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			test.history.Schedule = &schedule.Schedule{Faults: faults}
+			found := test.history.Check()
+			if test.want == none {
+				if len(found) > 0 {
+					t.Errorf("findings %v, want none", found)
+				}
+				return
+			}
+			if len(found) != 1 || found[0].Rule != test.want {
+				t.Errorf("findings %v, want one of rule %q", found, test.want)
+			}
+		})
+	}
+}
+
+func TestFindingIsPrintedWithItsRule(t *testing.T) {
+	history := History{
+		Schedule: &schedule.Schedule{},
+		Attempts: []Attempt{
+			attemptAt("i-1", 1, Answered, 200),
+			{Effect: "f", Number: 2, Instance: "i-2", Requested: seconds(3), Ended: seconds(4), Outcome: Broken},
+		},
+		DuplicateEffects:   []string{"e"},
+		Drains:             []Drain{drainOf("i-3", 5, 7)},
+		ReplicaDifferences: []string{"s-1"},
+		UnexpectedExits:    []string{"i-5: exit status 2"},
+	}
+	want := []string{
+		"no effect twice: e; try 0 at i-1, 1s to 2s, answered 200",
+		"served is done: e was answered 200 by i-1 at 2s, and no server has done it",
+		"one final answer each: f, try 2 at i-2 from 3s to 4s: broken, and nothing befell that instance",
+		"drains honoured: i-3 wrote to s-1 at [7s], and knew at 5s that it drains until 8s",
+		"copies converge: s-1",
+		"no crash: i-5: exit status 2",
+	}
+	found := history.Check()
+	if len(found) != len(want) {
+		t.Fatalf("%d findings, want %d: %v", len(found), len(want), found)
+	}
+	for i, finding := range found {
+		if finding.String() != want[i] {
+			t.Errorf("finding %d is %q, want %q", i, finding, want[i])
 		}
-		return []Drain{d}
 	}
-	try := func(instance string, at int, k Kind, code int) Try {
-		return Try{Effect: "e", HasKey: true, Instance: instance, Requested: time.Duration(at) * time.Second, Ended: time.Duration(at+1) * time.Second, Kind: k, Code: code}
+}
+
+func TestSummarizeCountsAttempts(t *testing.T) {
+	instances := []string{"i-1", "i-1", "i-2"}
+	var history History
+	for number := range 100 {
+		history.Attempts = append(history.Attempts, Attempt{
+			Effect:   "e",
+			HasKey:   true,
+			Number:   number,
+			Instance: instances[number%len(instances)],
+			Ended:    time.Duration(number) * time.Millisecond,
+			Outcome:  Answered,
+			Status:   200,
+		})
 	}
-	for name, c := range map[string]struct {
-		h    History
-		want string
+	history.Attempts = append(history.Attempts,
+		Attempt{Effect: "f", Outcome: Cancelled},
+		Attempt{Effect: "f", Number: 1, Outcome: Answered, Status: 502, Ended: time.Hour},
+	)
+	summary := history.Summarize()
+	for _, count := range []struct {
+		name      string
+		got, want int
 	}{
-		"good":                    {History{Tries: []Try{try("i-1", 1, Answered, 200)}, Done: map[string]int{"e": 1}}, ""},
-		"served and not done":     {History{Tries: []Try{try("i-1", 1, Answered, 200)}}, "served is done"},
-		"failed and not done":     {History{Tries: []Try{try("i-1", 1, Answered, 502)}}, ""},
-		"lost":                    {History{Tries: []Try{try("i-1", 1, Unanswered, 0)}}, "one final answer each"},
-		"killed":                  {History{Tries: []Try{try("i-1", 9, Broken, 0)}}, ""},
-		"another was killed":      {History{Tries: []Try{try("i-2", 9, Broken, 0)}}, "one final answer each"},
-		"long after the kill":     {History{Tries: []Try{try("i-1", 20, Broken, 0)}}, "one final answer each"},
-		"clients cut off":         {History{Tries: []Try{try("i-2", 30, Unanswered, 0)}}, ""},
-		"a cut between instances": {History{Tries: []Try{try("i-3", 30, Unanswered, 0)}}, "one final answer each"},
-		"the rig stood still":     {History{Stalls: []Stall{{0, time.Second}, {30500 * time.Millisecond, 32 * time.Second}}, Tries: []Try{try("i-3", 30, Broken, 0)}}, ""},
-		"it stood still before":   {History{Stalls: []Stall{{28 * time.Second, 29 * time.Second}}, Tries: []Try{try("i-3", 30, Broken, 0)}}, "one final answer each"},
-		"and all else holds":      {History{Stalls: []Stall{{0, time.Minute}}, Tries: []Try{try("i-1", 1, Answered, 200)}}, "served is done"},
-		"left":                    {History{Tries: []Try{try("i-3", 30, Cancelled, 0)}}, ""},
-		"twice":                   {History{Tries: []Try{try("i-3", 30, Cancelled, 0)}, Twice: []string{"e"}}, "no effect twice"},
-		"twice, and a still rig":  {History{Stalls: []Stall{{30500 * time.Millisecond, 30800 * time.Millisecond}}, Tries: []Try{try("i-3", 30, Cancelled, 0)}, Twice: []string{"e"}}, ""},
-		"a moment":                {History{Stalls: []Stall{{30500 * time.Millisecond, 30600 * time.Millisecond}}, Tries: []Try{try("i-3", 30, Cancelled, 0)}, Twice: []string{"e"}}, "no effect twice"},
-		"twice, still before":     {History{Stalls: []Stall{{28 * time.Second, 29 * time.Second}}, Tries: []Try{try("i-3", 30, Cancelled, 0)}, Twice: []string{"e"}}, "no effect twice"},
-		"broken in a moment":      {History{Stalls: []Stall{{30500 * time.Millisecond, 30800 * time.Millisecond}}, Tries: []Try{try("i-3", 30, Broken, 0)}}, "one final answer each"},
-		"copies differ":           {History{Differ: []string{"s-1"}}, "copies converge"},
-		"a crash":                 {History{Ends: []string{"i-1"}}, "no crash"},
-		"sent before it was told": {History{Drains: drains("i-3", 5, 4)}, ""},
-		"sent as it was told":     {History{Drains: drains("i-3", 5, 6)}, ""},
-		"sent after it was told":  {History{Drains: drains("i-3", 5, 7)}, "drains honoured"},
-		"sent once it was back":   {History{Drains: drains("i-3", 5, 9)}, ""},
-		"never told":              {History{Drains: drains("i-3", -1, 7)}, ""},
-		"stopped meanwhile":       {History{Drains: drains("i-5", 5, 7)}, ""},
-		"its way was cut":         {History{Drains: drains("i-6", 5, 7)}, ""},
-		"another's way was cut":   {History{Drains: drains("i-7", 5, 7)}, "drains honoured"},
+		{"effects", summary.Effects, 2},
+		{"attempts", summary.Attempts, 102},
+		{"served effects", summary.Served, 1},
+		{"cancelled attempts", summary.Cancelled, 1},
+		{"responses with status 502", summary.ByStatus[502], 1},
+		{"instance changes", summary.InstanceChanges, 66},
 	} {
-		c.h.Schedule = s
-		got := c.h.Check()
-		if c.want == "" && len(got) > 0 || c.want != "" && (len(got) != 1 || !strings.HasPrefix(got[0].String(), c.want)) {
-			t.Errorf("%s: %v, want %q", name, got, c.want)
+		if count.got != count.want {
+			t.Errorf("%d %s, want %d", count.got, count.name, count.want)
 		}
 	}
+	if summary.MedianLatency != 50*time.Millisecond || summary.P99Latency != 99*time.Millisecond {
+		t.Errorf("median latency %v, 99th percentile %v, want 50 ms and 99 ms",
+			summary.MedianLatency, summary.P99Latency)
+	}
 }
 
-func TestSum(t *testing.T) {
-	h := History{}
-	for n := range 100 {
-		h.Tries = append(h.Tries, Try{Effect: "e", HasKey: true, Number: n, Instance: []string{"i-1", "i-1", "i-2"}[n%3], Kind: Answered, Code: 200, Ended: time.Duration(n) * time.Millisecond})
-	}
-	h.Tries = append(h.Tries, Try{Effect: "f", Kind: Cancelled}, Try{Effect: "f", Number: 1, Kind: Answered, Code: 502, Ended: time.Hour})
-	s := h.Sum()
-	if s.Effects != 2 || s.Tries != 102 || s.Served != 1 || s.Cancelled != 1 || s.ByCode[502] != 1 || s.Elsewhere != 66 || s.Median != 50*time.Millisecond || s.P99 != 99*time.Millisecond {
-		t.Errorf("%+v", s)
+func TestAddSumsCounts(t *testing.T) {
+	first := Summary{Effects: 1, Attempts: 2, Served: 3, Cancelled: 4, Unanswered: 5, Broken: 6, InstanceChanges: 7}
+	second := first
+	second.ByStatus = map[int]int{200: 8, 502: 9}
+	first.Add(second)
+	first.Add(Summary{ByStatus: map[int]int{200: 1}})
+	if first.Effects != 2 || first.Attempts != 4 || first.Served != 6 || first.Cancelled != 8 ||
+		first.Unanswered != 10 || first.Broken != 12 || first.InstanceChanges != 14 {
+		t.Errorf("counts %+v", first)
+	}
+	if first.ByStatus[200] != 9 || first.ByStatus[502] != 9 {
+		t.Errorf("responses by status %v", first.ByStatus)
 	}
 }
--- a/internal/faulttest/load.go
+++ b/internal/faulttest/load.go
@@ -83,7 +83,7 @@
 		if remaining < minTimeout {
 			return
 		}
-		t := history.Try{
+		t := history.Attempt{
 			Effect:    e.key,
 			Class:     e.class.name,
 			HasKey:    e.class.repeat == balancer.IdempotentWithKey,
@@ -98,8 +98,8 @@
 		}
 		retryAfter := r.attempt(ctx, c, e, &t, remaining, giveUp)
 		t.Ended = r.sinceStart()
-		r.recorder.record(func(h *history.History) { h.Tries = append(h.Tries, t) })
-		if t.Kind == history.Answered && t.Code == http.StatusOK || ctx.Err() != nil {
+		r.recorder.record(func(h *history.History) { h.Attempts = append(h.Attempts, t) })
+		if t.Outcome == history.Answered && t.Status == http.StatusOK || ctx.Err() != nil {
 			return
 		}
 		if !sleep(ctx, retryAfter+time.Duration(e.rng.IntN(retryJitterMillis))*time.Millisecond) {
@@ -113,7 +113,7 @@
 
 // attempt asks once, gives up after giveUp unless that is 0, and sets what became of it. It returns how
 // long the answer wants the client to wait.
-func (r *rig) attempt(ctx context.Context, c *http.Client, e *effect, t *history.Try, remaining, giveUp time.Duration) time.Duration {
+func (r *rig) attempt(ctx context.Context, c *http.Client, e *effect, t *history.Attempt, remaining, giveUp time.Duration) time.Duration {
 	timeout, onTimeout := remaining+history.UnansweredAfter, history.Unanswered
 	if giveUp > 0 {
 		timeout, onTimeout = giveUp, history.Cancelled
@@ -122,7 +122,7 @@
 	defer stop()
 	request, err := r.newRequest(ctx, e, t, remaining)
 	if err != nil {
-		t.Kind = history.Broken
+		t.Outcome = history.Broken
 		return 0
 	}
 	response, err := c.Do(request)
@@ -132,18 +132,18 @@
 	}
 	switch {
 	case err == nil:
-		t.Kind, t.Code = history.Answered, response.StatusCode
+		t.Outcome, t.Status = history.Answered, response.StatusCode
 		return retryAfter(response)
 	case ctx.Err() != nil:
-		t.Kind = onTimeout
+		t.Outcome = onTimeout
 	default:
-		t.Kind = history.Broken
+		t.Outcome = history.Broken
 	}
 	return 0
 }
 
 // newRequest makes the request of an attempt.
-func (r *rig) newRequest(ctx context.Context, e *effect, t *history.Try, remaining time.Duration) (*http.Request, error) {
+func (r *rig) newRequest(ctx context.Context, e *effect, t *history.Attempt, remaining time.Duration) (*http.Request, error) {
 	method, body := http.MethodPost, io.Reader(bytes.NewReader([]byte("pay")))
 	if e.class.repeat == balancer.Idempotent {
 		method, body = http.MethodGet, nil
--- a/internal/faulttest/observe.go
+++ b/internal/faulttest/observe.go
@@ -69,7 +69,7 @@
 // recordStall records a stall of the rig or of its servers.
 func (r *rig) recordStall(s stall) {
 	r.recorder.record(func(h *history.History) {
-		h.Stalls = append(h.Stalls, history.Stall{From: s.From.Sub(r.began), Until: s.Until.Sub(r.began)})
+		h.Stalls = append(h.Stalls, history.Stall{Start: s.From.Sub(r.began), End: s.Until.Sub(r.began)})
 	})
 }
 
@@ -83,7 +83,7 @@
 			break
 		}
 	}
-	r.recorder.record(func(h *history.History) { h.Settled, h.Differ = r.sinceStart()-from, differ })
+	r.recorder.record(func(h *history.History) { h.ConvergenceTime, h.ReplicaDifferences = r.sinceStart()-from, differ })
 	return ctx.Err()
 }
 
--- a/internal/faulttest/report.go
+++ b/internal/faulttest/report.go
@@ -41,8 +41,8 @@
 	}
 	var b strings.Builder
 	fmt.Fprintf(&b, "<!DOCTYPE html><html><head><meta charset=\"utf-8\"><title>%[1]s</title></head><body style=\"font-family:sans-serif\"><h1>%[1]s</h1>\n", html.EscapeString(h.Schedule.Name))
-	s := h.Sum()
-	fmt.Fprintf(&b, "<p>%d effects, %d tries, %d effects served; answers by code %v; same copies %v after the last fault and request.</p>\n", s.Effects, s.Tries, s.Served, s.ByCode, h.Settled.Round(time.Millisecond))
+	s := h.Summarize()
+	fmt.Fprintf(&b, "<p>%d effects, %d tries, %d effects served; answers by code %v; same copies %v after the last fault and request.</p>\n", s.Effects, s.Attempts, s.Served, s.ByStatus, h.ConvergenceTime.Round(time.Millisecond))
 	found := h.Check()
 	fmt.Fprintf(&b, "<p>%d findings</p><ul>", len(found))
 	for _, f := range found {
@@ -100,16 +100,16 @@
 		counts[i] = map[int]int{}
 	}
 	last := 0
-	for _, t := range h.Tries {
+	for _, t := range h.Attempts {
 		kind := 4
 		switch {
-		case t.Kind == history.Cancelled:
+		case t.Outcome == history.Cancelled:
 			kind = 3
-		case t.Kind == history.Answered && t.Code == 200:
+		case t.Outcome == history.Answered && t.Status == 200:
 			kind = 0
-		case t.Kind == history.Answered && (t.Code == 503 || t.Code == 429):
+		case t.Outcome == history.Answered && (t.Status == 503 || t.Status == 429):
 			kind = 1
-		case t.Kind == history.Answered:
+		case t.Outcome == history.Answered:
 			kind = 2
 		}
 		at := int(t.Requested / pointSpan)
