Fault tests: one file per job, typed server protocol, standard names

Files mixed jobs (servers.go: classes, both ends of the servers' process; processes.go: setup, readiness, requests) and steps were hidden in dense lines and bare strings. Now: a configuration template instead of Fprintf of fragments; typed commands and responses between a run and its servers' process; clients as a type of their own; attempts by category and page by template in the report; schedules of the test as TOML files in testdata. Errors of ReadHistory are typed. The observer of stalls in the servers' process is waited for.

--- a/cmd/pinedale-faulttest/main.go
+++ b/cmd/pinedale-faulttest/main.go
@@ -34,7 +34,7 @@
 
 // run runs the program, or the rig's servers in a process that the program has started for them.
 func run() error {
-	if did, err := faulttest.Main(); did {
+	if served, err := faulttest.ServeIfServerProcess(); served {
 		return err
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
@@ -128,11 +128,11 @@
 	shrink.Flags().IntVar(&o.attempts, "attempts", 3, "plays without a fault found, from which a schedule counts as good: processes run in real time, and not each play fails")
 	report := &cobra.Command{Use: "report FILE.json PAGE.html", Short: "draw a run that was kept: service and each instance's view, with the faults marked", Args: cobra.ExactArgs(2),
 		RunE: func(_ *cobra.Command, args []string) error {
-			h, err := faulttest.Read(args[0])
+			h, err := faulttest.ReadHistory(args[0])
 			if err != nil {
 				return err
 			}
-			return faulttest.Report(args[1], h)
+			return faulttest.WriteReport(args[1], h)
 		}}
 	root.AddCommand(run, replay, shrink, report)
 	return root
@@ -150,7 +150,7 @@
 // read reads a schedule: a TOML file, or that of a run that was kept.
 func read(path string) (*schedule.Schedule, error) {
 	if filepath.Ext(path) == ".json" {
-		h, err := faulttest.Read(path)
+		h, err := faulttest.ReadHistory(path)
 		if err != nil {
 			return nil, err
 		}
@@ -177,7 +177,7 @@
 	if err != nil {
 		return nil, err
 	}
-	h, err := faulttest.Run(ctx, faulttest.Options{Schedule: s, Program: program, Next: o.next, Dir: dir, Log: slog.Default()})
+	h, err := faulttest.Run(ctx, faulttest.Options{Schedule: s, Program: program, UpgradeProgram: o.next, Dir: dir, Log: slog.Default()})
 	if err == nil && o.dir == "" && len(h.Check()) == 0 {
 		os.RemoveAll(dir)
 	}
@@ -192,7 +192,7 @@
 	if o.dir == "" && len(h.Check()) == 0 {
 		return nil
 	}
-	if err := faulttest.Save(filepath.Join(dir, "run.json"), h); err != nil {
+	if err := faulttest.WriteHistory(filepath.Join(dir, "run.json"), h); err != nil {
 		return err
 	}
 	text, err := toml.Marshal(h.Schedule)
--- a/internal/faulttest/faulttest.go
+++ b/internal/faulttest/faulttest.go
@@ -1,7 +1,7 @@
-// Package faulttest is a rig of real processes: instances of pinedale-proxy, servers in a process
-// of their own, and seeded clients, with a relay on each path between them, through which a
-// schedule of faults is played. What was asked, answered and done is kept as a history and
-// checked against the rules over all processes together.
+// Package faulttest runs fault tests over real processes: instances of pinedale-proxy, servers in a process of their
+// own, and clients whose requests follow from a seed. A relay on each network path between them injects the faults of
+// a schedule. What clients, servers and relays observe is recorded as a history, which is then checked against the
+// rules that hold over all processes.
 package faulttest
 
 import (
@@ -15,51 +15,57 @@
 	"pinedale/internal/faulttest/schedule"
 )
 
-// Options say what a run is made of.
+// Options configure a run.
 type Options struct {
-	Schedule *schedule.Schedule
-	Program  string // path of pinedale-proxy
-	Next     string // path of another build of it, for faults that ask for one
-	Dir      string // for files of the run
-	Log      *slog.Logger
+	Schedule       *schedule.Schedule
+	Program        string // path of pinedale-proxy
+	UpgradeProgram string // path of another build of it, for faults of kind Upgrade; Program if empty
+	Dir            string // existing directory for configuration files and logs
+	Log            *slog.Logger
 
-	// afterLoad, if set, is called once load and faults are over and before replicas are compared.
+	// afterLoad, if set, is called once load and faults are over and before replicas are compared. It is for tests.
 	afterLoad func(context.Context, *rig) error
 }
 
-// rig is one run: its processes, the network between them, and what is recorded. The maps and slices
-// are filled by start and only read afterwards.
+// rig is one run: its processes, the network between them, and the history. The fields that start fills are not
+// changed afterwards.
 type rig struct {
-	options Options
-	began   time.Time // of the load; all instants of the history count from it
+	options   Options
+	loadStart time.Time // all times of the history count from it
 
-	serverSpec serverSpec
-	servers    *servers
-	serverMu   sync.Mutex // over one request to the servers' process and its answer
+	servers *serverProcess
+	keyFile string // holds the key that the instances share
 
-	keyFile   string // of the key that the instances share
 	instances []*instance
 	byName    map[string]*instance
 
 	network  *network
-	drains   drains
-	faults   faults
+	drains   drainLog
+	faults   faultState
 	recorder recorder
 }
 
-// Run plays a schedule. Its error is of the rig; what the program did wrong is in the
-// history's findings.
-func Run(ctx context.Context, o Options) (*history.History, error) {
-	if err := o.Schedule.Validate(); err != nil {
-		return nil, err
-	}
-	r := &rig{
-		options: o,
+// newRig returns a rig without processes.
+func newRig(options Options) *rig {
+	return &rig{
+		options: options,
 		byName:  map[string]*instance{},
-		network: newNetwork(o.Schedule.Seed),
-		faults:  faults{active: map[int]schedule.Fault{}, suspended: map[int]*process{}},
+		network: newNetwork(options.Schedule.Seed),
+		faults: faultState{
+			activePathFaults: map[int]schedule.Fault{},
+			suspended:        map[int]*process{},
+		},
+		recorder: recorder{history: history.History{Schedule: options.Schedule}},
 	}
-	r.recorder.history.Schedule = o.Schedule
+}
+
+// Run plays a schedule and returns what was observed. It returns an error if the run itself failed; violations of
+// the rules are findings of the history.
+func Run(ctx context.Context, options Options) (*history.History, error) {
+	if err := options.Schedule.Validate(); err != nil {
+		return nil, err
+	}
+	r := newRig(options)
 	defer r.stop()
 	if err := r.start(); err != nil {
 		return nil, err
@@ -67,13 +73,13 @@
 	if err := r.waitReady(ctx); err != nil {
 		return nil, err
 	}
-	r.began = time.Now()
+	r.loadStart = time.Now()
 	r.playUnderLoad(ctx)
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
-	if o.afterLoad != nil {
-		if err := o.afterLoad(ctx, r); err != nil {
+	if options.afterLoad != nil {
+		if err := options.afterLoad(ctx, r); err != nil {
 			return nil, err
 		}
 	}
@@ -86,54 +92,58 @@
 	return &r.recorder.history, nil
 }
 
-// playUnderLoad plays the faults while clients ask, and returns once both are over.
+// playUnderLoad plays the faults under the clients' load, and returns once both are over.
 func (r *rig) playUnderLoad(ctx context.Context) {
-	var observers, players sync.WaitGroup
-	play, stop := context.WithCancel(ctx)
-	defer stop()
-	observers.Go(func() { r.observeViews(play) })
-	observers.Go(func() { observeStalls(play, r.recordStall) })
-	players.Go(func() { r.playFaults(play) })
-	r.load(ctx)
-	players.Wait()
-	stop()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var observers, faults sync.WaitGroup
+	observers.Go(func() { r.observeViews(ctx) })
+	observers.Go(func() { observeStalls(ctx, r.recordStall) })
+	faults.Go(func() { r.playFaults(ctx) })
+	r.generateLoad(ctx)
+	faults.Wait()
+	cancel()
 	observers.Wait()
 }
 
-// collect adds to the history what instances, servers and discovery know at the end of the run.
+// collect adds to the history what instances, servers and discovery have recorded during the run.
 func (r *rig) collect(ctx context.Context) error {
-	h := &r.recorder.history
-	for _, i := range r.instances {
-		if s, err := r.status(ctx, i, statusTimeout); err == nil {
-			h.LeaseCounts = append(h.LeaseCounts, fmt.Sprintf("%s: %+v", i.name, s.Counts))
+	recorded := &r.recorder.history
+	for _, instance := range r.instances {
+		status, err := r.fetchStatus(ctx, instance, statusTimeout)
+		if err != nil {
+			continue
 		}
+		recorded.LeaseCounts = append(recorded.LeaseCounts, fmt.Sprintf("%s: %+v", instance.name, status.Counts))
 	}
-	var report serverReport
-	if err := r.servers.request("report", &report); err != nil {
+	report, err := r.servers.report()
+	if err != nil {
 		return err
 	}
-	h.Executions, h.DuplicateEffects = report.Done, report.Twice
-	for _, s := range report.Stalls {
-		r.recordStall(s)
+	recorded.Executions = report.Executions
+	recorded.DuplicateEffects = report.DuplicateEffects
+	for _, stall := range report.Stalls {
+		r.recordStall(stall)
 	}
-	h.Drains = r.observedDrains()
-	for _, i := range r.instances {
-		i.mu.Lock()
-		h.UnexpectedExits = append(h.UnexpectedExits, i.crashes...)
-		i.mu.Unlock()
+	recorded.Drains = r.observedDrains()
+	for _, instance := range r.instances {
+		recorded.UnexpectedExits = append(recorded.UnexpectedExits, instance.unexpectedExits()...)
 	}
 	return nil
 }
 
-// sinceStart is the time on the history's clock.
-func (r *rig) sinceStart() time.Duration { return time.Since(r.began) }
+// sinceLoadStart returns the present time of the history.
+func (r *rig) sinceLoadStart() time.Duration { return time.Since(r.loadStart) }
+
+// untilTime returns the time left until a time of the history.
+func (r *rig) untilTime(at time.Duration) time.Duration { return time.Until(r.loadStart.Add(at)) }
 
-// sleep waits, and says whether the time is over rather than ctx.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
+// sleep waits for a duration and reports true, or false if the context was done before.
+func sleep(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
 	select {
-	case <-t.C:
+	case <-timer.C:
 		return true
 	case <-ctx.Done():
 		return false
--- a/internal/faulttest/instance.go
+++ b/internal/faulttest/instance.go
@@ -4,149 +4,143 @@
 	"fmt"
 	"os"
 	"os/exec"
-	"path/filepath"
-	"strings"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
-	"pinedale/balancer"
 	"pinedale/internal/standin/ports"
 )
 
-// instance is one process of pinedale-proxy.
+// exitTimeout bounds the graceful shutdown of an instance. It completes the requests that it has accepted, whose
+// deadlines are at most requestDeadline away.
+const exitTimeout = 10 * time.Second
+
+// instance is an instance of pinedale-proxy. It has a new process after each restart.
 type instance struct {
-	name      string
-	via       map[string]string // where it reaches the others, by name
-	discovery string            // and its list
-	log       *os.File
-
-	mu                  sync.Mutex
-	http, peers, status string // host:port
-	config              string // path of its file
-	program             string
-	now                 *process
-	crashes             []string
+	name             string
+	logFile          *os.File
+	peerRelays       map[string]string // address of the relay to each other instance, by its name
+	discoveryAddress string            // of the relay to its discovery service
+
+	mu            sync.Mutex
+	httpAddress   string // these are host:port, of the present process
+	peerAddress   string
+	statusAddress string
+	configFile    string
+	program       string
+	current       *process
+	failures      []string // exits that the run did not cause
 }
 
-// process is one life of an instance.
+// process is one process of an instance.
 type process struct {
-	*exec.Cmd
-	ended chan struct{}
-	meant bool // its end was, under the instance's mu
+	cmd          *exec.Cmd
+	exited       chan struct{} // is closed once the process has exited
+	exitExpected bool          // guarded by the instance's mutex
 }
 
-// start starts the process. It may be called again once it has ended, or another stands in for it.
+// start starts a new process. A process that was started before must have exited, or be replaced on purpose.
 func (i *instance) start() error {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	cmd := exec.Command(i.program, "serve", "--config", i.config)
-	cmd.Stdout, cmd.Stderr = i.log, i.log
-	// A rig that dies takes its processes along.
+	cmd := exec.Command(i.program, "serve", "--config", i.configFile)
+	cmd.Stdout, cmd.Stderr = i.logFile, i.logFile
+	// The process must not outlive this one.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	p := &process{Cmd: cmd, ended: make(chan struct{})}
-	i.now = p
-	go func() {
-		err := cmd.Wait()
-		i.mu.Lock()
-		if !p.meant {
-			i.crashes = append(i.crashes, fmt.Sprintf("%s ended by itself: %v", i.name, err))
-		}
-		i.mu.Unlock()
-		close(p.ended)
-	}()
+	started := &process{cmd: cmd, exited: make(chan struct{})}
+	i.current = started
+	go i.awaitExit(started)
 	return nil
 }
 
-// process is the present life, nil before the first.
-func (i *instance) process() *process {
+// awaitExit waits until a process exits and records the exit if the run did not cause it.
+func (i *instance) awaitExit(p *process) {
+	defer close(p.exited)
+	err := p.cmd.Wait()
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.now
+	if !p.exitExpected {
+		i.failures = append(i.failures, fmt.Sprintf("%s ended by itself: %v", i.name, err))
+	}
 }
 
-// signal sends the present process a signal.
-func (i *instance) signal(s syscall.Signal) { i.signalProcess(i.process(), s) }
+// restart starts a new process once the present one has exited.
+func (i *instance) restart() error {
+	i.waitExit()
+	return i.start()
+}
 
-// signalProcess sends a process a signal; one that ends it is meant to.
-func (i *instance) signalProcess(p *process, s syscall.Signal) {
+// currentProcess returns the present process, nil before the first start.
+func (i *instance) currentProcess() *process {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	p.meant = p.meant || s == syscall.SIGKILL || s == syscall.SIGTERM
-	_ = p.Process.Signal(s) // it may have ended
+	return i.current
 }
 
-// waitEnd waits for the process's end after SIGTERM, and kills it where that takes too long.
-func (i *instance) waitEnd() {
-	p := i.process()
-	if p == nil {
-		return
-	}
-	select {
-	case <-p.ended:
-	case <-time.After(endTimeout):
-		i.signalProcess(p, syscall.SIGKILL)
-		<-p.ended
-	}
+// currentStatusAddress returns the address of the present process's status.
+func (i *instance) currentStatusAddress() string {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.statusAddress
 }
 
-// endTimeout is the longest that an instance may take for its orderly end: it answers what it
-// has taken, and its longest patience is 1.5 s.
-const endTimeout = 10 * time.Second
-
-// allocateAddresses finds new ones for the next process.
-func (i *instance) allocateAddresses() (err error) {
+// unexpectedExits describes the exits that the run did not cause.
+func (i *instance) unexpectedExits() []string {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	for _, address := range []*string{&i.http, &i.peers, &i.status} {
-		if *address, err = ports.Free(); err != nil {
-			return err
-		}
-	}
-	return nil
+	return slices.Clone(i.failures)
 }
 
-// restart starts the process anew, while its ports may still be closing.
-func (i *instance) restart() error {
-	i.waitEnd()
-	return i.start()
+// setProgram sets the program of the processes that are started from now on.
+func (i *instance) setProgram(path string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.program = path
 }
 
-var repeats = map[balancer.Idempotency]string{balancer.Idempotent: "safe", balancer.IdempotentWithKey: "keyed"}
-var groups = map[balancer.Group]string{balancer.GroupAll: "all", balancer.GroupCell: "pod"}
+// signal sends a signal to the present process.
+func (i *instance) signal(signal syscall.Signal) { i.signalProcess(i.currentProcess(), signal) }
 
-// writeConfig writes the operator's file of an instance.
-func (r *rig) writeConfig(i *instance) error {
+// signalProcess sends a signal to a process of the instance.
+func (i *instance) signalProcess(p *process, signal syscall.Signal) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	var b strings.Builder
-	fmt.Fprintf(&b, "version = 1\nname = %q\nsite = \"a\"\n[http]\nlisten = %q\n", i.name, i.http)
-	// Servers are never taken for new, and probes are off: what is told of servers is then at
-	// rest once clients are.
-	fmt.Fprintf(&b, "[limits]\nprobes = false\n[fleet]\nsites = [\"a\"]\nkinds = [\"box\"]\nreports = [\"queue\"]\ninstances = %d\nwarm_within = \"0s\"\n", len(r.instances))
-	for _, c := range classes {
-		fmt.Fprintf(&b, "[[class]]\nname = %q\nrepeat = %q\naim = %q\ndeadline = %q\n", c.name, repeats[c.repeat], c.objective, c.patience)
-		if c.repeat == balancer.IdempotentWithKey {
-			fmt.Fprintf(&b, "group = %q\nwindow = %q\nagree = %q\n", groups[c.group], c.window, r.options.Schedule.Agreement)
-		}
+	if signal == syscall.SIGKILL || signal == syscall.SIGTERM {
+		p.exitExpected = true
 	}
-	var names, join []string
-	for _, other := range r.instances {
-		names = append(names, fmt.Sprintf("%q", other.name))
-		if other != i {
-			// Whatever address is named, the way is that of peers.via.
-			join = append(join, fmt.Sprintf("%q", other.name+"/"+i.via[other.name]))
-		}
+	_ = p.cmd.Process.Signal(signal) // fails if the process has exited
+}
+
+// waitExit waits until the present process has exited, and kills it after exitTimeout.
+func (i *instance) waitExit() {
+	p := i.currentProcess()
+	if p == nil {
+		return
 	}
-	fmt.Fprintf(&b, "[peers]\nlisten = %q\nstatus = %q\nkeys_file = %q\nwitnesses = [%s]\njoin = [%s]\n[peers.via]\n", i.peers, i.status, r.keyFile,
-		strings.Join(names, ", "), strings.Join(join, ", "))
-	for name, address := range i.via {
-		fmt.Fprintf(&b, "%q = %q\n", name, address)
+	timer := time.NewTimer(exitTimeout)
+	defer timer.Stop()
+	select {
+	case <-p.exited:
+	case <-timer.C:
+		i.signalProcess(p, syscall.SIGKILL)
+		<-p.exited
+	}
+}
+
+// allocateAddresses chooses free addresses for the next process.
+func (i *instance) allocateAddresses() error {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, address := range []*string{&i.httpAddress, &i.peerAddress, &i.statusAddress} {
+		free, err := ports.Free()
+		if err != nil {
+			return err
+		}
+		*address = free
 	}
-	fmt.Fprintf(&b, "[discovery]\naddress = %q\nask_within = \"2s\"\n", i.discovery)
-	i.config = filepath.Join(r.options.Dir, i.name+".toml")
-	return os.WriteFile(i.config, []byte(b.String()), 0o600)
+	return nil
 }
--- a/internal/faulttest/network.go
+++ b/internal/faulttest/network.go
@@ -6,92 +6,104 @@
 	"pinedale/internal/standin/fakediscovery"
 )
 
-// path names a direction between two processes.
-type path struct{ from, to string }
+// endpoints are the names of the two ends of a path, in its direction.
+type endpoints struct{ from, to string }
 
-// network is what is between the rig's processes: a relay on each path, and each instance's discovery.
+// reverse returns the endpoints of the opposite path.
+func (e endpoints) reverse() endpoints { return endpoints{from: e.to, to: e.from} }
+
+// network is what connects the processes of a run.
 type network struct {
-	seed   uint64
-	paths  map[path]*relay.Path
-	relays map[path]*relay.Relay               // by the direction in which connections are opened
-	fronts map[string]string                   // where clients reach an instance
-	lists  map[string]*fakediscovery.Directory // each instance's discovery: addresses differ, since paths do
+	seed            uint64
+	paths           map[endpoints]*relay.Path
+	relays          map[endpoints]*relay.Relay          // by the direction in which connections are established
+	clientAddresses map[string]string                   // where clients reach each instance
+	directories     map[string]*fakediscovery.Directory // each instance's discovery service
 }
 
-// newNetwork makes a network without processes.
+// newNetwork returns a network without paths.
 func newNetwork(seed uint64) *network {
 	return &network{
-		seed:   seed,
-		paths:  map[path]*relay.Path{},
-		relays: map[path]*relay.Relay{},
-		fronts: map[string]string{},
-		lists:  map[string]*fakediscovery.Directory{},
+		seed:            seed,
+		paths:           map[endpoints]*relay.Path{},
+		relays:          map[endpoints]*relay.Relay{},
+		clientAddresses: map[string]string{},
+		directories:     map[string]*fakediscovery.Directory{},
 	}
 }
 
-// direction returns the path from one process to another. Its fates follow from the seed and the order
-// in which paths are made.
-func (n *network) direction(from, to string) *relay.Path {
-	k := path{from, to}
-	if n.paths[k] == nil {
-		n.paths[k] = relay.NewPath(n.seed*1_000_003 + uint64(len(n.paths)))
+// pathSeedFactor separates the path seeds of successive schedule seeds.
+const pathSeedFactor = 1_000_003
+
+// path returns the path between two endpoints, and creates it if there is none. Its seed follows from the network's
+// and from the number of paths that were created before.
+func (n *network) path(ends endpoints) *relay.Path {
+	if n.paths[ends] == nil {
+		n.paths[ends] = relay.NewPath(n.seed*pathSeedFactor + uint64(len(n.paths)))
 	}
-	return n.paths[k]
+	return n.paths[ends]
 }
 
-// connect makes a relay from one process to another and returns its address.
+// connect starts a relay from one process to another, at the target address, and returns the relay's address.
 func (n *network) connect(from, to, target string) (string, error) {
-	x, err := relay.Start(target, n.direction(from, to), n.direction(to, from))
+	ends := endpoints{from, to}
+	outbound := n.path(ends)
+	inbound := n.path(ends.reverse())
+	started, err := relay.Start(target, outbound, inbound)
 	if err != nil {
 		return "", err
 	}
-	n.relays[path{from, to}] = x
-	return x.Address, nil
+	n.relays[ends] = started
+	return started.Address, nil
 }
 
-// reset breaks the connections that stand between two processes.
-func (n *network) reset(a, b string) {
-	for _, k := range []path{{a, b}, {b, a}} {
-		if x := n.relays[k]; x != nil {
-			x.ResetConnections()
+// resetConnections resets the connections between two processes.
+func (n *network) resetConnections(ends endpoints) {
+	for _, direction := range []endpoints{ends, ends.reverse()} {
+		if connected := n.relays[direction]; connected != nil {
+			connected.ResetConnections()
 		}
 	}
 }
 
-// redirect has all relays to an instance lead to its present addresses from now on.
+// redirect has all relays to an instance forward to the addresses of its present process.
 func (n *network) redirect(i *instance) error {
-	for k, x := range n.relays {
-		if k.to != i.name {
+	i.mu.Lock()
+	httpAddress, peerAddress := i.httpAddress, i.peerAddress
+	i.mu.Unlock()
+	for ends, connected := range n.relays {
+		if ends.to != i.name {
 			continue
 		}
-		target := i.peers
-		if k.from == schedule.Clients {
-			target = i.http
+		target := peerAddress
+		if ends.from == schedule.Clients {
+			target = httpAddress
 		}
-		if err := x.SetTarget(target); err != nil {
+		if err := connected.SetTarget(target); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// close ends the relays and the discoveries.
+// close closes the relays and the discovery services.
 func (n *network) close() {
-	for _, x := range n.relays {
-		x.Close()
+	for _, connected := range n.relays {
+		connected.Close()
 	}
-	for _, d := range n.lists {
-		d.Close()
+	for _, directory := range n.directories {
+		directory.Close()
 	}
 }
 
-// discoveryName names an instance's discovery, as the end of a path.
+// discoveryName returns the endpoint name of an instance's discovery service.
 func discoveryName(instance string) string { return schedule.Discovery + " of " + instance }
 
-// remoteEnd is the name of the process at the far end of a fault's path.
-func remoteEnd(f *schedule.Fault) string {
-	if f.Destination == schedule.Discovery {
-		return discoveryName(f.Target)
+// faultEndpoints returns the endpoints of the path that a fault affects.
+func faultEndpoints(fault *schedule.Fault) endpoints {
+	ends := endpoints{from: fault.Target, to: fault.Destination}
+	if fault.Destination == schedule.Discovery {
+		ends.to = discoveryName(fault.Target)
 	}
-	return f.Destination
+	return ends
 }
--- a/internal/faulttest/observe.go
+++ b/internal/faulttest/observe.go
@@ -12,14 +12,14 @@
 )
 
 const (
-	viewInterval     = 500 * time.Millisecond
-	viewTimeout      = viewInterval / 5
-	stallInterval    = 50 * time.Millisecond // at which a process looks whether it has stood still
-	convergeTimeout  = 60 * time.Second      // for copies to converge after the last fault
-	convergeInterval = 100 * time.Millisecond
+	viewInterval = 500 * time.Millisecond
+	viewTimeout  = 100 * time.Millisecond // of one instance's status
+
+	convergenceTimeout  = 60 * time.Second // for replicas to become equal after the last fault
+	convergenceInterval = 100 * time.Millisecond
 )
 
-// recorder keeps the run's history.
+// recorder guards the history of a run that is in progress.
 type recorder struct {
 	mu      sync.Mutex
 	history history.History
@@ -32,80 +32,77 @@
 	change(&c.history)
 }
 
-// observeViews records what each instance takes to be there, until ctx ends.
+// observeViews records each instance's view of the cluster at intervals, until the context is done.
 func (r *rig) observeViews(ctx context.Context) {
-	tick := time.NewTicker(viewInterval)
-	defer tick.Stop()
+	ticker := time.NewTicker(viewInterval)
+	defer ticker.Stop()
 	for {
-		for _, i := range r.instances {
-			s, err := r.status(ctx, i, viewTimeout)
-			if err != nil {
-				continue
-			}
-			r.recorder.record(func(h *history.History) {
-				h.Views = append(h.Views, history.View{At: r.sinceStart(), Instance: i.name, Alive: len(s.Alive)})
-			})
+		for _, instance := range r.instances {
+			r.observeView(ctx, instance)
 		}
 		select {
-		case <-tick.C:
+		case <-ticker.C:
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// stall is a time in which a process stood still.
-type stall struct{ From, Until time.Time }
-
-// observeStalls reports each stall of this process until ctx ends.
-func observeStalls(ctx context.Context, report func(stall)) {
-	for last := time.Now(); sleep(ctx, stallInterval); last = time.Now() {
-		if now := time.Now(); now.Sub(last) > history.MinStall {
-			report(stall{last, now})
-		}
+// observeView records an instance's view of the cluster, unless the instance does not respond.
+func (r *rig) observeView(ctx context.Context, i *instance) {
+	status, err := r.fetchStatus(ctx, i, viewTimeout)
+	if err != nil {
+		return
 	}
-}
-
-// recordStall records a stall of the rig or of its servers.
-func (r *rig) recordStall(s stall) {
 	r.recorder.record(func(h *history.History) {
-		h.Stalls = append(h.Stalls, history.Stall{Start: s.From.Sub(r.began), End: s.Until.Sub(r.began)})
+		h.Views = append(h.Views, history.View{
+			At:       r.sinceLoadStart(),
+			Instance: i.name,
+			Alive:    len(status.Alive),
+		})
 	})
 }
 
-// waitConverged waits until all copies are the same: what each says of servers, by whom. It records how
-// long that took, and what still differed if it did not come to that.
+// waitConverged waits until the replicas of all instances are equal. It records how long that took, and the
+// remaining differences if they did not become equal within convergenceTimeout.
 func (r *rig) waitConverged(ctx context.Context) error {
-	from := r.sinceStart()
-	var differ []string
-	for end := time.Now().Add(convergeTimeout); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(convergeInterval) {
-		if differ = r.differences(ctx); len(differ) == 0 {
+	start := r.sinceLoadStart()
+	var differences []string
+	for deadline := time.Now().Add(convergenceTimeout); time.Now().Before(deadline); {
+		differences = r.replicaDifferences(ctx)
+		if len(differences) == 0 || !sleep(ctx, convergenceInterval) {
 			break
 		}
 	}
-	r.recorder.record(func(h *history.History) { h.ConvergenceTime, h.ReplicaDifferences = r.sinceStart()-from, differ })
+	r.recorder.record(func(h *history.History) {
+		h.ConvergenceTime = r.sinceLoadStart() - start
+		h.ReplicaDifferences = differences
+	})
 	return ctx.Err()
 }
 
-// differences returns in what the instances' copies differ from the first one's.
-func (r *rig) differences(ctx context.Context) (differ []string) {
+// replicaDifferences returns how the instances' replicas differ from that of the first one.
+func (r *rig) replicaDifferences(ctx context.Context) []string {
+	var differences []string
 	var first *cluster.Status
-	for _, i := range r.instances {
-		s, err := r.status(ctx, i, statusTimeout)
+	for _, instance := range r.instances {
+		status, err := r.fetchStatus(ctx, instance, statusTimeout)
 		if err != nil {
-			differ = append(differ, fmt.Sprintf("%s: %v", i.name, err))
+			differences = append(differences, fmt.Sprintf("%s: %v", instance.name, err))
 			continue
 		}
-		// What each says of itself goes on changing.
-		s.Records = slices.DeleteFunc(s.Records, func(t cluster.Record) bool { return t.Subject == "self" })
-		if len(s.Alive) != len(r.instances) {
-			differ = append(differ, fmt.Sprintf("%s knows %v", i.name, s.Alive))
+		status.Records = slices.DeleteFunc(status.Records, describesOrigin)
+		if len(status.Alive) != len(r.instances) {
+			differences = append(differences, fmt.Sprintf("%s knows %v", instance.name, status.Alive))
 		}
 		if first == nil {
-			first = &s
-		} else {
-			differ = append(differ, cluster.Diff(first, &s)...)
+			first = &status
+			continue
 		}
+		differences = append(differences, cluster.Diff(first, &status)...)
 	}
-	return differ
+	return differences
 }
+
+// describesOrigin reports whether a record is what an instance publishes about itself, which never stops changing.
+func describesOrigin(record cluster.Record) bool { return record.Subject == "self" }
--- /dev/null
+++ b/internal/faulttest/plot.go
@@ -0,0 +1,185 @@
+package faulttest
+
+import (
+	"bytes"
+	"image/color"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+
+	"pinedale/internal/faulttest/history"
+)
+
+const (
+	plotWidth  = 26 * vg.Centimeter
+	plotHeight = 8 * vg.Centimeter
+	lineWidth  = 1.2 // points
+
+	servicePointSpan = 250 * time.Millisecond // that one point of the service plot covers
+	minFaultWidth    = servicePointSpan / 5   // of the mark of a fault without duration
+)
+
+// faultColor marks the periods of faults.
+var faultColor = color.RGBA{R: 220, G: 60, B: 40, A: 40}
+
+// lineColors are the colors of a plot's lines, in order.
+var lineColors = []color.Color{
+	color.RGBA{R: 20, G: 90, B: 170, A: 255},
+	color.RGBA{R: 30, G: 140, B: 60, A: 255},
+	color.RGBA{R: 190, G: 120, B: 0, A: 255},
+	color.RGBA{R: 130, G: 50, B: 150, A: 255},
+	color.RGBA{R: 90, G: 90, B: 90, A: 255},
+}
+
+// serviceCategory is a line of the service plot.
+type serviceCategory int
+
+// The categories of attempts, in the order of their lines.
+const (
+	categoryServed serviceCategory = iota
+	categoryRejected
+	categoryFailed
+	categoryCancelled
+	categoryLost
+	categoryCount
+)
+
+// categoryLabels are the legends of the service plot.
+var categoryLabels = [categoryCount]string{
+	categoryServed:    "served",
+	categoryRejected:  "refused",
+	categoryFailed:    "failed",
+	categoryCancelled: "given up by clients",
+	categoryLost:      "without answer",
+}
+
+// categorize returns the category of an attempt.
+func categorize(attempt *history.Attempt) serviceCategory {
+	switch attempt.Outcome {
+	case history.Cancelled:
+		return categoryCancelled
+	case history.Answered:
+		switch attempt.Status {
+		case http.StatusOK:
+			return categoryServed
+		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+			return categoryRejected
+		default:
+			return categoryFailed
+		}
+	default:
+		return categoryLost
+	}
+}
+
+// plotService plots how many attempts per second there were of each category, by the time of their requests.
+func plotService(h *history.History) (string, error) {
+	var counts [categoryCount]map[int]int // by the point in the plot
+	for category := range counts {
+		counts[category] = map[int]int{}
+	}
+	lastPoint := 0
+	for i := range h.Attempts {
+		attempt := &h.Attempts[i]
+		point := int(attempt.Requested / servicePointSpan)
+		counts[categorize(attempt)][point]++
+		lastPoint = max(lastPoint, point)
+	}
+	p := plot.New()
+	p.Title.Text = "Tries by what became of them"
+	p.Y.Label.Text = "a second"
+	top := 1.0
+	for category, label := range categoryLabels {
+		points := make(plotter.XYs, lastPoint+1)
+		for i := range points {
+			points[i].X = (time.Duration(i) * servicePointSpan).Seconds()
+			points[i].Y = float64(counts[category][i]) / servicePointSpan.Seconds()
+			top = max(top, points[i].Y)
+		}
+		if err := addLine(p, label, points, category); err != nil {
+			return "", err
+		}
+	}
+	return renderSVG(p, h, top)
+}
+
+// plotViews plots how many instances each instance considered alive.
+func plotViews(h *history.History) (string, error) {
+	points := map[string]plotter.XYs{}
+	for _, view := range h.Views {
+		point := plotter.XY{X: view.At.Seconds(), Y: float64(view.Alive)}
+		points[view.Instance] = append(points[view.Instance], point)
+	}
+	p := plot.New()
+	p.Title.Text = "Instances that each takes to be there"
+	p.Y.Label.Text = "instances"
+	for i, instance := range slices.Sorted(maps.Keys(points)) {
+		if err := addLine(p, instance, points[instance], i); err != nil {
+			return "", err
+		}
+	}
+	return renderSVG(p, h, float64(h.Schedule.Instances)+1)
+}
+
+// addLine adds a line with the color of an index, and its legend.
+func addLine(p *plot.Plot, label string, points plotter.XYs, colorIndex int) error {
+	line, err := plotter.NewLine(points)
+	if err != nil {
+		return err
+	}
+	line.Color = lineColors[colorIndex%len(lineColors)]
+	line.Width = vg.Points(lineWidth)
+	p.Add(line)
+	p.Legend.Add(label, line)
+	return nil
+}
+
+// renderSVG marks the faults of a history in a plot, whose vertical axis ends at top, and renders it as SVG.
+func renderSVG(p *plot.Plot, h *history.History, top float64) (string, error) {
+	for i := range h.Schedule.Faults {
+		fault := &h.Schedule.Faults[i]
+		start := fault.StartTime()
+		end := max(fault.EndTime(), start+minFaultWidth)
+		if err := addFaultArea(p, start, end, top); err != nil {
+			return "", err
+		}
+	}
+	p.X.Label.Text = "seconds"
+	p.X.Min = 0
+	p.Y.Min, p.Y.Max = 0, top
+	p.Legend.Top = true
+	writer, err := p.WriterTo(plotWidth, plotHeight, "svg")
+	if err != nil {
+		return "", err
+	}
+	var document bytes.Buffer
+	if _, err := writer.WriteTo(&document); err != nil {
+		return "", err
+	}
+	_, element, _ := strings.Cut(document.String(), "?>") // without the XML declaration
+	return element, nil
+}
+
+// addFaultArea marks the period of a fault.
+func addFaultArea(p *plot.Plot, start, end time.Duration, top float64) error {
+	left, right := start.Seconds(), end.Seconds()
+	area, err := plotter.NewPolygon(plotter.XYs{
+		{X: left, Y: 0},
+		{X: right, Y: 0},
+		{X: right, Y: top},
+		{X: left, Y: top},
+	})
+	if err != nil {
+		return err
+	}
+	area.Color = faultColor
+	area.Width = 0
+	p.Add(area)
+	return nil
+}
