--- a/internal/app/cluster.go
+++ b/internal/app/cluster.go
@@ -24,23 +24,23 @@
 var Build = "unnamed"
 
 // clusterConfig returns the configuration of the connection to other instances.
-func clusterConfig(f *config.File, log *slog.Logger) cluster.Config {
+func clusterConfig(file *config.File, log *slog.Logger) cluster.Config {
 	settings := cluster.Config{
-		Name:          f.Name,
-		Listen:        f.Peers.Listen,
-		Advertise:     f.Peers.Advertise,
-		Join:          f.Peers.Join,
-		Via:           f.Peers.Via,
-		Keys:          f.PeerKeys(),
-		Voters:        f.Peers.Voters,
-		LeaseTimeout:  time.Duration(f.Peers.LeaseTimeout),
-		Site:          f.Site,
+		Name:          file.Name,
+		Listen:        file.Peers.Listen,
+		Advertise:     file.Peers.Advertise,
+		Join:          file.Peers.Join,
+		Via:           file.Peers.Via,
+		Keys:          file.PeerKeys(),
+		Voters:        file.Peers.Voters,
+		LeaseTimeout:  time.Duration(file.Peers.LeaseTimeout),
+		Site:          file.Site,
 		Build:         Build,
-		SlowStartTime: time.Duration(f.Fleet.SlowStartTime),
+		SlowStartTime: time.Duration(file.Fleet.SlowStartTime),
 		Log:           log,
 	}
-	for i := range f.Classes {
-		class := &f.Classes[i]
+	for i := range file.Classes {
+		class := &file.Classes[i]
 		agreement := class.ClusterAgreement()
 		settings.Classes = append(settings.Classes, cluster.Class{Name: class.Name, Agreement: agreement})
 		if agreement != cluster.AgreeNever {
@@ -68,24 +68,25 @@
 }
 
 // startPeers connects to other instances if the file configures them, and sets closePeers.
-func (i *Instance) startPeers(f *config.File) error {
+func (i *Instance) startPeers(file *config.File) error {
 	i.closePeers = func() {}
-	if f.Peers.Listen == "" {
+	if file.Peers.Listen == "" {
 		return nil
 	}
-	settings := clusterConfig(f, i.log)
+	settings := clusterConfig(file, i.log)
 	settings.OnDrainAdvisory = func(now balancer.Micros, draining map[string]int64) {
 		i.engine.SetAdvisedDraining(now, draining)
 	}
+	// The node posts nothing before the engine, which is created later, has notified it of endpoints or of a key.
 	node, err := cluster.Start(settings, func(event func(now balancer.Micros)) { i.engine.Post(event) })
 	if err != nil {
 		return err
 	}
 	i.Peers, i.closePeers = node, node.Close
-	if f.Peers.Status == "" {
+	if file.Peers.Status == "" {
 		return nil
 	}
-	closeStatus, err := i.serveStatus(f.Peers.Status, node)
+	closeStatus, err := i.serveStatus(file.Peers.Status, node)
 	if err != nil {
 		node.Close()
 		return fmt.Errorf("peers.status: %w", err)
@@ -97,7 +98,7 @@
 	return nil
 }
 
-// serveStatus serves the status page of a node. The returned function ends it.
+// serveStatus serves the status page of a node. The returned function ends it and waits for its goroutine.
 func (i *Instance) serveStatus(address string, node *cluster.Node) (closeStatus func(), err error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
@@ -105,10 +106,15 @@
 	}
 	i.Status = listener.Addr()
 	server := &http.Server{Handler: node, ReadTimeout: statusReadTimeout, WriteTimeout: statusWriteTimeout}
-	go func() { _ = server.Serve(listener) }() // ends with Shutdown
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = server.Serve(listener) // returns as soon as Shutdown begins
+	}()
 	return func() {
 		ctx, cancel := context.WithTimeout(context.Background(), statusShutdownTimeout)
 		defer cancel()
 		_ = server.Shutdown(ctx) // after the timeout the process ends all the same
+		<-served
 	}, nil
 }
--- a/internal/app/fronts.go
+++ b/internal/app/fronts.go
@@ -29,12 +29,12 @@
 )
 
 // maxBodyBytes bounds the request bodies that each HTTP front holds.
-func maxBodyBytes(f *config.File) int64 { return f.Limits.MemoryBytes() / bodyMemoryDivisor }
+func maxBodyBytes(file *config.File) int64 { return file.Limits.MemoryBytes() / bodyMemoryDivisor }
 
-// serve runs a front in a goroutine of its own; Wait receives its error.
+// serve runs a front in a goroutine of background. Wait receives its error.
 func (i *Instance) serve(front func() error) {
 	i.fronts++
-	go func() { i.frontErrors <- front() }()
+	i.background.Go(func() { i.frontErrors <- front() })
 }
 
 // serveHTTP3 starts the HTTP/3 front and returns the Alt-Svc value by which the HTTP/1.1 front advertises it, "" if
@@ -43,14 +43,14 @@
 	if socket == nil {
 		return ""
 	}
-	f := i.file
+	file := i.file
 	front := http3front.New(i.engine, upstream, http3front.Options{
-		KeyStore:    i.stores[f.HTTP3.Keys],
-		Name:        f.Name,
-		Connections: f.HTTP3.MaxConnections,
-		Streams:     f.HTTP3.MaxStreams,
-		Early:       f.HTTP3.EarlyData,
-		BodyBytes:   maxBodyBytes(f),
+		KeyStore:    i.stores[file.HTTP3.Keys],
+		Name:        file.Name,
+		Connections: file.HTTP3.MaxConnections,
+		Streams:     file.HTTP3.MaxStreams,
+		Early:       file.HTTP3.EarlyData,
+		BodyBytes:   maxBodyBytes(file),
 		Parser:      i.parser,
 		Log:         i.log,
 	})
@@ -64,14 +64,14 @@
 	if listener == nil {
 		return
 	}
-	f := i.file
-	if store := i.stores[f.HTTP.Keys]; store != nil {
+	file := i.file
+	if store := i.stores[file.HTTP.Keys]; store != nil {
 		listener = store.Listen(listener, "http/1.1")
 	}
 	front := httpfront.New(i.engine, upstream, httpfront.Options{
-		Connections:        f.Limits.ClientConnections,
-		KeepAliveThreshold: f.Limits.ClientConnections / atCapacityDivisor,
-		BodyBytes:          maxBodyBytes(f),
+		Connections:        file.Limits.ClientConnections,
+		KeepAliveThreshold: file.Limits.ClientConnections / atCapacityDivisor,
+		BodyBytes:          maxBodyBytes(file),
 		Parser:             i.parser,
 		AltSvc:             altSvc,
 		EndBy:              func(longest time.Duration) time.Duration { return longest + endMargin },
@@ -86,18 +86,18 @@
 	if listener == nil {
 		return
 	}
-	f := i.file
+	file := i.file
 	options := extproc.Options{
-		MaxStreams:   f.ExtProc.Streams,
-		MaxBacklog:   f.ExtProc.Backlog,
-		CallersRetry: f.ExtProc.CallersRetry(),
-		MaxEntries:   int(f.Limits.MemoryBytes() / entryMemoryDivisor / entryBytes),
-		LoadFields:   f.Fleet.LoadFields,
+		MaxStreams:   file.ExtProc.Streams,
+		MaxBacklog:   file.ExtProc.Backlog,
+		CallersRetry: file.ExtProc.CallersRetry(),
+		MaxEntries:   int(file.Limits.MemoryBytes() / entryMemoryDivisor / entryBytes),
+		LoadFields:   file.Fleet.LoadFields,
 		Parser:       i.parser,
-		Drain:        f.LongestDeadline(),
+		Drain:        file.LongestDeadline(),
 		Log:          i.log,
 	}
-	if store := i.stores[f.ExtProc.Keys]; store != nil {
+	if store := i.stores[file.ExtProc.Keys]; store != nil {
 		options.TLS, options.Renew = store.Server("h2"), store.Spread()
 	}
 	i.extProc = extproc.New(i.engine, options)
--- a/internal/app/instance.go
+++ b/internal/app/instance.go
@@ -54,35 +54,35 @@
 
 	admission   *admission.Admission // owned by the engine's goroutine
 	stores      stores
-	background  sync.WaitGroup  // the engine's goroutine, and those that watch the files of stores
+	background  sync.WaitGroup  // the goroutines of the engine, the fronts and the watches of stores' files
 	upstreamTLS *secure.Client  // nil for plain text
 	extProc     *extproc.Server // nil if it is not switched on
 
 	fronts      int
-	frontErrors chan error // one for each front
+	frontErrors chan error // one for each front; its capacity lets a front end before Wait is called
 
 	endFronts     context.CancelFunc // begins the graceful shutdown
 	stopEngine    context.CancelFunc // once the fronts have ended
 	closeUpstream func() error       // after the engine
-	closePeers    func()
+	closePeers    func()             // after the fronts: ends the status page and the connection to other instances
 }
 
 // Start opens the file's sockets, starts the engine, the connection to other instances and the fronts, and returns
 // without waiting for them. After an error nothing is left running.
-func Start(f *config.File, log *slog.Logger) (*Instance, error) {
-	i := &Instance{file: f, log: log, frontErrors: make(chan error, maxFronts)}
+func Start(file *config.File, log *slog.Logger) (*Instance, error) {
+	i := &Instance{file: file, log: log, frontErrors: make(chan error, maxFronts)}
 	var err error
-	if i.stores, err = openStores(f, log); err != nil {
+	if i.stores, err = openStores(file, log); err != nil {
 		return nil, err
 	}
-	if i.upstreamTLS, err = newSecureClient(f, i.stores, log); err != nil {
+	if i.upstreamTLS, err = newSecureClient(file, i.stores, log); err != nil {
 		return nil, err
 	}
-	subset, err := newSubset(f)
+	subset, err := newSubset(file)
 	if err != nil {
 		return nil, err
 	}
-	open, err := openSockets(f)
+	open, err := openSockets(file)
 	if err != nil {
 		return nil, err
 	}
@@ -106,19 +106,19 @@
 // createEngine creates the engine with its surroundings: the routing table, the parser, admission, the upstream and
 // the connection to other instances. After an error it has released them all.
 func (i *Instance) createEngine(ctx context.Context, subset engine.Subset) (engine.Upstream, error) {
-	f := i.file
-	settings := f.Settings()
-	i.table.Store(f.Table())
-	i.admission = admission.New(f.Table().Admission(f.Limits.AdmitRate))
+	file := i.file
+	settings := file.Settings()
+	i.table.Store(file.Table())
+	i.admission = admission.New(file.Table().Admission(file.Limits.AdmitRate))
 	i.parser = requestmeta.NewParser(&settings)
-	i.parser.Use(newRouter(f.Table()))
-	upstream, closeUpstream, err := newUpstream(f, i.upstreamTLS)
+	i.parser.Use(newRouter(file.Table()))
+	upstream, closeUpstream, err := newUpstream(file, i.upstreamTLS)
 	if err != nil {
 		i.cancel()
 		return nil, fmt.Errorf("upstream: %w", err)
 	}
 	i.closeUpstream = closeUpstream
-	if err := i.startPeers(f); err != nil {
+	if err := i.startPeers(file); err != nil {
 		i.cancel()
 		_ = closeUpstream() // the first error is returned
 		return nil, err
@@ -142,19 +142,19 @@
 func (i *Instance) engineOptions(
 	settings balancer.Settings, upstream engine.Upstream, subset engine.Subset,
 ) engine.Options {
-	f := i.file
+	file := i.file
 	options := engine.Options{
 		Settings:   settings,
 		Seed:       randomSeed(),
-		Zones:      f.Fleet.Sites,
-		Kinds:      f.Fleet.Kinds,
-		CachedList: engine.List{Complete: true, Hosts: f.Hosts()},
+		Zones:      file.Fleet.Sites,
+		Kinds:      file.Fleet.Kinds,
+		CachedList: engine.List{Complete: true, Hosts: file.Hosts()},
 		Upstream:   upstream,
-		Source:     newSource(f, i.log),
+		Source:     newSource(file, i.log),
 		Log:        i.log,
 		Admission:  i.admission,
 		Subset:     subset,
-		Pools:      f.Table().Pools,
+		Pools:      file.Table().Pools,
 	}
 	if i.Peers != nil {
 		options.KeyLeases = i.Peers
@@ -173,9 +173,9 @@
 
 // UseMemory lets the process use the memory that a file grants it: collections are rare until the heap comes near
 // the limit. A fifth is left for what the runtime does not count.
-func UseMemory(f *config.File) {
+func UseMemory(file *config.File) {
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(f.Limits.MemoryBytes() / 10 * 8)
+	debug.SetMemoryLimit(file.Limits.MemoryBytes() / 10 * 8)
 }
 
 // Ready reports whether an endpoint is known that requests may be sent to.
--- a/internal/app/listen.go
+++ b/internal/app/listen.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+
 	"pinedale/internal/config"
 )
 
@@ -14,9 +15,9 @@
 }
 
 // openSockets opens the sockets of all fronts, or none if one of them fails.
-func openSockets(f *config.File) (*sockets, error) {
+func openSockets(file *config.File) (*sockets, error) {
 	s := &sockets{}
-	if err := s.open(f); err != nil {
+	if err := s.open(file); err != nil {
 		s.close()
 		return nil, fmt.Errorf("listen: %w", err)
 	}
@@ -24,19 +25,19 @@
 }
 
 // open opens one socket after the other, up to the first that fails.
-func (s *sockets) open(f *config.File) (err error) {
-	if f.HTTP.Listen != "" {
-		if s.http, err = net.Listen("tcp", f.HTTP.Listen); err != nil {
+func (s *sockets) open(file *config.File) (err error) {
+	if file.HTTP.Listen != "" {
+		if s.http, err = net.Listen("tcp", file.HTTP.Listen); err != nil {
 			return err
 		}
 	}
-	if f.ExtProc.Listen != "" {
-		if s.extProc, err = net.Listen("tcp", f.ExtProc.Listen); err != nil {
+	if file.ExtProc.Listen != "" {
+		if s.extProc, err = net.Listen("tcp", file.ExtProc.Listen); err != nil {
 			return err
 		}
 	}
-	if f.HTTP3.Listen != "" {
-		if s.http3, err = net.ListenPacket("udp", f.HTTP3.Listen); err != nil {
+	if file.HTTP3.Listen != "" {
+		if s.http3, err = net.ListenPacket("udp", file.HTTP3.Listen); err != nil {
 			return err
 		}
 	}
--- a/internal/app/reload.go
+++ b/internal/app/reload.go
@@ -22,21 +22,21 @@
 // Reload replaces classes, routes, pools, tenants, admission, names for verification and the source of membership by
 // those of a file that Next has read, and reads the files of all [[keys]] again. Requests in flight keep the rules
 // that they began with. All other settings stay as they were at the start. After an error nothing has changed.
-func (i *Instance) Reload(f *config.File) error {
+func (i *Instance) Reload(file *config.File) error {
 	err := errEnded
-	i.engine.Call(func(now balancer.Micros) { err = i.configure(now, f) })
+	i.engine.Call(func(now balancer.Micros) { err = i.configure(now, file) })
 	if err != nil {
 		return err
 	}
 	i.stores.reload()
 	i.logCounters()
-	i.log.Info("configuration reloaded", "table", f.Table().Version)
+	i.log.Info("configuration reloaded", "table", file.Table().Version)
 	return nil
 }
 
 // configure applies a file in the engine's goroutine.
-func (i *Instance) configure(now balancer.Micros, f *config.File) error {
-	table := f.Table()
+func (i *Instance) configure(now balancer.Micros, file *config.File) error {
+	table := file.Table()
 	err := i.engine.Configure(now, engine.RuntimeSettings{
 		Classes: table.Classes(),
 		Budgets: table.Budgets(),
@@ -45,15 +45,15 @@
 	if err != nil {
 		return err
 	}
-	i.admission.Configure(table.Admission(f.Limits.AdmitRate))
+	i.admission.Configure(table.Admission(file.Limits.AdmitRate))
 	if i.extProc != nil {
 		i.extProc.SetClasses(table.Classes())
 	}
 	i.table.Store(table)
 	i.parser.Use(newRouter(table))
 	if i.upstreamTLS != nil {
-		i.upstreamTLS.Rename(f.VerifyNames())
+		i.upstreamTLS.Rename(file.VerifyNames())
 	}
-	i.engine.SwitchSource(newSource(f, i.log))
+	i.engine.SwitchSource(newSource(file, i.log))
 	return nil
 }
--- a/internal/app/router.go
+++ b/internal/app/router.go
@@ -14,19 +14,19 @@
 // newRouter converts the bounds of a table once, so that a lookup allocates nothing.
 func newRouter(table *policy.Table) *router {
 	r := &router{table, map[*policy.Bounds]*requestmeta.Bounds{}}
-	table.ForEachBounds(func(b *policy.Bounds) {
-		r.bounds[b] = &requestmeta.Bounds{
-			Class:          b.Class,
-			ClassName:      b.ClassName,
-			Idempotency:    b.Idempotency,
-			Methods:        b.RestrictsMethods,
-			Deadline:       b.Deadline,
-			AttemptTimeout: b.AttemptTimeout,
-			HedgeDelay:     b.HedgeDelay,
-			MaxAttempts:    b.MaxAttempts,
-			NoHedging:      b.NoHedging,
-			Budget:         b.Budget,
-			Pool:           b.Pool,
+	table.ForEachBounds(func(bounds *policy.Bounds) {
+		r.bounds[bounds] = &requestmeta.Bounds{
+			Class:          bounds.Class,
+			ClassName:      bounds.ClassName,
+			Idempotency:    bounds.Idempotency,
+			Methods:        bounds.RestrictsMethods,
+			Deadline:       bounds.Deadline,
+			AttemptTimeout: bounds.AttemptTimeout,
+			HedgeDelay:     bounds.HedgeDelay,
+			MaxAttempts:    bounds.MaxAttempts,
+			NoHedging:      bounds.NoHedging,
+			Budget:         bounds.Budget,
+			Pool:           bounds.Pool,
 		}
 	})
 	return r
--- a/internal/app/source.go
+++ b/internal/app/source.go
@@ -16,60 +16,60 @@
 
 // newSource returns the source of membership. Next to ephemeral nodes, the others are merged with them; without, there
 // is only one source.
-func newSource(f *config.File, log *slog.Logger) engine.Source {
-	if len(f.Ephemeral.Servers) == 0 {
-		if f.Discovery.Address != "" {
-			return newDiscoverySource(f)
+func newSource(file *config.File, log *slog.Logger) engine.Source {
+	if len(file.Ephemeral.Servers) == 0 {
+		if file.Discovery.Address != "" {
+			return newDiscoverySource(file)
 		}
-		return static.New(f.Hosts())
+		return static.New(file.Hosts())
 	}
-	inputs := []multisource.Input{newEphemeralInput(f, log)}
-	if f.Discovery.Address != "" {
+	inputs := []multisource.Input{newEphemeralInput(file, log)}
+	if file.Discovery.Address != "" {
 		inputs = append(inputs, multisource.Input{
 			Kind:   reconcile.Discovery,
-			Name:   f.Discovery.Address,
-			Feeder: multisource.SourceFeeder{Source: newDiscoverySource(f)},
+			Name:   file.Discovery.Address,
+			Feeder: multisource.SourceFeeder{Source: newDiscoverySource(file)},
 		})
 	}
-	if len(f.Servers) > 0 {
+	if len(file.Servers) > 0 {
 		inputs = append(inputs, multisource.Input{
 			Kind:   reconcile.Static,
 			Name:   "of the file",
-			Feeder: multisource.SourceFeeder{Source: static.New(f.Hosts())},
+			Feeder: multisource.SourceFeeder{Source: static.New(file.Hosts())},
 		})
 	}
 	return multisource.New(reconcile.Config{
-		MaxShrinkRatio:  f.Membership.MaxShrinkRatio,
-		HoldTime:        time.Duration(f.Membership.HoldTime),
-		MaxDiscoveryLag: time.Duration(f.Membership.MaxDiscoveryLag),
+		MaxShrinkRatio:  file.Membership.MaxShrinkRatio,
+		HoldTime:        time.Duration(file.Membership.HoldTime),
+		MaxDiscoveryLag: time.Duration(file.Membership.MaxDiscoveryLag),
 	}, log, inputs...)
 }
 
 // newDiscoverySource returns the source that watches the discovery service.
-func newDiscoverySource(f *config.File) engine.Source {
-	return registry.New(f.Discovery.Address, registry.PollTiming)
+func newDiscoverySource(file *config.File) engine.Source {
+	return registry.New(file.Discovery.Address, registry.PollTiming)
 }
 
 // newEphemeralInput returns the source that watches ephemeral nodes.
-func newEphemeralInput(f *config.File, log *slog.Logger) multisource.Input {
-	e := &f.Ephemeral
+func newEphemeralInput(file *config.File, log *slog.Logger) multisource.Input {
+	section := &file.Ephemeral
 	return multisource.Input{
 		Kind: reconcile.Ephemeral,
-		Name: e.Path,
+		Name: section.Path,
 		Feeder: ephemeral.New(ephemeral.Options{
-			Servers:        e.Servers,
-			Path:           e.Path,
-			SessionTimeout: time.Duration(e.SessionTimeout),
-			Digest:         f.EphemeralDigest(),
-			Rules:          ephemeral.Rules{Sites: f.Fleet.Sites, Kinds: f.Fleet.Kinds},
+			Servers:        section.Servers,
+			Path:           section.Path,
+			SessionTimeout: time.Duration(section.SessionTimeout),
+			Digest:         file.EphemeralDigest(),
+			Rules:          ephemeral.Rules{Sites: file.Fleet.Sites, Kinds: file.Fleet.Kinds},
 			Log:            log,
 		}),
 	}
 }
 
 // newSubset returns the part of the fleet that this instance uses, nil for all of it.
-func newSubset(f *config.File) (engine.Subset, error) {
-	settings, ok := f.SubsetConfig()
+func newSubset(file *config.File) (engine.Subset, error) {
+	settings, ok := file.SubsetConfig()
 	if !ok {
 		return nil, nil
 	}
--- a/internal/app/stores.go
+++ b/internal/app/stores.go
@@ -14,18 +14,18 @@
 type stores map[string]*certstore.Store
 
 // openStores opens the stores that an enabled front or the upstream uses.
-func openStores(f *config.File, log *slog.Logger) (stores, error) {
+func openStores(file *config.File, log *slog.Logger) (stores, error) {
 	open := stores{}
-	for _, user := range f.KeyUsers() {
+	for _, user := range file.KeyUsers() {
 		name := user.Entry
 		if name == "" || !user.Enabled || open[name] != nil {
 			continue
 		}
-		for i := range f.Keys {
-			if f.Keys[i].Name != name {
+		for i := range file.Keys {
+			if file.Keys[i].Name != name {
 				continue
 			}
-			store, err := certstore.Open(f.Keys[i].StoreOptions(user.Server, log))
+			store, err := certstore.Open(file.Keys[i].StoreOptions(user.Server, log))
 			if err != nil {
 				return nil, fmt.Errorf("keys %q: %w", name, err)
 			}
--- a/internal/app/upstream.go
+++ b/internal/app/upstream.go
@@ -18,50 +18,50 @@
 const minInstanceHandshakes = 1
 
 // handshakeBudget returns this instance's quota of the handshakes that a server may have.
-func handshakeBudget(f *config.File) handshake.Config {
-	u := &f.Upstream
+func handshakeBudget(file *config.File) handshake.Config {
+	upstream := &file.Upstream
 	all := handshake.Config{
-		PerServer:          u.HandshakesPerServer,
-		All:                u.HandshakesTotal,
-		Burst:              u.HandshakeBurst,
-		InitialWarmupRatio: f.Fleet.SlowStartRatio,
-		WarmWithin:         time.Duration(f.Fleet.SlowStartTime),
+		PerServer:          upstream.HandshakesPerServer,
+		All:                upstream.HandshakesTotal,
+		Burst:              upstream.HandshakeBurst,
+		InitialWarmupRatio: file.Fleet.SlowStartRatio,
+		WarmWithin:         time.Duration(file.Fleet.SlowStartTime),
 	}
-	return all.Share(f.Fleet.Instances, minInstanceHandshakes)
+	return all.Share(file.Fleet.Instances, minInstanceHandshakes)
 }
 
 // newSecureClient returns what performs the upstream's TLS handshakes, nil for plain text.
-func newSecureClient(f *config.File, open stores, log *slog.Logger) (*secure.Client, error) {
-	if f.Upstream.Keys == "" {
+func newSecureClient(file *config.File, open stores, log *slog.Logger) (*secure.Client, error) {
+	if file.Upstream.Keys == "" {
 		return nil, nil
 	}
 	return secure.New(secure.Options{
-		KeyStore: open[f.Upstream.Keys],
-		Names:    f.VerifyNames(),
-		Budget:   handshakeBudget(f),
-		Sessions: f.Upstream.MaxSessions,
-		Timeout:  time.Duration(f.Upstream.HandshakeTimeout),
+		KeyStore: open[file.Upstream.Keys],
+		Names:    file.VerifyNames(),
+		Budget:   handshakeBudget(file),
+		Sessions: file.Upstream.MaxSessions,
+		Timeout:  time.Duration(file.Upstream.HandshakeTimeout),
 		Log:      log,
 	})
 }
 
 // newUpstream returns what sends requests to servers, and the function that closes it. security is nil for plain text.
-func newUpstream(f *config.File, security *secure.Client) (engine.Upstream, func() error, error) {
+func newUpstream(file *config.File, security *secure.Client) (engine.Upstream, func() error, error) {
 	options := httpupstream.Options{
-		DialTimeout: time.Duration(f.Limits.DialTimeout),
-		Idle:        time.Duration(f.Limits.IdleTimeout),
-		Connections: f.Limits.UpstreamConnections,
-		Fields:      f.Fleet.LoadFields,
+		DialTimeout: time.Duration(file.Limits.DialTimeout),
+		Idle:        time.Duration(file.Limits.IdleTimeout),
+		Connections: file.Limits.UpstreamConnections,
+		Fields:      file.Fleet.LoadFields,
 	}
 	if security != nil {
 		options.Secure = security
 	}
-	if !f.Upstream.HTTP3 {
+	if !file.Upstream.HTTP3 {
 		return httpupstream.New(options), func() error { return nil }, nil
 	}
 	byProtocol, err := byprotocol.New(options, http3upstream.Options{
 		Secure:      security,
-		DialTimeout: time.Duration(f.Upstream.HandshakeTimeout),
+		DialTimeout: time.Duration(file.Upstream.HandshakeTimeout),
 		Idle:        options.Idle,
 		Connections: options.Connections,
 		Fields:      options.Fields,
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -22,10 +22,10 @@
 
 // checkFile checks all sections. Checks that read other files come after those of plain values.
 func (c *checker) checkFile() {
-	f := c.file
-	c.Require(f.Version == fileVersion, "version",
-		"%d is not a known version of this file; this program reads %d", f.Version, fileVersion)
-	c.Require(f.HTTP.Listen != "" || f.HTTP3.Listen != "" || f.ExtProc.Listen != "", "http.listen",
+	file := c.file
+	c.Require(file.Version == fileVersion, "version",
+		"%d is not a known version of this file; this program reads %d", file.Version, fileVersion)
+	c.Require(file.HTTP.Listen != "" || file.HTTP3.Listen != "" || file.ExtProc.Listen != "", "http.listen",
 		"no front is switched on: set this, http3.listen or ext_proc.listen")
 	c.checkHTTP3()
 	c.checkKeys()
--- a/internal/config/keys_report.go
+++ b/internal/config/keys_report.go
@@ -29,18 +29,18 @@
 }
 
 // showKeysEntry writes what the files of one [[keys]] entry hold.
-func (f *File) showKeysEntry(out io.Writer, k *Keys, now time.Time) error {
-	material, err := certstore.Read(k.paths())
+func (f *File) showKeysEntry(out io.Writer, keys *Keys, now time.Time) error {
+	material, err := certstore.Read(keys.paths())
 	if err != nil {
-		return fmt.Errorf("keys %q: %w", k.Name, err)
+		return fmt.Errorf("keys %q: %w", keys.Name, err)
 	}
 	var users []string
 	for _, user := range f.KeyUsers() {
-		if user.Entry == k.Name {
+		if user.Entry == keys.Name {
 			users = append(users, strings.TrimSuffix(user.Key, ".keys"))
 		}
 	}
-	fmt.Fprintf(out, "keys %q, used by %s\n", k.Name, cmp.Or(strings.Join(users, ", "), "nothing"))
+	fmt.Fprintf(out, "keys %q, used by %s\n", keys.Name, cmp.Or(strings.Join(users, ", "), "nothing"))
 	validity := func(cert *x509.Certificate) string {
 		return fmt.Sprintf("until %s, %s left",
 			cert.NotAfter.UTC().Format(time.RFC3339), formatRemaining(cert.NotAfter.Sub(now)))
--- a/internal/config/section_extproc.go
+++ b/internal/config/section_extproc.go
@@ -29,16 +29,17 @@
 
 // checkExtProc checks the [ext_proc] section.
 func (c *checker) checkExtProc() {
-	e := &c.file.ExtProc
-	if e.Listen != "" {
-		c.requireAddress("ext_proc.listen", e.Listen)
+	extProc := &c.file.ExtProc
+	if extProc.Listen != "" {
+		c.requireAddress("ext_proc.listen", extProc.Listen)
 		httpListen := c.file.HTTP.Listen
 		_, port, _ := net.SplitHostPort(httpListen) // checkHTTP reports its error
-		c.Require(e.Listen != httpListen || port == "0", "ext_proc.listen", "%q is http.listen, too", e.Listen)
+		c.Require(extProc.Listen != httpListen || port == "0", "ext_proc.listen",
+			"%q is http.listen, too", extProc.Listen)
 	}
-	c.Require(e.Retries == retriesNone || e.Retries == retriesByProxy, "ext_proc.retries",
-		"%q is neither none nor ask-again", e.Retries)
-	c.Require(e.Streams >= 1, "ext_proc.streams", "%d is not positive", e.Streams)
-	c.Require(e.Backlog >= 1 && e.Backlog <= maxExtProcBacklog, "ext_proc.backlog",
-		"%d is not in 1 to %d", e.Backlog, maxExtProcBacklog)
+	c.Require(extProc.Retries == retriesNone || extProc.Retries == retriesByProxy, "ext_proc.retries",
+		"%q is neither none nor ask-again", extProc.Retries)
+	c.Require(extProc.Streams >= 1, "ext_proc.streams", "%d is not positive", extProc.Streams)
+	c.Require(extProc.Backlog >= 1 && extProc.Backlog <= maxExtProcBacklog, "ext_proc.backlog",
+		"%d is not in 1 to %d", extProc.Backlog, maxExtProcBacklog)
 }
--- a/internal/config/section_fleet.go
+++ b/internal/config/section_fleet.go
@@ -57,23 +57,23 @@
 
 // checkFleet checks the [fleet] section.
 func (c *checker) checkFleet() {
-	f := &c.file.Fleet
-	c.Require(f.Instances >= 1, "fleet.instances", "%d is not positive", f.Instances)
-	c.checkNames("fleet.sites", f.Sites)
-	c.checkNames("fleet.kinds", f.Kinds)
-	c.Require(len(f.Sites) > 0, "fleet.sites", "no site is named")
-	c.Require(slices.Contains(f.Sites, c.file.Site), "site", "%q is not in fleet.sites", c.file.Site)
-	for _, field := range f.LoadFields {
+	fleet := &c.file.Fleet
+	c.Require(fleet.Instances >= 1, "fleet.instances", "%d is not positive", fleet.Instances)
+	c.checkNames("fleet.sites", fleet.Sites)
+	c.checkNames("fleet.kinds", fleet.Kinds)
+	c.Require(len(fleet.Sites) > 0, "fleet.sites", "no site is named")
+	c.Require(slices.Contains(fleet.Sites, c.file.Site), "site", "%q is not in fleet.sites", c.file.Site)
+	for _, field := range fleet.LoadFields {
 		_, ok := loadFields[field]
 		c.Require(ok, "fleet.reports", "%q is not one of %s", field, knownNames(loadFields))
 	}
-	c.Require(f.DrainGrace >= 0, "fleet.drain_grace", "%v is negative", time.Duration(f.DrainGrace))
-	c.Require(f.SlowStartRatio > 0 && f.SlowStartRatio <= 1, "fleet.cold_from",
-		"%v is not over 0 and up to 1", f.SlowStartRatio)
-	c.Require(f.SlowStartTime >= 0, "fleet.warm_within", "%v is negative", time.Duration(f.SlowStartTime))
+	c.Require(fleet.DrainGrace >= 0, "fleet.drain_grace", "%v is negative", time.Duration(fleet.DrainGrace))
+	c.Require(fleet.SlowStartRatio > 0 && fleet.SlowStartRatio <= 1, "fleet.cold_from",
+		"%v is not over 0 and up to 1", fleet.SlowStartRatio)
+	c.Require(fleet.SlowStartTime >= 0, "fleet.warm_within", "%v is negative", time.Duration(fleet.SlowStartTime))
 	c.checkSubset()
-	c.Require(f.OverloadMultiple > 0, "fleet.fall_factor", "%v is not positive", f.OverloadMultiple)
-	c.Require(f.OverloadTime >= 0, "fleet.fall_after", "%v is negative", time.Duration(f.OverloadTime))
+	c.Require(fleet.OverloadMultiple > 0, "fleet.fall_factor", "%v is not positive", fleet.OverloadMultiple)
+	c.Require(fleet.OverloadTime >= 0, "fleet.fall_after", "%v is negative", time.Duration(fleet.OverloadTime))
 }
 
 // checkNames checks the number and the uniqueness of names.
@@ -87,12 +87,12 @@
 
 // checkSubset checks the keys of subsetting.
 func (c *checker) checkSubset() {
-	f := &c.file.Fleet
-	minimum := minSubsetPerSite * max(1, len(f.Sites))
-	c.Require(f.MinSubset == 0 || f.MinSubset >= minimum && f.MinSubset <= maxServers, "fleet.subset",
-		"%d is not 0 (the whole fleet) or %d to %d", f.MinSubset, minimum, maxServers)
-	c.Require(f.SubsetSpread >= 0 && f.SubsetSpread <= maxSubsetSpread, "fleet.subset_spread",
-		"%v is not in 0 to %d", f.SubsetSpread, maxSubsetSpread)
-	c.Require(f.MinSubset == 0 || c.file.Name != "", "name",
+	fleet := &c.file.Fleet
+	minimum := minSubsetPerSite * max(1, len(fleet.Sites))
+	c.Require(fleet.MinSubset == 0 || fleet.MinSubset >= minimum && fleet.MinSubset <= maxServers, "fleet.subset",
+		"%d is not 0 (the whole fleet) or %d to %d", fleet.MinSubset, minimum, maxServers)
+	c.Require(fleet.SubsetSpread >= 0 && fleet.SubsetSpread <= maxSubsetSpread, "fleet.subset_spread",
+		"%v is not in 0 to %d", fleet.SubsetSpread, maxSubsetSpread)
+	c.Require(fleet.MinSubset == 0 || c.file.Name != "", "name",
 		"is missing: by it an instance chooses its part of the fleet")
 }
--- a/internal/config/section_http3.go
+++ b/internal/config/section_http3.go
@@ -16,12 +16,12 @@
 
 // checkHTTP3 checks the [http3] section.
 func (c *checker) checkHTTP3() {
-	h := &c.file.HTTP3
-	c.Require(h.MaxConnections >= 1, "http3.connections", "%d is not positive", h.MaxConnections)
-	c.Require(h.MaxStreams >= 1 && h.MaxStreams <= maxHTTP3Streams, "http3.streams",
-		"%d is not in 1 to %d", h.MaxStreams, maxHTTP3Streams)
-	if h.Listen != "" {
-		c.requireAddress("http3.listen", h.Listen)
-		c.Require(h.Keys != "", "http3.keys", "is missing: HTTP/3 needs a certificate")
+	http3 := &c.file.HTTP3
+	c.Require(http3.MaxConnections >= 1, "http3.connections", "%d is not positive", http3.MaxConnections)
+	c.Require(http3.MaxStreams >= 1 && http3.MaxStreams <= maxHTTP3Streams, "http3.streams",
+		"%d is not in 1 to %d", http3.MaxStreams, maxHTTP3Streams)
+	if http3.Listen != "" {
+		c.requireAddress("http3.listen", http3.Listen)
+		c.Require(http3.Keys != "", "http3.keys", "is missing: HTTP/3 needs a certificate")
 	}
 }
--- a/internal/config/section_keys.go
+++ b/internal/config/section_keys.go
@@ -106,53 +106,54 @@
 // checkKeysEntry checks one [[keys]] entry and, if no error has been found so far, its files. seen holds the names
 // of the entries before it.
 func (c *checker) checkKeysEntry(index int, seen map[string]bool) {
-	k := &c.file.Keys[index]
+	keys := &c.file.Keys[index]
 	prefix := fmt.Sprintf("keys[%d].", index)
-	c.Require(k.Name != "", prefix+"name", "is missing")
-	c.Require(!seen[k.Name], prefix+"name", "%q is there twice", k.Name)
-	seen[k.Name] = true
-	c.checkKeyPaths(prefix, k)
-	c.checkKeyRequirements(prefix, k)
-	if k.AllowExpired || k.PeerExpiryGrace > 0 {
+	c.Require(keys.Name != "", prefix+"name", "is missing")
+	c.Require(!seen[keys.Name], prefix+"name", "%q is there twice", keys.Name)
+	seen[keys.Name] = true
+	c.checkKeyPaths(prefix, keys)
+	c.checkKeyRequirements(prefix, keys)
+	if keys.AllowExpired || keys.PeerExpiryGrace > 0 {
 		c.Warn(prefix+"name", "takes certificates whose time is over: meant for an emergency")
 	}
 	if c.Valid() {
-		c.checkKeyFiles(prefix, k)
+		c.checkKeyFiles(prefix, keys)
 	}
 }
 
 // checkKeyPaths checks which files are named together.
-func (c *checker) checkKeyPaths(prefix string, k *Keys) {
-	c.Require((k.CertFile == "") == (k.KeyFile == ""), prefix+"key_file",
+func (c *checker) checkKeyPaths(prefix string, keys *Keys) {
+	c.Require((keys.CertFile == "") == (keys.KeyFile == ""), prefix+"key_file",
 		"a certificate and its key are named together, or neither is")
-	c.Require(k.CertFile != "" || k.RootsFile != "", prefix+"cert_file",
+	c.Require(keys.CertFile != "" || keys.RootsFile != "", prefix+"cert_file",
 		"neither a certificate nor roots are named")
-	c.Require(k.RevokedFile == "" || k.RootsFile != "", prefix+"revoked_file",
+	c.Require(keys.RevokedFile == "" || keys.RootsFile != "", prefix+"revoked_file",
 		"is signed by a root, and no roots_file is named")
-	c.Require(k.CertFile != "" || len(k.Names) == 0, prefix+"names",
+	c.Require(keys.CertFile != "" || len(keys.Names) == 0, prefix+"names",
 		"are of a certificate, and no cert_file is named")
 }
 
 // checkKeyRequirements checks what is required of certificates.
-func (c *checker) checkKeyRequirements(prefix string, k *Keys) {
-	c.Require(k.MinRSABits == 0 || k.MinRSABits >= minRSABits && k.MinRSABits <= maxRSABits, prefix+"least_rsa",
-		"%d is not in %d to %d", k.MinRSABits, minRSABits, maxRSABits)
-	_, ok := tlsVersions[k.MinTLSVersion]
-	c.Require(ok, prefix+"least_tls", "%q is neither 1.3 nor 1.2", k.MinTLSVersion)
-	grace := time.Duration(k.PeerExpiryGrace)
+func (c *checker) checkKeyRequirements(prefix string, keys *Keys) {
+	bits := keys.MinRSABits
+	c.Require(bits == 0 || bits >= minRSABits && bits <= maxRSABits, prefix+"least_rsa",
+		"%d is not in %d to %d", bits, minRSABits, maxRSABits)
+	_, ok := tlsVersions[keys.MinTLSVersion]
+	c.Require(ok, prefix+"least_tls", "%q is neither 1.3 nor 1.2", keys.MinTLSVersion)
+	grace := time.Duration(keys.PeerExpiryGrace)
 	c.Require(grace >= 0 && grace <= maxPeerExpiryGrace, prefix+"peers_over",
 		"%v is not in 0s to %v", grace, maxPeerExpiryGrace)
-	c.Require(k.ReplacementTime >= 0, prefix+"replace_within",
-		"%v is negative", time.Duration(k.ReplacementTime))
-	for _, name := range k.Names {
+	c.Require(keys.ReplacementTime >= 0, prefix+"replace_within",
+		"%v is negative", time.Duration(keys.ReplacementTime))
+	for _, name := range keys.Names {
 		err := secure.CheckName(name)
 		c.Require(err == nil, prefix+"names", "%v", err)
 	}
 }
 
 // checkKeyFiles checks that the files may serve.
-func (c *checker) checkKeyFiles(prefix string, k *Keys) {
-	options := k.StoreOptions(c.file.usedByFront(k.Name), slog.New(slog.DiscardHandler))
+func (c *checker) checkKeyFiles(prefix string, keys *Keys) {
+	options := keys.StoreOptions(c.file.usedByFront(keys.Name), slog.New(slog.DiscardHandler))
 	_, err := certstore.Open(options)
 	if err == nil {
 		return
@@ -167,26 +168,26 @@
 
 // checkKeyUsers checks the references to [[keys]] entries and returns the names that are in use.
 func (c *checker) checkKeyUsers() map[string]bool {
-	f := c.file
+	file := c.file
 	used := map[string]bool{}
-	for _, user := range f.KeyUsers() {
+	for _, user := range file.KeyUsers() {
 		name := user.Entry
 		if name == "" {
 			continue
 		}
 		used[name] = true
 		c.Require(user.Enabled, user.Key, "%q is named for a front that is not switched on", name)
-		index := slices.IndexFunc(f.Keys, func(k Keys) bool { return k.Name == name })
+		index := slices.IndexFunc(file.Keys, func(k Keys) bool { return k.Name == name })
 		c.Require(index >= 0, user.Key, "%q is not the name of a [[keys]] of this file", name)
 		if index < 0 {
 			continue
 		}
-		c.Require(!user.Server || f.Keys[index].CertFile != "", user.Key,
+		c.Require(!user.Server || file.Keys[index].CertFile != "", user.Key,
 			"%q has no certificate, and a front must show one", name)
-		c.Require(!user.Server || name != f.Upstream.Keys, user.Key,
+		c.Require(!user.Server || name != file.Upstream.Keys, user.Key,
 			"%q are upstream.keys, too: a server's certificate and a client's are judged apart, "+
 				"give each a [[keys]] of its own", name)
-		c.Require(user.Server || f.Keys[index].RootsFile != "", user.Key,
+		c.Require(user.Server || file.Keys[index].RootsFile != "", user.Key,
 			"%q has no roots_file, and servers cannot be verified without", name)
 	}
 	return used
--- a/internal/config/section_limits.go
+++ b/internal/config/section_limits.go
@@ -49,21 +49,22 @@
 
 // checkLimits checks the [limits] section. checkPolicy checks limits.admit_rate.
 func (c *checker) checkLimits() {
-	l := &c.file.Limits
+	limits := &c.file.Limits
 	for _, limit := range [...]struct {
 		key   string
 		value int
 	}{
-		{"limits.memory_mb", l.MemoryMB},
-		{"limits.client_connections", l.ClientConnections},
-		{"limits.upstream_connections", l.UpstreamConnections},
-		{"limits.open_requests", l.OpenRequests},
+		{"limits.memory_mb", limits.MemoryMB},
+		{"limits.client_connections", limits.ClientConnections},
+		{"limits.upstream_connections", limits.UpstreamConnections},
+		{"limits.open_requests", limits.OpenRequests},
 	} {
 		c.Require(limit.value >= 1, limit.key, "%d is not positive", limit.value)
 	}
-	c.Require(l.MaxAttempts >= 1 && l.MaxAttempts <= maxAttempts, "limits.attempts",
-		"%d is not in 1 to %d: no request may be sent more often", l.MaxAttempts, maxAttempts)
-	c.Require(l.MaxRetryAfter >= 0, "limits.retry_after_most", "%v is negative", time.Duration(l.MaxRetryAfter))
-	c.Positive("limits.dial_timeout", l.DialTimeout)
-	c.Positive("limits.idle_timeout", l.IdleTimeout)
+	c.Require(limits.MaxAttempts >= 1 && limits.MaxAttempts <= maxAttempts, "limits.attempts",
+		"%d is not in 1 to %d: no request may be sent more often", limits.MaxAttempts, maxAttempts)
+	c.Require(limits.MaxRetryAfter >= 0, "limits.retry_after_most",
+		"%v is negative", time.Duration(limits.MaxRetryAfter))
+	c.Positive("limits.dial_timeout", limits.DialTimeout)
+	c.Positive("limits.idle_timeout", limits.IdleTimeout)
 }
--- a/internal/config/section_membership.go
+++ b/internal/config/section_membership.go
@@ -51,39 +51,42 @@
 
 // checkMembership checks the sources of membership: [discovery], [ephemeral], [membership] and [[server]].
 func (c *checker) checkMembership() {
-	f := c.file
-	ephemeral, listed, discovered := len(f.Ephemeral.Servers) > 0, len(f.Servers) > 0, f.Discovery.Address != ""
+	file := c.file
+	ephemeral := len(file.Ephemeral.Servers) > 0
+	listed := len(file.Servers) > 0
+	discovered := file.Discovery.Address != ""
 	c.Require(ephemeral || !listed || !discovered, "discovery.address",
 		"servers are named in the file, too: one of the two decides, unless ephemeral.servers is set")
 	c.Require(ephemeral || listed || discovered, "server",
 		"no server is named, and neither discovery.address nor ephemeral.servers")
 	c.checkEphemeral()
 	c.checkReconciliation()
-	c.Require(len(f.Servers) <= maxServers, "server", "%d servers, at most %d", len(f.Servers), maxServers)
+	c.Require(len(file.Servers) <= maxServers, "server", "%d servers, at most %d", len(file.Servers), maxServers)
 	if discovered {
-		c.requireAddress("discovery.address", f.Discovery.Address)
-		c.Positive("discovery.ask_within", f.Discovery.PollInterval)
+		c.requireAddress("discovery.address", file.Discovery.Address)
+		c.Positive("discovery.ask_within", file.Discovery.PollInterval)
 	}
 	c.checkServers()
 }
 
 // checkEphemeral checks the [ephemeral] section and reads its digest file.
 func (c *checker) checkEphemeral() {
-	e := &c.file.Ephemeral
-	for _, address := range e.Servers {
+	ephemeral := &c.file.Ephemeral
+	for _, address := range ephemeral.Servers {
 		c.requireAddress("ephemeral.servers", address)
 	}
-	if len(e.Servers) > 0 {
-		c.Require(strings.HasPrefix(e.Path, "/") && e.Path != "/" && path.Clean(e.Path) == e.Path, "ephemeral.path",
-			"%q is not the path of a directory, such as /soko", e.Path)
-		timeout := time.Duration(e.SessionTimeout)
+	if len(ephemeral.Servers) > 0 {
+		parent := ephemeral.Path
+		c.Require(strings.HasPrefix(parent, "/") && parent != "/" && path.Clean(parent) == parent, "ephemeral.path",
+			"%q is not the path of a directory, such as /soko", parent)
+		timeout := time.Duration(ephemeral.SessionTimeout)
 		c.Require(timeout >= minSessionTimeout && timeout <= maxSessionTimeout, "ephemeral.session",
 			"%v is not in 1s to 10m", timeout)
 	}
-	if e.DigestFile == "" {
+	if ephemeral.DigestFile == "" {
 		return
 	}
-	text, err := os.ReadFile(e.DigestFile)
+	text, err := os.ReadFile(ephemeral.DigestFile)
 	c.file.digest = strings.TrimSpace(string(text))
 	c.Require(err == nil, "ephemeral.digest_file", "%v", err)
 	c.Require(err != nil || strings.Contains(c.file.digest, ":"), "ephemeral.digest_file",
@@ -92,9 +95,9 @@
 
 // checkReconciliation checks the [membership] section.
 func (c *checker) checkReconciliation() {
-	m := &c.file.Membership
-	c.Require(m.MaxShrinkRatio > 0 && m.MaxShrinkRatio <= 1, "membership.shrink_most",
-		"%v is not over 0 and up to 1", m.MaxShrinkRatio)
-	c.Positive("membership.hold", m.HoldTime)
-	c.Positive("membership.lag", m.MaxDiscoveryLag)
+	membership := &c.file.Membership
+	c.Require(membership.MaxShrinkRatio > 0 && membership.MaxShrinkRatio <= 1, "membership.shrink_most",
+		"%v is not over 0 and up to 1", membership.MaxShrinkRatio)
+	c.Positive("membership.hold", membership.HoldTime)
+	c.Positive("membership.lag", membership.MaxDiscoveryLag)
 }
--- a/internal/config/section_peers.go
+++ b/internal/config/section_peers.go
@@ -42,24 +42,24 @@
 // checkPeers checks the [peers] section and the agreements of classes, and reads the keys file.
 func (c *checker) checkPeers() {
 	needVoters := c.checkAgreements()
-	p := &c.file.Peers
-	if p.Listen == "" {
+	peers := &c.file.Peers
+	if peers.Listen == "" {
 		return
 	}
 	c.checkPeerAddresses()
 	seen := map[string]bool{}
-	for _, name := range p.Voters {
+	for _, name := range peers.Voters {
 		c.Require(name != "" && !seen[name], "peers.witnesses", "%q is empty, or there twice", name)
 		seen[name] = true
 	}
-	c.Require(!needVoters || len(p.Voters) >= minVoters, "peers.witnesses",
-		"%d names: a majority that outlasts the loss of one needs %d", len(p.Voters), minVoters)
-	c.Positive("peers.wait", p.LeaseTimeout)
-	if p.KeysFile == "" {
+	c.Require(!needVoters || len(peers.Voters) >= minVoters, "peers.witnesses",
+		"%d names: a majority that outlasts the loss of one needs %d", len(peers.Voters), minVoters)
+	c.Positive("peers.wait", peers.LeaseTimeout)
+	if peers.KeysFile == "" {
 		c.Warn("peers.keys_file", "is missing: whoever reaches the port may speak for any instance")
 		return
 	}
-	keys, err := readPeerKeys(p.KeysFile)
+	keys, err := readPeerKeys(peers.KeysFile)
 	c.Require(err == nil, "peers.keys_file", "%v", err)
 	c.file.peerKeys = keys
 }
@@ -84,23 +84,23 @@
 
 // checkPeerAddresses checks the addresses of this and of other instances.
 func (c *checker) checkPeerAddresses() {
-	p := &c.file.Peers
-	c.requireAddress("peers.listen", p.Listen)
-	if p.Advertise != "" {
-		c.requireAddress("peers.advertise", p.Advertise)
+	peers := &c.file.Peers
+	c.requireAddress("peers.listen", peers.Listen)
+	if peers.Advertise != "" {
+		c.requireAddress("peers.advertise", peers.Advertise)
 	}
-	if p.Status != "" {
-		c.requireAddress("peers.status", p.Status)
+	if peers.Status != "" {
+		c.requireAddress("peers.status", peers.Status)
 	}
 	c.Require(c.file.Name != "", "name", "is missing: by it others know this instance")
-	for _, peer := range p.Join {
+	for _, peer := range peers.Join {
 		name, address, ok := strings.Cut(peer, "/")
 		c.Require(ok && name != "", "peers.join", "%q is not name/host:port", peer)
 		if ok {
 			c.requireAddress("peers.join", address)
 		}
 	}
-	for name, address := range p.Via {
+	for name, address := range peers.Via {
 		c.Require(name != "", "peers.via", "a name is empty")
 		c.requireAddress("peers.via", address)
 	}
--- a/internal/config/section_route.go
+++ b/internal/config/section_route.go
@@ -42,14 +42,14 @@
 // checkPolicy checks pools and compiles classes, routes, pools and tenants into the table, which reports their
 // errors.
 func (c *checker) checkPolicy() {
-	f := c.file
-	c.Require(f.Limits.AdmitRate >= 0 && f.Limits.AdmitRate <= maxAdmitRate, "limits.admit_rate",
-		"%v is not in 0 to 1e7", f.Limits.AdmitRate)
-	for i, pool := range f.Pools {
-		c.checkPoolNames(i, "sites", pool.Sites, f.Fleet.Sites)
-		c.checkPoolNames(i, "kinds", pool.Kinds, f.Fleet.Kinds)
+	file := c.file
+	c.Require(file.Limits.AdmitRate >= 0 && file.Limits.AdmitRate <= maxAdmitRate, "limits.admit_rate",
+		"%v is not in 0 to 1e7", file.Limits.AdmitRate)
+	for i, pool := range file.Pools {
+		c.checkPoolNames(i, "sites", pool.Sites, file.Fleet.Sites)
+		c.checkPoolNames(i, "kinds", pool.Kinds, file.Fleet.Kinds)
 	}
-	table, faults := policy.Compile(f.policyConfig(), c.previous)
+	table, faults := policy.Compile(file.policyConfig(), c.previous)
 	for _, fault := range faults {
 		if fault.Warning {
 			c.Warn(fault.Key, fault.Reason)
@@ -57,7 +57,7 @@
 			c.Require(false, fault.Key, "%s", fault.Reason)
 		}
 	}
-	f.table = table
+	file.table = table
 }
 
 // checkPoolNames checks that the fleet has all names of a key of a pool.
--- a/internal/config/section_server.go
+++ b/internal/config/section_server.go
@@ -32,18 +32,19 @@
 	fleet := &c.file.Fleet
 	names, addresses := map[string]bool{}, map[string]bool{}
 	for i := range c.file.Servers {
-		s := &c.file.Servers[i]
+		server := &c.file.Servers[i]
 		prefix := fmt.Sprintf("server[%d].", i)
-		c.Require(s.Name != "", prefix+"name", "is missing")
-		c.Require(!names[s.Name], prefix+"name", "%q is there twice", s.Name)
-		c.requireAddress(prefix+"address", s.Address)
-		c.Require(!addresses[s.Address], prefix+"address", "%q is there twice", s.Address)
-		names[s.Name], addresses[s.Address] = true, true
-		c.Require(slices.Contains(fleet.Sites, s.Site), prefix+"site", "%q is not in fleet.sites", s.Site)
-		c.Require(s.Kind == "" || slices.Contains(fleet.Kinds, s.Kind), prefix+"kind",
-			"%q is not in fleet.kinds", s.Kind)
-		c.Require(s.Cell >= 0 && s.Cell < maxCells, prefix+"pod", "%d is not in 0 to %d", s.Cell, maxCells-1)
-		c.Require(s.Weight == nil || *s.Weight > 0 && *s.Weight <= maxServerWeight, prefix+"share",
+		c.Require(server.Name != "", prefix+"name", "is missing")
+		c.Require(!names[server.Name], prefix+"name", "%q is there twice", server.Name)
+		c.requireAddress(prefix+"address", server.Address)
+		c.Require(!addresses[server.Address], prefix+"address", "%q is there twice", server.Address)
+		names[server.Name], addresses[server.Address] = true, true
+		c.Require(slices.Contains(fleet.Sites, server.Site), prefix+"site", "%q is not in fleet.sites", server.Site)
+		c.Require(server.Kind == "" || slices.Contains(fleet.Kinds, server.Kind), prefix+"kind",
+			"%q is not in fleet.kinds", server.Kind)
+		c.Require(server.Cell >= 0 && server.Cell < maxCells, prefix+"pod",
+			"%d is not in 0 to %d", server.Cell, maxCells-1)
+		c.Require(server.Weight == nil || *server.Weight > 0 && *server.Weight <= maxServerWeight, prefix+"share",
 			"is not over 0 and up to 1e6")
 	}
 }
--- a/internal/config/section_upstream.go
+++ b/internal/config/section_upstream.go
@@ -41,34 +41,34 @@
 
 // checkUpstream checks the [upstream] section and server.verify.
 func (c *checker) checkUpstream() {
-	u := &c.file.Upstream
-	if u.Keys == "" {
+	upstream := &c.file.Upstream
+	if upstream.Keys == "" {
 		c.checkPlainUpstream()
 		return
 	}
 	c.checkVerifyNames()
-	c.Require(u.MaxSessions >= 1 && u.MaxSessions <= maxSessions, "upstream.sessions",
-		"%d is not in 1 to %d", u.MaxSessions, maxSessions)
-	c.requireHandshakeRate("upstream.handshakes", u.HandshakesPerServer)
-	c.requireHandshakeRate("upstream.handshakes_all", u.HandshakesTotal)
-	c.requireHandshakeRate("upstream.handshake_burst", u.HandshakeBurst)
-	c.Positive("upstream.handshake_timeout", u.HandshakeTimeout)
+	c.Require(upstream.MaxSessions >= 1 && upstream.MaxSessions <= maxSessions, "upstream.sessions",
+		"%d is not in 1 to %d", upstream.MaxSessions, maxSessions)
+	c.requireHandshakeRate("upstream.handshakes", upstream.HandshakesPerServer)
+	c.requireHandshakeRate("upstream.handshakes_all", upstream.HandshakesTotal)
+	c.requireHandshakeRate("upstream.handshake_burst", upstream.HandshakeBurst)
+	c.Positive("upstream.handshake_timeout", upstream.HandshakeTimeout)
 }
 
 // checkPlainUpstream checks that nothing depends on TLS, which is not configured.
 func (c *checker) checkPlainUpstream() {
 	const reason = "is of no use without upstream.keys: servers are spoken to in plain text"
-	u := &c.file.Upstream
-	c.Require(!u.HTTP3, "upstream.http3", "is encrypted: upstream.keys must say whom to trust")
-	c.Require(u.VerifyPattern == "", "upstream.verify", reason)
-	for i, s := range c.file.Servers {
-		c.Require(s.VerifyName == "", fmt.Sprintf("server[%d].verify", i), reason)
+	upstream := &c.file.Upstream
+	c.Require(!upstream.HTTP3, "upstream.http3", "is encrypted: upstream.keys must say whom to trust")
+	c.Require(upstream.VerifyPattern == "", "upstream.verify", reason)
+	for i, server := range c.file.Servers {
+		c.Require(server.VerifyName == "", fmt.Sprintf("server[%d].verify", i), reason)
 	}
 }
 
 // checkVerifyNames checks that each server has a name by which it can be verified.
 func (c *checker) checkVerifyNames() {
-	f, pattern := c.file, c.file.Upstream.VerifyPattern
+	file, pattern := c.file, c.file.Upstream.VerifyPattern
 	if pattern != "" {
 		err := secure.CheckName(pattern)
 		c.Require(err == nil, "upstream.verify", "%v", err)
@@ -76,19 +76,19 @@
 			c.Warn("upstream.verify", "has no {name}: any server's certificate will do for every other")
 		}
 	}
-	onlyListed := f.Discovery.Address == "" && len(f.Ephemeral.Servers) == 0
+	onlyListed := file.Discovery.Address == "" && len(file.Ephemeral.Servers) == 0
 	c.Require(pattern != "" || onlyListed, "upstream.verify",
 		"is missing: the names of servers that membership tells must come from a pattern, such as {name}.example.org")
-	names := f.VerifyNames()
-	for i, s := range f.Servers {
+	names := file.VerifyNames()
+	for i, server := range file.Servers {
 		key := fmt.Sprintf("server[%d].verify", i)
-		if s.VerifyName != "" {
-			err := secure.CheckName(s.VerifyName)
-			c.Require(err == nil && !strings.Contains(s.VerifyName, namePlaceholder), key,
-				"%q is no host name, address or SPIFFE ID", s.VerifyName)
+		if server.VerifyName != "" {
+			err := secure.CheckName(server.VerifyName)
+			c.Require(err == nil && !strings.Contains(server.VerifyName, namePlaceholder), key,
+				"%q is no host name, address or SPIFFE ID", server.VerifyName)
 			continue
 		}
-		if _, err := names.Of(s.Name); err != nil {
+		if _, err := names.Of(server.Name); err != nil {
 			c.Require(false, key, "is missing: %v", err)
 		}
 	}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -36,16 +36,16 @@
 
 // balancerLimits returns what the balancer may do.
 func (f *File) balancerLimits() balancer.Limits {
-	l := &f.Limits
+	limits := &f.Limits
 	return balancer.Limits{
 		Cancel:        true,
-		Probes:        l.LoadProbes,
-		Hedging:       l.Hedging,
-		RetryAfter:    l.MaxRetryAfter > 0,
-		MaxAttempts:   l.MaxAttempts,
-		MaxOpen:       l.OpenRequests,
-		MaxRetryAfter: l.MaxRetryAfter.Microseconds(),
-		DialTimeout:   l.DialTimeout.Microseconds(),
+		Probes:        limits.LoadProbes,
+		Hedging:       limits.Hedging,
+		RetryAfter:    limits.MaxRetryAfter > 0,
+		MaxAttempts:   limits.MaxAttempts,
+		MaxOpen:       limits.OpenRequests,
+		MaxRetryAfter: limits.MaxRetryAfter.Microseconds(),
+		DialTimeout:   limits.DialTimeout.Microseconds(),
 	}
 }
 
@@ -143,15 +143,15 @@
 func (f *File) Hosts() []engine.Host {
 	hosts := make([]engine.Host, len(f.Servers))
 	for i := range f.Servers {
-		s := &f.Servers[i]
+		server := &f.Servers[i]
 		hosts[i] = engine.Host{
-			Name:    s.Name,
-			Address: s.Address,
-			Site:    s.Site,
-			Kind:    s.Kind,
-			Cell:    uint16(s.Cell),
+			Name:    server.Name,
+			Address: server.Address,
+			Site:    server.Site,
+			Kind:    server.Kind,
+			Cell:    uint16(server.Cell),
 			State:   balancer.Ready,
-			Weight:  float32(valueOr(s.Weight, defaultWeight)),
+			Weight:  float32(valueOr(server.Weight, defaultWeight)),
 		}
 	}
 	return hosts
