Emulator: options of runs are NewDecider, OnEvent and OnProgress

Decide, Watch and Progress read as commands. A rename only, with its one caller cmd/pinedale-simulate. The tests of simulation and cmd/pinedale-simulate pass.

--- a/cmd/pinedale-simulate/play.go
+++ b/cmd/pinedale-simulate/play.go
@@ -70,15 +70,15 @@
 	}
 	if options.host == trace.Sockets {
 		return realtime.Run(ctx, planned, realtime.Options{
-			Decide:   decide,
-			Watch:    options.watch,
-			Progress: progress,
+			NewDecider: decide,
+			OnEvent:    options.watch,
+			OnProgress: progress,
 		})
 	}
 	return simulation.Run(planned, simulation.Options{
-		Decide:   decide,
-		Watch:    options.watch,
-		Progress: progress,
+		NewDecider: decide,
+		OnEvent:    options.watch,
+		OnProgress: progress,
 	})
 }
 
--- a/internal/emulator/baselines/baselines.go
+++ b/internal/emulator/baselines/baselines.go
@@ -17,8 +17,8 @@
 // Module is the name of the decision module itself.
 const Module = "pinedale"
 
-// Decide creates the decider of an engine.
-type Decide = func(balancer.Settings, uint64, balancer.Actions) (engine.Decider, error)
+// NewDecider creates the decider of an engine.
+type NewDecider = func(balancer.Settings, uint64, balancer.Actions) (engine.Decider, error)
 
 // picker chooses one of the ready endpoints of a decider, which has at least one.
 type picker interface{ pick(d *decider) uint32 }
@@ -46,7 +46,7 @@
 
 // Named returns a policy by its name, nil for Module. weights are those of the machine kinds, as an operator would set
 // them. The error is an *UnknownPolicyError.
-func Named(name string, weights []float64) (Decide, error) {
+func Named(name string, weights []float64) (NewDecider, error) {
 	if name == Module {
 		return nil, nil
 	}
--- a/internal/emulator/realtime/client.go
+++ b/internal/emulator/realtime/client.go
@@ -56,8 +56,8 @@
 }
 
 func (r *runner) reportProgress(at plan.Time) {
-	if r.options.Progress != nil {
-		r.options.Progress(at)
+	if r.options.OnProgress != nil {
+		r.options.OnProgress(at)
 	}
 }
 
--- a/internal/emulator/realtime/instance.go
+++ b/internal/emulator/realtime/instance.go
@@ -70,7 +70,7 @@
 		Zones:      s.Sites,
 		Kinds:      s.Kinds,
 		Upstream:   upstream,
-		NewDecider: r.options.Decide,
+		NewDecider: r.options.NewDecider,
 		Log:        log,
 	})
 	if err != nil {
--- a/internal/emulator/realtime/realtime.go
+++ b/internal/emulator/realtime/realtime.go
@@ -23,9 +23,9 @@
 
 // Options configure one run.
 type Options struct {
-	Decide   baselines.Decide  // creates the deciders of the engines; nil for the decision module
-	Watch    func(trace.Event) // called with every event of the trace, one call at a time; may be nil
-	Progress func(plan.Time)   // called each second; may be nil
+	NewDecider baselines.NewDecider // creates the deciders of the engines; nil for the decision module
+	OnEvent    func(trace.Event)    // called with every event of the trace, one call at a time; may be nil
+	OnProgress func(plan.Time)      // called each second; may be nil
 }
 
 // Idle connections of clients close before the front closes them, which is after 2.1 s: a request could otherwise meet
@@ -156,9 +156,9 @@
 
 // emit passes an event of the trace to the caller of Run. The caller holds mu.
 func (r *runner) emit(event trace.Event) {
-	if r.options.Watch != nil && !r.closed {
+	if r.options.OnEvent != nil && !r.closed {
 		event.At = r.now().Microseconds()
-		r.options.Watch(event)
+		r.options.OnEvent(event)
 	}
 }
 
--- a/internal/emulator/realtime/realtime_test.go
+++ b/internal/emulator/realtime/realtime_test.go
@@ -65,7 +65,7 @@
 	defer goleak.VerifyNone(t)
 	s := shortScenario(t)
 	events := map[trace.Kind]int{}
-	got, err := Run(context.Background(), s, Options{Watch: func(event trace.Event) { events[event.Kind]++ }})
+	got, err := Run(context.Background(), s, Options{OnEvent: func(event trace.Event) { events[event.Kind]++ }})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -113,7 +113,7 @@
 	s := shortScenario(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	requested := 0
-	_, err := Run(ctx, s, Options{Watch: func(event trace.Event) {
+	_, err := Run(ctx, s, Options{OnEvent: func(event trace.Event) {
 		if event.Kind != trace.KindRequest {
 			return
 		}
@@ -159,11 +159,11 @@
 		server.Config.PauseInterval, server.Config.ThrashRatio, server.Config.HandshakeWork = 0, 0, 0
 	}
 	// The decision module would reject most requests, since it has not seen the fleet serve.
-	decide, err := baselines.Named("random", nil)
+	newDecider, err := baselines.Named("random", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	result, err := Run(context.Background(), s, Options{Decide: decide})
+	result, err := Run(context.Background(), s, Options{NewDecider: newDecider})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/emulator/simulation/faults_test.go
+++ b/internal/emulator/simulation/faults_test.go
@@ -154,7 +154,7 @@
 	s.Clients = plan.Clients{Rate: 5, TimeoutRatio: 1, AbandonAfter: 50 * ms}
 	s.Settings.Contract.SlowStartTime = 0
 	started := map[int]int{}
-	sim := newSimulator(s, Options{Watch: func(event trace.Event) {
+	sim := newSimulator(s, Options{OnEvent: func(event trace.Event) {
 		if event.Kind == trace.KindAttempt {
 			started[event.Server]++
 		}
--- a/internal/emulator/simulation/instance.go
+++ b/internal/emulator/simulation/instance.go
@@ -55,7 +55,7 @@
 		Upstream:   n,
 		Clock:      sim,
 		Subset:     subset,
-		NewDecider: sim.options.Decide,
+		NewDecider: sim.options.NewDecider,
 		Log:        slog.New(slog.DiscardHandler),
 	})
 	return n, err
--- a/internal/emulator/simulation/restart_test.go
+++ b/internal/emulator/simulation/restart_test.go
@@ -72,7 +72,7 @@
 		{At: lastKill, Instances: []int{0, 1}},
 	}
 	attempts := map[int]int{} // of the first instance after its second kill, by server
-	sim := newSimulator(s, Options{Watch: func(event trace.Event) {
+	sim := newSimulator(s, Options{OnEvent: func(event trace.Event) {
 		if event.Kind == trace.KindAttempt && event.Instance == 1 && event.At > lastKill.Microseconds() {
 			attempts[event.Server]++
 		}
--- a/internal/emulator/simulation/simulation.go
+++ b/internal/emulator/simulation/simulation.go
@@ -19,9 +19,9 @@
 
 // Options configure one run.
 type Options struct {
-	Decide   baselines.Decide  // creates the deciders of the engines; nil for the decision module
-	Watch    func(trace.Event) // called with every event of the trace; may be nil
-	Progress func(Time)        // called each virtual second; may be nil
+	NewDecider baselines.NewDecider // creates the deciders of the engines; nil for the decision module
+	OnEvent    func(trace.Event)    // called with every event of the trace; may be nil
+	OnProgress func(Time)           // called each virtual second; may be nil
 }
 
 // simulator is one run. It has a single goroutine, which executes scheduled events one after the other.
@@ -138,8 +138,8 @@
 
 // tick runs every tickInterval until the last new request.
 func (sim *simulator) tick() {
-	if sim.options.Progress != nil {
-		sim.options.Progress(sim.now)
+	if sim.options.OnProgress != nil {
+		sim.options.OnProgress(sim.now)
 	}
 	for _, instance := range sim.instances {
 		instance.engine.Tick()
@@ -162,8 +162,8 @@
 
 // emit passes an event of the trace to the caller of Run.
 func (sim *simulator) emit(event trace.Event) {
-	if sim.options.Watch != nil {
+	if sim.options.OnEvent != nil {
 		event.At = sim.now.Microseconds()
-		sim.options.Watch(event)
+		sim.options.OnEvent(event)
 	}
 }
--- a/internal/emulator/simulation/simulation_test.go
+++ b/internal/emulator/simulation/simulation_test.go
@@ -162,11 +162,11 @@
 // runPolicy runs a scenario with a policy and passes the events of its trace to watch.
 func runPolicy(t *testing.T, s *plan.Scenario, policy string, watch func(trace.Event)) *plan.Result {
 	t.Helper()
-	decide, err := baselines.Named(policy, s.Weights)
+	newDecider, err := baselines.Named(policy, s.Weights)
 	if err != nil {
 		t.Fatal(err)
 	}
-	result, err := Run(s, Options{Decide: decide, Watch: watch})
+	result, err := Run(s, Options{NewDecider: newDecider, OnEvent: watch})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -283,11 +283,11 @@
 				requests := 0
 				for b.Loop() {
 					s := benchmarkScenario(servers)
-					decide, err := baselines.Named(policy, s.Weights)
+					newDecider, err := baselines.Named(policy, s.Weights)
 					if err != nil {
 						b.Fatal(err)
 					}
-					result, err := Run(s, Options{Decide: decide})
+					result, err := Run(s, Options{NewDecider: newDecider})
 					if err != nil {
 						b.Fatal(err)
 					}
