Decision module and engine tests: names with their result, random run by steps

Tests whose names gave a subject but no result have one now. The random events of rules_test.go were one function of 140 lines; they are a type with a method for each event. Its counts of sends in slow start, which nothing read, are gone. Rows of tables are called test, and configuration texts of the sidecar's tests stand over several lines.

--- a/balancer/attempts_test.go
+++ b/balancer/attempts_test.go
@@ -138,7 +138,7 @@
 // A client's retry with an idempotency key may be of an effect whose key is about to expire: what may have run is
 // neither resent later nor rejected with a promise.
 func TestClientRetryIsNotResentAfterWindow(t *testing.T) {
-	for _, c := range []struct {
+	for _, test := range []struct {
 		class    uint8
 		status   Status
 		at       Micros
@@ -152,12 +152,12 @@
 		{0, Timeout, 100_000, true, false},
 	} {
 		b, out := startWithTimeouts(t, testSettings(), ready(8))
-		in := testRequest(1, c.class, 0)
+		in := testRequest(1, test.class, 0)
 		in.ClientRetry = true
 		b.HandleRequest(0, in)
-		b.AttemptCompleted(c.at, Outcome{ID: 1, Endpoint: out.sends[0].endpoint, Status: c.status, Latency: c.at})
-		if got := len(out.sends) > 1; got != c.resent || len(out.rejected) > 0 != c.rejected {
-			t.Errorf("%+v: %d sends, %d rejected", c, len(out.sends), len(out.rejected))
+		b.AttemptCompleted(test.at, Outcome{ID: 1, Endpoint: out.sends[0].endpoint, Status: test.status, Latency: test.at})
+		if got := len(out.sends) > 1; got != test.resent || len(out.rejected) > 0 != test.rejected {
+			t.Errorf("%+v: %d sends, %d rejected", test, len(out.sends), len(out.rejected))
 		}
 	}
 }
@@ -199,19 +199,19 @@
 
 // A request may lower the limit of attempts, and cannot raise it.
 func TestRequestMaxAttemptsLowersLimit(t *testing.T) {
-	for _, c := range []struct{ maxAttempts, sends int }{{0, 3}, {1, 1}, {2, 2}, {9, 3}} {
+	for _, test := range []struct{ maxAttempts, sends int }{{0, 3}, {1, 1}, {2, 2}, {9, 3}} {
 		b, r := start(t, testSettings(), ready(4))
 		in := testRequest(1, 0, 0)
-		in.MaxAttempts = c.maxAttempts
+		in.MaxAttempts = test.maxAttempts
 		b.HandleRequest(0, in)
 		for i := 0; i < len(r.sends); i++ {
 			b.AttemptCompleted(Micros(i+1)*1000, Outcome{
 				ID: 1, Attempt: i, Endpoint: r.sends[i].endpoint, Status: Error,
 			})
 		}
-		if len(r.sends) != c.sends || len(r.rejected) != 1 {
+		if len(r.sends) != test.sends || len(r.rejected) != 1 {
 			t.Errorf("limit %d: %d sends and %d rejections, want %d and 1",
-				c.maxAttempts, len(r.sends), len(r.rejected), c.sends)
+				test.maxAttempts, len(r.sends), len(r.rejected), test.sends)
 		}
 	}
 }
@@ -219,7 +219,7 @@
 // An attempt made before the request was taken binds it as its own first one does: to the group, to the window, and
 // in what may be promised.
 func TestPreviousAttemptBindsRequest(t *testing.T) {
-	for _, c := range []struct {
+	for _, test := range []struct {
 		name     string
 		class    uint8
 		age      Micros // of the earlier attempt
@@ -236,21 +236,21 @@
 	} {
 		b, r := start(t, testSettings(), ready(6))
 		now := Micros(700_000)
-		in := testRequest(1, c.class, now)
-		in.MayHaveRun, in.PreviousAttempt = true, PreviousAttempt{At: now - c.age, Zone: 1, Cell: 1}
+		in := testRequest(1, test.class, now)
+		in.MayHaveRun, in.PreviousAttempt = true, PreviousAttempt{At: now - test.age, Zone: 1, Cell: 1}
 		b.HandleRequest(now, in)
-		if len(r.sends) > 0 != c.sent {
-			t.Errorf("%s: %d sends, want one: %v", c.name, len(r.sends), c.sent)
+		if len(r.sends) > 0 != test.sent {
+			t.Errorf("%s: %d sends, want one: %v", test.name, len(r.sends), test.sent)
 		}
-		if c.sent && c.class >= 2 && b.endpoints.byID[r.sends[0].endpoint].Cell != 1 {
-			t.Errorf("%s: sent to endpoint %d, outside the group of the first", c.name, r.sends[0].endpoint)
+		if test.sent && test.class >= 2 && b.endpoints.byID[r.sends[0].endpoint].Cell != 1 {
+			t.Errorf("%s: sent to endpoint %d, outside the group of the first", test.name, r.sends[0].endpoint)
 		}
 		for i := 0; i < len(r.sends); i++ {
 			b.AttemptCompleted(now, Outcome{ID: 1, Attempt: i, Endpoint: r.sends[i].endpoint, Status: Full})
 		}
-		if len(r.rejected) > 0 != c.rejected || len(r.failed) > 0 == c.rejected {
+		if len(r.rejected) > 0 != test.rejected || len(r.failed) > 0 == test.rejected {
 			t.Errorf("%s: %d rejections and %d failures, want a rejection: %v",
-				c.name, len(r.rejected), len(r.failed), c.rejected)
+				test.name, len(r.rejected), len(r.failed), test.rejected)
 		}
 	}
 }
@@ -331,7 +331,7 @@
 
 // Whatever is unusual about a request, it is taken once and answered once.
 func TestUnusualRequestsAreAnsweredOnce(t *testing.T) {
-	for name, c := range map[string]struct {
+	for name, test := range map[string]struct {
 		list  []Endpoint
 		in    Request
 		twice bool
@@ -344,14 +344,14 @@
 		"repeated id":         {list: ready(2), in: Request{ID: 1, Deadline: second}, twice: true},
 		"negative hint":       {list: ready(2), in: Request{ID: 1, Deadline: second, WorkHint: -5, HasWorkHint: true}},
 	} {
-		b, r := start(t, testSettings(), c.list)
-		b.HandleRequest(1000, c.in)
-		if c.twice {
-			b.HandleRequest(1000, c.in)
+		b, r := start(t, testSettings(), test.list)
+		b.HandleRequest(1000, test.in)
+		if test.twice {
+			b.HandleRequest(1000, test.in)
 		}
 		for i, token := range r.timers {
 			if token >= firstRequestTimer {
-				b.TimerFired(max(1000+r.delays[i], c.in.Deadline), token)
+				b.TimerFired(max(1000+r.delays[i], test.in.Deadline), token)
 			}
 		}
 		if n := len(r.rejected) + len(r.failed); n != 1 || len(r.sends) > 1 {
--- a/balancer/breaker_test.go
+++ b/balancer/breaker_test.go
@@ -8,7 +8,7 @@
 func almostEqual(a, b float64) bool { return math.Abs(a-b) < 1e-9 }
 
 func TestErrorChanceFollowsFailureRatio(t *testing.T) {
-	for _, c := range []struct {
+	for _, test := range []struct {
 		name              string
 		accepts, failures int
 		rejections        int
@@ -27,20 +27,20 @@
 	} {
 		var k breaker
 		now := 100 * second
-		for range c.accepts {
+		for range test.accepts {
 			k.record(now, 1, 0)
 		}
-		for i := range c.failures {
-			if c.spread > 1 && i%(c.failures/c.spread) == 0 {
+		for i := range test.failures {
+			if test.spread > 1 && i%(test.failures/test.spread) == 0 {
 				now += breakerWindow / breakerBuckets
 			}
 			k.record(now, 0, 1)
 		}
-		for range c.rejections {
+		for range test.rejections {
 			k.record(now, 0, 0)
 		}
-		if got := k.errorChance(now); !almostEqual(got, c.want) {
-			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
+		if got := k.errorChance(now); !almostEqual(got, test.want) {
+			t.Errorf("%s: got %v, want %v", test.name, got, test.want)
 		}
 	}
 }
@@ -65,7 +65,7 @@
 	}
 }
 
-func TestBreakerLatencyAverages(t *testing.T) {
+func TestBreakerBaselineFallsFasterThanItRises(t *testing.T) {
 	var k breaker
 	k.recordLatency(100)
 	if k.baseline != 100 || k.current != 100 {
@@ -82,7 +82,7 @@
 }
 
 func TestLatencyChanceFollowsLatency(t *testing.T) {
-	for _, c := range []struct {
+	for _, test := range []struct {
 		name                   string
 		base, current, timeout float64
 		want                   float64
@@ -94,14 +94,14 @@
 		{"capped", 100, 5000, 1000, 0.3},
 		{"ceiling under the threshold", 400, 5000, 1000, 0},
 	} {
-		k := breaker{baseline: c.base, current: c.current}
-		if got := k.latencyChance(c.timeout); !almostEqual(got, c.want) {
-			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
+		k := breaker{baseline: test.base, current: test.current}
+		if got := k.latencyChance(test.timeout); !almostEqual(got, test.want) {
+			t.Errorf("%s: got %v, want %v", test.name, got, test.want)
 		}
 	}
 }
 
-func TestBreakerAllowsTrials(t *testing.T) {
+func TestFailingEndpointGetsTrialsAfterPause(t *testing.T) {
 	b, _ := start(t, testSettings(), ready(1))
 	e := b.endpoints.list[0]
 	now := 20 * second
--- a/balancer/hedging_test.go
+++ b/balancer/hedging_test.go
@@ -9,14 +9,14 @@
 // A hedge is sent after the delay that the request sets, to another endpoint, while repeats are dropped and no
 // answer has come.
 func TestHedgeAfterRequestedDelay(t *testing.T) {
-	for _, c := range []struct {
-		name     string
-		class    uint8
-		after    Micros
-		answered bool
-		alone    bool
-		limit    bool
-		copied   bool
+	for _, test := range []struct {
+		name       string
+		class      uint8
+		hedgeDelay Micros
+		answered   bool
+		noHedging  bool
+		permitted  bool // by the limits
+		wantHedge  bool
 	}{
 		{"idempotent", 0, 200_000, false, false, true, true},
 		{"idempotent and answered", 0, 200_000, true, false, true, false},
@@ -28,26 +28,26 @@
 		{"hedging not permitted", 0, 200_000, false, false, false, false},
 	} {
 		s := testSettings()
-		s.Limits.Hedging = c.limit
+		s.Limits.Hedging = test.permitted
 		b, out := startWithTimeouts(t, s, ready(8))
-		in := testRequest(1, c.class, 0)
-		in.HedgeDelay, in.NoHedging = c.after, c.alone
+		in := testRequest(1, test.class, 0)
+		in.HedgeDelay, in.NoHedging = test.hedgeDelay, test.noHedging
 		b.HandleRequest(0, in)
 		token := b.ledger.requests[1].timerToken
-		if armed := slices.Contains(out.delays, c.after); c.after > 0 && !armed {
-			t.Errorf("%s: no timer for the hedge: %v", c.name, out.delays)
+		if armed := slices.Contains(out.delays, test.hedgeDelay); test.hedgeDelay > 0 && !armed {
+			t.Errorf("%s: no timer for the hedge: %v", test.name, out.delays)
 		}
-		if c.answered {
-			b.AttemptCompleted(c.after-1, Outcome{
-				ID: 1, Endpoint: out.sends[0].endpoint, Status: OK, Latency: c.after - 1, Settled: true,
+		if test.answered {
+			b.AttemptCompleted(test.hedgeDelay-1, Outcome{
+				ID: 1, Endpoint: out.sends[0].endpoint, Status: OK, Latency: test.hedgeDelay - 1, Settled: true,
 			})
 		}
-		b.TimerFired(max(c.after, 300_000)-100_000, token) // too early: another timer
-		b.TimerFired(max(c.after, 300_000), token)
-		if got := len(out.sends) > 1; got != c.copied {
-			t.Errorf("%s: %d sends", c.name, len(out.sends))
+		b.TimerFired(max(test.hedgeDelay, 300_000)-100_000, token) // too early: another timer
+		b.TimerFired(max(test.hedgeDelay, 300_000), token)
+		if got := len(out.sends) > 1; got != test.wantHedge {
+			t.Errorf("%s: %d sends", test.name, len(out.sends))
 		} else if got && out.sends[0].endpoint == out.sends[1].endpoint {
-			t.Errorf("%s: the hedge went to the same endpoint", c.name)
+			t.Errorf("%s: the hedge went to the same endpoint", test.name)
 		}
 	}
 }
--- a/balancer/helpers_test.go
+++ b/balancer/helpers_test.go
@@ -90,7 +90,7 @@
 }
 
 func TestNewReportsInvalidSetting(t *testing.T) {
-	for _, c := range []struct {
+	for _, test := range []struct {
 		key   string
 		spoil func(*Settings)
 	}{
@@ -103,11 +103,11 @@
 		{"Prices.Probe", func(s *Settings) { s.Prices.Probe = -1 }},
 	} {
 		s := testSettings()
-		c.spoil(&s)
+		test.spoil(&s)
 		_, err := New(s, 1, &recorder{})
 		var bad *SettingError
-		if !errors.As(err, &bad) || bad.Key != c.key {
-			t.Errorf("want an error for %s, got %v", c.key, err)
+		if !errors.As(err, &bad) || bad.Key != test.key {
+			t.Errorf("want an error for %s, got %v", test.key, err)
 		}
 	}
 }
--- a/balancer/learning_test.go
+++ b/balancer/learning_test.go
@@ -39,7 +39,7 @@
 
 // A hint must count for as much as it says, or idle endpoints reject what is only hinted to be large.
 func TestHintExponentIsLearned(t *testing.T) {
-	for _, c := range []struct {
+	for _, test := range []struct {
 		name     string
 		latency  func(hint Micros) Micros
 		from, to float64
@@ -55,11 +55,11 @@
 			b.HandleRequest(now, Request{ID: uint64(i), Deadline: now + second, WorkHint: hint, HasWorkHint: true})
 			if n := len(r.sends); n > 0 && r.sends[n-1].id == uint64(i) {
 				b.AttemptCompleted(now, Outcome{ID: uint64(i), Endpoint: r.sends[n-1].endpoint, Status: OK,
-					Latency: c.latency(hint), Settled: true})
+					Latency: test.latency(hint), Settled: true})
 			}
 		}
-		if b.estimates.hintExponent < c.from || b.estimates.hintExponent > c.to {
-			t.Errorf("%s: exponent %.2f, want %.2f to %.2f", c.name, b.estimates.hintExponent, c.from, c.to)
+		if b.estimates.hintExponent < test.from || b.estimates.hintExponent > test.to {
+			t.Errorf("%s: exponent %.2f, want %.2f to %.2f", test.name, b.estimates.hintExponent, test.from, test.to)
 		}
 	}
 }
@@ -74,13 +74,13 @@
 		list[i].Kind, list[i].Zone = uint8(i%3), 0
 	}
 	b, r := start(t, s, list)
-	alone := [3]Micros{50_000, 80_000, 150_000}
+	latencies := [3]Micros{50_000, 80_000, 150_000}
 	now := second
 	for id := range uint64(12) { // a second of its traffic
 		b.HandleRequest(now, Request{ID: id, Deadline: now + second, WorkHint: 80_000, HasWorkHint: true})
 		at := r.sends[len(r.sends)-1].endpoint
 		now += 80_000
-		b.AttemptCompleted(now, Outcome{ID: id, Endpoint: at, Status: OK, Latency: alone[(at-1)%3], Settled: true})
+		b.AttemptCompleted(now, Outcome{ID: id, Endpoint: at, Status: OK, Latency: latencies[(at-1)%3], Settled: true})
 	}
 	used := map[uint32]bool{}
 	for _, x := range r.sends {
--- a/balancer/pick_test.go
+++ b/balancer/pick_test.go
@@ -31,9 +31,9 @@
 
 // In a large fleet all balancers learn of the same idle endpoint: none may fill it alone.
 func TestOneLowReportAttractsNoHerd(t *testing.T) {
-	for _, c := range []struct{ balancers, maxSends int }{{1, 5}, {3, 3}, {15, 2}} {
+	for _, test := range []struct{ balancers, maxSends int }{{1, 5}, {3, 3}, {15, 2}} {
 		s := testSettings()
-		s.Balancers = c.balancers
+		s.Balancers = test.balancers
 		b, r := start(t, s, ready(4))
 		for id := range uint32(4) {
 			b.ProbeCompleted(1000, id+1, OK, 500, []float32{3 * float32(min(1, id))})
@@ -47,9 +47,9 @@
 				n++
 			}
 		}
-		if len(r.sends) != 8 || n == 0 || n > c.maxSends {
+		if len(r.sends) != 8 || n == 0 || n > test.maxSends {
 			t.Errorf("%d balancers: %d of %d sends to the idle endpoint, want 1 to %d",
-				c.balancers, n, len(r.sends), c.maxSends)
+				test.balancers, n, len(r.sends), test.maxSends)
 		}
 	}
 }
@@ -125,7 +125,7 @@
 // Where opening a connection costs, recently used endpoints go first while they are idle and their connection is
 // open. One that is busy or was not used for too long is not preferred, and a queue outweighs the preference.
 func TestIdleConnectionsArePreferred(t *testing.T) {
-	for _, c := range []struct {
+	for _, test := range []struct {
 		name         string
 		keep         Micros // of idle connections
 		gap          Micros // between requests
@@ -139,7 +139,7 @@
 		{"busy", 5 * second, 100, false, 40, 20},
 	} {
 		s := testSettings()
-		s.Limits.Probes, s.Limits.KeepAlive = false, c.keep
+		s.Limits.Probes, s.Limits.KeepAlive = false, test.keep
 		b, r := start(t, s, ready(40))
 		for _, e := range b.endpoints.list {
 			e.Zone = 0
@@ -149,19 +149,19 @@
 			b.HandleRequest(now, Request{ID: id, Deadline: now + 2*second, WorkHint: 50_000, HasWorkHint: true})
 			at := r.sends[len(r.sends)-1].endpoint
 			used[at] = true
-			if c.answer {
+			if test.answer {
 				b.AttemptCompleted(now+50_000, Outcome{ID: id, Endpoint: at, Status: OK, Latency: 50_000, Settled: true})
 			}
-			now += c.gap
+			now += test.gap
 		}
-		if n := len(used); n > c.maxEndpoints || n < c.minEndpoints {
-			t.Errorf("%s: %d endpoints used, want %d to %d", c.name, n, c.minEndpoints, c.maxEndpoints)
+		if n := len(used); n > test.maxEndpoints || n < test.minEndpoints {
+			t.Errorf("%s: %d endpoints used, want %d to %d", test.name, n, test.minEndpoints, test.maxEndpoints)
 		}
 	}
 }
 
 // Opening a connection costs a part of the latency objective and some round trips.
-func TestCostOfOpeningConnection(t *testing.T) {
+func TestIdleConnectionSavesCostOfOpening(t *testing.T) {
 	s := testSettings()
 	s.Limits.KeepAlive = 5 * second
 	b, _ := start(t, s, ready(2))
@@ -186,7 +186,7 @@
 }
 
 // A recently used endpoint that is removed, draining or failing is not sent to for its connection.
-func TestRecentlyUsedEndpointsThatWereRemoved(t *testing.T) {
+func TestRemovedEndpointIsNotUsedForItsConnection(t *testing.T) {
 	s := testSettings()
 	s.Limits.Probes, s.Limits.KeepAlive = false, 5*second
 	b, r := start(t, s, ready(6))
--- a/balancer/probes_test.go
+++ b/balancer/probes_test.go
@@ -94,10 +94,10 @@
 	now := 5 * second
 	b.traffic.rejected.value = 0
 	all := b.probeRate(now)
-	for _, c := range []struct{ rejected, want float64 }{{0.5, 0.5}, {0.9, minAdmittedRatio}, {1, minAdmittedRatio}} {
-		b.traffic.rejected.value = c.rejected
-		if got := b.probeRate(now) / all; math.Abs(got-c.want) > 0.001 {
-			t.Errorf("rejected %v: %v of the rate, want %v", c.rejected, got, c.want)
+	for _, test := range []struct{ rejected, want float64 }{{0.5, 0.5}, {0.9, minAdmittedRatio}, {1, minAdmittedRatio}} {
+		b.traffic.rejected.value = test.rejected
+		if got := b.probeRate(now) / all; math.Abs(got-test.want) > 0.001 {
+			t.Errorf("rejected %v: %v of the rate, want %v", test.rejected, got, test.want)
 		}
 	}
 }
--- a/balancer/rejection_test.go
+++ b/balancer/rejection_test.go
@@ -9,18 +9,18 @@
 // A wrong estimate of a class's work must not reject that class for ever. But a trial a second at each of a
 // thousand balancers with little traffic would keep an overloaded fleet overloaded.
 func TestLatencyRejectionAdmitsFewTrials(t *testing.T) {
-	for _, c := range []struct {
+	for _, test := range []struct {
 		gap      Micros
 		from, to int
 	}{{second / 100, 3, 6}, {second, 28, 33}} {
 		b, r := start(t, testSettings(), ready(1))
 		b.classes[0].work.value = float64(100 * second)
 		for i := range uint64(300) {
-			now := 10*second + Micros(i)*c.gap
+			now := 10*second + Micros(i)*test.gap
 			b.HandleRequest(now, testRequest(i, 0, now))
 		}
-		if n := len(r.sends); n < c.from || n > c.to {
-			t.Errorf("a request every %d µs: %d of 300 sent, want %d to %d", c.gap, n, c.from, c.to)
+		if n := len(r.sends); n < test.from || n > test.to {
+			t.Errorf("a request every %d µs: %d of 300 sent, want %d to %d", test.gap, n, test.from, test.to)
 		}
 		if len(r.rejected) != 300-len(r.sends) {
 			t.Errorf("%d rejected, %d sent", len(r.rejected), len(r.sends))
@@ -31,7 +31,7 @@
 // Tenants are compared by what was sent of each over its quota: one that is ahead has a lower weight until the
 // others have caught up, and one that asks for less than its quota never has.
 func TestTenantAboveQuotaHasLowerWeight(t *testing.T) {
-	for name, c := range map[string]struct {
+	for name, test := range map[string]struct {
 		sends  [3]int // in turn
 		allow  [3]float64
 		weighs [3]float64
@@ -45,18 +45,18 @@
 	} {
 		s := testSettings()
 		s.OverQuotaWeightRatio = 0.05
-		for _, quotas := range c.allow {
+		for _, quotas := range test.allow {
 			s.Tenants = append(s.Tenants, Tenant{Quota: quotas})
 		}
 		b, _ := start(t, s, ready(2))
 		for range 50 {
-			for i, n := range c.sends {
+			for i, n := range test.sends {
 				for range n {
 					b.tenants[i].add(second, 1)
 				}
 			}
 		}
-		for i, want := range c.weighs {
+		for i, want := range test.weighs {
 			if got := b.tenantWeight(second, &request{Request: Request{Tenant: uint16(i)}}); math.Abs(got-want) > 0.01 {
 				t.Errorf("%s: weight of tenant %d is %.2f, want %.2f", name, i, got, want)
 			}
@@ -120,7 +120,7 @@
 	}
 }
 
-func TestRejectWithoutEndpoint(t *testing.T) {
+func TestRequestWithoutEndpointIsRejected(t *testing.T) {
 	b, r := start(t, testSettings(), nil)
 	b.HandleRequest(1000, testRequest(1, 4, 1000))
 	b.HandleRequest(1000, Request{ID: 2, Deadline: 500})
--- a/balancer/rules_test.go
+++ b/balancer/rules_test.go
@@ -9,15 +9,21 @@
 
 // checker hosts a balancer and asserts the rules on every action.
 type checker struct {
-	settings       Settings
-	now            Micros
-	states         map[uint32]Endpoint
-	slowStartSince map[uint32]Micros          // by endpoint: start of its process
-	slowStartSends map[uint32]float64         // by endpoint: requests sent in slow start
-	requests       map[uint64]*checkedRequest // open and ended
-	violations     []string
-	timers         []pendingTimer
-	probes         []uint32
+	settings   Settings
+	now        Micros
+	states     map[uint32]Endpoint        // that the balancer was notified of last
+	requests   map[uint64]*checkedRequest // open and ended
+	violations []string
+	timers     []pendingTimer
+	probes     []uint32 // pending
+}
+
+func newChecker(s Settings) *checker {
+	return &checker{
+		settings: s,
+		states:   map[uint32]Endpoint{},
+		requests: map[uint64]*checkedRequest{},
+	}
 }
 
 type checkedRequest struct {
@@ -59,7 +65,6 @@
 		return
 	}
 	e, known := c.states[endpoint]
-	class := c.settings.Classes[r.in.Class]
 	if r.answered > 0 || r.closed {
 		c.violation("send after the end of %d", id)
 	}
@@ -74,25 +79,33 @@
 			c.violation("hedge of %d, which is not permitted", id)
 		}
 	}
-	if b := r.firstMayHaveRun(); b != nil && class.Idempotency != Idempotent {
-		same := class.Group == GroupAll || class.Group == GroupZone && b.endpoint.Zone == e.Zone ||
-			class.Group == GroupCell && b.endpoint.Cell == e.Cell
-		if class.Idempotency == NotIdempotent || !same || c.now > b.sentAt+class.DedupWindow {
-			c.violation("repeat of %d (%s) may have a second effect", id, class.Name)
-		}
-		if class.Idempotency == IdempotentWithKey && by > b.sentAt+class.DedupWindow {
-			c.violation("repeat of %d (%s) may be written after its window", id, class.Name)
-		}
+	if first := r.firstMayHaveRun(); first != nil {
+		c.checkRepeat(r, first, e, by)
 	}
 	if by > r.in.Deadline {
 		c.violation("attempt at %d may be written after its time", id)
 	}
-	if _, starting := c.slowStartSince[endpoint]; starting {
-		c.slowStartSends[endpoint]++
-	}
 	r.attempts = append(r.attempts, checkedAttempt{endpoint: e, sentAt: c.now, pending: true, mayHaveRun: true})
 }
 
+// checkRepeat checks that an attempt at e, written by an instant, cannot have a second effect after an earlier attempt
+// that may have run.
+func (c *checker) checkRepeat(r *checkedRequest, first *checkedAttempt, e Endpoint, by Micros) {
+	class := c.settings.Classes[r.in.Class]
+	if class.Idempotency == Idempotent {
+		return
+	}
+	isSameGroup := class.Group == GroupAll || class.Group == GroupZone && first.endpoint.Zone == e.Zone ||
+		class.Group == GroupCell && first.endpoint.Cell == e.Cell
+	windowEnd := first.sentAt + class.DedupWindow
+	if class.Idempotency == NotIdempotent || !isSameGroup || c.now > windowEnd {
+		c.violation("repeat of %d (%s) may have a second effect", r.in.ID, class.Name)
+	}
+	if class.Idempotency == IdempotentWithKey && by > windowEnd {
+		c.violation("repeat of %d (%s) may be written after its window", r.in.ID, class.Name)
+	}
+}
+
 func (c *checker) recordFinal(id uint64) *checkedRequest {
 	r := c.requests[id]
 	if r == nil || r.answered > 0 || r.closed {
@@ -145,137 +158,226 @@
 
 func (c *checker) Log(string, ...any) {}
 
-// playRandomEvents runs legal random events from a seed and returns the violations found.
-func playRandomEvents(t *testing.T, s Settings, seed int64) []string {
+// Numbers of a randomRun.
+const (
+	randomEvents  = 3000
+	settleSteps   = 400 // after the last event
+	settlePause   = 5000
+	largeFleetMin = 20 // endpoints
+)
+
+// randomStatuses are drawn for the end of an attempt or probe.
+var randomStatuses = []Status{OK, OK, OK, Error, Full, Timeout, ConnectFailed, Reset, Cancelled, NotSent}
+
+// randomRun plays legal random events.
+type randomRun struct {
+	*checker
+	balancer     *Balancer
+	random       *rand.Rand
+	list         []Endpoint
+	maxPause     int      // between events
+	fleetStarts  int      // starts of all endpoints at once that are still to come
+	requestIDs   []uint64 // of all requests so far
+	maxOnDemand  int      // most requests that waited for probes at once
+	isLargeFleet bool
+}
+
+// newRandomRun returns a run of a balancer that has a cached list.
+func newRandomRun(t *testing.T, s Settings, seed int64) *randomRun {
 	t.Helper()
-	rnd := rand.New(rand.NewSource(seed))
-	c := &checker{settings: s, now: 1_000_000, states: map[uint32]Endpoint{}, slowStartSince: map[uint32]Micros{},
-		slowStartSends: map[uint32]float64{}, requests: map[uint64]*checkedRequest{}}
-	b, err := New(s, uint64(seed), c)
+	r := &randomRun{
+		checker:      newChecker(s),
+		random:       rand.New(rand.NewSource(seed)),
+		maxPause:     20_000,
+		isLargeFleet: s.Balancers > 2,
+	}
+	r.now = second
+	b, err := New(s, uint64(seed), r.checker)
 	if err != nil {
 		t.Fatal(err)
 	}
-	members := func(kind ListKind, entries []Endpoint) {
-		if kind != ListDelta && kind != ListFailed {
-			clear(c.states)
-		}
-		for _, e := range entries {
-			c.states[e.ID] = e
-		}
-		b.UpdateEndpoints(c.now, kind, entries)
-	}
-	b.Start(c.now)
-	pause := 20_000 // at most, between events
-	list := ready(1 + rnd.Intn(6))
-	if s.Balancers > 2 { // one of many balancers of a large fleet
-		pause, list = 400_000, ready(20+rnd.Intn(60))
-	}
-	starts := rnd.Intn(3) // of all endpoints at once
-	maxWaiting := 0
-	members(ListCached, slices.Clone(list))
-	var open []uint64
-	next := uint64(1)
-	statuses := []Status{OK, OK, OK, Error, Full, Timeout, ConnectFailed, Reset, Cancelled, NotSent}
-	for range 3000 {
-		c.now += Micros(rnd.Intn(pause))
-		maxWaiting = max(maxWaiting, len(b.ledger.waitingForProbes))
-		for i := 0; i < len(c.timers); {
-			if p := c.timers[i]; p.firesAt <= c.now {
-				c.timers = slices.Delete(c.timers, i, i+1)
-				b.TimerFired(c.now, p.token)
-				continue
-			}
-			i++
-		}
-		switch n := rnd.Intn(20); {
-		case n < 8:
-			in := Request{ID: next, Class: uint8(rnd.Intn(len(s.Classes))),
-				Deadline: c.now + Micros(rnd.Intn(1_000_000)) - 50_000}
-			next++
-			c.requests[in.ID] = &checkedRequest{in: in}
-			open = append(open, in.ID)
-			b.HandleRequest(c.now, in)
-		case n < 15 && len(open) > 0:
-			at := rnd.Intn(len(open))
-			r := c.requests[open[at]]
-			for i := range r.attempts {
-				a := &r.attempts[i]
-				if !a.pending {
-					continue
-				}
-				a.pending = false
-				status := statuses[rnd.Intn(len(statuses))]
-				if status == Full || status == ConnectFailed || status == NotSent {
-					a.mayHaveRun = false
-				}
-				if status == OK && r.answered == 0 && !r.closed {
-					r.closed = true
-				}
-				settled := r.answered > 0 || r.closed
-				b.AttemptCompleted(c.now, Outcome{ID: r.in.ID, Attempt: i, Endpoint: a.endpoint.ID, Status: status,
-					Latency: c.now - a.sentAt, Settled: settled})
-				break
-			}
-		case n < 16 && len(open) > 0:
-			r := c.requests[open[rnd.Intn(len(open))]]
-			if r.answered == 0 {
-				r.closed = true
-			}
-			b.ClientDisconnected(c.now, r.in.ID)
-		case n < 18:
-			for _, e := range c.probes {
-				load := []float32{float32(rnd.Intn(8)), rnd.Float32() * 2}[:rnd.Intn(3)]
-				b.ProbeCompleted(c.now, e, statuses[rnd.Intn(len(statuses))], 500+Micros(rnd.Intn(200_000)), load)
-			}
-			c.probes = c.probes[:0]
-		default:
-			e := &list[rnd.Intn(len(list))]
-			e.State = State(rnd.Intn(3))
-			if rnd.Intn(4) == 0 {
-				e.State, e.StartTime = Ready, c.now-Micros(rnd.Intn(1_000_000))
-			}
-			if e.State == Ready && rnd.Intn(4) == 0 {
-				e.Zone = uint8(rnd.Intn(3))
-			}
-			if starts > 0 && rnd.Intn(50) == 0 {
-				starts--
-				for i := range list {
-					list[i].State, list[i].StartTime = Ready, c.now-Micros(rnd.Intn(1000))
-				}
-				members(ListFull, slices.Clone(list))
-				continue
-			}
-			switch rnd.Intn(6) {
-			case 0:
-				members(ListFull, slices.Clone(list[:rnd.Intn(len(list)+1)]))
-			case 1:
-				members(ListFailed, nil)
-			default:
-				members(ListDelta, []Endpoint{*e, *e})
-			}
-		}
+	r.balancer = b
+	b.Start(r.now)
+	r.list = ready(1 + r.random.Intn(6))
+	if r.isLargeFleet {
+		r.maxPause = 400_000
+		r.list = ready(largeFleetMin + r.random.Intn(60))
 	}
-	// All open requests must be answered by their deadlines.
-	for range 400 {
-		c.now += 5000
-		for i := 0; i < len(c.timers); {
-			if p := c.timers[i]; p.firesAt <= c.now && p.token >= firstRequestTimer {
-				c.timers = slices.Delete(c.timers, i, i+1)
-				b.TimerFired(c.now, p.token)
-				continue
-			}
+	r.fleetStarts = r.random.Intn(3)
+	r.updateEndpoints(ListCached, slices.Clone(r.list))
+	return r
+}
+
+// draw returns a random number below n.
+func (r *randomRun) draw(n int) int { return r.random.Intn(n) }
+
+// drawStatus returns a random status.
+func (r *randomRun) drawStatus() Status { return randomStatuses[r.draw(len(randomStatuses))] }
+
+// drawRequest returns one of all requests so far.
+func (r *randomRun) drawRequest() *checkedRequest {
+	return r.requests[r.requestIDs[r.draw(len(r.requestIDs))]]
+}
+
+// updateEndpoints notifies the balancer of a list.
+func (r *randomRun) updateEndpoints(kind ListKind, entries []Endpoint) {
+	if kind != ListDelta && kind != ListFailed {
+		clear(r.states)
+	}
+	for _, e := range entries {
+		r.states[e.ID] = e
+	}
+	r.balancer.UpdateEndpoints(r.now, kind, entries)
+}
+
+// fireTimers fires the timers that are due, of tokens from firstToken on.
+func (r *randomRun) fireTimers(firstToken uint32) {
+	for i := 0; i < len(r.timers); {
+		p := r.timers[i]
+		if p.firesAt > r.now || p.token < firstToken {
 			i++
+			continue
 		}
+		r.timers = slices.Delete(r.timers, i, i+1)
+		r.balancer.TimerFired(r.now, p.token)
+	}
+}
+
+// step lets time pass and plays one event.
+func (r *randomRun) step() {
+	r.now += Micros(r.draw(r.maxPause))
+	r.maxOnDemand = max(r.maxOnDemand, len(r.balancer.ledger.waitingForProbes))
+	r.fireTimers(0)
+	switch n := r.draw(20); {
+	case n < 8:
+		r.handleRequest()
+	case n < 15 && len(r.requestIDs) > 0:
+		r.completeAttempt(r.drawRequest())
+	case n < 16 && len(r.requestIDs) > 0:
+		r.disconnect(r.drawRequest())
+	case n < 18:
+		r.completeProbes()
+	default:
+		r.changeList()
+	}
+}
+
+// handleRequest sends a request, whose deadline may have passed.
+func (r *randomRun) handleRequest() {
+	in := Request{
+		ID:       uint64(len(r.requestIDs) + 1),
+		Class:    uint8(r.draw(len(r.settings.Classes))),
+		Deadline: r.now + Micros(r.draw(1_000_000)) - 50_000,
+	}
+	r.requests[in.ID] = &checkedRequest{in: in}
+	r.requestIDs = append(r.requestIDs, in.ID)
+	r.balancer.HandleRequest(r.now, in)
+}
+
+// completeAttempt completes the first pending attempt of a request, if there is one.
+func (r *randomRun) completeAttempt(request *checkedRequest) {
+	index := slices.IndexFunc(request.attempts, func(a checkedAttempt) bool { return a.pending })
+	if index < 0 {
+		return
+	}
+	a := &request.attempts[index]
+	a.pending = false
+	status := r.drawStatus()
+	if status == Full || status == ConnectFailed || status == NotSent {
+		a.mayHaveRun = false
+	}
+	if status == OK && request.answered == 0 && !request.closed {
+		request.closed = true
+	}
+	r.balancer.AttemptCompleted(r.now, Outcome{
+		ID:       request.in.ID,
+		Attempt:  index,
+		Endpoint: a.endpoint.ID,
+		Status:   status,
+		Latency:  r.now - a.sentAt,
+		Settled:  request.answered > 0 || request.closed,
+	})
+}
+
+// disconnect disconnects the client of a request.
+func (r *randomRun) disconnect(request *checkedRequest) {
+	if request.answered == 0 {
+		request.closed = true
+	}
+	r.balancer.ClientDisconnected(r.now, request.in.ID)
+}
+
+// completeProbes completes all pending probes.
+func (r *randomRun) completeProbes() {
+	for _, endpoint := range r.probes {
+		load := []float32{float32(r.draw(8)), r.random.Float32() * 2}[:r.draw(3)]
+		status := r.drawStatus()
+		r.balancer.ProbeCompleted(r.now, endpoint, status, 500+Micros(r.draw(200_000)), load)
+	}
+	r.probes = r.probes[:0]
+}
+
+// changeList changes one endpoint or starts all of them, and notifies the balancer of some list.
+func (r *randomRun) changeList() {
+	e := &r.list[r.draw(len(r.list))]
+	e.State = State(r.draw(3))
+	if r.draw(4) == 0 {
+		e.State = Ready
+		e.StartTime = r.now - Micros(r.draw(1_000_000))
+	}
+	if e.State == Ready && r.draw(4) == 0 {
+		e.Zone = uint8(r.draw(3))
 	}
-	for id, r := range c.requests {
-		if r.answered == 0 && !r.closed {
-			c.violation("request %d has no final answer", id)
+	if r.fleetStarts > 0 && r.draw(50) == 0 {
+		r.startFleet()
+		return
+	}
+	switch r.draw(6) {
+	case 0:
+		r.updateEndpoints(ListFull, slices.Clone(r.list[:r.draw(len(r.list)+1)]))
+	case 1:
+		r.updateEndpoints(ListFailed, nil)
+	default:
+		r.updateEndpoints(ListDelta, []Endpoint{*e, *e})
+	}
+}
+
+// startFleet has all endpoints start at about the same time.
+func (r *randomRun) startFleet() {
+	r.fleetStarts--
+	for i := range r.list {
+		r.list[i].State = Ready
+		r.list[i].StartTime = r.now - Micros(r.draw(1000))
+	}
+	r.updateEndpoints(ListFull, slices.Clone(r.list))
+}
+
+// settle lets the deadlines of all requests pass and checks that each has a final answer.
+func (r *randomRun) settle() {
+	for range settleSteps {
+		r.now += settlePause
+		r.fireTimers(firstRequestTimer)
+	}
+	for id, request := range r.requests {
+		if request.answered == 0 && !request.closed {
+			r.violation("request %d has no final answer", id)
 		}
 	}
-	if s.Balancers > 2 && s.Limits.Probes && s.Prices.Probe < onDemandCostRatio && maxWaiting == 0 {
-		c.violation("no request waited for probes: the run does not test those that do")
+}
+
+// playRandomEvents runs legal random events from a seed and returns the violations found.
+func playRandomEvents(t *testing.T, s Settings, seed int64) []string {
+	t.Helper()
+	r := newRandomRun(t, s, seed)
+	for range randomEvents {
+		r.step()
+	}
+	r.settle()
+	probesOnDemand := r.isLargeFleet && s.Limits.Probes && s.Prices.Probe < onDemandCostRatio
+	if probesOnDemand && r.maxOnDemand == 0 {
+		r.violation("no request waited for probes: the run does not test those that do")
 	}
-	return c.violations
+	return r.violations
 }
 
 func TestRulesHoldUnderRandomEvents(t *testing.T) {
@@ -287,7 +389,12 @@
 		s.Limits.MaxAttempts = 1 + int(seed%4)
 		if seed >= 40 {
 			s.Balancers = []int{300, 1500}[seed%2]
-			s.Fields = [][]Field{{FieldInFlight}, {FieldQueue, FieldServed}, {FieldServed, FieldUtilization}, {FieldOther}}[seed%4]
+			s.Fields = [][]Field{
+				{FieldInFlight},
+				{FieldQueue, FieldServed},
+				{FieldServed, FieldUtilization},
+				{FieldOther},
+			}[seed%4]
 			s.Prices = Prices{Probe: []float64{0, 0.002, 0.01, 0.5}[seed/3%4], CrossZone: 0.03}
 			s.Tenants = []Tenant{{Name: "one", Quota: 50}, {Name: "two"}}[:seed%3]
 			s.Limits.Cancel, s.Limits.RetryAfter = seed%3 != 0, seed%4 != 0
@@ -303,7 +410,7 @@
 // The checker itself must detect each broken rule.
 func TestCheckerDetectsBrokenRules(t *testing.T) {
 	fresh := func() *checker {
-		c := &checker{settings: testSettings(), states: map[uint32]Endpoint{}, requests: map[uint64]*checkedRequest{}}
+		c := newChecker(testSettings())
 		for _, e := range ready(4) {
 			c.states[e.ID] = e
 		}
@@ -331,12 +438,12 @@
 	} {
 		c := fresh()
 		if breakRule(c); len(c.violations) == 0 {
-			t.Errorf("%s: not seen", name)
+			t.Errorf("%s: not detected", name)
 		}
 	}
 }
 
-func TestSameEventsSameActions(t *testing.T) {
+func TestSameEventsCauseSameActions(t *testing.T) {
 	run := func() *recorder {
 		b, r := start(t, testSettings(), ready(5))
 		for i := range uint64(200) {
--- a/balancer/scenarios_test.go
+++ b/balancer/scenarios_test.go
@@ -23,7 +23,7 @@
 
 // A balancer starts with an old list, half of whose endpoints are removed: every request is answered by another,
 // and the removed ones are soon avoided, though no list says that they are.
-func TestStaleListHalfRemoved(t *testing.T) {
+func TestRequestsAreServedThoughHalfOfListIsGone(t *testing.T) {
 	b, r := start(t, threeZoneSettings(), readyInThreeZones(12))
 	removed := func(id uint32) bool { return id%2 == 0 }
 	served, late := 0, 0
@@ -66,7 +66,7 @@
 
 // The zone of a request with an idempotency key fails after its first attempt may have run: nowhere else is its
 // repeat dropped, so it fails at once, without a promise. What never ran goes elsewhere.
-func TestZoneFailureDuringRequestWithIdempotencyKey(t *testing.T) {
+func TestRequestWithKeyIsNotRetriedOutsideFailedZone(t *testing.T) {
 	for status, sends := range map[Status]int{Reset: 1, Timeout: 1, Error: 1, ConnectFailed: 2, Full: 2} {
 		list := readyInThreeZones(9)
 		b, r := start(t, threeZoneSettings(), list)
@@ -265,7 +265,7 @@
 
 // An agent that pushes lists stops sending: it is not polled; failed endpoints are avoided by what their
 // connections show, and used again when they are back, though no list says either.
-func TestPushedListStopsUpdating(t *testing.T) {
+func TestFailedEndpointsAreAvoidedWithoutListUpdates(t *testing.T) {
 	s := threeZoneSettings()
 	s.PollDiscovery = false
 	b, r := start(t, s, readyInThreeZones(12))
--- a/balancer/slowstart_test.go
+++ b/balancer/slowstart_test.go
@@ -146,18 +146,18 @@
 }
 
 func TestSlowStartLimitsEndpointToItsRatio(t *testing.T) {
-	for _, c := range []struct{ rate, colds int }{{100, 1}, {500, 1}, {500, 2}, {2000, 2}} {
-		starting, warm := slowStartSends(t, c.rate, c.colds)
+	for _, test := range []struct{ rate, colds int }{{100, 1}, {500, 1}, {500, 2}, {2000, 2}} {
+		starting, warm := slowStartSends(t, test.rate, test.colds)
 		for _, n := range starting {
 			// The capacity ratio goes from 0.2 to 0.28 in this second; one request may round up.
 			if float64(n) > 0.28*warm+1 {
-				t.Errorf("rate %d: an endpoint in slow start got %d, a warm one %.1f", c.rate, n, warm)
+				t.Errorf("rate %d: an endpoint in slow start got %d, a warm one %.1f", test.rate, n, warm)
 			}
 		}
 	}
 }
 
-func TestOneServerFleetRestarts(t *testing.T) {
+func TestOnlyServerInSlowStartIsSentTo(t *testing.T) {
 	b, r := start(t, testSettings(), ready(1)[:1])
 	b.UpdateEndpoints(second, ListDelta, []Endpoint{{ID: 1, State: Ready, StartTime: second}})
 	for i := range uint64(400) {
--- a/balancer/source_test.go
+++ b/balancer/source_test.go
@@ -53,7 +53,7 @@
 	}
 }
 
-func TestModuleImports(t *testing.T) {
+func TestModuleImportsOnlyAllowedPackages(t *testing.T) {
 	allowed := map[string]bool{`"fmt"`: true, `"math"`: true, `"slices"`: true, `"strconv"`: true}
 	names, err := filepath.Glob("*.go")
 	if err != nil {
--- a/internal/engine/endpoint_test.go
+++ b/internal/engine/endpoint_test.go
@@ -9,7 +9,7 @@
 
 func TestValidateNamesFirstUnusableEntry(t *testing.T) {
 	valid := readyHost("s-1", "127.0.0.1:1")
-	for _, c := range []struct {
+	for _, test := range []struct {
 		host Host
 		want string
 	}{
@@ -19,15 +19,15 @@
 		{readyHost("s-2", "127.0.0.1"), `hosts[1].dial: "127.0.0.1" is not host:port`},
 	} {
 		got := ""
-		list := snapshot(valid, c.host, Host{})
-		if c.want == "" {
-			list = snapshot(valid, c.host)
+		list := snapshot(valid, test.host, Host{})
+		if test.want == "" {
+			list = snapshot(valid, test.host)
 		}
 		if err := list.Validate(); err != nil {
 			got = err.Error()
 		}
-		if got != c.want {
-			t.Errorf("%+v: error %q, want %q", c.host, got, c.want)
+		if got != test.want {
+			t.Errorf("%+v: error %q, want %q", test.host, got, test.want)
 		}
 	}
 }
--- a/internal/engine/keylease_test.go
+++ b/internal/engine/keylease_test.go
@@ -361,7 +361,7 @@
 // The group that one instance names is where another sends the request.
 func TestLeaseGroupLocationInvertsLeaseGroup(t *testing.T) {
 	e := newLeaseTest(t).engine
-	for _, c := range []struct {
+	for _, test := range []struct {
 		group    balancer.Group
 		zone     uint8
 		cell     uint16
@@ -374,12 +374,12 @@
 		{balancer.GroupCell, 1, 7, "pod 7", 0, 7},
 		{balancer.GroupAll, 1, 7, "", 0, 0},
 	} {
-		name := e.leaseGroup(&balancer.Class{Group: c.group}, c.zone, c.cell)
-		if name != c.name {
-			t.Errorf("group %v of zone %d, cell %d: %q, want %q", c.group, c.zone, c.cell, name, c.name)
+		name := e.leaseGroup(&balancer.Class{Group: test.group}, test.zone, test.cell)
+		if name != test.name {
+			t.Errorf("group %v of zone %d, cell %d: %q, want %q", test.group, test.zone, test.cell, name, test.name)
 		}
-		if zone, cell := e.leaseGroupLocation(name); zone != c.wantZone || cell != c.wantCell {
-			t.Errorf("%q: zone %d, cell %d, want %d, %d", name, zone, cell, c.wantZone, c.wantCell)
+		if zone, cell := e.leaseGroupLocation(name); zone != test.wantZone || cell != test.wantCell {
+			t.Errorf("%q: zone %d, cell %d, want %d, %d", name, zone, cell, test.wantZone, test.wantCell)
 		}
 	}
 	for _, name := range []string{"site nowhere", "pod x", "pod 65536"} {
--- a/internal/sidecar/config_test.go
+++ b/internal/sidecar/config_test.go
@@ -11,10 +11,15 @@
 
 // An invalid configuration is an error of one line that names the key at fault.
 func TestInvalidConfigNamesTheKey(t *testing.T) {
-	good := `{"name":"n3","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f30d27a5be964",` +
-		`"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},` +
-		`"known":{"seq":4,"whole":true,"hosts":[{"host":"s-1","dial":"127.0.0.1:3","health":"Ready"}]},` +
-		`"settings":` + testSettings().JSON(t) + `}`
+	good := `{
+		"name":"n3",
+		"listen":"127.0.0.1:1",
+		"discovery":"127.0.0.1:2",
+		"seed":"8c1f30d27a5be964",
+		"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+		"known":{"seq":4,"whole":true,"hosts":[{"host":"s-1","dial":"127.0.0.1:3","health":"Ready"}]},
+		"settings":` + testSettings().JSON(t) + `
+	}`
 	if cfg, err := parseConfig([]byte(good)); err != nil {
 		t.Fatal(err)
 	} else if cfg.Settings.Limits.MaxRetryAfter != 1_500_000 || len(cfg.Settings.Classes) != 4 ||
@@ -22,7 +27,7 @@
 		len(cfg.Settings.Fields) != 2 || !cfg.Settings.PollDiscovery {
 		t.Errorf("settings %+v", cfg.Settings)
 	}
-	for _, c := range []struct{ old, new, key string }{
+	for _, test := range []struct{ old, new, key string }{
 		{`"listen":"127.0.0.1:1"`, `"listen":"here"`, "listen"},
 		{`"listen":"127.0.0.1:1",`, ``, "listen"},
 		{`"listen":"127.0.0.1:1"`, `"listen":7`, "listen"},
@@ -46,13 +51,13 @@
 		{`"name":"read","repeat":"pure"`, `"name":"read"`, "classes.0.repeat"},
 		{`"discovery":"subscribe"`, `"discovery":"gossip"`, "discovery"},
 	} {
-		bad := strings.Replace(good, c.old, c.new, 1)
+		bad := strings.Replace(good, test.old, test.new, 1)
 		if bad == good {
-			t.Fatalf("%q is not in the configuration", c.old)
+			t.Fatalf("%q is not in the configuration", test.old)
 		}
 		_, err := parseConfig([]byte(bad))
-		if err == nil || !strings.Contains(err.Error(), c.key) || strings.Contains(err.Error(), "\n") {
-			t.Errorf("%s: error %v, want one line with %q", c.new, err, c.key)
+		if err == nil || !strings.Contains(err.Error(), test.key) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: error %v, want one line with %q", test.new, err, test.key)
 		}
 	}
 	path := filepath.Join(t.TempDir(), "config.json")
@@ -70,34 +75,55 @@
 // Keys may be missing, unknown or empty, and names may have characters that the simulator's text
 // cannot hold.
 func TestOptionalSettingsMayBeMissing(t *testing.T) {
-	head := `{"name":"n3","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"1f","extra":{"a":[1]},` +
-		`"limits":{"memory_mb":32,"sockets":64,"disk":0},"settings":`
-	for name, c := range map[string]struct {
+	head := `{
+		"name":"n3",
+		"listen":"127.0.0.1:1",
+		"discovery":"127.0.0.1:2",
+		"seed":"1f",
+		"extra":{"a":[1]},
+		"limits":{"memory_mb":32,"sockets":64,"disk":0},
+		"settings":`
+	for name, test := range map[string]struct {
 		settings string
 		check    func(*Config) bool
 	}{
 		"a class and nothing else": {
-			`{"classes":[{"name":"only","repeat":"side_effect","target":1,"give-up":2}]}`, func(c *Config) bool {
-				return c.Settings.Limits.KeepAlive == defaultKeepAlive && c.Settings.Limits.DialTimeout == defaultDialTimeout &&
-					!c.Settings.PollDiscovery && len(c.reportFields) == 0 && len(c.zones) == 0
-			}},
-		"nulls and unknown keys": {`{"areas":null,"tenants":null,"limits":{"keepalive":null,"colour":"red"},` +
-			`"weather":{"sun":[{"x":1}]},` +
-			`"classes":[{"name":"only","repeat":"pure","target":1,"give-up":2,"share":0}]}`, func(c *Config) bool {
-			return len(c.Settings.Tenants) == 0
-		}},
-		"names with spaces and commas": {`{"areas":["Dar es Salaam","Kilwa, old"],` +
-			`"tenants":[{"name":"Mission Hospital","allowance-per-s":3}],` +
-			`"classes":[{"name":"bed, state","repeat":"token","group":"cell",` +
-			`"window":5,"target":1,"give-up":2}]}`, func(c *Config) bool {
-			return c.Settings.Classes[0].Name == "bed, state" && c.Settings.Tenants[0].Name == "Mission Hospital" &&
-				c.zones[1] == "Kilwa, old"
-		}},
+			settings: `{"classes":[{"name":"only","repeat":"side_effect","target":1,"give-up":2}]}`,
+			check: func(cfg *Config) bool {
+				limits := cfg.Settings.Limits
+				return limits.KeepAlive == defaultKeepAlive && limits.DialTimeout == defaultDialTimeout &&
+					!cfg.Settings.PollDiscovery && len(cfg.reportFields) == 0 && len(cfg.zones) == 0
+			},
+		},
+		"nulls and unknown keys": {
+			settings: `{
+				"areas":null,
+				"tenants":null,
+				"limits":{"keepalive":null,"colour":"red"},
+				"weather":{"sun":[{"x":1}]},
+				"classes":[{"name":"only","repeat":"pure","target":1,"give-up":2,"share":0}]
+			}`,
+			check: func(cfg *Config) bool { return len(cfg.Settings.Tenants) == 0 },
+		},
+		"names with spaces and commas": {
+			settings: `{
+				"areas":["Dar es Salaam","Kilwa, old"],
+				"tenants":[{"name":"Mission Hospital","allowance-per-s":3}],
+				"classes":[
+					{"name":"bed, state","repeat":"token","group":"cell","window":5,"target":1,"give-up":2}
+				]
+			}`,
+			check: func(cfg *Config) bool {
+				settings := cfg.Settings
+				return settings.Classes[0].Name == "bed, state" && settings.Tenants[0].Name == "Mission Hospital" &&
+					cfg.zones[1] == "Kilwa, old"
+			},
+		},
 	} {
-		cfg, err := parseConfig([]byte(head + c.settings + "}"))
+		cfg, err := parseConfig([]byte(head + test.settings + "}"))
 		if err != nil {
 			t.Errorf("%s: %v", name, err)
-		} else if !c.check(cfg) {
+		} else if !test.check(cfg) {
 			t.Errorf("%s: %+v", name, cfg)
 		}
 	}
--- a/internal/standin/ca/ca_test.go
+++ b/internal/standin/ca/ca_test.go
@@ -37,13 +37,16 @@
 		now     time.Time
 		want    bool
 	}{
-		"of the root":             {root, Spec{Names: names}, "soko.example.org", noon, true},
-		"of the intermediate":     {intermediate, Spec{Names: names}, "soko.example.org", noon, true},
-		"for an address":          {root, Spec{Names: names}, "127.0.0.1", noon, true},
-		"for another name":        {root, Spec{Names: names}, "example.org", noon, false},
-		"after its day":           {root, Spec{Names: names}, "soko.example.org", noon.AddDate(0, 0, 1), false},
-		"before it is valid":      {root, Spec{Names: names, NotBefore: noon}, "soko.example.org", Epoch, false},
-		"without an intermediate": {intermediate, Spec{Names: names, OmitIntermediate: true}, "soko.example.org", noon, false},
+		"of the root":         {root, Spec{Names: names}, "soko.example.org", noon, true},
+		"of the intermediate": {intermediate, Spec{Names: names}, "soko.example.org", noon, true},
+		"for an address":      {root, Spec{Names: names}, "127.0.0.1", noon, true},
+		"for another name":    {root, Spec{Names: names}, "example.org", noon, false},
+		"after its day":       {root, Spec{Names: names}, "soko.example.org", noon.AddDate(0, 0, 1), false},
+		"before it is valid":  {root, Spec{Names: names, NotBefore: noon}, "soko.example.org", Epoch, false},
+		"without an intermediate": {
+			intermediate, Spec{Names: names, OmitIntermediate: true},
+			"soko.example.org", noon, false,
+		},
 		"for clients only": {
 			root, Spec{Names: names, ExtKeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth}},
 			"soko.example.org", noon, false,
