--- a/internal/faulttest/config.go
+++ b/internal/faulttest/config.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
+	"strings"
 	"text/template"
 	"time"
 
@@ -13,8 +15,7 @@
 
 // configTemplate is the configuration of an instance, executed with a configData. Slow start and health checks are
 // off, so that what instances replicate about servers no longer changes once clients have stopped.
-var configTemplate = template.Must(template.New("config").Funcs(template.FuncMap{"quote": strconv.Quote}).Parse(`
-version = 1
+var configTemplate = template.Must(template.New("config").Funcs(configFunctions).Parse(`version = 1
 name = {{quote .Instance.Name}}
 site = {{quote .Site}}
 
@@ -46,8 +47,8 @@
 listen = {{quote .Instance.PeerAddress}}
 status = {{quote .Instance.StatusAddress}}
 keys_file = {{quote .KeyFile}}
-witnesses = [{{range .InstanceNames}}{{quote .}}, {{end}}]
-join = [{{range $name, $relay := .PeerRelays}}{{quote (print $name "/" $relay)}}, {{end}}]
+witnesses = {{array .InstanceNames}}
+join = {{array .JoinAddresses}}
 
 [peers.via]
 {{- range $name, $relay := .PeerRelays}}
@@ -59,6 +60,21 @@
 ask_within = "2s"
 `))
 
+// configFunctions are the functions of configTemplate.
+var configFunctions = template.FuncMap{
+	"quote": strconv.Quote,
+	"array": quoteArray,
+}
+
+// quoteArray formats strings as an array in TOML.
+func quoteArray(values []string) string {
+	quoted := make([]string, len(values))
+	for i, value := range values {
+		quoted[i] = strconv.Quote(value)
+	}
+	return "[" + strings.Join(quoted, ", ") + "]"
+}
+
 // configData is what configTemplate refers to.
 type configData struct {
 	Instance         configInstance
@@ -68,7 +84,8 @@
 	Classes          []configClass
 	Agreement        string
 	KeyFile          string
-	PeerRelays       map[string]string
+	JoinAddresses    []string          // name/address of each other instance
+	PeerRelays       map[string]string // address of the relay to each other instance
 	DiscoveryAddress string
 }
 
@@ -125,6 +142,10 @@
 	for _, instance := range r.instances {
 		data.InstanceNames = append(data.InstanceNames, instance.name)
 	}
+	for name, relay := range i.peerRelays {
+		data.JoinAddresses = append(data.JoinAddresses, name+"/"+relay)
+	}
+	slices.Sort(data.JoinAddresses)
 	var text bytes.Buffer
 	if err := configTemplate.Execute(&text, data); err != nil {
 		return err
--- a/internal/faulttest/faulttest_test.go
+++ b/internal/faulttest/faulttest_test.go
@@ -106,7 +106,7 @@
 					UpgradeProgram: upgradeProgram,
 					Dir:            dir,
 					Log:            slog.New(slog.DiscardHandler),
-					afterLoad:      waitDrainedServersReused,
+					afterLoad:      waitServersReused,
 				})
 				if err != nil {
 					t.Fatal(err)
@@ -132,10 +132,10 @@
 	reuseInterval = 10 * time.Millisecond // between two requests to the same instance
 )
 
-// waitDrainedServersReused sends requests to each instance until it has forwarded one to each server that drained
+// waitServersReused sends requests to each instance until it has forwarded one to each server that drained
 // during the run, after the end of the drain. The load alone does not guarantee that: of the few requests that an
 // instance gets before and after a drain, possibly none is forwarded to that server.
-func waitDrainedServersReused(ctx context.Context, r *rig) error {
+func waitServersReused(ctx context.Context, r *rig) error {
 	ctx, cancel := context.WithTimeout(ctx, reuseTimeout)
 	defer cancel()
 	httpClient := newHTTPClient()
--- a/internal/faulttest/history/check.go
+++ b/internal/faulttest/history/check.go
@@ -101,7 +101,7 @@
 			found = append(found, Finding{SuccessIsExecuted, fmt.Sprintf(
 				"%s was answered 200 by %s at %v, and no server has done it",
 				attempt.Effect, attempt.Instance, attempt.Ended)})
-		case attempt.lost() && !h.faultExplains(attempt) && !h.stallExplains(attempt):
+		case attempt.hasNoResponse() && !h.faultExplains(attempt) && !h.stallExplains(attempt):
 			found = append(found, Finding{OneResponse, fmt.Sprintf(
 				"%s, try %d at %s from %v to %v: %s, and nothing befell that instance",
 				attempt.Effect, attempt.Number, attempt.Instance, attempt.Requested, attempt.Ended, attempt.Outcome)})
@@ -113,8 +113,8 @@
 // succeeded reports whether the attempt was answered with success.
 func (a *Attempt) succeeded() bool { return a.Outcome == Answered && a.Status == http.StatusOK }
 
-// lost reports whether the client waited for a response and got none.
-func (a *Attempt) lost() bool { return a.Outcome == Unanswered || a.Outcome == Broken }
+// hasNoResponse reports whether the client waited for a response and got none.
+func (a *Attempt) hasNoResponse() bool { return a.Outcome == Unanswered || a.Outcome == Broken }
 
 // faultExplains reports whether a fault may be the reason for which the attempt got no response: a fault of its
 // instance, or of the path from clients to it, that overlaps the attempt or ended shortly before.
--- a/internal/faulttest/plot.go
+++ b/internal/faulttest/plot.go
@@ -46,17 +46,17 @@
 	categoryRejected
 	categoryFailed
 	categoryCancelled
-	categoryLost
+	categoryNoResponse
 	categoryCount
 )
 
 // categoryLabels are the legends of the service plot.
 var categoryLabels = [categoryCount]string{
-	categoryServed:    "served",
-	categoryRejected:  "refused",
-	categoryFailed:    "failed",
-	categoryCancelled: "given up by clients",
-	categoryLost:      "without answer",
+	categoryServed:     "served",
+	categoryRejected:   "refused",
+	categoryFailed:     "failed",
+	categoryCancelled:  "given up by clients",
+	categoryNoResponse: "without answer",
 }
 
 // categorize returns the category of an attempt.
@@ -74,7 +74,7 @@
 			return categoryFailed
 		}
 	default:
-		return categoryLost
+		return categoryNoResponse
 	}
 }
 
@@ -168,12 +168,12 @@
 
 // addFaultArea marks the period of a fault.
 func addFaultArea(p *plot.Plot, start, end time.Duration, top float64) error {
-	left, right := start.Seconds(), end.Seconds()
+	startX, endX := start.Seconds(), end.Seconds()
 	area, err := plotter.NewPolygon(plotter.XYs{
-		{X: left, Y: 0},
-		{X: right, Y: 0},
-		{X: right, Y: top},
-		{X: left, Y: top},
+		{X: startX, Y: 0},
+		{X: endX, Y: 0},
+		{X: endX, Y: top},
+		{X: startX, Y: top},
 	})
 	if err != nil {
 		return err
--- a/internal/faulttest/relay/datagram.go
+++ b/internal/faulttest/relay/datagram.go
@@ -35,22 +35,22 @@
 
 // reorderQueue holds back a datagram that is to be delivered after its successor.
 type reorderQueue struct {
-	held []byte // nil if none is held back
+	delayed []byte // nil if none is held back
 }
 
 // next returns the datagrams to deliver now that one more was received.
 func (q *reorderQueue) next(datagram []byte, fate datagramFate) [][]byte {
-	if fate.reordered && q.held == nil {
-		q.held = datagram
+	if fate.reordered && q.delayed == nil {
+		q.delayed = datagram
 		return nil
 	}
 	batch := [][]byte{datagram}
 	if fate.duplicated {
 		batch = append(batch, datagram)
 	}
-	if q.held != nil {
-		batch = append(batch, q.held)
-		q.held = nil
+	if q.delayed != nil {
+		batch = append(batch, q.delayed)
+		q.delayed = nil
 	}
 	return batch
 }
--- a/internal/faulttest/relay/path.go
+++ b/internal/faulttest/relay/path.go
@@ -35,9 +35,12 @@
 	Dropped  int // of those received
 }
 
+// fateSequence is the random sequence of a path's seed that fates are drawn from.
+const fateSequence = 1
+
 // NewPath returns a path without faults. The seed determines which datagrams later conditions affect.
 func NewPath(seed uint64) *Path {
-	path := &Path{rng: rand.New(rand.NewPCG(seed, 1))}
+	path := &Path{rng: rand.New(rand.NewPCG(seed, fateSequence))}
 	path.changed = sync.NewCond(&path.mu)
 	return path
 }
--- a/internal/faulttest/relay/relay_test.go
+++ b/internal/faulttest/relay/relay_test.go
@@ -14,7 +14,7 @@
 
 const (
 	receiveTimeout = 20 * time.Second      // for what must arrive
-	silentTime     = 50 * time.Millisecond // for what must not arrive
+	noDataTimeout  = 50 * time.Millisecond // for what must not arrive
 )
 
 // testTarget is a target that accepts TCP connections and receives datagrams at one address.
@@ -167,7 +167,7 @@
 	send(t, client, "question")
 	send(t, server, "other way")
 	requireReceived(t, client, "other way")
-	if got, err := receive(t, server, 1, silentTime); err == nil {
+	if got, err := receive(t, server, 1, noDataTimeout); err == nil {
 		t.Fatalf("%q passed the partition", got)
 	}
 
--- a/internal/faulttest/schedule/draw.go
+++ b/internal/faulttest/schedule/draw.go
@@ -21,9 +21,10 @@
 	maxBasicFaults = 8
 	maxDrains      = 2
 
-	maxLatency     = 104 * time.Millisecond
-	minLatency     = 5 * time.Millisecond
-	probabilityOne = 10 // probabilities are drawn in tenths
+	minLatency = 5 * time.Millisecond
+	maxLatency = 104 * time.Millisecond
+
+	probabilitySteps = 10 // probabilities are drawn in tenths, from 0.1 to 0.9
 )
 
 // maxServerPathFault bounds a drawn fault that delays requests on their way to a server. It is well under the
@@ -130,7 +131,7 @@
 		fault.Destination = g.drawOtherInstance(fault.Target)
 	}
 	if fault.Kind.hasProbability() {
-		fault.Probability = float64(1+g.rng.IntN(probabilityOne-1)) / probabilityOne
+		fault.Probability = float64(1+g.rng.IntN(probabilitySteps-1)) / probabilitySteps
 	}
 	if fault.Kind == Latency {
 		fault.Delay = g.drawLatency()
--- a/internal/faulttest/serverhost.go
+++ b/internal/faulttest/serverhost.go
@@ -34,6 +34,7 @@
 		return fmt.Errorf("reading the servers to start: %w", err)
 	}
 	host := newServerHost(spec)
+	defer host.stopAll()
 	addresses, err := host.startAll(spec.Servers)
 	if err != nil {
 		return err
@@ -108,6 +109,13 @@
 	return addresses, nil
 }
 
+// stopAll stops all servers.
+func (h *serverHost) stopAll() {
+	for _, server := range h.servers {
+		server.running.Close()
+	}
+}
+
 // observeStalls starts to record stalls of this process. The caller calls stop to end that.
 func (h *serverHost) observeStalls() (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
