--- a/internal/policy/build.go
+++ b/internal/policy/build.go
@@ -8,14 +8,14 @@
 	"pinedale/balancer"
 )
 
-// The retry budget of classes and routes that set one figure of the two, or none.
+// Default values of a retry budget.
 const (
 	defaultRetryRatio = 0.2
 	defaultRetryBurst = 10.0
 )
 
-// newTable builds the table of a configuration. previous is the table in use, nil for none. Faults that concern
-// numbers are noted.
+// newTable builds the table of a configuration. previous is the table in use, nil for none. The compiler collects
+// faults about the numbers of classes, pools, tenants and budgets.
 func newTable(c *compiler, previous *Table) *Table {
 	t := &Table{
 		Version:      c.Version,
@@ -33,7 +33,7 @@
 	return t
 }
 
-// keepNumbers takes over what requests in flight may refer to by number.
+// keepNumbers copies the elements of the previous table that requests in flight may refer to by number.
 func (t *Table) keepNumbers(previous *Table) {
 	t.classes = slices.Clone(previous.classes)
 	for i := range t.classes {
@@ -48,16 +48,16 @@
 func (t *Table) addClasses(c *compiler) {
 	for i := range c.Classes {
 		class := &c.Classes[i]
-		b := t.newBounds(c, class, nil)
-		b.Budget = t.budget("class "+class.Name, &class.Timing)
-		b.Class = t.classNumber(c, c.moduleClass(class))
-		t.classBounds[class.Name] = b
+		bounds := newBounds(c, class, nil)
+		bounds.Budget = t.budget("class "+class.Name, &class.Timing)
+		bounds.Class = t.classNumber(c, c.moduleClass(class))
+		t.classBounds[class.Name] = bounds
 	}
 }
 
-// moduleClass returns a class as the decision module is given it.
+// moduleClass returns the decision module's form of a class.
 func (c *compiler) moduleClass(class *Class) balancer.Class {
-	out := balancer.Class{
+	converted := balancer.Class{
 		Name:             class.Name,
 		Idempotency:      class.Idempotency,
 		Group:            class.Group,
@@ -68,12 +68,12 @@
 		HedgeQuantile:    class.HedgeQuantile,
 	}
 	if class.Idempotency == balancer.IdempotentWithKey {
-		out.DedupWindow = c.Limits.moduleWindow(class.DedupWindow).Microseconds()
+		converted.DedupWindow = c.Limits.moduleWindow(class.DedupWindow).Microseconds()
 	}
-	return out
+	return converted
 }
 
-// classNumber returns the number of a class, a new one if it differs from all before.
+// classNumber returns the number of a class, which is added if it differs from all known classes.
 func (t *Table) classNumber(c *compiler, class balancer.Class) uint8 {
 	for i, known := range t.classes {
 		known.Retired = false
@@ -82,8 +82,9 @@
 			return uint8(i)
 		}
 	}
-	if !c.require(len(t.classes) < maxClasses, "class",
-		"%d kinds of class since the start, at most %d: start anew", len(t.classes)+1, maxClasses) {
+	hasCapacity := c.require(len(t.classes) < maxClasses, "class",
+		"%d kinds of class since the start, at most %d: start anew", len(t.classes)+1, maxClasses)
+	if !hasCapacity {
 		return 0
 	}
 	t.classes = append(t.classes, class)
@@ -103,10 +104,10 @@
 		"%d tenants since the start, at most %d: start anew", len(t.tenants), maxTenantNumbers)
 }
 
-// numberOf returns the index of a name, which it adds if it is new.
+// numberOf returns the index of a name, which is added if it is new.
 func numberOf(names *[]string, name string) int {
-	if i := slices.Index(*names, name); i >= 0 {
-		return i
+	if index := slices.Index(*names, name); index >= 0 {
+		return index
 	}
 	*names = append(*names, name)
 	return len(*names) - 1
@@ -123,32 +124,47 @@
 		"%d budgets since the start, at most %d: start anew", len(t.budgets), maxBudgets)
 }
 
-// addRoute adds a route by its index, unless its class is unknown, which is a fault of its own.
+// addRoute adds the route of an index, unless its class is unknown, which checkRoute reports.
 func (t *Table) addRoute(c *compiler, index int) {
-	r := &c.Routes[index]
-	classBounds := t.classBounds[r.Class]
+	route := &c.Routes[index]
+	classBounds := t.classBounds[route.Class]
 	if classBounds == nil {
 		return
 	}
-	class := &c.Classes[slices.IndexFunc(c.Classes, func(k Class) bool { return k.Name == r.Class })]
-	e := &routeEntry{Bounds: *t.newBounds(c, class, r), route: index, method: r.Method}
-	e.Budget = classBounds.Budget
-	if r.setsBudget() {
-		e.Budget = t.budget(r.budgetOwner(index), &r.Timing)
-	}
-	e.Class = classBounds.Class
-	e.Pool = uint8(slices.Index(t.pools, r.Pool) + 1)
-	e.RestrictsMethods = r.Method != ""
+	class := c.class(route.Class)
+	entry := &routeEntry{
+		Bounds:  *newBounds(c, class, route),
+		route:   index,
+		method:  route.Method,
+		headers: route.sortedHeaders(),
+	}
+	entry.Budget = classBounds.Budget
+	if route.setsBudget() {
+		entry.Budget = t.budget(route.budgetOwner(index), &route.Timing)
+	}
+	entry.Class = classBounds.Class
+	entry.Pool = uint8(slices.Index(t.pools, route.Pool) + 1)
+	entry.RestrictsMethods = route.Method != ""
+	key := route.key()
+	t.routes[key] = append(t.routes[key], entry)
+	t.matchesHosts = t.matchesHosts || route.Host != ""
+}
+
+// class returns a known class by its name.
+func (c *Config) class(name string) *Class {
+	return &c.Classes[slices.IndexFunc(c.Classes, func(k Class) bool { return k.Name == name })]
+}
+
+// sortedHeaders returns the header matchers sorted by name.
+func (r *Route) sortedHeaders() (headers []header) {
 	for name, value := range r.Headers {
-		e.headers = append(e.headers, header{Canonical(name), value})
+		headers = append(headers, header{Canonical(name), value})
 	}
-	slices.SortFunc(e.headers, func(a, b header) int { return strings.Compare(a.name, b.name) })
-	key := r.key()
-	t.routes[key] = append(t.routes[key], e)
-	t.matchesHosts = t.matchesHosts || r.Host != ""
+	slices.SortFunc(headers, func(a, b header) int { return strings.Compare(a.name, b.name) })
+	return headers
 }
 
-// key returns the key that a route is looked up by.
+// key returns the key under which a route is found.
 func (r *Route) key() routeKey {
 	switch {
 	case r.Path != "":
@@ -159,9 +175,9 @@
 	return routeKey{host: r.Host, path: r.Prefix}
 }
 
-// specificity ranks routes of one key: first by whether they name a method, then by the number of headers.
+// specificity ranks routes with the same key, first by whether they match a method, then by the number of headers.
 func (e *routeEntry) specificity() int {
-	const methodWeight = 1 << 20 // over any number of headers
+	const methodWeight = 1 << 20 // greater than any number of headers
 	rank := len(e.headers)
 	if e.method != "" {
 		rank += methodWeight
@@ -169,15 +185,16 @@
 	return rank
 }
 
-// newBounds returns the bounds of a class, or of a route of it if that is not nil, without the numbers of the table.
-func (t *Table) newBounds(c *compiler, class *Class, route *Route) *Bounds {
-	e := c.Effective(class, route)
+// newBounds returns the bounds of a class, or of a route of the class if route is not nil. The numbers of the table are
+// not set.
+func newBounds(c *compiler, class *Class, route *Route) *Bounds {
+	settings := c.Effective(class, route)
 	return &Bounds{
-		Deadline:       e.Deadline.Microseconds(),
-		AttemptTimeout: e.AttemptTimeout.Microseconds(),
-		HedgeDelay:     e.HedgeDelay.Microseconds(),
-		MaxAttempts:    e.MaxAttempts,
-		NoHedging:      !e.Hedging,
+		Deadline:       settings.Deadline.Microseconds(),
+		AttemptTimeout: settings.AttemptTimeout.Microseconds(),
+		HedgeDelay:     settings.HedgeDelay.Microseconds(),
+		MaxAttempts:    settings.MaxAttempts,
+		NoHedging:      !settings.Hedging,
 		ClassName:      class.Name,
 		Idempotency:    class.Idempotency,
 	}
@@ -186,7 +203,7 @@
 // setsBudget reports whether a timing sets a retry budget.
 func (t *Timing) setsBudget() bool { return t.RetryRatio != nil || t.RetryBurst != nil }
 
-// budgetOwner returns the name under which the budget of a route keeps its number.
+// budgetOwner returns the name that identifies the budget of a route in later tables.
 func (r *Route) budgetOwner(index int) string {
 	if r.Name == "" {
 		return fmt.Sprint("route ", index)
@@ -194,7 +211,7 @@
 	return "route " + r.Name
 }
 
-// budget returns the number of an owner's retry budget, 0 for the default if the timing sets none.
+// budget returns the number of an owner's retry budget, 0 for the default budget if the timing sets none.
 func (t *Table) budget(owner string, timing *Timing) uint16 {
 	if !timing.setsBudget() {
 		return 0
--- a/internal/policy/check_class.go
+++ b/internal/policy/check_class.go
@@ -8,11 +8,11 @@
 	"pinedale/balancer"
 )
 
-// minModuleWindow is the least deduplication window that the module can make use of.
+// minModuleWindow is the shortest deduplication window that the decision module can use.
 const minModuleWindow = time.Millisecond
 
-// checkClasses checks each class and returns them by name. Their names, idempotency and windows have been checked by
-// themselves before, where the file is read.
+// checkClasses checks each class and returns the classes by name. Names, idempotency and windows were checked when the
+// file was read.
 func (c *compiler) checkClasses() map[string]*Class {
 	classes := map[string]*Class{}
 	for i := range c.Classes {
@@ -23,27 +23,27 @@
 	return classes
 }
 
-// checkClass checks one class. prefix is that of its keys.
+// checkClass checks one class. prefix begins its keys.
 func (c *compiler) checkClass(prefix string, class *Class) {
 	c.checkTiming(prefix, &class.Timing)
 	c.checkHedgeQuantile(prefix+"copy_at", class)
 	c.require(class.TypicalWork >= 0, prefix+"usual", "%v is negative", class.TypicalWork)
 	c.require(class.MaxInFlight >= 0, prefix+"open", "%d is negative", class.MaxInFlight)
-	c.require(class.BrownoutLevel >= 0 && class.BrownoutLevel <= maxBrownOut,
-		prefix+"brown_out", "%d is not in 0 to %d", class.BrownoutLevel, maxBrownOut)
+	c.require(class.BrownoutLevel >= 0 && class.BrownoutLevel <= maxBrownoutLevel,
+		prefix+"brown_out", "%d is not in 0 to %d", class.BrownoutLevel, maxBrownoutLevel)
 	c.checkClients(prefix+"clients", class)
 	if class.deduplicates() {
-		l := &c.Limits
-		c.require(l.moduleWindow(class.DedupWindow) >= minModuleWindow, prefix+"window",
-			"rule window: of %v nothing is left for a repeat, after a connection of %v, timers %v late and clocks %v apart",
-			class.DedupWindow, l.DialTimeout, l.TimerSlack, l.ClockError)
+		c.checkModuleWindow(prefix+"window", class)
 	}
 	c.checkEffective(prefix, c.Effective(class, nil))
 }
 
-// deduplicates reports whether endpoints drop repeats of the class for a time.
-func (k *Class) deduplicates() bool {
-	return k.Idempotency == balancer.IdempotentWithKey && k.DedupWindow > 0
+// checkModuleWindow checks that a repeat can be sent within the deduplication window of a class.
+func (c *compiler) checkModuleWindow(key string, class *Class) {
+	limits := &c.Limits
+	c.require(limits.moduleWindow(class.DedupWindow) >= minModuleWindow, key,
+		"rule window: of %v nothing is left for a repeat, after a connection of %v, timers %v late and clocks %v apart",
+		class.DedupWindow, limits.DialTimeout, limits.TimerSlack, limits.ClockError)
 }
 
 func (c *compiler) checkHedgeQuantile(key string, class *Class) {
@@ -66,91 +66,98 @@
 		"rule group: only some servers drop the repeats of this class, and a client's retry may go to any")
 }
 
-// checkTiming checks the settings that classes and routes share, each by itself.
-func (c *compiler) checkTiming(prefix string, t *Timing) {
-	c.require(t.AttemptTimeout >= 0, prefix+"try_for", "%v is negative", t.AttemptTimeout)
-	c.require(t.HedgeDelay >= 0, prefix+"copy_after", "%v is negative", t.HedgeDelay)
-	c.require(t.MaxAttempts >= 0 && t.MaxAttempts <= c.Limits.MaxAttempts, prefix+"attempts",
-		"rule attempts: %d is not in 1 to the %d of limits.attempts", t.MaxAttempts, c.Limits.MaxAttempts)
-	if t.RetryRatio != nil {
-		c.require(*t.RetryRatio >= 0 && *t.RetryRatio <= 1, prefix+"retry_share",
-			"%v is not in 0 to 1: no request earns more than one retry", *t.RetryRatio)
-	}
-	if t.RetryBurst != nil {
-		c.require(*t.RetryBurst >= 0 && *t.RetryBurst <= maxRetryBurst, prefix+"retry_burst",
-			"%v is not in 0 to %v", *t.RetryBurst, maxRetryBurst)
-	}
-	c.require(t.Hedging == nil || !*t.Hedging || c.Limits.Hedging, prefix+"second_copies",
-		"limits.second_copies permits none")
+// checkTiming checks the settings that classes and routes have in common, independently of each other.
+func (c *compiler) checkTiming(prefix string, timing *Timing) {
+	c.require(timing.AttemptTimeout >= 0, prefix+"try_for", "%v is negative", timing.AttemptTimeout)
+	c.require(timing.HedgeDelay >= 0, prefix+"copy_after", "%v is negative", timing.HedgeDelay)
+	attempts, maxAttempts := timing.MaxAttempts, c.Limits.MaxAttempts
+	c.require(attempts >= 0 && attempts <= maxAttempts, prefix+"attempts",
+		"rule attempts: %d is not in 1 to the %d of limits.attempts", attempts, maxAttempts)
+	if ratio := timing.RetryRatio; ratio != nil {
+		c.require(*ratio >= 0 && *ratio <= 1, prefix+"retry_share",
+			"%v is not in 0 to 1: no request earns more than one retry", *ratio)
+	}
+	if burst := timing.RetryBurst; burst != nil {
+		c.require(*burst >= 0 && *burst <= maxRetryBurst, prefix+"retry_burst",
+			"%v is not in 0 to %v", *burst, maxRetryBurst)
+	}
+	hedges := timing.Hedging != nil && *timing.Hedging
+	c.require(!hedges || c.Limits.Hedging, prefix+"second_copies", "limits.second_copies permits none")
 }
 
-// checkEffective checks what applies to a class or route against the rules of its class.
-func (c *compiler) checkEffective(prefix string, e Effective) {
-	if e.Deadline <= 0 {
-		return // a fault of its own
-	}
-	l, class := &c.Limits, e.Class
-	c.require(e.Deadline <= l.MaxDeadline, prefix+"deadline",
-		"%v is over %v, the most that a request gets", e.Deadline, l.MaxDeadline)
-	c.require(e.AttemptTimeout <= e.Deadline, prefix+"try_for",
-		"%v is over the deadline of %v", e.AttemptTimeout, e.Deadline)
-	c.require(e.HedgeDelay == 0 || class.Idempotency != balancer.NotIdempotent, prefix+"copy_after",
+// checkEffective checks the settings of a class or route against the rules of the class.
+func (c *compiler) checkEffective(prefix string, settings Effective) {
+	if settings.Deadline <= 0 {
+		return // reported by another check
+	}
+	class, maxDeadline := settings.Class, c.Limits.MaxDeadline
+	c.require(settings.Deadline <= maxDeadline, prefix+"deadline",
+		"%v is over %v, the most that a request gets", settings.Deadline, maxDeadline)
+	c.require(settings.AttemptTimeout <= settings.Deadline, prefix+"try_for",
+		"%v is over the deadline of %v", settings.AttemptTimeout, settings.Deadline)
+	c.require(settings.HedgeDelay == 0 || class.Idempotency != balancer.NotIdempotent, prefix+"copy_after",
 		"rule unsafe: a request of this class is never sent twice")
 	if class.deduplicates() {
-		c.checkSchedule(prefix, e)
-	}
-	if l.DrainTimeout > 0 {
-		longest := e.Deadline
-		if e.AttemptTimeout > 0 {
-			longest = e.AttemptTimeout
-		}
-		c.require(longest+l.DrainGrace+l.TimerSlack <= l.DrainTimeout, prefix+"deadline",
-			"rule drain: an attempt may take %v and be sent %v after a drain is told, and servers end after %v",
-			longest, l.DrainGrace, l.DrainTimeout)
-	}
-	c.warnOfAttemptTimeout(prefix, e)
-	c.warnOfHedgeDelay(prefix+"copy_after", e)
+		c.checkSchedule(prefix, settings)
+	}
+	c.checkDrain(prefix+"deadline", settings)
+	c.warnOfAttemptTimeout(prefix+"try_for", settings)
+	c.warnOfHedgeDelay(prefix+"copy_after", settings)
+}
+
+// checkDrain checks that an attempt that is sent during a drain ends before the endpoint does.
+func (c *compiler) checkDrain(key string, settings Effective) {
+	limits := &c.Limits
+	if limits.DrainTimeout <= 0 {
+		return
+	}
+	longest := settings.longestAttempt()
+	c.require(longest+limits.DrainGrace+limits.TimerSlack <= limits.DrainTimeout, key,
+		"rule drain: an attempt may take %v and be sent %v after a drain is told, and servers end after %v",
+		longest, limits.DrainGrace, limits.DrainTimeout)
 }
 
-// checkSchedule checks that each scheduled repeat reaches an endpoint that still remembers the first attempt.
-func (c *compiler) checkSchedule(prefix string, e Effective) {
-	l := &c.Limits
-	for _, repeat := range l.Schedule(e) {
-		worst := time.Duration(math.Ceil(float64(repeat.At) * (1 + l.ClockError)))
-		c.require(worst < e.Class.DedupWindow, prefix+repeat.Key,
+// checkSchedule checks that each scheduled repeat reaches an endpoint while it still remembers the first attempt.
+func (c *compiler) checkSchedule(prefix string, settings Effective) {
+	limits, window := &c.Limits, settings.Class.DedupWindow
+	for _, repeat := range limits.Schedule(settings) {
+		latest := time.Duration(math.Ceil(float64(repeat.At) * (1 + limits.ClockError)))
+		c.require(latest < window, prefix+repeat.Key,
 			"rule window: %s may reach a server %v after the first, which remembers its key for %v"+
 				" (connection %v, timers %v late, clocks %v apart)",
-			repeat.Description, worst, e.Class.DedupWindow, l.DialTimeout, l.TimerSlack, l.ClockError)
+			repeat.Description, latest, window, limits.DialTimeout, limits.TimerSlack, limits.ClockError)
 	}
 }
 
-func (c *compiler) warnOfAttemptTimeout(prefix string, e Effective) {
-	if e.AttemptTimeout <= 0 {
+func (c *compiler) warnOfAttemptTimeout(key string, settings Effective) {
+	timeout := settings.AttemptTimeout
+	if timeout <= 0 {
 		return
 	}
-	l, class, key := &c.Limits, e.Class, prefix+"try_for"
-	if e.AttemptTimeout < class.TypicalWork {
+	if typicalWork := settings.Class.TypicalWork; timeout < typicalWork {
 		c.warn(key, "%v is under the usual work of its class, %v: most attempts would be given up",
-			e.AttemptTimeout, class.TypicalWork)
+			timeout, typicalWork)
 	}
-	if e.AttemptTimeout <= l.DialTimeout {
+	if dialTimeout := c.Limits.DialTimeout; timeout <= dialTimeout {
 		c.warn(key, "%v is not over limits.dial_timeout, %v: a slow connection ends the attempt",
-			e.AttemptTimeout, l.DialTimeout)
+			timeout, dialTimeout)
 	}
-	lastBegin := time.Duration(e.MaxAttempts-1) * e.AttemptTimeout
-	if e.MaxAttempts > 1 && lastBegin >= e.Deadline {
-		c.warn(key, "attempt %d would begin after %v, the deadline is %v", e.MaxAttempts, lastBegin, e.Deadline)
+	lastStart := time.Duration(settings.MaxAttempts-1) * timeout
+	if settings.MaxAttempts > 1 && lastStart >= settings.Deadline {
+		c.warn(key, "attempt %d would begin after %v, the deadline is %v",
+			settings.MaxAttempts, lastStart, settings.Deadline)
 	}
 }
 
-func (c *compiler) warnOfHedgeDelay(key string, e Effective) {
-	if e.AttemptTimeout > 0 && e.HedgeDelay >= e.AttemptTimeout {
-		c.warn(key, "%v is not under try_for, %v: no second copy is ever sent", e.HedgeDelay, e.AttemptTimeout)
+func (c *compiler) warnOfHedgeDelay(key string, settings Effective) {
+	delay, timeout := settings.HedgeDelay, settings.AttemptTimeout
+	if timeout > 0 && delay >= timeout {
+		c.warn(key, "%v is not under try_for, %v: no second copy is ever sent", delay, timeout)
 	}
-	if e.HedgeDelay > 0 && !e.Hedging {
+	if delay > 0 && !settings.Hedging {
 		c.warn(key, "second copies are off: none is sent")
 	}
-	if e.HedgeDelay > 0 && e.MaxAttempts == 1 {
+	if delay > 0 && settings.MaxAttempts == 1 {
 		c.warn(key, "one attempt is permitted: no second copy is ever sent")
 	}
 }
--- a/internal/policy/compile.go
+++ b/internal/policy/compile.go
@@ -6,15 +6,15 @@
 	"strings"
 )
 
-// Bounds of what a table holds. Numbers of earlier tables count, since requests in flight may still use them.
+// Bounds of a table. The numbers of earlier tables count, because requests in flight may use them.
 const (
-	maxClasses       = 256     // the module numbers them in one byte
+	maxClasses       = 256     // the decision module uses numbers of one byte
 	maxPools         = 64      // bits of a word
 	maxBudgets       = 1 << 15 // of classes and routes
 	maxRoutes        = 10_000
 	maxTenants       = 1000
 	maxTenantNumbers = 10 * maxTenants
-	maxBrownOut      = 9
+	maxBrownoutLevel = 9
 	maxRetryBurst    = 1000.0
 	maxTenantWeight  = 1e6
 )
@@ -22,8 +22,8 @@
 // Fault is an error or a warning about one key of the configuration.
 type Fault struct {
 	Key     string // such as "class[1].copy_after"
-	Reason  string
-	Warning bool // legal, but unwise
+	Reason  string // for operators; the files of internal/config/testdata/bad contain parts of it
+	Warning bool   // the value is valid, but probably a mistake
 }
 
 // compiler collects the faults of a configuration.
@@ -32,17 +32,17 @@
 	faults []Fault
 }
 
-// fault notes an error.
+// fault records an error.
 func (c *compiler) fault(key, format string, args ...any) {
 	c.faults = append(c.faults, Fault{Key: key, Reason: fmt.Sprintf(format, args...)})
 }
 
-// warn notes a warning.
+// warn records a warning.
 func (c *compiler) warn(key, format string, args ...any) {
 	c.faults = append(c.faults, Fault{Key: key, Reason: fmt.Sprintf(format, args...), Warning: true})
 }
 
-// require notes an error unless ok, which it returns.
+// require records an error unless ok is set. It returns ok.
 func (c *compiler) require(ok bool, key, format string, args ...any) bool {
 	if !ok {
 		c.fault(key, format, args...)
@@ -50,9 +50,9 @@
 	return ok
 }
 
-// Compile checks a configuration and returns its table, or nil if there is any fault that is not a warning. previous
-// is the table in use, nil for none: classes, budgets, tenants and pools that requests in flight may refer to keep
-// their numbers.
+// Compile checks a configuration. It returns the table and the warnings, or a nil table if any fault is an error.
+// previous is the table in use, nil for none. Classes, budgets, tenants and pools keep the numbers that they have in
+// it, because requests in flight may refer to them.
 func Compile(config *Config, previous *Table) (*Table, []Fault) {
 	c := &compiler{Config: config}
 	c.checkLimits()
@@ -60,30 +60,30 @@
 	pools := c.checkPools()
 	c.checkTenants()
 	c.checkRoutes(classes, pools)
-	t := newTable(c, previous)
-	c.checkOverlaps(t)
+	table := newTable(c, previous)
+	c.checkOverlaps(table)
 	slices.SortStableFunc(c.faults, func(a, b Fault) int { return strings.Compare(a.Key, b.Key) })
 	if slices.ContainsFunc(c.faults, func(f Fault) bool { return !f.Warning }) {
 		return nil, c.faults
 	}
-	return t, c.faults
+	return table, c.faults
 }
 
 func (c *compiler) checkLimits() {
-	l := &c.Limits
-	c.require(l.TimerSlack >= 0, "limits.timer_slack", "%v is negative", l.TimerSlack)
-	c.require(l.ClockError >= 0 && l.ClockError < 1, "limits.clock_error", "%v is not in 0 to 1", l.ClockError)
-	c.require(l.DrainTimeout >= 0, "fleet.drain_for", "%v is negative", l.DrainTimeout)
+	slack, clockError, drainTimeout := c.Limits.TimerSlack, c.Limits.ClockError, c.Limits.DrainTimeout
+	c.require(slack >= 0, "limits.timer_slack", "%v is negative", slack)
+	c.require(clockError >= 0 && clockError < 1, "limits.clock_error", "%v is not in 0 to 1", clockError)
+	c.require(drainTimeout >= 0, "fleet.drain_for", "%v is negative", drainTimeout)
 }
 
-// checkPools returns the names of the pools.
+// checkPools checks the pools and returns their names.
 func (c *compiler) checkPools() map[string]bool {
 	names := map[string]bool{}
 	c.require(len(c.Pools) <= maxPools, "pool", "%d pools, at most %d", len(c.Pools), maxPools)
-	for i, p := range c.Pools {
+	for i, pool := range c.Pools {
 		prefix := fmt.Sprintf("pool[%d].", i)
-		c.require(p.Name != "" && !names[p.Name], prefix+"name", "%q is missing or there twice", p.Name)
-		names[p.Name] = true
+		c.require(pool.Name != "" && !names[pool.Name], prefix+"name", "%q is missing or there twice", pool.Name)
+		names[pool.Name] = true
 	}
 	return names
 }
@@ -91,11 +91,12 @@
 func (c *compiler) checkTenants() {
 	c.require(len(c.Tenants) <= maxTenants, "tenant", "%d tenants, at most %d", len(c.Tenants), maxTenants)
 	names := map[string]bool{}
-	for i, t := range c.Tenants {
+	for i, tenant := range c.Tenants {
 		prefix := fmt.Sprintf("tenant[%d].", i)
-		c.require(t.Name != "" && !names[t.Name], prefix+"name", "%q is missing or there twice", t.Name)
-		names[t.Name] = true
-		c.require(t.Weight > 0 && t.Weight <= maxTenantWeight, prefix+"weight", "%v is not over 0 and up to 1e6", t.Weight)
-		c.require(t.Open >= 0, prefix+"open", "%d is negative", t.Open)
+		c.require(tenant.Name != "" && !names[tenant.Name], prefix+"name", "%q is missing or there twice", tenant.Name)
+		names[tenant.Name] = true
+		validWeight := tenant.Weight > 0 && tenant.Weight <= maxTenantWeight
+		c.require(validWeight, prefix+"weight", "%v is not over 0 and up to 1e6", tenant.Weight)
+		c.require(tenant.Open >= 0, prefix+"open", "%d is negative", tenant.Open)
 	}
 }
--- a/internal/policy/compile_test.go
+++ b/internal/policy/compile_test.go
@@ -11,7 +11,7 @@
 
 const ms = time.Millisecond
 
-// marketConfig returns a legal configuration with a class of each kind.
+// marketConfig returns a valid configuration with a class of each kind.
 func marketConfig() *Config {
 	return &Config{
 		Version: "v",
@@ -67,144 +67,212 @@
 	classOrder
 )
 
-func ptr[T any](v T) *T { return &v }
+// ptr returns a pointer to a copy of value.
+func ptr[T any](value T) *T { return &value }
 
-// faults returns the faults of a configuration as lines.
-func faults(c *Config) (errors, warnings []string) {
-	_, all := Compile(c, nil)
-	for _, f := range all {
-		if f.Warning {
-			warnings = append(warnings, f.Key+": "+f.Reason)
+// faults returns the errors and warnings of a configuration as lines.
+func faults(config *Config) (errors, warnings []string) {
+	_, compileFaults := Compile(config, nil)
+	for _, fault := range compileFaults {
+		line := fault.Key + ": " + fault.Reason
+		if fault.Warning {
+			warnings = append(warnings, line)
 		} else {
-			errors = append(errors, f.Key+": "+f.Reason)
+			errors = append(errors, line)
 		}
 	}
-	return
+	return errors, warnings
 }
 
-// A contradiction to a rule of a class is rejected with the key and the figure. A configuration one step before that is
-// accepted.
-func TestContradictionIsRejectedWithKeyAndFigure(t *testing.T) {
+// hasKey reports whether any of the lines is about a key.
+func hasKey(lines []string, key string) bool {
+	return slices.ContainsFunc(lines, func(line string) bool { return strings.HasPrefix(line, key+": ") })
+}
+
+// setAttempts sets the attempt timeout and the maximum number of attempts of a class.
+func setAttempts(class *Class, timeout time.Duration, maxAttempts int) {
+	class.AttemptTimeout = timeout
+	class.MaxAttempts = maxAttempts
+}
+
+// setLongDeadline sets a deadline of 30 s and an attempt timeout.
+func setLongDeadline(class *Class, attemptTimeout time.Duration) {
+	class.Deadline = 30 * time.Second
+	class.AttemptTimeout = attemptTimeout
+}
+
+// A configuration that contradicts a rule of a class is rejected with the key and the values. A similar configuration
+// that does not is accepted.
+func TestContradictionIsRejectedWithKeyAndValues(t *testing.T) {
 	for name, c := range map[string]struct {
-		good, bad func(*Config)
-		key       string
-		says      []string
+		accepted func(*Config)
+		rejected func(*Config)
+		key      string
+		reason   []string // parts of the reason
 	}{
 		"attempts within the window": {
-			func(c *Config) { c.Classes[classPay].AttemptTimeout, c.Classes[classPay].MaxAttempts = 600*ms, 3 },
-			func(c *Config) { c.Classes[classPay].AttemptTimeout, c.Classes[classPay].MaxAttempts = 650*ms, 3 },
-			"class[1].try_for", []string{"rule window", "attempt 3", "1.5s", "1.570785s"}},
+			accepted: func(c *Config) { setAttempts(&c.Classes[classPay], 600*ms, 3) },
+			rejected: func(c *Config) { setAttempts(&c.Classes[classPay], 650*ms, 3) },
+			key:      "class[1].try_for",
+			reason:   []string{"rule window", "attempt 3", "1.5s", "1.570785s"},
+		},
 		"attempts of one pod": {
-			func(c *Config) {
-				c.Classes[classDayClose].Deadline, c.Classes[classDayClose].AttemptTimeout = 30*time.Second, 5800*ms
+			accepted: func(c *Config) {
+				setLongDeadline(&c.Classes[classDayClose], 5800*ms)
 			},
-			func(c *Config) {
-				c.Classes[classDayClose].Deadline, c.Classes[classDayClose].AttemptTimeout = 30*time.Second, 5900*ms
-			}, "class[2].try_for", []string{"rule window", "12s"}},
+			rejected: func(c *Config) {
+				setLongDeadline(&c.Classes[classDayClose], 5900*ms)
+			},
+			key:    "class[2].try_for",
+			reason: []string{"rule window", "12s"},
+		},
 		"with a slow clock": {
-			func(c *Config) {
-				c.Classes[classDayClose].Deadline, c.Classes[classDayClose].AttemptTimeout = 30*time.Second, 5800*ms
+			accepted: func(c *Config) {
+				setLongDeadline(&c.Classes[classDayClose], 5800*ms)
 			},
-			func(c *Config) {
-				c.Classes[classDayClose].Deadline, c.Classes[classDayClose].AttemptTimeout = 30*time.Second, 5800*ms
+			rejected: func(c *Config) {
+				setLongDeadline(&c.Classes[classDayClose], 5800*ms)
 				c.Limits.ClockError = 0.02
-			}, "class[2].try_for", []string{"clocks 0.02 apart"}},
+			},
+			key:    "class[2].try_for",
+			reason: []string{"clocks 0.02 apart"},
+		},
 		"with a slow connection": {
-			func(c *Config) { c.Classes[classPay].AttemptTimeout = 600 * ms },
-			func(c *Config) { c.Classes[classPay].AttemptTimeout, c.Limits.DialTimeout = 600*ms, 300*ms },
-			"class[1].try_for", []string{"connection 300ms"}},
+			accepted: func(c *Config) { c.Classes[classPay].AttemptTimeout = 600 * ms },
+			rejected: func(c *Config) {
+				c.Classes[classPay].AttemptTimeout = 600 * ms
+				c.Limits.DialTimeout = 300 * ms
+			},
+			key:    "class[1].try_for",
+			reason: []string{"connection 300ms"},
+		},
 		"clients that retry": {
-			func(c *Config) {
-				c.Classes[classPay].Clients, c.Classes[classPay].Deadline = ClientsRetryFailed, 1200*ms
+			accepted: func(c *Config) {
+				c.Classes[classPay].Clients = ClientsRetryFailed
+				c.Classes[classPay].Deadline = 1200 * ms
 			},
-			func(c *Config) { c.Classes[classPay].Clients = ClientsRetryFailed },
-			"class[1].deadline", []string{"a client that comes again within its 2.5s"}},
+			rejected: func(c *Config) { c.Classes[classPay].Clients = ClientsRetryFailed },
+			key:      "class[1].deadline",
+			reason:   []string{"a client that comes again within its 2.5s"},
+		},
 		"clients that retry at any pod": {
-			func(c *Config) { c.Classes[classDayClose].Clients = ClientsRetryRejected },
-			func(c *Config) { c.Classes[classDayClose].Clients = ClientsRetryFailed },
-			"class[2].clients", []string{"rule group"}},
+			accepted: func(c *Config) { c.Classes[classDayClose].Clients = ClientsRetryRejected },
+			rejected: func(c *Config) { c.Classes[classDayClose].Clients = ClientsRetryFailed },
+			key:      "class[2].clients",
+			reason:   []string{"rule group"},
+		},
 		"clients that retry what is not idempotent": {
-			func(c *Config) { c.Classes[classOrder].Clients = ClientsRetryRejected },
-			func(c *Config) { c.Classes[classOrder].Clients = ClientsRetryFailed },
-			"class[3].clients", []string{"rule unsafe"}},
+			accepted: func(c *Config) { c.Classes[classOrder].Clients = ClientsRetryRejected },
+			rejected: func(c *Config) { c.Classes[classOrder].Clients = ClientsRetryFailed },
+			key:      "class[3].clients",
+			reason:   []string{"rule unsafe"},
+		},
 		"a hedge within the window": {
-			func(c *Config) { c.Classes[classPay].HedgeDelay = 1200 * ms },
-			func(c *Config) { c.Classes[classPay].HedgeDelay = 1600 * ms },
-			"class[1].copy_after", []string{"rule window", "a second copy", "1.5s"}},
+			accepted: func(c *Config) { c.Classes[classPay].HedgeDelay = 1200 * ms },
+			rejected: func(c *Config) { c.Classes[classPay].HedgeDelay = 1600 * ms },
+			key:      "class[1].copy_after",
+			reason:   []string{"rule window", "a second copy", "1.5s"},
+		},
 		"a hedge of what is not idempotent": {
-			func(c *Config) {},
-			func(c *Config) { c.Classes[classOrder].HedgeDelay = ms },
-			"class[3].copy_after", []string{"rule unsafe"}},
+			accepted: func(c *Config) {},
+			rejected: func(c *Config) { c.Classes[classOrder].HedgeDelay = ms },
+			key:      "class[3].copy_after",
+			reason:   []string{"rule unsafe"},
+		},
 		"a hedge quantile of what is not idempotent": {
-			func(c *Config) { c.Classes[classPay].HedgeQuantile = 0.9 },
-			func(c *Config) { c.Classes[classOrder].HedgeQuantile = 0.9 },
-			"class[3].copy_at", []string{"rule unsafe"}},
+			accepted: func(c *Config) { c.Classes[classPay].HedgeQuantile = 0.9 },
+			rejected: func(c *Config) { c.Classes[classOrder].HedgeQuantile = 0.9 },
+			key:      "class[3].copy_at",
+			reason:   []string{"rule unsafe"},
+		},
 		"a window that is all connection": {
-			func(c *Config) { c.Classes[classPay].DedupWindow = 300 * ms },
-			func(c *Config) { c.Classes[classPay].DedupWindow = 260 * ms },
-			"class[1].window", []string{"rule window", "nothing is left"}},
+			accepted: func(c *Config) { c.Classes[classPay].DedupWindow = 300 * ms },
+			rejected: func(c *Config) { c.Classes[classPay].DedupWindow = 260 * ms },
+			key:      "class[1].window",
+			reason:   []string{"rule window", "nothing is left"},
+		},
 		"too many attempts": {
-			func(c *Config) { c.Classes[0].MaxAttempts = 3 },
-			func(c *Config) { c.Classes[0].MaxAttempts = 4 },
-			"class[0].attempts", []string{"rule attempts", "4"}},
+			accepted: func(c *Config) { c.Classes[0].MaxAttempts = 3 },
+			rejected: func(c *Config) { c.Classes[0].MaxAttempts = 4 },
+			key:      "class[0].attempts",
+			reason:   []string{"rule attempts", "4"},
+		},
 		"a drain that cuts off": {
-			func(c *Config) { c.Limits.DrainTimeout = 5100 * ms },
-			func(c *Config) { c.Limits.DrainTimeout = 5 * time.Second },
-			"class[0].deadline", []string{"rule drain", "3s", "2s", "5s"}},
+			accepted: func(c *Config) { c.Limits.DrainTimeout = 5100 * ms },
+			rejected: func(c *Config) { c.Limits.DrainTimeout = 5 * time.Second },
+			key:      "class[0].deadline",
+			reason:   []string{"rule drain", "3s", "2s", "5s"},
+		},
 		"a drain, and time for an attempt": {
-			func(c *Config) {
+			accepted: func(c *Config) {
 				c.Limits.DrainTimeout = 3500 * ms
 				for i := range c.Classes {
-					c.Classes[i].AttemptTimeout, c.Classes[i].MaxAttempts = 1400*ms, 1
+					setAttempts(&c.Classes[i], 1400*ms, 1)
 				}
-			}, func(c *Config) { c.Limits.DrainTimeout = 3500 * ms }, "class[0].deadline", []string{"rule drain"}},
+			},
+			rejected: func(c *Config) { c.Limits.DrainTimeout = 3500 * ms },
+			key:      "class[0].deadline",
+			reason:   []string{"rule drain"},
+		},
 		"a route that is later than its class": {
-			func(c *Config) {
+			accepted: func(c *Config) {
 				c.Routes = []Route{{Class: "stall-pay", Prefix: "/a", Timing: Timing{HedgeDelay: time.Second}}}
 			},
-			func(c *Config) {
+			rejected: func(c *Config) {
 				c.Routes = []Route{{Class: "stall-pay", Prefix: "/a", Timing: Timing{HedgeDelay: 1450 * ms}}}
-			}, "route[0].copy_after", []string{"rule window"}},
+			},
+			key:    "route[0].copy_after",
+			reason: []string{"rule window"},
+		},
 		"a route beside its class's attempts": {
-			func(c *Config) {
-				c.Classes[classPay].AttemptTimeout, c.Classes[classPay].MaxAttempts = 1200*ms, 2
+			accepted: func(c *Config) {
+				setAttempts(&c.Classes[classPay], 1200*ms, 2)
 				c.Routes = []Route{{Class: "stall-pay", Prefix: "/a"}}
 			},
-			func(c *Config) {
-				c.Classes[classPay].AttemptTimeout, c.Classes[classPay].MaxAttempts = 1200*ms, 2
+			rejected: func(c *Config) {
+				setAttempts(&c.Classes[classPay], 1200*ms, 2)
 				c.Routes = []Route{{Class: "stall-pay", Prefix: "/a", Timing: Timing{MaxAttempts: 3}}}
-			}, "route[0].try_for", []string{"attempt 3"}},
+			},
+			key:    "route[0].try_for",
+			reason: []string{"attempt 3"},
+		},
 		"routes that overlap": {
-			func(c *Config) {
+			accepted: func(c *Config) {
 				c.Routes = []Route{{Prefix: "/a", Class: "order"}, {Prefix: "/a", Method: "GET", Class: "price-check"}}
 			},
-			func(c *Config) {
+			rejected: func(c *Config) {
 				c.Routes = []Route{{Prefix: "/a", Class: "order"}, {Prefix: "/a", Class: "price-check"}}
-			}, "route[1].class", []string{"rule overlap", "route[0]", "order"}},
+			},
+			key:    "route[1].class",
+			reason: []string{"rule overlap", "route[0]", "order"},
+		},
 	} {
-		c.key += ": "
-		good, bad := marketConfig(), marketConfig()
-		c.good(good)
-		c.bad(bad)
-		if errs, _ := faults(good); len(errs) > 0 {
-			t.Errorf("%s: a legal configuration is rejected: %v", name, errs)
+		if errs, _ := faults(configure(c.accepted)); len(errs) > 0 {
+			t.Errorf("%s: a valid configuration is rejected: %v", name, errs)
 		}
-		errs, _ := faults(bad)
-		at := slices.IndexFunc(errs, func(s string) bool { return strings.HasPrefix(s, c.key) })
-		if at < 0 {
+		errs, _ := faults(configure(c.rejected))
+		index := slices.IndexFunc(errs, func(line string) bool { return strings.HasPrefix(line, c.key+": ") })
+		if index < 0 {
 			t.Errorf("%s: %v, want one of %s", name, errs, c.key)
 			continue
 		}
-		for _, word := range c.says {
-			if !strings.Contains(errs[at], word) {
-				t.Errorf("%s: %q does not say %q", name, errs[at], word)
+		for _, part := range c.reason {
+			if !strings.Contains(errs[index], part) {
+				t.Errorf("%s: %q does not contain %q", name, errs[index], part)
 			}
 		}
 	}
 }
 
-// What is legal but unwise gives a warning, and is accepted.
-func TestUnwiseFigureGivesWarning(t *testing.T) {
+// configure returns the configuration of marketConfig after a change.
+func configure(change func(*Config)) *Config {
+	config := marketConfig()
+	change(config)
+	return config
+}
+
+// A configuration that is valid but probably a mistake is accepted with a warning.
+func TestProbableMistakeGivesWarning(t *testing.T) {
 	for name, c := range map[string]struct {
 		set func(*Config)
 		key string
@@ -236,20 +304,20 @@
 			"route[0].method",
 		},
 	} {
-		m := marketConfig()
-		c.set(m)
-		errs, warned := faults(m)
-		if len(errs) > 0 || !slices.ContainsFunc(warned, func(s string) bool { return strings.HasPrefix(s, c.key+": ") }) {
-			t.Errorf("%s: faults %v, warnings %v", name, errs, warned)
+		errs, warnings := faults(configure(c.set))
+		if len(errs) > 0 || !hasKey(warnings, c.key) {
+			t.Errorf("%s: errors %v, warnings %v", name, errs, warnings)
 		}
 	}
-	if errs, warned := faults(marketConfig()); len(errs)+len(warned) > 0 {
-		t.Errorf("an ordinary file: %v, %v", errs, warned)
+}
+
+func TestOrdinaryFileHasNoFaults(t *testing.T) {
+	if errs, warnings := faults(marketConfig()); len(errs)+len(warnings) > 0 {
+		t.Errorf("errors %v, warnings %v", errs, warnings)
 	}
 }
 
-// Each key has its bounds.
-func TestFigureOutOfBoundsIsRejected(t *testing.T) {
+func TestValueOutOfBoundsIsRejected(t *testing.T) {
 	for key, set := range map[string]func(*Config){
 		"limits.timer_slack":     func(c *Config) { c.Limits.TimerSlack = -1 },
 		"limits.clock_error":     func(c *Config) { c.Limits.ClockError = 1 },
@@ -287,9 +355,7 @@
 		"route[0].pool":     func(c *Config) { c.Routes = []Route{{Class: "order", Pool: "none"}} },
 		"route[0].deadline": func(c *Config) { c.Routes = []Route{{Class: "order", Timing: Timing{Deadline: -1}}} },
 	} {
-		c := marketConfig()
-		set(c)
-		if errs, _ := faults(c); !slices.ContainsFunc(errs, func(s string) bool { return strings.HasPrefix(s, key+": ") }) {
+		if errs, _ := faults(configure(set)); !hasKey(errs, key) {
 			t.Errorf("%s: %v", key, errs)
 		}
 	}
--- a/internal/policy/config.go
+++ b/internal/policy/config.go
@@ -6,21 +6,22 @@
 	"pinedale/balancer"
 )
 
-// Timing is what may be set for a class, and again for a route of it. Zero and nil stand for what is not set.
+// Timing holds the settings that a class may have and that a route of the class may override. Zero and nil are settings
+// that are absent.
 type Timing struct {
-	Deadline       time.Duration // of a client's request, over all its retries
+	Deadline       time.Duration // of a client's request, including all retries
 	AttemptTimeout time.Duration
 	MaxAttempts    int
 	HedgeDelay     time.Duration // age of the first attempt at which a hedge is sent
 	Hedging        *bool
-	RetryRatio     *float64 // retries that each request earns
-	RetryBurst     *float64 // max retries that may be saved up
+	RetryRatio     *float64 // number of retries that each request earns
+	RetryBurst     *float64 // maximum number of retries that may be saved
 }
 
-// Values of Class.Clients: what clients of a class do by themselves.
+// Values of Class.Clients: the situations in which clients of a class retry by themselves.
 const (
-	ClientsRetryRejected = "refused" // they retry after a rejection
-	ClientsRetryFailed   = "failed"  // they retry after a rejection and after a failure
+	ClientsRetryRejected = "refused" // after a rejection
+	ClientsRetryFailed   = "failed"  // after a rejection and after a failure
 )
 
 // Class is one class of requests.
@@ -28,54 +29,60 @@
 	Timing
 	Name             string
 	Idempotency      balancer.Idempotency
-	Group            balancer.Group // of endpoints that deduplicate, for IdempotentWithKey
+	Group            balancer.Group // endpoints among which repeats are detected, for IdempotentWithKey
 	DedupWindow      time.Duration  // for IdempotentWithKey
 	LatencyObjective time.Duration
 	PriorityWeight   float64
-	LateWeightRatio  float64       // of PriorityWeight, after the objective has passed
-	HedgeQuantile    float64       // quantile of the class's latencies that stands for HedgeDelay, 0 for none
-	TypicalWork      time.Duration // service time of an ordinary request, 0 if unknown
+	LateWeightRatio  float64       // fraction of PriorityWeight after the latency objective has passed
+	HedgeQuantile    float64       // quantile of the class's latencies to use as HedgeDelay, 0 for none
+	TypicalWork      time.Duration // typical service time of a request, 0 if unknown
 	Clients          string        // ClientsRetryRejected, ClientsRetryFailed or ""
 	MaxInFlight      int           // 0 for no limit
-	BrownoutLevel    int           // classes with a higher number are shed first
+	BrownoutLevel    int           // classes with higher levels are shed first
 }
 
-// Route is one route. A matcher that is empty matches everything.
+// deduplicates reports whether endpoints drop repeats of the class within DedupWindow.
+func (k *Class) deduplicates() bool {
+	return k.Idempotency == balancer.IdempotentWithKey && k.DedupWindow > 0
+}
+
+// Route is one route. An empty matcher matches everything.
 type Route struct {
 	Timing
 	Name    string
 	Host    string
-	Path    string // exact
-	Prefix  string // up to a slash or the end of the path
+	Path    string // complete path
+	Prefix  string // beginning of the path, up to a slash or the end
 	Method  string
 	Headers map[string]string
 	Class   string
 	Pool    string
 }
 
-// Pool is a part of the fleet.
+// Pool is a subset of the fleet: the endpoints of some sites and kinds.
 type Pool struct {
-	Name         string
-	Sites, Kinds []string // empty for all
+	Name  string
+	Sites []string // empty for all
+	Kinds []string // empty for all
 }
 
 // Tenant is one tenant.
 type Tenant struct {
 	Name   string
-	Weight float64 // of its quota under overload
-	Open   int     // max requests in flight, 0 for no limit
+	Weight float64 // relative share of the rate under overload
+	Open   int     // maximum number of requests in flight, 0 for no limit
 }
 
-// Limits are those of the installation.
+// Limits are the limits of the installation.
 type Limits struct {
 	MaxAttempts  int
 	Hedging      bool
 	MaxDeadline  time.Duration
 	DialTimeout  time.Duration // timeout of a connection attempt
-	TimerSlack   time.Duration // by which timers may fire late
-	ClockError   float64       // ratio by which two clocks may run apart
-	DrainGrace   time.Duration // for which a draining endpoint still accepts requests
-	DrainTimeout time.Duration // after which a draining endpoint ends, 0 if unknown
+	TimerSlack   time.Duration // maximum delay of a timer
+	ClockError   float64       // maximum relative difference between the rates of two clocks
+	DrainGrace   time.Duration // how long a draining endpoint still accepts requests
+	DrainTimeout time.Duration // how long a draining endpoint runs, 0 if unknown
 }
 
 // Config is the operator's configuration.
@@ -88,8 +95,8 @@
 	Tenants []Tenant
 }
 
-// Effective is what applies to the requests of a route: the route's own settings, else the class's, else the
-// installation's.
+// Effective holds the settings for the requests of a class or route. Settings of the route override those of the class,
+// which override those of the installation.
 type Effective struct {
 	Class          *Class
 	Deadline       time.Duration
@@ -99,41 +106,49 @@
 	Hedging        bool
 }
 
-// Effective returns what applies to a class, and to a route of it if that is not nil.
+// Effective returns the settings for a class, or for a route of the class if route is not nil.
 func (c *Config) Effective(class *Class, route *Route) Effective {
-	e := Effective{
+	settings := Effective{
 		Class:       class,
 		Deadline:    class.Deadline,
 		MaxAttempts: c.Limits.MaxAttempts,
 		Hedging:     c.Limits.Hedging,
 	}
-	e.apply(&class.Timing, &c.Limits)
+	settings.override(&class.Timing, &c.Limits)
 	if route != nil {
-		e.apply(&route.Timing, &c.Limits)
+		settings.override(&route.Timing, &c.Limits)
+	}
+	return settings
+}
+
+// longestAttempt returns the maximum duration of one attempt.
+func (e *Effective) longestAttempt() time.Duration {
+	if e.AttemptTimeout > 0 {
+		return e.AttemptTimeout
 	}
-	return e
+	return e.Deadline
 }
 
-// apply overrides settings with those that are set in a timing.
-func (e *Effective) apply(t *Timing, l *Limits) {
-	if t.Deadline > 0 {
-		e.Deadline = t.Deadline
+// override replaces the settings that are present in a timing.
+func (e *Effective) override(timing *Timing, limits *Limits) {
+	if timing.Deadline > 0 {
+		e.Deadline = timing.Deadline
 	}
-	if t.AttemptTimeout > 0 {
-		e.AttemptTimeout = t.AttemptTimeout
+	if timing.AttemptTimeout > 0 {
+		e.AttemptTimeout = timing.AttemptTimeout
 	}
-	if t.MaxAttempts > 0 {
-		e.MaxAttempts = t.MaxAttempts
+	if timing.MaxAttempts > 0 {
+		e.MaxAttempts = timing.MaxAttempts
 	}
-	if t.HedgeDelay > 0 {
-		e.HedgeDelay = t.HedgeDelay
+	if timing.HedgeDelay > 0 {
+		e.HedgeDelay = timing.HedgeDelay
 	}
-	if t.Hedging != nil {
-		e.Hedging = *t.Hedging && l.Hedging
+	if timing.Hedging != nil {
+		e.Hedging = *timing.Hedging && limits.Hedging
 	}
 }
 
-// equal reports whether two timings set the same.
+// equal reports whether two timings have the same settings.
 func (t *Timing) equal(other *Timing) bool {
 	return t.Deadline == other.Deadline &&
 		t.AttemptTimeout == other.AttemptTimeout &&
--- a/internal/policy/doc.go
+++ b/internal/policy/doc.go
@@ -1,7 +1,7 @@
-// Package policy compiles the operator's routes and classes into an immutable table: which class a request belongs
-// to, and within which bounds the decision module may send, retry, hedge or reject it. It does no I/O and has no
-// clock.
+// Package policy compiles the operator's routes and classes into an immutable table. The table determines the class of
+// a request and the bounds within which the decision module may send, retry, hedge or reject it. The package does no
+// I/O and reads no clock.
 //
-// A configuration is compiled completely or not at all. Contradictions to a rule of a class are found by playing the
-// schedule that the configuration fixes (see Limits.Schedule) with timers, connections and clocks at their worst.
+// A configuration is compiled completely or not at all. A contradiction to a rule of a class is found by computing the
+// attempts that the configuration schedules (see Limits.Schedule) for the worst case of timers, connections and clocks.
 package policy
--- a/internal/policy/lookup.go
+++ b/internal/policy/lookup.go
@@ -5,7 +5,7 @@
 	"strings"
 )
 
-// Query is what is known of a request before its body.
+// Query holds the properties of a request that routes match.
 type Query struct {
 	Method string
 	Host   string // with or without port
@@ -13,36 +13,38 @@
 	Header map[string][]string
 }
 
-// Lookup returns the most specific route of a request: one that names the host before one that does not, an exact path
-// before a prefix, a longer prefix before a shorter one, one that names the method before one that does not, more
-// headers before fewer, then the order of the file. It allocates nothing for hosts in lower case.
+// Lookup returns the bounds of the most specific route that matches a request. A route with a host precedes one
+// without, an exact path precedes a prefix, a longer prefix a shorter one, a route with a method one without, more
+// headers fewer headers, and otherwise the order of the file decides. Lookup does not allocate memory if the host is in
+// lower case.
 func (t *Table) Lookup(q *Query) (*Bounds, bool) {
-	if e := t.lookup(q); e != nil {
-		return &e.Bounds, true
+	if entry := t.lookup(q); entry != nil {
+		return &entry.Bounds, true
 	}
 	return nil, false
 }
 
-// lookup returns the most specific route of a request, nil if there is none.
+// lookup returns the most specific route that matches a request, nil if there is none.
 func (t *Table) lookup(q *Query) *routeEntry {
 	if t.matchesHosts {
-		if e := t.lookupHost(hostName(q.Host), q); e != nil {
-			return e
+		if entry := t.lookupHost(hostName(q.Host), q); entry != nil {
+			return entry
 		}
 	}
 	return t.lookupHost("", q)
 }
 
-// lookupHost returns the most specific among the routes of one host, "" for those that name none.
+// lookupHost returns the most specific route that matches a request, among the routes with a host or, if host is empty,
+// those without.
 func (t *Table) lookupHost(host string, q *Query) *routeEntry {
 	key := routeKey{host: host, path: q.Path, exact: true}
-	if e := firstMatch(t.routes[key], q); e != nil {
-		return e
+	if entry := firstMatch(t.routes[key], q); entry != nil {
+		return entry
 	}
 	key.exact = false
 	for {
-		if e := firstMatch(t.routes[key], q); e != nil {
-			return e
+		if entry := firstMatch(t.routes[key], q); entry != nil {
+			return entry
 		}
 		slash := strings.LastIndexByte(key.path, '/')
 		if slash < 0 {
@@ -52,23 +54,24 @@
 	}
 }
 
+// firstMatch returns the first entry that matches a request, nil if there is none.
 func firstMatch(entries []*routeEntry, q *Query) *routeEntry {
-	for _, e := range entries {
-		if e.matches(q) {
-			return e
+	for _, entry := range entries {
+		if entry.matches(q) {
+			return entry
 		}
 	}
 	return nil
 }
 
-// matches reports whether a request has the method and the headers of a route.
+// matches reports whether a request has the method and the headers of the route.
 func (e *routeEntry) matches(q *Query) bool {
 	if e.method != "" && e.method != q.Method {
 		return false
 	}
 	for i := range e.headers {
-		h := &e.headers[i]
-		if values := q.Header[h.name]; len(values) != 1 || values[0] != h.value {
+		required := &e.headers[i]
+		if values := q.Header[required.name]; len(values) != 1 || values[0] != required.value {
 			return false
 		}
 	}
@@ -88,8 +91,8 @@
 	return host
 }
 
-// IsAmbiguousPath reports whether a path could be read in two ways, here and by an endpoint: it has empty segments, or some
-// that refer to themselves or to their parent.
+// IsAmbiguousPath reports whether an endpoint may interpret a path differently: it has empty segments, or segments that
+// refer to themselves or to their parent.
 func IsAmbiguousPath(path string) bool {
 	return strings.Contains(path, "//") || strings.Contains(path, "/./") || strings.Contains(path, "/../") ||
 		strings.HasSuffix(path, "/.") || strings.HasSuffix(path, "/..")
@@ -99,44 +102,48 @@
 func Canonical(name string) string {
 	canonical := []byte(name)
 	upper := true
-	for i, c := range canonical {
+	for i, char := range canonical {
 		switch {
-		case upper && 'a' <= c && c <= 'z':
-			canonical[i] = c - 'a' + 'A'
-		case !upper && 'A' <= c && c <= 'Z':
-			canonical[i] = c - 'A' + 'a'
+		case upper && 'a' <= char && char <= 'z':
+			canonical[i] = char - 'a' + 'A'
+		case !upper && 'A' <= char && char <= 'Z':
+			canonical[i] = char - 'A' + 'a'
 		}
-		upper = c == '-'
+		upper = char == '-'
 	}
 	return string(canonical)
 }
 
-// Reason is why a route got a request or did not.
+// Reason is the reason why a route was selected for a request or not.
 type Reason struct {
-	Route int // index in Config.Routes
-	Taken bool
+	Route int  // index in Config.Routes
+	Taken bool // the route was selected
 	Text  string
 }
 
 // Explain returns the reason for each route, in the order of the file.
 func (t *Table) Explain(q *Query) (reasons []Reason) {
-	taken := t.lookup(q)
+	selected := t.lookup(q)
 	for i := range t.config.Routes {
-		if taken != nil && taken.route == i {
-			reasons = append(reasons, Reason{Route: i, Taken: true, Text: "it matches, and none is more specific"})
-			continue
-		}
-		text := t.config.Routes[i].mismatch(q)
-		if text == "" {
-			text = fmt.Sprintf("it matches, and route[%d] is more specific or stands before it", taken.route)
-		}
-		reasons = append(reasons, Reason{Route: i, Text: text})
+		reasons = append(reasons, t.explainRoute(i, selected, q))
 	}
 	return reasons
 }
 
-// mismatch returns which matcher of a route does not fit a request, "" if all do. It does not share code with Lookup,
-// which searches by request, so that tests hold one against the other.
+// explainRoute returns the reason for the route of an index. selected is the selected route, nil for none.
+func (t *Table) explainRoute(index int, selected *routeEntry, q *Query) Reason {
+	if selected != nil && selected.route == index {
+		return Reason{Route: index, Taken: true, Text: "it matches, and none is more specific"}
+	}
+	text := t.config.Routes[index].mismatch(q)
+	if text == "" {
+		text = fmt.Sprintf("it matches, and route[%d] is more specific or stands before it", selected.route)
+	}
+	return Reason{Route: index, Text: text}
+}
+
+// mismatch describes the first matcher of a route that does not match a request, "" if all match. It shares no code
+// with Lookup, so that tests can compare the two.
 func (r *Route) mismatch(q *Query) string {
 	if r.Host != "" && r.Host != hostName(q.Host) {
 		return fmt.Sprintf("the host is %q, not %q", hostName(q.Host), r.Host)
@@ -152,9 +159,11 @@
 		return fmt.Sprintf("the method is %s, not %s", q.Method, r.Method)
 	}
 	for name, value := range r.Headers {
-		if values := q.Header[Canonical(name)]; len(values) != 1 {
+		values := q.Header[Canonical(name)]
+		if len(values) != 1 {
 			return fmt.Sprintf("the header %s is there %d times, must be once", name, len(values))
-		} else if values[0] != value {
+		}
+		if values[0] != value {
 			return fmt.Sprintf("the header %s is %q, not %q", name, values[0], value)
 		}
 	}
--- a/internal/policy/lookup_test.go
+++ b/internal/policy/lookup_test.go
@@ -9,67 +9,80 @@
 	"pgregory.net/rapid"
 )
 
-// linearSearch finds a request's route among all, ranked as the documentation says.
-func linearSearch(c *Config, q *Query) int {
+// rank returns the numbers by which the documentation ranks routes, the most important first.
+func (r *Route) rank() []int {
+	presence := func(matcher string) int { return min(len(matcher), 1) }
+	return []int{
+		presence(r.Host),
+		presence(r.Path),
+		len(strings.TrimSuffix(r.Prefix, "/")),
+		presence(r.Method),
+		len(r.Headers),
+	}
+}
+
+// fits reports whether all matchers of a route match a request.
+func (r *Route) fits(q *Query) bool {
+	host, _, _ := strings.Cut(strings.ToLower(q.Host), ":")
+	if r.Host != "" && r.Host != host {
+		return false
+	}
+	if r.Path != "" && r.Path != q.Path || r.Method != "" && r.Method != q.Method {
+		return false
+	}
+	prefix := strings.TrimSuffix(r.Prefix, "/")
+	if prefix != "" && q.Path != prefix && !strings.HasPrefix(q.Path, prefix+"/") {
+		return false
+	}
+	for name, value := range r.Headers {
+		if !slices.Equal(q.Header[Canonical(name)], []string{value}) {
+			return false
+		}
+	}
+	return true
+}
+
+// linearSearch returns the index of the route of a request, -1 for none. It compares all routes.
+func linearSearch(config *Config, q *Query) int {
 	best := -1
-	rank := func(r *Route) [5]int {
-		out := [5]int{0, 0, len(strings.TrimSuffix(r.Prefix, "/")), 0, len(r.Headers)}
-		if r.Host != "" {
-			out[0] = 1
-		}
-		if r.Path != "" {
-			out[1] = 1
-		}
-		if r.Method != "" {
-			out[3] = 1
-		}
-		return out
-	}
-	for i := range c.Routes {
-		r := &c.Routes[i]
-		host, _, _ := strings.Cut(strings.ToLower(q.Host), ":")
-		prefix := strings.TrimSuffix(r.Prefix, "/")
-		fits := (r.Host == "" || r.Host == host) && (r.Path == "" || r.Path == q.Path) &&
-			(prefix == "" || q.Path == prefix || strings.HasPrefix(q.Path, prefix+"/")) &&
-			(r.Method == "" || r.Method == q.Method)
-		for name, value := range r.Headers {
-			fits = fits && slices.Equal(q.Header[Canonical(name)], []string{value})
-		}
-		if fits && (best < 0 || slices.Compare(slices.Clone(sliceOf(rank(r))), sliceOf(rank(&c.Routes[best]))) > 0) {
+	for i := range config.Routes {
+		route := &config.Routes[i]
+		if !route.fits(q) {
+			continue
+		}
+		if best < 0 || slices.Compare(route.rank(), config.Routes[best].rank()) > 0 {
 			best = i
 		}
 	}
 	return best
 }
 
-func sliceOf(a [5]int) []int { return a[:] }
-
-func drawRoutes(t *rapid.T, c *Config) {
+// drawRoutes adds random routes to a configuration.
+func drawRoutes(t *rapid.T, config *Config) {
 	for i := range rapid.IntRange(0, 12).Draw(t, "routes") {
-		r := Route{
-			Class:  c.Classes[rapid.IntRange(0, 3).Draw(t, "class")].Name,
-			Name:   fmt.Sprint(i),
-			Host:   rapid.SampledFrom([]string{"", "", "a.example", "b.example"}).Draw(t, "host"),
-			Method: rapid.SampledFrom([]string{"", "", "GET", "POST"}).Draw(t, "method"),
+		route := Route{
+			Class:   config.Classes[rapid.IntRange(0, 3).Draw(t, "class")].Name,
+			Name:    fmt.Sprint(i),
+			Host:    rapid.SampledFrom([]string{"", "", "a.example", "b.example"}).Draw(t, "host"),
+			Method:  rapid.SampledFrom([]string{"", "", "GET", "POST"}).Draw(t, "method"),
+			Headers: map[string]string{},
 		}
 		path := rapid.SampledFrom([]string{"", "/", "/a", "/a/b", "/a/b/c", "/ab"}).Draw(t, "path")
 		if rapid.Bool().Draw(t, "exact") && path != "" {
-			r.Path = path
+			route.Path = path
 		} else {
-			r.Prefix = path
+			route.Prefix = path
 		}
-		for _, h := range []string{"x-tier", "X-Kind"} {
+		for _, header := range []string{"x-tier", "X-Kind"} {
 			if rapid.IntRange(0, 3).Draw(t, "header") == 0 {
-				if r.Headers == nil {
-					r.Headers = map[string]string{}
-				}
-				r.Headers[h] = rapid.SampledFrom([]string{"1", "2"}).Draw(t, "value")
+				route.Headers[header] = rapid.SampledFrom([]string{"1", "2"}).Draw(t, "value")
 			}
 		}
-		c.Routes = append(c.Routes, r)
+		config.Routes = append(config.Routes, route)
 	}
 }
 
+// drawQuery draws a request, which may have a header several times.
 func drawQuery(t *rapid.T) *Query {
 	hosts := []string{"a.example", "A.Example:8080", "c.example", ""}
 	paths := []string{"/", "/a", "/a/", "/a/b", "/a/b/c", "/a/b/c/d", "/ab", "/abc", "/x"}
@@ -79,60 +92,68 @@
 		Host:   rapid.SampledFrom(hosts).Draw(t, "request host"),
 		Path:   rapid.SampledFrom(paths).Draw(t, "request path"),
 	}
-	for _, h := range []string{"X-Tier", "X-Kind"} {
-		if n := rapid.IntRange(0, 2).Draw(t, "times"); n > 0 {
-			for range n {
-				q.Header[h] = append(q.Header[h], rapid.SampledFrom([]string{"1", "2"}).Draw(t, "request value"))
-			}
+	for _, header := range []string{"X-Tier", "X-Kind"} {
+		for range rapid.IntRange(0, 2).Draw(t, "times") {
+			value := rapid.SampledFrom([]string{"1", "2"}).Draw(t, "request value")
+			q.Header[header] = append(q.Header[header], value)
 		}
 	}
 	return q
 }
 
-// Lookup finds the route that a linear search finds, and Explain agrees on each route.
+// Lookup selects the route that a linear search finds, and Explain agrees on each route.
 func TestLookupMatchesLinearSearch(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := marketConfig()
-		drawRoutes(t, c)
-		table, all := Compile(c, nil)
-		if table == nil { // overlapping routes: the linear search can't tell them apart either
-			if !slices.ContainsFunc(all, func(f Fault) bool { return strings.Contains(f.Reason, "rule overlap") }) {
-				t.Fatalf("rejected for %v", all)
+		config := marketConfig()
+		drawRoutes(t, config)
+		table, compileFaults := Compile(config, nil)
+		if table == nil { // overlapping routes, between which a linear search cannot decide either
+			isOverlap := func(f Fault) bool { return strings.Contains(f.Reason, "rule overlap") }
+			if !slices.ContainsFunc(compileFaults, isOverlap) {
+				t.Fatalf("rejected for %v", compileFaults)
 			}
 			return
 		}
 		for range 20 {
 			q := drawQuery(t)
-			want := linearSearch(c, q)
+			want := linearSearch(config, q)
 			got, ok := table.Lookup(q)
-			if ok != (want >= 0) || ok && got.ClassName != c.Routes[want].Class {
-				t.Fatalf("%+v: %+v, want route %d of %+v", q, got, want, c.Routes)
-			}
-			for i, r := range table.Explain(q) {
-				fits := c.Routes[i].mismatch(q) == ""
-				// A route that is never reached may be given for its twin.
-				if r.Route != i || !r.Taken && r.Text == "" ||
-					r.Taken && (!fits || c.Routes[i].Class != c.Routes[want].Class) {
-					t.Fatalf("%+v: %+v, want route %d", q, r, want)
-				}
+			if ok != (want >= 0) || ok && got.ClassName != config.Routes[want].Class {
+				t.Fatalf("%+v: %+v, want route %d of %+v", q, got, want, config.Routes)
 			}
+			checkExplanation(t, table, q, want)
 		}
 	})
 }
 
+// checkExplanation checks that Explain gives a reason for each route, and selects a route that matches and has the
+// class of the wanted one. If two routes have the same matchers, it may select either.
+func checkExplanation(t *rapid.T, table *Table, q *Query, want int) {
+	routes := table.Config().Routes
+	for i, reason := range table.Explain(q) {
+		valid := reason.Text != ""
+		if reason.Taken {
+			valid = routes[i].mismatch(q) == "" && routes[i].Class == routes[want].Class
+		}
+		if reason.Route != i || !valid {
+			t.Fatalf("%+v: %+v, want route %d", q, reason, want)
+		}
+	}
+}
+
 // manyRoutes returns a table of n routes, and a request for each.
 func manyRoutes(n int) (*Table, []*Query) {
-	c := marketConfig()
+	config := marketConfig()
 	var queries []*Query
 	for i := range n {
-		r := Route{Class: c.Classes[i%4].Name, Prefix: fmt.Sprintf("/shop/%d/items", i)}
+		route := Route{Class: config.Classes[i%4].Name, Prefix: fmt.Sprintf("/shop/%d/items", i)}
 		if i%3 == 0 {
-			r.Host = fmt.Sprintf("h%d.example", i%50)
+			route.Host = fmt.Sprintf("h%d.example", i%50)
 		}
 		if i%5 == 0 {
-			r.Headers = map[string]string{"X-Tier": "gold"}
+			route.Headers = map[string]string{"X-Tier": "gold"}
 		}
-		c.Routes = append(c.Routes, r)
+		config.Routes = append(config.Routes, route)
 		queries = append(queries, &Query{
 			Method: "GET",
 			Host:   fmt.Sprintf("h%d.example:80", i%50),
@@ -140,24 +161,29 @@
 			Header: map[string][]string{"X-Tier": {"gold"}},
 		})
 	}
-	t, all := Compile(c, nil)
-	if t == nil {
-		panic(fmt.Sprint(all))
+	table, compileFaults := Compile(config, nil)
+	if table == nil {
+		panic(fmt.Sprint(compileFaults))
 	}
-	return t, queries
+	return table, queries
 }
 
-// Lookup among 10,000 routes finds the right one and allocates nothing.
-func TestLookupOfManyRoutesAllocatesNothing(t *testing.T) {
+// Lookup among 10,000 routes finds the matching one and does not allocate memory.
+func TestLookupOfManyRoutesDoesNotAllocate(t *testing.T) {
 	table, queries := manyRoutes(10_000)
+	classes := marketConfig().Classes
 	for i, q := range queries {
-		if b, ok := table.Lookup(q); !ok || b.ClassName != marketConfig().Classes[i%4].Name {
-			t.Fatalf("request %d: %+v", i, b)
+		if bounds, ok := table.Lookup(q); !ok || bounds.ClassName != classes[i%4].Name {
+			t.Fatalf("request %d: %+v", i, bounds)
 		}
 	}
-	i := 0
-	if n := testing.AllocsPerRun(10_000, func() { table.Lookup(queries[i%len(queries)]); i++ }); n != 0 {
-		t.Errorf("%v allocations", n)
+	index := 0
+	allocations := testing.AllocsPerRun(10_000, func() {
+		table.Lookup(queries[index%len(queries)])
+		index++
+	})
+	if allocations != 0 {
+		t.Errorf("%v allocations", allocations)
 	}
 	if n := len(table.Rows()); n != 10_004 {
 		t.Errorf("%d rows", n)
@@ -169,15 +195,16 @@
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			table, queries := manyRoutes(n)
 			b.ReportAllocs()
-			i := 0
+			index := 0
 			for b.Loop() {
-				table.Lookup(queries[i%n])
-				i++
+				table.Lookup(queries[index%n])
+				index++
 			}
 		})
 	}
 }
 
+// For any request, Lookup returns a route if and only if Explain selects exactly one.
 func FuzzLookup(f *testing.F) {
 	table, _ := manyRoutes(100)
 	f.Add("GET", "h3.example:80", "/shop/3/items/7", "gold")
@@ -185,23 +212,29 @@
 	f.Add("POST", ":", "//..//", "\x00")
 	f.Fuzz(func(t *testing.T, method, host, path, tier string) {
 		q := &Query{Method: method, Host: host, Path: path, Header: map[string][]string{"X-Tier": {tier}}}
-		b, ok := table.Lookup(q)
-		taken := 0
-		for _, r := range table.Explain(q) {
-			if r.Taken {
-				taken++
+		bounds, ok := table.Lookup(q)
+		selected := 0
+		for _, reason := range table.Explain(q) {
+			if reason.Taken {
+				selected++
 			}
 		}
-		if ok != (b != nil) || ok != (taken == 1) {
-			t.Errorf("%v, %d taken", b, taken)
+		if ok != (bounds != nil) || ok != (selected == 1) {
+			t.Errorf("%v, %d selected", bounds, selected)
 		}
 	})
 }
 
-func TestCanonicalHeaderName(t *testing.T) {
-	for in, want := range map[string]string{"x-tier": "X-Tier", "X-TIER": "X-Tier", "": "", "a": "A", "x--y": "X--Y"} {
-		if got := Canonical(in); got != want {
-			t.Errorf("%q: %q, want %q", in, got, want)
+func TestCanonicalCapitalizesEachWord(t *testing.T) {
+	for name, want := range map[string]string{
+		"x-tier": "X-Tier",
+		"X-TIER": "X-Tier",
+		"":       "",
+		"a":      "A",
+		"x--y":   "X--Y",
+	} {
+		if got := Canonical(name); got != want {
+			t.Errorf("%q: %q, want %q", name, got, want)
 		}
 	}
 }
--- a/internal/policy/rows.go
+++ b/internal/policy/rows.go
@@ -9,9 +9,9 @@
 	"pinedale/balancer"
 )
 
-// Row is one line of a table as it is shown to the operator.
+// Row is one line of a table in the form that is shown to the operator.
 type Row struct {
-	Route          string  `json:"route"` // "" for a class by itself
+	Route          string  `json:"route"` // "" for the row of a class
 	Match          string  `json:"match"`
 	Class          string  `json:"class"`
 	Pool           string  `json:"pool,omitempty"`
@@ -26,56 +26,65 @@
 
 // Rows returns the complete table: the classes first, then the routes in the order of the file.
 func (t *Table) Rows() (rows []Row) {
-	for _, class := range t.config.Classes {
-		row := t.row(t.classBounds[class.Name])
-		if class.HedgeQuantile > 0 {
-			row.HedgeDelay = fmt.Sprintf("quantile %v", class.HedgeQuantile)
-		}
-		rows = append(rows, row)
+	for i := range t.config.Classes {
+		rows = append(rows, t.classRow(&t.config.Classes[i]))
 	}
 	routes := make([]Row, len(t.config.Routes))
 	for _, entries := range t.routes {
-		for _, e := range entries {
-			r := &t.config.Routes[e.route]
-			row := t.row(&e.Bounds)
-			row.Route = r.Name
-			if r.Name == "" {
-				row.Route = fmt.Sprintf("route[%d]", e.route)
-			}
-			row.Match, row.Pool = r.match(), r.Pool
-			routes[e.route] = row
+		for _, entry := range entries {
+			routes[entry.route] = t.routeRow(entry)
 		}
 	}
 	return append(rows, routes...)
 }
 
-// row returns the part of a row that follows from bounds.
-func (t *Table) row(b *Bounds) Row {
+func (t *Table) classRow(class *Class) Row {
+	row := t.row(t.classBounds[class.Name])
+	if class.HedgeQuantile > 0 {
+		row.HedgeDelay = fmt.Sprintf("quantile %v", class.HedgeQuantile)
+	}
+	return row
+}
+
+func (t *Table) routeRow(entry *routeEntry) Row {
+	route := &t.config.Routes[entry.route]
+	row := t.row(&entry.Bounds)
+	row.Route = route.Name
+	if route.Name == "" {
+		row.Route = fmt.Sprintf("route[%d]", entry.route)
+	}
+	row.Match = route.match()
+	row.Pool = route.Pool
+	return row
+}
+
+// row returns a row with the columns that are derived from bounds.
+func (t *Table) row(bounds *Bounds) Row {
 	budget := balancer.RetryBudget{EarnRatio: defaultRetryRatio, Burst: defaultRetryBurst}
-	if b.Budget > 0 {
-		budget = t.budgets[b.Budget-1]
+	if bounds.Budget > 0 {
+		budget = t.budgets[bounds.Budget-1]
 	}
 	return Row{
-		Class:          b.ClassName,
-		Deadline:       durationText(b.Deadline),
-		AttemptTimeout: durationText(b.AttemptTimeout),
-		Attempts:       b.MaxAttempts,
-		HedgeDelay:     durationText(b.HedgeDelay),
-		Hedging:        !b.NoHedging,
+		Class:          bounds.ClassName,
+		Deadline:       durationText(bounds.Deadline),
+		AttemptTimeout: durationText(bounds.AttemptTimeout),
+		Attempts:       bounds.MaxAttempts,
+		HedgeDelay:     durationText(bounds.HedgeDelay),
+		Hedging:        !bounds.NoHedging,
 		RetryRatio:     budget.EarnRatio,
 		RetryBurst:     budget.Burst,
 	}
 }
 
 // durationText returns a duration as text, "" for 0.
-func durationText(d balancer.Micros) string {
-	if d == 0 {
+func durationText(duration balancer.Micros) string {
+	if duration == 0 {
 		return ""
 	}
-	return (time.Duration(d) * time.Microsecond).String()
+	return (time.Duration(duration) * time.Microsecond).String()
 }
 
-// match returns a route's matchers on one line.
+// match returns a route's matchers on one line, the method and the path first.
 func (r *Route) match() string {
 	var parts []string
 	if r.Method != "" {
--- a/internal/policy/schedule.go
+++ b/internal/policy/schedule.go
@@ -5,65 +5,68 @@
 	"time"
 )
 
-// ScheduledRepeat is the latest time at which a further attempt at the same effect may reach an endpoint, counted from
-// the sending of the first attempt.
+// ScheduledRepeat is a repeat of a request that a configuration may schedule.
 type ScheduledRepeat struct {
 	Description string
-	Key         string // of the setting that fixes it
-	At          time.Duration
+	Key         string        // of the setting that determines At
+	At          time.Duration // latest time after the first attempt at which it may reach an endpoint
 }
 
-// Schedule returns the repeats that a configuration fixes: attempts that follow each other's timeouts, a hedge, and
-// clients that retry. Retries after failures in between are bounded by the module alone, which counts by its own clock
-// from its own sends.
-func (l *Limits) Schedule(e Effective) (repeats []ScheduledRepeat) {
-	if e.AttemptTimeout > 0 {
-		repeats = l.scheduledAttempts(e)
+// Schedule returns the repeats that a configuration schedules: attempts after timeouts, a hedge, and retries of
+// clients. Retries after failures are not included, because the decision module bounds them by its own clock.
+func (l *Limits) Schedule(settings Effective) (repeats []ScheduledRepeat) {
+	if settings.AttemptTimeout > 0 {
+		repeats = l.scheduledAttempts(settings)
 	}
-	if e.schedulesHedge() {
+	if settings.schedulesHedge() {
 		repeats = append(repeats, ScheduledRepeat{
 			Description: "a second copy",
 			Key:         "copy_after",
-			At:          e.HedgeDelay + l.TimerSlack + l.DialTimeout,
+			At:          settings.HedgeDelay + l.TimerSlack + l.DialTimeout,
 		})
 	}
-	if e.Class.Clients == ClientsRetryFailed {
+	if settings.Class.Clients == ClientsRetryFailed {
 		repeats = append(repeats, ScheduledRepeat{
-			Description: fmt.Sprintf("a client that comes again within its %v", e.Deadline),
+			Description: fmt.Sprintf("a client that comes again within its %v", settings.Deadline),
 			Key:         "deadline",
-			At:          e.Deadline + l.TimerSlack + l.DialTimeout,
+			At:          settings.Deadline + l.TimerSlack + l.DialTimeout,
 		})
 	}
 	return repeats
 }
 
-// scheduledAttempts returns the attempts that follow a timeout. None begins after the deadline.
-func (l *Limits) scheduledAttempts(e Effective) (repeats []ScheduledRepeat) {
-	for timeouts := 1; timeouts < e.MaxAttempts; timeouts++ {
-		at := time.Duration(timeouts) * (e.AttemptTimeout + l.TimerSlack)
-		if at >= e.Deadline {
+// scheduledAttempts returns the attempts after timeouts. None begins after the deadline.
+func (l *Limits) scheduledAttempts(settings Effective) (repeats []ScheduledRepeat) {
+	timeout := settings.AttemptTimeout
+	for timeouts := 1; timeouts < settings.MaxAttempts; timeouts++ {
+		start := time.Duration(timeouts) * (timeout + l.TimerSlack)
+		if start >= settings.Deadline {
 			break
 		}
-		description := fmt.Sprintf("attempt %d, after %d time-outs of %v", timeouts+1, timeouts, e.AttemptTimeout)
-		repeats = append(repeats, ScheduledRepeat{Description: description, Key: "try_for", At: at + l.DialTimeout})
+		repeats = append(repeats, ScheduledRepeat{
+			Description: fmt.Sprintf("attempt %d, after %d time-outs of %v", timeouts+1, timeouts, timeout),
+			Key:         "try_for",
+			At:          start + l.DialTimeout,
+		})
 	}
 	return repeats
 }
 
-// schedulesHedge reports whether a hedge can be sent before the first attempt ends.
+// schedulesHedge reports whether a hedge may be sent while the first attempt is in flight.
 func (e *Effective) schedulesHedge() bool {
-	beforeTimeout := e.AttemptTimeout == 0 || e.HedgeDelay < e.AttemptTimeout
-	return e.HedgeDelay > 0 && e.Hedging && e.MaxAttempts > 1 && e.HedgeDelay < e.Deadline && beforeTimeout
+	if e.HedgeDelay <= 0 || !e.Hedging || e.MaxAttempts <= 1 {
+		return false
+	}
+	return e.HedgeDelay < e.Deadline && (e.AttemptTimeout == 0 || e.HedgeDelay < e.AttemptTimeout)
 }
 
-// certainWindow returns the part of a deduplication window, by this side's clock, within which an endpoint certainly
-// drops a repeat.
+// certainWindow returns the time by the local clock in which an endpoint drops repeats even if its clock runs faster.
 func (l *Limits) certainWindow(window time.Duration) time.Duration {
 	return time.Duration(float64(window) / (1 + l.ClockError))
 }
 
-// moduleWindow returns the deduplication window that the module is given: what it sends within it reaches the endpoint
-// in time even if the connection takes as long as it may.
+// moduleWindow returns the deduplication window for the decision module. A repeat that it sends within this window
+// reaches the endpoint in time even if the connection attempt takes the maximum time.
 func (l *Limits) moduleWindow(window time.Duration) time.Duration {
 	return l.certainWindow(window) - l.DialTimeout - l.TimerSlack
 }
--- a/internal/policy/table.go
+++ b/internal/policy/table.go
@@ -7,7 +7,7 @@
 	"pinedale/internal/admission"
 )
 
-// Bounds is what the requests of a route or class bring to the decision module.
+// Bounds holds the settings of a class or route that the decision module gets with each request.
 type Bounds struct {
 	Class            uint8
 	Deadline         balancer.Micros
@@ -19,7 +19,7 @@
 	Pool             uint8  // number of the pool from 1, 0 for all endpoints
 	ClassName        string
 	Idempotency      balancer.Idempotency
-	RestrictsMethods bool // the route names a method
+	RestrictsMethods bool // the route matches one method only
 }
 
 // Table is a compiled configuration. It is immutable and may be shared.
@@ -27,96 +27,108 @@
 	Version string
 
 	config       *Config
-	classes      []balancer.Class // by number, with those of earlier tables, which are retired
-	budgets      []balancer.RetryBudget
-	budgetOwners []string // of the budgets
-	classBounds  map[string]*Bounds
+	classes      []balancer.Class           // by number; those of earlier tables are retired
+	budgets      []balancer.RetryBudget     // by number - 1, including those of earlier tables
+	budgetOwners []string                   // by number - 1, see budgetOwner
+	classBounds  map[string]*Bounds         // by class name
 	routes       map[routeKey][]*routeEntry // the most specific first
-	matchesHosts bool                       // some route names a host
-	tenants      []string                   // by number, with those of earlier tables
-	pools        []string                   // by bit, with those of earlier tables
-	tenantNumber map[string]uint16
+	matchesHosts bool                       // at least one route matches a host
+	tenants      []string                   // names by number, including those of earlier tables
+	pools        []string                   // names by bit, including those of earlier tables
+	tenantNumber map[string]uint16          // by name
 }
 
-// routeKey is what routes are looked up by.
+// routeKey is the key under which routes are found.
 type routeKey struct {
 	host  string // "" for any
 	path  string
-	exact bool // path is the whole path, not a prefix
+	exact bool // path is the complete path, not a prefix
 }
 
 // routeEntry is one route of a table.
 type routeEntry struct {
 	Bounds
-	route   int // index in Config.Routes
-	method  string
-	headers []header // by name
+	route   int      // index in Config.Routes
+	method  string   // "" for any
+	headers []header // sorted by name
 }
 
+// header is a header matcher of a route, with the canonical name.
 type header struct{ name, value string }
 
-// Classes returns the classes of the module, retired ones included.
+// Classes returns the classes for the decision module by number, including retired ones.
 func (t *Table) Classes() []balancer.Class { return t.classes }
 
-// Budgets returns the retry budgets of the module.
+// Budgets returns the retry budgets for the decision module by number - 1.
 func (t *Table) Budgets() []balancer.RetryBudget { return t.budgets }
 
 // Config returns the configuration that the table was compiled from.
 func (t *Table) Config() *Config { return t.config }
 
-// HasRoutes reports whether there are routes. Without, a request names its class itself.
+// HasRoutes reports whether there are routes. Without routes, requests contain the names of their classes.
 func (t *Table) HasRoutes() bool { return len(t.config.Routes) > 0 }
 
 // ForEachBounds calls f for the bounds of each class and route.
 func (t *Table) ForEachBounds(f func(*Bounds)) {
-	for _, b := range t.classBounds {
-		f(b)
+	for _, bounds := range t.classBounds {
+		f(bounds)
 	}
 	for _, entries := range t.routes {
-		for _, e := range entries {
-			f(&e.Bounds)
+		for _, entry := range entries {
+			f(&entry.Bounds)
 		}
 	}
 }
 
 // ClassBounds returns the bounds of a class by its name.
 func (t *Table) ClassBounds(name string) (*Bounds, bool) {
-	b, ok := t.classBounds[name]
-	return b, ok
+	bounds, ok := t.classBounds[name]
+	return bounds, ok
 }
 
-// Tenant returns a tenant's number.
+// Tenant returns the number of a tenant by its name.
 func (t *Table) Tenant(name string) (uint16, bool) {
-	n, ok := t.tenantNumber[name]
-	return n, ok
+	number, ok := t.tenantNumber[name]
+	return number, ok
 }
 
-// Tenants returns the number of tenants.
+// Tenants returns the number of configured tenants.
 func (t *Table) Tenants() int { return len(t.config.Tenants) }
 
-// Admission returns the configuration of admission control, by the numbers of tenants and classes.
+// Admission returns the configuration of admission control. Its tenants and classes have the numbers of the table.
 func (t *Table) Admission(rate float64) admission.Config {
-	out := admission.Config{Rate: rate, Classes: make([]admission.Class, len(t.classes))}
+	config := admission.Config{
+		Rate:    rate,
+		Classes: make([]admission.Class, len(t.classes)),
+	}
 	if len(t.config.Tenants) > 0 {
-		out.Tenants = make([]admission.Tenant, len(t.tenants))
+		config.Tenants = make([]admission.Tenant, len(t.tenants))
 	}
 	for _, tenant := range t.config.Tenants {
-		out.Tenants[t.tenantNumber[tenant.Name]] = admission.Tenant{Weight: tenant.Weight, MaxInFlight: tenant.Open}
+		number := t.tenantNumber[tenant.Name]
+		config.Tenants[number] = admission.Tenant{Weight: tenant.Weight, MaxInFlight: tenant.Open}
 	}
 	for _, class := range t.config.Classes {
 		number := t.classBounds[class.Name].Class
-		out.Classes[number] = admission.Class{MaxInFlight: class.MaxInFlight, BrownoutLevel: class.BrownoutLevel}
+		config.Classes[number] = admission.Class{MaxInFlight: class.MaxInFlight, BrownoutLevel: class.BrownoutLevel}
 	}
-	return out
+	return config
 }
 
-// Pools returns one bit for each pool that an endpoint of this site and kind belongs to.
+// Pools returns the bits of all pools that contain an endpoint of a site and kind.
 func (t *Table) Pools(site, kind string) (bits uint64) {
-	for _, p := range t.config.Pools {
-		inSite := len(p.Sites) == 0 || slices.Contains(p.Sites, site)
-		if inSite && (len(p.Kinds) == 0 || slices.Contains(p.Kinds, kind)) {
-			bits |= 1 << slices.Index(t.pools, p.Name)
+	for i := range t.config.Pools {
+		pool := &t.config.Pools[i]
+		if pool.contains(site, kind) {
+			bits |= 1 << slices.Index(t.pools, pool.Name)
 		}
 	}
 	return bits
 }
+
+// contains reports whether endpoints of a site and kind belong to the pool.
+func (p *Pool) contains(site, kind string) bool {
+	containsSite := len(p.Sites) == 0 || slices.Contains(p.Sites, site)
+	containsKind := len(p.Kinds) == 0 || slices.Contains(p.Kinds, kind)
+	return containsSite && containsKind
+}
--- a/internal/policy/table_test.go
+++ b/internal/policy/table_test.go
@@ -10,41 +10,52 @@
 	"pinedale/balancer"
 )
 
-// Numbers of classes, budgets, tenants and pools stay what they are over reloads.
-func TestNumbersStayAcrossReloads(t *testing.T) {
-	a := marketConfig()
-	a.Classes[classPay].RetryRatio = ptr(0.5)
-	a.Tenants = []Tenant{{Name: "x", Weight: 1}, {Name: "y", Weight: 1}}
-	a.Pools = []Pool{{Name: "p", Kinds: []string{"big"}}, {Name: "q", Sites: []string{"dar"}}}
-	first, _ := Compile(a, nil)
-	b := marketConfig()
-	b.Classes = slices.Delete(b.Classes, classPrices, classPrices+1) // one is removed
-	b.Classes[0].DedupWindow = 2 * time.Second                       // one is changed
-	b.Classes = append(b.Classes, Class{
+// firstReload and secondReload return two versions of a file. In the second one a class is removed, one is changed and
+// one is added, and tenants and pools are replaced.
+func firstReload() *Config {
+	config := marketConfig()
+	config.Classes[classPay].RetryRatio = ptr(0.5)
+	config.Tenants = []Tenant{{Name: "x", Weight: 1}, {Name: "y", Weight: 1}}
+	config.Pools = []Pool{{Name: "p", Kinds: []string{"big"}}, {Name: "q", Sites: []string{"dar"}}}
+	return config
+}
+
+func secondReload() *Config {
+	config := marketConfig()
+	config.Classes = slices.Delete(config.Classes, classPrices, classPrices+1)
+	config.Classes[0].DedupWindow = 2 * time.Second
+	config.Classes[0].RetryRatio = ptr(0.1)
+	config.Classes = append(config.Classes, Class{
 		Name:             "new",
 		Timing:           Timing{Deadline: time.Second, RetryBurst: ptr(3.0)},
 		LatencyObjective: 500 * ms,
 	})
-	b.Classes[0].RetryRatio = ptr(0.1)
-	b.Tenants = []Tenant{{Name: "z", Weight: 1}, {Name: "y", Weight: 2}}
-	b.Pools = []Pool{{Name: "q", Sites: []string{"arusha"}}}
-	second, all := Compile(b, first)
+	config.Tenants = []Tenant{{Name: "z", Weight: 1}, {Name: "y", Weight: 2}}
+	config.Pools = []Pool{{Name: "q", Sites: []string{"arusha"}}}
+	return config
+}
+
+// Classes, budgets, tenants and pools keep their numbers when files are reloaded.
+func TestNumbersRemainAcrossReloads(t *testing.T) {
+	first, _ := Compile(firstReload(), nil)
+	second, compileFaults := Compile(secondReload(), first)
 	if second == nil {
-		t.Fatal(all)
+		t.Fatal(compileFaults)
 	}
 	var names []string
-	for _, k := range second.Classes() {
-		names = append(names, fmt.Sprint(k.Name, k.Retired))
+	for _, class := range second.Classes() {
+		names = append(names, fmt.Sprint(class.Name, class.Retired))
 	}
 	want := []string{"price-checktrue", "stall-paytrue", "day-closefalse", "orderfalse", "stall-payfalse", "newfalse"}
 	if !slices.Equal(names, want) {
 		t.Errorf("classes %v, want %v", names, want)
 	}
-	if !slices.Equal(second.Budgets(), []balancer.RetryBudget{{EarnRatio: 0.1, Burst: 10}, {EarnRatio: 0.2, Burst: 3}}) {
-		t.Errorf("budgets %v", second.Budgets())
+	wantBudgets := []balancer.RetryBudget{{EarnRatio: 0.1, Burst: 10}, {EarnRatio: 0.2, Burst: 3}}
+	if !slices.Equal(second.Budgets(), wantBudgets) {
+		t.Errorf("budgets %v, want %v", second.Budgets(), wantBudgets)
 	}
-	if n, _ := second.Tenant("y"); n != 1 {
-		t.Errorf("tenant y has number %d", n)
+	if number, _ := second.Tenant("y"); number != 1 {
+		t.Errorf("tenant y has number %d", number)
 	}
 	if _, ok := second.Tenant("x"); ok {
 		t.Error("tenant x is still known")
@@ -52,22 +63,26 @@
 	if got := second.Pools("arusha", "big"); got != 2 {
 		t.Errorf("pools %b of a server, want the second bit", got)
 	}
-	if back, _ := Compile(a, second); back.Classes()[0].Retired || len(back.Classes()) != 6 {
-		t.Errorf("the first file again: %v", back.Classes())
+	third, _ := Compile(firstReload(), second)
+	if third.Classes()[0].Retired || len(third.Classes()) != 6 {
+		t.Errorf("classes of the first file after the second: %v", third.Classes())
 	}
-	// There can be no more classes than the module can number.
-	last := first
+}
+
+// A file is rejected if it has more classes, together with earlier files, than the decision module can number.
+func TestTooManyClassesOverReloadsAreRejected(t *testing.T) {
+	previous, _ := Compile(firstReload(), nil)
 	for i := range 300 {
-		c := marketConfig()
-		c.Classes[0].LatencyObjective = time.Duration(i+1) * ms
-		next, all := Compile(c, last)
+		config := marketConfig()
+		config.Classes[0].LatencyObjective = time.Duration(i+1) * ms
+		next, compileFaults := Compile(config, previous)
 		if next == nil {
-			if i < 200 || !strings.Contains(fmt.Sprint(all), "start anew") {
-				t.Errorf("file %d: %v", i, all)
+			if i < 200 || !strings.Contains(fmt.Sprint(compileFaults), "start anew") {
+				t.Errorf("file %d: %v", i, compileFaults)
 			}
 			return
 		}
-		last = next
+		previous = next
 	}
 	t.Error("300 different classes are accepted")
 }
