requestmeta, httpmsg: exported names say what they hold

Router.Routed is HasRoutes, OfClass is ClassBounds, Parser.Use is SetRouter, Bounds.Methods is RestrictsMethods (as in package policy), Code is StatusCode; httpmsg.EndToEnd is CopyEndToEnd, and the fields of HeadScan are whole words. Callers, three lines of internal/app among them, were renamed mechanically; nothing else changed.

Tests of the packages and of their callers passed under -race.

--- a/internal/app/instance.go
+++ b/internal/app/instance.go
@@ -111,7 +111,7 @@
 	i.table.Store(file.Table())
 	i.admission = admission.New(file.Table().Admission(file.Limits.AdmitRate))
 	i.parser = requestmeta.NewParser(&settings)
-	i.parser.Use(newRouter(file.Table()))
+	i.parser.SetRouter(newRouter(file.Table()))
 	upstream, closeUpstream, err := newUpstream(file, i.upstreamTLS)
 	if err != nil {
 		i.cancel()
--- a/internal/app/reload.go
+++ b/internal/app/reload.go
@@ -50,7 +50,7 @@
 		i.extProc.SetClasses(table.Classes())
 	}
 	i.table.Store(table)
-	i.parser.Use(newRouter(table))
+	i.parser.SetRouter(newRouter(table))
 	if i.upstreamTLS != nil {
 		i.upstreamTLS.Rename(file.VerifyNames())
 	}
--- a/internal/app/router.go
+++ b/internal/app/router.go
@@ -16,24 +16,24 @@
 	r := &router{table, map[*policy.Bounds]*requestmeta.Bounds{}}
 	table.ForEachBounds(func(bounds *policy.Bounds) {
 		r.bounds[bounds] = &requestmeta.Bounds{
-			Class:          bounds.Class,
-			ClassName:      bounds.ClassName,
-			Idempotency:    bounds.Idempotency,
-			Methods:        bounds.RestrictsMethods,
-			Deadline:       bounds.Deadline,
-			AttemptTimeout: bounds.AttemptTimeout,
-			HedgeDelay:     bounds.HedgeDelay,
-			MaxAttempts:    bounds.MaxAttempts,
-			NoHedging:      bounds.NoHedging,
-			Budget:         bounds.Budget,
-			Pool:           bounds.Pool,
+			Class:            bounds.Class,
+			ClassName:        bounds.ClassName,
+			Idempotency:      bounds.Idempotency,
+			RestrictsMethods: bounds.RestrictsMethods,
+			Deadline:         bounds.Deadline,
+			AttemptTimeout:   bounds.AttemptTimeout,
+			HedgeDelay:       bounds.HedgeDelay,
+			MaxAttempts:      bounds.MaxAttempts,
+			NoHedging:        bounds.NoHedging,
+			Budget:           bounds.Budget,
+			Pool:             bounds.Pool,
 		}
 	})
 	return r
 }
 
 // Routed reports whether the table has routes. Without, a request names its class.
-func (r *router) Routed() bool { return r.table.HasRoutes() }
+func (r *router) HasRoutes() bool { return r.table.HasRoutes() }
 
 // Route returns the bounds of a request's route. It rejects paths that a server could interpret differently from the
 // table.
@@ -46,8 +46,8 @@
 	return r.bounds[b], ok
 }
 
-// OfClass returns the bounds of a class.
-func (r *router) OfClass(name string) (*requestmeta.Bounds, bool) {
+// ClassBounds returns the bounds of a class.
+func (r *router) ClassBounds(name string) (*requestmeta.Bounds, bool) {
 	b, ok := r.table.ClassBounds(name)
 	return r.bounds[b], ok
 }
--- a/internal/front/exchange/response.go
+++ b/internal/front/exchange/response.go
@@ -19,7 +19,7 @@
 
 // WriteResponse writes the engine's response.
 func WriteResponse(w http.ResponseWriter, r engine.Response) {
-	httpmsg.EndToEnd(w.Header(), r.Header)
+	httpmsg.CopyEndToEnd(w.Header(), r.Header)
 	if r.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(float64(r.RetryAfter)/microsPerSecond, 'f', 3, 64))
 	}
@@ -43,7 +43,7 @@
 	text := err.Error() + "\n"
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
-	w.WriteHeader(requestmeta.Code(err))
+	w.WriteHeader(requestmeta.StatusCode(err))
 	_, _ = io.WriteString(w, text) // likewise
 }
 
--- a/internal/front/extproc/decision_test.go
+++ b/internal/front/extproc/decision_test.go
@@ -57,18 +57,18 @@
 // byTier routes by one header, to a route with its own bounds.
 type byTier struct{ requestmeta.Router }
 
-func (byTier) Routed() bool { return true }
+func (byTier) HasRoutes() bool { return true }
 func (byTier) Route(in *requestmeta.Request) (*requestmeta.Bounds, bool) {
 	if in.Host != "till.example" || in.Header.Get("X-Tier") != "gold" {
 		return nil, false
 	}
 	return &requestmeta.Bounds{
-		Class:          1,
-		ClassName:      classes[1].Name,
-		Idempotency:    classes[1].Idempotency,
-		Methods:        true,
-		AttemptTimeout: 200_000,
-		MaxAttempts:    1,
+		Class:            1,
+		ClassName:        classes[1].Name,
+		Idempotency:      classes[1].Idempotency,
+		RestrictsMethods: true,
+		AttemptTimeout:   200_000,
+		MaxAttempts:      1,
 	}, true
 }
 func (byTier) Tenants() int { return 0 }
@@ -79,7 +79,7 @@
 	var parser *requestmeta.Parser
 	h := start(t, 2, func(server *Options, s *balancer.Settings) {
 		parser = requestmeta.NewParser(s)
-		parser.Use(byTier{})
+		parser.SetRouter(byTier{})
 		server.Parser = parser
 	})
 	request := func(alter func(map[string]string)) (*extprocv3.ProcessingResponse, testStream) {
--- a/internal/front/extproc/stream.go
+++ b/internal/front/extproc/stream.go
@@ -127,7 +127,7 @@
 func (s *stream) handleRequestHeaders(in *extprocv3.HttpHeaders) (*extprocv3.ProcessingResponse, error) {
 	req, err := s.parseRequest(in)
 	if err != nil {
-		return s.answerImmediately(immediateResponse(requestmeta.Code(err), 0, err.Error())), nil
+		return s.answerImmediately(immediateResponse(requestmeta.StatusCode(err), 0, err.Error())), nil
 	}
 	if !s.submit(req) {
 		return s.answerImmediately(immediateResponse(http.StatusServiceUnavailable, backlogRetryAfter, "")), nil
@@ -138,7 +138,7 @@
 // parseRequest reads a request's headers. Its errors are *requestmeta.Error.
 func (s *stream) parseRequest(in *extprocv3.HttpHeaders) (routing.Request, error) {
 	arrived := s.server.engine.Now()
-	h, err := readHead(in, s.server.parser.Routed())
+	h, err := readHead(in, s.server.parser.HasRoutes())
 	if err != nil {
 		return routing.Request{}, err
 	}
--- a/internal/front/httpfront/conn.go
+++ b/internal/front/httpfront/conn.go
@@ -166,7 +166,7 @@
 // request, ok that its connection has not been evicted in the meantime.
 func (c *clientConn) requestStarted(bodyLength int64) (alone, ok bool) {
 	c.mu.Lock()
-	alone = bodyLength >= 0 && c.head.Size == c.head.End+bodyLength
+	alone = bodyLength >= 0 && c.head.ScannedBytes == c.head.HeaderBytes+bodyLength
 	c.head = httpmsg.HeadScan{}
 	c.inFlight = true
 	c.mu.Unlock()
@@ -226,5 +226,5 @@
 func (c *clientConn) hasAmbiguousLength() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.head.Lengths > 1 || c.head.Lengths > 0 && c.head.Coding
+	return c.head.ContentLengthLines > 1 || c.head.ContentLengthLines > 0 && c.head.HasTransferEncoding
 }
--- a/internal/httpmsg/headscan.go
+++ b/internal/httpmsg/headscan.go
@@ -6,42 +6,42 @@
 // Transfer-Encoding, net/http silently drops the former, and what one reader takes for the body another
 // takes for a request (request smuggling).
 type HeadScan struct {
-	Lengths int   // number of Content-Length lines
-	Coding  bool  // there is a Transfer-Encoding line
-	Size    int64 // bytes scanned
-	End     int64 // bytes up to the end of the header; 0 while it is incomplete
+	ContentLengthLines  int   // number of Content-Length lines
+	HasTransferEncoding bool  // there is a Transfer-Encoding line
+	ScannedBytes        int64 // bytes scanned
+	HeaderBytes         int64 // bytes up to the end of the header; 0 while it is incomplete
 
 	line    []byte // the current line, up to the length of the longest name
 	started bool   // a line that is not empty has been scanned
 }
 
 var (
-	lengthName = []byte("content-length:")
-	codingName = []byte("transfer-encoding:")
+	contentLengthPrefix    = []byte("content-length:")
+	transferEncodingPrefix = []byte("transfer-encoding:")
 )
 
 // Scan scans the next bytes of the message.
 func (h *HeadScan) Scan(p []byte) {
-	start := h.Size
-	h.Size += int64(len(p))
-	for rest := p; h.End == 0 && len(rest) > 0; {
+	start := h.ScannedBytes
+	h.ScannedBytes += int64(len(p))
+	for rest := p; h.HeaderBytes == 0 && len(rest) > 0; {
 		line, after, ended := bytes.Cut(rest, []byte("\n"))
-		if missing := len(codingName) - len(h.line); missing > 0 {
+		if missing := len(transferEncodingPrefix) - len(h.line); missing > 0 {
 			h.line = append(h.line, line[:min(missing, len(line))]...)
 		}
 		if rest = after; !ended {
 			return
 		}
 		lower := bytes.ToLower(bytes.TrimSuffix(h.line, []byte("\r")))
-		if bytes.HasPrefix(lower, lengthName) {
-			h.Lengths++
+		if bytes.HasPrefix(lower, contentLengthPrefix) {
+			h.ContentLengthLines++
 		}
-		h.Coding = h.Coding || bytes.HasPrefix(lower, codingName)
+		h.HasTransferEncoding = h.HasTransferEncoding || bytes.HasPrefix(lower, transferEncodingPrefix)
 		// net/http skips empty lines ahead of a request.
 		if len(lower) > 0 {
 			h.started = true
 		} else if h.started {
-			h.End = start + int64(len(p)-len(rest))
+			h.HeaderBytes = start + int64(len(p)-len(rest))
 		}
 		h.line = h.line[:0]
 	}
--- a/internal/httpmsg/httpmsg.go
+++ b/internal/httpmsg/httpmsg.go
@@ -18,8 +18,8 @@
 var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer",
 	"Transfer-Encoding", "Upgrade", "Content-Length", "Expect"}
 
-// EndToEnd copies the headers that are forwarded: all but those that concern one connection only.
-func EndToEnd(to, from http.Header) {
+// CopyEndToEnd copies the headers that are forwarded: all but those that concern one connection only.
+func CopyEndToEnd(to, from http.Header) {
 	for name, values := range from {
 		if !slices.Contains(hopByHop, name) {
 			to[name] = values
--- a/internal/requestmeta/deadline.go
+++ b/internal/requestmeta/deadline.go
@@ -22,7 +22,7 @@
 	if b.Deadline > 0 {
 		allowed = min(allowed, b.Deadline)
 	}
-	if header := in.Header.Get(HeaderTimeLeft); header != "" || !router.Routed() {
+	if header := in.Header.Get(HeaderTimeLeft); header != "" || !router.HasRoutes() {
 		millis, err := strconv.ParseUint(header, 10, 63)
 		if err != nil {
 			return 0, BadRequest("%s: %q is not a whole number of milliseconds", HeaderTimeLeft, header)
--- a/internal/requestmeta/errors.go
+++ b/internal/requestmeta/errors.go
@@ -20,8 +20,8 @@
 	return &Error{http.StatusBadRequest, fmt.Sprintf(format, args...)}
 }
 
-// Code returns the HTTP status for an error: that of an *Error, else 400.
-func Code(err error) int {
+// StatusCode returns the HTTP status for an error: that of an *Error, else 400.
+func StatusCode(err error) int {
 	var e *Error
 	if errors.As(err, &e) {
 		return e.Code
--- a/internal/requestmeta/parse.go
+++ b/internal/requestmeta/parse.go
@@ -43,15 +43,15 @@
 		router.tenants[t.Name] = uint16(i)
 	}
 	p := &Parser{}
-	p.Use(router)
+	p.SetRouter(router)
 	return p
 }
 
-// Use replaces the router for later requests.
-func (p *Parser) Use(r Router) { p.router.Store(&r) }
+// SetRouter replaces the router for later requests.
+func (p *Parser) SetRouter(r Router) { p.router.Store(&r) }
 
-// Routed reports whether requests are matched by routes, which may depend on any header.
-func (p *Parser) Routed() bool { return (*p.router.Load()).Routed() }
+// HasRoutes reports whether requests are matched by routes, which may depend on any header.
+func (p *Parser) HasRoutes() bool { return (*p.router.Load()).HasRoutes() }
 
 // Request is a request as a front receives it, before its body.
 type Request struct {
@@ -143,7 +143,7 @@
 	if b.Idempotency == balancer.Idempotent {
 		method = http.MethodGet
 	}
-	if in.Method != method && !b.Methods {
+	if in.Method != method && !b.RestrictsMethods {
 		return &Error{http.StatusMethodNotAllowed, fmt.Sprintf("requests of this class are %s", method)}
 	}
 	if in.Method == http.MethodGet && in.Body {
--- a/internal/requestmeta/parse_test.go
+++ b/internal/requestmeta/parse_test.go
@@ -46,7 +46,7 @@
 		t.Errorf("parsed %+v, %v", got, err)
 	}
 	_, err = p.Parse(Request{Method: "PATCH", Path: "/order", Header: headers(HeaderID, "c2", HeaderClass, "order")})
-	if Code(err) != 405 {
+	if StatusCode(err) != 405 {
 		t.Errorf("a wrong method: %v", err)
 	}
 }
@@ -62,7 +62,7 @@
 			HeaderID, id, HeaderClass, class, HeaderTenant, tenant, HeaderKey, key, HeaderTimeLeft, remaining,
 			HeaderHint, hint, HeaderRepeat, repeat)})
 		if err != nil {
-			if c := Code(err); c < 400 || c > 499 || err.Error() == "" {
+			if c := StatusCode(err); c < 400 || c > 499 || err.Error() == "" {
 				t.Errorf("code %d, %q", c, err)
 			}
 			return
--- a/internal/requestmeta/router.go
+++ b/internal/requestmeta/router.go
@@ -9,12 +9,12 @@
 
 // Bounds are the properties and limits of the requests of a class or route. A zero limit is none.
 type Bounds struct {
-	Class          uint8 // number, as the balancer has it
-	ClassName      string
-	Idempotency    balancer.Idempotency
-	Methods        bool            // the route lists its methods, the class's does not matter
-	Deadline       balancer.Micros // longest time for a request
-	AttemptTimeout balancer.Micros // balancer.Request.AttemptTimeout
+	Class            uint8 // number, as the balancer has it
+	ClassName        string
+	Idempotency      balancer.Idempotency
+	RestrictsMethods bool            // the route lists its methods, the class's does not matter
+	Deadline         balancer.Micros // longest time for a request
+	AttemptTimeout   balancer.Micros // balancer.Request.AttemptTimeout
 
 	// As the fields of balancer.Request.
 	HedgeDelay  balancer.Micros
@@ -26,12 +26,12 @@
 
 // Router finds the class or route of a request. A router is immutable and may be shared.
 type Router interface {
-	// Routed reports whether requests are matched by Route. Otherwise they name their class.
-	Routed() bool
+	// HasRoutes reports whether requests are matched by Route. Otherwise they name their class.
+	HasRoutes() bool
 	// Route returns the bounds of the route that matches a request.
 	Route(in *Request) (*Bounds, bool)
-	// OfClass returns the bounds of a class by its name.
-	OfClass(name string) (*Bounds, bool)
+	// ClassBounds returns the bounds of a class by its name.
+	ClassBounds(name string) (*Bounds, bool)
 	// Tenant returns a tenant's number by its name.
 	Tenant(name string) (uint16, bool)
 	// Tenants returns the number of tenants. If it is 0, requests need not name one.
@@ -44,11 +44,11 @@
 	tenants map[string]uint16
 }
 
-func (p *settingsRouter) Routed() bool                   { return false }
+func (p *settingsRouter) HasRoutes() bool                { return false }
 func (p *settingsRouter) Route(*Request) (*Bounds, bool) { return nil, false }
 func (p *settingsRouter) Tenants() int                   { return len(p.tenants) }
 
-func (p *settingsRouter) OfClass(name string) (*Bounds, bool) {
+func (p *settingsRouter) ClassBounds(name string) (*Bounds, bool) {
 	b, ok := p.classes[name]
 	return b, ok
 }
@@ -61,7 +61,7 @@
 // findBounds returns the bounds of a request: by its route, or by the class that it names.
 func findBounds(router Router, in *Request) (*Bounds, error) {
 	name := in.Header.Get(HeaderClass)
-	if router.Routed() {
+	if router.HasRoutes() {
 		b, ok := router.Route(in)
 		if !ok {
 			return nil, &Error{http.StatusNotFound, "no route is of this request"}
@@ -71,7 +71,7 @@
 		}
 		return b, nil
 	}
-	b, ok := router.OfClass(name)
+	b, ok := router.ClassBounds(name)
 	if !ok {
 		return nil, BadRequest("%s: %q is not a known class", HeaderClass, name)
 	}
--- a/internal/upstream/attempt/message.go
+++ b/internal/upstream/attempt/message.go
@@ -22,7 +22,7 @@
 // and the time that this attempt has left.
 func RequestHeader(ctx context.Context, m *engine.Message) http.Header {
 	header := http.Header{}
-	httpmsg.EndToEnd(header, m.Header)
+	httpmsg.CopyEndToEnd(header, m.Header)
 	if deadline, ok := ctx.Deadline(); ok {
 		remaining := max(0, time.Until(deadline).Milliseconds())
 		header.Set(remainingTimeHeader, strconv.FormatInt(remaining, 10))
--- a/internal/upstream/httpupstream/response.go
+++ b/internal/upstream/httpupstream/response.go
@@ -68,7 +68,7 @@
 // it must state one length or be in chunks. The connection's end proves nothing, and with both
 // http.ReadResponse hides one of them.
 func checkLength(head httpmsg.HeadScan, response *http.Response) error {
-	ambiguous := head.Lengths > 1 || (head.Lengths == 1) == head.Coding
+	ambiguous := head.ContentLengthLines > 1 || (head.ContentLengthLines == 1) == head.HasTransferEncoding
 	if response.StatusCode == http.StatusOK && ambiguous {
 		return errAmbiguousLength
 	}
@@ -82,15 +82,15 @@
 // be read.
 func (c *conn) scanHead() (httpmsg.HeadScan, error) {
 	var head httpmsg.HeadScan
-	for head.End == 0 {
-		if _, err := c.reader.Peek(int(head.Size) + 1); err != nil {
+	for head.HeaderBytes == 0 {
+		if _, err := c.reader.Peek(int(head.ScannedBytes) + 1); err != nil {
 			return head, err
 		}
 		buffered, err := c.reader.Peek(c.reader.Buffered())
 		if err != nil {
 			return head, err
 		}
-		head.Scan(buffered[head.Size:])
+		head.Scan(buffered[head.ScannedBytes:])
 	}
 	return head, nil
 }
