Certstore: HasNoUnreadData, StateAt, ReplacementTime for Quiet, Stands, Spread

Cause: the three names of certstore that other packages use were prose. Change: names only; the callers are updated.

--- a/internal/app/fronts.go
+++ b/internal/app/fronts.go
@@ -98,7 +98,7 @@
 		Log:          i.log,
 	}
 	if store := i.stores[file.ExtProc.Keys]; store != nil {
-		options.TLS, options.Renew = store.Server("h2"), store.Spread()
+		options.TLS, options.Renew = store.Server("h2"), store.ReplacementTime()
 	}
 	i.extProc = extproc.New(i.engine, options)
 	i.ExtProc = listener.Addr()
--- a/internal/certstore/conn.go
+++ b/internal/certstore/conn.go
@@ -71,14 +71,14 @@
 	return c.lifetime
 }
 
-// Stands is Lifetime.At of the connection. The handshake must be complete.
-func (c *Conn) Stands(now time.Time) (usable, trusted bool, reason string) {
+// StateAt is Lifetime.At of the connection. The handshake must be complete.
+func (c *Conn) StateAt(now time.Time) (usable, trusted bool, reason string) {
 	return c.Lifetime().At(now)
 }
 
-// Quiet reports whether the TLS layer holds no unread data, such as an alert or a response that was not asked
+// HasNoUnreadData reports whether the TLS layer holds no unread data, such as an alert or a response that was not asked
 // for. It does not look at the socket itself, and must not be called concurrently with Read.
-func (c *Conn) Quiet() bool {
+func (c *Conn) HasNoUnreadData() bool {
 	_ = c.SetReadDeadline(time.Unix(1, 0))                // in the past: the socket is not read
 	defer func() { _ = c.SetReadDeadline(time.Time{}) }() // on a closed socket Read fails as well
 	var buffer [1]byte
--- a/internal/certstore/store.go
+++ b/internal/certstore/store.go
@@ -152,8 +152,8 @@
 // LocalCert returns the certificate that is presented to peers, nil for none.
 func (r *Store) LocalCert() *x509.Certificate { return r.current.Load().material.Leaf() }
 
-// Spread returns the period over which connections are replaced after a change.
-func (r *Store) Spread() time.Duration { return r.options.ReplacementTime }
+// ReplacementTime returns the period over which connections are replaced after a change.
+func (r *Store) ReplacementTime() time.Duration { return r.options.ReplacementTime }
 
 // Generation returns the generation of the material in use, from 1.
 func (r *Store) Generation() int { return r.current.Load().generation }
--- a/internal/front/httpfront/server.go
+++ b/internal/front/httpfront/server.go
@@ -58,7 +58,7 @@
 // credentialed is a connection whose certificates may expire or be revoked while it is open: keep is false
 // if it should be closed after the next response, trusted if its client's certificate is still valid.
 type credentialed interface {
-	Stands(now time.Time) (keep, trusted bool, reason string)
+	StateAt(now time.Time) (keep, trusted bool, reason string)
 }
 
 // connKey finds the connection of a request in its context.
@@ -191,7 +191,7 @@
 	if !ok {
 		return nil
 	}
-	keep, trusted, reason := conn.Stands(time.Now())
+	keep, trusted, reason := conn.StateAt(time.Now())
 	if !trusted {
 		return &requestmeta.Error{Code: http.StatusForbidden, Reason: reason}
 	}
--- a/internal/upstream/attempt/secure.go
+++ b/internal/upstream/attempt/secure.go
@@ -27,7 +27,7 @@
 	// Usable reports whether the connection may carry new requests. It must not be called
 	// concurrently.
 	Usable(now time.Time) bool
-	// Quiet reports that no received data is unread. It must not be called concurrently with
+	// HasNoUnreadData reports whether all received data was read. It must not be called concurrently with
 	// Read.
-	Quiet() bool
+	HasNoUnreadData() bool
 }
--- a/internal/upstream/httpupstream/conn.go
+++ b/internal/upstream/httpupstream/conn.go
@@ -76,5 +76,5 @@
 		alive = err == syscall.EAGAIN
 		return true
 	})
-	return err == nil && alive && (c.session == nil || c.session.Quiet())
+	return err == nil && alive && (c.session == nil || c.session.HasNoUnreadData())
 }
--- a/internal/upstream/secure/conn_test.go
+++ b/internal/upstream/secure/conn_test.go
@@ -25,7 +25,7 @@
 		return c
 	}
 	old := connect(byFirst)
-	if !old.Usable(f.now()) || !old.Quiet() {
+	if !old.Usable(f.now()) || !old.HasNoUnreadData() {
 		t.Fatal("a new connection is not usable")
 	}
 	f.files.WriteFile(f.files.Roots, f.root.PEM(), second.PEM()) // both are trusted for a while
@@ -74,7 +74,7 @@
 	if _, err := io.ReadFull(c, make([]byte, 10)); err != nil {
 		t.Fatal(err)
 	}
-	if c.Quiet() {
+	if c.HasNoUnreadData() {
 		t.Error("part of a response is unread, and not seen")
 	}
 }
