--- /dev/null
+++ b/internal/measure/harness/instance.go
@@ -0,0 +1,57 @@
+package harness
+
+import (
+	"fmt"
+	"log/slog"
+
+	"pinedale/internal/app"
+	"pinedale/internal/config"
+)
+
+// Instance is a pinedale-proxy in this process.
+type Instance struct {
+	*app.Instance
+}
+
+// StartInstance starts an instance by the text of an operator's file and waits until it is ready. It logs nothing.
+func StartInstance(configText string) (*Instance, error) {
+	file, err := config.Parse([]byte(configText))
+	if err != nil {
+		return nil, err
+	}
+	return StartInstanceOf(file, slog.New(slog.DiscardHandler))
+}
+
+// StartInstanceOf starts an instance by an operator's file and waits until it is ready.
+func StartInstanceOf(file *config.File, log *slog.Logger) (*Instance, error) {
+	started, err := app.Start(file, log)
+	if err != nil {
+		return nil, err
+	}
+	instance := &Instance{started}
+	if err := instance.WaitReady(); err != nil {
+		_ = instance.Close() // the cause is that it is not ready
+		return nil, err
+	}
+	return instance, nil
+}
+
+// URL returns the URL of the HTTP front, without a path.
+func (i *Instance) URL() string { return "http://" + i.HTTP.String() }
+
+// Close shuts the instance down, waits for it and returns its error.
+func (i *Instance) Close() error {
+	i.Shutdown()
+	return i.Wait()
+}
+
+// ServerConfig returns the table of a server in an operator's file. The servers of a measurement are at site "a".
+func ServerConfig(name, address string, pod int) string {
+	const format = `[[server]]
+name = %q
+address = %q
+site = "a"
+pod = %d
+`
+	return fmt.Sprintf(format, name, address, pod)
+}
