--- a/internal/emulator/simulation/client.go
+++ b/internal/emulator/simulation/client.go
@@ -64,7 +64,6 @@
 
 // submit passes the attempt to the engine of its instance.
 func (a *clientAttempt) submit(timeout time.Duration) {
-	engineOfInstance := a.instance.engine
 	a.submitted = engine.Request{
 		Carrier: a,
 		Respond: func(response engine.Response) {
@@ -72,7 +71,7 @@
 		},
 	}
 	a.instance.post(func(now balancer.Micros) {
-		engineOfInstance.Submit(now, &a.submitted, balancer.Request{
+		a.instance.engine.Submit(now, &a.submitted, balancer.Request{
 			Class:       uint8(a.request.Class),
 			Key:         a.request.AffinityKey,
 			Tenant:      uint16(a.request.Tenant),
@@ -131,7 +130,7 @@
 	sim.result.RecordOutcome(sim.scenario, request, code, sim.now)
 }
 
-// mayHaveRun reports whether a killed instance leaves open if and when the request ran. Clients then retry only
+// mayHaveRun reports whether a killed instance leaves open whether and when the request ran. Clients then retry only
 // idempotent requests: a server may have forgotten the idempotency key by the time of a retry.
 func (a *clientAttempt) mayHaveRun() bool {
 	class := &a.simulator.scenario.Classes[a.request.Class]
