Request path: whole names and one step a line in attempt, requestmeta, httpfront, httpmsg

attempt's sendWithBounds (was start) names the two contexts that bound a write; conditions that also assigned are two statements; receivers and locals of requestmeta are whole words. The statements are the same ones.

Tests of requestmeta, front/exchange, front/httpfront, upstream/attempt, upstream/httpupstream and sidecar passed under -race.

--- a/internal/front/exchange/response.go
+++ b/internal/front/exchange/response.go
@@ -44,7 +44,7 @@
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	w.WriteHeader(requestmeta.StatusCode(err))
-	_, _ = io.WriteString(w, text) // likewise
+	_, _ = io.WriteString(w, text) // as in WriteResponse
 }
 
 // WriteBusy rejects a request after ErrBusy.
--- a/internal/front/httpfront/conn.go
+++ b/internal/front/httpfront/conn.go
@@ -37,7 +37,7 @@
 
 	mu          sync.Mutex // net/http reads while a handler runs
 	head        httpmsg.HeadScan
-	inFlight    bool   // a request is: what is received belongs to the next one
+	inFlight    bool   // a request is in flight: what is received belongs to the next one
 	readAhead   []byte // received while a request was in flight, not yet returned by Read
 	activeReads int    // calls of readNextRequest that are running
 }
@@ -47,7 +47,8 @@
 	if c.list != nil {
 		c.list.Remove(c.element)
 	}
-	if c.list, c.element = to, nil; to != nil {
+	c.list, c.element = to, nil
+	if to != nil {
 		c.element = to.PushBack(c)
 	}
 }
@@ -135,7 +136,8 @@
 		}
 	}
 	n := copy(p, c.readAhead)
-	if c.readAhead = c.readAhead[n:]; len(c.readAhead) == 0 {
+	c.readAhead = c.readAhead[n:]
+	if len(c.readAhead) == 0 {
 		c.readAhead = nil
 	}
 	return deliver(n, nil) // an error received with it is returned by the next Read
@@ -194,7 +196,8 @@
 		return
 	}
 	go func() {
-		for buffer := make([]byte, 1); ; {
+		buffer := make([]byte, 1)
+		for {
 			n, err := c.readNextRequest(buffer)
 			if err != nil {
 				disconnected()
--- a/internal/httpmsg/headscan.go
+++ b/internal/httpmsg/headscan.go
@@ -29,7 +29,8 @@
 		if missing := len(transferEncodingPrefix) - len(h.line); missing > 0 {
 			h.line = append(h.line, line[:min(missing, len(line))]...)
 		}
-		if rest = after; !ended {
+		rest = after
+		if !ended {
 			return
 		}
 		lower := bytes.ToLower(bytes.TrimSuffix(h.line, []byte("\r")))
--- a/internal/requestmeta/errors.go
+++ b/internal/requestmeta/errors.go
@@ -22,9 +22,9 @@
 
 // StatusCode returns the HTTP status for an error: that of an *Error, else 400.
 func StatusCode(err error) int {
-	var e *Error
-	if errors.As(err, &e) {
-		return e.Code
+	var rejection *Error
+	if errors.As(err, &rejection) {
+		return rejection.Code
 	}
 	return http.StatusBadRequest
 }
--- a/internal/requestmeta/router.go
+++ b/internal/requestmeta/router.go
@@ -18,7 +18,7 @@
 
 	// As the fields of balancer.Request.
 	HedgeDelay  balancer.Micros
-	MaxAttempts int // MaxAttempts
+	MaxAttempts int
 	NoHedging   bool
 	Budget      uint16
 	Pool        uint8
@@ -44,39 +44,40 @@
 	tenants map[string]uint16
 }
 
-func (p *settingsRouter) HasRoutes() bool                { return false }
-func (p *settingsRouter) Route(*Request) (*Bounds, bool) { return nil, false }
-func (p *settingsRouter) Tenants() int                   { return len(p.tenants) }
+func (r *settingsRouter) HasRoutes() bool                { return false }
+func (r *settingsRouter) Route(*Request) (*Bounds, bool) { return nil, false }
+func (r *settingsRouter) Tenants() int                   { return len(r.tenants) }
 
-func (p *settingsRouter) ClassBounds(name string) (*Bounds, bool) {
-	b, ok := p.classes[name]
-	return b, ok
+func (r *settingsRouter) ClassBounds(name string) (*Bounds, bool) {
+	bounds, ok := r.classes[name]
+	return bounds, ok
 }
 
-func (p *settingsRouter) Tenant(name string) (uint16, bool) {
-	n, ok := p.tenants[name]
-	return n, ok
+func (r *settingsRouter) Tenant(name string) (uint16, bool) {
+	number, ok := r.tenants[name]
+	return number, ok
 }
 
 // findBounds returns the bounds of a request: by its route, or by the class that it names.
 func findBounds(router Router, in *Request) (*Bounds, error) {
 	name := in.Header.Get(HeaderClass)
 	if router.HasRoutes() {
-		b, ok := router.Route(in)
+		bounds, ok := router.Route(in)
 		if !ok {
 			return nil, &Error{http.StatusNotFound, "no route is of this request"}
 		}
-		if name != "" && name != b.ClassName {
-			return nil, BadRequest("%s: %q, but the route's class is %q", HeaderClass, name, b.ClassName)
+		if name != "" && name != bounds.ClassName {
+			return nil, BadRequest("%s: %q, but the route's class is %q", HeaderClass, name, bounds.ClassName)
 		}
-		return b, nil
+		return bounds, nil
 	}
-	b, ok := router.ClassBounds(name)
+	bounds, ok := router.ClassBounds(name)
 	if !ok {
 		return nil, BadRequest("%s: %q is not a known class", HeaderClass, name)
 	}
-	if first, _, _ := strings.Cut(strings.TrimPrefix(in.Path, "/"), "/"); first != name {
+	firstSegment, _, _ := strings.Cut(strings.TrimPrefix(in.Path, "/"), "/")
+	if firstSegment != name {
 		return nil, BadRequest("the path is not of %s %q", HeaderClass, name)
 	}
-	return b, nil
+	return bounds, nil
 }
--- a/internal/upstream/attempt/attempt.go
+++ b/internal/upstream/attempt/attempt.go
@@ -31,23 +31,25 @@
 	ctx, cancel := context.WithDeadline(a.Context(), a.DeadlineTime())
 	a.Abort = cancel
 	go func() {
-		res := c.start(ctx, a)
+		result := c.sendWithBounds(ctx, a)
 		cancel()
-		a.PostResult(res)
+		a.PostResult(result)
 	}()
 }
 
-// start sends the request with the attempt's context, to which it attaches the shorter-lived
-// contexts that end when the request must no longer be written.
-func (c *carrier) start(ctx context.Context, a *engine.Attempt) engine.Result {
-	send, cancel := context.WithDeadline(ctx, a.SendByTime())
+// sendWithBounds sends the request with the attempt's context, to which it attaches the
+// shorter-lived contexts that end when the request must no longer be written.
+func (c *carrier) sendWithBounds(ctx context.Context, a *engine.Attempt) engine.Result {
+	sendContext, cancel := context.WithDeadline(ctx, a.SendByTime())
 	defer cancel()
-	client := c.message.Context
-	if client == nil {
-		client = ctx
+	clientContext := c.message.Context
+	if clientContext == nil {
+		clientContext = ctx
 	}
-	defer context.AfterFunc(client, cancel)()
-	return c.send(context.WithValue(ctx, sendBoundsKey{}, sendBounds{send, client}), a.Target, c.message)
+	stopWatchingClient := context.AfterFunc(clientContext, cancel)
+	defer stopWatchingClient()
+	bounds := sendBounds{send: sendContext, client: clientContext}
+	return c.send(context.WithValue(ctx, sendBoundsKey{}, bounds), a.Target, c.message)
 }
 
 // Cancel ends the attempt's context.
