--- a/internal/config/version_test.go
+++ b/internal/config/version_test.go
@@ -9,32 +9,34 @@
 )
 
 // The versions of two files are those that earlier releases have printed, and so is the JSON behind them.
-func TestGoldenVersions(t *testing.T) {
+func TestVersionsAreThoseOfEarlierReleases(t *testing.T) {
 	for name, want := range map[string]string{"all-keys": "7b5d67d1", "defaults": "69f66468"} {
-		path := filepath.Join("testdata", "version", name)
-		file, err := Load(path + ".toml")
-		if err != nil {
-			t.Fatal(err)
-		}
-		if got := file.Table().Version; got != want {
-			t.Errorf("%s: version %s, want %s", name, got, want)
-		}
-		wantText, err := os.ReadFile(path + ".json")
-		if err != nil {
-			t.Fatal(err)
-		}
-		text, err := file.versionText()
-		if err != nil {
-			t.Fatal(err)
-		}
-		if string(text) != string(wantText) {
-			t.Errorf("%s: hashed\n%s\nwant\n%s", name, text, wantText)
-		}
+		t.Run(name, func(t *testing.T) {
+			path := filepath.Join("testdata", "version", name)
+			file, err := Load(path + ".toml")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := file.Table().Version; got != want {
+				t.Errorf("version %s, want %s", got, want)
+			}
+			wantText, err := os.ReadFile(path + ".json")
+			if err != nil {
+				t.Fatal(err)
+			}
+			text, err := file.versionText()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if string(text) != string(wantText) {
+				t.Errorf("hashed\n%s\nwant\n%s", text, wantText)
+			}
+		})
 	}
 }
 
 // The keys of the file and their defaults are those of earlier releases.
-func TestGoldenKeysAndDefaults(t *testing.T) {
+func TestKeysAndDefaultsAreThoseOfEarlierReleases(t *testing.T) {
 	want, err := os.ReadFile(filepath.Join("testdata", "defaults.toml"))
 	if err != nil {
 		t.Fatal(err)
