testfleet: settings have the names of package balancer

The typed settings had the platform's names (MostTries, GiveUp, ColdFrom). They have those of package balancer now, with the platform's in the JSON tags, and named values for idempotency, group and reporting.

go test -race -count=1 of testfleet, deploy and the sidecar's tests of configuration, retries, disconnects, rejections, discovery and reload passes.

--- a/cmd/pinedale/harness_test.go
+++ b/cmd/pinedale/harness_test.go
@@ -50,7 +50,7 @@
 	h.backends = testfleet.StartBackends(t, 3, h.receive)
 	h.discovery = fakediscovery.New(t, h.backends.Hosts...)
 	settings := testfleet.FullSettings(clientTimeout, clientTimeout)
-	settings.Areas = []string{"a"}
+	settings.Zones = []string{"a"}
 	settings.Discovery = testfleet.DiscoveryPushed
 	settings.Limits.Cancel = cancel
 	settings.Limits.KeepAlive = time.Second.Microseconds()
--- a/internal/sidecar/disconnect_test.go
+++ b/internal/sidecar/disconnect_test.go
@@ -146,8 +146,8 @@
 	h.startReady(func(s *testfleet.SidecarSettings) {
 		s.Limits.DialTimeout = (4 * window).Microseconds()
 		pay := &s.Classes[1]
-		pay.Window = window.Microseconds()
-		pay.GiveUp = (10 * window).Microseconds()
+		pay.DedupWindow = window.Microseconds()
+		pay.ClientTimeout = (10 * window).Microseconds()
 	}, hosts...)
 	got := h.send(h.newRequest("pay", "x", time.Minute))
 	if n := endpoint.RequestCount(); n != 1 || got.code != http.StatusBadGateway {
--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -27,9 +27,9 @@
 func testSettings() testfleet.SidecarSettings {
 	settings := testfleet.FullSettings(3*time.Second, 5*time.Second)
 	settings.Stages = []string{"s"}
-	settings.Limits.SecondCopies = true
+	settings.Limits.Hedging = true
 	settings.Reporting = &testfleet.Reporting{
-		How:    "probe",
+		Mode:   testfleet.ReportingByProbe,
 		Fields: []string{"failed_ps", "pending"},
 	}
 	return settings
--- a/internal/sidecar/rejection_test.go
+++ b/internal/sidecar/rejection_test.go
@@ -17,7 +17,7 @@
 func TestInvalidRequestIsRejectedWithReason(t *testing.T) {
 	endpoint := newServingEndpoint(t)
 	h := start(t, func(s *testfleet.SidecarSettings) {
-		s.Tenants = []testfleet.Tenant{{Name: "acme", Share: 1, AllowancePerS: 10}}
+		s.Tenants = []testfleet.Tenant{{Name: "acme", Share: 1, Quota: 10}}
 	}, fakediscovery.Ready("s-1", endpoint.Address))
 	set := func(name, value string) func(*http.Request) {
 		return func(r *http.Request) { r.Header.Set(name, value) }
--- a/internal/standin/testfleet/sidecar.go
+++ b/internal/standin/testfleet/sidecar.go
@@ -29,10 +29,11 @@
 	defaultSockets = 1024
 )
 
-// SidecarSettings are a customer's settings, by the names that they have in the file. Times are in microseconds.
+// SidecarSettings are a customer's settings. Their fields have the names of package balancer, and in the file those of
+// the platform. Times are in microseconds.
 type SidecarSettings struct {
-	Areas     []string   `json:"areas"`
-	SKUs      []string   `json:"skus"`
+	Zones     []string   `json:"areas"`
+	Kinds     []string   `json:"skus"`
 	Stages    []string   `json:"stages,omitempty"`
 	Tenants   []Tenant   `json:"tenants,omitempty"`
 	Discovery string     `json:"discovery"` // DiscoveryPolled or DiscoveryPushed
@@ -40,44 +41,60 @@
 	Contract  *Contract  `json:"contract,omitempty"`
 	Limits    Limits     `json:"limits"`
 	Reporting *Reporting `json:"reporting,omitempty"`
-	Peers     int        `json:"peers-total,omitempty"`
+	Balancers int        `json:"peers-total,omitempty"`
 	Position  int        `json:"position"`
 	Zone      int        `json:"zone"`
 }
 
-// The values of SidecarSettings.Discovery.
+// Values of SidecarSettings.Discovery.
 const (
 	DiscoveryPolled = "subscribe"
 	DiscoveryPushed = "automatic"
 )
 
+// Values of Class.Idempotency.
+const (
+	Idempotent        = "pure"
+	IdempotentWithKey = "token"
+	NotIdempotent     = "side_effect"
+)
+
+// Values of Class.Group, in which a request with an idempotency key is deduplicated.
+const (
+	GroupAll  = "all"
+	GroupCell = "cell"
+)
+
+// ReportingByProbe is the value of Reporting.Mode with which endpoints report their load in responses to probes.
+const ReportingByProbe = "probe"
+
 // Class is a class of requests.
 type Class struct {
-	Name   string  `json:"name"`
-	Repeat string  `json:"repeat"`
-	Group  string  `json:"group,omitempty"`
-	Window int64   `json:"window,omitempty"`
-	Target int64   `json:"target"`
-	GiveUp int64   `json:"give-up"`
-	Credit float64 `json:"credit,omitempty"`
+	Name             string  `json:"name"`
+	Idempotency      string  `json:"repeat"`
+	Group            string  `json:"group,omitempty"`
+	DedupWindow      int64   `json:"window,omitempty"`
+	LatencyObjective int64   `json:"target"`
+	ClientTimeout    int64   `json:"give-up"`
+	PriorityWeight   float64 `json:"credit,omitempty"`
 }
 
 // Tenant is a tenant with its quota.
 type Tenant struct {
-	Name          string  `json:"name"`
-	Share         float64 `json:"share"`
-	AllowancePerS float64 `json:"allowance-per-s"`
+	Name  string  `json:"name"`
+	Share float64 `json:"share"`
+	Quota float64 `json:"allowance-per-s"`
 }
 
 // Contract is what the platform promises of endpoints.
 type Contract struct {
-	AnswerSlack  int64   `json:"answer-slack"`
-	AskWithin    int64   `json:"ask-within"`
-	ColdFrom     float64 `json:"cold-from"`
-	DrainGrace   int64   `json:"drain-grace"`
-	FallMultiple float64 `json:"fall-multiple"`
-	OverloadFor  int64   `json:"overload-for"`
-	RampTime     int64   `json:"ramp-time"`
+	AnswerSlack      int64   `json:"answer-slack"`
+	PollInterval     int64   `json:"ask-within"`
+	SlowStartRatio   float64 `json:"cold-from"`
+	DrainGrace       int64   `json:"drain-grace"`
+	OverloadMultiple float64 `json:"fall-multiple"`
+	OverloadTime     int64   `json:"overload-for"`
+	SlowStartTime    int64   `json:"ramp-time"`
 }
 
 // Limits are what the sidecar may do.
@@ -86,28 +103,28 @@
 	DialTimeout   int64 `json:"dial-timeout"`
 	KeepAlive     int64 `json:"keepalive"`
 	MaxRetryAfter int64 `json:"max-retry-after,omitempty"`
-	MostHeld      int   `json:"most-held,omitempty"`
-	MostTries     int   `json:"most-tries,omitempty"`
+	MaxOpen       int   `json:"most-held,omitempty"`
+	MaxAttempts   int   `json:"most-tries,omitempty"`
 	Multiplex     int   `json:"multiplex,omitempty"`
 	Probes        bool  `json:"probes"`
 	RetryAfter    bool  `json:"retry-after"`
-	SecondCopies  bool  `json:"second-copies"`
+	Hedging       bool  `json:"second-copies"`
 }
 
 // Reporting says how endpoints report their load.
 type Reporting struct {
-	How    string   `json:"how"`
+	Mode   string   `json:"how"`
 	Fields []string `json:"fields"`
 }
 
 // MinimalSettings returns settings with one class, which is idempotent, and little else.
 func MinimalSettings() SidecarSettings {
 	return SidecarSettings{
-		Areas:     []string{"a"},
-		SKUs:      []string{"m"},
+		Zones:     []string{"a"},
+		Kinds:     []string{"m"},
 		Discovery: DiscoveryPolled,
 		Classes: []Class{
-			{Name: "read", Repeat: "pure", Target: 600_000, GiveUp: 1_000_000},
+			{Name: "read", Idempotency: Idempotent, LatencyObjective: 600_000, ClientTimeout: 1_000_000},
 		},
 		Limits: Limits{KeepAlive: 5_000_000, DialTimeout: 250_000},
 	}
@@ -117,49 +134,49 @@
 // an idempotency key, in the whole fleet and in a cell, and "order" is not idempotent. A request may take up to
 // clientTimeout, and its key is remembered for dedupWindow.
 func FullSettings(clientTimeout, dedupWindow time.Duration) SidecarSettings {
-	class := func(name, repeat, group string) Class {
+	class := func(name, idempotency, group string) Class {
 		c := Class{
-			Name:   name,
-			Repeat: repeat,
-			Group:  group,
-			Target: 600_000,
-			GiveUp: clientTimeout.Microseconds(),
-			Credit: 1,
+			Name:             name,
+			Idempotency:      idempotency,
+			Group:            group,
+			LatencyObjective: 600_000,
+			ClientTimeout:    clientTimeout.Microseconds(),
+			PriorityWeight:   1,
 		}
 		if group != "" {
-			c.Window = dedupWindow.Microseconds()
+			c.DedupWindow = dedupWindow.Microseconds()
 		}
 		return c
 	}
 	return SidecarSettings{
-		Areas:     []string{"a", "b"},
-		SKUs:      []string{"m1"},
+		Zones:     []string{"a", "b"},
+		Kinds:     []string{"m1"},
 		Discovery: DiscoveryPolled,
 		Classes: []Class{
-			class("read", "pure", ""),
-			class("pay", "token", "all"),
-			class("close", "token", "cell"),
-			class("order", "side_effect", ""),
+			class("read", Idempotent, ""),
+			class("pay", IdempotentWithKey, GroupAll),
+			class("close", IdempotentWithKey, GroupCell),
+			class("order", NotIdempotent, ""),
 		},
 		Contract: &Contract{
-			AnswerSlack:  20_000,
-			AskWithin:    1_000_000,
-			ColdFrom:     0.3,
-			DrainGrace:   1_000_000,
-			FallMultiple: 2.5,
-			OverloadFor:  1_000_000,
+			AnswerSlack:      20_000,
+			PollInterval:     1_000_000,
+			SlowStartRatio:   0.3,
+			DrainGrace:       1_000_000,
+			OverloadMultiple: 2.5,
+			OverloadTime:     1_000_000,
 		},
 		Limits: Limits{
 			Cancel:        true,
 			DialTimeout:   2_000_000,
 			KeepAlive:     5_000_000,
 			MaxRetryAfter: 1_500_000,
-			MostHeld:      1000,
-			MostTries:     3,
+			MaxOpen:       1000,
+			MaxAttempts:   3,
 			Multiplex:     1,
 			RetryAfter:    true,
 		},
-		Peers: 1,
+		Balancers: 1,
 	}
 }
 
--- a/internal/standin/testfleet/testfleet_test.go
+++ b/internal/standin/testfleet/testfleet_test.go
@@ -85,7 +85,7 @@
 
 	settings := testfleet.FullSettings(3*time.Second, 5*time.Second)
 	settings.Discovery = testfleet.DiscoveryPushed
-	settings.Tenants = []testfleet.Tenant{{Name: "acme", Share: 1, AllowancePerS: 10}}
+	settings.Tenants = []testfleet.Tenant{{Name: "acme", Share: 1, Quota: 10}}
 	full := load(settings).Settings
 	if full.PollDiscovery || !full.Limits.Cancel || full.Limits.MaxAttempts != 3 || full.Contract.SlowStartRatio != 0.3 {
 		t.Errorf("settings %+v", full)
