fakediscovery: entries have the field names of engine.Host

Dial, Class, Block, Health and Share are Address, Kind, Cell, State and Weight, as in engine.Host; the JSON tags keep discovery's names. Callers are changed by type information.

--- a/cmd/pinedale-simulate/demo_fleet.go
+++ b/cmd/pinedale-simulate/demo_fleet.go
@@ -91,8 +91,8 @@
 	f.servers = append(f.servers, server)
 	host := fakediscovery.Ready(server.Name, server.Addresses[0])
 	host.Site = demoSites[index%len(demoSites)]
-	host.Class = "box"
-	host.Block = uint16(cell)
+	host.Kind = "box"
+	host.Cell = uint16(cell)
 	if slowStart {
 		host.StartedMS = time.Now().UnixMilli()
 	}
--- a/cmd/pinedale/discovery_test.go
+++ b/cmd/pinedale/discovery_test.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"testing"
 
+	"pinedale/internal/standin/fakediscovery"
 	"pinedale/internal/standin/scriptedconn"
 	"pinedale/internal/standin/testfleet"
 	"pinedale/internal/standin/wait"
@@ -23,8 +24,8 @@
 	hosts := slices.Clone(h.config.Hosts)
 	draining := map[string]bool{}
 	for n := range 2 {
-		hosts[n].Health = "Terminating"
-		draining[hosts[n].Dial] = true
+		hosts[n].State = fakediscovery.StateTerminating
+		draining[hosts[n].Address] = true
 	}
 	earlier := h.discovery.CallCount()
 	h.discovery.SetHosts(2, hosts...)
--- a/internal/app/drains_test.go
+++ b/internal/app/drains_test.go
@@ -30,13 +30,13 @@
 		server := c.fleet.MustStart(t, fmt.Sprint("s-", n), n/serversPerCell)
 		c.servers = append(c.servers, server)
 		c.hosts = append(c.hosts, fakediscovery.Host{
-			Name:   server.Name,
-			Dial:   server.Address,
-			Site:   "a",
-			Class:  "k0",
-			Block:  uint16(server.Cell),
-			Health: "Ready",
-			Share:  1,
+			Name:    server.Name,
+			Address: server.Address,
+			Site:    "a",
+			Kind:    "k0",
+			Cell:    uint16(server.Cell),
+			State:   "Ready",
+			Weight:  1,
 		})
 	}
 	c.instances = startCluster(t, func(int) string {
@@ -92,7 +92,7 @@
 	c := startListedCluster(t)
 	c.lists[stalled].Silence()
 	for _, instance := range []int{0, 1} {
-		c.changeFirstHost(instance, func(host *fakediscovery.Host) { host.Health = "Terminating" })
+		c.changeFirstHost(instance, func(host *fakediscovery.Host) { host.State = "Terminating" })
 	}
 	wait.Until(t, "the advisory of two instances", func() bool {
 		return slices.Equal(c.advisedDraining(stalled), []string{"s-0@0"})
--- a/internal/faulttest/drain.go
+++ b/internal/faulttest/drain.go
@@ -46,7 +46,7 @@
 
 // startDrain has discovery advertise that a server drains.
 func (r *rig) startDrain(server string) {
-	version := r.updateLists(server, func(host *fakediscovery.Host) { host.Health = healthDrains })
+	version := r.updateLists(server, func(host *fakediscovery.Host) { host.State = healthDrains })
 	r.drains.mu.Lock()
 	defer r.drains.mu.Unlock()
 	r.drains.started = append(r.drains.started, drain{server: server, listVersion: version})
@@ -60,7 +60,7 @@
 		return err
 	}
 	r.updateLists(server, func(host *fakediscovery.Host) {
-		host.Health = healthReady
+		host.State = healthReady
 		host.StartedMS = time.Now().UnixMilli()
 	})
 	return nil
--- a/internal/faulttest/setup.go
+++ b/internal/faulttest/setup.go
@@ -156,13 +156,13 @@
 			return nil, err
 		}
 		hosts = append(hosts, fakediscovery.Host{
-			Name:   server.Name,
-			Dial:   address,
-			Site:   siteName,
-			Class:  serverKind,
-			Block:  uint16(server.Pod),
-			Health: healthReady,
-			Share:  1,
+			Name:    server.Name,
+			Address: address,
+			Site:    siteName,
+			Kind:    serverKind,
+			Cell:    uint16(server.Pod),
+			State:   healthReady,
+			Weight:  1,
 		})
 	}
 	return hosts, nil
--- a/internal/measure/extproc/cost.go
+++ b/internal/measure/extproc/cost.go
@@ -128,7 +128,7 @@
 		}
 		servers = append(servers, server)
 		host := fakediscovery.Ready(server.Name, server.Address)
-		host.Site, host.Class = sites[0], "box"
+		host.Site, host.Kind = sites[0], "box"
 		hosts = append(hosts, host)
 	}
 	discovery.Change(func() {
--- a/internal/measure/extproc/run.go
+++ b/internal/measure/extproc/run.go
@@ -146,8 +146,8 @@
 	for _, server := range r.listed {
 		host := fakediscovery.Ready(server.Name, server.Address)
 		host.Site = sites[server.Cell%len(sites)]
-		host.Class = "box"
-		host.Block = uint16(server.Cell)
+		host.Kind = "box"
+		host.Cell = uint16(server.Cell)
 		hosts = append(hosts, host)
 	}
 	r.discovery.Change(func() {
--- a/internal/sidecar/events_test.go
+++ b/internal/sidecar/events_test.go
@@ -252,7 +252,7 @@
 // drain has the first endpoint drain, in a list of this version.
 func (o *eventRun) drain(version uint64) {
 	hosts := slices.Clone(o.hosts)
-	hosts[0] = fakediscovery.Draining(hosts[0].Name, hosts[0].Dial)
+	hosts[0] = fakediscovery.Draining(hosts[0].Name, hosts[0].Address)
 	o.hosts = hosts
 	lists := o.spy.listCount(balancer.ListFull)
 	o.dir.SetHosts(version, hosts...)
--- a/internal/sidecar/requests_test.go
+++ b/internal/sidecar/requests_test.go
@@ -71,7 +71,7 @@
 			// Both names have the address of one endpoint: whichever is chosen, the first attempt ends as scripted.
 			endpoint := scriptedconn.New(t, test.handler)
 			second := fakediscovery.Ready("s-2", endpoint.Address)
-			second.Block = test.secondCell
+			second.Cell = test.secondCell
 			h := start(t, nil, fakediscovery.Ready("s-1", endpoint.Address), second)
 			got := h.send(h.newRequest(test.class, "x", 3*time.Second))
 			attempts := endpoint.RequestCount()
--- a/internal/standin/fakediscovery/fakediscovery.go
+++ b/internal/standin/fakediscovery/fakediscovery.go
@@ -23,33 +23,33 @@
 	Hosts    []Host `json:"hosts"`
 }
 
-// Host is one entry of a [Document].
+// Host is one entry of a [Document]. Its fields have the names of engine.Host, and in JSON those of discovery.
 type Host struct {
 	Name      string  `json:"host"`
-	Dial      string  `json:"dial"`
+	Address   string  `json:"dial"`
 	Site      string  `json:"site"`
-	Class     string  `json:"class"`
-	Block     uint16  `json:"block"`
-	Health    string  `json:"health"`
-	Share     float32 `json:"share"`
+	Kind      string  `json:"class"`
+	Cell      uint16  `json:"block"`
+	State     string  `json:"health"`
+	Weight    float32 `json:"share"`
 	StartedMS int64   `json:"born_ms"`
 }
 
-// Values of Host.Health.
+// Values of Host.State.
 const (
-	healthReady       = "Ready"
-	healthTerminating = "Terminating"
+	StateReady       = "Ready"
+	StateTerminating = "Terminating"
 )
 
 // Ready returns the entry of an endpoint that is ready.
 func Ready(name, address string) Host {
-	return Host{Name: name, Dial: address, Site: "a", Class: "m1", Health: healthReady, Share: 1}
+	return Host{Name: name, Address: address, Site: "a", Kind: "m1", State: StateReady, Weight: 1}
 }
 
 // Draining returns the entry of an endpoint that drains.
 func Draining(name, address string) Host {
 	host := Ready(name, address)
-	host.Health = healthTerminating
+	host.State = StateTerminating
 	return host
 }
 
--- a/internal/standin/testfleet/testfleet_test.go
+++ b/internal/standin/testfleet/testfleet_test.go
@@ -197,11 +197,11 @@
 			attempts := make(chan *testfleet.Attempt, 1)
 			backends := testfleet.StartBackends(t, 2, func(a *testfleet.Attempt) { attempts <- a })
 			host := backends.Hosts[1]
-			client := testfleet.MustDial(t, host.Dial, wait.Timeout)
+			client := testfleet.MustDial(t, host.Address, wait.Timeout)
 			request := testfleet.Request{ID: "7", Class: "order", Path: "x", TimeLeft: time.Second}
-			client.MustWrite(t, request.Text(t, host.Dial))
+			client.MustWrite(t, request.Text(t, host.Address))
 			attempt := <-attempts
-			if attempt.RequestID != "7" || attempt.Backend != host.Name || attempt.Address != host.Dial {
+			if attempt.RequestID != "7" || attempt.Backend != host.Name || attempt.Address != host.Address {
 				t.Errorf("attempt %+v", attempt)
 			}
 			if n := backends.OpenConnCount(); n != 1 {
