Fronts: one test backend for extproc and http3front, HTTP/3 tests split by subject

Package front/fronttest starts the servers and the engine that both harnesses set up for themselves, and waits for the engine's goroutine. http3front/server_test.go (537 lines) is six files: harness, requests, paths, shutdown, early data, limits. Names in tests are whole words.

The 8 tests of http3front and those of extproc have the assertions that they had; of the set-up's error checks two pairs (start of a server, new engine) are one each, in fronttest. Tests of internal/front/... and deploy passed, the former under -race.

--- a/internal/front/extproc/decision_test.go
+++ b/internal/front/extproc/decision_test.go
@@ -10,6 +10,7 @@
 	extprocv3 "github.com/envoyproxy/go-control-plane/envoy/service/ext_proc/v3"
 
 	"pinedale/balancer"
+	"pinedale/internal/front/fronttest"
 	"pinedale/internal/requestmeta"
 	"pinedale/internal/standin/fakebackend"
 	"pinedale/internal/standin/proxy"
@@ -256,7 +257,7 @@
 			remaining = append(remaining, server)
 		}
 	}
-	h.source.lists <- h.list(remaining...)
+	h.source.lists <- fronttest.List(remaining...)
 	// The engine takes lists and requests in order.
 	second := h.open(context.Background())
 	h.awaitRemoval(first.Endpoint)
@@ -269,7 +270,7 @@
 		t.Fatalf("to the report: %v", response)
 	}
 	s.end()
-	h.source.lists <- h.list(remaining[0])
+	h.source.lists <- fronttest.List(remaining[0])
 	next := h.open(context.Background())
 	h.awaitRemoval(remaining[1].Address)
 	if decision := next.request(req, 2); decision.Endpoint != remaining[0].Address && decision.Endpoint != "" {
--- a/internal/front/extproc/harness_test.go
+++ b/internal/front/extproc/harness_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -13,21 +12,17 @@
 	"time"
 
 	extprocv3 "github.com/envoyproxy/go-control-plane/envoy/service/ext_proc/v3"
-	"go.uber.org/goleak"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
 	"pinedale/balancer"
 	"pinedale/internal/engine"
+	"pinedale/internal/front/fronttest"
 	"pinedale/internal/standin/fakebackend"
 	"pinedale/internal/standin/proxy"
 	"pinedale/internal/standin/wait"
-	"pinedale/internal/upstream/httpupstream"
 )
 
-// patience is how long a test waits for an event that must come.
-const patience = 20 * time.Second
-
 var classes = []balancer.Class{
 	{
 		Name:             "read",
@@ -80,6 +75,7 @@
 		}
 	}
 }
+
 func (s *source) Close() {}
 
 // harness is a processor with backend servers and a proxy.
@@ -88,32 +84,18 @@
 	engine  *engine.Engine
 	server  *Server
 	address string
-	fleet   *fakebackend.Fleet
 	servers []*fakebackend.Server
 	source  *source
 	proxy   *proxy.Proxy
 	stop    context.CancelFunc
 	served  chan error
-	ids     int
 	mu      sync.Mutex
+	lastID  int // of a request
 }
 
 // start runs a processor with n servers until the test ends. Then no goroutine of it may remain.
 func start(t *testing.T, n int, alter func(*Options, *balancer.Settings)) *harness {
 	t.Helper()
-	h := &harness{
-		t:      t,
-		fleet:  &fakebackend.Fleet{Classes: classes, Seed: 1},
-		source: &source{make(chan engine.List)},
-		served: make(chan error, 1),
-	}
-	for i := range n {
-		s, err := h.fleet.Start(fmt.Sprintf("s-%d", i), i/2)
-		if err != nil {
-			t.Fatal(err)
-		}
-		h.servers = append(h.servers, s)
-	}
 	settings := balancer.Settings{
 		Balancers: 1,
 		Zones:     1,
@@ -140,69 +122,45 @@
 	if alter != nil {
 		alter(&options, &settings)
 	}
-	engineCtx, stopEngine := context.WithCancel(context.Background())
-	up := httpupstream.New(httpupstream.Options{DialTimeout: time.Second, Idle: time.Second, Connections: 100})
-	var err error
-	h.engine, err = engine.New(engineCtx, engine.Options{
-		Settings:   settings,
-		Seed:       7,
-		Zones:      []string{"a"},
-		CachedList: h.list(h.servers...),
-		Upstream:   up,
-		Source:     h.source,
-		Log:        slog.New(slog.DiscardHandler),
+	h := &harness{t: t, source: &source{make(chan engine.List)}, served: make(chan error, 1)}
+	backend := fronttest.Start(t, fronttest.Options{
+		Fleet:          &fakebackend.Fleet{Classes: classes, Seed: 1},
+		Servers:        n,
+		ServersPerCell: 2,
+		Settings:       settings,
+		Seed:           7,
+		MaxConnections: 100,
+		Source:         h.source,
 	})
-	if err != nil {
-		t.Fatal(err)
-	}
+	h.engine, h.servers = backend.Engine, backend.Servers
 	h.server = New(h.engine, options)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	h.address = listener.Addr().String()
-	ctx, stop := context.WithCancel(context.Background())
-	h.stop = stop
-	go h.engine.Run()
+	var ctx context.Context
+	ctx, h.stop = context.WithCancel(context.Background())
 	go func() { h.served <- h.server.Serve(ctx, listener) }()
-	if h.proxy, err = proxy.Dial(h.address, 2); err != nil {
-		t.Fatal(err)
-	}
 	t.Cleanup(func() {
-		h.proxy.Close()
-		stop()
+		h.stop()
 		if err := <-h.served; err != nil {
 			t.Errorf("the processor ended with %v", err)
 		}
-		stopEngine()
-		for _, s := range h.servers {
-			s.Close()
-		}
-		goleak.VerifyNone(t)
 	})
+	if h.proxy, err = proxy.Dial(h.address, 2); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { h.proxy.Close() })
 	wait.Until(t, "the servers to be known", h.engine.HasEndpoints)
 	return h
 }
 
-func (h *harness) list(servers ...*fakebackend.Server) engine.List {
-	list := engine.List{Version: 1, Complete: true}
-	for _, s := range servers {
-		list.Hosts = append(list.Hosts, engine.Host{
-			Name:    s.Name,
-			Address: s.Address,
-			Site:    "a",
-			Cell:    uint16(s.Cell),
-			Weight:  1,
-		})
-	}
-	return list
-}
-
 // request returns a client's request of a class, with an ID and a key of its own.
 func (h *harness) request(class string) proxy.Request {
 	h.mu.Lock()
-	h.ids++
-	id := strconv.Itoa(h.ids)
+	h.lastID++
+	id := strconv.Itoa(h.lastID)
 	h.mu.Unlock()
 	req := proxy.Request{Method: "POST", Path: "/" + class + "/x", Body: "body", Header: map[string]string{
 		"x-correlation-id": id, "x-service-class": class, "x-time-left-ms": "900"}}
--- a/internal/front/extproc/protocol_test.go
+++ b/internal/front/extproc/protocol_test.go
@@ -253,7 +253,7 @@
 			t.Fatal(err)
 		}
 	}
-	if err := c.SetReadDeadline(time.Now().Add(patience)); err != nil {
+	if err := c.SetReadDeadline(time.Now().Add(wait.Timeout)); err != nil {
 		t.Fatal(err)
 	}
 	ended := map[uint32]bool{}
--- a/internal/front/extproc/stream_test.go
+++ b/internal/front/extproc/stream_test.go
@@ -109,7 +109,10 @@
 		maxStreams     = 10_000
 		maxStreamBytes = 32 << 10 // of both ends
 	)
-	h := start(t, 1, func(o *Options, _ *balancer.Settings) { o.MaxStreams, o.Drain = maxStreams, 6*time.Second-streamGrace })
+	h := start(t, 1, func(o *Options, _ *balancer.Settings) {
+		o.MaxStreams = maxStreams
+		o.Drain = 6*time.Second - streamGrace
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	memory := func() uint64 {
--- a/internal/front/httpfront/server.go
+++ b/internal/front/httpfront/server.go
@@ -32,8 +32,10 @@
 
 // Options are the limits of a server.
 type Options struct {
-	Connections        int                 // of clients, open at most
-	KeepAliveThreshold int                 // connections that have carried a request, above which a response closes its own
+	Connections int // of clients, open at most
+	// KeepAliveThreshold is the number of connections that have carried a request above which a response closes its
+	// own.
+	KeepAliveThreshold int
 	BodyBytes          int64               // of the requests in flight together, at most
 	Parser             *requestmeta.Parser // nil for that of the engine's settings
 	AltSvc             string              // sent with each response, "" for none (RFC 7838)
