--- a/internal/certstore/conn.go
+++ b/internal/certstore/conn.go
@@ -17,20 +17,20 @@
 	socket     *socket
 	store      *Store
 	peerUsage  x509.ExtKeyUsage
-	generation int // of the material from before the handshake
+	generation int // of the material before the handshake
 
 	lifetimeOnce sync.Once
 	lifetime     *Lifetime
 }
 
-// Dial returns a client connection over raw. The caller performs the handshake. generation is Store.Generation from
-// before the configuration was created.
-func (r *Store) Dial(raw net.Conn, config *tls.Config, generation int) *Conn {
+// Dial returns a client connection over raw. The caller performs the handshake. generation is the value of
+// Store.Generation before the configuration was created.
+func (s *Store) Dial(raw net.Conn, config *tls.Config, generation int) *Conn {
 	socket := &socket{Conn: raw}
 	return &Conn{
 		Conn:       tls.Client(socket, config),
 		socket:     socket,
-		store:      r,
+		store:      s,
 		peerUsage:  x509.ExtKeyUsageServerAuth,
 		generation: generation,
 	}
@@ -38,8 +38,8 @@
 
 // Listen returns a listener for TLS connections. The handshake is performed by the first read or write, within
 // its deadline.
-func (r *Store) Listen(l net.Listener, protocols ...string) net.Listener {
-	return &listener{l, r, r.Server(protocols...)}
+func (s *Store) Listen(inner net.Listener, protocols ...string) net.Listener {
+	return &listener{Listener: inner, store: s, config: s.Server(protocols...)}
 }
 
 // listener accepts server connections.
@@ -67,26 +67,30 @@
 
 // Lifetime returns the connection's lifetime. The handshake must be complete.
 func (c *Conn) Lifetime() *Lifetime {
-	c.lifetimeOnce.Do(func() { c.lifetime = c.store.Lifetime(c.ConnectionState(), c.peerUsage, c.generation) })
+	c.lifetimeOnce.Do(func() {
+		c.lifetime = c.store.Lifetime(c.ConnectionState(), c.peerUsage, c.generation)
+	})
 	return c.lifetime
 }
 
-// StateAt is Lifetime.At of the connection. The handshake must be complete.
+// StateAt returns Lifetime.At of the connection. The handshake must be complete.
 func (c *Conn) StateAt(now time.Time) (usable, trusted bool, reason string) {
 	return c.Lifetime().At(now)
 }
 
-// HasNoUnreadData reports whether the TLS layer holds no unread data, such as an alert or a response that was not asked
-// for. It does not look at the socket itself, and must not be called concurrently with Read.
+// HasNoUnreadData reports whether the TLS layer holds no unread data, such as an alert or an unexpected response. It
+// does not read from the socket, and must not be called concurrently with Read.
 func (c *Conn) HasNoUnreadData() bool {
-	_ = c.SetReadDeadline(time.Unix(1, 0))                // in the past: the socket is not read
-	defer func() { _ = c.SetReadDeadline(time.Time{}) }() // on a closed socket Read fails as well
+	// With a deadline in the past, Read returns data of the TLS layer but does not read from the socket. The errors of
+	// SetReadDeadline are ignored because Read returns an error as well if the socket is closed.
+	_ = c.SetReadDeadline(time.Unix(1, 0))
+	defer func() { _ = c.SetReadDeadline(time.Time{}) }()
 	var buffer [1]byte
 	n, err := c.Read(buffer[:])
 	return n == 0 && errors.Is(err, os.ErrDeadlineExceeded)
 }
 
-// Close sends the close_notify alert (RFC 8446, section 6.1) if that needs no wait, and closes the connection.
+// Close sends the close_notify alert (RFC 8446, section 6.1) if that does not block, and closes the connection.
 func (c *Conn) Close() error {
 	c.socket.closing.Store(true)
 	return c.Conn.Close()
@@ -98,11 +102,11 @@
 	closing atomic.Bool
 }
 
-// closeTimeout bounds the write of the last record: the caller of Close may hold a lock, and crypto/tls would
+// closeTimeout bounds the write of the close_notify alert. The caller of Close may hold a lock, and crypto/tls would
 // wait 5 s for a peer that does not read.
 const closeTimeout = time.Millisecond
 
-// SetWriteDeadline replaces the deadline of crypto/tls by closeTimeout during a close.
+// SetWriteDeadline replaces the deadline of crypto/tls with closeTimeout during Close.
 func (s *socket) SetWriteDeadline(deadline time.Time) error {
 	if s.closing.Load() {
 		deadline = time.Now().Add(closeTimeout)
--- a/internal/certstore/files.go
+++ b/internal/certstore/files.go
@@ -7,7 +7,7 @@
 	"pinedale/internal/certstore/validate"
 )
 
-// Paths are the names of the PEM files; "" for none.
+// Paths are the names of the PEM files, "" for none.
 type Paths struct {
 	Cert    string // the certificate, followed by its intermediates
 	Key     string // the private key, not encrypted
@@ -28,7 +28,8 @@
 	}
 }
 
-// readFile reads a file up to one byte over the permitted size, by which package validate sees that it is too large.
+// readFile reads a file up to one byte over the permitted size, which is how package validate detects that it is too
+// large.
 func readFile(path string) validate.File {
 	if path == "" {
 		return validate.File{}
@@ -42,7 +43,7 @@
 	return validate.File{Configured: true, Data: data, Err: err}
 }
 
-// Read reads and parses files without a check whether they may serve.
+// Read reads and parses files. It does not check whether they are accepted.
 func Read(paths Paths) (*validate.Material, error) {
 	material, fault := validate.Parse(paths.readAll())
 	if fault != nil {
--- a/internal/certstore/lifetime.go
+++ b/internal/certstore/lifetime.go
@@ -10,40 +10,40 @@
 	"pinedale/internal/certstore/validate"
 )
 
-// Lifetime tells until when one connection may carry new requests. It is safe for concurrent use.
+// Lifetime determines until when a connection may carry new requests. It is safe for concurrent use.
 type Lifetime struct {
 	store *Store
 	conn  validate.Conn
 
 	mu                sync.Mutex
-	checkedGeneration int // that retirement was determined under
+	checkedGeneration int // generation of the material when retirement was determined
 	retirement        validate.Retirement
 }
 
-// lastConnID is the last connection ID that was assigned, over all rooms.
+// lastConnID is the last connection ID that was assigned, in all stores.
 var lastConnID atomic.Uint64
 
-// Lifetime returns the lifetime of a connection after its handshake. The peer was verified for a usage; generation
-// is that of the material from before the handshake.
-func (r *Store) Lifetime(state tls.ConnectionState, usage x509.ExtKeyUsage, generation int) *Lifetime {
+// Lifetime returns the lifetime of a connection after its handshake, in which the peer was verified for a usage.
+// generation is the value of Generation before the handshake.
+func (s *Store) Lifetime(state tls.ConnectionState, usage x509.ExtKeyUsage, generation int) *Lifetime {
 	return &Lifetime{
-		store:             r,
+		store:             s,
 		checkedGeneration: generation,
 		conn: validate.Conn{
 			ID:         lastConnID.Add(1),
 			Generation: generation,
-			Local:      r.LocalCert(),
+			Local:      s.LocalCert(),
 			Peer:       state.PeerCertificates,
 			PeerUsage:  usage,
 		},
 	}
 }
 
-// At returns the state of the connection at an instant. usable is false if it should carry no new requests and be
-// closed once those in flight have ended; trusted is false if the peer would be rejected now, for reason.
+// At returns the state of the connection at the given time. usable is false if it must carry no new requests and must
+// be closed after those in flight. trusted is false if the peer would be rejected now. reason says why.
 //
-// The chain is verified again only if the material has changed or a certificate has expired: nothing else can
-// change the result.
+// The chain is verified again only if the material has changed or a certificate has expired, since nothing else changes
+// the result.
 func (l *Lifetime) At(now time.Time) (usable, trusted bool, reason string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -59,8 +59,8 @@
 	return usable, true, l.retirement.Reason
 }
 
-// update adopts a retirement unless an earlier one is set: a second change of the material does not postpone the
-// retirement that the first has caused.
+// update sets the retirement unless an earlier one is set. A second change of the material does not postpone the
+// retirement because of the first.
 func (l *Lifetime) update(next validate.Retirement) {
 	if next.At.IsZero() {
 		return
--- a/internal/certstore/store_test.go
+++ b/internal/certstore/store_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -21,16 +22,18 @@
 
 const testName = "soko-3.example.org"
 
+// noon is the time of all stores in these tests.
 var noon = ca.Epoch.Add(12 * time.Hour)
 
-// testClock is the clock of the stores in these tests.
+// testClock is the clock of all stores in these tests.
 func testClock() time.Time { return noon }
 
+// paths returns the paths of a folder without revocation lists.
 func paths(folder *ca.Folder) Paths {
 	return Paths{Cert: folder.Cert, Key: folder.Key, Roots: folder.Roots}
 }
 
-// open opens a store on the files of a folder.
+// open opens a store of the files of a folder.
 func open(t *testing.T, folder *ca.Folder, server bool, log io.Writer) *Store {
 	t.Helper()
 	store, err := Open(Options{
@@ -46,148 +49,228 @@
 	return store
 }
 
-// handshake connects a server and a client configuration and returns the error of each side.
-func handshake(t *testing.T, server, client *tls.Config) (serverErr, clientErr error) {
+// connect returns both ends of a TCP connection, which are closed when the test ends.
+func connect(t *testing.T) (server, client net.Conn) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer listener.Close()
-	clientConn, err := net.Dial("tcp", listener.Addr().String())
+	client, err = net.Dial("tcp", listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
-	serverConn, err := listener.Accept()
+	t.Cleanup(func() { client.Close() })
+	server, err = listener.Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := serverConn.SetDeadline(time.Now().Add(wait.Timeout)); err != nil {
-		t.Fatal(err)
-	}
-	if err := clientConn.SetDeadline(time.Now().Add(wait.Timeout)); err != nil {
-		t.Fatal(err)
+	t.Cleanup(func() { server.Close() })
+	for _, conn := range []net.Conn{server, client} {
+		if err := conn.SetDeadline(time.Now().Add(wait.Timeout)); err != nil {
+			t.Fatal(err)
+		}
 	}
-	done := make(chan error, 1)
+	return server, client
+}
+
+// handshake connects a server and a client configuration and returns the error of each side.
+func handshake(t *testing.T, server, client *tls.Config) (serverErr, clientErr error) {
+	t.Helper()
+	serverSocket, clientSocket := connect(t)
+	serverEnded := make(chan error, 1)
 	go func() {
-		s := tls.Server(serverConn, server)
-		err := s.Handshake()
+		conn := tls.Server(serverSocket, server)
+		err := conn.Handshake()
 		if err == nil {
-			_, err = s.Write([]byte("x")) // sends the session tickets, and reveals that the client has rejected the server
+			// The write sends the session tickets. It fails if the client has rejected the server.
+			_, err = conn.Write([]byte("x"))
 		}
-		done <- err
-		serverConn.Close()
+		serverEnded <- err
+		serverSocket.Close()
 	}()
-	c := tls.Client(clientConn, client)
-	clientErr = c.Handshake()
+	conn := tls.Client(clientSocket, client)
+	clientErr = conn.Handshake()
 	if clientErr == nil {
-		_, clientErr = io.ReadFull(c, make([]byte, 1))
+		_, clientErr = io.ReadFull(conn, make([]byte, 1))
 	}
-	clientConn.Close()
-	return <-done, clientErr
+	clientSocket.Close()
+	return <-serverEnded, clientErr
 }
 
-// Files that may not serve are an error of Open that names rule and file; later they are reported once, and the
-// last accepted material keeps serving.
-func TestOpenFailsAndReloadKeepsLastGoodMaterial(t *testing.T) {
-	root := ca.New(t, "root")
-	folder := ca.NewFolder(t)
-	_, err := Open(Options{Paths: paths(folder), Log: slog.New(slog.DiscardHandler)})
-	if fault := (*validate.Fault)(nil); !errors.As(err, &fault) || fault.Rule != validate.Unreadable {
+func TestOpenFailsWithoutFiles(t *testing.T) {
+	_, err := Open(Options{Paths: paths(ca.NewFolder(t)), Log: slog.New(slog.DiscardHandler)})
+	var fault *validate.Fault
+	if !errors.As(err, &fault) || fault.Rule != validate.Unreadable {
 		t.Errorf("no files: %v", err)
 	}
-	good := root.Issue(ca.Spec{Names: []string{testName}})
-	folder.WritePair(good)
+}
+
+// Files that are rejected later are reported once, and the last accepted material remains in use.
+func TestReloadKeepsLastValidMaterial(t *testing.T) {
+	root := ca.New(t, "root")
+	folder := ca.NewFolder(t)
+	folder.WritePair(root.Issue(ca.Spec{Names: []string{testName}}))
 	folder.WriteFile(folder.Roots, root.PEM())
 	log := &logcapture.Buffer{}
 	store := open(t, folder, true, log)
-	bad := root.Issue(ca.Spec{Names: []string{"soko-4.example.org"}})
-	folder.WritePair(bad)
+	folder.WritePair(root.Issue(ca.Spec{Names: []string{"soko-4.example.org"}}))
 	for range 3 {
-		if v := store.Reload(); v.Action != validate.Rejected || v.Fault.Rule != validate.WrongName {
-			t.Errorf("another's name: %+v", v)
+		decision := store.Reload()
+		if decision.Action != validate.Rejected || decision.Fault.Rule != validate.WrongName {
+			t.Errorf("a certificate of another name: %+v", decision)
 		}
 	}
-	if got := log.String(); strings.Count(got, "certificate files rejected") != 1 ||
-		!strings.Contains(got, "soko-4.example.org") || strings.Contains(got, "PRIVATE") {
-		t.Errorf("the log says %q", got)
+	logged := log.String()
+	if strings.Count(logged, "certificate files rejected") != 1 ||
+		!strings.Contains(logged, "soko-4.example.org") || strings.Contains(logged, "PRIVATE") {
+		t.Errorf("logged %q", logged)
 	}
 	if c := store.Counters(); c.Accepted != 1 || c.Rejected != 3 || c.Remaining != 12*time.Hour {
 		t.Errorf("counters %+v", c)
 	}
 }
 
-// A server is verified by the name that is configured for it, and a client must present a certificate.
-func TestPeersAreVerifiedByConfiguredName(t *testing.T) {
-	root, other := ca.New(t, "root"), ca.New(t, "other")
-	sides := func(authority *ca.Authority, spec ca.Spec) *ca.Folder {
-		folder := ca.NewFolder(t)
-		folder.WritePair(authority.Issue(spec))
-		folder.WriteFile(folder.Roots, root.PEM())
-		return folder
-	}
-	sound := ca.Spec{Names: []string{testName}}
-	clientStore := open(t, sides(root, sound), false, io.Discard)
-	client, err := clientStore.Client(testName)
+// peerFixture issues certificates for both sides of a connection.
+type peerFixture struct {
+	t    *testing.T
+	root *ca.Authority
+}
+
+// folder returns a folder with a certificate for a name, and with the root.
+func (f *peerFixture) folder(name string) *ca.Folder {
+	f.t.Helper()
+	folder := ca.NewFolder(f.t)
+	folder.WritePair(f.root.Issue(ca.Spec{Names: []string{name}}))
+	folder.WriteFile(folder.Roots, f.root.PEM())
+	return folder
+}
+
+// client returns the configuration of a client of testName.
+func (f *peerFixture) client() *tls.Config {
+	f.t.Helper()
+	config, err := open(f.t, f.folder(testName), false, io.Discard).Client(testName)
 	if err != nil {
-		t.Fatal(err)
+		f.t.Fatal(err)
 	}
-	client.Time = testClock
-	serve := func(folder *ca.Folder, want validate.Requirements) *tls.Config {
-		store, err := Open(Options{Paths: paths(folder), Want: want, Log: slog.New(slog.DiscardHandler), Now: testClock})
-		if err != nil {
-			t.Fatal(err)
-		}
-		c := store.current.Load().server.Clone()
-		c.Time = testClock
-		return c
+	config.Time = testClock
+	return config
+}
+
+// server returns the configuration of a server with the files of a folder.
+func (f *peerFixture) server(folder *ca.Folder) *tls.Config {
+	f.t.Helper()
+	store, err := Open(Options{
+		Paths: paths(folder),
+		Want:  validate.Requirements{Server: true},
+		Log:   slog.New(slog.DiscardHandler),
+		Now:   testClock,
+	})
+	if err != nil {
+		f.t.Fatal(err)
 	}
-	if s, c := handshake(t, serve(sides(root, sound), validate.Requirements{Server: true}), client); s != nil || c != nil {
-		t.Errorf("two sound sides: %v, %v", s, c)
+	config := store.current.Load().server.Clone()
+	config.Time = testClock
+	return config
+}
+
+func TestPeersOfOneRootAcceptEachOther(t *testing.T) {
+	f := &peerFixture{t, ca.New(t, "root")}
+	serverErr, clientErr := handshake(t, f.server(f.folder(testName)), f.client())
+	if serverErr != nil || clientErr != nil {
+		t.Errorf("two valid sides: %v, %v", serverErr, clientErr)
 	}
-	wrongName := sides(root, ca.Spec{Names: []string{"soko-4.example.org"}})
-	_, clientErr := handshake(t, serve(wrongName, validate.Requirements{Server: true}), client)
+}
+
+// A server is verified by the name that is configured for it.
+func TestClientRejectsServerOfOtherName(t *testing.T) {
+	f := &peerFixture{t, ca.New(t, "root")}
+	_, clientErr := handshake(t, f.server(f.folder("soko-4.example.org")), f.client())
 	if clientErr == nil || !strings.Contains(clientErr.Error(), "soko-4.example.org") {
 		t.Errorf("a server of another name: %v", clientErr)
 	}
+}
+
+func TestClientRejectsServerOfUnknownRoot(t *testing.T) {
+	f := &peerFixture{t, ca.New(t, "root")}
 	unknown := ca.NewFolder(t)
-	unknown.WritePair(other.Issue(sound))
+	unknown.WritePair(ca.New(t, "other").Issue(ca.Spec{Names: []string{testName}}))
 	unknown.Roots = ""
-	if _, c := handshake(t, serve(unknown, validate.Requirements{Server: true}), client); c == nil {
-		t.Error("a server by an unknown root was trusted")
+	if _, clientErr := handshake(t, f.server(unknown), f.client()); clientErr == nil {
+		t.Error("a server of an unknown root was trusted")
 	}
+}
+
+func TestServerRejectsClientWithoutCertificate(t *testing.T) {
+	f := &peerFixture{t, ca.New(t, "root")}
 	anonymous := &tls.Config{InsecureSkipVerify: true, Time: testClock}
-	if s, _ := handshake(t, serve(sides(root, sound), validate.Requirements{Server: true}), anonymous); s == nil {
+	if serverErr, _ := handshake(t, f.server(f.folder(testName)), anonymous); serverErr == nil {
 		t.Error("a client without a certificate was admitted")
 	}
-	withoutRoots := sides(root, sound)
+}
+
+func TestServerNameIndicationOmitsSPIFFEID(t *testing.T) {
+	f := &peerFixture{t, ca.New(t, "root")}
+	store := open(t, f.folder(testName), false, io.Discard)
+	for name, want := range map[string]string{testName: testName, "spiffe://soko/pay": ""} {
+		config, err := store.Client(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if config.ServerName != want {
+			t.Errorf("%s: server name %q, want %q", name, config.ServerName, want)
+		}
+	}
+}
+
+func TestSecretRequiresPrivateKey(t *testing.T) {
+	f := &peerFixture{t, ca.New(t, "root")}
+	rootsOnly := Paths{Roots: f.folder(testName).Roots}
+	store, err := Open(Options{Paths: rootsOnly, Log: slog.New(slog.DiscardHandler), Now: testClock})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := store.Secret("purpose"); !errors.Is(err, ErrNoPrivateKey) {
+		t.Errorf("error %v, want %v", err, ErrNoPrivateKey)
+	}
+}
+
+func TestClientRequiresRoots(t *testing.T) {
+	f := &peerFixture{t, ca.New(t, "root")}
+	withoutRoots := f.folder(testName)
 	withoutRoots.Roots = ""
-	if _, err := open(t, withoutRoots, false, io.Discard).Client(testName); err == nil {
-		t.Error("a client configuration without roots")
+	_, err := open(t, withoutRoots, false, io.Discard).Client(testName)
+	if !errors.Is(err, ErrNoRoots) {
+		t.Errorf("a client configuration without roots: error %v, want %v", err, ErrNoRoots)
 	}
 }
 
-// Changed files are accepted without a signal, certificate and key together, also those changed before Run.
+// Changed files are accepted without a signal, certificate and key together. That includes files that changed before
+// Run.
 func TestFileChangesAreAcceptedWithoutSignal(t *testing.T) {
-	defer goleak.VerifyNone(t)
+	t.Cleanup(func() { goleak.VerifyNone(t) })
 	root := ca.New(t, "root")
 	folder := ca.NewFolder(t)
 	folder.WritePair(root.Issue(ca.Spec{Names: []string{testName}}))
 	folder.WriteFile(folder.Roots, root.PEM())
 	store := open(t, folder, true, io.Discard)
 	folder.WritePair(root.Issue(ca.Spec{Names: []string{testName}})) // before Run has begun to watch
-	ctx, end := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() { store.Run(ctx); close(done) }()
-	defer func() { end(); <-done }()
+	ctx, cancel := context.WithCancel(context.Background())
+	var watch sync.WaitGroup
+	watch.Go(func() { store.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		watch.Wait()
+	})
 	wait.Until(t, "the pair written before the watch", func() bool { return store.Generation() == 2 })
-	for n := 3; n < 7; n++ {
+	for generation := 3; generation < 7; generation++ {
 		next := root.Issue(ca.Spec{Names: []string{testName}})
-		folder.WriteFile(folder.Key, next.Key) // first the key, then the certificate
+		folder.WriteFile(folder.Key, next.Key) // the key before the certificate
 		folder.WriteFile(folder.Cert, next.Cert)
-		wait.Until(t, "the new pair", func() bool { return store.Generation() == n })
+		wait.Until(t, "the new pair", func() bool { return store.Generation() == generation })
 		if got := store.current.Load().material.Leaf(); !got.Equal(next.Leaf) {
-			t.Fatalf("change %d: another certificate is in use", n)
+			t.Fatalf("generation %d: another certificate is in use", generation)
 		}
 	}
 }
--- a/internal/certstore/validate/expiry.go
+++ b/internal/certstore/validate/expiry.go
@@ -5,19 +5,24 @@
 	"time"
 )
 
-// urgentRemaining is the remaining validity from which on a warning is urgent.
-const urgentRemaining = 24 * time.Hour
+const (
+	day = 24 * time.Hour
 
-// warningThresholds are the remaining validities at which a warning is due, in descending order.
-var warningThresholds = [...]time.Duration{30 * 24 * time.Hour, 7 * 24 * time.Hour, urgentRemaining, time.Hour, 0}
+	// urgentRemaining is the remaining validity at which a warning becomes urgent.
+	urgentRemaining = day
+)
+
+// warningThresholds are the remaining validities at which warnings are due, in descending order.
+var warningThresholds = [...]time.Duration{30 * day, 7 * day, urgentRemaining, time.Hour, 0}
 
-// Warning reports that the serving certificate expires soon.
+// Warning reports that the certificate in use expires soon.
 type Warning struct {
-	Remaining time.Duration // negative after expiry
-	Urgent    bool          // a day or less remains
+	Remaining time.Duration // remaining validity, negative after expiry
+	Urgent    bool          // at most urgentRemaining
 }
 
-// ExpiryWarning returns a warning once for each of the warningThresholds that the serving identity passes.
+// ExpiryWarning returns a warning when the remaining validity of the identity in use reaches one of the
+// warningThresholds, once for each.
 func (r *Rotation) ExpiryWarning(now time.Time) (warning Warning, due bool) {
 	if r.serving == nil || r.serving.Leaf() == nil {
 		return Warning{}, false
@@ -34,8 +39,7 @@
 	return Warning{Remaining: remaining, Urgent: remaining <= urgentRemaining}, true
 }
 
-// Remaining returns how long the serving identity is still valid: until the first certificate of its chain
-// expires.
+// Remaining returns the remaining validity of the identity in use, until the first certificate of its chain expires.
 func (r *Rotation) Remaining(now time.Time) time.Duration {
 	remaining := time.Duration(math.MaxInt64)
 	for _, cert := range r.serving.Certs {
--- a/internal/certstore/validate/expiry_test.go
+++ b/internal/certstore/validate/expiry_test.go
@@ -7,7 +7,7 @@
 	"pinedale/internal/standin/ca"
 )
 
-// Each threshold is reported once, and again for the next certificate.
+// Each threshold causes one warning, and another one for the next certificate.
 func TestExpiryWarningOncePerThreshold(t *testing.T) {
 	root := ca.New(t, "root")
 	rotation := NewRotation(serverWant(), time.Minute)
@@ -18,21 +18,22 @@
 	rotation.Offer(noon, files(root.Issue(ca.Spec{Names: []string{testName}, NotAfter: end}), root.PEM()))
 	var got []Warning
 	for now := noon; now.Before(end.Add(48 * time.Hour)); now = now.Add(30 * time.Minute) {
-		if w, ok := rotation.ExpiryWarning(now); ok {
-			got = append(got, w)
+		if warning, ok := rotation.ExpiryWarning(now); ok {
+			got = append(got, warning)
 		}
 	}
 	if len(got) != len(warningThresholds) {
 		t.Fatalf("%d warnings: %+v", len(got), got)
 	}
-	for i, w := range got {
+	for i, warning := range got {
 		threshold := warningThresholds[i]
 		urgent := threshold <= 24*time.Hour
-		if w.Remaining > threshold || w.Remaining < threshold-time.Hour || w.Urgent != urgent {
-			t.Errorf("warning %d: %+v", i, w)
+		if warning.Remaining > threshold || warning.Remaining < threshold-time.Hour || warning.Urgent != urgent {
+			t.Errorf("warning %d: %+v", i, warning)
 		}
 	}
-	rotation.Offer(noon, files(root.Issue(ca.Spec{Names: []string{testName}, NotAfter: end.AddDate(0, 2, 0)}), root.PEM()))
+	next := root.Issue(ca.Spec{Names: []string{testName}, NotAfter: end.AddDate(0, 2, 0)})
+	rotation.Offer(noon, files(next, root.PEM()))
 	if _, ok := rotation.ExpiryWarning(noon); ok {
 		t.Error("a warning for a certificate that is valid for months")
 	}
--- a/internal/certstore/validate/fault.go
+++ b/internal/certstore/validate/fault.go
@@ -8,7 +8,7 @@
 // Rule is one of the validation rules listed in the package comment.
 type Rule uint8
 
-// The rules, in the order in which they are checked.
+// Rules, in the order in which they are checked.
 const (
 	Unreadable Rule = iota + 1
 	Incomplete
@@ -22,7 +22,7 @@
 	Revoked
 )
 
-// ruleNames are the names in logs and counters. Dashboards refer to them: they do not follow renames here.
+// ruleNames are the names in logs and counters. Dashboards refer to them, so they never change.
 var ruleNames = [...]string{
 	Unreadable:  "unreadable",
 	Incomplete:  "incomplete",
@@ -36,10 +36,10 @@
 	Revoked:     "revoked",
 }
 
-// String returns the rule's name as logs and counters show it.
+// String returns the name of the rule in logs and counters.
 func (r Rule) String() string { return ruleNames[r] }
 
-// The values of Fault.File.
+// Values of Fault.File.
 const (
 	certFile    = "cert"
 	keyFile     = "key"
@@ -48,16 +48,16 @@
 	peerChain   = "peer" // not a file: the chain that a peer presented
 )
 
-// Fault is the error of a broken rule. It never contains private key material.
+// Fault is the error of a violated rule. It never contains private key material.
 type Fault struct {
 	Rule      Rule
 	File      string    // "cert", "key", "roots" or "revoked"; "peer" for a chain that a peer presented
 	Reason    string    // for operators
-	ValidFrom time.Time // NotYetValid only: when validity begins
+	ValidFrom time.Time // start of the validity, for NotYetValid
 }
 
 // Error returns rule, file and reason.
 func (f *Fault) Error() string { return fmt.Sprintf("%s: %s: %s", f.Rule, f.File, f.Reason) }
 
-// transient reports whether the fault may be caused by a replacement of files that is still under way.
+// transient reports whether the fault may be due to a replacement of files that is not complete yet.
 func (f *Fault) transient() bool { return f.Rule <= KeyMismatch }
--- a/internal/certstore/validate/material.go
+++ b/internal/certstore/validate/material.go
@@ -8,18 +8,23 @@
 	"hash"
 )
 
-// MaxFileBytes bounds the size of each file: enough for more than a thousand root certificates.
+// MaxFileBytes is the maximum size of each file, which is enough for more than a thousand root certificates.
 const MaxFileBytes = 4 << 20
 
 // File is the content of one file, or the error of reading it.
 type File struct {
-	Configured bool // the operator's configuration names this file
+	Configured bool // the operator's configuration contains this file
 	Data       []byte
 	Err        error
 }
 
 // Files are the files of one identity and its trust.
-type Files struct{ Cert, Key, Roots, Revoked File }
+type Files struct {
+	Cert    File
+	Key     File
+	Roots   File
+	Revoked File
+}
 
 // namedFile is a file with its name in faults.
 type namedFile struct {
@@ -37,8 +42,8 @@
 	}
 }
 
-// Material is a set of files that was parsed completely. It is immutable apart from its cache of verified
-// chains, and safe for concurrent use.
+// Material is the parsed content of a set of files. It is immutable except for its cache of verified chains, and safe
+// for concurrent use.
 type Material struct {
 	Certs           []*x509.Certificate // the identity's chain, leaf first; empty if only trust is configured
 	Key             crypto.Signer
@@ -48,7 +53,7 @@
 	revoked map[certID]bool
 	digest  [sha256.Size]byte // of all files
 
-	verified chainCache // chains of peers
+	verified chainCache // of peers
 }
 
 // Equal reports whether both were parsed from the same bytes. It is false if either is nil.
@@ -98,7 +103,7 @@
 	return m, nil
 }
 
-// checkReadable checks that each configured file was read and has a plausible size.
+// checkReadable checks that each configured file was read, is not empty and is not too large.
 func (f *Files) checkReadable() *Fault {
 	for _, entry := range f.all() {
 		file := entry.file
@@ -121,21 +126,21 @@
 	return nil
 }
 
-// digest returns a hash of the files' contents. Two sets with equal digests parse to equal material.
+// digest returns a hash of the contents of all files. Two sets with equal digests have the same material.
 func (f *Files) digest() [sha256.Size]byte {
 	return f.hash(func(hasher hash.Hash, file *File) {
 		fmt.Fprintf(hasher, "%t %d\n", file.Configured, len(file.Data))
 	})
 }
 
-// digestWithErrors returns a hash that also tells apart files that could not be read.
+// digestWithErrors returns a hash of the contents of all files and of the errors of reading them.
 func (f *Files) digestWithErrors() [sha256.Size]byte {
 	return f.hash(func(hasher hash.Hash, file *File) {
 		fmt.Fprintf(hasher, "%t %v %d\n", file.Configured, file.Err, len(file.Data))
 	})
 }
 
-// hash hashes the contents of all files, each after a header.
+// hash returns a hash of the contents of all files. writeHeader is called before the content of each file.
 func (f *Files) hash(writeHeader func(hash.Hash, *File)) (digest [sha256.Size]byte) {
 	hasher := sha256.New()
 	for _, entry := range f.all() {
--- a/internal/certstore/validate/names.go
+++ b/internal/certstore/validate/names.go
@@ -7,7 +7,7 @@
 	"strings"
 )
 
-// spiffeScheme begins the names that are SPIFFE IDs.
+// spiffeScheme is the prefix of SPIFFE IDs.
 const spiffeScheme = "spiffe://"
 
 // MatchName returns an error unless a certificate is valid for a name: a DNS name or an IP address (RFC 9525),
@@ -29,7 +29,7 @@
 	return nil
 }
 
-// NamesOf returns the names that a certificate is valid for, as logs show them.
+// NamesOf returns the names that a certificate is valid for, in the form of logs.
 func NamesOf(cert *x509.Certificate) string {
 	var names []string
 	names = append(names, cert.DNSNames...)
--- a/internal/certstore/validate/parse.go
+++ b/internal/certstore/validate/parse.go
@@ -19,23 +19,25 @@
 	pemRSAPrivateKey       = "RSA PRIVATE KEY"
 	pemEncryptedPrivateKey = "ENCRYPTED PRIVATE KEY"
 	pemEncryptionHeader    = "DEK-Info" // of encrypted keys in the older form (RFC 1421)
+	pemBeginLine           = "-----BEGIN"
 )
 
-// Faults of private keys. They do not wrap the parser's error, which may quote the key.
+// Errors of private keys. They do not wrap the parser's error, which may contain parts of the key.
 var (
-	errKeyEncrypted  = errors.New("it is encrypted; a key is read without a password")
+	errKeyEncrypted  = errors.New("it is encrypted, which is not supported")
 	errKeyUnreadable = errors.New("it holds no private key that can be read")
 	errKeyCannotSign = errors.New("its key cannot sign")
 )
 
-// certID identifies a certificate among those of all issuers.
+// certID identifies a certificate of any issuer.
 type certID struct {
-	issuer string // DER of the issuer's distinguished name
-	serial string // decimal
+	issuer string // distinguished name of the issuer, DER
+	serial string // serial number, decimal
 }
 
+// idOf returns the ID of a certificate.
 func idOf(cert *x509.Certificate) certID {
-	return certID{string(cert.RawIssuer), cert.SerialNumber.String()}
+	return certID{issuer: string(cert.RawIssuer), serial: cert.SerialNumber.String()}
 }
 
 // parseIdentity parses the certificate chain and its private key.
@@ -49,19 +51,19 @@
 	// All public key types of the standard library have Equal.
 	public, ok := m.Key.Public().(interface{ Equal(crypto.PublicKey) bool })
 	if !ok || !public.Equal(m.Certs[0].PublicKey) {
-		return &Fault{Rule: KeyMismatch, File: keyFile, Reason: "it is not the certificate's"}
+		return &Fault{Rule: KeyMismatch, File: keyFile, Reason: "it does not belong to the certificate"}
 	}
 	return nil
 }
 
-// forEachBlock calls visit for each PEM block of a file. Text between blocks is ignored, as RFC 7468 allows;
-// a block without its end line means that the file is incomplete.
+// forEachBlock calls visit for each PEM block of a file. Text between blocks is ignored, as RFC 7468 permits. A file
+// with a block that has no end line is incomplete.
 func forEachBlock(file string, data []byte, visit func(*pem.Block) error) *Fault {
 	for {
 		block, rest := pem.Decode(data)
 		if block == nil {
-			if bytes.Contains(data, []byte("-----BEGIN")) {
-				return &Fault{Rule: Incomplete, File: file, Reason: "a block begins that does not end"}
+			if bytes.Contains(data, []byte(pemBeginLine)) {
+				return &Fault{Rule: Incomplete, File: file, Reason: "a PEM block has no end line"}
 			}
 			return nil
 		}
@@ -72,7 +74,7 @@
 	}
 }
 
-// parseCertificates parses the certificates of a file, which must hold one at least.
+// parseCertificates parses the certificates of a file, which must contain at least one.
 func parseCertificates(file string, data []byte) (certs []*x509.Certificate, fault *Fault) {
 	fault = forEachBlock(file, data, func(block *pem.Block) error {
 		if block.Type != pemCertificate {
@@ -128,8 +130,8 @@
 	return key, nil
 }
 
-// parseRevocationLists parses certificate revocation lists (RFC 5280, section 5). Each must be signed by a root
-// of this material: an unsigned list would allow anyone who can write the file to end connections.
+// parseRevocationLists parses certificate revocation lists (RFC 5280, section 5). Each must be signed by a root of this
+// material. Otherwise anyone who can write the file could cause connections to be closed.
 func (m *Material) parseRevocationLists(data []byte) *Fault {
 	fault := forEachBlock(revokedFile, data, func(block *pem.Block) error {
 		if block.Type != pemRevocationList {
@@ -155,11 +157,12 @@
 		}
 		m.RevocationLists = append(m.RevocationLists, list)
 		for _, entry := range list.RevokedCertificateEntries {
-			m.revoked[certID{string(list.RawIssuer), entry.SerialNumber.String()}] = true
+			id := certID{issuer: string(list.RawIssuer), serial: entry.SerialNumber.String()}
+			m.revoked[id] = true
 		}
 		return nil
 	}
-	return fmt.Errorf("the list of %s is signed by no root of these", list.Issuer)
+	return fmt.Errorf("the list of %s is not signed by any of the roots", list.Issuer)
 }
 
 // IsRevoked reports whether one of the revocation lists contains a certificate.
--- a/internal/certstore/validate/parse_test.go
+++ b/internal/certstore/validate/parse_test.go
@@ -8,12 +8,12 @@
 	"pinedale/internal/standin/ca"
 )
 
-// Parse panics on no input, and no fault quotes the key file.
+// Parse does not panic, and no fault contains parts of the key file.
 func FuzzParse(f *testing.F) {
 	root := ca.New(f, "root")
-	p := root.Issue(ca.Spec{Names: []string{testName}})
-	f.Add(p.Cert, p.Key, root.PEM(), root.RevocationList(p.Leaf))
-	f.Add(p.Cert[:100], p.Key[:100], []byte("-----BEGIN"), []byte{})
+	pair := root.Issue(ca.Spec{Names: []string{testName}})
+	f.Add(pair.Cert, pair.Key, root.PEM(), root.RevocationList(pair.Leaf))
+	f.Add(pair.Cert[:100], pair.Key[:100], []byte("-----BEGIN"), []byte{})
 	f.Fuzz(func(t *testing.T, cert, key, roots, revoked []byte) {
 		material, fault := Parse(Files{
 			Cert:    configured(cert),
@@ -30,7 +30,7 @@
 			}
 			excerpt := key[len(key)/2 : len(key)/2+20]
 			if strings.Contains(fault.Error(), string(excerpt)) && !bytes.Contains(cert, excerpt) {
-				t.Errorf("the fault quotes the key: %v", fault)
+				t.Errorf("the fault contains a part of the key: %v", fault)
 			}
 			return
 		}
--- a/internal/certstore/validate/peer.go
+++ b/internal/certstore/validate/peer.go
@@ -8,16 +8,16 @@
 	"time"
 )
 
-// VerifyPeer returns the first rule that a peer's chain breaks at an instant, nil if the peer is accepted.
-// It is called for each full handshake, and for each resumed session with the chain that the peer presented
-// when the session began: a ticket does not admit a peer that has since been revoked, has expired or is no
-// longer trusted.
+// VerifyPeer returns the first rule that a peer's chain violates at the given time, nil if the peer is accepted. It is
+// called for each full handshake. For each resumed session it is called with the chain that the peer presented in the
+// full handshake, so that a peer whose certificate has since been revoked, has expired or is no longer trusted is
+// rejected although it has a ticket.
 func (m *Material) VerifyPeer(now time.Time, presented []*x509.Certificate, requirements ChainRequirements) *Fault {
 	if len(presented) == 0 {
-		return &Fault{Rule: Incomplete, File: peerChain, Reason: "no certificate was shown"}
+		return &Fault{Rule: Incomplete, File: peerChain, Reason: errNoCertificate.Error()}
 	}
 	if len(m.Roots) == 0 {
-		reason := "no roots are named, and a peer cannot be verified without"
+		reason := "no roots are configured, which the verification of a peer requires"
 		return &Fault{Rule: Untrusted, File: peerChain, Reason: reason}
 	}
 	key := cacheKey(presented, requirements)
@@ -31,13 +31,13 @@
 	return fault
 }
 
-// maxCachedChains bounds the cache: an entry has some hundred bytes, and a fleet one chain per server.
+// maxCachedChains bounds the cache. An entry takes a few hundred bytes, and a fleet has one chain per server.
 const maxCachedChains = 16 << 10
 
-// chainKey identifies a chain together with the requirements it was verified for.
+// chainKey is a hash of a chain and the requirements for which it was verified.
 type chainKey [sha256.Size]byte
 
-// cacheKey hashes a chain and its requirements.
+// cacheKey returns the key of a chain and its requirements.
 func cacheKey(presented []*x509.Certificate, requirements ChainRequirements) (key chainKey) {
 	hasher := sha256.New()
 	fmt.Fprintf(hasher, "%q %d %d\n", requirements.Names, requirements.Usage, requirements.MinRSABits)
@@ -65,15 +65,15 @@
 	return period
 }
 
-// chainCache holds chains that were verified. The roots and revocation lists of a Material never change, so
-// such a chain stays verified until one of its certificates expires and need not be verified again at each
-// handshake. The zero value is ready; it is safe for concurrent use.
+// chainCache holds chains that were verified. The roots and revocation lists of a Material never change, so that a
+// verified chain remains valid until one of its certificates expires. The zero value is an empty cache. It is safe for
+// concurrent use.
 type chainCache struct {
 	mu      sync.Mutex
 	periods map[chainKey]validity
 }
 
-// valid reports whether a chain was verified and no certificate of it has expired since.
+// valid reports whether a chain was verified and all its certificates are valid now.
 func (c *chainCache) valid(key chainKey, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -81,7 +81,7 @@
 	return ok && !now.Before(period.from) && !now.After(period.until)
 }
 
-// add stores a verified chain. A full cache is emptied first.
+// add stores a verified chain. If the cache is full, it is cleared first.
 func (c *chainCache) add(key chainKey, period validity) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/certstore/validate/peer_test.go
+++ b/internal/certstore/validate/peer_test.go
@@ -10,16 +10,16 @@
 	"pinedale/internal/standin/ca"
 )
 
-// The cache of verified chains never changes the result of VerifyPeer: for any peer, name and instant, with the
-// clock set back, and for several sets of roots and revocation lists.
+// The cache of verified chains does not change the result of VerifyPeer, for any peer, name and time, several sets of
+// roots and revocation lists, and a clock that is set back.
 func TestCachedChainsAgreeWithFullVerification(t *testing.T) {
 	root, other := ca.New(t, "root"), ca.New(t, "other")
 	intermediate := root.NewIntermediate("between")
-	issue := func(a *ca.Authority, s ca.Spec) *ca.Pair {
-		if s.Names == nil {
-			s.Names = []string{testName}
+	issue := func(authority *ca.Authority, spec ca.Spec) *ca.Pair {
+		if spec.Names == nil {
+			spec.Names = []string{testName}
 		}
-		return a.Issue(s)
+		return authority.Issue(spec)
 	}
 	revoked := issue(root, ca.Spec{})
 	var chains [][]*x509.Certificate
@@ -33,11 +33,11 @@
 		issue(root, ca.Spec{NotAfter: noon.Add(-time.Hour)}),
 		issue(root, ca.Spec{Names: []string{"x.example.org"}}),
 	} {
-		all, fault := parseCertificates(peerChain, pair.Cert)
+		chain, fault := parseCertificates(peerChain, pair.Cert)
 		if fault != nil {
 			t.Fatal(fault)
 		}
-		chains = append(chains, all)
+		chains = append(chains, chain)
 	}
 	sets := []Files{
 		{Roots: configured(root.PEM()), Revoked: configured(root.RevocationList(revoked.Leaf))},
@@ -45,6 +45,7 @@
 		{Roots: configured(other.PEM())},
 	}
 	parse := func(input Files) *Material {
+		t.Helper()
 		material, fault := Parse(input)
 		if fault != nil {
 			t.Fatal(fault)
--- a/internal/certstore/validate/retirement.go
+++ b/internal/certstore/validate/retirement.go
@@ -7,21 +7,21 @@
 
 // Conn describes an established connection.
 type Conn struct {
-	ID         uint64              // distinguishes connections, so that their ends are spread
-	Generation int                 // of the material that served when it was established
+	ID         uint64              // unique among connections; determines the position of the retirement
+	Generation int                 // of the material in use when the connection was established
 	Local      *x509.Certificate   // presented to the peer, nil for none
 	Peer       []*x509.Certificate // presented by the peer, leaf first; empty for none
-	PeerUsage  x509.ExtKeyUsage    // that the peer's chain was verified for
+	PeerUsage  x509.ExtKeyUsage    // for which the peer's chain was verified
 }
 
-// Retirement is until when a connection may carry new requests. Requests in flight may end after that.
+// Retirement is the time after which a connection must carry no new requests. Requests in flight may end later.
 type Retirement struct {
 	At            time.Time // zero if the connection need not be replaced
 	Reason        string
-	PeerUntrusted bool // the peer would be rejected now: nothing more may be exchanged with it
+	PeerUntrusted bool // the peer would be rejected now, and no more data may be exchanged with it
 }
 
-// PeerRequirements returns what is required of a peer of any name.
+// PeerRequirements returns the requirements of a peer of any name.
 func (r *Rotation) PeerRequirements(usage x509.ExtKeyUsage) ChainRequirements {
 	return ChainRequirements{
 		Usage:       usage,
@@ -30,14 +30,14 @@
 	}
 }
 
-// Retirement returns until when a connection may carry new requests:
+// Retirement returns when a connection retires:
 //
-//	the peer's chain would be rejected now  until now
-//	its own certificate has expired         until now
-//	its generation no longer serves         until a time that is spread over the period after the change
+//	the peer's chain would be rejected now  now
+//	its own certificate has expired         now
+//	its material was replaced               at a time that depends on its ID, in the period after the replacement
 //
-// A resumed session proves only that the peer had a ticket; for such a connection conn.Peer is the chain that
-// was verified when the ticket was issued.
+// For a resumed session, conn.Peer is the chain that was verified when the ticket was issued, since the peer has proved
+// only that it has the ticket.
 func (r *Rotation) Retirement(now time.Time, conn Conn) Retirement {
 	if r.serving == nil {
 		return Retirement{}
@@ -49,21 +49,21 @@
 		}
 	}
 	if conn.Local != nil && now.After(conn.Local.NotAfter) && !r.want.AllowExpired {
-		return Retirement{At: now, Reason: "its own certificate is over"}
+		return Retirement{At: now, Reason: "its own certificate has expired"}
 	}
 	if conn.Generation != r.generation {
-		delay := time.Duration(SpreadPosition(conn.ID) * float64(r.spread))
-		return Retirement{At: r.since.Add(delay), Reason: "keys have changed since"}
+		delay := time.Duration(SpreadPosition(conn.ID) * float64(r.replacementTime))
+		return Retirement{At: r.since.Add(delay), Reason: "the certificate files have changed"}
 	}
 	return Retirement{}
 }
 
-// goldenRatio is 2^64 divided by the golden ratio, the factor of Knuth's multiplicative hash.
-const goldenRatio = 0x9e3779b97f4a7c15
+// goldenRatio64 is 2^64 divided by the golden ratio, the factor of Knuth's multiplicative hash.
+const goldenRatio64 = 0x9e3779b97f4a7c15
 
-// SpreadPosition returns the position, from 0 to 1, of a connection's end in the period after a change. It is a
-// multiplicative hash: connections with consecutive IDs end far apart.
+// SpreadPosition returns the position, from 0 to 1, of a connection's retirement in the period after a change. It is a
+// multiplicative hash, so that connections with consecutive IDs retire far apart.
 func SpreadPosition(id uint64) float64 {
 	const mantissaBits = 53 // of a float64
-	return float64(id*goldenRatio>>(64-mantissaBits)) / (1 << mantissaBits)
+	return float64(id*goldenRatio64>>(64-mantissaBits)) / (1 << mantissaBits)
 }
--- a/internal/certstore/validate/retirement_test.go
+++ b/internal/certstore/validate/retirement_test.go
@@ -9,73 +9,122 @@
 	"pinedale/internal/standin/ca"
 )
 
-// retirement returns the time and the reason of a connection's retirement.
-func retirement(rotation *Rotation, now time.Time, conn Conn) (at time.Time, reason string) {
-	result := rotation.Retirement(now, conn)
-	return result.At, result.Reason
+// retirementFixture has connections to peers whose certificates were issued by an old and a new root.
+type retirementFixture struct {
+	oldRoot   *ca.Authority
+	newRoot   *ca.Authority
+	local     *ca.Pair // issued by the old root
+	peer      *ca.Pair // issued by the old root
+	newPeer   *ca.Pair // issued by the new root
+	rotation  *Rotation
+	changedAt time.Time // of the second offer
 }
 
-// A connection retires at once when its peer is no longer trusted, and within the spread when the own key is
-// replaced.
-func TestConnectionsRetireWithTheirTrustOrKey(t *testing.T) {
-	old, next := ca.New(t, "old"), ca.New(t, "next")
-	local := old.Issue(ca.Spec{Names: []string{testName}})
-	peer := old.Issue(ca.Spec{Names: []string{"peer"}})
-	byNext := next.Issue(ca.Spec{Names: []string{"peer"}})
-	rotation := NewRotation(Requirements{MinRSABits: 2048}, time.Hour)
-	conn := func(peer *ca.Pair, generation int) Conn {
-		return Conn{
-			ID:         7,
-			Generation: generation,
-			Local:      local.Leaf,
-			Peer:       []*x509.Certificate{peer.Leaf},
-			PeerUsage:  x509.ExtKeyUsageServerAuth,
-		}
+// newRetirementFixture returns a fixture after the first offer, with the old root only.
+func newRetirementFixture(t *testing.T) *retirementFixture {
+	t.Helper()
+	oldRoot, newRoot := ca.New(t, "old"), ca.New(t, "next")
+	f := &retirementFixture{
+		oldRoot:   oldRoot,
+		newRoot:   newRoot,
+		local:     oldRoot.Issue(ca.Spec{Names: []string{testName}}),
+		peer:      oldRoot.Issue(ca.Spec{Names: []string{"peer"}}),
+		newPeer:   newRoot.Issue(ca.Spec{Names: []string{"peer"}}),
+		rotation:  NewRotation(Requirements{MinRSABits: 2048}, time.Hour),
+		changedAt: noon.Add(time.Minute),
 	}
-	rotation.Offer(noon, files(local, old.PEM()))
-	if until, reason := retirement(rotation, noon, conn(peer, 1)); !until.IsZero() {
-		t.Errorf("nothing has changed: until %v, %s", until, reason)
+	f.rotation.Offer(noon, files(f.local, oldRoot.PEM()))
+	return f
+}
+
+// conn returns a connection to a peer that was established with the material of a generation.
+func (f *retirementFixture) conn(peer *ca.Pair, generation int) Conn {
+	return Conn{
+		ID:         7,
+		Generation: generation,
+		Local:      f.local.Leaf,
+		Peer:       []*x509.Certificate{peer.Leaf},
+		PeerUsage:  x509.ExtKeyUsageServerAuth,
 	}
-	// Both roots are trusted for a while: connections stay usable, and are replaced over the hour.
-	change := noon.Add(time.Minute)
-	rotation.Offer(change, files(local, old.PEM(), next.PEM()))
-	ends := map[int]int{}
-	for n := range uint64(6000) {
-		c := conn(peer, 1)
-		c.ID = n
-		until, _ := retirement(rotation, change, c)
-		after := until.Sub(change)
-		if after < 0 || after >= time.Hour {
-			t.Fatalf("connection %d lives until %v after the change", n, after)
-		}
-		ends[int(after/(10*time.Minute))]++
+}
+
+// wantRetirement checks that a connection retires at the given time, for a reason that contains the text.
+func (f *retirementFixture) wantRetirement(t *testing.T, at time.Time, conn Conn, reason string) {
+	t.Helper()
+	got := f.rotation.Retirement(at, conn)
+	if !got.At.Equal(at) || !strings.Contains(got.Reason, reason) {
+		t.Errorf("retirement %+v, want one at %v with the reason %q", got, at, reason)
 	}
-	for part, n := range ends {
-		if len(ends) != 6 || n < 800 || n > 1200 {
-			t.Errorf("in part %d of the hour %d of 6000 end: %v", part, n, ends)
-		}
+}
+
+// wantNone checks that a connection does not retire.
+func (f *retirementFixture) wantNone(t *testing.T, now time.Time, conn Conn) {
+	t.Helper()
+	if got := f.rotation.Retirement(now, conn); !got.At.IsZero() {
+		t.Errorf("retirement %+v, want none", got)
 	}
-	if until, reason := retirement(rotation, change, conn(byNext, 2)); !until.IsZero() {
-		t.Errorf("one by the new root: until %v, %s", until, reason)
+}
+
+func TestConnectionOfCurrentMaterialDoesNotRetire(t *testing.T) {
+	f := newRetirementFixture(t)
+	f.wantNone(t, noon, f.conn(f.peer, 1))
+}
+
+// After a second root is added, established connections remain trusted and retire evenly over the hour.
+func TestConnectionsRetireEvenlyAfterChange(t *testing.T) {
+	f := newRetirementFixture(t)
+	f.rotation.Offer(f.changedAt, files(f.local, f.oldRoot.PEM(), f.newRoot.PEM()))
+	const (
+		connections = 6000
+		parts       = 6 // of the hour
+	)
+	retired := map[int]int{} // by part
+	for id := range uint64(connections) {
+		conn := f.conn(f.peer, 1)
+		conn.ID = id
+		delay := f.rotation.Retirement(f.changedAt, conn).At.Sub(f.changedAt)
+		if delay < 0 || delay >= time.Hour {
+			t.Fatalf("connection %d retires %v after the change", id, delay)
+		}
+		retired[int(delay/(time.Hour/parts))]++
 	}
-	// The old root is removed while connections are established.
-	rotation.Offer(noon.Add(2*time.Minute), files(next.Issue(ca.Spec{Names: []string{testName}}), next.PEM()))
-	changedAt := noon.Add(2 * time.Minute)
-	until, reason := retirement(rotation, changedAt, conn(peer, 2))
-	if !until.Equal(changedAt) || !strings.Contains(reason, "no longer trusted") {
-		t.Errorf("root removed: until %v, %s", until, reason)
+	for part, n := range retired {
+		if len(retired) != parts || n < 800 || n > 1200 {
+			t.Errorf("in part %d of the hour %d of %d retire: %v", part, n, connections, retired)
+		}
 	}
-	// Revoked, and expired.
-	input := files(next.Issue(ca.Spec{Names: []string{testName}, NotAfter: noon.AddDate(1, 0, 0)}), next.PEM())
-	input.Revoked = configured(next.RevocationList(byNext.Leaf))
-	rotation.Offer(changedAt, input)
-	until, reason = retirement(rotation, changedAt, conn(byNext, 4))
-	if !until.Equal(changedAt) || !strings.Contains(reason, "revoked") {
-		t.Errorf("revoked: until %v, %s", until, reason)
+	f.wantNone(t, f.changedAt, f.conn(f.newPeer, 2))
+}
+
+// When the old root is removed, connections to peers with its certificates retire at once.
+func TestConnectionRetiresWhenRootIsRemoved(t *testing.T) {
+	f := newRetirementFixture(t)
+	f.rotation.Offer(noon, files(f.local, f.oldRoot.PEM(), f.newRoot.PEM()))
+	f.rotation.Offer(f.changedAt, files(f.newRoot.Issue(ca.Spec{Names: []string{testName}}), f.newRoot.PEM()))
+	f.wantRetirement(t, f.changedAt, f.conn(f.peer, 2), "no longer trusted")
+	if !f.rotation.Retirement(f.changedAt, f.conn(f.peer, 2)).PeerUntrusted {
+		t.Error("the peer is not reported as untrusted")
 	}
-	late := byNext.Leaf.NotAfter.Add(time.Second)
-	until, reason = retirement(rotation, late, conn(byNext, 4))
-	if !until.Equal(late) || !strings.Contains(reason, "over") {
-		t.Errorf("expired: until %v, %s", until, reason)
+}
+
+func TestConnectionRetiresWhenPeerIsRevokedOrExpired(t *testing.T) {
+	f := newRetirementFixture(t)
+	local := f.newRoot.Issue(ca.Spec{Names: []string{testName}, NotAfter: noon.AddDate(1, 0, 0)})
+	input := files(local, f.newRoot.PEM())
+	input.Revoked = configured(f.newRoot.RevocationList(f.newPeer.Leaf))
+	f.rotation.Offer(f.changedAt, input)
+	f.wantRetirement(t, f.changedAt, f.conn(f.newPeer, 2), "revoked")
+	afterExpiry := f.newPeer.Leaf.NotAfter.Add(time.Second)
+	f.wantRetirement(t, afterExpiry, f.conn(f.newPeer, 2), "over")
+}
+
+func TestConnectionRetiresWhenOwnCertificateExpires(t *testing.T) {
+	f := newRetirementFixture(t)
+	conn := f.conn(f.peer, 1)
+	conn.Peer = nil
+	afterExpiry := f.local.Leaf.NotAfter.Add(time.Second)
+	f.wantRetirement(t, afterExpiry, conn, "own certificate has expired")
+	if f.rotation.Retirement(afterExpiry, conn).PeerUntrusted {
+		t.Error("the peer is reported as untrusted")
 	}
 }
--- a/internal/certstore/validate/rotation.go
+++ b/internal/certstore/validate/rotation.go
@@ -6,68 +6,67 @@
 )
 
 const (
-	// SettleTime is how long a transient fault may last before files are rejected. A script writes two files
-	// within milliseconds, a slow copy over a network within seconds.
+	// SettleTime is how long a transient fault may last before files are rejected. A script writes two files within
+	// milliseconds, a slow copy over a network takes seconds.
 	SettleTime = 10 * time.Second
 
-	// minSpread is the shortest period over which connections are replaced.
-	minSpread = time.Second
+	// minReplacementTime is the minimum period over which connections are replaced.
+	minReplacementTime = time.Second
 )
 
 // Action is the result of an offer.
 type Action uint8
 
-// The results of an offer.
+// Results of an offer.
 const (
-	Unchanged Action = iota // the files are those that serve
-	Accepted                // the files serve from now on
-	Pending                 // the previous material keeps serving; check again at Decision.RecheckAt
-	Rejected                // the previous material keeps serving
+	Unchanged Action = iota // the files are those in use
+	Accepted                // the files are in use from now on
+	Pending                 // the previous material remains in use; check again at Decision.RecheckAt
+	Rejected                // the previous material remains in use
 )
 
 // Decision is the result of an offer with its reason.
 type Decision struct {
 	Action    Action
-	Fault     *Fault    // Pending and Rejected: the broken rule
-	Report    bool      // operators have not been informed of this yet
-	RecheckAt time.Time // Pending: when the same files may be decided on differently
+	Fault     *Fault    // the violated rule, for Pending and Rejected
+	Report    bool      // the result was not reported to operators before
+	RecheckAt time.Time // when the decision on the same files may change, for Pending
 }
 
-// Rotation holds the material that serves and decides whether other material replaces it. It is not safe for
-// concurrent use. Create one with NewRotation.
+// Rotation holds the material in use and decides whether other material replaces it. It is not safe for concurrent use.
 type Rotation struct {
-	want       Requirements
-	spread     time.Duration // period over which connections are replaced after a change
-	serving    *Material     // nil until files are accepted
-	generation int           // of serving, from 1
-	since      time.Time     // when serving was accepted
+	want            Requirements
+	replacementTime time.Duration // period over which connections are replaced after a change
+	serving         *Material     // in use; nil until files are accepted
+	generation      int           // of serving, from 1
+	since           time.Time     // when serving was accepted
 
 	pending pendingOffer
-	warned  int // how many warningThresholds were reported for serving
+	warned  int // number of warningThresholds that were reported for serving
 }
 
 // pendingOffer is the last offer that was not accepted.
 type pendingOffer struct {
 	digest   [sha256.Size]byte
 	fault    *Fault    // nil if there is no such offer
-	since    time.Time // when the change that caused it was first seen
+	since    time.Time // when the change that caused it was first noticed
 	reported bool
 }
 
-// NewRotation returns a Rotation that serves nothing yet. After a change, connections made before it are replaced
-// over the given period.
-func NewRotation(want Requirements, spread time.Duration) *Rotation {
-	return &Rotation{want: want, spread: max(spread, minSpread)}
+// NewRotation returns a rotation without material. After a change, connections that were established before are
+// replaced over replacementTime.
+func NewRotation(want Requirements, replacementTime time.Duration) *Rotation {
+	return &Rotation{want: want, replacementTime: max(replacementTime, minReplacementTime)}
 }
 
-// Serving returns the material that serves and its generation; nil and 0 before any was accepted.
+// Serving returns the material in use and its generation, nil and 0 if none was accepted.
 func (r *Rotation) Serving() (*Material, int) { return r.serving, r.generation }
 
-// Offer decides on files as they are now. The material is replaced completely or not at all.
+// Offer decides whether files replace the material in use. The material is replaced completely or not at all.
 func (r *Rotation) Offer(now time.Time, files Files) Decision {
 	material, fault := Parse(files)
 	if fault == nil && material.Equal(r.serving) {
-		r.pending.fault = nil // an operator has undone the change
+		r.pending.fault = nil // the change was undone
 		return Decision{Action: Unchanged}
 	}
 	if fault == nil {
@@ -81,7 +80,7 @@
 	return r.pending.decide(now)
 }
 
-// accept lets material serve.
+// accept makes material the one in use.
 func (r *Rotation) accept(now time.Time, material *Material) {
 	r.serving = material
 	r.generation++
@@ -93,10 +92,12 @@
 // update records the fault of an offer. A sequence of different transient faults counts as one change.
 func (p *pendingOffer) update(now time.Time, digest [sha256.Size]byte, fault *Fault) {
 	if p.fault == nil || digest != p.digest || p.fault.Rule != fault.Rule {
-		if p.fault == nil || !fault.transient() || !p.fault.transient() {
+		sameChange := p.fault != nil && p.fault.transient() && fault.transient()
+		if !sameChange {
 			p.since = now
 		}
-		p.digest, p.reported = digest, false
+		p.digest = digest
+		p.reported = false
 	}
 	p.fault = fault
 	if now.Before(p.since) {
@@ -111,7 +112,8 @@
 	}
 	decision := Decision{Action: Rejected, Fault: p.fault, Report: !p.reported}
 	if p.fault.Rule == NotYetValid {
-		decision.Action, decision.RecheckAt = Pending, p.fault.ValidFrom
+		decision.Action = Pending
+		decision.RecheckAt = p.fault.ValidFrom
 	}
 	p.reported = true
 	return decision
--- a/internal/certstore/validate/rotation_test.go
+++ b/internal/certstore/validate/rotation_test.go
@@ -12,10 +12,11 @@
 	_ "pinedale/internal/standin/seeds"
 )
 
-// A transient fault is pending without a report for SettleTime; a lasting fault is reported once.
+// A transient fault is pending for SettleTime without a report. After that it is reported once.
 func TestPartialChangeIsPendingThenRejectedOnce(t *testing.T) {
 	root := ca.New(t, "root")
-	old, next := root.Issue(ca.Spec{Names: []string{testName}}), root.Issue(ca.Spec{Names: []string{testName}})
+	old := root.Issue(ca.Spec{Names: []string{testName}})
+	next := root.Issue(ca.Spec{Names: []string{testName}})
 	partial := files(next, root.PEM())
 	partial.Key = configured(old.Key)
 	rotation := NewRotation(serverWant(), time.Minute)
@@ -25,11 +26,11 @@
 	changedAt := noon.Add(time.Minute)
 	decision := rotation.Offer(changedAt, partial)
 	if decision.Action != Pending || decision.Report || !decision.RecheckAt.Equal(changedAt.Add(SettleTime)) {
-		t.Errorf("the certificate alone: %+v", decision)
+		t.Errorf("a new certificate with the old key: %+v", decision)
 	}
 	decision = rotation.Offer(changedAt.Add(SettleTime/2), files(next, root.PEM()))
 	if decision.Action != Accepted || !decision.Report {
-		t.Errorf("both: %+v", decision)
+		t.Errorf("the complete change: %+v", decision)
 	}
 	changedAt = changedAt.Add(time.Hour)
 	partial = files(old, root.PEM())
@@ -45,20 +46,20 @@
 	if decision := rotation.Offer(changedAt.Add(time.Hour), files(next, root.PEM())); decision.Action != Unchanged {
 		t.Errorf("the change undone: %+v", decision)
 	}
-	if material, n := rotation.Serving(); n != 2 || !material.Leaf().Equal(next.Leaf) {
-		t.Errorf("generation %d serves", n)
+	if material, generation := rotation.Serving(); generation != 2 || !material.Leaf().Equal(next.Leaf) {
+		t.Errorf("generation %d serves", generation)
 	}
 }
 
-// A certificate that is not valid yet is accepted once it is, without a change of its file. While the clock is
-// set back, the previous material keeps serving.
+// A certificate that is not valid yet is accepted when it becomes valid, without a change of its file. While the clock
+// is set back, the previous material remains in use.
 func TestNotYetValidIsAcceptedOnceValid(t *testing.T) {
 	root := ca.New(t, "root")
 	rotation := NewRotation(serverWant(), time.Minute)
 	rotation.Offer(noon, files(root.Issue(ca.Spec{Names: []string{testName}}), root.PEM()))
 	early := files(root.Issue(ca.Spec{Names: []string{testName}, NotBefore: noon.Add(time.Hour)}), root.PEM())
-	if decision := rotation.Offer(noon, early); decision.Action != Pending ||
-		!decision.Report || !decision.RecheckAt.Equal(noon.Add(time.Hour)) {
+	decision := rotation.Offer(noon, early)
+	if decision.Action != Pending || !decision.Report || !decision.RecheckAt.Equal(noon.Add(time.Hour)) {
 		t.Errorf("early: %+v", decision)
 	}
 	if decision := rotation.Offer(noon.Add(time.Minute), early); decision.Action != Pending || decision.Report {
@@ -67,71 +68,95 @@
 	if decision := rotation.Offer(noon.Add(-48*time.Hour), early); decision.Action != Pending {
 		t.Errorf("the clock set back: %+v", decision)
 	}
-	if _, n := rotation.Serving(); n != 1 {
-		t.Errorf("generation %d serves", n)
+	if _, generation := rotation.Serving(); generation != 1 {
+		t.Errorf("generation %d serves", generation)
 	}
 	if decision := rotation.Offer(noon.Add(time.Hour), early); decision.Action != Accepted {
 		t.Errorf("in time: %+v", decision)
 	}
 }
 
-// Certificates, keys and roots are replaced in any order, truncated and restored while the clock jumps. Material
-// that serves was sound when it was accepted, is never a partial change, and is replaced by any sound set at once.
-func TestOfferNeverServesUnsoundMaterial(t *testing.T) {
+// Certificates, keys and roots are replaced in any order, truncated and restored while the clock jumps. Material in use
+// was valid when it was accepted, is never a partial change, and is replaced by any valid set at once.
+func TestOfferNeverServesInvalidMaterial(t *testing.T) {
 	root, other := ca.New(t, "root"), ca.New(t, "other")
 	var pairs []*ca.Pair
 	for i := range 4 {
-		from := noon.Add(time.Duration(i-1) * time.Hour)
-		pairs = append(pairs, root.Issue(ca.Spec{Names: []string{testName}, NotBefore: from}))
+		validFrom := noon.Add(time.Duration(i-1) * time.Hour)
+		pairs = append(pairs, root.Issue(ca.Spec{Names: []string{testName}, NotBefore: validFrom}))
 	}
 	pairs = append(pairs, other.Issue(ca.Spec{Names: []string{testName}}))
 	pairs = append(pairs, root.Issue(ca.Spec{Names: []string{"elsewhere"}}))
 	rapid.Check(t, func(t *rapid.T) {
 		rotation := NewRotation(serverWant(), time.Minute)
-		now := noon
-		input := Files{Cert: configured(pairs[0].Cert), Key: configured(pairs[0].Key), Roots: configured(root.PEM())}
+		change := &randomChange{
+			t:     t,
+			pairs: pairs,
+			roots: [][]byte{root.PEM(), other.PEM()},
+			now:   noon,
+			files: files(pairs[0], root.PEM()),
+		}
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
-			pair := pairs[rapid.IntRange(0, len(pairs)-1).Draw(t, "pair")]
-			switch rapid.IntRange(0, 7).Draw(t, "change") {
-			case 0, 1:
-				input.Cert = configured(pair.Cert)
-			case 2, 3:
-				input.Key = configured(pair.Key)
-			case 4:
-				input.Cert.Data = pair.Cert[:rapid.IntRange(0, len(pair.Cert)).Draw(t, "cut")]
-			case 5:
-				input.Key = File{Configured: true, Err: errors.New("gone")}
-			case 6:
-				roots := [][]byte{root.PEM(), other.PEM()}
-				first := rapid.IntRange(0, 1).Draw(t, "roots")
-				input.Roots = configured(bytes.Join(roots[first:], nil))
-			case 7:
-				jump := rapid.Int64Range(-int64(2*time.Hour), int64(3*time.Hour)).Draw(t, "clock")
-				now = now.Add(time.Duration(jump))
-			}
-			before, number := rotation.Serving()
-			material, fault := Parse(input)
-			sound := fault == nil && material.CheckIdentity(now, serverWant()) == nil
-			decision := rotation.Offer(now, input)
-			after, next := rotation.Serving()
-			switch {
-			case sound && material.Equal(before):
-				if decision.Action != Unchanged || next != number {
-					t.Fatalf("nothing has changed, and got %+v", decision)
-				}
-			case sound:
-				if decision.Action != Accepted || !after.Equal(material) || next != number+1 {
-					t.Fatalf("a sound set was not accepted: %+v", decision)
-				}
-			default:
-				if after != before || decision.Action == Accepted ||
-					decision.Action == Pending && !decision.RecheckAt.After(now) {
-					t.Fatalf("a set that breaks a rule: %+v", decision)
-				}
-				if decision.Action != Unchanged && decision.Fault == nil {
-					t.Fatalf("no reason: %+v", decision)
-				}
-			}
+			change.step()
+			checkOffer(t, rotation, change.now, change.files)
 		}
 	})
 }
+
+// randomChange applies random changes to the files and the clock.
+type randomChange struct {
+	t     *rapid.T
+	pairs []*ca.Pair
+	roots [][]byte
+	now   time.Time
+	files Files
+}
+
+// step applies one change.
+func (c *randomChange) step() {
+	t := c.t
+	pair := c.pairs[rapid.IntRange(0, len(c.pairs)-1).Draw(t, "pair")]
+	switch rapid.IntRange(0, 7).Draw(t, "change") {
+	case 0, 1:
+		c.files.Cert = configured(pair.Cert)
+	case 2, 3:
+		c.files.Key = configured(pair.Key)
+	case 4:
+		c.files.Cert.Data = pair.Cert[:rapid.IntRange(0, len(pair.Cert)).Draw(t, "cut")]
+	case 5:
+		c.files.Key = File{Configured: true, Err: errors.New("gone")}
+	case 6:
+		first := rapid.IntRange(0, 1).Draw(t, "roots")
+		c.files.Roots = configured(bytes.Join(c.roots[first:], nil))
+	case 7:
+		jump := rapid.Int64Range(-int64(2*time.Hour), int64(3*time.Hour)).Draw(t, "clock")
+		c.now = c.now.Add(time.Duration(jump))
+	}
+}
+
+// checkOffer offers files and checks the decision and the material in use.
+func checkOffer(t *rapid.T, rotation *Rotation, now time.Time, input Files) {
+	before, generationBefore := rotation.Serving()
+	material, fault := Parse(input)
+	valid := fault == nil && material.CheckIdentity(now, serverWant()) == nil
+	decision := rotation.Offer(now, input)
+	after, generationAfter := rotation.Serving()
+	switch {
+	case valid && material.Equal(before):
+		if decision.Action != Unchanged || generationAfter != generationBefore {
+			t.Fatalf("nothing has changed, and got %+v", decision)
+		}
+	case valid:
+		if decision.Action != Accepted || !after.Equal(material) || generationAfter != generationBefore+1 {
+			t.Fatalf("a valid set was not accepted: %+v", decision)
+		}
+	default:
+		if after != before || decision.Action == Accepted ||
+			decision.Action == Pending && !decision.RecheckAt.After(now) {
+			t.Fatalf("a set that violates a rule: %+v", decision)
+		}
+		if decision.Action != Unchanged && decision.Fault == nil {
+			t.Fatalf("no reason: %+v", decision)
+		}
+	}
+}
--- a/internal/certstore/validate/validate.go
+++ b/internal/certstore/validate/validate.go
@@ -12,31 +12,31 @@
 	"time"
 )
 
-// minCurveBits is the smallest elliptic curve that is accepted.
+// minCurveBits is the minimum size of an elliptic curve.
 const minCurveBits = 256
 
-// Requirements is what the operator requires of an identity and its trust.
+// Requirements are the operator's requirements of an identity and of peers.
 type Requirements struct {
 	Names        []string // DNS names, IP addresses or spiffe:// URIs that the certificate must be valid for
 	Server       bool     // the certificate is presented by a server, otherwise by a client
-	MinRSABits   int      // minimum RSA key size in bits
-	AllowExpired bool     // accept an expired own certificate: for emergencies
-	// PeerExpiryGrace is how long after its expiry a peer's certificate is still accepted, 0 by default.
+	MinRSABits   int      // minimum size of an RSA key
+	AllowExpired bool     // accept an expired own certificate, in emergencies
+	// PeerExpiryGrace is how long an expired certificate of a peer is still accepted.
 	PeerExpiryGrace time.Duration
 }
 
-// ChainRequirements are what a certificate chain must satisfy.
+// ChainRequirements are the requirements of a certificate chain.
 type ChainRequirements struct {
-	Names       []string // the leaf must be valid for each of them
+	Names       []string // the leaf must be valid for all of them
 	Usage       x509.ExtKeyUsage
 	MinRSABits  int
-	ExpiryGrace time.Duration // how long after its expiry the leaf is still accepted
+	ExpiryGrace time.Duration // how long an expired leaf is still accepted
 }
 
-// CheckIdentity returns the first rule that the own certificate breaks at an instant, nil if it may serve.
+// CheckIdentity returns the first rule that the own certificate violates at the given time, nil if it is valid.
 func (m *Material) CheckIdentity(now time.Time, want Requirements) *Fault {
 	if m.Leaf() == nil {
-		return nil // only trust is configured
+		return nil // only roots are configured
 	}
 	requirements := ChainRequirements{
 		Names:      want.Names,
@@ -53,11 +53,14 @@
 	return fault
 }
 
+// errNoCertificate reports that a peer has presented no certificate.
+var errNoCertificate = errors.New("no certificate was presented")
+
 // checkChain checks a chain, leaf first, against the rules from Weak on. If there are roots, it also returns
 // the chain from the leaf to one of them.
-func (m *Material) checkChain(now time.Time, file string, chain []*x509.Certificate, requirements ChainRequirements) (
-	verified []*x509.Certificate, fault *Fault,
-) {
+func (m *Material) checkChain(
+	now time.Time, file string, chain []*x509.Certificate, requirements ChainRequirements,
+) (verified []*x509.Certificate, fault *Fault) {
 	if fault := checkForm(file, chain, requirements); fault != nil {
 		return nil, fault
 	}
@@ -66,7 +69,7 @@
 		return nil, fault
 	}
 	if len(m.Roots) == 0 {
-		return nil, nil // an own identity without roots: the peers decide whether they trust it
+		return nil, nil // the own identity without roots: peers decide whether to trust it
 	}
 	verified, err := m.VerifyChain(verifyAt, chain, requirements.Usage)
 	if err != nil {
@@ -81,7 +84,7 @@
 	return verified, nil
 }
 
-// checkForm checks what does not depend on time or trust: Weak, WrongName and WrongUsage.
+// checkForm checks the rules that do not depend on time or trust: Weak, WrongName and WrongUsage.
 func checkForm(file string, chain []*x509.Certificate, requirements ChainRequirements) *Fault {
 	for i, cert := range chain {
 		if err := checkStrength(cert, requirements.MinRSABits); err != nil {
@@ -104,9 +107,11 @@
 	return nil
 }
 
-// checkValidity checks NotYetValid and Expired. It returns the instant for which the chain is to be verified:
-// now, or the leaf's expiry if that has passed within the grace.
-func checkValidity(now time.Time, file string, chain []*x509.Certificate, grace time.Duration) (time.Time, *Fault) {
+// checkValidity checks NotYetValid and Expired. It returns the time for which the chain must be verified: now, or the
+// expiry of the leaf if the leaf has expired within the grace.
+func checkValidity(
+	now time.Time, file string, chain []*x509.Certificate, grace time.Duration,
+) (verifyAt time.Time, fault *Fault) {
 	for _, cert := range chain {
 		if now.Before(cert.NotBefore) {
 			reason := "it is valid from " + cert.NotBefore.UTC().Format(time.RFC3339)
@@ -124,13 +129,13 @@
 	return expiry, nil
 }
 
-// VerifyChain returns a chain from the leaf, over the intermediates presented with it, to a root of this
-// material (RFC 5280, section 6). It does not check names.
-func (m *Material) VerifyChain(now time.Time, presented []*x509.Certificate, usage x509.ExtKeyUsage) (
-	[]*x509.Certificate, error,
-) {
+// VerifyChain returns a chain from the leaf through presented intermediates to a root of this material (RFC 5280,
+// section 6). It does not check names.
+func (m *Material) VerifyChain(
+	now time.Time, presented []*x509.Certificate, usage x509.ExtKeyUsage,
+) ([]*x509.Certificate, error) {
 	if len(presented) == 0 {
-		return nil, errors.New("no certificate was shown")
+		return nil, errNoCertificate
 	}
 	intermediates := x509.NewCertPool()
 	for _, cert := range presented[1:] {
@@ -148,21 +153,21 @@
 	return chains[0], nil
 }
 
-// checkStrength returns an error for keys and signatures that can be forged. The signature of a self-signed
-// root is not checked: it is trusted because the operator configured it.
+// checkStrength returns an error for weak keys and signatures. The signature of a self-signed root is not checked: the
+// root is trusted because the operator configured it.
 func checkStrength(cert *x509.Certificate, minRSABits int) error {
 	switch key := cert.PublicKey.(type) {
 	case *rsa.PublicKey:
 		if bits := key.N.BitLen(); bits < minRSABits {
-			return fmt.Errorf("RSA with %d bits, at least %d are asked for", bits, minRSABits)
+			return fmt.Errorf("RSA with %d bits, at least %d are required", bits, minRSABits)
 		}
 	case *ecdsa.PublicKey:
 		if bits := key.Curve.Params().BitSize; bits < minCurveBits {
-			return fmt.Errorf("a curve of %d bits, at least %d are asked for", bits, minCurveBits)
+			return fmt.Errorf("a curve of %d bits, at least %d are required", bits, minCurveBits)
 		}
 	case ed25519.PublicKey:
 	default:
-		return errors.New("its key is of no known kind")
+		return errors.New("the type of its key is unknown")
 	}
 	if bytes.Equal(cert.RawIssuer, cert.RawSubject) {
 		return nil
@@ -174,8 +179,8 @@
 	return nil
 }
 
-// permitsUsage reports whether a certificate may be used for a purpose (RFC 5280, section 4.2.1.12). One
-// without the extension may be used for any.
+// permitsUsage reports whether a certificate may be used for a purpose (RFC 5280, section 4.2.1.12). Without the
+// extension, any use is permitted.
 func permitsUsage(cert *x509.Certificate, usage x509.ExtKeyUsage) bool {
 	if len(cert.ExtKeyUsage) == 0 && len(cert.UnknownExtKeyUsage) == 0 {
 		return true
--- a/internal/certstore/validate/validate_test.go
+++ b/internal/certstore/validate/validate_test.go
@@ -20,33 +20,42 @@
 // noon is the time of most offers in these tests.
 var noon = ca.Epoch.Add(12 * time.Hour)
 
+// configured returns a file with some content.
 func configured(data []byte) File { return File{Configured: true, Data: data} }
 
-func files(p *ca.Pair, roots ...[]byte) Files {
-	return Files{Cert: configured(p.Cert), Key: configured(p.Key), Roots: configured(bytes.Join(roots, nil))}
+// files returns the files of an identity and of roots.
+func files(pair *ca.Pair, roots ...[]byte) Files {
+	return Files{
+		Cert:  configured(pair.Cert),
+		Key:   configured(pair.Key),
+		Roots: configured(bytes.Join(roots, nil)),
+	}
 }
 
+// serverWant returns the requirements of a server.
 func serverWant() Requirements {
 	return Requirements{Names: []string{testName}, Server: true, MinRSABits: 2048}
 }
 
-// Each rule has inputs that break it, and inputs that nearly do.
-func TestFirstBrokenRuleIsReported(t *testing.T) {
-	root, other := ca.New(t, "root"), ca.New(t, "other")
+// Each rule has files that violate it, and valid files that are similar.
+func TestFirstViolatedRuleIsReported(t *testing.T) {
+	root := ca.New(t, "root")
+	other := ca.New(t, "other")
 	intermediate := root.NewIntermediate("between")
-	sound := root.Issue(ca.Spec{Names: []string{testName}})
-	issue := func(a *ca.Authority, s ca.Spec) Files {
-		if s.Names == nil {
-			s.Names = []string{testName}
+	validPair := root.Issue(ca.Spec{Names: []string{testName}})
+	issue := func(authority *ca.Authority, spec ca.Spec) Files {
+		if spec.Names == nil {
+			spec.Names = []string{testName}
 		}
-		return files(a.Issue(s), root.PEM())
+		return files(authority.Issue(spec), root.PEM())
 	}
 	rsaKey := func(bits int) *rsa.PrivateKey {
-		k, err := rsa.GenerateKey(rand.Reader, bits)
+		t.Helper()
+		key, err := rsa.GenerateKey(rand.Reader, bits)
 		if err != nil {
 			t.Fatal(err)
 		}
-		return k
+		return key
 	}
 	p224, err := ecdsa.GenerateKey(elliptic.P224(), rand.Reader)
 	if err != nil {
@@ -56,83 +65,83 @@
 		change(&files)
 		return files
 	}
-	ok := files(sound, root.PEM())
+	valid := files(validPair, root.PEM())
 	revoked := root.Issue(ca.Spec{Names: []string{testName}})
-	below := intermediate.Issue(ca.Spec{Names: []string{testName}})
+	issuedByIntermediate := intermediate.Issue(ca.Spec{Names: []string{testName}})
 	for condition, c := range map[string]struct {
 		files  Files
 		want   Requirements
 		rule   Rule
 		reason string
 	}{
-		"sound": {ok, serverWant(), 0, ""},
-		"sound, an address": {
+		"valid": {valid, serverWant(), 0, ""},
+		"valid, with an address": {
 			files: issue(root, ca.Spec{Names: []string{"127.0.0.1"}}),
 			want:  Requirements{Names: []string{"127.0.0.1"}},
 		},
-		"sound, SPIFFE": {
+		"valid, with a SPIFFE ID": {
 			files: issue(root, ca.Spec{Names: []string{"spiffe://soko/pay"}}),
 			want:  Requirements{Names: []string{"spiffe://soko/pay"}},
 		},
-		"sound, over another": {files(below, root.PEM()), serverWant(), 0, ""},
-		"sound, RSA":          {issue(root, ca.Spec{Key: rsaKey(2048)}), serverWant(), 0, ""},
-		"trust alone":         {Files{Roots: configured(root.PEM())}, Requirements{}, 0, ""},
+		"valid, with an intermediate": {files(issuedByIntermediate, root.PEM()), serverWant(), 0, ""},
+		"valid, with an RSA key":      {issue(root, ca.Spec{Key: rsaKey(2048)}), serverWant(), 0, ""},
+		"roots only":                  {Files{Roots: configured(root.PEM())}, Requirements{}, 0, ""},
 		"text between the blocks": {
-			files: with(ok, func(files *Files) {
+			files: with(valid, func(files *Files) {
 				files.Cert.Data = append([]byte("issued for the market\n"), files.Cert.Data...)
 			}),
 			want: serverWant(),
 		},
-		"gone": {
-			files: with(ok, func(files *Files) {
+		"file missing": {
+			files: with(valid, func(files *Files) {
 				files.Cert = File{Configured: true, Err: errors.New("no such file")}
 			}),
 			want:   serverWant(),
 			rule:   Unreadable,
 			reason: "no such file",
 		},
-		"empty": {with(ok, func(files *Files) { files.Key.Data = nil }), serverWant(), Unreadable, "empty"},
-		"too large": {
-			files:  with(ok, func(files *Files) { files.Roots.Data = make([]byte, MaxFileBytes+1) }),
+		"file empty": {with(valid, func(files *Files) { files.Key.Data = nil }), serverWant(), Unreadable, "empty"},
+		"file too large": {
+			files:  with(valid, func(files *Files) { files.Roots.Data = make([]byte, MaxFileBytes+1) }),
 			want:   serverWant(),
 			rule:   Unreadable,
 			reason: "bytes",
 		},
-		"half a certificate": {
-			files:  with(ok, func(files *Files) { files.Cert.Data = files.Cert.Data[:200] }),
+		"certificate truncated": {
+			files:  with(valid, func(files *Files) { files.Cert.Data = files.Cert.Data[:200] }),
 			want:   serverWant(),
 			rule:   Incomplete,
-			reason: "does not end",
+			reason: "no end line",
 		},
-		"half a key": {
-			files:  with(ok, func(files *Files) { files.Key.Data = files.Key.Data[:60] }),
+		"key truncated": {
+			files:  with(valid, func(files *Files) { files.Key.Data = files.Key.Data[:60] }),
 			want:   serverWant(),
 			rule:   Incomplete,
-			reason: "does not end",
+			reason: "no end line",
 		},
-		"a key for a certificate": {
-			files:  with(ok, func(files *Files) { files.Cert.Data = sound.Key }),
+		"key in the certificate file": {
+			files:  with(valid, func(files *Files) { files.Cert.Data = validPair.Key }),
 			want:   serverWant(),
 			rule:   Incomplete,
 			reason: "no certificate",
 		},
-		"a certificate for a key": {
-			files:  with(ok, func(files *Files) { files.Key.Data = sound.Cert }),
+		"certificate in the key file": {
+			files:  with(valid, func(files *Files) { files.Key.Data = validPair.Cert }),
 			want:   serverWant(),
 			rule:   Incomplete,
 			reason: "no private key",
 		},
-		"noise in a block": {with(ok, func(input *Files) {
+		"invalid PEM block": {with(valid, func(input *Files) {
 			input.Cert.Data = []byte("-----BEGIN CERTIFICATE-----\nAAAA\n-----END CERTIFICATE-----\n")
 		}), serverWant(), Incomplete, "x509"},
-		"another's key": {
-			files:  with(ok, func(files *Files) { files.Key.Data = revoked.Key }),
+		"key of another certificate": {
+			files:  with(valid, func(files *Files) { files.Key.Data = revoked.Key }),
 			want:   serverWant(),
 			rule:   KeyMismatch,
-			reason: "not the certificate's",
+			reason: "does not belong to the certificate",
 		},
-		"small RSA":   {issue(root, ca.Spec{Key: rsaKey(2048)}), Requirements{MinRSABits: 3072}, Weak, "2048 bits"},
-		"small curve": {issue(root, ca.Spec{Key: p224}), serverWant(), Weak, "224 bits"},
+		"RSA key too short": {issue(root, ca.Spec{Key: rsaKey(2048)}), Requirements{MinRSABits: 3072}, Weak, "2048 bits"},
+		"curve too small":   {issue(root, ca.Spec{Key: p224}), serverWant(), Weak, "224 bits"},
 		"another name": {
 			files:  issue(root, ca.Spec{Names: []string{"soko-4.example.org"}}),
 			want:   serverWant(),
@@ -145,42 +154,42 @@
 			rule:   WrongName,
 			reason: "no name",
 		},
-		"two SPIFFE names": {
+		"two SPIFFE IDs": {
 			files:  issue(root, ca.Spec{Names: []string{"spiffe://soko/pay", "spiffe://soko/all"}}),
 			want:   Requirements{Names: []string{"spiffe://soko/pay"}},
 			rule:   WrongName,
 			reason: "spiffe://soko/all",
 		},
-		"a client's for a server": {
+		"client certificate of a server": {
 			files:  issue(root, ca.Spec{ExtKeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth}}),
 			want:   serverWant(),
 			rule:   WrongUsage,
 			reason: "server",
 		},
-		"a server's for a client": {
+		"server certificate of a client": {
 			files:  issue(root, ca.Spec{ExtKeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth}}),
 			want:   Requirements{},
 			rule:   WrongUsage,
 			reason: "client",
 		},
-		"not yet": {
+		"not valid yet": {
 			files:  issue(root, ca.Spec{NotBefore: noon.Add(time.Minute)}),
 			want:   serverWant(),
 			rule:   NotYetValid,
 			reason: "2026-01-01T12:01:00Z",
 		},
-		"over": {
+		"expired": {
 			files:  issue(root, ca.Spec{NotAfter: noon.Add(-time.Minute)}),
 			want:   serverWant(),
 			rule:   Expired,
 			reason: "2026-01-01T11:59:00Z",
 		},
-		"over, and permitted": {
+		"expired, which is permitted": {
 			files: issue(root, ca.Spec{NotAfter: noon.Add(-time.Minute)}),
 			want:  Requirements{Names: []string{testName}, Server: true, AllowExpired: true},
 		},
-		"another root's": {issue(other, ca.Spec{}), serverWant(), Untrusted, "unknown authority"},
-		"half a chain": {
+		"issued by another root": {issue(other, ca.Spec{}), serverWant(), Untrusted, "unknown authority"},
+		"intermediate missing": {
 			files:  issue(intermediate, ca.Spec{OmitIntermediate: true}),
 			want:   serverWant(),
 			rule:   Untrusted,
@@ -194,26 +203,26 @@
 			rule:   Revoked,
 			reason: "revoked",
 		},
-		"its issuer revoked": {
-			files: with(files(below, root.PEM()), func(files *Files) {
+		"issuer revoked": {
+			files: with(files(issuedByIntermediate, root.PEM()), func(files *Files) {
 				files.Revoked = configured(root.RevocationList(intermediate.Cert))
 			}),
 			want:   serverWant(),
 			rule:   Revoked,
 			reason: "between",
 		},
-		"others revoked": {
-			files: with(ok, func(files *Files) { files.Revoked = configured(root.RevocationList(revoked.Leaf)) }),
+		"other certificate revoked": {
+			files: with(valid, func(files *Files) { files.Revoked = configured(root.RevocationList(revoked.Leaf)) }),
 			want:  serverWant(),
 		},
-		"a list by another": {
-			files:  with(ok, func(files *Files) { files.Revoked = configured(other.RevocationList(sound.Leaf)) }),
+		"revocation list of another root": {
+			files:  with(valid, func(files *Files) { files.Revoked = configured(other.RevocationList(validPair.Leaf)) }),
 			want:   serverWant(),
 			rule:   Incomplete,
-			reason: "signed by no root",
+			reason: "not signed by any of the roots",
 		},
-		"no list in the list file": {
-			files:  with(ok, func(files *Files) { files.Revoked = configured(sound.Cert) }),
+		"certificate in the revocation list file": {
+			files:  with(valid, func(files *Files) { files.Revoked = configured(validPair.Cert) }),
 			want:   serverWant(),
 			rule:   Incomplete,
 			reason: "no revocation list",
--- a/internal/certstore/watch.go
+++ b/internal/certstore/watch.go
@@ -10,24 +10,24 @@
 )
 
 const (
-	// pollInterval is how often files are read without a notification: network file systems send none.
+	// pollInterval is the interval of reads without a notification, which network file systems do not send.
 	pollInterval = 30 * time.Second
-	// debounceDelay is how long to wait after a notification: a script writes several files in a row.
+	// debounceDelay is the delay of a read after a notification, in which a script can write several files.
 	debounceDelay = 50 * time.Millisecond
 )
 
-// Run reads the files whenever their folders change and at intervals, until ctx is cancelled.
-func (r *Store) Run(ctx context.Context) {
+// Run reads the files when their folders change, and at intervals, until ctx ends.
+func (s *Store) Run(ctx context.Context) {
 	var events <-chan fsnotify.Event
 	watcher, err := fsnotify.NewWatcher()
 	if err != nil {
-		r.options.Log.Warn("file watch unavailable", "poll_interval", pollInterval, "err", err)
+		s.options.Log.Warn("file watch unavailable", "poll_interval", pollInterval, "err", err)
 	} else {
 		defer watcher.Close()
 		events = watcher.Events
-		r.watchFolders(watcher)
+		s.watchFolders(watcher)
 	}
-	// The first read is due at once: changes made before the folders were watched caused no event.
+	// The first read is due at once, because changes before the folders were watched caused no event.
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -41,42 +41,42 @@
 			}
 			timer.Reset(debounceDelay)
 		case <-timer.C:
-			r.Reload()
-			r.logExpiry()
-			timer.Reset(r.nextPoll())
+			s.Reload()
+			s.logExpiry()
+			timer.Reset(s.nextPoll())
 		}
 	}
 }
 
-// watchFolders watches the folders of all files. It does not watch the files themselves: one that is renamed
-// into place is a different file.
-func (r *Store) watchFolders(watcher *fsnotify.Watcher) {
-	for _, path := range r.options.Paths.all() {
+// watchFolders watches the folders of all files. The files themselves are not watched, because a file that is renamed
+// to the name of another replaces it and its watch.
+func (s *Store) watchFolders(watcher *fsnotify.Watcher) {
+	for _, path := range s.options.Paths.all() {
 		if path == "" {
 			continue
 		}
 		folder := filepath.Dir(path)
 		if err := watcher.Add(folder); err != nil {
-			r.options.Log.Warn("folder watch failed", "folder", folder, "poll_interval", pollInterval, "err", err)
+			s.options.Log.Warn("folder watch failed", "folder", folder, "poll_interval", pollInterval, "err", err)
 		}
 	}
 }
 
 // nextPoll returns the delay before the next read.
-func (r *Store) nextPoll() time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.recheckAt.IsZero() {
+func (s *Store) nextPoll() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.recheckAt.IsZero() {
 		return pollInterval
 	}
-	return min(pollInterval, max(debounceDelay, r.recheckAt.Sub(r.options.Now())))
+	return min(pollInterval, max(debounceDelay, s.recheckAt.Sub(s.options.Now())))
 }
 
 // logExpiry logs that the certificate in use expires soon, once for each threshold.
-func (r *Store) logExpiry() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	warning, due := r.rotation.ExpiryWarning(r.options.Now())
+func (s *Store) logExpiry() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	warning, due := s.rotation.ExpiryWarning(s.options.Now())
 	if !due {
 		return
 	}
@@ -84,6 +84,10 @@
 	if warning.Urgent {
 		level = slog.LevelError
 	}
-	r.options.Log.Log(context.Background(), level, "certificate expires soon",
-		"cert", r.options.Paths.Cert, "remaining", warning.Remaining.Round(time.Minute))
+	s.options.Log.Log(
+		context.Background(), level,
+		"certificate expires soon",
+		"cert", s.options.Paths.Cert,
+		"remaining", warning.Remaining.Round(time.Minute),
+	)
 }
