--- a/internal/measure/endpointremoval/script.go
+++ b/internal/measure/endpointremoval/script.go
@@ -132,7 +132,7 @@
 			return err
 		}
 	}
-	s.instance, err = harness.StartInstance(fmt.Sprintf(configFormat, s.sourceConfig()))
+	s.instance, err = harness.StartInstanceFromText(fmt.Sprintf(configFormat, s.sourceConfig()))
 	return err
 }
 
--- a/internal/measure/extproc/calls.go
+++ b/internal/measure/extproc/calls.go
@@ -26,25 +26,25 @@
 )
 
 // callMix has the thresholds of a draw from 0 to 1 below which a call is of each kind; the rest are plain ones. Kinds
-// for keyed requests alone are plain calls for others.
+// for requests with an idempotency key alone are plain calls for others.
 var callMix = []struct {
-	kind  callKind
-	below float64
-	keyed bool
+	kind   callKind
+	below  float64
+	hasKey bool
 }{
 	{kind: disconnectBeforeDecision, below: 0.03},
 	{kind: disconnectAtDecision, below: 0.06},
 	{kind: noReport, below: 0.09},
 	{kind: brokenConnection, below: 0.10},
-	{kind: concurrentRepeat, below: 0.15, keyed: true},
-	{kind: repeatAfterOutcome, below: 0.20, keyed: true},
+	{kind: concurrentRepeat, below: 0.15, hasKey: true},
+	{kind: repeatAfterOutcome, below: 0.20, hasKey: true},
 }
 
 // drawCallKind draws what a caller does.
-func drawCallKind(random *rand.Rand, keyed bool) callKind {
+func drawCallKind(random *rand.Rand, hasKey bool) callKind {
 	draw := random.Float64()
 	for _, part := range callMix {
-		if draw < part.below && (keyed || !part.keyed) {
+		if draw < part.below && (hasKey || !part.hasKey) {
 			return part.kind
 		}
 	}
@@ -107,8 +107,8 @@
 func (r *run) call(number int) {
 	random := rand.New(rand.NewPCG(r.options.Seed, uint64(number)))
 	request, _ := r.drawRequest(number, random)
-	_, keyed := request.Header["idempotency-key"]
-	kind := drawCallKind(random, keyed)
+	_, hasKey := request.Header["idempotency-key"]
+	kind := drawCallKind(random, hasKey)
 	c := &call{
 		run:     r,
 		request: request,
--- a/internal/measure/extproc/doc.go
+++ b/internal/measure/extproc/doc.go
@@ -1,6 +1,6 @@
 // Package extproc plays seeded callers with faults against a complete pinedale-proxy and its external processor, over
 // loopback sockets, and counts what must hold: one decision for each stream, no duplicate effect, no request at removed
-// servers, nothing held at the end.
+// servers, no request remembered at the end.
 //
 //	report.go      Options and Report
 //	config.go      the operator's file of all runs
--- a/internal/measure/extproc/processors.go
+++ b/internal/measure/extproc/processors.go
@@ -91,7 +91,7 @@
 	file.ExtProc.Streams = maxStreams
 	file.Limits.MemoryMB = memoryLimitMB
 	app.UseMemory(file)
-	instance, err := harness.StartInstanceOf(file, slog.New(slog.DiscardHandler))
+	instance, err := harness.StartInstance(file, slog.New(slog.DiscardHandler))
 	if err != nil {
 		return "", nil, err
 	}
--- a/internal/measure/extproc/report.go
+++ b/internal/measure/extproc/report.go
@@ -32,33 +32,33 @@
 
 // Report is the result of a run.
 type Report struct {
-	Calls          int
-	Streams        int              // to the external processor
-	Decisions      int              // on these
-	CallKinds      map[callKind]int // calls by what the caller did
-	Codes          map[int]int      // final answers to clients by status
-	Undecided      int              // streams that stayed open and got no decision
-	Doubled        int              // streams that got more than one
-	Split          int              // pairs of streams about one keyed request that were sent to different servers
-	Duplicates     []string         // effects that a server had twice
-	Removed        int              // servers removed from discovery
-	LastAfter      time.Duration    // latest request at a removed server, after its removal was published
-	Late           int              // servers that had one more than maxRemovalDelay after that
-	FailedStreams  int              // that failed though the caller did not break them off
-	FirstError     error            // of these
-	Took           time.Duration    // of all calls
-	Held           heldState        // at the end
-	Goroutines     int              // at the start
-	LeftGoroutines int              // more at the end than at the start
-	Backends       fakebackend.Counts
+	Calls           int
+	Streams         int              // to the external processor
+	Decisions       int              // on these
+	CallKinds       map[callKind]int // calls by what the caller did
+	Codes           map[int]int      // final answers to clients by status
+	Undecided       int              // streams that stayed open and got no decision
+	Doubled         int              // streams that got more than one
+	Split           int              // pairs of streams about one keyed request that were sent to different servers
+	Duplicates      []string         // effects that a server had twice
+	Removed         int              // servers removed from discovery
+	LastAfter       time.Duration    // latest request at a removed server, after its removal was published
+	Late            int              // servers that had one more than maxRemovalDelay after that
+	FailedStreams   int              // that failed though the caller did not break them off
+	FirstError      error            // of these
+	Took            time.Duration    // of all calls
+	Pending         pendingState     // at the end
+	Goroutines      int              // at the start
+	ExtraGoroutines int              // more at the end than at the start
+	Backends        fakebackend.Counts
 }
 
-// heldState is what an instance holds of requests.
-type heldState struct {
+// pendingState counts what an instance remembers of requests.
+type pendingState struct {
 	waiting, rounds, entries, ledger int
 }
 
-func (h heldState) total() int { return h.waiting + h.rounds + h.entries + h.ledger }
+func (p pendingState) total() int { return p.waiting + p.rounds + p.entries + p.ledger }
 
 // Broken returns which rule a run broke, "" for none.
 func (r *Report) Broken() string {
@@ -71,11 +71,11 @@
 		return fmt.Sprintf("%d effects done twice, such as %s", len(r.Duplicates), r.Duplicates[0])
 	case r.Late > 0:
 		return fmt.Sprintf("%d removed servers had requests over 2 s later", r.Late)
-	case r.Held.total() > 0:
+	case r.Pending.total() > 0:
 		return fmt.Sprintf("held at the end: %d asks, %d rounds, %d entries, %d requests",
-			r.Held.waiting, r.Held.rounds, r.Held.entries, r.Held.ledger)
-	case r.LeftGoroutines > 0:
-		return fmt.Sprintf("%d goroutines are left", r.LeftGoroutines)
+			r.Pending.waiting, r.Pending.rounds, r.Pending.entries, r.Pending.ledger)
+	case r.ExtraGoroutines > 0:
+		return fmt.Sprintf("%d goroutines are left", r.ExtraGoroutines)
 	case r.FailedStreams > 0:
 		return fmt.Sprintf("%d streams failed: %v", r.FailedStreams, r.FirstError)
 	}
@@ -100,5 +100,5 @@
 	fmt.Fprintf(w, "removed servers %d; latest request after a removal %v; over 2 s %d\n", r.Removed, r.LastAfter, r.Late)
 	fmt.Fprintf(w, "at the end: %d asks, %d rounds, %d entries, %d requests, "+
 		"%d goroutines more than at the start; streams failed %d\n",
-		r.Held.waiting, r.Held.rounds, r.Held.entries, r.Held.ledger, max(0, r.LeftGoroutines), r.FailedStreams)
+		r.Pending.waiting, r.Pending.rounds, r.Pending.entries, r.Pending.ledger, max(0, r.ExtraGoroutines), r.FailedStreams)
 }
--- a/internal/measure/extproc/run.go
+++ b/internal/measure/extproc/run.go
@@ -110,7 +110,7 @@
 		}
 	}
 	r.publish()
-	if r.instance, err = harness.StartInstanceOf(file, slog.New(slog.DiscardHandler)); err != nil {
+	if r.instance, err = harness.StartInstance(file, slog.New(slog.DiscardHandler)); err != nil {
 		return nil, err
 	}
 	return r, nil
@@ -169,13 +169,13 @@
 	r.report.Removed++
 }
 
-// awaitForgotten waits until the instance holds nothing any more.
+// awaitForgotten waits until the instance remembers no request any more.
 func (r *run) awaitForgotten() {
 	for end := time.Now().Add(maxMemory); ; time.Sleep(20 * time.Millisecond) {
-		held := &r.report.Held
-		held.waiting, held.rounds, held.entries = r.instance.InFlight()
-		held.ledger = r.instance.Requests()
-		if held.total() == 0 || time.Now().After(end) {
+		pending := &r.report.Pending
+		pending.waiting, pending.rounds, pending.entries = r.instance.InFlight()
+		pending.ledger = r.instance.Requests()
+		if pending.total() == 0 || time.Now().After(end) {
 			return
 		}
 	}
@@ -206,8 +206,8 @@
 // awaitGoroutines waits until all goroutines that were started since the beginning have ended.
 func (r *run) awaitGoroutines() {
 	for end := time.Now().Add(goroutineTimeout); ; time.Sleep(10 * time.Millisecond) {
-		r.report.LeftGoroutines = runtime.NumGoroutine() - r.report.Goroutines
-		if r.report.LeftGoroutines <= 0 || time.Now().After(end) {
+		r.report.ExtraGoroutines = runtime.NumGoroutine() - r.report.Goroutines
+		if r.report.ExtraGoroutines <= 0 || time.Now().After(end) {
 			return
 		}
 	}
--- a/internal/measure/harness/instance.go
+++ b/internal/measure/harness/instance.go
@@ -13,17 +13,17 @@
 	*app.Instance
 }
 
-// StartInstance starts an instance by the text of an operator's file and waits until it is ready. It logs nothing.
-func StartInstance(configText string) (*Instance, error) {
+// StartInstanceFromText starts an instance by the text of an operator's file and waits until it is ready. It logs nothing.
+func StartInstanceFromText(configText string) (*Instance, error) {
 	file, err := config.Parse([]byte(configText))
 	if err != nil {
 		return nil, err
 	}
-	return StartInstanceOf(file, slog.New(slog.DiscardHandler))
+	return StartInstance(file, slog.New(slog.DiscardHandler))
 }
 
-// StartInstanceOf starts an instance by an operator's file and waits until it is ready.
-func StartInstanceOf(file *config.File, log *slog.Logger) (*Instance, error) {
+// StartInstance starts an instance by an operator's file and waits until it is ready.
+func StartInstance(file *config.File, log *slog.Logger) (*Instance, error) {
 	started, err := app.Start(file, log)
 	if err != nil {
 		return nil, err
--- a/internal/measure/properties/properties_test.go
+++ b/internal/measure/properties/properties_test.go
@@ -13,51 +13,53 @@
 
 const root = "../../.."
 
-// Every package with properties draws them from the fixed seed, and draws the same at every run.
-func TestAllFromOneSeed(t *testing.T) {
-	all, err := Find(root)
-	if err != nil || len(all) < 12 {
-		t.Fatalf("%d packages with properties, %v", len(all), err)
+func TestPackagesWithPropertiesUseFixedSeed(t *testing.T) {
+	packages, err := Find(root)
+	if err != nil || len(packages) < 12 {
+		t.Fatalf("%d packages with properties, %v", len(packages), err)
 	}
-	for _, p := range all {
-		files, err := filepath.Glob(filepath.Join(root, p.Path, "*_test.go"))
-		if err != nil {
-			t.Fatal(err)
-		}
-		has := false
-		for _, f := range files {
-			text, err := os.ReadFile(f)
-			if err != nil {
-				t.Fatal(err)
-			}
-			has = has || bytes.Contains(text, []byte(`_ "pinedale/internal/standin/seeds"`))
-		}
-		if !has {
-			t.Errorf("%s draws new cases at every run: its tests do not import internal/standin/seeds", p.Path)
+	for _, pkg := range packages {
+		if !importsSeeds(t, filepath.Join(root, pkg.Path)) {
+			t.Errorf("%s draws new cases at every run: its tests do not import internal/standin/seeds", pkg.Path)
 		}
 	}
 }
 
-// module writes a module of its own with one property, which has the pieces of this one that it needs.
-func module(t *testing.T, property string) string {
-	dir := t.TempDir()
-	write := func(path, text string) {
-		path = filepath.Join(dir, path)
-		if err := os.MkdirAll(filepath.Dir(path), 0o700); err != nil {
-			t.Fatal(err)
-		}
-		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-			t.Fatal(err)
-		}
+// importsSeeds reports whether a test in a directory imports the fixed seed.
+func importsSeeds(t *testing.T, dir string) bool {
+	t.Helper()
+	paths, err := filepath.Glob(filepath.Join(dir, "*_test.go"))
+	if err != nil {
+		t.Fatal(err)
 	}
-	for _, path := range []string{"go.mod", "go.sum", "internal/standin/seeds/seeds.go"} {
-		text, err := os.ReadFile(filepath.Join(root, path))
-		if err != nil {
-			t.Fatal(err)
+	for _, path := range paths {
+		if bytes.Contains(readFile(t, path), []byte(`_ "pinedale/internal/standin/seeds"`)) {
+			return true
 		}
-		write(path, string(text))
 	}
-	write("a/a_test.go", `package a
+	return false
+}
+
+func readFile(t *testing.T, path string) []byte {
+	t.Helper()
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+func writeFile(t *testing.T, path string, data []byte) {
+	t.Helper()
+	if err := os.MkdirAll(filepath.Dir(path), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+const propertyTestFile = `package a
 
 import (
 	"math"
@@ -70,46 +72,63 @@
 
 func TestOne(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		if n := rapid.Uint64().Draw(t, "n"); `+property+` {
+		if n := rapid.Uint64().Draw(t, "n"); !(PROPERTY) {
 			t.Fatalf("drew %d", n)
 		}
 	})
 }
-`)
+`
+
+// newModule writes a module with one property of a number n. It has the files of this module that it needs.
+func newModule(t *testing.T, property string) (dir string) {
+	t.Helper()
+	dir = t.TempDir()
+	for _, path := range []string{"go.mod", "go.sum", "internal/standin/seeds/seeds.go"} {
+		writeFile(t, filepath.Join(dir, path), readFile(t, filepath.Join(root, path)))
+	}
+	text := strings.ReplaceAll(propertyTestFile, "PROPERTY", property)
+	writeFile(t, filepath.Join(dir, "a/a_test.go"), []byte(text))
 	return dir
 }
 
-// A seed that breaks a property is told with the command that shows it again; two plays of the test alone have
-// one verdict, and a failure file of another version has no say.
-func TestFailingSeed(t *testing.T) {
-	dir := module(t, "n < math.MaxUint64")
-	r, err := Run(context.Background(), dir, Options{For: time.Minute, MaxSeeds: 1, Checks: 5, Workers: 1, Seed: 1})
+// neverHolds is a property that no number but the largest has.
+const neverHolds = "n == math.MaxUint64"
+
+func TestFailureHasCommandThatFailsAlike(t *testing.T) {
+	dir := newModule(t, neverHolds)
+	report, err := Run(context.Background(), dir, Options{
+		For:      time.Minute,
+		MaxSeeds: 1,
+		Checks:   5,
+		Workers:  1,
+		Seed:     1,
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	if r.Broken() == "" || len(r.Packages) != 1 {
-		t.Fatalf("%+v", r)
+	if report.Broken() == "" || len(report.Packages) != 1 {
+		t.Fatalf("%+v", report)
 	}
-	f := r.Packages[0].Failures[0]
-	if f.Test != "TestOne" || !strings.HasPrefix(f.Output, "drew ") {
-		t.Errorf("%+v", f)
+	failure := report.Packages[0].Failures[0]
+	if failure.Test != "TestOne" || !strings.HasPrefix(failure.Output, "drew ") {
+		t.Errorf("%+v", failure)
 	}
-	repeated := exec.Command("sh", "-c", f.Command)
+	repeated := exec.Command("sh", "-c", failure.Command)
 	repeated.Dir = dir
-	if out, err := repeated.CombinedOutput(); err == nil || !bytes.Contains(out, []byte(f.Output)) {
-		t.Errorf("%s: %v: %s", f.Command, err, out)
-	}
-	// A case that failed before is not played first.
-	old := filepath.Join(dir, "a/testdata/rapid/TestOne")
-	if err := os.MkdirAll(old, 0o700); err != nil {
-		t.Fatal(err)
+	if output, err := repeated.CombinedOutput(); err == nil || !bytes.Contains(output, []byte(failure.Output)) {
+		t.Errorf("%s: %v: %s", failure.Command, err, output)
 	}
-	if err := os.WriteFile(filepath.Join(old, "TestOne-1.fail"), []byte("# \nv0.4.8#1\n0x0\n"), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	once := exec.Command("go", "test", "./a")
-	once.Dir = dir
-	if err := once.Run(); err == nil {
+}
+
+// The seed alone determines the cases: a case that failed in an earlier run, perhaps of another version, is not
+// repeated, and none is recorded.
+func TestFailureFilesAreNeitherReadNorWritten(t *testing.T) {
+	dir := newModule(t, neverHolds)
+	earlier := filepath.Join(dir, "a/testdata/rapid/TestOne/TestOne-1.fail")
+	writeFile(t, earlier, []byte("# \nv0.4.8#1\n0x0\n"))
+	test := exec.Command("go", "test", "./a")
+	test.Dir = dir
+	if err := test.Run(); err == nil {
 		t.Error("a property that never holds passes")
 	}
 	if remaining, _ := filepath.Glob(filepath.Join(dir, "a/testdata/rapid/*/*")); len(remaining) > 0 {
--- a/internal/measure/rotations/rig.go
+++ b/internal/measure/rotations/rig.go
@@ -121,7 +121,7 @@
 		r.servers = append(r.servers, server)
 		configText += harness.ServerConfig(server.Name, server.Address, n)
 	}
-	r.instance, err = harness.StartInstance(configText)
+	r.instance, err = harness.StartInstanceFromText(configText)
 	return r, err
 }
 
--- a/internal/measure/tenants/tenants.go
+++ b/internal/measure/tenants/tenants.go
@@ -135,7 +135,7 @@
 		}
 		configText += harness.ServerConfig(server.Name, server.Address, n)
 	}
-	instance, err := harness.StartInstance(configText)
+	instance, err := harness.StartInstanceFromText(configText)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/measure/tlscost/proxyserver.go
+++ b/internal/measure/tlscost/proxyserver.go
@@ -88,7 +88,7 @@
 	}
 	app.UseMemory(file)
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelWarn}))
-	instance, err := harness.StartInstanceOf(file, log)
+	instance, err := harness.StartInstance(file, log)
 	if err != nil {
 		return "", nil, err
 	}
