App: test that a front that fails ends the others, and what Wait waits for

Cause: no test held Wait to ending all fronts when one of them fails.

Change: TestFailedFrontEndsTheOthers; the comment of Wait names the goroutines that it waits for.

--- a/internal/app/instance.go
+++ b/internal/app/instance.go
@@ -195,6 +195,8 @@
 func (i *Instance) Shutdown() { i.endFronts() }
 
 // Wait returns once all fronts have ended, after Shutdown or because one has failed, and everything is closed.
+// It waits for the goroutines of the fronts, the engine, the stores, the status page and the cluster's node. It is
+// called once.
 func (i *Instance) Wait() error {
 	var errs []error
 	for range i.fronts {
--- a/internal/app/lifecycle_test.go
+++ b/internal/app/lifecycle_test.go
@@ -165,6 +165,22 @@
 	}
 }
 
+// An instance runs with all its fronts or not at all: when one fails, the others end without Shutdown, and Wait
+// returns the error of that one.
+func TestFailedFrontEndsTheOthers(t *testing.T) {
+	addresses := newLifecycleAddresses(t)
+	instance, err := Start(newLifecycleFile(t, addresses), slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	errFront := errors.New("the front has failed")
+	instance.serve(func() error { return errFront })
+	if err := instance.Wait(); !errors.Is(err, errFront) {
+		t.Errorf("%v, want %v", err, errFront)
+	}
+	addresses.requireFree(t)
+}
+
 // An instance that cannot listen on one of its addresses fails to start, and leaves nothing running.
 func TestFailedStartLeavesNothingRunning(t *testing.T) {
 	for _, test := range []struct {
