Tomlfile: errors by kind, plain comments, raw strings in tests

Cause: convertError and the lookup of lines did several things in one loop, and files of tests were written with escapes. Change: unknown keys have a function of their own, the line of a key is found in a plain loop, and tests use raw strings; the rejected duration has a test of its own.

--- a/internal/tomlfile/decode.go
+++ b/internal/tomlfile/decode.go
@@ -10,8 +10,8 @@
 	"github.com/pelletier/go-toml/v2"
 )
 
-// Decode decodes a file of at most maxBytes into the struct that target points to, by its toml tags. Its error
-// joins one *Error for each key that is unknown or cannot be decoded.
+// Decode decodes a file of at most maxBytes into the struct that target points to, by its toml tags. The error joins
+// one *Error for each key that is unknown or cannot be decoded.
 func Decode(data []byte, maxBytes int, target any) (*File, error) {
 	if len(data) > maxBytes {
 		return nil, &Error{Key: fileKey, Reason: fmt.Sprintf("is over %d bytes", maxBytes)}
@@ -37,11 +37,11 @@
 func firstInvalidLine(data []byte) int {
 	line := 1
 	for len(data) > 0 {
-		r, size := utf8.DecodeRune(data)
-		if r == utf8.RuneError && size == 1 {
+		char, size := utf8.DecodeRune(data)
+		if char == utf8.RuneError && size == 1 {
 			break
 		}
-		if r == '\n' {
+		if char == '\n' {
 			line++
 		}
 		data = data[size:]
@@ -52,8 +52,8 @@
 // arrayIndex matches the index of a table in an array of tables.
 var arrayIndex = regexp.MustCompile(`\[\d+\]`)
 
-// requireUnits records an error for each duration that is written as a number without a unit. numbers are the
-// keys of the file that hold numbers.
+// requireUnits records an error for each duration of the target type that is written as a number without a unit.
+// numbers holds the numbers of the file as they are written, by their complete keys.
 func (f *File) requireUnits(target reflect.Type, numbers map[string]string) {
 	durations := map[string]bool{}
 	addDurationKeys(target, "", durations)
--- a/internal/tomlfile/duration.go
+++ b/internal/tomlfile/duration.go
@@ -22,21 +22,22 @@
 // Microseconds returns the duration in microseconds.
 func (d Duration) Microseconds() int64 { return time.Duration(d).Microseconds() }
 
-// addDurationKeys adds the keys of a type that hold a Duration, without indexes, to keys. prefix is the key of
-// the type itself, "" for the file. The TOML library would accept a bare number for a Duration, as nanoseconds.
-func addDurationKeys(t reflect.Type, prefix string, keys map[string]bool) {
-	for t.Kind() == reflect.Pointer || t.Kind() == reflect.Slice {
-		t = t.Elem()
+// addDurationKeys adds the keys of all fields of type Duration to keys, without indexes of arrays. prefix is the key
+// of a value of the given type, "" for the file. The keys are needed because the TOML library accepts a number without
+// a unit for a Duration, as nanoseconds.
+func addDurationKeys(valueType reflect.Type, prefix string, keys map[string]bool) {
+	for valueType.Kind() == reflect.Pointer || valueType.Kind() == reflect.Slice {
+		valueType = valueType.Elem()
 	}
-	if t == reflect.TypeFor[Duration]() {
+	if valueType == reflect.TypeFor[Duration]() {
 		keys[prefix] = true
 		return
 	}
-	if t.Kind() != reflect.Struct {
+	if valueType.Kind() != reflect.Struct {
 		return
 	}
-	for i := range t.NumField() {
-		field := t.Field(i)
+	for i := range valueType.NumField() {
+		field := valueType.Field(i)
 		name, _, _ := strings.Cut(field.Tag.Get("toml"), ",")
 		switch {
 		case field.Anonymous && name == "":
--- a/internal/tomlfile/errors.go
+++ b/internal/tomlfile/errors.go
@@ -9,20 +9,20 @@
 	"github.com/pelletier/go-toml/v2"
 )
 
-// fileKey is the key of errors that belong to no key.
+// fileKey is the key of errors about the file as a whole.
 const fileKey = "file"
 
-// libraryPrefix begins the messages of the TOML library.
+// libraryPrefix is the prefix of error texts of the TOML library.
 const libraryPrefix = "toml: "
 
-// Error is what is wrong with one key of a file.
+// Error reports an invalid key or value of a file.
 type Error struct {
 	Line   int    // 0 if the key is not in the file
-	Key    string // with its tables, such as "class[1].deadline"
+	Key    string // complete key, such as "class[1].deadline"
 	Reason string // for operators
 }
 
-// Error returns the error as one line.
+// Error returns line, key and reason.
 func (e *Error) Error() string {
 	if e.Line == 0 {
 		return fmt.Sprintf("%s: %s", e.Key, e.Reason)
@@ -30,31 +30,37 @@
 	return fmt.Sprintf("line %d: %s: %s", e.Line, e.Key, e.Reason)
 }
 
-// sortByLine sorts errors by their lines and keeps the order of those on one line.
+// sortByLine sorts errors by line. Errors of one line remain in their order.
 func sortByLine(errs []*Error) {
 	slices.SortStableFunc(errs, func(a, b *Error) int { return a.Line - b.Line })
 }
 
-// convertError returns an error of the TOML library as one or several *Error.
+// convertError converts an error of the TOML library to an *Error, or to several that are joined.
 func convertError(err error) error {
-	var strict *toml.StrictMissingError
-	if errors.As(err, &strict) {
-		errs := make([]error, len(strict.Errors))
-		for i := range strict.Errors {
-			line, _ := strict.Errors[i].Position()
-			key := strings.Join(strict.Errors[i].Key(), ".")
-			errs[i] = &Error{Line: line, Key: key, Reason: "is not a known key"}
-		}
-		return errors.Join(errs...)
+	var unknownKeys *toml.StrictMissingError
+	if errors.As(err, &unknownKeys) {
+		return convertUnknownKeys(unknownKeys)
 	}
-	var decode *toml.DecodeError
-	if errors.As(err, &decode) {
-		line, _ := decode.Position()
-		key := strings.Join(decode.Key(), ".")
-		if key == "" {
-			key = fileKey
+	converted := &Error{Key: fileKey, Reason: strings.TrimPrefix(err.Error(), libraryPrefix)}
+	var invalid *toml.DecodeError
+	if errors.As(err, &invalid) {
+		converted.Line, _ = invalid.Position()
+		converted.Reason = strings.TrimPrefix(invalid.Error(), libraryPrefix)
+		if key := strings.Join(invalid.Key(), "."); key != "" {
+			converted.Key = key
 		}
-		return &Error{Line: line, Key: key, Reason: strings.TrimPrefix(decode.Error(), libraryPrefix)}
 	}
-	return &Error{Key: fileKey, Reason: strings.TrimPrefix(err.Error(), libraryPrefix)}
+	return converted
+}
+
+// convertUnknownKeys returns one *Error for each unknown key.
+func convertUnknownKeys(unknownKeys *toml.StrictMissingError) error {
+	errs := make([]error, len(unknownKeys.Errors))
+	for i := range unknownKeys.Errors {
+		unknown := &unknownKeys.Errors[i]
+		line, _ := unknown.Position()
+		key := strings.Join(unknown.Key(), ".")
+		errs[i] = &Error{Line: line, Key: key, Reason: "is not a known key"}
+	}
+	return errors.Join(errs...)
 }
--- a/internal/tomlfile/file.go
+++ b/internal/tomlfile/file.go
@@ -9,12 +9,12 @@
 
 // File collects the errors and warnings that are found in a decoded file.
 type File struct {
-	lines    map[string]int // of keys and tables, by their complete keys
+	lines    map[string]int // of keys and tables, by complete key
 	errs     []*Error
 	warnings []*Error
 }
 
-// Require records an error for a key unless ok.
+// Require records an error for a key unless ok is set.
 func (f *File) Require(ok bool, key, format string, args ...any) {
 	if ok {
 		return
@@ -22,9 +22,9 @@
 	f.errs = append(f.errs, &Error{Line: f.line(key), Key: key, Reason: fmt.Sprintf(format, args...)})
 }
 
-// Positive records an error unless a duration is positive.
-func (f *File) Positive(key string, d Duration) {
-	f.Require(d > 0, key, "%v is not positive", time.Duration(d))
+// Positive records an error for a key unless its value is positive.
+func (f *File) Positive(key string, value Duration) {
+	f.Require(value > 0, key, "%v is not positive", time.Duration(value))
 }
 
 // Warn records a value that is valid but probably a mistake.
@@ -35,7 +35,7 @@
 // Valid reports whether no error was recorded.
 func (f *File) Valid() bool { return len(f.errs) == 0 }
 
-// Err joins the recorded errors in the order of their lines; nil if there are none.
+// Err returns the recorded errors, joined in the order of their lines, nil if there are none.
 func (f *File) Err() error {
 	if f.Valid() {
 		return nil
@@ -54,12 +54,17 @@
 	return f.warnings
 }
 
-// line returns the line of a key. For a missing key it is the line of its table, 0 if that is missing as well.
+// line returns the line of a key. If the key is not in the file, it returns the line of the innermost table of the key
+// that is, 0 if there is none.
 func (f *File) line(key string) int {
-	line := f.lines[key]
-	for table := key; line == 0 && strings.Contains(table, "."); {
-		table = table[:strings.LastIndex(table, ".")]
-		line = f.lines[table]
+	for {
+		if line := f.lines[key]; line != 0 {
+			return line
+		}
+		dot := strings.LastIndex(key, ".")
+		if dot < 0 {
+			return 0
+		}
+		key = key[:dot]
 	}
-	return line
 }
--- a/internal/tomlfile/positions.go
+++ b/internal/tomlfile/positions.go
@@ -8,21 +8,21 @@
 	"github.com/pelletier/go-toml/v2/unstable"
 )
 
-// positions are facts about the keys of a file, by their complete keys.
+// positions holds the lines and numbers of a file, by complete key.
 type positions struct {
 	lines   map[string]int    // of keys and tables
-	numbers map[string]string // the values that are numbers, as written
+	numbers map[string]string // values that are numbers, as written
 }
 
-// locateKeys returns the positions of all keys and tables of a well-formed file. At a syntax error it ends: the
-// decoder reports it.
+// locateKeys returns the positions of all keys and tables of a file, up to the first syntax error, which the decoder
+// reports.
 func locateKeys(data []byte) positions {
 	found := positions{lines: map[string]int{}, numbers: map[string]string{}}
 	arrayLengths := map[string]int{}
 	var parser unstable.Parser
 	parser.Reset(data)
 	counter := lineCounter{data: data, line: 1}
-	table := "" // the prefix of keys
+	table := "" // prefix of the keys that follow, with a dot at its end
 	for parser.NextExpression() {
 		expression := parser.Expression()
 		key := counter.readKey(expression)
@@ -34,7 +34,8 @@
 			arrayLengths[key]++
 		case unstable.KeyValue:
 			found.lines[table+key] = counter.line
-			if value := expression.Value(); value.Kind == unstable.Integer || value.Kind == unstable.Float {
+			value := expression.Value()
+			if value.Kind == unstable.Integer || value.Kind == unstable.Float {
 				found.numbers[table+key] = string(value.Data)
 			}
 			continue
@@ -46,7 +47,7 @@
 	return found
 }
 
-// lineCounter counts lines up to an offset that only grows: expressions come in the order of the file.
+// lineCounter counts lines up to an offset, which never decreases since expressions are in the order of the file.
 type lineCounter struct {
 	data   []byte
 	offset int
@@ -56,12 +57,19 @@
 // readKey returns the key of an expression and advances the counter to it.
 func (c *lineCounter) readKey(expression *unstable.Node) string {
 	var parts []string
-	for it := expression.Key(); it.Next(); {
-		if offset := int(it.Node().Raw.Offset); offset > c.offset {
-			c.line += bytes.Count(c.data[c.offset:offset], []byte("\n"))
-			c.offset = offset
-		}
-		parts = append(parts, string(it.Node().Data))
+	for iterator := expression.Key(); iterator.Next(); {
+		node := iterator.Node()
+		c.advanceTo(int(node.Raw.Offset))
+		parts = append(parts, string(node.Data))
 	}
 	return strings.Join(parts, ".")
 }
+
+// advanceTo advances the counter to an offset. A lower offset is ignored.
+func (c *lineCounter) advanceTo(offset int) {
+	if offset <= c.offset {
+		return
+	}
+	c.line += bytes.Count(c.data[c.offset:offset], []byte("\n"))
+	c.offset = offset
+}
--- a/internal/tomlfile/tomlfile_test.go
+++ b/internal/tomlfile/tomlfile_test.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// shop is a file of these tests.
+// shop is the content of a file in these tests.
 type shop struct {
 	Name    string   `toml:"name"`
 	Timeout Duration `toml:"timeout"`
@@ -19,37 +19,65 @@
 
 const maxTestBytes = 1 << 10
 
-// Errors of decoding name the line and the key.
-func TestDecodeErrorsNameLineAndKey(t *testing.T) {
-	for condition, c := range map[string]struct {
+func TestDecodeErrorsContainLineAndKey(t *testing.T) {
+	for name, c := range map[string]struct {
 		text string
 		want string
 	}{
-		"unknown key":          {"name = \"a\"\ncolor = 1\n", "line 2: color: is not a known key"},
-		"unknown key in table": {"[[stall]]\nsize = 3\n", "line 2: stall.size: is not a known key"},
-		"no unit":              {"timeout = 3\n", "line 1: timeout: 3 has no unit: write \"3s\" for seconds"},
-		"no unit in an array": {
-			"[[stall]]\nwait = \"1s\"\n[[stall]]\nwait = 2\n",
-			"line 4: stall[1].wait: 2 has no unit: write \"2s\" for seconds",
+		"unknown key": {
+			text: `name = "a"
+color = 1
+`,
+			want: "line 2: color: is not a known key",
+		},
+		"unknown key in a table": {
+			text: `[[stall]]
+size = 3
+`,
+			want: "line 2: stall.size: is not a known key",
+		},
+		"duration without a unit": {
+			text: "timeout = 3\n",
+			want: `line 1: timeout: 3 has no unit: write "3s" for seconds`,
+		},
+		"duration without a unit in an array": {
+			text: `[[stall]]
+wait = "1s"
+[[stall]]
+wait = 2
+`,
+			want: `line 4: stall[1].wait: 2 has no unit: write "2s" for seconds`,
+		},
+		"not UTF-8": {
+			text: "name = \"a\"\n# \xff\n",
+			want: "line 2: file: is not UTF-8",
+		},
+		"too large": {
+			text: strings.Repeat("#", maxTestBytes+1),
+			want: "file: is over 1024 bytes",
 		},
-		"not UTF-8": {"name = \"a\"\n# \xff\n", "line 2: file: is not UTF-8"},
-		"too large": {strings.Repeat("#", maxTestBytes+1), "file: is over 1024 bytes"},
 	} {
 		_, err := Decode([]byte(c.text), maxTestBytes, &shop{})
 		if err == nil || err.Error() != c.want {
-			t.Errorf("%s: %v, want %s", condition, err, c.want)
+			t.Errorf("%s: %v, want %s", name, err, c.want)
 		}
-		var fault *Error
-		if !errors.As(err, &fault) {
-			t.Errorf("%s: %T is no *Error", condition, err)
+		var typed *Error
+		if !errors.As(err, &typed) {
+			t.Errorf("%s: %T is no *Error", name, err)
 		}
 	}
 }
 
-// Errors and warnings that the caller records come in the order of the lines; a missing key has its table's line.
+// Errors and warnings that the caller records are in the order of lines. A missing key has the line of its table.
 func TestRecordedErrorsAreSortedByLine(t *testing.T) {
 	var decoded shop
-	text := "name = \"a\"\ntimeout = \"250ms\"\n[[stall]]\nname = \"b\"\n[[stall]]\nname = \"c\"\n"
+	const text = `name = "a"
+timeout = "250ms"
+[[stall]]
+name = "b"
+[[stall]]
+name = "c"
+`
 	file, err := Decode([]byte(text), maxTestBytes, &decoded)
 	if err != nil {
 		t.Fatal(err)
@@ -65,7 +93,8 @@
 	file.Require(true, "timeout", "is fine")
 	file.Warn("stall[0].name", "is short")
 	file.Warn("name", "is short")
-	const want = "line 1: name: \"a\" is not b\nline 5: stall[1].wait: 0s is not positive"
+	const want = `line 1: name: "a" is not b
+line 5: stall[1].wait: 0s is not positive`
 	if err := file.Err(); err == nil || err.Error() != want || file.Valid() {
 		t.Errorf("%v, want %s", err, want)
 	}
@@ -75,20 +104,23 @@
 	}
 }
 
-// A duration is formatted as it is parsed.
-func TestDurationTextRoundTrip(t *testing.T) {
-	var d Duration
-	if err := d.UnmarshalText([]byte("1.5s")); err != nil {
+func TestDurationIsFormattedAsParsed(t *testing.T) {
+	var duration Duration
+	if err := duration.UnmarshalText([]byte("1.5s")); err != nil {
 		t.Fatal(err)
 	}
-	text, err := d.MarshalText()
+	text, err := duration.MarshalText()
 	if err != nil {
 		t.Fatal(err)
 	}
 	if string(text) != "1.5s" {
 		t.Errorf("formatted as %s", text)
 	}
-	if err := d.UnmarshalText([]byte("soon")); err == nil {
-		t.Error("parsed a word")
+}
+
+func TestDurationRejectsTextWithoutNumber(t *testing.T) {
+	var duration Duration
+	if err := duration.UnmarshalText([]byte("soon")); err == nil {
+		t.Errorf("parsed as %v", duration)
 	}
 }
