upstream/secure, upstream/handshake: Names.CertificateName, and counts named as they are logged

Names.Of is CertificateName; handshake.Counts has Immediate, Delayed, Rejected and Deferred, as the log event of the counters calls them (were Now, Waited, Rejected, Put). Callers in config, app and measure were renamed mechanically.

--- a/internal/app/counters.go
+++ b/internal/app/counters.go
@@ -41,9 +41,9 @@
 			"resumed", c.Resumed,
 			"failed", c.Failed,
 			"sessions", c.Sessions,
-			"budget_delayed", c.Turns.Waited,
+			"budget_delayed", c.Turns.Delayed,
 			"budget_rejected", c.Turns.Rejected,
-			"budget_deferred", c.Turns.Put)
+			"budget_deferred", c.Turns.Deferred)
 	}
 }
 
--- a/internal/config/keys_report.go
+++ b/internal/config/keys_report.go
@@ -71,7 +71,7 @@
 	}
 	names := f.VerifyNames()
 	for _, s := range f.Servers {
-		name, err := names.Of(s.Name)
+		name, err := names.CertificateName(s.Name)
 		if err != nil {
 			return err // unexpected: the file was checked
 		}
--- a/internal/config/section_upstream.go
+++ b/internal/config/section_upstream.go
@@ -88,7 +88,7 @@
 				"%q is no host name, address or SPIFFE ID", server.VerifyName)
 			continue
 		}
-		if _, err := names.Of(server.Name); err != nil {
+		if _, err := names.CertificateName(server.Name); err != nil {
 			c.Require(false, key, "is missing: %v", err)
 		}
 	}
--- a/internal/measure/rotations/rotations.go
+++ b/internal/measure/rotations/rotations.go
@@ -103,7 +103,7 @@
 		r.Upstream.Full, r.Upstream.Resumed, sum(r.Upstream.Failed), r.ClientHandshakes)
 	turns := r.Upstream.Turns
 	fmt.Fprintf(w, "turns for them: %d at once, %d waited for, %d refused, %d put off\n",
-		turns.Now, turns.Waited, turns.Rejected, turns.Put)
+		turns.Immediate, turns.Delayed, turns.Rejected, turns.Deferred)
 	for name, store := range r.Stores {
 		fmt.Fprintf(w, "keys %q: %d taken, %d looks kept what served\n", name, store.Accepted, store.Rejected)
 	}
--- a/internal/upstream/handshake/handshake.go
+++ b/internal/upstream/handshake/handshake.go
@@ -11,12 +11,12 @@
 	Background             // no request waits for it
 )
 
-// Counts are the results of all calls of Ask.
+// Counts are the results of all calls of RequestTurn.
 type Counts struct {
-	Now      int // turns granted at once
-	Waited   int // turns granted at a later instant
-	Rejected int // requests rejected: no turn within their patience
-	Put      int // background work rejected
+	Immediate int // turns granted at once
+	Delayed   int // turns granted at a later instant
+	Rejected  int // requests rejected: no turn within their patience
+	Deferred  int // background work rejected
 }
 
 // minSweepServers is the number of servers that are remembered without looking for idle ones.
@@ -25,7 +25,7 @@
 // Budget holds the rates of one instance. Make one with New. It is not safe for concurrent use.
 type Budget struct {
 	config  Config
-	epoch   time.Time // instants are in seconds since the first call of Ask
+	epoch   time.Time // instants are in seconds since the first call of RequestTurn
 	total   rateState
 	servers map[string]*rateState // by address
 	sweepAt int                   // number of servers at which idle ones are removed
@@ -71,7 +71,7 @@
 		turn := max(state.earliest(instant, rate, (burst+1)/2),
 			b.total.earliest(instant, totalRate, (totalBurst+1)/2))
 		if turn > instant {
-			b.counts.Put++
+			b.counts.Deferred++
 			return time.Time{}, false
 		}
 	}
@@ -84,10 +84,10 @@
 	state.take(turn, rate)
 	b.total.take(turn, totalRate)
 	if wait > 0 {
-		b.counts.Waited++
+		b.counts.Delayed++
 		return now.Add(time.Duration(wait * float64(time.Second))), true
 	}
-	b.counts.Now++
+	b.counts.Immediate++
 	return now, true
 }
 
--- a/internal/upstream/handshake/handshake_test.go
+++ b/internal/upstream/handshake/handshake_test.go
@@ -62,7 +62,7 @@
 			t.Error("a request finds no turn that background work has left")
 		}
 	}
-	if got := b.Counts(); got != (Counts{Now: 5, Put: 1}) {
+	if got := b.Counts(); got != (Counts{Immediate: 5, Deferred: 1}) {
 		t.Errorf("counted %+v", got)
 	}
 }
--- a/internal/upstream/secure/conn.go
+++ b/internal/upstream/secure/conn.go
@@ -30,7 +30,7 @@
 // concurrently.
 func (l *lifetime) isUsable(now time.Time) bool {
 	if names := l.client.names.Load(); names != l.names {
-		name, err := names.Of(l.server)
+		name, err := names.CertificateName(l.server)
 		if err != nil || name != l.name {
 			return false
 		}
--- a/internal/upstream/secure/handshake.go
+++ b/internal/upstream/secure/handshake.go
@@ -38,7 +38,7 @@
 func (c *Client) begin(t *engine.Target, protocol string) (*clientHandshake, error) {
 	h := &clientHandshake{client: c, target: t, material: c.options.KeyStore.Generation(), names: c.names.Load()}
 	var err error
-	if h.name, err = h.names.Of(t.Name); err != nil {
+	if h.name, err = h.names.CertificateName(t.Name); err != nil {
 		return nil, h.fail(err)
 	}
 	if h.config, err = c.options.KeyStore.Client(h.name); err != nil {
--- a/internal/upstream/secure/handshake_test.go
+++ b/internal/upstream/secure/handshake_test.go
@@ -207,7 +207,7 @@
 	if err := f.client.Turn(expiring, endpoint); !errors.Is(err, attempt.ErrFull) {
 		t.Errorf("a request without time left: %v", err)
 	}
-	if got := f.client.Counters().Turns; got != (handshake.Counts{Now: 2, Put: 1, Rejected: 1}) {
+	if got := f.client.Counters().Turns; got != (handshake.Counts{Immediate: 2, Deferred: 1, Rejected: 1}) {
 		t.Errorf("counted %+v", got)
 	}
 }
--- a/internal/upstream/secure/names.go
+++ b/internal/upstream/secure/names.go
@@ -24,9 +24,9 @@
 	ByServer map[string]string // by the server's name in membership; takes precedence over Pattern
 }
 
-// Of returns the name that a server's certificate must be for. An error means that the server
+// CertificateName returns the name that a server's certificate must be for. An error means that the server
 // cannot be verified: nothing may be sent to it.
-func (n *Names) Of(server string) (string, error) {
+func (n *Names) CertificateName(server string) (string, error) {
 	if configured := n.ByServer[server]; configured != "" {
 		return configured, nil
 	}
--- a/internal/upstream/secure/names_test.go
+++ b/internal/upstream/secure/names_test.go
@@ -21,14 +21,14 @@
 		"é":                     "",
 		strings.Repeat("a", 64): "",
 	} {
-		if got, err := n.Of(server); got != want || (err == nil) != (want != "") {
+		if got, err := n.CertificateName(server); got != want || (err == nil) != (want != "") {
 			t.Errorf("%q: %q, %v; want %q", server, got, err, want)
 		}
 	}
-	if got, err := (&Names{Pattern: "soko.example.org"}).Of("any.thing"); got != "soko.example.org" || err != nil {
+	if got, err := (&Names{Pattern: "soko.example.org"}).CertificateName("any.thing"); got != "soko.example.org" || err != nil {
 		t.Errorf("one name for all: %q, %v", got, err)
 	}
-	if _, err := (&Names{}).Of("soko-3"); err == nil {
+	if _, err := (&Names{}).CertificateName("soko-3"); err == nil {
 		t.Error("a server without a name is verified")
 	}
 	for name, ok := range map[string]bool{
@@ -63,7 +63,7 @@
 	}
 	n := &Names{Pattern: "{name}.soko.example.org"}
 	f.Fuzz(func(t *testing.T, server string) {
-		got, err := n.Of(server)
+		got, err := n.CertificateName(server)
 		if err != nil {
 			return
 		}
