routing: the model test has a step a method, tests say condition and result

TestForwardRulesUnderRandomHistories was one function of 130 lines; its reference model is a type with a method for each event and each rule. It draws the same events. Eight tests of the ledger have names that state the result.

--- a/internal/routing/harness_test.go
+++ b/internal/routing/harness_test.go
@@ -131,21 +131,22 @@
 	return h
 }
 
-// endpoints returns n ready endpoints, numbered from 1; pairs share a cell.
-func endpoints(index int) []balancer.Endpoint {
-	list := make([]balancer.Endpoint, index)
+// endpoints returns ready endpoints, numbered from 1; pairs share a cell.
+func endpoints(count int) []balancer.Endpoint {
+	list := make([]balancer.Endpoint, count)
 	for i := range list {
 		list[i] = balancer.Endpoint{ID: uint32(i + 1), Zone: uint8(i / 4), Cell: cell(uint32(i + 1)), Weight: 1}
 	}
 	return list
 }
 
+// cell returns the cell of an endpoint.
 func cell(endpoint uint32) uint16 { return uint16(endpoint-1) / 2 }
 
 // call runs a call into the module, and then the calls that were deferred meanwhile.
-func (h *harness) call(f func()) {
+func (h *harness) call(callModule func()) {
 	h.depth++
-	f()
+	callModule()
 	h.depth--
 	h.settle()
 }
@@ -155,23 +156,24 @@
 	for h.depth == 0 && len(h.deferred) > 0 {
 		calls := h.deferred
 		h.deferred = nil
-		for _, f := range calls {
-			f()
+		for _, call := range calls {
+			call()
 		}
 	}
 }
 
 // advance moves the time forward and fires the timers.
-func (h *harness) advance(d Micros) {
-	for end := h.now + d; h.now < end; {
+func (h *harness) advance(duration Micros) {
+	end := h.now + duration
+	for h.now < end {
 		h.now = min(end, h.now+10_000)
 		due := h.timers
 		h.timers = nil
-		for _, t := range due {
-			if t.at > h.now {
-				h.timers = append(h.timers, t)
+		for _, next := range due {
+			if next.at > h.now {
+				h.timers = append(h.timers, next)
 			} else {
-				h.call(func() { h.module.TimerFired(h.now, t.token) })
+				h.call(func() { h.module.TimerFired(h.now, next.token) })
 			}
 		}
 		h.ledger.Tick(h.now)
@@ -190,15 +192,20 @@
 	location := Location{Zone: uint8(endpoint-1) / 4, Cell: cell(endpoint)}
 	h.ledger.AttemptScheduled(h.now, id, location, testRef{endpoint, id})
 }
+
 func (m *moduleActions) Reject(id uint64, after Micros) { m.ledger.RoundRejected(m.now, id, after) }
-func (m *moduleActions) Fail(id uint64)                 { m.ledger.RoundFailed(m.now, id) }
+
+func (m *moduleActions) Fail(id uint64) { m.ledger.RoundFailed(m.now, id) }
+
 func (m *moduleActions) Cancel(id uint64, index int) {
 	h := (*harness)(m)
 	h.deferred = append(h.deferred, func() { h.ledger.AttemptCancelled(h.now, id, index) })
 }
-func (m *moduleActions) Timer(d Micros, token uint32) {
-	m.timers = append(m.timers, timer{m.now + d, token})
+
+func (m *moduleActions) Timer(delay Micros, token uint32) {
+	m.timers = append(m.timers, timer{m.now + delay, token})
 }
+
 func (m *moduleActions) Probe(uint32)       {}
 func (m *moduleActions) Watch(bool)         {}
 func (m *moduleActions) Log(string, ...any) {}
@@ -208,34 +215,38 @@
 	req.ID = round
 	h.call(func() { h.module.HandleRequest(h.now, req) })
 }
+
 func (h *harness) CancelRound(round uint64) {
 	h.call(func() { h.module.ClientDisconnected(h.now, round) })
 }
+
 func (h *harness) CompleteAttempt(round uint64, index int, outcome Outcome, settled bool) {
 	if h.depth > 0 {
 		h.t.Errorf("an attempt is completed from within a call of the module")
 	}
 	key := fmt.Sprint(round, " ", index)
-	if h.completions[key]++; h.completions[key] > 1 {
+	h.completions[key]++
+	if h.completions[key] > 1 {
 		h.t.Errorf("attempt %s is completed twice, with %v", key, outcome.Status)
 	}
-	at := h.open[key]
+	endpoint := h.open[key].endpoint
 	delete(h.open, key)
-	served := at.endpoint
 	if outcome.Endpoint != 0 {
-		served = outcome.Endpoint
+		endpoint = outcome.Endpoint
 	}
 	h.call(func() {
 		h.module.AttemptCompleted(h.now, balancer.Outcome{
 			ID:       round,
 			Attempt:  index,
-			Endpoint: served,
+			Endpoint: endpoint,
 			Status:   outcome.Status,
 			Settled:  settled,
 		})
 	})
 }
-func (h *harness) Usable(r any) bool { return !h.retired[r.(testRef).endpoint] }
+
+func (h *harness) Usable(ref any) bool { return !h.retired[ref.(testRef).endpoint] }
+
 func (h *harness) Respond(stream StreamID, response Response) {
 	h.responses[stream] = append(h.responses[stream], response)
 	if response.Kind == Forward && h.onForward != nil {
@@ -259,8 +270,8 @@
 	h.t.Helper()
 	h.ledger.HandleRequest(h.now, req)
 	h.settle()
-	if index := len(h.responses[req.Stream]); index != 1 {
-		h.t.Fatalf("stream %d got %d responses", req.Stream, index)
+	if count := len(h.responses[req.Stream]); count != 1 {
+		h.t.Fatalf("stream %d got %d responses", req.Stream, count)
 	}
 	return h.responses[req.Stream][0]
 }
@@ -286,4 +297,5 @@
 	}
 }
 
-func endpointOf(t Response) uint32 { return t.Ref.(testRef).endpoint }
+// endpointOf returns the endpoint of a Forward.
+func endpointOf(response Response) uint32 { return response.Ref.(testRef).endpoint }
--- a/internal/routing/ledger_test.go
+++ b/internal/routing/ledger_test.go
@@ -8,7 +8,7 @@
 )
 
 // A second request for the same effect gets the same endpoint while that deduplicates repeats, or a conflict.
-func TestSecondRequestForTheSameEffect(t *testing.T) {
+func TestSecondRequestGetsSameEndpointOrConflict(t *testing.T) {
 	closeStream := func(h *harness) { h.closeStream(1, false) }
 	closeUndelivered := func(h *harness) { h.closeStream(1, true) }
 	reject := func(h *harness) { h.report(1, balancer.Full) }
@@ -21,12 +21,12 @@
 		h.advance(1_500_000)
 	}
 	for _, c := range []struct {
-		name  string
-		class uint8
-		id    string // of the second request
-		after func(h *harness)
-		want  ResponseKind
-		same  bool
+		name         string
+		class        uint8
+		id           string // of the second request
+		after        func(h *harness)
+		want         ResponseKind
+		sameEndpoint bool
 	}{
 		{"at once", classPay, "1", nil, Forward, true},
 		{"at once, by a retry of the client", classPay, "2", nil, Forward, true},
@@ -66,7 +66,7 @@
 			if got.Kind != c.want {
 				t.Fatalf("the second response: %+v, want kind %v", got, c.want)
 			}
-			if c.same && endpointOf(got) != endpointOf(first) {
+			if c.sameEndpoint && endpointOf(got) != endpointOf(first) {
 				t.Errorf("endpoint %d, then %d", endpointOf(first), endpointOf(got))
 			}
 			if got.Kind == Forward && c.class == classClose && cell(endpointOf(got)) != cell(endpointOf(first)) {
@@ -81,7 +81,7 @@
 }
 
 // Another request under a key or an ID in use is rejected, and nothing is forwarded.
-func TestKeyReusedForAnotherRequest(t *testing.T) {
+func TestKeyReuseForAnotherRequestIsRejected(t *testing.T) {
 	h := newHarness(t, nil)
 	h.request(h.newRequest(1, classPay, "1", "k"))
 	other := h.newRequest(2, classPay, "2", "k")
@@ -101,8 +101,8 @@
 	if got := h.ledger.HandleReport(2, Outcome{Status: balancer.OK}); got.Kind != PassThrough || len(h.completions) != 0 {
 		t.Error("a report counted on a stream that was given no endpoint")
 	}
-	for a := StreamID(1); a <= 4; a++ {
-		h.closeStream(a, false)
+	for id := StreamID(1); id <= 4; id++ {
+		h.closeStream(id, false)
 	}
 	h.advance(30 * second)
 	h.checkEmpty()
@@ -110,7 +110,7 @@
 
 // A stream that is closed before its forward was delivered leaves nothing behind. One that is closed later, without a
 // report, leaves only the entry of a request that may have run.
-func TestStreamClosedWithoutReport(t *testing.T) {
+func TestStreamClosedWithoutReportKeepsOnlyWhatMayHaveRun(t *testing.T) {
 	h := newHarness(t, nil)
 	h.request(h.newRequest(1, classPay, "1", "k"))
 	h.closeStream(1, true) // the forward was not delivered
@@ -139,7 +139,7 @@
 
 // After a reported failure the caller may request a decision again, and gets what the module decides within the
 // rules of the class and the limit of attempts.
-func TestRetryAfterReportedFailure(t *testing.T) {
+func TestRetryAfterReportedFailureFollowsClassAndLimit(t *testing.T) {
 	h := newHarness(t, nil)
 	used := map[uint32]bool{}
 	for n := range 3 {
@@ -165,9 +165,9 @@
 	}
 	h.closeStream(9, false)
 	for _, c := range []struct {
-		class uint8
-		s     balancer.Status
-		want  ResponseKind
+		class  uint8
+		status balancer.Status
+		want   ResponseKind
 	}{
 		{classOrder, balancer.Error, Fail},
 		{classOrder, balancer.Full, RetryAllowed},
@@ -176,9 +176,13 @@
 		{classClose, balancer.Reset, RetryAllowed},
 		{classRead, balancer.Timeout, RetryAllowed},
 	} {
-		h.request(h.newRequest(20, c.class, "20", map[bool]string{true: "k20"}[c.class == classClose]))
-		if got := h.report(20, c.s); got.Kind != c.want {
-			t.Errorf("class %d after %v: %+v, want %v", c.class, c.s, got, c.want)
+		key := ""
+		if c.class == classClose {
+			key = "k20"
+		}
+		h.request(h.newRequest(20, c.class, "20", key))
+		if got := h.report(20, c.status); got.Kind != c.want {
+			t.Errorf("class %d after %v: %+v, want %v", c.class, c.status, got, c.want)
 		}
 		h.closeStream(20, false)
 		delete(h.responses, 20)
@@ -200,27 +204,27 @@
 }
 
 // Where callers do not retry, the module knows it and gives its final answer at once.
-func TestFinalAnswerWhereCallersDoNotRetry(t *testing.T) {
+func TestFailureIsFinalWhereCallersDoNotRetry(t *testing.T) {
 	h := newHarness(t, func(l *Limits) { l.CallersRetry = false })
-	wants := map[uint8]ResponseKind{classRead: Reject, classOrder: Fail, classPay: Reject, classClose: Fail}
-	for class, want := range wants {
-		a := StreamID(class)
+	wantByClass := map[uint8]ResponseKind{classRead: Reject, classOrder: Fail, classPay: Reject, classClose: Fail}
+	for class, want := range wantByClass {
+		id := StreamID(class)
 		key := ""
 		if class == classPay || class == classClose {
 			key = fmt.Sprint("k", class)
 		}
-		h.request(h.newRequest(a, class, fmt.Sprint(class), key))
-		if got := h.report(a, balancer.Error); got.Kind != want {
+		h.request(h.newRequest(id, class, fmt.Sprint(class), key))
+		if got := h.report(id, balancer.Error); got.Kind != want {
 			t.Errorf("class %d: %+v, want %v", class, got, want)
 		}
-		h.closeStream(a, false)
+		h.closeStream(id, false)
 	}
 	h.advance(30 * second)
 	h.checkEmpty()
 }
 
 // If an endpoint is retired before a forward is delivered, or before an offer is claimed, the module decides anew.
-func TestEndpointRetiredBeforeForwardIsUsed(t *testing.T) {
+func TestEndpointRetiredBeforeForwardIsReplaced(t *testing.T) {
 	h := newHarness(t, nil)
 	first := h.request(h.newRequest(1, classOrder, "1", ""))
 	h.retired[endpointOf(first)] = true
@@ -235,8 +239,8 @@
 		t.Fatalf("report: %+v", got)
 	}
 	h.closeStream(1, false)
-	for _, at := range h.open {
-		h.retired[at.endpoint] = true
+	for _, ref := range h.open {
+		h.retired[ref.endpoint] = true
 	}
 	if got := h.request(h.newRequest(2, classOrder, "1", "")); got.Kind == Forward {
 		t.Errorf("a fourth attempt: %+v", got)
@@ -256,7 +260,7 @@
 	h.closeStream(2, false)
 	h.advance(OfferTimeout + 20_000)
 	h.request(h.newRequest(3, classClose, "3", "k"))
-	if in := h.started[len(h.started)-1]; !in.MayHaveRun {
+	if latest := h.started[len(h.started)-1]; !latest.MayHaveRun {
 		t.Error("the next round may go anywhere, though an attempt may have run")
 	}
 	h.closeStream(3, false)
@@ -266,7 +270,7 @@
 
 // The outcome counts for the endpoint that served the attempt. An endpoint that is not in the list settles the
 // request, and it is not forwarded again.
-func TestServedByAnotherEndpoint(t *testing.T) {
+func TestOutcomeCountsForEndpointThatServed(t *testing.T) {
 	h := newHarness(t, nil)
 	first := h.request(h.newRequest(1, classClose, "1", "k"))
 	other := endpointOf(first)%6 + 3
@@ -300,20 +304,20 @@
 }
 
 // Once all entries are in use, further requests are rejected and no entry is dropped.
-func TestAtCapacityWhenEntriesAreUsedUp(t *testing.T) {
+func TestRequestIsRejectedOnceEntriesAreUsedUp(t *testing.T) {
 	h := newHarness(t, func(l *Limits) { l.MaxEntries = 2 })
-	for a := StreamID(1); a <= 3; a++ {
-		got := h.request(h.newRequest(a, classPay, fmt.Sprint(a), fmt.Sprint("k", a)))
+	for id := StreamID(1); id <= 3; id++ {
+		got := h.request(h.newRequest(id, classPay, fmt.Sprint(id), fmt.Sprint("k", id)))
 		want := Forward
-		if a > 2 {
+		if id > 2 {
 			want = AtCapacity
 		}
 		if got.Kind != want || got.Kind == AtCapacity && got.RetryAfter <= 0 {
-			t.Errorf("request %d: %+v", a, got)
+			t.Errorf("request %d: %+v", id, got)
 		}
 	}
-	for a := StreamID(1); a <= 3; a++ {
-		h.closeStream(a, false)
+	for id := StreamID(1); id <= 3; id++ {
+		h.closeStream(id, false)
 	}
 	h.advance(30 * second)
 	h.checkEmpty()
--- a/internal/routing/model_test.go
+++ b/internal/routing/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -26,145 +27,205 @@
 	neverRan bool // proven not to have run
 }
 
+// firstThatMayHaveRun returns the effect's first forward that may have run, nil if there is none.
 func (e *effect) firstThatMayHaveRun() *forwarded {
-	for _, sent := range e.forwards {
-		if !sent.neverRan {
-			return sent
+	for _, forward := range e.forwards {
+		if !forward.neverRan {
+			return forward
 		}
 	}
 	return nil
 }
 
+// modelStream is an open stream of a caller.
+type modelStream struct {
+	id       StreamID
+	request  Request
+	effect   string // key of model.effects
+	forward  *forwarded
+	reported bool
+}
+
+// modelMaxAttempts is how often the harness lets one request be forwarded.
+const modelMaxAttempts = 3
+
+// model plays random callers against a ledger, and checks what the ledger does by plain rules.
+type model struct {
+	t          *rapid.T
+	harness    *harness
+	effects    map[string]*effect // by entryKey
+	streams    []*modelStream     // open, the oldest first
+	lastStream StreamID
+}
+
+func newModel(t *rapid.T, callersRetry bool) *model {
+	m := &model{
+		t:       t,
+		harness: newHarness(t, func(limits *Limits) { limits.CallersRetry = callersRetry }),
+		effects: map[string]*effect{},
+	}
+	m.harness.onForward = m.checkForward
+	return m
+}
+
+// stream returns an open stream by its ID.
+func (m *model) stream(id StreamID) *modelStream {
+	index := slices.IndexFunc(m.streams, func(open *modelStream) bool { return open.id == id })
+	if index < 0 {
+		m.t.Fatalf("stream %d got a response and is not open", id)
+	}
+	return m.streams[index]
+}
+
+// drawStream returns a random open stream.
+func (m *model) drawStream() *modelStream {
+	return m.streams[rapid.IntRange(0, len(m.streams)-1).Draw(m.t, "stream")]
+}
+
+// checkForward checks a forward against the rules and records it.
+func (m *model) checkForward(id StreamID, ref testRef) {
+	stream := m.stream(id)
+	effect := m.effects[stream.effect]
+	if m.harness.retired[ref.endpoint] {
+		m.t.Fatalf("stream %d was forwarded to %d, which is retired", id, ref.endpoint)
+	}
+	if first := effect.firstThatMayHaveRun(); first != nil {
+		m.checkRepeat(id, classes[effect.class], first, ref.endpoint)
+	}
+	stream.forward = &forwarded{at: m.harness.now, endpoint: ref.endpoint}
+	effect.forwards = append(effect.forwards, stream.forward)
+	requestID := stream.request.ID
+	effect.byID[requestID]++
+	if count := effect.byID[requestID]; count > modelMaxAttempts {
+		m.t.Fatalf("request %s was forwarded %d times", requestID, count)
+	}
+}
+
+// checkRepeat checks that an effect may be forwarded to an endpoint though an earlier forward may have run.
+func (m *model) checkRepeat(id StreamID, class balancer.Class, first *forwarded, endpoint uint32) {
+	sameCell := cell(endpoint) == cell(first.endpoint)
+	elapsed := m.harness.now - first.at
+	withKey := class.Idempotency == balancer.IdempotentWithKey
+	switch {
+	case class.Idempotency == balancer.NotIdempotent:
+		m.t.Fatalf("stream %d: a request that is not idempotent was forwarded again", id)
+	case withKey && elapsed >= class.DedupWindow:
+		m.t.Fatalf("stream %d: %s was forwarded %d after the first attempt", id, class.Name, elapsed)
+	case withKey && class.Group == balancer.GroupCell && !sameCell:
+		m.t.Fatalf("stream %d: %s left its cell", id, class.Name)
+	}
+}
+
+// checkForgotten checks that an entry that the ledger has removed is old, or harmless to remove.
+func (m *model) checkForgotten() {
+	for key, effect := range m.effects {
+		if m.harness.ledger.entries[key] != nil {
+			continue
+		}
+		class := classes[effect.class]
+		retained := effect.firstThatMayHaveRun() != nil && class.Idempotency != balancer.Idempotent
+		if retained && m.harness.now < effect.lastClosed+class.ClientTimeout+class.DedupWindow {
+			m.t.Fatalf("%q was removed %d after its last stream was closed, and may have run", key,
+				m.harness.now-effect.lastClosed)
+		}
+		delete(m.effects, key)
+	}
+}
+
+// openStream has a caller request a decision.
+func (m *model) openStream() {
+	m.lastStream++
+	class := uint8(rapid.IntRange(0, 3).Draw(m.t, "class"))
+	number := rapid.IntRange(0, 2).Draw(m.t, "request")
+	retry := rapid.IntRange(0, 1).Draw(m.t, "retry")
+	id, key := fmt.Sprint(class, "-", number), ""
+	if class == classPay || class == classClose {
+		key = fmt.Sprint("key", class, "-", number)
+		id = fmt.Sprint(id, "-", retry)
+	}
+	stream := &modelStream{id: m.lastStream, request: m.harness.newRequest(m.lastStream, class, id, key)}
+	stream.effect = entryKey(&stream.request)
+	if m.effects[stream.effect] == nil {
+		m.effects[stream.effect] = &effect{class: class, byID: map[string]int{}}
+	}
+	m.streams = append(m.streams, stream)
+	m.harness.ledger.HandleRequest(m.harness.now, stream.request)
+	m.harness.settle()
+	if count := len(m.harness.responses[stream.id]); count != 1 {
+		m.t.Fatalf("stream %d got %d responses", stream.id, count)
+	}
+}
+
+// report has a caller report the outcome of the attempt that was forwarded to it, if there is one.
+func (m *model) report() {
+	stream := m.drawStream()
+	if stream.forward == nil || stream.reported {
+		return
+	}
+	stream.reported = true
+	status := rapid.SampledFrom([]balancer.Status{
+		balancer.OK, balancer.Error, balancer.Full, balancer.ConnectFailed, balancer.Reset, balancer.Timeout,
+	}).Draw(m.t, "status")
+	stream.forward.neverRan = status == balancer.Full || status == balancer.ConnectFailed
+	m.harness.report(stream.id, status)
+}
+
+// closeStream ends a random stream, perhaps before its forward was delivered.
+func (m *model) closeStream() {
+	stream := m.drawStream()
+	undelivered := stream.forward != nil && !stream.reported && rapid.Bool().Draw(m.t, "undelivered")
+	effect := m.effects[stream.effect]
+	if undelivered {
+		stream.forward.neverRan = true
+		effect.byID[stream.request.ID]--
+	}
+	if effect != nil {
+		effect.lastClosed = m.harness.now
+	}
+	m.remove(stream, undelivered)
+}
+
+// remove closes a stream.
+func (m *model) remove(stream *modelStream, undelivered bool) {
+	m.streams = slices.DeleteFunc(m.streams, func(open *modelStream) bool { return open == stream })
+	m.harness.closeStream(stream.id, undelivered)
+}
+
+// retireEndpoint has an endpoint drain.
+func (m *model) retireEndpoint() {
+	endpoint := rapid.IntRange(1, 6).Draw(m.t, "endpoint")
+	m.harness.retired[uint32(endpoint)] = true
+	draining := endpoints(6)[endpoint-1]
+	draining.State = balancer.Draining
+	m.harness.call(func() {
+		m.harness.module.UpdateEndpoints(m.harness.now, balancer.ListDelta, []balancer.Endpoint{draining})
+	})
+}
+
 // TestForwardRulesUnderRandomHistories plays random callers against the ledger and a real decision module, and checks
 // every forward against a plain reference model.
 func TestForwardRulesUnderRandomHistories(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		retries := rapid.Bool().Draw(t, "callers retry")
-		h := newHarness(t, func(l *Limits) { l.CallersRetry = retries })
-		effects := map[string]*effect{}
-		type openStream struct {
-			request  Request
-			name     string
-			attempt  *forwarded
-			reported bool
-		}
-		streams, openStreams := map[StreamID]*openStream{}, []StreamID{}
-		h.onForward = func(stream StreamID, at testRef) {
-			open := streams[stream]
-			e := effects[open.name]
-			sent := &forwarded{at: h.now, endpoint: at.endpoint}
-			if h.retired[at.endpoint] {
-				t.Fatalf("stream %d was forwarded to %d, which is retired", stream, at.endpoint)
-			}
-			if first := e.firstThatMayHaveRun(); first != nil {
-				k := classes[e.class]
-				sameCell := cell(at.endpoint) == cell(first.endpoint)
-				switch {
-				case k.Idempotency == balancer.NotIdempotent:
-					t.Fatalf("stream %d: a request that is not idempotent was forwarded again", stream)
-				case k.Idempotency == balancer.IdempotentWithKey && h.now >= first.at+k.DedupWindow:
-					t.Fatalf("stream %d: %s was forwarded %d after the first attempt", stream, k.Name, h.now-first.at)
-				case k.Idempotency == balancer.IdempotentWithKey && k.Group == balancer.GroupCell && !sameCell:
-					t.Fatalf("stream %d: %s left its cell", stream, k.Name)
-				}
-			}
-			e.forwards = append(e.forwards, sent)
-			if e.byID[open.request.ID]++; e.byID[open.request.ID] > 3 {
-				t.Fatalf("request %s was forwarded %d times", open.request.ID, e.byID[open.request.ID])
-			}
-			open.attempt = sent
-		}
-		lastStream := StreamID(0)
-		pick := func() (StreamID, *openStream) {
-			stream := openStreams[rapid.IntRange(0, len(openStreams)-1).Draw(t, "stream")]
-			return stream, streams[stream]
-		}
-		remove := func(stream StreamID) {
-			delete(streams, stream)
-			for i, o := range openStreams {
-				if o == stream {
-					openStreams = append(openStreams[:i], openStreams[i+1:]...)
-					break
-				}
-			}
-		}
-		// An entry that the ledger has removed must be old, or harmless to remove.
-		checkForgotten := func() {
-			for name, e := range effects {
-				if h.ledger.entries[name] != nil {
-					continue
-				}
-				sent := classes[e.class]
-				retained := e.firstThatMayHaveRun() != nil && sent.Idempotency != balancer.Idempotent
-				if retained && h.now < e.lastClosed+sent.ClientTimeout+sent.DedupWindow {
-					t.Fatalf("%q was removed %d after its last stream was closed, and may have run", name, h.now-e.lastClosed)
-				}
-				delete(effects, name)
-			}
-		}
+		m := newModel(t, rapid.Bool().Draw(t, "callers retry"))
 		for range rapid.IntRange(5, 60).Draw(t, "events") {
 			switch event := rapid.IntRange(0, 9).Draw(t, "event"); {
-			case event < 4 || len(openStreams) == 0:
-				lastStream++
-				class := uint8(rapid.IntRange(0, 3).Draw(t, "class"))
-				n := rapid.IntRange(0, 2).Draw(t, "request")
-				retry := rapid.IntRange(0, 1).Draw(t, "retry")
-				id, key := fmt.Sprint(class, "-", n), ""
-				if class == classPay || class == classClose {
-					key = fmt.Sprint("key", class, "-", n)
-					id = fmt.Sprint(id, "-", retry)
-				}
-				open := &openStream{request: h.newRequest(lastStream, class, id, key)}
-				open.name = entryKey(&open.request)
-				if effects[open.name] == nil {
-					effects[open.name] = &effect{class: class, byID: map[string]int{}}
-				}
-				streams[lastStream] = open
-				openStreams = append(openStreams, lastStream)
-				h.ledger.HandleRequest(h.now, open.request)
-				h.settle()
-				if n := len(h.responses[lastStream]); n != 1 {
-					t.Fatalf("stream %d got %d responses", lastStream, n)
-				}
+			case event < 4 || len(m.streams) == 0:
+				m.openStream()
 			case event < 7:
-				stream, open := pick()
-				if open.attempt == nil || open.reported {
-					continue
-				}
-				open.reported = true
-				s := rapid.SampledFrom([]balancer.Status{balancer.OK, balancer.Error, balancer.Full, balancer.ConnectFailed,
-					balancer.Reset, balancer.Timeout}).Draw(t, "status")
-				open.attempt.neverRan = s == balancer.Full || s == balancer.ConnectFailed
-				h.report(stream, s)
+				m.report()
 			case event < 8:
-				stream, open := pick()
-				undelivered := open.attempt != nil && !open.reported && rapid.Bool().Draw(t, "undelivered")
-				if undelivered {
-					open.attempt.neverRan = true
-					effects[open.name].byID[open.request.ID]--
-				}
-				if e := effects[open.name]; e != nil {
-					e.lastClosed = h.now
-				}
-				remove(stream)
-				h.closeStream(stream, undelivered)
+				m.closeStream()
 			case event < 9:
-				e := rapid.IntRange(1, 6).Draw(t, "endpoint")
-				h.retired[uint32(e)] = true
-				draining := endpoints(6)[e-1]
-				draining.State = balancer.Draining
-				h.call(func() { h.module.UpdateEndpoints(h.now, balancer.ListDelta, []balancer.Endpoint{draining}) })
+				m.retireEndpoint()
 			default:
-				h.advance(Micros(rapid.IntRange(1, 300).Draw(t, "ms")) * 10_000)
+				m.harness.advance(Micros(rapid.IntRange(1, 300).Draw(t, "ms")) * 10_000)
 			}
-			checkForgotten()
+			m.checkForgotten()
 		}
-		for len(openStreams) > 0 {
-			stream := openStreams[0]
-			remove(stream)
-			h.closeStream(stream, false)
+		for len(m.streams) > 0 {
+			m.remove(m.streams[0], false)
 		}
-		h.advance(40 * second)
-		h.checkEmpty()
+		m.harness.advance(40 * second)
+		m.harness.checkEmpty()
 	})
 }
