--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -173,7 +173,7 @@
 	}
 }
 
-func TestRequestNumberedByEarlierConfigurationIsAdmitted(t *testing.T) {
+func TestRequestWithUnknownNumbersIsAdmitted(t *testing.T) {
 	a := New(Config{Tenants: []Tenant{{Weight: 1, MaxInFlight: 1}}, Classes: []Class{{MaxInFlight: 1}}})
 	if _, ok := a.Admit(1, &balancer.Request{Tenant: 9, Class: 9}); !ok {
 		t.Error("a request numbered by an earlier configuration was rejected")
--- a/internal/admission/window.go
+++ b/internal/admission/window.go
@@ -138,9 +138,9 @@
 
 // compareDemand orders the tenants of two indexes by demand over weight, and then by index.
 func (a *Admission) compareDemand(i, j int) int {
-	left, right := &a.tenants[i], &a.tenants[j]
+	first, other := &a.tenants[i], &a.tenants[j]
 	// Each demand is multiplied by the other weight, since a weight may be 0.
-	byDemand := cmp.Compare(left.requested*right.limits.Weight, right.requested*left.limits.Weight)
+	byDemand := cmp.Compare(first.requested*other.limits.Weight, other.requested*first.limits.Weight)
 	return cmp.Or(byDemand, i-j)
 }
 
--- a/internal/certstore/validate/retirement_test.go
+++ b/internal/certstore/validate/retirement_test.go
@@ -118,7 +118,7 @@
 	f.wantRetirement(t, afterExpiry, f.conn(f.newPeer, 2), "over")
 }
 
-func TestConnectionRetiresWhenOwnCertificateExpires(t *testing.T) {
+func TestConnectionRetiresWhenLocalCertificateExpires(t *testing.T) {
 	f := newRetirementFixture(t)
 	conn := f.conn(f.peer, 1)
 	conn.Peer = nil
--- a/internal/membership/ephemeral/client_test.go
+++ b/internal/membership/ephemeral/client_test.go
@@ -147,7 +147,7 @@
 
 // A service may restart with an older or a newer zxid and without its nodes. The list that it
 // then has is reported; package reconcile decides about the missing nodes.
-func TestRestartedServiceIsReadAgain(t *testing.T) {
+func TestRestartedServiceIsReadCompletely(t *testing.T) {
 	h := start(t, 1, nil, "a", "b")
 	h.waitNames("a b")
 	for _, zxidChange := range []int64{1000, -900, -100} {
--- a/internal/membership/ephemeral/curator.go
+++ b/internal/membership/ephemeral/curator.go
@@ -22,7 +22,7 @@
 
 // decodeCurator decodes the data that Apache Curator's service discovery writes. The address and
 // port are those of the instance; all other values are those of the payload, if it has
-// pinedale's own form. The registration time is not used as the start time, since a server whose
+// pinedale's native form. The registration time is not used as the start time, since a server whose
 // session expired registers again.
 func decodeCurator(data []byte) (Data, error) {
 	var instance curatorInstance
--- a/internal/membership/ephemeral/data.go
+++ b/internal/membership/ephemeral/data.go
@@ -42,7 +42,7 @@
 	Kinds []string // the known kinds of machine
 }
 
-// Data is a node's data in pinedale's own form.
+// Data is a node's data in pinedale's native form.
 type Data struct {
 	Address   string  `json:"address"` // host:port
 	Site      string  `json:"site,omitempty"`
@@ -53,7 +53,7 @@
 	Draining  bool    `json:"draining,omitempty"`   // the endpoint takes no new requests
 }
 
-// Parse decodes and validates a node's data, in pinedale's own form or Curator's. The texts of
+// Parse decodes and validates a node's data, in pinedale's native form or Curator's. The texts of
 // its errors have a single line. An invalid value is a *DataError.
 func Parse(node string, data []byte, rules Rules) (reconcile.Entry, error) {
 	if len(node) == 0 || len(node) > maxNameBytes {
@@ -97,7 +97,7 @@
 	if err := json.Unmarshal(data, &keys); err != nil {
 		return Data{}, fmt.Errorf("not a JSON object: %w", err)
 	}
-	decodeForm := decodeOwn
+	decodeForm := decodeNative
 	if _, isCurator := keys["serviceType"]; isCurator {
 		decodeForm = decodeCurator
 	}
@@ -112,8 +112,8 @@
 	return decoded, nil
 }
 
-// decodeOwn decodes pinedale's own form of node data.
-func decodeOwn(data []byte) (Data, error) {
+// decodeNative decodes pinedale's native form of node data.
+func decodeNative(data []byte) (Data, error) {
 	var decoded Data
 	if err := json.Unmarshal(data, &decoded); err != nil {
 		return Data{}, singleLine(err)
--- a/internal/membership/ephemeral/data_test.go
+++ b/internal/membership/ephemeral/data_test.go
@@ -9,7 +9,7 @@
 	"pinedale/internal/engine"
 )
 
-func TestParseReadsOwnForm(t *testing.T) {
+func TestParseReadsNativeForm(t *testing.T) {
 	data := `{"address":"10.0.0.7:9101","site":"dar","kind":"box","block":7,"share":2.5,"started_ms":1700000000000}`
 	want := engine.Host{
 		Name: "s-1", Address: "10.0.0.7:9101", Site: "dar", Kind: "box", Cell: 7, Weight: 2.5, StartedMS: 1700000000000,
--- a/internal/membership/reconcile/decide.go
+++ b/internal/membership/reconcile/decide.go
@@ -113,7 +113,7 @@
 // endpoint's node vanished without a drain, and discovery listed the endpoint in a report after
 // MaxDiscoveryLag: the session has expired, but the process runs.
 func (r *Reconciler) discoveryConfirms(v *endpointView, name string) bool {
-	if v.described == nil || v.endKind != Ephemeral || v.end.state != stateVanished || v.end.drainedFirst {
+	if v.described == nil || v.endKind != Ephemeral || v.end.state != stateVanished || v.end.wasDraining {
 		return false
 	}
 	requiredAt := v.end.since + r.cfg.MaxDiscoveryLag
--- a/internal/membership/reconcile/reconciler.go
+++ b/internal/membership/reconcile/reconciler.go
@@ -150,7 +150,7 @@
 	if c == nil || c.state == stateVanished {
 		return
 	}
-	c.drainedFirst = c.state == stateDraining
+	c.wasDraining = c.state == stateDraining
 	c.state = stateVanished
 	c.since = now
 	delete(s.retained, name)
--- a/internal/membership/reconcile/reconciler_test.go
+++ b/internal/membership/reconcile/reconciler_test.go
@@ -29,21 +29,35 @@
 	}
 }
 
-// A session may expire while its server runs. The end counts at once, and the server is ready
-// again once discovery lists it in a report after MaxDiscoveryLag.
-func TestExpiredSessionIsOverruledByDiscovery(t *testing.T) {
+// startTwoSources returns a harness with an ephemeral and a discovery source that list a and b.
+func startTwoSources(t *testing.T) *harness {
+	t.Helper()
 	h := newHarness(t, Ephemeral, Discovery)
 	h.snapshot(0, 1, entries("a", "b"))
 	h.snapshot(1, 1, entries("a", "b"))
 	h.wantReady("at first", "a b")
-	h.delta(0, 2, change("a", balancer.Removed))
-	h.wantReady("expired", "b")
+	return h
+}
+
+// listAfterMaxLag has discovery list a and b, once before and once after its maximum lag. It checks that a is not ready
+// before the second list.
+func (h *harness) listAfterMaxLag() {
+	h.t.Helper()
+	h.wantReady("vanished", "b")
 	h.advance(DefaultConfig.MaxDiscoveryLag / 2)
 	h.snapshot(1, 2, entries("a", "b"))
 	h.wantReady("discovery may not have noticed yet", "b")
 	h.advance(DefaultConfig.MaxDiscoveryLag)
 	h.wantReady("discovery has not reported since", "b")
 	h.snapshot(1, 3, entries("a", "b"))
+}
+
+// A session may expire while its server runs. The end counts at once, and the server is ready
+// again once discovery lists it in a report after MaxDiscoveryLag.
+func TestExpiredSessionIsOverruledByDiscovery(t *testing.T) {
+	h := startTwoSources(t)
+	h.delta(0, 2, change("a", balancer.Removed))
+	h.listAfterMaxLag()
 	h.wantReady("discovery has listed it after its maximum lag", "a b")
 	h.sourceUnavailable(1, "test")
 	h.snapshot(1, 4, entries("b"))
@@ -52,19 +66,10 @@
 
 // A server that drained has removed its node itself, so that discovery does not overrule the end.
 func TestDrainIsNotOverruledByDiscovery(t *testing.T) {
-	h := newHarness(t, Ephemeral, Discovery)
-	h.snapshot(0, 1, entries("a", "b"))
-	h.snapshot(1, 1, entries("a", "b"))
-	h.wantReady("at first", "a b")
+	h := startTwoSources(t)
 	h.delta(0, 2, change("a", balancer.Draining))
 	h.delta(0, 2, change("a", balancer.Removed))
-	h.wantReady("removed after a drain", "b")
-	h.advance(DefaultConfig.MaxDiscoveryLag / 2)
-	h.snapshot(1, 2, entries("a", "b"))
-	h.wantReady("discovery may not have noticed yet", "b")
-	h.advance(DefaultConfig.MaxDiscoveryLag)
-	h.wantReady("discovery has not reported since", "b")
-	h.snapshot(1, 3, entries("a", "b"))
+	h.listAfterMaxLag()
 	h.wantReady("discovery has listed it after its maximum lag", "b")
 }
 
@@ -208,7 +213,7 @@
 
 // If sources differ on an endpoint, the values of its own node count, and a drain overrules a claim
 // that it is up.
-func TestNodeAndDrainTakePrecedenceOverOtherClaims(t *testing.T) {
+func TestNodeAndDrainTakePrecedence(t *testing.T) {
 	h := newHarness(t, Static, Discovery, Ephemeral)
 	atAddress := func(address string) []Entry {
 		host := newHost("a", 0)
--- a/internal/membership/reconcile/source.go
+++ b/internal/membership/reconcile/source.go
@@ -26,8 +26,8 @@
 	// since is when the endpoint was first listed, began to drain or vanished. Retaining it
 	// does not change this time.
 	since time.Duration
-	// drainedFirst is set if the endpoint was marked draining before it vanished.
-	drainedFirst bool
+	// wasDraining is set if the endpoint was draining when it vanished.
+	wasDraining bool
 
 	// evictAt is when a retained endpoint may be evicted.
 	evictAt time.Duration
--- a/internal/membership/register/register_test.go
+++ b/internal/membership/register/register_test.go
@@ -122,7 +122,7 @@
 	}
 }
 
-func TestNodeOfEarlierSessionIsReplaced(t *testing.T) {
+func TestNodeOfExpiredSessionIsReplaced(t *testing.T) {
 	service := startService(t)
 	service.Put(nodePath, []byte(`{"address":"127.0.0.1:9101"}`))
 	startRegistrar(t, options(service))
--- a/internal/policy/lookup_test.go
+++ b/internal/policy/lookup_test.go
@@ -225,7 +225,7 @@
 	})
 }
 
-func TestCanonicalCapitalizesEachWord(t *testing.T) {
+func TestCanonicalCapitalizesWords(t *testing.T) {
 	for name, want := range map[string]string{
 		"x-tier": "X-Tier",
 		"X-TIER": "X-Tier",
--- a/internal/policy/schedule_test.go
+++ b/internal/policy/schedule_test.go
@@ -164,19 +164,24 @@
 	}
 }
 
-// The module's window is shorter than the configured one, because a slow connection delays a repeat.
-func TestModuleWindowLeavesTimeForConnection(t *testing.T) {
-	config := &Config{
+// slowConnectionConfig returns a configuration with one class whose deduplication window is 1 s, where a connection
+// takes up to 400 ms.
+func slowConnectionConfig(attemptTimeout time.Duration) *Config {
+	return &Config{
 		Limits: Limits{MaxAttempts: 2, MaxDeadline: time.Minute, DialTimeout: 400 * time.Millisecond},
 		Classes: []Class{{
 			Name:             "pay",
 			Idempotency:      balancer.IdempotentWithKey,
 			DedupWindow:      time.Second,
-			Timing:           Timing{Deadline: 5 * time.Second},
+			Timing:           Timing{Deadline: 5 * time.Second, AttemptTimeout: attemptTimeout},
 			LatencyObjective: time.Second,
 		}},
 	}
-	table, compileFaults := Compile(config, nil)
+}
+
+// The module's window is shorter than the configured one, because a slow connection delays a repeat.
+func TestModuleWindowLeavesTimeForConnection(t *testing.T) {
+	table, compileFaults := Compile(slowConnectionConfig(0), nil)
 	if table == nil {
 		t.Fatal(compileFaults)
 	}
@@ -186,16 +191,8 @@
 }
 
 func TestPlayedScheduleFindsLateRepeat(t *testing.T) {
-	tooLate := &Config{
-		Limits: Limits{MaxAttempts: 2, MaxDeadline: time.Minute, DialTimeout: 400 * time.Millisecond},
-		Classes: []Class{{
-			Name:        "pay",
-			Idempotency: balancer.IdempotentWithKey,
-			DedupWindow: time.Second,
-			Timing:      Timing{Deadline: 5 * time.Second, AttemptTimeout: 700 * time.Millisecond},
-		}},
-	}
-	if violation := violatedRule(tooLate); !strings.Contains(violation, "a repeat of pay after 1.1s") {
+	violation := violatedRule(slowConnectionConfig(700 * time.Millisecond))
+	if !strings.Contains(violation, "a repeat of pay after 1.1s") {
 		t.Errorf("violated rule %q, want a late repeat", violation)
 	}
 }
--- a/internal/policy/table_test.go
+++ b/internal/policy/table_test.go
@@ -70,7 +70,7 @@
 }
 
 // A file is rejected if it has more classes, together with earlier files, than the decision module can number.
-func TestTooManyClassesOverReloadsAreRejected(t *testing.T) {
+func TestTooManyClassesAfterReloadsAreRejected(t *testing.T) {
 	previous, _ := Compile(firstReload(), nil)
 	for i := range 300 {
 		config := marketConfig()
--- a/internal/subset/select_test.go
+++ b/internal/subset/select_test.go
@@ -43,7 +43,7 @@
 	}
 }
 
-func TestSelectionTakesHalfFromOwnSite(t *testing.T) {
+func TestSelectionTakesHalfFromLocalSite(t *testing.T) {
 	s := newSubsetOf(t, threeSiteConfig("one"), makeServers(300, 3))
 	if got := selectedPerSite(s); got != [3]int{6, 3, 3} {
 		t.Errorf("selected per site: %v, want half from the own site", got)
