Cluster: Status.Withheld for HeldBack, the JSON key stays held

Cause: package drainadvisory and the terms say withheld. Change: name only, and its one caller in a test of internal/app. Result: go test of the status and drain tests of cluster and app passes.

--- a/internal/app/drains_test.go
+++ b/internal/app/drains_test.go
@@ -70,7 +70,7 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	return status.HeldBack
+	return status.Withheld
 }
 
 // sendRequest sends a request with a key of its own through an instance.
--- a/internal/cluster/status.go
+++ b/internal/cluster/status.go
@@ -33,7 +33,7 @@
 	DroppedMessages uint64               `json:"dropped"` // messages from peers that did not fit into the queue
 	Counts          Counts               `json:"counts"`
 	Vectors         []replication.Vector `json:"have"`        // how far each origin's entries are complete
-	HeldBack        []string             `json:"held"`        // incarnations of servers that get no new requests
+	Withheld        []string             `json:"held"`        // incarnations of servers that get no new requests
 	Records         []Record             `json:"told"`        // all entries, by topic, origin and subject
 	Servers         []ServerTotal        `json:"servers"`     // sums of all origins' server entries
 	Voters          []string             `json:"witnesses"`   // as configured
@@ -64,7 +64,7 @@
 func (n *Node) Status(ctx context.Context) (Status, error) {
 	var status Status
 	err := n.runTask(ctx, func() { status = n.snapshot() })
-	status.HeldBack = n.drains.applied.Load().incarnations
+	status.Withheld = n.drains.applied.Load().incarnations
 	status.Alive = append(n.members.others(), n.cfg.Name)
 	slices.Sort(status.Alive)
 	return status, err
--- a/internal/cluster/statustext.go
+++ b/internal/cluster/statustext.go
@@ -22,8 +22,8 @@
 		counts.Requests, counts.Exclusive, counts.Shared, counts.Denied, counts.NoMajority)
 	fmt.Fprintf(out, "messages: %d heard, %d sent (%d bytes), %d made no sense, %d found no room; %d entries left out\n",
 		counts.Received, counts.Sent, counts.Bytes, counts.Malformed, s.DroppedMessages, s.RejectedEntries)
-	if len(s.HeldBack) > 0 {
-		fmt.Fprintf(out, "held back, since others know that they drain: %v\n", s.HeldBack)
+	if len(s.Withheld) > 0 {
+		fmt.Fprintf(out, "held back, since others know that they drain: %v\n", s.Withheld)
 	}
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, "origin\tepoch\tall up to")
