Test of proxies over sockets judges one limit for all where the load was offered

The test over sockets left the check that one limit for all costs the quiet tenants to the test on virtual time. It makes it, too, with the bound of 0.7 that it had before, unless the machine was too slow to offer 3.5 of the nearly 4 times the rate that are due. The checks of a row are functions of their own.

--- a/internal/measure/tenants/tenants_test.go
+++ b/internal/measure/tenants/tenants_test.go
@@ -79,34 +79,46 @@
 // A tenant at ten times its quota leaves the others theirs; one limit for all does not. Virtual time: the figures
 // are the same on any machine.
 func TestLoudTenantLeavesOthersTheirQuota(t *testing.T) {
+	const seeds = 20
 	for _, rate := range []float64{150, 300} {
-		for seed := range uint64(20) {
+		for seed := range uint64(seeds) {
 			o := &Options{For: 10 * time.Second, Rate: rate, Seed: seed}
-			t.Run(fmt.Sprintf("rate %v seed %d", rate, seed), func(t *testing.T) {
-				alone := admittedRatios(o, o.rates(false), newAdmission(t, o))
-				beside := admittedRatios(o, o.rates(true), newAdmission(t, o))
-				bucket := newTokenBucket(o.Rate)
-				oneLimit := admittedRatios(o, o.rates(true), func(_ int, now time.Duration) bool { return bucket.take(now) })
-				for i := 1; i < tenantCount; i++ {
-					if alone[i] < 0.95 {
-						t.Errorf("%s: %.3f admitted without the loud tenant", tenantNames[i], alone[i])
-					}
-					if beside[i] < 0.95*alone[i] {
-						t.Errorf("%s: %.3f admitted beside the loud tenant, %.3f without it", tenantNames[i], beside[i], alone[i])
-					}
-					if oneLimit[i] > 0.4 {
-						t.Errorf("%s: %.3f admitted by one limit for all: the load shows nothing", tenantNames[i], oneLimit[i])
-					}
-				}
-				if beside[0] > 0.2 {
-					t.Errorf("%s: %.3f admitted", tenantNames[0], beside[0])
-				}
-				t.Logf("admitted: alone %.3f, beside the loud tenant %.3f, by one limit for all %.3f", alone, beside, oneLimit)
-			})
+			t.Run(fmt.Sprintf("rate %v seed %d", rate, seed), func(t *testing.T) { checkAdmittedRatios(t, o) })
 		}
 	}
 }
 
+func checkAdmittedRatios(t *testing.T, o *Options) {
+	t.Helper()
+	alone := admittedRatios(o, o.rates(false), newAdmission(t, o))
+	beside := admittedRatios(o, o.rates(true), newAdmission(t, o))
+	bucket := newTokenBucket(o.Rate)
+	oneLimit := admittedRatios(o, o.rates(true), func(_ int, now time.Duration) bool { return bucket.take(now) })
+	t.Logf("admitted: alone %.3f, beside the loud tenant %.3f, by one limit for all %.3f", alone, beside, oneLimit)
+	for i := 1; i < tenantCount; i++ {
+		if alone[i] < 0.95 {
+			t.Errorf("%s: %.3f admitted without the loud tenant", tenantNames[i], alone[i])
+		}
+		if beside[i] < 0.95*alone[i] {
+			t.Errorf("%s: %.3f admitted beside the loud tenant, %.3f without it", tenantNames[i], beside[i], alone[i])
+		}
+		if oneLimit[i] > 0.4 {
+			t.Errorf("%s: %.3f admitted by one limit for all: the load shows nothing", tenantNames[i], oneLimit[i])
+		}
+	}
+	if beside[0] > 0.2 {
+		t.Errorf("%s: %.3f admitted", tenantNames[0], beside[0])
+	}
+}
+
+// The rows of a table.
+const (
+	rowPinedaleAlone = iota
+	rowPinedaleBeside
+	rowReverseAlone
+	rowReverseBeside
+)
+
 // Over sockets, too, no request of a tenant within its quota is rejected, and what is admitted of the others is
 // within the rate. The bounds hold at any speed of the machine: the quiet tenants send no faster than their quota
 // also where the process stands still for a while, the latency objective is so long that the decision module sheds
@@ -118,34 +130,44 @@
 		t.Fatal(err)
 	}
 	for i := range rows {
-		row := &rows[i]
-		t.Logf("%s: %+v in %v", row.Name, row.Tenants, row.Took)
-		admitted := 0
-		for n, tenant := range row.Tenants {
-			admitted += tenant.OK
-			if takesPart := n > 0 || i%2 == 1; (tenant.Requested > 0) != takesPart {
-				t.Errorf("%s, %s: %d requests", row.Name, tenantNames[n], tenant.Requested)
-			}
-		}
+		loudTakesPart := i == rowPinedaleBeside || i == rowReverseBeside
+		checkRow(t, &o, &rows[i], loudTakesPart)
+	}
+	for _, row := range []Row{rows[rowPinedaleAlone], rows[rowPinedaleBeside]} {
 		for n := 1; n < tenantCount; n++ {
-			tenant := row.Tenants[n]
-			if tenant.Failed > 0 {
-				t.Errorf("%s, %s: %d of %d failed", row.Name, tenantNames[n], tenant.Failed, tenant.Requested)
-			}
-			if behindPinedale := i < 2; behindPinedale && tenant.OK < tenant.Requested {
+			if tenant := row.Tenants[n]; tenant.OK < tenant.Requested {
 				t.Errorf("%s, %s: %d of %d served", row.Name, tenantNames[n], tenant.OK, tenant.Requested)
 			}
 		}
-		if limit := maxAdmitted(&o, row.Took); float64(admitted) > limit {
-			t.Errorf("%s: %d admitted in %v, at most %.0f are by the rate", row.Name, admitted, row.Took, limit)
-		}
 	}
+	checkLimitForAll(t, &o, &rows[rowReverseBeside])
 	var out bytes.Buffer
 	if rows.Print(&out); strings.Count(out.String(), "\n") != 5 {
 		t.Errorf("printed %q", out.String())
 	}
 }
 
+// checkRow checks that the tenants of a row have sent requests, that those of the quiet ones were answered 200 or 503,
+// and that the proxy has admitted no more than its rate.
+func checkRow(t *testing.T, o *Options, row *Row, loudTakesPart bool) {
+	t.Helper()
+	t.Logf("%s: %+v in %v", row.Name, row.Tenants, row.Took)
+	admitted := 0
+	for n, tenant := range row.Tenants {
+		admitted += tenant.OK
+		isLoud := n == 0
+		if takesPart := !isLoud || loudTakesPart; (tenant.Requested > 0) != takesPart {
+			t.Errorf("%s, %s: %d requests", row.Name, tenantNames[n], tenant.Requested)
+		}
+		if !isLoud && tenant.Failed > 0 {
+			t.Errorf("%s, %s: %d of %d failed", row.Name, tenantNames[n], tenant.Failed, tenant.Requested)
+		}
+	}
+	if limit := maxAdmitted(o, row.Took); float64(admitted) > limit {
+		t.Errorf("%s: %d admitted in %v, at most %.0f are by the rate", row.Name, admitted, row.Took, limit)
+	}
+}
+
 // maxAdmitted returns how many requests either limit admits in a time: those of the rate, one window more at the
 // start, one at the end, and what the tenants may have saved.
 func maxAdmitted(o *Options, took time.Duration) float64 {
@@ -155,3 +177,24 @@
 	)
 	return o.Rate * (took.Seconds() + (2+savedWindows)*window)
 }
+
+// checkLimitForAll checks that one limit for all costs the quiet tenants, if the load was offered nearly as fast as it
+// should be. On a machine that is slower, TestLoudTenantLeavesOthersTheirQuota alone judges that.
+func checkLimitForAll(t *testing.T, o *Options, row *Row) {
+	t.Helper()
+	const minOverload = 3.5 // times the rate; nearly four are due
+	requested := 0
+	for _, tenant := range row.Tenants {
+		requested += tenant.Requested
+	}
+	if offered := float64(requested) / row.Took.Seconds(); offered < minOverload*o.Rate {
+		t.Logf("%.0f requests a second were offered: too few to judge one limit for all", offered)
+		return
+	}
+	for n := 1; n < tenantCount; n++ {
+		if tenant := row.Tenants[n]; float64(tenant.OK) > 0.7*float64(tenant.Requested) {
+			t.Errorf("%s: %d of %d served by one limit for all: the load shows nothing",
+				tenantNames[n], tenant.OK, tenant.Requested)
+		}
+	}
+}
