Upstreams: tests with whole names, one step a line, and engines whose goroutine is awaited

Test engines of upstream/byprotocol and front/exchange are waited for when the test ends. Waits of httpupstream use wait.Timeout in place of a constant of its own with the same value.

--- a/internal/front/exchange/dispatcher_test.go
+++ b/internal/front/exchange/dispatcher_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -34,7 +35,6 @@
 func newBlocked(t *testing.T) (d *Dispatcher, e *engine.Engine, release func()) {
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
-	t.Cleanup(stop)
 	order := balancer.Class{
 		Name:             "order",
 		Idempotency:      balancer.NotIdempotent,
@@ -54,16 +54,27 @@
 		},
 	})
 	if err != nil {
+		stop()
 		t.Fatal(err)
 	}
-	go e.Run()
-	blocked, free := make(chan struct{}), make(chan struct{})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		e.Run()
+	}()
+	blocked, released := make(chan struct{}), make(chan struct{})
+	release = sync.OnceFunc(func() { close(released) })
+	t.Cleanup(func() {
+		release()
+		stop()
+		<-ended
+	})
 	e.Post(func(balancer.Micros) {
 		close(blocked)
-		<-free
+		<-released
 	})
 	<-blocked
-	return New(e, idlePeer{}, 1<<20), e, func() { close(free) }
+	return New(e, idlePeer{}, 1<<20), e, release
 }
 
 // dispatch passes a request with this time to its deadline to the dispatcher.
--- a/internal/upstream/byprotocol/byprotocol.go
+++ b/internal/upstream/byprotocol/byprotocol.go
@@ -78,7 +78,7 @@
 	}
 }
 
-// Cancel cancels an attempt. Over both protocols an attempt ends by its own Stop.
+// Cancel cancels an attempt. Over both protocols an attempt ends by its own Abort.
 func (c *carrier) Cancel(a *engine.Attempt) { a.Abort() }
 
 // Probe sends a health check over the protocol that the endpoint's requests use.
--- a/internal/upstream/byprotocol/byprotocol_test.go
+++ b/internal/upstream/byprotocol/byprotocol_test.go
@@ -100,12 +100,17 @@
 		},
 	})
 	if err != nil {
+		stop()
 		t.Fatal(err)
 	}
-	go e.Run()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		e.Run()
+	}()
 	t.Cleanup(func() {
 		stop()
-		e.Call(func(balancer.Micros) {})
+		<-ended
 	})
 	hosts := []engine.Host{{Name: "s", Address: address, Site: "a", Weight: 1}}
 	e.Call(func(now balancer.Micros) {
--- a/internal/upstream/http3upstream/harness_test.go
+++ b/internal/upstream/http3upstream/harness_test.go
@@ -89,8 +89,8 @@
 	return e
 }
 
-// raw starts an endpoint that has a function respond on each request stream.
-func (f *fixture) raw(respond func(c *quic.Conn, s *quic.Stream)) *engine.Target {
+// rawEndpoint starts an endpoint that has a function respond on each request stream.
+func (f *fixture) rawEndpoint(respond func(*quic.Stream)) *engine.Target {
 	f.t.Helper()
 	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
@@ -101,47 +101,50 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	var all sync.WaitGroup
-	all.Go(func() {
+	var goroutines sync.WaitGroup
+	goroutines.Go(func() {
 		for {
-			c, err := listener.Accept(context.Background())
+			conn, err := listener.Accept(context.Background())
 			if err != nil {
 				return
 			}
-			all.Go(func() {
-				if control, err := c.OpenUniStream(); err == nil {
-					_, _ = control.Write([]byte{0, 4, 0}) // a control stream with no settings
-				}
-				for {
-					s, err := c.AcceptStream(context.Background())
-					if err != nil {
-						return
-					}
-					all.Go(func() {
-						_, _ = io.Copy(io.Discard, s)
-						respond(c, s)
-					})
-				}
-			})
+			goroutines.Go(func() { serveRawConn(conn, &goroutines, respond) })
 		}
 	})
 	f.t.Cleanup(func() {
 		transport.Close()
 		socket.Close()
-		all.Wait()
+		goroutines.Wait()
 	})
 	return &engine.Target{Address: listener.Addr().String()}
 }
 
-// send sends a request with a deadline.
-func (f *fixture) send(t *engine.Target, patience time.Duration) engine.Result {
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+// serveRawConn reads the request on each stream of a connection and has a function respond to it.
+func serveRawConn(conn *quic.Conn, goroutines *sync.WaitGroup, respond func(*quic.Stream)) {
+	if control, err := conn.OpenUniStream(); err == nil {
+		_, _ = control.Write([]byte{0, 4, 0}) // a control stream with no settings
+	}
+	for {
+		stream, err := conn.AcceptStream(context.Background())
+		if err != nil {
+			return
+		}
+		goroutines.Go(func() {
+			_, _ = io.Copy(io.Discard, stream)
+			respond(stream)
+		})
+	}
+}
+
+// send sends a request that ends after a timeout.
+func (f *fixture) send(t *engine.Target, timeout time.Duration) engine.Result {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	return f.upstream.attempt(ctx, t, message())
+	return f.upstream.attempt(ctx, t, newMessage())
 }
 
-// message returns a request with a body.
-func message() *engine.Message {
+// newMessage returns a request with a body.
+func newMessage() *engine.Message {
 	return &engine.Message{
 		Method: http.MethodPost,
 		URL:    &url.URL{Path: "/pay/x y", RawQuery: "q=1"},
--- a/internal/upstream/http3upstream/outcome_test.go
+++ b/internal/upstream/http3upstream/outcome_test.go
@@ -29,17 +29,17 @@
 		fmt.Fprint(out, in.Method, in.Host, in.URL.RequestURI(), in.Header.Get("X-Correlation-Id"),
 			in.Header.Get("Connection"), string(body), in.Header.Get("X-Time-Left-Ms") != "")
 	})
-	var all sync.WaitGroup
+	var requests sync.WaitGroup
 	for range 30 {
-		all.Go(func() {
+		requests.Go(func() {
 			r := f.send(e.target, 10*time.Second)
 			const want = "POSTtill.example/pay/x%20y?q=11bodytrue"
 			if r.Status != balancer.OK || string(r.Body) != want || len(r.Load) != 2 || r.Load[1] != 2 {
-				t.Errorf("%v %q %v", r.Status, r.Body, r.Load)
+				t.Errorf("status %v, body %q, load %v", r.Status, r.Body, r.Load)
 			}
 		})
 	}
-	all.Wait()
+	requests.Wait()
 	if n := e.conns.Load(); n != 1 {
 		t.Errorf("%d connections for 30 requests", n)
 	}
@@ -78,16 +78,16 @@
 		"stall":        balancer.Reset,
 		"unresponsive": balancer.Timeout,
 	} {
-		m := message()
-		m.Header.Set("X-Correlation-Id", id)
+		message := newMessage()
+		message.Header.Set("X-Correlation-Id", id)
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		if r := f.upstream.attempt(ctx, e.target, m); r.Status != want {
+		if r := f.upstream.attempt(ctx, e.target, message); r.Status != want {
 			t.Errorf("%s: %v, want %v", id, r.Status, want)
 		}
 		cancel()
 	}
 	reset := func(code http3.ErrCode) *engine.Target {
-		return f.raw(func(_ *quic.Conn, s *quic.Stream) { s.CancelWrite(quic.StreamErrorCode(code)) })
+		return f.rawEndpoint(func(stream *quic.Stream) { stream.CancelWrite(quic.StreamErrorCode(code)) })
 	}
 	if r := f.send(reset(http3.ErrCodeRequestRejected), time.Second); r.Status != balancer.Full {
 		t.Errorf("rejected unprocessed: %v", r.Status)
@@ -113,8 +113,8 @@
 			t.Errorf("%v", r.Status)
 		}
 	}
-	if took := time.Since(start); took > 5*time.Second {
-		t.Errorf("two attempts took %v", took)
+	if elapsed := time.Since(start); elapsed > 5*time.Second {
+		t.Errorf("two attempts took %v", elapsed)
 	}
 	closed := &engine.Target{Address: socket.LocalAddr().String()}
 	closed.Close()
@@ -127,19 +127,19 @@
 // before its deadline.
 func TestStreamLimitProvesNotRun(t *testing.T) {
 	f := newFixture(t)
-	end := make(chan struct{})
-	e := f.endpoint(1, func(_ http.ResponseWriter, in *http.Request) { <-end })
+	proceed := make(chan struct{})
+	e := f.endpoint(1, func(http.ResponseWriter, *http.Request) { <-proceed })
 	first := make(chan engine.Result)
 	go func() { first <- f.send(e.target, time.Minute) }()
 	wait.Until(t, "the first request", func() bool { return e.requests.Load() == 1 })
 	start := time.Now()
 	if r := f.send(e.target, time.Minute); r.Status != balancer.ConnectFailed || e.requests.Load() != 1 {
-		t.Errorf("%v, %d requests arrived", r.Status, e.requests.Load())
+		t.Errorf("status %v, %d requests arrived", r.Status, e.requests.Load())
 	}
-	if took := time.Since(start); took > 5*time.Second {
-		t.Errorf("ended after %v", took)
+	if elapsed := time.Since(start); elapsed > 5*time.Second {
+		t.Errorf("ended after %v", elapsed)
 	}
-	close(end)
+	close(proceed)
 	if r := <-first; r.Status != balancer.OK {
 		t.Errorf("the first: %v", r.Status)
 	}
@@ -149,10 +149,13 @@
 func TestCancelledAttemptResetsItsStream(t *testing.T) {
 	f := newFixture(t)
 	streamReset := make(chan struct{})
-	e := f.endpoint(100, func(_ http.ResponseWriter, in *http.Request) { <-in.Context().Done(); close(streamReset) })
+	e := f.endpoint(100, func(_ http.ResponseWriter, in *http.Request) {
+		<-in.Context().Done()
+		close(streamReset)
+	})
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	result := make(chan engine.Result)
-	go func() { result <- f.upstream.attempt(ctx, e.target, message()) }()
+	go func() { result <- f.upstream.attempt(ctx, e.target, newMessage()) }()
 	wait.Until(t, "the request", func() bool { return e.requests.Load() == 1 })
 	cancel()
 	if r := <-result; r.Status != balancer.Cancelled {
@@ -170,7 +173,7 @@
 			ids := sync.Map{}
 			var duplicates atomic.Int64
 			e := f.endpoint(100, func(_ http.ResponseWriter, in *http.Request) {
-				if _, was := ids.LoadOrStore(in.Header.Get("X-Correlation-Id"), true); was {
+				if _, seen := ids.LoadOrStore(in.Header.Get("X-Correlation-Id"), true); seen {
 					duplicates.Add(1)
 				}
 			})
@@ -182,10 +185,10 @@
 			target := &engine.Target{Address: relay.Address}
 			served := 0
 			for n := range 60 {
-				m := message()
-				m.Header.Set("X-Correlation-Id", fmt.Sprint(n))
+				message := newMessage()
+				message.Header.Set("X-Correlation-Id", fmt.Sprint(n))
 				ctx, cancel := context.WithTimeout(context.Background(), wait.Timeout)
-				switch r := f.upstream.attempt(ctx, target, m); r.Status {
+				switch r := f.upstream.attempt(ctx, target, message); r.Status {
 				case balancer.OK:
 					served++
 				case balancer.ConnectFailed, balancer.Reset: // the handshake timed out, or the response stalled
--- a/internal/upstream/http3upstream/pool_test.go
+++ b/internal/upstream/http3upstream/pool_test.go
@@ -102,7 +102,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		server := &http3.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { requests.Add(1) })}
+		handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { requests.Add(1) })
+		server := &http3.Server{Handler: handler}
 		done := make(chan struct{})
 		go func() {
 			_ = server.ServeListener(listener) // until Close
--- a/internal/upstream/http3upstream/streamwait_test.go
+++ b/internal/upstream/http3upstream/streamwait_test.go
@@ -23,13 +23,13 @@
 	c := f.upstream.conns[e.target]
 	f.upstream.mu.Unlock()
 	cancelled := make(chan struct{})
-	w := newStreamWait(c.quic, func() { close(cancelled) })
+	streamWait := newStreamWait(c.quic, func() { close(cancelled) })
 	select {
 	case <-cancelled:
 		t.Error("cancelled though the endpoint accepts streams")
 	case <-time.After(5 * streamTimeout):
 	}
-	w.end()
+	streamWait.end()
 	for range 3 * streams {
 		wait.Until(t, "a further stream", func() bool { return acceptsStream(c.quic) })
 	}
--- a/internal/upstream/httpupstream/outcome_test.go
+++ b/internal/upstream/httpupstream/outcome_test.go
@@ -21,7 +21,8 @@
 	"pinedale/internal/standin/wait"
 )
 
-func TestOutcomesOnNewConnections(t *testing.T) {
+// A new connection's response decides the outcome of its request.
+func TestOutcomeOnNewConnectionFollowsResponse(t *testing.T) {
 	respondAndClose := func(response string) func(*scriptedconn.Endpoint, net.Conn, *bufio.Reader) {
 		return func(e *scriptedconn.Endpoint, conn net.Conn, in *bufio.Reader) {
 			e.Next(in)
@@ -66,7 +67,8 @@
 			scriptedconn.Always("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"), balancer.Error},
 		{"rejected unprocessed", scriptedconn.Always(scriptedconn.Full), balancer.Full},
 		{"rejected unprocessed after its deadline",
-			scriptedconn.Always("HTTP/1.1 504 Gateway Timeout\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"), balancer.Full},
+			scriptedconn.Always("HTTP/1.1 504 Gateway Timeout\r\nX-Unprocessed: 1\r\n" +
+				"Content-Length: 0\r\n\r\n"), balancer.Full},
 		{"503 without X-Unprocessed",
 			scriptedconn.Always("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"), balancer.Error},
 		{"500 with X-Unprocessed",
@@ -82,17 +84,18 @@
 		{"malformed", scriptedconn.Always("nonsense\r\n\r\n"), balancer.Reset},
 		{"malformed length", scriptedconn.Always("HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\ndone"), balancer.Reset},
 		{"body too large",
-			scriptedconn.Always("HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + strings.Repeat("x", 65537)), balancer.Reset},
+			scriptedconn.Always("HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" +
+				strings.Repeat("x", 65537)), balancer.Reset},
 		{"head without end", scriptedconn.Always("HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 200<<10)), balancer.Reset},
 		{"unresponsive", scriptedconn.Unresponsive, balancer.Timeout},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			e, wait := scriptedconn.New(t, c.serve), patience
+			e, timeout := scriptedconn.New(t, c.serve), wait.Timeout
 			if c.want == balancer.Timeout {
-				wait = 50 * time.Millisecond
+				timeout = 50 * time.Millisecond
 			}
-			ctx, cancel := context.WithTimeout(context.Background(), wait)
+			ctx, cancel := context.WithTimeout(context.Background(), timeout)
 			defer cancel()
 			u := newTestUpstream(4)
 			r := u.attempt(ctx, &engine.Target{Address: e.Address}, get("/"))
@@ -133,14 +136,16 @@
 // A connection that breaks before the last byte is written proves that the
 // request never ran. Small buffers on both sides leave part of it unwritten.
 func TestBreakBeforeLastByteProvesNotRun(t *testing.T) {
-	small := func(option int) func(string, string, syscall.RawConn) error {
+	setSmallBuffer := func(option int) func(string, string, syscall.RawConn) error {
 		return func(_, _ string, raw syscall.RawConn) error {
-			var set error
-			err := raw.Control(func(fd uintptr) { set = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, option, 2048) })
-			return errors.Join(err, set)
+			var setErr error
+			controlErr := raw.Control(func(fd uintptr) {
+				setErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, option, 2048)
+			})
+			return errors.Join(controlErr, setErr)
 		}
 	}
-	config := net.ListenConfig{Control: small(syscall.SO_RCVBUF)}
+	config := net.ListenConfig{Control: setSmallBuffer(syscall.SO_RCVBUF)}
 	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -156,11 +161,11 @@
 		conn.Close()
 	}()
 	u := newTestUpstream(1)
-	u.dialer.Control = small(syscall.SO_SNDBUF)
-	m := get("/")
-	m.Method, m.Body = http.MethodPost, make([]byte, httpmsg.MaxBodyBytes)
+	u.dialer.Control = setSmallBuffer(syscall.SO_SNDBUF)
+	message := get("/")
+	message.Method, message.Body = http.MethodPost, make([]byte, httpmsg.MaxBodyBytes)
 	target := &engine.Target{Address: listener.Addr().String()}
-	if r := u.attempt(context.Background(), target, m); r.Status != balancer.ConnectFailed {
+	if r := u.attempt(context.Background(), target, message); r.Status != balancer.ConnectFailed {
 		t.Errorf("status %v, want ConnectFailed", r.Status)
 	}
 }
@@ -168,13 +173,27 @@
 // The endpoint receives the client's request with the attempt's remaining time.
 func TestRequestIsForwardedUnchanged(t *testing.T) {
 	e := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
-	target, _ := url.Parse("/pay/x%2Fy?q=1&r=%20")
-	m := &engine.Message{Method: http.MethodPost, URL: target, Host: "api.internal", Body: []byte("body"),
-		Header: http.Header{"X-Correlation-Id": {"9b"}, "Idempotency-Key": {"5c"}, "X-Time-Left-Ms": {"99999"},
-			"Connection": {"close"}, "Expect": {"100-continue"}, "Content-Length": {"7"}}}
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	requestURL, err := url.Parse("/pay/x%2Fy?q=1&r=%20")
+	if err != nil {
+		t.Fatal(err)
+	}
+	message := &engine.Message{
+		Method: http.MethodPost,
+		URL:    requestURL,
+		Host:   "api.internal",
+		Body:   []byte("body"),
+		Header: http.Header{
+			"X-Correlation-Id": {"9b"},
+			"Idempotency-Key":  {"5c"},
+			"X-Time-Left-Ms":   {"99999"},
+			"Connection":       {"close"},
+			"Expect":           {"100-continue"},
+			"Content-Length":   {"7"},
+		},
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), wait.Timeout)
 	defer cancel()
-	if r := newTestUpstream(1).attempt(ctx, &engine.Target{Address: e.Address}, m); r.Status != balancer.OK {
+	if r := newTestUpstream(1).attempt(ctx, &engine.Target{Address: e.Address}, message); r.Status != balancer.OK {
 		t.Fatalf("status %v", r.Status)
 	}
 	got := e.Request(0)
@@ -191,7 +210,7 @@
 	if _, err := fmt.Sscan(got.Header.Get("X-Time-Left-Ms"), &remaining); err != nil {
 		t.Error(err)
 	}
-	if remaining <= 0 || remaining > patience.Milliseconds() {
+	if remaining <= 0 || remaining > wait.Timeout.Milliseconds() {
 		t.Errorf("X-Time-Left-Ms %q", got.Header.Get("X-Time-Left-Ms"))
 	}
 }
--- a/internal/upstream/httpupstream/pool_test.go
+++ b/internal/upstream/httpupstream/pool_test.go
@@ -98,7 +98,8 @@
 
 // The number of connections is bounded: an idle one is evicted for a new one, a busy one is not.
 func TestOpenConnectionsAreBounded(t *testing.T) {
-	quick, slow := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served)), scriptedconn.New(t, scriptedconn.Unresponsive)
+	quick := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
+	slow := scriptedconn.New(t, scriptedconn.Unresponsive)
 	// Each target is another endpoint to the upstream, so that no idle connection is reused.
 	quickTarget := func() *engine.Target { return &engine.Target{Address: quick.Address} }
 	u := newTestUpstream(1)
@@ -150,13 +151,13 @@
 
 // A connection rests after a response, since a second one may be on its way and must not be taken
 // for the response to the next request, which waits. Settled connections are preferred.
-func TestConnectionsSettle(t *testing.T) {
+func TestConnectionIsReusedOnlyOnceSettled(t *testing.T) {
 	e := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
 	u, target := newTestUpstream(2), &engine.Target{Address: e.Address}
 	u.settleTime = time.Hour
 	send := func(ctx context.Context) balancer.Status { return u.attempt(ctx, target, get("/")).Status }
-	if s := send(context.Background()); s != balancer.OK {
-		t.Fatalf("status %v", s)
+	if status := send(context.Background()); status != balancer.OK {
+		t.Fatalf("status %v", status)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan balancer.Status)
@@ -166,19 +167,19 @@
 		defer u.mu.Unlock()
 		return len(u.idleConns[target]) == 0
 	})
-	if s := send(context.Background()); s != balancer.OK { // none is idle: another one is opened
-		t.Errorf("status %v", s)
+	if status := send(context.Background()); status != balancer.OK { // none is idle: another one is opened
+		t.Errorf("status %v", status)
 	}
 	cancel()
-	if s := <-done; s != balancer.NotSent {
-		t.Errorf("status %v while its connection has not settled, want NotSent", s)
+	if status := <-done; status != balancer.NotSent {
+		t.Errorf("status %v while its connection has not settled, want NotSent", status)
 	}
 	if n, conns := e.RequestCount(), e.ConnCount(); n != 2 || conns != 2 {
 		t.Errorf("%d requests on %d connections, want 2 on 2", n, conns)
 	}
 	u.settleTime = 1
-	if s := send(context.Background()); s != balancer.OK {
-		t.Errorf("settled: status %v", s)
+	if status := send(context.Background()); status != balancer.OK {
+		t.Errorf("settled: status %v", status)
 	}
 	if conns := e.ConnCount(); conns != 2 {
 		t.Errorf("%d connections, want 2", conns)
--- a/internal/upstream/httpupstream/response_test.go
+++ b/internal/upstream/httpupstream/response_test.go
@@ -158,7 +158,7 @@
 			if err == nil {
 				t.Errorf("%s: a response where none was sent", name)
 			}
-		case <-time.After(patience):
+		case <-time.After(wait.Timeout):
 			t.Errorf("%s: the attempt does not end", name)
 		}
 	}
--- a/internal/upstream/httpupstream/upstream_test.go
+++ b/internal/upstream/httpupstream/upstream_test.go
@@ -10,17 +10,25 @@
 	"pinedale/internal/engine"
 )
 
-// patience bounds the wait for an event that must happen.
-const patience = 20 * time.Second
-
+// newTestUpstream returns an upstream that opens at most so many connections.
 func newTestUpstream(maxOpen int) *Upstream {
-	return New(Options{DialTimeout: 2 * time.Second, Settle: 1, Idle: 5 * time.Second, Connections: maxOpen,
-		Fields: []string{"failed_ps", "pending"}})
+	return New(Options{
+		DialTimeout: 2 * time.Second,
+		Settle:      1,
+		Idle:        5 * time.Second,
+		Connections: maxOpen,
+		Fields:      []string{"failed_ps", "pending"},
+	})
 }
 
+// get returns a GET request with an idempotency key.
 func get(path string) *engine.Message {
-	return &engine.Message{Method: http.MethodGet, URL: &url.URL{Path: path}, Host: "api", Header: http.Header{
-		"X-Correlation-Id": {"1"}, "Idempotency-Key": {"k"}}}
+	return &engine.Message{
+		Method: http.MethodGet,
+		URL:    &url.URL{Path: path},
+		Host:   "api",
+		Header: http.Header{"X-Correlation-Id": {"1"}, "Idempotency-Key": {"k"}},
+	}
 }
 
 // closedAddress returns an address that refuses connections.
--- a/internal/upstream/secure/handshake_test.go
+++ b/internal/upstream/secure/handshake_test.go
@@ -32,8 +32,9 @@
 	}
 	revoked := issue(root, ca.Spec{})
 	now := time.Now()
-	hour := now.Add(-time.Hour)
+	anHourAgo := now.Add(-time.Hour)
 	named := func(name string) *ca.Pair { return issue(root, ca.Spec{Names: []string{name}}) }
+	expired := ca.Spec{NotBefore: anHourAgo.Add(-time.Hour), NotAfter: anHourAgo}
 	early := ca.Spec{NotBefore: now.Add(time.Hour), NotAfter: now.Add(2 * time.Hour)}
 	forClients := ca.Spec{ExtKeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth}}
 	for name, c := range map[string]struct {
@@ -48,7 +49,7 @@
 		"for a name below":         {named("x." + serverName), "names", "expected=" + serverName},
 		"for a wildcard":           {named("*.example.org"), "", ""},
 		"of another root":          {issue(other, ca.Spec{}), "chain", "CN=other"},
-		"expired":                  {issue(root, ca.Spec{NotBefore: hour.Add(-time.Hour), NotAfter: hour}), "over", "valid until"},
+		"expired":                  {issue(root, expired), "over", "valid until"},
 		"not valid yet":            {issue(root, early), "early", "valid from"},
 		"revoked":                  {revoked, "revoked", "is revoked"},
 		"for clients only":         {issue(root, forClients), "usage", "not meant for a server"},
--- a/internal/upstream/secure/harness_test.go
+++ b/internal/upstream/secure/harness_test.go
@@ -132,9 +132,11 @@
 	}
 	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n") // where this fails, reading returns the cause
 	response := make([]byte, 4096)
-	for n := 0; !strings.HasSuffix(string(response[:n]), "done"); {
-		more, err := c.Read(response[n:])
-		if n += more; err != nil {
+	length := 0
+	for !strings.HasSuffix(string(response[:length]), "done") {
+		n, err := c.Read(response[length:])
+		length += n
+		if err != nil {
 			c.Close()
 			return nil, err
 		}
--- a/internal/upstream/secure/names_test.go
+++ b/internal/upstream/secure/names_test.go
@@ -25,7 +25,8 @@
 			t.Errorf("%q: %q, %v; want %q", server, got, err, want)
 		}
 	}
-	if got, err := (&Names{Pattern: "soko.example.org"}).CertificateName("any.thing"); got != "soko.example.org" || err != nil {
+	oneForAll := &Names{Pattern: "soko.example.org"}
+	if got, err := oneForAll.CertificateName("any.thing"); got != "soko.example.org" || err != nil {
 		t.Errorf("one name for all: %q, %v", got, err)
 	}
 	if _, err := (&Names{}).CertificateName("soko-3"); err == nil {
--- a/internal/upstream/secure/sessions_model_test.go
+++ b/internal/upstream/secure/sessions_model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/tls"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -27,12 +28,7 @@
 		}
 		var model []modelEntry // the most recently used last
 		find := func(key sessionKey) int {
-			for i, h := range model {
-				if h.sessionKey == key {
-					return i
-				}
-			}
-			return -1
+			return slices.IndexFunc(model, func(entry modelEntry) bool { return entry.sessionKey == key })
 		}
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
 			key := sessionKey{
@@ -41,53 +37,50 @@
 			}
 			material := rapid.IntRange(1, 3).Draw(t, "material")
 			cache := store.cacheFor(key.target, key.protocol, material)
-			at := find(key)
+			index := find(key)
 			switch rapid.SampledFrom([]string{"put", "put", "put nil", "get", "get", "invalidate", "close"}).Draw(t, "step") {
 			case "put":
 				state := &tls.ClientSessionState{}
 				cache.Put("any", state)
-				if at >= 0 && (key.target.Closed() || model[at].material <= material) {
-					model = append(model[:at], model[at+1:]...)
-				} else if at >= 0 {
+				if index >= 0 && (key.target.Closed() || model[index].material <= material) {
+					model = append(model[:index], model[index+1:]...)
+				} else if index >= 0 {
 					break // an older connection's
 				}
 				if !key.target.Closed() {
-					if model = append(model, modelEntry{key, material, state}); len(model) > capacity {
+					model = append(model, modelEntry{key, material, state})
+					if len(model) > capacity {
 						model = model[1:]
 					}
 				}
 			case "put nil":
 				cache.Put("any", nil)
-				if at >= 0 {
-					model = append(model[:at], model[at+1:]...)
+				if index >= 0 {
+					model = append(model[:index], model[index+1:]...)
 				}
 			case "get":
 				got, ok := cache.Get("any")
-				if at < 0 {
+				if index < 0 {
 					if ok {
 						t.Fatal("found a session that was not stored")
 					}
 					break
 				}
-				h := model[at]
-				model = append(model[:at], model[at+1:]...)
-				if h.material != material {
+				entry := model[index]
+				model = append(model[:index], model[index+1:]...)
+				if entry.material != material {
 					if ok {
 						t.Fatal("found a session of other material")
 					}
 					break
 				}
-				model = append(model, h)
-				if !ok || got != h.state {
-					t.Fatalf("found %t, the stored one: %t", ok, got == h.state)
+				model = append(model, entry)
+				if !ok || got != entry.state {
+					t.Fatalf("found %t, the stored one: %t", ok, got == entry.state)
 				}
 			case "invalidate":
 				store.invalidate(key.target)
-				for i := len(model) - 1; i >= 0; i-- {
-					if model[i].target == key.target {
-						model = append(model[:i], model[i+1:]...)
-					}
-				}
+				model = slices.DeleteFunc(model, func(entry modelEntry) bool { return entry.target == key.target })
 			case "close":
 				if rapid.IntRange(0, 9).Draw(t, "close") == 0 {
 					key.target.Close()
