--- a/internal/keylease/acceptor.go
+++ b/internal/keylease/acceptor.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Limits bound the memory of an acceptor, whatever messages it receives.
+// Limits bound the memory of an acceptor for any messages that it receives.
 type Limits struct {
 	MaxKeys     int           // keys that are leased at the same time; one takes about 200 bytes
 	MaxHolders  int           // holders of one key, including those that have released it
--- a/internal/membership/ephemeral/client.go
+++ b/internal/membership/ephemeral/client.go
@@ -31,7 +31,7 @@
 	maxResponseBytes = 1 << 20
 )
 
-// Options say where the nodes are, and which rules apply to their data.
+// Options are the settings of a client.
 type Options struct {
 	Servers        []string // host:port, of the coordination service
 	Path           string   // of the directory
--- a/internal/membership/reconcile/decide.go
+++ b/internal/membership/reconcile/decide.go
@@ -37,26 +37,26 @@
 
 // addPresent adds a claim that the endpoint is up. The claim with the newest start time describes
 // the endpoint; of several with the same start time, the one of the lowest kind of source.
-func (v *endpointView) addPresent(kind Kind, c *claim) {
-	v.present = append(v.present, c)
+func (v *endpointView) addPresent(kind Kind, endpointClaim *claim) {
+	v.present = append(v.present, endpointClaim)
 	if v.described != nil {
-		started, newest := c.host.StartedMS, v.described.host.StartedMS
+		started, newest := endpointClaim.host.StartedMS, v.described.host.StartedMS
 		if started < newest || started == newest && kind >= v.describedKind {
 			return
 		}
 	}
-	v.described = c
+	v.described = endpointClaim
 	v.describedKind = kind
 }
 
 // addEnd adds a claim that the endpoint takes no requests: it drains, it has vanished, or it
 // flapped and has not been up for long enough.
-func (v *endpointView) addEnd(kind Kind, c *claim) {
-	if c.state == stateUp {
-		v.recheck(c.upFrom)
+func (v *endpointView) addEnd(kind Kind, endpointClaim *claim) {
+	if endpointClaim.state == stateUp {
+		v.recheck(endpointClaim.upFrom)
 	}
-	if v.end == nil || c.supersedes(v.end) {
-		v.end = c
+	if v.end == nil || endpointClaim.supersedes(v.end) {
+		v.end = endpointClaim
 		v.endKind = kind
 	}
 }
@@ -69,14 +69,14 @@
 // view returns all claims on an endpoint.
 func (r *Reconciler) view(now time.Duration, name string) *endpointView {
 	v := &endpointView{now: now}
-	for _, s := range r.sources {
-		c := s.claims[name]
+	for _, source := range r.sources {
+		endpointClaim := source.claims[name]
 		switch {
-		case c == nil:
-		case c.state == stateRetained, c.state == stateUp && c.upFrom <= now:
-			v.addPresent(s.kind, c)
+		case endpointClaim == nil:
+		case endpointClaim.state == stateRetained, endpointClaim.state == stateUp && endpointClaim.upFrom <= now:
+			v.addPresent(source.kind, endpointClaim)
 		default:
-			v.addEnd(s.kind, c)
+			v.addEnd(source.kind, endpointClaim)
 		}
 	}
 	return v
@@ -84,51 +84,51 @@
 
 // decide merges all claims on an endpoint.
 func (r *Reconciler) decide(now time.Duration, name string) decision {
-	v := r.view(now, name)
+	view := r.view(now, name)
 	var host engine.Host
 	switch {
-	case v.described != nil:
-		host = v.described.host
-	case v.end != nil:
-		host = v.end.host
+	case view.described != nil:
+		host = view.described.host
+	case view.end != nil:
+		host = view.end.host
 	default:
 		return decision{}
 	}
-	if v.end == nil || v.endSuperseded() || r.discoveryConfirms(v, name) {
+	if view.end == nil || view.endSuperseded() || r.discoveryConfirms(view, name) {
 		host.State = balancer.Ready
-		return decision{host: host, listed: true, recheckAt: v.recheckAt}
+		return decision{host: host, listed: true, recheckAt: view.recheckAt}
 	}
 	host.State = balancer.Draining
-	if v.end.state == stateVanished && v.described == nil {
-		removedAt := v.end.since + removalLinger
+	if view.end.state == stateVanished && view.described == nil {
+		removedAt := view.end.since + removalLinger
 		if now >= removedAt {
 			return decision{host: host}
 		}
-		v.recheck(removedAt)
+		view.recheck(removedAt)
 	}
-	return decision{host: host, listed: true, recheckAt: v.recheckAt}
+	return decision{host: host, listed: true, recheckAt: view.recheckAt}
 }
 
 // discoveryConfirms reports whether discovery overrules an endpoint's end. That is so if the
 // endpoint's node vanished without a drain, and discovery listed the endpoint in a report after
 // MaxDiscoveryLag: the session has expired, but the process runs.
-func (r *Reconciler) discoveryConfirms(v *endpointView, name string) bool {
-	if v.described == nil || v.endKind != Ephemeral || v.end.state != stateVanished || v.end.wasDraining {
+func (r *Reconciler) discoveryConfirms(view *endpointView, name string) bool {
+	if view.described == nil || view.endKind != Ephemeral || view.end.state != stateVanished || view.end.wasDraining {
 		return false
 	}
-	requiredAt := v.end.since + r.cfg.MaxDiscoveryLag
-	for _, s := range r.sources {
-		if s.kind != Discovery {
+	requiredAt := view.end.since + r.cfg.MaxDiscoveryLag
+	for _, source := range r.sources {
+		if source.kind != Discovery {
 			continue
 		}
-		confirmedAt, listed := s.lastListing(name)
+		confirmedAt, listed := source.lastListing(name)
 		if !listed {
 			continue
 		}
 		if confirmedAt >= requiredAt {
 			return true
 		}
-		v.recheck(max(requiredAt, v.now+discoveryPollInterval))
+		view.recheck(max(requiredAt, view.now+discoveryPollInterval))
 	}
 	return false
 }
--- a/internal/membership/reconcile/reconciler.go
+++ b/internal/membership/reconcile/reconciler.go
@@ -56,28 +56,28 @@
 // Snapshot handles a source's report of its complete list.
 func (r *Reconciler) Snapshot(now time.Duration, index int, version uint64, entries []Entry) {
 	r.evictAllDue(now)
-	s := r.sources[index]
-	missing := s.missingFrom(entries)
-	retainMissing := r.shouldRetain(s, s.suspicionOf(version, entries), len(missing))
-	if !s.available && s.hasList {
-		s.log.Warn("membership source recovered", "endpoints", len(entries))
+	source := r.sources[index]
+	missing := source.missingFrom(entries)
+	retainMissing := r.shouldRetain(source, source.suspicionOf(version, entries), len(missing))
+	if !source.available && source.hasList {
+		source.log.Warn("membership source recovered", "endpoints", len(entries))
 	}
 	for _, name := range missing {
 		if retainMissing {
-			r.retain(now, s, name)
+			r.retain(now, source, name)
 		} else {
-			r.vanish(now, s, name)
+			r.vanish(now, source, name)
 		}
 	}
-	s.available = true
-	s.interrupted = false
-	s.hasList = true
-	s.emptyList = len(entries) == 0
-	s.version = version
-	s.reportedAt = now
-	s.listedAt = now
+	source.available = true
+	source.interrupted = false
+	source.hasList = true
+	source.emptyList = len(entries) == 0
+	source.version = version
+	source.reportedAt = now
+	source.listedAt = now
 	for _, entry := range entries {
-		r.upsert(now, s, entry)
+		r.upsert(now, source, entry)
 	}
 	r.markPendingDirty()
 }
@@ -85,14 +85,14 @@
 // Delta handles an available source's report of changes.
 func (r *Reconciler) Delta(now time.Duration, index int, version uint64, entries []Entry) {
 	r.evictAllDue(now)
-	s := r.sources[index]
-	s.version = max(s.version, version)
-	s.reportedAt = now
+	source := r.sources[index]
+	source.version = max(source.version, version)
+	source.reportedAt = now
 	for _, entry := range entries {
 		if entry.Host.State == balancer.Removed {
-			r.vanish(now, s, entry.Host.Name)
+			r.vanish(now, source, entry.Host.Name)
 		} else {
-			r.upsert(now, s, entry)
+			r.upsert(now, source, entry)
 		}
 	}
 	r.markPendingDirty()
@@ -101,59 +101,63 @@
 // SourceUnavailable records that a source does not report any more. Its last list remains valid.
 func (r *Reconciler) SourceUnavailable(now time.Duration, index int, reason string) {
 	r.evictAllDue(now)
-	s := r.sources[index]
-	if s.available || !s.interrupted {
-		s.log.Warn("membership source unavailable, its last list stands", "reason", reason, "endpoints", len(s.claims))
-	}
-	s.available = false
-	s.interrupted = true
+	source := r.sources[index]
+	if source.available || !source.interrupted {
+		source.log.Warn(
+			"membership source unavailable, its last list stands",
+			"reason", reason,
+			"endpoints", len(source.claims),
+		)
+	}
+	source.available = false
+	source.interrupted = true
 	r.markPendingDirty()
 }
 
 // upsert records that a source lists an endpoint as up or draining.
-func (r *Reconciler) upsert(now time.Duration, s *source, entry Entry) {
+func (r *Reconciler) upsert(now time.Duration, source *source, entry Entry) {
 	name := entry.Host.Name
-	c, known := s.claims[name]
+	endpointClaim, known := source.claims[name]
 	switch {
 	case !known:
-		c = &claim{state: stateVanished, since: now, lastReturn: -flapWindow}
-		s.claims[name] = c
-	case c.state == stateVanished && s.kind == Ephemeral:
-		r.recordReturn(now, s, c, entry.Host)
+		endpointClaim = &claim{state: stateVanished, since: now, lastReturn: -flapWindow}
+		source.claims[name] = endpointClaim
+	case endpointClaim.state == stateVanished && source.kind == Ephemeral:
+		r.recordReturn(now, source, endpointClaim, entry.Host)
 	}
-	c.update(now, entry.Host)
-	delete(s.retained, name)
+	endpointClaim.update(now, entry.Host)
+	delete(source.retained, name)
 	r.dirty[name] = true
 }
 
 // recordReturn records that a vanished node exists again. An endpoint that flaps within one
 // incarnation counts as up only after a backoff.
-func (r *Reconciler) recordReturn(now time.Duration, s *source, c *claim, host engine.Host) {
-	if now-c.lastReturn >= flapWindow {
-		c.returns = 0
+func (r *Reconciler) recordReturn(now time.Duration, source *source, endpointClaim *claim, host engine.Host) {
+	if now-endpointClaim.lastReturn >= flapWindow {
+		endpointClaim.returns = 0
 	}
-	c.returns++
-	c.lastReturn = now
-	if c.returns < flapThreshold || host.StartedMS > c.host.StartedMS {
+	endpointClaim.returns++
+	endpointClaim.lastReturn = now
+	if endpointClaim.returns < flapThreshold || host.StartedMS > endpointClaim.host.StartedMS {
 		return
 	}
-	backoff := min(flapBackoff<<min(c.returns-flapThreshold, maxFlapDoublings), maxFlapBackoff)
-	c.upFrom = now + backoff
-	if c.returns == flapThreshold {
-		s.log.Warn("endpoint flapping, taken out until it stays up", "endpoint", host.Name, "backoff", backoff)
+	backoff := min(flapBackoff<<min(endpointClaim.returns-flapThreshold, maxFlapDoublings), maxFlapBackoff)
+	endpointClaim.upFrom = now + backoff
+	if endpointClaim.returns == flapThreshold {
+		source.log.Warn("endpoint flapping, taken out until it stays up", "endpoint", host.Name, "backoff", backoff)
 	}
 }
 
 // vanish records that a source no longer lists an endpoint.
-func (r *Reconciler) vanish(now time.Duration, s *source, name string) {
-	c := s.claims[name]
-	if c == nil || c.state == stateVanished {
+func (r *Reconciler) vanish(now time.Duration, source *source, name string) {
+	endpointClaim := source.claims[name]
+	if endpointClaim == nil || endpointClaim.state == stateVanished {
 		return
 	}
-	c.wasDraining = c.state == stateDraining
-	c.state = stateVanished
-	c.since = now
-	delete(s.retained, name)
+	endpointClaim.wasDraining = endpointClaim.state == stateDraining
+	endpointClaim.state = stateVanished
+	endpointClaim.since = now
+	delete(source.retained, name)
 	r.dirty[name] = true
 }
 
@@ -202,18 +206,18 @@
 
 // refresh makes a new decision on an endpoint, and returns the endpoint if it has changed.
 func (r *Reconciler) refresh(now time.Duration, name string) (host engine.Host, changed bool) {
-	d := r.decide(now, name)
+	decided := r.decide(now, name)
 	delete(r.pending, name)
-	if d.recheckAt != 0 {
-		r.pending[name] = d.recheckAt
+	if decided.recheckAt != 0 {
+		r.pending[name] = decided.recheckAt
 	}
 	previous, wasListed := r.published[name]
-	if d.listed {
-		r.published[name] = d.host
-		return d.host, !wasListed || previous != d.host
+	if decided.listed {
+		r.published[name] = decided.host
+		return decided.host, !wasListed || previous != decided.host
 	}
-	for _, s := range r.sources {
-		delete(s.claims, name)
+	for _, source := range r.sources {
+		delete(source.claims, name)
 	}
 	delete(r.published, name)
 	previous.State = balancer.Removed
@@ -229,8 +233,8 @@
 	for _, deadline := range r.pending {
 		next = earliest(next, deadline)
 	}
-	for _, s := range r.sources {
-		next = earliest(next, r.nextEviction(s))
+	for _, source := range r.sources {
+		next = earliest(next, r.nextEviction(source))
 	}
 	return next
 }
--- a/internal/membership/reconcile/suspect.go
+++ b/internal/membership/reconcile/suspect.go
@@ -39,14 +39,14 @@
 
 // shouldRetain reports whether the endpoints that are missing from a list are retained, because
 // the list is suspect and too many are missing. It logs the reason.
-func (r *Reconciler) shouldRetain(s *source, reason suspicion, missing int) bool {
-	present := s.presentCount()
+func (r *Reconciler) shouldRetain(source *source, reason suspicion, missing int) bool {
+	present := source.presentCount()
 	limit := r.evictionLimit(present)
 	if reason == trusted || missing <= limit && reason != emptySnapshot {
 		return false
 	}
 	if missing > 0 {
-		s.log.Warn(
+		source.log.Warn(
 			"membership snapshot suspect, missing endpoints retained",
 			"snapshot", string(reason),
 			"missing", missing,
@@ -60,30 +60,30 @@
 
 // retain retains an endpoint that is up and missing from a suspect list. A draining endpoint
 // remains draining.
-func (r *Reconciler) retain(now time.Duration, s *source, name string) {
-	c := s.claims[name]
-	if c.state != stateUp {
+func (r *Reconciler) retain(now time.Duration, source *source, name string) {
+	endpointClaim := source.claims[name]
+	if endpointClaim.state != stateUp {
 		return
 	}
-	c.state = stateRetained
-	c.evictAt = now + r.cfg.HoldTime
-	c.confirmedAt = s.reportedAt
-	s.retained[name] = true
+	endpointClaim.state = stateRetained
+	endpointClaim.evictAt = now + r.cfg.HoldTime
+	endpointClaim.confirmedAt = source.reportedAt
+	source.retained[name] = true
 }
 
 // nextEviction returns when retained endpoints of a source may next be evicted, 0 for never. It
 // is never before the time of the source's last list.
-func (r *Reconciler) nextEviction(s *source) time.Duration {
-	if len(s.retained) == 0 || !s.available || s.emptyList {
+func (r *Reconciler) nextEviction(source *source) time.Duration {
+	if len(source.retained) == 0 || !source.available || source.emptyList {
 		return 0
 	}
 	var at time.Duration
-	for name := range s.retained {
-		at = earliest(at, s.claims[name].evictAt)
+	for name := range source.retained {
+		at = earliest(at, source.claims[name].evictAt)
 	}
-	at = max(at, s.listedAt)
-	if s.evictedAt != 0 {
-		at = max(at, s.evictedAt+r.cfg.HoldTime)
+	at = max(at, source.listedAt)
+	if source.evictedAt != 0 {
+		at = max(at, source.evictedAt+r.cfg.HoldTime)
 	}
 	return at
 }
@@ -91,29 +91,29 @@
 // evictAllDue evicts the retained endpoints that are due, of all sources. Each report calls it
 // first, so that evictions precede later reports even if List was not called in between.
 func (r *Reconciler) evictAllDue(now time.Duration) {
-	for _, s := range r.sources {
-		r.evictDue(now, s)
+	for _, source := range r.sources {
+		r.evictDue(now, source)
 	}
 }
 
 // evictDue evicts those of a source's retained endpoints whose hold time has passed, up to the
 // eviction limit.
-func (r *Reconciler) evictDue(now time.Duration, s *source) {
-	at := r.nextEviction(s)
+func (r *Reconciler) evictDue(now time.Duration, source *source) {
+	at := r.nextEviction(source)
 	if at == 0 || at > now {
 		return
 	}
 	var due []string
-	for name := range s.retained {
-		if s.claims[name].evictAt <= at {
+	for name := range source.retained {
+		if source.claims[name].evictAt <= at {
 			due = append(due, name)
 		}
 	}
 	slices.Sort(due)
-	due = due[:min(r.evictionLimit(s.presentCount()), len(due))]
+	due = due[:min(r.evictionLimit(source.presentCount()), len(due))]
 	for _, name := range due {
-		r.vanish(at, s, name)
+		r.vanish(at, source, name)
 	}
-	s.evictedAt = at
-	s.log.Warn("retained endpoints evicted", "evicted", len(due), "retained", len(s.retained))
+	source.evictedAt = at
+	source.log.Warn("retained endpoints evicted", "evicted", len(due), "retained", len(source.retained))
 }
--- a/internal/membership/register/register.go
+++ b/internal/membership/register/register.go
@@ -48,7 +48,7 @@
 // Error names the option and the reason.
 func (e *OptionError) Error() string { return e.Option + ": " + e.Reason }
 
-// Options say what is registered, and where.
+// Options are the settings of a registrar.
 type Options struct {
 	Servers        []string // host:port, of the coordination service
 	Path           string   // of the directory; it is created if it does not exist
--- a/internal/membership/registry/document.go
+++ b/internal/membership/registry/document.go
@@ -45,21 +45,27 @@
 		Complete: parsed.Complete,
 		Hosts:    make([]engine.Host, len(parsed.Hosts)),
 	}
-	for i, h := range parsed.Hosts {
-		state, ok := statesByName[h.State]
+	for i := range parsed.Hosts {
+		encoded := &parsed.Hosts[i]
+		state, ok := statesByName[encoded.State]
 		if !ok {
-			return engine.List{}, fmt.Errorf("hosts[%d].health: %q is not a known state", i, h.State)
-		}
-		list.Hosts[i] = engine.Host{
-			Name:      h.Name,
-			Address:   h.Address,
-			Site:      h.Site,
-			Kind:      h.Kind,
-			Cell:      h.Cell,
-			State:     state,
-			Weight:    h.Weight,
-			StartedMS: h.StartedMS,
+			return engine.List{}, fmt.Errorf("hosts[%d].health: %q is not a known state", i, encoded.State)
 		}
+		list.Hosts[i] = encoded.convert(state)
 	}
 	return list, list.Validate()
 }
+
+// convert returns the endpoint in the engine's form.
+func (h *host) convert(state balancer.State) engine.Host {
+	return engine.Host{
+		Name:      h.Name,
+		Address:   h.Address,
+		Site:      h.Site,
+		Kind:      h.Kind,
+		Cell:      h.Cell,
+		State:     state,
+		Weight:    h.Weight,
+		StartedMS: h.StartedMS,
+	}
+}
--- a/internal/replication/limits.go
+++ b/internal/replication/limits.go
@@ -21,7 +21,7 @@
 	Check   func(value []byte) error // validates a value
 }
 
-// Limits bound the memory of a store, whatever messages it receives, and the size of messages.
+// Limits bound the memory of a store for any messages that it receives, and the size of messages.
 type Limits struct {
 	MaxOrigins           int           // known origins, and as many names of forgotten ones
 	MaxEntries           int           // entries of one origin
--- a/internal/subset/churn_test.go
+++ b/internal/subset/churn_test.go
@@ -9,7 +9,7 @@
 	_ "pinedale/internal/standin/seeds"
 )
 
-// churn applies random changes to a subset and keeps the expected selection by what Select returned.
+// churn applies random changes to a subset, and tracks the selection by the changes that Select returns.
 type churn struct {
 	config   Config
 	subset   *Subset
@@ -17,8 +17,8 @@
 	expected map[string]bool
 }
 
-// selectAndCheck calls Select, checks that what it returned adds up to what is selected, and
-// returns how many servers were added or removed, and how many of them are healthy.
+// selectAndCheck calls Select and checks that the changes that it returned add up to the selection. It returns how many
+// servers were added or removed, and how many of these are healthy.
 func (c *churn) selectAndCheck(t *rapid.T) (changed, healthy int) {
 	added, removed := c.subset.Select()
 	for _, name := range added {
@@ -101,9 +101,9 @@
 	}
 }
 
-// In whatever order servers come, go and fail: as many healthy servers as wanted are selected, or all there are;
-// the selection does not depend on its history; a change of one server changes little; and what Select returns
-// adds up to the selection.
+// For random changes of servers and failures: as many healthy servers as wanted are selected, or all healthy servers;
+// the selection does not depend on its history; a change of one server changes few others; and the changes that Select
+// returns add up to the selection.
 func TestSelectionIsMinimalAndHistoryIndependentUnderChurn(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		config := Config{
--- a/internal/subset/doc.go
+++ b/internal/subset/doc.go
@@ -3,20 +3,22 @@
 // probes alone would load the servers, and the cost of a routing decision grows with the number
 // of servers it chooses from. The package does no I/O and reads no clock.
 //
-//	situation                       selection
-//	the fleet is small              every server, if there are no more than the wanted size
+//	topic                           selection
+//	small fleet                     every server, if there are no more than the wanted size
 //	which servers                   the first by rendezvous hashing of the instance's and the
 //	                                server's name: each instance has its own order, which does
-//	                                not change as other servers come and go
+//	                                not change when other servers are added or removed
 //	sites                           half from the instance's site, the rest from the other
-//	                                sites in equal parts; what a site lacks, others contribute
-//	pods                            where idempotent requests may be retried within a pod only,
-//	                                pods are ranked, and two servers of each are selected
+//	                                sites in equal parts; if a site has too few servers, the
+//	                                others make up for it
+//	pods                            with RankPods, because idempotent requests may be retried
+//	                                only within a pod: pods are ranked in place of servers, and
+//	                                two servers of each are selected
 //	size                            a minimum plus a number per request in flight; it grows at
 //	                                once, and shrinks after a minute of markedly lower load
-//	a selected server fails         it stays selected, so that its recovery is noticed, and one
+//	a selected server fails         it remains selected, so that its recovery is noticed, and one
 //	                                more server is selected until it answers again
-//	a selected server drains        the next server in the order takes its place
+//	a selected server drains        the next server in the order replaces it
 //	or is removed
 //
 // Rendezvous hashing (Thaler and Ravishankar, 1998) keeps changes small: if one server is added
--- a/internal/subset/select.go
+++ b/internal/subset/select.go
@@ -11,7 +11,7 @@
 	serversPerPod = 2
 )
 
-// Select computes the selection anew. It returns the names of servers that were added to it and
+// Select computes a new selection. It returns the names of servers that were added to it and
 // of those that were removed from it, sorted. Neither contains a server that Remove was called for.
 // Its cost is proportional to the size of the selection, not of the fleet.
 func (s *Subset) Select() (added, removed []string) {
--- a/internal/subset/select_test.go
+++ b/internal/subset/select_test.go
@@ -12,7 +12,7 @@
 	return Config{Instance: instance, Site: "a", MinSize: 12, PerInFlight: 2}
 }
 
-// Ranks decide which servers each instance uses. The values are those of an earlier build and must not change.
+// Ranks determine which servers each instance uses. The values are those of an earlier build and must not change.
 func TestRankOfKnownInputsIsUnchanged(t *testing.T) {
 	for _, c := range []struct {
 		instance, kind, name string
@@ -124,9 +124,9 @@
 	}
 }
 
-// Failing servers are selected in addition, for their recovery to be noticed, and removed once enough healthy
-// ones rank before them: more servers than a pod's change for one server then, but of the healthy ones no more
-// than a pod's and its successor's.
+// Failing servers are selected in addition, so that their recovery is noticed, and removed when enough healthy servers
+// rank before them. If one server is added, more servers may then change than those of a pod, but no more healthy ones
+// than those of a pod and its successor.
 func TestFailingServersAreRemovedWhenHealthyOneIsAdded(t *testing.T) {
 	s := newSubset(t, Config{Instance: "a", Site: "a", MinSize: 4, PerInFlight: 1, RankPods: true})
 	servers := makeServers(17, 1)
@@ -146,7 +146,7 @@
 	}
 }
 
-// Over many instances servers are selected about equally often: as evenly as independent draws can be.
+// Servers are selected by about the same number of instances, as evenly as with independent random selections.
 func TestInstancesSelectServersEvenly(t *testing.T) {
 	const (
 		instanceCount = 2000
--- a/internal/subset/size.go
+++ b/internal/subset/size.go
@@ -7,7 +7,7 @@
 
 const (
 	// shrinkDelay is how long a smaller size must have been sufficient before the subset
-	// shrinks. Otherwise each burst of traffic would open its connections anew.
+	// shrinks. Otherwise each burst of traffic would open new connections.
 	shrinkDelay = time.Minute
 	// shrinkRatio is the ratio of sufficient to current size below which the subset may shrink.
 	shrinkRatio = 0.7
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -86,7 +86,7 @@
 	loadFigureSize    = 4
 	maxFrameSize      = 1 << 30
 	initialBufferSize = 1 << 16
-	maxReadStep       = 1 << 20 // bytes that ReadFrame makes room for at a time
+	maxReadStep       = 1 << 20 // ReadFrame extends its buffer by at most this
 )
 
 // maxLists is the number of numbered endpoint lists.
