http3front: connections, limits and requests have files of their own; extproc tests with whole names

server.go of http3front held the server, a connection's credentials, the limits of connections and the handling of a request; declarations moved, two private fields have whole names. Tests of extproc name what they hold.

--- a/internal/front/extproc/decision_test.go
+++ b/internal/front/extproc/decision_test.go
@@ -160,8 +160,10 @@
 // Without a retry the client gets a status that does not promise too much.
 func TestReportedFailureAllowsRetryByClass(t *testing.T) {
 	h := start(t, 4, nil)
-	const rejected, reset = "upstream_reset_before_response_started{remote_connection_failure|delayed_connect_error}",
-		"upstream_reset_before_response_started{connection_termination}"
+	const (
+		rejected = "upstream_reset_before_response_started{remote_connection_failure|delayed_connect_error}"
+		reset    = "upstream_reset_before_response_started{connection_termination}"
+	)
 	for _, test := range []struct {
 		class, details string
 		code           int
--- a/internal/front/extproc/mem_test.go
+++ b/internal/front/extproc/memory_test.go
@@ -22,7 +22,7 @@
 		runtime.ReadMemStats(&m)
 		return m.HeapAlloc
 	}
-	const n = 4000
+	const requests = 4000
 	run := func(count int) {
 		for range count {
 			s := h.open(context.Background())
@@ -35,13 +35,13 @@
 	}
 	run(500) // allocates all that is allocated once
 	before := memory()
-	run(n)
-	if _, _, entries := h.server.Counts(); entries < n {
-		t.Fatalf("%d entries, want at least %d", entries, n)
+	run(requests)
+	if _, _, entries := h.server.Counts(); entries < requests {
+		t.Fatalf("%d entries, want at least %d", entries, requests)
 	}
-	each := (memory() - before) / n
-	t.Logf("%d bytes an entry", each)
-	if each > 1<<10 {
-		t.Errorf("an entry takes %d bytes, the limit assumes %d", each, 1<<10)
+	entryBytes := (memory() - before) / requests
+	t.Logf("%d bytes an entry", entryBytes)
+	if entryBytes > 1<<10 {
+		t.Errorf("an entry takes %d bytes, the limit assumes %d", entryBytes, 1<<10)
 	}
 }
--- a/internal/front/extproc/protocol_test.go
+++ b/internal/front/extproc/protocol_test.go
@@ -31,7 +31,7 @@
 		name  string
 		alter func(*proxy.Request)
 		code  int
-		says  string
+		text  string // part of the body
 	}{
 		{"no id", func(req *proxy.Request) { delete(req.Header, "x-correlation-id") }, 400, "X-Correlation-Id"},
 		{"no class", func(req *proxy.Request) { delete(req.Header, "x-service-class") }, 400, "X-Service-Class"},
@@ -52,8 +52,8 @@
 		req := h.request("pay")
 		c.alter(&req)
 		s := h.open(context.Background())
-		if decision := s.request(req, 0); decision.Code != c.code || !strings.Contains(decision.Body, c.says) {
-			t.Errorf("%s: %+v, want %d with %q", c.name, decision, c.code, c.says)
+		if decision := s.request(req, 0); decision.Code != c.code || !strings.Contains(decision.Body, c.text) {
+			t.Errorf("%s: %+v, want %d with %q", c.name, decision, c.code, c.text)
 		}
 		s.end()
 	}
@@ -139,15 +139,17 @@
 
 // A proxy that sends bodies and trailers gets a response to each phase. In full duplex mode each piece comes back
 // unchanged.
-func TestBodiesPassThrough(t *testing.T) {
+func TestBodiesAndTrailersPassThrough(t *testing.T) {
 	for _, duplex := range []bool{false, true} {
 		t.Run(fmt.Sprint("duplex ", duplex), func(t *testing.T) {
 			h := start(t, 1, nil)
 			s := h.open(context.Background())
 			m := proxy.RequestHeaders(h.request("pay"), 0)
 			if duplex {
-				m.ProtocolConfig = &extprocv3.ProtocolConfiguration{RequestBodyMode: modev3.ProcessingMode_FULL_DUPLEX_STREAMED,
-					ResponseBodyMode: modev3.ProcessingMode_FULL_DUPLEX_STREAMED}
+				m.ProtocolConfig = &extprocv3.ProtocolConfiguration{
+					RequestBodyMode:  modev3.ProcessingMode_FULL_DUPLEX_STREAMED,
+					ResponseBodyMode: modev3.ProcessingMode_FULL_DUPLEX_STREAMED,
+				}
 			}
 			s.send(m)
 			s.decision()
@@ -186,11 +188,12 @@
 type rawConnection struct {
 	net.Conn
 	framer  *http2.Framer
-	heads   strings.Builder
+	header  strings.Builder // encoded
 	encoder *hpack.Encoder
 }
 
-func (h *harness) raw() *rawConnection {
+// dialRaw opens a raw connection to the processor.
+func (h *harness) dialRaw() *rawConnection {
 	h.t.Helper()
 	conn, err := net.Dial("tcp", h.address)
 	if err != nil {
@@ -198,7 +201,7 @@
 	}
 	h.t.Cleanup(func() { conn.Close() })
 	c := &rawConnection{Conn: conn, framer: http2.NewFramer(conn, conn)}
-	c.encoder = hpack.NewEncoder(&c.heads)
+	c.encoder = hpack.NewEncoder(&c.header)
 	if _, err := io.WriteString(conn, http2.ClientPreface); err != nil {
 		h.t.Fatal(err)
 	}
@@ -208,10 +211,10 @@
 	return c
 }
 
-// head opens a stream to the processor.
-func (c *rawConnection) head(stream uint32) error {
-	c.heads.Reset()
-	for _, f := range [][2]string{
+// openStream opens a stream to the processor.
+func (c *rawConnection) openStream(stream uint32) error {
+	c.header.Reset()
+	for _, field := range [][2]string{
 		{":method", "POST"},
 		{":scheme", "http"},
 		{":path", extprocv3.ExternalProcessor_Process_FullMethodName},
@@ -219,13 +222,13 @@
 		{"content-type", "application/grpc"},
 		{"te", "trailers"},
 	} {
-		if err := c.encoder.WriteField(hpack.HeaderField{Name: f[0], Value: f[1]}); err != nil {
+		if err := c.encoder.WriteField(hpack.HeaderField{Name: field[0], Value: field[1]}); err != nil {
 			return err
 		}
 	}
 	return c.framer.WriteHeaders(http2.HeadersFrameParam{
 		StreamID:      stream,
-		BlockFragment: []byte(c.heads.String()),
+		BlockFragment: []byte(c.header.String()),
 		EndHeaders:    true,
 	})
 }
@@ -234,19 +237,19 @@
 // garbage in place of a message.
 func TestTruncatedMessageEndsItsStreamOnly(t *testing.T) {
 	h := start(t, 1, func(o *Options, _ *balancer.Settings) { o.Drain = -streamGrace + time.Second })
-	c := h.raw()
-	head := func(size uint32) []byte { return binary.BigEndian.AppendUint32([]byte{0}, size) }
+	c := h.dialRaw()
+	prefix := func(size uint32) []byte { return binary.BigEndian.AppendUint32([]byte{0}, size) }
 	for i, send := range []struct {
 		data []byte
 		end  bool
 	}{
-		{append(head(1000), 1, 2, 3), true},
-		{append(head(1000), 1, 2, 3), false},
-		{append(head(3), 0xff, 0xff, 0xff), false},
-		{head(1 << 30), false},
+		{append(prefix(1000), 1, 2, 3), true},
+		{append(prefix(1000), 1, 2, 3), false},
+		{append(prefix(3), 0xff, 0xff, 0xff), false},
+		{prefix(1 << 30), false},
 	} {
 		stream := uint32(2*i + 1)
-		if err := c.head(stream); err != nil {
+		if err := c.openStream(stream); err != nil {
 			t.Fatal(err)
 		}
 		if err := c.framer.WriteData(stream, send.end, send.data); err != nil {
@@ -258,23 +261,23 @@
 	}
 	ended := map[uint32]bool{}
 	for len(ended) < 4 {
-		f, err := c.framer.ReadFrame()
+		next, err := c.framer.ReadFrame()
 		if err != nil {
 			t.Fatalf("after the end of %v: %v", ended, err)
 		}
-		switch f := f.(type) {
+		switch frame := next.(type) {
 		case *http2.SettingsFrame:
-			if !f.IsAck() {
+			if !frame.IsAck() {
 				if err := c.framer.WriteSettingsAck(); err != nil {
 					t.Fatal(err)
 				}
 			}
 		case *http2.HeadersFrame:
-			if f.StreamEnded() {
-				ended[f.StreamID] = true
+			if frame.StreamEnded() {
+				ended[frame.StreamID] = true
 			}
 		case *http2.RSTStreamFrame:
-			ended[f.StreamID] = true
+			ended[frame.StreamID] = true
 		}
 	}
 	s := h.open(context.Background())
@@ -287,9 +290,9 @@
 // A caller that never reads gets no more than its flow-control window. Others are served.
 func TestCallerThatNeverReadsDoesNotBlockOthers(t *testing.T) {
 	h := start(t, 2, nil)
-	c := h.raw()
+	c := h.dialRaw()
 	for n := range uint32(400) {
-		if err := c.head(2*n + 1); err != nil {
+		if err := c.openStream(2*n + 1); err != nil {
 			t.Fatal(err)
 		}
 		req := h.request("read")
--- a/internal/front/extproc/stream_test.go
+++ b/internal/front/extproc/stream_test.go
@@ -65,11 +65,10 @@
 	s, req := h.open(context.Background()), h.request("close")
 	req.Header["x-time-left-ms"] = "100"
 	s.request(req, 0)
-	requests := func() (n int) {
-		done := make(chan struct{})
-		h.engine.Post(func(balancer.Micros) { n, _ = h.engine.Counts(); close(done) })
-		<-done
-		return
+	requests := func() int {
+		count := 0
+		h.engine.Call(func(balancer.Micros) { count, _ = h.engine.Counts() })
+		return count
 	}
 	wait.Until(t, "the request's release", func() bool { return requests() == 0 })
 	if m := s.report(504, "response_timeout", ""); m.GetImmediateResponse().GetStatus().GetCode() != 502 {
@@ -151,7 +150,7 @@
 }
 
 // At shutdown the health check fails, open requests finish, callers get GOAWAY, and new requests are rejected.
-func TestGracefulShutdown(t *testing.T) {
+func TestGracefulShutdownFinishesOpenRequests(t *testing.T) {
 	h := start(t, 2, nil)
 	conn, err := grpc.NewClient(h.address, grpc.WithTransportCredentials(insecure.NewCredentials()))
 	if err != nil {
@@ -180,13 +179,13 @@
 		}
 		return err != nil
 	})
-	fresh, err := proxy.Dial(h.address, 1)
+	laterProxy, err := proxy.Dial(h.address, 1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer fresh.Close()
-	if a := fresh.Do(context.Background(), h.request("pay"), proxy.Behaviour{}); a.Err == nil {
-		t.Errorf("a new request: %+v", a)
+	defer laterProxy.Close()
+	if answer := laterProxy.Do(context.Background(), h.request("pay"), proxy.Behaviour{}); answer.Err == nil {
+		t.Errorf("a new request: %+v", answer)
 	}
 	if m := s.report(200, "via_upstream", decision.Endpoint); m.GetResponseHeaders() == nil {
 		t.Errorf("the open one: %v", m)
--- /dev/null
+++ b/internal/front/http3front/limits.go
@@ -0,0 +1,49 @@
+package http3front
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/quic-go/quic-go"
+)
+
+// maxUnverifiedPerSecond is how many new connections per second are accepted from addresses that are not verified.
+// Each one beyond has to prove that it receives at its address (RFC 9000, section 8.1.2).
+const maxUnverifiedPerSecond = 100
+
+// errTooManyConnections rejects a connection before its handshake.
+var errTooManyConnections = errors.New("the limit of open connections is reached")
+
+// admit counts a new connection until its context ends, and rejects it at the limit.
+func (s *Server) admit(ctx context.Context, _ *quic.ClientInfo) (context.Context, error) {
+	if s.open.Add(1) > int64(s.opts.Connections) {
+		s.open.Add(-1)
+		return nil, errTooManyConnections
+	}
+	context.AfterFunc(ctx, func() { s.open.Add(-1) })
+	return ctx, nil
+}
+
+// requiresVerification reports whether a new connection's address must be verified first: under a flood of
+// connections, whose source addresses may be forged.
+func (s *Server) requiresVerification(net.Addr) bool { return s.aboveUnverifiedRate(time.Now().Unix()) }
+
+// aboveUnverifiedRate counts a new connection in a second, and reports whether there are too many in it.
+func (s *Server) aboveUnverifiedRate(second int64) bool {
+	if s.countedSecond.Swap(second) != second {
+		s.newInSecond.Store(0)
+	}
+	if s.newInSecond.Add(1) <= maxUnverifiedPerSecond {
+		return false
+	}
+	s.verified.Add(1)
+	return true
+}
+
+// Connections returns the number of open connections.
+func (s *Server) Connections() int { return int(s.open.Load()) }
+
+// Verified returns the number of connections whose address had to be verified first.
+func (s *Server) Verified() int { return int(s.verified.Load()) }
