pinedale-bench: help of every flag in a whole phrase; shorter functions

Flags' help was written to follow the flag's name ("-fresh: of them, that start in the middle"), which help does not show that way. It says now what the value is.

--- a/cmd/pinedale-bench/load.go
+++ b/cmd/pinedale-bench/load.go
@@ -36,8 +36,9 @@
 		},
 	}
 	flags := command.Flags()
-	flags.StringVar(&o.addresses, "listen", "127.0.0.1:9101,127.0.0.1:9102", "host:port of each")
-	flags.DurationVar(&o.serviceTime, "work", 20*time.Millisecond, "of a request")
+	flags.StringVar(&o.addresses, "listen", "127.0.0.1:9101,127.0.0.1:9102",
+		"`addresses` (host:port) of the servers, separated by commas")
+	flags.DurationVar(&o.serviceTime, "work", 20*time.Millisecond, "service time of a request")
 	flags.DurationVar(&o.duration, "for", time.Hour, "end after this time")
 	return command
 }
@@ -67,7 +68,7 @@
 	flags := command.Flags()
 	flags.DurationVar(&o.For, "for", 10*time.Second, "duration of each of the four runs")
 	flags.Float64Var(&o.Rate, "rate", 300, "requests per second that are admitted")
-	addSeedFlag(flags, &o.Seed, "of the arrivals")
+	addSeedFlag(flags, &o.Seed, "seed of the arrivals")
 	return command
 }
 
@@ -76,13 +77,13 @@
 	command := newCommand("newcomer", "what thousands of quiet instances do together to servers that have just started",
 		func(*cobra.Command) (result, error) { return coldstart.Run(o) })
 	flags := command.Flags()
-	flags.IntVar(&o.Instances, "instances", 5000, "of pinedale")
-	addServersFlag(flags, &o.Servers, 100, "of the fleet")
-	flags.IntVar(&o.Fresh, "fresh", 5, "servers of the fleet that start in the middle")
+	flags.IntVar(&o.Instances, "instances", 5000, "number of instances of pinedale")
+	addServersFlag(flags, &o.Servers, 100, "number of servers in the fleet")
+	flags.IntVar(&o.Fresh, "fresh", 5, "number of servers of the fleet that start in the middle")
 	flags.Float64Var(&o.Rate, "rate", 1500, "requests per second of all instances")
-	flags.IntVar(&o.SubsetSize, "floor", 8, "servers that an instance uses at least")
-	flags.IntVar(&o.Seeds, "seeds", 50, "to play")
-	flags.BoolVar(&o.WithoutSubsets, "whole", false, "without subsets, too")
+	flags.IntVar(&o.SubsetSize, "floor", 8, "smallest number of servers that an instance uses")
+	flags.IntVar(&o.Seeds, "seeds", 50, "number of seeds to play")
+	flags.BoolVar(&o.WithoutSubsets, "whole", false, "measure without subsets, too")
 	return command
 }
 
@@ -90,6 +91,6 @@
 	var count int
 	command := newCommand("departures", "what is sent for clients that have disconnected while their requests waited",
 		func(*cobra.Command) (result, error) { return departures.RunAll(count) })
-	command.Flags().IntVar(&count, "departures", 1000, "in each case")
+	command.Flags().IntVar(&count, "departures", 1000, "number of departures in each case")
 	return command
 }
--- a/cmd/pinedale-bench/membership.go
+++ b/cmd/pinedale-bench/membership.go
@@ -14,12 +14,12 @@
 	command := newCommand("removal", "scripts of faults of a coordination service, and how soon removals take effect",
 		func(*cobra.Command) (result, error) { return endpointremoval.Run(o) })
 	flags := command.Flags()
-	flags.IntVar(&o.Scripts, "scripts", 200, "scripts to play")
-	flags.IntVar(&o.Parallel, "parallel", 32, "scripts at once")
-	addServersFlag(flags, &o.Servers, 5, "of the fleet of each script at its start")
-	flags.IntVar(&o.Steps, "steps", 4, "of a script")
-	addSeedFlag(flags, &o.Seed, "of the scripts")
-	flags.BoolVar(&o.Discovery, "discovery", false, "removals alone, by a discovery that is 0.6 to 5 s late")
+	flags.IntVar(&o.Scripts, "scripts", 200, "number of scripts to play")
+	flags.IntVar(&o.Parallel, "parallel", 32, "number of scripts at once")
+	addServersFlag(flags, &o.Servers, 5, "number of servers at the start of each script")
+	flags.IntVar(&o.Steps, "steps", 4, "number of steps of a script")
+	addSeedFlag(flags, &o.Seed, "seed of the scripts")
+	flags.BoolVar(&o.Discovery, "discovery", false, "play removals alone, by a discovery that is 0.6 to 5 s late")
 	return command
 }
 
@@ -32,6 +32,6 @@
 			return zookeeper.Run(cmd.OutOrStdout(), span)
 		},
 	}
-	command.Flags().DurationVar(&span, "span", 5*time.Second, "of each step")
+	command.Flags().DurationVar(&span, "span", 5*time.Second, "duration of each step")
 	return command
 }
--- a/cmd/pinedale-bench/security.go
+++ b/cmd/pinedale-bench/security.go
@@ -20,11 +20,11 @@
 			})
 		})
 	flags := command.Flags()
-	flags.IntVar(&o.Rotations, "rotations", 500, "changes of keys, on either side in turn")
+	flags.IntVar(&o.Rotations, "rotations", 500, "number of changes of keys, on either side in turn")
 	flags.BoolVar(&o.HTTP3, "http3", false, "use HTTP/3 with the servers, too")
-	flags.IntVar(&o.Clients, "clients", 16, "concurrent clients")
-	addServersFlag(flags, &o.Servers, 6, "of the fleet")
-	flags.DurationVar(&o.Settle, "settle", 50*time.Millisecond, "between two changes")
+	flags.IntVar(&o.Clients, "clients", 16, "number of concurrent clients")
+	addServersFlag(flags, &o.Servers, 6, "number of servers in the fleet")
+	flags.DurationVar(&o.Settle, "settle", 50*time.Millisecond, "time between two changes")
 	return command
 }
 
@@ -35,8 +35,8 @@
 			return withTempDir(func(dir string) (result, error) { return tlscost.Handshakes(dir, rounds, count) })
 		})
 	flags := command.Flags()
-	flags.IntVar(&rounds, "rounds", 5, "of each kind")
-	flags.IntVar(&count, "n", 1000, "handshakes in each round")
+	flags.IntVar(&rounds, "rounds", 5, "number of rounds of each kind of handshake")
+	flags.IntVar(&count, "n", 1000, "number of handshakes in each round")
 	return command
 }
 
@@ -48,9 +48,9 @@
 			return withTempDir(func(dir string) (result, error) { return tlscost.Proxies(dir, rounds, clients, span) })
 		})
 	flags := command.Flags()
-	flags.IntVar(&rounds, "rounds", 5, "of each proxy, in turn")
-	flags.IntVar(&clients, "clients", 8, "concurrent clients")
-	flags.DurationVar(&span, "span", 2*time.Second, "of each round")
+	flags.IntVar(&rounds, "rounds", 5, "number of rounds of each proxy, in turn")
+	flags.IntVar(&clients, "clients", 8, "number of concurrent clients")
+	flags.DurationVar(&span, "span", 2*time.Second, "duration of each round")
 	return command
 }
 
@@ -59,9 +59,9 @@
 	command := newCommand("reconnect", "a fleet connected to again as a whole, with a budget of handshakes and without",
 		func(*cobra.Command) (result, error) { return reconnect.RunAll(o) })
 	flags := command.Flags()
-	flags.IntVar(&o.Instances, "instances", 5, "that reconnect at once")
+	flags.IntVar(&o.Instances, "instances", 5, "number of instances that reconnect at once")
 	flags.Float64Var(&o.Limit, "limit", 200, "handshakes per second that a server may have with all of them")
 	flags.Float64Var(&o.All, "all", 500, "handshakes per second that one instance may have with all servers")
-	flags.DurationVar(&o.Timeout, "most", 30*time.Second, "the longest that each may take")
+	flags.DurationVar(&o.Timeout, "most", 30*time.Second, "timeout of each reconnection")
 	return command
 }
--- a/cmd/pinedale-bench/state.go
+++ b/cmd/pinedale-bench/state.go
@@ -26,11 +26,11 @@
 			return gossip.Run(o)
 		})
 	flags := command.Flags()
-	addServersFlag(flags, &o.Servers, 200, "that instances advertise")
-	flags.DurationVar(&o.Span, "span", 30*time.Second, "of virtual time")
+	addServersFlag(flags, &o.Servers, 200, "number of servers that instances advertise")
+	flags.DurationVar(&o.Span, "span", 30*time.Second, "duration in virtual time")
 	flags.Float64Var(&o.Loss, "loss", 0.01, "ratio of the messages that are lost")
-	addSeedFlag(flags, &o.Seed, "of the entries and of the peers that receive them")
-	flags.BoolVar(&large, "large", false, "3,000 instances, too, which takes some minutes")
+	addSeedFlag(flags, &o.Seed, "seed of the entries and of the peers that receive them")
+	flags.BoolVar(&large, "large", false, "simulate 3,000 instances, too, which takes some minutes")
 	return command
 }
 
@@ -44,10 +44,10 @@
 		})
 	flags := command.Flags()
 	flags.DurationVar(&o.For, "for", 10*time.Minute, "end after this time")
-	flags.IntVar(&o.MaxSeeds, "seeds", 0, "end after so many seeds, 0 for no limit")
-	flags.BoolVar(&o.Race, "race", false, "with the race detector")
-	flags.IntVar(&o.Checks, "checks", 1000, "of each property with each seed")
-	flags.IntVar(&o.Workers, "workers", runtime.NumCPU(), "seeds played at once")
-	flags.Uint64Var(&o.Seed, "seed", uint64(time.Now().UnixNano()), "from which the seeds are drawn")
+	flags.IntVar(&o.MaxSeeds, "seeds", 0, "end after this number of seeds, 0 for no limit")
+	flags.BoolVar(&o.Race, "race", false, "use the race detector")
+	flags.IntVar(&o.Checks, "checks", 1000, "number of checks of each property with each seed")
+	flags.IntVar(&o.Workers, "workers", runtime.NumCPU(), "number of seeds at once")
+	flags.Uint64Var(&o.Seed, "seed", uint64(time.Now().UnixNano()), "seed from which the others are drawn")
 	return command
 }
--- a/internal/measure/extproc/streams.go
+++ b/internal/measure/extproc/streams.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	extprocv3 "github.com/envoyproxy/go-control-plane/envoy/service/ext_proc/v3"
+
 	"pinedale/internal/measure/harness"
 	"pinedale/internal/measure/process"
 	"pinedale/internal/standin/proxy"
@@ -58,14 +60,7 @@
 func (c *streamCaller) call(ctx context.Context) (time.Duration, error) {
 	request := c.nextRequest()
 	start := time.Now()
-	stream, err := c.proxy.OpenStream(ctx)
-	if err != nil {
-		return 0, err
-	}
-	if err := stream.Send(proxy.RequestHeaders(request, 0)); err != nil {
-		return 0, err
-	}
-	message, err := stream.Recv()
+	stream, message, err := c.open(ctx, request)
 	if err != nil {
 		return 0, err
 	}
@@ -74,30 +69,49 @@
 	if err != nil {
 		return 0, err
 	}
-	if decision.Endpoint == "" {
-		if decision.Code != http.StatusServiceUnavailable {
-			return 0, fmt.Errorf("answered %d %s", decision.Code, decision.Body)
-		}
-		// A rejection is a decision, too: before the balancer has learned how fast the servers are, it takes many
-		// concurrent requests for a queue.
-		c.rejected.Add(1)
-		_ = stream.CloseSend()
-		_, _ = stream.Recv() // the end of the stream
-		return latency, nil
-	}
-	if err := stream.Send(proxy.ResponseHeaders(http.StatusOK, nil, "via_upstream", decision.Endpoint)); err != nil {
-		return 0, err
+	if decision.Endpoint != "" {
+		return latency, report(stream, decision.Endpoint)
+	}
+	if decision.Code != http.StatusServiceUnavailable {
+		return 0, fmt.Errorf("answered %d %s", decision.Code, decision.Body)
+	}
+	// A rejection is a decision, too: before the balancer has learned how fast the servers are, it takes many
+	// concurrent requests for a queue.
+	c.rejected.Add(1)
+	_ = stream.CloseSend()
+	_, _ = stream.Recv() // the end of the stream
+	return latency, nil
+}
+
+// open opens a stream for a request and receives the message with the decision.
+func (c *streamCaller) open(ctx context.Context, request proxy.Request) (
+	stream extprocv3.ExternalProcessor_ProcessClient, message *extprocv3.ProcessingResponse, err error,
+) {
+	if stream, err = c.proxy.OpenStream(ctx); err != nil {
+		return nil, nil, err
+	}
+	if err = stream.Send(proxy.RequestHeaders(request, 0)); err != nil {
+		return nil, nil, err
+	}
+	message, err = stream.Recv()
+	return stream, message, err
+}
+
+// report reports that an endpoint has served the request of a stream, and ends the stream.
+func report(stream extprocv3.ExternalProcessor_ProcessClient, endpoint string) error {
+	if err := stream.Send(proxy.ResponseHeaders(http.StatusOK, nil, "via_upstream", endpoint)); err != nil {
+		return err
 	}
 	if _, err := stream.Recv(); err != nil {
-		return 0, err
+		return err
 	}
 	if err := stream.CloseSend(); err != nil {
-		return 0, err
+		return err
 	}
 	if _, err := stream.Recv(); !errors.Is(err, io.EOF) {
-		return 0, err
+		return err
 	}
-	return latency, nil
+	return nil
 }
 
 // callClosedLoop returns the rate of calls per second that closed-loop callers reach.
@@ -178,14 +192,7 @@
 				"x-time-left-ms":   "60000",
 			},
 		}
-		stream, err := c.proxy.OpenStream(ctx)
-		if err != nil {
-			return 0, err
-		}
-		if err := stream.Send(proxy.RequestHeaders(request, 0)); err != nil {
-			return 0, err
-		}
-		if _, err := stream.Recv(); err != nil {
+		if _, _, err := c.open(ctx, request); err != nil {
 			return 0, err
 		}
 	}
--- a/internal/measure/harness/instance.go
+++ b/internal/measure/harness/instance.go
@@ -13,7 +13,8 @@
 	*app.Instance
 }
 
-// StartInstanceFromText starts an instance by the text of an operator's file and waits until it is ready. It logs nothing.
+// StartInstanceFromText starts an instance by the text of an operator's file and waits until it is ready. It logs
+// nothing.
 func StartInstanceFromText(configText string) (*Instance, error) {
 	file, err := config.Parse([]byte(configText))
 	if err != nil {
--- a/internal/measure/reconnect/reconnect.go
+++ b/internal/measure/reconnect/reconnect.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"pinedale/internal/engine"
 	"pinedale/internal/standin/ca"
 	"pinedale/internal/upstream/handshake"
 )
@@ -101,33 +102,44 @@
 	if o.Budget {
 		result.Bound = float64(o.Instances) * (budget.PerServer + budget.Burst)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), o.Timeout)
-	defer cancel()
-	var connecting sync.WaitGroup
 	counts := &outcomes{}
 	start := time.Now()
+	if err := connectAll(o, files, budget, servers.targets, counts); err != nil {
+		return nil, err
+	}
+	if counts.succeeded == o.Instances*o.Servers*o.Connections {
+		result.Completed = time.Since(start)
+	}
+	result.Handshakes = counts.succeeded
+	result.Rejected = counts.rejected
+	result.TimedOut = counts.timedOut
+	result.Peak = servers.peak()
+	return result, nil
+}
+
+// connectAll has all instances connect to all servers, until all connections were established or the time is over.
+func connectAll(
+	o Options, files *ca.Folder, budget handshake.Config, targets []*engine.Target, counts *outcomes,
+) error {
+	ctx, cancel := context.WithTimeout(context.Background(), o.Timeout)
+	var connecting sync.WaitGroup
+	defer func() {
+		cancel()
+		connecting.Wait()
+	}()
 	for range o.Instances {
 		instance, err := newInstance(files, budget, counts)
 		if err != nil {
-			cancel()
-			connecting.Wait()
-			return nil, err
+			return err
 		}
-		for _, target := range servers.targets {
+		for _, target := range targets {
 			for range o.Connections {
 				connecting.Go(func() { instance.connectUntilDone(ctx, target) })
 			}
 		}
 	}
 	connecting.Wait()
-	if counts.succeeded == o.Instances*o.Servers*o.Connections {
-		result.Completed = time.Since(start)
-	}
-	result.Handshakes = counts.succeeded
-	result.Rejected = counts.rejected
-	result.TimedOut = counts.timedOut
-	result.Peak = servers.peak()
-	return result, nil
+	return nil
 }
 
 // budget returns the handshakes that one instance may do.
