Config, app: texts of test files as raw strings, one section for a route and its pool

Cause: tables of bad keys sections and two tests of routes repeated text, most of it with escaped quotes.

Change: pricesSection has the route and its pool; old and new texts of the keys tests are raw strings, the same content.

--- a/internal/app/routes_test.go
+++ b/internal/app/routes_test.go
@@ -1,6 +1,7 @@
 package app
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -9,16 +10,21 @@
 // requestsToPool is how many requests show that a pool is used: without it half of them would go elsewhere.
 const requestsToPool = 20
 
-// Routes select the class of requests, whose headers need not name a class or a deadline.
-func TestRouteDecidesWhichRequestsAreServed(t *testing.T) {
-	r := startRunning(t, 0, priceClass, payClass, `[[pool]]
-name = "second"
-kinds = ["k1"]
+// pricesSection returns a pool of the servers of a kind, and a route to it for paths under /prices.
+func pricesSection(pool, kind string) string {
+	return fmt.Sprintf(`[[pool]]
+name = %[1]q
+kinds = [%[2]q]
 [[route]]
 prefix = "/prices"
 class = "price-check"
-pool = "second"
-[[route]]
+pool = %[1]q
+`, pool, kind)
+}
+
+// Routes select the class of requests, whose headers need not name a class or a deadline.
+func TestRouteDecidesWhichRequestsAreServed(t *testing.T) {
+	r := startRunning(t, 0, priceClass, payClass, pricesSection("second", "k1"), `[[route]]
 prefix = "/prices"
 headers = { X-Tier = "gold" }
 class = "stall-pay"
@@ -64,14 +70,7 @@
 // Requests of a route go to the servers of its pool alone. A reload applies another pool to servers that are known
 // already.
 func TestRequestsGoToPoolOfRouteBeforeAndAfterReload(t *testing.T) {
-	r := startRunning(t, 0, priceClass, payClass, `[[pool]]
-name = "second"
-kinds = ["k1"]
-[[route]]
-prefix = "/prices"
-class = "price-check"
-pool = "second"
-`)
+	r := startRunning(t, 0, priceClass, payClass, pricesSection("second", "k1"))
 	requireRequestsToBackend := func(inPool, outside int) {
 		t.Helper()
 		start := time.Now()
@@ -85,13 +84,6 @@
 		}
 	}
 	requireRequestsToBackend(1, 0)
-	r.reload(priceClass, `[[pool]]
-name = "other"
-kinds = ["k0"]
-[[route]]
-prefix = "/prices"
-class = "price-check"
-pool = "other"
-`)
+	r.reload(priceClass, pricesSection("other", "k0"))
 	requireRequestsToBackend(0, 1)
 }
--- a/internal/app/tls_instance_test.go
+++ b/internal/app/tls_instance_test.go
@@ -72,8 +72,9 @@
 	folder := strings.TrimSuffix(i.files.Cert, "cert.pem")
 	text := fileHead + priceClass + payClass + strings.ReplaceAll(strings.Join(sections, ""), "@", folder)
 	if strings.Contains(text, `name = "front"`) {
-		text = strings.Replace(text, "[http]\n", "[http]\nkeys = \"front\"\n", 1)
-		text = strings.Replace(text, "[ext_proc]\n", "[ext_proc]\nkeys = \"front\"\n", 1)
+		for _, section := range []string{"[http]\n", "[ext_proc]\n"} {
+			text = strings.Replace(text, section, section+`keys = "front"`+"\n", 1)
+		}
 	}
 	for n, pair := range backends {
 		i.fleets[n] = &fakebackend.Fleet{TLS: tlsbackend.NewCredentials(t, pair).ServerConfig}
--- a/internal/app/upstream_tls_test.go
+++ b/internal/app/upstream_tls_test.go
@@ -64,7 +64,7 @@
 	t.Helper()
 	root := ca.New(t, "root")
 	backends := [2]*ca.Pair{issueExpired(root, "s-0.example.org"), issueExpired(root, "s-1.example.org")}
-	return startTLSInstance(t, root, backends, fmt.Sprintf(upstreamKeysFormat, false), grace)
+	return startTLSInstance(t, root, backends, fmt.Sprintf(upstreamKeysFormat, false), grace+"\n")
 }
 
 // All certificates of a fleet have expired: nothing is sent, and every request gets its response long before its
@@ -88,7 +88,7 @@
 // peers_over lets servers be used whose certificates have expired for no longer than it says.
 func TestExpiredFleetIsUsedWithinGraceOnly(t *testing.T) {
 	t.Run("expired within the grace", func(t *testing.T) {
-		i := startExpiredFleet(t, "peers_over = \"2h\"\n")
+		i := startExpiredFleet(t, `peers_over = "2h"`)
 		for range 5 {
 			if statusCode, err := i.checkPrice(http.DefaultClient, "http"); statusCode != http.StatusOK {
 				t.Errorf("status %d, %v", statusCode, err)
@@ -96,7 +96,7 @@
 		}
 	})
 	t.Run("expired for longer than the grace", func(t *testing.T) {
-		i := startExpiredFleet(t, "peers_over = \"30m\"\n")
+		i := startExpiredFleet(t, `peers_over = "30m"`)
 		if statusCode, _ := i.checkPrice(http.DefaultClient, "http"); statusCode == http.StatusOK {
 			t.Error("a request was served")
 		}
--- a/internal/config/file_test.go
+++ b/internal/config/file_test.go
@@ -13,6 +13,7 @@
 // exampleFile is the example in the repository.
 const exampleFile = "../../deploy/site.example.toml"
 
+// goodFile is a valid file.
 const goodFile = `version = 1
 name = "arusha-1"
 site = "arusha"
--- a/internal/config/keys_test.go
+++ b/internal/config/keys_test.go
@@ -88,52 +88,54 @@
 func TestKeysErrorsNameKeyAndReason(t *testing.T) {
 	text, files := newKeysFile(t, ca.New(t, "root"))
 	const (
-		http     = "[http]\nkeys = \"front\"\n"
-		upstream = "[upstream]\nkeys = \"fleet\"\n"
-		front    = "name = \"front\"\n"
+		http     = "[http]\n" + `keys = "front"`
+		upstream = "[upstream]\n" + `keys = "fleet"`
+		verify   = `verify = "{name}.example.org"`
+		front    = `name = "front"`
+		names    = `names = ["127.0.0.1"]`
 	)
 	for _, test := range []struct{ name, old, replacement, key, reason string }{
-		{"unknown keys", http, "[http]\nkeys = \"back\"\n", "http.keys", "not the name of a [[keys]]"},
-		{"front without a certificate", http, "[http]\nkeys = \"fleet\"\n", "http.keys", "has no certificate"},
-		{"keys of a front that is off", http, "[http3]\nkeys = \"front\"\n" + http, "http3.keys", "not switched on"},
-		{"upstream without roots", upstream, "[upstream]\nkeys = \"front\"\n", "upstream.keys", "has no roots_file"},
-		{"verification in plain text", upstream, "[upstream]\n", "upstream.verify", "plain text"},
-		{"no name to verify", "verify = \"{name}.example.org\"\n", "", "server[0].verify", "no name is known"},
+		{"unknown keys", http, "[http]\n" + `keys = "back"`, "http.keys", "not the name of a [[keys]]"},
+		{"front without a certificate", http, "[http]\n" + `keys = "fleet"`, "http.keys", "has no certificate"},
+		{
+			"keys of a front that is off", http, "[http3]\n" + `keys = "front"` + "\n" + http,
+			"http3.keys", "not switched on",
+		},
+		{"upstream without roots", upstream, "[upstream]\n" + `keys = "front"`, "upstream.keys", "has no roots_file"},
+		{"verification in plain text", upstream, "[upstream]", "upstream.verify", "plain text"},
+		{"no name to verify", verify, "", "server[0].verify", "no name is known"},
 		{"pattern that is no name", "{name}.example.org", "*.example.org", "upstream.verify", "no host name"},
-		{"no handshakes", upstream, upstream + "handshakes = 0\n", "upstream.handshakes", "1 to 1e6"},
+		{"no handshakes", upstream, upstream + "\nhandshakes = 0", "upstream.handshakes", "1 to 1e6"},
 		{
-			"rate that is no number", upstream, upstream + "handshakes_all = nan\n",
+			"rate that is no number", upstream, upstream + "\nhandshakes_all = nan",
 			"upstream.handshakes_all", "1 to 1e6",
 		},
-		{"burst below 1", upstream, upstream + "handshake_burst = 0.5\n", "upstream.handshake_burst", "1 to 1e6"},
+		{"burst below 1", upstream, upstream + "\nhandshake_burst = 0.5", "upstream.handshake_burst", "1 to 1e6"},
 		{
-			"no time for a handshake", upstream, upstream + "handshake_timeout = \"0s\"\n",
+			"no time for a handshake", upstream, upstream + "\n" + `handshake_timeout = "0s"`,
 			"upstream.handshake_timeout", "not positive",
 		},
-		{"no sessions", upstream, upstream + "sessions = 0\n", "upstream.sessions", "1 to 1000000"},
-		{"keys without a name", front, "name = \"\"\n", "keys[1].name", "missing"},
-		{"name of keys twice", front, "name = \"fleet\"\n", "keys[1].name", "twice"},
-		{"deprecated TLS version", front, front + "least_tls = \"1.1\"\n", "keys[1].least_tls", "neither 1.3 nor 1.2"},
-		{"short RSA keys", front, front + "least_rsa = 1024\n", "keys[1].least_rsa", "2048 to 16384"},
-		{"negative grace", front, front + "peers_over = \"-1s\"\n", "keys[1].peers_over", "0s to 720h"},
-		{"negative time", front, front + "replace_within = \"-1s\"\n", "keys[1].replace_within", "negative"},
-		{"list without roots", front, front + "revoked_file = \"x\"\n", "keys[1].revoked_file", "no roots_file"},
+		{"no sessions", upstream, upstream + "\nsessions = 0", "upstream.sessions", "1 to 1000000"},
+		{"keys without a name", front, `name = ""`, "keys[1].name", "missing"},
+		{"name of keys twice", front, `name = "fleet"`, "keys[1].name", "twice"},
 		{
-			"certificate for another name", `names = ["127.0.0.1"]`, `names = ["10.0.0.1"]`,
-			"keys[1].cert_file", "not for 10.0.0.1",
+			"deprecated TLS version", front, front + "\n" + `least_tls = "1.1"`,
+			"keys[1].least_tls", "neither 1.3 nor 1.2",
 		},
-		{"name with a space", `names = ["127.0.0.1"]`, `names = ["a b"]`, "keys[1].names", "no host name"},
-		{"certificate without a key", `key_file = "` + files.Key + "\"\n", "", "keys[1].key_file", "together"},
+		{"short RSA keys", front, front + "\nleast_rsa = 1024", "keys[1].least_rsa", "2048 to 16384"},
+		{"negative grace", front, front + "\n" + `peers_over = "-1s"`, "keys[1].peers_over", "0s to 720h"},
+		{"negative time", front, front + "\n" + `replace_within = "-1s"`, "keys[1].replace_within", "negative"},
+		{"list without roots", front, front + "\n" + `revoked_file = "x"`, "keys[1].revoked_file", "no roots_file"},
+		{"certificate for another name", names, `names = ["10.0.0.1"]`, "keys[1].cert_file", "not for 10.0.0.1"},
+		{"name with a space", names, `names = ["a b"]`, "keys[1].names", "no host name"},
+		{"certificate without a key", `key_file = "` + files.Key + `"`, "", "keys[1].key_file", "together"},
 		{"file without a private key", files.Key, files.Roots, "keys[1].key_file", "no private key"},
 		{"missing roots", files.Roots, files.Roots + "x", "keys[0].roots_file", "no such file"},
 		{
 			"roots in place of a revocation list", `revoked_file = "` + files.Revoked, `revoked_file = "` + files.Roots,
 			"keys[0].revoked_file", "no revocation list",
 		},
-		{
-			"pattern for one server", "pod = 1\n", "pod = 1\nverify = \"{name}.example.org\"\n",
-			"server[1].verify", "no host name",
-		},
+		{"pattern for one server", "pod = 1", "pod = 1\n" + verify, "server[1].verify", "no host name"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			_, err := Parse([]byte(replaceOnce(t, text, test.old, test.replacement)))
@@ -155,9 +157,10 @@
 	files.WritePair(issueNow(ca.New(t, "root"), "127.0.0.1"))
 	section := fmt.Sprintf(http3Format, files.Cert, files.Key)
 	mustParse(t, goodFile+section)
+	const listen = `listen = "127.0.0.1:0"`
 	for _, test := range []struct{ name, old, replacement, key string }{
-		{"front without keys", section, "[http3]\nlisten = \"127.0.0.1:0\"\n", "http3.keys"},
-		{"keys of a front that is off", "listen = \"127.0.0.1:0\"\n", "", "http3.keys"},
+		{"front without keys", section, "[http3]\n" + listen, "http3.keys"},
+		{"keys of a front that is off", listen, "", "http3.keys"},
 		{"missing certificate", files.Cert, files.Cert + "x", "keys[0].cert_file"},
 		{"no streams", "[http3]", "[http3]\nstreams = 0", "http3.streams"},
 		{"no connections", "[http3]", "[http3]\nconnections = 0", "http3.connections"},
