--- a/internal/front/extproc/host.go
+++ b/internal/front/extproc/host.go
@@ -101,7 +101,7 @@
 	r.removeIfDone()
 }
 
-// CancelRound tells the engine that the client of a round has disconnected.
+// CancelRound notifies the engine that the client of a round has disconnected.
 func (h *host) CancelRound(id uint64) {
 	if r := h.rounds[id]; r != nil {
 		r.finished = true
@@ -110,7 +110,7 @@
 	}
 }
 
-// CompleteAttempt tells the engine how an attempt ended.
+// CompleteAttempt passes the outcome of an attempt to the engine.
 func (h *host) CompleteAttempt(id uint64, index int, outcome routing.Outcome, settled bool) {
 	r := h.rounds[id]
 	r.openAttempts--
--- a/internal/front/extproc/report.go
+++ b/internal/front/extproc/report.go
@@ -20,7 +20,7 @@
 )
 
 // attributeNamespace is where the filter puts the attributes that it was configured to send, and attributeDetails the
-// one that tells why the proxy itself made an answer (RESPONSE_CODE_DETAILS).
+// one that states why the proxy itself made an answer (RESPONSE_CODE_DETAILS).
 const (
 	attributeNamespace = "envoy.filters.http.ext_proc"
 	attributeDetails   = "response.code_details"
--- a/internal/front/extproc/stream.go
+++ b/internal/front/extproc/stream.go
@@ -63,7 +63,7 @@
 	}
 }
 
-// close tells the host that the stream has ended.
+// close notifies the host that the stream has ended.
 func (s *stream) close() {
 	if s.submitted {
 		s.server.engine.Post(func(now balancer.Micros) {
--- a/internal/front/httpfront/listener_test.go
+++ b/internal/front/httpfront/listener_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"pinedale/internal/requestmeta"
+	"pinedale/internal/standin/wait"
 )
 
 // If every connection has a request in flight, one more is closed.
@@ -37,7 +38,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if err := conn.SetDeadline(time.Now().Add(20 * time.Second)); err != nil {
+		if err := conn.SetDeadline(time.Now().Add(wait.Timeout)); err != nil {
 			t.Fatal(err)
 		}
 		return conn
@@ -67,14 +68,14 @@
 // hookedConn calls a function after each read that returns bytes, before they are returned.
 type hookedConn struct {
 	net.Conn
-	read func()
+	afterRead func()
 }
 
-// Read calls read before it returns.
+// Read calls afterRead before it returns.
 func (h *hookedConn) Read(p []byte) (int, error) {
 	n, err := h.Conn.Read(p)
 	if n > 0 {
-		h.read()
+		h.afterRead()
 	}
 	return n, err
 }
@@ -82,7 +83,7 @@
 // hookedListener makes accepted connections hookedConns.
 type hookedListener struct {
 	net.Listener
-	read func()
+	afterRead func()
 }
 
 // Accept wraps the next connection.
@@ -91,7 +92,31 @@
 	if err != nil {
 		return nil, err
 	}
-	return &hookedConn{c, h.read}, nil
+	return &hookedConn{c, h.afterRead}, nil
+}
+
+// handleRequest marks a request as started and done, as Server does, and answers it.
+func handleRequest(w http.ResponseWriter, r *http.Request) {
+	c := r.Context().Value(connKey{}).(*clientConn)
+	if _, ok := c.requestStarted(r.ContentLength); !ok {
+		panic(http.ErrAbortHandler)
+	}
+	defer c.requestDone()
+	_, _ = io.WriteString(w, "served")
+}
+
+// roundTrip sends a request on a connection and reads its response to the end.
+func roundTrip(conn net.Conn, reader *bufio.Reader) error {
+	if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+		return err
+	}
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	return err
 }
 
 // A request that is read at the very moment in which its connection is closed as idle, on shutdown or to make
@@ -117,45 +142,42 @@
 					closeIdle(l)
 				}
 			}}
-			s := http.Server{IdleTimeout: 20 * time.Second, ReadTimeout: 20 * time.Second,
+			server := http.Server{
+				IdleTimeout: wait.Timeout,
+				ReadTimeout: wait.Timeout,
 				ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 					return context.WithValue(ctx, connKey{}, c)
 				},
 				Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-					c := r.Context().Value(connKey{}).(*clientConn)
-					if _, ok := c.requestStarted(r.ContentLength); !ok {
-						panic(http.ErrAbortHandler)
-					}
-					defer c.requestDone()
+					handleRequest(w, r)
 					requests++
-					_, _ = io.WriteString(w, "served")
-				})}
-			defer s.Close()
-			go func() { _ = s.Serve(l) }() // until Close
+				}),
+			}
+			served := make(chan struct{})
+			go func() {
+				defer close(served)
+				_ = server.Serve(l) // until Close
+			}()
+			defer func() {
+				server.Close()
+				<-served
+			}()
 			conn, err := net.Dial("tcp", listener.Addr().String())
 			if err != nil {
 				t.Fatal(err)
 			}
 			defer conn.Close()
-			if err := conn.SetDeadline(time.Now().Add(20 * time.Second)); err != nil {
+			if err := conn.SetDeadline(time.Now().Add(wait.Timeout)); err != nil {
 				t.Fatal(err)
 			}
-			in := bufio.NewReader(conn)
+			reader := bufio.NewReader(conn)
 			for n := range 2 {
-				if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
-					t.Fatal(err)
-				}
-				response, err := http.ReadResponse(in, nil)
-				if err != nil {
+				if err := roundTrip(conn, reader); err != nil {
 					t.Fatalf("request %d: %v", n+1, err)
 				}
-				if _, err := io.Copy(io.Discard, response.Body); err != nil {
-					t.Fatal(err)
-				}
-				response.Body.Close()
 			}
 			if name == "shutdown" {
-				if _, err := in.ReadByte(); err != io.EOF {
+				if _, err := reader.ReadByte(); err != io.EOF {
 					t.Errorf("after its response the connection: %v, want its end", err)
 				}
 			}
@@ -200,8 +222,8 @@
 		50 * time.Millisecond, time.Second, 3 * time.Second, 6 * time.Second, time.Minute,
 	} {
 		kill := min(longest, 3*time.Second) + 700*time.Millisecond
-		if by := s.opts.EndBy(longest) + exitDelay; by >= kill {
-			t.Errorf("longest deadline %v: the process ends %v after SIGTERM, it may be killed after %v", longest, by, kill)
+		if exit := s.opts.EndBy(longest) + exitDelay; exit >= kill {
+			t.Errorf("longest deadline %v: the process ends %v after SIGTERM, it may be killed after %v", longest, exit, kill)
 		}
 		if s.opts.EndBy(longest) < defaultAcceptTime-150*time.Millisecond {
 			t.Errorf("longest deadline %v: draining ends while clients still connect", longest)
--- a/internal/requestmeta/deadline.go
+++ b/internal/requestmeta/deadline.go
@@ -7,7 +7,7 @@
 	"pinedale/balancer"
 )
 
-// MaxRequestTime is the longest time that a request gets, whatever its client asks for.
+// MaxRequestTime is the longest time that a request gets, whatever its client requests.
 const MaxRequestTime = time.Minute
 
 // ResponseMargin of a client's time is reserved for writing the response: some clients have 40 ms in all.
--- a/internal/routing/report.go
+++ b/internal/routing/report.go
@@ -49,7 +49,7 @@
 	return status
 }
 
-// completeReported tells the module the reported outcome of an attempt, and ends the round if it can't go on.
+// completeReported passes the reported outcome of an attempt to the module, and ends the round if it can't continue.
 func (l *Ledger) completeReported(r *round, index int, outcome Outcome) {
 	// Replays use up forwards that the module still counts as attempts of its own.
 	exhausted := r.entry.exhausted(r.requestID, l.limits.MaxAttempts) && len(r.attempts) < r.maxAttempts
--- a/internal/routing/round.go
+++ b/internal/routing/round.go
@@ -153,7 +153,7 @@
 	l.actions.Respond(s.id, Response{Kind: Forward, Ref: a.ref, Attempt: index})
 }
 
-// completeAttempt tells the module how an attempt ended, once per attempt.
+// completeAttempt passes the outcome of an attempt to the module, once per attempt.
 func (l *Ledger) completeAttempt(r *round, index int, outcome Outcome, settled bool) {
 	a := &r.attempts[index]
 	a.completed = true
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -8,7 +8,7 @@
 // StreamID identifies one stream of a caller. The host never gives one twice.
 type StreamID uint64
 
-// Request is what a caller wants to have routed.
+// Request is a request that a caller wants routed.
 type Request struct {
 	Stream        StreamID
 	ID            string           // correlation ID: a new one with each retry of a client
@@ -62,10 +62,10 @@
 	// StartRound passes a request to the decision module as a new round, with its idempotency key if it has one. The
 	// module's decision may arrive within the call, by AttemptScheduled, RoundRejected or RoundFailed.
 	StartRound(round uint64, key string, req balancer.Request)
-	// CancelRound tells the module that the client of a round has disconnected. The module may cancel the attempts of
+	// CancelRound notifies the module that the client of a round has disconnected. The module may cancel the attempts of
 	// the round within the call, by AttemptCancelled.
 	CancelRound(round uint64)
-	// CompleteAttempt tells the module how an attempt ended, exactly once per attempt. settled says that the client
+	// CompleteAttempt passes the outcome of an attempt to the module, exactly once per attempt. settled says that the client
 	// has its answer. The module's next decision may arrive within the call.
 	CompleteAttempt(round uint64, attempt int, outcome Outcome, settled bool)
 	// Usable reports whether the endpoint of an attempt still accepts new requests.
--- a/internal/upstream/handshake/doc.go
+++ b/internal/upstream/handshake/doc.go
@@ -5,7 +5,7 @@
 //
 // Each server has a rate, and so has the instance as a whole. Both are kept by the generic cell
 // rate algorithm (ITU-T I.371, annex A): one instant each, the theoretical arrival time, in
-// place of a token bucket. A caller asks for a turn, the instant at which its handshake may
+// place of a token bucket. A caller requests a turn, the instant at which its handshake may
 // begin:
 //
 //	for                                   result
@@ -16,7 +16,7 @@
 //	patience
 //	background, more than half a burst    a turn now
 //	of both rates is left
-//	background, otherwise                 rejected: it asks again later
+//	background, otherwise                 rejected: it tries again later
 //
 // So background work (health checks, connections opened ahead) never takes a turn that a request
 // would have had, and in any span of t seconds no server gets more than burst + rate*t of this
--- a/internal/upstream/handshake/handshake_test.go
+++ b/internal/upstream/handshake/handshake_test.go
@@ -133,7 +133,7 @@
 		b := newBudget(t, c)
 		turns := map[string][]float64{}
 		now := start
-		for range rapid.IntRange(1, 300).Draw(t, "asks") {
+		for range rapid.IntRange(1, 300).Draw(t, "calls") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "pause")) * time.Millisecond)
 			server := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "server")
 			kind := rapid.SampledFrom([]Kind{Request, Background}).Draw(t, "kind")
--- a/internal/upstream/protocol/protocol_test.go
+++ b/internal/upstream/protocol/protocol_test.go
@@ -59,8 +59,13 @@
 				attempting = attempting || attempt
 			} else if attempting || supported {
 				supported = rapid.Bool().Draw(t, "ok")
-				tracker.Record(now, "x", map[bool]Result{false: Failed, true: Established}[supported])
-				if attempting = false; !supported {
+				result := Failed
+				if supported {
+					result = Established
+				}
+				tracker.Record(now, "x", result)
+				attempting = false
+				if !supported {
 					failed = now
 				}
 			}
@@ -71,8 +76,8 @@
 // A deferred attempt says nothing about the address: it is made a second later, and the backoff
 // after a failure is unchanged.
 func TestDeferredAttemptDoesNotRaiseBackoff(t *testing.T) {
-	tracker, start := New(), time.Unix(1000, 0)
-	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	tracker := New()
+	at := func(seconds float64) time.Time { return epoch.Add(time.Duration(seconds * float64(time.Second))) }
 	tracker.Choose(at(0), "x")
 	for n := range 10 {
 		tracker.Record(at(float64(n)), "x", Deferred)
--- a/internal/upstream/secure/handshake_test.go
+++ b/internal/upstream/secure/handshake_test.go
@@ -178,7 +178,7 @@
 	if _, err := f.handshakeQUIC(target(s)); err != nil {
 		t.Errorf("HTTP/3: %v", err)
 	}
-	s.SetClientCAs(ca.New(t, "other")) // in TLS 1.3 the client is told at its first read
+	s.SetClientCAs(ca.New(t, "other")) // in TLS 1.3 the client is notified at its first read
 	if _, err := f.handshakeTCP(&engine.Target{Name: "soko-3", Address: s.Address}); err == nil {
 		t.Error("a server that does not trust the client has responded")
 	}
