--- a/internal/front/extproc/harness_test.go
+++ b/internal/front/extproc/harness_test.go
@@ -63,6 +63,7 @@
 	lists chan engine.List
 }
 
+// Watch passes on the lists of the test.
 func (s *source) Watch(
 	ctx context.Context, after *uint64, update func(balancer.ListKind, engine.List),
 ) (*uint64, error) {
@@ -76,6 +77,7 @@
 	}
 }
 
+// Close does nothing: Watch ends with its context.
 func (s *source) Close() {}
 
 // harness is a processor with backend servers and a proxy.
@@ -179,6 +181,7 @@
 	t *testing.T
 }
 
+// open opens a stream.
 func (h *harness) open(ctx context.Context) testStream {
 	h.t.Helper()
 	s, err := h.proxy.OpenStream(ctx)
@@ -211,6 +214,7 @@
 	return s.decision()
 }
 
+// decision receives a decision.
 func (s testStream) decision() proxy.Decision {
 	s.t.Helper()
 	m, err := s.Recv()
@@ -237,6 +241,7 @@
 	return m
 }
 
+// end ends the stream, which must succeed.
 func (s testStream) end() {
 	s.t.Helper()
 	s.closeSend()
@@ -290,6 +295,7 @@
 	return streams + rounds
 }
 
+// retryAllowed reports whether a response allows the proxy to request another decision.
 func retryAllowed(m *extprocv3.ProcessingResponse) bool {
 	for _, header := range m.GetResponseHeaders().GetResponse().GetHeaderMutation().GetSetHeaders() {
 		if header.Header.Key == headerRetryAllowed {
--- a/internal/front/extproc/host.go
+++ b/internal/front/extproc/host.go
@@ -44,6 +44,7 @@
 	deadline routing.Micros
 }
 
+// newHost returns a host with an empty ledger.
 func newHost(e *engine.Engine, limits routing.Limits) *host {
 	h := &host{engine: e, rounds: map[uint64]*round{}, streams: map[routing.StreamID]*pendingStream{}}
 	h.ledger = routing.New(limits, h)
--- a/internal/front/extproc/protocol_test.go
+++ b/internal/front/extproc/protocol_test.go
@@ -357,6 +357,7 @@
 	return append(binary.BigEndian.AppendUint32([]byte{0}, uint32(len(data))), data...), err
 }
 
+// unmarshal reads a message without its gRPC frame.
 func unmarshal(data []byte) (*extprocv3.ProcessingRequest, error) {
 	m := &extprocv3.ProcessingRequest{}
 	return m, proto.Unmarshal(data, m)
--- a/internal/front/extproc/response.go
+++ b/internal/front/extproc/response.go
@@ -141,24 +141,28 @@
 	return out
 }
 
+// requestBodyResponse is bodyResponse to a piece of a request.
 func requestBodyResponse(in *extprocv3.HttpBody, duplex bool) *extprocv3.ProcessingResponse {
 	return &extprocv3.ProcessingResponse{Response: &extprocv3.ProcessingResponse_RequestBody{
 		RequestBody: bodyResponse(in, duplex),
 	}}
 }
 
+// responseBodyResponse is bodyResponse to a piece of an answer.
 func responseBodyResponse(in *extprocv3.HttpBody, duplex bool) *extprocv3.ProcessingResponse {
 	return &extprocv3.ProcessingResponse{Response: &extprocv3.ProcessingResponse_ResponseBody{
 		ResponseBody: bodyResponse(in, duplex),
 	}}
 }
 
+// requestTrailersResponse lets the trailers of a request through.
 func requestTrailersResponse() *extprocv3.ProcessingResponse {
 	return &extprocv3.ProcessingResponse{Response: &extprocv3.ProcessingResponse_RequestTrailers{
 		RequestTrailers: &extprocv3.TrailersResponse{},
 	}}
 }
 
+// responseTrailersResponse lets the trailers of an answer through.
 func responseTrailersResponse() *extprocv3.ProcessingResponse {
 	return &extprocv3.ProcessingResponse{Response: &extprocv3.ProcessingResponse_ResponseTrailers{
 		ResponseTrailers: &extprocv3.TrailersResponse{},
--- a/internal/front/extproc/server.go
+++ b/internal/front/extproc/server.go
@@ -102,6 +102,7 @@
 	return s
 }
 
+// grpcOptions returns the limits and timeouts of the gRPC server.
 func (s *Server) grpcOptions() []grpc.ServerOption {
 	pings := keepalive.ServerParameters{Time: pingInterval, Timeout: pingTimeout}
 	var options []grpc.ServerOption
@@ -122,6 +123,7 @@
 // goroutine.
 func (s *Server) SetClasses(all []balancer.Class) { s.host.ledger.SetClasses(all) }
 
+// setHealth sets what the health check answers.
 func (s *Server) setHealth(servingStatus healthv1.HealthCheckResponse_ServingStatus) {
 	s.health.SetServingStatus("", servingStatus)
 	s.health.SetServingStatus(extprocv3.ExternalProcessor_ServiceDesc.ServiceName, servingStatus)
@@ -140,6 +142,7 @@
 	return ctx, nil
 }
 
+// tooManyStreams returns the status of a stream over the limit.
 func (s *Server) tooManyStreams() error {
 	return status.Errorf(codes.ResourceExhausted, "%d streams are open, and no more may be", s.opts.MaxStreams)
 }
@@ -178,5 +181,5 @@
 // goroutine.
 func (s *Server) Counts() (streams, rounds, entries int) {
 	s.engine.Call(func(balancer.Micros) { streams, rounds, entries = s.host.ledger.Counts() })
-	return
+	return streams, rounds, entries
 }
--- a/internal/front/http3front/shutdown_test.go
+++ b/internal/front/http3front/shutdown_test.go
@@ -42,6 +42,27 @@
 	h.served <- nil // for the cleanup
 }
 
+// restart kills the front and starts one with another name at the same address.
+func (h *harness) restart(name string) {
+	h.t.Helper()
+	h.relay.SetBlocked(udprelay.ToClient, true) // killed: no CONNECTION_CLOSE arrives
+	h.stop()
+	if err := <-h.served; err != nil {
+		h.t.Fatal(err)
+	}
+	if err := h.relay.Rebind(); err != nil { // datagrams on their way are lost
+		h.t.Fatal(err)
+	}
+	sameSocket, err := net.ListenPacket("udp", h.directAddress)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	options := h.options
+	options.Name = name
+	h.serve(New(h.engine, h.upstream, options), sameSocket)
+	h.relay.SetBlocked(udprelay.ToClient, false)
+}
+
 // A front that is killed and restarted resets the connections of the process before, by a key that survives the
 // restart: clients need not wait for their idle timeout. Another instance's key ends none of them.
 func TestRestartedInstanceResetsItsConnections(t *testing.T) {
@@ -68,25 +89,7 @@
 		t.Fatalf("%v, %v", out, err)
 	}
 	out.Body.Close()
-	restart := func(name string) {
-		h.relay.SetBlocked(udprelay.ToClient, true) // killed: no CONNECTION_CLOSE arrives
-		h.stop()
-		if err := <-h.served; err != nil {
-			t.Fatal(err)
-		}
-		if err := h.relay.Rebind(); err != nil { // datagrams on their way are lost
-			t.Fatal(err)
-		}
-		sameSocket, err := net.ListenPacket("udp", h.directAddress)
-		if err != nil {
-			t.Fatal(err)
-		}
-		options := h.options
-		options.Name = name
-		h.serve(New(h.engine, h.upstream, options), sameSocket)
-		h.relay.SetBlocked(udprelay.ToClient, false)
-	}
-	restart("till-2")
+	h.restart("till-2")
 	// A reset responds to larger packets only (RFC 9000, section 10.3.3): to a request, not to a keep-alive.
 	var pending sync.WaitGroup
 	sendRequest := func() {
@@ -107,7 +110,7 @@
 	if conn.Context().Err() != nil {
 		t.Fatalf("another instance has ended a connection: %v", context.Cause(conn.Context()))
 	}
-	restart("till-1")
+	h.restart("till-1")
 	sendRequest()
 	wait.Until(t, "the connection's end", func() bool { return conn.Context().Err() != nil })
 	if reset := (*quic.StatelessResetError)(nil); !errors.As(context.Cause(conn.Context()), &reset) {
--- a/internal/routing/harness_test.go
+++ b/internal/routing/harness_test.go
@@ -89,6 +89,7 @@
 	Fatal(args ...any)
 }
 
+// newHarness returns a harness whose limits a test may change, with six endpoints.
 func newHarness(t reporter, limits func(*Limits)) *harness {
 	h := &harness{
 		t:           t,
@@ -276,12 +277,14 @@
 	return h.responses[req.Stream][0]
 }
 
+// report reports the outcome of a stream's attempt and returns the response.
 func (h *harness) report(stream StreamID, status balancer.Status) Response {
 	response := h.ledger.HandleReport(stream, Outcome{Status: status})
 	h.settle()
 	return response
 }
 
+// closeStream closes a stream.
 func (h *harness) closeStream(stream StreamID, undelivered bool) {
 	h.ledger.StreamClosed(h.now, stream, undelivered)
 	h.settle()
--- a/internal/routing/model_test.go
+++ b/internal/routing/model_test.go
@@ -58,6 +58,7 @@
 	lastStream StreamID
 }
 
+// newModel returns a model without streams.
 func newModel(t *rapid.T, callersRetry bool) *model {
 	m := &model{
 		t:       t,
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -65,8 +65,8 @@
 	// CancelRound notifies the module that the client of a round has disconnected. The module may cancel the attempts of
 	// the round within the call, by AttemptCancelled.
 	CancelRound(round uint64)
-	// CompleteAttempt passes the outcome of an attempt to the module, exactly once per attempt. settled says that the client
-	// has its answer. The module's next decision may arrive within the call.
+	// CompleteAttempt passes the outcome of an attempt to the module, exactly once per attempt. settled says that the
+	// client has its answer. The module's next decision may arrive within the call.
 	CompleteAttempt(round uint64, attempt int, outcome Outcome, settled bool)
 	// Usable reports whether the endpoint of an attempt still accepts new requests.
 	Usable(ref any) bool
--- a/internal/upstream/handshake/handshake_test.go
+++ b/internal/upstream/handshake/handshake_test.go
@@ -13,6 +13,7 @@
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
+// newBudget returns a budget of a valid configuration.
 func newBudget(t interface{ Fatal(...any) }, c Config) *Budget {
 	b, err := New(c)
 	if err != nil {
--- a/internal/upstream/http3upstream/pool_test.go
+++ b/internal/upstream/http3upstream/pool_test.go
@@ -85,6 +85,32 @@
 	}
 }
 
+// serveWithResets runs a server on a socket until stop is called. It resets the connections of servers before it on the
+// same address.
+func (f *fixture) serveWithResets(socket net.PacketConn, requests *atomic.Int64) (stop func()) {
+	f.t.Helper()
+	resetKey := quic.StatelessResetKey{1}
+	transport := &quic.Transport{Conn: socket, StatelessResetKey: &resetKey}
+	listener, err := transport.ListenEarly(http3.ConfigureTLSConfig(f.pair.Server), nil)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { requests.Add(1) })
+	server := &http3.Server{Handler: handler}
+	served := make(chan struct{})
+	go func() {
+		_ = server.ServeListener(listener) // until Close
+		close(served)
+	}()
+	return func() {
+		server.Close()
+		listener.Close()
+		transport.Close()
+		socket.Close()
+		<-served
+	}
+}
+
 // A restarted server does not know the connection. A request sent on it may have run, and ends at
 // once with the server's stateless reset, not with a timeout; the next request finds the server.
 func TestServerRestartResetsRequestsInFlight(t *testing.T) {
@@ -95,29 +121,7 @@
 	}
 	address := socket.LocalAddr().String()
 	var requests atomic.Int64
-	resets := quic.StatelessResetKey{1}
-	serve := func(socket net.PacketConn) (stop func()) {
-		transport := &quic.Transport{Conn: socket, StatelessResetKey: &resets}
-		listener, err := transport.ListenEarly(http3.ConfigureTLSConfig(f.pair.Server), nil)
-		if err != nil {
-			t.Fatal(err)
-		}
-		handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { requests.Add(1) })
-		server := &http3.Server{Handler: handler}
-		done := make(chan struct{})
-		go func() {
-			_ = server.ServeListener(listener) // until Close
-			close(done)
-		}()
-		return func() {
-			server.Close()
-			listener.Close()
-			transport.Close()
-			socket.Close()
-			<-done
-		}
-	}
-	stop := serve(socket)
+	stop := f.serveWithResets(socket, &requests)
 	relay, err := udprelay.Start(address, udprelay.Script{})
 	if err != nil {
 		t.Fatal(err)
@@ -135,7 +139,7 @@
 	if socket, err = net.ListenPacket("udp", address); err != nil {
 		t.Fatal(err)
 	}
-	defer serve(socket)()
+	defer f.serveWithResets(socket, &requests)()
 	relay.SetBlocked(udprelay.ToClient, false)
 	if r := f.send(target, wait.Timeout); r.Status != balancer.Reset {
 		t.Errorf("on the earlier connection: %v, want Reset", r.Status)
--- a/internal/upstream/protocol/protocol_test.go
+++ b/internal/upstream/protocol/protocol_test.go
@@ -11,6 +11,7 @@
 
 var epoch = time.Unix(1_000_000_000, 0)
 
+// at returns an instant of the test.
 func at(seconds int) time.Time { return epoch.Add(time.Duration(seconds) * time.Second) }
 
 func TestChoiceFollowsResults(t *testing.T) {
--- a/internal/upstream/secure/harness_test.go
+++ b/internal/upstream/secure/harness_test.go
@@ -42,6 +42,7 @@
 	clockOffset atomic.Int64 // nanoseconds ahead of the system's clock
 }
 
+// now returns the time by the fixture's clock.
 func (f *fixture) now() time.Time { return time.Now().Add(time.Duration(f.clockOffset.Load())) }
 
 // issue makes a certificate that is valid from an hour ago until an hour from now unless the spec
--- a/internal/upstream/secure/sessions_model_test.go
+++ b/internal/upstream/secure/sessions_model_test.go
@@ -11,85 +11,125 @@
 	_ "pinedale/internal/standin/seeds"
 )
 
+// modelSession is a session of the model.
+type modelSession struct {
+	sessionKey
+	material int
+	state    *tls.ClientSessionState
+}
+
+// sessionModel is what a sessionStore must hold.
+type sessionModel struct {
+	t        *rapid.T
+	store    *sessionStore
+	capacity int
+	sessions []modelSession // the most recently used last
+}
+
+// take removes the session with a key and returns it. ok is false where there is none.
+func (m *sessionModel) take(key sessionKey) (session modelSession, ok bool) {
+	index := slices.IndexFunc(m.sessions, func(held modelSession) bool { return held.sessionKey == key })
+	if index < 0 {
+		return modelSession{}, false
+	}
+	session = m.sessions[index]
+	m.sessions = slices.Delete(m.sessions, index, index+1)
+	return session, true
+}
+
+// put stores a session. One that began under earlier material than the one in the store is dropped.
+func (m *sessionModel) put(key sessionKey, material int) {
+	state := &tls.ClientSessionState{}
+	m.store.cacheFor(key.target, key.protocol, material).Put("any", state)
+	closed := key.target.Closed()
+	index := slices.IndexFunc(m.sessions, func(held modelSession) bool { return held.sessionKey == key })
+	if index >= 0 && !closed && m.sessions[index].material > material {
+		return
+	}
+	m.take(key)
+	if closed {
+		return
+	}
+	m.sessions = append(m.sessions, modelSession{key, material, state})
+	if len(m.sessions) > m.capacity {
+		m.sessions = m.sessions[1:]
+	}
+}
+
+// putNil removes a session as crypto/tls does.
+func (m *sessionModel) putNil(key sessionKey, material int) {
+	m.store.cacheFor(key.target, key.protocol, material).Put("any", nil)
+	m.take(key)
+}
+
+// get looks up a session and checks that the right one is found.
+func (m *sessionModel) get(key sessionKey, material int) {
+	got, found := m.store.cacheFor(key.target, key.protocol, material).Get("any")
+	held, stored := m.take(key)
+	switch {
+	case !stored:
+		if found {
+			m.t.Fatal("found a session that was not stored")
+		}
+	case held.material != material:
+		if found {
+			m.t.Fatal("found a session of other material")
+		}
+	default:
+		m.sessions = append(m.sessions, held)
+		if !found || got != held.state {
+			m.t.Fatalf("found %t, the stored one: %t", found, got == held.state)
+		}
+	}
+}
+
+// invalidate removes the sessions with a target.
+func (m *sessionModel) invalidate(target *engine.Target) {
+	m.store.invalidate(target)
+	m.sessions = slices.DeleteFunc(m.sessions, func(held modelSession) bool { return held.target == target })
+}
+
+// checkCount checks the number of sessions.
+func (m *sessionModel) checkCount() {
+	count := m.store.count()
+	if count != len(m.sessions) || count > m.capacity || len(m.store.entries) != count {
+		m.t.Fatalf("%d sessions, %d entries, want %d of at most %d",
+			count, len(m.store.entries), len(m.sessions), m.capacity)
+	}
+}
+
 // Whatever is stored, looked up and invalidated, a session is found only under its own key and
 // material and is the last one stored there; the most recently used are kept, up to the capacity.
 func TestSessionStoreMatchesModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		capacity := rapid.IntRange(1, 6).Draw(t, "capacity")
-		store := newSessionStore(capacity)
+		m := &sessionModel{t: t, store: newSessionStore(capacity), capacity: capacity}
 		targets := make([]*engine.Target, 4)
 		for i := range targets {
 			targets[i] = &engine.Target{}
 		}
-		type modelEntry struct {
-			sessionKey
-			material int
-			state    *tls.ClientSessionState
-		}
-		var model []modelEntry // the most recently used last
-		find := func(key sessionKey) int {
-			return slices.IndexFunc(model, func(entry modelEntry) bool { return entry.sessionKey == key })
-		}
+		steps := []string{"put", "put", "put nil", "get", "get", "invalidate", "close"}
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
 			key := sessionKey{
 				target:   rapid.SampledFrom(targets).Draw(t, "target"),
 				protocol: rapid.SampledFrom([]string{protocolHTTP1, protocolHTTP3}).Draw(t, "protocol"),
 			}
 			material := rapid.IntRange(1, 3).Draw(t, "material")
-			cache := store.cacheFor(key.target, key.protocol, material)
-			index := find(key)
-			switch rapid.SampledFrom([]string{"put", "put", "put nil", "get", "get", "invalidate", "close"}).Draw(t, "step") {
+			switch rapid.SampledFrom(steps).Draw(t, "step") {
 			case "put":
-				state := &tls.ClientSessionState{}
-				cache.Put("any", state)
-				if index >= 0 && (key.target.Closed() || model[index].material <= material) {
-					model = append(model[:index], model[index+1:]...)
-				} else if index >= 0 {
-					break // an older connection's
-				}
-				if !key.target.Closed() {
-					model = append(model, modelEntry{key, material, state})
-					if len(model) > capacity {
-						model = model[1:]
-					}
-				}
+				m.put(key, material)
 			case "put nil":
-				cache.Put("any", nil)
-				if index >= 0 {
-					model = append(model[:index], model[index+1:]...)
-				}
+				m.putNil(key, material)
 			case "get":
-				got, ok := cache.Get("any")
-				if index < 0 {
-					if ok {
-						t.Fatal("found a session that was not stored")
-					}
-					break
-				}
-				entry := model[index]
-				model = append(model[:index], model[index+1:]...)
-				if entry.material != material {
-					if ok {
-						t.Fatal("found a session of other material")
-					}
-					break
-				}
-				model = append(model, entry)
-				if !ok || got != entry.state {
-					t.Fatalf("found %t, the stored one: %t", ok, got == entry.state)
-				}
+				m.get(key, material)
 			case "invalidate":
-				store.invalidate(key.target)
-				model = slices.DeleteFunc(model, func(entry modelEntry) bool { return entry.target == key.target })
+				m.invalidate(key.target)
 			case "close":
 				if rapid.IntRange(0, 9).Draw(t, "close") == 0 {
 					key.target.Close()
 				}
 			}
-			if store.count() != len(model) || store.count() > capacity || len(store.entries) != store.count() {
-				t.Fatalf("%d sessions, %d entries, want %d of at most %d",
-					store.count(), len(store.entries), len(model), capacity)
-			}
+			m.checkCount()
 		}
 	})
 }
--- a/internal/upstream/secure/sessions_test.go
+++ b/internal/upstream/secure/sessions_test.go
@@ -90,42 +90,46 @@
 			}
 		})
 	}
-	t.Run("another incarnation at the same address", func(t *testing.T) {
-		f := newFixture(t)
-		s := tlsbackend.Start(t, issue(f.root, ca.Spec{}))
-		before := target(s)
-		if _, err := f.handshakeTCP(before); err != nil {
+}
+
+// A server that has restarted at the same address is another incarnation: no session is resumed with it.
+func TestSessionIsNotResumedWithNextIncarnation(t *testing.T) {
+	f := newFixture(t)
+	s := tlsbackend.Start(t, issue(f.root, ca.Spec{}))
+	before := target(s)
+	if _, err := f.handshakeTCP(before); err != nil {
+		t.Fatal(err)
+	}
+	before.Close()
+	f.client.Retire(before)
+	if resumed, err := f.handshakeTCP(target(s)); resumed || err != nil {
+		t.Errorf("resumed %t, %v: a session of an earlier incarnation", resumed, err)
+	}
+}
+
+// At capacity the least recently used session is evicted.
+func TestSessionsAreBounded(t *testing.T) {
+	f := newFixture(t, func(o *Options, _ *certstore.Options) { o.Sessions = 2 })
+	pair := issue(f.root, ca.Spec{})
+	var targets []*engine.Target
+	for range 3 {
+		targets = append(targets, target(tlsbackend.Start(t, pair)))
+	}
+	for _, endpoint := range targets {
+		if _, err := f.handshakeTCP(endpoint); err != nil {
 			t.Fatal(err)
 		}
-		before.Close()
-		f.client.Retire(before)
-		if resumed, err := f.handshakeTCP(target(s)); resumed || err != nil {
-			t.Errorf("resumed %t, %v: a session of an earlier incarnation", resumed, err)
-		}
-	})
-	t.Run("the number is bounded", func(t *testing.T) {
-		f := newFixture(t, func(o *Options, _ *certstore.Options) { o.Sessions = 2 })
-		pair := issue(f.root, ca.Spec{})
-		var targets []*engine.Target
-		for range 3 {
-			targets = append(targets, target(tlsbackend.Start(t, pair)))
-		}
-		for _, endpoint := range targets {
-			if _, err := f.handshakeTCP(endpoint); err != nil {
-				t.Fatal(err)
-			}
-		}
-		if n := f.client.Counters().Sessions; n != 2 {
-			t.Errorf("%d sessions are stored", n)
+	}
+	if n := f.client.Counters().Sessions; n != 2 {
+		t.Errorf("%d sessions are stored", n)
+	}
+	// Server 0 was evicted, and evicts server 1 by its handshake; server 2 is still there.
+	for i, want := range []bool{false, false, true} {
+		if i == 1 {
+			continue
 		}
-		// Server 0 was evicted, and evicts server 1 by its handshake; server 2 is still there.
-		for i, want := range []bool{false, false, true} {
-			if i == 1 {
-				continue
-			}
-			if resumed, _ := f.handshakeTCP(targets[i]); resumed != want {
-				t.Errorf("server %d: resumed %t", i, resumed)
-			}
+		if resumed, _ := f.handshakeTCP(targets[i]); resumed != want {
+			t.Errorf("server %d: resumed %t", i, resumed)
 		}
-	})
+	}
 }
