Membership: engine.Host in place of reconcile.Entry, whose version was never set

Cause: Entry wrapped an endpoint with a version that no source sets, and package ephemeral imported reconcile for it alone. Change: reports hold engine.Host; ephemeral no longer depends on reconcile. The golden test, which checked the version, checks instead that an error comes without an endpoint.

--- a/internal/membership/ephemeral/client.go
+++ b/internal/membership/ephemeral/client.go
@@ -17,8 +17,8 @@
 
 	"github.com/go-zookeeper/zk"
 
+	"pinedale/internal/engine"
 	"pinedale/internal/membership/backoff"
-	"pinedale/internal/membership/reconcile"
 	"pinedale/internal/membership/zkconn"
 )
 
@@ -44,9 +44,9 @@
 // Sink receives the reports of a source. Its methods may block.
 type Sink interface {
 	// Snapshot receives the complete list.
-	Snapshot(version uint64, entries []reconcile.Entry)
-	// Delta receives the entries that changed. Entries that were removed have State Removed.
-	Delta(version uint64, entries []reconcile.Entry)
+	Snapshot(version uint64, hosts []engine.Host)
+	// Delta receives the endpoints that changed. Those that were removed have State Removed.
+	Delta(version uint64, hosts []engine.Host)
 	// SourceUnavailable is called when the source reports nothing until the next Snapshot.
 	SourceUnavailable(reason string)
 }
--- a/internal/membership/ephemeral/client_test.go
+++ b/internal/membership/ephemeral/client_test.go
@@ -21,11 +21,11 @@
 	h.drop("a")
 	h.waitNames("b c")
 	h.put("b", nodeData(2, `,"draining":true,"started_ms":5000`))
-	h.waitUntil("the new data", func() bool { return h.recorder.node("b").Host.StartedMS == 5000 })
+	h.waitUntil("the new data", func() bool { return h.recorder.node("b").StartedMS == 5000 })
 	want := engine.Host{
 		Name: "b", Address: "127.0.0.1:2", Site: "arusha", Weight: 1, StartedMS: 5000, State: balancer.Draining,
 	}
-	if got := h.recorder.node("b").Host; got != want {
+	if got := h.recorder.node("b"); got != want {
 		t.Errorf("b is %+v, want %+v", got, want)
 	}
 	// Each read sets the watch again.
--- a/internal/membership/ephemeral/data.go
+++ b/internal/membership/ephemeral/data.go
@@ -13,7 +13,6 @@
 
 	"pinedale/balancer"
 	"pinedale/internal/engine"
-	"pinedale/internal/membership/reconcile"
 )
 
 // Bounds of a node's name and data.
@@ -55,22 +54,22 @@
 
 // Parse decodes and validates a node's data, in pinedale's native form or Curator's. The texts of
 // its errors have a single line. An invalid value is a *DataError.
-func Parse(node string, data []byte, rules Rules) (reconcile.Entry, error) {
+func Parse(node string, data []byte, rules Rules) (engine.Host, error) {
 	if len(node) == 0 || len(node) > maxNameBytes {
-		return reconcile.Entry{},
+		return engine.Host{},
 			fmt.Errorf("the node's name has %d characters, must be 1 to %d", len(node), maxNameBytes)
 	}
 	if len(data) > maxDataBytes {
-		return reconcile.Entry{}, fmt.Errorf("%d bytes, at most %d", len(data), maxDataBytes)
+		return engine.Host{}, fmt.Errorf("%d bytes, at most %d", len(data), maxDataBytes)
 	}
 	decoded, err := decode(data)
 	if err != nil {
-		return reconcile.Entry{}, err
+		return engine.Host{}, err
 	}
 	if err := decoded.validate(rules); err != nil {
-		return reconcile.Entry{}, err
+		return engine.Host{}, err
 	}
-	return reconcile.Entry{Host: decoded.host(node)}, nil
+	return decoded.host(node), nil
 }
 
 // host returns the endpoint of a node with this data.
--- a/internal/membership/ephemeral/data_test.go
+++ b/internal/membership/ephemeral/data_test.go
@@ -14,8 +14,8 @@
 	want := engine.Host{
 		Name: "s-1", Address: "10.0.0.7:9101", Site: "dar", Kind: "box", Cell: 7, Weight: 2.5, StartedMS: 1700000000000,
 	}
-	if entry, err := Parse("s-1", []byte(data), rules); err != nil || entry.Host != want {
-		t.Errorf("%+v, %v, want %+v", entry, err, want)
+	if host, err := Parse("s-1", []byte(data), rules); err != nil || host != want {
+		t.Errorf("%+v, %v, want %+v", host, err, want)
 	}
 }
 
@@ -26,8 +26,8 @@
 	want := engine.Host{
 		Name: "7", Address: "10.0.0.8:9102", Site: "arusha", Cell: 3, Weight: 1, State: balancer.Draining,
 	}
-	if entry, err := Parse("7", []byte(data), rules); err != nil || entry.Host != want {
-		t.Errorf("%+v, %v, want %+v", entry, err, want)
+	if host, err := Parse("7", []byte(data), rules); err != nil || host != want {
+		t.Errorf("%+v, %v, want %+v", host, err, want)
 	}
 }
 
@@ -70,16 +70,15 @@
 	f.Add("b", []byte(`{"serviceType":"DYNAMIC","address":"::1","port":7,"payload":{}}`))
 	f.Add("", []byte(`{"address":":1","share":1e300}`))
 	f.Fuzz(func(t *testing.T, name string, data []byte) {
-		entry, err := Parse(name, data, rules)
+		host, err := Parse(name, data, rules)
 		if err != nil {
 			if err.Error() == "" || strings.Contains(err.Error(), "\n") {
 				t.Errorf("error %q", err)
 			}
 			return
 		}
-		host := entry.Host
 		if host.Name == "" || host.Address == "" || !(host.Weight > 0) || host.StartedMS < 0 || !json.Valid(data) {
-			t.Errorf("%q gives %+v", data, entry)
+			t.Errorf("%q gives %+v", data, host)
 		}
 	})
 }
--- a/internal/membership/ephemeral/golden_test.go
+++ b/internal/membership/ephemeral/golden_test.go
@@ -105,13 +105,13 @@
 	current := make([]parseCase, len(parseInputs))
 	for i, input := range parseInputs {
 		current[i] = input
-		entry, err := Parse(input.Node, []byte(input.Data), rules)
-		current[i].Host = entry.Host
+		host, err := Parse(input.Node, []byte(input.Data), rules)
+		current[i].Host = host
 		if err != nil {
 			current[i].Error = err.Error()
 		}
-		if entry.Version != 0 {
-			t.Errorf("%s: version %d, want 0", input.Node, entry.Version)
+		if err != nil && host != (engine.Host{}) {
+			t.Errorf("%s: %+v with the error %v, want no endpoint", input.Node, host, err)
 		}
 	}
 	encoded, err := json.MarshalIndent(current, "", "\t")
--- a/internal/membership/ephemeral/harness_test.go
+++ b/internal/membership/ephemeral/harness_test.go
@@ -13,7 +13,7 @@
 	"go.uber.org/goleak"
 
 	"pinedale/balancer"
-	"pinedale/internal/membership/reconcile"
+	"pinedale/internal/engine"
 	"pinedale/internal/standin/fakezookeeper"
 	"pinedale/internal/standin/logcapture"
 	"pinedale/internal/standin/wait"
@@ -29,31 +29,31 @@
 // recorder is a sink that applies reports to one list.
 type recorder struct {
 	mu        sync.Mutex
-	nodes     map[string]reconcile.Entry
+	nodes     map[string]engine.Host
 	snapshots int
 	outages   int
 }
 
 // Snapshot implements Sink.
-func (r *recorder) Snapshot(_ uint64, entries []reconcile.Entry) {
+func (r *recorder) Snapshot(_ uint64, hosts []engine.Host) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.nodes = map[string]reconcile.Entry{}
+	r.nodes = map[string]engine.Host{}
 	r.snapshots++
-	for _, entry := range entries {
-		r.nodes[entry.Host.Name] = entry
+	for _, host := range hosts {
+		r.nodes[host.Name] = host
 	}
 }
 
 // Delta implements Sink.
-func (r *recorder) Delta(_ uint64, entries []reconcile.Entry) {
+func (r *recorder) Delta(_ uint64, hosts []engine.Host) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, entry := range entries {
-		if entry.Host.State == balancer.Removed {
-			delete(r.nodes, entry.Host.Name)
+	for _, host := range hosts {
+		if host.State == balancer.Removed {
+			delete(r.nodes, host.Name)
 		} else {
-			r.nodes[entry.Host.Name] = entry
+			r.nodes[host.Name] = host
 		}
 	}
 }
@@ -72,7 +72,7 @@
 	return strings.Join(slices.Sorted(maps.Keys(r.nodes)), " ")
 }
 
-func (r *recorder) node(name string) reconcile.Entry {
+func (r *recorder) node(name string) engine.Host {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.nodes[name]
@@ -106,7 +106,7 @@
 
 func newHarness(t *testing.T, service *fakezookeeper.Service) *harness {
 	t.Helper()
-	return &harness{t: t, service: service, recorder: &recorder{nodes: map[string]reconcile.Entry{}}}
+	return &harness{t: t, service: service, recorder: &recorder{nodes: map[string]engine.Host{}}}
 }
 
 // options returns the options of a client of the service.
--- a/internal/membership/ephemeral/reader.go
+++ b/internal/membership/ephemeral/reader.go
@@ -12,7 +12,6 @@
 
 	"pinedale/balancer"
 	"pinedale/internal/engine"
-	"pinedale/internal/membership/reconcile"
 	"pinedale/internal/membership/zkconn"
 )
 
@@ -85,20 +84,20 @@
 	}
 	previous := r.listed
 	r.listed = map[string]bool{}
-	entries, err := r.readNodes(names)
+	hosts, err := r.readNodes(names)
 	if err != nil {
 		r.listed = previous
 		return r.readFailed(err, nil, false)
 	}
 	r.synced = true
 	r.version = version
-	r.sink.Snapshot(r.version, entries)
+	r.sink.Snapshot(r.version, hosts)
 	return 0
 }
 
 // readChanges reads the nodes and the directory whose watches fired, and reports the changes.
 func (r *reader) readChanges(pending pendingEvents) time.Duration {
-	var removed []reconcile.Entry
+	var removed []engine.Host
 	var changed []string
 	for name, event := range pending.nodes {
 		if event != zk.EventNodeDeleted {
@@ -179,7 +178,7 @@
 			added = append(added, name)
 		}
 	}
-	var removed []reconcile.Entry
+	var removed []engine.Host
 	for name := range r.listed {
 		if !exists[name] {
 			removed = r.appendRemoved(removed, name)
@@ -194,17 +193,17 @@
 	return r.readAndReport(added)
 }
 
-// readAndReport reads nodes and reports their entries, even if the read of some nodes failed.
+// readAndReport reads nodes and reports their endpoints, even if the read of some nodes failed.
 func (r *reader) readAndReport(names []string) error {
-	entries, err := r.readNodes(names)
-	r.report(entries)
+	hosts, err := r.readNodes(names)
+	r.report(hosts)
 	return err
 }
 
 // report reports changes, if there are any.
-func (r *reader) report(entries []reconcile.Entry) {
-	if len(entries) > 0 {
-		r.sink.Delta(r.version, entries)
+func (r *reader) report(hosts []engine.Host) {
+	if len(hosts) > 0 {
+		r.sink.Delta(r.version, hosts)
 	}
 }
 
@@ -236,36 +235,36 @@
 	return results
 }
 
-// readNodes reads nodes, sets their watches and returns the entries to report. A node with
+// readNodes reads nodes, sets their watches and returns the endpoints to report. A node with
 // invalid data is logged once for each reason and its endpoint is reported as removed; other
 // nodes are not affected. The error is that of the last node whose read failed.
-func (r *reader) readNodes(names []string) (entries []reconcile.Entry, err error) {
+func (r *reader) readNodes(names []string) (hosts []engine.Host, err error) {
 	for i, result := range r.fetchNodes(names) {
 		name := names[i]
 		switch {
 		case errors.Is(result.err, zk.ErrNoNode):
 			delete(r.rejected, name)
-			entries = r.appendRemoved(entries, name)
+			hosts = r.appendRemoved(hosts, name)
 		case result.err != nil:
 			err = result.err
 		default:
-			entries = r.appendParsed(entries, name, result.data)
+			hosts = r.appendParsed(hosts, name, result.data)
 		}
 	}
-	return entries, err
+	return hosts, err
 }
 
-// appendParsed appends the entry that a node's data describes, or the removal of its endpoint if
+// appendParsed appends the endpoint that a node's data describes, or the removal of its endpoint if
 // the data is invalid.
-func (r *reader) appendParsed(entries []reconcile.Entry, name string, data []byte) []reconcile.Entry {
-	entry, err := Parse(name, data, r.options.Rules)
+func (r *reader) appendParsed(hosts []engine.Host, name string, data []byte) []engine.Host {
+	host, err := Parse(name, data, r.options.Rules)
 	if err != nil {
 		r.reject(name, err)
-		return r.appendRemoved(entries, name)
+		return r.appendRemoved(hosts, name)
 	}
 	delete(r.rejected, name)
 	r.listed[name] = true
-	return append(entries, entry)
+	return append(hosts, host)
 }
 
 // reject records that a node's data is invalid, and logs the reason if it is new.
@@ -283,10 +282,10 @@
 }
 
 // appendRemoved appends the removal of a node's endpoint if the node was reported as one.
-func (r *reader) appendRemoved(entries []reconcile.Entry, name string) []reconcile.Entry {
+func (r *reader) appendRemoved(hosts []engine.Host, name string) []engine.Host {
 	if !r.listed[name] {
-		return entries
+		return hosts
 	}
 	delete(r.listed, name)
-	return append(entries, reconcile.Entry{Host: engine.Host{Name: name, State: balancer.Removed}})
+	return append(hosts, engine.Host{Name: name, State: balancer.Removed})
 }
--- a/internal/membership/multisource/feeder.go
+++ b/internal/membership/multisource/feeder.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"pinedale/balancer"
 	"pinedale/internal/engine"
 	"pinedale/internal/membership/backoff"
 	"pinedale/internal/membership/ephemeral"
-	"pinedale/internal/membership/reconcile"
 )
 
 // Bounds of the delay before a failed watch is opened again.
@@ -48,13 +48,10 @@
 
 // forward passes a complete list or changes to sink.
 func forward(sink ephemeral.Sink, kind balancer.ListKind, list engine.List) {
-	entries := make([]reconcile.Entry, len(list.Hosts))
-	for i, host := range list.Hosts {
-		entries[i].Host = host
-	}
+	hosts := slices.Clone(list.Hosts) // the sink may keep them
 	if kind == balancer.ListFull {
-		sink.Snapshot(list.Version, entries)
+		sink.Snapshot(list.Version, hosts)
 	} else {
-		sink.Delta(list.Version, entries)
+		sink.Delta(list.Version, hosts)
 	}
 }
--- a/internal/membership/multisource/sink.go
+++ b/internal/membership/multisource/sink.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"pinedale/internal/engine"
 	"pinedale/internal/membership/reconcile"
 )
 
@@ -27,16 +28,16 @@
 }
 
 // Snapshot implements ephemeral.Sink.
-func (s reportSink) Snapshot(version uint64, entries []reconcile.Entry) {
+func (s reportSink) Snapshot(version uint64, hosts []engine.Host) {
 	s.send(func(reconciler *reconcile.Reconciler, now time.Duration) {
-		reconciler.Snapshot(now, s.index, version, entries)
+		reconciler.Snapshot(now, s.index, version, hosts)
 	})
 }
 
 // Delta implements ephemeral.Sink.
-func (s reportSink) Delta(version uint64, entries []reconcile.Entry) {
+func (s reportSink) Delta(version uint64, hosts []engine.Host) {
 	s.send(func(reconciler *reconcile.Reconciler, now time.Duration) {
-		reconciler.Delta(now, s.index, version, entries)
+		reconciler.Delta(now, s.index, version, hosts)
 	})
 }
 
--- a/internal/membership/reconcile/harness_test.go
+++ b/internal/membership/reconcile/harness_test.go
@@ -19,19 +19,19 @@
 	return engine.Host{Name: name, Address: "127.0.0.1:1", Site: "a", Weight: 1, StartedMS: startedMS}
 }
 
-// entries returns entries of ready endpoints without a start time.
-func entries(names ...string) (ready []Entry) {
+// hosts returns ready endpoints without a start time.
+func hosts(names ...string) (ready []engine.Host) {
 	for _, name := range names {
-		ready = append(ready, Entry{Host: newHost(name, 0)})
+		ready = append(ready, newHost(name, 0))
 	}
 	return ready
 }
 
-// change returns the entry of one endpoint in a state.
-func change(name string, state balancer.State) []Entry {
+// change returns a list of one endpoint in a state.
+func change(name string, state balancer.State) []engine.Host {
 	host := newHost(name, 0)
 	host.State = state
-	return []Entry{{Host: host}}
+	return []engine.Host{host}
 }
 
 // applyList applies a list to an endpoint table as the engine does.
@@ -81,12 +81,12 @@
 	return h
 }
 
-func (h *harness) snapshot(source int, version uint64, entries []Entry) {
-	h.reconciler.Snapshot(h.now, source, version, entries)
+func (h *harness) snapshot(source int, version uint64, hosts []engine.Host) {
+	h.reconciler.Snapshot(h.now, source, version, hosts)
 }
 
-func (h *harness) delta(source int, version uint64, entries []Entry) {
-	h.reconciler.Delta(h.now, source, version, entries)
+func (h *harness) delta(source int, version uint64, hosts []engine.Host) {
+	h.reconciler.Delta(h.now, source, version, hosts)
 }
 
 func (h *harness) sourceUnavailable(source int, reason string) {
--- a/internal/membership/reconcile/random_test.go
+++ b/internal/membership/reconcile/random_test.go
@@ -16,7 +16,7 @@
 	source  int
 	kind    reportKind
 	version uint64
-	entries []Entry
+	hosts   []engine.Host
 }
 
 type reportKind uint8
@@ -30,9 +30,9 @@
 func (r report) apply(reconciler *Reconciler) {
 	switch r.kind {
 	case reportSnapshot:
-		reconciler.Snapshot(r.at, r.source, r.version, r.entries)
+		reconciler.Snapshot(r.at, r.source, r.version, r.hosts)
 	case reportDelta:
-		reconciler.Delta(r.at, r.source, r.version, r.entries)
+		reconciler.Delta(r.at, r.source, r.version, r.hosts)
 	case reportUnavailable:
 		reconciler.SourceUnavailable(r.at, r.source, "test")
 	}
@@ -112,55 +112,55 @@
 	})
 }
 
-// drawEntry draws a ready or draining entry.
-func (h *randomHistory) drawEntry() Entry {
+// drawHost draws a ready or draining endpoint.
+func (h *randomHistory) drawHost() engine.Host {
 	name := rapid.SampledFrom(randomNames).Draw(h.t, "name")
 	incarnation := rapid.IntRange(0, 2).Draw(h.t, "incarnation")
 	host := newHost(name, int64(incarnation)*1000)
 	host.State = balancer.State(rapid.IntRange(0, 1).Draw(h.t, "state"))
-	return Entry{Host: host}
+	return host
 }
 
 // snapshot reports a random complete list. It checks that an empty list leaves all endpoints
 // ready.
 func (h *randomHistory) snapshot(source int) {
-	snapshot := report{at: h.now, source: source, kind: reportSnapshot, entries: h.drawEntries()}
+	snapshot := report{at: h.now, source: source, kind: reportSnapshot, hosts: h.drawHosts()}
 	h.version[source] = uint64(max(0, int(h.version[source])+rapid.IntRange(-1, 3).Draw(h.t, "version")))
 	snapshot.version = h.version[source]
 	readyBefore := countReady(h.hosts)
 	h.available[source] = true
-	for _, entry := range snapshot.entries {
-		delete(h.endedAt, entry.Host.Name)
+	for _, host := range snapshot.hosts {
+		delete(h.endedAt, host.Name)
 	}
 	h.apply(snapshot)
 	h.read()
 	readyAfter := countReady(h.hosts)
-	if h.kinds[source] != Static && len(snapshot.entries) == 0 && readyAfter < readyBefore {
+	if h.kinds[source] != Static && len(snapshot.hosts) == 0 && readyAfter < readyBefore {
 		h.t.Fatalf("an empty list took %d of %d out", readyBefore-readyAfter, readyBefore)
 	}
 }
 
-// drawEntries draws up to five entries of different names.
-func (h *randomHistory) drawEntries() (entries []Entry) {
+// drawHosts draws up to five endpoints with different names.
+func (h *randomHistory) drawHosts() (hosts []engine.Host) {
 	drawn := map[string]bool{}
 	for range rapid.IntRange(0, 5).Draw(h.t, "length") {
-		entry := h.drawEntry()
-		if drawn[entry.Host.Name] {
+		host := h.drawHost()
+		if drawn[host.Name] {
 			continue
 		}
-		drawn[entry.Host.Name] = true
-		entries = append(entries, entry)
+		drawn[host.Name] = true
+		hosts = append(hosts, host)
 	}
-	return entries
+	return hosts
 }
 
 // delta reports a random change of one endpoint by an available source.
 func (h *randomHistory) delta(source int) {
-	entry := h.drawEntry()
+	host := h.drawHost()
 	if rapid.Bool().Draw(h.t, "removed") {
-		entry.Host.State = balancer.Removed
+		host.State = balancer.Removed
 	}
-	name := entry.Host.Name
+	name := host.Name
 	claimBefore := h.reconciler.sources[source].claims[name]
 	wasListed := claimBefore != nil && claimBefore.state != stateVanished
 	h.apply(report{
@@ -168,10 +168,10 @@
 		source:  source,
 		kind:    reportDelta,
 		version: h.version[source],
-		entries: []Entry{entry},
+		hosts:   []engine.Host{host},
 	})
 	delete(h.endedAt, name)
-	if entry.Host.State == balancer.Removed && wasListed && onlyClaim(h.reconciler, source, name) {
+	if host.State == balancer.Removed && wasListed && onlyClaim(h.reconciler, source, name) {
 		h.endedAt[name] = h.now
 	}
 }
--- a/internal/membership/reconcile/reconciler.go
+++ b/internal/membership/reconcile/reconciler.go
@@ -10,12 +10,6 @@
 	"pinedale/internal/engine"
 )
 
-// Entry is one endpoint in a source's report.
-type Entry struct {
-	Host    engine.Host // with State Ready, Draining or, in changes, Removed
-	Version int64       // of the entry, if the source has one
-}
-
 // Reconciler merges the reports of several sources.
 type Reconciler struct {
 	cfg     Config
@@ -53,14 +47,14 @@
 	return len(r.sources) - 1
 }
 
-// Snapshot handles a source's report of its complete list.
-func (r *Reconciler) Snapshot(now time.Duration, index int, version uint64, entries []Entry) {
+// Snapshot handles a source's report of its complete list, with endpoints in State Ready or Draining.
+func (r *Reconciler) Snapshot(now time.Duration, index int, version uint64, hosts []engine.Host) {
 	r.evictAllDue(now)
 	source := r.sources[index]
-	missing := source.missingFrom(entries)
-	retainMissing := r.shouldRetain(source, source.suspicionOf(version, entries), len(missing))
+	missing := source.missingFrom(hosts)
+	retainMissing := r.shouldRetain(source, source.suspicionOf(version, hosts), len(missing))
 	if !source.available && source.hasList {
-		source.log.Warn("membership source recovered", "endpoints", len(entries))
+		source.log.Warn("membership source recovered", "endpoints", len(hosts))
 	}
 	for _, name := range missing {
 		if retainMissing {
@@ -72,27 +66,27 @@
 	source.available = true
 	source.interrupted = false
 	source.hasList = true
-	source.emptyList = len(entries) == 0
+	source.emptyList = len(hosts) == 0
 	source.version = version
 	source.reportedAt = now
 	source.listedAt = now
-	for _, entry := range entries {
-		r.upsert(now, source, entry)
+	for _, host := range hosts {
+		r.upsert(now, source, host)
 	}
 	r.markPendingDirty()
 }
 
-// Delta handles an available source's report of changes.
-func (r *Reconciler) Delta(now time.Duration, index int, version uint64, entries []Entry) {
+// Delta handles an available source's report of changes. Endpoints that were removed have State Removed.
+func (r *Reconciler) Delta(now time.Duration, index int, version uint64, hosts []engine.Host) {
 	r.evictAllDue(now)
 	source := r.sources[index]
 	source.version = max(source.version, version)
 	source.reportedAt = now
-	for _, entry := range entries {
-		if entry.Host.State == balancer.Removed {
-			r.vanish(now, source, entry.Host.Name)
+	for _, host := range hosts {
+		if host.State == balancer.Removed {
+			r.vanish(now, source, host.Name)
 		} else {
-			r.upsert(now, source, entry)
+			r.upsert(now, source, host)
 		}
 	}
 	r.markPendingDirty()
@@ -115,17 +109,17 @@
 }
 
 // upsert records that a source lists an endpoint as up or draining.
-func (r *Reconciler) upsert(now time.Duration, source *source, entry Entry) {
-	name := entry.Host.Name
+func (r *Reconciler) upsert(now time.Duration, source *source, host engine.Host) {
+	name := host.Name
 	endpointClaim, known := source.claims[name]
 	switch {
 	case !known:
 		endpointClaim = &claim{state: stateVanished, since: now, lastReturn: -flapWindow}
 		source.claims[name] = endpointClaim
 	case endpointClaim.state == stateVanished && source.kind == Ephemeral:
-		r.recordReturn(now, source, endpointClaim, entry.Host)
+		r.recordReturn(now, source, endpointClaim, host)
 	}
-	endpointClaim.update(now, entry.Host)
+	endpointClaim.update(now, host)
 	delete(source.retained, name)
 	r.dirty[name] = true
 }
--- a/internal/membership/reconcile/reconciler_test.go
+++ b/internal/membership/reconcile/reconciler_test.go
@@ -5,13 +5,14 @@
 	"time"
 
 	"pinedale/balancer"
+	"pinedale/internal/engine"
 )
 
 // The endpoint of a vanished node is listed as draining at once, so that it keeps its history if
 // it returns in the same incarnation, and as removed after removalLinger.
 func TestVanishedNodeDrainsThenIsRemoved(t *testing.T) {
 	h := newHarness(t, Ephemeral)
-	h.snapshot(0, 1, entries("a", "b"))
+	h.snapshot(0, 1, hosts("a", "b"))
 	h.wantReady("at first", "a b")
 	h.delta(0, 2, change("a", balancer.Removed))
 	h.wantReady("vanished", "b")
@@ -33,8 +34,8 @@
 func startTwoSources(t *testing.T) *harness {
 	t.Helper()
 	h := newHarness(t, Ephemeral, Discovery)
-	h.snapshot(0, 1, entries("a", "b"))
-	h.snapshot(1, 1, entries("a", "b"))
+	h.snapshot(0, 1, hosts("a", "b"))
+	h.snapshot(1, 1, hosts("a", "b"))
 	h.wantReady("at first", "a b")
 	return h
 }
@@ -45,11 +46,11 @@
 	h.t.Helper()
 	h.wantReady("vanished", "b")
 	h.advance(DefaultConfig.MaxDiscoveryLag / 2)
-	h.snapshot(1, 2, entries("a", "b"))
+	h.snapshot(1, 2, hosts("a", "b"))
 	h.wantReady("discovery may not have noticed yet", "b")
 	h.advance(DefaultConfig.MaxDiscoveryLag)
 	h.wantReady("discovery has not reported since", "b")
-	h.snapshot(1, 3, entries("a", "b"))
+	h.snapshot(1, 3, hosts("a", "b"))
 }
 
 // A session may expire while its server runs. The end counts at once, and the server is ready
@@ -60,7 +61,7 @@
 	h.listAfterMaxLag()
 	h.wantReady("discovery has listed it after its maximum lag", "a b")
 	h.sourceUnavailable(1, "test")
-	h.snapshot(1, 4, entries("b"))
+	h.snapshot(1, 4, hosts("b"))
 	h.wantReady("discovery no longer lists it", "b")
 }
 
@@ -76,8 +77,8 @@
 // Endpoints of an unavailable source remain ready, and changes by other sources count.
 func TestUnavailableSourceKeepsItsList(t *testing.T) {
 	h := newHarness(t, Ephemeral, Discovery)
-	h.snapshot(0, 1, entries("a", "b", "c"))
-	h.snapshot(1, 1, entries("a", "b", "c"))
+	h.snapshot(0, 1, hosts("a", "b", "c"))
+	h.snapshot(1, 1, hosts("a", "b", "c"))
 	h.sourceUnavailable(0, "no answer")
 	h.sourceUnavailable(0, "no answer")
 	h.advance(10 * time.Minute)
@@ -114,12 +115,12 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			h := newHarness(t, Ephemeral)
-			h.snapshot(0, 5, entries(sixNames...))
+			h.snapshot(0, 5, hosts(sixNames...))
 			h.wantReady("at first", "a b c d e f")
 			if c.unavailable {
 				h.sourceUnavailable(0, "test")
 			}
-			h.snapshot(0, c.version, entries(c.listed...))
+			h.snapshot(0, c.version, hosts(c.listed...))
 			h.wantReady("at once", c.atOnce)
 			h.advance(DefaultConfig.HoldTime + time.Second)
 			h.wantReady("after the hold time", c.afterOneHold)
@@ -138,11 +139,11 @@
 
 func TestRetainedEndpointsThatReturnAreNotEvicted(t *testing.T) {
 	h := newHarness(t, Ephemeral)
-	h.snapshot(0, 5, entries(sixNames...))
+	h.snapshot(0, 5, hosts(sixNames...))
 	h.sourceUnavailable(0, "test")
 	h.snapshot(0, 6, nil)
 	for i := range sixNames {
-		h.snapshot(0, uint64(7+i), entries(sixNames[:i+1]...))
+		h.snapshot(0, uint64(7+i), hosts(sixNames[:i+1]...))
 		h.advance(time.Second)
 	}
 	h.wantReady("all have registered anew", "a b c d e f")
@@ -156,11 +157,11 @@
 // MaxDiscoveryLag.
 func TestEvictionPrecedesLaterReports(t *testing.T) {
 	h := newHarness(t, Ephemeral, Discovery)
-	h.snapshot(0, 1, entries("a"))
+	h.snapshot(0, 1, hosts("a"))
 	h.wantReady("at first", "a")
 	h.snapshot(0, 2, nil)
 	h.delta(0, 3, change("b", balancer.Ready))
-	h.snapshot(0, 4, entries("b"))
+	h.snapshot(0, 4, hosts("b"))
 	h.now += DefaultConfig.HoldTime - minListInterval/4
 	h.delta(0, 5, change("c", balancer.Ready))
 	h.readList() // List returns nothing within minListInterval from here
@@ -173,7 +174,7 @@
 // the backoff, and the changes cause few lists.
 func TestFlappingNodeWaitsForBackoff(t *testing.T) {
 	h := newHarness(t, Ephemeral)
-	h.snapshot(0, 1, entries("a", "b"))
+	h.snapshot(0, 1, hosts("a", "b"))
 	h.wantReady("at first", "a b")
 	listsBefore := h.lists
 	for range 100 {
@@ -198,16 +199,16 @@
 // not count any more.
 func TestClaimsOnPreviousIncarnationDoNotCount(t *testing.T) {
 	h := newHarness(t, Ephemeral, Discovery)
-	h.snapshot(0, 1, []Entry{{Host: newHost("a", 1000)}})
-	h.snapshot(1, 1, []Entry{{Host: newHost("a", 1000)}})
-	h.delta(0, 2, []Entry{{Host: newHost("a", 2000)}})
+	h.snapshot(0, 1, []engine.Host{newHost("a", 1000)})
+	h.snapshot(1, 1, []engine.Host{newHost("a", 1000)})
+	h.delta(0, 2, []engine.Host{newHost("a", 2000)})
 	h.advance(time.Second)
 	if host := h.hosts["a"]; host.StartedMS != 2000 || host.State != balancer.Ready {
 		t.Errorf("listed %v, want the new incarnation", host)
 	}
 	removed := newHost("a", 1000)
 	removed.State = balancer.Removed
-	h.delta(1, 2, []Entry{{Host: removed}})
+	h.delta(1, 2, []engine.Host{removed})
 	h.wantReady("discovery reports the end of the previous one", "a")
 }
 
@@ -215,10 +216,10 @@
 // that it is up.
 func TestNodeAndDrainTakePrecedence(t *testing.T) {
 	h := newHarness(t, Static, Discovery, Ephemeral)
-	atAddress := func(address string) []Entry {
+	atAddress := func(address string) []engine.Host {
 		host := newHost("a", 0)
 		host.Address = address
-		return []Entry{{Host: host}}
+		return []engine.Host{host}
 	}
 	h.snapshot(0, 1, atAddress("127.0.0.1:10"))
 	h.snapshot(1, 1, atAddress("127.0.0.1:11"))
--- a/internal/membership/reconcile/source.go
+++ b/internal/membership/reconcile/source.go
@@ -96,10 +96,10 @@
 
 // missingFrom returns the names of the up and draining endpoints that a list does not contain,
 // sorted.
-func (s *source) missingFrom(entries []Entry) []string {
-	listed := make(map[string]bool, len(entries))
-	for _, entry := range entries {
-		listed[entry.Host.Name] = true
+func (s *source) missingFrom(hosts []engine.Host) []string {
+	listed := make(map[string]bool, len(hosts))
+	for _, host := range hosts {
+		listed[host.Name] = true
 	}
 	var missing []string
 	for name, c := range s.claims {
--- a/internal/membership/reconcile/suspect.go
+++ b/internal/membership/reconcile/suspect.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"pinedale/internal/engine"
 )
 
 // suspicion is the reason why endpoints that still run may be missing from a list.
@@ -17,11 +19,11 @@
 )
 
 // suspicionOf returns the reason why a list is suspect, or trusted. A static list is trusted.
-func (s *source) suspicionOf(version uint64, entries []Entry) suspicion {
+func (s *source) suspicionOf(version uint64, hosts []engine.Host) suspicion {
 	switch {
 	case s.kind == Static:
 		return trusted
-	case len(entries) == 0 && s.presentCount() > 0:
+	case len(hosts) == 0 && s.presentCount() > 0:
 		return emptySnapshot
 	case s.hasList && version < s.version:
 		return olderSnapshot
