Engine: Run waits for the goroutines of the watch of the source

Cause: the goroutine of a watch ended with its context, and nobody waited for it.

Change: discovery counts its watches; Run returns once they have returned. A watch returns with its context, so that the end of the process is not delayed: calls of discovery and their pauses end with it.

--- a/internal/engine/discovery.go
+++ b/internal/engine/discovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"pinedale/balancer"
@@ -16,10 +17,11 @@
 	source  Source             // may be nil on a Clock of the options
 	version *uint64            // of the last list, nil if there was none
 	stop    context.CancelFunc // ends the current watch
+	watches sync.WaitGroup     // the current watch, and earlier ones that have not returned yet
 }
 
 // startWatch ends the current watch and starts one from the last version on. The goroutine of the
-// watch ends with its context or the engine's; nobody waits for it.
+// watch ends with its context or the engine's; Run waits for it at its own end.
 func (e *Engine) startWatch() {
 	d := &e.discovery
 	d.stop()
@@ -28,7 +30,8 @@
 	}
 	ctx, cancel := context.WithCancel(e.ctx)
 	d.stop = cancel
-	go e.watch(ctx, d.source, d.version)
+	source, version := d.source, d.version
+	d.watches.Go(func() { e.watch(ctx, source, version) })
 }
 
 // watch watches a source until ctx ends, or, where lists are polled, for one poll. It runs on a
--- a/internal/engine/discovery_test.go
+++ b/internal/engine/discovery_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -76,3 +77,47 @@
 		})
 	}
 }
+
+// slowSource is a source whose watches take a while to return once their context has ended.
+type slowSource struct {
+	started  chan struct{}
+	returned atomic.Bool
+}
+
+func (s *slowSource) Watch(
+	ctx context.Context, after *uint64, _ func(balancer.ListKind, List),
+) (*uint64, error) {
+	close(s.started)
+	<-ctx.Done()
+	time.Sleep(20 * time.Millisecond)
+	s.returned.Store(true)
+	return after, ctx.Err()
+}
+func (s *slowSource) Close() {}
+
+func TestRunReturnsAfterWatchOfSource(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	source := &slowSource{started: make(chan struct{})}
+	e, err := New(ctx, Options{
+		Zones:    []string{"a"},
+		Upstream: &fakeUpstream{},
+		Source:   source,
+		Log:      slog.New(slog.DiscardHandler),
+		Settings: testSettings(1, readClass, balancer.Limits{MaxAttempts: 3, MaxOpen: 1000}),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		e.Run()
+	}()
+	<-source.started
+	cancel()
+	<-ended
+	if !source.returned.Load() {
+		t.Error("Run has returned before the watch")
+	}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -75,8 +75,10 @@
 	e.runDeferred()
 }
 
-// Run handles events until the engine's context ends. Its goroutine is the engine's.
+// Run handles events until the engine's context ends, and returns once the watch of the source has
+// returned, too. Its goroutine is the engine's.
 func (e *Engine) Run() {
+	defer e.discovery.watches.Wait()
 	e.Start()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
