pinedale-faulttest: root command of package cli, shell completion

Cause: the issue asks for help and completion in all programs on cobra; this one had a root command of its own with completion switched off.

Change: cli.NewRoot and cli.Execute; cli.ErrNoCommand for a command line without a command. Long flags with one dash are accepted, as in the other programs.

--- a/cmd/pinedale-faulttest/commands.go
+++ b/cmd/pinedale-faulttest/commands.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -11,28 +10,15 @@
 	"github.com/pelletier/go-toml/v2"
 	"github.com/spf13/cobra"
 
+	"pinedale/internal/cli"
 	"pinedale/internal/faulttest"
 	"pinedale/internal/faulttest/schedule"
 )
 
-// errNoCommand is wrapped by the error of the root command, which does nothing by itself.
-var errNoCommand = errors.New("a command is missing")
-
 // newRootCommand returns the command line, which prints to out.
 func newRootCommand(out io.Writer) *cobra.Command {
 	player := &player{out: out}
-	root := &cobra.Command{
-		Use:           "pinedale-faulttest",
-		Short:         "several processes of pinedale-proxy, and faults between them",
-		SilenceErrors: true,
-		SilenceUsage:  true,
-		Args:          cobra.NoArgs,
-		RunE: func(command *cobra.Command, _ []string) error {
-			return fmt.Errorf("%w\n%s", errNoCommand, command.UsageString())
-		},
-	}
-	root.SetOut(out)
-	root.CompletionOptions.DisableDefaultCmd = true
+	root := cli.NewRoot(programName, "several processes of pinedale-proxy, and faults between them", out)
 	flags := root.PersistentFlags()
 	flags.StringVar(&player.program, "program", siblingProgram("pinedale-proxy"), "the program whose processes are run")
 	flags.StringVar(&player.upgradeProgram, "next", "", "another build of it, that faults of kind build go over to")
--- a/cmd/pinedale-faulttest/commands_test.go
+++ b/cmd/pinedale-faulttest/commands_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"pinedale/internal/cli"
 	"pinedale/internal/faulttest"
 	"pinedale/internal/faulttest/schedule"
 )
@@ -47,8 +48,8 @@
 
 func TestRootCommandWithoutCommandFailsWithUsage(t *testing.T) {
 	_, err := execute(t)
-	if !errors.Is(err, errNoCommand) || !strings.Contains(err.Error(), "Usage:\n  pinedale-faulttest") {
-		t.Errorf("error %v, want errNoCommand with the usage", err)
+	if !errors.Is(err, cli.ErrNoCommand) || !strings.Contains(err.Error(), "Usage:\n  pinedale-faulttest") {
+		t.Errorf("error %v, want cli.ErrNoCommand with the usage", err)
 	}
 }
 
@@ -102,3 +103,19 @@
 		}
 	}
 }
+
+func TestCompletionIsOffered(t *testing.T) {
+	script, err := execute(t, "completion", "bash")
+	if err != nil || !strings.Contains(script, programName) {
+		t.Errorf("error %v, completion script %q", err, script)
+	}
+}
+
+func TestOneDashFlagsAreAccepted(t *testing.T) {
+	var out, stderr bytes.Buffer
+	missing := filepath.Join(t.TempDir(), "missing")
+	code := cli.Execute(t.Context(), newRootCommand(&out), []string{"run", "-program", missing, "-seed", "7"}, &stderr)
+	if code != 1 || !strings.Contains(out.String(), "seed 7: ") {
+		t.Errorf("exit code %d, printed %q and %q", code, out.String(), stderr.String())
+	}
+}
--- a/cmd/pinedale-faulttest/main.go
+++ b/cmd/pinedale-faulttest/main.go
@@ -9,22 +9,25 @@
 	"os/signal"
 	"syscall"
 
+	"pinedale/internal/cli"
 	"pinedale/internal/faulttest"
 )
 
-func main() {
-	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "pinedale-faulttest:", err)
-		os.Exit(1)
-	}
-}
+const programName = "pinedale-faulttest"
+
+func main() { os.Exit(run()) }
 
-// run executes the command line, or runs the servers in a process that faulttest.Run has started for that.
-func run() error {
+// run executes the command line, or runs the servers in a process that faulttest.Run has started for that. It returns
+// the exit code.
+func run() int {
 	if served, err := faulttest.ServeIfServerProcess(); served {
-		return err
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "%s: %v\n", programName, err)
+			return 1
+		}
+		return 0
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	return newRootCommand(os.Stdout).ExecuteContext(ctx)
+	return cli.Execute(ctx, newRootCommand(os.Stdout), os.Args[1:], os.Stderr)
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -14,6 +14,9 @@
 // exitFailure is the exit code after an error that has no code of its own.
 const exitFailure = 1
 
+// ErrNoCommand is wrapped by the error of a root command, which does nothing by itself.
+var ErrNoCommand = errors.New("a command is missing")
+
 // ExitError ends a program with a code of its own.
 type ExitError struct {
 	Code int
@@ -32,7 +35,7 @@
 func (e *ExitError) Unwrap() error { return e.Err }
 
 // NewRoot returns the root command of a program, to which the caller adds commands. It prints help to out and leaves
-// errors to Execute. Without a command it fails with its usage. It has cobra's command "completion".
+// errors to Execute. Without a command it fails with ErrNoCommand and its usage. It has cobra's command "completion".
 func NewRoot(name, short string, out io.Writer) *cobra.Command {
 	root := &cobra.Command{
 		Use:           name,
@@ -41,7 +44,7 @@
 		SilenceUsage:  true,
 		Args:          cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return errors.New("a command is missing\n" + cmd.UsageString())
+			return fmt.Errorf("%w\n%s", ErrNoCommand, cmd.UsageString())
 		},
 	}
 	root.SetOut(out)
