Certstore: Lifetime.At returns a ConnState in place of three values

Cause: its callers named the values by position. Change: a struct with the same three values; the two callers outside use its fields.

--- a/internal/certstore/conn.go
+++ b/internal/certstore/conn.go
@@ -73,9 +73,11 @@
 	return c.lifetime
 }
 
-// StateAt returns Lifetime.At of the connection. The handshake must be complete.
+// StateAt returns the fields of Lifetime.At of the connection, for callers that do not import this package. The
+// handshake must be complete.
 func (c *Conn) StateAt(now time.Time) (usable, trusted bool, reason string) {
-	return c.Lifetime().At(now)
+	state := c.Lifetime().At(now)
+	return state.Usable, state.Trusted, state.Reason
 }
 
 // HasNoUnreadData reports whether the TLS layer holds no unread data, such as an alert or an unexpected response. It
--- a/internal/certstore/lifetime.go
+++ b/internal/certstore/lifetime.go
@@ -39,12 +39,18 @@
 	}
 }
 
-// At returns the state of the connection at the given time. usable is false if it must carry no new requests and must
-// be closed after those in flight. trusted is false if the peer would be rejected now. reason says why.
+// ConnState is whether a connection may be used.
+type ConnState struct {
+	Usable  bool   // the connection may carry new requests; otherwise it must be closed after those in flight
+	Trusted bool   // the peer would be accepted now
+	Reason  string // why the connection is not usable or will be replaced, "" if there is no reason
+}
+
+// At returns the state of the connection at the given time.
 //
 // The chain is verified again only if the material has changed or a certificate has expired, since nothing else changes
 // the result.
-func (l *Lifetime) At(now time.Time) (usable, trusted bool, reason string) {
+func (l *Lifetime) At(now time.Time) ConnState {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	generation := l.store.Generation()
@@ -52,11 +58,11 @@
 		l.update(l.store.Retirement(l.conn))
 		l.checkedGeneration = generation
 	}
-	if l.retirement.PeerUntrusted {
-		return false, false, l.retirement.Reason
+	return ConnState{
+		Usable:  !l.retirement.PeerUntrusted && (l.retirement.At.IsZero() || now.Before(l.retirement.At)),
+		Trusted: !l.retirement.PeerUntrusted,
+		Reason:  l.retirement.Reason,
 	}
-	usable = l.retirement.At.IsZero() || now.Before(l.retirement.At)
-	return usable, true, l.retirement.Reason
 }
 
 // update sets the retirement unless an earlier one is set. A second change of the material does not postpone the
--- a/internal/front/http3front/conn.go
+++ b/internal/front/http3front/conn.go
@@ -31,8 +31,8 @@
 	c.once.Do(func() {
 		c.credentials = c.certificates.Lifetime(c.ConnectionState().TLS, x509.ExtKeyUsageClientAuth, c.generation)
 	})
-	_, trusted, reason = c.credentials.At(time.Now())
-	return trusted, reason
+	state := c.credentials.At(time.Now())
+	return state.Trusted, state.Reason
 }
 
 // mayBeEarlyData reports whether a request may have arrived in 0-RTT data, which anybody may replay. Once the
--- a/internal/upstream/secure/conn.go
+++ b/internal/upstream/secure/conn.go
@@ -36,6 +36,5 @@
 		}
 		l.names = names
 	}
-	usable, _, _ := l.keys.At(now)
-	return usable
+	return l.keys.At(now).Usable
 }
