One function that sleeps until a context ends, in place of four

Cause: realtime, faulttest, backoff and secure had the same function each.

Change: internal/ctxtime.Sleep serves all four.

--- /dev/null
+++ b/internal/ctxtime/ctxtime_test.go
@@ -0,0 +1,34 @@
+package ctxtime
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+func TestSleepLastsItsDuration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		if !Sleep(t.Context(), time.Minute) {
+			t.Error("ended by its context, which goes on")
+		}
+		if elapsed := time.Since(start); elapsed != time.Minute {
+			t.Errorf("lasted %v, want 1m", elapsed)
+		}
+	})
+}
+
+func TestSleepEndsWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		start := time.Now()
+		if Sleep(ctx, time.Minute) {
+			t.Error("reports that the minute has passed")
+		}
+		if elapsed := time.Since(start); elapsed != time.Second {
+			t.Errorf("lasted %v, want 1s", elapsed)
+		}
+	})
+}
--- a/internal/emulator/realtime/client.go
+++ b/internal/emulator/realtime/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"pinedale/balancer"
+	"pinedale/internal/ctxtime"
 	"pinedale/internal/emulator/plan"
 	"pinedale/internal/emulator/trace"
 )
@@ -43,7 +44,7 @@
 	workload := r.scenario.Workload()
 	nextProgress := time.Duration(0)
 	for request, ok := workload.Next(); ok; request, ok = workload.Next() {
-		if !sleep(ctx, request.At-r.now()) {
+		if !ctxtime.Sleep(ctx, request.At-r.now()) {
 			break
 		}
 		r.tasks.Go(func() { r.runRequest(ctx, request) })
@@ -67,7 +68,7 @@
 		id := r.beginAttempt(request)
 		outcome := r.send(ctx, request, id)
 		wait, retry := r.endAttempt(request, outcome)
-		if !retry || !sleep(ctx, wait) {
+		if !retry || !ctxtime.Sleep(ctx, wait) {
 			return
 		}
 	}
--- a/internal/emulator/realtime/realtime.go
+++ b/internal/emulator/realtime/realtime.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"pinedale/internal/ctxtime"
 	"pinedale/internal/emulator/baselines"
 	"pinedale/internal/emulator/model"
 	"pinedale/internal/emulator/plan"
@@ -119,7 +120,7 @@
 	if err != nil {
 		return nil, err
 	}
-	sleep(ctx, -r.now())
+	ctxtime.Sleep(ctx, -r.now())
 	r.scheduleIncarnations(ctx, cancel)
 	r.runClients(ctx)
 	r.tasks.Wait()
@@ -136,24 +137,12 @@
 // at schedules an action for an instant of the run. It does not run if ctx ends before.
 func (r *runner) at(ctx context.Context, instant plan.Time, action func()) {
 	r.tasks.Go(func() {
-		if sleep(ctx, instant-r.now()) {
+		if ctxtime.Sleep(ctx, instant-r.now()) {
 			action()
 		}
 	})
 }
 
-// sleep returns true after a time, and false if ctx ends before.
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // emit passes an event of the trace to the caller of Run. The caller holds mu.
 func (r *runner) emit(event trace.Event) {
 	if r.options.OnEvent != nil && !r.closed {
--- a/internal/faulttest/client.go
+++ b/internal/faulttest/client.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"pinedale/balancer"
+	"pinedale/internal/ctxtime"
 	"pinedale/internal/faulttest/history"
 )
 
@@ -48,7 +49,7 @@
 			return
 		}
 		jitter := time.Duration(c.effect.rng.IntN(retryJitterMillis)) * time.Millisecond
-		if !sleep(ctx, result.retryAfter+jitter) {
+		if !ctxtime.Sleep(ctx, result.retryAfter+jitter) {
 			return
 		}
 		if c.effect.rng.IntN(sameInstanceRetries) > 0 {
--- a/internal/faulttest/fault.go
+++ b/internal/faulttest/fault.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"pinedale/internal/ctxtime"
 	"pinedale/internal/faulttest/history"
 	"pinedale/internal/faulttest/relay"
 	"pinedale/internal/faulttest/schedule"
@@ -32,15 +33,15 @@
 // playFault plays one fault. If that fails, the run goes on, and the failure is recorded as an unexpected exit of the
 // fault's target.
 func (r *rig) playFault(ctx context.Context, index int, fault *schedule.Fault) {
-	if !sleep(ctx, r.untilTime(fault.StartTime())) {
+	if !ctxtime.Sleep(ctx, r.untilTime(fault.StartTime())) {
 		return
 	}
 	err := r.beginFault(index, fault)
 	if fault.Kind == schedule.DuplicateInstance {
-		sleep(ctx, r.untilTime(fault.StartTime()+time.Duration(fault.Duration)/2))
+		ctxtime.Sleep(ctx, r.untilTime(fault.StartTime()+time.Duration(fault.Duration)/2))
 		r.signalSuspended(index, fault, syscall.SIGCONT)
 	}
-	sleep(ctx, r.untilTime(fault.EndTime())) // a fault that has begun ends, also when the run is cancelled
+	ctxtime.Sleep(ctx, r.untilTime(fault.EndTime())) // a fault that has begun ends, also when the run is cancelled
 	err = errors.Join(err, r.endFault(index, fault))
 	if err == nil {
 		return
--- a/internal/faulttest/faulttest.go
+++ b/internal/faulttest/faulttest.go
@@ -137,15 +137,3 @@
 
 // untilTime returns the time left until a time of the history.
 func (r *rig) untilTime(at time.Duration) time.Duration { return time.Until(r.loadStart.Add(at)) }
-
-// sleep waits for a duration and reports true, or false if the context was done before.
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/faulttest/faulttest_test.go
+++ b/internal/faulttest/faulttest_test.go
@@ -15,6 +15,7 @@
 
 	"go.uber.org/goleak"
 
+	"pinedale/internal/ctxtime"
 	"pinedale/internal/faulttest/history"
 	"pinedale/internal/faulttest/schedule"
 	"pinedale/internal/tomlfile"
@@ -168,7 +169,7 @@
 		if response, err := httpClient.Do(request); err == nil {
 			response.Body.Close() // any response will do: only the server that was chosen counts
 		}
-		if !sleep(ctx, reuseInterval) {
+		if !ctxtime.Sleep(ctx, reuseInterval) {
 			return fmt.Errorf("%s forwarded none of %d requests to %s within %v after its drain",
 				instance, number+1, drain.server, reuseTimeout)
 		}
--- a/internal/faulttest/load.go
+++ b/internal/faulttest/load.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"pinedale/internal/ctxtime"
 )
 
 // Random sequences of the schedule's seed.
@@ -42,7 +44,7 @@
 			return
 		}
 		requested := drawEffect(rng, s.Seed, index, s.Instances)
-		if !sleep(ctx, r.untilTime(at)) {
+		if !ctxtime.Sleep(ctx, r.untilTime(at)) {
 			return
 		}
 		clients.Go(func() {
--- a/internal/faulttest/observe.go
+++ b/internal/faulttest/observe.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"pinedale/internal/cluster"
+	"pinedale/internal/ctxtime"
 	"pinedale/internal/faulttest/history"
 )
 
@@ -70,7 +71,7 @@
 	var differences []string
 	for deadline := time.Now().Add(convergenceTimeout); time.Now().Before(deadline); {
 		differences = r.replicaDifferences(ctx)
-		if len(differences) == 0 || !sleep(ctx, convergenceInterval) {
+		if len(differences) == 0 || !ctxtime.Sleep(ctx, convergenceInterval) {
 			break
 		}
 	}
--- a/internal/faulttest/stall.go
+++ b/internal/faulttest/stall.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"pinedale/internal/ctxtime"
 	"pinedale/internal/faulttest/history"
 )
 
@@ -18,7 +19,7 @@
 
 // observeStalls reports each stall of this process until the context is done.
 func observeStalls(ctx context.Context, report func(stall)) {
-	for last := time.Now(); sleep(ctx, stallInterval); last = time.Now() {
+	for last := time.Now(); ctxtime.Sleep(ctx, stallInterval); last = time.Now() {
 		if now := time.Now(); now.Sub(last) > history.MinStall {
 			report(stall{Start: last, End: now})
 		}
--- a/internal/faulttest/status.go
+++ b/internal/faulttest/status.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pinedale/internal/cluster"
+	"pinedale/internal/ctxtime"
 )
 
 const (
@@ -33,7 +34,7 @@
 		if reason == "" {
 			return ctx.Err()
 		}
-		if !sleep(ctx, readyInterval) {
+		if !ctxtime.Sleep(ctx, readyInterval) {
 			return ctx.Err()
 		}
 	}
--- a/internal/membership/backoff/backoff.go
+++ b/internal/membership/backoff/backoff.go
@@ -7,6 +7,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"pinedale/internal/ctxtime"
 )
 
 // Backoff holds the delay before the next attempt. It is not safe for concurrent use.
@@ -27,16 +29,6 @@
 // Wait waits for a random duration between half and one and a half of the delay, or until ctx
 // ends, and doubles the delay.
 func (b *Backoff) Wait(ctx context.Context) {
-	Sleep(ctx, b.delay/2+rand.N(b.delay))
+	ctxtime.Sleep(ctx, b.delay/2+rand.N(b.delay))
 	b.delay = min(2*b.delay, b.limit)
 }
-
-// Sleep waits for a fixed delay, or until ctx ends.
-func Sleep(ctx context.Context, delay time.Duration) {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/membership/registry/client.go
+++ b/internal/membership/registry/client.go
@@ -14,8 +14,8 @@
 	"time"
 
 	"pinedale/balancer"
+	"pinedale/internal/ctxtime"
 	"pinedale/internal/engine"
-	"pinedale/internal/membership/backoff"
 )
 
 const (
@@ -71,14 +71,14 @@
 			if c.timing.RetryDelay == 0 || ctx.Err() != nil {
 				return after, err
 			}
-			backoff.Sleep(ctx, c.timing.RetryDelay)
+			ctxtime.Sleep(ctx, c.timing.RetryDelay)
 		case isForeignDelta(list, after):
 			after, wait = nil, 0
-			backoff.Sleep(ctx, watchPause)
+			ctxtime.Sleep(ctx, watchPause)
 		default:
 			after, wait = &list.Version, c.timing.WatchWait
 			notify(kindOf(list), list)
-			backoff.Sleep(ctx, watchPause)
+			ctxtime.Sleep(ctx, watchPause)
 		}
 	}
 }
--- a/internal/upstream/secure/client.go
+++ b/internal/upstream/secure/client.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"pinedale/internal/certstore"
+	"pinedale/internal/ctxtime"
 	"pinedale/internal/engine"
 	"pinedale/internal/upstream/attempt"
 	"pinedale/internal/upstream/handshake"
@@ -92,22 +93,10 @@
 	if !ok {
 		return fmt.Errorf("%w: handshake rate limit of %s", attempt.ErrFull, t.Address)
 	}
-	return sleep(ctx, begin.Sub(now))
-}
-
-// sleep waits for a duration, or returns ctx's error where ctx ends first.
-func sleep(ctx context.Context, duration time.Duration) error {
-	if duration <= 0 {
-		return nil
-	}
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if delay := begin.Sub(now); delay > 0 && !ctxtime.Sleep(ctx, delay) {
 		return ctx.Err()
 	}
+	return nil
 }
 
 // Retire drops the sessions of a target that was removed.
