http3upstream: Close waits for handshakes, load probes and background connections

They ended by their own timeouts and nobody waited for them. They now belong to the upstream: Close closes the transport, ends their context and waits. The resolution of a name is not waited for, since it can't be cancelled and would delay a shutdown; a handshake does not begin after it once Close was called. Nothing else changes while the upstream is open.

New test: Close ends a handshake and a probe that would last an hour, and returns after both have ended.

--- a/internal/upstream/http3upstream/doc.go
+++ b/internal/upstream/http3upstream/doc.go
@@ -13,5 +13,6 @@
 //	streamwait.go  the limit of a request's wait for a stream
 //
 // The connections are guarded by Upstream.mu. A connection is dialled on a goroutine of its own,
-// for all requests that wait for it. Nothing is kept over a restart.
+// for all requests that wait for it. Close waits for handshakes, load probes and background work.
+// Nothing is kept over a restart.
 package http3upstream
--- a/internal/upstream/http3upstream/pool.go
+++ b/internal/upstream/http3upstream/pool.go
@@ -94,11 +94,13 @@
 	}
 	c.closed = true
 	u.open--
-	if c.quic != nil {
-		go func(connection *quic.Conn) {
-			_ = connection.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), "")
-		}(c.quic)
+	if c.quic == nil || !u.beginLocked() {
+		return // no connection, or one that ends with the transport
 	}
+	go func() {
+		defer u.running.Done()
+		_ = c.quic.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), "")
+	}()
 }
 
 // abandon gives a connection no new requests.
@@ -171,13 +173,23 @@
 // dial establishes a connection and reports the result. It serves all requests that wait for the
 // connection, so that it doesn't end with the context of one of them.
 func (u *Upstream) dial(c *conn, probe bool) {
-	ctx, cancel := context.WithTimeout(context.Background(), u.options.DialTimeout)
+	ctx, cancel := context.WithTimeout(u.ctx, u.options.DialTimeout)
 	defer cancel()
 	if probe {
 		ctx = attempt.ForProbe(ctx)
 	}
+	// A name may take long to resolve: Close waits for the handshake only.
+	address, err := net.ResolveUDPAddr("udp", c.target.Address)
+	if u.begin() {
+		defer u.running.Done()
+	} else if err == nil {
+		err = net.ErrClosed
+	}
+	if err == nil {
+		err = u.connect(ctx, c, address)
+	}
 	defer close(c.ready)
-	c.err = u.connect(ctx, c)
+	c.err = err
 	switch {
 	case c.err == nil:
 		u.reportResult(c.target, protocol.Established)
@@ -186,12 +198,8 @@
 	}
 }
 
-// connect performs the handshake.
-func (u *Upstream) connect(ctx context.Context, c *conn) error {
-	address, err := net.ResolveUDPAddr("udp", c.target.Address)
-	if err != nil {
-		return err
-	}
+// connect performs the handshake with a connection's target at an address.
+func (u *Upstream) connect(ctx context.Context, c *conn, address *net.UDPAddr) error {
 	if err := u.options.Secure.Turn(ctx, c.target); err != nil {
 		return err
 	}
--- a/internal/upstream/http3upstream/pool_test.go
+++ b/internal/upstream/http3upstream/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 
 	"pinedale/balancer"
 	"pinedale/internal/engine"
+	"pinedale/internal/standin/cert"
 	"pinedale/internal/standin/udprelay"
 	"pinedale/internal/standin/wait"
 )
@@ -155,3 +157,46 @@
 		t.Errorf("after: %v, %d requests arrived", r.Status, requests.Load())
 	}
 }
+
+// handshakeCounter counts handshakes that have begun and ended.
+type handshakeCounter struct {
+	*cert.Pair
+	begun, ended atomic.Int64
+}
+
+// QUIC counts a handshake.
+func (h *handshakeCounter) QUIC(t *engine.Target) (
+	*tls.Config, func(tls.ConnectionState, error) func(time.Time) bool, error) {
+	h.begun.Add(1)
+	config, end, err := h.Pair.QUIC(t)
+	return config, func(state tls.ConnectionState, err error) func(time.Time) bool {
+		h.ended.Add(1)
+		return end(state, err)
+	}, err
+}
+
+// Close ends handshakes and load probes long before their timeouts, and waits for them.
+func TestCloseWaitsForHandshakesAndProbes(t *testing.T) {
+	f := newFixture(t)
+	handshakes := &handshakeCounter{Pair: f.pair}
+	f.upstream.options.Secure = handshakes
+	f.upstream.options.DialTimeout = time.Hour
+	socket, err := net.ListenPacket("udp", "127.0.0.1:0") // receives, and sends nothing
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.Close()
+	unresponsive := &engine.Target{Address: socket.LocalAddr().String()}
+	var completed atomic.Bool
+	f.upstream.Warm(unresponsive)
+	f.upstream.Probe(context.Background(), unresponsive, func(engine.Result) { completed.Store(true) })
+	wait.Until(t, "the handshake", func() bool { return handshakes.begun.Load() == 1 })
+	start := time.Now()
+	f.upstream.Close()
+	if elapsed := time.Since(start); elapsed > wait.Timeout {
+		t.Errorf("Close took %v", elapsed)
+	}
+	if ended := handshakes.ended.Load(); ended != 1 || !completed.Load() {
+		t.Errorf("after Close %d of 1 handshakes have ended, the probe: %t", ended, completed.Load())
+	}
+}
--- a/internal/upstream/http3upstream/upstream.go
+++ b/internal/upstream/http3upstream/upstream.go
@@ -48,10 +48,14 @@
 type Upstream struct {
 	options   Options
 	transport *quic.Transport
-
-	mu    sync.Mutex
-	conns map[*engine.Target]*conn // those that take new requests
-	open  int                      // connections, the draining ones and those being dialled included
+	ctx       context.Context // of handshakes and background work; ends with Close
+	cancel    context.CancelFunc
+	running   sync.WaitGroup // goroutines that Close waits for
+
+	mu     sync.Mutex
+	closed bool                     // Close was called: running must not grow any more
+	conns  map[*engine.Target]*conn // those that take new requests
+	open   int                      // connections, the draining ones and those being dialled included
 }
 
 // New returns an upstream with a socket of its own and no connection.
@@ -60,16 +64,43 @@
 	if err != nil {
 		return nil, err
 	}
+	ctx, cancel := context.WithCancel(context.Background())
 	return &Upstream{
 		options:   o,
 		transport: &quic.Transport{Conn: socket},
+		ctx:       ctx,
+		cancel:    cancel,
 		conns:     map[*engine.Target]*conn{},
 	}, nil
 }
 
-// Close closes all connections and the socket.
+// Close closes all connections and the socket. It waits for handshakes, load probes and background
+// work, which end with the connections. It does not wait for the resolution of a name.
 func (u *Upstream) Close() error {
-	return errors.Join(u.transport.Close(), u.transport.Conn.Close())
+	u.mu.Lock()
+	u.closed = true
+	u.mu.Unlock()
+	err := u.transport.Close()
+	u.cancel()
+	u.running.Wait()
+	return errors.Join(err, u.transport.Conn.Close())
+}
+
+// begin counts the calling goroutine, or one that the caller starts, among those that Close waits
+// for, until u.running.Done. It returns false once Close was called.
+func (u *Upstream) begin() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.beginLocked()
+}
+
+// beginLocked is begin for a caller that holds u.mu.
+func (u *Upstream) beginLocked() bool {
+	if u.closed {
+		return false
+	}
+	u.running.Add(1)
+	return true
 }
 
 // NewCarrier returns a carrier for one request.
@@ -79,16 +110,30 @@
 
 // Probe sends a health check to an endpoint on a goroutine of its own.
 func (u *Upstream) Probe(ctx context.Context, t *engine.Target, completed func(engine.Result)) {
-	go func() { completed(attempt.Probe(ctx, u.attempt, t, u.options.Fields)) }()
+	awaited := u.begin()
+	go func() {
+		if awaited {
+			defer u.running.Done()
+		}
+		completed(attempt.Probe(ctx, u.attempt, t, u.options.Fields))
+	}()
 }
 
 // Warm opens the connection to a target in the background. It is background work to the
 // handshake rate limit, since no request waits for it.
-func (u *Upstream) Warm(t *engine.Target) { go u.warm(t) }
+func (u *Upstream) Warm(t *engine.Target) {
+	if !u.begin() {
+		return
+	}
+	go func() {
+		defer u.running.Done()
+		u.warm(t)
+	}()
+}
 
 // warm opens the connection to a target and reports the result, unless dial reports it.
 func (u *Upstream) warm(t *engine.Target) {
-	ctx, cancel := context.WithTimeout(attempt.ForProbe(context.Background()), u.options.DialTimeout)
+	ctx, cancel := context.WithTimeout(attempt.ForProbe(u.ctx), u.options.DialTimeout)
 	defer cancel()
 	c, err := u.acquire(ctx, t)
 	switch {
