Fronts: tests run an engine by fronttest.RunEngine

The engine of exchange's tests and that of fronttest.Start were set up and awaited by the same lines. The model of TLS sessions calls a session a session.

--- a/internal/front/exchange/dispatcher_test.go
+++ b/internal/front/exchange/dispatcher_test.go
@@ -12,6 +12,7 @@
 
 	"pinedale/balancer"
 	"pinedale/internal/engine"
+	"pinedale/internal/front/fronttest"
 	"pinedale/internal/requestmeta"
 	"pinedale/internal/standin/wait"
 )
@@ -34,7 +35,6 @@
 // newBlocked returns a dispatcher whose engine does not handle its next event before release is called.
 func newBlocked(t *testing.T) (d *Dispatcher, e *engine.Engine, release func()) {
 	t.Helper()
-	ctx, stop := context.WithCancel(context.Background())
 	order := balancer.Class{
 		Name:             "order",
 		Idempotency:      balancer.NotIdempotent,
@@ -42,7 +42,7 @@
 		ClientTimeout:    3_000_000,
 		PriorityWeight:   1,
 	}
-	e, err := engine.New(ctx, engine.Options{
+	e = fronttest.RunEngine(t, engine.Options{
 		Upstream: idlePeer{},
 		Source:   idlePeer{},
 		Log:      slog.New(slog.DiscardHandler),
@@ -53,22 +53,9 @@
 			Contract:  balancer.Contract{SlowStartRatio: 0.3, OverloadMultiple: 2.5},
 		},
 	})
-	if err != nil {
-		stop()
-		t.Fatal(err)
-	}
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		e.Run()
-	}()
 	blocked, released := make(chan struct{}), make(chan struct{})
 	release = sync.OnceFunc(func() { close(released) })
-	t.Cleanup(func() {
-		release()
-		stop()
-		<-ended
-	})
+	t.Cleanup(release)
 	e.Post(func(balancer.Micros) {
 		close(blocked)
 		<-released
@@ -86,7 +73,7 @@
 
 // A response does not wait for the engine beyond the request's deadline, however long the engine is
 // blocked. A request that the engine has not received was never sent and may be retried; of one that it has
-// received this is not known. Later the engine learns that nobody waits for it.
+// received this is not known. The engine is notified later that nobody waits for it.
 func TestResponseInTimeWhileEngineIsBlocked(t *testing.T) {
 	for name, c := range map[string]struct{ maxEvents, code int }{
 		"in the queue":      {0, 502},
--- a/internal/front/fronttest/fronttest.go
+++ b/internal/front/fronttest/fronttest.go
@@ -64,8 +64,19 @@
 	if o.Source != nil {
 		options.CachedList = list
 	}
+	e := RunEngine(t, options)
+	if o.Source == nil {
+		e.Call(func(now balancer.Micros) { e.UpdateEndpoints(now, balancer.ListFull, list) })
+	}
+	b.Engine, b.Upstream = e, upstream
+	return b
+}
+
+// RunEngine runs an engine until the test ends, and waits for its end then.
+func RunEngine(t testing.TB, o engine.Options) *engine.Engine {
+	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
-	e, err := engine.New(ctx, options)
+	e, err := engine.New(ctx, o)
 	if err != nil {
 		stop()
 		t.Fatal(err)
@@ -79,11 +90,7 @@
 		stop()
 		<-ended
 	})
-	if o.Source == nil {
-		e.Call(func(now balancer.Micros) { e.UpdateEndpoints(now, balancer.ListFull, list) })
-	}
-	b.Engine, b.Upstream = e, upstream
-	return b
+	return e
 }
 
 // List returns the complete endpoint list of servers.
--- a/internal/upstream/secure/sessions_model_test.go
+++ b/internal/upstream/secure/sessions_model_test.go
@@ -28,7 +28,7 @@
 
 // take removes the session with a key and returns it. ok is false where there is none.
 func (m *sessionModel) take(key sessionKey) (session modelSession, ok bool) {
-	index := slices.IndexFunc(m.sessions, func(held modelSession) bool { return held.sessionKey == key })
+	index := slices.IndexFunc(m.sessions, func(other modelSession) bool { return other.sessionKey == key })
 	if index < 0 {
 		return modelSession{}, false
 	}
@@ -42,7 +42,7 @@
 	state := &tls.ClientSessionState{}
 	m.store.cacheFor(key.target, key.protocol, material).Put("any", state)
 	closed := key.target.Closed()
-	index := slices.IndexFunc(m.sessions, func(held modelSession) bool { return held.sessionKey == key })
+	index := slices.IndexFunc(m.sessions, func(other modelSession) bool { return other.sessionKey == key })
 	if index >= 0 && !closed && m.sessions[index].material > material {
 		return
 	}
@@ -65,20 +65,20 @@
 // get looks up a session and checks that the right one is found.
 func (m *sessionModel) get(key sessionKey, material int) {
 	got, found := m.store.cacheFor(key.target, key.protocol, material).Get("any")
-	held, stored := m.take(key)
+	session, stored := m.take(key)
 	switch {
 	case !stored:
 		if found {
 			m.t.Fatal("found a session that was not stored")
 		}
-	case held.material != material:
+	case session.material != material:
 		if found {
 			m.t.Fatal("found a session of other material")
 		}
 	default:
-		m.sessions = append(m.sessions, held)
-		if !found || got != held.state {
-			m.t.Fatalf("found %t, the stored one: %t", found, got == held.state)
+		m.sessions = append(m.sessions, session)
+		if !found || got != session.state {
+			m.t.Fatalf("found %t, the stored one: %t", found, got == session.state)
 		}
 	}
 }
@@ -86,7 +86,7 @@
 // invalidate removes the sessions with a target.
 func (m *sessionModel) invalidate(target *engine.Target) {
 	m.store.invalidate(target)
-	m.sessions = slices.DeleteFunc(m.sessions, func(held modelSession) bool { return held.target == target })
+	m.sessions = slices.DeleteFunc(m.sessions, func(other modelSession) bool { return other.target == target })
 }
 
 // checkCount checks the number of sessions.
