Sidecar tests read outcomes after the event that answered; linter limits lines to 120

Cause: the engine answers a client before it notifies the balancer of the outcome, within one event; TestEndpointDrainingDuringDialGetsNothing compared the outcomes right after the answer and failed in 51 of 18,000 plays under load, and TestDrainingEndpointGetsNothingDuringShutdown read them the same way.

Change: both wait for the end of that event (settledStatuses) and then compare as before. golangci-lint runs lll with 120 columns; the six longer lines, all of tools/knownred, are wrapped.

--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -190,7 +190,7 @@
 	if n := first.RequestCount(); n != 0 {
 		t.Errorf("the draining endpoint got %d requests", n)
 	}
-	if all := h.spy.statuses(); !slices.Equal(all, []balancer.Status{balancer.NotSent, balancer.OK}) {
+	if all := h.settledStatuses(); !slices.Equal(all, []balancer.Status{balancer.NotSent, balancer.OK}) {
 		t.Errorf("outcomes %v, want not sent and OK", all)
 	}
 }
--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -315,6 +315,14 @@
 	<-done
 }
 
+// settledStatuses returns the status of each attempt whose request was answered before, and of others that have ended.
+// The engine answers a client before it notifies the balancer of the outcome, within the same event.
+func (h *harness) settledStatuses() []balancer.Status {
+	h.t.Helper()
+	h.inEngine(func() {}) // the event of the latest answer has ended
+	return h.spy.statuses()
+}
+
 // testKey is the idempotency key of all requests of classes with a key.
 const testKey = "5c0f6e1a2b3d4c59"
 
--- a/internal/sidecar/shutdown_test.go
+++ b/internal/sidecar/shutdown_test.go
@@ -74,7 +74,7 @@
 	h.waitFor("shutdown to begin", func() bool {
 		return testfleet.Readiness(h.address) == http.StatusServiceUnavailable
 	})
-	before := len(h.spy.statuses())
+	before := len(h.settledStatuses())
 	h.dir.SetHosts(1,
 		fakediscovery.Draining("s-1", first.Address),
 		fakediscovery.Ready("s-2", second.Address))
@@ -84,7 +84,7 @@
 			t.Errorf("during shutdown: %+v", got)
 		}
 	}
-	if n := first.RequestCount(); n != 0 || len(h.spy.statuses()) != before+5 {
+	if n := first.RequestCount(); n != 0 || len(h.settledStatuses()) != before+5 {
 		t.Errorf("the draining endpoint got %d requests", n)
 	}
 }
--- a/tools/knownred/main.go
+++ b/tools/knownred/main.go
@@ -67,7 +67,12 @@
 	if err != nil {
 		return err
 	}
-	results := &results{outputs: map[testID][]string{}, failed: map[testID]bool{}, passed: map[testID]bool{}, failedPackages: map[string]bool{}}
+	results := &results{
+		outputs:        map[testID][]string{},
+		failed:         map[testID]bool{},
+		passed:         map[testID]bool{},
+		failedPackages: map[string]bool{},
+	}
 	scanner := bufio.NewScanner(events)
 	scanner.Buffer(nil, maxLineBytes)
 	for scanner.Scan() {
--- a/tools/knownred/main_test.go
+++ b/tools/knownred/main_test.go
@@ -39,11 +39,23 @@
 		{"the listed test fails in a subtest", list, []string{"fail p TestRed/case", "fail p TestRed", "fail p"}, ""},
 		{"the listed test passes", list, []string{"pass p TestRed", "pass p"}, ""},
 		{"the listed test does not run", list, []string{"pass p TestA", "pass p"}, "did not run"},
-		{"another test fails beside the listed one", list, []string{"fail p TestA", "fail p TestRed", "fail p"}, "p TestA failed"},
-		{"a test of that name fails in another package", list, []string{"fail p TestRed", "fail p", "fail q TestRed", "fail q"}, "q TestRed failed"},
-		{"another package fails without a test", list, []string{"fail p TestRed", "fail p", "fail q"}, "q failed without a failing test"},
+		{
+			"another test fails beside the listed one", list,
+			[]string{"fail p TestA", "fail p TestRed", "fail p"}, "p TestA failed",
+		},
+		{
+			"a test of that name fails in another package", list,
+			[]string{"fail p TestRed", "fail p", "fail q TestRed", "fail q"}, "q TestRed failed",
+		},
+		{
+			"another package fails without a test", list,
+			[]string{"fail p TestRed", "fail p", "fail q"}, "q failed without a failing test",
+		},
 		{"nothing was tested", "", nil, "no package was tested"},
-		{"four tests are listed", list + "p T1: x (issue 1)\np T2: x (issue 1)\np T3: x (issue 1)\n", []string{"pass p"}, "at most 3"},
+		{
+			"four tests are listed", list + "p T1: x (issue 1)\np T2: x (issue 1)\np T3: x (issue 1)\n",
+			[]string{"pass p"}, "at most 3",
+		},
 		{"a line names no issue", "p TestRed: broken\n", []string{"pass p"}, "KNOWN-RED.txt:1"},
 		{"a line names a subtest", "p TestRed/case: broken (issue 1)\n", []string{"pass p"}, "KNOWN-RED.txt:1"},
 	} {
@@ -62,7 +74,21 @@
 // TestRealRun has go test fail in a module of its own, with and without the test being listed, and with a
 // panic that keeps later tests from running.
 func TestRealRun(t *testing.T) {
-	const source = "package p\n\nimport \"testing\"\n\nfunc TestRed(t *testing.T) { t.Error(\"red\") }\n\nfunc TestPanics(t *testing.T) {\n\tif panics {\n\t\tpanic(\"early end\")\n\t}\n}\n\nfunc TestLast(t *testing.T) {}\n\nconst panics = "
+	const source = `package p
+
+import "testing"
+
+func TestRed(t *testing.T) { t.Error("red") }
+
+func TestPanics(t *testing.T) {
+	if panics {
+		panic("early end")
+	}
+}
+
+func TestLast(t *testing.T) {}
+
+const panics = `
 	for _, c := range []struct {
 		name, list, panics, want string
 	}{
