--- a/internal/app/http3_test.go
+++ b/internal/app/http3_test.go
@@ -24,8 +24,8 @@
 	return startRunning(t, 0, priceClass, payClass, fmt.Sprintf(http3Format, files.Cert, files.Key))
 }
 
-// checkPriceOverHTTP3 sends a price check to the HTTP/3 front, which must serve it.
-func (r *running) checkPriceOverHTTP3(client *http3.Transport) error {
+// checkPriceViaHTTP3 sends a price check to the HTTP/3 front, which must serve it.
+func (r *running) checkPriceViaHTTP3(client *http3.Transport) error {
 	request := newRequest(http.MethodGet, "https://"+r.HTTP3.String()+"/price-check/x", priceHeaders...)
 	statusCode, _, err := roundTrip(client.RoundTrip, request)
 	if err == nil && statusCode != http.StatusOK {
@@ -48,7 +48,7 @@
 	}
 	client := &http3.Transport{TLSClientConfig: pair.Client}
 	defer client.Close()
-	if err := r.checkPriceOverHTTP3(client); err != nil {
+	if err := r.checkPriceViaHTTP3(client); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -73,7 +73,7 @@
 	}
 	requireServed := func(rotation int, condition string, client *http3.Transport) {
 		t.Helper()
-		if err := r.checkPriceOverHTTP3(client); err != nil {
+		if err := r.checkPriceViaHTTP3(client); err != nil {
 			t.Fatalf("rotation %d, %s: %v", rotation, condition, err)
 		}
 	}
--- a/internal/config/read_test.go
+++ b/internal/config/read_test.go
@@ -35,14 +35,14 @@
 	}
 }
 
-func TestTextOverSizeLimitIsRejected(t *testing.T) {
+func TestTooLargeTextIsRejected(t *testing.T) {
 	if _, err := Parse([]byte(strings.Repeat("#", maxFileBytes+1))); err == nil {
 		t.Error("a text over the limit is accepted")
 	}
 }
 
 // A file of 100 MB is rejected for its size.
-func TestFileOverSizeLimitIsRejected(t *testing.T) {
+func TestTooLargeFileIsRejected(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "site.toml")
 	testfleet.WriteFile(t, path, "")
 	if err := os.Truncate(path, 100<<20); err != nil { // a sparse file
--- a/internal/measure/extproc/fronts.go
+++ b/internal/measure/extproc/fronts.go
@@ -45,15 +45,15 @@
 // servers receive, and their breakers draw which requests come next.
 func Fronts(o Options, sameOnAllServers bool) (*FrontsReport, error) {
 	faults := fakebackend.Faults{Reject: 0.02, Error: 0.03, Reset: 0.02, SameOnAllServers: sameOnAllServers}
-	overHTTP, err := tallyCalls(o, faults, newHTTPCaller)
+	viaHTTP, err := tallyCalls(o, faults, newHTTPCaller)
 	if err != nil {
 		return nil, fmt.Errorf("over HTTP: %w", err)
 	}
-	overProcessor, err := tallyCalls(o, faults, newProcessorCaller)
+	viaProcessor, err := tallyCalls(o, faults, newProcessorCaller)
 	if err != nil {
 		return nil, fmt.Errorf("over the processor: %w", err)
 	}
-	return &FrontsReport{HTTP: overHTTP, Processor: overProcessor}, nil
+	return &FrontsReport{HTTP: viaHTTP, Processor: viaProcessor}, nil
 }
 
 // frontCaller makes calls through one front.
--- a/internal/measure/extproc/streams.go
+++ b/internal/measure/extproc/streams.go
@@ -151,10 +151,10 @@
 		latencies []time.Duration
 	)
 	err := harness.ForEach(pacedWorkers, pacedWorkers, func(int) error {
-		own, err := c.callWhenDue(due)
+		ofClient, err := c.callWhenDue(due)
 		mu.Lock()
 		defer mu.Unlock()
-		latencies = append(latencies, own...)
+		latencies = append(latencies, ofClient...)
 		return err
 	})
 	return latencies, err
--- a/internal/measure/properties/properties_test.go
+++ b/internal/measure/properties/properties_test.go
@@ -124,8 +124,8 @@
 // repeated, and none is recorded.
 func TestFailureFilesAreNeitherReadNorWritten(t *testing.T) {
 	dir := newModule(t, neverHolds)
-	earlier := filepath.Join(dir, "a/testdata/rapid/TestOne/TestOne-1.fail")
-	writeFile(t, earlier, []byte("# \nv0.4.8#1\n0x0\n"))
+	previous := filepath.Join(dir, "a/testdata/rapid/TestOne/TestOne-1.fail")
+	writeFile(t, previous, []byte("# \nv0.4.8#1\n0x0\n"))
 	test := exec.Command("go", "test", "./a")
 	test.Dir = dir
 	if err := test.Run(); err == nil {
--- a/internal/measure/tenants/tenants_test.go
+++ b/internal/measure/tenants/tenants_test.go
@@ -123,7 +123,7 @@
 // within the rate. The bounds hold at any speed of the machine: the quiet tenants send no faster than their quota
 // also where the process stands still for a while, the latency objective is so long that the decision module sheds
 // no load of slow servers, and the rate is compared with the time that the load really took.
-func TestProxiesKeepTheirLimitsOverSockets(t *testing.T) {
+func TestProxiesKeepTheirLimitsOnSockets(t *testing.T) {
 	o := Options{For: 1500 * time.Millisecond, Rate: 150, Seed: 1, quietClosedLoop: true, timeout: time.Minute}
 	rows, err := Run(o)
 	if err != nil {
--- a/internal/measure/tlscost/proxies.go
+++ b/internal/measure/tlscost/proxies.go
@@ -178,11 +178,11 @@
 func newTransport(front frontKind) (transport http.RoundTripper, closeTransport func()) {
 	config := &tls.Config{InsecureSkipVerify: true}
 	if front == http3Front {
-		overHTTP3 := &http3.Transport{TLSClientConfig: config}
-		return overHTTP3, func() { overHTTP3.Close() }
+		viaHTTP3 := &http3.Transport{TLSClientConfig: config}
+		return viaHTTP3, func() { viaHTTP3.Close() }
 	}
-	overTCP := &http.Transport{TLSClientConfig: config}
-	return overTCP, overTCP.CloseIdleConnections
+	viaTCP := &http.Transport{TLSClientConfig: config}
+	return viaTCP, viaTCP.CloseIdleConnections
 }
 
 // send sends one request and counts its answer.
--- a/internal/measure/tlscost/proxyserver.go
+++ b/internal/measure/tlscost/proxyserver.go
@@ -123,13 +123,13 @@
 		},
 	}
 	if front == http3Front {
-		return serveOverHTTP3(proxy, certificate)
+		return serveHTTP3(proxy, certificate)
 	}
-	return serveOverTCP(proxy, certificate, front)
+	return serveTCP(proxy, certificate, front)
 }
 
-// serveOverHTTP3 serves a handler over HTTP/3 until stop is called.
-func serveOverHTTP3(handler http.Handler, certificate tls.Certificate) (address string, stop func(), err error) {
+// serveHTTP3 serves a handler over HTTP/3 until stop is called.
+func serveHTTP3(handler http.Handler, certificate tls.Certificate) (address string, stop func(), err error) {
 	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
 		return "", nil, err
@@ -150,8 +150,8 @@
 	}, nil
 }
 
-// serveOverTCP serves a handler over HTTP/1.1, with TLS or without, until stop is called.
-func serveOverTCP(
+// serveTCP serves a handler over HTTP/1.1, with TLS or without, until stop is called.
+func serveTCP(
 	handler http.Handler, certificate tls.Certificate, front frontKind,
 ) (address string, stop func(), err error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/standin/ca/ca_test.go
+++ b/internal/standin/ca/ca_test.go
@@ -111,9 +111,9 @@
 	if err != nil || strings.Count(string(text), "BEGIN CERTIFICATE") != 2 {
 		t.Errorf("roots %q, %v", text, err)
 	}
-	left, err := filepath.Glob(filepath.Join(filepath.Dir(folder.Cert), "*.new"))
-	if err != nil || len(left) > 0 {
-		t.Errorf("temporary files %q, %v", left, err)
+	temporary, err := filepath.Glob(filepath.Join(filepath.Dir(folder.Cert), "*.new"))
+	if err != nil || len(temporary) > 0 {
+		t.Errorf("temporary files %q, %v", temporary, err)
 	}
 }
 
--- a/internal/standin/proxy/proxy_test.go
+++ b/internal/standin/proxy/proxy_test.go
@@ -24,7 +24,7 @@
 	extprocv3.UnimplementedExternalProcessorServer
 
 	decision *extprocv3.ProcessingResponse // in response to request headers
-	verdict  *extprocv3.ProcessingResponse // in response to response headers
+	reply    *extprocv3.ProcessingResponse // in response to response headers
 
 	requests chan *extprocv3.ProcessingRequest // received
 	ended    chan struct{}                     // receives a value at the end of each stream
@@ -39,7 +39,7 @@
 			return nil // the proxy has ended the stream
 		}
 		p.requests <- request
-		response := p.verdict
+		response := p.reply
 		if request.GetRequestHeaders() != nil {
 			response = p.decision
 		}
@@ -50,7 +50,7 @@
 }
 
 // dialProcessor returns a proxy of a processor that serves until the test ends.
-func dialProcessor(t *testing.T, decision, verdict *extprocv3.ProcessingResponse) (*Proxy, *processor) {
+func dialProcessor(t *testing.T, decision, reply *extprocv3.ProcessingResponse) (*Proxy, *processor) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -58,7 +58,7 @@
 	}
 	p := &processor{
 		decision: decision,
-		verdict:  verdict,
+		reply:    reply,
 		requests: make(chan *extprocv3.ProcessingRequest, 100),
 		ended:    make(chan struct{}, 100),
 	}
@@ -194,7 +194,7 @@
 func TestProcessorReplacesResponse(t *testing.T) {
 	endpoint := scriptedconn.New(t, scriptedconn.Always(scriptedconn.Served))
 	for name, test := range map[string]struct {
-		verdict        *extprocv3.ProcessingResponse
+		reply          *extprocv3.ProcessingResponse
 		wantCode       int
 		wantRetryAfter string
 		wantRetry      bool
@@ -205,7 +205,7 @@
 		"immediate response": {immediate(503, "2"), 503, "2", false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			p, _ := dialProcessor(t, forwardTo(endpoint.Address, longTimeout), test.verdict)
+			p, _ := dialProcessor(t, forwardTo(endpoint.Address, longTimeout), test.reply)
 			result := p.Do(t.Context(), testRequest, Behaviour{})
 			if result.Err != nil || result.Code != test.wantCode || result.RetryAfter != test.wantRetryAfter ||
 				result.RetryAllowed != test.wantRetry {
--- a/internal/standin/scriptedconn/scriptedconn_test.go
+++ b/internal/standin/scriptedconn/scriptedconn_test.go
@@ -71,19 +71,19 @@
 
 func TestServedAfterHoldsMatchingRequestsUntilRelease(t *testing.T) {
 	release := make(chan struct{})
-	e := New(t, ServedAfter(release, func(r *http.Request) bool { return r.URL.Path == "/held" }))
-	held, other := dial(t, e), dial(t, e)
-	held.send("/held")
+	e := New(t, ServedAfter(release, func(r *http.Request) bool { return r.URL.Path == "/delayed" }))
+	delayed, other := dial(t, e), dial(t, e)
+	delayed.send("/delayed")
 	other.send("/other")
 	if code := other.receive(); code != http.StatusOK {
 		t.Errorf("the other response is %d", code)
 	}
-	if n := held.reader.Buffered(); n > 0 {
-		t.Errorf("%d bytes of the held response", n)
+	if n := delayed.reader.Buffered(); n > 0 {
+		t.Errorf("%d bytes of the delayed response", n)
 	}
 	close(release)
-	if code := held.receive(); code != http.StatusOK {
-		t.Errorf("the held response is %d", code)
+	if code := delayed.receive(); code != http.StatusOK {
+		t.Errorf("the delayed response is %d", code)
 	}
 }
 
--- a/internal/standin/udprelay/udprelay.go
+++ b/internal/standin/udprelay/udprelay.go
@@ -55,7 +55,7 @@
 // directionState is the state of one direction.
 type directionState struct {
 	blocked   bool
-	held      []byte // a datagram to be forwarded after the next one
+	delayed   []byte // a datagram to be forwarded after the next one
 	datagrams int    // received so far
 }
 
@@ -204,17 +204,17 @@
 		return nil
 	}
 	datagram = bytes.Clone(datagram)
-	if state.held == nil && r.random.Float64() < r.script.Reorder {
-		state.held = datagram
+	if state.delayed == nil && r.random.Float64() < r.script.Reorder {
+		state.delayed = datagram
 		return nil
 	}
 	released := [][]byte{datagram}
 	if r.random.Float64() < r.script.Duplicate {
 		released = append(released, datagram)
 	}
-	if state.held != nil {
-		released = append(released, state.held)
-		state.held = nil
+	if state.delayed != nil {
+		released = append(released, state.delayed)
+		state.delayed = nil
 	}
 	return released
 }
