Tests: one way to issue a certificate that is valid now, one to run an engine

Cause, found on reading the change again: issueNow stood in the tests of app and of config, and its like in rotations and reconnect; fronttest and byprotocol's tests each ran an engine until the test's end with the same lines.

Change: ca.Authority.IssueFor serves the four and a test of tlsbackend; standin/testengine.Run serves the fronts' tests and byprotocol's. Validity of each certificate is as before. The set-up Fatal of byprotocol's engine is in testengine.

Nothing that cmd/pinedale links has changed.

--- a/internal/app/front_tls_test.go
+++ b/internal/app/front_tls_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"testing"
+	"time"
 
 	extprocv3 "github.com/envoyproxy/go-control-plane/envoy/service/ext_proc/v3"
 	"google.golang.org/grpc"
@@ -21,7 +22,7 @@
 // startTLSFronts starts an instance whose fronts require client certificates of an authority.
 func startTLSFronts(t *testing.T, root *ca.Authority) *tlsInstance {
 	t.Helper()
-	backends := [2]*ca.Pair{issueNow(root, "s-0.example.org"), issueNow(root, "s-1.example.org")}
+	backends := [2]*ca.Pair{root.IssueFor(time.Hour, "s-0.example.org"), root.IssueFor(time.Hour, "s-1.example.org")}
 	return startTLSInstance(t, root, backends, fmt.Sprintf(upstreamKeysFormat, false), frontKeys)
 }
 
@@ -76,7 +77,7 @@
 func TestHTTPFrontRequiresTrustedClientCertificate(t *testing.T) {
 	root, untrusted := ca.New(t, "root"), ca.New(t, "other")
 	i := startTLSFronts(t, root)
-	trusted := issueNow(root, "clerk.example.org")
+	trusted := root.IssueFor(time.Hour, "clerk.example.org")
 	clerk := newTLSClient(t, clientTLS(t, root, trusted))
 	if statusCode, err := i.checkPrice(clerk, "https"); statusCode != http.StatusOK {
 		t.Fatalf("a trusted client: status %d, %v", statusCode, err)
@@ -86,7 +87,7 @@
 		presented *ca.Pair
 	}{
 		{"no certificate", nil},
-		{"an untrusted root", issueNow(untrusted, "clerk.example.org")},
+		{"an untrusted root", untrusted.IssueFor(time.Hour, "clerk.example.org")},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			client := newTLSClient(t, clientTLS(t, root, test.presented))
@@ -109,11 +110,11 @@
 func TestExtProcRequiresTrustedClientCertificate(t *testing.T) {
 	root, untrusted := ca.New(t, "root"), ca.New(t, "other")
 	i := startTLSFronts(t, root)
-	trusted := clientTLS(t, root, issueNow(root, "proxy.example.org"))
+	trusted := clientTLS(t, root, root.IssueFor(time.Hour, "proxy.example.org"))
 	if err := openStream(t, i.ExtProc.String(), trusted); err != nil {
 		t.Errorf("a trusted proxy: %v", err)
 	}
-	foreign := clientTLS(t, root, issueNow(untrusted, "proxy.example.org"))
+	foreign := clientTLS(t, root, untrusted.IssueFor(time.Hour, "proxy.example.org"))
 	if openStream(t, i.ExtProc.String(), foreign) == nil {
 		t.Error("a proxy of an untrusted root was admitted")
 	}
--- a/internal/app/http3_test.go
+++ b/internal/app/http3_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/quic-go/quic-go/http3"
 
@@ -58,7 +59,7 @@
 func TestCertificateRotationFailsNoRequest(t *testing.T) {
 	root := ca.New(t, "root")
 	files := ca.NewFolder(t)
-	files.WritePair(issueNow(root, "127.0.0.1"))
+	files.WritePair(root.IssueFor(time.Hour, "127.0.0.1"))
 	r := startHTTP3(t, files)
 	roots := x509.NewCertPool()
 	roots.AddCert(root.Cert)
@@ -86,7 +87,7 @@
 	established := &http3.Transport{TLSClientConfig: tlsConfig}
 	defer established.Close()
 	for rotation := range rotations {
-		next := issueNow(root, "127.0.0.1")
+		next := root.IssueFor(time.Hour, "127.0.0.1")
 		files.WriteFile(files.Key, next.Key)
 		r.stores.reload() // one file of two has changed: nothing may change
 		requireServedOnNewConnection(rotation, "one file replaced")
--- a/internal/app/lifecycle_test.go
+++ b/internal/app/lifecycle_test.go
@@ -11,6 +11,7 @@
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"pinedale/internal/config"
 	"pinedale/internal/standin/ca"
@@ -62,7 +63,7 @@
 func newLifecycleFile(t *testing.T, addresses *lifecycleAddresses) *config.File {
 	t.Helper()
 	files := ca.NewFolder(t)
-	files.WritePair(issueNow(ca.New(t, "root"), "127.0.0.1"))
+	files.WritePair(ca.New(t, "root").IssueFor(time.Hour, "127.0.0.1"))
 	text := fmt.Sprintf(lifecycleFormat, addresses.http, addresses.extProc, addresses.http3, addresses.peers,
 		addresses.status, files.Cert, files.Key)
 	backend := (&fakebackend.Fleet{}).MustStart(t, "s-0", 0)
--- a/internal/app/tls_instance_test.go
+++ b/internal/app/tls_instance_test.go
@@ -43,15 +43,6 @@
 	log    logcapture.Buffer
 }
 
-// issueNow returns a certificate that was valid an hour ago and will be for another.
-func issueNow(authority *ca.Authority, names ...string) *ca.Pair {
-	return authority.Issue(ca.Spec{
-		Names:     names,
-		NotBefore: time.Now().Add(-time.Hour),
-		NotAfter:  time.Now().Add(time.Hour),
-	})
-}
-
 // issueExpired returns a certificate that expired an hour ago.
 func issueExpired(authority *ca.Authority, names ...string) *ca.Pair {
 	return authority.Issue(ca.Spec{
@@ -68,7 +59,7 @@
 	i := &tlsInstance{files: ca.NewFolder(t)}
 	i.files.WriteFile(i.files.Roots, root.PEM())
 	i.files.WriteFile(i.files.Revoked, root.RevocationList())
-	i.files.WritePair(issueNow(root, "127.0.0.1"))
+	i.files.WritePair(root.IssueFor(time.Hour, "127.0.0.1"))
 	folder := strings.TrimSuffix(i.files.Cert, "cert.pem")
 	text := fileHead + priceClass + payClass + strings.ReplaceAll(strings.Join(sections, ""), "@", folder)
 	if strings.Contains(text, `name = "front"`) {
--- a/internal/app/upstream_tls_test.go
+++ b/internal/app/upstream_tls_test.go
@@ -20,8 +20,8 @@
 		name, reason string
 		presented    *ca.Pair
 	}{
-		{"certificate of another server", "names", issueNow(root, "s-1.example.org")},
-		{"unknown root", "chain", issueNow(unknownRoot, "s-0.example.org")},
+		{"certificate of another server", "names", root.IssueFor(time.Hour, "s-1.example.org")},
+		{"unknown root", "chain", unknownRoot.IssueFor(time.Hour, "s-0.example.org")},
 		{"expired certificate", "over", issueExpired(root, "s-0.example.org")},
 	} {
 		for _, protocol := range []struct {
@@ -32,7 +32,7 @@
 			{"HTTP3", true},
 		} {
 			t.Run(test.name+"/"+protocol.name, func(t *testing.T) {
-				i := startTLSInstance(t, root, [2]*ca.Pair{test.presented, issueNow(root, "s-1.example.org")},
+				i := startTLSInstance(t, root, [2]*ca.Pair{test.presented, root.IssueFor(time.Hour, "s-1.example.org")},
 					fmt.Sprintf(upstreamKeysFormat, protocol.http3))
 				for n := range requests {
 					if statusCode, err := i.checkPrice(http.DefaultClient, "http"); statusCode != http.StatusOK {
--- a/internal/config/keys_test.go
+++ b/internal/config/keys_test.go
@@ -65,22 +65,13 @@
 key_file = %q
 `
 
-// issueNow returns a certificate that was valid an hour ago and will be for another.
-func issueNow(authority *ca.Authority, names ...string) *ca.Pair {
-	return authority.Issue(ca.Spec{
-		Names:     names,
-		NotBefore: time.Now().Add(-time.Hour),
-		NotAfter:  time.Now().Add(time.Hour),
-	})
-}
-
 // newKeysFile returns the text of a valid file with TLS and the folder of its keys.
 func newKeysFile(t *testing.T, root *ca.Authority) (text string, files *ca.Folder) {
 	t.Helper()
 	files = ca.NewFolder(t)
 	files.WriteFile(files.Roots, root.PEM())
 	files.WriteFile(files.Revoked, root.RevocationList())
-	files.WritePair(issueNow(root, "127.0.0.1"))
+	files.WritePair(root.IssueFor(time.Hour, "127.0.0.1"))
 	return keysHead + fmt.Sprintf(keysFormat, files.Roots, files.Revoked, files.Cert, files.Key), files
 }
 
@@ -154,7 +145,7 @@
 // Errors of the HTTP/3 section name the key of the file.
 func TestHTTP3ErrorsNameKey(t *testing.T) {
 	files := ca.NewFolder(t)
-	files.WritePair(issueNow(ca.New(t, "root"), "127.0.0.1"))
+	files.WritePair(ca.New(t, "root").IssueFor(time.Hour, "127.0.0.1"))
 	section := fmt.Sprintf(http3Format, files.Cert, files.Key)
 	mustParse(t, goodFile+section)
 	const listen = `listen = "127.0.0.1:0"`
@@ -206,7 +197,7 @@
 	file := mustParse(t, text)
 	newFiles := func(name string) certstore.Paths {
 		files := ca.NewFolder(t)
-		files.WritePair(issueNow(root, name))
+		files.WritePair(root.IssueFor(time.Hour, name))
 		return certstore.Paths{Cert: files.Cert, Key: files.Key}
 	}
 	valid, otherName := newFiles("127.0.0.1"), newFiles("10.0.0.1")
--- a/internal/front/exchange/dispatcher_test.go
+++ b/internal/front/exchange/dispatcher_test.go
@@ -12,8 +12,8 @@
 
 	"pinedale/balancer"
 	"pinedale/internal/engine"
-	"pinedale/internal/front/fronttest"
 	"pinedale/internal/requestmeta"
+	"pinedale/internal/standin/testengine"
 	"pinedale/internal/standin/wait"
 )
 
@@ -42,7 +42,7 @@
 		ClientTimeout:    3_000_000,
 		PriorityWeight:   1,
 	}
-	e = fronttest.RunEngine(t, engine.Options{
+	e = testengine.Run(t, engine.Options{
 		Upstream: idlePeer{},
 		Source:   idlePeer{},
 		Log:      slog.New(slog.DiscardHandler),
--- a/internal/front/fronttest/fronttest.go
+++ b/internal/front/fronttest/fronttest.go
@@ -3,7 +3,6 @@
 package fronttest
 
 import (
-	"context"
 	"fmt"
 	"log/slog"
 	"testing"
@@ -14,6 +13,7 @@
 	"pinedale/balancer"
 	"pinedale/internal/engine"
 	"pinedale/internal/standin/fakebackend"
+	"pinedale/internal/standin/testengine"
 	"pinedale/internal/upstream/httpupstream"
 )
 
@@ -64,7 +64,7 @@
 	if o.Source != nil {
 		options.CachedList = list
 	}
-	e := RunEngine(t, options)
+	e := testengine.Run(t, options)
 	if o.Source == nil {
 		e.Call(func(now balancer.Micros) { e.UpdateEndpoints(now, balancer.ListFull, list) })
 	}
@@ -72,27 +72,6 @@
 	return b
 }
 
-// RunEngine runs an engine until the test ends, and waits for its end then.
-func RunEngine(t testing.TB, o engine.Options) *engine.Engine {
-	t.Helper()
-	ctx, stop := context.WithCancel(context.Background())
-	e, err := engine.New(ctx, o)
-	if err != nil {
-		stop()
-		t.Fatal(err)
-	}
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		e.Run()
-	}()
-	t.Cleanup(func() {
-		stop()
-		<-ended
-	})
-	return e
-}
-
 // List returns the complete endpoint list of servers.
 func List(servers ...*fakebackend.Server) engine.List {
 	list := engine.List{Version: 1, Complete: true}
--- a/internal/measure/reconnect/servers.go
+++ b/internal/measure/reconnect/servers.go
@@ -29,11 +29,7 @@
 func startServers(o Options, files *ca.Folder) (*servers, error) {
 	root := ca.New(ca.PanicOnFatal{}, "root")
 	files.WriteFile(files.Roots, root.PEM())
-	pair := root.Issue(ca.Spec{
-		Names:     []string{serverName},
-		NotBefore: time.Now().Add(-time.Hour),
-		NotAfter:  time.Now().Add(24 * time.Hour),
-	})
+	pair := root.IssueFor(24*time.Hour, serverName)
 	certificate, err := tls.X509KeyPair(pair.Cert, pair.Key)
 	if err != nil {
 		return nil, err
--- a/internal/measure/rotations/rig.go
+++ b/internal/measure/rotations/rig.go
@@ -27,6 +27,8 @@
 	clientCertName = "pinedale.example.org" // that the proxy shows to servers
 
 	serviceTime = time.Millisecond
+
+	validity = 24 * time.Hour // of certificates
 )
 
 const configFormat = `version = 1
@@ -145,10 +147,10 @@
 		return err
 	}
 	r.front, r.fleet = frontFiles, fleetFiles
-	r.front.WritePair(issue(r.root, frontCertName))
-	r.fleet.WritePair(issue(r.root, clientCertName))
+	r.front.WritePair(r.root.IssueFor(validity, frontCertName))
+	r.fleet.WritePair(r.root.IssueFor(validity, clientCertName))
 	r.fleet.WriteFile(r.fleet.Roots, r.root.PEM())
-	r.credentials = tlsbackend.NewCredentials(ca.PanicOnFatal{}, issue(r.root, r.serverNames()...))
+	r.credentials = tlsbackend.NewCredentials(ca.PanicOnFatal{}, r.root.IssueFor(validity, r.serverNames()...))
 	r.credentials.SetClientCAs(r.root)
 	return nil
 }
@@ -169,15 +171,6 @@
 	return names
 }
 
-// issue issues a certificate that is valid now.
-func issue(authority *ca.Authority, names ...string) *ca.Pair {
-	return authority.Issue(ca.Spec{
-		Names:     names,
-		NotBefore: time.Now().Add(-time.Hour),
-		NotAfter:  time.Now().Add(24 * time.Hour),
-	})
-}
-
 // newTrustedRoot makes a root that clients trust from now on. They trust it for good, since the proxy's side of a
 // rotation is measured, not theirs.
 func (r *rig) newTrustedRoot(number int) *ca.Authority {
--- a/internal/measure/rotations/rotate.go
+++ b/internal/measure/rotations/rotate.go
@@ -41,14 +41,14 @@
 
 // replaceServerCertificate replaces the certificate of the servers.
 func (r *rig) replaceServerCertificate() error {
-	r.credentials.SetCertificate(issue(r.root, r.serverNames()...))
+	r.credentials.SetCertificate(r.root.IssueFor(validity, r.serverNames()...))
 	return nil
 }
 
 // replaceClientCertificate replaces what the proxy shows to servers: the key, and then the certificate.
 func (r *rig) replaceClientCertificate() error {
 	return r.awaitReload(fleetKeys, func() {
-		pair := issue(r.root, clientCertName)
+		pair := r.root.IssueFor(validity, clientCertName)
 		r.fleet.WriteFile(r.fleet.Key, pair.Key)
 		r.fleet.WriteFile(r.fleet.Cert, pair.Cert)
 	})
@@ -56,7 +56,7 @@
 
 // replaceFrontCertificate replaces what the proxy shows to clients: the certificate, and then the key.
 func (r *rig) replaceFrontCertificate() error {
-	return r.awaitReload(frontKeys, func() { r.front.WritePair(issue(r.root, frontCertName)) })
+	return r.awaitReload(frontKeys, func() { r.front.WritePair(r.root.IssueFor(validity, frontCertName)) })
 }
 
 // trustBothRoots has both sides trust the next root, too.
@@ -69,8 +69,8 @@
 
 // issueByNextRoot replaces the certificates of both sides by those of the next root.
 func (r *rig) issueByNextRoot() error {
-	r.credentials.SetCertificate(issue(r.nextRoot, r.serverNames()...))
-	return r.awaitReload(fleetKeys, func() { r.fleet.WritePair(issue(r.nextRoot, clientCertName)) })
+	r.credentials.SetCertificate(r.nextRoot.IssueFor(validity, r.serverNames()...))
+	return r.awaitReload(fleetKeys, func() { r.fleet.WritePair(r.nextRoot.IssueFor(validity, clientCertName)) })
 }
 
 // removeOldRoot has both sides trust the next root alone, while connections are open, and makes the root of the round
--- a/internal/standin/ca/ca.go
+++ b/internal/standin/ca/ca.go
@@ -206,6 +206,13 @@
 	}
 }
 
+// IssueFor returns a new certificate with its key that has been valid for an hour, and remains so for a while.
+func (a *Authority) IssueFor(remaining time.Duration, names ...string) *Pair {
+	a.t.Helper()
+	now := time.Now()
+	return a.Issue(Spec{Names: names, NotBefore: now.Add(-time.Hour), NotAfter: now.Add(remaining)})
+}
+
 // RevocationList returns a list, as PEM, that revokes certificates. It is valid for a year from Epoch.
 func (a *Authority) RevocationList(revoked ...*x509.Certificate) []byte {
 	a.t.Helper()
--- a/internal/standin/tlsbackend/tlsbackend_test.go
+++ b/internal/standin/tlsbackend/tlsbackend_test.go
@@ -97,7 +97,7 @@
 	certificate := func(issuer *ca.Authority) tls.Certificate {
 		t.Helper()
 		// The server verifies by the system's clock.
-		pair := issuer.Issue(ca.Spec{NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour)})
+		pair := issuer.IssueFor(time.Hour)
 		certificate, err := tls.X509KeyPair(pair.Cert, pair.Key)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/upstream/byprotocol/byprotocol_test.go
+++ b/internal/upstream/byprotocol/byprotocol_test.go
@@ -17,6 +17,7 @@
 	"pinedale/balancer"
 	"pinedale/internal/engine"
 	"pinedale/internal/standin/cert"
+	"pinedale/internal/standin/testengine"
 	"pinedale/internal/standin/udprelay"
 	"pinedale/internal/standin/wait"
 	"pinedale/internal/upstream/http3upstream"
@@ -79,8 +80,7 @@
 // startEngine runs an engine with one endpoint until the test ends.
 func startEngine(t *testing.T, u *Upstream, address string) *engine.Engine {
 	t.Helper()
-	ctx, stop := context.WithCancel(context.Background())
-	e, err := engine.New(ctx, engine.Options{
+	e := testengine.Run(t, engine.Options{
 		Seed:     1,
 		Zones:    []string{"a"},
 		Upstream: u,
@@ -99,19 +99,6 @@
 			Limits: balancer.Limits{MaxAttempts: 3, MaxOpen: 100},
 		},
 	})
-	if err != nil {
-		stop()
-		t.Fatal(err)
-	}
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		e.Run()
-	}()
-	t.Cleanup(func() {
-		stop()
-		<-ended
-	})
 	hosts := []engine.Host{{Name: "s", Address: address, Site: "a", Weight: 1}}
 	e.Call(func(now balancer.Micros) {
 		e.UpdateEndpoints(now, balancer.ListFull, engine.List{Complete: true, Hosts: hosts})
