Reproduction: sidecars lose requests with thousands of servers and little processor time

A small share of a core is made with SIGSTOP and SIGCONT in alternation (2 ms running, 30 ms stopped).

--- a/cmd/pinedale-faulttest/commands.go
+++ b/cmd/pinedale-faulttest/commands.go
@@ -29,6 +29,7 @@
 		newReplayCommand(player),
 		newShrinkCommand(player),
 		newReportCommand(),
+		newLargeListCommand(player),
 	)
 	return root
 }
--- /dev/null
+++ b/internal/faulttest/largelist/largelist_test.go
@@ -0,0 +1,137 @@
+package largelist
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+// sidecarProgram is pinedale, which TestMain builds as the platform does.
+var sidecarProgram string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "largelist-test-")
+	if err == nil {
+		sidecarProgram = filepath.Join(dir, "pinedale")
+		var output []byte
+		output, err = exec.Command("go", "build", "-o", sidecarProgram, "pinedale/cmd/pinedale").CombinedOutput()
+		fmt.Fprint(os.Stderr, string(output))
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// The fleets that are compared: the usual size, and what production adds.
+const (
+	usualServers = 200
+	mostServers  = 3200
+)
+
+// The page "What production adds": what a sidecar may need with mostServers, from what it needs with usualServers.
+const (
+	minServedRatio       = 0.85
+	processorRatio       = 1.4
+	processorPerThousand = 30 * time.Millisecond
+	processorExtra       = 20 * time.Millisecond
+	memoryRatio          = 1.5
+	memoryExtra          = 8 << 20
+	memoryPerThousand    = 4 << 20
+	descriptorRatio      = 2
+	descriptorExtra      = 40
+	connectionRatio      = 2.5
+	connectionExtra      = 40
+	listRatio            = 2
+	listExtra            = 64_000
+	listPerThousand      = 500_000
+)
+
+const (
+	testSidecars = 4
+	testSeed     = 1
+)
+
+// run plays a release between n servers.
+func run(t *testing.T, n int, throttle Throttle) *Report {
+	t.Helper()
+	report, err := Run(t.Context(), Options{
+		Program:  sidecarProgram,
+		Dir:      t.TempDir(),
+		Seed:     testSeed,
+		Servers:  n,
+		Sidecars: testSidecars,
+		Rate:     25,
+		Duration: 9 * time.Second,
+		Release:  true,
+		Throttle: throttle,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var text strings.Builder
+	report.Print(&text)
+	t.Logf("%d servers: %s", n, text.String())
+	return report
+}
+
+// servedRatio is the ratio of requests served, of those whose clients stayed.
+func (p *Report) servedRatio() float64 { return float64(p.Served) / float64(p.Requests-p.Left) }
+
+func TestNoRequestIsLostWithThousandsOfServersAndLittleProcessorTime(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	little := Throttle{Running: 2 * time.Millisecond, Stopped: 30 * time.Millisecond}
+	usual, most := run(t, usualServers, little), run(t, mostServers, little)
+	for _, report := range []*Report{usual, most} {
+		if len(report.Lost) > 0 {
+			t.Errorf("%d of %d requests lost", len(report.Lost), report.Requests)
+		}
+	}
+	if most.servedRatio() < minServedRatio*usual.servedRatio() {
+		t.Errorf("served %.3f with %d servers, %.3f with %d", most.servedRatio(), mostServers, usual.servedRatio(),
+			usualServers)
+	}
+}
+
+func TestResourcesDoNotGrowWithTheList(t *testing.T) {
+	usual, most := run(t, usualServers, Throttle{}), run(t, mostServers, Throttle{})
+	thousands := float64(mostServers) / 1000
+	for _, c := range []struct {
+		name         string
+		usual, most  float64
+		ratio, extra float64
+	}{
+		{"processor seconds", usual.Processor.Seconds(), most.Processor.Seconds(), processorRatio,
+			testSidecars * (processorExtra.Seconds() + processorPerThousand.Seconds()*thousands)},
+		{"peak memory", float64(usual.PeakMemory), float64(most.PeakMemory), memoryRatio,
+			memoryExtra + memoryPerThousand*thousands},
+		{"descriptors", float64(usual.Descriptors), float64(most.Descriptors), descriptorRatio, descriptorExtra},
+		{"connections", float64(usual.Connections), float64(most.Connections), connectionRatio,
+			testSidecars * connectionExtra},
+		{"bytes of lists", float64(usual.ListBytes), float64(most.ListBytes), listRatio,
+			testSidecars * (listExtra + listPerThousand*thousands)},
+	} {
+		if bound := c.ratio*c.usual + c.extra; c.most > bound {
+			t.Errorf("%s: %.4g with %d servers, %.4g with %d, at most %.4g allowed", c.name, c.most, mostServers,
+				c.usual, usualServers, bound)
+		}
+	}
+}
+
+func TestRunEndsWithItsContext(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if _, err := Run(ctx, Options{Program: sidecarProgram, Dir: t.TempDir(), Servers: 1, Sidecars: 1}); err == nil {
+		t.Error("no error of a run that was cancelled")
+	}
+}
--- /dev/null
+++ b/internal/faulttest/largelist/servers.go
@@ -0,0 +1,125 @@
+package largelist
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"pinedale/internal/standin/fakediscovery"
+)
+
+const (
+	serviceTime   = 50 * time.Millisecond // of a request, at a server that is not in slow start
+	slowStartTime = 8 * time.Second
+	slowdown      = 3 // of a server that has just started
+	podSize       = 6
+)
+
+// sites are the zones, of which servers are in turn.
+var sites = []string{"a", "b"}
+
+// serverGroup holds the servers, one listener on an address of its own each.
+type serverGroup struct {
+	recorder *recorder
+	http     http.Server
+	serving  sync.WaitGroup
+	conns    atomic.Int64 // accepted so far
+
+	mu      sync.RWMutex
+	started map[string]time.Time // by address; the zero time for long ago
+	count   int
+}
+
+func newServerGroup(recorder *recorder) *serverGroup {
+	g := &serverGroup{recorder: recorder, started: map[string]time.Time{}}
+	g.http.Handler = http.HandlerFunc(g.handle)
+	g.http.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			g.conns.Add(1)
+		}
+	}
+	return g
+}
+
+// start starts n servers and returns their entries for discovery.
+func (g *serverGroup) start(n int, at time.Time) ([]fakediscovery.Host, error) {
+	var hosts []fakediscovery.Host
+	for range n {
+		g.mu.Lock()
+		index := g.count
+		g.count++
+		g.mu.Unlock()
+		address := fmt.Sprintf("127.%d.%d.%d:0", 64+index>>16, index>>8&0xff, index&0xff)
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return nil, err
+		}
+		address = listener.Addr().String()
+		g.mu.Lock()
+		g.started[address] = at
+		g.mu.Unlock()
+		g.serving.Go(func() { _ = g.http.Serve(listener) }) // until close
+		host := fakediscovery.Ready(fmt.Sprintf("s-%05d", index), address)
+		host.Site = sites[index%len(sites)]
+		host.Cell = uint16(index / podSize)
+		if !at.IsZero() {
+			host.StartedMS = at.UnixMilli()
+		}
+		hosts = append(hosts, host)
+	}
+	return hosts, nil
+}
+
+// close ends all servers.
+func (g *serverGroup) close() {
+	g.http.Close()
+	g.serving.Wait()
+}
+
+// handle serves a request, or reports the load in response to a probe.
+func (g *serverGroup) handle(w http.ResponseWriter, in *http.Request) {
+	address := in.Context().Value(http.LocalAddrContextKey).(net.Addr).String()
+	if in.URL.Path == "/stats" {
+		_, _ = io.WriteString(w, "pending=0")
+		return
+	}
+	_, _ = io.Copy(io.Discard, in.Body)
+	id := in.Header.Get("X-Correlation-Id")
+	g.recorder.attempted(id, time.Now())
+	if !sleepUnlessEnded(in.Context(), g.timeToServe(address)) {
+		return
+	}
+	_, _ = io.WriteString(w, responseBody(id, address))
+}
+
+// timeToServe returns how long a server needs for a request now.
+func (g *serverGroup) timeToServe(address string) time.Duration {
+	g.mu.RLock()
+	started := g.started[address]
+	g.mu.RUnlock()
+	if started.IsZero() || time.Since(started) >= slowStartTime {
+		return serviceTime
+	}
+	warm := float64(time.Since(started)) / float64(slowStartTime)
+	return time.Duration(float64(serviceTime) * (slowdown - (slowdown-1)*warm))
+}
+
+// responseBody is what a server responds to a request.
+func responseBody(id, address string) string { return id + "@" + address }
+
+// sleepUnlessEnded waits, and reports false if ctx has ended before.
+func sleepUnlessEnded(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/faulttest/largelist/sidecar.go
@@ -0,0 +1,185 @@
+package largelist
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"pinedale/internal/ctxtime"
+	"pinedale/internal/standin/fakediscovery"
+	"pinedale/internal/standin/ports"
+	"pinedale/internal/standin/testfleet"
+)
+
+const (
+	readyInterval   = 20 * time.Millisecond
+	observeInterval = 100 * time.Millisecond
+	bytesPerKB      = 1 << 10
+)
+
+// sidecar is a process of pinedale.
+type sidecar struct {
+	address string
+	cmd     *exec.Cmd
+	logFile *os.File
+	ending  sync.Once
+
+	maxDescriptors int   // owned by observe
+	peakMemory     int64 // bytes resident; owned by observe
+}
+
+// startSidecar writes the configuration of a sidecar and starts it.
+func startSidecar(o Options, index int, discovery *fakediscovery.Directory) (*sidecar, error) {
+	address, err := ports.Free()
+	if err != nil {
+		return nil, err
+	}
+	config := testfleet.SidecarConfig{
+		Listen:    address,
+		Discovery: discovery.Address,
+		Seed:      fmt.Sprintf("%x", o.Seed<<8+uint64(index)+1),
+		Settings:  settings(index),
+	}
+	text, err := config.Marshal()
+	if err != nil {
+		return nil, err
+	}
+	base := filepath.Join(o.Dir, fmt.Sprintf("n%d", index))
+	if err := os.WriteFile(base+".json", text, 0o600); err != nil {
+		return nil, err
+	}
+	logFile, err := os.Create(base + ".log")
+	if err != nil {
+		return nil, err
+	}
+	cmd := exec.Command(o.Program)
+	cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+base+".json")
+	cmd.Stdout, cmd.Stderr = logFile, logFile
+	// The process must not outlive this one.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := startOnOneProcessor(cmd, index); err != nil {
+		logFile.Close()
+		return nil, err
+	}
+	return &sidecar{address: address, cmd: cmd, logFile: logFile}, nil
+}
+
+// startOnOneProcessor starts a process that runs on a single processor, as the platform has it.
+func startOnOneProcessor(cmd *exec.Cmd, index int) error {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	var all, one unix.CPUSet
+	if err := unix.SchedGetaffinity(0, &all); err != nil {
+		return err
+	}
+	one.Set(nthProcessor(&all, index%all.Count()))
+	if err := unix.SchedSetaffinity(0, &one); err != nil {
+		return err
+	}
+	err := cmd.Start() // the process inherits the thread's processors
+	return errors.Join(err, unix.SchedSetaffinity(0, &all))
+}
+
+// nthProcessor returns the number of a processor by its index in a set.
+func nthProcessor(set *unix.CPUSet, index int) int {
+	for processor := 0; ; processor++ {
+		if !set.IsSet(processor) {
+			continue
+		}
+		if index == 0 {
+			return processor
+		}
+		index--
+	}
+}
+
+// settings are those of a fleet of 300 sidecars with thin traffic.
+func settings(position int) testfleet.SidecarSettings {
+	s := testfleet.FullSettings(longestDeadline, dedupWindow)
+	s.Position = position
+	s.Zone = position % len(sites)
+	s.Balancers = 300
+	s.Contract.SlowStartTime = slowStartTime.Microseconds()
+	s.Contract.DrainGrace = (2 * time.Second).Microseconds()
+	s.Contract.PollInterval = (8 * time.Second).Microseconds()
+	s.Limits.Probes = true
+	s.Limits.KeepAlive = (15 * time.Second).Microseconds()
+	s.Limits.DialTimeout = (250 * time.Millisecond).Microseconds()
+	s.Reporting = &testfleet.Reporting{Mode: testfleet.ReportingByProbe, Fields: []string{"pending"}}
+	s.Prices = &testfleet.Prices{Probe: 0.05}
+	return s
+}
+
+// waitReady waits until the sidecar is ready.
+func (s *sidecar) waitReady(ctx context.Context) error {
+	for !testfleet.IsReady(s.address) {
+		if !ctxtime.Sleep(ctx, readyInterval) {
+			return fmt.Errorf("sidecar at %s is not ready: %w", s.address, ctx.Err())
+		}
+	}
+	return nil
+}
+
+// throttle stops and continues the process in turn until ctx ends, and leaves it running.
+func (s *sidecar) throttle(ctx context.Context, t Throttle) {
+	if t.Stopped == 0 {
+		return
+	}
+	defer s.signal(syscall.SIGCONT)
+	for ctx.Err() == nil {
+		s.signal(syscall.SIGCONT)
+		time.Sleep(t.Running)
+		s.signal(syscall.SIGSTOP)
+		time.Sleep(t.Stopped)
+	}
+}
+
+// signal sends a signal, which fails if the process has ended.
+func (s *sidecar) signal(signal syscall.Signal) { _ = s.cmd.Process.Signal(signal) }
+
+// observe records the peaks of descriptors and memory until ctx ends.
+func (s *sidecar) observe(ctx context.Context) {
+	directory := fmt.Sprintf("/proc/%d/", s.cmd.Process.Pid)
+	for ctxtime.Sleep(ctx, observeInterval) {
+		if entries, err := os.ReadDir(directory + "fd"); err == nil {
+			s.maxDescriptors = max(s.maxDescriptors, len(entries))
+		}
+		if status, err := os.ReadFile(directory + "status"); err == nil {
+			s.peakMemory = max(s.peakMemory, peakResidentBytes(string(status)))
+		}
+	}
+}
+
+// peakResidentBytes returns the largest resident size by the text of a process's status, 0 if it has none.
+func peakResidentBytes(status string) int64 {
+	_, rest, _ := strings.Cut(status, "VmHWM:")
+	var kilobytes int64
+	if _, err := fmt.Sscan(rest, &kilobytes); err != nil {
+		return 0
+	}
+	return kilobytes * bytesPerKB
+}
+
+// kill ends the process and waits for its end.
+func (s *sidecar) kill() {
+	s.ending.Do(func() {
+		s.signal(syscall.SIGKILL)
+		_ = s.cmd.Wait() // killed
+		s.logFile.Close()
+	})
+}
+
+// processorTime returns what a process that has ended has used.
+func (s *sidecar) processorTime() time.Duration {
+	return s.cmd.ProcessState.UserTime() + s.cmd.ProcessState.SystemTime()
+}
--- a/internal/standin/testfleet/sidecar.go
+++ b/internal/standin/testfleet/sidecar.go
@@ -41,6 +41,7 @@
 	Contract  *Contract  `json:"contract,omitempty"`
 	Limits    Limits     `json:"limits"`
 	Reporting *Reporting `json:"reporting,omitempty"`
+	Prices    *Prices    `json:"prices,omitempty"`
 	Balancers int        `json:"peers-total,omitempty"`
 	Position  int        `json:"position"`
 	Zone      int        `json:"zone"`
@@ -111,6 +112,11 @@
 	Hedging       bool  `json:"second-copies"`
 }
 
+// Prices are what events cost, as a ratio of the weight of a request.
+type Prices struct {
+	Probe float64 `json:"probe"`
+}
+
 // Reporting says how endpoints report their load.
 type Reporting struct {
 	Mode   string   `json:"how"`
@@ -201,6 +207,15 @@
 // JSON returns the text of the file.
 func (c SidecarConfig) JSON(t testing.TB) string {
 	t.Helper()
+	text, err := c.Marshal()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+// Marshal returns the text of the file.
+func (c SidecarConfig) Marshal() ([]byte, error) {
 	file := sidecarFile{
 		Name:      "n0",
 		Listen:    c.Listen,
@@ -213,11 +228,7 @@
 	if file.Known.Hosts == nil {
 		file.Known.Hosts = []fakediscovery.Host{}
 	}
-	text, err := json.Marshal(file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return string(text)
+	return json.Marshal(file)
 }
 
 // JSON returns the settings as the file has them.
