balancer: the pool of load reports is bounded, oldest reports leave first

Callers saw requests answered late with thousands of servers.

Cause: every endpoint with a fresh report was in the pool, and each request predicts a latency for each of the pool. Reports counted as fresh until the whole fleet had been probed three times, hours with 3,200 servers.

TestPoolOfReportsIsBounded fails without the change (768 endpoints in the pool).

Change: the pool holds maxCandidates (256) endpoints; one that reports takes the place of the oldest report, and a report is fresh until so many were probed. Fleets of up to 256 decide as before.

--- a/balancer/candidates.go
+++ b/balancer/candidates.go
@@ -2,8 +2,8 @@
 
 const (
 	randomDraws = 8 // random draws before endpoints are searched in order
-	// maxCandidates bounds the endpoints that one search looks at of each kind, whatever their number. Fleets up
-	// to it are searched completely.
+	// maxCandidates bounds the endpoints that one decision looks at, whatever their number: those with a fresh
+	// report, and of each kind those that a search passes. Fleets up to it are searched completely.
 	maxCandidates = 256
 )
 
--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -78,7 +78,7 @@
 		}
 	}
 	// A small pool would attract everything: while most endpoints have no report, others compete.
-	if s.best == nil || !b.probes.onDemand && 2*len(pool) < len(b.endpoints.list) {
+	if s.best == nil || !b.probes.onDemand && 2*len(pool) < min(len(b.endpoints.list), maxCandidates) {
 		s.considerOthers()
 	}
 	// A group may have no other endpoint left, and what the network path lost may arrive the next time.
--- a/balancer/probe_pool.go
+++ b/balancer/probe_pool.go
@@ -5,18 +5,31 @@
 	"slices"
 )
 
-// probePool holds the endpoints with a fresh load report, and the mode of probing.
+// probePool holds the endpoints with a fresh load report, maxCandidates at most, and the mode of probing.
 type probePool struct {
 	pool       []*endpoint
 	perRequest float64 // probes on demand for one request
 	onDemand   bool    // probes are sent for single requests, not in rounds
 }
 
+// add enters an endpoint that reports now, in place of the one with the oldest report if the pool is full.
 func (p *probePool) add(e *endpoint) {
-	if !e.pooled {
-		e.pooled = true
+	if e.pooled {
+		return
+	}
+	e.pooled = true
+	if len(p.pool) < maxCandidates {
 		p.pool = append(p.pool, e)
+		return
+	}
+	oldest := 0
+	for i, other := range p.pool {
+		if other.reportedAt < p.pool[oldest].reportedAt {
+			oldest = i
+		}
 	}
+	p.pool[oldest].pooled = false
+	p.pool[oldest] = e
 }
 
 // remove takes out an endpoint.
--- a/balancer/probes.go
+++ b/balancer/probes.go
@@ -12,7 +12,7 @@
 	probeTimeout        = 5 * second // after which a probe without response is lost
 	maxProbeWaitRatio   = 0.1        // of its latency objective, at most, a request waits for probes
 	reportAge           = second     // a report is fresh for this long,
-	reportRounds        = 3          // or until the fleet was probed so many times over;
+	reportRounds        = 3          // or until the fleet, up to maxCandidates, was probed so often;
 	onDemandReportAge   = 0.25       // of the latency objective, for probes on demand
 	roundTripRiseWeight = 0.01       // of a slower probe: the round trip to a zone seldom changes
 	minQueuedProbeRatio = 0.05       // of probes, from which all are taken to queue at endpoints
@@ -84,7 +84,7 @@
 	if b.probes.onDemand {
 		return Micros(onDemandReportAge * float64(objective))
 	}
-	rounds := reportRounds * float64(len(b.endpoints.list)) / b.probeRate(now)
+	rounds := reportRounds * float64(min(len(b.endpoints.list), maxCandidates)) / b.probeRate(now)
 	return max(reportAge, Micros(rounds*float64(second)))
 }
 
--- a/balancer/probes_test.go
+++ b/balancer/probes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 )
 
@@ -218,3 +219,21 @@
 		t.Errorf("%d probes", len(r.probes))
 	}
 }
+
+// A pool as long as the list would make each request cost as much as the list is long.
+func TestPoolOfReportsIsBounded(t *testing.T) {
+	b, _ := start(t, testSettings(), scaleFleet(3*maxCandidates, 0, 0))
+	now := second
+	for i, e := range slices.Clone(b.endpoints.list) {
+		now = second + Micros(i)
+		b.ProbeCompleted(now, e.ID, OK, 500, []float32{1})
+	}
+	if n := len(b.probes.pool); n != maxCandidates {
+		t.Fatalf("%d endpoints in the pool, want %d", n, maxCandidates)
+	}
+	for _, e := range b.probes.pool {
+		if now-e.reportedAt >= maxCandidates {
+			t.Fatalf("endpoint %d reported %d us ago is in the pool, while later reports are not", e.ID, now-e.reportedAt)
+		}
+	}
+}
