balancer: probes of new endpoints are bounded by the balancer's own traffic

Callers saw requests late or rejected while servers joined; each new server saw a probe of every sidecar.

Cause: the rule in members.go probed every new endpoint at once as soon as the list was longer than the fleet of sidecars: 3,200 probes at the start and hundreds at each step of a release, each on a new connection.

TestProbesOfNewEndpointsAreBoundedByTraffic fails without the change (3,200 probes at once).

Change: 32 new endpoints at most are probed at once, drawn at random, and the allowance is earned back at the rate of probes, which follows the requests taken.

--- a/balancer/endpointset_test.go
+++ b/balancer/endpointset_test.go
@@ -205,3 +205,17 @@
 		t.Errorf("%d of %d keys have another owner, %d in the mean were those of the endpoint", moved, keys, mean)
 	}
 }
+
+func TestProbesOfNewEndpointsAreBoundedByTraffic(t *testing.T) {
+	s := testSettings()
+	s.Balancers = 300
+	b, r := start(t, s, scaleFleet(3200, 0, 0))
+	first := len(r.probes)
+	if first > maxNewProbes {
+		t.Errorf("%d probes at once for a list of 3200, at most %d are allowed", first, maxNewProbes)
+	}
+	b.UpdateEndpoints(second, ListDelta, []Endpoint{{ID: 4000, Weight: 1}, {ID: 4001, Weight: 1}, {ID: 4002, Weight: 1}})
+	if n := len(r.probes) - first; n > 1 {
+		t.Errorf("%d more probes a second later without traffic, at most 1 is allowed", n)
+	}
+}
--- a/balancer/estimates.go
+++ b/balancer/estimates.go
@@ -45,6 +45,7 @@
 	b.keys.reset()
 	b.budgets.retry = budgetBurst
 	b.budgets.hedge = budgetBurst
+	b.probes.newAllowance = maxNewProbes
 }
 
 // estimateWork sets what r is expected to cost, from its hint or else the mean of its class.
--- a/balancer/members.go
+++ b/balancer/members.go
@@ -23,9 +23,7 @@
 	b.endpoints.discovered = b.endpoints.discovered || live || !b.settings.PollDiscovery
 	// If a thousand balancers each probed every new endpoint, probes alone would saturate it.
 	if b.settings.Balancers <= len(b.endpoints.list) {
-		for _, e := range added {
-			b.sendProbe(now, e)
-		}
+		b.probeNew(now, added)
 	}
 }
 
--- a/balancer/probe_pool.go
+++ b/balancer/probe_pool.go
@@ -10,6 +10,9 @@
 	pool       []*endpoint
 	perRequest float64 // probes on demand for one request
 	onDemand   bool    // probes are sent for single requests, not in rounds
+
+	newAllowance float64 // probes of new endpoints that may be sent
+	newEarnedAt  Micros  // when it was last added to
 }
 
 // add enters an endpoint that reports now, in place of the one with the oldest report if the pool is full.
--- a/balancer/probes.go
+++ b/balancer/probes.go
@@ -9,6 +9,7 @@
 	minAdmittedRatio    = 0.3         // of requests is assumed, at least, to set the rate of probes
 	maxProbeInterval    = second / 10 // µs between rounds
 	probesPerRound      = 3
+	maxNewProbes        = 32         // of new endpoints at once
 	probeTimeout        = 5 * second // after which a probe without response is lost
 	maxProbeWaitRatio   = 0.1        // of its latency objective, at most, a request waits for probes
 	reportAge           = second     // a report is fresh for this long,
@@ -100,6 +101,24 @@
 	b.actions.Probe(e.ID)
 }
 
+// probeNew probes endpoints that a membership event has added, in random order and as many as their allowance
+// permits: it is earned at the rate of probes, which follows the balancer's own traffic.
+func (b *Balancer) probeNew(now Micros, added []*endpoint) {
+	if len(added) == 0 {
+		return
+	}
+	allowance := &b.probes.newAllowance
+	earned := b.probeRate(now) * float64(now-b.probes.newEarnedAt) / float64(second)
+	*allowance = min(maxNewProbes, *allowance+earned)
+	b.probes.newEarnedAt = now
+	for n := len(added); n > 0 && *allowance >= 1; n-- {
+		i := int(b.random.float() * float64(n))
+		b.sendProbe(now, added[i])
+		added[i] = added[n-1]
+		*allowance--
+	}
+}
+
 // runProbeRound probes a few random ready endpoints and arms the next round.
 func (b *Balancer) runProbeRound(now Micros) {
 	rate := b.probeRate(now)
