engine: answers and timers go before arrivals; what cannot be answered in time is rejected

Callers saw requests end without an answer while the sidecar took new ones.

Cause: outcomes, timers and new requests waited in one queue in order of arrival, and nothing measured for how long. A late engine began attempts whose answers it could not pass on in time.

Evidence: in the report attempts of lost requests began 0.37 to 0.44 s after arrival and their answers never came; by reading, loop.go had one queue of 1,024 events.

Change: arrivals have a queue of their own behind all other events. A request whose client left before it was submitted is not submitted.

--- a/internal/engine/doc.go
+++ b/internal/engine/doc.go
@@ -7,7 +7,7 @@
 // the other from a queue; an event is a function of the module's time. Everything that the
 // decision module, the request ledger, the endpoint registry and the subset hold is touched by
 // that goroutine alone, without locks. Other goroutines hand their events over by Post (waits for
-// space in the queue), PostUntil, TryPost (never waits) or Call (waits for the event's end).
+// space in the queue), PostArrival, TryPost (never waits) or Call (waits for the event's end).
 // Events that arise within a call of the decision module are deferred until that call has
 // returned (Defer), since the module must not be entered again from within. Settings, HasEndpoints,
 // Now and WallTime may be called from any goroutine.
@@ -46,6 +46,7 @@
 //	options.go     Options and RuntimeSettings
 //	engine.go      Engine: New, Start, Run, Configure
 //	loop.go        the event loop
+//	lateness.go    how long events wait, and what is rejected for that
 //	clock.go       time of the system and of the decision module
 //	ledger.go      requests, from Submit to the final answer
 //	attempt.go     attempts, from Send to their outcome
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -83,13 +83,14 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
-		select {
-		case event := <-e.queue:
-			e.handle(event)
-		case <-ticker.C:
-			e.Tick()
-		case <-e.ctx.Done():
+		event, ticked, ok := e.next(ticker.C)
+		switch {
+		case !ok:
 			return
+		case ticked:
+			e.Tick()
+		default:
+			e.handle(event)
 		}
 	}
 }
@@ -97,6 +98,7 @@
 // Tick does periodic work. Run calls it every second; on a Clock of the options its goroutine
 // does.
 func (e *Engine) Tick() {
+	e.logLateness(e.Now())
 	e.options.Upstream.Prune()
 	if e.subset != nil && e.subset.observeLoad(e.clock.Now(), e.requests.len()) {
 		e.reselect(e.Now())
--- a/internal/engine/ledger.go
+++ b/internal/engine/ledger.go
@@ -58,7 +58,17 @@
 
 // Submit passes a new request to the decision module. It must be called on the engine's
 // goroutine.
+//
+// A request that could not be answered in time, since events wait too long, is taken as one whose
+// deadline has passed: the decision module answers it at once.
 func (e *Engine) Submit(now balancer.Micros, r *Request, in balancer.Request) {
+	if r.completed { // its client disconnected before it was submitted
+		return
+	}
+	if !e.lateness.permits(now, in.Deadline) {
+		e.lateness.shed++
+		in.Deadline = min(in.Deadline, now)
+	}
 	r.id = e.requests.nextID()
 	r.deadline = in.Deadline
 	in.ID = r.id
--- a/internal/engine/loop.go
+++ b/internal/engine/loop.go
@@ -7,19 +7,30 @@
 	"pinedale/balancer"
 )
 
-// eventQueueSize is the number of events that may wait for the engine's goroutine.
+// eventQueueSize is the number of events that may wait in each queue for the engine's goroutine.
 const eventQueueSize = 1024
 
 // event is a step of the engine's goroutine.
 type event = func(now balancer.Micros)
 
+// queuedEvent is an event that waits for the engine's goroutine.
+type queuedEvent struct {
+	run event
+	due balancer.Micros // when it could have run at the earliest
+}
+
 // eventLoop passes events to the engine's goroutine. Engine embeds it: its exported methods are
 // the engine's.
+//
+// Arrivals, which begin work, wait in a queue of their own, behind all that ends work: outcomes,
+// timers, disconnects and lists.
 type eventLoop struct {
 	ctx      context.Context // ends with the engine
 	clock    clock
-	queue    chan event // nil on a Clock of the options: events run at once
-	deferred []event    // to run after the current event; owned by the engine's goroutine
+	queue    chan queuedEvent // nil on a Clock of the options: events run at once
+	arrivals chan queuedEvent // likewise
+	deferred []event          // to run after the current event; owned by the engine's goroutine
+	lateness lateness         // owned by the engine's goroutine
 }
 
 // newEventLoop returns a loop on the system's time if source is nil.
@@ -27,7 +38,12 @@
 	if source != nil {
 		return eventLoop{ctx: ctx, clock: newClock(source)}
 	}
-	return eventLoop{ctx: ctx, clock: newClock(systemClock{}), queue: make(chan event, eventQueueSize)}
+	return eventLoop{
+		ctx:      ctx,
+		clock:    newClock(systemClock{}),
+		queue:    make(chan queuedEvent, eventQueueSize),
+		arrivals: make(chan queuedEvent, eventQueueSize),
+	}
 }
 
 // Now returns the balancer's time. It may be called from any goroutine.
@@ -39,16 +55,30 @@
 
 // Post hands an event to the engine's goroutine, and waits for space in its queue. It must not be
 // called from there.
-func (l *eventLoop) Post(event func(now balancer.Micros)) { l.PostUntil(nil, event) }
+func (l *eventLoop) Post(event func(now balancer.Micros)) { l.postDue(event, l.Now()) }
 
-// PostUntil is Post, given up once done is closed. It reports whether the event was posted.
-func (l *eventLoop) PostUntil(done <-chan struct{}, event func(now balancer.Micros)) bool {
+// postDue is Post for an event that could have run from an instant on.
+func (l *eventLoop) postDue(event event, due balancer.Micros) {
 	if l.queue == nil {
-		l.handle(event)
+		l.handle(queuedEvent{event, due})
+		return
+	}
+	select {
+	case l.queue <- queuedEvent{event, due}:
+	case <-l.ctx.Done():
+	}
+}
+
+// PostArrival is Post for an event that submits a request, given up once done is closed. Such
+// events run in order, and each when no other event waits. It reports whether the event was posted.
+func (l *eventLoop) PostArrival(done <-chan struct{}, event func(now balancer.Micros)) bool {
+	arrival := queuedEvent{event, l.Now()}
+	if l.arrivals == nil {
+		l.handle(arrival)
 		return true
 	}
 	select {
-	case l.queue <- event:
+	case l.arrivals <- arrival:
 		return true
 	case <-done:
 	case <-l.ctx.Done():
@@ -59,12 +89,13 @@
 // TryPost is Post if the queue has space at once; otherwise it does nothing. It reports whether
 // the event was posted.
 func (l *eventLoop) TryPost(event func(now balancer.Micros)) bool {
+	posted := queuedEvent{event, l.Now()}
 	if l.queue == nil {
-		l.handle(event)
+		l.handle(posted)
 		return true
 	}
 	select {
-	case l.queue <- event:
+	case l.queue <- posted:
 		return true
 	default:
 		return false
@@ -87,7 +118,8 @@
 
 // After posts an event after a delay. It may be called from any goroutine.
 func (l *eventLoop) After(delay time.Duration, event func(now balancer.Micros)) {
-	l.clock.AfterFunc(delay, func() { l.Post(event) })
+	due := l.Now() + delay.Microseconds()
+	l.clock.AfterFunc(delay, func() { l.postDue(event, due) })
 }
 
 // Defer runs an event on the engine's goroutine after the current one. It must be called on that
@@ -96,9 +128,29 @@
 	l.deferred = append(l.deferred, event)
 }
 
+// next returns the event to handle next, or false when the context has ended or tick is ready.
+func (l *eventLoop) next(tick <-chan time.Time) (next queuedEvent, ticked, ok bool) {
+	select {
+	case next = <-l.queue:
+		return next, false, true
+	default:
+	}
+	select {
+	case next = <-l.queue:
+	case next = <-l.arrivals:
+	case <-tick:
+		return next, true, true
+	case <-l.ctx.Done():
+		return next, false, false
+	}
+	return next, false, true
+}
+
 // handle runs an event and what it deferred.
-func (l *eventLoop) handle(event event) {
-	event(l.clock.now())
+func (l *eventLoop) handle(e queuedEvent) {
+	now := l.clock.now()
+	l.lateness.observe(now, now-e.due)
+	e.run(now)
 	l.runDeferred()
 }
 
--- a/internal/engine/loop_test.go
+++ b/internal/engine/loop_test.go
@@ -112,14 +112,19 @@
 	if e.TryPost(event) {
 		t.Error("TryPost posted to a full queue")
 	}
+	for n := range eventQueueSize {
+		if !e.PostArrival(nil, event) {
+			t.Fatalf("arrival %d was not posted", n)
+		}
+	}
 	done := make(chan struct{})
 	close(done)
-	if e.PostUntil(done, event) {
-		t.Error("PostUntil posted to a full queue")
+	if e.PostArrival(done, event) {
+		t.Error("PostArrival posted to a full queue")
 	}
 	cancel()
-	if e.PostUntil(nil, event) {
-		t.Error("PostUntil posted to an engine that has ended")
+	if e.PostArrival(nil, event) {
+		t.Error("PostArrival posted to an engine that has ended")
 	}
 	e.Call(event) // returns, since the engine has ended
 	if ran {
--- a/internal/faulttest/largelist/report.go
+++ b/internal/faulttest/largelist/report.go
@@ -1,8 +1,10 @@
 package largelist
 
 import (
+	"cmp"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -75,6 +77,23 @@
 	}
 }
 
+// LossKind is the way in which a request was lost.
+type LossKind string
+
+// The kinds of losses.
+const (
+	NoAnswer      LossKind = "no answer"                // none that is complete in its time
+	WrongAnswer   LossKind = "wrong answer"             // served with what no server made
+	AttemptAfter  LossKind = "attempt after the end"    // it began after the answer, or after the client had left
+	UnknownOrigin LossKind = "attempt without a client" // of a request that no client sent
+)
+
+// Loss is one broken rule.
+type Loss struct {
+	Kind LossKind
+	Text string
+}
+
 // Report is what came of a run.
 type Report struct {
 	Requests     int
@@ -89,7 +108,7 @@
 	Processor    time.Duration // used by all sidecars
 	PeakMemory   int64         // bytes, of the largest sidecar
 	Descriptors  int           // most open at once in one sidecar
-	Lost         []string      // one line for each broken rule
+	Lost         []Loss        // each broken rule
 	LongestRetry int           // most attempts of one request
 }
 
@@ -108,12 +127,12 @@
 		report.Descriptors = max(report.Descriptors, s.maxDescriptors)
 	}
 	if n := r.recorder.unknown; n > 0 {
-		report.Lost = append(report.Lost, fmt.Sprintf("%d attempts of requests that no client sent", n))
+		report.Lost = append(report.Lost, Loss{UnknownOrigin, fmt.Sprintf("%d attempts", n)})
 	}
 	for _, q := range r.recorder.requests {
 		report.add(q)
 	}
-	slices.Sort(report.Lost)
+	slices.SortFunc(report.Lost, func(a, b Loss) int { return cmp.Compare(a.Text, b.Text) })
 	return report
 }
 
@@ -121,25 +140,25 @@
 func (p *Report) add(q *request) {
 	p.Attempts += len(q.attempts)
 	p.LongestRetry = max(p.LongestRetry, len(q.attempts))
-	lost := func(format string, values ...any) {
-		p.Lost = append(p.Lost, fmt.Sprintf("%s %s (%d attempts): ", q.id, q.class.name, len(q.attempts))+
-			fmt.Sprintf(format, values...))
+	lost := func(kind LossKind, format string, values ...any) {
+		text := fmt.Sprintf("%s %s (%d attempts): ", q.id, q.class.name, len(q.attempts))
+		p.Lost = append(p.Lost, Loss{kind, text + fmt.Sprintf(format, values...)})
 	}
 	took := q.result.at.Sub(q.sentAt)
 	switch q.result.outcome {
 	case unanswered, broken:
-		lost("%s after %v", q.result.outcome, took.Round(time.Millisecond))
+		lost(NoAnswer, "%s after %v", q.result.outcome, took.Round(time.Millisecond))
 	case left:
 		p.Left++
 	case answered:
 		p.addAnswer(q, took)
 		if q.result.code == http.StatusOK && !q.servedAs(q.result.body) {
-			lost("answered 200 with %q, which no server made", q.result.body)
+			lost(WrongAnswer, "answered 200 with %q, which no server made", q.result.body)
 		}
 	}
 	for _, at := range q.attempts {
 		if after := at.Sub(q.result.at); after > forwardSlack {
-			lost("an attempt began %v after its end (%s)", after.Round(time.Millisecond), q.result.outcome)
+			lost(AttemptAfter, "an attempt began %v after its end (%s)", after.Round(time.Millisecond), q.result.outcome)
 		}
 	}
 }
@@ -163,8 +182,8 @@
 	return len(q.attempts) > 0 && strings.HasPrefix(body, q.id+"@")
 }
 
-// maxPrintedLosses bounds the losses that Print prints.
-const maxPrintedLosses = 10
+// maxPrintedLosses bounds the losses of each kind that Print prints.
+const maxPrintedLosses = 5
 
 // Print writes the report as text.
 func (p *Report) Print(out io.Writer) {
@@ -173,7 +192,13 @@
 	fmt.Fprintf(out, "attempts %d (most %d), connections %d, list bytes %d, processor %v, memory %d MB, descriptors %d\n",
 		p.Attempts, p.LongestRetry, p.Connections, p.ListBytes, p.Processor.Round(time.Millisecond),
 		p.PeakMemory>>20, p.Descriptors)
-	for _, line := range p.Lost[:min(len(p.Lost), maxPrintedLosses)] {
-		fmt.Fprintln(out, "  lost:", line)
+	kinds := map[LossKind]int{}
+	for _, loss := range p.Lost {
+		if kinds[loss.Kind]++; kinds[loss.Kind] <= maxPrintedLosses {
+			fmt.Fprintf(out, "  lost, %s: %s\n", loss.Kind, loss.Text)
+		}
+	}
+	for _, kind := range slices.Sorted(maps.Keys(kinds)) {
+		fmt.Fprintf(out, "  lost, %s: %d\n", kind, kinds[kind])
 	}
 }
--- a/internal/front/exchange/dispatcher.go
+++ b/internal/front/exchange/dispatcher.go
@@ -66,7 +66,7 @@
 			Method: in.Method, URL: in.URL, Host: in.Host, Header: in.Header, Body: body, Context: wanted}),
 	}
 	submit := func(now balancer.Micros) { d.engine.Submit(now, request, req.Request) }
-	if !d.engine.PostUntil(wanted.Done(), submit) {
+	if !d.engine.PostArrival(wanted.Done(), submit) {
 		if in.Context().Err() != nil {
 			return engine.Response{}, ErrDisconnected
 		}
