--- a/balancer/api.go
+++ b/balancer/api.go
@@ -37,6 +37,7 @@
 	ListCached                 // the complete list from a cache, perhaps out of date
 	ListFailed                 // a poll of discovery failed; no entries
 	ListLocal                  // changed entries of the host, not of discovery
+	ListPart                   // changed entries of a list of which more follow
 )
 
 // Request is a client's request. It has exactly one final answer: an outcome that settles it, Actions.Reject or
--- a/balancer/members.go
+++ b/balancer/members.go
@@ -20,7 +20,9 @@
 	if snapshot {
 		b.removeUnlisted()
 	}
-	b.endpoints.discovered = b.endpoints.discovered || live || !b.settings.PollDiscovery
+	if live || kind != ListPart && !b.settings.PollDiscovery {
+		b.endpoints.discovered = true
+	}
 	// If a thousand balancers each probed every new endpoint, probes alone would saturate it.
 	if b.settings.Balancers <= len(b.endpoints.list) {
 		b.probeNew(now, added)
--- a/internal/engine/discovery.go
+++ b/internal/engine/discovery.go
@@ -38,6 +38,10 @@
 // goroutine of its own.
 func (e *Engine) watch(ctx context.Context, source Source, version *uint64) {
 	notify := func(kind balancer.ListKind, list List) {
+		if len(list.Hosts) > hostsPerPart && e.subset == nil {
+			e.updateInParts(ctx, kind, list)
+			return
+		}
 		e.Post(func(now balancer.Micros) {
 			if ctx.Err() == nil { // the watch has not been ended meanwhile
 				e.UpdateEndpoints(now, kind, list)
--- a/internal/engine/doc.go
+++ b/internal/engine/doc.go
@@ -54,6 +54,7 @@
 //	keylease.go    leases of idempotency keys
 //	endpoint.go    Host, List and Target
 //	registry.go    endpoints by number, name and address
+//	listparts.go   long lists, taken in by parts
 //	discovery.go   watches of the source, endpoint lists
 //	subset.go      selection of a part of the fleet
 package engine
--- a/internal/engine/registry.go
+++ b/internal/engine/registry.go
@@ -30,6 +30,8 @@
 	cell    uint16
 	pending int // attempts and health checks without outcome
 	removed bool
+
+	listedIn uint64 // endpointRegistry.snapshot that named it last
 }
 
 // endpointRegistry holds the endpoints that the decision module knows. It is owned by the
@@ -43,6 +45,8 @@
 	idByName       map[string]uint32
 	readyByAddress map[string]uint32 // ids of ready endpoints
 	lastID         uint32            // ids are not reused: a late outcome must not count for another endpoint
+	targets        int               // of endpoints that are ready
+	snapshot       uint64            // complete lists that have begun to be taken in
 
 	// advisedDraining are endpoints that other instances know to drain, by name, with the start
 	// time in milliseconds of the incarnation that drains.
@@ -63,8 +67,24 @@
 
 // apply takes in a list or changes, and returns the entries for the decision module.
 func (r *endpointRegistry) apply(kind balancer.ListKind, hosts []Host) []balancer.Endpoint {
+	if kind != balancer.ListFull && kind != balancer.ListCached {
+		return r.applyChanges(hosts)
+	}
+	r.beginSnapshot()
+	entries := r.applyChanges(hosts)
+	for _, ep := range r.unlisted() {
+		r.update(r.idByName[ep.name], Host{State: balancer.Removed})
+	}
+	return entries
+}
+
+// beginSnapshot begins to take in a complete list, by applyChanges, at the end of which unlisted has
+// what it does not name.
+func (r *endpointRegistry) beginSnapshot() { r.snapshot++ }
+
+// applyChanges takes in entries of a list, and returns those for the decision module.
+func (r *endpointRegistry) applyChanges(hosts []Host) []balancer.Endpoint {
 	entries := make([]balancer.Endpoint, 0, len(hosts))
-	listed := map[uint32]bool{}
 	for _, h := range hosts {
 		id := r.idByName[h.Name]
 		if id == 0 {
@@ -73,19 +93,22 @@
 			}
 			id = r.add(h.Name)
 		}
-		listed[id] = true
+		r.byID[id].listedIn = r.snapshot
 		entries = append(entries, r.entry(id, h))
 		r.update(id, h)
 	}
-	if kind != balancer.ListFull && kind != balancer.ListCached {
-		return entries
-	}
-	for id := range r.byID {
-		if !listed[id] {
-			r.update(id, Host{State: balancer.Removed})
+	return entries
+}
+
+// unlisted returns the endpoints that the last complete list has not named.
+func (r *endpointRegistry) unlisted() []*endpoint {
+	var unlisted []*endpoint
+	for _, ep := range r.byID {
+		if ep.listedIn != r.snapshot && !ep.removed {
+			unlisted = append(unlisted, ep)
 		}
 	}
-	return entries
+	return unlisted
 }
 
 func (r *endpointRegistry) add(name string) uint32 {
@@ -110,6 +133,7 @@
 		r.closeTarget(id, ep)
 	}
 	if ep.target == nil && ready {
+		r.targets++
 		ep.target = &Target{Name: h.Name, Address: h.Address, StartedMS: h.StartedMS}
 		r.readyByAddress[h.Address] = id
 	}
@@ -121,6 +145,7 @@
 	target.Close()
 	r.upstream.Retire(target)
 	ep.target = nil
+	r.targets--
 	if r.readyByAddress[target.Address] == id {
 		delete(r.readyByAddress, target.Address)
 	}
@@ -169,14 +194,7 @@
 }
 
 // hasReady reports whether an endpoint is ready.
-func (r *endpointRegistry) hasReady() bool {
-	for _, ep := range r.byID {
-		if ep.target != nil {
-			return true
-		}
-	}
-	return false
-}
+func (r *endpointRegistry) hasReady() bool { return r.targets > 0 }
 
 // contains reports whether an endpoint of this name is known.
 func (r *endpointRegistry) contains(name string) bool { return r.idByName[name] != 0 }
--- a/internal/membership/registry/document.go
+++ b/internal/membership/registry/document.go
@@ -1,8 +1,10 @@
 package registry
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
+	"runtime"
 
 	"pinedale/balancer"
 	"pinedale/internal/engine"
@@ -12,7 +14,39 @@
 type document struct {
 	Version  uint64 `json:"seq"`
 	Complete bool   `json:"whole"`
-	Hosts    []host `json:"hosts"`
+	Hosts    hosts  `json:"hosts"`
+}
+
+// hostsPerTurn is how many entries of a document are decoded before other goroutines have their turn.
+const hostsPerTurn = 32
+
+// hosts are the entries of a document. A long list is decoded in turns, so that it holds nothing up on
+// a single processor.
+type hosts []host
+
+// UnmarshalJSON decodes an array of entries.
+func (h *hosts) UnmarshalJSON(data []byte) error {
+	if string(data) == "null" {
+		return nil
+	}
+	*h = nil
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	if token, err := decoder.Token(); err != nil {
+		return err
+	} else if token != json.Delim('[') {
+		return fmt.Errorf("hosts: %v is not an array", token)
+	}
+	for decoder.More() {
+		if len(*h)%hostsPerTurn == hostsPerTurn-1 {
+			runtime.Gosched()
+		}
+		var next host
+		if err := decoder.Decode(&next); err != nil {
+			return err
+		}
+		*h = append(*h, next)
+	}
+	return nil
 }
 
 // host is the JSON form of one endpoint.
--- a/internal/upstream/httpupstream/pool.go
+++ b/internal/upstream/httpupstream/pool.go
@@ -115,7 +115,7 @@
 // The caller holds u.mu.
 func (u *Upstream) removeIdleLocked(t *engine.Target, index int, now time.Time, limit time.Duration) *conn {
 	c := u.idleConns[t][index]
-	u.idleConns[t] = slices.Delete(u.idleConns[t], index, index+1)
+	u.setIdleLocked(t, slices.Delete(u.idleConns[t], index, index+1))
 	if now.Sub(c.idleSince) < limit && c.isUsable(now) && c.isAlive() {
 		return c
 	}
@@ -123,12 +123,22 @@
 	return nil
 }
 
+// setIdleLocked sets the idle connections to a target. Targets without any are not kept: eviction and
+// pruning look at all that are. The caller holds u.mu.
+func (u *Upstream) setIdleLocked(t *engine.Target, conns []*conn) {
+	if len(conns) == 0 {
+		delete(u.idleConns, t)
+		return
+	}
+	u.idleConns[t] = conns
+}
+
 // evictIdleLocked closes the least recently used idle connection of some endpoint, if there is
 // one. The caller holds u.mu.
 func (u *Upstream) evictIdleLocked() {
 	for target, conns := range u.idleConns {
 		if len(conns) > 0 {
-			u.idleConns[target] = conns[1:]
+			u.setIdleLocked(target, conns[1:])
 			u.closeLocked(conns[0])
 			return
 		}
@@ -182,6 +192,6 @@
 			u.closeLocked(conns[expired])
 			expired++
 		}
-		u.idleConns[target] = slices.Delete(conns, 0, expired)
+		u.setIdleLocked(target, slices.Delete(conns, 0, expired))
 	}
 }
