A request whose time ends before it was submitted is rejected, not failed

Callers of a late sidecar got 502 ('may have run') for requests that the decision module had never seen.

Cause: the dispatcher could not tell whether the engine had taken a request from its queue.

Change: the engine and the dispatcher take a request by one atomic flag, whichever comes first. One that is withdrawn is answered 503, and Submit does nothing for it.

A request is rejected on arrival when less is left of its time than events have waited lately, in place of twice that: the longest wait of 0.1 to 0.2 s is above what the next one will be.

--- a/internal/engine/lateness.go
+++ b/internal/engine/lateness.go
@@ -13,9 +13,6 @@
 	latenessLogThreshold = balancer.Micros(50_000)
 	// latenessLogInterval is the shortest time between two log lines on it.
 	latenessLogInterval = balancer.Micros(1_000_000)
-	// remainingTurns is how often a request that arrives now waits for processor time: for its
-	// attempt to be written, and for its answer to be passed on.
-	remainingTurns = 2
 )
 
 // lateness is how long events have waited lately until they were handled, the longest that counts.
@@ -55,9 +52,10 @@
 	return max(l.current, l.previous)
 }
 
-// permits reports whether a request could be answered by its deadline.
+// permits reports whether a request could be answered by its deadline: it will wait once more, at
+// least, until its answer is passed on.
 func (l *lateness) permits(now, deadline balancer.Micros) bool {
-	return now+remainingTurns*l.longest(now) < deadline
+	return now+l.longest(now) < deadline
 }
 
 // logLateness logs that events wait long, at most once in latenessLogInterval.
--- a/internal/engine/ledger.go
+++ b/internal/engine/ledger.go
@@ -4,6 +4,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"sync/atomic"
 
 	"pinedale/balancer"
 )
@@ -20,6 +21,8 @@
 	// Key is the idempotency key, if any, which KeyLeases may have to lease.
 	Key string
 
+	taken atomic.Bool // by Submit or Withdraw, whichever was first
+
 	id        uint64
 	deadline  balancer.Micros
 	in        balancer.Request // as the decision module knows it
@@ -34,6 +37,10 @@
 	mayHaveRun bool      // an attempt may have run, or may yet
 }
 
+// Withdraw takes back a request that was not submitted yet: nothing was sent for it, and Submit will
+// do nothing. It returns false if the request was submitted. It may be called from any goroutine.
+func (r *Request) Withdraw() bool { return !r.taken.Swap(true) }
+
 // requestLedger holds the requests by id.
 type requestLedger struct {
 	byID   map[uint64]*Request
@@ -62,7 +69,7 @@
 // A request that could not be answered in time, since events wait too long, is taken as one whose
 // deadline has passed: the decision module answers it at once.
 func (e *Engine) Submit(now balancer.Micros, r *Request, in balancer.Request) {
-	if r.completed { // its client disconnected before it was submitted
+	if r.completed || r.taken.Swap(true) { // its client left before it was submitted
 		return
 	}
 	if !e.lateness.permits(now, in.Deadline) {
--- a/internal/front/exchange/dispatcher.go
+++ b/internal/front/exchange/dispatcher.go
@@ -63,7 +63,8 @@
 		Key:     req.IdempotencyKey,
 		Respond: func(r engine.Response) { responses <- r },
 		Carrier: d.upstream.NewCarrier(&engine.Message{
-			Method: in.Method, URL: in.URL, Host: in.Host, Header: in.Header, Body: body, Context: wanted}),
+			Method: in.Method, URL: in.URL, Host: in.Host, Header: in.Header, Body: body,
+			Context: wanted}),
 	}
 	submit := func(now balancer.Micros) { d.engine.Submit(now, request, req.Request) }
 	if !d.engine.PostArrival(wanted.Done(), submit) {
@@ -77,6 +78,7 @@
 		return r, nil
 	case <-wanted.Done():
 	}
+	neverSent := request.Withdraw()
 	d.notifyDisconnected(request)
 	if in.Context().Err() != nil {
 		return engine.Response{}, ErrDisconnected
@@ -85,8 +87,11 @@
 	case r := <-responses: // at this very moment
 		return r, nil
 	default:
-		return engine.Response{Code: http.StatusBadGateway}, nil // an attempt may have run, or may yet
 	}
+	if neverSent {
+		return engine.Response{Code: http.StatusServiceUnavailable}, nil
+	}
+	return engine.Response{Code: http.StatusBadGateway}, nil // an attempt may have run, or may yet
 }
 
 // notifyDisconnected notifies the engine that nobody waits for a request. It does not wait for space in the
