No attempt begins for a client whose disconnect has not been read yet

Servers got requests 151 to 227 ms after their clients had closed (0.1 s is allowed).

Cause: a disconnect is known once net/http's read has run and ended the request's context; where processor time is short, the goroutine that writes an attempt may run before it.

TestCheckBeforeWriteFailsOnceNoResponseIsAwaited has the case.

Change: the last check before a write looks at the client's socket itself (MSG_PEEK, no wait). Connections that do not show their socket (TLS) are judged by the context as before.

--- a/internal/engine/interfaces.go
+++ b/internal/engine/interfaces.go
@@ -54,6 +54,9 @@
 	// Context ends once nobody waits for an answer any more. What has not been written by then
 	// is not written, whatever the settings say on cancelling attempts. nil never ends.
 	Context context.Context
+	// Disconnected, where set, looks at the client's connection itself: Context may end late where
+	// processor time is short. It does not block, and may be called from any goroutine.
+	Disconnected func() bool
 }
 
 // Result is the result of an attempt or a health check.
--- a/internal/front/exchange/dispatcher.go
+++ b/internal/front/exchange/dispatcher.go
@@ -64,7 +64,7 @@
 		Respond: func(r engine.Response) { responses <- r },
 		Carrier: d.upstream.NewCarrier(&engine.Message{
 			Method: in.Method, URL: in.URL, Host: in.Host, Header: in.Header, Body: body,
-			Context: wanted}),
+			Context: wanted, Disconnected: disconnectCheck(in.Context())}),
 	}
 	submit := func(now balancer.Micros) { d.engine.Submit(now, request, req.Request) }
 	if !d.engine.PostArrival(wanted.Done(), submit) {
--- a/internal/front/httpfront/server.go
+++ b/internal/front/httpfront/server.go
@@ -95,6 +95,7 @@
 		MaxHeaderBytes: httpmsg.MaxHeaderBytes,
 		ErrorLog:       slog.NewLogLogger(o.Log.Handler(), slog.LevelWarn),
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			ctx = exchange.WithDisconnectCheck(ctx, c.(*clientConn).disconnected)
 			return context.WithValue(ctx, connKey{}, c)
 		},
 	}
--- a/internal/upstream/attempt/attempt.go
+++ b/internal/upstream/attempt/attempt.go
@@ -48,7 +48,7 @@
 	}
 	stopWatchingClient := context.AfterFunc(clientContext, cancel)
 	defer stopWatchingClient()
-	bounds := sendBounds{send: sendContext, client: clientContext}
+	bounds := sendBounds{send: sendContext, client: clientContext, disconnected: c.message.Disconnected}
 	return c.send(context.WithValue(ctx, sendBoundsKey{}, bounds), a.Target, c.message)
 }
 
--- a/internal/upstream/attempt/attempt_test.go
+++ b/internal/upstream/attempt/attempt_test.go
@@ -19,10 +19,12 @@
 		bounds sendBounds
 		want   error
 	}{
-		"response awaited": {sendBounds{background, background}, nil},
-		"client disconnected, not propagated to send": {sendBounds{background, cancelled}, ErrLate},
-		"client disconnected":                         {sendBounds{cancelled, cancelled}, ErrLate},
-		"send deadline passed":                        {sendBounds{expired, background}, ErrLate},
+		"response awaited": {sendBounds{send: background, client: background}, nil},
+		"client disconnected, not propagated to send": {sendBounds{send: background, client: cancelled}, ErrLate},
+		"client disconnected":                         {sendBounds{send: cancelled, client: cancelled}, ErrLate},
+		"send deadline passed":                        {sendBounds{send: expired, client: background}, ErrLate},
+		"client connected by its socket":              {sendBounds{background, background, func() bool { return false }}, nil},
+		"client disconnected by its socket alone":     {sendBounds{background, background, func() bool { return true }}, ErrLate},
 	} {
 		if err := CheckBeforeWrite(context.WithValue(background, sendBoundsKey{}, c.bounds)); !errors.Is(err, c.want) {
 			t.Errorf("%s: %v, want %v", name, err, c.want)
--- a/internal/upstream/attempt/bounds.go
+++ b/internal/upstream/attempt/bounds.go
@@ -6,11 +6,12 @@
 )
 
 // sendBounds are the contexts that end when a request must no longer be written. The end of
-// client also cancels send, but on another goroutine, which may run late: CheckBeforeWrite
-// looks at both.
+// client also cancels send, and a disconnect ends client, but on other goroutines, which may run
+// late: CheckBeforeWrite looks at all.
 type sendBounds struct {
-	send   context.Context // ends with the attempt, with client, and at the send deadline
-	client context.Context // ends when the client no longer awaits a response
+	send         context.Context // ends with the attempt, with client, and at the send deadline
+	client       context.Context // ends when the client no longer awaits a response
+	disconnected func() bool     // reports whether the client has disconnected; nil where unknown
 }
 
 // sendBoundsKey is the context key of an attempt's sendBounds.
@@ -28,7 +29,7 @@
 	if bounds, ok := ctx.Value(sendBoundsKey{}).(sendBounds); ok {
 		return bounds
 	}
-	return sendBounds{ctx, ctx}
+	return sendBounds{send: ctx, client: ctx}
 }
 
 // CheckBeforeWrite is the last check before a request is written. It returns ErrLate where the
@@ -40,5 +41,8 @@
 	if bounds.client.Err() != nil || bounds.send.Err() != nil || bounded && !time.Now().Before(deadline) {
 		return ErrLate
 	}
+	if bounds.disconnected != nil && bounds.disconnected() {
+		return ErrLate
+	}
 	return nil
 }
