--- a/internal/faulttest/largelist/sidecar.go
+++ b/internal/faulttest/largelist/sidecar.go
@@ -67,7 +67,7 @@
 	cmd.Stdout, cmd.Stderr = logFile, logFile
 	// The process must not outlive this one.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := startOnOneProcessor(cmd, index); err != nil {
+	if err := startOnOneProcessor(cmd, int(o.Seed)*o.Sidecars+index); err != nil {
 		logFile.Close()
 		return nil, err
 	}
