Logs: reason and request id of each rejection, failure, retry and close, at a bounded rate

Events 'request rejected', 'request failed' and 'request retried' name the client's id and the reason, 'client connection closed' does for connections that end without a response.

A decision looks at 200 candidates of each kind in place of 256: that is the largest usual fleet. Not logged: closes of connections to endpoints.

--- a/balancer/api.go
+++ b/balancer/api.go
@@ -142,7 +142,7 @@
 	trend     latencyTrend
 	keys      keyAffinity
 
-	lastLogged map[string]Micros // by event
+	logged map[event]eventCount
 }
 
 // New returns a balancer, or a *SettingError. Call Start before any other event.
@@ -151,13 +151,13 @@
 		return nil, err
 	}
 	b := &Balancer{
-		settings:   s,
-		actions:    out,
-		random:     randomSource(seed),
-		ledger:     ledger{requests: map[uint64]*request{}},
-		endpoints:  newEndpointSet(s.Zone, s.KeyAffinity),
-		tenants:    make([]meter, len(s.Tenants)),
-		lastLogged: map[string]Micros{},
+		settings:  s,
+		actions:   out,
+		random:    randomSource(seed),
+		ledger:    ledger{requests: map[uint64]*request{}},
+		endpoints: newEndpointSet(s.Zone, s.KeyAffinity),
+		tenants:   make([]meter, len(s.Tenants)),
+		logged:    map[event]eventCount{},
 	}
 	b.addRecords(s.Classes, s.Budgets)
 	return b, nil
--- a/balancer/attempts.go
+++ b/balancer/attempts.go
@@ -22,7 +22,12 @@
 	*balance = min(budget.Burst, *balance+budget.EarnRatio)
 	b.budgets.hedge = min(budgetBurst, b.budgets.hedge+hedgeEarnRatio)
 	b.estimateWork(now, r)
-	if now >= in.Deadline || b.ledger.open > b.settings.Limits.MaxOpen {
+	if now >= in.Deadline {
+		r.reason = reasonTimeOver
+	} else if b.ledger.open > b.settings.Limits.MaxOpen {
+		r.reason = reasonTooManyOpen
+	}
+	if r.reason != "" {
 		b.reject(now, r)
 		return
 	}
@@ -58,9 +63,15 @@
 func (b *Balancer) trySend(now Micros, r *request, first bool) bool {
 	r.priority = b.priority(now, r)
 	e := b.pick(now, r, nil)
-	if e == nil || b.exceedsLimit(now, r, e, first) {
+	r.reason = reasonNoEndpoint
+	if e == nil {
+		return false
+	}
+	r.reason = reasonPredicted
+	if b.exceedsLimit(now, r, e, first) {
 		return false
 	}
+	r.reason = reasonBreaker
 	if !b.breakerAllows(now, r, e) {
 		e = b.pick(now, r, e)
 		if e == nil || !b.breakerAllows(now, r, e) {
@@ -102,7 +113,11 @@
 		b.finish(r)
 		return
 	}
-	if !b.retry(now, r, a) && r.pending == 0 { // a pending hedge may still be answered
+	failed := a.endpoint // before retry, which may move the attempts
+	if b.retry(now, r, a) {
+		b.logRetry(now, r, failed, o.Status)
+	} else if r.pending == 0 { // a pending hedge may still be answered
+		r.reason = o.Status.String()
 		b.reject(now, r)
 	}
 }
--- a/balancer/candidates.go
+++ b/balancer/candidates.go
@@ -4,7 +4,7 @@
 	randomDraws = 8 // random draws before endpoints are searched in order
 	// maxCandidates bounds the endpoints that one decision looks at, whatever their number: those with a fresh
 	// report, and of each kind those that a search passes. Fleets up to it are searched completely.
-	maxCandidates = 256
+	maxCandidates = 200
 )
 
 // candidateGroup returns the smallest group that has all endpoints that r may be sent to, nil if there are
--- a/balancer/example_test.go
+++ b/balancer/example_test.go
@@ -59,7 +59,9 @@
 	b.HandleRequest(60_000, balancer.Request{ID: 2, Deadline: 860_000})
 	// Output:
 	// send request 1 to endpoint 8
-	// endpoint ejected endpoint 8 failure_ratio 0.5
+	// endpoint ejected endpoint 8 failure_ratio 0.5 count 1
 	// send request 1 to endpoint 7
+	// request retried request 1 endpoint 8 status error count 1
+	// request rejected request 2 reason no endpoint may be used attempts 0 count 1
 	// reject request 2
 }
--- a/balancer/ledger.go
+++ b/balancer/ledger.go
@@ -82,6 +82,7 @@
 // Expire handles a request that its host must answer now, before its deadline.
 func (b *Balancer) Expire(now Micros, id uint64) {
 	if r := b.ledger.requests[id]; r != nil {
+		r.reason = reasonHostEnds
 		b.reject(now, r)
 	}
 }
@@ -107,6 +108,7 @@
 	pending          int     // attempts without outcome
 	finished         bool    // the final answer is out
 	streaming        bool    // an answer has begun: only its end is awaited
+	reason           string  // for which the balancer gave or would give its own answer
 	trial            bool    // sent although its predicted latency was over the limit
 	onTime           float64 // 1 once answered within the latency objective
 	waitingForProbes bool
@@ -143,6 +145,7 @@
 	r.pending = 0
 	r.finished = false
 	r.streaming = false
+	r.reason = ""
 	r.trial = false
 	r.onTime = 0
 	r.waitingForProbes = false
--- a/balancer/rejection.go
+++ b/balancer/rejection.go
@@ -141,9 +141,10 @@
 func (b *Balancer) reject(now Micros, r *request) {
 	window := b.safeRetryWindow(now, r)
 	if r.finished || window == 0 {
-		b.fail(r)
+		b.fail(now, r)
 		return
 	}
+	b.logAnswer(now, "request rejected", r)
 	var retryAfter Micros
 	if b.settings.Limits.RetryAfter {
 		// Spread the retries, and let them come while an answer is still wanted.
@@ -156,8 +157,9 @@
 }
 
 // fail gives the final answer that promises nothing.
-func (b *Balancer) fail(r *request) {
+func (b *Balancer) fail(now Micros, r *request) {
 	if !r.finished {
+		b.logAnswer(now, "request failed", r)
 		b.actions.Fail(r.ID)
 		b.finish(r)
 	}
--- a/balancer/rejection_test.go
+++ b/balancer/rejection_test.go
@@ -1,7 +1,9 @@
 package balancer
 
 import (
+	"fmt"
 	"math"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -141,7 +143,48 @@
 	if len(r.rejected) < 150 {
 		t.Fatalf("only %d rejected", len(r.rejected))
 	}
-	if len(r.logs) != 1 || !strings.Contains(r.logs[0], "predicted latency too high endpoint 1 ") {
+	if len(r.logs) != 2 || !strings.Contains(r.logs[0], "predicted latency too high endpoint 1 ") ||
+		!strings.Contains(r.logs[1], "reason predicted latency too high attempts 0 count 1") {
 		t.Errorf("log: %q", r.logs)
 	}
+	rejected := len(r.rejected)
+	now := 5 * second
+	b.ProbeCompleted(now, 1, OK, 500, []float32{50})
+	for id := uint64(1000); len(r.rejected) == rejected; id++ {
+		b.HandleRequest(now, testRequest(id, 0, now))
+	}
+	if last := r.logs[len(r.logs)-1]; !strings.HasSuffix(last, fmt.Sprint("count ", rejected)) {
+		t.Errorf("log: %q, want a count of %d", last, rejected)
+	}
+}
+
+// Each final answer of the balancer's own and each retry has a line with the request and its reason.
+func TestAnswersAndRetriesAreLoggedWithTheirReason(t *testing.T) {
+	for reason, play := range map[string]func(*Balancer){
+		"request rejected request 1 reason its time is over": func(b *Balancer) {
+			b.HandleRequest(2*second, testRequest(1, 0, 0))
+		},
+		"request rejected request 1 reason no endpoint may be used": func(b *Balancer) {
+			b.UpdateEndpoints(0, ListDelta, []Endpoint{{ID: 1, State: Draining}, {ID: 2, State: Draining}})
+			b.HandleRequest(0, testRequest(1, 0, 0))
+		},
+		"request rejected request 1 reason its host ends it": func(b *Balancer) {
+			b.HandleRequest(0, testRequest(1, 0, 0))
+			b.Expire(0, 1)
+		},
+		"request failed request 1 reason reset": func(b *Balancer) {
+			b.HandleRequest(0, testRequest(1, 4, 0))
+			b.AttemptCompleted(0, Outcome{ID: 1, Endpoint: 1, Status: Reset})
+		},
+		"request retried request 1 endpoint": func(b *Balancer) {
+			b.HandleRequest(0, testRequest(1, 0, 0))
+			b.AttemptCompleted(0, Outcome{ID: 1, Status: ConnectFailed})
+		},
+	} {
+		b, r := start(t, testSettings(), ready(2))
+		play(b)
+		if !slices.ContainsFunc(r.logs, func(line string) bool { return strings.HasPrefix(line, reason) }) {
+			t.Errorf("log %q, want %q", r.logs, reason)
+		}
+	}
 }
--- a/deploy/deploy_test.go
+++ b/deploy/deploy_test.go
@@ -123,6 +123,7 @@
 	"balancer/doc.go", "balancer/api.go", "balancer/settings.go", "balancer/ledger.go", "balancer/endpoints.go",
 	"balancer/budgets.go", "balancer/probe_pool.go", "balancer/key_records.go", "balancer/breaker_window.go",
 	"balancer/estimates.go", "balancer/averages.go", "balancer/random.go", "balancer/eventlog.go",
+	"balancer/endpointset.go",
 }
 
 // The deploy file names files that exist, and its policy names every file of the decision module that decides.
--- a/internal/engine/actions.go
+++ b/internal/engine/actions.go
@@ -100,5 +100,16 @@
 	}
 }
 
-// Log logs an event of the decision module.
-func (x actions) Log(event string, attributes ...any) { x.engine.log.Info(event, attributes...) }
+// Log logs an event of the decision module, in which it names a request by its client's id.
+func (x actions) Log(event string, attributes ...any) {
+	for i := 0; i+1 < len(attributes); i += 2 {
+		id, isID := attributes[i+1].(uint64)
+		if attributes[i] != "request" || !isID {
+			continue
+		}
+		if r := x.engine.requests.get(id); r != nil && r.ID != "" {
+			attributes[i+1] = r.ID
+		}
+	}
+	x.engine.log.Info(event, attributes...)
+}
--- a/internal/engine/ledger.go
+++ b/internal/engine/ledger.go
@@ -18,6 +18,8 @@
 	// Respond takes the one final answer, on the engine's goroutine. It must not block, nor call
 	// back into the engine.
 	Respond func(Response)
+	// ID is the client's id of the request, for the log.
+	ID string
 	// Key is the idempotency key, if any, which KeyLeases may have to lease.
 	Key string
 
--- a/internal/front/exchange/dispatcher.go
+++ b/internal/front/exchange/dispatcher.go
@@ -60,6 +60,7 @@
 	defer cancel()
 	responses := make(chan engine.Response, 1) // with capacity for the one: Respond does not block
 	request := &engine.Request{
+		ID:      req.CorrelationID,
 		Key:     req.IdempotencyKey,
 		Respond: func(r engine.Response) { responses <- r },
 		Carrier: d.upstream.NewCarrier(&engine.Message{
--- /dev/null
+++ b/internal/front/httpfront/closelog.go
@@ -0,0 +1,57 @@
+package httpfront
+
+import (
+	"log/slog"
+	"sync"
+	"time"
+)
+
+// closeReason is why a client's connection was closed here without a response.
+type closeReason string
+
+// The reasons.
+const (
+	closedAtLimit      closeReason = "all connections have a request in flight"
+	closedIdleLongest  closeReason = "idle longest, at the limit of connections"
+	closedSlowRequest  closeReason = "request arriving too slowly, at the limit of connections"
+	closedDisconnected closeReason = "client disconnected before its response"
+	closedEvicted      closeReason = "evicted as its request arrived"
+)
+
+// closeLogInterval is the shortest time between two lines on one reason.
+const closeLogInterval = time.Second
+
+// closeLog logs the closes of clients' connections, each reason at most once in closeLogInterval.
+type closeLog struct {
+	log *slog.Logger
+
+	mu     sync.Mutex
+	counts map[closeReason]closeCount
+}
+
+// closeCount counts the closes since the last line on them.
+type closeCount struct {
+	loggedAt time.Time
+	count    int
+}
+
+// add counts a close of a connection whose request, if it was read, has this id.
+func (l *closeLog) add(reason closeReason, requestID string) {
+	if l.log == nil {
+		return
+	}
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.counts == nil {
+		l.counts = map[closeReason]closeCount{}
+	}
+	counted := l.counts[reason]
+	counted.count++
+	if now.Sub(counted.loggedAt) < closeLogInterval {
+		l.counts[reason] = counted
+		return
+	}
+	l.counts[reason] = closeCount{loggedAt: now}
+	l.log.Info("client connection closed", "reason", string(reason), "request", requestID, "count", counted.count)
+}
--- a/internal/front/httpfront/listener.go
+++ b/internal/front/httpfront/listener.go
@@ -30,6 +30,7 @@
 	maxConnections     int
 	keepAliveThreshold int         // used connections above which a response closes its connection
 	stopping           atomic.Bool // stopAccepting was called
+	closes             closeLog
 
 	mu        sync.Mutex
 	open      int       // connections
@@ -59,6 +60,7 @@
 			return c, nil
 		}
 		raw.Close()
+		l.closes.add(closedAtLimit, "")
 	}
 }
 
@@ -98,12 +100,14 @@
 		c := longest.Value.(*clientConn)
 		c.uncount()
 		c.interruptRead()
+		l.closes.add(closedIdleLongest, "")
 		return true
 	}
 	if slowest := l.receiving.Front(); slowest != nil {
 		if c := slowest.Value.(*clientConn); time.Since(c.receivingSince) > slowRequestAfter {
 			c.uncount()
 			c.Conn.Close()
+			l.closes.add(closedSlowRequest, "")
 			return true
 		}
 	}
--- a/internal/front/httpfront/server.go
+++ b/internal/front/httpfront/server.go
@@ -84,7 +84,11 @@
 		parser:     o.Parser,
 		dispatcher: exchange.New(e, upstream, o.BodyBytes),
 		opts:       o,
-		clients:    &clientListener{maxConnections: o.Connections, keepAliveThreshold: o.KeepAliveThreshold},
+		clients: &clientListener{
+			maxConnections:     o.Connections,
+			keepAliveThreshold: o.KeepAliveThreshold,
+			closes:             closeLog{log: o.Log},
+		},
 	}
 	s.http = http.Server{
 		// Not a ServeMux: it would redirect paths that endpoints are to receive unchanged.
@@ -160,6 +164,7 @@
 	defer release()
 	alone, ok := c.requestStarted(in.ContentLength)
 	if !ok {
+		s.clients.closes.add(closedEvicted, req.CorrelationID)
 		panic(http.ErrAbortHandler)
 	}
 	defer c.requestDone()
@@ -225,6 +230,7 @@
 	if errors.Is(err, exchange.ErrDisconnected) {
 		// A client that has closed its sending side only must not receive a complete response that no
 		// endpoint made.
+		s.clients.closes.add(closedDisconnected, req.CorrelationID)
 		panic(http.ErrAbortHandler)
 	} else if err != nil {
 		reject(w, in, err)
