balancer: a part of a list counts as an answer of discovery

A sidecar so short of time that a list takes longer than half a poll interval would have polled anew in the middle of it, and never come to its end. Found by reading; TestKeptSumsEqualRecount and the engine's tests of parts pass.

--- a/balancer/members.go
+++ b/balancer/members.go
@@ -10,7 +10,7 @@
 	}
 	live := kind == ListDelta || kind == ListFull
 	snapshot := kind == ListFull || kind == ListCached
-	if live && b.settings.PollDiscovery {
+	if (live || kind == ListPart) && b.settings.PollDiscovery {
 		b.discovery.subscribed = true
 		b.discovery.backoff = 0
 	}
