--- a/balancer/attempts.go
+++ b/balancer/attempts.go
@@ -23,7 +23,7 @@
 	b.budgets.hedge = min(budgetBurst, b.budgets.hedge+hedgeEarnRatio)
 	b.estimateWork(now, r)
 	if now >= in.Deadline {
-		r.reason = reasonTimeOver
+		r.reason = reasonExpired
 	} else if b.ledger.open > b.settings.Limits.MaxOpen {
 		r.reason = reasonTooManyOpen
 	}
--- a/balancer/endpointset.go
+++ b/balancer/endpointset.go
@@ -125,8 +125,8 @@
 	return g
 }
 
-// join enters e into its groups if it is ready. Whatever they depend on must not change until leave.
-func (s *endpointSet) join(e *endpoint) {
+// enterGroups enters e into its groups if it is ready. Whatever they depend on must not change until exitGroups.
+func (s *endpointSet) enterGroups(e *endpoint) {
 	if e.State != Ready {
 		return
 	}
@@ -147,8 +147,8 @@
 	}
 }
 
-// leave removes e from its groups.
-func (s *endpointSet) leave(e *endpoint) {
+// exitGroups removes e from its groups.
+func (s *endpointSet) exitGroups(e *endpoint) {
 	for _, m := range e.memberships {
 		m.group.remove(e, m.index)
 	}
@@ -168,7 +168,7 @@
 	if e.State != Removed || e.inFlight != 0 || s.byID[e.ID] != e {
 		return
 	}
-	s.leave(e)
+	s.exitGroups(e)
 	delete(s.byID, e.ID)
 	last := len(s.list) - 1
 	moved := s.list[last]
@@ -192,10 +192,10 @@
 		if !e.slowStart.active || e.slowStart.since != ended.since {
 			continue // it has restarted
 		}
-		if joined := len(e.memberships) > 0; joined {
-			s.leave(e)
+		if isMember := len(e.memberships) > 0; isMember {
+			s.exitGroups(e)
 			e.slowStart.active = false
-			s.join(e)
+			s.enterGroups(e)
 		}
 		e.slowStart.active = false
 	}
--- a/balancer/endpointset_test.go
+++ b/balancer/endpointset_test.go
@@ -105,7 +105,7 @@
 }
 
 // Kept sums equal a recount in every order of joining, draining, restart, end of slow start and removal.
-func TestKeptSumsEqualRecount(t *testing.T) {
+func TestGroupSumsEqualRecount(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := testSettings()
 		s.KeyAffinity = true
--- a/balancer/eventlog.go
+++ b/balancer/eventlog.go
@@ -7,7 +7,7 @@
 
 // Reasons for which a request has its final answer from the balancer.
 const (
-	reasonTimeOver    = "its time is over"
+	reasonExpired     = "its time is over"
 	reasonTooManyOpen = "too many requests are open"
 	reasonNoEndpoint  = "no endpoint may be used"
 	reasonBreaker     = "breakers of two endpoints"
--- a/balancer/hedging.go
+++ b/balancer/hedging.go
@@ -53,7 +53,7 @@
 			b.learnLatency(now, r, a, float64(now-a.sentAt), true)
 		}
 	}
-	r.reason = reasonTimeOver
+	r.reason = reasonExpired
 	b.reject(now, r)
 }
 
--- a/balancer/members.go
+++ b/balancer/members.go
@@ -49,7 +49,7 @@
 		if e.listedAt == b.endpoints.version {
 			continue
 		}
-		b.endpoints.leave(e)
+		b.endpoints.exitGroups(e)
 		e.State = Removed
 		b.endpoints.dropUnused(e)
 	}
@@ -67,7 +67,7 @@
 		return e, false
 	}
 	restarted := !added && in.StartTime != 0 && in.StartTime != e.StartTime
-	b.endpoints.leave(e)
+	b.endpoints.exitGroups(e)
 	if restarted {
 		b.resetStatistics(e)
 	}
@@ -81,7 +81,7 @@
 	if (added || restarted) && started != 0 && now-started < b.settings.Contract.SlowStartTime {
 		b.startSlowStart(now, e, started)
 	}
-	b.endpoints.join(e)
+	b.endpoints.enterGroups(e)
 	return e, added || restarted
 }
 
--- a/balancer/scale_bench_test.go
+++ b/balancer/scale_bench_test.go
@@ -182,8 +182,8 @@
 	}
 }
 
-// BenchmarkWholeList measures a complete list in which nothing has changed, for each of its endpoints.
-func BenchmarkWholeList(b *testing.B) {
+// BenchmarkFullList measures a complete list in which nothing has changed, for each of its endpoints.
+func BenchmarkFullList(b *testing.B) {
 	for _, n := range fleetSizes {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			list := scaleFleet(n, 0, second)
--- a/balancer/source_test.go
+++ b/balancer/source_test.go
@@ -56,7 +56,9 @@
 }
 
 func TestModuleImportsOnlyAllowedPackages(t *testing.T) {
-	allowed := map[string]bool{`"container/heap"`: true, `"fmt"`: true, `"math"`: true, `"slices"`: true, `"strconv"`: true}
+	allowed := map[string]bool{
+		`"container/heap"`: true, `"fmt"`: true, `"math"`: true, `"slices"`: true, `"strconv"`: true,
+	}
 	names, err := filepath.Glob("*.go")
 	if err != nil {
 		t.Fatal(err)
--- a/cmd/pinedale-faulttest/largelist.go
+++ b/cmd/pinedale-faulttest/largelist.go
@@ -19,7 +19,7 @@
 		Short: "run sidecars of the platform between thousands of servers, short of processor time",
 		Args:  cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
-			lost := 0
+			losses := 0
 			for range seeds {
 				dir, err := os.MkdirTemp(player.dir, "large-list-")
 				if err != nil {
@@ -32,13 +32,13 @@
 				}
 				fmt.Fprintf(player.out, "seed %d: ", options.Seed)
 				report.Print(player.out)
-				if lost += len(report.Lost); len(report.Lost) == 0 && player.dir == "" {
+				if losses += len(report.Losses); len(report.Losses) == 0 && player.dir == "" {
 					os.RemoveAll(dir)
 				}
 				options.Seed++
 			}
-			if lost > 0 {
-				return fmt.Errorf("%d requests lost", lost)
+			if losses > 0 {
+				return fmt.Errorf("%d requests lost", losses)
 			}
 			return nil
 		},
@@ -53,6 +53,7 @@
 	flags.DurationVar(&options.Duration, "length", 10*time.Second, "of the load")
 	flags.BoolVar(&options.Release, "release", true, "six in ten servers are replaced in steps")
 	flags.DurationVar(&options.Throttle.Running, "running", 2*time.Millisecond, "in each turn, a sidecar runs")
-	flags.DurationVar(&options.Throttle.Stopped, "stopped", 30*time.Millisecond, "in each turn, it is stopped; 0 for never")
+	flags.DurationVar(&options.Throttle.Stopped, "stopped", 30*time.Millisecond,
+		"in each turn, it is stopped; 0 for never")
 	return command
 }
--- a/internal/engine/lateness_test.go
+++ b/internal/engine/lateness_test.go
@@ -49,13 +49,13 @@
 }
 
 // submitArrival posts a request with this much time and returns where its response comes.
-func submitArrival(e *Engine, r *Request, left time.Duration) <-chan Response {
+func submitArrival(e *Engine, r *Request, remaining time.Duration) <-chan Response {
 	responses := make(chan Response, 1)
 	r.Respond = func(response Response) { responses <- response }
 	if r.Carrier == nil {
 		r.Carrier = e.options.Upstream.NewCarrier(&Message{})
 	}
-	in := balancer.Request{Deadline: e.Now() + left.Microseconds()}
+	in := balancer.Request{Deadline: e.Now() + remaining.Microseconds()}
 	e.PostArrival(nil, func(now balancer.Micros) { e.Submit(now, r, in) })
 	return responses
 }
@@ -105,7 +105,7 @@
 }
 
 // Disconnects are handled before arrivals, also those of the same client.
-func TestRequestOfClientThatHasLeftIsNotSent(t *testing.T) {
+func TestRequestOfDisconnectedClientIsNotSent(t *testing.T) {
 	e, cancel := newRunningEngine(t)
 	defer cancel()
 	blocked := make(chan struct{})
--- a/internal/engine/listparts_test.go
+++ b/internal/engine/listparts_test.go
@@ -113,7 +113,7 @@
 }
 
 // An ended watch takes in no further part, and its version does not count.
-func TestPartsOfAnEndedWatchAreLeftOut(t *testing.T) {
+func TestPartsOfAnEndedWatchAreIgnored(t *testing.T) {
 	e, decider := newPartsEngine(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	e.Call(func(balancer.Micros) { decider.Decider = &endingDecider{decider.Decider, cancel} })
--- a/internal/engine/scale_bench_test.go
+++ b/internal/engine/scale_bench_test.go
@@ -81,8 +81,8 @@
 	}
 }
 
-// BenchmarkEngineWholeList measures a complete list in which nothing has changed, by its parts.
-func BenchmarkEngineWholeList(b *testing.B) {
+// BenchmarkEngineFullList measures a complete list in which nothing has changed, by its parts.
+func BenchmarkEngineFullList(b *testing.B) {
 	for _, n := range fleetSizes {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			e, _, _ := newScaleEngine(b, n)
--- a/internal/faulttest/largelist/clients.go
+++ b/internal/faulttest/largelist/clients.go
@@ -160,7 +160,7 @@
 	limit := q.class.deadline + answerSlack
 	timeoutOutcome := unanswered
 	if q.leavesAfter > 0 {
-		limit, timeoutOutcome = q.leavesAfter, left
+		limit, timeoutOutcome = q.leavesAfter, cancelled
 	}
 	_ = c.SetReadDeadline(q.sentAt.Add(limit)) // fails where reading does
 	_, err := c.reader.Peek(1)
--- a/internal/faulttest/largelist/largelist_test.go
+++ b/internal/faulttest/largelist/largelist_test.go
@@ -36,10 +36,10 @@
 // The fleets that are compared: the usual size, and what production adds.
 const (
 	usualServers = 200
-	mostServers  = 3200
+	manyServers  = 3200
 )
 
-// The page "What production adds": what a sidecar may need with mostServers, from what it needs with usualServers.
+// The page "What production adds": what a sidecar may need with manyServers, from what it needs with usualServers.
 const (
 	minServedRatio       = 0.85
 	processorRatio       = 1.4
@@ -86,43 +86,43 @@
 }
 
 // servedRatio is the ratio of requests served, of those whose clients stayed.
-func (p *Report) servedRatio() float64 { return float64(p.Served) / float64(p.Requests-p.Left) }
+func (p *Report) servedRatio() float64 { return float64(p.Served) / float64(p.Requests-p.Cancelled) }
 
-func TestNoRequestIsLostWithThousandsOfServersAndLittleProcessorTime(t *testing.T) {
+func TestEveryRequestIsAnsweredWithThousandsOfServersAndLittleProcessorTime(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	little := Throttle{Running: 2 * time.Millisecond, Stopped: 30 * time.Millisecond}
-	usual, most := run(t, usualServers, little), run(t, mostServers, little)
-	for _, report := range []*Report{usual, most} {
-		if len(report.Lost) > 0 {
-			t.Errorf("%d of %d requests lost", len(report.Lost), report.Requests)
+	usual, large := run(t, usualServers, little), run(t, manyServers, little)
+	for _, report := range []*Report{usual, large} {
+		if len(report.Losses) > 0 {
+			t.Errorf("%d of %d requests lost", len(report.Losses), report.Requests)
 		}
 	}
-	if most.servedRatio() < minServedRatio*usual.servedRatio() {
-		t.Errorf("served %.3f with %d servers, %.3f with %d", most.servedRatio(), mostServers, usual.servedRatio(),
+	if large.servedRatio() < minServedRatio*usual.servedRatio() {
+		t.Errorf("served %.3f with %d servers, %.3f with %d", large.servedRatio(), manyServers, usual.servedRatio(),
 			usualServers)
 	}
 }
 
 func TestResourcesDoNotGrowWithTheList(t *testing.T) {
-	usual, most := run(t, usualServers, Throttle{}), run(t, mostServers, Throttle{})
-	thousands := float64(mostServers) / 1000
+	usual, large := run(t, usualServers, Throttle{}), run(t, manyServers, Throttle{})
+	thousands := float64(manyServers) / 1000
 	for _, c := range []struct {
 		name         string
-		usual, most  float64
+		usual, large float64
 		ratio, extra float64
 	}{
-		{"processor seconds", usual.Processor.Seconds(), most.Processor.Seconds(), processorRatio,
+		{"processor seconds", usual.Processor.Seconds(), large.Processor.Seconds(), processorRatio,
 			testSidecars * (processorExtra.Seconds() + processorPerThousand.Seconds()*thousands)},
-		{"peak memory", float64(usual.PeakMemory), float64(most.PeakMemory), memoryRatio,
+		{"peak memory", float64(usual.PeakMemory), float64(large.PeakMemory), memoryRatio,
 			memoryExtra + memoryPerThousand*thousands},
-		{"descriptors", float64(usual.Descriptors), float64(most.Descriptors), descriptorRatio, descriptorExtra},
-		{"connections", float64(usual.Connections), float64(most.Connections), connectionRatio,
+		{"descriptors", float64(usual.Descriptors), float64(large.Descriptors), descriptorRatio, descriptorExtra},
+		{"connections", float64(usual.Connections), float64(large.Connections), connectionRatio,
 			testSidecars * connectionExtra},
-		{"bytes of lists", float64(usual.ListBytes), float64(most.ListBytes), listRatio,
+		{"bytes of lists", float64(usual.ListBytes), float64(large.ListBytes), listRatio,
 			testSidecars * (listExtra + listPerThousand*thousands)},
 	} {
-		if bound := c.ratio*c.usual + c.extra; c.most > bound {
-			t.Errorf("%s: %.4g with %d servers, %.4g with %d, at most %.4g allowed", c.name, c.most, mostServers,
+		if bound := c.ratio*c.usual + c.extra; c.large > bound {
+			t.Errorf("%s: %.4g with %d servers, %.4g with %d, at most %.4g allowed", c.name, c.large, manyServers,
 				c.usual, usualServers, bound)
 		}
 	}
--- a/internal/faulttest/largelist/release.go
+++ b/internal/faulttest/largelist/release.go
@@ -26,14 +26,14 @@
 	began := time.Now()
 	hosts := r.initialHosts()
 	perStep := len(hosts) * replacedTenths / 10 / releaseSteps
-	var gone []fakediscovery.Host
+	var removed []fakediscovery.Host
 	for step := range releaseSteps {
 		var changes []fakediscovery.Host
 		for _, host := range hosts[step*perStep : (step+1)*perStep] {
 			host.State = fakediscovery.StateTerminating
 			changes = append(changes, host)
 			host.State = fakediscovery.StateGone
-			gone = append(gone, host)
+			removed = append(removed, host)
 		}
 		if added, err := r.servers.start(perStep, time.Now()); err == nil {
 			changes = append(changes, added...)
@@ -48,7 +48,7 @@
 		if !ctxtime.Sleep(ctx, time.Until(began.Add(end))) {
 			return
 		}
-		r.discovery.ApplyChanges(gone[step*perStep : (step+1)*perStep]...)
+		r.discovery.ApplyChanges(removed[step*perStep : (step+1)*perStep]...)
 	}
 }
 
--- a/internal/faulttest/largelist/report.go
+++ b/internal/faulttest/largelist/report.go
@@ -22,7 +22,7 @@
 
 const (
 	answered    outcome = "answered"
-	left        outcome = "left"         // the client closed the connection early
+	cancelled   outcome = "cancelled"    // the client closed the connection early
 	unanswered  outcome = "unanswered"   // no complete response in its time
 	broken      outcome = "broken"       // the connection ended with no complete response
 	notAccepted outcome = "not accepted" // no connection, so that it was never taken
@@ -101,14 +101,14 @@
 	Rejected     int // 429 and 503
 	Failed       int // any other code
 	Late         int // answered after their time, within the slack
-	Left         int // by clients that did not wait
+	Cancelled    int // by clients that did not wait
 	Attempts     int
 	Connections  int64         // accepted by servers
 	ListBytes    int64         // written by discovery
 	Processor    time.Duration // used by all sidecars
 	PeakMemory   int64         // bytes, of the largest sidecar
 	Descriptors  int           // most open at once in one sidecar
-	Lost         []Loss        // each broken rule
+	Losses       []Loss        // each broken rule
 	LongestRetry int           // most attempts of one request
 }
 
@@ -127,12 +127,12 @@
 		report.Descriptors = max(report.Descriptors, s.maxDescriptors)
 	}
 	if n := r.recorder.unknown; n > 0 {
-		report.Lost = append(report.Lost, Loss{UnknownOrigin, fmt.Sprintf("%d attempts", n)})
+		report.Losses = append(report.Losses, Loss{UnknownOrigin, fmt.Sprintf("%d attempts", n)})
 	}
 	for _, q := range r.recorder.requests {
 		report.add(q)
 	}
-	slices.SortFunc(report.Lost, func(a, b Loss) int { return cmp.Compare(a.Text, b.Text) })
+	slices.SortFunc(report.Losses, func(a, b Loss) int { return cmp.Compare(a.Text, b.Text) })
 	return report
 }
 
@@ -140,25 +140,25 @@
 func (p *Report) add(q *request) {
 	p.Attempts += len(q.attempts)
 	p.LongestRetry = max(p.LongestRetry, len(q.attempts))
-	lost := func(kind LossKind, format string, values ...any) {
+	addLoss := func(kind LossKind, format string, values ...any) {
 		text := fmt.Sprintf("%s %s (%d attempts): ", q.id, q.class.name, len(q.attempts))
-		p.Lost = append(p.Lost, Loss{kind, text + fmt.Sprintf(format, values...)})
+		p.Losses = append(p.Losses, Loss{kind, text + fmt.Sprintf(format, values...)})
 	}
 	took := q.result.at.Sub(q.sentAt)
 	switch q.result.outcome {
 	case unanswered, broken:
-		lost(NoAnswer, "%s after %v", q.result.outcome, took.Round(time.Millisecond))
-	case left:
-		p.Left++
+		addLoss(NoAnswer, "%s after %v", q.result.outcome, took.Round(time.Millisecond))
+	case cancelled:
+		p.Cancelled++
 	case answered:
 		p.addAnswer(q, took)
 		if q.result.code == http.StatusOK && !q.servedAs(q.result.body) {
-			lost(WrongAnswer, "answered 200 with %q, which no server made", q.result.body)
+			addLoss(WrongAnswer, "answered 200 with %q, which no server made", q.result.body)
 		}
 	}
 	for _, at := range q.attempts {
 		if after := at.Sub(q.result.at); after > forwardSlack {
-			lost(AttemptAfter, "an attempt began %v after its end (%s)", after.Round(time.Millisecond), q.result.outcome)
+			addLoss(AttemptAfter, "an attempt began %v after its end (%s)", after.Round(time.Millisecond), q.result.outcome)
 		}
 	}
 }
@@ -188,12 +188,12 @@
 // Print writes the report as text.
 func (p *Report) Print(out io.Writer) {
 	fmt.Fprintf(out, "requests %d: served %d, rejected %d, failed %d, late %d, left %d, lost %d\n",
-		p.Requests, p.Served, p.Rejected, p.Failed, p.Late, p.Left, len(p.Lost))
+		p.Requests, p.Served, p.Rejected, p.Failed, p.Late, p.Cancelled, len(p.Losses))
 	fmt.Fprintf(out, "attempts %d (most %d), connections %d, list bytes %d, processor %v, memory %d MB, descriptors %d\n",
 		p.Attempts, p.LongestRetry, p.Connections, p.ListBytes, p.Processor.Round(time.Millisecond),
 		p.PeakMemory>>20, p.Descriptors)
 	kinds := map[LossKind]int{}
-	for _, loss := range p.Lost {
+	for _, loss := range p.Losses {
 		if kinds[loss.Kind]++; kinds[loss.Kind] <= maxPrintedLosses {
 			fmt.Fprintf(out, "  lost, %s: %s\n", loss.Kind, loss.Text)
 		}
--- a/internal/faulttest/largelist/servers.go
+++ b/internal/faulttest/largelist/servers.go
@@ -1,7 +1,6 @@
 package largelist
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"pinedale/internal/ctxtime"
 	"pinedale/internal/standin/fakediscovery"
 )
 
@@ -91,7 +91,7 @@
 	_, _ = io.Copy(io.Discard, in.Body)
 	id := in.Header.Get("X-Correlation-Id")
 	g.recorder.attempted(id, time.Now())
-	if !sleepUnlessEnded(in.Context(), g.timeToServe(address)) {
+	if !ctxtime.Sleep(in.Context(), g.timeToServe(address)) {
 		return
 	}
 	_, _ = io.WriteString(w, responseBody(id, address))
@@ -111,15 +111,3 @@
 
 // responseBody is what a server responds to a request.
 func responseBody(id, address string) string { return id + "@" + address }
-
-// sleepUnlessEnded waits, and reports false if ctx has ended before.
-func sleepUnlessEnded(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/upstream/attempt/attempt_test.go
+++ b/internal/upstream/attempt/attempt_test.go
@@ -15,6 +15,8 @@
 	cancel()
 	expired, cancelExpired := context.WithDeadline(background, time.Unix(1, 0))
 	defer cancelExpired()
+	connectedBySocket := func() bool { return false }
+	disconnectedBySocket := func() bool { return true }
 	for name, c := range map[string]struct {
 		bounds sendBounds
 		want   error
@@ -23,8 +25,8 @@
 		"client disconnected, not propagated to send": {sendBounds{send: background, client: cancelled}, ErrLate},
 		"client disconnected":                         {sendBounds{send: cancelled, client: cancelled}, ErrLate},
 		"send deadline passed":                        {sendBounds{send: expired, client: background}, ErrLate},
-		"client connected by its socket":              {sendBounds{background, background, func() bool { return false }}, nil},
-		"client disconnected by its socket alone":     {sendBounds{background, background, func() bool { return true }}, ErrLate},
+		"client connected by its socket":              {sendBounds{background, background, connectedBySocket}, nil},
+		"client disconnected by its socket alone":     {sendBounds{background, background, disconnectedBySocket}, ErrLate},
 	} {
 		if err := CheckBeforeWrite(context.WithValue(background, sendBoundsKey{}, c.bounds)); !errors.Is(err, c.want) {
 			t.Errorf("%s: %v, want %v", name, err, c.want)
