--- a/cmd/pinedale-faulttest/commands_test.go
+++ b/cmd/pinedale-faulttest/commands_test.go
@@ -25,7 +25,7 @@
 }
 
 func TestHelpKeepsItsForm(t *testing.T) {
-	for _, command := range []string{"root", "run", "replay", "shrink", "report"} {
+	for _, command := range []string{"root", "run", "replay", "shrink", "report", "large-list"} {
 		t.Run(command, func(t *testing.T) {
 			golden, err := os.ReadFile(filepath.Join("testdata", "help-"+command+".txt"))
 			if err != nil {
@@ -39,7 +39,8 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if help = strings.ReplaceAll(help, siblingProgram("pinedale-proxy"), "PROGRAM"); help != string(golden) {
+			paths := strings.NewReplacer(siblingProgram("pinedale-proxy"), "PROGRAM", siblingProgram("pinedale"), "SIDECAR")
+			if help = paths.Replace(help); help != string(golden) {
 				t.Errorf("help is\n%s\nwant\n%s", help, golden)
 			}
 		})
