httpfront: a failure of accept that lasts a moment no longer ends the service

Callers would see the sidecar exit, or their connections wait.

Cause: net/http's Serve returns at every accept error that Go does not call temporary (ENOBUFS, ENOMEM, ENETUNREACH, EPROTO, EHOSTUNREACH and others), and Run then ends the process; at EMFILE and ENFILE it pauses for up to a second. While draining, any accept error closed the listener with its queue.

Change: the listener retries after 5 ms at the errors that accept(2) says to treat so, and ends at all others.

Evidence: with the retries taken out, TestAcceptGoesOnAfterTransientFailures ends at ECONNABORTED and TestStoppingListenerAcceptsItsQueueDespiteFailures at ENFILE. Real system calls were not made to fail.

--- a/internal/front/httpfront/listener.go
+++ b/internal/front/httpfront/listener.go
@@ -31,6 +31,7 @@
 	keepAliveThreshold int         // used connections above which a response closes its connection
 	stopping           atomic.Bool // stopAccepting was called
 	closes             closeLog
+	acceptLoggedAt     time.Time // owned by the goroutine of Accept
 
 	mu        sync.Mutex
 	open      int       // connections
@@ -44,7 +45,7 @@
 // If all have a request in flight, it closes the new one.
 func (l *clientListener) Accept() (net.Conn, error) {
 	for {
-		raw, err := l.Listener.Accept()
+		raw, err := l.acceptRetrying()
 		stopping := l.stopping.Load()
 		if err != nil && stopping {
 			l.Close()
