--- a/internal/front/httpfront/accept_test.go
+++ b/internal/front/httpfront/accept_test.go
@@ -70,7 +70,10 @@
 		t.Fatal(err)
 	}
 	defer client.Close()
-	failing := &failingListener{TCPListener: listener.(*net.TCPListener), failures: []error{syscall.ENFILE, syscall.ECONNABORTED}}
+	failing := &failingListener{
+		TCPListener: listener.(*net.TCPListener),
+		failures:    []error{syscall.ENFILE, syscall.ECONNABORTED},
+	}
 	l := &clientListener{Listener: failing, maxConnections: 1}
 	l.stopping.Store(true)
 	c, err := l.Accept()
