--- a/balancer/members_test.go
+++ b/balancer/members_test.go
@@ -84,3 +84,19 @@
 		}
 	}
 }
+
+// The start of a process is an instant of another machine's wall clock, and this machine's may be ahead by an hour.
+func TestNewEndpointStartsSlowlyWhereTheWallClockIsAhead(t *testing.T) {
+	const hour = 3600 * second
+	b, _ := start(t, testSettings(), ready(2))
+	now := 2 * hour
+	b.UpdateEndpoints(now, ListFull, ready(2))
+	for i := range 5 {
+		now += second
+		b.UpdateEndpoints(now, ListDelta, []Endpoint{{ID: 1, Weight: 1, State: State(i % 2)}})
+	}
+	b.UpdateEndpoints(now, ListDelta, []Endpoint{{ID: 3, Weight: 1, StartTime: now - hour}})
+	if e := b.endpoints.byID[3]; !e.inSlowStart(now, b) {
+		t.Error("an endpoint that was not listed a second ago has no slow start")
+	}
+}
