--- a/balancer/probes.go
+++ b/balancer/probes.go
@@ -101,7 +101,7 @@
 	b.actions.Probe(e.ID)
 }
 
-// probeNew probes endpoints that a membership event has added, in random order and as many as their allowance
+// probeNew probes endpoints that a membership event has added, or as many random ones as their allowance
 // permits: it is earned at the rate of probes, which follows the balancer's own traffic.
 func (b *Balancer) probeNew(now Micros, added []*endpoint) {
 	if len(added) == 0 {
@@ -112,7 +112,10 @@
 	*allowance = min(maxNewProbes, *allowance+earned)
 	b.probes.newEarnedAt = now
 	for n := len(added); n > 0 && *allowance >= 1; n-- {
-		i := int(b.random.float() * float64(n))
+		i := 0
+		if float64(n) > *allowance {
+			i = int(b.random.float() * float64(n))
+		}
 		b.sendProbe(now, added[i])
 		added[i] = added[n-1]
 		*allowance--
