--- a/balancer/endpointset_test.go
+++ b/balancer/endpointset_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	_ "pinedale/internal/standin/seeds"
 )
 
 // recount is what the groups of an endpoint set come to by a walk over its list.
