--- a/internal/faulttest/largelist/sidecar.go
+++ b/internal/faulttest/largelist/sidecar.go
@@ -2,19 +2,14 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"runtime"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"pinedale/internal/ctxtime"
 	"pinedale/internal/standin/fakediscovery"
 	"pinedale/internal/standin/ports"
@@ -24,7 +19,6 @@
 const (
 	readyInterval   = 20 * time.Millisecond
 	observeInterval = 100 * time.Millisecond
-	bytesPerKB      = 1 << 10
 )
 
 // sidecar controls one process of pinedale.
@@ -67,42 +61,13 @@
 	cmd.Stdout, cmd.Stderr = logFile, logFile
 	// The process must not outlive this one.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := startOnOneProcessor(cmd, int(o.Seed)*o.Sidecars+index); err != nil {
+	if err := testfleet.StartOnOneProcessor(cmd, int(o.Seed)*o.Sidecars+index); err != nil {
 		logFile.Close()
 		return nil, err
 	}
 	return &sidecar{address: address, cmd: cmd, logFile: logFile}, nil
 }
 
-// startOnOneProcessor starts a process that may use only one processor, as on the platform.
-func startOnOneProcessor(cmd *exec.Cmd, index int) error {
-	runtime.LockOSThread()
-	defer runtime.UnlockOSThread()
-	var all, one unix.CPUSet
-	if err := unix.SchedGetaffinity(0, &all); err != nil {
-		return err
-	}
-	one.Set(nthProcessor(&all, index%all.Count()))
-	if err := unix.SchedSetaffinity(0, &one); err != nil {
-		return err
-	}
-	err := cmd.Start() // the process inherits the thread's processor affinity
-	return errors.Join(err, unix.SchedSetaffinity(0, &all))
-}
-
-// nthProcessor returns the number of a processor by its index in a set.
-func nthProcessor(set *unix.CPUSet, index int) int {
-	for processor := 0; ; processor++ {
-		if !set.IsSet(processor) {
-			continue
-		}
-		if index == 0 {
-			return processor
-		}
-		index--
-	}
-}
-
 // settings returns the settings of a sidecar in a fleet of 300 sidecars, each of which has few requests.
 func settings(position int) testfleet.SidecarSettings {
 	s := testfleet.FullSettings(longestDeadline, dedupWindow)
@@ -154,21 +119,11 @@
 			s.maxDescriptors = max(s.maxDescriptors, len(entries))
 		}
 		if status, err := os.ReadFile(directory + "status"); err == nil {
-			s.peakMemory = max(s.peakMemory, peakResidentBytes(string(status)))
+			s.peakMemory = max(s.peakMemory, testfleet.PeakResidentBytes(string(status)))
 		}
 	}
 }
 
-// peakResidentBytes returns the peak resident size in a /proc/PID/status text, or 0 if it has none.
-func peakResidentBytes(status string) int64 {
-	_, rest, _ := strings.Cut(status, "VmHWM:")
-	var kilobytes int64
-	if _, err := fmt.Sscan(rest, &kilobytes); err != nil {
-		return 0
-	}
-	return kilobytes * bytesPerKB
-}
-
 // kill kills the process and waits until it has exited.
 func (s *sidecar) kill() {
 	s.killOnce.Do(func() {
--- a/internal/standin/testfleet/process.go
+++ b/internal/standin/testfleet/process.go
@@ -47,11 +47,23 @@
 // StartProcess starts a program and reads its standard error. When the test ends the program is killed if it still
 // runs, and its log is printed if the test has failed.
 func StartProcess(t testing.TB, cmd *exec.Cmd) *Process {
+	t.Helper()
+	return startProcess(t, cmd, cmd.Start)
+}
+
+// StartProcessOnOneProcessor is like [StartProcess] for a program that may use only one processor, as on the platform.
+func StartProcessOnOneProcessor(t testing.TB, cmd *exec.Cmd) *Process {
+	t.Helper()
+	return startProcess(t, cmd, func() error { return StartOnOneProcessor(cmd, 0) })
+}
+
+// startProcess starts a program by calling start.
+func startProcess(t testing.TB, cmd *exec.Cmd, start func() error) *Process {
 	t.Helper()
 	p := &Process{t: t, cmd: cmd, exited: make(chan struct{})}
 	cmd.Stderr = &p.Log
 	cmd.WaitDelay = pipeTimeout
-	if err := cmd.Start(); err != nil {
+	if err := start(); err != nil {
 		t.Fatal(err)
 	}
 	go func() {
--- a/internal/standin/testfleet/sidecar.go
+++ b/internal/standin/testfleet/sidecar.go
@@ -19,14 +19,16 @@
 	Hosts     []fakediscovery.Host // known before discovery has responded
 	Version   uint64               // of the list of Hosts
 	Seed      string               // hexadecimal; empty for defaultSeed
+	MemoryMB  int                  // 0 for defaultMemoryMB
 	Sockets   int                  // 0 for defaultSockets
 	Settings  SidecarSettings
 }
 
 // Defaults of fields of [SidecarConfig].
 const (
-	defaultSeed    = "1f"
-	defaultSockets = 1024
+	defaultSeed     = "1f"
+	defaultMemoryMB = 192
+	defaultSockets  = 1024
 )
 
 // SidecarSettings are a customer's settings. Fields are named as in package balancer, and JSON keys as in the
@@ -222,9 +224,13 @@
 		Listen:    c.Listen,
 		Discovery: c.Discovery,
 		Seed:      cmp.Or(c.Seed, defaultSeed),
-		Limits:    resources{Cores: 1, MemoryMB: 192, Sockets: cmp.Or(c.Sockets, defaultSockets)},
-		Known:     fakediscovery.Document{Seq: c.Version, Complete: true, Hosts: c.Hosts},
-		Settings:  c.Settings,
+		Limits: resources{
+			Cores:    1,
+			MemoryMB: cmp.Or(c.MemoryMB, defaultMemoryMB),
+			Sockets:  cmp.Or(c.Sockets, defaultSockets),
+		},
+		Known:    fakediscovery.Document{Seq: c.Version, Complete: true, Hosts: c.Hosts},
+		Settings: c.Settings,
 	}
 	if file.Known.Hosts == nil {
 		file.Known.Hosts = []fakediscovery.Host{}
