engine: of two endpoints at one address only the one that started last takes requests

What callers saw: work meant for an endpoint that had gone went to the process that came up at its address; a request whose key is deduplicated in one cell only was retried in another and ran twice.

Cause: a list may name a successor at an address before it says that the old endpoint is removed. The registry then kept both targets open: an address stood for a process.

Change: the registry records the latest known start at each address, and an endpoint that another one superseded there counts as draining. Endpoints whose start is unknown are used as before.

--- a/internal/engine/registry.go
+++ b/internal/engine/registry.go
@@ -34,6 +34,12 @@
 	lastSnapshotSeq uint64 // endpointRegistry.snapshotSeq when the endpoint was last listed
 }
 
+// knownStart is the start of an endpoint.
+type knownStart struct {
+	id        uint32
+	startedMS int64 // Unix time in milliseconds
+}
+
 // endpointRegistry holds the endpoints that the decision module knows. It is owned by the
 // engine's goroutine.
 type endpointRegistry struct {
@@ -41,12 +47,14 @@
 	pools        func(site, kind string) uint64 // nil for no pools
 	upstream     Upstream
 
-	byID           map[uint32]*endpoint
-	idByName       map[string]uint32
-	readyByAddress map[string]uint32 // ids of ready endpoints
-	lastID         uint32            // ids are not reused: a late outcome must not count for another endpoint
-	targets        int               // number of ready endpoints
-	snapshotSeq    uint64            // number of complete lists begun so far
+	byID            map[uint32]*endpoint
+	idByName        map[string]uint32
+	readyByAddress  map[string]uint32     // ids of ready endpoints
+	newestByAddress map[string]knownStart // of the listed endpoints whose start is known, the one that started last
+
+	lastID      uint32 // ids are not reused: a late outcome must not count for another endpoint
+	targets     int    // number of ready endpoints
+	snapshotSeq uint64 // number of complete lists begun so far
 
 	// advisedDraining has the endpoints that other instances report as draining, by name, with the
 	// start time in milliseconds of the incarnation that drains.
@@ -62,6 +70,8 @@
 		byID:           map[uint32]*endpoint{},
 		idByName:       map[string]uint32{},
 		readyByAddress: map[string]uint32{},
+
+		newestByAddress: map[string]knownStart{},
 	}
 }
 
@@ -84,18 +94,23 @@
 
 // applyChanges applies entries of a list, and returns those for the decision module.
 func (r *endpointRegistry) applyChanges(hosts []Host) []balancer.Endpoint {
+	for _, h := range hosts {
+		r.recordStart(h)
+	}
 	entries := make([]balancer.Endpoint, 0, len(hosts))
 	for _, h := range hosts {
 		id := r.idByName[h.Name]
 		if id == 0 {
-			if h.State == balancer.Removed {
-				continue
-			}
-			id = r.add(h.Name)
+			continue // removed, and not known
 		}
+		ready := r.readyByAddress[h.Address]
 		r.byID[id].lastSnapshotSeq = r.snapshotSeq
 		entries = append(entries, r.entry(id, h))
 		r.update(id, h)
+		if ep := r.byID[ready]; ep != nil && ep.target != nil && r.isSuperseded(ep.host) {
+			entries = append(entries, r.entry(ready, ep.host))
+			r.update(ready, ep.host)
+		}
 	}
 	return entries
 }
@@ -154,6 +169,7 @@
 // deleteIfUnused deletes a removed endpoint once nothing is pending there.
 func (r *endpointRegistry) deleteIfUnused(id uint32, ep *endpoint) {
 	if ep.removed && ep.pending == 0 {
+		r.forgetStart(id, ep.host.Address)
 		delete(r.idByName, ep.name)
 		delete(r.byID, id)
 	}
@@ -218,13 +234,49 @@
 	return changed
 }
 
-// effectiveState returns a listed endpoint's state, or draining if it is ready but advised to drain.
+// effectiveState returns a listed endpoint's state, or draining if it is ready but advised to drain or superseded.
 func (r *endpointRegistry) effectiveState(h Host) balancer.State {
-	startedMS, ok := r.advisedDraining[h.Name]
-	if ok && startedMS == h.StartedMS && h.State == balancer.Ready {
+	if h.State != balancer.Ready {
+		return h.State
+	}
+	startedMS, advised := r.advisedDraining[h.Name]
+	if advised && startedMS == h.StartedMS || r.isSuperseded(h) {
 		return balancer.Draining
 	}
-	return h.State
+	return balancer.Ready
+}
+
+// recordStart records the start in an entry of a list, before the entry is applied. It adds an endpoint that is not
+// known yet.
+func (r *endpointRegistry) recordStart(h Host) {
+	id := r.idByName[h.Name]
+	if id == 0 {
+		if h.State == balancer.Removed {
+			return
+		}
+		id = r.add(h.Name)
+	}
+	removed := h.State == balancer.Removed
+	if previous := r.byID[id].host.Address; removed || h.Address != previous {
+		r.forgetStart(id, previous)
+	}
+	if !removed && h.StartedMS > 0 && r.newestByAddress[h.Address].startedMS <= h.StartedMS {
+		r.newestByAddress[h.Address] = knownStart{id, h.StartedMS}
+	}
+}
+
+// forgetStart removes an endpoint's start at an address.
+func (r *endpointRegistry) forgetStart(id uint32, address string) {
+	if r.newestByAddress[address].id == id {
+		delete(r.newestByAddress, address)
+	}
+}
+
+// isSuperseded reports whether another listed endpoint started later at the same address. The process that the entry
+// was made for has gone then, though its removal has not been listed yet.
+func (r *endpointRegistry) isSuperseded(h Host) bool {
+	newest := r.newestByAddress[h.Address]
+	return newest.startedMS > h.StartedMS && newest.id != r.idByName[h.Name]
 }
 
 // acquire counts an attempt or health check as pending at an endpoint. It returns the endpoint's
--- a/internal/engine/registry_test.go
+++ b/internal/engine/registry_test.go
@@ -183,3 +183,63 @@
 		e.SetAdvisedDraining(e.Now(), []map[string]int64{advised, nil}[n%2])
 	}
 }
+
+// Of two endpoints at one address only the one that started last takes requests, in whatever order and state they are
+// listed; the other one's process has gone. Endpoints whose start is unknown are all used.
+func TestEndpointIsSupersededByALaterStartAtItsAddress(t *testing.T) {
+	const address = "127.0.0.1:1"
+	host := func(name string, startedMS int64, state balancer.State) Host {
+		h := readyHost(name, address)
+		h.StartedMS, h.State = startedMS, state
+		return h
+	}
+	for _, test := range []struct {
+		name  string
+		lists [][]Host // the first is a snapshot
+		want  []string // names of the endpoints that take requests
+	}{
+		{"successor listed later", [][]Host{{host("old", 0, balancer.Ready)}, {host("new", 5, balancer.Ready)}},
+			[]string{"new"}},
+		{"successor listed first", [][]Host{{host("new", 5, balancer.Ready), host("old", 3, balancer.Ready)}},
+			[]string{"new"}},
+		{"successor drains", [][]Host{{host("old", 3, balancer.Ready)}, {host("new", 5, balancer.Draining)}}, nil},
+		{"successor drains after it was ready", [][]Host{{host("old", 3, balancer.Ready)},
+			{host("new", 5, balancer.Ready)}, {host("new", 5, balancer.Draining), host("old", 3, balancer.Ready)}}, nil},
+		{"successor removed, old one listed again", [][]Host{{host("old", 3, balancer.Ready)},
+			{host("new", 5, balancer.Ready)}, {host("new", 5, balancer.Removed), host("old", 3, balancer.Ready)}},
+			[]string{"old"}},
+		{"old one restarted later", [][]Host{{host("old", 3, balancer.Ready)},
+			{host("new", 5, balancer.Ready)}, {host("old", 7, balancer.Ready)}}, []string{"old"}},
+		{"starts unknown", [][]Host{{host("old", 0, balancer.Ready), host("new", 0, balancer.Ready)}},
+			[]string{"new", "old"}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			e, _, decider := newTestEngine(t)
+			states := map[uint32]balancer.State{}
+			for i, hosts := range test.lists {
+				kind := balancer.ListDelta
+				if i == 0 {
+					kind = balancer.ListFull
+				}
+				e.UpdateEndpoints(e.Now(), kind, List{Version: uint64(i), Hosts: hosts})
+				for _, entry := range decider.entries {
+					states[entry.ID] = entry.State
+				}
+			}
+			var open, ready []string
+			for id, ep := range e.endpoints.byID {
+				if ep.target != nil && !ep.target.Closed() {
+					open = append(open, ep.name)
+				}
+				if states[id] == balancer.Ready {
+					ready = append(ready, ep.name)
+				}
+			}
+			slices.Sort(open)
+			slices.Sort(ready)
+			if !slices.Equal(open, test.want) || !slices.Equal(ready, test.want) {
+				t.Errorf("open targets %v, ready for the decision module %v, want %v", open, ready, test.want)
+			}
+		})
+	}
+}
