exchange: the id of a request that may have run is refused for a minute

Cause: an id was known only while its request was in flight, and a disconnect ended that at once, while the attempt could still run.

Idempotent requests, those with a key, rejections and requests that were never submitted are not retained.

--- a/internal/front/exchange/dispatcher.go
+++ b/internal/front/exchange/dispatcher.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +15,18 @@
 // ErrDisconnected is the error of Dispatch if the client has disconnected and cannot receive a response.
 var ErrDisconnected = errors.New("client disconnected")
 
+// Reasons why an id is refused.
+var (
+	errInFlight = &requestmeta.Error{
+		Code:   http.StatusConflict,
+		Reason: "a request with this X-Correlation-Id is already in flight",
+	}
+	errMayHaveRun = &requestmeta.Error{
+		Code:   http.StatusConflict,
+		Reason: "a request with this X-Correlation-Id may have run already",
+	}
+)
+
 // responseSlack is how long after a request's deadline the dispatcher responds if the engine has not. The engine's
 // own timer fires at the deadline, so this applies only if the engine is late or its queue is full.
 const responseSlack = 10 * time.Millisecond
@@ -26,14 +37,12 @@
 	upstream     engine.Upstream
 	maxBodyBytes int64
 	bodyBytes    atomic.Int64 // of the requests in flight
-
-	mu       sync.Mutex
-	inFlight map[string]bool // by X-Correlation-Id
+	ids          *requestIDs
 }
 
 // New returns a dispatcher whose requests may have maxBodyBytes of bodies in memory together.
 func New(e *engine.Engine, upstream engine.Upstream, maxBodyBytes int64) *Dispatcher {
-	return &Dispatcher{engine: e, upstream: upstream, maxBodyBytes: maxBodyBytes, inFlight: map[string]bool{}}
+	return &Dispatcher{engine: e, upstream: upstream, maxBodyBytes: maxBodyBytes, ids: newRequestIDs(time.Now)}
 }
 
 // LongestDeadline returns the longest client timeout of all classes.
@@ -48,13 +57,22 @@
 // Dispatch submits a request to the engine and returns its one response, at the latest responseSlack after
 // the request's deadline. Its errors are ErrDisconnected and *requestmeta.Error.
 func (d *Dispatcher) Dispatch(in *http.Request, req requestmeta.Parsed, body []byte) (engine.Response, error) {
-	if !d.register(req.CorrelationID) {
-		return engine.Response{}, &requestmeta.Error{
-			Code:   http.StatusConflict,
-			Reason: "a request with this X-Correlation-Id is already in flight",
-		}
+	switch d.ids.begin(req.CorrelationID) {
+	case idInFlight:
+		return engine.Response{}, errInFlight
+	case idMayHaveRun:
+		return engine.Response{}, errMayHaveRun
 	}
-	defer d.unregister(req.CorrelationID)
+	response, neverSent, err := d.submit(in, req, body)
+	rejected := err == nil && response.Code == http.StatusServiceUnavailable
+	idempotent := d.engine.Settings().Classes[req.Class].Idempotency != balancer.NotIdempotent
+	d.ids.end(req.CorrelationID, !idempotent && !neverSent && !rejected)
+	return response, err
+}
+
+// submit submits a request to the engine and waits for its response. neverSent reports that no attempt was made.
+func (d *Dispatcher) submit(in *http.Request, req requestmeta.Parsed, body []byte) (
+	response engine.Response, neverSent bool, err error) {
 	// waitCtx ends at the latest with this call, and always before the engine is notified of a disconnect.
 	waitCtx, cancel := context.WithDeadline(in.Context(), d.engine.WallTime(req.Deadline).Add(responseSlack))
 	defer cancel()
@@ -70,29 +88,29 @@
 	submit := func(now balancer.Micros) { d.engine.Submit(now, request, req.Request) }
 	if !d.engine.PostArrival(waitCtx.Done(), submit) {
 		if in.Context().Err() != nil {
-			return engine.Response{}, ErrDisconnected
+			return engine.Response{}, true, ErrDisconnected
 		}
-		return engine.Response{Code: http.StatusServiceUnavailable}, nil // it was never sent
+		return engine.Response{Code: http.StatusServiceUnavailable}, true, nil
 	}
 	select {
 	case r := <-responses:
-		return r, nil
+		return r, false, nil
 	case <-waitCtx.Done():
 	}
-	neverSent := request.Withdraw()
+	neverSent = request.Withdraw()
 	d.notifyDisconnected(request)
 	if in.Context().Err() != nil {
-		return engine.Response{}, ErrDisconnected
+		return engine.Response{}, neverSent, ErrDisconnected
 	}
 	select {
 	case r := <-responses: // received just after waitCtx ended
-		return r, nil
+		return r, false, nil
 	default:
 	}
 	if neverSent {
-		return engine.Response{Code: http.StatusServiceUnavailable}, nil
+		return engine.Response{Code: http.StatusServiceUnavailable}, true, nil
 	}
-	return engine.Response{Code: http.StatusBadGateway}, nil // an attempt may have run or may still run
+	return engine.Response{Code: http.StatusBadGateway}, false, nil // an attempt may have run or may still run
 }
 
 // notifyDisconnected notifies the engine that the client no longer waits for a request. It does not wait for space in
@@ -103,21 +121,3 @@
 		go d.engine.Post(event)
 	}
 }
-
-// register records that an id is in flight, and returns false if it was already.
-func (d *Dispatcher) register(id string) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.inFlight[id] {
-		return false
-	}
-	d.inFlight[id] = true
-	return true
-}
-
-// unregister records that the request with this id is no longer in flight.
-func (d *Dispatcher) unregister(id string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	delete(d.inFlight, id)
-}
