--- a/internal/httpmsg/headscan.go
+++ b/internal/httpmsg/headscan.go
@@ -6,6 +6,8 @@
 // Transfer-Encoding, net/http silently drops the former. Two readers that disagree on the length may then
 // take the same bytes for a body and for another request (request smuggling).
 type HeadScan struct {
+	Lines               int   // number of complete lines, with the start line and the empty line at the end
+	HostLines           int   // number of Host lines
 	ContentLengthLines  int   // number of Content-Length lines
 	HasTransferEncoding bool  // there is a Transfer-Encoding line
 	ScannedBytes        int64 // bytes scanned
@@ -16,6 +18,7 @@
 }
 
 var (
+	hostPrefix             = []byte("host:")
 	contentLengthPrefix    = []byte("content-length:")
 	transferEncodingPrefix = []byte("transfer-encoding:")
 )
@@ -33,17 +36,45 @@
 		if !ended {
 			return
 		}
-		lower := bytes.ToLower(bytes.TrimSuffix(h.line, []byte("\r")))
-		if bytes.HasPrefix(lower, contentLengthPrefix) {
-			h.ContentLengthLines++
-		}
-		h.HasTransferEncoding = h.HasTransferEncoding || bytes.HasPrefix(lower, transferEncodingPrefix)
-		// net/http skips empty lines ahead of a request.
-		if len(lower) > 0 {
-			h.started = true
-		} else if h.started {
-			h.HeaderBytes = start + int64(len(p)-len(rest))
+		h.endLine(start + int64(len(p)-len(rest)))
+	}
+}
+
+// endLine counts the current line, which ends after a number of bytes of the message.
+func (h *HeadScan) endLine(end int64) {
+	line := bytes.TrimSuffix(h.line, []byte("\r"))
+	h.line = h.line[:0]
+	h.Lines++
+	if len(line) == 0 {
+		// Empty lines ahead of a message are skipped.
+		if h.started {
+			h.HeaderBytes = end
 		}
-		h.line = h.line[:0]
+		return
+	}
+	h.started = true
+	switch line[0] | lowerCaseBit {
+	case 'h':
+		h.HostLines += count(hasPrefixFold(line, hostPrefix))
+	case 'c':
+		h.ContentLengthLines += count(hasPrefixFold(line, contentLengthPrefix))
+	case 't':
+		h.HasTransferEncoding = h.HasTransferEncoding || hasPrefixFold(line, transferEncodingPrefix)
+	}
+}
+
+// lowerCaseBit distinguishes the lower-case letters of ASCII from the upper-case ones.
+const lowerCaseBit = 0x20
+
+// hasPrefixFold reports whether a line begins with a lower-case prefix, in letters of either case.
+func hasPrefixFold(line, prefix []byte) bool {
+	return len(line) >= len(prefix) && bytes.EqualFold(line[:len(prefix)], prefix)
+}
+
+// count returns 1 for true.
+func count(is bool) int {
+	if is {
+		return 1
 	}
+	return 0
 }
--- a/internal/httpmsg/httpmsg.go
+++ b/internal/httpmsg/httpmsg.go
@@ -12,6 +12,7 @@
 const (
 	MaxBodyBytes   = 64 << 10 // body of a request or a response
 	MaxHeaderBytes = 32 << 10 // header of a request
+	MaxHeaderLines = 256      // lines of a request's header, with the request line and the empty line at its end
 )
 
 // hopByHop headers concern one connection only (RFC 9110, section 7.6.1).
