engine: timers of answered requests are stopped

What callers would see: requests that state a deadline of a minute and are answered at once left a timer each until that minute was over: 48 connections on one core brought the process to 34.8 MiB of 32 within 25 s.

Cause: a timer of the decision module was never stopped; an outdated one only had no effect when it fired.

Change: the engine keeps the timers by the module's slot, and stops those of the earlier request when a slot is used again. On virtual time nothing changes.

--- a/internal/engine/actions.go
+++ b/internal/engine/actions.go
@@ -70,7 +70,10 @@
 // Timer passes a token to Decider.TimerFired after a delay.
 func (x actions) Timer(delay balancer.Micros, token uint32) {
 	e := x.engine
-	e.After(time.Duration(delay)*time.Microsecond, func(now balancer.Micros) { e.decider.TimerFired(now, token) })
+	fired := func(now balancer.Micros) { e.decider.TimerFired(now, token) }
+	stop := e.startTimer(time.Duration(delay)*time.Microsecond, fired)
+	now := e.Now()
+	e.timers.add(now, token, startedTimer{stop: stop, due: now + delay})
 }
 
 // Probe requests the load of an endpoint.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -25,6 +25,7 @@
 	// Owned by the engine's goroutine.
 	decider   Decider
 	requests  requestLedger
+	timers    requestTimers
 	endpoints *endpointRegistry
 	discovery discovery
 	subset    *fleetSubset // nil if the complete fleet is used
@@ -37,6 +38,7 @@
 		options:   o,
 		log:       o.Log,
 		requests:  newRequestLedger(),
+		timers:    newRequestTimers(),
 		endpoints: newEndpointRegistry(o),
 		discovery: discovery{source: o.Source, stop: func() {}},
 		subset:    newFleetSubset(o.Subset),
