httpfront: a new connection is not closed before its client can send a request

What callers saw: in one run of 480 clients that send a body and leave, two requests of clients beside them had no answer on two connections one after the other (TestMemoryStaysWithinLimitWithManyRequestsInFlight, 1 of 4 cases).

Cause: at the limit an idle connection that had carried no request was closed first, however new it was. A client whose connection had been closed to make room came back and was closed again before its request arrived.

Change: a connection that has carried no request is closed to make room only after it has been idle for 50 ms; the connection that is to take its place waits.

TestNewConnectionIsNotEvictedAtOnce failed before.

--- a/internal/front/httpfront/listener.go
+++ b/internal/front/httpfront/listener.go
@@ -13,6 +13,8 @@
 	// slowRequestAfter is how long a request may take to arrive, or a response to be written, before its connection
 	// may be evicted: the application runs on the same host, sends a request in one piece and reads its response.
 	slowRequestAfter = 100 * time.Millisecond
+	// newConnectionTime is how long a new connection is kept for its first request to arrive.
+	newConnectionTime = 50 * time.Millisecond
 	// activeTime is how long after its last response a connection counts as one that its client uses.
 	activeTime = 100 * time.Millisecond
 	// maxAdmissionWait is how long a new connection waits at the limit for another one to be closed or to become slow.
@@ -151,12 +153,13 @@
 	return false, l.idle.Len()+l.receiving.Len()+l.lingering.Len() > 0
 }
 
-// evict ends a connection without a request in flight. In this order: an idle one that has carried no request, one
-// that has lingered for minLingerTime, one that has carried requests and been idle for activeTime, one whose request
-// has been arriving for more than slowRequestAfter, and any idle one; of each the one that has been so longest. While
-// others linger, those that may still carry requests are kept: the new connection waits. The caller holds l.mu.
+// evict ends a connection without a request in flight. In this order: one that has carried no request and been idle
+// for newConnectionTime, one that has lingered for minLingerTime, one that has carried requests and been idle for
+// activeTime, one whose request has been arriving for more than slowRequestAfter, and any idle one that has carried
+// requests; of each the one that has been so longest. While others linger, those that may still carry requests are
+// kept: the new connection waits. The caller holds l.mu.
 func (l *clientListener) evict() bool {
-	if l.evictIdle(false, 0) {
+	if l.evictIdle(false, newConnectionTime) {
 		return true
 	}
 	if longest := l.lingering.Front(); longest != nil {
--- a/internal/front/httpfront/listener_test.go
+++ b/internal/front/httpfront/listener_test.go
@@ -214,6 +214,27 @@
 	}
 }
 
+// A new connection is not closed to make room before its client had time to send a request: a client that is closed
+// unread on two connections has lost its request.
+func TestNewConnectionIsNotEvictedAtOnce(t *testing.T) {
+	local, peer := net.Pipe()
+	defer peer.Close()
+	l := newClientListener(1, 1, nil)
+	first := &clientConn{Conn: local, owner: l, accepted: time.Now()}
+	if !l.admit(first) {
+		t.Fatal("the first connection is not admitted")
+	}
+	next := &clientConn{Conn: local, owner: l}
+	first.since = time.Now().Add(time.Minute) // as new as can be
+	if admitted, mayWait := l.tryAdmit(next); admitted || !mayWait || first.wasEvicted() {
+		t.Error("a new connection is evicted, or the next one does not wait")
+	}
+	first.since = time.Now().Add(-2 * newConnectionTime)
+	if admitted, mayWait := l.tryAdmit(next); admitted || !mayWait || !first.wasEvicted() {
+		t.Error("a connection that has been idle for long is not evicted")
+	}
+}
+
 // newTestServer returns a server whose engine has no endpoints, for at most maxConnections connections.
 func newTestServer(t *testing.T, maxConnections int) *Server {
 	t.Helper()
