--- a/internal/front/httpfront/listener_test.go
+++ b/internal/front/httpfront/listener_test.go
@@ -219,18 +219,26 @@
 func TestNewConnectionIsNotEvictedAtOnce(t *testing.T) {
 	local, peer := net.Pipe()
 	defer peer.Close()
-	l := newClientListener(1, 1, nil)
-	first := &clientConn{Conn: local, owner: l, accepted: time.Now()}
-	if !l.admit(first) {
-		t.Fatal("the first connection is not admitted")
+	// admitAfter lets one connection be idle for a time, and then another one ask for its place.
+	admitAfter := func(idleTime time.Duration) (evicted, mayWait bool, took time.Duration) {
+		l := newClientListener(1, 1, nil)
+		first := &clientConn{Conn: local, owner: l, accepted: time.Now()}
+		if !l.admit(first) {
+			t.Fatal("the first connection is not admitted")
+		}
+		began := time.Now()
+		first.since = began.Add(-idleTime)
+		_, mayWait = l.tryAdmit(&clientConn{Conn: local, owner: l})
+		return first.wasEvicted(), mayWait, time.Since(began)
 	}
-	next := &clientConn{Conn: local, owner: l}
-	first.since = time.Now().Add(time.Minute) // as new as can be
-	if admitted, mayWait := l.tryAdmit(next); admitted || !mayWait || first.wasEvicted() {
+	evicted, mayWait, took := admitAfter(0)
+	for took > newConnectionTime { // the machine is busy
+		evicted, mayWait, took = admitAfter(0)
+	}
+	if evicted || !mayWait {
 		t.Error("a new connection is evicted, or the next one does not wait")
 	}
-	first.since = time.Now().Add(-2 * newConnectionTime)
-	if admitted, mayWait := l.tryAdmit(next); admitted || !mayWait || !first.wasEvicted() {
+	if evicted, mayWait, _ := admitAfter(2 * newConnectionTime); !evicted || !mayWait {
 		t.Error("a connection that has been idle for long is not evicted")
 	}
 }
