httpfront: bytes received behind a request stay reserved until they are consumed

Found by reading the change once more, not by a run: what was read ahead while a request was in flight had a reservation of its own, which ended with the request, while up to 16 KiB of it stayed in the connection's buffer as the start of the next one. The read-ahead now uses the connection's own reservation, which lasts until the next request is received; one reservation less for each request. The connection is no longer listed as writing before an interim response.

--- a/internal/front/httpfront/request.go
+++ b/internal/front/httpfront/request.go
@@ -205,9 +205,9 @@
 	size := max(receiveBufferBytes, len(r.buffer))
 	if len(r.array) == size {
 		r.buffer = r.array[:copy(r.array, r.buffer)]
-		return
+	} else {
+		r.replaceArray(size)
 	}
-	r.replaceArray(size)
 	r.memory.Reset()
 	_ = r.memory.TryGrow(int64(size - receiveBufferBytes)) // no more than was reserved until now
 }
@@ -228,7 +228,7 @@
 	}
 }
 
-// push appends bytes that were received while a request was in flight.
+// push appends bytes that were received while a request was in flight. Their memory has been reserved.
 func (r *requestReader) push(received []byte) {
 	if len(received) == 0 {
 		return
--- a/internal/front/httpfront/serve.go
+++ b/internal/front/httpfront/serve.go
@@ -156,8 +156,8 @@
 func (s *connServer) readBody(in *http.Request) (exchange.Body, error) {
 	awaitsContinue := in.ContentLength != 0 && strings.EqualFold(in.Header.Get("Expect"), "100-continue")
 	if awaitsContinue && in.ProtoAtLeast(1, 1) && len(s.reader.buffer) == 0 {
-		s.conn.beginWriting(time.Now().Add(writeTimeout))
-		s.conn.enter(&s.server.clients.receiving)
+		// This fails if the connection has ended; the write then fails, too.
+		_ = s.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 		if _, err := io.WriteString(s.conn.Conn, continueResponse); err != nil {
 			return exchange.Body{}, requestmeta.BadRequest("cannot write the interim response")
 		}
@@ -170,9 +170,7 @@
 func (s *connServer) exchange(w *responseWriter, in *http.Request, req requestmeta.Parsed, body exchange.Body) bool {
 	ctx, cancel := context.WithCancel(in.Context())
 	defer cancel()
-	memory := s.server.dispatcher.RequestMemory()
-	defer memory.Free()
-	ahead := startReadAhead(s.conn, memory, cancel)
+	ahead := startReadAhead(s.conn, s.memory, cancel)
 	release, err := s.server.respond(w, in.WithContext(ctx), req, body)
 	defer release()
 	ahead.stop()
