--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -33,7 +33,7 @@
 		}
 	}
 	if r.pending == 0 {
-		b.leaveIdempotencyKey(r)
+		b.releaseIdempotencyKey(r)
 		b.ledger.release(r)
 	}
 }
--- a/balancer/idempotency_keys.go
+++ b/balancer/idempotency_keys.go
@@ -42,7 +42,7 @@
 }
 
 // useIdempotencyKey returns the record of r's key, or nil if r has none. r uses it until
-// leaveIdempotencyKey is called. A record that no open request uses is dropped after one to two times
+// releaseIdempotencyKey is called. A record that no open request uses is dropped after one to two times
 // keyRetention, or at once if nothing was sent under its key.
 func (b *Balancer) useIdempotencyKey(now Micros, r *request) *idempotencyRecord {
 	class := b.classOf(r)
@@ -62,8 +62,8 @@
 	return record
 }
 
-// leaveIdempotencyKey ends r's use of the record of its key.
-func (b *Balancer) leaveIdempotencyKey(r *request) {
+// releaseIdempotencyKey ends r's use of the record of its key.
+func (b *Balancer) releaseIdempotencyKey(r *request) {
 	record := r.idempotency
 	if record == nil {
 		return
--- a/cmd/pinedale/flood_test.go
+++ b/cmd/pinedale/flood_test.go
@@ -73,7 +73,7 @@
 	} {
 		t.Run(kind.name, func(t *testing.T) {
 			o := overload{
-				memoryMB:     leastMemoryMB,
+				memoryMB:     minMemoryMB,
 				sockets:      platformSockets,
 				oneProcessor: true,
 				duration:     hostileDuration,
--- a/cmd/pinedale/memory_limit_test.go
+++ b/cmd/pinedale/memory_limit_test.go
@@ -7,9 +7,9 @@
 	"time"
 )
 
-// leastMemoryMB and its descriptors are the least that the platform grants a process, with the most connections.
+// minMemoryMB and its descriptors are the least that the platform grants a process, with the most connections.
 const (
-	leastMemoryMB   = 32
+	minMemoryMB     = 32
 	platformSockets = 1024
 )
 
@@ -40,7 +40,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			o := overload{
-				memoryMB:     leastMemoryMB,
+				memoryMB:     minMemoryMB,
 				sockets:      platformSockets,
 				oneProcessor: true,
 				duration:     hostileDuration,
@@ -65,7 +65,7 @@
 		{platformSockets, map[*hostileClient]int{largeBodies: 480}},
 	} {
 		o := overload{
-			memoryMB:     leastMemoryMB,
+			memoryMB:     minMemoryMB,
 			sockets:      test.sockets,
 			oneProcessor: true,
 			duration:     hostileDuration,
--- a/internal/front/httpfront/serve.go
+++ b/internal/front/httpfront/serve.go
@@ -63,7 +63,7 @@
 	in, err := s.reader.next()
 	arrived := s.server.engine.Now()
 	if err != nil {
-		s.refuseHeader(err)
+		s.rejectHeader(err)
 		return false
 	}
 	w := newResponseWriter()
@@ -73,8 +73,8 @@
 	return s.answer(w, in.WithContext(s.context), arrived)
 }
 
-// refuseHeader answers a request whose header was not received completely, or is not valid.
-func (s *connServer) refuseHeader(err error) {
+// rejectHeader answers a request whose header was not received completely, or is not valid.
+func (s *connServer) rejectHeader(err error) {
 	w := newResponseWriter()
 	var malformed *requestmeta.Error
 	switch {
@@ -92,7 +92,7 @@
 	default:
 		return // nothing was received, or the client has disconnected
 	}
-	s.refuse(w, http.MethodGet)
+	s.reject(w, http.MethodGet)
 }
 
 // errRequestTimeout rejects a request that has not arrived in time.
@@ -109,8 +109,8 @@
 	return closedMalformed
 }
 
-// refuse writes a response and ends the connection, on which bytes of the request may still arrive.
-func (s *connServer) refuse(w *responseWriter, method string) {
+// reject writes a response and ends the connection, on which bytes of the request may still arrive.
+func (s *connServer) reject(w *responseWriter, method string) {
 	s.reader.discard()
 	w.closes = true
 	if w.flush(s.conn, method) == nil {
@@ -132,7 +132,7 @@
 		exchange.WriteError(w, err)
 	}
 	if err != nil {
-		s.refuse(w, in.Method)
+		s.reject(w, in.Method)
 		return false
 	}
 	s.reader.finish()
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -92,9 +92,9 @@
 type Reservation struct {
 	budget *Budget
 
-	mu     sync.Mutex
-	held   int64
-	closed bool
+	mu       sync.Mutex
+	reserved int64
+	closed   bool
 }
 
 // NewReservation returns a reservation of no bytes.
@@ -112,7 +112,7 @@
 // grow makes the reservation hold size bytes by a call of reserve.
 func (r *Reservation) grow(size int64, reserve func(n int64) bool) bool {
 	r.mu.Lock()
-	missing, closed := size-r.held, r.closed
+	missing, closed := size-r.reserved, r.closed
 	r.mu.Unlock()
 	if closed || missing > 0 && !reserve(missing) {
 		return false
@@ -126,7 +126,7 @@
 		r.budget.Release(missing)
 		return false
 	}
-	r.held += missing
+	r.reserved += missing
 	return true
 }
 
@@ -134,8 +134,8 @@
 func (r *Reservation) Reset() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.budget.Release(r.held)
-	r.held = 0
+	r.budget.Release(r.reserved)
+	r.reserved = 0
 }
 
 // Free releases all that the reservation holds, for good.
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -23,7 +23,7 @@
 		}
 		held := func() (sum int64) {
 			for _, reservation := range reservations {
-				sum += reservation.held
+				sum += reservation.reserved
 			}
 			return sum
 		}
@@ -36,7 +36,7 @@
 				reservation.Free()
 			default:
 				want := rapid.Int64Range(0, size+10).Draw(r, "bytes")
-				before, closed := reservation.held, reservation.closed
+				before, closed := reservation.reserved, reservation.closed
 				free := size - held()
 				grown := reservation.TryGrow(want)
 				if fits := !closed && want-before <= free; grown != fits {
