--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -6,4 +6,4 @@
 	echo "not built: see the line build of deploy/balancer.toml, and review/build-2.sh" >&2
 	exit 2
 fi
-exec "$root/bin/review-2-driver" cut "$root" "$PWD"
+exec "$root/bin/review-2-driver" crowd "$root" "$PWD"
--- a/review/driver-2/length.go
+++ b/review/driver-2/length.go
@@ -70,7 +70,7 @@
 	l.end()
 	mu.Lock()
 	defer mu.Unlock()
-	r.record.say("%d requests, %d answers without a length that came whole; %d answered with it, %d with another, %d failed",
+	r.record.say("%d requests, %d answers without a length that came whole; %d answered with it, %d with another, %d failed or refused",
 		sent, len(whole), served, wrong, failed)
 	if sent == 0 || r.trouble && len(whole) == 0 {
 		return notRun, nil
--- a/review/driver-2/sidecar.go
+++ b/review/driver-2/sidecar.go
@@ -160,7 +160,7 @@
 		return nil, err
 	}
 	s.cmd.Stdout, s.cmd.Stderr = log, log
-	if err := s.cmd.Start(); err != nil {
+	if err := startOnOneProcessor(s.cmd); err != nil {
 		return nil, err
 	}
 	started.add(s.cmd)
