--- a/review/driver-2/memory.go
+++ b/review/driver-2/memory.go
@@ -65,7 +65,7 @@
 				last = time.Now()
 				r.record.add("memory: resident %d kB, of it anonymous %d kB, peak %d kB", use.resident, use.anonymous, use.peak)
 			}
-			if use.peak > memoryMB<<10 {
+			if use.resident > memoryMB<<10 {
 				p.most, p.killed = use, true
 				r.record.say("memory: peak %d kB, resident %d kB, of it anonymous %d kB: over the limit of %d kB, the platform "+
 					"kills the sidecar", use.peak, use.resident, use.anonymous, memoryMB<<10)
