Discovery: a call under way is not ended by a new configuration or by a poll

Cause: Engine.SwitchSource, and every poll through Engine.startWatch, ended the running watch and with it a call that was about to be answered. Nothing bounded how often this could happen in a row.

Each address was called within 2 ms of its signal; each call was closed by the caller after 2.0 to 2.1 s, within 3 ms of the next signal (docs/incidents/2026-12-06-reloads-keep-list-unread.md). Missed signals and calls that are not answered are ruled out by the same lines.

Change: watches are numbered and know whether they run (internal/engine/sourcewatch.go). When the source is replaced, the call under way may report one list more, unless a later watch has reported one. At most two such watches are kept, the oldest; further ones are ended as before. Their lists reach the decision module as cached or local ones, so that they do not count as answers of the new source, whose poll may have failed. A poll starts no watch while one runs. A source is closed after its last watch has returned.

Related paths with the same cause: the poll timer with an ask-within of 1 to 4 s (a call of 2.9 s was never answered, 6 calls in 3 s where 1 is enough), and the retry that a failure at the previous address had scheduled, which ended the first call to the new one.

Why it works: the first address that answers is heard while later ones are still waiting; a later list always wins.

The tests of long lists name their watch in place of a context; their checks are unchanged.

--- a/internal/engine/actions.go
+++ b/internal/engine/actions.go
@@ -94,12 +94,12 @@
 	})
 }
 
-// Watch starts a new watch of the source from the last known version, or stops the current one.
+// Watch starts a watch of the source from the last known version, unless one is running, or ends it.
 func (x actions) Watch(on bool) {
 	if on {
 		x.engine.startWatch()
 	} else {
-		x.engine.discovery.stop()
+		x.engine.discovery.endCurrent()
 	}
 }
 
--- a/internal/engine/discovery.go
+++ b/internal/engine/discovery.go
@@ -1,8 +1,6 @@
 package engine
 
 import (
-	"context"
-	"sync"
 	"time"
 
 	"pinedale/balancer"
@@ -12,46 +10,39 @@
 // polled, the decision module schedules the next poll.
 const rewatchDelay = time.Second
 
-// discovery is the state of the watch of the source. It is owned by the engine's goroutine.
-type discovery struct {
-	source  Source             // may be nil if Options.Clock is set
-	version *uint64            // of the last list, nil before the first list of this source
-	stop    context.CancelFunc // ends the current watch
-	watches sync.WaitGroup     // the current watch, and earlier ones that have not returned yet
-}
-
-// startWatch ends the current watch and starts a new one from the last known version. The watch's
-// goroutine ends with its context or the engine's; Run waits for it before it returns.
+// startWatch starts a watch of the source from the last known version, unless one is running: its
+// call is under way, and it reports a failure at its timeout. The watch's goroutine ends with its
+// context or the engine's; Run waits for it before it returns.
 func (e *Engine) startWatch() {
 	d := &e.discovery
-	d.stop()
-	if d.source == nil {
+	if d.source == nil || d.current.isRunning() {
 		return
 	}
-	ctx, cancel := context.WithCancel(e.ctx)
-	d.stop = cancel
+	w := d.newWatch(e.ctx)
 	source, version := d.source, d.version
-	d.watches.Go(func() { e.watch(ctx, source, version) })
+	source.watches.Add(1)
+	d.running.Go(func() {
+		defer source.watches.Done()
+		defer close(w.returned)
+		defer w.cancel()
+		e.watch(w, source, version)
+	})
 }
 
-// watch watches a source until ctx ends, or for a single poll if lists are polled. It runs on a
-// goroutine of its own.
-func (e *Engine) watch(ctx context.Context, source Source, version *uint64) {
+// watch watches a source until the watch's context ends, or for a single poll if lists are polled.
+// The watch of a replaced source ends with its next report. It runs on a goroutine of its own.
+func (e *Engine) watch(w *sourceWatch, source Source, version *uint64) {
 	notify := func(kind balancer.ListKind, list List) {
-		if len(list.Hosts) > hostsPerPart && e.subset == nil {
-			e.updateInParts(ctx, kind, list)
-			return
+		isLast := w.replaced.Load()
+		e.postReport(w, kind, list)
+		if isLast {
+			w.cancel()
 		}
-		e.Post(func(now balancer.Micros) {
-			if ctx.Err() == nil { // the watch may have been ended while the event was queued
-				e.UpdateEndpoints(now, kind, list)
-			}
-		})
 	}
-	for ctx.Err() == nil {
+	for w.ctx.Err() == nil {
 		var err error
-		version, err = source.Watch(ctx, version, notify)
-		if ctx.Err() == nil {
+		version, err = source.Watch(w.ctx, version, notify)
+		if w.ctx.Err() == nil {
 			e.log.Warn("endpoint watch failed", "err", err)
 		}
 		if e.options.Settings.PollDiscovery {
@@ -59,35 +50,74 @@
 		}
 		select {
 		case <-time.After(rewatchDelay):
-		case <-ctx.Done():
+		case <-w.ctx.Done():
 		}
+		if w.replaced.Load() {
+			return
+		}
+	}
+}
+
+// postReport passes the report of a watch to the engine's goroutine.
+func (e *Engine) postReport(w *sourceWatch, kind balancer.ListKind, list List) {
+	if len(list.Hosts) > hostsPerPart && e.subset == nil {
+		e.updateInParts(w, kind, list)
+		return
+	}
+	e.Post(func(now balancer.Micros) { e.applyReport(now, w, kind, list) })
+}
+
+// applyReport applies the report of a watch, unless a later watch has reported a list.
+func (e *Engine) applyReport(now balancer.Micros, w *sourceWatch, kind balancer.ListKind, list List) {
+	d := &e.discovery
+	if !d.accepts(w) {
+		return
+	}
+	if kind != balancer.ListFailed {
+		d.supersede(w)
+	}
+	if w == d.current {
+		e.UpdateEndpoints(now, kind, list)
+		return
+	}
+	w.end()
+	if kind == balancer.ListFailed {
+		e.log.Info("call to replaced discovery failed")
+		return
 	}
+	e.log.Info("endpoint list of replaced discovery applied", "version", list.Version, "entries", len(list.Hosts))
+	e.applyHosts(now, kindForReplaced(kind), e.inSubset(kind, list.Hosts))
 }
 
 // SwitchSource replaces the source. The new one is watched from a snapshot, since version numbers
-// of the previous source mean nothing to it. Requests in flight and the state of the decision
+// of the previous source mean nothing to it. Until it has reported one, the call that is under way
+// to the previous source may still report a list. Requests in flight and the state of the decision
 // module are kept. It must be called on the engine's goroutine.
 func (e *Engine) SwitchSource(next Source) {
-	previous := e.discovery.source
-	e.discovery.source = next
-	e.discovery.version = nil
+	e.discovery.replace(next)
 	e.startWatch()
-	previous.Close()
 }
 
 // UpdateEndpoints applies a list or changes. It must be called on the engine's goroutine; the
 // owner of an engine without a source calls it.
 func (e *Engine) UpdateEndpoints(now balancer.Micros, kind balancer.ListKind, list List) {
 	if kind == balancer.ListFailed {
+		if e.options.Settings.PollDiscovery {
+			e.discovery.endCurrent()
+		}
 		e.decider.UpdateEndpoints(now, kind, nil)
 		return
 	}
 	e.discovery.version = &list.Version
-	hosts := list.Hosts
-	if e.subset != nil {
-		hosts = e.subset.filter(kind, hosts, e.endpoints.contains)
+	e.applyHosts(now, kind, e.inSubset(kind, list.Hosts))
+}
+
+// inSubset returns those of the entries of a list or of changes that concern the endpoints in use.
+func (e *Engine) inSubset(kind balancer.ListKind, hosts []Host) []Host {
+	if e.subset == nil {
+		return hosts
 	}
-	e.applyHosts(now, kind, hosts)
+	return e.subset.filter(kind, hosts, e.endpoints.contains)
 }
 
 // applyHosts updates the registry and the decision module with a list of the endpoints in use, or
--- a/internal/engine/doc.go
+++ b/internal/engine/doc.go
@@ -55,6 +55,7 @@
 //	endpoint.go    Host, List and Target
 //	registry.go    endpoints by number, name and address
 //	listparts.go   long lists, applied in parts
-//	discovery.go   watches of the source, endpoint lists
+//	discovery.go   endpoint lists, replacement of the source
+//	sourcewatch.go watches of the source and of replaced ones
 //	subset.go      restriction to a selected part of the fleet
 package engine
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -40,7 +40,7 @@
 		requests:  newRequestLedger(),
 		timers:    newRequestTimers(),
 		endpoints: newEndpointRegistry(o),
-		discovery: discovery{source: o.Source, stop: func() {}},
+		discovery: newDiscovery(o.Source),
 		subset:    newFleetSubset(o.Subset),
 	}
 	e.settings.Store(&o.Settings)
@@ -80,7 +80,7 @@
 // Run handles events until the engine's context ends, and returns once the watch of the source has
 // also returned. The goroutine that calls it becomes the engine's.
 func (e *Engine) Run() {
-	defer e.discovery.watches.Wait()
+	defer e.discovery.running.Wait()
 	e.Start()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
--- a/internal/engine/interfaces.go
+++ b/internal/engine/interfaces.go
@@ -40,7 +40,7 @@
 	// ends or the watch fails. Before it returns an error, it reports balancer.ListFailed. It
 	// returns the version to continue from.
 	Watch(ctx context.Context, after *uint64, notify func(balancer.ListKind, List)) (*uint64, error)
-	// Close releases the source's resources. It is called after the context of its watch has ended.
+	// Close releases the source's resources. It is called after the last Watch has returned.
 	Close()
 }
 
--- a/internal/engine/listparts.go
+++ b/internal/engine/listparts.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"context"
 	"slices"
 
 	"pinedale/balancer"
@@ -12,12 +11,12 @@
 const hostsPerPart = 64
 
 // updateInParts applies a long list or many changes in parts, so that other events can run in
-// between. Entries of endpoints that must get no new requests come first. It returns early when ctx
-// ends. It must not be called on the engine's goroutine.
+// between. Entries of endpoints that must get no new requests come first. It returns early when the
+// watch that reported them ends. It must not be called on the engine's goroutine.
 //
 // A complete list is passed to the decision module as changes, with removals of the endpoints that
 // it does not name.
-func (e *Engine) updateInParts(ctx context.Context, kind balancer.ListKind, list List) {
+func (e *Engine) updateInParts(w *sourceWatch, kind balancer.ListKind, list List) {
 	lastKind := kind
 	changes := slices.Clone(list.Hosts)
 	if kind == balancer.ListFull || kind == balancer.ListCached {
@@ -25,24 +24,40 @@
 		if kind == balancer.ListCached {
 			lastKind = balancer.ListLocal
 		}
-		e.callUnlessEnded(ctx, func(balancer.Micros) {
+		e.callUnlessEnded(w, func(balancer.Micros) {
 			changes = append(changes, e.endpoints.removalsByList(list.Hosts)...)
 		})
 	}
 	slices.SortStableFunc(changes, func(a, b Host) int { return cmp.Compare(readyRank(a), readyRank(b)) })
 	for start := 0; start < len(changes); start += hostsPerPart {
 		end := min(start+hostsPerPart, len(changes))
-		e.callUnlessEnded(ctx, func(now balancer.Micros) {
-			if end < len(changes) {
-				e.applyHosts(now, balancer.ListPart, changes[start:end])
-				return
-			}
-			e.discovery.version = &list.Version
-			e.applyHosts(now, lastKind, changes[start:end])
+		partKind := balancer.ListPart
+		if end == len(changes) {
+			partKind = lastKind
+		}
+		e.callUnlessEnded(w, func(now balancer.Micros) {
+			e.applyPart(now, w, partKind, List{Version: list.Version, Hosts: changes[start:end]})
 		})
 	}
 }
 
+// applyPart applies a part of the report of a watch.
+func (e *Engine) applyPart(now balancer.Micros, w *sourceWatch, kind balancer.ListKind, part List) {
+	d := &e.discovery
+	isLast := kind != balancer.ListPart
+	if w != d.current {
+		kind = balancer.ListLocal
+	}
+	e.applyHosts(now, kind, part.Hosts)
+	switch {
+	case !isLast:
+	case w == d.current:
+		d.version = &part.Version
+	default:
+		w.end()
+	}
+}
+
 // readyRank is a sort key that puts entries that are not ready first.
 func readyRank(h Host) int {
 	if h.State == balancer.Ready {
@@ -71,13 +86,15 @@
 	return removals
 }
 
-// callUnlessEnded is Call for an event that is skipped if ctx has ended.
-func (e *Engine) callUnlessEnded(ctx context.Context, event event) {
-	if ctx.Err() != nil {
+// callUnlessEnded is Call for an event of a list that a watch reports. It is skipped if the watch
+// has ended or a later one has reported a list.
+func (e *Engine) callUnlessEnded(w *sourceWatch, event event) {
+	if w.ctx.Err() != nil {
 		return
 	}
 	e.Call(func(now balancer.Micros) {
-		if ctx.Err() == nil {
+		if e.discovery.accepts(w) {
+			e.discovery.supersede(w)
 			event(now)
 		}
 	})
--- a/internal/engine/listparts_test.go
+++ b/internal/engine/listparts_test.go
@@ -57,15 +57,24 @@
 	return e, decider
 }
 
+// beginWatch makes a watch that no goroutine runs the current one, in place of any other.
+func beginWatch(ctx context.Context, e *Engine) (w *sourceWatch) {
+	e.Call(func(balancer.Micros) {
+		e.discovery.endCurrent()
+		w = e.discovery.newWatch(ctx)
+	})
+	return w
+}
+
 // Applying a complete list in parts has the same result as applying it at once, and no event applies more than a part.
 func TestLongListIsTakenInByParts(t *testing.T) {
 	e, decider := newPartsEngine(t)
 	const n = 1000
-	e.updateInParts(context.Background(), balancer.ListFull, snapshot(hostRange(0, n)...))
+	e.updateInParts(beginWatch(context.Background(), e), balancer.ListFull, snapshot(hostRange(0, n)...))
 	second := snapshot(hostRange(n/2, n)...)
 	second.Version = 2
 	second.Hosts[n-1].State = balancer.Draining
-	e.updateInParts(context.Background(), balancer.ListFull, second)
+	e.updateInParts(beginWatch(context.Background(), e), balancer.ListFull, second)
 	e.Call(func(balancer.Micros) {
 		if decider.maxEntries > hostsPerPart {
 			t.Errorf("%d entries in one event, at most %d are allowed", decider.maxEntries, hostsPerPart)
@@ -86,7 +95,7 @@
 func TestDrainsInALongListComeFirst(t *testing.T) {
 	e, decider := newPartsEngine(t)
 	const n = 500
-	e.updateInParts(context.Background(), balancer.ListFull, snapshot(hostRange(0, n)...))
+	e.updateInParts(beginWatch(context.Background(), e), balancer.ListFull, snapshot(hostRange(0, n)...))
 	changes := List{Version: 2, Hosts: hostRange(0, n+200)}
 	changes.Hosts[n+199].State = balancer.Draining
 	changes.Hosts[n-1].State = balancer.Draining
@@ -94,7 +103,7 @@
 	e.Call(func(balancer.Micros) {
 		decider.Decider = &firstUpdateDecider{Decider: decider.Decider, entries: &first}
 	})
-	e.updateInParts(context.Background(), balancer.ListDelta, changes)
+	e.updateInParts(beginWatch(context.Background(), e), balancer.ListDelta, changes)
 	e.Call(func(balancer.Micros) {
 		if len(first) < 2 || first[0].State != balancer.Draining || first[1].State != balancer.Draining {
 			t.Error("the drains are not in the first part")
@@ -120,7 +129,7 @@
 	e, decider := newPartsEngine(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	e.Call(func(balancer.Micros) { decider.Decider = &cancellingDecider{decider.Decider, cancel} })
-	e.updateInParts(ctx, balancer.ListFull, snapshot(hostRange(0, 500)...))
+	e.updateInParts(beginWatch(ctx, e), balancer.ListFull, snapshot(hostRange(0, 500)...))
 	e.Call(func(balancer.Micros) {
 		if _, known := e.Counts(); known != hostsPerPart || e.discovery.version != nil {
 			t.Errorf("%d endpoints known, want %d; version %v, want none", known, hostsPerPart, e.discovery.version)
@@ -150,7 +159,7 @@
 		Zones: []string{"a"}, Upstream: up, Source: up, Settings: settings, Log: slog.New(slog.DiscardHandler),
 	})
 	go e.Run()
-	e.updateInParts(t.Context(), balancer.ListFull, snapshot(hostRange(0, 200)...))
+	e.updateInParts(beginWatch(t.Context(), e), balancer.ListFull, snapshot(hostRange(0, 200)...))
 	e.Call(func(now balancer.Micros) {
 		for range 100 {
 			r := &Request{Carrier: up, Respond: func(Response) {}}
--- a/internal/engine/scale_bench_test.go
+++ b/internal/engine/scale_bench_test.go
@@ -87,9 +87,10 @@
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			e, _, _ := newScaleEngine(b, n)
 			list := snapshot(hostRange(0, n)...)
+			w := beginWatch(b.Context(), e)
 			b.ResetTimer()
 			for range b.N {
-				e.updateInParts(b.Context(), balancer.ListFull, list)
+				e.updateInParts(w, balancer.ListFull, list)
 			}
 			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*n), "ns/endpoint")
 		})
