registry: a second call beside a stalled watch, timed by the drain grace

Cause: the durations did not add up. A silent watch was ended 2 s after its wait, 5.5 s after it was opened; what it missed counts as reported 6 s after the silence, and the grace is 2 s. That leaves 2.5 s for a call that may take 3 s. The durations were constants, whatever the grace.

Change: PollTiming takes the drain grace and derives wait and delay, so that wait, delay and a call of 3 s fit into 6 s and the grace. The second call is made beside the watch, which it no longer ends: what discovery is about to answer is not lost. The first answer counts. The delay is random in its second half, so that a fleet does not call in step. Pushed lists keep their durations; there too the watch now stays open beside the second call.

Why it works: at a grace of 2 s the second call begins at most 4.7 s after the watch was opened, and its answer arrives within 7.7 s; the limit is 8 s, and the 0.15 s for which an instance may be held up are in it.

An answer later than the delay costs one call more.

Earlier tests keep their limits; the scripted service waits for as long as the call asks in place of a constant.

--- a/internal/app/source.go
+++ b/internal/app/source.go
@@ -47,7 +47,7 @@
 
 // newDiscoverySource returns the source that watches the discovery service.
 func newDiscoverySource(file *config.File) engine.Source {
-	return registry.New(file.Discovery.Address, registry.PollTiming)
+	return registry.New(file.Discovery.Address, registry.PollTiming(time.Duration(file.Fleet.DrainGrace)))
 }
 
 // newEphemeralInput returns the source that watches ephemeral nodes.
--- a/internal/membership/multisource/source_test.go
+++ b/internal/membership/multisource/source_test.go
@@ -255,7 +255,7 @@
 func TestDiscoveryBesideEphemeralNodes(t *testing.T) {
 	h := start(t, func(h *harness) []Input {
 		h.discovery.List = document(1, "a", "b")
-		client := registry.New(h.discovery.Address, registry.PollTiming)
+		client := registry.New(h.discovery.Address, registry.PollTiming(2*time.Second))
 		return []Input{{reconcile.Discovery, h.discovery.Address, SourceFeeder{client}}}
 	}, "a", "b", "c")
 	h.waitReady("a b c")
--- a/internal/membership/registry/client.go
+++ b/internal/membership/registry/client.go
@@ -1,13 +1,13 @@
 // Package registry reads membership from a discovery service over HTTP. It requests complete
 // lists (snapshots) and watches for changes by long polling.
 //
-// A [Client] starts no goroutine. [Client.Watch] makes one call after the other on its caller's
-// goroutine; between watches a client has no state except its HTTP connection.
+// [Client.Watch] makes one call after the other. Beside a watch call without a response it makes a
+// second one, on a goroutine that ends with the call; between watches a client has no state except
+// its HTTP connection.
 package registry
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -52,32 +52,25 @@
 // call does not wait for changes, so that its response shows the balancer that the watch has begun.
 // after is the version of the last list that was received, nil if there is none; Watch returns its
 // new value.
-//
-// A watch call that times out is repeated once without delay and without a failure report: the
-// service may be healthy, and changes that were missed may already count as reported.
 func (c *Client) Watch(
 	ctx context.Context, after *uint64, notify func(balancer.ListKind, engine.List),
 ) (*uint64, error) {
-	wait := time.Duration(0)
+	watching := false
 	for {
-		list, err := c.fetch(ctx, after, wait)
+		list, err := c.fetch(ctx, after, watching)
 		switch {
 		case err != nil:
-			watchTimedOut := wait > 0 && errors.Is(err, context.DeadlineExceeded)
-			wait = 0
-			if watchTimedOut && ctx.Err() == nil {
-				continue
-			}
+			watching = false
 			notify(balancer.ListFailed, engine.List{})
 			if c.timing.RetryDelay == 0 || ctx.Err() != nil {
 				return after, err
 			}
 			ctxtime.Sleep(ctx, c.timing.RetryDelay)
 		case isOlderDelta(list, after):
-			after, wait = nil, 0
+			after, watching = nil, false
 			ctxtime.Sleep(ctx, watchPause)
 		default:
-			after, wait = &list.Version, c.timing.WatchWait
+			after, watching = &list.Version, true
 			notify(kindOf(list), list)
 			ctxtime.Sleep(ctx, watchPause)
 		}
@@ -98,13 +91,18 @@
 	return balancer.ListDelta
 }
 
-// fetch makes one call. If after is nil, it requests the complete list. Otherwise it requests the
-// changes since that version; if there are none yet, the service waits for them, up to wait.
-func (c *Client) fetch(ctx context.Context, after *uint64, wait time.Duration) (engine.List, error) {
-	timeout := c.timing.ListTimeout
-	if wait > 0 {
-		timeout = wait + c.timing.WatchGrace
+// fetch requests the complete list if after is nil, otherwise the changes since that version. If it
+// is watching and there are none yet, the service waits for them.
+func (c *Client) fetch(ctx context.Context, after *uint64, watching bool) (engine.List, error) {
+	if watching {
+		return c.fetchHedged(ctx, after)
 	}
+	return c.call(ctx, after, 0, c.timing.ListTimeout)
+}
+
+// call makes one call. If after is not nil and there are no changes since that version, the service
+// waits for them, up to wait.
+func (c *Client) call(ctx context.Context, after *uint64, wait, timeout time.Duration) (engine.List, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	body, err := c.get(ctx, c.requestURL(after, wait))
@@ -118,7 +116,7 @@
 	return list, nil
 }
 
-// requestURL returns the URL of a call with the parameters of fetch.
+// requestURL returns the URL of a call with the parameters of call.
 func (c *Client) requestURL(after *uint64, wait time.Duration) string {
 	if after == nil {
 		return c.url
--- a/internal/membership/registry/client_test.go
+++ b/internal/membership/registry/client_test.go
@@ -7,12 +7,15 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"pinedale/balancer"
+	"pinedale/internal/ctxtime"
 	"pinedale/internal/engine"
 )
 
@@ -22,6 +25,8 @@
 const (
 	answered          outcome = iota
 	answeredAfterWait         // the service holds the call until its wait is over
+	answeredLate              // the service answers lateness after the end of the call's wait
+	answeredSlowly            // the call waits for slowCall before it is answered
 	answeredIndented
 	answeredMalformed
 	stalled       // no answer
@@ -29,10 +34,20 @@
 	reset         // the connection breaks
 )
 
+const (
+	lateness = 1800 * time.Millisecond
+	slowCall = 3 * time.Second
+)
+
+// testTiming is the timing of a polled service if the drain grace is 2 s.
+var testTiming = PollTiming(2 * time.Second)
+
 // scriptedService is a discovery service in memory. Each call has the next of the outcomes;
-// calls after the last one are answered.
+// calls after the last one are answered, or have the outcome rest if it is set.
 type scriptedService struct {
+	mu       sync.Mutex // held while a call is recorded
 	outcomes []outcome
+	rest     outcome
 	version  uint64
 	document func(call int) string // returns the document of a call; nil for an empty list
 	calls    []recordedCall
@@ -49,9 +64,11 @@
 	if err := r.Context().Err(); err != nil {
 		return nil, err
 	}
+	s.mu.Lock()
 	call := len(s.calls)
 	s.calls = append(s.calls, recordedCall{r.URL.RequestURI(), time.Now()})
-	result := answered
+	s.mu.Unlock()
+	result := s.rest
 	if call < len(s.outcomes) {
 		result = s.outcomes[call]
 	}
@@ -63,7 +80,11 @@
 	switch result {
 	case answered:
 	case answeredAfterWait:
-		time.Sleep(PollTiming.WatchWait)
+		ctxtime.Sleep(r.Context(), requestedWait(r))
+	case answeredLate:
+		ctxtime.Sleep(r.Context(), requestedWait(r)+lateness)
+	case answeredSlowly:
+		ctxtime.Sleep(r.Context(), slowCall)
 	case answeredIndented:
 		body = strings.NewReader("\n\t{ \"seq\" : 41,\r\n  \"whole\": true , \"hosts\" : [\n ]\n}\n")
 	case answeredMalformed:
@@ -76,9 +97,18 @@
 	case reset:
 		return nil, errors.New("reset")
 	}
+	if err := r.Context().Err(); err != nil {
+		return nil, err
+	}
 	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(body)}, nil
 }
 
+// requestedWait returns how long a call lets the service wait for changes.
+func requestedWait(r *http.Request) time.Duration {
+	milliseconds, _ := strconv.Atoi(r.URL.Query().Get("wait_ms")) // 0 if it is absent
+	return time.Duration(milliseconds) * time.Millisecond
+}
+
 // stalledReader is a response body that returns no data until its context ends.
 type stalledReader struct{ ctx context.Context }
 
@@ -142,13 +172,13 @@
 		kinds    kinds
 		limit    time.Duration // from the call that stalled until the next list
 	}{
-		{"poll, at the start", PollTiming, outcomes{answered, stalled}, kinds{full, delta}, 6 * second},
-		{"poll, in a document", PollTiming, outcomes{answered, stalledInBody}, kinds{full, delta}, 6 * second},
-		{"poll, later", PollTiming, outcomes{answered, answeredAfterWait, answeredAfterWait, stalled},
+		{"poll, at the start", testTiming, outcomes{answered, stalled}, kinds{full, delta}, 6 * second},
+		{"poll, in a document", testTiming, outcomes{answered, stalledInBody}, kinds{full, delta}, 6 * second},
+		{"poll, later", testTiming, outcomes{answered, answeredAfterWait, answeredAfterWait, stalled},
 			kinds{full, delta, delta, delta}, 6 * second},
-		{"poll, twice in a row: the balancer decides when to retry", PollTiming, outcomes{answered, stalled, stalled},
+		{"poll, twice in a row: the balancer decides when to retry", testTiming, outcomes{answered, stalled, stalled},
 			kinds{full, failed}, 10 * second},
-		{"poll, the first call", PollTiming, outcomes{stalled}, kinds{failed}, 6 * second},
+		{"poll, the first call", testTiming, outcomes{stalled}, kinds{failed}, 6 * second},
 		{"push, at the start", PushTiming(second), outcomes{answered, stalled}, kinds{full, delta}, second / 2},
 		{"push, twice in a row", PushTiming(2 * second), outcomes{answered, stalled, stalled},
 			kinds{full, failed, delta}, 3 * second / 2},
@@ -198,7 +228,7 @@
 			version: 41,
 		}
 		start := time.Now()
-		watch(t, PollTiming, service, 5)
+		watch(t, testTiming, service, 5)
 		if elapsed := time.Since(start); len(service.calls) != 5 || elapsed < 14*time.Second {
 			t.Errorf("%d calls in %v, want 5 in at least 14s: %v", len(service.calls), elapsed, service.calls)
 		}
@@ -219,7 +249,7 @@
 			`{"seq":3,"whole":true,"hosts":[]}`,
 		}
 		service := &scriptedService{document: func(call int) string { return documents[call] }}
-		reported := watch(t, PollTiming, service, 3)
+		reported := watch(t, testTiming, service, 3)
 		want := []balancer.ListKind{balancer.ListFull, balancer.ListFull, balancer.ListFull}
 		if got := kindsOf(reported); !slices.Equal(got, want) {
 			t.Fatalf("reported list kinds %v, want %v", got, want)
@@ -236,7 +266,7 @@
 func TestWatchReadsIndentedDocument(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		service := &scriptedService{outcomes: []outcome{answeredIndented}}
-		reported := watch(t, PollTiming, service, 1)
+		reported := watch(t, testTiming, service, 1)
 		if reported[0].kind != balancer.ListFull || reported[0].list.Version != 41 {
 			t.Errorf("reported %+v, want a complete list of version 41", reported)
 		}
--- a/internal/membership/registry/timing.go
+++ b/internal/membership/registry/timing.go
@@ -6,20 +6,45 @@
 // time from the report that a server is draining until no new request may go to it.
 type Timing struct {
 	WatchWait   time.Duration // how long the service holds a watch call if nothing changes
-	WatchGrace  time.Duration // timeout of a watch call, in addition to WatchWait
+	HedgeDelay  time.Duration // how long after WatchWait a second call is made if there is no response
+	HedgeJitter time.Duration // the second call is made earlier by a random part of this, below HedgeDelay
+	WatchGrace  time.Duration // how long after WatchWait a watch call may last if the second call fails
 	ListTimeout time.Duration // timeout of a call that does not wait for changes
 	RetryDelay  time.Duration // delay before a retry after a failure; 0 leaves retries to the caller of Watch
 }
 
+const (
+	pollWatchWait   = 3500 * time.Millisecond
+	pollWatchGrace  = 2 * time.Second
+	pollListTimeout = 4 * time.Second
+
+	// pollReportTime is when changes that a stalled watch has missed count as reported.
+	pollReportTime = 6 * time.Second
+	// pollCallTime is the longest time for which a crowded service holds a call before it answers.
+	pollCallTime = 3 * time.Second
+	// pollSlack is for delays of the network and of the machine.
+	pollSlack = 300 * time.Millisecond
+	// minPollHedgeDelay keeps usual delays of a watch's response from causing second calls.
+	minPollHedgeDelay = 200 * time.Millisecond
+)
+
 // PollTiming is for a service that all instances share and that handles their calls one at a
-// time. Changes that a stalled watch has missed count as reported 6 s after the stall, or 2 s
-// after the end of its wait, whichever is later. A stalled call times out after 5.5 s, which
-// leaves half a second, in addition to the drain grace, for the call that opens the watch again.
-// While nothing changes, each instance makes 2 calls in 7 s.
-var PollTiming = Timing{
-	WatchWait:   3500 * time.Millisecond,
-	WatchGrace:  2 * time.Second,
-	ListTimeout: 4 * time.Second,
+// time. Changes that a stalled watch has missed count as reported 6 s after the stall, and no
+// request may go to a server that drains once the grace has passed as well. The wait of a watch,
+// the delay of the second call and the time that the service may take to answer it fit into this,
+// so that a short grace leaves less time for the wait. While nothing changes, an instance makes 2
+// calls in 7 s if the grace is at least 1 s.
+func PollTiming(grace time.Duration) Timing {
+	hedgeBy := pollReportTime + grace - pollCallTime - pollSlack
+	wait := min(pollWatchWait, hedgeBy-minPollHedgeDelay)
+	hedgeDelay := min(hedgeBy-wait, pollWatchGrace)
+	return Timing{
+		WatchWait:   wait,
+		HedgeDelay:  hedgeDelay,
+		HedgeJitter: hedgeDelay / 2,
+		WatchGrace:  pollWatchGrace,
+		ListTimeout: pollListTimeout,
+	}
 }
 
 // Bounds of the drain grace that PushTiming divides. Below the lower bound, delays of the
@@ -37,6 +62,7 @@
 	grace = min(max(grace, minPushGrace), maxPushGrace)
 	return Timing{
 		WatchWait:   grace / 4,
+		HedgeDelay:  grace / 8,
 		WatchGrace:  grace / 8,
 		ListTimeout: grace / 8,
 		RetryDelay:  grace / 20,
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -60,10 +60,11 @@
 
 // discoveryTiming returns the timing of discovery calls, which depends on whether lists are polled or pushed.
 func (c *Config) discoveryTiming() registry.Timing {
+	grace := micros(c.Settings.Contract.DrainGrace)
 	if c.Settings.PollDiscovery {
-		return registry.PollTiming
+		return registry.PollTiming(grace)
 	}
-	return registry.PushTiming(micros(c.Settings.Contract.DrainGrace))
+	return registry.PushTiming(grace)
 }
 
 // engineOptions returns the engine's settings and dependencies.
