registry: a dial ends with its call, or when the client is closed

Cause: http.Transport does not end a dial with the call that it was made for, and counts it as a connection. The client allows two connections and its dials had no time limit, so that two calls that had timed out held both places until the system gave up.

Change: a dial ends after the timeout of a call at the latest, and with Client.Close.

--- a/cmd/pinedale/discovery_test.go
+++ b/cmd/pinedale/discovery_test.go
@@ -80,3 +80,32 @@
 		t.Errorf("answers %v, error %v; want one rejection", codes, client.Err())
 	}
 }
+
+// Each of many configurations names a discovery service that does not answer. Neither connections nor goroutines of the
+// replaced ones may pile up, and the last one is read.
+func TestManyReloadsLeaveFewDescriptors(t *testing.T) {
+	t.Parallel()
+	const (
+		reloads        = 40
+		maxDescriptors = 8 // two connections each of the current service and two replaced ones, and the file being read
+	)
+	h := newHarness(t, true)
+	h.config.Settings.Discovery = testfleet.DiscoveryPolled
+	h.start()
+	wait.Until(t, "the watch", func() bool { return h.discovery.CallCount() > 1 })
+	before := h.descriptors()
+	for range reloads {
+		unresponsive := scriptedconn.New(t, scriptedconn.Unresponsive)
+		h.reload(unresponsive.Address)
+		wait.Until(t, "a call", func() bool { return unresponsive.RequestCount() > 0 })
+		if n := h.descriptors() - before; n > maxDescriptors {
+			t.Fatalf("%d more descriptors than before the reloads, want at most %d", n, maxDescriptors)
+		}
+	}
+	last := fakediscovery.New(t, h.config.Hosts...)
+	h.switchDiscovery(last)
+	wait.Until(t, "the watch of the last service", func() bool { return last.CallCount() > 1 })
+	wait.Until(t, "the connections to the others to be closed", func() bool { return h.descriptors() <= before+1 })
+	h.process.Signal(syscall.SIGTERM)
+	h.waitForExit()
+}
--- a/cmd/pinedale/harness_test.go
+++ b/cmd/pinedale/harness_test.go
@@ -140,9 +140,25 @@
 
 // switchDiscovery reloads the configuration with another discovery service.
 func (h *harness) switchDiscovery(to *fakediscovery.Directory) {
+	h.t.Helper()
+	h.reload(to.Address)
+}
+
+// descriptors returns the number of the program's open file descriptors.
+func (h *harness) descriptors() int {
+	h.t.Helper()
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", h.process.PID()))
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	return len(entries)
+}
+
+// reload reloads the configuration with another address of discovery.
+func (h *harness) reload(discovery string) {
 	h.t.Helper()
 	moved := h.config
-	moved.Discovery = to.Address
+	moved.Discovery = discovery
 	testfleet.WriteFile(h.t, h.configPath, moved.JSON(h.t))
 	h.process.Signal(syscall.SIGHUP)
 }
--- a/internal/membership/registry/client.go
+++ b/internal/membership/registry/client.go
@@ -10,6 +10,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -26,26 +27,56 @@
 	// of calls. The service ends a watch if the next call comes more than 200 ms after the
 	// last response.
 	watchPause = 20 * time.Millisecond
+
+	// maxConns is the maximum number of connections: a watch and the second call beside it.
+	maxConns = 2
 )
 
 // Client is a client of the discovery service. It implements engine.Source.
 type Client struct {
-	url    string
-	timing Timing
-	client http.Client
+	url     string
+	timing  Timing
+	client  http.Client
+	dial    dialFunc
+	closing context.Context // ends with Close
+	close   context.CancelFunc
 }
 
+// dialFunc opens a connection, as net.Dialer.DialContext does.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // New returns a client of the service at host:port.
 func New(address string, timing Timing) *Client {
-	return &Client{
+	c := &Client{
 		url:    "http://" + address + "/registry/instances",
 		timing: timing,
-		client: http.Client{Transport: &http.Transport{MaxIdleConns: 1, MaxConnsPerHost: 2}},
+		dial:   (&net.Dialer{}).DialContext,
 	}
+	c.closing, c.close = context.WithCancel(context.Background())
+	c.client.Transport = &http.Transport{
+		DialContext:     c.dialBounded,
+		MaxIdleConns:    1,
+		MaxConnsPerHost: maxConns,
+	}
+	return c
 }
 
-// Close closes idle connections.
-func (c *Client) Close() { c.client.CloseIdleConnections() }
+// Close closes idle connections and ends dials that are in progress.
+func (c *Client) Close() {
+	c.close()
+	c.client.CloseIdleConnections()
+}
+
+// dialBounded opens a connection within the timeout of a call. http.Transport does not end a dial
+// with the call that it was made for, and counts it as a connection: without a bound, a service
+// that cannot be reached would hold up the calls after its return, and replaced clients would leave
+// descriptors behind.
+func (c *Client) dialBounded(ctx context.Context, network, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timing.ListTimeout)
+	defer cancel()
+	defer context.AfterFunc(c.closing, cancel)()
+	return c.dial(ctx, network, address)
+}
 
 // Watch passes lists and changes to notify until a call fails, and then reports the failure. If the
 // timing has a RetryDelay, it retries after that delay until ctx ends; otherwise it returns. The first
