cluster: the address of another instance is kept as a copy

Cause: membership.add kept memberlist's own record of an instance, which memberlist writes again for each announcement of that instance. transport.send read the address from it without memberlist's lock.

Change: the record is copied in the notification, during which memberlist holds its lock. Addresses change only with a notification, so that the copy is as new as before.

Tests: TestMemberIsACopyOfTheListsRecord failed before. Run: the tests of cluster and app with the race detector on arm64.

--- a/internal/cluster/membership.go
+++ b/internal/cluster/membership.go
@@ -164,11 +164,13 @@
 	return m.alive[name]
 }
 
-// add records that an instance is alive, or its new address.
+// add records that an instance is alive, or its new address. It keeps a copy, since memberlist
+// changes its own record later, without a lock that callers could hold.
 func (m *membership) add(member *memberlist.Node) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.alive[member.Name] = member
+	known := *member
+	m.alive[member.Name] = &known
 }
 
 // remove records that an instance is no longer alive.
--- a/internal/cluster/membership_test.go
+++ b/internal/cluster/membership_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bytes"
+	"log/slog"
 	"net"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/memberlist"
+
 	"pinedale/internal/engine"
 	"pinedale/internal/standin/wait"
 )
@@ -52,3 +55,15 @@
 		t.Errorf("lease request while a duplicate runs: %+v, want an exclusive lease", decision)
 	}
 }
+
+// memberlist changes its record of an instance while messages are sent to it: sending once read the address in the
+// middle of such a change.
+func TestMemberIsACopyOfTheListsRecord(t *testing.T) {
+	m := newMembership("i-0", slog.New(slog.DiscardHandler))
+	record := &memberlist.Node{Name: "i-1", Addr: net.IPv4(127, 0, 0, 1), Port: 7001}
+	m.add(record)
+	record.Addr, record.Port = net.IPv4(127, 0, 0, 2), 7002
+	if address := m.member("i-1").Address(); address != "127.0.0.1:7001" {
+		t.Errorf("the address is %s, want 127.0.0.1:7001 until the next notification", address)
+	}
+}
