balancer: the backoff after a failed poll counts the time that the poll took

What callers could see: after an outage in which calls to discovery hang, a list could be read 10.75 s after discovery was reachable again, so that requests went on to an endpoint that drained for 2.7 s after a grace of 2 s. Computed from the bounds, and seen in a test of the module; not seen over processes.

Cause: a call that is lost fails at its timeout of 4 s; the backoff of up to 3.75 s began only then, and the next call may take 3 s.

Change: the next poll begins at most 4.75 s after one that fails late. Polls that fail at once, because discovery has too many callers, back off as before; a poll that fails after 3 s is followed by the next one after at most 1.75 s in place of 3.75. The delay stays random, so that a fleet whose calls time out together does not poll in step.

Tests: TestPollThatFailsLateIsRetriedSoon failed before; TestRejectedPollsBackOff bounds the change (at most one poll in 2 s).

--- a/balancer/members.go
+++ b/balancer/members.go
@@ -13,6 +13,7 @@
 	if (live || kind == ListPart) && b.settings.PollDiscovery {
 		b.discovery.subscribed = true
 		b.discovery.backoff = 0
+		b.discovery.pollPending = false
 	}
 	b.endpoints.advance(now)
 	b.endpoints.version++
--- a/balancer/members_test.go
+++ b/balancer/members_test.go
@@ -85,6 +85,54 @@
 	}
 }
 
+// A poll that was lost fails at its timeout. The backoff after it once came on top, so that a change was known too late
+// after discovery was reachable again: the timeout of 4 s, the backoff and a slow poll of 3 s must fit into 8 s.
+func TestPollThatFailsLateIsRetriedSoon(t *testing.T) {
+	const timeout = 4 * second
+	for _, interval := range []Micros{10 * second, 60 * second} {
+		s := testSettings()
+		s.PollDiscovery = true
+		s.Contract.PollInterval = interval
+		b, r := start(t, s, ready(2))
+		now := interval / 10 // the first poll is due by then
+		delays := map[Micros]bool{}
+		for range 20 {
+			b.TimerFired(now, discoveryTimer)
+			now += timeout
+			r.timers, r.delays = nil, nil
+			b.UpdateEndpoints(now, ListFailed, nil)
+			delay := r.delays[slices.Index(r.timers, discoveryTimer)]
+			if delay > second || delay < second/4 {
+				t.Errorf("poll interval of %d s: polled %d µs after a late failure, want 0.25 to 1 s", interval/second, delay)
+			}
+			delays[delay] = true
+			now += delay
+		}
+		if len(delays) < 10 {
+			t.Errorf("%d different delays of 20: a fleet would poll in step", len(delays))
+		}
+	}
+}
+
+// Discovery that rejects polls at once, since it has too many callers, gets no more of them than the backoff allows.
+func TestRejectedPollsBackOff(t *testing.T) {
+	s := testSettings()
+	s.PollDiscovery = true
+	b, r := start(t, s, ready(2))
+	now := s.Contract.PollInterval / 10 // the first poll is due by then
+	const polls = 40
+	for range polls {
+		b.TimerFired(now, discoveryTimer)
+		now += second / 20
+		r.timers, r.delays = nil, nil
+		b.UpdateEndpoints(now, ListFailed, nil)
+		now += r.delays[slices.Index(r.timers, discoveryTimer)]
+	}
+	if now < polls*2*second {
+		t.Errorf("%d polls in %d s, want at most one in 2 s", polls, now/second)
+	}
+}
+
 // A process start time is read from another machine's wall clock, and this machine's clock may be ahead by an hour.
 func TestNewEndpointStartsSlowlyWhereTheWallClockIsAhead(t *testing.T) {
 	const hour = 3600 * second
--- a/balancer/probe_pool.go
+++ b/balancer/probe_pool.go
@@ -99,6 +99,9 @@
 	subscribed bool
 	pollAt     Micros // time of the next poll, unless subscribed by then
 	backoff    Micros
+
+	pollPending bool   // a poll has neither been answered nor failed
+	polledAt    Micros // time of that poll
 }
 
 // schedulePoll schedules the next poll of discovery.
