engine: an older list of a replaced source makes no endpoint ready

Change: if a replaced source reports a lower version than that of the last list, its drains and removals are applied, but no endpoint becomes ready by it, and ready ones keep their entries (internal/engine/replaced.go). The versions of two sources need not be comparable, so that such a list is not simply dropped: it may be the first to report a drain.

Tests: TestOlderListOfReplacedSourceRevivesNothing, for a short list and one that is applied in parts, failed before (s-1, which drains, and s-4, which is not listed, were ready).

--- a/internal/engine/discovery.go
+++ b/internal/engine/discovery.go
@@ -86,7 +86,8 @@
 		return
 	}
 	e.log.Info("endpoint list of replaced discovery applied", "version", list.Version, "entries", len(list.Hosts))
-	e.applyHosts(now, kindForReplaced(kind), e.inSubset(kind, list.Hosts))
+	e.applyHosts(now, kindForReplaced(kind), e.inSubset(kind, e.entriesOf(w, list)))
+	d.latest = max(d.latest, list.Version)
 }
 
 // SwitchSource replaces the source. The new one is watched from a snapshot, since version numbers
@@ -109,6 +110,7 @@
 		return
 	}
 	e.discovery.version = &list.Version
+	e.discovery.latest = list.Version
 	e.applyHosts(now, kind, e.inSubset(kind, list.Hosts))
 }
 
--- a/internal/engine/doc.go
+++ b/internal/engine/doc.go
@@ -57,5 +57,6 @@
 //	listparts.go   long lists, applied in parts
 //	discovery.go   endpoint lists, replacement of the source
 //	sourcewatch.go watches of the source and of replaced ones
+//	replaced.go    lists of sources that have been replaced
 //	subset.go      restriction to a selected part of the fleet
 package engine
--- a/internal/engine/listparts.go
+++ b/internal/engine/listparts.go
@@ -18,16 +18,19 @@
 // it does not name.
 func (e *Engine) updateInParts(w *sourceWatch, kind balancer.ListKind, list List) {
 	lastKind := kind
-	changes := slices.Clone(list.Hosts)
-	if kind == balancer.ListFull || kind == balancer.ListCached {
+	if isSnapshot(kind) {
 		lastKind = balancer.ListDelta
 		if kind == balancer.ListCached {
 			lastKind = balancer.ListLocal
 		}
-		e.callUnlessEnded(w, func(balancer.Micros) {
-			changes = append(changes, e.endpoints.removalsByList(list.Hosts)...)
-		})
 	}
+	var changes []Host
+	e.callUnlessEnded(w, func(balancer.Micros) {
+		changes = slices.Clone(e.entriesOf(w, list))
+		if isSnapshot(kind) {
+			changes = append(changes, e.endpoints.removalsByList(changes)...)
+		}
+	})
 	slices.SortStableFunc(changes, func(a, b Host) int { return cmp.Compare(readyRank(a), readyRank(b)) })
 	for start := 0; start < len(changes); start += hostsPerPart {
 		end := min(start+hostsPerPart, len(changes))
@@ -53,8 +56,10 @@
 	case !isLast:
 	case w == d.current:
 		d.version = &part.Version
+		d.latest = part.Version
 	default:
 		w.end()
+		d.latest = max(d.latest, part.Version)
 	}
 }
 
--- a/internal/engine/sourcewatch.go
+++ b/internal/engine/sourcewatch.go
@@ -5,8 +5,6 @@
 	"slices"
 	"sync"
 	"sync/atomic"
-
-	"pinedale/balancer"
 )
 
 // maxReplacedWatches bounds the watches of replaced sources that may still report a list, and so the
@@ -61,6 +59,7 @@
 	replaced []*sourceWatch // of earlier sources, oldest first
 	started  uint64         // number of watches so far
 	applied  uint64         // highest number of a watch that has reported a list
+	latest   uint64         // version of the last list of any source
 	running  sync.WaitGroup // goroutines of watches and of sources that are being closed
 }
 
@@ -130,12 +129,3 @@
 		return true
 	})
 }
-
-// kindForReplaced returns the kind as which the decision module gets a list of a replaced source.
-// It is not the response to the poll of the current source, which may have failed.
-func kindForReplaced(kind balancer.ListKind) balancer.ListKind {
-	if kind == balancer.ListFull || kind == balancer.ListCached {
-		return balancer.ListCached
-	}
-	return balancer.ListLocal
-}
--- a/internal/engine/sourcewatch_test.go
+++ b/internal/engine/sourcewatch_test.go
@@ -173,6 +173,29 @@
 	}
 }
 
+// A replaced source answers before its successor, but with an older list than the one that is known: drains and
+// removals are applied, and no endpoint becomes ready again.
+func TestOlderListOfReplacedSourceRevivesNothing(t *testing.T) {
+	for name, others := range map[string][]Host{"short": nil, "in parts": hostRange(10, 3*hostsPerPart)} {
+		t.Run(name, func(t *testing.T) {
+			known := sourceOf(0, append([]Host{drainingOne, readyTwo, readyHost("s-3", "127.0.0.1:3")}, others...)...)
+			known.list.Version = 5
+			older := sourceOf(time.Second, append([]Host{readyOne, readyTwo, readyHost("s-4", "127.0.0.1:4")}, others...)...)
+			older.list.Version = 3
+			withPollingEngine(t, 10*time.Second, known, func(t *testing.T, e pollingEngine) {
+				time.Sleep(2 * time.Second)
+				e.switchTo(older)
+				e.switchTo(sourceOf(time.Hour, readyOne))
+				time.Sleep(1500 * time.Millisecond)
+				e.expectReady("s-1", false) // drained
+				e.expectReady("s-2", true)
+				e.expectReady("s-3", false) // no longer listed
+				e.expectReady("s-4", false) // may have been removed
+			})
+		})
+	}
+}
+
 // Any number of replacements leaves a few watches, and all replaced sources are closed in the end.
 func TestManyReplacementsLeaveFewWatches(t *testing.T) {
 	withPollingEngine(t, 10*time.Second, sourceOf(0, readyOne), func(t *testing.T, e pollingEngine) {
