--- a/internal/engine/listparts.go
+++ b/internal/engine/listparts.go
@@ -31,6 +31,9 @@
 			changes = append(changes, e.endpoints.removalsByList(changes)...)
 		}
 	})
+	if w.ctx.Err() != nil {
+		return // the event may still run while the engine ends
+	}
 	slices.SortStableFunc(changes, func(a, b Host) int { return cmp.Compare(readyRank(a), readyRank(b)) })
 	for start := 0; start < len(changes); start += hostsPerPart {
 		end := min(start+hostsPerPart, len(changes))
